--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target sets up what it lacks. VENV names the virtual environment to use.
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN := $(VENV)/bin
+export PYTHONPATH := $(CURDIR)/src
+export PYTHONHASHSEED := 0
+
+.PHONY: setup demo test lint format bench golden generate
+
+$(VENV)/.installed: requirements/dev.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --require-hashes --requirement requirements/dev.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+setup: $(VENV)/.installed
+
+demo: setup
+	$(BIN)/python -m cranberrymux.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff check --fix src tests bench
+
+bench: setup
+	$(BIN)/python -m bench
+
+golden: setup
+	CRANBERRYMUX_REWRITE_GOLDEN=1 $(BIN)/python -m pytest tests/golden
+
+# Needs the thrift compiler 0.17; the generated code is committed.
+generate:
+	rm -rf build/thrift && mkdir -p build/thrift
+	thrift --gen py:twisted -out build/thrift src/cranberrymux/wire/cranberrymux.thrift
+	cp -r build/thrift/cranberrymux/wire/gen src/cranberrymux/wire/
+	rm -f src/cranberrymux/wire/gen/messages/*-remote
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Focused benchmarks; each prints one JSON line per figure."""
--- /dev/null
+++ b/src/cranberrymux/models/__init__.py
@@ -0,0 +1,1 @@
+"""Value types that more than one layer shares."""
--- /dev/null
+++ b/src/cranberrymux/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked YAML settings, one settings type per program."""
--- /dev/null
+++ b/src/cranberrymux/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What the processes say to one another."""
--- /dev/null
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -0,0 +1,113 @@
+// Messages between the processes. Regenerate with `make generate`.
+
+namespace py cranberrymux.wire.gen.messages
+
+struct Endpoint {
+  1: required string service_name
+  2: required string endpoint_id
+  3: required i64 incarnation
+  4: required i64 sequence
+  5: required string address
+  6: required i32 port
+  7: required string region
+  8: required string zone
+  9: required map<string, string> labels
+  10: required i32 slots
+  11: required i32 state
+}
+
+// A node's heartbeat. `endpoints` holds what the node vouches for (its own
+// backend server), `services` what it calls, `directory_revision` the last
+// revision it has of those (0: none).
+struct Heartbeat {
+  1: required string node_id
+  2: required i64 incarnation
+  3: required list<Endpoint> endpoints
+  4: required list<string> services
+  5: required i64 directory_revision
+  6: required i64 configuration_version
+  7: required string directory_epoch
+}
+
+// `configuration` is the YAML document of `configuration_version`, absent when
+// the node has it already. `vouched_ms` is how long the control instance
+// vouches for that version; 0: it cannot vouch.
+struct HeartbeatAnswer {
+  1: required i64 lease_ms
+  2: required string directory_epoch
+  3: required i64 directory_revision
+  4: required bool whole_directory
+  5: required list<Endpoint> endpoints
+  6: required i64 configuration_version
+  7: optional string configuration
+  8: required i64 vouched_ms
+}
+
+struct ClaimRequest {
+  1: required string request_id
+  2: required string call_id
+  3: required string body_digest
+  4: required string owner
+  5: required i64 owner_incarnation
+  6: required string principal
+}
+
+enum ClaimVerdict {
+  GRANTED = 1
+  RUNNING = 2
+  SETTLED = 3
+  DIGEST_MISMATCH = 4
+  EXPIRED = 5
+  UNAVAILABLE = 6
+  UNKNOWN_OUTCOME = 7
+}
+
+struct ClaimAnswer {
+  1: required ClaimVerdict verdict
+  2: required i32 status
+  3: optional binary body
+  4: required i64 retry_after_ms
+  5: optional string owner
+}
+
+struct SettleRequest {
+  1: required string request_id
+  2: required string call_id
+  3: required string owner
+  4: required i64 owner_incarnation
+  5: required i32 status
+  6: optional binary body
+}
+
+// A message of the replicated log. `payload` is the encoded message.
+struct PeerMessage {
+  1: required string sender
+  2: required string recipient
+  3: required binary payload
+}
+
+struct SuspectReport {
+  1: required string fingerprint
+  2: required string endpoint_id
+  3: required i64 incarnation
+}
+
+struct SuspectAnswer {
+  1: required i32 deaths
+}
+
+exception Refused {
+  1: required string reason
+}
+
+service Control {
+  HeartbeatAnswer heartbeat(1: string key, 2: Heartbeat heartbeat)
+      throws (1: Refused refused)
+  ClaimAnswer claim(1: string key, 2: ClaimRequest request)
+      throws (1: Refused refused)
+  ClaimAnswer settle(1: string key, 2: SettleRequest request)
+      throws (1: Refused refused)
+  SuspectAnswer report_suspect(1: string key, 2: SuspectReport report)
+      throws (1: Refused refused)
+  oneway void deliver(1: string key, 2: PeerMessage message)
+}
--- /dev/null
+++ b/tests/settings/test_loader.py
@@ -0,0 +1,40 @@
+"""Settings files give the line, key and expectation of what is wrong."""
+
+import pytest
+
+from cranberrymux import exceptions
+from cranberrymux.settings import field
+from cranberrymux.settings import loader
+
+FIELDS = (
+    field.Field("port", field.Kind.INTEGER, minimum=1, maximum=65535),
+    field.Field("lease_ms", field.Kind.INTEGER, default=3000, minimum=100),
+    field.Field("labels", field.Kind.TEXT_MAP, default={}),
+)
+
+
+def test_fills_in_defaults():
+    values = loader.load_text("port: 80\n", "x.yaml", FIELDS)
+    assert values == {"port": 80, "lease_ms": 3000, "labels": {}}
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "key", "expected"),
+    [
+        ("lease_ms: 200\n", 1, "port", "no default"),
+        ("port: 80\nprot: 1\n", 2, "prot", "one of the keys"),
+        ("port: 80\nport: 81\n", 2, "port", "once only"),
+        ("port: yes\n", 1, "port", "a whole number from 1 to 65535"),
+        ("port: 80\nlease_ms: 5s\n", 2, "lease_ms", "of milliseconds"),
+        ("port: 70000\n", 1, "port", "from 1 to 65535"),
+        ("port: 80\nlabels: {a: 1}\n", 2, "labels", "map of text to text"),
+        ("- 1\n", 1, "(file)", "a map of keys"),
+        ("port: [\n", 2, "(file)", "valid YAML"),
+    ],
+)
+def test_names_line_key_and_expectation(text, line, key, expected):
+    with pytest.raises(exceptions.SettingsError) as caught:
+        loader.load_text(text, "x.yaml", FIELDS)
+    assert (caught.value.line, caught.value.key) == (line, key)
+    assert expected in caught.value.expected
+    assert str(caught.value).startswith(f"x.yaml:{line}: {key}: expected ")
