--- a/src/cranberrymux/models/request_context.py
+++ b/src/cranberrymux/models/request_context.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+SHED_HASHES = 128
+
 
 class RequestContext(NamedTuple):
     """The context of one call.
@@ -32,3 +34,8 @@
     attempt: int
     once_only: bool = False
     idempotent: bool = False
+
+    @property
+    def priority(self) -> int:
+        """Order of shedding over classes and requests; 0 is shed last."""
+        return self.class_rank * SHED_HASHES + self.shed_hash
