--- /dev/null
+++ b/src/cranberrymux/decisions/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: which calls an endpoint runs now, queues or refuses."""
--- /dev/null
+++ b/src/cranberrymux/decisions/admission/ticket.py
@@ -0,0 +1,19 @@
+"""What a call shows when it asks to be admitted."""
+
+from typing import NamedTuple
+
+
+class Ticket(NamedTuple):
+    """One call that asks for a slot.
+
+    Attributes:
+        ticket_id: Unique among the calls that are queued or running.
+        priority: `class_rank * 128 + shed_hash`; 0 is shed last.
+        class_rank: Rank of the request's class; 0 is shed last.
+        deadline_s: Monotonic seconds at which the caller stops waiting.
+    """
+
+    ticket_id: str
+    priority: int
+    class_rank: int
+    deadline_s: float
