--- /dev/null
+++ b/src/cranberrymux/decisions/contexts/__init__.py
@@ -0,0 +1,1 @@
+"""The context that travels with a call: its header and its children."""
--- /dev/null
+++ b/tests/decisions/contexts/test_children.py
@@ -0,0 +1,48 @@
+import hypothesis
+from hypothesis import strategies
+
+from cranberrymux.decisions.contexts import children
+from cranberrymux.decisions.contexts import context_error
+from cranberrymux.decisions.contexts import context_fault
+from cranberrymux.decisions.contexts import context_settings
+from cranberrymux.models import request_context
+from tests.decisions import profiles
+
+PARENT = request_context.RequestContext(
+    "id", "1", "ann", 1000, 2, 77, 5, 3, True, True
+)
+
+
+def test_child_keeps_what_belongs_to_the_request():
+    child = children.child_context(PARENT, 4, 100.5, 2)
+    assert child == request_context.RequestContext(
+        "id", "1.4", "ann", 894, 2, 77, 2, 1, False, False
+    )
+    assert child.priority == PARENT.priority
+
+
+@profiles.DETERMINISTIC
+@hypothesis.given(
+    strategies.lists(strategies.floats(-10, 300), min_size=1, max_size=15)
+)
+def test_deadline_shrinks_on_each_hop(elapsed):
+    context = PARENT
+    for one in elapsed:
+        child = children.child_context(context, 1, one, 0)
+        assert 0 <= child.timeout_ms <= max(context.timeout_ms - 5, 0)
+        context = child
+
+
+def test_a_loop_of_calls_ends():
+    settings = context_settings.ContextSettings(maximum_depth=3)
+    context = PARENT
+    for _ in range(2):
+        context = children.child_context(context, 1, 0, 0, settings)
+    error = children.child_context(context, 1, 0, 0, settings)
+    assert isinstance(error, context_error.ContextError)
+    assert error.reason is context_fault.ContextFault.TOO_DEEP
+
+
+def test_next_attempt_keeps_the_call():
+    again = children.next_attempt(PARENT, 300.0, 4)
+    assert again == PARENT._replace(timeout_ms=700, retry_budget=4, attempt=4)
