Add the stand-in backend server

It holds slots, draws seeded service times, calls its children through the egress port of its node, and answers with the request id of the call so that a client can tell that the whole answer is its own.

--- /dev/null
+++ b/src/cranberrymux/standin/__init__.py
@@ -0,0 +1,1 @@
+"""A small backend server for development, demos and benchmarks."""
--- /dev/null
+++ b/src/cranberrymux/standin/announcer.py
@@ -0,0 +1,110 @@
+"""Announces a stand-in to the node beside it."""
+
+# twisted.web has no types on most of its methods.
+# mypy: disable-error-code="no-untyped-call"
+
+from typing import Any
+from typing import TypedDict
+from typing import cast
+
+import structlog
+import treq
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.python import failure
+from twisted.web import client
+
+from cranberrymux.standin import standin_settings
+
+PERIOD_S = 1.0
+TIMEOUT_S = 2.0
+
+
+class Announcement(TypedDict):
+    """The body of `PUT /v1/backend`; see docs/PROTOCOL.md."""
+
+    service: str
+    port: int
+    slots: int
+    labels: dict[str, str]
+    calls: list[str]
+    load_path: str
+
+
+class Announcer:
+    """Repeats the announcement every second until the drain."""
+
+    def __init__(
+        self,
+        settings: standin_settings.StandinSettings,
+        port: int,
+        reactor: interfaces.IReactorTime,
+    ) -> None:
+        """Announces nothing yet.
+
+        Args:
+            settings: The stand-in's settings.
+            port: TCP port that the stand-in listens on.
+            reactor: Clock and timers.
+        """
+        self._url = settings.announce_url
+        self._announcement = Announcement(
+            service=settings.service,
+            port=port,
+            slots=settings.slots,
+            labels=dict(settings.labels),
+            calls=sorted({child.service for child in settings.children}),
+            load_path="/load",
+        )
+        pool = client.HTTPConnectionPool(cast(Any, reactor))
+        self._agent = client.Agent(
+            cast(Any, reactor), connectTimeout=TIMEOUT_S, pool=pool
+        )
+        self._loop = task.LoopingCall(self._announce)
+        self._loop.clock = reactor
+        self._is_known = False
+        self._log = structlog.get_logger()
+
+    def start(self) -> None:
+        """Begins to announce, if there is a node."""
+        if self._url:
+            self._loop.start(PERIOD_S)
+
+    def drain(self) -> defer.Deferred[None]:
+        """Stops announcing and asks the node to begin a drain."""
+        if not self._url:
+            return defer.succeed(None)
+        if self._loop.running:
+            self._loop.stop()
+        return self._put("/v1/drain", {})
+
+    def _announce(self) -> defer.Deferred[None]:
+        return self._put("/v1/backend", self._announcement)
+
+    def _put(self, path: str, body: Any) -> defer.Deferred[None]:
+        sent = treq.put(
+            self._url + path, json=body, agent=self._agent, timeout=TIMEOUT_S
+        )
+        sent.addCallback(self._read, path)
+        sent.addErrback(self._log_failure, path)
+        return sent
+
+    async def _check(self, response: Any, path: str) -> None:
+        await response.content()
+        is_known = response.code < 300
+        if is_known != self._is_known:
+            self._log.info("standin-announced", path=path, status=response.code)
+        self._is_known = is_known
+
+    def _read(self, response: Any, path: str) -> defer.Deferred[None]:
+        return defer.Deferred.fromCoroutine(self._check(response, path))
+
+    def _log_failure(self, reason: failure.Failure, path: str) -> None:
+        if self._is_known:
+            self._log.warning(
+                "standin-announce-failed",
+                path=path,
+                error=reason.getErrorMessage(),
+            )
+        self._is_known = False
--- /dev/null
+++ b/src/cranberrymux/standin/child_client.py
@@ -0,0 +1,106 @@
+"""Calls to other services, through the egress port of the node."""
+
+# twisted.web has no types on most of its methods.
+# mypy: disable-error-code="no-untyped-call"
+
+import json
+from typing import Any
+from typing import cast
+
+import treq
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.web import client
+from twisted.web import http_headers
+
+from cranberrymux.standin import call as call_module
+from cranberrymux.standin import child_refused
+from cranberrymux.standin import standin_settings
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ChildClient:
+    """Calls the services that the settings name, one after the other."""
+
+    def __init__(
+        self,
+        settings: standin_settings.StandinSettings,
+        reactor: interfaces.IReactorTime,
+    ) -> None:
+        """Opens no connection yet.
+
+        Args:
+            settings: The stand-in's settings.
+            reactor: The reactor.
+        """
+        self._settings = settings
+        pool = client.HTTPConnectionPool(cast(Any, reactor), persistent=True)
+        pool.maxPersistentPerHost = settings.slots
+        # A call may have run when its connection is lost: never send it again.
+        pool.retryAutomatically = False
+        self._agent = client.Agent(
+            cast(Any, reactor), connectTimeout=CONNECT_TIMEOUT_S, pool=pool
+        )
+
+    async def call_all(self, call: call_module.Call) -> list[Any]:
+        """Makes every child call of one call.
+
+        Returns:
+            The whole answers, in order.
+
+        Raises:
+            ChildRefusedError: A child call gave no answer; later ones were not
+                made.
+        """
+        answers = []
+        for child in self._settings.children:
+            for _ in range(child.calls):
+                answers.append(await self._call(child.service, call))
+        return answers
+
+    async def _call(self, service: str, call: call_module.Call) -> Any:
+        headers = call.headers.copy()
+        headers.setRawHeaders("Cranberrymux-Service", [service])
+        try:
+            response = await treq.request(
+                call.method,
+                self._settings.egress_url + "/",
+                headers=headers,
+                agent=self._agent,
+            )
+            body = await response.content()
+        except (
+            error.ConnectError,
+            error.ConnectionClosed,
+            client.ResponseFailed,
+            client.RequestTransmissionFailed,
+        ) as failure:
+            raise child_refused.ChildRefusedError(
+                service, "connection-lost"
+            ) from failure
+        if response.code != 200:
+            raise _read_refusal(service, response)
+        try:
+            return json.loads(body)
+        except ValueError as failure:
+            raise child_refused.ChildRefusedError(
+                service, "not-json"
+            ) from failure
+
+
+def _read_refusal(
+    service: str, response: Any
+) -> child_refused.ChildRefusedError:
+    headers: http_headers.Headers = response.headers
+    return child_refused.ChildRefusedError(
+        service,
+        _first(headers, "Cranberrymux-Reason") or f"status-{response.code}",
+        _first(headers, "Retry-After"),
+        _first(headers, "Cranberrymux-Retry-After-Ms"),
+    )
+
+
+def _first(headers: http_headers.Headers, name: str) -> str:
+    values = headers.getRawHeaders(name)
+    return values[0] if values else ""
--- /dev/null
+++ b/src/cranberrymux/standin/service.py
@@ -0,0 +1,144 @@
+"""The parts of one stand-in, put together."""
+
+# twisted.web has no types on most of its methods.
+# mypy: disable-error-code="no-untyped-call"
+
+from typing import Any
+from typing import cast
+
+import structlog
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.web import resource
+from twisted.web import server
+
+from cranberrymux.standin import announcer as announcer_module
+from cranberrymux.standin import behaviour as behaviour_module
+from cranberrymux.standin import call_resource
+from cranberrymux.standin import child_client
+from cranberrymux.standin import control_resource
+from cranberrymux.standin import counters as counters_module
+from cranberrymux.standin import standin_settings
+from cranberrymux.standin import worker as worker_module
+
+LOAD_SAMPLE_PERIOD_S = 0.05
+DRAIN_POLL_PERIOD_S = 0.02
+BACKLOG = 1024
+
+
+class _Root(resource.Resource):
+    """Gives every path without a resource of its own to the calls."""
+
+    def __init__(self, calls: call_resource.CallResource) -> None:
+        super().__init__()
+        self._calls = calls
+
+    def getChild(  # noqa: N802
+        self, path: bytes, request: server.Request
+    ) -> resource.Resource:
+        return self._calls
+
+
+class Service:
+    """Listens, announces and drains."""
+
+    def __init__(
+        self, settings: standin_settings.StandinSettings, reactor: Any
+    ) -> None:
+        """Listens on 127.0.0.1.
+
+        Args:
+            settings: The stand-in's settings.
+            reactor: Clock, timers and TCP.
+
+        Raises:
+            twisted.internet.error.CannotListenError: The port is taken.
+        """
+        self._settings = settings
+        self._reactor = reactor
+        self._counters = counters_module.Counters()
+        self._behaviour = behaviour_module.Behaviour(
+            settings, reactor.seconds()
+        )
+        self._worker = worker_module.Worker(
+            settings,
+            self._behaviour,
+            self._counters,
+            child_client.ChildClient(settings, reactor),
+            reactor,
+        )
+        # The endpoint's name needs the port, which the system may choose.
+        site = server.Site(resource.Resource(), timeout=None)
+        self._listener = reactor.listenTCP(
+            settings.port, site, backlog=BACKLOG, interface="127.0.0.1"
+        )
+        site.resource = self._build_root()
+        self._announcer = announcer_module.Announcer(
+            settings, self.port, reactor
+        )
+        self._sampler = task.LoopingCall(self._sample_load)
+        self._sampler.clock = reactor
+
+    @property
+    def port(self) -> int:
+        """TCP port that calls come in on."""
+        return cast(int, self._listener.getHost().port)
+
+    @property
+    def counters(self) -> counters_module.Counters:
+        """Counts since the start."""
+        return self._counters
+
+    def start(self) -> None:
+        """Begins to announce and to sample the load."""
+        self._sampler.start(LOAD_SAMPLE_PERIOD_S)
+        self._announcer.start()
+        structlog.get_logger().info(
+            "standin-ready", service=self._settings.service, port=self.port
+        )
+
+    def begin_drain(self) -> None:
+        """Tells the node to take no more calls; those here go on."""
+        if not self._behaviour.draining:
+            self._behaviour.draining = True
+            self._announcer.drain()
+
+    async def stop(self) -> None:
+        """Drains, waits for the calls in flight up to the limit, closes."""
+        if not self._behaviour.draining:
+            self._behaviour.draining = True
+            await self._announcer.drain()
+        limit_s = self._settings.drain_limit_ms / 1000
+        deadline_s = self._reactor.seconds() + limit_s
+        while self._counters.running and self._reactor.seconds() < deadline_s:
+            await task.deferLater(self._reactor, DRAIN_POLL_PERIOD_S)
+        if self._sampler.running:
+            self._sampler.stop()
+        await defer.maybeDeferred(self._listener.stopListening)
+        structlog.get_logger().info(
+            "standin-stopped", in_flight=self._counters.running
+        )
+
+    def _build_root(self) -> _Root:
+        endpoint = (
+            self._settings.endpoint or f"{self._settings.service}:{self.port}"
+        )
+        root: Any = _Root(
+            call_resource.CallResource(
+                self._settings, endpoint, self._counters, self._worker
+            )
+        )
+        root.putChild(b"load", control_resource.LoadResource(self._behaviour))
+        root.putChild(
+            b"counters", control_resource.CountersResource(self._counters)
+        )
+        root.putChild(
+            b"behaviour",
+            control_resource.BehaviourResource(
+                self._behaviour, self.begin_drain
+            ),
+        )
+        return cast(_Root, root)
+
+    def _sample_load(self) -> None:
+        self._behaviour.record_load(self._reactor.seconds(), self._worker.load)
--- /dev/null
+++ b/src/cranberrymux/standin/standin_settings.py
@@ -0,0 +1,104 @@
+"""Settings of a stand-in backend server."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from cranberrymux.settings import field
+from cranberrymux.settings import loader
+from cranberrymux.standin import child_settings
+
+_Kind = field.Kind
+
+FIELDS = (
+    field.Field("service", _Kind.TEXT, minimum=1, maximum=200),
+    field.Field("endpoint", _Kind.TEXT, default="", maximum=200),
+    field.Field("port", _Kind.INTEGER, default=0, minimum=0, maximum=65535),
+    field.Field("announce_url", _Kind.TEXT, default=""),
+    field.Field("egress_url", _Kind.TEXT, default=""),
+    field.Field("slots", _Kind.INTEGER, default=16, minimum=1, maximum=10000),
+    field.Field("queue_limit", _Kind.INTEGER, default=100, minimum=0),
+    field.Field("service_time_ms", _Kind.NUMBER, default=0, minimum=0),
+    field.Field(
+        "service_time_spread", _Kind.NUMBER, default=0, minimum=0, maximum=1
+    ),
+    field.Field(
+        "children",
+        _Kind.ITEMS,
+        default=[],
+        items=(
+            field.Field("service", _Kind.TEXT, minimum=1, maximum=200),
+            field.Field("count", _Kind.INTEGER, default=1, minimum=1),
+        ),
+    ),
+    field.Field("labels", _Kind.TEXT_MAP, default={}),
+    field.Field("cold_start_ms", _Kind.NUMBER, default=0, minimum=0),
+    field.Field("cold_factor", _Kind.NUMBER, default=1, minimum=1),
+    field.Field("load_lag_ms", _Kind.NUMBER, default=0, minimum=0),
+    field.Field("load_bias", _Kind.NUMBER, default=0, minimum=-1, maximum=1),
+    field.Field("crash_marker", _Kind.TEXT, default=""),
+    field.Field("response_bytes", _Kind.INTEGER, default=0, minimum=0),
+    field.Field("drain_limit_ms", _Kind.NUMBER, default=10000, minimum=0),
+    field.Field("seed", _Kind.INTEGER, default=1),
+)
+
+
+class StandinSettings(NamedTuple):
+    """What a stand-in serves and how it behaves.
+
+    Attributes:
+        service: Name of the service that it offers.
+        endpoint: Name told in answers; service and port if empty.
+        port: TCP port on 127.0.0.1; 0 for any free one.
+        announce_url: Base URL of the node's announce port; empty for no node.
+        egress_url: Base URL of the node's egress port.
+        slots: Calls run at once.
+        queue_limit: Calls that may wait for a slot; more get a 503.
+        service_time_ms: Mean time that a call holds a slot, children apart.
+        service_time_spread: Share of that time that is exponential; 0 for a
+            fixed time.
+        children: Services called for each call, in order.
+        labels: Labels announced.
+        cold_start_ms: How long after its start it is slow.
+        cold_factor: Times slower while it is cold.
+        load_lag_ms: Age of the load that the load endpoint tells.
+        load_bias: Added to the load that the load endpoint tells.
+        crash_marker: Value of the header `Cranberrymux-Standin-Crash` at which
+            the process dies; empty for never.
+        response_bytes: Least length of the body of an answer.
+        drain_limit_ms: How long a stop waits for calls in flight.
+        seed: Seed of the service times.
+    """
+
+    service: str
+    endpoint: str
+    port: int
+    announce_url: str
+    egress_url: str
+    slots: int
+    queue_limit: int
+    service_time_ms: float
+    service_time_spread: float
+    children: tuple[child_settings.ChildSettings, ...]
+    labels: Mapping[str, str]
+    cold_start_ms: float
+    cold_factor: float
+    load_lag_ms: float
+    load_bias: float
+    crash_marker: str
+    response_bytes: int
+    drain_limit_ms: float
+    seed: int
+
+
+def load(path: str) -> StandinSettings:
+    """Reads and checks the settings file of a stand-in.
+
+    Raises:
+        SettingsError: The file cannot be read, or a key is wrong.
+    """
+    values = loader.load(path, FIELDS)
+    values["children"] = tuple(
+        child_settings.ChildSettings(child["service"], child["count"])
+        for child in values["children"]
+    )
+    return StandinSettings(**values)
--- /dev/null
+++ b/src/cranberrymux/standin/worker.py
@@ -0,0 +1,76 @@
+"""Runs calls in a fixed number of slots."""
+
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+
+from cranberrymux.standin import behaviour as behaviour_module
+from cranberrymux.standin import call as call_module
+from cranberrymux.standin import child_client
+from cranberrymux.standin import counters as counters_module
+from cranberrymux.standin import standin_settings
+
+
+class Worker:
+    """Owns the slots of one stand-in."""
+
+    def __init__(
+        self,
+        settings: standin_settings.StandinSettings,
+        behaviour: behaviour_module.Behaviour,
+        counters: counters_module.Counters,
+        children: child_client.ChildClient,
+        reactor: interfaces.IReactorTime,
+    ) -> None:
+        """Starts with every slot free.
+
+        Args:
+            settings: The stand-in's settings.
+            behaviour: Service times, changed at run time.
+            counters: Counts to add to.
+            children: Client for child calls.
+            reactor: Clock and timers.
+        """
+        self._settings = settings
+        self._behaviour = behaviour
+        self._counters = counters
+        self._children = children
+        self._reactor: Any = reactor
+        self._slots = defer.DeferredSemaphore(settings.slots)
+
+    @property
+    def is_full(self) -> bool:
+        """True if no slot is free and no more calls may wait."""
+        limit = self._settings.slots + self._settings.queue_limit
+        return self._counters.running >= limit
+
+    @property
+    def is_immediate(self) -> bool:
+        """True if a call needs no time and no child calls."""
+        return not (self._behaviour.service_time_ms or self._settings.children)
+
+    @property
+    def load(self) -> float:
+        """Share of the slots in use, from 0 to 1."""
+        return min(1.0, self._counters.running / self._settings.slots)
+
+    async def run(self, call: call_module.Call) -> list[Any]:
+        """Waits for a slot and runs a call in it.
+
+        Returns:
+            The answers of the child calls.
+
+        Raises:
+            ChildRefusedError: A child call gave no answer.
+        """
+        await self._slots.acquire()
+        try:
+            self._counters.count_run(call.request_id, call.call_id)
+            time_s = self._behaviour.service_time_s(self._reactor.seconds())
+            if time_s:
+                await task.deferLater(self._reactor, time_s)
+            return await self._children.call_all(call)
+        finally:
+            self._slots.release()
--- /dev/null
+++ b/src/cranberrymux/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and recorded outcomes."""
