Add selectors: parse, match, explain

Cause: place, class and marks are chosen by label expressions. Paths come to one spelling first, so that none gets round a selector.

--- /dev/null
+++ b/src/cranberrymux/decisions/selectors/__init__.py
@@ -0,0 +1,1 @@
+"""Label expressions of operators."""
--- /dev/null
+++ b/src/cranberrymux/decisions/selectors/limits.py
@@ -0,0 +1,5 @@
+"""Sizes of selectors."""
+
+MAXIMUM_TEXT_LENGTH = 4000
+MAXIMUM_TERMS = 32
+MAXIMUM_VALUES = 256
--- /dev/null
+++ b/tests/decisions/selectors/test_selector.py
@@ -0,0 +1,93 @@
+import pytest
+
+from cranberrymux.decisions.selectors import parser
+from cranberrymux.decisions.selectors import request_labels
+from cranberrymux.models import endpoint_record
+from cranberrymux.models import endpoint_state
+
+
+@pytest.mark.parametrize(
+    ("text", "labels", "matches"),
+    [
+        ("zone = a", {"zone": "a"}, True),
+        ("zone = a", {"zone": "b"}, False),
+        ("zone = a", {}, False),
+        ("zone != a", {"zone": "b"}, True),
+        ("zone != a", {}, True),
+        ("zone in (a, b)", {"zone": "b"}, True),
+        ("zone in (a, b)", {"zone": "c"}, False),
+        ("zone notin (a, b)", {"zone": "c"}, True),
+        ("zone notin (a, b)", {}, True),
+        ("exists zone", {"zone": ""}, True),
+        ("exists zone", {}, False),
+        ("not exists zone", {}, True),
+        ("not exists zone", {"zone": "a"}, False),
+        ("exists zone, zone != a", {}, False),
+        ("path = /v1/dispatch/*", {"path": "/v1/dispatch/7"}, True),
+        ("path = /v1/dispatch/*", {"path": "/v1/notes"}, False),
+        ("path notin (/a*, /b*)", {"path": "/b/1"}, False),
+        ('who = "Ann B\\*"', {"who": "Ann B*"}, True),
+        ('who = "Ann B\\*"', {"who": "Ann Bo"}, False),
+        ('who = ""', {"who": ""}, True),
+    ],
+)
+def test_matches(text, labels, matches):
+    assert parser.parse(text).matches(labels) is matches
+
+
+def test_explain_names_the_first_term_that_failed():
+    one = parser.parse("region = lk-west, store in (a, b), exists cold")
+    mismatch = one.explain({"region": "lk-west", "store": "c"})
+    assert str(mismatch) == "store in (a, b): label store is 'c'"
+    mismatch = one.explain({"region": "lk-west", "store": "a"})
+    assert str(mismatch) == "exists cold: label cold is absent"
+    assert one.explain({"region": "lk-west", "store": "a", "cold": ""}) is None
+
+
+@pytest.mark.parametrize(
+    ("target", "path"),
+    [
+        ("/a/b?c=/d", "/a/b"),
+        ("/a//b", "/a/b"),
+        ("//a", "/a"),
+        ("/a/./b/../c/", "/a/c/"),
+        ("/../a", "/a"),
+        ("/%61%2Fb", "/a%2Fb"),
+        ("/%2e%2e/a", "/a"),
+        ("/", "/"),
+        ("//", "/"),
+        ("", ""),
+        ("*", "*"),
+    ],
+)
+def test_spellings_of_a_path_come_to_one(target, path):
+    assert request_labels.normalize_path(target) == path
+
+
+def test_own_labels_cannot_replace_the_fixed_ones():
+    labels = request_labels.request_labels(
+        "notes", "GET", "/x?y", "ann", {"path": "/z", "team": "a"}
+    )
+    assert labels == {
+        "service": "notes",
+        "method": "GET",
+        "path": "/x",
+        "principal": "ann",
+        "team": "a",
+    }
+    record = endpoint_record.EndpointRecord(
+        service="notes",
+        endpoint_id="n1",
+        incarnation=1,
+        sequence=1,
+        address="127.0.0.1",
+        port=1,
+        region="r",
+        zone="z",
+        labels={"region": "elsewhere", "store": "a"},
+        slots=1,
+        state=endpoint_state.EndpointState.SERVING,
+    )
+    labels = request_labels.endpoint_labels(record)
+    assert labels["region"] == "r"
+    assert labels["store"] == "a"
