--- a/src/cranberrymux/decisions/admission/admission_settings.py
+++ b/src/cranberrymux/decisions/admission/admission_settings.py
@@ -12,6 +12,7 @@
         window_s: Length of one window of measurement, in seconds.
         target_wait_s: Mean wait in the queue above which the level falls.
         maximum_wait_s: No call is queued for longer than this.
+        maximum_alone_wait_s: Longest wait of a suspect for an idle endpoint.
         queue_per_slot: Queued calls allowed for each slot of the limit.
         minimum_queue: Queued calls allowed however small the limit is.
         hint_life_s: Age at which a load hint or a level of a deeper service
@@ -25,6 +26,7 @@
     window_s: float = 0.1
     target_wait_s: float = 0.02
     maximum_wait_s: float = 0.25
+    maximum_alone_wait_s: float = 1.0
     queue_per_slot: float = 1.0
     minimum_queue: int = 4
     hint_life_s: float = 1.0
--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -4,6 +4,7 @@
 
 from cranberrymux.decisions.admission import admission_settings
 from cranberrymux.decisions.admission import admitted
+from cranberrymux.decisions.admission import alone_gate
 from cranberrymux.decisions.admission import concurrency_limit
 from cranberrymux.decisions.admission import downstream_levels
 from cranberrymux.decisions.admission import outcome as outcome_module
@@ -44,6 +45,7 @@
         self._downstream = downstream_levels.DownstreamLevels(
             settings.hint_life_s, self._level.top
         )
+        self._gate = alone_gate.AloneGate()
         self._queue = ticket_queue.TicketQueue()
         self._refuser = refuser.Refuser(settings, generator)
         self._running: dict[str, running.Running] = {}
@@ -101,7 +103,9 @@
             return self._refuse(now_s, _Reason.DEADLINE_EXPIRED)
         if self._level.clamp(ticket.priority) > self._get_level(now_s):
             return self._refuse(now_s, _Reason.OVERLOADED)
-        if len(self._running) < self._limit.limit and not self._queue:
+        if ticket.is_suspect:
+            return self._offer_alone(now_s, ticket)
+        if self._has_slot and not self._queue:
             return self._start(now_s, ticket, now_s)
         return self._enqueue(now_s, ticket)
 
@@ -116,6 +120,10 @@
         self._roll_window(now_s)
         before = len(self._decided)
         self._decided = [one for one in self._decided if one[0] != ticket_id]
+        suspect = self._gate.waiting
+        if suspect is not None and suspect.ticket_id == ticket_id:
+            self._gate.give_up(now_s)
+            return True
         was_queued = self._queue.remove(ticket_id) is not None
         return was_queued or len(self._decided) < before
 
@@ -138,6 +146,7 @@
         started = self._running.pop(ticket_id, None)
         if started is None:
             return
+        self._gate.finish(now_s, ticket_id)
         hold_s = now_s - started.started_s
         self._limit.count(outcome, hold_s, max(hold_s - below_s, 0.0))
         if self._window is not None:
@@ -150,7 +159,8 @@
         self._drop_hopeless(now_s)
         decisions: list[tuple[str, Decision]] = list(self._decided)
         self._decided.clear()
-        while len(self._running) < self._limit.limit:
+        decisions.extend(self._poll_alone(now_s))
+        while self._has_slot:
             first = self._queue.first
             if first is None:
                 break
@@ -161,10 +171,13 @@
 
     def next_poll_s(self, now_s: float) -> float | None:
         """Returns when `poll` has something to tell; None for never."""
-        has_slot = len(self._running) < self._limit.limit
-        if self._decided or (self._queue and has_slot):
+        is_idle = not self._running
+        if self._decided or (self._queue and self._has_slot):
             return now_s
         expiry_s = self._queue.next_expiry_s
+        if self._gate.waiting is not None:
+            alone_s = now_s if is_idle else self._gate.expires_s
+            expiry_s = alone_s if expiry_s is None else min(expiry_s, alone_s)
         return None if expiry_s is None else max(expiry_s, now_s)
 
     def set_slots(self, now_s: float, slots: int) -> None:
@@ -186,12 +199,51 @@
         """Refuses new and queued calls as not run; running ones go on."""
         self._roll_window(now_s)
         self._is_draining = True
+        if self._gate.waiting is not None:
+            verdict = self._refuser.refuse_draining()
+            self._decided.append((self._gate.waiting.ticket_id, verdict))
+            self._gate.give_up(now_s)
         while self._queue.first is not None:
             waiting = self._queue.first
             self._queue.remove(waiting.ticket.ticket_id)
             verdict = self._refuser.refuse_draining()
             self._decided.append((waiting.ticket.ticket_id, verdict))
 
+    @property
+    def _has_slot(self) -> bool:
+        if self._gate.is_closed:
+            return False
+        return len(self._running) < self._limit.limit
+
+    def _offer_alone(
+        self, now_s: float, ticket: ticket_module.Ticket
+    ) -> Verdict:
+        if not self._gate.can_take(now_s):
+            return self._refuse(now_s, _Reason.OVERLOADED)
+        latest_s = ticket.deadline_s - self._limit.hold_s
+        longest_s = now_s + self._settings.maximum_alone_wait_s
+        expires_s = min(longest_s, latest_s)
+        if expires_s < now_s:
+            return self._refuse(now_s, _Reason.OVERLOADED)
+        self._gate.wait(now_s, ticket, expires_s)
+        if self._running:
+            return queued.Queued(expires_s)
+        self._gate.start(ticket.ticket_id)
+        return self._start(now_s, ticket, now_s)
+
+    def _poll_alone(self, now_s: float) -> list[tuple[str, Decision]]:
+        suspect = self._gate.waiting
+        if suspect is None:
+            return []
+        if not self._running:
+            self._gate.start(suspect.ticket_id)
+            verdict = self._start(now_s, suspect, self._gate.arrived_s)
+            return [(suspect.ticket_id, verdict)]
+        if now_s < self._gate.expires_s:
+            return []
+        self._gate.give_up(now_s)
+        return [(suspect.ticket_id, self._refuse(now_s, _Reason.OVERLOADED))]
+
     def _get_level(self, now_s: float) -> int:
         return min(self._level.level, self._downstream.get_minimum(now_s))
 
--- a/src/cranberrymux/decisions/admission/ticket.py
+++ b/src/cranberrymux/decisions/admission/ticket.py
@@ -11,9 +11,11 @@
         priority: `class_rank * 128 + shed_hash`; 0 is shed last.
         class_rank: Rank of the request's class; 0 is shed last.
         deadline_s: Monotonic seconds at which the caller stops waiting.
+        is_suspect: True if it may only run alone on the endpoint.
     """
 
     ticket_id: str
     priority: int
     class_rank: int
     deadline_s: float
+    is_suspect: bool = False
--- /dev/null
+++ b/src/cranberrymux/decisions/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine: requests that were in flight when a backend server died."""
--- /dev/null
+++ b/src/cranberrymux/decisions/quarantine/quarantine_settings.py
@@ -0,0 +1,19 @@
+"""Settings of quarantine at one endpoint."""
+
+from typing import NamedTuple
+
+
+class QuarantineSettings(NamedTuple):
+    """What an operator may set.
+
+    Attributes:
+        maximum_deaths: Backend servers that one fingerprint may cost a
+            service before it is refused.
+        life_s: Age at which a record without new deaths is forgotten.
+        maximum_records: Most records kept; the oldest goes first, suspects
+            before refused ones.
+    """
+
+    maximum_deaths: int = 3
+    life_s: float = 900.0
+    maximum_records: int = 4096
