Add the open-loop load generator

Latency counts from the intended start of a request. Every answer is checked to be whole and to name the id it was sent under, down the tree of its children.

--- /dev/null
+++ b/src/cranberrymux/load/__init__.py
@@ -0,0 +1,1 @@
+"""An open-loop load generator that checks every answer."""
--- /dev/null
+++ b/src/cranberrymux/load/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the load generator."""
+
+import sys
+
+from cranberrymux.load import main
+
+sys.exit(main.main())
--- /dev/null
+++ b/src/cranberrymux/load/attempt.py
@@ -0,0 +1,81 @@
+"""One attempt of a request."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cranberrymux.load import call_connection
+from cranberrymux.load import connection_pool
+from cranberrymux.load import lost
+
+
+class Attempt:
+    """Owns a connection from the send to the result."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        pool: connection_pool.ConnectionPool,
+        request: bytes,
+        on_result: Callable[["Attempt", call_connection.Result], None],
+    ) -> None:
+        """Sends nothing yet.
+
+        Args:
+            reactor: Clock and timers.
+            pool: Connections to the target.
+            request: The whole request.
+            on_result: Called once.
+        """
+        self._reactor = reactor
+        self._pool = pool
+        self._request = request
+        self._on_result = on_result
+        self._connection: call_connection.CallConnection | None = None
+        self._timer: Any = None
+        self._is_over = False
+        self._sent_s = 0.0
+
+    @property
+    def sent_s(self) -> float:
+        """When the request was written, monotonic seconds; 0 if it was not."""
+        return self._sent_s
+
+    def start(self, limit_s: float, at_limit: lost.Lost) -> None:
+        """Sends as soon as a connection is free.
+
+        Args:
+            limit_s: Longest time to the result, in seconds.
+            at_limit: The result once the limit has passed.
+        """
+        self._timer = self._reactor.callLater(limit_s, self.end, at_limit)
+        self._pool.take(self._send)
+
+    def end(self, reason: lost.Lost) -> None:
+        """Gives up: closes the connection."""
+        if self._is_over:
+            return
+        self._pool.forget(self._send)
+        if self._connection is not None:
+            self._connection.abort()
+        self._finish(reason)
+
+    def _send(self, connection: call_connection.CallConnection | None) -> None:
+        if connection is None:
+            self._finish(lost.Lost.UNREACHABLE)
+            return
+        self._connection = connection
+        self._sent_s = self._reactor.seconds()
+        connection.send(self._request, self._take_result)
+
+    def _take_result(self, result: call_connection.Result) -> None:
+        connection = self._connection
+        self._connection = None
+        self._finish(result)
+        if connection is not None:
+            self._pool.give_back(connection)
+
+    def _finish(self, result: call_connection.Result) -> None:
+        self._is_over = True
+        if self._timer.active():
+            self._timer.cancel()
+        self._on_result(self, result)
--- /dev/null
+++ b/src/cranberrymux/load/connection_pool.py
@@ -0,0 +1,85 @@
+"""A bounded pool of connections to one target."""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import endpoints
+from twisted.python import failure
+
+from cranberrymux.load import call_connection
+
+CONNECT_TIMEOUT_S = 3
+
+Taker = Callable[[call_connection.CallConnection | None], None]
+
+
+class ConnectionPool:
+    """Lends connections; the last one given back is lent first."""
+
+    def __init__(self, reactor: Any, target: str, connections_max: int) -> None:
+        """Opens nothing yet.
+
+        Args:
+            reactor: TCP and timers.
+            target: `ip:port`.
+            connections_max: Most connections open at once.
+        """
+        host, _, port = target.rpartition(":")
+        self._endpoint = endpoints.TCP4ClientEndpoint(
+            reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        self._connections_max = connections_max
+        self._open = 0
+        self._idle: list[call_connection.CallConnection] = []
+        self._waiting: collections.deque[Taker] = collections.deque()
+
+    def take(self, taker: Taker) -> None:
+        """Lends a connection, now or once one is free.
+
+        Args:
+            taker: Called once with the connection, or with None if the target
+                cannot be reached.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable:
+                taker(connection)
+                return
+        self._waiting.append(taker)
+        if self._open < self._connections_max:
+            self._connect()
+
+    def forget(self, taker: Taker) -> None:
+        """Takes back a wait."""
+        if taker in self._waiting:
+            self._waiting.remove(taker)
+
+    def give_back(self, connection: call_connection.CallConnection) -> None:
+        """Takes a connection whose call has ended."""
+        if not connection.is_usable:
+            return
+        if self._waiting:
+            self._waiting.popleft()(connection)
+        else:
+            self._idle.append(connection)
+
+    def _connect(self) -> None:
+        self._open += 1
+        connection = call_connection.CallConnection(self._on_closed)
+        connecting = endpoints.connectProtocol(  # type: ignore[no-untyped-call]
+            self._endpoint, connection
+        )
+        connecting.addCallbacks(self.give_back, self._on_failed)
+
+    def _on_failed(self, _reason: failure.Failure) -> None:
+        self._open -= 1
+        if self._waiting:
+            self._waiting.popleft()(None)
+
+    def _on_closed(self, connection: call_connection.CallConnection) -> None:
+        self._open -= 1
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if self._waiting:
+            self._connect()
--- /dev/null
+++ b/src/cranberrymux/load/main.py
@@ -0,0 +1,132 @@
+"""Command line of the load generator."""
+
+import argparse
+from collections.abc import Sequence
+import json
+import pathlib
+import sys
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+
+from cranberrymux import exceptions
+from cranberrymux.load import comparison
+from cranberrymux.load import load_settings
+from cranberrymux.load import report as report_module
+from cranberrymux.load import runner as runner_module
+
+EXIT_GOOD = 0
+EXIT_WRONG_ANSWERS = 1
+EXIT_WRONG_SETTINGS = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs a load and prints its report, or compares two reports.
+
+    Args:
+        arguments: Words of the command line; those of the process if absent.
+
+    Returns:
+        0, 1 if an answer was wrong or cut, 2 if the settings are wrong.
+    """
+    parser = _build_parser()
+    options = parser.parse_args(arguments)
+    try:
+        if options.command == "compare":
+            return _compare(options)
+        if options.settings is None:
+            parser.error("the option --settings is required")
+        settings = _read_settings(options)
+    except (exceptions.SettingsError, OSError, ValueError) as error:
+        print(error, file=sys.stderr)
+        return EXIT_WRONG_SETTINGS
+    report = _run(settings)
+    text = json.dumps(report, indent=1)
+    if options.output:
+        pathlib.Path(options.output).write_text(text + "\n", encoding="utf-8")
+    else:
+        print(text)
+    total = report["total"]
+    return EXIT_WRONG_ANSWERS if total["wrong"] or total["cut"] else EXIT_GOOD
+
+
+def _run(settings: load_settings.LoadSettings) -> report_module.LoadReport:
+    reactor: Any = default_reactor
+    runner = runner_module.Runner(settings, reactor)
+    reports: list[report_module.LoadReport] = []
+
+    def begin() -> None:
+        done = runner.run()
+        done.addCallback(reports.append)
+        done.addBoth(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    if not reports:
+        raise SystemExit(EXIT_WRONG_ANSWERS)
+    return reports[0]
+
+
+def _read_settings(options: argparse.Namespace) -> load_settings.LoadSettings:
+    settings = load_settings.load(options.settings)
+    if options.target:
+        settings = settings._replace(targets=tuple(options.target))
+    for name in ("rate", "seconds", "connections", "seed"):
+        value = getattr(options, name)
+        if value is not None:
+            settings = settings._replace(**{name: value})
+    load_settings.check_targets(settings, options.settings)
+    return settings
+
+
+def _compare(options: argparse.Namespace) -> int:
+    first, second = (
+        json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        for path in (options.first, options.second)
+    )
+    try:
+        print(comparison.compare(first, second))
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a report of this tool: {error}") from error
+    return EXIT_GOOD
+
+
+def _build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="cranberrymux-load",
+        description="Sends open-loop load and checks every answer.",
+        epilog=(
+            "examples: cranberrymux-load --settings load.yaml --rate 500; "
+            "cranberrymux-load compare before.json after.json"
+        ),
+    )
+    parser.add_argument("--settings", help="YAML file of the load")
+    parser.add_argument(
+        "--target", action="append", help="ip:port; may be repeated"
+    )
+    parser.add_argument("--rate", type=_positive, help="arrivals per second")
+    parser.add_argument("--seconds", type=_positive, help="length of the load")
+    parser.add_argument(
+        "--connections", type=_count, help="most connections to each target"
+    )
+    parser.add_argument("--seed", type=int, help="seed of the load")
+    parser.add_argument("--output", help="file for the report")
+    commands = parser.add_subparsers(dest="command")
+    compare = commands.add_parser("compare", help="compare two reports")
+    compare.add_argument("first", help="report of the earlier run")
+    compare.add_argument("second", help="report of the later run")
+    return parser
+
+
+def _positive(text: str) -> float:
+    value = float(text)
+    if not 0 < value < float("inf"):
+        raise ValueError(text)
+    return value
+
+
+def _count(text: str) -> int:
+    value = int(text)
+    if value < 1:
+        raise ValueError(text)
+    return value
--- /dev/null
+++ b/src/cranberrymux/load/runner.py
@@ -0,0 +1,151 @@
+"""Sends open-loop arrivals and collects the report."""
+
+import itertools
+import random
+import time
+from typing import Any
+
+from twisted.internet import defer
+
+from cranberrymux.load import client_request
+from cranberrymux.load import connection_pool
+from cranberrymux.load import latency_histogram
+from cranberrymux.load import load_settings
+from cranberrymux.load import recorder as recorder_module
+from cranberrymux.load import report
+from cranberrymux.load import request_encoder
+from cranberrymux.load import uuid7
+
+SPIN_S = 0.002
+
+
+class Runner:
+    """Begins each request when it is due, whatever became of the others."""
+
+    def __init__(
+        self, settings: load_settings.LoadSettings, reactor: Any
+    ) -> None:
+        """Sends nothing yet.
+
+        Args:
+            settings: Settings of the load.
+            reactor: Clock, timers and TCP.
+        """
+        self._settings = settings
+        self._reactor = reactor
+        self._generator = random.Random(settings.seed)
+        pools = [
+            connection_pool.ConnectionPool(
+                reactor, target, settings.connections
+            )
+            for target in settings.targets
+        ]
+        self._pools = itertools.cycle(pools)
+        self._recorders = [recorder_module.Recorder() for _ in settings.kinds]
+        self._encoders = [
+            request_encoder.RequestEncoder(kind) for kind in settings.kinds
+        ]
+        self._weights = list(
+            itertools.accumulate(kind.weight for kind in settings.kinds)
+        )
+        self._indexes = range(len(settings.kinds))
+        self._late_start = latency_histogram.LatencyHistogram()
+        self._running: set[client_request.ClientRequest] = set()
+        self._start_s = 0.0
+        self._due_s = 0.0
+        self._is_sending = False
+        self._done: defer.Deferred[report.LoadReport] = defer.Deferred()
+
+    def run(self) -> defer.Deferred[report.LoadReport]:
+        """Begins the load.
+
+        Returns:
+            Fires with the report after the last answer.
+        """
+        self._start_s = self._reactor.seconds()
+        self._due_s = self._start_s + self._draw_gap_s()
+        self._is_sending = True
+        self._tick()
+        return self._done
+
+    def _tick(self) -> None:
+        now_s = self._reactor.seconds()
+        end_s = self._start_s + self._settings.seconds
+        while self._due_s <= now_s and self._due_s < end_s:
+            self._late_start.record(now_s - self._due_s)
+            self._begin(self._due_s)
+            self._due_s += self._draw_gap_s()
+            now_s = self._reactor.seconds()
+        if self._due_s >= end_s:
+            self._wait_for_last()
+            return
+        gap_s = self._due_s - now_s
+        if self._settings.precise:
+            # A sleep may end a millisecond late, so the last part is spun.
+            gap_s -= SPIN_S
+        self._reactor.callLater(max(0.0, gap_s), self._tick)
+
+    def _draw_gap_s(self) -> float:
+        return self._generator.expovariate(self._settings.rate)
+
+    def _begin(self, intended_s: float) -> None:
+        index = self._generator.choices(
+            self._indexes, cum_weights=self._weights
+        )[0]
+        request_id = uuid7.generate(
+            time.time_ns() // 1_000_000, self._generator
+        )
+        request = client_request.ClientRequest(
+            reactor=self._reactor,
+            settings=self._settings,
+            kind=self._settings.kinds[index],
+            recorder=self._recorders[index],
+            generator=self._generator,
+            next_pool=self._pools.__next__,
+            on_end=self._on_end,
+        )
+        self._running.add(request)
+        request.start(
+            request_id,
+            self._encoders[index].encode(request_id),
+            intended_s,
+            self._start_s,
+        )
+
+    def _on_end(self, request: client_request.ClientRequest) -> None:
+        self._running.discard(request)
+        if not self._is_sending and not self._running:
+            self._finish()
+
+    def _wait_for_last(self) -> None:
+        self._is_sending = False
+        if not self._running:
+            self._finish()
+            return
+        self._reactor.callLater(self._settings.grace_s, self._give_up)
+
+    def _give_up(self) -> None:
+        for request in list(self._running):
+            request.end()
+
+    def _finish(self) -> None:
+        if not self._done.called:
+            self._done.callback(self._report())
+
+    def _report(self) -> report.LoadReport:
+        total = recorder_module.Recorder()
+        for recorder in self._recorders:
+            total.add(recorder)
+        names = [kind.name for kind in self._settings.kinds]
+        return report.LoadReport(
+            targets=list(self._settings.targets),
+            rate=self._settings.rate,
+            seconds=self._settings.seconds,
+            seed=self._settings.seed,
+            late_start_ms=self._late_start.report(),
+            total=total.report(),
+            kinds={
+                name: recorder.report()
+                for name, recorder in zip(names, self._recorders, strict=True)
+            },
+        )
