--- /dev/null
+++ b/src/cranberrymux/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control program: configuration, claims and membership."""
--- /dev/null
+++ b/src/cranberrymux/control/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the control program."""
+
+import sys
+
+from cranberrymux.control import main
+
+if __name__ == "__main__":
+    sys.exit(main.main())
--- /dev/null
+++ b/src/cranberrymux/control/main.py
@@ -0,0 +1,50 @@
+"""Entry point of `cranberrymux-control`."""
+
+import argparse
+from collections.abc import Sequence
+import sys
+
+from cranberrymux import exceptions
+from cranberrymux.control import control_settings
+from cranberrymux.control import program
+from cranberrymux.telemetry import logs
+from cranberrymux.wire import key_file
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+_EPILOG = """
+examples:
+  cranberrymux-control --settings control.yaml
+
+exit codes: 0 stopped by a signal, 1 could not start, 2 wrong settings
+"""
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the program until a signal ends it.
+
+    Args:
+        arguments: Command line without the program's name; `sys.argv` by
+            default.
+
+    Returns:
+        The exit code.
+    """
+    parser = argparse.ArgumentParser(
+        prog="cranberrymux-control",
+        description="Keeps configuration, claims and membership.",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    parsed = parser.parse_args(arguments)
+    try:
+        settings = control_settings.load(parsed.settings)
+        cluster_key = key_file.read(settings.cluster_key_file)
+        token = key_file.read(settings.operator_token_file)
+    except exceptions.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    logs.configure("cranberrymux-control")
+    return program.Program(settings, cluster_key, token).run()
--- /dev/null
+++ b/src/cranberrymux/control/node_service.py
@@ -0,0 +1,190 @@
+"""Answers the calls of nodes and of other control instances."""
+
+from collections.abc import Callable
+import hmac
+from typing import Any
+import uuid
+
+import structlog
+from zope import interface  # type: ignore[import-untyped]
+
+from cranberrymux.control import command_log
+from cranberrymux.control import control_settings
+from cranberrymux.control import counters
+from cranberrymux.control import state_machine
+from cranberrymux.decisions.directory import node_table
+from cranberrymux.decisions.directory import table
+from cranberrymux.wire import convert
+from cranberrymux.wire.gen.messages import Control
+from cranberrymux.wire.gen.messages import ttypes
+
+TOMBSTONE_LEASES = 20
+UNAVAILABLE_RETRY_MS = 1000
+
+
+@interface.implementer(Control.Iface)
+class NodeService:
+    """The handler of the Control service; owns the directory."""
+
+    def __init__(
+        self,
+        settings: control_settings.ControlSettings,
+        cluster_key: str,
+        machine: state_machine.StateMachine,
+        log: command_log.CommandLog,
+        now_s: Callable[[], float],
+    ) -> None:
+        """Starts with an empty directory.
+
+        Args:
+            settings: The instance's settings.
+            cluster_key: What every caller must show.
+            machine: The agreed state, read only here.
+            log: Commits commands.
+            now_s: Monotonic clock.
+        """
+        lease_s = settings.lease_ms / 1000
+        self._settings = settings
+        self._cluster_key = cluster_key.encode()
+        self._machine = machine
+        self._log = log
+        self._now_s = now_s
+        self._epoch = uuid.uuid4().hex
+        self._events = structlog.get_logger()
+        self.counters = counters.Counters()
+        self.directory = table.Table(
+            lease_s, TOMBSTONE_LEASES * lease_s, now_s()
+        )
+        self.nodes = node_table.NodeTable(lease_s)
+
+    def tick(self) -> None:
+        """Ends leases; to be called several times in a lease."""
+        now_s = self._now_s()
+        for record in self.directory.tick(now_s):
+            self._events.info(
+                "endpoint-lease-ended",
+                endpoint_id=record.endpoint_id,
+                service=record.service,
+                incarnation=record.incarnation,
+            )
+        kept_s = TOMBSTONE_LEASES * self._settings.lease_ms / 1000
+        self.nodes.forget(now_s - kept_s)
+
+    def heartbeat(self, key: str, heartbeat: Any) -> Any:
+        """Renews a node's lease and tells it what is new."""
+        self._check(key)
+        now_s = self._now_s()
+        self.counters.heartbeats += 1
+        is_present = self.nodes.renew(
+            heartbeat.node_id,
+            heartbeat.incarnation,
+            heartbeat.configuration_version,
+            now_s,
+        )
+        if is_present:
+            self._announce(heartbeat.endpoints, now_s)
+        is_known = heartbeat.directory_epoch == self._epoch
+        revision = heartbeat.directory_revision if is_known else 0
+        found = self.directory.read(heartbeat.services, revision, now_s)
+        configuration = self._machine.configuration
+        is_behind = heartbeat.configuration_version < configuration.version
+        return ttypes.HeartbeatAnswer(
+            lease_ms=self._settings.lease_ms,
+            directory_epoch=self._epoch,
+            directory_revision=found.revision,
+            whole_directory=found.is_whole,
+            endpoints=[convert.encode_endpoint(one) for one in found.records],
+            configuration_version=configuration.version,
+            configuration=configuration.document if is_behind else None,
+            vouched_ms=self._log.vouched_ms(),
+            drain=self.nodes.is_drain_requested(
+                heartbeat.node_id, heartbeat.incarnation
+            ),
+        )
+
+    async def claim(self, key: str, request: Any) -> Any:
+        """Commits a claim and answers what the ledger says."""
+        self._check(key)
+        self.counters.claims += 1
+        answer = await self._log.propose(ttypes.Command(at_ms=0, claim=request))
+        return _claim_answer(answer)
+
+    async def settle(self, key: str, request: Any) -> Any:
+        """Commits the end of a claimed call."""
+        self._check(key)
+        self.counters.settlements += 1
+        answer = await self._log.propose(
+            ttypes.Command(at_ms=0, settle=request)
+        )
+        return _claim_answer(answer)
+
+    async def report_suspect(self, key: str, report: Any) -> Any:
+        """Commits a death; with no endpoint id it only reads the count."""
+        self._check(key)
+        known = self._machine.suspects.count(report.fingerprint)
+        if not report.endpoint_id:
+            return ttypes.SuspectAnswer(deaths=known)
+        self.counters.suspects += 1
+        answer = await self._log.propose(
+            ttypes.Command(at_ms=0, suspect=report)
+        )
+        if not answer.committed:
+            raise ttypes.Refused(reason="unavailable")
+        return answer.suspect
+
+    async def propose(self, key: str, command: Any) -> Any:
+        """Commits what another control instance passes on, if it leads."""
+        self._check(key)
+        abandoned = self._find_abandoned(command)
+        if abandoned is not None:
+            await self._log.propose_here(abandoned)
+        return await self._log.propose_here(command)
+
+    def deliver(self, key: str, message: Any) -> None:
+        """Takes a message of the replicated log."""
+        self._check(key)
+        if message.recipient == self._settings.control_id:
+            self._log.deliver(message)
+
+    def report_bad_frame(self, detail: str) -> None:
+        """Counts and logs a frame that could not be read."""
+        self.counters.bad_frames += 1
+        self._events.warning("bad-frame", detail=detail)
+
+    def _check(self, key: str) -> None:
+        if hmac.compare_digest(key.encode(), self._cluster_key):
+            return
+        self.counters.wrong_keys += 1
+        self._events.warning(
+            "wrong-cluster-key", count=self.counters.wrong_keys
+        )
+        raise ttypes.Refused(reason="wrong key")
+
+    def _announce(self, endpoints: Any, now_s: float) -> None:
+        for message in endpoints:
+            try:
+                record = convert.decode_endpoint(message)
+            except ValueError:
+                raise ttypes.Refused(reason="bad endpoint state") from None
+            if self.directory.announce(record, now_s):
+                self._events.info(
+                    "endpoint-changed",
+                    endpoint_id=record.endpoint_id,
+                    service=record.service,
+                    incarnation=record.incarnation,
+                    sequence=record.sequence,
+                    state=record.state.name.lower(),
+                )
+
+    def _find_abandoned(self, command: Any) -> Any:
+        return None
+
+
+def _claim_answer(answer: Any) -> Any:
+    if answer.committed:
+        return answer.claim
+    return ttypes.ClaimAnswer(
+        verdict=ttypes.ClaimVerdict.UNAVAILABLE,
+        status=0,
+        retry_after_ms=answer.retry_after_ms or UNAVAILABLE_RETRY_MS,
+    )
--- /dev/null
+++ b/src/cranberrymux/control/operator_api.py
@@ -0,0 +1,240 @@
+"""The operators' HTTP API."""
+
+from collections.abc import Callable
+import dataclasses
+import hmac
+import json
+import math
+from typing import Any
+
+import klein
+import structlog
+from twisted.web import http
+
+from cranberrymux.control import change_body
+from cranberrymux.control import command_log
+from cranberrymux.control import control_settings
+from cranberrymux.control import conversions
+from cranberrymux.control import node_service
+from cranberrymux.control import state_machine
+from cranberrymux.decisions.configuration import change_verdict
+from cranberrymux.wire.gen.messages import ttypes
+
+MAXIMUM_BODY_BYTES = 524_288
+UNAVAILABLE_RETRY_MS = 1000
+HISTORY_LIMIT = 1000
+
+_STATUS = {
+    change_verdict.ChangeVerdict.ACCEPTED: http.OK,
+    change_verdict.ChangeVerdict.CONFLICT: http.CONFLICT,
+    change_verdict.ChangeVerdict.INVALID: http.BAD_REQUEST,
+}
+
+
+class OperatorApi:
+    """Routes under /v1; each asks for `Authorization: Bearer TOKEN`."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        settings: control_settings.ControlSettings,
+        token: str,
+        *,
+        machine: state_machine.StateMachine,
+        log: command_log.CommandLog,
+        service: node_service.NodeService,
+        now_s: Callable[[], float],
+    ) -> None:
+        """Keeps what the answers are made of.
+
+        Args:
+            settings: The instance's settings.
+            token: The operators' token.
+            machine: The agreed state, read only here.
+            log: Commits changes.
+            service: Owns the directory and the counters.
+            now_s: Monotonic clock.
+        """
+        self._settings = settings
+        self._token = token.encode()
+        self._machine = machine
+        self._log = log
+        self._service = service
+        self._now_s = now_s
+        self._events = structlog.get_logger()
+
+    @app.route("/v1/configuration", methods=["GET"])
+    def get_configuration(self, request: Any) -> bytes:
+        """Answers the last version, or the one asked for."""
+        if not self._is_operator(request):
+            return _refuse_token(request)
+        if not self._log.vouched_ms():
+            return _refuse_unvouched(request)
+        configuration = self._machine.configuration
+        version = _read_number(request, b"version", configuration.version)
+        document = configuration.document_of(version)
+        if document is None:
+            return _answer(
+                request, http.NOT_FOUND, {"detail": "version is not kept"}
+            )
+        return _answer(
+            request, http.OK, {"version": version, "document": document}
+        )
+
+    @app.route("/v1/configuration", methods=["PUT"])
+    async def put_configuration(self, request: Any) -> bytes:
+        """Commits a change of the whole document."""
+        if not self._is_operator(request):
+            return _refuse_token(request)
+        self._service.counters.changes += 1
+        asked = change_body.read(request.content.read(MAXIMUM_BODY_BYTES + 1))
+        if isinstance(asked, change_body.ChangeBodyError):
+            return _answer(request, http.BAD_REQUEST, asked._asdict())
+        command = ttypes.Command(
+            at_ms=0, change=conversions.encode_change(asked)
+        )
+        committed = await self._log.propose(command)
+        if not committed.committed:
+            return _refuse_uncommitted(request, committed)
+        answer = conversions.decode_change_answer(committed.change)
+        self._events.info(
+            "change-answered",
+            change_id=asked.change_id,
+            author=asked.author,
+            verdict=answer.verdict.value,
+            version=answer.record.version if answer.record else None,
+        )
+        record = answer.record._asdict() if answer.record else None
+        body = {
+            "verdict": answer.verdict.value,
+            "record": record,
+            "detail": answer.detail,
+        }
+        return _answer(request, _STATUS[answer.verdict], body)
+
+    @app.route("/v1/history", methods=["GET"])
+    def get_history(self, request: Any) -> bytes:
+        """Answers the last accepted changes, newest first."""
+        if not self._is_operator(request):
+            return _refuse_token(request)
+        if not self._log.vouched_ms():
+            return _refuse_unvouched(request)
+        limit = min(_read_number(request, b"limit", 20), HISTORY_LIMIT)
+        records = self._machine.configuration.history(limit)
+        body = {"changes": [one._asdict() for one in records]}
+        return _answer(request, http.OK, body)
+
+    @app.route("/v1/drain", methods=["POST"])
+    def post_drain(self, request: Any) -> bytes:
+        """Asks a node to drain its backend server."""
+        if not self._is_operator(request):
+            return _refuse_token(request)
+        try:
+            node_id = json.loads(request.content.read(4096))["node_id"]
+        except (ValueError, KeyError, TypeError):
+            detail = 'expected {"node_id": NAME}'
+            return _answer(request, http.BAD_REQUEST, {"detail": detail})
+        if not self._service.nodes.request_drain(str(node_id), self._now_s()):
+            detail = f"no live node {node_id}"
+            return _answer(request, http.NOT_FOUND, {"detail": detail})
+        self._events.info("drain-requested", node_id=str(node_id))
+        return _answer(request, http.OK, {"node_id": node_id})
+
+    @app.route("/v1/status", methods=["GET"])
+    def get_status(self, request: Any) -> bytes:
+        """Answers what this instance sees, also without a quorum."""
+        if not self._is_operator(request):
+            return _refuse_token(request)
+        now_s = self._now_s()
+        service = self._service
+        records = service.directory.records()
+        body = {
+            "control_id": self._settings.control_id,
+            "region": self._settings.region,
+            "zone": self._settings.zone,
+            "role": self._log.role(),
+            "leader": self._log.leader(),
+            "vouched_ms": self._log.vouched_ms(),
+            "configuration_version": self._machine.configuration.version,
+            "nodes": [
+                {
+                    "node_id": one.node_id,
+                    "incarnation": one.incarnation,
+                    "configuration_version": one.configuration_version,
+                }
+                for one in service.nodes.live(now_s)
+            ],
+            "endpoints": [
+                {**one._asdict(), "state": one.state.name.lower()}
+                for one in records
+            ],
+            "unknown_outcomes": [
+                {
+                    "request_id": one.claim.request_id,
+                    "call_id": one.claim.call_id,
+                    "owner": one.claim.owner,
+                    "principal": one.claim.principal,
+                    "granted_ms": one.granted_ms,
+                }
+                for one in self._machine.claims.unknown()
+            ],
+            "counters": dataclasses.asdict(service.counters),
+        }
+        return _answer(request, http.OK, body)
+
+    def _is_operator(self, request: Any) -> bool:
+        header = request.getHeader(b"authorization") or b""
+        shown = header.removeprefix(b"Bearer ").strip()
+        if hmac.compare_digest(shown, self._token):
+            return True
+        self._service.counters.wrong_tokens += 1
+        self._events.warning(
+            "wrong-operator-token",
+            peer=request.getClientAddress().host,
+            count=self._service.counters.wrong_tokens,
+        )
+        return False
+
+
+def _answer(request: Any, status: int, body: Any) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader(b"Content-Type", b"application/json")
+    return json.dumps(body).encode() + b"\n"
+
+
+def _refuse_token(request: Any) -> bytes:
+    request.setHeader(b"WWW-Authenticate", b"Bearer")
+    return _answer(request, http.UNAUTHORIZED, {"detail": "wrong token"})
+
+
+def _refuse_unvouched(request: Any) -> bytes:
+    _set_retry_after(request, UNAVAILABLE_RETRY_MS)
+    detail = "this control instance has no contact with a quorum"
+    return _answer(request, http.SERVICE_UNAVAILABLE, {"detail": detail})
+
+
+def _refuse_uncommitted(request: Any, answer: Any) -> bytes:
+    _set_retry_after(request, answer.retry_after_ms or UNAVAILABLE_RETRY_MS)
+    if answer.rejected:
+        detail = "not accepted: no quorum; it will not be accepted later"
+    else:
+        detail = "no answer in time; send the same change id again"
+    body = {
+        "detail": detail,
+        "rejected": answer.rejected,
+        "leader": answer.leader,
+    }
+    return _answer(request, http.SERVICE_UNAVAILABLE, body)
+
+
+def _set_retry_after(request: Any, retry_after_ms: int) -> None:
+    seconds = math.ceil(retry_after_ms / 1000)
+    request.setHeader(b"Retry-After", str(seconds).encode())
+
+
+def _read_number(request: Any, name: bytes, default: int) -> int:
+    values = request.args.get(name, [])
+    if not values or not values[0].isdigit():
+        return default
+    return int(values[0])
--- /dev/null
+++ b/src/cranberrymux/control/state_machine.py
@@ -0,0 +1,92 @@
+"""Everything that the control instances agree on."""
+
+import json
+from typing import Any
+
+from cranberrymux.control import conversions
+from cranberrymux.decisions.claims import claim_ledger
+from cranberrymux.decisions.claims import claim_settings
+from cranberrymux.decisions.claims import suspect_ledger
+from cranberrymux.decisions.configuration import ledger
+from cranberrymux.wire import codec
+from cranberrymux.wire.gen.messages import ttypes
+
+
+class StateMachine:
+    """Applies committed commands to the three ledgers."""
+
+    def __init__(
+        self, settings: claim_settings.ClaimSettings, now_ms: int = 0
+    ) -> None:
+        """Starts empty.
+
+        Args:
+            settings: Ages and bounds of claims.
+            now_ms: Earliest time, Unix milliseconds.
+        """
+        self.configuration = ledger.ConfigurationLedger()
+        self.claims = claim_ledger.ClaimLedger(settings)
+        self.suspects = suspect_ledger.SuspectLedger()
+        self._now_ms = now_ms
+
+    @property
+    def now_ms(self) -> int:
+        """The time of the last command; never goes back."""
+        return self._now_ms
+
+    def apply(self, payload: bytes) -> Any:
+        """Applies one encoded `Command`; returns its `CommandAnswer`."""
+        command = codec.decode(ttypes.Command, payload)
+        self._now_ms = max(self._now_ms, command.at_ms)
+        answer = ttypes.CommandAnswer(
+            committed=True, rejected=False, retry_after_ms=0
+        )
+        if command.change is not None:
+            change = conversions.decode_change(command.change)
+            result = self.configuration.apply(change, self._now_ms)
+            answer.change = conversions.encode_change_answer(result)
+        elif command.claim is not None:
+            claim = conversions.decode_claim(command.claim)
+            answer.claim = conversions.encode_claim_answer(
+                self.claims.claim(claim, self._now_ms)
+            )
+        elif command.settle is not None:
+            settle = conversions.decode_settle(command.settle)
+            answer.claim = conversions.encode_claim_answer(
+                self.claims.settle(settle, self._now_ms)
+            )
+        elif command.abandon is not None:
+            asked = command.abandon
+            self.claims.abandon(
+                (asked.request_id, asked.call_id),
+                asked.owner,
+                asked.owner_incarnation,
+            )
+        elif command.suspect is not None:
+            asked = command.suspect
+            deaths = self.suspects.report(
+                asked.fingerprint,
+                f"{asked.endpoint_id} {asked.incarnation}",
+                self._now_ms,
+            )
+            answer.suspect = ttypes.SuspectAnswer(deaths=deaths)
+        return answer
+
+    def dump(self) -> bytes:
+        """Returns the whole state for a snapshot."""
+        state = {
+            "format": 1,
+            "now_ms": self._now_ms,
+            "configuration": self.configuration.dump(),
+            "claims": self.claims.dump(),
+            "suspects": self.suspects.dump(),
+        }
+        return json.dumps(state, separators=(",", ":")).encode()
+
+    def restore(self, payload: bytes) -> None:
+        """Takes over a state that `dump` gave."""
+        state = json.loads(payload)
+        self._now_ms = state["now_ms"]
+        self.configuration.restore(state["configuration"])
+        self.claims.restore(state["claims"])
+        self.suspects.restore(state["suspects"])
--- /dev/null
+++ b/src/cranberrymux/decisions/claims/claim_ledger.py
@@ -0,0 +1,248 @@
+"""The state machine of claims: each call is granted to one owner, once."""
+
+import base64
+from typing import Any
+
+from cranberrymux.decisions.claims import claim as claim_module
+from cranberrymux.decisions.claims import claim_answer
+from cranberrymux.decisions.claims import claim_entry
+from cranberrymux.decisions.claims import claim_settings
+from cranberrymux.decisions.claims import claim_verdict
+from cranberrymux.decisions.claims import request_age
+from cranberrymux.decisions.claims import settlement
+
+RUNNING_RETRY_MS = 250
+FULL_RETRY_MS = 5000
+
+_State = claim_entry.ClaimState
+_Verdict = claim_verdict.ClaimVerdict
+
+
+class ClaimLedger:
+    """Claims in the order of their grants.
+
+    Every replica applies the same calls with the same times and comes to the
+    same state. Times are Unix milliseconds that never go back.
+    """
+
+    def __init__(self, settings: claim_settings.ClaimSettings) -> None:
+        """Starts empty.
+
+        Raises:
+            ValueError: The retention is too short for the accepted age.
+        """
+        shortest_ms = (
+            settings.accepted_age_ms + claim_settings.MAXIMUM_FUTURE_MS
+        )
+        if settings.retention_ms <= shortest_ms:
+            raise ValueError("claims would be forgotten before ids expire")
+        self._settings = settings
+        self._entries: dict[tuple[str, str], claim_entry.ClaimEntry] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of claims that are kept."""
+        return len(self._entries)
+
+    def find(self, key: tuple[str, str]) -> claim_entry.ClaimEntry | None:
+        """Returns the entry of a request id and call id."""
+        return self._entries.get(key)
+
+    def unknown(self, limit: int = 100) -> list[claim_entry.ClaimEntry]:
+        """Returns the last calls of unknown outcome, newest first."""
+        found = [
+            one
+            for one in reversed(self._entries.values())
+            if one.state is _State.UNKNOWN
+        ]
+        return found[:limit]
+
+    def claim(
+        self, asked: claim_module.Claim, now_ms: int
+    ) -> claim_answer.ClaimAnswer:
+        """Applies a committed claim."""
+        self._forget(now_ms)
+        entry = self._entries.get(asked.key)
+        if entry is None:
+            return self._grant_first(asked, now_ms)
+        if not _is_same_call(asked, entry.claim):
+            return claim_answer.ClaimAnswer(_Verdict.DIGEST_MISMATCH)
+        if entry.state is _State.RELEASED:
+            return self._grant_again(asked, entry, now_ms)
+        if entry.state is _State.RUNNING:
+            return self._join(asked, entry, now_ms)
+        return _tell(entry)
+
+    def settle(
+        self, ended: settlement.Settlement, now_ms: int
+    ) -> claim_answer.ClaimAnswer:
+        """Applies a committed settlement."""
+        self._forget(now_ms)
+        entry = self._entries.get(ended.key)
+        if entry is None:
+            return claim_answer.ClaimAnswer(_Verdict.EXPIRED)
+        if entry.state is not _State.RUNNING or not _owns(ended, entry):
+            return _tell(entry)
+        if ended.status == settlement.STATUS_NOT_RUN:
+            return self._release(ended, entry)
+        body = ended.body
+        if body and len(body) > self._settings.maximum_body_bytes:
+            body = None
+        settled = entry._replace(
+            state=_State.SETTLED, status=ended.status, body=body
+        )
+        self._entries[ended.key] = settled
+        return _tell(settled)
+
+    def abandon(
+        self, key: tuple[str, str], owner: str, owner_incarnation: int
+    ) -> bool:
+        """Notes that an owner ended while its call ran.
+
+        Returns:
+            True if the outcome is now unknown by this.
+        """
+        entry = self._entries.get(key)
+        if entry is None or entry.state is not _State.RUNNING:
+            return False
+        if entry.claim.owner != owner:
+            return False
+        if entry.claim.owner_incarnation != owner_incarnation:
+            return False
+        self._entries[key] = entry._replace(state=_State.UNKNOWN)
+        return True
+
+    def dump(self) -> list[list[Any]]:
+        """Returns the whole state as values that JSON can hold."""
+        return [_dump_entry(one) for one in self._entries.values()]
+
+    def restore(self, state: list[list[Any]]) -> None:
+        """Takes over a state that `dump` gave."""
+        entries = [_load_entry(*one) for one in state]
+        self._entries = {one.claim.key: one for one in entries}
+
+    def _grant_first(
+        self, asked: claim_module.Claim, now_ms: int
+    ) -> claim_answer.ClaimAnswer:
+        created_ms = request_age.created_ms(asked.request_id)
+        if created_ms is None:
+            return claim_answer.ClaimAnswer(_Verdict.EXPIRED)
+        if created_ms < now_ms - self._settings.accepted_age_ms:
+            return claim_answer.ClaimAnswer(_Verdict.EXPIRED)
+        if created_ms > now_ms + claim_settings.MAXIMUM_FUTURE_MS:
+            return claim_answer.ClaimAnswer(_Verdict.EXPIRED)
+        if len(self._entries) >= self._settings.maximum_claims:
+            return claim_answer.ClaimAnswer(
+                _Verdict.UNAVAILABLE, retry_after_ms=FULL_RETRY_MS
+            )
+        return self._grant(asked, now_ms)
+
+    def _grant_again(
+        self,
+        asked: claim_module.Claim,
+        entry: claim_entry.ClaimEntry,
+        now_ms: int,
+    ) -> claim_answer.ClaimAnswer:
+        if asked.claim_id and asked.claim_id == entry.claim.claim_id:
+            # A late copy of the claim that was released.
+            return claim_answer.ClaimAnswer(_Verdict.UNAVAILABLE)
+        del self._entries[asked.key]
+        return self._grant(asked, now_ms)
+
+    def _grant(
+        self, asked: claim_module.Claim, now_ms: int
+    ) -> claim_answer.ClaimAnswer:
+        self._entries[asked.key] = claim_entry.ClaimEntry(asked, now_ms)
+        return claim_answer.ClaimAnswer(_Verdict.GRANTED, owner=asked.owner)
+
+    def _join(
+        self,
+        asked: claim_module.Claim,
+        entry: claim_entry.ClaimEntry,
+        now_ms: int,
+    ) -> claim_answer.ClaimAnswer:
+        if asked.claim_id and asked == entry.claim:
+            return claim_answer.ClaimAnswer(_Verdict.GRANTED, owner=asked.owner)
+        is_overdue = now_ms - entry.granted_ms > self._settings.running_ms
+        has_restarted = (
+            asked.owner == entry.claim.owner
+            and asked.owner_incarnation > entry.claim.owner_incarnation
+        )
+        if is_overdue or has_restarted:
+            entry = entry._replace(state=_State.UNKNOWN)
+            self._entries[asked.key] = entry
+        return _tell(entry)
+
+    def _release(
+        self, ended: settlement.Settlement, entry: claim_entry.ClaimEntry
+    ) -> claim_answer.ClaimAnswer:
+        if not ended.claim_id:
+            return _tell(entry)
+        self._entries[ended.key] = entry._replace(state=_State.RELEASED)
+        return claim_answer.ClaimAnswer(_Verdict.UNAVAILABLE)
+
+    def _forget(self, now_ms: int) -> None:
+        before_ms = now_ms - self._settings.retention_ms
+        while self._entries:
+            key, oldest = next(iter(self._entries.items()))
+            if oldest.granted_ms >= before_ms:
+                return
+            del self._entries[key]
+
+
+def _is_same_call(asked: claim_module.Claim, known: claim_module.Claim) -> bool:
+    return (
+        asked.body_digest == known.body_digest
+        and asked.principal == known.principal
+    )
+
+
+def _owns(ended: settlement.Settlement, entry: claim_entry.ClaimEntry) -> bool:
+    return (
+        ended.owner == entry.claim.owner
+        and ended.owner_incarnation == entry.claim.owner_incarnation
+        and ended.claim_id == entry.claim.claim_id
+    )
+
+
+def _tell(entry: claim_entry.ClaimEntry) -> claim_answer.ClaimAnswer:
+    owner = entry.claim.owner
+    if entry.state is _State.RUNNING:
+        return claim_answer.ClaimAnswer(
+            _Verdict.RUNNING, owner=owner, retry_after_ms=RUNNING_RETRY_MS
+        )
+    if entry.state is _State.SETTLED:
+        return claim_answer.ClaimAnswer(
+            _Verdict.SETTLED, entry.status, entry.body, owner
+        )
+    if entry.state is _State.RELEASED:
+        return claim_answer.ClaimAnswer(_Verdict.UNAVAILABLE)
+    return claim_answer.ClaimAnswer(_Verdict.UNKNOWN_OUTCOME, owner=owner)
+
+
+def _dump_entry(entry: claim_entry.ClaimEntry) -> list[Any]:
+    body = None
+    if entry.body is not None:
+        body = base64.b64encode(entry.body).decode()
+    return [
+        list(entry.claim),
+        entry.granted_ms,
+        entry.state.value,
+        entry.status,
+        body,
+    ]
+
+
+def _load_entry(
+    claimed: list[Any],
+    granted_ms: int,
+    state: str,
+    status: int,
+    body: str | None,
+) -> claim_entry.ClaimEntry:
+    return claim_entry.ClaimEntry(
+        claim_module.Claim(*claimed),
+        granted_ms,
+        _State(state),
+        status,
+        None if body is None else base64.b64decode(body),
+    )
--- /dev/null
+++ b/src/cranberrymux/decisions/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: its document, its history and its policy."""
--- /dev/null
+++ b/src/cranberrymux/decisions/configuration/document_reader.py
@@ -0,0 +1,191 @@
+"""Reads and checks the text of a document."""
+
+from typing import Any
+
+import yaml
+
+from cranberrymux import exceptions
+from cranberrymux.decisions.configuration import class_rule
+from cranberrymux.decisions.configuration import document
+from cranberrymux.decisions.configuration import document_error
+from cranberrymux.decisions.configuration import document_fields
+from cranberrymux.decisions.configuration import document_lines
+from cranberrymux.decisions.configuration import selector_rule
+from cranberrymux.decisions.configuration import service_rule
+from cranberrymux.decisions.selectors import parser
+from cranberrymux.decisions.selectors import selector
+from cranberrymux.decisions.selectors import selector_error
+from cranberrymux.settings import loader
+
+MAXIMUM_DOCUMENT_BYTES = 262_144
+EMPTY_DOCUMENT = "classes:\n  - name: default\n    protected: true\n"
+
+
+class _FaultError(Exception):
+    """Ends the reading at the first fault; does not leave this module."""
+
+    def __init__(self, key: str, expected: str) -> None:
+        super().__init__()
+        self.key = key
+        self.expected = expected
+
+
+def parse(
+    text: str,
+) -> document.Document | document_error.DocumentError:
+    """Reads a document; never raises.
+
+    Args:
+        text: YAML. The empty text, that of version 0, gives one class and
+            the defaults.
+
+    Returns:
+        The document, or its first fault.
+    """
+    fault = _find_unsafe(text)
+    if fault is not None:
+        return fault
+    text = text or EMPTY_DOCUMENT
+    try:
+        values = loader.load_text(text, "", document_fields.FIELDS)
+        return _build(values)
+    except exceptions.SettingsError as error:
+        return document_error.DocumentError(
+            error.line, error.key, error.expected
+        )
+    except _FaultError as stop:
+        line = document_lines.find(text, stop.key)
+        return document_error.DocumentError(line, stop.key, stop.expected)
+
+
+def _find_unsafe(text: str) -> document_error.DocumentError | None:
+    if len(text.encode(errors="replace")) > MAXIMUM_DOCUMENT_BYTES:
+        return document_error.DocumentError(
+            1, "(file)", f"at most {MAXIMUM_DOCUMENT_BYTES} bytes"
+        )
+    try:
+        for event in yaml.parse(text, Loader=yaml.SafeLoader):
+            if isinstance(event, yaml.AliasEvent):
+                return document_error.DocumentError(
+                    _line_of(event), "(file)", "no YAML aliases"
+                )
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 1
+        return document_error.DocumentError(line, "(file)", "valid YAML")
+    except RecursionError:
+        return document_error.DocumentError(1, "(file)", "less nesting")
+    return None
+
+
+def _line_of(event: yaml.Event) -> int:
+    return event.start_mark.line + 1 if event.start_mark else 1
+
+
+def _build(values: dict[str, Any]) -> document.Document:
+    _check_sizes(values)
+    for key in ("classes", "selectors", "services"):
+        _check_names(key, values[key])
+    classes = tuple(
+        class_rule.ClassRule(one["name"], rank, one["protected"])
+        for rank, one in enumerate(values["classes"])
+    )
+    ranks = {one.name: one.rank for one in classes}
+    default_service = service_rule.ServiceRule(
+        "",
+        values["default_retry_budget"],
+        values["default_timeout_ms"],
+        0,
+        0,
+    )
+    services = {
+        one["name"]: _read_service(one, default_service)
+        for one in values["services"]
+    }
+    selectors = tuple(
+        _read_selector(f"selectors[{index}]", one, ranks)
+        for index, one in enumerate(values["selectors"])
+    )
+    default_class = values["default_class"]
+    return document.Document(
+        classes,
+        selectors,
+        services,
+        default_service,
+        classes[-1].rank
+        if default_class is None
+        else _read_class("default_class", default_class, ranks),
+        values["strict_age_ms"],
+    )
+
+
+def _check_sizes(values: dict[str, Any]) -> None:
+    for field in document_fields.FIELDS:
+        if not field.items:
+            continue
+        count = len(values[field.name])
+        if field.minimum is not None and count < field.minimum:
+            raise _FaultError(field.name, f"at least {field.minimum} items")
+        if field.maximum is not None and count > field.maximum:
+            raise _FaultError(field.name, f"at most {field.maximum} items")
+
+
+def _check_names(key: str, items: list[dict[str, Any]]) -> None:
+    seen: set[str] = set()
+    for index, item in enumerate(items):
+        if item["name"] in seen:
+            raise _FaultError(f"{key}[{index}].name", "each name once only")
+        seen.add(item["name"])
+
+
+def _read_service(
+    item: dict[str, Any], default: service_rule.ServiceRule
+) -> service_rule.ServiceRule:
+    retry_budget = item["retry_budget"]
+    timeout_ms = item["timeout_ms"]
+    return service_rule.ServiceRule(
+        item["name"],
+        default.retry_budget if retry_budget is None else retry_budget,
+        default.timeout_ms if timeout_ms is None else timeout_ms,
+        item["limit_cap"],
+        item["queue_cap"],
+    )
+
+
+def _read_selector(
+    key: str, item: dict[str, Any], ranks: dict[str, int]
+) -> selector_rule.SelectorRule:
+    if item["once_only"] and item["idempotent"]:
+        raise _FaultError(f"{key}.idempotent", "false where once_only is true")
+    match = _read_expression(f"{key}.match", item["match"])
+    place = None
+    if item["place"] is not None:
+        place = _read_expression(f"{key}.place", item["place"])
+    class_rank = None
+    if item["class"] is not None:
+        class_rank = _read_class(f"{key}.class", item["class"], ranks)
+    return selector_rule.SelectorRule(
+        item["name"],
+        match,
+        class_rank,
+        item["once_only"],
+        item["idempotent"],
+        place,
+        item["strict"],
+    )
+
+
+def _read_expression(key: str, text: str) -> selector.Selector:
+    parsed = parser.parse(text)
+    if isinstance(parsed, selector_error.SelectorError):
+        raise _FaultError(
+            key, f"{parsed.expected} at column {parsed.column} of {text!r}"
+        )
+    return parsed
+
+
+def _read_class(key: str, name: str, ranks: dict[str, int]) -> int:
+    if name not in ranks:
+        names = ", ".join(ranks)
+        raise _FaultError(key, f"one of the classes {names}, not {name!r}")
+    return ranks[name]
--- /dev/null
+++ b/src/cranberrymux/decisions/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: endpoints and nodes under leases, and deltas by revision."""
--- /dev/null
+++ b/src/cranberrymux/wire/control_client.py
@@ -0,0 +1,198 @@
+"""A connection to one control instance that comes back by itself."""
+
+from collections.abc import Callable
+from typing import Any
+
+from thrift import Thrift
+from thrift.transport import TTransport
+from thrift.transport import TTwisted
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+
+from cranberrymux.wire import codec
+from cranberrymux.wire import control_client_settings
+from cranberrymux.wire import limits
+from cranberrymux.wire import wire_error
+from cranberrymux.wire.gen.messages import Control
+from cranberrymux.wire.gen.messages import ttypes
+
+_BACKOFF_FACTOR = 2
+_BACKOFF_JITTER = 0.2
+
+
+# The library has no types.
+_ReconnectingClientFactory: Any = protocol.ReconnectingClientFactory
+
+
+class _ClientProtocol(TTwisted.ThriftClientProtocol):
+    MAX_LENGTH = limits.MAXIMUM_FRAME_BYTES
+
+    def stringReceived(self, frame: bytes) -> None:  # noqa: N802
+        try:
+            super().stringReceived(frame)
+        except Exception:  # The codec has many error types.
+            self.transport.abortConnection()
+
+
+class _ClientFactory(_ReconnectingClientFactory):
+    noisy = False
+    factor = _BACKOFF_FACTOR
+    jitter = _BACKOFF_JITTER
+
+    def __init__(
+        self, settings: control_client_settings.ControlClientSettings
+    ) -> None:
+        self.initialDelay = settings.first_backoff_ms / 1000
+        self.delay = self.initialDelay
+        self.maxDelay = settings.maximum_backoff_ms / 1000
+        self.connection: Any = None
+
+    def buildProtocol(  # noqa: N802
+        self, addr: Any
+    ) -> protocol.Protocol | None:
+        self.resetDelay()
+        self.connection = _ClientProtocol(
+            Control.Client, codec.create_factory()
+        )
+        self.connection.factory = self
+        return self.connection
+
+    def clientConnectionLost(  # noqa: N802
+        self, connector: interfaces.IConnector, reason: failure.Failure
+    ) -> None:
+        self.connection = None
+        super().clientConnectionLost(connector, reason)
+
+
+class ControlClient:
+    """Calls one control instance.
+
+    Every method answers a message or a `WireError`; none raises. A call made
+    while there is no connection is answered at once with `NOT_CONNECTED`. A
+    call that times out ends the connection, so that a frozen process is left
+    and the next connection starts clean.
+    """
+
+    def __init__(
+        self,
+        settings: control_client_settings.ControlClientSettings,
+        reactor: Any = None,
+    ) -> None:
+        """Keeps the settings; `start` connects.
+
+        Args:
+            settings: Address, key and timeouts.
+            reactor: The reactor to use; the global one by default.
+        """
+        if reactor is None:
+            from twisted.internet import reactor as installed  # noqa: PLC0415
+
+            reactor = installed
+        self._settings = settings
+        self._reactor = reactor
+        self._factory = _ClientFactory(settings)
+        self._factory.clock = reactor
+        self._connector: Any = None
+
+    @property
+    def settings(self) -> control_client_settings.ControlClientSettings:
+        """The settings it was made with."""
+        return self._settings
+
+    @property
+    def is_connected(self) -> bool:
+        """True if a call would be sent now."""
+        connection = self._factory.connection
+        return connection is not None and connection.started.called
+
+    def start(self) -> None:
+        """Connects, and connects again whenever the connection ends."""
+        self._connector = self._reactor.connectTCP(
+            self._settings.address,
+            self._settings.port,
+            self._factory,
+            timeout=self._settings.timeout_ms / 1000,
+        )
+
+    def stop(self) -> None:
+        """Ends the connection for good."""
+        self._factory.stopTrying()
+        if self._connector is not None:
+            self._connector.disconnect()
+
+    async def heartbeat(self, heartbeat: Any) -> Any:
+        """Sends a `Heartbeat`; answers `HeartbeatAnswer | WireError`."""
+        return await self._call(
+            lambda client: client.heartbeat(
+                self._settings.cluster_key, heartbeat
+            )
+        )
+
+    async def claim(self, request: Any) -> Any:
+        """Sends a `ClaimRequest`; answers `ClaimAnswer | WireError`."""
+        return await self._call(
+            lambda client: client.claim(self._settings.cluster_key, request)
+        )
+
+    async def settle(self, request: Any) -> Any:
+        """Sends a `SettleRequest`; answers `ClaimAnswer | WireError`."""
+        return await self._call(
+            lambda client: client.settle(self._settings.cluster_key, request)
+        )
+
+    async def report_suspect(self, report: Any) -> Any:
+        """Sends a `SuspectReport`; answers `SuspectAnswer | WireError`."""
+        return await self._call(
+            lambda client: client.report_suspect(
+                self._settings.cluster_key, report
+            )
+        )
+
+    async def propose(self, command: Any) -> Any:
+        """Sends a `Command`; answers `CommandAnswer | WireError`."""
+        return await self._call(
+            lambda client: client.propose(self._settings.cluster_key, command)
+        )
+
+    def deliver(self, message: Any) -> bool:
+        """Sends a `PeerMessage` with no answer; False if not connected."""
+        if not self.is_connected:
+            return False
+        client = self._factory.connection.client
+        sent = client.deliver(self._settings.cluster_key, message)
+        sent.addErrback(lambda _: None)
+        return True
+
+    async def _call(self, send: Callable[[Any], Any]) -> Any:
+        if not self.is_connected:
+            return wire_error.WireError(
+                wire_error.WireErrorReason.NOT_CONNECTED, self._target
+            )
+        connection = self._factory.connection
+        answer = send(connection.client)
+        answer.addTimeout(self._settings.timeout_ms / 1000, self._reactor)
+        try:
+            return await answer
+        except defer.TimeoutError:
+            connection.transport.abortConnection()
+            return self._fail(wire_error.WireErrorReason.TIMEOUT, "")
+        except ttypes.Refused as refused:
+            return self._fail(
+                wire_error.WireErrorReason.REFUSED, refused.reason
+            )
+        except TTransport.TTransportException:
+            return self._fail(wire_error.WireErrorReason.CONNECTION_LOST, "")
+        except Thrift.TException as error:
+            return self._fail(wire_error.WireErrorReason.PROTOCOL, str(error))
+
+    @property
+    def _target(self) -> str:
+        return f"{self._settings.address}:{self._settings.port}"
+
+    def _fail(
+        self, reason: wire_error.WireErrorReason, detail: str
+    ) -> wire_error.WireError:
+        text = f"{self._target} {detail}".strip()
+        return wire_error.WireError(reason, text)
--- /dev/null
+++ b/src/cranberrymux/wire/convert.py
@@ -0,0 +1,45 @@
+"""Turns shared models into wire messages and back."""
+
+from typing import Any
+
+from cranberrymux.models import endpoint_record
+from cranberrymux.models import endpoint_state
+from cranberrymux.wire.gen.messages import ttypes
+
+
+def encode_endpoint(record: endpoint_record.EndpointRecord) -> Any:
+    """Returns the `Endpoint` message of a record."""
+    return ttypes.Endpoint(
+        service_name=record.service,
+        endpoint_id=record.endpoint_id,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        address=record.address,
+        port=record.port,
+        region=record.region,
+        zone=record.zone,
+        labels=dict(record.labels),
+        slots=record.slots,
+        state=int(record.state),
+    )
+
+
+def decode_endpoint(message: Any) -> endpoint_record.EndpointRecord:
+    """Returns the record of an `Endpoint` message.
+
+    Raises:
+        ValueError: The state is not one of `EndpointState`.
+    """
+    return endpoint_record.EndpointRecord(
+        service=message.service_name,
+        endpoint_id=message.endpoint_id,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        address=message.address,
+        port=message.port,
+        region=message.region,
+        zone=message.zone,
+        labels=dict(message.labels),
+        slots=message.slots,
+        state=endpoint_state.EndpointState(message.state),
+    )
--- a/src/cranberrymux/wire/cranberrymux.thrift
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -41,8 +41,13 @@
   6: required i64 configuration_version
   7: optional string configuration
   8: required i64 vouched_ms
+  // True if an operator asked for this incarnation's drain.
+  9: optional bool drain
 }
 
+// `claim_id` is the same on each resend of one claim by one owner, so that a
+// grant whose answer was lost is given again. Without it a resend of a granted
+// claim is answered RUNNING.
 struct ClaimRequest {
   1: required string request_id
   2: required string call_id
@@ -50,6 +55,7 @@
   4: required string owner
   5: required i64 owner_incarnation
   6: required string principal
+  7: optional string claim_id
 }
 
 enum ClaimVerdict {
@@ -70,6 +76,8 @@
   5: optional string owner
 }
 
+// `claim_id` as in the claim. Status 0: no byte was handed over and none will
+// be; the claim is free again. That needs a claim_id.
 struct SettleRequest {
   1: required string request_id
   2: required string call_id
@@ -77,6 +85,7 @@
   4: required i64 owner_incarnation
   5: required i32 status
   6: optional binary body
+  7: optional string claim_id
 }
 
 // A message of the replicated log. `payload` is the encoded message.
@@ -96,6 +105,70 @@
   1: required i32 deaths
 }
 
+// A change of configuration. `base_version` is the version that the author
+// saw; `rollback_of` is the version whose document this change brings back.
+struct ChangeRequest {
+  1: required string change_id
+  2: required i64 base_version
+  3: required string author
+  4: required string document
+  5: optional i64 rollback_of
+}
+
+enum ChangeVerdict {
+  ACCEPTED = 1
+  CONFLICT = 2
+  INVALID = 3
+}
+
+// The entry of the history that a change made or met.
+struct ChangeRecord {
+  1: required i64 version
+  2: required i64 base_version
+  3: required string change_id
+  4: required string author
+  5: required i64 at_ms
+  6: required string difference
+  7: optional i64 rollback_of
+}
+
+// `record` is the accepted change, or, with CONFLICT, the change that won.
+struct ChangeAnswer {
+  1: required ChangeVerdict verdict
+  2: optional ChangeRecord record
+  3: required string detail
+}
+
+// Says that the owner's lease ended while the claim ran.
+struct AbandonRequest {
+  1: required string request_id
+  2: required string call_id
+  3: required string owner
+  4: required i64 owner_incarnation
+}
+
+// One entry of the replicated log; just one of the optional fields is set.
+struct Command {
+  1: required i64 at_ms
+  2: optional ChangeRequest change
+  3: optional ClaimRequest claim
+  4: optional SettleRequest settle
+  5: optional AbandonRequest abandon
+  6: optional SuspectReport suspect
+}
+
+// What the state machine answered, or, with `committed` false, that the
+// command is not known to be committed. `rejected` true: it never will be.
+struct CommandAnswer {
+  1: required bool committed
+  2: required bool rejected
+  3: optional ChangeAnswer change
+  4: optional ClaimAnswer claim
+  5: optional SuspectAnswer suspect
+  6: optional string leader
+  7: required i64 retry_after_ms
+}
+
 exception Refused {
   1: required string reason
 }
@@ -109,5 +182,8 @@
       throws (1: Refused refused)
   SuspectAnswer report_suspect(1: string key, 2: SuspectReport report)
       throws (1: Refused refused)
+  // From a control instance to the leader.
+  CommandAnswer propose(1: string key, 2: Command command)
+      throws (1: Refused refused)
   oneway void deliver(1: string key, 2: PeerMessage message)
 }
--- a/src/cranberrymux/wire/gen/messages/ttypes.py
+++ b/src/cranberrymux/wire/gen/messages/ttypes.py
@@ -46,6 +46,24 @@
     }
 
 
+class ChangeVerdict(object):
+    ACCEPTED = 1
+    CONFLICT = 2
+    INVALID = 3
+
+    _VALUES_TO_NAMES = {
+        1: "ACCEPTED",
+        2: "CONFLICT",
+        3: "INVALID",
+    }
+
+    _NAMES_TO_VALUES = {
+        "ACCEPTED": 1,
+        "CONFLICT": 2,
+        "INVALID": 3,
+    }
+
+
 class Endpoint(object):
     """
     Attributes:
@@ -410,11 +428,12 @@
      - configuration_version
      - configuration
      - vouched_ms
+     - drain
 
     """
 
 
-    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None,):
+    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None,):
         self.lease_ms = lease_ms
         self.directory_epoch = directory_epoch
         self.directory_revision = directory_revision
@@ -423,6 +442,7 @@
         self.configuration_version = configuration_version
         self.configuration = configuration
         self.vouched_ms = vouched_ms
+        self.drain = drain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -479,6 +499,11 @@
                     self.vouched_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.drain = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -524,6 +549,10 @@
             oprot.writeFieldBegin('vouched_ms', TType.I64, 8)
             oprot.writeI64(self.vouched_ms)
             oprot.writeFieldEnd()
+        if self.drain is not None:
+            oprot.writeFieldBegin('drain', TType.BOOL, 9)
+            oprot.writeBool(self.drain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -565,17 +594,19 @@
      - owner
      - owner_incarnation
      - principal
+     - claim_id
 
     """
 
 
-    def __init__(self, request_id=None, call_id=None, body_digest=None, owner=None, owner_incarnation=None, principal=None,):
+    def __init__(self, request_id=None, call_id=None, body_digest=None, owner=None, owner_incarnation=None, principal=None, claim_id=None,):
         self.request_id = request_id
         self.call_id = call_id
         self.body_digest = body_digest
         self.owner = owner
         self.owner_incarnation = owner_incarnation
         self.principal = principal
+        self.claim_id = claim_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -616,6 +647,11 @@
                     self.principal = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.claim_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -650,6 +686,10 @@
             oprot.writeFieldBegin('principal', TType.STRING, 6)
             oprot.writeString(self.principal.encode('utf-8') if sys.version_info[0] == 2 else self.principal)
             oprot.writeFieldEnd()
+        if self.claim_id is not None:
+            oprot.writeFieldBegin('claim_id', TType.STRING, 7)
+            oprot.writeString(self.claim_id.encode('utf-8') if sys.version_info[0] == 2 else self.claim_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -796,17 +836,19 @@
      - owner_incarnation
      - status
      - body
+     - claim_id
 
     """
 
 
-    def __init__(self, request_id=None, call_id=None, owner=None, owner_incarnation=None, status=None, body=None,):
+    def __init__(self, request_id=None, call_id=None, owner=None, owner_incarnation=None, status=None, body=None, claim_id=None,):
         self.request_id = request_id
         self.call_id = call_id
         self.owner = owner
         self.owner_incarnation = owner_incarnation
         self.status = status
         self.body = body
+        self.claim_id = claim_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -847,6 +889,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.claim_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -881,6 +928,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 6)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.claim_id is not None:
+            oprot.writeFieldBegin('claim_id', TType.STRING, 7)
+            oprot.writeString(self.claim_id.encode('utf-8') if sys.version_info[0] == 2 else self.claim_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1138,6 +1189,683 @@
         return not (self == other)
 
 
+class ChangeRequest(object):
+    """
+    Attributes:
+     - change_id
+     - base_version
+     - author
+     - document
+     - rollback_of
+
+    """
+
+
+    def __init__(self, change_id=None, base_version=None, author=None, document=None, rollback_of=None,):
+        self.change_id = change_id
+        self.base_version = base_version
+        self.author = author
+        self.document = document
+        self.rollback_of = rollback_of
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.change_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.author = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.document = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.rollback_of = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ChangeRequest')
+        if self.change_id is not None:
+            oprot.writeFieldBegin('change_id', TType.STRING, 1)
+            oprot.writeString(self.change_id.encode('utf-8') if sys.version_info[0] == 2 else self.change_id)
+            oprot.writeFieldEnd()
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 2)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
+        if self.author is not None:
+            oprot.writeFieldBegin('author', TType.STRING, 3)
+            oprot.writeString(self.author.encode('utf-8') if sys.version_info[0] == 2 else self.author)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRING, 4)
+            oprot.writeString(self.document.encode('utf-8') if sys.version_info[0] == 2 else self.document)
+            oprot.writeFieldEnd()
+        if self.rollback_of is not None:
+            oprot.writeFieldBegin('rollback_of', TType.I64, 5)
+            oprot.writeI64(self.rollback_of)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.change_id is None:
+            raise TProtocolException(message='Required field change_id is unset!')
+        if self.base_version is None:
+            raise TProtocolException(message='Required field base_version is unset!')
+        if self.author is None:
+            raise TProtocolException(message='Required field author is unset!')
+        if self.document is None:
+            raise TProtocolException(message='Required field document is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ChangeRecord(object):
+    """
+    Attributes:
+     - version
+     - base_version
+     - change_id
+     - author
+     - at_ms
+     - difference
+     - rollback_of
+
+    """
+
+
+    def __init__(self, version=None, base_version=None, change_id=None, author=None, at_ms=None, difference=None, rollback_of=None,):
+        self.version = version
+        self.base_version = base_version
+        self.change_id = change_id
+        self.author = author
+        self.at_ms = at_ms
+        self.difference = difference
+        self.rollback_of = rollback_of
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.base_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.change_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.author = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.difference = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.rollback_of = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ChangeRecord')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.base_version is not None:
+            oprot.writeFieldBegin('base_version', TType.I64, 2)
+            oprot.writeI64(self.base_version)
+            oprot.writeFieldEnd()
+        if self.change_id is not None:
+            oprot.writeFieldBegin('change_id', TType.STRING, 3)
+            oprot.writeString(self.change_id.encode('utf-8') if sys.version_info[0] == 2 else self.change_id)
+            oprot.writeFieldEnd()
+        if self.author is not None:
+            oprot.writeFieldBegin('author', TType.STRING, 4)
+            oprot.writeString(self.author.encode('utf-8') if sys.version_info[0] == 2 else self.author)
+            oprot.writeFieldEnd()
+        if self.at_ms is not None:
+            oprot.writeFieldBegin('at_ms', TType.I64, 5)
+            oprot.writeI64(self.at_ms)
+            oprot.writeFieldEnd()
+        if self.difference is not None:
+            oprot.writeFieldBegin('difference', TType.STRING, 6)
+            oprot.writeString(self.difference.encode('utf-8') if sys.version_info[0] == 2 else self.difference)
+            oprot.writeFieldEnd()
+        if self.rollback_of is not None:
+            oprot.writeFieldBegin('rollback_of', TType.I64, 7)
+            oprot.writeI64(self.rollback_of)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.base_version is None:
+            raise TProtocolException(message='Required field base_version is unset!')
+        if self.change_id is None:
+            raise TProtocolException(message='Required field change_id is unset!')
+        if self.author is None:
+            raise TProtocolException(message='Required field author is unset!')
+        if self.at_ms is None:
+            raise TProtocolException(message='Required field at_ms is unset!')
+        if self.difference is None:
+            raise TProtocolException(message='Required field difference is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ChangeAnswer(object):
+    """
+    Attributes:
+     - verdict
+     - record
+     - detail
+
+    """
+
+
+    def __init__(self, verdict=None, record=None, detail=None,):
+        self.verdict = verdict
+        self.record = record
+        self.detail = detail
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.verdict = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.record = ChangeRecord()
+                    self.record.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ChangeAnswer')
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I32, 1)
+            oprot.writeI32(self.verdict)
+            oprot.writeFieldEnd()
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRUCT, 2)
+            self.record.write(oprot)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 3)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.verdict is None:
+            raise TProtocolException(message='Required field verdict is unset!')
+        if self.detail is None:
+            raise TProtocolException(message='Required field detail is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AbandonRequest(object):
+    """
+    Attributes:
+     - request_id
+     - call_id
+     - owner
+     - owner_incarnation
+
+    """
+
+
+    def __init__(self, request_id=None, call_id=None, owner=None, owner_incarnation=None,):
+        self.request_id = request_id
+        self.call_id = call_id
+        self.owner = owner
+        self.owner_incarnation = owner_incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.call_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.owner_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AbandonRequest')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.call_id is not None:
+            oprot.writeFieldBegin('call_id', TType.STRING, 2)
+            oprot.writeString(self.call_id.encode('utf-8') if sys.version_info[0] == 2 else self.call_id)
+            oprot.writeFieldEnd()
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 3)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.owner_incarnation is not None:
+            oprot.writeFieldBegin('owner_incarnation', TType.I64, 4)
+            oprot.writeI64(self.owner_incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request_id is None:
+            raise TProtocolException(message='Required field request_id is unset!')
+        if self.call_id is None:
+            raise TProtocolException(message='Required field call_id is unset!')
+        if self.owner is None:
+            raise TProtocolException(message='Required field owner is unset!')
+        if self.owner_incarnation is None:
+            raise TProtocolException(message='Required field owner_incarnation is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Command(object):
+    """
+    Attributes:
+     - at_ms
+     - change
+     - claim
+     - settle
+     - abandon
+     - suspect
+
+    """
+
+
+    def __init__(self, at_ms=None, change=None, claim=None, settle=None, abandon=None, suspect=None,):
+        self.at_ms = at_ms
+        self.change = change
+        self.claim = claim
+        self.settle = settle
+        self.abandon = abandon
+        self.suspect = suspect
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.change = ChangeRequest()
+                    self.change.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.claim = ClaimRequest()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.settle = SettleRequest()
+                    self.settle.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.abandon = AbandonRequest()
+                    self.abandon.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.suspect = SuspectReport()
+                    self.suspect.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Command')
+        if self.at_ms is not None:
+            oprot.writeFieldBegin('at_ms', TType.I64, 1)
+            oprot.writeI64(self.at_ms)
+            oprot.writeFieldEnd()
+        if self.change is not None:
+            oprot.writeFieldBegin('change', TType.STRUCT, 2)
+            self.change.write(oprot)
+            oprot.writeFieldEnd()
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 3)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.settle is not None:
+            oprot.writeFieldBegin('settle', TType.STRUCT, 4)
+            self.settle.write(oprot)
+            oprot.writeFieldEnd()
+        if self.abandon is not None:
+            oprot.writeFieldBegin('abandon', TType.STRUCT, 5)
+            self.abandon.write(oprot)
+            oprot.writeFieldEnd()
+        if self.suspect is not None:
+            oprot.writeFieldBegin('suspect', TType.STRUCT, 6)
+            self.suspect.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.at_ms is None:
+            raise TProtocolException(message='Required field at_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CommandAnswer(object):
+    """
+    Attributes:
+     - committed
+     - rejected
+     - change
+     - claim
+     - suspect
+     - leader
+     - retry_after_ms
+
+    """
+
+
+    def __init__(self, committed=None, rejected=None, change=None, claim=None, suspect=None, leader=None, retry_after_ms=None,):
+        self.committed = committed
+        self.rejected = rejected
+        self.change = change
+        self.claim = claim
+        self.suspect = suspect
+        self.leader = leader
+        self.retry_after_ms = retry_after_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.committed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.rejected = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.change = ChangeAnswer()
+                    self.change.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.claim = ClaimAnswer()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.suspect = SuspectAnswer()
+                    self.suspect.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.leader = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CommandAnswer')
+        if self.committed is not None:
+            oprot.writeFieldBegin('committed', TType.BOOL, 1)
+            oprot.writeBool(self.committed)
+            oprot.writeFieldEnd()
+        if self.rejected is not None:
+            oprot.writeFieldBegin('rejected', TType.BOOL, 2)
+            oprot.writeBool(self.rejected)
+            oprot.writeFieldEnd()
+        if self.change is not None:
+            oprot.writeFieldBegin('change', TType.STRUCT, 3)
+            self.change.write(oprot)
+            oprot.writeFieldEnd()
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 4)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.suspect is not None:
+            oprot.writeFieldBegin('suspect', TType.STRUCT, 5)
+            self.suspect.write(oprot)
+            oprot.writeFieldEnd()
+        if self.leader is not None:
+            oprot.writeFieldBegin('leader', TType.STRING, 6)
+            oprot.writeString(self.leader.encode('utf-8') if sys.version_info[0] == 2 else self.leader)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 7)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.committed is None:
+            raise TProtocolException(message='Required field committed is unset!')
+        if self.rejected is None:
+            raise TProtocolException(message='Required field rejected is unset!')
+        if self.retry_after_ms is None:
+            raise TProtocolException(message='Required field retry_after_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Refused(TException):
     """
     Attributes:
@@ -1248,6 +1976,7 @@
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
     (7, TType.STRING, 'configuration', 'UTF8', None, ),  # 7
     (8, TType.I64, 'vouched_ms', None, None, ),  # 8
+    (9, TType.BOOL, 'drain', None, None, ),  # 9
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
@@ -1258,6 +1987,7 @@
     (4, TType.STRING, 'owner', 'UTF8', None, ),  # 4
     (5, TType.I64, 'owner_incarnation', None, None, ),  # 5
     (6, TType.STRING, 'principal', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'claim_id', 'UTF8', None, ),  # 7
 )
 all_structs.append(ClaimAnswer)
 ClaimAnswer.thrift_spec = (
@@ -1277,6 +2007,7 @@
     (4, TType.I64, 'owner_incarnation', None, None, ),  # 4
     (5, TType.I32, 'status', None, None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.STRING, 'claim_id', 'UTF8', None, ),  # 7
 )
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
@@ -1297,6 +2028,62 @@
     None,  # 0
     (1, TType.I32, 'deaths', None, None, ),  # 1
 )
+all_structs.append(ChangeRequest)
+ChangeRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'change_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'base_version', None, None, ),  # 2
+    (3, TType.STRING, 'author', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'document', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'rollback_of', None, None, ),  # 5
+)
+all_structs.append(ChangeRecord)
+ChangeRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I64, 'base_version', None, None, ),  # 2
+    (3, TType.STRING, 'change_id', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'author', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'at_ms', None, None, ),  # 5
+    (6, TType.STRING, 'difference', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'rollback_of', None, None, ),  # 7
+)
+all_structs.append(ChangeAnswer)
+ChangeAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'verdict', None, None, ),  # 1
+    (2, TType.STRUCT, 'record', [ChangeRecord, None], None, ),  # 2
+    (3, TType.STRING, 'detail', 'UTF8', None, ),  # 3
+)
+all_structs.append(AbandonRequest)
+AbandonRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'call_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'owner_incarnation', None, None, ),  # 4
+)
+all_structs.append(Command)
+Command.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'at_ms', None, None, ),  # 1
+    (2, TType.STRUCT, 'change', [ChangeRequest, None], None, ),  # 2
+    (3, TType.STRUCT, 'claim', [ClaimRequest, None], None, ),  # 3
+    (4, TType.STRUCT, 'settle', [SettleRequest, None], None, ),  # 4
+    (5, TType.STRUCT, 'abandon', [AbandonRequest, None], None, ),  # 5
+    (6, TType.STRUCT, 'suspect', [SuspectReport, None], None, ),  # 6
+)
+all_structs.append(CommandAnswer)
+CommandAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'committed', None, None, ),  # 1
+    (2, TType.BOOL, 'rejected', None, None, ),  # 2
+    (3, TType.STRUCT, 'change', [ChangeAnswer, None], None, ),  # 3
+    (4, TType.STRUCT, 'claim', [ClaimAnswer, None], None, ),  # 4
+    (5, TType.STRUCT, 'suspect', [SuspectAnswer, None], None, ),  # 5
+    (6, TType.STRING, 'leader', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'retry_after_ms', None, None, ),  # 7
+)
 all_structs.append(Refused)
 Refused.thrift_spec = (
     None,  # 0
--- /dev/null
+++ b/src/cranberrymux/wire/limits.py
@@ -0,0 +1,4 @@
+"""Bounds of the messages between processes."""
+
+MAXIMUM_FRAME_BYTES = 1 << 20
+MAXIMUM_CONTAINER_ITEMS = 100_000
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,176 @@
+"""Starts control instances as real processes for tests."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+KEY = "cluster-key-for-tests"
+TOKEN = "operator-token-for-tests"
+DOCUMENT = "classes:\n  - name: live\n    protected: true\n  - name: bulk\n"
+
+
+def reserve_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def wait_until(check, timeout_s=10.0):
+    """Polls a state; returns its first true value."""
+    end = time.monotonic() + timeout_s
+    while True:
+        found = check()
+        if found:
+            return found
+        assert time.monotonic() < end, f"not reached in {timeout_s} s"
+        time.sleep(0.01)
+
+
+class Answer:
+    def __init__(self, status, body, headers):
+        self.status = status
+        self.body = body
+        self.headers = headers
+
+
+class Instance:
+    def __init__(self, cluster, name, port, operator_port):
+        self.cluster = cluster
+        self.name = name
+        self.port = port
+        self.operator_port = operator_port
+        self.process = None
+        self.settings = cluster.folder / f"{name}.yaml"
+        self.log = cluster.folder / f"{name}.log"
+        self.data_folder = cluster.folder / name
+
+    def write_settings(self):
+        peers = "".join(
+            f"  - {one.name}=127.0.0.1:{one.port}\n"
+            for one in self.cluster.instances
+        )
+        self.settings.write_text(
+            f"control_id: {self.name}\nregion: cascadia\nzone: a\n"
+            f"address: 127.0.0.1\nport: {self.port}\n"
+            f"operator_port: {self.operator_port}\npeers:\n{peers}"
+            f"data_folder: {self.data_folder}\n"
+            f"cluster_key_file: {self.cluster.folder}/key\n"
+            f"operator_token_file: {self.cluster.folder}/token\n"
+            f"lease_ms: {self.cluster.lease_ms}\n"
+        )
+
+    def start(self):
+        self.write_settings()
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "cranberrymux.control",
+                    "--settings",
+                    str(self.settings),
+                ],
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ),
+            )
+
+    def send_signal(self, number):
+        self.process.send_signal(number)
+
+    def kill(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+    def events(self):
+        lines = self.log.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def request(self, method, path, body=None, token=TOKEN, timeout_s=4.0):
+        """Returns an `Answer`, or None if none came."""
+        request = urllib.request.Request(
+            f"http://127.0.0.1:{self.operator_port}{path}",
+            method=method,
+            data=None if body is None else json.dumps(body).encode(),
+            headers={"Authorization": f"Bearer {token}"},
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=timeout_s) as found:
+                return Answer(found.status, json.load(found), found.headers)
+        except urllib.error.HTTPError as error:
+            return Answer(error.code, json.load(error), error.headers)
+        except (OSError, ValueError):
+            return None
+
+    def status(self):
+        answer = self.request("GET", "/v1/status", timeout_s=1.0)
+        return answer.body if answer and answer.status == 200 else None
+
+    def change(self, change_id, base, document=DOCUMENT, author="ops", **more):
+        body = {
+            "change_id": change_id,
+            "base_version": base,
+            "author": author,
+            "document": document,
+        }
+        return self.request("PUT", "/v1/configuration", body, **more)
+
+
+class Cluster:
+    def __init__(self, folder, count=3, lease_ms=1000):
+        self.folder = pathlib.Path(folder)
+        self.lease_ms = lease_ms
+        (self.folder / "key").write_text(KEY)
+        (self.folder / "token").write_text(TOKEN)
+        ports = reserve_ports(2 * count)
+        self.instances = []
+        for index in range(count):
+            self.instances.append(
+                Instance(
+                    self, f"c{index}", ports[2 * index], ports[2 * index + 1]
+                )
+            )
+
+    def start(self):
+        for one in self.instances:
+            one.start()
+        self.wait_for_leader()
+
+    def leader(self, among=None):
+        """Returns the instance that leads and vouches, if one does."""
+        for one in among or self.instances:
+            status = one.status()
+            if status and status["role"] == "leader" and status["vouched_ms"]:
+                return one
+        return None
+
+    def wait_for_leader(self, among=None, timeout_s=10.0):
+        return wait_until(lambda: self.leader(among), timeout_s)
+
+    def stop(self):
+        for one in self.instances:
+            one.kill()
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
