--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -6,7 +6,7 @@
 import uuid
 
 import structlog
-from zope import interface  # type: ignore[import-untyped]
+from zope import interface
 
 from cranberrymux.control import command_log
 from cranberrymux.control import control_settings
--- /dev/null
+++ b/src/cranberrymux/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each backend server: the path of a call, both ways."""
--- /dev/null
+++ b/src/cranberrymux/node/__main__.py
@@ -0,0 +1,7 @@
+"""Runs `cranberrymux-node`."""
+
+import sys
+
+from cranberrymux.node import main
+
+sys.exit(main.main())
--- /dev/null
+++ b/src/cranberrymux/node/announce_site.py
@@ -0,0 +1,150 @@
+"""The HTTP site on which the backend server announces itself."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+from typing import NamedTuple
+from typing import TypedDict
+
+import klein
+
+from cranberrymux.node import backend_server
+from cranberrymux.node import status_body
+from cranberrymux.node.http import connection_pool
+
+_LOOPBACK = "127.0.0.1"
+_MAXIMUM_BODY_BYTES = 65536
+_MAXIMUM_SLOTS = 100_000
+_MAXIMUM_PORT = 65535
+
+
+class AnnounceError(NamedTuple):
+    """A sentinel for an announcement that is not valid.
+
+    Attributes:
+        key: The key at fault.
+        expected: What would have been valid.
+    """
+
+    key: str
+    expected: str
+
+
+class AnnounceErrorBody(TypedDict):
+    """JSON body of a refused announcement."""
+
+    error: str
+    key: str
+    expected: str
+
+
+def parse_announcement(
+    body: bytes,
+) -> backend_server.BackendServer | AnnounceError:
+    """Reads the body of `PUT /v1/backend`."""
+    try:
+        values = json.loads(body)
+    except ValueError:
+        return AnnounceError("(body)", "JSON")
+    if not isinstance(values, dict):
+        return AnnounceError("(body)", "a JSON object")
+    error = _check(values)
+    if error is not None:
+        return error
+    return backend_server.BackendServer(
+        values["service"],
+        connection_pool.Address(
+            values.get("address", _LOOPBACK), values["port"]
+        ),
+        values["slots"],
+        values.get("labels", {}),
+        tuple(values.get("calls", [])),
+        values.get("load_path", ""),
+    )
+
+
+def _check(values: dict[str, Any]) -> AnnounceError | None:
+    service = values.get("service")
+    labels = values.get("labels", {})
+    calls = values.get("calls", [])
+    has_service = isinstance(service, str) and bool(service)
+    has_port = _is_whole(values.get("port"), _MAXIMUM_PORT)
+    has_slots = _is_whole(values.get("slots"), _MAXIMUM_SLOTS)
+    has_labels = isinstance(labels, dict) and _are_texts(
+        [*labels.keys(), *labels.values()]
+    )
+    has_calls = isinstance(calls, list) and _are_texts(calls)
+    has_path = isinstance(values.get("load_path", ""), str)
+    has_address = isinstance(values.get("address", ""), str)
+    for is_valid, key, expected in (
+        (has_service, "service", "the name of a service"),
+        (has_port, "port", f"a port from 1 to {_MAXIMUM_PORT}"),
+        (has_slots, "slots", f"a number from 1 to {_MAXIMUM_SLOTS}"),
+        (has_labels, "labels", "a map of text to text"),
+        (has_calls, "calls", "a list of names of services"),
+        (has_path, "load_path", "a text"),
+        (has_address, "address", "a text"),
+    ):
+        if not is_valid:
+            return AnnounceError(key, expected)
+    return None
+
+
+def _is_whole(value: Any, maximum: int) -> bool:
+    is_number = isinstance(value, int) and not isinstance(value, bool)
+    return is_number and 1 <= value <= maximum
+
+
+def _are_texts(values: list[Any]) -> bool:
+    return all(isinstance(value, str) for value in values)
+
+
+class AnnounceSite:
+    """Routes of the announce port."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        on_announced: Callable[[backend_server.BackendServer], None],
+        on_drain: Callable[[], None],
+        get_status: Callable[[], status_body.StatusBody],
+    ) -> None:
+        """Keeps whom to tell."""
+        self._on_announced = on_announced
+        self._on_drain = on_drain
+        self._get_status = get_status
+
+    @app.route("/v1/backend", methods=["PUT"])
+    def put_backend(self, request: Any) -> bytes:
+        """Takes an announcement."""
+        body = request.content.read(_MAXIMUM_BODY_BYTES)
+        announced = parse_announcement(body)
+        if isinstance(announced, AnnounceError):
+            request.setResponseCode(400)
+            return self._encode(
+                request,
+                AnnounceErrorBody(
+                    error="announcement not valid",
+                    key=announced.key,
+                    expected=announced.expected,
+                ),
+            )
+        self._on_announced(announced)
+        return self._encode(request, self._get_status())
+
+    @app.route("/v1/drain", methods=["PUT", "POST"])
+    def put_drain(self, request: Any) -> bytes:
+        """Begins a drain."""
+        self._on_drain()
+        request.setResponseCode(202)
+        return self._encode(request, self._get_status())
+
+    @app.route("/v1/status", methods=["GET"])
+    def get_status(self, request: Any) -> bytes:
+        """Tells the node's state."""
+        return self._encode(request, self._get_status())
+
+    def _encode(self, request: Any, body: Any) -> bytes:
+        request.setHeader(b"content-type", b"application/json")
+        return json.dumps(body).encode() + b"\n"
--- /dev/null
+++ b/src/cranberrymux/node/directory_task.py
@@ -0,0 +1,137 @@
+"""Heartbeats to the control instances, and what their answers bring."""
+
+from collections.abc import Sequence
+from typing import Any
+from typing import Protocol
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from cranberrymux.models import endpoint_record
+from cranberrymux.node import clock as clock_module
+from cranberrymux.node import own_endpoint
+from cranberrymux.node import settings as node_settings
+from cranberrymux.wire import control_client
+from cranberrymux.wire import convert
+from cranberrymux.wire import wire_error
+from cranberrymux.wire.gen.messages import ttypes
+
+
+class DirectoryListener(Protocol):
+    """Whoever uses the directory and the configuration."""
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force."""
+
+    def get_subscriptions(self) -> Sequence[str]:
+        """Returns the services whose endpoints are wanted."""
+
+    def endpoints_changed(
+        self, records: Sequence[endpoint_record.EndpointRecord]
+    ) -> None:
+        """Takes news of endpoints."""
+
+    def configuration_changed(self, version: int, document: str) -> None:
+        """Takes a configuration of a higher version."""
+
+    def configuration_vouched(self, version: int, until_s: float) -> None:
+        """Takes note that a control instance vouches for a version."""
+
+    def drain_requested(self) -> None:
+        """Takes note that an operator asked for a drain."""
+
+
+class _Session:
+    """What one control instance has told so far."""
+
+    def __init__(self, client: control_client.ControlClient) -> None:
+        self.client = client
+        self.epoch = ""
+        self.revision = 0
+        self.subscriptions: tuple[str, ...] = ()
+        self.is_waiting = False
+
+
+class DirectoryTask:
+    """Sends a heartbeat to every control instance of the settings."""
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        clients: Sequence[control_client.ControlClient],
+        endpoint: own_endpoint.OwnEndpoint,
+        system_clock: clock_module.Clock,
+        listener: DirectoryListener,
+    ) -> None:
+        """Keeps one session for each control instance."""
+        self._settings = settings
+        self._endpoint = endpoint
+        self._clock = system_clock
+        self._listener = listener
+        self._sessions = [_Session(client) for client in clients]
+        self._loop = task.LoopingCall(self.beat)
+
+    def start(self) -> None:
+        """Connects and begins to send."""
+        for session in self._sessions:
+            session.client.start()
+        self._loop.start(self._settings.heartbeat_ms / 1000, now=True)
+
+    def stop(self) -> None:
+        """Ends the heartbeats and the connections."""
+        if self._loop.running:
+            self._loop.stop()
+        for session in self._sessions:
+            session.client.stop()
+
+    def beat(self) -> None:
+        """Sends a heartbeat wherever none is waiting for its answer."""
+        for session in self._sessions:
+            if not session.is_waiting:
+                defer.ensureDeferred(self._beat_one(session))
+
+    async def _beat_one(self, session: _Session) -> None:
+        session.is_waiting = True
+        try:
+            sent_s = self._clock.now_s()
+            subscriptions = tuple(self._listener.get_subscriptions())
+            if subscriptions != session.subscriptions:
+                session.revision = 0
+                session.subscriptions = subscriptions
+            answer = await session.client.heartbeat(self._make(session))
+            if not isinstance(answer, wire_error.WireError):
+                self._take(session, answer, sent_s)
+        finally:
+            session.is_waiting = False
+
+    def _make(self, session: _Session) -> Any:
+        record = self._endpoint.record
+        endpoints = [] if record is None else [convert.encode_endpoint(record)]
+        return ttypes.Heartbeat(
+            node_id=self._settings.node_id,
+            incarnation=self._endpoint.incarnation,
+            endpoints=endpoints,
+            services=list(session.subscriptions),
+            directory_revision=session.revision,
+            configuration_version=self._listener.configuration_version,
+            directory_epoch=session.epoch,
+        )
+
+    def _take(self, session: _Session, answer: Any, sent_s: float) -> None:
+        session.epoch = answer.directory_epoch
+        session.revision = answer.directory_revision
+        records = [convert.decode_endpoint(one) for one in answer.endpoints]
+        if records:
+            self._listener.endpoints_changed(records)
+        if answer.configuration is not None:
+            self._listener.configuration_changed(
+                answer.configuration_version, answer.configuration
+            )
+        if answer.vouched_ms > 0:
+            self._listener.configuration_vouched(
+                answer.configuration_version,
+                sent_s + answer.vouched_ms / 1000,
+            )
+        if answer.drain:
+            self._listener.drain_requested()
--- /dev/null
+++ b/src/cranberrymux/node/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 on the path of a call: twisted protocols fed to httptools."""
--- /dev/null
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -0,0 +1,231 @@
+"""One call read from a server connection, and the way to answer it."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import body_mode
+from cranberrymux.node.http import body_sink
+from cranberrymux.node.http import headers
+from cranberrymux.node.http import request_head
+
+_REASONS = {
+    200: b"OK",
+    201: b"Created",
+    202: b"Accepted",
+    204: b"No Content",
+    304: b"Not Modified",
+    400: b"Bad Request",
+    404: b"Not Found",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    414: b"URI Too Long",
+    417: b"Expectation Failed",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+_BODYLESS_STATUSES = (204, 304)
+_STATUS_LINES = {
+    status: b"HTTP/1.1 %d %b\r\n" % (status, reason)
+    for status, reason in _REASONS.items()
+}
+
+
+class Connection(Protocol):
+    """What a call needs of the connection that it came by."""
+
+    def send(self, data: bytes) -> None:
+        """Writes bytes to the client."""
+
+    def call_answered(self, call: "InboundCall", keep_alive: bool) -> None:
+        """Takes note that the answer is complete."""
+
+    def abort(self) -> None:
+        """Closes at once, so that the client sees a cut answer."""
+
+    def pause_body(self) -> None:
+        """Stops reading from the client."""
+
+    def resume_body(self) -> None:
+        """Reads from the client again."""
+
+
+class InboundCall:
+    """A call, its body and its answer.
+
+    Attributes:
+        head: Request line and headers.
+        on_cancel: Called once if the client goes before the answer is whole.
+        on_drained: Called when the client has taken what was sent.
+        on_full: Called when the client takes the answer too slowly.
+    """
+
+    def __init__(
+        self, connection: Connection, head: request_head.RequestHead
+    ) -> None:
+        """Keeps the connection for the answer."""
+        self.head = head
+        self.on_cancel: Callable[[], None] | None = None
+        self.on_drained: Callable[[], None] | None = None
+        self.on_full: Callable[[], None] | None = None
+        self._connection = connection
+        self._parts: list[bytes] = []
+        self._body_length = 0
+        self._is_body_complete = False
+        self._sink: body_sink.BodySink | None = None
+        self._is_chunked_answer = False
+        self._is_head_sent = False
+        self._is_answered = False
+        self._is_lost = False
+
+    @property
+    def is_body_complete(self) -> bool:
+        """True if the whole body has been read."""
+        return self._is_body_complete
+
+    @property
+    def body_length(self) -> int:
+        """Bytes of the body read so far."""
+        return self._body_length
+
+    @property
+    def is_answered(self) -> bool:
+        """True once the answer is complete or the client has gone."""
+        return self._is_answered
+
+    @property
+    def is_head_sent(self) -> bool:
+        """True once the head of the final answer was sent."""
+        return self._is_head_sent
+
+    def held_body(self) -> bytes:
+        """Returns the part of the body that was read and is still held."""
+        return b"".join(self._parts)
+
+    def add_body(self, part: bytes) -> None:
+        """Takes bytes of the body from the connection."""
+        self._body_length += len(part)
+        if self._sink is not None:
+            self._sink.body_part(part)
+            return
+        self._parts.append(part)
+
+    def complete_body(self) -> None:
+        """Takes note that the body is whole."""
+        self._is_body_complete = True
+        if self._sink is not None:
+            self._sink.body_complete()
+
+    def stream_body_to(self, sink: body_sink.BodySink) -> None:
+        """Hands the rest of the body on as it comes, and lets go of it."""
+        self._sink = sink
+        parts = self._parts
+        self._parts = []
+        for part in parts:
+            sink.body_part(part)
+        if self._is_body_complete:
+            sink.body_complete()
+
+    def pause_body(self) -> None:
+        """Stops reading from the client."""
+        self._connection.pause_body()
+
+    def resume_body(self) -> None:
+        """Reads from the client again."""
+        self._connection.resume_body()
+
+    def send_interim(self, status: int, extra: headers.HeaderList) -> None:
+        """Sends a 1xx answer."""
+        if self._is_answered or self._is_head_sent or self.head.is_http_1_0:
+            return
+        line = b"HTTP/1.1 %d Interim\r\n" % status
+        self._connection.send(line + headers.encode(extra) + b"\r\n")
+
+    def answer(
+        self, status: int, answer_headers: headers.HeaderList, body: bytes
+    ) -> None:
+        """Sends a whole answer in one write."""
+        if self._is_answered:
+            return
+        head = answer_head.AnswerHead(
+            status, answer_headers, body_mode.BodyMode.SIZED, len(body)
+        )
+        data = self._encode_head(head)
+        if self.head.method != b"HEAD":
+            data += body
+        self._is_head_sent = True
+        self._connection.send(data)
+        self.finish()
+
+    def start_answer(self, head: answer_head.AnswerHead) -> None:
+        """Sends the head of an answer whose body follows in parts."""
+        if self._is_answered:
+            return
+        self._is_chunked_answer = head.mode is body_mode.BodyMode.CHUNKED
+        self._is_head_sent = True
+        self._connection.send(self._encode_head(head))
+
+    def send_body(self, part: bytes) -> None:
+        """Sends a part of the answer's body."""
+        if self._is_answered or not part:
+            return
+        if self._is_chunked_answer and not self.head.is_http_1_0:
+            part = b"%x\r\n%b\r\n" % (len(part), part)
+        self._connection.send(part)
+
+    def finish(self) -> None:
+        """Ends the answer; its whole body has been sent."""
+        if self._is_answered:
+            return
+        if (
+            self._is_chunked_answer
+            and not self.head.is_http_1_0
+            and self.head.method != b"HEAD"
+        ):
+            self._connection.send(b"0\r\n\r\n")
+        self._is_answered = True
+        keep_alive = self.head.keep_alive and self._is_body_complete
+        if self._is_chunked_answer and self.head.is_http_1_0:
+            keep_alive = False
+        self._connection.call_answered(self, keep_alive)
+
+    def abort(self) -> None:
+        """Cuts the answer, so that the client cannot take it for whole."""
+        if self._is_answered:
+            return
+        self._is_answered = True
+        self._connection.abort()
+
+    def client_lost(self) -> None:
+        """Takes note that the client has gone."""
+        if self._is_lost:
+            return
+        self._is_lost = True
+        if not self._is_body_complete and self._sink is not None:
+            self._sink.body_aborted()
+        if self._is_answered:
+            return
+        self._is_answered = True
+        if self.on_cancel is not None:
+            self.on_cancel()
+
+    def _encode_head(self, head: answer_head.AnswerHead) -> bytes:
+        line = _STATUS_LINES.get(head.status)
+        if line is None:
+            line = b"HTTP/1.1 %d Status\r\n" % head.status
+        data = line + headers.encode(head.headers)
+        if head.mode is body_mode.BodyMode.CHUNKED:
+            if not self.head.is_http_1_0:
+                data += b"transfer-encoding: chunked\r\n"
+        elif (
+            head.mode is body_mode.BodyMode.SIZED
+            and head.status not in _BODYLESS_STATUSES
+        ):
+            data += b"content-length: %d\r\n" % head.content_length
+        if not (self.head.keep_alive and self._is_body_complete):
+            data += b"connection: close\r\n"
+        return data + b"\r\n"
--- /dev/null
+++ b/src/cranberrymux/node/outbound_attempt.py
@@ -0,0 +1,179 @@
+"""One attempt to have a call answered by one receiver."""
+
+from typing import Protocol
+
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import body_mode
+from cranberrymux.node.http import client_connection
+from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import headers
+from cranberrymux.node.http import inbound_call
+from cranberrymux.node.http import lost_answer
+
+
+class AttemptListener(Protocol):
+    """Whoever made the attempt."""
+
+    def attempt_answered(
+        self, head: answer_head.AnswerHead, body: bytes
+    ) -> None:
+        """Takes a whole answer that was short enough to be held."""
+
+    def attempt_streaming(
+        self, head: answer_head.AnswerHead
+    ) -> headers.HeaderList:
+        """Returns the headers under which a long answer is passed on."""
+
+    def attempt_streamed(self) -> None:
+        """Takes note that a long answer was passed on whole."""
+
+    def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
+        """Takes note that no whole answer will come."""
+
+
+class OutboundAttempt:
+    """Sends a call to a receiver and collects or streams its answer.
+
+    Implements `answer_sink.AnswerSink` and, for long request bodies,
+    `body_sink.BodySink`.
+    """
+
+    def __init__(
+        self,
+        call: inbound_call.InboundCall,
+        request: bytes,
+        buffered_bytes: int,
+        listener: AttemptListener,
+    ) -> None:
+        """Keeps the encoded request head and, if held, body."""
+        self._call = call
+        self._request = request
+        self._buffered_bytes = buffered_bytes
+        self._listener = listener
+        self._lease: connection_pool.Lease | None = None
+        self._connection: client_connection.ClientConnection | None = None
+        self._head: answer_head.AnswerHead | None = None
+        self._parts: list[bytes] = []
+        self._held_bytes = 0
+        self._is_streaming_answer = False
+        self._is_over = False
+
+    @property
+    def is_handed_over(self) -> bool:
+        """True if any byte of the request may have reached the receiver."""
+        return self._connection is not None
+
+    def start(
+        self,
+        pool: connection_pool.ConnectionPool,
+        address: connection_pool.Address,
+    ) -> None:
+        """Takes a connection and sends the request on it."""
+        self._lease = pool.take(address, self._connected, self._not_connected)
+
+    def cancel(self) -> None:
+        """Gives the attempt up; the receiver sees its connection close."""
+        self._is_over = True
+        if self._lease is not None:
+            self._lease.is_cancelled = True
+        if self._connection is not None:
+            self._connection.cancel()
+
+    # Answer of the receiver.
+
+    def answer_interim(self, status: int, extra: headers.HeaderList) -> None:
+        """Passes 1xx answers on, but for the one this side asked for."""
+        if status != 100:
+            self._call.send_interim(status, headers.forwardable(extra))
+
+    def answer_started(self, head: answer_head.AnswerHead) -> None:
+        """Streams an answer that is too long to be held."""
+        self._head = head
+        if head.content_length > self._buffered_bytes:
+            self._start_streaming()
+
+    def answer_part(self, part: bytes) -> None:
+        """Holds or passes on a part of the answer."""
+        if self._is_streaming_answer:
+            self._call.send_body(part)
+            return
+        self._parts.append(part)
+        self._held_bytes += len(part)
+        if self._held_bytes > self._buffered_bytes:
+            self._start_streaming()
+
+    def answer_complete(self) -> None:
+        """Ends the attempt with a whole answer."""
+        self._is_over = True
+        if self._is_streaming_answer:
+            self._listener.attempt_streamed()
+            return
+        assert self._head is not None
+        self._listener.attempt_answered(self._head, b"".join(self._parts))
+
+    def answer_lost(self, loss: lost_answer.LostAnswer) -> None:
+        """Ends the attempt without a whole answer."""
+        self._is_over = True
+        self._listener.attempt_lost(loss)
+
+    # Long request bodies.
+
+    def body_part(self, part: bytes) -> None:
+        """Passes a part of the request's body on."""
+        if self._connection is None or self._is_over:
+            return
+        if self._call.head.mode is body_mode.BodyMode.CHUNKED:
+            part = b"%x\r\n%b\r\n" % (len(part), part)
+        self._connection.send_body(part)
+
+    def body_complete(self) -> None:
+        """Ends the request's body."""
+        if self._connection is None:
+            return
+        if self._is_over:
+            self._connection.end_body()
+            return
+        if self._call.head.mode is body_mode.BodyMode.CHUNKED:
+            self._connection.send_body(b"0\r\n\r\n")
+        self._connection.end_body()
+
+    def body_aborted(self) -> None:
+        """Cuts the request, so that the receiver cannot take it for whole."""
+        if not self._is_over:
+            self.cancel()
+
+    def request_full(self) -> None:
+        """Stops reading from the client while the receiver is slow."""
+        if not self._call.is_body_complete:
+            self._call.pause_body()
+
+    def request_drained(self) -> None:
+        """Reads from the client again."""
+        self._call.resume_body()
+
+    def _connected(
+        self, connection: client_connection.ClientConnection
+    ) -> None:
+        self._connection = connection
+        is_complete = self._call.is_body_complete
+        connection.send_request(
+            self._request, is_complete, self._call.head.method == b"HEAD", self
+        )
+        if not is_complete:
+            self._call.stream_body_to(self)
+
+    def _not_connected(self, loss: lost_answer.LostAnswer) -> None:
+        self.answer_lost(loss)
+
+    def _start_streaming(self) -> None:
+        assert self._head is not None
+        assert self._connection is not None
+        self._is_streaming_answer = True
+        connection = self._connection
+        self._call.on_full = connection.pause_answer
+        self._call.on_drained = connection.resume_answer
+        extra = self._listener.attempt_streaming(self._head)
+        self._call.start_answer(self._head._replace(headers=extra))
+        for part in self._parts:
+            self._call.send_body(part)
+        self._parts = []
--- /dev/null
+++ b/src/cranberrymux/node/policy_holder.py
@@ -0,0 +1,60 @@
+"""The configuration that is in force at this node."""
+
+from cranberrymux.decisions.configuration import document
+from cranberrymux.decisions.configuration import document_error
+from cranberrymux.decisions.configuration import document_reader
+from cranberrymux.decisions.configuration import policy
+from cranberrymux.decisions.configuration import treatment
+from cranberrymux.decisions.selectors import request_labels
+
+
+class PolicyHolder:
+    """Implements `environment.CallPolicy`; versions only rise."""
+
+    def __init__(self) -> None:
+        """Starts with the empty document of version 0."""
+        empty = document_reader.parse("")
+        assert isinstance(empty, document.Document)
+        self._policy = policy.Policy(empty, 0)
+        self._vouched_until_s = float("-inf")
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration; 0 if there is none yet."""
+        return self._policy.version
+
+    def replace(
+        self, version: int, text: str
+    ) -> document_error.DocumentError | None:
+        """Puts a document in force, unless a newer one is.
+
+        Returns:
+            The fault of a document that cannot be read; it changes nothing.
+        """
+        if version <= self._policy.version:
+            return None
+        parsed = document_reader.parse(text)
+        if isinstance(parsed, document_error.DocumentError):
+            return parsed
+        self._policy = policy.Policy(parsed, version)
+        self._vouched_until_s = float("-inf")
+        return None
+
+    def vouch(self, version: int, until_s: float) -> None:
+        """Takes note that the version in force is the quorum's until then."""
+        if version == self._policy.version:
+            self._vouched_until_s = max(self._vouched_until_s, until_s)
+
+    def is_too_old(self, now_s: float) -> bool:
+        """True if strict calls must be refused."""
+        age_ms = (now_s - self._vouched_until_s) * 1000
+        return age_ms > self._policy.document.strict_age_ms
+
+    def decide(
+        self, service: str, method: str, target: str, principal: str
+    ) -> treatment.Treatment:
+        """Returns how a call is to be treated."""
+        labels = request_labels.request_labels(
+            service, method, target, principal, {}
+        )
+        return self._policy.decide(labels)
--- /dev/null
+++ b/src/cranberrymux/node/settings.py
@@ -0,0 +1,146 @@
+"""Settings of `cranberrymux-node`."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+from cranberrymux.settings import field
+from cranberrymux.settings import loader
+
+FIELDS = (
+    field.Field("node_id", field.Kind.TEXT, minimum=1, maximum=64),
+    field.Field("region", field.Kind.TEXT, minimum=1, maximum=64),
+    field.Field("zone", field.Kind.TEXT, minimum=1, maximum=64),
+    field.Field("address", field.Kind.TEXT, minimum=7, maximum=45),
+    field.Field("ingress_port", field.Kind.INTEGER, minimum=1, maximum=65535),
+    field.Field("egress_port", field.Kind.INTEGER, minimum=1, maximum=65535),
+    field.Field("announce_port", field.Kind.INTEGER, minimum=1, maximum=65535),
+    field.Field(
+        "control_addresses", field.Kind.TEXT_LIST, minimum=1, maximum=64
+    ),
+    field.Field("cluster_key_file", field.Kind.TEXT, minimum=1),
+    field.Field(
+        "heartbeat_ms",
+        field.Kind.INTEGER,
+        default=1000,
+        minimum=50,
+        maximum=60000,
+    ),
+    field.Field(
+        "control_timeout_ms",
+        field.Kind.INTEGER,
+        default=1000,
+        minimum=50,
+        maximum=60000,
+    ),
+    field.Field(
+        "backend_lease_ms",
+        field.Kind.INTEGER,
+        default=3000,
+        minimum=100,
+        maximum=60000,
+    ),
+    field.Field(
+        "default_timeout_ms",
+        field.Kind.INTEGER,
+        default=5000,
+        minimum=1,
+        maximum=600000,
+    ),
+    field.Field(
+        "stop_limit_ms",
+        field.Kind.INTEGER,
+        default=30000,
+        minimum=0,
+        maximum=3600000,
+    ),
+    field.Field(
+        "strict_age_ms",
+        field.Kind.INTEGER,
+        default=10000,
+        minimum=100,
+        maximum=3600000,
+    ),
+    field.Field(
+        "body_limit_bytes",
+        field.Kind.INTEGER,
+        default=1 << 30,
+        minimum=1024,
+        maximum=1 << 40,
+    ),
+    field.Field(
+        "buffered_body_bytes",
+        field.Kind.INTEGER,
+        default=65536,
+        minimum=1024,
+        maximum=16 << 20,
+    ),
+    field.Field("outcomes_file", field.Kind.TEXT, default=""),
+    field.Field("statsd_address", field.Kind.TEXT, default=""),
+    field.Field("seed", field.Kind.INTEGER, default=0, minimum=0),
+)
+
+
+class NodeSettings(NamedTuple):
+    """Settings of one node; see docs/CONFIGURATION.md.
+
+    Attributes:
+        node_id: Unique name; also the endpoint id of the backend server.
+        region: Region of the instance.
+        zone: Availability zone of the instance.
+        address: IP number that other nodes and clients reach.
+        ingress_port: TCP port for clients and other nodes.
+        egress_port: TCP port on loopback for the backend server's calls.
+        announce_port: TCP port on loopback for announcements.
+        control_addresses: `ip:port` of the control instances, nearest first.
+        cluster_key_file: File with the key that all processes share.
+        heartbeat_ms: Time between heartbeats to a control instance.
+        control_timeout_ms: Time until a control instance counts as silent.
+        backend_lease_ms: Time after the last announcement until the backend
+            server counts as gone.
+        default_timeout_ms: Time a client waits that does not say.
+        stop_limit_ms: Time a stop waits for the calls in flight.
+        strict_age_ms: Age of an unvouched configuration from which calls
+            under a strict selector are refused.
+        body_limit_bytes: Longest request body.
+        buffered_body_bytes: Longest body that is held whole; longer ones
+            stream and are not retried.
+        outcomes_file: Where outcomes are recorded; empty for nowhere.
+        statsd_address: `ip:port` of the collector; empty for none.
+        seed: Seed of every random choice; 0 takes one from the system.
+    """
+
+    node_id: str
+    region: str
+    zone: str
+    address: str
+    ingress_port: int
+    egress_port: int
+    announce_port: int
+    control_addresses: list[str]
+    cluster_key_file: str
+    heartbeat_ms: int
+    control_timeout_ms: int
+    backend_lease_ms: int
+    default_timeout_ms: int
+    stop_limit_ms: int
+    strict_age_ms: int
+    body_limit_bytes: int
+    buffered_body_bytes: int
+    outcomes_file: str
+    statsd_address: str
+    seed: int
+
+
+def load(path: str) -> NodeSettings:
+    """Reads and checks a settings file.
+
+    Raises:
+        SettingsError: A key is missing, unknown or out of range.
+    """
+    return make(loader.load(path, FIELDS))
+
+
+def make(values: Mapping[str, Any]) -> NodeSettings:
+    """Builds settings from checked values."""
+    return NodeSettings(**values)
