--- /dev/null
+++ b/src/cranberrymux/decisions/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoint a call goes to."""
--- /dev/null
+++ b/tests/decisions/routing/test_router_invariants.py
@@ -0,0 +1,226 @@
+"""Place is hard, draining gets nothing, ejection keeps its cap.
+
+Each check is shown to fail with its mechanism taken out.
+"""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberrymux.decisions.routing import learned_endpoint
+from cranberrymux.decisions.routing import outcome
+from cranberrymux.decisions.routing import router
+from cranberrymux.decisions.routing import sampler
+from cranberrymux.decisions.routing import service_table
+from cranberrymux.decisions.routing import verdict
+from cranberrymux.decisions.selectors import parser
+from cranberrymux.models import endpoint_state
+from cranberrymux.models import refusal
+from cranberrymux.models import refusal_reason
+from tests.decisions import profiles
+from tests.decisions.routing import builders
+
+Reason = refusal_reason.RefusalReason
+State = endpoint_state.EndpointState
+NUMBERS = strategies.integers(0, 4)
+STORES = ("a", "b")
+PLACES = {None: None, **{s: parser.parse(f"store = {s}") for s in STORES}}
+RECORDS = strategies.builds(
+    builders.record,
+    NUMBERS,
+    incarnation=strategies.integers(1, 3),
+    sequence=strategies.integers(1, 3),
+    zone=strategies.sampled_from(["z0", "z1"]),
+    labels=strategies.sampled_from([{"store": s} for s in STORES]),
+    state=strategies.sampled_from([State.SERVING] * 4 + list(State)),
+)
+UPDATES = strategies.tuples(
+    strategies.just("update"), strategies.lists(RECORDS, max_size=4)
+)
+CHOICES = strategies.tuples(
+    strategies.just("choose"),
+    strategies.sampled_from(list(PLACES)),
+    strategies.integers(0, 600),
+    strategies.frozensets(NUMBERS.map("e{}".format), max_size=2),
+)
+ENDINGS = strategies.tuples(
+    strategies.just("finish"),
+    NUMBERS,
+    strategies.sampled_from(list(outcome.Outcome)),
+    strategies.integers(1, 8),
+    strategies.none() | strategies.integers(0, 600),
+)
+WAITS = strategies.tuples(
+    strategies.just("wait"), strategies.floats(0.0, 3.0, width=16)
+)
+SCHEDULES = strategies.lists(
+    UPDATES | CHOICES | CHOICES | ENDINGS | ENDINGS | WAITS,
+    min_size=5,
+    max_size=40,
+)
+FIRST_RECORDS = [builders.record(number) for number in range(5)]
+
+
+class Session:
+    """Drives a router and keeps its own account of the news."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.router = router.Router(builders.SETTINGS, random.Random(7))
+        self.newest = {}
+        self.left = set()
+        self.update(FIRST_RECORDS)
+
+    def update(self, records):
+        self.router.update_endpoints(self.now_s, "notes", records)
+        for one in records:
+            held = self.newest.get(one.endpoint_id)
+            age = (one.incarnation, one.sequence)
+            if held is None or age > (held.incarnation, held.sequence):
+                self.newest[one.endpoint_id] = one
+                self.left.discard(one.endpoint_id)
+
+    def choose(self, store, priority, excluded):
+        place = PLACES[store]
+        context = builders.context(priority)
+        arguments = (self.now_s, "notes", context, place, excluded)
+        lines = self.router.explain(*arguments)
+        verdicts = {line.endpoint_id: line.verdict for line in lines}
+        chosen = self.router.choose(*arguments)
+        if isinstance(chosen, refusal.Refusal):
+            self.check_refusal(chosen, store)
+            return
+        assert self.newest[chosen.endpoint_id] == chosen
+        assert store in {None, chosen.labels["store"]}
+        assert chosen.state is State.SERVING
+        assert chosen.endpoint_id not in self.left
+        assert chosen.endpoint_id not in excluded
+        assert verdicts[chosen.endpoint_id] in {
+            verdict.Verdict.CANDIDATE,
+            verdict.Verdict.LEVEL,
+        }
+
+    def check_refusal(self, refused, store):
+        assert refused.retry_after_ms > 0
+        matches = [
+            one
+            for one in self.newest.values()
+            if one.state is not State.GONE
+            and store in {None, one.labels["store"]}
+        ]
+        assert (refused.reason is Reason.NO_PLACE) is (
+            not matches and store is not None
+        )
+
+    def finish(self, number, result, times, level):
+        for _ in range(times):
+            builders.finish(
+                self.router, self.now_s, f"e{number}", result, level=level
+            )
+        if result is outcome.Outcome.DRAINING:
+            self.left.add(f"e{number}")
+
+    def wait(self, time_s):
+        self.now_s += time_s
+
+    def check_cap(self):
+        lines = self.router.explain(
+            self.now_s, "notes", builders.context(0), None
+        )
+        ejected = sum(line.verdict is verdict.Verdict.EJECTED for line in lines)
+        serving = sum(
+            one.state is State.SERVING and one.endpoint_id not in self.left
+            for one in self.newest.values()
+        )
+        assert ejected <= (0 if serving < 2 else max(1, serving * 0.34))
+
+
+def run(schedule):
+    session = Session()
+    for name, *arguments in schedule:
+        getattr(session, name)(*arguments)
+        session.check_cap()
+
+
+@profiles.DETERMINISTIC
+@hypothesis.given(SCHEDULES)
+def test_invariants(schedule):
+    run(schedule)
+
+
+@hypothesis.settings(
+    profiles.DETERMINISTIC,
+    max_examples=3000,
+    phases=[hypothesis.Phase.generate],
+)
+@hypothesis.given(SCHEDULES)
+def check_quickly(schedule):
+    run(schedule)
+
+
+def _forget_draining(self, now_s, endpoint, report):
+    endpoint.observe(now_s, report, 0.0)
+
+
+def _keep_serving(self, now_s, record):
+    _apply(self, now_s, record)
+    self.serving = True
+
+
+def _make_pool_of_ejected(self, now_s, place):
+    self.applied_ejections = lambda now_s, candidates: set()
+    try:
+        return _make_pool(self, now_s, place)
+    finally:
+        del self.applied_ejections
+
+
+_apply = learned_endpoint.LearnedEndpoint.apply
+_make_pool = service_table.ServiceTable._make_pool
+
+MUTATIONS = {
+    "place: ServiceTable filters no place": (
+        service_table.ServiceTable,
+        "_make_pool",
+        lambda self, now_s, place: _make_pool(self, now_s, None),
+    ),
+    "drain: answers that say draining are not heeded": (
+        service_table.ServiceTable,
+        "finish",
+        _forget_draining,
+    ),
+    "drain: the state of a record is not heeded": (
+        learned_endpoint.LearnedEndpoint,
+        "apply",
+        _keep_serving,
+    ),
+    "news: older news is taken": (
+        learned_endpoint.LearnedEndpoint,
+        "is_newer",
+        lambda self, record: True,
+    ),
+    "ejection: no cap": (
+        service_table.ServiceTable,
+        "maximum_ejected",
+        lambda self, candidates: candidates,
+    ),
+    "ejection: the ejected are chosen": (
+        service_table.ServiceTable,
+        "_make_pool",
+        _make_pool_of_ejected,
+    ),
+    "excluded: they are chosen": (
+        sampler.Sampler,
+        "_admits",
+        lambda self, one: True,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_the_check_fails_without(monkeypatch, name):
+    monkeypatch.setattr(*MUTATIONS[name])
+    with pytest.raises(AssertionError):
+        check_quickly()
