--- /dev/null
+++ b/bench/bench_overload.py
@@ -0,0 +1,80 @@
+"""Overload under a virtual clock, against baselines of our own."""
+
+from bench import figure
+from bench.overload import deployment
+from bench.overload import policy
+from bench.overload import scenario
+from bench.overload import summary
+from bench.overload import world
+
+SEED = 20261203
+GOODPUT_BOUND = 0.95
+PROTECTED_LOSS_BOUND = 0.001
+RECOVERY_BOUND_S = 2.0
+ATTEMPTS_BOUND = 1.1
+DEATHS_BOUND = 3
+OVERLOADS = (scenario.SLOW, scenario.SURGE, scenario.BOTH, scenario.LIES)
+
+
+def measure(
+    where: deployment.Deployment,
+    plan: scenario.Scenario,
+    what: policy.Policy,
+    seed: int = SEED,
+) -> summary.Summary:
+    """Runs one scenario once."""
+    recorder = world.World(where, plan, what, seed).run()
+    return summary.summarise(where, plan, recorder)
+
+
+def make_figures(
+    prefix: str, plan: scenario.Scenario, result: summary.Summary
+) -> list[figure.Figure]:
+    """Turns a result of our own policy into figures with their bounds."""
+    goodput_bound = GOODPUT_BOUND if plan in OVERLOADS else None
+    return [
+        figure.Figure(
+            f"{prefix}.goodput",
+            round(result.goodput, 4),
+            "share of capacity",
+            goodput_bound,
+            at_most=False,
+        ),
+        figure.Figure(
+            f"{prefix}.protected_loss",
+            round(result.protected_loss, 5),
+            "share",
+            PROTECTED_LOSS_BOUND,
+        ),
+        figure.Figure(
+            f"{prefix}.recovery", result.recovery_s, "s", RECOVERY_BOUND_S
+        ),
+        figure.Figure(
+            f"{prefix}.attempts",
+            round(result.attempts, 4),
+            "per call",
+            ATTEMPTS_BOUND,
+        ),
+        figure.Figure(f"{prefix}.wrong_answers", result.wrong, "answers", 0),
+        figure.Figure(
+            f"{prefix}.deaths", result.deaths, "backend servers", DEATHS_BOUND
+        ),
+        figure.Figure(
+            f"{prefix}.work", round(result.work, 4), "runs per useful run"
+        ),
+    ]
+
+
+def run() -> bool:
+    """Prints the figures of every scenario, deployment and policy."""
+    held = True
+    for where in deployment.DEPLOYMENTS:
+        for plan in scenario.SCENARIOS:
+            for what in (policy.CONTROL, *policy.BASELINES):
+                result = measure(where, plan, what)
+                prefix = f"overload.{where.name}.{plan.name}.{what.name}"
+                for one in make_figures(prefix, plan, result):
+                    is_ours = what is policy.CONTROL
+                    shown = one if is_ours else one._replace(bound=None)
+                    held = shown.print() and held
+    return held
--- /dev/null
+++ b/bench/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of backend servers and clients under a virtual clock."""
--- /dev/null
+++ b/bench/overload/call.py
@@ -0,0 +1,112 @@
+"""One call as the fakes pass it on."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bench.overload import deployment
+from cranberrymux.models import refusal
+
+
+class Request:
+    """A whole request of a client; its resends share it.
+
+    Attributes:
+        request_id: Its id.
+        kind: What it asks for.
+        shed_hash: Fixed at the entry from its id.
+        is_poison: True if it crashes the deepest backend server.
+        retries_left: Integer budget of retries, granted once.
+    """
+
+    __slots__ = ("is_poison", "kind", "request_id", "retries_left", "shed_hash")
+
+    def __init__(
+        self,
+        request_id: str,
+        kind: deployment.RequestKind,
+        shed_hash: int,
+        is_poison: bool,
+    ) -> None:
+        """Makes a request without retries."""
+        self.request_id = request_id
+        self.kind = kind
+        self.shed_hash = shed_hash
+        self.is_poison = is_poison
+        self.retries_left = 0
+
+    @property
+    def priority(self) -> int:
+        """Order of shedding."""
+        return self.kind.class_rank * 128 + self.shed_hash
+
+
+class Answer(NamedTuple):
+    """What comes back for a call.
+
+    Attributes:
+        request_id: The request that it answers.
+        served: Services that ran it, deepest last; empty if it failed.
+        refusal: Why a node refused it; None if a backend server answered.
+        level: Level of the endpoint that answered.
+    """
+
+    request_id: str
+    served: tuple[str, ...]
+    refusal: refusal.Refusal | None
+    level: int
+
+
+class Call:
+    """One attempt of one call.
+
+    Attributes:
+        call_id: Unique.
+        request: The request that it is part of.
+        depth: Place in the request's chain.
+        deadline_s: When its caller stops waiting.
+        answer: Told the answer once.
+        has_run: True once a backend server had it.
+        is_over: True once answered or cancelled.
+        child: The call that it waits for.
+        below_s: Seconds spent in children.
+        started_s: When it got its slot.
+    """
+
+    __slots__ = (
+        "answer",
+        "below_s",
+        "call_id",
+        "child",
+        "deadline_s",
+        "depth",
+        "has_run",
+        "is_over",
+        "node",
+        "request",
+        "started_s",
+    )
+
+    def __init__(
+        self,
+        call_id: str,
+        request: Request,
+        depth: int,
+        deadline_s: float,
+        answer: Callable[[Answer], None],
+    ) -> None:
+        """Makes a call that was not yet sent."""
+        self.call_id = call_id
+        self.request = request
+        self.depth = depth
+        self.deadline_s = deadline_s
+        self.answer = answer
+        self.has_run = False
+        self.is_over = False
+        self.child: Call | None = None
+        self.below_s = 0.0
+        self.started_s = 0.0
+
+    @property
+    def service(self) -> str:
+        """Service that it calls."""
+        return self.request.kind.chain[self.depth]
--- /dev/null
+++ b/bench/overload/node.py
@@ -0,0 +1,325 @@
+"""A thin adapter between the decisions and the fakes."""
+
+from collections.abc import Callable
+import random
+from typing import Protocol
+
+from bench.overload import backend as backend_module
+from bench.overload import call as call_module
+from bench.overload import clock as clock_module
+from bench.overload import deployment
+from bench.overload import egress as egress_module
+from bench.overload import fixed_limit
+from bench.overload import policy as policy_module
+from bench.overload import recorder as recorder_module
+from cranberrymux.decisions.admission import admission_settings
+from cranberrymux.decisions.admission import admitted
+from cranberrymux.decisions.admission import controller
+from cranberrymux.decisions.admission import outcome as outcome_module
+from cranberrymux.decisions.admission import queued
+from cranberrymux.decisions.admission import ticket as ticket_module
+from cranberrymux.decisions.quarantine import death_report
+from cranberrymux.decisions.quarantine import fingerprint
+from cranberrymux.decisions.quarantine import quarantine as quarantine_module
+from cranberrymux.decisions.quarantine import quarantine_settings
+from cranberrymux.decisions.quarantine import standing as standing_module
+from cranberrymux.models import answer_kind
+from cranberrymux.models import refusal
+from cranberrymux.models import refusal_reason
+
+HINT_PERIOD_S = 0.1
+DOWN_KNOWN_AFTER_S = 0.05
+
+_Outcome = outcome_module.Outcome
+_LOST = refusal.Refusal(
+    answer_kind.AnswerKind.UNKNOWN,
+    refusal_reason.RefusalReason.CONNECTION_LOST,
+    "the backend server died",
+    100,
+)
+_DOWN = refusal.Refusal(
+    answer_kind.AnswerKind.NOT_RUN,
+    refusal_reason.RefusalReason.NO_ENDPOINT,
+    "the backend server is down",
+    100,
+)
+
+
+class Admission(Protocol):
+    """What a node asks of its admission."""
+
+    @property
+    def level(self) -> int:
+        """Level for the answers."""
+
+    def offer(
+        self, now_s: float, ticket: ticket_module.Ticket
+    ) -> controller.Verdict:
+        """Decides on a new call."""
+
+    def cancel(self, now_s: float, ticket_id: str) -> bool:
+        """Drops a queued call."""
+
+    def finish(
+        self,
+        now_s: float,
+        ticket_id: str,
+        outcome: outcome_module.Outcome,
+        below_s: float = 0.0,
+    ) -> None:
+        """Frees a slot."""
+
+    def poll(self, now_s: float) -> list[tuple[str, controller.Decision]]:
+        """Tells what became of queued calls."""
+
+    def next_poll_s(self, now_s: float) -> float | None:
+        """Tells when to poll."""
+
+    def set_load_hint(self, now_s: float, load: float) -> None:
+        """Takes a load hint."""
+
+    def set_downstream_level(
+        self, now_s: float, service: str, level: int
+    ) -> None:
+        """Takes the level of a deeper service."""
+
+
+class Node:
+    """One endpoint: a node and the backend server beside it.
+
+    Attributes:
+        service: The service.
+        backend: The backend server.
+        egresses: By name, the services that it calls.
+        hint: Last load that the backend server reported.
+        is_down: True while the backend server is down.
+        is_known_down: True once callers know.
+    """
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        generator: random.Random,
+        service: deployment.Service,
+        endpoint_id: str,
+        policy: policy_module.Policy,
+        recorder: recorder_module.Recorder,
+        report: Callable[[death_report.DeathReport], None],
+    ) -> None:
+        """Starts serving."""
+        self.service = service
+        self.backend = backend_module.Backend(clock, generator, service)
+        self.egresses: dict[str, egress_module.Egress] = {}
+        self.hint = 0.0
+        self.is_down = False
+        self.is_known_down = False
+        self._clock = clock
+        self._generator = generator
+        self._policy = policy
+        self._recorder = recorder
+        self._report = report
+        self._admission = self._make_admission()
+        self._queued: dict[str, call_module.Call] = {}
+        self._running: dict[str, call_module.Call] = {}
+        self._next_poll_s: float | None = None
+        self.quarantine = quarantine_module.Quarantine(
+            quarantine_settings.QuarantineSettings(), endpoint_id, 1
+        )
+        clock.call_later(HINT_PERIOD_S, self._read_hint)
+
+    def receive(self, call: call_module.Call) -> None:
+        """Takes a call from the network."""
+        if call.is_over:
+            return
+        if self.is_down:
+            self._answer(call, (), _DOWN)
+            return
+        is_suspect = False
+        if self._policy.is_controlled:
+            standing = self.quarantine.judge(
+                self._clock.now_s, _make_fingerprint(call)
+            )
+            if isinstance(standing, refusal.Refusal):
+                self._answer(call, (), standing)
+                return
+            is_suspect = standing is standing_module.Standing.SUSPECT
+        ticket = ticket_module.Ticket(
+            call.call_id,
+            call.request.priority,
+            call.request.kind.class_rank,
+            call.deadline_s,
+            is_suspect,
+        )
+        self._queued[call.call_id] = call
+        verdict = self._admission.offer(self._clock.now_s, ticket)
+        if not isinstance(verdict, queued.Queued):
+            self._decide(call.call_id, verdict)
+        self._poll()
+
+    def cancel(self, call: call_module.Call) -> None:
+        """Takes a cancellation from the network."""
+        now_s = self._clock.now_s
+        if self._admission.cancel(now_s, call.call_id):
+            self._queued.pop(call.call_id, None)
+            self._poll()
+            return
+        if call.call_id not in self._running:
+            return
+        if call.child is not None:
+            self.cancel_child(call.child)
+        self._end(call, _Outcome.CANCELLED)
+
+    def cancel_child(self, child: call_module.Call) -> None:
+        """Sends a cancellation to a deeper node."""
+        child.is_over = True
+        self._clock.call_later(0.001, child.node.cancel, child)
+
+    def die(self, is_poison: bool) -> None:
+        """The backend server dies with all that runs on it."""
+        if self.is_down:
+            return
+        self.is_down = True
+        self._recorder.deaths += is_poison
+        self.backend.die()
+        for report in self.quarantine.endpoint_died(self._clock.now_s):
+            self._report(report)
+        for call in list(self._running.values()):
+            if call.child is not None:
+                self.cancel_child(call.child)
+            self._answer(call, (), _LOST)
+        for call in list(self._queued.values()):
+            self._answer(call, (), _DOWN)
+        self._running.clear()
+        self._queued.clear()
+        self._admission = self._make_admission()
+        self._clock.call_later(DOWN_KNOWN_AFTER_S, self._tell_down)
+
+    def come_back(self, warm_s: float) -> None:
+        """The backend server starts again, cold."""
+        self.is_down = False
+        self.is_known_down = False
+        self.backend.warm_up(warm_s)
+
+    def _tell_down(self) -> None:
+        self.is_known_down = self.is_down
+
+    def _make_admission(self) -> Admission:
+        if not self._policy.is_controlled:
+            limited = self._policy.limit_is_slots
+            limit = self.service.slots if limited else self.service.connections
+            return fixed_limit.FixedLimit(limit)
+        return controller.AdmissionController(
+            admission_settings.AdmissionSettings(slots=self.service.slots),
+            self._generator,
+        )
+
+    def _read_hint(self) -> None:
+        self.hint = self.backend.read_load()
+        self._admission.set_load_hint(self._clock.now_s, self.hint)
+        self._clock.call_later(HINT_PERIOD_S, self._read_hint)
+
+    def _poll(self) -> None:
+        now_s = self._clock.now_s
+        for call_id, verdict in self._admission.poll(now_s):
+            self._decide(call_id, verdict)
+        when_s = self._admission.next_poll_s(now_s)
+        if when_s is None:
+            return
+        if self._next_poll_s is None or when_s < self._next_poll_s:
+            self._next_poll_s = when_s
+            self._clock.call_at(when_s, self._poll_at, when_s)
+
+    def _poll_at(self, when_s: float) -> None:
+        if self._next_poll_s != when_s:
+            return
+        self._next_poll_s = None
+        self._poll()
+
+    def _decide(
+        self, call_id: str, verdict: admitted.Admitted | refusal.Refusal
+    ) -> None:
+        call = self._queued.pop(call_id)
+        if isinstance(verdict, refusal.Refusal):
+            self._answer(call, (), verdict)
+            return
+        self._running[call_id] = call
+        self._recorder.runs += 1
+        self.quarantine.start(call_id, _make_fingerprint(call))
+        self.backend.run(call, self._worked, self._crash)
+
+    def _crash(self) -> None:
+        self.die(is_poison=True)
+        self._clock.call_later(3.0, self.come_back, 2.0)
+
+    def _worked(self, call: call_module.Call) -> None:
+        chain = call.request.kind.chain
+        if call.depth + 1 == len(chain):
+            self._finish(call, (self.service.name,))
+            return
+        call.started_s = self._clock.now_s
+
+        def answered(answer: call_module.Answer) -> None:
+            self._take_child(call, answer)
+
+        def adopt(child: call_module.Call) -> None:
+            call.child = child
+
+        self.egresses[chain[call.depth + 1]].send(
+            call.request, call.depth + 1, call.deadline_s, answered, adopt
+        )
+
+    def _take_child(
+        self, call: call_module.Call, answer: call_module.Answer
+    ) -> None:
+        if call.call_id not in self._running:
+            return
+        call.child = None
+        call.below_s = self._clock.now_s - call.started_s
+        deeper = call.request.kind.chain[call.depth + 1]
+        level = self.egresses[deeper].level
+        self._admission.set_downstream_level(self._clock.now_s, deeper, level)
+        if answer.request_id != call.request.request_id:
+            self._recorder.wrong += 1
+        if answer.served:
+            self._finish(call, (self.service.name, *answer.served))
+            return
+        self._finish(call, ())
+
+    def _finish(self, call: call_module.Call, served: tuple[str, ...]) -> None:
+        self._end(call, _Outcome.OK if served else _Outcome.FAILED)
+        self._answer(call, served, None)
+
+    def _end(
+        self, call: call_module.Call, outcome: outcome_module.Outcome
+    ) -> None:
+        now_s = self._clock.now_s
+        self._running.pop(call.call_id, None)
+        self.backend.release(call)
+        is_clean = outcome is not _Outcome.CANCELLED
+        self.quarantine.finish(now_s, call.call_id, is_clean)
+        self._admission.finish(now_s, call.call_id, outcome, call.below_s)
+        self._poll()
+
+    def _answer(
+        self,
+        call: call_module.Call,
+        served: tuple[str, ...],
+        refused: refusal.Refusal | None,
+    ) -> None:
+        is_not_run = (
+            refused is not None
+            and refused.kind is answer_kind.AnswerKind.NOT_RUN
+        )
+        if is_not_run and call.has_run:
+            self._recorder.wrong += 1
+        call.answer(
+            call_module.Answer(
+                call.request.request_id, served, refused, self._admission.level
+            )
+        )
+
+
+def _make_fingerprint(call: call_module.Call) -> fingerprint.Fingerprint:
+    return fingerprint.Fingerprint(
+        call.request.request_id, call.request.request_id
+    )
