--- a/src/cranberrymux/demo/deployment.py
+++ b/src/cranberrymux/demo/deployment.py
@@ -80,9 +80,7 @@
         for control in self.controls:
             control.wait_for_event("control-ready")
 
-    def start_services(
-        self, plans: Sequence[service_plan.ServicePlan]
-    ) -> None:
+    def start_services(self, plans: Sequence[service_plan.ServicePlan]) -> None:
         """Starts a node and a stand-in for each endpoint of the plans."""
         started = [
             self._start_endpoint(plan, number, zone)
--- a/src/cranberrymux/demo/service_plan.py
+++ b/src/cranberrymux/demo/service_plan.py
@@ -1,6 +1,7 @@
 """What a deployment runs of one service."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 
 
--- a/src/cranberrymux/demo/story.py
+++ b/src/cranberrymux/demo/story.py
@@ -81,7 +81,7 @@
             stdout=subprocess.PIPE,
             check=False,
         )
-        report: dict[str, Any] = json.loads(done.stdout)
+        report: dict[str, Any] = json.loads(done.stdout)["total"]
         return report
 
     def _note(
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -13,6 +13,7 @@
 from cranberrymux.node import entry_context
 from cranberrymux.node import environment
 from cranberrymux.node import ingress_call
+from cranberrymux.node import ingress_calls
 from cranberrymux.node import refusal_answer
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
@@ -113,7 +114,7 @@
 
     def _join(
         self,
-        earlier: ingress_call.IngressCall,
+        earlier: ingress_calls.OpenCall,
         call: inbound_call.InboundCall,
         context: request_context.RequestContext,
     ) -> None:
