--- /dev/null
+++ b/bench/latency/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the benchmark of the path of a call."""
--- a/src/cranberrymux/demo/deployment.py
+++ b/src/cranberrymux/demo/deployment.py
@@ -37,6 +37,7 @@
         """
         self.controls: list[process.Process] = []
         self.endpoints: list[endpoint_processes.EndpointProcesses] = []
+        self._nodes: list[endpoint_processes.EndpointProcesses] = []
         self._folder = pathlib.Path(folder)
         self._key_file = self._write("cluster.key", "demo-cluster-key-0123456")
         self._token_file = self._write("operator.token", "demo-token-01234567")
@@ -88,10 +89,51 @@
             for number, zone in enumerate(plan.zones)
         ]
         for endpoint in started:
-            endpoint.backend.wait_for_event("standin-ready")
+            if endpoint.backend is not None:
+                endpoint.backend.wait_for_event("standin-ready")
             endpoint.node.wait_for_event("node-serving")
         self.endpoints.extend(started)
 
+    def start_node(
+        self, service: str, number: int, zone: str
+    ) -> endpoint_processes.EndpointProcesses:
+        """Starts a node without a backend server beside it."""
+        name = f"{service}-{number}"
+        ingress_port, egress_port, announce_port, backend_port = (
+            ports.find_free_ports(4)
+        )
+        node = self._start(
+            f"node-{name}",
+            "cranberrymux.node",
+            {
+                "node_id": name,
+                "region": _REGION,
+                "zone": zone,
+                "address": "127.0.0.1",
+                "ingress_port": ingress_port,
+                "egress_port": egress_port,
+                "announce_port": announce_port,
+                "control_addresses": [
+                    f"127.0.0.1:{port}" for port in self._control_ports
+                ],
+                "cluster_key_file": self._key_file,
+                "heartbeat_ms": _HEARTBEAT_MS,
+            },
+        )
+        started = endpoint_processes.EndpointProcesses(
+            service,
+            name,
+            zone,
+            ingress_port,
+            egress_port,
+            announce_port,
+            backend_port,
+            node,
+            None,
+        )
+        self._nodes.append(started)
+        return started
+
     def find(self, service: str) -> list[endpoint_processes.EndpointProcesses]:
         """Returns the endpoints of a service."""
         return [one for one in self.endpoints if one.service == service]
@@ -136,7 +178,9 @@
     def stop(self) -> None:
         """Ends every process that still runs."""
         for endpoint in self.endpoints:
-            endpoint.backend.kill()
+            if endpoint.backend is not None:
+                endpoint.backend.kill()
+        for endpoint in self._nodes:
             endpoint.node.kill()
         for control in self.controls:
             control.kill()
@@ -148,36 +192,16 @@
     def _start_endpoint(
         self, plan: service_plan.ServicePlan, number: int, zone: str
     ) -> endpoint_processes.EndpointProcesses:
-        name = f"{plan.service}-{number}"
-        found = ports.find_free_ports(4)
-        ingress_port, egress_port, announce_port, backend_port = found
-        node = self._start(
-            f"node-{name}",
-            "cranberrymux.node",
-            {
-                "node_id": name,
-                "region": _REGION,
-                "zone": zone,
-                "address": "127.0.0.1",
-                "ingress_port": ingress_port,
-                "egress_port": egress_port,
-                "announce_port": announce_port,
-                "control_addresses": [
-                    f"127.0.0.1:{port}" for port in self._control_ports
-                ],
-                "cluster_key_file": self._key_file,
-                "heartbeat_ms": _HEARTBEAT_MS,
-            },
-        )
+        started = self.start_node(plan.service, number, zone)
         backend = self._start(
-            f"standin-{name}",
+            f"standin-{started.node_id}",
             "cranberrymux.standin",
             {
                 "service": plan.service,
-                "endpoint": name,
-                "port": backend_port,
-                "announce_url": f"http://127.0.0.1:{announce_port}",
-                "egress_url": f"http://127.0.0.1:{egress_port}",
+                "endpoint": started.node_id,
+                "port": started.backend_port,
+                "announce_url": f"http://127.0.0.1:{started.announce_port}",
+                "egress_url": f"http://127.0.0.1:{started.egress_port}",
                 "slots": plan.slots,
                 "service_time_ms": plan.service_time_ms,
                 "service_time_spread": plan.spread,
@@ -186,16 +210,7 @@
                 "crash_marker": plan.crash_marker,
             },
         )
-        return endpoint_processes.EndpointProcesses(
-            plan.service,
-            name,
-            zone,
-            ingress_port,
-            announce_port,
-            backend_port,
-            node,
-            backend,
-        )
+        return started._replace(backend=backend)
 
     def _start(self, name: str, module: str, values: Any) -> process.Process:
         path = self.write_settings(name, values)
