--- a/src/cranberrymux/standin/announcer.py
+++ b/src/cranberrymux/standin/announcer.py
@@ -16,6 +16,7 @@
 from twisted.web import client
 
 from cranberrymux.standin import standin_settings
+from cranberrymux.telemetry import event
 
 PERIOD_S = 1.0
 TIMEOUT_S = 2.0
@@ -94,7 +95,9 @@
         await response.content()
         is_known = response.code < 300
         if is_known != self._is_known:
-            self._log.info("standin-announced", path=path, status=response.code)
+            self._log.info(
+                event.Event.STANDIN_ANNOUNCED, path=path, status=response.code
+            )
         self._is_known = is_known
 
     def _read(self, response: Any, path: str) -> defer.Deferred[None]:
@@ -103,7 +106,7 @@
     def _log_failure(self, reason: failure.Failure, path: str) -> None:
         if self._is_known:
             self._log.warning(
-                "standin-announce-failed",
+                event.Event.STANDIN_ANNOUNCE_FAILED,
                 path=path,
                 error=reason.getErrorMessage(),
             )
--- a/src/cranberrymux/standin/call_resource.py
+++ b/src/cranberrymux/standin/call_resource.py
@@ -18,6 +18,7 @@
 from cranberrymux.standin import counters as counters_module
 from cranberrymux.standin import standin_settings
 from cranberrymux.standin import worker as worker_module
+from cranberrymux.telemetry import event
 
 CRASH_EXIT_STATUS = 70
 
@@ -95,7 +96,7 @@
         if isinstance(error, child_refused.ChildRefusedError):
             self._send(request, self._refuse(request, call, error))
             return
-        structlog.get_logger().error("standin-fault", error=repr(error))
+        structlog.get_logger().error(event.Event.FAULT, error=repr(error))
         request.setResponseCode(500)
         self._send(request, b'{"error": "internal error"}')
 
--- a/src/cranberrymux/standin/child_client.py
+++ b/src/cranberrymux/standin/child_client.py
@@ -8,6 +8,7 @@
 from typing import cast
 
 import treq
+from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.web import client
@@ -76,6 +77,8 @@
             client.ResponseFailed,
             client.RequestTransmissionFailed,
         ) as failure:
+            if _is_cancelled(failure):
+                raise defer.CancelledError from failure
             raise child_refused.ChildRefusedError(
                 service, "connection-lost"
             ) from failure
@@ -89,6 +92,12 @@
             ) from failure
 
 
+def _is_cancelled(error_: Exception) -> bool:
+    # A cancelled call of treq fails as one whose answer was lost does.
+    reasons = getattr(error_, "reasons", ())
+    return any(reason.check(defer.CancelledError) for reason in reasons)
+
+
 def _read_refusal(
     service: str, response: Any
 ) -> child_refused.ChildRefusedError:
--- a/src/cranberrymux/standin/service.py
+++ b/src/cranberrymux/standin/service.py
@@ -20,6 +20,7 @@
 from cranberrymux.standin import counters as counters_module
 from cranberrymux.standin import standin_settings
 from cranberrymux.standin import worker as worker_module
+from cranberrymux.telemetry import event
 
 LOAD_SAMPLE_PERIOD_S = 0.05
 DRAIN_POLL_PERIOD_S = 0.02
@@ -94,7 +95,9 @@
         self._sampler.start(LOAD_SAMPLE_PERIOD_S)
         self._announcer.start()
         structlog.get_logger().info(
-            "standin-ready", service=self._settings.service, port=self.port
+            event.Event.STANDIN_READY,
+            service=self._settings.service,
+            port=self.port,
         )
 
     def begin_drain(self) -> None:
@@ -116,7 +119,7 @@
             self._sampler.stop()
         await defer.maybeDeferred(self._listener.stopListening)
         structlog.get_logger().info(
-            "standin-stopped", in_flight=self._counters.running
+            event.Event.STANDIN_STOPPED, in_flight=self._counters.running
         )
 
     def _build_root(self) -> _Root:
--- a/src/cranberrymux/telemetry/logs.py
+++ b/src/cranberrymux/telemetry/logs.py
@@ -1,20 +1,31 @@
 """JSON lines on one stream, by structlog."""
 
+import enum
 import sys
+import time
 from typing import Any
 from typing import TextIO
 
 import structlog
 
+from cranberrymux.telemetry import line_writer
+from cranberrymux.telemetry import redaction
+from cranberrymux.telemetry import repeat_limiter
+from cranberrymux.telemetry import twisted_bridge
+
 
 def configure(binary: str, stream: TextIO | None = None) -> None:
     """Makes every structlog logger of this process write JSON lines.
 
+    Each line has `time` (UTC, ISO 8601), `event`, `binary` and `level`. Lines
+    that repeat are limited, secrets and bodies replaced, and the faults that
+    Twisted logs are written too.
+
     Args:
-        binary: Name of the program; stands on each line.
+        binary: Name of the program.
         stream: Where lines go; standard output if absent.
     """
-    target = sys.stdout if stream is None else stream
+    writer = line_writer.LineWriter(sys.stdout if stream is None else stream)
 
     def add_binary(
         _logger: Any, _method: str, event: structlog.typing.EventDict
@@ -24,11 +35,26 @@
 
     structlog.configure(
         processors=[
+            _name_event,
             structlog.processors.add_log_level,
+            repeat_limiter.RepeatLimiter(time.monotonic),
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
             add_binary,
-            structlog.processors.JSONRenderer(),
+            structlog.processors.format_exc_info,
+            redaction.redact,
+            structlog.processors.JSONRenderer(default=str),
         ],
-        logger_factory=structlog.WriteLoggerFactory(target),
+        wrapper_class=structlog.BoundLogger,
+        logger_factory=lambda *_: writer,
         cache_logger_on_first_use=False,
     )
+    twisted_bridge.begin()
+
+
+def _name_event(
+    _logger: Any, _method: str, event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    name = event.get("event")
+    if isinstance(name, enum.Enum):
+        event["event"] = name.value
+    return event
--- /dev/null
+++ b/src/cranberrymux/telemetry/outcome_codec.py
@@ -0,0 +1,61 @@
+"""Outcomes as lines of JSON."""
+
+import json
+from typing import Any
+
+from cranberrymux.models import answer_kind
+from cranberrymux.telemetry import outcome_count
+
+NAME_CHARACTERS_MAX = 200
+
+_LATENCIES = len(outcome_count.LATENCY_BOUNDS_MS) + 1
+
+
+def encode(count: outcome_count.OutcomeCount) -> bytes:
+    """Writes one line, with its line feed."""
+    line = json.dumps(
+        {
+            "second": count.second,
+            "service": count.service,
+            "class": count.class_name,
+            "answer": count.kind.value,
+            "latencies": count.latencies,
+        },
+        separators=(",", ":"),
+    )
+    return line.encode("ascii") + b"\n"
+
+
+def decode(line: bytes) -> outcome_count.OutcomeCount | None:
+    """Reads one line; None if it is torn or not of this kind."""
+    try:
+        values = json.loads(line)
+        kind = answer_kind.AnswerKind(values["answer"])
+        count = outcome_count.OutcomeCount(
+            values["second"],
+            values["service"],
+            values["class"],
+            kind,
+            tuple(values["latencies"]),
+        )
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+    return count if _is_valid(count) else None
+
+
+def _is_valid(count: outcome_count.OutcomeCount) -> bool:
+    if not _is_count(count.second):
+        return False
+    if not (_is_name(count.service) and _is_name(count.class_name)):
+        return False
+    if len(count.latencies) != _LATENCIES:
+        return False
+    return all(_is_count(value) for value in count.latencies)
+
+
+def _is_count(value: Any) -> bool:
+    return type(value) is int and 0 <= value < 1 << 53
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and len(value) <= NAME_CHARACTERS_MAX
