Add the report on service-level burn

Multi-window burn rates, the budget left and its projected end, as text, JSON and one page with plots.

--- /dev/null
+++ b/src/cranberrymux/report/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn."""
--- /dev/null
+++ b/src/cranberrymux/report/main.py
@@ -0,0 +1,93 @@
+"""Command line of the report on service-level burn."""
+
+import argparse
+from collections.abc import Sequence
+import pathlib
+import sys
+import time
+
+from cranberrymux import exceptions
+from cranberrymux.report import burn_report
+from cranberrymux.report import json_view
+from cranberrymux.report import report_settings
+from cranberrymux.report import text_view
+
+EXIT_WITHIN = 0
+EXIT_BURNING = 1
+EXIT_WRONG_SETTINGS = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Writes the report.
+
+    Args:
+        arguments: Words of the command line; those of the process if absent.
+
+    Returns:
+        0 within budget, 1 if a budget burns or is exhausted, 2 if the
+        settings are wrong or nothing can be read.
+    """
+    options = _build_parser().parse_args(arguments)
+    now_s = time.time() if options.now is None else options.now
+    try:
+        settings = report_settings.load(options.settings, options.folder or ())
+        report = burn_report.build(settings, now_s)
+        if not report.files_read:
+            raise exceptions.CranberrymuxError(
+                "no recorded outcomes in " + ", ".join(settings.folders)
+            )
+        _write(_render(report, settings, options.format), options.output)
+    except (exceptions.CranberrymuxError, OSError) as error:
+        print(error, file=sys.stderr)
+        return EXIT_WRONG_SETTINGS
+    return EXIT_WITHIN if report.is_within else EXIT_BURNING
+
+
+def _render(
+    report: burn_report.BurnReport,
+    settings: report_settings.ReportSettings,
+    view: str,
+) -> str:
+    if view == "json":
+        return json_view.render(report)
+    if view == "html":
+        # Loading the plots takes a second, which the other views save.
+        from cranberrymux.report import html_view  # noqa: PLC0415
+
+        return html_view.render(report, settings.plots)
+    return text_view.render(report)
+
+
+def _write(text: str, path: str | None) -> None:
+    if path is None:
+        print(text)
+    else:
+        pathlib.Path(path).write_text(text + "\n", encoding="utf-8")
+
+
+def _build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="cranberrymux-report",
+        description="Reports how fast service-level budgets burn.",
+        epilog=(
+            "example: cranberrymux-report --settings report.yaml "
+            "--format html --output burn.html. "
+            "Exit status: 0 within budget, 1 burning, 2 wrong settings."
+        ),
+    )
+    parser.add_argument(
+        "--settings", required=True, help="YAML file; docs/operations/burn.md"
+    )
+    parser.add_argument(
+        "--folder",
+        action="append",
+        help="folder of recorded outcomes; may be repeated",
+    )
+    parser.add_argument(
+        "--format", choices=("text", "json", "html"), default="text"
+    )
+    parser.add_argument("--output", help="file to write, not standard output")
+    parser.add_argument(
+        "--now", type=float, help="Unix time of the report, in seconds"
+    )
+    return parser
--- /dev/null
+++ b/src/cranberrymux/report/plots.py
@@ -0,0 +1,159 @@
+"""Plots of answers, burn rates and budget over time."""
+
+import datetime
+import io
+from typing import Any
+from typing import NamedTuple
+
+from matplotlib import dates
+from matplotlib import figure as figure_module
+
+from cranberrymux.decisions.burn import burn_result
+from cranberrymux.decisions.burn import evaluation
+from cranberrymux.decisions.burn import outcome_series
+from cranberrymux.report import durations
+
+POINTS = 240
+WIDTH_INCHES = 9.0
+HEIGHT_INCHES = 6.6
+RATE_FLOOR = 0.05
+
+_GOOD_COLOR = "#4c9f70"
+_BAD_COLOR = "#c8443c"
+_WINDOW_COLORS = ("#b3341f", "#d98a1f", "#2f6fab", "#6b4c9a")
+
+
+class _Points(NamedTuple):
+    times_s: list[float]
+    step_s: float
+
+
+def render(
+    result: burn_result.BurnResult,
+    series: outcome_series.OutcomeSeries,
+    now_s: float,
+    file_format: str = "svg",
+) -> bytes:
+    """Draws one objective over the part of its window that has answers.
+
+    Args:
+        result: How the objective stands.
+        series: Its answers.
+        now_s: Time of the report, Unix seconds.
+        file_format: `svg` or `png`.
+
+    Returns:
+        The whole image file.
+    """
+    points = _choose_points(result, now_s)
+    figure = figure_module.Figure(
+        figsize=(WIDTH_INCHES, HEIGHT_INCHES), layout="constrained"
+    )
+    answers, rates, budget = figure.subplots(3, 1, sharex=True)
+    _draw_answers(answers, series, points)
+    _draw_rates(rates, result, series, points)
+    _draw_budget(budget, result, series, points)
+    locator = dates.AutoDateLocator(tz=datetime.UTC)
+    budget.xaxis.set_major_locator(locator)
+    budget.xaxis.set_major_formatter(
+        dates.ConciseDateFormatter(locator, tz=datetime.UTC)
+    )
+    budget.set_xlabel("time, UTC")
+    file = io.BytesIO()
+    metadata = {"Date": None} if file_format == "svg" else None
+    figure.savefig(file, format=file_format, metadata=metadata)
+    return file.getvalue()
+
+
+def _choose_points(result: burn_result.BurnResult, now_s: float) -> _Points:
+    bucket_s = outcome_series.BUCKET_S
+    shown_s = min(result.covered_s, result.objective.window_s)
+    shown_s = max(shown_s, 2 * bucket_s)
+    step_s = max(bucket_s, shown_s // POINTS // bucket_s * bucket_s)
+    end_s = (int(now_s) // bucket_s + 1) * bucket_s
+    count = -(-shown_s // step_s)
+    times_s = [end_s - step_s * (count - 1 - index) for index in range(count)]
+    return _Points([float(time_s) for time_s in times_s], float(step_s))
+
+
+def _as_dates(times_s: list[float]) -> list[datetime.datetime]:
+    return [
+        datetime.datetime.fromtimestamp(time_s, datetime.UTC)
+        for time_s in times_s
+    ]
+
+
+def _place_legend(axes: Any) -> None:
+    axes.legend(
+        loc="lower left", bbox_to_anchor=(0, 1), ncols=4, frameon=False
+    )
+
+
+def _draw_answers(
+    axes: Any, series: outcome_series.OutcomeSeries, points: _Points
+) -> None:
+    good = []
+    bad = []
+    for time_s in points.times_s:
+        tally = series.within(int(time_s - points.step_s), int(time_s))
+        good.append(tally.good / points.step_s)
+        bad.append(tally.bad / points.step_s)
+    axes.stackplot(
+        _as_dates(points.times_s),
+        good,
+        bad,
+        labels=("good", "bad"),
+        colors=(_GOOD_COLOR, _BAD_COLOR),
+        step="pre",
+    )
+    axes.set_ylabel("answers per second")
+    _place_legend(axes)
+
+
+def _draw_rates(
+    axes: Any,
+    result: burn_result.BurnResult,
+    series: outcome_series.OutcomeSeries,
+    points: _Points,
+) -> None:
+    for index, burn in enumerate(result.windows):
+        color = _WINDOW_COLORS[index % len(_WINDOW_COLORS)]
+        window = burn.window
+        rates = [
+            evaluation.rate_within(
+                result.objective, series, window.long_s, time_s - 1
+            )
+            for time_s in points.times_s
+        ]
+        axes.plot(
+            _as_dates(points.times_s),
+            [max(RATE_FLOOR, rate) for rate in rates],
+            color=color,
+            label=(
+                f"over {durations.describe(window.long_s)}, "
+                f"threshold {window.rate_threshold:g}"
+            ),
+        )
+        axes.axhline(
+            window.rate_threshold, color=color, linestyle=":", linewidth=1
+        )
+    axes.set_yscale("log")
+    axes.set_ylim(bottom=RATE_FLOOR)
+    axes.set_ylabel("burn rate")
+    _place_legend(axes)
+
+
+def _draw_budget(
+    axes: Any,
+    result: burn_result.BurnResult,
+    series: outcome_series.OutcomeSeries,
+    points: _Points,
+) -> None:
+    shares = [
+        100 * evaluation.budget_left(result.objective, series, time_s - 1)
+        for time_s in points.times_s
+    ]
+    axes.plot(_as_dates(points.times_s), shares, color=_WINDOW_COLORS[2])
+    axes.axhline(0, color=_BAD_COLOR, linestyle=":", linewidth=1)
+    axes.set_ylim(top=105)
+    axes.set_ylabel("budget left, %")
--- /dev/null
+++ b/src/cranberrymux/report/report_settings.py
@@ -0,0 +1,135 @@
+"""Settings of the report on service-level burn."""
+
+from collections.abc import Sequence
+from typing import Any
+from typing import NamedTuple
+
+from cranberrymux import exceptions
+from cranberrymux.decisions.burn import alert_window
+from cranberrymux.decisions.burn import objective
+from cranberrymux.decisions.burn import outcome_series
+from cranberrymux.settings import field
+from cranberrymux.settings import loader
+from cranberrymux.telemetry import outcome_count
+
+_Kind = field.Kind
+
+DAY_S = 86400
+
+OBJECTIVE_FIELDS = (
+    field.Field("service", _Kind.TEXT, minimum=1, maximum=200),
+    field.Field("class", _Kind.TEXT, default=objective.ANY, minimum=1),
+    field.Field(
+        "target_share", _Kind.NUMBER, minimum=0.000001, maximum=0.999999
+    ),
+    field.Field("window_s", _Kind.INTEGER, default=30 * DAY_S, minimum=60),
+    field.Field("latency_ms", _Kind.NUMBER, default=0, minimum=0),
+)
+
+WINDOW_FIELDS = (
+    field.Field("long_s", _Kind.INTEGER, minimum=20),
+    field.Field("short_s", _Kind.INTEGER, minimum=10),
+    field.Field("rate_threshold", _Kind.NUMBER, minimum=0.000001),
+    field.Field("requests_min", _Kind.INTEGER, default=1, minimum=1),
+)
+
+FIELDS = (
+    field.Field("folders", _Kind.TEXT_LIST, default=[]),
+    field.Field("objectives", _Kind.ITEMS, minimum=1, items=OBJECTIVE_FIELDS),
+    field.Field("windows", _Kind.ITEMS, default=[], items=WINDOW_FIELDS),
+    field.Field("plots", _Kind.INTEGER, default=20, minimum=0, maximum=500),
+)
+
+
+class ReportSettings(NamedTuple):
+    """What the report reads and measures by.
+
+    Attributes:
+        folders: Folders of recorded outcomes, one for each node.
+        objectives: The service-level objectives, at least one.
+        windows: Pairs of windows, at least one.
+        plots: Most objectives that are plotted, the worst first.
+    """
+
+    folders: tuple[str, ...]
+    objectives: tuple[objective.Objective, ...]
+    windows: tuple[alert_window.AlertWindow, ...]
+    plots: int
+
+
+def load(path: str, folders: Sequence[str] = ()) -> ReportSettings:
+    """Reads and checks the settings file of the report.
+
+    Args:
+        path: The YAML file.
+        folders: Folders to read in place of those of the file.
+
+    Raises:
+        SettingsError: The file cannot be read, or a key is wrong.
+    """
+    values = loader.load(path, FIELDS)
+    settings = ReportSettings(
+        tuple(folders or values["folders"]),
+        tuple(_read_objective(item) for item in values["objectives"]),
+        tuple(alert_window.AlertWindow(**item) for item in values["windows"])
+        or alert_window.DEFAULTS,
+        values["plots"],
+    )
+    _check(settings, path)
+    return settings
+
+
+def _read_objective(values: dict[str, Any]) -> objective.Objective:
+    return objective.Objective(
+        values["service"],
+        values["class"],
+        values["target_share"],
+        values["window_s"],
+        values["latency_ms"] or None,
+    )
+
+
+def _check(settings: ReportSettings, path: str) -> None:
+    if not settings.folders:
+        raise exceptions.SettingsError(
+            path, 1, "folders", "at least one folder of recorded outcomes"
+        )
+    if not settings.objectives:
+        raise exceptions.SettingsError(
+            path, 1, "objectives", "at least one objective"
+        )
+    for index, one in enumerate(settings.objectives):
+        _check_objective(one, path, f"objectives[{index}]")
+    for index, window in enumerate(settings.windows):
+        _check_window(window, path, f"windows[{index}]")
+
+
+def _check_objective(one: objective.Objective, path: str, key: str) -> None:
+    bounds = outcome_count.LATENCY_BOUNDS_MS
+    if one.latency_ms is not None and one.latency_ms not in bounds:
+        texts = ", ".join(str(bound) for bound in bounds)
+        raise exceptions.SettingsError(
+            path, 1, f"{key}.latency_ms", f"one of {texts}"
+        )
+    _check_length(one.window_s, path, f"{key}.window_s")
+
+
+def _check_window(
+    window: alert_window.AlertWindow, path: str, key: str
+) -> None:
+    _check_length(window.long_s, path, f"{key}.long_s")
+    _check_length(window.short_s, path, f"{key}.short_s")
+    if window.short_s >= window.long_s:
+        raise exceptions.SettingsError(
+            path, 1, f"{key}.short_s", "less than long_s"
+        )
+
+
+def _check_length(length_s: int, path: str, key: str) -> None:
+    if length_s % outcome_series.BUCKET_S:
+        raise exceptions.SettingsError(
+            path,
+            1,
+            key,
+            f"a multiple of {outcome_series.BUCKET_S} seconds",
+        )
