Match arrivals to capacity, start a class in order of arrival

Protected calls were lost two ways: refused by a level that had fallen too far, and, with strict order by hash within a class, expired at the tail.

Changes: the level follows the rate of arrivals against the learned capacity (lowered above 1.15 of it, raised below 1.05 by the density of arrivals); a free slot is always used; a class starts in order of arrival and is evicted by priority; the queue holds what can start within the longest wait.

--- a/bench/overload/call.py
+++ b/bench/overload/call.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from typing import NamedTuple
+from typing import Protocol
 
 from bench.overload import deployment
 from cranberrymux.models import refusal
@@ -56,6 +57,13 @@
     level: int
 
 
+class Callee(Protocol):
+    """The node that a call was sent to."""
+
+    def cancel(self, call: "Call") -> None:
+        """Takes a cancellation from the network."""
+
+
 class Call:
     """One attempt of one call.
 
@@ -68,8 +76,9 @@
         has_run: True once a backend server had it.
         is_over: True once answered or cancelled.
         child: The call that it waits for.
+        node: The node that it was sent to.
         below_s: Seconds spent in children.
-        started_s: When it got its slot.
+        started_s: When its backend server called the next service.
     """
 
     __slots__ = (
@@ -93,6 +102,8 @@
         depth: int,
         deadline_s: float,
         answer: Callable[[Answer], None],
+        *,
+        node: Callee,
     ) -> None:
         """Makes a call that was not yet sent."""
         self.call_id = call_id
@@ -100,6 +111,7 @@
         self.depth = depth
         self.deadline_s = deadline_s
         self.answer = answer
+        self.node = node
         self.has_run = False
         self.is_over = False
         self.child: Call | None = None
--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -5,16 +5,14 @@
 from cranberrymux.decisions.admission import admission_settings
 from cranberrymux.decisions.admission import admitted
 from cranberrymux.decisions.admission import alone_gate
-from cranberrymux.decisions.admission import concurrency_limit
 from cranberrymux.decisions.admission import downstream_levels
+from cranberrymux.decisions.admission import load_meter
 from cranberrymux.decisions.admission import outcome as outcome_module
 from cranberrymux.decisions.admission import queued
 from cranberrymux.decisions.admission import refuser
 from cranberrymux.decisions.admission import running
-from cranberrymux.decisions.admission import shed_level
 from cranberrymux.decisions.admission import ticket as ticket_module
 from cranberrymux.decisions.admission import ticket_queue
-from cranberrymux.decisions.admission import window
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
 
@@ -40,28 +38,26 @@
     ) -> None:
         """Starts idle and open."""
         self._settings = settings
-        self._limit = concurrency_limit.ConcurrencyLimit(settings)
-        self._level = shed_level.ShedLevel(settings)
+        self._meter = load_meter.LoadMeter(settings)
         self._downstream = downstream_levels.DownstreamLevels(
-            settings.hint_life_s, self._level.top
+            settings.hint_life_s, self._meter.top
         )
         self._gate = alone_gate.AloneGate()
         self._queue = ticket_queue.TicketQueue()
         self._refuser = refuser.Refuser(settings, generator)
         self._running: dict[str, running.Running] = {}
         self._decided: list[tuple[str, refusal.Refusal]] = []
-        self._window: window.Window | None = None
         self._is_draining = False
 
     @property
     def level(self) -> int:
         """Calls with a priority above this would be refused now."""
-        return min(self._level.level, self._downstream.minimum)
+        return min(self._meter.level, self._downstream.minimum)
 
     @property
     def limit(self) -> int:
         """Calls that may run at once."""
-        return self._limit.limit
+        return self._meter.limit
 
     @property
     def in_flight(self) -> int:
@@ -98,11 +94,10 @@
         if self._is_draining:
             return self._refuser.refuse_draining()
         self._roll_window(now_s)
-        self._level.count_arrival(ticket.priority)
-        if ticket.deadline_s <= now_s:
-            return self._refuse(now_s, _Reason.DEADLINE_EXPIRED)
-        if self._level.clamp(ticket.priority) > self._get_level(now_s):
-            return self._refuse(now_s, _Reason.OVERLOADED)
+        self._meter.count_arrival(ticket.priority)
+        reason = self._find_reason(now_s, ticket)
+        if reason is not None:
+            return self._refuse(now_s, reason)
         if ticket.is_suspect:
             return self._offer_alone(now_s, ticket)
         if self._has_slot and not self._queue:
@@ -148,9 +143,8 @@
             return
         self._gate.finish(now_s, ticket_id)
         hold_s = now_s - started.started_s
-        self._limit.count(outcome, hold_s, max(hold_s - below_s, 0.0))
-        if self._window is not None:
-            self._window.finished += 1
+        own_s = max(hold_s - below_s, 0.0)
+        self._meter.count_finish(outcome, hold_s, own_s)
         self._roll_window(now_s)
 
     def poll(self, now_s: float) -> list[tuple[str, Decision]]:
@@ -183,11 +177,11 @@
     def set_slots(self, now_s: float, slots: int) -> None:
         """Takes the slots that the backend server announces."""
         self._roll_window(now_s)
-        self._limit.set_slots(slots)
+        self._meter.set_slots(slots)
 
     def set_load_hint(self, now_s: float, load: float) -> None:
         """Takes the load, 0.0 to 1.0, that the backend server reports."""
-        self._limit.set_load_hint(now_s, load)
+        self._meter.set_load_hint(now_s, load)
 
     def set_downstream_level(
         self, now_s: float, service: str, level: int
@@ -209,18 +203,30 @@
             verdict = self._refuser.refuse_draining()
             self._decided.append((waiting.ticket.ticket_id, verdict))
 
+    def _find_reason(
+        self, now_s: float, ticket: ticket_module.Ticket
+    ) -> refusal_reason.RefusalReason | None:
+        if ticket.deadline_s <= now_s:
+            return _Reason.DEADLINE_EXPIRED
+        priority = min(ticket.priority, self._meter.top)
+        if priority > self._downstream.get_minimum(now_s):
+            return _Reason.OVERLOADED
+        if not self._has_slot and priority > self._meter.level:
+            return _Reason.OVERLOADED
+        return None
+
     @property
     def _has_slot(self) -> bool:
         if self._gate.is_closed:
             return False
-        return len(self._running) < self._limit.limit
+        return len(self._running) < self._meter.limit
 
     def _offer_alone(
         self, now_s: float, ticket: ticket_module.Ticket
     ) -> Verdict:
         if not self._gate.can_take(now_s):
             return self._refuse(now_s, _Reason.OVERLOADED)
-        latest_s = ticket.deadline_s - self._limit.hold_s
+        latest_s = ticket.deadline_s - self._meter.hold_s
         longest_s = now_s + self._settings.maximum_alone_wait_s
         expires_s = min(longest_s, latest_s)
         if expires_s < now_s:
@@ -244,79 +250,53 @@
         self._gate.give_up(now_s)
         return [(suspect.ticket_id, self._refuse(now_s, _Reason.OVERLOADED))]
 
-    def _get_level(self, now_s: float) -> int:
-        return min(self._level.level, self._downstream.get_minimum(now_s))
-
     def _start(
         self, now_s: float, ticket: ticket_module.Ticket, arrived_s: float
     ) -> admitted.Admitted:
         waited_s = now_s - arrived_s
         self._running[ticket.ticket_id] = running.Running(ticket, now_s)
-        if self._window is not None:
-            self._window.count_start(waited_s, len(self._running))
+        self._meter.count_start(waited_s, len(self._running))
         return admitted.Admitted(waited_s)
 
     def _refuse(
         self, now_s: float, reason: refusal_reason.RefusalReason
     ) -> refusal.Refusal:
-        capacity_per_s = self._limit.limit / (self._limit.hold_s or 1.0)
-        return self._refuser.refuse(now_s, reason, capacity_per_s)
+        return self._refuser.refuse(now_s, reason, self._meter.capacity_per_s)
 
     def _enqueue(self, now_s: float, ticket: ticket_module.Ticket) -> Verdict:
-        hold_s = self._limit.hold_s
-        ahead = self._queue.count_ahead(ticket.priority) + 1
-        wait_s = ahead * hold_s / self._limit.limit
+        hold_s = self._meter.hold_s
+        ahead = self._queue.count_ahead(ticket.class_rank) + 1
+        wait_s = ahead * hold_s / self._meter.limit
         latest_s = ticket.deadline_s - hold_s
         expires_s = min(now_s + self._settings.maximum_wait_s, latest_s)
         if now_s + wait_s > expires_s:
-            self._count_shed()
+            self._meter.count_shed()
             return self._refuse(now_s, _Reason.OVERLOADED)
         if len(self._queue) >= self._get_queue_bound():
-            self._count_shed()
+            self._meter.count_shed()
             last = self._queue.last
-            if last is None or last.priority <= ticket.priority:
+            if last is None or last.ticket.priority <= ticket.priority:
                 return self._refuse(now_s, _Reason.QUEUE_FULL)
-            self._evict(now_s, last, _Reason.QUEUE_FULL)
+            self._queue.remove(last.ticket.ticket_id)
+            evicted = self._refuse(now_s, _Reason.QUEUE_FULL)
+            self._decided.append((last.ticket.ticket_id, evicted))
         self._queue.push(now_s, ticket, expires_s)
         return queued.Queued(expires_s)
 
     def _get_queue_bound(self) -> int:
-        bound = int(self._settings.queue_per_slot * self._limit.limit)
-        return max(bound, self._settings.minimum_queue)
+        bound = self._settings.queue_per_slot * self._meter.limit
+        if self._meter.capacity_per_s:
+            served = self._settings.maximum_wait_s * self._meter.capacity_per_s
+            bound = min(bound, served)
+        return max(int(bound), self._settings.minimum_queue)
 
     def _drop_hopeless(self, now_s: float) -> None:
         while (waiting := self._queue.pop_expired(now_s)) is not None:
-            self._count_shed()
+            self._meter.count_shed()
             verdict = self._refuse(now_s, _Reason.OVERLOADED)
             self._decided.append((waiting.ticket.ticket_id, verdict))
 
-    def _evict(
-        self,
-        now_s: float,
-        waiting: ticket_queue.Waiting,
-        reason: refusal_reason.RefusalReason,
-    ) -> None:
-        self._queue.remove(waiting.ticket.ticket_id)
-        verdict = self._refuse(now_s, reason)
-        self._decided.append((waiting.ticket.ticket_id, verdict))
-
-    def _count_shed(self) -> None:
-        if self._window is not None:
-            self._window.shed += 1
-
     def _roll_window(self, now_s: float) -> None:
-        if self._window is None:
-            self._window = window.Window(now_s)
-            return
-        elapsed_s = now_s - self._window.began_s
-        if elapsed_s < self._settings.window_s:
-            return
-        ended = self._window
-        self._window = window.Window(now_s)
-        head = self._queue.first
-        head_wait_s = 0.0 if head is None else now_s - head.arrived_s
-        wait_s = max(ended.mean_wait_s, head_wait_s)
-        self._level.end_window(wait_s, ended.shed, ended.finished)
-        for _ in range(min(int(elapsed_s / self._settings.window_s) - 1, 16)):
-            self._level.end_window(0.0, 0, 0)
-        self._limit.end_window(now_s, ended.peak)
+        first = self._queue.first
+        head_wait_s = 0.0 if first is None else now_s - first.arrived_s
+        self._meter.roll(now_s, head_wait_s)
--- a/src/cranberrymux/decisions/admission/shed_level.py
+++ b/src/cranberrymux/decisions/admission/shed_level.py
@@ -3,70 +3,77 @@
 from cranberrymux.decisions.admission import admission_settings
 from cranberrymux.models import request_context
 
-HISTORY_DECAY = 0.7  # Weight of the past when a window ends.
-ADMIT_STEP_DOWN = 0.05  # Share of the admitted calls shed per window.
-FIRST_STEP_UP = 2  # Priorities reopened by the first calm window.
+HISTORY_DECAY = 0.8  # Weight of the past when a window ends.
+HIGH_SHARE = 1.15  # Arrivals above this share of the capacity lower the level.
+LOW_SHARE = 1.05  # Arrivals below this share of the capacity raise it.
+CAUTIOUS_SHARE = 0.3  # Part of the missing arrivals reopened with a queue.
+MINIMUM_STEP = 2  # Fewest priorities reopened in one window.
+MAXIMUM_STEP = 128  # Most priorities reopened in one window.
 
 
 class ShedLevel:
-    """Finds the level from the wait in the queue and what arrives.
+    """Matches what arrives to what the endpoint can finish.
 
-    While calls wait too long, the level falls to where the calls at or below
-    it come to what the endpoint finished. In calm windows it rises by steps
-    that double, so that it is open again within about ten windows.
+    Callers that know the level shed above it before work is spent. The level
+    lets a little more through than the endpoint can finish: the queue, which
+    is in order of priority, chooses among these, so that no slot is idle
+    because the level was a little low.
     """
 
     def __init__(self, settings: admission_settings.AdmissionSettings) -> None:
         """Starts open."""
         self._top = settings.class_ranks * request_context.SHED_HASHES - 1
-        self._target_wait_s = settings.target_wait_s
         self._arrivals = [0.0] * (self._top + 1)
-        self._finished = 0.0
-        self._step = FIRST_STEP_UP
-        self.level = self._top
+        self._seconds = 0.0
+        self._level = self._top
+
+    @property
+    def level(self) -> int:
+        """Calls with a priority above this are refused."""
+        return self._level
 
     @property
     def top(self) -> int:
         """The level that refuses nothing."""
         return self._top
 
-    @property
-    def is_open(self) -> bool:
-        """True if no call is refused for its priority."""
-        return self.level >= self._top
-
-    def clamp(self, priority: int) -> int:
-        """Brings a priority into the range of the level."""
-        return min(max(priority, 0), self._top)
-
     def count_arrival(self, priority: int) -> None:
         """Counts a call that asked to be admitted, whatever became of it."""
         self._arrivals[min(max(priority, 0), self._top)] += 1.0
 
-    def end_window(self, wait_s: float, shed: int, finished: int) -> None:
+    def end_window(
+        self, window_s: float, capacity_per_s: float, has_queue: bool
+    ) -> None:
         """Moves the level.
 
         Args:
-            wait_s: Mean wait of the calls that started in the window.
-            shed: Calls that the full queue or their deadline cost.
-            finished: Calls that the endpoint finished.
+            window_s: Length of the window that ends.
+            capacity_per_s: Calls a second that the endpoint can finish.
+            has_queue: True if calls waited longer than the target or were
+                shed by the queue.
         """
-        self._finished += finished
-        if wait_s > self._target_wait_s or shed:
-            self._lower()
-        elif not self.is_open:
-            self._raise()
+        self._seconds += window_s
+        capacity = capacity_per_s * self._seconds
+        if has_queue and capacity > 0.0:
+            self._lower(HIGH_SHARE * capacity)
+        if self._level < self._top:
+            self._raise(LOW_SHARE * capacity, has_queue)
         self._arrivals = [HISTORY_DECAY * count for count in self._arrivals]
-        self._finished *= HISTORY_DECAY
+        self._seconds *= HISTORY_DECAY
 
-    def _lower(self) -> None:
-        self._step = FIRST_STEP_UP
-        admitted = sum(self._arrivals[: self.level + 1])
-        target = min(self._finished, (1 - ADMIT_STEP_DOWN) * admitted)
-        while self.level > 0 and admitted > target:
-            admitted -= self._arrivals[self.level]
-            self.level -= 1
+    def _lower(self, target: float) -> None:
+        passed = sum(self._arrivals[: self._level + 1])
+        while self._level > 0 and passed > target:
+            passed -= self._arrivals[self._level]
+            self._level -= 1
 
-    def _raise(self) -> None:
-        self.level = min(self.level + self._step, self._top)
-        self._step *= 2
+    def _raise(self, target: float, has_queue: bool) -> None:
+        passed = sum(self._arrivals[: self._level + 1])
+        if passed >= target:
+            return
+        step = MAXIMUM_STEP
+        if passed > 0.0:
+            per_priority = passed / (self._level + 1)
+            share = CAUTIOUS_SHARE if has_queue else 1.0
+            step = int(min(share * (target - passed) / per_priority, step))
+        self._level = min(self._level + max(step, MINIMUM_STEP), self._top)
--- a/src/cranberrymux/decisions/admission/ticket_queue.py
+++ b/src/cranberrymux/decisions/admission/ticket_queue.py
@@ -8,17 +8,17 @@
 
 
 class Waiting(NamedTuple):
-    """One queued ticket; sorts by priority, then by arrival.
+    """One queued ticket; sorts by class, then by arrival.
 
     Attributes:
-        priority: Order of starting; 0 starts first.
-        sequence: Order of arrival.
+        class_rank: Order of starting; 0 starts first.
+        sequence: Order of arrival; unique.
         ticket: The ticket itself.
         arrived_s: When it was queued.
         expires_s: When it is refused at the latest.
     """
 
-    priority: int
+    class_rank: int
     sequence: int
     ticket: ticket_module.Ticket
     arrived_s: float
@@ -26,15 +26,18 @@
 
 
 class TicketQueue:
-    """Queued tickets, the one shed last in front.
+    """Queued tickets in order of class, then of arrival.
 
-    The queue is short (a slot's worth of calls or so), so that a sorted list
-    is faster than a tree.
+    They start in that order, so that within a class no call waits much longer
+    than another, but they are evicted by priority, so that the calls of one
+    request fare alike at every endpoint. The queue is short (a slot's worth of
+    calls or so), so that sorted lists are faster than trees.
     """
 
     def __init__(self) -> None:
         """Makes an empty queue."""
         self._ordered: list[Waiting] = []
+        self._by_priority: list[tuple[int, int, str]] = []
         self._by_id: dict[str, Waiting] = {}
         self._expiries: list[tuple[float, int, str]] = []
         self._sequence = 0
@@ -62,11 +65,13 @@
     @property
     def last(self) -> Waiting | None:
         """The ticket that is shed first."""
-        return self._ordered[-1] if self._ordered else None
+        if not self._by_priority:
+            return None
+        return self._by_id[self._by_priority[-1][2]]
 
-    def count_ahead(self, priority: int) -> int:
+    def count_ahead(self, class_rank: int) -> int:
         """Counts the tickets that would start before a new one."""
-        return bisect.bisect_left(self._ordered, (priority + 1,))
+        return bisect.bisect_left(self._ordered, (class_rank + 1,))
 
     def push(
         self, now_s: float, ticket: ticket_module.Ticket, expires_s: float
@@ -74,9 +79,13 @@
         """Queues a ticket until `expires_s`."""
         self._sequence += 1
         waiting = Waiting(
-            ticket.priority, self._sequence, ticket, now_s, expires_s
+            ticket.class_rank, self._sequence, ticket, now_s, expires_s
         )
         bisect.insort(self._ordered, waiting)
+        bisect.insort(
+            self._by_priority,
+            (ticket.priority, self._sequence, ticket.ticket_id),
+        )
         self._by_id[ticket.ticket_id] = waiting
         heapq.heappush(
             self._expiries, (expires_s, self._sequence, ticket.ticket_id)
@@ -88,6 +97,8 @@
         if waiting is None:
             return None
         del self._ordered[bisect.bisect_left(self._ordered, waiting)]
+        place = (waiting.ticket.priority, waiting.sequence)
+        del self._by_priority[bisect.bisect_left(self._by_priority, place)]
         if not self._ordered:
             self._expiries.clear()
         return waiting
