--- /dev/null
+++ b/src/cranberrymux/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log as a pure core: no sockets, no clock, no disk."""
--- /dev/null
+++ b/src/cranberrymux/consensus/codec.py
@@ -0,0 +1,221 @@
+"""Messages and memberships as bytes, in thrift's binary protocol."""
+
+import enum
+from typing import Any
+from typing import NamedTuple
+
+from thrift import Thrift
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTransport
+
+from cranberrymux.consensus import entry
+from cranberrymux.consensus import member
+from cranberrymux.consensus import membership
+from cranberrymux.consensus import messages
+from cranberrymux.wire.gen.consensus import ttypes
+
+MAX_MESSAGE_BYTES = 1 << 22
+_SIMPLE_KINDS: dict[str, Any] = {
+    "append_answer": messages.AppendAnswer,
+    "vote_request": messages.VoteRequest,
+    "vote_answer": messages.VoteAnswer,
+    "snapshot_answer": messages.SnapshotAnswer,
+}
+_READ_ERRORS = (
+    Thrift.TException,
+    EOFError,
+    ValueError,
+    TypeError,
+    OverflowError,
+    MemoryError,
+)
+
+
+class DecodeFailure(enum.Enum):
+    """Why bytes are not a message.
+
+    Attributes:
+        TOO_LARGE: More than the size limit.
+        MALFORMED: Not thrift's encoding, or a required field is missing.
+        UNKNOWN_KIND: Of a kind that this version does not know.
+    """
+
+    TOO_LARGE = "too-large"
+    MALFORMED = "malformed"
+    UNKNOWN_KIND = "unknown-kind"
+
+
+class DecodeError(NamedTuple):
+    """Sentinel in place of a message.
+
+    Attributes:
+        reason: What is wrong.
+        detail: One line for people.
+    """
+
+    reason: DecodeFailure
+    detail: str
+
+
+def encode_membership(members: membership.Membership) -> bytes:
+    """The payload of a `MEMBERSHIP` entry."""
+    return _write(_membership_struct(members))
+
+
+def decode_membership(data: bytes) -> membership.Membership | DecodeError:
+    """Reads the payload of a `MEMBERSHIP` entry."""
+    struct = _read(ttypes.Membership, data, MAX_MESSAGE_BYTES)
+    if isinstance(struct, DecodeError):
+        return struct
+    try:
+        return _membership_value(struct)
+    except _READ_ERRORS as error:
+        return DecodeError(DecodeFailure.MALFORMED, repr(error))
+
+
+def encode(message: messages.Message) -> bytes:
+    """Turns a message into bytes."""
+    struct = ttypes.Message(
+        message.cluster_id, message.sender, message.recipient, message.term
+    )
+    if isinstance(message, messages.VoteRequest):
+        struct.vote_request = ttypes.VoteRequest(
+            message.pre_vote, message.last_index, message.last_term
+        )
+    elif isinstance(message, messages.VoteAnswer):
+        struct.vote_answer = ttypes.VoteAnswer(
+            message.pre_vote, message.granted
+        )
+    elif isinstance(message, messages.AppendRequest):
+        struct.append_request = ttypes.AppendRequest(
+            message.previous_index,
+            message.previous_term,
+            [ttypes.Entry(*one) for one in message.entries],
+            message.commit_index,
+            message.sent_at_s,
+        )
+    elif isinstance(message, messages.AppendAnswer):
+        struct.append_answer = ttypes.AppendAnswer(*message[4:])
+    elif isinstance(message, messages.SnapshotChunk):
+        struct.snapshot_chunk = ttypes.SnapshotChunk(*message[4:])
+        struct.snapshot_chunk.members = _membership_struct(message.members)
+    else:
+        struct.snapshot_answer = ttypes.SnapshotAnswer(*message[4:])
+    return _write(struct)
+
+
+def decode(
+    data: bytes, max_bytes: int = MAX_MESSAGE_BYTES
+) -> messages.Message | DecodeError:
+    """Reads a message.
+
+    Args:
+        data: Bytes as received.
+        max_bytes: Size limit; longer input is refused unread.
+
+    Returns:
+        The message, or why the bytes are none.
+    """
+    struct = _read(ttypes.Message, data, max_bytes)
+    if isinstance(struct, DecodeError):
+        return struct
+    try:
+        return _message_value(struct)
+    except _READ_ERRORS as error:
+        return DecodeError(DecodeFailure.MALFORMED, repr(error))
+
+
+def _message_value(struct: Any) -> messages.Message | DecodeError:
+    head = (struct.cluster_id, struct.sender, struct.recipient, struct.term)
+    _present(list(head))
+    for name, kind in _SIMPLE_KINDS.items():
+        body = getattr(struct, name)
+        if body is not None:
+            return kind(*head, *_values(body))
+    if struct.append_request is not None:
+        return _append_request_value(head, struct.append_request)
+    if struct.snapshot_chunk is not None:
+        return _snapshot_chunk_value(head, struct.snapshot_chunk)
+    return DecodeError(DecodeFailure.UNKNOWN_KIND, "no known field is set")
+
+
+def _values(struct: Any) -> list[Any]:
+    names = [spec[2] for spec in struct.thrift_spec if spec is not None]
+    return _present([getattr(struct, name) for name in names])
+
+
+def _present(values: list[Any]) -> list[Any]:
+    if any(value is None for value in values):
+        raise ValueError("a required field is missing")
+    return values
+
+
+def _append_request_value(
+    head: tuple[str, str, str, int], struct: Any
+) -> messages.AppendRequest:
+    entries = tuple(_entry_value(*_values(one)) for one in _values(struct)[2])
+    return messages.AppendRequest(
+        *head,
+        struct.previous_index,
+        struct.previous_term,
+        entries,
+        struct.commit_index,
+        struct.sent_at_s,
+    )
+
+
+def _entry_value(
+    index: int, term: int, kind: int, payload: bytes
+) -> entry.Entry:
+    return entry.Entry(index, term, entry.EntryKind(kind), payload)
+
+
+def _snapshot_chunk_value(
+    head: tuple[str, str, str, int], struct: Any
+) -> messages.SnapshotChunk:
+    _values(struct)
+    return messages.SnapshotChunk(
+        *head,
+        struct.log_index,
+        struct.snapshot_term,
+        _membership_value(struct.members),
+        struct.offset,
+        struct.total_bytes,
+        struct.data,
+        struct.sent_at_s,
+    )
+
+
+def _membership_struct(members: membership.Membership) -> Any:
+    listed = [ttypes.Member(*one) for one in members.members]
+    return ttypes.Membership(members.cluster_id, listed)
+
+
+def _membership_value(struct: Any) -> membership.Membership:
+    cluster_id, members = _values(struct)
+    listed = tuple(member.Member(*_values(one)) for one in members)
+    return membership.Membership(cluster_id, listed)
+
+
+def _write(struct: Any) -> bytes:
+    transport = TTransport.TMemoryBuffer()
+    struct.write(TBinaryProtocol.TBinaryProtocolAccelerated(transport))
+    return bytes(transport.getvalue())
+
+
+def _read(kind: Any, data: bytes, max_bytes: int) -> Any:
+    if len(data) > max_bytes:
+        return DecodeError(
+            DecodeFailure.TOO_LARGE, f"{len(data)} bytes, limit {max_bytes}"
+        )
+    transport = TTransport.TMemoryBuffer(data)
+    protocol = TBinaryProtocol.TBinaryProtocolAccelerated(
+        transport, string_length_limit=max_bytes, container_length_limit=65536
+    )
+    struct = kind()
+    try:
+        struct.read(protocol)
+        struct.validate()
+    except _READ_ERRORS as error:
+        return DecodeError(DecodeFailure.MALFORMED, repr(error))
+    return struct
--- /dev/null
+++ b/src/cranberrymux/consensus/sender.py
@@ -0,0 +1,131 @@
+"""Makes a leader's messages to one member."""
+
+from cranberrymux.consensus import entry as entry_module
+from cranberrymux.consensus import journal as journal_module
+from cranberrymux.consensus import messages
+from cranberrymux.consensus import progress as progress_module
+from cranberrymux.consensus import replica_settings
+from cranberrymux.consensus import snapshot as snapshot_module
+
+
+class Sender:
+    """Sends entries, heartbeats and pieces of a snapshot."""
+
+    def __init__(
+        self,
+        settings: replica_settings.ReplicaSettings,
+        journal: journal_module.Journal,
+    ) -> None:
+        """Reads the journal and sends by it."""
+        self._settings = settings
+        self._journal = journal
+
+    def send(
+        self,
+        now_s: float,
+        replica_id: str,
+        known: progress_module.Progress,
+        heartbeat: bool,
+    ) -> None:
+        """Sends what the member may be sent now.
+
+        Args:
+            now_s: The leader's clock.
+            replica_id: The member.
+            known: What is known of the member.
+            heartbeat: True to send also if there is nothing new.
+        """
+        log = self._journal.log
+        if known.sending is None and known.next_index < log.first_index:
+            known.start_snapshot(self._journal.snapshot)
+        if known.sending is None:
+            self.send_entries(now_s, replica_id, known, heartbeat)
+            return
+        if not known.chunk_sent:
+            self._send_chunk(now_s, replica_id, known, known.sending)
+        elif heartbeat:
+            self._send_append(now_s, replica_id, 0, 0, ())
+
+    def has_news(self, known: progress_module.Progress) -> bool:
+        """True if the member lacks entries, or idles without the commit."""
+        if known.next_index <= self._journal.log.last_index:
+            return True
+        if known.in_flight:
+            return False
+        return known.told_commit_index < self._journal.commit_index
+
+    def send_entries(
+        self,
+        now_s: float,
+        replica_id: str,
+        known: progress_module.Progress,
+        heartbeat: bool,
+    ) -> None:
+        """Sends entries, or a heartbeat if there are none to send."""
+        log = self._journal.log
+        previous_index = known.next_index - 1
+        entries: tuple[entry_module.Entry, ...] = ()
+        if known.may_send(self._settings.max_in_flight):
+            entries = log.batch(
+                known.next_index,
+                self._settings.max_append_entries,
+                self._settings.max_append_bytes,
+            )
+        if not entries and not heartbeat and not known.probing:
+            return
+        previous_term = log.term_at(previous_index)
+        if previous_term is None:
+            return
+        known.told_commit_index = self._journal.commit_index
+        if entries or (known.probing and not known.probe_sent):
+            known.note_sent(previous_index + len(entries))
+        self._send_append(
+            now_s, replica_id, previous_index, previous_term, entries
+        )
+
+    def _send_append(
+        self,
+        now_s: float,
+        replica_id: str,
+        previous_index: int,
+        previous_term: int,
+        entries: tuple[entry_module.Entry, ...],
+    ) -> None:
+        self._journal.send(
+            messages.AppendRequest(
+                self._journal.members.cluster_id,
+                self._journal.replica_id,
+                replica_id,
+                self._journal.term,
+                previous_index,
+                previous_term,
+                entries,
+                self._journal.commit_index,
+                now_s,
+            )
+        )
+
+    def _send_chunk(
+        self,
+        now_s: float,
+        replica_id: str,
+        known: progress_module.Progress,
+        whole: snapshot_module.Snapshot,
+    ) -> None:
+        known.chunk_sent = True
+        start = known.sending_offset
+        self._journal.send(
+            messages.SnapshotChunk(
+                self._journal.members.cluster_id,
+                self._journal.replica_id,
+                replica_id,
+                self._journal.term,
+                whole.log_index,
+                whole.term,
+                whole.members,
+                start,
+                len(whole.data),
+                whole.data[start : start + self._settings.chunk_bytes],
+                now_s,
+            )
+        )
--- /dev/null
+++ b/src/cranberrymux/consensus/snapshot.py
@@ -0,0 +1,24 @@
+"""The state at one place of the log."""
+
+from typing import NamedTuple
+
+from cranberrymux.consensus import membership
+
+
+class Snapshot(NamedTuple):
+    """What stands for all entries up to an index.
+
+    Attributes:
+        log_index: Last entry that the snapshot covers.
+        term: Term of that entry.
+        members: Membership in force at that entry.
+        data: Opaque bytes of the state machine.
+    """
+
+    log_index: int
+    term: int
+    members: membership.Membership
+    data: bytes
+
+
+NONE = Snapshot(0, 0, membership.EMPTY, b"")
--- /dev/null
+++ b/src/cranberrymux/storage/folder.py
@@ -0,0 +1,145 @@
+"""An open data folder."""
+
+from collections.abc import Sequence
+
+from cranberrymux.consensus import restored_state
+from cranberrymux.consensus import write as write_module
+from cranberrymux.storage import atomic_file
+from cranberrymux.storage import failure
+from cranberrymux.storage import file_system
+from cranberrymux.storage import folder_content
+from cranberrymux.storage import segmented_log
+from cranberrymux.storage import state_files
+
+
+class Folder:
+    """Makes a replica's writes durable.
+
+    After the first failure every call returns `CLOSED`: what the system kept
+    of a failed write or sync is unknown, so only a new start, which reads the
+    folder again, may go on.
+    """
+
+    def __init__(
+        self,
+        files: file_system.FileSystem,
+        path: str,
+        lock: file_system.Lock,
+        *,
+        replica_id: str,
+        is_new: bool,
+        segment_bytes: int,
+    ) -> None:
+        """Takes a locked folder; see `opening.open_folder`."""
+        self._files = files
+        self._path = path
+        self._lock = lock
+        self._replica_id = replica_id
+        self._is_new = is_new
+        self._log = segmented_log.SegmentedLog(files, path, segment_bytes)
+        self._error: failure.StorageError | None = None
+        self._is_restored = False
+
+    @property
+    def replica_id(self) -> str:
+        """`name@incarnation`, minted when the folder was made."""
+        return self._replica_id
+
+    @property
+    def is_new(self) -> bool:
+        """True if this opening made the folder's identity."""
+        return self._is_new
+
+    def restore(self) -> restored_state.RestoredState | failure.StorageError:
+        """Reads the durable state and cuts a torn tail off; to be called once.
+
+        Returns:
+            The state, or why the folder cannot be used. A damaged record that
+            is known to have been durable is never passed over.
+        """
+        content = folder_content.read(self._files, self._path, self._replica_id)
+        if isinstance(content, failure.StorageError):
+            return self._fail(content)
+        try:
+            self._log.adopt(content.segments)
+            if content.log_is_superseded:
+                self._log.reset()
+        except OSError as error:
+            return self._fail(failure.of_write(self._path, error))
+        self._is_restored = True
+        return content.state
+
+    def apply(
+        self, writes: Sequence[write_module.Write]
+    ) -> failure.StorageError | None:
+        """Makes writes durable, in order, with one sync for plain entries.
+
+        Returns:
+            None once all of them survive a power cut, else why they may not.
+        """
+        if self._error is not None or not self._is_restored:
+            return self._closed()
+        try:
+            for write in writes:
+                error = self._apply_one(write)
+                if error is not None:
+                    return self._fail(error)
+            self._log.sync()
+        except OSError as os_error:
+            return self._fail(failure.of_write(self._path, os_error))
+        return None
+
+    def close(self) -> None:
+        """Gives the folder back to other processes."""
+        if self._error is None:
+            self._error = self._closed()
+        try:
+            self._log.close()
+        finally:
+            self._lock.release()
+
+    def _apply_one(
+        self, write: write_module.Write
+    ) -> failure.StorageError | None:
+        error = None
+        if write.hard_state is not None:
+            error = self._put(
+                state_files.VOTE_NAME,
+                atomic_file.FileKind.VOTE,
+                state_files.encode_vote(write.hard_state),
+            )
+        if error is None and write.snapshot is not None:
+            error = self._put(
+                state_files.SNAPSHOT_NAME,
+                atomic_file.FileKind.SNAPSHOT,
+                state_files.encode_snapshot(write.snapshot),
+            )
+        if error is not None:
+            return error
+        if write.replaces_log:
+            self._log.reset()
+        if write.truncate_from is not None:
+            self._log.truncate(write.truncate_from)
+        self._log.append(write.entries)
+        if write.first_index is not None and not write.replaces_log:
+            self._log.drop_below(write.first_index)
+        return None
+
+    def _put(
+        self, name: str, kind: atomic_file.FileKind, body: bytes
+    ) -> failure.StorageError | None:
+        # Earlier entries first, so that a crash leaves a prefix of the writes.
+        self._log.sync()
+        return atomic_file.write(self._files, self._path, name, kind, body)
+
+    def _fail(self, error: failure.StorageError) -> failure.StorageError:
+        self._error = error
+        return error
+
+    def _closed(self) -> failure.StorageError:
+        detail = "not open"
+        if self._error is not None:
+            detail = f"failed before: {self._error.detail}"
+        return failure.StorageError(
+            failure.StorageFailure.CLOSED, self._path, detail
+        )
--- /dev/null
+++ b/src/cranberrymux/wire/gen/consensus/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
