Send small writes at once and wake the reactor only for due deadlines

Cause: each write registered with the poller and waited a round; the deadline timer ticked 200 times a second.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -14,6 +14,7 @@
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import lost_answer
+from cranberrymux.node.http import prompt_writer
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -66,8 +67,7 @@
         self._is_answer_complete = False
         self._is_started = False
         self._is_interim = False
-        self._tcp.write(data)
-        self._tcp.doWrite()
+        prompt_writer.write_now(self._tcp, data)
 
     def send_body(self, part: bytes) -> None:
         """Sends the next bytes of the request as they go on the wire."""
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -17,6 +17,7 @@
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits
+from cranberrymux.node.http import prompt_writer
 from cranberrymux.node.http import request_head
 
 
@@ -149,8 +150,7 @@
 
     def send(self, data: bytes) -> None:
         """Writes bytes to the client now, the rest when it takes them."""
-        self._tcp.write(data)
-        self._tcp.doWrite()
+        prompt_writer.write_now(self._tcp, data)
 
     def call_answered(
         self, call: inbound_call.InboundCall, keep_alive: bool
--- a/src/cranberrymux/node/program.py
+++ b/src/cranberrymux/node/program.py
@@ -1,6 +1,7 @@
 """Puts the tasks of a node together and runs them."""
 
 from collections.abc import Sequence
+import gc
 import random
 from typing import Any
 
@@ -36,9 +37,9 @@
 from cranberrymux.wire import control_client_settings
 
 _LOOPBACK = "127.0.0.1"
-_DEADLINE_STEP_S = 0.005
 _HOUSEKEEPING_S = 0.1
 _CLOSE_LIMIT_S = 1.0
+_COLLECT_AFTER_OBJECTS = 20_000
 
 _log = structlog.get_logger()
 
@@ -57,7 +58,9 @@
         self._clock = clock.SystemClock()
         seed = settings.seed or random.SystemRandom().getrandbits(64)
         self._generator = random.Random(seed)
-        self._deadlines = deadline_table.DeadlineTable()
+        self._deadlines = deadline_table.DeadlineTable(
+            self._reactor, self._clock
+        )
         self._policy = policy_holder.PolicyHolder()
         self._admission = admission_task.AdmissionTask(
             controller.AdmissionController(
@@ -227,9 +230,9 @@
             "before", "shutdown", self._directory.stop
         )
         self._install_signal_handler()
-        task.LoopingCall(self._run_deadlines).start(_DEADLINE_STEP_S)
         task.LoopingCall(self._keep_house).start(_HOUSEKEEPING_S)
         self._directory.start()
+        _quiet_collector()
         _log.info("node-ready", node_id=settings.node_id)
 
     def _install_signal_handler(self) -> None:
@@ -242,9 +245,6 @@
         signal.signal(signal.SIGTERM, handle)
         signal.signal(signal.SIGINT, handle)
 
-    def _run_deadlines(self) -> None:
-        self._deadlines.run_due(self._clock.now_s())
-
     def _backend_announced(self, backend: backend_server.BackendServer) -> None:
         self._announced_s = self._clock.now_s()
         state = endpoint_state.EndpointState.SERVING
@@ -293,6 +293,13 @@
         )
 
 
+def _quiet_collector() -> None:
+    """Keeps full garbage collections, which pause calls, rare and short."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_AFTER_OBJECTS, 20, 100)
+
+
 def _make_site(resource: Any) -> Any:
     make: Any = web_server.Site
     return make(resource)
