--- /dev/null
+++ b/tests/decisions/retries/test_edge_buckets.py
@@ -0,0 +1,87 @@
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberrymux.decisions.retries import edge_bucket
+from cranberrymux.decisions.retries import edge_buckets
+from cranberrymux.decisions.retries import retry_settings
+from tests.decisions import profiles
+
+NO_FLOOR = retry_settings.RetrySettings(edge_floor_per_s=0.0)
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(["succeed", "take", "take"]),
+        strategies.sampled_from([0.0, 0.01, 1.0, 6.0]),
+        strategies.integers(1, 30),
+    ),
+    max_size=30,
+)
+
+
+def check(steps):
+    bucket = edge_bucket.EdgeBucket(0.0, NO_FLOOR)
+    now_s = 0.0
+    successes = []
+    retries = []
+    for action, wait_s, times in steps:
+        now_s += wait_s
+        for _ in range(times):
+            if action == "succeed":
+                bucket.succeed(now_s)
+                successes.append(now_s)
+            elif bucket.take(now_s):
+                retries.append(now_s)
+        recent = sum(now_s - at_s < 10.0 for at_s in successes)
+        recent_retries = sum(now_s - at_s == 0.0 for at_s in retries)
+        assert len(retries) <= 0.1 * len(successes) + 1e-6
+        assert recent_retries <= 0.1 * recent + 1e-6
+
+
+@profiles.DETERMINISTIC
+@hypothesis.given(STEPS)
+def test_retries_are_a_tenth_of_recent_successes(steps):
+    check(steps)
+
+
+@pytest.mark.parametrize(
+    "settings",
+    [
+        NO_FLOOR._replace(edge_ratio=0.2),
+        NO_FLOOR._replace(edge_window_s=1e9),
+    ],
+    ids=["ratio", "ageing"],
+)
+def test_the_check_fails_without(monkeypatch, settings):
+    monkeypatch.setitem(globals(), "NO_FLOOR", settings)
+
+    @hypothesis.settings(
+        profiles.DETERMINISTIC,
+        max_examples=3000,
+        phases=[hypothesis.Phase.generate],
+    )
+    @hypothesis.given(STEPS)
+    def check_quickly(steps):
+        check(steps)
+
+    with pytest.raises(AssertionError):
+        check_quickly()
+
+
+def test_a_seldom_called_service_has_a_floor():
+    buckets = edge_buckets.EdgeBuckets(retry_settings.RetrySettings())
+    assert buckets.take(0.0, "notes")
+    assert not buckets.take(5.0, "notes")
+    assert buckets.has_retry(10.0, "notes")
+    assert buckets.take(10.0, "notes")
+    assert not buckets.has_retry(10.0, "notes")
+
+
+def test_edges_are_apart_and_bounded():
+    settings = NO_FLOOR._replace(edges_maximum=2)
+    buckets = edge_buckets.EdgeBuckets(settings)
+    for service in ("a", "b"):
+        for _ in range(11):
+            buckets.succeed(0.0, service)
+    assert buckets.take(0.0, "a")
+    buckets.succeed(0.0, "c")
+    assert not buckets.has_retry(0.0, "b")
