--- /dev/null
+++ b/src/cranberrymux/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""How an operator's session reaches the control instances."""
--- /dev/null
+++ b/src/cranberrymux/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/cranberrymux/cli/explain_command.py
@@ -0,0 +1,135 @@
+"""`cranberrymux explain`."""
+
+from typing import Any
+
+from cranberrymux import exceptions
+from cranberrymux import sessions
+from cranberrymux.cli import command
+from cranberrymux.cli import exit_code
+from cranberrymux.cli import files
+from cranberrymux.decisions.configuration import document
+from cranberrymux.decisions.configuration import document_error
+from cranberrymux.decisions.configuration import document_reader
+from cranberrymux.decisions.configuration import policy
+from cranberrymux.decisions.configuration import treatment
+from cranberrymux.decisions.selectors import request_labels
+
+
+def _add_arguments(parser: Any) -> None:
+    parser.add_argument("service", metavar="SERVICE")
+    parser.add_argument("method", metavar="METHOD")
+    parser.add_argument("path", metavar="PATH")
+    parser.add_argument("--principal", default="", metavar="NAME")
+    parser.add_argument(
+        "--file", default="", metavar="FILE", help="explain by this document"
+    )
+
+
+async def _explain(context: command.Context) -> exit_code.ExitCode:
+    arguments = context.arguments
+    if arguments.file:
+        _, parsed = files.read_document(arguments.file)
+        version = 0
+    else:
+        current = await context.session.get()
+        if isinstance(current, sessions.SessionError):
+            return context.printer.print_error(current)
+        parsed = _parse(current)
+        version = current.version
+    labels = request_labels.request_labels(
+        arguments.service,
+        arguments.method.upper(),
+        arguments.path,
+        arguments.principal,
+        {},
+    )
+    decided = policy.Policy(parsed, version).decide(labels)
+    endpoints = await _judge_endpoints(context, decided)
+    missed = {
+        rule.name: str(rule.match.explain(labels))
+        for rule in parsed.selectors
+        if rule.name not in decided.selectors
+    }
+    value = {
+        **decided._asdict(),
+        "places": [str(one) for one in decided.places],
+        "not_matched": missed,
+        "endpoints": endpoints,
+        "version": version,
+    }
+    context.printer.print_result(value, _format(decided, missed, endpoints))
+    return exit_code.ExitCode.OK
+
+
+def _parse(current: sessions.Configuration) -> document.Document:
+    parsed = document_reader.parse(current.document)
+    if isinstance(parsed, document_error.DocumentError):
+        raise exceptions.SettingsError(
+            f"version {current.version}",
+            parsed.line,
+            parsed.key,
+            parsed.expected,
+        )
+    return parsed
+
+
+async def _judge_endpoints(
+    context: command.Context, decided: treatment.Treatment
+) -> dict[str, str]:
+    judged = {}
+    for answer in await context.session.status():
+        if answer.status is None:
+            continue
+        for one in answer.status["endpoints"]:
+            if one["service"] == context.arguments.service:
+                judged[one["endpoint_id"]] = _judge(one, decided)
+    return dict(sorted(judged.items()))
+
+
+def _judge(endpoint: dict[str, Any], decided: treatment.Treatment) -> str:
+    if endpoint["state"] != "serving":
+        return f"no: it is {endpoint['state']}"
+    labels = {
+        **endpoint["labels"],
+        "service": endpoint["service"],
+        "endpoint": endpoint["endpoint_id"],
+        "region": endpoint["region"],
+        "zone": endpoint["zone"],
+    }
+    for place in decided.places:
+        mismatch = place.explain(labels)
+        if mismatch is not None:
+            return f"no: {mismatch}"
+    return "may run it"
+
+
+def _format(
+    decided: treatment.Treatment,
+    missed: dict[str, str],
+    endpoints: dict[str, str],
+) -> str:
+    reason = decided.class_selector or "the default class"
+    lines = [
+        f"class       {decided.class_name} (rank {decided.class_rank}), "
+        f"by {reason}",
+        f"once only   {decided.once_only}",
+        f"idempotent  {decided.idempotent}",
+        f"strict      {decided.strict}",
+        f"retries     {decided.retry_budget}",
+        f"timeout     {decided.timeout_ms} ms",
+        *(f"place       {one}" for one in decided.places),
+        *(f"selector    {one}: matches" for one in decided.selectors),
+        *(f"selector    {key}: no: {one}" for key, one in missed.items()),
+        *(f"endpoint    {key}: {one}" for key, one in endpoints.items()),
+    ]
+    return "\n".join(lines)
+
+
+EXPLAIN = command.Command(
+    "explain",
+    "show how a request would be treated, and why",
+    "  cranberrymux explain crew-dispatch POST /dispatches\n"
+    "  cranberrymux explain --file new.yaml leak-notes GET /notes/7",
+    _add_arguments,
+    _explain,
+)
--- /dev/null
+++ b/src/cranberrymux/cli/printer.py
@@ -0,0 +1,59 @@
+"""Output for people or for scripts."""
+
+from collections.abc import Sequence
+import json
+import sys
+from typing import Any
+
+from cranberrymux import sessions
+from cranberrymux.cli import exit_code
+
+_EXIT_CODES = {
+    sessions.SessionErrorReason.UNREACHABLE: exit_code.ExitCode.UNREACHABLE,
+    sessions.SessionErrorReason.WRONG_TOKEN: exit_code.ExitCode.WRONG_TOKEN,
+    sessions.SessionErrorReason.NOT_FOUND: exit_code.ExitCode.NOT_FOUND,
+    sessions.SessionErrorReason.INVALID: exit_code.ExitCode.INVALID,
+}
+
+
+class Printer:
+    """Writes results to standard output and remarks to standard error."""
+
+    def __init__(self, is_json: bool) -> None:
+        """Chooses JSON or text."""
+        self._is_json = is_json
+
+    @property
+    def is_json(self) -> bool:
+        """True if standard output takes one JSON value."""
+        return self._is_json
+
+    def print_result(self, value: Any, text: str) -> None:
+        """Writes the value as JSON, or the text."""
+        if self._is_json:
+            print(json.dumps(value, indent=2))
+        elif text:
+            print(text)
+
+    def print_remark(self, text: str) -> None:
+        """Writes a line for people."""
+        print(text, file=sys.stderr, flush=True)
+
+    def print_error(self, error: sessions.SessionError) -> exit_code.ExitCode:
+        """Writes an error; returns its exit code."""
+        self.print_remark(f"{error.reason.value}: {error.detail}")
+        return _EXIT_CODES[error.reason]
+
+
+def format_table(heads: Sequence[str], rows: Sequence[Sequence[Any]]) -> str:
+    """Returns rows in columns under their heads."""
+    lines = [list(heads), *([str(cell) for cell in row] for row in rows)]
+    widths = [
+        max(len(line[index]) for line in lines) for index in range(len(heads))
+    ]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
--- /dev/null
+++ b/src/cranberrymux/cli/read_command.py
@@ -0,0 +1,158 @@
+"""`cranberrymux get`, `history`, `diff`, `validate` and `drain`."""
+
+import argparse
+import datetime
+from typing import Any
+
+from cranberrymux import exceptions
+from cranberrymux import sessions
+from cranberrymux.cli import command
+from cranberrymux.cli import exit_code
+from cranberrymux.cli import files
+from cranberrymux.cli import printer as printer_module
+from cranberrymux.decisions.configuration import change_record
+from cranberrymux.decisions.configuration import difference
+
+
+def _add_get_arguments(parser: Any) -> None:
+    parser.add_argument(
+        "--version", type=int, default=None, metavar="VERSION", dest="number"
+    )
+
+
+async def _get(context: command.Context) -> exit_code.ExitCode:
+    found = await context.session.get(context.arguments.number)
+    if isinstance(found, sessions.SessionError):
+        return context.printer.print_error(found)
+    context.printer.print_result(found._asdict(), found.document.rstrip("\n"))
+    if not context.printer.is_json:
+        context.printer.print_remark(f"version {found.version}")
+    return exit_code.ExitCode.OK
+
+
+def _add_history_arguments(parser: Any) -> None:
+    parser.add_argument("--limit", type=int, default=20, metavar="COUNT")
+    parser.add_argument(
+        "--diff", action="store_true", help="show what each change moved"
+    )
+
+
+async def _history(context: command.Context) -> exit_code.ExitCode:
+    found = await context.session.history(context.arguments.limit)
+    if isinstance(found, sessions.SessionError):
+        return context.printer.print_error(found)
+    rows = [_row(one) for one in found]
+    heads = ("VERSION", "WHEN", "WHO", "CHANGE", "ROLLBACK OF")
+    text = printer_module.format_table(heads, rows)
+    if context.arguments.diff:
+        text = "\n\n".join([text, *(one.difference for one in found)])
+    context.printer.print_result([one._asdict() for one in found], text)
+    return exit_code.ExitCode.OK
+
+
+def _row(record: change_record.ChangeRecord) -> tuple[Any, ...]:
+    when = datetime.datetime.fromtimestamp(record.at_ms / 1000, datetime.UTC)
+    return (
+        record.version,
+        when.isoformat(timespec="seconds"),
+        record.author,
+        record.change_id,
+        record.rollback_of or "",
+    )
+
+
+def _add_file_argument(parser: Any) -> None:
+    parser.add_argument("file", metavar="FILE", help="YAML; - for input")
+
+
+async def _diff(context: command.Context) -> exit_code.ExitCode:
+    text, _ = files.read_document(context.arguments.file)
+    current = await context.session.get()
+    if isinstance(current, sessions.SessionError):
+        return context.printer.print_error(current)
+    shown = difference.compute(
+        current.document,
+        text,
+        f"version {current.version}",
+        context.arguments.file,
+    )
+    value = {"version": current.version, "difference": shown}
+    context.printer.print_result(value, shown)
+    if shown:
+        return exit_code.ExitCode.DIFFERENT
+    return exit_code.ExitCode.OK
+
+
+def _validate(
+    arguments: argparse.Namespace, printer: printer_module.Printer
+) -> exit_code.ExitCode:
+    try:
+        _, parsed = files.read_document(arguments.file)
+    except exceptions.SettingsError as error:
+        value = {
+            "valid": False,
+            "line": error.line,
+            "key": error.key,
+            "expected": error.expected,
+        }
+        printer.print_result(value, "")
+        printer.print_remark(str(error))
+        return exit_code.ExitCode.INVALID
+    text = (
+        f"valid: {len(parsed.classes)} classes, "
+        f"{len(parsed.selectors)} selectors, {len(parsed.services)} services"
+    )
+    printer.print_result({"valid": True}, text)
+    return exit_code.ExitCode.OK
+
+
+def _add_drain_arguments(parser: Any) -> None:
+    parser.add_argument("node", metavar="NODE", help="name of the node")
+
+
+async def _drain(context: command.Context) -> exit_code.ExitCode:
+    found = await context.session.drain(context.arguments.node)
+    if isinstance(found, sessions.SessionError):
+        return context.printer.print_error(found)
+    value = {"node_id": context.arguments.node, "told_by": found}
+    context.printer.print_result(
+        value, f"{context.arguments.node}: told by {found} control instances"
+    )
+    return exit_code.ExitCode.OK
+
+
+GET = command.Command(
+    "get",
+    "show the configuration",
+    "  cranberrymux get > cascade.yaml\n  cranberrymux get --version 40",
+    _add_get_arguments,
+    _get,
+)
+HISTORY = command.Command(
+    "history",
+    "show who changed what and when",
+    "  cranberrymux history --limit 5 --diff",
+    _add_history_arguments,
+    _history,
+)
+DIFF = command.Command(
+    "diff",
+    "compare a file with the configuration",
+    "  cranberrymux diff cascade.yaml",
+    _add_file_argument,
+    _diff,
+)
+VALIDATE = command.Command(
+    "validate",
+    "check a file; asks no control instance",
+    "  cranberrymux validate cascade.yaml",
+    _add_file_argument,
+    run_offline=_validate,
+)
+DRAIN = command.Command(
+    "drain",
+    "let a node's backend server take no new work",
+    "  cranberrymux drain leak-notes-3",
+    _add_drain_arguments,
+    _drain,
+)
--- a/src/cranberrymux/control/change_body.py
+++ b/src/cranberrymux/control/change_body.py
@@ -59,6 +59,8 @@
     for key in ("change_id", "author"):
         if not 0 < len(values[key]) <= MAXIMUM_NAME_LENGTH:
             return _fail(key, f"a text of 1 to {MAXIMUM_NAME_LENGTH}")
+    if not values["document"].strip():
+        return _fail("document", "a text that is not empty")
     for key in ("base_version", "rollback_of"):
         if type(values.setdefault(key, 0)) is not int or values[key] < 0:
             return _fail(key, "a whole number of at least 0")
--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -12,6 +12,7 @@
 from cranberrymux.control import control_settings
 from cranberrymux.control import counters
 from cranberrymux.control import state_machine
+from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.directory import node_table
 from cranberrymux.decisions.directory import table
 from cranberrymux.wire import convert
@@ -106,6 +107,8 @@
         """Commits a claim and answers what the ledger says."""
         self._check(key)
         self.counters.claims += 1
+        if self._log.role() == "leader":
+            await self._abandon(request)
         answer = await self._log.propose(ttypes.Command(at_ms=0, claim=request))
         return _claim_answer(answer)
 
@@ -135,9 +138,8 @@
     async def propose(self, key: str, command: Any) -> Any:
         """Commits what another control instance passes on, if it leads."""
         self._check(key)
-        abandoned = self._find_abandoned(command)
-        if abandoned is not None:
-            await self._log.propose_here(abandoned)
+        if command.claim is not None:
+            await self._abandon(command.claim)
         return await self._log.propose_here(command)
 
     def deliver(self, key: str, message: Any) -> None:
@@ -176,8 +178,38 @@
                     state=record.state.name.lower(),
                 )
 
-    def _find_abandoned(self, command: Any) -> Any:
-        return None
+    async def _abandon(self, request: Any) -> None:
+        """Commits that a running claim's owner ended, if that is known."""
+        key = (request.request_id, request.call_id)
+        entry = self._machine.claims.find(key)
+        if entry is None or entry.state is not claim_entry.ClaimState.RUNNING:
+            return
+        owner = entry.claim.owner
+        incarnation = entry.claim.owner_incarnation
+        if not self._has_ended(owner, incarnation):
+            return
+        self._events.warning(
+            "claim-abandoned",
+            request_id=request.request_id,
+            call_id=request.call_id,
+            owner=owner,
+        )
+        abandon = ttypes.AbandonRequest(
+            request_id=request.request_id,
+            call_id=request.call_id,
+            owner=owner,
+            owner_incarnation=incarnation,
+        )
+        await self._log.propose_here(ttypes.Command(at_ms=0, abandon=abandon))
+
+    def _has_ended(self, owner: str, incarnation: int) -> bool:
+        if self.nodes.is_replaced(owner, incarnation):
+            return True
+        self.tick()
+        now_s = self._now_s()
+        if not self.directory.is_complete(now_s):
+            return False
+        return self.nodes.is_expired(owner, incarnation, now_s)
 
 
 def _claim_answer(answer: Any) -> Any:
--- a/src/cranberrymux/decisions/configuration/document_reader.py
+++ b/src/cranberrymux/decisions/configuration/document_reader.py
@@ -18,6 +18,7 @@
 from cranberrymux.settings import loader
 
 MAXIMUM_DOCUMENT_BYTES = 262_144
+MAXIMUM_DEPTH = 8
 EMPTY_DOCUMENT = "classes:\n  - name: default\n    protected: true\n"
 
 
@@ -63,8 +64,19 @@
         return document_error.DocumentError(
             1, "(file)", f"at most {MAXIMUM_DOCUMENT_BYTES} bytes"
         )
+    depth = 0
     try:
+        # The events come one by one, so that deep nesting is met before the
+        # scanner's time, which grows with the square of the depth, matters.
         for event in yaml.parse(text, Loader=yaml.SafeLoader):
+            if isinstance(event, yaml.CollectionStartEvent):
+                depth += 1
+            elif isinstance(event, yaml.CollectionEndEvent):
+                depth -= 1
+            if depth > MAXIMUM_DEPTH:
+                return document_error.DocumentError(
+                    _line_of(event), "(file)", "less nesting"
+                )
             if isinstance(event, yaml.AliasEvent):
                 return document_error.DocumentError(
                     _line_of(event), "(file)", "no YAML aliases"
@@ -73,8 +85,6 @@
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark else 1
         return document_error.DocumentError(line, "(file)", "valid YAML")
-    except RecursionError:
-        return document_error.DocumentError(1, "(file)", "less nesting")
     return None
 
 
--- a/src/cranberrymux/decisions/directory/node_table.py
+++ b/src/cranberrymux/decisions/directory/node_table.py
@@ -36,15 +36,17 @@
             if found.expires_s > now_s
         ]
 
-    def has_ended(self, node_id: str, incarnation: int, now_s: float) -> bool:
-        """True if a node's incarnation is known to be over.
+    def is_replaced(self, node_id: str, incarnation: int) -> bool:
+        """True if a later incarnation of the node was heard of."""
+        known = self._nodes.get(node_id)
+        return known is not None and known.incarnation > incarnation
 
-        A node that never sent a heartbeat here is not known to be over.
-        """
+    def is_expired(self, node_id: str, incarnation: int, now_s: float) -> bool:
+        """True if this incarnation was heard of and its lease has ended."""
         known = self._nodes.get(node_id)
-        if known is None or known.incarnation < incarnation:
+        if known is None or known.incarnation != incarnation:
             return False
-        return known.incarnation > incarnation or known.expires_s <= now_s
+        return known.expires_s <= now_s
 
     def request_drain(self, node_id: str, now_s: float) -> bool:
         """Asks for the drain of a node's present incarnation.
--- /dev/null
+++ b/tests/decisions/claims/test_suspect_ledger.py
@@ -0,0 +1,34 @@
+"""Deaths are counted once, over all nodes, and forgotten in time."""
+
+import json
+
+from cranberrymux.decisions.claims import suspect_ledger
+
+
+def test_counts_each_death_once():
+    ledger = suspect_ledger.SuspectLedger()
+    assert ledger.report("poison", "a 1", 0) == 1
+    assert ledger.report("poison", "a 1", 0) == 1
+    assert ledger.report("poison", "b 1", 0) == 2
+    assert ledger.count("poison") == 2
+    assert ledger.count("other") == 0
+
+
+def test_forgets_in_time_and_under_pressure(monkeypatch):
+    monkeypatch.setattr(suspect_ledger, "MAXIMUM_FINGERPRINTS", 3)
+    ledger = suspect_ledger.SuspectLedger()
+    for number in range(5):
+        ledger.report(str(number), "a 1", number)
+    assert [ledger.count(str(number)) for number in range(5)] == [0, 0, 1, 1, 1]
+    ledger.report("new", "a 1", suspect_ledger.RETENTION_MS + 4)
+    assert ledger.count("3") == 0
+    assert ledger.count("4") == 1
+
+
+def test_survives_a_snapshot():
+    ledger = suspect_ledger.SuspectLedger()
+    ledger.report("poison", "a 1", 5)
+    copy = suspect_ledger.SuspectLedger()
+    copy.restore(json.loads(json.dumps(ledger.dump())))
+    assert copy.report("poison", "a 1", 6) == 1
+    assert copy.report("poison", "b 1", 6) == 2
--- /dev/null
+++ b/tests/decisions/configuration/test_document_reader.py
@@ -0,0 +1,109 @@
+"""Documents are checked as a whole; errors give line, key, expectation."""
+
+import pytest
+
+from cranberrymux.decisions.configuration import document
+from cranberrymux.decisions.configuration import document_error
+from cranberrymux.decisions.configuration import document_reader
+
+CASCADE = """\
+classes:
+  - name: live
+    protected: true
+  - name: upload
+default_class: upload
+default_timeout_ms: 4000
+services:
+  - name: crew-dispatch
+    retry_budget: 1
+    limit_cap: 70
+  - name: leak-notes
+    timeout_ms: 800
+selectors:
+  - name: dispatches
+    match: service = crew-dispatch, method = POST
+    class: live
+    once_only: true
+    strict: true
+  - name: lookups
+    match: method = GET
+    class: live
+    idempotent: true
+    place: zone in (a, b)
+"""
+
+
+def test_reads_a_whole_document():
+    parsed = document_reader.parse(CASCADE)
+    assert isinstance(parsed, document.Document)
+    assert [one.name for one in parsed.classes] == ["live", "upload"]
+    assert parsed.default_class_rank == 1
+    assert parsed.service("crew-dispatch").retry_budget == 1
+    assert parsed.service("crew-dispatch").timeout_ms == 4000
+    assert parsed.service("leak-notes").timeout_ms == 800
+    assert parsed.service("other").retry_budget == 3
+    assert parsed.selectors[0].once_only
+    assert parsed.selectors[1].place is not None
+
+
+def test_version_0_has_one_class():
+    parsed = document_reader.parse("")
+    assert isinstance(parsed, document.Document)
+    assert parsed.default_class_rank == 0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "key", "expected"),
+    [
+        ("class: live\n    once", "class: lime\n    once", 16,
+         "selectors[0].class", "one of the classes live, upload"),
+        ("(a, b)", "(a, b", 23, "selectors[1].place", "at column"),
+        ("method = GET", "method == GET", 20, "selectors[1].match", "column"),
+        ("name: upload", "name: live", 4, "classes[1].name", "once only"),
+        ("name: lookups", "name: dispatches", 19, "selectors[1].name", "once"),
+        ("default_class: upload", "default_class: x", 5, "default_class",
+         "one of the classes"),
+        ("strict: true", "idempotent: true", 18, "selectors[0].idempotent",
+         "false where once_only"),
+        ("retry_budget: 1", "retry_budget: -1", 9, "services[0].retry_budget",
+         "from 0 to 100"),
+        ("limit_cap", "limit", 10, "services[0].limit", "one of the keys"),
+        ("timeout_ms: 800", "timeout_ms: 1s", 12, "services[1].timeout_ms",
+         "milliseconds"),
+        ("protected: true", "protected: 1", 3, "classes[0].protected",
+         "true or false"),
+        ("services:", "services: &a", 0, "", ""),
+        ("zone in (a, b)", "[", 24, "(file)", "valid YAML"),
+    ],
+)  # fmt: skip
+def test_names_line_key_and_expectation(old, new, line, key, expected):
+    assert old in CASCADE
+    found = document_reader.parse(CASCADE.replace(old, new))
+    if not line:
+        assert isinstance(found, document.Document)
+        return
+    assert isinstance(found, document_error.DocumentError)
+    assert (found.line, found.key) == (line, key)
+    assert expected in found.expected
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("classes: []\n", "at least 1 items"),
+        ("- 1\n", "a map of keys"),
+        ("a: &x [1]\nb: [*x, *x]\n", "no YAML aliases"),
+        ("[" * 100_000, "less nesting"),
+        ("#" * 262_145, "at most 262144 bytes"),
+        ("classes:\n  - name: a\n" + "selectors: 5\n", "list of maps"),
+        ("classes:\n" + "".join(f"  - name: c{n}\n" for n in range(17)),
+         "at most 16 items"),
+        ("\x00", "valid YAML"),
+        ("classes: !!python/object:os.system x", "list of maps"),
+    ],
+)  # fmt: skip
+def test_refuses_what_is_not_a_document(text, expected):
+    found = document_reader.parse(text)
+    assert isinstance(found, document_error.DocumentError)
+    assert expected in found.expected
+    assert str(found).startswith(f"{found.line}: {found.key}: expected ")
