--- a/src/cranberrymux/report/plots.py
+++ b/src/cranberrymux/report/plots.py
@@ -84,9 +84,7 @@
 
 
 def _place_legend(axes: Any) -> None:
-    axes.legend(
-        loc="lower left", bbox_to_anchor=(0, 1), ncols=4, frameon=False
-    )
+    axes.legend(loc="lower left", bbox_to_anchor=(0, 1), ncols=4, frameon=False)
 
 
 def _draw_answers(
--- /dev/null
+++ b/tests/decisions/burn/test_evaluation.py
@@ -0,0 +1,179 @@
+"""Burn rates, the budget and its projected end."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberrymux.decisions.burn import alert_window
+from cranberrymux.decisions.burn import burn_status
+from cranberrymux.decisions.burn import evaluation
+from cranberrymux.decisions.burn import objective
+from cranberrymux.decisions.burn import outcome_series
+from cranberrymux.decisions.burn import tally
+
+Status = burn_status.BurnStatus
+
+HOUR_S = 3600
+DAY_S = 24 * HOUR_S
+NOW_S = 1_000 * DAY_S - 1
+SLO = objective.Objective("s", "c", 0.999, 30 * DAY_S)
+
+
+def _series(*parts):
+    """Each part: (begin, end, bad share); ages in s; 10,000 answers in 10 s."""
+    series = outcome_series.OutcomeSeries()
+    for begin_s, end_s, bad_share in parts:
+        for age_s in range(end_s, begin_s, 10):
+            good = round(10_000 * (1 - bad_share))
+            series.add(NOW_S - age_s, good, 10_000)
+    return series
+
+
+def _evaluate(series, slo=SLO, windows=alert_window.DEFAULTS):
+    return evaluation.evaluate(slo, series, windows, NOW_S)
+
+
+@pytest.mark.parametrize(
+    ("good", "total", "rate"),
+    [
+        (0, 0, 0),
+        (1000, 1000, 0),
+        (999, 1000, 1),
+        (9856, 10000, 14.4),
+        (0, 5, 1000),
+    ],
+)
+def test_burn_rate_is_the_bad_share_over_the_share_allowed(good, total, rate):
+    assert evaluation.burn_rate(SLO, tally.Tally(good, total)) == rate
+
+
+def test_a_rate_of_one_uses_the_budget_up_in_the_window():
+    result = _evaluate(_series((30 * DAY_S, 0, 0.001)))
+    assert result.budget_left == 0
+    assert result.status is Status.EXHAUSTED
+    assert result.exhaustion_s == 0
+
+
+@pytest.mark.parametrize(
+    ("bad_share", "minutes", "is_burning"),
+    [
+        (0.0144, 60, True),
+        (0.014, 60, False),
+        (1, 1, True),
+        (0.5, 1, False),
+    ],
+)
+def test_both_windows_must_reach_the_threshold(bad_share, minutes, is_burning):
+    series = _series(
+        (10 * DAY_S, 60 * minutes, 0), (60 * minutes, 0, bad_share)
+    )
+    result = _evaluate(series, windows=(alert_window.DEFAULTS[0],))
+    assert result.windows[0].is_burning is is_burning
+    expected = Status.BURNING if is_burning else Status.WITHIN
+    assert result.status is expected
+
+
+def test_a_burn_that_is_over_is_not_told():
+    # 14.4 times over the last hour, none in the last 5 minutes.
+    series = _series((DAY_S, 900, 0), (900, 300, 0.9), (300, 0, 0))
+    window = _evaluate(series).windows[0]
+    assert window.long_rate > 14.4
+    assert window.short_rate == 0
+    assert not window.is_burning
+
+
+def test_few_answers_tell_no_burn():
+    series = outcome_series.OutcomeSeries()
+    series.add(NOW_S, 0, 4)
+    for least, is_burning in ((4, True), (5, False)):
+        window = alert_window.AlertWindow(3600, 300, 14.4, least)
+        result = _evaluate(series, windows=(window,))
+        assert result.windows[0].is_burning is is_burning
+
+
+def test_without_answers_there_is_no_data():
+    result = _evaluate(_series())
+    assert result.status is Status.NO_DATA
+    assert (result.budget_left, result.exhaustion_s) == (1, None)
+
+
+def test_answers_outside_the_window_do_not_count():
+    series = _series((31 * DAY_S, 30 * DAY_S, 1), (30 * DAY_S, 0, 0))
+    series.add(NOW_S + 10, 0, 1000)
+    result = _evaluate(series)
+    assert result.tally.bad == 0
+    assert result.covered_s == 30 * DAY_S
+    assert result.budget_left == 1
+
+
+def test_a_new_service_pays_a_bad_minute_as_a_minute():
+    # The budget of 30 days is 2592 s of bad answers.
+    result = _evaluate(_series((60, 0, 1)))
+    assert result.covered_s == 60
+    assert result.budget_left == pytest.approx(1 - 60 / 2592)
+    assert result.exhaustion_s == pytest.approx(2592 - 60)
+
+
+def test_projects_the_end_at_the_present_pace():
+    # A rate of 14.4 for an hour spends 2% of 30 days; 50 h spend all.
+    series = _series((30 * DAY_S, HOUR_S, 0), (HOUR_S, 0, 0.0144))
+    result = _evaluate(series)
+    assert result.budget_left == pytest.approx(0.98, abs=1e-3)
+    assert result.exhaustion_s == pytest.approx(49 * HOUR_S, rel=0.01)
+
+
+def test_no_end_while_old_answers_leave_as_fast_as_new_ones_come():
+    assert _evaluate(_series((30 * DAY_S, 0, 0))).exhaustion_s is None
+    series = _series((15 * DAY_S, 0, 0.0005))
+    slo = SLO._replace(window_s=15 * DAY_S, target_share=0.998)
+    assert _evaluate(series, slo).exhaustion_s is None
+
+
+def test_a_rate_below_one_ends_a_budget_that_is_nearly_spent():
+    # 98% spent in one outage 10 days ago, then a rate of 0.9.
+    slo = SLO._replace(target_share=0.99)
+    spent_s = round(30 * DAY_S * 0.01 * 0.7) // 10 * 10
+    series = _series(
+        (30 * DAY_S, 10 * DAY_S + spent_s, 0),
+        (10 * DAY_S + spent_s, 10 * DAY_S, 1),
+        (10 * DAY_S, 0, 0.009),
+    )
+    result = _evaluate(series, slo)
+    assert 0 < result.budget_left < 0.01
+    assert result.windows[0].long_rate == pytest.approx(0.9)
+    assert 0 < result.exhaustion_s < DAY_S
+
+
+@hypothesis.settings(derandomize=True, database=None, max_examples=60)
+@hypothesis.given(
+    answers=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 500),
+            strategies.integers(0, 9),
+            strategies.integers(0, 9),
+        ),
+        max_size=40,
+    ),
+    begin_s=strategies.integers(-20, 520),
+    length_s=strategies.integers(-20, 300),
+)
+def test_a_series_counts_whole_buckets(answers, begin_s, length_s):
+    series = outcome_series.OutcomeSeries()
+    for second, good, bad in answers:
+        series.add(second, good, good + bad)
+    counted = [
+        (good, bad)
+        for second, good, bad in answers
+        if begin_s <= second // 10 * 10 < begin_s + length_s
+    ]
+    got = series.within(begin_s, begin_s + length_s)
+    assert got.good == sum(good for good, _ in counted)
+    assert got.bad == sum(bad for _, bad in counted)
+
+
+def test_an_objective_covers_by_name_or_star():
+    assert SLO.covers("s", "c")
+    assert not SLO.covers("s", "d")
+    assert not SLO.covers("t", "c")
+    assert SLO._replace(service="*").covers("t", "c")
+    assert SLO._replace(class_name="*").covers("s", "d")
--- /dev/null
+++ b/tests/telemetry/test_logs.py
@@ -0,0 +1,116 @@
+"""Log lines: shape, repeats, secrets."""
+
+import io
+import json
+import pathlib
+
+import pytest
+import structlog
+from twisted import logger as twisted_logger
+from twisted.python import failure
+
+from cranberrymux.telemetry import event
+from cranberrymux.telemetry import logs
+from cranberrymux.telemetry import redaction
+from cranberrymux.telemetry import repeat_limiter
+from cranberrymux.telemetry import twisted_bridge
+
+
+@pytest.fixture
+def lines():
+    stream = io.StringIO()
+    logs.configure("test", stream)
+    yield lambda: [json.loads(one) for one in stream.getvalue().splitlines()]
+    structlog.reset_defaults()
+
+
+def test_a_line_has_time_event_binary_and_level(lines):
+    structlog.get_logger().info(event.Event.NODE_READY, port=1)
+    (line,) = lines()
+    assert line.pop("time").endswith("Z")
+    assert line == {
+        "event": "node-ready",
+        "binary": "test",
+        "level": "info",
+        "port": 1,
+    }
+
+
+def test_secrets_and_bodies_are_redacted_at_any_depth(lines):
+    structlog.get_logger().info(
+        event.Event.FAULT,
+        cluster_key="s3cret",
+        token="s3cret",
+        body="s3cret",
+        headers={"Cranberrymux-Key": "s3cret", "Authorization": "s3cret"},
+        calls=[{"password": "s3cret"}],
+        data=b"s3cret",
+        token_file="/x",
+        body_bytes=6,
+        long="x" * 5000,
+    )
+    (line,) = lines()
+    assert "s3cret" not in json.dumps(line)
+    assert line["headers"]["Cranberrymux-Key"] == redaction.REDACTED
+    assert (line["token_file"], line["body_bytes"]) == ("/x", 6)
+    assert line["data"] == "6 bytes"
+    assert len(line["long"]) < 2010
+
+
+def test_a_closed_stream_harms_nothing():
+    stream = io.StringIO()
+    logs.configure("test", stream)
+    stream.close()
+    structlog.get_logger().info(event.Event.FAULT)
+    structlog.reset_defaults()
+
+
+def test_faults_that_twisted_logs_become_lines(lines):
+    fault = failure.Failure(ValueError("broken"))
+    twisted_bridge.observe(
+        {"log_level": twisted_logger.LogLevel.info, "log_format": "quiet"}
+    )
+    twisted_bridge.observe(
+        {
+            "log_level": twisted_logger.LogLevel.critical,
+            "log_format": "Unhandled",
+            "log_failure": fault,
+        }
+    )
+    (line,) = lines()
+    assert (line["event"], line["error"]) == ("library-fault", "broken")
+
+
+def _limit(limiter, name, **fields):
+    try:
+        return limiter(None, "info", {"event": name, **fields})
+    except structlog.DropEvent:
+        return None
+
+
+def test_repeats_are_dropped_and_told():
+    now_s = [0.0]
+    limiter = repeat_limiter.RepeatLimiter(lambda: now_s[0], 2, 10.0)
+    passed = [_limit(limiter, "a") for _ in range(5)]
+    assert [one is not None for one in passed] == [True, True] + [False] * 3
+    assert _limit(limiter, "b") is not None
+    assert _limit(limiter, "a", reason="other") is not None
+    now_s[0] = 9.9
+    assert _limit(limiter, "a") is None
+    now_s[0] = 10.0
+    assert _limit(limiter, "a")["repeats_dropped"] == 4
+    assert "repeats_dropped" not in _limit(limiter, "a")
+
+
+def test_series_are_bounded(monkeypatch):
+    monkeypatch.setattr(repeat_limiter, "SERIES_MAX", 3)
+    limiter = repeat_limiter.RepeatLimiter(lambda: 0.0, 1, 10.0)
+    assert all(_limit(limiter, str(one)) for one in range(50))
+    assert _limit(limiter, "49") is None
+    assert _limit(limiter, "0") is not None
+
+
+def test_the_page_names_every_event_once():
+    page = pathlib.Path("docs/LOGS.md").read_text(encoding="utf-8")
+    for one in event.Event:
+        assert page.count(f"| `{one.value}` |") == 1, one
--- /dev/null
+++ b/tests/telemetry/test_outcomes.py
@@ -0,0 +1,151 @@
+"""Recorded outcomes: files, rotation, torn lines."""
+
+import os
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberrymux.models import answer_kind
+from cranberrymux.telemetry import outcome_codec
+from cranberrymux.telemetry import outcome_count
+from cranberrymux.telemetry import outcomes
+from cranberrymux.telemetry import outcomes_reader
+from cranberrymux.telemetry import outcomes_settings
+
+DONE = answer_kind.AnswerKind.DONE
+NOT_RUN = answer_kind.AnswerKind.NOT_RUN
+
+
+def _recorder(folder, size=1 << 20, files=3):
+    return outcomes.OutcomesRecorder(
+        outcomes_settings.OutcomesSettings(str(folder), size, files)
+    )
+
+
+def _read(folder):
+    reader = outcomes_reader.OutcomesReader((str(folder),))
+    return list(reader.read()), reader
+
+
+def test_counts_by_second_class_and_answer(tmp_path):
+    one = _recorder(tmp_path)
+    one.record(100.2, "s", "a", DONE, 10)
+    one.record(100.9, "s", "a", DONE, 10.1)
+    one.record(100.9, "s", "a", NOT_RUN, 0.2)
+    one.record(101.0, "s", "a", DONE, 99_999)
+    one.flush(101.5)
+    counts, _ = _read(tmp_path)
+    assert [(c.second, c.kind, c.answers) for c in counts] == [
+        (100, DONE, 2),
+        (100, NOT_RUN, 1),
+    ]
+    assert counts[0].answers_within(10) == 1
+    assert counts[0].answers_within(24) == 1
+    assert counts[0].answers_within(25) == 2
+    one.close()
+    counts, _ = _read(tmp_path)
+    assert counts[2].second == 101
+    assert counts[2].answers_within(10_000) == 0
+    assert counts[2].answers == 1
+
+
+def test_a_torn_line_is_ended_and_skipped(tmp_path):
+    one = _recorder(tmp_path)
+    one.record(1, "s", "a", DONE, 1)
+    one.close()
+    path = tmp_path / "outcomes.jsonl"
+    os.truncate(path, path.stat().st_size - 5)
+    assert _read(tmp_path)[1].lines_skipped == 1
+    two = _recorder(tmp_path)
+    two.record(2, "s", "a", DONE, 1)
+    two.close()
+    counts, reader = _read(tmp_path)
+    assert [one.second for one in counts] == [2]
+    assert (reader.lines_read, reader.lines_skipped) == (1, 1)
+
+
+def test_files_rotate_by_size_and_the_oldest_go(tmp_path):
+    one = _recorder(tmp_path, size=1024, files=3)
+    for second in range(100):
+        one.record(second, "s", "a", DONE, 1)
+        one.flush(second + 1)
+    one.close()
+    sizes = {path.name: path.stat().st_size for path in tmp_path.iterdir()}
+    assert set(sizes) == {f"outcomes.jsonl{end}" for end in ("", ".1", ".2")}
+    assert max(sizes.values()) <= 1024
+    seconds = sorted(count.second for count in _read(tmp_path)[0])
+    assert seconds == list(range(seconds[0], 100))
+    assert len(seconds) > 15
+
+
+def test_a_file_renamed_while_it_is_read_counts_once(tmp_path):
+    one = _recorder(tmp_path)
+    one.record(1, "s", "a", DONE, 1)
+    one.close()
+    os.link(tmp_path / "outcomes.jsonl", tmp_path / "outcomes.jsonl.1")
+    assert len(_read(tmp_path)[0]) == 1
+
+
+def test_a_failing_disk_loses_lines_only(tmp_path):
+    (tmp_path / "file").write_text("")
+    one = _recorder(tmp_path / "file" / "folder")
+    one.record(1, "s", "a", DONE, 1)
+    one.flush(2)
+    assert one.lines_lost == 1
+    (tmp_path / "file").unlink()
+    one.record(3, "s", "a", DONE, 1)
+    one.close()
+    assert len(_read(tmp_path / "file" / "folder")[0]) == 1
+
+
+def test_series_are_bounded(tmp_path, monkeypatch):
+    monkeypatch.setattr(outcomes, "SERIES_MAX", 2)
+    one = _recorder(tmp_path)
+    for name in "abcde":
+        one.record(1, name, "x", DONE, 1)
+    one.close()
+    counts = {count.service: count.answers for count in _read(tmp_path)[0]}
+    assert counts == {"a": 1, "b": 1, "other": 3}
+
+
+VALID = outcome_codec.encode(
+    outcome_count.OutcomeCount(5, "s", "a", DONE, (1,) * 11)
+)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"",
+        b"\n",
+        b"[]\n",
+        b"\xff\n",
+        b"[" * 4000 + b"\n",
+        VALID.replace(b"5", b"-5"),
+        VALID.replace(b"5", b"true"),
+        VALID.replace(b'"done"', b'"other"'),
+        VALID.replace(b"1,", b"", 1),
+        VALID.replace(b"1,", b'"1",', 1),
+        VALID.replace(b'"s"', b"7"),
+        VALID.replace(b'"s"', b'"%s"' % (b"s" * 201)),
+    ],
+)
+def test_lines_of_another_kind_are_none(line):
+    assert outcome_codec.decode(VALID) is not None
+    assert outcome_codec.decode(line) is None
+
+
+@hypothesis.settings(derandomize=True, database=None, max_examples=50)
+@hypothesis.given(
+    rubbish=strategies.lists(strategies.binary(max_size=40), max_size=5),
+    length=strategies.integers(0, 9000),
+)
+def test_rubbish_between_lines_hides_none(tmp_path_factory, rubbish, length):
+    folder = tmp_path_factory.mktemp("outcomes")
+    rubbish = [one.replace(b"\n", b"") for one in rubbish] + [b"x" * length]
+    data = b"".join(one + b"\n" + VALID for one in rubbish)
+    (folder / "outcomes.jsonl").write_bytes(data)
+    counts, reader = _read(folder)
+    assert len(counts) == len(rubbish)
+    assert reader.lines_skipped == len(rubbish)
