--- a/src/cranberrymux/decisions/burn/evaluation.py
+++ b/src/cranberrymux/decisions/burn/evaluation.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import fractions
+import math
 from typing import NamedTuple
 
 from cranberrymux.decisions.burn import alert_window
@@ -94,7 +95,7 @@
 
 def _bucket_end_s(now_s: float) -> int:
     bucket_s = outcome_series.BUCKET_S
-    return (int(now_s) // bucket_s + 1) * bucket_s
+    return math.ceil(now_s / bucket_s) * bucket_s
 
 
 def _bad_share_allowed(
--- a/src/cranberrymux/load/runner.py
+++ b/src/cranberrymux/load/runner.py
@@ -14,7 +14,7 @@
 from cranberrymux.load import recorder as recorder_module
 from cranberrymux.load import report
 from cranberrymux.load import request_encoder
-from cranberrymux.load import uuid7
+from cranberrymux.models import request_ids
 
 SPIN_S = 0.002
 
@@ -92,7 +92,7 @@
         index = self._generator.choices(
             self._indexes, cum_weights=self._weights
         )[0]
-        request_id = uuid7.generate(
+        request_id = request_ids.make_request_id(
             time.time_ns() // 1_000_000, self._generator
         )
         request = client_request.ClientRequest(
--- a/src/cranberrymux/report/burn_report.py
+++ b/src/cranberrymux/report/burn_report.py
@@ -70,7 +70,7 @@
     Raises:
         OSError: A folder or file cannot be read.
     """
-    reader = outcomes_reader.OutcomesReader(settings.folders)
+    reader = outcomes_reader.OutcomesReader(settings.outcomes)
     all_series = [outcome_series.OutcomeSeries() for _ in settings.objectives]
     for count in reader.read():
         for objective, series in zip(
--- a/src/cranberrymux/report/main.py
+++ b/src/cranberrymux/report/main.py
@@ -30,11 +30,13 @@
     options = _build_parser().parse_args(arguments)
     now_s = time.time() if options.now is None else options.now
     try:
-        settings = report_settings.load(options.settings, options.folder or ())
+        settings = report_settings.load(
+            options.settings, options.outcomes or ()
+        )
         report = burn_report.build(settings, now_s)
         if not report.files_read:
             raise exceptions.CranberrymuxError(
-                "no recorded outcomes in " + ", ".join(settings.folders)
+                "no recorded outcomes in " + ", ".join(settings.outcomes)
             )
         _write(_render(report, settings, options.format), options.output)
     except (exceptions.CranberrymuxError, OSError) as error:
@@ -79,9 +81,9 @@
         "--settings", required=True, help="YAML file; docs/operations/burn.md"
     )
     parser.add_argument(
-        "--folder",
+        "--outcomes",
         action="append",
-        help="folder of recorded outcomes; may be repeated",
+        help="file or folder of recorded outcomes; may be repeated",
     )
     parser.add_argument(
         "--format", choices=("text", "json", "html"), default="text"
--- a/src/cranberrymux/report/plots.py
+++ b/src/cranberrymux/report/plots.py
@@ -2,6 +2,7 @@
 
 import datetime
 import io
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -70,7 +71,7 @@
     shown_s = min(result.covered_s, result.objective.window_s)
     shown_s = max(shown_s, 2 * bucket_s)
     step_s = max(bucket_s, shown_s // POINTS // bucket_s * bucket_s)
-    end_s = (int(now_s) // bucket_s + 1) * bucket_s
+    end_s = math.ceil(now_s / bucket_s) * bucket_s
     count = -(-shown_s // step_s)
     times_s = [end_s - step_s * (count - 1 - index) for index in range(count)]
     return _Points([float(time_s) for time_s in times_s], float(step_s))
@@ -119,7 +120,7 @@
         window = burn.window
         rates = [
             evaluation.rate_within(
-                result.objective, series, window.long_s, time_s - 1
+                result.objective, series, window.long_s, time_s
             )
             for time_s in points.times_s
         ]
@@ -148,7 +149,7 @@
     points: _Points,
 ) -> None:
     shares = [
-        100 * evaluation.budget_left(result.objective, series, time_s - 1)
+        100 * evaluation.budget_left(result.objective, series, time_s)
         for time_s in points.times_s
     ]
     axes.plot(_as_dates(points.times_s), shares, color=_WINDOW_COLORS[2])
--- a/src/cranberrymux/report/report_settings.py
+++ b/src/cranberrymux/report/report_settings.py
@@ -34,7 +34,7 @@
 )
 
 FIELDS = (
-    field.Field("folders", _Kind.TEXT_LIST, default=[]),
+    field.Field("outcomes", _Kind.TEXT_LIST, default=[]),
     field.Field("objectives", _Kind.ITEMS, minimum=1, items=OBJECTIVE_FIELDS),
     field.Field("windows", _Kind.ITEMS, default=[], items=WINDOW_FIELDS),
     field.Field("plots", _Kind.INTEGER, default=20, minimum=0, maximum=500),
@@ -45,31 +45,31 @@
     """What the report reads and measures by.
 
     Attributes:
-        folders: Folders of recorded outcomes, one for each node.
+        outcomes: Files and folders of recorded outcomes.
         objectives: The service-level objectives, at least one.
         windows: Pairs of windows, at least one.
         plots: Most objectives that are plotted, the worst first.
     """
 
-    folders: tuple[str, ...]
+    outcomes: tuple[str, ...]
     objectives: tuple[objective.Objective, ...]
     windows: tuple[alert_window.AlertWindow, ...]
     plots: int
 
 
-def load(path: str, folders: Sequence[str] = ()) -> ReportSettings:
+def load(path: str, outcomes: Sequence[str] = ()) -> ReportSettings:
     """Reads and checks the settings file of the report.
 
     Args:
         path: The YAML file.
-        folders: Folders to read in place of those of the file.
+        outcomes: Files and folders to read in place of those of the file.
 
     Raises:
         SettingsError: The file cannot be read, or a key is wrong.
     """
     values = loader.load(path, FIELDS)
     settings = ReportSettings(
-        tuple(folders or values["folders"]),
+        tuple(outcomes or values["outcomes"]),
         tuple(_read_objective(item) for item in values["objectives"]),
         tuple(alert_window.AlertWindow(**item) for item in values["windows"])
         or alert_window.DEFAULTS,
@@ -90,9 +90,9 @@
 
 
 def _check(settings: ReportSettings, path: str) -> None:
-    if not settings.folders:
+    if not settings.outcomes:
         raise exceptions.SettingsError(
-            path, 1, "folders", "at least one folder of recorded outcomes"
+            path, 1, "outcomes", "at least one file or folder"
         )
     if not settings.objectives:
         raise exceptions.SettingsError(
--- a/src/cranberrymux/telemetry/metrics.py
+++ b/src/cranberrymux/telemetry/metrics.py
@@ -10,19 +10,31 @@
 
 MetricsSink = metrics_sink.MetricsSink
 
+PORT_MAX = 65535
+
 
 def build(settings: metrics_settings.MetricsSettings) -> MetricsSink:
     """Gives a statsd sink, or one that drops all if there is no collector.
 
     Raises:
-        CranberrymuxError: The collector's address is not an IP number.
+        CranberrymuxError: The collector's address is not `ip:port`.
     """
     if not settings.statsd_address:
         return null_sink.NullSink()
+    host, _, port = settings.statsd_address.rpartition(":")
     try:
-        ipaddress.ip_address(settings.statsd_address)
+        address = str(ipaddress.ip_address(host.strip("[]")))
+        number = int(port)
     except ValueError as error:
-        raise exceptions.CranberrymuxError(
-            f"statsd_address: expected an IP number ({error})"
-        ) from error
-    return statsd_sink.StatsdSink(settings)
+        raise _wrong_address(settings) from error
+    if not 0 < number <= PORT_MAX:
+        raise _wrong_address(settings)
+    return statsd_sink.StatsdSink(address, number, settings.statsd_prefix)
+
+
+def _wrong_address(
+    settings: metrics_settings.MetricsSettings,
+) -> exceptions.CranberrymuxError:
+    return exceptions.CranberrymuxError(
+        f"statsd_address: expected ip:port, not {settings.statsd_address!r}"
+    )
--- a/src/cranberrymux/telemetry/outcomes.py
+++ b/src/cranberrymux/telemetry/outcomes.py
@@ -34,10 +34,10 @@
         """Opens no file yet.
 
         Args:
-            settings: Where outcomes go; without a folder, nothing is kept.
+            settings: Where outcomes go; without a file, nothing is kept.
         """
         self._file: rotating_file.RotatingFile | None = None
-        if settings.outcomes_folder:
+        if settings.outcomes_file:
             self._file = rotating_file.RotatingFile(settings)
         self._latencies: dict[_Series, list[int]] = {}
         self._lines_lost = 0
--- a/src/cranberrymux/telemetry/outcomes_reader.py
+++ b/src/cranberrymux/telemetry/outcomes_reader.py
@@ -9,15 +9,14 @@
 
 from cranberrymux.telemetry import outcome_codec
 from cranberrymux.telemetry import outcome_count
-from cranberrymux.telemetry import rotating_file
 
 LINE_BYTES_MAX = 4096
 
-_NAME = re.compile(re.escape(rotating_file.NAME) + r"(\.\d+)?")
+_NAME = re.compile(r".*\.jsonl(\.\d+)?")
 
 
 class OutcomesReader:
-    """Reads every file of some folders, in no order of time.
+    """Reads recorded outcomes, in no order of time.
 
     Attributes:
         files_read: Files read so far.
@@ -25,13 +24,14 @@
         lines_skipped: Lines torn, too long or of another kind so far.
     """
 
-    def __init__(self, folders: tuple[str, ...]) -> None:
+    def __init__(self, paths: tuple[str, ...]) -> None:
         """Opens nothing yet.
 
         Args:
-            folders: Folders of one recorder each.
+            paths: Files of recorders, each read with its older ones, and
+                folders, of which every `.jsonl` file is read.
         """
-        self._folders = folders
+        self._paths = paths
         self.files_read = 0
         self.lines_read = 0
         self.lines_skipped = 0
@@ -42,16 +42,11 @@
         Raises:
             OSError: A folder or file cannot be read.
         """
-        for folder in self._folders:
-            yield from self._read_folder(pathlib.Path(folder))
-
-    def _read_folder(
-        self, folder: pathlib.Path
-    ) -> Iterator[outcome_count.OutcomeCount]:
-        with contextlib.ExitStack() as stack:
-            for file in _open_all(folder, stack):
-                self.files_read += 1
-                yield from self._read_file(file)
+        for path in self._paths:
+            with contextlib.ExitStack() as stack:
+                for file in _open_all(pathlib.Path(path), stack):
+                    self.files_read += 1
+                    yield from self._read_file(file)
 
     def _read_file(
         self, file: BinaryIO
@@ -71,18 +66,28 @@
 
 
 def _open_all(
-    folder: pathlib.Path, stack: contextlib.ExitStack
+    path: pathlib.Path, stack: contextlib.ExitStack
 ) -> list[BinaryIO]:
     # All files are opened before any is read, and each once only, since the
     # recorder may rename them meanwhile.
     files: dict[tuple[int, int], BinaryIO] = {}
-    for path in sorted(folder.iterdir()):
-        if not _NAME.fullmatch(path.name):
-            continue
+    for found in _find(path):
         try:
-            file = stack.enter_context(path.open("rb"))
+            file = stack.enter_context(found.open("rb"))
         except FileNotFoundError:
             continue
         status = os.fstat(file.fileno())
         files.setdefault((status.st_dev, status.st_ino), file)
     return list(files.values())
+
+
+def _find(path: pathlib.Path) -> list[pathlib.Path]:
+    if path.is_dir():
+        names = _NAME
+        folder = path
+    else:
+        names = re.compile(re.escape(path.name) + r"(\.\d+)?")
+        folder = path.parent
+    return sorted(
+        found for found in folder.iterdir() if names.fullmatch(found.name)
+    )
--- a/src/cranberrymux/telemetry/outcomes_settings.py
+++ b/src/cranberrymux/telemetry/outcomes_settings.py
@@ -6,15 +6,15 @@
 
 _Kind = field.Kind
 
+FILE_BYTES = 16 * 1024 * 1024
+FILES = 4
+
 FIELDS = (
-    field.Field("outcomes_folder", _Kind.TEXT, default=""),
+    field.Field("outcomes_file", _Kind.TEXT, default=""),
     field.Field(
-        "outcomes_file_bytes",
-        _Kind.INTEGER,
-        default=16 * 1024 * 1024,
-        minimum=1024,
+        "outcomes_file_bytes", _Kind.INTEGER, default=FILE_BYTES, minimum=1024
     ),
-    field.Field("outcomes_files", _Kind.INTEGER, default=4, minimum=1),
+    field.Field("outcomes_files", _Kind.INTEGER, default=FILES, minimum=1),
 )
 
 
@@ -22,11 +22,12 @@
     """Where outcomes are recorded; programs take `FIELDS` into theirs.
 
     Attributes:
-        outcomes_folder: Folder of the files; empty for no recording.
+        outcomes_file: The file written to; empty for no recording. A name
+            that ends in `.jsonl` is found by the report in its folder.
         outcomes_file_bytes: Size at which a new file is begun.
         outcomes_files: Files kept, the one written to among them.
     """
 
-    outcomes_folder: str
-    outcomes_file_bytes: int
-    outcomes_files: int
+    outcomes_file: str
+    outcomes_file_bytes: int = FILE_BYTES
+    outcomes_files: int = FILES
--- a/src/cranberrymux/telemetry/rotating_file.py
+++ b/src/cranberrymux/telemetry/rotating_file.py
@@ -5,19 +5,17 @@
 
 from cranberrymux.telemetry import outcomes_settings
 
-NAME = "outcomes.jsonl"
-
 
 class RotatingFile:
-    """Appends whole lines; older files are `outcomes.jsonl.1` and so on."""
+    """Appends whole lines; older files are `NAME.1` and so on."""
 
     def __init__(self, settings: outcomes_settings.OutcomesSettings) -> None:
         """Opens nothing yet.
 
         Args:
-            settings: Folder, size and number of files.
+            settings: Path, size and number of files.
         """
-        self._path = pathlib.Path(settings.outcomes_folder) / NAME
+        self._path = pathlib.Path(settings.outcomes_file)
         self._settings = settings
         self._descriptor = -1
 
@@ -74,7 +72,7 @@
     def _numbered(self, number: int) -> pathlib.Path:
         if number == 0:
             return self._path
-        return self._path.with_name(f"{NAME}.{number}")
+        return self._path.with_name(f"{self._path.name}.{number}")
 
 
 def _write_all(descriptor: int, data: bytes) -> None:
--- a/src/cranberrymux/telemetry/statsd_sink.py
+++ b/src/cranberrymux/telemetry/statsd_sink.py
@@ -5,7 +5,6 @@
 import statsd
 
 from cranberrymux.telemetry import metric as metric_module
-from cranberrymux.telemetry import metrics_settings
 
 SERIES_MAX = 2000
 TIMINGS_PER_FLUSH = 200
@@ -23,17 +22,19 @@
     second are sent. Datagrams that get lost are not sent again.
     """
 
-    def __init__(self, settings: metrics_settings.MetricsSettings) -> None:
+    def __init__(self, address: str, port: int, prefix: str) -> None:
         """Opens a UDP socket.
 
         Args:
-            settings: Where metrics go; the address is an IP number.
+            address: IP number of the collector.
+            port: UDP port of the collector.
+            prefix: First part of every name.
         """
         self._client = statsd.StatsClient(
-            settings.statsd_address,
-            settings.statsd_port,
-            prefix=_UNSAFE_IN_PREFIX.sub("_", settings.statsd_prefix) or None,
-            ipv6=":" in settings.statsd_address,
+            address,
+            port,
+            prefix=_UNSAFE_IN_PREFIX.sub("_", prefix) or None,
+            ipv6=":" in address,
         )
         self._counters: dict[str, int] = {}
         self._gauges: dict[str, float] = {}
--- a/tests/load/test_uuid7.py
+++ b/tests/load/test_request_ids.py
@@ -3,13 +3,14 @@
 import random
 import uuid
 
-from cranberrymux.load import uuid7
+from cranberrymux.models import request_ids
 
 
 def test_layout_and_order():
     generator = random.Random(1)
     made = [
-        uuid7.generate(1_700_000_000_000 + ms, generator) for ms in range(100)
+        request_ids.make_request_id(1_700_000_000_000 + ms, generator)
+        for ms in range(100)
     ]
     assert made == sorted(made)
     for ms, text in enumerate(made):
--- a/tests/report/test_report.py
+++ b/tests/report/test_report.py
@@ -30,7 +30,7 @@
     path = tmp_path / "outcomes"
     (tmp_path / "report.yaml").write_text(SETTINGS)
     recorder = outcomes.OutcomesRecorder(
-        outcomes_settings.OutcomesSettings(str(path), 1 << 20, 2)
+        outcomes_settings.OutcomesSettings(str(path / "n.jsonl"))
     )
     for second in range(NOW_S - 600, NOW_S):
         kind = Kind.NOT_RUN if second >= NOW_S - 100 else Kind.DONE
@@ -48,7 +48,7 @@
         [
             "--settings",
             str(folder.parent / "report.yaml"),
-            "--folder",
+            "--outcomes",
             str(folder),
             "--now",
             str(NOW_S),
--- a/tests/telemetry/test_logs.py
+++ b/tests/telemetry/test_logs.py
@@ -1,5 +1,6 @@
 """Log lines: shape, repeats, secrets."""
 
+import ast
 import io
 import json
 import pathlib
@@ -114,3 +115,28 @@
     page = pathlib.Path("docs/LOGS.md").read_text(encoding="utf-8")
     for one in event.Event:
         assert page.count(f"| `{one.value}` |") == 1, one
+
+
+def _logged_texts(path):
+    methods = {"debug", "info", "warning", "error", "critical"}
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if not isinstance(node, ast.Call) or not node.args:
+            continue
+        if not isinstance(node.func, ast.Attribute):
+            continue
+        if ast.unparse(node.func.value) == "parser":
+            continue
+        first = node.args[0]
+        if node.func.attr in methods and isinstance(first, ast.Constant):
+            yield first.value
+
+
+def test_the_sources_log_events_of_the_vocabulary_only():
+    known = {one.value for one in event.Event}
+    unknown = {
+        (str(path), text)
+        for path in pathlib.Path("src").rglob("*.py")
+        for text in _logged_texts(path)
+        if text not in known
+    }
+    assert not unknown, "add them to telemetry/event.py and docs/LOGS.md"
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -23,10 +23,8 @@
         yield one
 
 
-def _sink(port, address="127.0.0.1"):
-    return metrics.build(
-        metrics_settings.MetricsSettings(address, port, "cranberrymux")
-    )
+def _sink(port):
+    return metrics.build(metrics_settings.MetricsSettings(f"127.0.0.1:{port}"))
 
 
 def test_a_flush_sends_sums_last_values_and_timings(collector):
@@ -73,9 +71,11 @@
 
 
 def test_no_collector_and_a_wrong_one():
-    assert isinstance(_sink(8125, ""), null_sink.NullSink)
-    with pytest.raises(exceptions.CranberrymuxError, match="IP number"):
-        _sink(8125, "collector")
+    none = metrics.build(metrics_settings.MetricsSettings(""))
+    assert isinstance(none, null_sink.NullSink)
+    for wrong in ("collector:8125", "127.0.0.1", "127.0.0.1:0", ":1"):
+        with pytest.raises(exceptions.CranberrymuxError, match="ip:port"):
+            metrics.build(metrics_settings.MetricsSettings(wrong))
 
 
 def test_the_page_tells_name_kind_unit_and_tags_of_each():
--- a/tests/telemetry/test_outcomes.py
+++ b/tests/telemetry/test_outcomes.py
@@ -19,7 +19,9 @@
 
 def _recorder(folder, size=1 << 20, files=3):
     return outcomes.OutcomesRecorder(
-        outcomes_settings.OutcomesSettings(str(folder), size, files)
+        outcomes_settings.OutcomesSettings(
+            str(folder / "outcomes.jsonl"), size, files
+        )
     )
 
 
@@ -60,7 +62,7 @@
     two = _recorder(tmp_path)
     two.record(2, "s", "a", DONE, 1)
     two.close()
-    counts, reader = _read(tmp_path)
+    counts, reader = _read(path)
     assert [one.second for one in counts] == [2]
     assert (reader.lines_read, reader.lines_skipped) == (1, 1)
 
