--- a/bench/overload/deployment.py
+++ b/bench/overload/deployment.py
@@ -42,6 +42,7 @@
 
     Attributes:
         name: Its name.
+        zones: Number of availability zones.
         zone_delay_s: One way between availability zones.
         services: Its services.
         kinds: Its kinds of requests; each makes one call to the deepest
@@ -50,6 +51,7 @@
     """
 
     name: str
+    zones: int
     zone_delay_s: float
     services: tuple[Service, ...]
     kinds: tuple[RequestKind, ...]
@@ -69,6 +71,7 @@
 
 CASCADE = Deployment(
     "cascade",
+    4,
     0.001,
     (
         Service("crew-dispatch", 4, 70, 530, 0.04),
@@ -92,6 +95,7 @@
 
 SERENDIB = Deployment(
     "serendib",
+    3,
     0.0015,
     (
         Service("release-signing", 4, 65, 480, 0.04),
--- a/src/cranberrymux/decisions/admission/admission_settings.py
+++ b/src/cranberrymux/decisions/admission/admission_settings.py
@@ -11,7 +11,8 @@
         class_ranks: Number of classes; ranks run from 0 to one less.
         window_s: Length of one window of measurement, in seconds.
         target_wait_s: Mean wait in the queue above which the level falls.
-        maximum_wait_s: No call is queued for longer than this.
+        maximum_wait_s: No call is queued for longer than this, or than twice
+            this if its priority is at half the level or below.
         maximum_alone_wait_s: Longest wait of a suspect for an idle endpoint.
         queue_per_slot: Queued calls allowed for each slot of the limit.
         minimum_queue: Queued calls allowed however small the limit is.
