Refuse a suspect for good once it kills a server alone

Change: two deaths are enough if one of them was alone; three stay the bound where it never was alone.

--- a/bench/overload/world.py
+++ b/bench/overload/world.py
@@ -114,12 +114,15 @@
         return made
 
     def _share(self, service: str, key: str) -> None:
+        deaths = self._deaths.get(key, set())
+        cleared = self._cleared.get(key, 0)
         for node in self.nodes[service]:
             node.quarantine.merge_report(
                 self._clock.now_s,
                 key,
-                len(self._deaths.get(key, ())),
-                self._cleared.get(key, 0),
+                len(deaths),
+                cleared,
+                was_alone=any(one.was_alone for one in deaths),
             )
 
     def _begin_cause(self) -> None:
--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -49,8 +49,15 @@
             Its standing, or the final refusal once it has cost the service as
             many backend servers as it may.
         """
-        deaths = max(self._count_open(now_s, key) for key in fingerprint.keys)
-        if deaths >= self._settings.maximum_deaths:
+        held = [self._records.get(now_s, key) for key in fingerprint.keys]
+        known = [record for record in held if record is not None]
+        deaths = max((one.open_deaths for one in known), default=0)
+        was_alone = any(one.was_alone for one in known)
+        settings = self._settings
+        allowed = settings.maximum_deaths
+        if was_alone:
+            allowed = min(allowed, settings.deaths_if_alone)
+        if deaths >= allowed:
             return refusal.Refusal(
                 answer_kind.AnswerKind.NOT_RUN,
                 refusal_reason.RefusalReason.QUARANTINED,
@@ -92,6 +99,7 @@
             Reports for the shared state, one for each key.
         """
         self._deaths += 1
+        was_alone = len(self._running) == 1
         in_flight = sorted(set(self._running.values()))
         self._running.clear()
         digests: dict[str, frozenset[str]] = {}
@@ -102,41 +110,50 @@
             digests[id_key] = digests.get(id_key, frozenset()) | {digest}
             digests[digest_key] = frozenset()
         for key, seen in digests.items():
-            self._blame(now_s, key, seen)
-        return [self._report_death(key) for key in digests]
+            self._blame(now_s, key, seen, was_alone)
+        return [self._report_death(key, was_alone) for key in digests]
 
     def merge_report(
-        self, now_s: float, key: str, deaths: int, cleared: int = 0
+        self,
+        now_s: float,
+        key: str,
+        deaths: int,
+        cleared: int = 0,
+        *,
+        was_alone: bool = False,
     ) -> None:
-        """Takes counts from shared state; the larger of each count stays."""
-        old = self._records.get(now_s, key)
-        if old is None:
-            old = record_module.Record(0, 0, now_s)
-        if deaths <= old.deaths and cleared <= old.cleared:
-            return
-        self._records.put(
-            key,
-            old._replace(
-                deaths=max(deaths, old.deaths),
-                cleared=max(cleared, old.cleared),
-                changed_s=now_s,
-            ),
-        )
+        """Takes counts from shared state; the larger of each count stays.
 
-    def _count_open(self, now_s: float, key: str) -> int:
-        record = self._records.get(now_s, key)
-        return 0 if record is None else record.open_deaths
+        Args:
+            now_s: Monotonic seconds.
+            key: One of `Fingerprint.keys`.
+            deaths: Distinct deaths reported by all nodes of the service.
+            cleared: The largest count of a `ClearReport`.
+            was_alone: True if one of the deaths not cleared was alone.
+        """
+        old = self._records.get(now_s, key) or record_module.NONE
+        merged = old._replace(
+            deaths=max(deaths, old.deaths),
+            cleared=max(cleared, old.cleared),
+            was_alone=was_alone or old.was_alone,
+        )
+        if merged.open_deaths <= 0:
+            merged = merged._replace(was_alone=False)
+        if merged != old:
+            self._records.put(key, merged._replace(changed_s=now_s))
 
-    def _blame(self, now_s: float, key: str, digests: frozenset[str]) -> None:
-        old = self._records.get(now_s, key)
-        if old is None:
-            old = record_module.Record(0, 0, now_s)
+    def _blame(
+        self, now_s: float, key: str, digests: frozenset[str], was_alone: bool
+    ) -> None:
+        old = self._records.get(now_s, key) or record_module.NONE
         self._records.put(
             key,
-            old._replace(
-                deaths=old.deaths + 1,
-                changed_s=now_s,
-                digests=old.digests | digests,
+            record_module.Record(
+                old.deaths + 1,
+                old.cleared,
+                was_alone or old.was_alone,
+                now_s,
+                old.digests | digests,
             ),
         )
 
@@ -163,11 +180,15 @@
     def _clear_key(
         self, now_s: float, key: str, record: record_module.Record
     ) -> clear_report.ClearReport:
-        record = record._replace(cleared=record.deaths, changed_s=now_s)
+        record = record._replace(
+            cleared=record.deaths, was_alone=False, changed_s=now_s
+        )
         self._records.put(key, record)
         return clear_report.ClearReport(key, record.deaths)
 
-    def _report_death(self, key: str) -> death_report.DeathReport:
+    def _report_death(
+        self, key: str, was_alone: bool
+    ) -> death_report.DeathReport:
         return death_report.DeathReport(
-            key, self._endpoint_id, self._incarnation, self._deaths
+            key, self._endpoint_id, self._incarnation, self._deaths, was_alone
         )
--- a/src/cranberrymux/decisions/quarantine/record.py
+++ b/src/cranberrymux/decisions/quarantine/record.py
@@ -9,6 +9,7 @@
     Attributes:
         deaths: Backend servers that died with it in flight.
         cleared: How many of those deaths a clean run has cleared.
+        was_alone: True if it was alone on one of them since it was cleared.
         changed_s: Monotonic seconds of the last change.
         digests: Digests in flight under a request id when it became suspect;
             empty for a digest's own record and for a merged one, which then
@@ -17,6 +18,7 @@
 
     deaths: int
     cleared: int
+    was_alone: bool
     changed_s: float
     digests: frozenset[str] = frozenset()
 
@@ -24,3 +26,6 @@
     def open_deaths(self) -> int:
         """Deaths that no clean run has cleared."""
         return self.deaths - self.cleared
+
+
+NONE = Record(0, 0, False, 0.0)
