--- /dev/null
+++ b/bench/consensus_schedule.py
@@ -0,0 +1,276 @@
+"""One random schedule of faults against a simulated cluster."""
+
+import random
+from typing import NamedTuple
+
+from bench import consensus_checker
+from bench import consensus_node
+from bench import consensus_world
+from cranberrymux.consensus import invariant_error
+from cranberrymux.consensus import member_change
+from cranberrymux.consensus import replica as replica_module
+from cranberrymux.consensus import replica_settings
+
+FAULTS_S = 4.0
+CALM_S = 2.5
+
+
+class Faults(NamedTuple):
+    """Weights of the faults that a schedule draws from.
+
+    Attributes:
+        crash: Power cut of a random instance, started again later.
+        crash_leader: The same for a leader.
+        crash_all: Power cut of all instances at once.
+        lose_disk: An instance comes back with an empty disk.
+        cut: Links cut, each way by itself.
+        isolate: A leader's links cut, one way or both.
+        deafen: One link of a leader cut, one way or both.
+        strand: A leader cut from all but one, then proposals, then a crash.
+        pause: A process stopped and continued.
+        remove: A member leaves and comes back.
+        heal: All links work again.
+    """
+
+    crash: int = 6
+    crash_leader: int = 4
+    crash_all: int = 1
+    lose_disk: int = 1
+    cut: int = 4
+    isolate: int = 4
+    deafen: int = 4
+    strand: int = 3
+    pause: int = 3
+    remove: int = 1
+    heal: int = 2
+
+
+class Result(NamedTuple):
+    """What one schedule showed.
+
+    Attributes:
+        seed: The schedule's seed.
+        states: States that were checked.
+        accepted: Entries that were accepted.
+        was_calmed: True if progress after the faults was checked too.
+        violation: What was broken; empty for nothing.
+    """
+
+    seed: int
+    states: int
+    accepted: int
+    was_calmed: bool
+    violation: str
+
+
+class Schedule:
+    """Draws faults by a seed and runs them."""
+
+    def __init__(
+        self,
+        seed: int,
+        replica_class: type[replica_module.Replica] = replica_module.Replica,
+        faults: Faults | None = None,
+        voters: int | None = None,
+        settings: replica_settings.ReplicaSettings = consensus_world.SETTINGS,
+    ) -> None:
+        """Sets the cluster up."""
+        self._seed = seed
+        self._generator = random.Random(f"faults {seed}")
+        self._faults = faults or Faults()
+        count = voters or self._generator.choice((3, 3, 3, 5))
+        self.world = consensus_world.World(seed, count, replica_class, settings)
+        self.world.loss = self._generator.choice((0.0, 0.02, 0.1))
+        self.world.doubling = self._generator.choice((0.0, 0.05, 0.2))
+        self.world.slow = self._generator.choice((0.0, 0.05, 0.2))
+        self.world.disk_s = self._generator.choice((0.0, 0.004, 0.05))
+        self._lost_disks = 0
+        self._removals = 0
+
+    def run(self) -> Result:
+        """Runs faults, then calm, and checks that the cluster recovers."""
+        violation = ""
+        may_stall = True
+        try:
+            self._run_faults()
+            may_stall = self._lost_disks > 1 or (
+                self._lost_disks > 0 and self._removals > 0
+            )
+            self._run_calm(may_stall)
+        except consensus_checker.Violation as error:
+            violation = str(error)
+        except invariant_error.InvariantError as error:
+            violation = f"invariant: {error}"
+        return Result(
+            self._seed,
+            self.world.checker.states,
+            self.world.accepted,
+            not may_stall,
+            violation,
+        )
+
+    def _run_faults(self) -> None:
+        self._propose()
+        self._fault()
+        self.world.run_for(FAULTS_S)
+
+    def _run_calm(self, may_stall: bool) -> None:
+        world = self.world
+        self._faults = Faults(*([0] * len(Faults._fields)))
+        world.cut.clear()
+        world.loss = world.doubling = world.slow = 0.0
+        world.disk_s = 0.002
+        for node in world.nodes:
+            node.is_wanted = True
+            node.paused_until_s = 0.0
+            world.start(node)
+        world.run_for(CALM_S)
+        if may_stall:
+            return
+        before = world.accepted
+        for leader in world.leaders():
+            world.propose(leader)
+        world.run_for(0.5)
+        if world.accepted == before:
+            raise consensus_checker.Violation("no progress after the faults")
+        digests = {node.applied_index: node.digest for node in world.nodes}
+        if len(digests) > 1 or world.accepted not in digests:
+            raise consensus_checker.Violation(f"states differ: {digests}")
+
+    def _propose(self) -> None:
+        self.world.after(
+            self._generator.expovariate(25), self._propose_and_go_on
+        )
+
+    def _propose_and_go_on(self) -> None:
+        if not any(self._faults):
+            return
+        for leader in self.world.leaders():
+            for _ in range(self._generator.choice((1, 1, 4))):
+                self.world.propose(leader)
+        self._propose()
+
+    def _fault(self) -> None:
+        self.world.after(self._generator.expovariate(6), self._strike)
+
+    def _strike(self) -> None:
+        if not any(self._faults):
+            return
+        names = self._faults._fields
+        name = self._generator.choices(names, self._faults)[0]
+        getattr(self, f"_do_{name}")()
+        self._fault()
+
+    def _some(self) -> consensus_node.Node:
+        return self._generator.choice(self.world.nodes)
+
+    def _some_leader(self) -> consensus_node.Node:
+        return self._generator.choice(self.world.leaders() or self.world.nodes)
+
+    def _restart_later(self, node: consensus_node.Node) -> None:
+        delay_s = self._generator.choice((0.04, 0.1, 0.5))
+        self.world.after(delay_s, self.world.start, node)
+
+    def _do_crash(self) -> None:
+        node = self._some()
+        self.world.crash(node)
+        self._restart_later(node)
+
+    def _do_crash_leader(self) -> None:
+        node = self._some_leader()
+        self.world.crash(node)
+        self._restart_later(node)
+
+    def _do_crash_all(self) -> None:
+        for node in self.world.nodes:
+            self.world.crash(node)
+            self._restart_later(node)
+
+    def _do_lose_disk(self) -> None:
+        node = self._some()
+        self.world.crash(node)
+        self.lose_disk(node)
+        self._lost_disks += 1
+        self.world.checks_disks = False
+        self._restart_later(node)
+
+    def lose_disk(self, node: consensus_node.Node) -> None:
+        """Empties an instance's disk."""
+        node.lose_disk()
+
+    def _do_cut(self) -> None:
+        links = {
+            (one.name, other.name)
+            for one in self.world.nodes
+            for other in self.world.nodes
+            if self._generator.random() < 0.3
+        }
+        self._cut_for_a_while(links)
+
+    def _do_isolate(self) -> None:
+        name = self._some_leader().name
+        ways = self._generator.choice(("in", "out", "both"))
+        links = set()
+        for other in self.world.nodes:
+            if ways != "out":
+                links.add((other.name, name))
+            if ways != "in":
+                links.add((name, other.name))
+        self._cut_for_a_while(links)
+
+    def _do_deafen(self) -> None:
+        leader = self._some_leader()
+        other = self._some()
+        links = {(leader.name, other.name)}
+        if self._generator.random() < 0.5:
+            links.add((other.name, leader.name))
+        self._cut_for_a_while(links)
+
+    def _do_strand(self) -> None:
+        leader = self._some_leader()
+        near = self._some()
+        links = {
+            (leader.name, other.name)
+            for other in self.world.nodes
+            if other is not near
+        }
+        self.world.cut |= links
+        for _ in range(3):
+            self.world.propose(leader)
+        self.world.after(0.03, self.world.crash, leader)
+        self.world.after(0.04, self._heal_links, links)
+        self._restart_later(leader)
+
+    def _cut_for_a_while(self, links: set[tuple[str, str]]) -> None:
+        self.world.cut |= links
+        delay_s = self._generator.uniform(0.1, 1.2)
+        self.world.after(delay_s, self._heal_links, links)
+
+    def _heal_links(self, links: set[tuple[str, str]]) -> None:
+        self.world.cut -= links
+
+    def _do_heal(self) -> None:
+        self.world.cut.clear()
+
+    def _do_pause(self) -> None:
+        node = self._some_leader()
+        node.paused_until_s = self.world.now_s + self._generator.uniform(
+            0.05, 1.0
+        )
+
+    def _do_remove(self) -> None:
+        node = self._some()
+        leader = self._some_leader()
+        node.is_wanted = False
+        self.world.checks_disks = False
+        self._removals += 1
+        change = member_change.MemberChange(
+            member_change.ChangeKind.REMOVE, node.disk.replica_id
+        )
+        self.world.change(leader, change)
+        self.world.after(
+            self._generator.uniform(0.2, 1.0), self._want_again, node
+        )
+
+    def _want_again(self, node: consensus_node.Node) -> None:
+        node.is_wanted = True
--- /dev/null
+++ b/bench/consensus_world.py
@@ -0,0 +1,312 @@
+"""A simulated cluster on a virtual clock."""
+
+from collections.abc import Callable
+import heapq
+import random
+from typing import Any
+
+from bench import consensus_checker
+from bench import consensus_node
+from cranberrymux.consensus import codec
+from cranberrymux.consensus import effects as effects_module
+from cranberrymux.consensus import entry as entry_module
+from cranberrymux.consensus import member
+from cranberrymux.consensus import member_change
+from cranberrymux.consensus import membership
+from cranberrymux.consensus import messages
+from cranberrymux.consensus import proposal
+from cranberrymux.consensus import replacement
+from cranberrymux.consensus import replica as replica_module
+from cranberrymux.consensus import replica_settings
+from cranberrymux.consensus import role as role_module
+from cranberrymux.consensus import write as write_module
+
+SETTINGS = replica_settings.ReplicaSettings(
+    heartbeat_s=0.05,
+    lease_s=0.2,
+    election_spread_s=0.2,
+    snapshot_entries=15,
+    retained_entries=4,
+    chunk_bytes=4,
+    max_append_entries=3,
+    max_in_flight=2,
+    promotion_lag_entries=4,
+)
+_TICK_S = 0.02
+_JOIN_S = 0.1
+
+
+class World:
+    """Instances, the network between them, and the order of events."""
+
+    def __init__(
+        self,
+        seed: int,
+        voters: int = 3,
+        replica_class: type[replica_module.Replica] = replica_module.Replica,
+        settings: replica_settings.ReplicaSettings = SETTINGS,
+    ) -> None:
+        """Starts a cluster that is formed already."""
+        self.generator = random.Random(seed)
+        self.checker = consensus_checker.Checker()
+        self.now_s = 0.0
+        self.loss = 0.02
+        self.doubling = 0.02
+        self.slow = 0.05
+        self.disk_s = 0.004
+        self.cut: set[tuple[str, str]] = set()
+        self.checks_disks = True
+        self.accepted = 0
+        self._replica_class = replica_class
+        self._settings = settings
+        self._events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._count = 0
+        self._payloads = 0
+        drift = settings.clock_drift_ratio
+        self.nodes = [
+            consensus_node.Node(name, self.generator.uniform(1 - drift, 1 + drift))
+            for name in "abcdefg"[:voters]
+        ]
+        self._form()
+        for node in self.nodes:
+            self.start(node)
+        self.after(_JOIN_S, self._join)
+
+    def after(self, delay_s: float, what: Callable[..., None], *with_: Any) -> None:
+        """Plans an event."""
+        self._count += 1
+        heapq.heappush(
+            self._events, (self.now_s + delay_s, self._count, what, with_)
+        )
+
+    def run_for(self, duration_s: float) -> None:
+        """Lets events happen, checking after each."""
+        until_s = self.now_s + duration_s
+        while self._events and self._events[0][0] <= until_s:
+            self.now_s, _, what, with_ = heapq.heappop(self._events)
+            what(*with_)
+            self.checker.check(self.nodes, self.now_s)
+        self.now_s = until_s
+
+    def leaders(self) -> list[consensus_node.Node]:
+        """Instances that take themselves for the leader."""
+        return [
+            node
+            for node in self.nodes
+            if node.replica is not None
+            and node.replica.role is role_module.Role.LEADER
+        ]
+
+    def start(self, node: consensus_node.Node) -> None:
+        """Starts an instance from its disk."""
+        if node.replica is not None:
+            return
+        node.run += 1
+        node.applied_index = 0
+        node.digest = 0
+        node.replica = self._replica_class(
+            self._settings,
+            random.Random(self.generator.random()),
+            node.disk.restore(),
+            node.local_s(self.now_s),
+        )
+        self.after(self.generator.random() * _TICK_S, self._tick, node, node.run)
+
+    def crash(self, node: consensus_node.Node) -> None:
+        """Cuts an instance's power; unsynced writes may be lost or torn."""
+        if node.replica is None:
+            return
+        node.replica = None
+        node.run += 1
+        node.disk.tear(node.batch, self.generator)
+        node.batch = []
+        node.queue = []
+
+    def propose(self, node: consensus_node.Node) -> None:
+        """Proposes a fresh command at an instance."""
+        if node.replica is None or node.paused_until_s > self.now_s:
+            return
+        self._payloads += 1
+        payload = b"%d" % self._payloads
+        result = node.replica.propose(node.local_s(self.now_s), payload)
+        if isinstance(result, proposal.Proposal):
+            self._act(node, result.effects)
+
+    def change(
+        self, node: consensus_node.Node, change: member_change.MemberChange
+    ) -> bool:
+        """Proposes a change of members; returns whether it was taken."""
+        if node.replica is None:
+            return False
+        result = node.replica.change_members(node.local_s(self.now_s), change)
+        if not isinstance(result, proposal.Proposal):
+            return False
+        self._act(node, result.effects)
+        return True
+
+    def _form(self) -> None:
+        members = membership.Membership(
+            "cluster",
+            tuple(
+                member.Member(node.disk.replica_id, node.name, True)
+                for node in self.nodes
+            ),
+        )
+        first = entry_module.Entry(
+            1,
+            1,
+            entry_module.EntryKind.MEMBERSHIP,
+            codec.encode_membership(members),
+        )
+        for node in self.nodes:
+            node.disk.hard_state = write_module.HardState(1, "")
+            node.disk.entries[1] = first
+
+    def _join(self) -> None:
+        # The control program's part: lost replicas join, old ones leave.
+        self.after(_JOIN_S, self._join)
+        for leader in self.leaders():
+            if leader.paused_until_s > self.now_s or leader.replica is None:
+                continue
+            due = replacement.next_change(
+                leader.replica, leader.local_s(self.now_s)
+            )
+            if due is not None:
+                self.change(leader, due)
+                continue
+            self._add_missing(leader)
+
+    def _add_missing(self, leader: consensus_node.Node) -> None:
+        assert leader.replica is not None
+        members = leader.replica.journal.members
+        for node in self.nodes:
+            identity = node.disk.replica_id
+            if node.replica is None or not node.is_wanted:
+                continue
+            if members.find(identity) is None:
+                added = member_change.MemberChange(
+                    member_change.ChangeKind.ADD_LEARNER, identity, node.name
+                )
+                self.change(leader, added)
+                return
+
+    def _tick(self, node: consensus_node.Node, run: int) -> None:
+        if node.run != run or node.replica is None:
+            return
+        if node.paused_until_s > self.now_s:
+            self.after(
+                node.paused_until_s - self.now_s, self._tick, node, run
+            )
+            return
+        self.after(_TICK_S, self._tick, node, run)
+        self._act(node, node.replica.tick(node.local_s(self.now_s)))
+
+    def _act(
+        self, node: consensus_node.Node, result: effects_module.Effects
+    ) -> None:
+        for write in result.writes:
+            self.checker.saw_appended(write.entries)
+        node.queue.extend(result.writes)
+        for message in result.messages:
+            self._send(node, message)
+        if result.install is not None:
+            digest = int(result.install.data or b"0")
+            self.checker.saw_snapshot(node, result.install.log_index, digest)
+            node.applied_index = result.install.log_index
+            node.digest = digest
+        for one in result.committed:
+            self._apply(node, one)
+        if result.snapshot_wanted:
+            self.after(
+                self.generator.random() * 0.05,
+                self._take_snapshot,
+                node,
+                node.run,
+                (node.applied_index, node.digest),
+            )
+        if node.queue and not node.batch:
+            self._start_sync(node)
+
+    def _apply(
+        self, node: consensus_node.Node, one: entry_module.Entry
+    ) -> None:
+        is_first = one.log_index not in self.checker.committed
+        self.checker.saw_committed(node, one)
+        if is_first:
+            self.accepted += 1
+            if self.checks_disks:
+                self.checker.saw_accepted(self.nodes, node, one)
+        node.applied_index = one.log_index
+        node.digest = consensus_checker.digest_of(node.digest, one)
+
+    def _take_snapshot(
+        self, node: consensus_node.Node, run: int, state: tuple[int, int]
+    ) -> None:
+        if node.run != run or node.replica is None:
+            return
+        result = node.replica.snapshot_taken(
+            node.local_s(self.now_s), state[0], b"%010d" % state[1]
+        )
+        self._act(node, result)
+
+    def _start_sync(self, node: consensus_node.Node) -> None:
+        node.batch = node.queue
+        node.queue = []
+        delay_s = self.generator.random() * self.disk_s
+        if self.generator.random() < self.slow:
+            delay_s *= 40
+        self.after(delay_s, self._end_sync, node, node.run)
+
+    def _end_sync(self, node: consensus_node.Node, run: int) -> None:
+        if node.run != run or node.replica is None:
+            return
+        if node.paused_until_s > self.now_s:
+            self.after(
+                node.paused_until_s - self.now_s, self._end_sync, node, run
+            )
+            return
+        node.disk.sync(node.batch)
+        write_id = node.batch[-1].write_id
+        node.batch = []
+        self._act(
+            node, node.replica.disk_done(node.local_s(self.now_s), write_id)
+        )
+        if node.queue and not node.batch:
+            self._start_sync(node)
+
+    def _send(
+        self, node: consensus_node.Node, message: messages.Message
+    ) -> None:
+        copies = 1
+        if self.generator.random() < self.loss:
+            copies = 0
+        elif self.generator.random() < self.doubling:
+            copies = 2
+        for _ in range(copies):
+            delay_s = 0.0005 + self.generator.random() * 0.01
+            if self.generator.random() < self.slow:
+                delay_s *= 50
+            self.after(delay_s, self._deliver, node.name, message)
+
+    def _deliver(self, sender: str, message: messages.Message) -> None:
+        name = message.recipient.partition("@")[0]
+        if (sender, name) in self.cut:
+            return
+        for node in self.nodes:
+            if node.name == name:
+                self._receive(node, sender, message)
+
+    def _receive(
+        self,
+        node: consensus_node.Node,
+        sender: str,
+        message: messages.Message,
+    ) -> None:
+        if node.replica is None:
+            return
+        if node.paused_until_s > self.now_s:
+            self.after(
+                node.paused_until_s - self.now_s, self._deliver, sender, message
+            )
+            return
+        self._act(node, node.replica.step(node.local_s(self.now_s), message))
--- a/src/cranberrymux/consensus/leader.py
+++ b/src/cranberrymux/consensus/leader.py
@@ -138,8 +138,7 @@
             known.note_mismatch(answer.match_index)
         else:
             return
-        if self._sender.has_news(known):
-            self._sender.send(now_s, answer.sender, known, True)
+        self._sender.send_news(now_s, answer.sender, known)
 
     def take_snapshot_answer(
         self, now_s: float, answer: messages.SnapshotAnswer
--- a/src/cranberrymux/consensus/sender.py
+++ b/src/cranberrymux/consensus/sender.py
@@ -46,13 +46,17 @@
         elif heartbeat:
             self._send_append(now_s, replica_id, 0, 0, ())
 
-    def has_news(self, known: progress_module.Progress) -> bool:
-        """True if the member lacks entries, or idles without the commit."""
+    def send_news(
+        self, now_s: float, replica_id: str, known: progress_module.Progress
+    ) -> None:
+        """Sends entries that the member lacks, or an idle one the commit."""
         if known.next_index <= self._journal.log.last_index:
-            return True
-        if known.in_flight:
-            return False
-        return known.told_commit_index < self._journal.commit_index
+            self.send(now_s, replica_id, known, False)
+        elif (
+            not known.in_flight
+            and known.told_commit_index < self._journal.commit_index
+        ):
+            self.send(now_s, replica_id, known, True)
 
     def send_entries(
         self,
@@ -71,13 +75,14 @@
                 self._settings.max_append_entries,
                 self._settings.max_append_bytes,
             )
-        if not entries and not heartbeat and not known.probing:
+        is_probe = known.probing and not known.probe_sent
+        if not entries and not heartbeat and not is_probe:
             return
         previous_term = log.term_at(previous_index)
         if previous_term is None:
             return
         known.told_commit_index = self._journal.commit_index
-        if entries or (known.probing and not known.probe_sent):
+        if entries or is_probe:
             known.note_sent(previous_index + len(entries))
         self._send_append(
             now_s, replica_id, previous_index, previous_term, entries
