Add the classification of answers, tombstones and the matching of calls

Cause: not-run may be said only where no byte reached a backend server and none can; an answer goes to its own call, whole, once. Chosen: the callee's node tells how far back its memory of hand-overs is complete, and the caller compares that with the age of the call, so that bounded memory never leads to a false not-run and no clocks are compared. A backend server's own Cranberrymux-Answer is not believed. Found: with the incarnation's comparison alone taken out the check does not fail, since the cover begins at the node's start; both stay.

--- /dev/null
+++ b/src/cranberrymux/decisions/answers/classifier.py
@@ -0,0 +1,73 @@
+"""Turns the evidence on a call into the kind of its answer.
+
+Not-run is said only where no byte reached a backend server and none can.
+"""
+
+from cranberrymux.decisions.answers import call_evidence
+from cranberrymux.decisions.answers import conclusion
+from cranberrymux.decisions.answers import reach as reach_module
+from cranberrymux.decisions.answers import vouch_verdict
+from cranberrymux.models import answer_kind
+from cranberrymux.models import refusal_reason
+
+_Kind = answer_kind.AnswerKind
+_Reach = reach_module.Reach
+_Reason = refusal_reason.RefusalReason
+
+_FIRST_SERVER_ERROR = 500
+
+
+def classify(evidence: call_evidence.CallEvidence) -> conclusion.Conclusion:
+    """Concludes what the caller may be told; anything unproven is unknown.
+
+    Args:
+        evidence: What is known of the attempt.
+
+    Returns:
+        Kind and reason.
+    """
+    if evidence.reach is _Reach.NOWHERE:
+        return conclusion.Conclusion(_Kind.NOT_RUN, evidence.reason)
+    if evidence.reach is _Reach.BACKEND:
+        return _classify_backend(evidence)
+    return _classify_node(evidence)
+
+
+def _classify_backend(
+    evidence: call_evidence.CallEvidence,
+) -> conclusion.Conclusion:
+    if evidence.status is None:
+        return conclusion.Conclusion(_Kind.UNKNOWN, evidence.reason)
+    if not evidence.whole:
+        return conclusion.Conclusion(_Kind.UNKNOWN, _Reason.TRUNCATED)
+    if evidence.status >= _FIRST_SERVER_ERROR:
+        return conclusion.Conclusion(_Kind.FAILED, None)
+    return conclusion.Conclusion(_Kind.DONE, None)
+
+
+def _classify_node(
+    evidence: call_evidence.CallEvidence,
+) -> conclusion.Conclusion:
+    kind = evidence.node_kind
+    if evidence.status is not None and kind is _Kind.NOT_RUN:
+        reason = evidence.node_reason or evidence.reason
+        return conclusion.Conclusion(kind, reason)
+    if evidence.status is not None and evidence.whole and kind is not None:
+        return conclusion.Conclusion(kind, evidence.node_reason)
+    if _is_refused(evidence):
+        return conclusion.Conclusion(_Kind.NOT_RUN, evidence.reason)
+    cut = evidence.status is not None and not evidence.whole
+    reason = _Reason.TRUNCATED if cut else evidence.reason
+    return conclusion.Conclusion(_Kind.UNKNOWN, reason)
+
+
+def _is_refused(evidence: call_evidence.CallEvidence) -> bool:
+    """True if the callee's node vouches that the attempt can not run."""
+    word = evidence.vouch
+    return (
+        word is not None
+        and word.verdict is vouch_verdict.VouchVerdict.REFUSED
+        and word.incarnation == evidence.sent_incarnation
+        and evidence.age_s < word.covered_s
+        and evidence.status is None
+    )
--- /dev/null
+++ b/tests/decisions/answers/test_tombstones.py
@@ -0,0 +1,60 @@
+from cranberrymux.decisions.answers import attempt_key
+from cranberrymux.decisions.answers import tombstone_settings
+from cranberrymux.decisions.answers import tombstones
+from cranberrymux.decisions.answers import vouch_verdict
+from cranberrymux.models import request_context
+
+Verdict = vouch_verdict.VouchVerdict
+SETTINGS = tombstone_settings.TombstoneSettings(
+    handed_age_s=10.0, handed_maximum=3, refused_age_s=30.0, refused_maximum=2
+)
+
+
+def key(attempt):
+    return attempt_key.AttemptKey("id", "1", attempt)
+
+
+def test_key_of_a_context():
+    context = request_context.RequestContext("id", "1", "ann", 1, 0, 0, 0, 2)
+    assert attempt_key.from_context(context) == key(2)
+
+
+def test_refuses_a_late_arrival():
+    memory = tombstones.Tombstones(0.0, 7, SETTINGS)
+    word = memory.refuse(5.0, key(1))
+    assert word == (Verdict.REFUSED, 7, 5.0)
+    assert memory.is_refused(6.0, key(1))
+    assert not memory.hand_over(6.0, key(1))
+    assert memory.hand_over(6.0, key(2))
+
+
+def test_does_not_vouch_for_what_was_handed_over():
+    memory = tombstones.Tombstones(0.0, 7, SETTINGS)
+    assert memory.hand_over(1.0, key(1))
+    assert memory.refuse(2.0, key(1)).verdict is Verdict.HANDED_OVER
+
+
+def test_what_was_forgotten_shortens_the_cover():
+    memory = tombstones.Tombstones(0.0, 7, SETTINGS)
+    for attempt in range(1, 5):
+        memory.hand_over(float(attempt), key(attempt))
+    assert memory.refuse(5.0, key(9)).covered_s == 4.0
+    assert memory.refuse(13.5, key(9)).covered_s == 13.5 - 3.0
+
+
+def test_without_room_it_vouches_for_nothing():
+    memory = tombstones.Tombstones(0.0, 7, SETTINGS)
+    memory.refuse(0.0, key(1))
+    memory.refuse(0.0, key(2))
+    assert memory.refuse(1.0, key(3)).verdict is Verdict.CANNOT_VOUCH
+    assert memory.hand_over(1.0, key(3))
+    assert memory.refuse(1.0, key(1)).verdict is Verdict.REFUSED
+    assert len(memory) == 3
+
+
+def test_tombstones_age():
+    memory = tombstones.Tombstones(0.0, 7, SETTINGS)
+    memory.refuse(0.0, key(1))
+    memory.refuse(20.0, key(1))
+    assert memory.is_refused(49.0, key(1))
+    assert not memory.is_refused(50.0, key(1))
