Learn the limit from latency by trial cuts; route by the node's own load

Two endpoints that said idle got the traffic and the retries; the others stood open at level 490 beside them. The node's own share of slots and queue in use neither lags nor lies.

The limit now cuts by a quarter when its own latency is over 2.5 times the best and keeps the cut only if latency answers; a service that is slow for its own reasons reopens at once. Ruled out: a gradient on latency alone, which would close a slow deep service further.

--- a/bench/overload/admission.py
+++ b/bench/overload/admission.py
@@ -14,6 +14,10 @@
     def level(self) -> int:
         """Level for the answers."""
 
+    @property
+    def load(self) -> float:
+        """Load for the answers."""
+
     def offer(
         self, now_s: float, ticket: ticket_module.Ticket
     ) -> controller.Verdict:
--- a/bench/overload/call.py
+++ b/bench/overload/call.py
@@ -49,12 +49,14 @@
         served: Services that ran it, deepest last; empty if it failed.
         refusal: Why a node refused it; None if a backend server answered.
         level: Level of the endpoint that answered.
+        load: Load that its node measured.
     """
 
     request_id: str
     served: tuple[str, ...]
     refusal: refusal.Refusal | None
     level: int
+    load: float
 
 
 class Callee(Protocol):
--- a/bench/overload/egress.py
+++ b/bench/overload/egress.py
@@ -72,7 +72,7 @@
         node = self._chooser.choose(request, tried)
         if node is None:
             answer = call_module.Answer(
-                request.request_id, (), _SHED_EARLY, self.level
+                request.request_id, (), _SHED_EARLY, self.level, 1.0
             )
             errand.answered(answer)
             return
--- a/bench/overload/fixed_limit.py
+++ b/bench/overload/fixed_limit.py
@@ -20,6 +20,7 @@
     """Takes the same messages as `AdmissionController`."""
 
     level = 1 << 30
+    load = 0.0
 
     def __init__(self, limit: int) -> None:
         """Keeps the limit."""
--- a/bench/overload/node.py
+++ b/bench/overload/node.py
@@ -305,7 +305,11 @@
             self._recorder.wrong += 1
         call.answer(
             call_module.Answer(
-                call.request.request_id, served, refused, self._admission.level
+                call.request.request_id,
+                served,
+                refused,
+                self._admission.level,
+                self._admission.load,
             )
         )
 
--- a/bench/overload/routed.py
+++ b/bench/overload/routed.py
@@ -80,7 +80,7 @@
             _get_outcome(answer),
             latency_s,
             answer.level,
-            load=node.hint,
+            load=answer.load,
         )
 
     def announce(self, record: endpoint_record.EndpointRecord) -> None:
--- a/src/cranberrymux/decisions/admission/concurrency_limit.py
+++ b/src/cranberrymux/decisions/admission/concurrency_limit.py
@@ -1,23 +1,33 @@
 """How many calls an endpoint runs at once."""
 
 from cranberrymux.decisions.admission import admission_settings
+from cranberrymux.decisions.admission import latency_probe
 from cranberrymux.decisions.admission import outcome as outcome_module
 
-LATENCY_WEIGHT = 0.05  # Weight of one call in the mean latency.
+HOLD_WEIGHT = 0.05  # Weight of one call in the mean time of a slot.
 CUT_ON_OVERLOAD = 0.8
+CUT_ON_LATENCY = 0.75
 GROWTH = 1.25
 FULL_LOAD = 0.95
 MINIMUM_LIMIT = 1
 
+_Advice = latency_probe.Advice
+
 
 class ConcurrencyLimit:
-    """The limit, capped by the announced slots."""
+    """The limit, learned from latency and outcome, capped by the slots.
+
+    It falls when the backend server sheds or times out, or when fewer calls
+    at once make it faster. It grows by a quarter in each window in which it
+    was reached, so that it is open again within a second or two.
+    """
 
     def __init__(self, settings: admission_settings.AdmissionSettings) -> None:
         """Starts at the announced slots."""
         self._hint_life_s = settings.hint_life_s
         self._slots = max(settings.slots, MINIMUM_LIMIT)
         self._limit = float(self._slots)
+        self._probe = latency_probe.LatencyProbe()
         self._hold_s = 0.0
         self._overloads = 0
         self._full_until_s = float("-inf")
@@ -53,14 +63,14 @@
             hold_s: Seconds that it held its slot.
             own_s: The part that was not spent in deeper calls.
         """
-        del own_s
         if outcome is outcome_module.Outcome.OVERLOADED:
             self._overloads += 1
         if outcome is not outcome_module.Outcome.OK:
             return
+        self._probe.count(own_s)
         if self._hold_s == 0.0:
             self._hold_s = hold_s
-        self._hold_s += LATENCY_WEIGHT * (hold_s - self._hold_s)
+        self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
 
     def end_window(self, now_s: float, peak: int) -> None:
         """Moves the limit.
@@ -69,9 +79,23 @@
             now_s: Monotonic seconds.
             peak: Most calls that ran at once in the window.
         """
+        is_full = peak >= self.limit
+        advice = self._probe.judge(self.limit, is_full)
         if self._overloads:
-            self._limit = max(self._limit * CUT_ON_OVERLOAD, MINIMUM_LIMIT)
-        elif now_s >= self._full_until_s and peak >= self.limit:
-            grown = max(self._limit * GROWTH, self._limit + 1)
-            self._limit = min(grown, float(self._slots))
+            self._cut(CUT_ON_OVERLOAD)
+        elif advice is _Advice.CUT:
+            self._cut(CUT_ON_LATENCY)
+        elif advice is _Advice.REOPEN:
+            self._limit = float(self._slots)
+        elif advice is _Advice.GROW and is_full:
+            self._grow(now_s)
         self._overloads = 0
+
+    def _cut(self, factor: float) -> None:
+        self._limit = max(self._limit * factor, MINIMUM_LIMIT)
+
+    def _grow(self, now_s: float) -> None:
+        if now_s < self._full_until_s:
+            return
+        grown = max(self._limit * GROWTH, self._limit + 1)
+        self._limit = min(grown, float(self._slots))
--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -69,6 +69,15 @@
         """Calls that wait for a slot."""
         return len(self._queue)
 
+    @property
+    def load(self) -> float:
+        """Share of the slots and of the queue in use, 0.0 to 1.0.
+
+        It is measured here, so that it neither lags nor misleads.
+        """
+        room = self._meter.limit + self._get_queue_bound()
+        return min((len(self._running) + len(self._queue)) / room, 1.0)
+
     @property
     def is_draining(self) -> bool:
         """True once `begin_drain` was told."""
