--- a/bench/consensus_checker.py
+++ b/bench/consensus_checker.py
@@ -23,6 +23,11 @@
         self._leaders: dict[int, str] = {}
         self._entries: dict[tuple[int, int], tuple[int, bytes]] = {}
 
+    @property
+    def leader_terms(self) -> list[int]:
+        """Terms that had a leader."""
+        return sorted(self._leaders)
+
     @property
     def last_committed(self) -> int:
         """Last entry that any replica took as committed."""
--- a/bench/consensus_node.py
+++ b/bench/consensus_node.py
@@ -21,6 +21,7 @@
         led_term: Term that it leads; 0 for none.
         paused_until_s: Until when the process is stopped; real time.
         clock_rate: Rate of its clock against real time.
+        clock_offset_s: What its clock showed at the start.
         is_wanted: True if it should be a member.
     """
 
@@ -38,11 +39,12 @@
         self.led_term = 0
         self.paused_until_s = 0.0
         self.clock_rate = clock_rate
+        self.clock_offset_s = 1000.0
         self.is_wanted = True
 
     def local_s(self, now_s: float) -> float:
         """What this instance's clock shows."""
-        return 1000.0 + now_s * self.clock_rate
+        return self.clock_offset_s + now_s * self.clock_rate
 
     def lose_disk(self) -> None:
         """Replaces the disk by an empty one with a new identity."""
--- /dev/null
+++ b/bench/consensus_scenarios.py
@@ -0,0 +1,284 @@
+"""Fixed sequences of events that random schedules reach too seldom.
+
+Each takes the class of replica, so that a test can show what the mechanism
+prevents, and raises `consensus_checker.Violation` if it finds a guarantee
+broken.
+"""
+
+from bench import consensus_checker
+from bench import consensus_node
+from bench import consensus_world
+from cranberrymux.consensus import codec
+from cranberrymux.consensus import entry as entry_module
+from cranberrymux.consensus import member
+from cranberrymux.consensus import member_change
+from cranberrymux.consensus import membership
+from cranberrymux.consensus import replica as replica_module
+from cranberrymux.consensus import replica_settings
+from cranberrymux.consensus import write as write_module
+
+_STEP_S = 0.002
+_QUIET = consensus_world.SETTINGS
+
+
+def build(
+    seed: int,
+    voters: int,
+    replica_class: type[replica_module.Replica],
+    settings: replica_settings.ReplicaSettings = _QUIET,
+) -> consensus_world.World:
+    """A cluster on a network that loses and delays nothing unasked."""
+    world = consensus_world.World(seed, voters, replica_class, settings)
+    world.loss = world.doubling = world.slow = 0.0
+    return world
+
+
+def elect(world: consensus_world.World) -> consensus_node.Node:
+    """Runs until one leader holds the lease, and returns it."""
+    for _ in range(int(5 / _STEP_S)):
+        world.run_for(_STEP_S)
+        for node in world.leaders():
+            assert node.replica is not None
+            if node.replica.lease_valid(node.local_s(world.now_s)):
+                return node
+    raise consensus_checker.Violation("no leader within 5 s")
+
+
+def separate(
+    world: consensus_world.World,
+    some: list[consensus_node.Node],
+    others: list[consensus_node.Node],
+) -> None:
+    """Cuts all links between two groups, both ways."""
+    for one in some:
+        for other in others:
+            world.cut |= {(one.name, other.name), (other.name, one.name)}
+
+
+def deaf_follower(
+    seed: int, replica_class: type[replica_module.Replica]
+) -> None:
+    """A follower loses its leader while the third member hears both."""
+    world = build(seed, 3, replica_class)
+    leader = elect(world)
+    deaf = next(node for node in world.nodes if node is not leader)
+    separate(world, [leader], [deaf])
+    world.run_for(8 * _QUIET.lease_s)
+
+
+def silenced_leader(
+    seed: int,
+    replica_class: type[replica_module.Replica],
+    settings: replica_settings.ReplicaSettings = _QUIET,
+) -> None:
+    """Nobody hears the leader any more; answers under way still reach it.
+
+    Clocks are the worst that the settings allow, and answers are late.
+    """
+    world = build(seed, 3, replica_class, settings)
+    leader = elect(world)
+    others = [node for node in world.nodes if node is not leader]
+    _set_rate(world, leader, 1 - settings.clock_drift_ratio)
+    for node in others:
+        _set_rate(world, node, 1 + settings.clock_drift_ratio)
+        world.late_s[node.name, leader.name] = settings.lease_s / 2
+    world.run_for(0.3)
+    world.cut = {(leader.name, node.name) for node in others}
+    world.run_for(4 * settings.lease_s)
+
+
+def deaf_follower_and_restart(
+    seed: int, replica_class: type[replica_module.Replica]
+) -> None:
+    """The same, and the third member restarts again and again."""
+    world = build(seed, 3, replica_class)
+    leader = elect(world)
+    deaf, between = [node for node in world.nodes if node is not leader]
+    separate(world, [leader], [deaf])
+    for _ in range(8):
+        world.run_for(world.generator.uniform(0.05, 0.15))
+        world.crash(between)
+        world.start(between)
+        # Its answers to the leader are late, those to the candidate are not.
+        links = {(between.name, leader.name), (leader.name, between.name)}
+        world.cut |= links
+        world.run_for(0.12)
+        world.cut -= links
+
+
+def older_term(
+    replica_class: type[replica_module.Replica],
+) -> None:
+    """A quorum holds an entry of an older term that another log outranks.
+
+    Ongaro and Ousterhout, In Search of an Understandable Consensus Algorithm,
+    figure 8.
+    """
+    settings = _QUIET._replace(max_append_entries=1, max_in_flight=1)
+    for seed in range(20):
+        world = build(seed, 5, replica_class, settings)
+        a, b, c, d, e = world.nodes
+        for node in world.nodes:
+            world.crash(node)
+        for node in (a, b):
+            _preset(node, 3, 2, b"older")
+        _preset(e, 3, 3, b"newer")
+        for node in (a, b, c, d):
+            world.start(node)
+        _run_until_third_has_it(world, [a, b, c, d])
+        world.cut = {(x.name, y.name) for x in (a, b) for y in world.nodes}
+        for node in (a, b):
+            world.crash(node)
+        world.start(e)
+        world.run_for(2.0)
+
+
+def change_without_own_commit(
+    replica_class: type[replica_module.Replica],
+) -> None:
+    """Two leaders change a membership of four without an entry between.
+
+    Ongaro, bug in single-server membership changes, raft-dev list, 2015.
+    """
+    for seed in range(20):
+        world = build(seed, 4, replica_class)
+        a, b, c, d = world.nodes
+        for node in world.nodes:
+            world.crash(node)
+        e = consensus_node.Node("e", 1.0)
+        world.nodes.append(e)
+        for node in world.nodes:
+            node.is_wanted = False
+        grown = _members_of(a).with_member(
+            member.Member(e.disk.replica_id, "e", True)
+        )
+        for node in (a, e):
+            _preset_members(node, b, grown)
+        for node in (b, c, d):
+            world.start(node)
+        leader = _wait_for_leader(world)
+        left_out, partner = [x for x in (b, c, d) if x is not leader]
+        separate(world, [left_out], [leader, partner])
+        removal = member_change.MemberChange(
+            member_change.ChangeKind.REMOVE, a.disk.replica_id
+        )
+        world.change(leader, removal)
+        world.run_for(0.1)
+        world.crash(leader)
+        world.crash(partner)
+        world.start(a)
+        world.start(e)
+        world.run_for(2.0)
+
+
+def two_changes_at_once(replica_class: type[replica_module.Replica]) -> None:
+    """A leader that is alone removes the others one after the other."""
+    world = build(1, 3, replica_class)
+    leader = elect(world)
+    world.run_for(0.2)
+    others = [node for node in world.nodes if node is not leader]
+    separate(world, [leader], others)
+    for node in others:
+        world.change(
+            leader,
+            member_change.MemberChange(
+                member_change.ChangeKind.REMOVE, node.disk.replica_id
+            ),
+        )
+    world.propose(leader)
+    world.run_for(0.1)
+    # Longer than the lease, so that the others may elect.
+    for _ in range(10):
+        world.run_for(0.1)
+        for node in world.leaders():
+            world.propose(node)
+
+
+def isolated_follower(replica_class: type[replica_module.Replica]) -> None:
+    """A follower comes back after a while alone."""
+    world = build(2, 3, replica_class)
+    leader = elect(world)
+    alone = next(node for node in world.nodes if node is not leader)
+    others = [node for node in world.nodes if node is not alone]
+    separate(world, [alone], others)
+    world.run_for(3.0)
+    world.cut.clear()
+    world.run_for(1.0)
+    if world.leaders() != [leader] or len(world.checker.leader_terms) != 1:
+        raise consensus_checker.Violation("a returning follower deposed a leader")
+
+
+def isolated_leader(replica_class: type[replica_module.Replica]) -> None:
+    """A leader is cut off from both followers."""
+    world = build(3, 3, replica_class)
+    leader = elect(world)
+    others = [node for node in world.nodes if node is not leader]
+    separate(world, [leader], others)
+    world.run_for(2 * _QUIET.lease_s)
+    if leader in world.leaders():
+        raise consensus_checker.Violation("a leader without a quorum goes on")
+
+
+def _set_rate(
+    world: consensus_world.World, node: consensus_node.Node, rate: float
+) -> None:
+    # Keeps what the clock shows at this moment.
+    node.clock_offset_s = node.local_s(world.now_s) - world.now_s * rate
+    node.clock_rate = rate
+
+
+def _preset(
+    node: consensus_node.Node, term: int, entry_term: int, payload: bytes
+) -> None:
+    node.disk.hard_state = write_module.HardState(term, "")
+    node.disk.entries[2] = entry_module.Entry(
+        2, entry_term, entry_module.EntryKind.COMMAND, payload
+    )
+
+
+def _members_of(node: consensus_node.Node) -> membership.Membership:
+    members = codec.decode_membership(node.disk.entries[1].payload)
+    assert isinstance(members, membership.Membership)
+    return members
+
+
+def _preset_members(
+    node: consensus_node.Node,
+    like: consensus_node.Node,
+    members: membership.Membership,
+) -> None:
+    node.disk.hard_state = write_module.HardState(1, "")
+    node.disk.entries[1] = like.disk.entries[1]
+    node.disk.entries[2] = entry_module.Entry(
+        2,
+        1,
+        entry_module.EntryKind.MEMBERSHIP,
+        codec.encode_membership(members),
+    )
+
+
+def _wait_for_leader(
+    world: consensus_world.World,
+) -> consensus_node.Node:
+    for _ in range(2000):
+        world.run_for(_STEP_S / 4)
+        if world.leaders():
+            return world.leaders()[0]
+    raise consensus_checker.Violation("no leader")
+
+
+def _run_until_third_has_it(
+    world: consensus_world.World, nodes: list[consensus_node.Node]
+) -> None:
+    # Stops when three of five disks hold the older entry and the leader has
+    # heard of the third, before its own term's entry is out.
+    for _ in range(4000):
+        world.run_for(_STEP_S / 8)
+        for node in world.leaders():
+            assert node.replica is not None
+            if node.replica.journal.commit_index >= 2:
+                return
+            held = [x for x in nodes if 2 in x.disk.entries]
+            if len(held) >= 3 and not node.replica.journal.log.last_index < 3:
+                world.run_for(0.012)
+                return
--- a/bench/consensus_schedule.py
+++ b/bench/consensus_schedule.py
@@ -1,5 +1,6 @@
 """One random schedule of faults against a simulated cluster."""
 
+from collections.abc import Mapping
 import random
 from typing import NamedTuple
 
@@ -52,6 +53,7 @@
         seed: The schedule's seed.
         states: States that were checked.
         accepted: Entries that were accepted.
+        seen: Counts of what happened.
         was_calmed: True if progress after the faults was checked too.
         violation: What was broken; empty for nothing.
     """
@@ -59,6 +61,7 @@
     seed: int
     states: int
     accepted: int
+    seen: Mapping[str, int]
     was_calmed: bool
     violation: str
 
@@ -105,6 +108,7 @@
             self._seed,
             self.world.checker.states,
             self.world.accepted,
+            self.world.seen,
             not may_stall,
             violation,
         )
--- a/bench/consensus_world.py
+++ b/bench/consensus_world.py
@@ -1,5 +1,6 @@
 """A simulated cluster on a virtual clock."""
 
+import collections
 from collections.abc import Callable
 import heapq
 import random
@@ -54,9 +55,11 @@
         self.doubling = 0.02
         self.slow = 0.05
         self.disk_s = 0.004
+        self.late_s: dict[tuple[str, str], float] = {}
         self.cut: set[tuple[str, str]] = set()
         self.checks_disks = True
         self.accepted = 0
+        self.seen: collections.Counter[str] = collections.Counter()
         self._replica_class = replica_class
         self._settings = settings
         self._events: list[tuple[float, int, Callable[..., None], Any]] = []
@@ -116,6 +119,8 @@
         """Cuts an instance's power; unsynced writes may be lost or torn."""
         if node.replica is None:
             return
+        self.seen["crashes"] += 1
+        self.seen["crashes during a sync"] += bool(node.batch)
         node.replica = None
         node.run += 1
         node.disk.tear(node.batch, self.generator)
@@ -142,6 +147,7 @@
         if not isinstance(result, proposal.Proposal):
             return False
         self._act(node, result.effects)
+        self.seen["member changes"] += 1
         return True
 
     def _form(self) -> None:
@@ -206,6 +212,9 @@
     ) -> None:
         for write in result.writes:
             self.checker.saw_appended(write.entries)
+            self.seen["truncations"] += write.truncate_from is not None
+            self.seen["snapshots"] += write.snapshot is not None
+            self.seen["snapshots received"] += write.replaces_log
         node.queue.extend(result.writes)
         for message in result.messages:
             self._send(node, message)
@@ -286,6 +295,8 @@
             delay_s = 0.0005 + self.generator.random() * 0.01
             if self.generator.random() < self.slow:
                 delay_s *= 50
+            name = message.recipient.partition("@")[0]
+            delay_s += self.late_s.get((node.name, name), 0.0)
             self.after(delay_s, self._deliver, node.name, message)
 
     def _deliver(self, sender: str, message: messages.Message) -> None:
--- /dev/null
+++ b/tests/consensus/test_mutations.py
@@ -0,0 +1,268 @@
+"""Each mechanism taken out is found by the checker; see test_schedules."""
+
+import math
+import random
+
+import pytest
+
+from bench import consensus_checker
+from bench import consensus_disk
+from bench import consensus_scenarios
+from bench import consensus_schedule
+from bench import consensus_world
+from cranberrymux.consensus import election
+from cranberrymux.consensus import follower
+from cranberrymux.consensus import journal
+from cranberrymux.consensus import leader
+from cranberrymux.consensus import messages
+from cranberrymux.consensus import replica
+from cranberrymux.consensus import write
+
+
+class AcknowledgesBeforeSync(journal.Journal):
+    def send_durable(self, message):
+        self.send(message)
+
+
+class CountsOwnUnsyncedEntries(journal.Journal):
+    @property
+    def durable_index(self):
+        return self._log.last_index
+
+
+class ForgetsVote(journal.Journal):
+    def set_term(self, term, voted_for=""):
+        super().set_term(term, voted_for)
+        self._new_hard_state = write.HardState(term, "")
+
+
+class GivesVoteToOlderLog(journal.Journal):
+    def is_up_to_date(self, last_index, last_term):
+        return True
+
+
+class VotesTwice(election.Election):
+    def _may_grant(self, now_s, request):
+        if self.is_promised(now_s):
+            return False
+        return request.term >= self._journal.term and (
+            self._journal.is_up_to_date(request.last_index, request.last_term)
+        )
+
+
+class VotesInsideLease(election.Election):
+    def is_promised(self, now_s):
+        return False
+
+
+class VotesRightAfterStart(election.Election):
+    def __init__(self, settings, generator, journal_, now_s):
+        super().__init__(settings, generator, journal_, now_s)
+        self._promise_until_s = -math.inf
+
+
+class CountsLeaseFromReceipt(leader.Leader):
+    def lease_until_s(self):
+        heard_s = {x: known.heard_at_s for x, known in self._progress.items()}
+        base_s = self._of_quorum(heard_s, math.inf, -math.inf)
+        return base_s + self._settings.lease_s
+
+
+class TruncatesWithoutConflict(follower.Follower):
+    def _merge(self, request, start_index):
+        committed = self._journal.commit_index
+        entries = [x for x in request.entries if x.log_index > committed]
+        if not entries:
+            return
+        if entries[0].log_index <= self._journal.log.last_index:
+            self._journal.truncate(entries[0].log_index)
+        self._journal.append(entries)
+
+
+class CommitsBeyondMatch(follower.Follower):
+    def take_entries(self, request):
+        super().take_entries(request)
+        self._journal.commit(request.commit_index)
+
+
+class KeepsIdentity(consensus_schedule.Schedule):
+    def lose_disk(self, node):
+        node.disk = consensus_disk.SimulatedDisk(node.disk.replica_id)
+
+
+def _replica(**parts):
+    return type("MutatedReplica", (replica.Replica,), parts)
+
+
+class CommitsOlderTermByCount(leader.Leader):
+    def _counts(self, index):
+        return True
+
+
+class CountsLeaseWithoutMargin(leader.Leader):
+    def lease_until_s(self):
+        margin_s = self._settings.lease_s - self._settings.leader_lease_s
+        return super().lease_until_s() + margin_s
+
+
+class SkipsPreVote(election.Election):
+    def is_won(self):
+        if self._journal.voted_for != self._journal.replica_id:
+            return True
+        return super().is_won()
+
+    def ask_pre_votes(self, now_s):
+        super().ask_pre_votes(now_s)
+        self._journal.set_term(self._journal.term)
+
+
+class LeadsWithoutQuorum(leader.Leader):
+    def has_contact(self, now_s):
+        return True
+
+
+class ChangesBeforeOwnCommit(leader.Leader):
+    @property
+    def has_committed(self):
+        return True
+
+
+class ChangesTwiceAtOnce(journal.Journal):
+    @property
+    def members_index(self):
+        return 0
+
+
+Violation = consensus_checker.Violation
+SCHEDULES = {
+    "acknowledges before sync": _replica(journal_class=AcknowledgesBeforeSync),
+    "counts its own unsynced entries": _replica(
+        journal_class=CountsOwnUnsyncedEntries
+    ),
+    "gives its vote to an older log": _replica(
+        journal_class=GivesVoteToOlderLog
+    ),
+    "votes twice": _replica(election_class=VotesTwice),
+    "truncates without a conflict": _replica(
+        follower_class=TruncatesWithoutConflict
+    ),
+    "commits beyond what matches": _replica(follower_class=CommitsBeyondMatch),
+}
+
+
+@pytest.mark.parametrize("name", SCHEDULES)
+def test_schedules_find(name):
+    assert _first_violation(SCHEDULES[name])
+
+
+def test_schedules_find_old_identity_after_lost_disk():
+    faults = consensus_schedule.Faults(lose_disk=6)
+    found = [
+        KeepsIdentity(seed, faults=faults).run().violation
+        for seed in range(6)
+    ]
+    assert any(found)
+
+
+def _first_violation(replica_class):
+    for seed in range(40):
+        found = consensus_schedule.Schedule(seed, replica_class).run()
+        if found.violation:
+            return found.violation
+    return ""
+
+
+DRIFTING = consensus_world.SETTINGS._replace(clock_drift_ratio=0.25)
+SCENARIOS = {
+    "vote inside the lease": (
+        lambda kind: _try_seeds(consensus_scenarios.deaf_follower, kind),
+        _replica(election_class=VotesInsideLease),
+    ),
+    "lease counted from receipt": (
+        lambda kind: _try_seeds(consensus_scenarios.silenced_leader, kind),
+        _replica(leader_class=CountsLeaseFromReceipt),
+    ),
+    "lease without margin for drift": (
+        lambda kind: _try_seeds(
+            consensus_scenarios.silenced_leader, kind, DRIFTING
+        ),
+        _replica(leader_class=CountsLeaseWithoutMargin),
+    ),
+    "vote right after a start": (
+        lambda kind: _try_seeds(
+            consensus_scenarios.deaf_follower_and_restart, kind
+        ),
+        _replica(election_class=VotesRightAfterStart),
+    ),
+    "older term committed by count": (
+        consensus_scenarios.older_term,
+        _replica(leader_class=CommitsOlderTermByCount),
+    ),
+    "change of members before a commit of its own": (
+        consensus_scenarios.change_without_own_commit,
+        _replica(
+            leader_class=ChangesBeforeOwnCommit,
+            journal_class=ChangesTwiceAtOnce,
+        ),
+    ),
+    "two changes of members at once": (
+        consensus_scenarios.two_changes_at_once,
+        _replica(journal_class=ChangesTwiceAtOnce),
+    ),
+    "no pre-vote": (
+        consensus_scenarios.isolated_follower,
+        _replica(election_class=SkipsPreVote),
+    ),
+    "no check of the quorum": (
+        consensus_scenarios.isolated_leader,
+        _replica(leader_class=LeadsWithoutQuorum),
+    ),
+}
+
+
+def _try_seeds(scenario, kind, *settings):
+    for seed in range(25):
+        scenario(seed, kind, *settings)
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario_holds(name):
+    scenario, _ = SCENARIOS[name]
+    scenario(replica.Replica)
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario_finds(name):
+    scenario, mutated = SCENARIOS[name]
+    with pytest.raises(Violation):
+        scenario(mutated)
+
+
+def _candidates_granted(replica_class):
+    """Candidates of one term that a voter granted, over a power cut."""
+    disk = consensus_disk.SimulatedDisk("a@1")
+    granted = []
+    for candidate in ("b@1", "c@1"):
+        voter = replica_class(
+            consensus_world.SETTINGS, random.Random(1), disk.restore(), 0.0
+        )
+        request = messages.VoteRequest(
+            "cluster", candidate, "a@1", 7, False, 5, 5
+        )
+        first = voter.step(1.0, request)
+        disk.sync(first.writes)
+        last_id = first.writes[-1].write_id if first.writes else 0
+        second = voter.disk_done(1.1, last_id)
+        for answer in (*first.messages, *second.messages):
+            if answer.granted:
+                granted.append(answer.recipient)
+    return granted
+
+
+def test_vote_outlives_power_cut():
+    assert _candidates_granted(replica.Replica) == ["b@1"]
+
+
+def test_forgotten_vote_is_found():
+    forgetful = _replica(journal_class=ForgetsVote)
+    assert _candidates_granted(forgetful) == ["b@1", "c@1"]
