--- a/bench/consensus_checker.py
+++ b/bench/consensus_checker.py
@@ -7,12 +7,12 @@
 from cranberrymux.consensus import role as role_module
 
 
-class Violation(Exception):
+class ViolationError(Exception):
     """A guarantee was broken."""
 
 
 class Checker:
-    """Sees all that replicas do; raises `Violation`."""
+    """Sees all that replicas do; raises `ViolationError`."""
 
     def __init__(self) -> None:
         """Knows of nothing yet."""
@@ -38,25 +38,29 @@
     ) -> None:
         """Checks that commits have no gaps and never differ."""
         if one.log_index != node.applied_index + 1:
-            raise Violation(f"{node.name} skips to entry {one.log_index}")
+            raise ViolationError(f"{node.name} skips to entry {one.log_index}")
         assert node.replica is not None
         term = node.replica.journal.term
         self._commit_terms.setdefault(one.log_index, term)
         known = self.committed.setdefault(one.log_index, one)
         if known != one:
-            raise Violation(f"entry {one.log_index} differs: {known}, {one}")
+            raise ViolationError(
+                f"entry {one.log_index} differs: {known}, {one}"
+            )
         digest = digest_of(node.digest, one)
         if self.digests.setdefault(one.log_index, digest) != digest:
-            raise Violation(f"states differ at entry {one.log_index}")
+            raise ViolationError(f"states differ at entry {one.log_index}")
 
     def saw_snapshot(
         self, node: consensus_node.Node, log_index: int, digest: int
     ) -> None:
         """Checks that a snapshot holds the committed entries."""
         if log_index < node.applied_index:
-            raise Violation(f"{node.name} goes back to entry {log_index}")
+            raise ViolationError(f"{node.name} goes back to entry {log_index}")
         if self.digests.get(log_index) != digest:
-            raise Violation(f"snapshot at {log_index} is not what was accepted")
+            raise ViolationError(
+                f"snapshot at {log_index} is not what was accepted"
+            )
 
     def saw_accepted(
         self,
@@ -69,7 +73,9 @@
         members = node.replica.journal.members
         holders = [x.disk.replica_id for x in nodes if x.disk.holds(one)]
         if not members.has_quorum(holders):
-            raise Violation(f"entry {one.log_index} accepted, only on {holders}")
+            raise ViolationError(
+                f"entry {one.log_index} accepted, only on {holders}"
+            )
 
     def saw_appended(self, entries: tuple[entry_module.Entry, ...]) -> None:
         """Checks that index and term determine an entry."""
@@ -77,7 +83,7 @@
             key = (one.log_index, one.term)
             value = (int(one.kind), one.payload)
             if self._entries.setdefault(key, value) != value:
-                raise Violation(f"two entries {key}")
+                raise ViolationError(f"two entries {key}")
 
     def check(self, nodes: list[consensus_node.Node], now_s: float) -> None:
         """Checks leaders and leases at one moment."""
@@ -95,7 +101,7 @@
             if replica.lease_valid(node.local_s(now_s)):
                 holders.append(node)
         if len(holders) > 1:
-            raise Violation(f"leases held by {[x.name for x in holders]}")
+            raise ViolationError(f"leases held by {[x.name for x in holders]}")
         for node in holders:
             self._check_lease(node)
 
@@ -103,13 +109,15 @@
         assert node.replica is not None
         identity = node.replica.replica_id
         if self._leaders.setdefault(term, identity) != identity:
-            raise Violation(f"two leaders in term {term}")
+            raise ViolationError(f"two leaders in term {term}")
         log = node.replica.journal.log
         last_index = self._last_committed_before(term)
         if last_index < log.first_index:
             return
         if log.term_at(last_index) != self.committed[last_index].term:
-            raise Violation(f"{node.name} leads without entry {last_index}")
+            raise ViolationError(
+                f"{node.name} leads without entry {last_index}"
+            )
 
     def _last_committed_before(self, term: int) -> int:
         # A late vote may still elect a leader of a term that is over; it
@@ -123,7 +131,7 @@
         assert node.replica is not None
         commit_index = node.replica.journal.commit_index
         if commit_index < self.last_committed:
-            raise Violation(
+            raise ViolationError(
                 f"{node.name} holds the lease at {commit_index},"
                 f" accepted is {self.last_committed}"
             )
@@ -131,4 +139,6 @@
 
 def digest_of(digest: int, one: entry_module.Entry) -> int:
     """The state machine's state after an entry, as a checksum."""
-    return zlib.crc32(b"%d:%d:" % (one.log_index, one.term) + one.payload, digest)
+    return zlib.crc32(
+        b"%d:%d:" % (one.log_index, one.term) + one.payload, digest
+    )
--- a/bench/consensus_node.py
+++ b/bench/consensus_node.py
@@ -25,11 +25,19 @@
         is_wanted: True if it should be a member.
     """
 
-    def __init__(self, name: str, clock_rate: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        clock_rate: float,
+        disk_class: type[
+            consensus_disk.SimulatedDisk
+        ] = consensus_disk.SimulatedDisk,
+    ) -> None:
         """Starts down, with an empty disk."""
         self.name = name
         self.incarnation = 1
-        self.disk = consensus_disk.SimulatedDisk(f"{name}@1")
+        self._disk_class = disk_class
+        self.disk = disk_class(f"{name}@1")
         self.replica: replica_module.Replica | None = None
         self.run = 0
         self.queue: list[write_module.Write] = []
@@ -49,6 +57,4 @@
     def lose_disk(self) -> None:
         """Replaces the disk by an empty one with a new identity."""
         self.incarnation += 1
-        self.disk = consensus_disk.SimulatedDisk(
-            f"{self.name}@{self.incarnation}"
-        )
+        self.disk = self._disk_class(f"{self.name}@{self.incarnation}")
--- a/bench/consensus_scenarios.py
+++ b/bench/consensus_scenarios.py
@@ -1,7 +1,7 @@
 """Fixed sequences of events that random schedules reach too seldom.
 
 Each takes the class of replica, so that a test can show what the mechanism
-prevents, and raises `consensus_checker.Violation` if it finds a guarantee
+prevents, and raises `consensus_checker.ViolationError` if it finds a guarantee
 broken.
 """
 
@@ -41,7 +41,7 @@
             assert node.replica is not None
             if node.replica.lease_valid(node.local_s(world.now_s)):
                 return node
-    raise consensus_checker.Violation("no leader within 5 s")
+    raise consensus_checker.ViolationError("no leader within 5 s")
 
 
 def separate(
@@ -205,7 +205,9 @@
     world.cut.clear()
     world.run_for(1.0)
     if world.leaders() != [leader] or len(world.checker.leader_terms) != 1:
-        raise consensus_checker.Violation("a returning follower deposed a leader")
+        raise consensus_checker.ViolationError(
+            "a returning follower deposed a leader"
+        )
 
 
 def isolated_leader(replica_class: type[replica_module.Replica]) -> None:
@@ -216,7 +218,9 @@
     separate(world, [leader], others)
     world.run_for(2 * _QUIET.lease_s)
     if leader in world.leaders():
-        raise consensus_checker.Violation("a leader without a quorum goes on")
+        raise consensus_checker.ViolationError(
+            "a leader without a quorum goes on"
+        )
 
 
 def _set_rate(
@@ -264,7 +268,7 @@
         world.run_for(_STEP_S / 4)
         if world.leaders():
             return world.leaders()[0]
-    raise consensus_checker.Violation("no leader")
+    raise consensus_checker.ViolationError("no leader")
 
 
 def _run_until_third_has_it(
--- a/bench/consensus_schedule.py
+++ b/bench/consensus_schedule.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from bench import consensus_checker
+from bench import consensus_disk
 from bench import consensus_node
 from bench import consensus_world
 from cranberrymux.consensus import invariant_error
@@ -72,17 +73,23 @@
     def __init__(
         self,
         seed: int,
+        *,
         replica_class: type[replica_module.Replica] = replica_module.Replica,
         faults: Faults | None = None,
         voters: int | None = None,
         settings: replica_settings.ReplicaSettings = consensus_world.SETTINGS,
+        disk_class: type[
+            consensus_disk.SimulatedDisk
+        ] = consensus_disk.SimulatedDisk,
     ) -> None:
         """Sets the cluster up."""
         self._seed = seed
         self._generator = random.Random(f"faults {seed}")
         self._faults = faults or Faults()
         count = voters or self._generator.choice((3, 3, 3, 5))
-        self.world = consensus_world.World(seed, count, replica_class, settings)
+        self.world = consensus_world.World(
+            seed, count, replica_class, settings, disk_class
+        )
         self.world.loss = self._generator.choice((0.0, 0.02, 0.1))
         self.world.doubling = self._generator.choice((0.0, 0.05, 0.2))
         self.world.slow = self._generator.choice((0.0, 0.05, 0.2))
@@ -100,7 +107,7 @@
                 self._lost_disks > 0 and self._removals > 0
             )
             self._run_calm(may_stall)
-        except consensus_checker.Violation as error:
+        except consensus_checker.ViolationError as error:
             violation = str(error)
         except invariant_error.InvariantError as error:
             violation = f"invariant: {error}"
@@ -136,10 +143,12 @@
             world.propose(leader)
         world.run_for(0.5)
         if world.accepted == before:
-            raise consensus_checker.Violation("no progress after the faults")
+            raise consensus_checker.ViolationError(
+                "no progress after the faults"
+            )
         digests = {node.applied_index: node.digest for node in world.nodes}
         if len(digests) > 1 or world.accepted not in digests:
-            raise consensus_checker.Violation(f"states differ: {digests}")
+            raise consensus_checker.ViolationError(f"states differ: {digests}")
 
     def _propose(self) -> None:
         self.world.after(
--- a/bench/consensus_world.py
+++ b/bench/consensus_world.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from bench import consensus_checker
+from bench import consensus_disk
 from bench import consensus_node
 from cranberrymux.consensus import codec
 from cranberrymux.consensus import effects as effects_module
@@ -46,6 +47,9 @@
         voters: int = 3,
         replica_class: type[replica_module.Replica] = replica_module.Replica,
         settings: replica_settings.ReplicaSettings = SETTINGS,
+        disk_class: type[
+            consensus_disk.SimulatedDisk
+        ] = consensus_disk.SimulatedDisk,
     ) -> None:
         """Starts a cluster that is formed already."""
         self.generator = random.Random(seed)
@@ -67,7 +71,9 @@
         self._payloads = 0
         drift = settings.clock_drift_ratio
         self.nodes = [
-            consensus_node.Node(name, self.generator.uniform(1 - drift, 1 + drift))
+            consensus_node.Node(
+                name, self.generator.uniform(1 - drift, 1 + drift), disk_class
+            )
             for name in "abcdefg"[:voters]
         ]
         self._form()
@@ -75,7 +81,9 @@
             self.start(node)
         self.after(_JOIN_S, self._join)
 
-    def after(self, delay_s: float, what: Callable[..., None], *with_: Any) -> None:
+    def after(
+        self, delay_s: float, what: Callable[..., None], *with_: Any
+    ) -> None:
         """Plans an event."""
         self._count += 1
         heapq.heappush(
@@ -113,7 +121,9 @@
             node.disk.restore(),
             node.local_s(self.now_s),
         )
-        self.after(self.generator.random() * _TICK_S, self._tick, node, node.run)
+        self.after(
+            self.generator.random() * _TICK_S, self._tick, node, node.run
+        )
 
     def crash(self, node: consensus_node.Node) -> None:
         """Cuts an instance's power; unsynced writes may be lost or torn."""
@@ -164,9 +174,11 @@
             entry_module.EntryKind.MEMBERSHIP,
             codec.encode_membership(members),
         )
+        formed = write_module.Write(
+            1, write_module.HardState(1, ""), entries=(first,)
+        )
         for node in self.nodes:
-            node.disk.hard_state = write_module.HardState(1, "")
-            node.disk.entries[1] = first
+            node.disk.sync([formed])
 
     def _join(self) -> None:
         # The control program's part: lost replicas join, old ones leave.
@@ -200,9 +212,7 @@
         if node.run != run or node.replica is None:
             return
         if node.paused_until_s > self.now_s:
-            self.after(
-                node.paused_until_s - self.now_s, self._tick, node, run
-            )
+            self.after(node.paused_until_s - self.now_s, self._tick, node, run)
             return
         self.after(_TICK_S, self._tick, node, run)
         self._act(node, node.replica.tick(node.local_s(self.now_s)))
--- a/tests/consensus/test_mutations.py
+++ b/tests/consensus/test_mutations.py
@@ -133,7 +133,7 @@
         return 0
 
 
-Violation = consensus_checker.Violation
+ViolationError = consensus_checker.ViolationError
 SCHEDULES = {
     "acknowledges before sync": _replica(journal_class=AcknowledgesBeforeSync),
     "counts its own unsynced entries": _replica(
@@ -158,15 +158,16 @@
 def test_schedules_find_old_identity_after_lost_disk():
     faults = consensus_schedule.Faults(lose_disk=6)
     found = [
-        KeepsIdentity(seed, faults=faults).run().violation
-        for seed in range(6)
+        KeepsIdentity(seed, faults=faults).run().violation for seed in range(6)
     ]
     assert any(found)
 
 
 def _first_violation(replica_class):
     for seed in range(40):
-        found = consensus_schedule.Schedule(seed, replica_class).run()
+        found = consensus_schedule.Schedule(
+            seed, replica_class=replica_class
+        ).run()
         if found.violation:
             return found.violation
     return ""
@@ -234,7 +235,7 @@
 @pytest.mark.parametrize("name", SCENARIOS)
 def test_scenario_finds(name):
     scenario, mutated = SCENARIOS[name]
-    with pytest.raises(Violation):
+    with pytest.raises(ViolationError):
         scenario(mutated)
 
 
