--- a/bench/consensus_node.py
+++ b/bench/consensus_node.py
@@ -21,14 +21,23 @@
         led_term: Term that it leads; 0 for none.
         paused_until_s: Until when the process is stopped; real time.
         clock_rate: Rate of its clock against real time.
+        clock_offset_s: What its clock showed at the start.
         is_wanted: True if it should be a member.
     """
 
-    def __init__(self, name: str, clock_rate: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        clock_rate: float,
+        disk_class: type[
+            consensus_disk.SimulatedDisk
+        ] = consensus_disk.SimulatedDisk,
+    ) -> None:
         """Starts down, with an empty disk."""
         self.name = name
         self.incarnation = 1
-        self.disk = consensus_disk.SimulatedDisk(f"{name}@1")
+        self._disk_class = disk_class
+        self.disk = disk_class(f"{name}@1")
         self.replica: replica_module.Replica | None = None
         self.run = 0
         self.queue: list[write_module.Write] = []
@@ -38,15 +47,14 @@
         self.led_term = 0
         self.paused_until_s = 0.0
         self.clock_rate = clock_rate
+        self.clock_offset_s = 1000.0
         self.is_wanted = True
 
     def local_s(self, now_s: float) -> float:
         """What this instance's clock shows."""
-        return 1000.0 + now_s * self.clock_rate
+        return self.clock_offset_s + now_s * self.clock_rate
 
     def lose_disk(self) -> None:
         """Replaces the disk by an empty one with a new identity."""
         self.incarnation += 1
-        self.disk = consensus_disk.SimulatedDisk(
-            f"{self.name}@{self.incarnation}"
-        )
+        self.disk = self._disk_class(f"{self.name}@{self.incarnation}")
--- a/bench/consensus_world.py
+++ b/bench/consensus_world.py
@@ -1,11 +1,13 @@
 """A simulated cluster on a virtual clock."""
 
+import collections
 from collections.abc import Callable
 import heapq
 import random
 from typing import Any
 
 from bench import consensus_checker
+from bench import consensus_disk
 from bench import consensus_node
 from cranberrymux.consensus import codec
 from cranberrymux.consensus import effects as effects_module
@@ -45,6 +47,9 @@
         voters: int = 3,
         replica_class: type[replica_module.Replica] = replica_module.Replica,
         settings: replica_settings.ReplicaSettings = SETTINGS,
+        disk_class: type[
+            consensus_disk.SimulatedDisk
+        ] = consensus_disk.SimulatedDisk,
     ) -> None:
         """Starts a cluster that is formed already."""
         self.generator = random.Random(seed)
@@ -54,9 +59,11 @@
         self.doubling = 0.02
         self.slow = 0.05
         self.disk_s = 0.004
+        self.late_s: dict[tuple[str, str], float] = {}
         self.cut: set[tuple[str, str]] = set()
         self.checks_disks = True
         self.accepted = 0
+        self.seen: collections.Counter[str] = collections.Counter()
         self._replica_class = replica_class
         self._settings = settings
         self._events: list[tuple[float, int, Callable[..., None], Any]] = []
@@ -64,7 +71,9 @@
         self._payloads = 0
         drift = settings.clock_drift_ratio
         self.nodes = [
-            consensus_node.Node(name, self.generator.uniform(1 - drift, 1 + drift))
+            consensus_node.Node(
+                name, self.generator.uniform(1 - drift, 1 + drift), disk_class
+            )
             for name in "abcdefg"[:voters]
         ]
         self._form()
@@ -72,7 +81,9 @@
             self.start(node)
         self.after(_JOIN_S, self._join)
 
-    def after(self, delay_s: float, what: Callable[..., None], *with_: Any) -> None:
+    def after(
+        self, delay_s: float, what: Callable[..., None], *with_: Any
+    ) -> None:
         """Plans an event."""
         self._count += 1
         heapq.heappush(
@@ -110,12 +121,16 @@
             node.disk.restore(),
             node.local_s(self.now_s),
         )
-        self.after(self.generator.random() * _TICK_S, self._tick, node, node.run)
+        self.after(
+            self.generator.random() * _TICK_S, self._tick, node, node.run
+        )
 
     def crash(self, node: consensus_node.Node) -> None:
         """Cuts an instance's power; unsynced writes may be lost or torn."""
         if node.replica is None:
             return
+        self.seen["crashes"] += 1
+        self.seen["crashes during a sync"] += bool(node.batch)
         node.replica = None
         node.run += 1
         node.disk.tear(node.batch, self.generator)
@@ -142,6 +157,7 @@
         if not isinstance(result, proposal.Proposal):
             return False
         self._act(node, result.effects)
+        self.seen["member changes"] += 1
         return True
 
     def _form(self) -> None:
@@ -158,9 +174,11 @@
             entry_module.EntryKind.MEMBERSHIP,
             codec.encode_membership(members),
         )
+        formed = write_module.Write(
+            1, write_module.HardState(1, ""), entries=(first,)
+        )
         for node in self.nodes:
-            node.disk.hard_state = write_module.HardState(1, "")
-            node.disk.entries[1] = first
+            node.disk.sync([formed])
 
     def _join(self) -> None:
         # The control program's part: lost replicas join, old ones leave.
@@ -194,9 +212,7 @@
         if node.run != run or node.replica is None:
             return
         if node.paused_until_s > self.now_s:
-            self.after(
-                node.paused_until_s - self.now_s, self._tick, node, run
-            )
+            self.after(node.paused_until_s - self.now_s, self._tick, node, run)
             return
         self.after(_TICK_S, self._tick, node, run)
         self._act(node, node.replica.tick(node.local_s(self.now_s)))
@@ -206,6 +222,9 @@
     ) -> None:
         for write in result.writes:
             self.checker.saw_appended(write.entries)
+            self.seen["truncations"] += write.truncate_from is not None
+            self.seen["snapshots"] += write.snapshot is not None
+            self.seen["snapshots received"] += write.replaces_log
         node.queue.extend(result.writes)
         for message in result.messages:
             self._send(node, message)
@@ -286,6 +305,8 @@
             delay_s = 0.0005 + self.generator.random() * 0.01
             if self.generator.random() < self.slow:
                 delay_s *= 50
+            name = message.recipient.partition("@")[0]
+            delay_s += self.late_s.get((node.name, name), 0.0)
             self.after(delay_s, self._deliver, node.name, message)
 
     def _deliver(self, sender: str, message: messages.Message) -> None:
