--- a/src/cranberrymux/node/claim_task.py
+++ b/src/cranberrymux/node/claim_task.py
@@ -1,7 +1,8 @@
 """Asks the control instances for claims of calls that run at most once."""
 
 from collections.abc import Sequence
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
 from twisted.internet import defer
 
@@ -25,9 +26,7 @@
 class ClaimTask:
     """Owns the conversation with the control instances on claims."""
 
-    def __init__(
-        self, clients: Sequence[ClaimClient], reactor: Any
-    ) -> None:
+    def __init__(self, clients: Sequence[ClaimClient], reactor: Any) -> None:
         """Keeps the connections, nearest first."""
         self._clients = clients
         self._reactor = reactor
--- a/src/cranberrymux/node/claimed_call.py
+++ b/src/cranberrymux/node/claimed_call.py
@@ -1,7 +1,8 @@
 """The claim of a call that may run at most once."""
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from twisted.internet import defer
 
--- a/src/cranberrymux/node/environment.py
+++ b/src/cranberrymux/node/environment.py
@@ -1,7 +1,8 @@
 """What every call at a node works with."""
 
 import random
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
+from typing import Protocol
 
 from cranberrymux.decisions.answers import tombstones as tombstones_module
 from cranberrymux.decisions.configuration import treatment
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -13,8 +13,8 @@
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
 from cranberrymux.node import backend_server
-from cranberrymux.node import entry_context
 from cranberrymux.node import entry_call
+from cranberrymux.node import entry_context
 from cranberrymux.node import environment
 from cranberrymux.node import ingress_call
 from cranberrymux.node import ingress_calls
--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -105,7 +105,9 @@
         for call in self._take_all():
             self._refuse_one(call, one, unspent)
 
-    def start_streaming(self, head: answer_head.AnswerHead) -> headers.HeaderList:
+    def start_streaming(
+        self, head: answer_head.AnswerHead
+    ) -> headers.HeaderList:
         """Returns the headers of a long answer, which one caller gets."""
         self._is_streaming = True
         others = self._waiters[1:]
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -284,9 +284,7 @@
 
     def finish(self) -> None:
         """Announces the end and reports that the node has stopped."""
-        _log.info(
-            event.Event.NODE_STOPPED, in_flight=self._admission.in_flight
-        )
+        _log.info(event.Event.NODE_STOPPED, in_flight=self._admission.in_flight)
         self._endpoint.set_state(endpoint_state.EndpointState.GONE)
         self.directory.beat()
         self._env.pool.close()
--- a/src/cranberrymux/node/program.py
+++ b/src/cranberrymux/node/program.py
@@ -63,7 +63,9 @@
             self._node.egress, message_limits
         )
         self._load = load_poller.LoadPoller(
-            self._reactor, lambda: self._node.ingress.backend, self._node.set_load
+            self._reactor,
+            lambda: self._node.ingress.backend,
+            self._node.set_load,
         )
         self._ports: list[Any] = []
 
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -1,7 +1,8 @@
 """Finds out whether the backend server died, and of which calls."""
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
 import structlog
 from twisted.internet import defer
@@ -14,6 +15,7 @@
 from cranberrymux.models import refusal
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node.http import connection_pool
+from cranberrymux.telemetry import event
 from cranberrymux.wire import wire_error
 from cranberrymux.wire.gen.messages import ttypes
 
@@ -50,8 +52,8 @@
 
 class _Closing(protocol.Protocol):
     def connectionMade(self) -> None:  # noqa: N802
-        assert self.transport is not None
-        self.transport.loseConnection()
+        transport: Any = self.transport
+        transport.loseConnection()
 
 
 class QuarantineTask:
@@ -132,7 +134,7 @@
         reports = self._quarantine.endpoint_died(self._clock.now_s())
         if not reports:
             return
-        _log.warning("backend-server-died", suspects=len(reports))
+        _log.warning(event.Event.BACKEND_SERVER_DIED, suspects=len(reports))
         for report in reports:
             defer.ensureDeferred(self._report(report))
 
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -250,7 +250,9 @@
             self._call,
             self._context,
             address,
-            request_encoding.PeerProof(self._node.key, self._node.policy.version),
+            request_encoding.PeerProof(
+                self._node.key, self._node.policy.version
+            ),
         )
         self._attempt = outbound_attempt.OutboundAttempt(
             self._call, request, self._node.settings.buffered_body_bytes, self
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -22,6 +22,7 @@
     NODE_DRAINING = "node-draining"
     NODE_STOPPED = "node-stopped"
     BACKEND_SERVER_LOST = "backend-server-lost"
+    BACKEND_SERVER_DIED = "backend-server-died"
     CONFIGURATION_IN_FORCE = "configuration-in-force"
     CONFIGURATION_NOT_VALID = "configuration-not-valid"
 
@@ -36,6 +37,13 @@
     WRONG_CLUSTER_KEY = "wrong-cluster-key"
     WRONG_OPERATOR_TOKEN = "wrong-operator-token"
     BAD_FRAME = "bad-frame"
+    BAD_PEER_MESSAGE = "bad-peer-message"
+    CLUSTER_FOUNDED = "cluster-founded"
+    REPLICA_JOINS = "replica-joins"
+    MEMBERS_CHANGE = "members-change"
+    ROLE_CHANGED = "role-changed"
+    STORAGE_FAILED = "storage-failed"
+    CLAIM_ABANDONED = "claim-abandoned"
 
     # Stand-in backend servers.
     STANDIN_READY = "standin-ready"
--- /dev/null
+++ b/tests/fakes/control.py
@@ -0,0 +1,104 @@
+"""A control instance behind the interface of `wire.control_client`."""
+
+from cranberrymux.decisions.claims import claim
+from cranberrymux.decisions.claims import claim_ledger
+from cranberrymux.decisions.claims import claim_settings
+from cranberrymux.decisions.claims import settlement
+from cranberrymux.wire import wire_error
+from cranberrymux.wire.gen.messages import ttypes
+
+
+class Control:
+    """Holds the newest records and one configuration; `is_cut` cuts it off."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.records = {}
+        self.version = 0
+        self.document = ""
+        self.is_cut = False
+        self.ledger = claim_ledger.ClaimLedger(claim_settings.ClaimSettings())
+        self.suspects = {}
+
+    def start(self):
+        pass
+
+    def stop(self):
+        pass
+
+    def _lost(self):
+        return wire_error.WireError(wire_error.WireErrorReason.TIMEOUT, "cut")
+
+    async def heartbeat(self, heartbeat):
+        if self.is_cut:
+            return self._lost()
+        for one in heartbeat.endpoints:
+            self.records[one.endpoint_id] = one
+        found = [
+            one
+            for one in self.records.values()
+            if one.service_name in heartbeat.services
+        ]
+        is_behind = heartbeat.configuration_version < self.version
+        return ttypes.HeartbeatAnswer(
+            lease_ms=3000,
+            directory_epoch="test",
+            directory_revision=1,
+            whole_directory=True,
+            endpoints=found,
+            configuration_version=self.version,
+            configuration=self.document if is_behind else None,
+            vouched_ms=1000,
+            drain=False,
+        )
+
+    async def claim(self, request):
+        if self.is_cut:
+            return self._lost()
+        answer = self.ledger.claim(
+            claim.Claim(
+                request.request_id,
+                request.call_id,
+                request.body_digest,
+                request.owner,
+                request.owner_incarnation,
+                request.principal,
+                request.claim_id,
+            ),
+            self.clock.now_unix_ms(),
+        )
+        return _encode(answer)
+
+    async def settle(self, request):
+        if self.is_cut:
+            return self._lost()
+        answer = self.ledger.settle(
+            settlement.Settlement(
+                request.request_id,
+                request.call_id,
+                request.owner,
+                request.owner_incarnation,
+                request.claim_id,
+                request.status,
+                request.body,
+            ),
+            self.clock.now_unix_ms(),
+        )
+        return _encode(answer)
+
+    async def report_suspect(self, report):
+        if self.is_cut:
+            return self._lost()
+        seen = self.suspects.setdefault(report.fingerprint, set())
+        seen.add((report.endpoint_id, report.incarnation))
+        return ttypes.SuspectAnswer(deaths=len(seen))
+
+
+def _encode(answer):
+    return ttypes.ClaimAnswer(
+        verdict=getattr(ttypes.ClaimVerdict, answer.verdict.name),
+        status=answer.status,
+        body=answer.body,
+        retry_after_ms=answer.retry_after_ms,
+        owner=answer.owner,
+    )
--- /dev/null
+++ b/tests/fakes/memory_network.py
@@ -0,0 +1,146 @@
+"""TCP in memory under a virtual clock, for tests of whole nodes."""
+
+from twisted.internet import error
+from twisted.internet import task
+from twisted.python import failure
+
+DELAY_S = 0.0001
+
+
+class MemoryTransport:
+    """One end of a connection; bytes arrive at the other after a delay."""
+
+    def __init__(self, network):
+        self.network = network
+        self.protocol = None
+        self.peer = None
+        self.connected = True
+        self.dataBuffer = b""
+        self.is_paused = False
+        self.held = []
+        self.producer = None
+
+    def write(self, data):
+        if self.connected and data:
+            self.network.deliver(self.peer, data)
+
+    def writeSomeData(self, data):
+        self.write(data)
+        return len(data)
+
+    def doWrite(self):
+        pass
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def registerProducer(self, producer, streaming):
+        self.producer = producer
+
+    def unregisterProducer(self):
+        self.producer = None
+
+    def pauseProducing(self):
+        self.is_paused = True
+
+    def resumeProducing(self):
+        self.is_paused = False
+        held, self.held = self.held, []
+        for data in held:
+            self.network.deliver(self, data)
+
+    def loseConnection(self):
+        self.network.close(self, error.ConnectionDone())
+
+    def abortConnection(self):
+        self.network.close(self, error.ConnectionAborted())
+
+    def receive(self, data):
+        if not self.connected:
+            return
+        if self.is_paused:
+            self.held.append(data)
+        else:
+            self.protocol.dataReceived(data)
+
+    def lose(self, reason):
+        if self.connected:
+            self.connected = False
+            self.protocol.connectionLost(failure.Failure(reason))
+
+
+class MemoryNetwork(task.Clock):
+    """A reactor: timers by `advance`, connections between its factories.
+
+    `severed` holds ports that take no new connection and deliver nothing.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.factories = {}
+        self.transports = []
+        self.severed = set()
+
+    def listen(self, port, factory):
+        self.factories[port] = factory
+
+    def stop_listening(self, port):
+        """Ends a process: its port and every connection to it."""
+        del self.factories[port]
+        for one in list(self.transports):
+            if one.port == port and one.connected:
+                one.peer.lose(error.ConnectionLost())
+                one.lose(error.ConnectionLost())
+
+    def connectTCP(self, host, port, factory, timeout=30):
+        self.callLater(DELAY_S, self._connect, port, factory)
+
+    def connect(self, port, protocol):
+        """Connects a client's protocol at once."""
+        server = self.factories[port].buildProtocol(None)
+        ends = MemoryTransport(self), MemoryTransport(self)
+        for end, other, held in (
+            (ends[0], ends[1], protocol),
+            (ends[1], ends[0], server),
+        ):
+            end.peer = other
+            end.port = port
+            end.protocol = held
+            held.transport = end
+            self.transports.append(end)
+        server.connectionMade()
+        protocol.connectionMade()
+
+    def deliver(self, transport, data):
+        self.callLater(DELAY_S, transport.receive, data)
+
+    def close(self, transport, reason):
+        self.callLater(DELAY_S, transport.peer.lose, error.ConnectionDone())
+        self.callLater(0, transport.lose, reason)
+
+    def run(self, seconds, step_s=0.0005):
+        """Lets virtual time pass."""
+        for _ in range(round(seconds / step_s)):
+            self.advance(step_s)
+
+    def _connect(self, port, factory):
+        if port not in self.factories or port in self.severed:
+            refused = failure.Failure(error.ConnectionRefusedError())
+            factory.clientConnectionFailed(None, refused)
+            return
+        self.connect(port, factory.buildProtocol(None))
+
+
+class VirtualClock:
+    """Implements `node.clock.Clock` on the network's time."""
+
+    START_UNIX_MS = 1_800_000_000_000
+
+    def __init__(self, network):
+        self._network = network
+
+    def now_s(self):
+        return self._network.seconds()
+
+    def now_unix_ms(self):
+        return self.START_UNIX_MS + int(self._network.seconds() * 1000)
--- /dev/null
+++ b/tests/fakes/raw_client.py
@@ -0,0 +1,29 @@
+"""A client that writes bytes and collects what comes back."""
+
+from twisted.internet import protocol
+
+
+class RawClient(protocol.Protocol):
+    """Keeps all bytes received and whether the connection has ended."""
+
+    def __init__(self):
+        self.received = b""
+        self.is_closed = False
+
+    def connectionMade(self):
+        pass
+
+    def dataReceived(self, data):
+        self.received += data
+
+    def connectionLost(self, reason):
+        self.is_closed = True
+
+    def send(self, data):
+        self.transport.write(data)
+
+    @property
+    def statuses(self):
+        """Status codes of the answers received, in order."""
+        lines = self.received.split(b"HTTP/1.1 ")[1:]
+        return [int(line[:3]) for line in lines]
