--- a/src/cranberrymux/decisions/routing/sampler.py
+++ b/src/cranberrymux/decisions/routing/sampler.py
@@ -98,7 +98,7 @@
     def _weigh(
         self, one: learned_endpoint.LearnedEndpoint, best: Pick | None
     ) -> Pick | None:
-        """Returns the cheaper of best and an endpoint, if that takes the call."""
+        """Returns the cheaper of the two, if the endpoint takes the call."""
         if not self._admits(one):
             return best
         cost = one.cost(self._now_s, self._latency_s)
--- a/src/cranberrymux/node/claimed_call.py
+++ b/src/cranberrymux/node/claimed_call.py
@@ -54,7 +54,9 @@
             owner=node.settings.node_id,
             owner_incarnation=node.endpoint.incarnation,
             principal=context.principal,
-            claim_id=f"{node.generator.getrandbits(128):032x}",
+            # Two nodes may draw the same number, such as under one seed.
+            claim_id=f"{node.settings.node_id}.{node.endpoint.incarnation}."
+            f"{node.generator.getrandbits(64):016x}",
         )
 
     def ask(self, on_answer: Callable[[ClaimResult], None]) -> None:
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -68,8 +68,8 @@
         if version <= self._node.policy.version:
             self._handle_peer(call)
             return
-        self._node.versions.version_met(version)
         self._gate.wait(version, lambda ready: self._gate_opened(call, ready))
+        self._node.versions.version_met(version)
 
     def _gate_opened(
         self, call: inbound_call.InboundCall, is_ready: bool
--- /dev/null
+++ b/tests/node/test_promises.py
@@ -0,0 +1,294 @@
+"""What must always hold, over whole nodes in memory."""
+
+import json
+
+import pytest
+
+from tests.fakes import backend
+from tests.fakes import cluster as clusters
+
+GET = b"GET /x HTTP/1.1\r\nhost: a\r\n"
+POST = b"POST /crew HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+REQUEST_ID = (
+    b"cranberrymux-request-id: 01a3185c-5000-7000-8000-000000000001\r\n"
+)
+CLASSES = "classes: [{name: normal}]\n"
+ONCE_ONLY = """
+classes: [{name: normal}]
+selectors:
+  - name: crews
+    match: service = dispatch, method = POST
+    once_only: true
+"""
+
+
+@pytest.fixture
+def cluster():
+    return clusters.Cluster()
+
+
+def _body(client):
+    return json.loads(client.received.rpartition(b"\r\n\r\n")[2])
+
+
+def _reason(client):
+    body = _body(client)
+    return body["answer"], body["reason"]
+
+
+def _egress(service):
+    return GET + b"cranberrymux-service: %b\r\n" % service
+
+
+class TestAtMostOnce:
+    @pytest.fixture
+    def pair(self, cluster):
+        first = cluster.add("dispatch-0", "dispatch")
+        second = cluster.add("dispatch-1", "dispatch")
+        cluster.configure(ONCE_ONLY)
+        return first, second
+
+    def _runs(self, pair):
+        return sum(len(one.backend.calls) for one in pair)
+
+    def test_same_id_at_two_nodes_runs_once(self, cluster, pair):
+        request = POST + REQUEST_ID + b"\r\nabc"
+        first = cluster.ask(pair[0].ingress_port, request)
+        second = cluster.ask(pair[1].ingress_port, request)
+        assert self._runs(pair) == 1
+        assert _reason(second) == ("unknown", "already-ran")
+        assert _body(second)["retry_after_ms"] > 0
+        backend.answer_ok(pair[0].backend.calls[0])
+        cluster.network.run(0.01)
+        assert first.statuses == [200]
+
+    def test_resend_elsewhere_gets_the_stored_answer(self, cluster, pair):
+        request = POST + REQUEST_ID + b"\r\nabc"
+        cluster.ask(pair[0].ingress_port, request)
+        backend.answer_ok(pair[0].backend.calls[0])
+        cluster.network.run(0.05)
+        again = cluster.ask(pair[1].ingress_port, request)
+        assert again.statuses == [200]
+        assert again.received.endswith(b"whole answer to /crew")
+        assert self._runs(pair) == 1
+
+    def test_lost_outcome_is_never_run_again(self, cluster, pair):
+        request = POST + REQUEST_ID + b"\r\nabc"
+        first = cluster.ask(pair[0].ingress_port, request)
+        pair[0].backend.die()
+        cluster.network.run(0.05)
+        assert _reason(first) == ("unknown", "connection-lost")
+        second = cluster.ask(pair[1].ingress_port, request)
+        assert _body(second)["answer"] == "unknown"
+        assert self._runs(pair) == 1
+
+    def test_other_body_under_the_same_id_is_refused(self, cluster, pair):
+        cluster.ask(pair[0].ingress_port, POST + REQUEST_ID + b"\r\nabc")
+        other = cluster.ask(
+            pair[1].ingress_port, POST + REQUEST_ID + b"\r\nxyz"
+        )
+        assert _reason(other) == ("not-run", "id-reused")
+
+    def test_old_id_is_of_unknown_outcome(self, cluster, pair):
+        old = b"cranberrymux-request-id: 00000000-0000-7000-8000-000000000001"
+        client = cluster.ask(pair[0].ingress_port, POST + old + b"\r\n\r\nabc")
+        assert _reason(client) == ("unknown", "id-expired")
+        assert self._runs(pair) == 0
+
+    def test_no_quorum_is_not_run_at_once(self, cluster, pair):
+        cluster.control.is_cut = True
+        client = cluster.ask(
+            pair[0].ingress_port, POST + REQUEST_ID + b"\r\nabc"
+        )
+        assert _reason(client) == ("not-run", "claim-unavailable")
+        assert self._runs(pair) == 0
+
+    def test_claim_of_a_call_that_was_not_handed_over_is_free_again(
+        self, cluster, pair
+    ):
+        request = POST + REQUEST_ID + b"\r\nabc"
+        pair[0].backend.die()
+        first = cluster.ask(pair[0].ingress_port, request)
+        assert _reason(first) == ("not-run", "not-started")
+        second = cluster.ask(pair[1].ingress_port, request)
+        assert self._runs(pair) == 1, second.received
+
+
+class TestPlace:
+    def test_request_outside_its_place_is_routed_to_it(self, cluster):
+        here = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        there = cluster.add(
+            "leaf-1", "leaf", backend.answer_ok, labels={"store": "a"}
+        )
+        cluster.configure(
+            CLASSES
+            + "selectors: [{name: s, match: service = leaf, place: store = a}]"
+        )
+        client = cluster.ask(here.ingress_port, GET + b"\r\n")
+        assert client.statuses == [200]
+        assert here.backend.calls == []
+        assert len(there.backend.calls) == 1
+
+    def test_no_place_is_not_run(self, cluster):
+        here = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        cluster.configure(
+            CLASSES
+            + "selectors: [{name: s, match: service = leaf, place: store = a}]"
+        )
+        client = cluster.ask(here.ingress_port, GET + b"\r\n")
+        assert _reason(client) == ("not-run", "no-place")
+        assert here.backend.calls == []
+
+
+class TestConfiguration:
+    def test_call_with_a_newer_version_waits_for_it(self, cluster):
+        caller = cluster.add("caller-0", "caller", calls=["leaf"])
+        leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        cluster.network.run(0.5)
+        cluster.control.version = 5
+        cluster.control.document = CLASSES
+        caller.node.directory.beat()
+        cluster.network.run(0.005)
+        assert leaf.node.configuration_version == 0
+        client = cluster.ask(caller.egress_port, _egress(b"leaf") + b"\r\n")
+        assert client.statuses == [200]
+        assert leaf.node.configuration_version == 5
+
+    def test_node_that_cannot_fetch_the_newer_version_refuses(self, cluster):
+        leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        cluster.control.is_cut = True
+        client = cluster.ask(
+            leaf.ingress_port,
+            GET
+            + b"cranberrymux-key: %b\r\n" % clusters.KEY.encode()
+            + b"cranberrymux-configuration: 9\r\n"
+            + b"cranberrymux-context: 1;r-1;0;p;900;0;0;0;1;\r\n\r\n",
+            seconds=0.6,
+        )
+        assert _reason(client) == ("not-run", "configuration-stale")
+        assert leaf.backend.calls == []
+
+    def test_strict_call_is_refused_once_nobody_vouches(self, cluster):
+        leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        cluster.configure(
+            CLASSES + "strict_age_ms: 2000\n"
+            "selectors: [{name: s, match: method = GET, strict: true}]"
+        )
+        assert cluster.ask(leaf.ingress_port, GET + b"\r\n").statuses == [200]
+        cluster.control.is_cut = True
+        cluster.network.run(5)
+        client = cluster.ask(leaf.ingress_port, GET + b"\r\n")
+        assert _reason(client) == ("not-run", "configuration-stale")
+
+    def test_other_calls_go_on_while_nobody_vouches(self, cluster):
+        leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        cluster.control.is_cut = True
+        cluster.network.run(30)
+        assert cluster.ask(leaf.ingress_port, GET + b"\r\n").statuses == [200]
+
+    def test_version_never_falls(self, cluster):
+        leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        cluster.control.version = 7
+        cluster.control.document = CLASSES
+        cluster.network.run(0.5)
+        cluster.control.version = 3
+        cluster.network.run(0.5)
+        assert leaf.node.configuration_version == 7
+
+
+class TestRetries:
+    @pytest.fixture
+    def caller(self, cluster):
+        return cluster.add("caller-0", "caller", calls=["leaf"])
+
+    def _call_below(self, cluster, caller):
+        cluster.ask(caller.ingress_port, GET + b"\r\n")
+        parent = caller.backend.calls[-1]
+        context = dict(parent.head.headers)[b"cranberrymux-context"]
+        return cluster.ask(
+            caller.egress_port,
+            _egress(b"leaf") + b"cranberrymux-context: %b\r\n\r\n" % context,
+        )
+
+    def test_endpoint_without_backend_server_is_left_for_another(
+        self, cluster, caller
+    ):
+        members = [
+            cluster.add(f"leaf-{number}", "leaf", backend.answer_ok)
+            for number in range(2)
+        ]
+        cluster.network.run(0.5)
+        members[0].backend.die()
+        for _ in range(5):
+            client = self._call_below(cluster, caller)
+            assert client.statuses == [200]
+        assert len(members[1].backend.calls) == 5
+
+    def test_call_without_parent_gets_no_retry(self, cluster, caller):
+        leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        cluster.add("leaf-1", "leaf", backend.answer_ok)
+        cluster.network.run(0.5)
+        for member in cluster.members.values():
+            if member is not caller:
+                member.backend.die()
+        client = cluster.ask(caller.egress_port, _egress(b"leaf") + b"\r\n")
+        assert _reason(client) == ("not-run", "not-started")
+        assert leaf.backend.calls == []
+
+    def test_lost_node_vouches_nothing_so_the_outcome_is_unknown(
+        self, cluster, caller
+    ):
+        leaf = cluster.add("leaf-0", "leaf")
+        cluster.network.run(0.5)
+        client = cluster.ask(caller.egress_port, _egress(b"leaf") + b"\r\n")
+        cluster.network.stop_listening(leaf.ingress_port)
+        cluster.network.run(0.3)
+        assert _reason(client) == ("unknown", "connection-lost")
+
+    def test_cut_before_the_hand_over_is_proven_not_run(self, cluster, caller):
+        leaf = cluster.add("leaf-0", "leaf", slots=1)
+        cluster.network.run(0.5)
+        cluster.ask(leaf.ingress_port, GET + b"\r\n")
+        queued = cluster.ask(
+            caller.egress_port, _egress(b"leaf") + b"\r\n", seconds=0.01
+        )
+        node_to_node = cluster.network.transports[-2]
+        assert node_to_node.port == leaf.ingress_port
+        node_to_node.abortConnection()
+        cluster.network.run(0.1)
+        assert _body(queued)["answer"] == "not-run"
+        assert len(leaf.backend.calls) == 1
+
+
+class TestPoison:
+    def test_crashing_request_is_refused_for_good(self, cluster):
+        leaf = cluster.add("leaf-0", "leaf")
+        request = GET + REQUEST_ID + b"\r\n"
+        deaths = 0
+        for _ in range(6):
+            leaf.backend.calls.clear()
+            client = cluster.ask(leaf.ingress_port, request, seconds=0.2)
+            if not leaf.backend.calls:
+                break
+            leaf.backend.die()
+            cluster.network.run(0.2)
+            leaf.backend.start()
+            deaths += 1
+        assert deaths <= 3
+        assert _reason(client) == ("not-run", "quarantined")
+
+    def test_innocent_in_flight_is_cleared_by_a_clean_run(self, cluster):
+        leaf = cluster.add("leaf-0", "leaf")
+        cluster.ask(leaf.ingress_port, GET + REQUEST_ID + b"\r\n")
+        cluster.ask(leaf.ingress_port, b"GET /innocent HTTP/1.1\r\n\r\n")
+        leaf.backend.die()
+        cluster.network.run(0.2)
+        leaf.backend.start()
+        leaf.backend.answer = backend.answer_ok
+        for _ in range(4):
+            client = cluster.ask(
+                leaf.ingress_port,
+                b"GET /innocent HTTP/1.1\r\n\r\n",
+                seconds=1.0,
+            )
+            assert client.statuses == [200]
--- /dev/null
+++ b/tests/node/test_server_connection.py
@@ -0,0 +1,259 @@
+"""The server's side of HTTP/1.1: order, framing, limits, bad input."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberrymux.node.http import limits
+from cranberrymux.node.http import server_factory
+from tests.fakes import memory_network
+from tests.fakes import raw_client
+
+LIMITS = limits.Limits(
+    target_bytes=100,
+    header_bytes=400,
+    header_count=10,
+    body_bytes=1000,
+    buffered_bytes=100,
+    pipelined_calls=3,
+)
+PORT = 1
+
+
+class Handler:
+    def __init__(self):
+        self.calls = []
+
+    def handle_call(self, call):
+        self.calls.append(call)
+
+
+class Server:
+    def __init__(self):
+        self.network = memory_network.MemoryNetwork()
+        self.handler = Handler()
+        factory = server_factory.ServerFactory(self.handler, LIMITS)
+        self.network.listen(PORT, factory)
+
+    @property
+    def calls(self):
+        return self.handler.calls
+
+    def connect(self):
+        client = raw_client.RawClient()
+        self.network.connect(PORT, client)
+        return client
+
+    def send(self, data):
+        client = self.connect()
+        client.send(data)
+        self.network.run(0.005)
+        return client
+
+
+@pytest.fixture
+def server():
+    return Server()
+
+
+def _error(client):
+    return json.loads(client.received.rpartition(b"\r\n\r\n")[2])
+
+
+def test_pipelined_calls_are_answered_in_order(server):
+    client = server.send(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+    assert [call.head.target for call in server.calls] == [b"/1"]
+    server.calls[0].answer(200, [], b"one")
+    assert [call.head.target for call in server.calls] == [b"/1", b"/2"]
+    server.calls[1].answer(200, [], b"two")
+    server.network.run(0.005)
+    first, second = client.received.split(b"HTTP/1.1 ")[1:]
+    assert first.endswith(b"one")
+    assert second.endswith(b"two")
+    assert not client.is_closed
+
+
+def test_reading_pauses_while_pipelined_calls_wait(server):
+    client = server.send(b"GET /1 HTTP/1.1\r\n\r\n" * 2)
+    client.send(b"GET /3 HTTP/1.1\r\n\r\n")
+    server.network.run(0.005)
+    assert len(server.calls) == 1
+    for number in range(3):
+        server.calls[number].answer(200, [], b"")
+        server.network.run(0.005)
+    assert client.statuses == [200, 200, 200]
+
+
+def test_bad_message_behind_a_good_one_waits_for_its_answer(server):
+    client = server.send(b"GET /1 HTTP/1.1\r\n\r\nNONSENSE\r\n\r\n")
+    assert client.received == b""
+    server.calls[0].answer(200, [], b"one")
+    server.network.run(0.005)
+    assert client.statuses == [200, 400]
+    assert client.is_closed
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "reason"),
+    [
+        (b"NONSENSE\r\n\r\n", 400, "bad-request"),
+        (b"GET / HTTP/1.1\r\nbad header\r\n\r\n", 400, "bad-request"),
+        (
+            b"POST / HTTP/1.1\r\ncontent-length: 1\r\n"
+            b"transfer-encoding: chunked\r\n\r\n",
+            400,
+            "bad-request",
+        ),
+        (
+            b"POST / HTTP/1.1\r\ncontent-length: x\r\n\r\n",
+            400,
+            "bad-request",
+        ),
+        (
+            b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+            400,
+            "bad-request",
+        ),
+        (b"GET /" + b"a" * 200 + b" HTTP/1.1\r\n\r\n", 414, "too-large"),
+        (
+            b"GET / HTTP/1.1\r\na: " + b"a" * 500 + b"\r\n\r\n",
+            431,
+            "too-large",
+        ),
+        (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 11 + b"\r\n", 431, "too-large"),
+        (
+            b"POST / HTTP/1.1\r\ncontent-length: 1001\r\n\r\n",
+            413,
+            "too-large",
+        ),
+        (b"GET / HTTP/1.1\r\nexpect: magic\r\n\r\n", 417, "bad-request"),
+        (
+            b"POST / HTTP/1.1\r\ntransfer-encoding: gzip, chunked\r\n\r\n",
+            501,
+            "bad-request",
+        ),
+    ],
+)
+def test_bad_input_gets_a_typed_answer_and_reaches_nobody(
+    server, request_bytes, status, reason
+):
+    client = server.send(request_bytes)
+    assert client.statuses == [status]
+    assert client.is_closed
+    error = _error(client)
+    assert (error["answer"], error["reason"]) == ("not-run", reason)
+    assert error["detail"]
+    assert server.calls == []
+
+
+def test_long_chunked_body_is_refused_as_unknown_once_it_streams(server):
+    chunk = b"64\r\n" + b"x" * 100 + b"\r\n"
+    head = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+    client = server.send(head + chunk * 11)
+    assert client.statuses == [413]
+    assert _error(client)["answer"] == "unknown"
+
+
+def test_expect_gets_a_continue(server):
+    client = server.send(
+        b"POST / HTTP/1.1\r\ncontent-length: 2\r\nexpect: 100-continue\r\n\r\n"
+    )
+    assert client.statuses == [100]
+    client.send(b"ok")
+    server.network.run(0.005)
+    server.calls[0].answer(200, [], b"")
+    server.network.run(0.005)
+    assert client.statuses == [100, 200]
+
+
+def test_head_gets_no_body_and_the_connection_goes_on(server):
+    client = server.send(b"HEAD / HTTP/1.1\r\n\r\n")
+    server.calls[0].answer(200, [], b"body")
+    server.network.run(0.005)
+    assert client.received.endswith(b"content-length: 4\r\n\r\n")
+    assert not client.is_closed
+
+
+def test_http_1_0_closes_after_the_answer(server):
+    client = server.send(b"GET / HTTP/1.0\r\n\r\n")
+    server.calls[0].answer(200, [], b"body")
+    server.network.run(0.005)
+    assert client.is_closed
+    assert client.received.endswith(b"body")
+
+
+def test_early_answer_closes_because_the_body_is_not_read(server):
+    client = server.send(
+        b"POST / HTTP/1.1\r\ncontent-length: 900\r\n\r\n" + b"x" * 200
+    )
+    server.calls[0].answer(200, [], b"")
+    server.network.run(0.005)
+    assert client.statuses == [200]
+    assert client.is_closed
+
+
+def test_short_body_is_held_whole_and_long_body_streams(server):
+    server.send(b"POST / HTTP/1.1\r\ncontent-length: 50\r\n\r\n" + b"x" * 49)
+    assert server.calls == []
+    server.send(b"POST / HTTP/1.1\r\ncontent-length: 500\r\n\r\n" + b"x" * 150)
+    assert not server.calls[0].is_body_complete
+
+
+def test_slow_receiver_of_a_body_stops_reading(server):
+    client = server.send(
+        b"POST / HTTP/1.1\r\ncontent-length: 500\r\n\r\n" + b"x" * 150
+    )
+    call = server.calls[0]
+    call.pause_body()
+    client.send(b"x" * 100)
+    server.network.run(0.005)
+    assert call.body_length == 150
+    call.resume_body()
+    server.network.run(0.005)
+    assert call.body_length == 250
+
+
+@hypothesis.settings(
+    derandomize=True, database=None, max_examples=300, deadline=None
+)
+@hypothesis.given(
+    data=strategies.lists(
+        strategies.one_of(
+            strategies.binary(max_size=60),
+            strategies.sampled_from(
+                [
+                    b"GET / HTTP/1.1\r\n",
+                    b"POST /a HTTP/1.1\r\n",
+                    b"content-length: 5\r\n",
+                    b"transfer-encoding: chunked\r\n",
+                    b"connection: close\r\n",
+                    b"upgrade: x\r\nconnection: upgrade\r\n",
+                    b"\r\n",
+                    b"5\r\nhello\r\n",
+                    b"0\r\n\r\n",
+                    b"\xff" * 5,
+                ]
+            ),
+        ),
+        max_size=12,
+    )
+)
+def test_any_bytes_disturb_nobody_else(data):
+    server = Server()
+    other = server.connect()
+    client = server.connect()
+    for part in data:
+        client.send(part)
+        server.network.run(0.002)
+    for call in list(server.calls):
+        call.answer(200, [], b"")
+    server.network.run(0.002)
+    count = len(server.calls)
+    other.send(b"GET /other HTTP/1.1\r\n\r\n")
+    server.network.run(0.002)
+    assert server.calls[count].head.target == b"/other"
+    server.calls[count].answer(200, [], b"fine")
+    server.network.run(0.002)
+    assert other.received.endswith(b"fine")
