--- a/src/cranberrymux/decisions/burn/evaluation.py
+++ b/src/cranberrymux/decisions/burn/evaluation.py
@@ -172,12 +172,12 @@
     recent = series.within(until_s - recent_s, until_s)
     bad_per_s = recent.bad / min(recent_s, budget.covered_s)
     allowed_bad = float(budget.allowed_bad)
+    if budget.left <= 0:
+        return 0.0
     step_s = objective.window_s / PROJECTION_STEPS
     for step in range(PROJECTION_STEPS):
         oldest_s = until_s + round(step * step_s) - objective.window_s
         room = allowed_bad - series.within(oldest_s, until_s).bad
-        if room <= bad_per_s * step * step_s:
-            return step * step_s
         if room <= bad_per_s * (step + 1) * step_s:
             return room / bad_per_s
     return None
--- a/src/cranberrymux/decisions/burn/outcome_series.py
+++ b/src/cranberrymux/decisions/burn/outcome_series.py
@@ -17,9 +17,9 @@
         """Starts empty."""
         self._buckets: dict[int, list[int]] = {}
         self._starts_s = array.array("q")
-        self._goods = array.array("q", [0])
-        self._totals = array.array("q", [0])
-        self._is_sorted = True
+        self._goods = array.array("q")
+        self._totals = array.array("q")
+        self._is_sorted = False
 
     @property
     def first_s(self) -> int | None:
--- a/tests/decisions/burn/test_evaluation.py
+++ b/tests/decisions/burn/test_evaluation.py
@@ -144,6 +144,70 @@
     assert 0 < result.exhaustion_s < DAY_S
 
 
+def _walk_to_the_end(slo, series, result, recent_s):
+    """Gives the first age at which no budget is left, in steps of 10 s."""
+    until_s = NOW_S + 1
+    pace = series.within(until_s - recent_s, until_s).bad / min(
+        recent_s, result.covered_s
+    )
+    share = 1 - slo.target_share
+    allowed = result.tally.total * slo.window_s / result.covered_s * share
+    for age_s in range(0, slo.window_s + 10, 10):
+        old = series.within(until_s + age_s - slo.window_s, until_s).bad
+        if old + pace * age_s >= allowed:
+            return age_s
+    return None
+
+
+@hypothesis.settings(derandomize=True, database=None, max_examples=100)
+@hypothesis.given(
+    bad=strategies.lists(
+        strategies.sampled_from([0, 0, 0, 3, 10, 12, 25]),
+        min_size=8,
+        max_size=90,
+    )
+)
+def test_the_projected_end_is_that_of_a_walk(bad):
+    slo = SLO._replace(target_share=0.9, window_s=7200)
+    window = alert_window.AlertWindow(600, 60, 1)
+    series = outcome_series.OutcomeSeries()
+    for index, count in enumerate(bad):
+        for part in range(8):
+            second = NOW_S - 80 * index - 10 * part
+            series.add(second, 100 - count, 100)
+    result = _evaluate(series, slo, (window,))
+    expected = _walk_to_the_end(slo, series, result, 600)
+    if expected is None:
+        assert result.exhaustion_s is None
+    else:
+        assert result.exhaustion_s is not None
+        assert expected - 10 <= result.exhaustion_s <= expected
+
+
+def test_a_rate_is_taken_over_the_time_before():
+    series = _series((600, 60, 0), (60, 0, 0.01))
+    assert evaluation.rate_within(SLO, series, 60, NOW_S) == 10
+    assert evaluation.rate_within(SLO, series, 120, NOW_S) == 5
+    assert evaluation.rate_within(SLO, series, 60, NOW_S - 60) == 0
+
+
+def test_seconds_without_answers_are_no_data():
+    series = outcome_series.OutcomeSeries()
+    series.add(NOW_S, 0, 0)
+    result = _evaluate(series)
+    assert result.status is Status.NO_DATA
+    assert (result.covered_s, result.exhaustion_s) == (0, None)
+
+
+def test_the_first_answer_within_a_time():
+    series = outcome_series.OutcomeSeries()
+    series.add(25, 1, 1)
+    assert series.first_within(0, 20) is None
+    assert series.first_within(0, 21) == 20
+    assert series.first_within(20, 30) == 20
+    assert series.first_within(21, 30) is None
+
+
 @hypothesis.settings(derandomize=True, database=None, max_examples=60)
 @hypothesis.given(
     answers=strategies.lists(
