--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -69,6 +69,15 @@
         """Calls that wait for a slot."""
         return len(self._queue)
 
+    @property
+    def load(self) -> float:
+        """Share of the slots and of the queue in use, 0.0 to 1.0.
+
+        It is measured here, so that it neither lags nor misleads.
+        """
+        room = self._meter.limit + self._get_queue_bound()
+        return min((len(self._running) + len(self._queue)) / room, 1.0)
+
     @property
     def is_draining(self) -> bool:
         """True once `begin_drain` was told."""
@@ -211,9 +220,9 @@
         priority = min(ticket.priority, self._meter.top)
         if priority > self._downstream.get_minimum(now_s):
             return _Reason.OVERLOADED
-        if not self._has_slot and priority > self._meter.level:
-            return _Reason.OVERLOADED
-        return None
+        is_idle = self._has_slot and not self._queue
+        level = self._meter.idle_level if is_idle else self._meter.level
+        return _Reason.OVERLOADED if priority > level else None
 
     @property
     def _has_slot(self) -> bool:
@@ -268,7 +277,10 @@
         ahead = self._queue.count_ahead(ticket.class_rank) + 1
         wait_s = ahead * hold_s / self._meter.limit
         latest_s = ticket.deadline_s - hold_s
-        expires_s = min(now_s + self._settings.maximum_wait_s, latest_s)
+        longest_s = self._settings.maximum_wait_s
+        if ticket.priority * 2 <= self._meter.level:
+            longest_s *= 2  # Its turn comes: all that is shed is below it.
+        expires_s = min(now_s + longest_s, latest_s)
         if now_s + wait_s > expires_s:
             self._meter.count_shed()
             return self._refuse(now_s, _Reason.OVERLOADED)
