--- a/bench/overload/recorder.py
+++ b/bench/overload/recorder.py
@@ -43,6 +43,7 @@
         wrong: Answers that were not whole, of another request, or that said
             not-run of a call that ran.
         deaths: Backend servers that died by poison.
+        warm_s: When the last of those was warm again.
     """
 
     def __init__(self) -> None:
@@ -53,3 +54,4 @@
         self.runs = 0
         self.wrong = 0
         self.deaths = 0
+        self.warm_s = 0.0
--- a/src/cranberrymux/decisions/admission/admission_settings.py
+++ b/src/cranberrymux/decisions/admission/admission_settings.py
@@ -12,7 +12,7 @@
         window_s: Length of one window of measurement, in seconds.
         target_wait_s: Mean wait in the queue above which the level falls.
         maximum_wait_s: No call is queued for longer than this, or than twice
-            this if its priority is at half the level or below.
+            this if only lower classes are being shed.
         maximum_alone_wait_s: Longest wait of a suspect for an idle endpoint.
         queue_per_slot: Queued calls allowed for each slot of the limit.
         minimum_queue: Queued calls allowed however small the limit is.
--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -15,11 +15,13 @@
 from cranberrymux.decisions.admission import ticket_queue
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
+from cranberrymux.models import request_context
 
 Decision = admitted.Admitted | refusal.Refusal
 Verdict = admitted.Admitted | queued.Queued | refusal.Refusal
 
 _Reason = refusal_reason.RefusalReason
+_SHED_HASHES = request_context.SHED_HASHES
 
 
 class AdmissionController:
@@ -278,8 +280,8 @@
         wait_s = ahead * hold_s / self._meter.limit
         latest_s = ticket.deadline_s - hold_s
         longest_s = self._settings.maximum_wait_s
-        if ticket.priority * 2 <= self._meter.level:
-            longest_s *= 2  # Its turn comes: all that is shed is below it.
+        if ticket.class_rank < self._meter.level // _SHED_HASHES:
+            longest_s *= 2  # Only lower classes are being shed.
         expires_s = min(now_s + longest_s, latest_s)
         if now_s + wait_s > expires_s:
             self._meter.count_shed()
--- a/src/cranberrymux/decisions/admission/shed_level.py
+++ b/src/cranberrymux/decisions/admission/shed_level.py
@@ -8,7 +8,7 @@
 LOW_SHARE = 1.05  # Arrivals below this share of the capacity raise it.
 CAUTIOUS_SHARE = 0.3  # Part of the missing arrivals reopened with a queue.
 MINIMUM_STEP = 2  # Fewest priorities reopened in one window.
-MAXIMUM_STEP = 128  # Most priorities reopened in one window.
+MAXIMUM_STEP = 64  # Most priorities reopened in one window.
 IDLE_SLACK = 64  # Priorities above the level that may take an idle slot.
 
 
