--- a/src/cranberrymux/consensus/election.py
+++ b/src/cranberrymux/consensus/election.py
@@ -80,13 +80,22 @@
         """True if a quorum of voters has granted."""
         return self._journal.members.has_quorum(self._granted)
 
+    def refuse(self, request: messages.VoteRequest) -> None:
+        """Refuses a vote."""
+        self._send_answer(request, False)
+
     def answer(self, now_s: float, request: messages.VoteRequest) -> None:
         """Gives or refuses a vote; the term was raised if need be."""
-        granted = self._may_grant(now_s, request)
+        granted = self._may_grant(request)
         if granted and not request.pre_vote:
             if self._journal.voted_for != request.sender:
                 self._journal.set_term(request.term, request.sender)
             self.wait(now_s)
+        self._send_answer(request, granted)
+
+    def _send_answer(
+        self, request: messages.VoteRequest, granted: bool
+    ) -> None:
         self._journal.send_durable(
             messages.VoteAnswer(
                 request.cluster_id,
@@ -98,10 +107,8 @@
             )
         )
 
-    def _may_grant(self, now_s: float, request: messages.VoteRequest) -> bool:
+    def _may_grant(self, request: messages.VoteRequest) -> bool:
         journal = self._journal
-        if self.is_promised(now_s):
-            return False
         if not journal.is_up_to_date(request.last_index, request.last_term):
             return False
         if request.pre_vote:
--- a/src/cranberrymux/consensus/leader.py
+++ b/src/cranberrymux/consensus/leader.py
@@ -112,7 +112,7 @@
         self._heartbeat_at_s = now_s + self._settings.heartbeat_s
         retry_s = 2 * self._settings.heartbeat_s
         for known in self._progress.values():
-            if now_s - known.moved_at_s >= retry_s:
+            if known.is_waiting and now_s - known.waiting_since_s >= retry_s:
                 known.start_over(now_s)
         self.send_all(now_s, True)
 
@@ -154,7 +154,7 @@
             known.finish_snapshot(now_s)
         elif answer.received_bytes != known.sending_offset:
             known.sending_offset = answer.received_bytes
-            known.moved_at_s = now_s
+            known.waiting_since_s = now_s
             known.chunk_sent = False
         self._sender.send(now_s, answer.sender, known, False)
 
--- a/src/cranberrymux/consensus/participant.py
+++ b/src/cranberrymux/consensus/participant.py
@@ -120,17 +120,19 @@
     def _take_vote_request(
         self, now_s: float, request: messages.VoteRequest
     ) -> None:
-        if self._leader is not None and now_s < self._leader.lease_until_s():
-            # The leader keeps its own promise while it holds a lease.
-            self._election.promise(now_s)
-        if (
-            not request.pre_vote
-            and request.term > self._journal.term
-            and not self._election.is_promised(now_s)
-        ):
+        if self._withholds_vote(now_s):
+            self._election.refuse(request)
+            return
+        if not request.pre_vote and request.term > self._journal.term:
             self._raise_term(now_s, request.term)
         self._election.answer(now_s, request)
 
+    def _withholds_vote(self, now_s: float) -> bool:
+        # A leader is bound like a follower while its quorum is.
+        if self._leader is not None and now_s < self._leader.lease_until_s():
+            return True
+        return self._election.is_promised(now_s)
+
     def _take_from_leader(
         self,
         now_s: float,
@@ -235,7 +237,9 @@
             ):
                 return
             self._lifecycle.demote()
-            self._leader = None
+            if self._leader is not None:
+                self._leader = None
+                self._leader_hint = ""
 
     def _end(self, now_s: float) -> effects.Effects:
         if self._leader is not None:
--- a/src/cranberrymux/consensus/progress.py
+++ b/src/cranberrymux/consensus/progress.py
@@ -12,11 +12,12 @@
     Attributes:
         match_index: Last entry known to be durable there.
         next_index: First entry of the next message.
-        probing: True until the member has confirmed a common entry; then
-            one message at a time is on its way.
+        probing: True until the member has confirmed a common entry; until
+            then it is sent no entries.
         in_flight: Last index of each message with entries on its way.
         probe_sent: True if a probe is on its way.
-        moved_at_s: When the member last confirmed something new.
+        waiting_since_s: When the member last confirmed something, or was
+            sent something while nothing was on its way.
         heard_at_s: When the member was last heard.
         confirmed_at_s: The leader's clock when it sent the newest message
             that the member answered; base of the lease.
@@ -33,7 +34,7 @@
         self.probing = True
         self.in_flight: collections.deque[int] = collections.deque()
         self.probe_sent = False
-        self.moved_at_s = now_s
+        self.waiting_since_s = now_s
         self.heard_at_s = now_s
         self.confirmed_at_s = -math.inf
         self.sending: snapshot_module.Snapshot | None = None
@@ -41,20 +42,31 @@
         self.chunk_sent = False
         self.told_commit_index = 0
 
+    @property
+    def is_waiting(self) -> bool:
+        """True if something on its way is to be answered."""
+        return bool(self.in_flight) or self.probe_sent or self.chunk_sent
+
     def may_send(self, max_in_flight: int) -> bool:
         """True if another message with entries may go out."""
-        if self.probing:
-            return not self.probe_sent
-        return len(self.in_flight) < max_in_flight
+        return not self.probing and len(self.in_flight) < max_in_flight
 
-    def note_sent(self, last_index: int) -> None:
+    def note_sent(self, now_s: float, last_index: int) -> None:
         """Notes a message whose last entry has this index."""
-        if self.probing:
-            self.probe_sent = True
-            return
+        self._note_waiting(now_s)
         self.in_flight.append(last_index)
         self.next_index = last_index + 1
 
+    def note_probe(self, now_s: float) -> None:
+        """Notes a message that asks for a common entry."""
+        self._note_waiting(now_s)
+        self.probe_sent = True
+
+    def note_chunk(self, now_s: float) -> None:
+        """Notes a piece of the snapshot."""
+        self._note_waiting(now_s)
+        self.chunk_sent = True
+
     def note_contact(self, now_s: float, sent_at_s: float) -> None:
         """Notes an answer to a message sent at `sent_at_s`."""
         self.heard_at_s = now_s
@@ -66,7 +78,7 @@
         self.probe_sent = False
         if match_index > self.match_index:
             self.match_index = match_index
-            self.moved_at_s = now_s
+            self.waiting_since_s = now_s
         while self.in_flight and self.in_flight[0] <= match_index:
             self.in_flight.popleft()
         self.next_index = max(self.next_index, self.match_index + 1)
@@ -79,12 +91,13 @@
         self.next_index = max(self.match_index + 1, hint_index + 1)
 
     def start_over(self, now_s: float) -> None:
-        """Takes what is on its way as lost."""
-        self.moved_at_s = now_s
+        """Takes what is on its way as lost, and asks before sending more."""
+        self.waiting_since_s = now_s
         self.in_flight.clear()
         self.probe_sent = False
         self.chunk_sent = False
         if not self.probing:
+            self.probing = True
             self.next_index = self.match_index + 1
 
     def start_snapshot(self, whole: snapshot_module.Snapshot) -> None:
@@ -103,3 +116,7 @@
         self.chunk_sent = False
         self.next_index = index + 1
         self.note_match(now_s, index)
+
+    def _note_waiting(self, now_s: float) -> None:
+        if not self.is_waiting:
+            self.waiting_since_s = now_s
--- a/src/cranberrymux/consensus/sender.py
+++ b/src/cranberrymux/consensus/sender.py
@@ -82,8 +82,10 @@
         if previous_term is None:
             return
         known.told_commit_index = self._journal.commit_index
-        if entries or is_probe:
-            known.note_sent(previous_index + len(entries))
+        if entries:
+            known.note_sent(now_s, previous_index + len(entries))
+        elif known.probing:
+            known.note_probe(now_s)
         self._send_append(
             now_s, replica_id, previous_index, previous_term, entries
         )
@@ -117,7 +119,7 @@
         known: progress_module.Progress,
         whole: snapshot_module.Snapshot,
     ) -> None:
-        known.chunk_sent = True
+        known.note_chunk(now_s)
         start = known.sending_offset
         self._journal.send(
             messages.SnapshotChunk(
--- a/tests/consensus/test_mutations.py
+++ b/tests/consensus/test_mutations.py
@@ -42,9 +42,7 @@
 
 
 class VotesTwice(election.Election):
-    def _may_grant(self, now_s, request):
-        if self.is_promised(now_s):
-            return False
+    def _may_grant(self, request):
         return request.term >= self._journal.term and (
             self._journal.is_up_to_date(request.last_index, request.last_term)
         )
