Tell a failure below an endpoint from one of its own; grow the demo

Cause: in the demo's overload an endpoint of address-history took no calls for seconds: it was ejected for 502s whose cause was refusals by leak-notes. Ruled out: its own latency, its level. The node now marks answers after a failed child call and the router learns nothing from them.

--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -92,9 +92,7 @@
     )
 
 
-def _make_chooser(
-    kind: str, zone: str, seed: int
-) -> routing_fakes.Chooser:
+def _make_chooser(kind: str, zone: str, seed: int) -> routing_fakes.Chooser:
     generator = random.Random(seed)
     records = [_record(number, 1) for number in range(ENDPOINTS)]
     if kind == "random":
--- a/bench/routing_fakes.py
+++ b/bench/routing_fakes.py
@@ -100,8 +100,8 @@
         self.behaviour = behaviour
         self.busy = 0
         self.queue: collections.deque[_Call] = collections.deque()
-        self._loads: collections.deque[tuple[float, float]] = (
-            collections.deque([(0.0, 0.0)])
+        self._loads: collections.deque[tuple[float, float]] = collections.deque(
+            [(0.0, 0.0)]
         )
 
     def load(self, now_s: float) -> float:
--- a/src/cranberrymux/demo/story.py
+++ b/src/cranberrymux/demo/story.py
@@ -1,36 +1,66 @@
 """The chapters of the demo."""
 
+import http.client
 import json
-import pathlib
-import subprocess
-import sys
+import signal
 import tempfile
 import time
 from typing import Any
+import uuid
 
 from cranberrymux.demo import deployment
+from cranberrymux.demo import endpoint_processes
 from cranberrymux.demo import expectation
+from cranberrymux.demo import load_run
+from cranberrymux.demo import operator
 from cranberrymux.demo import service_plan
 
 _ZONES = ("zone-0", "zone-1")
+_ENTRY = "crew-dispatch"
+_DEEP = "leak-notes"
+_DEEP_SLOTS = 13
+_DEEP_TIME_MS = 100.0
+_SLOW_TIME_MS = 400.0
+_CAPACITY_PER_S = len(_ZONES) * _DEEP_SLOTS * 1000 / _DEEP_TIME_MS
+
+_IN_FORCE_BOUND_S = 2.0
+_ELECTION_BOUND_S = 7.0
+_RECOVERY_BOUND_S = 2
+_LEAVING_BOUND_S = 3.0
+_GOODPUT_SHARE_BOUND = 0.95
+_PROTECTED_LOSS_BOUND = 0.001
+_DEATHS_BOUND = 3
 
 PLANS = (
-    service_plan.ServicePlan("leak-notes", _ZONES, 13, 4.0),
-    service_plan.ServicePlan(
-        "address-history", _ZONES, 50, 4.0, ("leak-notes",)
-    ),
+    service_plan.ServicePlan(_DEEP, _ZONES, _DEEP_SLOTS, _DEEP_TIME_MS),
     service_plan.ServicePlan(
-        "crew-dispatch", _ZONES, 70, 4.0, ("address-history",)
+        "address-history", _ZONES, 50, 10.0, (_DEEP,), crash_marker="boom"
     ),
+    service_plan.ServicePlan(_ENTRY, _ZONES, 70, 10.0, ("address-history",)),
 )
 
+CONFIGURATION = """\
+classes:
+  - {name: dispatch, protected: true}
+  - {name: lookup, protected: true}
+  - {name: export}
+selectors:
+  - name: crews
+    match: service = crew-dispatch, method = POST
+    class: dispatch
+    once_only: true
+  - {name: lookups, match: path = /lookup, class: lookup, idempotent: true}
+  - {name: exports, match: path = /export, class: export, idempotent: true}
+default_class: export
+default_retry_budget: 2
+"""
+
 
 class Story:
     """Runs the chapters one after the other."""
 
     def __init__(self, folder: str) -> None:
         """Prepares a deployment in a folder."""
-        self._folder = pathlib.Path(folder)
         self._deployment = deployment.Deployment(folder)
         self._results: list[expectation.Expectation] = []
 
@@ -38,7 +68,13 @@
         """Tells the whole story; returns True if every expectation held."""
         try:
             self._start()
+            self._change_configuration()
             self._show_healthy()
+            self._overload()
+            self._kill_leader()
+            self._resend_dispatch()
+            self._drain()
+            self._poison()
         finally:
             self._deployment.stop()
         return all(one.holds for one in self._results)
@@ -51,12 +87,17 @@
             "start",
             f"3 control instances and {len(self._deployment.endpoints)} "
             f"endpoints serve after {time.monotonic() - began_s:.1f} s",
-            "all of them serve, announced by themselves",
+            "all serve; backend servers announced themselves",
             True,
         )
 
+    def _change_configuration(self) -> None:
+        self._apply("configuration", CONFIGURATION, 1, _IN_FORCE_BOUND_S)
+
     def _show_healthy(self) -> None:
-        report = self._load("healthy", rate=60, seconds=3)
+        report = load_run.read_report(
+            self._load("healthy", 0.5 * _CAPACITY_PER_S, 3, 0)
+        )["total"]
         self._note(
             "healthy",
             f"{report['done']} of {report['sent']} whole answers through "
@@ -66,23 +107,172 @@
             and report["wrong"] == report["cut"] == 0,
         )
 
-    def _load(self, name: str, rate: float, seconds: float) -> dict[str, Any]:
-        path = self._deployment.write_settings(
-            f"load-{name}",
-            {
-                "targets": self._deployment.ingress_addresses("crew-dispatch"),
-                "rate": rate,
-                "seconds": seconds,
-                "kinds": [{"name": "dispatch", "timeout_ms": 2000}],
-            },
+    def _overload(self) -> None:
+        """A surge to twice capacity while the deep service is slow."""
+        running = self._load("overload", 2 * _CAPACITY_PER_S, 10, 3)
+        time.sleep(2)
+        self._set_service_time(_SLOW_TIME_MS)
+        time.sleep(4)
+        self._set_service_time(_DEEP_TIME_MS)
+        report = load_run.read_report(running)
+        total = report["total"]
+        dispatch = report["kinds"]["dispatch"]
+        lost = 1 - dispatch["done"] / dispatch["sent"]
+        self._note(
+            "overload",
+            f"dispatches lost {lost:.2%}, {total['wrong']} wrong, "
+            f"{total['cut']} cut",
+            f"dispatches lost under {_PROTECTED_LOSS_BOUND:.1%}, none wrong "
+            "or cut",
+            lost < _PROTECTED_LOSS_BOUND
+            and total["wrong"] == total["cut"] == 0,
+        )
+        after = total["goodput"][6 + _RECOVERY_BOUND_S : 10]
+        share = sum(after) / len(after) / _CAPACITY_PER_S
+        self._note(
+            "recovery",
+            f"goodput {share:.0%} of capacity from {_RECOVERY_BOUND_S} s after "
+            "the slow service was mended, at twice the load",
+            f"at least {_GOODPUT_SHARE_BOUND:.0%}",
+            share >= _GOODPUT_SHARE_BOUND,
+        )
+
+    def _kill_leader(self) -> None:
+        leader = self._find_leader()
+        began_s = time.monotonic()
+        for control in self._deployment.controls:
+            if control.name == leader:
+                control.send_signal(signal.SIGKILL)
+        document = CONFIGURATION + "default_timeout_ms: 4000\n"
+        self._apply("leader killed", document, 2, _ELECTION_BOUND_S, began_s)
+
+    def _resend_dispatch(self) -> None:
+        """Sends one dispatch to both entry nodes, again and again."""
+        request_id = _make_request_id()
+        answers = []
+        for _ in range(3):
+            for endpoint in self._deployment.find(_ENTRY):
+                answers.append(
+                    _post(endpoint.ingress_port, "/dispatch", request_id)
+                )
+        runs = sum(
+            self._count_runs(endpoint, request_id)
+            for endpoint in self._deployment.find(_ENTRY)
+        )
+        self._note(
+            "dispatch resent",
+            f"6 sendings at two nodes, {answers.count(200)} answers, "
+            f"{runs} run",
+            "one run, six answers",
+            runs == 1 and answers.count(200) == len(answers),
+        )
+
+    def _drain(self) -> None:
+        leaving = self._deployment.find(_DEEP)[0]
+        running = self._load("drain", 0.3 * _CAPACITY_PER_S, 6, 0)
+        time.sleep(1)
+        operator.run_command(self._deployment, "drain", leaving.node_id)
+        time.sleep(_LEAVING_BOUND_S)
+        before = self._count_started(leaving)
+        report = load_run.read_report(running)["total"]
+        taken = self._count_started(leaving) - before
+        self._note(
+            "drain",
+            f"{taken} calls taken from {_LEAVING_BOUND_S:.0f} s after the "
+            f"drain, {report['sent'] - report['done']} of {report['sent']} "
+            "requests lost",
+            "no call taken, no request lost",
+            taken == 0 and report["done"] == report["sent"],
         )
-        done = subprocess.run(
-            [sys.executable, "-m", "cranberrymux.load", "--settings", path],
-            stdout=subprocess.PIPE,
-            check=False,
+
+    def _poison(self) -> None:
+        """One request kills each backend server that runs it."""
+        request_id = _make_request_id()
+        deaths = 0
+        for _ in range(8):
+            for endpoint in self._deployment.find("address-history"):
+                _post(
+                    endpoint.ingress_port,
+                    "/lookup",
+                    request_id,
+                    {"Cranberrymux-Standin-Crash": "boom"},
+                )
+                deaths += self._revive(endpoint)
+        self._note(
+            "poison",
+            f"{deaths} backend servers lost to one request sent 16 times",
+            f"at most {_DEATHS_BOUND}",
+            deaths <= _DEATHS_BOUND,
         )
-        report: dict[str, Any] = json.loads(done.stdout)["total"]
-        return report
+
+    def _revive(self, endpoint: endpoint_processes.EndpointProcesses) -> int:
+        assert endpoint.backend is not None
+        time.sleep(0.1)
+        if endpoint.backend.is_running:
+            return 0
+        endpoint.backend.restart()
+        while _get(endpoint.backend_port, "/load") is None:
+            time.sleep(0.05)
+        return 1
+
+    def _apply(
+        self,
+        chapter: str,
+        document: str,
+        version: int,
+        bound_s: float,
+        began_s: float | None = None,
+    ) -> None:
+        start_s = time.monotonic() if began_s is None else began_s
+        done = operator.run_command(
+            self._deployment, "apply", "-", text=document
+        )
+        self._deployment.wait_for_version(version)
+        elapsed_s = time.monotonic() - start_s
+        self._note(
+            chapter,
+            f"version {version} in force at every node {elapsed_s:.2f} s "
+            f"after the {'kill' if began_s else 'command'}",
+            f"within {bound_s:.0f} s",
+            done.exit_code == 0 and elapsed_s <= bound_s,
+        )
+
+    def _find_leader(self) -> str:
+        status = operator.run_command(self._deployment, "status").values
+        for one in status:
+            if one.get("role") == "leader":
+                return str(one["control_id"])
+        return ""
+
+    def _load(
+        self, name: str, rate: float, seconds: float, resends: int
+    ) -> Any:
+        return load_run.start_load(
+            self._deployment,
+            name,
+            self._deployment.ingress_addresses(_ENTRY),
+            rate,
+            seconds,
+            load_run.make_kinds(resends),
+        )
+
+    def _set_service_time(self, service_time_ms: float) -> None:
+        for endpoint in self._deployment.find(_DEEP):
+            body = json.dumps({"service_time_ms": service_time_ms})
+            _request(endpoint.backend_port, "POST", "/behaviour", body, {})
+
+    def _count_runs(
+        self,
+        endpoint: endpoint_processes.EndpointProcesses,
+        request_id: str,
+    ) -> int:
+        counters = _get(endpoint.backend_port, "/counters") or {}
+        return int(counters["runs"].get(request_id, 0))
+
+    def _count_started(
+        self, endpoint: endpoint_processes.EndpointProcesses
+    ) -> int:
+        return int((_get(endpoint.backend_port, "/counters") or {})["started"])
 
     def _note(
         self, chapter: str, shown: str, expected: str, holds: bool
@@ -92,6 +282,55 @@
         self._results.append(one)
 
 
+def _make_request_id() -> str:
+    now_ms = time.time_ns() // 1_000_000
+    number = (now_ms << 80) | (uuid.uuid4().int & ((1 << 80) - 1))
+    number = number & ~(0xF << 76) | (7 << 76)
+    return str(uuid.UUID(int=number & ~(0x3 << 62) | (2 << 62)))
+
+
+def _post(
+    port: int,
+    path: str,
+    request_id: str,
+    extra: dict[str, str] | None = None,
+) -> int:
+    status, _ = _request(
+        port,
+        "POST",
+        path,
+        "crew 7",
+        {
+            "Cranberrymux-Request-Id": request_id,
+            "Cranberrymux-Principal": "dispatcher",
+            **(extra or {}),
+        },
+    )
+    return status
+
+
+def _get(port: int, path: str) -> dict[str, Any] | None:
+    status, body = _request(port, "GET", path, "", {})
+    if status != 200:
+        return None
+    values: dict[str, Any] = json.loads(body)
+    return values
+
+
+def _request(
+    port: int, method: str, path: str, body: str, extra: dict[str, str]
+) -> tuple[int, bytes]:
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+    try:
+        connection.request(method, path, body or None, extra)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    except OSError:
+        return 0, b""
+    finally:
+        connection.close()
+
+
 def run() -> int:
     """Runs the demo; returns 0 if every expectation held."""
     with tempfile.TemporaryDirectory(prefix="cranberrymux-demo-") as folder:
--- a/src/cranberrymux/node/answer_facts.py
+++ b/src/cranberrymux/node/answer_facts.py
@@ -20,6 +20,8 @@
         unspent: Retries left of those that went with the call.
         configuration: Version in force at the other node.
         load: Load of the endpoint, 0.0 to 1.0; None if not told.
+        is_dependency_failure: True if the call failed after a call that it
+            made failed, which says nothing of the endpoint itself.
     """
 
     kind: answer_kind.AnswerKind | None
@@ -28,6 +30,7 @@
     unspent: int
     configuration: int
     load: float | None
+    is_dependency_failure: bool
 
 
 def read_facts(head: answer_head.AnswerHead) -> AnswerFacts:
@@ -46,6 +49,7 @@
         _read_number(found.get(b"cranberrymux-unspent")) or 0,
         _read_number(found.get(b"cranberrymux-configuration")) or 0,
         None if load is None else min(load / 1000, 1.0),
+        b"cranberrymux-dependency-failed" in found,
     )
 
 
--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -22,8 +22,18 @@
 _PER_MILLE = 1000
 
 
-def classify(head: answer_head.AnswerHead) -> outcome.Outcome:
-    """Returns what admission learns from an answer of the backend server."""
+def classify(
+    head: answer_head.AnswerHead, is_dependency: bool
+) -> outcome.Outcome:
+    """Returns what admission learns from an answer of the backend server.
+
+    Args:
+        head: Head of the answer.
+        is_dependency: True if a call that it made for this one failed.
+    """
+    if is_dependency and head.status >= _SERVER_ERROR:
+        # The failure says nothing of this backend server.
+        return outcome.Outcome.CANCELLED
     if head.status == _SHED_STATUS:
         return outcome.Outcome.OVERLOADED
     if head.status >= _SERVER_ERROR:
@@ -74,10 +84,16 @@
         )
 
     def pass_on(
-        self, head: answer_head.AnswerHead, body: bytes, unspent: int
+        self,
+        head: answer_head.AnswerHead,
+        body: bytes,
+        unspent: int,
+        is_dependency: bool,
     ) -> None:
         """Sends a whole answer of the backend server to every caller."""
         answer_headers = self._annotate(head, unspent)
+        if is_dependency and head.status >= _SERVER_ERROR:
+            answer_headers.append((b"cranberrymux-dependency-failed", b"1"))
         for call in self._take_all():
             if call.head.method == b"HEAD":
                 call.start_answer(head._replace(headers=answer_headers))
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -117,8 +117,9 @@
         if self._claimed is not None:
             self._settle(head, body)
         self._finish_quarantine(True)
-        unspent = self._end(ingress_answers.classify(head))
-        self._answers.pass_on(head, body, unspent)
+        is_dependency = self._has_failed_child()
+        unspent = self._end(ingress_answers.classify(head, is_dependency))
+        self._answers.pass_on(head, body, unspent, is_dependency)
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead
@@ -133,7 +134,11 @@
         if self._claimed is not None:
             self._claimed.settle(self._streamed_head.status, None)
         self._finish_quarantine(True)
-        self._end(ingress_answers.classify(self._streamed_head))
+        self._end(
+            ingress_answers.classify(
+                self._streamed_head, self._has_failed_child()
+            )
+        )
         self._answers.finish_streaming()
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
@@ -260,6 +265,9 @@
             self._claimed.release()
             self._claimed = None
 
+    def _has_failed_child(self) -> bool:
+        return self._running is not None and self._running.has_failed_child
+
     def _finish_quarantine(self, is_clean: bool) -> None:
         if self._running is not None:
             self._node.quarantine.finish(self._ticket_id, is_clean)
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -45,6 +45,7 @@
 
 # Budgets are granted by the configuration; a grant only limits resends.
 _GRANT_CEILING = 100
+_CLASS_RANKS = 16
 
 _log = structlog.get_logger()
 
@@ -298,7 +299,8 @@
     ) -> admission_task.AdmissionTask:
         return admission_task.AdmissionTask(
             controller.AdmissionController(
-                admission_settings.AdmissionSettings(), generator
+                admission_settings.AdmissionSettings(class_ranks=_CLASS_RANKS),
+                generator,
             ),
             self._clock,
             deadlines,
--- a/src/cranberrymux/node/request_encoding.py
+++ b/src/cranberrymux/node/request_encoding.py
@@ -31,6 +31,7 @@
         b"cranberrymux-unspent",
         b"cranberrymux-configuration",
         b"cranberrymux-load",
+        b"cranberrymux-dependency-failed",
     )
 )
 
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -35,7 +35,12 @@
 _Reason = refusal_reason.RefusalReason
 _SERVER_ERROR = 500
 _VOUCH_LIMIT_S = 0.25
-_HIDDEN_HEADERS = (b"cranberrymux-level", b"cranberrymux-configuration")
+_HIDDEN_HEADERS = (
+    b"cranberrymux-level",
+    b"cranberrymux-load",
+    b"cranberrymux-configuration",
+    b"cranberrymux-dependency-failed",
+)
 
 
 class RoutedCall:
@@ -112,6 +117,8 @@
             facts.kind or _Kind.UNKNOWN, facts.reason
         ):
             return
+        if facts.kind is not _Kind.DONE:
+            self._parent.has_failed_child = True
         self._end()
         answer_headers = _pass_on(head)
         if self._call.head.method == b"HEAD":
@@ -295,6 +302,7 @@
         )
 
     def _refuse(self, one: refusal.Refusal) -> None:
+        self._parent.has_failed_child = True
         self._end()
         encoded = refusal_answer.encode_refusal(one, self._context.request_id)
         self._call.answer(encoded.status, encoded.headers, encoded.body)
@@ -351,13 +359,19 @@
     head: answer_head.AnswerHead, facts: answer_facts.AnswerFacts
 ) -> outcome.Outcome:
     if facts.kind is _Kind.NOT_RUN:
-        if facts.reason in (_Reason.DRAINING, _Reason.NOT_STARTED):
-            return outcome.Outcome.DRAINING
-        if facts.reason in retry_policy.OVERLOAD_REASONS:
-            return outcome.Outcome.REFUSED
-        return outcome.Outcome.DONE
+        return _classify_refusal(facts.reason)
+    if facts.is_dependency_failure:
+        return outcome.Outcome.CANCELLED
     if facts.kind is _Kind.UNKNOWN:
         return outcome.Outcome.LOST
     if head.status >= _SERVER_ERROR:
         return outcome.Outcome.FAILED
     return outcome.Outcome.DONE
+
+
+def _classify_refusal(reason: _Reason | None) -> outcome.Outcome:
+    if reason in (_Reason.DRAINING, _Reason.NOT_STARTED):
+        return outcome.Outcome.DRAINING
+    if reason in retry_policy.OVERLOAD_REASONS:
+        return outcome.Outcome.REFUSED
+    return outcome.Outcome.DONE
--- a/src/cranberrymux/node/running_call.py
+++ b/src/cranberrymux/node/running_call.py
@@ -21,6 +21,7 @@
         arrived_s: Monotonic seconds at which it arrived.
         ledger: Retries that its child calls may spend.
         has_parent: False for a call that stands for no call at ingress.
+        has_failed_child: True once a child call ended without a good answer.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         self.arrived_s = arrived_s
         self.ledger = budget_ledger.BudgetLedger(context.retry_budget)
         self.has_parent = has_parent
+        self.has_failed_child = False
         self._children: set[ChildCall] = set()
         self._child_count = first_child_number - 1
         self._below_since_s = 0.0
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -292,3 +292,35 @@
                 seconds=1.0,
             )
             assert client.statuses == [200]
+
+
+class TestDependencyFailure:
+    """A failure below an endpoint does not count against the endpoint."""
+
+    def test_endpoint_is_not_ejected_for_what_it_calls(self, cluster):
+        caller = cluster.add("caller-0", "caller", calls=["middle"])
+        cluster.add("middle-0", "middle", backend.answer_ok, calls=["leaf"])
+        failing = cluster.add("middle-1", "middle", calls=["leaf"])
+        cluster.network.run(0.5)
+        for _ in range(40):
+            client = cluster.ask(
+                caller.egress_port, _egress(b"middle") + b"\r\n", 0.003
+            )
+            self._fail_below(cluster, failing)
+            cluster.network.run(0.002)
+            assert len(client.statuses) == 1
+        assert len(failing.backend.calls) >= 10
+
+    def _fail_below(self, cluster, middle):
+        for call in middle.backend.calls:
+            if call.is_answered:
+                continue
+            context = dict(call.head.headers)[b"cranberrymux-context"]
+            below = cluster.ask(
+                middle.egress_port,
+                _egress(b"leaf")
+                + b"cranberrymux-context: %b\r\n\r\n" % context,
+                0.002,
+            )
+            assert _reason(below) == ("not-run", "no-endpoint")
+            call.answer(502, [], b"no leaf")
