--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -1,7 +1,6 @@
 """Takes calls from clients and other nodes to the backend server."""
 
 import hmac
-import json
 
 from cranberrymux.decisions.answers import tombstones
 from cranberrymux.decisions.configuration import treatment
@@ -19,8 +18,9 @@
 from cranberrymux.node import ingress_call
 from cranberrymux.node import ingress_calls
 from cranberrymux.node import refusal_answer
+from cranberrymux.node import suspect_message
 from cranberrymux.node import version_gate
-from cranberrymux.node import vouch_request
+from cranberrymux.node import vouch_message
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 
@@ -61,9 +61,12 @@
         if not self._is_peer(call.head.headers):
             self._handle_entry(call)
             return
-        if call.head.target == vouch_request.VOUCH_TARGET:
+        if call.head.target == vouch_message.TARGET:
             self._vouch(call)
             return
+        if call.head.target == suspect_message.TARGET:
+            self._take_suspect(call)
+            return
         version = _read_version(call.head.headers)
         if version <= self._node.policy.version:
             self._handle_peer(call)
@@ -215,24 +218,28 @@
         )
 
     def _vouch(self, call: inbound_call.InboundCall) -> None:
-        value = headers.find(call.head.headers, b"cranberrymux-vouch")
-        key = None if value is None else vouch_request.decode_key(value)
+        value = headers.find(call.head.headers, vouch_message.HEADER)
+        key = None if value is None else vouch_message.decode_key(value)
         if key is None:
-            self._refuse(call, entry_context.refuse_bad("cranberrymux-vouch"))
+            self._refuse(call, entry_context.refuse_bad("no such attempt"))
             return
         memory: tombstones.Tombstones = self._node.tombstones
         word = memory.refuse(self._node.clock.now_s(), key)
-        body = vouch_request.VouchBody(
-            verdict=word.verdict.value,
-            incarnation=word.incarnation,
-            covered_s=word.covered_s,
-        )
         call.answer(
             200,
             [(b"content-type", b"application/json")],
-            json.dumps(body).encode(),
+            vouch_message.encode_vouch(word),
         )
 
+    def _take_suspect(self, call: inbound_call.InboundCall) -> None:
+        value = headers.find(call.head.headers, suspect_message.HEADER)
+        news = None if value is None else suspect_message.decode(value)
+        if news is None:
+            self._refuse(call, entry_context.refuse_bad("no such suspect"))
+            return
+        self._node.quarantine.hear(news)
+        call.answer(200, [], b"")
+
     def _is_peer(self, head_headers: headers.HeaderList) -> bool:
         key = headers.find(head_headers, b"cranberrymux-key")
         return key is not None and hmac.compare_digest(key, self._node.key)
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -35,6 +35,7 @@
 from cranberrymux.node import quarantine_task
 from cranberrymux.node import running_calls
 from cranberrymux.node import settings as node_settings
+from cranberrymux.node import siblings
 from cranberrymux.node import status_body
 from cranberrymux.node.http import connection_pool
 from cranberrymux.telemetry import event
@@ -90,14 +91,16 @@
             settings, system_clock.now_unix_ms()
         )
         self._admission = self._make_admission(generator, deadlines)
-        self._quarantine = self._make_quarantine(clients)
+        pool = connection_pool.ConnectionPool(reactor)
+        self._siblings = siblings.Siblings(settings.node_id, pool)
+        self._quarantine = self._make_quarantine(clients, key.encode())
         retries = retry_settings.RetrySettings(root_budget=_GRANT_CEILING)
         self._env = environment.Environment(
             settings=settings,
             clock=system_clock,
             generator=generator,
             deadlines=deadlines,
-            pool=connection_pool.ConnectionPool(reactor),
+            pool=pool,
             router=router.Router(
                 router_settings.RouterSettings(settings.region, settings.zone),
                 generator,
@@ -233,8 +236,11 @@
         services: dict[str, list[endpoint_record.EndpointRecord]] = {}
         for record in records:
             services.setdefault(record.service, []).append(record)
+        backend = self.ingress.backend
         for service, news in services.items():
             self._env.router.update_endpoints(now_s, service, news)
+            if backend is not None and service == backend.service:
+                self._siblings.update(news)
 
     def configuration_changed(self, version: int, document: str) -> None:
         """Puts a configuration in force."""
@@ -307,7 +313,7 @@
         )
 
     def _make_quarantine(
-        self, clients: Sequence[Any]
+        self, clients: Sequence[Any], proof: bytes
     ) -> quarantine_task.QuarantineTask:
         return quarantine_task.QuarantineTask(
             quarantine.Quarantine(
@@ -318,6 +324,8 @@
             self._clock,
             self._reactor,
             list(clients),
+            self._siblings.tell,
+            proof,
         )
 
     def _expire_backend(self, now_s: float) -> None:
--- /dev/null
+++ b/src/cranberrymux/node/peer_request.py
@@ -0,0 +1,113 @@
+"""A short request of one node to another, outside the path of a call."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import client_connection
+from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import headers
+from cranberrymux.node.http import lost_answer
+
+_MAXIMUM_ANSWER_BYTES = 4096
+_OK = 200
+
+
+class PeerMessage(NamedTuple):
+    """What is sent.
+
+    Attributes:
+        target: Request target.
+        header: Name and value of the header that holds the message.
+        key: Proof that the sender is a node.
+    """
+
+    target: bytes
+    header: tuple[bytes, bytes]
+    key: bytes
+
+
+class PeerRequest:
+    """Sends one message; implements `answer_sink.AnswerSink`."""
+
+    def __init__(
+        self,
+        message: PeerMessage,
+        on_answer: Callable[[bytes | None], None],
+    ) -> None:
+        """Keeps the message.
+
+        Args:
+            message: What is sent.
+            on_answer: Called once, with the body of a 200 or with None.
+        """
+        self._message = message
+        self._on_answer = on_answer
+        self._status = 0
+        self._body = b""
+        self._is_over = False
+        self._lease: connection_pool.Lease | None = None
+        self._connection: client_connection.ClientConnection | None = None
+
+    def start(
+        self,
+        pool: connection_pool.ConnectionPool,
+        address: connection_pool.Address,
+    ) -> None:
+        """Sends the message."""
+        self._lease = pool.take(address, self._connected, self.answer_lost)
+
+    def give_up(self) -> None:
+        """Ends the request without an answer."""
+        if self._is_over:
+            return
+        if self._lease is not None:
+            self._lease.is_cancelled = True
+        if self._connection is not None:
+            self._connection.cancel()
+        self._end(None)
+
+    def answer_interim(self, status: int, extra: headers.HeaderList) -> None:
+        """Ignores 1xx answers."""
+
+    def answer_started(self, head: answer_head.AnswerHead) -> None:
+        """Takes the status."""
+        self._status = head.status
+
+    def answer_part(self, part: bytes) -> None:
+        """Collects the body."""
+        if len(self._body) < _MAXIMUM_ANSWER_BYTES:
+            self._body += part
+
+    def answer_complete(self) -> None:
+        """Ends with the body."""
+        self._end(self._body if self._status == _OK else None)
+
+    def answer_lost(self, loss: lost_answer.LostAnswer) -> None:
+        """Ends without an answer."""
+        del loss
+        self._end(None)
+
+    def request_full(self) -> None:
+        """Ignored: the message is short."""
+
+    def request_drained(self) -> None:
+        """Ignored: the message is short."""
+
+    def _connected(
+        self, connection: client_connection.ClientConnection
+    ) -> None:
+        self._connection = connection
+        name, value = self._message.header
+        request = (
+            b"POST %b HTTP/1.1\r\nhost: node\r\ncontent-length: 0\r\n"
+            b"cranberrymux-key: %b\r\n%b: %b\r\n\r\n"
+            % (self._message.target, self._message.key, name, value)
+        )
+        connection.send_request(request, True, False, self)
+
+    def _end(self, body: bytes | None) -> None:
+        if self._is_over:
+            return
+        self._is_over = True
+        self._on_answer(body)
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -1,5 +1,6 @@
 """Finds out whether the backend server died, and of which calls."""
 
+import collections
 from collections.abc import Callable
 from typing import Any
 from typing import Protocol
@@ -8,18 +9,22 @@
 from twisted.internet import defer
 from twisted.internet import protocol
 
+from cranberrymux.decisions.quarantine import clear_report
 from cranberrymux.decisions.quarantine import death_report
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import quarantine as quarantine_module
 from cranberrymux.decisions.quarantine import standing
 from cranberrymux.models import refusal
 from cranberrymux.node import clock as clock_module
+from cranberrymux.node import peer_request
+from cranberrymux.node import suspect_message
 from cranberrymux.node.http import connection_pool
 from cranberrymux.telemetry import event
 from cranberrymux.wire import wire_error
 from cranberrymux.wire.gen.messages import ttypes
 
 _PROBE_TIMEOUT_S = 1.0
+_MAXIMUM_KEYS = 8192
 
 _log = structlog.get_logger()
 
@@ -70,12 +75,28 @@
         system_clock: clock_module.Clock,
         reactor: Any,
         clients: list[Any],
+        tell: Callable[[peer_request.PeerMessage], None],
+        proof: bytes,
     ) -> None:
-        """Keeps the quarantine, which nobody else may drive."""
+        """Keeps the quarantine, which nobody else may drive.
+
+        Args:
+            quarantine: The records of this endpoint.
+            system_clock: The node's clocks.
+            reactor: For connections.
+            clients: Connections to the control instances.
+            tell: Sends a message to every sibling.
+            proof: Proof that the sender is a node.
+        """
         self._quarantine = quarantine
         self._clock = system_clock
         self._reactor = reactor
         self._clients: list[ReportClient] = clients
+        self._tell = tell
+        self._proof = proof
+        self._deaths: collections.OrderedDict[str, set[str]] = (
+            collections.OrderedDict()
+        )
         self._lost: list[str] = []
         self._is_probing = False
 
@@ -98,7 +119,11 @@
 
     def finish(self, ticket_id: str, is_clean: bool) -> None:
         """Takes note that a call has ended while its backend server lives."""
-        self._quarantine.finish(self._clock.now_s(), ticket_id, is_clean)
+        cleared = self._quarantine.finish(
+            self._clock.now_s(), ticket_id, is_clean
+        )
+        for report in cleared:
+            self._tell(suspect_message.encode_clear(report, self._proof))
 
     def connection_lost(
         self, ticket_id: str, address: connection_pool.Address
@@ -118,9 +143,27 @@
         """Takes note that another process announced itself."""
         self._found_dead()
 
-    def merge(self, key: str, deaths: int) -> None:
-        """Takes the count of deaths that the shared state has for a key."""
-        self._quarantine.merge_report(self._clock.now_s(), key, deaths)
+    def hear(
+        self, news: suspect_message.Death | clear_report.ClearReport
+    ) -> None:
+        """Takes news of a sibling."""
+        now_s = self._clock.now_s()
+        if isinstance(news, clear_report.ClearReport):
+            self._quarantine.merge_report(now_s, news.key, 0, news.deaths)
+            return
+        deaths = self._count(news)
+        self._quarantine.merge_report(
+            now_s, news.key, deaths, was_alone=news.was_alone
+        )
+
+    def _count(self, death: suspect_message.Death) -> int:
+        """Returns the distinct deaths known for a key."""
+        known = self._deaths.setdefault(death.key, set())
+        known.add(death.death_id)
+        self._deaths.move_to_end(death.key)
+        if len(self._deaths) > _MAXIMUM_KEYS:
+            self._deaths.popitem(last=False)
+        return len(known)
 
     def _found_alive(self) -> None:
         self._is_probing = False
@@ -136,6 +179,9 @@
             return
         _log.warning(event.Event.BACKEND_SERVER_DIED, suspects=len(reports))
         for report in reports:
+            death = suspect_message.make_death(report)
+            self._count(death)
+            self._tell(suspect_message.encode_death(death, self._proof))
             defer.ensureDeferred(self._report(report))
 
     async def _report(self, report: death_report.DeathReport) -> None:
@@ -147,5 +193,7 @@
         for client in self._clients:
             answer = await client.report_suspect(message)
             if not isinstance(answer, wire_error.WireError):
-                self.merge(report.key, answer.deaths)
+                self._quarantine.merge_report(
+                    self._clock.now_s(), report.key, answer.deaths
+                )
                 return
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -5,7 +5,6 @@
 from cranberrymux.decisions.answers import classifier
 from cranberrymux.decisions.answers import conclusion
 from cranberrymux.decisions.answers import reach
-from cranberrymux.decisions.answers import vouch
 from cranberrymux.decisions.configuration import treatment
 from cranberrymux.decisions.contexts import children
 from cranberrymux.decisions.retries import ended_attempt
@@ -20,11 +19,12 @@
 from cranberrymux.node import answer_facts
 from cranberrymux.node import environment
 from cranberrymux.node import outbound_attempt
+from cranberrymux.node import peer_request
 from cranberrymux.node import places
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
 from cranberrymux.node import running_call
-from cranberrymux.node import vouch_request
+from cranberrymux.node import vouch_message
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers
@@ -84,7 +84,7 @@
         self._sent_s = 0.0
         self._endpoint: endpoint_record.EndpointRecord | None = None
         self._attempt: outbound_attempt.OutboundAttempt | None = None
-        self._question: vouch_request.VouchRequest | None = None
+        self._question: peer_request.PeerRequest | None = None
         self._streamed_head: answer_head.AnswerHead | None = None
         self._overload_refusals = 0
         self._is_over = False
@@ -162,7 +162,7 @@
         assert self._endpoint is not None
         endpoint = self._endpoint
 
-        def take(word: vouch.Vouch | None) -> None:
+        def take(body: bytes | None) -> None:
             if self._is_over:
                 return
             self._question = None
@@ -171,12 +171,14 @@
                 reason=_Reason.CONNECTION_LOST,
                 sent_incarnation=endpoint.incarnation,
                 age_s=self._node.clock.now_s() - self._sent_s,
-                vouch=word,
+                vouch=vouch_message.decode_vouch(body),
             )
             self._conclude(classifier.classify(evidence), loss.detail)
 
         key = attempt_key.from_context(self._context)
-        question = vouch_request.VouchRequest(key, self._node.key, take)
+        question = peer_request.PeerRequest(
+            vouch_message.make_question(key, self._node.key), take
+        )
         self._question = question
         self._node.deadlines.add(
             self._node.clock.now_s() + _VOUCH_LIMIT_S, question.give_up
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -324,3 +324,21 @@
             )
             assert _reason(below) == ("not-run", "no-endpoint")
             call.answer(502, [], b"no leaf")
+
+
+def test_suspect_is_known_to_every_sibling(cluster):
+    members = [cluster.add(f"leaf-{number}", "leaf") for number in range(3)]
+    cluster.network.run(0.5)
+    deaths = 0
+    for number in range(12):
+        member = members[number % 3]
+        member.backend.calls.clear()
+        cluster.ask(
+            member.ingress_port, GET + REQUEST_ID + b"\r\n", seconds=0.05
+        )
+        if member.backend.calls:
+            member.backend.die()
+            deaths += 1
+            cluster.network.run(0.05)
+            member.backend.start()
+    assert deaths <= 3
