Check the control instances as real processes, and each check without its mechanism

A settlement that was not committed was answered like a released claim, so that its owner stopped sending it and the outcome became unknown; it is now refused. A release that overtook its claim left the claim granted to nobody until the running time ended; it is now noted and the late claim is refused.

--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -122,7 +122,10 @@
         answer = await self._log.propose(
             ttypes.Command(at_ms=0, settle=request)
         )
-        return _claim_answer(answer)
+        if not answer.committed:
+            # The owner sends it again; a claim's answer would end that.
+            raise ttypes.Refused(reason="unavailable")
+        return answer.claim
 
     async def report_suspect(self, key: str, report: Any) -> Any:
         """Commits a death; with no endpoint id it only reads the count."""
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -25,7 +25,6 @@
 from cranberrymux.wire.gen.messages import ttypes
 
 TICK_S = 0.025
-_POLL_S = 0.05
 _RETRY_MS = 500
 _MS_PER_S = 1000
 
@@ -91,21 +90,21 @@
     async def propose(self, command: Any) -> Any:
         """Commits a command, here or at the leader.
 
-        Waits for a leader while there is none. Once the command may have
-        been taken, it is not sent again.
+        With no leader in reach it is refused at once, with a time to come
+        back; it is never sent twice.
         """
-        end_s = _now_s() + self._settings.proposal_timeout_ms / _MS_PER_S
-        while True:
-            leader = self.leader()
-            if leader == self._settings.control_id:
-                answer = await self.propose_here(command)
-            else:
-                answer = await self._forward(leader, command)
-            if answer.committed or not answer.rejected:
-                return answer
-            if _now_s() + _POLL_S >= end_s:
-                return proposals.reject(leader, _RETRY_MS)
-            await task.deferLater(self._reactor, _POLL_S)
+        leader = self.leader()
+        if leader == self._settings.control_id:
+            return await self.propose_here(command)
+        client = self._peers.find(leader)
+        if client is None:
+            return proposals.reject(leader, _RETRY_MS)
+        answer = await client.propose(command)
+        if not isinstance(answer, wire_error.WireError):
+            return answer
+        if answer.was_sent:
+            return proposals.leave_open(_RETRY_MS)
+        return proposals.reject(leader, _RETRY_MS)
 
     async def propose_here(self, command: Any) -> Any:
         """Commits a command if this instance leads and holds its lease."""
@@ -197,17 +196,6 @@
         left_s = min(until_s - now_s, self._lease_s)
         return max(0, int(left_s * _MS_PER_S))
 
-    async def _forward(self, leader: str, command: Any) -> Any:
-        client = self._peers.find(leader)
-        if client is None:
-            return proposals.reject()
-        answer = await client.propose(command)
-        if not isinstance(answer, wire_error.WireError):
-            return answer
-        if answer.was_sent:
-            return proposals.leave_open(_RETRY_MS)
-        return proposals.reject()
-
     def _tick(self) -> None:
         if self._driver.storage_error is not None:
             return
--- a/src/cranberrymux/decisions/claims/claim_ledger.py
+++ b/src/cranberrymux/decisions/claims/claim_ledger.py
@@ -64,10 +64,10 @@
         entry = self._entries.get(asked.key)
         if entry is None:
             return self._grant_first(asked, now_ms)
-        if not _is_same_call(asked, entry.claim):
-            return claim_answer.ClaimAnswer(_Verdict.DIGEST_MISMATCH)
         if entry.state is _State.RELEASED:
             return self._grant_again(asked, entry, now_ms)
+        if not _is_same_call(asked, entry.claim):
+            return claim_answer.ClaimAnswer(_Verdict.DIGEST_MISMATCH)
         if entry.state is _State.RUNNING:
             return self._join(asked, entry, now_ms)
         return _tell(entry)
@@ -79,7 +79,7 @@
         self._forget(now_ms)
         entry = self._entries.get(ended.key)
         if entry is None:
-            return claim_answer.ClaimAnswer(_Verdict.EXPIRED)
+            return self._settle_first(ended, now_ms)
         if entry.state is not _State.RUNNING or not _owns(ended, entry):
             return _tell(entry)
         if ended.status == settlement.STATUS_NOT_RUN:
@@ -123,7 +123,36 @@
     def _grant_first(
         self, asked: claim_module.Claim, now_ms: int
     ) -> claim_answer.ClaimAnswer:
-        created_ms = request_age.created_ms(asked.request_id)
+        refused = self._refuse_new(asked.request_id, now_ms)
+        return refused or self._grant(asked, now_ms)
+
+    def _settle_first(
+        self, ended: settlement.Settlement, now_ms: int
+    ) -> claim_answer.ClaimAnswer:
+        """Notes a release that overtook its claim, so that none is granted."""
+        if ended.status != settlement.STATUS_NOT_RUN or not ended.claim_id:
+            return claim_answer.ClaimAnswer(_Verdict.EXPIRED)
+        refused = self._refuse_new(ended.request_id, now_ms)
+        if refused is not None:
+            return refused
+        released = claim_module.Claim(
+            ended.request_id,
+            ended.call_id,
+            "",
+            ended.owner,
+            ended.owner_incarnation,
+            "",
+            ended.claim_id,
+        )
+        self._entries[ended.key] = claim_entry.ClaimEntry(
+            released, now_ms, _State.RELEASED
+        )
+        return claim_answer.ClaimAnswer(_Verdict.UNAVAILABLE)
+
+    def _refuse_new(
+        self, request_id: str, now_ms: int
+    ) -> claim_answer.ClaimAnswer | None:
+        created_ms = request_age.created_ms(request_id)
         if created_ms is None:
             return claim_answer.ClaimAnswer(_Verdict.EXPIRED)
         if created_ms < now_ms - self._settings.accepted_age_ms:
@@ -134,7 +163,7 @@
             return claim_answer.ClaimAnswer(
                 _Verdict.UNAVAILABLE, retry_after_ms=FULL_RETRY_MS
             )
-        return self._grant(asked, now_ms)
+        return None
 
     def _grant_again(
         self,
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -13,6 +13,9 @@
 
 KEY = "cluster-key-for-tests"
 TOKEN = "operator-token-for-tests"
+_RUN = (
+    "import sys\nfrom cranberrymux.control import main\nsys.exit(main.main())\n"
+)
 DOCUMENT = "classes:\n  - name: live\n    protected: true\n  - name: bulk\n"
 
 
@@ -76,8 +79,8 @@
             self.process = subprocess.Popen(
                 [
                     sys.executable,
-                    "-m",
-                    "cranberrymux.control",
+                    "-c",
+                    f"{self.cluster.mutant}\n{_RUN}",
                     "--settings",
                     str(self.settings),
                 ],
@@ -130,7 +133,14 @@
 
 
 class Cluster:
-    def __init__(self, folder, count=3, lease_ms=1000):
+    """Control instances on loopback.
+
+    `mutant` is Python that each instance runs before it starts; it takes a
+    mechanism out, to show that a check fails without it.
+    """
+
+    def __init__(self, folder, count=3, lease_ms=1000, mutant=""):
+        self.mutant = mutant
         self.folder = pathlib.Path(folder)
         self.lease_ms = lease_ms
         (self.folder / "key").write_text(KEY)
--- a/tests/decisions/claims/schedules.py
+++ b/tests/decisions/claims/schedules.py
@@ -45,18 +45,23 @@
 
     def claim(self, choice, other):
         """A new claim."""
+        self._ask(self._make(choice, other))
+
+    def delay(self, choice, other):
+        """A new claim that is still under way; `resend` lets it arrive."""
+        self.asked.append(self._make(choice, other))
+
+    def _make(self, choice, other):
         owner = OWNERS[other % 2]
         self.count += 1
-        self._ask(
-            claim.Claim(
-                REQUESTS[choice % 2],
-                "1",
-                DIGESTS[other // 2 % 8 == 7],
-                owner,
-                self.incarnations[owner],
-                "ann" if other // 16 % 8 != 7 else "bob",
-                f"claim-{self.count}",
-            )
+        return claim.Claim(
+            REQUESTS[choice % 2],
+            "1",
+            DIGESTS[other // 2 % 8 == 7],
+            owner,
+            self.incarnations[owner],
+            "ann" if other // 16 % 8 != 7 else "bob",
+            f"claim-{self.count}",
         )
 
     def resend(self, choice, _):
@@ -158,6 +163,7 @@
 
 OPERATIONS = (
     "claim",
+    "delay",
     "resend",
     "settle",
     "release",
--- a/tests/decisions/claims/test_claim_ledger.py
+++ b/tests/decisions/claims/test_claim_ledger.py
@@ -203,6 +203,24 @@
     assert ledger.settle(late, NOW_MS).verdict is Verdict.RUNNING
 
 
+def test_a_release_that_overtook_its_claim(ledger):
+    early = make_settlement(settlement.STATUS_NOT_RUN, None)
+    assert ledger.settle(early, NOW_MS).verdict is Verdict.UNAVAILABLE
+    late = ledger.claim(make_claim(), NOW_MS)
+    assert late.verdict is Verdict.UNAVAILABLE
+    other = make_claim(owner="node-b", claim_id="c2")
+    assert ledger.claim(other, NOW_MS).verdict is Verdict.GRANTED
+
+
+@pytest.mark.parametrize("request_id", ["x", schedules.uuid7(1)])
+def test_a_release_of_an_id_that_is_refused_notes_nothing(ledger, request_id):
+    early = make_settlement(
+        settlement.STATUS_NOT_RUN, None, request_id=request_id
+    )
+    assert ledger.settle(early, NOW_MS).verdict is Verdict.EXPIRED
+    assert not len(ledger)
+
+
 def test_a_release_needs_a_claim_id(ledger):
     ledger.claim(make_claim(claim_id=""), NOW_MS)
     released = make_settlement(settlement.STATUS_NOT_RUN, None, claim_id="")
