Take calls until the node sends no more when a stand-in stops

It also stopped announcing at the drain, so that a drain longer than the lease of a backend server would have ended as its loss. Now a stop announces on, waits for the settle time and then for the node to have no calls.

--- a/src/cranberrymux/standin/announcer.py
+++ b/src/cranberrymux/standin/announcer.py
@@ -10,6 +10,7 @@
 import structlog
 import treq
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import task
 from twisted.python import failure
@@ -34,7 +35,7 @@
 
 
 class Announcer:
-    """Repeats the announcement every second until the drain."""
+    """Repeats the announcement every second until it is stopped."""
 
     def __init__(
         self,
@@ -72,14 +73,39 @@
         if self._url:
             self._loop.start(PERIOD_S)
 
+    def stop(self) -> None:
+        """Announces no more."""
+        if self._loop.running:
+            self._loop.stop()
+
     def drain(self) -> defer.Deferred[None]:
-        """Stops announcing and asks the node to begin a drain."""
+        """Asks the node to begin a drain; the announcements go on."""
         if not self._url:
             return defer.succeed(None)
-        if self._loop.running:
-            self._loop.stop()
         return self._put("/v1/drain", {})
 
+    async def is_node_busy(self) -> bool:
+        """True if the node says that it has calls for this backend server."""
+        if not self._url:
+            return False
+        try:
+            response = await treq.get(
+                self._url + "/v1/status", agent=self._agent, timeout=TIMEOUT_S
+            )
+            status = await response.json()
+            return bool(status["in_flight"] or status["queued"])
+        except (
+            defer.CancelledError,
+            error.ConnectError,
+            error.ConnectionClosed,
+            client.ResponseFailed,
+            KeyError,
+            TypeError,
+            ValueError,
+        ):
+            # A node that has left or tells nothing sends no more calls.
+            return False
+
     def _announce(self) -> defer.Deferred[None]:
         return self._put("/v1/backend", self._announcement)
 
--- a/src/cranberrymux/standin/behaviour.py
+++ b/src/cranberrymux/standin/behaviour.py
@@ -17,7 +17,6 @@
         service_time_ms: Mean time that a call holds a slot.
         service_time_spread: Share of that time that is exponential.
         load_bias: Added to the load told.
-        draining: True once the stand-in is leaving.
     """
 
     def __init__(
@@ -32,7 +31,6 @@
         self.service_time_ms = float(settings.service_time_ms)
         self.service_time_spread = float(settings.service_time_spread)
         self.load_bias = float(settings.load_bias)
-        self.draining = False
         self._settings = settings
         self._warm_at_s = now_s + settings.cold_start_ms / 1000
         self._random = random.Random(settings.seed)
--- a/src/cranberrymux/standin/control_resource.py
+++ b/src/cranberrymux/standin/control_resource.py
@@ -55,7 +55,7 @@
     def __init__(
         self,
         behaviour: behaviour_module.Behaviour,
-        begin_drain: Callable[[], None],
+        begin_drain: Callable[[], object],
     ) -> None:
         """Changes a stand-in.
 
--- a/src/cranberrymux/standin/service.py
+++ b/src/cranberrymux/standin/service.py
@@ -23,7 +23,7 @@
 from cranberrymux.telemetry import event
 
 LOAD_SAMPLE_PERIOD_S = 0.05
-DRAIN_POLL_PERIOD_S = 0.02
+DRAIN_POLL_PERIOD_S = 0.05
 BACKLOG = 1024
 
 
@@ -77,6 +77,7 @@
         self._announcer = announcer_module.Announcer(
             settings, self.port, reactor
         )
+        self._drain_begun_s: float | None = None
         self._sampler = task.LoopingCall(self._sample_load)
         self._sampler.clock = reactor
 
@@ -100,21 +101,23 @@
             port=self.port,
         )
 
-    def begin_drain(self) -> None:
+    def begin_drain(self) -> defer.Deferred[None]:
         """Tells the node to take no more calls; those here go on."""
-        if not self._behaviour.draining:
-            self._behaviour.draining = True
-            self._announcer.drain()
+        if self._drain_begun_s is not None:
+            return defer.succeed(None)
+        self._drain_begun_s = self._reactor.seconds()
+        return self._announcer.drain()
 
     async def stop(self) -> None:
         """Drains, waits for the calls in flight up to the limit, closes."""
-        if not self._behaviour.draining:
-            self._behaviour.draining = True
-            await self._announcer.drain()
+        await self.begin_drain()
         limit_s = self._settings.drain_limit_ms / 1000
         deadline_s = self._reactor.seconds() + limit_s
-        while self._counters.running and self._reactor.seconds() < deadline_s:
+        while self._reactor.seconds() < deadline_s:
+            if await self._is_drained():
+                break
             await task.deferLater(self._reactor, DRAIN_POLL_PERIOD_S)
+        self._announcer.stop()
         if self._sampler.running:
             self._sampler.stop()
         await defer.maybeDeferred(self._listener.stopListening)
@@ -122,6 +125,19 @@
             event.Event.STANDIN_STOPPED, in_flight=self._counters.running
         )
 
+    async def _is_drained(self) -> bool:
+        if self._counters.running:
+            return False
+        if not self._settings.announce_url:
+            return True
+        # The node still takes calls of nodes that have not heard of the drain.
+        settled_s = (self._drain_begun_s or 0.0) + (
+            self._settings.settle_ms / 1000
+        )
+        if self._reactor.seconds() < settled_s:
+            return False
+        return not await self._announcer.is_node_busy()
+
     def _build_root(self) -> _Root:
         endpoint = (
             self._settings.endpoint or f"{self._settings.service}:{self.port}"
--- a/src/cranberrymux/standin/standin_settings.py
+++ b/src/cranberrymux/standin/standin_settings.py
@@ -37,6 +37,7 @@
     field.Field("load_bias", _Kind.NUMBER, default=0, minimum=-1, maximum=1),
     field.Field("crash_marker", _Kind.TEXT, default=""),
     field.Field("response_bytes", _Kind.INTEGER, default=0, minimum=0),
+    field.Field("settle_ms", _Kind.NUMBER, default=2000, minimum=0),
     field.Field("drain_limit_ms", _Kind.NUMBER, default=10000, minimum=0),
     field.Field("seed", _Kind.INTEGER, default=1),
 )
@@ -65,6 +66,8 @@
         crash_marker: Value of the header `Cranberrymux-Standin-Crash` at which
             the process dies; empty for never.
         response_bytes: Least length of the body of an answer.
+        settle_ms: How long a stop goes on taking calls after the drain was
+            asked for; longer than the node's `drain_grace_ms`.
         drain_limit_ms: How long a stop waits for calls in flight.
         seed: Seed of the service times.
     """
@@ -86,6 +89,7 @@
     load_bias: float
     crash_marker: str
     response_bytes: int
+    settle_ms: float
     drain_limit_ms: float
     seed: int
 
--- a/tests/standin/test_standin.py
+++ b/tests/standin/test_standin.py
@@ -132,36 +132,62 @@
     assert one.ask("/load")[1] == {"load": 0.5}
 
 
-def test_announces_what_it_is_and_drains(start):
-    seen = []
-
-    class Node(http.server.BaseHTTPRequestHandler):
-        def do_PUT(self):
-            length = int(self.headers["Content-Length"])
-            seen.append((self.path, json.loads(self.rfile.read(length))))
-            self.send_response(200)
-            self.send_header("Content-Length", "0")
-            self.end_headers()
+class _Node(http.server.ThreadingHTTPServer):
+    """Takes announcements and drains, and tells a status."""
 
-        def log_message(self, *_):
-            pass
+    def __init__(self):
+        class Handler(http.server.BaseHTTPRequestHandler):
+            def do_PUT(self):
+                length = int(self.headers["Content-Length"])
+                body = json.loads(self.rfile.read(length))
+                self.server.seen.append((self.path, body))
+                self._answer({})
+
+            def do_GET(self):
+                self._answer(self.server.status)
+
+            def _answer(self, values):
+                body = json.dumps(values).encode()
+                self.send_response(200)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *_):
+                pass
+
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.seen = []
+        self.status = {"in_flight": 0, "queued": 0}
+
+    @property
+    def url(self):
+        return f"http://127.0.0.1:{self.server_port}"
 
-    with http.server.HTTPServer(("127.0.0.1", 0), Node) as node:
+    def paths(self):
+        return [path for path, _ in self.seen]
+
+
+@pytest.fixture
+def node():
+    with _Node() as one:
         threading.Thread(
-            target=node.serve_forever, args=(0.01,), daemon=True
+            target=one.serve_forever, args=(0.01,), daemon=True
         ).start()
-        one = start(
-            "a",
-            announce_url=f"http://127.0.0.1:{node.server_port}",
-            slots=7,
-            labels={"store": "x"},
-            children=[{"service": "b"}, {"service": "b"}],
-        )
-        _wait(lambda: seen)
-        one.ask("/behaviour", b'{"drain": true}')
-        _wait(lambda: seen[-1][0] == "/v1/drain")
-        node.shutdown()
-    assert seen[0] == (
+        yield one
+        one.shutdown()
+
+
+def test_announces_what_it_is(start, node):
+    one = start(
+        "a",
+        announce_url=node.url,
+        slots=7,
+        labels={"store": "x"},
+        children=[{"service": "b"}, {"service": "b"}],
+    )
+    _wait(lambda: node.seen)
+    assert node.seen[0] == (
         "/v1/backend",
         {
             "service": "a",
@@ -174,6 +200,37 @@
     )
 
 
+def test_announces_on_while_it_drains(start, node):
+    one = start("a", announce_url=node.url)
+    one.ask("/behaviour", b'{"drain": true}')
+    _wait(lambda: "/v1/drain" in node.paths())
+    begun = node.paths().index("/v1/drain")
+    _wait(lambda: "/v1/backend" in node.paths()[begun:])
+    assert node.paths().count("/v1/drain") == 1
+
+
+def test_a_stop_waits_for_the_calls_that_its_node_still_sends(start, node):
+    node.status = {"in_flight": 0, "queued": 1}
+    one = start("a", announce_url=node.url, settle_ms=300)
+    one.process.terminate()
+    _wait(lambda: "/v1/drain" in node.paths())
+    drained_s = time.monotonic()
+    while time.monotonic() < drained_s + 0.6:
+        assert one.ask("/", headers=ID)[0] == 200
+    node.status = {"in_flight": 0, "queued": 0}
+    assert one.process.wait(10) == 0
+
+
+def test_a_stop_waits_until_its_node_sends_no_more(start, node):
+    one = start("a", announce_url=node.url, settle_ms=600)
+    one.process.terminate()
+    _wait(lambda: "/v1/drain" in node.paths())
+    drained_s = time.monotonic()
+    while time.monotonic() < drained_s + 0.4:
+        assert one.ask("/", headers=ID)[0] == 200
+    assert one.process.wait(10) == 0
+
+
 def test_wrong_settings_exit_with_2(tmp_path):
     path = tmp_path / "x.yaml"
     path.write_text("service: a\nslots: 0\n")
