--- a/src/cranberrymux/load/answer_check.py
+++ b/src/cranberrymux/load/answer_check.py
@@ -9,6 +9,8 @@
 from cranberrymux.load import outcome_kind
 from cranberrymux.load import response
 
+REASON_CHARACTERS_MAX = 100
+
 _Kind = outcome_kind.OutcomeKind
 
 _LOST = {
@@ -48,11 +50,7 @@
             return outcome.Outcome(_Kind.WRONG, reason)
         return outcome.Outcome(_Kind.DONE)
     return outcome.Outcome(
-        kind,
-        result.headers.get(
-            b"cranberrymux-reason", b"status-%d" % result.status
-        ).decode("latin-1"),
-        _read_retry_after_ms(result),
+        kind, _read_reason(result), _read_retry_after_ms(result)
     )
 
 
@@ -64,6 +62,21 @@
     return _Kind.DONE if 200 <= result.status < 300 else _Kind.FAILED
 
 
+def _read_reason(result: response.Response) -> str:
+    named = result.headers.get(b"cranberrymux-reason")
+    if named is not None:
+        return named.decode("latin-1")
+    reason = f"status-{result.status}"
+    try:
+        answer = json.loads(result.body)
+    except ValueError:
+        return reason
+    # A stand-in gives the reason of the child call that failed.
+    if isinstance(answer, dict) and isinstance(answer.get("reason"), str):
+        reason += " " + answer["reason"][:REASON_CHARACTERS_MAX]
+    return reason
+
+
 def _read_retry_after_ms(result: response.Response) -> float | None:
     value = result.headers.get(b"cranberrymux-retry-after-ms")
     if value is not None and value.isdigit():
--- a/tests/decisions/burn/test_evaluation.py
+++ b/tests/decisions/burn/test_evaluation.py
@@ -144,6 +144,17 @@
     assert 0 < result.exhaustion_s < DAY_S
 
 
+@pytest.mark.parametrize("outage_s", [2592, 7200])
+def test_a_budget_spent_by_an_outage_that_is_over_has_ended(outage_s):
+    slo = SLO._replace(target_share=0.9, window_s=25920)
+    series = _series((25920, 20000, 0), (20000, 20000 - outage_s, 1))
+    for age_s in range(0, 20000 - outage_s, 10):
+        series.add(NOW_S - age_s, 10_000, 10_000)
+    result = _evaluate(series, slo)
+    assert result.status is Status.EXHAUSTED
+    assert result.exhaustion_s == 0
+
+
 def _walk_to_the_end(slo, series, result, recent_s):
     """Gives the first age at which no budget is left, in steps of 10 s."""
     until_s = NOW_S + 1
