--- a/src/cranberrymux/decisions/admission/shed_level.py
+++ b/src/cranberrymux/decisions/admission/shed_level.py
@@ -85,4 +85,13 @@
             per_priority = passed / (self._level + 1)
             share = CAUTIOUS_SHARE if has_queue else 1.0
             step = int(min(share * (target - passed) / per_priority, step))
-        self._level = min(self._level + max(step, MINIMUM_STEP), self._top)
+        level = min(self._level + max(step, MINIMUM_STEP), self._top)
+        if self._level < self._class_end <= level:
+            level = self._class_end
+        self._level = level
+
+    @property
+    def _class_end(self) -> int:
+        """Lowest priority that still belongs to the class being shed."""
+        hashes = request_context.SHED_HASHES
+        return self._level // hashes * hashes + hashes - 1
--- /dev/null
+++ b/src/cranberrymux/decisions/admission/slots.py
@@ -0,0 +1,48 @@
+"""The calls that hold a slot of one backend server."""
+
+from cranberrymux.decisions.admission import admitted
+from cranberrymux.decisions.admission import load_meter
+from cranberrymux.decisions.admission import outcome as outcome_module
+
+
+class Slots:
+    """Running calls, and when each got its slot."""
+
+    def __init__(self, meter: load_meter.LoadMeter) -> None:
+        """Starts idle; the meter gives the limit and learns."""
+        self._meter = meter
+        self._started_s: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        """Number of running calls."""
+        return len(self._started_s)
+
+    @property
+    def has_free(self) -> bool:
+        """True if one more call may run."""
+        return len(self._started_s) < self._meter.limit
+
+    def start(
+        self, now_s: float, ticket_id: str, arrived_s: float
+    ) -> admitted.Admitted:
+        """Gives a slot to a call that arrived at `arrived_s`."""
+        waited_s = now_s - arrived_s
+        self._started_s[ticket_id] = now_s
+        self._meter.count_start(waited_s, len(self._started_s))
+        return admitted.Admitted(waited_s)
+
+    def finish(
+        self,
+        now_s: float,
+        ticket_id: str,
+        outcome: outcome_module.Outcome,
+        below_s: float,
+    ) -> bool:
+        """Frees a slot; False if the call holds none."""
+        started_s = self._started_s.pop(ticket_id, None)
+        if started_s is None:
+            return False
+        hold_s = now_s - started_s
+        own_s = max(hold_s - below_s, 0.0)
+        self._meter.count_finish(outcome, hold_s, own_s)
+        return True
