--- a/bench/overload/admission.py
+++ b/bench/overload/admission.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from cranberrymux.decisions.admission import controller
 from cranberrymux.decisions.admission import outcome as outcome_module
 from cranberrymux.decisions.admission import ticket as ticket_module
+from cranberrymux.decisions.admission import verdict
 
 
 class Admission(Protocol):
@@ -20,7 +20,7 @@
 
     def offer(
         self, now_s: float, ticket: ticket_module.Ticket
-    ) -> controller.Verdict:
+    ) -> verdict.Verdict:
         """Decides on a new call."""
 
     def cancel(self, now_s: float, ticket_id: str) -> bool:
@@ -35,7 +35,7 @@
     ) -> None:
         """Frees a slot."""
 
-    def poll(self, now_s: float) -> list[tuple[str, controller.Decision]]:
+    def poll(self, now_s: float) -> list[tuple[str, verdict.Decision]]:
         """Tells what became of queued calls."""
 
     def next_poll_s(self, now_s: float) -> float | None:
--- a/bench/overload/fixed_limit.py
+++ b/bench/overload/fixed_limit.py
@@ -1,9 +1,9 @@
 """The baseline's admission: a fixed limit and no queue."""
 
 from cranberrymux.decisions.admission import admitted
-from cranberrymux.decisions.admission import controller
 from cranberrymux.decisions.admission import outcome as outcome_module
 from cranberrymux.decisions.admission import ticket as ticket_module
+from cranberrymux.decisions.admission import verdict
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
@@ -29,7 +29,7 @@
 
     def offer(
         self, now_s: float, ticket: ticket_module.Ticket
-    ) -> controller.Verdict:
+    ) -> verdict.Verdict:
         """Admits up to the limit."""
         del now_s
         if len(self._running) >= self._limit:
@@ -53,7 +53,7 @@
         del now_s, outcome, below_s
         self._running.discard(ticket_id)
 
-    def poll(self, now_s: float) -> list[tuple[str, controller.Decision]]:
+    def poll(self, now_s: float) -> list[tuple[str, verdict.Decision]]:
         """Has nothing to tell."""
         del now_s
         return []
--- a/src/cranberrymux/decisions/admission/alone_gate.py
+++ b/src/cranberrymux/decisions/admission/alone_gate.py
@@ -41,17 +41,17 @@
         """When the waiting suspect is refused at the latest."""
         return self._expires_s
 
-    def can_take(self, now_s: float) -> bool:
-        """True if a suspect may wait or run now."""
-        return not self.is_closed and now_s >= self._opens_s
-
     def wait(
         self, now_s: float, ticket: ticket_module.Ticket, expires_s: float
-    ) -> None:
-        """Closes the gate for a suspect."""
+    ) -> bool:
+        """Closes the gate for a suspect; False if it may not wait now."""
+        is_resting = now_s < self._opens_s
+        if self.is_closed or is_resting or expires_s < now_s:
+            return False
         self._waiting = ticket
         self._arrived_s = now_s
         self._expires_s = expires_s
+        return True
 
     def start(self, ticket_id: str) -> None:
         """Notes that the suspect runs."""
--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -3,7 +3,6 @@
 import random
 
 from cranberrymux.decisions.admission import admission_settings
-from cranberrymux.decisions.admission import admitted
 from cranberrymux.decisions.admission import alone_gate
 from cranberrymux.decisions.admission import downstream_levels
 from cranberrymux.decisions.admission import load_meter
@@ -12,13 +11,11 @@
 from cranberrymux.decisions.admission import refuser
 from cranberrymux.decisions.admission import slots as slots_module
 from cranberrymux.decisions.admission import ticket as ticket_module
+from cranberrymux.decisions.admission import verdict as verdict_module
 from cranberrymux.decisions.admission import waiting_room
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
 
-Decision = admitted.Admitted | refusal.Refusal
-Verdict = admitted.Admitted | queued.Queued | refusal.Refusal
-
 _Reason = refusal_reason.RefusalReason
 
 
@@ -77,18 +74,15 @@
         most = self._meter.limit + self._room.bound
         return min((len(self._slots) + len(self._room)) / most, 1.0)
 
-    @property
-    def is_draining(self) -> bool:
-        """True once `begin_drain` was told."""
-        return self._is_draining
-
     @property
     def is_drained(self) -> bool:
         """True if draining and nothing is in flight or left to poll."""
         is_idle = not self._slots and not self._room.has_refused
         return self._is_draining and is_idle
 
-    def offer(self, now_s: float, ticket: ticket_module.Ticket) -> Verdict:
+    def offer(
+        self, now_s: float, ticket: ticket_module.Ticket
+    ) -> verdict_module.Verdict:
         """Decides on a new call.
 
         Args:
@@ -103,12 +97,13 @@
             return self._refuser.refuse_draining()
         self._roll_window(now_s)
         self._meter.count_arrival(ticket.priority)
-        reason = self._find_reason(now_s, ticket)
+        is_idle = self._has_slot and not self._room
+        reason = self._find_reason(now_s, ticket, is_idle)
         if reason is not None:
             return self._refuse(now_s, reason)
         if ticket.is_suspect:
             return self._offer_alone(now_s, ticket)
-        if self._has_slot and not self._room:
+        if is_idle:
             return self._slots.start(now_s, ticket.ticket_id, now_s)
         verdict = self._room.enter(now_s, ticket)
         if isinstance(verdict, queued.Queued):
@@ -150,10 +145,10 @@
             self._gate.finish(now_s, ticket_id)
             self._roll_window(now_s)
 
-    def poll(self, now_s: float) -> list[tuple[str, Decision]]:
+    def poll(self, now_s: float) -> list[tuple[str, verdict_module.Decision]]:
         """Tells which queued calls start or are refused now."""
         self._roll_window(now_s)
-        decisions: list[tuple[str, Decision]] = [
+        decisions: list[tuple[str, verdict_module.Decision]] = [
             (ticket_id, self._refuse(now_s, reason))
             for ticket_id, reason in self._room.pop_refused(now_s)
         ]
@@ -202,14 +197,13 @@
         self._room.close(_Reason.DRAINING)
 
     def _find_reason(
-        self, now_s: float, ticket: ticket_module.Ticket
+        self, now_s: float, ticket: ticket_module.Ticket, is_idle: bool
     ) -> refusal_reason.RefusalReason | None:
         if ticket.deadline_s <= now_s:
             return _Reason.DEADLINE_EXPIRED
         priority = min(ticket.priority, self._meter.top)
         if priority > self._downstream.get_minimum(now_s):
             return _Reason.OVERLOADED
-        is_idle = self._has_slot and not self._room
         level = self._meter.idle_level if is_idle else self._meter.level
         return _Reason.OVERLOADED if priority > level else None
 
@@ -219,21 +213,20 @@
 
     def _offer_alone(
         self, now_s: float, ticket: ticket_module.Ticket
-    ) -> Verdict:
-        if not self._gate.can_take(now_s):
-            return self._refuse(now_s, _Reason.OVERLOADED)
+    ) -> verdict_module.Verdict:
         latest_s = ticket.deadline_s - self._meter.hold_s
         longest_s = now_s + self._settings.maximum_alone_wait_s
         expires_s = min(longest_s, latest_s)
-        if expires_s < now_s:
+        if not self._gate.wait(now_s, ticket, expires_s):
             return self._refuse(now_s, _Reason.OVERLOADED)
-        self._gate.wait(now_s, ticket, expires_s)
         if self._slots:
             return queued.Queued(expires_s)
         self._gate.start(ticket.ticket_id)
         return self._slots.start(now_s, ticket.ticket_id, now_s)
 
-    def _poll_alone(self, now_s: float) -> list[tuple[str, Decision]]:
+    def _poll_alone(
+        self, now_s: float
+    ) -> list[tuple[str, verdict_module.Decision]]:
         suspect = self._gate.waiting
         if suspect is None:
             return []
@@ -256,6 +249,8 @@
         return self._refuser.refuse(now_s, reason, self._meter.capacity_per_s)
 
     def _roll_window(self, now_s: float) -> None:
+        if now_s < self._meter.window_ends_s:
+            return
         first = self._room.first
         head_wait_s = 0.0 if first is None else now_s - first.arrived_s
         self._meter.roll(now_s, head_wait_s)
--- a/src/cranberrymux/decisions/admission/load_meter.py
+++ b/src/cranberrymux/decisions/admission/load_meter.py
@@ -8,7 +8,18 @@
 
 
 class LoadMeter:
-    """Moves the concurrency limit and the level at the end of each window."""
+    """Moves the concurrency limit and the level at the end of each window.
+
+    What each call needs stands in plain attributes, which change only when a
+    window ends or slots are announced.
+
+    Attributes:
+        limit: Calls that may run at once.
+        level: Calls with a priority above this are refused.
+        idle_level: Calls above this are refused beside idle slots too.
+        top: The level that refuses nothing.
+        window_ends_s: When `roll` has something to do.
+    """
 
     def __init__(self, settings: admission_settings.AdmissionSettings) -> None:
         """Starts at the announced slots, open."""
@@ -17,26 +28,9 @@
         self._limit = concurrency_limit.ConcurrencyLimit(settings)
         self._level = shed_level.ShedLevel(settings)
         self._window = window.Window(float("-inf"))
-
-    @property
-    def level(self) -> int:
-        """Calls with a priority above this are refused."""
-        return self._level.level
-
-    @property
-    def idle_level(self) -> int:
-        """Calls with a priority above this are refused beside idle slots."""
-        return self._level.idle_level
-
-    @property
-    def top(self) -> int:
-        """The level that refuses nothing."""
-        return self._level.top
-
-    @property
-    def limit(self) -> int:
-        """Calls that may run at once."""
-        return self._limit.limit
+        self.window_ends_s = float("-inf")
+        self.top = self._level.top
+        self._refresh()
 
     @property
     def hold_s(self) -> float:
@@ -47,11 +41,12 @@
     def capacity_per_s(self) -> float:
         """Calls a second that can finish; 0.0 before the first."""
         hold_s = self._limit.hold_s
-        return self._limit.limit / hold_s if hold_s else 0.0
+        return self.limit / hold_s if hold_s else 0.0
 
     def set_slots(self, slots: int) -> None:
         """Takes the announced slots."""
         self._limit.set_slots(slots)
+        self._refresh()
 
     def set_load_hint(self, now_s: float, load: float) -> None:
         """Takes a load from 0.0 to 1.0 as a hint."""
@@ -82,14 +77,21 @@
             now_s: Monotonic seconds.
             head_wait_s: Seconds that the first queued call has waited.
         """
-        elapsed_s = now_s - self._window.began_s
-        if elapsed_s < self._window_s:
+        if now_s < self.window_ends_s:
             return
+        elapsed_s = now_s - self._window.began_s
         ended = self._window
         self._window = window.Window(now_s)
+        self.window_ends_s = now_s + self._window_s
         if elapsed_s == float("inf"):
             return
         wait_s = max(ended.mean_wait_s, head_wait_s)
         has_queue = wait_s > self._target_wait_s or ended.shed > 0
         self._level.end_window(elapsed_s, self.capacity_per_s, has_queue)
         self._limit.end_window(now_s, ended.peak)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        self.limit = self._limit.limit
+        self.level = self._level.level
+        self.idle_level = self._level.idle_level
--- a/src/cranberrymux/decisions/admission/shed_level.py
+++ b/src/cranberrymux/decisions/admission/shed_level.py
@@ -46,7 +46,7 @@
 
     def count_arrival(self, priority: int) -> None:
         """Counts a call that asked to be admitted, whatever became of it."""
-        self._arrivals[min(max(priority, 0), self._top)] += 1.0
+        self._arrivals[priority if priority < self._top else self._top] += 1.0
 
     def end_window(
         self, window_s: float, capacity_per_s: float, has_queue: bool
