Check admission and quarantine by random runs and by mutations

A service of four endpoints loses at most three to a request that is sent again under one id or under many.

--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -60,11 +60,6 @@
         """Calls that hold a slot."""
         return len(self._slots)
 
-    @property
-    def queue_length(self) -> int:
-        """Calls that wait for a slot."""
-        return len(self._room)
-
     @property
     def load(self) -> float:
         """Share of the slots and of the queue in use, 0.0 to 1.0.
@@ -114,9 +109,8 @@
         """Drops a call that its caller gave up.
 
         Returns:
-            True if it was queued, so that it was not run and never will be.
-            False if it is running (its slot is held until `finish`) or not
-            known.
+            True if it was queued, so that it was not run and never will be;
+            False if it runs (its slot is held until `finish`) or is unknown.
         """
         self._roll_window(now_s)
         suspect = self._gate.waiting
--- /dev/null
+++ b/tests/decisions/admission/checked.py
@@ -0,0 +1,149 @@
+"""A controller beside a model that checks every decision."""
+
+from cranberrymux.decisions.admission import admitted
+from cranberrymux.decisions.admission import controller
+from cranberrymux.decisions.admission import outcome
+from cranberrymux.decisions.admission import queued
+from cranberrymux.decisions.admission import ticket
+from cranberrymux.models import answer_kind
+from cranberrymux.models import refusal
+from cranberrymux.models import refusal_reason
+
+_Reason = refusal_reason.RefusalReason
+
+
+class Checked:
+    """Passes messages on and raises AssertionError on a broken invariant."""
+
+    def __init__(self, settings, generator):
+        self.settings = settings
+        self.controller = controller.AdmissionController(settings, generator)
+        self.waiting = {}
+        self.running = {}
+        self.is_draining = False
+
+    def offer(self, now_s, one):
+        verdict = self.controller.offer(now_s, one)
+        assert not (self.is_draining and not is_refusal(verdict)), "drain"
+        if isinstance(verdict, queued.Queued):
+            assert verdict.expires_s <= now_s + 2 * self.longest_s, "held"
+            assert verdict.expires_s <= one.deadline_s, "held"
+            self.waiting[one.ticket_id] = (one, verdict.expires_s)
+        elif isinstance(verdict, admitted.Admitted):
+            self._check_order(one)
+            self._start(now_s, one)
+        else:
+            self._check_refusal(one, verdict)
+        return verdict
+
+    def cancel(self, now_s, ticket_id):
+        was_queued = self.controller.cancel(now_s, ticket_id)
+        assert was_queued == (ticket_id in self.waiting), "cancel"
+        self.waiting.pop(ticket_id, None)
+
+    def finish(self, now_s, ticket_id):
+        self.running.pop(ticket_id)
+        self.controller.finish(now_s, ticket_id, outcome.Outcome.OK)
+
+    def poll(self, now_s):
+        decisions = self.controller.poll(now_s)
+        refused = [item for item in decisions if is_refusal(item[1])]
+        for ticket_id, verdict in refused:
+            one, _ = self.waiting.pop(ticket_id)
+            self._check_refusal(one, verdict)
+        for ticket_id, verdict in decisions:
+            if is_refusal(verdict):
+                continue
+            assert not self.is_draining, "drain"
+            one, expires_s = self.waiting.pop(ticket_id)
+            assert now_s <= expires_s, "held"
+            self._check_order(one)
+            self._start(now_s, one)
+        for one, expires_s in self.waiting.values():
+            assert expires_s > now_s, f"held: {one.ticket_id}"
+        return decisions
+
+    def begin_drain(self, now_s):
+        self.controller.begin_drain(now_s)
+        self.is_draining = True
+        running = set(self.running)
+        self.poll(now_s)
+        assert not self.waiting, "drain"
+        assert set(self.running) == running, "drain"
+
+    def check(self):
+        assert self.controller.in_flight == len(self.running)
+        assert self.controller.limit <= self.settings.slots
+        drained = self.is_draining and not self.running
+        assert self.controller.is_drained == drained, "drain"
+
+    @property
+    def longest_s(self):
+        return max(
+            self.settings.maximum_wait_s,
+            self.settings.maximum_alone_wait_s / 2,
+        )
+
+    def _start(self, now_s, one):
+        assert now_s < one.deadline_s, "held"
+        assert len(self.running) < self.settings.slots, "slots"
+        suspects = [each for each in self.running.values() if each.is_suspect]
+        assert not suspects, "alone"
+        assert not (one.is_suspect and self.running), "alone"
+        self.running[one.ticket_id] = one
+
+    def _check_order(self, started):
+        if started.is_suspect:
+            return
+        for one, _ in self.waiting.values():
+            if not one.is_suspect:
+                assert one.class_rank >= started.class_rank, "class order"
+
+    def _check_refusal(self, one, verdict):
+        assert verdict.kind is answer_kind.AnswerKind.NOT_RUN
+        assert verdict.retry_after_ms > 0
+        if verdict.reason is _Reason.QUEUE_FULL:
+            for other, _ in self.waiting.values():
+                if not other.is_suspect:
+                    assert other.priority <= one.priority, "class order"
+
+
+def is_refusal(verdict):
+    return isinstance(verdict, refusal.Refusal)
+
+
+def drive(checked, generator, steps):
+    """Offers, finishes, cancels and polls at random, polling when told."""
+    now_s = 0.0
+    drain_at = steps * 9 // 10
+    for step in range(steps):
+        until_s = now_s + generator.expovariate(200.0)
+        next_s = checked.controller.next_poll_s(now_s)
+        while next_s is not None and next_s <= until_s:
+            now_s = next_s
+            checked.poll(now_s)
+            next_s = checked.controller.next_poll_s(now_s)
+        now_s = until_s
+        if step == drain_at:
+            checked.begin_drain(now_s)
+        act(checked, generator, now_s, str(step))
+        checked.check()
+
+
+def act(checked, generator, now_s, name):
+    chance = generator.random()
+    if chance < 0.55 or not checked.running:
+        priority = generator.randrange(4 * 128)
+        one = ticket.Ticket(
+            name,
+            priority,
+            priority // 128,
+            now_s + generator.choice((0.05, 0.3, 2.0)),
+            generator.random() < 0.02,
+        )
+        checked.offer(now_s, one)
+    elif chance < 0.6 and checked.waiting:
+        checked.cancel(now_s, generator.choice(sorted(checked.waiting)))
+    else:
+        checked.finish(now_s, generator.choice(sorted(checked.running)))
+    checked.poll(now_s)
--- /dev/null
+++ b/tests/decisions/quarantine/test_deaths.py
@@ -0,0 +1,192 @@
+"""A poisonous request that is sent again and again, over a whole service."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberrymux.decisions.admission import admission_settings
+from cranberrymux.decisions.admission import admitted
+from cranberrymux.decisions.admission import controller
+from cranberrymux.decisions.admission import outcome
+from cranberrymux.decisions.admission import ticket
+from cranberrymux.decisions.quarantine import death_report
+from cranberrymux.decisions.quarantine import fingerprint
+from cranberrymux.decisions.quarantine import quarantine
+from cranberrymux.decisions.quarantine import quarantine_settings
+from cranberrymux.decisions.quarantine import standing
+from cranberrymux.models import refusal
+from cranberrymux.models import refusal_reason
+
+POISON = b"poison"
+ENDPOINTS = 4
+
+
+class Endpoint:
+    """Quarantine and admission of one endpoint, as a node ties them."""
+
+    def __init__(self, service, name):
+        self.service = service
+        self.quarantine = quarantine.Quarantine(
+            quarantine_settings.QuarantineSettings(), name, 1
+        )
+        self.admission = controller.AdmissionController(
+            admission_settings.AdmissionSettings(slots=8), service.generator
+        )
+        self.running = {}
+        self.suspects = set()
+
+    def offer(self, now_s, name, print_):
+        verdict = self.quarantine.judge(now_s, print_)
+        if isinstance(verdict, refusal.Refusal):
+            return verdict
+        is_suspect = verdict is standing.Standing.SUSPECT
+        one = ticket.Ticket(name, 0, 0, now_s + 10.0, is_suspect)
+        result = self.admission.offer(now_s, one)
+        if not isinstance(result, admitted.Admitted):
+            self.admission.cancel(now_s, name)
+            return result
+        if self.running:
+            assert not is_suspect, "a suspect beside others"
+        assert not self.suspects, "a call beside a suspect"
+        self.running[name] = print_
+        if is_suspect:
+            self.suspects.add(name)
+        self.quarantine.start(name, print_)
+        return result
+
+    def finish(self, now_s, name):
+        self.running.pop(name)
+        self.suspects.discard(name)
+        self.admission.finish(now_s, name, outcome.Outcome.OK)
+        for report in self.quarantine.finish(now_s, name, is_clean=True):
+            self.service.share(now_s, report)
+
+    def die(self, now_s):
+        for report in self.quarantine.endpoint_died(now_s):
+            self.service.share(now_s, report)
+        for name in self.running:
+            self.admission.finish(now_s, name, outcome.Outcome.LOST)
+        self.running.clear()
+        self.suspects.clear()
+
+
+class Service:
+    """Endpoints with shared counts; the poison kills whatever runs it."""
+
+    def __init__(self, seed):
+        self.generator = random.Random(seed)
+        self.deaths = 0
+        self.reports = {}
+        self.cleared = {}
+        self.endpoints = [
+            Endpoint(self, f"e{number}") for number in range(ENDPOINTS)
+        ]
+
+    def share(self, now_s, report):
+        if isinstance(report, death_report.DeathReport):
+            self.reports.setdefault(report.key, set()).add(report)
+        else:
+            self.cleared[report.key] = report.deaths
+        reports = self.reports.get(report.key, set())
+        for endpoint in self.endpoints:
+            endpoint.quarantine.merge_report(
+                now_s,
+                report.key,
+                len(reports),
+                self.cleared.get(report.key, 0),
+                was_alone=any(one.was_alone for one in reports),
+            )
+
+    def run(self, steps, changes_id):
+        verdicts = []
+        innocents = {}
+        now_s = 0.0
+        for step in range(steps):
+            now_s += 0.02
+            endpoint = self.generator.choice(self.endpoints)
+            if step % 7 == 6:
+                request_id = f"poison-{step}" if changes_id else "poison"
+                print_ = fingerprint.make(request_id, "PUT", "/", POISON, 6)
+                verdict = endpoint.offer(now_s, f"p{step}", print_)
+                verdicts.append(verdict)
+                if isinstance(verdict, admitted.Admitted):
+                    self.deaths += 1
+                    endpoint.die(now_s)
+                continue
+            if endpoint.running and self.generator.random() < 0.6:
+                endpoint.finish(now_s, min(endpoint.running))
+                continue
+            name = f"i{step % 50}"
+            print_ = fingerprint.make(name, "GET", f"/{name}", b"", 0)
+            verdict = endpoint.offer(now_s, f"{name}-{step}", print_)
+            innocents[name] = verdict
+        return verdicts, innocents
+
+
+@hypothesis.settings(derandomize=True, database=None, max_examples=30)
+@hypothesis.given(strategies.integers(0, 1 << 30), strategies.booleans())
+def test_at_most_three_deaths_and_then_a_final_refusal(seed, changes_id):
+    service = Service(seed)
+    verdicts, innocents = service.run(3000, changes_id)
+    assert 1 <= service.deaths <= 3
+    assert verdicts[-1].reason is refusal_reason.RefusalReason.QUARANTINED
+    assert verdicts[-1].retry_after_ms == 0
+    for verdict in innocents.values():
+        if isinstance(verdict, refusal.Refusal):
+            assert verdict.reason is not (
+                refusal_reason.RefusalReason.QUARANTINED
+            )
+
+
+def test_deaths_exceed_three_when_counts_are_not_merged(monkeypatch):
+    monkeypatch.setattr(
+        quarantine.Quarantine, "merge_report", lambda *args, **kwargs: None
+    )
+    service = Service(1)
+    service.run(3000, changes_id=False)
+    assert service.deaths > 3
+
+
+def test_deaths_exceed_three_when_only_the_id_is_known(monkeypatch):
+    monkeypatch.setattr(
+        fingerprint.Fingerprint,
+        "keys",
+        property(lambda self: ("id:" + self.request_id,) * 2),
+    )
+    service = Service(1)
+    service.run(3000, changes_id=True)
+    assert service.deaths > 3
+
+
+def test_a_suspect_runs_beside_others_when_it_is_not_marked(monkeypatch):
+    offer = controller.AdmissionController.offer
+
+    def unmarked(self, now_s, one):
+        return offer(self, now_s, one._replace(is_suspect=False))
+
+    monkeypatch.setattr(controller.AdmissionController, "offer", unmarked)
+    with pytest.raises(AssertionError, match="beside"):
+        for seed in range(20):
+            Service(seed).run(3000, changes_id=False)
+
+
+def test_innocents_stay_suspect_when_a_clean_run_clears_nothing(monkeypatch):
+    def suspects():
+        service = Service(1)
+        service.run(6000, changes_id=False)
+        prints = [
+            fingerprint.make(f"i{number}", "GET", f"/i{number}", b"", 0)
+            for number in range(50)
+        ]
+        judged = [
+            service.endpoints[0].quarantine.judge(121.0, one) for one in prints
+        ]
+        return sum(one is not standing.Standing.CLEAR for one in judged)
+
+    assert suspects() == 0
+    monkeypatch.setattr(
+        quarantine.Quarantine, "_clear", lambda *args, **kwargs: []
+    )
+    assert suspects() > 0
