--- a/src/cranberrymux/decisions/routing/learned_endpoint.py
+++ b/src/cranberrymux/decisions/routing/learned_endpoint.py
@@ -7,11 +7,16 @@
 from cranberrymux.decisions.routing import load_hint
 from cranberrymux.decisions.routing import outcome
 from cranberrymux.decisions.routing import router_settings
+from cranberrymux.decisions.routing import service_averages
 from cranberrymux.decisions.selectors import request_labels
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 
 _Outcome = outcome.Outcome
+_CANCELLED = _Outcome.CANCELLED
+_DONE = _Outcome.DONE
+_DRAINING = _Outcome.DRAINING
+_TIMED_OUT = _Outcome.TIMED_OUT
 
 _LOWEST_HEALTH = 0.05
 _HEALTH_GAIN = 0.05
@@ -50,6 +55,7 @@
         "_level_s",
         "_ramp_s",
         "_settings",
+        "_slots",
         "_warming_since_s",
         "failures",
         "gone_s",
@@ -95,6 +101,7 @@
         if record.incarnation != self.record.incarnation:
             self._reset(now_s)
         self.record = record
+        self._slots = max(record.slots, 1)
         self.labels: Mapping[str, str] = request_labels.endpoint_labels(record)
         self.serving = record.state is endpoint_state.EndpointState.SERVING
         if record.state is endpoint_state.EndpointState.GONE:
@@ -116,20 +123,22 @@
 
     def capacity(self, now_s: float) -> float:
         """Learned capacity in slots, at most those announced."""
-        return max(self.record.slots, 1) * self._present_health(now_s)
+        return self._slots * self._present_health(now_s)
 
-    def cost(self, now_s: float, reference_latency_s: float) -> float:
+    def cost(
+        self, now_s: float, averages: service_averages.ServiceAverages
+    ) -> float:
         """Share of its capacity in use if it takes one call more.
 
         Args:
             now_s: Monotonic seconds.
-            reference_latency_s: Average latency of the service; 0.0 if not
-                known.
+            averages: Averages of the service.
         """
         own = (self.outstanding + 1) / self.capacity(now_s)
+        reference_latency_s = averages.latency_s
         if self.latency_s > _SLOW_RATIO * reference_latency_s > 0.0:
             own *= self._slowness(now_s, reference_latency_s)
-        return own + self.hint.value(now_s)
+        return own + self.hint.value(now_s, averages.load(now_s))
 
     def effective_level(self, now_s: float) -> float | None:
         """The level told, risen with its age; None if none counts."""
@@ -146,6 +155,8 @@
         """False if its level says that it would refuse the priority."""
         if self._level is None or priority <= self._level:
             return True
+        if now_s - self._level_s <= self._settings.level_hold_s:
+            return False
         level = self.effective_level(now_s)
         return level is None or priority <= level
 
@@ -153,25 +164,26 @@
         self,
         now_s: float,
         report: call_report.CallReport,
-        reference_latency_s: float,
+        averages: service_averages.ServiceAverages,
     ) -> None:
         """Learns from a call that ended; the count in flight is not touched.
 
         Args:
             now_s: Monotonic seconds.
             report: How the call ended.
-            reference_latency_s: Average latency of the service.
+            averages: Averages of the service.
         """
         if report.level is not None:
             self._level = report.level
             self._level_s = now_s
         result = report.outcome
-        if result is _Outcome.CANCELLED or result is _Outcome.DRAINING:
+        if result is _CANCELLED or result is _DRAINING:
             return
         self._learn_health(now_s, result)
         self._learn_latency(now_s, report)
         self.failures.observe(now_s, result)
-        self.hint.observe(now_s, report, reference_latency_s)
+        own_load = self.outstanding / self._slots
+        self.hint.observe(now_s, report, averages, own_load)
 
     def _reset(self, now_s: float) -> None:
         settings = self._settings
@@ -189,12 +201,14 @@
         self._ramp_s = settings.slow_start_s
 
     def _present_health(self, now_s: float) -> float:
+        if self._health == 1.0:
+            return 1.0
         rise = (now_s - self._health_s) * self._settings.health_reopen_per_s
         return min(1.0, self._health + rise)
 
     def _learn_health(self, now_s: float, result: outcome.Outcome) -> None:
         health = self._present_health(now_s)
-        if result is _Outcome.DONE:
+        if result is _DONE:
             health += _HEALTH_GAIN * (1.0 - health)
         else:
             health *= 1.0 - _HEALTH_LOSS[result]
@@ -205,7 +219,7 @@
         self, now_s: float, report: call_report.CallReport
     ) -> None:
         result = report.outcome
-        if result is not _Outcome.DONE and result is not _Outcome.TIMED_OUT:
+        if result is not _DONE and result is not _TIMED_OUT:
             return
         if self.latency_s == 0.0:
             self.latency_s = report.latency_s
