--- a/src/cranberrymux/consensus/election.py
+++ b/src/cranberrymux/consensus/election.py
@@ -109,7 +109,7 @@
 
     def _may_grant(self, request: messages.VoteRequest) -> bool:
         journal = self._journal
-        if not journal.is_up_to_date(request.last_index, request.last_term):
+        if not journal.log.is_up_to_date(request.last_index, request.last_term):
             return False
         if request.pre_vote:
             return request.term > journal.term
--- a/src/cranberrymux/consensus/journal.py
+++ b/src/cranberrymux/consensus/journal.py
@@ -9,6 +9,7 @@
 from cranberrymux.consensus import membership
 from cranberrymux.consensus import membership_history
 from cranberrymux.consensus import messages
+from cranberrymux.consensus import pending_write
 from cranberrymux.consensus import replica_settings
 from cranberrymux.consensus import restored_state
 from cranberrymux.consensus import snapshot as snapshot_module
@@ -46,9 +47,7 @@
         self._install = kept if kept.log_index else None
         self._install_write_id = 0
         self._snapshot_asked = False
-        self._new_hard_state: write_module.HardState | None = None
-        self._truncate_from: int | None = None
-        self._appended: list[entry_module.Entry] = []
+        self._pending = pending_write.PendingWrite()
         self._outgoing: list[messages.Message] = []
         self._held: list[messages.Message] = []
 
@@ -97,18 +96,16 @@
         """Membership in force: the last one appended."""
         return self._history.current
 
+    @property
+    def voters(self) -> frozenset[str]:
+        """Replica ids of the voters in force."""
+        return self._history.voters
+
     @property
     def members_index(self) -> int:
         """Index of the entry that the membership in force came by."""
         return self._history.current_index
 
-    def is_up_to_date(self, last_index: int, last_term: int) -> bool:
-        """True if a log that ends so is at least as new as this one."""
-        return (last_term, last_index) >= (
-            self._log.last_term,
-            self._log.last_index,
-        )
-
     def set_term(self, term: int, voted_for: str = "") -> None:
         """Raises the term, or records the vote in it."""
         if term < self._term:
@@ -117,12 +114,12 @@
             )
         self._term = term
         self._voted_for = voted_for
-        self._new_hard_state = write_module.HardState(term, voted_for)
+        self._pending.hard_state = write_module.HardState(term, voted_for)
 
     def append(self, entries: Sequence[entry_module.Entry]) -> None:
         """Adds entries to the log's end."""
         self._log.append(entries)
-        self._appended.extend(entries)
+        self._pending.append(entries)
         self._history.note(entries)
 
     def truncate(self, from_index: int) -> None:
@@ -134,7 +131,7 @@
             )
         self._flush()
         self._log.truncate(from_index)
-        self._truncate_from = from_index
+        self._pending.truncate_from = from_index
         self._queue.forget_from(from_index)
         self._history.forget_from(from_index)
 
@@ -221,22 +218,9 @@
         )
 
     def _flush(self) -> None:
-        if (
-            self._new_hard_state is None
-            and self._truncate_from is None
-            and not self._appended
-        ):
-            return
-        write = write_module.Write(
-            self._queue.next_write_id,
-            hard_state=self._new_hard_state,
-            truncate_from=self._truncate_from,
-            entries=tuple(self._appended),
-        )
-        self._new_hard_state = None
-        self._truncate_from = None
-        self._appended = []
-        self._add_write(write)
+        write = self._pending.take(self._queue.next_write_id)
+        if write is not None:
+            self._add_write(write)
 
     def _add_write(self, write: write_module.Write) -> None:
         self._queue.add(write, self._log.last_index)
--- a/src/cranberrymux/consensus/leader.py
+++ b/src/cranberrymux/consensus/leader.py
@@ -167,17 +167,15 @@
         self, values: dict[str, float], own: float, unknown: float
     ) -> float:
         # The greatest value that a quorum of voters has reached.
-        members = self._journal.members
-        reached = sorted(
-            (
-                own
-                if replica_id == self._journal.replica_id
-                else values.get(replica_id, unknown)
-                for replica_id in members.voters
-            ),
-            reverse=True,
-        )
-        return reached[members.quorum - 1] if reached else unknown
+        voters = self._journal.voters
+        own_id = self._journal.replica_id
+        reached = [values.get(x, unknown) for x in voters if x != own_id]
+        if own_id in voters:
+            reached.append(own)
+        if not reached:
+            return unknown
+        reached.sort(reverse=True)
+        return reached[len(voters) // 2]
 
     def _is_current(
         self,
--- a/src/cranberrymux/consensus/log.py
+++ b/src/cranberrymux/consensus/log.py
@@ -44,6 +44,10 @@
             return None
         return self._entries[index - self.first_index].term
 
+    def is_up_to_date(self, last_index: int, last_term: int) -> bool:
+        """True if a log that ends so is at least as new as this one."""
+        return (last_term, last_index) >= (self.last_term, self.last_index)
+
     def at(self, index: int) -> entry_module.Entry:
         """The entry at an index that is held."""
         return self._entries[index - self.first_index]
--- a/src/cranberrymux/consensus/membership_history.py
+++ b/src/cranberrymux/consensus/membership_history.py
@@ -12,6 +12,7 @@
 class _MembershipAt(NamedTuple):
     log_index: int
     members: membership.Membership
+    voters: frozenset[str]
 
 
 class MembershipHistory:
@@ -19,13 +20,18 @@
 
     def __init__(self, index: int, members: membership.Membership) -> None:
         """Starts with the membership of a snapshot."""
-        self._known = [_MembershipAt(index, members)]
+        self._known = [_MembershipAt(index, members, members.voters)]
 
     @property
     def current(self) -> membership.Membership:
         """Membership in force: the last one appended."""
         return self._known[-1].members
 
+    @property
+    def voters(self) -> frozenset[str]:
+        """Replica ids of the voters in force."""
+        return self._known[-1].voters
+
     @property
     def current_index(self) -> int:
         """Index of the entry that the membership in force came by."""
@@ -33,7 +39,7 @@
 
     def reset(self, index: int, members: membership.Membership) -> None:
         """Starts again from a snapshot."""
-        self._known = [_MembershipAt(index, members)]
+        self._known = [_MembershipAt(index, members, members.voters)]
 
     def note(self, entries: Iterable[entry_module.Entry]) -> None:
         """Puts the memberships among appended entries in force."""
@@ -45,7 +51,9 @@
                 raise invariant_error.InvariantError(
                     f"membership entry {one.log_index}: {members.detail}"
                 )
-            self._known.append(_MembershipAt(one.log_index, members))
+            self._known.append(
+                _MembershipAt(one.log_index, members, members.voters)
+            )
 
     def forget_from(self, index: int) -> None:
         """Goes back to the membership before a dropped entry."""
--- a/src/cranberrymux/consensus/participant.py
+++ b/src/cranberrymux/consensus/participant.py
@@ -224,7 +224,7 @@
         self._leader_hint = leader_id
 
     def _settle_role(self, now_s: float) -> None:
-        is_voter = self.replica_id in self._journal.members.voters
+        is_voter = self.replica_id in self._journal.voters
         if is_voter and self.role is role_module.Role.LEARNER:
             self._lifecycle.promote()
             self._election.wait(now_s)
--- a/tests/consensus/test_mutations.py
+++ b/tests/consensus/test_mutations.py
@@ -33,18 +33,23 @@
 class ForgetsVote(journal.Journal):
     def set_term(self, term, voted_for=""):
         super().set_term(term, voted_for)
-        self._new_hard_state = write.HardState(term, "")
+        self._pending.hard_state = write.HardState(term, "")
 
 
-class GivesVoteToOlderLog(journal.Journal):
-    def is_up_to_date(self, last_index, last_term):
-        return True
+class GivesVoteToOlderLog(election.Election):
+    def _may_grant(self, request):
+        return request.pre_vote or (
+            request.term == self._journal.term
+            and self._journal.voted_for in ("", request.sender)
+        )
 
 
 class VotesTwice(election.Election):
     def _may_grant(self, request):
         return request.term >= self._journal.term and (
-            self._journal.is_up_to_date(request.last_index, request.last_term)
+            self._journal.log.is_up_to_date(
+                request.last_index, request.last_term
+            )
         )
 
 
@@ -138,7 +143,7 @@
         journal_class=CountsOwnUnsyncedEntries
     ),
     "gives its vote to an older log": _replica(
-        journal_class=GivesVoteToOlderLog
+        election_class=GivesVoteToOlderLog
     ),
     "votes twice": _replica(election_class=VotesTwice),
     "truncates without a conflict": _replica(
