--- /dev/null
+++ b/bench/bench_consensus.py
@@ -0,0 +1,168 @@
+"""The replicated log: schedules of faults, elections, commits, catching up."""
+
+import collections
+from concurrent import futures
+import pathlib
+import tempfile
+import time
+
+from bench import consensus_disk
+from bench import consensus_local
+from bench import consensus_scenarios
+from bench import consensus_schedule
+from bench import consensus_storage
+from bench import figure
+from cranberrymux.consensus import replica
+from cranberrymux.consensus import replica_settings
+
+SCHEDULES = 20_000
+PROCESSES = 4
+SCHEDULES_PER_TASK = 250
+ELECTIONS = 200
+ELECTION_BOUND_S = 3.0
+COMMITS = 1_000
+PAYLOAD_BYTES = 256
+SETTINGS = replica_settings.ReplicaSettings()
+
+
+def run() -> bool:
+    """Prints all figures; returns whether the bounds hold."""
+    held = _run_schedules()
+    for voters in (3, 5):
+        held = _run_elections(voters) and held
+    _run_commits(3, (1, 8, 64, 512))
+    _run_commits(5, (1, 64))
+    _run_catch_up()
+    return held
+
+
+def _print(
+    name: str, value: float, unit: str, bound: float | None = None
+) -> bool:
+    return figure.Figure(f"consensus.{name}", value, unit, bound).print()
+
+
+def _run_schedules() -> bool:
+    seen: collections.Counter[str] = collections.Counter()
+    violations: list[str] = []
+    with futures.ProcessPoolExecutor(PROCESSES) as pool:
+        starts = range(0, SCHEDULES, SCHEDULES_PER_TASK)
+        for counts, broken in pool.map(_run_some, starts):
+            seen.update(counts)
+            violations += broken
+    for violation in violations[:10]:
+        print(violation, flush=True)
+    for name in sorted(seen):
+        _print(f"schedules.{name.replace(' ', '_')}", seen[name], "count")
+    enough = figure.Figure(
+        "consensus.schedules", seen["schedules"], "count", SCHEDULES, False
+    )
+    held = enough.print()
+    return _print("violations", len(violations), "count", 0) and held
+
+
+def _run_some(start: int) -> tuple[collections.Counter[str], list[str]]:
+    seen: collections.Counter[str] = collections.Counter()
+    violations = []
+    for seed in range(start, start + SCHEDULES_PER_TASK):
+        disk_class = (
+            consensus_storage.StoredDisk
+            if seed % 2
+            else consensus_disk.SimulatedDisk
+        )
+        result = consensus_schedule.Schedule(seed, disk_class=disk_class).run()
+        seen.update(result.seen)
+        seen["schedules"] += 1
+        seen["states"] += result.states
+        seen["accepted entries"] += result.accepted
+        seen["schedules checked for progress"] += result.was_calmed
+        if result.violation:
+            violations.append(f"seed {seed}: {result.violation}")
+    return seen, violations
+
+
+def _run_elections(voters: int) -> bool:
+    times_s = sorted(_election_s(seed, voters) for seed in range(ELECTIONS))
+    name = f"election.{voters}_voters"
+    _print(f"{name}.p50", times_s[len(times_s) // 2], "s, virtual clock")
+    return _print(
+        f"{name}.max", times_s[-1], "s, virtual clock", ELECTION_BOUND_S
+    )
+
+
+def _election_s(seed: int, voters: int) -> float:
+    world = consensus_scenarios.build(seed, voters, replica.Replica, SETTINGS)
+    world.disk_s = 0.02
+    leader = consensus_scenarios.elect(world)
+    world.run_for(1.0 + world.generator.random())
+    crashed_at_s = world.now_s
+    world.crash(leader)
+    consensus_scenarios.elect(world)
+    return world.now_s - crashed_at_s
+
+
+def _run_commits(voters: int, windows: tuple[int, ...]) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = consensus_local.LocalCluster(
+            pathlib.Path(folder), voters, SETTINGS
+        )
+        for window in windows:
+            _run_window(cluster, voters, window)
+        cluster.close()
+
+
+def _run_window(
+    cluster: consensus_local.LocalCluster, voters: int, window: int
+) -> None:
+    sent_at_s: dict[int, float] = {}
+    latencies_s: list[float] = []
+    count = COMMITS * min(window, 16)
+    payload = b"x" * PAYLOAD_BYTES
+    started_s = time.perf_counter()
+    while len(latencies_s) < count:
+        while len(sent_at_s) < window and (
+            len(sent_at_s) + len(latencies_s) < count
+        ):
+            index = cluster.propose(payload)
+            sent_at_s[index] = time.perf_counter()
+        cluster.pump()
+        now_s = time.perf_counter()
+        applied = cluster.leader.applied_index
+        for index in [x for x in sent_at_s if x <= applied]:
+            latencies_s.append(now_s - sent_at_s.pop(index))
+    taken_s = time.perf_counter() - started_s
+    latencies_s.sort()
+    name = f"commit.{voters}_voters.{window}_waiting"
+    _print(f"{name}.p50", latencies_s[count // 2] * 1e3, "ms")
+    _print(f"{name}.p99", latencies_s[count * 99 // 100] * 1e3, "ms")
+    _print(f"{name}.rate", count / taken_s, "entries/s")
+
+
+def _run_catch_up() -> None:
+    for entries in (1_000, 4_000):
+        _catch_up(f"{entries}_entries", entries, 0)
+    for mebibytes in (1, 8):
+        _catch_up(f"{mebibytes}_mib_snapshot", 100, mebibytes << 20)
+
+
+def _catch_up(name: str, entries: int, snapshot_bytes: int) -> None:
+    settings = SETTINGS._replace(
+        retained_entries=1 if snapshot_bytes else 10**6
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = consensus_local.LocalCluster(
+            pathlib.Path(folder), 3, settings
+        )
+        index = 0
+        for _ in range(entries):
+            index = cluster.propose(b"x" * PAYLOAD_BYTES)
+        cluster.wait_for(cluster.leader, index)
+        if snapshot_bytes:
+            cluster.snapshot(bytes(snapshot_bytes))
+        started_s = time.perf_counter()
+        learner = cluster.add_learner("g")
+        cluster.wait_for(learner, index)
+        taken_s = time.perf_counter() - started_s
+        assert learner.installed_bytes == snapshot_bytes
+        cluster.close()
+    _print(f"catch_up.{name}", taken_s, "s")
