Step down when the leader's own disk hangs; check order and single acceptance

Cause: a leader whose disk hung kept its lease through empty heartbeats and accepted nothing, for as long as the disk hung. Ruled out: counting on check-quorum, which needs no disk. Before: no entry accepted until the disk came back (scenario hung_disk with the check taken out). After: another leader accepts within disk_stall_s and an election. An empty folder at a mount point may hold the file system's own names.

--- a/bench/consensus_checker.py
+++ b/bench/consensus_checker.py
@@ -19,6 +19,7 @@
         self.states = 0
         self.committed: dict[int, entry_module.Entry] = {}
         self.digests: dict[int, int] = {0: 0}
+        self._proposed_after: dict[bytes, int] = {}
         self._commit_terms: dict[int, int] = {}
         self._leaders: dict[int, str] = {}
         self._entries: dict[tuple[int, int], tuple[int, bytes]] = {}
@@ -42,6 +43,8 @@
         assert node.replica is not None
         term = node.replica.journal.term
         self._commit_terms.setdefault(one.log_index, term)
+        if one.log_index not in self.committed:
+            self._check_order(one)
         known = self.committed.setdefault(one.log_index, one)
         if known != one:
             raise ViolationError(
@@ -51,6 +54,10 @@
         if self.digests.setdefault(one.log_index, digest) != digest:
             raise ViolationError(f"states differ at entry {one.log_index}")
 
+    def saw_proposed(self, payload: bytes) -> None:
+        """Notes what was accepted before a proposal was made."""
+        self._proposed_after[payload] = self.last_committed
+
     def saw_snapshot(
         self, node: consensus_node.Node, log_index: int, digest: int
     ) -> None:
@@ -105,6 +112,15 @@
         for node in holders:
             self._check_lease(node)
 
+    def _check_order(self, one: entry_module.Entry) -> None:
+        if one.kind is not entry_module.EntryKind.COMMAND:
+            return
+        after_index = self._proposed_after.pop(one.payload, None)
+        if after_index is None:
+            raise ViolationError(f"{one.payload!r} accepted twice")
+        if one.log_index <= after_index:
+            raise ViolationError(f"{one.payload!r} accepted out of order")
+
     def _check_new_leader(self, node: consensus_node.Node, term: int) -> None:
         assert node.replica is not None
         identity = node.replica.replica_id
--- a/bench/consensus_scenarios.py
+++ b/bench/consensus_scenarios.py
@@ -117,6 +117,8 @@
     settings = _QUIET._replace(max_append_entries=1, max_in_flight=1)
     for seed in range(20):
         world = build(seed, 5, replica_class, settings)
+        for payload in (b"older", b"newer"):
+            world.checker.saw_proposed(payload)
         a, b, c, d, e = world.nodes
         for node in world.nodes:
             world.crash(node)
@@ -223,6 +225,26 @@
         )
 
 
+def hung_disk(replica_class: type[replica_module.Replica]) -> None:
+    """A leader's disk stops finishing writes."""
+    world = build(4, 3, replica_class)
+    leader = elect(world)
+    world.run_for(0.2)
+    world.hung.add(leader.name)
+    before = world.accepted
+    until_s = world.now_s + _QUIET.disk_stall_s + 3.0
+    while world.now_s < until_s:
+        for node in world.leaders():
+            world.propose(node)
+        world.run_for(0.05)
+    if leader in world.leaders() or world.accepted < before + 10:
+        raise consensus_checker.ViolationError("a hung disk stops the cluster")
+    world.hung.clear()
+    world.run_for(1.0)
+    if len({node.digest for node in world.nodes}) != 1:
+        raise consensus_checker.ViolationError("states differ")
+
+
 def _set_rate(
     world: consensus_world.World, node: consensus_node.Node, rate: float
 ) -> None:
--- a/bench/consensus_world.py
+++ b/bench/consensus_world.py
@@ -59,6 +59,7 @@
         self.doubling = 0.02
         self.slow = 0.05
         self.disk_s = 0.004
+        self.hung: set[str] = set()
         self.late_s: dict[tuple[str, str], float] = {}
         self.cut: set[tuple[str, str]] = set()
         self.checks_disks = True
@@ -143,6 +144,7 @@
             return
         self._payloads += 1
         payload = b"%d" % self._payloads
+        self.checker.saw_proposed(payload)
         result = node.replica.propose(node.local_s(self.now_s), payload)
         if isinstance(result, proposal.Proposal):
             self._act(node, result.effects)
@@ -284,6 +286,9 @@
                 node.paused_until_s - self.now_s, self._end_sync, node, run
             )
             return
+        if node.name in self.hung:
+            self.after(_JOIN_S, self._end_sync, node, run)
+            return
         node.disk.sync(node.batch)
         write_id = node.batch[-1].write_id
         node.batch = []
--- a/src/cranberrymux/consensus/follower.py
+++ b/src/cranberrymux/consensus/follower.py
@@ -20,6 +20,21 @@
         self._partial = bytearray()
         self._partial_of = (0, 0, 0)
 
+    def take(
+        self, message: messages.AppendRequest | messages.SnapshotChunk
+    ) -> None:
+        """Takes what a leader sent; tells one of an older term of the newer."""
+        is_old = message.term < self._journal.term
+        if isinstance(message, messages.SnapshotChunk):
+            if is_old:
+                self._answer_chunk(message, 0, False)
+            else:
+                self.take_chunk(message)
+        elif is_old:
+            self._answer_entries(message, False, 0)
+        else:
+            self.take_entries(message)
+
     def take_entries(self, request: messages.AppendRequest) -> None:
         """Takes entries if they follow what the log has, and answers."""
         if not _is_contiguous(request):
@@ -64,14 +79,6 @@
         )
         self._answer_chunk(chunk, chunk.total_bytes, True)
 
-    def refuse_entries(self, request: messages.AppendRequest) -> None:
-        """Tells a leader of an older term of the newer one."""
-        self._answer_entries(request, False, 0)
-
-    def refuse_chunk(self, chunk: messages.SnapshotChunk) -> None:
-        """Tells a leader of an older term of the newer one."""
-        self._answer_chunk(chunk, 0, False)
-
     def forget_partial(self) -> None:
         """Drops the pieces of an unfinished snapshot."""
         self._partial = bytearray()
--- a/src/cranberrymux/consensus/journal.py
+++ b/src/cranberrymux/consensus/journal.py
@@ -198,6 +198,10 @@
         """True if the write is durable."""
         return self._queue.is_synced(write_id)
 
+    def is_idle(self) -> bool:
+        """True if every write so far is durable."""
+        return self._queue.is_idle
+
     def last_write_id(self) -> int:
         """Id of the write that holds all changes so far."""
         self._flush()
--- a/src/cranberrymux/consensus/participant.py
+++ b/src/cranberrymux/consensus/participant.py
@@ -47,6 +47,7 @@
         self._leader: leader_module.Leader | None = None
         self._leader_hint = ""
         self._heard_at_s: dict[str, float] = {}
+        self._disk_waits_since_s: float | None = None
         self._role_holder = lifecycle.RoleHolder()
         self._lifecycle = lifecycle.build(self._role_holder)
         self._settle_role(now_s)
@@ -74,7 +75,7 @@
     def tick(self, now_s: float) -> effects.Effects:
         """Lets time pass; to be called several times per heartbeat."""
         if self._leader is not None:
-            if self._leader.has_contact(now_s):
+            if self._may_lead_on(now_s, self._leader):
                 self._leader.tick(now_s)
             else:
                 self._follow(now_s, "")
@@ -91,6 +92,7 @@
     def disk_done(self, now_s: float, write_id: int) -> effects.Effects:
         """Learns that a write and all before it are durable."""
         self._journal.synced(write_id)
+        self._disk_waits_since_s = None
         if self.role is role_module.Role.CANDIDATE:
             self._election.note_sync()
             self._count_votes(now_s)
@@ -103,6 +105,12 @@
             self._receive(now_s, message)
         return self._end(now_s)
 
+    def _may_lead_on(self, now_s: float, leader: leader_module.Leader) -> bool:
+        if not leader.has_contact(now_s):
+            return False
+        since_s = self._disk_waits_since_s
+        return since_s is None or now_s - since_s <= self._settings.disk_stall_s
+
     def _is_for_us(self, message: messages.Message) -> bool:
         cluster_id = self._journal.members.cluster_id
         if message.recipient != self.replica_id:
@@ -148,22 +156,7 @@
             if self._leader_hint != message.sender:
                 self._follow(now_s, message.sender)
             self._election.promise(now_s)
-        if isinstance(message, messages.SnapshotChunk):
-            self._take_chunk(message)
-        else:
-            self._take_entries(message)
-
-    def _take_entries(self, request: messages.AppendRequest) -> None:
-        if request.term < self._journal.term:
-            self._follower.refuse_entries(request)
-            return
-        self._follower.take_entries(request)
-
-    def _take_chunk(self, chunk: messages.SnapshotChunk) -> None:
-        if chunk.term < self._journal.term:
-            self._follower.refuse_chunk(chunk)
-            return
-        self._follower.take_chunk(chunk)
+        self._follower.take(message)
 
     def _take_answer(
         self,
@@ -245,4 +238,9 @@
         if self._leader is not None:
             self._leader.advance_commit(now_s)
         self._settle_role(now_s)
-        return self._journal.take()
+        result = self._journal.take()
+        if self._journal.is_idle():
+            self._disk_waits_since_s = None
+        elif self._disk_waits_since_s is None:
+            self._disk_waits_since_s = now_s
+        return result
--- a/src/cranberrymux/consensus/replica_settings.py
+++ b/src/cranberrymux/consensus/replica_settings.py
@@ -12,6 +12,8 @@
             and the least time before it stands for election itself.
         election_spread_s: Election timeouts lie evenly between `lease_s` and
             this much more.
+        disk_stall_s: How long a leader goes on while its own disk does not
+            finish a write; then another one is elected.
         clock_drift_ratio: Greatest error of the rate of any member's clock.
         max_entry_bytes: Greatest payload.
         max_append_bytes: Payload bytes in one append message.
@@ -30,6 +32,7 @@
     heartbeat_s: float = 0.15
     lease_s: float = 0.75
     election_spread_s: float = 0.75
+    disk_stall_s: float = 2.0
     clock_drift_ratio: float = 0.01
     max_entry_bytes: int = 1 << 20
     max_append_bytes: int = 1 << 18
--- a/src/cranberrymux/consensus/write_queue.py
+++ b/src/cranberrymux/consensus/write_queue.py
@@ -40,6 +40,11 @@
         """Id that the next write will get."""
         return self._next_write_id
 
+    @property
+    def is_idle(self) -> bool:
+        """True if every write so far is durable."""
+        return not self._unsynced
+
     def add(self, write: write_module.Write, last_index: int) -> None:
         """Queues a write after which the log ends at `last_index`."""
         self._new.append(write)
--- a/src/cranberrymux/storage/opening.py
+++ b/src/cranberrymux/storage/opening.py
@@ -1,6 +1,7 @@
 """Opens a data folder, or makes a new one."""
 
 import os
+import re
 
 from cranberrymux.storage import atomic_file
 from cranberrymux.storage import failure
@@ -12,6 +13,8 @@
 IDENTITY_NAME = "identity"
 SEGMENT_BYTES = 1 << 24
 _INCARNATION_BYTES = 8
+# A mount point may hold names of the file system's own.
+_STATE_NAME = re.compile(r"vote|snapshot|log-.*")
 
 
 def open_folder(
@@ -114,7 +117,7 @@
     incarnation: str | None,
 ) -> str | failure.StorageError:
     try:
-        left = sorted(set(files.names(path)) - {LOCK_NAME})
+        left = sorted(filter(_STATE_NAME.fullmatch, files.names(path)))
         files.sync_folder(os.path.dirname(os.path.abspath(path)))
     except OSError as error:
         return failure.of_write(path, error)
--- a/tests/consensus/test_mutations.py
+++ b/tests/consensus/test_mutations.py
@@ -217,6 +217,10 @@
         consensus_scenarios.isolated_follower,
         _replica(election_class=SkipsPreVote),
     ),
+    "no check of the leader's own disk": (
+        consensus_scenarios.hung_disk,
+        _replica(_may_lead_on=lambda self, now_s, leader: True),
+    ),
     "no check of the quorum": (
         consensus_scenarios.isolated_leader,
         _replica(leader_class=LeadsWithoutQuorum),
