--- a/src/cranberrymux/node/admission_task.py
+++ b/src/cranberrymux/node/admission_task.py
@@ -8,6 +8,7 @@
 from cranberrymux.decisions.admission import controller
 from cranberrymux.decisions.admission import outcome
 from cranberrymux.decisions.admission import ticket
+from cranberrymux.decisions.admission import verdict as verdict_module
 from cranberrymux.models import refusal
 from cranberrymux.models import request_context
 from cranberrymux.node import clock
@@ -49,13 +50,18 @@
     @property
     def queue_length(self) -> int:
         """Calls that wait for a slot."""
-        return self._admission.queue_length
+        return len(self._waiting)
 
     @property
     def limit(self) -> int:
         """Calls that may run at once."""
         return self._admission.limit
 
+    @property
+    def load(self) -> float:
+        """Share of the slots and of the queue in use, 0.0 to 1.0."""
+        return self._admission.load
+
     @property
     def is_drained(self) -> bool:
         """True if draining and nothing is in flight."""
@@ -143,7 +149,7 @@
         self._schedule_poll(now_s)
 
     def _return_unclaimed(
-        self, ticket_id: str, verdict: controller.Decision
+        self, ticket_id: str, verdict: verdict_module.Decision
     ) -> None:
         if isinstance(verdict, admitted.Admitted):
             now_s = self._clock.now_s()
--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -178,7 +178,7 @@
         self, answer_headers: headers.HeaderList, unspent: int
     ) -> None:
         admission = self._node.admission
-        load = admission.in_flight * _PER_MILLE // max(admission.limit, 1)
+        load = int(admission.load * _PER_MILLE)
         answer_headers += (
             (b"cranberrymux-request-id", self._context.request_id.encode()),
             (b"cranberrymux-level", b"%d" % admission.level),
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -243,7 +243,9 @@
                 self._siblings.update(news)
 
     def configuration_changed(self, version: int, document: str) -> None:
-        """Puts a configuration in force."""
+        """Puts a configuration in force, unless a newer one is."""
+        if version <= self._policy.version:
+            return
         fault = self._policy.replace(version, document)
         if fault is not None:
             _log.error(
