--- a/src/cranberrymux/demo/story.py
+++ b/src/cranberrymux/demo/story.py
@@ -120,8 +120,8 @@
         lost = 1 - dispatch["done"] / dispatch["sent"]
         self._note(
             "overload",
-            f"dispatches lost {lost:.2%}, {total['wrong']} wrong, "
-            f"{total['cut']} cut",
+            f"dispatches lost {lost:.2%} {dispatch['reasons'] or ''}, "
+            f"{total['wrong']} wrong, {total['cut']} cut",
             f"dispatches lost under {_PROTECTED_LOSS_BOUND:.1%}, none wrong "
             "or cut",
             lost < _PROTECTED_LOSS_BOUND
@@ -180,7 +180,7 @@
             "drain",
             f"{taken} calls taken from {_LEAVING_BOUND_S:.0f} s after the "
             f"drain, {report['sent'] - report['done']} of {report['sent']} "
-            "requests lost",
+            f"requests lost {report['reasons'] or ''}",
             "no call taken, no request lost",
             taken == 0 and report["done"] == report["sent"],
         )
