--- /dev/null
+++ b/bench/control/__init__.py
@@ -0,0 +1,1 @@
+"""Load and fakes for the control instances."""
--- a/src/cranberrymux/control/control_settings.py
+++ b/src/cranberrymux/control/control_settings.py
@@ -41,6 +41,13 @@
         minimum=100,
         maximum=30_000,
     ),
+    field.Field(
+        "snapshot_entries",
+        field.Kind.INTEGER,
+        default=10_000,
+        minimum=10,
+        maximum=100_000,
+    ),
     field.Field(
         "claim_accepted_age_s",
         field.Kind.INTEGER,
@@ -88,6 +95,7 @@
         lease_ms: How long a heartbeat counts.
         peer_timeout_ms: Longest wait for another control instance.
         proposal_timeout_ms: Longest wait for a commit.
+        snapshot_entries: Entries of the log after which a snapshot is taken.
         claim_accepted_age_s: Oldest request id that may be claimed.
         claim_retention_s: How long a claim is kept.
         claim_running_s: A claim that has run longer has an unknown outcome.
@@ -107,6 +115,7 @@
     lease_ms: int
     peer_timeout_ms: int
     proposal_timeout_ms: int
+    snapshot_entries: int
     claim_accepted_age_s: int
     claim_retention_s: int
     claim_running_s: int
--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -29,6 +29,7 @@
 EXIT_FAILED = 1
 TICKS_PER_LEASE = 8
 MAXIMUM_COMMAND_BYTES = 524_288
+MAXIMUM_RETAINED_ENTRIES = 1000
 
 
 class Program:
@@ -84,7 +85,11 @@
             self._report_storage(restored)
             return None
         replica = replica_settings.ReplicaSettings(
-            max_entry_bytes=MAXIMUM_COMMAND_BYTES
+            max_entry_bytes=MAXIMUM_COMMAND_BYTES,
+            snapshot_entries=settings.snapshot_entries,
+            retained_entries=min(
+                settings.snapshot_entries, MAXIMUM_RETAINED_ENTRIES
+            ),
         )
         now_s = time.clock_gettime(time.CLOCK_BOOTTIME)
         driver = driver_module.LogDriver(
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -1,6 +1,7 @@
 """The log of commands, replicated over the control instances."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import time
 from typing import Any
 
@@ -242,12 +243,27 @@
             self._apply(entry)
         if actions.snapshot_wanted:
             index = self._driver.replica.journal.applied_index
-            taken = self._driver.snapshot_taken(
-                _now_s(), index, self._machine.dump()
+            defer.ensureDeferred(
+                self._take_snapshot(index, self._machine.dump())
             )
-            self._act(taken)
         self._sync()
 
+    async def _take_snapshot(
+        self, log_index: int, parts: Iterator[bytes]
+    ) -> None:
+        """Encodes a snapshot between other work, so that no lease ends."""
+        taken = []
+        for part in parts:
+            taken.append(part)
+            await task.deferLater(self._reactor, 0)
+        if self._is_stopped:
+            return
+        data = b"".join(taken)
+        self._act(self._driver.snapshot_taken(_now_s(), log_index, data))
+        self._events.info(
+            "snapshot-taken", log_index=log_index, size_bytes=len(data)
+        )
+
     def _apply(self, entry: entry_module.Entry) -> None:
         answer = None
         if entry.kind is entry_module.EntryKind.COMMAND:
--- a/src/cranberrymux/control/state_machine.py
+++ b/src/cranberrymux/control/state_machine.py
@@ -1,9 +1,11 @@
 """Everything that the control instances agree on."""
 
+from collections.abc import Iterator
 import json
 from typing import Any
 
 from cranberrymux.control import conversions
+from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.claims import claim_ledger
 from cranberrymux.decisions.claims import claim_settings
 from cranberrymux.decisions.claims import suspect_ledger
@@ -11,6 +13,9 @@
 from cranberrymux.wire import codec
 from cranberrymux.wire.gen.messages import ttypes
 
+CLAIMS_PER_PART = 1000
+_FORMAT = 1
+
 
 class StateMachine:
     """Applies committed commands to the three ledgers."""
@@ -72,21 +77,45 @@
             answer.suspect = ttypes.SuspectAnswer(deaths=deaths)
         return answer
 
-    def dump(self) -> bytes:
-        """Returns the whole state for a snapshot."""
-        state = {
-            "format": 1,
+    def dump(self) -> Iterator[bytes]:
+        """Returns the state as it is now, in parts to be joined.
+
+        The state is taken at once and encoded part by part, so that the
+        caller can do other work between the parts.
+        """
+        head = {
+            "format": _FORMAT,
             "now_ms": self._now_ms,
             "configuration": self.configuration.dump(),
-            "claims": self.claims.dump(),
             "suspects": self.suspects.dump(),
         }
-        return json.dumps(state, separators=(",", ":")).encode()
+        return _encode_parts(head, self.claims.entries())
 
     def restore(self, payload: bytes) -> None:
-        """Takes over a state that `dump` gave."""
-        state = json.loads(payload)
-        self._now_ms = state["now_ms"]
-        self.configuration.restore(state["configuration"])
-        self.claims.restore(state["claims"])
-        self.suspects.restore(state["suspects"])
+        """Takes over a state that `dump` gave.
+
+        Raises:
+            ValueError: The state is of another format.
+        """
+        first, *parts = payload.splitlines()
+        head = json.loads(first)
+        if head["format"] != _FORMAT:
+            raise ValueError(f"snapshot of format {head['format']}")
+        self._now_ms = head["now_ms"]
+        self.configuration.restore(head["configuration"])
+        self.suspects.restore(head["suspects"])
+        claims = [one for part in parts for one in json.loads(part)]
+        self.claims.restore(claims)
+
+
+def _encode_parts(
+    head: dict[str, Any], claims: tuple[claim_entry.ClaimEntry, ...]
+) -> Iterator[bytes]:
+    yield _encode_line(head)
+    for start in range(0, len(claims), CLAIMS_PER_PART):
+        part = claims[start : start + CLAIMS_PER_PART]
+        yield _encode_line(claim_ledger.dump_entries(part))
+
+
+def _encode_line(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode() + b"\n"
--- a/src/cranberrymux/decisions/claims/claim_ledger.py
+++ b/src/cranberrymux/decisions/claims/claim_ledger.py
@@ -1,6 +1,7 @@
 """The state machine of claims: each call is granted to one owner, once."""
 
 import base64
+from collections.abc import Iterable
 from typing import Any
 
 from cranberrymux.decisions.claims import claim as claim_module
@@ -38,6 +39,7 @@
             raise ValueError("claims would be forgotten before ids expire")
         self._settings = settings
         self._entries: dict[tuple[str, str], claim_entry.ClaimEntry] = {}
+        self._stored_bytes = 0
 
     def __len__(self) -> int:
         """Returns the number of claims that are kept."""
@@ -85,8 +87,9 @@
         if ended.status == settlement.STATUS_NOT_RUN:
             return self._release(ended, entry)
         body = ended.body
-        if body and len(body) > self._settings.maximum_body_bytes:
+        if body is not None and not self._has_room(len(body)):
             body = None
+        self._stored_bytes += len(body or b"")
         settled = entry._replace(
             state=_State.SETTLED, status=ended.status, body=body
         )
@@ -111,14 +114,19 @@
         self._entries[key] = entry._replace(state=_State.UNKNOWN)
         return True
 
+    def entries(self) -> tuple[claim_entry.ClaimEntry, ...]:
+        """Returns every entry, in the order of grants."""
+        return tuple(self._entries.values())
+
     def dump(self) -> list[list[Any]]:
         """Returns the whole state as values that JSON can hold."""
-        return [_dump_entry(one) for one in self._entries.values()]
+        return dump_entries(self.entries())
 
     def restore(self, state: list[list[Any]]) -> None:
-        """Takes over a state that `dump` gave."""
+        """Takes over a state that `dump` or `dump_entries` gave."""
         entries = [_load_entry(*one) for one in state]
         self._entries = {one.claim.key: one for one in entries}
+        self._stored_bytes = sum(len(one.body or b"") for one in entries)
 
     def _grant_first(
         self, asked: claim_module.Claim, now_ms: int
@@ -216,6 +224,20 @@
             if oldest.granted_ms >= before_ms:
                 return
             del self._entries[key]
+            self._stored_bytes -= len(oldest.body or b"")
+
+    def _has_room(self, size: int) -> bool:
+        if size > self._settings.maximum_body_bytes:
+            return False
+        maximum = self._settings.maximum_stored_bytes
+        return self._stored_bytes + size <= maximum
+
+
+def dump_entries(
+    entries: Iterable[claim_entry.ClaimEntry],
+) -> list[list[Any]]:
+    """Returns entries as values that JSON can hold, for `restore`."""
+    return [_dump_entry(one) for one in entries]
 
 
 def _is_same_call(asked: claim_module.Claim, known: claim_module.Claim) -> bool:
--- a/src/cranberrymux/decisions/claims/claim_settings.py
+++ b/src/cranberrymux/decisions/claims/claim_settings.py
@@ -18,10 +18,13 @@
         running_ms: A claim that has run longer has an unknown outcome.
         maximum_claims: Claims that are kept at most.
         maximum_body_bytes: Largest answer that is kept.
+        maximum_stored_bytes: Answers that are kept in all; further ones are
+            kept without their body.
     """
 
     accepted_age_ms: int = 3_600_000
     retention_ms: int = 7_200_000
     running_ms: int = 600_000
-    maximum_claims: int = 1_000_000
+    maximum_claims: int = 200_000
     maximum_body_bytes: int = 65_536
+    maximum_stored_bytes: int = 67_108_864
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -70,7 +70,7 @@
             f"data_folder: {self.data_folder}\n"
             f"cluster_key_file: {self.cluster.folder}/key\n"
             f"operator_token_file: {self.cluster.folder}/token\n"
-            f"lease_ms: {self.cluster.lease_ms}\n"
+            f"lease_ms: {self.cluster.lease_ms}\n{self.cluster.more}"
         )
 
     def start(self):
@@ -136,11 +136,13 @@
     """Control instances on loopback.
 
     `mutant` is Python that each instance runs before it starts; it takes a
-    mechanism out, to show that a check fails without it.
+    mechanism out, to show that a check fails without it. `more` holds further
+    lines of the settings.
     """
 
-    def __init__(self, folder, count=3, lease_ms=1000, mutant=""):
+    def __init__(self, folder, count=3, lease_ms=1000, mutant="", more=""):
         self.mutant = mutant
+        self.more = more
         self.folder = pathlib.Path(folder)
         self.lease_ms = lease_ms
         (self.folder / "key").write_text(KEY)
--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -23,7 +23,10 @@
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
-    made = cluster_module.Cluster(tmp_path_factory.mktemp("cluster"))
+    # Snapshots are frequent, so that the tests meet them.
+    made = cluster_module.Cluster(
+        tmp_path_factory.mktemp("cluster"), more="snapshot_entries: 50\n"
+    )
     with made:
         wait_for_voters(made)
         yield made
@@ -474,6 +477,12 @@
     } <= logged
 
 
+def test_snapshots_were_taken_on_the_way(cluster):
+    for one in cluster.instances:
+        names = [event["event"] for event in one.events()]
+        assert names.count("snapshot-taken") > 2
+
+
 def test_logs_are_json_lines_without_secrets(cluster):
     for one in cluster.instances:
         text = one.log.read_text()
--- a/tests/control/test_state_machine.py
+++ b/tests/control/test_state_machine.py
@@ -57,11 +57,31 @@
         for number, command in enumerate(commands):
             answer = one.apply(command)
             if number % 7 == 3:
-                state = other.dump()
+                state = b"".join(other.dump())
                 other = make_machine()
                 other.restore(state)
             assert other.apply(command) == answer
-        assert one.dump() == other.dump()
+        assert list(one.dump()) == list(other.dump())
+
+
+def test_a_dump_holds_the_state_of_its_beginning(monkeypatch):
+    monkeypatch.setattr(state_machine, "CLAIMS_PER_PART", 2)
+    commands = list(make_commands(random.Random(5), 120))
+    one = make_machine()
+    for command in commands[:60]:
+        one.apply(command)
+    whole = b"".join(one.dump())
+    parts = one.dump()
+    taken = [next(parts)]
+    for command, part in zip(commands[60:], parts, strict=False):
+        one.apply(command)
+        taken.append(part)
+    taken.extend(parts)
+    assert b"".join(taken) == whole
+    assert len(taken) > 2
+    copy = make_machine()
+    copy.restore(whole)
+    assert b"".join(copy.dump()) == whole
 
 
 def test_time_never_goes_back():
--- a/tests/decisions/claims/test_claim_ledger.py
+++ b/tests/decisions/claims/test_claim_ledger.py
@@ -285,5 +285,25 @@
     assert (answer.status, answer.body) == (200, None)
 
 
+def test_answers_are_kept_within_a_bound_in_all():
+    settings = schedules.SETTINGS._replace(maximum_stored_bytes=6)
+    ledger = claim_ledger.ClaimLedger(settings)
+    bodies = []
+    for number in range(3):
+        request_id = schedules.uuid7(NOW_MS, number)
+        ledger.claim(make_claim(request_id=request_id), NOW_MS)
+        ended = make_settlement(200, b"123", request_id=request_id)
+        bodies.append(ledger.settle(ended, NOW_MS).body)
+    assert bodies == [b"123", b"123", None]
+    copy = claim_ledger.ClaimLedger(settings)
+    copy.restore(ledger.dump())
+    late_ms = NOW_MS + settings.retention_ms + 1
+    for one in (ledger, copy):
+        request_id = schedules.uuid7(late_ms)
+        one.claim(make_claim(request_id=request_id), late_ms)
+        ended = make_settlement(200, b"456789", request_id=request_id)
+        assert one.settle(ended, late_ms).body == b"456789"
+
+
 def test_reads_the_age_of_an_id():
     assert request_age.created_ms(schedules.uuid7(12345)) == 12345
