--- a/src/cranberrymux/control/control_settings.py
+++ b/src/cranberrymux/control/control_settings.py
@@ -8,6 +8,7 @@
 from cranberrymux.control import peer
 from cranberrymux.settings import field
 from cranberrymux.settings import loader
+from cranberrymux.telemetry import metrics_settings
 
 FIELDS = (
     field.Field("control_id", field.Kind.TEXT, minimum=1, maximum=64),
@@ -69,12 +70,7 @@
         minimum=1,
         maximum=86_400,
     ),
-    field.Field(
-        "log_level",
-        field.Kind.TEXT,
-        default="info",
-        choices=("debug", "info", "warning", "error"),
-    ),
+    *metrics_settings.FIELDS,
 )
 
 
@@ -99,7 +95,8 @@
         claim_accepted_age_s: Oldest request id that may be claimed.
         claim_retention_s: How long a claim is kept.
         claim_running_s: A claim that has run longer has an unknown outcome.
-        log_level: Lowest level of events that are written.
+        statsd_address: `ip:port` of a collector of metrics; empty for none.
+        statsd_prefix: First part of the metrics' names.
     """
 
     control_id: str
@@ -119,7 +116,8 @@
     claim_accepted_age_s: int
     claim_retention_s: int
     claim_running_s: int
-    log_level: str
+    statsd_address: str
+    statsd_prefix: str
 
     @property
     def others(self) -> tuple[peer.Peer, ...]:
--- a/src/cranberrymux/control/conversions.py
+++ b/src/cranberrymux/control/conversions.py
@@ -34,6 +34,12 @@
     ),
 }
 
+VERDICT_NAMES = {
+    number: name.lower().replace("_", "-")
+    for number, name in ttypes.ClaimVerdict._VALUES_TO_NAMES.items()
+}
+UNAVAILABLE_RETRY_MS = 1000
+
 
 def encode_change(asked: change.Change) -> Any:
     """Returns the `ChangeRequest` of a change."""
@@ -124,3 +130,14 @@
         retry_after_ms=answer.retry_after_ms,
         owner=answer.owner or None,
     )
+
+
+def extract_claim_answer(answer: Any) -> Any:
+    """Returns the `ClaimAnswer` in a `CommandAnswer`."""
+    if answer.committed:
+        return answer.claim
+    return ttypes.ClaimAnswer(
+        verdict=ttypes.ClaimVerdict.UNAVAILABLE,
+        status=0,
+        retry_after_ms=answer.retry_after_ms or UNAVAILABLE_RETRY_MS,
+    )
--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -10,17 +10,19 @@
 
 from cranberrymux.control import command_log
 from cranberrymux.control import control_settings
+from cranberrymux.control import conversions
 from cranberrymux.control import counters
 from cranberrymux.control import state_machine
 from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.directory import node_table
 from cranberrymux.decisions.directory import table
+from cranberrymux.telemetry import metric
+from cranberrymux.telemetry import metrics_sink
 from cranberrymux.wire import convert
 from cranberrymux.wire.gen.messages import Control
 from cranberrymux.wire.gen.messages import ttypes
 
 TOMBSTONE_LEASES = 20
-UNAVAILABLE_RETRY_MS = 1000
 MAXIMUM_SETTLED_BYTES = 65_536
 
 
@@ -32,8 +34,10 @@
         self,
         settings: control_settings.ControlSettings,
         cluster_key: str,
+        *,
         machine: state_machine.StateMachine,
         log: command_log.CommandLog,
+        metrics: metrics_sink.MetricsSink,
         now_s: Callable[[], float],
     ) -> None:
         """Starts with an empty directory.
@@ -43,6 +47,7 @@
             cluster_key: What every caller must show.
             machine: The agreed state, read only here.
             log: Commits commands.
+            metrics: Takes metrics.
             now_s: Monotonic clock.
         """
         lease_s = settings.lease_ms / 1000
@@ -50,6 +55,7 @@
         self._cluster_key = cluster_key.encode()
         self._machine = machine
         self._log = log
+        self._metrics = metrics
         self._now_s = now_s
         self._epoch = uuid.uuid4().hex
         self._events = structlog.get_logger()
@@ -72,6 +78,11 @@
         kept_s = TOMBSTONE_LEASES * self._settings.lease_ms / 1000
         self.nodes.forget(now_s - kept_s)
 
+    def report_metrics(self) -> None:
+        """Sends the gauges."""
+        live = len(self.nodes.live(self._now_s()))
+        self._metrics.gauge(metric.Metric.LEASES, live)
+
     def heartbeat(self, key: str, heartbeat: Any) -> Any:
         """Renews a node's lease and tells it what is new."""
         self._check(key)
@@ -111,7 +122,11 @@
         if self._log.role() == "leader":
             await self._abandon(request)
         answer = await self._log.propose(ttypes.Command(at_ms=0, claim=request))
-        return _claim_answer(answer)
+        told = conversions.extract_claim_answer(answer)
+        self._metrics.count(
+            metric.Metric.CLAIMS, 1, conversions.VERDICT_NAMES[told.verdict]
+        )
+        return told
 
     async def settle(self, key: str, request: Any) -> Any:
         """Commits the end of a claimed call."""
@@ -221,13 +236,3 @@
         if not self.directory.is_complete(now_s):
             return False
         return self.nodes.is_expired(owner, incarnation, now_s)
-
-
-def _claim_answer(answer: Any) -> Any:
-    if answer.committed:
-        return answer.claim
-    return ttypes.ClaimAnswer(
-        verdict=ttypes.ClaimVerdict.UNAVAILABLE,
-        status=0,
-        retry_after_ms=answer.retry_after_ms or UNAVAILABLE_RETRY_MS,
-    )
--- a/src/cranberrymux/control/operator_api.py
+++ b/src/cranberrymux/control/operator_api.py
@@ -18,6 +18,8 @@
 from cranberrymux.control import node_service
 from cranberrymux.control import state_machine
 from cranberrymux.decisions.configuration import change_verdict
+from cranberrymux.telemetry import metric
+from cranberrymux.telemetry import metrics_sink
 from cranberrymux.wire.gen.messages import ttypes
 
 MAXIMUM_BODY_BYTES = 524_288
@@ -44,6 +46,7 @@
         machine: state_machine.StateMachine,
         log: command_log.CommandLog,
         service: node_service.NodeService,
+        metrics: metrics_sink.MetricsSink,
         now_s: Callable[[], float],
     ) -> None:
         """Keeps what the answers are made of.
@@ -54,6 +57,7 @@
             machine: The agreed state, read only here.
             log: Commits changes.
             service: Owns the directory and the counters.
+            metrics: Takes metrics.
             now_s: Monotonic clock.
         """
         self._settings = settings
@@ -61,6 +65,7 @@
         self._machine = machine
         self._log = log
         self._service = service
+        self._metrics = metrics
         self._now_s = now_s
         self._events = structlog.get_logger()
 
@@ -105,6 +110,7 @@
             verdict=answer.verdict.value,
             version=answer.record.version if answer.record else None,
         )
+        self._metrics.count(metric.Metric.CHANGES, 1, answer.verdict.value)
         record = answer.record._asdict() if answer.record else None
         body = {
             "verdict": answer.verdict.value,
--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -18,8 +18,11 @@
 from cranberrymux.control import operator_api
 from cranberrymux.control import peer_clients
 from cranberrymux.control import quorum_log
+from cranberrymux.control import replica_loop
 from cranberrymux.control import state_machine
 from cranberrymux.decisions.claims import claim_settings
+from cranberrymux.telemetry import metrics
+from cranberrymux.telemetry import metrics_settings
 from cranberrymux.wire import control_server
 
 # The library has no types.
@@ -28,6 +31,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 TICKS_PER_LEASE = 8
+METRICS_INTERVAL_S = 1.0
 MAXIMUM_COMMAND_BYTES = 524_288
 MAXIMUM_RETAINED_ENTRIES = 1000
 
@@ -53,6 +57,11 @@
         self._events = structlog.get_logger()
         self._machine = state_machine.StateMachine(_claim_settings(settings))
         self._exit_code = EXIT_OK
+        self._metrics = metrics.build(
+            metrics_settings.MetricsSettings(
+                settings.statsd_address, settings.statsd_prefix
+            )
+        )
         self._cluster_key = cluster_key
         self._token = token
 
@@ -66,6 +75,8 @@
             return EXIT_FAILED
         log.start()
         self._tick.start(self._settings.lease_ms / 1000 / TICKS_PER_LEASE)
+        reporting = task.LoopingCall(self._report_metrics, log)
+        reporting.start(METRICS_INTERVAL_S, now=False)
         self._reactor.addSystemEventTrigger(
             "before", "shutdown", self._shut_down, log
         )
@@ -91,28 +102,40 @@
                 settings.snapshot_entries, MAXIMUM_RETAINED_ENTRIES
             ),
         )
-        now_s = time.clock_gettime(time.CLOCK_BOOTTIME)
         driver = driver_module.LogDriver(
-            replica, random.Random(), restored, now_s
+            replica, random.Random(), restored, replica_loop.now_s()
         )
         peers = peer_clients.PeerClients(
             settings, self._cluster_key, self._reactor
         )
-        return quorum_log.QuorumLog(
-            settings,
+        loop = replica_loop.ReplicaLoop(
             driver,
             folder,
             machine=self._machine,
             peers=peers,
             reactor=self._reactor,
-            lease_s=replica.lease_s,
+            metrics=self._metrics,
             report_failure=self._fail,
         )
+        return quorum_log.QuorumLog(
+            settings,
+            driver,
+            loop,
+            peers=peers,
+            reactor=self._reactor,
+            lease_s=replica.lease_s,
+            metrics=self._metrics,
+        )
 
     def _listen(self, log: quorum_log.QuorumLog) -> bool:
         settings = self._settings
-        service = node_service.NodeService(
-            settings, self._cluster_key, self._machine, log, time.monotonic
+        self._service = service = node_service.NodeService(
+            settings,
+            self._cluster_key,
+            machine=self._machine,
+            log=log,
+            metrics=self._metrics,
+            now_s=time.monotonic,
         )
         api = operator_api.OperatorApi(
             settings,
@@ -120,6 +143,7 @@
             machine=self._machine,
             log=log,
             service=service,
+            metrics=self._metrics,
             now_s=time.monotonic,
         )
         self._tick = task.LoopingCall(service.tick)
@@ -140,6 +164,11 @@
             return False
         return True
 
+    def _report_metrics(self, log: quorum_log.QuorumLog) -> None:
+        self._service.report_metrics()
+        log.report_metrics()
+        self._metrics.flush()
+
     def _fail(self, detail: str) -> None:
         self._exit_code = EXIT_FAILED
         self._events.error("storage-failed", detail=detail)
--- a/src/cranberrymux/control/state_machine.py
+++ b/src/cranberrymux/control/state_machine.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from cranberrymux.control import conversions
+from cranberrymux.decisions.claims import claim_codec
 from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.claims import claim_ledger
 from cranberrymux.decisions.claims import claim_settings
@@ -114,7 +115,7 @@
     yield _encode_line(head)
     for start in range(0, len(claims), CLAIMS_PER_PART):
         part = claims[start : start + CLAIMS_PER_PART]
-        yield _encode_line(claim_ledger.dump_entries(part))
+        yield _encode_line(claim_codec.dump_entries(part))
 
 
 def _encode_line(value: Any) -> bytes:
--- a/src/cranberrymux/decisions/claims/claim_ledger.py
+++ b/src/cranberrymux/decisions/claims/claim_ledger.py
@@ -1,18 +1,16 @@
 """The state machine of claims: each call is granted to one owner, once."""
 
-import base64
-from collections.abc import Iterable
 from typing import Any
 
 from cranberrymux.decisions.claims import claim as claim_module
 from cranberrymux.decisions.claims import claim_answer
+from cranberrymux.decisions.claims import claim_codec
 from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.claims import claim_settings
 from cranberrymux.decisions.claims import claim_verdict
 from cranberrymux.decisions.claims import request_age
 from cranberrymux.decisions.claims import settlement
 
-RUNNING_RETRY_MS = 250
 FULL_RETRY_MS = 5000
 
 _State = claim_entry.ClaimState
@@ -72,7 +70,7 @@
             return claim_answer.ClaimAnswer(_Verdict.DIGEST_MISMATCH)
         if entry.state is _State.RUNNING:
             return self._join(asked, entry, now_ms)
-        return _tell(entry)
+        return claim_answer.tell(entry)
 
     def settle(
         self, ended: settlement.Settlement, now_ms: int
@@ -83,7 +81,7 @@
         if entry is None:
             return self._settle_first(ended, now_ms)
         if entry.state is not _State.RUNNING or not _owns(ended, entry):
-            return _tell(entry)
+            return claim_answer.tell(entry)
         if ended.status == settlement.STATUS_NOT_RUN:
             return self._release(ended, entry)
         body = ended.body
@@ -94,7 +92,7 @@
             state=_State.SETTLED, status=ended.status, body=body
         )
         self._entries[ended.key] = settled
-        return _tell(settled)
+        return claim_answer.tell(settled)
 
     def abandon(
         self, key: tuple[str, str], owner: str, owner_incarnation: int
@@ -120,11 +118,11 @@
 
     def dump(self) -> list[list[Any]]:
         """Returns the whole state as values that JSON can hold."""
-        return dump_entries(self.entries())
+        return claim_codec.dump_entries(self.entries())
 
     def restore(self, state: list[list[Any]]) -> None:
-        """Takes over a state that `dump` or `dump_entries` gave."""
-        entries = [_load_entry(*one) for one in state]
+        """Takes over a state that `dump` gave."""
+        entries = claim_codec.load_entries(state)
         self._entries = {one.claim.key: one for one in entries}
         self._stored_bytes = sum(len(one.body or b"") for one in entries)
 
@@ -207,13 +205,13 @@
         if is_overdue or has_restarted:
             entry = entry._replace(state=_State.UNKNOWN)
             self._entries[asked.key] = entry
-        return _tell(entry)
+        return claim_answer.tell(entry)
 
     def _release(
         self, ended: settlement.Settlement, entry: claim_entry.ClaimEntry
     ) -> claim_answer.ClaimAnswer:
         if not ended.claim_id:
-            return _tell(entry)
+            return claim_answer.tell(entry)
         self._entries[ended.key] = entry._replace(state=_State.RELEASED)
         return claim_answer.ClaimAnswer(_Verdict.UNAVAILABLE)
 
@@ -233,13 +231,6 @@
         return self._stored_bytes + size <= maximum
 
 
-def dump_entries(
-    entries: Iterable[claim_entry.ClaimEntry],
-) -> list[list[Any]]:
-    """Returns entries as values that JSON can hold, for `restore`."""
-    return [_dump_entry(one) for one in entries]
-
-
 def _is_same_call(asked: claim_module.Claim, known: claim_module.Claim) -> bool:
     return (
         asked.body_digest == known.body_digest
@@ -253,47 +244,3 @@
         and ended.owner_incarnation == entry.claim.owner_incarnation
         and ended.claim_id == entry.claim.claim_id
     )
-
-
-def _tell(entry: claim_entry.ClaimEntry) -> claim_answer.ClaimAnswer:
-    owner = entry.claim.owner
-    if entry.state is _State.RUNNING:
-        return claim_answer.ClaimAnswer(
-            _Verdict.RUNNING, owner=owner, retry_after_ms=RUNNING_RETRY_MS
-        )
-    if entry.state is _State.SETTLED:
-        return claim_answer.ClaimAnswer(
-            _Verdict.SETTLED, entry.status, entry.body, owner
-        )
-    if entry.state is _State.RELEASED:
-        return claim_answer.ClaimAnswer(_Verdict.UNAVAILABLE)
-    return claim_answer.ClaimAnswer(_Verdict.UNKNOWN_OUTCOME, owner=owner)
-
-
-def _dump_entry(entry: claim_entry.ClaimEntry) -> list[Any]:
-    body = None
-    if entry.body is not None:
-        body = base64.b64encode(entry.body).decode()
-    return [
-        list(entry.claim),
-        entry.granted_ms,
-        entry.state.value,
-        entry.status,
-        body,
-    ]
-
-
-def _load_entry(
-    claimed: list[Any],
-    granted_ms: int,
-    state: str,
-    status: int,
-    body: str | None,
-) -> claim_entry.ClaimEntry:
-    return claim_entry.ClaimEntry(
-        claim_module.Claim(*claimed),
-        granted_ms,
-        _State(state),
-        status,
-        None if body is None else base64.b64decode(body),
-    )
--- /dev/null
+++ b/src/cranberrymux/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What an operator's session takes and answers."""
--- a/src/cranberrymux/sessions.py
+++ b/src/cranberrymux/sessions.py
@@ -1,9 +1,7 @@
 """A session of an operator with the control instances."""
 
 from collections.abc import Mapping
-import enum
 from typing import Any
-from typing import NamedTuple
 import uuid
 
 from cranberrymux.adapters import adapter as adapter_module
@@ -13,6 +11,10 @@
 from cranberrymux.decisions.configuration import change_answer
 from cranberrymux.decisions.configuration import change_record
 from cranberrymux.decisions.configuration import change_verdict
+from cranberrymux.operators import configuration
+from cranberrymux.operators import instance_status
+from cranberrymux.operators import operator_settings
+from cranberrymux.operators import session_error
 
 _OK = 200
 _BAD_REQUEST = 400
@@ -23,71 +25,11 @@
 _MAXIMUM_PAUSE_S = 1.0
 
 
-class OperatorSettings(NamedTuple):
-    """Whom an operator's session asks and how long it tries.
-
-    Attributes:
-        addresses: `ip:port` of each control instance's operators' API.
-        timeout_ms: Longest time over all tries of one request.
-    """
-
-    addresses: tuple[str, ...]
-    timeout_ms: int = 10_000
-
-
-class SessionErrorReason(enum.Enum):
-    """Why a session has no answer.
-
-    Attributes:
-        UNREACHABLE: No control instance with a quorum answered in time. A
-            change may have been accepted: send its change id again.
-        WRONG_TOKEN: The token was refused.
-        NOT_FOUND: What was asked for is not there.
-        INVALID: The request was refused as wrong.
-    """
-
-    UNREACHABLE = "unreachable"
-    WRONG_TOKEN = "wrong-token"
-    NOT_FOUND = "not-found"
-    INVALID = "invalid"
-
-
-class SessionError(NamedTuple):
-    """Takes the place of an answer.
-
-    Attributes:
-        reason: What went wrong.
-        detail: One line for people.
-    """
-
-    reason: SessionErrorReason
-    detail: str
-
-
-class Configuration(NamedTuple):
-    """A version of the document.
-
-    Attributes:
-        version: The version.
-        document: Its YAML text.
-    """
-
-    version: int
-    document: str
-
-
-class InstanceStatus(NamedTuple):
-    """What one control instance answered.
-
-    Attributes:
-        address: Whom it was asked of.
-        status: Its answer; None if there was none.
-        detail: Why there was none.
-    """
-
-    address: str
-    status: Mapping[str, Any] | None
-    detail: str = ""
+Configuration = configuration.Configuration
+InstanceStatus = instance_status.InstanceStatus
+OperatorSettings = operator_settings.OperatorSettings
+SessionError = session_error.SessionError
+SessionErrorReason = session_error.SessionErrorReason
 
 
 class OperatorSession:
@@ -115,7 +57,7 @@
         """Returns the last version, or the one asked for."""
         query = "" if version is None else f"?version={version}"
         answer = await self._ask("GET", f"/v1/configuration{query}")
-        if isinstance(answer, SessionError):
+        if isinstance(answer, session_error.SessionError):
             return answer
         return Configuration(answer.body["version"], answer.body["document"])
 
@@ -124,7 +66,7 @@
     ) -> list[change_record.ChangeRecord] | SessionError:
         """Returns the last accepted changes, newest first."""
         answer = await self._ask("GET", f"/v1/history?limit={limit}")
-        if isinstance(answer, SessionError):
+        if isinstance(answer, session_error.SessionError):
             return answer
         changes = answer.body["changes"]
         return [change_record.ChangeRecord(**one) for one in changes]
@@ -158,7 +100,7 @@
         answer = await self._ask(
             "PUT", "/v1/configuration", asked._asdict(), accept=(_CONFLICT,)
         )
-        if isinstance(answer, SessionError):
+        if isinstance(answer, session_error.SessionError):
             return answer
         return _read_change_answer(answer.body)
 
@@ -167,10 +109,10 @@
     ) -> change_answer.ChangeAnswer | SessionError:
         """Brings back the document of a version by a new change."""
         wanted = await self.get(version)
-        if isinstance(wanted, SessionError):
+        if isinstance(wanted, session_error.SessionError):
             return wanted
         current = await self.get()
-        if isinstance(current, SessionError):
+        if isinstance(current, session_error.SessionError):
             return current
         return await self.apply(
             wanted.document,
