--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -11,6 +11,8 @@
 import urllib.error
 import urllib.request
 
+from tests.control import relay as relay_module
+
 KEY = "cluster-key-for-tests"
 TOKEN = "operator-token-for-tests"
 _RUN = (
@@ -60,7 +62,7 @@
 
     def write_settings(self):
         peers = "".join(
-            f"  - {one.name}=127.0.0.1:{one.port}\n"
+            f"  - {one.name}=127.0.0.1:{self.cluster.port_to(self, one)}\n"
             for one in self.cluster.instances
         )
         self.settings.write_text(
@@ -137,10 +139,13 @@
 
     `mutant` is Python that each instance runs before it starts; it takes a
     mechanism out, to show that a check fails without it. `more` holds further
-    lines of the settings.
+    lines of the settings. With `cuttable`, the instances reach one another
+    through a relay.
     """
 
-    def __init__(self, folder, count=3, lease_ms=1000, mutant="", more=""):
+    def __init__(
+        self, folder, count=3, lease_ms=1000, mutant="", more="", cuttable=False
+    ):
         self.mutant = mutant
         self.more = more
         self.folder = pathlib.Path(folder)
@@ -156,7 +161,35 @@
                 )
             )
 
+        self.relay = None
+        self.links = {}
+        if cuttable:
+            self.relay = relay_module.Relay()
+            for one in self.instances:
+                for other in self.instances:
+                    if one is not other:
+                        self.links[one.name, other.name] = self.relay.add(
+                            other.port
+                        )
+
+    def port_to(self, one, other):
+        """The port at which an instance reaches another, or itself."""
+        link = self.links.get((one.name, other.name))
+        return link.port if link else other.port
+
+    def cut(self, one, others, both_ways=True):
+        """Silently cuts what one instance sends, or also what it receives."""
+        for other in others:
+            self.links[one.name, other.name].is_cut = True
+            self.links[other.name, one.name].is_cut |= both_ways
+
+    def heal(self):
+        for link in self.links.values():
+            link.is_cut = False
+
     def start(self):
+        if self.relay is not None:
+            self.relay.start()
         for one in self.instances:
             one.start()
         self.wait_for_leader()
@@ -175,6 +208,8 @@
     def stop(self):
         for one in self.instances:
             one.kill()
+        if self.relay is not None and self.relay.is_alive():
+            self.relay.stop()
 
     def __enter__(self):
         try:
--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -25,7 +25,9 @@
 def cluster(tmp_path_factory):
     # Snapshots are frequent, so that the tests meet them.
     made = cluster_module.Cluster(
-        tmp_path_factory.mktemp("cluster"), more="snapshot_entries: 50\n"
+        tmp_path_factory.mktemp("cluster"),
+        more="snapshot_entries: 50\n",
+        cuttable=True,
     )
     with made:
         wait_for_voters(made)
@@ -35,6 +37,7 @@
 @pytest.fixture(autouse=True)
 def all_run(cluster):
     yield
+    cluster.heal()
     for one in cluster.instances:
         if one.process.poll() is not None:
             one.start()
@@ -210,6 +213,34 @@
     check_histories(cluster, ["after-cut"], base)
 
 
+@pytest.mark.parametrize("both_ways", [True, False])
+def test_a_silent_cut_with_operators_on_both_sides(cluster, both_ways):
+    """One side accepts, the other nothing; both hold the same afterwards."""
+    cut_off = cluster.wait_for_leader()
+    others = [one for one in cluster.instances if one is not cut_off]
+    base = now_version(cluster)
+    cluster.cut(cut_off, others, both_ways)
+    wait_until(lambda: not vouches(cut_off))
+    cluster.wait_for_leader(others)
+    accepted = []
+    for number in range(4):
+        refused = cut_off.change(f"cut-{both_ways}-{number}", base, "classes")
+        assert refused.status == 400
+        change_id = f"lost-{both_ways}-{number}"
+        refused = cut_off.change(change_id, base, document(change_id))
+        assert refused is None or refused.status == 503
+        assert cut_off.request("GET", "/v1/configuration").status == 503
+        change_id = f"kept-{both_ways}-{number}"
+        answer = change_until_answered(
+            others, change_id, base + number, document(change_id)
+        )
+        assert answer.status == 200
+        accepted.append(change_id)
+    cluster.heal()
+    wait_for_voters(cluster)
+    check_histories(cluster, accepted, base)
+
+
 def send_and_hang_up(instance, change_id, base, text, author):
     """Sends a change and closes the connection before the answer."""
     with contextlib.suppress(OSError):
