--- a/bench/bench_control.py
+++ b/bench/bench_control.py
@@ -17,7 +17,7 @@
 from cranberrymux.wire.gen.messages import ttypes
 
 _cluster: Any = importlib.import_module("tests.control.cluster")
-_checks: Any = importlib.import_module("tests.control.test_replication")
+_checks: Any = importlib.import_module("tests.control.checks")
 _schedules: Any = importlib.import_module("tests.decisions.claims.schedules")
 
 CLAIMS = 2000
--- a/bench/bench_control_mechanisms.py
+++ b/bench/bench_control_mechanisms.py
@@ -14,7 +14,10 @@
 from bench import figure
 
 _cluster: Any = importlib.import_module("tests.control.cluster")
-_checks: Any = importlib.import_module("tests.control.test_replication")
+_checks: Any = importlib.import_module("tests.control.checks")
+_changes: Any = importlib.import_module("tests.control.test_changes")
+_claims: Any = importlib.import_module("tests.control.test_claims")
+_cuts: Any = importlib.import_module("tests.control.test_cuts")
 
 
 class Mutant(NamedTuple):
@@ -37,32 +40,32 @@
         "from cranberrymux.control import quorum_log\n"
         "quorum_log.QuorumLog._leased_ms = lambda self, now_s: 500\n"
         "quorum_log.QuorumLog.vouched_ms = lambda self: 500\n",
-        _checks.test_an_instance_cut_off_stops_vouching_and_accepts_nothing,
+        _cuts.test_an_instance_cut_off_stops_vouching_and_accepts_nothing,
     ),
     Mutant(
         "follower-vouching",
         "from cranberrymux.control import vouching\n"
         "vouching.Vouching.vouched_ms = lambda *_: 500\n",
-        _checks.test_an_instance_and_a_node_back_after_300_changes,
+        _changes.test_an_instance_and_a_node_back_after_300_changes,
     ),
     Mutant(
         "resent-change",
         "from cranberrymux.decisions.configuration import ledger\n"
         "ledger.ANSWERS_KEPT = 0\n",
-        _checks.test_two_operators_race_200_changes_under_equal_numbers,
+        _changes.test_two_operators_race_200_changes_under_equal_numbers,
     ),
     Mutant(
         "resent-claim",
         "from cranberrymux.decisions.claims import claim_ledger as ledger\n"
         "ledger.ClaimLedger._join = (\n"
         "    lambda self, asked, entry, now_ms: self._grant(asked, now_ms))\n",
-        _checks.test_the_same_claim_at_two_nodes_at_once,
+        _claims.test_the_same_claim_at_two_nodes_at_once,
     ),
     Mutant(
         "owner-lease",
         "from cranberrymux.control import node_service\n"
         "node_service.NodeService._has_ended = lambda *_: False\n",
-        _checks.test_an_owner_that_crashed_or_froze_leaves_the_outcome_unknown,
+        _claims.test_an_owner_that_crashed_or_froze_leaves_the_outcome_unknown,
     ),
 )
 
--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -6,6 +6,7 @@
 import uuid
 
 import structlog
+from thrift.protocol import TProtocol
 from zope import interface
 
 from cranberrymux.control import command_log
@@ -85,7 +86,7 @@
 
     def heartbeat(self, key: str, heartbeat: Any) -> Any:
         """Renews a node's lease and tells it what is new."""
-        self._check(key)
+        self._check(key, heartbeat)
         now_s = self._now_s()
         self.counters.heartbeats += 1
         is_present = self.nodes.renew(
@@ -117,7 +118,7 @@
 
     async def claim(self, key: str, request: Any) -> Any:
         """Commits a claim and answers what the ledger says."""
-        self._check(key)
+        self._check(key, request)
         self.counters.claims += 1
         if self._log.role() == "leader":
             await self._abandon(request)
@@ -130,7 +131,7 @@
 
     async def settle(self, key: str, request: Any) -> Any:
         """Commits the end of a claimed call."""
-        self._check(key)
+        self._check(key, request)
         self.counters.settlements += 1
         if request.body and len(request.body) > MAXIMUM_SETTLED_BYTES:
             request.body = None
@@ -144,7 +145,7 @@
 
     async def report_suspect(self, key: str, report: Any) -> Any:
         """Commits a death; with no endpoint id it only reads the count."""
-        self._check(key)
+        self._check(key, report)
         known = self._machine.suspects.count(report.fingerprint)
         if not report.endpoint_id:
             return ttypes.SuspectAnswer(deaths=known)
@@ -158,19 +159,19 @@
 
     async def propose(self, key: str, command: Any) -> Any:
         """Commits what another control instance passes on, if it leads."""
-        self._check(key)
+        self._check(key, command)
         if command.claim is not None:
             await self._abandon(command.claim)
         return await self._log.propose_here(command)
 
     def contact(self, key: str, contact: Any) -> Any:
         """Answers another control instance that tells who it is."""
-        self._check(key)
+        self._check(key, contact)
         return self._log.contact(contact)
 
     def deliver(self, key: str, message: Any) -> None:
         """Takes a message of the replicated log."""
-        self._check(key)
+        self._check(key, message)
         if message.recipient == self._settings.control_id:
             self._log.deliver(message)
 
@@ -179,14 +180,20 @@
         self.counters.bad_frames += 1
         self._events.warning("bad-frame", detail=detail)
 
-    def _check(self, key: str) -> None:
-        if hmac.compare_digest(key.encode(), self._cluster_key):
-            return
-        self.counters.wrong_keys += 1
-        self._events.warning(
-            "wrong-cluster-key", count=self.counters.wrong_keys
-        )
-        raise ttypes.Refused(reason="wrong key")
+    def _check(self, key: Any, message: Any) -> None:
+        """Refuses a wrong key, and a message that lacks a field."""
+        shown = (key or "").encode()
+        if not hmac.compare_digest(shown, self._cluster_key):
+            self.counters.wrong_keys += 1
+            self._events.warning(
+                "wrong-cluster-key", count=self.counters.wrong_keys
+            )
+            raise ttypes.Refused(reason="wrong key")
+        try:
+            message.validate()
+        except (AttributeError, TProtocol.TProtocolException):
+            self.report_bad_frame("a field is missing")
+            raise ttypes.Refused(reason="bad message") from None
 
     def _announce(self, endpoints: Any, now_s: float) -> None:
         for message in endpoints:
--- a/tests/decisions/claims/test_claim_ledger.py
+++ b/tests/decisions/claims/test_claim_ledger.py
@@ -7,8 +7,6 @@
 import pytest
 
 from cranberrymux.decisions.claims import claim
-from cranberrymux.decisions.claims import claim_codec
-from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.claims import claim_ledger
 from cranberrymux.decisions.claims import claim_settings
 from cranberrymux.decisions.claims import claim_verdict
@@ -18,7 +16,7 @@
 
 Verdict = claim_verdict.ClaimVerdict
 NOW_MS = schedules.START_MS
-MUTANT_SEEDS = 3000
+SEEDS = 3000
 
 
 def make_claim(**changes):
@@ -61,77 +59,12 @@
 
 def test_a_call_is_granted_once_over_random_schedules():
     ends = set()
-    for seed in range(MUTANT_SEEDS):
+    for seed in range(SEEDS):
         run = schedules.run_random(random.Random(seed))
         ends.update(run.final.values())
     assert ends == {Verdict.SETTLED, Verdict.UNKNOWN_OUTCOME}
 
 
-def forget_at_once(self, now_ms):
-    for key, entry in list(self._entries.items()):
-        if entry.granted_ms < now_ms - 100_000:
-            del self._entries[key]
-
-
-_JOIN = claim_ledger.ClaimLedger._join
-
-
-def join_without_owner(self, asked, entry, now_ms):
-    if asked.claim_id:
-        return claim_ledger.claim_answer.ClaimAnswer(
-            Verdict.GRANTED, owner=asked.owner
-        )
-    return _JOIN(self, asked, entry, now_ms)
-
-
-def release_any(self, ended, entry):
-    self._entries[ended.key] = entry._replace(
-        state=claim_entry.ClaimState.RELEASED
-    )
-    return claim_ledger.claim_answer.ClaimAnswer(Verdict.UNAVAILABLE)
-
-
-def abandon_to_nothing(self, key, owner, owner_incarnation):
-    self._entries.pop(key, None)
-    return True
-
-
-def dump_running_only(self):
-    return [
-        claim_codec._dump_entry(one)
-        for one in self._entries.values()
-        if one.state is claim_entry.ClaimState.RUNNING
-    ]
-
-
-@pytest.mark.parametrize(
-    ("target", "name", "mutant"),
-    [
-        (claim_ledger, "_is_same_call", lambda asked, known: True),
-        (claim_ledger, "_owns", lambda ended, entry: True),
-        (claim_ledger.ClaimLedger, "_forget", forget_at_once),
-        (claim_ledger.ClaimLedger, "_join", join_without_owner),
-        (claim_ledger.ClaimLedger, "abandon", abandon_to_nothing),
-        (claim_ledger.ClaimLedger, "dump", dump_running_only),
-    ],
-    ids=[
-        "same-call check",
-        "owner check",
-        "retention",
-        "one owner",
-        "unknown stays",
-        "snapshot",
-    ],
-)
-def test_the_check_fails_without_its_mechanism(
-    monkeypatch, target, name, mutant
-):
-    monkeypatch.setattr(target, name, mutant)
-    with pytest.raises((AssertionError, KeyError)):
-        for seed in range(MUTANT_SEEDS):
-            schedules.run_random(random.Random(seed))
-
-
 def test_joins_and_stores(ledger):
     assert ledger.claim(make_claim(), NOW_MS).verdict is Verdict.GRANTED
     other = make_claim(owner="node-b", claim_id="c2")
--- /dev/null
+++ b/tests/decisions/claims/test_claim_mechanisms.py
@@ -0,0 +1,71 @@
+"""The check of claims fails for each mechanism that is taken out."""
+
+import random
+
+import pytest
+
+from cranberrymux.decisions.claims import claim_answer
+from cranberrymux.decisions.claims import claim_codec
+from cranberrymux.decisions.claims import claim_entry
+from cranberrymux.decisions.claims import claim_ledger
+from cranberrymux.decisions.claims import claim_verdict
+from tests.decisions.claims import schedules
+
+Verdict = claim_verdict.ClaimVerdict
+MUTANT_SEEDS = 3000
+
+
+def forget_at_once(self, now_ms):
+    for key, entry in list(self._entries.items()):
+        if entry.granted_ms < now_ms - 100_000:
+            del self._entries[key]
+
+
+_JOIN = claim_ledger.ClaimLedger._join
+
+
+def join_without_owner(self, asked, entry, now_ms):
+    if asked.claim_id:
+        return claim_answer.ClaimAnswer(Verdict.GRANTED, owner=asked.owner)
+    return _JOIN(self, asked, entry, now_ms)
+
+
+def abandon_to_nothing(self, key, owner, owner_incarnation):
+    self._entries.pop(key, None)
+    return True
+
+
+def dump_running_only(self):
+    return [
+        claim_codec._dump_entry(one)
+        for one in self._entries.values()
+        if one.state is claim_entry.ClaimState.RUNNING
+    ]
+
+
+@pytest.mark.parametrize(
+    ("target", "name", "mutant"),
+    [
+        (claim_ledger, "_is_same_call", lambda asked, known: True),
+        (claim_ledger, "_owns", lambda ended, entry: True),
+        (claim_ledger.ClaimLedger, "_forget", forget_at_once),
+        (claim_ledger.ClaimLedger, "_join", join_without_owner),
+        (claim_ledger.ClaimLedger, "abandon", abandon_to_nothing),
+        (claim_ledger.ClaimLedger, "dump", dump_running_only),
+    ],
+    ids=[
+        "same-call check",
+        "owner check",
+        "retention",
+        "one owner",
+        "unknown stays",
+        "snapshot",
+    ],
+)
+def test_the_check_fails_without_its_mechanism(
+    monkeypatch, target, name, mutant
+):
+    monkeypatch.setattr(target, name, mutant)
+    with pytest.raises((AssertionError, KeyError)):
+        for seed in range(MUTANT_SEEDS):
+            schedules.run_random(random.Random(seed))
