--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -5,7 +5,6 @@
 from cranberrymux.decisions.answers import classifier
 from cranberrymux.decisions.answers import conclusion
 from cranberrymux.decisions.answers import reach
-from cranberrymux.decisions.answers import vouch
 from cranberrymux.decisions.configuration import treatment
 from cranberrymux.decisions.contexts import children
 from cranberrymux.decisions.retries import ended_attempt
@@ -20,11 +19,12 @@
 from cranberrymux.node import answer_facts
 from cranberrymux.node import environment
 from cranberrymux.node import outbound_attempt
+from cranberrymux.node import peer_request
 from cranberrymux.node import places
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
 from cranberrymux.node import running_call
-from cranberrymux.node import vouch_request
+from cranberrymux.node import vouch_message
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers
@@ -35,7 +35,12 @@
 _Reason = refusal_reason.RefusalReason
 _SERVER_ERROR = 500
 _VOUCH_LIMIT_S = 0.25
-_HIDDEN_HEADERS = (b"cranberrymux-level", b"cranberrymux-configuration")
+_HIDDEN_HEADERS = (
+    b"cranberrymux-level",
+    b"cranberrymux-load",
+    b"cranberrymux-configuration",
+    b"cranberrymux-dependency-failed",
+)
 
 
 class RoutedCall:
@@ -79,7 +84,7 @@
         self._sent_s = 0.0
         self._endpoint: endpoint_record.EndpointRecord | None = None
         self._attempt: outbound_attempt.OutboundAttempt | None = None
-        self._question: vouch_request.VouchRequest | None = None
+        self._question: peer_request.PeerRequest | None = None
         self._streamed_head: answer_head.AnswerHead | None = None
         self._overload_refusals = 0
         self._is_over = False
@@ -112,6 +117,8 @@
             facts.kind or _Kind.UNKNOWN, facts.reason
         ):
             return
+        if facts.kind is not _Kind.DONE:
+            self._parent.has_failed_child = True
         self._end()
         answer_headers = _pass_on(head)
         if self._call.head.method == b"HEAD":
@@ -155,7 +162,7 @@
         assert self._endpoint is not None
         endpoint = self._endpoint
 
-        def take(word: vouch.Vouch | None) -> None:
+        def take(body: bytes | None) -> None:
             if self._is_over:
                 return
             self._question = None
@@ -164,12 +171,14 @@
                 reason=_Reason.CONNECTION_LOST,
                 sent_incarnation=endpoint.incarnation,
                 age_s=self._node.clock.now_s() - self._sent_s,
-                vouch=word,
+                vouch=vouch_message.decode_vouch(body),
             )
             self._conclude(classifier.classify(evidence), loss.detail)
 
         key = attempt_key.from_context(self._context)
-        question = vouch_request.VouchRequest(key, self._node.key, take)
+        question = peer_request.PeerRequest(
+            vouch_message.make_question(key, self._node.key), take
+        )
         self._question = question
         self._node.deadlines.add(
             self._node.clock.now_s() + _VOUCH_LIMIT_S, question.give_up
@@ -295,6 +304,7 @@
         )
 
     def _refuse(self, one: refusal.Refusal) -> None:
+        self._parent.has_failed_child = True
         self._end()
         encoded = refusal_answer.encode_refusal(one, self._context.request_id)
         self._call.answer(encoded.status, encoded.headers, encoded.body)
@@ -351,13 +361,19 @@
     head: answer_head.AnswerHead, facts: answer_facts.AnswerFacts
 ) -> outcome.Outcome:
     if facts.kind is _Kind.NOT_RUN:
-        if facts.reason in (_Reason.DRAINING, _Reason.NOT_STARTED):
-            return outcome.Outcome.DRAINING
-        if facts.reason in retry_policy.OVERLOAD_REASONS:
-            return outcome.Outcome.REFUSED
-        return outcome.Outcome.DONE
+        return _classify_refusal(facts.reason)
+    if facts.is_dependency_failure:
+        return outcome.Outcome.CANCELLED
     if facts.kind is _Kind.UNKNOWN:
         return outcome.Outcome.LOST
     if head.status >= _SERVER_ERROR:
         return outcome.Outcome.FAILED
     return outcome.Outcome.DONE
+
+
+def _classify_refusal(reason: _Reason | None) -> outcome.Outcome:
+    if reason in (_Reason.DRAINING, _Reason.NOT_STARTED):
+        return outcome.Outcome.DRAINING
+    if reason in retry_policy.OVERLOAD_REASONS:
+        return outcome.Outcome.REFUSED
+    return outcome.Outcome.DONE
