--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -6,21 +6,24 @@
 import uuid
 
 import structlog
+from thrift.protocol import TProtocol
 from zope import interface
 
 from cranberrymux.control import command_log
 from cranberrymux.control import control_settings
+from cranberrymux.control import conversions
 from cranberrymux.control import counters
 from cranberrymux.control import state_machine
 from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.directory import node_table
 from cranberrymux.decisions.directory import table
+from cranberrymux.telemetry import metric
+from cranberrymux.telemetry import metrics_sink
 from cranberrymux.wire import convert
 from cranberrymux.wire.gen.messages import Control
 from cranberrymux.wire.gen.messages import ttypes
 
 TOMBSTONE_LEASES = 20
-UNAVAILABLE_RETRY_MS = 1000
 MAXIMUM_SETTLED_BYTES = 65_536
 
 
@@ -32,8 +35,10 @@
         self,
         settings: control_settings.ControlSettings,
         cluster_key: str,
+        *,
         machine: state_machine.StateMachine,
         log: command_log.CommandLog,
+        metrics: metrics_sink.MetricsSink,
         now_s: Callable[[], float],
     ) -> None:
         """Starts with an empty directory.
@@ -43,6 +48,7 @@
             cluster_key: What every caller must show.
             machine: The agreed state, read only here.
             log: Commits commands.
+            metrics: Takes metrics.
             now_s: Monotonic clock.
         """
         lease_s = settings.lease_ms / 1000
@@ -50,6 +56,7 @@
         self._cluster_key = cluster_key.encode()
         self._machine = machine
         self._log = log
+        self._metrics = metrics
         self._now_s = now_s
         self._epoch = uuid.uuid4().hex
         self._events = structlog.get_logger()
@@ -72,9 +79,14 @@
         kept_s = TOMBSTONE_LEASES * self._settings.lease_ms / 1000
         self.nodes.forget(now_s - kept_s)
 
+    def report_metrics(self) -> None:
+        """Sends the gauges."""
+        live = len(self.nodes.live(self._now_s()))
+        self._metrics.gauge(metric.Metric.LEASES, live)
+
     def heartbeat(self, key: str, heartbeat: Any) -> Any:
         """Renews a node's lease and tells it what is new."""
-        self._check(key)
+        self._check(key, heartbeat)
         now_s = self._now_s()
         self.counters.heartbeats += 1
         is_present = self.nodes.renew(
@@ -106,16 +118,20 @@
 
     async def claim(self, key: str, request: Any) -> Any:
         """Commits a claim and answers what the ledger says."""
-        self._check(key)
+        self._check(key, request)
         self.counters.claims += 1
         if self._log.role() == "leader":
             await self._abandon(request)
         answer = await self._log.propose(ttypes.Command(at_ms=0, claim=request))
-        return _claim_answer(answer)
+        told = conversions.extract_claim_answer(answer)
+        self._metrics.count(
+            metric.Metric.CLAIMS, 1, conversions.VERDICT_NAMES[told.verdict]
+        )
+        return told
 
     async def settle(self, key: str, request: Any) -> Any:
         """Commits the end of a claimed call."""
-        self._check(key)
+        self._check(key, request)
         self.counters.settlements += 1
         if request.body and len(request.body) > MAXIMUM_SETTLED_BYTES:
             request.body = None
@@ -129,7 +145,7 @@
 
     async def report_suspect(self, key: str, report: Any) -> Any:
         """Commits a death; with no endpoint id it only reads the count."""
-        self._check(key)
+        self._check(key, report)
         known = self._machine.suspects.count(report.fingerprint)
         if not report.endpoint_id:
             return ttypes.SuspectAnswer(deaths=known)
@@ -143,19 +159,19 @@
 
     async def propose(self, key: str, command: Any) -> Any:
         """Commits what another control instance passes on, if it leads."""
-        self._check(key)
+        self._check(key, command)
         if command.claim is not None:
             await self._abandon(command.claim)
         return await self._log.propose_here(command)
 
     def contact(self, key: str, contact: Any) -> Any:
         """Answers another control instance that tells who it is."""
-        self._check(key)
+        self._check(key, contact)
         return self._log.contact(contact)
 
     def deliver(self, key: str, message: Any) -> None:
         """Takes a message of the replicated log."""
-        self._check(key)
+        self._check(key, message)
         if message.recipient == self._settings.control_id:
             self._log.deliver(message)
 
@@ -164,14 +180,20 @@
         self.counters.bad_frames += 1
         self._events.warning("bad-frame", detail=detail)
 
-    def _check(self, key: str) -> None:
-        if hmac.compare_digest(key.encode(), self._cluster_key):
-            return
-        self.counters.wrong_keys += 1
-        self._events.warning(
-            "wrong-cluster-key", count=self.counters.wrong_keys
-        )
-        raise ttypes.Refused(reason="wrong key")
+    def _check(self, key: Any, message: Any) -> None:
+        """Refuses a wrong key, and a message that lacks a field."""
+        shown = (key or "").encode()
+        if not hmac.compare_digest(shown, self._cluster_key):
+            self.counters.wrong_keys += 1
+            self._events.warning(
+                "wrong-cluster-key", count=self.counters.wrong_keys
+            )
+            raise ttypes.Refused(reason="wrong key")
+        try:
+            message.validate()
+        except (AttributeError, TProtocol.TProtocolException):
+            self.report_bad_frame("a field is missing")
+            raise ttypes.Refused(reason="bad message") from None
 
     def _announce(self, endpoints: Any, now_s: float) -> None:
         for message in endpoints:
@@ -221,13 +243,3 @@
         if not self.directory.is_complete(now_s):
             return False
         return self.nodes.is_expired(owner, incarnation, now_s)
-
-
-def _claim_answer(answer: Any) -> Any:
-    if answer.committed:
-        return answer.claim
-    return ttypes.ClaimAnswer(
-        verdict=ttypes.ClaimVerdict.UNAVAILABLE,
-        status=0,
-        retry_after_ms=answer.retry_after_ms or UNAVAILABLE_RETRY_MS,
-    )
