--- a/src/cranberrymux/load/answer_check.py
+++ b/src/cranberrymux/load/answer_check.py
@@ -69,7 +69,7 @@
     reason = f"status-{result.status}"
     try:
         answer = json.loads(result.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return reason
     # A stand-in gives the reason of the child call that failed.
     if isinstance(answer, dict) and isinstance(answer.get("reason"), str):
@@ -89,15 +89,16 @@
 
 def _check_body(body: bytes, request_id: str) -> str:
     try:
-        answer = json.loads(body)
-    except ValueError:
+        is_own = _is_own(json.loads(body), request_id)
+    except (ValueError, RecursionError):
         return "not-json"
-    return "" if _is_own(answer, request_id) else "request-id-body"
+    return "" if is_own else "request-id-body"
 
 
 def _is_own(answer: Any, request_id: str) -> bool:
     if not isinstance(answer, dict) or answer.get("request_id") != request_id:
         return False
-    return all(
-        _is_own(child, request_id) for child in answer.get("children", ())
-    )
+    children = answer.get("children", [])
+    if not isinstance(children, list):
+        return False
+    return all(_is_own(child, request_id) for child in children)
