--- a/bench/routing_fakes.py
+++ b/bench/routing_fakes.py
@@ -75,7 +75,7 @@
         good: Share of calls done before the deadline.
         p99_ms: Latency of 99 in 100 of these.
         other_zone: Share of calls sent to another availability zone.
-        cut: Share of the calls sent, by endpoint.
+        sent: Share of the calls sent, by endpoint.
     """
 
     good: float
@@ -100,8 +100,8 @@
         self.behaviour = behaviour
         self.busy = 0
         self.queue: collections.deque[_Call] = collections.deque()
-        self._loads: collections.deque[tuple[float, float]] = (
-            collections.deque([(0.0, 0.0)])
+        self._loads: collections.deque[tuple[float, float]] = collections.deque(
+            [(0.0, 0.0)]
         )
 
     def load(self, now_s: float) -> float:
