--- a/src/cranberrymux/report/burn_report.py
+++ b/src/cranberrymux/report/burn_report.py
@@ -107,7 +107,7 @@
         good = count.answers
         if objective.latency_ms is not None:
             good = count.answers_within(objective.latency_ms)
-    series.add(count.second, good, count.answers)
+    series.add(count.begin_s, good, count.answers)
 
 
 def _badness(report: ObjectiveReport) -> tuple[int, float]:
--- a/src/cranberrymux/telemetry/outcome_codec.py
+++ b/src/cranberrymux/telemetry/outcome_codec.py
@@ -15,7 +15,7 @@
     """Writes one line, with its line feed."""
     line = json.dumps(
         {
-            "second": count.second,
+            "begin_s": count.begin_s,
             "service": count.service,
             "class": count.class_name,
             "answer": count.kind.value,
@@ -32,7 +32,7 @@
         values = json.loads(line)
         kind = answer_kind.AnswerKind(values["answer"])
         count = outcome_count.OutcomeCount(
-            values["second"],
+            values["begin_s"],
             values["service"],
             values["class"],
             kind,
@@ -44,7 +44,7 @@
 
 
 def _is_valid(count: outcome_count.OutcomeCount) -> bool:
-    if not _is_count(count.second):
+    if not _is_count(count.begin_s):
         return False
     if not (_is_name(count.service) and _is_name(count.class_name)):
         return False
--- a/src/cranberrymux/telemetry/outcome_count.py
+++ b/src/cranberrymux/telemetry/outcome_count.py
@@ -1,17 +1,21 @@
-"""Outcomes of one second."""
+"""Outcomes of one period."""
 
 from typing import NamedTuple
 
+from cranberrymux.decisions.burn import outcome_series
 from cranberrymux.models import answer_kind
 
+# A budget of 30 days has to fit on the disk of a node; shorter periods would
+# not tell more, since objectives are evaluated in buckets of this length.
+PERIOD_S = outcome_series.BUCKET_S
 LATENCY_BOUNDS_MS = (10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000)
 
 
 class OutcomeCount(NamedTuple):
-    """Answers of one kind, to one class of calls, within one second.
+    """Answers of one kind, to one class of calls, within `PERIOD_S`.
 
     Attributes:
-        second: Unix time in seconds, rounded down.
+        begin_s: Begin of the period, Unix seconds.
         service: Service called.
         class_name: Class of the calls.
         kind: What the callers were told.
@@ -20,7 +24,7 @@
             the bound before, and one for those longer than the last bound.
     """
 
-    second: int
+    begin_s: int
     service: str
     class_name: str
     kind: answer_kind.AnswerKind
--- a/src/cranberrymux/telemetry/outcomes.py
+++ b/src/cranberrymux/telemetry/outcomes.py
@@ -1,4 +1,4 @@
-"""Records outcomes, added up by second, in files of JSON lines."""
+"""Records outcomes, added up by period, in files of JSON lines."""
 
 import bisect
 from typing import NamedTuple
@@ -17,14 +17,14 @@
 
 
 class _Series(NamedTuple):
-    second: int
+    begin_s: int
     service: str
     class_name: str
     kind: answer_kind.AnswerKind
 
 
 class OutcomesRecorder:
-    """Gathers outcomes in memory; a flush writes the seconds that are over.
+    """Gathers outcomes in memory; a flush writes the periods that are over.
 
     Recording never raises: when the disk fails, lines are lost and counted.
     After a crash, the outcomes since the last flush are lost.
@@ -67,7 +67,9 @@
         if self._file is None:
             return
         limit = outcome_codec.NAME_CHARACTERS_MAX
-        series = _Series(int(now_s), service[:limit], class_name[:limit], kind)
+        series = _Series(
+            _begin_s(now_s), service[:limit], class_name[:limit], kind
+        )
         latencies = self._latencies.get(series)
         if latencies is None:
             latencies = self._open(series)
@@ -75,13 +77,13 @@
         latencies[bisect.bisect_left(bounds, latency_ms)] += 1
 
     def flush(self, now_s: float) -> None:
-        """Writes the seconds before `now_s`; its owner calls it each second.
+        """Writes the periods that are over; its owner calls it each second.
 
         Args:
             now_s: Unix time in seconds.
         """
-        second = int(now_s)
-        over = [series for series in self._latencies if series.second != second]
+        begin_s = _begin_s(now_s)
+        over = [one for one in self._latencies if one.begin_s != begin_s]
         self._write(over)
 
     def close(self) -> None:
@@ -116,3 +118,8 @@
                 error=str(error),
                 lines_lost=self._lines_lost,
             )
+
+
+def _begin_s(now_s: float) -> int:
+    period_s = outcome_count.PERIOD_S
+    return int(now_s) // period_s * period_s
--- a/tests/telemetry/test_outcomes.py
+++ b/tests/telemetry/test_outcomes.py
@@ -30,15 +30,17 @@
     return list(reader.read()), reader
 
 
-def test_counts_by_second_class_and_answer(tmp_path):
+def test_counts_by_period_class_and_answer(tmp_path):
     one = _recorder(tmp_path)
     one.record(100.2, "s", "a", DONE, 10)
-    one.record(100.9, "s", "a", DONE, 10.1)
-    one.record(100.9, "s", "a", NOT_RUN, 0.2)
-    one.record(101.0, "s", "a", DONE, 99_999)
-    one.flush(101.5)
+    one.record(109.9, "s", "a", DONE, 10.1)
+    one.record(109.9, "s", "a", NOT_RUN, 0.2)
+    one.flush(109.9)
+    assert not list(tmp_path.iterdir())
+    one.record(110.0, "s", "a", DONE, 99_999)
+    one.flush(111.5)
     counts, _ = _read(tmp_path)
-    assert [(c.second, c.kind, c.answers) for c in counts] == [
+    assert [(c.begin_s, c.kind, c.answers) for c in counts] == [
         (100, DONE, 2),
         (100, NOT_RUN, 1),
     ]
@@ -47,7 +49,7 @@
     assert counts[0].answers_within(25) == 2
     one.close()
     counts, _ = _read(tmp_path)
-    assert counts[2].second == 101
+    assert counts[2].begin_s == 110
     assert counts[2].answers_within(10_000) == 0
     assert counts[2].answers == 1
 
@@ -60,25 +62,25 @@
     os.truncate(path, path.stat().st_size - 5)
     assert _read(tmp_path)[1].lines_skipped == 1
     two = _recorder(tmp_path)
-    two.record(2, "s", "a", DONE, 1)
+    two.record(20, "s", "a", DONE, 1)
     two.close()
     counts, reader = _read(path)
-    assert [one.second for one in counts] == [2]
+    assert [one.begin_s for one in counts] == [20]
     assert (reader.lines_read, reader.lines_skipped) == (1, 1)
 
 
 def test_files_rotate_by_size_and_the_oldest_go(tmp_path):
     one = _recorder(tmp_path, size=1024, files=3)
-    for second in range(100):
+    for second in range(0, 1000, 10):
         one.record(second, "s", "a", DONE, 1)
-        one.flush(second + 1)
+        one.flush(second + 10)
     one.close()
     sizes = {path.name: path.stat().st_size for path in tmp_path.iterdir()}
     assert set(sizes) == {f"outcomes.jsonl{end}" for end in ("", ".1", ".2")}
     assert max(sizes.values()) <= 1024
-    seconds = sorted(count.second for count in _read(tmp_path)[0])
-    assert seconds == list(range(seconds[0], 100))
-    assert len(seconds) > 15
+    begins = sorted(count.begin_s for count in _read(tmp_path)[0])
+    assert begins == list(range(begins[0], 1000, 10))
+    assert len(begins) > 15
 
 
 def test_a_file_renamed_while_it_is_read_counts_once(tmp_path):
@@ -93,7 +95,7 @@
     (tmp_path / "file").write_text("")
     one = _recorder(tmp_path / "file" / "folder")
     one.record(1, "s", "a", DONE, 1)
-    one.flush(2)
+    one.flush(10)
     assert one.lines_lost == 1
     (tmp_path / "file").unlink()
     one.record(3, "s", "a", DONE, 1)
