Count as not run what a load never sent

With one connection, a failed connect answered one of the waiting requests only; the others waited for their timeout and counted as unknown, though nothing had been sent. A pool now connects again while some wait, and an attempt given up without a connection is told as not sent. The end of a load also inflated the attempts of the requests it ended.

--- a/src/cranberrymux/load/answer_check.py
+++ b/src/cranberrymux/load/answer_check.py
@@ -15,6 +15,7 @@
 
 _LOST = {
     lost.Lost.UNREACHABLE: _Kind.NOT_RUN,
+    lost.Lost.NOT_SENT: _Kind.NOT_RUN,
     lost.Lost.NO_ANSWER: _Kind.UNKNOWN,
     lost.Lost.CUT: _Kind.CUT,
     lost.Lost.MALFORMED: _Kind.WRONG,
@@ -49,9 +50,9 @@
         if reason:
             return outcome.Outcome(_Kind.WRONG, reason)
         return outcome.Outcome(_Kind.DONE)
-    return outcome.Outcome(
-        kind, _read_reason(result), _read_retry_after_ms(result)
-    )
+    retry_after_ms = _read_retry_after_ms(result)
+    is_final = kind is _Kind.NOT_RUN and retry_after_ms is None
+    return outcome.Outcome(kind, _read_reason(result), retry_after_ms, is_final)
 
 
 def _read_kind(result: response.Response) -> outcome_kind.OutcomeKind:
--- a/src/cranberrymux/load/attempt.py
+++ b/src/cranberrymux/load/attempt.py
@@ -54,9 +54,12 @@
         """Gives up: closes the connection."""
         if self._is_over:
             return
-        self._pool.forget(self._send)
         if self._connection is not None:
             self._connection.abort()
+        else:
+            self._pool.forget(self._send)
+            if reason is not lost.Lost.HUNG_UP:
+                reason = lost.Lost.NOT_SENT
         self._finish(reason)
 
     def _send(self, connection: call_connection.CallConnection | None) -> None:
--- a/src/cranberrymux/load/client_request.py
+++ b/src/cranberrymux/load/client_request.py
@@ -59,6 +59,7 @@
         self._intended_s = 0.0
         self._start_s = 0.0
         self._attempts = 0
+        self._is_over = False
         self._attempt: attempt_module.Attempt | None = None
         self._resend: Any = None
         self._hangs_up = generator.random() < kind.hang_up_share
@@ -83,13 +84,13 @@
 
     def end(self) -> None:
         """Gives up because the load is over."""
+        self._is_over = True
         if self._resend is not None and self._resend.active():
             self._resend.cancel()
             self._finish(
                 outcome.Outcome(_Kind.UNKNOWN, lost.Lost.UNFINISHED.value)
             )
         elif self._attempt is not None:
-            self._attempts = max(self._attempts, self._kind.resend_attempts + 1)
             self._attempt.end(lost.Lost.UNFINISHED)
 
     def _send(self) -> None:
@@ -126,7 +127,7 @@
             self._resend = self._reactor.callLater(delay_s, self._send)
 
     def _resend_delay_s(self, judged: outcome.Outcome) -> float | None:
-        if judged.kind not in _RESENT:
+        if self._is_over or judged.kind not in _RESENT:
             return None
         if self._attempts > self._kind.resend_attempts:
             return None
@@ -134,8 +135,8 @@
             return 0.0
         if judged.retry_after_ms is not None:
             return judged.retry_after_ms / 1000
-        if judged.kind is _Kind.NOT_RUN and judged.reason != "unreachable":
-            return None  # A final refusal.
+        if judged.is_final:
+            return None
         longest_s = min(BACKOFF_MAX_S, BACKOFF_S * 2**self._attempts)
         return self._generator.uniform(longest_s / 2, longest_s)
 
--- a/src/cranberrymux/load/connection_pool.py
+++ b/src/cranberrymux/load/connection_pool.py
@@ -76,6 +76,8 @@
         self._open -= 1
         if self._waiting:
             self._waiting.popleft()(None)
+        if self._waiting and self._open < self._connections_max:
+            self._connect()
 
     def _on_closed(self, connection: call_connection.CallConnection) -> None:
         self._open -= 1
--- a/src/cranberrymux/load/lost.py
+++ b/src/cranberrymux/load/lost.py
@@ -8,6 +8,7 @@
 
     Attributes:
         UNREACHABLE: No connection was made, so nothing was sent.
+        NOT_SENT: The client stopped waiting for a free connection.
         NO_ANSWER: The connection closed before the answer began.
         CUT: The connection closed within the answer.
         MALFORMED: The answer is not HTTP.
@@ -17,6 +18,7 @@
     """
 
     UNREACHABLE = "unreachable"
+    NOT_SENT = "not-sent"
     NO_ANSWER = "no-answer"
     CUT = "cut"
     MALFORMED = "malformed"
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -187,12 +187,16 @@
     assert kinds["impatient"]["attempts_per_request"] == 3
 
 
-def test_an_unreachable_target_is_not_run(tmp_path):
+def test_an_unreachable_target_is_not_run(serve, tmp_path):
+    closed = serve(lambda *_: b"")
+    closed.shutdown()
+    closed.server_close()
     status, report = processes.run_load(
-        tmp_path, ["127.0.0.1:1"], [KIND], rate=50, seconds=0.2
+        tmp_path, [closed.target], [KIND], rate=100, seconds=0.2, connections=1
     )
     assert status == 0
-    assert report["total"]["not_run"] == report["total"]["sent"]
+    assert report["total"]["not_run"] == report["total"]["sent"] > 5
+    assert set(report["total"]["reasons"]) == {"unreachable"}
 
 
 @pytest.mark.parametrize(
--- a/tests/telemetry/test_outcomes.py
+++ b/tests/telemetry/test_outcomes.py
@@ -69,18 +69,22 @@
     assert (reader.lines_read, reader.lines_skipped) == (1, 1)
 
 
-def test_files_rotate_by_size_and_the_oldest_go(tmp_path):
-    one = _recorder(tmp_path, size=1024, files=3)
+@pytest.mark.parametrize("files", [1, 3])
+def test_files_rotate_by_size_and_the_oldest_go(tmp_path, files):
+    one = _recorder(tmp_path, size=1024, files=files)
+    open_before = len(os.listdir("/proc/self/fd"))
     for second in range(0, 1000, 10):
         one.record(second, "s", "a", DONE, 1)
         one.flush(second + 10)
+    assert len(os.listdir("/proc/self/fd")) <= open_before + 1
     one.close()
     sizes = {path.name: path.stat().st_size for path in tmp_path.iterdir()}
-    assert set(sizes) == {f"outcomes.jsonl{end}" for end in ("", ".1", ".2")}
+    ends = ("", ".1", ".2")[:files]
+    assert set(sizes) == {f"outcomes.jsonl{end}" for end in ends}
     assert max(sizes.values()) <= 1024
     begins = sorted(count.begin_s for count in _read(tmp_path)[0])
     assert begins == list(range(begins[0], 1000, 10))
-    assert len(begins) > 15
+    assert len(begins) > 8 * (files - 1)
 
 
 def test_a_file_renamed_while_it_is_read_counts_once(tmp_path):
