--- a/bench/overload/call.py
+++ b/bench/overload/call.py
@@ -6,6 +6,7 @@
 
 from bench.overload import deployment
 from cranberrymux.models import refusal
+from cranberrymux.models import request_context
 
 
 class Request:
@@ -40,6 +41,21 @@
         """Order of shedding."""
         return self.kind.class_rank * 128 + self.shed_hash
 
+    def make_context(self, attempt: int) -> request_context.RequestContext:
+        """Makes the context of one attempt of one of its calls."""
+        return request_context.RequestContext(
+            self.request_id,
+            self.request_id,
+            "",
+            0,
+            self.kind.class_rank,
+            self.shed_hash,
+            self.retries_left,
+            attempt,
+            once_only=not self.kind.is_idempotent,
+            idempotent=self.kind.is_idempotent,
+        )
+
 
 class Answer(NamedTuple):
     """What comes back for a call.
--- a/bench/overload/clients.py
+++ b/bench/overload/clients.py
@@ -7,11 +7,11 @@
 from bench.overload import errand
 from bench.overload import recorder as recorder_module
 from bench.overload import scenario
+from cranberrymux.decisions.retries import retry_settings
 
 RESEND_AFTER_S = 0.05
 MAXIMUM_RESENDS = 4
 POISON_RESENDS = 60
-RETRY_BUDGET = 1
 
 
 class _Sending:
@@ -74,7 +74,7 @@
         request = call_module.Request(
             f"r{self._count}", kind, self._generator.randrange(128), is_poison
         )
-        request.retries_left = RETRY_BUDGET
+        request.retries_left = retry_settings.RetrySettings().root_budget
         self._send(_Sending(request, self._clock.now_s))
 
     def _send(self, sending: _Sending) -> None:
--- a/bench/overload/deployment.py
+++ b/bench/overload/deployment.py
@@ -27,12 +27,14 @@
     Attributes:
         name: Its name.
         class_rank: Its class; ranks below `PROTECTED_RANKS` are protected.
+        is_idempotent: True if it may be run again after a lost outcome.
         share: Share of all requests.
         chain: Services in the order in which they call each other.
     """
 
     name: str
     class_rank: int
+    is_idempotent: bool
     share: float
     chain: tuple[str, ...]
 
@@ -83,12 +85,13 @@
         RequestKind(
             "dispatch",
             0,
+            False,
             0.25,
             ("crew-dispatch", "address-history", "leak-notes"),
         ),
-        RequestKind("lookup", 1, 0.15, ("address-history", "leak-notes")),
-        RequestKind("browse", 2, 0.4, ("address-history", "leak-notes")),
-        RequestKind("photo", 3, 0.2, ("photo-intake", "leak-notes")),
+        RequestKind("lookup", 1, True, 0.15, ("address-history", "leak-notes")),
+        RequestKind("browse", 2, True, 0.4, ("address-history", "leak-notes")),
+        RequestKind("photo", 3, False, 0.2, ("photo-intake", "leak-notes")),
     ),
     "leak-notes",
 )
@@ -107,16 +110,27 @@
         RequestKind(
             "sign",
             0,
+            False,
             0.25,
             ("release-signing", "certificate-consultation", "release-ledger"),
         ),
         RequestKind(
-            "consult", 1, 0.15, ("certificate-consultation", "release-ledger")
+            "consult",
+            1,
+            True,
+            0.15,
+            ("certificate-consultation", "release-ledger"),
         ),
         RequestKind(
-            "audit", 2, 0.4, ("certificate-consultation", "release-ledger")
+            "audit",
+            2,
+            True,
+            0.4,
+            ("certificate-consultation", "release-ledger"),
+        ),
+        RequestKind(
+            "dossier", 3, False, 0.2, ("dossier-upload", "release-ledger")
         ),
-        RequestKind("dossier", 3, 0.2, ("dossier-upload", "release-ledger")),
     ),
     "release-ledger",
 )
--- a/bench/overload/egress.py
+++ b/bench/overload/egress.py
@@ -5,10 +5,10 @@
 from bench.overload import call as call_module
 from bench.overload import chooser
 from bench.overload import context as context_module
-from bench.overload import deployment
 from bench.overload import errand as errand_module
 from bench.overload import node as node_module
 from bench.overload import power_of_two
+from bench.overload import retrier
 from bench.overload import routed
 from cranberrymux.models import answer_kind
 from cranberrymux.models import endpoint_record
@@ -16,8 +16,6 @@
 from cranberrymux.models import refusal_reason
 
 LEVEL_LIFE_S = 0.5
-RETRY_SHARE = 0.1  # Retries for each success on this edge.
-RETRY_BURST = 10.0
 
 _SHED_EARLY = refusal.Refusal(
     answer_kind.AnswerKind.NOT_RUN,
@@ -40,13 +38,16 @@
     ) -> None:
         """Knows every endpoint of one service."""
         self._clock = context.clock
-        self._policy = context.policy
         self._recorder = context.recorder
         self._chooser = _make_chooser(context, nodes, zone)
         self._nodes = nodes
         self._levels: dict[str, tuple[int, float]] = {}
         self._delay_s = delay_s
-        self._tokens = RETRY_BURST
+        self._retrier: retrier.Retrier = (
+            retrier.BudgetRetries()
+            if context.policy.is_controlled
+            else retrier.HopRetries(context.policy.hop_retries)
+        )
 
     @property
     def level(self) -> int:
@@ -65,11 +66,19 @@
 
     def send(self, errand: errand_module.Errand) -> None:
         """Makes a call, with retries."""
-        self._try(errand, frozenset())
+        self._try(errand, frozenset(), ())
 
-    def _try(self, errand: errand_module.Errand, tried: frozenset[str]) -> None:
+    def _try(
+        self,
+        errand: errand_module.Errand,
+        tried: frozenset[str],
+        answers: tuple[call_module.Answer, ...],
+    ) -> None:
         request = errand.request
         node = self._chooser.choose(request, tried)
+        if node is None and answers:
+            errand.answered(answers[-1])
+            return
         if node is None:
             answer = call_module.Answer(
                 request.request_id, (), _SHED_EARLY, self.level, 1.0
@@ -92,13 +101,12 @@
                 answer.level,
                 now_s + LEVEL_LIFE_S,
             )
-            if answer.refusal is None:
-                self._tokens = min(self._tokens + RETRY_SHARE, RETRY_BURST)
             if call.is_over:
                 return
             call.is_over = True
-            if self._may_retry(request, answer, now_tried):
-                self._try(errand, now_tried)
+            now_answers = (*answers, answer)
+            if self._retrier.should_retry(now_s, errand, now_answers):
+                self._try(errand, now_tried, now_answers)
                 return
             errand.answered(answer)
 
@@ -113,31 +121,6 @@
         errand.adopt(call)
         self._clock.call_later(self._delay_s, node.receive, call)
 
-    def _may_retry(
-        self,
-        request: call_module.Request,
-        answer: call_module.Answer,
-        tried: frozenset[str],
-    ) -> bool:
-        if answer.served:
-            return False
-        if not self._policy.is_controlled:
-            return len(tried) <= self._policy.hop_retries
-        refused = answer.refusal
-        is_not_run = (
-            refused is not None
-            and refused.kind is answer_kind.AnswerKind.NOT_RUN
-            and refused.retry_after_ms > 0
-        )
-        is_protected = request.kind.class_rank < deployment.PROTECTED_RANKS
-        needed = 1.0 if is_protected else RETRY_BURST / 2
-        has_budget = request.retries_left > 0 and self._tokens >= needed
-        if not (is_not_run and has_budget):
-            return False
-        self._tokens -= 1.0
-        request.retries_left -= 1
-        return True
-
 
 def _make_chooser(
     context: context_module.Context,
--- a/bench/overload/node.py
+++ b/bench/overload/node.py
@@ -40,7 +40,7 @@
 )
 _DOWN = refusal.Refusal(
     answer_kind.AnswerKind.NOT_RUN,
-    refusal_reason.RefusalReason.NO_ENDPOINT,
+    refusal_reason.RefusalReason.NOT_STARTED,
     "the backend server is down",
     100,
 )
--- /dev/null
+++ b/bench/overload/retrier.py
@@ -0,0 +1,94 @@
+"""Whether a caller tries a call again."""
+
+from typing import Protocol
+
+from bench.overload import call
+from bench.overload import errand as errand_module
+from cranberrymux.decisions.retries import edge_buckets
+from cranberrymux.decisions.retries import ended_attempt
+from cranberrymux.decisions.retries import retry_policy
+from cranberrymux.decisions.retries import retry_settings
+from cranberrymux.decisions.retries import retry_verdict
+from cranberrymux.models import answer_kind
+
+
+class Retrier(Protocol):
+    """The retries of one caller to one service."""
+
+    def should_retry(
+        self,
+        now_s: float,
+        errand: errand_module.Errand,
+        answers: tuple[call.Answer, ...],
+    ) -> bool:
+        """Decides after the last of the answers, and spends the retry."""
+
+
+class HopRetries:
+    """The baseline: a fixed number for each hop, whatever the reason."""
+
+    def __init__(self, maximum: int) -> None:
+        """Keeps the number."""
+        self._maximum = maximum
+
+    def should_retry(
+        self,
+        now_s: float,
+        errand: errand_module.Errand,
+        answers: tuple[call.Answer, ...],
+    ) -> bool:
+        """Retries what was not answered whole."""
+        del now_s, errand
+        return not answers[-1].served and len(answers) <= self._maximum
+
+
+class BudgetRetries:
+    """The retry policy and edge buckets; the request carries the budget."""
+
+    def __init__(self) -> None:
+        """Starts with a new bucket."""
+        self._settings = retry_settings.RetrySettings()
+        self._buckets = edge_buckets.EdgeBuckets(self._settings)
+
+    def should_retry(
+        self,
+        now_s: float,
+        errand: errand_module.Errand,
+        answers: tuple[call.Answer, ...],
+    ) -> bool:
+        """Asks the policy, then takes the retry."""
+        last = answers[-1]
+        service = errand.request.kind.chain[errand.depth]
+        if last.served:
+            self._buckets.succeed(now_s, service)
+            return False
+        reason = None if last.refusal is None else last.refusal.reason
+        ended = ended_attempt.EndedAttempt(
+            errand.request.make_context(len(answers)),
+            _get_kind(last),
+            reason,
+            1000 * (errand.deadline_s - now_s),
+            has_parent=True,
+            budget_left=errand.request.retries_left,
+            edge_has_retry=self._buckets.has_retry(now_s, service),
+            overload_refusals=sum(map(_is_overload, answers)),
+        )
+        verdict = retry_policy.may_retry(self._settings, ended)
+        if verdict is not retry_verdict.RetryVerdict.RETRY:
+            return False
+        errand.request.retries_left -= 1
+        if retry_policy.needs_edge_token(reason):
+            self._buckets.take(now_s, service)
+        return True
+
+
+def _get_kind(answer: call.Answer) -> answer_kind.AnswerKind:
+    if answer.refusal is not None:
+        return answer.refusal.kind
+    return answer_kind.AnswerKind.FAILED
+
+
+def _is_overload(answer: call.Answer) -> bool:
+    if answer.refusal is None:
+        return False
+    return answer.refusal.reason in retry_policy.OVERLOAD_REASONS
--- a/bench/overload/routed.py
+++ b/bench/overload/routed.py
@@ -11,13 +11,12 @@
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
-from cranberrymux.models import request_context
 
 _Outcome = outcome.Outcome
 _Reason = refusal_reason.RefusalReason
 _OUTCOMES = {
     _Reason.DRAINING: _Outcome.DRAINING,
-    _Reason.NO_ENDPOINT: _Outcome.UNREACHABLE,
+    _Reason.NOT_STARTED: _Outcome.UNREACHABLE,
     _Reason.CONNECTION_LOST: _Outcome.LOST,
     _Reason.QUARANTINED: _Outcome.CANCELLED,
 }
@@ -49,16 +48,7 @@
         self, request: call.Request, tried: frozenset[str]
     ) -> "node_module.Node | None":
         """Asks the router."""
-        context = request_context.RequestContext(
-            request.request_id,
-            "",
-            "",
-            0,
-            request.kind.class_rank,
-            request.shed_hash,
-            request.retries_left,
-            1,
-        )
+        context = request.make_context(len(tried) + 1)
         chosen = self._router.choose(
             self._clock.now_s, self._service, context, excluded=tried
         )
