Let a suspect run beside innocents once; tie fingerprints to a service

Deaths of two services were also added up under one request id, so that calls lost at two depths were taken for two deaths.

Changes: after one death a suspect runs beside other calls but not beside another suspect; from two on it runs alone, and endpoints do nine times (was three times) as much normal work in between. Two deaths are final if it was the only suspect on the second. Keys name the service. A caller passes on how many attempts of a call lost their backend server, since that outruns the shared counts: without it an automatic retry of the poison cost a third server.

--- a/bench/overload/call.py
+++ b/bench/overload/call.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from bench.overload import deployment
+from cranberrymux.decisions.quarantine import standing
 from cranberrymux.models import refusal
 from cranberrymux.models import request_context
 
@@ -91,10 +92,12 @@
         depth: Place in the request's chain.
         deadline_s: When its caller stops waiting.
         answer: Told the answer once.
+        lost_attempts: Earlier attempts whose backend server was lost.
         has_run: True once a backend server had it.
         is_over: True once answered or cancelled.
         child: The call that it waits for.
         node: The node that it was sent to.
+        standing: How its node's quarantine judged it.
         below_s: Seconds spent in children.
         started_s: When its backend server called the next service.
     """
@@ -107,9 +110,11 @@
         "deadline_s",
         "depth",
         "has_run",
+        "lost_attempts",
         "is_over",
         "node",
         "request",
+        "standing",
         "started_s",
     )
 
@@ -122,6 +127,7 @@
         answer: Callable[[Answer], None],
         *,
         node: Callee,
+        lost_attempts: int,
     ) -> None:
         """Makes a call that was not yet sent."""
         self.call_id = call_id
@@ -130,6 +136,8 @@
         self.deadline_s = deadline_s
         self.answer = answer
         self.node = node
+        self.lost_attempts = lost_attempts
+        self.standing = standing.Standing.CLEAR
         self.has_run = False
         self.is_over = False
         self.child: Call | None = None
--- a/bench/overload/egress.py
+++ b/bench/overload/egress.py
@@ -117,11 +117,17 @@
             errand.deadline_s,
             take,
             node=node,
+            lost_attempts=sum(map(_is_lost, answers)),
         )
         errand.adopt(call)
         self._clock.call_later(self._delay_s, node.receive, call)
 
 
+def _is_lost(answer: call_module.Answer) -> bool:
+    lost = refusal_reason.RefusalReason.CONNECTION_LOST
+    return answer.refusal is not None and answer.refusal.reason is lost
+
+
 def _make_chooser(
     context: context_module.Context,
     nodes: "list[node_module.Node]",
--- a/bench/overload/node.py
+++ b/bench/overload/node.py
@@ -120,21 +120,23 @@
         if self.is_down:
             self._answer(call, (), _DOWN)
             return
-        is_suspect = False
         if self._policy.is_controlled:
-            standing = self.quarantine.judge(
-                self._clock.now_s, _make_fingerprint(call)
+            judged = self.quarantine.judge(
+                self._clock.now_s,
+                _make_fingerprint(call),
+                call.lost_attempts,
             )
-            if isinstance(standing, refusal.Refusal):
-                self._answer(call, (), standing)
+            if isinstance(judged, refusal.Refusal):
+                self._answer(call, (), judged)
                 return
-            is_suspect = standing is standing_module.Standing.SUSPECT
+            call.standing = judged
         ticket = ticket_module.Ticket(
             call.call_id,
             call.request.priority,
             call.request.kind.class_rank,
             call.deadline_s,
-            is_suspect,
+            is_suspect=call.standing is not standing_module.Standing.CLEAR,
+            runs_alone=call.standing is standing_module.Standing.ALONE,
         )
         self._queued[call.call_id] = call
         verdict = self._admission.offer(self._clock.now_s, ticket)
@@ -235,7 +237,11 @@
             return
         self._running[call_id] = call
         self._recorder.runs += 1
-        self.quarantine.start(call_id, _make_fingerprint(call))
+        self.quarantine.start(
+            call_id,
+            _make_fingerprint(call),
+            is_suspect=call.standing is not standing_module.Standing.CLEAR,
+        )
         self.backend.run(call, self._worked, self._crash)
 
     def _crash(self) -> None:
@@ -319,6 +325,5 @@
 
 
 def _make_fingerprint(call: call_module.Call) -> fingerprint.Fingerprint:
-    return fingerprint.Fingerprint(
-        call.request.request_id, call.request.request_id
-    )
+    request_id = call.request.request_id
+    return fingerprint.Fingerprint(call.service, request_id, request_id)
--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -3,13 +3,13 @@
 import random
 
 from cranberrymux.decisions.admission import admission_settings
-from cranberrymux.decisions.admission import alone_gate
 from cranberrymux.decisions.admission import downstream_levels
 from cranberrymux.decisions.admission import load_meter
 from cranberrymux.decisions.admission import outcome as outcome_module
 from cranberrymux.decisions.admission import queued
 from cranberrymux.decisions.admission import refuser
 from cranberrymux.decisions.admission import slots as slots_module
+from cranberrymux.decisions.admission import suspect_gate
 from cranberrymux.decisions.admission import ticket as ticket_module
 from cranberrymux.decisions.admission import verdict as verdict_module
 from cranberrymux.decisions.admission import waiting_room
@@ -39,7 +39,7 @@
         self._downstream = downstream_levels.DownstreamLevels(
             settings.hint_life_s, self._meter.top
         )
-        self._gate = alone_gate.AloneGate()
+        self._gate = suspect_gate.SuspectGate()
         self._room = waiting_room.WaitingRoom(settings, self._meter)
         self._refuser = refuser.Refuser(settings, generator)
         self._slots = slots_module.Slots(self._meter)
@@ -96,7 +96,17 @@
         reason = self._find_reason(now_s, ticket, is_idle)
         if reason is not None:
             return self._refuse(now_s, reason)
-        if ticket.is_suspect:
+        if ticket.is_suspect and not self._gate.enter(ticket.ticket_id):
+            return self._refuse(now_s, _Reason.OVERLOADED)
+        verdict = self._place(now_s, ticket, is_idle)
+        if isinstance(verdict, refusal.Refusal):
+            self._gate.leave(ticket.ticket_id)
+        return verdict
+
+    def _place(
+        self, now_s: float, ticket: ticket_module.Ticket, is_idle: bool
+    ) -> verdict_module.Verdict:
+        if ticket.runs_alone:
             return self._offer_alone(now_s, ticket)
         if is_idle:
             return self._slots.start(now_s, ticket.ticket_id, now_s)
@@ -117,7 +127,10 @@
         if suspect is not None and suspect.ticket_id == ticket_id:
             self._gate.give_up(now_s)
             return True
-        return self._room.leave(ticket_id)
+        was_queued = self._room.leave(ticket_id)
+        if was_queued:
+            self._gate.leave(ticket_id)
+        return was_queued
 
     def finish(
         self,
@@ -142,10 +155,10 @@
     def poll(self, now_s: float) -> list[tuple[str, verdict_module.Decision]]:
         """Tells which queued calls start or are refused now."""
         self._roll_window(now_s)
-        decisions: list[tuple[str, verdict_module.Decision]] = [
-            (ticket_id, self._refuse(now_s, reason))
-            for ticket_id, reason in self._room.pop_refused(now_s)
-        ]
+        decisions: list[tuple[str, verdict_module.Decision]] = []
+        for ticket_id, reason in self._room.pop_refused(now_s):
+            self._gate.leave(ticket_id)
+            decisions.append((ticket_id, self._refuse(now_s, reason)))
         decisions.extend(self._poll_alone(now_s))
         while self._has_slot:
             first = self._room.pop_first()
--- a/src/cranberrymux/decisions/admission/alone_gate.py
+++ b/src/cranberrymux/decisions/admission/suspect_gate.py
@@ -1,20 +1,22 @@
-"""Lets one suspect at a time run alone on an endpoint."""
+"""Lets one suspect at a time onto an endpoint, and some of them alone."""
 
 from cranberrymux.decisions.admission import ticket as ticket_module
 
-NORMAL_SHARE = 3.0  # Normal work for each second that suspects took.
+NORMAL_SHARE = 9.0  # Normal work for each second that such a suspect took.
 
 
-class AloneGate:
-    """Holds other calls back while a suspect waits for an idle endpoint.
+class SuspectGate:
+    """Keeps suspects apart, and others from a suspect that runs alone.
 
-    One suspect waits at a time, and after each the endpoint does normal work
-    for a multiple of the time that the suspect took, so that suspects never
-    take more than a stated share of an endpoint.
+    One suspect is queued or running at a time. While one that runs alone
+    waits for an idle endpoint or runs, no other call starts. After each of
+    these the endpoint does normal work for a multiple of the time that it
+    took, so that they never take more than a stated share of an endpoint.
     """
 
     def __init__(self) -> None:
         """Starts open."""
+        self._suspect_id: str | None = None
         self._waiting: ticket_module.Ticket | None = None
         self._arrived_s = 0.0
         self._expires_s = 0.0
@@ -41,6 +43,18 @@
         """When the waiting suspect is refused at the latest."""
         return self._expires_s
 
+    def enter(self, ticket_id: str) -> bool:
+        """Takes a suspect; False if another is queued or running."""
+        if self._suspect_id is not None:
+            return False
+        self._suspect_id = ticket_id
+        return True
+
+    def leave(self, ticket_id: str) -> None:
+        """Forgets a call that was refused, cancelled or is finished."""
+        if ticket_id == self._suspect_id:
+            self._suspect_id = None
+
     def wait(
         self, now_s: float, ticket: ticket_module.Ticket, expires_s: float
     ) -> bool:
@@ -60,11 +74,14 @@
 
     def give_up(self, now_s: float) -> None:
         """Opens the gate without a run."""
+        if self._waiting is not None:
+            self.leave(self._waiting.ticket_id)
         self._waiting = None
         self._rest(now_s)
 
     def finish(self, now_s: float, ticket_id: str) -> None:
         """Opens the gate if it was this call that ran alone."""
+        self.leave(ticket_id)
         if ticket_id != self._running_id:
             return
         self._running_id = None
--- a/src/cranberrymux/decisions/admission/ticket.py
+++ b/src/cranberrymux/decisions/admission/ticket.py
@@ -11,7 +11,8 @@
         priority: `class_rank * 128 + shed_hash`; 0 is shed last.
         class_rank: Rank of the request's class; 0 is shed last.
         deadline_s: Monotonic seconds at which the caller stops waiting.
-        is_suspect: True if it may only run alone on the endpoint.
+        is_suspect: True if it may not run beside another suspect.
+        runs_alone: True if it may not run beside any other call.
     """
 
     ticket_id: str
@@ -19,3 +20,4 @@
     class_rank: int
     deadline_s: float
     is_suspect: bool = False
+    runs_alone: bool = False
--- a/src/cranberrymux/decisions/quarantine/death_report.py
+++ b/src/cranberrymux/decisions/quarantine/death_report.py
@@ -14,11 +14,11 @@
         endpoint_id: The endpoint that died.
         incarnation: Start time of the endpoint's node.
         death: Count of the deaths that this node has seen, from 1.
-        was_alone: True if nothing else was in flight.
+        was_sole: True if it was the only suspect in flight.
     """
 
     key: str
     endpoint_id: str
     incarnation: int
     death: int
-    was_alone: bool
+    was_sole: bool
--- a/src/cranberrymux/decisions/quarantine/fingerprint.py
+++ b/src/cranberrymux/decisions/quarantine/fingerprint.py
@@ -10,25 +10,38 @@
     """Two keys of one call; a resend shares at least one of them.
 
     Attributes:
+        service: Service that the call goes to; the calls of one request to
+            other services are not blamed with it.
         request_id: UUID of the whole request.
         digest: Hexadecimal digest of method, path and body.
     """
 
+    service: str
     request_id: str
     digest: str
 
     @property
     def keys(self) -> tuple[str, str]:
         """The keys under which deaths are counted, also in shared state."""
-        return "id:" + self.request_id, "digest:" + self.digest
+        return (
+            f"{self.service}/id:{self.request_id}",
+            f"{self.service}/digest:{self.digest}",
+        )
 
 
 def make(
-    request_id: str, method: str, path: str, body: bytes, body_bytes: int
+    service: str,
+    request_id: str,
+    method: str,
+    path: str,
+    *,
+    body: bytes,
+    body_bytes: int,
 ) -> Fingerprint:
     """Makes the fingerprint of a call.
 
     Args:
+        service: Service that the call goes to.
         request_id: UUID of the whole request.
         method: HTTP method.
         path: Path with its query.
@@ -38,4 +51,4 @@
     head = f"{method} {path} {body_bytes}\n".encode("utf-8", "surrogateescape")
     digest = hashlib.blake2b(head, digest_size=DIGEST_BYTES)
     digest.update(body)
-    return Fingerprint(request_id, digest.hexdigest())
+    return Fingerprint(service, request_id, digest.hexdigest())
--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -33,6 +33,7 @@
         self._incarnation = incarnation
         self._records = records.Records(settings)
         self._running: dict[str, fingerprint_module.Fingerprint] = {}
+        self._suspects: set[str] = set()
         self._deaths = 0
 
     @property
@@ -41,37 +42,59 @@
         return len(self._records)
 
     def judge(
-        self, now_s: float, fingerprint: fingerprint_module.Fingerprint
+        self,
+        now_s: float,
+        fingerprint: fingerprint_module.Fingerprint,
+        lost_attempts: int = 0,
     ) -> standing.Standing | refusal.Refusal:
         """Decides how a call may run.
 
+        Args:
+            now_s: Monotonic seconds.
+            fingerprint: The call.
+            lost_attempts: Earlier attempts whose backend server was lost, as
+                its caller tells; it may know before the shared counts do.
+
         Returns:
             Its standing, or the final refusal once it has cost the service as
             many backend servers as it may.
         """
+        deaths = max(self._count_open(now_s, fingerprint), lost_attempts)
         held = [self._records.get(now_s, key) for key in fingerprint.keys]
-        known = [record for record in held if record is not None]
-        deaths = max((one.open_deaths for one in known), default=0)
-        was_alone = any(one.was_alone for one in known)
+        was_sole = any(one.was_sole for one in held if one is not None)
         settings = self._settings
         allowed = settings.maximum_deaths
-        if was_alone:
-            allowed = min(allowed, settings.deaths_if_alone)
+        if was_sole:
+            allowed = min(allowed, settings.deaths_if_sole)
         if deaths >= allowed:
             return refusal.Refusal(
                 answer_kind.AnswerKind.NOT_RUN,
                 refusal_reason.RefusalReason.QUARANTINED,
                 f"{deaths} backend servers died running it",
             )
+        if deaths >= settings.deaths_to_alone:
+            return standing.Standing.ALONE
         if deaths:
             return standing.Standing.SUSPECT
         return standing.Standing.CLEAR
 
     def start(
-        self, ticket_id: str, fingerprint: fingerprint_module.Fingerprint
+        self,
+        ticket_id: str,
+        fingerprint: fingerprint_module.Fingerprint,
+        *,
+        is_suspect: bool,
     ) -> None:
-        """Notes that a call is in flight on the backend server."""
+        """Notes that a call is in flight on the backend server.
+
+        Args:
+            ticket_id: The call.
+            fingerprint: The same as it was judged by.
+            is_suspect: True if it was not judged `CLEAR`.
+        """
         self._running[ticket_id] = fingerprint
+        if is_suspect:
+            self._suspects.add(ticket_id)
 
     def finish(
         self, now_s: float, ticket_id: str, is_clean: bool
@@ -88,6 +111,7 @@
             Reports of what the clean run cleared, for the shared state.
         """
         fingerprint = self._running.pop(ticket_id, None)
+        self._suspects.discard(ticket_id)
         if fingerprint is None or not is_clean:
             return []
         return self._clear(now_s, fingerprint)
@@ -99,19 +123,20 @@
             Reports for the shared state, one for each key.
         """
         self._deaths += 1
-        was_alone = len(self._running) == 1
         in_flight = sorted(set(self._running.values()))
+        sole: tuple[str, ...] = ()
+        if len(self._suspects) == 1:
+            sole = self._running[next(iter(self._suspects))].keys
         self._running.clear()
+        self._suspects.clear()
         digests: dict[str, frozenset[str]] = {}
-        for request_id, digest in in_flight:
-            id_key, digest_key = fingerprint_module.Fingerprint(
-                request_id, digest
-            ).keys
-            digests[id_key] = digests.get(id_key, frozenset()) | {digest}
+        for one in in_flight:
+            id_key, digest_key = one.keys
+            digests[id_key] = digests.get(id_key, frozenset()) | {one.digest}
             digests[digest_key] = frozenset()
         for key, seen in digests.items():
-            self._blame(now_s, key, seen, was_alone)
-        return [self._report_death(key, was_alone) for key in digests]
+            self._blame(now_s, key, seen, key in sole)
+        return [self._report_death(key, key in sole) for key in digests]
 
     def merge_report(
         self,
@@ -120,7 +145,7 @@
         deaths: int,
         cleared: int = 0,
         *,
-        was_alone: bool = False,
+        was_sole: bool = False,
     ) -> None:
         """Takes counts from shared state; the larger of each count stays.
 
@@ -129,21 +154,28 @@
             key: One of `Fingerprint.keys`.
             deaths: Distinct deaths reported by all nodes of the service.
             cleared: The largest count of a `ClearReport`.
-            was_alone: True if one of the deaths not cleared was alone.
+            was_sole: True if one of the deaths not cleared was alone.
         """
         old = self._records.get(now_s, key) or record_module.NONE
         merged = old._replace(
             deaths=max(deaths, old.deaths),
             cleared=max(cleared, old.cleared),
-            was_alone=was_alone or old.was_alone,
+            was_sole=was_sole or old.was_sole,
         )
         if merged.open_deaths <= 0:
-            merged = merged._replace(was_alone=False)
+            merged = merged._replace(was_sole=False)
         if merged != old:
             self._records.put(key, merged._replace(changed_s=now_s))
 
+    def _count_open(
+        self, now_s: float, fingerprint: fingerprint_module.Fingerprint
+    ) -> int:
+        held = [self._records.get(now_s, key) for key in fingerprint.keys]
+        known = [record for record in held if record is not None]
+        return max((one.open_deaths for one in known), default=0)
+
     def _blame(
-        self, now_s: float, key: str, digests: frozenset[str], was_alone: bool
+        self, now_s: float, key: str, digests: frozenset[str], was_sole: bool
     ) -> None:
         old = self._records.get(now_s, key) or record_module.NONE
         self._records.put(
@@ -151,7 +183,7 @@
             record_module.Record(
                 old.deaths + 1,
                 old.cleared,
-                was_alone or old.was_alone,
+                was_sole or old.was_sole,
                 now_s,
                 old.digests | digests,
             ),
@@ -181,14 +213,14 @@
         self, now_s: float, key: str, record: record_module.Record
     ) -> clear_report.ClearReport:
         record = record._replace(
-            cleared=record.deaths, was_alone=False, changed_s=now_s
+            cleared=record.deaths, was_sole=False, changed_s=now_s
         )
         self._records.put(key, record)
         return clear_report.ClearReport(key, record.deaths)
 
     def _report_death(
-        self, key: str, was_alone: bool
+        self, key: str, was_sole: bool
     ) -> death_report.DeathReport:
         return death_report.DeathReport(
-            key, self._endpoint_id, self._incarnation, self._deaths, was_alone
+            key, self._endpoint_id, self._incarnation, self._deaths, was_sole
         )
--- a/src/cranberrymux/decisions/quarantine/record.py
+++ b/src/cranberrymux/decisions/quarantine/record.py
@@ -9,7 +9,8 @@
     Attributes:
         deaths: Backend servers that died with it in flight.
         cleared: How many of those deaths a clean run has cleared.
-        was_alone: True if it was alone on one of them since it was cleared.
+        was_sole: True if it was the only suspect on one of them since it was
+            cleared.
         changed_s: Monotonic seconds of the last change.
         digests: Digests in flight under a request id when it became suspect;
             empty for a digest's own record and for a merged one, which then
@@ -18,7 +19,7 @@
 
     deaths: int
     cleared: int
-    was_alone: bool
+    was_sole: bool
     changed_s: float
     digests: frozenset[str] = frozenset()
 
--- a/src/cranberrymux/decisions/quarantine/standing.py
+++ b/src/cranberrymux/decisions/quarantine/standing.py
@@ -8,8 +8,10 @@
 
     Attributes:
         CLEAR: Beside any other call.
-        SUSPECT: Alone on its endpoint.
+        SUSPECT: On an endpoint with no other suspect.
+        ALONE: On an endpoint with no other call.
     """
 
     CLEAR = "clear"
     SUSPECT = "suspect"
+    ALONE = "alone"
