--- a/bench/overload/call.py
+++ b/bench/overload/call.py
@@ -5,7 +5,9 @@
 from typing import Protocol
 
 from bench.overload import deployment
+from cranberrymux.decisions.quarantine import standing
 from cranberrymux.models import refusal
+from cranberrymux.models import request_context
 
 
 class Request:
@@ -40,6 +42,21 @@
         """Order of shedding."""
         return self.kind.class_rank * 128 + self.shed_hash
 
+    def make_context(self, attempt: int) -> request_context.RequestContext:
+        """Makes the context of one attempt of one of its calls."""
+        return request_context.RequestContext(
+            self.request_id,
+            self.request_id,
+            "",
+            0,
+            self.kind.class_rank,
+            self.shed_hash,
+            self.retries_left,
+            attempt,
+            once_only=not self.kind.is_idempotent,
+            idempotent=self.kind.is_idempotent,
+        )
+
 
 class Answer(NamedTuple):
     """What comes back for a call.
@@ -75,10 +92,12 @@
         depth: Place in the request's chain.
         deadline_s: When its caller stops waiting.
         answer: Told the answer once.
+        lost_attempts: Earlier attempts whose backend server was lost.
         has_run: True once a backend server had it.
         is_over: True once answered or cancelled.
         child: The call that it waits for.
         node: The node that it was sent to.
+        standing: How its node's quarantine judged it.
         below_s: Seconds spent in children.
         started_s: When its backend server called the next service.
     """
@@ -91,9 +110,11 @@
         "deadline_s",
         "depth",
         "has_run",
+        "lost_attempts",
         "is_over",
         "node",
         "request",
+        "standing",
         "started_s",
     )
 
@@ -106,6 +127,7 @@
         answer: Callable[[Answer], None],
         *,
         node: Callee,
+        lost_attempts: int,
     ) -> None:
         """Makes a call that was not yet sent."""
         self.call_id = call_id
@@ -114,6 +136,8 @@
         self.deadline_s = deadline_s
         self.answer = answer
         self.node = node
+        self.lost_attempts = lost_attempts
+        self.standing = standing.Standing.CLEAR
         self.has_run = False
         self.is_over = False
         self.child: Call | None = None
