--- a/src/cranberrymux/consensus/driver.py
+++ b/src/cranberrymux/consensus/driver.py
@@ -1,13 +1,14 @@
 """Joins a replica, its storage and the codec for a control program."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import random
 from typing import NamedTuple
-from typing import Protocol
 
 from cranberrymux.consensus import codec
 from cranberrymux.consensus import effects
 from cranberrymux.consensus import entry
+from cranberrymux.consensus import invariant_error
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import messages
 from cranberrymux.consensus import refusals
@@ -21,18 +22,6 @@
 from cranberrymux.storage import failure
 
 
-class Storage(Protocol):
-    """What a driver needs of a data folder."""
-
-    def restore(self) -> restored_state.RestoredState | failure.StorageError:
-        """Reads the durable state."""
-
-    def apply(
-        self, writes: Sequence[write.Write]
-    ) -> failure.StorageError | None:
-        """Makes writes durable, in order; None once all of them are."""
-
-
 class Outgoing(NamedTuple):
     """A message to send; it may be lost.
 
@@ -112,7 +101,10 @@
 
     @property
     def storage_error(self) -> failure.StorageError | None:
-        """Why the storage failed; then the driver is silent for good."""
+        """Why the storage failed; then the driver is silent for good.
+
+        `CORRUPT` at path `log`: the log contradicts itself.
+        """
         return self._storage_error
 
     def status(self, now_s: float) -> status_module.Status:
@@ -138,7 +130,7 @@
         """Lets time pass; call it every 20 to 50 ms."""
         if self._storage_error is not None:
             return Actions()
-        return self._act(self._replica.tick(now_s))
+        return self._run(lambda: self._replica.tick(now_s))
 
     def receive(
         self, now_s: float, payload: bytes
@@ -149,7 +141,7 @@
         message = codec.decode(payload)
         if isinstance(message, codec.DecodeError):
             return message
-        return self._act(self._replica.step(now_s, message))
+        return self._run(lambda: self._replica.step(now_s, message))
 
     def found(
         self, now_s: float, cluster_id: str, address: str
@@ -192,7 +184,9 @@
         """Takes the state machine's state as of an applied entry."""
         if self._storage_error is not None:
             return Actions()
-        return self._act(self._replica.snapshot_taken(now_s, log_index, data))
+        return self._run(
+            lambda: self._replica.snapshot_taken(now_s, log_index, data)
+        )
 
     def next_batch(self) -> tuple[write.Write, ...]:
         """Writes for the storage; empty if none, or while one batch runs."""
@@ -218,7 +212,8 @@
         if result is not None:
             self._storage_error = result
             return Actions()
-        return self._act(self._replica.disk_done(now_s, batch[-1].write_id))
+        write_id = batch[-1].write_id
+        return self._run(lambda: self._replica.disk_done(now_s, write_id))
 
     def _refuse(self, error: failure.StorageError) -> refusals.ProposalRefused:
         return refusals.ProposalRefused(
@@ -226,6 +221,16 @@
             f"{error.reason.value}: {error.path}: {error.detail}",
         )
 
+    def _run(self, step: Callable[[], effects.Effects]) -> Actions:
+        # A replica that found its state impossible says nothing more.
+        try:
+            return self._act(step())
+        except invariant_error.InvariantError as error:
+            self._storage_error = failure.StorageError(
+                failure.StorageFailure.CORRUPT, "log", str(error)
+            )
+            return Actions()
+
     def _act(self, result: effects.Effects) -> Actions:
         self._queue.extend(result.writes)
         return Actions(
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -271,3 +271,18 @@
         .members.voters
     )
     assert follower.driver.replica.role is not role.Role.LEARNER
+
+
+def test_contradiction_silences_the_instance(cluster):
+    leader = cluster.leader()
+    outgoing = leader.driver.tick(cluster.now_s + 0.2).outgoing
+    heartbeat = codec.decode(outgoing[0].payload)
+    second = heartbeat._replace(
+        sender=outgoing[0].recipient, recipient=leader.identity
+    )
+    heard = leader.driver.receive(cluster.now_s, codec.encode(second))
+    assert heard == driver.Actions()
+    error = leader.driver.storage_error
+    assert error.reason is storage.StorageFailure.CORRUPT
+    assert "leads in term" in error.detail
+    assert not leader.driver.may_read(cluster.now_s)
