Let an endpoint's word of leaving lapse; learn only from its incarnation

Cause: a late answer that said draining, read after newer news of the same endpoint, shut it out until it announced something again, which may be never. Change: the word stands until newer news or 30 s; its own node refuses what comes sooner, so no backend server that leaves gets work. finished takes the incarnation that was chosen and learns nothing of another's answers.

--- a/src/cranberrymux/decisions/routing/candidate_pool.py
+++ b/src/cranberrymux/decisions/routing/candidate_pool.py
@@ -12,7 +12,8 @@
         tiers: Endpoints of the own availability zone, of the others in the
             own region, and of other regions.
         matched: Endpoints that match the place, in any state but gone.
-        valid_until_s: When an ejection ends and the pool must be made anew.
+        valid_until_s: When an ejection or a word of leaving ends, and the pool
+            must be made anew.
         warm_s: When every candidate is warm.
     """
 
--- a/src/cranberrymux/decisions/routing/explainer.py
+++ b/src/cranberrymux/decisions/routing/explainer.py
@@ -40,7 +40,8 @@
     matched = [
         one
         for one in table
-        if one.serving and (place is None or place.matches(one.labels))
+        if one.takes_work(now_s)
+        and (place is None or place.matches(one.labels))
     ]
     ejected = table.applied_ejections(now_s, matched)
     lines = []
@@ -76,7 +77,7 @@
         found, detail = _Verdict.GONE, "has left"
     elif mismatch is not None:
         found, detail = _Verdict.NO_PLACE, str(mismatch)
-    elif not one.serving:
+    elif not one.takes_work(now_s):
         found, detail = _Verdict.DRAINING, "is leaving, takes no new work"
     elif one.record.endpoint_id in excluded:
         found, detail = _Verdict.EXCLUDED, "this call was there already"
--- a/src/cranberrymux/decisions/routing/learned_endpoint.py
+++ b/src/cranberrymux/decisions/routing/learned_endpoint.py
@@ -39,7 +39,7 @@
     Attributes:
         record: The newest news.
         labels: Labels that place selectors see.
-        serving: True if it takes new work by its record and its answers.
+        left_until_s: Until when its own word that it is leaving stands.
         outstanding: Calls in flight from this node.
         failures: Its failures and ejections.
         hint: The load that it tells.
@@ -54,6 +54,7 @@
         "_level",
         "_level_s",
         "_ramp_s",
+        "_serving",
         "_settings",
         "_slots",
         "_warming_since_s",
@@ -62,9 +63,9 @@
         "hint",
         "labels",
         "latency_s",
+        "left_until_s",
         "outstanding",
         "record",
-        "serving",
     )
 
     def __init__(
@@ -103,10 +104,23 @@
         self.record = record
         self._slots = max(record.slots, 1)
         self.labels: Mapping[str, str] = request_labels.endpoint_labels(record)
-        self.serving = record.state is endpoint_state.EndpointState.SERVING
+        self._serving = record.state is endpoint_state.EndpointState.SERVING
+        self.left_until_s = 0.0
         if record.state is endpoint_state.EndpointState.GONE:
             self.gone_s = now_s
 
+    def takes_work(self, now_s: float) -> bool:
+        """True if it takes new work by its record and its own word."""
+        return self._serving and now_s >= self.left_until_s
+
+    def leave(self, now_s: float) -> None:
+        """Notes that it said on an answer that it is leaving.
+
+        Its word stands until newer news, or for a stated time: news that
+        came before a late answer would else shut it out for good.
+        """
+        self.left_until_s = now_s + self._settings.draining_word_s
+
     def eject(self, now_s: float) -> None:
         """Ejects it; it comes back by a slow start of its own length."""
         self.failures.eject(now_s)
@@ -187,7 +201,6 @@
 
     def _reset(self, now_s: float) -> None:
         settings = self._settings
-        self.serving = False
         self.failures = failure_history.FailureHistory(now_s, settings)
         self.hint = load_hint.LoadHint(now_s, settings.hint_age_s)
         self.latency_s = 0.0
--- a/src/cranberrymux/decisions/routing/router.py
+++ b/src/cranberrymux/decisions/routing/router.py
@@ -147,6 +147,7 @@
         level: int | None = None,
         *,
         load: float | None = None,
+        incarnation: int | None = None,
     ) -> None:
         """Learns from a call that ended; once for each `started`.
 
@@ -157,6 +158,9 @@
             latency_s: Seconds since it was sent.
             level: The level on the answer; None if there was none.
             load: Load of the endpoint, 0 to 1; None if not told.
+            incarnation: Incarnation of the record that was chosen; what
+                another did says nothing of the present one. None to learn
+                from the answer in any case.
         """
         service = self._services.get(endpoint_id)
         if service is None:
@@ -167,6 +171,8 @@
             return
         if endpoint.outstanding > 0:
             endpoint.outstanding -= 1
+        if incarnation not in {None, endpoint.record.incarnation}:
+            return
         report = call_report.CallReport(outcome, latency_s, level, load)
         table.finish(now_s, endpoint, report)
 
--- a/src/cranberrymux/decisions/routing/router_settings.py
+++ b/src/cranberrymux/decisions/routing/router_settings.py
@@ -36,6 +36,8 @@
         probe_share: Share of the calls above every level that go out anyway.
         hint_age_s: Time after which a load told by an endpoint counts nothing.
         health_reopen_per_s: Rise of a learned capacity share without news.
+        draining_word_s: Time for which an endpoint's own word that it is
+            leaving stands without news from the directory.
         retry_after_minimum_ms: Earliest time to come back after overload.
         retry_after_maximum_ms: Latest time; spread evenly between the two.
         no_place_retry_after_ms: Time to come back when no place matches.
@@ -64,6 +66,7 @@
     probe_share: float = 0.01
     hint_age_s: float = 1.0
     health_reopen_per_s: float = 0.2
+    draining_word_s: float = 30.0
     retry_after_minimum_ms: int = 500
     retry_after_maximum_ms: int = 2500
     no_place_retry_after_ms: int = 5000
--- a/src/cranberrymux/decisions/routing/service_table.py
+++ b/src/cranberrymux/decisions/routing/service_table.py
@@ -108,7 +108,7 @@
         if result is _DONE:
             self._averages.observe_latency(report.latency_s)
         elif result is _DRAINING:
-            endpoint.serving = False
+            endpoint.leave(now_s)
             self._pools.clear()
         elif result in outcome.FAILURES:
             self._consider_ejection(now_s, endpoint)
@@ -148,15 +148,16 @@
         matched = [
             one for one in known if place is None or place.matches(one.labels)
         ]
-        serving = [one for one in matched if one.serving]
+        serving = [one for one in matched if one.takes_work(now_s)]
         ejected = self.applied_ejections(now_s, serving)
         usable = [
             one for one in serving if one.record.endpoint_id not in ejected
         ]
         ends_s = [
-            one.failures.ejected_until_s
-            for one in serving
-            if one.failures.ejected_until_s > now_s
+            end_s
+            for one in matched
+            for end_s in (one.failures.ejected_until_s, one.left_until_s)
+            if end_s > now_s
         ]
         return candidate_pool.CandidatePool(
             self._split(usable),
@@ -183,11 +184,11 @@
         self, now_s: float, endpoint: learned_endpoint.LearnedEndpoint
     ) -> None:
         failures = endpoint.failures
-        if not endpoint.serving or failures.ejected_until_s > now_s:
+        if not endpoint.takes_work(now_s) or failures.ejected_until_s > now_s:
             return
         if not failures.is_suspect:
             return
-        serving = [one for one in self if one.serving]
+        serving = [one for one in self if one.takes_work(now_s)]
         failing = sum(one.failures.is_failing for one in serving)
         if 2 * failing > len(serving):
             return  # The service fails, not this endpoint.
