Leave room for the most important class in trial cuts, bursts and the queue

Cause: in the demo's overload (deep service four times slower) dispatches were lost although they fitted into the capacity: a trial cut of the limit from 13 to 9 slots left less than they need, a short burst lowered the level into their class, and a full queue of the same class refused them. Ruled out: the hash (losses were spread over it) and the callers (the deep service refused).

--- a/src/cranberrymux/decisions/admission/concurrency_limit.py
+++ b/src/cranberrymux/decisions/admission/concurrency_limit.py
@@ -7,6 +7,7 @@
 HOLD_WEIGHT = 0.05  # Weight of one call in the mean time of a slot.
 CUT_ON_OVERLOAD = 0.8
 CUT_ON_LATENCY = 0.75
+NEEDED_HEADROOM = 1.25  # Room for bursts above the mean arrivals.
 GROWTH = 1.25
 FULL_LOAD = 0.95
 MINIMUM_LIMIT = 1
@@ -72,15 +73,24 @@
             self._hold_s = hold_s
         self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
 
-    def end_window(self, now_s: float, peak: int) -> None:
+    def end_window(
+        self, now_s: float, peak: int, needed_per_s: float = 0.0
+    ) -> None:
         """Moves the limit.
 
         Args:
             now_s: Monotonic seconds.
             peak: Most calls that ran at once in the window.
+            needed_per_s: Arrivals of the most important class, for which a
+                trial cut of the limit must leave room.
         """
         is_full = peak >= self.limit
-        advice = self._probe.judge(self.limit, is_full)
+        longest_s = float("inf")
+        if needed_per_s:
+            cut = self.limit * CUT_ON_LATENCY
+            longest_s = cut / (NEEDED_HEADROOM * needed_per_s)
+        may_cut = is_full and self._hold_s < longest_s
+        advice = self._probe.judge(self.limit, may_cut, longest_s)
         if self._overloads:
             self._cut(CUT_ON_OVERLOAD)
         elif advice is _Advice.CUT:
--- a/src/cranberrymux/decisions/admission/latency_probe.py
+++ b/src/cranberrymux/decisions/admission/latency_probe.py
@@ -5,6 +5,7 @@
 SLOW_RATIO = 2.5  # Latency over the best that raises the question.
 ANSWERING_RATIO = 0.9  # Latency after a cut that says yes.
 BEST_DRIFT = 0.02  # Part of the difference by which the best rises.
+MIXED_RATIO = 2.0  # Latency may be this much over a first high mean.
 SAMPLES_PER_SLOT = 2  # Answers per slot that make one judgement.
 MINIMUM_SAMPLES = 16
 
@@ -40,6 +41,7 @@
         self._total_s = 0.0
         self._count = 0
         self._skip = 0
+        self._is_slow = False
 
     @property
     def best_s(self) -> float:
@@ -54,12 +56,19 @@
         self._total_s += own_s
         self._count += 1
 
-    def judge(self, limit: int, is_full: bool) -> Advice:
+    def judge(
+        self,
+        limit: int,
+        may_cut: bool = True,
+        longest_s: float = float("inf"),
+    ) -> Advice:
         """Judges once there are enough answers.
 
         Args:
             limit: Calls that may run at once.
-            is_full: True if as many ran lately.
+            may_cut: True if as many ran lately, and a cut would leave room
+                for the most important calls.
+            longest_s: Latency above which a cut would leave no such room.
         """
         if self._count < max(SAMPLES_PER_SLOT * limit, MINIMUM_SAMPLES):
             return Advice.KEEP
@@ -67,19 +76,25 @@
         self._total_s = 0.0
         self._count = 0
         if self._before_s:
-            return self._judge_cut(mean_s, limit)
+            return self._judge_cut(mean_s, limit, longest_s)
         self._learn_best(mean_s)
-        if mean_s > SLOW_RATIO * self._best_s and is_full:
-            return self._begin_cut(mean_s, limit)
-        return Advice.GROW
+        was_slow = self._is_slow
+        self._is_slow = mean_s > SLOW_RATIO * self._best_s
+        if not self._is_slow or not may_cut or mean_s >= longest_s:
+            return Advice.GROW
+        if not was_slow and mean_s * MIXED_RATIO >= longest_s:
+            # The mean may still mix calls from before the change.
+            return Advice.KEEP
+        return self._begin_cut(mean_s, limit)
 
-    def _judge_cut(self, mean_s: float, limit: int) -> Advice:
+    def _judge_cut(self, mean_s: float, limit: int, longest_s: float) -> Advice:
         helped = mean_s <= ANSWERING_RATIO * self._before_s
         self._before_s = 0.0
         if not helped:
             self._best_s = mean_s
             return Advice.REOPEN
-        if mean_s > SLOW_RATIO * self._best_s:
+        is_slow = mean_s > SLOW_RATIO * self._best_s
+        if is_slow and mean_s < longest_s:
             return self._begin_cut(mean_s, limit)
         return Advice.KEEP
 
--- a/src/cranberrymux/decisions/admission/load_meter.py
+++ b/src/cranberrymux/decisions/admission/load_meter.py
@@ -88,7 +88,7 @@
         wait_s = max(ended.mean_wait_s, head_wait_s)
         has_queue = wait_s > self._target_wait_s or ended.shed > 0
         self._level.end_window(elapsed_s, self.capacity_per_s, has_queue)
-        self._limit.end_window(now_s, ended.peak)
+        self._limit.end_window(now_s, ended.peak, self._level.first_class_per_s)
         self._refresh()
 
     def _refresh(self) -> None:
--- a/src/cranberrymux/decisions/admission/shed_level.py
+++ b/src/cranberrymux/decisions/admission/shed_level.py
@@ -4,6 +4,8 @@
 from cranberrymux.models import request_context
 
 HISTORY_DECAY = 0.8  # Weight of the past when a window ends.
+CLASS_HISTORY_DECAY = 0.97  # The same for the arrivals of whole classes.
+FITTING_SHARE = 1.0  # Classes below this share of the capacity fit into it.
 HIGH_SHARE = 1.15  # Arrivals above this share of the capacity lower the level.
 LOW_SHARE = 1.05  # Arrivals below this share of the capacity raise it.
 CAUTIOUS_SHARE = 0.3  # Part of the missing arrivals reopened with a queue.
@@ -27,6 +29,8 @@
         self._window_s = settings.window_s
         self._arrivals = [0.0] * (self._top + 1)
         self._seconds = 0.0
+        self._class_arrivals = [0.0] * settings.class_ranks
+        self._class_seconds = 0.0
         self._level = self._top
 
     @property
@@ -44,8 +48,18 @@
         """Calls with a priority above this are refused beside idle slots."""
         return min(self._level + IDLE_SLACK, self._top)
 
+    @property
+    def first_class_per_s(self) -> float:
+        """Arrivals a second of the class that is shed last."""
+        if not self._class_seconds:
+            return 0.0
+        return self._class_arrivals[0] / self._class_seconds
+
     def count_arrival(self, priority: int) -> None:
         """Counts a call that asked to be admitted, whatever became of it."""
+        self._class_arrivals[
+            min(priority, self._top) // request_context.SHED_HASHES
+        ] += 1.0
         self._arrivals[priority if priority < self._top else self._top] += 1.0
 
     def end_window(
@@ -60,19 +74,40 @@
                 shed by the queue.
         """
         self._seconds += window_s
+        self._class_seconds += window_s
         capacity = capacity_per_s * self._seconds
         if has_queue and capacity > 0.0:
-            self._lower(HIGH_SHARE * capacity)
+            floor = self._find_floor(FITTING_SHARE * capacity_per_s)
+            self._lower(HIGH_SHARE * capacity, floor)
         if self._level < self._top:
             windows = max(window_s / self._window_s, 1.0)
             most = int(min(MAXIMUM_STEP * windows, self._top))
             self._raise(LOW_SHARE * capacity, has_queue, most)
         self._arrivals = [HISTORY_DECAY * count for count in self._arrivals]
         self._seconds *= HISTORY_DECAY
+        self._class_arrivals = [
+            CLASS_HISTORY_DECAY * count for count in self._class_arrivals
+        ]
+        self._class_seconds *= CLASS_HISTORY_DECAY
+
+    def _find_floor(self, target_per_s: float) -> int:
+        """Returns the level below which a burst alone does not lower it.
+
+        The classes that fit into the capacity over a longer time are left to
+        the queue.
+        """
+        passed = 0.0
+        floor = 0
+        for rank, count in enumerate(self._class_arrivals):
+            passed += count
+            if passed > target_per_s * self._class_seconds:
+                break
+            floor = (rank + 1) * request_context.SHED_HASHES - 1
+        return floor
 
-    def _lower(self, target: float) -> None:
+    def _lower(self, target: float, floor: int) -> None:
         passed = sum(self._arrivals[: self._level + 1])
-        while self._level > 0 and passed > target:
+        while self._level > floor and passed > target:
             passed -= self._arrivals[self._level]
             self._level -= 1
 
--- a/src/cranberrymux/decisions/admission/waiting_room.py
+++ b/src/cranberrymux/decisions/admission/waiting_room.py
@@ -8,6 +8,8 @@
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
 
+# Times longer and more calls may wait whose class is not being shed.
+ABOVE_FACTOR = 2
 _Reason = refusal_reason.RefusalReason
 _SHED_HASHES = request_context.SHED_HASHES
 
@@ -70,13 +72,8 @@
         if now_s + wait_s > expires_s:
             self._meter.count_shed()
             return _Reason.OVERLOADED
-        if len(self._queue) >= self.bound:
-            self._meter.count_shed()
-            last = self._queue.last
-            if last is None or last.ticket.priority <= ticket.priority:
-                return _Reason.QUEUE_FULL
-            self._queue.remove(last.ticket.ticket_id)
-            self.refuse(last.ticket.ticket_id, _Reason.QUEUE_FULL)
+        if len(self._queue) >= self.bound and not self._make_room(ticket):
+            return _Reason.QUEUE_FULL
         self._queue.push(now_s, ticket, expires_s)
         return queued.Queued(expires_s)
 
@@ -117,8 +114,30 @@
             self._queue.remove(waiting.ticket.ticket_id)
         return waiting
 
+    def _make_room(self, ticket: ticket_module.Ticket) -> bool:
+        """Gives up a less important call, or goes over the bound for this."""
+        self._meter.count_shed()
+        last = self._queue.last
+        if last is None:
+            return False
+        is_lower_class = last.ticket.class_rank > ticket.class_rank
+        # Calls that may wait longer may be more in number.
+        is_shedding = self._meter.level < self._meter.top
+        is_above = is_shedding and self._is_above_shed_class(ticket)
+        if is_above and not is_lower_class:
+            return len(self._queue) < ABOVE_FACTOR * self.bound
+        if last.ticket.priority <= ticket.priority:
+            return False
+        self._queue.remove(last.ticket.ticket_id)
+        self.refuse(last.ticket.ticket_id, _Reason.QUEUE_FULL)
+        return True
+
     def _get_longest_wait_s(self, ticket: ticket_module.Ticket) -> float:
         longest_s = self._settings.maximum_wait_s
-        if ticket.class_rank < self._meter.level // _SHED_HASHES:
-            longest_s *= 2  # Only lower classes are being shed.
+        if self._is_above_shed_class(ticket):
+            longest_s *= ABOVE_FACTOR
         return longest_s
+
+    def _is_above_shed_class(self, ticket: ticket_module.Ticket) -> bool:
+        """True if only lower classes are being shed."""
+        return ticket.class_rank < self._meter.level // _SHED_HASHES
--- a/src/cranberrymux/node/admission_task.py
+++ b/src/cranberrymux/node/admission_task.py
@@ -9,6 +9,7 @@
 from cranberrymux.decisions.admission import outcome
 from cranberrymux.decisions.admission import ticket
 from cranberrymux.decisions.admission import verdict as verdict_module
+from cranberrymux.decisions.quarantine import standing
 from cranberrymux.models import refusal
 from cranberrymux.models import request_context
 from cranberrymux.node import clock
@@ -76,7 +77,7 @@
         ticket_id: str,
         context: request_context.RequestContext,
         deadline_s: float,
-        is_suspect: bool,
+        held: standing.Standing,
         on_admitted: Callable[[], None],
         on_refused: Callable[[refusal.Refusal], None],
     ) -> None:
@@ -89,7 +90,8 @@
                 context.priority,
                 context.class_rank,
                 deadline_s,
-                is_suspect,
+                held is standing.Standing.SUSPECT,
+                held is standing.Standing.ALONE,
             ),
         )
         if isinstance(verdict, admitted.Admitted):
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -59,6 +59,7 @@
         self._ticket_id = ""
         self._is_admitted = False
         self._fingerprint = self._make_fingerprint()
+        self._standing = standing.Standing.CLEAR
         self._claimed: claimed_call.ClaimedCall | None = None
         self._attempt: outbound_attempt.OutboundAttempt | None = None
         self._running: running_call.RunningCall | None = None
@@ -76,6 +77,7 @@
         if isinstance(judged, refusal.Refusal):
             self._refuse(judged)
             return
+        self._standing = judged
         self._deadline_key = self._node.deadlines.add(
             self._deadline_s, self._deadline_passed
         )
@@ -84,7 +86,7 @@
             self._ticket_id,
             self._context,
             self._deadline_s,
-            judged is standing.Standing.SUSPECT,
+            judged,
             self._admitted,
             self._refuse,
         )
@@ -232,7 +234,11 @@
         )
         self._running = running_call.RunningCall(left, now_s)
         self._node.running.add(self._running)
-        self._node.quarantine.start(self._ticket_id, self._fingerprint)
+        self._node.quarantine.start(
+            self._ticket_id,
+            self._fingerprint,
+            self._standing is not standing.Standing.CLEAR,
+        )
         request = request_encoding.encode_request(
             self._call, left, self._backend.address, None
         )
@@ -245,11 +251,14 @@
         head = self._call.head
         is_whole = self._call.is_body_complete
         return fingerprints.make(
+            self._backend.service,
             self._context.request_id,
             head.method.decode("latin-1"),
             head.target.decode("latin-1"),
-            self._call.held_body(),
-            self._call.body_length if is_whole else head.content_length or -1,
+            body=self._call.held_body(),
+            body_bytes=self._call.body_length
+            if is_whole
+            else head.content_length or -1,
         )
 
     def _settle(self, head: answer_head.AnswerHead, body: bytes) -> None:
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -112,10 +112,13 @@
         return self._quarantine.judge(self._clock.now_s(), fingerprint)
 
     def start(
-        self, ticket_id: str, fingerprint: fingerprints.Fingerprint
+        self,
+        ticket_id: str,
+        fingerprint: fingerprints.Fingerprint,
+        is_suspect: bool,
     ) -> None:
         """Takes note that a call is handed to the backend server."""
-        self._quarantine.start(ticket_id, fingerprint)
+        self._quarantine.start(ticket_id, fingerprint, is_suspect=is_suspect)
 
     def finish(self, ticket_id: str, is_clean: bool) -> None:
         """Takes note that a call has ended while its backend server lives."""
@@ -153,7 +156,7 @@
             return
         deaths = self._count(news)
         self._quarantine.merge_report(
-            now_s, news.key, deaths, was_alone=news.was_alone
+            now_s, news.key, deaths, was_sole=news.was_sole
         )
 
     def _count(self, death: suspect_message.Death) -> int:
--- a/src/cranberrymux/node/suspect_message.py
+++ b/src/cranberrymux/node/suspect_message.py
@@ -21,23 +21,23 @@
     Attributes:
         key: Key of a fingerprint that was in flight.
         death_id: Names the death; the same in every copy of the news.
-        was_alone: True if nothing else was in flight.
+        was_sole: True if it was the only suspect in flight.
     """
 
     key: str
     death_id: str
-    was_alone: bool
+    was_sole: bool
 
 
 def make_death(report: death_report.DeathReport) -> Death:
     """Names the death of a report."""
     death_id = f"{report.endpoint_id}#{report.incarnation}#{report.death}"
-    return Death(report.key, death_id, report.was_alone)
+    return Death(report.key, death_id, report.was_sole)
 
 
 def encode_death(one: Death, proof: bytes) -> peer_request.PeerMessage:
     """Makes the message of a death."""
-    text = f"{_DEATH};{one.key};{one.death_id};{int(one.was_alone)}"
+    text = f"{_DEATH};{one.key};{one.death_id};{int(one.was_sole)}"
     return peer_request.PeerMessage(TARGET, (HEADER, text.encode()), proof)
 
 
