Count retries per class on each service edge

Cause: with one bucket per edge the lower classes, refused most, spent the retries; lookups refused by one crowded endpoint were not tried at the next. Change in the adapter: the key of the edge's bucket holds the class too.

--- a/bench/overload/retrier.py
+++ b/bench/overload/retrier.py
@@ -58,7 +58,8 @@
     ) -> bool:
         """Asks the policy, then takes the retry."""
         last = answers[-1]
-        service = errand.request.kind.chain[errand.depth]
+        kind = errand.request.kind
+        service = f"{kind.chain[errand.depth]}/{kind.class_rank}"
         if last.served:
             self._buckets.succeed(now_s, service)
             return False
