--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -67,7 +67,9 @@
         It is measured here, so that it neither lags nor misleads.
         """
         most = self._meter.limit + self._room.bound
-        return min((len(self._slots) + len(self._room)) / most, 1.0)
+        occupied = min((len(self._slots) + len(self._room)) / most, 1.0)
+        shed = 1.0 - self._meter.level / self._meter.top
+        return (occupied + shed) / 2
 
     @property
     def is_drained(self) -> bool:
