--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -17,6 +17,9 @@
 from cranberrymux.models import refusal_reason
 
 _Reason = refusal_reason.RefusalReason
+USED_WEIGHT = 0.8  # Parts of the load: slots, queue and shed priorities.
+WAITING_WEIGHT = 0.1
+SHED_WEIGHT = 0.1
 
 
 class AdmissionController:
@@ -62,14 +65,16 @@
 
     @property
     def load(self) -> float:
-        """Share of the slots and of the queue in use, 0.0 to 1.0.
+        """Load for the callers' choice, 0.0 to 1.0.
 
-        It is measured here, so that it neither lags nor misleads.
+        Mostly the share of slots in use; the queue and the level tell full
+        endpoints apart. Measured here, it neither lags nor misleads.
         """
-        most = self._meter.limit + self._room.bound
-        occupied = min((len(self._slots) + len(self._room)) / most, 1.0)
+        used = min(len(self._slots) / self._meter.limit, 1.0)
+        waiting = min(len(self._room) / self._room.bound, 1.0)
         shed = 1.0 - self._meter.level / self._meter.top
-        return (occupied + shed) / 2
+        ahead = WAITING_WEIGHT * waiting + SHED_WEIGHT * shed
+        return USED_WEIGHT * used + ahead
 
     @property
     def is_drained(self) -> bool:
