--- /dev/null
+++ b/bench/overload/codel.py
@@ -0,0 +1,116 @@
+"""A baseline's admission: the slots and a queue kept short by CoDel."""
+
+import collections
+
+from cranberrymux.decisions.admission import admitted
+from cranberrymux.decisions.admission import outcome as outcome_module
+from cranberrymux.decisions.admission import queued
+from cranberrymux.decisions.admission import ticket as ticket_module
+from cranberrymux.decisions.admission import verdict
+from cranberrymux.models import answer_kind
+from cranberrymux.models import refusal
+from cranberrymux.models import refusal_reason
+
+INTERVAL_S = 0.1
+TARGET_S = 0.02
+QUEUE_PER_SLOT = 4
+
+_SHED = refusal.Refusal(
+    answer_kind.AnswerKind.NOT_RUN,
+    refusal_reason.RefusalReason.OVERLOADED,
+    "waited longer than the target",
+    100,
+)
+
+
+class CoDel:
+    """First come, first served; no classes.
+
+    A call may wait `INTERVAL_S`, or only `TARGET_S` once the queue has not
+    been empty for an interval.
+    """
+
+    level = 1 << 30
+
+    def __init__(self, slots: int) -> None:
+        """Starts idle."""
+        self._slots = slots
+        self._running: set[str] = set()
+        self._waiting: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._empty_s = 0.0
+
+    @property
+    def load(self) -> float:
+        """Share of the slots in use."""
+        return min(len(self._running) / self._slots, 1.0)
+
+    def offer(
+        self, now_s: float, ticket: ticket_module.Ticket
+    ) -> verdict.Verdict:
+        """Admits, queues or refuses."""
+        if not self._waiting:
+            self._empty_s = now_s
+            if len(self._running) < self._slots:
+                self._running.add(ticket.ticket_id)
+                return admitted.Admitted(0.0)
+        if len(self._waiting) >= QUEUE_PER_SLOT * self._slots:
+            return _SHED
+        self._waiting[ticket.ticket_id] = now_s
+        return queued.Queued(now_s + INTERVAL_S)
+
+    def cancel(self, now_s: float, ticket_id: str) -> bool:
+        """Drops a queued call."""
+        del now_s
+        return self._waiting.pop(ticket_id, None) is not None
+
+    def finish(
+        self,
+        now_s: float,
+        ticket_id: str,
+        outcome: outcome_module.Outcome,
+        below_s: float = 0.0,
+    ) -> None:
+        """Frees a slot."""
+        del now_s, outcome, below_s
+        self._running.discard(ticket_id)
+
+    def poll(self, now_s: float) -> list[tuple[str, verdict.Decision]]:
+        """Drops what waited too long, then starts the oldest."""
+        decisions: list[tuple[str, verdict.Decision]] = []
+        limit_s = self._get_limit_s(now_s)
+        while self._waiting:
+            ticket_id, arrived_s = next(iter(self._waiting.items()))
+            if now_s - arrived_s >= limit_s:
+                decisions.append((ticket_id, _SHED))
+            elif len(self._running) < self._slots:
+                self._running.add(ticket_id)
+                decisions.append(
+                    (ticket_id, admitted.Admitted(now_s - arrived_s))
+                )
+            else:
+                break
+            del self._waiting[ticket_id]
+        if not self._waiting:
+            self._empty_s = now_s
+        return decisions
+
+    def next_poll_s(self, now_s: float) -> float | None:
+        """Tells when the oldest has waited too long."""
+        if not self._waiting:
+            return None
+        oldest_s = next(iter(self._waiting.values()))
+        return max(oldest_s + self._get_limit_s(now_s), now_s + 0.001)
+
+    def set_load_hint(self, now_s: float, load: float) -> None:
+        """Ignores hints."""
+
+    def set_downstream_level(
+        self, now_s: float, service: str, level: int
+    ) -> None:
+        """Ignores levels."""
+
+    def _get_limit_s(self, now_s: float) -> float:
+        is_standing = now_s - self._empty_s > INTERVAL_S
+        return TARGET_S if is_standing else INTERVAL_S
--- /dev/null
+++ b/bench/overload/credit_sender.py
@@ -0,0 +1,75 @@
+"""The caller's side of the credits baseline."""
+
+import bisect
+from collections.abc import Callable
+import itertools
+
+from bench.overload import clock as clock_module
+from bench.overload import node as node_module
+
+MAXIMUM_WAIT_S = 0.25
+
+
+class CreditSender:
+    """Sends under credits; what has none waits here in order of priority."""
+
+    def __init__(
+        self,
+        clock: clock_module.Clock,
+        nodes: "list[node_module.Node]",
+    ) -> None:
+        """Starts with one credit for each endpoint."""
+        self._clock = clock
+        self._outstanding = dict.fromkeys(nodes, 0)
+        self._shares = dict.fromkeys(nodes, 1)
+        self._waiting: list[
+            tuple[int, int, Callable[[node_module.Node | None], None]]
+        ] = []
+        self._sequence = itertools.count()
+
+    def ask(
+        self,
+        priority: int,
+        send: Callable[["node_module.Node | None"], None],
+    ) -> None:
+        """Calls `send` with an endpoint, or with None when given up."""
+        node = self._find()
+        if node is not None:
+            self._outstanding[node] += 1
+            send(node)
+            return
+        entry = (priority, next(self._sequence), send)
+        bisect.insort(self._waiting, entry)
+        self._clock.call_later(MAXIMUM_WAIT_S, self._give_up, entry)
+
+    def ended(self, node: "node_module.Node") -> None:
+        """Takes an answer, and the share that came with it."""
+        self._outstanding[node] -= 1
+        self._shares[node] = node.credits.get_share(self._clock.now_s, id(self))
+        while self._waiting:
+            free = self._find()
+            if free is None:
+                return
+            self._outstanding[free] += 1
+            self._waiting.pop(0)[2](free)
+
+    def _find(self) -> "node_module.Node | None":
+        free = [
+            node
+            for node, share in self._shares.items()
+            if self._outstanding[node] < share and not node.is_known_down
+        ]
+        if not free:
+            return None
+        return min(free, key=lambda n: self._outstanding[n] / self._shares[n])
+
+    def _give_up(
+        self,
+        entry: tuple[int, int, Callable[["node_module.Node | None"], None]],
+    ) -> None:
+        place = bisect.bisect_left(
+            self._waiting, entry[:2], key=lambda e: e[:2]
+        )
+        if place < len(self._waiting) and self._waiting[place] is entry:
+            del self._waiting[place]
+            entry[2](None)
--- a/bench/overload/egress.py
+++ b/bench/overload/egress.py
@@ -5,6 +5,7 @@
 from bench.overload import call as call_module
 from bench.overload import chooser
 from bench.overload import context as context_module
+from bench.overload import credit_sender
 from bench.overload import errand as errand_module
 from bench.overload import node as node_module
 from bench.overload import power_of_two
@@ -41,6 +42,9 @@
         self._recorder = context.recorder
         self._chooser = _make_chooser(context, nodes, zone)
         self._nodes = nodes
+        self._credits: credit_sender.CreditSender | None = None
+        if context.policy.has_credits:
+            self._credits = credit_sender.CreditSender(context.clock, nodes)
         self._levels: dict[str, tuple[int, float]] = {}
         self._delay_s = delay_s
         self._retrier: retrier.Retrier = (
@@ -66,16 +70,32 @@
 
     def send(self, errand: errand_module.Errand) -> None:
         """Makes a call, with retries."""
-        self._try(errand, frozenset(), ())
+        if self._credits is None:
+            self._try(errand, frozenset(), ())
+            return
+
+        def send(node: "node_module.Node | None") -> None:
+            self._send_to(node, errand, frozenset(), ())
+
+        self._credits.ask(errand.request.priority, send)
 
     def _try(
         self,
         errand: errand_module.Errand,
         tried: frozenset[str],
         answers: tuple[call_module.Answer, ...],
+    ) -> None:
+        node = self._chooser.choose(errand.request, tried)
+        self._send_to(node, errand, tried, answers)
+
+    def _send_to(
+        self,
+        node: "node_module.Node | None",
+        errand: errand_module.Errand,
+        tried: frozenset[str],
+        answers: tuple[call_module.Answer, ...],
     ) -> None:
         request = errand.request
-        node = self._chooser.choose(request, tried)
         if node is None and answers:
             errand.answered(answers[-1])
             return
@@ -101,6 +121,8 @@
                 answer.level,
                 now_s + LEVEL_LIFE_S,
             )
+            if self._credits is not None:
+                self._credits.ended(node)
             if call.is_over:
                 return
             call.is_over = True
--- a/bench/overload/summary.py
+++ b/bench/overload/summary.py
@@ -1,7 +1,6 @@
 """What one run comes to."""
 
 import bisect
-import math
 from typing import NamedTuple
 
 from bench.overload import backend
@@ -27,7 +26,7 @@
             admitted.
         recovery_s: Seconds from the end of the cause (or until crashed
             backend servers are warm) until 95% of arriving requests are
-            answered, and go on being so; infinite if the run ends before.
+            answered, and go on being so; the whole run if it ends before.
         attempts: Attempts per call that had to be made.
         work: Calls run for each call of a whole answered request.
         wrong: Wrong or cut answers.
@@ -139,7 +138,7 @@
             count[0] += one.is_done
             count[1] += 1
     if not counts:
-        return math.inf
+        return plan.run_s
     bad = [
         window
         for window, (done, total) in counts.items()
