--- a/bench/bench_decisions.py
+++ b/bench/bench_decisions.py
@@ -119,6 +119,14 @@
                 routing_caller.WARM_S, "s0", records
             ),
         ),
+        _cost(
+            "routing.news_and_call_at_10",
+            routing_caller.Caller(1, 10).take_news,
+        ),
+        _cost(
+            "routing.news_and_call_at_500",
+            routing_caller.Caller(1, 500).take_news,
+        ),
         _measure_memory(),
     ]
 
--- a/bench/routing_caller.py
+++ b/bench/routing_caller.py
@@ -60,6 +60,7 @@
         self.now_s = WARM_S
         self._services = services
         self._number = 0
+        self._sequence = 1
         place = parser.parse("store = a")
         assert isinstance(place, selector.Selector)
         self._place = place
@@ -94,6 +95,14 @@
                 10,
             )
 
+    def take_news(self) -> None:
+        """Takes newer news of one endpoint, then makes a call."""
+        name = f"s{self._number % self._services}"
+        self._sequence += 1
+        record = make_records(name, 1)[0]._replace(sequence=self._sequence)
+        self.router.update_endpoints(self.now_s, name, [record])
+        self.call()
+
     def shed(self) -> None:
         """Makes a call that is shed."""
         self.router.choose(self.now_s, "s0", CONTEXT, self._place)
