Eject for failures in a row only where the siblings do well

Cause: under a slow deep service with hard resends, an endpoint of a service above it was ejected for five 5xx in a row while its siblings failed one call in ten to two, and 144 important calls met one endpoint less. Change: such a row counts where the siblings fail less than one call in ten; connections that can't be made count always.

--- a/src/cranberrymux/decisions/routing/failure_history.py
+++ b/src/cranberrymux/decisions/routing/failure_history.py
@@ -7,6 +7,7 @@
 _FAILING_IN_A_ROW = 2
 _COMPARED_EACH = 4
 _DONE = outcome.Outcome.DONE
+_UNREACHABLE = outcome.Outcome.UNREACHABLE
 
 
 class FailureHistory:
@@ -21,6 +22,7 @@
         "_rate",
         "_samples",
         "_settings",
+        "_unreachable_in_a_row",
     )
 
     def __init__(
@@ -30,6 +32,7 @@
         self._settings = settings
         self._failures = 0
         self._in_a_row = 0
+        self._unreachable_in_a_row = 0
         self._rate = 0.0
         self._samples = 0
         self._ejections = 0
@@ -51,6 +54,7 @@
         if result is _DONE:
             self._samples += 1
             self._in_a_row = 0
+            self._unreachable_in_a_row = 0
             self._rate -= _RATE_GAIN * self._rate
             if self._ejections:
                 self._forgive(now_s)
@@ -58,6 +62,10 @@
             self._samples += 1
             self._failures += 1
             self._in_a_row += 1
+            if result is _UNREACHABLE:
+                self._unreachable_in_a_row += 1
+            else:
+                self._unreachable_in_a_row = 0
             self._rate += _RATE_GAIN * (1.0 - self._rate)
             self._last_failure_s = now_s
 
@@ -89,8 +97,10 @@
             siblings_rate: Average failure rate of the others.
         """
         settings = self._settings
+        if self._unreachable_in_a_row >= self._threshold:
+            return True  # No deeper service can be the cause.
         if self._in_a_row >= self._threshold:
-            return True
+            return siblings_rate < settings.ejection_siblings_rate
         return self._rate > siblings_rate + settings.ejection_rate_margin
 
     def eject(self, now_s: float) -> None:
@@ -104,6 +114,7 @@
             self._ejections += 1
         self._ejected_until_s = now_s + length_s
         self._in_a_row = 0
+        self._unreachable_in_a_row = 0
         self._rate = 0.0
         self._samples = 0
 
--- a/src/cranberrymux/decisions/routing/router_settings.py
+++ b/src/cranberrymux/decisions/routing/router_settings.py
@@ -20,8 +20,9 @@
         return_ramp_s: The same time for an endpoint back from ejection.
         ejection_failures: Failures in a row that eject an endpoint.
         repeated_ejection_failures: The same for one that was ejected before.
-        repeated_ejection_failures: int = 2
-    ejection_rate_margin: Failure rate above that of its siblings that
+        ejection_siblings_rate: Failure rate of its siblings from which
+            failures in a row, as they then come by chance, eject none.
+        ejection_rate_margin: Failure rate above that of its siblings that
             ejects an endpoint.
         ejection_samples: Answers needed before the rate counts.
         ejection_s: Length of a first ejection; doubles each time.
@@ -54,6 +55,7 @@
     return_ramp_s: float = 1.0
     ejection_failures: int = 5
     repeated_ejection_failures: int = 2
+    ejection_siblings_rate: float = 0.1
     ejection_rate_margin: float = 0.3
     ejection_samples: int = 20
     ejection_s: float = 1.0
--- a/tests/decisions/routing/test_router_learning.py
+++ b/tests/decisions/routing/test_router_learning.py
@@ -119,6 +119,26 @@
     assert len(builders.count_choices(one, WARM_S)) == 4
 
 
+@pytest.mark.parametrize(
+    ("result", "expected"),
+    [
+        (Outcome.FAILED, Verdict.CANDIDATE),
+        (Outcome.UNREACHABLE, Verdict.EJECTED),
+    ],
+)
+def test_failures_in_a_row_among_failing_siblings(result, expected):
+    one = builders.make_router([builders.record(n) for n in range(4)])
+    for step in range(40):
+        for number in (1, 2, 3):
+            failed = (step + number) % 4 == 0
+            ended = Outcome.FAILED if failed else Outcome.DONE
+            builders.finish(one, WARM_S, f"e{number}", ended)
+    for _ in range(5):
+        builders.finish(one, WARM_S, "e0", result)
+    lines = one.explain(WARM_S, "notes", builders.CONTEXT)
+    assert lines[0].verdict is expected
+
+
 def test_the_only_endpoint_of_a_place_is_not_ejected():
     other = builders.record(1, labels={"store": "b"})
     one = builders.make_router([builders.record(0), other])
