Look at every candidate where two choices give none

Cause: of two endpoints of which one was excluded, a cold one could be replaced by the excluded one, and the call was refused though the other took it. Found by a new check: no refusal while an endpoint is a candidate. Change: the scan follows whenever the two choices give none. Proved: the check fails on the code before and without the scan.

--- a/src/cranberrymux/decisions/routing/sampler.py
+++ b/src/cranberrymux/decisions/routing/sampler.py
@@ -92,9 +92,7 @@
             first = self._replace_cold(tier, first)
             second = self._replace_cold(tier, second)
         picked = self._weigh(second, self._weigh(first, None))
-        if picked is None and count > 2:
-            picked = self._scan(tier, first_index)
-        return picked
+        return picked or self._scan(tier, first_index)
 
     def _weigh(
         self, one: learned_endpoint.LearnedEndpoint, best: Pick | None
--- a/tests/decisions/routing/test_router_invariants.py
+++ b/tests/decisions/routing/test_router_invariants.py
@@ -91,6 +91,7 @@
         chosen = self.router.choose(*arguments)
         if isinstance(chosen, refusal.Refusal):
             self.check_refusal(chosen, store)
+            assert verdict.Verdict.CANDIDATE not in verdicts.values()
             return
         assert self.newest[chosen.endpoint_id] == chosen
         assert store in {None, chosen.labels["store"]}
@@ -210,6 +211,11 @@
         "_make_pool",
         _make_pool_of_ejected,
     ),
+    "candidates: only two are looked at": (
+        sampler.Sampler,
+        "_scan",
+        lambda self, tier, start: None,
+    ),
     "excluded: they are chosen": (
         sampler.Sampler,
         "_admits",
