--- a/src/cranberrymux/demo/story.py
+++ b/src/cranberrymux/demo/story.py
@@ -120,7 +120,8 @@
         lost = 1 - dispatch["done"] / dispatch["sent"]
         self._note(
             "overload",
-            f"dispatches lost {lost:.2%} {dispatch['reasons'] or ''}, "
+            f"dispatches lost {lost:.2%} {dispatch['reasons'] or ''} at "
+            f"{dispatch['attempts_per_request']:.2f} sendings each, "
             f"{total['wrong']} wrong, {total['cut']} cut",
             f"dispatches lost under {_PROTECTED_LOSS_BOUND:.1%}, none wrong "
             "or cut",
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -301,6 +301,7 @@
             now_s - self._sent_s,
             facts.level if facts else None,
             load=facts.load if facts else None,
+            incarnation=self._endpoint.incarnation,
         )
 
     def _refuse(self, one: refusal.Refusal) -> None:
@@ -372,8 +373,10 @@
 
 
 def _classify_refusal(reason: _Reason | None) -> outcome.Outcome:
-    if reason in (_Reason.DRAINING, _Reason.NOT_STARTED):
+    if reason is _Reason.DRAINING:
         return outcome.Outcome.DRAINING
+    if reason is _Reason.NOT_STARTED:
+        return outcome.Outcome.UNREACHABLE
     if reason in retry_policy.OVERLOAD_REASONS:
         return outcome.Outcome.REFUSED
     return outcome.Outcome.DONE
