--- a/src/cranberrymux/cli/exit_code.py
+++ b/src/cranberrymux/cli/exit_code.py
@@ -8,7 +8,7 @@
 
     Attributes:
         OK: Done.
-        DIFFERENT: `diff` found a difference.
+        DIFFERENT: `diff` found a difference, or `burn` a budget that burns.
         USAGE: Wrong command line or settings.
         CONFLICT: Another change came first.
         INVALID: The document or request was refused.
--- a/src/cranberrymux/cli/main.py
+++ b/src/cranberrymux/cli/main.py
@@ -14,6 +14,7 @@
 from cranberrymux import api
 from cranberrymux import exceptions
 from cranberrymux.cli import apply_command
+from cranberrymux.cli import burn_command
 from cranberrymux.cli import cli_settings
 from cranberrymux.cli import command
 from cranberrymux.cli import exit_code
@@ -33,6 +34,7 @@
     status_command.STATUS,
     read_command.DRAIN,
     explain_command.EXPLAIN,
+    burn_command.BURN,
 )
 
 _EPILOG = """
@@ -47,10 +49,11 @@
 
 exit codes:
   0 done                       5 no control instance with a quorum answered;
-  1 diff found a difference      send the change again with its change id
-  2 wrong usage or settings    6 accepted, not in force everywhere in time
-  3 another change came first  7 wrong token
-  4 refused as invalid         8 version or node not found
+  1 diff found a difference,     send the change again with its change id
+    burn a budget that burns   6 accepted, not in force everywhere in time
+  2 wrong usage or settings    7 wrong token
+  3 another change came first  8 version or node not found
+  4 refused as invalid
 """
 
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -158,6 +158,28 @@
     assert expected in capsys.readouterr().err
 
 
+def test_burn_gives_the_reports_verdict(tmp_path, monkeypatch, capsys):
+    asked = []
+    monkeypatch.setattr(
+        main.burn_command.report_main,
+        "main",
+        lambda words: asked.append(words) or 1,
+    )
+    words = [
+        "burn",
+        "--settings",
+        "r.yaml",
+        "--outcomes",
+        "a",
+        "--output",
+        "json",
+    ]
+    assert main.main(words) == 1
+    assert asked == [
+        ["--settings", "r.yaml", "--outcomes", "a", "--format", "json"]
+    ]
+
+
 @pytest.mark.parametrize("name", ["", *(one.name for one in main.COMMANDS)])
 def test_help_has_examples(capsys, name):
     with pytest.raises(SystemExit) as caught:
