End a control instance whose state is in doubt; answer authors last

An error while an entry was applied was logged by the codec's handler and the entry skipped, so that the replica would have differed from the others for good; an error in a tick stopped the clock and left a process that did nothing. Both now end the process.

--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -115,7 +115,8 @@
             peers=peers,
             reactor=self._reactor,
             metrics=self._metrics,
-            report_failure=self._fail,
+            report_failure=self._end_for_storage,
+            report_fault=self._end_for_fault,
         )
         return quorum_log.QuorumLog(
             settings,
@@ -169,11 +170,16 @@
         log.report_metrics()
         self._metrics.flush()
 
-    def _fail(self, detail: str) -> None:
+    def _end_for_storage(self, detail: str) -> None:
         self._exit_code = EXIT_FAILED
         self._events.error("storage-failed", detail=detail)
         self._reactor.stop()
 
+    def _end_for_fault(self, error: str) -> None:
+        self._exit_code = EXIT_FAILED
+        self._events.error("fault", error=error)
+        self._reactor.stop()
+
     def _report_storage(self, failed: storage.StorageError) -> None:
         self._events.error(
             "storage-failed",
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -9,6 +9,7 @@
 
 from cranberrymux.consensus import codec as consensus_codec
 from cranberrymux.consensus import driver as driver_module
+from cranberrymux.consensus import invariant_error
 from cranberrymux.consensus import role as role_module
 from cranberrymux.control import control_settings
 from cranberrymux.control import joining
@@ -69,7 +70,7 @@
         """Connects to the peers and starts the clock."""
         self._peers.start()
         self._ticking.clock = self._reactor
-        self._ticking.start(TICK_S)
+        self._ticking.start(TICK_S).addErrback(self._loop.fail_for)
 
     def stop(self) -> None:
         """Stops the clock and gives the folder back."""
@@ -179,7 +180,12 @@
 
     def deliver(self, message: Any) -> None:
         """Takes a message of another replica."""
-        actions = self._driver.receive(replica_loop.now_s(), message.payload)
+        now_s = replica_loop.now_s()
+        try:
+            actions = self._driver.receive(now_s, message.payload)
+        except invariant_error.InvariantError as error:
+            self._loop.fail(error)
+            return
         if isinstance(actions, consensus_codec.DecodeError):
             self._events.warning("bad-peer-message", sender=message.sender)
             return
--- a/src/cranberrymux/control/replica_loop.py
+++ b/src/cranberrymux/control/replica_loop.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 from twisted.internet import threads
+from twisted.python import failure
 
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import entry as entry_module
@@ -38,6 +39,7 @@
         reactor: Any,
         metrics: metrics_sink.MetricsSink,
         report_failure: Callable[[str], None],
+        report_fault: Callable[[str], None],
     ) -> None:
         """Keeps the parts.
 
@@ -50,6 +52,8 @@
             metrics: Takes metrics.
             report_failure: Called once if the disk fails; the process must
                 then end.
+            report_fault: Called once for an error that was not foreseen; the
+                process must then end.
         """
         self._driver = driver
         self._folder = folder
@@ -58,6 +62,7 @@
         self._reactor = reactor
         self._metrics = metrics
         self._report_failure = report_failure
+        self._report_fault = report_fault
         self._is_stopped = False
         self.proposals = proposals_module.Proposals()
 
@@ -67,27 +72,54 @@
         self._folder.close()
 
     def act(self, actions: driver_module.Actions) -> None:
-        """Does what the driver asked for."""
-        for one in actions.outgoing:
-            self._peers.deliver(name_of(one.recipient), one.payload)
+        """Does what the driver asked for.
+
+        A state machine that fails to apply an entry would differ from the
+        others for good, so the process then ends. Authors are answered last,
+        when the state is whole, since an answer may lead to a new proposal.
+        """
+        if self._is_stopped:
+            return
+        try:
+            answers = self._advance(actions)
+        except Exception as error:  # Whatever it is, the state is in doubt.
+            self.fail(error)
+            return
+        self._sync()
         if actions.install is not None:
-            if actions.install.data:
-                self._machine.restore(actions.install.data)
             self.proposals.forget_up_to(actions.install.log_index)
-        for entry in actions.committed:
-            self._apply(entry)
+        for entry, answer in answers:
+            self.proposals.settle(entry, answer)
+
+    def fail(self, error: BaseException) -> None:
+        """Stops for an error that was not foreseen."""
+        if not self._is_stopped:
+            self._is_stopped = True
+            self._report_fault(f"{type(error).__name__}: {error}")
+
+    def fail_for(self, reason: failure.Failure) -> None:
+        """Stops for the error of a `Deferred`."""
+        self.fail(reason.value or RuntimeError("unknown"))
+
+    def _advance(
+        self, actions: driver_module.Actions
+    ) -> list[tuple[entry_module.Entry, Any]]:
+        for one in actions.outgoing:
+            self._peers.deliver(name_of(one.recipient), one.payload)
+        if actions.install is not None and actions.install.data:
+            self._machine.restore(actions.install.data)
+        answers = [(entry, self._apply(entry)) for entry in actions.committed]
         if actions.snapshot_wanted:
             index = self._driver.replica.journal.applied_index
             defer.ensureDeferred(
                 self._take_snapshot(index, self._machine.dump())
             )
-        self._sync()
+        return answers
 
-    def _apply(self, entry: entry_module.Entry) -> None:
-        answer = None
-        if entry.kind is entry_module.EntryKind.COMMAND:
-            answer = self._machine.apply(entry.payload)
-        self.proposals.settle(entry, answer)
+    def _apply(self, entry: entry_module.Entry) -> Any:
+        if entry.kind is not entry_module.EntryKind.COMMAND:
+            return None
+        return self._machine.apply(entry.payload)
 
     async def _take_snapshot(
         self, log_index: int, parts: Iterator[bytes]
@@ -113,7 +145,7 @@
             batch,
         )
         done.addCallback(self._finish_batch, batch, now_s())
-        done.addErrback(self._fail)
+        done.addErrback(self.fail_for)
 
     def _finish_batch(self, result: Any, batch: Any, begun_s: float) -> None:
         if self._is_stopped:
@@ -130,10 +162,6 @@
             return
         self.act(actions)
 
-    def _fail(self, reason: Any) -> None:
-        if not self._is_stopped:
-            self._report_failure(reason.getErrorMessage())
-
 
 def now_s() -> float:
     """Seconds that also count while the instance sleeps."""
