--- a/bench/overload/routed.py
+++ b/bench/overload/routed.py
@@ -5,19 +5,19 @@
 from bench.overload import call
 from bench.overload import clock as clock_module
 from bench.overload import node as node_module
+from bench.overload import records
 from cranberrymux.decisions.routing import outcome
 from cranberrymux.decisions.routing import router as router_module
 from cranberrymux.decisions.routing import router_settings
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
-from cranberrymux.models import request_context
 
 _Outcome = outcome.Outcome
 _Reason = refusal_reason.RefusalReason
 _OUTCOMES = {
     _Reason.DRAINING: _Outcome.DRAINING,
-    _Reason.NO_ENDPOINT: _Outcome.UNREACHABLE,
+    _Reason.NOT_STARTED: _Outcome.UNREACHABLE,
     _Reason.CONNECTION_LOST: _Outcome.LOST,
     _Reason.QUARANTINED: _Outcome.CANCELLED,
 }
@@ -37,28 +37,19 @@
         self._clock = clock
         self._nodes = {node.endpoint_id: node for node in nodes}
         settings = router_settings.RouterSettings(
-            region=node_module.REGION, zone=zone
+            region=records.REGION, zone=zone
         )
         self._router = router_module.Router(settings, generator)
         warm_s = clock.now_s - settings.slow_start_s
         self._service = nodes[0].service.name
-        records = [node.record for node in nodes]
-        self._router.update_endpoints(warm_s, self._service, records)
+        known = [node.record for node in nodes]
+        self._router.update_endpoints(warm_s, self._service, known)
 
     def choose(
         self, request: call.Request, tried: frozenset[str]
     ) -> "node_module.Node | None":
         """Asks the router."""
-        context = request_context.RequestContext(
-            request.request_id,
-            "",
-            "",
-            0,
-            request.kind.class_rank,
-            request.shed_hash,
-            request.retries_left,
-            1,
-        )
+        context = request.make_context(len(tried) + 1)
         chosen = self._router.choose(
             self._clock.now_s, self._service, context, excluded=tried
         )
--- a/src/cranberrymux/load/answer_check.py
+++ b/src/cranberrymux/load/answer_check.py
@@ -15,6 +15,7 @@
 
 _LOST = {
     lost.Lost.UNREACHABLE: _Kind.NOT_RUN,
+    lost.Lost.NOT_SENT: _Kind.NOT_RUN,
     lost.Lost.NO_ANSWER: _Kind.UNKNOWN,
     lost.Lost.CUT: _Kind.CUT,
     lost.Lost.MALFORMED: _Kind.WRONG,
@@ -49,9 +50,9 @@
         if reason:
             return outcome.Outcome(_Kind.WRONG, reason)
         return outcome.Outcome(_Kind.DONE)
-    return outcome.Outcome(
-        kind, _read_reason(result), _read_retry_after_ms(result)
-    )
+    retry_after_ms = _read_retry_after_ms(result)
+    is_final = kind is _Kind.NOT_RUN and retry_after_ms is None
+    return outcome.Outcome(kind, _read_reason(result), retry_after_ms, is_final)
 
 
 def _read_kind(result: response.Response) -> outcome_kind.OutcomeKind:
@@ -69,7 +70,7 @@
     reason = f"status-{result.status}"
     try:
         answer = json.loads(result.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return reason
     # A stand-in gives the reason of the child call that failed.
     if isinstance(answer, dict) and isinstance(answer.get("reason"), str):
@@ -89,15 +90,16 @@
 
 def _check_body(body: bytes, request_id: str) -> str:
     try:
-        answer = json.loads(body)
-    except ValueError:
+        is_own = _is_own(json.loads(body), request_id)
+    except (ValueError, RecursionError):
         return "not-json"
-    return "" if _is_own(answer, request_id) else "request-id-body"
+    return "" if is_own else "request-id-body"
 
 
 def _is_own(answer: Any, request_id: str) -> bool:
     if not isinstance(answer, dict) or answer.get("request_id") != request_id:
         return False
-    return all(
-        _is_own(child, request_id) for child in answer.get("children", ())
-    )
+    children = answer.get("children", [])
+    if not isinstance(children, list):
+        return False
+    return all(_is_own(child, request_id) for child in children)
