--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -180,8 +180,8 @@
 
     def deliver(self, message: Any) -> None:
         """Takes a message of another replica."""
-        now_s = replica_loop.now_s()
         try:
+            now_s = replica_loop.now_s()
             actions = self._driver.receive(now_s, message.payload)
         except invariant_error.InvariantError as error:
             self._loop.fail(error)
