--- a/src/cranberrymux/load/main.py
+++ b/src/cranberrymux/load/main.py
@@ -37,6 +37,9 @@
         if options.settings is None:
             parser.error("the option --settings is required")
         settings = _read_settings(options)
+        if options.output:
+            # A report that cannot be written would be lost after the load.
+            pathlib.Path(options.output).open("a").close()
     except (exceptions.SettingsError, OSError, ValueError) as error:
         print(error, file=sys.stderr)
         return EXIT_WRONG_SETTINGS
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -206,6 +206,7 @@
         (["--target", "localhost"], {}, "ip:port, not 'localhost'"),
         (["--target", "127.0.0.1:1"], {"rate": 0}, "rate: expected a number"),
         (["--target", "127.0.0.1:1"], {"kinds": []}, "at least one kind"),
+        (["--target", "127.0.0.1:1", "--output", "/"], {}, "directory"),
     ],
 )
 def test_wrong_settings_exit_with_2(tmp_path, capsys, words, settings, message):
