--- a/src/cranberrymux/report/plots.py
+++ b/src/cranberrymux/report/plots.py
@@ -73,7 +73,7 @@
     step_s = max(bucket_s, shown_s // POINTS // bucket_s * bucket_s)
     end_s = math.ceil(now_s / bucket_s) * bucket_s
     count = -(-shown_s // step_s)
-    times_s = [end_s - step_s * (count - 1 - index) for index in range(count)]
+    times_s = [end_s - step_s * age for age in range(count, -1, -1)]
     return _Points([float(time_s) for time_s in times_s], float(step_s))
 
 
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -209,7 +209,11 @@
         (["--target", "127.0.0.1:1", "--output", "/"], {}, "directory"),
     ],
 )
-def test_wrong_settings_exit_with_2(tmp_path, capsys, words, settings, message):
+def test_wrong_settings_exit_with_2(
+    tmp_path, capsys, monkeypatch, words, settings, message
+):
+    # A load would run the reactor that other tests of this process need.
+    monkeypatch.setattr(main, "_run", None)
     path = tmp_path / "load.yaml"
     path.write_text(yaml.safe_dump({"kinds": [KIND], **settings}))
     assert main.main(["--settings", str(path), *words]) == 2
