--- a/tests/telemetry/test_outcomes.py
+++ b/tests/telemetry/test_outcomes.py
@@ -54,6 +54,15 @@
     assert counts[2].answers == 1
 
 
+def test_a_restart_goes_on_after_the_last_line(tmp_path):
+    for second in (0, 10):
+        one = _recorder(tmp_path)
+        one.record(second, "s", "a", DONE, 1)
+        one.close()
+    _, reader = _read(tmp_path)
+    assert (reader.lines_read, reader.lines_skipped) == (2, 0)
+
+
 def test_a_torn_line_is_ended_and_skipped(tmp_path):
     one = _recorder(tmp_path)
     one.record(1, "s", "a", DONE, 1)
@@ -76,8 +85,9 @@
     for second in range(0, 1000, 10):
         one.record(second, "s", "a", DONE, 1)
         one.flush(second + 10)
-    assert len(os.listdir("/proc/self/fd")) <= open_before + 1
+    assert len(os.listdir("/proc/self/fd")) == open_before + 1
     one.close()
+    assert len(os.listdir("/proc/self/fd")) == open_before
     sizes = {path.name: path.stat().st_size for path in tmp_path.iterdir()}
     ends = ("", ".1", ".2")[:files]
     assert set(sizes) == {f"outcomes.jsonl{end}" for end in ends}
@@ -144,6 +154,13 @@
     assert outcome_codec.decode(line) is None
 
 
+def test_the_rest_of_a_line_that_is_too_long_is_no_line(tmp_path):
+    length = outcomes_reader.LINE_BYTES_MAX
+    (tmp_path / "a.jsonl").write_bytes(b"x" * length + VALID + VALID)
+    counts, reader = _read(tmp_path)
+    assert (len(counts), reader.lines_skipped) == (1, 1)
+
+
 @hypothesis.settings(derandomize=True, database=None, max_examples=50)
 @hypothesis.given(
     rubbish=strategies.lists(strategies.binary(max_size=40), max_size=5),
