--- a/src/cranberrymux/load/recorder.py
+++ b/src/cranberrymux/load/recorder.py
@@ -1,6 +1,7 @@
 """Counts the outcomes of one kind of request."""
 
 import collections
+import math
 
 from cranberrymux.load import latency_histogram
 from cranberrymux.load import outcome
@@ -80,9 +81,14 @@
         self._wire.add(other._wire)
         self._refusal.add(other._refusal)
 
-    def report(self) -> report.KindReport:
-        """Gives the counts and percentiles."""
-        seconds = max(self._goodput, default=-1) + 1
+    def report(self, seconds: float) -> report.KindReport:
+        """Gives the counts and percentiles.
+
+        Args:
+            seconds: Length of the load, which the goodput covers at least.
+        """
+        last_second = max(self._goodput, default=-1)
+        covered = max(math.ceil(seconds), last_second + 1)
         ended = sum(self._outcomes.values())
         return report.KindReport(
             sent=self._sent,
@@ -98,7 +104,7 @@
             attempts_per_request=round(self._attempts / max(1, ended), 4),
             attempts_max=self._attempts_max,
             reasons=dict(sorted(self._reasons.items())),
-            goodput=[self._goodput[second] for second in range(seconds)],
+            goodput=[self._goodput[second] for second in range(covered)],
             latency_ms=self._latency.report(),
             wire_ms=self._wire.report(),
             refusal_ms=self._refusal.report(),
--- a/src/cranberrymux/load/report.py
+++ b/src/cranberrymux/load/report.py
@@ -40,7 +40,8 @@
         attempts_per_request: Mean.
         attempts_max: Most attempts of one request.
         reasons: Count of each reason of requests that are not done.
-        goodput: Done in time, per whole second since the start.
+        goodput: Done in time, per whole second since the start, over the load
+            and until the last of them.
         latency_ms: Done requests, from the intended start.
         wire_ms: Done requests, from the write of the last attempt.
         refusal_ms: Attempts refused as not run by an answer, from the write.
--- a/src/cranberrymux/load/runner.py
+++ b/src/cranberrymux/load/runner.py
@@ -143,9 +143,9 @@
             seconds=self._settings.seconds,
             seed=self._settings.seed,
             late_start_ms=self._late_start.report(),
-            total=total.report(),
+            total=total.report(self._settings.seconds),
             kinds={
-                name: recorder.report()
+                name: recorder.report(self._settings.seconds)
                 for name, recorder in zip(names, self._recorders, strict=True)
             },
         )
--- a/tests/load/test_client_request.py
+++ b/tests/load/test_client_request.py
@@ -72,7 +72,7 @@
     assert len(trial.pool.sent) == 1
     trial.clock.advance(0.01)
     trial.answer(200, b'{"request_id": "id"}')
-    report = trial.recorder.report()
+    report = trial.recorder.report(3)
     assert (report["done"], report["attempts"]) == (1, 2)
     assert (report["latency_ms"]["max"], report["done_late"]) == (
         pytest.approx(700, rel=1e-3),
@@ -92,8 +92,9 @@
         trial.clock.advance(longest_s / 2 + 0.001)
         assert len(trial.pool.sent) == attempt + 1
     trial.answer(502)
-    assert trial.recorder.report()["failed"] == 1
-    assert trial.recorder.report()["attempts"] == 4
+    assert trial.recorder.report(3)["failed"] == 1
+    assert trial.recorder.report(2.5)["goodput"] == [0, 0, 0]
+    assert trial.recorder.report(3)["attempts"] == 4
 
 
 def test_a_timeout_is_unknown_and_resent():
@@ -102,7 +103,7 @@
     trial.clock.advance(0)
     assert len(trial.pool.sent) == 2
     trial.clock.advance(0.1)
-    assert trial.recorder.report()["reasons"] == {"timed-out": 1}
+    assert trial.recorder.report(3)["reasons"] == {"timed-out": 1}
 
 
 @pytest.mark.parametrize("is_waiting_to_resend", [False, True])
@@ -114,7 +115,7 @@
         trial.answer(502)
     trial.request.end()
     trial.clock.advance(60)
-    report = trial.recorder.report()
+    report = trial.recorder.report(3)
     assert report["reasons"] == {"unfinished": 1}
     assert (report["unknown"], report["attempts"]) == (1, 1)
     assert len(trial.pool.sent) == 1
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -233,7 +233,7 @@
         one.count_sent()
         one.count_done(0.5, 0.002, 0.001, is_late=False)
         one.count_outcome(outcome.Outcome(outcome_kind.OutcomeKind.DONE), 1)
-    return {"total": one.report(), "kinds": {"lookup": one.report()}}
+    return {"total": one.report(1), "kinds": {"lookup": one.report(1)}}
 
 
 def test_compares_two_reports(tmp_path, capsys):
