--- a/src/cranberrymux/standin/call_resource.py
+++ b/src/cranberrymux/standin/call_resource.py
@@ -59,7 +59,7 @@
         if self._worker.is_full:
             self._counters.refused += 1
             request.setResponseCode(503)
-            return b'{"error": "no slot is free"}'
+            return b'{"reason": "no-slot"}'
         call = call_module.read(
             request.method, request.uri, request.requestHeaders
         )
@@ -98,7 +98,7 @@
             return
         structlog.get_logger().error(event.Event.FAULT, error=repr(error))
         request.setResponseCode(500)
-        self._send(request, b'{"error": "internal error"}')
+        self._send(request, b'{"reason": "internal-error"}')
 
     def _send(self, request: server.Request, body: bytes) -> None:
         request.setHeader(b"content-length", str(len(body)).encode())
--- a/src/cranberrymux/standin/child_client.py
+++ b/src/cranberrymux/standin/child_client.py
@@ -19,6 +19,7 @@
 from cranberrymux.standin import standin_settings
 
 CONNECT_TIMEOUT_S = 1.0
+REASON_CHARACTERS_MAX = 100
 
 
 class ChildClient:
@@ -83,7 +84,7 @@
                 service, "connection-lost"
             ) from failure
         if response.code != 200:
-            raise _read_refusal(service, response)
+            raise _read_refusal(service, response, body)
         try:
             return json.loads(body)
         except ValueError as failure:
@@ -99,17 +100,30 @@
 
 
 def _read_refusal(
-    service: str, response: Any
+    service: str, response: Any, body: bytes
 ) -> child_refused.ChildRefusedError:
     headers: http_headers.Headers = response.headers
     return child_refused.ChildRefusedError(
         service,
-        _first(headers, "Cranberrymux-Reason") or f"status-{response.code}",
+        _first(headers, "Cranberrymux-Reason")
+        or _read_reason(body)
+        or f"status-{response.code}",
         _first(headers, "Retry-After"),
         _first(headers, "Cranberrymux-Retry-After-Ms"),
     )
 
 
+def _read_reason(body: bytes) -> str:
+    # A stand-in whose own child call failed gives that one's reason.
+    try:
+        answer = json.loads(body)
+    except (ValueError, RecursionError):
+        return ""
+    if not isinstance(answer, dict):
+        return ""
+    return str(answer.get("reason", ""))[:REASON_CHARACTERS_MAX]
+
+
 def _first(headers: http_headers.Headers, name: str) -> str:
     values = headers.getRawHeaders(name)
     return values[0] if values else ""
--- a/tests/standin/test_standin.py
+++ b/tests/standin/test_standin.py
@@ -87,18 +87,23 @@
         threading.Thread(
             target=egress.serve_forever, args=(0.01,), daemon=True
         ).start()
-        one = start(
-            "top",
+        middle = start(
+            "middle",
             egress_url=f"http://127.0.0.1:{egress.server_port}",
             children=[{"service": "deep"}],
         )
-        status, answer, headers = one.ask("/", headers=ID)
+        top = start(
+            "top",
+            egress_url=f"http://{middle.target}",
+            children=[{"service": "middle"}],
+        )
+        answers = [one.ask("/", headers=ID) for one in (middle, top)]
         egress.shutdown()
-    assert (status, answer["reason"], answer["child"]) == (
-        502,
-        "overloaded",
-        "deep",
-    )
+    assert [(status, one["reason"]) for status, one, _ in answers] == [
+        (502, "overloaded")
+    ] * 2
+    assert [one["child"] for _, one, _ in answers] == ["deep", "middle"]
+    headers = answers[1][2]
     assert headers["Retry-After"] == "2"
     assert headers["Cranberrymux-Retry-After-Ms"] == "1500"
 
