Let a replica stand for election until its own removal is committed

Cause: a replica that had appended its own removal called itself a learner and never stood, while its log was the longest and the others needed its vote. Before: scenario removal_not_committed elects nobody. Its own vote still does not count once the removal is in its log.

--- a/bench/consensus_scenarios.py
+++ b/bench/consensus_scenarios.py
@@ -252,6 +252,29 @@
     world.run_for(3.0)
 
 
+def removal_not_committed(replica_class: type[replica_module.Replica]) -> None:
+    """The leader of two removes itself, and only its own log has that."""
+    world = build(6, 2, replica_class)
+    for node in world.nodes:
+        node.is_wanted = False
+    leader = elect(world)
+    world.run_for(0.2)
+    other = next(node for node in world.nodes if node is not leader)
+    separate(world, [leader], [other])
+    removal = member_change.MemberChange(
+        member_change.ChangeKind.REMOVE, leader.disk.replica_id
+    )
+    if not world.change(leader, removal):
+        raise consensus_checker.ViolationError("the removal was not taken")
+    world.run_for(0.5)
+    world.crash(leader)
+    world.start(leader)
+    world.cut.clear()
+    world.run_for(2.0)
+    if world.leaders() != [other]:
+        raise consensus_checker.ViolationError("nobody can be elected")
+
+
 def hung_disk(replica_class: type[replica_module.Replica]) -> None:
     """A leader's disk stops finishing writes."""
     world = build(4, 3, replica_class)
--- a/src/cranberrymux/consensus/journal.py
+++ b/src/cranberrymux/consensus/journal.py
@@ -102,6 +102,11 @@
         """Replica ids of the voters in force."""
         return self._history.voters
 
+    @property
+    def previous_voters(self) -> frozenset[str]:
+        """Voters of the membership before; those in force if none is known."""
+        return self._history.previous_voters
+
     @property
     def members_index(self) -> int:
         """Index of the entry that the membership in force came by."""
@@ -110,9 +115,7 @@
     def set_term(self, term: int, voted_for: str = "") -> None:
         """Raises the term, or records the vote in it."""
         if term < self._term:
-            raise invariant_error.InvariantError(
-                f"term {term} after {self._term}"
-            )
+            raise invariant_error.InvariantError("the term would fall")
         self._term = term
         self._voted_for = voted_for
         self._pending.hard_state = write_module.HardState(term, voted_for)
@@ -127,8 +130,7 @@
         """Drops uncommitted entries from an index on."""
         if from_index <= self._commit_index:
             raise invariant_error.InvariantError(
-                f"entry {from_index} is committed"
-                f" (up to {self._commit_index}) and would be dropped"
+                f"committed entry {from_index} would be dropped"
             )
         self._flush()
         self._log.truncate(from_index)
--- a/src/cranberrymux/consensus/membership_history.py
+++ b/src/cranberrymux/consensus/membership_history.py
@@ -32,6 +32,11 @@
         """Replica ids of the voters in force."""
         return self._known[-1].voters
 
+    @property
+    def previous_voters(self) -> frozenset[str]:
+        """Voters of the membership before; those in force if none is known."""
+        return self._known[max(len(self._known) - 2, 0)].voters
+
     @property
     def current_index(self) -> int:
         """Index of the entry that the membership in force came by."""
--- a/src/cranberrymux/consensus/participant.py
+++ b/src/cranberrymux/consensus/participant.py
@@ -219,23 +219,27 @@
         self._leader_hint = leader_id
 
     def _settle_role(self, now_s: float) -> None:
-        is_voter = self.replica_id in self._journal.voters
-        if is_voter and self.role is role_module.Role.LEARNER:
+        takes_part = self._takes_part()
+        if takes_part and self.role is role_module.Role.LEARNER:
             self._lifecycle.promote()
             self._election.wait(now_s)
-        elif not is_voter and self.role is not role_module.Role.LEARNER:
-            # A leader that removes itself leads until that is committed.
-            changed_at = self._journal.members_index
-            if (
-                self._leader is not None
-                and changed_at > self._journal.commit_index
-            ):
-                return
+        elif not takes_part and self.role is not role_module.Role.LEARNER:
             self._lifecycle.demote()
             if self._leader is not None:
                 self._leader = None
                 self._leader_hint = ""
 
+    def _takes_part(self) -> bool:
+        # Until a voter's removal is committed, its log may be the only one
+        # that can win an election. Its own vote does not count then.
+        journal = self._journal
+        if journal.replica_id in journal.voters:
+            return True
+        return (
+            journal.members_index > journal.commit_index
+            and journal.replica_id in journal.previous_voters
+        )
+
     def _end(self, now_s: float) -> effects.Effects:
         if self._leader is not None:
             self._leader.advance_commit(now_s)
--- a/tests/consensus/test_mutations.py
+++ b/tests/consensus/test_mutations.py
@@ -130,6 +130,12 @@
         return True
 
 
+class ForgetsItWasVoter(journal.Journal):
+    @property
+    def previous_voters(self):
+        return frozenset()
+
+
 class ChangesTwiceAtOnce(journal.Journal):
     @property
     def members_index(self):
@@ -232,6 +238,10 @@
         consensus_scenarios.isolated_follower,
         _replica(election_class=SkipsPreVote),
     ),
+    "no election by one whose removal is not committed": (
+        consensus_scenarios.removal_not_committed,
+        _replica(journal_class=ForgetsItWasVoter),
+    ),
     "no check of the leader's own disk": (
         consensus_scenarios.hung_disk,
         _replica(_may_lead_on=lambda self, now_s, leader: True),
