--- a/bench/bench_consensus.py
+++ b/bench/bench_consensus.py
@@ -16,7 +16,7 @@
 from cranberrymux.consensus import replica_settings
 
 SCHEDULES = 20_000
-PROCESSES = 3
+PROCESSES = 4
 SCHEDULES_PER_TASK = 250
 ELECTIONS = 200
 ELECTION_BOUND_S = 3.0
--- a/src/cranberrymux/consensus/journal.py
+++ b/src/cranberrymux/consensus/journal.py
@@ -19,10 +19,9 @@
 
 
 class Journal:
-    """Term, vote, log and membership.
+    """Term, vote, log and membership, and the writes that change them.
 
-    The changes of one step become writes, which `take` hands out. Messages
-    given to `send_durable` are held until every write so far is synced.
+    Messages given to `send_durable` wait until every write so far is synced.
     """
 
     def __init__(
@@ -216,8 +215,8 @@
         self._queue.hold(self._held)
         self._held = []
         outgoing = (*self._outgoing, *self._queue.release())
-        self._outgoing = []
         writes = self._queue.take_writes()
+        self._outgoing = []
         install = self._take_install()
         committed = self._take_committed()
         return effects.Effects(
