--- a/bench/overload/refusals.py
+++ b/bench/overload/refusals.py
@@ -6,7 +6,7 @@
 
 LOST = refusal.Refusal(
     answer_kind.AnswerKind.UNKNOWN,
-    refusal_reason.RefusalReason.CONNECTIONLOST,
+    refusal_reason.RefusalReason.CONNECTION_LOST,
     "the backend server died",
     100,
 )
