--- a/bench/overload/clients.py
+++ b/bench/overload/clients.py
@@ -54,11 +54,19 @@
         self._plan = plan
         self._entries = entries
         self._count = 0
+        self._pending: set[_Sending] = set()
         self._weights = [kind.share for kind in where.kinds]
         self._clock.call_later(0.0, self._arrive)
         if plan.has_poison:
             self._clock.call_at(plan.begins_s, self._send_poison)
 
+    def close(self) -> None:
+        """Counts as lost what has had its time and no whole answer."""
+        latest_s = self._clock.now_s - self._plan.timeout_s
+        for sending in list(self._pending):
+            if sending.arrived_s <= latest_s:
+                self._end(sending, is_done=False)
+
     def _arrive(self) -> None:
         now_s = self._clock.now_s
         rate = self._plan.get_rate(now_s) * self._where.capacity_per_s
@@ -75,7 +83,9 @@
             f"r{self._count}", kind, self._generator.randrange(128), is_poison
         )
         request.retries_left = retry_settings.RetrySettings().root_budget
-        self._send(_Sending(request, self._clock.now_s))
+        sending = _Sending(request, self._clock.now_s)
+        self._pending.add(sending)
+        self._send(sending)
 
     def _send(self, sending: _Sending) -> None:
         sending.sent += 1
@@ -138,6 +148,7 @@
 
     def _end(self, sending: _Sending, is_done: bool) -> None:
         sending.is_ended = True
+        self._pending.discard(sending)
         self._recorder.ended.append(
             recorder_module.Ended(
                 sending.arrived_s,
--- a/bench/overload/world.py
+++ b/bench/overload/world.py
@@ -67,6 +67,7 @@
     def run(self) -> recorder_module.Recorder:
         """Runs to the end and returns what was recorded."""
         self._clock.run(self._plan.run_s)
+        self._clients.close()
         return self.recorder
 
     def announce(self, record: endpoint_record.EndpointRecord) -> None:
