Leave an endpoint at the death of its backend server, find it at the restart

Cause: a node whose backend server had died stayed in the directory until the lease ended, and callers that it refused shut it out for 30 s. The node now announces that it is gone when no connection is taken, and the next announcement of the backend server is newer news. Test: test_endpoint_is_left_at_the_death_and_found_at_the_restart.

--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -152,6 +152,7 @@
         else:
             self._finish_quarantine(False)
             self._release_claim()
+            self._node.quarantine.not_connected()
         unspent = self._end(_Outcome.LOST)
         if self._streamed_head is not None:
             self._answers.abort()
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -327,6 +327,7 @@
             self._reactor,
             list(clients),
             self._siblings.tell,
+            self._lose_backend,
             proof,
         )
 
@@ -334,7 +335,12 @@
         if self.ingress.backend is None:
             return
         lease_s = self._settings.backend_lease_ms / 1000
-        if now_s - self._announced_s < lease_s:
+        if now_s - self._announced_s >= lease_s:
+            self._lose_backend()
+
+    def _lose_backend(self) -> None:
+        """Takes no calls until the backend server announces itself again."""
+        if self.ingress.backend is None:
             return
         _log.warning(
             event.Event.BACKEND_SERVER_LOST, node_id=self._settings.node_id
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -76,6 +76,7 @@
         reactor: Any,
         clients: list[Any],
         tell: Callable[[peer_request.PeerMessage], None],
+        on_dead: Callable[[], None],
         proof: bytes,
     ) -> None:
         """Keeps the quarantine, which nobody else may drive.
@@ -86,6 +87,7 @@
             reactor: For connections.
             clients: Connections to the control instances.
             tell: Sends a message to every sibling.
+            on_dead: Called when the backend server takes no connection.
             proof: Proof that the sender is a node.
         """
         self._quarantine = quarantine
@@ -93,6 +95,7 @@
         self._reactor = reactor
         self._clients: list[ReportClient] = clients
         self._tell = tell
+        self._on_dead = on_dead
         self._proof = proof
         self._deaths: collections.OrderedDict[str, set[str]] = (
             collections.OrderedDict()
@@ -142,9 +145,9 @@
             address.host, address.port, probe, timeout=_PROBE_TIMEOUT_S
         )
 
-    def backend_replaced(self) -> None:
-        """Takes note that another process announced itself."""
-        self._found_dead()
+    def not_connected(self) -> None:
+        """Takes note that the backend server took no connection."""
+        self._on_dead()
 
     def hear(
         self, news: suspect_message.Death | clear_report.ClearReport
@@ -177,6 +180,7 @@
     def _found_dead(self) -> None:
         self._is_probing = False
         self._lost.clear()
+        self._on_dead()
         reports = self._quarantine.endpoint_died(self._clock.now_s())
         if not reports:
             return
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -373,10 +373,9 @@
 
 
 def _classify_refusal(reason: _Reason | None) -> outcome.Outcome:
-    if reason is _Reason.DRAINING:
+    if reason in (_Reason.DRAINING, _Reason.NOT_STARTED):
+        # Newer news of the endpoint, such as of its start, ends this.
         return outcome.Outcome.DRAINING
-    if reason is _Reason.NOT_STARTED:
-        return outcome.Outcome.UNREACHABLE
     if reason in retry_policy.OVERLOAD_REASONS:
         return outcome.Outcome.REFUSED
     return outcome.Outcome.DONE
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -35,11 +35,12 @@
 class Member:
     """A node, its backend server and its ports."""
 
-    def __init__(self, node, backend, ingress_port, egress_port):
+    def __init__(self, node, backend, base_port, announcement):
         self.node = node
         self.backend = backend
-        self.ingress_port = ingress_port
-        self.egress_port = egress_port
+        self.ingress_port = base_port
+        self.egress_port = base_port + 1
+        self.announcement = announcement
 
 
 class Cluster:
@@ -91,21 +92,24 @@
         house = task.LoopingCall(node.keep_house)
         house.clock = self.network
         house.start(0.1)
-        node.announce(
-            backend_server.BackendServer(
-                service,
-                connection_pool.Address("127.0.0.1", base + 2),
-                slots,
-                labels or {},
-                tuple(calls),
-                "",
-            )
+        announcement = backend_server.BackendServer(
+            service,
+            connection_pool.Address("127.0.0.1", base + 2),
+            slots,
+            labels or {},
+            tuple(calls),
+            "",
         )
-        member = Member(node, backend, base, base + 1)
+        member = Member(node, backend, base, announcement)
         self.members[name] = member
+        self.announce(member)
         self.network.run(0.6)
         return member
 
+    def announce(self, member):
+        """Announces a backend server that is alive, as each second."""
+        member.node.announce(member.announcement)
+
     def configure(self, document):
         self.control.version += 1
         self.control.document = document
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -273,6 +273,7 @@
             leaf.backend.die()
             cluster.network.run(0.2)
             leaf.backend.start()
+            cluster.announce(leaf)
             deaths += 1
         assert deaths <= 3
         assert _reason(client) == ("not-run", "quarantined")
@@ -284,6 +285,7 @@
         leaf.backend.die()
         cluster.network.run(0.2)
         leaf.backend.start()
+        cluster.announce(leaf)
         leaf.backend.answer = backend.answer_ok
         for _ in range(4):
             client = cluster.ask(
@@ -341,4 +343,21 @@
             deaths += 1
             cluster.network.run(0.05)
             member.backend.start()
+            cluster.announce(member)
     assert deaths <= 3
+
+
+def test_endpoint_is_left_at_the_death_and_found_at_the_restart(cluster):
+    caller = cluster.add("caller-0", "caller", calls=["leaf"])
+    leaf = cluster.add("leaf-0", "leaf")
+    cluster.network.run(0.5)
+    cluster.ask(caller.egress_port, _egress(b"leaf") + b"\r\n")
+    leaf.backend.die()
+    cluster.network.run(0.3)
+    assert leaf.node.get_status()["state"] == "gone"
+    leaf.backend.start()
+    leaf.backend.answer = backend.answer_ok
+    cluster.announce(leaf)
+    cluster.network.run(0.6)
+    client = cluster.ask(caller.egress_port, _egress(b"leaf") + b"\r\n")
+    assert client.statuses == [200]
