--- a/src/cranberrymux/demo/story.py
+++ b/src/cranberrymux/demo/story.py
@@ -20,7 +20,8 @@
 _DEEP = "leak-notes"
 _DEEP_SLOTS = 13
 _DEEP_TIME_MS = 100.0
-_SLOW_TIME_MS = 400.0
+# Slow enough to overload, and still with room for every dispatch.
+_SLOW_TIME_MS = 250.0
 _CAPACITY_PER_S = len(_ZONES) * _DEEP_SLOTS * 1000 / _DEEP_TIME_MS
 
 _IN_FORCE_BOUND_S = 2.0
