--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -67,8 +67,13 @@
         if was_sole:
             allowed = min(allowed, settings.deaths_if_sole)
         if deaths >= allowed:
+            id_record = held[0]
+            has_run = id_record is not None and id_record.open_deaths > 0
             return refusal.Refusal(
-                answer_kind.AnswerKind.NOT_RUN,
+                # An earlier sending under this id may have had an effect.
+                answer_kind.AnswerKind.UNKNOWN
+                if has_run or lost_attempts
+                else answer_kind.AnswerKind.NOT_RUN,
                 refusal_reason.RefusalReason.QUARANTINED,
                 f"{deaths} backend servers died running it",
             )
