--- a/bench/bench_control_mechanisms.py
+++ b/bench/bench_control_mechanisms.py
@@ -61,6 +61,11 @@
         "    lambda self, asked, entry, now_ms: self._grant(asked, now_ms))\n",
         _claims.test_the_same_claim_at_two_nodes_at_once,
     ),
+    Mutant(
+        "founding",
+        "from cranberrymux.control import joining\njoining._FRESH_S = 1e30\n",
+        _changes.check_two_lost_disks,
+    ),
     Mutant(
         "owner-lease",
         "from cranberrymux.control import node_service\n"
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -201,8 +201,7 @@
         voters = self._driver.replica.journal.members.voters
         if until_s is None or len(voters) <= len(self._settings.peers) // 2:
             return 0
-        left_s = min(until_s - now_s, self._lease_s)
-        return max(0, int(left_s * _MS_PER_S))
+        return max(0, int(min(until_s - now_s, self._lease_s) * _MS_PER_S))
 
     def _tick(self) -> None:
         if self._driver.storage_error is not None:
--- a/tests/control/test_changes.py
+++ b/tests/control/test_changes.py
@@ -140,27 +140,59 @@
     wait_until(ask)
 
 
-def test_a_removed_data_folder(cluster):
-    """It comes back under a new identity; nothing accepted is lost."""
+def lose_disk(cluster, victim, change_id):
+    """Removes a data folder, changes meanwhile, waits until it is repaired."""
     base = checks.now_version(cluster)
-    victim = next(
-        one for one in cluster.instances if one is not cluster.leader()
-    )
     before = victim.status()["log"]["replica_id"]
     victim.kill()
     shutil.rmtree(victim.data_folder)
-    answer = checks.change_until_answered(
-        [one for one in cluster.instances if one is not victim],
-        "while-lost",
-        base,
-        checks.document("while-lost"),
-    )
+    others = [one for one in cluster.instances if one is not victim]
+    text = checks.document(change_id)
+    answer = checks.change_until_answered(others, change_id, base, text)
     assert answer.status == 200
     victim.start()
-    wait_until(lambda: (victim.status() or {"vouched_ms": 0})["vouched_ms"] > 0)
     checks.wait_for_voters(cluster)
-    after = victim.status()["log"]["replica_id"]
-    assert after != before
+    assert victim.status()["log"]["replica_id"] != before
     members = cluster.wait_for_leader().status()["log"]["members"]
     assert before not in [one["replica_id"] for one in members]
-    checks.check_histories(cluster, ["while-lost"], base)
+
+
+def test_a_removed_data_folder_and_a_second_right_after_the_repair(cluster):
+    """They come back under new identities; nothing accepted is lost."""
+    base = checks.now_version(cluster)
+    leader = cluster.wait_for_leader()
+    follower = next(one for one in cluster.instances if one is not leader)
+    lose_disk(cluster, follower, "first-lost")
+    lose_disk(cluster, cluster.wait_for_leader(), "second-lost")
+    checks.check_histories(cluster, ["first-lost", "second-lost"], base)
+
+
+def check_two_lost_disks(cluster):
+    assert cluster.wait_for_leader().change("kept", 0).status == 200
+    lost, left = cluster.instances[:2], cluster.instances[2]
+    for one in lost:
+        one.kill()
+        shutil.rmtree(one.data_folder)
+    for one in lost:
+        one.start()
+    wait_until(lambda: all(one.status() for one in cluster.instances))
+    wait_until(lambda: not left.status()["log"]["quorum_heard"])
+    for one in cluster.instances:
+        assert one.change("new", 1).status == 503
+        assert one.request("GET", "/v1/configuration").status == 503
+        assert not one.status()["vouched_ms"]
+    wait_until(lambda: len(left.status()["log"]["silent_voters"]) == 2)
+    founded = [
+        event
+        for one in cluster.instances
+        for event in one.events()
+        if event["event"] == "cluster-founded"
+    ]
+    assert len(founded) == 1
+
+
+def test_two_lost_disks_at_once_accept_nothing_and_say_so(tmp_path):
+    """A majority of disks is gone: no second cluster begins beside the rest."""
+    with cluster_module.Cluster(tmp_path) as cluster:
+        checks.wait_for_voters(cluster)
+        check_two_lost_disks(cluster)
