--- a/bench/bench_overload.py
+++ b/bench/bench_overload.py
@@ -46,6 +46,11 @@
             "share",
             PROTECTED_LOSS_BOUND,
         ),
+        figure.Figure(
+            f"{prefix}.protected_unanswered",
+            round(result.protected_unanswered, 4),
+            "share",
+        ),
         figure.Figure(
             f"{prefix}.recovery", result.recovery_s, "s", RECOVERY_BOUND_S
         ),
--- a/bench/overload/summary.py
+++ b/bench/overload/summary.py
@@ -24,6 +24,8 @@
         protected_loss: Share of protected requests lost among those that
             arrived during the cause or its recovery while a lower class was
             admitted.
+        protected_unanswered: Share of all protected requests that arrived
+            during the cause or its recovery and were not answered whole.
         recovery_s: Seconds from the end of the cause (or until crashed
             backend servers are warm) until 95% of arriving requests are
             answered, and go on being so; the whole run if it ends before.
@@ -35,6 +37,7 @@
 
     goodput: float
     protected_loss: float
+    protected_unanswered: float
     recovery_s: float
     attempts: float
     work: float
@@ -54,6 +57,7 @@
     return Summary(
         _get_goodput(where, plan, ended),
         _get_protected_loss(plan, ended),
+        _get_protected_unanswered(plan, ended),
         _get_recovery_s(plan, ended, max(plan.ends_s, recorder.warm_s)),
         recorder.attempts / max(recorder.calls, 1),
         recorder.runs / max(useful, 1),
@@ -124,6 +128,18 @@
     return lost / max(total, 1)
 
 
+def _get_protected_unanswered(
+    plan: scenario.Scenario, ended: list[recorder_module.Ended]
+) -> float:
+    until_s = plan.ends_s + RECOVERY_TIME_S
+    arrived = [
+        one.is_done
+        for one in ended
+        if one.is_protected and plan.begins_s <= one.arrived_s < until_s
+    ]
+    return 1.0 - sum(arrived) / max(len(arrived), 1)
+
+
 def _get_recovery_s(
     plan: scenario.Scenario,
     ended: list[recorder_module.Ended],
