Record a caller's own refusals; let faults of ours reach the log

Cause: an exception in a handler called from the parser was taken for a bad message and swallowed. It now ends its connection and is logged.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -113,6 +113,9 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._lose(lost_answer.LossReason.NOT_VALID, "protocol upgrade")
+        except httptools.HttpParserCallbackError:
+            # A fault of ours, not of the message: Twisted logs it and closes.
+            raise
         except httptools.HttpParserError as error:
             if not self._is_lost and self._sink is not None:
                 self._lose(lost_answer.LossReason.NOT_VALID, str(error))
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -66,9 +66,11 @@
         except httptools.HttpParserUpgrade:
             self._reject(bad_message.BadMessage(501, "upgrade is not served"))
         except httptools.HttpParserCallbackError:
-            self._reject(
-                self._bad or bad_message.BadMessage(400, "message not valid")
-            )
+            if self._bad is None:
+                # A fault of ours, not of the message: Twisted logs it and
+                # closes.
+                raise
+            self._reject(self._bad)
         except httptools.HttpParserError as error:
             self._reject(bad_message.BadMessage(400, str(error)))
 
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -79,7 +79,8 @@
         self._parent = parent
         self._excluded = excluded
         self._place = places.join_places(rules.places)
-        self._deadline_s = node.clock.now_s() + context.timeout_ms / 1000
+        self._began_s = node.clock.now_s()
+        self._deadline_s = self._began_s + context.timeout_ms / 1000
         self._deadline_key: int | None = None
         self._sent_s = 0.0
         self._endpoint: endpoint_record.EndpointRecord | None = None
@@ -307,9 +308,22 @@
     def _refuse(self, one: refusal.Refusal) -> None:
         self._parent.has_failed_child = True
         self._end()
+        self._record(one.kind)
         encoded = refusal_answer.encode_refusal(one, self._context.request_id)
         self._call.answer(encoded.status, encoded.headers, encoded.body)
 
+    def _record(self, kind: answer_kind.AnswerKind) -> None:
+        """Records an answer that no node of the service has recorded."""
+        node = self._node
+        elapsed_s = node.clock.now_s() - self._began_s
+        node.outcomes.record(
+            node.clock.now_unix_ms() / 1000,
+            self._service,
+            node.policy.get_class_name(self._context.class_rank),
+            kind,
+            elapsed_s * 1000,
+        )
+
     def _cancelled(self) -> None:
         self._drop_attempt(outcome.Outcome.CANCELLED)
         self._end()
--- a/src/cranberrymux/telemetry/outcomes_settings.py
+++ b/src/cranberrymux/telemetry/outcomes_settings.py
@@ -7,7 +7,7 @@
 _Kind = field.Kind
 
 FILE_BYTES = 16 * 1024 * 1024
-FILES = 4
+FILES = 8
 
 FIELDS = (
     field.Field("outcomes_file", _Kind.TEXT, default=""),
