--- a/src/cranberrymux/decisions/routing/router_settings.py
+++ b/src/cranberrymux/decisions/routing/router_settings.py
@@ -20,8 +20,9 @@
         return_ramp_s: The same time for an endpoint back from ejection.
         ejection_failures: Failures in a row that eject an endpoint.
         repeated_ejection_failures: The same for one that was ejected before.
-        repeated_ejection_failures: int = 2
-    ejection_rate_margin: Failure rate above that of its siblings that
+        ejection_siblings_rate: Failure rate of its siblings from which
+            failures in a row, as they then come by chance, eject none.
+        ejection_rate_margin: Failure rate above that of its siblings that
             ejects an endpoint.
         ejection_samples: Answers needed before the rate counts.
         ejection_s: Length of a first ejection; doubles each time.
@@ -36,6 +37,8 @@
         probe_share: Share of the calls above every level that go out anyway.
         hint_age_s: Time after which a load told by an endpoint counts nothing.
         health_reopen_per_s: Rise of a learned capacity share without news.
+        draining_word_s: Time for which an endpoint's own word that it is
+            leaving stands without news from the directory.
         retry_after_minimum_ms: Earliest time to come back after overload.
         retry_after_maximum_ms: Latest time; spread evenly between the two.
         no_place_retry_after_ms: Time to come back when no place matches.
@@ -52,6 +55,7 @@
     return_ramp_s: float = 1.0
     ejection_failures: int = 5
     repeated_ejection_failures: int = 2
+    ejection_siblings_rate: float = 0.1
     ejection_rate_margin: float = 0.3
     ejection_samples: int = 20
     ejection_s: float = 1.0
@@ -64,6 +68,7 @@
     probe_share: float = 0.01
     hint_age_s: float = 1.0
     health_reopen_per_s: float = 0.2
+    draining_word_s: float = 30.0
     retry_after_minimum_ms: int = 500
     retry_after_maximum_ms: int = 2500
     no_place_retry_after_ms: int = 5000
