--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -17,9 +17,6 @@
 from cranberrymux.models import refusal_reason
 
 _Reason = refusal_reason.RefusalReason
-USED_WEIGHT = 0.8  # Parts of the load: slots, queue and shed priorities.
-WAITING_WEIGHT = 0.1
-SHED_WEIGHT = 0.1
 
 
 class AdmissionController:
@@ -37,7 +34,6 @@
         generator: random.Random,
     ) -> None:
         """Starts idle and open."""
-        self._settings = settings
         self._meter = load_meter.LoadMeter(settings)
         self._downstream = downstream_levels.DownstreamLevels(
             settings.hint_life_s, self._meter.top
@@ -65,16 +61,10 @@
 
     @property
     def load(self) -> float:
-        """Load for the callers' choice, 0.0 to 1.0.
-
-        Mostly the share of slots in use; the queue and the level tell full
-        endpoints apart. Measured here, it neither lags nor misleads.
-        """
-        used = min(len(self._slots) / self._meter.limit, 1.0)
-        waiting = min(len(self._room) / self._room.bound, 1.0)
-        shed = 1.0 - self._meter.level / self._meter.top
-        ahead = WAITING_WEIGHT * waiting + SHED_WEIGHT * shed
-        return USED_WEIGHT * used + ahead
+        """Load for the callers' choice, 0.0 to 1.0; see `weigh_load`."""
+        return self._meter.weigh_load(
+            len(self._slots), len(self._room) / self._room.bound
+        )
 
     @property
     def is_drained(self) -> bool:
@@ -159,10 +149,10 @@
             self._gate.finish(now_s, ticket_id)
             self._roll_window(now_s)
 
-    def poll(self, now_s: float) -> list[tuple[str, verdict_module.Decision]]:
+    def poll(self, now_s: float) -> verdict_module.Decisions:
         """Tells which queued calls start or are refused now."""
         self._roll_window(now_s)
-        decisions: list[tuple[str, verdict_module.Decision]] = []
+        decisions: verdict_module.Decisions = []
         for ticket_id, reason in self._room.pop_refused(now_s):
             self._gate.leave(ticket_id)
             decisions.append((ticket_id, self._refuse(now_s, reason)))
@@ -228,9 +218,7 @@
     def _offer_alone(
         self, now_s: float, ticket: ticket_module.Ticket
     ) -> verdict_module.Verdict:
-        latest_s = ticket.deadline_s - self._meter.hold_s
-        longest_s = now_s + self._settings.maximum_alone_wait_s
-        expires_s = min(longest_s, latest_s)
+        expires_s = self._room.get_alone_expiry_s(now_s, ticket)
         if not self._gate.wait(now_s, ticket, expires_s):
             return self._refuse(now_s, _Reason.OVERLOADED)
         if self._slots:
@@ -238,9 +226,7 @@
         self._gate.start(ticket.ticket_id)
         return self._slots.start(now_s, ticket.ticket_id, now_s)
 
-    def _poll_alone(
-        self, now_s: float
-    ) -> list[tuple[str, verdict_module.Decision]]:
+    def _poll_alone(self, now_s: float) -> verdict_module.Decisions:
         suspect = self._gate.waiting
         if suspect is None:
             return []
@@ -258,8 +244,6 @@
     def _refuse(
         self, now_s: float, reason: refusal_reason.RefusalReason
     ) -> refusal.Refusal:
-        if reason is _Reason.DRAINING:
-            return self._refuser.refuse_draining()
         return self._refuser.refuse(now_s, reason, self._meter.capacity_per_s)
 
     def _roll_window(self, now_s: float) -> None:
--- a/src/cranberrymux/decisions/admission/load_meter.py
+++ b/src/cranberrymux/decisions/admission/load_meter.py
@@ -6,6 +6,10 @@
 from cranberrymux.decisions.admission import shed_level
 from cranberrymux.decisions.admission import window
 
+USED_WEIGHT = 0.8  # Parts of the load: slots, queue and shed priorities.
+WAITING_WEIGHT = 0.1
+SHED_WEIGHT = 0.1
+
 
 class LoadMeter:
     """Moves the concurrency limit and the level at the end of each window.
@@ -43,6 +47,21 @@
         hold_s = self._limit.hold_s
         return self.limit / hold_s if hold_s else 0.0
 
+    def weigh_load(self, running: int, queue_share: float) -> float:
+        """Weighs the load for the callers' choice.
+
+        Mostly the share of slots in use; the queue and the level tell full
+        endpoints apart. Measured here, it neither lags nor misleads.
+
+        Args:
+            running: Calls that hold a slot.
+            queue_share: Share of the queue in use.
+        """
+        used = min(running / self.limit, 1.0)
+        shed = 1.0 - self.level / self.top
+        ahead = WAITING_WEIGHT * min(queue_share, 1.0) + SHED_WEIGHT * shed
+        return USED_WEIGHT * used + ahead
+
     def set_slots(self, slots: int) -> None:
         """Takes the announced slots."""
         self._limit.set_slots(slots)
--- a/src/cranberrymux/decisions/admission/refuser.py
+++ b/src/cranberrymux/decisions/admission/refuser.py
@@ -33,7 +33,9 @@
         reason: refusal_reason.RefusalReason,
         capacity_per_s: float,
     ) -> refusal.Refusal:
-        """Refuses for lack of capacity."""
+        """Refuses as not run, with a time to come back."""
+        if reason is refusal_reason.RefusalReason.DRAINING:
+            return self.refuse_draining()
         return refusal.Refusal(
             answer_kind.AnswerKind.NOT_RUN,
             reason,
--- a/src/cranberrymux/decisions/admission/verdict.py
+++ b/src/cranberrymux/decisions/admission/verdict.py
@@ -5,4 +5,5 @@
 from cranberrymux.models import refusal
 
 Decision = admitted.Admitted | refusal.Refusal
+Decisions = list[tuple[str, Decision]]
 Verdict = admitted.Admitted | queued.Queued | refusal.Refusal
--- a/src/cranberrymux/decisions/admission/waiting_room.py
+++ b/src/cranberrymux/decisions/admission/waiting_room.py
@@ -80,6 +80,13 @@
         self._queue.push(now_s, ticket, expires_s)
         return queued.Queued(expires_s)
 
+    def get_alone_expiry_s(
+        self, now_s: float, ticket: ticket_module.Ticket
+    ) -> float:
+        """Returns until when a call may wait for an idle endpoint."""
+        longest_s = now_s + self._settings.maximum_alone_wait_s
+        return min(longest_s, ticket.deadline_s - self._meter.hold_s)
+
     def leave(self, ticket_id: str) -> bool:
         """Drops a call that its caller gave up; False if it is not here."""
         before = len(self._refused)
