--- a/bench/consensus_schedule.py
+++ b/bench/consensus_schedule.py
@@ -1,12 +1,12 @@
 """One random schedule of faults against a simulated cluster."""
 
-from collections.abc import Mapping
 import random
-from typing import NamedTuple
 
 from bench import consensus_checker
 from bench import consensus_disk
+from bench import consensus_faults
 from bench import consensus_node
+from bench import consensus_result
 from bench import consensus_world
 from cranberrymux.consensus import invariant_error
 from cranberrymux.consensus import member_change
@@ -17,56 +17,6 @@
 CALM_S = 2.5
 
 
-class Faults(NamedTuple):
-    """Weights of the faults that a schedule draws from.
-
-    Attributes:
-        crash: Power cut of a random instance, started again later.
-        crash_leader: The same for a leader.
-        crash_all: Power cut of all instances at once.
-        lose_disk: An instance comes back with an empty disk.
-        cut: Links cut, each way by itself.
-        isolate: A leader's links cut, one way or both.
-        deafen: One link of a leader cut, one way or both.
-        strand: A leader cut from all but one, then proposals, then a crash.
-        pause: A process stopped and continued.
-        remove: A member leaves and comes back.
-        heal: All links work again.
-    """
-
-    crash: int = 6
-    crash_leader: int = 4
-    crash_all: int = 1
-    lose_disk: int = 1
-    cut: int = 4
-    isolate: int = 4
-    deafen: int = 4
-    strand: int = 3
-    pause: int = 3
-    remove: int = 1
-    heal: int = 2
-
-
-class Result(NamedTuple):
-    """What one schedule showed.
-
-    Attributes:
-        seed: The schedule's seed.
-        states: States that were checked.
-        accepted: Entries that were accepted.
-        seen: Counts of what happened.
-        was_calmed: True if progress after the faults was checked too.
-        violation: What was broken; empty for nothing.
-    """
-
-    seed: int
-    states: int
-    accepted: int
-    seen: Mapping[str, int]
-    was_calmed: bool
-    violation: str
-
-
 class Schedule:
     """Draws faults by a seed and runs them."""
 
@@ -75,7 +25,7 @@
         seed: int,
         *,
         replica_class: type[replica_module.Replica] = replica_module.Replica,
-        faults: Faults | None = None,
+        faults: consensus_faults.Faults | None = None,
         voters: int | None = None,
         settings: replica_settings.ReplicaSettings = consensus_world.SETTINGS,
         disk_class: type[
@@ -85,7 +35,7 @@
         """Sets the cluster up."""
         self._seed = seed
         self._generator = random.Random(f"faults {seed}")
-        self._faults = faults or Faults()
+        self._faults = faults or consensus_faults.Faults()
         count = voters or self._generator.choice((3, 3, 3, 5))
         self.world = consensus_world.World(
             seed, count, replica_class, settings, disk_class
@@ -97,7 +47,7 @@
         self._lost_disks = 0
         self._removals = 0
 
-    def run(self) -> Result:
+    def run(self) -> consensus_result.Result:
         """Runs faults, then calm, and checks that the cluster recovers."""
         violation = ""
         may_stall = True
@@ -111,7 +61,7 @@
             violation = str(error)
         except invariant_error.InvariantError as error:
             violation = f"invariant: {error}"
-        return Result(
+        return consensus_result.Result(
             self._seed,
             self.world.checker.states,
             self.world.accepted,
@@ -127,7 +77,9 @@
 
     def _run_calm(self, may_stall: bool) -> None:
         world = self.world
-        self._faults = Faults(*([0] * len(Faults._fields)))
+        self._faults = consensus_faults.Faults(
+            *([0] * len(consensus_faults.Faults._fields))
+        )
         world.cut.clear()
         world.loss = world.doubling = world.slow = 0.0
         world.disk_s = 0.002
--- a/bench/consensus_world.py
+++ b/bench/consensus_world.py
@@ -1,27 +1,20 @@
 """A simulated cluster on a virtual clock."""
 
-import collections
-from collections.abc import Callable
-import heapq
 import random
-from typing import Any
 
 from bench import consensus_checker
+from bench import consensus_cluster
 from bench import consensus_disk
+from bench import consensus_forming
+from bench import consensus_joining
 from bench import consensus_node
-from cranberrymux.consensus import codec
 from cranberrymux.consensus import effects as effects_module
 from cranberrymux.consensus import entry as entry_module
-from cranberrymux.consensus import member
 from cranberrymux.consensus import member_change
-from cranberrymux.consensus import membership
 from cranberrymux.consensus import messages
 from cranberrymux.consensus import proposal
-from cranberrymux.consensus import replacement
 from cranberrymux.consensus import replica as replica_module
 from cranberrymux.consensus import replica_settings
-from cranberrymux.consensus import role as role_module
-from cranberrymux.consensus import write as write_module
 
 SETTINGS = replica_settings.ReplicaSettings(
     heartbeat_s=0.05,
@@ -38,7 +31,7 @@
 _JOIN_S = 0.1
 
 
-class World:
+class World(consensus_cluster.Cluster):
     """Instances, the network between them, and the order of events."""
 
     def __init__(
@@ -52,9 +45,7 @@
         ] = consensus_disk.SimulatedDisk,
     ) -> None:
         """Starts a cluster that is formed already."""
-        self.generator = random.Random(seed)
-        self.checker = consensus_checker.Checker()
-        self.now_s = 0.0
+        super().__init__(seed)
         self.loss = 0.02
         self.doubling = 0.02
         self.slow = 0.05
@@ -64,11 +55,8 @@
         self.cut: set[tuple[str, str]] = set()
         self.checks_disks = True
         self.accepted = 0
-        self.seen: collections.Counter[str] = collections.Counter()
         self._replica_class = replica_class
         self._settings = settings
-        self._events: list[tuple[float, int, Callable[..., None], Any]] = []
-        self._count = 0
         self._payloads = 0
         drift = settings.clock_drift_ratio
         self.nodes = [
@@ -77,38 +65,11 @@
             )
             for name in "abcdefg"[:voters]
         ]
-        self._form()
+        consensus_forming.form(self.nodes)
         for node in self.nodes:
             self.start(node)
         self.after(_JOIN_S, self._join)
 
-    def after(
-        self, delay_s: float, what: Callable[..., None], *with_: Any
-    ) -> None:
-        """Plans an event."""
-        self._count += 1
-        heapq.heappush(
-            self._events, (self.now_s + delay_s, self._count, what, with_)
-        )
-
-    def run_for(self, duration_s: float) -> None:
-        """Lets events happen, checking after each."""
-        until_s = self.now_s + duration_s
-        while self._events and self._events[0][0] <= until_s:
-            self.now_s, _, what, with_ = heapq.heappop(self._events)
-            what(*with_)
-            self.checker.check(self.nodes, self.now_s)
-        self.now_s = until_s
-
-    def leaders(self) -> list[consensus_node.Node]:
-        """Instances that take themselves for the leader."""
-        return [
-            node
-            for node in self.nodes
-            if node.replica is not None
-            and node.replica.role is role_module.Role.LEADER
-        ]
-
     def start(self, node: consensus_node.Node) -> None:
         """Starts an instance from its disk."""
         if node.replica is not None:
@@ -126,18 +87,6 @@
             self.generator.random() * _TICK_S, self._tick, node, node.run
         )
 
-    def crash(self, node: consensus_node.Node) -> None:
-        """Cuts an instance's power; unsynced writes may be lost or torn."""
-        if node.replica is None:
-            return
-        self.seen["crashes"] += 1
-        self.seen["crashes during a sync"] += bool(node.batch)
-        node.replica = None
-        node.run += 1
-        node.disk.tear(node.batch, self.generator)
-        node.batch = []
-        node.queue = []
-
     def propose(self, node: consensus_node.Node) -> None:
         """Proposes a fresh command at an instance."""
         if node.replica is None or node.paused_until_s > self.now_s:
@@ -162,53 +111,10 @@
         self.seen["member changes"] += 1
         return True
 
-    def _form(self) -> None:
-        members = membership.Membership(
-            "cluster",
-            tuple(
-                member.Member(node.disk.replica_id, node.name, True)
-                for node in self.nodes
-            ),
-        )
-        first = entry_module.Entry(
-            1,
-            1,
-            entry_module.EntryKind.MEMBERSHIP,
-            codec.encode_membership(members),
-        )
-        formed = write_module.Write(
-            1, write_module.HardState(1, ""), entries=(first,)
-        )
-        for node in self.nodes:
-            node.disk.sync([formed])
-
     def _join(self) -> None:
-        # The control program's part: lost replicas join, old ones leave.
         self.after(_JOIN_S, self._join)
         for leader in self.leaders():
-            if leader.paused_until_s > self.now_s or leader.replica is None:
-                continue
-            due = replacement.next_change(
-                leader.replica, leader.local_s(self.now_s)
-            )
-            if due is not None:
-                self.change(leader, due)
-                continue
-            self._add_missing(leader)
-
-    def _add_missing(self, leader: consensus_node.Node) -> None:
-        assert leader.replica is not None
-        members = leader.replica.journal.members
-        for node in self.nodes:
-            identity = node.disk.replica_id
-            if node.replica is None or not node.is_wanted:
-                continue
-            if members.find(identity) is None:
-                added = member_change.MemberChange(
-                    member_change.ChangeKind.ADD_LEARNER, identity, node.name
-                )
-                self.change(leader, added)
-                return
+            consensus_joining.step(self.nodes, leader, self.now_s, self.change)
 
     def _tick(self, node: consensus_node.Node, run: int) -> None:
         if node.run != run or node.replica is None:
--- a/tests/consensus/test_mutations.py
+++ b/tests/consensus/test_mutations.py
@@ -7,6 +7,8 @@
 
 from bench import consensus_checker
 from bench import consensus_disk
+from bench import consensus_faults
+from bench import consensus_member_scenarios
 from bench import consensus_scenarios
 from bench import consensus_schedule
 from bench import consensus_world
@@ -173,16 +175,16 @@
 
 
 def test_new_identity_after_lost_disk_holds():
-    consensus_scenarios.lost_disk(_lose_disk)
+    consensus_member_scenarios.lost_disk(_lose_disk)
 
 
 def test_old_identity_after_lost_disk_is_found():
     with pytest.raises(ViolationError):
-        consensus_scenarios.lost_disk(_lose_disk_and_keep_identity)
+        consensus_member_scenarios.lost_disk(_lose_disk_and_keep_identity)
 
 
 def test_schedules_find_old_identity_after_lost_disk():
-    faults = consensus_schedule.Faults(lose_disk=6)
+    faults = consensus_faults.Faults(lose_disk=6)
     runs = (KeepsIdentity(seed, faults=faults).run() for seed in range(40))
     assert any(run.violation for run in runs)
 
@@ -224,14 +226,14 @@
         _replica(leader_class=CommitsOlderTermByCount),
     ),
     "change of members before a commit of its own": (
-        consensus_scenarios.change_without_own_commit,
+        consensus_member_scenarios.change_without_own_commit,
         _replica(
             leader_class=ChangesBeforeOwnCommit,
             journal_class=ChangesTwiceAtOnce,
         ),
     ),
     "two changes of members at once": (
-        consensus_scenarios.two_changes_at_once,
+        consensus_member_scenarios.two_changes_at_once,
         _replica(journal_class=ChangesTwiceAtOnce),
     ),
     "no pre-vote": (
@@ -239,7 +241,7 @@
         _replica(election_class=SkipsPreVote),
     ),
     "no election by one whose removal is not committed": (
-        consensus_scenarios.removal_not_committed,
+        consensus_member_scenarios.removal_not_committed,
         _replica(journal_class=ForgetsItWasVoter),
     ),
     "no check of the leader's own disk": (
