--- /dev/null
+++ b/bench/overload/egress.py
@@ -0,0 +1,162 @@
+"""The calling side of a node, and of the clients' entry."""
+
+import itertools
+
+from bench.overload import call as call_module
+from bench.overload import chooser
+from bench.overload import context as context_module
+from bench.overload import credit_sender
+from bench.overload import errand as errand_module
+from bench.overload import node as node_module
+from bench.overload import power_of_two
+from bench.overload import retrier
+from bench.overload import routed
+from cranberrymux.models import answer_kind
+from cranberrymux.models import endpoint_record
+from cranberrymux.models import refusal
+from cranberrymux.models import refusal_reason
+
+LEVEL_LIFE_S = 0.5
+
+_SHED_EARLY = refusal.Refusal(
+    answer_kind.AnswerKind.NOT_RUN,
+    refusal_reason.RefusalReason.OVERLOADED,
+    "the deeper service sheds this priority",
+    500,
+)
+_ids = itertools.count()
+
+
+class Egress:
+    """Sends calls, with retries."""
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        nodes: "list[node_module.Node]",
+        delay_s: float,
+        zone: str,
+    ) -> None:
+        """Knows every endpoint of one service."""
+        self._clock = context.clock
+        self._recorder = context.recorder
+        self._chooser = _make_chooser(context, nodes, zone)
+        self._nodes = nodes
+        self._credits: credit_sender.CreditSender | None = None
+        if context.policy.has_credits:
+            self._credits = credit_sender.CreditSender(context.clock, nodes)
+        self._levels: dict[str, tuple[int, float]] = {}
+        self._delay_s = delay_s
+        self._retrier: retrier.Retrier = (
+            retrier.BudgetRetries()
+            if context.policy.is_controlled
+            else retrier.HopRetries(context.policy.hop_retries)
+        )
+
+    @property
+    def level(self) -> int:
+        """Mean of the levels heard lately; what is above is shed early."""
+        now_s = self._clock.now_s
+        fresh = [
+            level for level, until_s in self._levels.values() if until_s > now_s
+        ]
+        if len(fresh) < sum(not one.is_known_down for one in self._nodes):
+            return 1 << 30
+        return sum(fresh) // max(len(fresh), 1)
+
+    def announce(self, record: endpoint_record.EndpointRecord) -> None:
+        """Takes news from the directory."""
+        self._chooser.announce(record)
+
+    def send(self, errand: errand_module.Errand) -> None:
+        """Makes a call, with retries."""
+        if self._credits is None:
+            self._try(errand, frozenset(), ())
+            return
+
+        def send(node: "node_module.Node | None") -> None:
+            self._send_to(node, errand, frozenset(), ())
+
+        self._credits.ask(errand.request.priority, send)
+
+    def _try(
+        self,
+        errand: errand_module.Errand,
+        tried: frozenset[str],
+        answers: tuple[call_module.Answer, ...],
+    ) -> None:
+        node = self._chooser.choose(errand.request, tried)
+        self._send_to(node, errand, tried, answers)
+
+    def _send_to(
+        self,
+        node: "node_module.Node | None",
+        errand: errand_module.Errand,
+        tried: frozenset[str],
+        answers: tuple[call_module.Answer, ...],
+    ) -> None:
+        request = errand.request
+        if node is None and answers:
+            errand.answered(answers[-1])
+            return
+        if node is None:
+            answer = call_module.Answer(
+                request.request_id, (), _SHED_EARLY, self.level, 1.0
+            )
+            errand.answered(answer)
+            return
+        self._chooser.started(node)
+        self._recorder.calls += not tried
+        self._recorder.attempts += 1
+        sent_s = self._clock.now_s
+        now_tried = tried | {node.endpoint_id}
+
+        def take(answer: call_module.Answer) -> None:
+            self._clock.call_later(self._delay_s, end, answer)
+
+        def end(answer: call_module.Answer) -> None:
+            now_s = self._clock.now_s
+            self._chooser.ended(node, answer, now_s - sent_s)
+            self._levels[node.endpoint_id] = (
+                answer.level,
+                now_s + LEVEL_LIFE_S,
+            )
+            if self._credits is not None:
+                self._credits.ended(node)
+            if call.is_over:
+                return
+            call.is_over = True
+            now_answers = (*answers, answer)
+            if self._retrier.should_retry(now_s, errand, now_answers):
+                self._try(errand, now_tried, now_answers)
+                return
+            errand.answered(answer)
+
+        call = call_module.Call(
+            str(next(_ids)),
+            request,
+            errand.depth,
+            errand.deadline_s,
+            take,
+            node=node,
+            lost_attempts=sum(map(_is_lost, answers)),
+        )
+        errand.adopt(call)
+        self._clock.call_later(self._delay_s, node.receive, call)
+
+
+def _is_lost(answer: call_module.Answer) -> bool:
+    lost = refusal_reason.RefusalReason.CONNECTION_LOST
+    return answer.refusal is not None and answer.refusal.reason is lost
+
+
+def _make_chooser(
+    context: context_module.Context,
+    nodes: "list[node_module.Node]",
+    zone: str,
+) -> chooser.Chooser:
+    policy = context.policy
+    if policy.is_controlled:
+        return routed.Routed(context.clock, context.generator, nodes, zone)
+    by_load = not policy.limit_is_slots
+    return power_of_two.PowerOfTwo(context.generator, nodes, by_load)
--- /dev/null
+++ b/bench/overload/node.py
@@ -0,0 +1,293 @@
+"""A thin adapter between the decisions and the fakes."""
+
+from bench.overload import admissions
+from bench.overload import backend as backend_module
+from bench.overload import call as call_module
+from bench.overload import context as context_module
+from bench.overload import credit_pool
+from bench.overload import deployment
+from bench.overload import directory as directory_module
+from bench.overload import egress as egress_module
+from bench.overload import errand as errand_module
+from bench.overload import records
+from bench.overload import refusals
+from cranberrymux.decisions.admission import admitted
+from cranberrymux.decisions.admission import outcome as outcome_module
+from cranberrymux.decisions.admission import queued
+from cranberrymux.decisions.admission import ticket as ticket_module
+from cranberrymux.decisions.quarantine import fingerprint
+from cranberrymux.decisions.quarantine import quarantine as quarantine_module
+from cranberrymux.decisions.quarantine import quarantine_settings
+from cranberrymux.decisions.quarantine import standing as standing_module
+from cranberrymux.models import answer_kind
+from cranberrymux.models import endpoint_record
+from cranberrymux.models import refusal
+
+HINT_PERIOD_S = 0.1
+DOWN_S = 3.0  # Of a backend server that crashed.
+WARM_S = 2.0
+DOWN_KNOWN_AFTER_S = 0.05
+
+_Outcome = outcome_module.Outcome
+
+
+class Node:
+    """One endpoint: a node and the backend server beside it.
+
+    Attributes:
+        endpoint_id: Its id.
+        zone: Its availability zone.
+        service: The service.
+        backend: The backend server.
+        egresses: By name, the services that it calls.
+        credits: What the credits baseline grants.
+        hint: Last load that the backend server reported.
+        is_down: True while the backend server is down.
+        is_known_down: True once callers know.
+    """
+
+    def __init__(
+        self,
+        context: context_module.Context,
+        service: deployment.Service,
+        endpoint_id: str,
+        zone: str,
+        directory: "directory_module.Directory",
+    ) -> None:
+        """Starts serving."""
+        self.service = service
+        self.backend = backend_module.Backend(
+            context.clock, context.generator, service
+        )
+        self.egresses: dict[str, egress_module.Egress] = {}
+        self.hint = 0.0
+        self.is_down = False
+        self.is_known_down = False
+        self._clock = context.clock
+        self._policy = context.policy
+        self._recorder = context.recorder
+        self._directory = directory
+        self.endpoint_id = endpoint_id
+        self.zone = zone
+        self._incarnation = 1
+        self._sequence = 0
+        self._admission = admissions.make_admission(context, service)
+        self.credits = credit_pool.CreditPool(service.slots)
+        self._queued: dict[str, call_module.Call] = {}
+        self._running: dict[str, call_module.Call] = {}
+        self._next_poll_s: float | None = None
+        self.quarantine = quarantine_module.Quarantine(
+            quarantine_settings.QuarantineSettings(), endpoint_id, 1
+        )
+        self._clock.call_later(HINT_PERIOD_S, self._read_hint)
+
+    @property
+    def record(self) -> endpoint_record.EndpointRecord:
+        """What the directory tells of it."""
+        return records.make_record(self, self._incarnation, self._sequence)
+
+    def receive(self, call: call_module.Call) -> None:
+        """Takes a call from the network."""
+        if call.is_over:
+            return
+        if self.is_down:
+            self._answer(call, (), refusals.DOWN)
+            return
+        if self._policy.is_controlled:
+            judged = self.quarantine.judge(
+                self._clock.now_s,
+                _make_fingerprint(call),
+                call.lost_attempts,
+            )
+            if isinstance(judged, refusal.Refusal):
+                self._answer(call, (), judged)
+                return
+            call.standing = judged
+        ticket = ticket_module.Ticket(
+            call.call_id,
+            call.request.priority,
+            call.request.kind.class_rank,
+            call.deadline_s,
+            is_suspect=call.standing is not standing_module.Standing.CLEAR,
+            runs_alone=call.standing is standing_module.Standing.ALONE,
+        )
+        self._queued[call.call_id] = call
+        verdict = self._admission.offer(self._clock.now_s, ticket)
+        if not isinstance(verdict, queued.Queued):
+            self._decide(call.call_id, verdict)
+        self._poll()
+
+    def cancel(self, call: call_module.Call) -> None:
+        """Takes a cancellation from the network."""
+        now_s = self._clock.now_s
+        if self._admission.cancel(now_s, call.call_id):
+            self._queued.pop(call.call_id, None)
+            self._poll()
+            return
+        if call.call_id not in self._running:
+            return
+        if call.child is not None:
+            self.cancel_child(call.child)
+        self._end(call, _Outcome.CANCELLED)
+
+    def cancel_child(self, child: call_module.Call) -> None:
+        """Sends a cancellation to a deeper node."""
+        child.is_over = True
+        self._clock.call_later(0.001, child.node.cancel, child)
+
+    def die(self, is_poison: bool) -> None:
+        """The backend server dies with all that runs on it."""
+        if self.is_down:
+            return
+        self.is_down = True
+        self._recorder.deaths += is_poison
+        self.backend.die()
+        for report in self.quarantine.endpoint_died(self._clock.now_s):
+            self._directory.report(self.service.name, report)
+        now_s = self._clock.now_s
+        for call_id, call in list(self._queued.items()):
+            self._admission.cancel(now_s, call_id)
+            self._answer(call, (), refusals.DOWN)
+        self._queued.clear()
+        for call_id, call in list(self._running.items()):
+            if call.child is not None:
+                self.cancel_child(call.child)
+            self._admission.finish(now_s, call_id, _Outcome.LOST)
+            self._answer(call, (), refusals.LOST)
+        self._running.clear()
+        self._clock.call_later(DOWN_KNOWN_AFTER_S, self._announce)
+
+    def come_back(self, warm_s: float) -> None:
+        """The backend server starts again, cold."""
+        self.is_down = False
+        self._incarnation += 1
+        self.backend.warm_up(warm_s)
+        self._clock.call_later(DOWN_KNOWN_AFTER_S, self._announce)
+
+    def _announce(self) -> None:
+        self.is_known_down = self.is_down
+        self._sequence += 1
+        self._directory.announce(self.record)
+
+    def _read_hint(self) -> None:
+        self.hint = self.backend.read_load()
+        self._admission.set_load_hint(self._clock.now_s, self.hint)
+        self._clock.call_later(HINT_PERIOD_S, self._read_hint)
+
+    def _poll(self) -> None:
+        now_s = self._clock.now_s
+        for call_id, verdict in self._admission.poll(now_s):
+            self._decide(call_id, verdict)
+        when_s = self._admission.next_poll_s(now_s)
+        if when_s is None:
+            return
+        if self._next_poll_s is None or when_s < self._next_poll_s:
+            self._next_poll_s = when_s
+            self._clock.call_at(when_s, self._poll_at, when_s)
+
+    def _poll_at(self, when_s: float) -> None:
+        if self._next_poll_s != when_s:
+            return
+        self._next_poll_s = None
+        self._poll()
+
+    def _decide(
+        self, call_id: str, verdict: admitted.Admitted | refusal.Refusal
+    ) -> None:
+        call = self._queued.pop(call_id)
+        if isinstance(verdict, refusal.Refusal):
+            self._answer(call, (), verdict)
+            return
+        self._running[call_id] = call
+        self._recorder.runs += 1
+        self.credits.note_wait(self._clock.now_s, verdict.waited_s)
+        self.quarantine.start(
+            call_id,
+            _make_fingerprint(call),
+            is_suspect=call.standing is not standing_module.Standing.CLEAR,
+        )
+        self.backend.run(call, self._worked, self._crash)
+
+    def _crash(self) -> None:
+        self.die(is_poison=True)
+        self._clock.call_later(DOWN_S, self.come_back, WARM_S)
+        warm_s = self._clock.now_s + DOWN_S + WARM_S
+        self._recorder.warm_s = max(self._recorder.warm_s, warm_s)
+
+    def _worked(self, call: call_module.Call) -> None:
+        chain = call.request.kind.chain
+        if call.depth + 1 == len(chain):
+            self._finish(call, (self.service.name,))
+            return
+        call.started_s = self._clock.now_s
+
+        def answered(answer: call_module.Answer) -> None:
+            self._take_child(call, answer)
+
+        def adopt(child: call_module.Call) -> None:
+            call.child = child
+
+        errand = errand_module.Errand(
+            call.request, call.depth + 1, call.deadline_s, answered, adopt
+        )
+        self.egresses[chain[errand.depth]].send(errand)
+
+    def _take_child(
+        self, call: call_module.Call, answer: call_module.Answer
+    ) -> None:
+        if call.call_id not in self._running:
+            return
+        call.child = None
+        call.below_s = self._clock.now_s - call.started_s
+        deeper = call.request.kind.chain[call.depth + 1]
+        level = self.egresses[deeper].level
+        self._admission.set_downstream_level(self._clock.now_s, deeper, level)
+        if answer.request_id != call.request.request_id:
+            self._recorder.wrong += 1
+        if answer.served:
+            self._finish(call, (self.service.name, *answer.served))
+            return
+        self._finish(call, ())
+
+    def _finish(self, call: call_module.Call, served: tuple[str, ...]) -> None:
+        self._end(call, _Outcome.OK if served else _Outcome.FAILED)
+        self._answer(call, served, None)
+
+    def _end(
+        self, call: call_module.Call, outcome: outcome_module.Outcome
+    ) -> None:
+        now_s = self._clock.now_s
+        self._running.pop(call.call_id, None)
+        self.backend.release(call)
+        is_clean = outcome is not _Outcome.CANCELLED
+        for report in self.quarantine.finish(now_s, call.call_id, is_clean):
+            self._directory.report(self.service.name, report)
+        self._admission.finish(now_s, call.call_id, outcome, call.below_s)
+        self._poll()
+
+    def _answer(
+        self,
+        call: call_module.Call,
+        served: tuple[str, ...],
+        refused: refusal.Refusal | None,
+    ) -> None:
+        is_not_run = (
+            refused is not None
+            and refused.kind is answer_kind.AnswerKind.NOT_RUN
+        )
+        if is_not_run and call.has_run:
+            self._recorder.wrong += 1
+        call.answer(
+            call_module.Answer(
+                call.request.request_id,
+                served,
+                refused,
+                self._admission.level,
+                self._admission.load,
+            )
+        )
+
+
+def _make_fingerprint(call: call_module.Call) -> fingerprint.Fingerprint:
+    request_id = call.request.request_id
+    return fingerprint.Fingerprint(call.service, request_id, request_id)
--- /dev/null
+++ b/src/cranberrymux/control/program.py
@@ -0,0 +1,212 @@
+"""Starts, joins and stops the parts of a control instance."""
+
+import random
+import time
+from typing import Any
+
+import structlog
+from twisted.internet import error
+from twisted.internet import reactor as installed_reactor
+from twisted.internet import task
+from twisted.web import server
+
+from cranberrymux import storage
+from cranberrymux.consensus import driver as driver_module
+from cranberrymux.consensus import replica_settings
+from cranberrymux.control import control_settings
+from cranberrymux.control import node_service
+from cranberrymux.control import operator_api
+from cranberrymux.control import peer_clients
+from cranberrymux.control import quorum_log
+from cranberrymux.control import replica_loop
+from cranberrymux.control import state_machine
+from cranberrymux.decisions.claims import claim_settings
+from cranberrymux.telemetry import metrics
+from cranberrymux.telemetry import metrics_settings
+from cranberrymux.wire import control_server
+
+# The library has no types.
+_Site: Any = server.Site
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+TICKS_PER_LEASE = 8
+METRICS_INTERVAL_S = 1.0
+MAXIMUM_COMMAND_BYTES = 524_288
+MAXIMUM_RETAINED_ENTRIES = 1000
+
+
+class Program:
+    """One control instance."""
+
+    def __init__(
+        self,
+        settings: control_settings.ControlSettings,
+        cluster_key: str,
+        token: str,
+    ) -> None:
+        """Builds the parts; `run` opens the sockets.
+
+        Args:
+            settings: The instance's settings.
+            cluster_key: Key of nodes and control instances.
+            token: Token of operators.
+        """
+        self._settings = settings
+        self._reactor: Any = installed_reactor
+        self._events = structlog.get_logger()
+        self._machine = state_machine.StateMachine(_claim_settings(settings))
+        self._exit_code = EXIT_OK
+        self._metrics = metrics.build(
+            metrics_settings.MetricsSettings(
+                settings.statsd_address, settings.statsd_prefix
+            )
+        )
+        self._cluster_key = cluster_key
+        self._token = token
+
+    def run(self) -> int:
+        """Serves until a signal or a failure; returns the exit code."""
+        log = self._open_log()
+        if log is None:
+            return EXIT_FAILED
+        if not self._listen(log):
+            log.stop()
+            return EXIT_FAILED
+        log.start()
+        self._tick.start(self._settings.lease_ms / 1000 / TICKS_PER_LEASE)
+        reporting = task.LoopingCall(self._report_metrics, log)
+        reporting.start(METRICS_INTERVAL_S, now=False)
+        self._reactor.addSystemEventTrigger(
+            "before", "shutdown", self._shut_down, log
+        )
+        self._reactor.callWhenRunning(self._report_ready)
+        self._reactor.run()
+        self._events.info("control-stopped", exit_code=self._exit_code)
+        return self._exit_code
+
+    def _open_log(self) -> quorum_log.QuorumLog | None:
+        settings = self._settings
+        folder = storage.open_folder(settings.data_folder, settings.control_id)
+        if isinstance(folder, storage.StorageError):
+            self._report_storage(folder)
+            return None
+        restored = folder.restore()
+        if isinstance(restored, storage.StorageError):
+            self._report_storage(restored)
+            return None
+        replica = replica_settings.ReplicaSettings(
+            max_entry_bytes=MAXIMUM_COMMAND_BYTES,
+            snapshot_entries=settings.snapshot_entries,
+            retained_entries=min(
+                settings.snapshot_entries, MAXIMUM_RETAINED_ENTRIES
+            ),
+        )
+        driver = driver_module.LogDriver(
+            replica, random.Random(), restored, replica_loop.now_s()
+        )
+        peers = peer_clients.PeerClients(
+            settings, self._cluster_key, self._reactor
+        )
+        loop = replica_loop.ReplicaLoop(
+            driver,
+            folder,
+            machine=self._machine,
+            peers=peers,
+            reactor=self._reactor,
+            metrics=self._metrics,
+            report_failure=self._end_for_storage,
+            report_fault=self._end_for_fault,
+        )
+        return quorum_log.QuorumLog(
+            settings,
+            driver,
+            loop,
+            peers=peers,
+            reactor=self._reactor,
+            lease_s=replica.lease_s,
+            metrics=self._metrics,
+        )
+
+    def _listen(self, log: quorum_log.QuorumLog) -> bool:
+        settings = self._settings
+        self._service = service = node_service.NodeService(
+            settings,
+            self._cluster_key,
+            machine=self._machine,
+            log=log,
+            metrics=self._metrics,
+            now_s=time.monotonic,
+        )
+        api = operator_api.OperatorApi(
+            settings,
+            self._token,
+            machine=self._machine,
+            log=log,
+            service=service,
+            metrics=self._metrics,
+            now_s=time.monotonic,
+        )
+        self._tick = task.LoopingCall(service.tick)
+        self._factory = control_server.ControlServerFactory(
+            service, service.report_bad_frame
+        )
+        site = _Site(api.app.resource())
+        site.noisy = False
+        try:
+            self._reactor.listenTCP(
+                settings.port, self._factory, interface=settings.address
+            )
+            self._reactor.listenTCP(
+                settings.operator_port, site, interface=settings.address
+            )
+        except error.CannotListenError as failed:
+            self._events.error("cannot-listen", detail=str(failed))
+            return False
+        return True
+
+    def _report_metrics(self, log: quorum_log.QuorumLog) -> None:
+        self._service.report_metrics()
+        log.report_metrics()
+        self._metrics.flush()
+
+    def _end_for_storage(self, detail: str) -> None:
+        self._exit_code = EXIT_FAILED
+        self._events.error("storage-failed", detail=detail)
+        self._reactor.stop()
+
+    def _end_for_fault(self, error: str) -> None:
+        self._exit_code = EXIT_FAILED
+        self._events.error("fault", error=error)
+        self._reactor.stop()
+
+    def _report_storage(self, failed: storage.StorageError) -> None:
+        self._events.error(
+            "storage-failed",
+            reason=failed.reason.value,
+            path=failed.path,
+            detail=failed.detail,
+        )
+
+    def _report_ready(self) -> None:
+        self._events.info(
+            "control-ready",
+            control_id=self._settings.control_id,
+            port=self._settings.port,
+            operator_port=self._settings.operator_port,
+        )
+
+    def _shut_down(self, log: quorum_log.QuorumLog) -> None:
+        self._events.info("control-stopping")
+        log.stop()
+        self._factory.close_connections()
+
+
+def _claim_settings(
+    settings: control_settings.ControlSettings,
+) -> claim_settings.ClaimSettings:
+    return claim_settings.ClaimSettings(
+        accepted_age_ms=settings.claim_accepted_age_s * 1000,
+        retention_ms=settings.claim_retention_s * 1000,
+        running_ms=settings.claim_running_s * 1000,
+    )
--- /dev/null
+++ b/src/cranberrymux/decisions/admission/ticket_queue.py
@@ -0,0 +1,111 @@
+"""A small queue in order of priority with deadlines."""
+
+import bisect
+import heapq
+from typing import NamedTuple
+
+from cranberrymux.decisions.admission import ticket as ticket_module
+
+
+class Waiting(NamedTuple):
+    """One queued ticket; sorts by class, then by arrival.
+
+    Attributes:
+        class_rank: Order of starting; 0 starts first.
+        sequence: Order of arrival; unique.
+        ticket: The ticket itself.
+        arrived_s: When it was queued.
+        expires_s: When it is refused at the latest.
+    """
+
+    class_rank: int
+    sequence: int
+    ticket: ticket_module.Ticket
+    arrived_s: float
+    expires_s: float
+
+
+class TicketQueue:
+    """Queued tickets in order of class, then of arrival.
+
+    They start in that order, so that within a class no call waits much longer
+    than another, but they are evicted by priority, so that the calls of one
+    request fare alike at every endpoint. The queue is short (a slot's worth of
+    calls or so), so that sorted lists are faster than trees.
+    """
+
+    def __init__(self) -> None:
+        """Makes an empty queue."""
+        self._ordered: list[Waiting] = []
+        self._by_priority: list[tuple[int, int, str]] = []
+        self._by_id: dict[str, Waiting] = {}
+        self._expiries: list[tuple[float, int, str]] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        """Number of queued tickets."""
+        return len(self._ordered)
+
+    @property
+    def next_expiry_s(self) -> float | None:
+        """When the first ticket expires; None if the queue is empty."""
+        while self._expiries:
+            expires_s, sequence, ticket_id = self._expiries[0]
+            waiting = self._by_id.get(ticket_id)
+            if waiting is not None and waiting.sequence == sequence:
+                return expires_s
+            heapq.heappop(self._expiries)
+        return None
+
+    @property
+    def first(self) -> Waiting | None:
+        """The ticket that starts next."""
+        return self._ordered[0] if self._ordered else None
+
+    @property
+    def last(self) -> Waiting | None:
+        """The ticket that is shed first."""
+        if not self._by_priority:
+            return None
+        return self._by_id[self._by_priority[-1][2]]
+
+    def count_ahead(self, class_rank: int) -> int:
+        """Counts the tickets that would start before a new one."""
+        return bisect.bisect_left(self._ordered, (class_rank + 1,))
+
+    def push(
+        self, now_s: float, ticket: ticket_module.Ticket, expires_s: float
+    ) -> None:
+        """Queues a ticket until `expires_s`."""
+        self._sequence += 1
+        waiting = Waiting(
+            ticket.class_rank, self._sequence, ticket, now_s, expires_s
+        )
+        bisect.insort(self._ordered, waiting)
+        bisect.insort(
+            self._by_priority,
+            (ticket.priority, self._sequence, ticket.ticket_id),
+        )
+        self._by_id[ticket.ticket_id] = waiting
+        heapq.heappush(
+            self._expiries, (expires_s, self._sequence, ticket.ticket_id)
+        )
+
+    def remove(self, ticket_id: str) -> Waiting | None:
+        """Takes a ticket out; None if it is not queued."""
+        waiting = self._by_id.pop(ticket_id, None)
+        if waiting is None:
+            return None
+        del self._ordered[bisect.bisect_left(self._ordered, waiting)]
+        place = (waiting.ticket.priority, waiting.sequence)
+        del self._by_priority[bisect.bisect_left(self._by_priority, place)]
+        if not self._ordered:
+            self._expiries.clear()
+        return waiting
+
+    def pop_expired(self, now_s: float) -> Waiting | None:
+        """Takes out one ticket whose time is over; None if there is none."""
+        expires_s = self.next_expiry_s
+        if expires_s is None or expires_s > now_s:
+            return None
+        return self.remove(self._expiries[0][2])
--- /dev/null
+++ b/src/cranberrymux/node/program.py
@@ -0,0 +1,152 @@
+"""Runs a node as a process."""
+
+import gc
+import signal
+from typing import Any
+
+import structlog
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+from twisted.web import server as web_server
+
+from cranberrymux.node import announce_site
+from cranberrymux.node import clock
+from cranberrymux.node import load_poller
+from cranberrymux.node import node
+from cranberrymux.node import settings as node_settings
+from cranberrymux.node.http import limits
+from cranberrymux.node.http import server_factory
+from cranberrymux.telemetry import event
+from cranberrymux.telemetry import metrics
+from cranberrymux.telemetry import metrics_settings
+from cranberrymux.wire import control_client
+from cranberrymux.wire import control_client_settings
+
+_LOOPBACK = "127.0.0.1"
+_BACKLOG = 1024
+_HOUSEKEEPING_S = 0.1
+_REPORT_S = 1.0
+_CLOSE_LIMIT_S = 0.5
+_COLLECT_AFTER_OBJECTS = 20_000
+
+_log = structlog.get_logger()
+
+
+class Program:
+    """Opens the ports of a node, handles signals, ends the process."""
+
+    def __init__(self, settings: node_settings.NodeSettings, key: str) -> None:
+        """Builds the node; `run` starts it."""
+        self._reactor: Any = default_reactor
+        self._settings = settings
+        self._node = node.Node(
+            settings,
+            key,
+            self._reactor,
+            clock.SystemClock(),
+            _make_clients(settings, key),
+            metrics.build(
+                metrics_settings.MetricsSettings(
+                    settings.statsd_address, settings.statsd_prefix
+                )
+            ),
+            self._close,
+        )
+        message_limits = limits.Limits(
+            body_bytes=settings.body_limit_bytes,
+            buffered_bytes=settings.buffered_body_bytes,
+        )
+        self._ingress_factory = server_factory.ServerFactory(
+            self._node.ingress, message_limits
+        )
+        self._egress_factory = server_factory.ServerFactory(
+            self._node.egress, message_limits
+        )
+        self._load = load_poller.LoadPoller(
+            self._reactor,
+            lambda: self._node.ingress.backend,
+            self._node.set_load,
+        )
+        self._ports: list[Any] = []
+
+    def run(self) -> int:
+        """Serves until a stop is complete; returns the exit code."""
+        self._reactor.callWhenRunning(self._start)
+        self._reactor.run(installSignalHandlers=True)
+        return 0
+
+    def _start(self) -> None:
+        settings = self._settings
+        site = announce_site.AnnounceSite(
+            self._node.announce, self._node.drain, self._node.get_status
+        )
+        self._listen(
+            settings.ingress_port, self._ingress_factory, settings.address
+        )
+        self._listen(settings.egress_port, self._egress_factory, _LOOPBACK)
+        self._listen(
+            settings.announce_port,
+            _make_site(site.app.resource()),
+            _LOOPBACK,
+        )
+        self._reactor.addSystemEventTrigger(
+            "before", "shutdown", self._node.directory.stop
+        )
+        self._install_signal_handlers()
+        task.LoopingCall(self._node.keep_house).start(_HOUSEKEEPING_S)
+        task.LoopingCall(self._node.report).start(_REPORT_S)
+        self._load.start()
+        self._node.directory.start()
+        _quiet_collector()
+        _log.info(event.Event.NODE_READY, node_id=settings.node_id)
+
+    def _listen(self, port: int, factory: Any, interface: str) -> None:
+        self._ports.append(
+            self._reactor.listenTCP(
+                port, factory, interface=interface, backlog=_BACKLOG
+            )
+        )
+
+    def _install_signal_handlers(self) -> None:
+        def handle(number: int, frame: Any) -> None:
+            del number, frame
+            self._reactor.callFromThread(self._node.stop)
+
+        signal.signal(signal.SIGTERM, handle)
+        signal.signal(signal.SIGINT, handle)
+
+    def _close(self) -> None:
+        for port in self._ports:
+            port.stopListening()
+        self._ingress_factory.close_connections()
+        self._egress_factory.close_connections()
+        # Leaves time for the last answers and the last heartbeat to go out.
+        self._reactor.callLater(_CLOSE_LIMIT_S, self._reactor.stop)
+
+
+def _make_clients(
+    settings: node_settings.NodeSettings, key: str
+) -> list[control_client.ControlClient]:
+    clients = []
+    for text in settings.control_addresses:
+        host, _, port = text.rpartition(":")
+        clients.append(
+            control_client.ControlClient(
+                control_client_settings.ControlClientSettings(
+                    host, int(port), key, settings.control_timeout_ms
+                )
+            )
+        )
+    return clients
+
+
+def _quiet_collector() -> None:
+    """Keeps full garbage collections, which pause calls, rare and short."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_COLLECT_AFTER_OBJECTS, 20, 100)
+
+
+def _make_site(resource: Any) -> Any:
+    make: Any = web_server.Site
+    return make(resource)
--- /dev/null
+++ b/src/cranberrymux/standin/announcer.py
@@ -0,0 +1,139 @@
+"""Announces a stand-in to the node beside it."""
+
+# twisted.web has no types on most of its methods.
+# mypy: disable-error-code="no-untyped-call"
+
+from typing import Any
+from typing import TypedDict
+from typing import cast
+
+import structlog
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.python import failure
+from twisted.web import client
+
+from cranberrymux.standin import standin_settings
+from cranberrymux.telemetry import event
+
+PERIOD_S = 1.0
+TIMEOUT_S = 2.0
+
+
+class Announcement(TypedDict):
+    """The body of `PUT /v1/backend`; see docs/PROTOCOL.md."""
+
+    service: str
+    port: int
+    slots: int
+    labels: dict[str, str]
+    calls: list[str]
+    load_path: str
+
+
+class Announcer:
+    """Repeats the announcement every second until it is stopped."""
+
+    def __init__(
+        self,
+        settings: standin_settings.StandinSettings,
+        port: int,
+        reactor: interfaces.IReactorTime,
+    ) -> None:
+        """Announces nothing yet.
+
+        Args:
+            settings: The stand-in's settings.
+            port: TCP port that the stand-in listens on.
+            reactor: Clock and timers.
+        """
+        self._url = settings.announce_url
+        self._announcement = Announcement(
+            service=settings.service,
+            port=port,
+            slots=settings.slots,
+            labels=dict(settings.labels),
+            calls=sorted({child.service for child in settings.children}),
+            load_path="/load",
+        )
+        pool = client.HTTPConnectionPool(cast(Any, reactor))
+        self._agent = client.Agent(
+            cast(Any, reactor), connectTimeout=TIMEOUT_S, pool=pool
+        )
+        self._loop = task.LoopingCall(self._announce)
+        self._loop.clock = reactor
+        self._is_known = False
+        self._log = structlog.get_logger()
+
+    def start(self) -> None:
+        """Begins to announce, if there is a node."""
+        if self._url:
+            self._loop.start(PERIOD_S)
+
+    def stop(self) -> None:
+        """Announces no more."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def drain(self) -> defer.Deferred[None]:
+        """Asks the node to begin a drain; the announcements go on."""
+        if not self._url:
+            return defer.succeed(None)
+        return self._put("/v1/drain", {})
+
+    async def is_node_busy(self) -> bool:
+        """True if the node says that it has calls for this backend server."""
+        if not self._url:
+            return False
+        try:
+            response = await treq.get(
+                self._url + "/v1/status", agent=self._agent, timeout=TIMEOUT_S
+            )
+            status = await response.json()
+            return bool(status["in_flight"] or status["queued"])
+        except (
+            defer.CancelledError,
+            error.ConnectError,
+            error.ConnectionClosed,
+            client.ResponseFailed,
+            KeyError,
+            TypeError,
+            ValueError,
+        ):
+            # A node that has left or tells nothing sends no more calls.
+            return False
+
+    def _announce(self) -> defer.Deferred[None]:
+        return self._put("/v1/backend", self._announcement)
+
+    def _put(self, path: str, body: Any) -> defer.Deferred[None]:
+        sent = treq.put(
+            self._url + path, json=body, agent=self._agent, timeout=TIMEOUT_S
+        )
+        sent.addCallback(self._read, path)
+        sent.addErrback(self._log_failure, path)
+        return sent
+
+    async def _check(self, response: Any, path: str) -> None:
+        await response.content()
+        is_known = response.code < 300
+        if is_known != self._is_known:
+            self._log.info(
+                event.Event.STANDIN_ANNOUNCED, path=path, status=response.code
+            )
+        self._is_known = is_known
+
+    def _read(self, response: Any, path: str) -> defer.Deferred[None]:
+        return defer.Deferred.fromCoroutine(self._check(response, path))
+
+    def _log_failure(self, reason: failure.Failure, path: str) -> None:
+        if self._is_known:
+            self._log.warning(
+                event.Event.STANDIN_ANNOUNCE_FAILED,
+                path=path,
+                error=reason.getErrorMessage(),
+            )
+        self._is_known = False
--- /dev/null
+++ b/src/cranberrymux/telemetry/event.py
@@ -0,0 +1,52 @@
+"""The vocabulary of log events."""
+
+import enum
+
+
+class Event(enum.Enum):
+    """Every event that a program logs; docs/LOGS.md tells the fields.
+
+    A logger takes a member or its text:
+    `log.info(event.Event.NODE_READY, node_id="a")`.
+    """
+
+    # Any program.
+    FAULT = "fault"
+    LIBRARY_FAULT = "library-fault"
+    CANNOT_LISTEN = "cannot-listen"
+    OUTCOMES_NOT_WRITTEN = "outcomes-not-written"
+
+    # Nodes.
+    NODE_READY = "node-ready"
+    NODE_SERVING = "node-serving"
+    NODE_DRAINING = "node-draining"
+    NODE_STOPPED = "node-stopped"
+    BACKEND_SERVER_LOST = "backend-server-lost"
+    BACKEND_SERVER_DIED = "backend-server-died"
+    CONFIGURATION_IN_FORCE = "configuration-in-force"
+    CONFIGURATION_NOT_VALID = "configuration-not-valid"
+
+    # Control instances.
+    CONTROL_READY = "control-ready"
+    CONTROL_STOPPING = "control-stopping"
+    CONTROL_STOPPED = "control-stopped"
+    ENDPOINT_CHANGED = "endpoint-changed"
+    ENDPOINT_LEASE_ENDED = "endpoint-lease-ended"
+    CHANGE_ANSWERED = "change-answered"
+    DRAIN_REQUESTED = "drain-requested"
+    WRONG_CLUSTER_KEY = "wrong-cluster-key"
+    WRONG_OPERATOR_TOKEN = "wrong-operator-token"
+    BAD_FRAME = "bad-frame"
+    BAD_PEER_MESSAGE = "bad-peer-message"
+    CLUSTER_FOUNDED = "cluster-founded"
+    REPLICA_JOINS = "replica-joins"
+    MEMBERS_CHANGE = "members-change"
+    ROLE_CHANGED = "role-changed"
+    STORAGE_FAILED = "storage-failed"
+    CLAIM_ABANDONED = "claim-abandoned"
+
+    # Stand-in backend servers.
+    STANDIN_READY = "standin-ready"
+    STANDIN_STOPPED = "standin-stopped"
+    STANDIN_ANNOUNCED = "standin-announced"
+    STANDIN_ANNOUNCE_FAILED = "standin-announce-failed"
