Send news right after the heartbeat under way

Cause: news that came while a heartbeat waited for its answer went out with the next one, up to a second later, so that word of a drain could outlast the drain's grace. Test: test_news_during_a_heartbeat_follows_it_at_once, failing before.

--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -51,6 +51,7 @@
         self.revision = 0
         self.subscriptions: tuple[str, ...] = ()
         self.is_waiting = False
+        self.is_due_again = False
 
 
 class DirectoryTask:
@@ -70,7 +71,7 @@
         self._clock = system_clock
         self._listener = listener
         self._sessions = [_Session(client) for client in clients]
-        self._loop = task.LoopingCall(self.beat)
+        self._loop = task.LoopingCall(self._beat_where_idle)
 
     def start(self) -> None:
         """Connects and begins to send."""
@@ -86,7 +87,12 @@
             session.client.stop()
 
     def beat(self) -> None:
-        """Sends a heartbeat wherever none is waiting for its answer."""
+        """Sends a heartbeat now, or right after the one under way."""
+        for session in self._sessions:
+            session.is_due_again = session.is_waiting
+        self._beat_where_idle()
+
+    def _beat_where_idle(self) -> None:
         for session in self._sessions:
             if not session.is_waiting:
                 defer.ensureDeferred(self._beat_one(session))
@@ -104,6 +110,9 @@
                 self._take(session, answer, sent_s)
         finally:
             session.is_waiting = False
+        if session.is_due_again:
+            session.is_due_again = False
+            await self._beat_one(session)
 
     def _make(self, session: _Session) -> Any:
         record = self._endpoint.record
