--- /dev/null
+++ b/src/cranberrymux/node/callee_question.py
@@ -0,0 +1,69 @@
+"""Asks the callee's node about an attempt whose answer was lost."""
+
+from collections.abc import Callable
+
+from cranberrymux.decisions.answers import attempt_key
+from cranberrymux.decisions.answers import call_evidence
+from cranberrymux.decisions.answers import classifier
+from cranberrymux.decisions.answers import conclusion
+from cranberrymux.decisions.answers import reach
+from cranberrymux.models import endpoint_record
+from cranberrymux.models import refusal_reason
+from cranberrymux.models import request_context
+from cranberrymux.node import environment
+from cranberrymux.node import peer_request
+from cranberrymux.node import vouch_message
+from cranberrymux.node.http import connection_pool
+
+LIMIT_S = 0.25
+
+
+class CalleeQuestion:
+    """One question; its answer is what may be told to the caller."""
+
+    def __init__(
+        self,
+        node: environment.Environment,
+        context: request_context.RequestContext,
+        endpoint: endpoint_record.EndpointRecord,
+        sent_s: float,
+        on_concluded: Callable[[conclusion.Conclusion], None],
+    ) -> None:
+        """Keeps the question.
+
+        Args:
+            node: Tasks and tables of the node.
+            context: Context of the lost attempt.
+            endpoint: Where it was sent.
+            sent_s: Monotonic seconds at which it was sent.
+            on_concluded: Called once, within `LIMIT_S`.
+        """
+        self._node = node
+        self._context = context
+        self._endpoint = endpoint
+        self._sent_s = sent_s
+        self._on_concluded = on_concluded
+
+    def ask(self) -> None:
+        """Sends the question."""
+        key = attempt_key.from_context(self._context)
+        request = peer_request.PeerRequest(
+            vouch_message.make_question(key, self._node.key), self._answered
+        )
+        due_s = self._node.clock.now_s() + LIMIT_S
+        self._node.deadlines.add(due_s, request.give_up)
+        endpoint = self._endpoint
+        request.start(
+            self._node.pool,
+            connection_pool.Address(endpoint.address, endpoint.port),
+        )
+
+    def _answered(self, body: bytes | None) -> None:
+        evidence = call_evidence.CallEvidence(
+            reach.Reach.NODE,
+            reason=refusal_reason.RefusalReason.CONNECTION_LOST,
+            sent_incarnation=self._endpoint.incarnation,
+            age_s=self._node.clock.now_s() - self._sent_s,
+            vouch=vouch_message.decode_vouch(body),
+        )
+        self._on_concluded(classifier.classify(evidence))
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -2,11 +2,9 @@
 
 import hmac
 
-from cranberrymux.decisions.answers import tombstones
 from cranberrymux.decisions.configuration import treatment
 from cranberrymux.decisions.contexts import context_error
 from cranberrymux.decisions.contexts import header_codec
-from cranberrymux.decisions.selectors import request_labels
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
@@ -17,10 +15,10 @@
 from cranberrymux.node import environment
 from cranberrymux.node import ingress_call
 from cranberrymux.node import ingress_calls
+from cranberrymux.node import peer_messages
 from cranberrymux.node import refusal_answer
-from cranberrymux.node import suspect_message
+from cranberrymux.node import rule_check
 from cranberrymux.node import version_gate
-from cranberrymux.node import vouch_message
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 
@@ -34,6 +32,7 @@
         """Starts without a backend server."""
         self._node = node
         self._backend: backend_server.BackendServer | None = None
+        self._messages = peer_messages.PeerMessages(node)
         self._gate = version_gate.VersionGate(node.deadlines, node.clock)
         self._is_configured = False
         self._is_draining = False
@@ -61,11 +60,7 @@
         if not self._is_peer(call.head.headers):
             self._handle_entry(call)
             return
-        if call.head.target == vouch_message.TARGET:
-            self._vouch(call)
-            return
-        if call.head.target == suspect_message.TARGET:
-            self._take_suspect(call)
+        if self._messages.take(call):
             return
         version = _read_version(call.head.headers)
         if version <= self._node.policy.version:
@@ -107,7 +102,7 @@
             self._refuse(call, entry_context.refuse_bad(detail))
             return
         rules = self._decide(call, backend, context.principal)
-        refused = self._check_rules(rules)
+        refused = rule_check.check(self._node, rules)
         if refused is not None:
             self._refuse(call, refused, context.request_id)
             return
@@ -136,7 +131,7 @@
         context = context._replace(
             retry_budget=min(granted, rules.retry_budget)
         )
-        refused = self._check_rules(rules)
+        refused = rule_check.check(self._node, rules)
         if refused is None and not self._is_draining:
             self._start(call, context, rules, backend)
             return
@@ -177,27 +172,6 @@
         self._node.ingress_calls.add(work)
         work.start()
 
-    def _check_rules(
-        self, rules: treatment.Treatment
-    ) -> refusal.Refusal | None:
-        now_s = self._node.clock.now_s()
-        if rules.strict and self._node.policy.is_too_old(now_s):
-            return self._not_run(
-                _Reason.CONFIGURATION_STALE,
-                "no control instance vouches for the configuration",
-            )
-        record = self._node.endpoint.record
-        if not rules.places or record is None:
-            return None
-        labels = request_labels.endpoint_labels(record)
-        for place in rules.places:
-            mismatch = place.explain(labels)
-            if mismatch is not None:
-                return self._not_run(
-                    _Reason.NO_PLACE, f"this endpoint: {mismatch}"
-                )
-        return None
-
     def _join(
         self,
         earlier: ingress_calls.OpenCall,
@@ -217,29 +191,6 @@
             context.request_id,
         )
 
-    def _vouch(self, call: inbound_call.InboundCall) -> None:
-        value = headers.find(call.head.headers, vouch_message.HEADER)
-        key = None if value is None else vouch_message.decode_key(value)
-        if key is None:
-            self._refuse(call, entry_context.refuse_bad("no such attempt"))
-            return
-        memory: tombstones.Tombstones = self._node.tombstones
-        word = memory.refuse(self._node.clock.now_s(), key)
-        call.answer(
-            200,
-            [(b"content-type", b"application/json")],
-            vouch_message.encode_vouch(word),
-        )
-
-    def _take_suspect(self, call: inbound_call.InboundCall) -> None:
-        value = headers.find(call.head.headers, suspect_message.HEADER)
-        news = None if value is None else suspect_message.decode(value)
-        if news is None:
-            self._refuse(call, entry_context.refuse_bad("no such suspect"))
-            return
-        self._node.quarantine.hear(news)
-        call.answer(200, [], b"")
-
     def _is_peer(self, head_headers: headers.HeaderList) -> bool:
         key = headers.find(head_headers, b"cranberrymux-key")
         return key is not None and hmac.compare_digest(key, self._node.key)
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -1,6 +1,5 @@
 """A call that this node routes to an endpoint."""
 
-from cranberrymux.decisions.answers import attempt_key
 from cranberrymux.decisions.answers import call_evidence
 from cranberrymux.decisions.answers import classifier
 from cranberrymux.decisions.answers import conclusion
@@ -17,14 +16,14 @@
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
 from cranberrymux.node import answer_facts
+from cranberrymux.node import callee_question
 from cranberrymux.node import environment
 from cranberrymux.node import outbound_attempt
-from cranberrymux.node import peer_request
 from cranberrymux.node import places
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
+from cranberrymux.node import routed_answers
 from cranberrymux.node import running_call
-from cranberrymux.node import vouch_message
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers
@@ -33,14 +32,6 @@
 
 _Kind = answer_kind.AnswerKind
 _Reason = refusal_reason.RefusalReason
-_SERVER_ERROR = 500
-_VOUCH_LIMIT_S = 0.25
-_HIDDEN_HEADERS = (
-    b"cranberrymux-level",
-    b"cranberrymux-load",
-    b"cranberrymux-configuration",
-    b"cranberrymux-dependency-failed",
-)
 
 
 class RoutedCall:
@@ -85,7 +76,7 @@
         self._sent_s = 0.0
         self._endpoint: endpoint_record.EndpointRecord | None = None
         self._attempt: outbound_attempt.OutboundAttempt | None = None
-        self._question: peer_request.PeerRequest | None = None
+        self._question: callee_question.CalleeQuestion | None = None
         self._streamed_head: answer_head.AnswerHead | None = None
         self._overload_refusals = 0
         self._is_over = False
@@ -121,7 +112,7 @@
         if facts.kind is not _Kind.DONE:
             self._parent.has_failed_child = True
         self._end()
-        answer_headers = _pass_on(head)
+        answer_headers = routed_answers.pass_on(head)
         if self._call.head.method == b"HEAD":
             self._call.start_answer(head._replace(headers=answer_headers))
             self._call.finish()
@@ -133,7 +124,7 @@
     ) -> headers.HeaderList:
         """Returns the headers of a long answer."""
         self._streamed_head = head
-        return _pass_on(head)
+        return routed_answers.pass_on(head)
 
     def attempt_streamed(self) -> None:
         """Ends a long answer."""
@@ -161,33 +152,19 @@
 
     def _ask_callee(self, loss: lost_answer.LostAnswer) -> None:
         assert self._endpoint is not None
-        endpoint = self._endpoint
-
-        def take(body: bytes | None) -> None:
-            if self._is_over:
-                return
-            self._question = None
-            evidence = call_evidence.CallEvidence(
-                reach.Reach.NODE,
-                reason=_Reason.CONNECTION_LOST,
-                sent_incarnation=endpoint.incarnation,
-                age_s=self._node.clock.now_s() - self._sent_s,
-                vouch=vouch_message.decode_vouch(body),
-            )
-            self._conclude(classifier.classify(evidence), loss.detail)
-
-        key = attempt_key.from_context(self._context)
-        question = peer_request.PeerRequest(
-            vouch_message.make_question(key, self._node.key), take
-        )
-        self._question = question
-        self._node.deadlines.add(
-            self._node.clock.now_s() + _VOUCH_LIMIT_S, question.give_up
+        self._question = callee_question.CalleeQuestion(
+            self._node,
+            self._context,
+            self._endpoint,
+            self._sent_s,
+            lambda known: self._conclude(known, loss.detail),
         )
-        address = connection_pool.Address(endpoint.address, endpoint.port)
-        question.start(self._node.pool, address)
+        self._question.ask()
 
     def _conclude(self, known: conclusion.Conclusion, detail: str) -> None:
+        if self._is_over:
+            return
+        self._question = None
         if self._try_again(known.kind, known.reason):
             return
         self._refuse(
@@ -207,19 +184,7 @@
             return False
         if reason in retry_policy.OVERLOAD_REASONS:
             self._overload_refusals += 1
-        now_s = self._node.clock.now_s()
-        ended = ended_attempt.EndedAttempt(
-            self._context,
-            kind,
-            reason,
-            (self._deadline_s - now_s) * 1000,
-            self._parent.has_parent,
-            self._parent.ledger.remaining,
-            self._node.edges.has_retry(now_s, self._service),
-            self._overload_refusals,
-        )
-        verdict = retry_policy.may_retry(self._node.retry_settings, ended)
-        if verdict is not retry_verdict.RetryVerdict.RETRY:
+        if not self._may_retry(kind, reason):
             return False
         if self._endpoint is not None:
             self._excluded = self._excluded | {self._endpoint.endpoint_id}
@@ -228,6 +193,7 @@
             return False
         if not self._parent.ledger.spend():
             return False
+        now_s = self._node.clock.now_s()
         if retry_policy.needs_edge_token(reason):
             self._node.edges.take(now_s, self._service)
         self._context = children.next_attempt(
@@ -236,6 +202,23 @@
         self._send(chosen)
         return True
 
+    def _may_retry(
+        self, kind: answer_kind.AnswerKind, reason: _Reason | None
+    ) -> bool:
+        now_s = self._node.clock.now_s()
+        ended = ended_attempt.EndedAttempt(
+            self._context,
+            kind,
+            reason,
+            (self._deadline_s - now_s) * 1000,
+            self._parent.has_parent,
+            self._parent.ledger.remaining,
+            self._node.edges.has_retry(now_s, self._service),
+            self._overload_refusals,
+        )
+        verdict = retry_policy.may_retry(self._node.retry_settings, ended)
+        return verdict is retry_verdict.RetryVerdict.RETRY
+
     def _choose(self) -> endpoint_record.EndpointRecord | refusal.Refusal:
         return self._node.router.choose(
             self._node.clock.now_s(),
@@ -274,7 +257,7 @@
         self._parent.ledger.give_back(
             self._context.call_id, facts.unspent, self._context.attempt
         )
-        self._finish_attempt(_classify(head, facts), facts)
+        self._finish_attempt(routed_answers.classify(head, facts), facts)
         now_s = self._node.clock.now_s()
         if facts.kind is _Kind.DONE:
             self._node.edges.succeed(now_s, self._service)
@@ -362,34 +345,3 @@
         if self._deadline_key is not None:
             self._node.deadlines.remove(self._deadline_key)
         self._parent.remove_child(self._node.clock.now_s(), self)
-
-
-def _pass_on(head: answer_head.AnswerHead) -> headers.HeaderList:
-    return [
-        pair
-        for pair in headers.forwardable(head.headers)
-        if pair[0] not in _HIDDEN_HEADERS
-    ]
-
-
-def _classify(
-    head: answer_head.AnswerHead, facts: answer_facts.AnswerFacts
-) -> outcome.Outcome:
-    if facts.kind is _Kind.NOT_RUN:
-        return _classify_refusal(facts.reason)
-    if facts.is_dependency_failure:
-        return outcome.Outcome.CANCELLED
-    if facts.kind is _Kind.UNKNOWN:
-        return outcome.Outcome.LOST
-    if head.status >= _SERVER_ERROR:
-        return outcome.Outcome.FAILED
-    return outcome.Outcome.DONE
-
-
-def _classify_refusal(reason: _Reason | None) -> outcome.Outcome:
-    if reason in (_Reason.DRAINING, _Reason.NOT_STARTED):
-        # Newer news of the endpoint, such as of its start, ends this.
-        return outcome.Outcome.DRAINING
-    if reason in retry_policy.OVERLOAD_REASONS:
-        return outcome.Outcome.REFUSED
-    return outcome.Outcome.DONE
