--- a/src/cranberrymux/demo/story.py
+++ b/src/cranberrymux/demo/story.py
@@ -1,16 +1,15 @@
 """The chapters of the demo."""
 
-import http.client
 import json
 import signal
 import tempfile
 import time
 from typing import Any
-import uuid
 
 from cranberrymux.demo import deployment
 from cranberrymux.demo import endpoint_processes
 from cranberrymux.demo import expectation
+from cranberrymux.demo import http_calls
 from cranberrymux.demo import load_run
 from cranberrymux.demo import operator
 from cranberrymux.demo import service_plan
@@ -150,12 +149,14 @@
 
     def _resend_dispatch(self) -> None:
         """Sends one dispatch to both entry nodes, again and again."""
-        request_id = _make_request_id()
+        request_id = http_calls.make_request_id()
         answers = []
         for _ in range(3):
             for endpoint in self._deployment.find(_ENTRY):
                 answers.append(
-                    _post(endpoint.ingress_port, "/dispatch", request_id)
+                    http_calls.post(
+                        endpoint.ingress_port, "/dispatch", request_id
+                    )
                 )
         runs = sum(
             self._count_runs(endpoint, request_id)
@@ -189,11 +190,11 @@
 
     def _poison(self) -> None:
         """One request kills each backend server that runs it."""
-        request_id = _make_request_id()
+        request_id = http_calls.make_request_id()
         deaths = 0
         for _ in range(8):
             for endpoint in self._deployment.find("address-history"):
-                _post(
+                http_calls.post(
                     endpoint.ingress_port,
                     "/lookup",
                     request_id,
@@ -213,7 +214,7 @@
         if endpoint.backend.is_running:
             return 0
         endpoint.backend.restart()
-        while _get(endpoint.backend_port, "/load") is None:
+        while http_calls.get(endpoint.backend_port, "/load") is None:
             time.sleep(0.05)
         return 1
 
@@ -261,20 +262,26 @@
     def _set_service_time(self, service_time_ms: float) -> None:
         for endpoint in self._deployment.find(_DEEP):
             body = json.dumps({"service_time_ms": service_time_ms})
-            _request(endpoint.backend_port, "POST", "/behaviour", body, {})
+            http_calls.request(
+                endpoint.backend_port, "POST", "/behaviour", body, {}
+            )
 
     def _count_runs(
         self,
         endpoint: endpoint_processes.EndpointProcesses,
         request_id: str,
     ) -> int:
-        counters = _get(endpoint.backend_port, "/counters") or {}
+        counters = http_calls.get(endpoint.backend_port, "/counters") or {}
         return int(counters["runs"].get(request_id, 0))
 
     def _count_started(
         self, endpoint: endpoint_processes.EndpointProcesses
     ) -> int:
-        return int((_get(endpoint.backend_port, "/counters") or {})["started"])
+        return int(
+            (http_calls.get(endpoint.backend_port, "/counters") or {})[
+                "started"
+            ]
+        )
 
     def _note(
         self, chapter: str, shown: str, expected: str, holds: bool
@@ -284,55 +291,6 @@
         self._results.append(one)
 
 
-def _make_request_id() -> str:
-    now_ms = time.time_ns() // 1_000_000
-    number = (now_ms << 80) | (uuid.uuid4().int & ((1 << 80) - 1))
-    number = number & ~(0xF << 76) | (7 << 76)
-    return str(uuid.UUID(int=number & ~(0x3 << 62) | (2 << 62)))
-
-
-def _post(
-    port: int,
-    path: str,
-    request_id: str,
-    extra: dict[str, str] | None = None,
-) -> int:
-    status, _ = _request(
-        port,
-        "POST",
-        path,
-        "crew 7",
-        {
-            "Cranberrymux-Request-Id": request_id,
-            "Cranberrymux-Principal": "dispatcher",
-            **(extra or {}),
-        },
-    )
-    return status
-
-
-def _get(port: int, path: str) -> dict[str, Any] | None:
-    status, body = _request(port, "GET", path, "", {})
-    if status != 200:
-        return None
-    values: dict[str, Any] = json.loads(body)
-    return values
-
-
-def _request(
-    port: int, method: str, path: str, body: str, extra: dict[str, str]
-) -> tuple[int, bytes]:
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
-    try:
-        connection.request(method, path, body or None, extra)
-        answer = connection.getresponse()
-        return answer.status, answer.read()
-    except OSError:
-        return 0, b""
-    finally:
-        connection.close()
-
-
 def run() -> int:
     """Runs the demo; returns 0 if every expectation held."""
     with tempfile.TemporaryDirectory(prefix="cranberrymux-demo-") as folder:
--- /dev/null
+++ b/src/cranberrymux/node/environment_builder.py
@@ -0,0 +1,150 @@
+"""Puts together what every call at a node works with."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+from typing import Any
+from typing import NamedTuple
+
+from cranberrymux.decisions.admission import admission_settings
+from cranberrymux.decisions.admission import controller
+from cranberrymux.decisions.answers import tombstone_settings
+from cranberrymux.decisions.answers import tombstones
+from cranberrymux.decisions.quarantine import quarantine
+from cranberrymux.decisions.quarantine import quarantine_settings
+from cranberrymux.decisions.retries import edge_buckets
+from cranberrymux.decisions.retries import entry_grants
+from cranberrymux.decisions.retries import retry_settings
+from cranberrymux.decisions.routing import router
+from cranberrymux.decisions.routing import router_settings
+from cranberrymux.node import admission_task
+from cranberrymux.node import claim_task
+from cranberrymux.node import clock as clock_module
+from cranberrymux.node import deadline_table
+from cranberrymux.node import environment
+from cranberrymux.node import ingress_calls
+from cranberrymux.node import own_endpoint
+from cranberrymux.node import quarantine_task
+from cranberrymux.node import running_calls
+from cranberrymux.node import settings as node_settings
+from cranberrymux.node import siblings as siblings_module
+from cranberrymux.node.http import connection_pool
+from cranberrymux.telemetry import metrics_sink
+from cranberrymux.telemetry import outcomes
+from cranberrymux.telemetry import outcomes_settings
+
+# Budgets are granted by the configuration; a grant only limits resends.
+_GRANT_CEILING = 100
+_CLASS_RANKS = 16
+
+
+class Parts(NamedTuple):
+    """What the environment is built from.
+
+    Attributes:
+        settings: Settings of the node.
+        key: The key that all processes share.
+        reactor: Timers and connections.
+        clock: The node's clocks.
+        clients: Connections to the control instances, nearest first.
+        metrics: Collector of metrics.
+        policy: Configuration in force.
+        endpoint: What the node announces.
+        pool: Connections to other nodes and the backend server.
+        siblings: Other endpoints of the service.
+        versions: Told of the versions of other nodes.
+        on_backend_dead: Called when the backend server takes no connection.
+    """
+
+    settings: node_settings.NodeSettings
+    key: str
+    reactor: Any
+    clock: clock_module.Clock
+    clients: Sequence[Any]
+    metrics: metrics_sink.MetricsSink
+    policy: environment.CallPolicy
+    endpoint: own_endpoint.OwnEndpoint
+    pool: connection_pool.ConnectionPool
+    siblings: siblings_module.Siblings
+    versions: environment.VersionListener
+    on_backend_dead: Callable[[], None]
+
+
+def build(parts: Parts) -> environment.Environment:
+    """Builds the environment of one node."""
+    settings = parts.settings
+    seed = settings.seed or random.SystemRandom().getrandbits(64)
+    generator = random.Random(seed)
+    deadlines = deadline_table.DeadlineTable(parts.reactor, parts.clock)
+    retries = retry_settings.RetrySettings(root_budget=_GRANT_CEILING)
+    return environment.Environment(
+        settings=settings,
+        clock=parts.clock,
+        generator=generator,
+        deadlines=deadlines,
+        pool=parts.pool,
+        router=router.Router(
+            router_settings.RouterSettings(settings.region, settings.zone),
+            generator,
+        ),
+        edges=edge_buckets.EdgeBuckets(retries),
+        retry_settings=retries,
+        grants=entry_grants.EntryGrants(retries),
+        admission=_make_admission(parts, generator, deadlines),
+        quarantine=_make_quarantine(parts),
+        claims=claim_task.ClaimTask(parts.clients, parts.reactor),
+        tombstones=tombstones.Tombstones(
+            parts.clock.now_s(),
+            parts.endpoint.incarnation,
+            tombstone_settings.TombstoneSettings(),
+        ),
+        policy=parts.policy,
+        versions=parts.versions,
+        endpoint=parts.endpoint,
+        running=running_calls.RunningCalls(),
+        ingress_calls=ingress_calls.IngressCalls(),
+        outcomes=_make_recorder(settings),
+        metrics=parts.metrics,
+        key=parts.key.encode(),
+    )
+
+
+def _make_admission(
+    parts: Parts,
+    generator: random.Random,
+    deadlines: deadline_table.DeadlineTable,
+) -> admission_task.AdmissionTask:
+    settings = admission_settings.AdmissionSettings(class_ranks=_CLASS_RANKS)
+    return admission_task.AdmissionTask(
+        controller.AdmissionController(settings, generator),
+        parts.clock,
+        deadlines,
+    )
+
+
+def _make_quarantine(parts: Parts) -> quarantine_task.QuarantineTask:
+    return quarantine_task.QuarantineTask(
+        quarantine.Quarantine(
+            quarantine_settings.QuarantineSettings(),
+            parts.settings.node_id,
+            parts.endpoint.incarnation,
+        ),
+        parts.clock,
+        parts.reactor,
+        list(parts.clients),
+        parts.siblings.tell,
+        parts.on_backend_dead,
+        parts.key.encode(),
+    )
+
+
+def _make_recorder(
+    settings: node_settings.NodeSettings,
+) -> outcomes.OutcomesRecorder:
+    return outcomes.OutcomesRecorder(
+        outcomes_settings.OutcomesSettings(
+            settings.outcomes_file,
+            settings.outcomes_file_bytes,
+            settings.outcomes_files,
+        )
+    )
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -2,20 +2,18 @@
 
 from cranberrymux.decisions.admission import outcome
 from cranberrymux.decisions.answers import attempt_key
-from cranberrymux.decisions.answers import call_evidence
-from cranberrymux.decisions.answers import classifier
-from cranberrymux.decisions.answers import reach
 from cranberrymux.decisions.configuration import treatment
-from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import standing
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
 from cranberrymux.node import backend_server
+from cranberrymux.node import call_fingerprint
 from cranberrymux.node import claimed_call
 from cranberrymux.node import environment
 from cranberrymux.node import ingress_answers
+from cranberrymux.node import lost_call
 from cranberrymux.node import outbound_attempt
 from cranberrymux.node import request_encoding
 from cranberrymux.node import running_call
@@ -58,7 +56,9 @@
         self._deadline_key: int | None = None
         self._ticket_id = ""
         self._is_admitted = False
-        self._fingerprint = self._make_fingerprint()
+        self._fingerprint = call_fingerprint.make_fingerprint(
+            backend.service, context.request_id, call
+        )
         self._standing = standing.Standing.CLEAR
         self._claimed: claimed_call.ClaimedCall | None = None
         self._attempt: outbound_attempt.OutboundAttempt | None = None
@@ -157,26 +157,8 @@
         if self._streamed_head is not None:
             self._answers.abort()
             return
-        where = (
-            reach.Reach.BACKEND if loss.is_handed_over else reach.Reach.NOWHERE
-        )
-        reason = _Reason.CONNECTION_LOST
-        if loss.reason is lost_answer.LossReason.NOT_CONNECTED:
-            reason = _Reason.NOT_STARTED
-        elif loss.reason is not lost_answer.LossReason.CONNECTION_LOST:
-            reason = _Reason.TRUNCATED
-        known = classifier.classify(
-            call_evidence.CallEvidence(where, reason=reason)
-        )
-        self._answers.refuse(
-            refusal.Refusal(
-                known.kind,
-                known.reason or reason,
-                loss.detail,
-                self._node.retry_after_ms(),
-            ),
-            unspent,
-        )
+        one = lost_call.conclude(loss, self._node.retry_after_ms())
+        self._answers.refuse(one, unspent)
 
     def _admitted(self) -> None:
         self._is_admitted = True
@@ -248,20 +230,6 @@
         )
         self._attempt.start(self._node.pool, self._backend.address)
 
-    def _make_fingerprint(self) -> fingerprints.Fingerprint:
-        head = self._call.head
-        is_whole = self._call.is_body_complete
-        return fingerprints.make(
-            self._backend.service,
-            self._context.request_id,
-            head.method.decode("latin-1"),
-            head.target.decode("latin-1"),
-            body=self._call.held_body(),
-            body_bytes=self._call.body_length
-            if is_whole
-            else head.content_length or -1,
-        )
-
     def _settle(self, head: answer_head.AnswerHead, body: bytes) -> None:
         assert self._claimed is not None
         kind = headers.find(head.headers, b"cranberrymux-answer")
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -1,39 +1,21 @@
 """One node: its tasks, and what happens when something changes."""
 
 from collections.abc import Sequence
-import random
 from typing import Any
 
 import structlog
 
-from cranberrymux.decisions.admission import admission_settings
-from cranberrymux.decisions.admission import controller
-from cranberrymux.decisions.answers import tombstone_settings
-from cranberrymux.decisions.answers import tombstones
-from cranberrymux.decisions.quarantine import quarantine
-from cranberrymux.decisions.quarantine import quarantine_settings
-from cranberrymux.decisions.retries import edge_buckets
-from cranberrymux.decisions.retries import entry_grants
-from cranberrymux.decisions.retries import retry_settings
-from cranberrymux.decisions.routing import router
-from cranberrymux.decisions.routing import router_settings
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
-from cranberrymux.node import admission_task
 from cranberrymux.node import backend_server
-from cranberrymux.node import claim_task
 from cranberrymux.node import clock as clock_module
-from cranberrymux.node import deadline_table
 from cranberrymux.node import directory_task
 from cranberrymux.node import egress
-from cranberrymux.node import environment
+from cranberrymux.node import environment_builder
 from cranberrymux.node import ingress
-from cranberrymux.node import ingress_calls
 from cranberrymux.node import lifecycle
 from cranberrymux.node import own_endpoint
 from cranberrymux.node import policy_holder
-from cranberrymux.node import quarantine_task
-from cranberrymux.node import running_calls
 from cranberrymux.node import settings as node_settings
 from cranberrymux.node import siblings
 from cranberrymux.node import status_body
@@ -41,12 +23,6 @@
 from cranberrymux.telemetry import event
 from cranberrymux.telemetry import metric
 from cranberrymux.telemetry import metrics_sink
-from cranberrymux.telemetry import outcomes
-from cranberrymux.telemetry import outcomes_settings
-
-# Budgets are granted by the configuration; a grant only limits resends.
-_GRANT_CEILING = 100
-_CLASS_RANKS = 16
 
 _log = structlog.get_logger()
 
@@ -83,54 +59,29 @@
         self._reactor = reactor
         self._clock = system_clock
         self._on_stopped = on_stopped
-        seed = settings.seed or random.SystemRandom().getrandbits(64)
-        generator = random.Random(seed)
-        deadlines = deadline_table.DeadlineTable(reactor, system_clock)
         self._policy = policy_holder.PolicyHolder()
         self._endpoint = own_endpoint.OwnEndpoint(
             settings, system_clock.now_unix_ms()
         )
-        self._admission = self._make_admission(generator, deadlines)
         pool = connection_pool.ConnectionPool(reactor)
         self._siblings = siblings.Siblings(settings.node_id, pool)
-        self._quarantine = self._make_quarantine(clients, key.encode())
-        retries = retry_settings.RetrySettings(root_budget=_GRANT_CEILING)
-        self._env = environment.Environment(
-            settings=settings,
-            clock=system_clock,
-            generator=generator,
-            deadlines=deadlines,
-            pool=pool,
-            router=router.Router(
-                router_settings.RouterSettings(settings.region, settings.zone),
-                generator,
-            ),
-            edges=edge_buckets.EdgeBuckets(retries),
-            retry_settings=retries,
-            grants=entry_grants.EntryGrants(retries),
-            admission=self._admission,
-            quarantine=self._quarantine,
-            claims=claim_task.ClaimTask(clients, reactor),
-            tombstones=tombstones.Tombstones(
-                system_clock.now_s(),
-                self._endpoint.incarnation,
-                tombstone_settings.TombstoneSettings(),
-            ),
-            policy=self._policy,
-            versions=self,
-            endpoint=self._endpoint,
-            running=running_calls.RunningCalls(),
-            ingress_calls=ingress_calls.IngressCalls(),
-            outcomes=outcomes.OutcomesRecorder(
-                outcomes_settings.OutcomesSettings(
-                    settings.outcomes_file,
-                    settings.outcomes_file_bytes,
-                    settings.outcomes_files,
-                )
-            ),
-            metrics=metrics,
-            key=key.encode(),
+        self._env = environment_builder.build(
+            environment_builder.Parts(
+                settings=settings,
+                key=key,
+                reactor=reactor,
+                clock=system_clock,
+                clients=clients,
+                metrics=metrics,
+                policy=self._policy,
+                endpoint=self._endpoint,
+                pool=pool,
+                siblings=self._siblings,
+                versions=self,
+                on_backend_dead=self._lose_backend,
+            )
         )
+        self._admission = self._env.admission
         self.ingress = ingress.Ingress(self._env)
         self.egress = egress.Egress(self._env)
         self.directory = directory_task.DirectoryTask(
@@ -181,7 +132,7 @@
             limit=self._admission.limit,
             level=self._admission.level,
             configuration_version=self._policy.version,
-            suspects=self._quarantine.record_count,
+            suspects=self._env.quarantine.record_count,
         )
 
     def keep_house(self) -> None:
@@ -300,37 +251,6 @@
         self._env.outcomes.close()
         self._on_stopped()
 
-    def _make_admission(
-        self,
-        generator: random.Random,
-        deadlines: deadline_table.DeadlineTable,
-    ) -> admission_task.AdmissionTask:
-        return admission_task.AdmissionTask(
-            controller.AdmissionController(
-                admission_settings.AdmissionSettings(class_ranks=_CLASS_RANKS),
-                generator,
-            ),
-            self._clock,
-            deadlines,
-        )
-
-    def _make_quarantine(
-        self, clients: Sequence[Any], proof: bytes
-    ) -> quarantine_task.QuarantineTask:
-        return quarantine_task.QuarantineTask(
-            quarantine.Quarantine(
-                quarantine_settings.QuarantineSettings(),
-                self._settings.node_id,
-                self._endpoint.incarnation,
-            ),
-            self._clock,
-            self._reactor,
-            list(clients),
-            self._siblings.tell,
-            self._lose_backend,
-            proof,
-        )
-
     def _expire_backend(self, now_s: float) -> None:
         if self.ingress.backend is None:
             return
