--- a/bench/overload/call.py
+++ b/bench/overload/call.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from bench.overload import deployment
+from cranberrymux.decisions.quarantine import fingerprint
 from cranberrymux.decisions.quarantine import standing
 from cranberrymux.models import refusal
 from cranberrymux.models import request_context
@@ -144,6 +145,12 @@
         self.below_s = 0.0
         self.started_s = 0.0
 
+    @property
+    def fingerprint(self) -> fingerprint.Fingerprint:
+        """What quarantine knows it by."""
+        request_id = self.request.request_id
+        return fingerprint.Fingerprint(self.service, request_id, request_id)
+
     @property
     def service(self) -> str:
         """Service that it calls."""
--- a/bench/overload/node.py
+++ b/bench/overload/node.py
@@ -11,11 +11,11 @@
 from bench.overload import errand as errand_module
 from bench.overload import records
 from bench.overload import refusals
+from bench.overload import timer
 from cranberrymux.decisions.admission import admitted
 from cranberrymux.decisions.admission import outcome as outcome_module
 from cranberrymux.decisions.admission import queued
 from cranberrymux.decisions.admission import ticket as ticket_module
-from cranberrymux.decisions.quarantine import fingerprint
 from cranberrymux.decisions.quarantine import quarantine as quarantine_module
 from cranberrymux.decisions.quarantine import quarantine_settings
 from cranberrymux.decisions.quarantine import standing as standing_module
@@ -75,7 +75,7 @@
         self.credits = credit_pool.CreditPool(service.slots)
         self._queued: dict[str, call_module.Call] = {}
         self._running: dict[str, call_module.Call] = {}
-        self._next_poll_s: float | None = None
+        self._timer = timer.Timer(context.clock, self._poll)
         self.quarantine = quarantine_module.Quarantine(
             quarantine_settings.QuarantineSettings(), endpoint_id, 1
         )
@@ -96,7 +96,7 @@
         if self._policy.is_controlled:
             judged = self.quarantine.judge(
                 self._clock.now_s,
-                _make_fingerprint(call),
+                call.fingerprint,
                 call.lost_attempts,
             )
             if isinstance(judged, refusal.Refusal):
@@ -178,18 +178,7 @@
         now_s = self._clock.now_s
         for call_id, verdict in self._admission.poll(now_s):
             self._decide(call_id, verdict)
-        when_s = self._admission.next_poll_s(now_s)
-        if when_s is None:
-            return
-        if self._next_poll_s is None or when_s < self._next_poll_s:
-            self._next_poll_s = when_s
-            self._clock.call_at(when_s, self._poll_at, when_s)
-
-    def _poll_at(self, when_s: float) -> None:
-        if self._next_poll_s != when_s:
-            return
-        self._next_poll_s = None
-        self._poll()
+        self._timer.set(self._admission.next_poll_s(now_s))
 
     def _decide(
         self, call_id: str, verdict: admitted.Admitted | refusal.Refusal
@@ -203,7 +192,7 @@
         self.credits.note_wait(self._clock.now_s, verdict.waited_s)
         self.quarantine.start(
             call_id,
-            _make_fingerprint(call),
+            call.fingerprint,
             is_suspect=call.standing is not standing_module.Standing.CLEAR,
         )
         self.backend.run(call, self._worked, self._crash)
@@ -286,8 +275,3 @@
                 self._admission.load,
             )
         )
-
-
-def _make_fingerprint(call: call_module.Call) -> fingerprint.Fingerprint:
-    request_id = call.request.request_id
-    return fingerprint.Fingerprint(call.service, request_id, request_id)
--- a/src/cranberrymux/decisions/admission/controller.py
+++ b/src/cranberrymux/decisions/admission/controller.py
@@ -82,8 +82,7 @@
             ticket: The call; its id is neither queued nor running.
 
         Returns:
-            `Admitted` if it runs now, `Queued` if `poll` will tell, or a
-            refusal that proves that it was not run.
+            `Admitted`, `Queued` if `poll` will tell, or not-run.
         """
         if self._is_draining:
             return self._refuser.refuse_draining()
@@ -247,8 +246,5 @@
         return self._refuser.refuse(now_s, reason, self._meter.capacity_per_s)
 
     def _roll_window(self, now_s: float) -> None:
-        if now_s < self._meter.window_ends_s:
-            return
-        first = self._room.first
-        head_wait_s = 0.0 if first is None else now_s - first.arrived_s
-        self._meter.roll(now_s, head_wait_s)
+        if now_s >= self._meter.window_ends_s:
+            self._meter.roll(now_s, self._room.get_head_wait_s(now_s))
--- a/src/cranberrymux/decisions/admission/waiting_room.py
+++ b/src/cranberrymux/decisions/admission/waiting_room.py
@@ -48,16 +48,16 @@
         """True if `pop_refused` has something to tell."""
         return bool(self._refused)
 
-    @property
-    def first(self) -> ticket_queue.Waiting | None:
-        """The call that starts next."""
-        return self._queue.first
-
     @property
     def next_expiry_s(self) -> float | None:
         """When the first call expires; None if none waits."""
         return self._queue.next_expiry_s
 
+    def get_head_wait_s(self, now_s: float) -> float:
+        """Returns how long the call that starts next has waited."""
+        first = self._queue.first
+        return 0.0 if first is None else now_s - first.arrived_s
+
     def enter(
         self, now_s: float, ticket: ticket_module.Ticket
     ) -> queued.Queued | refusal_reason.RefusalReason:
