Reopen the level after an idle time

Cause: in the demo's drain a few exports were refused at once by their entry node. Its level and that of leak-notes stood where the overload, seconds before, had left them, and rose by at most one class in each window. Ruled out: the drain itself (the refusals came before it). A window as long as ten now forgets the past. Test: test_first_call_after_an_idle_time..., failing before.

--- a/src/cranberrymux/decisions/admission/shed_level.py
+++ b/src/cranberrymux/decisions/admission/shed_level.py
@@ -9,6 +9,7 @@
 HIGH_SHARE = 1.15  # Arrivals above this share of the capacity lower the level.
 LOW_SHARE = 1.05  # Arrivals below this share of the capacity raise it.
 CAUTIOUS_SHARE = 0.3  # Part of the missing arrivals reopened with a queue.
+IDLE_WINDOWS = 10  # Length of one window after which the past says nothing.
 MINIMUM_STEP = 2  # Fewest priorities reopened in one window.
 MAXIMUM_STEP = 64  # Most priorities reopened in one window.
 IDLE_SLACK = 64  # Priorities above the level that may take an idle slot.
@@ -73,6 +74,9 @@
             has_queue: True if calls waited longer than the target or were
                 shed by the queue.
         """
+        if window_s >= IDLE_WINDOWS * self._window_s:
+            self._reopen()
+            return
         self._seconds += window_s
         self._class_seconds += window_s
         capacity = capacity_per_s * self._seconds
@@ -90,6 +94,14 @@
         ]
         self._class_seconds *= CLASS_HISTORY_DECAY
 
+    def _reopen(self) -> None:
+        """Forgets what is older than an idle time and refuses nothing."""
+        self._arrivals = [0.0] * len(self._arrivals)
+        self._seconds = 0.0
+        self._class_arrivals = [0.0] * len(self._class_arrivals)
+        self._class_seconds = 0.0
+        self._level = self._top
+
     def _find_floor(self, target_per_s: float) -> int:
         """Returns the level below which a burst alone does not lower it.
 
