--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,6 @@
 generate:
 	rm -rf build/thrift && mkdir -p build/thrift
 	thrift --gen py:twisted -out build/thrift src/cranberrymux/wire/cranberrymux.thrift
+	thrift --gen py -out build/thrift src/cranberrymux/wire/consensus.thrift
 	cp -r build/thrift/cranberrymux/wire/gen src/cranberrymux/wire/
-	rm -f src/cranberrymux/wire/gen/messages/*-remote
+	rm -f src/cranberrymux/wire/gen/*/*-remote
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -103,7 +103,7 @@
             state = endpoint_state.EndpointState.DRAINING
         if self._endpoint.announce(backend, state):
             self.ingress.set_backend(backend)
-            self._admission.set_slots(backend.slots)
+            self._apply_slots(backend)
             self.directory.beat()
         self._lifecycle.backend_announced()
 
@@ -205,6 +205,9 @@
                 fault=str(fault),
             )
             return
+        backend = self.ingress.backend
+        if backend is not None:
+            self._apply_slots(backend)
         _log.info(
             event.Event.CONFIGURATION_IN_FORCE, version=self._policy.version
         )
@@ -251,6 +254,12 @@
         self._env.outcomes.close()
         self._on_stopped()
 
+    def _apply_slots(self, backend: backend_server.BackendServer) -> None:
+        """Caps the announced slots by the configuration."""
+        cap = self._policy.get_limit_cap(backend.service)
+        slots = min(backend.slots, cap) if cap else backend.slots
+        self._admission.set_slots(slots)
+
     def _expire_backend(self, now_s: float) -> None:
         if self.ingress.backend is None:
             return
--- a/src/cranberrymux/node/policy_holder.py
+++ b/src/cranberrymux/node/policy_holder.py
@@ -50,6 +50,10 @@
         classes = self._policy.document.classes
         return classes[min(rank, len(classes) - 1)].name
 
+    def get_limit_cap(self, service: str) -> int:
+        """Returns the cap on calls in flight at one endpoint; 0 for none."""
+        return self._policy.document.service(service).limit_cap
+
     def is_too_old(self, now_s: float) -> bool:
         """True if strict calls must be refused."""
         age_ms = (now_s - self._vouched_until_s) * 1000
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -66,6 +66,8 @@
         self._call = call
         self._service = service
         self._context = context
+        # A bucket of its own, so that low classes spend none of the others'.
+        self._edge = f"{service}/{context.class_rank}"
         self._rules = rules
         self._parent = parent
         self._excluded = excluded
@@ -195,7 +197,7 @@
             return False
         now_s = self._node.clock.now_s()
         if retry_policy.needs_edge_token(reason):
-            self._node.edges.take(now_s, self._service)
+            self._node.edges.take(now_s, self._edge)
         self._context = children.next_attempt(
             self._context, (now_s - self._sent_s) * 1000, 0
         )
@@ -213,7 +215,7 @@
             (self._deadline_s - now_s) * 1000,
             self._parent.has_parent,
             self._parent.ledger.remaining,
-            self._node.edges.has_retry(now_s, self._service),
+            self._node.edges.has_retry(now_s, self._edge),
             self._overload_refusals,
         )
         verdict = retry_policy.may_retry(self._node.retry_settings, ended)
@@ -260,7 +262,7 @@
         self._finish_attempt(routed_answers.classify(head, facts), facts)
         now_s = self._node.clock.now_s()
         if facts.kind is _Kind.DONE:
-            self._node.edges.succeed(now_s, self._service)
+            self._node.edges.succeed(now_s, self._edge)
         if facts.level is not None:
             self._node.admission.set_downstream_level(
                 self._service, facts.level
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -363,3 +363,12 @@
     cluster.network.run(0.6)
     client = cluster.ask(caller.egress_port, _egress(b"leaf") + b"\r\n")
     assert client.statuses == [200]
+
+
+def test_limit_cap_of_the_configuration_bounds_the_slots(cluster):
+    leaf = cluster.add("leaf-0", "leaf", slots=8)
+    assert leaf.node.get_status()["limit"] == 8
+    cluster.configure(CLASSES + "services: [{name: leaf, limit_cap: 2}]")
+    assert leaf.node.get_status()["limit"] == 2
+    cluster.configure(CLASSES)
+    assert leaf.node.get_status()["limit"] == 8
