Announce a backend server only once its node has the configuration

Cause: a node that was announced before a control instance had told it the configuration refused calls as not-started, and callers shut it out until newer news, which never came. Test: test_node_is_found_only_once_it_has_its_configuration, failing before.

--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -42,6 +42,11 @@
         """The announced backend server; None if there is none."""
         return self._backend
 
+    @property
+    def is_configured(self) -> bool:
+        """True once a control instance has told the configuration."""
+        return self._is_configured
+
     def set_backend(self, backend: backend_server.BackendServer | None) -> None:
         """Takes the news that the backend server announced itself or went."""
         self._backend = backend
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -98,10 +98,7 @@
     def announce(self, backend: backend_server.BackendServer) -> None:
         """Takes an announcement of the backend server."""
         self._announced_s = self._clock.now_s()
-        state = endpoint_state.EndpointState.SERVING
-        if self._lifecycle_state.is_draining:
-            state = endpoint_state.EndpointState.DRAINING
-        if self._endpoint.announce(backend, state):
+        if self._endpoint.announce(backend, self._get_state()):
             self.ingress.set_backend(backend)
             self._apply_slots(backend)
             self.directory.beat()
@@ -126,7 +123,9 @@
         return status_body.StatusBody(
             node_id=self._settings.node_id,
             service=backend.service if backend else "",
-            state=record.state.name.lower() if record else "starting",
+            state=record.state.name.lower()
+            if record and self.ingress.is_configured
+            else "starting",
             in_flight=self._admission.in_flight,
             queued=self._admission.queue_length,
             limit=self._admission.limit,
@@ -215,8 +214,13 @@
     def configuration_vouched(self, version: int, until_s: float) -> None:
         """Takes note until when the configuration is vouched for."""
         self._policy.vouch(version, until_s)
-        if version <= self._policy.version:
-            self.ingress.version_in_force(self._policy.version)
+        if version > self._policy.version:
+            return
+        was_configured = self.ingress.is_configured
+        self.ingress.version_in_force(self._policy.version)
+        if not was_configured and self.ingress.backend is not None:
+            self._endpoint.set_state(self._get_state())
+            self.directory.beat()
 
     def drain_requested(self) -> None:
         """Begins a drain that an operator asked for."""
@@ -254,6 +258,15 @@
         self._env.outcomes.close()
         self._on_stopped()
 
+    def _get_state(self) -> endpoint_state.EndpointState:
+        """Returns what may be announced while the backend server is there."""
+        if not self.ingress.is_configured:
+            # Calls would be refused: nobody may be sent here yet.
+            return endpoint_state.EndpointState.GONE
+        if self._lifecycle_state.is_draining:
+            return endpoint_state.EndpointState.DRAINING
+        return endpoint_state.EndpointState.SERVING
+
     def _apply_slots(self, backend: backend_server.BackendServer) -> None:
         """Caps the announced slots by the configuration."""
         cap = self._policy.get_limit_cap(backend.service)
--- a/tests/fakes/control.py
+++ b/tests/fakes/control.py
@@ -17,6 +17,7 @@
         self.version = 0
         self.document = ""
         self.is_cut = False
+        self.is_silent_on_configuration = False
         self.ledger = claim_ledger.ClaimLedger(claim_settings.ClaimSettings())
         self.suspects = {}
 
@@ -48,7 +49,7 @@
             endpoints=found,
             configuration_version=self.version,
             configuration=self.document if is_behind else None,
-            vouched_ms=1000,
+            vouched_ms=0 if self.is_silent_on_configuration else 1000,
             drain=False,
         )
 
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -365,6 +365,19 @@
     assert client.statuses == [200]
 
 
+def test_node_is_found_only_once_it_has_its_configuration(cluster):
+    caller = cluster.add("caller-0", "caller", calls=["leaf"])
+    cluster.control.is_silent_on_configuration = True
+    cluster.add("leaf-0", "leaf", backend.answer_ok)
+    cluster.network.run(0.5)
+    request = _egress(b"leaf") + b"\r\n"
+    client = cluster.ask(caller.egress_port, request)
+    assert _reason(client) == ("not-run", "no-endpoint")
+    cluster.control.is_silent_on_configuration = False
+    cluster.network.run(1.0)
+    assert cluster.ask(caller.egress_port, request).statuses == [200]
+
+
 def test_limit_cap_of_the_configuration_bounds_the_slots(cluster):
     leaf = cluster.add("leaf-0", "leaf", slots=8)
     assert leaf.node.get_status()["limit"] == 8
