--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -112,6 +112,8 @@
         self, fingerprint: fingerprints.Fingerprint
     ) -> standing.Standing | refusal.Refusal:
         """Decides how a call may run."""
+        if not self._quarantine.record_count:
+            return standing.Standing.CLEAR
         return self._quarantine.judge(self._clock.now_s(), fingerprint)
 
     def start(
