Refuse numbers in settings that are not finite

A rate of .nan passed the range check, as nan is below no minimum, and the load generator ran on for ever. Both .nan and .inf are now refused with file, line, key and range. The two new rows of the test failed before.

--- a/src/cranberrymux/settings/loader.py
+++ b/src/cranberrymux/settings/loader.py
@@ -1,6 +1,7 @@
 """Reads a YAML settings file and checks every key against its field."""
 
 from collections.abc import Sequence
+import math
 import pathlib
 from typing import Any
 
@@ -141,6 +142,8 @@
     if field.choices and value not in field.choices:
         return False
     size = value if isinstance(value, (int, float)) else len(value)
+    if not math.isfinite(size):
+        return False
     if field.minimum is not None and size < field.minimum:
         return False
     return field.maximum is None or size <= field.maximum
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -10,12 +10,13 @@
     field.Field("port", field.Kind.INTEGER, minimum=1, maximum=65535),
     field.Field("lease_ms", field.Kind.INTEGER, default=3000, minimum=100),
     field.Field("labels", field.Kind.TEXT_MAP, default={}),
+    field.Field("rate", field.Kind.NUMBER, default=1, minimum=0),
 )
 
 
 def test_fills_in_defaults():
     values = loader.load_text("port: 80\n", "x.yaml", FIELDS)
-    assert values == {"port": 80, "lease_ms": 3000, "labels": {}}
+    assert values == {"port": 80, "lease_ms": 3000, "labels": {}, "rate": 1}
 
 
 @pytest.mark.parametrize(
@@ -28,6 +29,8 @@
         ("port: 80\nlease_ms: 5s\n", 2, "lease_ms", "of milliseconds"),
         ("port: 70000\n", 1, "port", "from 1 to 65535"),
         ("port: 80\nlabels: {a: 1}\n", 2, "labels", "map of text to text"),
+        ("port: 80\nrate: .nan\n", 2, "rate", "at least 0"),
+        ("port: 80\nrate: .inf\n", 2, "rate", "at least 0"),
         ("- 1\n", 1, "(file)", "a map of keys"),
         ("port: [\n", 2, "(file)", "valid YAML"),
     ],
