Say what a wrong option or report file should have held

One module now reads the numbers of all programs' options, and compare gives file, line, key and what was expected, exit code 2 as before. The new lines of test_compares_two_reports failed before.

--- a/src/cranberrymux/cli/apply_command.py
+++ b/src/cranberrymux/cli/apply_command.py
@@ -11,6 +11,7 @@
 from cranberrymux.decisions.configuration import change_answer
 from cranberrymux.decisions.configuration import change_verdict
 from cranberrymux.decisions.configuration import difference
+from cranberrymux.settings import option_types
 
 _DEFAULT_WAIT_S = 10.0
 _EXIT_CODES = {
@@ -35,7 +36,7 @@
     )
     parser.add_argument(
         "--wait-s",
-        type=float,
+        type=option_types.read_positive_number,
         default=_DEFAULT_WAIT_S,
         metavar="SECONDS",
         help="longest wait (default %(default)s s)",
@@ -46,7 +47,7 @@
     parser.add_argument("file", metavar="FILE", help="YAML; - for input")
     parser.add_argument(
         "--base",
-        type=int,
+        type=option_types.read_whole_number,
         metavar="VERSION",
         help="the version that FILE was made from (default: the last)",
     )
@@ -54,7 +55,9 @@
 
 
 def _add_rollback_arguments(parser: Any) -> None:
-    parser.add_argument("version", type=int, metavar="VERSION")
+    parser.add_argument(
+        "version", type=option_types.read_whole_number, metavar="VERSION"
+    )
     _add_change_arguments(parser)
 
 
--- a/src/cranberrymux/cli/read_command.py
+++ b/src/cranberrymux/cli/read_command.py
@@ -12,11 +12,16 @@
 from cranberrymux.cli import printer as printer_module
 from cranberrymux.decisions.configuration import change_record
 from cranberrymux.decisions.configuration import difference
+from cranberrymux.settings import option_types
 
 
 def _add_get_arguments(parser: Any) -> None:
     parser.add_argument(
-        "--version", type=int, default=None, metavar="VERSION", dest="number"
+        "--version",
+        type=option_types.read_whole_number,
+        default=None,
+        metavar="VERSION",
+        dest="number",
     )
 
 
@@ -31,7 +36,9 @@
 
 
 def _add_history_arguments(parser: Any) -> None:
-    parser.add_argument("--limit", type=int, default=20, metavar="COUNT")
+    parser.add_argument(
+        "--limit", type=option_types.read_count, default=20, metavar="COUNT"
+    )
     parser.add_argument(
         "--diff", action="store_true", help="show what each change moved"
     )
--- a/src/cranberrymux/load/main.py
+++ b/src/cranberrymux/load/main.py
@@ -14,6 +14,7 @@
 from cranberrymux.load import load_settings
 from cranberrymux.load import report as report_module
 from cranberrymux.load import runner as runner_module
+from cranberrymux.settings import option_types
 
 EXIT_GOOD = 0
 EXIT_WRONG_ANSWERS = 1
@@ -40,7 +41,7 @@
         if options.output:
             # A report that cannot be written would be lost after the load.
             pathlib.Path(options.output).open("a").close()
-    except (exceptions.SettingsError, OSError, ValueError) as error:
+    except (exceptions.SettingsError, OSError) as error:
         print(error, file=sys.stderr)
         return EXIT_WRONG_SETTINGS
     report = _run(settings)
@@ -83,17 +84,34 @@
 
 
 def _compare(options: argparse.Namespace) -> int:
-    first, second = (
-        json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-        for path in (options.first, options.second)
-    )
-    try:
-        print(comparison.compare(first, second))
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"not a report of this tool: {error}") from error
+    first = _read_report(options.first)
+    second = _read_report(options.second)
+    print(comparison.compare(first, second))
     return EXIT_GOOD
 
 
+def _read_report(path: str) -> report_module.LoadReport:
+    try:
+        report: report_module.LoadReport = json.loads(
+            pathlib.Path(path).read_text(encoding="utf-8")
+        )
+        # A report that compares with itself has every figure.
+        comparison.compare(report, report)
+    except json.JSONDecodeError as error:
+        raise exceptions.SettingsError(
+            path, error.lineno, "(file)", "a report of cranberrymux-load"
+        ) from error
+    except KeyError as error:
+        raise exceptions.SettingsError(
+            path, 1, str(error.args[0]), "this key of a report"
+        ) from error
+    except (AttributeError, TypeError, ValueError) as error:
+        raise exceptions.SettingsError(
+            path, 1, "(file)", "a report of cranberrymux-load"
+        ) from error
+    return report
+
+
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="cranberrymux-load",
@@ -107,29 +125,27 @@
     parser.add_argument(
         "--target", action="append", help="ip:port; may be repeated"
     )
-    parser.add_argument("--rate", type=_positive, help="arrivals per second")
-    parser.add_argument("--seconds", type=_positive, help="length of the load")
     parser.add_argument(
-        "--connections", type=_count, help="most connections to each target"
+        "--rate",
+        type=option_types.read_positive_number,
+        help="arrivals per second",
+    )
+    parser.add_argument(
+        "--seconds",
+        type=option_types.read_positive_number,
+        help="length of the load",
+    )
+    parser.add_argument(
+        "--connections",
+        type=option_types.read_count,
+        help="most connections to each target",
+    )
+    parser.add_argument(
+        "--seed", type=option_types.read_whole_number, help="seed of the load"
     )
-    parser.add_argument("--seed", type=int, help="seed of the load")
     parser.add_argument("--output", help="file for the report")
     commands = parser.add_subparsers(dest="command")
     compare = commands.add_parser("compare", help="compare two reports")
     compare.add_argument("first", help="report of the earlier run")
     compare.add_argument("second", help="report of the later run")
     return parser
-
-
-def _positive(text: str) -> float:
-    value = float(text)
-    if not 0 < value < float("inf"):
-        raise ValueError(text)
-    return value
-
-
-def _count(text: str) -> int:
-    value = int(text)
-    if value < 1:
-        raise ValueError(text)
-    return value
--- a/src/cranberrymux/report/main.py
+++ b/src/cranberrymux/report/main.py
@@ -11,6 +11,7 @@
 from cranberrymux.report import json_view
 from cranberrymux.report import report_settings
 from cranberrymux.report import text_view
+from cranberrymux.settings import option_types
 
 EXIT_WITHIN = 0
 EXIT_BURNING = 1
@@ -90,6 +91,8 @@
     )
     parser.add_argument("--output", help="file to write, not standard output")
     parser.add_argument(
-        "--now", type=float, help="Unix time of the report, in seconds"
+        "--now",
+        type=option_types.read_number,
+        help="Unix time of the report, in seconds",
     )
     return parser
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -246,3 +246,10 @@
     assert ["lookup", "done", "10", "20", "+100.0%"] in rows
     paths[1].write_text("{}")
     assert main.main(words) == 2
+    assert capsys.readouterr().err.startswith(f"{paths[1]}:1: kinds: expected")
+    paths[1].write_text("\n{")
+    assert main.main(words) == 2
+    assert capsys.readouterr().err.startswith(f"{paths[1]}:2: (file): expected")
+    paths[1].write_text("[]")
+    assert main.main(words) == 2
+    assert capsys.readouterr().err.startswith(f"{paths[1]}:1: (file): expected")
