Show the newest record of an endpoint in status, and who lags

cranberrymux status took the record of the control instance asked last, so an endpoint that drained could stand there as serving. The newest record over all instances now counts.

--- a/src/cranberrymux/cli/confirmation.py
+++ b/src/cranberrymux/cli/confirmation.py
@@ -1,6 +1,8 @@
 """Who has a version in force, over all control instances."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
+from typing import Any
 from typing import NamedTuple
 
 from cranberrymux import sessions
@@ -44,22 +46,28 @@
     answers: Sequence[sessions.InstanceStatus], version: int
 ) -> Confirmation:
     """Joins what the control instances see of one version."""
+    found = [one.status for one in answers if one.status is not None]
+    versions = find_versions(found)
+    return Confirmation(
+        tuple(sorted(n for n, seen in versions.items() if seen >= version)),
+        tuple(sorted(n for n, seen in versions.items() if seen < version)),
+        tuple(
+            status["control_id"]
+            for status in found
+            if status["configuration_version"] < version
+        ),
+        tuple(one.address for one in answers if one.status is None),
+    )
+
+
+def find_versions(
+    statuses: Sequence[Mapping[str, Any]],
+) -> dict[str, int]:
+    """Returns the version that each node has in force, by its newest news."""
     newest: dict[str, tuple[int, int]] = {}
-    lagging = []
-    silent = []
-    for answer in answers:
-        if answer.status is None:
-            silent.append(answer.address)
-            continue
-        if answer.status["configuration_version"] < version:
-            lagging.append(answer.status["control_id"])
-        for node in answer.status["nodes"]:
+    for status in statuses:
+        for node in status["nodes"]:
             seen = (node["incarnation"], node["configuration_version"])
             known = newest.get(node["node_id"], (0, 0))
             newest[node["node_id"]] = max(known, seen)
-    return Confirmation(
-        tuple(sorted(n for n, seen in newest.items() if seen[1] >= version)),
-        tuple(sorted(n for n, seen in newest.items() if seen[1] < version)),
-        tuple(lagging),
-        tuple(silent),
-    )
+    return {name: version for name, (_, version) in newest.items()}
--- a/src/cranberrymux/cli/printer.py
+++ b/src/cranberrymux/cli/printer.py
@@ -1,6 +1,7 @@
 """Output for people or for scripts."""
 
 from collections.abc import Sequence
+import datetime
 import json
 import sys
 from typing import Any
@@ -57,3 +58,9 @@
         ).rstrip()
         for line in lines
     )
+
+
+def format_time(unix_ms: int) -> str:
+    """Returns a Unix time in milliseconds as ISO 8601 text in UTC."""
+    when = datetime.datetime.fromtimestamp(unix_ms / 1000, datetime.UTC)
+    return when.isoformat(timespec="seconds")
--- a/src/cranberrymux/cli/read_command.py
+++ b/src/cranberrymux/cli/read_command.py
@@ -1,7 +1,6 @@
 """`cranberrymux get`, `history`, `diff`, `validate` and `drain`."""
 
 import argparse
-import datetime
 from typing import Any
 
 from cranberrymux import exceptions
@@ -58,10 +57,9 @@
 
 
 def _row(record: change_record.ChangeRecord) -> tuple[Any, ...]:
-    when = datetime.datetime.fromtimestamp(record.at_ms / 1000, datetime.UTC)
     return (
         record.version,
-        when.isoformat(timespec="seconds"),
+        printer_module.format_time(record.at_ms),
         record.author,
         record.change_id,
         record.rollback_of or "",
--- a/src/cranberrymux/cli/status_command.py
+++ b/src/cranberrymux/cli/status_command.py
@@ -1,5 +1,6 @@
 """`cranberrymux status`."""
 
+from collections.abc import Mapping
 from typing import Any
 
 from cranberrymux import sessions
@@ -34,65 +35,112 @@
 ) -> str:
     found = [one.status for one in answers if one.status is not None]
     version = max((one["configuration_version"] for one in found), default=0)
-    endpoints = {
-        one["endpoint_id"]: one
-        for status in found
-        for one in sorted(status["endpoints"], key=_order)
-        if context.arguments.service in ("", one["service"])
-    }
     parts = [
         _format_controls(answers),
         f"version {version}: "
         + confirmation.compute(answers, version).describe(),
-        printer_module.format_table(
-            ("SERVICE", "ENDPOINT", "ZONE", "STATE", "SLOTS", "ADDRESS"),
-            [
-                (
-                    one["service"],
-                    one["endpoint_id"],
-                    one["zone"],
-                    one["state"],
-                    one["slots"],
-                    f"{one['address']}:{one['port']}",
-                )
-                for _, one in sorted(endpoints.items())
-            ],
-        ),
+        _format_lagging(found, version),
+        _format_endpoints(found, context.arguments.service),
+        _format_unknown(found),
+    ]
+    return "\n\n".join(part for part in parts if part)
+
+
+def _format_controls(answers: list[sessions.InstanceStatus]) -> str:
+    heads = (
+        "ADDRESS",
+        "CONTROL",
+        "REGION",
+        "ZONE",
+        "ROLE",
+        "VOUCHED MS",
+        "VERSION",
+        "NODES",
+    )
+    rows = [_control_row(one) for one in answers]
+    return printer_module.format_table(heads, rows)
+
+
+def _control_row(answer: sessions.InstanceStatus) -> tuple[Any, ...]:
+    status = answer.status
+    if status is None:
+        return (answer.address, "", "", "", answer.detail, "", "", "")
+    return (
+        answer.address,
+        status["control_id"],
+        status["region"],
+        status["zone"],
+        status["role"],
+        status["vouched_ms"],
+        status["configuration_version"],
+        len(status["nodes"]),
+    )
+
+
+def _format_lagging(found: list[Mapping[str, Any]], version: int) -> str:
+    rows = [
+        (name, seen)
+        for name, seen in sorted(confirmation.find_versions(found).items())
+        if seen < version
     ]
-    unknown = {
-        (one["request_id"], one["call_id"], one["owner"])
+    if not rows:
+        return ""
+    return printer_module.format_table(("LAGGING NODE", "VERSION"), rows)
+
+
+def _format_endpoints(found: list[Mapping[str, Any]], service: str) -> str:
+    records = [
+        one
         for status in found
-        for one in status["unknown_outcomes"]
-    }
-    if unknown:
-        heads = ("UNKNOWN OUTCOME", "CALL", "OWNER")
-        parts.append(printer_module.format_table(heads, sorted(unknown)))
-    return "\n\n".join(parts)
+        for one in status["endpoints"]
+        if service in ("", one["service"])
+    ]
+    newest = {one["endpoint_id"]: one for one in sorted(records, key=_age_key)}
+    heads = (
+        "SERVICE",
+        "ENDPOINT",
+        "REGION",
+        "ZONE",
+        "STATE",
+        "SLOTS",
+        "ADDRESS",
+    )
+    rows = [_endpoint_row(one) for _, one in sorted(newest.items())]
+    return printer_module.format_table(heads, rows)
+
+
+def _endpoint_row(endpoint: Mapping[str, Any]) -> tuple[Any, ...]:
+    return (
+        endpoint["service"],
+        endpoint["endpoint_id"],
+        endpoint["region"],
+        endpoint["zone"],
+        endpoint["state"],
+        endpoint["slots"],
+        f"{endpoint['address']}:{endpoint['port']}",
+    )
 
 
-def _order(endpoint: dict[str, Any]) -> tuple[int, int]:
+def _age_key(endpoint: Mapping[str, Any]) -> tuple[int, int]:
     return endpoint["incarnation"], endpoint["sequence"]
 
 
-def _format_controls(answers: list[sessions.InstanceStatus]) -> str:
-    rows: list[tuple[Any, ...]] = []
-    for one in answers:
-        if one.status is None:
-            rows.append((one.address, "", one.detail, "", "", ""))
-            continue
-        status = one.status
-        rows.append(
-            (
-                one.address,
-                status["control_id"],
-                status["role"],
-                status["vouched_ms"],
-                status["configuration_version"],
-                len(status["nodes"]),
-            )
+def _format_unknown(found: list[Mapping[str, Any]]) -> str:
+    rows = {
+        (
+            one["request_id"],
+            one["call_id"],
+            one["owner"],
+            one["principal"],
+            printer_module.format_time(one["granted_ms"]),
         )
-    heads = ("ADDRESS", "CONTROL", "ROLE", "VOUCHED MS", "VERSION", "NODES")
-    return printer_module.format_table(heads, rows)
+        for status in found
+        for one in status["unknown_outcomes"]
+    }
+    if not rows:
+        return ""
+    heads = ("UNKNOWN OUTCOME", "CALL", "OWNER", "PRINCIPAL", "GRANTED")
+    return printer_module.format_table(heads, sorted(rows))
 
 
 STATUS = command.Command(
