--- a/src/cranberrymux/demo/__main__.py
+++ b/src/cranberrymux/demo/__main__.py
@@ -1,7 +1,18 @@
 """Tells the story of a deployment; ends with 1 if an expectation fails."""
 
 import sys
+import tempfile
 
 from cranberrymux.demo import story
 
-sys.exit(story.run())
+
+def main() -> int:
+    """Runs the demo; returns 0 if every expectation held."""
+    with tempfile.TemporaryDirectory(prefix="cranberrymux-demo-") as folder:
+        held = story.Story(folder).run()
+    print("every expectation held" if held else "an expectation was MISSED")
+    return 0 if held else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/cranberrymux/demo/deployment.py
+++ b/src/cranberrymux/demo/deployment.py
@@ -1,16 +1,14 @@
 """Starts and stops the processes of a small deployment."""
 
 from collections.abc import Sequence
-import json
 import pathlib
 import time
 from typing import Any
-import urllib.error
-import urllib.request
 
 import yaml
 
 from cranberrymux.demo import endpoint_processes
+from cranberrymux.demo import local_http
 from cranberrymux.demo import ports
 from cranberrymux.demo import process
 from cranberrymux.demo import service_plan
@@ -146,13 +144,7 @@
         self, endpoint: endpoint_processes.EndpointProcesses
     ) -> dict[str, Any]:
         """Asks a node for its status; empty if it does not answer."""
-        url = f"http://127.0.0.1:{endpoint.announce_port}/v1/status"
-        try:
-            with urllib.request.urlopen(url, timeout=1) as answer:
-                status: dict[str, Any] = json.load(answer)
-                return status
-        except (urllib.error.URLError, TimeoutError, ConnectionError):
-            return {}
+        return local_http.read_json(endpoint.announce_port, "/v1/status") or {}
 
     def wait_for_version(self, version: int, limit_s: float = 7.0) -> float:
         """Polls until every running node has a version; returns the time.
--- a/src/cranberrymux/demo/load_run.py
+++ b/src/cranberrymux/demo/load_run.py
@@ -8,8 +8,6 @@
 
 from cranberrymux.demo import deployment
 
-DISPATCH_HEADERS = {"content-type": "text/plain"}
-
 
 def make_kinds(resend_attempts: int = 0) -> list[dict[str, Any]]:
     """Returns the kinds of requests of the demo.
--- a/src/cranberrymux/demo/story.py
+++ b/src/cranberrymux/demo/story.py
@@ -1,28 +1,23 @@
 """The chapters of the demo."""
 
-import http.client
-import json
 import signal
-import tempfile
 import time
 from typing import Any
-import uuid
 
+from cranberrymux.demo import cascade
+from cranberrymux.demo import client_calls
 from cranberrymux.demo import deployment
 from cranberrymux.demo import endpoint_processes
 from cranberrymux.demo import expectation
 from cranberrymux.demo import load_run
 from cranberrymux.demo import operator
-from cranberrymux.demo import service_plan
+from cranberrymux.demo import standin_calls
 
-_ZONES = ("zone-0", "zone-1")
-_ENTRY = "crew-dispatch"
-_DEEP = "leak-notes"
-_DEEP_SLOTS = 13
-_DEEP_TIME_MS = 100.0
+_CAPACITY_PER_S = (
+    len(cascade.ZONES) * cascade.DEEP_SLOTS * 1000 / cascade.DEEP_TIME_MS
+)
 # Slow enough to overload, and still with room for every dispatch.
 _SLOW_TIME_MS = 250.0
-_CAPACITY_PER_S = len(_ZONES) * _DEEP_SLOTS * 1000 / _DEEP_TIME_MS
 
 _IN_FORCE_BOUND_S = 2.0
 _ELECTION_BOUND_S = 7.0
@@ -32,30 +27,6 @@
 _PROTECTED_LOSS_BOUND = 0.001
 _DEATHS_BOUND = 3
 
-PLANS = (
-    service_plan.ServicePlan(_DEEP, _ZONES, _DEEP_SLOTS, _DEEP_TIME_MS),
-    service_plan.ServicePlan(
-        "address-history", _ZONES, 50, 10.0, (_DEEP,), crash_marker="boom"
-    ),
-    service_plan.ServicePlan(_ENTRY, _ZONES, 70, 10.0, ("address-history",)),
-)
-
-CONFIGURATION = """\
-classes:
-  - {name: dispatch, protected: true}
-  - {name: lookup, protected: true}
-  - {name: export}
-selectors:
-  - name: crews
-    match: service = crew-dispatch, method = POST
-    class: dispatch
-    once_only: true
-  - {name: lookups, match: path = /lookup, class: lookup, idempotent: true}
-  - {name: exports, match: path = /export, class: export, idempotent: true}
-default_class: export
-default_retry_budget: 2
-"""
-
 
 class Story:
     """Runs the chapters one after the other."""
@@ -83,7 +54,7 @@
     def _start(self) -> None:
         began_s = time.monotonic()
         self._deployment.start_controls()
-        self._deployment.start_services(PLANS)
+        self._deployment.start_services(cascade.PLANS)
         self._note(
             "start",
             f"3 control instances and {len(self._deployment.endpoints)} "
@@ -93,7 +64,9 @@
         )
 
     def _change_configuration(self) -> None:
-        self._apply("configuration", CONFIGURATION, 1, _IN_FORCE_BOUND_S)
+        self._apply(
+            "configuration", cascade.CONFIGURATION, 1, _IN_FORCE_BOUND_S
+        )
 
     def _show_healthy(self) -> None:
         report = load_run.read_report(
@@ -114,7 +87,7 @@
         time.sleep(2)
         self._set_service_time(_SLOW_TIME_MS)
         time.sleep(4)
-        self._set_service_time(_DEEP_TIME_MS)
+        self._set_service_time(cascade.DEEP_TIME_MS)
         report = load_run.read_report(running)
         total = report["total"]
         dispatch = report["kinds"]["dispatch"]
@@ -145,21 +118,23 @@
         for control in self._deployment.controls:
             if control.name == leader:
                 control.send_signal(signal.SIGKILL)
-        document = CONFIGURATION + "default_timeout_ms: 4000\n"
+        document = cascade.CONFIGURATION + "default_timeout_ms: 4000\n"
         self._apply("leader killed", document, 2, _ELECTION_BOUND_S, began_s)
 
     def _resend_dispatch(self) -> None:
         """Sends one dispatch to both entry nodes, again and again."""
-        request_id = _make_request_id()
+        request_id = client_calls.make_request_id()
         answers = []
         for _ in range(3):
-            for endpoint in self._deployment.find(_ENTRY):
+            for endpoint in self._deployment.find(cascade.ENTRY):
                 answers.append(
-                    _post(endpoint.ingress_port, "/dispatch", request_id)
+                    client_calls.post(
+                        endpoint.ingress_port, "/dispatch", request_id
+                    )
                 )
         runs = sum(
-            self._count_runs(endpoint, request_id)
-            for endpoint in self._deployment.find(_ENTRY)
+            standin_calls.count_runs(endpoint, request_id)
+            for endpoint in self._deployment.find(cascade.ENTRY)
         )
         self._note(
             "dispatch resent",
@@ -170,14 +145,14 @@
         )
 
     def _drain(self) -> None:
-        leaving = self._deployment.find(_DEEP)[0]
+        leaving = self._deployment.find(cascade.DEEP)[0]
         running = self._load("drain", 0.3 * _CAPACITY_PER_S, 6, 0)
         time.sleep(1)
         operator.run_command(self._deployment, "drain", leaving.node_id)
         time.sleep(_LEAVING_BOUND_S)
-        before = self._count_started(leaving)
+        before = standin_calls.count_started(leaving)
         report = load_run.read_report(running)["total"]
-        taken = self._count_started(leaving) - before
+        taken = standin_calls.count_started(leaving) - before
         self._note(
             "drain",
             f"{taken} calls taken from {_LEAVING_BOUND_S:.0f} s after the "
@@ -189,15 +164,15 @@
 
     def _poison(self) -> None:
         """One request kills each backend server that runs it."""
-        request_id = _make_request_id()
+        request_id = client_calls.make_request_id()
         deaths = 0
         for _ in range(8):
-            for endpoint in self._deployment.find("address-history"):
-                _post(
+            for endpoint in self._deployment.find(cascade.MIDDLE):
+                client_calls.post(
                     endpoint.ingress_port,
                     "/lookup",
                     request_id,
-                    {"Cranberrymux-Standin-Crash": "boom"},
+                    cascade.CRASH_MARKER,
                 )
                 deaths += self._revive(endpoint)
         self._note(
@@ -213,7 +188,7 @@
         if endpoint.backend.is_running:
             return 0
         endpoint.backend.restart()
-        while _get(endpoint.backend_port, "/load") is None:
+        while not standin_calls.is_listening(endpoint):
             time.sleep(0.05)
         return 1
 
@@ -252,29 +227,15 @@
         return load_run.start_load(
             self._deployment,
             name,
-            self._deployment.ingress_addresses(_ENTRY),
+            self._deployment.ingress_addresses(cascade.ENTRY),
             rate,
             seconds,
             load_run.make_kinds(resends),
         )
 
     def _set_service_time(self, service_time_ms: float) -> None:
-        for endpoint in self._deployment.find(_DEEP):
-            body = json.dumps({"service_time_ms": service_time_ms})
-            _request(endpoint.backend_port, "POST", "/behaviour", body, {})
-
-    def _count_runs(
-        self,
-        endpoint: endpoint_processes.EndpointProcesses,
-        request_id: str,
-    ) -> int:
-        counters = _get(endpoint.backend_port, "/counters") or {}
-        return int(counters["runs"].get(request_id, 0))
-
-    def _count_started(
-        self, endpoint: endpoint_processes.EndpointProcesses
-    ) -> int:
-        return int((_get(endpoint.backend_port, "/counters") or {})["started"])
+        for endpoint in self._deployment.find(cascade.DEEP):
+            standin_calls.set_service_time(endpoint, service_time_ms)
 
     def _note(
         self, chapter: str, shown: str, expected: str, holds: bool
@@ -282,60 +243,3 @@
         one = expectation.Expectation(chapter, shown, expected, holds)
         one.print()
         self._results.append(one)
-
-
-def _make_request_id() -> str:
-    now_ms = time.time_ns() // 1_000_000
-    number = (now_ms << 80) | (uuid.uuid4().int & ((1 << 80) - 1))
-    number = number & ~(0xF << 76) | (7 << 76)
-    return str(uuid.UUID(int=number & ~(0x3 << 62) | (2 << 62)))
-
-
-def _post(
-    port: int,
-    path: str,
-    request_id: str,
-    extra: dict[str, str] | None = None,
-) -> int:
-    status, _ = _request(
-        port,
-        "POST",
-        path,
-        "crew 7",
-        {
-            "Cranberrymux-Request-Id": request_id,
-            "Cranberrymux-Principal": "dispatcher",
-            **(extra or {}),
-        },
-    )
-    return status
-
-
-def _get(port: int, path: str) -> dict[str, Any] | None:
-    status, body = _request(port, "GET", path, "", {})
-    if status != 200:
-        return None
-    values: dict[str, Any] = json.loads(body)
-    return values
-
-
-def _request(
-    port: int, method: str, path: str, body: str, extra: dict[str, str]
-) -> tuple[int, bytes]:
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
-    try:
-        connection.request(method, path, body or None, extra)
-        answer = connection.getresponse()
-        return answer.status, answer.read()
-    except OSError:
-        return 0, b""
-    finally:
-        connection.close()
-
-
-def run() -> int:
-    """Runs the demo; returns 0 if every expectation held."""
-    with tempfile.TemporaryDirectory(prefix="cranberrymux-demo-") as folder:
-        held = Story(folder).run()
-    print("every expectation held" if held else "an expectation was MISSED")
-    return 0 if held else 1
