--- a/src/cranberrymux/cli/explain_command.py
+++ b/src/cranberrymux/cli/explain_command.py
@@ -1,10 +1,12 @@
 """`cranberrymux explain`."""
 
+from collections.abc import Mapping
 from typing import Any
 
 from cranberrymux import exceptions
 from cranberrymux import sessions
 from cranberrymux.cli import command
+from cranberrymux.cli import endpoint_view
 from cranberrymux.cli import exit_code
 from cranberrymux.cli import files
 from cranberrymux.decisions.configuration import document
@@ -76,17 +78,13 @@
 async def _judge_endpoints(
     context: command.Context, decided: treatment.Treatment
 ) -> dict[str, str]:
-    judged = {}
-    for answer in await context.session.status():
-        if answer.status is None:
-            continue
-        for one in answer.status["endpoints"]:
-            if one["service"] == context.arguments.service:
-                judged[one["endpoint_id"]] = _judge(one, decided)
-    return dict(sorted(judged.items()))
+    answers = await context.session.status()
+    found = [one.status for one in answers if one.status is not None]
+    newest = endpoint_view.find_newest(found, context.arguments.service)
+    return {one["endpoint_id"]: _judge(one, decided) for one in newest}
 
 
-def _judge(endpoint: dict[str, Any], decided: treatment.Treatment) -> str:
+def _judge(endpoint: Mapping[str, Any], decided: treatment.Treatment) -> str:
     if endpoint["state"] != "serving":
         return f"no: it is {endpoint['state']}"
     labels = {
--- a/src/cranberrymux/cli/status_command.py
+++ b/src/cranberrymux/cli/status_command.py
@@ -6,6 +6,7 @@
 from cranberrymux import sessions
 from cranberrymux.cli import command
 from cranberrymux.cli import confirmation
+from cranberrymux.cli import endpoint_view
 from cranberrymux.cli import exit_code
 from cranberrymux.cli import printer as printer_module
 
@@ -89,13 +90,6 @@
 
 
 def _format_endpoints(found: list[Mapping[str, Any]], service: str) -> str:
-    records = [
-        one
-        for status in found
-        for one in status["endpoints"]
-        if service in ("", one["service"])
-    ]
-    newest = {one["endpoint_id"]: one for one in sorted(records, key=_age_key)}
     heads = (
         "SERVICE",
         "ENDPOINT",
@@ -105,7 +99,8 @@
         "SLOTS",
         "ADDRESS",
     )
-    rows = [_endpoint_row(one) for _, one in sorted(newest.items())]
+    newest = endpoint_view.find_newest(found, service)
+    rows = [_endpoint_row(one) for one in newest]
     return printer_module.format_table(heads, rows)
 
 
@@ -121,10 +116,6 @@
     )
 
 
-def _age_key(endpoint: Mapping[str, Any]) -> tuple[int, int]:
-    return endpoint["incarnation"], endpoint["sequence"]
-
-
 def _format_unknown(found: list[Mapping[str, Any]]) -> str:
     rows = {
         (
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -7,6 +7,7 @@
 from cranberrymux import sessions
 from cranberrymux.cli import cli_settings
 from cranberrymux.cli import command
+from cranberrymux.cli import explain_command
 from cranberrymux.cli import printer
 from cranberrymux.cli import status_command
 
@@ -63,19 +64,25 @@
     return sessions.InstanceStatus(f"{control_id}:1", status)
 
 
+def _run(chosen, answers, arguments):
+    context = command.Context(
+        _Session(answers),
+        arguments,
+        cli_settings.CliSettings((), "", "", 1, 1),
+        printer.Printer(False),
+    )
+    with pytest.raises(StopIteration) as ended:
+        chosen.run(context).send(None)
+    return ended.value.value
+
+
 @pytest.fixture
 def rows(capsys):
     def show(answers, service=""):
-        context = command.Context(
-            _Session(answers),
-            argparse.Namespace(service=service),
-            cli_settings.CliSettings((), "", "", 1, 1),
-            printer.Printer(False),
-        )
-        with pytest.raises(StopIteration) as ended:
-            status_command.STATUS.run(context).send(None)
+        arguments = argparse.Namespace(service=service)
+        code = _run(status_command.STATUS, answers, arguments)
         text = capsys.readouterr().out
-        return ended.value.value, [row.split() for row in text.splitlines()]
+        return code, [row.split() for row in text.splitlines()]
 
     return show
 
@@ -110,3 +117,28 @@
 def test_shows_the_endpoints_of_one_service(rows):
     _, shown = rows([_answer("c0", 7, _endpoint(1, "serving"))], "other")
     assert not [words for words in shown if "serving" in words]
+
+
+@pytest.mark.parametrize("is_reversed", [False, True])
+def test_explain_judges_the_newest_record(tmp_path, capsys, is_reversed):
+    document = tmp_path / "cascade.yaml"
+    document.write_text("classes:\n  - name: live\n")
+    answers = [
+        _answer("c0", 7, _endpoint(2, "draining")),
+        _answer("c1", 7, _endpoint(1, "serving")),
+    ]
+    arguments = argparse.Namespace(
+        service="leak-notes",
+        method="get",
+        path="/notes/7",
+        principal="",
+        file=str(document),
+    )
+    code = _run(
+        explain_command.EXPLAIN,
+        answers[::-1] if is_reversed else answers,
+        arguments,
+    )
+    assert code == 0
+    shown = capsys.readouterr().out
+    assert "leak-notes-0: no: it is draining" in shown
