--- a/src/cranberrymux/load/main.py
+++ b/src/cranberrymux/load/main.py
@@ -140,9 +140,7 @@
         type=option_types.read_count,
         help="most connections to each target",
     )
-    parser.add_argument(
-        "--seed", type=option_types.read_whole_number, help="seed of the load"
-    )
+    parser.add_argument("--seed", type=int, help="seed of the load")
     parser.add_argument("--output", help="file for the report")
     commands = parser.add_subparsers(dest="command")
     compare = commands.add_parser("compare", help="compare two reports")
--- a/src/cranberrymux/sessions.py
+++ b/src/cranberrymux/sessions.py
@@ -17,7 +17,6 @@
 from cranberrymux.operators import session_error
 
 _OK = 200
-_BAD_REQUEST = 400
 _UNAUTHORIZED = 401
 _NOT_FOUND = 404
 _CONFLICT = 409
