--- a/src/cranberrymux/cli/read_command.py
+++ b/src/cranberrymux/cli/read_command.py
@@ -1,7 +1,6 @@
 """`cranberrymux get`, `history`, `diff`, `validate` and `drain`."""
 
 import argparse
-import datetime
 from typing import Any
 
 from cranberrymux import exceptions
@@ -12,11 +11,16 @@
 from cranberrymux.cli import printer as printer_module
 from cranberrymux.decisions.configuration import change_record
 from cranberrymux.decisions.configuration import difference
+from cranberrymux.settings import option_types
 
 
 def _add_get_arguments(parser: Any) -> None:
     parser.add_argument(
-        "--version", type=int, default=None, metavar="VERSION", dest="number"
+        "--version",
+        type=option_types.read_whole_number,
+        default=None,
+        metavar="VERSION",
+        dest="number",
     )
 
 
@@ -31,7 +35,9 @@
 
 
 def _add_history_arguments(parser: Any) -> None:
-    parser.add_argument("--limit", type=int, default=20, metavar="COUNT")
+    parser.add_argument(
+        "--limit", type=option_types.read_count, default=20, metavar="COUNT"
+    )
     parser.add_argument(
         "--diff", action="store_true", help="show what each change moved"
     )
@@ -51,10 +57,9 @@
 
 
 def _row(record: change_record.ChangeRecord) -> tuple[Any, ...]:
-    when = datetime.datetime.fromtimestamp(record.at_ms / 1000, datetime.UTC)
     return (
         record.version,
-        when.isoformat(timespec="seconds"),
+        printer_module.format_time(record.at_ms),
         record.author,
         record.change_id,
         record.rollback_of or "",
@@ -86,8 +91,9 @@
 def _validate(
     arguments: argparse.Namespace, printer: printer_module.Printer
 ) -> exit_code.ExitCode:
+    text = files.read_text(arguments.file)
     try:
-        _, parsed = files.read_document(arguments.file)
+        parsed = files.parse(arguments.file, text)
     except exceptions.SettingsError as error:
         value = {
             "valid": False,
@@ -98,11 +104,11 @@
         printer.print_result(value, "")
         printer.print_remark(str(error))
         return exit_code.ExitCode.INVALID
-    text = (
+    summary = (
         f"valid: {len(parsed.classes)} classes, "
         f"{len(parsed.selectors)} selectors, {len(parsed.services)} services"
     )
-    printer.print_result({"valid": True}, text)
+    printer.print_result({"valid": True}, summary)
     return exit_code.ExitCode.OK
 
 
