--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -11,6 +11,7 @@
     held = control_costs.measure_heartbeats()
     held &= node_costs.measure()
     control_costs.measure_memory()
+    control_costs.measure_parsing()
     return held
 
 
--- a/bench/capacity/control_costs.py
+++ b/bench/capacity/control_costs.py
@@ -4,6 +4,7 @@
 import time
 import tracemalloc
 from typing import Any
+import urllib.error
 
 from bench import figure
 from bench.capacity import control_setup
@@ -11,6 +12,8 @@
 from bench.capacity import usage
 from bench.control import fake_nodes
 from bench.control import frames
+from cranberrymux.decisions.configuration import difference
+from cranberrymux.decisions.configuration import document_reader
 from cranberrymux.decisions.directory import table
 from cranberrymux.wire import convert
 from cranberrymux.wire.gen.messages import ttypes
@@ -19,13 +22,16 @@
 BYTES_BOUND_PER_S = 3000.0
 NODES = (10, 50, 200)
 SUBSCRIBED = (0, 5, 50, 500)
-SELECTORS = (10, 100, 1000)
+SELECTORS = (10, 100, 200)
+PARSED_SELECTORS = (10, 100, 300, 1000)
+MOST_SELECTORS = 1000
 DIRECTORY = (0, 2000, 6000, 10_000)
 CLAIMS = (0, 4000, 8000, 16_000)
 _WINDOW_S = 6.0
 _BEATS = 600
 _CLAIM_WINDOW = 128
 _TICKS = 20
+_LEASE_S = 3.0
 
 
 def measure_heartbeats() -> bool:
@@ -36,11 +42,26 @@
             held = _measure_spread(setup)
             _measure_subscriptions(setup)
             _measure_documents(setup)
+            held = _measure_longest_document(setup) and held
         finally:
             setup.stop()
     return held
 
 
+def measure_parsing() -> None:
+    """Measures what reading a document takes a node or control instance."""
+    for count in PARSED_SELECTORS:
+        document = make_document(count)
+        started_s = time.process_time()
+        document_reader.parse(document)
+        spent_s = time.process_time() - started_s
+        _print(f"document.parse_{count}_selectors", spent_s * 1000, "ms")
+        started_s = time.process_time()
+        difference.compute(make_document(1), document, "old", "new")
+        spent_s = time.process_time() - started_s
+        _print(f"document.difference_{count}_selectors", spent_s * 1000, "ms")
+
+
 def measure_memory() -> None:
     """Measures memory by endpoints and by claims, and claims' time."""
     for measure in (_measure_directory, _measure_claims):
@@ -184,6 +205,22 @@
         _print(f"selectors_{count}.cpu", cost_s * 1e6, "us/heartbeat")
 
 
+def _measure_longest_document(setup: control_setup.ControlSetup) -> bool:
+    document = make_document(MOST_SELECTORS)
+    try:
+        setup.apply(document)
+        accepted = 1
+    except urllib.error.HTTPError:
+        accepted = 0
+    return figure.Figure(
+        f"capacity.selectors_{MOST_SELECTORS}.accepted",
+        accepted,
+        "changes",
+        1,
+        at_most=False,
+    ).print()
+
+
 def _measure_directory(setup: control_setup.ControlSetup) -> None:
     place = (setup.leader + 1) % len(setup.ports)
     points = []
@@ -244,18 +281,20 @@
 
 def _measure_table() -> None:
     count = DIRECTORY[-1]
+    held = table.Table(_LEASE_S, 20 * _LEASE_S, 0.0)
+    for now_s in range(1, int(_LEASE_S) + 1):
+        held.tick(float(now_s))  # Shorter steps than a pause.
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    held = table.Table(3.0, 60.0, 0.0)
     for number in range(count):
         endpoint = heartbeats.make_endpoint(number)
-        held.announce(convert.decode_endpoint(endpoint), 0.0)
+        held.announce(convert.decode_endpoint(endpoint), _LEASE_S)
     size = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     _print("table.memory_per_1000_endpoints", size / count * 1000 / 1e6, "MB")
     started_s = time.process_time()
     for _ in range(_TICKS):
-        held.tick(1.0)
+        held.tick(_LEASE_S + 0.1)
     tick_s = (time.process_time() - started_s) / _TICKS
     _print(f"table.tick_of_{count}", tick_s * 1000, "ms")
 
