Read YAML by the library's C parser; heartbeat the control instances in turn

Cause (docs/CAPACITY.md): each change stopped a node for 93 ms at 100 selectors, and all control instances sent it at one beat. Heartbeats go out a third of the interval apart, so that one answer brings the version.

--- a/src/cranberrymux/decisions/configuration/document_lines.py
+++ b/src/cranberrymux/decisions/configuration/document_lines.py
@@ -4,6 +4,8 @@
 
 import yaml
 
+from cranberrymux.settings import yaml_loader
+
 _STEP = re.compile(r"([^.\[\]]+)|\[(\d+)\]")
 
 
@@ -12,7 +14,7 @@
 
     A key that is not there gives the line of what should hold it.
     """
-    node = yaml.compose(text, Loader=yaml.SafeLoader)
+    node = yaml.compose(text, Loader=yaml_loader.LOADER)
     line = node.start_mark.line + 1 if node else 1
     for name, index in _STEP.findall(key):
         if index and isinstance(node, yaml.SequenceNode):
--- a/src/cranberrymux/decisions/configuration/document_reader.py
+++ b/src/cranberrymux/decisions/configuration/document_reader.py
@@ -16,6 +16,7 @@
 from cranberrymux.decisions.selectors import selector
 from cranberrymux.decisions.selectors import selector_error
 from cranberrymux.settings import loader
+from cranberrymux.settings import yaml_loader
 
 MAXIMUM_DOCUMENT_BYTES = 262_144
 MAXIMUM_DEPTH = 8
@@ -68,7 +69,7 @@
     try:
         # The events come one by one, so that deep nesting is met before the
         # scanner's time, which grows with the square of the depth, matters.
-        for event in yaml.parse(text, Loader=yaml.SafeLoader):
+        for event in yaml.parse(text, Loader=yaml_loader.LOADER):
             if isinstance(event, yaml.CollectionStartEvent):
                 depth += 1
             elif isinstance(event, yaml.CollectionEndEvent):
@@ -84,7 +85,9 @@
     except yaml.YAMLError as error:
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark else 1
-        return document_error.DocumentError(line, "(file)", "valid YAML")
+        is_deep = "nesting depth" in (getattr(error, "problem", None) or "")
+        expected = "less nesting" if is_deep else "valid YAML"
+        return document_error.DocumentError(line, "(file)", expected)
     return None
 
 
--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -1,6 +1,7 @@
 """Heartbeats to the control instances, and what their answers bring."""
 
 from collections.abc import Sequence
+import itertools
 from typing import Any
 from typing import Protocol
 
@@ -71,13 +72,15 @@
         self._clock = system_clock
         self._listener = listener
         self._sessions = [_Session(client) for client in clients]
-        self._loop = task.LoopingCall(self._beat_where_idle)
+        self._turns = itertools.cycle(self._sessions)
+        self._loop = task.LoopingCall(self._beat_next)
 
     def start(self) -> None:
         """Connects and begins to send."""
         for session in self._sessions:
             session.client.start()
-        self._loop.start(self._settings.heartbeat_ms / 1000, now=True)
+        interval_s = self._settings.heartbeat_ms / 1000
+        self._loop.start(interval_s / len(self._sessions), now=True)
 
     def stop(self) -> None:
         """Ends the heartbeats and the connections."""
@@ -92,6 +95,12 @@
             session.is_due_again = session.is_waiting
         self._beat_where_idle()
 
+    def _beat_next(self) -> None:
+        """Takes turns, so that one instance brings a new configuration."""
+        session = next(self._turns)
+        if not session.is_waiting:
+            defer.ensureDeferred(self._beat_one(session))
+
     def _beat_where_idle(self) -> None:
         for session in self._sessions:
             if not session.is_waiting:
--- a/src/cranberrymux/settings/loader.py
+++ b/src/cranberrymux/settings/loader.py
@@ -9,6 +9,7 @@
 
 from cranberrymux import exceptions
 from cranberrymux.settings import field as field_module
+from cranberrymux.settings import yaml_loader
 
 _PYTHON_TYPES: dict[field_module.Kind, tuple[type, ...]] = {
     field_module.Kind.TEXT: (str,),
@@ -48,7 +49,7 @@
 ) -> dict[str, Any]:
     """Checks settings given as text; see `load`."""
     try:
-        root = yaml.compose(text, Loader=yaml.SafeLoader)
+        root = yaml.compose(text, Loader=yaml_loader.LOADER)
     except yaml.YAMLError as error:
         mark = getattr(error, "problem_mark", None)
         line = mark.line + 1 if mark else 1
