Name the service and endpoint of a call between nodes; refuse a wrong key

Ruled out: the directory and the router, which had the right records. Both tests failed before: 200 from the wrong service, 200 under a wrong key. Demo deployments have keys of their own.

--- a/src/cranberrymux/demo/deployment.py
+++ b/src/cranberrymux/demo/deployment.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import pathlib
+import secrets
 import time
 from typing import Any
 
@@ -37,8 +38,8 @@
         self.endpoints: list[endpoint_processes.EndpointProcesses] = []
         self._nodes: list[endpoint_processes.EndpointProcesses] = []
         self._folder = pathlib.Path(folder)
-        self._key_file = self._write("cluster.key", "demo-cluster-key-0123456")
-        self._token_file = self._write("operator.token", "demo-token-01234567")
+        self._key_file = self._write("cluster.key", secrets.token_hex(16))
+        self._token_file = self._write("operator.token", secrets.token_hex(16))
         found = ports.find_free_ports(2 * _CONTROL_COUNT)
         self._control_ports = found[:_CONTROL_COUNT]
         self._operator_ports = found[_CONTROL_COUNT:]
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -2,6 +2,8 @@
 
 import hmac
 
+import structlog
+
 from cranberrymux.decisions.configuration import treatment
 from cranberrymux.decisions.contexts import context_error
 from cranberrymux.decisions.contexts import header_codec
@@ -21,9 +23,12 @@
 from cranberrymux.node import version_gate
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
+from cranberrymux.telemetry import event
 
 _Reason = refusal_reason.RefusalReason
 
+_log = structlog.get_logger()
+
 
 class Ingress:
     """Implements `call_handler.CallHandler` for the ingress port."""
@@ -34,6 +39,7 @@
         self._backend: backend_server.BackendServer | None = None
         self._messages = peer_messages.PeerMessages(node)
         self._gate = version_gate.VersionGate(node.deadlines, node.clock)
+        self._wrong_keys = 0
         self._is_configured = False
         self._is_draining = False
 
@@ -62,9 +68,13 @@
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Starts a call, or refuses it at once."""
-        if not self._is_peer(call.head.headers):
+        key = headers.find(call.head.headers, b"cranberrymux-key")
+        if key is None:
             self._handle_entry(call)
             return
+        if not hmac.compare_digest(key, self._node.key):
+            self._refuse_key(call)
+            return
         if self._messages.take(call):
             return
         version = _read_version(call.head.headers)
@@ -95,6 +105,10 @@
         if backend is None or not self._is_configured:
             self._refuse(call, self._not_started())
             return
+        if not self._is_for_here(call.head.headers, backend):
+            detail = f"this is {self._node.settings.node_id}"
+            self._refuse(call, self._not_run(_Reason.NOT_STARTED, detail))
+            return
         value = headers.find(call.head.headers, b"cranberrymux-context")
         if value is None:
             self._refuse(
@@ -196,9 +210,25 @@
             context.request_id,
         )
 
-    def _is_peer(self, head_headers: headers.HeaderList) -> bool:
-        key = headers.find(head_headers, b"cranberrymux-key")
-        return key is not None and hmac.compare_digest(key, self._node.key)
+    def _is_for_here(
+        self,
+        head_headers: headers.HeaderList,
+        backend: backend_server.BackendServer,
+    ) -> bool:
+        """False if the address has passed to another endpoint."""
+        service = headers.find(head_headers, b"cranberrymux-service")
+        endpoint_id = headers.find(head_headers, b"cranberrymux-endpoint")
+        return (
+            service == backend.service.encode()
+            and endpoint_id == self._node.settings.node_id.encode()
+        )
+
+    def _refuse_key(self, call: inbound_call.InboundCall) -> None:
+        self._wrong_keys += 1
+        _log.warning(event.Event.WRONG_CLUSTER_KEY, count=self._wrong_keys)
+        self._refuse(
+            call, entry_context.refuse_bad("cranberrymux-key is not valid")
+        )
 
     def _decide(
         self,
--- a/src/cranberrymux/node/request_encoding.py
+++ b/src/cranberrymux/node/request_encoding.py
@@ -18,6 +18,7 @@
         b"cranberrymux-principal",
         b"cranberrymux-timeout-ms",
         b"cranberrymux-service",
+        b"cranberrymux-endpoint",
         b"cranberrymux-configuration",
         b"cranberrymux-vouch",
     )
@@ -42,10 +43,14 @@
     Attributes:
         key: Proof that it is a node.
         configuration: Version that it has in force.
+        service: Service that the call is for.
+        endpoint_id: Endpoint that it is for; another must not run it.
     """
 
     key: bytes
     configuration: int
+    service: bytes
+    endpoint_id: bytes
 
 
 def encode_request(
@@ -83,7 +88,7 @@
     if proof is not None:
         lines.append(
             b"cranberrymux-key: %b\r\ncranberrymux-configuration: %d\r\n"
-            % proof
+            b"cranberrymux-service: %b\r\ncranberrymux-endpoint: %b\r\n" % proof
         )
     lines.append(_encode_framing(call))
     if call.is_body_complete:
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -246,7 +246,10 @@
             self._context,
             address,
             request_encoding.PeerProof(
-                self._node.key, self._node.policy.version
+                self._node.key,
+                self._node.policy.version,
+                self._service.encode(),
+                chosen.endpoint_id.encode(),
             ),
         )
         self._attempt = outbound_attempt.OutboundAttempt(
--- a/tests/node/test_call_path.py
+++ b/tests/node/test_call_path.py
@@ -170,23 +170,45 @@
 
 def test_client_cannot_forge_a_context(cluster):
     leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
-    cluster.ask(
-        leaf.ingress_port,
-        GET
-        + b"cranberrymux-key: wrong\r\n"
-        + b"cranberrymux-context: 1;r-9;0;boss;900;0;0;99;1;\r\n\r\n",
-    )
+    forged = b"cranberrymux-context: 1;r-9;0;boss;900;0;0;99;1;\r\n"
+    cluster.ask(leaf.ingress_port, GET + forged + b"\r\n")
     context = dict(leaf.backend.calls[0].head.headers)[b"cranberrymux-context"]
     assert b"boss" not in context
     assert b"r-9" not in context
 
 
+def test_wrong_key_is_refused_and_runs_nothing(cluster):
+    leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
+    client = cluster.ask(
+        leaf.ingress_port, GET + b"cranberrymux-key: wrong\r\n\r\n"
+    )
+    assert client.statuses == [400]
+    assert leaf.backend.calls == []
+
+
+def test_call_for_another_endpoint_is_not_run(cluster):
+    """An address that passed to another service answers for itself only."""
+    caller = cluster.add("caller-0", "caller", calls=["dispatch"])
+    dispatch = cluster.add("dispatch-0", "dispatch", backend.answer_ok)
+    notes = cluster.add("notes-0", "notes", backend.answer_ok)
+    cluster.network.run(0.5)
+    factory = cluster.network.factories[notes.ingress_port]
+    cluster.network.stop_listening(dispatch.ingress_port)
+    cluster.network.listen(dispatch.ingress_port, factory)
+    client = cluster.ask(
+        caller.egress_port, GET + b"cranberrymux-service: dispatch\r\n\r\n"
+    )
+    assert _body(client)["answer"] == "not-run"
+    assert notes.backend.calls == []
+
+
 def test_bad_context_of_a_peer_is_refused(cluster):
     leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
     client = cluster.ask(
         leaf.ingress_port,
         GET
         + b"cranberrymux-key: %b\r\n" % clusters.KEY.encode()
+        + b"cranberrymux-service: leaf\r\ncranberrymux-endpoint: leaf-0\r\n"
         + b"cranberrymux-context: nonsense\r\n\r\n",
     )
     assert client.statuses == [400]
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -161,6 +161,7 @@
             leaf.ingress_port,
             GET
             + b"cranberrymux-key: %b\r\n" % clusters.KEY.encode()
+            + b"cranberrymux-service: leaf\r\ncranberrymux-endpoint: leaf-0\r\n"
             + b"cranberrymux-configuration: 9\r\n"
             + b"cranberrymux-context: 1;r-1;0;p;900;0;0;0;1;\r\n\r\n",
             seconds=0.6,
