Take the ports of test clusters from the package's own finder

tests/control had a second finder that took ports from the range of outgoing connections, which another connection may take before the instance listens.

--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -4,13 +4,13 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 import urllib.error
 import urllib.request
 
+from cranberrymux.demo import ports
 from tests.control import relay as relay_module
 
 KEY = "cluster-key-for-tests"
@@ -21,16 +21,6 @@
 DOCUMENT = "classes:\n  - name: live\n    protected: true\n  - name: bulk\n"
 
 
-def reserve_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 def wait_until(check, timeout_s=10.0):
     """Polls a state; returns its first true value."""
     end = time.monotonic() + timeout_s
@@ -152,12 +142,12 @@
         self.lease_ms = lease_ms
         (self.folder / "key").write_text(KEY)
         (self.folder / "token").write_text(TOKEN)
-        ports = reserve_ports(2 * count)
+        found = ports.find_free_ports(2 * count)
         self.instances = []
         for index in range(count):
             self.instances.append(
                 Instance(
-                    self, f"c{index}", ports[2 * index], ports[2 * index + 1]
+                    self, f"c{index}", found[2 * index], found[2 * index + 1]
                 )
             )
 
