--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -143,10 +143,7 @@
             self._admission.begin_drain()
         if not self._lifecycle_state.is_stopping:
             return
-        is_empty = self._admission.is_drained and not len(
-            self._env.ingress_calls
-        )
-        if is_empty or now_s >= self._stop_due_s:
+        if self._is_empty() or now_s >= self._stop_due_s:
             self._lifecycle.drained()
 
     def report(self) -> None:
@@ -273,6 +270,10 @@
         slots = min(backend.slots, cap) if cap else backend.slots
         self._admission.set_slots(slots)
 
+    def _is_empty(self) -> bool:
+        """True if no call is in flight and none can come."""
+        return self._admission.is_drained and not self._env.ingress_calls
+
     def _expire_backend(self, now_s: float) -> None:
         if self.ingress.backend is None:
             return
