Read ip:port in one place, checked with the other settings

Cause: five readers; a node with control_addresses [nonsense] ended in a traceback, the command line with exit code 5. Now file, line, key and what was expected, exit code 2.

--- a/src/cranberrymux/cli/cli_settings.py
+++ b/src/cranberrymux/cli/cli_settings.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from cranberrymux import exceptions
+from cranberrymux.models import socket_address
 from cranberrymux.settings import field
 from cranberrymux.settings import loader
 
@@ -77,4 +79,12 @@
         or "unknown"
     )
     values["addresses"] = tuple(one.strip() for one in values["addresses"])
+    for one in values["addresses"]:
+        if socket_address.parse(one) is None:
+            raise exceptions.SettingsError(
+                arguments.settings or "(options)",
+                1,
+                "addresses",
+                f"a list of ip:port, not {one!r}",
+            )
     return CliSettings(**values)
--- a/src/cranberrymux/control/peer.py
+++ b/src/cranberrymux/control/peer.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from cranberrymux.models import socket_address
+
 
 class Peer(NamedTuple):
     """Where a control instance listens for peers.
@@ -20,9 +22,7 @@
 def parse(text: str) -> Peer | None:
     """Reads `control_id=ip:port`; None if the text is not of this form."""
     control_id, _, target = text.partition("=")
-    address, _, port = target.rpartition(":")
-    if not control_id or not address or not port.isdecimal():
-        return None
-    if not 0 < int(port) < 65536:
+    address = socket_address.parse(target)
+    if not control_id or address is None:
         return None
-    return Peer(control_id, address, int(port))
+    return Peer(control_id, address.host, address.port)
--- a/src/cranberrymux/load/connection_pool.py
+++ b/src/cranberrymux/load/connection_pool.py
@@ -8,6 +8,7 @@
 from twisted.python import failure
 
 from cranberrymux.load import call_connection
+from cranberrymux.models import socket_address
 
 CONNECT_TIMEOUT_S = 3
 
@@ -17,17 +18,21 @@
 class ConnectionPool:
     """Lends connections; the last one given back is lent first."""
 
-    def __init__(self, reactor: Any, target: str, connections_max: int) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        target: socket_address.SocketAddress,
+        connections_max: int,
+    ) -> None:
         """Opens nothing yet.
 
         Args:
             reactor: TCP and timers.
-            target: `ip:port`.
+            target: Where to connect.
             connections_max: Most connections open at once.
         """
-        host, _, port = target.rpartition(":")
         self._endpoint = endpoints.TCP4ClientEndpoint(
-            reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+            reactor, target.host, target.port, timeout=CONNECT_TIMEOUT_S
         )
         self._connections_max = connections_max
         self._open = 0
--- a/src/cranberrymux/load/load_settings.py
+++ b/src/cranberrymux/load/load_settings.py
@@ -4,6 +4,7 @@
 
 from cranberrymux import exceptions
 from cranberrymux.load import kind_settings
+from cranberrymux.models import socket_address
 from cranberrymux.settings import field
 from cranberrymux.settings import loader
 
@@ -91,8 +92,7 @@
         SettingsError: There is no target, or one is not `ip:port`.
     """
     for target in settings.targets or ("",):
-        host, _, port = target.rpartition(":")
-        if not host or not port.isdigit():
+        if socket_address.parse(target) is None:
             raise exceptions.SettingsError(
                 path, 1, "targets", f"a list of ip:port, not {target!r}"
             )
--- a/src/cranberrymux/load/runner.py
+++ b/src/cranberrymux/load/runner.py
@@ -15,6 +15,7 @@
 from cranberrymux.load import report
 from cranberrymux.load import request_encoder
 from cranberrymux.models import request_ids
+from cranberrymux.models import socket_address
 
 SPIN_S = 0.002
 
@@ -38,7 +39,8 @@
             connection_pool.ConnectionPool(
                 reactor, target, settings.connections
             )
-            for target in settings.targets
+            for target in map(socket_address.parse, settings.targets)
+            if target is not None
         ]
         self._pools = itertools.cycle(pools)
         self._recorders = [recorder_module.Recorder() for _ in settings.kinds]
--- a/src/cranberrymux/node/program.py
+++ b/src/cranberrymux/node/program.py
@@ -128,12 +128,11 @@
     settings: node_settings.NodeSettings, key: str
 ) -> list[control_client.ControlClient]:
     clients = []
-    for text in settings.control_addresses:
-        host, _, port = text.rpartition(":")
+    for address in settings.control_addresses:
         clients.append(
             control_client.ControlClient(
                 control_client_settings.ControlClientSettings(
-                    host, int(port), key, settings.control_timeout_ms
+                    address.host, address.port, key, settings.control_timeout_ms
                 )
             )
         )
--- a/src/cranberrymux/node/settings.py
+++ b/src/cranberrymux/node/settings.py
@@ -4,6 +4,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from cranberrymux.models import socket_address
 from cranberrymux.settings import field
 from cranberrymux.settings import loader
 from cranberrymux.telemetry import metrics_settings
@@ -18,7 +19,7 @@
     field.Field("egress_port", field.Kind.INTEGER, minimum=1, maximum=65535),
     field.Field("announce_port", field.Kind.INTEGER, minimum=1, maximum=65535),
     field.Field(
-        "control_addresses", field.Kind.TEXT_LIST, minimum=1, maximum=64
+        "control_addresses", field.Kind.ADDRESS_LIST, minimum=1, maximum=64
     ),
     field.Field("cluster_key_file", field.Kind.TEXT, minimum=1),
     field.Field(
@@ -94,7 +95,7 @@
         ingress_port: TCP port for clients and other nodes.
         egress_port: TCP port on loopback for the backend server's calls.
         announce_port: TCP port on loopback for announcements.
-        control_addresses: `ip:port` of the control instances, nearest first.
+        control_addresses: The control instances, nearest first.
         cluster_key_file: File with the key that all processes share.
         heartbeat_ms: Time between heartbeats to a control instance.
         control_timeout_ms: Time until a control instance counts as silent.
@@ -122,7 +123,7 @@
     ingress_port: int
     egress_port: int
     announce_port: int
-    control_addresses: list[str]
+    control_addresses: list[socket_address.SocketAddress]
     cluster_key_file: str
     heartbeat_ms: int
     control_timeout_ms: int
--- a/src/cranberrymux/settings/field.py
+++ b/src/cranberrymux/settings/field.py
@@ -13,6 +13,7 @@
     NUMBER = "number"
     FLAG = "true or false"
     TEXT_LIST = "list of texts"
+    ADDRESS_LIST = "list of ip:port"
     TEXT_MAP = "map of text to text"
     ITEMS = "list of maps"
 
--- a/src/cranberrymux/settings/loader.py
+++ b/src/cranberrymux/settings/loader.py
@@ -8,6 +8,7 @@
 import yaml
 
 from cranberrymux import exceptions
+from cranberrymux.models import socket_address
 from cranberrymux.settings import field as field_module
 from cranberrymux.settings import yaml_loader
 
@@ -17,6 +18,7 @@
     field_module.Kind.NUMBER: (int, float),
     field_module.Kind.FLAG: (bool,),
     field_module.Kind.TEXT_LIST: (list,),
+    field_module.Kind.ADDRESS_LIST: (list,),
     field_module.Kind.TEXT_MAP: (dict,),
     field_module.Kind.ITEMS: (list,),
 }
@@ -111,7 +113,7 @@
         ]
     constructor = yaml.SafeLoader("")
     try:
-        value = constructor.construct_object(node, deep=True)
+        value: Any = constructor.construct_object(node, deep=True)
     except yaml.YAMLError as error:
         raise exceptions.SettingsError(
             path, line, key, describe(field)
@@ -120,6 +122,8 @@
         raise exceptions.SettingsError(
             path, line, key, f"{describe(field)}, not {value!r}"
         )
+    if field.kind is field_module.Kind.ADDRESS_LIST:
+        return [socket_address.parse(item) for item in value]
     return value
 
 
@@ -132,6 +136,8 @@
         return False
     if isinstance(value, bool):
         return field.kind is field_module.Kind.FLAG
+    if field.kind is field_module.Kind.ADDRESS_LIST:
+        return all(_is_address(item) for item in value)
     if isinstance(value, list):
         return all(isinstance(item, str) for item in value)
     if isinstance(value, dict):
@@ -139,6 +145,10 @@
     return True
 
 
+def _is_address(value: Any) -> bool:
+    return isinstance(value, str) and socket_address.parse(value) is not None
+
+
 def _is_in_range(value: Any, field: field_module.Field) -> bool:
     if field.choices and value not in field.choices:
         return False
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -41,3 +41,12 @@
     assert (caught.value.line, caught.value.key) == (line, key)
     assert expected in caught.value.expected
     assert str(caught.value).startswith(f"x.yaml:{line}: {key}: expected ")
+
+
+def test_reads_addresses_and_refuses_what_is_none():
+    fields = (field.Field("where", field.Kind.ADDRESS_LIST),)
+    values = loader.load_text('where: ["10.0.0.1:7"]\n', "x.yaml", fields)
+    assert values["where"] == [("10.0.0.1", 7)]
+    with pytest.raises(exceptions.SettingsError) as caught:
+        loader.load_text("where: [nonsense]\n", "x.yaml", fields)
+    assert "list of ip:port" in caught.value.expected
