--- a/src/cranberrymux/settings/loader.py
+++ b/src/cranberrymux/settings/loader.py
@@ -113,7 +113,7 @@
         ]
     constructor = yaml.SafeLoader("")
     try:
-        value: Any = constructor.construct_object(node, deep=True)
+        value = constructor.construct_object(node, deep=True)
     except yaml.YAMLError as error:
         raise exceptions.SettingsError(
             path, line, key, describe(field)
@@ -136,15 +136,19 @@
         return False
     if isinstance(value, bool):
         return field.kind is field_module.Kind.FLAG
-    if field.kind is field_module.Kind.ADDRESS_LIST:
-        return all(_is_address(item) for item in value)
     if isinstance(value, list):
-        return all(isinstance(item, str) for item in value)
+        is_address = field.kind is field_module.Kind.ADDRESS_LIST
+        is_item = _is_address if is_address else _is_text
+        return all(is_item(item) for item in value)
     if isinstance(value, dict):
         return all(isinstance(x, str) for pair in value.items() for x in pair)
     return True
 
 
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str)
+
+
 def _is_address(value: Any) -> bool:
     return isinstance(value, str) and socket_address.parse(value) is not None
 
