Let a once-only call run to its end when its caller hangs up

Cause (read in the code): a hang-up cancelled a dispatch that was in the backend server's hands, and its outcome stayed unknown for ever. It now runs on until its deadline; a resend gets the kept answer. Test: test_hang_up_leaves_the_answer_for_the_resend, failing before.

--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -258,6 +258,10 @@
         """Ends the work because no caller is left."""
         if self._is_over:
             return
+        if self._claimed is not None and self._attempt is not None:
+            # Cancelled, its outcome would stay unknown for ever. Run to its
+            # end, the answer is kept for a resend.
+            return
         self._cancel_attempt()
         self._end(_Outcome.CANCELLED)
 
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -72,6 +72,18 @@
         assert again.received.endswith(b"whole answer to /crew")
         assert self._runs(pair) == 1
 
+    def test_hang_up_leaves_the_answer_for_the_resend(self, cluster, pair):
+        request = POST + REQUEST_ID + b"\r\nabc"
+        first = cluster.ask(pair[0].ingress_port, request)
+        first.transport.loseConnection()
+        cluster.network.run(0.05)
+        assert pair[0].backend.cancelled == []
+        backend.answer_ok(pair[0].backend.calls[0])
+        cluster.network.run(0.05)
+        again = cluster.ask(pair[1].ingress_port, request)
+        assert again.received.endswith(b"whole answer to /crew")
+        assert self._runs(pair) == 1
+
     def test_lost_outcome_is_never_run_again(self, cluster, pair):
         request = POST + REQUEST_ID + b"\r\nabc"
         first = cluster.ask(pair[0].ingress_port, request)
