--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -9,6 +9,7 @@
 from cranberrymux.models import request_context
 from cranberrymux.node import claimed_call
 from cranberrymux.node import environment
+from cranberrymux.node import outcome_record
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
 from cranberrymux.node.http import answer_head
@@ -117,7 +118,7 @@
 
     def refuse(self, one: refusal.Refusal, unspent: int) -> None:
         """Sends an answer of the node itself to every caller."""
-        self._record(one.kind)
+        self._record(one.kind, one.reason)
         for call in self._take_all():
             self._refuse_one(call, one, unspent)
 
@@ -196,15 +197,17 @@
         self._append_state(state, unspent)
         call.answer(encoded.status, encoded.headers + state[1:], encoded.body)
 
-    def _record(self, kind: answer_kind.AnswerKind) -> None:
-        record = self._node.endpoint.record
-        if record is None:
+    def _record(
+        self, kind: answer_kind.AnswerKind, reason: _Reason | None = None
+    ) -> None:
+        announced = self._node.endpoint.record
+        if announced is None:
             return
-        elapsed_s = self._node.clock.now_s() - self._began_s
-        self._node.outcomes.record(
-            self._node.clock.now_unix_ms() / 1000,
-            record.service,
-            self._node.policy.get_class_name(self._context.class_rank),
+        outcome_record.record(
+            self._node,
+            announced.service,
+            self._context.class_rank,
+            self._began_s,
             kind,
-            elapsed_s * 1000,
+            reason,
         )
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -19,6 +19,7 @@
 from cranberrymux.node import callee_question
 from cranberrymux.node import environment
 from cranberrymux.node import outbound_attempt
+from cranberrymux.node import outcome_record
 from cranberrymux.node import places
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
@@ -29,6 +30,7 @@
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
+from cranberrymux.telemetry import metric
 
 _Kind = answer_kind.AnswerKind
 _Reason = refusal_reason.RefusalReason
@@ -201,6 +203,7 @@
         self._context = children.next_attempt(
             self._context, (now_s - self._sent_s) * 1000, 0
         )
+        self._node.metrics.count(metric.Metric.RETRIES, 1, self._service)
         self._send(chosen)
         return True
 
@@ -296,21 +299,17 @@
     def _refuse(self, one: refusal.Refusal) -> None:
         self._parent.has_failed_child = True
         self._end()
-        self._record(one.kind)
-        encoded = refusal_answer.encode_refusal(one, self._context.request_id)
-        self._call.answer(encoded.status, encoded.headers, encoded.body)
-
-    def _record(self, kind: answer_kind.AnswerKind) -> None:
-        """Records an answer that no node of the service has recorded."""
-        node = self._node
-        elapsed_s = node.clock.now_s() - self._began_s
-        node.outcomes.record(
-            node.clock.now_unix_ms() / 1000,
+        # No node of the service has recorded this answer.
+        outcome_record.record(
+            self._node,
             self._service,
-            node.policy.get_class_name(self._context.class_rank),
-            kind,
-            elapsed_s * 1000,
+            self._context.class_rank,
+            self._began_s,
+            one.kind,
+            one.reason,
         )
+        encoded = refusal_answer.encode_refusal(one, self._context.request_id)
+        self._call.answer(encoded.status, encoded.headers, encoded.body)
 
     def _cancelled(self) -> None:
         self._drop_attempt(outcome.Outcome.CANCELLED)
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -61,6 +61,7 @@
         calls=(),
         labels=None,
         extra="",
+        metrics=None,
     ):
         base = 1000 + 10 * len(self.members)
         text = _SETTINGS.format(name=name, port=base, egress=base + 1) + extra
@@ -73,7 +74,7 @@
             self.network,
             self.clock,
             [self.control],
-            null_sink.NullSink(),
+            metrics or null_sink.NullSink(),
             lambda: None,
         )
         backend = backend_module.Backend(self.network, base + 2, answer)
--- a/tests/node/test_call_path.py
+++ b/tests/node/test_call_path.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cranberrymux.telemetry import null_sink
 from tests.fakes import backend
 from tests.fakes import cluster as clusters
 
@@ -248,3 +249,19 @@
     client = cluster.ask(leaf.ingress_port, GET + b"\r\n")
     assert _body(client)["reason"] == "not-started"
     assert leaf.backend.calls == []
+
+
+def test_answers_are_counted(cluster):
+    counted = []
+
+    class Sink(null_sink.NullSink):
+        def count(self, metric, value, *tags):
+            counted.append((metric.value.name, value, *tags))
+
+    leaf = cluster.add("leaf-0", "leaf", backend.answer_ok, metrics=Sink())
+    cluster.ask(leaf.ingress_port, GET + b"\r\n")
+    leaf.backend.die()
+    cluster.ask(leaf.ingress_port, GET + b"\r\n")
+    assert ("node.calls", 1, "leaf", "default", "done") in counted
+    refusal = ("node.refusals", 1, "leaf", "default", "not-started")
+    assert refusal in counted
