Drop a call whose caller went while it waited for a configuration

Read in the code, then shown: such a call was handed to the backend server. Test: test_call_whose_caller_went_while_it_waited_is_not_run, failing before.

--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -87,6 +87,9 @@
     def _gate_opened(
         self, call: inbound_call.InboundCall, is_ready: bool
     ) -> None:
+        if call.is_answered:
+            # Its caller has gone while it waited.
+            return
         if is_ready:
             self._handle_peer(call)
             return
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -181,6 +181,27 @@
         assert _reason(client) == ("not-run", "configuration-stale")
         assert leaf.backend.calls == []
 
+    def test_call_whose_caller_went_while_it_waited_is_not_run(self, cluster):
+        leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
+        cluster.control.is_cut = True
+        client = cluster.ask(
+            leaf.ingress_port,
+            GET
+            + b"cranberrymux-key: %b\r\n" % clusters.KEY.encode()
+            + b"cranberrymux-service: leaf\r\n"
+            + b"cranberrymux-endpoint: leaf-0\r\n"
+            + b"cranberrymux-configuration: 9\r\n"
+            + b"cranberrymux-context: 1;r-1;0;p;900;0;0;0;1;\r\n\r\n",
+        )
+        client.transport.loseConnection()
+        cluster.network.run(0.01)
+        cluster.control.is_cut = False
+        cluster.control.version = 9
+        cluster.control.document = CLASSES
+        cluster.network.run(0.4)
+        assert leaf.node.configuration_version == 9
+        assert leaf.backend.calls == []
+
     def test_strict_call_is_refused_once_nobody_vouches(self, cluster):
         leaf = cluster.add("leaf-0", "leaf", backend.answer_ok)
         cluster.configure(
