--- /dev/null
+++ b/src/cranberrymux/node/http/rejection.py
@@ -0,0 +1,43 @@
+"""The answer to a message that was not accepted."""
+
+import json
+
+from cranberrymux.models import answer_kind
+from cranberrymux.models import refusal_reason
+from cranberrymux.node.http import bad_message
+
+_Reason = refusal_reason.RefusalReason
+_SIZE_STATUSES = (413, 414, 431)
+
+
+def encode(bad: bad_message.BadMessage, kind: answer_kind.AnswerKind) -> bytes:
+    """Encodes a whole answer, after which the connection closes.
+
+    Args:
+        bad: What was wrong.
+        kind: Not-run, or unknown if part of the body was handed on.
+    """
+    reason = _Reason.BAD_REQUEST
+    if bad.status in _SIZE_STATUSES:
+        reason = _Reason.TOO_LARGE
+    body = json.dumps(
+        {
+            "answer": kind.value,
+            "reason": reason.value,
+            "detail": bad.detail,
+            "request_id": "",
+            "retry_after_ms": 0,
+        }
+    ).encode()
+    return (
+        b"HTTP/1.1 %d Rejected\r\ncontent-type: application/json\r\n"
+        b"cranberrymux-answer: %b\r\ncranberrymux-reason: %b\r\n"
+        b"connection: close\r\ncontent-length: %d\r\n\r\n%b"
+        % (
+            bad.status,
+            kind.value.encode(),
+            reason.value.encode(),
+            len(body),
+            body,
+        )
+    )
--- /dev/null
+++ b/src/cranberrymux/node/http/request_head_reader.py
@@ -0,0 +1,68 @@
+"""Checks the head of a request that the parser has read."""
+
+from typing import Any
+
+from cranberrymux.node.http import bad_message
+from cranberrymux.node.http import body_mode
+from cranberrymux.node.http import headers
+from cranberrymux.node.http import limits
+from cranberrymux.node.http import request_head
+
+_MAXIMUM_LENGTH_DIGITS = 18
+
+
+def read_head(
+    parser: Any,
+    target: bytes,
+    head_headers: headers.HeaderList,
+    message_limits: limits.Limits,
+) -> request_head.RequestHead | bad_message.BadMessage:
+    """Makes the head, or says what is wrong with it.
+
+    Args:
+        parser: The `httptools` parser that has read the headers.
+        target: Request target.
+        head_headers: Headers in order, names in lower case.
+        message_limits: Bounds.
+    """
+    coding = headers.find(head_headers, b"transfer-encoding")
+    length = headers.find(head_headers, b"content-length")
+    bad = _check(coding, length, message_limits)
+    if bad is not None:
+        return bad
+    size = int(length) if length is not None else 0
+    mode = body_mode.BodyMode.NONE
+    if coding is not None:
+        mode = body_mode.BodyMode.CHUNKED
+    elif size:
+        mode = body_mode.BodyMode.SIZED
+    return request_head.RequestHead(
+        parser.get_method().upper(),
+        target,
+        head_headers,
+        mode,
+        size,
+        parser.should_keep_alive(),
+        parser.get_http_version() == "1.0",
+    )
+
+
+def _check(
+    coding: bytes | None, length: bytes | None, message_limits: limits.Limits
+) -> bad_message.BadMessage | None:
+    if length is not None:
+        is_number = length.isdigit() and len(length) <= _MAXIMUM_LENGTH_DIGITS
+        if not is_number:
+            return bad_message.BadMessage(400, "content-length is no number")
+        if int(length) > message_limits.body_bytes:
+            detail = f"body over {message_limits.body_bytes} bytes"
+            return bad_message.BadMessage(413, detail)
+    if coding is None:
+        return None
+    if coding.lower() != b"chunked":
+        detail = "only the chunked transfer coding is served"
+        return bad_message.BadMessage(501, detail)
+    if length is not None:
+        detail = "both content-length and transfer-encoding"
+        return bad_message.BadMessage(400, detail)
+    return None
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -1,7 +1,6 @@
 """The server's side of an HTTP/1.1 connection."""
 
 import collections
-import json
 from typing import Any
 from typing import cast
 
@@ -11,14 +10,16 @@
 from twisted.python import failure
 import zope.interface
 
+from cranberrymux.models import answer_kind
 from cranberrymux.node.http import bad_message
-from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import call_handler
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import prompt_writer
+from cranberrymux.node.http import rejection
 from cranberrymux.node.http import request_head
+from cranberrymux.node.http import request_head_reader
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -206,32 +207,12 @@
         """The connection is gone; `connectionLost` follows."""
 
     def _make_head(self) -> request_head.RequestHead:
-        version = self._parser.get_http_version()
-        coding = headers.find(self._headers, b"transfer-encoding")
-        length = headers.find(self._headers, b"content-length")
-        if length is not None and not (length.isdigit() and len(length) < 19):
-            self._fail(400, "content-length is not a number")
-        size = int(length) if length is not None else 0
-        if size > self._limits.body_bytes:
-            self._fail(413, f"body over {self._limits.body_bytes} bytes")
-        mode = body_mode.BodyMode.NONE
-        if coding is not None:
-            if coding.lower() != b"chunked":
-                self._fail(501, "only the chunked transfer coding is served")
-            if length is not None:
-                self._fail(400, "both content-length and transfer-encoding")
-            mode = body_mode.BodyMode.CHUNKED
-        elif size:
-            mode = body_mode.BodyMode.SIZED
-        return request_head.RequestHead(
-            cast(bytes, self._parser.get_method()).upper(),
-            self._target,
-            self._headers,
-            mode,
-            size,
-            self._parser.should_keep_alive(),
-            version == "1.0",
+        head = request_head_reader.read_head(
+            self._parser, self._target, self._headers, self._limits
         )
+        if isinstance(head, bad_message.BadMessage):
+            self._fail(head.status, head.detail)
+        return cast(request_head.RequestHead, head)
 
     def _fail(self, status: int, detail: str) -> None:
         self._bad = bad_message.BadMessage(status, detail)
@@ -260,29 +241,15 @@
             if reading.is_head_sent:
                 self.abort()
             else:
-                self._answer_bad("unknown")
+                self._answer_bad(answer_kind.AnswerKind.UNKNOWN)
         elif self._current is None and not self._waiting:
             self._answer_bad()
 
-    def _answer_bad(self, kind: str = "not-run") -> None:
+    def _answer_bad(
+        self, kind: answer_kind.AnswerKind = answer_kind.AnswerKind.NOT_RUN
+    ) -> None:
         bad = self._bad or bad_message.BadMessage(400, "message not valid")
-        body = json.dumps(
-            {
-                "answer": kind,
-                "reason": "too-large"
-                if bad.status in (413, 414, 431)
-                else "bad-request",
-                "detail": bad.detail,
-                "request_id": "",
-                "retry_after_ms": 0,
-            }
-        ).encode()
-        self._tcp.write(
-            b"HTTP/1.1 %d Rejected\r\ncontent-type: application/json\r\n"
-            b"cranberrymux-answer: %b\r\nconnection: close\r\n"
-            b"content-length: %d\r\n\r\n%b"
-            % (bad.status, kind.encode(), len(body), body)
-        )
+        self._tcp.write(rejection.encode(bad, kind))
         self.close()
 
     def _update_reading(self) -> None:
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -14,6 +14,7 @@
 from cranberrymux.node import environment_builder
 from cranberrymux.node import ingress
 from cranberrymux.node import lifecycle
+from cranberrymux.node import node_report
 from cranberrymux.node import own_endpoint
 from cranberrymux.node import policy_holder
 from cranberrymux.node import settings as node_settings
@@ -21,7 +22,6 @@
 from cranberrymux.node import status_body
 from cranberrymux.node.http import connection_pool
 from cranberrymux.telemetry import event
-from cranberrymux.telemetry import metric
 from cranberrymux.telemetry import metrics_sink
 
 _log = structlog.get_logger()
@@ -118,21 +118,7 @@
 
     def get_status(self) -> status_body.StatusBody:
         """Returns the state of the node."""
-        backend = self.ingress.backend
-        record = self._endpoint.record
-        return status_body.StatusBody(
-            node_id=self._settings.node_id,
-            service=backend.service if backend else "",
-            state=record.state.name.lower()
-            if record and self.ingress.is_configured
-            else "starting",
-            in_flight=self._admission.in_flight,
-            queued=self._admission.queue_length,
-            limit=self._admission.limit,
-            level=self._admission.level,
-            configuration_version=self._policy.version,
-            suspects=self._env.quarantine.record_count,
-        )
+        return node_report.make_status(self._env, self.ingress)
 
     def keep_house(self) -> None:
         """Does what is due; to be called several times a second."""
@@ -148,18 +134,7 @@
 
     def report(self) -> None:
         """Writes outcomes and metrics; to be called every second."""
-        self._env.outcomes.flush(self._clock.now_unix_ms() / 1000)
-        backend = self.ingress.backend
-        service = backend.service if backend else ""
-        sink = self._env.metrics
-        admission = self._admission
-        of = metric.Metric
-        sink.gauge(of.IN_FLIGHT, admission.in_flight, service)
-        sink.gauge(of.QUEUED, admission.queue_length, service)
-        sink.gauge(of.CONCURRENCY_LIMIT, admission.limit, service)
-        sink.gauge(of.LEVEL, admission.level, service)
-        sink.gauge(of.CONFIGURATION_VERSION, self._policy.version)
-        sink.flush()
+        node_report.report(self._env, self.ingress)
 
     # What the directory reports.
 
