--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -17,6 +17,7 @@
 from cranberrymux.models import request_context
 from cranberrymux.node import answer_facts
 from cranberrymux.node import callee_question
+from cranberrymux.node import endpoint_use
 from cranberrymux.node import environment
 from cranberrymux.node import outbound_attempt
 from cranberrymux.node import outcome_record
@@ -77,8 +78,7 @@
         self._began_s = node.clock.now_s()
         self._deadline_s = self._began_s + context.timeout_ms / 1000
         self._deadline_key: int | None = None
-        self._sent_s = 0.0
-        self._endpoint: endpoint_record.EndpointRecord | None = None
+        self._use: endpoint_use.EndpointUse | None = None
         self._attempt: outbound_attempt.OutboundAttempt | None = None
         self._question: callee_question.CalleeQuestion | None = None
         self._streamed_head: answer_head.AnswerHead | None = None
@@ -155,12 +155,12 @@
         self._ask_callee(loss)
 
     def _ask_callee(self, loss: lost_answer.LostAnswer) -> None:
-        assert self._endpoint is not None
+        assert self._use is not None
         self._question = callee_question.CalleeQuestion(
             self._node,
             self._context,
-            self._endpoint,
-            self._sent_s,
+            self._use.endpoint,
+            self._use.sent_s,
             lambda known: self._conclude(known, loss.detail),
         )
         self._question.ask()
@@ -190,8 +190,8 @@
             self._overload_refusals += 1
         if not self._may_retry(kind, reason):
             return False
-        if self._endpoint is not None:
-            self._excluded = self._excluded | {self._endpoint.endpoint_id}
+        assert self._use is not None
+        self._excluded = self._excluded | {self._use.endpoint.endpoint_id}
         chosen = self._choose()
         if isinstance(chosen, refusal.Refusal):
             return False
@@ -201,7 +201,7 @@
         if retry_policy.needs_edge_token(reason):
             self._node.edges.take(now_s, self._edge)
         self._context = children.next_attempt(
-            self._context, (now_s - self._sent_s) * 1000, 0
+            self._context, (now_s - self._use.sent_s) * 1000, 0
         )
         self._node.metrics.count(metric.Metric.RETRIES, 1, self._service)
         self._send(chosen)
@@ -234,15 +234,12 @@
         )
 
     def _send(self, chosen: endpoint_record.EndpointRecord) -> None:
-        now_s = self._node.clock.now_s()
-        self._endpoint = chosen
-        self._sent_s = now_s
+        self._use = endpoint_use.EndpointUse(self._node, chosen)
         self._context = self._context._replace(
             retry_budget=self._parent.ledger.allot(
-                now_s, self._context.call_id, self._context.attempt
+                self._use.sent_s, self._context.call_id, self._context.attempt
             )
         )
-        self._node.router.started(now_s, chosen.endpoint_id)
         address = connection_pool.Address(chosen.address, chosen.port)
         request = request_encoding.encode_request(
             self._call,
@@ -283,18 +280,8 @@
         facts: answer_facts.AnswerFacts | None = None,
     ) -> None:
         self._attempt = None
-        if self._endpoint is None:
-            return
-        now_s = self._node.clock.now_s()
-        self._node.router.finished(
-            now_s,
-            self._endpoint.endpoint_id,
-            ended,
-            now_s - self._sent_s,
-            facts.level if facts else None,
-            load=facts.load if facts else None,
-            incarnation=self._endpoint.incarnation,
-        )
+        if self._use is not None:
+            self._use.finish(ended, facts)
 
     def _refuse(self, one: refusal.Refusal) -> None:
         self._parent.has_failed_child = True
