--- a/src/cranberrymux/node/claimed_call.py
+++ b/src/cranberrymux/node/claimed_call.py
@@ -12,6 +12,8 @@
 from cranberrymux.models import request_context
 from cranberrymux.node import body_digest
 from cranberrymux.node import environment
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.wire.gen.messages import ttypes
 
@@ -80,6 +82,14 @@
             kept = None
         self._node.claims.settle(self._request, status, kept)
 
+    def settle_answer(self, head: answer_head.AnswerHead, body: bytes) -> None:
+        """Stores a whole answer, or gives the claim back if nothing ran."""
+        kind = headers.find(head.headers, b"cranberrymux-answer")
+        if kind == _Kind.NOT_RUN.value.encode():
+            self.release()
+        else:
+            self.settle(head.status, body)
+
     def release(self) -> None:
         """Gives the claim back; no byte was handed over and none will be."""
         self._node.claims.release(self._request)
@@ -108,6 +118,16 @@
         return _FINAL_REFUSALS[verdict]
 
 
+def refuse_long_body(limit_bytes: int) -> refusal.Refusal:
+    """Returns the refusal of a body that is too long for a claim's digest."""
+    return refusal.Refusal(
+        _Kind.NOT_RUN,
+        _Reason.TOO_LARGE,
+        "the body of a call that runs at most once is limited to "
+        f"{limit_bytes} bytes",
+    )
+
+
 _FINAL_REFUSALS = {
     _Verdict.DIGEST_MISMATCH: refusal.Refusal(
         _Kind.NOT_RUN,
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -17,6 +17,7 @@
 from cranberrymux.node import outbound_attempt
 from cranberrymux.node import request_encoding
 from cranberrymux.node import running_call
+from cranberrymux.node import slot
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
@@ -54,8 +55,7 @@
         self._arrived_s = node.clock.now_s()
         self._deadline_s = self._arrived_s + context.timeout_ms / 1000
         self._deadline_key: int | None = None
-        self._ticket_id = ""
-        self._is_admitted = False
+        self._slot = slot.Slot(node.admission)
         self._fingerprint = call_fingerprint.make_fingerprint(
             backend.service, context.request_id, call
         )
@@ -81,9 +81,7 @@
         self._deadline_key = self._node.deadlines.add(
             self._deadline_s, self._deadline_passed
         )
-        self._ticket_id = self._node.admission.next_ticket_id()
-        self._node.admission.offer(
-            self._ticket_id,
+        self._slot.ask(
             self._context,
             self._deadline_s,
             judged,
@@ -117,7 +115,7 @@
     ) -> None:
         """Passes a whole answer on."""
         if self._claimed is not None:
-            self._settle(head, body)
+            self._claimed.settle_answer(head, body)
         self._finish_quarantine(True)
         is_dependency = self._has_failed_child()
         unspent = self._end(ingress_answers.classify(head, is_dependency))
@@ -147,7 +145,7 @@
         """Says what is known of a call whose answer will not come."""
         if loss.is_handed_over:
             self._node.quarantine.connection_lost(
-                self._ticket_id, self._backend.address
+                self._slot.ticket_id, self._backend.address
             )
         else:
             self._finish_quarantine(False)
@@ -161,22 +159,15 @@
         self._answers.refuse(one, unspent)
 
     def _admitted(self) -> None:
-        self._is_admitted = True
         if self._is_over:
-            self._finish_ticket(_Outcome.CANCELLED)
+            self._slot.give_back(_Outcome.CANCELLED, 0.0)
             return
         if not self._rules.once_only and not self._context.once_only:
             self._hand_over()
             return
         if not self._call.is_body_complete:
-            self._refuse(
-                refusal.Refusal(
-                    _Kind.NOT_RUN,
-                    _Reason.TOO_LARGE,
-                    "the body of a call that runs at most once is limited to "
-                    f"{self._node.settings.buffered_body_bytes} bytes",
-                )
-            )
+            limit_bytes = self._node.settings.buffered_body_bytes
+            self._refuse(claimed_call.refuse_long_body(limit_bytes))
             return
         self._claimed = claimed_call.ClaimedCall(
             self._node, self._call, self._context
@@ -218,7 +209,7 @@
         self._running = running_call.RunningCall(left, now_s)
         self._node.running.add(self._running)
         self._node.quarantine.start(
-            self._ticket_id,
+            self._slot.ticket_id,
             self._fingerprint,
             self._standing is not standing.Standing.CLEAR,
         )
@@ -230,14 +221,6 @@
         )
         self._attempt.start(self._node.pool, self._backend.address)
 
-    def _settle(self, head: answer_head.AnswerHead, body: bytes) -> None:
-        assert self._claimed is not None
-        kind = headers.find(head.headers, b"cranberrymux-answer")
-        if kind == _Kind.NOT_RUN.value.encode():
-            self._claimed.release()
-        else:
-            self._claimed.settle(head.status, body)
-
     def _release_claim(self) -> None:
         if self._claimed is not None:
             self._claimed.release()
@@ -248,7 +231,7 @@
 
     def _finish_quarantine(self, is_clean: bool) -> None:
         if self._running is not None:
-            self._node.quarantine.finish(self._ticket_id, is_clean)
+            self._node.quarantine.finish(self._slot.ticket_id, is_clean)
 
     def _refuse(self, one: refusal.Refusal) -> None:
         unspent = self._end(_Outcome.CANCELLED)
@@ -310,14 +293,6 @@
             self._context.principal, self._context.request_id, unspent
         )
         self._node.ingress_calls.remove(self)
-        self._finish_ticket(ended)
-        return unspent
-
-    def _finish_ticket(self, ended: outcome.Outcome) -> None:
-        if not self._ticket_id:
-            return
-        if not self._is_admitted:
-            self._node.admission.cancel(self._ticket_id)
-            return
         below_s = self._running.below_s if self._running is not None else 0.0
-        self._node.admission.finish(self._ticket_id, ended, below_s)
+        self._slot.give_back(ended, below_s)
+        return unspent
