Wait with a stop until the answers of claimed calls are stored

Read in the code: a stop ended a settlement under way, so that a dispatch that had run became of unknown outcome. Test: test_stop_waits_until_the_answer_is_stored, failing before.

--- a/src/cranberrymux/node/claim_task.py
+++ b/src/cranberrymux/node/claim_task.py
@@ -30,6 +30,12 @@
         """Keeps the connections, nearest first."""
         self._clients = clients
         self._reactor = reactor
+        self._pending = 0
+
+    @property
+    def pending(self) -> int:
+        """Settlements that no control instance has confirmed yet."""
+        return self._pending
 
     async def claim(self, request: Any) -> Any:
         """Asks one control instance after the other.
@@ -67,6 +73,13 @@
         defer.ensureDeferred(self._settle(_end(request, 0, None)))
 
     async def _settle(self, ended: Any) -> None:
+        self._pending += 1
+        try:
+            await self._settle_until_confirmed(ended)
+        finally:
+            self._pending -= 1
+
+    async def _settle_until_confirmed(self, ended: Any) -> None:
         for _ in range(_SETTLE_ATTEMPTS):
             for client in self._clients:
                 answer = await client.settle(ended)
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -246,8 +246,9 @@
         self._admission.set_slots(slots)
 
     def _is_empty(self) -> bool:
-        """True if no call is in flight and none can come."""
-        return self._admission.is_drained and not self._env.ingress_calls
+        """True if no call is in flight and no answer is left to store."""
+        has_calls = not self._admission.is_drained or self._env.ingress_calls
+        return not has_calls and not self._env.claims.pending
 
     def _expire_backend(self, now_s: float) -> None:
         if self.ingress.backend is None:
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -84,6 +84,20 @@
         assert again.received.endswith(b"whole answer to /crew")
         assert self._runs(pair) == 1
 
+    def test_stop_waits_until_the_answer_is_stored(self, cluster, pair):
+        request = POST + REQUEST_ID + b"\r\nabc"
+        cluster.ask(pair[0].ingress_port, request)
+        cluster.control.is_cut = True
+        backend.answer_ok(pair[0].backend.calls[0])
+        pair[0].node.stop()
+        cluster.network.run(3.0)
+        assert pair[0].node.get_status()["state"] == "draining"
+        cluster.control.is_cut = False
+        cluster.network.run(1.0)
+        assert pair[0].node.get_status()["state"] == "gone"
+        again = cluster.ask(pair[1].ingress_port, request)
+        assert again.received.endswith(b"whole answer to /crew")
+
     def test_lost_outcome_is_never_run_again(self, cluster, pair):
         request = POST + REQUEST_ID + b"\r\nabc"
         first = cluster.ask(pair[0].ingress_port, request)
