Tell siblings that start later of the suspects

Cause: a node that restarted knew no suspect, so that a request could cost its service one more backend server after each restart. Test: test_sibling_that_starts_later_hears_of_the_suspects, failing before.

--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -162,7 +162,16 @@
         for service, news in services.items():
             self._env.router.update_endpoints(now_s, service, news)
             if backend is not None and service == backend.service:
-                self._siblings.update(news)
+                self._introduce(self._siblings.update(news))
+
+    def _introduce(
+        self, started: Sequence[endpoint_record.EndpointRecord]
+    ) -> None:
+        """Tells siblings that have started of the suspects known here."""
+        messages = self._env.quarantine.describe()
+        for sibling in started:
+            for message in messages:
+                self._siblings.tell_one(sibling, message)
 
     def configuration_changed(self, version: int, document: str) -> None:
         """Puts a configuration in force, unless a newer one is."""
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -25,6 +25,7 @@
 
 _PROBE_TIMEOUT_S = 1.0
 _MAXIMUM_KEYS = 8192
+_MAXIMUM_TOLD_KEYS = 64
 
 _log = structlog.get_logger()
 
@@ -97,9 +98,9 @@
         self._tell = tell
         self._on_dead = on_dead
         self._proof = proof
-        self._deaths: collections.OrderedDict[str, set[str]] = (
-            collections.OrderedDict()
-        )
+        self._deaths: collections.OrderedDict[
+            str, dict[str, suspect_message.Death]
+        ] = collections.OrderedDict()
         self._lost: list[str] = []
         self._is_probing = False
 
@@ -164,10 +165,19 @@
             now_s, news.key, deaths, was_sole=news.was_sole
         )
 
+    def describe(self) -> list[peer_request.PeerMessage]:
+        """Returns what a sibling that has just started must hear."""
+        latest = list(self._deaths.values())[-_MAXIMUM_TOLD_KEYS:]
+        return [
+            suspect_message.encode_death(death, self._proof)
+            for deaths in latest
+            for death in deaths.values()
+        ]
+
     def _count(self, death: suspect_message.Death) -> int:
         """Returns the distinct deaths known for a key."""
-        known = self._deaths.setdefault(death.key, set())
-        known.add(death.death_id)
+        known = self._deaths.setdefault(death.key, {})
+        known[death.death_id] = death
         self._deaths.move_to_end(death.key)
         if len(self._deaths) > _MAXIMUM_KEYS:
             self._deaths.popitem(last=False)
--- a/src/cranberrymux/node/siblings.py
+++ b/src/cranberrymux/node/siblings.py
@@ -19,21 +19,40 @@
         self._pool = pool
         self._records: dict[str, endpoint_record.EndpointRecord] = {}
 
-    def update(self, records: Sequence[endpoint_record.EndpointRecord]) -> None:
-        """Takes news of endpoints of the own service."""
+    def update(
+        self, records: Sequence[endpoint_record.EndpointRecord]
+    ) -> list[endpoint_record.EndpointRecord]:
+        """Takes news of endpoints of the own service.
+
+        Returns:
+            The siblings whose process is new here.
+        """
+        started = []
         for record in records:
             if record.endpoint_id == self._own_id:
                 continue
             if record.state is endpoint_state.EndpointState.GONE:
                 self._records.pop(record.endpoint_id, None)
-            else:
-                self._records[record.endpoint_id] = record
+                continue
+            known = self._records.get(record.endpoint_id)
+            if known is None or known.incarnation < record.incarnation:
+                started.append(record)
+            self._records[record.endpoint_id] = record
+        return started
 
     def tell(self, message: peer_request.PeerMessage) -> None:
         """Sends a message to every sibling; nobody waits for an answer."""
         for record in self._records.values():
-            request = peer_request.PeerRequest(message, lambda body: None)
-            request.start(
-                self._pool,
-                connection_pool.Address(record.address, record.port),
-            )
+            self.tell_one(record, message)
+
+    def tell_one(
+        self,
+        sibling: endpoint_record.EndpointRecord,
+        message: peer_request.PeerMessage,
+    ) -> None:
+        """Sends a message to one sibling; nobody waits for an answer."""
+        request = peer_request.PeerRequest(message, lambda body: None)
+        request.start(
+            self._pool,
+            connection_pool.Address(sibling.address, sibling.port),
+        )
--- a/tests/node/test_promises.py
+++ b/tests/node/test_promises.py
@@ -433,3 +433,15 @@
     assert leaf.node.get_status()["limit"] == 2
     cluster.configure(CLASSES)
     assert leaf.node.get_status()["limit"] == 8
+
+
+def test_sibling_that_starts_later_hears_of_the_suspects(cluster):
+    leaf = cluster.add("leaf-0", "leaf")
+    cluster.ask(leaf.ingress_port, GET + REQUEST_ID + b"\r\n")
+    leaf.backend.die()
+    cluster.network.run(0.1)
+    leaf.backend.start()
+    cluster.announce(leaf)
+    late = cluster.add("leaf-1", "leaf")
+    cluster.network.run(0.5)
+    assert late.node.get_status()["suspects"] == 2
