--- a/tests/bench/test_overload.py
+++ b/tests/bench/test_overload.py
@@ -1,9 +1,10 @@
 """The stated goals under overload, from the bench's virtual clock.
 
-Not asserted here: protected loss in slow-surge-resends and in poison, which
-miss their bound; the bench prints them. The bounds are the stated ones.
+What misses its bound stands in KNOWN-RED.txt.
 """
 
+import functools
+
 import pytest
 
 from bench import bench_overload
@@ -19,24 +20,36 @@
     (deployment.CASCADE, scenario.RESTART),
     (deployment.SERENDIB, scenario.SURGE),
 ]
-MISSED = {
-    "overload.slow-surge-resends.protected_loss",
-    "overload.poison.protected_loss",
-}
-
-
-@pytest.mark.parametrize(
+PROTECTED_LOSS = "protected_loss"
+EACH_RUN = pytest.mark.parametrize(
     ("where", "plan"), RUNS, ids=lambda one: getattr(one, "name", one)
 )
-def test_keeps_the_stated_bounds(where, plan):
+
+
+@functools.cache
+def _make_figures(where, plan):
     result = bench_overload.measure(where, plan, policy.CONTROL)
-    for one in bench_overload.make_figures(
-        f"overload.{plan.name}", plan, result
-    ):
-        if one.name not in MISSED:
+    return bench_overload.make_figures(f"overload.{plan.name}", plan, result)
+
+
+@EACH_RUN
+def test_keeps_the_stated_bounds(where, plan):
+    for one in _make_figures(where, plan):
+        if not one.name.endswith(PROTECTED_LOSS):
             assert one.holds, one
 
 
+@EACH_RUN
+def test_keeps_the_bound_of_protected_loss(where, plan):
+    found = [
+        one
+        for one in _make_figures(where, plan)
+        if one.name.endswith(PROTECTED_LOSS)
+    ]
+    assert len(found) == 1
+    assert found[0].holds, found[0]
+
+
 def test_the_same_seed_gives_the_same_figures():
     plan = scenario.SURGE._replace(begins_s=0.5, ends_s=1.0, run_s=4.0)
     first = bench_overload.measure(deployment.CASCADE, plan, policy.CONTROL)
