--- a/src/cranberrymux/demo/deployment.py
+++ b/src/cranberrymux/demo/deployment.py
@@ -36,7 +36,7 @@
         """
         self.controls: list[process.Process] = []
         self.endpoints: list[endpoint_processes.EndpointProcesses] = []
-        self._nodes: list[endpoint_processes.EndpointProcesses] = []
+        self._processes: list[process.Process] = []
         self._folder = pathlib.Path(folder)
         self._key_file = self._write("cluster.key", secrets.token_hex(16))
         self._token_file = self._write("operator.token", secrets.token_hex(16))
@@ -119,7 +119,7 @@
                 "heartbeat_ms": _HEARTBEAT_MS,
             },
         )
-        started = endpoint_processes.EndpointProcesses(
+        return endpoint_processes.EndpointProcesses(
             service,
             name,
             zone,
@@ -130,8 +130,6 @@
             node,
             None,
         )
-        self._nodes.append(started)
-        return started
 
     def find(self, service: str) -> list[endpoint_processes.EndpointProcesses]:
         """Returns the endpoints of a service."""
@@ -170,13 +168,8 @@
 
     def stop(self) -> None:
         """Ends every process that still runs."""
-        for endpoint in self.endpoints:
-            if endpoint.backend is not None:
-                endpoint.backend.kill()
-        for endpoint in self._nodes:
-            endpoint.node.kill()
-        for control in self.controls:
-            control.kill()
+        for one in reversed(self._processes):
+            one.kill()
 
     def write_settings(self, name: str, values: Any) -> str:
         """Writes a settings file; returns its path."""
@@ -207,9 +200,11 @@
 
     def _start(self, name: str, module: str, values: Any) -> process.Process:
         path = self.write_settings(name, values)
-        return process.Process(
+        started = process.Process(
             name, module, ["--settings", path], str(self._folder)
         )
+        self._processes.append(started)
+        return started
 
     def _write(self, name: str, text: str) -> str:
         path = self._folder / name
