--- a/src/cranberrymux/node/http/server_factory.py
+++ b/src/cranberrymux/node/http/server_factory.py
@@ -43,11 +43,6 @@
         self._limits = message_limits
         self._open_connections: set[server_connection.ServerConnection] = set()
 
-    @property
-    def open_count(self) -> int:
-        """Connections that are open."""
-        return len(self._open_connections)
-
     def buildProtocol(  # noqa: N802
         self, addr: Any
     ) -> server_connection.ServerConnection:
