--- a/src/cranberrymux/__init__.py
+++ b/src/cranberrymux/__init__.py
@@ -6,20 +6,28 @@
     >>> async def show(addresses, token):
     ...     found = await cranberrymux.get(addresses, token)
     ...     print(found.version, found.document)
+
+The names are loaded when they are first used, since the programs of the system
+need none of them and start often.
 """
 
-from cranberrymux.api import apply
-from cranberrymux.api import drain
-from cranberrymux.api import get
-from cranberrymux.api import history
-from cranberrymux.api import open_session
-from cranberrymux.api import rollback
-from cranberrymux.api import status
-from cranberrymux.api import validate
-from cranberrymux.exceptions import CranberrymuxError
-from cranberrymux.exceptions import SettingsError
-from cranberrymux.sessions import OperatorSession
-from cranberrymux.sessions import SessionError
+import importlib
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from cranberrymux.api import apply
+    from cranberrymux.api import drain
+    from cranberrymux.api import get
+    from cranberrymux.api import history
+    from cranberrymux.api import open_session
+    from cranberrymux.api import rollback
+    from cranberrymux.api import status
+    from cranberrymux.api import validate
+    from cranberrymux.exceptions import CranberrymuxError
+    from cranberrymux.exceptions import SettingsError
+    from cranberrymux.sessions import OperatorSession
+    from cranberrymux.sessions import SessionError
 
 __version__ = "0.1.0"
 
@@ -37,3 +45,18 @@
     "status",
     "validate",
 ]
+
+_MODULES = {
+    "CranberrymuxError": "cranberrymux.exceptions",
+    "SettingsError": "cranberrymux.exceptions",
+    "OperatorSession": "cranberrymux.sessions",
+    "SessionError": "cranberrymux.sessions",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Loads one of the names of the surface."""
+    if name not in __all__:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(_MODULES.get(name, "cranberrymux.api"))
+    return getattr(module, name)
--- a/src/cranberrymux/consensus/replica.py
+++ b/src/cranberrymux/consensus/replica.py
@@ -18,11 +18,25 @@
     one monotonic clock that also counts while the instance sleeps.
     """
 
+    def silent_voters(self, now_s: float, limit_s: float) -> tuple[str, ...]:
+        """Other voters that this replica has not heard within the limit.
+
+        A leader counts from the beginning of its lead at the earliest.
+        """
+        if self._leader is None:
+            return member_rules.silent_voters(
+                self._journal, self._heard_at_s, now_s, limit_s
+            )
+        return tuple(
+            one
+            for one in sorted(self._journal.members.voters)
+            if one != self.replica_id
+            and self._leader.silent_s(now_s, one) > limit_s
+        )
+
     def status(self, now_s: float) -> status_module.Status:
         """What operators want to know."""
-        silent = member_rules.silent_voters(
-            self._journal, self._heard_at_s, now_s, 2 * self._settings.lease_s
-        )
+        silent = self.silent_voters(now_s, 2 * self._settings.lease_s)
         if self._leader is not None:
             quorum_heard = self._leader.has_contact(now_s)
         else:
--- a/src/cranberrymux/control/command_log.py
+++ b/src/cranberrymux/control/command_log.py
@@ -32,5 +32,8 @@
     def leader(self) -> str:
         """Name of the leader; empty if none is known."""
 
+    def addresses(self) -> tuple[str, ...]:
+        """`ip:port` of the control instances that are known."""
+
     def deliver(self, message: Any) -> None:
         """Takes a thrift `PeerMessage`."""
--- a/src/cranberrymux/control/control_settings.py
+++ b/src/cranberrymux/control/control_settings.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from cranberrymux import exceptions
+from cranberrymux.control import forming as forming_module
 from cranberrymux.control import peer
 from cranberrymux.settings import field
 from cranberrymux.settings import loader
@@ -97,6 +98,8 @@
         claim_running_s: A claim that has run longer has an unknown outcome.
         statsd_address: `ip:port` of a collector of metrics; empty for none.
         statsd_prefix: First part of the metrics' names.
+        forming: How the others are found if `peers` are only seeds; None if
+            `peers` are all there are.
     """
 
     control_id: str
@@ -118,6 +121,14 @@
     claim_running_s: int
     statsd_address: str
     statsd_prefix: str
+    forming: forming_module.Forming | None = None
+
+    @property
+    def minimum_voters(self) -> int:
+        """Voters below which no command is accepted."""
+        if self.forming is not None:
+            return self.forming.minimum_voters
+        return len(self.peers) // 2 + 1
 
     @property
     def others(self) -> tuple[peer.Peer, ...]:
--- a/src/cranberrymux/control/joining.py
+++ b/src/cranberrymux/control/joining.py
@@ -1,5 +1,6 @@
 """How control instances found a cluster and join it."""
 
+from collections.abc import Iterable
 from typing import Any
 import uuid
 
@@ -40,6 +41,18 @@
         self._empty_at_s: dict[str, float] = {}
         self._next_contact_s = 0.0
 
+    @property
+    def address(self) -> str:
+        """`ip:port` of this instance."""
+        return self._address
+
+    def learn(self, addresses: Iterable[str]) -> None:
+        """Takes addresses of instances; here `peers` holds them all."""
+
+    def due_change(self, now_s: float) -> member_change.MemberChange | None:
+        """The next change of members that is due, if this one leads."""
+        return self._driver.due_change(now_s)
+
     def introduction(self) -> Any:
         """Returns this instance's `Contact`."""
         return ttypes.Contact(
@@ -82,6 +95,9 @@
         for name in self._peers.names:
             if now_s - self._empty_at_s.get(name, -_FRESH_S) > _FRESH_S:
                 return None
+        return self._found(now_s)
+
+    def _found(self, now_s: float) -> driver_module.Actions | None:
         result = self._driver.found(now_s, uuid.uuid4().hex, self._address)
         return result if isinstance(result, driver_module.Actions) else None
 
--- a/src/cranberrymux/control/main.py
+++ b/src/cranberrymux/control/main.py
@@ -5,6 +5,7 @@
 import sys
 
 from cranberrymux import exceptions
+from cranberrymux.control import api_port
 from cranberrymux.control import checking
 from cranberrymux.control import control_settings
 from cranberrymux.control import program
@@ -56,4 +57,5 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     logs.configure("cranberrymux-control")
-    return program.Program(settings, cluster_key, token).run()
+    operators = api_port.ApiPort(token)
+    return program.Program(settings, cluster_key, operators).run()
--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -114,6 +114,7 @@
             drain=self.nodes.is_drain_requested(
                 heartbeat.node_id, heartbeat.incarnation
             ),
+            control_instances=list(self._log.addresses()),
         )
 
     async def claim(self, key: str, request: Any) -> Any:
--- a/src/cranberrymux/control/peer.py
+++ b/src/cranberrymux/control/peer.py
@@ -26,3 +26,11 @@
     if not control_id or address is None:
         return None
     return Peer(control_id, address.host, address.port)
+
+
+def at_address(text: str) -> Peer | None:
+    """Reads `ip:port` of an instance that is named after its IP number."""
+    address = socket_address.parse(text)
+    if address is None:
+        return None
+    return Peer(address.host, address.host, address.port)
--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -8,14 +8,13 @@
 from twisted.internet import error
 from twisted.internet import reactor as installed_reactor
 from twisted.internet import task
-from twisted.web import server
 
 from cranberrymux import storage
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import replica_settings
 from cranberrymux.control import control_settings
 from cranberrymux.control import node_service
-from cranberrymux.control import operator_api
+from cranberrymux.control import operator_port
 from cranberrymux.control import peer_clients
 from cranberrymux.control import quorum_log
 from cranberrymux.control import replica_loop
@@ -25,9 +24,6 @@
 from cranberrymux.telemetry import metrics_settings
 from cranberrymux.wire import control_server
 
-# The library has no types.
-_Site: Any = server.Site
-
 EXIT_OK = 0
 EXIT_FAILED = 1
 TICKS_PER_LEASE = 8
@@ -43,14 +39,14 @@
         self,
         settings: control_settings.ControlSettings,
         cluster_key: str,
-        token: str,
+        operators: operator_port.OperatorPort,
     ) -> None:
         """Builds the parts; `run` opens the sockets.
 
         Args:
             settings: The instance's settings.
             cluster_key: Key of nodes and control instances.
-            token: Token of operators.
+            operators: Opens the port of the operators.
         """
         self._settings = settings
         self._reactor: Any = installed_reactor
@@ -63,7 +59,7 @@
             )
         )
         self._cluster_key = cluster_key
-        self._token = token
+        self._operators = operators
 
     def run(self) -> int:
         """Serves until a signal or a failure; returns the exit code."""
@@ -138,28 +134,18 @@
             metrics=self._metrics,
             now_s=time.monotonic,
         )
-        api = operator_api.OperatorApi(
-            settings,
-            self._token,
-            machine=self._machine,
-            log=log,
-            service=service,
-            metrics=self._metrics,
-            now_s=time.monotonic,
-        )
         self._tick = task.LoopingCall(service.tick)
         self._factory = control_server.ControlServerFactory(
             service, service.report_bad_frame
         )
-        site = _Site(api.app.resource())
-        site.noisy = False
+        parts = operator_port.ControlParts(
+            settings, self._machine, log, service, self._metrics, self._reactor
+        )
         try:
             self._reactor.listenTCP(
                 settings.port, self._factory, interface=settings.address
             )
-            self._reactor.listenTCP(
-                settings.operator_port, site, interface=settings.address
-            )
+            self._operators.listen(parts)
         except error.CannotListenError as failed:
             self._events.error("cannot-listen", detail=str(failed))
             return False
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -16,6 +16,7 @@
 from cranberrymux.control import peer_clients
 from cranberrymux.control import proposals
 from cranberrymux.control import replica_loop
+from cranberrymux.control import seeded_joining
 from cranberrymux.control import vouching
 from cranberrymux.telemetry import metric
 from cranberrymux.telemetry import metrics_sink
@@ -62,7 +63,11 @@
         self._events = structlog.get_logger()
         self._lease_s = lease_s
         self._vouching = vouching.Vouching(lease_s)
-        self._joining = joining.Joining(settings, driver, peers)
+        self._joining: joining.Joining = (
+            joining.Joining(settings, driver, peers)
+            if settings.forming is None
+            else seeded_joining.SeededJoining(settings, driver, peers)
+        )
         self._ticking = task.LoopingCall(self._tick)
         self._seen_role = role_module.Role.LEARNER
 
@@ -139,6 +144,10 @@
         """Name of the leader; empty if none is known."""
         return replica_loop.name_of(self._driver.replica.leader_hint)
 
+    def addresses(self) -> tuple[str, ...]:
+        """`ip:port` of the control instances that are known, and this one."""
+        return (*self._peers.addresses, self._joining.address)
+
     def report_metrics(self) -> None:
         """Sends the gauges."""
         journal = self._driver.replica.journal
@@ -164,6 +173,7 @@
     def contact(self, contact: Any) -> Any:
         """Answers another control instance that tells who it is."""
         now_s = replica_loop.now_s()
+        self._joining.learn((contact.address,))
         added = self._joining.add_learner(
             now_s, contact.replica_id, contact.address
         )
@@ -176,6 +186,7 @@
             cluster_id=journal.members.cluster_id,
             commit_index=journal.commit_index,
             vouched_ms=self._leased_ms(now_s),
+            control_instances=list(self.addresses()),
         )
 
     def deliver(self, message: Any) -> None:
@@ -199,7 +210,7 @@
         """
         until_s = self._driver.vouches_until_s(now_s)
         voters = self._driver.replica.journal.members.voters
-        if until_s is None or len(voters) <= len(self._settings.peers) // 2:
+        if until_s is None or len(voters) < self._settings.minimum_voters:
             return 0
         return max(0, int(min(until_s - now_s, self._lease_s) * _MS_PER_S))
 
@@ -207,7 +218,7 @@
         if self._driver.storage_error is not None:
             return
         self._loop.act(self._driver.tick(replica_loop.now_s()))
-        change = self._driver.due_change(replica_loop.now_s())
+        change = self._joining.due_change(replica_loop.now_s())
         if change is not None:
             taken = self._driver.change_members(replica_loop.now_s(), change)
             if isinstance(taken, driver_module.Proposed):
@@ -234,6 +245,7 @@
         if isinstance(answer, wire_error.WireError):
             return
         self._joining.note_answer(name, asked_s, answer.cluster_id)
+        self._joining.learn(answer.control_instances or ())
         own = self._driver.replica.journal.members.cluster_id
         if answer.vouched_ms > 0 and answer.cluster_id == own:
             self._vouching.note_answer(asked_s, answer.commit_index)
--- a/src/cranberrymux/decisions/configuration/ledger.py
+++ b/src/cranberrymux/decisions/configuration/ledger.py
@@ -49,6 +49,11 @@
         """Returns the text of a version; None if it is not kept."""
         return self._documents.get(version)
 
+    def answer_of(self, change_id: str) -> change_answer.ChangeAnswer | None:
+        """Returns the answer that a change got; None if it is not known."""
+        known = self._answers.get(change_id)
+        return None if known is None else known.answer
+
     def history(self, limit: int = 50) -> list[change_record.ChangeRecord]:
         """Returns the last accepted changes, newest first."""
         newest_first = sorted(self._records, reverse=True)
--- /dev/null
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -0,0 +1,83 @@
+"""What one node knows of one endpoint."""
+
+import math
+
+from cranberrymux.models import endpoint_record
+
+REPORT_LIFE_S = 0.5  # What an endpoint said of its load fades over this time.
+FIRST_SUSPENSION_S = 0.5
+LONGEST_SUSPENSION_S = 4.0
+SILENCES_TO_SUSPEND = 3
+
+
+class EndpointView:
+    """Load and failures of an endpoint as its callers see them.
+
+    Attributes:
+        record: The newest record from the directory.
+        outstanding: Requests of this node that it has not answered.
+    """
+
+    __slots__ = (
+        "_reported",
+        "_reported_s",
+        "_silences",
+        "_suspended_until_s",
+        "_suspension_s",
+        "outstanding",
+        "record",
+    )
+
+    def __init__(self, record: endpoint_record.EndpointRecord) -> None:
+        """Starts without load."""
+        self.record = record
+        self.outstanding = 0
+        self._reported = 0.0
+        self._reported_s = -math.inf
+        self._silences = 0
+        self._suspended_until_s = -math.inf
+        self._suspension_s = FIRST_SUSPENSION_S
+
+    def load(self, now_s: float) -> float:
+        """Estimate of requests there for each of its slots."""
+        age_s = now_s - self._reported_s
+        reported = 0.0
+        if age_s < REPORT_LIFE_S:
+            reported = self._reported * (1.0 - age_s / REPORT_LIFE_S)
+        slots = max(self.record.slots, 1)
+        return max(reported, self.outstanding) / slots
+
+    def is_suspended(self, now_s: float) -> bool:
+        """True while requests are kept away from it."""
+        return now_s < self._suspended_until_s
+
+    def note_load(self, now_s: float, requests: int) -> None:
+        """Takes the requests that run and wait there, by its own word."""
+        self._reported = requests
+        self._reported_s = now_s
+
+    def note_answer(self) -> None:
+        """Takes note that it answers."""
+        self._silences = 0
+        self._suspension_s = FIRST_SUSPENSION_S
+        self._suspended_until_s = -math.inf
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Keeps away for a while, twice as long each time."""
+        if self.is_suspended(now_s):
+            return
+        self._suspended_until_s = now_s + self._suspension_s
+        self._suspension_s = min(2 * self._suspension_s, LONGEST_SUSPENSION_S)
+
+    def note_silence(self, now_s: float) -> None:
+        """Takes note of a request that ended with no answer."""
+        self._silences += 1
+        if self._silences >= SILENCES_TO_SUSPEND:
+            self._silences = 0
+            self.note_unreachable(now_s)
+
+    def note_away(self, now_s: float) -> None:
+        """Takes note that it said it takes no work at present."""
+        self._suspended_until_s = max(
+            self._suspended_until_s, now_s + FIRST_SUSPENSION_S
+        )
--- /dev/null
+++ b/src/cranberrymux/decisions/retries/repeat_bucket.py
@@ -0,0 +1,49 @@
+"""This node's part of the repeats that all nodes together may send."""
+
+
+class RepeatBucket:
+    """A token bucket for each service, filled by first requests."""
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        """Starts with the slack of one node.
+
+        Args:
+            ratio: Repeats for each first request, summed over all nodes.
+            slack: Repeats beyond that in a window, summed over all nodes.
+            window_s: Length of the window in seconds.
+        """
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        self._nodes = 1
+        self._tokens: dict[str, tuple[float, float]] = {}
+
+    def set_nodes(self, nodes: int) -> None:
+        """Takes the count of nodes that share the slack."""
+        self._nodes = max(nodes, 1)
+
+    def note_first(self, service: str, now_s: float) -> None:
+        """Counts a request that goes to an endpoint for the first time."""
+        tokens, _ = self._refill(service, now_s)
+        most = self._share + 1.0
+        self._tokens[service] = (min(tokens + self._ratio, most), now_s)
+
+    def take(self, service: str, now_s: float) -> bool:
+        """Takes a repeat; False if none is left."""
+        tokens, _ = self._refill(service, now_s)
+        if tokens < 1.0:
+            return False
+        self._tokens[service] = (tokens - 1.0, now_s)
+        return True
+
+    @property
+    def _share(self) -> float:
+        return self._slack / self._nodes / 2  # Full at the start, and refilled.
+
+    def _refill(self, service: str, now_s: float) -> tuple[float, float]:
+        share = self._share
+        tokens, at_s = self._tokens.get(service, (share, now_s))
+        filled = tokens + (now_s - at_s) * share / self._window_s
+        tokens = max(tokens, min(filled, share))
+        self._tokens[service] = (tokens, now_s)
+        return tokens, now_s
--- /dev/null
+++ b/src/cranberrymux/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The node that serves routes: requests by host and path, to any endpoint."""
--- /dev/null
+++ b/src/cranberrymux/gateway/entry.py
@@ -0,0 +1,52 @@
+"""Takes requests that begin at this node."""
+
+import json
+
+from cranberrymux.gateway import entry_call
+from cranberrymux.gateway import hop
+from cranberrymux.gateway import parts as parts_module
+from cranberrymux.node.http import headers as headers_module
+from cranberrymux.node.http import inbound_call
+
+
+class Entry:
+    """The handler of the entry port."""
+
+    def __init__(self, parts: parts_module.GatewayParts) -> None:
+        """Keeps the parts."""
+        self._parts = parts
+        dialect = parts.settings.dialect
+        self._replaced = frozenset(
+            (
+                dialect.deadline_ms,
+                dialect.caller_service,
+                dialect.expected_backend,
+            )
+        )
+        self._caller = (
+            dialect.caller_service,
+            parts.settings.service.encode(),
+        )
+
+    def handle_call(self, call: inbound_call.InboundCall) -> None:
+        """Finds the route and sends the request on."""
+        parts = self._parts
+        table = parts.routes.table
+        if table is None:
+            entry_call.refuse(parts, call, "no configuration is known yet")
+            return
+        host = headers_module.find(call.head.headers, b"host") or b""
+        path = call.head.target.partition(b"?")[0]
+        route = table.find(host.decode("latin-1"), path.decode("latin-1"))
+        if route is None:
+            body = json.dumps({"error": "no-route"}).encode()
+            call.answer(404, [(b"content-type", b"application/json")], body)
+            return
+        headers = [
+            one
+            for one in hop.strip(headers_module.forwardable(call.head.headers))
+            if one[0] not in self._replaced
+        ]
+        headers.append(self._caller)
+        headers.append((hop.ROUTE, route.name.encode()))
+        entry_call.EntryCall(parts, call, route, headers).start()
--- /dev/null
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -0,0 +1,318 @@
+"""A request that begins at this node: where it goes and how it ends."""
+
+import enum
+import json
+from typing import Any
+
+from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.routes import route as route_module
+from cranberrymux.gateway import attempt as attempt_module
+from cranberrymux.gateway import hop
+from cranberrymux.gateway import outgoing
+from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import retry_advice
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import headers as headers_module
+from cranberrymux.node.http import inbound_call
+from cranberrymux.node.http import lost_answer
+
+MOST_NODES_ASKED = 4  # Nodes that may refuse one request before it is refused.
+_BODY_TYPE = (b"content-type", b"application/json")
+
+
+class Outcome(enum.Enum):
+    """How a request ended that this node answers itself."""
+
+    NO_CONFIGURATION = "no-configuration"
+    NO_ROUTE = "no-route"
+    NO_ENDPOINT = "no-endpoint"
+    REFUSED = "refused"
+    EXPIRED = "expired"
+    TIMED_OUT = "timed-out"
+    LOST = "lost"
+    TRUNCATED = "truncated"
+    CANCELLED = "cancelled"
+
+
+class EntryCall:
+    """One attempt of a client, from its request to its answer."""
+
+    def __init__(
+        self,
+        parts: parts_module.GatewayParts,
+        call: inbound_call.InboundCall,
+        route: route_module.Route,
+        headers: headers_module.HeaderList,
+    ) -> None:
+        """Keeps the call; `start` sends it on.
+
+        Args:
+            parts: The gateway's parts.
+            call: The request as read.
+            route: Its route.
+            headers: Headers to pass on, without the deadline.
+        """
+        self._parts = parts
+        self._call = call
+        self._route = route
+        self._headers = headers
+        dialect = parts.settings.dialect
+        self._request_id = (
+            headers_module.find(call.head.headers, dialect.request_id) or b""
+        )
+        self._began_s = parts.clock.now_s()
+        self._deadline_s = self._read_deadline_s()
+        self._service = parts.splits.choose(route)
+        self._tried: list[str] = []
+        self._sent = 0
+        self._attempt: attempt_module.Attempt | None = None
+        self._endpoint: endpoint_view.EndpointView | None = None
+        self._is_maybe_run = False
+        self._is_streamed = False
+        self._timer: Any = None
+
+    def start(self) -> None:
+        """Sends the request to the first endpoint."""
+        left_s = self._deadline_s - self._began_s
+        if left_s <= 0:
+            self._refuse(Outcome.EXPIRED)
+            return
+        self._call.on_cancel = self._cancelled
+        self._call.on_full = self._pause
+        self._call.on_drained = self._resume
+        self._timer = self._parts.reactor.callLater(left_s, self._timed_out)
+        self._send_next()
+
+    def _read_deadline_s(self) -> float:
+        name = self._parts.settings.dialect.deadline_ms
+        said = headers_module.find(self._call.head.headers, name)
+        wait_s = self._route.timeout_s
+        if said is not None and said.isdigit():
+            wait_s = min(wait_s, int(said) / 1000)
+        return self._began_s + wait_s
+
+    def _send_next(self) -> None:
+        now_s = self._parts.clock.now_s()
+        endpoint = self._parts.endpoints.choose(
+            self._service, now_s, self._tried
+        )
+        if endpoint is None or len(self._tried) >= MOST_NODES_ASKED:
+            outcome = Outcome.REFUSED if self._tried else Outcome.NO_ENDPOINT
+            self._refuse(outcome)
+            return
+        record = endpoint.record
+        self._tried.append(record.endpoint_id)
+        left_ms = int((self._deadline_s - now_s) * 1000)
+        if left_ms <= 0:
+            self._timed_out()
+            return
+        dialect = self._parts.settings.dialect
+        headers = [
+            *self._headers,
+            (dialect.deadline_ms, b"%d" % left_ms),
+            (hop.TARGET, record.backend_id.encode()),
+        ]
+        self._endpoint = endpoint
+        endpoint.outstanding += 1
+        if not self._sent:
+            self._parts.repeats.note_first(self._service, now_s)
+        head = self._call.head
+        self._attempt = attempt_module.Attempt(
+            self._parts.hops,
+            connection_pool.Address(record.address, record.port),
+            outgoing.Outgoing(head.method, head.target, headers, self._call),
+            self,
+            self._request_id,
+            dialect.request_id,
+        )
+        self._attempt.start()
+
+    # The outcome of one attempt.
+
+    def attempt_sent(self) -> None:
+        """The endpoint's node may get the request from now on."""
+        self._sent += 1
+        if not self._call.is_body_complete:
+            self._is_streamed = True
+
+    def attempt_answered(
+        self, head: answer_head.AnswerHead, body: bytes
+    ) -> None:
+        """Passes an answer on, or tries elsewhere."""
+        endpoint = self._release()
+        now_s = self._parts.clock.now_s()
+        if endpoint is not None:
+            endpoint.note_answer()
+            self._take_load(endpoint, head, now_s)
+        not_run = headers_module.find(head.headers, hop.NOT_RUN)
+        if not_run is not None:
+            self._take_refusal(endpoint, not_run, now_s)
+            return
+        self._finish_timer()
+        self._call.answer(head.status, _visible(head), body)
+
+    def attempt_streaming(
+        self, head: answer_head.AnswerHead, body: bytes
+    ) -> None:
+        """Passes the beginning of a long answer on."""
+        self._finish_timer()
+        self._call.start_answer(head._replace(headers=_visible(head)))
+        self._call.send_body(body)
+
+    def attempt_part(self, part: bytes) -> None:
+        """Passes more of a long answer on."""
+        self._call.send_body(part)
+
+    def attempt_ended(self) -> None:
+        """Ends a long answer."""
+        self._release()
+        self._call.finish()
+
+    def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
+        """Tries elsewhere, or says that the outcome is unknown."""
+        endpoint = self._release()
+        now_s = self._parts.clock.now_s()
+        if self._call.is_head_sent:
+            self._log(Outcome.TRUNCATED, loss.detail)
+            self._call.abort()
+            return
+        if endpoint is not None:
+            endpoint.note_unreachable(now_s)
+        if not loss.is_handed_over:
+            self._send_next()
+            return
+        self._is_maybe_run = True
+        if self._may_repeat(now_s):
+            self._send_next()
+            return
+        self._fail(Outcome.LOST, 502, loss.detail)
+
+    # Ends.
+
+    def _take_load(
+        self,
+        endpoint: endpoint_view.EndpointView,
+        head: answer_head.AnswerHead,
+        now_s: float,
+    ) -> None:
+        said = headers_module.find(head.headers, hop.LOAD)
+        if said is not None and said.isdigit():
+            endpoint.note_load(now_s, int(said))
+
+    def _take_refusal(
+        self,
+        endpoint: endpoint_view.EndpointView | None,
+        reason: bytes,
+        now_s: float,
+    ) -> None:
+        """The endpoint's node, or the backend server, did not run it."""
+        if endpoint is not None and reason != b"full":
+            endpoint.note_away(now_s)
+        if self._is_streamed:
+            self._refuse(Outcome.REFUSED, reason.decode("latin-1"))
+            return
+        self._send_next()
+
+    def _may_repeat(self, now_s: float) -> bool:
+        return (
+            self._route.is_idempotent
+            and not self._is_streamed
+            and self._sent < self._route.attempts
+            and self._parts.repeats.take(self._service, now_s)
+        )
+
+    def _timed_out(self) -> None:
+        self._timer = None
+        endpoint = self._release()
+        if endpoint is not None:
+            endpoint.note_silence(self._parts.clock.now_s())
+        if self._attempt is not None:
+            self._attempt.cancel()
+        if self._call.is_head_sent:
+            self._log(Outcome.TRUNCATED, "the deadline passed")
+            self._call.abort()
+        elif self._sent:
+            self._fail(Outcome.TIMED_OUT, 504, "no answer in time")
+        else:
+            self._refuse(Outcome.EXPIRED)
+
+    def _cancelled(self) -> None:
+        self._finish_timer()
+        self._release()
+        if self._attempt is not None:
+            self._attempt.cancel()
+
+    def _refuse(self, outcome: Outcome, detail: str = "") -> None:
+        """Answers that the request did not run, if that is so."""
+        if self._is_maybe_run:
+            self._fail(Outcome.LOST, 502, "an attempt was lost")
+            return
+        self._finish_timer()
+        self._log(outcome, detail)
+        refuse(self._parts, self._call, outcome.value)
+
+    def _fail(self, outcome: Outcome, status: int, detail: str) -> None:
+        self._finish_timer()
+        self._log(outcome, detail)
+        body = json.dumps({"error": outcome.value, "detail": detail}).encode()
+        self._call.answer(status, [self._id_header(), _BODY_TYPE], body)
+
+    def _id_header(self) -> tuple[bytes, bytes]:
+        return (self._parts.settings.dialect.request_id, self._request_id)
+
+    def _log(self, outcome: Outcome, detail: str) -> None:
+        now_s = self._parts.clock.now_s()
+        self._parts.events.info(
+            "request-ended",
+            reason=outcome.value,
+            request_id=self._request_id.decode("latin-1"),
+            route=self._route.name,
+            service=self._service,
+            tried=self._tried,
+            sent=self._sent,
+            elapsed_ms=round((now_s - self._began_s) * 1000),
+            left_ms=round((self._deadline_s - now_s) * 1000),
+            detail=detail,
+        )
+
+    def _release(self) -> endpoint_view.EndpointView | None:
+        endpoint = self._endpoint
+        self._endpoint = None
+        if endpoint is not None:
+            endpoint.outstanding -= 1
+        return endpoint
+
+    def _finish_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _pause(self) -> None:
+        if self._attempt is not None:
+            self._attempt.pause()
+
+    def _resume(self) -> None:
+        if self._attempt is not None:
+            self._attempt.resume()
+
+
+def refuse(
+    parts: parts_module.GatewayParts,
+    call: inbound_call.InboundCall,
+    reason: str,
+) -> None:
+    """Answers that a request did not run and when to come back."""
+    dialect = parts.settings.dialect
+    request_id = headers_module.find(call.head.headers, dialect.request_id)
+    headers = [
+        (dialect.request_id, request_id or b""),
+        (dialect.retry_after, retry_advice.draw(parts.generator)),
+        _BODY_TYPE,
+    ]
+    body = json.dumps({"error": "not-run", "detail": reason}).encode()
+    call.answer(503, headers, body)
+
+
+def _visible(head: answer_head.AnswerHead) -> headers_module.HeaderList:
+    return hop.strip(headers_module.forwardable(head.headers))
--- /dev/null
+++ b/src/cranberrymux/gateway/exit.py
@@ -0,0 +1,169 @@
+"""Takes requests for the backend server beside this node."""
+
+import itertools
+from typing import Any
+
+from twisted.internet import task
+
+from cranberrymux.decisions.presence import presence as presence_module
+from cranberrymux.decisions.pressure import gate as gate_module
+from cranberrymux.gateway import exit_call
+from cranberrymux.gateway import hop
+from cranberrymux.gateway import parts as parts_module
+from cranberrymux.models import socket_address
+from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import headers as headers_module
+from cranberrymux.node.http import inbound_call
+
+TICK_S = 0.02
+# A request waits for its slot at most for this part of what its caller has.
+LONGEST_WAIT_RATIO = 0.4
+_Verdict = gate_module.GateVerdict
+
+
+class Exit:
+    """The handler of the hop port; keeps the slots of the backend server."""
+
+    def __init__(
+        self,
+        parts: parts_module.GatewayParts,
+        presence: presence_module.Presence,
+    ) -> None:
+        """Starts idle."""
+        self._parts = parts
+        self._presence = presence
+        self._pool = connection_pool.ConnectionPool(
+            parts.reactor, accepts_unframed=True
+        )
+        self._gate = gate_module.Gate(1)
+        self._calls: dict[int, exit_call.ExitCall] = {}
+        self._numbers = itertools.count(1)
+        self._is_stopping = False
+        self._ticking: Any = task.LoopingCall(self._expire)
+        self._ticking.clock = parts.reactor
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that run or wait here."""
+        return len(self._calls)
+
+    def backend_changed(self) -> None:
+        """Takes over slots and state of the backend server."""
+        current = self._presence.current
+        if current is not None:
+            self._gate.set_slots(current.slots)
+        if not self._presence.is_serving(self._parts.clock.now_s()):
+            self._refuse_all(self._gate.close(), b"draining")
+        self._start_waiting()
+
+    def stop(self) -> None:
+        """Refuses new requests; those that run go on."""
+        self._is_stopping = True
+        self._refuse_all(self._gate.close(), b"stopping")
+
+    def handle_call(self, call: inbound_call.InboundCall) -> None:
+        """Gives the request a slot, lets it wait, or refuses it."""
+        now_s = self._parts.clock.now_s()
+        name = self._parts.settings.dialect.deadline_ms
+        said = headers_module.find(call.head.headers, name) or b"0"
+        left_s = int(said) / 1000 if said.isdigit() else 0.0
+        ticket_id = next(self._numbers)
+        one = exit_call.ExitCall(
+            self._parts, self, self._pool, call, ticket_id, now_s + left_s
+        )
+        reason = self._find_obstacle(call, now_s)
+        if reason:
+            one.refuse(reason)
+            return
+        verdict = self._gate.offer(
+            now_s,
+            gate_module.Ticket(
+                ticket_id,
+                self._read_rank(call),
+                now_s + LONGEST_WAIT_RATIO * left_s,
+                now_s + left_s,
+            ),
+        )
+        if verdict is _Verdict.START:
+            self._calls[ticket_id] = one
+            self._begin(ticket_id)
+        elif verdict is _Verdict.WAIT:
+            self._calls[ticket_id] = one
+            if not self._ticking.running:
+                self._ticking.start(TICK_S, now=False)
+        else:
+            one.refuse(verdict.value.encode())
+
+    # What calls tell.
+
+    def load_of(self) -> bytes:
+        """Requests that run and wait here."""
+        return b"%d" % (self._gate.running + self._gate.waiting)
+
+    def call_finished(self, ticket_id: int, is_measured: bool) -> None:
+        """Takes a slot back."""
+        if self._calls.pop(ticket_id, None) is None:
+            return
+        now_s = self._parts.clock.now_s()
+        self._gate.finish(now_s, ticket_id, is_measured)
+        self._start_waiting()
+
+    def call_left(self, ticket_id: int) -> None:
+        """Takes note that a waiting request is gone."""
+        self._calls.pop(ticket_id, None)
+        self._gate.leave(ticket_id)
+
+    def backend_refused(self, reason: bytes) -> None:
+        """Takes note that the backend server did not run a request."""
+        self._parts.events.info(
+            "backend-refused", reason=reason.decode("latin-1")
+        )
+
+    def backend_unreachable(self, detail: str) -> None:
+        """Takes note that the backend server takes no connection."""
+        self._parts.events.info("backend-unreachable", reason=detail)
+
+    def _find_obstacle(
+        self, call: inbound_call.InboundCall, now_s: float
+    ) -> bytes:
+        if self._is_stopping:
+            return b"stopping"
+        if not self._presence.is_serving(now_s):
+            return b"draining"
+        current = self._presence.current
+        target = headers_module.find(call.head.headers, hop.TARGET)
+        if current is None or target != current.backend_id.encode():
+            return b"other-backend"
+        return b""
+
+    def _read_rank(self, call: inbound_call.InboundCall) -> float:
+        said = headers_module.find(call.head.headers, hop.RANK)
+        try:
+            return float(said) if said is not None else 0.0
+        except ValueError:
+            return 0.0
+
+    def _start_waiting(self) -> None:
+        for ticket_id in self._gate.pop(self._parts.clock.now_s()):
+            self._begin(ticket_id)
+
+    def _begin(self, ticket_id: int) -> None:
+        current = self._presence.current
+        assert current is not None
+        address = socket_address.parse(current.address)
+        assert address is not None
+        self._calls[ticket_id].begin(
+            connection_pool.Address(address.host, address.port),
+            current.backend_id,
+        )
+
+    def _expire(self) -> None:
+        self._refuse_all(self._gate.expire(self._parts.clock.now_s()), b"full")
+        if not self._gate.waiting and self._ticking.running:
+            self._ticking.stop()
+
+    def _refuse_all(self, ticket_ids: list[int], reason: bytes) -> None:
+        for ticket_id in ticket_ids:
+            one = self._calls.pop(ticket_id, None)
+            if one is not None:
+                one.refuse(reason)
--- /dev/null
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -0,0 +1,218 @@
+"""A request for the backend server beside this node."""
+
+from typing import Any
+from typing import Protocol
+
+from cranberrymux.gateway import attempt as attempt_module
+from cranberrymux.gateway import hop
+from cranberrymux.gateway import outgoing
+from cranberrymux.gateway import parts as parts_module
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import body_mode
+from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import headers as headers_module
+from cranberrymux.node.http import inbound_call
+from cranberrymux.node.http import lost_answer
+
+_CONTENT_CODING = b"content-encoding"
+
+
+class ExitOwner(Protocol):
+    """Keeps the slots of the backend server."""
+
+    def load_of(self) -> bytes:
+        """Requests that run and wait here."""
+
+    def call_finished(self, ticket_id: int, is_measured: bool) -> None:
+        """Takes a slot back."""
+
+    def call_left(self, ticket_id: int) -> None:
+        """Takes note that a waiting request is gone."""
+
+    def backend_refused(self, reason: bytes) -> None:
+        """Takes note that the backend server did not run a request."""
+
+    def backend_unreachable(self, detail: str) -> None:
+        """Takes note that the backend server takes no connection."""
+
+
+class ExitCall:
+    """One request, from its arrival to the answer of the backend server."""
+
+    def __init__(
+        self,
+        parts: parts_module.GatewayParts,
+        owner: ExitOwner,
+        pool: connection_pool.ConnectionPool,
+        call: inbound_call.InboundCall,
+        ticket_id: int,
+        deadline_s: float,
+    ) -> None:
+        """Keeps the call until it has a slot.
+
+        Args:
+            parts: The gateway's parts.
+            owner: Keeps the slots.
+            pool: Connections to the backend server.
+            call: The request as read.
+            ticket_id: Its number at this node.
+            deadline_s: When its caller gives up.
+        """
+        self._parts = parts
+        self._owner = owner
+        self._pool = pool
+        self._call = call
+        self._ticket_id = ticket_id
+        self.deadline_s = deadline_s
+        dialect = parts.settings.dialect
+        self.request_id = (
+            headers_module.find(call.head.headers, dialect.request_id) or b""
+        )
+        route = headers_module.find(call.head.headers, hop.ROUTE) or b""
+        self.route = route.decode("latin-1")
+        self._attempt: attempt_module.Attempt | None = None
+        self._is_sent = False
+        self._timer: Any = None
+        call.on_cancel = self._cancelled
+        call.on_full = self._pause
+        call.on_drained = self._resume
+
+    def begin(self, address: connection_pool.Address, backend_id: str) -> None:
+        """Hands the request to the backend server."""
+        dialect = self._parts.settings.dialect
+        left_s = self.deadline_s - self._parts.clock.now_s()
+        head = self._call.head
+        replaced = (dialect.deadline_ms, dialect.expected_backend)
+        headers = [
+            one
+            for one in hop.strip(headers_module.forwardable(head.headers))
+            if one[0] not in replaced
+        ]
+        headers.append((dialect.deadline_ms, b"%d" % max(left_s * 1000, 1)))
+        headers.append((dialect.expected_backend, backend_id.encode()))
+        self._attempt = attempt_module.Attempt(
+            self._pool,
+            address,
+            outgoing.Outgoing(head.method, head.target, headers, self._call),
+            self,
+            self.request_id,
+            dialect.request_id,
+        )
+        self._timer = self._parts.reactor.callLater(
+            max(left_s, 0), self._timed_out
+        )
+        self._attempt.start()
+
+    def refuse(self, reason: bytes) -> None:
+        """Answers that the request was not run here."""
+        self._finish_timer()
+        headers = [
+            (self._parts.settings.dialect.request_id, self.request_id),
+            (hop.NOT_RUN, reason),
+            (hop.LOAD, self._owner.load_of()),
+        ]
+        self._call.answer(503, headers, b"")
+
+    # The outcome of the attempt.
+
+    def attempt_sent(self) -> None:
+        """The backend server may run the request from now on."""
+        self._is_sent = True
+
+    def attempt_answered(
+        self, head: answer_head.AnswerHead, body: bytes
+    ) -> None:
+        """Passes the answer on, marked by what it proves."""
+        dialect = self._parts.settings.dialect
+        self._finish_timer()
+        not_run = headers_module.find(head.headers, dialect.not_run)
+        proof = headers_module.find(head.headers, dialect.proof)
+        coding = headers_module.find(head.headers, _CONTENT_CODING)
+        self._owner.call_finished(self._ticket_id, not_run is None)
+        if not_run is not None or head.status == 421:
+            reason = b"full" if head.status in (429, 503) else b"misdirected"
+            self._owner.backend_refused(reason)
+            self.refuse(reason)
+            return
+        if 200 <= head.status < 300 and (proof is None or coding is not None):
+            self._lose("the answer bears no proof of the backend server")
+            return
+        self._call.answer(head.status, self._mark(head), body)
+
+    def attempt_streaming(
+        self, head: answer_head.AnswerHead, body: bytes
+    ) -> None:
+        """Passes the beginning of a long answer on."""
+        mode = head.mode
+        if mode is body_mode.BodyMode.UNTIL_CLOSE:
+            mode = body_mode.BodyMode.CHUNKED
+        self._call.start_answer(
+            head._replace(headers=self._mark(head), mode=mode)
+        )
+        self._call.send_body(body)
+
+    def attempt_part(self, part: bytes) -> None:
+        """Passes more of a long answer on."""
+        self._call.send_body(part)
+
+    def attempt_ended(self) -> None:
+        """Ends a long answer."""
+        self._finish_timer()
+        self._owner.call_finished(self._ticket_id, True)
+        self._call.finish()
+
+    def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
+        """Says what is known: not run, or perhaps."""
+        self._finish_timer()
+        self._owner.call_finished(self._ticket_id, False)
+        if self._call.is_head_sent:
+            self._call.abort()
+            return
+        if not loss.is_handed_over:
+            self._owner.backend_unreachable(loss.detail)
+            self.refuse(b"unreachable")
+            return
+        self._lose(loss.detail)
+
+    def _lose(self, detail: str) -> None:
+        """Ends without an answer; the caller's node tells its client."""
+        self._parts.events.info(
+            "backend-answer-lost",
+            request_id=self.request_id.decode("latin-1"),
+            route=self.route,
+            detail=detail,
+        )
+        self._call.abort()
+
+    def _timed_out(self) -> None:
+        self._timer = None
+        if self._attempt is not None:
+            self._attempt.cancel()
+        self._owner.call_finished(self._ticket_id, False)
+        self._call.abort()
+
+    def _cancelled(self) -> None:
+        self._finish_timer()
+        if self._attempt is None:
+            self._owner.call_left(self._ticket_id)
+            return
+        self._attempt.cancel()
+        self._owner.call_finished(self._ticket_id, False)
+
+    def _mark(self, head: answer_head.AnswerHead) -> headers_module.HeaderList:
+        headers = hop.strip(headers_module.forwardable(head.headers))
+        headers.append((hop.LOAD, self._owner.load_of()))
+        return headers
+
+    def _finish_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _pause(self) -> None:
+        if self._attempt is not None:
+            self._attempt.pause()
+
+    def _resume(self) -> None:
+        if self._attempt is not None:
+            self._attempt.resume()
--- /dev/null
+++ b/src/cranberrymux/gateway/gateway.py
@@ -0,0 +1,207 @@
+"""Joins the parts of a gateway."""
+
+from collections.abc import Sequence
+import random
+from typing import Any
+
+import structlog
+from twisted.internet import task
+
+from cranberrymux.decisions.presence import announcement as announcement_module
+from cranberrymux.decisions.presence import presence as presence_module
+from cranberrymux.gateway import announcer as announcer_module
+from cranberrymux.gateway import control_contacts
+from cranberrymux.gateway import entry as entry_module
+from cranberrymux.gateway import exit as exit_module
+from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import routes_holder
+from cranberrymux.gateway import settings as gateway_settings
+from cranberrymux.models import endpoint_record
+from cranberrymux.models import socket_address
+from cranberrymux.node import directory_task
+from cranberrymux.node.http import call_handler
+from cranberrymux.node.http import limits as limits_module
+from cranberrymux.node.http import server_factory
+
+CHECK_S = 0.25
+# New requests are taken for so long after SIGTERM, since callers find out by
+# asking twice, once a second.
+LINGER_S = 2.5
+STOP_POLL_S = 0.05
+BUFFERED_BODY_BYTES = 1 << 20
+_Change = presence_module.PresenceChange
+
+
+class Gateway:
+    """One node: its ports, its backend server, its directory."""
+
+    def __init__(
+        self, settings: gateway_settings.GatewaySettings, reactor: Any
+    ) -> None:
+        """Builds the parts; `start` opens the ports."""
+        self._settings = settings
+        self._reactor = reactor
+        self._events = structlog.get_logger()
+        self._routes = routes_holder.RoutesHolder()
+        self._parts = parts_module.GatewayParts(
+            settings, reactor, self._routes, random.Random()
+        )
+        self._clock = self._parts.clock
+        self._presence = presence_module.Presence(settings.backend_lifetime_s)
+        self._exit = exit_module.Exit(self._parts, self._presence)
+        self._announcer = announcer_module.Announcer(
+            settings, self._clock.now_unix_ms()
+        )
+        self._contacts = control_contacts.ControlContacts(settings, reactor)
+        self._directory = directory_task.DirectoryTask(
+            settings,
+            self._contacts.make_first(self._clock.now_s()),
+            self._announcer,
+            self._clock,
+            self,
+        )
+        self._contacts.follow(self._directory)
+        self._checking = task.LoopingCall(self._check)
+        self._checking.clock = reactor
+        self._entry_factory: server_factory.ServerFactory | None = None
+        self._stopping_s = 0.0
+        self._is_stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """True if clients may send requests here."""
+        return self._routes.table is not None and not self._is_stopping
+
+    def start(self) -> None:
+        """Opens the ports for requests and joins the directory.
+
+        Raises:
+            CannotListenError: A port is taken.
+        """
+        limits = limits_module.Limits(buffered_bytes=BUFFERED_BODY_BYTES)
+        entry = entry_module.Entry(self._parts)
+        self._entry_factory = self._listen(
+            self._settings.entry_address, entry, limits
+        )
+        self._listen(self._settings.hop_address, self._exit, limits)
+        self._directory.start()
+        self._checking.start(CHECK_S, now=False)
+
+    def listen(self, address: str, handler: call_handler.CallHandler) -> None:
+        """Opens one more port.
+
+        Raises:
+            CannotListenError: The port is taken.
+        """
+        self._listen(address, handler, limits_module.Limits())
+
+    def announce(
+        self, said: announcement_module.Announcement
+    ) -> presence_module.PresenceChange:
+        """Takes an announcement of the backend server."""
+        change = self._presence.announce(said, self._clock.now_s())
+        self._take_change(change, said.backend_id)
+        return change
+
+    def leave(self, backend_id: str) -> presence_module.PresenceChange:
+        """Takes note that the backend server goes."""
+        change = self._presence.leave(backend_id, self._clock.now_unix_ms())
+        self._take_change(change, backend_id)
+        return change
+
+    def stop(self) -> None:
+        """Ends in order: no cut request, as far as time allows."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._stopping_s = self._clock.now_s()
+        self._events.info("node-stopping", in_flight=self._exit.in_flight)
+        if self._announcer.stop():
+            self._directory.beat()
+        self._exit.stop()
+        task.LoopingCall(self._stop_when_idle).start(STOP_POLL_S, now=False)
+
+    # What the directory tells.
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force."""
+        return self._routes.version
+
+    def get_subscriptions(self) -> Sequence[str]:
+        """Returns the services whose endpoints are wanted: all of them."""
+        table = self._routes.table
+        if table is None:
+            return ()
+        return sorted(one.name for one in table.document.services)
+
+    def endpoints_changed(
+        self, records: Sequence[endpoint_record.EndpointRecord]
+    ) -> None:
+        """Takes news of endpoints."""
+        self._parts.endpoints.update(records)
+        self._parts.repeats.set_nodes(self._parts.endpoints.count)
+
+    def configuration_changed(self, version: int, document: str) -> None:
+        """Takes a configuration of a higher version."""
+        had_none = self._routes.table is None
+        self._routes.take(version, document)
+        if had_none:
+            self._directory.beat()
+
+    def configuration_vouched(self, version: int, until_s: float) -> None:
+        """Ignores it: nothing here depends on the age of a version."""
+
+    def drain_requested(self) -> None:
+        """Stops taking requests for the backend server."""
+        if self._announcer.stop():
+            self._directory.beat()
+
+    def control_instances_told(self, addresses: Sequence[str]) -> None:
+        """Follows the control instances that there are."""
+        self._contacts.learn(addresses, self._clock.now_s())
+
+    def _listen(
+        self,
+        text: str,
+        handler: call_handler.CallHandler,
+        limits: limits_module.Limits,
+    ) -> server_factory.ServerFactory:
+        address = socket_address.parse(text)
+        assert address is not None
+        factory = server_factory.ServerFactory(handler, limits)
+        self._reactor.listenTCP(
+            address.port, factory, backlog=512, interface=address.host
+        )
+        return factory
+
+    def _take_change(self, change: _Change, backend_id: str) -> None:
+        if change in (_Change.NONE, _Change.STALE):
+            return
+        self._events.info(
+            "backend-changed", change=change.value, backend_id=backend_id
+        )
+        self._tell_change()
+
+    def _tell_change(self) -> None:
+        self._exit.backend_changed()
+        is_changed = self._announcer.update(self._presence, self._clock.now_s())
+        if is_changed and not self._is_stopping:
+            self._directory.beat()
+
+    def _check(self) -> None:
+        now_s = self._clock.now_s()
+        self._contacts.forget_lost(now_s)
+        record = self._announcer.record
+        is_serving = self._presence.is_serving(now_s)
+        if record is not None and not self._is_stopping:
+            was_serving = record.state.name == "SERVING"
+            if was_serving != is_serving:
+                self._tell_change()
+
+    def _stop_when_idle(self) -> None:
+        age_s = self._clock.now_s() - self._stopping_s
+        is_idle = not self._exit.in_flight and age_s > LINGER_S
+        if is_idle or age_s > self._settings.stop_s:
+            self._directory.stop()
+            self._reactor.stop()
--- a/src/cranberrymux/models/endpoint_record.py
+++ b/src/cranberrymux/models/endpoint_record.py
@@ -24,6 +24,8 @@
         labels: Labels of the backend server.
         slots: Calls the backend server says it can run at once.
         state: What new work the endpoint takes.
+        backend_id: Id by which the backend server itself answers; empty if it
+            has none.
     """
 
     service: str
@@ -37,3 +39,4 @@
     labels: Mapping[str, str]
     slots: int
     state: endpoint_state.EndpointState
+    backend_id: str = ""
--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -1,7 +1,6 @@
 """Heartbeats to the control instances, and what their answers bring."""
 
 from collections.abc import Sequence
-import itertools
 from typing import Any
 from typing import Protocol
 
@@ -10,8 +9,6 @@
 
 from cranberrymux.models import endpoint_record
 from cranberrymux.node import clock as clock_module
-from cranberrymux.node import own_endpoint
-from cranberrymux.node import settings as node_settings
 from cranberrymux.wire import control_client
 from cranberrymux.wire import convert
 from cranberrymux.wire import wire_error
@@ -42,6 +39,33 @@
     def drain_requested(self) -> None:
         """Takes note that an operator asked for a drain."""
 
+    def control_instances_told(self, addresses: Sequence[str]) -> None:
+        """Takes `ip:port` of the control instances that there are."""
+
+
+class DirectorySettings(Protocol):
+    """What the task needs of a node's settings."""
+
+    @property
+    def node_id(self) -> str:
+        """Name of the node, unique."""
+
+    @property
+    def heartbeat_ms(self) -> int:
+        """Time between two heartbeats to one control instance."""
+
+
+class AnnouncedEndpoint(Protocol):
+    """The endpoint that the node vouches for."""
+
+    @property
+    def incarnation(self) -> int:
+        """Start time of the process in Unix milliseconds."""
+
+    @property
+    def record(self) -> endpoint_record.EndpointRecord | None:
+        """The newest record; None before the first announcement."""
+
 
 class _Session:
     """What one control instance has told so far."""
@@ -60,9 +84,9 @@
 
     def __init__(
         self,
-        settings: node_settings.NodeSettings,
+        settings: DirectorySettings,
         clients: Sequence[control_client.ControlClient],
-        endpoint: own_endpoint.OwnEndpoint,
+        endpoint: AnnouncedEndpoint,
         system_clock: clock_module.Clock,
         listener: DirectoryListener,
     ) -> None:
@@ -72,15 +96,35 @@
         self._clock = system_clock
         self._listener = listener
         self._sessions = [_Session(client) for client in clients]
-        self._turns = itertools.cycle(self._sessions)
+        self._turn = 0
         self._loop = task.LoopingCall(self._beat_next)
 
     def start(self) -> None:
         """Connects and begins to send."""
         for session in self._sessions:
             session.client.start()
-        interval_s = self._settings.heartbeat_ms / 1000
-        self._loop.start(interval_s / len(self._sessions), now=True)
+        self._loop.start(self._interval_s, now=True)
+
+    def add(self, client: control_client.ControlClient) -> None:
+        """Connects to one more control instance."""
+        self._sessions.append(_Session(client))
+        client.start()
+        if self._loop.running:
+            self._loop.interval = self._interval_s
+
+    def remove(self, client: control_client.ControlClient) -> None:
+        """Leaves a control instance."""
+        client.stop()
+        self._sessions = [
+            one for one in self._sessions if one.client is not client
+        ]
+        if self._loop.running:
+            self._loop.interval = self._interval_s
+
+    @property
+    def _interval_s(self) -> float:
+        heartbeat_s = self._settings.heartbeat_ms / 1000
+        return heartbeat_s / max(len(self._sessions), 1)
 
     def stop(self) -> None:
         """Ends the heartbeats and the connections."""
@@ -97,9 +141,13 @@
 
     def _beat_next(self) -> None:
         """Takes turns, so that one instance brings a new configuration."""
-        session = next(self._turns)
-        if not session.is_waiting:
+        for _ in self._sessions:
+            self._turn = (self._turn + 1) % len(self._sessions)
+            session = self._sessions[self._turn]
+            if session.is_waiting or not session.client.is_connected:
+                continue
             defer.ensureDeferred(self._beat_one(session))
+            return
 
     def _beat_where_idle(self) -> None:
         for session in self._sessions:
@@ -153,3 +201,5 @@
             )
         if answer.drain:
             self._listener.drain_requested()
+        if answer.control_instances:
+            self._listener.control_instances_told(answer.control_instances)
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import httptools
+from twisted.internet import error
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
@@ -24,12 +25,17 @@
     Attributes:
         on_idle: Called when the connection can take another request.
         on_closed: Called when the connection is gone.
+        accepts_unframed: True if an answer may end with its connection.
+        answer_filter: Tells whether an answer, by its headers, belongs to the
+            request under way; others are dropped. None takes all.
     """
 
     def __init__(self) -> None:
         """Makes an idle connection; twisted connects it."""
         self.on_idle: Callable[[ClientConnection], None] | None = None
         self.on_closed: Callable[[ClientConnection], None] | None = None
+        self.accepts_unframed = False
+        self.answer_filter: Callable[[headers.HeaderList], bool] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._sink: answer_sink.AnswerSink | None = None
         self._headers: headers.HeaderList = []
@@ -39,6 +45,8 @@
         self._is_interim = False
         self._is_started = False
         self._is_lost = False
+        self._is_skipped = False
+        self._is_unframed = False
         self._tcp: Any = None
 
     @property
@@ -67,6 +75,7 @@
         self._is_answer_complete = False
         self._is_started = False
         self._is_interim = False
+        self._is_unframed = False
         prompt_writer.write_now(self._tcp, data)
 
     def send_body(self, part: bytes) -> None:
@@ -116,9 +125,9 @@
         except httptools.HttpParserCallbackError:
             # A fault of ours, not of the message: Twisted logs it and closes.
             raise
-        except httptools.HttpParserError as error:
-            if not self._is_lost and self._sink is not None:
-                self._lose(lost_answer.LossReason.NOT_VALID, str(error))
+        except httptools.HttpParserError as failed:
+            if not self._is_lost:
+                self._lose(lost_answer.LossReason.NOT_VALID, str(failed))
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -127,7 +136,9 @@
         self._is_lost = True
         sink = self._sink
         self._sink = None
-        if sink is not None:
+        if sink is not None and self._is_whole(reason):
+            sink.answer_complete()
+        elif sink is not None:
             loss = lost_answer.LossReason.CONNECTION_LOST
             if self._is_started:
                 loss = lost_answer.LossReason.TRUNCATED
@@ -142,6 +153,10 @@
     def on_message_begin(self) -> None:
         """Starts a new message."""
         self._headers = []
+        self._is_skipped = False
+        if self._sink is None and not self._is_lost:
+            # What follows a whole answer belongs to no request.
+            self.cancel()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects one header."""
@@ -153,12 +168,18 @@
         if sink is None:
             return
         status = self._parser.get_status_code()
+        if self.answer_filter is not None and status >= 200:
+            self._is_skipped = not self.answer_filter(self._headers)
+            if self._is_skipped:
+                return
         self._is_interim = 100 <= status < 200
         if self._is_interim:
             sink.answer_interim(status, self._headers)
             return
         head = self._make_head(status)
-        if head.mode is body_mode.BodyMode.UNTIL_CLOSE:
+        is_unframed = head.mode is body_mode.BodyMode.UNTIL_CLOSE
+        self._is_unframed = is_unframed
+        if is_unframed and not self.accepts_unframed:
             self._lose(
                 lost_answer.LossReason.NO_LENGTH,
                 "an answer without a length cannot be proven whole",
@@ -173,11 +194,16 @@
 
     def on_body(self, part: bytes) -> None:
         """Hands a part of the body on."""
+        if self._is_skipped:
+            return
         if self._sink is not None and self._is_started:
             self._sink.answer_part(part)
 
     def on_message_complete(self) -> None:
         """Ends the answer."""
+        if self._is_skipped:
+            self._is_skipped = False
+            return
         if self._is_interim:
             self._is_interim = False
             return
@@ -213,11 +239,19 @@
             mode = body_mode.BodyMode.NONE
         return answer_head.AnswerHead(status, self._headers, mode, size)
 
+    def _is_whole(self, reason: failure.Failure) -> bool:
+        """True if an answer without a length ends with this end."""
+        is_orderly = isinstance(reason.value, error.ConnectionDone)
+        return self._is_started and self._is_unframed and is_orderly
+
     def _finish(self, keep_alive: bool) -> None:
         sink = self._sink
         self._sink = None
         self._is_answer_complete = True
-        if not keep_alive or not self._is_request_complete:
+        is_sent = self._is_request_complete and not prompt_writer.has_unsent(
+            self._tcp
+        )
+        if not keep_alive or not is_sent:
             # An answer that came before the end of the request leaves the
             # connection in no state for another one.
             self.close()
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -63,6 +63,7 @@
         super().__init__()
         self._pool = pool
         self._address = address
+        self.accepts_unframed = pool.accepts_unframed
         self.on_idle = self._return
         self.on_closed = self._leave
 
@@ -85,8 +86,17 @@
         reactor: Any,
         connect_timeout_s: float = 1.0,
         idle_per_address: int = 512,
+        accepts_unframed: bool = False,
     ) -> None:
-        """Makes an empty pool."""
+        """Makes an empty pool.
+
+        Args:
+            reactor: The reactor to use.
+            connect_timeout_s: Longest wait for a connection.
+            idle_per_address: Idle connections kept to one address.
+            accepts_unframed: True if answers may end with their connection.
+        """
+        self.accepts_unframed = accepts_unframed
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
         self._idle_per_address = idle_per_address
--- a/src/cranberrymux/node/http/prompt_writer.py
+++ b/src/cranberrymux/node/http/prompt_writer.py
@@ -14,7 +14,7 @@
         transport: A connected `twisted.internet.tcp` transport.
         data: The bytes.
     """
-    if transport.dataBuffer or not transport.connected:
+    if has_unsent(transport) or not transport.connected:
         transport.write(data)
         return
     sent = transport.writeSomeData(data)
@@ -24,3 +24,9 @@
     if sent < len(data):
         transport.write(data[sent:])
         transport.doWrite()
+
+
+def has_unsent(transport: Any) -> bool:
+    """True if the transport holds bytes that the socket has not taken."""
+    # Twisted tells this by no public name.
+    return bool(transport.dataBuffer or transport._tempDataBuffer)
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -203,6 +203,9 @@
             self._endpoint.set_state(self._get_state())
             self.directory.beat()
 
+    def control_instances_told(self, addresses: Sequence[str]) -> None:
+        """Ignores them: the settings name every control instance."""
+
     def drain_requested(self) -> None:
         """Begins a drain that an operator asked for."""
         self._lifecycle.drain()
--- /dev/null
+++ b/src/cranberrymux/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, turned into our types."""
--- /dev/null
+++ b/src/cranberrymux/platform/announcement_format.py
@@ -0,0 +1,70 @@
+"""What backend servers say of themselves on the platform."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+from cranberrymux.decisions.presence import announcement
+from cranberrymux.models import socket_address
+from cranberrymux.platform import durations
+
+MAXIMUM_BODY_BYTES = 4096
+_STATES = {
+    "ready": announcement.BackendState.SERVING,
+    "draining": announcement.BackendState.DRAINING,
+}
+
+
+class AnnouncementError(NamedTuple):
+    """A sentinel for an announcement that names no endpoint to use.
+
+    Attributes:
+        detail: One line for people.
+    """
+
+    detail: str
+
+
+def decode(
+    backend_id: str, body: bytes
+) -> announcement.Announcement | AnnouncementError:
+    """Reads the body of an announcement."""
+    if len(body) > MAXIMUM_BODY_BYTES:
+        return AnnouncementError(f"{len(body)} bytes")
+    try:
+        return _decode(backend_id, json.loads(body))
+    except (ValueError, TypeError, KeyError) as error:
+        return AnnouncementError(f"{type(error).__name__}: {error}")
+
+
+def _decode(backend_id: str, values: Any) -> announcement.Announcement:
+    address = _text(values, "addr")
+    if socket_address.parse(address) is None:
+        raise ValueError(f"addr {address!r}")
+    return announcement.Announcement(
+        backend_id=backend_id,
+        # Unix milliseconds of the start; absent from old writers.
+        born_ms=_whole(values, "born") if "born" in values else 0,
+        sequence=_whole(values, "seq"),
+        service=_text(values, "service"),
+        address=address,
+        zone=_text(values, "zone"),
+        # Requests that run at once, not processors.
+        slots=_whole(values, "concurrency"),
+        state=_STATES[_text(values, "state")],
+        cold_s=durations.read_s(values["cold_left"]),
+    )
+
+
+def _text(values: Any, name: str) -> str:
+    value = values[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is no text")
+    return value
+
+
+def _whole(values: Any, name: str) -> int:
+    value = values[name]
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"{name} is no whole number")
+    return value
--- /dev/null
+++ b/src/cranberrymux/platform/dialect.py
@@ -0,0 +1,15 @@
+"""The platform's header names."""
+
+from cranberrymux.gateway import dialect
+
+DIALECT = dialect.Dialect(
+    request_id=b"request-id",
+    deadline_ms=b"deadline-ms",
+    caller_service=b"caller-service",
+    # Names a backend server, not an instance in our sense.
+    expected_backend=b"expect-instance",
+    proof=b"server-stamp",
+    not_run=b"not-run",
+    retry_after=b"retry-after",
+    load=b"server-load",
+)
--- /dev/null
+++ b/src/cranberrymux/platform/node_main.py
@@ -0,0 +1,34 @@
+"""Entry point of the program beside a backend server."""
+
+import sys
+
+from cranberrymux import exceptions
+from cranberrymux.gateway import gateway as gateway_module
+from cranberrymux.gateway import program
+from cranberrymux.platform import node_ports
+from cranberrymux.platform import settings_file
+from cranberrymux.telemetry import logs
+
+EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Runs the program until a signal ends it; returns the exit code."""
+    logs.configure("cranberrymux-node")
+    try:
+        settings = settings_file.make_gateway_settings(settings_file.read())
+    except exceptions.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+
+    def open_ports(gateway: gateway_module.Gateway) -> None:
+        ready = node_ports.ReadyPort(gateway)
+        gateway.listen(settings.ready_address, ready)
+        announce = node_ports.AnnouncePort(gateway)
+        gateway.listen(settings.announce_address, announce)
+
+    return program.run(settings, open_ports)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/cranberrymux/wire/convert.py
+++ b/src/cranberrymux/wire/convert.py
@@ -21,6 +21,7 @@
         labels=dict(record.labels),
         slots=record.slots,
         state=int(record.state),
+        backend_id=record.backend_id or None,
     )
 
 
@@ -42,4 +43,5 @@
         labels=dict(message.labels),
         slots=message.slots,
         state=endpoint_state.EndpointState(message.state),
+        backend_id=message.backend_id or "",
     )
--- a/src/cranberrymux/wire/cranberrymux.thrift
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -14,6 +14,8 @@
   9: required map<string, string> labels
   10: required i32 slots
   11: required i32 state
+  // Id by which the backend server itself answers; absent if it has none.
+  12: optional string backend_id
 }
 
 // A node's heartbeat. `endpoints` holds what the node vouches for (its own
@@ -43,6 +45,8 @@
   8: required i64 vouched_ms
   // True if an operator asked for this incarnation's drain.
   9: optional bool drain
+  // `ip:port` of every control instance that the answerer knows.
+  10: optional list<string> control_instances
 }
 
 // `claim_id` is the same on each resend of one claim by one owner, so that a
@@ -110,6 +114,8 @@
   2: required string cluster_id
   3: required i64 commit_index
   4: required i64 vouched_ms
+  // `ip:port` of every control instance that the answerer knows.
+  5: optional list<string> control_instances
 }
 
 struct SuspectReport {
--- a/src/cranberrymux/wire/gen/messages/ttypes.py
+++ b/src/cranberrymux/wire/gen/messages/ttypes.py
@@ -78,11 +78,12 @@
      - labels
      - slots
      - state
+     - backend_id
 
     """
 
 
-    def __init__(self, service_name=None, endpoint_id=None, incarnation=None, sequence=None, address=None, port=None, region=None, zone=None, labels=None, slots=None, state=None,):
+    def __init__(self, service_name=None, endpoint_id=None, incarnation=None, sequence=None, address=None, port=None, region=None, zone=None, labels=None, slots=None, state=None, backend_id=None,):
         self.service_name = service_name
         self.endpoint_id = endpoint_id
         self.incarnation = incarnation
@@ -94,6 +95,7 @@
         self.labels = labels
         self.slots = slots
         self.state = state
+        self.backend_id = backend_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -165,6 +167,11 @@
                     self.state = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRING:
+                    self.backend_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -223,6 +230,10 @@
             oprot.writeFieldBegin('state', TType.I32, 11)
             oprot.writeI32(self.state)
             oprot.writeFieldEnd()
+        if self.backend_id is not None:
+            oprot.writeFieldBegin('backend_id', TType.STRING, 12)
+            oprot.writeString(self.backend_id.encode('utf-8') if sys.version_info[0] == 2 else self.backend_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -429,11 +440,12 @@
      - configuration
      - vouched_ms
      - drain
+     - control_instances
 
     """
 
 
-    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None,):
+    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None, control_instances=None,):
         self.lease_ms = lease_ms
         self.directory_epoch = directory_epoch
         self.directory_revision = directory_revision
@@ -443,6 +455,7 @@
         self.configuration = configuration
         self.vouched_ms = vouched_ms
         self.drain = drain
+        self.control_instances = control_instances
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -504,6 +517,16 @@
                     self.drain = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.control_instances = []
+                    (_etype32, _size29) = iprot.readListBegin()
+                    for _i33 in range(_size29):
+                        _elem34 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_instances.append(_elem34)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -533,8 +556,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter29 in self.endpoints:
-                iter29.write(oprot)
+            for iter35 in self.endpoints:
+                iter35.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -553,6 +576,13 @@
             oprot.writeFieldBegin('drain', TType.BOOL, 9)
             oprot.writeBool(self.drain)
             oprot.writeFieldEnd()
+        if self.control_instances is not None:
+            oprot.writeFieldBegin('control_instances', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRING, len(self.control_instances))
+            for iter36 in self.control_instances:
+                oprot.writeString(iter36.encode('utf-8') if sys.version_info[0] == 2 else iter36)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1124,15 +1154,17 @@
      - cluster_id
      - commit_index
      - vouched_ms
+     - control_instances
 
     """
 
 
-    def __init__(self, replica_id=None, cluster_id=None, commit_index=None, vouched_ms=None,):
+    def __init__(self, replica_id=None, cluster_id=None, commit_index=None, vouched_ms=None, control_instances=None,):
         self.replica_id = replica_id
         self.cluster_id = cluster_id
         self.commit_index = commit_index
         self.vouched_ms = vouched_ms
+        self.control_instances = control_instances
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1163,6 +1195,16 @@
                     self.vouched_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.control_instances = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_instances.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1189,6 +1231,13 @@
             oprot.writeFieldBegin('vouched_ms', TType.I64, 4)
             oprot.writeI64(self.vouched_ms)
             oprot.writeFieldEnd()
+        if self.control_instances is not None:
+            oprot.writeFieldBegin('control_instances', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.control_instances))
+            for iter43 in self.control_instances:
+                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2123,6 +2172,7 @@
     (9, TType.MAP, 'labels', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.I32, 'slots', None, None, ),  # 10
     (11, TType.I32, 'state', None, None, ),  # 11
+    (12, TType.STRING, 'backend_id', 'UTF8', None, ),  # 12
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -2147,6 +2197,7 @@
     (7, TType.STRING, 'configuration', 'UTF8', None, ),  # 7
     (8, TType.I64, 'vouched_ms', None, None, ),  # 8
     (9, TType.BOOL, 'drain', None, None, ),  # 9
+    (10, TType.LIST, 'control_instances', (TType.STRING, 'UTF8', False), None, ),  # 10
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
@@ -2199,6 +2250,7 @@
     (2, TType.STRING, 'cluster_id', 'UTF8', None, ),  # 2
     (3, TType.I64, 'commit_index', None, None, ),  # 3
     (4, TType.I64, 'vouched_ms', None, None, ),  # 4
+    (5, TType.LIST, 'control_instances', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(SuspectReport)
 SuspectReport.thrift_spec = (
