Let in at the root only the trees that the deepest service can end

Ruled out: an unlucky choice of endpoints (busiest/mean 1.29), processor time (0.0160 cores at most).

Calls are matched to the running request by the deadline that they share; each answer carries what its tree cost at each service and the share of the offered work that fits there; the node where a tree begins shares that out by importance.

Also: a stop waits for requests that began at the node, SIGHUP does not end it, and what a backend server refused counts as an arrival.

--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -1,6 +1,7 @@
 """Starts, joins and stops the parts of a control instance."""
 
 import random
+import signal
 import time
 from typing import Any
 
@@ -77,10 +78,16 @@
             "before", "shutdown", self._shut_down, log
         )
         self._reactor.callWhenRunning(self._report_ready)
+        signal.signal(signal.SIGHUP, self._ignore_hang_up)
         self._reactor.run()
         self._events.info("control-stopped", exit_code=self._exit_code)
         return self._exit_code
 
+    def _ignore_hang_up(self, number: int, frame: Any) -> None:
+        """Goes on: settings count from a start to the next."""
+        del number, frame
+        self._reactor.callFromThread(self._events.info, "hang-up-ignored")
+
     def _open_log(self) -> quorum_log.QuorumLog | None:
         settings = self._settings
         folder = storage.open_folder(settings.data_folder, settings.control_id)
--- /dev/null
+++ b/src/cranberrymux/gateway/callers.py
@@ -0,0 +1,39 @@
+"""Where requests begin: who may, and when the others come back."""
+
+from cranberrymux.decisions.pressure import return_advice
+from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import work_report
+from cranberrymux.decisions.routes import route as route_module
+
+
+class Callers:
+    """Admission of roots, with what is learned of each route's clients."""
+
+    def __init__(self, now_s: float) -> None:
+        """Starts open."""
+        self.admission = root_admission.RootAdmission(now_s)
+        self._advice: dict[str, return_advice.ReturnAdvice] = {}
+
+    def advice(self, route: route_module.Route) -> return_advice.ReturnAdvice:
+        """Returns what is known of a route's clients."""
+        found = self._advice.get(route.name)
+        if found is None:
+            found = return_advice.ReturnAdvice(route.objective_s)
+            self._advice[route.name] = found
+        return found
+
+    def offer(
+        self, route: route_module.Route, left_s: float, now_s: float
+    ) -> root_admission.Kind | None:
+        """Returns the kind of a request that may begin, else None."""
+        advice = self.advice(route)
+        advice.note_arrival(left_s)
+        turn = advice.turn_of(left_s)
+        kind = root_admission.Kind(route.priority, turn, route.name)
+        return kind if self.admission.offer(now_s, kind) else None
+
+    def note_report(
+        self, now_s: float, route: str, report: work_report.WorkReport
+    ) -> None:
+        """Learns from the answer to a request that began here."""
+        self.admission.note_report(now_s, route, report)
--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -8,6 +8,10 @@
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
+NO_CONFIGURATION = "no configuration is known yet"
+SHORTEST_WAIT_S = 0.2
+LONGEST_WAIT_S = 0.6
+
 
 class Entry:
     """The handler of the entry port."""
@@ -33,7 +37,8 @@
         parts = self._parts
         table = parts.routes.table
         if table is None:
-            entry_call.refuse(parts, call, "no configuration is known yet")
+            wait_s = parts.generator.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S)
+            entry_call.refuse(parts, call, NO_CONFIGURATION, wait_s)
             return
         host = headers_module.find(call.head.headers, b"host") or b""
         path = call.head.target.partition(b"?")[0]
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -5,12 +5,12 @@
 from typing import Any
 
 from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import outgoing
 from cranberrymux.gateway import parts as parts_module
-from cranberrymux.gateway import retry_advice
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
@@ -27,6 +27,7 @@
     NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
     NO_ENDPOINT = "no-endpoint"
+    SHED = "shed"
     REFUSED = "refused"
     EXPIRED = "expired"
     TIMED_OUT = "timed-out"
@@ -62,10 +63,15 @@
             headers_module.find(call.head.headers, dialect.request_id) or b""
         )
         self._began_s = parts.clock.now_s()
-        self._deadline_s = self._read_deadline_s()
+        self._left_s = self._read_left_s()
+        self._deadline_s = self._began_s + min(self._left_s, route.timeout_s)
+        self._parent = parts.lineage.find_parent(
+            route.name, self._began_s + self._left_s
+        )
         self._service = parts.splits.choose(route)
         self._tried: list[str] = []
         self._sent = 0
+        self._arrivals = 0
         self._attempt: attempt_module.Attempt | None = None
         self._endpoint: endpoint_view.EndpointView | None = None
         self._is_maybe_run = False
@@ -74,23 +80,45 @@
 
     def start(self) -> None:
         """Sends the request to the first endpoint."""
+        self._call.on_ended = self._parts.call_ended
+        self._parts.entered += 1
         left_s = self._deadline_s - self._began_s
         if left_s <= 0:
             self._refuse(Outcome.EXPIRED)
             return
+        standing = self._find_standing()
+        if standing is None:
+            self._refuse(Outcome.SHED)
+            return
+        self._headers.append((hop.STANDING, hop.encode_standing(standing)))
         self._call.on_cancel = self._cancelled
         self._call.on_full = self._pause
         self._call.on_drained = self._resume
         self._timer = self._parts.reactor.callLater(left_s, self._timed_out)
         self._send_next()
 
-    def _read_deadline_s(self) -> float:
+    def _find_standing(self) -> hop.Standing | None:
+        """Standing of the work; None if it may not begin."""
+        parent = self._running_parent()
+        if parent is not None:
+            return parent.standing.of_call()
+        callers = self._parts.callers
+        kind = callers.offer(self._route, self._left_s, self._began_s)
+        if kind is None:
+            return None
+        return hop.Standing(kind.priority, callers.admission.least_share)
+
+    def _running_parent(self) -> parts_module.RunningWork | None:
+        if self._parent is None:
+            return None
+        return self._parts.running.get(self._parent)
+
+    def _read_left_s(self) -> float:
         name = self._parts.settings.dialect.deadline_ms
         said = headers_module.find(self._call.head.headers, name)
-        wait_s = self._route.timeout_s
         if said is not None and said.isdigit():
-            wait_s = min(wait_s, int(said) / 1000)
-        return self._began_s + wait_s
+            return int(said) / 1000
+        return self._route.timeout_s
 
     def _send_next(self) -> None:
         now_s = self._parts.clock.now_s()
@@ -103,7 +131,7 @@
             return
         record = endpoint.record
         self._tried.append(record.endpoint_id)
-        left_ms = int((self._deadline_s - now_s) * 1000)
+        left_ms = hop.shorten_ms(self._deadline_s - now_s)
         if left_ms <= 0:
             self._timed_out()
             return
@@ -150,6 +178,9 @@
             self._take_refusal(endpoint, not_run, now_s)
             return
         self._finish_timer()
+        if self._parent is None and head.status < 400:
+            advice = self._parts.callers.advice(self._route)
+            advice.note_latency(now_s - self._began_s)
         self._call.answer(head.status, _visible(head), body)
 
     def attempt_streaming(
@@ -199,6 +230,26 @@
         said = headers_module.find(head.headers, hop.LOAD)
         if said is not None and said.isdigit():
             endpoint.note_load(now_s, int(said))
+        work = headers_module.find(head.headers, hop.WORK)
+        if work is not None:
+            self._take_work(work_report.decode(work), head, now_s)
+
+    def _take_work(
+        self,
+        report: work_report.WorkReport,
+        head: answer_head.AnswerHead,
+        now_s: float,
+    ) -> None:
+        parent = self._running_parent()
+        if parent is not None:
+            work_report.add(parent.report, report)
+        elif headers_module.find(head.headers, hop.NOT_RUN) is None:
+            self._parts.callers.note_report(now_s, self._route.name, report)
+        else:
+            for service, part in report.items():
+                self._parts.callers.admission.note_share(
+                    now_s, service, part.share
+                )
 
     def _take_refusal(
         self,
@@ -207,9 +258,13 @@
         now_s: float,
     ) -> None:
         """The endpoint's node, or the backend server, did not run it."""
-        if endpoint is not None and reason != b"full":
+        if endpoint is not None and reason not in hop.BUSY_REASONS:
             endpoint.note_away(now_s)
-        if self._is_streamed:
+        # What the backend server itself refused has arrived there.
+        is_spent = reason == hop.BACKEND_FULL and not self._may_arrive_again(
+            now_s
+        )
+        if self._is_streamed or is_spent:
             self._refuse(Outcome.REFUSED, reason.decode("latin-1"))
             return
         self._send_next()
@@ -218,7 +273,13 @@
         return (
             self._route.is_idempotent
             and not self._is_streamed
-            and self._sent < self._route.attempts
+            and self._may_arrive_again(now_s)
+        )
+
+    def _may_arrive_again(self, now_s: float) -> bool:
+        self._arrivals += 1
+        return (
+            self._arrivals < self._route.attempts
             and self._parts.repeats.take(self._service, now_s)
         )
 
@@ -250,7 +311,9 @@
             return
         self._finish_timer()
         self._log(outcome, detail)
-        refuse(self._parts, self._call, outcome.value)
+        advice = self._parts.callers.advice(self._route)
+        wait_s = advice.wait_s(self._left_s, self._parts.generator)
+        refuse(self._parts, self._call, outcome.value, wait_s)
 
     def _fail(self, outcome: Outcome, status: int, detail: str) -> None:
         self._finish_timer()
@@ -301,13 +364,14 @@
     parts: parts_module.GatewayParts,
     call: inbound_call.InboundCall,
     reason: str,
+    wait_s: float,
 ) -> None:
     """Answers that a request did not run and when to come back."""
     dialect = parts.settings.dialect
     request_id = headers_module.find(call.head.headers, dialect.request_id)
     headers = [
         (dialect.request_id, request_id or b""),
-        (dialect.retry_after, retry_advice.draw(parts.generator)),
+        (dialect.retry_after, b"%.3f" % wait_s),
         _BODY_TYPE,
     ]
     body = json.dumps({"error": "not-run", "detail": reason}).encode()
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -7,6 +7,8 @@
 
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.decisions.pressure import gate as gate_module
+from cranberrymux.decisions.pressure import share_meter
+from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
@@ -36,6 +38,7 @@
             parts.reactor, accepts_unframed=True
         )
         self._gate = gate_module.Gate(1)
+        self._meter = share_meter.ShareMeter(parts.clock.now_s())
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._numbers = itertools.count(1)
         self._is_stopping = False
@@ -53,13 +56,13 @@
         if current is not None:
             self._gate.set_slots(current.slots)
         if not self._presence.is_serving(self._parts.clock.now_s()):
-            self._refuse_all(self._gate.close(), b"draining")
+            self._refuse_all(self._gate.close(), hop.DRAINING)
         self._start_waiting()
 
     def stop(self) -> None:
         """Refuses new requests; those that run go on."""
         self._is_stopping = True
-        self._refuse_all(self._gate.close(), b"stopping")
+        self._refuse_all(self._gate.close(), hop.STOPPING)
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Gives the request a slot, lets it wait, or refuses it."""
@@ -75,11 +78,13 @@
         if reason:
             one.refuse(reason)
             return
+        self._meter.note_arrival(one.route, one.standing.share)
+        self._roll(now_s)
         verdict = self._gate.offer(
             now_s,
             gate_module.Ticket(
                 ticket_id,
-                self._read_rank(call),
+                one.standing.rank,
                 now_s + LONGEST_WAIT_RATIO * left_s,
                 now_s + left_s,
             ),
@@ -100,13 +105,47 @@
         """Requests that run and wait here."""
         return b"%d" % (self._gate.running + self._gate.waiting)
 
-    def call_finished(self, ticket_id: int, is_measured: bool) -> None:
-        """Takes a slot back."""
+    def call_started(self, call: exit_call.ExitCall, deadline_s: float) -> None:
+        """Takes note that a request is handed over."""
+        self._parts.lineage.begin(call.ticket_id, deadline_s)
+        self._parts.running[call.ticket_id] = parts_module.RunningWork(
+            call.standing
+        )
+
+    def call_finished(
+        self, call: exit_call.ExitCall, is_measured: bool
+    ) -> work_report.WorkReport:
+        """Takes a slot back; returns what the request and its calls cost."""
+        ticket_id = call.ticket_id
         if self._calls.pop(ticket_id, None) is None:
-            return
+            return {}
         now_s = self._parts.clock.now_s()
-        self._gate.finish(now_s, ticket_id, is_measured)
+        hold_s = self._gate.finish(now_s, ticket_id, is_measured)
+        if is_measured:
+            self._meter.note_hold(call.route, hold_s)
+        self._roll(now_s)
+        report = self._end_work(ticket_id, hold_s)
         self._start_waiting()
+        return report
+
+    def report_share(self) -> work_report.WorkReport:
+        """The share of the offered work that fits here."""
+        part = work_report.ServiceWork(0.0, self._meter.share)
+        return {self._parts.settings.service: part}
+
+    def _end_work(
+        self, ticket_id: int, hold_s: float
+    ) -> work_report.WorkReport:
+        self._parts.lineage.end(ticket_id)
+        work = self._parts.running.pop(ticket_id, None)
+        report = {} if work is None else work.report
+        own = work_report.ServiceWork(hold_s, self._meter.share)
+        work_report.add(report, {self._parts.settings.service: own})
+        return report
+
+    def _roll(self, now_s: float) -> None:
+        waiting_s = self._gate.waiting * self._gate.hold_s
+        self._meter.roll(now_s, self._gate.slots, waiting_s)
 
     def call_left(self, ticket_id: int) -> None:
         """Takes note that a waiting request is gone."""
@@ -127,22 +166,15 @@
         self, call: inbound_call.InboundCall, now_s: float
     ) -> bytes:
         if self._is_stopping:
-            return b"stopping"
+            return hop.STOPPING
         if not self._presence.is_serving(now_s):
-            return b"draining"
+            return hop.DRAINING
         current = self._presence.current
         target = headers_module.find(call.head.headers, hop.TARGET)
         if current is None or target != current.backend_id.encode():
-            return b"other-backend"
+            return hop.OTHER_BACKEND
         return b""
 
-    def _read_rank(self, call: inbound_call.InboundCall) -> float:
-        said = headers_module.find(call.head.headers, hop.RANK)
-        try:
-            return float(said) if said is not None else 0.0
-        except ValueError:
-            return 0.0
-
     def _start_waiting(self) -> None:
         for ticket_id in self._gate.pop(self._parts.clock.now_s()):
             self._begin(ticket_id)
@@ -158,7 +190,7 @@
         )
 
     def _expire(self) -> None:
-        self._refuse_all(self._gate.expire(self._parts.clock.now_s()), b"full")
+        self._refuse_all(self._gate.expire(self._parts.clock.now_s()), hop.FULL)
         if not self._gate.waiting and self._ticking.running:
             self._ticking.stop()
 
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -3,6 +3,7 @@
 from typing import Any
 from typing import Protocol
 
+from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import outgoing
@@ -23,8 +24,16 @@
     def load_of(self) -> bytes:
         """Requests that run and wait here."""
 
-    def call_finished(self, ticket_id: int, is_measured: bool) -> None:
-        """Takes a slot back."""
+    def call_started(self, call: "ExitCall", deadline_s: float) -> None:
+        """Takes note that a request is handed over with this deadline."""
+
+    def call_finished(
+        self, call: "ExitCall", is_measured: bool
+    ) -> work_report.WorkReport:
+        """Takes a slot back; returns what the request and its calls cost."""
+
+    def report_share(self) -> work_report.WorkReport:
+        """The share of the offered work that fits here."""
 
     def call_left(self, ticket_id: int) -> None:
         """Takes note that a waiting request is gone."""
@@ -62,7 +71,8 @@
         self._owner = owner
         self._pool = pool
         self._call = call
-        self._ticket_id = ticket_id
+        self.ticket_id = ticket_id
+        self.standing = hop.decode_standing(call.head.headers)
         self.deadline_s = deadline_s
         dialect = parts.settings.dialect
         self.request_id = (
@@ -88,7 +98,10 @@
             for one in hop.strip(headers_module.forwardable(head.headers))
             if one[0] not in replaced
         ]
-        headers.append((dialect.deadline_ms, b"%d" % max(left_s * 1000, 1)))
+        left_ms = max(hop.shorten_ms(left_s), 1)
+        headers.append((dialect.deadline_ms, b"%d" % left_ms))
+        now_s = self._parts.clock.now_s()
+        self._owner.call_started(self, now_s + left_ms / 1000)
         headers.append((dialect.expected_backend, backend_id.encode()))
         self._attempt = attempt_module.Attempt(
             self._pool,
@@ -110,6 +123,7 @@
             (self._parts.settings.dialect.request_id, self.request_id),
             (hop.NOT_RUN, reason),
             (hop.LOAD, self._owner.load_of()),
+            (hop.WORK, work_report.encode(self._owner.report_share())),
         ]
         self._call.answer(503, headers, b"")
 
@@ -128,16 +142,18 @@
         not_run = headers_module.find(head.headers, dialect.not_run)
         proof = headers_module.find(head.headers, dialect.proof)
         coding = headers_module.find(head.headers, _CONTENT_CODING)
-        self._owner.call_finished(self._ticket_id, not_run is None)
+        report = self._owner.call_finished(self, not_run is None)
         if not_run is not None or head.status == 421:
-            reason = b"full" if head.status in (429, 503) else b"misdirected"
+            reason = hop.BACKEND_FULL
+            if head.status == 421:
+                reason = hop.MISDIRECTED
             self._owner.backend_refused(reason)
             self.refuse(reason)
             return
         if 200 <= head.status < 300 and (proof is None or coding is not None):
             self._lose("the answer bears no proof of the backend server")
             return
-        self._call.answer(head.status, self._mark(head), body)
+        self._call.answer(head.status, self._mark(head, report), body)
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead, body: bytes
@@ -147,7 +163,7 @@
         if mode is body_mode.BodyMode.UNTIL_CLOSE:
             mode = body_mode.BodyMode.CHUNKED
         self._call.start_answer(
-            head._replace(headers=self._mark(head), mode=mode)
+            head._replace(headers=self._mark(head, {}), mode=mode)
         )
         self._call.send_body(body)
 
@@ -158,19 +174,19 @@
     def attempt_ended(self) -> None:
         """Ends a long answer."""
         self._finish_timer()
-        self._owner.call_finished(self._ticket_id, True)
+        self._owner.call_finished(self, True)
         self._call.finish()
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Says what is known: not run, or perhaps."""
         self._finish_timer()
-        self._owner.call_finished(self._ticket_id, False)
+        self._owner.call_finished(self, False)
         if self._call.is_head_sent:
             self._call.abort()
             return
         if not loss.is_handed_over:
             self._owner.backend_unreachable(loss.detail)
-            self.refuse(b"unreachable")
+            self.refuse(hop.UNREACHABLE)
             return
         self._lose(loss.detail)
 
@@ -188,20 +204,24 @@
         self._timer = None
         if self._attempt is not None:
             self._attempt.cancel()
-        self._owner.call_finished(self._ticket_id, False)
+        self._owner.call_finished(self, False)
         self._call.abort()
 
     def _cancelled(self) -> None:
         self._finish_timer()
         if self._attempt is None:
-            self._owner.call_left(self._ticket_id)
+            self._owner.call_left(self.ticket_id)
             return
         self._attempt.cancel()
-        self._owner.call_finished(self._ticket_id, False)
+        self._owner.call_finished(self, False)
 
-    def _mark(self, head: answer_head.AnswerHead) -> headers_module.HeaderList:
+    def _mark(
+        self, head: answer_head.AnswerHead, report: work_report.WorkReport
+    ) -> headers_module.HeaderList:
         headers = hop.strip(headers_module.forwardable(head.headers))
         headers.append((hop.LOAD, self._owner.load_of()))
+        if report:
+            headers.append((hop.WORK, work_report.encode(report)))
         return headers
 
     def _finish_timer(self) -> None:
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -23,11 +23,13 @@
 from cranberrymux.node.http import limits as limits_module
 from cranberrymux.node.http import server_factory
 
+BACKLOG = 512  # Connections that wait to be taken.
 CHECK_S = 0.25
 # New requests are taken for so long after SIGTERM, since callers find out by
 # asking twice, once a second.
 LINGER_S = 2.5
 STOP_POLL_S = 0.05
+FLUSH_S = 0.1
 BUFFERED_BODY_BYTES = 1 << 20
 _Change = presence_module.PresenceChange
 
@@ -63,7 +65,10 @@
         self._contacts.follow(self._directory)
         self._checking = task.LoopingCall(self._check)
         self._checking.clock = reactor
-        self._entry_factory: server_factory.ServerFactory | None = None
+        self._factories: list[server_factory.ServerFactory] = []
+        self._ports: list[Any] = []
+        self._stopping = task.LoopingCall(self._stop_when_idle)
+        self._stopping.clock = reactor
         self._stopping_s = 0.0
         self._is_stopping = False
 
@@ -80,9 +85,7 @@
         """
         limits = limits_module.Limits(buffered_bytes=BUFFERED_BODY_BYTES)
         entry = entry_module.Entry(self._parts)
-        self._entry_factory = self._listen(
-            self._settings.entry_address, entry, limits
-        )
+        self._listen(self._settings.entry_address, entry, limits)
         self._listen(self._settings.hop_address, self._exit, limits)
         self._directory.start()
         self._checking.start(CHECK_S, now=False)
@@ -109,6 +112,10 @@
         self._take_change(change, backend_id)
         return change
 
+    def follow_control_instances(self, addresses: Sequence[str]) -> None:
+        """Takes `ip:port` of control instances from changed settings."""
+        self._contacts.learn(addresses, self._clock.now_s())
+
     def stop(self) -> None:
         """Ends in order: no cut request, as far as time allows."""
         if self._is_stopping:
@@ -119,7 +126,9 @@
         if self._announcer.stop():
             self._directory.beat()
         self._exit.stop()
-        task.LoopingCall(self._stop_when_idle).start(STOP_POLL_S, now=False)
+        for factory in self._factories:
+            factory.leave()
+        self._stopping.start(STOP_POLL_S, now=False)
 
     # What the directory tells.
 
@@ -166,14 +175,15 @@
         text: str,
         handler: call_handler.CallHandler,
         limits: limits_module.Limits,
-    ) -> server_factory.ServerFactory:
+    ) -> None:
         address = socket_address.parse(text)
         assert address is not None
         factory = server_factory.ServerFactory(handler, limits)
-        self._reactor.listenTCP(
-            address.port, factory, backlog=512, interface=address.host
+        port = self._reactor.listenTCP(
+            address.port, factory, backlog=BACKLOG, interface=address.host
         )
-        return factory
+        self._factories.append(factory)
+        self._ports.append(port)
 
     def _take_change(self, change: _Change, backend_id: str) -> None:
         if change in (_Change.NONE, _Change.STALE):
@@ -201,7 +211,17 @@
 
     def _stop_when_idle(self) -> None:
         age_s = self._clock.now_s() - self._stopping_s
-        is_idle = not self._exit.in_flight and age_s > LINGER_S
+        in_flight = self._exit.in_flight + self._parts.entered
+        is_idle = not in_flight and age_s > LINGER_S
         if is_idle or age_s > self._settings.stop_s:
-            self._directory.stop()
-            self._reactor.stop()
+            self._stopping.stop()
+            self._close()
+
+    def _close(self) -> None:
+        for port in self._ports:
+            port.stopListening()
+        for factory in self._factories:
+            factory.close_connections()
+        self._directory.stop()
+        # What was written last still has to reach its client.
+        self._reactor.callLater(FLUSH_S, self._reactor.stop)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -1,5 +1,7 @@
 """Headers that nodes add for one another; clients never see them."""
 
+from typing import NamedTuple
+
 from cranberrymux.node.http import headers as headers_module
 
 PREFIX = b"cranberrymux-"
@@ -7,15 +9,76 @@
 TARGET = b"cranberrymux-target"
 # Name of the route.
 ROUTE = b"cranberrymux-route"
-# Rank of the work: see `decisions.pressure.rank`.
-RANK = b"cranberrymux-rank"
+# See `Standing`.
+STANDING = b"cranberrymux-standing"
 # On answers: why the request was not run, if that is proven.
 NOT_RUN = b"cranberrymux-not-run"
 # On answers: running and waiting requests and slots, by comma.
 LOAD = b"cranberrymux-load"
-# On answers: what the request cost at each service; see `work_report`.
+# On answers: what the request cost at each service of its tree; see
+# `decisions.pressure.work_report`.
 WORK = b"cranberrymux-work"
 
+# Reasons of `NOT_RUN`.
+FULL = b"full"
+TOO_LATE = b"too-late"
+DRAINING = b"draining"
+STOPPING = b"stopping"
+OTHER_BACKEND = b"other-backend"
+UNREACHABLE = b"unreachable"
+# The backend server itself refused it.
+BACKEND_FULL = b"backend-full"
+MISDIRECTED = b"misdirected"
+BUSY_REASONS = (FULL, TOO_LATE, BACKEND_FULL)
+
+CALL_BONUS = 0.5  # Calls of a tree that was let in come before its equals.
+
+# Each node hands on a little less time than it has, so that the answer "too
+# late" of the next one still arrives.
+MARGIN_S = 0.01
+MARGIN_RATIO = 0.05
+
+
+def shorten_ms(left_s: float) -> int:
+    """Milliseconds to hand on, of the time that is left."""
+    return int((left_s - min(MARGIN_S, MARGIN_RATIO * left_s)) * 1000)
+
+
+class Standing(NamedTuple):
+    """What the node where a tree began says of all its work.
+
+    Attributes:
+        rank: Order in which work starts, lowest first: the importance of the
+            request that began the tree, less `CALL_BONUS` for its calls.
+        share: Share of the offered work that was let in there.
+    """
+
+    rank: float
+    share: float
+
+    def of_call(self) -> "Standing":
+        """Standing of the calls of a request with this one."""
+        is_call = self.rank % 1.0 != 0.0
+        return self if is_call else self._replace(rank=self.rank - CALL_BONUS)
+
+
+NO_STANDING = Standing(0.0, 1.0)
+
+
+def encode_standing(standing: Standing) -> bytes:
+    """Encodes a standing as a header value."""
+    return b"%.1f/%.3f" % standing
+
+
+def decode_standing(headers: headers_module.HeaderList) -> Standing:
+    """Reads the standing; `NO_STANDING` if there is none."""
+    said = headers_module.find(headers, STANDING) or b""
+    rank, _, share = said.partition(b"/")
+    try:
+        return Standing(float(rank), float(share))
+    except ValueError:
+        return NO_STANDING
+
 
 def strip(headers: headers_module.HeaderList) -> headers_module.HeaderList:
     """Leaves out the nodes' own headers."""
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -7,10 +7,14 @@
 import structlog
 
 from cranberrymux.decisions.endpoints import endpoint_set
+from cranberrymux.decisions.pressure import lineage as lineage_module
+from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.retries import repeat_bucket
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.decisions.routes import split_chooser
+from cranberrymux.gateway import callers as callers_module
 from cranberrymux.gateway import clock as clock_module
+from cranberrymux.gateway import hop
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.node.http import connection_pool
 
@@ -23,6 +27,22 @@
         """Routes; None before any configuration is known."""
 
 
+class RunningWork:
+    """A request that the backend server beside this node runs.
+
+    Attributes:
+        standing: What is known of its tree.
+        report: What its calls cost so far.
+    """
+
+    __slots__ = ("report", "standing")
+
+    def __init__(self, standing: hop.Standing) -> None:
+        """Starts without calls."""
+        self.standing = standing
+        self.report: work_report.WorkReport = {}
+
+
 class GatewayParts:
     """Shared by every call; owned by the program.
 
@@ -35,7 +55,11 @@
         splits: Shares requests among the services of a route.
         endpoints: Endpoints of all services.
         repeats: Budget of repeats.
+        callers: Admission of requests that begin here.
+        lineage: Tells which running request made a call.
+        running: What is known of the requests that run here.
         hops: Connections to other nodes.
+        entered: Requests that began here and are not answered.
         events: Logger.
     """
 
@@ -59,5 +83,13 @@
             settings.repeat_slack,
             settings.repeat_window_s,
         )
+        self.callers = callers_module.Callers(self.clock.now_s())
+        self.lineage = lineage_module.Lineage()
+        self.running: dict[int, RunningWork] = {}
         self.hops = connection_pool.ConnectionPool(reactor)
+        self.entered = 0
         self.events = structlog.get_logger()
+
+    def call_ended(self) -> None:
+        """Takes note that a request that began here was answered."""
+        self.entered -= 1
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -38,6 +38,14 @@
 class Connection(Protocol):
     """What a call needs of the connection that it came by."""
 
+    @property
+    def peer_host(self) -> str:
+        """IP number of the sender; empty if unknown."""
+
+    @property
+    def is_leaving(self) -> bool:
+        """True if the connection closes after the answer under way."""
+
     def send(self, data: bytes) -> None:
         """Writes bytes to the client."""
 
@@ -62,6 +70,7 @@
         on_cancel: Called once if the client goes before the answer is whole.
         on_drained: Called when the client has taken what was sent.
         on_full: Called when the client takes the answer too slowly.
+        on_ended: Called once when the answer is complete, cut or not wanted.
     """
 
     def __init__(
@@ -72,6 +81,7 @@
         self.on_cancel: Callable[[], None] | None = None
         self.on_drained: Callable[[], None] | None = None
         self.on_full: Callable[[], None] | None = None
+        self.on_ended: Callable[[], None] | None = None
         self._connection = connection
         self._parts: list[bytes] = []
         self._body_length = 0
@@ -102,6 +112,11 @@
         """True once the head of the final answer was sent."""
         return self._is_head_sent
 
+    @property
+    def peer_host(self) -> str:
+        """IP number of the sender; empty if unknown."""
+        return self._connection.peer_host
+
     def held_body(self) -> bytes:
         """Returns the part of the body that was read and is still held."""
         return b"".join(self._parts)
@@ -187,8 +202,8 @@
             and self.head.method != b"HEAD"
         ):
             self._connection.send(b"0\r\n\r\n")
-        self._is_answered = True
-        keep_alive = self.head.keep_alive and self._is_body_complete
+        self._end()
+        keep_alive = self._may_stay_open
         if self._is_chunked_answer and self.head.is_http_1_0:
             keep_alive = False
         self._connection.call_answered(self, keep_alive)
@@ -197,7 +212,7 @@
         """Cuts the answer, so that the client cannot take it for whole."""
         if self._is_answered:
             return
-        self._is_answered = True
+        self._end()
         self._connection.abort()
 
     def client_lost(self) -> None:
@@ -209,10 +224,20 @@
             self._sink.body_aborted()
         if self._is_answered:
             return
-        self._is_answered = True
+        self._end()
         if self.on_cancel is not None:
             self.on_cancel()
 
+    def _end(self) -> None:
+        self._is_answered = True
+        if self.on_ended is not None:
+            self.on_ended()
+
+    @property
+    def _may_stay_open(self) -> bool:
+        is_read = self.head.keep_alive and self._is_body_complete
+        return is_read and not self._connection.is_leaving
+
     def _encode_head(self, head: answer_head.AnswerHead) -> bytes:
         line = _STATUS_LINES.get(head.status)
         if line is None:
@@ -226,6 +251,6 @@
             and head.status not in _BODYLESS_STATUSES
         ):
             data += b"content-length: %d\r\n" % head.content_length
-        if not (self.head.keep_alive and self._is_body_complete):
+        if not self._may_stay_open:
             data += b"connection: close\r\n"
         return data + b"\r\n"
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -28,6 +28,9 @@
 
     Pipelined calls are answered in order: the next one starts when the answer
     to the one before it is complete. While one waits, reading pauses.
+
+    Attributes:
+        is_leaving: True if it closes after the answer under way.
     """
 
     def __init__(
@@ -51,10 +54,18 @@
         self._is_paused = False
         self._is_body_paused = False
         self._tcp: Any = None
+        self._peer_host = ""
+        self.is_leaving = False
+
+    @property
+    def peer_host(self) -> str:
+        """IP number of the sender; empty before there is a connection."""
+        return self._peer_host
 
     def connectionMade(self) -> None:  # noqa: N802
         """Registers for backpressure of the answers."""
         self._tcp = self.transport
+        self._peer_host = getattr(self._tcp.getPeer(), "host", "")
         self._tcp.setTcpNoDelay(True)
         self._tcp.registerProducer(self, True)
 
--- a/src/cranberrymux/node/http/server_factory.py
+++ b/src/cranberrymux/node/http/server_factory.py
@@ -42,15 +42,24 @@
         self._handler = handler
         self._limits = message_limits
         self._open_connections: set[server_connection.ServerConnection] = set()
+        self._is_leaving = False
 
     def buildProtocol(  # noqa: N802
         self, addr: Any
     ) -> server_connection.ServerConnection:
         """Makes a connection."""
         del addr  # Callers are told apart by their headers.
-        return _TrackedConnection(
+        made = _TrackedConnection(
             self._handler, self._limits, self._open_connections
         )
+        made.is_leaving = self._is_leaving
+        return made
+
+    def leave(self) -> None:
+        """Closes each connection after its next answer."""
+        self._is_leaving = True
+        for connection in self._open_connections:
+            connection.is_leaving = True
 
     def close_connections(self) -> None:
         """Closes every connection once what was written has been taken."""
--- a/src/cranberrymux/platform/node_main.py
+++ b/src/cranberrymux/platform/node_main.py
@@ -27,7 +27,9 @@
         announce = node_ports.AnnouncePort(gateway)
         gateway.listen(settings.announce_address, announce)
 
-    return program.run(settings, open_ports)
+    return program.run(
+        settings, open_ports, settings_file.read_control_instances
+    )
 
 
 if __name__ == "__main__":
--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -3,7 +3,8 @@
 import os
 import tomllib
 from typing import Any
-from typing import NamedTuple
+
+import structlog
 
 from cranberrymux import exceptions
 from cranberrymux.control import control_settings
@@ -28,12 +29,6 @@
 _CLAIM_AGE_S = 3600
 
 
-class Metrics(NamedTuple):
-    """Where metrics are served; port 0 for nowhere."""
-
-    port: int
-
-
 def read() -> dict[str, Any]:
     """Reads the file that the environment names.
 
@@ -88,6 +83,18 @@
         raise _fail(error) from None
 
 
+def read_control_instances() -> tuple[str, ...]:
+    """Returns `ip:port` of the control instances that the file names now.
+
+    An unreadable file names none; the next read may find it whole.
+    """
+    try:
+        return _control_instances(read()["network"])
+    except (exceptions.SettingsError, KeyError, ValueError, TypeError) as error:
+        structlog.get_logger().warning("settings-not-read", detail=str(error))
+        return ()
+
+
 def _make_gateway_settings(
     values: dict[str, Any],
 ) -> gateway_settings.GatewaySettings:
--- /dev/null
+++ b/tests/decisions/pressure/tree_load.py
@@ -0,0 +1,255 @@
+"""Trees of calls that meet at one deep service, under a virtual clock.
+
+Models only what the decisions see: nodes where trees begin, the deep
+service's endpoints with their gates and share meters, and the time that the
+services in between take.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from cranberrymux.decisions.pressure import gate as gate_module
+from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import share_meter
+from cranberrymux.decisions.pressure import work_report
+
+HOP_S = 0.002
+RETURN_WAIT_S = 0.5
+
+
+class Kind(NamedTuple):
+    """One kind of tree.
+
+    Attributes:
+        route: Name of its route.
+        priority: 0 is the most important.
+        per_s: Arrivals a second over all nodes.
+        calls: Calls to the deep service, one after the other.
+        call_s: Mean work of a call there.
+        between_s: Time before each call.
+        timeout_s: Time after which the tree fails.
+    """
+
+    route: str
+    priority: int
+    per_s: float
+    calls: int
+    call_s: float
+    between_s: float
+    timeout_s: float
+
+
+@dataclasses.dataclass
+class Tally:
+    """How the trees of one kind ended."""
+
+    asked: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+
+
+class Endpoint:
+    """One endpoint of the deep service and the node beside it."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.gate = gate_module.Gate(slots)
+        self.meter = share_meter.ShareMeter(0.0)
+        self.waiting: dict[int, Callable[[bool], None]] = {}
+        self.busy_s = 0.0
+
+
+@dataclasses.dataclass
+class Tree:
+    """One tree under way."""
+
+    kind: Kind
+    node: int
+    deadline_s: float
+    left: int
+    rank: float
+    share: float
+    report: work_report.WorkReport
+
+
+class TreeLoad:
+    """Plays trees against the decisions."""
+
+    def __init__(
+        self,
+        kinds: list[Kind],
+        nodes: int = 18,
+        endpoints: int = 4,
+        slots: int = 15,
+        seed: int = 1,
+        is_admitting: bool = True,
+    ) -> None:
+        self.now_s = 0.0
+        self.random = random.Random(seed)
+        self.kinds = kinds
+        self.is_admitting = is_admitting
+        self.tallies = {one.route: Tally() for one in kinds}
+        self.roots = [root_admission.RootAdmission(0.0) for _ in range(nodes)]
+        self.endpoints = [Endpoint(slots) for _ in range(endpoints)]
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._tickets = itertools.count()
+
+    def at(self, delay_s: float, act: Callable[[], None]) -> None:
+        heapq.heappush(
+            self._events, (self.now_s + delay_s, next(self._order), act)
+        )
+
+    def run(self, length_s: float, counted_from_s: float = 0.0) -> None:
+        for kind in self.kinds:
+            self._arrive_later(kind, length_s)
+        self.at(0.02, self._expire)
+        while self._events:
+            at_s, _, act = heapq.heappop(self._events)
+            if at_s > length_s + 2.0:
+                break
+            if self.now_s < counted_from_s <= at_s:
+                for route in self.tallies:
+                    self.tallies[route] = Tally()
+                for one in self.endpoints:
+                    one.busy_s = 0.0
+            self.now_s = at_s
+            act()
+
+    def use(self, length_s: float) -> float:
+        """Share of the deep service's slots that was in use."""
+        slots = sum(one.slots for one in self.endpoints)
+        return sum(one.busy_s for one in self.endpoints) / slots / length_s
+
+    def _arrive_later(self, kind: Kind, length_s: float) -> None:
+        gap_s = self.random.expovariate(kind.per_s)
+        if self.now_s + gap_s > length_s:
+            return
+
+        def arrive() -> None:
+            self.tallies[kind.route].asked += 1
+            self._begin(kind, root_admission.Turn.FIRST)
+            self._arrive_later(kind, length_s)
+
+        self.at(gap_s, arrive)
+
+    def _begin(self, kind: Kind, turn: root_admission.Turn) -> None:
+        node = self.random.randrange(len(self.roots))
+        asked = root_admission.Kind(kind.priority, turn, kind.route)
+        may_begin = self.roots[node].offer(self.now_s, asked)
+        if self.is_admitting and not may_begin:
+            self._end_badly(kind, turn, "refused")
+            return
+        tree = Tree(
+            kind,
+            node,
+            self.now_s + kind.timeout_s,
+            kind.calls,
+            kind.priority - (0.5 if kind.calls > 1 else 0.0),
+            self.roots[node].least_share,
+            {},
+        )
+        self.at(kind.between_s, lambda: self._call(tree, turn, []))
+
+    def _end_badly(
+        self, kind: Kind, turn: root_admission.Turn, how: str
+    ) -> None:
+        if turn is root_admission.Turn.FIRST:
+            late = root_admission.Turn.RETURNED_IN_TIME
+            self.at(RETURN_WAIT_S, lambda: self._begin(kind, late))
+            return
+        tally = self.tallies[kind.route]
+        setattr(tally, how, getattr(tally, how) + 1)
+
+    def _call(
+        self, tree: Tree, turn: root_admission.Turn, tried: list[int]
+    ) -> None:
+        left = [
+            place for place in range(len(self.endpoints)) if place not in tried
+        ]
+        if not left or self.now_s >= tree.deadline_s:
+            self._tell(tree)
+            self._end_badly(tree.kind, turn, "failed")
+            return
+        pair = self.random.sample(left, min(2, len(left)))
+        place = min(
+            pair,
+            key=lambda one: (
+                self.endpoints[one].gate.running
+                + self.endpoints[one].gate.waiting
+            ),
+        )
+        endpoint = self.endpoints[place]
+        gate, meter = endpoint.gate, endpoint.meter
+        meter.note_arrival(tree.kind.route, tree.share)
+        meter.roll(self.now_s, gate.slots, gate.waiting * gate.hold_s)
+        ticket_id = next(self._tickets)
+        left_s = tree.deadline_s - self.now_s
+        verdict = gate.offer(
+            self.now_s,
+            gate_module.Ticket(
+                ticket_id,
+                tree.rank,
+                self.now_s + 0.4 * left_s,
+                tree.deadline_s,
+            ),
+        )
+
+        def started(is_started: bool) -> None:
+            if not is_started:
+                work_report.add(
+                    tree.report,
+                    {"deep": work_report.ServiceWork(0.0, meter.share)},
+                )
+                self.at(HOP_S, lambda: self._call(tree, turn, [*tried, place]))
+                return
+            work_s = self.random.uniform(0.5, 1.5) * tree.kind.call_s
+            self.at(work_s, lambda: self._finish(tree, turn, place, ticket_id))
+
+        if verdict is gate_module.GateVerdict.START:
+            started(True)
+        elif verdict is gate_module.GateVerdict.WAIT:
+            endpoint.waiting[ticket_id] = started
+        else:
+            started(False)
+
+    def _finish(
+        self,
+        tree: Tree,
+        turn: root_admission.Turn,
+        place: int,
+        ticket_id: int,
+    ) -> None:
+        endpoint = self.endpoints[place]
+        hold_s = endpoint.gate.finish(self.now_s, ticket_id, True)
+        endpoint.busy_s += hold_s
+        endpoint.meter.note_hold(tree.kind.route, hold_s)
+        for started in endpoint.gate.pop(self.now_s):
+            endpoint.waiting.pop(started)(True)
+        part = work_report.ServiceWork(hold_s, endpoint.meter.share)
+        work_report.add(tree.report, {"deep": part})
+        tree.left -= 1
+        if self.now_s > tree.deadline_s:
+            self._tell(tree)
+            self._end_badly(tree.kind, turn, "failed")
+        elif tree.left:
+            self.at(tree.kind.between_s, lambda: self._call(tree, turn, []))
+        else:
+            self._tell(tree)
+            self.tallies[tree.kind.route].served += 1
+
+    def _tell(self, tree: Tree) -> None:
+        self.roots[tree.node].note_report(
+            self.now_s, tree.kind.route, tree.report
+        )
+
+    def _expire(self) -> None:
+        for endpoint in self.endpoints:
+            for ticket_id in endpoint.gate.expire(self.now_s):
+                endpoint.waiting.pop(ticket_id)(False)
+        self.at(0.02, self._expire)
