Test the gateway's path over a network in memory; leave the deadline to the sender

A node that ended a request at its deadline by closing made the sender say 'lost' (502), and for an idempotent request try again with 8 ms left. Now the sender's own timer ends it with 504; the receiver only guards.

--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -5,7 +5,6 @@
 the share that fits is told to the nodes where the trees begin.
 """
 
-
 WINDOW_S = 0.2
 TARGET_USE = 0.95  # Part of the slots that admitted work may take.
 MOVE = 0.5  # Part of the way to the share that fits, window by window.
--- a/src/cranberrymux/gateway/clock.py
+++ b/src/cranberrymux/gateway/boot_clock.py
@@ -1,4 +1,4 @@
-"""The clocks of a gateway."""
+"""Clocks that also count while the instance is suspended."""
 
 import time
 
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -15,6 +15,8 @@
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
 
+# The sender gives up at the deadline; this only ends what it cannot.
+GUARD_S = 0.1
 _CONTENT_CODING = b"content-encoding"
 
 
@@ -112,7 +114,7 @@
             dialect.request_id,
         )
         self._timer = self._parts.reactor.callLater(
-            max(left_s, 0), self._timed_out
+            max(left_s, 0) + GUARD_S, self._timed_out
         )
         self._attempt.start()
 
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -10,6 +10,7 @@
 from cranberrymux.decisions.presence import announcement as announcement_module
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.gateway import announcer as announcer_module
+from cranberrymux.gateway import boot_clock
 from cranberrymux.gateway import control_contacts
 from cranberrymux.gateway import entry as entry_module
 from cranberrymux.gateway import exit as exit_module
@@ -18,6 +19,7 @@
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import socket_address
+from cranberrymux.node import clock as clock_module
 from cranberrymux.node import directory_task
 from cranberrymux.node.http import call_handler
 from cranberrymux.node.http import limits as limits_module
@@ -38,15 +40,30 @@
     """One node: its ports, its backend server, its directory."""
 
     def __init__(
-        self, settings: gateway_settings.GatewaySettings, reactor: Any
+        self,
+        settings: gateway_settings.GatewaySettings,
+        reactor: Any,
+        system_clock: clock_module.Clock | None = None,
+        generator: random.Random | None = None,
     ) -> None:
-        """Builds the parts; `start` opens the ports."""
+        """Builds the parts; `start` opens the ports.
+
+        Args:
+            settings: The gateway's settings.
+            reactor: The reactor to use.
+            system_clock: Clocks; those of the instance by default.
+            generator: Source of randomness; seeded by chance by default.
+        """
         self._settings = settings
         self._reactor = reactor
         self._events = structlog.get_logger()
         self._routes = routes_holder.RoutesHolder()
         self._parts = parts_module.GatewayParts(
-            settings, reactor, self._routes, random.Random()
+            settings,
+            reactor,
+            self._routes,
+            generator or random.Random(),
+            system_clock or boot_clock.BootClock(),
         )
         self._clock = self._parts.clock
         self._presence = presence_module.Presence(settings.backend_lifetime_s)
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -13,9 +13,9 @@
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.decisions.routes import split_chooser
 from cranberrymux.gateway import callers as callers_module
-from cranberrymux.gateway import clock as clock_module
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import settings as gateway_settings
+from cranberrymux.node import clock as clock_module
 from cranberrymux.node.http import connection_pool
 
 
@@ -69,11 +69,12 @@
         reactor: Any,
         routes: RoutesInForce,
         generator: random.Random,
+        system_clock: clock_module.Clock,
     ) -> None:
         """Builds the parts."""
         self.settings = settings
         self.reactor = reactor
-        self.clock = clock_module.BootClock()
+        self.clock = system_clock
         self.generator = generator
         self.routes = routes
         self.splits = split_chooser.SplitChooser()
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -38,10 +38,6 @@
 class Connection(Protocol):
     """What a call needs of the connection that it came by."""
 
-    @property
-    def peer_host(self) -> str:
-        """IP number of the sender; empty if unknown."""
-
     @property
     def is_leaving(self) -> bool:
         """True if the connection closes after the answer under way."""
@@ -112,11 +108,6 @@
         """True once the head of the final answer was sent."""
         return self._is_head_sent
 
-    @property
-    def peer_host(self) -> str:
-        """IP number of the sender; empty if unknown."""
-        return self._connection.peer_host
-
     def held_body(self) -> bytes:
         """Returns the part of the body that was read and is still held."""
         return b"".join(self._parts)
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -54,18 +54,11 @@
         self._is_paused = False
         self._is_body_paused = False
         self._tcp: Any = None
-        self._peer_host = ""
         self.is_leaving = False
 
-    @property
-    def peer_host(self) -> str:
-        """IP number of the sender; empty before there is a connection."""
-        return self._peer_host
-
     def connectionMade(self) -> None:  # noqa: N802
         """Registers for backpressure of the answers."""
         self._tcp = self.transport
-        self._peer_host = getattr(self._tcp.getPeer(), "host", "")
         self._tcp.setTcpNoDelay(True)
         self._tcp.registerProducer(self, True)
 
--- a/tests/fakes/control.py
+++ b/tests/fakes/control.py
@@ -17,6 +17,7 @@
         self.version = 0
         self.document = ""
         self.is_cut = False
+        self.is_connected = True
         self.is_silent_on_configuration = False
         self.ledger = claim_ledger.ClaimLedger(claim_settings.ClaimSettings())
         self.suspects = {}
--- a/tests/fakes/memory_network.py
+++ b/tests/fakes/memory_network.py
@@ -16,6 +16,7 @@
         self.peer = None
         self.connected = True
         self.dataBuffer = b""
+        self._tempDataBuffer = []
         self.is_paused = False
         self.held = []
         self.producer = None
@@ -69,6 +70,17 @@
             self.protocol.connectionLost(failure.Failure(reason))
 
 
+class MemoryPort:
+    """A listening port."""
+
+    def __init__(self, network, port):
+        self.network = network
+        self.port = port
+
+    def stopListening(self):
+        self.network.factories.pop(self.port, None)
+
+
 class MemoryNetwork(task.Clock):
     """A reactor: timers by `advance`, connections between its factories.
 
@@ -80,10 +92,21 @@
         self.factories = {}
         self.transports = []
         self.severed = set()
+        self.is_stopped = False
 
     def listen(self, port, factory):
         self.factories[port] = factory
 
+    def listenTCP(self, port, factory, backlog=50, interface=""):
+        self.listen(port, factory)
+        return MemoryPort(self, port)
+
+    def callFromThread(self, function, *arguments):
+        self.callLater(0, function, *arguments)
+
+    def stop(self):
+        self.is_stopped = True
+
     def stop_listening(self, port):
         """Ends a process: its port and every connection to it."""
         del self.factories[port]
--- /dev/null
+++ b/tests/gateway/mesh.py
@@ -0,0 +1,170 @@
+"""A few gateways with their backend servers, on a network in memory."""
+
+import random
+
+from cranberrymux.decisions.presence import announcement
+from cranberrymux.decisions.routes import backend_service
+from cranberrymux.decisions.routes import client_limits
+from cranberrymux.decisions.routes import route
+from cranberrymux.decisions.routes import route_document
+from cranberrymux.gateway import gateway as gateway_module
+from cranberrymux.gateway import settings as gateway_settings
+from cranberrymux.platform import dialect
+from tests.fakes import backend as backend_module
+from tests.fakes import memory_network
+from tests.fakes import raw_client
+
+HOST = "records.example"
+STAMP = (b"server-stamp", b"proof")
+
+
+def make_route(name, service, **changes):
+    made = route.Route(
+        name=name,
+        host=HOST,
+        prefix=f"/{name}/",
+        targets=(route.Target(service, 1.0),),
+        repeatability=route.Repeatability.IDEMPOTENT,
+        attempts=2,
+        timeout_s=1.0,
+        objective_s=1.5,
+        priority=1,
+    )
+    return made._replace(**changes)
+
+
+def make_document(*routes, label=1):
+    services = sorted({one.service for each in routes for one in each.targets})
+    return route_document.RouteDocument(
+        label,
+        tuple(routes),
+        tuple(
+            backend_service.BackendService(s, "/health", 99) for s in services
+        ),
+        client_limits.ClientLimits(),
+        "{}",
+    )
+
+
+def answer_with_proof(call):
+    """Answers as a healthy backend server does."""
+    request_id = dict(call.head.headers).get(b"request-id", b"")
+    headers = [STAMP, (b"request-id", request_id)]
+    call.answer(200, headers, b"answer to " + request_id)
+
+
+class Member:
+    """One gateway and the backend server beside it."""
+
+    def __init__(self, mesh, place, service, slots, zone):
+        self.mesh = mesh
+        base = 1000 + 10 * place
+        self.entry_port = base
+        self.backend_port = base + 4
+        self.backend_id = f"b-{place}"
+        self.service = service
+        self.slots = slots
+        self.zone = zone
+        self.sequence = 0
+        settings = gateway_settings.GatewaySettings(
+            node_id=f"n-{place}",
+            ip="10.0.0.1",
+            region="r",
+            zone=zone,
+            service=service,
+            backend_address=f"10.0.0.1:{self.backend_port}",
+            entry_address=f"10.0.0.1:{base}",
+            hop_address=f"10.0.0.1:{base + 1}",
+            ready_address=f"10.0.0.1:{base + 2}",
+            announce_address=f"10.0.0.1:{base + 3}",
+            metrics_port=0,
+            control_instances=(),
+            cluster_key="key",
+            heartbeat_ms=500,
+            control_timeout_ms=500,
+            backend_lifetime_s=5.0,
+            stop_s=5.0,
+            repeat_ratio=0.2,
+            repeat_slack=40.0,
+            repeat_window_s=10.0,
+            dialect=dialect.DIALECT,
+        )
+        self.backend = backend_module.Backend(
+            mesh.network, self.backend_port, answer_with_proof
+        )
+        self.gateway = gateway_module.Gateway(
+            settings,
+            mesh.network,
+            memory_network.VirtualClock(mesh.network),
+            random.Random(place),
+        )
+        self.gateway.start()
+
+    def say(self, state=announcement.BackendState.SERVING, **changes):
+        """Announces the backend server; all gateways hear of it."""
+        self.sequence += 1
+        said = announcement.Announcement(
+            backend_id=self.backend_id,
+            born_ms=1,
+            sequence=self.sequence,
+            service=self.service,
+            address=f"10.0.0.1:{self.backend_port}",
+            zone=self.zone,
+            slots=self.slots,
+            state=state,
+            cold_s=0.0,
+        )._replace(**changes)
+        change = self.gateway.announce(said)
+        self.mesh.spread()
+        return change
+
+
+class Mesh:
+    """All gateways; the directory is spread by hand."""
+
+    def __init__(self, *services, slots=10):
+        self.network = memory_network.MemoryNetwork()
+        self.members = [
+            Member(self, place, service, slots, f"z{place % 2}")
+            for place, service in enumerate(services)
+        ]
+        for one in self.members:
+            one.say()
+
+    def put(self, *routes, label=1):
+        text = route_document.dump(make_document(*routes, label=label))
+        for one in self.members:
+            one.gateway.configuration_changed(label, text)
+
+    def spread(self):
+        records = [
+            one.gateway._announcer.record
+            for one in self.members
+            if one.gateway._announcer.record is not None
+        ]
+        for one in self.members:
+            one.gateway.endpoints_changed(records)
+
+    def connect(self, place):
+        client = raw_client.RawClient()
+        self.network.connect(self.members[place].entry_port, client)
+        return client
+
+    def ask(self, place, path, *, method="GET", headers=(), body=b"", wait=0.1):
+        client = self.connect(place)
+        client.send(encode(path, method=method, headers=headers, body=body))
+        self.network.run(wait)
+        return client
+
+
+def encode(path, *, method="GET", headers=(), body=b""):
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}"]
+    names = {name.lower() for name, _ in headers}
+    if "request-id" not in names:
+        lines.append("Request-Id: r1")
+    if "deadline-ms" not in names:
+        lines.append("Deadline-Ms: 5000")
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/gateway/test_path.py
@@ -0,0 +1,257 @@
+"""The way of a request from the entry port to a backend server and back."""
+
+import pytest
+
+from cranberrymux.decisions.presence import announcement
+from cranberrymux.decisions.routes import route
+from cranberrymux.gateway import gateway as gateway_module
+from tests.gateway import mesh as mesh_module
+
+DRAINING = announcement.BackendState.DRAINING
+ONCE = route.Repeatability.ONCE
+
+
+@pytest.fixture
+def mesh():
+    made = mesh_module.Mesh("front", "deep", "deep")
+    made.put(
+        mesh_module.make_route("read", "deep"),
+        mesh_module.make_route("write", "deep", repeatability=ONCE),
+    )
+    return made
+
+
+def handed(mesh):
+    """Every request that a backend server got."""
+    return [one for each in mesh.members for one in each.backend.calls]
+
+
+def test_serves_a_request_with_what_the_backend_server_expects(mesh):
+    client = mesh.ask(
+        0,
+        "/read/x?page=2",
+        headers=[("Caller-Service", "forged"), ("cranberrymux-rank", "0")],
+    )
+    assert client.statuses == [200]
+    assert client.received.endswith(b"answer to r1")
+    assert b"cranberrymux" not in client.received.lower()
+    (call,) = handed(mesh)
+    headers = dict(call.head.headers)
+    assert call.head.target == b"/read/x?page=2"
+    assert headers[b"caller-service"] == b"front"
+    assert headers[b"expect-instance"] in (b"b-1", b"b-2")
+    assert 900 < int(headers[b"deadline-ms"]) < 1000
+    assert not any(name.startswith(b"cranberrymux") for name in headers)
+
+
+def test_hands_on_the_time_that_is_left(mesh):
+    mesh.ask(0, "/read/x", headers=[("Deadline-Ms", "300")])
+    (call,) = handed(mesh)
+    assert 250 < int(dict(call.head.headers)[b"deadline-ms"]) < 300
+
+
+def test_answers_503_before_any_configuration_is_known():
+    mesh = mesh_module.Mesh("front")
+    client = mesh.ask(0, "/read/x")
+    assert client.statuses == [503]
+    assert b"retry-after: 0." in client.received
+    assert not mesh.members[0].gateway.is_ready
+
+
+def test_answers_404_where_no_route_matches(mesh):
+    assert mesh.ask(0, "/other/x").statuses == [404]
+
+
+def test_passes_on_a_body_in_chunks(mesh):
+    client = mesh.connect(0)
+    client.send(
+        b"POST /write/x HTTP/1.1\r\nHost: records.example\r\n"
+        b"Request-Id: r1\r\nDeadline-Ms: 5000\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    mesh.network.run(0.1)
+    assert client.statuses == [200]
+    assert handed(mesh)[0].held_body() == b"abcde"
+
+
+def test_streams_a_body_that_is_too_long_to_hold(mesh):
+    length = gateway_module.BUFFERED_BODY_BYTES + 70_000
+    client = mesh.ask(0, "/write/x", method="POST", body=b"x" * length)
+    assert client.statuses == [200]
+    assert handed(mesh)[0].body_length == length
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/write/x"])
+def test_goes_elsewhere_when_the_endpoint_is_leaving(mesh, path):
+    mesh.members[1].gateway.announce(
+        announcement.Announcement(
+            "b-1", 1, 9, "deep", "10.0.0.1:1014", "z1", 10, DRAINING, 0.0
+        )
+    )  # The other gateways have not heard of it.
+    for number in range(10):
+        headers = [("Request-Id", f"q{number}")]
+        assert mesh.ask(0, path, headers=headers).statuses == [200]
+    assert mesh.members[1].backend.calls == []
+
+
+def test_a_running_request_ends_after_its_endpoint_said_it_leaves(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = None
+    client = mesh.ask(0, "/write/x")
+    (call,) = handed(mesh)
+    for one in mesh.members[1:]:
+        one.say(DRAINING)
+    mesh_module.answer_with_proof(call)
+    mesh.network.run(0.1)
+    assert client.statuses == [200]
+
+
+def test_repeats_an_idempotent_request_whose_answer_was_lost(mesh):
+    mesh.members[1].backend.answer = lambda call: call.abort()
+    mesh.members[2].backend.answer = mesh_module.answer_with_proof
+    for number in range(4):
+        headers = [("Request-Id", f"q{number}")]
+        assert mesh.ask(0, "/read/x", headers=headers).statuses == [200]
+
+
+def test_never_repeats_a_request_that_may_run_once(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = lambda call: call.abort()
+    client = mesh.ask(0, "/write/x")
+    assert client.statuses == [502]
+    assert len(handed(mesh)) == 1
+
+
+def test_repeats_stay_within_the_shared_budget(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = lambda call: call.abort()
+    asked = 200
+    for number in range(asked):
+        mesh.ask(
+            0, "/read/x", headers=[("Request-Id", f"q{number}")], wait=0.01
+        )
+    repeats = len(handed(mesh)) - asked
+    assert 0 < repeats <= 0.2 * asked + 40 / 3
+
+
+def test_what_the_backend_server_refused_is_not_run(mesh):
+    def refuse(call):
+        call.answer(503, [(b"not-run", b"1")], b"")
+
+    for one in mesh.members[1:]:
+        one.backend.answer = refuse
+    client = mesh.ask(0, "/write/x")
+    assert client.statuses == [503]
+    assert b"retry-after" in client.received
+
+
+def test_a_success_without_proof_is_no_success(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = lambda call: call.answer(200, [], b"x")
+    assert mesh.ask(0, "/write/x").statuses == [502]
+
+
+def test_a_failure_of_the_backend_server_is_passed_on(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = lambda call: call.answer(
+            500, [mesh_module.STAMP], b"broken"
+        )
+    client = mesh.ask(0, "/read/x")
+    assert client.statuses == [500]
+    assert b"server-stamp: proof" in client.received
+
+
+def test_answers_in_time_when_the_backend_server_is_silent(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = None
+    client = mesh.ask(0, "/write/x", wait=1.1)
+    assert client.statuses == [504]
+    cancelled = [c for one in mesh.members for c in one.backend.cancelled]
+    assert len(cancelled) == 1
+
+
+def test_a_client_that_leaves_ends_the_work(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = None
+    client = mesh.ask(0, "/read/x")
+    client.transport.loseConnection()
+    mesh.network.run(0.1)
+    cancelled = [c for one in mesh.members for c in one.backend.cancelled]
+    assert len(cancelled) == 1
+
+
+def test_an_address_taken_by_another_backend_server_runs_nothing(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = lambda call: call.answer(421, [], b"")
+    assert mesh.ask(0, "/write/x").statuses == [503]
+
+
+def test_refuses_a_request_for_a_backend_server_that_was_replaced(mesh):
+    record = mesh.members[1].gateway._announcer.record
+    mesh.members[2].gateway.leave("b-2")
+    mesh.members[1].gateway.leave("b-1")
+    mesh.members[1].backend_id = "b-new"
+    mesh.members[1].gateway.announce(
+        announcement.Announcement(
+            "b-new",
+            5,
+            1,
+            "deep",
+            "10.0.0.1:1014",
+            "z1",
+            10,
+            announcement.BackendState.SERVING,
+            0.0,
+        )
+    )
+    assert record.backend_id == "b-1"
+    assert mesh.ask(0, "/write/x").statuses == [503]
+    assert handed(mesh) == []
+
+
+def test_never_hands_over_more_than_the_slots(mesh):
+    for one in mesh.members[1:]:
+        one.backend.answer = None
+    for number in range(60):
+        mesh.ask(
+            0, "/write/x", headers=[("Request-Id", f"q{number}")], wait=0.0
+        )
+    mesh.network.run(0.1)
+    assert [len(one.backend.calls) for one in mesh.members] == [0, 10, 10]
+
+
+class TestStop:
+    def test_lets_requests_end_that_began_here(self, mesh):
+        for one in mesh.members[1:]:
+            one.backend.answer = None
+        client = mesh.ask(0, "/write/x")
+        mesh.members[0].gateway.stop()
+        assert not mesh.members[0].gateway.is_ready
+        mesh.network.run(0.7)
+        mesh_module.answer_with_proof(handed(mesh)[0])
+        mesh.network.run(0.1)
+        assert client.statuses == [200]
+        assert b"connection: close" in client.received
+
+    def test_lets_requests_end_that_run_here(self, mesh):
+        for one in mesh.members[1:]:
+            one.backend.answer = None
+        client = mesh.ask(0, "/write/x")
+        for one in mesh.members[1:]:
+            one.gateway.stop()
+        mesh.network.run(0.7)
+        mesh_module.answer_with_proof(handed(mesh)[0])
+        mesh.network.run(0.1)
+        assert client.statuses == [200]
+
+    def test_waits_for_a_request_that_came_late_in_the_stop(self, mesh):
+        for one in mesh.members[1:]:
+            one.backend.answer = None
+        mesh.members[0].gateway.stop()
+        mesh.network.run(gateway_module.LINGER_S - 0.3)
+        client = mesh.ask(0, "/write/x", wait=0.6)
+        assert not mesh.network.is_stopped
+        mesh_module.answer_with_proof(handed(mesh)[0])
+        mesh.network.run(0.3)
+        assert client.statuses == [200]
+        assert mesh.network.is_stopped
