Test routes, presence, admission's parts, formats, and control instances that know only seeds

Control instances run as real processes on addresses of their own: one founder, resends, conflicts, invalid documents, a wiped disk at its old address, a lost founder replaced at another address, all killed at once.

--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -70,6 +70,7 @@
         )
         self._ticking = task.LoopingCall(self._tick)
         self._seen_role = role_module.Role.LEARNER
+        self._seen_voters: frozenset[str] = frozenset()
 
     def start(self) -> None:
         """Connects to the peers and starts the clock."""
@@ -235,6 +236,7 @@
         for name in self._joining.next_contacts(replica_loop.now_s()):
             defer.ensureDeferred(self._contact(name))
         self._report_role()
+        self._report_members()
 
     async def _contact(self, name: str) -> None:
         client = self._peers.find(name)
@@ -260,3 +262,10 @@
             role=role.value,
             term=self._driver.replica.journal.term,
         )
+
+    def _report_members(self) -> None:
+        voters = self._driver.replica.journal.members.voters
+        if voters == self._seen_voters:
+            return
+        self._seen_voters = voters
+        self._events.info("members-changed", voters=sorted(voters))
--- /dev/null
+++ b/tests/decisions/pressure/test_parts.py
@@ -0,0 +1,145 @@
+"""The parts of admission, each alone."""
+
+import random
+
+import pytest
+
+from cranberrymux.decisions.pressure import gate as gate_module
+from cranberrymux.decisions.pressure import lineage as lineage_module
+from cranberrymux.decisions.pressure import return_advice
+from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import work_report
+
+Verdict = gate_module.GateVerdict
+Turn = root_admission.Turn
+
+
+def ticket(number, rank=1.0, start_by_s=1.0, deadline_s=2.0):
+    return gate_module.Ticket(number, rank, start_by_s, deadline_s)
+
+
+class TestGate:
+    def test_starts_no_more_than_the_slots(self):
+        gate = gate_module.Gate(2)
+        verdicts = [gate.offer(0.0, ticket(number)) for number in range(3)]
+        assert verdicts == [Verdict.START, Verdict.START, Verdict.WAIT]
+        gate.finish(0.1, 0, True)
+        assert gate.pop(0.1) == [2]
+
+    def test_starts_the_most_important_first_then_the_earliest_deadline(self):
+        gate = gate_module.Gate(1)
+        gate.offer(0.0, ticket(0))
+        for number, rank, deadline_s in ((1, 2.0, 1.0), (2, 0.5, 9.0)):
+            gate.set_slots(9)
+            gate.set_slots(1)
+            assert gate.offer(0.0, ticket(number, rank, 1.0, deadline_s)) in (
+                Verdict.WAIT,
+                Verdict.FULL,
+            )
+        gate.finish(0.1, 0, True)
+        assert gate.pop(0.1) == [2]
+
+    def test_refuses_what_cannot_start_in_time(self):
+        gate = gate_module.Gate(1)
+        gate.offer(0.0, ticket(0))
+        gate.finish(1.0, 0, True)  # A second for each request.
+        gate.offer(1.0, ticket(1, start_by_s=9.0, deadline_s=9.0))
+        late = ticket(2, start_by_s=1.5, deadline_s=9.0)
+        assert gate.offer(1.0, late) is Verdict.FULL
+
+    def test_tells_which_waited_too_long(self):
+        gate = gate_module.Gate(1)
+        gate.offer(0.0, ticket(0))
+        gate.offer(0.0, ticket(1, start_by_s=0.5))
+        assert gate.expire(0.4) == []
+        assert gate.expire(0.6) == [1]
+        gate.finish(0.7, 0, True)
+        assert gate.pop(0.7) == []
+
+    def test_a_caller_that_left_frees_its_place(self):
+        gate = gate_module.Gate(1)
+        gate.offer(0.0, ticket(0))
+        gate.offer(0.0, ticket(1))
+        assert gate.leave(1)
+        gate.finish(0.1, 0, False)
+        assert gate.pop(0.1) == []
+
+
+class TestLineage:
+    def test_a_call_belongs_to_the_request_with_its_deadline(self):
+        lineage = lineage_module.Lineage()
+        lineage.begin(1, 10.500)
+        lineage.begin(2, 10.600)
+        assert lineage.find_parent("call", 10.599) == 2
+        assert lineage.find_parent("call", 10.498) == 1
+        lineage.end(2)
+        assert lineage.find_parent("call", 10.599) is None
+
+    def test_chance_matches_of_a_route_that_begins_here_do_not_count(self):
+        lineage = lineage_module.Lineage()
+        for _ in range(20):
+            assert lineage.find_parent("root", 99.0) is None
+        lineage.begin(1, 10.5)
+        assert lineage.find_parent("root", 10.499) is None
+
+
+class TestWorkReport:
+    def test_text_holds_everything(self):
+        report = {"a": work_report.ServiceWork(0.25, 0.125)}
+        assert work_report.decode(work_report.encode(report)) == report
+
+    def test_adds_the_work_of_calls(self):
+        report = {"a": work_report.ServiceWork(0.2, 0.5)}
+        work_report.add(report, {"a": work_report.ServiceWork(0.1, 0.3)})
+        assert report["a"] == pytest.approx((0.3, 0.3))
+
+    @pytest.mark.parametrize("text", [b"", b"a", b"a=", b"a=1/x", b"=/", b",,"])
+    def test_leaves_out_what_cannot_be_read(self, text):
+        assert work_report.decode(text) == {}
+
+
+class TestRootAdmission:
+    def test_refuses_only_what_needs_the_short_service(self):
+        admission = root_admission.RootAdmission(0.0)
+        lookup = root_admission.Kind(2, Turn.FIRST, "lookup")
+        upload = root_admission.Kind(2, Turn.FIRST, "upload")
+        report = {"deep": work_report.ServiceWork(0.2, 0.4)}
+        let_in = dict.fromkeys((lookup, upload), 0)
+        for number in range(400):
+            now_s = number / 100
+            admission.note_report(now_s, "lookup", report)
+            for kind in let_in:
+                let_in[kind] += admission.offer(now_s, kind)
+        assert let_in[upload] == 400
+        assert 120 < let_in[lookup] < 220
+
+    def test_opens_again_without_news(self):
+        admission = root_admission.RootAdmission(0.0)
+        kind = root_admission.Kind(2, Turn.FIRST, "lookup")
+        report = {"deep": work_report.ServiceWork(0.2, 0.1)}
+        for number in range(100):
+            admission.note_report(number / 100, "lookup", report)
+            admission.offer(number / 100, kind)
+        assert admission.share_of(kind) < 0.3
+        for number in range(100, 600):
+            admission.offer(number / 100, kind)
+        assert admission.share_of(kind) == 1.0
+
+
+class TestReturnAdvice:
+    def test_tells_who_came_back_by_the_time_they_have(self):
+        advice = return_advice.ReturnAdvice(1.5)
+        for left_s in (5.0, 4.999, 4.2, 5.0, 3.0, 5.0, 4.1):
+            advice.note_arrival(left_s)
+        assert advice.turn_of(4.99) is Turn.FIRST
+        assert advice.turn_of(4.2) is Turn.RETURNED_IN_TIME
+        assert advice.turn_of(3.0) is Turn.RETURNED_LATE
+
+    def test_asks_back_while_an_answer_still_has_its_full_worth(self):
+        advice = return_advice.ReturnAdvice(1.5)
+        advice.note_arrival(5.0)
+        advice.note_latency(0.5)
+        generator = random.Random(1)
+        waits = [advice.wait_s(5.0, generator) for _ in range(100)]
+        assert max(waits) <= 1.0
+        assert max(waits) - min(waits) > 0.5
--- /dev/null
+++ b/tests/decisions/routes/test_routes.py
@@ -0,0 +1,108 @@
+"""Routes: look-up by longest prefix, checks, split by weight, text."""
+
+import collections
+
+import pytest
+
+from cranberrymux.decisions.routes import route as route_module
+from cranberrymux.decisions.routes import route_document
+from cranberrymux.decisions.routes import route_table
+from cranberrymux.decisions.routes import split_chooser
+from cranberrymux.decisions.routes import validity
+from tests.gateway import mesh
+
+make_route = mesh.make_route
+make_document = mesh.make_document
+Target = route_module.Target
+
+
+@pytest.mark.parametrize(
+    ("path", "found"),
+    [
+        ("/a/x", "short"),
+        ("/a/b/x", "long"),
+        ("/a/b/", "long"),
+        ("/a/bx", "short"),
+        ("/a", None),
+        ("/other/a/b/", None),
+    ],
+)
+def test_finds_the_longest_prefix(path, found):
+    table = route_table.RouteTable(
+        make_document(
+            make_route("short", "s", prefix="/a/"),
+            make_route("long", "s", prefix="/a/b/"),
+        )
+    )
+    route = table.find(mesh.HOST, path)
+    assert (route.name if route else None) == found
+
+
+def test_finds_nothing_at_another_host():
+    table = route_table.RouteTable(make_document(make_route("a", "s")))
+    assert table.find("other.example", "/a/x") is None
+    assert table.find(mesh.HOST + ":80", "/a/x") is not None
+
+
+def test_text_holds_everything():
+    document = make_document(
+        make_route("a", "s", repeatability=route_module.Repeatability.ONCE),
+        make_route("b", "s", targets=(Target("s", 90.0), Target("t", 10.0))),
+        label=7,
+    )
+    text = route_document.dump(document)
+    assert route_document.load(text) == document
+    cut = route_document.load(text[: len(text) // 2])
+    assert isinstance(cut, route_document.DocumentError)
+
+
+@pytest.mark.parametrize(
+    ("routes", "label"),
+    [
+        ([make_route("a", "s")], 3),
+        ([make_route("a", "s")], 2),
+        ([make_route("a", "s"), make_route("b", "s", prefix="/a/")], 4),
+        ([make_route("a", "s", targets=(Target("s", 0.0),))], 4),
+        (
+            [make_route("a", "s", targets=(Target("s", -1), Target("s", 2)))],
+            4,
+        ),
+        ([make_route("a", "s", timeout_s=601.0)], 4),
+        ([make_route("a", "s", prefix="a/")], 4),
+    ],
+    ids=[
+        "same label",
+        "older label",
+        "same place",
+        "no weight",
+        "weight below 0",
+        "long timeout",
+        "open prefix",
+    ],
+)
+def test_refuses_what_must_not_be_in_force(routes, label):
+    document = make_document(*routes, label=label)
+    assert validity.check(document, 3) is not None
+
+
+def test_refuses_an_unknown_service():
+    document = make_document(make_route("a", "s"), label=4)
+    assert validity.check(document, 3) is None
+    assert validity.check(document._replace(services=()), 3) is not None
+
+
+def test_shares_by_weight_over_any_short_run():
+    chooser = split_chooser.SplitChooser()
+    route = make_route("a", "s", targets=(Target("s", 90), Target("t", 10)))
+    for _ in range(5):
+        counts = collections.Counter(chooser.choose(route) for _ in range(20))
+        assert counts == {"s": 18, "t": 2}
+
+
+def test_new_weights_count_at_once():
+    chooser = split_chooser.SplitChooser()
+    chooser.choose(
+        make_route("a", "s", targets=(Target("s", 90), Target("t", 10)))
+    )
+    route = make_route("a", "s", targets=(Target("s", 0), Target("t", 10)))
+    assert {chooser.choose(route) for _ in range(10)} == {"t"}
--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,227 @@
+"""Control instances of the platform's build as real processes on loopback."""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+from cranberrymux.demo import ports
+
+_NEXT_NET = iter(range(10, 250))
+
+
+def wait_until(check, timeout_s=15.0):
+    """Polls a state; returns its first true value."""
+    end = time.monotonic() + timeout_s
+    while True:
+        found = check()
+        if found:
+            return found
+        assert time.monotonic() < end, f"not reached in {timeout_s} s"
+        time.sleep(0.02)
+
+
+class Instance:
+    def __init__(self, fleet, ip, is_first_start=True):
+        self.fleet = fleet
+        self.ip = ip
+        self.is_first_start = is_first_start
+        self.process = None
+        self.settings = fleet.folder / f"{ip}.toml"
+        self.data = fleet.folder / f"data-{ip}"
+        self.log = fleet.folder / f"{ip}.log"
+
+    def start(self):
+        fleet = self.fleet
+        self.settings.write_text(
+            f'[self]\nnode = "core-{self.ip}"\nip = "{self.ip}"\n'
+            f'zone = "a"\nregion = "r"\ndata_dir = "{self.data}"\n'
+            f"bootstrap = {json.dumps(self.is_first_start)}\n"
+            f"[network]\ninternal_ports = [{fleet.port}, {fleet.port}]\n"
+            f"seeds = {json.dumps(fleet.seeds)}\n"
+            f'[network.listen]\ncontrol = "{self.ip}:{fleet.control_port}"\n'
+            "[terms.fault_tolerance]\nmachines = 1\n"
+        )
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-c",
+                    f"{fleet.mutant}\nimport sys\n"
+                    "from cranberrymux.platform import control_main\n"
+                    "sys.exit(control_main.main())\n",
+                ],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "CRANBERRYMUX_SETTINGS": str(self.settings)},
+            )
+        self.is_first_start = False
+
+    def kill(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+    def wipe(self):
+        shutil.rmtree(self.data)
+
+    def events(self):
+        lines = self.log.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def call(self, method, path, body=None, headers=None, timeout_s=4.0):
+        """Returns status and body; (0, b"") if no answer came."""
+        request = urllib.request.Request(
+            f"http://{self.ip}:{self.fleet.control_port}{path}",
+            method=method,
+            data=body,
+            headers=headers or {},
+        )
+        opener = urllib.request.build_opener(_NoRedirect)
+        try:
+            with opener.open(request, timeout=timeout_s) as found:
+                return found.status, found.read()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read()
+        except OSError:
+            return 0, b""
+
+    def put(self, version, base, service="s1", body=None):
+        if body is None:
+            body = configuration(version, service)
+        status, _ = self.call(
+            "PUT", "/cranberrymux/config", body, {"If-Match": str(base)}
+        )
+        return status
+
+    def get(self):
+        status, body = self.call("GET", "/cranberrymux/config")
+        return json.loads(body)["version"] if status == 200 else None
+
+
+class _NoRedirect(urllib.request.HTTPRedirectHandler):
+    def redirect_request(self, *_):
+        return None
+
+
+def configuration(version, service="s1", **changes):
+    values = {
+        "version": version,
+        "routes": {
+            "columns": [
+                "name",
+                "host",
+                "path_prefix",
+                "kind",
+                "timeout",
+                "slo",
+                "priority",
+                "split",
+                "attempts",
+                "service",
+            ],
+            "rows": [
+                [
+                    "r1",
+                    "h.example",
+                    "/a/",
+                    "safe",
+                    "800ms",
+                    "1.5s",
+                    2,
+                    None,
+                    2,
+                    service,
+                ],
+                [
+                    "r2",
+                    "h.example",
+                    "/b/",
+                    "unsafe",
+                    "1s",
+                    "1500ms",
+                    0,
+                    [
+                        {"service": "s1", "weight": 90},
+                        {"service": "s2", "weight": 10},
+                    ],
+                    2,
+                    None,
+                ],
+            ],
+        },
+        "services": {
+            "columns": ["name", "health", "max_conns", "protocol", "tls"],
+            "rows": [
+                ["s1", "/health", 436, "h1", False],
+                ["s2", "/health", 190, "h1", False],
+            ],
+        },
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+    }
+    values.update(changes)
+    return json.dumps(values).encode()
+
+
+class Fleet:
+    """Control instances with addresses of their own in 127/8.
+
+    `mutant` is Python that each instance runs before it starts; it takes a
+    mechanism out.
+    """
+
+    def __init__(self, folder, count=3, mutant=""):
+        self.folder = folder
+        self.mutant = mutant
+        self.port, self.control_port = ports.find_free_ports(2)
+        self.net = f"127.0.{next(_NEXT_NET)}"
+        self.instances = [
+            Instance(self, f"{self.net}.{place + 1}") for place in range(count)
+        ]
+        self.seeds = [
+            f"{one.ip}:{self.control_port}" for one in self.instances[:3]
+        ]
+
+    def add(self, last):
+        """An instance that was not there at the first start."""
+        made = Instance(self, f"{self.net}.{last}", is_first_start=False)
+        self.instances.append(made)
+        return made
+
+    def put_until_accepted(self, version, base, among=None):
+        chosen = among or self.instances
+
+        def attempt():
+            return any(one.put(version, base) == 200 for one in chosen)
+
+        wait_until(attempt)
+
+    def voters(self):
+        """Voters by the newest word of any instance."""
+        changes = [
+            (one["time"], one["voters"])
+            for instance in self.instances
+            for one in instance.events()
+            if one["event"] == "members-changed"
+        ]
+        return set(max(changes)[1]) if changes else set()
+
+    def __enter__(self):
+        for one in self.instances:
+            one.start()
+        return self
+
+    def __exit__(self, *_):
+        for one in self.instances:
+            one.kill()
