Count a call that several nodes refuse once; keep idle connections no longer than told

Ruled out: the order of work (no waiting above the leaf).

Also limits of the configuration on clients, idle and slow heads closed, Keep-Alive of backend servers obeyed, silent connections between nodes found by the operating system.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -18,6 +18,8 @@
 NEWS_LIFE_S = 0.6  # A share that is not renewed for longer opens again.
 REOPEN_TIME_S = 1.0  # Time in which an old share grows by a factor of e.
 MOST_CREDIT = 2.0
+# Part of an even share that every kind keeps, so that none is starved.
+FLOOR = 0.3
 
 
 class Turn(enum.IntEnum):
@@ -104,9 +106,25 @@
         return 1.0 if flow is None else flow.share
 
     def note_report(
-        self, now_s: float, route: str, report: work_report.WorkReport
+        self,
+        now_s: float,
+        route: str,
+        report: work_report.WorkReport,
+        is_whole: bool,
     ) -> None:
-        """Learns from the answer to a request that began here."""
+        """Learns from the answer to a request that began here.
+
+        Args:
+            now_s: Present time.
+            route: Name of its route.
+            report: What its tree cost.
+            is_whole: True if the tree ended well; others cost less than a
+                whole one.
+        """
+        for service, part in report.items():
+            self.note_share(now_s, service, part.share)
+        if not is_whole:
+            return
         costs = self._costs.setdefault(route, {})
         for service in costs:
             if service not in report:
@@ -114,7 +132,6 @@
         for service, part in report.items():
             known = costs.get(service, part.slot_s)
             costs[service] = known + COST_WEIGHT * (part.slot_s - known)
-            self.note_share(now_s, service, part.share)
 
     def note_share(self, now_s: float, service: str, share: float) -> None:
         """Takes the share that one endpoint of a service can take."""
@@ -153,12 +170,13 @@
                 total += need
                 rank = (kind.priority, kind.turn)
                 ranks.setdefault(rank, []).append((flow, need))
-        left = share * total
+        least = FLOOR * share
+        left = (share - least) * total
         for rank in sorted(ranks):
-            needed = sum(need for _, need in ranks[rank])
+            needed = (1.0 - least) * sum(need for _, need in ranks[rank])
             part = min(1.0, max(0.0, left / needed))
             for flow, _ in ranks[rank]:
-                flow.share = min(flow.share, part)
+                flow.share = min(flow.share, least + (1.0 - least) * part)
             left -= needed
 
     def _cost(self, route: str, service: str) -> float:
--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -5,12 +5,12 @@
 the share that fits is told to the nodes where the trees begin.
 """
 
-WINDOW_S = 0.2
+WINDOW_S = 0.1
 TARGET_USE = 0.95  # Part of the slots that admitted work may take.
 MOVE = 0.5  # Part of the way to the share that fits, window by window.
 LARGEST_GROWTH = 1.25  # In one window.
 LEAST_SHARE = 0.01
-EXCESS_TIME_S = 1.0  # Time in which a queue is to be worked off.
+EXCESS_TIME_S = 0.3  # Time in which a queue is to be worked off.
 HOLD_WEIGHT = 0.05  # Weight of one request in the mean time of a route.
 
 
--- a/src/cranberrymux/gateway/callers.py
+++ b/src/cranberrymux/gateway/callers.py
@@ -2,7 +2,6 @@
 
 from cranberrymux.decisions.pressure import return_advice
 from cranberrymux.decisions.pressure import root_admission
-from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
 
 
@@ -31,9 +30,3 @@
         turn = advice.turn_of(left_s)
         kind = root_admission.Kind(route.priority, turn, route.name)
         return kind if self.admission.offer(now_s, kind) else None
-
-    def note_report(
-        self, now_s: float, route: str, report: work_report.WorkReport
-    ) -> None:
-        """Learns from the answer to a request that began here."""
-        self.admission.note_report(now_s, route, report)
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -18,6 +18,7 @@
 from cranberrymux.node.http import lost_answer
 
 MOST_NODES_ASKED = 4  # Nodes that may refuse one request before it is refused.
+FIRST_FAILURE_STATUS = 400
 _BODY_TYPE = (b"content-type", b"application/json")
 
 
@@ -144,6 +145,8 @@
             (dialect.deadline_ms, b"%d" % left_ms),
             (hop.TARGET, record.backend_id.encode()),
         ]
+        if len(self._tried) > 1:
+            headers.append((hop.AGAIN, b"1"))
         self._endpoint = endpoint
         endpoint.outstanding += 1
         if not self._sent:
@@ -181,7 +184,7 @@
             self._take_refusal(endpoint, not_run, now_s)
             return
         self._finish_timer()
-        if not self._descent.is_call and head.status < 400:
+        if not self._descent.is_call and head.status < FIRST_FAILURE_STATUS:
             advice = self._parts.callers.advice(self._route)
             advice.note_latency(now_s - self._began_s)
         self._call.answer(head.status, _visible(head), body)
@@ -246,15 +249,15 @@
         parent = self._running_parent()
         if parent is not None:
             work_report.add(parent.report, report)
-        elif self._descent.is_call:
+        if self._descent.is_call:
             return
-        elif headers_module.find(head.headers, hop.NOT_RUN) is None:
-            self._parts.callers.note_report(now_s, self._route.name, report)
-        else:
-            for service, part in report.items():
-                self._parts.callers.admission.note_share(
-                    now_s, service, part.share
-                )
+        is_refused = headers_module.find(head.headers, hop.NOT_RUN) is not None
+        self._parts.callers.admission.note_report(
+            now_s,
+            self._route.name,
+            report,
+            head.status < FIRST_FAILURE_STATUS and not is_refused,
+        )
 
     def _take_refusal(
         self,
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -18,6 +18,9 @@
 from cranberrymux.node.http import inbound_call
 
 TICK_S = 0.02
+# Backend servers may slow down when they are nearly full.
+SLOT_SHARE = 0.94
+TELL_S = 1.0  # Least time between two lines on pressure.
 # A request waits for its slot at most for this part of what its caller has.
 LONGEST_WAIT_RATIO = 0.4
 _Verdict = gate_module.GateVerdict
@@ -41,6 +44,7 @@
         self._meter = share_meter.ShareMeter(parts.clock.now_s())
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._numbers = itertools.count(1)
+        self._told_s = parts.clock.now_s()
         self._is_stopping = False
         self._ticking: Any = task.LoopingCall(self._expire)
         self._ticking.clock = parts.reactor
@@ -54,7 +58,7 @@
         """Takes over slots and state of the backend server."""
         current = self._presence.current
         if current is not None:
-            self._gate.set_slots(current.slots)
+            self._gate.set_slots(max(int(SLOT_SHARE * current.slots), 1))
         if not self._presence.is_serving(self._parts.clock.now_s()):
             self._refuse_all(self._gate.close(), hop.DRAINING)
         self._start_waiting()
@@ -78,7 +82,8 @@
         if reason:
             one.refuse(reason)
             return
-        self._meter.note_arrival(one.route, one.standing.share)
+        if headers_module.find(call.head.headers, hop.AGAIN) is None:
+            self._meter.note_arrival(one.route, one.standing.share)
         self._roll(now_s)
         verdict = self._gate.offer(
             now_s,
@@ -146,6 +151,22 @@
     def _roll(self, now_s: float) -> None:
         waiting_s = self._gate.waiting * self._gate.hold_s
         self._meter.roll(now_s, self._gate.slots, waiting_s)
+        is_due = now_s - self._told_s >= TELL_S
+        if self._meter.share < 1.0 and is_due:
+            self._told_s = now_s
+            self._tell_pressure()
+
+    def _tell_pressure(self) -> None:
+        self._parts.events.info(
+            "pressure",
+            service=self._parts.settings.service,
+            share=round(self._meter.share, 3),
+            use=round(self._meter.use, 3),
+            running=self._gate.running,
+            waiting=self._gate.waiting,
+            slots=self._gate.slots,
+            hold_ms=round(self._gate.hold_s * 1000),
+        )
 
     def call_left(self, ticket_id: int) -> None:
         """Takes note that a waiting request is gone."""
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -27,6 +27,7 @@
 
 BACKLOG = 512  # Connections that wait to be taken.
 CHECK_S = 0.25
+SWEEP_S = 1.0
 # New requests are taken for so long after SIGTERM, since callers find out by
 # asking twice, once a second.
 LINGER_S = 2.5
@@ -82,6 +83,9 @@
         self._contacts.follow(self._directory)
         self._checking = task.LoopingCall(self._check)
         self._checking.clock = reactor
+        self._sweeping = task.LoopingCall(self._sweep)
+        self._sweeping.clock = reactor
+        # The entry port's comes first.
         self._factories: list[server_factory.ServerFactory] = []
         self._ports: list[Any] = []
         self._stopping = task.LoopingCall(self._stop_when_idle)
@@ -106,6 +110,7 @@
         self._listen(self._settings.hop_address, self._exit, limits)
         self._directory.start()
         self._checking.start(CHECK_S, now=False)
+        self._sweeping.start(SWEEP_S, now=False)
 
     def listen(self, address: str, handler: call_handler.CallHandler) -> None:
         """Opens one more port.
@@ -172,6 +177,7 @@
         """Takes a configuration of a higher version."""
         had_none = self._routes.table is None
         self._routes.take(version, document)
+        self._take_limits()
         if had_none:
             self._directory.beat()
 
@@ -216,6 +222,30 @@
         if is_changed and not self._is_stopping:
             self._directory.beat()
 
+    def _take_limits(self) -> None:
+        table = self._routes.table
+        if table is None or not self._factories:
+            return
+        asked = table.document.limits
+        self._factories[0].set_limits(
+            limits_module.Limits(
+                header_bytes=asked.header_bytes,
+                body_bytes=asked.body_bytes,
+                buffered_bytes=BUFFERED_BODY_BYTES,
+            )
+        )
+
+    def _sweep(self) -> None:
+        """Closes idle connections of clients; other nodes close their own."""
+        table = self._routes.table
+        if table is not None:
+            limits = table.document.limits
+            self._factories[0].sweep(
+                self._clock.now_s(),
+                limits.idle_timeout_s,
+                limits.header_timeout_s,
+            )
+
     def _check(self) -> None:
         now_s = self._clock.now_s()
         self._contacts.forget_lost(now_s)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -11,6 +11,8 @@
 ROUTE = b"cranberrymux-route"
 # See `Standing`.
 STANDING = b"cranberrymux-standing"
+# On requests that another node refused before: the work was counted there.
+AGAIN = b"cranberrymux-again"
 # On answers: why the request was not run, if that is proven.
 NOT_RUN = b"cranberrymux-not-run"
 # On answers: running and waiting requests and slots, by comma.
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -87,7 +87,7 @@
         self.callers = callers_module.Callers(self.clock.now_s())
         self.lineage = lineage_module.Lineage()
         self.running: dict[int, RunningWork] = {}
-        self.hops = connection_pool.ConnectionPool(reactor)
+        self.hops = connection_pool.ConnectionPool(reactor, watches=True)
         self.entered = 0
         self.events = structlog.get_logger()
 
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -1,6 +1,7 @@
 """The client's side of an HTTP/1.1 connection."""
 
 from collections.abc import Callable
+import math
 from typing import Any
 
 import httptools
@@ -14,6 +15,7 @@
 from cranberrymux.node.http import answer_sink
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import headers
+from cranberrymux.node.http import keep_alive
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import prompt_writer
 
@@ -28,6 +30,7 @@
         accepts_unframed: True if an answer may end with its connection.
         answer_filter: Tells whether an answer, by its headers, belongs to the
             request under way; others are dropped. None takes all.
+        kept_until_s: When the receiver may close it, if it stays idle.
     """
 
     def __init__(self) -> None:
@@ -36,6 +39,8 @@
         self.on_closed: Callable[[ClientConnection], None] | None = None
         self.accepts_unframed = False
         self.answer_filter: Callable[[headers.HeaderList], bool] | None = None
+        self.kept_until_s = math.inf
+        self._kept_s = math.inf
         self._parser = httptools.HttpResponseParser(self)
         self._sink: answer_sink.AnswerSink | None = None
         self._headers: headers.HeaderList = []
@@ -60,6 +65,10 @@
         self._tcp.setTcpNoDelay(True)
         self._tcp.registerProducer(self, True)
 
+    def note_idle(self, now_s: float) -> None:
+        """Takes note that it is idle from now on."""
+        self.kept_until_s = now_s + self._kept_s
+
     def send_request(
         self,
         data: bytes,
@@ -164,6 +173,9 @@
 
     def on_headers_complete(self) -> None:
         """Hands the head on."""
+        said = headers.find(self._headers, b"keep-alive")
+        if said is not None:
+            self._kept_s = keep_alive.read_kept_s(said)
         sink = self._sink
         if sink is None:
             return
@@ -244,14 +256,14 @@
         is_orderly = isinstance(reason.value, error.ConnectionDone)
         return self._is_started and self._is_unframed and is_orderly
 
-    def _finish(self, keep_alive: bool) -> None:
+    def _finish(self, is_kept: bool) -> None:
         sink = self._sink
         self._sink = None
         self._is_answer_complete = True
         is_sent = self._is_request_complete and not prompt_writer.has_unsent(
             self._tcp
         )
-        if not keep_alive or not is_sent:
+        if not is_kept or not is_sent:
             # An answer that came before the end of the request leaves the
             # connection in no state for another one.
             self.close()
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -7,6 +7,7 @@
 from twisted.internet import protocol
 
 from cranberrymux.node.http import client_connection
+from cranberrymux.node.http import liveness
 from cranberrymux.node.http import lost_answer
 
 
@@ -69,6 +70,8 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
+        if self._pool.watches:
+            liveness.watch(self.transport)
         self._pool.add_idle(self._address, self)
 
     def _return(self, connection: client_connection.ClientConnection) -> None:
@@ -87,6 +90,7 @@
         connect_timeout_s: float = 1.0,
         idle_per_address: int = 512,
         accepts_unframed: bool = False,
+        watches: bool = False,
     ) -> None:
         """Makes an empty pool.
 
@@ -95,7 +99,9 @@
             connect_timeout_s: Longest wait for a connection.
             idle_per_address: Idle connections kept to one address.
             accepts_unframed: True if answers may end with their connection.
+            watches: True if connections that go silent are to be found.
         """
+        self.watches = watches
         self.accepts_unframed = accepts_unframed
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
@@ -113,11 +119,16 @@
         """Calls `on_ready` with a connection, at once if one is idle."""
         lease = Lease(on_ready, on_failed)
         idle = self._idle.get(address)
+        now_s = self._reactor.seconds()
         while idle:
             connection = idle.pop()
-            if connection.is_usable:
-                on_ready(connection)
-                return lease
+            if not connection.is_usable:
+                continue
+            if now_s >= connection.kept_until_s:
+                connection.close()
+                continue
+            on_ready(connection)
+            return lease
         self._waiting.setdefault(address, []).append(lease)
         self._reactor.connectTCP(
             address.host,
@@ -139,6 +150,7 @@
         if self._is_closed or len(idle) >= self._idle_per_address:
             connection.close()
             return
+        connection.note_idle(self._reactor.seconds())
         idle.append(connection)
 
     def remove(
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -50,6 +50,8 @@
         self._headers: headers.HeaderList = []
         self._header_bytes = 0
         self._bad: bad_message.BadMessage | None = None
+        self._is_in_head = False
+        self._received = 0
         self._is_closing = False
         self._is_paused = False
         self._is_body_paused = False
@@ -64,6 +66,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feeds the parser; a broken message gets its answer in order."""
+        self._received += 1
         if self._is_closing or self._bad is not None:
             return
         try:
@@ -98,6 +101,7 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
+        self._is_in_head = True
 
     def on_url(self, part: bytes) -> None:
         """Collects the request target."""
@@ -116,6 +120,7 @@
 
     def on_headers_complete(self) -> None:
         """Checks the head and makes the call."""
+        self._is_in_head = False
         head = self._make_head()
         call = inbound_call.InboundCall(self, head)
         self._reading = call
@@ -153,6 +158,24 @@
         if self._started is not call:
             self._start(call)
 
+    # What the factory asks.
+
+    @property
+    def is_idle(self) -> bool:
+        """True if no call is under way and none is being read."""
+        is_busy = self._current is not None or bool(self._waiting)
+        return not is_busy and not self.is_reading_head
+
+    @property
+    def is_reading_head(self) -> bool:
+        """True if a call has begun to arrive and its head is not whole."""
+        return self._is_in_head
+
+    @property
+    def received(self) -> int:
+        """Count of the reads so far."""
+        return self._received
+
     # What calls ask of the connection.
 
     def send(self, data: bytes) -> None:
--- /dev/null
+++ b/tests/node/test_keep_alive.py
@@ -0,0 +1,52 @@
+"""How long an idle connection is used again."""
+
+import math
+
+import pytest
+
+from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import keep_alive
+from tests.fakes import backend
+from tests.fakes import memory_network
+
+ADDRESS = connection_pool.Address("10.0.0.1", 1)
+
+
+@pytest.mark.parametrize(
+    ("value", "kept_s"),
+    [
+        (b"timeout=10", 9.0),
+        (b"max=5, timeout=2", 1.6),
+        (b"Timeout = 10", 9.0),
+        (b"max=5", math.inf),
+        (b"", math.inf),
+    ],
+)
+def test_reads_the_time(value, kept_s):
+    assert keep_alive.read_kept_s(value) == pytest.approx(kept_s)
+
+
+@pytest.mark.parametrize(("pause_s", "connections"), [(8.0, 1), (9.5, 2)])
+def test_leaves_a_connection_before_its_receiver_does(pause_s, connections):
+    network = memory_network.MemoryNetwork()
+    backend.Backend(
+        network,
+        1,
+        lambda call: call.answer(200, [(b"keep-alive", b"timeout=10")], b""),
+    )
+    pool = connection_pool.ConnectionPool(network)
+
+    class Sink:
+        def __getattr__(self, name):
+            return lambda *_: None
+
+    for _ in range(2):
+        pool.take(
+            ADDRESS,
+            lambda one: one.send_request(
+                b"GET / HTTP/1.1\r\nhost: h\r\n\r\n", True, False, Sink()
+            ),
+            lambda loss: None,
+        )
+        network.run(pause_s, step_s=0.1)
+    assert len(network.transports) == 2 * connections
