--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -187,6 +187,7 @@
         if not self._descent.is_call and head.status < FIRST_FAILURE_STATUS:
             advice = self._parts.callers.advice(self._route)
             advice.note_latency(now_s - self._began_s)
+        self._count(f"{head.status // 100}xx", now_s)
         self._call.answer(head.status, _visible(head), body)
 
     def attempt_streaming(
@@ -286,10 +287,12 @@
 
     def _may_arrive_again(self, now_s: float) -> bool:
         self._arrivals += 1
-        return (
-            self._arrivals < self._route.attempts
-            and self._parts.repeats.take(self._service, now_s)
-        )
+        if self._arrivals >= self._route.attempts:
+            return False
+        if not self._parts.repeats.take(self._service, now_s):
+            return False
+        self._parts.meters.repeats.labels(self._service).inc()
+        return True
 
     def _timed_out(self) -> None:
         self._timer = None
@@ -332,14 +335,22 @@
     def _id_header(self) -> tuple[bytes, bytes]:
         return (self._parts.settings.dialect.request_id, self._request_id)
 
+    def _count(self, outcome: str, now_s: float) -> None:
+        meters = self._parts.meters
+        meters.requests.labels(self._route.name, outcome).inc()
+        meters.request_s.labels(self._route.name).observe(now_s - self._began_s)
+
     def _log(self, outcome: Outcome, detail: str) -> None:
         now_s = self._parts.clock.now_s()
+        self._count(outcome.value, now_s)
         self._parts.events.info(
             "request-ended",
             reason=outcome.value,
             request_id=self._request_id.decode("latin-1"),
             route=self._route.name,
             service=self._service,
+            version=self._parts.routes.version,
+            share=round(self._parts.callers.admission.least_share, 3),
             tried=self._tried,
             sent=self._sent,
             elapsed_ms=round((now_s - self._began_s) * 1000),
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -128,11 +128,27 @@
         hold_s = self._gate.finish(now_s, ticket_id, is_measured)
         if is_measured:
             self._meter.note_hold(call.route, hold_s)
+            self._parts.meters.hold_s.labels(call.route).observe(hold_s)
         self._roll(now_s)
         report = self._end_work(ticket_id, hold_s)
         self._start_waiting()
         return report
 
+    def describe_load(self) -> dict[str, int]:
+        """Requests that run and wait, and slots, for a log line."""
+        return {
+            "running": self._gate.running,
+            "waiting": self._gate.waiting,
+            "slots": self._gate.slots,
+        }
+
+    def update_meters(self) -> None:
+        """Sets the gauges to what is so now."""
+        meters = self._parts.meters
+        meters.share.set(self._meter.share)
+        meters.running.set(self._gate.running)
+        meters.waiting.set(self._gate.waiting)
+
     def report_share(self) -> work_report.WorkReport:
         """The share of the offered work that fits here."""
         part = work_report.ServiceWork(0.0, self._meter.share)
@@ -162,9 +178,7 @@
             service=self._parts.settings.service,
             share=round(self._meter.share, 3),
             use=round(self._meter.use, 3),
-            running=self._gate.running,
-            waiting=self._gate.waiting,
-            slots=self._gate.slots,
+            **self.describe_load(),
             hold_ms=round(self._gate.hold_s * 1000),
         )
 
@@ -173,16 +187,6 @@
         self._calls.pop(ticket_id, None)
         self._gate.leave(ticket_id)
 
-    def backend_refused(self, reason: bytes) -> None:
-        """Takes note that the backend server did not run a request."""
-        self._parts.events.info(
-            "backend-refused", reason=reason.decode("latin-1")
-        )
-
-    def backend_unreachable(self, detail: str) -> None:
-        """Takes note that the backend server takes no connection."""
-        self._parts.events.info("backend-unreachable", reason=detail)
-
     def _find_obstacle(
         self, call: inbound_call.InboundCall, now_s: float
     ) -> bytes:
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -26,6 +26,9 @@
     def load_of(self) -> bytes:
         """Requests that run and wait here."""
 
+    def describe_load(self) -> dict[str, int]:
+        """Requests that run and wait, and slots, for a log line."""
+
     def call_started(self, call: "ExitCall", deadline_s: float) -> None:
         """Takes note that a request is handed over with this deadline."""
 
@@ -40,12 +43,6 @@
     def call_left(self, ticket_id: int) -> None:
         """Takes note that a waiting request is gone."""
 
-    def backend_refused(self, reason: bytes) -> None:
-        """Takes note that the backend server did not run a request."""
-
-    def backend_unreachable(self, detail: str) -> None:
-        """Takes note that the backend server takes no connection."""
-
 
 class ExitCall:
     """One request, from its arrival to the answer of the backend server."""
@@ -120,6 +117,15 @@
 
     def refuse(self, reason: bytes) -> None:
         """Answers that the request was not run here."""
+        text = reason.decode("latin-1")
+        self._parts.meters.hops.labels(text).inc()
+        self._parts.events.info(
+            "request-refused-here",
+            reason=text,
+            request_id=self.request_id.decode("latin-1"),
+            route=self.route,
+            **self._owner.describe_load(),
+        )
         self._finish_timer()
         headers = [
             (self._parts.settings.dialect.request_id, self.request_id),
@@ -149,12 +155,18 @@
             reason = hop.BACKEND_FULL
             if head.status == 421:
                 reason = hop.MISDIRECTED
-            self._owner.backend_refused(reason)
+            self._parts.events.info(
+                "backend-refused",
+                reason=reason.decode("latin-1"),
+                request_id=self.request_id.decode("latin-1"),
+                route=self.route,
+            )
             self.refuse(reason)
             return
         if 200 <= head.status < 300 and (proof is None or coding is not None):
             self._lose("the answer bears no proof of the backend server")
             return
+        self._parts.meters.hops.labels(f"{head.status // 100}xx").inc()
         self._call.answer(head.status, self._mark(head, report), body)
 
     def attempt_streaming(
@@ -187,13 +199,18 @@
             self._call.abort()
             return
         if not loss.is_handed_over:
-            self._owner.backend_unreachable(loss.detail)
+            self._parts.events.info(
+                "backend-unreachable",
+                reason=loss.detail,
+                request_id=self.request_id.decode("latin-1"),
+            )
             self.refuse(hop.UNREACHABLE)
             return
         self._lose(loss.detail)
 
     def _lose(self, detail: str) -> None:
         """Ends without an answer; the caller's node tells its client."""
+        self._parts.meters.hops.labels("lost").inc()
         self._parts.events.info(
             "backend-answer-lost",
             request_id=self.request_id.decode("latin-1"),
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -14,6 +14,7 @@
 from cranberrymux.gateway import control_contacts
 from cranberrymux.gateway import entry as entry_module
 from cranberrymux.gateway import exit as exit_module
+from cranberrymux.gateway import meters_port
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import routes_holder
 from cranberrymux.gateway import settings as gateway_settings
@@ -108,6 +109,13 @@
         entry = entry_module.Entry(self._parts)
         self._listen(self._settings.entry_address, entry, limits)
         self._listen(self._settings.hop_address, self._exit, limits)
+        if self._settings.metrics_port:
+            metrics_address = (
+                f"{self._settings.ip}:{self._settings.metrics_port}"
+            )
+            self.listen(
+                metrics_address, meters_port.MetersPort(self._parts.meters)
+            )
         self._directory.start()
         self._checking.start(CHECK_S, now=False)
         self._sweeping.start(SWEEP_S, now=False)
@@ -237,6 +245,8 @@
 
     def _sweep(self) -> None:
         """Closes idle connections of clients; other nodes close their own."""
+        self._exit.update_meters()
+        self._parts.meters.version.set(self._routes.version)
         table = self._routes.table
         if table is not None:
             limits = table.document.limits
--- /dev/null
+++ b/src/cranberrymux/gateway/meters.py
@@ -0,0 +1,74 @@
+"""Counters and histograms of a gateway, served as text."""
+
+import prometheus_client
+from prometheus_client import exposition
+
+LATENCY_BOUNDS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0,
+)  # fmt: skip
+CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST.encode()
+
+
+class GatewayMeters:
+    """What one gateway counts.
+
+    Attributes:
+        requests: Requests that began here, by route and how they ended.
+        request_s: Seconds from a request's begin to its answer, by route.
+        hops: Requests from other nodes, by what became of them.
+        hold_s: Seconds for which the backend server ran a request, by route.
+        repeats: Requests sent to one more endpoint, by service.
+        share: Share of the offered work that fits at the backend server.
+        running: Requests that hold a slot of the backend server.
+        waiting: Requests that wait for one.
+        version: Version of the configuration in force.
+    """
+
+    def __init__(self) -> None:
+        """Starts at zero, in a registry of its own."""
+        registry = self._registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "cranberrymux_requests",
+            "Requests that began here.",
+            ("route", "outcome"),
+            registry=registry,
+        )
+        self.request_s = prometheus_client.Histogram(
+            "cranberrymux_request_seconds",
+            "From a request's begin to its answer.",
+            ("route",),
+            buckets=LATENCY_BOUNDS_S,
+            registry=registry,
+        )
+        self.hops = prometheus_client.Counter(
+            "cranberrymux_hops",
+            "Requests from other nodes.",
+            ("outcome",),
+            registry=registry,
+        )
+        self.hold_s = prometheus_client.Histogram(
+            "cranberrymux_backend_seconds",
+            "Time for which the backend server ran a request.",
+            ("route",),
+            buckets=LATENCY_BOUNDS_S,
+            registry=registry,
+        )
+        self.repeats = prometheus_client.Counter(
+            "cranberrymux_repeats",
+            "Requests sent to one more endpoint.",
+            ("service",),
+            registry=registry,
+        )
+        self.share = self._gauge("share", "Share of the work that fits.")
+        self.running = self._gauge("running", "Requests that hold a slot.")
+        self.waiting = self._gauge("waiting", "Requests that wait for one.")
+        self.version = self._gauge("configuration_version", "In force.")
+
+    def encode(self) -> bytes:
+        """Returns everything as text."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"cranberrymux_{name}", text, registry=self._registry
+        )
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -14,6 +14,7 @@
 from cranberrymux.decisions.routes import split_chooser
 from cranberrymux.gateway import callers as callers_module
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import meters as meters_module
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node.http import connection_pool
@@ -26,6 +27,10 @@
     def table(self) -> route_table.RouteTable | None:
         """Routes; None before any configuration is known."""
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 for none."""
+
 
 class RunningWork:
     """A request that the backend server beside this node runs.
@@ -59,6 +64,7 @@
         lineage: Tells which running request made a call.
         running: What is known of the requests that run here.
         hops: Connections to other nodes.
+        meters: Counters and histograms.
         entered: Requests that began here and are not answered.
         events: Logger.
     """
@@ -88,6 +94,7 @@
         self.lineage = lineage_module.Lineage()
         self.running: dict[int, RunningWork] = {}
         self.hops = connection_pool.ConnectionPool(reactor, watches=True)
+        self.meters = meters_module.GatewayMeters()
         self.entered = 0
         self.events = structlog.get_logger()
 
--- a/src/cranberrymux/platform/node_main.py
+++ b/src/cranberrymux/platform/node_main.py
@@ -1,5 +1,6 @@
 """Entry point of the program beside a backend server."""
 
+import argparse
 import sys
 
 from cranberrymux import exceptions
@@ -14,9 +15,23 @@
 
 def main() -> int:
     """Runs the program until a signal ends it; returns the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="cranberrymux.platform.node_main",
+        description="Serves requests beside a backend server.",
+    )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=0,
+        metavar="PORT",
+        help="serve metrics as text at /metrics on this port",
+    )
+    parsed = parser.parse_args()
     logs.configure("cranberrymux-node")
     try:
-        settings = settings_file.make_gateway_settings(settings_file.read())
+        settings = settings_file.make_gateway_settings(
+            settings_file.read()
+        )._replace(metrics_port=parsed.metrics_port)
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -26,7 +26,21 @@
     CONFIGURATION_IN_FORCE = "configuration-in-force"
     CONFIGURATION_NOT_VALID = "configuration-not-valid"
 
+    # Nodes that serve routes.
+    NODE_STOPPING = "node-stopping"
+    SETTINGS_RELOADED = "settings-reloaded"
+    SETTINGS_NOT_READ = "settings-not-read"
+    BACKEND_CHANGED = "backend-changed"
+    BACKEND_REFUSED = "backend-refused"
+    BACKEND_UNREACHABLE = "backend-unreachable"
+    BACKEND_ANSWER_LOST = "backend-answer-lost"
+    REQUEST_ENDED = "request-ended"
+    REQUEST_REFUSED_HERE = "request-refused-here"
+    PRESSURE = "pressure"
+
     # Control instances.
+    MEMBERS_CHANGED = "members-changed"
+    HANG_UP_IGNORED = "hang-up-ignored"
     CONTROL_READY = "control-ready"
     CONTROL_STOPPING = "control-stopping"
     CONTROL_STOPPED = "control-stopped"
--- a/src/cranberrymux/telemetry/logs.py
+++ b/src/cranberrymux/telemetry/logs.py
@@ -8,11 +8,18 @@
 
 import structlog
 
+from cranberrymux.telemetry import event as event_module
 from cranberrymux.telemetry import line_writer
 from cranberrymux.telemetry import redaction
 from cranberrymux.telemetry import repeat_limiter
 from cranberrymux.telemetry import twisted_bridge
 
+# Events of which more lines pass in a window: whoever asks for a request by
+# its id finds these.
+LINES_OF_EVENT = {
+    event_module.Event.REQUEST_ENDED.value: 200,
+}
+
 
 def configure(binary: str, stream: TextIO | None = None) -> None:
     """Makes every structlog logger of this process write JSON lines.
@@ -37,7 +44,9 @@
         processors=[
             _name_event,
             structlog.processors.add_log_level,
-            repeat_limiter.RepeatLimiter(time.monotonic),
+            repeat_limiter.RepeatLimiter(
+                time.monotonic, lines_of_event=LINES_OF_EVENT
+            ),
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
             add_binary,
             structlog.processors.format_exc_info,
--- a/src/cranberrymux/telemetry/repeat_limiter.py
+++ b/src/cranberrymux/telemetry/repeat_limiter.py
@@ -2,6 +2,8 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 import structlog
@@ -34,6 +36,7 @@
         clock: Callable[[], float],
         lines_per_window: int = LINES_PER_WINDOW,
         window_s: float = WINDOW_S,
+        lines_of_event: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
         """Starts with no series.
 
@@ -41,7 +44,9 @@
             clock: Monotonic seconds.
             lines_per_window: Lines of one series that pass in a window.
             window_s: Length of a window in seconds.
+            lines_of_event: Other numbers of lines, by event.
         """
+        self._lines_of_event = lines_of_event
         self._clock = clock
         self._lines_per_window = lines_per_window
         self._window_s = window_s
@@ -71,7 +76,8 @@
             window = self._open(key, now_s)
             if dropped:
                 event["repeats_dropped"] = dropped
-        if window.lines >= self._lines_per_window:
+        limit = self._lines_of_event.get(key[0], self._lines_per_window)
+        if window.lines >= limit:
             window.dropped += 1
             raise structlog.DropEvent
         window.lines += 1
