--- a/src/cranberrymux/cli/main.py
+++ b/src/cranberrymux/cli/main.py
@@ -22,6 +22,7 @@
 from cranberrymux.cli import printer as printer_module
 from cranberrymux.cli import read_command
 from cranberrymux.cli import status_command
+from cranberrymux.cli import trace_command
 from cranberrymux.wire import key_file
 
 COMMANDS = (
@@ -35,6 +36,7 @@
     read_command.DRAIN,
     explain_command.EXPLAIN,
     burn_command.BURN,
+    trace_command.TRACE,
 )
 
 _EPILOG = """
@@ -52,7 +54,7 @@
   1 diff found a difference,     send the change again with its change id
     burn a budget that burns   6 accepted, not in force everywhere in time
   2 wrong usage or settings    7 wrong token
-  3 another change came first  8 version or node not found
+  3 another change came first  8 version, node or request not found
   4 refused as invalid
 """
 
--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -55,7 +55,11 @@
         ]
 
     def choose(
-        self, service: str, now_s: float, tried: Collection[str]
+        self,
+        service: str,
+        now_s: float,
+        tried: Collection[str],
+        only: Collection[str] | None = None,
     ) -> endpoint_view.EndpointView | None:
         """Returns the endpoint for a request, or None if there is none.
 
@@ -63,11 +67,13 @@
             service: The service that is to run it.
             now_s: Present time.
             tried: Ids of endpoints that have had it.
+            only: Ids of the endpoints that may have it; None for all.
         """
         open_ = [
             one
             for one in self.of(service)
             if one.record.endpoint_id not in tried
+            and (only is None or one.record.endpoint_id in only)
         ]
         able = [one for one in open_ if not one.is_suspended(now_s)]
         if not able:
@@ -75,7 +81,7 @@
             return self._generator.choice(open_) if open_ else None
         local = [one for one in able if one.record.zone == self._zone]
         found = self._choose_two(local, now_s)
-        if found is not None and found.load(now_s) < LOCAL_LOAD_LIMIT:
+        if found is not None and found.cost(now_s) < LOCAL_LOAD_LIMIT:
             return found
         return self._choose_two(able, now_s)
 
@@ -87,7 +93,7 @@
         if len(endpoints) == 1:
             return endpoints[0]
         first, second = self._generator.sample(endpoints, 2)
-        if second.load(now_s) < first.load(now_s):
+        if second.cost(now_s) < first.cost(now_s):
             return second
         return first
 
--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -8,6 +8,7 @@
 FIRST_SUSPENSION_S = 0.5
 LONGEST_SUSPENSION_S = 4.0
 SILENCES_TO_SUSPEND = 3
+REFUSING_WEIGHT = 0.05  # Weight of one request in the share that is refused.
 
 
 class EndpointView:
@@ -21,6 +22,7 @@
     __slots__ = (
         "_reported",
         "_reported_s",
+        "_refusing",
         "_silences",
         "_suspended_until_s",
         "_suspension_s",
@@ -34,10 +36,15 @@
         self.outstanding = 0
         self._reported = 0.0
         self._reported_s = -math.inf
+        self._refusing = 0.0
         self._silences = 0
         self._suspended_until_s = -math.inf
         self._suspension_s = FIRST_SUSPENSION_S
 
+    def cost(self, now_s: float) -> float:
+        """Load, and the share of requests that the backend server refuses."""
+        return self.load(now_s) + self._refusing
+
     def load(self, now_s: float) -> float:
         """Estimate of requests there for each of its slots."""
         age_s = now_s - self._reported_s
@@ -56,6 +63,11 @@
         self._reported = requests
         self._reported_s = now_s
 
+    def note_run(self, is_run: bool) -> None:
+        """Takes note whether the backend server ran what it was handed."""
+        refused = 0.0 if is_run else 1.0
+        self._refusing += REFUSING_WEIGHT * (refused - self._refusing)
+
     def note_answer(self) -> None:
         """Takes note that it answers."""
         self._silences = 0
--- a/src/cranberrymux/decisions/retries/repeat_bucket.py
+++ b/src/cranberrymux/decisions/retries/repeat_bucket.py
@@ -1,5 +1,8 @@
 """This node's part of the repeats that all nodes together may send."""
 
+KEPT_PER_RANK = 0.3  # Part of the tokens kept from each lower rank.
+MOST_KEPT = 0.8
+
 
 class RepeatBucket:
     """A token bucket for each service, filled by first requests."""
@@ -25,13 +28,22 @@
     def note_first(self, service: str, now_s: float) -> None:
         """Counts a request that goes to an endpoint for the first time."""
         tokens, _ = self._refill(service, now_s)
-        most = self._share + 1.0
+        most = self._share + 1.0 + MOST_KEPT
         self._tokens[service] = (min(tokens + self._ratio, most), now_s)
 
-    def take(self, service: str, now_s: float) -> bool:
-        """Takes a repeat; False if none is left."""
+    def take(self, service: str, now_s: float, rank: float = 0.0) -> bool:
+        """Takes a repeat; False if none is left for this rank.
+
+        Args:
+            service: The service that would get it.
+            now_s: Present time.
+            rank: Importance of the work, lowest first. A part of the tokens
+                is kept for what is more important, so that under many
+                refusals some trees end rather than none.
+        """
         tokens, _ = self._refill(service, now_s)
-        if tokens < 1.0:
+        kept = min(MOST_KEPT, KEPT_PER_RANK * max(rank + 0.5, 0.0))
+        if tokens < 1.0 + kept * self._share:
             return False
         self._tokens[service] = (tokens - 1.0, now_s)
         return True
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -19,6 +19,8 @@
 
 MOST_NODES_ASKED = 4  # Nodes that may refuse one request before it is refused.
 FIRST_FAILURE_STATUS = 400
+# Times that backend servers may refuse one request before it is refused.
+MOST_REFUSED = 8
 _BODY_TYPE = (b"content-type", b"application/json")
 
 
@@ -71,7 +73,10 @@
         )
         self._service = parts.splits.choose(route)
         self._tried: list[str] = []
+        self._rank = float(route.priority)
         self._sent = 0
+        # Endpoints whose backend server got it.
+        self._arrived: set[str] = set()
         self._arrivals = 0
         self._attempt: attempt_module.Attempt | None = None
         self._endpoint: endpoint_view.EndpointView | None = None
@@ -91,6 +96,7 @@
         if standing is None:
             self._refuse(Outcome.SHED)
             return
+        self._rank = standing.rank
         self._headers.append((hop.STANDING, hop.encode_standing(standing)))
         self._call.on_cancel = self._cancelled
         self._call.on_full = self._pause
@@ -126,9 +132,7 @@
 
     def _send_next(self) -> None:
         now_s = self._parts.clock.now_s()
-        endpoint = self._parts.endpoints.choose(
-            self._service, now_s, self._tried
-        )
+        endpoint = self._choose(now_s)
         if endpoint is None or len(self._tried) >= MOST_NODES_ASKED:
             outcome = Outcome.REFUSED if self._tried else Outcome.NO_ENDPOINT
             self._refuse(outcome)
@@ -162,6 +166,13 @@
         )
         self._attempt.start()
 
+    def _choose(self, now_s: float) -> endpoint_view.EndpointView | None:
+        """Returns the next endpoint, within the attempts of the route."""
+        endpoints = self._parts.endpoints
+        if len(self._arrived) < self._route.attempts:
+            return endpoints.choose(self._service, now_s, self._tried)
+        return endpoints.choose(self._service, now_s, (), self._arrived)
+
     # The outcome of one attempt.
 
     def attempt_sent(self) -> None:
@@ -183,6 +194,8 @@
         if not_run is not None:
             self._take_refusal(endpoint, not_run, now_s)
             return
+        if endpoint is not None:
+            endpoint.note_run(True)
         self._finish_timer()
         if not self._descent.is_call and head.status < FIRST_FAILURE_STATUS:
             advice = self._parts.callers.advice(self._route)
@@ -217,6 +230,8 @@
             return
         if endpoint is not None:
             endpoint.note_unreachable(now_s)
+            if loss.is_handed_over:
+                self._note_arrival(endpoint)
         if not loss.is_handed_over:
             self._send_next()
             return
@@ -269,10 +284,14 @@
         """The endpoint's node, or the backend server, did not run it."""
         if endpoint is not None and reason not in hop.BUSY_REASONS:
             endpoint.note_away(now_s)
-        # What the backend server itself refused has arrived there.
-        is_spent = reason == hop.BACKEND_FULL and not self._may_arrive_again(
-            now_s
-        )
+        is_spent = False
+        if reason == hop.BACKEND_FULL:
+            # What the backend server itself refused has arrived there.
+            if endpoint is not None:
+                endpoint.note_run(False)
+                self._note_arrival(endpoint)
+                self._tried.remove(endpoint.record.endpoint_id)
+            is_spent = not self._may_arrive_again(now_s, MOST_REFUSED)
         if self._is_streamed or is_spent:
             self._refuse(Outcome.REFUSED, reason.decode("latin-1"))
             return
@@ -282,14 +301,17 @@
         return (
             self._route.is_idempotent
             and not self._is_streamed
-            and self._may_arrive_again(now_s)
+            and self._may_arrive_again(now_s, self._route.attempts)
         )
 
-    def _may_arrive_again(self, now_s: float) -> bool:
+    def _note_arrival(self, endpoint: endpoint_view.EndpointView) -> None:
+        self._arrived.add(endpoint.record.endpoint_id)
         self._arrivals += 1
-        if self._arrivals >= self._route.attempts:
+
+    def _may_arrive_again(self, now_s: float, most: int) -> bool:
+        if self._arrivals >= most:
             return False
-        if not self._parts.repeats.take(self._service, now_s):
+        if not self._parts.repeats.take(self._service, now_s, self._rank):
             return False
         self._parts.meters.repeats.labels(self._service).inc()
         return True
--- a/src/cranberrymux/platform/control_main.py
+++ b/src/cranberrymux/platform/control_main.py
@@ -13,12 +13,12 @@
 
 def main() -> int:
     """Runs the program until a signal ends it; returns the exit code."""
-    logs.configure("cranberrymux-control")
     try:
         settings = settings_file.make_control_settings(settings_file.read())
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
+    logs.configure("cranberrymux-control", node=settings.control_id)
     port = control_port.ControlPort()
     return program.Program(settings, settings_file.CLUSTER_KEY, port).run()
 
--- a/src/cranberrymux/platform/node_main.py
+++ b/src/cranberrymux/platform/node_main.py
@@ -27,7 +27,6 @@
         help="serve metrics as text at /metrics on this port",
     )
     parsed = parser.parse_args()
-    logs.configure("cranberrymux-node")
     try:
         settings = settings_file.make_gateway_settings(
             settings_file.read()
@@ -36,6 +35,8 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
 
+    logs.configure("cranberrymux-node", node=settings.node_id)
+
     def open_ports(gateway: gateway_module.Gateway) -> None:
         ready = node_ports.ReadyPort(gateway)
         gateway.listen(settings.ready_address, ready)
--- a/src/cranberrymux/telemetry/logs.py
+++ b/src/cranberrymux/telemetry/logs.py
@@ -21,7 +21,9 @@
 }
 
 
-def configure(binary: str, stream: TextIO | None = None) -> None:
+def configure(
+    binary: str, stream: TextIO | None = None, node: str = ""
+) -> None:
     """Makes every structlog logger of this process write JSON lines.
 
     Each line has `time` (UTC, ISO 8601), `event`, `binary` and `level`. Lines
@@ -31,6 +33,8 @@
     Args:
         binary: Name of the program.
         stream: Where lines go; standard output if absent.
+        node: Name of the instance, for the field `node` of every line; empty
+            for none.
     """
     writer = line_writer.LineWriter(sys.stdout if stream is None else stream)
 
@@ -38,6 +42,8 @@
         _logger: Any, _method: str, event: structlog.typing.EventDict
     ) -> structlog.typing.EventDict:
         event["binary"] = binary
+        if node:
+            event["node"] = node
         return event
 
     structlog.configure(
--- /dev/null
+++ b/src/cranberrymux/trace/__init__.py
@@ -0,0 +1,1 @@
+"""The story of one request, from the logs of several processes."""
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -287,3 +287,45 @@
     def test_refuses_more_headers_than_the_configuration_allows(self, mesh):
         headers = [("X-Long", "x" * 40_000)]
         assert mesh.ask(0, "/read/x", headers=headers).statuses == [431]
+
+
+class TestRefusalsOfBackendServers:
+    """Backend servers that refuse part of what they get, by chance."""
+
+    @staticmethod
+    def refuse_half(mesh):
+        arrivals = []
+
+        def answer(call):
+            arrivals.append(call)
+            if len(arrivals) % 2:
+                call.answer(503, [(b"not-run", b"1")], b"")
+            else:
+                mesh_module.answer_with_proof(call)
+
+        for one in mesh.members[1:]:
+            one.backend.answer = answer
+        return arrivals
+
+    def test_asks_again_within_the_attempts(self, mesh):
+        mesh.put(mesh_module.make_route("once", "deep", attempts=1), label=2)
+        self.refuse_half(mesh)
+        assert mesh.ask(0, "/once/x").statuses == [200]
+        reached = [one for one in mesh.members if one.backend.calls]
+        assert len(reached) == 1
+
+    def test_spends_the_budget_on_the_most_important_first(self, mesh):
+        mesh.put(
+            mesh_module.make_route("first", "deep", priority=0),
+            mesh_module.make_route("last", "deep", priority=3),
+            label=2,
+        )
+        arrivals = self.refuse_half(mesh)
+        served = {"first": 0, "last": 0}
+        for number in range(300):
+            name = "first" if number % 6 == 0 else "last"
+            headers = [("Request-Id", f"q{number}")]
+            client = mesh.ask(0, f"/{name}/x", headers=headers, wait=0.01)
+            served[name] += client.statuses == [200]
+        assert served["first"] > 45  # Of 50.
+        assert len(arrivals) - 300 <= 0.2 * 300 + 40 / 3
