--- a/src/cranberrymux/gateway/callers.py
+++ b/src/cranberrymux/gateway/callers.py
@@ -23,10 +23,10 @@
 
     def offer(
         self, route: route_module.Route, left_s: float, now_s: float
-    ) -> root_admission.Kind | None:
-        """Returns the kind of a request that may begin, else None."""
+    ) -> bool:
+        """Decides on a request; True if it may begin."""
         advice = self.advice(route)
         advice.note_arrival(left_s)
         turn = advice.turn_of(left_s)
         kind = root_admission.Kind(route.priority, turn, route.name)
-        return kind if self.admission.offer(now_s, kind) else None
+        return self.admission.offer(now_s, kind)
--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -4,6 +4,7 @@
 
 from cranberrymux.gateway import entry_call
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
@@ -38,7 +39,7 @@
         table = parts.routes.table
         if table is None:
             wait_s = parts.generator.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S)
-            entry_call.refuse(parts, call, NO_CONFIGURATION, wait_s)
+            own_answers.refuse(parts, call, NO_CONFIGURATION, wait_s)
             return
         host = headers_module.find(call.head.headers, b"host") or b""
         path = call.head.target.partition(b"?")[0]
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -1,6 +1,5 @@
 """A request for the backend server beside this node."""
 
-from typing import Any
 from typing import Protocol
 
 from cranberrymux.decisions.pressure import work_report
@@ -8,6 +7,7 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import outgoing
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import relay
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import connection_pool
@@ -44,7 +44,7 @@
         """Takes note that a waiting request is gone."""
 
 
-class ExitCall:
+class ExitCall(relay.Relay):
     """One request, from its arrival to the answer of the backend server."""
 
     def __init__(
@@ -66,6 +66,7 @@
             ticket_id: Its number at this node.
             deadline_s: When its caller gives up.
         """
+        super().__init__()
         self._parts = parts
         self._owner = owner
         self._pool = pool
@@ -79,9 +80,6 @@
         )
         route = headers_module.find(call.head.headers, hop.ROUTE) or b""
         self.route = route.decode("latin-1")
-        self._attempt: attempt_module.Attempt | None = None
-        self._is_sent = False
-        self._timer: Any = None
         call.on_cancel = self._cancelled
         call.on_full = self._pause
         call.on_drained = self._resume
@@ -138,8 +136,7 @@
     # The outcome of the attempt.
 
     def attempt_sent(self) -> None:
-        """The backend server may run the request from now on."""
-        self._is_sent = True
+        """Nothing is kept: what may have run is known from the loss."""
 
     def attempt_answered(
         self, head: answer_head.AnswerHead, body: bytes
@@ -221,8 +218,7 @@
 
     def _timed_out(self) -> None:
         self._timer = None
-        if self._attempt is not None:
-            self._attempt.cancel()
+        self._cancel_attempt()
         self._owner.call_finished(self, False)
         self._call.abort()
 
@@ -242,16 +238,3 @@
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
         return headers
-
-    def _finish_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _pause(self) -> None:
-        if self._attempt is not None:
-            self._attempt.pause()
-
-    def _resume(self) -> None:
-        if self._attempt is not None:
-            self._attempt.resume()
--- /dev/null
+++ b/src/cranberrymux/gateway/tries.py
@@ -0,0 +1,104 @@
+"""The endpoints that one request was sent to, and whether one more may be."""
+
+from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.routes import route as route_module
+from cranberrymux.gateway import parts as parts_module
+
+MOST_NODES_ASKED = 4  # Nodes that may refuse one request before it is refused.
+# Times that backend servers may refuse one request before it is refused.
+MOST_REFUSED = 8
+
+
+class Tries:
+    """The tries of one request.
+
+    A node that refuses has kept the request from its backend server, so
+    asking another one is no repeat. What reached a backend server counts
+    against the attempts of the route and the budget of repeats.
+
+    Attributes:
+        rank: Importance of the work, lowest first.
+        sent: Times that a node may have got the request.
+        is_streamed: True once part of its body was passed on and let go.
+        is_maybe_run: True if an attempt was lost after it was handed over.
+    """
+
+    def __init__(
+        self,
+        parts: parts_module.GatewayParts,
+        route: route_module.Route,
+        service: str,
+    ) -> None:
+        """Starts with none."""
+        self._parts = parts
+        self._route = route
+        self._service = service
+        self._asked: list[str] = []
+        self._arrived: set[str] = set()
+        self._arrivals = 0
+        self.rank = float(route.priority)
+        self.sent = 0
+        self.is_streamed = False
+        self.is_maybe_run = False
+
+    @property
+    def asked(self) -> tuple[str, ...]:
+        """Endpoints that had the request, for people."""
+        return (*self._asked, *sorted(self._arrived.difference(self._asked)))
+
+    @property
+    def is_again(self) -> bool:
+        """True if more than one node has been asked."""
+        return len(self._asked) > 1
+
+    def choose(self, now_s: float) -> endpoint_view.EndpointView | None:
+        """Returns the next endpoint, within the attempts of the route."""
+        if len(self._asked) >= MOST_NODES_ASKED:
+            return None
+        endpoints = self._parts.endpoints
+        if len(self._arrived) < self._route.attempts:
+            found = endpoints.choose(self._service, now_s, self._asked)
+        else:
+            found = endpoints.choose(self._service, now_s, (), self._arrived)
+        if found is not None:
+            self._asked.append(found.record.endpoint_id)
+        return found
+
+    def note_lost(self, endpoint: endpoint_view.EndpointView | None) -> None:
+        """Takes note that an attempt was lost after it was handed over."""
+        self.is_maybe_run = True
+        if endpoint is not None:
+            self._note_arrival(endpoint)
+
+    def note_refused(self, endpoint: endpoint_view.EndpointView | None) -> None:
+        """Takes note that the backend server itself refused."""
+        if endpoint is not None:
+            endpoint.note_run(False)
+            self._note_arrival(endpoint)
+            self._asked.remove(endpoint.record.endpoint_id)
+
+    def may_repeat(self, now_s: float) -> bool:
+        """True if a request that may have run is sent once more."""
+        return (
+            self._route.is_idempotent
+            and not self.is_streamed
+            and self._may_arrive_again(now_s, self._route.attempts)
+        )
+
+    def may_ask_again(self, now_s: float) -> bool:
+        """True if a refusal of a backend server is met by one more try."""
+        return not self.is_streamed and self._may_arrive_again(
+            now_s, MOST_REFUSED
+        )
+
+    def _note_arrival(self, endpoint: endpoint_view.EndpointView) -> None:
+        self._arrived.add(endpoint.record.endpoint_id)
+        self._arrivals += 1
+
+    def _may_arrive_again(self, now_s: float, most: int) -> bool:
+        if self._arrivals >= most:
+            return False
+        if not self._parts.repeats.take(self._service, now_s, self.rank):
+            return False
+        self._parts.meters.repeats.labels(self._service).inc()
+        return True
