--- a/src/cranberrymux/telemetry/logs.py
+++ b/src/cranberrymux/telemetry/logs.py
@@ -18,6 +18,8 @@
 # its id finds these.
 LINES_OF_EVENT = {
     event_module.Event.REQUEST_ENDED.value: 200,
+    event_module.Event.BACKEND_ANSWER_LOST.value: 100,
+    event_module.Event.REQUEST_REFUSED_HERE.value: 100,
 }
 
 
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -329,3 +329,20 @@
             served[name] += client.statuses == [200]
         assert served["first"] > 45  # Of 50.
         assert len(arrivals) - 300 <= 0.2 * 300 + 40 / 3
+
+
+@pytest.mark.parametrize("deadline_ms", ["0", "1", "2", "3"])
+def test_a_request_with_hardly_any_time_ends_once(mesh, deadline_ms):
+    for one in mesh.members[1:]:
+        one.backend.answer = None
+    client = mesh.ask(
+        0, "/read/x", headers=[("Deadline-Ms", deadline_ms)], wait=0.5
+    )
+    assert client.statuses in ([503], [504])
+    text = mesh.members[0].gateway._parts.meters.encode().decode()
+    counts = [
+        float(line.split()[-1])
+        for line in text.splitlines()
+        if line.startswith("cranberrymux_requests_total")
+    ]
+    assert sum(counts) == 1
