--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -118,20 +118,21 @@
             now_s: Present time.
             route: Name of its route.
             report: What its tree cost.
-            is_whole: True if the tree ended well; others cost less than a
-                whole one.
+            is_whole: True if the tree ended well. One that failed tells the
+                least that a whole one costs.
         """
         for service, part in report.items():
             self.note_share(now_s, service, part.share)
-        if not is_whole:
-            return
         costs = self._costs.setdefault(route, {})
-        for service in costs:
-            if service not in report:
-                costs[service] *= 1.0 - COST_WEIGHT
+        if is_whole:
+            for service in costs:
+                if service not in report:
+                    costs[service] *= 1.0 - COST_WEIGHT
         for service, part in report.items():
             known = costs.get(service, part.slot_s)
-            costs[service] = known + COST_WEIGHT * (part.slot_s - known)
+            if is_whole or part.slot_s > known:
+                known += COST_WEIGHT * (part.slot_s - known)
+            costs[service] = known
 
     def note_share(self, now_s: float, service: str, share: float) -> None:
         """Takes the share that one endpoint of a service can take."""
--- a/tests/decisions/pressure/test_parts.py
+++ b/tests/decisions/pressure/test_parts.py
@@ -178,3 +178,29 @@
         waits = [advice.wait_s(5.0, generator) for _ in range(100)]
         assert max(waits) <= 1.0
         assert max(waits) - min(waits) > 0.5
+
+
+def test_sheds_a_route_that_has_never_ended_well():
+    """All nodes have just started, and no tree gets through."""
+    admission = root_admission.RootAdmission(0.0)
+    kind = root_admission.Kind(2, Turn.FIRST, "lookup")
+    report = {"deep": work_report.ServiceWork(0.1, 0.1)}
+    for number in range(200):
+        admission.note_report(number / 100, "lookup", report, False)
+        admission.offer(number / 100, kind)
+    assert admission.share_of(kind) < 0.3
+
+
+def test_a_tree_that_failed_early_does_not_make_its_route_cheap():
+    admission = root_admission.RootAdmission(0.0)
+    kinds = [root_admission.Kind(2, Turn.FIRST, name) for name in ("a", "b")]
+    for number in range(400):
+        now_s = number / 100
+        for route in ("a", "b"):
+            whole = {"deep": work_report.ServiceWork(0.2, 0.5)}
+            admission.note_report(now_s, route, whole, True)
+        failed = {"deep": work_report.ServiceWork(0.01, 0.5)}
+        admission.note_report(now_s, "a", failed, False)
+        for kind in kinds:
+            admission.offer(now_s, kind)
+    assert admission.share_of(kinds[0]) == admission.share_of(kinds[1])
--- a/tests/decisions/pressure/test_tree_load.py
+++ b/tests/decisions/pressure/test_tree_load.py
@@ -66,3 +66,11 @@
 def test_three_times_and_a_half_the_load_still_serves_the_most_important():
     dispatch = play(3.5).tallies["dispatch"]
     assert dispatch.served > 0.9 * dispatch.asked
+
+
+def test_recovers_when_everything_starts_anew_into_the_load():
+    """Nothing is learned yet, half of the deep service is gone."""
+    load = tree_load.TreeLoad(make_kinds(1.6), endpoints=2)
+    load.run(LENGTH_S, WARM_UP_S)
+    dispatch = load.tallies["dispatch"]
+    assert dispatch.served > 0.9 * dispatch.asked
