--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -16,17 +16,14 @@
 from cranberrymux.gateway import exit as exit_module
 from cranberrymux.gateway import meters_port
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import ports as ports_module
 from cranberrymux.gateway import routes_holder
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.models import endpoint_record
-from cranberrymux.models import socket_address
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import directory_task
 from cranberrymux.node.http import call_handler
-from cranberrymux.node.http import limits as limits_module
-from cranberrymux.node.http import server_factory
 
-BACKLOG = 512  # Connections that wait to be taken.
 CHECK_S = 0.1
 SWEEP_S = 1.0
 # New requests are taken for so long after SIGTERM, since callers find out by
@@ -34,7 +31,6 @@
 LINGER_S = 2.5
 STOP_POLL_S = 0.05
 FLUSH_S = 0.1
-BUFFERED_BODY_BYTES = 1 << 20
 _Change = presence_module.PresenceChange
 
 
@@ -86,9 +82,7 @@
         self._checking.clock = reactor
         self._sweeping = task.LoopingCall(self._sweep)
         self._sweeping.clock = reactor
-        # The entry port's comes first.
-        self._factories: list[server_factory.ServerFactory] = []
-        self._ports: list[Any] = []
+        self._ports = ports_module.Ports(reactor)
         self._stopping = task.LoopingCall(self._stop_when_idle)
         self._stopping.clock = reactor
         self._stopping_s = 0.0
@@ -105,16 +99,14 @@
         Raises:
             CannotListenError: A port is taken.
         """
-        limits = limits_module.Limits(buffered_bytes=BUFFERED_BODY_BYTES)
+        settings = self._settings
         entry = entry_module.Entry(self._parts)
-        self._listen(self._settings.entry_address, entry, limits)
-        self._listen(self._settings.hop_address, self._exit, limits)
-        if self._settings.metrics_port:
-            metrics_address = (
-                f"{self._settings.ip}:{self._settings.metrics_port}"
-            )
-            self.listen(
-                metrics_address, meters_port.MetersPort(self._parts.meters)
+        self._ports.open_for_clients(settings.entry_address, entry)
+        self._ports.open(settings.hop_address, self._exit)
+        if settings.metrics_port:
+            self._ports.open(
+                f"{settings.ip}:{settings.metrics_port}",
+                meters_port.MetersPort(self._parts.meters),
             )
         self._directory.start()
         self._checking.start(CHECK_S, now=False)
@@ -126,7 +118,7 @@
         Raises:
             CannotListenError: The port is taken.
         """
-        self._listen(address, handler, limits_module.Limits())
+        self._ports.open(address, handler)
 
     def announce(
         self, said: announcement_module.Announcement
@@ -156,8 +148,7 @@
         if self._announcer.stop():
             self._directory.beat()
         self._exit.stop()
-        for factory in self._factories:
-            factory.leave()
+        self._ports.leave()
         self._stopping.start(STOP_POLL_S, now=False)
 
     # What the directory tells.
@@ -185,7 +176,8 @@
         """Takes a configuration of a higher version."""
         had_none = self._routes.table is None
         self._routes.take(version, document)
-        self._take_limits()
+        if self._routes.table is not None:
+            self._ports.set_limits(self._routes.table.document.limits)
         if had_none:
             self._directory.beat()
 
@@ -201,21 +193,6 @@
         """Follows the control instances that there are."""
         self._contacts.learn(addresses, self._clock.now_s())
 
-    def _listen(
-        self,
-        text: str,
-        handler: call_handler.CallHandler,
-        limits: limits_module.Limits,
-    ) -> None:
-        address = socket_address.parse(text)
-        assert address is not None
-        factory = server_factory.ServerFactory(handler, limits)
-        port = self._reactor.listenTCP(
-            address.port, factory, backlog=BACKLOG, interface=address.host
-        )
-        self._factories.append(factory)
-        self._ports.append(port)
-
     def _take_change(self, change: _Change, backend_id: str) -> None:
         if change in (_Change.NONE, _Change.STALE):
             return
@@ -230,31 +207,10 @@
         if is_changed and not self._is_stopping:
             self._directory.beat()
 
-    def _take_limits(self) -> None:
-        table = self._routes.table
-        if table is None or not self._factories:
-            return
-        asked = table.document.limits
-        self._factories[0].set_limits(
-            limits_module.Limits(
-                header_bytes=asked.header_bytes,
-                body_bytes=asked.body_bytes,
-                buffered_bytes=BUFFERED_BODY_BYTES,
-            )
-        )
-
     def _sweep(self) -> None:
-        """Closes idle connections of clients; other nodes close their own."""
         self._exit.update_meters()
         self._parts.meters.version.set(self._routes.version)
-        table = self._routes.table
-        if table is not None:
-            limits = table.document.limits
-            self._factories[0].sweep(
-                self._clock.now_s(),
-                limits.idle_timeout_s,
-                limits.header_timeout_s,
-            )
+        self._ports.sweep(self._clock.now_s())
 
     def _check(self) -> None:
         now_s = self._clock.now_s()
@@ -278,10 +234,7 @@
             self._close()
 
     def _close(self) -> None:
-        for port in self._ports:
-            port.stopListening()
-        for factory in self._factories:
-            factory.close_connections()
+        self._ports.close()
         self._directory.stop()
         # What was written last still has to reach its client.
         self._reactor.callLater(FLUSH_S, self._reactor.stop)
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -5,6 +5,7 @@
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.decisions.routes import route
 from cranberrymux.gateway import gateway as gateway_module
+from cranberrymux.gateway import ports as ports_module
 from tests.gateway import mesh as mesh_module
 
 DRAINING = announcement.BackendState.DRAINING
@@ -75,7 +76,7 @@
 
 
 def test_streams_a_body_that_is_too_long_to_hold(mesh):
-    length = gateway_module.BUFFERED_BODY_BYTES + 70_000
+    length = ports_module.BUFFERED_BODY_BYTES + 70_000
     client = mesh.ask(0, "/write/x", method="POST", body=b"x" * length)
     assert client.statuses == [200]
     assert handed(mesh)[0].body_length == length
