--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -6,24 +6,21 @@
 import signal
 import subprocess
 import sys
-import time
 import urllib.error
 import urllib.request
 
 from cranberrymux.demo import ports
+from tests.control import cluster
 
 _NEXT_NET = iter(range(10, 250))
 
 
-def wait_until(check, timeout_s=15.0):
-    """Polls a state; returns its first true value."""
-    end = time.monotonic() + timeout_s
-    while True:
-        found = check()
-        if found:
-            return found
-        assert time.monotonic() < end, f"not reached in {timeout_s} s"
-        time.sleep(0.02)
+FORMING_S = 15.0
+
+
+def wait_until(check):
+    """Polls a state for as long as a cluster may take to form."""
+    return cluster.wait_until(check, FORMING_S)
 
 
 class Instance:
