--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -76,6 +76,7 @@
             self._announcer,
             self._clock,
             self,
+            reactor,
         )
         self._contacts.follow(self._directory)
         self._checking = task.LoopingCall(self._check)
--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -89,8 +89,18 @@
         endpoint: AnnouncedEndpoint,
         system_clock: clock_module.Clock,
         listener: DirectoryListener,
+        reactor: Any = None,
     ) -> None:
-        """Keeps one session for each control instance."""
+        """Keeps one session for each control instance.
+
+        Args:
+            settings: Settings of the node.
+            clients: Connections to the control instances to begin with.
+            endpoint: The endpoint that the node vouches for.
+            system_clock: Clocks.
+            listener: Takes what the answers bring.
+            reactor: The reactor to use; the global one by default.
+        """
         self._settings = settings
         self._endpoint = endpoint
         self._clock = system_clock
@@ -98,6 +108,8 @@
         self._sessions = [_Session(client) for client in clients]
         self._turn = 0
         self._loop = task.LoopingCall(self._beat_next)
+        if reactor is not None:
+            self._loop.clock = reactor
 
     def start(self) -> None:
         """Connects and begins to send."""
