Keep an endpoint whose lease ended elsewhere; take it back with the same sequence

Ruled out: the share (none is short after 12 s), the route that moves at 11.8 s. Now a lease that ended only makes an endpoint unvouched: used until it fails here, too.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -11,7 +11,6 @@
 
 from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.models import endpoint_record
-from cranberrymux.models import endpoint_state
 
 LOCAL_LOAD_LIMIT = 0.7  # Above this load, other availability zones are used.
 
@@ -51,7 +50,7 @@
         return [
             one
             for one in self._services.get(service, {}).values()
-            if one.record.state is endpoint_state.EndpointState.SERVING
+            if one.is_usable
         ]
 
     def choose(
@@ -101,7 +100,12 @@
         endpoint_id = record.endpoint_id
         before = self._service_of.get(endpoint_id)
         known = self.find(endpoint_id)
-        if known is not None and _order(known.record) >= _order(record):
+        if known is not None and _order(known.record) > _order(record):
+            return
+        if known is not None and _order(known.record) == _order(record):
+            # A control instance that lost touch with the endpoint's node says
+            # that it is gone, another one, or the same later, that it serves.
+            known.is_vouched = record.state is known.record.state
             return
         if before is not None and before != record.service:
             del self._services[before][endpoint_id]
@@ -111,7 +115,8 @@
             known = endpoint_view.EndpointView(record)
             self._services.setdefault(record.service, {})[endpoint_id] = known
         known.record = record
+        known.is_vouched = True
 
 
-def _order(record: endpoint_record.EndpointRecord) -> tuple[int, int, int]:
-    return record.incarnation, record.sequence, int(record.state)
+def _order(record: endpoint_record.EndpointRecord) -> tuple[int, int]:
+    return record.incarnation, record.sequence
--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -3,6 +3,7 @@
 import math
 
 from cranberrymux.models import endpoint_record
+from cranberrymux.models import endpoint_state
 
 REPORT_LIFE_S = 0.5  # What an endpoint said of its load fades over this time.
 FIRST_SUSPENSION_S = 0.5
@@ -17,6 +18,9 @@
     Attributes:
         record: The newest record from the directory.
         outstanding: Requests of this node that it has not answered.
+        is_vouched: False if a control instance has lost touch with its node.
+            It is used on until it fails here, too.
+        has_failed: True if it could not be reached since its last answer.
     """
 
     __slots__ = (
@@ -26,6 +30,8 @@
         "_silences",
         "_suspended_until_s",
         "_suspension_s",
+        "has_failed",
+        "is_vouched",
         "outstanding",
         "record",
     )
@@ -34,6 +40,8 @@
         """Starts without load."""
         self.record = record
         self.outstanding = 0
+        self.is_vouched = True
+        self.has_failed = False
         self._reported = 0.0
         self._reported_s = -math.inf
         self._refusing = 0.0
@@ -41,6 +49,12 @@
         self._suspended_until_s = -math.inf
         self._suspension_s = FIRST_SUSPENSION_S
 
+    @property
+    def is_usable(self) -> bool:
+        """True if it serves, by its node's last word, and may be reached."""
+        is_serving = self.record.state is endpoint_state.EndpointState.SERVING
+        return is_serving and (self.is_vouched or not self.has_failed)
+
     def cost(self, now_s: float) -> float:
         """Load, and the share of requests that the backend server refuses."""
         return self.load(now_s) + self._refusing
@@ -70,12 +84,14 @@
 
     def note_answer(self) -> None:
         """Takes note that it answers."""
+        self.has_failed = False
         self._silences = 0
         self._suspension_s = FIRST_SUSPENSION_S
         self._suspended_until_s = -math.inf
 
     def note_unreachable(self, now_s: float) -> None:
         """Keeps away for a while, twice as long each time."""
+        self.has_failed = True
         if self.is_suspended(now_s):
             return
         self._suspended_until_s = now_s + self._suspension_s
--- a/tests/decisions/endpoints/test_endpoint_set.py
+++ b/tests/decisions/endpoints/test_endpoint_set.py
@@ -106,3 +106,27 @@
 
 def test_finds_nothing_for_an_unknown_service(endpoints):
     assert endpoints.choose("unknown", 0.0, ()) is None
+
+
+def test_a_lease_that_ended_elsewhere_does_not_take_an_endpoint_away(endpoints):
+    """Its node is cut off from the control instances, and from nobody else."""
+    endpoints.update([record("near-1", state=State.GONE)])
+    assert set(spread(endpoints)) == {"near-1", "near-2"}
+    endpoints.find("near-1").note_unreachable(0.0)
+    later_s = endpoint_view.LONGEST_SUSPENSION_S
+    assert set(spread(endpoints, now_s=later_s)) == {"near-2"}
+
+
+def test_an_endpoint_comes_back_with_the_same_sequence(endpoints):
+    endpoints.update([record("near-1", state=State.GONE)])
+    endpoints.find("near-1").note_unreachable(0.0)
+    endpoints.update([record("near-1")])
+    later_s = endpoint_view.LONGEST_SUSPENSION_S
+    assert set(spread(endpoints, now_s=later_s)) == {"near-1", "near-2"}
+
+
+def test_one_that_said_it_leaves_stays_out_whatever_others_say(endpoints):
+    endpoints.update([record("near-1", sequence=2, state=State.DRAINING)])
+    endpoints.update([record("near-1", sequence=2, state=State.GONE)])
+    endpoints.update([record("near-1", sequence=1)])
+    assert set(spread(endpoints)) == {"near-2"}
