Name the platform's paths once; drop settings that nobody reads

Read-through of the change, no behaviour changed: the paths of the platform's calls stood in two files, the turning of errors of the settings file in two functions; backend_address, the load header and control_port_address were set and never used; a comment told another form of the load header than the code writes.

--- a/src/cranberrymux/gateway/dialect.py
+++ b/src/cranberrymux/gateway/dialect.py
@@ -14,7 +14,6 @@
         proof: On answers that a backend server made.
         not_run: On answers that prove that the request did not run.
         retry_after: Seconds until the caller may come back, with fractions.
-        load: Running, waiting and slots of the answering backend server.
     """
 
     request_id: bytes
@@ -24,4 +23,3 @@
     proof: bytes
     not_run: bytes
     retry_after: bytes
-    load: bytes
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -87,7 +87,8 @@
     def begin(self, address: connection_pool.Address, backend_id: str) -> None:
         """Hands the request to the backend server."""
         dialect = self._parts.settings.dialect
-        left_s = self.deadline_s - self._parts.clock.now_s()
+        now_s = self._parts.clock.now_s()
+        left_s = self.deadline_s - now_s
         head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
         headers = [
@@ -97,7 +98,6 @@
         ]
         left_ms = max(hop.shorten_ms(left_s), 1)
         headers.append((dialect.deadline_ms, b"%d" % left_ms))
-        now_s = self._parts.clock.now_s()
         self._owner.call_started(self, now_s + left_ms / 1000)
         headers.append((dialect.expected_backend, backend_id.encode()))
         self._attempt = attempt_module.Attempt(
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -15,7 +15,7 @@
 AGAIN = b"cranberrymux-again"
 # On answers: why the request was not run, if that is proven.
 NOT_RUN = b"cranberrymux-not-run"
-# On answers: running and waiting requests and slots, by comma.
+# On answers: count of the requests that run and wait there.
 LOAD = b"cranberrymux-load"
 # On answers: what the request cost at each service of its tree; see
 # `decisions.pressure.work_report`.
--- a/src/cranberrymux/platform/control_port.py
+++ b/src/cranberrymux/platform/control_port.py
@@ -14,9 +14,8 @@
 from cranberrymux.node.http import server_factory
 from cranberrymux.platform import answers
 from cranberrymux.platform import configuration_format
+from cranberrymux.platform import paths
 
-CONFIGURATION_PATH = b"/cranberrymux/config"
-INSTANCES_PREFIX = b"/cranberrymux/instances/"
 MAXIMUM_BODY_BYTES = 8 << 20
 _Verdict = route_changes.PutVerdict
 _STATUS = {
@@ -50,13 +49,13 @@
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Answers one call."""
         path = call.head.target.partition(b"?")[0]
-        if path == CONFIGURATION_PATH and call.head.method == b"GET":
+        if path == paths.CONFIGURATION and call.head.method == b"GET":
             self._get_configuration(call)
-        elif path == CONFIGURATION_PATH and call.head.method == b"PUT":
+        elif path == paths.CONFIGURATION and call.head.method == b"PUT":
             defer.ensureDeferred(self._put_configuration(call)).addErrback(
                 self._report_fault, call
             )
-        elif path.startswith(INSTANCES_PREFIX):
+        elif path.startswith(paths.INSTANCES_PREFIX):
             # Only the node beside a backend server can vouch for it.
             answers.answer(call, 503, {"error": "ask the node beside you"})
         else:
--- a/src/cranberrymux/platform/dialect.py
+++ b/src/cranberrymux/platform/dialect.py
@@ -11,5 +11,4 @@
     proof=b"server-stamp",
     not_run=b"not-run",
     retry_after=b"retry-after",
-    load=b"server-load",
 )
--- a/src/cranberrymux/platform/node_ports.py
+++ b/src/cranberrymux/platform/node_ports.py
@@ -5,9 +5,7 @@
 from cranberrymux.node.http import inbound_call
 from cranberrymux.platform import announcement_format
 from cranberrymux.platform import answers
-
-READY_PATH = b"/cranberrymux/ready"
-INSTANCES_PREFIX = b"/cranberrymux/instances/"
+from cranberrymux.platform import paths
 
 
 class ReadyPort:
@@ -19,7 +17,7 @@
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Answers 200 or 503."""
-        if call.head.target != READY_PATH:
+        if call.head.target != paths.READY:
             answers.answer(call, 404, {"error": "no such call"})
         elif self._gateway.is_ready:
             answers.answer(call, 200, {})
@@ -37,10 +35,10 @@
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Takes an announcement or a departure."""
         target = call.head.target
-        if not target.startswith(INSTANCES_PREFIX):
+        if not target.startswith(paths.INSTANCES_PREFIX):
             answers.answer(call, 404, {"error": "no such call"})
             return
-        backend_id = target[len(INSTANCES_PREFIX) :].decode("latin-1")
+        backend_id = target[len(paths.INSTANCES_PREFIX) :].decode("latin-1")
         if call.head.method == b"DELETE":
             self._gateway.leave(backend_id)
             answers.answer(call, 200, {})
--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -1,8 +1,10 @@
 """Reads the platform's settings file into our settings."""
 
+from collections.abc import Callable
 import os
 import tomllib
 from typing import Any
+from typing import TypeVar
 
 import structlog
 
@@ -32,6 +34,8 @@
 STOP_MARGIN_S = 0.6
 _CLAIM_AGE_S = 3600
 
+_Settings = TypeVar("_Settings")
+
 
 def read() -> dict[str, Any]:
     """Reads the file that the environment names.
@@ -55,10 +59,7 @@
     Raises:
         SettingsError: A key is absent or of another form.
     """
-    try:
-        return _make_gateway_settings(values)
-    except (KeyError, ValueError, TypeError, IndexError) as error:
-        raise _fail(error) from None
+    return _translate(_make_gateway_settings, values)
 
 
 def make_control_settings(
@@ -69,22 +70,7 @@
     Raises:
         SettingsError: A key is absent or of another form.
     """
-    try:
-        return _make_control_settings(values)
-    except (KeyError, ValueError, TypeError, IndexError) as error:
-        raise _fail(error) from None
-
-
-def control_port_address(values: dict[str, Any]) -> str:
-    """`ip:port` for operators and announcements.
-
-    Raises:
-        SettingsError: The key is absent.
-    """
-    try:
-        return str(values["network"]["listen"]["control"])
-    except (KeyError, TypeError) as error:
-        raise _fail(error) from None
+    return _translate(_make_control_settings, values)
 
 
 def read_control_instances() -> tuple[str, ...]:
@@ -113,7 +99,6 @@
         region=own["region"],
         zone=own["zone"],
         service=own["service"],
-        backend_address=own["app_addr"],
         entry_address=listen["outbound"],
         hop_address=listen["inbound"],
         ready_address=listen["ready"],
@@ -192,6 +177,16 @@
     return tuple(f"{host}:{port}" for host in hosts)
 
 
+def _translate(
+    make: Callable[[dict[str, Any]], _Settings], values: dict[str, Any]
+) -> _Settings:
+    """Makes settings; whatever is wrong with the file is one kind of error."""
+    try:
+        return make(values)
+    except (KeyError, ValueError, TypeError, IndexError) as error:
+        raise _fail(error) from None
+
+
 def _fail(error: Exception) -> exceptions.SettingsError:
     path = os.environ.get(PATH_VARIABLE, "")
     detail = f"{type(error).__name__}: {error}"
--- a/src/cranberrymux/telemetry/repeat_limiter.py
+++ b/src/cranberrymux/telemetry/repeat_limiter.py
@@ -3,7 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
-from types import MappingProxyType
+import types
 from typing import Any
 
 import structlog
@@ -36,7 +36,7 @@
         clock: Callable[[], float],
         lines_per_window: int = LINES_PER_WINDOW,
         window_s: float = WINDOW_S,
-        lines_of_event: Mapping[str, int] = MappingProxyType({}),
+        lines_of_event: Mapping[str, int] = types.MappingProxyType({}),
     ) -> None:
         """Starts with no series.
 
--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -72,7 +72,6 @@
             region="r",
             zone=zone,
             service=service,
-            backend_address=f"10.0.0.1:{self.backend_port}",
             entry_address=f"10.0.0.1:{base}",
             hop_address=f"10.0.0.1:{base + 1}",
             ready_address=f"10.0.0.1:{base + 2}",
