Choose endpoints by their failures, and try a failed idempotent request once more

Cause: an endpoint that answers quickly with failures looked like the least loaded one, so nodes preferred it; 500s of inner calls ended whole trees. The node beside a backend server now tells callers which share of the requests it failed by itself (not because of a call), callers add what they see themselves, and an idempotent request whose endpoint failed by itself is tried at another endpoint within the attempts and the budget; the failure is passed on if that brings nothing. Repeats of requests that make calls have a part of the ratio of their own, since their calls are repeats, too.

Ruled out: blaming every 500 (trees fail because of their calls); counting only at the caller (too few requests a second to learn in time); failures in the load alone (an idle zone keeps using its failing endpoint).

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -78,7 +78,11 @@
         if not able:
             # All look bad at once: more likely the fault is on this side.
             return self._generator.choice(open_) if open_ else None
-        local = [one for one in able if one.record.zone == self._zone]
+        local = [
+            one
+            for one in able
+            if one.record.zone == self._zone and not one.is_failing(now_s)
+        ]
         found = self._choose_two(local, now_s)
         if found is not None and found.cost(now_s) < LOCAL_LOAD_LIMIT:
             return found
--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -2,6 +2,7 @@
 
 import math
 
+from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 
@@ -9,6 +10,9 @@
 FIRST_SUSPENSION_S = 0.5
 LONGEST_SUSPENSION_S = 4.0
 SILENCES_TO_SUSPEND = 3
+# Share of failures that is not held against an endpoint: one by chance.
+TOLERATED_FAILING = 0.1
+FAILING_COST = 3.0  # Cost of failing every request, in loads of all slots.
 REFUSING_WEIGHT = 0.05  # Weight of one request in the share that is refused.
 
 
@@ -24,6 +28,8 @@
     """
 
     __slots__ = (
+        "_failing",
+        "_failing_there",
         "_reported",
         "_reported_s",
         "_refusing",
@@ -45,6 +51,8 @@
         self._reported = 0.0
         self._reported_s = -math.inf
         self._refusing = 0.0
+        self._failing = failure_rate.FailureRate()
+        self._failing_there = failure_rate.FailureRate()
         self._silences = 0
         self._suspended_until_s = -math.inf
         self._suspension_s = FIRST_SUSPENSION_S
@@ -56,8 +64,17 @@
         return is_serving and (self.is_vouched or not self.has_failed)
 
     def cost(self, now_s: float) -> float:
-        """Load, and the share of requests that the backend server refuses."""
-        return self.load(now_s) + self._refusing
+        """Load, and the shares of requests that it refuses and fails."""
+        excess = max(0.0, self.failing(now_s) - TOLERATED_FAILING)
+        return self.load(now_s) + self._refusing + FAILING_COST * excess
+
+    def failing(self, now_s: float) -> float:
+        """Share of requests that it fails, as seen from here or there.
+
+        An endpoint may fail only some of its callers, so neither view is
+        enough.
+        """
+        return max(self._failing.at(now_s), self._failing_there.at(now_s))
 
     def load(self, now_s: float) -> float:
         """Estimate of requests there for each of its slots."""
@@ -68,6 +85,10 @@
         slots = max(self.record.slots, 1)
         return max(reported, self.outstanding) / slots
 
+    def is_failing(self, now_s: float) -> bool:
+        """True if it fails more than some by chance."""
+        return self.failing(now_s) > TOLERATED_FAILING
+
     def is_suspended(self, now_s: float) -> bool:
         """True while requests are kept away from it."""
         return now_s < self._suspended_until_s
@@ -82,6 +103,20 @@
         refused = 0.0 if is_run else 1.0
         self._refusing += REFUSING_WEIGHT * (refused - self._refusing)
 
+    def note_outcome(self, now_s: float, is_failed: bool) -> None:
+        """Takes note of a request that it ran for this node.
+
+        Args:
+            now_s: Present time.
+            is_failed: True if it failed the request by itself, and not
+                because of a call that the request made.
+        """
+        self._failing.note(now_s, is_failed)
+
+    def note_failing(self, now_s: float, rate: float) -> None:
+        """Takes the share of requests that it fails, counted at its node."""
+        self._failing_there.take(now_s, rate)
+
     def note_answer(self) -> None:
         """Takes note that it answers."""
         self.has_failed = False
--- a/src/cranberrymux/decisions/retries/repeat_bucket.py
+++ b/src/cranberrymux/decisions/retries/repeat_bucket.py
@@ -1,7 +1,13 @@
-"""This node's part of the repeats that all nodes together may send."""
+"""This node's part of the repeats that all nodes together may send.
+
+A repeat of a request that makes calls repeats those too, at services whose
+budget other nodes use. So a part of the ratio is set aside for such trees.
+"""
 
 KEPT_PER_RANK = 0.3  # Part of the tokens kept from each lower rank.
 MOST_KEPT = 0.8
+TREE_PART = 0.25  # Of the ratio, for repeats of requests that make calls.
+MOST_TREE_TOKENS = 2.0
 
 
 class RepeatBucket:
@@ -20,19 +26,32 @@
         self._window_s = window_s
         self._nodes = 1
         self._tokens: dict[str, tuple[float, float]] = {}
+        # By route; a route is not here before it is known to make calls.
+        self._tree_tokens: dict[str, float] = {}
 
     def set_nodes(self, nodes: int) -> None:
         """Takes the count of nodes that share the slack."""
         self._nodes = max(nodes, 1)
 
-    def note_first(self, service: str, now_s: float) -> None:
+    def note_tree(self, route: str) -> None:
+        """Takes note that the requests of a route make calls."""
+        self._tree_tokens.setdefault(route, 0.0)
+
+    def note_first(self, service: str, now_s: float, route: str = "") -> None:
         """Counts a request that goes to an endpoint for the first time."""
         tokens, _ = self._refill(service, now_s)
         most = self._share + 1.0 + MOST_KEPT
-        self._tokens[service] = (min(tokens + self._ratio, most), now_s)
+        added = (1.0 - TREE_PART) * self._ratio
+        self._tokens[service] = (min(tokens + added, most), now_s)
+        tree_tokens = self._tree_tokens.get(route)
+        if tree_tokens is not None:
+            tree_tokens += TREE_PART * self._ratio
+            self._tree_tokens[route] = min(tree_tokens, MOST_TREE_TOKENS)
 
-    def take(self, service: str, now_s: float, rank: float = 0.0) -> bool:
-        """Takes a repeat; False if none is left for this rank.
+    def take(
+        self, service: str, now_s: float, rank: float = 0.0, route: str = ""
+    ) -> bool:
+        """Takes a repeat; False if none is left for this rank or route.
 
         Args:
             service: The service that would get it.
@@ -40,12 +59,18 @@
             rank: Importance of the work, lowest first. A part of the tokens
                 is kept for what is more important, so that under many
                 refusals some trees end rather than none.
+            route: Its route.
         """
+        tree_tokens = self._tree_tokens.get(route)
+        if tree_tokens is not None and tree_tokens < 1.0:
+            return False
         tokens, _ = self._refill(service, now_s)
         kept = min(MOST_KEPT, KEPT_PER_RANK * max(rank + 0.5, 0.0))
         if tokens < 1.0 + kept * self._share:
             return False
         self._tokens[service] = (tokens - 1.0, now_s)
+        if tree_tokens is not None:
+            self._tree_tokens[route] = tree_tokens - 1.0
         return True
 
     @property
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -1,5 +1,7 @@
 """A request that begins at this node: where it goes and how it ends."""
 
+from typing import NamedTuple
+
 from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import attempt as attempt_module
@@ -9,6 +11,7 @@
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import relay
+from cranberrymux.gateway import request_log
 from cranberrymux.gateway import tries as tries_module
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
@@ -17,6 +20,14 @@
 from cranberrymux.node.http import lost_answer
 
 _Outcome = own_answers.Outcome
+FIRST_FAILURE_STATUS = 500
+
+
+class _FailedAnswer(NamedTuple):
+    """An endpoint's failure, kept while the request is tried once more."""
+
+    head: answer_head.AnswerHead
+    body: bytes
 
 
 class EntryCall(relay.Relay):
@@ -48,14 +59,25 @@
         )
         wait_s = min(self._origin.left_s, route.timeout_s)
         self._deadline_s = self._began_s + wait_s
-        self._service = parts.splits.choose(route)
-        self._tries = tries_module.Tries(parts, route, self._service)
+        self._tries = tries_module.Tries(
+            parts, route, parts.splits.choose(route)
+        )
+        self._log = request_log.RequestLog(
+            parts,
+            self._tries,
+            self._request_id,
+            self._began_s,
+            self._deadline_s,
+        )
         self._endpoint: endpoint_view.EndpointView | None = None
+        self._failed_answer: _FailedAnswer | None = None
+        self._is_served = False
 
     def start(self) -> None:
         """Sends the request to the first endpoint."""
-        self._call.on_ended = self._parts.call_ended
+        self._call.on_ended = self._ended
         self._parts.entered += 1
+        self._origin.begin_call()
         left_s = self._deadline_s - self._began_s
         if left_s <= 0:
             self._refuse(_Outcome.EXPIRED)
@@ -86,8 +108,7 @@
             return
         self._endpoint = endpoint
         endpoint.outstanding += 1
-        if not self._tries.sent:
-            self._parts.repeats.note_first(self._service, now_s)
+        self._tries.note_first(now_s)
         self._attempt = self._make_attempt(endpoint, left_ms)
         self._attempt.start()
 
@@ -130,15 +151,32 @@
         if endpoint is not None:
             endpoint.note_answer()
             _take_load(endpoint, head, now_s)
-        self._origin.learn(head, self._began_s, now_s)
+        self._origin.learn(self._tries.service, head, self._began_s, now_s)
         not_run = headers_module.find(head.headers, hop.NOT_RUN)
         if not_run is not None:
             self._take_refusal(endpoint, not_run, now_s)
             return
+        is_failed = _is_own_failure(head)
         if endpoint is not None:
             endpoint.note_run(True)
+            endpoint.note_outcome(now_s, is_failed)
+        if is_failed and self._may_try_failed_again(endpoint, now_s):
+            self._failed_answer = _FailedAnswer(head, body)
+            self._send_next()
+            return
+        self._pass_on(head, body)
+
+    def _may_try_failed_again(
+        self, endpoint: endpoint_view.EndpointView | None, now_s: float
+    ) -> bool:
+        """True if another endpoint may do what this one failed to do."""
+        self._tries.note_failed(endpoint)
+        return self._failed_answer is None and self._tries.may_repeat(now_s)
+
+    def _pass_on(self, head: answer_head.AnswerHead, body: bytes) -> None:
         self._finish_timer()
-        self._count(f"{head.status // 100}xx")
+        self._is_served = head.status < FIRST_FAILURE_STATUS
+        self._log.count(f"{head.status // 100}xx")
         self._call.answer(head.status, _visible(head), body)
 
     def attempt_streaming(
@@ -156,7 +194,8 @@
     def attempt_ended(self) -> None:
         """Ends a long answer."""
         self._release()
-        self._count("streamed")
+        self._is_served = True
+        self._log.count("streamed")
         self._call.finish()
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
@@ -164,7 +203,7 @@
         endpoint = self._release()
         now_s = self._parts.clock.now_s()
         if self._call.is_head_sent:
-            self._log(_Outcome.TRUNCATED, loss.detail)
+            self._log.tell(_Outcome.TRUNCATED, loss.detail)
             self._call.abort()
             return
         if endpoint is not None:
@@ -205,7 +244,7 @@
             endpoint.note_silence(self._parts.clock.now_s())
         self._cancel_attempt()
         if self._call.is_head_sent:
-            self._log(_Outcome.TRUNCATED, "the deadline passed")
+            self._log.tell(_Outcome.TRUNCATED, "the deadline passed")
             self._call.abort()
         elif self._tries.sent:
             self._fail(_Outcome.TIMED_OUT, 504, "no answer in time")
@@ -216,23 +255,33 @@
         self._finish_timer()
         self._release()
         self._cancel_attempt()
-        self._count("cancelled")
+        self._log.count("cancelled")
+
+    def _ended(self) -> None:
+        self._origin.end_call(not self._is_served)
+        self._parts.call_ended()
 
     def _refuse(self, outcome: own_answers.Outcome, detail: str = "") -> None:
         """Answers that the request did not run, if that is so."""
+        if self._failed_answer is not None:
+            self._pass_on(*self._failed_answer)
+            return
         if self._tries.is_maybe_run:
             self._fail(_Outcome.LOST, 502, "an attempt was lost")
             return
         self._finish_timer()
-        self._log(outcome, detail)
+        self._log.tell(outcome, detail)
         wait_s = self._origin.find_wait_s()
         own_answers.refuse(self._parts, self._call, outcome.value, wait_s)
 
     def _fail(
         self, outcome: own_answers.Outcome, status: int, detail: str
     ) -> None:
+        if self._failed_answer is not None:
+            self._pass_on(*self._failed_answer)
+            return
         self._finish_timer()
-        self._log(outcome, detail)
+        self._log.tell(outcome, detail)
         own_answers.fail(self._parts, self._call, status, outcome, detail)
 
     @property
@@ -240,30 +289,6 @@
         name = self._parts.settings.dialect.request_id
         return headers_module.find(self._call.head.headers, name) or b""
 
-    def _count(self, outcome: str) -> None:
-        elapsed_s = self._parts.clock.now_s() - self._began_s
-        meters = self._parts.meters
-        meters.requests.labels(self._route.name, outcome).inc()
-        meters.request_s.labels(self._route.name).observe(elapsed_s)
-
-    def _log(self, outcome: own_answers.Outcome, detail: str) -> None:
-        self._count(outcome.value)
-        now_s = self._parts.clock.now_s()
-        self._parts.events.info(
-            "request-ended",
-            reason=outcome.value,
-            request_id=self._request_id.decode("latin-1"),
-            route=self._route.name,
-            service=self._service,
-            version=self._parts.routes.version,
-            share=round(self._parts.callers.admission.least_share, 3),
-            tried=list(self._tries.asked),
-            sent=self._tries.sent,
-            elapsed_ms=round((now_s - self._began_s) * 1000),
-            left_ms=round((self._deadline_s - now_s) * 1000),
-            detail=detail,
-        )
-
     def _release(self) -> endpoint_view.EndpointView | None:
         endpoint = self._endpoint
         self._endpoint = None
@@ -277,9 +302,17 @@
     head: answer_head.AnswerHead,
     now_s: float,
 ) -> None:
-    said = headers_module.find(head.headers, hop.LOAD)
-    if said is not None and said.isdigit():
-        endpoint.note_load(now_s, int(said))
+    said = hop.decode_load(head.headers)
+    if said is not None:
+        endpoint.note_load(now_s, said.requests)
+        endpoint.note_failing(now_s, said.failing)
+
+
+def _is_own_failure(head: answer_head.AnswerHead) -> bool:
+    """True if the endpoint failed by itself, and not because of a call."""
+    is_failed = head.status >= FIRST_FAILURE_STATUS
+    call_failed = headers_module.find(head.headers, hop.CALL_FAILED)
+    return is_failed and call_failed is None
 
 
 def _visible(head: answer_head.AnswerHead) -> headers_module.HeaderList:
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import task
 
+from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.decisions.pressure import gate as gate_module
 from cranberrymux.decisions.pressure import share_meter
@@ -42,6 +43,7 @@
         )
         self._gate = gate_module.Gate(1)
         self._meter = share_meter.ShareMeter(parts.clock.now_s())
+        self._failing = failure_rate.FailureRate()
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._numbers = itertools.count(1)
         self._told_s = parts.clock.now_s()
@@ -108,8 +110,18 @@
     # What calls tell.
 
     def load_of(self) -> bytes:
-        """Requests that run and wait here."""
-        return b"%d" % (self._gate.running + self._gate.waiting)
+        """Requests that run and wait here, and how many fail."""
+        requests = self._gate.running + self._gate.waiting
+        failing = self._failing.at(self._parts.clock.now_s())
+        return hop.encode_load(hop.LoadReport(requests, failing))
+
+    def note_outcome(self, call: exit_call.ExitCall, is_failed: bool) -> bool:
+        """Takes note of how a request ended, before its slot is taken back."""
+        work = self._parts.running.get(call.ticket_id)
+        is_due_to_call = is_failed and work is not None and work.depends_on_call
+        if not is_due_to_call:
+            self._failing.note(self._parts.clock.now_s(), is_failed)
+        return is_due_to_call
 
     def call_started(self, call: exit_call.ExitCall, deadline_s: float) -> None:
         """Takes note that a request is handed over."""
@@ -135,9 +147,10 @@
         self._start_waiting()
         return report
 
-    def describe_load(self) -> dict[str, int]:
-        """Requests that run and wait, and slots, for a log line."""
+    def describe_load(self) -> dict[str, Any]:
+        """Requests that run and wait, slots and failures, for a log line."""
         return {
+            "failing": round(self._failing.at(self._parts.clock.now_s()), 3),
             "running": self._gate.running,
             "waiting": self._gate.waiting,
             "slots": self._gate.slots,
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -1,5 +1,6 @@
 """A request for the backend server beside this node."""
 
+from typing import Any
 from typing import Protocol
 
 from cranberrymux.decisions.pressure import work_report
@@ -17,6 +18,7 @@
 
 # The sender gives up at the deadline; this only ends what it cannot.
 GUARD_S = 0.1
+FIRST_FAILURE_STATUS = 500
 _CONTENT_CODING = b"content-encoding"
 
 
@@ -26,8 +28,8 @@
     def load_of(self) -> bytes:
         """Requests that run and wait here."""
 
-    def describe_load(self) -> dict[str, int]:
-        """Requests that run and wait, and slots, for a log line."""
+    def describe_load(self) -> dict[str, Any]:
+        """Requests that run and wait, slots and failures, for a log line."""
 
     def call_started(self, call: "ExitCall", deadline_s: float) -> None:
         """Takes note that a request is handed over with this deadline."""
@@ -37,6 +39,13 @@
     ) -> work_report.WorkReport:
         """Takes a slot back; returns what the request and its calls cost."""
 
+    def note_outcome(self, call: "ExitCall", is_failed: bool) -> bool:
+        """Takes note of how a request ended, before its slot is taken back.
+
+        Returns:
+            True if it failed because a call of it did.
+        """
+
     def report_share(self) -> work_report.WorkReport:
         """The share of the offered work that fits here."""
 
@@ -147,6 +156,10 @@
         not_run = headers_module.find(head.headers, dialect.not_run)
         proof = headers_module.find(head.headers, dialect.proof)
         coding = headers_module.find(head.headers, _CONTENT_CODING)
+        is_due_to_call = False
+        if not_run is None:
+            is_failed = head.status >= FIRST_FAILURE_STATUS
+            is_due_to_call = self._owner.note_outcome(self, is_failed)
         report = self._owner.call_finished(self, not_run is None)
         if not_run is not None or head.status == 421:
             reason = hop.BACKEND_FULL
@@ -164,7 +177,10 @@
             self._lose("the answer bears no proof of the backend server")
             return
         self._parts.meters.hops.labels(f"{head.status // 100}xx").inc()
-        self._call.answer(head.status, self._mark(head, report), body)
+        marked = self._mark(head, report)
+        if is_due_to_call:
+            marked.append((hop.CALL_FAILED, b"1"))
+        self._call.answer(head.status, marked, body)
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead, body: bytes
@@ -191,6 +207,7 @@
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Says what is known: not run, or perhaps."""
         self._finish_timer()
+        self._owner.note_outcome(self, True)
         self._owner.call_finished(self, False)
         if self._call.is_head_sent:
             self._call.abort()
@@ -219,6 +236,7 @@
     def _timed_out(self) -> None:
         self._timer = None
         self._cancel_attempt()
+        self._owner.note_outcome(self, True)
         self._owner.call_finished(self, False)
         self._call.abort()
 
@@ -228,6 +246,8 @@
             self._owner.call_left(self.ticket_id)
             return
         self._attempt.cancel()
+        if self._parts.clock.now_s() >= self.deadline_s:
+            self._owner.note_outcome(self, True)
         self._owner.call_finished(self, False)
 
     def _mark(
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -15,8 +15,10 @@
 AGAIN = b"cranberrymux-again"
 # On answers: why the request was not run, if that is proven.
 NOT_RUN = b"cranberrymux-not-run"
-# On answers: count of the requests that run and wait there.
+# On answers: see `LoadReport`.
 LOAD = b"cranberrymux-load"
+# On answers of a backend server that failed because a call of it failed.
+CALL_FAILED = b"cranberrymux-call-failed"
 # On answers: what the request cost at each service of its tree; see
 # `decisions.pressure.work_report`.
 WORK = b"cranberrymux-work"
@@ -82,6 +84,32 @@
         return NO_STANDING
 
 
+class LoadReport(NamedTuple):
+    """What an endpoint's node says of it.
+
+    Attributes:
+        requests: Requests that run and wait there.
+        failing: Share of the requests that it failed by itself lately.
+    """
+
+    requests: int
+    failing: float
+
+
+def encode_load(report: LoadReport) -> bytes:
+    """Encodes a load as a header value."""
+    return b"%d/%d" % (report.requests, round(report.failing * 1000))
+
+
+def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
+    """Reads the load; None if it is not told."""
+    said = headers_module.find(headers, LOAD) or b""
+    requests, _, failing = said.partition(b"/")
+    if not (requests.isdigit() and failing.isdigit()):
+        return None
+    return LoadReport(int(requests), int(failing) / 1000)
+
+
 def strip(headers: headers_module.HeaderList) -> headers_module.HeaderList:
     """Leaves out the nodes' own headers."""
     return [one for one in headers if not one[0].startswith(PREFIX)]
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -61,14 +61,40 @@
         advice = self._parts.callers.advice(self._route)
         return advice.wait_s(self.left_s, self._parts.generator)
 
+    def begin_call(self) -> None:
+        """Takes note that the request goes on its way."""
+        parent = self._parent()
+        if parent is not None:
+            parent.open_calls += 1
+
+    def end_call(self, is_failed: bool) -> None:
+        """Takes note of its end; to be called once for each begin."""
+        parent = self._parent()
+        if parent is not None:
+            parent.open_calls -= 1
+            parent.has_failed_call = parent.has_failed_call or is_failed
+
     def learn(
-        self, head: answer_head.AnswerHead, began_s: float, now_s: float
+        self,
+        service: str,
+        head: answer_head.AnswerHead,
+        began_s: float,
+        now_s: float,
     ) -> None:
-        """Takes what an answer tells of the tree and its cost."""
+        """Takes what an answer tells of the tree and its cost.
+
+        Args:
+            service: The service that was asked.
+            head: The answer.
+            began_s: When the request came.
+            now_s: Present time.
+        """
         is_refused = headers_module.find(head.headers, hop.NOT_RUN) is not None
         is_whole = head.status < FIRST_FAILURE_STATUS and not is_refused
         work = headers_module.find(head.headers, hop.WORK)
         report = work_report.decode(work) if work is not None else {}
+        if report.keys() - {service}:
+            self._parts.repeats.note_tree(self._route.name)
         parent = self._parent()
         if parent is not None:
             work_report.add(parent.report, report)
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -38,14 +38,23 @@
     Attributes:
         standing: What is known of its tree.
         report: What its calls cost so far.
+        open_calls: Calls of it that are not answered.
+        has_failed_call: True once a call of it failed.
     """
 
-    __slots__ = ("report", "standing")
+    __slots__ = ("has_failed_call", "open_calls", "report", "standing")
 
     def __init__(self, standing: hop.Standing) -> None:
         """Starts without calls."""
         self.standing = standing
         self.report: work_report.WorkReport = {}
+        self.open_calls = 0
+        self.has_failed_call = False
+
+    @property
+    def depends_on_call(self) -> bool:
+        """True if its end, now, would be due to a call and not to itself."""
+        return self.has_failed_call or self.open_calls > 0
 
 
 class GatewayParts:
--- a/src/cranberrymux/gateway/tries.py
+++ b/src/cranberrymux/gateway/tries.py
@@ -17,6 +17,8 @@
     against the attempts of the route and the budget of repeats.
 
     Attributes:
+        route: Route of the request.
+        service: The service that is to run it.
         rank: Importance of the work, lowest first.
         sent: Times that a node may have got the request.
         is_streamed: True once part of its body was passed on and let go.
@@ -31,8 +33,8 @@
     ) -> None:
         """Starts with none."""
         self._parts = parts
-        self._route = route
-        self._service = service
+        self.route = route
+        self.service = service
         self._asked: list[str] = []
         self._arrived: set[str] = set()
         self._arrivals = 0
@@ -56,20 +58,31 @@
         if len(self._asked) >= MOST_NODES_ASKED:
             return None
         endpoints = self._parts.endpoints
-        if len(self._arrived) < self._route.attempts:
-            found = endpoints.choose(self._service, now_s, self._asked)
+        if len(self._arrived) < self.route.attempts:
+            found = endpoints.choose(self.service, now_s, self._asked)
         else:
-            found = endpoints.choose(self._service, now_s, (), self._arrived)
+            found = endpoints.choose(self.service, now_s, (), self._arrived)
         if found is not None:
             self._asked.append(found.record.endpoint_id)
         return found
 
+    def note_first(self, now_s: float) -> None:
+        """Counts the request in the budget of repeats, once."""
+        if not self.sent:
+            repeats = self._parts.repeats
+            repeats.note_first(self.service, now_s, self.route.name)
+
     def note_lost(self, endpoint: endpoint_view.EndpointView | None) -> None:
         """Takes note that an attempt was lost after it was handed over."""
         self.is_maybe_run = True
         if endpoint is not None:
             self._note_arrival(endpoint)
 
+    def note_failed(self, endpoint: endpoint_view.EndpointView | None) -> None:
+        """Takes note that an endpoint ran it and failed."""
+        if endpoint is not None:
+            self._note_arrival(endpoint)
+
     def note_refused(self, endpoint: endpoint_view.EndpointView | None) -> None:
         """Takes note that the backend server itself refused."""
         if endpoint is not None:
@@ -80,25 +93,32 @@
     def may_repeat(self, now_s: float) -> bool:
         """True if a request that may have run is sent once more."""
         return (
-            self._route.is_idempotent
+            self.route.is_idempotent
             and not self.is_streamed
-            and self._may_arrive_again(now_s, self._route.attempts)
+            and self._may_arrive_again(
+                now_s, self.route.attempts, self.route.name
+            )
         )
 
     def may_ask_again(self, now_s: float) -> bool:
-        """True if a refusal of a backend server is met by one more try."""
+        """True if a refusal of a backend server is met by one more try.
+
+        What was refused has made no calls, so it needs none of the budget of
+        trees.
+        """
         return not self.is_streamed and self._may_arrive_again(
-            now_s, MOST_REFUSED
+            now_s, MOST_REFUSED, ""
         )
 
     def _note_arrival(self, endpoint: endpoint_view.EndpointView) -> None:
         self._arrived.add(endpoint.record.endpoint_id)
         self._arrivals += 1
 
-    def _may_arrive_again(self, now_s: float, most: int) -> bool:
+    def _may_arrive_again(self, now_s: float, most: int, route: str) -> bool:
         if self._arrivals >= most:
             return False
-        if not self._parts.repeats.take(self._service, now_s, self.rank):
+        repeats = self._parts.repeats
+        if not repeats.take(self.service, now_s, self.rank, route):
             return False
-        self._parts.meters.repeats.labels(self._service).inc()
+        self._parts.meters.repeats.labels(self.service).inc()
         return True
--- a/tests/decisions/retries/test_repeat_bucket.py
+++ b/tests/decisions/retries/test_repeat_bucket.py
@@ -48,3 +48,23 @@
         taken += 1
     assert 0 < taken < 20
     assert one.take("s", 0.0, rank=-0.5)
+
+
+def test_repeats_of_trees_leave_room_for_the_calls_that_they_repeat():
+    """Each tree calls a deep service ten times; both budgets must hold."""
+    calls_per_tree = 10
+    one = repeat_bucket.RepeatBucket(RATIO, 0.0, WINDOW_S)
+    one.note_tree("tree")
+    tree_repeats = 0
+    deep_repeats = 0
+    trees = 2000
+    for _ in range(trees):
+        one.note_first("front", 0.0, "tree")
+        tree_repeats += one.take("front", 0.0, route="tree")
+        for _ in range(calls_per_tree):
+            one.note_first("deep", 0.0, "leaf")
+            deep_repeats += one.take("deep", 0.0, route="leaf")
+    assert tree_repeats > 0.02 * trees
+    repeated_calls = calls_per_tree * tree_repeats
+    allowed = RATIO * calls_per_tree * trees
+    assert deep_repeats + repeated_calls <= allowed
