Draw clusters from seeds in the schedules of the log

Founding and letting silent voters go are pure functions of the replica now, used by control and by the schedules alike. Taken out and found: the new identity of an empty disk, founding only at the first start, the least count of voters.

--- a/bench/bench_consensus.py
+++ b/bench/bench_consensus.py
@@ -10,6 +10,7 @@
 from bench import consensus_local
 from bench import consensus_scenarios
 from bench import consensus_schedule
+from bench import consensus_seeded_schedule
 from bench import consensus_storage
 from bench import figure
 from cranberrymux.consensus import replica
@@ -68,12 +69,7 @@
     seen: collections.Counter[str] = collections.Counter()
     violations = []
     for seed in range(start, start + SCHEDULES_PER_TASK):
-        disk_class = (
-            consensus_storage.StoredDisk
-            if seed % 2
-            else consensus_disk.SimulatedDisk
-        )
-        result = consensus_schedule.Schedule(seed, disk_class=disk_class).run()
+        result = _make_schedule(seed).run()
         seen.update(result.seen)
         seen["schedules"] += 1
         seen["states"] += result.states
@@ -84,6 +80,20 @@
     return seen, violations
 
 
+def _make_schedule(seed: int) -> consensus_schedule.Schedule:
+    """Every fourth cluster is formed from seeds."""
+    disk_class = (
+        consensus_storage.StoredDisk
+        if seed % 2
+        else consensus_disk.SimulatedDisk
+    )
+    if seed % 4 < 3:
+        return consensus_schedule.Schedule(seed, disk_class=disk_class)
+    return consensus_seeded_schedule.SeededSchedule(
+        seed // 4, disk_class=disk_class
+    )
+
+
 def _run_elections(voters: int) -> bool:
     times_s = sorted(_election_s(seed, voters) for seed in range(ELECTIONS))
     name = f"election.{voters}_voters"
--- a/bench/consensus_faults.py
+++ b/bench/consensus_faults.py
@@ -18,6 +18,11 @@
         pause: A process stopped and continued.
         remove: A member leaves and comes back.
         heal: All links work again.
+        wipe: An instance comes back at its address with an empty disk, once
+            the last that was lost has been made up for.
+        replace: The same, but another instance comes, with another name.
+        power_on_accept: Right after a command was accepted all lose power,
+            and now and then one its disk.
     """
 
     crash: int = 6
@@ -31,3 +36,9 @@
     pause: int = 3
     remove: int = 1
     heal: int = 2
+    wipe: int = 0
+    replace: int = 0
+    power_on_accept: int = 0
+
+
+SEEDED = Faults(lose_disk=0, remove=0, wipe=2, replace=2, power_on_accept=4)
--- a/bench/consensus_schedule.py
+++ b/bench/consensus_schedule.py
@@ -37,7 +37,7 @@
         self._generator = random.Random(f"faults {seed}")
         self._faults = faults or consensus_faults.Faults()
         count = voters or self._generator.choice((3, 3, 3, 5))
-        self.world = consensus_world.World(
+        self.world = self.make_world(
             seed, count, replica_class, settings, disk_class
         )
         self.world.loss = self._generator.choice((0.0, 0.02, 0.1))
@@ -47,6 +47,19 @@
         self._lost_disks = 0
         self._removals = 0
 
+    def make_world(
+        self,
+        seed: int,
+        voters: int,
+        replica_class: type[replica_module.Replica],
+        settings: replica_settings.ReplicaSettings,
+        disk_class: type[consensus_disk.SimulatedDisk],
+    ) -> consensus_world.World:
+        """Makes the cluster."""
+        return consensus_world.World(
+            seed, voters, replica_class, settings, disk_class
+        )
+
     def run(self) -> consensus_result.Result:
         """Runs faults, then calm, and checks that the cluster recovers."""
         violation = ""
@@ -98,10 +111,14 @@
             raise consensus_checker.ViolationError(
                 "no progress after the faults"
             )
-        digests = {node.applied_index: node.digest for node in world.nodes}
+        digests = {node.applied_index: node.digest for node in self.present()}
         if len(digests) > 1 or world.accepted not in digests:
             raise consensus_checker.ViolationError(f"states differ: {digests}")
 
+    def present(self) -> list[consensus_node.Node]:
+        """Instances that are there, up or down."""
+        return self.world.nodes
+
     def _propose(self) -> None:
         self.world.after(
             self._generator.expovariate(25), self._propose_and_go_on
--- /dev/null
+++ b/bench/consensus_seeded_schedule.py
@@ -0,0 +1,113 @@
+"""Random schedules of a cluster from seeds, whose disks and members change."""
+
+from bench import consensus_disk
+from bench import consensus_faults
+from bench import consensus_node
+from bench import consensus_schedule
+from bench import consensus_seeded_world
+from cranberrymux.consensus import replica as replica_module
+from cranberrymux.consensus import replica_settings
+
+FORMED_S = 1.5
+NAMES = "hijklmnopqrstuvwxyz"
+
+
+class SeededSchedule(consensus_schedule.Schedule):
+    """Never loses a disk before the last one has been made up for.
+
+    So the cluster must go on after every schedule.
+    """
+
+    world: consensus_seeded_world.SeededWorld
+
+    def __init__(
+        self,
+        seed: int,
+        *,
+        replica_class: type[replica_module.Replica] = replica_module.Replica,
+        faults: consensus_faults.Faults = consensus_faults.SEEDED,
+        disk_class: type[
+            consensus_disk.SimulatedDisk
+        ] = consensus_disk.SimulatedDisk,
+    ) -> None:
+        """Sets the cluster up."""
+        super().__init__(
+            seed,
+            replica_class=replica_class,
+            faults=faults,
+            voters=(3, 4, 4, 5)[seed % 4],
+            disk_class=disk_class,
+        )
+        self._names = iter(NAMES)
+
+    def make_world(
+        self,
+        seed: int,
+        voters: int,
+        replica_class: type[replica_module.Replica],
+        settings: replica_settings.ReplicaSettings,
+        disk_class: type[consensus_disk.SimulatedDisk],
+    ) -> consensus_seeded_world.SeededWorld:
+        """Makes a cluster that is yet to be formed."""
+        return consensus_seeded_world.SeededWorld(
+            seed, voters, replica_class, settings, disk_class
+        )
+
+    def _run_faults(self) -> None:
+        self._propose()
+        self.world.after(FORMED_S, self._fault)
+        self.world.run_for(FORMED_S + consensus_schedule.FAULTS_S)
+
+    def present(self) -> list[consensus_node.Node]:
+        """Instances that are there, up or down."""
+        return [
+            node
+            for node in self.world.nodes
+            if node.name not in self.world.gone
+        ]
+
+    def _run_calm(self, may_stall: bool) -> None:
+        self.world.on_accept = None
+        super()._run_calm(may_stall)
+
+    def _may_lose_disk(self) -> bool:
+        """True if those that vote are the instances that are there."""
+        identities = {node.disk.replica_id for node in self.present()}
+        for leader in self.world.leaders():
+            assert leader.replica is not None
+            now_s = leader.local_s(self.world.now_s)
+            voters = self.world.voters_of(leader)
+            is_current = leader.replica.lease_valid(now_s)
+            if is_current and voters == identities:
+                return len(voters) >= self.world.minimum_voters
+        return False
+
+    def _do_wipe(self) -> None:
+        if not self._may_lose_disk():
+            return
+        node = self._generator.choice(self.present())
+        self.world.crash(node)
+        self.lose_disk(node)
+        self.world.seen["disks lost"] += 1
+        self._restart_later(node)
+
+    def _do_replace(self) -> None:
+        name = next(self._names, "")
+        if not name or not self._may_lose_disk():
+            return
+        node = self._generator.choice(self.present())
+        self.world.crash(node)
+        self.world.gone.add(node.name)
+        self.world.seen["instances replaced"] += 1
+        self.world.after(
+            self._generator.uniform(0.05, 0.5), self.world.add, name
+        )
+
+    def _do_power_on_accept(self) -> None:
+        is_wiping = self._generator.random() < 0.5
+        self.world.on_accept = lambda: self._lose_power(is_wiping)
+
+    def _lose_power(self, is_wiping: bool) -> None:
+        if is_wiping and self._may_lose_disk():
+            self._do_wipe()
+        self._do_crash_all()
--- a/bench/consensus_world.py
+++ b/bench/consensus_world.py
@@ -65,10 +65,15 @@
             )
             for name in "abcdefg"[:voters]
         ]
+        self._disk_class = disk_class
+        self.form()
+        self.after(_JOIN_S, self._join)
+
+    def form(self) -> None:
+        """Starts the instances as members of one cluster."""
         consensus_forming.form(self.nodes)
         for node in self.nodes:
             self.start(node)
-        self.after(_JOIN_S, self._join)
 
     def start(self, node: consensus_node.Node) -> None:
         """Starts an instance from its disk."""
@@ -111,10 +116,17 @@
         self.seen["member changes"] += 1
         return True
 
+    def accepted_one(self, one: entry_module.Entry) -> None:
+        """Called when an entry is seen as accepted for the first time."""
+
     def _join(self) -> None:
         self.after(_JOIN_S, self._join)
         for leader in self.leaders():
-            consensus_joining.step(self.nodes, leader, self.now_s, self.change)
+            self.join_at(leader)
+
+    def join_at(self, leader: consensus_node.Node) -> None:
+        """Takes the next step of members at a leader."""
+        consensus_joining.step(self.nodes, leader, self.now_s, self.change)
 
     def _tick(self, node: consensus_node.Node, run: int) -> None:
         if node.run != run or node.replica is None:
@@ -163,6 +175,7 @@
             self.accepted += 1
             if self.checks_disks:
                 self.checker.saw_accepted(self.nodes, node, one)
+            self.accepted_one(one)
         node.applied_index = one.log_index
         node.digest = consensus_checker.digest_of(node.digest, one)
 
--- a/src/cranberrymux/control/seeded_joining.py
+++ b/src/cranberrymux/control/seeded_joining.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Iterable
 
+from cranberrymux.consensus import departure
 from cranberrymux.consensus import driver as driver_module
+from cranberrymux.consensus import founding
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import role as role_module
 from cranberrymux.control import control_settings
@@ -62,15 +64,13 @@
         self, now_s: float
     ) -> driver_module.Actions | None:
         """Founds a cluster at the first start of all."""
-        forming = self._forming
-        replica = self._driver.replica
-        if not forming.is_first_start:
-            return None
-        if forming.founder != self._settings.control_id:
-            return None
-        if replica.journal.members.cluster_id or replica.journal.term:
-            return None
-        return self._found(now_s)
+        may_found = founding.may_found(
+            self._driver.replica,
+            self._settings.control_id,
+            self._forming.founder,
+            self._forming.is_first_start,
+        )
+        return self._found(now_s) if may_found else None
 
     def add_learner(
         self, now_s: float, replica_id: str, address: str
@@ -85,15 +85,9 @@
         due = super().due_change(now_s)
         if due is not None:
             return due
-        replica = self._driver.replica
-        if replica.role is not role_module.Role.LEADER:
-            return None
-        forming = self._forming
-        voters = replica.journal.members.voters
-        if len(voters) <= forming.minimum_voters:
-            return None
-        for silent in replica.silent_voters(now_s, forming.silent_voter_s):
-            return member_change.MemberChange(
-                member_change.ChangeKind.REMOVE, silent
-            )
-        return None
+        return departure.next_removal(
+            self._driver.replica,
+            now_s,
+            self._forming.minimum_voters,
+            self._forming.silent_voter_s,
+        )
