Begin a founding again that lost power

A replica without entries and votes, in the founding's term at most, may found now (if it is the first start still).

--- a/src/cranberrymux/consensus/founding.py
+++ b/src/cranberrymux/consensus/founding.py
@@ -1,5 +1,6 @@
 """Whether a replica founds the cluster."""
 
+from cranberrymux.consensus import member_rules
 from cranberrymux.consensus import replica as replica_module
 
 
@@ -21,6 +22,6 @@
         founder: Name of the instance that founds.
         is_first_start: True while all disks are new.
     """
-    journal = replica.journal
-    holds_nothing = not journal.members.cluster_id and not journal.term
-    return is_first_start and name == founder and holds_nothing
+    if not is_first_start or name != founder:
+        return False
+    return member_rules.holds_nothing(replica.journal)
--- a/src/cranberrymux/consensus/member_rules.py
+++ b/src/cranberrymux/consensus/member_rules.py
@@ -12,9 +12,21 @@
 from cranberrymux.consensus import refusals
 from cranberrymux.consensus import replica_settings
 
+FOUNDING_TERM = 1
 _Reason = refusals.RefusalReason
 
 
+def holds_nothing(journal: journal_module.Journal) -> bool:
+    """True if a replica holds no entry and no vote.
+
+    A founding that lost power may have left its term behind, without its
+    entry; it is begun again.
+    """
+    if journal.log.last_index or journal.voted_for:
+        return False
+    return journal.term <= FOUNDING_TERM
+
+
 def founding_entry(
     replica_id: str, cluster_id: str, address: str
 ) -> entry_module.Entry:
@@ -22,7 +34,9 @@
     founder = member_module.Member(replica_id, address, True)
     members = membership.Membership(cluster_id, (founder,))
     payload = codec.encode_membership(members)
-    return entry_module.Entry(1, 1, entry_module.EntryKind.MEMBERSHIP, payload)
+    return entry_module.Entry(
+        1, FOUNDING_TERM, entry_module.EntryKind.MEMBERSHIP, payload
+    )
 
 
 def silent_voters(
--- a/src/cranberrymux/consensus/replica.py
+++ b/src/cranberrymux/consensus/replica.py
@@ -82,12 +82,12 @@
             cluster_id: Fresh id; other clusters' messages are dropped.
             address: Where peers reach this replica.
         """
-        if self._journal.log.last_index or self._journal.term:
+        if not member_rules.holds_nothing(self._journal):
             return refusals.ProposalRefused(
                 refusals.RefusalReason.ALREADY_DONE,
                 "this replica already holds a log or a vote",
             )
-        self._journal.set_term(1)
+        self._journal.set_term(member_rules.FOUNDING_TERM)
         self._journal.append(
             (member_rules.founding_entry(self.replica_id, cluster_id, address),)
         )
--- a/src/cranberrymux/control/joining.py
+++ b/src/cranberrymux/control/joining.py
@@ -6,6 +6,7 @@
 
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import member_change
+from cranberrymux.consensus import member_rules
 from cranberrymux.control import control_settings
 from cranberrymux.control import peer_clients
 from cranberrymux.wire.gen.messages import ttypes
@@ -90,7 +91,7 @@
         replica = self._driver.replica
         if self._settings.peers[0].control_id != self._settings.control_id:
             return None
-        if replica.journal.members.cluster_id or replica.journal.term:
+        if not member_rules.holds_nothing(replica.journal):
             return None
         for name in self._peers.names:
             if now_s - self._empty_at_s.get(name, -_FRESH_S) > _FRESH_S:
--- a/tests/consensus/test_seeded_schedules.py
+++ b/tests/consensus/test_seeded_schedules.py
@@ -2,11 +2,14 @@
 
 import pytest
 
+from bench import consensus_checker
 from bench import consensus_disk
 from bench import consensus_faults
 from bench import consensus_seeded_schedule
 from bench import consensus_seeded_world
 from bench import consensus_storage
+from bench import consensus_world
+from cranberrymux.consensus import replica
 
 FIRST_SEED = 2_000_000
 SEEDS = 40
@@ -80,3 +83,30 @@
     for seed in range(SEEDS):
         schedule = consensus_seeded_schedule.SeededSchedule(seed, faults=WIPES)
         assert schedule.run().violation == ""
+
+
+def test_a_founding_that_lost_power_is_begun_again():
+    """At any step of the write, while it is still the first start."""
+    for seed in range(20):
+        world = consensus_seeded_world.SeededWorld(
+            seed,
+            3,
+            replica.Replica,
+            consensus_world.SETTINGS,
+            consensus_disk.SimulatedDisk,
+        )
+        world.loss = world.doubling = world.slow = 0.0
+        founder = world.nodes[0]
+        world.hung.add(founder.name)
+        world.run_for(0.4)
+        assert founder.batch
+        world.crash(founder)
+        if not founder.disk.entries:
+            # Nobody has seen the entry of this founding.
+            world.checker = consensus_checker.Checker()
+        world.hung.clear()
+        world.first_start.add(founder.name)
+        world.start(founder)
+        world.run_for(3.0)
+        assert len(world.leaders()) == 1
+        assert len(world.voters_of(world.leaders()[0])) == 3
