Keep work away from endpoints that turned slow

Cause: an endpoint whose working times rise many times keeps its share of the work, since its load looks like that of the others; what goes there is late, and one late call makes a tree late. The node beside a backend server compares working times, without the time spent waiting for calls, with what they used to be, and tells the ratio with the load; callers weigh the load by it above what varies by chance.

Ruled out: latency seen by callers (a tree's time is that of its calls, and each caller sees few requests of an endpoint); plain means (a long tail lets them swing by two to four times). Tests: tests/decisions/endpoints.

--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -13,6 +13,9 @@
 # Share of failures that is not held against an endpoint: one by chance.
 TOLERATED_FAILING = 0.1
 FAILING_COST = 3.0  # Cost of failing every request, in loads of all slots.
+SLOWNESS_FADE_S = 3.0  # Time in which slowness that is not renewed fades by e.
+TOLERATED_SLOWNESS = 2.5  # Working times vary by so much by chance.
+IDLE_COST = 0.3  # Cost of an idle endpoint for each time that it is slower.
 REFUSING_WEIGHT = 0.05  # Weight of one request in the share that is refused.
 
 
@@ -34,6 +37,8 @@
         "_reported_s",
         "_refusing",
         "_silences",
+        "_slowness",
+        "_slowness_s",
         "_suspended_until_s",
         "_suspension_s",
         "has_failed",
@@ -54,6 +59,8 @@
         self._failing = failure_rate.FailureRate()
         self._failing_there = failure_rate.FailureRate()
         self._silences = 0
+        self._slowness = 1.0
+        self._slowness_s = -math.inf
         self._suspended_until_s = -math.inf
         self._suspension_s = FIRST_SUSPENSION_S
 
@@ -64,9 +71,17 @@
         return is_serving and (self.is_vouched or not self.has_failed)
 
     def cost(self, now_s: float) -> float:
-        """Load, and the shares of requests that it refuses and fails."""
-        excess = max(0.0, self.failing(now_s) - TOLERATED_FAILING)
-        return self.load(now_s) + self._refusing + FAILING_COST * excess
+        """Load for its speed, and the shares that it refuses and fails."""
+        failing = max(0.0, self.failing(now_s) - TOLERATED_FAILING)
+        slower = max(0.0, self.slowness(now_s) / TOLERATED_SLOWNESS - 1.0)
+        load = self.load(now_s)
+        load += slower * (load + IDLE_COST)
+        return load + self._refusing + FAILING_COST * failing
+
+    def slowness(self, now_s: float) -> float:
+        """Ratio of its present to its usual working times, by its node."""
+        fade = math.exp((self._slowness_s - now_s) / SLOWNESS_FADE_S)
+        return 1.0 + (self._slowness - 1.0) * fade
 
     def failing(self, now_s: float) -> float:
         """Share of requests that it fails, as seen from here or there.
@@ -117,6 +132,11 @@
         """Takes the share of requests that it fails, counted at its node."""
         self._failing_there.take(now_s, rate)
 
+    def note_slowness(self, now_s: float, slowness: float) -> None:
+        """Takes the ratio of its present to its usual working times."""
+        self._slowness = slowness
+        self._slowness_s = now_s
+
     def note_answer(self) -> None:
         """Takes note that it answers."""
         self.has_failed = False
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -306,6 +306,7 @@
     if said is not None:
         endpoint.note_load(now_s, said.requests)
         endpoint.note_failing(now_s, said.failing)
+        endpoint.note_slowness(now_s, said.slowness)
 
 
 def _is_own_failure(head: answer_head.AnswerHead) -> bool:
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -6,6 +6,8 @@
 from twisted.internet import task
 
 from cranberrymux.decisions.endpoints import failure_rate
+from cranberrymux.decisions.endpoints import run_end
+from cranberrymux.decisions.endpoints import slowness
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.decisions.pressure import gate as gate_module
 from cranberrymux.decisions.pressure import share_meter
@@ -44,6 +46,8 @@
         self._gate = gate_module.Gate(1)
         self._meter = share_meter.ShareMeter(parts.clock.now_s())
         self._failing = failure_rate.FailureRate()
+        self._slowness = slowness.Slowness()
+        self._backend_id = ""
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._numbers = itertools.count(1)
         self._told_s = parts.clock.now_s()
@@ -61,10 +65,17 @@
         current = self._presence.current
         if current is not None:
             self._gate.set_slots(max(int(SLOT_SHARE * current.slots), 1))
+            self._forget_if_new(current.backend_id)
         if not self._presence.is_serving(self._parts.clock.now_s()):
             self._refuse_all(self._gate.close(), hop.DRAINING)
         self._start_waiting()
 
+    def _forget_if_new(self, backend_id: str) -> None:
+        if backend_id != self._backend_id:
+            self._backend_id = backend_id
+            self._failing = failure_rate.FailureRate()
+            self._slowness = slowness.Slowness()
+
     def stop(self) -> None:
         """Refuses new requests; those that run go on."""
         self._is_stopping = True
@@ -110,10 +121,14 @@
     # What calls tell.
 
     def load_of(self) -> bytes:
-        """Requests that run and wait here, and how many fail."""
+        """Requests that run and wait here, failures and slowness."""
         requests = self._gate.running + self._gate.waiting
-        failing = self._failing.at(self._parts.clock.now_s())
-        return hop.encode_load(hop.LoadReport(requests, failing))
+        now_s = self._parts.clock.now_s()
+        return hop.encode_load(
+            hop.LoadReport(
+                requests, self._failing.at(now_s), self._slowness.at(now_s)
+            )
+        )
 
     def note_outcome(self, call: exit_call.ExitCall, is_failed: bool) -> bool:
         """Takes note of how a request ended, before its slot is taken back."""
@@ -131,17 +146,22 @@
         )
 
     def call_finished(
-        self, call: exit_call.ExitCall, is_measured: bool
+        self, call: exit_call.ExitCall, end: run_end.RunEnd
     ) -> work_report.WorkReport:
         """Takes a slot back; returns what the request and its calls cost."""
         ticket_id = call.ticket_id
         if self._calls.pop(ticket_id, None) is None:
             return {}
         now_s = self._parts.clock.now_s()
+        is_measured = end is not run_end.RunEnd.UNANSWERED
         hold_s = self._gate.finish(now_s, ticket_id, is_measured)
         if is_measured:
             self._meter.note_hold(call.route, hold_s)
             self._parts.meters.hold_s.labels(call.route).observe(hold_s)
+        work = self._parts.running.get(ticket_id)
+        if end is run_end.RunEnd.SERVED and work is not None:
+            worked_s = hold_s - work.called_s
+            self._slowness.note(now_s, call.route, worked_s)
         self._roll(now_s)
         report = self._end_work(ticket_id, hold_s)
         self._start_waiting()
@@ -149,8 +169,10 @@
 
     def describe_load(self) -> dict[str, Any]:
         """Requests that run and wait, slots and failures, for a log line."""
+        now_s = self._parts.clock.now_s()
         return {
-            "failing": round(self._failing.at(self._parts.clock.now_s()), 3),
+            "failing": round(self._failing.at(now_s), 3),
+            "slowness": round(self._slowness.at(now_s), 2),
             "running": self._gate.running,
             "waiting": self._gate.waiting,
             "slots": self._gate.slots,
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -3,6 +3,7 @@
 from typing import Any
 from typing import Protocol
 
+from cranberrymux.decisions.endpoints import run_end
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import hop
@@ -19,6 +20,7 @@
 # The sender gives up at the deadline; this only ends what it cannot.
 GUARD_S = 0.1
 FIRST_FAILURE_STATUS = 500
+_RunEnd = run_end.RunEnd
 _CONTENT_CODING = b"content-encoding"
 
 
@@ -35,7 +37,7 @@
         """Takes note that a request is handed over with this deadline."""
 
     def call_finished(
-        self, call: "ExitCall", is_measured: bool
+        self, call: "ExitCall", end: run_end.RunEnd
     ) -> work_report.WorkReport:
         """Takes a slot back; returns what the request and its calls cost."""
 
@@ -157,10 +159,12 @@
         proof = headers_module.find(head.headers, dialect.proof)
         coding = headers_module.find(head.headers, _CONTENT_CODING)
         is_due_to_call = False
+        end = _RunEnd.UNANSWERED
         if not_run is None:
             is_failed = head.status >= FIRST_FAILURE_STATUS
             is_due_to_call = self._owner.note_outcome(self, is_failed)
-        report = self._owner.call_finished(self, not_run is None)
+            end = _RunEnd.FAILED if is_failed else _RunEnd.SERVED
+        report = self._owner.call_finished(self, end)
         if not_run is not None or head.status == 421:
             reason = hop.BACKEND_FULL
             if head.status == 421:
@@ -201,14 +205,14 @@
     def attempt_ended(self) -> None:
         """Ends a long answer."""
         self._finish_timer()
-        self._owner.call_finished(self, True)
+        self._owner.call_finished(self, _RunEnd.SERVED)
         self._call.finish()
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Says what is known: not run, or perhaps."""
         self._finish_timer()
         self._owner.note_outcome(self, True)
-        self._owner.call_finished(self, False)
+        self._owner.call_finished(self, _RunEnd.UNANSWERED)
         if self._call.is_head_sent:
             self._call.abort()
             return
@@ -237,7 +241,7 @@
         self._timer = None
         self._cancel_attempt()
         self._owner.note_outcome(self, True)
-        self._owner.call_finished(self, False)
+        self._owner.call_finished(self, _RunEnd.UNANSWERED)
         self._call.abort()
 
     def _cancelled(self) -> None:
@@ -248,7 +252,7 @@
         self._attempt.cancel()
         if self._parts.clock.now_s() >= self.deadline_s:
             self._owner.note_outcome(self, True)
-        self._owner.call_finished(self, False)
+        self._owner.call_finished(self, _RunEnd.UNANSWERED)
 
     def _mark(
         self, head: answer_head.AnswerHead, report: work_report.WorkReport
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -93,24 +93,31 @@
     Attributes:
         requests: Requests that run and wait there.
         failing: Share of the requests that it failed by itself lately.
+        slowness: Ratio of its present to its usual working times.
     """
 
     requests: int
     failing: float
+    slowness: float = 1.0
 
 
 def encode_load(report: LoadReport) -> bytes:
     """Encodes a load as a header value."""
-    return b"%d/%d" % (report.requests, round(report.failing * 1000))
+    return b"%d/%d/%d" % (
+        report.requests,
+        round(report.failing * 1000),
+        round(report.slowness * 100),
+    )
 
 
 def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
     """Reads the load; None if it is not told."""
     said = headers_module.find(headers, LOAD) or b""
-    requests, _, failing = said.partition(b"/")
-    if not (requests.isdigit() and failing.isdigit()):
+    parts = said.split(b"/")
+    if len(parts) != 3 or not all(one.isdigit() for one in parts):
         return None
-    return LoadReport(int(requests), int(failing) / 1000)
+    requests, failing, slowness = map(int, parts)
+    return LoadReport(requests, failing / 1000, slowness / 100)
 
 
 def strip(headers: headers_module.HeaderList) -> headers_module.HeaderList:
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -65,14 +65,13 @@
         """Takes note that the request goes on its way."""
         parent = self._parent()
         if parent is not None:
-            parent.open_calls += 1
+            parent.begin_call(self._parts.clock.now_s())
 
     def end_call(self, is_failed: bool) -> None:
         """Takes note of its end; to be called once for each begin."""
         parent = self._parent()
         if parent is not None:
-            parent.open_calls -= 1
-            parent.has_failed_call = parent.has_failed_call or is_failed
+            parent.end_call(self._parts.clock.now_s(), is_failed)
 
     def learn(
         self,
--- /dev/null
+++ b/tests/decisions/endpoints/test_slowness.py
@@ -0,0 +1,88 @@
+"""Endpoints that turn slow, told by their own past."""
+
+import random
+
+import pytest
+
+from cranberrymux.decisions.endpoints import endpoint_set
+from cranberrymux.decisions.endpoints import slowness
+from cranberrymux.models import endpoint_record
+from cranberrymux.models import endpoint_state
+
+
+def play(per_s, times, until_s=20.0, slow_from_s=12.0, seed=1):
+    """Working times with a long tail; from some moment on `times` as long."""
+    generator = random.Random(seed)
+    made = slowness.Slowness()
+    now_s = 0.0
+    seen = []
+    while now_s < until_s:
+        now_s += generator.expovariate(per_s)
+        factor = times if now_s > slow_from_s else 1.0
+        worked_s = factor * generator.lognormvariate(-2.3, 0.76)
+        made.note(now_s, generator.choice(("a", "b")), worked_s)
+        seen.append((now_s, made.at(now_s)))
+    return made, seen
+
+
+@pytest.mark.parametrize("per_s", [5, 50, 200])
+def test_tells_when_it_takes_many_times_as_long(per_s):
+    _, seen = play(per_s, 8.0)
+    late = [ratio for now_s, ratio in seen if now_s > 15.0]
+    assert sum(late) / len(late) > 4.0
+
+
+@pytest.mark.parametrize("per_s", [5, 50, 200])
+def test_chance_alone_is_tolerated(per_s):
+    _, seen = play(per_s, 1.0)
+    assert max(ratio for now_s, ratio in seen if now_s > 5.0) < 4.0
+    late = [ratio for now_s, ratio in seen if now_s > 5.0]
+    assert sum(late) / len(late) < 2.0
+
+
+def test_a_slow_start_is_not_taken_for_usual():
+    made = slowness.Slowness()
+    for step in range(180):
+        made.note(step / 20, "a", 0.2 if step < 60 else 0.1)
+    for step in range(180, 240):
+        made.note(step / 20, "a", 0.2)
+    assert made.at(12.0) > 1.7
+
+
+def test_fades_when_nothing_runs():
+    made, _ = play(50, 8.0)
+    assert made.at(20.0 + 6 * slowness.FADE_TIME_S) < 1.05
+
+
+def test_work_leaves_an_endpoint_that_turned_slow():
+    """A third of the endpoints of a service take eight times as long."""
+    endpoints = endpoint_set.EndpointSet("z", random.Random(1))
+    names = ("e1", "e2", "e3")
+    endpoints.update(
+        endpoint_record.EndpointRecord(
+            "s",
+            name,
+            1,
+            1,
+            "10.0.0.1",
+            80,
+            "r",
+            "z",
+            {},
+            10,
+            endpoint_state.EndpointState.SERVING,
+        )
+        for name in names
+    )
+    endpoints.find("e1").note_slowness(0.0, 8.0)
+    for name in names:
+        endpoints.find(name).note_load(0.0, 5)
+    chosen = [
+        endpoints.choose("s", 0.0, ()).record.endpoint_id for _ in range(60)
+    ]
+    assert "e1" not in chosen
+    later_s = 10.0
+    chosen = {
+        endpoints.choose("s", later_s, ()).record.endpoint_id for _ in range(60)
+    }
+    assert chosen == set(names)
