Tell a backend server that has fallen silent long before deadlines pass

Cause: a backend server that goes dark or hangs keeps its place: its node has slots free, callers see few requests of theirs, and whatever is sent there is lost at its deadline (1.2 s at these sites), for as long as it is thought to be there (up to 5 s). Its node knows how many answers are due for the requests that are worked on; when 15 of them are missed for 0.2 s or more, it refuses what comes, not run, so that callers go elsewhere at once, but for a probe a second. Requests that wait for calls of theirs do not count, nor a stop of the node itself; an announcement gives another chance.

Ruled out: timers on each request (working times have a long tail), silence alone (few requests may be silent for long).

--- /dev/null
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -0,0 +1,96 @@
+"""How well the backend server beside this node does its work."""
+
+from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.endpoints import failure_rate
+from cranberrymux.decisions.endpoints import run_end
+from cranberrymux.decisions.endpoints import slowness
+from cranberrymux.decisions.endpoints import stall
+from cranberrymux.decisions.presence import announcement
+from cranberrymux.gateway import parts as parts_module
+
+_RunEnd = run_end.RunEnd
+
+
+class BackendHealth:
+    """Failures, slowness and silence; a line tells of each turn."""
+
+    def __init__(self, parts: parts_module.GatewayParts) -> None:
+        """Starts well."""
+        self._parts = parts
+        self._life: tuple[str, int] = ("", 0)
+        self._is_degraded = False
+        self._forget()
+
+    @property
+    def failing(self) -> float:
+        """Share of the requests that it failed by itself lately."""
+        return self._failing.at(self._now_s)
+
+    @property
+    def slowness(self) -> float:
+        """Ratio of its present to its usual working times."""
+        return self._slowness.at(self._now_s)
+
+    def backend_heard(self, said: announcement.Announcement) -> None:
+        """Takes an announcement; another backend server starts well."""
+        self._stall.note_sign_of_life()
+        life = (said.backend_id, said.born_ms)
+        if life != self._life:
+            self._life = life
+            self._forget()
+
+    def admits(self) -> bool:
+        """True if a request may be handed to it."""
+        self._update_stall()
+        return self._stall.admits(self._now_s)
+
+    def note_outcome(self, is_failed: bool) -> None:
+        """Takes note of a request that did not depend on a call."""
+        self._failing.note(self._now_s, is_failed)
+        self._judge()
+
+    def note_time(
+        self, route: str, worked_s: float, end: run_end.RunEnd
+    ) -> None:
+        """Takes the time of a request that is about to give its slot back."""
+        self._update_stall()
+        if end is not _RunEnd.UNANSWERED:
+            self._stall.note_answer(worked_s)
+        if end is _RunEnd.SERVED:
+            self._slowness.note(self._now_s, route, worked_s)
+
+    def describe(self) -> dict[str, float]:
+        """Failures and slowness, for a log line."""
+        return {
+            "failing": round(self.failing, 3),
+            "slowness": round(self.slowness, 2),
+        }
+
+    @property
+    def _now_s(self) -> float:
+        return self._parts.clock.now_s()
+
+    def _forget(self) -> None:
+        self._failing = failure_rate.FailureRate()
+        self._slowness = slowness.Slowness()
+        self._stall = stall.Stall()
+
+    def _update_stall(self) -> None:
+        self._stall.update(self._now_s, self._parts.running.working)
+        self._judge()
+
+    def _judge(self) -> None:
+        is_degraded = (
+            self._stall.is_stalled
+            or self.failing > endpoint_view.TOLERATED_FAILING
+            or self.slowness > endpoint_view.TOLERATED_SLOWNESS
+        )
+        if is_degraded == self._is_degraded:
+            return
+        self._is_degraded = is_degraded
+        self._parts.events.info(
+            "backend-degraded" if is_degraded else "backend-recovered",
+            backend_id=self._life[0],
+            is_stalled=self._stall.is_stalled,
+            **self.describe(),
+        )
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -5,13 +5,13 @@
 
 from twisted.internet import task
 
-from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.decisions.endpoints import run_end
-from cranberrymux.decisions.endpoints import slowness
+from cranberrymux.decisions.presence import announcement
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.decisions.pressure import gate as gate_module
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import work_report
+from cranberrymux.gateway import backend_health
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
@@ -45,9 +45,7 @@
         )
         self._gate = gate_module.Gate(1)
         self._meter = share_meter.ShareMeter(parts.clock.now_s())
-        self._failing = failure_rate.FailureRate()
-        self._slowness = slowness.Slowness()
-        self._backend_id = ""
+        self._health = backend_health.BackendHealth(parts)
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._numbers = itertools.count(1)
         self._told_s = parts.clock.now_s()
@@ -65,16 +63,13 @@
         current = self._presence.current
         if current is not None:
             self._gate.set_slots(max(int(SLOT_SHARE * current.slots), 1))
-            self._forget_if_new(current.backend_id)
         if not self._presence.is_serving(self._parts.clock.now_s()):
             self._refuse_all(self._gate.close(), hop.DRAINING)
         self._start_waiting()
 
-    def _forget_if_new(self, backend_id: str) -> None:
-        if backend_id != self._backend_id:
-            self._backend_id = backend_id
-            self._failing = failure_rate.FailureRate()
-            self._slowness = slowness.Slowness()
+    def backend_heard(self, said: announcement.Announcement) -> None:
+        """Takes an announcement of the backend server."""
+        self._health.backend_heard(said)
 
     def stop(self) -> None:
         """Refuses new requests; those that run go on."""
@@ -123,27 +118,23 @@
     def load_of(self) -> bytes:
         """Requests that run and wait here, failures and slowness."""
         requests = self._gate.running + self._gate.waiting
-        now_s = self._parts.clock.now_s()
+        health = self._health
         return hop.encode_load(
-            hop.LoadReport(
-                requests, self._failing.at(now_s), self._slowness.at(now_s)
-            )
+            hop.LoadReport(requests, health.failing, health.slowness)
         )
 
     def note_outcome(self, call: exit_call.ExitCall, is_failed: bool) -> bool:
         """Takes note of how a request ended, before its slot is taken back."""
-        work = self._parts.running.get(call.ticket_id)
+        work = self._parts.running.find(call.ticket_id)
         is_due_to_call = is_failed and work is not None and work.depends_on_call
         if not is_due_to_call:
-            self._failing.note(self._parts.clock.now_s(), is_failed)
+            self._health.note_outcome(is_failed)
         return is_due_to_call
 
     def call_started(self, call: exit_call.ExitCall, deadline_s: float) -> None:
         """Takes note that a request is handed over."""
         self._parts.lineage.begin(call.ticket_id, call.request_id, deadline_s)
-        self._parts.running[call.ticket_id] = parts_module.RunningWork(
-            call.standing
-        )
+        self._parts.running.begin(call.ticket_id, call.standing)
 
     def call_finished(
         self, call: exit_call.ExitCall, end: run_end.RunEnd
@@ -158,10 +149,9 @@
         if is_measured:
             self._meter.note_hold(call.route, hold_s)
             self._parts.meters.hold_s.labels(call.route).observe(hold_s)
-        work = self._parts.running.get(ticket_id)
-        if end is run_end.RunEnd.SERVED and work is not None:
-            worked_s = hold_s - work.called_s
-            self._slowness.note(now_s, call.route, worked_s)
+        work = self._parts.running.find(ticket_id)
+        if work is not None:
+            self._health.note_time(call.route, hold_s - work.called_s, end)
         self._roll(now_s)
         report = self._end_work(ticket_id, hold_s)
         self._start_waiting()
@@ -169,10 +159,8 @@
 
     def describe_load(self) -> dict[str, Any]:
         """Requests that run and wait, slots and failures, for a log line."""
-        now_s = self._parts.clock.now_s()
         return {
-            "failing": round(self._failing.at(now_s), 3),
-            "slowness": round(self._slowness.at(now_s), 2),
+            **self._health.describe(),
             "running": self._gate.running,
             "waiting": self._gate.waiting,
             "slots": self._gate.slots,
@@ -194,7 +182,8 @@
         self, ticket_id: int, hold_s: float
     ) -> work_report.WorkReport:
         self._parts.lineage.end(ticket_id)
-        work = self._parts.running.pop(ticket_id, None)
+        work = self._parts.running.find(ticket_id)
+        self._parts.running.end(ticket_id)
         report = {} if work is None else work.report
         own = work_report.ServiceWork(hold_s, self._meter.share)
         work_report.add(report, {self._parts.settings.service: own})
@@ -234,7 +223,7 @@
         target = headers_module.find(call.head.headers, hop.TARGET)
         if current is None or target != current.backend_id.encode():
             return hop.OTHER_BACKEND
-        return b""
+        return b"" if self._health.admits() else hop.STALLED
 
     def _start_waiting(self) -> None:
         for ticket_id in self._gate.pop(self._parts.clock.now_s()):
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -126,6 +126,8 @@
     ) -> presence_module.PresenceChange:
         """Takes an announcement of the backend server."""
         change = self._presence.announce(said, self._clock.now_s())
+        if change is not presence_module.PresenceChange.STALE:
+            self._exit.backend_heard(said)
         self._take_change(change, said.backend_id)
         return change
 
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -30,6 +30,8 @@
 STOPPING = b"stopping"
 OTHER_BACKEND = b"other-backend"
 UNREACHABLE = b"unreachable"
+# The backend server takes requests and answers none.
+STALLED = b"stalled"
 # The backend server itself refused it.
 BACKEND_FULL = b"backend-full"
 MISDIRECTED = b"misdirected"
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -45,7 +45,7 @@
 
     def find_standing(self, now_s: float) -> hop.Standing | None:
         """Returns the standing of the work; None if it may not begin."""
-        parent = self._parent()
+        parent = self._parts.running.find(self._descent.parent)
         if parent is not None:
             return parent.standing.of_call()
         callers = self._parts.callers
@@ -63,15 +63,13 @@
 
     def begin_call(self) -> None:
         """Takes note that the request goes on its way."""
-        parent = self._parent()
-        if parent is not None:
-            parent.begin_call(self._parts.clock.now_s())
+        now_s = self._parts.clock.now_s()
+        self._parts.running.begin_call(self._descent.parent, now_s)
 
     def end_call(self, is_failed: bool) -> None:
         """Takes note of its end; to be called once for each begin."""
-        parent = self._parent()
-        if parent is not None:
-            parent.end_call(self._parts.clock.now_s(), is_failed)
+        now_s = self._parts.clock.now_s()
+        self._parts.running.end_call(self._descent.parent, now_s, is_failed)
 
     def learn(
         self,
@@ -94,7 +92,7 @@
         report = work_report.decode(work) if work is not None else {}
         if report.keys() - {service}:
             self._parts.repeats.note_tree(self._route.name)
-        parent = self._parent()
+        parent = self._parts.running.find(self._descent.parent)
         if parent is not None:
             work_report.add(parent.report, report)
         if self._descent.is_call:
@@ -103,8 +101,3 @@
         callers.admission.note_report(now_s, self._route.name, report, is_whole)
         if is_whole:
             callers.advice(self._route).note_latency(now_s - began_s)
-
-    def _parent(self) -> parts_module.RunningWork | None:
-        if self._descent.parent is None:
-            return None
-        return self._parts.running.get(self._descent.parent)
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -8,13 +8,12 @@
 
 from cranberrymux.decisions.endpoints import endpoint_set
 from cranberrymux.decisions.pressure import lineage as lineage_module
-from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.retries import repeat_budget
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.decisions.routes import split_chooser
 from cranberrymux.gateway import callers as callers_module
-from cranberrymux.gateway import hop
 from cranberrymux.gateway import meters as meters_module
+from cranberrymux.gateway import running_works
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node.http import connection_pool
@@ -32,53 +31,6 @@
         """Version of the configuration in force; 0 for none."""
 
 
-class RunningWork:
-    """A request that the backend server beside this node runs.
-
-    Attributes:
-        standing: What is known of its tree.
-        report: What its calls cost so far.
-        called_s: Time for which it waited for calls.
-        has_failed_call: True once a call of it failed.
-    """
-
-    __slots__ = (
-        "_open_calls",
-        "_waits_since_s",
-        "called_s",
-        "has_failed_call",
-        "report",
-        "standing",
-    )
-
-    def __init__(self, standing: hop.Standing) -> None:
-        """Starts without calls."""
-        self.standing = standing
-        self.report: work_report.WorkReport = {}
-        self.called_s = 0.0
-        self.has_failed_call = False
-        self._open_calls = 0
-        self._waits_since_s = 0.0
-
-    @property
-    def depends_on_call(self) -> bool:
-        """True if its end, now, would be due to a call and not to itself."""
-        return self.has_failed_call or self._open_calls > 0
-
-    def begin_call(self, now_s: float) -> None:
-        """Takes note that it makes a call."""
-        if not self._open_calls:
-            self._waits_since_s = now_s
-        self._open_calls += 1
-
-    def end_call(self, now_s: float, is_failed: bool) -> None:
-        """Takes note that a call of it ended."""
-        self._open_calls -= 1
-        if not self._open_calls:
-            self.called_s += now_s - self._waits_since_s
-        self.has_failed_call = self.has_failed_call or is_failed
-
-
 class GatewayParts:
     """Shared by every call; owned by the program.
 
@@ -123,7 +75,7 @@
         )
         self.callers = callers_module.Callers(self.clock.now_s())
         self.lineage = lineage_module.Lineage()
-        self.running: dict[int, RunningWork] = {}
+        self.running = running_works.RunningWorks()
         self.hops = connection_pool.ConnectionPool(reactor, watches=True)
         self.meters = meters_module.GatewayMeters()
         self.entered = 0
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -31,6 +31,8 @@
     SETTINGS_RELOADED = "settings-reloaded"
     SETTINGS_NOT_READ = "settings-not-read"
     BACKEND_CHANGED = "backend-changed"
+    BACKEND_DEGRADED = "backend-degraded"
+    BACKEND_RECOVERED = "backend-recovered"
     BACKEND_REFUSED = "backend-refused"
     BACKEND_UNREACHABLE = "backend-unreachable"
     BACKEND_ANSWER_LOST = "backend-answer-lost"
--- a/tests/gateway/test_grey_endpoints.py
+++ b/tests/gateway/test_grey_endpoints.py
@@ -120,3 +120,26 @@
     assert endpoints.find("n-2").failing(now_s) == 0.0
     runs = sum(len(one.backend.calls) for one in mesh.members[1:3])
     assert runs == 20
+
+
+def test_requests_leave_an_endpoint_that_has_fallen_silent(mesh):
+    """Its slots are not full yet, and no deadline has passed."""
+
+    def answer_later(call):
+        mesh.network.callLater(0.05, mesh_module.answer_with_proof, call)
+
+    for one in mesh.members[1:]:
+        one.backend.answer = answer_later
+    statuses(mesh, "/write/x", 60)
+    mesh.members[2].backend.answer = None
+    clients = []
+    before = len(mesh.members[2].backend.calls)
+    for number in range(80):
+        headers = [("Request-Id", f"s{number}")]
+        clients.append(mesh.ask(0, "/write/x", headers=headers, wait=0.02))
+    mesh.network.run(1.2)
+    lost = sum(one.statuses != [200] for one in clients)
+    assert lost == len(mesh.members[2].backend.calls) - before
+    assert lost <= 9  # Of 10 slots, one stays free.
+    handed_late = [one.statuses for one in clients[40:]]
+    assert handed_late.count([200]) >= 38
