Ask the backend server who it is when a node starts beside it

Now a node that has its configuration and no announcement sends one health check; an answer that names the backend server and its slots counts like an announcement until one comes.

Ruled out: announcing more often (the platform's side), taking over what the directory knew (slots and state may have changed while the node was away).

--- a/src/cranberrymux/gateway/dialect.py
+++ b/src/cranberrymux/gateway/dialect.py
@@ -14,6 +14,9 @@
         proof: On answers that a backend server made.
         not_run: On answers that prove that the request did not run.
         retry_after: Seconds until the caller may come back, with fractions.
+        backend_id: On answers to health checks: who answers.
+        load: On answers of some backend servers: requests that run, requests
+            that wait and slots, separated by commas.
     """
 
     request_id: bytes
@@ -23,3 +26,5 @@
     proof: bytes
     not_run: bytes
     retry_after: bytes
+    backend_id: bytes
+    load: bytes
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -14,6 +14,7 @@
 from cranberrymux.gateway import control_contacts
 from cranberrymux.gateway import entry as entry_module
 from cranberrymux.gateway import exit as exit_module
+from cranberrymux.gateway import inquiry as inquiry_module
 from cranberrymux.gateway import meters_port
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import ports as ports_module
@@ -66,6 +67,9 @@
         self._clock = self._parts.clock
         self._presence = presence_module.Presence(settings.backend_lifetime_s)
         self._exit = exit_module.Exit(self._parts, self._presence)
+        self._inquiry = inquiry_module.Inquiry(
+            settings, reactor, self._backend_found
+        )
         self._announcer = announcer_module.Announcer(
             settings, self._clock.now_unix_ms()
         )
@@ -179,10 +183,14 @@
         """Takes a configuration of a higher version."""
         had_none = self._routes.table is None
         self._routes.take(version, document)
-        if self._routes.table is not None:
-            self._ports.set_limits(self._routes.table.document.limits)
+        table = self._routes.table
+        if table is None:
+            return
+        self._ports.set_limits(table.document.limits)
         if had_none:
             self._directory.beat()
+            if self._presence.current is None:
+                self._inquiry.start(table.document)
 
     def configuration_vouched(self, version: int, until_s: float) -> None:
         """Ignores it: nothing here depends on the age of a version."""
@@ -196,6 +204,10 @@
         """Follows the control instances that there are."""
         self._contacts.learn(addresses, self._clock.now_s())
 
+    def _backend_found(self, found: announcement_module.Announcement) -> None:
+        if self._presence.current is None and not self._is_stopping:
+            self.announce(found)
+
     def _take_change(self, change: _Change, backend_id: str) -> None:
         if change in (_Change.NONE, _Change.STALE):
             return
--- a/src/cranberrymux/gateway/settings.py
+++ b/src/cranberrymux/gateway/settings.py
@@ -14,6 +14,7 @@
         region: Region of the instance.
         zone: Availability zone of the instance.
         service: Service of the backend server beside it.
+        backend_address: `ip:port` of that backend server.
         entry_address: `ip:port` for requests that begin here.
         hop_address: `ip:port` for requests that other nodes pass on.
         ready_address: `ip:port` that tells whether this node is ready.
@@ -37,6 +38,7 @@
     region: str
     zone: str
     service: str
+    backend_address: str
     entry_address: str
     hop_address: str
     ready_address: str
--- a/src/cranberrymux/platform/dialect.py
+++ b/src/cranberrymux/platform/dialect.py
@@ -11,4 +11,7 @@
     proof=b"server-stamp",
     not_run=b"not-run",
     retry_after=b"retry-after",
+    # The id of a backend server, as in `expected_backend`.
+    backend_id=b"instance-id",
+    load=b"server-load",
 )
--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -99,6 +99,7 @@
         region=own["region"],
         zone=own["zone"],
         service=own["service"],
+        backend_address=own["app_addr"],
         entry_address=listen["outbound"],
         hop_address=listen["inbound"],
         ready_address=listen["ready"],
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -31,6 +31,7 @@
     SETTINGS_RELOADED = "settings-reloaded"
     SETTINGS_NOT_READ = "settings-not-read"
     BACKEND_CHANGED = "backend-changed"
+    BACKEND_ASKED = "backend-asked"
     BACKEND_DEGRADED = "backend-degraded"
     BACKEND_RECOVERED = "backend-recovered"
     BACKEND_REFUSED = "backend-refused"
--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -66,12 +66,13 @@
         self.slots = slots
         self.zone = zone
         self.sequence = 0
-        settings = gateway_settings.GatewaySettings(
+        self.settings = gateway_settings.GatewaySettings(
             node_id=f"n-{place}",
             ip="10.0.0.1",
             region="r",
             zone=zone,
             service=service,
+            backend_address=f"10.0.0.1:{self.backend_port}",
             entry_address=f"10.0.0.1:{base}",
             hop_address=f"10.0.0.1:{base + 1}",
             ready_address=f"10.0.0.1:{base + 2}",
@@ -92,13 +93,25 @@
             mesh.network, self.backend_port, answer_with_proof
         )
         self.gateway = gateway_module.Gateway(
-            settings,
+            self.settings,
             mesh.network,
             memory_network.VirtualClock(mesh.network),
             random.Random(place),
         )
         self.gateway.start()
 
+    def restart(self):
+        """Kills the gateway and starts another; its backend server runs on."""
+        self.gateway.stop()
+        self.gateway._close()
+        self.gateway = gateway_module.Gateway(
+            self.settings,
+            self.mesh.network,
+            memory_network.VirtualClock(self.mesh.network),
+            random.Random(0),
+        )
+        self.gateway.start()
+
     def say(self, state=announcement.BackendState.SERVING, **changes):
         """Announces the backend server; all gateways hear of it."""
         self.sequence += 1
@@ -131,7 +144,9 @@
             one.say()
 
     def put(self, *routes, label=1):
-        text = route_document.dump(make_document(*routes, label=label))
+        text = self.text = route_document.dump(
+            make_document(*routes, label=label)
+        )
         for one in self.members:
             one.gateway.configuration_changed(label, text)
 
--- /dev/null
+++ b/tests/gateway/test_inquiry.py
@@ -0,0 +1,90 @@
+"""A node that is restarted beside a backend server that goes on."""
+
+import pytest
+
+from tests.gateway import mesh as mesh_module
+
+LABEL = 2
+
+
+@pytest.fixture
+def mesh():
+    made = mesh_module.Mesh("front", "deep")
+    made.put(mesh_module.make_route("read", "deep"))
+    return made
+
+
+def answer_checks(status, *headers):
+    """Answers as a backend server does that has health checks."""
+
+    def answer(call):
+        if call.head.target == b"/health":
+            call.answer(status, list(headers), b"")
+        else:
+            mesh_module.answer_with_proof(call)
+
+    return answer
+
+
+def restart(mesh, place):
+    mesh.members[place].restart()
+    mesh.members[place].gateway.configuration_changed(LABEL, mesh.text)
+    mesh.network.run(0.1)
+
+
+def test_takes_requests_before_the_next_announcement(mesh):
+    mesh.members[1].backend.answer = answer_checks(
+        200, (b"instance-id", b"b-1"), (b"server-load", b"0,0,10")
+    )
+    restart(mesh, 1)
+    assert mesh.ask(0, "/read/x").statuses == [200]
+    (check, _) = mesh.members[1].backend.calls
+    assert check.head.target == b"/health"
+    assert mesh.members[1].gateway._exit._gate.slots == 9
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        answer_checks(
+            503, (b"instance-id", b"b-1"), (b"server-load", b"0,0,9")
+        ),
+        answer_checks(200, (b"instance-id", b"b-1")),
+        answer_checks(200, (b"server-load", b"0,0,9")),
+        answer_checks(200, (b"instance-id", b"b-1"), (b"server-load", b"9")),
+        lambda call: call.abort(),
+        None,
+    ],
+)
+def test_waits_for_an_announcement_otherwise(mesh, answer):
+    mesh.members[1].backend.answer = answer
+    restart(mesh, 1)
+    mesh.network.run(1.2)
+    client = mesh.ask(0, "/read/x")
+    assert client.statuses == [503]
+    mesh.members[1].say()
+    mesh.members[1].backend.answer = mesh_module.answer_with_proof
+    mesh.network.run(0.6)
+    assert mesh.ask(0, "/read/x").statuses == [200]
+
+
+def test_another_backend_server_at_the_address_runs_nothing(mesh):
+    mesh.members[1].backend.answer = answer_checks(
+        200, (b"instance-id", b"other"), (b"server-load", b"0,0,10")
+    )
+    restart(mesh, 1)
+    assert mesh.ask(0, "/read/x").statuses == [503]
+
+
+def test_an_announcement_that_comes_first_counts(mesh):
+    mesh.members[1].backend.answer = None
+    mesh.members[1].restart()
+    mesh.members[1].gateway.configuration_changed(LABEL, mesh.text)
+    mesh.network.run(0.01)
+    (check,) = mesh.members[1].backend.calls
+    mesh.members[1].say(slots=20)
+    check.answer(
+        200, [(b"instance-id", b"b-1"), (b"server-load", b"0,0,5")], b""
+    )
+    mesh.network.run(0.1)
+    assert mesh.members[1].gateway._exit._gate.slots == 18
