Lines on repeats, on failures of backend servers and on samples

A request that a backend server failed had no line where it began, a repeat had none at all. Both have one now, and one served request in 200; a backend server that turns bad or well again has one at its node. What an answer of another node tells is read in one module.

--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -47,7 +47,7 @@
     def note_outcome(self, is_failed: bool) -> None:
         """Takes note of a request that did not depend on a call."""
         self._failing.note(self._now_s, is_failed)
-        self._judge()
+        self.check()
 
     def note_time(
         self, route: str, worked_s: float, end: run_end.RunEnd
@@ -66,20 +66,8 @@
             "slowness": round(self.slowness, 2),
         }
 
-    @property
-    def _now_s(self) -> float:
-        return self._parts.clock.now_s()
-
-    def _forget(self) -> None:
-        self._failing = failure_rate.FailureRate()
-        self._slowness = slowness.Slowness()
-        self._stall = stall.Stall()
-
-    def _update_stall(self) -> None:
-        self._stall.update(self._now_s, self._parts.running.working)
-        self._judge()
-
-    def _judge(self) -> None:
+    def check(self) -> None:
+        """Writes a line if it turned bad or well again."""
         is_degraded = (
             self._stall.is_stalled
             or self.failing > endpoint_view.TOLERATED_FAILING
@@ -94,3 +82,16 @@
             is_stalled=self._stall.is_stalled,
             **self.describe(),
         )
+
+    @property
+    def _now_s(self) -> float:
+        return self._parts.clock.now_s()
+
+    def _forget(self) -> None:
+        self._failing = failure_rate.FailureRate()
+        self._slowness = slowness.Slowness()
+        self._stall = stall.Stall()
+
+    def _update_stall(self) -> None:
+        self._stall.update(self._now_s, self._parts.running.working)
+        self.check()
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -6,6 +6,7 @@
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import origin as origin_module
 from cranberrymux.gateway import outgoing
 from cranberrymux.gateway import own_answers
@@ -20,7 +21,6 @@
 from cranberrymux.node.http import lost_answer
 
 _Outcome = own_answers.Outcome
-FIRST_FAILURE_STATUS = 500
 
 
 class _FailedAnswer(NamedTuple):
@@ -120,10 +120,8 @@
             *self._headers,
             (dialect.deadline_ms, b"%d" % left_ms),
             (hop.TARGET, record.backend_id.encode()),
-            (hop.STANDING, hop.encode_standing(self._tries.standing_to_send)),
+            *self._tries.headers(),
         ]
-        if self._tries.is_again:
-            headers.append((hop.AGAIN, b"1"))
         head = self._call.head
         return attempt_module.Attempt(
             self._parts.hops,
@@ -149,19 +147,16 @@
         endpoint = self._release()
         now_s = self._parts.clock.now_s()
         if endpoint is not None:
-            endpoint.note_answer()
-            _take_load(endpoint, head, now_s)
+            hop_answer.learn(endpoint, head, now_s)
         self._origin.learn(self._tries.service, head, self._began_s, now_s)
-        not_run = headers_module.find(head.headers, hop.NOT_RUN)
-        if not_run is not None:
-            self._take_refusal(endpoint, not_run, now_s)
+        refusal = hop_answer.find_refusal(head)
+        if refusal is not None:
+            self._take_refusal(endpoint, refusal, now_s)
             return
-        is_failed = _is_own_failure(head)
-        if endpoint is not None:
-            endpoint.note_run(True)
-            endpoint.note_outcome(now_s, is_failed)
+        is_failed = hop_answer.is_own_failure(head)
         if is_failed and self._may_try_failed_again(endpoint, now_s):
             self._failed_answer = _FailedAnswer(head, body)
+            self._log.tell_again("backend-failed")
             self._send_next()
             return
         self._pass_on(head, body)
@@ -175,16 +170,17 @@
 
     def _pass_on(self, head: answer_head.AnswerHead, body: bytes) -> None:
         self._finish_timer()
-        self._is_served = head.status < FIRST_FAILURE_STATUS
-        self._log.count(f"{head.status // 100}xx")
-        self._call.answer(head.status, _visible(head), body)
+        self._is_served = not hop_answer.is_failure(head)
+        self._log.tell_passed_on(head)
+        self._call.answer(head.status, hop_answer.remove_news(head), body)
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
         """Passes the beginning of a long answer on."""
         self._finish_timer()
-        self._call.start_answer(head._replace(headers=_visible(head)))
+        visible = hop_answer.remove_news(head)
+        self._call.start_answer(head._replace(headers=visible))
         self._call.send_body(body)
 
     def attempt_part(self, part: bytes) -> None:
@@ -213,6 +209,7 @@
             return
         self._tries.note_lost(endpoint)
         if self._tries.may_repeat(now_s):
+            self._log.tell_again("lost")
             self._send_next()
             return
         self._fail(_Outcome.LOST, 502, loss.detail)
@@ -295,26 +292,3 @@
         if endpoint is not None:
             endpoint.outstanding -= 1
         return endpoint
-
-
-def _take_load(
-    endpoint: endpoint_view.EndpointView,
-    head: answer_head.AnswerHead,
-    now_s: float,
-) -> None:
-    said = hop.decode_load(head.headers)
-    if said is not None:
-        endpoint.note_load(now_s, said.requests)
-        endpoint.note_failing(now_s, said.failing)
-        endpoint.note_slowness(now_s, said.slowness)
-
-
-def _is_own_failure(head: answer_head.AnswerHead) -> bool:
-    """True if the endpoint failed by itself, and not because of a call."""
-    is_failed = head.status >= FIRST_FAILURE_STATUS
-    call_failed = headers_module.find(head.headers, hop.CALL_FAILED)
-    return is_failed and call_failed is None
-
-
-def _visible(head: answer_head.AnswerHead) -> headers_module.HeaderList:
-    return hop.strip(headers_module.forwardable(head.headers))
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -168,6 +168,7 @@
 
     def update_meters(self) -> None:
         """Sets the gauges to what is so now."""
+        self._health.check()
         meters = self._parts.meters
         meters.share.set(self._meter.share)
         meters.running.set(self._gate.running)
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -7,6 +7,7 @@
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import outgoing
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import relay
@@ -19,7 +20,7 @@
 
 # The sender gives up at the deadline; this only ends what it cannot.
 GUARD_S = 0.1
-FIRST_FAILURE_STATUS = 500
+
 _RunEnd = run_end.RunEnd
 _CONTENT_CODING = b"content-encoding"
 
@@ -161,7 +162,7 @@
         is_due_to_call = False
         end = _RunEnd.UNANSWERED
         if not_run is None:
-            is_failed = head.status >= FIRST_FAILURE_STATUS
+            is_failed = hop_answer.is_failure(head)
             is_due_to_call = self._owner.note_outcome(self, is_failed)
             end = _RunEnd.FAILED if is_failed else _RunEnd.SERVED
         report = self._owner.call_finished(self, end)
--- /dev/null
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -0,0 +1,50 @@
+"""What an answer of another node tells besides the answer itself."""
+
+from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.gateway import hop
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import headers as headers_module
+
+FIRST_FAILURE_STATUS = 500
+
+
+def find_refusal(head: answer_head.AnswerHead) -> bytes | None:
+    """Why the request was not run; None if it may have been."""
+    return headers_module.find(head.headers, hop.NOT_RUN)
+
+
+def is_failure(head: answer_head.AnswerHead) -> bool:
+    """True if the backend server could not do the work."""
+    return head.status >= FIRST_FAILURE_STATUS
+
+
+def has_failed_call(head: answer_head.AnswerHead) -> bool:
+    """True if it could not because a call of the request failed."""
+    return headers_module.find(head.headers, hop.CALL_FAILED) is not None
+
+
+def is_own_failure(head: answer_head.AnswerHead) -> bool:
+    """True if it could not by itself."""
+    return is_failure(head) and not has_failed_call(head)
+
+
+def remove_news(head: answer_head.AnswerHead) -> headers_module.HeaderList:
+    """Returns the headers that the client gets."""
+    return hop.strip(headers_module.forwardable(head.headers))
+
+
+def learn(
+    endpoint: endpoint_view.EndpointView,
+    head: answer_head.AnswerHead,
+    now_s: float,
+) -> None:
+    """Takes what the endpoint's node says of it."""
+    endpoint.note_answer()
+    said = hop.decode_load(head.headers)
+    if said is not None:
+        endpoint.note_load(now_s, said.requests)
+        endpoint.note_failing(now_s, said.failing)
+        endpoint.note_slowness(now_s, said.slowness)
+    if find_refusal(head) is None:
+        endpoint.note_run(True)
+        endpoint.note_outcome(now_s, is_own_failure(head))
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -18,6 +18,8 @@
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node.http import connection_pool
 
+SERVED_FOR_LINE = 200  # Served requests for each line on one of them.
+
 
 class RoutesInForce(Protocol):
     """The configuration in force."""
@@ -79,8 +81,14 @@
         self.hops = connection_pool.ConnectionPool(reactor, watches=True)
         self.meters = meters_module.GatewayMeters()
         self.entered = 0
+        self._served = 0
         self.events = structlog.get_logger()
 
+    def is_sampled(self) -> bool:
+        """True for one served request in `SERVED_FOR_LINE`."""
+        self._served += 1
+        return self._served % SERVED_FOR_LINE == 1
+
     def call_ended(self) -> None:
         """Takes note that a request that began here was answered."""
         self.entered -= 1
--- a/src/cranberrymux/gateway/request_log.py
+++ b/src/cranberrymux/gateway/request_log.py
@@ -1,12 +1,17 @@
 """What is counted and written down of one request that began here."""
 
+from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import tries as tries_module
+from cranberrymux.node.http import answer_head
 
 
 class RequestLog:
-    """Counts how a request ended; a line tells of each that went wrong."""
+    """Counts how a request ended; a line tells of each that went wrong.
+
+    Of those that were served, one in `parts.SERVED_FOR_LINE` has a line.
+    """
 
     def __init__(
         self,
@@ -40,12 +45,30 @@
         meters.request_s.labels(route).observe(elapsed_s)
 
     def tell(self, outcome: own_answers.Outcome, detail: str) -> None:
-        """Counts the request and writes its line."""
+        """Counts a request that this node ended and writes its line."""
         self.count(outcome.value)
+        self._write("request-ended", outcome.value, detail)
+
+    def tell_passed_on(self, head: answer_head.AnswerHead) -> None:
+        """Counts an endpoint's answer; failures and some others have a line."""
+        self.count(f"{head.status // 100}xx")
+        detail = f"status {head.status}"
+        if hop_answer.has_failed_call(head):
+            self._write("request-ended", "call-failed", detail)
+        elif hop_answer.is_failure(head):
+            self._write("request-ended", "backend-failed", detail)
+        elif self._parts.is_sampled():
+            self._write("request-served", "sample", detail)
+
+    def tell_again(self, reason: str) -> None:
+        """Writes that the request is sent to a backend server once more."""
+        self._write("request-tried-again", reason, "")
+
+    def _write(self, event: str, reason: str, detail: str) -> None:
         now_s = self._parts.clock.now_s()
         self._parts.events.info(
-            "request-ended",
-            reason=outcome.value,
+            event,
+            reason=reason,
             request_id=self._request_id.decode("latin-1"),
             route=self._tries.route.name,
             service=self._tries.service,
--- a/src/cranberrymux/gateway/tries.py
+++ b/src/cranberrymux/gateway/tries.py
@@ -5,6 +5,7 @@
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.node.http import headers as headers_module
 
 MOST_NODES_ASKED = 4  # Nodes that may refuse one request before it is refused.
 # Times that backend servers may refuse one request before it is refused.
@@ -51,16 +52,14 @@
         """Endpoints that had the request, for people."""
         return (*self._asked, *sorted(self._arrived.difference(self._asked)))
 
-    @property
-    def standing_to_send(self) -> hop.Standing:
-        """Standing of the next try; a repeat makes its calls once more."""
+    def headers(self) -> headers_module.HeaderList:
+        """What the chosen node is told of the tries."""
         is_repeat = self.standing.is_repeat or self._has_run
-        return self.standing._replace(is_repeat=is_repeat)
-
-    @property
-    def is_again(self) -> bool:
-        """True if more than one node has been asked."""
-        return len(self._asked) > 1
+        standing = self.standing._replace(is_repeat=is_repeat)
+        headers = [(hop.STANDING, hop.encode_standing(standing))]
+        if len(self._asked) > 1:
+            headers.append((hop.AGAIN, b"1"))
+        return headers
 
     def choose(self, now_s: float) -> endpoint_view.EndpointView | None:
         """Returns the next endpoint, within the attempts of the route."""
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -38,6 +38,8 @@
     BACKEND_UNREACHABLE = "backend-unreachable"
     BACKEND_ANSWER_LOST = "backend-answer-lost"
     REQUEST_ENDED = "request-ended"
+    REQUEST_SERVED = "request-served"
+    REQUEST_TRIED_AGAIN = "request-tried-again"
     REQUEST_REFUSED_HERE = "request-refused-here"
     PRESSURE = "pressure"
 
--- a/src/cranberrymux/trace/story.py
+++ b/src/cranberrymux/trace/story.py
@@ -10,7 +10,10 @@
 STATE_EVENTS = frozenset(
     (
         "pressure",
+        "backend-asked",
         "backend-changed",
+        "backend-degraded",
+        "backend-recovered",
         "configuration-in-force",
         "node-ready",
         "node-stopping",
