--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -244,6 +244,7 @@
             self._log.tell(_Outcome.TRUNCATED, "the deadline passed")
             self._call.abort()
         elif self._tries.sent:
+            self._origin.note_timed_out(self._parts.clock.now_s())
             self._fail(_Outcome.TIMED_OUT, 504, "no answer in time")
         else:
             self._refuse(_Outcome.EXPIRED)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real programs as separate processes, with faults from outside them."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,39 @@
+"""Runs many seeds: `python -m tests.soak --first 1 --seeds 50`."""
+
+import argparse
+import pathlib
+import shutil
+import sys
+import tempfile
+
+from tests.soak import run as run_module
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="tests.soak", description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--keep", help="folder for logs of broken seeds")
+    options = parser.parse_args()
+    is_broken = False
+    for seed in range(options.first, options.first + options.seeds):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            result = run_module.run(seed, folder, options.seconds)
+            print(
+                f"seed {seed}: {result.served} of {result.requests} served,"
+                f" {result.strikes} faults, {len(result.broken)} broken",
+                flush=True,
+            )
+            for one in result.broken[:10]:
+                print(f"  {one}", flush=True)
+            if result.broken and options.keep:
+                kept = pathlib.Path(options.keep) / f"seed-{seed}"
+                shutil.copytree(folder, kept, dirs_exist_ok=True)
+        is_broken = is_broken or bool(result.broken)
+    return 1 if is_broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/backend_main.py
@@ -0,0 +1,221 @@
+"""A stand-in for a backend server, as a process of its own.
+
+Runs what it is handed for some milliseconds, makes calls through its own node
+where the path asks for it, announces itself, and writes one JSON line for each
+run that begins.
+"""
+
+import argparse
+from http import server
+import http.client
+import json
+import random
+import sys
+import threading
+import time
+
+STAMP = "proof"
+ANNOUNCE_S = 0.4
+STATE_PATH = "/state/"
+
+
+class State:
+    """What it is and does at present."""
+
+    def __init__(self, options):
+        self.options = options
+        self.backend_id = f"{options.name}-{time.time_ns()}"
+        self.born_ms = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.said = "ready"
+        self.slowness = 1.0
+        self.failing = 0.0
+        self.active = 0
+        self.lock = threading.Lock()
+
+    def record(self, event, **fields):
+        line = json.dumps(
+            {
+                "at": time.monotonic(),
+                "event": event,
+                "backend": self.backend_id,
+                **fields,
+            }
+        )
+        with self.lock:
+            print(line, flush=True)
+
+    def enter(self):
+        with self.lock:
+            if self.active >= self.options.slots:
+                return False
+            self.active += 1
+            return True
+
+    def leave(self):
+        with self.lock:
+            self.active -= 1
+
+    def announce_forever(self):
+        while True:
+            self.announce()
+            time.sleep(ANNOUNCE_S)
+
+    def announce(self):
+        options = self.options
+        self.sequence += 1
+        body = json.dumps(
+            {
+                "service": options.service,
+                "addr": options.announced,
+                "zone": options.zone,
+                "version": "v1",
+                "concurrency": options.slots,
+                "state": self.said,
+                "cold_left": "0ms",
+                "seq": self.sequence,
+                "born": self.born_ms,
+            }
+        )
+        path = f"/cranberrymux/instances/{self.backend_id}"
+        said = self.said
+        try:
+            connection = http.client.HTTPConnection(
+                options.announce, timeout=1.0
+            )
+            connection.request("PUT", path, body)
+            status = connection.getresponse().status
+            connection.close()
+        except OSError:
+            return
+        if status == 200 and said == "draining":
+            self.record("drain-acknowledged")
+
+    def call_own_node(self, request_id, deadline_ms):
+        """Asks the deep service; True if it answered well."""
+        headers = {
+            "Host": "h.example",
+            "Request-Id": request_id,
+            "Deadline-Ms": str(deadline_ms),
+        }
+        connection = http.client.HTTPConnection(
+            self.options.entry, timeout=deadline_ms / 1000 + 0.5
+        )
+        try:
+            connection.request("GET", "/c/inner", headers=headers)
+            answer = connection.getresponse()
+            answer.read()
+            return answer.status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+
+class Handler(server.BaseHTTPRequestHandler):
+    """One connection."""
+
+    protocol_version = "HTTP/1.1"
+    state: State
+
+    def log_message(self, *_):
+        """Writes nothing; runs have lines of their own."""
+
+    def do_GET(self):
+        self._take()
+
+    def do_POST(self):
+        self._take()
+
+    def _take(self):
+        length = int(self.headers.get("Content-Length", "0"))
+        self.rfile.read(length)
+        if self.path.startswith(STATE_PATH):
+            self._change_state()
+        elif self.path == "/health":
+            self._tell_health()
+        elif self.headers.get("Expect-Instance") != self.state.backend_id:
+            self._answer(421, b"", {"Not-Run": "1"})
+        elif not self.state.enter():
+            self._answer(503, b"", {"Not-Run": "1"})
+        else:
+            try:
+                self._run()
+            finally:
+                self.state.leave()
+
+    def _run(self):
+        state = self.state
+        request_id = self.headers.get("Request-Id", "")
+        deadline_ms = int(self.headers.get("Deadline-Ms", "0"))
+        began_s = time.monotonic()
+        state.record("begin", id=request_id, path=self.path)
+        time.sleep(state.slowness * random.uniform(0.002, 0.02))
+        is_well = random.random() >= state.failing
+        if state.options.calls:
+            for number in range(2):
+                spent_ms = int((time.monotonic() - began_s) * 1000)
+                left_ms = deadline_ms - spent_ms
+                if left_ms <= 0 or not state.call_own_node(
+                    f"{request_id}.{number}", left_ms
+                ):
+                    is_well = False
+                    break
+        body = b"answer to " + request_id.encode() + b"." * 200
+        self._answer(200 if is_well else 500, body, {"Server-Stamp": STAMP})
+
+    def _tell_health(self):
+        state = self.state
+        status = 200 if state.said == "ready" else 503
+        load = f"{state.active},0,{state.options.slots}"
+        headers = {"Instance-Id": state.backend_id, "Server-Load": load}
+        self._answer(status, b"", headers)
+
+    def _change_state(self):
+        name, _, value = self.path[len(STATE_PATH) :].partition("/")
+        if name == "drain":
+            self.state.said = "draining"
+            self.state.announce()
+        else:
+            setattr(self.state, name, float(value))
+        self._answer(200, b"", {})
+
+    def _answer(self, status, body, headers):
+        try:
+            self.send_response_only(status)
+            self.send_header("Request-Id", self.headers.get("Request-Id", ""))
+            for name, value in headers.items():
+                self.send_header(name, value)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+        except OSError:
+            self.close_connection = True
+
+
+class Server(server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 64
+
+    def handle_error(self, request, client_address):
+        """A connection that was cut is no news here."""
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    for name in ("name", "service", "zone", "announced", "announce", "entry"):
+        parser.add_argument(f"--{name}", required=True)
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--slots", type=int, required=True)
+    parser.add_argument("--calls", action="store_true")
+    options = parser.parse_args()
+    state = State(options)
+    Handler.state = state
+    host, _, port = options.listen.partition(":")
+    listening = Server((host, int(port)), Handler)
+    threading.Thread(target=state.announce_forever, daemon=True).start()
+    listening.serve_forever()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,99 @@
+"""Clients that ask again and again, and what they saw."""
+
+import http.client
+import random
+import threading
+import time
+from typing import NamedTuple
+
+DEADLINE_S = 2.0
+# A client that hears nothing for so long after its deadline was left hanging.
+HANG_S = 1.5
+PATHS = {"/a/tree": False, "/b/tree": True, "/c/leaf": False}
+
+
+class Seen(NamedTuple):
+    """One request as its client saw it.
+
+    Attributes:
+        request_id: Its id.
+        machine: Name of the machine that it was sent to.
+        is_once: True if it may run once at most.
+        sent_s: When it was sent.
+        ended_s: When its answer or failure came.
+        status: Status code; 0 for a closed connection, -1 for silence.
+        is_sound: True if a success has the whole body and the proof.
+    """
+
+    request_id: str
+    machine: str
+    is_once: bool
+    sent_s: float
+    ended_s: float
+    status: int
+    is_sound: bool
+
+
+class Client(threading.Thread):
+    """Keeps a connection for a while, then opens another."""
+
+    def __init__(self, name, machines, seed):
+        super().__init__(daemon=True)
+        self.seen = []
+        self.is_done = False
+        self._name = name
+        self._machines = machines
+        self._random = random.Random(f"{seed} {name}")
+
+    def run(self):
+        number = 0
+        while not self.is_done:
+            machine = self._random.choice(self._machines)
+            connection = http.client.HTTPConnection(
+                *machine.client_address, timeout=DEADLINE_S + HANG_S
+            )
+            for _ in range(self._random.choice((1, 5, 20))):
+                number += 1
+                one = self._ask(connection, machine, f"{self._name}-{number}")
+                self.seen.append(one)
+                if one.status <= 0 or self.is_done:
+                    break
+                time.sleep(self._random.uniform(0.0, 0.06))
+            connection.close()
+            if one.status <= 0:
+                time.sleep(0.05)
+
+    def _ask(self, connection, machine, request_id):
+        path = self._random.choice(list(PATHS))
+        headers = {
+            "Host": "h.example",
+            "Request-Id": request_id,
+            "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+        }
+        sent_s = time.monotonic()
+        status, is_sound = 0, True
+        try:
+            connection.request(
+                "POST" if PATHS[path] else "GET", path, headers=headers
+            )
+            answer = connection.getresponse()
+            body = answer.read()
+            status = answer.status
+            if status == 200:
+                expected = f"answer to {request_id}".encode() + b"." * 200
+                is_sound = body == expected and bool(
+                    answer.headers.get("Server-Stamp")
+                )
+        except TimeoutError:
+            status = -1
+        except (OSError, http.client.HTTPException):
+            status = 0
+        return Seen(
+            request_id,
+            machine.name,
+            PATHS[path],
+            sent_s,
+            time.monotonic(),
+            status,
+            is_sound,
+        )
--- /dev/null
+++ b/tests/soak/config_operator.py
@@ -0,0 +1,72 @@
+"""An operator who changes the configuration and never forgets one."""
+
+import json
+import threading
+import time
+
+from tests.platform import fleet as fleet_module
+
+PAUSE_S = 0.7
+APPLY_S = 2.0
+
+
+class Operator(threading.Thread):
+    """Sends one version after the other, each until it has an answer."""
+
+    def __init__(self, fleet):
+        super().__init__(daemon=True)
+        self.is_done = False
+        self.faults = []
+        self.acknowledged = (0, 0.0)
+        self._fleet = fleet
+
+    def configuration(self, version):
+        """All three routes; the version is all that changes."""
+        values = json.loads(fleet_module.configuration(version))
+        first, second = values["routes"]["rows"]
+        third = list(first)
+        third[0], third[2], third[9] = "r3", "/c/", "s2"
+        second[7], second[9] = None, "s1"
+        values["routes"]["rows"] = [first, second, third]
+        return json.dumps(values).encode()
+
+    def run(self):
+        base = 0
+        while not self.is_done:
+            version = base + 2
+            if not self._put(version, base):
+                return
+            base = version
+            self.acknowledged = (version, time.monotonic())
+            time.sleep(PAUSE_S)
+            self._read()
+
+    def read_back(self, until_s):
+        """The newest version that any instance tells, once one does."""
+        while time.monotonic() < until_s:
+            told = [one.get() for one in self._fleet.instances]
+            if any(told):
+                return max(one for one in told if one)
+            time.sleep(0.2)
+        return 0
+
+    def _put(self, version, base):
+        body = self.configuration(version)
+        while not self.is_done:
+            for one in self._fleet.instances:
+                status = one.put(version, base, body=body)
+                if status == 200:
+                    return True
+                if status not in (0, 307, 503):
+                    self.faults.append(f"version {version}: status {status}")
+                    return False
+            time.sleep(0.1)
+        return False
+
+    def _read(self):
+        version, at_s = self.acknowledged
+        for one in self._fleet.instances:
+            asked_s = time.monotonic()
+            told = one.get()
+            if told and told < version and asked_s > at_s + APPLY_S:
+                self.faults.append(f"{one.ip} tells {told} after {version}")
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,180 @@
+"""What happens to the programs and their links, drawn by a seed."""
+
+import random
+import signal
+import threading
+import time
+
+from tests.soak import proxy as proxy_module
+
+LONGEST_GAP_S = 0.8
+DRAIN_S = 2.0
+SILENT_VOTER_S = 3.0
+_Fault = proxy_module.Fault
+
+
+class Faults:
+    """Strikes again and again; faults overlap."""
+
+    def __init__(self, seed, machines, fleet):
+        self.lines = []
+        self.slow_ends = []
+        self._random = random.Random(f"faults {seed}")
+        self._machines = machines
+        self._fleet = fleet
+        self._threads = []
+        self._busy = set()
+        self._lock = threading.Lock()
+        self._kinds = (
+            self.pause_node,
+            self.kill_node,
+            self.end_node,
+            self.pause_backend,
+            self.kill_backend,
+            self.drain_backend,
+            self.slow_backend,
+            self.fail_backend,
+            self.delay_link,
+            self.silence_link,
+            self.reset_link,
+            self.pause_control,
+            self.kill_control,
+            self.wipe_control,
+            self.fill_disk,
+        )
+
+    def run(self, length_s):
+        until_s = time.monotonic() + length_s
+        while time.monotonic() < until_s:
+            kind = self._random.choice(self._kinds)
+            thread = threading.Thread(target=self._strike, args=(kind,))
+            thread.start()
+            self._threads.append(thread)
+            time.sleep(self._random.uniform(0.0, LONGEST_GAP_S))
+        for one in self._threads:
+            one.join()
+
+    def _strike(self, kind):
+        wanted = self._fleet.instances
+        if not kind.__name__.endswith("control") and kind != self.fill_disk:
+            wanted = self._machines
+        with self._lock:
+            target = self._random.choice(wanted)
+            # Two drawn faults of one program would undo one another.
+            if target in self._busy:
+                return
+            is_control = wanted is self._fleet.instances
+            if is_control and any(
+                one in self._busy for one in self._fleet.instances
+            ):
+                return
+            self._busy.add(target)
+            span_s = self._random.uniform(0.1, 2.0)
+        name = getattr(target, "name", getattr(target, "ip", ""))
+        self.lines.append((time.monotonic(), kind.__name__, name, span_s))
+        try:
+            kind(target, span_s)
+        finally:
+            with self._lock:
+                self._busy.discard(target)
+
+    def pause_node(self, machine, span_s):
+        machine.node.send(signal.SIGSTOP)
+        time.sleep(span_s)
+        machine.node.send(signal.SIGCONT)
+
+    def kill_node(self, machine, span_s):
+        machine.node.kill()
+        time.sleep(span_s)
+        machine.node.start()
+        machine.node.note_ill()
+
+    def end_node(self, machine, span_s):
+        if machine.node.end() is None:
+            self.slow_ends.append(machine.node.name)
+        time.sleep(span_s / 4)
+        machine.node.start()
+        machine.node.note_ill()
+
+    def pause_backend(self, machine, span_s):
+        machine.backend.send(signal.SIGSTOP)
+        time.sleep(span_s)
+        machine.backend.send(signal.SIGCONT)
+
+    def kill_backend(self, machine, span_s):
+        machine.backend.kill()
+        time.sleep(span_s)
+        machine.backend.start()
+
+    def drain_backend(self, machine, span_s):
+        machine.tell_backend("drain")
+        time.sleep(DRAIN_S + span_s)
+        machine.backend.kill()
+        machine.backend.start()
+
+    def slow_backend(self, machine, span_s):
+        machine.tell_backend("slowness/12")
+        time.sleep(span_s)
+        machine.tell_backend("slowness/1")
+
+    def fail_backend(self, machine, span_s):
+        machine.tell_backend("failing/0.6")
+        time.sleep(span_s)
+        machine.tell_backend("failing/0")
+
+    def delay_link(self, machine, span_s):
+        one = self._link(machine)
+        one.delay_s = 0.05
+        self._hold(machine, one, _Fault.DELAY, span_s)
+
+    def silence_link(self, machine, span_s):
+        kind = _Fault.ONE_WAY if span_s < 1.0 else _Fault.SILENCE
+        self._hold(machine, self._link(machine), kind, span_s)
+
+    def reset_link(self, machine, span_s):
+        del span_s
+        machine.node.note_ill()
+        self._link(machine).reset_all()
+
+    def pause_control(self, instance, span_s):
+        instance.process.send_signal(signal.SIGSTOP)
+        time.sleep(span_s)
+        instance.process.send_signal(signal.SIGCONT)
+
+    def kill_control(self, instance, span_s):
+        instance.kill()
+        time.sleep(span_s)
+        instance.start()
+
+    def wipe_control(self, instance, span_s):
+        """Loses a disk, if all the others have a vote; waits till it is back.
+
+        As many disks are lost at once as the settings say may be.
+        """
+        if len(self._fleet.voters()) != len(self._fleet.instances):
+            return
+        instance.kill()
+        instance.wipe()
+        time.sleep(span_s / 2)
+        instance.start()
+        time.sleep(SILENT_VOTER_S)
+
+    def fill_disk(self, instance, span_s):
+        full = instance.data.parent / f"full-{instance.ip}"
+        full.touch()
+        time.sleep(span_s)
+        full.unlink()
+        if instance.process.poll() is not None:
+            instance.start()
+
+    def _link(self, machine):
+        return self._random.choice(
+            (machine.client_proxy, machine.backend_proxy)
+        )
+
+    def _hold(self, machine, one, fault, span_s):
+        machine.node.note_ill()
+        one.fault = fault
+        time.sleep(span_s)
+        one.fault = _Fault.NONE
+        machine.node.note_ill()
--- /dev/null
+++ b/tests/soak/machine.py
@@ -0,0 +1,106 @@
+"""A node, the backend server beside it and the links of both."""
+
+import http.client
+import json
+import signal
+
+from tests.soak import program
+from tests.soak import proxy as proxy_module
+
+SLOTS = 8
+GRACE_S = 6
+
+
+class Machine:
+    """Addresses are on one loopback IP number; proxies stand before two."""
+
+    def __init__(self, folder, fleet, place, service, ports):
+        self.name = f"m{place}"
+        self.service = service
+        self.ip = f"{fleet.net}.{100 + place}"
+        self.zone = f"z{place % 2}"
+        entry, hop, ready, announce, backend = ports
+        self.entry = (self.ip, entry)
+        self._backend = (self.ip, backend)
+        # Clients and the node reach the other side through these.
+        self.client_address = (f"{fleet.net}.{150 + place}", entry)
+        backend_address = (f"{fleet.net}.{150 + place}", backend)
+        settings = folder / f"{self.name}.toml"
+        settings.write_text(
+            self._settings(fleet, hop, ready, announce, backend_address)
+        )
+        self.records = folder / f"{self.name}-backend.jsonl"
+        self.node = program.Program(
+            f"node {self.name}",
+            ["-m", "cranberrymux.platform.node_main"],
+            folder / f"{self.name}-node.log",
+            {"CRANBERRYMUX_SETTINGS": str(settings)},
+        )
+        arguments = [
+            "-m",
+            "tests.soak.backend_main",
+            f"--name=b-{self.name}",
+            f"--service={service}",
+            f"--zone={self.zone}",
+            f"--announced={_text(backend_address)}",
+            f"--announce={self.ip}:{announce}",
+            f"--entry={_text(self.entry)}",
+            f"--listen={_text(self._backend)}",
+            f"--slots={SLOTS}",
+        ]
+        if service == "s1":
+            arguments.append("--calls")
+        self.backend = program.Program(
+            f"backend {self.name}", arguments, self.records
+        )
+        self.client_proxy = proxy_module.Proxy(self.client_address, self.entry)
+        self.backend_proxy = proxy_module.Proxy(backend_address, self._backend)
+
+    def start(self):
+        self.node.start()
+        self.backend.start()
+
+    def close(self):
+        self.node.kill()
+        self.backend.kill()
+        self.client_proxy.close()
+        self.backend_proxy.close()
+
+    def tell_backend(self, path):
+        """Changes what the backend server does; a dead one is left alone."""
+        try:
+            connection = http.client.HTTPConnection(*self._backend, timeout=2)
+            connection.request("GET", f"/state/{path}")
+            connection.getresponse().read()
+            connection.close()
+        except OSError:
+            return
+
+    def heal(self):
+        for one in (self.client_proxy, self.backend_proxy):
+            one.fault = proxy_module.Fault.NONE
+        for one in (self.node, self.backend):
+            one.send(signal.SIGCONT)
+            if not one.is_running:
+                one.start()
+        self.tell_backend("slowness/1")
+        self.tell_backend("failing/0")
+
+    def _settings(self, fleet, hop, ready, announce, backend_address):
+        return (
+            f'[self]\nnode = "{self.name}"\nip = "{self.ip}"\n'
+            f'zone = "{self.zone}"\nregion = "r"\nservice = "{self.service}"\n'
+            f'app_addr = "{_text(backend_address)}"\nbootstrap = false\n'
+            f"[network]\ninternal_ports = [{fleet.port}, {fleet.port}]\n"
+            f"seeds = {json.dumps(fleet.seeds)}\n"
+            f'[network.listen]\noutbound = "{_text(self.entry)}"\n'
+            f'inbound = "{self.ip}:{hop}"\nready = "{self.ip}:{ready}"\n'
+            f'control = "{self.ip}:{announce}"\n'
+            f'[provider]\nbeat_interval = "400ms"\n'
+            f'[terms.bounds]\ngrace = "{GRACE_S}s"\nbudget_ratio = 0.2\n'
+            f'budget_slack = 40\nbudget_window = "10s"\n'
+        )
+
+
+def _text(address):
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,129 @@
+"""One seed: start, faults, calm, checks."""
+
+import time
+from typing import NamedTuple
+
+from cranberrymux.demo import ports
+from tests.platform import fleet as fleet_module
+from tests.soak import checks
+from tests.soak import clients as clients_module
+from tests.soak import config_operator
+from tests.soak import faults as faults_module
+from tests.soak import machine as machine_module
+
+SERVICES = ("s1", "s1", "s2", "s2", "s2")
+CLIENTS = 8
+SERVING_S = 20.0
+RECOVERY_S = 15.0
+CALM_S = 3.0
+# Run by control instances before their own program: a disk that can be full,
+# and a time of day that is off.
+MUTANT = """
+import errno, os, time
+_real_write, _real_time, _real_time_ns = os.write, time.time, time.time_ns
+_full = os.environ['CRANBERRYMUX_SETTINGS'].replace('.toml', '')
+_full = os.path.join(os.path.dirname(_full), 'full-' + os.path.basename(_full))
+_off_s = (os.getpid() % 7 - 3)
+def _write(descriptor, data):
+    if descriptor > 2 and os.path.exists(_full):
+        raise OSError(errno.ENOSPC, 'no space left')
+    return _real_write(descriptor, data)
+os.write = _write
+time.time = lambda: _real_time() + _off_s
+time.time_ns = lambda: _real_time_ns() + _off_s * 10**9
+"""
+
+
+class Result(NamedTuple):
+    """How a seed ended.
+
+    Attributes:
+        seed: The seed.
+        requests: Requests that clients sent.
+        served: Those that were served.
+        strikes: Faults that were injected.
+        broken: One sentence for each broken promise.
+    """
+
+    seed: int
+    requests: int
+    served: int
+    strikes: int
+    broken: tuple[str, ...]
+
+
+def run(seed, folder, length_s):
+    """Runs one seed; logs and records stay in the folder.
+
+    Args:
+        seed: Draws the faults and the clients.
+        folder: An empty folder.
+        length_s: How long faults are injected.
+    """
+    fleet = fleet_module.Fleet(folder, 3, MUTANT)
+    numbers = ports.find_free_ports(5)
+    machines = [
+        machine_module.Machine(folder, fleet, place, service, numbers)
+        for place, service in enumerate(SERVICES)
+    ]
+    try:
+        with fleet:
+            return _play(seed, fleet, machines, length_s)
+    finally:
+        for one in machines:
+            one.close()
+
+
+def _play(seed, fleet, machines, length_s):
+    operator = config_operator.Operator(fleet)
+    operator.start()
+    for one in machines:
+        one.start()
+    clients = [
+        clients_module.Client(f"c{number}", machines, seed)
+        for number in range(CLIENTS)
+    ]
+    for one in clients:
+        one.start()
+    _wait_until_served(clients)
+    faults = faults_module.Faults(seed, machines, fleet)
+    faults.run(length_s)
+    for one in machines:
+        one.heal()
+    time.sleep(RECOVERY_S)
+    well_s = time.monotonic()
+    time.sleep(CALM_S)
+    operator.is_done = True
+    for one in clients:
+        one.is_done = True
+    for one in (operator, *clients):
+        one.join()
+    seen = [one for client in clients for one in client.seen]
+    broken = checks.check(seen, machines)
+    broken += checks.check_recovery(seen, well_s)
+    broken += [f"CONFIG {one}" for one in operator.faults]
+    broken += [f"LOST {one} did not end in time" for one in faults.slow_ends]
+    version, _ = operator.acknowledged
+    told = operator.read_back(time.monotonic() + RECOVERY_S)
+    if told < version:
+        broken.append(f"CONFIG {told} is told, {version} was acknowledged")
+    served = sum(one.status == 200 for one in seen)
+    _write_faults(machines[0].records.parent, faults)
+    return Result(seed, len(seen), served, len(faults.lines), tuple(broken))
+
+
+def _wait_until_served(clients):
+    until_s = time.monotonic() + SERVING_S
+    while time.monotonic() < until_s:
+        seen = [one for client in clients for one in client.seen[-20:]]
+        if sum(one.status == 200 for one in seen) > 20:
+            return
+        time.sleep(0.1)
+
+
+def _write_faults(folder, faults):
+    lines = [
+        f"{at:.3f} {kind} {name} {span_s:.2f} s"
+        for at, kind, name, span_s in faults.lines
+    ]
+    (folder / "faults.txt").write_text("\n".join(lines) + "\n")
