--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 LONGEST_GAP_S = 0.8
 DRAIN_S = 2.0
 SILENT_VOTER_S = 3.0
+RESTART_S = 0.2
 _Fault = proxy_module.Fault
 
 
@@ -24,6 +25,8 @@
         self._fleet = fleet
         self._threads = []
         self._busy = set()
+        self._is_done = False
+        self.own_ends = []
         self._lock = threading.Lock()
         self._kinds = (
             self.pause_node,
@@ -54,6 +57,22 @@
         for one in self._threads:
             one.join()
 
+    def supervise_forever(self):
+        """Starts again what ended by itself, as the platform does."""
+        programs = [one.node for one in self._machines]
+        while not self._is_done:
+            time.sleep(RESTART_S)
+            for one in self._fleet.instances:
+                if one not in self._busy and one.process.poll() is not None:
+                    one.start()
+            for one in programs:
+                if one.has_ended_itself:
+                    self.own_ends.append(one.name)
+                    one.start()
+
+    def stop_supervising(self):
+        self._is_done = True
+
     def _strike(self, kind):
         wanted = self._fleet.instances
         if not kind.__name__.endswith("control") and kind != self.fill_disk:
@@ -164,8 +183,6 @@
         full.touch()
         time.sleep(span_s)
         full.unlink()
-        if instance.process.poll() is not None:
-            instance.start()
 
     def _link(self, machine):
         return self._random.choice(
--- a/tests/soak/program.py
+++ b/tests/soak/program.py
@@ -18,6 +18,7 @@
         self._log = log
         self._environment = environment or {}
         self._process = None
+        self._is_wanted = False
         # Spans of time in which somebody ill-treated it; monotonic seconds.
         self.ill_from_s = []
 
@@ -25,6 +26,10 @@
     def is_running(self):
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def has_ended_itself(self):
+        return self._is_wanted and not self.is_running
+
     def start(self, **environment):
         self._environment.update(environment)
         with self._log.open("ab") as log:
@@ -34,6 +39,7 @@
                 stderr=log,
                 env={**os.environ, **self._environment},
             )
+        self._is_wanted = True
 
     def send(self, number):
         self.note_ill()
@@ -41,6 +47,7 @@
             self._process.send_signal(number)
 
     def kill(self):
+        self._is_wanted = False
         self.send(signal.SIGCONT)
         if self.is_running:
             self._process.kill()
@@ -49,6 +56,7 @@
 
     def end(self):
         """Ends it in order; returns the seconds that took, None if too long."""
+        self._is_wanted = False
         began_s = time.monotonic()
         self.send(signal.SIGTERM)
         try:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,5 +1,6 @@
 """One seed: start, faults, calm, checks."""
 
+import threading
 import time
 from typing import NamedTuple
 
@@ -87,12 +88,16 @@
         one.start()
     _wait_until_served(clients)
     faults = faults_module.Faults(seed, machines, fleet)
+    supervisor = threading.Thread(target=faults.supervise_forever)
+    supervisor.start()
     faults.run(length_s)
     for one in machines:
         one.heal()
     time.sleep(RECOVERY_S)
     well_s = time.monotonic()
     time.sleep(CALM_S)
+    faults.stop_supervising()
+    supervisor.join()
     operator.is_done = True
     for one in clients:
         one.is_done = True
@@ -102,6 +107,7 @@
     broken = checks.check(seen, machines)
     broken += checks.check_recovery(seen, well_s)
     broken += [f"CONFIG {one}" for one in operator.faults]
+    broken += [f"ENDED {one} by itself" for one in faults.own_ends]
     broken += [f"LOST {one} did not end in time" for one in faults.slow_ends]
     version, _ = operator.acknowledged
     told = operator.read_back(time.monotonic() + RECOVERY_S)
