--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -13,6 +13,7 @@
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import backend_health
 from cranberrymux.gateway import exit_call
+from cranberrymux.gateway import exit_owner
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import socket_address
@@ -123,7 +124,7 @@
             hop.LoadReport(requests, health.failing, health.slowness)
         )
 
-    def note_outcome(self, call: exit_call.ExitCall, is_failed: bool) -> bool:
+    def note_outcome(self, call: exit_owner.OwnedCall, is_failed: bool) -> bool:
         """Takes note of how a request ended, before its slot is taken back."""
         work = self._parts.running.find(call.ticket_id)
         is_due_to_call = is_failed and work is not None and work.depends_on_call
@@ -131,13 +132,15 @@
             self._health.note_outcome(is_failed)
         return is_due_to_call
 
-    def call_started(self, call: exit_call.ExitCall, deadline_s: float) -> None:
+    def call_started(
+        self, call: exit_owner.OwnedCall, deadline_s: float
+    ) -> None:
         """Takes note that a request is handed over."""
         self._parts.lineage.begin(call.ticket_id, call.request_id, deadline_s)
         self._parts.running.begin(call.ticket_id, call.standing)
 
     def call_finished(
-        self, call: exit_call.ExitCall, end: run_end.RunEnd
+        self, call: exit_owner.OwnedCall, end: run_end.RunEnd
     ) -> work_report.WorkReport:
         """Takes a slot back; returns what the request and its calls cost."""
         ticket_id = call.ticket_id
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -1,11 +1,9 @@
 """A request for the backend server beside this node."""
 
-from typing import Any
-from typing import Protocol
-
 from cranberrymux.decisions.endpoints import run_end
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import attempt as attempt_module
+from cranberrymux.gateway import exit_owner
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import outgoing
@@ -25,44 +23,13 @@
 _CONTENT_CODING = b"content-encoding"
 
 
-class ExitOwner(Protocol):
-    """Keeps the slots of the backend server."""
-
-    def load_of(self) -> bytes:
-        """Requests that run and wait here."""
-
-    def describe_load(self) -> dict[str, Any]:
-        """Requests that run and wait, slots and failures, for a log line."""
-
-    def call_started(self, call: "ExitCall", deadline_s: float) -> None:
-        """Takes note that a request is handed over with this deadline."""
-
-    def call_finished(
-        self, call: "ExitCall", end: run_end.RunEnd
-    ) -> work_report.WorkReport:
-        """Takes a slot back; returns what the request and its calls cost."""
-
-    def note_outcome(self, call: "ExitCall", is_failed: bool) -> bool:
-        """Takes note of how a request ended, before its slot is taken back.
-
-        Returns:
-            True if it failed because a call of it did.
-        """
-
-    def report_share(self) -> work_report.WorkReport:
-        """The share of the offered work that fits here."""
-
-    def call_left(self, ticket_id: int) -> None:
-        """Takes note that a waiting request is gone."""
-
-
 class ExitCall(relay.Relay):
     """One request, from its arrival to the answer of the backend server."""
 
     def __init__(
         self,
         parts: parts_module.GatewayParts,
-        owner: ExitOwner,
+        owner: exit_owner.ExitOwner,
         pool: connection_pool.ConnectionPool,
         call: inbound_call.InboundCall,
         ticket_id: int,
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -14,6 +14,7 @@
 from cranberrymux.gateway import control_contacts
 from cranberrymux.gateway import entry as entry_module
 from cranberrymux.gateway import exit as exit_module
+from cranberrymux.gateway import idle_wait
 from cranberrymux.gateway import inquiry as inquiry_module
 from cranberrymux.gateway import meters_port
 from cranberrymux.gateway import parts as parts_module
@@ -30,7 +31,6 @@
 # New requests are taken for so long after SIGTERM, since callers find out by
 # asking twice, once a second.
 LINGER_S = 2.5
-STOP_POLL_S = 0.05
 FLUSH_S = 0.1
 _Change = presence_module.PresenceChange
 
@@ -88,9 +88,6 @@
         self._sweeping = task.LoopingCall(self._sweep)
         self._sweeping.clock = reactor
         self._ports = ports_module.Ports(reactor)
-        self._stopping = task.LoopingCall(self._stop_when_idle)
-        self._stopping.clock = reactor
-        self._stopping_s = 0.0
         self._is_stopping = False
 
     @property
@@ -150,13 +147,14 @@
         if self._is_stopping:
             return
         self._is_stopping = True
-        self._stopping_s = self._clock.now_s()
         self._events.info("node-stopping", in_flight=self._exit.in_flight)
         if self._announcer.stop():
             self._directory.beat()
         self._exit.stop()
         self._ports.leave()
-        self._stopping.start(STOP_POLL_S, now=False)
+        idle_wait.IdleWait(
+            self._reactor, self._clock, self._count_in_flight, self._close
+        ).start(LINGER_S, self._settings.stop_s)
 
     # What the directory tells.
 
@@ -240,13 +238,8 @@
             if was_serving != is_serving:
                 self._tell_change()
 
-    def _stop_when_idle(self) -> None:
-        age_s = self._clock.now_s() - self._stopping_s
-        in_flight = self._exit.in_flight + self._parts.entered
-        is_idle = not in_flight and age_s > LINGER_S
-        if is_idle or age_s > self._settings.stop_s:
-            self._stopping.stop()
-            self._close()
+    def _count_in_flight(self) -> int:
+        return self._exit.in_flight + self._parts.entered
 
     def _close(self) -> None:
         self._ports.close()
