--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(CURDIR)/src
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test lint format bench golden generate
+.PHONY: setup demo test lint format bench soak golden generate
 
 $(VENV)/.installed: requirements/dev.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -33,6 +33,9 @@
 bench: setup
 	$(BIN)/python -m bench
 
+soak: setup
+	$(BIN)/python -m tests.soak --first $$(date +%s) --seeds 5
+
 golden: setup
 	CRANBERRYMUX_REWRITE_GOLDEN=1 $(BIN)/python -m pytest tests/golden
 
