--- a/src/cranberrymux/decisions/pressure/prospects.py
+++ b/src/cranberrymux/decisions/pressure/prospects.py
@@ -11,7 +11,10 @@
 WEIGHT = 0.1  # Weight of one tree in the share that ends well.
 # A route whose trees end well at least so often is not held back.
 GOOD_SHARE = 0.3
-LEAST_CHANCE = 0.1  # Part that begins however bad it looks, to learn of a turn.
+# However bad it looks, so large a part begins, and one tree in so long a time,
+# to learn of a turn.
+LEAST_CHANCE = 0.1
+PROBE_S = 0.7
 FADE_TIME_S = 60.0  # Time in which bad news that is not renewed fades by e.
 
 
@@ -21,6 +24,19 @@
     def __init__(self) -> None:
         """Starts with good prospects."""
         self._failing: dict[str, tuple[float, float]] = {}
+        self._credits: dict[str, tuple[float, float]] = {}
+
+    def admits(self, now_s: float, route: str) -> bool:
+        """Decides on a tree of a route."""
+        chance = self.chance(now_s, route)
+        if chance >= 1.0:
+            return True
+        credit, at_s = self._credits.get(route, (0.0, now_s))
+        credit += chance + (now_s - at_s) / PROBE_S
+        may_begin = credit >= 1.0
+        credit = min(credit, 2.0) - may_begin
+        self._credits[route] = (credit, now_s)
+        return may_begin
 
     def note(self, now_s: float, route: str, is_whole: bool) -> None:
         """Takes note of how a tree ended.
--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -88,14 +88,12 @@
         if flow is None:
             flow = self._flows[kind] = _Flow()
         flow.arrived += 1
-        share = flow.share * self._prospects.chance(now_s, kind.route)
-        if share >= 1.0:
-            return True
-        flow.credit = min(flow.credit + share, MOST_CREDIT)
-        if flow.credit < 1.0:
-            return False
-        flow.credit -= 1.0
-        return True
+        if flow.share < 1.0:
+            flow.credit = min(flow.credit + flow.share, MOST_CREDIT)
+            if flow.credit < 1.0:
+                return False
+            flow.credit -= 1.0
+        return self._prospects.admits(now_s, kind.route)
 
     @property
     def least_share(self) -> float:
