--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -1,6 +1,5 @@
 """How well the backend server beside this node does its work."""
 
-from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.decisions.endpoints import run_end
 from cranberrymux.decisions.endpoints import slowness
@@ -8,6 +7,10 @@
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.gateway import parts as parts_module
 
+# For the lines only; callers weigh the figures themselves.
+DEGRADED_FAILING = 0.3
+DEGRADED_SLOWNESS = 4.0
+RECOVERED_PART = 0.5
 _RunEnd = run_end.RunEnd
 
 
@@ -68,10 +71,12 @@
 
     def check(self) -> None:
         """Writes a line if it turned bad or well again."""
+        # What was degraded has to be clearly better to count as recovered.
+        part = RECOVERED_PART if self._is_degraded else 1.0
         is_degraded = (
             self._stall.is_stalled
-            or self.failing > endpoint_view.TOLERATED_FAILING
-            or self.slowness > endpoint_view.TOLERATED_SLOWNESS
+            or self.failing > part * DEGRADED_FAILING
+            or self.slowness > part * DEGRADED_SLOWNESS
         )
         if is_degraded == self._is_degraded:
             return
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -87,4 +87,4 @@
     recovered = lines_of("backend-recovered", logs)
     assert {one["backend_id"] for one in degraded} == {"b-1", "b-2"}
     assert len(recovered) == len(degraded)
-    assert all(one["failing"] > 0.1 for one in degraded)
+    assert all(one["failing"] > 0.3 for one in degraded)
