--- a/src/cranberrymux/decisions/endpoints/stall.py
+++ b/src/cranberrymux/decisions/endpoints/stall.py
@@ -12,6 +12,7 @@
 SHORTEST_S = 0.2  # Silence that is never a stall.
 LONGEST_STEP_S = 0.1  # A longer time without events was a stop of this node.
 PROBE_S = 1.0  # Time between requests that are let through in a stall.
+_SHORTEST_WORK_S = 0.001
 
 
 class Stall:
@@ -51,9 +52,8 @@
         self._silent_s = 0.0
         self._served += 1
         known = self._work_s or worked_s
-        self._work_s = max(
-            known + WORK_WEIGHT * (worked_s - known), PROBE_S / 1000
-        )
+        mean_s = known + WORK_WEIGHT * (worked_s - known)
+        self._work_s = max(mean_s, _SHORTEST_WORK_S)
 
     def note_sign_of_life(self) -> None:
         """Takes any other word of the backend server."""
