Refuse late in a stop what cannot end before it

A node got SIGTERM while half of its zone was down, so clients went on sending to it; a request that came 5.2 s later was cut 0.2 s after that, at the end of the stop. From half of the stop on, a request is taken only if its deadline lies before the end; otherwise it is refused as not run, and told when to come back.

Ruled out: refusing everything at once (callers of the zone have few other nodes then), a longer stop (the process would be killed). Test fails without.

--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -74,6 +74,9 @@
         if left_s <= 0:
             self._refuse(_Outcome.EXPIRED)
             return
+        if not self._parts.may_end(self._began_s, self._deadline_s):
+            self._refuse(_Outcome.STOPPING)
+            return
         standing = self._origin.find_standing(self._began_s)
         if standing is None:
             self._refuse(_Outcome.SHED)
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -147,6 +147,7 @@
         if self._is_stopping:
             return
         self._is_stopping = True
+        self._parts.begin_stop(self._clock.now_s(), self._settings.stop_s)
         self._events.info("node-stopping", in_flight=self._exit.in_flight)
         if self._announcer.stop():
             self._directory.beat()
--- a/src/cranberrymux/gateway/own_answers.py
+++ b/src/cranberrymux/gateway/own_answers.py
@@ -17,6 +17,7 @@
     SHED = "shed"
     REFUSED = "refused"
     EXPIRED = "expired"
+    STOPPING = "stopping"
     TIMED_OUT = "timed-out"
     LOST = "lost"
     TRUNCATED = "truncated"
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -1,5 +1,6 @@
 """What the calls of a gateway work with."""
 
+import math
 import random
 from typing import Any
 from typing import Protocol
@@ -18,6 +19,8 @@
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node.http import connection_pool
 
+# Part of a stop after which a request is taken only if it ends before it.
+LAST_TAKES_PART = 0.5
 SERVED_FOR_LINE = 200  # Served requests for each line on one of them.
 
 
@@ -51,6 +54,9 @@
         hops: Connections to other nodes.
         meters: Counters and histograms.
         entered: Requests that began here and are not answered.
+        last_takes_s: When a stop has come so far that a request is taken only
+            if it ends before the stop does.
+        ends_s: When a stop ends at the latest.
         events: Logger.
     """
 
@@ -81,9 +87,20 @@
         self.hops = connection_pool.ConnectionPool(reactor, watches=True)
         self.meters = meters_module.GatewayMeters()
         self.entered = 0
+        self.last_takes_s = math.inf
+        self.ends_s = math.inf
         self._served = 0
         self.events = structlog.get_logger()
 
+    def begin_stop(self, now_s: float, stop_s: float) -> None:
+        """Takes note that the node stops, within this time."""
+        self.last_takes_s = now_s + LAST_TAKES_PART * stop_s
+        self.ends_s = now_s + stop_s
+
+    def may_end(self, now_s: float, deadline_s: float) -> bool:
+        """True if a request that comes now is not cut off by the stop."""
+        return now_s < self.last_takes_s or deadline_s < self.ends_s
+
     def is_sampled(self) -> bool:
         """True for one served request in `SERVED_FOR_LINE`."""
         self._served += 1
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -258,6 +258,29 @@
         assert client.statuses == [200]
         assert mesh.network.is_stopped
 
+    def test_refuses_late_in_the_stop_what_cannot_end_before_it(self, mesh):
+        """Clients go on where too few nodes of a zone are ready."""
+        for one in mesh.members[1:]:
+            one.backend.answer = None
+        mesh.put(
+            mesh_module.make_route("read", "deep"),
+            mesh_module.make_route("long", "deep", timeout_s=60.0),
+            label=2,
+        )
+        mesh.ask(0, "/long/x", headers=[("Deadline-Ms", "60000")])
+        mesh.members[0].gateway.stop()
+        mesh.network.run(2.0, step_s=0.01)
+        early = mesh.ask(0, "/read/x", headers=[("Request-Id", "early")])
+        assert early.statuses == []
+        mesh_module.answer_with_proof(handed(mesh)[-1])
+        mesh.network.run(2.4, step_s=0.01)
+        assert early.statuses == [200]
+        runs = len(handed(mesh))
+        late = mesh.ask(0, "/read/x", headers=[("Request-Id", "late")])
+        assert late.statuses == [503]
+        assert b"retry-after" in late.received
+        assert len(handed(mesh)) == runs
+
 
 class TestLimitsOfClients:
     def test_closes_an_idle_connection_after_its_time(self, mesh):
