--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -9,7 +9,6 @@
 import math
 from typing import NamedTuple
 
-from cranberrymux.decisions.pressure import prospects
 from cranberrymux.decisions.pressure import work_report
 
 COST_WEIGHT = 0.05  # Weight of one answer in the cost of a route.
@@ -77,7 +76,6 @@
         self._flows: dict[Kind, _Flow] = {}
         self._costs: dict[str, dict[str, float]] = {}
         self._services: dict[str, _Service] = {}
-        self._prospects = prospects.Prospects()
         self._refreshed_s = now_s
 
     def offer(self, now_s: float, kind: Kind) -> bool:
@@ -88,12 +86,13 @@
         if flow is None:
             flow = self._flows[kind] = _Flow()
         flow.arrived += 1
-        if flow.share < 1.0:
-            flow.credit = min(flow.credit + flow.share, MOST_CREDIT)
-            if flow.credit < 1.0:
-                return False
-            flow.credit -= 1.0
-        return self._prospects.admits(now_s, kind.route)
+        if flow.share >= 1.0:
+            return True
+        flow.credit = min(flow.credit + flow.share, MOST_CREDIT)
+        if flow.credit < 1.0:
+            return False
+        flow.credit -= 1.0
+        return True
 
     @property
     def least_share(self) -> float:
@@ -106,17 +105,6 @@
         flow = self._flows.get(kind)
         return 1.0 if flow is None else flow.share
 
-    def note_end(self, now_s: float, route: str, is_whole: bool) -> None:
-        """Takes note of how a tree ended that began here.
-
-        Args:
-            now_s: Present time.
-            route: Name of its route.
-            is_whole: True if it ended well, False if a call of it failed or
-                its time ran out.
-        """
-        self._prospects.note(now_s, route, is_whole)
-
     def note_report(
         self,
         now_s: float,
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -230,7 +230,6 @@
         if self._answer.is_begun:
             self._answer.cut("the deadline passed")
         elif self._tries.sent:
-            self._origin.note_timed_out(self._parts.clock.now_s())
             self._fail(_Outcome.TIMED_OUT, 504, "no answer in time")
         else:
             self._refuse(_Outcome.EXPIRED)
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -3,13 +3,11 @@
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import hop
-from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
 FIRST_FAILURE_STATUS = 400
-TIMED_OUT_STATUS = 504
 
 
 class Origin:
@@ -73,12 +71,6 @@
         now_s = self._parts.clock.now_s()
         self._parts.running.end_call(self._descent.parent, now_s, is_failed)
 
-    def note_timed_out(self, now_s: float) -> None:
-        """Takes note that no answer came in time."""
-        if not self._descent.is_call:
-            admission = self._parts.callers.admission
-            admission.note_end(now_s, self._route.name, False)
-
     def learn(
         self,
         service: str,
@@ -107,9 +99,5 @@
             return
         callers = self._parts.callers
         callers.admission.note_report(now_s, self._route.name, report, is_whole)
-        if hop_answer.has_failed_call(head) or head.status == TIMED_OUT_STATUS:
-            callers.admission.note_end(now_s, self._route.name, False)
-        elif is_whole:
-            callers.admission.note_end(now_s, self._route.name, True)
         if is_whole:
             callers.advice(self._route).note_latency(now_s - began_s)
