--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -2,6 +2,7 @@
 
 import math
 
+from cranberrymux.decisions.endpoints import fading_value
 from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
@@ -37,8 +38,7 @@
         "_reported_s",
         "_refusing",
         "_silences",
-        "_slowness",
-        "_slowness_s",
+        "_slower",
         "_suspended_until_s",
         "_suspension_s",
         "has_failed",
@@ -59,8 +59,7 @@
         self._failing = failure_rate.FailureRate()
         self._failing_there = failure_rate.FailureRate()
         self._silences = 0
-        self._slowness = 1.0
-        self._slowness_s = -math.inf
+        self._slower = fading_value.FadingValue(SLOWNESS_FADE_S)
         self._suspended_until_s = -math.inf
         self._suspension_s = FIRST_SUSPENSION_S
 
@@ -80,8 +79,7 @@
 
     def slowness(self, now_s: float) -> float:
         """Ratio of its present to its usual working times, by its node."""
-        fade = math.exp((self._slowness_s - now_s) / SLOWNESS_FADE_S)
-        return 1.0 + (self._slowness - 1.0) * fade
+        return 1.0 + self._slower.at(now_s)
 
     def failing(self, now_s: float) -> float:
         """Share of requests that it fails, as seen from here or there.
@@ -134,8 +132,7 @@
 
     def note_slowness(self, now_s: float, slowness: float) -> None:
         """Takes the ratio of its present to its usual working times."""
-        self._slowness = slowness
-        self._slowness_s = now_s
+        self._slower.set(now_s, slowness - 1.0)
 
     def note_answer(self) -> None:
         """Takes note that it answers."""
--- a/src/cranberrymux/decisions/endpoints/slowness.py
+++ b/src/cranberrymux/decisions/endpoints/slowness.py
@@ -7,6 +7,8 @@
 
 import math
 
+from cranberrymux.decisions.endpoints import fading_value
+
 WEIGHT = 0.1  # Weight of one request in the ratio.
 RISE_TIME_S = 60.0  # Time in which what is usual takes up a change, rising.
 FALL_TIME_S = 2.0  # The same, falling: a backend server is slow at first.
@@ -24,8 +26,7 @@
     def __init__(self) -> None:
         """Starts with nothing that is usual."""
         self._usual: dict[str, float] = {}
-        self._excess = 0.0
-        self._noted_s = 0.0
+        self._excess = fading_value.FadingValue(FADE_TIME_S)
 
     def note(self, now_s: float, route: str, worked_s: float) -> None:
         """Takes the time that a request was worked on.
@@ -37,17 +38,14 @@
         """
         level = math.log(max(worked_s, _SHORTEST_S))
         usual = self._usual.get(route, level)
-        span_s = now_s - self._noted_s
-        known = self._excess_at(now_s)
-        self._excess = known + WEIGHT * (level - usual - known)
-        self._noted_s = now_s
-        time_s = RISE_TIME_S if self._excess > 0.0 else FALL_TIME_S
+        span_s = now_s - self._excess.set_s
+        known = self._excess.at(now_s)
+        excess = known + WEIGHT * (level - usual - known)
+        self._excess.set(now_s, excess)
+        time_s = RISE_TIME_S if excess > 0.0 else FALL_TIME_S
         weight = 1.0 - math.exp(-span_s / time_s)
-        self._usual[route] = usual + weight * self._excess
+        self._usual[route] = usual + weight * excess
 
     def at(self, now_s: float) -> float:
         """Returns the ratio now, 1.0 if it is as usual or faster."""
-        return math.exp(max(0.0, self._excess_at(now_s)))
-
-    def _excess_at(self, now_s: float) -> float:
-        return self._excess * math.exp((self._noted_s - now_s) / FADE_TIME_S)
+        return math.exp(max(0.0, self._excess.at(now_s)))
--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -50,7 +50,6 @@
     def note_outcome(self, is_failed: bool) -> None:
         """Takes note of a request that did not depend on a call."""
         self._failing.note(self._now_s, is_failed)
-        self.check()
 
     def note_time(
         self, route: str, worked_s: float, end: run_end.RunEnd
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -3,6 +3,7 @@
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
@@ -86,7 +87,7 @@
             began_s: When the request came.
             now_s: Present time.
         """
-        is_refused = headers_module.find(head.headers, hop.NOT_RUN) is not None
+        is_refused = hop_answer.find_refusal(head) is not None
         is_whole = head.status < FIRST_FAILURE_STATUS and not is_refused
         work = headers_module.find(head.headers, hop.WORK)
         report = work_report.decode(work) if work is not None else {}
