--- a/bench/consensus_schedule.py
+++ b/bench/consensus_schedule.py
@@ -20,6 +20,8 @@
 class Schedule:
     """Draws faults by a seed and runs them."""
 
+    world_class: type[consensus_world.World] = consensus_world.World
+
     def __init__(
         self,
         seed: int,
@@ -56,7 +58,7 @@
         disk_class: type[consensus_disk.SimulatedDisk],
     ) -> consensus_world.World:
         """Makes the cluster."""
-        return consensus_world.World(
+        return self.world_class(
             seed, voters, replica_class, settings, disk_class
         )
 
--- a/bench/consensus_seeded_schedule.py
+++ b/bench/consensus_seeded_schedule.py
@@ -7,7 +7,6 @@
 from bench import consensus_schedule
 from bench import consensus_seeded_world
 from cranberrymux.consensus import replica as replica_module
-from cranberrymux.consensus import replica_settings
 
 FORMED_BY_S = 20.0
 FORMING_DISK_S = 0.004
@@ -22,6 +21,7 @@
     """
 
     world: consensus_seeded_world.SeededWorld
+    world_class = consensus_seeded_world.SeededWorld
 
     def __init__(
         self,
@@ -43,19 +43,6 @@
         )
         self._names = iter(NAMES)
 
-    def make_world(
-        self,
-        seed: int,
-        voters: int,
-        replica_class: type[replica_module.Replica],
-        settings: replica_settings.ReplicaSettings,
-        disk_class: type[consensus_disk.SimulatedDisk],
-    ) -> consensus_seeded_world.SeededWorld:
-        """Makes a cluster that is yet to be formed."""
-        return consensus_seeded_world.SeededWorld(
-            seed, voters, replica_class, settings, disk_class
-        )
-
     def _run_faults(self) -> None:
         # Two voters elect nobody while one write takes ten leases.
         drawn_disk_s = self.world.disk_s
