Log and count bytes that answer no pending request

Neither logs nor counters could tell whether the second answer came in one segment with the first, later without an id, or through a long answer that is not checked.

Each such occurrence now has a line unexpected-answer and a counter, by reason. The id of a request and its header are handed to the connection in place of a filter, so that the line names the pending request.

--- a/src/cranberrymux/gateway/attempt.py
+++ b/src/cranberrymux/gateway/attempt.py
@@ -9,6 +9,7 @@
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import lost_answer
+from cranberrymux.node.http import request_identity
 
 # Answers up to this size are read whole before a byte is passed on, so that
 # the request can still be sent elsewhere if the connection breaks.
@@ -55,8 +56,7 @@
         address: connection_pool.Address,
         request: outgoing_request.OutgoingRequest,
         owner: AttemptOwner,
-        request_id: bytes,
-        id_header: bytes,
+        identity: request_identity.RequestIdentity,
     ) -> None:
         """Prepares the attempt; `start` sends the request.
 
@@ -65,16 +65,14 @@
             address: Address of the other node or of the backend server.
             request: The request to send.
             owner: Receives the outcome.
-            request_id: Id of the request. An answer with another id is not
-                its answer.
-            id_header: Name of the header that holds the id.
+            identity: Id of the request. An answer with another id is not its
+                answer.
         """
         self._pool = pool
         self._address = address
         self._request = request
         self._owner: AttemptOwner | None = owner
-        self._request_id = request_id
-        self._id_header = id_header
+        self._identity = identity
         self._lease: connection_pool.Lease | None = None
         self._connection: client_connection.ClientConnection | None = None
         self._head: answer_head.AnswerHead | None = None
@@ -115,12 +113,11 @@
             self._pool.add_idle(self._address, connection)
             return
         self._connection = connection
-        connection.answer_filter = self._matches_request
         owner.attempt_sent()
         request = self._request
         is_head = request.method == b"HEAD"
         connection.send_request(
-            request.encode(), request.is_whole, is_head, self
+            request.encode(), request.is_whole, is_head, self, self._identity
         )
         if not request.is_whole:
             request.call.stream_body_to(self)
@@ -128,10 +125,6 @@
     def _handle_connect_failed(self, loss: lost_answer.LostAnswer) -> None:
         self._report_loss(loss)
 
-    def _matches_request(self, headers: headers_module.HeaderList) -> bool:
-        answer_id = headers_module.find(headers, self._id_header)
-        return answer_id is None or answer_id == self._request_id
-
     # Body of a request that is streamed.
 
     def body_part(self, part: bytes) -> None:
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -18,6 +18,7 @@
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
+from cranberrymux.node.http import request_identity
 
 _Outcome = own_answers.Outcome
 
@@ -129,8 +130,9 @@
                 head.method, head.target, headers, self._call
             ),
             self,
-            self._request_id,
-            dialect.request_id,
+            request_identity.RequestIdentity(
+                dialect.request_id, self._request_id
+            ),
         )
 
     # Outcome of the current attempt.
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -52,7 +52,9 @@
         self._parts = parts
         self._presence = presence
         self._pool = connection_pool.ConnectionPool(
-            parts.reactor, accepts_close_delimited=True
+            parts.reactor,
+            accepts_close_delimited=True,
+            on_unexpected=parts.note_unexpected_answer,
         )
         self._scheduler = slot_scheduler.SlotScheduler(1)
         self._share_meter = share_meter.ShareMeter(parts.clock.now_s())
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -15,6 +15,7 @@
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
+from cranberrymux.node.http import request_identity
 
 # The sender cancels at the deadline. If its cancellation does not arrive, the
 # request is ended here, this much later.
@@ -102,8 +103,9 @@
                 head.method, head.target, headers, self._call
             ),
             self,
-            self.request_id,
-            dialect.request_id,
+            request_identity.RequestIdentity(
+                dialect.request_id, self.request_id
+            ),
         )
         self._timer = self._parts.reactor.callLater(
             max(left_s, 0) + CANCELLATION_GRACE_S, self._handle_timeout
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -19,6 +19,8 @@
         hops: Requests passed on by nodes to this one, by outcome.
         hold_s: Seconds for which a request held a slot of the backend server,
             by route.
+        unexpected_answers: Bytes from backend servers and other nodes that do
+            not answer a pending request, by kind.
         repeats: Requests sent again to another endpoint, by service.
         share: Fraction of the offered work, 0 to 1, that the backend server
             has capacity for.
@@ -56,6 +58,12 @@
             buckets=LATENCY_BOUNDS_S,
             registry=registry,
         )
+        self.unexpected_answers = prometheus_client.Counter(
+            "cranberrymux_unexpected_answers",
+            "Answers, or other bytes, that belong to no pending request.",
+            ("reason",),
+            registry=registry,
+        )
         self.repeats = prometheus_client.Counter(
             "cranberrymux_repeats",
             "Requests sent to one more endpoint.",
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -18,6 +18,7 @@
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import unexpected_answer
 
 # Part of the stop time after which requests are taken only if they end within
 # it.
@@ -96,7 +97,9 @@
         self.parent_matcher = parent_matcher.ParentMatcher()
         self.running_requests = running_requests.RunningRequests()
         self.hop_connections = connection_pool.ConnectionPool(
-            reactor, detects_dead_peers=True
+            reactor,
+            detects_dead_peers=True,
+            on_unexpected=self.note_unexpected_answer,
         )
         self.metrics = metrics_module.GatewayMetrics()
         self.open_entry_calls = 0
@@ -121,6 +124,19 @@
         self._served_count += 1
         return self._served_count % SERVED_PER_LOG_LINE == 1
 
+    def note_unexpected_answer(
+        self, unexpected: unexpected_answer.UnexpectedAnswer
+    ) -> None:
+        """Counts and logs bytes that do not answer a pending request."""
+        reason = unexpected.kind.value
+        self.metrics.unexpected_answers.labels(reason).inc()
+        self.events.info(
+            "unexpected-answer",
+            reason=reason,
+            request_id=unexpected.request_id.decode("latin-1"),
+            answer_id=unexpected.answer_id.decode("latin-1"),
+        )
+
     def note_entry_call_ended(self) -> None:
         """Records that a request at the entry port has ended."""
         self.open_entry_calls -= 1
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -18,6 +18,10 @@
 from cranberrymux.node.http import keep_alive
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import prompt_writer
+from cranberrymux.node.http import request_identity
+from cranberrymux.node.http import unexpected_answer
+
+_UnexpectedKind = unexpected_answer.UnexpectedKind
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -29,9 +33,8 @@
         on_closed: Called when the connection has ended, for any reason.
         accepts_close_delimited: True if the end of the connection may end an
             answer. Otherwise such an answer is lost with `NO_LENGTH`.
-        answer_filter: Returns, from an answer's headers, whether the answer
-            belongs to the pending request; others are discarded. None accepts
-            every answer.
+        on_unexpected: Called with each occurrence of bytes that do not answer
+            the pending request.
         reusable_until_s: Reactor time until which the idle connection may be
             reused, as the receiver may close it soon after.
     """
@@ -41,11 +44,14 @@
         self.on_idle: Callable[[ClientConnection], None] | None = None
         self.on_closed: Callable[[ClientConnection], None] | None = None
         self.accepts_close_delimited = False
-        self.answer_filter: Callable[[headers.HeaderList], bool] | None = None
+        self.on_unexpected: (
+            Callable[[unexpected_answer.UnexpectedAnswer], None] | None
+        ) = None
         self.reusable_until_s = math.inf
         self._reuse_time_s = math.inf
         self._parser = httptools.HttpResponseParser(self)
         self._sink: answer_sink.AnswerSink | None = None
+        self._identity: request_identity.RequestIdentity | None = None
         self._headers: headers.HeaderList = []
         self._is_head_request = False
         self._is_request_complete = False
@@ -55,6 +61,7 @@
         self._is_lost = False
         self._is_filtered_out = False
         self._is_close_delimited = False
+        self._has_read_answer_end = False
         self._tcp: Any = None
 
     @property
@@ -82,6 +89,7 @@
         is_complete: bool,
         is_head_request: bool,
         sink: answer_sink.AnswerSink,
+        identity: request_identity.RequestIdentity | None = None,
     ) -> None:
         """Sends the beginning of a request, or all of it.
 
@@ -92,8 +100,11 @@
             is_head_request: True if the method is HEAD, whose answer has no
                 body.
             sink: Receives the answer.
+            identity: Header by which the answer is told from others, which
+                are discarded; None accepts every answer.
         """
         self._sink = sink
+        self._identity = identity
         self._headers = []
         self._is_head_request = is_head_request
         self._is_request_complete = is_complete
@@ -141,8 +152,10 @@
         if self._is_lost:
             return
         if self._sink is None:
+            self._report_unexpected(_UnexpectedKind.WHILE_IDLE)
             self.cancel()
             return
+        self._has_read_answer_end = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -180,6 +193,8 @@
         """Prepares for an answer; aborts if no request is pending."""
         self._headers = []
         self._is_filtered_out = False
+        if self._has_read_answer_end and not self._is_lost:
+            self._report_unexpected(_UnexpectedKind.BEHIND_ANSWER)
         if self._sink is None and not self._is_lost:
             # An answer behind a complete one belongs to no request.
             self.cancel()
@@ -189,7 +204,7 @@
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Passes the head to the sink, unless the filter rejects it."""
+        """Passes the head to the sink, unless it answers another request."""
         keep_alive_value = headers.find(self._headers, b"keep-alive")
         if keep_alive_value is not None:
             self._reuse_time_s = keep_alive.parse_reuse_time_s(keep_alive_value)
@@ -197,8 +212,8 @@
         if sink is None:
             return
         status = self._parser.get_status_code()
-        if self.answer_filter is not None and status >= 200:
-            self._is_filtered_out = not self.answer_filter(self._headers)
+        if status >= 200:
+            self._is_filtered_out = not self._matches_request()
             if self._is_filtered_out:
                 return
         self._is_interim = 100 <= status < 200
@@ -254,6 +269,31 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing, as `connectionLost` follows."""
 
+    def _matches_request(self) -> bool:
+        """Returns whether the answer belongs to the pending request."""
+        if self._identity is None:
+            return True
+        answer_id = headers.find(self._headers, self._identity.header)
+        if answer_id is None:
+            self._report_unexpected(_UnexpectedKind.NO_ID)
+            return True
+        if answer_id != self._identity.value:
+            self._report_unexpected(_UnexpectedKind.OTHER_ID, answer_id)
+            return False
+        return True
+
+    def _report_unexpected(
+        self, kind: unexpected_answer.UnexpectedKind, answer_id: bytes = b""
+    ) -> None:
+        if self.on_unexpected is None:
+            return
+        request_id = b""
+        if self._sink is not None and self._identity is not None:
+            request_id = self._identity.value
+        self.on_unexpected(
+            unexpected_answer.UnexpectedAnswer(kind, request_id, answer_id)
+        )
+
     def _make_head(self, status: int) -> answer_head.AnswerHead:
         length = headers.find(self._headers, b"content-length")
         coding = headers.find(self._headers, b"transfer-encoding")
@@ -279,6 +319,7 @@
         sink = self._sink
         self._sink = None
         self._is_answer_complete = True
+        self._has_read_answer_end = True
         is_sent = self._is_request_complete and not prompt_writer.has_unsent(
             self._tcp
         )
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -9,6 +9,7 @@
 from cranberrymux.node.http import client_connection
 from cranberrymux.node.http import dead_peer_detection
 from cranberrymux.node.http import lost_answer
+from cranberrymux.node.http import unexpected_answer
 
 
 class Address(NamedTuple):
@@ -71,6 +72,7 @@
         self._pool = pool
         self._address = address
         self.accepts_close_delimited = pool.accepts_close_delimited
+        self.on_unexpected = pool.on_unexpected
         self.on_idle = self._make_available
         self.on_closed = self._drop
 
@@ -99,6 +101,8 @@
         detects_dead_peers: True if vanished peers are detected.
         accepts_close_delimited: True if the end of a connection may end an
             answer.
+        on_unexpected: Called with each occurrence of bytes that do not answer
+            the pending request of their connection; None ignores them.
     """
 
     def __init__(
@@ -108,6 +112,9 @@
         idle_per_address: int = 512,
         accepts_close_delimited: bool = False,
         detects_dead_peers: bool = False,
+        on_unexpected: (
+            Callable[[unexpected_answer.UnexpectedAnswer], None] | None
+        ) = None,
     ) -> None:
         """Creates an empty pool.
 
@@ -118,7 +125,10 @@
             accepts_close_delimited: True if the end of a connection may end an
                 answer.
             detects_dead_peers: True if vanished peers are to be detected.
+            on_unexpected: Called with each occurrence of bytes that do not
+                answer the pending request of their connection.
         """
+        self.on_unexpected = on_unexpected
         self.detects_dead_peers = detects_dead_peers
         self.accepts_close_delimited = accepts_close_delimited
         self._reactor = reactor
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -37,6 +37,7 @@
     BACKEND_REFUSED = "backend-refused"
     BACKEND_UNREACHABLE = "backend-unreachable"
     BACKEND_ANSWER_LOST = "backend-answer-lost"
+    UNEXPECTED_ANSWER = "unexpected-answer"
     REQUEST_ENDED = "request-ended"
     REQUEST_SERVED = "request-served"
     REQUEST_TRIED_AGAIN = "request-tried-again"
--- a/src/cranberrymux/telemetry/logs.py
+++ b/src/cranberrymux/telemetry/logs.py
@@ -20,6 +20,7 @@
     event_module.Event.REQUEST_ENDED.value: 200,
     event_module.Event.BACKEND_ANSWER_LOST.value: 100,
     event_module.Event.REQUEST_REFUSED_HERE.value: 100,
+    event_module.Event.UNEXPECTED_ANSWER.value: 100,
 }
 
 
