--- a/tests/fakes/memory_network.py
+++ b/tests/fakes/memory_network.py
@@ -96,6 +96,8 @@
         transports: Both ends of every connection made so far.
         refusing_ports: Listening ports that refuse new connections.
         is_stopped: True once `stop` was called.
+        connect_delays_s: Time that `connectTCP` takes, by port, where it is
+            not `DELAY_S`.
     """
 
     def __init__(self):
@@ -104,6 +106,7 @@
         self.transports = []
         self.refusing_ports = set()
         self.is_stopped = False
+        self.connect_delays_s = {}
 
     def listen(self, port, factory):
         self.factories[port] = factory
@@ -127,7 +130,8 @@
                 transport.report_lost(error.ConnectionLost())
 
     def connectTCP(self, host, port, factory, timeout=30):
-        self.callLater(DELAY_S, self._connect, port, factory)
+        delay_s = self.connect_delays_s.get(port, DELAY_S)
+        self.callLater(delay_s, self._connect, port, factory)
 
     def connect(self, port, protocol):
         """Connects a client's protocol to a listening port without delay."""
