Hand a connection on only after its last read was parsed

Cause: the connection ended the first answer within the parser's callback, went back to the pool there and was given to a waiting request, which was sent before the rest of the read had been parsed. That rest, received before the request was even written, was then its answer, or lost it as not valid.

The connection now becomes idle once the whole read is parsed, and is closed if anything stands behind the answer, also behind that to a HEAD. The waiting request gets a connection on which nothing is unread.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -29,7 +29,8 @@
     """Sends one request at a time and passes its answer to a sink.
 
     Attributes:
-        on_idle: Called when the connection can take another request.
+        on_idle: Called when the connection can take another request. All
+            that was read from it has been parsed by then.
         on_closed: Called when the connection has ended, for any reason.
         accepts_close_delimited: True if the end of the connection may end an
             answer. Otherwise such an answer is lost with `NO_LENGTH`.
@@ -156,6 +157,11 @@
             self.cancel()
             return
         self._has_read_answer_end = False
+        self._feed(data)
+        if self._has_read_answer_end and not self._is_lost:
+            self._notify_idle()
+
+    def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -165,6 +171,7 @@
             # and closes the connection.
             raise
         except httptools.HttpParserError as failed:
+            self._cancel_behind_answer()
             if not self._is_lost:
                 self._fail(lost_answer.LossReason.NOT_VALID, str(failed))
 
@@ -193,11 +200,7 @@
         """Prepares for an answer; aborts if no request is pending."""
         self._headers = []
         self._is_filtered_out = False
-        if self._has_read_answer_end and not self._is_lost:
-            self._report_unexpected(_UnexpectedKind.BEHIND_ANSWER)
-        if self._sink is None and not self._is_lost:
-            # An answer behind a complete one belongs to no request.
-            self.cancel()
+        self._cancel_behind_answer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header of the answer."""
@@ -233,13 +236,12 @@
         sink.answer_started(head)
         if self._is_head_request:
             self._finish(self._parser.should_keep_alive())
-            # The parser would wait for a body, which an answer to HEAD lacks.
-            self._parser = httptools.HttpResponseParser(self)
 
     def on_body(self, part: bytes) -> None:
         """Passes a part of the body to the sink."""
         if self._is_filtered_out:
             return
+        self._cancel_behind_answer()
         if self._sink is not None and self._is_answer_started:
             self._sink.answer_part(part)
 
@@ -329,11 +331,17 @@
             self.close()
         if sink is not None:
             sink.answer_complete()
-        if self._is_lost:
-            return
-        self._notify_idle()
+
+    def _cancel_behind_answer(self) -> None:
+        """Aborts if the parser has read on behind a complete answer."""
+        if self._sink is None and not self._is_lost:
+            self._report_unexpected(_UnexpectedKind.BEHIND_ANSWER)
+            self.cancel()
 
     def _notify_idle(self) -> None:
+        if self._is_head_request:
+            # The parser would wait for a body, which an answer to HEAD lacks.
+            self._parser = httptools.HttpResponseParser(self)
         if self.on_idle is not None:
             self.on_idle(self)
 
