Take only an answer that bears the request's id

Callers got another request's answer as their own (MIXED): a 200, whole, signed for another request.

Cause: an answer with another id was discarded, one without any id was taken. A backend server writes its second answers without an id, too, and nothing but the id tells a late answer from the expected one, since a connection can be read only after the next request was written on it.

Every backend server repeats the id, and nodes do so in their own answers. So an answer that lacks it is discarded like that of another request, and the connection waits for the right one. If the end of the discarded answer cannot be found, the request fails at once instead of at its deadline. A request without an id is answered 400, since its answer could not be told from others. The backend servers of tests/gateway now repeat the id, as real ones do.

--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -9,6 +9,7 @@
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
+_JSON_TYPE = (b"content-type", b"application/json")
 NO_CONFIGURATION = "this node has no configuration yet"
 MINIMUM_RETRY_DELAY_S = 0.2
 MAXIMUM_RETRY_DELAY_S = 0.6
@@ -34,8 +35,17 @@
         )
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
-        """Routes a request, or answers 503 or 404 if it has no route."""
+        """Routes a request, or answers 400 without an id, 404 without a route.
+
+        Before any configuration is known, the answer is 503.
+        """
         parts = self._parts
+        dialect = parts.settings.dialect
+        if not headers_module.find(call.head.headers, dialect.request_id):
+            # Its answer could not be told from those to other requests.
+            body = json.dumps({"error": "no-request-id"}).encode()
+            call.answer(400, [_JSON_TYPE], body)
+            return
         table = parts.routes.table
         if table is None:
             retry_delay_s = parts.generator.uniform(
@@ -48,7 +58,7 @@
         route = table.find(host.decode("latin-1"), path.decode("latin-1"))
         if route is None:
             body = json.dumps({"error": "no-route"}).encode()
-            call.answer(404, [(b"content-type", b"application/json")], body)
+            call.answer(404, [_JSON_TYPE], body)
             return
         headers = [
             header
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -101,8 +101,8 @@
             is_head_request: True if the method is HEAD, whose answer has no
                 body.
             sink: Receives the answer.
-            identity: Header by which the answer is told from others, which
-                are discarded; None accepts every answer.
+            identity: Header that the answer must bear, too; other answers are
+                discarded. None accepts every answer.
         """
         self._sink = sink
         self._identity = identity
@@ -218,6 +218,7 @@
         if status >= 200:
             self._is_filtered_out = not self._matches_request()
             if self._is_filtered_out:
+                self._check_end_can_be_found(status)
                 return
         self._is_interim = 100 <= status < 200
         if self._is_interim:
@@ -278,12 +279,25 @@
         answer_id = headers.find(self._headers, self._identity.header)
         if answer_id is None:
             self._report_unexpected(_UnexpectedKind.NO_ID)
-            return True
+            return False
         if answer_id != self._identity.value:
             self._report_unexpected(_UnexpectedKind.OTHER_ID, answer_id)
             return False
         return True
 
+    def _check_end_can_be_found(self, status: int) -> None:
+        """Fails the request if the end of a discarded answer is not known.
+
+        The pending request's answer could not be found behind it.
+        """
+        mode = self._make_head(status).mode
+        # An answer to a HEAD has no body, and which one this is is unknown.
+        if mode is body_mode.BodyMode.UNTIL_CLOSE or self._is_head_request:
+            self._fail(
+                lost_answer.LossReason.NOT_VALID,
+                "an answer to another request came, whose end is not known",
+            )
+
     def _report_unexpected(
         self, kind: unexpected_answer.UnexpectedKind, answer_id: bytes = b""
     ) -> None:
--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -53,11 +53,16 @@
     )
 
 
+def answer_with_id(call, status, headers=(), body=b""):
+    """Answers with the request's id, as every backend server does."""
+    request_id = dict(call.head.headers).get(b"request-id", b"")
+    call.answer(status, [(b"request-id", request_id), *headers], body)
+
+
 def answer_with_proof(call):
     """Answers 200 with the headers that prove which server ran the request."""
     request_id = dict(call.head.headers).get(b"request-id", b"")
-    headers = [PROOF_HEADER, (b"request-id", request_id)]
-    call.answer(200, headers, b"answer to " + request_id)
+    answer_with_id(call, 200, [PROOF_HEADER], b"answer to " + request_id)
 
 
 class Member:
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -68,6 +68,18 @@
     assert mesh.ask(0, "/other/x").statuses == [404]
 
 
+def test_answers_400_to_a_request_without_an_id(mesh):
+    """Guards against answers that cannot be told from one another."""
+    assert mesh.ask(0, "/read/x", headers=[("Request-Id", "")]).statuses == [
+        400
+    ]
+    client = mesh.connect(0)
+    client.send(b"GET /read/x HTTP/1.1\r\nHost: records.example\r\n\r\n")
+    mesh.network.run(0.1)
+    assert client.statuses == [400]
+    assert reached_requests(mesh) == []
+
+
 def test_passes_on_a_chunked_body(mesh):
     client = mesh.connect(0)
     client.send(
@@ -142,7 +154,7 @@
 
 def test_answers_503_when_all_backend_servers_refuse(mesh):
     def refuse(call):
-        call.answer(503, [(b"not-run", b"1")], b"")
+        mesh_module.answer_with_id(call, 503, [(b"not-run", b"1")])
 
     for member in mesh.members[1:]:
         member.backend.answer = refuse
@@ -153,14 +165,16 @@
 
 def test_answers_502_when_a_success_has_no_proof(mesh):
     for member in mesh.members[1:]:
-        member.backend.answer = lambda call: call.answer(200, [], b"x")
+        member.backend.answer = lambda call: mesh_module.answer_with_id(
+            call, 200, body=b"x"
+        )
     assert mesh.ask(0, "/write/x").statuses == [502]
 
 
 def test_passes_on_a_failure_of_the_backend_server(mesh):
     for member in mesh.members[1:]:
-        member.backend.answer = lambda call: call.answer(
-            500, [mesh_module.PROOF_HEADER], b"broken"
+        member.backend.answer = lambda call: mesh_module.answer_with_id(
+            call, 500, [mesh_module.PROOF_HEADER], b"broken"
         )
     client = mesh.ask(0, "/read/x")
     assert client.statuses == [500]
@@ -192,7 +206,9 @@
 
 def test_answers_503_when_another_backend_server_has_the_address(mesh):
     for member in mesh.members[1:]:
-        member.backend.answer = lambda call: call.answer(421, [], b"")
+        member.backend.answer = lambda call: mesh_module.answer_with_id(
+            call, 421
+        )
     assert mesh.ask(0, "/write/x").statuses == [503]
 
 
@@ -332,7 +348,7 @@
         def answer(call):
             arrivals.append(call)
             if len(arrivals) % 2:
-                call.answer(503, [(b"not-run", b"1")], b"")
+                mesh_module.answer_with_id(call, 503, [(b"not-run", b"1")])
             else:
                 mesh_module.answer_with_proof(call)
 
