Read a connection again before it is lent once more

Callers waited for an answer until their deadline, though the backend server had answered at once.

Cause: a caller that reads slowly pauses the connection its long answer comes from. If the rest of the answer was in the read at hand, the answer ended with the connection still paused, and it went back to the pool so. The next request on it was sent, but its answer was not read; bytes that came while it was idle were not seen either.

Evidence: both cases of test_connection_reuse about a pause failed before.

A connection is read again before it is given to the pool, and only the request whose answer is pending can pause it.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -68,6 +68,7 @@
         self._is_filtered_out = False
         self._is_close_delimited = False
         self._has_read_answer_end = False
+        self._is_paused = False
         self._tcp: Any = None
 
     @property
@@ -156,14 +157,16 @@
         self._tcp.loseConnection()
 
     def pause_answer(self) -> None:
-        """Stops reading from the receiver, for backpressure."""
-        if not self._is_lost:
+        """Stops reading the pending answer, for backpressure."""
+        if self._sink is not None:
+            self._is_paused = True
             self._tcp.pauseProducing()
 
     def resume_answer(self) -> None:
         """Reads from the receiver again."""
-        if not self._is_lost:
+        if self._is_paused and not self._is_lost:
             self._tcp.resumeProducing()
+        self._is_paused = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feeds the parser; aborts on bytes while no request is pending."""
@@ -370,6 +373,8 @@
             self.cancel()
 
     def _notify_idle(self) -> None:
+        # The caller that paused may take the last part of its answer later.
+        self.resume_answer()
         if self._is_head_request:
             # The parser would wait for a body, which an answer to HEAD lacks.
             self._parser = httptools.HttpResponseParser(self)
