Do not lend a connection that closes after an early answer

A request got 502 (or waited for its deadline), and its bytes could reach the backend server where the rest of another request's body was due.

Cause: a connection whose answer came before the end of its request is closed, but at the end of that request it was still reported as idle and lent to a waiting request, which was written on the closing connection. Only the path of cranberrymux-node called that; that of routes forgets the connection earlier.

Evidence: test_connection_closed_before_the_end_of_a_request_is_not_lent failed before with connection-lost.

The end of a request reports nothing any more: whether a connection may be lent is decided once, when its answer ends.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -61,7 +61,6 @@
         self._headers: headers.HeaderList = []
         self._is_head_request = False
         self._is_request_complete = False
-        self._is_answer_complete = False
         self._is_interim = False
         self._is_answer_started = False
         self._is_lost = False
@@ -127,7 +126,6 @@
         self._headers = []
         self._is_head_request = is_head_request
         self._is_request_complete = is_complete
-        self._is_answer_complete = False
         self._is_answer_started = False
         self._is_interim = False
         self._is_close_delimited = False
@@ -141,8 +139,6 @@
     def end_body(self) -> None:
         """Notes that the whole request was passed to `send_body`."""
         self._is_request_complete = True
-        if self._is_answer_complete:
-            self._notify_idle()
 
     def cancel(self) -> None:
         """Abandons the request by aborting the connection."""
@@ -354,7 +350,6 @@
     def _finish(self, is_kept: bool) -> None:
         sink = self._sink
         self._sink = None
-        self._is_answer_complete = True
         self._has_read_answer_end = True
         is_sent = self._is_request_complete and not prompt_writer.has_unsent(
             self._tcp
--- a/tests/node/test_connection_reuse.py
+++ b/tests/node/test_connection_reuse.py
@@ -94,3 +94,28 @@
     pool.take(ADDRESS, following.send, fail)
     network.run(0.01)
     assert following.ends == ["complete"]
+
+
+def test_connection_closed_before_the_end_of_a_request_is_not_lent(
+    network, pool
+):
+    """Guards against a request sent on a connection that is being closed."""
+    backend = raw_backend.RawBackend(
+        network, 1, lambda request: request.connection.send(ANSWER)
+    )
+    early = Sink()
+
+    def send_first_part(connection):
+        early.connection = connection
+        connection.send_request(
+            b"POST / HTTP/1.1\r\nhost: h\r\n\r\n", False, False, early
+        )
+        early.answer_complete = connection.end_body
+
+    pool.take(ADDRESS, send_first_part, fail)
+    network.connect_delays_s[1] = 0.05
+    following = Sink()
+    pool.take(ADDRESS, following.send, fail)
+    network.run(0.1)
+    assert following.ends == ["complete"]
+    assert [len(one.request_ids) for one in backend.connections] == [1, 1]
