Let the hop port take every request that the entry port took

A proper request with nearly as many headers as a client may send was answered 431, and 502 since answers must bear the request's id.

Cause: the entry port and the hop port had the same limits on headers, but the first node adds headers. The second node rejected the request while reading it, in an answer without an id.

Evidence: both cases of test_passes_on_as_many_headers_as_a_client_may_send fail with the old limits (the backend server gets nothing).

The limits between nodes leave room for what nodes add and for any configured limit on clients' headers; the entry port's limits stay as they were.

--- a/src/cranberrymux/gateway/ports.py
+++ b/src/cranberrymux/gateway/ports.py
@@ -11,6 +11,11 @@
 BACKLOG = 512  # Connections not yet accepted, per port.
 # Request bodies up to this size are read whole before they are passed on.
 BUFFERED_BODY_BYTES = 1 << 20
+# Between nodes: what a client may send, at any configured limit, and what the
+# first node adds.
+NODE_LIMITS = limits_module.Limits(
+    header_bytes=1 << 20, header_count=128, buffered_bytes=BUFFERED_BODY_BYTES
+)
 
 
 class Ports:
@@ -36,16 +41,24 @@
         Raises:
             CannotListenError: The port is in use.
         """
-        self._clients = self.open(address, handler)
+        self._clients = self.open(
+            address,
+            handler,
+            limits_module.Limits(buffered_bytes=BUFFERED_BODY_BYTES),
+        )
 
     def open(
-        self, address: str, handler: call_handler.CallHandler
+        self,
+        address: str,
+        handler: call_handler.CallHandler,
+        message_limits: limits_module.Limits = NODE_LIMITS,
     ) -> server_factory.ServerFactory:
-        """Opens a port without limits on idle or slow connections.
+        """Opens a port for nodes, without limits on idle or slow connections.
 
         Args:
             address: `ip:port` to listen on.
             handler: Answers the calls on that port.
+            message_limits: Limits on the requests.
 
         Returns:
             The factory of the port's connections.
@@ -55,9 +68,7 @@
         """
         parsed = socket_address.parse(address)
         assert parsed is not None
-        factory = server_factory.ServerFactory(
-            handler, limits_module.Limits(buffered_bytes=BUFFERED_BODY_BYTES)
-        )
+        factory = server_factory.ServerFactory(handler, message_limits)
         port = self._reactor.listenTCP(
             parsed.port, factory, backlog=BACKLOG, interface=parsed.host
         )
--- a/tests/gateway/test_path.py
+++ b/tests/gateway/test_path.py
@@ -11,6 +11,7 @@
 from cranberrymux.decisions.routes import route
 from cranberrymux.gateway import gateway as gateway_module
 from cranberrymux.gateway import ports as ports_module
+from tests.fakes import raw_backend
 from tests.gateway import mesh as mesh_module
 
 DRAINING = announcement.BackendState.DRAINING
@@ -401,3 +402,20 @@
         if line.startswith("cranberrymux_requests_total")
     ]
     assert sum(counts) == 1
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [[(f"x-{number}", "v") for number in range(97)], [("x", "v" * 32_700)]],
+)
+def test_passes_on_as_many_headers_as_a_client_may_send(mesh, headers):
+    """Guards against a request that the client's node takes and the next not.
+
+    The next node would reject it without its id, so that it counts as lost.
+    """
+    requests = []
+    for member in mesh.members[1:]:
+        backend = raw_backend.RawBackend(mesh.network, member.backend_port)
+        backend.on_request = requests.append
+    mesh.ask(0, "/write/x", headers=headers)
+    assert [request.request_id for request in requests] == ["r1"]
