Treat an answer with a transfer coding other than chunked as lost

A caller could get a body that is not the backend server's own whole one: coded, with nothing that says so, since the header of the transfer coding is not passed on.

Cause: any transfer coding that ends in 'chunked' counted as chunked, and any other as none.

Evidence: 6 of the 26 cases of test_answer_whose_end_is_not_certain_is_lost failed before ('complete'); the other tests of test_answer_framing, which cut answers at each byte, passed.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -240,6 +240,12 @@
         if self._is_interim:
             sink.answer_interim(status, self._headers)
             return
+        if not self._has_plain_coding():
+            self._fail(
+                lost_answer.LossReason.NOT_VALID,
+                "the answer has a transfer coding other than chunked",
+            )
+            return
         head = self._make_head(status)
         is_close_delimited = head.mode is body_mode.BodyMode.UNTIL_CLOSE
         self._is_close_delimited = is_close_delimited
@@ -307,8 +313,12 @@
         The pending request's answer could not be found behind it.
         """
         mode = self._make_head(status).mode
-        # An answer to a HEAD has no body, and which one this is is unknown.
-        if mode is body_mode.BodyMode.UNTIL_CLOSE or self._is_head_request:
+        if (
+            mode is body_mode.BodyMode.UNTIL_CLOSE
+            or not self._has_plain_coding()
+            # An answer to a HEAD has no body, but this may be another one.
+            or self._is_head_request
+        ):
             self._fail(
                 lost_answer.LossReason.NOT_VALID,
                 "an answer to another request came, whose end is not known",
@@ -326,12 +336,23 @@
             unexpected_answer.UnexpectedAnswer(kind, request_id, answer_id)
         )
 
+    def _has_plain_coding(self) -> bool:
+        """Returns whether the body is sent as it is, or in plain chunks."""
+        codings = [
+            value.strip().lower()
+            for name, value in self._headers
+            if name == b"transfer-encoding"
+        ]
+        return codings in ([], [b"chunked"])
+
     def _make_head(self, status: int) -> answer_head.AnswerHead:
         length = headers.find(self._headers, b"content-length")
-        coding = headers.find(self._headers, b"transfer-encoding")
+        is_chunked = (
+            headers.find(self._headers, b"transfer-encoding") is not None
+        )
         mode = body_mode.BodyMode.UNTIL_CLOSE
         size = 0
-        if coding is not None and coding.lower().endswith(b"chunked"):
+        if is_chunked:
             mode = body_mode.BodyMode.CHUNKED
         elif length is not None and length.isdigit():
             mode = body_mode.BodyMode.SIZED
