Test long answers that break off, stall or have more behind them

An answer over 256 KiB is passed on before its end. The tests cut it with a length, in chunks, and without a length by a close and by a reset; pause its client, have it leave, let the endpoint stall, and send more bytes behind it. The memory network now lets the peer of an aborted connection see a reset, as TCP does, so that a test can tell a reset from an orderly close.

--- a/tests/fakes/memory_network.py
+++ b/tests/fakes/memory_network.py
@@ -153,9 +153,11 @@
         self.callLater(DELAY_S, transport.receive, data)
 
     def close(self, transport, reason):
-        self.callLater(
-            DELAY_S, transport.peer.report_lost, error.ConnectionDone()
-        )
+        """Ends a connection; its peer sees a reset after an abort."""
+        seen = error.ConnectionDone()
+        if isinstance(reason, error.ConnectionAborted):
+            seen = error.ConnectionLost()
+        self.callLater(DELAY_S, transport.peer.report_lost, seen)
         self.callLater(0, transport.report_lost, reason)
 
     def run(self, seconds, step_s=0.0005):
--- a/tests/fakes/raw_backend.py
+++ b/tests/fakes/raw_backend.py
@@ -60,6 +60,10 @@
     def close(self):
         self.transport.loseConnection()
 
+    def reset(self):
+        """Ends the connection other than by an orderly close."""
+        self.transport.abortConnection()
+
 
 class RawBackend:
     """Listens on a port of a `MemoryNetwork` in place of another server.
--- a/tests/fakes/raw_client.py
+++ b/tests/fakes/raw_client.py
@@ -1,5 +1,6 @@
 """An HTTP client that sends raw bytes and records what it receives."""
 
+from twisted.internet import error
 from twisted.internet import protocol
 
 
@@ -9,11 +10,13 @@
     Attributes:
         received: All bytes received.
         is_closed: True once the connection has ended.
+        is_reset: True once it has ended other than by an orderly close.
     """
 
     def __init__(self):
         self.received = b""
         self.is_closed = False
+        self.is_reset = False
 
     def connectionMade(self):
         pass
@@ -23,6 +26,7 @@
 
     def connectionLost(self, reason):
         self.is_closed = True
+        self.is_reset = not reason.check(error.ConnectionDone)
 
     def send(self, data):
         self.transport.write(data)
--- /dev/null
+++ b/tests/gateway/test_long_answers.py
@@ -0,0 +1,260 @@
+"""Answers that are passed on before their end, as they are too long to hold.
+
+Guards against a long answer that skips the checks which short ones pass, that
+looks complete though its end is missing, or that holds its client for ever.
+"""
+
+import pytest
+
+from cranberrymux.decisions.routes import route
+from cranberrymux.gateway import attempt
+from tests.fakes import raw_backend
+from tests.gateway import mesh as mesh_module
+from tests.gateway import test_second_answers
+
+STAMP = ("server-stamp", "proof")
+NOT_RUN = ("not-run", "1")
+BODY = b"0123456789abcdef" * (attempt.HELD_ANSWER_BYTES // 16 + 4096)
+PART_BYTES = 20_000
+ROUTE_TIMEOUT_S = 1.0
+# Latest end of an answer, in seconds after the timeout of its route.
+LATEST_END_S = 0.25
+
+
+@pytest.fixture
+def mesh():
+    made = mesh_module.Mesh("front", "deep")
+    made.configure(
+        mesh_module.make_route("read", "deep", timeout_s=ROUTE_TIMEOUT_S),
+        mesh_module.make_route(
+            "write",
+            "deep",
+            repeatability=route.Repeatability.ONCE,
+            timeout_s=ROUTE_TIMEOUT_S,
+        ),
+    )
+    return made
+
+
+@pytest.fixture
+def backend(mesh):
+    return raw_backend.RawBackend(mesh.network, mesh.members[1].backend_port)
+
+
+def encode_head(*headers, status="200 OK", request_id="r1"):
+    lines = [f"HTTP/1.1 {status}", f"request-id: {request_id}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def encode(*headers, status="200 OK", request_id="r1", body=BODY):
+    length = ("content-length", str(len(body)))
+    head = encode_head(*headers, length, status=status, request_id=request_id)
+    return head + body
+
+
+def encode_chunks(body):
+    parts = [
+        body[begin : begin + PART_BYTES]
+        for begin in range(0, len(body), PART_BYTES)
+    ]
+    return b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+
+
+def send_in_parts(mesh, connection, data):
+    """Sends bytes that arrive in many reads."""
+    for begin in range(0, len(data), PART_BYTES):
+        connection.send(data[begin : begin + PART_BYTES])
+        mesh.network.run(0.001)
+
+
+def ask(mesh, path="/write/x", request_id="r1", **changes):
+    return mesh.ask(0, path, headers=[("Request-Id", request_id)], **changes)
+
+
+def find_header(client, name):
+    head = client.received.partition(b"\r\n\r\n")[0]
+    for line in head.split(b"\r\n")[1:]:
+        if line.lower().startswith(name + b": "):
+            return line.partition(b": ")[2]
+    return None
+
+
+def decode_body(client):
+    """Returns the body, and whether its framing says that it is whole."""
+    data = client.received.partition(b"\r\n\r\n")[2]
+    if find_header(client, b"transfer-encoding") is None:
+        return data, len(data) == int(find_header(client, b"content-length"))
+    body = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        length = int(size, 16)
+        if not length:
+            assert data == b"\r\n"
+            return body, True
+        body += data[:length]
+        data = data[length + 2 :]
+    return body, False
+
+
+def check_is_whole(client):
+    assert client.statuses == [200]
+    assert decode_body(client) == (BODY, True)
+
+
+def check_is_cut(client):
+    """Checks that a client sees that its answer is not whole."""
+    assert client.statuses == [200]
+    body, is_whole = decode_body(client)
+    assert BODY.startswith(body)
+    assert not is_whole
+    assert client.is_reset
+
+
+def count_outcomes(mesh):
+    """Returns how often requests ended at the first node, by outcome."""
+    text = mesh.members[0].gateway._parts.metrics.encode().decode()
+    counts = {}
+    for line in text.splitlines():
+        if line.startswith("cranberrymux_requests_total"):
+            outcome = line.partition('outcome="')[2].partition('"')[0]
+            counts[outcome] = float(line.split()[-1])
+    return counts
+
+
+class TestEarlyEnd:
+    """A long answer that breaks off does not look complete."""
+
+    @pytest.mark.parametrize("is_reset", [False, True])
+    @pytest.mark.parametrize("framing", ["sized", "chunked"])
+    def test_cut_answer_is_seen_to_be_cut(
+        self, mesh, backend, framing, is_reset
+    ):
+        client = ask(mesh)
+        (connection,) = backend.connections
+        data = encode(STAMP)
+        if framing == "chunked":
+            head = encode_head(STAMP, ("transfer-encoding", "chunked"))
+            data = head + encode_chunks(BODY) + b"0\r\n\r\n"
+        send_in_parts(mesh, connection, data[:-3])
+        connection.reset() if is_reset else connection.close()
+        mesh.network.run(0.1)
+        check_is_cut(client)
+        assert count_outcomes(mesh) == {"truncated": 1.0}
+
+    def test_answer_without_a_length_ends_with_its_connection(
+        self, mesh, backend
+    ):
+        client = ask(mesh)
+        (connection,) = backend.connections
+        send_in_parts(mesh, connection, encode_head(STAMP) + BODY)
+        connection.close()
+        mesh.network.run(0.1)
+        check_is_whole(client)
+        assert not client.is_closed
+
+    def test_answer_without_a_length_that_is_reset_is_cut(self, mesh, backend):
+        client = ask(mesh)
+        (connection,) = backend.connections
+        send_in_parts(mesh, connection, encode_head(STAMP) + BODY)
+        connection.reset()
+        mesh.network.run(0.1)
+        check_is_cut(client)
+
+    @pytest.mark.parametrize("is_whole", [False, True])
+    def test_http_1_0_client_sees_by_a_reset_that_it_is_cut(
+        self, mesh, backend, is_whole
+    ):
+        client = mesh.connect(0)
+        request = mesh_module.encode("/write/x")
+        client.send(request.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        mesh.network.run(0.1)
+        (connection,) = backend.connections
+        head = encode_head(STAMP, ("transfer-encoding", "chunked"))
+        send_in_parts(mesh, connection, head + encode_chunks(BODY))
+        if is_whole:
+            connection.send(b"0\r\n\r\n")
+        else:
+            connection.close()
+        mesh.network.run(0.1)
+        assert find_header(client, b"transfer-encoding") is None
+        assert client.received.partition(b"\r\n\r\n")[2] == BODY
+        assert client.is_closed
+        assert client.is_reset is not is_whole
+
+    def test_head_of_a_long_answer_has_no_body(self, mesh, backend):
+        client = ask(mesh, "/read/x", method="HEAD")
+        backend.connections[0].send(
+            encode_head(STAMP, ("content-length", str(len(BODY))))
+        )
+        mesh.network.run(0.1)
+        assert client.statuses == [200]
+        assert client.received.endswith(b"\r\n\r\n")
+
+
+class TestEndInTime:
+    """A long answer holds neither its client nor its endpoint for ever."""
+
+    def test_slow_client_gets_it_whole(self, mesh, backend):
+        client = ask(mesh)
+        (connection,) = backend.connections
+        send_in_parts(mesh, connection, encode(STAMP)[: -2 * PART_BYTES])
+        sending = client.transport.peer.producer
+        sending.pauseProducing()
+        send_in_parts(mesh, connection, encode(STAMP)[-2 * PART_BYTES :])
+        mesh.network.run(0.2)
+        assert not decode_body(client)[1]
+        sending.resumeProducing()
+        mesh.network.run(0.1)
+        check_is_whole(client)
+
+    def test_client_that_leaves_ends_the_work(self, mesh, backend):
+        client = ask(mesh)
+        (connection,) = backend.connections
+        send_in_parts(mesh, connection, encode(STAMP)[:-PART_BYTES])
+        client.transport.loseConnection()
+        mesh.network.run(0.1)
+        assert connection.is_closed
+        assert count_outcomes(mesh) == {"cancelled": 1.0}
+
+    def test_endpoint_that_stalls_ends_it_at_the_timeout(self, mesh, backend):
+        began_s = mesh.network.seconds()
+        client = ask(mesh)
+        (connection,) = backend.connections
+        send_in_parts(mesh, connection, encode(STAMP)[:-PART_BYTES])
+        mesh.network.run(began_s + ROUTE_TIMEOUT_S - mesh.network.seconds())
+        assert not client.is_closed
+        mesh.network.run(LATEST_END_S)
+        check_is_cut(client)
+        assert connection.is_closed
+
+    def test_answer_that_ended_in_time_leaves_its_connection_open(
+        self, mesh, backend
+    ):
+        client = ask(mesh)
+        backend.connections[0].send(encode(STAMP))
+        mesh.network.run(ROUTE_TIMEOUT_S + LATEST_END_S)
+        check_is_whole(client)
+        assert not client.is_closed
+
+
+@pytest.mark.parametrize("second", test_second_answers.SECOND_ANSWERS)
+@pytest.mark.parametrize("is_one_read", [False, True])
+def test_second_answer_behind_a_long_one_is_nobodys(
+    mesh, backend, second, is_one_read
+):
+    client = ask(mesh)
+    data = test_second_answers.SECOND_ANSWERS[second]
+    (connection,) = backend.connections
+    send_in_parts(mesh, connection, encode(STAMP)[:-PART_BYTES])
+    end = encode(STAMP)[-PART_BYTES:]
+    if is_one_read:
+        connection.send(end + data)
+    else:
+        connection.send(end)
+        connection.send(data)
+    mesh.network.run(0.1)
+    check_is_whole(client)
+    backend.on_request = test_second_answers.answer
+    next_client = ask(mesh, request_id="r2")
+    test_second_answers.check_is_served(next_client, "r2")
