Check the head of a long answer as that of a short one

Clients got a long 2xx without the backend server's proof, or with a content coding, as a success; and a long 421 or Not-Run as it came, without Retry-After and without a try at another endpoint.

One function, backend_verdict.judge, now judges the head for both. What may not be passed on is not read further.

The verdict also tells the health of the backend server and the metric of hops how a long answer ended; a long answer that broke off is logged as backend-answer-lost, as a short one. A 421 without Not-Run counts as not run there, too: it counted as a served run though the request is sent elsewhere.

--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -3,9 +3,9 @@
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import attempt as attempt_module
+from cranberrymux.gateway import backend_verdict
 from cranberrymux.gateway import exit_owner
 from cranberrymux.gateway import hop
-from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import outgoing_request
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import relay
@@ -22,7 +22,6 @@
 CANCELLATION_GRACE_S = 0.1
 
 _RunOutcome = run_outcome.RunOutcome
-_CONTENT_CODING = b"content-encoding"
 
 
 class ExitCall(relay.Relay):
@@ -69,6 +68,8 @@
         )
         route = headers_module.find(call.head.headers, hop.ROUTE) or b""
         self.route = route.decode("latin-1")
+        self._has_outcome = False
+        self._streamed: backend_verdict.BackendVerdict | None = None
         call.on_cancel = self._handle_cancelled
         call.on_send_buffer_full = self._pause_answer
         call.on_send_buffer_drained = self._resume_answer
@@ -145,51 +146,38 @@
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
         """Passes the answer on, or a refusal if the request did not run."""
-        dialect = self._parts.settings.dialect
         self._cancel_timer()
-        not_run = headers_module.find(head.headers, dialect.not_run)
-        proof = headers_module.find(head.headers, dialect.proof)
-        coding = headers_module.find(head.headers, _CONTENT_CODING)
+        verdict = self._judge(head)
         is_failed_by_call = False
-        outcome = _RunOutcome.UNANSWERED
-        if not_run is None:
-            is_failed = hop_answer.is_failure(head)
-            is_failed_by_call = self._owner.note_outcome(self, is_failed)
-            outcome = _RunOutcome.FAILED if is_failed else _RunOutcome.SERVED
-        report = self._owner.call_finished(self, outcome)
-        if not_run is not None or head.status == 421:
-            reason = hop.BACKEND_FULL
-            if head.status == 421:
-                reason = hop.MISDIRECTED
-            self._parts.events.info(
-                "backend-refused",
-                reason=reason.decode("latin-1"),
-                request_id=self.request_id.decode("latin-1"),
-                route=self.route,
-            )
-            self.refuse(reason)
+        if not verdict.refusal:
+            is_failed_by_call = self._note_outcome(verdict.is_failure)
+        report = self._owner.call_finished(self, verdict.outcome)
+        if not verdict.is_passed_on:
+            self._withhold(verdict)
             return
-        if 200 <= head.status < 300 and (proof is None or coding is not None):
-            self._abort_lost(
-                "successful answer without valid proof of the backend server"
-            )
-            return
-        self._parts.metrics.hops.labels(f"{head.status // 100}xx").inc()
-        headers = self._add_report_headers(head, report)
-        if is_failed_by_call:
-            headers.append((hop.CALL_FAILED, b"1"))
+        self._count_status(head.status)
+        headers = self._make_headers(head, report, is_failed_by_call)
         self._call.answer(head.status, headers, body)
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
-        """Passes on the head and first bytes of a long answer."""
+        """Passes on the head and first bytes of a long answer.
+
+        If it may not be passed on, the rest of it is not read.
+        """
+        verdict = self._judge(head)
+        if not verdict.is_passed_on:
+            self._cancel_attempt()
+            self.attempt_answered(head, body)
+            return
+        self._streamed = verdict
+        is_failed_by_call = verdict.is_failure and self._note_outcome(True)
         mode = head.mode
         if mode is body_mode.BodyMode.UNTIL_CLOSE:
             mode = body_mode.BodyMode.CHUNKED
-        self._call.start_answer(
-            head._replace(headers=self._add_report_headers(head, {}), mode=mode)
-        )
+        headers = self._make_headers(head, {}, is_failed_by_call)
+        self._call.start_answer(head._replace(headers=headers, mode=mode))
         self._call.send_body(body)
 
     def attempt_part(self, part: bytes) -> None:
@@ -198,18 +186,18 @@
 
     def attempt_ended(self) -> None:
         """Ends a long answer that is complete."""
+        assert self._streamed is not None
         self._cancel_timer()
-        self._owner.call_finished(self, _RunOutcome.SERVED)
+        self._note_outcome(self._streamed.is_failure)
+        self._owner.call_finished(self, self._streamed.outcome)
+        self._count_status(self._streamed.status)
         self._call.finish()
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Answers that the request did not run, or aborts if it may have."""
         self._cancel_timer()
-        self._owner.note_outcome(self, True)
+        self._note_outcome(True)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED)
-        if self._call.is_head_sent:
-            self._call.abort()
-            return
         if not loss.is_handed_over:
             self._parts.events.info(
                 "backend-unreachable",
@@ -234,7 +222,7 @@
     def _handle_timeout(self) -> None:
         self._timer = None
         self._cancel_attempt()
-        self._owner.note_outcome(self, True)
+        self._note_outcome(True)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED)
         self._call.abort()
 
@@ -245,16 +233,54 @@
             return
         self._attempt.cancel()
         if self._parts.clock.now_s() >= self.deadline_s:
-            self._owner.note_outcome(self, True)
+            self._note_outcome(True)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED)
 
-    def _add_report_headers(
-        self, head: answer_head.AnswerHead, report: work_report.WorkReport
+    def _judge(
+        self, head: answer_head.AnswerHead
+    ) -> backend_verdict.BackendVerdict:
+        return backend_verdict.judge(head, self._parts.settings.dialect)
+
+    def _withhold(self, verdict: backend_verdict.BackendVerdict) -> None:
+        """Ends a request whose answer may not be passed on."""
+        if not verdict.refusal:
+            self._abort_lost(verdict.defect)
+            return
+        self._parts.events.info(
+            "backend-refused",
+            reason=verdict.refusal.decode("latin-1"),
+            request_id=self.request_id.decode("latin-1"),
+            route=self.route,
+        )
+        self.refuse(verdict.refusal)
+
+    def _note_outcome(self, is_failed: bool) -> bool:
+        """Records how the request ended, the first time that it is called.
+
+        Returns:
+            True if it failed because one of its calls failed or is open.
+        """
+        if self._has_outcome:
+            return False
+        self._has_outcome = True
+        return self._owner.note_outcome(self, is_failed)
+
+    def _count_status(self, status: int) -> None:
+        self._parts.metrics.hops.labels(f"{status // 100}xx").inc()
+
+    def _make_headers(
+        self,
+        head: answer_head.AnswerHead,
+        report: work_report.WorkReport,
+        is_failed_by_call: bool,
     ) -> headers_module.HeaderList:
+        """Returns the headers of an answer, with what this node reports."""
         headers = hop.remove_node_headers(
             headers_module.forwardable(head.headers)
         )
         headers.append((hop.LOAD, self._owner.encode_load()))
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
+        if is_failed_by_call:
+            headers.append((hop.CALL_FAILED, b"1"))
         return headers
--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -72,6 +72,17 @@
     return mesh.ask(0, path, headers=[("Request-Id", request_id)], **changes)
 
 
+def answer_each(mesh, *headers, **changes):
+    """Has the last backend server answer all requests alike, at length."""
+
+    def answer(request):
+        data = encode(*headers, request_id=request.request_id, **changes)
+        request.connection.send(data)
+
+    port = mesh.members[-1].backend_port
+    return raw_backend.RawBackend(mesh.network, port, answer)
+
+
 def find_header(client, name):
     head = client.received.partition(b"\r\n\r\n")[0]
     for line in head.split(b"\r\n")[1:]:
@@ -122,6 +133,66 @@
     return counts
 
 
+def find_view(mesh, endpoint_id="n-1"):
+    return mesh.members[0].gateway._parts.endpoints.find(endpoint_id)
+
+
+class TestChecks:
+    """A long answer passes the checks of a short one."""
+
+    @pytest.mark.parametrize(
+        "headers",
+        [(), (STAMP, ("content-encoding", "gzip"))],
+        ids=["no-proof", "content-coding"],
+    )
+    def test_success_that_is_not_proven_is_not_passed_on(self, mesh, headers):
+        answer_each(mesh, *headers)
+        client = ask(mesh)
+        assert client.statuses == [502]
+        assert BODY[:16] not in client.received
+
+    @pytest.mark.parametrize("path", ["/read/x", "/write/x"])
+    @pytest.mark.parametrize(
+        ("status", "header"),
+        [
+            ("421 Misdirected Request", STAMP),
+            ("503 Full", NOT_RUN),
+            ("429 Full", NOT_RUN),
+        ],
+    )
+    def test_refusal_is_answered_as_not_run(self, mesh, path, status, header):
+        answer_each(mesh, header, status=status)
+        client = ask(mesh, path)
+        assert client.statuses == [503]
+        assert find_header(client, b"retry-after") is not None
+        assert BODY[:16] not in client.received
+
+    def test_refused_request_is_sent_to_another_endpoint(self):
+        mesh = mesh_module.Mesh("front", "deep", "deep")
+        mesh.configure(
+            mesh_module.make_route(
+                "write", "deep", repeatability=route.Repeatability.ONCE
+            )
+        )
+        backend = answer_each(mesh, STAMP, status="421 Misdirected Request")
+        for number in range(10):
+            client = ask(mesh, request_id=f"q{number}")
+            assert client.statuses == [200]
+        assert backend.requests
+
+    def test_refusal_says_nothing_of_the_health(self, mesh):
+        answer_each(mesh, NOT_RUN, status="503 Full")
+        ask(mesh)
+        assert find_view(mesh).failure_rate(mesh.network.seconds()) == 0.0
+
+    def test_failure_that_may_not_be_repeated_is_passed_on_whole(self, mesh):
+        answer_each(mesh, STAMP, status="500 Broken")
+        client = ask(mesh)
+        assert client.statuses == [500]
+        assert find_header(client, b"server-stamp") == b"proof"
+        assert decode_body(client) == (BODY, True)
+
+
 class TestEarlyEnd:
     """A long answer that breaks off does not look complete."""
 
