--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -151,6 +151,18 @@
         assert client.statuses == [502]
         assert BODY[:16] not in client.received
 
+    @pytest.mark.parametrize("body", [b"0123", BODY], ids=["short", "long"])
+    def test_success_with_a_transfer_coding_is_not_passed_on(
+        self, mesh, backend, body
+    ):
+        client = ask(mesh)
+        head = encode_head(STAMP, ("transfer-encoding", "gzip, chunked"))
+        data = head + encode_chunks(body) + b"0\r\n\r\n"
+        backend.connections[0].send(data)
+        mesh.network.run(0.1)
+        assert client.statuses == [502]
+        assert BODY[:4] not in client.received
+
     @pytest.mark.parametrize("path", ["/read/x", "/write/x"])
     @pytest.mark.parametrize(
         ("status", "header"),
