Decide on a long answer at the entry as on a short one

A long 5xx of an endpoint was counted as 'streamed' and its request as served, so that the request that made the call did not learn that its call failed; the endpoint's failure rate and load stayed as they were, and an idempotent request was not sent to another endpoint.

Cause: EntryCall.attempt_streaming passed every answer on. _evaluate now decides on the head for both lengths. A long failure that is repeated is not read further and so cannot be the fallback: if the repeat brings no answer, the client gets 502, never 503, as the request has run. Failed before: test_failure_counts_as_one: {'streamed': 10.0} == {'5xx': 10.0} test_success_counts_as_one: 'streamed' in place of '2xx' test_failed_idempotent_request_is_sent_to_another_endpoint: assert [500] == [200] The metric has the outcomes that METRICS.md lists; 'streamed' was not there.

--- a/src/cranberrymux/gateway/entry_answer.py
+++ b/src/cranberrymux/gateway/entry_answer.py
@@ -47,6 +47,7 @@
         self._attempts = attempts
         self._log = log
         self._kept_failure: _FailedAnswer | None = None
+        self._streamed_head: answer_head.AnswerHead | None = None
         self._is_served = False
         call.on_ended = self._handle_ended
 
@@ -55,19 +56,13 @@
         """True once the head was sent to the client."""
         return self._call.is_head_sent
 
-    @property
-    def has_kept_failure(self) -> bool:
-        """True if an endpoint's failure is kept as a fallback."""
-        return self._kept_failure is not None
-
     def keep_failure(self, head: answer_head.AnswerHead, body: bytes) -> None:
         """Keeps an endpoint's failure as a fallback for the repeat."""
         self._kept_failure = _FailedAnswer(head, body)
 
     def forward(self, head: answer_head.AnswerHead, body: bytes) -> None:
         """Sends an endpoint's whole answer."""
-        self._is_served = not hop_answer.is_failure(head)
-        self._log.log_endpoint_answer(head)
+        self._note_endpoint_answer(head)
         self._call.answer(
             head.status, hop_answer.get_client_headers(head), body
         )
@@ -76,14 +71,15 @@
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
         """Sends the head and first bytes of an endpoint's long answer."""
+        self._streamed_head = head
         visible = hop_answer.get_client_headers(head)
         self._call.start_answer(head._replace(headers=visible))
         self._call.send_body(body)
 
     def finish_streaming(self) -> None:
         """Ends a long answer that is complete."""
-        self._is_served = True
-        self._log.count("streamed")
+        assert self._streamed_head is not None
+        self._note_endpoint_answer(self._streamed_head)
         self._call.finish()
 
     def abort_streaming(self, detail: str) -> None:
@@ -119,6 +115,10 @@
         self._log.log_own_answer(outcome, detail)
         own_answers.fail(self._parts, self._call, status, outcome, detail)
 
+    def _note_endpoint_answer(self, head: answer_head.AnswerHead) -> None:
+        self._is_served = not hop_answer.is_failure(head)
+        self._log.log_endpoint_answer(head)
+
     def _send_kept_failure(self) -> bool:
         if self._kept_failure is None:
             return False
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -66,6 +66,7 @@
             parts, call, self._origin, self._attempts, self._log
         )
         self._endpoint: endpoint_view.EndpointView | None = None
+        self._is_repeated_after_failure = False
 
     def start(self) -> None:
         """Sends the request to an endpoint, or refuses it."""
@@ -149,39 +150,85 @@
         """Passes an answer on, or sends the request to another endpoint."""
         endpoint = self._release_endpoint()
         now_s = self._parts.clock.now_s()
-        if endpoint is not None:
-            hop_answer.update_endpoint(endpoint, head, now_s)
         self._origin.learn_from_answer(
             self._attempts.service, head, self._began_s, now_s
         )
+        if self._evaluate(endpoint, head, now_s):
+            self._cancel_timer()
+            self._answer.forward(head, body)
+            return
+        if hop_answer.find_refusal(head) is None:
+            self._answer.keep_failure(head, body)
+        self._send_elsewhere(endpoint, head, now_s)
+
+    def attempt_streaming(
+        self, head: answer_head.AnswerHead, body: bytes
+    ) -> None:
+        """Passes on the head and first bytes of a long answer.
+
+        If the request is sent to another endpoint, the rest is not read.
+        """
+        now_s = self._parts.clock.now_s()
+        if self._evaluate(self._endpoint, head, now_s):
+            self._cancel_timer()
+            self._answer.start_streaming(head, body)
+            return
+        endpoint = self._release_endpoint()
+        self._cancel_attempt()
+        if hop_answer.find_refusal(head) is None:
+            # A failure that is not read whole cannot be kept as a fallback.
+            self._attempts.may_have_run = True
+        self._send_elsewhere(endpoint, head, now_s)
+
+    def _evaluate(
+        self,
+        endpoint: endpoint_view.EndpointView | None,
+        head: answer_head.AnswerHead,
+        now_s: float,
+    ) -> bool:
+        """Learns from the head of an answer and decides on the answer.
+
+        Args:
+            endpoint: The endpoint; None if the request has no current one.
+            head: Head of the answer, whether that is long or short.
+            now_s: Monotonic seconds.
+
+        Returns:
+            True if the client gets the answer. Otherwise, the endpoint refused
+            the request, or it failed and a repeat was taken from the budget.
+        """
+        if endpoint is not None:
+            hop_answer.update_endpoint(endpoint, head, now_s)
+        if hop_answer.find_refusal(head) is not None:
+            return False
+        is_failed = hop_answer.is_own_failure(head)
+        return not (
+            is_failed and self._take_repeat_after_failure(endpoint, now_s)
+        )
+
+    def _send_elsewhere(
+        self,
+        endpoint: endpoint_view.EndpointView | None,
+        head: answer_head.AnswerHead,
+        now_s: float,
+    ) -> None:
+        """Sends the request on after an answer that the client does not get."""
         refusal = hop_answer.find_refusal(head)
         if refusal is not None:
             self._handle_refusal(endpoint, refusal, now_s)
             return
-        is_failed = hop_answer.is_own_failure(head)
-        if is_failed and self._take_repeat_after_failure(endpoint, now_s):
-            self._answer.keep_failure(head, body)
-            self._log.log_repeat("backend-failed")
-            self._send_next()
-            return
-        self._cancel_timer()
-        self._answer.forward(head, body)
+        self._log.log_repeat("backend-failed")
+        self._send_next()
 
     def _take_repeat_after_failure(
         self, endpoint: endpoint_view.EndpointView | None, now_s: float
     ) -> bool:
-        """Takes a repeat from the budget, unless a failure was kept before."""
+        """Takes a repeat from the budget, once in the life of the request."""
         self._attempts.note_failed(endpoint)
-        if self._answer.has_kept_failure:
+        if self._is_repeated_after_failure:
             return False
-        return self._attempts.take_repeat(now_s)
-
-    def attempt_streaming(
-        self, head: answer_head.AnswerHead, body: bytes
-    ) -> None:
-        """Passes on the head and first bytes of a long answer."""
-        self._cancel_timer()
-        self._answer.start_streaming(head, body)
+        self._is_repeated_after_failure = self._attempts.take_repeat(now_s)
+        return self._is_repeated_after_failure
 
     def attempt_part(self, part: bytes) -> None:
         """Passes on the next bytes of a long answer."""
--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -204,6 +204,69 @@
         assert find_header(client, b"server-stamp") == b"proof"
         assert decode_body(client) == (BODY, True)
 
+    def test_failure_counts_as_one(self, mesh):
+        answer_each(mesh, STAMP, status="500 Broken")
+        for number in range(10):
+            ask(mesh, request_id=f"q{number}", wait=0.02)
+        assert count_outcomes(mesh) == {"5xx": 10.0}
+        view = find_view(mesh)
+        now_s = mesh.network.seconds()
+        assert view._observed_failure_rate.at(now_s) > 0.3
+        assert view._reported_failure_rate.at(now_s) > 0.3
+
+    def test_success_counts_as_one(self, mesh, backend):
+        for number in range(10):
+            ask(mesh, request_id=f"f{number}", wait=0.01)
+            request = backend.requests[-1]
+            failure = encode(
+                STAMP,
+                status="500 Broken",
+                request_id=request.request_id,
+                body=b"failed",
+            )
+            request.connection.send(failure)
+            mesh.network.run(0.01)
+        now_s = mesh.network.seconds()
+        before = mesh.members[1].gateway._exit._health.failure_rate
+        for number in range(10):
+            client = ask(mesh, request_id=f"s{number}", wait=0.01)
+            request = backend.requests[-1]
+            request.connection.send(
+                encode(STAMP, request_id=request.request_id)
+            )
+            mesh.network.run(0.01)
+            check_is_whole(client)
+        assert mesh.network.seconds() < now_s + 1.0
+        after = mesh.members[1].gateway._exit._health.failure_rate
+        assert after < 0.6 * before
+        assert count_outcomes(mesh) == {"5xx": 10.0, "2xx": 10.0}
+
+    def test_failed_idempotent_request_is_sent_to_another_endpoint(self):
+        mesh = mesh_module.Mesh("front", "deep", "deep")
+        mesh.configure(mesh_module.make_route("read", "deep", attempts=2))
+        backend = answer_each(mesh, STAMP, status="500 Broken")
+        for number in range(10):
+            client = ask(mesh, "/read/x", request_id=f"q{number}")
+            assert client.statuses == [200]
+        assert backend.requests
+
+    def test_failed_request_that_was_run_is_never_answered_as_not_run(self):
+        mesh = mesh_module.Mesh("front", "deep", "deep")
+        mesh.configure(mesh_module.make_route("read", "deep", attempts=2))
+        backend = answer_each(mesh, STAMP, status="500 Broken")
+
+        def refuse(call):
+            call.answer(503, [(b"not-run", b"1")], b"")
+
+        mesh.members[1].backend.answer = refuse
+        clients = {}
+        for number in range(10):
+            request_id = f"q{number}"
+            clients[request_id] = ask(mesh, "/read/x", request_id=request_id)
+        assert backend.requests
+        for request in backend.requests:
+            assert clients[request.request_id].statuses in ([500], [502])
+
 
 class TestEarlyEnd:
     """A long answer that breaks off does not look complete."""
