End a long answer that stalls soon after the deadline

A client whose answer had begun waited for ever if the endpoint's node fell silent, or if the client itself read no more: EntryCall.attempt_streaming cancelled the timer, and only the endpoint's node still had one. The entry now aborts such an answer 0.2 s after the deadline, later than the endpoint's node does (0.1 s), so that no answer is cut sooner than before while that node works. Failed before: test_client_that_reads_no_more_does_not_hold_it test_node_that_falls_silent_ends_it_at_the_timeout both with the client's connection still open 0.25 s after the deadline.

--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -20,6 +20,10 @@
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import request_identity
 
+# The endpoint's node aborts a long answer at the deadline. If that does not
+# arrive, it is aborted here, this much later.
+STREAMING_GRACE_S = 0.2
+
 _Outcome = own_answers.Outcome
 
 
@@ -170,7 +174,7 @@
         """
         now_s = self._parts.clock.now_s()
         if self._evaluate(self._endpoint, head, now_s):
-            self._cancel_timer()
+            self._limit_streaming(now_s)
             self._answer.start_streaming(head, body)
             return
         endpoint = self._release_endpoint()
@@ -230,12 +234,21 @@
         self._is_repeated_after_failure = self._attempts.take_repeat(now_s)
         return self._is_repeated_after_failure
 
+    def _limit_streaming(self, now_s: float) -> None:
+        """Lets a long answer end a little after the deadline at the latest."""
+        self._cancel_timer()
+        self._timer = self._parts.reactor.callLater(
+            max(self._deadline_s - now_s, 0.0) + STREAMING_GRACE_S,
+            self._handle_streaming_timeout,
+        )
+
     def attempt_part(self, part: bytes) -> None:
         """Passes on the next bytes of a long answer."""
         self._call.send_body(part)
 
     def attempt_ended(self) -> None:
         """Ends a long answer that is complete."""
+        self._cancel_timer()
         self._release_endpoint()
         self._answer.finish_streaming()
 
@@ -244,6 +257,7 @@
         endpoint = self._release_endpoint()
         now_s = self._parts.clock.now_s()
         if self._answer.is_started:
+            self._cancel_timer()
             self._answer.abort_streaming(loss.detail)
             return
         if endpoint is not None:
@@ -290,13 +304,17 @@
         if endpoint is not None:
             endpoint.note_timeout(self._parts.clock.now_s())
         self._cancel_attempt()
-        if self._answer.is_started:
-            self._answer.abort_streaming("the deadline passed")
-        elif self._attempts.sent:
+        if self._attempts.sent:
             self._fail(_Outcome.TIMED_OUT, 504, "no answer in time")
         else:
             self._refuse(_Outcome.EXPIRED)
 
+    def _handle_streaming_timeout(self) -> None:
+        self._timer = None
+        self._release_endpoint()
+        self._cancel_attempt()
+        self._answer.abort_streaming("the deadline passed")
+
     def _handle_cancelled(self) -> None:
         self._cancel_timer()
         self._release_endpoint()
--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -354,6 +354,16 @@
         mesh.network.run(0.1)
         check_is_whole(client)
 
+    def test_client_that_reads_no_more_does_not_hold_it(self, mesh, backend):
+        client = ask(mesh)
+        (connection,) = backend.connections
+        send_in_parts(mesh, connection, encode(STAMP)[: -2 * PART_BYTES])
+        client.transport.peer.producer.pauseProducing()
+        send_in_parts(mesh, connection, encode(STAMP)[-2 * PART_BYTES :])
+        mesh.network.run(ROUTE_TIMEOUT_S + LATEST_END_S)
+        check_is_cut(client)
+        assert mesh.members[0].gateway._parts.open_entry_calls == 0
+
     def test_client_that_leaves_ends_the_work(self, mesh, backend):
         client = ask(mesh)
         (connection,) = backend.connections
@@ -374,6 +384,23 @@
         check_is_cut(client)
         assert connection.is_closed
 
+    def test_node_that_falls_silent_ends_it_at_the_timeout(self, mesh, backend):
+        """Guards against a client that waits for ever for a silent node."""
+        began_s = mesh.network.seconds()
+        client = ask(mesh)
+        (connection,) = backend.connections
+        send_in_parts(mesh, connection, encode(STAMP)[:-PART_BYTES])
+        port = mesh.members[1].entry_port + 1
+        for transport in mesh.network.transports:
+            if transport.port == port:
+                transport.receive = lambda data: None
+                transport.report_lost = lambda reason: None
+        mesh.network.run(began_s + ROUTE_TIMEOUT_S - mesh.network.seconds())
+        assert not client.is_closed
+        mesh.network.run(LATEST_END_S)
+        check_is_cut(client)
+        assert mesh.members[0].gateway._parts.open_entry_calls == 0
+
     def test_answer_that_ended_in_time_leaves_its_connection_open(
         self, mesh, backend
     ):
