--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -8,6 +8,8 @@
 
 from cranberrymux.decisions.routes import route
 from cranberrymux.gateway import attempt
+from cranberrymux.gateway import ports
+from cranberrymux.node.http import client_connection
 from tests.fakes import raw_backend
 from tests.gateway import mesh as mesh_module
 from tests.gateway import test_second_answers
@@ -411,6 +413,75 @@
         assert not client.is_closed
 
 
+def fill_at_each_write(transport):
+    """Has each write fill the send buffer, as to a slow receiver."""
+    write_at_once = transport.write
+
+    def write(data):
+        write_at_once(data)
+        transport.producer.pauseProducing()
+
+    transport.write = write
+
+
+def find_hop_sender(mesh):
+    """Returns the sending end of the only connection between the nodes."""
+    port = mesh.members[1].entry_port + 1
+    (sender,) = (
+        transport
+        for transport in mesh.network.transports
+        if transport.port == port
+        and isinstance(transport.producer, client_connection.ClientConnection)
+    )
+    return sender
+
+
+class TestBackpressure:
+    """A slow receiver leaves no connection behind that is not read."""
+
+    def test_connection_is_read_after_a_slow_client(self, mesh, backend):
+        """Guards against a kept connection on which answers are not read."""
+        slow = ask(mesh)
+        (connection,) = backend.connections
+        data = encode(STAMP)
+        send_in_parts(mesh, connection, data[:-PART_BYTES])
+        fill_at_each_write(slow.transport.peer)
+        connection.send(data[-PART_BYTES:])
+        mesh.network.run(0.1)
+        slow.transport.peer.producer.resumeProducing()
+        check_is_whole(slow)
+        backend.on_request = test_second_answers.answer
+        for number in range(3):
+            request_id = f"q{number}"
+            client = ask(mesh, request_id=request_id, wait=0.5)
+            test_second_answers.check_is_served(client, request_id)
+
+    def test_client_connection_is_read_after_a_slow_upload(self, mesh):
+        """Guards against a kept connection on which requests are not read."""
+        server = mesh.members[1].backend
+        server.answer = None
+        client = mesh.connect(0)
+        body = b"x" * (ports.BUFFERED_BODY_BYTES + 3 * PART_BYTES)
+        request = mesh_module.encode("/write/x", method="POST", body=body)
+        client.send(request[:-PART_BYTES])
+        mesh.network.run(0.05)
+        sender = find_hop_sender(mesh)
+        fill_at_each_write(sender)
+        client.send(request[-PART_BYTES:])
+        mesh.network.run(0.05)
+        sender.producer.resumeProducing()
+        (call,) = server.calls
+        assert call.is_body_complete
+        mesh_module.answer_with_proof(call)
+        mesh.network.run(0.05)
+        assert client.statuses == [200]
+        server.answer = mesh_module.answer_with_proof
+        headers = [("Request-Id", "r2")]
+        client.send(mesh_module.encode("/write/x", headers=headers))
+        mesh.network.run(0.1)
+        assert client.statuses == [200, 200]
+
+
 @pytest.mark.parametrize("second", test_second_answers.SECOND_ANSWERS)
 @pytest.mark.parametrize("is_one_read", [False, True])
 def test_second_answer_behind_a_long_one_is_nobodys(
