Take no call from a connection that its last answer has closed

What callers saw: a client that sent a long body, or `Connection: close` with bytes behind it, got two answers to one request: that of the node (a 404 of an unknown route, say), and behind it a 400 for the bytes of the rest. A request behind such a body was run after its client had been told `Connection: close`.

Cause: an answer given while the parser is at work closes the connection, but the parser went on with the rest of the same read. Twisted still sends what is written between `loseConnection` and the next turn of its loop.

Evidence: five new tests, all red before: `assert [404, 400] == [404]` and `assert [b'/1', b'/2'] == [b'/1']`. The network in memory dropped what was written after `loseConnection`, which hid this; it now sends it as Twisted does.

After `close` or `abort` the connection creates no call, adds to none and rejects nothing, so that nothing can follow the last answer.

--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -128,6 +128,8 @@
     def on_headers_complete(self) -> None:
         """Checks the head and creates the call; answers `Expect`."""
         self._is_in_head = False
+        if self._is_closing:
+            return
         head = self._make_head()
         call = inbound_call.InboundCall(self, head)
         self._being_read = call
@@ -195,6 +197,8 @@
         """Starts the next pipelined call, answers a bad one, or closes."""
         del call  # Calls are answered in order, so it is the current one.
         self._current = None
+        if self._is_closing:
+            return
         if not keep_alive:
             self.close()
             return
@@ -206,12 +210,12 @@
 
     def abort(self) -> None:
         """Closes at once, which leaves the answer truncated."""
-        self._is_closing = True
+        self._stop_taking_calls()
         self._tcp.abortConnection()
 
     def close(self) -> None:
         """Closes once everything written has been sent."""
-        self._is_closing = True
+        self._stop_taking_calls()
         self._tcp.unregisterProducer()
         self._tcp.loseConnection()
 
@@ -272,8 +276,15 @@
         self._current = call
         self._handler.handle_call(call)
 
+    def _stop_taking_calls(self) -> None:
+        """Ignores what the parser still reads from the data at hand."""
+        self._is_closing = True
+        self._being_read = None
+
     def _reject(self, bad: bad_message.BadMessage) -> None:
         """Answers a bad request now, or after the calls before it."""
+        if self._is_closing:
+            return
         self._rejected = bad
         reading = self._being_read
         self._being_read = None
--- a/tests/fakes/memory_network.py
+++ b/tests/fakes/memory_network.py
@@ -58,7 +58,12 @@
             self.network.deliver(self, data)
 
     def loseConnection(self):
-        self.network.close(self, error.ConnectionDone())
+        # As with Twisted, what is written before the loop goes on is sent.
+        self.network.callLater(0, self._close)
+
+    def _close(self):
+        if self.connected:
+            self.network.close(self, error.ConnectionDone())
 
     def abortConnection(self):
         self.network.close(self, error.ConnectionAborted())
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -30,9 +30,12 @@
 class Handler:
     def __init__(self):
         self.calls = []
+        self.answer = None
 
     def handle_call(self, call):
         self.calls.append(call)
+        if self.answer is not None:
+            self.answer(call)
 
 
 class Server:
@@ -220,6 +223,46 @@
     assert call.body_length == 250
 
 
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"not a chunk\r\n",
+        b"3e8\r\n" + b"x" * 1000 + b"\r\n0\r\n\r\n",
+        b"0\r\n\r\nNONSENSE\r\n\r\n",
+    ],
+)
+def test_call_answered_before_its_body_gets_no_second_answer(server, rest):
+    """Guards against a rejection behind the answer that ends a connection."""
+    server.handler.answer = lambda call: call.answer(404, [], b"")
+    chunk = b"65\r\n" + b"x" * 101 + b"\r\n"
+    head = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+    client = server.send(head + chunk + rest)
+    assert client.statuses == [404]
+    assert client.is_closed
+
+
+def test_data_behind_a_last_answered_call_gets_no_answer(server):
+    server.handler.answer = lambda call: call.answer(200, [], b"")
+    client = server.send(
+        b"GET /1 HTTP/1.1\r\nconnection: close\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"
+    )
+    assert client.statuses == [200]
+    assert client.is_closed
+
+
+def test_call_behind_an_answer_that_ends_the_connection_is_not_handled(server):
+    """Guards against running a request whose client sees the connection end."""
+    server.handler.answer = lambda call: call.answer(404, [], b"")
+    client = server.send(
+        b"POST /1 HTTP/1.1\r\ncontent-length: 200\r\n\r\n"
+        + b"x" * 200
+        + b"GET /2 HTTP/1.1\r\n\r\n"
+    )
+    assert [call.head.target for call in server.calls] == [b"/1"]
+    assert client.statuses == [404]
+    assert client.is_closed
+
+
 @hypothesis.settings(
     derandomize=True, database=None, max_examples=300, deadline=None
 )
