Reject a waiting call whose body turns out bad

What callers saw: a pipelined call with a long chunked body that breaks off in nonsense or exceeds the limit was handed to a backend server all the same, after the answer to the call before it. The rest of its body could never come, so the caller waited until the deadline for the 400 or 413 that was due at once, and the backend server held a slot for half a request.

Cause: a body over `buffered_bytes` puts its call into the queue before it has been read whole, and a rejection left the call there.

Evidence: the new test was red in both cases: `assert [b'/1', b'/2'] == [b'/1']`.

A rejected call leaves the queue, so the rejection follows the answer before it, and says truly that nothing was run.

--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -288,6 +288,8 @@
         self._rejected = bad
         reading = self._being_read
         self._being_read = None
+        if reading is not None and reading in self._waiting:
+            self._waiting.remove(reading)
         if reading is not None and reading is self._current:
             # Part of the body may have reached a backend server, so the
             # answer cannot say that the call did not run.
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -263,6 +263,25 @@
     assert client.is_closed
 
 
+@pytest.mark.parametrize(
+    "rest", [b"not a chunk\r\n", (b"64\r\n" + b"x" * 100 + b"\r\n") * 10]
+)
+def test_waiting_call_with_a_bad_body_is_rejected_and_not_handled(server, rest):
+    """Guards against passing on a call whose body will never be whole."""
+    client = server.send(
+        b"GET /1 HTTP/1.1\r\n\r\n"
+        b"POST /2 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"65\r\n" + b"x" * 101 + b"\r\n" + rest
+    )
+    server.calls[0].answer(200, [], b"")
+    server.network.run(0.005)
+    assert [call.head.target for call in server.calls] == [b"/1"]
+    assert client.statuses[0] == 200
+    assert client.statuses[1] in (400, 413)
+    assert _parse_error_body(client)["answer"] == "not-run"
+    assert client.is_closed
+
+
 @hypothesis.settings(
     derandomize=True, database=None, max_examples=300, deadline=None
 )
