Read a connection again once a paused body is complete

What callers saw: after an upload that its backend server read slowly, the kept connection was dead: the next request on it was accepted by the kernel and never read, until its client gave up.

Cause: a full send buffer pauses reading from the client. If the last bytes of the body were in the same read, the body is complete when the buffer has drained, and the senders resume only incomplete bodies. The connection went back to keep-alive paused.

Evidence: the new test was red: `assert [b'/1'] == [b'/1', b'/2']`.

The connection itself ends the pause with the body, so no sender can forget.

--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -163,6 +163,8 @@
         self._being_read = None
         if call is None:
             return
+        # Nobody resumes a body that has no more bytes to come.
+        self.resume_body()
         call.complete_body()
         if self._dispatched is not call:
             self._dispatch(call)
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -282,6 +282,30 @@
     assert client.is_closed
 
 
+def test_body_paused_in_its_last_read_leaves_the_connection_readable(server):
+    """Guards against a kept connection that is never read again."""
+
+    class Sink:
+        def body_part(self, part):
+            server.calls[0].pause_body()
+
+        def body_complete(self):
+            pass
+
+    client = server.send(
+        b"POST /1 HTTP/1.1\r\ncontent-length: 300\r\n\r\n" + b"x" * 150
+    )
+    server.calls[0].stream_body_to(Sink())
+    server.calls[0].resume_body()
+    client.send(b"x" * 150)
+    server.network.run(0.005)
+    assert server.calls[0].is_body_complete
+    server.calls[0].answer(200, [], b"")
+    client.send(b"GET /2 HTTP/1.1\r\n\r\n")
+    server.network.run(0.005)
+    assert [call.head.target for call in server.calls] == [b"/1", b"/2"]
+
+
 @hypothesis.settings(
     derandomize=True, database=None, max_examples=300, deadline=None
 )
