Serve a request to upgrade once, or reject it before it runs

What callers saw: a request with `Upgrade` (as HTTP clients send that try for h2c) was handled, and its answer was followed by a 501 that no request waited for. With a body it was handled as if the body were empty, so a backend server would have run a request with another body. CONNECT was handled as well.

Cause: the parser reports the upgrade only after it has reported the message as complete, and never reads the body of one.

Without a body the request is served as if it had not asked for another protocol (RFC 9110, 7.8), and reading goes on behind it. With one, and for CONNECT, the answer is 501 before any handler sees the call.

--- a/src/cranberrymux/node/http/request_head_reader.py
+++ b/src/cranberrymux/node/http/request_head_reader.py
@@ -34,6 +34,12 @@
     bad = _check_framing(coding, length, message_limits)
     if bad is not None:
         return bad
+    method = parser.get_method().upper()
+    has_body = coding is not None or length is not None
+    if parser.should_upgrade() and (has_body or method == b"CONNECT"):
+        # The parser leaves such a body unread. Without one, the request is
+        # served as if it had not asked for another protocol.
+        return bad_message.BadMessage(501, "upgrade is not served")
     size = int(length) if length is not None else 0
     mode = body_mode.BodyMode.NONE
     if coding is not None:
@@ -41,7 +47,7 @@
     elif size:
         mode = body_mode.BodyMode.SIZED
     return request_head.RequestHead(
-        parser.get_method().upper(),
+        method,
         target,
         head_headers,
         mode,
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -77,9 +77,7 @@
         if self._is_closing or self._rejected is not None:
             return
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(bad_message.BadMessage(501, "upgrade is not served"))
+            self._feed(data)
         except httptools.HttpParserCallbackError:
             if self._rejected is None:
                 # A defect of this program, not of the message: Twisted logs
@@ -252,6 +250,17 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing, as `connectionLost` follows."""
 
+    def _feed(self, data: bytes) -> None:
+        """Parses data, with a new parser behind each request to upgrade."""
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                self._parser = httptools.HttpRequestParser(self)
+                data = data[upgrade.args[0] :]
+            else:
+                return
+
     def _make_head(self) -> request_head.RequestHead:
         head = request_head_reader.read_head(
             self._parser, self._target, self._headers, self._limits
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -42,8 +42,8 @@
     def __init__(self):
         self.network = memory_network.MemoryNetwork()
         self.handler = Handler()
-        factory = server_factory.ServerFactory(self.handler, LIMITS)
-        self.network.listen(PORT, factory)
+        self.factory = server_factory.ServerFactory(self.handler, LIMITS)
+        self.network.listen(PORT, self.factory)
 
     @property
     def calls(self):
@@ -142,6 +142,13 @@
             501,
             "bad-request",
         ),
+        (
+            b"POST / HTTP/1.1\r\nconnection: upgrade\r\nupgrade: h2c\r\n"
+            b"content-length: 2\r\n\r\nab",
+            501,
+            "bad-request",
+        ),
+        (b"CONNECT a.example:1 HTTP/1.1\r\n\r\n", 501, "bad-request"),
     ],
 )
 def test_bad_request_is_rejected_as_not_run_and_reaches_no_handler(
@@ -306,6 +313,20 @@
     assert [call.head.target for call in server.calls] == [b"/1", b"/2"]
 
 
+def test_request_to_upgrade_is_answered_like_any_other(server):
+    """Guards against a second answer behind that of the call."""
+    upgrade = b"connection: upgrade\r\nupgrade: h2c\r\n\r\n"
+    client = server.send(
+        b"GET /1 HTTP/1.1\r\n" + upgrade + b"GET /2 HTTP/1.1\r\n\r\n"
+    )
+    server.calls[0].answer(200, [], b"one")
+    server.calls[1].answer(200, [], b"two")
+    server.network.run(0.005)
+    assert [call.head.target for call in server.calls] == [b"/1", b"/2"]
+    assert client.statuses == [200, 200]
+    assert not client.is_closed
+
+
 @hypothesis.settings(
     derandomize=True, database=None, max_examples=300, deadline=None
 )
