Keep trailers of a request's body out of its head

What could be seen: a trailer behind a chunked body was taken for a header of the request and passed on as one, so a `Request-Id`, `Deadline-Ms` or `Host` that stood behind the body could serve as that of the request.

Cause: the parser reports trailers as it reports headers, and the head shares its list with the collector.

Evidence: the new test was red: the head held `(b'request-id', b'x')`.

Trailers are dropped, as RFC 9110 (6.5.1) asks of a receiver that does not know their definition; the limits still count them.

--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -56,6 +56,7 @@
         self._target = b""
         self._headers: headers.HeaderList = []
         self._header_bytes = 0
+        self._header_count = 0
         self._rejected: bad_message.BadMessage | None = None
         self._is_in_head = False
         self._read_count = 0
@@ -106,6 +107,7 @@
         self._target = b""
         self._headers = []
         self._header_bytes = 0
+        self._header_count = 0
         self._is_in_head = True
 
     def on_url(self, part: bytes) -> None:
@@ -115,13 +117,15 @@
             self._fail(414, f"target over {self._limits.target_bytes} bytes")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header and checks the limits on headers."""
+        """Collects a header and checks the limits, also on trailers."""
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > self._limits.header_bytes:
             self._fail(431, f"headers over {self._limits.header_bytes} bytes")
-        if len(self._headers) >= self._limits.header_count:
+        if self._header_count >= self._limits.header_count:
             self._fail(431, f"over {self._limits.header_count} headers")
-        self._headers.append((name.lower(), value))
+        self._header_count += 1
+        if self._is_in_head:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Checks the head and creates the call; answers `Expect`."""
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -327,6 +327,25 @@
     assert not client.is_closed
 
 
+def test_trailers_of_a_body_are_not_headers_of_the_call(server):
+    """Guards against a trailer that passes for the id of the request."""
+    server.send(
+        b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"1\r\na\r\n0\r\nrequest-id: x\r\n\r\n"
+    )
+    assert server.calls[0].buffered_body() == b"a"
+    assert server.calls[0].head.headers == [(b"transfer-encoding", b"chunked")]
+
+
+def test_trailers_over_the_limit_are_rejected(server):
+    client = server.send(
+        b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"1\r\na\r\n0\r\n" + b"a: b\r\n" * 11 + b"\r\n"
+    )
+    assert client.statuses == [431]
+    assert server.calls == []
+
+
 @hypothesis.settings(
     derandomize=True, database=None, max_examples=300, deadline=None
 )
