Close a connection whose last answer announced its close

What callers saw: an answer that began before its request's body had been read said `Connection: close`; if the body ended before the answer did, the connection stayed open, and a call that had been pipelined behind it was run though its client had been told that it would not be.

Cause: the head of an answer and its end each asked anew whether the connection may stay open.

Evidence: the new test was red: `assert [b'/1', b'/2'] == [b'/1']`.

What the head announced now decides.

--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -101,6 +101,7 @@
         self._sink: body_sink.BodySink | None = None
         self._is_chunked_answer = False
         self._is_head_sent = False
+        self._is_close_announced = False
         self._is_answered = False
         self._is_client_disconnected = False
 
@@ -229,7 +230,7 @@
         ):
             self._connection.send(b"0\r\n\r\n")
         self._mark_ended()
-        keep_alive = self._may_stay_open
+        keep_alive = self._may_stay_open and not self._is_close_announced
         if self._is_chunked_answer and self.head.is_http_1_0:
             keep_alive = False
         self._connection.call_answered(self, keep_alive)
@@ -278,5 +279,6 @@
         ):
             data += b"content-length: %d\r\n" % head.content_length
         if not self._may_stay_open:
+            self._is_close_announced = True
             data += b"connection: close\r\n"
         return data + b"\r\n"
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -11,6 +11,8 @@
 from hypothesis import strategies
 import pytest
 
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import server_factory
 from tests.fakes import memory_network
@@ -346,6 +348,23 @@
     assert server.calls == []
 
 
+def test_announced_close_holds_though_the_body_ends_before_the_answer(server):
+    """Guards against running calls behind `Connection: close`."""
+    client = server.send(
+        b"POST /1 HTTP/1.1\r\ncontent-length: 200\r\n\r\n" + b"x" * 150
+    )
+    head = answer_head.AnswerHead(200, [], body_mode.BodyMode.SIZED, 2)
+    server.calls[0].start_answer(head)
+    client.send(b"x" * 50 + b"GET /2 HTTP/1.1\r\n\r\n")
+    server.network.run(0.005)
+    server.calls[0].send_body(b"ok")
+    server.calls[0].finish()
+    server.network.run(0.005)
+    assert b"connection: close" in client.received
+    assert [call.head.target for call in server.calls] == [b"/1"]
+    assert client.is_closed
+
+
 @hypothesis.settings(
     derandomize=True, database=None, max_examples=300, deadline=None
 )
