Let no header timeout cut off the answers before a head

What callers saw: a client that pipelines lost the answers to its earlier calls, although they were at work, when part of the next call's head had been read for `header_timeout`. The node itself was the cause of that wait where a second call was queued: it does not read on until that call's turn.

Evidence: the new test was red in both cases (`assert not True`: the connection was closed). A second test shows that a slow head with nothing to answer before it still ends its connection.

The timeouts count only while no answer is due.

--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -174,10 +174,9 @@
     # State that the factory reads.
 
     @property
-    def is_idle(self) -> bool:
-        """True if no call is handled or waits, and no head is being read."""
-        is_busy = self._current is not None or bool(self._waiting)
-        return not is_busy and not self.is_reading_head
+    def is_answering(self) -> bool:
+        """True if a call is handled or waits."""
+        return self._current is not None or bool(self._waiting)
 
     @property
     def is_reading_head(self) -> bool:
--- a/src/cranberrymux/node/http/server_factory.py
+++ b/src/cranberrymux/node/http/server_factory.py
@@ -79,7 +79,8 @@
         """Closes connections that are idle, or slow to send a head.
 
         To be called about once a second, as times count from the first call
-        that sees a connection idle or reading a head.
+        that sees a connection idle or reading a head. None runs while an
+        answer is due, for which reading may have paused.
 
         Args:
             now_s: Present time on any steady clock.
@@ -88,15 +89,15 @@
                 request's head.
         """
         for connection in list(self._open_connections):
+            if connection.is_answering:
+                self._unchanged_since.pop(connection, None)
+                continue
             if connection.is_reading_head:
                 state = (True, 0)
                 timeout_s = head_timeout_s
-            elif connection.is_idle:
+            else:
                 state = (False, connection.read_count)
                 timeout_s = idle_s
-            else:
-                self._unchanged_since.pop(connection, None)
-                continue
             previous = self._unchanged_since.get(connection)
             if previous is None or previous[0] != state:
                 self._unchanged_since[connection] = (state, now_s)
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -365,6 +365,29 @@
     assert client.is_closed
 
 
+@pytest.mark.parametrize("waiting", [b"", b"GET /2 HTTP/1.1\r\n\r\n"])
+def test_slow_head_does_not_cut_off_the_answers_before_it(server, waiting):
+    """Guards against a header timeout that runs while reading is paused."""
+    client = server.send(
+        b"GET /1 HTTP/1.1\r\n\r\n" + waiting + b"GET /3 HTTP/1.1\r\na: "
+    )
+    for now_s in range(10):
+        server.factory.sweep(now_s, idle_s=15.0, head_timeout_s=3.0)
+    server.network.run(0.005)
+    assert not client.is_closed
+    server.calls[0].answer(200, [], b"")
+    server.network.run(0.005)
+    assert client.statuses == [200]
+
+
+def test_slow_head_closes_the_connection_when_nothing_is_answered(server):
+    client = server.send(b"GET /1 HTTP/1.1\r\na: ")
+    for now_s in range(5):
+        server.factory.sweep(now_s, idle_s=15.0, head_timeout_s=3.0)
+    server.network.run(0.005)
+    assert client.is_closed
+
+
 @hypothesis.settings(
     derandomize=True, database=None, max_examples=300, deadline=None
 )
