Reset a cut answer that only the end of its connection ends

What callers saw: a client of HTTP/1.0 whose long answer was under way when the node closed its connections at the end of a stop got the orderly end that marks such an answer as whole.

Cause: `close` sends what is written and then ends the connection, whichever answer is in progress; with HTTP/1.0 a streamed answer has no other end.

Evidence: the new test was red: `assert False ... is_reset`.

`close` aborts while such an answer is in progress; its regular end has freed the connection before.

--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -125,6 +125,12 @@
         """True once the head of the final (not 1xx) answer was sent."""
         return self._is_head_sent
 
+    @property
+    def is_ended_by_close(self) -> bool:
+        """True while an answer is sent that only an orderly close ends."""
+        is_sending = self._is_head_sent and not self._is_answered
+        return is_sending and self._is_unframed
+
     def buffered_body(self) -> bytes:
         """Returns the buffered body: what was read and not yet streamed."""
         return b"".join(self._parts)
@@ -231,9 +237,9 @@
             self._connection.send(b"0\r\n\r\n")
         self._mark_ended()
         keep_alive = self._may_stay_open and not self._is_close_announced
-        if self._is_chunked_answer and self.head.is_http_1_0:
-            keep_alive = False
-        self._connection.call_answered(self, keep_alive)
+        self._connection.call_answered(
+            self, keep_alive and not self._is_unframed
+        )
 
     def abort(self) -> None:
         """Aborts the connection, so that the client sees no complete answer."""
@@ -260,6 +266,10 @@
         if self.on_ended is not None:
             self.on_ended()
 
+    @property
+    def _is_unframed(self) -> bool:
+        return self._is_chunked_answer and self.head.is_http_1_0
+
     @property
     def _may_stay_open(self) -> bool:
         is_read = self.head.keep_alive and self._is_body_complete
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -217,7 +217,13 @@
         self._tcp.abortConnection()
 
     def close(self) -> None:
-        """Closes once everything written has been sent."""
+        """Closes once everything written has been sent.
+
+        An answer in progress whose end is that of the connection is aborted.
+        """
+        if self._current is not None and self._current.is_ended_by_close:
+            self.abort()
+            return
         self._stop_taking_calls()
         self._tcp.unregisterProducer()
         self._tcp.loseConnection()
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -388,6 +388,36 @@
     assert client.is_closed
 
 
+def _start_unframed_answer(server):
+    client = server.send(b"GET / HTTP/1.0\r\n\r\n")
+    head = answer_head.AnswerHead(200, [], body_mode.BodyMode.CHUNKED, 0)
+    server.calls[0].start_answer(head)
+    server.calls[0].send_body(b"part")
+    server.network.run(0.005)
+    assert client.received.endswith(b"\r\n\r\npart")
+    return client
+
+
+def test_unframed_answer_that_is_whole_ends_in_an_orderly_way(server):
+    client = _start_unframed_answer(server)
+    server.calls[0].finish()
+    server.network.run(0.005)
+    assert client.is_closed
+    assert not client.is_reset
+
+
+@pytest.mark.parametrize("is_shutdown", [False, True])
+def test_unframed_answer_that_is_cut_ends_in_a_reset(server, is_shutdown):
+    """Guards against a cut answer to HTTP/1.0 that looks complete."""
+    client = _start_unframed_answer(server)
+    if is_shutdown:
+        server.factory.close_connections()
+    else:
+        server.calls[0].abort()
+    server.network.run(0.005)
+    assert client.is_reset
+
+
 @hypothesis.settings(
     derandomize=True, database=None, max_examples=300, deadline=None
 )
