Notice answers to no request in the load generator

What could be overlooked: the load generator is what shows whether nodes keep answers apart, and it had the fault itself. A second answer in the same read as the first was reported as the answer to the next request, with status 0 and its headers and body; a failure among them passed as that request's own. Data on an idle connection was dropped without a trace, and the rest of it parsed as the next answer. A 103 counted as the answer.

Cause: the result was reported from inside the parser's callback, the pool passed the connection on, and the next request was sent before the rest of the read had been parsed.

A result is reported once its whole read has been parsed; anything behind a response makes it malformed, so the request counts as wrong. Data on an idle connection ends it and counts as `unsolicited` in the report, which makes the load fail as a wrong answer does.

--- a/src/cranberrymux/load/connection_pool.py
+++ b/src/cranberrymux/load/connection_pool.py
@@ -16,7 +16,12 @@
 
 
 class ConnectionPool:
-    """Reuses connections, the most recently released one first."""
+    """Reuses connections, the most recently released one first.
+
+    Attributes:
+        unsolicited: Number of connections that ended because data arrived
+            while no request was in flight.
+    """
 
     def __init__(
         self,
@@ -34,6 +39,7 @@
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor, target.host, target.port, timeout=CONNECT_TIMEOUT_S
         )
+        self.unsolicited = 0
         self._maximum_connections = maximum_connections
         self._open_count = 0
         self._idle: list[http_connection.HttpConnection] = []
@@ -77,7 +83,9 @@
 
     def _connect(self) -> None:
         self._open_count += 1
-        connection = http_connection.HttpConnection(self._on_closed)
+        connection = http_connection.HttpConnection(
+            self._on_closed, self._on_unsolicited
+        )
         connecting = endpoints.connectProtocol(  # type: ignore[no-untyped-call]
             self._endpoint, connection
         )
@@ -90,6 +98,9 @@
         if self._waiting and self._open_count < self._maximum_connections:
             self._connect()
 
+    def _on_unsolicited(self) -> None:
+        self.unsolicited += 1
+
     def _on_closed(self, connection: http_connection.HttpConnection) -> None:
         self._open_count -= 1
         if connection in self._idle:
--- a/src/cranberrymux/load/http_connection.py
+++ b/src/cranberrymux/load/http_connection.py
@@ -12,6 +12,7 @@
 from cranberrymux.load import response
 
 Result = response.Response | no_response_reason.NoResponseReason
+FIRST_FINAL_STATUS = 200
 MAXIMUM_BODY_BYTES = 64 * 1024 * 1024
 
 _CLOSED = failure.Failure(error.ConnectionDone())  # type: ignore[no-untyped-call]
@@ -28,16 +29,27 @@
     # checkers reject.
     transport: Any
 
-    def __init__(self, on_closed: Callable[["HttpConnection"], None]) -> None:
+    def __init__(
+        self,
+        on_closed: Callable[["HttpConnection"], None],
+        on_unsolicited: Callable[[], None],
+    ) -> None:
         """Creates a protocol that is not connected.
 
         Args:
             on_closed: Called once when the connection has closed, after the
                 result of a request in flight.
+            on_unsolicited: Called when data arrives while no request is in
+                flight, which ends the connection.
         """
         self._on_closed = on_closed
+        self._on_unsolicited = on_unsolicited
         self._on_result: Callable[[Result], None] | None = None
         self._is_closed = False
+        self._response: response.Response | None = None
+        self._headers: dict[bytes, bytes] = {}
+        self._body = bytearray()
+        self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
     @property
@@ -68,14 +80,29 @@
         self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Feeds the parser; closes the connection if the data is not HTTP."""
+        """Feeds the parser; reports a response once all data was parsed.
+
+        Data that is not HTTP, or goes on behind the response, makes the
+        response malformed.
+        """
+        if self._is_closed:
+            return
+        if self._on_result is None:
+            self._is_closed = True
+            self._on_unsolicited()
+            self.transport.abortConnection()
+            return
         self._has_received_data = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
+            self._is_malformed = True
+        if self._is_malformed:
             self._is_closed = True
             self._finish(no_response_reason.NoResponseReason.MALFORMED)
             self.transport.abortConnection()
+        elif self._response is not None:
+            self._finish_with_response(self._response)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = _CLOSED
@@ -89,6 +116,11 @@
         )
         self._on_closed(self)
 
+    def on_message_begin(self) -> None:
+        """Notes data behind the complete response; called by the parser."""
+        if self._response is not None:
+            self._is_malformed = True
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header; called by the parser."""
         self._headers[name.lower()] = value
@@ -96,31 +128,39 @@
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body; called by the parser.
 
-        A body longer than `MAXIMUM_BODY_BYTES` ends the request as malformed.
+        A body longer than `MAXIMUM_BODY_BYTES` makes the response malformed.
         """
         self._body += body
         if len(self._body) > MAXIMUM_BODY_BYTES:
-            self._is_closed = True
-            self._finish(no_response_reason.NoResponseReason.MALFORMED)
-            self.transport.abortConnection()
+            self._is_malformed = True
 
     def on_message_complete(self) -> None:
-        """Reports the complete response; called by the parser."""
-        if not self._parser.should_keep_alive():
-            self._is_closed = True
-            self.transport.loseConnection()
-        self._finish(
-            response.Response(
-                self._parser.get_status_code(), self._headers, bytes(self._body)
+        """Keeps a complete final response; called by the parser."""
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            self._headers = {}
+            return
+        if self._response is None:
+            self._response = response.Response(
+                status, self._headers, bytes(self._body)
             )
-        )
+            self._is_last = not self._parser.should_keep_alive()
 
     def _reset(self) -> None:
         self._has_received_data = False
-        self._headers: dict[bytes, bytes] = {}
+        self._is_malformed = False
+        self._is_last = False
+        self._response = None
+        self._headers = {}
         self._body = bytearray()
         self._parser = httptools.HttpResponseParser(self)
 
+    def _finish_with_response(self, complete: response.Response) -> None:
+        if self._is_last:
+            self._is_closed = True
+            self.transport.loseConnection()
+        self._finish(complete)
+
     def _finish(self, result: Result) -> None:
         on_result = self._on_result
         self._on_result = None
--- a/src/cranberrymux/load/main.py
+++ b/src/cranberrymux/load/main.py
@@ -28,8 +28,8 @@
         arguments: Command-line arguments; those of the process if None.
 
     Returns:
-        0 for success, 1 if a response was wrong or cut, 2 if the settings or a
-        report to compare are invalid.
+        0 for success, 1 if a response was wrong, cut or unsolicited, 2 if the
+        settings or a report to compare are invalid.
     """
     parser = _build_parser()
     options = parser.parse_args(arguments)
@@ -53,7 +53,8 @@
     else:
         print(text)
     total = report["total"]
-    return EXIT_WRONG_ANSWERS if total["wrong"] or total["cut"] else EXIT_OK
+    is_wrong = total["wrong"] or total["cut"] or report["unsolicited"]
+    return EXIT_WRONG_ANSWERS if is_wrong else EXIT_OK
 
 
 def _run(settings: load_settings.LoadSettings) -> report_module.LoadReport:
--- a/src/cranberrymux/load/report.py
+++ b/src/cranberrymux/load/report.py
@@ -77,6 +77,8 @@
         seed: Seed of arrival times, kinds and ids.
         late_start_ms: Delays from scheduled arrival to first attempt that the
             load generator itself caused.
+        unsolicited: Connections on which data arrived while no request was in
+            flight.
         total: Results of all kinds together.
         kinds: Results by name of the kind.
     """
@@ -86,5 +88,6 @@
     seconds: float
     seed: int
     late_start_ms: LatencyReport
+    unsolicited: int
     total: KindReport
     kinds: dict[str, KindReport]
--- a/src/cranberrymux/load/runner.py
+++ b/src/cranberrymux/load/runner.py
@@ -35,14 +35,14 @@
         self._settings = settings
         self._reactor = reactor
         self._generator = random.Random(settings.seed)
-        pools = [
+        self._all_pools = [
             connection_pool.ConnectionPool(
                 reactor, target, settings.connections
             )
             for target in map(socket_address.parse, settings.targets)
             if target is not None
         ]
-        self._pools = itertools.cycle(pools)
+        self._pools = itertools.cycle(self._all_pools)
         self._recorders = [recorder_module.Recorder() for _ in settings.kinds]
         self._encoders = [
             request_encoder.RequestEncoder(kind) for kind in settings.kinds
@@ -148,6 +148,7 @@
             seconds=self._settings.seconds,
             seed=self._settings.seed,
             late_start_ms=self._late_start.report(),
+            unsolicited=sum(pool.unsolicited for pool in self._all_pools),
             total=total.report(self._settings.seconds),
             kinds={
                 name: recorder.report(self._settings.seconds)
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -9,6 +9,7 @@
 import json
 import socketserver
 import threading
+import time
 
 import pytest
 import yaml
@@ -19,6 +20,7 @@
 from cranberrymux.load import recorder
 from tests.standin import processes
 
+PAUSE_S = 0.02
 KIND = {"name": "lookup", "path": "/l/{request_id}"}
 
 
@@ -32,15 +34,18 @@
         Args:
             answer: Called with the headers of each request, by name in lower
                 case, and the number of requests so far; returns the bytes to
-                send. The connection closes unless they end with a brace.
+                send, or a list of bytes to send one after the other with a
+                pause. The connection closes unless they end with a brace.
         """
 
         class Handler(socketserver.StreamRequestHandler):
             def handle(self):
                 while headers := self._read_headers():
                     self.server.requests.append(headers)
-                    data = answer(headers, len(self.server.requests))
-                    self.wfile.write(data)
+                    sent = answer(headers, len(self.server.requests))
+                    for data in sent if isinstance(sent, list) else [sent]:
+                        self.wfile.write(data)
+                        time.sleep(PAUSE_S if isinstance(sent, list) else 0)
                     if not data.endswith(b"}"):
                         return
 
@@ -155,6 +160,16 @@
     assert status == (0 if kind == "unknown" else 1)
 
 
+def test_second_response_on_an_idle_connection_fails_the_load(serve, tmp_path):
+    """Guards against a load that overlooks answers to no request."""
+    server = serve(lambda head, _: [_http(200, _valid_body(head))] * 2)
+    status, report = processes.run_load(
+        tmp_path, [server.target], [KIND], rate=20, seconds=0.5
+    )
+    assert report["unsolicited"] > 0
+    assert status == 1
+
+
 def test_refusal_with_a_retry_delay_is_resent_under_the_same_id(
     serve, tmp_path
 ):
