Count a control reply only if it is whole and of its call's type

What could be seen: a reply without a required field, as another version may send, counted as an answer: a heartbeat's answer without `vouched_ms` ended in a `TypeError` after half of it had been applied. A reply to another method under the number of a call was taken for that call's answer.

Cause: thrift matches replies by number alone, and generated code checks required fields only where `validate` is called; the control instance does so for requests, its client did not for replies.

Evidence: four of the new cases were red: `None != <WireErrorReason.PROTOCOL>`. The other seven were green from the start: replies in any order reach their calls; a second reply, one to no call, one after the timeout or on a replaced connection, and one that is cut or over the limit reach none.

Such a reply now ends its call as a `PROTOCOL` error.

--- a/src/cranberrymux/wire/control_client.py
+++ b/src/cranberrymux/wire/control_client.py
@@ -70,6 +70,13 @@
         super().clientConnectionLost(connector, reason)
 
 
+def _check_answer(answer: Any, answer_type: type[Any]) -> None:
+    """Raises a `TException` if it is no whole answer of that type."""
+    if not isinstance(answer, answer_type):
+        raise Thrift.TException(f"answer is a {type(answer).__name__}")
+    answer.validate()
+
+
 class ControlClient:
     """Calls one control instance.
 
@@ -129,41 +136,47 @@
     async def heartbeat(self, heartbeat: Any) -> Any:
         """Sends a `Heartbeat`; returns `HeartbeatAnswer | WireError`."""
         return await self._call(
+            ttypes.HeartbeatAnswer,
             lambda client: client.heartbeat(
                 self._settings.cluster_key, heartbeat
-            )
+            ),
         )
 
     async def claim(self, request: Any) -> Any:
         """Sends a `ClaimRequest`; returns `ClaimAnswer | WireError`."""
         return await self._call(
-            lambda client: client.claim(self._settings.cluster_key, request)
+            ttypes.ClaimAnswer,
+            lambda client: client.claim(self._settings.cluster_key, request),
         )
 
     async def settle(self, request: Any) -> Any:
         """Sends a `SettleRequest`; returns `ClaimAnswer | WireError`."""
         return await self._call(
-            lambda client: client.settle(self._settings.cluster_key, request)
+            ttypes.ClaimAnswer,
+            lambda client: client.settle(self._settings.cluster_key, request),
         )
 
     async def report_suspect(self, report: Any) -> Any:
         """Sends a `SuspectReport`; returns `SuspectAnswer | WireError`."""
         return await self._call(
+            ttypes.SuspectAnswer,
             lambda client: client.report_suspect(
                 self._settings.cluster_key, report
-            )
+            ),
         )
 
     async def propose(self, command: Any) -> Any:
         """Sends a `Command`; returns `CommandAnswer | WireError`."""
         return await self._call(
-            lambda client: client.propose(self._settings.cluster_key, command)
+            ttypes.CommandAnswer,
+            lambda client: client.propose(self._settings.cluster_key, command),
         )
 
     async def contact(self, contact: Any) -> Any:
         """Sends a `Contact`; returns `ContactAnswer | WireError`."""
         return await self._call(
-            lambda client: client.contact(self._settings.cluster_key, contact)
+            ttypes.ContactAnswer,
+            lambda client: client.contact(self._settings.cluster_key, contact),
         )
 
     def deliver(self, message: Any) -> bool:
@@ -179,16 +192,20 @@
         sent.addErrback(lambda _: None)
         return True
 
-    async def _call(self, send: Callable[[Any], Any]) -> Any:
+    async def _call(
+        self, answer_type: type[Any], send: Callable[[Any], Any]
+    ) -> Any:
         if not self.is_connected:
             return wire_error.WireError(
                 wire_error.WireErrorReason.NOT_CONNECTED, self._address_text
             )
         connection = self._factory.connection
-        answer = send(connection.client)
-        answer.addTimeout(self._settings.timeout_ms / 1000, self._reactor)
+        answered = send(connection.client)
+        answered.addTimeout(self._settings.timeout_ms / 1000, self._reactor)
         try:
-            return await answer
+            answer = await answered
+            _check_answer(answer, answer_type)
+            return answer
         except defer.TimeoutError:
             connection.transport.abortConnection()
             return self._make_error(wire_error.WireErrorReason.TIMEOUT, "")
