Tell answers apart by an id on the path between nodes

Callers got another call's answer, or one that was cut to "ok", when another node or a backend server answered twice and the second answer came after the next call was sent on the connection.

Each sending therefore has a correlation id, which InboundCall repeats on every answer. That includes refusals, which had an empty request id, and rejections while a request is read; the id is sent first, so that one for the length of the headers has it. A rejection without it (target too long) ends the connection, and the vouch keeps "not run" true.

A backend server may go on to send no id, as RequestIdentity.is_required says; one that sends it is held to it on each connection.

--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -6,6 +6,7 @@
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import body_sink
+from cranberrymux.node.http import correlation
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import request_head
 
@@ -280,6 +281,7 @@
         if line is None:
             line = b"HTTP/1.1 %d Status\r\n" % head.status
         data = line + headers.encode(head.headers)
+        data += headers.encode(correlation.find_header(self.head.headers))
         if head.mode is body_mode.BodyMode.CHUNKED:
             if not self.head.is_http_1_0:
                 data += b"transfer-encoding: chunked\r\n"
--- a/src/cranberrymux/node/http/rejection.py
+++ b/src/cranberrymux/node/http/rejection.py
@@ -5,18 +5,25 @@
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal_reason
 from cranberrymux.node.http import bad_message
+from cranberrymux.node.http import correlation
+from cranberrymux.node.http import headers
 
 _Reason = refusal_reason.RefusalReason
 _SIZE_STATUSES = (413, 414, 431)
 
 
-def encode(bad: bad_message.BadMessage, kind: answer_kind.AnswerKind) -> bytes:
+def encode(
+    bad: bad_message.BadMessage,
+    kind: answer_kind.AnswerKind,
+    received: headers.HeaderList,
+) -> bytes:
     """Encodes a whole answer, after which the connection must be closed.
 
     Args:
         bad: Why the request is rejected.
         kind: `NOT_RUN`, or `UNKNOWN` if part of the body was passed on to a
             backend server.
+        received: Headers of the request that were read before its rejection.
 
     Returns:
         Status line, headers and JSON body.
@@ -36,11 +43,12 @@
     return (
         b"HTTP/1.1 %d Rejected\r\ncontent-type: application/json\r\n"
         b"cranberrymux-answer: %b\r\ncranberrymux-reason: %b\r\n"
-        b"connection: close\r\ncontent-length: %d\r\n\r\n%b"
+        b"%bconnection: close\r\ncontent-length: %d\r\n\r\n%b"
         % (
             bad.status,
             kind.value.encode(),
             reason.value.encode(),
+            headers.encode(correlation.find_header(received)),
             len(body),
             body,
         )
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -326,7 +326,7 @@
         self, kind: answer_kind.AnswerKind = answer_kind.AnswerKind.NOT_RUN
     ) -> None:
         bad = self._rejected or bad_message.BadMessage(400, "message not valid")
-        self._tcp.write(rejection.encode(bad, kind))
+        self._tcp.write(rejection.encode(bad, kind, self._headers))
         self.close()
 
     def _update_reading(self) -> None:
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -22,6 +22,7 @@
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
+from cranberrymux.node.http import request_identity
 
 _Kind = answer_kind.AnswerKind
 _Outcome = outcome_module.Outcome
@@ -224,8 +225,17 @@
         request = request_encoding.encode_request(
             self._call, backend_context, self._backend.address, None
         )
+        identity = request_identity.RequestIdentity(
+            b"cranberrymux-request-id",
+            backend_context.request_id.encode(),
+            is_required=False,
+        )
         self._attempt = outbound_attempt.OutboundAttempt(
-            self._call, request, self._node.settings.buffered_body_bytes, self
+            self._call,
+            request,
+            self._node.settings.buffered_body_bytes,
+            self,
+            identity,
         )
         self._attempt.start(self._node.pool, self._backend.address)
 
--- a/src/cranberrymux/node/outbound_attempt.py
+++ b/src/cranberrymux/node/outbound_attempt.py
@@ -9,6 +9,7 @@
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
+from cranberrymux.node.http import request_identity
 
 
 class AttemptListener(Protocol):
@@ -57,6 +58,7 @@
         request: bytes,
         buffered_bytes: int,
         listener: AttemptListener,
+        identity: request_identity.RequestIdentity,
     ) -> None:
         """Creates the attempt; `start` sends it.
 
@@ -67,11 +69,13 @@
             buffered_bytes: Longest body of an answer, in bytes, that is
                 buffered rather than streamed.
             listener: Receives the result.
+            identity: Header by which the answer is told from others.
         """
         self._call = call
         self._request = request
         self._maximum_buffered_bytes = buffered_bytes
         self._listener = listener
+        self._identity = identity
         self._lease: connection_pool.Lease | None = None
         self._connection: client_connection.ClientConnection | None = None
         self._head: answer_head.AnswerHead | None = None
@@ -184,6 +188,7 @@
             is_body_complete,
             self._call.head.method == b"HEAD",
             self,
+            self._identity,
         )
         if not is_body_complete:
             self._call.stream_body_to(self)
--- a/src/cranberrymux/node/request_encoding.py
+++ b/src/cranberrymux/node/request_encoding.py
@@ -6,6 +6,7 @@
 from cranberrymux.models import request_context
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import correlation
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 
@@ -22,6 +23,7 @@
         b"cranberrymux-endpoint",
         b"cranberrymux-configuration",
         b"cranberrymux-vouch",
+        correlation.HEADER,
     )
 )
 # Answer headers of the system: those of a backend server are not forwarded, as
@@ -35,6 +37,7 @@
         b"cranberrymux-configuration",
         b"cranberrymux-load",
         b"cranberrymux-dependency-failed",
+        correlation.HEADER,
     )
 )
 
@@ -47,12 +50,14 @@
         configuration: Version of the configuration in force at the sender.
         service: Service that is called.
         endpoint_id: Endpoint chosen for the call; no other may run it.
+        correlation_id: Id of this sending, which the answer repeats.
     """
 
     key: bytes
     configuration: int
     service: bytes
     endpoint_id: bytes
+    correlation_id: bytes
 
 
 def encode_request(
@@ -74,6 +79,11 @@
     """
     head = call.head
     encoded_parts = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
+    if peer_headers is not None:
+        # First, so that a rejection for the length of the headers repeats it.
+        encoded_parts.append(
+            b"%b: %b\r\n" % (correlation.HEADER, peer_headers.correlation_id)
+        )
     has_host = False
     for name, value in headers.forwardable(head.headers):
         if name in REQUEST_HEADERS:
@@ -91,7 +101,7 @@
         encoded_parts.append(
             b"cranberrymux-key: %b\r\ncranberrymux-configuration: %d\r\n"
             b"cranberrymux-service: %b\r\ncranberrymux-endpoint: %b\r\n"
-            % peer_headers
+            % peer_headers[:4]
         )
     encoded_parts.append(_encode_framing(call))
     if call.is_body_complete:
--- a/src/cranberrymux/node/routed_answers.py
+++ b/src/cranberrymux/node/routed_answers.py
@@ -6,6 +6,7 @@
 from cranberrymux.models import refusal_reason
 from cranberrymux.node import answer_metadata
 from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import correlation
 from cranberrymux.node.http import headers
 
 _Kind = answer_kind.AnswerKind
@@ -16,6 +17,7 @@
     b"cranberrymux-load",
     b"cranberrymux-configuration",
     b"cranberrymux-dependency-failed",
+    correlation.HEADER,
 )
 
 
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -28,6 +28,7 @@
 from cranberrymux.node import vouch_request
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import correlation
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
@@ -262,6 +263,7 @@
             )
         )
         address = connection_pool.Address(chosen.address, chosen.port)
+        identity = correlation.make_identity()
         request = request_encoding.encode_request(
             self._call,
             self._context,
@@ -271,10 +273,15 @@
                 self._node.policy.version,
                 self._service.encode(),
                 chosen.endpoint_id.encode(),
+                identity.value,
             ),
         )
         self._attempt = outbound_attempt.OutboundAttempt(
-            self._call, request, self._node.settings.buffered_body_bytes, self
+            self._call,
+            request,
+            self._node.settings.buffered_body_bytes,
+            self,
+            identity,
         )
         self._attempt.start(self._node.pool, address)
 
--- a/tests/fakes/raw_backend.py
+++ b/tests/fakes/raw_backend.py
@@ -12,11 +12,13 @@
         connection: Connection on which it came; `send` writes to it.
         method: HTTP method.
         request_id: Its id.
+        headers: Values of all headers, by name in lower case.
     """
 
     connection: "RawConnection"
     method: str
     request_id: str
+    headers: dict[str, str]
 
 
 class RawConnection(protocol.Protocol):
@@ -41,11 +43,16 @@
         while b"\r\n\r\n" in self._unread:
             head, _, self._unread = self._unread.partition(b"\r\n\r\n")
             first_line, *lines = head.decode("latin-1").split("\r\n")
-            headers = dict(line.split(": ", 1) for line in lines)
+            headers = {}
+            for line in lines:
+                name, value = line.split(": ", 1)
+                headers[name.lower()] = value
             request = RawRequest(
                 self,
                 first_line.split(" ")[0],
-                headers.get("Request-Id") or headers.get("request-id", ""),
+                headers.get("request-id")
+                or headers.get("cranberrymux-request-id", ""),
+                headers,
             )
             self.request_ids.append(request.request_id)
             self.backend.receive(request)
