Take only a peer's answer to the same message

A node that lost an answer could take the second answer to an earlier message for the vouch that it waits for, and so tell its caller "not run" of a call that ran.

Cause: PeerRequest gave the connection no identity. Each message now has a correlation id, as calls between nodes have.

--- a/src/cranberrymux/node/peer_request.py
+++ b/src/cranberrymux/node/peer_request.py
@@ -6,6 +6,7 @@
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import client_connection
 from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import correlation
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import lost_answer
 
@@ -103,12 +104,20 @@
     ) -> None:
         self._connection = connection
         name, value = self._message.header
+        identity = correlation.make_identity()
         request = (
             b"POST %b HTTP/1.1\r\nhost: node\r\ncontent-length: 0\r\n"
-            b"cranberrymux-key: %b\r\n%b: %b\r\n\r\n"
-            % (self._message.target, self._message.key, name, value)
+            b"cranberrymux-key: %b\r\n%b: %b\r\n%b: %b\r\n\r\n"
+            % (
+                self._message.target,
+                self._message.key,
+                name,
+                value,
+                identity.header,
+                identity.value,
+            )
         )
-        connection.send_request(request, True, False, self)
+        connection.send_request(request, True, False, self, identity)
 
     def _end(self, body: bytes | None) -> None:
         if self._is_over:
