Take no peer's answer that is over its limit

Such a request now gives up, which closes the connection and passes on None.

Evidence: test_answer_over_the_limit_is_no_answer failed before for each size of parts: assert [b'xxx...'] == [None].

--- a/src/cranberrymux/node/peer_request.py
+++ b/src/cranberrymux/node/peer_request.py
@@ -43,8 +43,8 @@
 
         Args:
             message: The message to send.
-            on_answer: Called once: with the body of an answer with status 200,
-                else with None.
+            on_answer: Called once: with the whole body of an answer with
+                status 200, None if there is none or it is too long.
         """
         self._message = message
         self._on_answer = on_answer
@@ -80,9 +80,10 @@
         self._status = head.status
 
     def answer_part(self, part: bytes) -> None:
-        """Collects the body until `_MAXIMUM_ANSWER_BYTES` are buffered."""
-        if len(self._body) < _MAXIMUM_ANSWER_BYTES:
-            self._body += part
+        """Collects the body; gives up beyond `_MAXIMUM_ANSWER_BYTES`."""
+        self._body += part
+        if len(self._body) > _MAXIMUM_ANSWER_BYTES:
+            self.give_up()
 
     def answer_complete(self) -> None:
         """Ends the request with the body if the status is 200."""
--- a/tests/node/test_peer_request.py
+++ b/tests/node/test_peer_request.py
@@ -51,6 +51,18 @@
     return head.encode() + body
 
 
+@pytest.mark.parametrize("part_bytes", [MAXIMUM_BYTES + 1, 1000, 1])
+def test_answer_over_the_limit_is_no_answer(sender, part_bytes):
+    """Guards against an answer that is cut at the limit and taken as whole."""
+    answers = sender.send()
+    data = encode(sender.receiver.requests[0], b"x" * (MAXIMUM_BYTES + 1))
+    for start in range(0, len(data), part_bytes):
+        sender.receiver.connections[0].send(data[start : start + part_bytes])
+    sender.network.run(0.01)
+    assert answers == [None]
+    assert sender.receiver.connections[0].is_closed
+
+
 def test_answer_of_the_longest_length_is_whole(sender):
     answers = sender.send()
     body = b"x" * MAXIMUM_BYTES
