Prove answer matching on the connection that nodes use

ClientConnection does their work; tickets beside it would say the same twice.

bench_decisions loses the figure answers.match_a_call with its code.

--- a/bench/bench_decisions.py
+++ b/bench/bench_decisions.py
@@ -12,10 +12,8 @@
 from bench import figure
 from bench import retry_trees
 from bench import routing_caller
-from cranberrymux.decisions.answers import answer_identity
 from cranberrymux.decisions.answers import attempt_key
 from cranberrymux.decisions.answers import call_evidence
-from cranberrymux.decisions.answers import call_matcher
 from cranberrymux.decisions.answers import classifier
 from cranberrymux.decisions.answers import reach
 from cranberrymux.decisions.answers import tombstone_settings
@@ -188,21 +186,11 @@
     evidence = call_evidence.CallEvidence(
         reach.Reach.NODE, 200, True, answer_kind.AnswerKind.DONE
     )
-    key = attempt_key.from_context(CONTEXT)
-    identity = answer_identity.AnswerIdentity(
-        CONTEXT.request_id, 1, answer_kind.AnswerKind.DONE
-    )
-    matcher = call_matcher.CallMatcher()
     attempt_tombstones = tombstones.Tombstones(
         0.0, 1, tombstone_settings.TombstoneSettings()
     )
     attempt_numbers = iter(range(10**9))
 
-    def match() -> None:
-        ticket = matcher.begin(key)
-        matcher.accept(ticket, identity, True)
-        matcher.end(ticket)
-
     def hand_over() -> None:
         attempt = next(attempt_numbers)
         attempt_tombstones.hand_over(
@@ -213,7 +201,6 @@
         _measure_cost(
             "answers.classify", lambda: classifier.classify(evidence)
         ),
-        _measure_cost("answers.match_a_call", match),
         _measure_cost("answers.hand_over", hand_over),
     ]
 
--- a/tests/fakes/raw_backend.py
+++ b/tests/fakes/raw_backend.py
@@ -11,12 +11,14 @@
     Attributes:
         connection: Connection on which it came; `send` writes to it.
         method: HTTP method.
+        path: Request target.
         request_id: Its id.
         headers: Values of all headers, by name in lower case.
     """
 
     connection: "RawConnection"
     method: str
+    path: str
     request_id: str
     headers: dict[str, str]
 
@@ -47,9 +49,11 @@
             for line in lines:
                 name, value = line.split(": ", 1)
                 headers[name.lower()] = value
+            method, path, _ = first_line.split(" ")
             request = RawRequest(
                 self,
-                first_line.split(" ")[0],
+                method,
+                path,
                 headers.get("request-id")
                 or headers.get("cranberrymux-request-id", ""),
                 headers,
