--- a/tests/node/test_second_answers.py
+++ b/tests/node/test_second_answers.py
@@ -102,8 +102,17 @@
         self._head = head
 
     def ask(self, request_id, seconds=0.05, extra=""):
+        client = self.connect()
+        self.send(client, request_id, seconds, extra)
+        return client
+
+    def connect(self):
+        return self.cluster.connect(self._ask_port)
+
+    def send(self, client, request_id, seconds=0.05, extra=""):
         request = f"{self._head}{REQUEST_ID}: {request_id}\r\n{extra}\r\n"
-        return self.cluster.ask(self._ask_port, request.encode(), seconds)
+        client.send(request.encode())
+        self.run(seconds)
 
     def ask_without_connection(self, request_id):
         """Asks while no connection is idle and a new one takes long to open."""
@@ -305,6 +314,30 @@
     assert len(body) < 2 * BUFFERED_BYTES
 
 
+def test_connection_is_read_again_after_a_slow_clients_answer(way):
+    """Guards against a call that waits on a connection which is not read."""
+    client = way.connect()
+    server_end = client.transport.peer
+    write = server_end.write
+
+    def write_and_fill_the_buffer(data):
+        write(data)
+        if len(data) > BUFFERED_BYTES:
+            server_end.producer.pauseProducing()
+
+    server_end.write = write_and_fill_the_buffer
+    way.send(client, "r-1")
+    (request,) = way.receiver.requests
+    body = b"x" * 2 * BUFFERED_BYTES
+    request.connection.send(encode(body, headers=ids_of(request)))
+    way.run(0.01)
+    assert client.received.endswith(body)
+    server_end.producer.resumeProducing()
+    way.receiver.on_request = answer
+    check_is_served(way.ask("r-2"), "r-2")
+    assert len(way.receiver.connections) == 1
+
+
 def test_answer_of_another_node_without_a_correlation_id_is_not_taken():
     """Guards against an answer to another call of the same request."""
     way = to_other_node()
