Log and count unexpected answers at nodes without routes

On-call engineers could not see that a backend server or another node answers twice, since only nodes that serve routes reported it.

Evidence: test_second_answers_are_counted_and_logged failed before: assert ('node.unexpected-answers', 1, 'other-id') in []

The pool of a node now reports to UnexpectedAnswers, with the log line and the reasons that nodes with routes have.

--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -20,6 +20,7 @@
 from cranberrymux.node import settings as node_settings
 from cranberrymux.node import siblings
 from cranberrymux.node import status_body
+from cranberrymux.node import unexpected_answers
 from cranberrymux.node.http import connection_pool
 from cranberrymux.telemetry import event
 from cranberrymux.telemetry import metrics_sink
@@ -63,7 +64,10 @@
         self._endpoint = own_endpoint.OwnEndpoint(
             settings, system_clock.now_unix_ms()
         )
-        pool = connection_pool.ConnectionPool(reactor)
+        pool = connection_pool.ConnectionPool(
+            reactor,
+            on_unexpected=unexpected_answers.UnexpectedAnswers(metrics).note,
+        )
         self._siblings = siblings.Siblings(settings.node_id, pool)
         self._env = environment_builder.build(
             environment_builder.Parts(
--- a/src/cranberrymux/telemetry/metric.py
+++ b/src/cranberrymux/telemetry/metric.py
@@ -33,6 +33,9 @@
     RETRIES_WITHHELD = _Definition(
         "node.retries-withheld", _Kind.COUNTER, "attempts", ("service",)
     )
+    UNEXPECTED_ANSWERS = _Definition(
+        "node.unexpected-answers", _Kind.COUNTER, "occurrences", ("reason",)
+    )
     CANCELLED = _Definition(
         "node.cancelled", _Kind.COUNTER, "calls", ("service",)
     )
--- a/tests/node/test_call_path.py
+++ b/tests/node/test_call_path.py
@@ -9,10 +9,13 @@
 import json
 
 import pytest
+from structlog import testing
 
+from cranberrymux.telemetry import event
 from cranberrymux.telemetry import null_sink
 from tests.fakes import backend
 from tests.fakes import cluster as clusters
+from tests.fakes import raw_backend
 
 GET = b"GET /x HTTP/1.1\r\nhost: a\r\n"
 
@@ -277,3 +280,28 @@
     assert ("node.calls", 1, "leaf", "default", "done") in counted
     refusal = ("node.refusals", 1, "leaf", "default", "not-started")
     assert refusal in counted
+
+
+def test_second_answers_are_counted_and_logged(cluster):
+    """Guards against second answers that nobody would notice."""
+    counted = []
+
+    class CountingSink(null_sink.NullSink):
+        def count(self, metric, value, *tags):
+            counted.append((metric.value.name, value, *tags))
+
+    leaf = cluster.add("leaf-0", "leaf", metrics=CountingSink())
+    receiver = raw_backend.RawBackend(cluster.network, leaf.backend.port)
+    cluster.ask(leaf.ingress_port, GET + b"\r\n")
+    second = (
+        b"HTTP/1.1 200 OK\r\ncranberrymux-request-id: r-0\r\n"
+        b"content-length: 0\r\n\r\n"
+    )
+    with testing.capture_logs() as lines:
+        receiver.connections[0].send(second)
+        cluster.network.run(0.01)
+    assert ("node.unexpected-answers", 1, "other-id") in counted
+    (line,) = lines
+    assert line["event"] is event.Event.UNEXPECTED_ANSWER
+    assert (line["reason"], line["answer_id"]) == ("other-id", "r-0")
+    assert line["request_id"] == receiver.requests[0].request_id
