Test that a long answer to HEAD has no body

It guards against a call that waits for a body which an answer to HEAD lacks. It passes on the code as it stands; nothing was mended for it.

--- a/tests/node/test_second_answers.py
+++ b/tests/node/test_second_answers.py
@@ -109,9 +109,9 @@
     def connect(self):
         return self.cluster.connect(self._ask_port)
 
-    def send(self, client, request_id, seconds=0.05, extra=""):
+    def send(self, client, request_id, seconds=0.05, extra="", method="GET"):
         request = f"{self._head}{REQUEST_ID}: {request_id}\r\n{extra}\r\n"
-        client.send(request.encode())
+        client.send(request.replace("GET", method).encode())
         self.run(seconds)
 
     def ask_without_connection(self, request_id):
@@ -314,6 +314,22 @@
     assert len(body) < 2 * BUFFERED_BYTES
 
 
+def test_long_answer_to_a_head_request_has_no_body(way):
+    """Guards against waiting for a body that an answer to HEAD lacks."""
+    client = way.connect()
+    way.send(client, "r-1", method="HEAD")
+    (request,) = way.receiver.requests
+    request.connection.send(
+        encode(b"", headers=ids_of(request), length=2 * BUFFERED_BYTES)
+    )
+    way.run(0.01)
+    assert client.statuses == [200]
+    assert client.received.endswith(b"\r\n\r\n")
+    way.receiver.on_request = answer
+    check_is_served(way.ask("r-2"), "r-2")
+    assert len(way.receiver.connections) == 1
+
+
 def test_connection_is_read_again_after_a_slow_clients_answer(way):
     """Guards against a call that waits on a connection which is not read."""
     client = way.connect()
