Send no request twice on one connection to a backend server

A caller got the second answer to an earlier call of the same request (a resend, or another child call), as it bears the id of that request.

Evidence: test_answer_to_an_earlier_call_of_the_same_request_is_not_taken [to_backend_server] failed before: b'...request-id: r-1...ok' in place of b'whole answer to r-1'.

Nothing else differs.

--- a/src/cranberrymux/node/outbound_attempt.py
+++ b/src/cranberrymux/node/outbound_attempt.py
@@ -95,7 +95,9 @@
         address: connection_pool.Address,
     ) -> None:
         """Sends the request on a pooled or new connection."""
-        self._lease = pool.take(address, self._connected, self._not_connected)
+        self._lease = pool.take(
+            address, self._connected, self._not_connected, self._identity
+        )
 
     def cancel(self) -> None:
         """Ends the attempt without a result and closes its connection."""
--- a/tests/node/test_second_answers.py
+++ b/tests/node/test_second_answers.py
@@ -367,8 +367,8 @@
     check_is_served(client, "r-1")
 
 
-def test_answer_to_an_earlier_call_of_the_same_request_is_not_taken():
-    way = to_other_node()
+def test_answer_to_an_earlier_call_of_the_same_request_is_not_taken(way):
+    """Guards against a late answer that bears the id of the request."""
     way.receiver.on_request = answer
     check_is_served(way.ask("r-1"), "r-1")
     way.receiver.on_request = None
