Repeat the request id in answers of stand-ins

docs/PROTOCOL.md asks backend servers for it, so that a node can tell a second answer from the next; the stand-ins of demo, benchmarks and soak did not do it.

Evidence: test_every_answer_repeats_the_request_id failed before: assert None == 'id-1'

--- a/src/cranberrymux/standin/standin_server.py
+++ b/src/cranberrymux/standin/standin_server.py
@@ -25,6 +25,7 @@
 LOAD_SAMPLE_PERIOD_S = 0.05
 DRAIN_POLL_PERIOD_S = 0.05
 LISTEN_BACKLOG_CONNECTIONS = 1024
+_REQUEST_ID_HEADER = b"cranberrymux-request-id"
 
 
 class _Root(resource.Resource):
@@ -34,6 +35,15 @@
         super().__init__()
         self._calls = calls
 
+    def getChildWithDefault(  # noqa: N802
+        self, path: bytes, request: server.Request
+    ) -> resource.Resource:
+        """Repeats the request id, by which the node knows the answer."""
+        request_id = request.getHeader(_REQUEST_ID_HEADER)
+        if request_id is not None:
+            request.setHeader(_REQUEST_ID_HEADER, request_id)
+        return super().getChildWithDefault(path, request)
+
     def getChild(  # noqa: N802
         self, path: bytes, request: server.Request
     ) -> resource.Resource:
--- a/tests/standin/test_standin.py
+++ b/tests/standin/test_standin.py
@@ -50,6 +50,14 @@
     assert child.counters()["runs_by_call"] == {"id-1/0.3": 2}
 
 
+@pytest.mark.parametrize("path", ["/x", "/load", "/counters"])
+def test_every_answer_repeats_the_request_id(start_standin, path):
+    """Guards against answers that a node cannot tell from others."""
+    standin = start_standin("a")
+    _, _, headers = standin.ask(path, headers=REQUEST_ID_HEADERS)
+    assert headers["Cranberrymux-Request-Id"] == "id-1"
+
+
 def test_calls_beyond_slots_and_queue_get_503(start_standin):
     standin = start_standin("a", slots=1, queue_limit=1, service_time_ms=300)
     with concurrent.futures.ThreadPoolExecutor(4) as threads:
