Take out the ids of answers in whole nodes, too

test_mutations shows that the tests of second answers fail without the comparison of ids and without the rule of one sending of a request on a connection.

--- a/tests/node/test_mutations.py
+++ b/tests/node/test_mutations.py
@@ -18,9 +18,11 @@
 from cranberrymux.node import running_call
 from cranberrymux.node import version_gate
 from cranberrymux.node import vouch_message
+from cranberrymux.node.http import client_connection
 from tests.fakes import cluster as clusters
 from tests.node import test_call_path as call_path
 from tests.node import test_guarantees as guarantees
+from tests.node import test_second_answers as second_answers
 
 
 def _once_only_pair(cluster):
@@ -50,6 +52,20 @@
     )
 
 
+def _second_answer_of_a_node(cluster):
+    del cluster
+    second_answers.test_second_answer_is_not_the_next_calls(
+        second_answers.to_other_node(), "the-same-again", False
+    )
+
+
+def _second_answer_of_a_backend_server(cluster):
+    del cluster
+    second_answers.test_answer_to_an_earlier_call_of_the_same_request_is_not_taken(
+        second_answers.to_backend_server()
+    )
+
+
 MUTATIONS = (
     (
         "resend joins the open call",
@@ -122,6 +138,24 @@
         (vouch_message, "decode_vouch", lambda body: None),
         _cut_off_before_the_hand_over,
     ),
+    (
+        "comparison of an answer's id",
+        (
+            client_connection.ClientConnection,
+            "_matches_request",
+            lambda self: True,
+        ),
+        _second_answer_of_a_node,
+    ),
+    (
+        "one sending of a request on a connection",
+        (
+            client_connection.ClientConnection,
+            "has_sent",
+            lambda self, identity: False,
+        ),
+        _second_answer_of_a_backend_server,
+    ),
 )
 
 
