Require an id only on connections that have shown one

A call between nodes that do not repeat correlation ids yet (an earlier version, while nodes are replaced one by one) was never answered, and neither was one to a backend server that sends no ids.

The identity of a request says whether the id is required. If not, an answer without the header is taken as long as no answer on its connection has had it. The first answer on a connection can have no earlier request to belong to, so a peer that repeats ids is held to them from its second answer on.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -68,6 +68,7 @@
         self._is_close_delimited = False
         self._has_read_answer_end = False
         self._is_paused = False
+        self._has_read_id = False
         self._tcp: Any = None
 
     @property
@@ -116,8 +117,9 @@
             is_head_request: True if the method is HEAD, whose answer has no
                 body.
             sink: Receives the answer.
-            identity: Header that the answer must bear, too; other answers are
-                discarded. None accepts every answer.
+            identity: Header that the answer must bear, too, unless it is not
+                required; other answers are discarded. None accepts every
+                answer.
         """
         self._sink = sink
         self._identity = identity
@@ -300,8 +302,11 @@
             return True
         answer_id = headers.find(self._headers, self._identity.header)
         if answer_id is None:
+            if not self._identity.is_required and not self._has_read_id:
+                return True
             self._report_unexpected(_UnexpectedKind.NO_ID)
             return False
+        self._has_read_id = True
         if answer_id != self._identity.value:
             self._report_unexpected(_UnexpectedKind.OTHER_ID, answer_id)
             return False
--- a/src/cranberrymux/node/http/correlation.py
+++ b/src/cranberrymux/node/http/correlation.py
@@ -15,8 +15,14 @@
 
 
 def make_identity() -> request_identity.RequestIdentity:
-    """Returns the identity of a message that no other of this process has."""
-    return request_identity.RequestIdentity(HEADER, b"%d" % next(_numbers))
+    """Returns the identity of a message that no other of this process has.
+
+    Nodes of an earlier version repeat no id, so a connection requires it only
+    once an answer on it has had one.
+    """
+    return request_identity.RequestIdentity(
+        HEADER, b"%d" % next(_numbers), is_required=False
+    )
 
 
 def find_header(received: headers.HeaderList) -> headers.HeaderList:
