Skip unreadable endpoint records instead of what came with them

What could be seen: one endpoint record in a state that this version does not know made a node drop every record of the same answer, and for good: the answer's revision counted as received, so they were not sent again until they changed. A record without a port or labels passed as an endpoint to use.

Cause: the revision was noted before the answer was applied; one record that could not be decoded ended the whole list; required fields of nested records were checked nowhere.

Evidence: the new tests were red: `assert [] == ['a', 'b']`, `['a', 'bad', 'b'] == ['a', 'b']`, `assert [5] == [0]`, `DID NOT RAISE ValueError`.

An unreadable record is logged and skipped, the others hold, and the revision counts once the answer has been applied.

--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -240,7 +240,7 @@
             try:
                 record = endpoint_conversion.decode_endpoint(message)
             except ValueError:
-                raise ttypes.Refused(reason="bad endpoint state") from None
+                raise ttypes.Refused(reason="bad endpoint") from None
             if self.directory.announce(record, now_s):
                 self._events.info(
                     "endpoint-changed",
--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -1,19 +1,25 @@
 """Sends heartbeats to the control instances and applies their answers."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
 from typing import Any
 from typing import Protocol
 
+import structlog
 from twisted.internet import defer
 from twisted.internet import task
 
 from cranberrymux.models import endpoint_record
 from cranberrymux.node import clock as clock_module
+from cranberrymux.telemetry import event
 from cranberrymux.wire import control_client
 from cranberrymux.wire import endpoint_conversion
 from cranberrymux.wire import wire_error
 from cranberrymux.wire.gen.messages import ttypes
 
+_log = structlog.get_logger()
+
 
 class DirectoryListener(Protocol):
     """Receives the contents of the answers to heartbeats."""
@@ -239,12 +245,7 @@
     def _apply_answer(
         self, session: _Session, answer: Any, sent_s: float
     ) -> None:
-        session.epoch = answer.directory_epoch
-        session.revision = answer.directory_revision
-        records = [
-            endpoint_conversion.decode_endpoint(message)
-            for message in answer.endpoints
-        ]
+        records = list(_decode_endpoints(answer.endpoints))
         if records:
             self._listener.endpoints_changed(records)
         if answer.configuration is not None:
@@ -260,3 +261,16 @@
             self._listener.drain_requested()
         if answer.control_instances:
             self._listener.control_instances_received(answer.control_instances)
+        session.epoch = answer.directory_epoch
+        session.revision = answer.directory_revision
+
+
+def _decode_endpoints(
+    messages: Iterable[Any],
+) -> Iterator[endpoint_record.EndpointRecord]:
+    """Decodes records; skips and logs those that cannot be read."""
+    for message in messages:
+        try:
+            yield endpoint_conversion.decode_endpoint(message)
+        except ValueError as error:
+            _log.warning(event.Event.BAD_FRAME, detail=f"endpoint: {error}")
--- a/src/cranberrymux/wire/endpoint_conversion.py
+++ b/src/cranberrymux/wire/endpoint_conversion.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from thrift.protocol import TProtocol
+
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 from cranberrymux.wire.gen.messages import ttypes
@@ -29,8 +31,13 @@
     """Converts an `Endpoint` message to a record.
 
     Raises:
-        ValueError: The state is not a value of `EndpointState`.
+        ValueError: A required field is missing, or the state is not a value of
+            `EndpointState`.
     """
+    try:
+        message.validate()
+    except TProtocol.TProtocolException as error:
+        raise ValueError(str(error)) from error
     return endpoint_record.EndpointRecord(
         service=message.service_name,
         endpoint_id=message.endpoint_id,
--- a/tests/node/test_directory_task.py
+++ b/tests/node/test_directory_task.py
@@ -2,9 +2,11 @@
 
 Guards against a change of the endpoint's state, such as a drain, that is
 announced only one heartbeat interval later because a heartbeat was under way
-when it happened.
+when it happened, and against an answer that is applied in part and counts as
+received.
 """
 
+import pytest
 from twisted.internet import defer
 
 from cranberrymux.models import endpoint_state
@@ -15,6 +17,8 @@
 from cranberrymux.node.http import connection_pool
 from cranberrymux.settings import loader
 from cranberrymux.wire import wire_error
+from cranberrymux.wire.gen.messages import ttypes
+from tests.control import calls
 
 _SETTINGS = """
 {node_id: a, region: r, zone: z, address: 127.0.0.1, ingress_port: 1,
@@ -78,3 +82,87 @@
     ]
     control.answer()
     assert len(control.announced_states) == 2
+
+
+class Answering:
+    """Answers each heartbeat with the next of some answers."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.revisions = []
+
+    async def heartbeat(self, heartbeat):
+        self.revisions.append(heartbeat.directory_revision)
+        return self.answers.pop(0)
+
+
+class RecordingListener(Listener):
+    def __init__(self):
+        self.records = []
+        self.is_failing = False
+
+    def endpoints_changed(self, records):
+        if self.is_failing:
+            raise RuntimeError
+        self.records += [record.endpoint_id for record in records]
+
+
+def make_answer(revision, *endpoints):
+    return ttypes.HeartbeatAnswer(
+        lease_ms=1,
+        directory_epoch="e",
+        directory_revision=revision,
+        whole_directory=True,
+        endpoints=list(endpoints),
+        configuration_version=0,
+        vouched_ms=0,
+    )
+
+
+def make_task(control, listener):
+    settings = node_settings.make(
+        loader.load_text(_SETTINGS, "node.yaml", node_settings.FIELDS)
+    )
+    endpoint = own_endpoint.OwnEndpoint(settings, 1)
+    return directory_task.DirectoryTask(
+        settings, [control], endpoint, Clock(), listener
+    )
+
+
+def make_endpoint(endpoint_id, **changes):
+    message = calls.make_endpoint(endpoint_id)
+    for name, value in changes.items():
+        setattr(message, name, value)
+    return message
+
+
+@pytest.mark.parametrize("changes", [{"state": 9}, {"port": None}])
+def test_record_that_cannot_be_read_is_skipped_and_the_others_hold(changes):
+    """Guards against one bad record that hides all that came with it."""
+    listener = RecordingListener()
+    control = Answering(
+        make_answer(
+            5,
+            make_endpoint("a"),
+            make_endpoint("bad", **changes),
+            make_endpoint("b"),
+        )
+    )
+    make_task(control, listener).send_heartbeats()
+    assert listener.records == ["a", "b"]
+
+
+def test_answer_that_was_not_applied_does_not_count_as_received():
+    """Guards against records that are never sent again."""
+    listener = RecordingListener()
+    control = Answering(
+        make_answer(5, make_endpoint("a")), make_answer(5, make_endpoint("a"))
+    )
+    task = make_task(control, listener)
+    listener.is_failing = True
+    with pytest.raises(RuntimeError):
+        task._apply_answer(task._sessions[0], control.answers.pop(0), 0.0)
+    listener.is_failing = False
+    task.send_heartbeats()
+    assert control.revisions == [0]
+    assert listener.records == ["a"]
--- a/tests/wire/test_endpoint_conversion.py
+++ b/tests/wire/test_endpoint_conversion.py
@@ -48,3 +48,12 @@
 def test_decoding_invalid_bytes_raises(data):
     with pytest.raises(Exception):  # noqa: B017 - thrift raises many types.
         codec.decode(ttypes.Endpoint, data)
+
+
+@pytest.mark.parametrize("field", ["port", "labels", "service_name"])
+def test_decoding_a_record_without_a_required_field_raises(field):
+    """Guards against a partial record that names an endpoint to use."""
+    message = endpoint_conversion.encode_endpoint(RECORD)
+    setattr(message, field, None)
+    with pytest.raises(ValueError, match=field):
+        endpoint_conversion.decode_endpoint(message)
