--- a/tests/node/test_second_answers.py
+++ b/tests/node/test_second_answers.py
@@ -285,6 +285,7 @@
     (request,) = way.receiver.requests
     way.receiver.on_request = answer
     client = way.ask("r-2", seconds=0.0)
+    assert not request.connection.is_closed
     answer(request)
     request.connection.send(SECOND_ANSWERS[second](request))
     way.run(0.05)
