Let earned retries lapse with the window on a used edge

Cause: the tokens of an edge decayed linearly from its last use on. Decay in two steps keeps part of what one step takes away, so that an edge in use kept part of its retries for longer than the window, in the limit exponentially.

Tokens are now counted by tenths of the window, and those of a tenth lapse together when it begins to leave the window, so none is older than the window. A full bucket drops its oldest tokens for new ones; otherwise a busy edge would hold only old ones, which lapse at once (the new test of it fails with "99 <= 0" then).

--- a/src/cranberrymux/decisions/retries/retry_settings.py
+++ b/src/cranberrymux/decisions/retries/retry_settings.py
@@ -14,8 +14,7 @@
         minimum_timeout_ms: Milliseconds that must be left until the caller's
             deadline for a retry to be made.
         edge_ratio: Retries earned by one success on a service edge.
-        edge_window_s: Seconds over which earned retries decay. A gap of this
-            length between two uses of an edge leaves none of them.
+        edge_window_s: Seconds after which earned retries have lapsed.
         edge_capacity: Most earned retries that an edge can accumulate.
         edge_floor_per_s: Retries a second that an edge gets without successes,
             so that calls to a rarely called service can be retried at all.
--- a/tests/decisions/retries/test_edge_buckets.py
+++ b/tests/decisions/retries/test_edge_buckets.py
@@ -2,7 +2,8 @@
 
 Guards against retry storms: when a service fails, retries to it must shrink
 with its successes instead of multiplying its load. The property test is also
-run with the ratio doubled and with the decay removed, and must then fail.
+run with the ratio doubled and with retries that do not lapse, and must then
+fail.
 """
 
 import hypothesis
@@ -55,6 +56,26 @@
     check([("succeed", 0.0, 40), ("succeed", 6.0, 9), ("take", 6.0, 1)])
 
 
+@pytest.mark.parametrize("offset_s", [0.0, 0.3, 0.95, 123456.7])
+def test_retries_last_for_most_of_the_window_and_not_longer(offset_s):
+    bucket = edge_bucket.EdgeBucket(offset_s, NO_FLOOR)
+    for _ in range(11):
+        bucket.record_success(offset_s)
+    assert bucket.has_retry(offset_s + 8.9)
+    assert not bucket.has_retry(offset_s + 10.0)
+
+
+def test_retries_of_a_full_bucket_do_not_lapse_all_at_once():
+    """Guards against a full bucket that keeps only its oldest retries."""
+    bucket = edge_bucket.EdgeBucket(0.0, NO_FLOOR)
+    retries = []
+    for milliseconds in range(30_000):
+        bucket.record_success(milliseconds / 1000)
+    while bucket.take(30.0):
+        retries.append(30.0)
+    assert 99 <= len(retries) <= NO_FLOOR.edge_capacity
+
+
 @pytest.mark.parametrize(
     "settings",
     [
