--- a/tests/decisions/answers/test_not_run.py
+++ b/tests/decisions/answers/test_not_run.py
@@ -17,7 +17,7 @@
 from cranberrymux.decisions.answers import tombstones
 from cranberrymux.decisions.answers import vouch_verdict
 from cranberrymux.models import answer_kind
-from tests.decisions import profiles
+from tests import profiles
 
 Kind = answer_kind.AnswerKind
 Reach = reach.Reach
--- a/tests/decisions/contexts/test_derivation.py
+++ b/tests/decisions/contexts/test_derivation.py
@@ -13,7 +13,7 @@
 from cranberrymux.decisions.contexts import context_settings
 from cranberrymux.decisions.contexts import derivation
 from cranberrymux.models import request_context
-from tests.decisions import profiles
+from tests import profiles
 
 PARENT = request_context.RequestContext(
     "id", "1", "ann", 1000, 2, 77, 5, 3, True, True
--- a/tests/decisions/contexts/test_header_codec.py
+++ b/tests/decisions/contexts/test_header_codec.py
@@ -12,7 +12,7 @@
 from cranberrymux.decisions.contexts import context_fault
 from cranberrymux.decisions.contexts import header_codec
 from cranberrymux.models import request_context
-from tests.decisions import profiles
+from tests import profiles
 
 Fault = context_fault.ContextFault
 IDS = strategies.from_regex(r"[A-Za-z0-9-]{1,64}", fullmatch=True)
--- a/tests/decisions/retries/test_edge_buckets.py
+++ b/tests/decisions/retries/test_edge_buckets.py
@@ -13,7 +13,7 @@
 from cranberrymux.decisions.retries import edge_bucket
 from cranberrymux.decisions.retries import edge_buckets
 from cranberrymux.decisions.retries import retry_settings
-from tests.decisions import profiles
+from tests import profiles
 
 NO_FLOOR = retry_settings.RetrySettings(edge_floor_per_s=0.0)
 STEPS = strategies.lists(
--- a/tests/decisions/retries/test_entry_grants.py
+++ b/tests/decisions/retries/test_entry_grants.py
@@ -11,7 +11,7 @@
 
 from cranberrymux.decisions.retries import entry_grants
 from cranberrymux.decisions.retries import retry_settings
-from tests.decisions import profiles
+from tests import profiles
 
 SETTINGS = retry_settings.RetrySettings(root_budget=3, maximum_grants=3)
 STEPS = strategies.lists(
--- a/tests/decisions/retries/test_retry_bound.py
+++ b/tests/decisions/retries/test_retry_bound.py
@@ -16,7 +16,7 @@
 from cranberrymux.decisions.retries import half_allotment
 from cranberrymux.decisions.retries import single_allotment
 from cranberrymux.decisions.retries import whole_allotment
-from tests.decisions import profiles
+from tests import profiles
 
 CHANCES = strategies.sampled_from([0.0, 0.1, 0.4])
 FAULTS = strategies.builds(
--- a/tests/decisions/retries/test_retry_policy.py
+++ b/tests/decisions/retries/test_retry_policy.py
@@ -18,7 +18,7 @@
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
-from tests.decisions import profiles
+from tests import profiles
 
 Kind = answer_kind.AnswerKind
 Reason = refusal_reason.RefusalReason
--- a/tests/decisions/routing/test_router_invariants.py
+++ b/tests/decisions/routing/test_router_invariants.py
@@ -22,7 +22,7 @@
 from cranberrymux.models import endpoint_state
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
-from tests.decisions import profiles
+from tests import profiles
 from tests.decisions.routing import builders
 
 Reason = refusal_reason.RefusalReason
--- a/tests/decisions/selectors/test_parser.py
+++ b/tests/decisions/selectors/test_parser.py
@@ -16,7 +16,7 @@
 from cranberrymux.decisions.selectors import selector_fault
 from cranberrymux.decisions.selectors import term
 from cranberrymux.decisions.selectors import value_pattern
-from tests.decisions import profiles
+from tests import profiles
 
 Fault = selector_fault.SelectorFault
 Operator = operator.Operator
--- a/tests/node/test_answer_matching.py
+++ b/tests/node/test_answer_matching.py
@@ -12,7 +12,7 @@
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import correlation
 from cranberrymux.node.http import request_identity
-from tests.decisions import profiles
+from tests import profiles
 from tests.fakes import memory_network
 from tests.fakes import raw_backend
 
