Leave whitespace behind a header's value out of it

A caller got a cut answer as a whole one: 'Content-Length: 4 ' was no number, so the answer seemed to have no length, and the end of the connection ended it. A request with such whitespace behind its Host or Content-Length was answered 404 or 400, and one with it behind its id waited for its deadline beside its answer.

Cause: the parser leaves whitespace behind values; nobody took it away.

Found by review.

Both sides of a connection strip it as they collect headers.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -222,7 +222,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header of the answer."""
-        self._headers.append((name.lower(), value))
+        self._headers.append(headers.normalize(name, value))
 
     def on_headers_complete(self) -> None:
         """Passes the head to the sink, unless it answers another request."""
--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -22,6 +22,19 @@
 )
 
 
+def normalize(name: bytes, value: bytes) -> tuple[bytes, bytes]:
+    """Returns a header as the code expects it.
+
+    Args:
+        name: Name as read.
+        value: Value as read; the parser leaves whitespace behind it.
+
+    Returns:
+        The name in lower case, and the value without whitespace around it.
+    """
+    return name.lower(), value.strip(b" \t")
+
+
 def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
     """Returns the value of the first header with a name.
 
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -125,7 +125,7 @@
             self._fail(431, f"over {self._limits.header_count} headers")
         self._header_count += 1
         if self._is_in_head:
-            self._headers.append((name.lower(), value))
+            self._headers.append(headers.normalize(name, value))
 
     def on_headers_complete(self) -> None:
         """Checks the head and creates the call; answers `Expect`."""
