Keep trailers of an answer out of its head

A request that must run once ran twice, and a success without proof passed, if the backend server sent a trailer 'Not-Run' or 'Server-Stamp' behind its body.

Cause: the parser reports trailers as it reports headers, and the head that is held until the answer ends shares its list with the collector.

Evidence: the three cases about trailers failed before (one request reached the backend server twice).

Trailers are dropped, as those of requests are.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -59,6 +59,7 @@
             maxlen=_REMEMBERED_IDS
         )
         self._headers: headers.HeaderList = []
+        self._is_in_head = False
         self._is_head_request = False
         self._is_request_complete = False
         self._is_interim = False
@@ -217,15 +218,18 @@
     def on_message_begin(self) -> None:
         """Prepares for an answer; aborts if no request is pending."""
         self._headers = []
+        self._is_in_head = True
         self._is_filtered_out = False
         self._cancel_behind_answer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header of the answer."""
-        self._headers.append(headers.normalize(name, value))
+        """Collects a header of the answer; trailers are dropped."""
+        if self._is_in_head:
+            self._headers.append(headers.normalize(name, value))
 
     def on_headers_complete(self) -> None:
         """Passes the head to the sink, unless it answers another request."""
+        self._is_in_head = False
         keep_alive_value = headers.find(self._headers, b"keep-alive")
         if keep_alive_value is not None:
             self._reuse_time_s = keep_alive.parse_reuse_time_s(keep_alive_value)
--- a/tests/gateway/test_answer_heads.py
+++ b/tests/gateway/test_answer_heads.py
@@ -40,6 +40,36 @@
     )
 
 
+def test_trailer_does_not_say_that_a_request_did_not_run(mesh, backend):
+    """Guards against a refusal of a request that has run."""
+    client = second.ask(mesh, "r1")
+    backend.connections[0].send(
+        answer_with_trailer(second.STAMP, trailer=b"Not-Run: 1")
+    )
+    mesh.network.run(0.1)
+    assert client.statuses == [200]
+
+
+def test_trailer_does_not_prove_an_answer(mesh, backend):
+    """Guards against a success whose head lacks the proof."""
+    client = second.ask(mesh, "r1")
+    backend.connections[0].send(
+        answer_with_trailer(trailer=second.STAMP.encode())
+    )
+    mesh.network.run(0.1)
+    assert client.statuses == [502]
+
+
+def test_trailer_is_no_header_of_the_answer(mesh, backend):
+    client = second.ask(mesh, "r1")
+    backend.connections[0].send(
+        answer_with_trailer(second.STAMP, trailer=b"x-sum: 1")
+    )
+    mesh.network.run(0.1)
+    assert client.statuses == [200]
+    assert b"x-sum" not in client.received
+
+
 def test_cut_answer_whose_length_has_whitespace_behind_it_fails(mesh, backend):
     """Guards against a cut answer that looks whole."""
     client = second.ask(mesh, "r1")
