Bound what one client's ids take of connections and memory

Clients that use one id for many requests, or calls of one request, opened a connection to the backend server each, up to 512, which it would reset beyond its limit; and each connection held up to 64 ids as long as headers may be (2 MB).

Cause: the rule that no connection carries a request twice passed idle connections over and opened another, without an end to it, and it kept whole ids.

Found by review.

One of the connections that are passed over is closed for the new one, and only hashes of ids are kept.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -55,7 +55,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._sink: answer_sink.AnswerSink | None = None
         self._identity: request_identity.RequestIdentity | None = None
-        self._sent_ids: collections.deque[bytes] = collections.deque(
+        # Hashes, as ids may be as long as headers.
+        self._sent_ids: collections.deque[int] = collections.deque(
             maxlen=_REMEMBERED_IDS
         )
         self._headers: headers.HeaderList = []
@@ -80,12 +81,12 @@
     def has_sent(
         self, identity: request_identity.RequestIdentity | None
     ) -> bool:
-        """Returns whether a request was sent on this connection before.
+        """Returns whether a request is among the last that were sent here.
 
         A late answer to its first sending could not be told from the answer to
         a second one.
         """
-        return identity is not None and identity.value in self._sent_ids
+        return identity is not None and hash(identity.value) in self._sent_ids
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disables Nagle's algorithm and registers for backpressure."""
@@ -118,14 +119,14 @@
             is_head_request: True if the method is HEAD, whose answer has no
                 body.
             sink: Receives the answer.
-            identity: Header that the answer must bear, too, unless it is not
-                required; other answers are discarded. None accepts every
-                answer.
+            identity: Header that the answer repeats. Answers with another
+                value are discarded, and those without it if it is required.
+                None accepts every answer.
         """
         self._sink = sink
         self._identity = identity
         if identity is not None:
-            self._sent_ids.append(identity.value)
+            self._sent_ids.append(hash(identity.value))
         self._headers = []
         self._is_head_request = is_head_request
         self._is_request_complete = is_complete
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -99,8 +99,8 @@
     """Lends connections: idle ones first, otherwise new ones.
 
     A connection that becomes ready goes to the lease for its address that has
-    waited longest, whichever lease it was opened for. No connection is lent
-    twice for one request.
+    waited longest, whichever lease it was opened for. A connection is not lent
+    for a request that was sent on it shortly before.
 
     Attributes:
         detects_dead_peers: True if vanished peers are detected.
@@ -234,7 +234,11 @@
         address: Address,
         identity: request_identity.RequestIdentity | None,
     ) -> client_connection.ClientConnection | None:
-        """Removes and returns the usable connection that was used last."""
+        """Removes and returns the usable connection that was used last.
+
+        If the request was sent on all of them before, one is closed, as a new
+        one will be opened.
+        """
         idle = self._idle.get(address, [])
         now_s = self._reactor.seconds()
         for index in reversed(range(len(idle))):
@@ -248,6 +252,8 @@
                 connection.close()
                 continue
             return connection
+        if idle:
+            idle.pop().close()
         return None
 
     def _pop_waiting(
