Treat an answer with a status below 100 as lost

A caller got 'HTTP/1.1 99 Status' with the body of another call's answer.

Cause: the id is looked at from status 200 on, since 1xx answers have none, and a status below 100 was neither.

Evidence: the cases of test_answer_status failed before. Found by review.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -23,6 +23,7 @@
 from cranberrymux.node.http import unexpected_answer
 
 _UnexpectedKind = unexpected_answer.UnexpectedKind
+_LOWEST_STATUS = 100
 _REMEMBERED_IDS = 64  # Requests sent on a connection whose ids are kept.
 
 
@@ -238,6 +239,9 @@
         if sink is None:
             return
         status = self._parser.get_status_code()
+        if status < _LOWEST_STATUS:
+            self._fail(lost_answer.LossReason.NOT_VALID, f"status {status:03d}")
+            return
         if status >= 200:
             self._is_filtered_out = not self._matches_request()
             if self._is_filtered_out:
