Pass the request's id on whatever the Connection header names

A request with 'Connection: request-id' held a slot and waited for its deadline.

Cause: headers that Connection names are left out of what is passed on. The backend server got no id, and its answer without one was skipped.

Evidence: test_request_whose_connection_header_names_its_id_is_answered failed before.

The first node sets the id itself, as sent by the client, once.

--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -24,6 +24,7 @@
         dialect = parts.settings.dialect
         self._replaced_names = frozenset(
             (
+                dialect.request_id,
                 dialect.deadline_ms,
                 dialect.caller_service,
                 dialect.expected_backend,
@@ -41,7 +42,8 @@
         """
         parts = self._parts
         dialect = parts.settings.dialect
-        if not headers_module.find(call.head.headers, dialect.request_id):
+        request_id = headers_module.find(call.head.headers, dialect.request_id)
+        if not request_id:
             # Its answer could not be told from those to other requests.
             body = json.dumps({"error": "no-request-id"}).encode()
             call.answer(400, [_JSON_TYPE], body)
@@ -67,6 +69,7 @@
             )
             if header[0] not in self._replaced_names
         ]
+        headers.append((dialect.request_id, request_id))
         headers.append(self._caller_header)
         headers.append((hop.ROUTE, route.name.encode()))
         entry_call.EntryCall(parts, call, route, headers).start()
