Use no connection again after an answer to a HEAD

A request waited for its deadline beside its answer: a second answer to a HEAD, with a length and no body, was pending with it, and its answer was read as that body.

Cause: whether an answer without the pending request's id has a body depends on the method of the request that it belongs to, which a connection does not know.

Found by review.

The connection is closed once a HEAD has been answered.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -389,9 +389,11 @@
         is_sent = self._is_request_complete and not prompt_writer.has_unsent(
             self._tcp
         )
-        if not is_kept or not is_sent:
+        if not is_kept or not is_sent or self._is_head_request:
             # After an answer that precedes the end of its request, the
             # receiver would take the next request for the rest of that one.
+            # Behind an answer to a HEAD, nobody can tell whether a second one
+            # has a body.
             self.close()
         if sink is not None:
             sink.answer_complete()
@@ -405,9 +407,6 @@
     def _notify_idle(self) -> None:
         # The caller that paused may take the last part of its answer later.
         self.resume_answer()
-        if self._is_head_request:
-            # The parser would wait for a body, which an answer to HEAD lacks.
-            self._parser = httptools.HttpResponseParser(self)
         if self.on_idle is not None:
             self.on_idle(self)
 
