Let the soak's backend servers answer twice

Callers got answers that were another request's (MIXED) when backend servers sent a second answer; the soak, whose backend servers answered once each, could not see it.

A backend server can now be told to send something behind some of its answers: in one write with the first one or up to 30 ms later; with the id of that request, another one or none; with the whole body, a part, another or none; with no length; as a 200, a failure or a false "not run"; or bytes that are no answer. The faults draw it as one more kind. Half of the clients' requests are sent at common times, so that some wait for a connection that is in use.

--- a/tests/soak/backend_main.py
+++ b/tests/soak/backend_main.py
@@ -2,7 +2,8 @@
 
 It takes some milliseconds for each request, makes two calls through its own
 node if started with `--calls`, announces itself, and writes one JSON line for
-each run that begins.
+each run that begins and each answer to a call of its own. It can be told to
+send second answers behind its first ones.
 """
 
 import argparse
@@ -14,7 +15,9 @@
 import threading
 import time
 
-STAMP = "proof"
+from tests.soak import answers
+from tests.soak import second_answers
+
 ANNOUNCE_PERIOD_S = 0.4
 STATE_PATH = "/state/"
 
@@ -22,7 +25,8 @@
 class State:
     """State of the backend server, shared by the threads of its connections.
 
-    `Handler._change_state` sets `slowness` and `failing` by their names.
+    `Handler._change_state` sets `slowness`, `failing` and `stuttering` by their
+    names.
 
     Attributes:
         options: The parsed command line.
@@ -32,6 +36,7 @@
         announced_state: `ready` or `draining`.
         slowness: Factor of the time that a request takes.
         failing: Probability that a request is answered with 500.
+        stuttering: Probability that a second answer is sent behind an answer.
         active: Number of requests that run at present.
         lock: Guards `active` and the output.
     """
@@ -44,6 +49,7 @@
         self.announced_state = "ready"
         self.slowness = 1.0
         self.failing = 0.0
+        self.stuttering = 0.0
         self.active = 0
         self.lock = threading.Lock()
 
@@ -120,13 +126,13 @@
         )
         try:
             connection.request("GET", "/c/inner", headers=headers)
-            answer = connection.getresponse()
-            answer.read()
-            return answer.status == 200
+            answer = answers.read(connection)
         except (OSError, http.client.HTTPException):
             return False
         finally:
             connection.close()
+        self.record("call-answered", id=request_id, answer=answer)
+        return answer.status == 200
 
 
 class Handler(server.BaseHTTPRequestHandler):
@@ -135,6 +141,10 @@
     protocol_version = "HTTP/1.1"
     state: State
 
+    def setup(self):
+        super().setup()
+        self._write_lock = threading.Lock()
+
     def log_message(self, *_):
         """Logs nothing, as standard output is for the JSON lines."""
 
@@ -152,9 +162,9 @@
         elif self.path == "/health":
             self._answer_health()
         elif self.headers.get("Expect-Instance") != self.state.backend_id:
-            self._answer(421, b"", {"Not-Run": "1"})
+            self._answer(421, "", {"Not-Run": "1"})
         elif not self.state.enter():
-            self._answer(503, b"", {"Not-Run": "1"})
+            self._answer(503, "", {"Not-Run": "1"})
         else:
             try:
                 self._run()
@@ -178,15 +188,24 @@
                 ):
                     is_success = False
                     break
-        body = b"answer to " + request_id.encode() + b"." * 200
-        self._answer(200 if is_success else 500, body, {"Server-Stamp": STAMP})
+        self._answer(
+            200 if is_success else 500,
+            answers.make_body(request_id),
+            {answers.PROOF_HEADER: answers.make_proof(request_id)},
+            self._draw_second_answer(request_id),
+        )
+
+    def _draw_second_answer(self, request_id):
+        if random.random() >= self.state.stuttering:
+            return None
+        return second_answers.draw(random, request_id)
 
     def _answer_health(self):
         state = self.state
         status = 200 if state.announced_state == "ready" else 503
         load = f"{state.active},0,{state.options.slots}"
         headers = {"Instance-Id": state.backend_id, "Server-Load": load}
-        self._answer(status, b"", headers)
+        self._answer(status, "", headers)
 
     def _change_state(self):
         name, _, value = self.path[len(STATE_PATH) :].partition("/")
@@ -195,18 +214,32 @@
             self.state.announce()
         else:
             setattr(self.state, name, float(value))
-        self._answer(200, b"", {})
+        self._answer(200, "", {})
 
-    def _answer(self, status, body, headers):
+    def _answer(self, status, body, headers, second=None):
+        request_id = self.headers.get(answers.ID_HEADER, "")
+        headers = {
+            answers.ID_HEADER: request_id,
+            **headers,
+            "Content-Length": len(body),
+        }
+        head = answers.encode_head(status, headers)
+        content = body.encode()
+        if second is None:
+            self._write(head, content)
+        elif second.delay_s == 0.0:
+            self._write(head + content + second.data)
+        else:
+            self._write(head + content)
+            threading.Timer(second.delay_s, self._write, (second.data,)).start()
+
+    def _write(self, *parts):
+        """Writes each part by itself, but no second answer between them."""
         try:
-            self.send_response_only(status)
-            self.send_header("Request-Id", self.headers.get("Request-Id", ""))
-            for name, value in headers.items():
-                self.send_header(name, value)
-            self.send_header("Content-Length", str(len(body)))
-            self.end_headers()
-            self.wfile.write(body)
-        except OSError:
+            with self._write_lock:
+                for part in parts:
+                    self.wfile.write(part)
+        except (OSError, ValueError):
             self.close_connection = True
 
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,6 +3,8 @@
 import collections
 import json
 
+from tests.soak import answers
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MAXIMUM_DRAIN_S = 2.0
 MAXIMUM_RUNS = 3
@@ -46,6 +48,7 @@
         violations += _check_request(one, runs[one.request_id])
     violations += _check_hangs(observed, machines, watch)
     for name, lines in records.items():
+        violations += _check_calls(lines)
         violations += _check_drains(name, lines)
     return violations
 
@@ -57,12 +60,25 @@
         yield f"BUDGET {one.request_id} ran {runs} times"
     if one.status in NOT_RUN_STATUSES and one.is_at_most_once and runs:
         yield f"REFUSED {one.request_id} got {one.status} and ran"
-    if not one.is_intact:
-        yield f"MIXED {one.request_id}: not the whole answer with its proof"
+    if one.answer is not None:
+        yield from _check_answer(one.request_id, one.answer)
     if one.status == 200 and not runs:
         yield f"MIXED {one.request_id}: a success that never ran"
 
 
+def _check_answer(request_id, answer):
+    for mismatch in answers.find_mismatches(request_id, answer):
+        yield f"MIXED {request_id} got {answer.status}: {mismatch}"
+
+
+def _check_calls(lines):
+    """Checks the answers that a backend server got to its own calls."""
+    for record in lines:
+        if record["event"] == "call-answered":
+            answer = answers.Answer(*record["answer"])
+            yield from _check_answer(record["id"], answer)
+
+
 def _check_hangs(observed, machines, watch):
     fault_times_s = {
         one.name: sorted(one.node.fault_times_s) for one in machines
@@ -85,7 +101,7 @@
         backend_id = record["backend"]
         if record["event"] == "drain-acknowledged":
             acknowledged_s.setdefault(backend_id, record["at"])
-        elif backend_id in acknowledged_s:
+        elif record["event"] == "begin" and backend_id in acknowledged_s:
             delay_s = record["at"] - acknowledged_s[backend_id]
             if delay_s > MAXIMUM_DRAIN_S:
                 yield f"DRAIN {record['id']} at {name}, {delay_s:.1f} s late"
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -6,9 +6,13 @@
 import time
 from typing import NamedTuple
 
+from tests.soak import answers
+
 DEADLINE_S = 2.0
 # A request without an answer for so long after its deadline counts as hung.
 HANG_S = 1.5
+# Clients that wait for the next multiple of it send at the same time.
+TICK_S = 0.08
 # True for paths of which a request must run once at most.
 PATHS = {"/a/tree": False, "/b/tree": True, "/c/leaf": False}
 
@@ -23,8 +27,7 @@
         sent_s: Time of sending, monotonic seconds.
         ended_s: Time of its answer or failure, monotonic seconds.
         status: Status code; 0 for a lost connection, -1 for a timeout.
-        is_intact: False if a 200 answer lacks the expected body or the header
-            `Server-Stamp`.
+        answer: The answer; None if the whole of it was not received.
     """
 
     request_id: str
@@ -33,12 +36,15 @@
     sent_s: float
     ended_s: float
     status: int
-    is_intact: bool
+    answer: answers.Answer | None
 
 
 class Client(threading.Thread):
     """Sends 1, 5 or 20 requests on each connection, then opens another.
 
+    Half of the requests are sent at the same time as those of other clients,
+    so that some wait for a slot and a connection of the backend server.
+
     Attributes:
         observed: The requests so far.
         should_stop: Set to True to stop the thread.
@@ -65,11 +71,17 @@
                 self.observed.append(one)
                 if one.status <= 0 or self.should_stop:
                     break
-                time.sleep(self._random.uniform(0.0, 0.06))
+                self._pause()
             connection.close()
             if one.status <= 0:
                 time.sleep(0.05)
 
+    def _pause(self):
+        if self._random.random() < 0.5:
+            time.sleep(TICK_S - time.monotonic() % TICK_S)
+        else:
+            time.sleep(self._random.uniform(0.0, 0.06))
+
     def _ask(self, connection, machine, request_id):
         path = self._random.choice(list(PATHS))
         headers = {
@@ -78,19 +90,13 @@
             "Deadline-Ms": str(int(DEADLINE_S * 1000)),
         }
         sent_s = time.monotonic()
-        status, is_intact = 0, True
+        status, answer = 0, None
         try:
             connection.request(
                 "POST" if PATHS[path] else "GET", path, headers=headers
             )
-            answer = connection.getresponse()
-            body = answer.read()
+            answer = answers.read(connection)
             status = answer.status
-            if status == 200:
-                expected = f"answer to {request_id}".encode() + b"." * 200
-                is_intact = body == expected and bool(
-                    answer.headers.get("Server-Stamp")
-                )
         except TimeoutError:
             status = -1
         except (OSError, http.client.HTTPException):
@@ -102,5 +108,5 @@
             sent_s,
             time.monotonic(),
             status,
-            is_intact,
+            answer,
         )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,10 @@
 MAXIMUM_GAP_S = 0.8
 DRAIN_WAIT_S = 2.0
 REJOIN_WAIT_S = 3.0
+ANSWER_TWICE_S = 2.0
+# Times that it counts as a kind: few of the second answers meet a request that
+# waits for their connection.
+ANSWER_TWICE_WEIGHT = 3
 SUPERVISION_PERIOD_S = 0.2
 _Fault = proxy_module.Fault
 
@@ -54,6 +58,7 @@
             self.kill_control,
             self.wipe_control,
             self.fill_disk,
+            *(self.answer_twice,) * ANSWER_TWICE_WEIGHT,
         )
 
     def run(self, length_s):
@@ -154,6 +159,14 @@
         time.sleep(span_s)
         machine.send_to_backend("failing/0")
 
+    def answer_twice(self, machine, span_s):
+        """Sends second answers, also behind failures, which are retried."""
+        machine.send_to_backend("failing/0.2")
+        machine.send_to_backend("stuttering/0.5")
+        time.sleep(ANSWER_TWICE_S + span_s)
+        machine.send_to_backend("stuttering/0")
+        machine.send_to_backend("failing/0")
+
     def delay_link(self, machine, span_s):
         proxy = self._choose_proxy(machine)
         proxy.delay_s = 0.05
--- a/tests/soak/machine.py
+++ b/tests/soak/machine.py
@@ -111,6 +111,7 @@
                 restored.start()
         self.send_to_backend("slowness/1")
         self.send_to_backend("failing/0")
+        self.send_to_backend("stuttering/0")
 
     def _settings(
         self, fleet, inbound_port, ready_port, announce_port, backend_address
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
 from tests.soak import run as run_module
 
 # Seeds that once violated a guarantee, with the cause.
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS = {7: "a second answer was taken for the next request's"}
 SEEDS = (1, *REGRESSIONS)
 FAULT_INJECTION_S = 6.0
 
