--- a/src/cranberrymux/node/http/server_factory.py
+++ b/src/cranberrymux/node/http/server_factory.py
@@ -79,8 +79,8 @@
         """Closes connections that are idle, or slow to send a head.
 
         To be called about once a second, as times count from the first call
-        that sees a connection idle or reading a head. None runs while an
-        answer is due, for which reading may have paused.
+        that sees a connection idle or reading a head. While an answer is due,
+        for which reading may have paused, neither timeout runs.
 
         Args:
             now_s: Present time on any steady clock.
--- a/src/cranberrymux/node/outbound_attempt.py
+++ b/src/cranberrymux/node/outbound_attempt.py
@@ -157,10 +157,7 @@
 
     def body_complete(self) -> None:
         """Ends the request's body."""
-        if self._connection is None:
-            return
-        if self._is_over:
-            self._connection.end_body()
+        if self._connection is None or self._is_over:
             return
         if self._call.head.mode is body_mode.BodyMode.CHUNKED:
             self._connection.send_body(b"0\r\n\r\n")
--- a/tests/fakes/raw_backend.py
+++ b/tests/fakes/raw_backend.py
@@ -1,4 +1,4 @@
-"""A backend server in memory that writes raw bytes, also unasked ones."""
+"""A backend server in memory that writes raw bytes, also without a request."""
 
 from typing import NamedTuple
 
--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -484,7 +484,7 @@
 
 @pytest.mark.parametrize("second", test_second_answers.SECOND_ANSWERS)
 @pytest.mark.parametrize("is_one_read", [False, True])
-def test_second_answer_behind_a_long_one_is_nobodys(
+def test_second_answer_behind_a_long_one_is_discarded(
     mesh, backend, second, is_one_read
 ):
     client = ask(mesh)
--- a/tests/gateway/test_second_answers.py
+++ b/tests/gateway/test_second_answers.py
@@ -106,7 +106,9 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_second_answer_on_an_idle_connection_is_nobodys(mesh, backend, second):
+def test_second_answer_on_an_idle_connection_is_discarded(
+    mesh, backend, second
+):
     backend.on_request = answer
     check_is_served(ask(mesh, "r1"), "r1")
     backend.connections[0].send(SECOND_ANSWERS[second])
@@ -160,7 +162,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_second_answer_behind_the_next_one_is_nobodys(mesh, backend, second):
+def test_second_answer_behind_the_next_one_is_discarded(mesh, backend, second):
     backend.on_request = answer
     check_is_served(ask(mesh, "r1"), "r1")
     backend.on_request = None
@@ -192,7 +194,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_second_answer_after_a_cut_one_is_nobodys(mesh, backend, second):
+def test_second_answer_after_a_cut_one_is_discarded(mesh, backend, second):
     client = ask(mesh, "r1")
     data = encode("r1", whole_body("r1"))
     backend.connections[0].send(data[:-5])
@@ -214,7 +216,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_answer_after_a_timeout_is_nobodys(mesh, backend, second):
+def test_answer_after_a_timeout_is_discarded(mesh, backend, second):
     late = ask(mesh, "r1", wait=1.1)
     assert late.statuses == [504]
     backend.on_request = answer
@@ -227,7 +229,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_answer_to_a_client_that_left_is_nobodys(mesh, backend, second):
+def test_answer_to_a_client_that_left_is_discarded(mesh, backend, second):
     gone = ask(mesh, "r1")
     gone.transport.loseConnection()
     backend.on_request = answer
--- a/tests/node/test_answer_matching.py
+++ b/tests/node/test_answer_matching.py
@@ -115,7 +115,7 @@
     return Exchange()
 
 
-def test_second_answer_and_answer_after_the_end_are_nobodys(exchange):
+def test_second_answer_and_answer_after_the_end_are_discarded(exchange):
     call = exchange.begin()
     (request,) = exchange.receiver.requests
     exchange.send(request.connection, encode(request) * 2)
--- a/tests/node/test_answer_status.py
+++ b/tests/node/test_answer_status.py
@@ -9,7 +9,7 @@
     "make_way", [second.to_backend_server, second.to_other_node]
 )
 @pytest.mark.parametrize("status", ["000", "099"])
-def test_answer_with_a_status_below_100_is_nobodys(make_way, status):
+def test_answer_with_a_status_below_100_is_discarded(make_way, status):
     """Guards against such an answer to another call, whose id is not read."""
     way = make_way()
     way.receiver.on_request = second.answer
--- a/tests/node/test_second_answers.py
+++ b/tests/node/test_second_answers.py
@@ -179,7 +179,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_second_answer_on_an_idle_connection_is_nobodys(way, second):
+def test_second_answer_on_an_idle_connection_is_discarded(way, second):
     way.receiver.on_request = answer
     check_is_served(way.ask("r-1"), "r-1")
     (connection,) = way.receiver.connections
@@ -231,7 +231,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_second_answer_behind_the_next_one_is_nobodys(way, second):
+def test_second_answer_behind_the_next_one_is_discarded(way, second):
     way.receiver.on_request = answer
     check_is_served(way.ask("r-1"), "r-1")
     way.receiver.on_request = None
@@ -248,7 +248,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_second_answer_after_a_cut_one_is_nobodys(way, second):
+def test_second_answer_after_a_cut_one_is_discarded(way, second):
     client = way.ask("r-1")
     (request,) = way.receiver.requests
     request.connection.send(encode_answer(request)[:-5])
@@ -264,7 +264,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_answer_after_the_deadline_is_nobodys(way, second):
+def test_answer_after_the_deadline_is_discarded(way, second):
     late = way.ask("r-1", extra="cranberrymux-timeout-ms: 20\r\n")
     assert late.statuses == [504]
     (request,) = way.receiver.requests
@@ -278,7 +278,7 @@
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
-def test_answer_to_a_client_that_left_is_nobodys(way, second):
+def test_answer_to_a_client_that_left_is_discarded(way, second):
     gone = way.ask("r-1")
     gone.transport.loseConnection()
     way.run(0.001)
--- a/tests/wire/test_control_replies.py
+++ b/tests/wire/test_control_replies.py
@@ -113,19 +113,19 @@
     assert two_calls.versions == [11, 22]
 
 
-def test_second_reply_is_nobodys_and_ends_the_connection(two_calls):
+def test_second_reply_is_discarded_and_ends_the_connection(two_calls):
     two_calls.receive(encode(1, make_answer(11)), encode(1, make_answer(12)))
     assert two_calls.versions == [11, None]
     assert two_calls.transport.disconnected
 
 
-def test_reply_to_no_call_is_nobodys_and_ends_the_connection(two_calls):
+def test_reply_to_no_call_is_discarded_and_ends_the_connection(two_calls):
     two_calls.receive(encode(3, make_answer(33)))
     assert two_calls.versions == [None, None]
     assert two_calls.transport.disconnected
 
 
-def test_reply_after_the_timeout_is_nobodys(two_calls):
+def test_reply_after_the_timeout_is_discarded(two_calls):
     two_calls.clock.advance(TIMEOUT_S)
     two_calls.receive(encode(1, make_answer(11)))
     assert two_calls.reasons == [Reason.TIMEOUT, Reason.TIMEOUT]
