--- a/tests/gateway/test_answer_heads.py
+++ b/tests/gateway/test_answer_heads.py
@@ -6,29 +6,10 @@
 
 import pytest
 
-from cranberrymux.decisions.routes import route
-from tests.fakes import raw_backend
 from tests.gateway import mesh as mesh_module
 from tests.gateway import test_second_answers as second
 
 
-@pytest.fixture
-def mesh():
-    made = mesh_module.Mesh("front", "deep")
-    made.configure(
-        mesh_module.make_route("read", "deep"),
-        mesh_module.make_route(
-            "write", "deep", repeatability=route.Repeatability.ONCE
-        ),
-    )
-    return made
-
-
-@pytest.fixture
-def backend(mesh):
-    return raw_backend.RawBackend(mesh.network, mesh.members[1].backend_port)
-
-
 def answer_with_trailer(*headers, trailer, body=b"body"):
     lines = ["HTTP/1.1 200 OK", "request-id: r1", *headers]
     lines.append("transfer-encoding: chunked")
--- a/tests/gateway/test_second_answers.py
+++ b/tests/gateway/test_second_answers.py
@@ -7,10 +7,6 @@
 
 import pytest
 
-from cranberrymux.decisions.routes import route
-from tests.fakes import raw_backend
-from tests.gateway import mesh as mesh_module
-
 STAMP = "server-stamp: proof"
 
 
@@ -60,23 +56,6 @@
 )
 
 
-@pytest.fixture
-def mesh():
-    made = mesh_module.Mesh("front", "deep")
-    made.configure(
-        mesh_module.make_route("read", "deep"),
-        mesh_module.make_route(
-            "write", "deep", repeatability=route.Repeatability.ONCE
-        ),
-    )
-    return made
-
-
-@pytest.fixture
-def backend(mesh):
-    return raw_backend.RawBackend(mesh.network, mesh.members[1].backend_port)
-
-
 def ask(mesh, request_id, path="/write/x", **changes):
     return mesh.ask(0, path, headers=[("Request-Id", request_id)], **changes)
 
@@ -105,6 +84,21 @@
         assert client.is_closed or client.statuses == [502]
 
 
+def finish(mesh, backend, connection):
+    """Answers the last request, unless its connection has closed."""
+    mesh.network.run(0.01)
+    if not connection.is_closed:
+        answer(backend.requests[-1])
+    mesh.network.run(1.2)
+
+
+def check_is_skipped(second, client, request_id):
+    """Checks a request that was pending when a second answer came."""
+    check_is_served_or_failed(client, request_id)
+    if second in SKIPPED:
+        check_is_served(client, request_id)
+
+
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
 def test_second_answer_on_an_idle_connection_is_discarded(
     mesh, backend, second
@@ -152,13 +146,8 @@
         mesh.network.run(0.01)
         data = data[20:]
     connection.send(data)
-    mesh.network.run(0.01)
-    if not connection.is_closed:
-        answer(backend.requests[-1])
-    mesh.network.run(1.2)
-    check_is_served_or_failed(client, "r2")
-    if second in SKIPPED:
-        check_is_served(client, "r2")
+    finish(mesh, backend, connection)
+    check_is_skipped(second, client, "r2")
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
@@ -206,13 +195,8 @@
     # It comes on the connection that replaces the cut one.
     connection = backend.connections[1]
     connection.send(SECOND_ANSWERS[second])
-    mesh.network.run(0.01)
-    if not connection.is_closed:
-        answer(backend.requests[-1])
-    mesh.network.run(1.2)
-    check_is_served_or_failed(client, "r2")
-    if second in SKIPPED:
-        check_is_served(client, "r2")
+    finish(mesh, backend, connection)
+    check_is_skipped(second, client, "r2")
 
 
 @pytest.mark.parametrize("second", SECOND_ANSWERS)
