Tell in logs and metrics which node knows which rate limit

Callers saw nothing: a backend server that had named a limit of 7.5 requests a second got 110 in 4 s. The logs of the incident could not tell whether no node knew the limit, one lost it, or one held it and let requests leave together.

The node beside a backend server now logs each change of the limit that its answers name, with the answer that told it, and each value that is not valid. It passes the limit on, and the nodes that send requests log it, too. The requests sent to a backend server are counted. No decision changes.

The order of answers is kept: one that was sent for after a limit was named may end it; one that may be older may not.

--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -4,6 +4,7 @@
 
 from cranberrymux.decisions.endpoints import decaying_value
 from cranberrymux.decisions.endpoints import failure_rate
+from cranberrymux.decisions.rate_limits import known_rate_limit
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 
@@ -27,6 +28,7 @@
 
     Attributes:
         record: The newest record from the directory.
+        rate_limit: The rate limit that its backend server names.
         outstanding: Number of requests that this node has sent to it and that
             have not ended.
         is_confirmed: False if a control instance reports another state for the
@@ -49,12 +51,14 @@
         "is_unreachable",
         "is_confirmed",
         "outstanding",
+        "rate_limit",
         "record",
     )
 
     def __init__(self, record: endpoint_record.EndpointRecord) -> None:
         """Starts without load, failures or suspension."""
         self.record = record
+        self.rate_limit = known_rate_limit.KnownRateLimit()
         self.outstanding = 0
         self.is_confirmed = True
         self.is_unreachable = False
--- /dev/null
+++ b/src/cranberrymux/decisions/rate_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that backend servers name in their answers."""
--- a/src/cranberrymux/gateway/backend_verdict.py
+++ b/src/cranberrymux/gateway/backend_verdict.py
@@ -36,6 +36,11 @@
         """True if the answer may be passed on."""
         return not self.refusal and not self.defect
 
+    @property
+    def is_from_backend(self) -> bool:
+        """True if it is certain that the expected backend server answered."""
+        return not self.defect and self.refusal != hop.MISDIRECTED
+
     @property
     def outcome(self) -> run_outcome.RunOutcome:
         """How the run ended."""
--- a/src/cranberrymux/gateway/dialect.py
+++ b/src/cranberrymux/gateway/dialect.py
@@ -17,6 +17,9 @@
         backend_id: On answers to health checks, the id of the backend server.
         load: On answers of some backend servers, the numbers of running
             requests, waiting requests and slots, separated by commas.
+        rate_limit: On answers of a backend server that limits it, the number
+            of requests a second that it accepts from all instances together.
+        leaving: On all answers of a backend server that is leaving: `1`.
     """
 
     request_id: bytes
@@ -28,3 +31,5 @@
     retry_after: bytes
     backend_id: bytes
     load: bytes
+    rate_limit: bytes
+    leaving: bytes
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -4,6 +4,7 @@
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import attempts as attempts_module
+from cranberrymux.gateway import endpoint_observation
 from cranberrymux.gateway import entry_answer
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
@@ -70,6 +71,7 @@
             parts, call, self._origin, self._attempts, self._log
         )
         self._endpoint: endpoint_view.EndpointView | None = None
+        self._sent_s = 0.0
         self._is_repeated_after_failure = False
 
     def start(self) -> None:
@@ -144,6 +146,7 @@
 
     def attempt_sent(self) -> None:
         """Records that the endpoint may get the request from now on."""
+        self._sent_s = self._parts.clock.now_s()
         self._attempts.sent += 1
         if not self._call.is_body_complete:
             self._attempts.is_streamed = True
@@ -202,7 +205,9 @@
             the request, or it failed and a repeat was taken from the budget.
         """
         if endpoint is not None:
-            hop_answer.update_endpoint(endpoint, head, now_s)
+            endpoint_observation.note_answer(
+                self._parts, endpoint, head, self._sent_s, self._request_id
+            )
         if hop_answer.find_refusal(head) is not None:
             return False
         is_failed = hop_answer.is_own_failure(head)
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -12,11 +12,14 @@
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import backend_health
+from cranberrymux.gateway import backend_limit
+from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import exit_owner
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import socket_address
+from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
@@ -59,6 +62,7 @@
         self._scheduler = slot_scheduler.SlotScheduler(1)
         self._share_meter = share_meter.ShareMeter(parts.clock.now_s())
         self._health = backend_health.BackendHealth(parts)
+        self._limit = backend_limit.BackendLimit(parts)
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._ticket_ids = itertools.count(1)
         self._pressure_logged_at_s = parts.clock.now_s()
@@ -75,6 +79,7 @@
         """Applies the current slots and state of the backend server."""
         current = self._presence.current
         if current is not None:
+            self._limit.use_process(current.backend_id, current.started_ms)
             self._scheduler.set_slots(
                 max(int(USED_SLOT_RATIO * current.slots), 1)
             )
@@ -160,6 +165,7 @@
         self, call: exit_owner.OwnedCall, deadline_s: float
     ) -> None:
         """Records that a request is sent to the backend server."""
+        self._parts.metrics.backend_sends.inc()
         self._parts.parent_matcher.add(
             call.ticket_id, call.request_id, deadline_s
         )
@@ -188,6 +194,23 @@
         self._start_waiting()
         return report
 
+    def note_answer_head(
+        self,
+        call: exit_owner.OwnedCall,
+        head: answer_head.AnswerHead,
+        sent_s: float,
+    ) -> None:
+        """Learns from an answer that the backend server gave to a request."""
+        signals = backend_signals.read(head, self._parts.settings.dialect)
+        self._limit.note_answer(signals, sent_s, call.request_id)
+
+    def encode_rate_limit(self) -> headers_module.HeaderList:
+        """Encodes the rate limit of the backend server, if any, for answers."""
+        per_s = self._limit.per_s
+        if per_s is None:
+            return []
+        return [(hop.RATE_LIMIT, hop.encode_rate_limit(per_s))]
+
     def describe_load(self) -> dict[str, Any]:
         """Returns the log fields of load and health."""
         return {
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -68,6 +68,7 @@
         )
         route = headers_module.find(call.head.headers, hop.ROUTE) or b""
         self.route = route.decode("latin-1")
+        self._sent_s = 0.0
         self._has_outcome = False
         self._streamed: backend_verdict.BackendVerdict | None = None
         call.on_cancel = self._handle_cancelled
@@ -134,13 +135,15 @@
             (hop.NOT_RUN, reason),
             (hop.LOAD, self._owner.encode_load()),
             (hop.WORK, work_report.encode(self._owner.report_share())),
+            *self._owner.encode_rate_limit(),
         ]
         self._call.answer(503, headers, b"")
 
     # Outcome of the attempt.
 
     def attempt_sent(self) -> None:
-        """Ignores it: a loss tells whether the request may have run."""
+        """Records the time, which orders the answers that it may get."""
+        self._sent_s = self._parts.clock.now_s()
 
     def attempt_answered(
         self, head: answer_head.AnswerHead, body: bytes
@@ -239,7 +242,10 @@
     def _judge(
         self, head: answer_head.AnswerHead
     ) -> backend_verdict.BackendVerdict:
-        return backend_verdict.judge(head, self._parts.settings.dialect)
+        verdict = backend_verdict.judge(head, self._parts.settings.dialect)
+        if verdict.is_from_backend:
+            self._owner.note_answer_head(self, head, self._sent_s)
+        return verdict
 
     def _withhold(self, verdict: backend_verdict.BackendVerdict) -> None:
         """Ends a request whose answer may not be passed on."""
@@ -279,6 +285,7 @@
             headers_module.forwardable(head.headers)
         )
         headers.append((hop.LOAD, self._owner.encode_load()))
+        headers += self._owner.encode_rate_limit()
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
         if is_failed_by_call:
--- a/src/cranberrymux/gateway/exit_owner.py
+++ b/src/cranberrymux/gateway/exit_owner.py
@@ -6,6 +6,8 @@
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import hop
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import headers as headers_module
 
 
 class OwnedCall(Protocol):
@@ -56,5 +58,19 @@
     def report_share(self) -> work_report.WorkReport:
         """Returns a report without work that tells the fitting share."""
 
+    def note_answer_head(
+        self, call: OwnedCall, head: answer_head.AnswerHead, sent_s: float
+    ) -> None:
+        """Learns from an answer that the backend server gave to a request.
+
+        Args:
+            call: The request.
+            head: Head of the answer.
+            sent_s: Monotonic seconds at which the request was sent.
+        """
+
+    def encode_rate_limit(self) -> headers_module.HeaderList:
+        """Encodes the rate limit of the backend server, if any, for answers."""
+
     def remove_waiting(self, ticket_id: int) -> None:
         """Removes a waiting request whose sender cancelled it."""
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cranberrymux.decisions.rate_limits import rate_limit_value
 from cranberrymux.node.http import headers as headers_module
 
 PREFIX = b"cranberrymux-"
@@ -23,6 +24,10 @@
 # `decisions.pressure.work_report`.
 WORK = b"cranberrymux-work"
 
+# On answers: requests a second that the backend server accepts from all nodes
+# together; missing if it has no limit, or if the node does not know.
+RATE_LIMIT = b"cranberrymux-rate-limit"
+
 # Values of `NOT_RUN`.
 FULL = b"full"
 TOO_LATE = b"too-late"
@@ -127,6 +132,17 @@
     return LoadReport(requests, failing / 1000, slowness / 100)
 
 
+def encode_rate_limit(per_s: float) -> bytes:
+    """Encodes a rate limit in requests a second."""
+    return b"%.9f" % per_s
+
+
+def decode_rate_limit(headers: headers_module.HeaderList) -> float | None:
+    """Decodes the rate limit; None if it is missing or invalid."""
+    per_s = rate_limit_value.parse(headers_module.find_all(headers, RATE_LIMIT))
+    return per_s if isinstance(per_s, float) else None
+
+
 def remove_node_headers(
     headers: headers_module.HeaderList,
 ) -> headers_module.HeaderList:
--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -1,6 +1,5 @@
 """Reads the status and the node headers of another node's answer."""
 
-from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.gateway import hop
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
@@ -33,26 +32,3 @@
 ) -> headers_module.HeaderList:
     """Returns the headers of the answer that the client gets."""
     return hop.remove_node_headers(headers_module.forwardable(head.headers))
-
-
-def update_endpoint(
-    endpoint: endpoint_view.EndpointView,
-    head: answer_head.AnswerHead,
-    now_s: float,
-) -> None:
-    """Updates an endpoint from an answer of its node.
-
-    Args:
-        endpoint: The endpoint that answered.
-        head: Head of the answer.
-        now_s: Monotonic seconds.
-    """
-    endpoint.note_answer()
-    load = hop.decode_load(head.headers)
-    if load is not None:
-        endpoint.note_reported_load(now_s, load.requests)
-        endpoint.note_reported_failure_rate(now_s, load.failure_rate)
-        endpoint.note_reported_slowness(now_s, load.slowness)
-    if find_refusal(head) is None:
-        endpoint.note_acceptance(True)
-        endpoint.note_outcome(now_s, is_own_failure(head))
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -26,6 +26,10 @@
             has capacity for.
         running: Requests that hold a slot of the backend server.
         waiting: Requests that wait for a slot.
+        backend_sends: Requests sent to the backend server, whatever became of
+            them.
+        rate_limit: Requests a second that the backend server accepts; 0
+            without a limit.
         version: Version of the configuration in force.
     """
 
@@ -70,6 +74,14 @@
             ("service",),
             registry=registry,
         )
+        self.backend_sends = prometheus_client.Counter(
+            "cranberrymux_backend_sends",
+            "Requests sent to the backend server.",
+            registry=registry,
+        )
+        self.rate_limit = self._gauge(
+            "backend_rate_limit", "Requests a second that it accepts; 0: any."
+        )
         self.share = self._gauge("share", "Share of the work that fits.")
         self.running = self._gauge("running", "Requests that hold a slot.")
         self.waiting = self._gauge("waiting", "Requests that wait for one.")
--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -51,6 +51,18 @@
     return None
 
 
+def find_all(
+    headers: Iterable[tuple[bytes, bytes]], name: bytes
+) -> list[bytes]:
+    """Returns the values of all headers with a name, in order.
+
+    Args:
+        headers: Headers with names in lower case.
+        name: Name to look for, in lower case.
+    """
+    return [value for header_name, value in headers if header_name == name]
+
+
 def encode(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
     """Encodes header lines, each ended by CRLF, without the empty line."""
     return b"".join([b"%b: %b\r\n" % (name, value) for name, value in headers])
--- a/src/cranberrymux/platform/dialect.py
+++ b/src/cranberrymux/platform/dialect.py
@@ -14,4 +14,7 @@
     # The id of a backend server, as in `expected_backend`.
     backend_id=b"instance-id",
     load=b"server-load",
+    # Requests a second, not a number of concurrent requests.
+    rate_limit=b"server-limit",
+    leaving=b"server-leaving",
 )
