--- /dev/null
+++ b/tests/gateway/test_leaving.py
@@ -0,0 +1,64 @@
+"""Backend servers that say in their answers that they are leaving.
+
+Guards against requests to such a server long after a node has passed on its
+word: while announcements still say that it serves, and after a restart of the
+node beside it.
+"""
+
+import pytest
+
+from tests.gateway import limited_backend
+from tests.gateway import mesh as mesh_module
+
+# Time after an instance passed such an answer on from which it sends none.
+DRAIN_S = 2.0
+LEAVING = (b"server-leaving", b"1")
+
+
+@pytest.fixture
+def mesh():
+    made = mesh_module.Mesh("front", "front", "deep", "deep")
+    made.configure(mesh_module.make_route("read", "deep"))
+    return made
+
+
+@pytest.fixture
+def leaving(mesh):
+    """The first backend server of the service; the second one stays."""
+    limited_backend.LimitedBackend(mesh.members[3])
+    return limited_backend.LimitedBackend(mesh.members[2])
+
+
+def run(mesh, seconds):
+    """Lets time pass, in which the backend servers say that they serve."""
+    for _ in range(round(seconds)):
+        for member in mesh.members:
+            member.announce()
+        mesh.network.run(1.0, step_s=0.002)
+
+
+def test_leaving_server_gets_no_requests_though_announced_as_serving(
+    mesh, leaving
+):
+    load = limited_backend.Load(mesh, (0, 1, 2), 10)
+    run(mesh, 1)
+    leaving.headers = [LEAVING]
+    run(mesh, 1)
+    told_s = mesh.network.seconds()
+    run(mesh, 6)
+    assert leaving.count_since(told_s + DRAIN_S) == 0
+    served = [one for one in load.since(told_s + DRAIN_S) if one.answered_s]
+    assert {one.statuses[0] for one in served} == {200}
+
+
+def test_leaving_server_gets_no_requests_after_a_restart_of_its_node(
+    mesh, leaving
+):
+    limited_backend.Load(mesh, (0, 1), 10)
+    leaving.headers = [LEAVING]
+    run(mesh, 1)
+    told_s = mesh.network.seconds()
+    mesh.members[2].restart()
+    mesh.members[2].gateway.configuration_changed(1, mesh.text)
+    run(mesh, 6)
+    assert leaving.count_since(told_s + DRAIN_S) == 0
