Hold a backend server to the rate limit that it names

Callers saw no fault; the backend server did: with a limit of 6.3 requests a second it got 229 in 4 s, where 43 are allowed.

Cause: the limit was a number that only answers told, and no process kept it. Only the node beside a backend server sends to it, so that node keeps the limit now, for all others: a token bucket in front of the slots, which starts empty. A request waits for a token for half a second at most; the more important ones go first, and the rest is refused as not run, so that it can go elsewhere.

The keeper may restart, and has no disk. The nodes that have passed such an answer on know the limit and say so in their requests, which are the only ones that the limit is about; a new keeper takes their word until the first answer of the backend server. A limit belongs to one process, known by id and start time: another one at the same address starts without.

While a limit holds, few requests are open, so that a backend server that has stalled does not get those of several seconds at once.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -140,7 +140,7 @@
         if known is None:
             known = endpoint_view.EndpointView(record)
             self._services.setdefault(record.service, {})[endpoint_id] = known
-        known.record = record
+        known.update(record)
         known.is_confirmed = True
 
 
--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -74,6 +74,12 @@
         self._suspended_until_s = -math.inf
         self._suspension_s = MINIMUM_SUSPENSION_S
 
+    def update(self, record: endpoint_record.EndpointRecord) -> None:
+        """Applies a newer record; forgets the limit of an ended process."""
+        if not record.process.may_be(self.record.process):
+            self.rate_limit = known_rate_limit.KnownRateLimit()
+        self.record = record
+
     @property
     def is_usable(self) -> bool:
         """True if its record says serving and nothing shows it is down."""
--- a/src/cranberrymux/decisions/presence/announcement.py
+++ b/src/cranberrymux/decisions/presence/announcement.py
@@ -3,6 +3,8 @@
 import enum
 from typing import NamedTuple
 
+from cranberrymux.models import backend_process
+
 
 class BackendState(enum.Enum):
     """Whether a backend server accepts new requests."""
@@ -36,3 +38,8 @@
     slots: int
     state: BackendState
     cold_left_s: float
+
+    @property
+    def process(self) -> backend_process.BackendProcess:
+        """The process that sent it."""
+        return backend_process.BackendProcess(self.backend_id, self.started_ms)
--- a/src/cranberrymux/decisions/presence/presence.py
+++ b/src/cranberrymux/decisions/presence/presence.py
@@ -71,7 +71,7 @@
         ):
             return PresenceChange.STALE
         self._received_s = now_s
-        if current is None or not _is_same_process(current, received):
+        if current is None or current.process != received.process:
             self._current = received
             if received.state is _DRAINING:
                 return PresenceChange.DRAINING
@@ -107,14 +107,5 @@
             del self._departed_start_ms[next(iter(self._departed_start_ms))]
 
 
-def _is_same_process(
-    one: announcement.Announcement, other: announcement.Announcement
-) -> bool:
-    return (one.backend_id, one.started_ms) == (
-        other.backend_id,
-        other.started_ms,
-    )
-
-
 def _order(received: announcement.Announcement) -> tuple[int, int]:
     return received.started_ms, received.sequence
--- a/src/cranberrymux/decisions/pressure/slot_scheduler.py
+++ b/src/cranberrymux/decisions/pressure/slot_scheduler.py
@@ -1,18 +1,26 @@
 """The slots of one backend server and the short queue in front of them.
 
 Guards against a backend server that stops answering because many callers
-together send more than it can queue. Nothing is sent beyond its slots, the
-most important request starts first, and a request that cannot start in time
-is refused while its caller can still try another endpoint.
+together send more than it can queue. Nothing is sent beyond its slots and its
+rate limit, the most important request starts first, and a request that cannot
+start in time is refused while its caller can still try another endpoint.
 """
 
 import enum
 import heapq
 import itertools
+import math
 from typing import NamedTuple
 
+from cranberrymux.decisions.rate_limits import token_bucket
+
 HOLD_TIME_WEIGHT = 0.05  # Weight of one request in the mean hold time.
 QUEUE_PER_SLOT = 1.5
+# Longest wait for a rate limit. Other endpoints may have room at once.
+MAXIMUM_TOKEN_WAIT_S = 0.5
+# Time whose requests may be open under a rate limit. It bounds the number that
+# a backend server which has stalled gets at once afterwards.
+MAXIMUM_OPEN_S = 2.0
 
 
 class SlotVerdict(enum.Enum):
@@ -22,12 +30,14 @@
         START: The request holds a slot now.
         WAIT: The request is queued.
         FULL: No slot will be free in time, or the queue is full.
+        LIMITED: The rate limit does not let it start in time.
         TOO_LATE: The deadline has passed.
     """
 
     START = "start"
     WAIT = "wait"
     FULL = "full"
+    LIMITED = "limited"
     TOO_LATE = "too-late"
 
 
@@ -53,8 +63,9 @@
     def __init__(self, slots: int) -> None:
         """Starts idle with at least one slot."""
         self._slots = max(slots, 1)
+        self._bucket: token_bucket.TokenBucket | None = None
         self._running: dict[int, float] = {}
-        self._queue: list[tuple[float, float, int, Ticket]] = []
+        self._queue: list[tuple[float, float, int, int]] = []
         self._waiting: dict[int, Ticket] = {}
         self._sequence = itertools.count()
         self._evicted: list[int] = []
@@ -80,18 +91,55 @@
         """Mean time a request holds its slot, in seconds; 0.0 at first."""
         return self._mean_hold_s
 
+    @property
+    def is_rate_limited(self) -> bool:
+        """True while the backend server names a rate limit."""
+        return self._bucket is not None
+
     def set_slots(self, slots: int) -> None:
         """Applies the number of slots that the backend server announces."""
         self._slots = max(slots, 1)
 
+    def set_rate_limit(self, now_s: float, per_s: float | None) -> None:
+        """Applies the limit that the backend server names.
+
+        Args:
+            now_s: Monotonic seconds.
+            per_s: Requests a second; None for no limit.
+        """
+        if per_s is None:
+            self._bucket = None
+        elif self._bucket is not None:
+            self._bucket.set_rate(now_s, per_s)
+        else:
+            self._bucket = token_bucket.TokenBucket(now_s, per_s)
+            self._waiting = {
+                ticket_id: _wait_for_token_at_most(ticket, now_s)
+                for ticket_id, ticket in self._waiting.items()
+            }
+
+    def get_token_wait_s(self, now_s: float) -> float:
+        """Returns the seconds until the rate limit lets one more start."""
+        if self._bucket is None:
+            return 0.0
+        return self._bucket.wait_s(now_s, self.waiting + 1)
+
     def offer(self, now_s: float, ticket: Ticket) -> SlotVerdict:
         """Starts, queues or refuses a new request."""
         if ticket.deadline_s <= now_s:
             return SlotVerdict.TOO_LATE
-        if len(self._running) < self._slots and not self._waiting:
-            self._running[ticket.ticket_id] = now_s
+        if self._can_start(now_s) and not self._waiting:
+            self._start(now_s, ticket.ticket_id)
             return SlotVerdict.START
-        if now_s + self._estimate_wait_s(ticket.rank) > ticket.start_by_s:
+        ahead = self._count_ahead(ticket.rank)
+        if self._bucket is not None:
+            ticket = _wait_for_token_at_most(ticket, now_s)
+            if now_s + self._bucket.wait_s(now_s, ahead + 1) > (
+                ticket.start_by_s
+            ):
+                return SlotVerdict.LIMITED
+        wait_s = (ahead + 1) * self._mean_hold_s / self._usable_slots
+        if now_s + wait_s > ticket.start_by_s:
             return SlotVerdict.FULL
         is_full = len(self._waiting) >= QUEUE_PER_SLOT * self._slots
         if is_full and not self._make_room(ticket.rank):
@@ -99,7 +147,12 @@
         self._waiting[ticket.ticket_id] = ticket
         heapq.heappush(
             self._queue,
-            (ticket.rank, ticket.deadline_s, next(self._sequence), ticket),
+            (
+                ticket.rank,
+                ticket.deadline_s,
+                next(self._sequence),
+                ticket.ticket_id,
+            ),
         )
         return SlotVerdict.WAIT
 
@@ -132,14 +185,14 @@
     def start_waiting(self, now_s: float) -> list[int]:
         """Assigns free slots and returns the requests that start now."""
         started = []
-        while self._queue and len(self._running) < self._slots:
-            ticket = heapq.heappop(self._queue)[3]
-            if ticket.start_by_s < now_s:
-                continue  # `pop_expired` returns it.
-            if self._waiting.pop(ticket.ticket_id, None) is None:
-                continue
-            self._running[ticket.ticket_id] = now_s
-            started.append(ticket.ticket_id)
+        while self._queue and self._can_start(now_s):
+            ticket_id = heapq.heappop(self._queue)[3]
+            ticket = self._waiting.get(ticket_id)
+            if ticket is None or ticket.start_by_s < now_s:
+                continue  # `pop_expired` returns it if it is still there.
+            del self._waiting[ticket_id]
+            self._start(now_s, ticket_id)
+            started.append(ticket_id)
         return started
 
     def pop_expired(self, now_s: float) -> list[int]:
@@ -178,8 +231,29 @@
         self._evicted.append(last.ticket_id)
         return True
 
-    def _estimate_wait_s(self, rank: float) -> float:
-        ahead = sum(
+    @property
+    def _usable_slots(self) -> int:
+        if self._bucket is None:
+            return self._slots
+        return min(self._slots, math.ceil(MAXIMUM_OPEN_S * self._bucket.per_s))
+
+    def _can_start(self, now_s: float) -> bool:
+        return len(self._running) < self._usable_slots and (
+            self._bucket is None or self._bucket.has_token(now_s)
+        )
+
+    def _start(self, now_s: float, ticket_id: int) -> None:
+        self._running[ticket_id] = now_s
+        if self._bucket is not None:
+            self._bucket.take(now_s)
+
+    def _count_ahead(self, rank: float) -> int:
+        return sum(
             1 for ticket in self._waiting.values() if ticket.rank <= rank
         )
-        return (ahead + 1) * self._mean_hold_s / self._slots
+
+
+def _wait_for_token_at_most(ticket: Ticket, now_s: float) -> Ticket:
+    """Returns the ticket with the wait that a rate limit allows."""
+    start_by_s = min(ticket.start_by_s, now_s + MAXIMUM_TOKEN_WAIT_S)
+    return ticket._replace(start_by_s=start_by_s)
--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -6,6 +6,7 @@
 from cranberrymux.decisions.endpoints import stall_detector
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.models import backend_process
 
 # Thresholds of the log lines only; nodes that send requests here choose
 # endpoints by the reported failure rate and slowness themselves.
@@ -24,8 +25,7 @@
     def __init__(self, parts: parts_module.GatewayParts) -> None:
         """Starts without failures, slowness or a stall."""
         self._parts = parts
-        # Id and start time in Unix milliseconds.
-        self._process: tuple[str, int] = ("", 0)
+        self._process = backend_process.BackendProcess("", 0)
         self._is_degraded = False
         self._reset()
 
@@ -45,9 +45,8 @@
     def note_announcement(self, received: announcement.Announcement) -> None:
         """Counts an announcement as activity; resets for a new process."""
         self._stall.note_activity()
-        process = (received.backend_id, received.started_ms)
-        if process != self._process:
-            self._process = process
+        if received.process != self._process:
+            self._process = received.process
             self._reset()
 
     def admits(self) -> bool:
@@ -97,7 +96,7 @@
         self._is_degraded = is_degraded
         self._parts.events.info(
             "backend-degraded" if is_degraded else "backend-recovered",
-            backend_id=self._process[0],
+            backend_id=self._process.backend_id,
             is_stalled=self._stall.is_stalled,
             **self.describe(),
         )
--- a/src/cranberrymux/gateway/backend_limit.py
+++ b/src/cranberrymux/gateway/backend_self_report.py
@@ -1,4 +1,4 @@
-"""The rate limit of the backend server beside this node."""
+"""What the backend server beside this node has said of itself in answers."""
 
 from typing import Any
 
@@ -6,14 +6,16 @@
 from cranberrymux.decisions.rate_limits import limit_source
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.models import backend_process
 
 _Source = limit_source.LimitSource
+_NO_PROCESS = backend_process.BackendProcess("", 0)
 
 
-class BackendLimit:
-    """Keeps the limit for as long as one process of the backend server runs.
+class BackendSelfReport:
+    """The rate limit of one process of the backend server.
 
-    Writes a log line for each change and for each limit that is not valid.
+    Writes a log line for each change and for each value that is not valid.
     """
 
     def __init__(self, parts: parts_module.GatewayParts) -> None:
@@ -23,28 +25,23 @@
             parts: Shared state of the gateway.
         """
         self._parts = parts
+        self._process = _NO_PROCESS
         self._known = known_rate_limit.KnownRateLimit()
-        self._backend_id = ""
-        # Start time in Unix milliseconds; 0 while it is not known.
-        self._started_ms = 0
 
     @property
-    def per_s(self) -> float | None:
+    def process(self) -> backend_process.BackendProcess:
+        """The process that the information is about."""
+        return self._process
+
+    @property
+    def rate_limit_per_s(self) -> float | None:
         """Requests a second; None without a limit."""
         return self._known.per_s
 
-    def use_process(self, backend_id: str, started_ms: int) -> None:
-        """Forgets the limit if the backend server is another process.
-
-        Args:
-            backend_id: Id of the backend server.
-            started_ms: Its start time in Unix milliseconds; 0 if unknown.
-        """
-        is_same = backend_id == self._backend_id and (
-            started_ms == self._started_ms or not self._started_ms
-        )
-        self._backend_id = backend_id
-        self._started_ms = started_ms
+    def use_process(self, process: backend_process.BackendProcess) -> None:
+        """Forgets everything if the backend server is another process."""
+        is_same = process.may_be(self._process)
+        self._process = process
         if not is_same:
             self._known = known_rate_limit.KnownRateLimit()
             self._parts.metrics.rate_limit.set(0.0)
@@ -56,7 +53,7 @@
         request_id: bytes,
         source: limit_source.LimitSource = _Source.ANSWER,
     ) -> None:
-        """Learns from an answer of the backend server.
+        """Learns from an answer of this process.
 
         Args:
             signals: What the answer says.
@@ -67,28 +64,38 @@
         if signals.rate_limit_error:
             self._log_invalid("rate-limit", signals.rate_limit_error)
             return
-        previous = self._describe()
+        previous = self._describe_limit()
         now_s = self._parts.clock.now_s()
         if self._known.note_answer(
             signals.rate_limit_per_s, sent_s, now_s, source
         ):
-            self._log_change(previous, request_id)
+            self._log_limit(previous, request_id)
+
+    def note_sender(self, per_s: float, request_id: bytes) -> None:
+        """Learns from a request whose sender knows the limit.
+
+        Args:
+            per_s: Limit that it knows.
+            request_id: Id of the request.
+        """
+        previous = self._describe_limit()
+        if self._known.note_sender(per_s, self._parts.clock.now_s()):
+            self._log_limit(previous, request_id)
 
-    def _log_change(self, previous: dict[str, Any], request_id: bytes) -> None:
-        self._parts.metrics.rate_limit.set(self.per_s or 0.0)
+    def _log_limit(self, previous: dict[str, Any], request_id: bytes) -> None:
+        self._parts.metrics.rate_limit.set(self.rate_limit_per_s or 0.0)
         source = self._known.source
         assert source is not None
         self._parts.events.info(
             "backend-rate-limit",
-            backend_id=self._backend_id,
-            started_ms=self._started_ms,
-            per_s=self.per_s,
+            **self._process._asdict(),
+            per_s=self.rate_limit_per_s,
             source=source.value,
             request_id=request_id.decode("latin-1"),
             **previous,
         )
 
-    def _describe(self) -> dict[str, Any]:
+    def _describe_limit(self) -> dict[str, Any]:
         """Returns the log fields of the limit that a change ends."""
         known = self._known
         if known.per_s is None:
@@ -103,6 +110,6 @@
         self._parts.events.info(
             "backend-signal-invalid",
             reason=reason,
-            backend_id=self._backend_id,
+            backend_id=self._process.backend_id,
             detail=detail,
         )
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -129,6 +129,9 @@
             (hop.TARGET, record.backend_id.encode()),
             *self._attempts.headers(),
         ]
+        if endpoint.rate_limit.per_s is not None:
+            known_limit = hop.encode_rate_limit(endpoint.rate_limit.per_s)
+            headers.append((hop.KNOWN_RATE_LIMIT, known_limit))
         head = self._call.head
         return attempt_module.Attempt(
             self._parts.hop_connections,
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -12,7 +12,7 @@
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import backend_health
-from cranberrymux.gateway import backend_limit
+from cranberrymux.gateway import backend_self_report
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import exit_owner
@@ -24,7 +24,7 @@
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
-EXPIRY_INTERVAL_S = 0.02
+QUEUE_INTERVAL_S = 0.02
 # Part of the slots that is used; backend servers may slow down when nearly
 # full.
 USED_SLOT_RATIO = 0.94
@@ -62,13 +62,13 @@
         self._scheduler = slot_scheduler.SlotScheduler(1)
         self._share_meter = share_meter.ShareMeter(parts.clock.now_s())
         self._health = backend_health.BackendHealth(parts)
-        self._limit = backend_limit.BackendLimit(parts)
+        self._self_report = backend_self_report.BackendSelfReport(parts)
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._ticket_ids = itertools.count(1)
         self._pressure_logged_at_s = parts.clock.now_s()
         self._is_stopping = False
-        self._expiry_loop: Any = task.LoopingCall(self._refuse_expired)
-        self._expiry_loop.clock = parts.reactor
+        self._queue_loop: Any = task.LoopingCall(self._serve_queue)
+        self._queue_loop.clock = parts.reactor
 
     @property
     def in_flight(self) -> int:
@@ -79,7 +79,8 @@
         """Applies the current slots and state of the backend server."""
         current = self._presence.current
         if current is not None:
-            self._limit.use_process(current.backend_id, current.started_ms)
+            self._self_report.use_process(current.process)
+            self._apply_limit()
             self._scheduler.set_slots(
                 max(int(USED_SLOT_RATIO * current.slots), 1)
             )
@@ -116,6 +117,12 @@
             self._share_meter.note_arrival(
                 hop_call.route, hop_call.tree_context.share
             )
+        known_per_s = hop.decode_rate_limit(
+            call.head.headers, hop.KNOWN_RATE_LIMIT
+        )
+        if known_per_s is not None:
+            self._self_report.note_sender(known_per_s, hop_call.request_id)
+            self._apply_limit()
         self._update_share(now_s)
         verdict = self._scheduler.offer(
             now_s,
@@ -132,8 +139,8 @@
             self._start_call(ticket_id)
         elif verdict is _Verdict.WAIT:
             self._calls[ticket_id] = hop_call
-            if not self._expiry_loop.running:
-                self._expiry_loop.start(EXPIRY_INTERVAL_S, now=False)
+            if not self._queue_loop.running:
+                self._queue_loop.start(QUEUE_INTERVAL_S, now=False)
         else:
             hop_call.refuse(verdict.value.encode())
 
@@ -201,12 +208,15 @@
         sent_s: float,
     ) -> None:
         """Learns from an answer that the backend server gave to a request."""
+        if not call.process.may_be(self._self_report.process):
+            return
         signals = backend_signals.read(head, self._parts.settings.dialect)
-        self._limit.note_answer(signals, sent_s, call.request_id)
+        self._self_report.note_answer(signals, sent_s, call.request_id)
+        self._apply_limit()
 
     def encode_rate_limit(self) -> headers_module.HeaderList:
         """Encodes the rate limit of the backend server, if any, for answers."""
-        per_s = self._limit.per_s
+        per_s = self._self_report.rate_limit_per_s
         if per_s is None:
             return []
         return [(hop.RATE_LIMIT, hop.encode_rate_limit(per_s))]
@@ -293,15 +303,23 @@
         assert address is not None
         self._calls[ticket_id].begin(
             connection_pool.Address(address.host, address.port),
-            current.backend_id,
+            current.process,
         )
 
-    def _refuse_expired(self) -> None:
+    def _apply_limit(self) -> None:
+        self._scheduler.set_rate_limit(
+            self._parts.clock.now_s(), self._self_report.rate_limit_per_s
+        )
+
+    def _serve_queue(self) -> None:
+        """Starts the requests that have got a token and refuses late ones."""
+        self._start_waiting()
         self._refuse_waiting(
-            self._scheduler.pop_expired(self._parts.clock.now_s()), hop.FULL
+            self._scheduler.pop_expired(self._parts.clock.now_s()),
+            hop.LIMITED if self._scheduler.is_rate_limited else hop.FULL,
         )
-        if not self._scheduler.waiting and self._expiry_loop.running:
-            self._expiry_loop.stop()
+        if not self._scheduler.waiting and self._queue_loop.running:
+            self._queue_loop.stop()
 
     def _refuse_waiting(self, ticket_ids: list[int], reason: bytes) -> None:
         for ticket_id in ticket_ids:
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -9,6 +9,7 @@
 from cranberrymux.gateway import outgoing_request
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import relay
+from cranberrymux.models import backend_process
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import connection_pool
@@ -33,6 +34,7 @@
         deadline_s: Monotonic seconds at which its caller gives up.
         request_id: Its id.
         route: Name of its route.
+        process: The process of the backend server that it is sent to.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         )
         route = headers_module.find(call.head.headers, hop.ROUTE) or b""
         self.route = route.decode("latin-1")
+        self.process = backend_process.BackendProcess("", 0)
         self._sent_s = 0.0
         self._has_outcome = False
         self._streamed: backend_verdict.BackendVerdict | None = None
@@ -75,13 +78,18 @@
         call.on_send_buffer_full = self._pause_answer
         call.on_send_buffer_drained = self._resume_answer
 
-    def begin(self, address: connection_pool.Address, backend_id: str) -> None:
+    def begin(
+        self,
+        address: connection_pool.Address,
+        process: backend_process.BackendProcess,
+    ) -> None:
         """Sends the request to the backend server.
 
         Args:
             address: Address of the backend server.
-            backend_id: Its id. A server that has another one answers 421.
+            process: Its process. A server that has another id answers 421.
         """
+        self.process = process
         dialect = self._parts.settings.dialect
         now_s = self._parts.clock.now_s()
         left_s = self.deadline_s - now_s
@@ -97,7 +105,7 @@
         left_ms = max(hop.shorten_deadline_ms(left_s), 1)
         headers.append((dialect.deadline_ms, b"%d" % left_ms))
         self._owner.call_started(self, now_s + left_ms / 1000)
-        headers.append((dialect.expected_backend, backend_id.encode()))
+        headers.append((dialect.expected_backend, process.backend_id.encode()))
         self._attempt = attempt_module.Attempt(
             self._pool,
             address,
--- a/src/cranberrymux/gateway/exit_owner.py
+++ b/src/cranberrymux/gateway/exit_owner.py
@@ -6,6 +6,7 @@
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import hop
+from cranberrymux.models import backend_process
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
@@ -18,12 +19,14 @@
         request_id: Its id.
         route: Name of its route.
         tree_context: What the node where its tree began says of the tree.
+        process: The process of the backend server that it is sent to.
     """
 
     ticket_id: int
     request_id: bytes
     route: str
     tree_context: hop.TreeContext
+    process: backend_process.BackendProcess
 
 
 class ExitOwner(Protocol):
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -12,6 +12,9 @@
 ROUTE = b"cranberrymux-route"
 # On requests: see `TreeContext`.
 TREE_CONTEXT = b"cranberrymux-standing"
+# On requests: the rate limit of the backend server that the sender has learned
+# from earlier answers, in case the node beside it has started since.
+KNOWN_RATE_LIMIT = b"cranberrymux-known-limit"
 # On requests that were sent to another node before, which counted their work.
 RESENT = b"cranberrymux-again"
 # On answers: why the request was not run; only if that is certain.
@@ -30,6 +33,8 @@
 
 # Values of `NOT_RUN`.
 FULL = b"full"
+# The rate limit of the backend server does not let it start in time.
+LIMITED = b"limited"
 TOO_LATE = b"too-late"
 DRAINING = b"draining"
 STOPPING = b"stopping"
@@ -40,7 +45,7 @@
 # The backend server itself refused the request.
 BACKEND_FULL = b"backend-full"
 MISDIRECTED = b"misdirected"
-BUSY_REASONS = (FULL, TOO_LATE, BACKEND_FULL)
+BUSY_REASONS = (FULL, LIMITED, TOO_LATE, BACKEND_FULL)
 
 # Calls of an admitted tree start before roots of equal importance.
 CALL_RANK_BONUS = 0.5
@@ -137,9 +142,11 @@
     return b"%.9f" % per_s
 
 
-def decode_rate_limit(headers: headers_module.HeaderList) -> float | None:
+def decode_rate_limit(
+    headers: headers_module.HeaderList, name: bytes = RATE_LIMIT
+) -> float | None:
     """Decodes the rate limit; None if it is missing or invalid."""
-    per_s = rate_limit_value.parse(headers_module.find_all(headers, RATE_LIMIT))
+    per_s = rate_limit_value.parse(headers_module.find_all(headers, name))
     return per_s if isinstance(per_s, float) else None
 
 
--- a/src/cranberrymux/gateway/own_endpoint.py
+++ b/src/cranberrymux/gateway/own_endpoint.py
@@ -72,6 +72,7 @@
             current.slots,
             _State.SERVING if is_serving else _State.DRAINING,
             current.backend_id,
+            current.started_ms,
         )
         if record == previous:
             return False
--- a/src/cranberrymux/models/endpoint_record.py
+++ b/src/cranberrymux/models/endpoint_record.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from cranberrymux.models import backend_process
 from cranberrymux.models import endpoint_state
 
 
@@ -28,6 +29,9 @@
         state: Whether the endpoint accepts new calls.
         backend_id: Id that the backend server itself reports; empty if it
             has none.
+        backend_started_ms: Start time of the backend server in Unix
+            milliseconds; 0 if it is not known. Together with the id it names
+            one process.
     """
 
     service: str
@@ -42,3 +46,11 @@
     slots: int
     state: endpoint_state.EndpointState
     backend_id: str = ""
+    backend_started_ms: int = 0
+
+    @property
+    def process(self) -> backend_process.BackendProcess:
+        """The process of the backend server."""
+        return backend_process.BackendProcess(
+            self.backend_id, self.backend_started_ms
+        )
--- a/src/cranberrymux/wire/cranberrymux.thrift
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -17,6 +17,8 @@
   // Id that the backend server itself sends on its answers; absent if it has
   // none.
   12: optional string backend_id
+  // Unix milliseconds at which the backend server started; absent if unknown.
+  13: optional i64 backend_started_ms
 }
 
 // A node's heartbeat. `endpoints` holds the endpoint of its own backend server,
--- a/src/cranberrymux/wire/endpoint_conversion.py
+++ b/src/cranberrymux/wire/endpoint_conversion.py
@@ -24,6 +24,7 @@
         slots=record.slots,
         state=int(record.state),
         backend_id=record.backend_id or None,
+        backend_started_ms=record.backend_started_ms or None,
     )
 
 
@@ -51,4 +52,5 @@
         slots=message.slots,
         state=endpoint_state.EndpointState(message.state),
         backend_id=message.backend_id or "",
+        backend_started_ms=message.backend_started_ms or 0,
     )
--- a/src/cranberrymux/wire/gen/messages/ttypes.py
+++ b/src/cranberrymux/wire/gen/messages/ttypes.py
@@ -79,11 +79,12 @@
      - slots
      - state
      - backend_id
+     - backend_started_ms
 
     """
 
 
-    def __init__(self, service_name=None, endpoint_id=None, incarnation=None, sequence=None, address=None, port=None, region=None, zone=None, labels=None, slots=None, state=None, backend_id=None,):
+    def __init__(self, service_name=None, endpoint_id=None, incarnation=None, sequence=None, address=None, port=None, region=None, zone=None, labels=None, slots=None, state=None, backend_id=None, backend_started_ms=None,):
         self.service_name = service_name
         self.endpoint_id = endpoint_id
         self.incarnation = incarnation
@@ -96,6 +97,7 @@
         self.slots = slots
         self.state = state
         self.backend_id = backend_id
+        self.backend_started_ms = backend_started_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -172,6 +174,11 @@
                     self.backend_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.backend_started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -234,6 +241,10 @@
             oprot.writeFieldBegin('backend_id', TType.STRING, 12)
             oprot.writeString(self.backend_id.encode('utf-8') if sys.version_info[0] == 2 else self.backend_id)
             oprot.writeFieldEnd()
+        if self.backend_started_ms is not None:
+            oprot.writeFieldBegin('backend_started_ms', TType.I64, 13)
+            oprot.writeI64(self.backend_started_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2173,6 +2184,7 @@
     (10, TType.I32, 'slots', None, None, ),  # 10
     (11, TType.I32, 'state', None, None, ),  # 11
     (12, TType.STRING, 'backend_id', 'UTF8', None, ),  # 12
+    (13, TType.I64, 'backend_started_ms', None, None, ),  # 13
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/tests/gateway/limited_backend.py
+++ b/tests/gateway/limited_backend.py
@@ -16,12 +16,14 @@
     """Answers for a member of a mesh, each request after about `WORK_S`.
 
     Attributes:
+        work_s: Mean time that it takes for a request, seconds.
         headers: Headers that it adds to its answers.
         arrivals: Requests that it got.
         namings: The limits that it named.
     """
 
     def __init__(self, member, seed=1):
+        self.work_s = WORK_S
         self.headers = []
         self.arrivals = []
         self.namings = []
@@ -51,7 +53,7 @@
                 self._network.seconds(), request_id.partition("-")[0]
             )
         )
-        work_s = WORK_S * self._random.uniform(0.5, 1.5)
+        work_s = self.work_s * self._random.uniform(0.5, 1.5)
         self._network.callLater(work_s, self._answer, call, self.headers)
 
     def _answer_health_check(self, call):
