Send nothing to a backend server that says in answers that it leaves

A backend server that put Server-Leaving on all its answers went on getting requests: 78 of them later than the 2 s of a drain in the test, with announcements that still said it served, and 39 after a restart of its node.

Cause: as with the limit, a fact that only answers tell was read by nobody.

The node beside it now takes the first such answer for a departure. It tells the others with its answers, and each remembers the process, by id and start time, whatever a record says later: the node may have restarted since and know only an older announcement. The record of an endpoint has the start time for that. A new process under the same id, which starts later, is used. A health check that says so at a node's start counts, too.

A fault of the same family is mended with it: a node that has just started knows its backend server from a health check, without a start time.

--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -5,6 +5,7 @@
 from cranberrymux.decisions.endpoints import decaying_value
 from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.decisions.rate_limits import known_rate_limit
+from cranberrymux.models import backend_process
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 
@@ -46,6 +47,7 @@
         "_refusal_rate",
         "_timeouts",
         "_excess_slowness",
+        "_leaving",
         "_suspended_until_s",
         "_suspension_s",
         "is_unreachable",
@@ -59,6 +61,7 @@
         """Starts without load, failures or suspension."""
         self.record = record
         self.rate_limit = known_rate_limit.KnownRateLimit()
+        self._leaving: backend_process.BackendProcess | None = None
         self.outstanding = 0
         self.is_confirmed = True
         self.is_unreachable = False
@@ -79,12 +82,29 @@
         if not record.process.may_be(self.record.process):
             self.rate_limit = known_rate_limit.KnownRateLimit()
         self.record = record
+        if self.is_leaving and record.backend_started_ms:
+            self._leaving = record.process
 
     @property
     def is_usable(self) -> bool:
         """True if its record says serving and nothing shows it is down."""
         is_serving = self.record.state is endpoint_state.EndpointState.SERVING
-        return is_serving and (self.is_confirmed or not self.is_unreachable)
+        return (
+            is_serving
+            and not self.is_leaving
+            and (self.is_confirmed or not self.is_unreachable)
+        )
+
+    @property
+    def is_leaving(self) -> bool:
+        """True if this process of its backend server has said that it leaves.
+
+        No record takes that back: its node may have restarted since and know
+        only an announcement that is older.
+        """
+        return self._leaving is not None and self._leaving.may_be(
+            self.record.process
+        )
 
     def cost(self, now_s: float) -> float:
         """Cost of one more request, in loads of all slots.
@@ -181,6 +201,25 @@
         """Stores the ratio of present to usual working times, reported."""
         self._excess_slowness.set(now_s, slowness - 1.0)
 
+    def note_leaving(self, started_ms: int) -> bool:
+        """Records that its backend server has said that it is leaving.
+
+        Args:
+            started_ms: Start time of the process that said so, in Unix
+                milliseconds; 0 if it is not known.
+
+        Returns:
+            True if that was not known.
+        """
+        process = backend_process.BackendProcess(
+            self.record.backend_id,
+            started_ms or self.record.backend_started_ms,
+        )
+        if process == self._leaving:
+            return False
+        self._leaving = process
+        return True
+
     def note_answer(self) -> None:
         """Ends its suspension and resets what counts towards the next one."""
         self.is_unreachable = False
--- a/src/cranberrymux/decisions/presence/presence.py
+++ b/src/cranberrymux/decisions/presence/presence.py
@@ -97,7 +97,8 @@
         if current is None or current.backend_id != backend_id:
             self._record_departure(backend_id, now_ms)
             return PresenceChange.NONE
-        self._record_departure(backend_id, current.started_ms)
+        # Without a start time, any process up to now may be the one that left.
+        self._record_departure(backend_id, current.started_ms or now_ms)
         self._current = current._replace(state=_DRAINING)
         return PresenceChange.LEFT
 
--- a/src/cranberrymux/gateway/backend_self_report.py
+++ b/src/cranberrymux/gateway/backend_self_report.py
@@ -1,5 +1,6 @@
 """What the backend server beside this node has said of itself in answers."""
 
+from collections.abc import Callable
 from typing import Any
 
 from cranberrymux.decisions.rate_limits import known_rate_limit
@@ -13,20 +14,31 @@
 
 
 class BackendSelfReport:
-    """The rate limit of one process of the backend server.
+    """The rate limit of one process of the backend server, and its leaving.
 
     Writes a log line for each change and for each value that is not valid.
+
+    Attributes:
+        is_leaving: True once the process has said that it is leaving.
     """
 
-    def __init__(self, parts: parts_module.GatewayParts) -> None:
+    def __init__(
+        self,
+        parts: parts_module.GatewayParts,
+        on_leaving: Callable[[str], Any],
+    ) -> None:
         """Starts without any information.
 
         Args:
             parts: Shared state of the gateway.
+            on_leaving: Called with the id of the backend server when it first
+                says that it is leaving.
         """
         self._parts = parts
+        self._on_leaving = on_leaving
         self._process = _NO_PROCESS
         self._known = known_rate_limit.KnownRateLimit()
+        self.is_leaving = False
 
     @property
     def process(self) -> backend_process.BackendProcess:
@@ -44,6 +56,7 @@
         self._process = process
         if not is_same:
             self._known = known_rate_limit.KnownRateLimit()
+            self.is_leaving = False
             self._parts.metrics.rate_limit.set(0.0)
 
     def note_answer(
@@ -61,6 +74,10 @@
             request_id: Id of the request; empty for a health check.
             source: What the answer was to.
         """
+        if signals.leaving_error:
+            self._log_invalid("leaving", signals.leaving_error)
+        if signals.is_leaving and not self.is_leaving:
+            self._leave(request_id)
         if signals.rate_limit_error:
             self._log_invalid("rate-limit", signals.rate_limit_error)
             return
@@ -82,6 +99,15 @@
         if self._known.note_sender(per_s, self._parts.clock.now_s()):
             self._log_limit(previous, request_id)
 
+    def _leave(self, request_id: bytes) -> None:
+        self.is_leaving = True
+        self._parts.events.info(
+            "backend-leaving",
+            **self._process._asdict(),
+            request_id=request_id.decode("latin-1"),
+        )
+        self._on_leaving(self._process.backend_id)
+
     def _log_limit(self, previous: dict[str, Any], request_id: bytes) -> None:
         self._parts.metrics.rate_limit.set(self.rate_limit_per_s or 0.0)
         source = self._known.source
--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -34,6 +34,7 @@
         endpoint.note_acceptance(True)
         endpoint.note_outcome(now_s, hop_answer.is_own_failure(head))
     _note_rate_limit(parts, endpoint, head, sent_s, request_id)
+    _note_leaving(parts, endpoint, head, request_id)
 
 
 def _note_rate_limit(
@@ -57,3 +58,20 @@
             previous_per_s=previous_per_s,
             request_id=request_id.decode("latin-1"),
         )
+
+
+def _note_leaving(
+    parts: parts_module.GatewayParts,
+    endpoint: endpoint_view.EndpointView,
+    head: answer_head.AnswerHead,
+    request_id: bytes,
+) -> None:
+    started_ms = hop.decode_leaving(head.headers)
+    if started_ms is not None and endpoint.note_leaving(started_ms):
+        parts.events.info(
+            "endpoint-leaving",
+            endpoint_id=endpoint.record.endpoint_id,
+            backend_id=endpoint.record.backend_id,
+            started_ms=started_ms,
+            request_id=request_id.decode("latin-1"),
+        )
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -1,5 +1,6 @@
 """The hop port: gives requests the slots of the backend server."""
 
+from collections.abc import Callable
 import itertools
 from typing import Any
 
@@ -11,6 +12,7 @@
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
+from cranberrymux.decisions.rate_limits import limit_source
 from cranberrymux.gateway import backend_health
 from cranberrymux.gateway import backend_self_report
 from cranberrymux.gateway import backend_signals
@@ -45,12 +47,15 @@
         self,
         parts: parts_module.GatewayParts,
         presence: presence_module.Presence,
+        on_leaving: Callable[[str], Any],
     ) -> None:
         """Starts without requests, with one slot.
 
         Args:
             parts: Shared state of the gateway.
             presence: State of the backend server.
+            on_leaving: Called with the id of the backend server when an answer
+                first says that it is leaving.
         """
         self._parts = parts
         self._presence = presence
@@ -62,7 +67,9 @@
         self._scheduler = slot_scheduler.SlotScheduler(1)
         self._share_meter = share_meter.ShareMeter(parts.clock.now_s())
         self._health = backend_health.BackendHealth(parts)
-        self._self_report = backend_self_report.BackendSelfReport(parts)
+        self._self_report = backend_self_report.BackendSelfReport(
+            parts, on_leaving
+        )
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._ticket_ids = itertools.count(1)
         self._pressure_logged_at_s = parts.clock.now_s()
@@ -94,6 +101,23 @@
         """Passes an announcement of the backend server on to its health."""
         self._health.note_announcement(received)
 
+    def note_health_check(
+        self, signals: backend_signals.BackendSignals
+    ) -> None:
+        """Learns from the answer to the first health check.
+
+        Without a limit it tells nothing: not every one need name it.
+        """
+        if signals.rate_limit_per_s is None and not signals.rate_limit_error:
+            return
+        self._self_report.note_answer(
+            signals,
+            self._parts.clock.now_s(),
+            b"",
+            limit_source.LimitSource.HEALTH_CHECK,
+        )
+        self._apply_limit()
+
     def stop(self) -> None:
         """Refuses new and waiting requests; running ones continue."""
         self._is_stopping = True
@@ -214,12 +238,16 @@
         self._self_report.note_answer(signals, sent_s, call.request_id)
         self._apply_limit()
 
-    def encode_rate_limit(self) -> headers_module.HeaderList:
-        """Encodes the rate limit of the backend server, if any, for answers."""
-        per_s = self._self_report.rate_limit_per_s
-        if per_s is None:
-            return []
-        return [(hop.RATE_LIMIT, hop.encode_rate_limit(per_s))]
+    def encode_self_report(self) -> headers_module.HeaderList:
+        """Encodes what the backend server says of itself, for answers."""
+        report = self._self_report
+        headers = []
+        if report.rate_limit_per_s is not None:
+            per_s = hop.encode_rate_limit(report.rate_limit_per_s)
+            headers.append((hop.RATE_LIMIT, per_s))
+        if report.is_leaving:
+            headers.append((hop.LEAVING, b"%d" % report.process.started_ms))
+        return headers
 
     def describe_load(self) -> dict[str, Any]:
         """Returns the log fields of load and health."""
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -143,7 +143,7 @@
             (hop.NOT_RUN, reason),
             (hop.LOAD, self._owner.encode_load()),
             (hop.WORK, work_report.encode(self._owner.report_share())),
-            *self._owner.encode_rate_limit(),
+            *self._owner.encode_self_report(),
         ]
         self._call.answer(503, headers, b"")
 
@@ -293,7 +293,7 @@
             headers_module.forwardable(head.headers)
         )
         headers.append((hop.LOAD, self._owner.encode_load()))
-        headers += self._owner.encode_rate_limit()
+        headers += self._owner.encode_self_report()
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
         if is_failed_by_call:
--- a/src/cranberrymux/gateway/exit_owner.py
+++ b/src/cranberrymux/gateway/exit_owner.py
@@ -72,8 +72,8 @@
             sent_s: Monotonic seconds at which the request was sent.
         """
 
-    def encode_rate_limit(self) -> headers_module.HeaderList:
-        """Encodes the rate limit of the backend server, if any, for answers."""
+    def encode_self_report(self) -> headers_module.HeaderList:
+        """Encodes what the backend server says of itself, for answers."""
 
     def remove_waiting(self, ticket_id: int) -> None:
         """Removes a waiting request whose sender cancelled it."""
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -9,6 +9,7 @@
 
 from cranberrymux.decisions.presence import announcement as announcement_module
 from cranberrymux.decisions.presence import presence as presence_module
+from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import boot_clock
 from cranberrymux.gateway import control_connections
 from cranberrymux.gateway import entry as entry_module
@@ -68,9 +69,9 @@
         )
         self._clock = self._parts.clock
         self._presence = presence_module.Presence(settings.backend_lifetime_s)
-        self._exit = exit_module.Exit(self._parts, self._presence)
+        self._exit = exit_module.Exit(self._parts, self._presence, self.leave)
         self._health_check = startup_health_check.StartupHealthCheck(
-            settings, reactor, self._backend_found
+            settings, reactor, self._backend_found, self.leave
         )
         self._own_endpoint = own_endpoint.OwnEndpoint(
             settings, self._clock.now_unix_ms()
@@ -218,9 +219,14 @@
         """Connects to control instances, given as `ip:port`, that are new."""
         self._control_connections.add_addresses(addresses, self._clock.now_s())
 
-    def _backend_found(self, found: announcement_module.Announcement) -> None:
+    def _backend_found(
+        self,
+        found: announcement_module.Announcement,
+        signals: backend_signals.BackendSignals,
+    ) -> None:
         if self._presence.current is None and not self._is_stopping:
             self.announce(found)
+            self._exit.note_health_check(signals)
 
     def _handle_change(self, change: _Change, backend_id: str) -> None:
         if change in (_Change.NONE, _Change.STALE):
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -31,6 +31,10 @@
 # together; missing if it has no limit, or if the node does not know.
 RATE_LIMIT = b"cranberrymux-rate-limit"
 
+# On answers: the backend server has said that it is leaving. The value is its
+# start time in Unix milliseconds; 0 if it is not known.
+LEAVING = b"cranberrymux-leaving"
+
 # Values of `NOT_RUN`.
 FULL = b"full"
 # The rate limit of the backend server does not let it start in time.
@@ -150,6 +154,14 @@
     return per_s if isinstance(per_s, float) else None
 
 
+def decode_leaving(headers: headers_module.HeaderList) -> int | None:
+    """Decodes the start time of a backend server that is leaving, or None."""
+    started_ms = headers_module.find(headers, LEAVING)
+    if started_ms is None or not started_ms.isdigit():
+        return None
+    return int(started_ms)
+
+
 def remove_node_headers(
     headers: headers_module.HeaderList,
 ) -> headers_module.HeaderList:
--- a/src/cranberrymux/gateway/startup_health_check.py
+++ b/src/cranberrymux/gateway/startup_health_check.py
@@ -7,6 +7,7 @@
 
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.models import socket_address
 from cranberrymux.node.http import answer_head
@@ -31,18 +32,25 @@
         self,
         settings: gateway_settings.GatewaySettings,
         reactor: Any,
-        on_found: Callable[[announcement.Announcement], None],
+        on_found: Callable[
+            [announcement.Announcement, backend_signals.BackendSignals], None
+        ],
+        on_leaving: Callable[[str], Any],
     ) -> None:
         """Prepares the check; `start` sends it.
 
         Args:
             settings: The gateway's settings.
             reactor: The reactor to use.
-            on_found: Called with the announcement of a healthy backend server.
+            on_found: Called with the announcement of a healthy backend server
+                and what it says of itself.
+            on_leaving: Called with the id of a backend server that says that it
+                is leaving.
         """
         self._settings = settings
         self._reactor = reactor
         self._on_found = on_found
+        self._on_leaving = on_leaving
         self._pool = connection_pool.ConnectionPool(reactor)
         self._lease: connection_pool.Lease | None = None
         self._connection: client_connection.ClientConnection | None = None
@@ -102,6 +110,10 @@
         """Reports the backend server if it accepts requests."""
         self._connection = None
         assert self._head is not None
+        signals = backend_signals.read(self._head, self._settings.dialect)
+        if signals.is_leaving:
+            self._handle_leaving(self._head)
+            return
         found = self._parse(self._head)
         if found is None:
             self._end(
@@ -109,7 +121,7 @@
             )
             return
         self._end("")
-        self._on_found(found)
+        self._on_found(found, signals)
 
     def answer_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Ends the check; the next announcement finds the backend server."""
@@ -122,6 +134,14 @@
     def request_buffer_drained(self) -> None:
         """Does nothing: the request has no body."""
 
+    def _handle_leaving(self, head: answer_head.AnswerHead) -> None:
+        self._end("the backend server is leaving")
+        backend_id = headers_module.find(
+            head.headers, self._settings.dialect.backend_id
+        )
+        if backend_id:
+            self._on_leaving(backend_id.decode("latin-1"))
+
     def _parse(
         self, head: answer_head.AnswerHead
     ) -> announcement.Announcement | None:
--- a/tests/gateway/limited_backend.py
+++ b/tests/gateway/limited_backend.py
@@ -17,7 +17,9 @@
 
     Attributes:
         work_s: Mean time that it takes for a request, seconds.
-        headers: Headers that it adds to its answers.
+        headers: Headers that it adds to its answers to requests.
+        health_headers: Headers that it adds to its answers to health checks;
+            none at first, so that a new node does not learn of a limit.
         arrivals: Requests that it got.
         namings: The limits that it named.
     """
@@ -25,6 +27,7 @@
     def __init__(self, member, seed=1):
         self.work_s = WORK_S
         self.headers = []
+        self.health_headers = []
         self.arrivals = []
         self.namings = []
         self._member = member
@@ -57,8 +60,8 @@
         self._network.callLater(work_s, self._answer, call, self.headers)
 
     def _answer_health_check(self, call):
-        """Answers without a limit, so that a new node does not know of it."""
         headers = [
+            *self.health_headers,
             (b"instance-id", self._member.backend_id.encode()),
             (b"server-load", b"0,0,%d" % self._member.slots),
         ]
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -62,3 +62,45 @@
     mesh.members[2].gateway.configuration_changed(1, mesh.text)
     run(mesh, 6)
     assert leaving.count_since(told_s + DRAIN_S) == 0
+
+
+def test_departure_before_the_first_announcement_is_final(mesh, leaving):
+    """A node that has restarted knows no start time of its backend server."""
+    member = mesh.members[2]
+    member.restart()
+    member.gateway.configuration_changed(1, mesh.text)
+    mesh.network.run(0.1)
+    assert member.gateway._presence.current.started_ms == 0
+    member.gateway.leave(member.backend_id)
+    member.announce()
+    assert not member.gateway._presence.is_serving(mesh.network.seconds())
+
+
+def test_new_process_under_the_same_id_is_used_again(mesh, leaving):
+    load = limited_backend.Load(mesh, (0, 1), 10)
+    leaving.headers = [LEAVING]
+    run(mesh, 1)
+    leaving.headers = []
+    mesh.members[2].announce(started_ms=2)
+    begun_s = mesh.network.seconds()
+    mesh.network.run(2.0, step_s=0.002)
+    load.stop()
+    assert leaving.count_since(begun_s) > 10
+
+
+@pytest.mark.parametrize("value", [b"", b"0", b"true", b"1, 1", b"1" * 5000])
+def test_other_value_of_the_header_changes_nothing(mesh, leaving, value):
+    limited_backend.Load(mesh, (0, 1), 10)
+    leaving.headers = [(b"server-leaving", value)]
+    run(mesh, 3)
+    assert leaving.count_since(1.0) >= 20
+
+
+def test_health_check_answer_that_says_so_is_believed(mesh, leaving):
+    leaving.health_headers = [LEAVING]
+    member = mesh.members[2]
+    member.restart()
+    member.gateway.configuration_changed(1, mesh.text)
+    mesh.network.run(0.1)
+    member.announce()
+    assert not member.gateway._presence.is_serving(mesh.network.seconds())
