Refuse at the root what the limits of a whole service do not let in

With all endpoints of a service at a limit of 10 requests a second and 80 asked for, the share told to the roots stayed at 1.0: the share compared work with slots, which a limited backend server hardly uses. Requests were turned away only at the endpoints, by whoever came first.

The share now also compares arrivals, over about a second, with the limit. What a limited endpoint tells is ignored while another one of its service names no limit, as that one takes the rest.

In the test the share falls below 0.5 within the 4 s, from 1.0, and the limits are used to 70 % and more.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -108,6 +108,11 @@
         shares = [service.share for service in self._services.values()]
         return min(shares, default=1.0)
 
+    def get_service_share(self, service: str) -> float:
+        """Returns the smoothed share that a service can take, 0.0 to 1.0."""
+        state = self._services.get(service)
+        return 1.0 if state is None else state.share
+
     def get_admitted_share(self, traffic_class: TrafficClass) -> float:
         """Returns the share of a class that may start, 0.0 to 1.0."""
         flow = self._flows.get(traffic_class)
--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -1,16 +1,20 @@
 """The share of the offered work that one backend server can take.
 
 Guards against overload of a service that is called by many trees. The work
-that arrives, refused calls included, is compared with the slots, and the
-share that fits is sent back to the nodes where the trees start.
+that arrives, refused calls included, is compared with the slots and the rate
+limit, and the share that fits is sent back to the nodes where the trees start.
 """
 
+import math
+
 WINDOW_S = 0.1
 TARGET_UTILIZATION = 0.95  # Share of the slots that admitted work may use.
 SHARE_STEP_RATIO = 0.5  # Part of the gap closed per window.
 MAXIMUM_GROWTH_FACTOR = 1.25  # Per window.
 MINIMUM_SHARE = 0.01
 QUEUE_DRAIN_TIME_S = 0.3  # Time in which the queue is to be emptied.
+# Of the mean rate of arrivals. A rate limit may be below one request a window.
+RATE_TIME_CONSTANT_S = 1.0
 HOLD_TIME_WEIGHT = 0.05  # Weight of one request in the mean of its route.
 
 
@@ -34,6 +38,10 @@
         self._admitted_work_s = 0.0
         self._hold_s: dict[str, float] = {}
         self._utilization = 0.0
+        self._arrivals = 0
+        self._admitted_arrivals = 0.0
+        self._per_s = 0.0
+        self._admitted_per_s = 0.0
 
     @property
     def share(self) -> float:
@@ -56,13 +64,21 @@
         work_s = self._hold_s.get(route, 0.0)
         self._work_s += work_s
         self._admitted_work_s += work_s * share
+        self._arrivals += 1
+        self._admitted_arrivals += share
 
     def note_hold(self, route: str, hold_s: float) -> None:
         """Records for how long a request of a route held its slot."""
         mean_s = self._hold_s.get(route, hold_s)
         self._hold_s[route] = mean_s + HOLD_TIME_WEIGHT * (hold_s - mean_s)
 
-    def roll(self, now_s: float, slots: int, waiting_s: float) -> None:
+    def roll(
+        self,
+        now_s: float,
+        slots: int,
+        waiting_s: float,
+        limit_per_s: float | None = None,
+    ) -> None:
         """Ends the window if it is due and updates the share.
 
         Args:
@@ -70,6 +86,8 @@
             slots: Number of requests that may run at once.
             waiting_s: Expected work, in seconds, of the requests that wait for
                 a slot.
+            limit_per_s: Requests a second that the backend server accepts; None
+                for any number.
         """
         elapsed_s = now_s - self._window_began_s
         if elapsed_s < WINDOW_S:
@@ -84,9 +102,28 @@
                 * TARGET_UTILIZATION
                 / max(self._utilization + queue_utilization, 1e-3)
             )
+        self._update_rates(elapsed_s)
+        if limit_per_s is not None:
+            fitting_share = min(fitting_share, self._fit_limit(limit_per_s))
         share = self._share + SHARE_STEP_RATIO * (fitting_share - self._share)
         share = min(share, self._share * MAXIMUM_GROWTH_FACTOR, 1.0)
         self._share = max(MINIMUM_SHARE, share)
         self._window_began_s = now_s
         self._work_s = 0.0
         self._admitted_work_s = 0.0
+
+    def _update_rates(self, elapsed_s: float) -> None:
+        weight = 1.0 - math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
+        self._per_s += weight * (self._arrivals / elapsed_s - self._per_s)
+        self._admitted_per_s += weight * (
+            self._admitted_arrivals / elapsed_s - self._admitted_per_s
+        )
+        self._arrivals = 0
+        self._admitted_arrivals = 0.0
+
+    def _fit_limit(self, limit_per_s: float) -> float:
+        """Returns the share of the offered work that a rate limit lets in."""
+        if self._per_s <= 0.0:
+            return 1.0
+        admitted_share = self._admitted_per_s / self._per_s
+        return admitted_share * TARGET_UTILIZATION * limit_per_s / self._per_s
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -286,7 +286,12 @@
 
     def _update_share(self, now_s: float) -> None:
         waiting_s = self._scheduler.waiting * self._scheduler.mean_hold_s
-        self._share_meter.roll(now_s, self._scheduler.slots, waiting_s)
+        self._share_meter.roll(
+            now_s,
+            self._scheduler.slots,
+            waiting_s,
+            self._self_report.rate_limit_per_s,
+        )
         is_due = now_s - self._pressure_logged_at_s >= PRESSURE_LOG_INTERVAL_S
         if self._share_meter.share < 1.0 and is_due:
             self._pressure_logged_at_s = now_s
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -100,6 +100,7 @@
         is_successful = head.status < FIRST_ERROR_STATUS and not is_refused
         work = headers_module.find(head.headers, hop.WORK)
         report = work_report.decode(work) if work is not None else {}
+        self._ignore_limited_share(service, head, report)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
         parent = self._parts.running_requests.find(self._parent_match.parent)
@@ -115,3 +116,24 @@
             entry_admission.get_retry_advice(self._route).note_latency(
                 now_s - began_s
             )
+
+    def _ignore_limited_share(
+        self,
+        service: str,
+        head: answer_head.AnswerHead,
+        report: work_report.WorkReport,
+    ) -> None:
+        """Removes the share of a rate-limited endpoint while others have room.
+
+        What its limit does not let through, the others take, so that it tells
+        nothing of the service.
+        """
+        is_limited = hop.decode_rate_limit(head.headers) is not None
+        if not is_limited or service not in report:
+            return
+        if not self._parts.endpoints.has_unlimited(service):
+            return
+        root_admission = self._parts.entry_admission.root_admission
+        report[service] = report[service]._replace(
+            share=root_admission.get_service_share(service)
+        )
--- a/tests/gateway/test_rate_limited_siblings.py
+++ b/tests/gateway/test_rate_limited_siblings.py
@@ -98,3 +98,21 @@
     run(mesh, 8)
     asked = urgent.since(2.0)[:-8]
     assert len(find_served(asked)) >= 0.95 * len(asked)
+
+
+def test_roots_are_refused_within_tenths_of_a_second_when_all_are_limited(
+    mesh, backends
+):
+    load = limited_backend.Load(mesh, ENTRIES, 20)
+    run(mesh, 3)
+    for backend in backends:
+        backend.name(10.0)
+    run(mesh, 4)
+    shares = [
+        member.gateway._parts.entry_admission.root_admission.minimum_share
+        for member in mesh.members[:4]
+    ]
+    assert max(shares) < 0.5
+    served = find_served(load.since(5.0))
+    # Of the 20 a second that the limits let through together.
+    assert 0.7 * 20 * 2 <= len(served) <= 1.1 * 20 * 2 + 5
