Tell refused callers when a rate limit has room again

A caller that every endpoint refused for its rate limit was told to come back after 1.0 s, while the next request could start only after 2.5 s and more, so that it came back in vain.

The nodes tell with their refusals how long one more request would wait; the caller is told the shortest of these times, if it is longer than the usual one.

--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -50,6 +50,8 @@
         self._reached_ids: set[str] = set()
         self._reached_count = 0
         self._has_run = False
+        self._limit_waits_s: list[float] = []
+        self._other_refusals = 0
         self.tree_context = hop.TreeContext(float(route.priority), 1.0)
         self.sent = 0
         self.is_streamed = False
@@ -122,6 +124,29 @@
             self._note_reached(endpoint)
             self._asked_ids.remove(endpoint.record.endpoint_id)
 
+    def note_node_refused(self, reason: bytes, limit_wait_s: float) -> None:
+        """Records that an endpoint's node refused the request.
+
+        Args:
+            reason: One of the reasons of `hop.NOT_RUN`.
+            limit_wait_s: Seconds until the rate limit of its backend server
+                lets one more request start.
+        """
+        if reason == hop.LIMITED:
+            self._limit_waits_s.append(limit_wait_s)
+        else:
+            self._other_refusals += 1
+
+    @property
+    def room_wait_s(self) -> float:
+        """Seconds until one of the endpoints that refused has room.
+
+        0.0 unless it was for their rate limits that all of them refused.
+        """
+        if self._other_refusals:
+            return 0.0
+        return min(self._limit_waits_s, default=0.0)
+
     def take_repeat(self, now_s: float) -> bool:
         """Takes a repeat of a request that may have run; False if none is left.
 
--- a/src/cranberrymux/gateway/entry_answer.py
+++ b/src/cranberrymux/gateway/entry_answer.py
@@ -101,7 +101,9 @@
         if self._send_kept_failure():
             return
         self._log.log_own_answer(outcome, detail)
-        retry_delay_s = self._origin.draw_retry_delay_s()
+        retry_delay_s = max(
+            self._origin.draw_retry_delay_s(), self._attempts.room_wait_s
+        )
         own_answers.refuse(
             self._parts, self._call, outcome.value, retry_delay_s
         )
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -227,6 +227,9 @@
         """Sends the request on after an answer that the client does not get."""
         refusal = hop_answer.find_refusal(head)
         if refusal is not None:
+            self._attempts.note_node_refused(
+                refusal, hop.decode_limit_wait(head.headers)
+            )
             self._handle_refusal(endpoint, refusal, now_s)
             return
         self._log.log_repeat("backend-failed")
