Answer requests with numbers that no program can use

A client that sent Deadline-Ms with some hundreds of digits got no answer: the number did not fit a float, or Python refused to convert it, in the midst of the request, and its connection ended. The same stood in what nodes read of one another's headers, in If-Match, and twice as a function of its own.

One function decodes whole numbers now and takes at most 15 digits; a longer one counts as not valid, like letters.

--- a/src/cranberrymux/control/operator_api.py
+++ b/src/cranberrymux/control/operator_api.py
@@ -18,6 +18,7 @@
 from cranberrymux.control import node_service
 from cranberrymux.control import state_machine
 from cranberrymux.decisions.configuration import change_verdict
+from cranberrymux.models import whole_number
 from cranberrymux.telemetry import metric
 from cranberrymux.telemetry import metrics_sink
 from cranberrymux.wire.gen.messages import ttypes
@@ -261,6 +262,5 @@
 def _read_number(request: Any, name: bytes, default: int) -> int:
     """Returns a number from the query; the default if it is not digits."""
     values = request.args.get(name, [])
-    if not values or not values[0].isdigit():
-        return default
-    return int(values[0])
+    number = whole_number.decode(values[0]) if values else None
+    return default if number is None else number
--- a/src/cranberrymux/decisions/pressure/work_report.py
+++ b/src/cranberrymux/decisions/pressure/work_report.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from cranberrymux.models import whole_number
+
 _MS_PER_S = 1000
 MINIMUM_WEIGHT_S = 0.005  # Added to the work, which may be zero.
 _MAXIMUM_SERVICES = 32  # Services read from one report.
@@ -65,9 +67,11 @@
     report: WorkReport = {}
     for part in value.split(b",")[:_MAXIMUM_SERVICES]:
         service, _, numbers = part.partition(b"=")
-        slot_ms, _, share = numbers.partition(b"/")
-        if slot_ms.isdigit() and share.isdigit():
+        first, _, second = numbers.partition(b"/")
+        slot_ms = whole_number.decode(first)
+        share = whole_number.decode(second)
+        if slot_ms is not None and share is not None:
             report[service.decode("latin-1")] = ServiceWork(
-                int(slot_ms) / _MS_PER_S, int(share) / 1000
+                slot_ms / _MS_PER_S, share / 1000
             )
     return report
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -21,6 +21,7 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import socket_address
+from cranberrymux.models import whole_number
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
@@ -127,8 +128,10 @@
         """Starts, queues or refuses a request."""
         now_s = self._parts.clock.now_s()
         name = self._parts.settings.dialect.deadline_ms
-        left_ms = headers_module.find(call.head.headers, name) or b"0"
-        left_s = int(left_ms) / 1000 if left_ms.isdigit() else 0.0
+        left_ms = whole_number.decode(
+            headers_module.find(call.head.headers, name)
+        )
+        left_s = (left_ms or 0) / 1000
         ticket_id = next(self._ticket_ids)
         hop_call = exit_call.ExitCall(
             self._parts, self, self._pool, call, ticket_id, now_s + left_s
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from cranberrymux.decisions.rate_limits import rate_limit_value
+from cranberrymux.models import whole_number
 from cranberrymux.node.http import headers as headers_module
 
 PREFIX = b"cranberrymux-"
@@ -137,10 +138,12 @@
 def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
     """Decodes the report; None if it is missing or invalid."""
     value = headers_module.find(headers, LOAD) or b""
-    parts = value.split(b"/")
-    if len(parts) != 3 or not all(one.isdigit() for one in parts):
+    numbers = [whole_number.decode(one) for one in value.split(b"/")]
+    if len(numbers) != 3:
+        return None
+    requests, failing, slowness = numbers
+    if requests is None or failing is None or slowness is None:
         return None
-    requests, failing, slowness = map(int, parts)
     return LoadReport(requests, failing / 1000, slowness / 100)
 
 
@@ -164,16 +167,13 @@
 
 def decode_limit_wait(headers: headers_module.HeaderList) -> float:
     """Decodes that time in seconds; 0.0 if it is missing or invalid."""
-    wait_ms = headers_module.find(headers, LIMIT_WAIT) or b""
-    return int(wait_ms) / 1000 if wait_ms.isdigit() else 0.0
+    wait_ms = whole_number.decode(headers_module.find(headers, LIMIT_WAIT))
+    return (wait_ms or 0) / 1000
 
 
 def decode_leaving(headers: headers_module.HeaderList) -> int | None:
     """Decodes the start time of a backend server that is leaving, or None."""
-    started_ms = headers_module.find(headers, LEAVING)
-    if started_ms is None or not started_ms.isdigit():
-        return None
-    return int(started_ms)
+    return whole_number.decode(headers_module.find(headers, LEAVING))
 
 
 def remove_node_headers(
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -5,6 +5,7 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.models import whole_number
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
@@ -34,10 +35,10 @@
             now_s: Monotonic seconds at which it arrived.
         """
         dialect = parts.settings.dialect
-        left_ms = headers_module.find(headers, dialect.deadline_ms) or b""
-        self.left_s = (
-            int(left_ms) / 1000 if left_ms.isdigit() else route.timeout_s
+        left_ms = whole_number.decode(
+            headers_module.find(headers, dialect.deadline_ms)
         )
+        self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
         self._parts = parts
         self._route = route
         self._parent_match = parts.parent_matcher.match(
--- a/src/cranberrymux/gateway/startup_health_check.py
+++ b/src/cranberrymux/gateway/startup_health_check.py
@@ -10,6 +10,7 @@
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.models import socket_address
+from cranberrymux.models import whole_number
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import client_connection
 from cranberrymux.node.http import connection_pool
@@ -149,9 +150,10 @@
         backend_id = headers_module.find(head.headers, dialect.backend_id)
         load = headers_module.find(head.headers, dialect.load) or b""
         fields = load.split(b",")
-        slots = fields[-1].strip()
-        has_slots = len(fields) == _LOAD_FIELD_COUNT and slots.isdigit()
-        if head.status != 200 or not backend_id or not has_slots:
+        slots = whole_number.decode(fields[-1].strip())
+        if head.status != 200 or not backend_id or slots is None:
+            return None
+        if len(fields) != _LOAD_FIELD_COUNT:
             return None
         return announcement.Announcement(
             backend_id=backend_id.decode("latin-1"),
@@ -161,7 +163,7 @@
             service=self._settings.service,
             address=self._settings.backend_address,
             zone=self._settings.zone,
-            slots=int(slots),
+            slots=slots,
             state=announcement.BackendState.SERVING,
             cold_left_s=0.0,
         )
--- a/src/cranberrymux/node/answer_metadata.py
+++ b/src/cranberrymux/node/answer_metadata.py
@@ -4,6 +4,7 @@
 
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal_reason
+from cranberrymux.models import whole_number
 from cranberrymux.node.http import answer_head
 
 _KINDS = {kind.value.encode(): kind for kind in answer_kind.AnswerKind}
@@ -45,20 +46,14 @@
         for name, value in head.headers
         if name.startswith(b"cranberrymux-")
     }
-    level = _parse_number(values.get(b"cranberrymux-level"))
-    load = _parse_number(values.get(b"cranberrymux-load"))
+    level = whole_number.decode(values.get(b"cranberrymux-level"))
+    load = whole_number.decode(values.get(b"cranberrymux-load"))
     return AnswerMetadata(
         _KINDS.get(values.get(b"cranberrymux-answer", b"")),
         _REASONS.get(values.get(b"cranberrymux-reason", b"")),
         level,
-        _parse_number(values.get(b"cranberrymux-unspent")) or 0,
-        _parse_number(values.get(b"cranberrymux-configuration")) or 0,
+        whole_number.decode(values.get(b"cranberrymux-unspent")) or 0,
+        whole_number.decode(values.get(b"cranberrymux-configuration")) or 0,
         None if load is None else min(load / 1000, 1.0),
         b"cranberrymux-dependency-failed" in values,
     )
-
-
-def _parse_number(value: bytes | None) -> int | None:
-    if value is None or not value.isdigit():
-        return None
-    return int(value)
--- a/src/cranberrymux/node/entry_context.py
+++ b/src/cranberrymux/node/entry_context.py
@@ -12,6 +12,7 @@
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
 from cranberrymux.models import request_ids
+from cranberrymux.models import whole_number
 from cranberrymux.node.http import headers
 
 _ANONYMOUS = "anonymous"
@@ -70,12 +71,13 @@
     timeout = headers.find(head_headers, b"cranberrymux-timeout-ms")
     timeout_ms = decision.timeout_ms or default_timeout_ms
     if timeout is not None:
-        if not timeout.isdigit() or int(timeout) > _MAXIMUM_TIMEOUT_MS:
+        given_ms = whole_number.decode(timeout)
+        if given_ms is None or given_ms > _MAXIMUM_TIMEOUT_MS:
             return make_bad_request_refusal(
                 "cranberrymux-timeout-ms: expected a number of milliseconds "
                 f"up to {_MAXIMUM_TIMEOUT_MS}"
             )
-        timeout_ms = int(timeout)
+        timeout_ms = given_ms
     if request_id is None:
         assigned_id = request_ids.make_request_id(now_unix_ms, generator)
     else:
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -11,6 +11,7 @@
 from cranberrymux.models import refusal as refusal_module
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
+from cranberrymux.models import whole_number
 from cranberrymux.node import backend_server
 from cranberrymux.node import eligibility_check
 from cranberrymux.node import entry_context
@@ -296,6 +297,4 @@
 
 def _read_version(head_headers: headers.HeaderList) -> int:
     value = headers.find(head_headers, b"cranberrymux-configuration")
-    if value is None or not value.isdigit():
-        return 0
-    return int(value)
+    return whole_number.decode(value) or 0
--- a/src/cranberrymux/node/suspect_message.py
+++ b/src/cranberrymux/node/suspect_message.py
@@ -8,6 +8,7 @@
 
 from cranberrymux.decisions.quarantine import clear_report
 from cranberrymux.decisions.quarantine import death_report
+from cranberrymux.models import whole_number
 from cranberrymux.node import peer_request
 
 TARGET = b"/cranberrymux/v1/suspect"
@@ -67,7 +68,9 @@
     parts = value.decode("latin-1").split(";")
     if parts[0] == _DEATH and len(parts) == _DEATH_PART_COUNT:
         return DeathNotice(parts[1], parts[2], parts[3] == "1")
-    is_clear = parts[0] == _CLEAR and len(parts) == _CLEAR_PART_COUNT
-    if is_clear and parts[2].isdigit():
-        return clear_report.ClearReport(parts[1], int(parts[2]))
-    return None
+    if parts[0] != _CLEAR or len(parts) != _CLEAR_PART_COUNT:
+        return None
+    number = whole_number.decode(parts[2].encode("latin-1"))
+    if number is None:
+        return None
+    return clear_report.ClearReport(parts[1], number)
--- a/src/cranberrymux/node/vouch_message.py
+++ b/src/cranberrymux/node/vouch_message.py
@@ -10,6 +10,7 @@
 from cranberrymux.decisions.answers import attempt_key
 from cranberrymux.decisions.answers import vouch as vouch_module
 from cranberrymux.decisions.answers import vouch_verdict
+from cranberrymux.models import whole_number
 from cranberrymux.node import peer_request
 
 TARGET = b"/cranberrymux/v1/vouch"
@@ -49,9 +50,10 @@
     parts = value.decode("latin-1").split(";")
     if len(parts) != len(attempt_key.AttemptKey._fields):
         return None
-    if not parts[2].isdigit():
+    number = whole_number.decode(parts[2].encode("latin-1"))
+    if number is None:
         return None
-    return attempt_key.AttemptKey(parts[0], parts[1], int(parts[2]))
+    return attempt_key.AttemptKey(parts[0], parts[1], number)
 
 
 def encode_vouch(vouch: vouch_module.Vouch) -> bytes:
--- a/src/cranberrymux/platform/control_port.py
+++ b/src/cranberrymux/platform/control_port.py
@@ -8,6 +8,7 @@
 from cranberrymux.control import operator_port
 from cranberrymux.control import route_changes
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.models import whole_number
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits as limits_module
@@ -100,7 +101,7 @@
         base_label = if_match.strip(b'" ')
         result = await route_changes.RouteChanges(parts).put(
             document,
-            int(base_label) if base_label.isdigit() else None,
+            whole_number.decode(base_label),
             hashlib.sha256(base_label + b"\n" + body).hexdigest(),
         )
         if result.verdict is route_changes.PutVerdict.ASK_LEADER:
--- /dev/null
+++ b/tests/gateway/test_malformed_numbers.py
@@ -0,0 +1,48 @@
+"""Numbers in headers that no program can use.
+
+Guards against an unexpected error in the midst of a request, after which its
+caller gets no answer: Python refuses to convert some thousands of digits, and
+a float cannot hold some hundreds.
+"""
+
+import pytest
+
+from cranberrymux.gateway import hop
+from tests.fakes import raw_client
+from tests.gateway import mesh as mesh_module
+
+NUMBERS = ["9" * 20, "9" * 400, "9" * 5000, "-1", "1e9", "\xb2"]
+
+
+@pytest.mark.parametrize("number", NUMBERS)
+def test_request_with_any_deadline_is_served(mesh, number):
+    headers = [("Deadline-Ms", number)]
+    assert mesh.ask(0, "/read/x", headers=headers).statuses == [200]
+
+
+@pytest.mark.parametrize("number", NUMBERS)
+def test_request_of_a_node_with_any_deadline_is_answered(mesh, number):
+    client = raw_client.RawClient()
+    mesh.network.connect(mesh.members[1].entry_port + 1, client)
+    headers = [
+        ("Deadline-Ms", number),
+        ("Cranberrymux-Target", mesh.members[1].backend_id),
+        ("Cranberrymux-Known-Limit", number),
+    ]
+    client.send(mesh_module.encode("/read/x", headers=headers))
+    mesh.network.run(0.1)
+    assert len(client.statuses) == 1
+
+
+@pytest.mark.parametrize("number", [one.encode("latin-1") for one in NUMBERS])
+def test_values_from_other_nodes_are_decoded_or_ignored(number):
+    headers = [
+        (hop.LOAD, b"%b/%b/%b" % (number, number, number)),
+        (hop.LEAVING, number),
+        (hop.LIMIT_WAIT, number),
+        (hop.RATE_LIMIT, number),
+    ]
+    assert hop.decode_load(headers) is None
+    assert hop.decode_leaving(headers) is None
+    assert hop.decode_limit_wait(headers) == 0.0
+    assert hop.decode_rate_limit(headers) is None
