--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -8,8 +8,8 @@
 from cranberrymux.gateway import entry_answer
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
+from cranberrymux.gateway import hop_request
 from cranberrymux.gateway import origin as origin_module
-from cranberrymux.gateway import outgoing_request
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import relay
@@ -122,23 +122,12 @@
         self, endpoint: endpoint_view.EndpointView, left_ms: int
     ) -> attempt_module.Attempt:
         dialect = self._parts.settings.dialect
+        headers = [*self._headers, *self._attempts.headers()]
         record = endpoint.record
-        headers = [
-            *self._headers,
-            (dialect.deadline_ms, b"%d" % left_ms),
-            (hop.TARGET, record.backend_id.encode()),
-            *self._attempts.headers(),
-        ]
-        if endpoint.rate_limit.per_s is not None:
-            known_limit = hop.encode_rate_limit(endpoint.rate_limit.per_s)
-            headers.append((hop.KNOWN_RATE_LIMIT, known_limit))
-        head = self._call.head
         return attempt_module.Attempt(
             self._parts.hop_connections,
             connection_pool.Address(record.address, record.port),
-            outgoing_request.OutgoingRequest(
-                head.method, head.target, headers, self._call
-            ),
+            hop_request.make(self._call, endpoint, dialect, left_ms, headers),
             self,
             request_identity.RequestIdentity(
                 dialect.request_id, self._request_id
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -9,7 +9,6 @@
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.decisions.presence import presence as presence_module
-from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.rate_limits import limit_source
@@ -18,6 +17,7 @@
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import exit_owner
+from cranberrymux.gateway import exit_pressure
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import socket_address
@@ -31,7 +31,6 @@
 # Part of the slots that is used; backend servers may slow down when nearly
 # full.
 USED_SLOT_RATIO = 0.94
-PRESSURE_LOG_INTERVAL_S = 1.0  # Minimum time between two "pressure" lines.
 # A request waits for a slot for at most this part of the time that is left.
 MAXIMUM_WAIT_RATIO = 0.4
 _Verdict = slot_scheduler.SlotVerdict
@@ -66,14 +65,15 @@
             on_unexpected=parts.note_unexpected_answer,
         )
         self._scheduler = slot_scheduler.SlotScheduler(1)
-        self._share_meter = share_meter.ShareMeter(parts.clock.now_s())
+        self._pressure = exit_pressure.ExitPressure(
+            parts, self._scheduler, self.describe_load
+        )
         self._health = backend_health.BackendHealth(parts)
         self._self_report = backend_self_report.BackendSelfReport(
             parts, on_leaving
         )
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._ticket_ids = itertools.count(1)
-        self._pressure_logged_at_s = parts.clock.now_s()
         self._is_stopping = False
         self._queue_loop: Any = task.LoopingCall(self._serve_queue)
         self._queue_loop.clock = parts.reactor
@@ -141,7 +141,7 @@
             hop_call.refuse(reason)
             return
         if headers_module.find(call.head.headers, hop.RESENT) is None:
-            self._share_meter.note_arrival(
+            self._pressure.note_arrival(
                 hop_call.route, hop_call.tree_context.share
             )
         known_per_s = hop.decode_rate_limit(
@@ -150,7 +150,7 @@
         if known_per_s is not None:
             self._self_report.note_sender(known_per_s, hop_call.request_id)
             self._apply_limit()
-        self._update_share(now_s)
+        self._update_share()
         verdict = self._scheduler.offer(
             now_s,
             slot_scheduler.Ticket(
@@ -216,14 +216,13 @@
         is_measured = outcome is not run_outcome.RunOutcome.UNANSWERED
         hold_s = self._scheduler.finish(now_s, ticket_id, is_measured)
         if is_measured:
-            self._share_meter.note_hold(call.route, hold_s)
-            self._parts.metrics.hold_s.labels(call.route).observe(hold_s)
+            self._pressure.note_hold(call.route, hold_s)
         running = self._parts.running_requests.find(ticket_id)
         if running is not None:
             self._health.note_work_time(
                 call.route, hold_s - running.call_wait_s, outcome
             )
-        self._update_share(now_s)
+        self._update_share()
         report = self._end_running(ticket_id, hold_s)
         self._start_waiting()
         return report
@@ -267,14 +266,13 @@
         """Updates the gauges and checks the health."""
         self._health.log_transitions()
         metrics = self._parts.metrics
-        metrics.share.set(self._share_meter.share)
+        metrics.share.set(self._pressure.share)
         metrics.running.set(self._scheduler.running)
         metrics.waiting.set(self._scheduler.waiting)
 
     def report_share(self) -> work_report.WorkReport:
         """Returns a report without work that tells the fitting share."""
-        share_only = work_report.ServiceWork(0.0, self._share_meter.share)
-        return {self._parts.settings.service: share_only}
+        return self._pressure.report()
 
     def _end_running(
         self, ticket_id: int, hold_s: float
@@ -283,32 +281,11 @@
         running = self._parts.running_requests.find(ticket_id)
         self._parts.running_requests.end(ticket_id)
         report = {} if running is None else running.report
-        own = work_report.ServiceWork(hold_s, self._share_meter.share)
-        work_report.add(report, {self._parts.settings.service: own})
+        work_report.add(report, self._pressure.report(hold_s))
         return report
 
-    def _update_share(self, now_s: float) -> None:
-        waiting_s = self._scheduler.waiting * self._scheduler.mean_hold_s
-        self._share_meter.roll(
-            now_s,
-            self._scheduler.slots,
-            waiting_s,
-            self._self_report.rate_limit_per_s,
-        )
-        is_due = now_s - self._pressure_logged_at_s >= PRESSURE_LOG_INTERVAL_S
-        if self._share_meter.share < 1.0 and is_due:
-            self._pressure_logged_at_s = now_s
-            self._log_pressure()
-
-    def _log_pressure(self) -> None:
-        self._parts.events.info(
-            "pressure",
-            service=self._parts.settings.service,
-            share=round(self._share_meter.share, 3),
-            use=round(self._share_meter.utilization, 3),
-            **self.describe_load(),
-            hold_ms=round(self._scheduler.mean_hold_s * 1000),
-        )
+    def _update_share(self) -> None:
+        self._pressure.update(self._self_report.rate_limit_per_s)
 
     def remove_waiting(self, ticket_id: int) -> None:
         """Removes a waiting request whose sender cancelled it."""
