Let the soak's backend servers name limits and say that they leave

Beside the faults, one backend server after the other names a limit, changes and ends it, or says that it is leaving while its announcements say the contrary, until it ends. The checks read the two rules as they are worded, over the requests of all instances, calls included.

--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -4,6 +4,10 @@
 
 ID_HEADER = "Request-Id"
 PROOF_HEADER = "Server-Stamp"
+LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
+# Names the process that answered, for the checks only.
+BACKEND_HEADER = "Answered-By"
 FILLING = "." * 200
 
 
@@ -15,12 +19,19 @@
         request_id: Id of the request that it names; empty if it names none.
         proof: Value of the header `Server-Stamp`; empty if it is missing.
         body: The body.
+        backend: Id of the process of the backend server that answered; empty
+            if a node did.
+        rate_limit: The rate limit that it names; empty if it names none.
+        is_leaving: True if it says that it is leaving.
     """
 
     status: int
     request_id: str
     proof: str
     body: str
+    backend: str = ""
+    rate_limit: str = ""
+    is_leaving: bool = False
 
 
 def make_body(request_id):
@@ -47,6 +58,9 @@
         response.headers.get(ID_HEADER, ""),
         response.headers.get(PROOF_HEADER, ""),
         body,
+        response.headers.get(BACKEND_HEADER, ""),
+        response.headers.get(LIMIT_HEADER, ""),
+        response.headers.get(LEAVING_HEADER, "") == "1",
     )
 
 
--- a/tests/soak/backend_main.py
+++ b/tests/soak/backend_main.py
@@ -3,7 +3,8 @@
 It takes some milliseconds for each request, makes two calls through its own
 node if started with `--calls`, announces itself, and writes one JSON line for
 each run that begins and each answer to a call of its own. It can be told to
-send second answers behind its first ones.
+send second answers behind its first ones, to name a rate limit in its answers
+and to say in them that it is leaving.
 """
 
 import argparse
@@ -25,8 +26,8 @@
 class State:
     """State of the backend server, shared by the threads of its connections.
 
-    `Handler._change_state` sets `slowness`, `failing` and `stuttering` by their
-    names.
+    `Handler._change_state` sets `slowness`, `failing`, `stuttering` and `limit`
+    by their names.
 
     Attributes:
         options: The parsed command line.
@@ -37,6 +38,8 @@
         slowness: Factor of the time that a request takes.
         failing: Probability that a request is answered with 500.
         stuttering: Probability that a second answer is sent behind an answer.
+        limit: Rate limit that it names, requests a second; 0 for none.
+        is_leaving: True if it says that it is leaving.
         active: Number of requests that run at present.
         lock: Guards `active` and the output.
     """
@@ -50,6 +53,8 @@
         self.slowness = 1.0
         self.failing = 0.0
         self.stuttering = 0.0
+        self.limit = 0.0
+        self.is_leaving = False
         self.active = 0
         self.lock = threading.Lock()
 
@@ -124,6 +129,7 @@
         connection = http.client.HTTPConnection(
             self.options.entry, timeout=deadline_ms / 1000 + 0.5
         )
+        self.record("call-sent", id=request_id)
         try:
             connection.request("GET", "/c/inner", headers=headers)
             answer = answers.read(connection)
@@ -161,9 +167,9 @@
             self._change_state()
         elif self.path == "/health":
             self._answer_health()
-        elif self.headers.get("Expect-Instance") != self.state.backend_id:
+        elif not self._is_expected():
             self._answer(421, "", {"Not-Run": "1"})
-        elif not self.state.enter():
+        elif not self._enter():
             self._answer(503, "", {"Not-Run": "1"})
         else:
             try:
@@ -171,6 +177,15 @@
             finally:
                 self.state.leave()
 
+    def _is_expected(self):
+        expected = self.headers.get("Expect-Instance")
+        return expected == self.state.backend_id
+
+    def _enter(self):
+        """Records the request and takes a slot; False if none is free."""
+        self.state.record("arrive", id=self.headers.get("Request-Id", ""))
+        return self.state.enter()
+
     def _run(self):
         state = self.state
         request_id = self.headers.get("Request-Id", "")
@@ -212,8 +227,12 @@
         if name == "drain":
             self.state.announced_state = "draining"
             self.state.announce()
+        elif name == "leave":
+            self.state.is_leaving = True
         else:
             setattr(self.state, name, float(value))
+        if name == "limit":
+            self.state.record("limit", per_s=self.state.limit)
         self._answer(200, "", {})
 
     def _answer(self, status, body, headers, second=None):
@@ -221,6 +240,7 @@
         headers = {
             answers.ID_HEADER: request_id,
             **headers,
+            **self._make_self_report(),
             "Content-Length": len(body),
         }
         head = answers.encode_head(status, headers)
@@ -233,6 +253,16 @@
             self._write(head + content)
             threading.Timer(second.delay_s, self._write, (second.data,)).start()
 
+    def _make_self_report(self):
+        """Returns the headers that tell of this process, on every answer."""
+        state = self.state
+        headers = {answers.BACKEND_HEADER: state.backend_id}
+        if state.limit:
+            headers[answers.LIMIT_HEADER] = f"{state.limit:g}"
+        if state.is_leaving:
+            headers[answers.LEAVING_HEADER] = "1"
+        return headers
+
     def _write(self, *parts):
         """Writes each part by itself, but no second answer between them."""
         try:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 import json
 
 from tests.soak import answers
+from tests.soak import self_report_checks
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MAXIMUM_DRAIN_S = 2.0
@@ -47,6 +48,9 @@
     for one in observed:
         violations += _check_request(one, runs[one.request_id])
     violations += _check_hangs(observed, machines, watch)
+    violations += self_report_checks.find_violations(
+        observed, machines, records
+    )
     for name, lines in records.items():
         violations += _check_calls(lines)
         violations += _check_drains(name, lines)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -88,6 +88,19 @@
                     self.unexpected_ends.append(node.name)
                     node.start()
 
+    def reserve(self, machine):
+        """Keeps faults away from a machine; returns False if it has one."""
+        with self._lock:
+            if machine in self._busy:
+                return False
+            self._busy.add(machine)
+            return True
+
+    def release(self, machine):
+        """Ends a reservation."""
+        with self._lock:
+            self._busy.discard(machine)
+
     def stop_supervising(self):
         self._is_done = True
 
--- a/tests/soak/machine.py
+++ b/tests/soak/machine.py
@@ -112,6 +112,7 @@
         self.send_to_backend("slowness/1")
         self.send_to_backend("failing/0")
         self.send_to_backend("stuttering/0")
+        self.send_to_backend("limit/0")
 
     def _settings(
         self, fleet, inbound_port, ready_port, announce_port, backend_address
--- a/tests/soak/program.py
+++ b/tests/soak/program.py
@@ -15,6 +15,7 @@
     Attributes:
         name: Name for messages.
         fault_times_s: Times of the faults that affect it, monotonic seconds.
+        signal_times_s: Those at which it got a signal.
     """
 
     def __init__(self, name, arguments, log, environment=None):
@@ -25,6 +26,7 @@
         self._process = None
         self._is_wanted = False
         self.fault_times_s = []
+        self.signal_times_s = []
 
     @property
     def is_running(self):
@@ -49,6 +51,7 @@
     def send(self, signal_number):
         """Sends a signal, if it runs, and notes the time as that of a fault."""
         self.note_fault()
+        self.signal_times_s.append(time.monotonic())
         if self.is_running:
             self._process.send_signal(signal_number)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 from tests.soak import config_operator
 from tests.soak import faults as faults_module
 from tests.soak import machine as machine_module
+from tests.soak import self_reports as self_reports_module
 from tests.soak import stall_watch
 
 SERVICES = ("s1", "s1", "s2", "s2", "s2")
@@ -95,7 +96,11 @@
     faults = faults_module.Faults(seed, machines, fleet)
     supervisor = threading.Thread(target=faults.supervise_forever)
     supervisor.start()
+    self_reports = self_reports_module.SelfReports(seed, machines, faults)
+    self_reports.start()
     faults.run(length_s)
+    self_reports.should_stop = True
+    self_reports.join()
     for one in machines:
         one.clear_faults()
     time.sleep(RECOVERY_S)
