Ignore an unlimited endpoint that cannot be reached when all others are limited

The share that limited endpoints tell was ignored while any endpoint of the service named no limit, also one that the node had found unreachable, which takes nothing. The roots were then not refused. Found by reading; the test failed before for want of the second argument only, so it shows the rule, not the harm.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -62,10 +62,16 @@
             if endpoint.is_usable
         ]
 
-    def has_unlimited(self, service: str) -> bool:
-        """True if a usable endpoint of a service names no rate limit."""
+    def has_unlimited(self, service: str, now_s: float) -> bool:
+        """True if an endpoint takes requests and names no rate limit.
+
+        Args:
+            service: Name of the service.
+            now_s: Monotonic time in seconds.
+        """
         return any(
             endpoint.rate_limit.per_s is None
+            and not endpoint.is_suspended(now_s)
             for endpoint in self.usable_endpoints(service)
         )
 
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -101,7 +101,7 @@
         is_successful = head.status < FIRST_ERROR_STATUS and not is_refused
         work = headers_module.find(head.headers, hop.WORK)
         report = work_report.decode(work) if work is not None else {}
-        self._ignore_limited_share(service, head, report)
+        self._ignore_limited_share(service, head, report, now_s)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
         parent = self._parts.running_requests.find(self._parent_match.parent)
@@ -123,6 +123,7 @@
         service: str,
         head: answer_head.AnswerHead,
         report: work_report.WorkReport,
+        now_s: float,
     ) -> None:
         """Removes the share of a rate-limited endpoint while others have room.
 
@@ -132,7 +133,7 @@
         is_limited = hop.decode_rate_limit(head.headers) is not None
         if not is_limited or service not in report:
             return
-        if not self._parts.endpoints.has_unlimited(service):
+        if not self._parts.endpoints.has_unlimited(service, now_s):
             return
         root_admission = self._parts.entry_admission.root_admission
         report[service] = report[service]._replace(
--- a/tests/decisions/endpoints/test_endpoint_set.py
+++ b/tests/decisions/endpoints/test_endpoint_set.py
@@ -150,3 +150,51 @@
     endpoints.update([record("near-1", sequence=2, state=State.GONE)])
     endpoints.update([record("near-1", sequence=1)])
     assert set(count_choices(endpoints)) == {"near-2"}
+
+
+def test_endpoint_without_a_limit_counts_only_while_it_takes_requests(
+    endpoints,
+):
+    """Otherwise the roots are not told that all others are limited."""
+    for name in ("near-2", *(f"far-{n}" for n in range(1, 5))):
+        endpoints.find(name).rate_limit.note_answer(1.0, 0.0, 0.0)
+    assert endpoints.has_unlimited("s", 0.0)
+    endpoints.find("near-1").note_unreachable(0.0)
+    assert not endpoints.has_unlimited("s", 0.1)
+
+
+def test_endpoint_with_a_limit_is_chosen_again_after_its_share_of_time(
+    endpoints,
+):
+    view = endpoints.find("near-1")
+    view.rate_limit.note_answer(2.0, 0.0, 0.0)
+    endpoints.note_sent(view, 0.0)
+    assert set(count_choices(endpoints, now_s=1.0)) == {"near-2"}
+    # Six nodes share two requests a second; the random factor is 1.5 at most.
+    later = count_choices(endpoints, now_s=4.6)
+    assert set(later) == {"near-1", "near-2"}
+
+
+def test_limited_endpoints_are_chosen_when_none_has_room(endpoints):
+    for name in ("near-1", "near-2", *(f"far-{n}" for n in range(1, 5))):
+        view = endpoints.find(name)
+        view.rate_limit.note_answer(2.0, 0.0, 0.0)
+        endpoints.note_sent(view, 0.0)
+    assert count_choices(endpoints, now_s=0.1).total() == 200
+
+
+def test_limit_ends_with_the_process_that_named_it(endpoints):
+    started = record("near-1", sequence=2)._replace(
+        backend_id="b", backend_started_ms=5
+    )
+    endpoints.update([started])
+    view = endpoints.find("near-1")
+    view.rate_limit.note_answer(2.0, 0.0, 0.0)
+    view.note_leaving(5)
+    endpoints.update([started._replace(sequence=3)])
+    assert view.rate_limit.per_s == 2.0
+    assert not view.is_usable
+    restarted = started._replace(sequence=4, backend_started_ms=6)
+    endpoints.update([restarted])
+    assert view.rate_limit.per_s is None
+    assert view.is_usable
