--- a/tests/decisions/pressure/test_rate_limited_slots.py
+++ b/tests/decisions/pressure/test_rate_limited_slots.py
@@ -23,16 +23,22 @@
     return slot_scheduler.Ticket(number, rank, now_s + 2.0, now_s + 5.0)
 
 
-def test_requests_start_at_the_limit_only(scheduler):
+def count_started(scheduler, seconds, *, is_answering):
+    """Offers 100 requests a second; returns the number that start."""
     started = 0
-    for step in range(1, 1001):
+    for step in range(1, 100 * seconds + 1):
         now_s = step / 100
         started += len(scheduler.start_waiting(now_s))
         verdict = scheduler.offer(now_s, ticket(step, now_s=now_s))
         started += verdict is _Verdict.START
         scheduler.pop_expired(now_s)
-        for number in range(step):
+        for number in range(step if is_answering else 0):
             scheduler.finish(now_s, number, True)
+    return started
+
+
+def test_requests_start_at_the_limit_only(scheduler):
+    started = count_started(scheduler, 10, is_answering=True)
     assert started == pytest.approx(40, abs=1)
 
 
@@ -59,13 +65,7 @@
 
 
 def test_stalled_server_has_few_requests_open(scheduler):
-    started = 0
-    for step in range(1, 3001):
-        now_s = step / 100
-        started += len(scheduler.start_waiting(now_s))
-        verdict = scheduler.offer(now_s, ticket(step, now_s=now_s))
-        started += verdict is _Verdict.START
-        scheduler.pop_expired(now_s)
+    started = count_started(scheduler, 30, is_answering=False)
     assert started == slot_scheduler.MAXIMUM_OPEN_S * LIMIT_PER_S
 
 
--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -174,6 +174,18 @@
         for member in self.members:
             member.gateway.endpoints_changed(records)
 
+    def run_announced(self, seconds):
+        """Lets time pass, in which all backend servers say that they serve."""
+        for _ in range(round(seconds)):
+            for member in self.members:
+                member.announce()
+            self.network.run(1.0, step_s=0.002)
+
+    def restart(self, index):
+        """Restarts a gateway, which gets the configuration at once."""
+        self.members[index].restart()
+        self.members[index].gateway.configuration_changed(1, self.text)
+
     def connect(self, index):
         client = raw_client.RawClient()
         self.network.connect(self.members[index].entry_port, client)
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -29,23 +29,15 @@
     return limited_backend.LimitedBackend(mesh.members[2])
 
 
-def run(mesh, seconds):
-    """Lets time pass, in which the backend servers say that they serve."""
-    for _ in range(round(seconds)):
-        for member in mesh.members:
-            member.announce()
-        mesh.network.run(1.0, step_s=0.002)
-
-
 def test_leaving_server_gets_no_requests_though_announced_as_serving(
     mesh, leaving
 ):
     load = limited_backend.Load(mesh, (0, 1, 2), 10)
-    run(mesh, 1)
+    mesh.run_announced(1)
     leaving.headers = [LEAVING]
-    run(mesh, 1)
+    mesh.run_announced(1)
     told_s = mesh.network.seconds()
-    run(mesh, 6)
+    mesh.run_announced(6)
     assert leaving.count_since(told_s + DRAIN_S) == 0
     served = [one for one in load.since(told_s + DRAIN_S) if one.answered_s]
     assert {one.statuses[0] for one in served} == {200}
@@ -56,19 +48,17 @@
 ):
     limited_backend.Load(mesh, (0, 1), 10)
     leaving.headers = [LEAVING]
-    run(mesh, 1)
+    mesh.run_announced(1)
     told_s = mesh.network.seconds()
-    mesh.members[2].restart()
-    mesh.members[2].gateway.configuration_changed(1, mesh.text)
-    run(mesh, 6)
+    mesh.restart(2)
+    mesh.run_announced(6)
     assert leaving.count_since(told_s + DRAIN_S) == 0
 
 
 def test_departure_before_the_first_announcement_is_final(mesh, leaving):
     """A node that has restarted knows no start time of its backend server."""
     member = mesh.members[2]
-    member.restart()
-    member.gateway.configuration_changed(1, mesh.text)
+    mesh.restart(2)
     mesh.network.run(0.1)
     assert member.gateway._presence.current.started_ms == 0
     member.gateway.leave(member.backend_id)
@@ -79,7 +69,7 @@
 def test_new_process_under_the_same_id_is_used_again(mesh, leaving):
     load = limited_backend.Load(mesh, (0, 1), 10)
     leaving.headers = [LEAVING]
-    run(mesh, 1)
+    mesh.run_announced(1)
     leaving.headers = []
     mesh.members[2].announce(started_ms=2)
     begun_s = mesh.network.seconds()
@@ -92,15 +82,14 @@
 def test_other_value_of_the_header_changes_nothing(mesh, leaving, value):
     limited_backend.Load(mesh, (0, 1), 10)
     leaving.headers = [(b"server-leaving", value)]
-    run(mesh, 3)
+    mesh.run_announced(3)
     assert leaving.count_since(1.0) >= 20
 
 
 def test_health_check_answer_that_says_so_is_believed(mesh, leaving):
     leaving.health_headers = [LEAVING]
     member = mesh.members[2]
-    member.restart()
-    member.gateway.configuration_changed(1, mesh.text)
+    mesh.restart(2)
     mesh.network.run(0.1)
     member.announce()
     assert not member.gateway._presence.is_serving(mesh.network.seconds())
--- a/tests/gateway/test_rate_limited_siblings.py
+++ b/tests/gateway/test_rate_limited_siblings.py
@@ -33,13 +33,6 @@
     return [limited_backend.LimitedBackend(mesh.members[n]) for n in DEEP]
 
 
-def run(mesh, seconds):
-    for _ in range(round(seconds)):
-        for member in mesh.members:
-            member.announce()
-        mesh.network.run(1.0, step_s=0.002)
-
-
 def count_refused_hops(mesh):
     metrics = mesh.members[DEEP[0]].gateway._parts.metrics
     return metrics.hops.labels("limited")._value.get()
@@ -53,10 +46,10 @@
     mesh, backends
 ):
     load = limited_backend.Load(mesh, ENTRIES, 10)
-    run(mesh, 1)
+    mesh.run_announced(1)
     backends[0].name(LIMIT_PER_S)
     named_s = mesh.network.seconds()
-    run(mesh, 10)
+    mesh.run_announced(10)
     asked = load.since(named_s)[:-20]
     assert len(find_served(asked)) == len(asked)
     waits_s = sorted(one.wait_s for one in asked)
@@ -69,11 +62,11 @@
 def test_limit_that_ends_gives_the_endpoint_its_share_again(mesh, backends):
     limited_backend.Load(mesh, ENTRIES, 10)
     backends[0].name(LIMIT_PER_S)
-    run(mesh, 5)
+    mesh.run_announced(5)
     backends[0].name(None)
-    run(mesh, 6)
+    mesh.run_announced(6)
     ended_s = mesh.network.seconds()
-    run(mesh, 4)
+    mesh.run_announced(4)
     assert backends[0].count_since(ended_s) > 0.3 * 4 * 40
 
 
@@ -83,7 +76,7 @@
     for backend in backends:
         backend.name(0.5)
     load = limited_backend.Load(mesh, ENTRIES, 10)
-    run(mesh, 8)
+    mesh.run_announced(8)
     refused = [one for one in load.since(2.0) if one.statuses == [503]]
     assert len(refused) > 150
     assert statistics.median(one.wait_s for one in refused) < 0.05
@@ -95,7 +88,7 @@
     mesh.members[DEEP[1]].announce(announcement.BackendState.DRAINING)
     backends[0].name(0.25)
     load = limited_backend.Load(mesh, ENTRIES, 10)
-    run(mesh, 9)
+    mesh.run_announced(9)
     got_s = backends[0].arrivals[-1].at_s
     refused = [one for one in load.clients if got_s < one.sent_s < got_s + 1.0]
     told = [one for one in refused if b"refused" in one.received]
@@ -109,7 +102,7 @@
         backend.name(10.0)
     urgent = limited_backend.Load(mesh, ENTRIES, 2, path="/urgent/x")
     limited_backend.Load(mesh, ENTRIES, 20)
-    run(mesh, 8)
+    mesh.run_announced(8)
     asked = urgent.since(2.0)[:-8]
     assert len(find_served(asked)) >= 0.95 * len(asked)
 
@@ -118,10 +111,10 @@
     mesh, backends
 ):
     load = limited_backend.Load(mesh, ENTRIES, 20)
-    run(mesh, 3)
+    mesh.run_announced(3)
     for backend in backends:
         backend.name(10.0)
-    run(mesh, 4)
+    mesh.run_announced(4)
     shares = [
         member.gateway._parts.entry_admission.root_admission.minimum_share
         for member in mesh.members[:4]
