Wipe a disk in the soak only while every voter has its own

Soak, on a busy machine: 'CONFIG 0 is told, 18 was acknowledged'. The logs show a loss beyond the one disk that the settings tolerate: instance 1 was wiped and took five seconds to start; its old identity was still one of three voters, and the check, which counted voters, let instance 3 be wiped. Two of three voters were gone, and no quorum was left.

The fault now asks for the present identity of every instance among the voters.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -210,7 +210,7 @@
         Waits for it to rejoin, as the settings tolerate the loss of only one
         disk at a time.
         """
-        if len(self._fleet.voters()) != len(self._fleet.instances):
+        if not self._do_all_disks_vote():
             return
         instance.kill()
         instance.wipe()
@@ -218,6 +218,23 @@
         instance.start()
         time.sleep(REJOIN_WAIT_S)
 
+    def _do_all_disks_vote(self):
+        """Returns True if each voter has its disk, under its present identity.
+
+        A disk that was wiped votes only once its new identity has been added:
+        until then, the loss of another one is more than the settings tolerate.
+        """
+        identities = [
+            (one.data / "identity").read_bytes()
+            for one in self._fleet.instances
+            if (one.data / "identity").exists()
+        ]
+        voters = [voter.encode() for voter in self._fleet.voters()]
+        return len(voters) == len(self._fleet.instances) and all(
+            any(identity.endswith(voter) for identity in identities)
+            for voter in voters
+        )
+
     def fill_disk(self, instance, span_s):
         marker = instance.data.parent / f"full-{instance.ip}"
         marker.touch()
