--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -11,11 +11,10 @@
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
-from cranberrymux.decisions.rate_limits import limit_source
 from cranberrymux.gateway import backend_health
-from cranberrymux.gateway import backend_self_report
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import exit_call
+from cranberrymux.gateway import exit_limit
 from cranberrymux.gateway import exit_owner
 from cranberrymux.gateway import exit_pressure
 from cranberrymux.gateway import hop
@@ -69,8 +68,8 @@
             parts, self._scheduler, self.describe_load
         )
         self._health = backend_health.BackendHealth(parts)
-        self._self_report = backend_self_report.BackendSelfReport(
-            parts, on_leaving
+        self._limit = exit_limit.ExitLimit(
+            parts, self._scheduler, self._pressure, on_leaving
         )
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._ticket_ids = itertools.count(1)
@@ -87,8 +86,7 @@
         """Applies the current slots and state of the backend server."""
         current = self._presence.current
         if current is not None:
-            self._self_report.use_process(current.process)
-            self._apply_limit()
+            self._limit.use_process(current.process)
             self._scheduler.set_slots(
                 max(int(USED_SLOT_RATIO * current.slots), 1)
             )
@@ -105,19 +103,8 @@
     def note_health_check(
         self, signals: backend_signals.BackendSignals
     ) -> None:
-        """Learns from the answer to the first health check.
-
-        Without a limit it tells nothing: not every one need name it.
-        """
-        if signals.rate_limit_per_s is None and not signals.rate_limit_error:
-            return
-        self._self_report.note_answer(
-            signals,
-            self._parts.clock.now_s(),
-            b"",
-            limit_source.LimitSource.HEALTH_CHECK,
-        )
-        self._apply_limit()
+        """Learns from the answer to the first health check."""
+        self._limit.note_health_check(signals)
 
     def stop(self) -> None:
         """Refuses new and waiting requests; running ones continue."""
@@ -144,13 +131,8 @@
             self._pressure.note_arrival(
                 hop_call.route, hop_call.tree_context.share
             )
-        known_per_s = hop.decode_rate_limit(
-            call.head.headers, hop.KNOWN_RATE_LIMIT
-        )
-        if known_per_s is not None:
-            self._self_report.note_sender(known_per_s, hop_call.request_id)
-            self._apply_limit()
-        self._update_share()
+        self._limit.note_request(call.head.headers, hop_call.request_id)
+        self._pressure.update(self._limit.per_s)
         verdict = self._scheduler.offer(
             now_s,
             slot_scheduler.Ticket(
@@ -222,7 +204,7 @@
             self._health.note_work_time(
                 call.route, hold_s - running.call_wait_s, outcome
             )
-        self._update_share()
+        self._pressure.update(self._limit.per_s)
         report = self._end_running(ticket_id, hold_s)
         self._start_waiting()
         return report
@@ -234,24 +216,11 @@
         sent_s: float,
     ) -> None:
         """Learns from an answer that the backend server gave to a request."""
-        if not call.process.may_be(self._self_report.process):
-            return
-        signals = backend_signals.read(head, self._parts.settings.dialect)
-        self._self_report.note_answer(signals, sent_s, call.request_id)
-        self._apply_limit()
+        self._limit.note_answer_head(call, head, sent_s)
 
     def encode_self_report(self) -> headers_module.HeaderList:
         """Encodes what the backend server says of itself, for answers."""
-        report = self._self_report
-        headers = []
-        if report.rate_limit_per_s is not None:
-            per_s = hop.encode_rate_limit(report.rate_limit_per_s)
-            headers.append((hop.RATE_LIMIT, per_s))
-            wait_s = self._scheduler.get_token_wait_s(self._parts.clock.now_s())
-            headers.append((hop.LIMIT_WAIT, hop.encode_limit_wait(wait_s)))
-        if report.is_leaving:
-            headers.append((hop.LEAVING, b"%d" % report.process.started_ms))
-        return headers
+        return self._limit.encode()
 
     def describe_load(self) -> dict[str, Any]:
         """Returns the log fields of load and health."""
@@ -284,9 +253,6 @@
         work_report.add(report, self._pressure.report(hold_s))
         return report
 
-    def _update_share(self) -> None:
-        self._pressure.update(self._self_report.rate_limit_per_s)
-
     def remove_waiting(self, ticket_id: int) -> None:
         """Removes a waiting request whose sender cancelled it."""
         self._calls.pop(ticket_id, None)
@@ -321,12 +287,6 @@
             current.process,
         )
 
-    def _apply_limit(self) -> None:
-        per_s = self._self_report.rate_limit_per_s
-        if per_s is None and self._scheduler.is_rate_limited:
-            self._pressure.reset()
-        self._scheduler.set_rate_limit(self._parts.clock.now_s(), per_s)
-
     def _serve_queue(self) -> None:
         """Starts the requests that have got a token and refuses late ones."""
         self._start_waiting()
