Give requests the limit of their owner, and evaluate each answer once

A long answer that may not be passed on was judged twice, and a value in it that is not valid logged twice. Two tests that differed in the answers only are one. No decision changes.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -88,7 +88,7 @@
         """Records that a request is sent to an endpoint."""
         per_s = endpoint.rate_limit.per_s
         if per_s is not None:
-            # There is one node beside each endpoint, and requests begin at all.
+            # Requests begin at every node, and each endpoint has one beside it.
             endpoint.pace.note_sent(now_s, per_s, self.count, self._generator)
 
     def choose(
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -12,7 +12,6 @@
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import backend_health
-from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import exit_limit
 from cranberrymux.gateway import exit_owner
@@ -21,7 +20,6 @@
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import socket_address
 from cranberrymux.models import whole_number
-from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
@@ -40,6 +38,9 @@
 
     It starts, queues or refuses the requests for its backend server and
     measures what they cost.
+
+    Attributes:
+        limit: The rate limit of the backend server.
     """
 
     def __init__(
@@ -68,7 +69,7 @@
             parts, self._scheduler, self.describe_load
         )
         self._health = backend_health.BackendHealth(parts)
-        self._limit = exit_limit.ExitLimit(
+        self.limit = exit_limit.ExitLimit(
             parts, self._scheduler, self._pressure, on_leaving
         )
         self._calls: dict[int, exit_call.ExitCall] = {}
@@ -86,7 +87,7 @@
         """Applies the current slots and state of the backend server."""
         current = self._presence.current
         if current is not None:
-            self._limit.use_process(current.process)
+            self.limit.use_process(current.process)
             self._scheduler.set_slots(
                 max(int(USED_SLOT_RATIO * current.slots), 1)
             )
@@ -100,12 +101,6 @@
         """Passes an announcement of the backend server on to its health."""
         self._health.note_announcement(received)
 
-    def note_health_check(
-        self, signals: backend_signals.BackendSignals
-    ) -> None:
-        """Learns from the answer to the first health check."""
-        self._limit.note_health_check(signals)
-
     def stop(self) -> None:
         """Refuses new and waiting requests; running ones continue."""
         self._is_stopping = True
@@ -131,8 +126,8 @@
             self._pressure.note_arrival(
                 hop_call.route, hop_call.tree_context.share
             )
-        self._limit.note_request(call.head.headers, hop_call.request_id)
-        self._pressure.update(self._limit.per_s)
+        self.limit.note_request(call.head.headers, hop_call.request_id)
+        self._pressure.update(self.limit.per_s)
         verdict = self._scheduler.offer(
             now_s,
             slot_scheduler.Ticket(
@@ -204,24 +199,11 @@
             self._health.note_work_time(
                 call.route, hold_s - running.call_wait_s, outcome
             )
-        self._pressure.update(self._limit.per_s)
+        self._pressure.update(self.limit.per_s)
         report = self._end_running(ticket_id, hold_s)
         self._start_waiting()
         return report
 
-    def note_answer_head(
-        self,
-        call: exit_owner.OwnedCall,
-        head: answer_head.AnswerHead,
-        sent_s: float,
-    ) -> None:
-        """Learns from an answer that the backend server gave to a request."""
-        self._limit.note_answer_head(call, head, sent_s)
-
-    def encode_self_report(self) -> headers_module.HeaderList:
-        """Encodes what the backend server says of itself, for answers."""
-        return self._limit.encode()
-
     def describe_load(self) -> dict[str, Any]:
         """Returns the log fields of load and health."""
         return {
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -34,7 +34,6 @@
         deadline_s: Monotonic seconds at which its caller gives up.
         request_id: Its id.
         route: Name of its route.
-        process: The process of the backend server that it is sent to.
     """
 
     def __init__(
@@ -70,7 +69,7 @@
         )
         route = headers_module.find(call.head.headers, hop.ROUTE) or b""
         self.route = route.decode("latin-1")
-        self.process = backend_process.BackendProcess("", 0)
+        self._process = backend_process.BackendProcess("", 0)
         self._sent_s = 0.0
         self._has_outcome = False
         self._streamed: backend_verdict.BackendVerdict | None = None
@@ -89,7 +88,7 @@
             address: Address of the backend server.
             process: Its process. A server that has another id answers 421.
         """
-        self.process = process
+        self._process = process
         dialect = self._parts.settings.dialect
         now_s = self._parts.clock.now_s()
         left_s = self.deadline_s - now_s
@@ -143,7 +142,7 @@
             (hop.NOT_RUN, reason),
             (hop.LOAD, self._owner.encode_load()),
             (hop.WORK, work_report.encode(self._owner.report_share())),
-            *self._owner.encode_self_report(),
+            *self._owner.limit.encode(),
         ]
         self._call.answer(503, headers, b"")
 
@@ -157,8 +156,16 @@
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
         """Passes the answer on, or a refusal if the request did not run."""
+        self._end(self._evaluate(head), head, body)
+
+    def _end(
+        self,
+        verdict: backend_verdict.BackendVerdict,
+        head: answer_head.AnswerHead,
+        body: bytes,
+    ) -> None:
+        """Ends the request with a whole answer, or without one."""
         self._cancel_timer()
-        verdict = self._judge(head)
         is_failed_by_call = False
         if not verdict.refusal:
             is_failed_by_call = self._note_outcome(verdict.is_failure)
@@ -177,10 +184,10 @@
 
         If it may not be passed on, the rest of it is not read.
         """
-        verdict = self._judge(head)
+        verdict = self._evaluate(head)
         if not verdict.is_passed_on:
             self._cancel_attempt()
-            self.attempt_answered(head, body)
+            self._end(verdict, head, body)
             return
         self._streamed = verdict
         is_failed_by_call = verdict.is_failure and self._note_outcome(True)
@@ -247,12 +254,15 @@
             self._note_outcome(True)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED)
 
-    def _judge(
+    def _evaluate(
         self, head: answer_head.AnswerHead
     ) -> backend_verdict.BackendVerdict:
+        """Judges an answer and learns what it says of the backend server."""
         verdict = backend_verdict.judge(head, self._parts.settings.dialect)
         if verdict.is_from_backend:
-            self._owner.note_answer_head(self, head, self._sent_s)
+            self._owner.limit.note_answer_head(
+                head, self._process, self._sent_s, self.request_id
+            )
         return verdict
 
     def _withhold(self, verdict: backend_verdict.BackendVerdict) -> None:
@@ -293,7 +303,7 @@
             headers_module.forwardable(head.headers)
         )
         headers.append((hop.LOAD, self._owner.encode_load()))
-        headers += self._owner.encode_self_report()
+        headers += self._owner.limit.encode()
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
         if is_failed_by_call:
--- a/src/cranberrymux/gateway/exit_limit.py
+++ b/src/cranberrymux/gateway/exit_limit.py
@@ -7,7 +7,6 @@
 from cranberrymux.decisions.rate_limits import limit_source
 from cranberrymux.gateway import backend_self_report
 from cranberrymux.gateway import backend_signals
-from cranberrymux.gateway import exit_owner
 from cranberrymux.gateway import exit_pressure
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
@@ -80,21 +79,23 @@
 
     def note_answer_head(
         self,
-        call: exit_owner.OwnedCall,
         head: answer_head.AnswerHead,
+        process: backend_process.BackendProcess,
         sent_s: float,
+        request_id: bytes,
     ) -> None:
         """Learns from an answer that the backend server gave to a request.
 
         Args:
-            call: The request.
             head: Head of the answer.
+            process: The process that the request was sent to.
             sent_s: Monotonic seconds at which the request was sent.
+            request_id: Id of the request.
         """
-        if not call.process.may_be(self._self_report.process):
+        if not process.may_be(self._self_report.process):
             return
         signals = backend_signals.read(head, self._parts.settings.dialect)
-        self._self_report.note_answer(signals, sent_s, call.request_id)
+        self._self_report.note_answer(signals, sent_s, request_id)
         self._apply()
 
     def encode(self) -> headers_module.HeaderList:
--- a/src/cranberrymux/gateway/exit_owner.py
+++ b/src/cranberrymux/gateway/exit_owner.py
@@ -5,10 +5,8 @@
 
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.pressure import work_report
+from cranberrymux.gateway import exit_limit
 from cranberrymux.gateway import hop
-from cranberrymux.models import backend_process
-from cranberrymux.node.http import answer_head
-from cranberrymux.node.http import headers as headers_module
 
 
 class OwnedCall(Protocol):
@@ -19,18 +17,22 @@
         request_id: Its id.
         route: Name of its route.
         tree_context: What the node where its tree began says of the tree.
-        process: The process of the backend server that it is sent to.
     """
 
     ticket_id: int
     request_id: bytes
     route: str
     tree_context: hop.TreeContext
-    process: backend_process.BackendProcess
 
 
 class ExitOwner(Protocol):
-    """Assigns the slots of the backend server and measures its requests."""
+    """Assigns the slots of the backend server and measures its requests.
+
+    Attributes:
+        limit: The rate limit of the backend server.
+    """
+
+    limit: exit_limit.ExitLimit
 
     def encode_load(self) -> bytes:
         """Encodes the load report that answers carry."""
@@ -61,19 +63,5 @@
     def report_share(self) -> work_report.WorkReport:
         """Returns a report without work that tells the fitting share."""
 
-    def note_answer_head(
-        self, call: OwnedCall, head: answer_head.AnswerHead, sent_s: float
-    ) -> None:
-        """Learns from an answer that the backend server gave to a request.
-
-        Args:
-            call: The request.
-            head: Head of the answer.
-            sent_s: Monotonic seconds at which the request was sent.
-        """
-
-    def encode_self_report(self) -> headers_module.HeaderList:
-        """Encodes what the backend server says of itself, for answers."""
-
     def remove_waiting(self, ticket_id: int) -> None:
         """Removes a waiting request whose sender cancelled it."""
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -228,7 +228,7 @@
     ) -> None:
         if self._presence.current is None and not self._is_stopping:
             self.announce(found)
-            self._exit.note_health_check(signals)
+            self._exit.limit.note_health_check(signals)
 
     def _handle_change(self, change: _Change, backend_id: str) -> None:
         if change in (_Change.NONE, _Change.STALE):
--- a/tests/gateway/test_rate_limit.py
+++ b/tests/gateway/test_rate_limit.py
@@ -5,6 +5,8 @@
 requests that wait for what the limit does not let through.
 """
 
+import itertools
+
 import pytest
 
 from tests.fakes import raw_client
@@ -124,30 +126,32 @@
     check_limit(limited, load)
 
 
-def test_limit_named_in_refusals_and_failures_counts(mesh, limited):
-    statuses = iter([500, 503] * 1000)
+def answer_with_failures_and_refusals():
+    statuses = itertools.cycle([500, 503])
 
     def answer(call, headers):
         status = next(statuses)
         more = [(b"not-run", b"1")] if status == 503 else []
         mesh_module.answer_with_id(call, status, [*headers, *more])
 
-    limited.answer = answer
-    limited_backend.Load(mesh, ENTRIES, 20)
-    limited.name(LIMIT_PER_S)
-    mesh.run_announced(2)
-    begun_s = mesh.network.seconds()
-    mesh.run_announced(4)
-    assert limited.count_since(begun_s) < 1.2 * 4 * LIMIT_PER_S
+    return answer
 
 
-def test_limit_named_in_long_answers_counts(mesh, limited):
+def answer_with_long_bodies():
     def answer(call, headers):
         body = b"." * 300_000
         proof = mesh_module.PROOF_HEADER
         mesh_module.answer_with_id(call, 200, [proof, *headers], body)
 
-    limited.answer = answer
+    return answer
+
+
+@pytest.mark.parametrize(
+    "make_answer",
+    [answer_with_failures_and_refusals, answer_with_long_bodies],
+)
+def test_limit_counts_whatever_answer_names_it(mesh, limited, make_answer):
+    limited.answer = make_answer()
     limited_backend.Load(mesh, ENTRIES, 20)
     limited.name(LIMIT_PER_S)
     mesh.run_announced(2)
