--- a/bench/consensus_local_cluster.py
+++ b/bench/consensus_local_cluster.py
@@ -7,12 +7,15 @@
 import time
 
 from cranberrymux import storage
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import codec
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import entry as entry_module
 from cranberrymux.consensus import member
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import membership
+from cranberrymux.consensus import outgoing_message
+from cranberrymux.consensus import proposed as proposed_module
 from cranberrymux.consensus import replica_settings
 from cranberrymux.consensus import restored_state
 from cranberrymux.consensus import write as write_module
@@ -94,7 +97,7 @@
         self._path = path
         self._settings = settings
         self._pool = futures.ThreadPoolExecutor(voters + 1)
-        self._network: collections.deque[driver_module.OutgoingMessage] = (
+        self._network: collections.deque[outgoing_message.OutgoingMessage] = (
             collections.deque()
         )
         self._ticked_at_s = 0.0
@@ -127,7 +130,7 @@
     def propose(self, payload: bytes) -> int:
         """Proposes a command at the leader and returns its index."""
         result = self.leader.driver.propose(time.monotonic(), payload)
-        assert isinstance(result, driver_module.Proposed), result
+        assert isinstance(result, proposed_module.Proposed), result
         self._apply_actions(self.leader, result.actions)
         return result.log_index
 
@@ -140,7 +143,7 @@
             member_change.ChangeKind.ADD_LEARNER, replica_id, name
         )
         result = self.leader.driver.change_members(time.monotonic(), change)
-        assert isinstance(result, driver_module.Proposed), result
+        assert isinstance(result, proposed_module.Proposed), result
         self._apply_actions(self.leader, result.actions)
         return learner
 
@@ -175,7 +178,7 @@
             outgoing = self._network.popleft()
             target = self.members[outgoing.recipient]
             received = target.driver.receive(time.monotonic(), outgoing.payload)
-            assert isinstance(received, driver_module.Actions), received
+            assert isinstance(received, actions_module.Actions), received
             self._apply_actions(target, received)
         running = [x.sync for x in self.members.values() if x.sync is not None]
         if running:
@@ -204,7 +207,7 @@
         )
 
     def _apply_actions(
-        self, local_member: LocalMember, actions: driver_module.Actions
+        self, local_member: LocalMember, actions: actions_module.Actions
     ) -> None:
         self._network.extend(actions.outgoing)
         self.messages += len(actions.outgoing)
--- a/src/cranberrymux/consensus/driver.py
+++ b/src/cranberrymux/consensus/driver.py
@@ -3,75 +3,24 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import random
-from typing import NamedTuple
 
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import codec
 from cranberrymux.consensus import effects
-from cranberrymux.consensus import entry
 from cranberrymux.consensus import invariant_error
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import messages
+from cranberrymux.consensus import outgoing_message
+from cranberrymux.consensus import proposed as proposed_module
 from cranberrymux.consensus import refusals
 from cranberrymux.consensus import replacement
 from cranberrymux.consensus import replica as replica_module
 from cranberrymux.consensus import replica_settings
 from cranberrymux.consensus import restored_state
-from cranberrymux.consensus import snapshot
 from cranberrymux.consensus import status as status_module
 from cranberrymux.consensus import write
 from cranberrymux.storage import failure
 
-
-class OutgoingMessage(NamedTuple):
-    """An encoded message to send; delivery is not guaranteed.
-
-    Attributes:
-        recipient: Replica id of the addressee.
-        address: The recipient's address in the membership in force; empty if
-            it is no member.
-        payload: The encoded message.
-    """
-
-    recipient: str
-    address: str
-    payload: bytes
-
-
-class Actions(NamedTuple):
-    """What the caller must do after a call of the driver, in this order.
-
-    Attributes:
-        outgoing: Messages to send; each may be lost.
-        snapshot_to_install: Snapshot that replaces the state machine's whole
-            state; None for none.
-        committed: Entries to apply, in log order; only those of kind COMMAND
-            have a payload for the state machine.
-        snapshot_wanted: True if the caller should pass the state machine's
-            state to `store_snapshot`.
-    """
-
-    outgoing: tuple[OutgoingMessage, ...] = ()
-    snapshot_to_install: snapshot.Snapshot | None = None
-    committed: tuple[entry.Entry, ...] = ()
-    snapshot_wanted: bool = False
-
-
-class Proposed(NamedTuple):
-    """A proposal that was appended to the log, but is not yet committed.
-
-    Attributes:
-        log_index: Index of the proposal's entry. The proposal is accepted once
-            the committed entry at this index has `term`, and lost once that
-            entry has another term.
-        term: Term of this leader.
-        actions: What the caller must do now.
-    """
-
-    log_index: int
-    term: int
-    actions: Actions
-
-
 Refused = refusals.NotLeader | refusals.ProposalRefused
 
 
@@ -143,22 +92,22 @@
             return None
         return self._replica.lease_until_s(now_s)
 
-    def tick(self, now_s: float) -> Actions:
+    def tick(self, now_s: float) -> actions_module.Actions:
         """Handles timeouts and heartbeats; call it every 20 to 50 ms."""
         if self._storage_error is not None:
-            return Actions()
+            return actions_module.Actions()
         return self._run(lambda: self._replica.tick(now_s))
 
     def receive(
         self, now_s: float, payload: bytes
-    ) -> Actions | codec.DecodeError:
+    ) -> actions_module.Actions | codec.DecodeError:
         """Decodes and handles a message from another replica.
 
         Returns:
             What the caller must do, or why the payload is no message.
         """
         if self._storage_error is not None:
-            return Actions()
+            return actions_module.Actions()
         message = codec.decode(payload)
         if isinstance(message, codec.DecodeError):
             return message
@@ -166,7 +115,7 @@
 
     def found_cluster(
         self, now_s: float, cluster_id: str, address: str
-    ) -> Actions | Refused:
+    ) -> actions_module.Actions | Refused:
         """Founds a cluster with this replica as its only member.
 
         Args:
@@ -179,7 +128,9 @@
             return result
         return self._to_actions(result)
 
-    def propose(self, now_s: float, payload: bytes) -> Proposed | Refused:
+    def propose(
+        self, now_s: float, payload: bytes
+    ) -> proposed_module.Proposed | Refused:
         """Appends a command for the state machine, if this replica leads."""
         if self._storage_error is not None:
             return self._storage_refusal(self._storage_error)
@@ -187,11 +138,11 @@
         if isinstance(result, refusals.NotLeader | refusals.ProposalRefused):
             return result
         actions = self._to_actions(result.effects)
-        return Proposed(result.log_index, result.term, actions)
+        return proposed_module.Proposed(result.log_index, result.term, actions)
 
     def change_members(
         self, now_s: float, change: member_change.MemberChange
-    ) -> Proposed | Refused:
+    ) -> proposed_module.Proposed | Refused:
         """Appends a change of the membership, if this replica leads."""
         if self._storage_error is not None:
             return self._storage_refusal(self._storage_error)
@@ -199,7 +150,7 @@
         if isinstance(result, refusals.NotLeader | refusals.ProposalRefused):
             return result
         actions = self._to_actions(result.effects)
-        return Proposed(result.log_index, result.term, actions)
+        return proposed_module.Proposed(result.log_index, result.term, actions)
 
     def next_member_change(
         self, now_s: float
@@ -213,7 +164,7 @@
 
     def store_snapshot(
         self, now_s: float, log_index: int, data: bytes
-    ) -> Actions:
+    ) -> actions_module.Actions:
         """Stores a snapshot of the state machine and compacts the log.
 
         Args:
@@ -222,7 +173,7 @@
             data: The state machine's serialized state.
         """
         if self._storage_error is not None:
-            return Actions()
+            return actions_module.Actions()
         return self._run(
             lambda: self._replica.store_snapshot(now_s, log_index, data)
         )
@@ -250,7 +201,7 @@
         now_s: float,
         batch: Sequence[write.Write],
         result: failure.StorageError | None,
-    ) -> Actions:
+    ) -> actions_module.Actions:
         """Handles the storage's result for a batch of `next_batch`.
 
         After a failure nothing is sent, committed or acknowledged any more;
@@ -264,7 +215,7 @@
         self._batch_in_progress = False
         if result is not None:
             self._storage_error = result
-            return Actions()
+            return actions_module.Actions()
         write_id = batch[-1].write_id
         return self._run(lambda: self._replica.note_synced(now_s, write_id))
 
@@ -276,7 +227,9 @@
             f"{error.reason.value}: {error.path}: {error.detail}",
         )
 
-    def _run(self, step: Callable[[], effects.Effects]) -> Actions:
+    def _run(
+        self, step: Callable[[], effects.Effects]
+    ) -> actions_module.Actions:
         # A replica whose state is inconsistent must not send anything more.
         try:
             return self._to_actions(step())
@@ -284,11 +237,11 @@
             self._storage_error = failure.StorageError(
                 failure.StorageFailure.CORRUPT, "log", str(error)
             )
-            return Actions()
+            return actions_module.Actions()
 
-    def _to_actions(self, result: effects.Effects) -> Actions:
+    def _to_actions(self, result: effects.Effects) -> actions_module.Actions:
         self._queued_writes.extend(result.writes)
-        return Actions(
+        return actions_module.Actions(
             tuple(
                 self._encode_outgoing(message) for message in result.messages
             ),
@@ -297,9 +250,11 @@
             result.snapshot_wanted,
         )
 
-    def _encode_outgoing(self, message: messages.Message) -> OutgoingMessage:
+    def _encode_outgoing(
+        self, message: messages.Message
+    ) -> outgoing_message.OutgoingMessage:
         recipient = self._replica.journal.membership.find(message.recipient)
         address = recipient.address if recipient else ""
-        return OutgoingMessage(
+        return outgoing_message.OutgoingMessage(
             message.recipient, address, codec.encode(message)
         )
--- a/src/cranberrymux/control/cluster_formation.py
+++ b/src/cranberrymux/control/cluster_formation.py
@@ -4,9 +4,11 @@
 from typing import Any
 import uuid
 
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import member_rules
+from cranberrymux.consensus import proposed as proposed_module
 from cranberrymux.control import control_settings
 from cranberrymux.control import peer_clients
 from cranberrymux.wire.gen.messages import ttypes
@@ -102,7 +104,7 @@
 
     def found_cluster_if_due(
         self, now_s: float
-    ) -> driver_module.Actions | None:
+    ) -> actions_module.Actions | None:
         """Founds the cluster if no instance holds a log; None if not."""
         replica = self._driver.replica
         if self._settings.peers[0].control_id != self._settings.control_id:
@@ -117,15 +119,15 @@
                 return None
         return self._found_cluster(now_s)
 
-    def _found_cluster(self, now_s: float) -> driver_module.Actions | None:
+    def _found_cluster(self, now_s: float) -> actions_module.Actions | None:
         result = self._driver.found_cluster(
             now_s, uuid.uuid4().hex, self._address
         )
-        return result if isinstance(result, driver_module.Actions) else None
+        return result if isinstance(result, actions_module.Actions) else None
 
     def add_learner(
         self, now_s: float, replica_id: str, address: str
-    ) -> driver_module.Actions | None:
+    ) -> actions_module.Actions | None:
         """Proposes to add a replica of a configured instance as a learner.
 
         Returns:
@@ -143,6 +145,6 @@
                 member_change.ChangeKind.ADD_LEARNER, replica_id, address
             ),
         )
-        if isinstance(result, driver_module.Proposed):
+        if isinstance(result, proposed_module.Proposed):
             return result.actions
         return None
--- a/src/cranberrymux/control/operator_api.py
+++ b/src/cranberrymux/control/operator_api.py
@@ -4,7 +4,6 @@
 import dataclasses
 import hmac
 import json
-import math
 from typing import Any
 
 import klein
@@ -16,15 +15,14 @@
 from cranberrymux.control import control_settings
 from cranberrymux.control import conversions
 from cranberrymux.control import node_service
+from cranberrymux.control import operator_answers
 from cranberrymux.control import state_machine
 from cranberrymux.decisions.configuration import change_verdict
-from cranberrymux.models import whole_number
 from cranberrymux.telemetry import metric
 from cranberrymux.telemetry import metrics_sink
 from cranberrymux.wire.gen.messages import ttypes
 
 MAXIMUM_BODY_BYTES = 524_288
-UNAVAILABLE_RETRY_MS = 1000
 MAXIMUM_HISTORY_RECORDS = 1000
 
 _HTTP_STATUS = {
@@ -80,17 +78,19 @@
     def get_configuration(self, request: Any) -> bytes:
         """Answers with the document of the last or the requested version."""
         if not self._has_valid_token(request):
-            return _refuse_token(request)
+            return operator_answers.refuse_token(request)
         if not self._log.vouched_ms():
-            return _refuse_unvouched(request)
+            return operator_answers.refuse_unvouched(request)
         configuration = self._machine.configuration
-        version = _read_number(request, b"version", configuration.version)
+        version = operator_answers.read_number(
+            request, b"version", configuration.version
+        )
         document = configuration.document_of(version)
         if document is None:
-            return _answer(
+            return operator_answers.answer(
                 request, http.NOT_FOUND, {"detail": "version is not kept"}
             )
-        return _answer(
+        return operator_answers.answer(
             request, http.OK, {"version": version, "document": document}
         )
 
@@ -98,19 +98,21 @@
     async def put_configuration(self, request: Any) -> bytes:
         """Commits a replacement of the whole document."""
         if not self._has_valid_token(request):
-            return _refuse_token(request)
+            return operator_answers.refuse_token(request)
         self._service.counters.changes += 1
         requested = change_body.parse(
             request.content.read(MAXIMUM_BODY_BYTES + 1)
         )
         if isinstance(requested, change_body.ChangeBodyError):
-            return _answer(request, http.BAD_REQUEST, requested._asdict())
+            return operator_answers.answer(
+                request, http.BAD_REQUEST, requested._asdict()
+            )
         command = ttypes.Command(
             at_ms=0, change=conversions.encode_change(requested)
         )
         command_answer = await self._log.propose(command)
         if not command_answer.committed:
-            return _refuse_uncommitted(request, command_answer)
+            return operator_answers.refuse_uncommitted(request, command_answer)
         answer = conversions.decode_change_answer(command_answer.change)
         self._events.info(
             "change-answered",
@@ -126,43 +128,50 @@
             "record": record,
             "detail": answer.detail,
         }
-        return _answer(request, _HTTP_STATUS[answer.verdict], body)
+        return operator_answers.answer(
+            request, _HTTP_STATUS[answer.verdict], body
+        )
 
     @app.route("/v1/history", methods=["GET"])
     def get_history(self, request: Any) -> bytes:
         """Answers with the last accepted changes, newest first."""
         if not self._has_valid_token(request):
-            return _refuse_token(request)
+            return operator_answers.refuse_token(request)
         if not self._log.vouched_ms():
-            return _refuse_unvouched(request)
+            return operator_answers.refuse_unvouched(request)
         limit = min(
-            _read_number(request, b"limit", 20), MAXIMUM_HISTORY_RECORDS
+            operator_answers.read_number(request, b"limit", 20),
+            MAXIMUM_HISTORY_RECORDS,
         )
         records = self._machine.configuration.history(limit)
         body = {"changes": [record._asdict() for record in records]}
-        return _answer(request, http.OK, body)
+        return operator_answers.answer(request, http.OK, body)
 
     @app.route("/v1/drain", methods=["POST"])
     def post_drain(self, request: Any) -> bytes:
         """Requests that a node drain its backend server."""
         if not self._has_valid_token(request):
-            return _refuse_token(request)
+            return operator_answers.refuse_token(request)
         try:
             node_id = json.loads(request.content.read(4096))["node_id"]
         except (ValueError, KeyError, TypeError):
             detail = 'expected {"node_id": NAME}'
-            return _answer(request, http.BAD_REQUEST, {"detail": detail})
+            return operator_answers.answer(
+                request, http.BAD_REQUEST, {"detail": detail}
+            )
         if not self._service.nodes.request_drain(str(node_id), self._now_s()):
             detail = f"no live node {node_id}"
-            return _answer(request, http.NOT_FOUND, {"detail": detail})
+            return operator_answers.answer(
+                request, http.NOT_FOUND, {"detail": detail}
+            )
         self._events.info("drain-requested", node_id=str(node_id))
-        return _answer(request, http.OK, {"node_id": node_id})
+        return operator_answers.answer(request, http.OK, {"node_id": node_id})
 
     @app.route("/v1/status", methods=["GET"])
     def get_status(self, request: Any) -> bytes:
         """Answers with the state of this instance, even without a quorum."""
         if not self._has_valid_token(request):
-            return _refuse_token(request)
+            return operator_answers.refuse_token(request)
         now_s = self._now_s()
         service = self._service
         records = service.directory.records()
@@ -199,7 +208,7 @@
             ],
             "counters": dataclasses.asdict(service.counters),
         }
-        return _answer(request, http.OK, body)
+        return operator_answers.answer(request, http.OK, body)
 
     def _has_valid_token(self, request: Any) -> bool:
         """True if a request presents the operators' token; else logs it."""
@@ -214,53 +223,3 @@
             count=self._service.counters.wrong_tokens,
         )
         return False
-
-
-def _answer(request: Any, status: int, body: Any) -> bytes:
-    request.setResponseCode(status)
-    request.setHeader(b"Content-Type", b"application/json")
-    return json.dumps(body).encode() + b"\n"
-
-
-def _refuse_token(request: Any) -> bytes:
-    request.setHeader(b"WWW-Authenticate", b"Bearer")
-    return _answer(request, http.UNAUTHORIZED, {"detail": "wrong token"})
-
-
-def _refuse_unvouched(request: Any) -> bytes:
-    """Answers 503: this instance does not vouch for its state."""
-    _set_retry_after(request, UNAVAILABLE_RETRY_MS)
-    detail = "this control instance has no contact with a quorum"
-    return _answer(request, http.SERVICE_UNAVAILABLE, {"detail": detail})
-
-
-def _refuse_uncommitted(request: Any, answer: Any) -> bytes:
-    """Answers 503 to a change that is not known to be committed.
-
-    Args:
-        request: The request.
-        answer: The `CommandAnswer`, whose `committed` is false.
-    """
-    _set_retry_after(request, answer.retry_after_ms or UNAVAILABLE_RETRY_MS)
-    if answer.rejected:
-        detail = "not accepted: no quorum; it will not be accepted later"
-    else:
-        detail = "no answer in time; send the same change id again"
-    body = {
-        "detail": detail,
-        "rejected": answer.rejected,
-        "leader": answer.leader,
-    }
-    return _answer(request, http.SERVICE_UNAVAILABLE, body)
-
-
-def _set_retry_after(request: Any, retry_after_ms: int) -> None:
-    seconds = math.ceil(retry_after_ms / 1000)
-    request.setHeader(b"Retry-After", str(seconds).encode())
-
-
-def _read_number(request: Any, name: bytes, default: int) -> int:
-    """Returns a number from the query; the default if it is not digits."""
-    values = request.args.get(name, [])
-    number = whole_number.decode(values[0]) if values else None
-    return default if number is None else number
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -10,6 +10,7 @@
 from cranberrymux.consensus import codec as consensus_codec
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import invariant_error
+from cranberrymux.consensus import proposed as proposed_module
 from cranberrymux.consensus import role as role_module
 from cranberrymux.control import cluster_formation
 from cranberrymux.control import control_settings
@@ -114,7 +115,7 @@
             return proposals.rejected_answer(self.leader(), _RETRY_MS)
         command.at_ms = int(time.time() * _MS_PER_S)
         proposed = self._driver.propose(now_s, codec.encode(command))
-        if not isinstance(proposed, driver_module.Proposed):
+        if not isinstance(proposed, proposed_module.Proposed):
             return proposals.rejected_answer(self.leader(), _RETRY_MS)
         answer = self._loop.proposals.add(proposed.log_index, proposed.term)
         answer.addTimeout(
@@ -228,7 +229,7 @@
         change = self._formation.next_member_change(replica_loop.now_s())
         if change is not None:
             result = self._driver.change_members(replica_loop.now_s(), change)
-            if isinstance(result, driver_module.Proposed):
+            if isinstance(result, proposed_module.Proposed):
                 self._events.info(
                     "members-change",
                     kind=change.kind.value,
--- a/src/cranberrymux/control/replica_loop.py
+++ b/src/cranberrymux/control/replica_loop.py
@@ -10,6 +10,7 @@
 from twisted.internet import threads
 from twisted.python import failure
 
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import entry as entry_module
 from cranberrymux.control import peer_clients
@@ -71,7 +72,7 @@
         self._is_stopped = True
         self._folder.close()
 
-    def execute(self, actions: driver_module.Actions) -> None:
+    def execute(self, actions: actions_module.Actions) -> None:
         """Executes what the driver asked for.
 
         A state machine that fails to apply an entry would diverge from the
@@ -105,7 +106,7 @@
         self.fail(reason.value or RuntimeError("unknown"))
 
     def _send_and_apply(
-        self, actions: driver_module.Actions
+        self, actions: actions_module.Actions
     ) -> list[tuple[entry_module.Entry, Any]]:
         for message in actions.outgoing:
             self._peers.deliver(
--- a/src/cranberrymux/control/seeded_formation.py
+++ b/src/cranberrymux/control/seeded_formation.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import founding
 from cranberrymux.consensus import member_change
@@ -62,7 +63,7 @@
 
     def found_cluster_if_due(
         self, now_s: float
-    ) -> driver_module.Actions | None:
+    ) -> actions_module.Actions | None:
         """Founds the cluster if this is the founder's first start."""
         may_found_cluster = founding.may_found_cluster(
             self._driver.replica,
@@ -74,7 +75,7 @@
 
     def add_learner(
         self, now_s: float, replica_id: str, address: str
-    ) -> driver_module.Actions | None:
+    ) -> actions_module.Actions | None:
         """Proposes to add a replica of any known name, if this one leads."""
         if self._driver.replica.role is not role_module.Role.LEADER:
             return None
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -3,9 +3,11 @@
 import random
 
 from cranberrymux import storage
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import driver
 from cranberrymux.consensus import entry
 from cranberrymux.consensus import member_change
+from cranberrymux.consensus import proposed as proposed_module
 from cranberrymux.consensus import replica_settings
 
 SETTINGS = replica_settings.ReplicaSettings(
@@ -48,7 +50,7 @@
         ]
 
     def act(self, instance, actions):
-        assert isinstance(actions, driver.Actions), actions
+        assert isinstance(actions, actions_module.Actions), actions
         self.network.extend(actions.outgoing)
         if actions.snapshot_to_install is not None:
             instance.applied = actions.snapshot_to_install.data.split(b",")
@@ -88,14 +90,14 @@
 
     def change(self, instance, change):
         result = instance.driver.change_members(self.now_s, change)
-        assert isinstance(result, driver.Proposed), result
+        assert isinstance(result, proposed_module.Proposed), result
         self.act(instance, result.actions)
         self.settle()
 
     def propose(self, payload):
         leader = self.leader()
         result = leader.driver.propose(self.now_s, payload)
-        assert isinstance(result, driver.Proposed), result
+        assert isinstance(result, proposed_module.Proposed), result
         self.act(leader, result.actions)
         self.settle()
 
--- a/tests/consensus/test_driver.py
+++ b/tests/consensus/test_driver.py
@@ -6,8 +6,8 @@
 """
 
 from cranberrymux import storage
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import codec
-from cranberrymux.consensus import driver
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import refusals
 from cranberrymux.consensus import role
@@ -56,7 +56,7 @@
     proposed = leader.driver.propose(cluster.now_s, b"lost")
     batch = leader.driver.next_batch()
     actions = leader.driver.batch_done(cluster.now_s, batch, disk_full)
-    assert actions == driver.Actions()
+    assert actions == actions_module.Actions()
     cluster.network.extend(proposed.actions.outgoing)
     cluster.settle()
     assert b"lost" not in leader.applied
@@ -134,7 +134,7 @@
     actions = follower.driver.receive(
         cluster.now_s, codec.encode(foreign_message)
     )
-    assert actions == driver.Actions()
+    assert actions == actions_module.Actions()
     assert follower.driver.replica.journal.term < 99
 
 
@@ -172,7 +172,7 @@
         sender=outgoing[0].recipient, recipient=leader.identity
     )
     actions = leader.driver.receive(cluster.now_s, codec.encode(second_leader))
-    assert actions == driver.Actions()
+    assert actions == actions_module.Actions()
     error = leader.driver.storage_error
     assert error.reason is storage.StorageFailure.CORRUPT
     assert "leads in term" in error.detail
--- a/tests/control/test_founding_on_a_full_disk.py
+++ b/tests/control/test_founding_on_a_full_disk.py
@@ -11,6 +11,7 @@
 import pytest
 
 from cranberrymux import storage
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import replica_settings
 from cranberrymux.control import control_settings
@@ -74,7 +75,7 @@
         """Applies the queued writes; returns actions and storage error."""
         batch = self.driver.next_batch()
         if not batch:
-            return driver_module.Actions(), None
+            return actions_module.Actions(), None
         error = self.folder.apply(batch)
         return self.driver.batch_done(self.now_s, batch, error), error
 
@@ -117,7 +118,7 @@
     assert founding.committed == ()
     actions, error = first.sync()
     assert error.reason is storage.StorageFailure.DISK_FULL
-    assert actions == driver_module.Actions()
+    assert actions == actions_module.Actions()
     first.folder.close()
     return first.now_s + 1.0
 
--- a/tests/control/test_replica_loop.py
+++ b/tests/control/test_replica_loop.py
@@ -7,7 +7,7 @@
 
 import types
 
-from cranberrymux.consensus import driver as driver_module
+from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import entry
 from cranberrymux.control import replica_loop
 from cranberrymux.telemetry import null_sink
@@ -62,7 +62,7 @@
         entry.Entry(index, 1, entry.EntryKind.COMMAND, payload)
         for index, payload in enumerate(payloads, 1)
     )
-    return driver_module.Actions(committed=entries)
+    return actions_module.Actions(committed=entries)
 
 
 def test_answers_after_all_committed_entries_are_applied():
