--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -198,7 +198,10 @@
         """
         if endpoint is not None:
             endpoint_observation.note_answer(
-                self._parts, endpoint, head, self._sent_s, self._request_id
+                self._parts,
+                endpoint_observation.EndpointAnswer(
+                    endpoint, head, self._sent_s, self._request_id
+                ),
             )
         if hop_answer.find_refusal(head) is not None:
             return False
