Name requests by a digest of their content in log lines

A request that crashes what runs it comes again under another id each time, so that the logs could not show that it was the same, nor which backend server ran it. The node where it comes in makes a digest of method, host, target and body, which the nodes pass on and log. Nothing is decided by it yet.

--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -6,6 +6,7 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import request_digest
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
@@ -72,4 +73,6 @@
         headers.append((dialect.request_id, request_id))
         headers.append(self._caller_header)
         headers.append((hop.ROUTE, route.name.encode()))
-        entry_call.EntryCall(parts, call, route, headers).start()
+        digest = request_digest.make(call)
+        headers.append((hop.DIGEST, digest.encode()))
+        entry_call.EntryCall(parts, call, route, headers, digest).start()
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -37,6 +37,7 @@
         call: inbound_call.InboundCall,
         route: route_module.Route,
         headers: headers_module.HeaderList,
+        digest: str,
     ) -> None:
         """Prepares the call; `start` sends it to an endpoint.
 
@@ -45,6 +46,7 @@
             call: The request, as received.
             route: Its route.
             headers: Headers to pass on, without those of each attempt.
+            digest: Digest of its content.
         """
         super().__init__()
         self._parts = parts
@@ -63,9 +65,9 @@
         self._log = request_log.RequestLog(
             parts,
             self._attempts,
-            self._request_id,
-            self._began_s,
-            self._deadline_s,
+            request_log.LoggedRequest(
+                self._request_id, digest, self._began_s, self._deadline_s
+            ),
         )
         self._answer = entry_answer.EntryAnswer(
             parts, call, self._origin, self._attempts, self._log
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -33,6 +33,7 @@
         tree_context: What the node where its tree began says of the tree.
         deadline_s: Monotonic seconds at which its caller gives up.
         request_id: Its id.
+        digest: Digest of its content, which its resends share.
         route: Name of its route.
     """
 
@@ -67,6 +68,8 @@
         self.request_id = (
             headers_module.find(call.head.headers, dialect.request_id) or b""
         )
+        digest = headers_module.find(call.head.headers, hop.DIGEST) or b""
+        self.digest = digest.decode("latin-1")
         route = headers_module.find(call.head.headers, hop.ROUTE) or b""
         self.route = route.decode("latin-1")
         self._process = backend_process.BackendProcess("", 0)
@@ -221,6 +224,8 @@
                 "backend-unreachable",
                 reason=loss.detail,
                 request_id=self.request_id.decode("latin-1"),
+                digest=self.digest,
+                backend_id=self._process.backend_id,
             )
             self.refuse(hop.UNREACHABLE)
             return
@@ -232,6 +237,8 @@
         self._parts.events.info(
             "backend-answer-lost",
             request_id=self.request_id.decode("latin-1"),
+            digest=self.digest,
+            backend_id=self._process.backend_id,
             route=self.route,
             detail=detail,
         )
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -39,6 +39,9 @@
 # start time in Unix milliseconds; 0 if it is not known.
 LEAVING = b"cranberrymux-leaving"
 
+# On requests: digest of the request's content, which its resends share.
+DIGEST = b"cranberrymux-digest"
+
 # Values of `NOT_RUN`.
 FULL = b"full"
 # The rate limit of the backend server does not let it start in time.
