--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -81,6 +81,7 @@
         self.slots = slots
         self.zone = zone
         self.sequence = 0
+        self.started_ms = 1
         self.settings = gateway_settings.GatewaySettings(
             node_id=f"n-{index}",
             ip="10.0.0.1",
@@ -132,7 +133,7 @@
         self.sequence += 1
         announced = announcement.Announcement(
             backend_id=self.backend_id,
-            started_ms=1,
+            started_ms=self.started_ms,
             sequence=self.sequence,
             service=self.service,
             address=f"10.0.0.1:{self.backend_port}",
@@ -145,6 +146,11 @@
         self.mesh.publish_endpoints()
         return change
 
+    def announce_if_up(self):
+        """Announces the backend server unless it has ended."""
+        if self.backend_port in self.mesh.network.factories:
+            self.announce()
+
 
 class Mesh:
     """All gateways; tests distribute routes and endpoint records."""
