Close connections at bytes that have no end

Each part has a limit now; beyond it the connection is aborted, counted and logged as 'unexpected-answer' with reason 'too-long', and the answer is lost as one that is no valid answer. It holds alike for backend servers, other nodes, health checks and clients. An endless body is still closed at the deadline, with what is held bounded.

The mutation tests that switched off the comparison of ids name its new place.

--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -17,6 +17,7 @@
 from cranberrymux.gateway import running_requests
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.node import clock as clock_module
+from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import unexpected_answer
 
@@ -100,6 +101,7 @@
             reactor,
             detects_dead_peers=True,
             on_unexpected=self.note_unexpected_answer,
+            limits=answer_limits.BETWEEN_NODES,
         )
         self.metrics = metrics_module.GatewayMetrics()
         self.open_entry_calls = 0
--- a/src/cranberrymux/gateway/startup_health_check.py
+++ b/src/cranberrymux/gateway/startup_health_check.py
@@ -12,6 +12,7 @@
 from cranberrymux.models import socket_address
 from cranberrymux.models import whole_number
 from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import client_connection
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
@@ -52,7 +53,9 @@
         self._reactor = reactor
         self._on_found = on_found
         self._on_leaving = on_leaving
-        self._pool = connection_pool.ConnectionPool(reactor)
+        self._pool = connection_pool.ConnectionPool(
+            reactor, limits=answer_limits.HEAD_ONLY
+        )
         self._lease: connection_pool.Lease | None = None
         self._connection: client_connection.ClientConnection | None = None
         self._head: answer_head.AnswerHead | None = None
--- /dev/null
+++ b/src/cranberrymux/node/http/answer_matcher.py
@@ -0,0 +1,69 @@
+"""Tells the answer to a request from answers to others by its id."""
+
+import collections
+
+from cranberrymux.node.http import headers as headers_module
+from cranberrymux.node.http import request_identity
+from cranberrymux.node.http import unexpected_answer
+
+_REMEMBERED_IDS = 64  # Requests sent on a connection whose ids are kept.
+
+
+class AnswerMatcher:
+    """Remembers the ids that were sent on one connection."""
+
+    def __init__(self) -> None:
+        """Starts without a request; every answer matches."""
+        self._identity: request_identity.RequestIdentity | None = None
+        self._has_read_id = False
+        # Hashes, as ids may be as long as headers.
+        self._sent_ids: collections.deque[int] = collections.deque(
+            maxlen=_REMEMBERED_IDS
+        )
+
+    @property
+    def request_id(self) -> bytes:
+        """Id of the request that was sent last; empty if it has none."""
+        return b"" if self._identity is None else self._identity.value
+
+    def expect(self, identity: request_identity.RequestIdentity | None) -> None:
+        """Expects the answer to a request from now on.
+
+        Args:
+            identity: Id of the request. None accepts every answer.
+        """
+        self._identity = identity
+        if identity is not None:
+            self._sent_ids.append(hash(identity.value))
+
+    def has_sent(
+        self, identity: request_identity.RequestIdentity | None
+    ) -> bool:
+        """Returns whether a request is among the last that were sent here.
+
+        A late answer to its first sending could not be told from the answer to
+        a second one.
+        """
+        return identity is not None and hash(identity.value) in self._sent_ids
+
+    def find_mismatch(
+        self, headers: headers_module.HeaderList
+    ) -> unexpected_answer.UnexpectedAnswer | None:
+        """Returns why an answer is not the expected one; None if it is."""
+        if self._identity is None:
+            return None
+        answer_id = headers_module.find(headers, self._identity.header)
+        if answer_id is None:
+            if not self._identity.is_required and not self._has_read_id:
+                return None
+            return unexpected_answer.UnexpectedAnswer(
+                unexpected_answer.UnexpectedKind.NO_ID, self.request_id, b""
+            )
+        self._has_read_id = True
+        if answer_id == self._identity.value:
+            return None
+        return unexpected_answer.UnexpectedAnswer(
+            unexpected_answer.UnexpectedKind.OTHER_ID,
+            self.request_id,
+            answer_id,
+        )
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -1,6 +1,5 @@
 """Client side of an HTTP/1.1 connection."""
 
-import collections
 from collections.abc import Callable
 import math
 from typing import Any
@@ -12,7 +11,11 @@
 from twisted.python import failure
 import zope.interface
 
+from cranberrymux.node.http import answer_budget
+from cranberrymux.node.http import answer_framing
 from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import answer_limits
+from cranberrymux.node.http import answer_matcher
 from cranberrymux.node.http import answer_sink
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import headers
@@ -24,7 +27,7 @@
 
 _UnexpectedKind = unexpected_answer.UnexpectedKind
 _LOWEST_STATUS = 100
-_REMEMBERED_IDS = 64  # Requests sent on a connection whose ids are kept.
+_LOWEST_FINAL_STATUS = 200
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -43,8 +46,17 @@
             reused, as the receiver may close it soon after.
     """
 
-    def __init__(self) -> None:
-        """Creates a connection that Twisted has yet to connect."""
+    def __init__(
+        self,
+        limits: answer_limits.AnswerLimits = answer_limits.DEFAULT,
+    ) -> None:
+        """Creates a connection that Twisted has yet to connect.
+
+        Args:
+            limits: Limits on each answer.
+        """
+        self._budget = answer_budget.AnswerBudget(limits)
+        self._matcher = answer_matcher.AnswerMatcher()
         self.on_idle: Callable[[ClientConnection], None] | None = None
         self.on_closed: Callable[[ClientConnection], None] | None = None
         self.accepts_close_delimited = False
@@ -55,11 +67,6 @@
         self._reuse_time_s = math.inf
         self._parser = httptools.HttpResponseParser(self)
         self._sink: answer_sink.AnswerSink | None = None
-        self._identity: request_identity.RequestIdentity | None = None
-        # Hashes, as ids may be as long as headers.
-        self._sent_ids: collections.deque[int] = collections.deque(
-            maxlen=_REMEMBERED_IDS
-        )
         self._headers: headers.HeaderList = []
         self._is_in_head = False
         self._is_head_request = False
@@ -71,7 +78,6 @@
         self._is_close_delimited = False
         self._has_read_answer_end = False
         self._is_paused = False
-        self._has_read_id = False
         self._tcp: Any = None
 
     @property
@@ -82,12 +88,8 @@
     def has_sent(
         self, identity: request_identity.RequestIdentity | None
     ) -> bool:
-        """Returns whether a request is among the last that were sent here.
-
-        A late answer to its first sending could not be told from the answer to
-        a second one.
-        """
-        return identity is not None and hash(identity.value) in self._sent_ids
+        """Returns whether a request is among the last that were sent here."""
+        return self._matcher.has_sent(identity)
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disables Nagle's algorithm and registers for backpressure."""
@@ -125,15 +127,14 @@
                 None accepts every answer.
         """
         self._sink = sink
-        self._identity = identity
-        if identity is not None:
-            self._sent_ids.append(hash(identity.value))
+        self._matcher.expect(identity)
         self._headers = []
         self._is_head_request = is_head_request
         self._is_request_complete = is_complete
         self._is_answer_started = False
         self._is_interim = False
         self._is_close_delimited = False
+        self._budget.begin_request()
         prompt_writer.write_now(self._tcp, data)
 
     def send_body(self, part: bytes) -> None:
@@ -179,6 +180,7 @@
             return
         self._has_read_answer_end = False
         self._feed(data)
+        self._check_budget(self._budget.note_read(len(data)))
         if self._has_read_answer_end and not self._is_lost:
             self._notify_idle()
 
@@ -220,12 +222,16 @@
     def on_message_begin(self) -> None:
         """Prepares for an answer; aborts if no request is pending."""
         self._headers = []
+        self._budget.begin_answer()
         self._is_in_head = True
         self._is_filtered_out = False
         self._cancel_behind_answer()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header of the answer; trailers are dropped."""
+        if self._is_lost:
+            return
+        self._check_budget(self._budget.note_header(name, value))
         if self._is_in_head:
             self._headers.append(headers.normalize(name, value))
 
@@ -242,16 +248,16 @@
         if status < _LOWEST_STATUS:
             self._fail(lost_answer.LossReason.NOT_VALID, f"status {status:03d}")
             return
-        if status >= 200:
-            self._is_filtered_out = not self._matches_request()
-            if self._is_filtered_out:
-                self._check_end_can_be_found(status)
-                return
-        self._is_interim = 100 <= status < 200
-        if self._is_interim:
-            sink.answer_interim(status, self._headers)
+        if status < _LOWEST_FINAL_STATUS:
+            self._pass_interim_answer(status)
             return
-        if not self._has_plain_coding():
+        mismatch = self._matcher.find_mismatch(self._headers)
+        self._is_filtered_out = mismatch is not None
+        if mismatch is not None:
+            self._report(mismatch)
+            self._check_end_can_be_found(status)
+            return
+        if not answer_framing.has_plain_coding(self._headers):
             self._fail(
                 lost_answer.LossReason.NOT_VALID,
                 "the answer has a transfer coding other than chunked",
@@ -273,7 +279,11 @@
 
     def on_body(self, part: bytes) -> None:
         """Passes a part of the body to the sink."""
-        if self._is_filtered_out:
+        is_discarded = self._is_filtered_out
+        self._check_budget(
+            self._budget.note_body(len(part), is_discarded=is_discarded)
+        )
+        if is_discarded:
             return
         self._cancel_behind_answer()
         if self._sink is not None and self._is_answer_started:
@@ -305,21 +315,11 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing, as `connectionLost` follows."""
 
-    def _matches_request(self) -> bool:
-        """Returns whether the answer belongs to the pending request."""
-        if self._identity is None:
-            return True
-        answer_id = headers.find(self._headers, self._identity.header)
-        if answer_id is None:
-            if not self._identity.is_required and not self._has_read_id:
-                return True
-            self._report_unexpected(_UnexpectedKind.NO_ID)
-            return False
-        self._has_read_id = True
-        if answer_id != self._identity.value:
-            self._report_unexpected(_UnexpectedKind.OTHER_ID, answer_id)
-            return False
-        return True
+    def _pass_interim_answer(self, status: int) -> None:
+        self._is_interim = True
+        self._check_budget(self._budget.note_interim_answer())
+        if self._sink is not None:
+            self._sink.answer_interim(status, self._headers)
 
     def _check_end_can_be_found(self, status: int) -> None:
         """Fails the request if the end of a discarded answer is not known.
@@ -329,7 +329,7 @@
         mode = self._make_head(status).mode
         if (
             mode is body_mode.BodyMode.UNTIL_CLOSE
-            or not self._has_plain_coding()
+            or not answer_framing.has_plain_coding(self._headers)
             # An answer to a HEAD has no body, but this may be another one.
             or self._is_head_request
         ):
@@ -339,41 +339,19 @@
             )
 
     def _report_unexpected(
-        self, kind: unexpected_answer.UnexpectedKind, answer_id: bytes = b""
+        self, kind: unexpected_answer.UnexpectedKind
     ) -> None:
-        if self.on_unexpected is None:
-            return
-        request_id = b""
-        if self._sink is not None and self._identity is not None:
-            request_id = self._identity.value
-        self.on_unexpected(
-            unexpected_answer.UnexpectedAnswer(kind, request_id, answer_id)
-        )
+        request_id = b"" if self._sink is None else self._matcher.request_id
+        self._report(unexpected_answer.UnexpectedAnswer(kind, request_id, b""))
 
-    def _has_plain_coding(self) -> bool:
-        """Returns whether the body is sent as it is, or in plain chunks."""
-        codings = [
-            value.strip().lower()
-            for name, value in self._headers
-            if name == b"transfer-encoding"
-        ]
-        return codings in ([], [b"chunked"])
+    def _report(self, unexpected: unexpected_answer.UnexpectedAnswer) -> None:
+        if self.on_unexpected is not None:
+            self.on_unexpected(unexpected)
 
     def _make_head(self, status: int) -> answer_head.AnswerHead:
-        length = headers.find(self._headers, b"content-length")
-        is_chunked = (
-            headers.find(self._headers, b"transfer-encoding") is not None
+        return answer_framing.make_head(
+            status, self._headers, is_head_request=self._is_head_request
         )
-        mode = body_mode.BodyMode.UNTIL_CLOSE
-        size = 0
-        if is_chunked:
-            mode = body_mode.BodyMode.CHUNKED
-        elif length is not None and length.isdigit():
-            mode = body_mode.BodyMode.SIZED
-            size = int(length)
-        elif self._is_head_request or status in (204, 304):
-            mode = body_mode.BodyMode.NONE
-        return answer_head.AnswerHead(status, self._headers, mode, size)
 
     def _is_ended_by_close(self, reason: failure.Failure) -> bool:
         """Returns whether an orderly close ends an answer without a length."""
@@ -410,6 +388,16 @@
         if self.on_idle is not None:
             self.on_idle(self)
 
+    def _check_budget(self, exceeded: str) -> None:
+        """Ends the request at an answer that may have no end.
+
+        Args:
+            exceeded: Which limit it exceeds; empty if none.
+        """
+        if exceeded and self._sink is not None:
+            self._report_unexpected(_UnexpectedKind.TOO_LONG)
+            self._fail(lost_answer.LossReason.NOT_VALID, exceeded)
+
     def _fail(self, reason: lost_answer.LossReason, detail: str) -> None:
         sink = self._sink
         self.cancel()
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import protocol
 
+from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import client_connection
 from cranberrymux.node.http import dead_peer_detection
 from cranberrymux.node.http import lost_answer
@@ -72,7 +73,7 @@
 
 class _PooledConnection(client_connection.ClientConnection):
     def __init__(self, pool: "ConnectionPool", address: Address) -> None:
-        super().__init__()
+        super().__init__(pool.limits)
         self._pool = pool
         self._address = address
         self.accepts_close_delimited = pool.accepts_close_delimited
@@ -108,6 +109,7 @@
             answer.
         on_unexpected: Called with each occurrence of bytes that do not answer
             the pending request of their connection; None ignores them.
+        limits: Limits on each answer.
     """
 
     def __init__(
@@ -120,6 +122,7 @@
         on_unexpected: (
             Callable[[unexpected_answer.UnexpectedAnswer], None] | None
         ) = None,
+        limits: answer_limits.AnswerLimits = answer_limits.DEFAULT,
     ) -> None:
         """Creates an empty pool.
 
@@ -132,7 +135,9 @@
             detects_dead_peers: True if vanished peers are to be detected.
             on_unexpected: Called with each occurrence of bytes that do not
                 answer the pending request of their connection.
+            limits: Limits on each answer.
         """
+        self.limits = limits
         self.on_unexpected = on_unexpected
         self.detects_dead_peers = detects_dead_peers
         self.accepts_close_delimited = accepts_close_delimited
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -13,6 +13,7 @@
 from cranberrymux.models import answer_kind
 from cranberrymux.node.http import bad_message
 from cranberrymux.node.http import call_handler
+from cranberrymux.node.http import framing_meter
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits
@@ -21,6 +22,9 @@
 from cranberrymux.node.http import request_head
 from cranberrymux.node.http import request_head_reader
 
+# Bytes of the request line, line ends and lines of chunks in short bodies.
+FRAMING_SLACK_BYTES = 65_536
+
 
 @zope.interface.implementer(interfaces.IPushProducer)
 class ServerConnection(protocol.Protocol):
@@ -47,6 +51,11 @@
         self._handler = handler
         self._limits = message_limits
         self._parser = httptools.HttpRequestParser(self)
+        self._meter = framing_meter.FramingMeter(
+            message_limits.header_bytes
+            + message_limits.target_bytes
+            + FRAMING_SLACK_BYTES
+        )
         self._current: inbound_call.InboundCall | None = None
         self._waiting: collections.deque[inbound_call.InboundCall] = (
             collections.deque()
@@ -79,6 +88,9 @@
             return
         try:
             self._feed(data)
+            self._meter.note_read(len(data))
+            if self._meter.is_exceeded:
+                self._reject_framing()
         except httptools.HttpParserCallbackError:
             if self._rejected is None:
                 # A defect of this program, not of the message: Twisted logs
@@ -147,6 +159,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Adds a part of the body; starts a call too long to be buffered."""
+        self._meter.note_body(len(part))
         call = self._being_read
         if call is None:
             return
@@ -161,6 +174,7 @@
 
     def on_message_complete(self) -> None:
         """Ends the body, and starts the call unless it is being streamed."""
+        self._meter.end()
         call = self._being_read
         self._being_read = None
         if call is None:
@@ -278,6 +292,12 @@
             self._fail(head.status, head.detail)
         return cast(request_head.RequestHead, head)
 
+    def _reject_framing(self) -> None:
+        """Rejects a request whose head, chunk lines or trailers do not end."""
+        status = 431 if self._is_in_head else 400
+        detail = "too many bytes without any of the body"
+        self._reject(bad_message.BadMessage(status, detail))
+
     def _fail(self, status: int, detail: str) -> None:
         """Stops the parser, whose caller then rejects the request."""
         self._rejected = bad_message.BadMessage(status, detail)
--- a/src/cranberrymux/node/http/unexpected_answer.py
+++ b/src/cranberrymux/node/http/unexpected_answer.py
@@ -15,12 +15,14 @@
             stand behind it.
         OTHER_ID: They are an answer that bears another id.
         NO_ID: They are an answer without an id.
+        TOO_LONG: They go on beyond what an answer may have.
     """
 
     WHILE_IDLE = "while-idle"
     BEHIND_ANSWER = "behind-answer"
     OTHER_ID = "other-id"
     NO_ID = "no-id"
+    TOO_LONG = "too-long"
 
 
 class UnexpectedAnswer(NamedTuple):
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -21,6 +21,7 @@
 from cranberrymux.node import siblings
 from cranberrymux.node import status_body
 from cranberrymux.node import unexpected_answers
+from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import connection_pool
 from cranberrymux.telemetry import event
 from cranberrymux.telemetry import metrics_sink
@@ -67,6 +68,7 @@
         pool = connection_pool.ConnectionPool(
             reactor,
             on_unexpected=unexpected_answers.UnexpectedAnswers(metrics).note,
+            limits=answer_limits.BETWEEN_NODES,
         )
         self._siblings = siblings.Siblings(settings.node_id, pool)
         self._env = environment_builder.build(
--- a/tests/node/test_answer_matching.py
+++ b/tests/node/test_answer_matching.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import pytest
 
+from cranberrymux.node.http import answer_matcher
 from cranberrymux.node.http import client_connection
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import correlation
@@ -260,9 +261,9 @@
 
 MUTATIONS = {
     "the id is not compared": (
-        _Connection,
-        "_matches_request",
-        lambda self: True,
+        answer_matcher.AnswerMatcher,
+        "find_mismatch",
+        lambda self, headers: None,
     ),
     "two sendings have one id": (
         correlation,
--- a/tests/node/test_mutations.py
+++ b/tests/node/test_mutations.py
@@ -18,6 +18,7 @@
 from cranberrymux.node import running_call
 from cranberrymux.node import version_gate
 from cranberrymux.node import vouch_message
+from cranberrymux.node.http import answer_matcher
 from cranberrymux.node.http import client_connection
 from tests.fakes import cluster as clusters
 from tests.node import test_call_path as call_path
@@ -141,9 +142,9 @@
     (
         "comparison of an answer's id",
         (
-            client_connection.ClientConnection,
-            "_matches_request",
-            lambda self: True,
+            answer_matcher.AnswerMatcher,
+            "find_mismatch",
+            lambda self, headers: None,
         ),
         _second_answer_of_a_node,
     ),
