--- a/bench/overload/directory.py
+++ b/bench/overload/directory.py
@@ -2,8 +2,7 @@
 
 from typing import Protocol
 
-from cranberrymux.decisions.quarantine import clear_report
-from cranberrymux.decisions.quarantine import death_report
+from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.models import endpoint_record
 
 
@@ -17,8 +16,6 @@
         """Sends an endpoint record to every caller of its service."""
 
     def report(
-        self,
-        service: str,
-        report: death_report.DeathReport | clear_report.ClearReport,
+        self, service: str, report: suspect_report.SuspectReport
     ) -> None:
         """Merges a quarantine report into every node of the service."""
--- a/bench/overload/node.py
+++ b/bench/overload/node.py
@@ -272,7 +272,7 @@
         now_s = self._clock.now_s
         self._running.pop(call.call_id, None)
         self.backend.release(call)
-        is_clean = outcome is not _Outcome.CANCELLED
+        is_clean = outcome is _Outcome.OK
         for report in self.quarantine.finish(now_s, call.call_id, is_clean):
             self._directory.report(self.service.name, report)
         self._admission.finish(now_s, call.call_id, outcome, call.downstream_s)
--- a/bench/overload/simulation.py
+++ b/bench/overload/simulation.py
@@ -11,8 +11,7 @@
 from bench.overload import policy as policy_module
 from bench.overload import recorder as recorder_module
 from bench.overload import scenario as scenario_module
-from cranberrymux.decisions.quarantine import clear_report
-from cranberrymux.decisions.quarantine import death_report
+from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.models import endpoint_record
 
 # From a node through the shared state to the other nodes of its service.
@@ -55,8 +54,6 @@
         self._deployment = deployment
         self._scenario = scenario
         self._egresses: list[dict[str, egress.Egress]] = []
-        self._cleared: dict[str, int] = {}
-        self._deaths: dict[str, set[death_report.DeathReport]] = {}
         for service in deployment.services:
             self.nodes[service.name] = self._make_nodes(service)
         for name, nodes in self.nodes.items():
@@ -86,21 +83,14 @@
                 egresses[record.service].announce(record)
 
     def report(
-        self,
-        service: str,
-        report: death_report.DeathReport | clear_report.ClearReport,
+        self, service: str, report: suspect_report.SuspectReport
     ) -> None:
         """Merges a quarantine report into every node of the service.
 
-        The nodes see the merged counts after `SHARE_DELAY_S`.
+        The nodes have it after `SHARE_DELAY_S`.
         """
-        if isinstance(report, clear_report.ClearReport):
-            old_cleared = self._cleared.get(report.key, 0)
-            self._cleared[report.key] = max(old_cleared, report.deaths)
-        else:
-            self._deaths.setdefault(report.key, set()).add(report)
         self._clock.call_later(
-            SHARE_DELAY_S, self._merge_reports, service, report.key
+            SHARE_DELAY_S, self._merge_report, service, report
         )
 
     def _make_nodes(
@@ -128,17 +118,11 @@
         self._egresses.append(egresses)
         return egresses
 
-    def _merge_reports(self, service: str, key: str) -> None:
-        deaths = self._deaths.get(key, set())
-        cleared = self._cleared.get(key, 0)
+    def _merge_report(
+        self, service: str, report: suspect_report.SuspectReport
+    ) -> None:
         for node in self.nodes[service]:
-            node.quarantine.merge_report(
-                self._clock.now_s,
-                key,
-                len(deaths),
-                cleared,
-                was_sole=any(report.was_sole for report in deaths),
-            )
+            node.quarantine.merge(self._clock.now_s, [report])
 
     def _begin_cause(self) -> None:
         for node in self.nodes[self._deployment.deepest]:
--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -119,6 +119,7 @@
         delta = self.directory.read(heartbeat.services, revision, now_s)
         configuration = self._machine.configuration
         is_behind = heartbeat.configuration_version < configuration.version
+        suspects = self._read_suspects(heartbeat, is_same_epoch)
         return ttypes.HeartbeatAnswer(
             lease_ms=self._settings.lease_ms,
             directory_epoch=self._epoch,
@@ -135,6 +136,8 @@
                 heartbeat.node_id, heartbeat.incarnation
             ),
             control_instances=list(self._log.addresses()),
+            suspects=suspects,
+            suspect_revision=self._machine.suspects.revision,
         )
 
     async def claim(self, key: str, request: Any) -> Any:
@@ -173,7 +176,7 @@
         return answer.claim
 
     async def report_suspect(self, key: str, report: Any) -> Any:
-        """Commits a report that a request killed a backend server.
+        """Commits a report on requests that may kill backend servers.
 
         With an empty `endpoint_id` it only reads the number of deaths, which
         this instance may not have in full.
@@ -235,6 +238,18 @@
             self.report_bad_frame("a required field of a message is missing")
             raise ttypes.Refused(reason="bad message") from None
 
+    def _read_suspects(self, heartbeat: Any, is_same_epoch: bool) -> Any:
+        """Returns what changed of the suspects; None if nothing did."""
+        if heartbeat.suspect_revision is None:
+            return None
+        revision = heartbeat.suspect_revision if is_same_epoch else 0
+        if revision == self._machine.suspects.revision:
+            return None
+        return [
+            ttypes.SuspectRow(fingerprint=name, event_ids=event_ids)
+            for name, event_ids in self._machine.suspects.read(revision)
+        ]
+
     def _store_endpoints(self, endpoints: Any, now_s: float) -> None:
         for message in endpoints:
             try:
--- a/src/cranberrymux/control/state_machine.py
+++ b/src/cranberrymux/control/state_machine.py
@@ -75,14 +75,27 @@
                 asked.owner_incarnation,
             )
         elif command.suspect is not None:
-            asked = command.suspect
-            deaths = self.suspects.report(
-                asked.fingerprint,
-                f"{asked.endpoint_id} {asked.incarnation}",
+            answer.suspect = self._apply_suspect(command.suspect)
+        return answer
+
+    def _apply_suspect(self, report: Any) -> Any:
+        if report.items is None:
+            self.suspects.report(
+                report.fingerprint,
+                f"{report.endpoint_id} {report.incarnation}",
                 self._now_ms,
             )
-            answer.suspect = ttypes.SuspectAnswer(deaths=deaths)
-        return answer
+            deaths = self.suspects.count(report.fingerprint)
+            return ttypes.SuspectAnswer(deaths=deaths)
+        for item in report.items:
+            self.suspects.report(
+                item.fingerprint,
+                item.event_id,
+                self._now_ms,
+                item.maximum_ids or suspect_ledger.MAXIMUM_EVENTS,
+            )
+        event_ids = self.suspects.get(report.fingerprint)
+        return ttypes.SuspectAnswer(deaths=len(event_ids), event_ids=event_ids)
 
     def dump(self) -> Iterator[bytes]:
         """Returns the encoded present state in parts that are to be joined.
--- a/src/cranberrymux/decisions/pressure/slot_scheduler.py
+++ b/src/cranberrymux/decisions/pressure/slot_scheduler.py
@@ -70,6 +70,7 @@
         self._sequence = itertools.count()
         self._evicted: list[int] = []
         self._mean_hold_s = 0.0
+        self._is_paused = False
 
     @property
     def slots(self) -> int:
@@ -100,6 +101,14 @@
         """Applies the number of slots that the backend server announces."""
         self._slots = max(slots, 1)
 
+    def set_paused(self, is_paused: bool) -> None:
+        """Keeps requests waiting, or lets them start again."""
+        self._is_paused = is_paused
+
+    def start_alone(self, now_s: float, ticket_id: int) -> None:
+        """Starts a request while others are kept waiting."""
+        self._start(now_s, ticket_id)
+
     def set_rate_limit(self, now_s: float, per_s: float | None) -> None:
         """Applies the limit that the backend server names.
 
@@ -238,9 +247,9 @@
         return min(self._slots, math.ceil(MAXIMUM_OPEN_S * self._bucket.per_s))
 
     def _can_start(self, now_s: float) -> bool:
-        return len(self._running) < self._usable_slots and (
-            self._bucket is None or self._bucket.has_token(now_s)
-        )
+        if self._is_paused or len(self._running) >= self._usable_slots:
+            return False
+        return self._bucket is None or self._bucket.has_token(now_s)
 
     def _start(self, now_s: float, ticket_id: int) -> None:
         self._running[ticket_id] = now_s
--- a/src/cranberrymux/decisions/quarantine/fingerprint.py
+++ b/src/cranberrymux/decisions/quarantine/fingerprint.py
@@ -7,34 +7,40 @@
 
 
 class Fingerprint(NamedTuple):
-    """Identity of a call; a resend shares at least one of its two keys.
+    """Identity of a call; a resend shares at least one of its keys.
 
     Attributes:
-        service: Service that the call goes to. Deaths are counted per service,
-            so that calls of the same request to other services are not
-            suspected.
-        request_id: UUID of the whole request.
+        scope: Service that the call goes to, where deaths are counted per
+            service, so that calls of the same request to other services are
+            not suspected. Empty where the digest covers what selects the
+            service.
+        request_id: UUID of the whole request; empty if a resend has another
+            id.
         digest: Hexadecimal digest of method, path, body length and body.
     """
 
-    service: str
+    scope: str
     request_id: str
     digest: str
 
     @property
-    def keys(self) -> tuple[str, str]:
-        """Keys of request id and digest that deaths are counted under.
+    def keys(self) -> tuple[str, ...]:
+        """Keys that deaths are counted under, that of the digest last.
 
         The shared state uses the same keys.
         """
-        return (
-            f"{self.service}/id:{self.request_id}",
-            f"{self.service}/digest:{self.digest}",
-        )
+        if not self.request_id:
+            return (self.digest_key,)
+        return (f"{self.scope}/id:{self.request_id}", self.digest_key)
+
+    @property
+    def digest_key(self) -> str:
+        """Key that all resends share whose content is the same."""
+        return f"{self.scope}/digest:{self.digest}"
 
 
 def make(
-    service: str,
+    scope: str,
     request_id: str,
     method: str,
     path: str,
@@ -45,14 +51,14 @@
     """Returns the fingerprint of a call.
 
     Args:
-        service: Service that the call goes to.
-        request_id: UUID of the whole request.
+        scope: Service that the call goes to; see `Fingerprint`.
+        request_id: UUID of the whole request; see `Fingerprint`.
         method: HTTP method.
-        path: Path with its query.
+        path: Path with its query, or the whole URL.
         body: The body, or its beginning if the body is streamed.
         body_bytes: Length of the whole body in bytes; -1 if unknown.
     """
     head = f"{method} {path} {body_bytes}\n".encode("utf-8", "surrogateescape")
     digest = hashlib.blake2b(head, digest_size=DIGEST_BYTES)
     digest.update(body)
-    return Fingerprint(service, request_id, digest.hexdigest())
+    return Fingerprint(scope, request_id, digest.hexdigest())
--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -1,16 +1,23 @@
 """Decides how isolated a call runs after deaths of backend servers."""
 
-from cranberrymux.decisions.quarantine import clear_report
-from cranberrymux.decisions.quarantine import death_record
-from cranberrymux.decisions.quarantine import death_records
-from cranberrymux.decisions.quarantine import death_report
-from cranberrymux.decisions.quarantine import fingerprint as fingerprint_module
+from collections.abc import Iterable
+import math
+
+from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
 from cranberrymux.decisions.quarantine import quarantine_settings
+from cranberrymux.decisions.quarantine import report_kind
+from cranberrymux.decisions.quarantine import running_suspects
+from cranberrymux.decisions.quarantine import suspect_record
+from cranberrymux.decisions.quarantine import suspect_records
+from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
 
+_Kind = report_kind.ReportKind
+_Report = suspect_report.SuspectReport
+
 
 class Quarantine:
     """Counts deaths by fingerprint and classifies the calls of one endpoint.
@@ -18,7 +25,7 @@
     For every call, the node calls `classify`, then passes the result on to
     admission, which isolates suspects, and calls `start` and `finish`. When
     its backend server dies, it calls `endpoint_died` and sends the reports to
-    the shared state. Reports of other nodes are taken in by `merge_report`.
+    the shared state. Reports of other nodes are taken in by `merge`.
     """
 
     def __init__(
@@ -37,20 +44,19 @@
         self._settings = settings
         self._endpoint_id = endpoint_id
         self._incarnation = incarnation
-        self._records = death_records.DeathRecords(settings)
-        self._running: dict[str, fingerprint_module.Fingerprint] = {}
-        self._suspects: set[str] = set()
+        self._records = suspect_records.SuspectRecords(settings)
+        self._running = running_suspects.RunningSuspects()
         self._deaths = 0
 
     @property
     def record_count(self) -> int:
-        """Number of keys with a death record."""
+        """Number of keys with a record."""
         return len(self._records)
 
     def classify(
         self,
         now_s: float,
-        fingerprint: fingerprint_module.Fingerprint,
+        fingerprint: fingerprints.Fingerprint,
         lost_attempts: int = 0,
     ) -> isolation.Isolation | refusal.Refusal:
         """Decides how a call may run, by the deaths counted for it.
@@ -66,16 +72,19 @@
             The isolation of the call, or a final refusal once the service has
             lost the allowed number of backend servers to it.
         """
-        deaths = max(self._count_open_deaths(now_s, fingerprint), lost_attempts)
-        found = [self._records.get(now_s, key) for key in fingerprint.keys]
-        was_sole = any(one.was_sole for one in found if one is not None)
-        settings = self._settings
-        allowed = settings.maximum_deaths
-        if was_sole:
-            allowed = min(allowed, settings.maximum_deaths_if_sole)
-        if deaths >= allowed:
-            id_record = found[0]
-            has_run = id_record is not None and id_record.open_deaths > 0
+        found = self._find(now_s, fingerprint)
+        counted = max((one.open_deaths for one in found.values()), default=0)
+        deaths = max(counted, lost_attempts)
+        was_sole = any(one.was_sole for one in found.values())
+        if self._settings.refuses(deaths, was_sole=was_sole):
+            for key, record in found.items():
+                self._records.put(key, record._replace(used_s=now_s))
+            id_record = found.get(fingerprint.keys[0])
+            has_run = (
+                bool(fingerprint.request_id)
+                and id_record is not None
+                and id_record.open_deaths > 0
+            )
             return refusal.Refusal(
                 # An earlier attempt under this id may have had an effect.
                 answer_kind.AnswerKind.UNKNOWN
@@ -84,16 +93,52 @@
                 refusal_reason.RefusalReason.QUARANTINED,
                 f"{deaths} backend servers died while running this call",
             )
-        if deaths >= settings.deaths_to_alone:
+        if deaths >= self._settings.deaths_to_alone:
             return isolation.Isolation.ALONE
         if deaths:
             return isolation.Isolation.SUSPECT
         return isolation.Isolation.CLEAR
 
+    def get_trial_wait_s(
+        self, now_s: float, fingerprint: fingerprints.Fingerprint
+    ) -> float:
+        """Returns the seconds until a refused call may run once more.
+
+        Without a trial, a call that met several deaths of another cause would
+        be refused for good.
+
+        Args:
+            now_s: Monotonic seconds.
+            fingerprint: Fingerprint of a call that `classify` refused.
+
+        Returns:
+            0.0 if it may run now; infinity if all trials are used up.
+        """
+        record = self._get(now_s, fingerprint.digest_key)
+        delays_s = self._settings.trial_delays_s
+        if record.open_trials >= len(delays_s):
+            return math.inf
+        if not record.was_sole and not record.open_trials:
+            return 0.0
+        due_s = record.changed_s + delays_s[record.open_trials]
+        return max(due_s - now_s, 0.0)
+
+    def make_trial(
+        self, now_s: float, fingerprint: fingerprints.Fingerprint
+    ) -> suspect_report.SuspectReport:
+        """Returns the report of the next trial of a refused call.
+
+        All nodes name the next trial alike, so that one of them can be granted
+        it. It counts once it is merged.
+        """
+        key = fingerprint.digest_key
+        number = len(self._get(now_s, key).trials)
+        return _Report(key, _Kind.TRIAL, f"trial-{number}")
+
     def start(
         self,
         ticket_id: str,
-        fingerprint: fingerprint_module.Fingerprint,
+        fingerprint: fingerprints.Fingerprint,
         *,
         is_suspect: bool,
     ) -> None:
@@ -104,13 +149,16 @@
             fingerprint: The fingerprint that was passed to `classify`.
             is_suspect: True if the result of `classify` was not `CLEAR`.
         """
-        self._running[ticket_id] = fingerprint
-        if is_suspect:
-            self._suspects.add(ticket_id)
+        self._running.start(ticket_id, fingerprint, is_suspect=is_suspect)
 
     def finish(
-        self, now_s: float, ticket_id: str, is_clean: bool
-    ) -> list[clear_report.ClearReport]:
+        self,
+        now_s: float,
+        ticket_id: str,
+        is_clean: bool,
+        *,
+        may_still_run: bool = False,
+    ) -> list[suspect_report.SuspectReport]:
         """Records the end of a call whose backend server is still alive.
 
         Args:
@@ -118,134 +166,183 @@
             ticket_id: Id of the call at admission; ignored if not in flight.
             is_clean: True if the backend server ran the call to its end.
                 Nothing is cleared otherwise, such as by a cancelled call.
+            may_still_run: True if the backend server may still be at work on
+                it, so that it counts if it dies within `linger_s`.
 
         Returns:
-            Reports for the shared state of the deaths that no longer count.
+            Reports for the shared state of what no longer counts.
         """
-        fingerprint = self._running.pop(ticket_id, None)
-        self._suspects.discard(ticket_id)
+        if may_still_run:
+            self._running.abandon(now_s, ticket_id)
+            return []
+        fingerprint = self._running.end(ticket_id)
         if fingerprint is None or not is_clean:
             return []
         return self._clear(now_s, fingerprint)
 
-    def endpoint_died(self, now_s: float) -> list[death_report.DeathReport]:
+    def has_abandoned(self, now_s: float) -> bool:
+        """True if a cancelled call may have ended the replaced endpoint."""
+        return self._running.has_abandoned(
+            now_s - self._settings.maximum_down_s
+        )
+
+    def endpoint_died(
+        self, now_s: float, *, is_past: bool = False
+    ) -> list[suspect_report.SuspectReport]:
         """Records the death of the backend server for every call in flight.
 
         All of these calls are suspects from now on, and none is in flight.
 
+        Args:
+            now_s: Monotonic seconds.
+            is_past: True if it died up to `maximum_down_s` ago.
+
         Returns:
-            Reports for the shared state, one for each key.
+            Reports for the shared state, one or two for each key.
         """
+        settings = self._settings
+        since_s = now_s - settings.linger_s
+        if is_past:
+            since_s -= settings.maximum_down_s
         self._deaths += 1
-        in_flight = sorted(set(self._running.values()))
-        sole_keys: tuple[str, ...] = ()
-        if len(self._suspects) == 1:
-            sole_keys = self._running[next(iter(self._suspects))].keys
-        self._running.clear()
-        self._suspects.clear()
-        digests_by_key: dict[str, frozenset[str]] = {}
+        event_id = f"{self._endpoint_id}#{self._incarnation}#{self._deaths}"
+        started_as_suspects = self._running.find_suspects()
+        in_flight = self._running.take_all(since_s)
+        suspects = {
+            one
+            for one in in_flight
+            if one in started_as_suspects
+            or self._get(now_s, one.digest_key).open_deaths
+        }
+        sole_digests = {one.digest for one in suspects}
+        reports = []
         for one in in_flight:
-            id_key, digest_key = one.keys
-            digests_by_key[id_key] = digests_by_key.get(id_key, frozenset()) | {
-                one.digest
-            }
-            digests_by_key[digest_key] = frozenset()
-        for key, digests in digests_by_key.items():
-            self._record_death(now_s, key, digests, key in sole_keys)
+            is_sole = sole_digests == {one.digest}
+            for key in one.keys:
+                reports.append(_Report(key, _Kind.DEATH, event_id))
+                if is_sole:
+                    reports.append(_Report(key, _Kind.SOLE_DEATH, event_id))
+        reports = list(dict.fromkeys(reports))
+        self.merge(now_s, reports)
+        self._note_digests(now_s, in_flight)
+        return reports
+
+    def merge(
+        self, now_s: float, reports: Iterable[suspect_report.SuspectReport]
+    ) -> list[suspect_report.SuspectReport]:
+        """Adds reports; returns those that were not known.
+
+        Args:
+            now_s: Monotonic seconds.
+            reports: Reports of any node, in any order.
+        """
+        new = []
+        for report in reports:
+            old = self._get(now_s, report.key)
+            record = old.add(report)
+            if record is old:
+                continue
+            new.append(report)
+            self._records.put(
+                report.key, record._replace(changed_s=now_s, used_s=now_s)
+            )
+        return new
+
+    def is_suspect(
+        self, now_s: float, fingerprint: fingerprints.Fingerprint
+    ) -> bool:
+        """True if deaths count for the content of a call."""
+        return self._get(now_s, fingerprint.digest_key).open_deaths > 0
+
+    def get_reports(
+        self, now_s: float, key: str
+    ) -> list[suspect_report.SuspectReport]:
+        """Returns all that is known of a key."""
+        return self._get(now_s, key).make_reports(key)
+
+    def get_latest_reports(
+        self, now_s: float, key_count: int
+    ) -> list[suspect_report.SuspectReport]:
+        """Returns all that is known of the keys that were used last."""
+        keys = self._records.get_latest_keys(key_count)
         return [
-            self._make_report(key, key in sole_keys) for key in digests_by_key
+            report for key in keys for report in self.get_reports(now_s, key)
         ]
 
-    def merge_report(
+    def take_unshared(
         self,
         now_s: float,
-        key: str,
-        deaths: int,
-        cleared: int = 0,
-        *,
-        was_sole: bool = False,
-    ) -> None:
-        """Merges counts of the shared state; the larger of each count is kept.
+        fingerprint: fingerprints.Fingerprint,
+        interval_s: float,
+    ) -> list[suspect_report.SuspectReport]:
+        """Returns the reports on a call if they were not shared for so long.
 
-        Args:
-            now_s: Monotonic seconds.
-            key: One of `Fingerprint.keys`.
-            deaths: Distinct deaths reported by all nodes of the service.
-            cleared: Largest `deaths` of the `ClearReport`s for the key.
-            was_sole: True if the key was the only suspect in flight at one of
-                the deaths that are not cleared.
+        Shared again while the call still comes, they are not forgotten where
+        only reports renew what is known.
         """
-        old = self._records.get(now_s, key) or death_record.EMPTY
-        merged = old._replace(
-            deaths=max(deaths, old.deaths),
-            cleared=max(cleared, old.cleared),
-            was_sole=was_sole or old.was_sole,
-        )
-        if merged.open_deaths <= 0:
-            merged = merged._replace(was_sole=False)
-        if merged != old:
-            self._records.put(key, merged._replace(changed_s=now_s))
-
-    def _count_open_deaths(
-        self, now_s: float, fingerprint: fingerprint_module.Fingerprint
-    ) -> int:
-        """Returns the larger of the open deaths of the two keys."""
-        found = [self._records.get(now_s, key) for key in fingerprint.keys]
-        known = [record for record in found if record is not None]
-        return max((one.open_deaths for one in known), default=0)
-
-    def _record_death(
-        self, now_s: float, key: str, digests: frozenset[str], was_sole: bool
+        key = fingerprint.digest_key
+        record = self._get(now_s, key)
+        since_s = max(record.changed_s, record.reported_s)
+        if not record.open_deaths or now_s - since_s < interval_s:
+            return []
+        self._records.put(key, record._replace(reported_s=now_s))
+        return record.make_reports(key)
+
+    def _get(self, now_s: float, key: str) -> suspect_record.SuspectRecord:
+        return self._records.get(now_s, key) or suspect_record.EMPTY
+
+    def _find(
+        self, now_s: float, fingerprint: fingerprints.Fingerprint
+    ) -> dict[str, suspect_record.SuspectRecord]:
+        """Returns the records of a call by key."""
+        found = {}
+        for key in fingerprint.keys:
+            record = self._records.get(now_s, key)
+            if record is not None:
+                found[key] = record
+        return found
+
+    def _note_digests(
+        self, now_s: float, in_flight: Iterable[fingerprints.Fingerprint]
     ) -> None:
-        old = self._records.get(now_s, key) or death_record.EMPTY
-        self._records.put(
-            key,
-            death_record.DeathRecord(
-                old.deaths + 1,
-                old.cleared,
-                was_sole or old.was_sole,
-                now_s,
-                old.digests | digests,
-            ),
-        )
+        """Notes which calls of a request were in flight at a death."""
+        for one in in_flight:
+            if not one.request_id:
+                continue
+            id_key = one.keys[0]
+            record = self._get(now_s, id_key)
+            digests = record.digests | {one.digest}
+            self._records.put(id_key, record._replace(digests=digests))
 
     def _clear(
-        self, now_s: float, fingerprint: fingerprint_module.Fingerprint
-    ) -> list[clear_report.ClearReport]:
+        self, now_s: float, fingerprint: fingerprints.Fingerprint
+    ) -> list[suspect_report.SuspectReport]:
         """Clears the deaths of a call that has run to its end.
 
         The request id is cleared only when every digest that was in flight
         under it has run to its end.
         """
-        id_key, digest_key = fingerprint.keys
-        reports = []
-        digest_record = self._records.get(now_s, digest_key)
-        if digest_record is not None and digest_record.open_deaths:
-            reports.append(self._clear_key(now_s, digest_key, digest_record))
-        id_record = self._records.get(now_s, id_key)
-        if id_record is None or fingerprint.digest not in id_record.digests:
+        reports = self._clear_key(now_s, fingerprint.digest_key)
+        if not fingerprint.request_id:
+            return reports
+        id_key = fingerprint.keys[0]
+        id_record = self._get(now_s, id_key)
+        if fingerprint.digest not in id_record.digests:
             return reports
         left = id_record.digests - {fingerprint.digest}
-        id_record = id_record._replace(digests=left)
+        self._records.put(
+            id_key,
+            id_record._replace(digests=left, changed_s=now_s, used_s=now_s),
+        )
         if left:
             # Another call of the same request may be the cause of the death.
-            self._records.put(id_key, id_record._replace(changed_s=now_s))
             return reports
-        reports.append(self._clear_key(now_s, id_key, id_record))
-        return reports
+        return reports + self._clear_key(now_s, id_key)
 
     def _clear_key(
-        self, now_s: float, key: str, record: death_record.DeathRecord
-    ) -> clear_report.ClearReport:
-        record = record._replace(
-            cleared=record.deaths, was_sole=False, changed_s=now_s
-        )
-        self._records.put(key, record)
-        return clear_report.ClearReport(key, record.deaths)
-
-    def _make_report(
-        self, key: str, was_sole: bool
-    ) -> death_report.DeathReport:
-        return death_report.DeathReport(
-            key, self._endpoint_id, self._incarnation, self._deaths, was_sole
-        )
+        self, now_s: float, key: str
+    ) -> list[suspect_report.SuspectReport]:
+        open_events = sorted(self._get(now_s, key).open_events)
+        reports = [_Report(key, _Kind.CLEARED, one) for one in open_events]
+        self.merge(now_s, reports)
+        return reports
--- a/src/cranberrymux/decisions/quarantine/death_records.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_records.py
@@ -1,13 +1,13 @@
-"""Table of death records, bounded in number and age."""
+"""Table of records of suspects, bounded in number and age."""
 
 import collections
 
-from cranberrymux.decisions.quarantine import death_record
 from cranberrymux.decisions.quarantine import quarantine_settings
+from cranberrymux.decisions.quarantine import suspect_record
 
 
-class DeathRecords:
-    """Keeps the records by key, in the order of their last change."""
+class SuspectRecords:
+    """Keeps the records by key, in the order of their last use."""
 
     def __init__(
         self, settings: quarantine_settings.QuarantineSettings
@@ -19,32 +19,39 @@
         """
         self._settings = settings
         self._records: collections.OrderedDict[
-            str, death_record.DeathRecord
+            str, suspect_record.SuspectRecord
         ] = collections.OrderedDict()
 
     def __len__(self) -> int:
         """Returns the number of stored records."""
         return len(self._records)
 
-    def get(self, now_s: float, key: str) -> death_record.DeathRecord | None:
+    def get(
+        self, now_s: float, key: str
+    ) -> suspect_record.SuspectRecord | None:
         """Returns the record of a key; None if absent or expired."""
         record = self._records.get(key)
         if record is None or self._is_expired(now_s, record):
             return None
         return record
 
-    def put(self, key: str, record: death_record.DeathRecord) -> None:
+    def put(self, key: str, record: suspect_record.SuspectRecord) -> None:
         """Stores a record and drops expired and excess records."""
         self._records[key] = record
         self._records.move_to_end(key)
-        self._drop_expired(record.changed_s)
+        self._drop_expired(record.used_s)
         while len(self._records) > self._settings.maximum_records:
             del self._records[self._find_evictable()]
 
+    def get_latest_keys(self, count: int) -> list[str]:
+        """Returns the keys of the records that were used last."""
+        keys = list(self._records)
+        return keys[-count:]
+
     def _is_expired(
-        self, now_s: float, record: death_record.DeathRecord
+        self, now_s: float, record: suspect_record.SuspectRecord
     ) -> bool:
-        return now_s - record.changed_s >= self._settings.retention_s
+        return now_s - record.used_s >= self._settings.retention_s
 
     def _drop_expired(self, now_s: float) -> None:
         while self._records:
@@ -55,8 +62,8 @@
 
     def _find_evictable(self) -> str:
         """Returns the oldest key that is not refused, or else the oldest."""
-        maximum = self._settings.maximum_deaths
+        refuses = self._settings.refuses
         for key, record in self._records.items():
-            if record.open_deaths < maximum:
+            if not refuses(record.open_deaths, was_sole=record.was_sole):
                 return key
         return next(iter(self._records))
--- a/src/cranberrymux/gateway/control_connections.py
+++ b/src/cranberrymux/gateway/control_connections.py
@@ -39,6 +39,10 @@
             self._make_client(address, now_s)
         return list(self._clients.values())
 
+    def get_clients(self) -> list[control_client.ControlClient]:
+        """Returns the clients of all control instances known at present."""
+        return list(self._clients.values())
+
     def set_directory_task(self, task: directory_task.DirectoryTask) -> None:
         """Sets the task to which later clients are added."""
         self._task = task
--- a/src/cranberrymux/gateway/entry_answer.py
+++ b/src/cranberrymux/gateway/entry_answer.py
@@ -87,11 +87,21 @@
         self._log.log_own_answer(_Outcome.TRUNCATED, detail)
         self._call.abort()
 
-    def refuse(self, outcome: own_answers.Outcome, detail: str = "") -> None:
+    def refuse(
+        self,
+        outcome: own_answers.Outcome,
+        detail: str = "",
+        minimum_delay_s: float = 0.0,
+    ) -> None:
         """Answers that the request did not run.
 
         An attempt that may have run makes this a failure, and a kept failure
         of an endpoint is sent instead.
+
+        Args:
+            outcome: Why it did not run.
+            detail: Cause, for the log.
+            minimum_delay_s: Seconds after which a retry can succeed.
         """
         if self._attempts.may_have_run:
             self.fail(
@@ -102,7 +112,9 @@
             return
         self._log.log_own_answer(outcome, detail)
         retry_delay_s = max(
-            self._origin.draw_retry_delay_s(), self._attempts.room_wait_s
+            self._origin.draw_retry_delay_s(),
+            self._attempts.room_wait_s,
+            minimum_delay_s,
         )
         own_answers.refuse(
             self._parts, self._call, outcome.value, retry_delay_s
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -14,6 +14,7 @@
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import relay
 from cranberrymux.gateway import request_log
+from cranberrymux.gateway import suspicion
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
@@ -26,6 +27,9 @@
 STREAMING_GRACE_S = 0.2
 
 _Outcome = own_answers.Outcome
+_BACKEND_DIED = lost_answer.LostAnswer(
+    lost_answer.LossReason.CONNECTION_LOST, True, "the backend server died"
+)
 
 
 class EntryCall(relay.Relay):
@@ -72,6 +76,7 @@
         self._answer = entry_answer.EntryAnswer(
             parts, call, self._origin, self._attempts, self._log
         )
+        self._suspicion = suspicion.Suspicion(parts, digest)
         self._endpoint: endpoint_view.EndpointView | None = None
         self._sent_s = 0.0
         self._is_repeated_after_failure = False
@@ -87,6 +92,9 @@
         if not self._parts.can_end_before_stop(self._began_s, self._deadline_s):
             self._refuse(_Outcome.STOPPING)
             return
+        if self._suspicion.is_refused:
+            self._refuse(_Outcome.QUARANTINED)
+            return
         tree_context = self._origin.admit(self._began_s)
         if tree_context is None:
             self._refuse(_Outcome.SHED)
@@ -107,6 +115,9 @@
             self._cancel_timer()
             self._handle_timeout()
             return
+        if self._suspicion.is_refused:
+            self._refuse(_Outcome.QUARANTINED)
+            return
         endpoint = self._attempts.choose(now_s)
         if endpoint is None:
             was_tried = bool(self._attempts.tried_ids)
@@ -124,7 +135,11 @@
         self, endpoint: endpoint_view.EndpointView, left_ms: int
     ) -> attempt_module.Attempt:
         dialect = self._parts.settings.dialect
-        headers = [*self._headers, *self._attempts.headers()]
+        headers = [
+            *self._headers,
+            *self._attempts.headers(),
+            *self._suspicion.headers(),
+        ]
         record = endpoint.record
         return attempt_module.Attempt(
             self._parts.hop_connections,
@@ -149,6 +164,10 @@
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
         """Passes an answer on, or sends the request to another endpoint."""
+        self._suspicion.learn(head)
+        if hop_answer.has_died(head):
+            self.attempt_lost(_BACKEND_DIED)
+            return
         endpoint = self._release_endpoint()
         now_s = self._parts.clock.now_s()
         self._origin.learn_from_answer(
@@ -292,6 +311,9 @@
         """
         if endpoint is not None and reason not in hop.BUSY_REASONS:
             endpoint.note_not_serving(now_s)
+        if reason == hop.QUARANTINED:
+            self._refuse(_Outcome.QUARANTINED)
+            return
         is_sent_again = not self._attempts.is_streamed
         if reason == hop.BACKEND_FULL:
             self._attempts.note_refused(endpoint)
@@ -328,7 +350,10 @@
 
     def _refuse(self, outcome: own_answers.Outcome, detail: str = "") -> None:
         self._cancel_timer()
-        self._answer.refuse(outcome, detail)
+        minimum_delay_s = 0.0
+        if outcome is _Outcome.QUARANTINED:
+            minimum_delay_s = self._suspicion.retry_delay_s
+        self._answer.refuse(outcome, detail, minimum_delay_s)
 
     def _fail(
         self, outcome: own_answers.Outcome, status: int, detail: str
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -16,8 +16,10 @@
 from cranberrymux.gateway import exit_limit
 from cranberrymux.gateway import exit_owner
 from cranberrymux.gateway import exit_pressure
+from cranberrymux.gateway import exit_suspects
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import peer_messages
 from cranberrymux.models import socket_address
 from cranberrymux.models import whole_number
 from cranberrymux.node.http import connection_pool
@@ -41,6 +43,7 @@
 
     Attributes:
         limit: The rate limit of the backend server.
+        suspects: Requests that may crash the backend server.
     """
 
     def __init__(
@@ -68,10 +71,14 @@
         self._pressure = exit_pressure.ExitPressure(
             parts, self._scheduler, self.describe_load
         )
+        self._peer_messages = peer_messages.PeerMessages(parts)
         self._health = backend_health.BackendHealth(parts)
         self.limit = exit_limit.ExitLimit(
             parts, self._scheduler, self._pressure, on_leaving
         )
+        self.suspects = exit_suspects.ExitSuspects(parts, self._scheduler, self)
+        parts.quarantine.on_dead = self._backend_unreachable
+        parts.quarantine.is_end_planned = self._is_end_planned
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._ticket_ids = itertools.count(1)
         self._is_stopping = False
@@ -88,26 +95,36 @@
         current = self._presence.current
         if current is not None:
             self.limit.use_process(current.process)
-            self._scheduler.set_slots(
-                max(int(USED_SLOT_RATIO * current.slots), 1)
-            )
+            slots = max(int(USED_SLOT_RATIO * current.slots), 1)
+            self._scheduler.set_slots(slots)
+            self.suspects.set_slots(slots)
         if not self._presence.is_serving(self._parts.clock.now_s()):
-            self._refuse_waiting(self._scheduler.pop_all(), hop.DRAINING)
+            self._refuse_all_waiting(hop.DRAINING)
         self._start_waiting()
 
     def announcement_received(
-        self, received: announcement.Announcement
+        self,
+        received: announcement.Announcement,
+        previous: announcement.Announcement | None,
     ) -> None:
-        """Passes an announcement of the backend server on to its health."""
+        """Passes an announcement of the backend server on.
+
+        Args:
+            received: The announcement.
+            previous: The one before it; None if it is the first.
+        """
         self._health.note_announcement(received)
+        self.suspects.announcement_received(received, previous)
 
     def stop(self) -> None:
         """Refuses new and waiting requests; running ones continue."""
         self._is_stopping = True
-        self._refuse_waiting(self._scheduler.pop_all(), hop.STOPPING)
+        self._refuse_all_waiting(hop.STOPPING)
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
-        """Starts, queues or refuses a request."""
+        """Starts, queues or refuses a request; takes messages of nodes."""
+        if self._peer_messages.handle(call):
+            return
         now_s = self._parts.clock.now_s()
         name = self._parts.settings.dialect.deadline_ms
         left_ms = whole_number.decode(
@@ -116,7 +133,15 @@
         left_s = (left_ms or 0) / 1000
         ticket_id = next(self._ticket_ids)
         hop_call = exit_call.ExitCall(
-            self._parts, self, self._pool, call, ticket_id, now_s + left_s
+            self._parts,
+            self,
+            self._pool,
+            call,
+            exit_call.ExitTicket(
+                ticket_id,
+                now_s + MAXIMUM_WAIT_RATIO * left_s,
+                now_s + left_s,
+            ),
         )
         reason = self._find_refusal_reason(call, now_s)
         if reason:
@@ -128,25 +153,43 @@
             )
         self.limit.note_request(call.head.headers, hop_call.request_id)
         self._pressure.update(self.limit.per_s)
+        self._calls[ticket_id] = hop_call
+        if not self.suspects.hold(hop_call):
+            self.offer_slot(ticket_id)
+        self._watch_queue()
+
+    # Owner of the suspects.
+
+    def offer_slot(self, ticket_id: int) -> None:
+        """Starts, queues or refuses a request beside others."""
+        hop_call = self._calls[ticket_id]
         verdict = self._scheduler.offer(
-            now_s,
+            self._parts.clock.now_s(),
             slot_scheduler.Ticket(
                 ticket_id,
-                hop_call.tree_context.rank,
-                now_s + MAXIMUM_WAIT_RATIO * left_s,
-                now_s + left_s,
+                hop_call.rank,
+                hop_call.start_by_s,
+                hop_call.deadline_s,
             ),
         )
         self._refuse_waiting(self._scheduler.pop_evicted(), hop.FULL)
         if verdict is _Verdict.START:
-            self._calls[ticket_id] = hop_call
             self._start_call(ticket_id)
-        elif verdict is _Verdict.WAIT:
-            self._calls[ticket_id] = hop_call
-            if not self._queue_loop.running:
-                self._queue_loop.start(QUEUE_INTERVAL_S, now=False)
-        else:
-            hop_call.refuse(verdict.value.encode())
+        elif verdict is not _Verdict.WAIT:
+            self.refuse_held(ticket_id, verdict.value.encode())
+
+    def start_alone(self, ticket_id: int) -> None:
+        """Starts a request while no other runs."""
+        self._scheduler.start_alone(self._parts.clock.now_s(), ticket_id)
+        self._start_call(ticket_id)
+
+    def refuse_held(self, ticket_id: int, reason: bytes) -> None:
+        """Refuses a request that did not start."""
+        self._refuse_waiting([ticket_id], reason)
+
+    def is_open(self, ticket_id: int) -> bool:
+        """True unless a request has ended or was cancelled."""
+        return ticket_id in self._calls
 
     # Owner of the calls.
 
@@ -201,6 +244,7 @@
             )
         self._pressure.update(self.limit.per_s)
         report = self._end_running(ticket_id, hold_s)
+        self.suspects.ended(ticket_id)
         self._start_waiting()
         return report
 
@@ -239,12 +283,16 @@
         """Removes a waiting request whose sender cancelled it."""
         self._calls.pop(ticket_id, None)
         self._scheduler.cancel(ticket_id)
+        self.suspects.ended(ticket_id)
 
     def _find_refusal_reason(
         self, call: inbound_call.InboundCall, now_s: float
     ) -> bytes:
         if self._is_stopping:
             return hop.STOPPING
+        if self._parts.routes.table is None:
+            # The suspects come with the first configuration.
+            return hop.STARTING
         if not self._presence.is_serving(now_s):
             return hop.DRAINING
         current = self._presence.current
@@ -253,7 +301,19 @@
             return hop.OTHER_BACKEND
         return b"" if self._health.admits() else hop.STALLED
 
+    def _is_end_planned(self) -> bool:
+        current = self._presence.current
+        return (
+            current is not None
+            and current.state is announcement.BackendState.DRAINING
+        )
+
+    def _backend_unreachable(self) -> None:
+        """Lets other backend servers have the requests that wait for this."""
+        self._refuse_all_waiting(hop.UNREACHABLE)
+
     def _start_waiting(self) -> None:
+        self.suspects.advance()
         for ticket_id in self._scheduler.start_waiting(
             self._parts.clock.now_s()
         ):
@@ -276,11 +336,24 @@
             self._scheduler.pop_expired(self._parts.clock.now_s()),
             hop.LIMITED if self._scheduler.is_rate_limited else hop.FULL,
         )
-        if not self._scheduler.waiting and self._queue_loop.running:
+        if not self._is_waiting and self._queue_loop.running:
             self._queue_loop.stop()
 
+    @property
+    def _is_waiting(self) -> bool:
+        return bool(self._scheduler.waiting or self.suspects.waiting)
+
+    def _watch_queue(self) -> None:
+        if self._is_waiting and not self._queue_loop.running:
+            self._queue_loop.start(QUEUE_INTERVAL_S, now=False)
+
+    def _refuse_all_waiting(self, reason: bytes) -> None:
+        waiting = self._scheduler.pop_all() + self.suspects.pop_waiting()
+        self._refuse_waiting(waiting, reason)
+
     def _refuse_waiting(self, ticket_ids: list[int], reason: bytes) -> None:
         for ticket_id in ticket_ids:
             hop_call = self._calls.pop(ticket_id, None)
             if hop_call is not None:
+                self.suspects.ended(ticket_id)
                 hop_call.refuse(reason)
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -1,5 +1,7 @@
 """A request to the backend server beside this node."""
 
+from typing import NamedTuple
+
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import attempt as attempt_module
@@ -22,15 +24,35 @@
 # request is ended here, this much later.
 CANCELLATION_GRACE_S = 0.1
 
+# Only a connection that broke may tell of the end of the backend server.
+_BROKEN_CONNECTION = (
+    lost_answer.LossReason.CONNECTION_LOST,
+    lost_answer.LossReason.TRUNCATED,
+)
 _RunOutcome = run_outcome.RunOutcome
 
 
+class ExitTicket(NamedTuple):
+    """Number and times of a request at the hop port.
+
+    Attributes:
+        ticket_id: Number of the request, unique at this node.
+        start_by_s: Monotonic seconds after which a start is of no use.
+        deadline_s: Monotonic seconds at which its caller gives up.
+    """
+
+    ticket_id: int
+    start_by_s: float
+    deadline_s: float
+
+
 class ExitCall(relay.Relay):
     """Sends one request to the backend server once it has a slot.
 
     Attributes:
         ticket_id: Number of the request, unique at this node.
         tree_context: What the node where its tree began says of the tree.
+        start_by_s: Monotonic seconds after which a start is of no use.
         deadline_s: Monotonic seconds at which its caller gives up.
         request_id: Its id.
         digest: Digest of its content, which its resends share.
@@ -43,8 +65,7 @@
         owner: exit_owner.ExitOwner,
         pool: connection_pool.ConnectionPool,
         call: inbound_call.InboundCall,
-        ticket_id: int,
-        deadline_s: float,
+        ticket: ExitTicket,
     ) -> None:
         """Reads the headers of the call; `begin` sends it on.
 
@@ -53,17 +74,17 @@
             owner: Assigns the slots.
             pool: Connections to the backend server.
             call: The request, as received.
-            ticket_id: Number of the request, unique at this node.
-            deadline_s: Monotonic seconds at which its caller gives up.
+            ticket: Its number and times.
         """
         super().__init__()
         self._parts = parts
         self._owner = owner
         self._pool = pool
         self._call = call
-        self.ticket_id = ticket_id
+        self.ticket_id = ticket.ticket_id
+        self.start_by_s = ticket.start_by_s
+        self.deadline_s = ticket.deadline_s
         self.tree_context = hop.decode_tree_context(call.head.headers)
-        self.deadline_s = deadline_s
         dialect = parts.settings.dialect
         self.request_id = (
             headers_module.find(call.head.headers, dialect.request_id) or b""
@@ -73,6 +94,7 @@
         route = headers_module.find(call.head.headers, hop.ROUTE) or b""
         self.route = route.decode("latin-1")
         self._process = backend_process.BackendProcess("", 0)
+        self._address = connection_pool.Address("", 0)
         self._sent_s = 0.0
         self._has_outcome = False
         self._streamed: backend_verdict.BackendVerdict | None = None
@@ -80,6 +102,16 @@
         call.on_send_buffer_full = self._pause_answer
         call.on_send_buffer_drained = self._resume_answer
 
+    @property
+    def rank(self) -> float:
+        """Order of starting; lower ranks start first."""
+        return self.tree_context.rank
+
+    @property
+    def headers(self) -> headers_module.HeaderList:
+        """Headers of the request, with those between nodes."""
+        return self._call.head.headers
+
     def begin(
         self,
         address: connection_pool.Address,
@@ -92,6 +124,7 @@
             process: Its process. A server that has another id answers 421.
         """
         self._process = process
+        self._address = address
         dialect = self._parts.settings.dialect
         now_s = self._parts.clock.now_s()
         left_s = self.deadline_s - now_s
@@ -146,6 +179,7 @@
             (hop.LOAD, self._owner.encode_load()),
             (hop.WORK, work_report.encode(self._owner.report_share())),
             *self._owner.limit.encode(),
+            *self._owner.suspects.encode(self.digest),
         ]
         self._call.answer(503, headers, b"")
 
@@ -154,6 +188,7 @@
     def attempt_sent(self) -> None:
         """Records the time, which orders the answers that it may get."""
         self._sent_s = self._parts.clock.now_s()
+        self._owner.suspects.run_started(self)
 
     def attempt_answered(
         self, head: answer_head.AnswerHead, body: bytes
@@ -169,6 +204,8 @@
     ) -> None:
         """Ends the request with a whole answer, or without one."""
         self._cancel_timer()
+        is_clean = verdict.is_passed_on and not verdict.is_failure
+        self._owner.suspects.run_ended(self, is_clean=is_clean)
         is_failed_by_call = False
         if not verdict.refusal:
             is_failed_by_call = self._note_outcome(verdict.is_failure)
@@ -209,6 +246,8 @@
         """Ends a long answer that is complete."""
         assert self._streamed is not None
         self._cancel_timer()
+        is_clean = not self._streamed.is_failure
+        self._owner.suspects.run_ended(self, is_clean=is_clean)
         self._note_outcome(self._streamed.is_failure)
         self._owner.call_finished(self, self._streamed.outcome)
         self._count_status(self._streamed.status)
@@ -219,6 +258,10 @@
         self._cancel_timer()
         self._note_outcome(True)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED)
+        if loss.reason in _BROKEN_CONNECTION:
+            self._explain_loss(loss.detail)
+            return
+        self._owner.suspects.run_ended(self, is_clean=False)
         if not loss.is_handed_over:
             self._parts.events.info(
                 "backend-unreachable",
@@ -231,6 +274,35 @@
             return
         self._abort_lost(loss.detail)
 
+    def _explain_loss(self, detail: str) -> None:
+        """Ends a request whose connection broke once it is known why."""
+
+        def explained(is_dead: bool) -> None:
+            if is_dead and not self._call.is_head_sent:
+                self._answer_died()
+            else:
+                self._abort_lost(detail)
+
+        self._owner.suspects.run_lost(self, self._address, explained)
+
+    def _answer_died(self) -> None:
+        """Answers that the backend server died while it ran the request."""
+        self._parts.metrics.hops.labels("died").inc()
+        self._parts.events.info(
+            "backend-answer-lost",
+            request_id=self.request_id.decode("latin-1"),
+            digest=self.digest,
+            backend_id=self._process.backend_id,
+            route=self.route,
+            detail="the backend server died",
+        )
+        headers = [
+            (self._parts.settings.dialect.request_id, self.request_id),
+            (hop.DIED, b"1"),
+            *self._owner.suspects.encode(self.digest),
+        ]
+        self._call.answer(502, headers, b"")
+
     def _abort_lost(self, detail: str) -> None:
         """Aborts without an answer; the sending node informs its client."""
         self._parts.metrics.hops.labels("lost").inc()
@@ -247,6 +319,7 @@
     def _handle_timeout(self) -> None:
         self._timer = None
         self._cancel_attempt()
+        self._owner.suspects.run_abandoned(self)
         self._note_outcome(True)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED)
         self._call.abort()
@@ -257,6 +330,7 @@
             self._owner.remove_waiting(self.ticket_id)
             return
         self._attempt.cancel()
+        self._owner.suspects.run_abandoned(self)
         if self._parts.clock.now_s() >= self.deadline_s:
             self._note_outcome(True)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED)
--- a/src/cranberrymux/gateway/exit_owner.py
+++ b/src/cranberrymux/gateway/exit_owner.py
@@ -6,6 +6,7 @@
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import exit_limit
+from cranberrymux.gateway import exit_suspects
 from cranberrymux.gateway import hop
 
 
@@ -30,9 +31,11 @@
 
     Attributes:
         limit: The rate limit of the backend server.
+        suspects: Requests that may crash the backend server.
     """
 
     limit: exit_limit.ExitLimit
+    suspects: exit_suspects.ExitSuspects
 
     def encode_load(self) -> bytes:
         """Encodes the load report that answers carry."""
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -60,12 +60,16 @@
         self._reactor = reactor
         self._events = structlog.get_logger()
         self._routes = routes_holder.RoutesHolder()
+        self._control_connections = control_connections.ControlConnections(
+            settings, reactor
+        )
         self._parts = parts_module.GatewayParts(
             settings,
             reactor,
             self._routes,
             generator or random.Random(),
             system_clock or boot_clock.BootClock(),
+            self._control_connections.get_clients,
         )
         self._clock = self._parts.clock
         self._presence = presence_module.Presence(settings.backend_lifetime_s)
@@ -76,9 +80,6 @@
         self._own_endpoint = own_endpoint.OwnEndpoint(
             settings, self._clock.now_unix_ms()
         )
-        self._control_connections = control_connections.ControlConnections(
-            settings, reactor
-        )
         self._directory = directory_task.DirectoryTask(
             settings,
             self._control_connections.make_clients(self._clock.now_s()),
@@ -135,9 +136,10 @@
         self, received: announcement_module.Announcement
     ) -> presence_module.PresenceChange:
         """Applies an announcement of the backend server unless it is stale."""
+        previous = self._presence.current
         change = self._presence.announce(received, self._clock.now_s())
         if change is not presence_module.PresenceChange.STALE:
-            self._exit.announcement_received(received)
+            self._exit.announcement_received(received, previous)
         self._handle_change(change, received.backend_id)
         return change
 
@@ -191,11 +193,16 @@
         self, records: Sequence[endpoint_record.EndpointRecord]
     ) -> None:
         """Updates the endpoints; their number divides the repeat budget."""
+        self._share_suspects(records)
         root_admission = self._parts.entry_admission.root_admission
         for service in self._parts.endpoints.update(records):
             root_admission.reset_service_share(service)
         self._parts.repeats.set_node_count(self._parts.endpoints.count)
 
+    def suspects_changed(self, rows: Sequence[Any]) -> None:
+        """Learns what the control instances know of crashing requests."""
+        self._parts.quarantine.merge_rows(rows)
+
     def configuration_changed(self, version: int, document: str) -> None:
         """Puts a configuration in force if its version is higher."""
         had_none = self._routes.table is None
@@ -221,6 +228,18 @@
         """Connects to control instances, given as `ip:port`, that are new."""
         self._control_connections.add_addresses(addresses, self._clock.now_s())
 
+    def _share_suspects(
+        self, records: Sequence[endpoint_record.EndpointRecord]
+    ) -> None:
+        """Tells siblings that have started which requests are suspects."""
+        own = [one for one in records if one.service == self._settings.service]
+        started = self._parts.siblings.update(own)
+        if not started:
+            return
+        for message in self._parts.quarantine.encode_latest():
+            for sibling in started:
+                self._parts.siblings.send(sibling, message)
+
     def _backend_found(
         self,
         found: announcement_module.Announcement,
@@ -269,6 +288,7 @@
         return self._exit.in_flight + self._parts.open_entry_calls
 
     def _close(self) -> None:
+        self._parts.quarantine.stop()
         self._ports.close()
         self._directory.stop()
         # Leaves time for the last answers to be written to their clients.
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -5,6 +5,7 @@
 
 from cranberrymux.decisions.rate_limits import rate_limit_value
 from cranberrymux.models import whole_number
+from cranberrymux.node import suspect_message
 from cranberrymux.node.http import headers as headers_module
 
 PREFIX = b"cranberrymux-"
@@ -41,6 +42,11 @@
 
 # On requests: digest of the request's content, which its resends share.
 DIGEST = b"cranberrymux-digest"
+# On requests and answers: what the sender knows of the deaths of backend
+# servers under requests with that digest; see `node.suspect_message`.
+SUSPECT = suspect_message.HEADER
+# On answers: the backend server died while it ran the request.
+DIED = b"cranberrymux-died"
 
 # Values of `NOT_RUN`.
 FULL = b"full"
@@ -51,12 +57,25 @@
 STOPPING = b"stopping"
 OTHER_BACKEND = b"other-backend"
 UNREACHABLE = b"unreachable"
+# The node does not know yet which requests crash backend servers.
+STARTING = b"starting"
+# Backend servers died under earlier sendings of the request.
+QUARANTINED = b"quarantined"
+# The request is a suspect, and others are to run here before it.
+SUSPECT_WAITS = b"suspect-waits"
 # The backend server takes requests and answers none.
 STALLED = b"stalled"
 # The backend server itself refused the request.
 BACKEND_FULL = b"backend-full"
 MISDIRECTED = b"misdirected"
-BUSY_REASONS = (FULL, LIMITED, TOO_LATE, BACKEND_FULL)
+BUSY_REASONS = (
+    FULL,
+    LIMITED,
+    TOO_LATE,
+    BACKEND_FULL,
+    QUARANTINED,
+    SUSPECT_WAITS,
+)
 
 # Calls of an admitted tree start before roots of equal importance.
 CALL_RANK_BONUS = 0.5
--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -17,6 +17,11 @@
     return head.status >= MINIMUM_SERVER_ERROR_STATUS
 
 
+def has_died(head: answer_head.AnswerHead) -> bool:
+    """True if the backend server died while it ran the request."""
+    return headers_module.find(head.headers, hop.DIED) is not None
+
+
 def has_failed_call(head: answer_head.AnswerHead) -> bool:
     """True if it failed because a call of the request failed."""
     return headers_module.find(head.headers, hop.CALL_FAILED) is not None
--- a/src/cranberrymux/gateway/own_answers.py
+++ b/src/cranberrymux/gateway/own_answers.py
@@ -19,6 +19,7 @@
         NO_ENDPOINT: No endpoint of the service could be used.
         SHED: Root admission refused the request.
         REFUSED: All endpoints that were asked refused it.
+        QUARANTINED: Backend servers died under earlier sendings of it.
         EXPIRED: The deadline passed before it was sent.
         STOPPING: This node stops before the deadline.
         TIMED_OUT: The deadline passed after it was sent.
@@ -29,6 +30,7 @@
     NO_ENDPOINT = "no-endpoint"
     SHED = "shed"
     REFUSED = "refused"
+    QUARANTINED = "quarantined"
     EXPIRED = "expired"
     STOPPING = "stopping"
     TIMED_OUT = "timed-out"
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -1,5 +1,7 @@
 """State and services that all requests of a gateway share."""
 
+from collections.abc import Callable
+from collections.abc import Sequence
 import math
 import random
 from typing import Any
@@ -17,6 +19,9 @@
 from cranberrymux.gateway import running_requests
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.node import clock as clock_module
+from cranberrymux.node import quarantine_task
+from cranberrymux.node import siblings as siblings_module
+from cranberrymux.node import suspect_reporter
 from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import unexpected_answer
@@ -55,6 +60,8 @@
         parent_matcher: Finds the running request that made a call.
         running_requests: Requests that the backend server runs.
         hop_connections: Connections to other nodes.
+        siblings: Nodes of the other endpoints of the own service.
+        quarantine: Requests that may crash backend servers.
         metrics: Metrics of the gateway.
         open_entry_calls: Number of open requests at the entry port.
         restricted_from_s: Monotonic seconds from which, in a stop, a request is
@@ -70,6 +77,9 @@
         routes: RoutesInForce,
         generator: random.Random,
         system_clock: clock_module.Clock,
+        get_control_clients: Callable[
+            [], Sequence[suspect_reporter.ReportClient]
+        ],
     ) -> None:
         """Creates the state of a gateway that is not stopping.
 
@@ -79,6 +89,8 @@
             routes: Provides the configuration in force.
             generator: Random number generator.
             system_clock: Monotonic and wall clock.
+            get_control_clients: Returns the connections to the control
+                instances.
         """
         self.settings = settings
         self.reactor = reactor
@@ -103,6 +115,20 @@
             on_unexpected=self.note_unexpected_answer,
             limits=answer_limits.BETWEEN_NODES,
         )
+        self.siblings = siblings_module.Siblings(
+            settings.node_id, self.hop_connections
+        )
+        self.quarantine = quarantine_task.make(
+            quarantine_task.NodeIdentity(
+                settings.node_id,
+                system_clock.now_unix_ms(),
+                settings.cluster_key.encode(),
+            ),
+            system_clock,
+            reactor,
+            get_control_clients,
+            self.siblings.send_to_all,
+        )
         self.metrics = metrics_module.GatewayMetrics()
         self.open_entry_calls = 0
         self.restricted_from_s = math.inf
--- /dev/null
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -0,0 +1,82 @@
+"""What a request's first node knows of backend servers that died under it."""
+
+from cranberrymux.decisions.quarantine import fingerprint as fingerprints
+from cranberrymux.gateway import hop
+from cranberrymux.gateway import parts as parts_module
+from cranberrymux.models import refusal
+from cranberrymux.node import suspect_message
+from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import headers as headers_module
+
+# Retry delay for callers of a request that is refused until it is forgotten.
+MAXIMUM_RETRY_DELAY_S = 60.0
+
+
+def make_fingerprint(digest: str) -> fingerprints.Fingerprint:
+    """Returns the fingerprint of a request with this digest.
+
+    Each attempt of a client has another id, and the digest covers the host, so
+    that neither an id nor a service is part of it.
+    """
+    return fingerprints.Fingerprint("", "", digest)
+
+
+def encode(
+    parts: parts_module.GatewayParts, fingerprint: fingerprints.Fingerprint
+) -> headers_module.HeaderList:
+    """Returns the header that tells another node what is known of a request."""
+    reports = parts.quarantine.get_open_reports(fingerprint)
+    if not reports:
+        return []
+    return [(hop.SUSPECT, suspect_message.encode_value(reports))]
+
+
+def learn(
+    parts: parts_module.GatewayParts, headers: headers_module.HeaderList
+) -> None:
+    """Learns what another node says of a request."""
+    value = headers_module.find(headers, hop.SUSPECT)
+    if value is None:
+        return
+    reports = suspect_message.decode(value)
+    if reports is None:
+        parts.events.warning("bad-peer-message", detail="suspect header")
+        return
+    parts.quarantine.merge_from_caller(reports)
+
+
+class Suspicion:
+    """Whether a request that begins here may be sent to a backend server."""
+
+    def __init__(self, parts: parts_module.GatewayParts, digest: str) -> None:
+        """Keeps the digest.
+
+        Args:
+            parts: Shared state of the gateway.
+            digest: Digest of the request's content.
+        """
+        self._parts = parts
+        self._fingerprint = make_fingerprint(digest)
+
+    @property
+    def is_refused(self) -> bool:
+        """True if it may not be sent, unless as a trial that is due."""
+        verdict = self._parts.quarantine.classify(self._fingerprint)
+        return isinstance(verdict, refusal.Refusal) and self._wait_s > 0
+
+    @property
+    def retry_delay_s(self) -> float:
+        """Seconds after which a refused caller may try again."""
+        return min(self._wait_s, MAXIMUM_RETRY_DELAY_S)
+
+    def headers(self) -> headers_module.HeaderList:
+        """Returns the headers that tell the endpoint's node what is known."""
+        return encode(self._parts, self._fingerprint)
+
+    def learn(self, head: answer_head.AnswerHead) -> None:
+        """Learns from an answer of the endpoint's node."""
+        learn(self._parts, head.headers)
+
+    @property
+    def _wait_s(self) -> float:
+        return self._parts.quarantine.get_trial_wait_s(self._fingerprint)
--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -36,8 +36,11 @@
     ) -> None:
         """Takes the records of endpoints that are new or have changed."""
 
+    def suspects_changed(self, rows: Sequence[Any]) -> None:
+        """Takes rows of the ledger of suspects that have changed."""
+
     def configuration_changed(self, version: int, document: str) -> None:
-        """Takes a configuration.
+        """Takes a configuration; suspects known with it were taken before.
 
         Args:
             version: Version of the configuration.
@@ -92,6 +95,8 @@
         epoch: Directory epoch of its last answer; empty before the first.
         revision: Directory revision of its last answer; 0 requests the whole
             directory.
+        suspect_revision: Revision of the suspects in its last answer; 0
+            requests all of them.
         subscriptions: Services named in the last heartbeat.
         is_waiting: True while a heartbeat has no answer.
         is_due_again: True if a heartbeat must follow the one under way.
@@ -101,6 +106,7 @@
         self.client = client
         self.epoch = ""
         self.revision = 0
+        self.suspect_revision = 0
         self.subscriptions: tuple[str, ...] = ()
         self.is_waiting = False
         self.is_due_again = False
@@ -240,6 +246,7 @@
             directory_revision=session.revision,
             configuration_version=self._listener.configuration_version,
             directory_epoch=session.epoch,
+            suspect_revision=session.suspect_revision,
         )
 
     def _apply_answer(
@@ -248,6 +255,9 @@
         records = list(_decode_endpoints(answer.endpoints))
         if records:
             self._listener.endpoints_changed(records)
+        if answer.suspects:
+            self._listener.suspects_changed(answer.suspects)
+        session.suspect_revision = answer.suspect_revision or 0
         if answer.configuration is not None:
             self._listener.configuration_changed(
                 answer.configuration_version, answer.configuration
--- a/src/cranberrymux/node/environment_builder.py
+++ b/src/cranberrymux/node/environment_builder.py
@@ -10,8 +10,6 @@
 from cranberrymux.decisions.admission import controller
 from cranberrymux.decisions.answers import tombstone_settings
 from cranberrymux.decisions.answers import tombstones
-from cranberrymux.decisions.quarantine import quarantine
-from cranberrymux.decisions.quarantine import quarantine_settings
 from cranberrymux.decisions.retries import edge_buckets
 from cranberrymux.decisions.retries import entry_grants
 from cranberrymux.decisions.retries import retry_settings
@@ -128,19 +126,20 @@
 
 
 def _make_quarantine(parts: Parts) -> quarantine_task.QuarantineTask:
-    return quarantine_task.QuarantineTask(
-        quarantine.Quarantine(
-            quarantine_settings.QuarantineSettings(),
+    clients = list(parts.clients)
+    made = quarantine_task.make(
+        quarantine_task.NodeIdentity(
             parts.settings.node_id,
             parts.endpoint.incarnation,
+            parts.cluster_key.encode(),
         ),
         parts.clock,
         parts.reactor,
-        list(parts.clients),
+        lambda: clients,
         parts.siblings.send_to_all,
-        parts.on_backend_dead,
-        parts.cluster_key.encode(),
     )
+    made.on_dead = parts.on_backend_dead
+    return made
 
 
 def _make_outcomes_recorder(
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -24,6 +24,7 @@
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import request_identity
 
+_FIRST_SERVER_ERROR_STATUS = 500
 _Kind = answer_kind.AnswerKind
 _Outcome = outcome_module.Outcome
 _Reason = refusal_reason.RefusalReason
@@ -125,7 +126,7 @@
         """Sends a complete answer to the callers."""
         if self._claimed is not None:
             self._claimed.settle_answer(head, body)
-        self._finish_quarantine(True)
+        self._finish_quarantine(head.status < _FIRST_SERVER_ERROR_STATUS)
         has_failed_child = self._has_failed_child()
         unspent = self._end(ingress_answers.classify(head, has_failed_child))
         self._answers.forward(head, body, unspent, has_failed_child)
@@ -142,7 +143,9 @@
         assert self._streamed_head is not None
         if self._claimed is not None:
             self._claimed.settle(self._streamed_head.status, None)
-        self._finish_quarantine(True)
+        self._finish_quarantine(
+            self._streamed_head.status < _FIRST_SERVER_ERROR_STATUS
+        )
         self._end(
             ingress_answers.classify(
                 self._streamed_head, self._has_failed_child()
@@ -247,9 +250,13 @@
     def _has_failed_child(self) -> bool:
         return self._running is not None and self._running.has_failed_child
 
-    def _finish_quarantine(self, is_clean: bool) -> None:
+    def _finish_quarantine(
+        self, is_clean: bool, *, may_still_run: bool = False
+    ) -> None:
         if self._running is not None:
-            self._node.quarantine.finish(self._slot.ticket_id, is_clean)
+            self._node.quarantine.finish(
+                self._slot.ticket_id, is_clean, may_still_run=may_still_run
+            )
 
     def _refuse(self, refusal: refusal_module.Refusal) -> None:
         unspent = self._end(_Outcome.CANCELLED)
@@ -294,7 +301,7 @@
             return False
         was_handed_over = self._attempt.is_handed_over
         self._attempt.cancel()
-        self._finish_quarantine(False)
+        self._finish_quarantine(False, may_still_run=was_handed_over)
         if not was_handed_over:
             self._release_claim()
         return was_handed_over
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -182,11 +182,15 @@
         self, started: Sequence[endpoint_record.EndpointRecord]
     ) -> None:
         """Sends the suspects known here to siblings that have just started."""
-        messages = self._env.quarantine.encode_latest_deaths()
+        messages = self._env.quarantine.encode_latest()
         for sibling in started:
             for message in messages:
                 self._siblings.send(sibling, message)
 
+    def suspects_changed(self, rows: Sequence[Any]) -> None:
+        """Passes what the control instances know of suspects on."""
+        self._env.quarantine.merge_rows(rows)
+
     def configuration_changed(self, version: int, document: str) -> None:
         """Puts a configuration in force if it is valid and newer."""
         if version <= self._policy.version:
--- a/src/cranberrymux/node/peer_message_handler.py
+++ b/src/cranberrymux/node/peer_message_handler.py
@@ -46,11 +46,11 @@
 
     def _merge_suspect_report(self, call: inbound_call.InboundCall) -> None:
         value = headers.find(call.head.headers, suspect_message.HEADER)
-        report = None if value is None else suspect_message.decode(value)
-        if report is None:
+        reports = None if value is None else suspect_message.decode(value)
+        if reports is None:
             self._refuse(call, "cranberrymux-suspect is missing or not valid")
             return
-        self._node.quarantine.merge_report(report)
+        self._node.quarantine.merge_from_sibling(reports)
         call.answer(200, [], b"")
 
     def _refuse(self, call: inbound_call.InboundCall, detail: str) -> None:
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -23,6 +23,10 @@
     NODE_STOPPED = "node-stopped"
     BACKEND_SERVER_LOST = "backend-server-lost"
     BACKEND_SERVER_DIED = "backend-server-died"
+    SUSPECTS_SHARED = "suspects-shared"
+    SUSPECTS_LEARNED = "suspects-learned"
+    SUSPECT_REPORT_FAILED = "suspect-report-failed"
+    SUSPECT_TRIAL = "suspect-trial"
     CONFIGURATION_IN_FORCE = "configuration-in-force"
     CONFIGURATION_NOT_VALID = "configuration-not-valid"
 
--- a/src/cranberrymux/wire/cranberrymux.thrift
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -32,6 +32,15 @@
   5: required i64 directory_revision
   6: required i64 configuration_version
   7: required string directory_epoch
+  // Newest revision of the suspects that the node has of the answerer; absent
+  // in heartbeats of nodes that need none.
+  8: optional i64 suspect_revision
+}
+
+// The ids of the ledger of suspects under one name.
+struct SuspectRow {
+  1: required string fingerprint
+  2: required list<string> event_ids
 }
 
 // `configuration` is the YAML document of `configuration_version`, absent when
@@ -50,6 +59,9 @@
   9: optional bool drain
   // `ip:port` of every control instance that the answerer knows.
   10: optional list<string> control_instances
+  // Suspects changed since the heartbeat's `suspect_revision`.
+  11: optional list<SuspectRow> suspects
+  12: optional i64 suspect_revision
 }
 
 // `claim_id` is the same on each resend of one claim by one owner, so that the
@@ -123,14 +135,29 @@
   5: optional list<string> control_instances
 }
 
+// An id to add to the ledger of suspects under a name.
+struct SuspectItem {
+  1: required string fingerprint
+  2: required string event_id
+  // Not added if the name has so many ids.
+  3: optional i32 maximum_ids
+}
+
+// With `items`, these are added; else the death that the other fields name. An
+// empty `endpoint_id` adds nothing.
 struct SuspectReport {
   1: required string fingerprint
   2: required string endpoint_id
   3: required i64 incarnation
+  4: optional list<SuspectItem> items
 }
 
+// `deaths` is the number of ids under `fingerprint`, `event_ids` holds them if
+// the report had items.
+
 struct SuspectAnswer {
   1: required i32 deaths
+  2: optional list<string> event_ids
 }
 
 // A change of configuration. `base_version` is the version that the author
--- a/src/cranberrymux/wire/gen/messages/ttypes.py
+++ b/src/cranberrymux/wire/gen/messages/ttypes.py
@@ -295,11 +295,12 @@
      - directory_revision
      - configuration_version
      - directory_epoch
+     - suspect_revision
 
     """
 
 
-    def __init__(self, node_id=None, incarnation=None, endpoints=None, services=None, directory_revision=None, configuration_version=None, directory_epoch=None,):
+    def __init__(self, node_id=None, incarnation=None, endpoints=None, services=None, directory_revision=None, configuration_version=None, directory_epoch=None, suspect_revision=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.endpoints = endpoints
@@ -307,6 +308,7 @@
         self.directory_revision = directory_revision
         self.configuration_version = configuration_version
         self.directory_epoch = directory_epoch
+        self.suspect_revision = suspect_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -363,6 +365,11 @@
                     self.directory_epoch = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.suspect_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -407,6 +414,10 @@
             oprot.writeFieldBegin('directory_epoch', TType.STRING, 7)
             oprot.writeString(self.directory_epoch.encode('utf-8') if sys.version_info[0] == 2 else self.directory_epoch)
             oprot.writeFieldEnd()
+        if self.suspect_revision is not None:
+            oprot.writeFieldBegin('suspect_revision', TType.I64, 8)
+            oprot.writeI64(self.suspect_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -439,6 +450,86 @@
         return not (self == other)
 
 
+class SuspectRow(object):
+    """
+    Attributes:
+     - fingerprint
+     - event_ids
+
+    """
+
+
+    def __init__(self, fingerprint=None, event_ids=None,):
+        self.fingerprint = fingerprint
+        self.event_ids = event_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.event_ids = []
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.event_ids.append(_elem28)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectRow')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.event_ids is not None:
+            oprot.writeFieldBegin('event_ids', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.event_ids))
+            for iter29 in self.event_ids:
+                oprot.writeString(iter29.encode('utf-8') if sys.version_info[0] == 2 else iter29)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.event_ids is None:
+            raise TProtocolException(message='Required field event_ids is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HeartbeatAnswer(object):
     """
     Attributes:
@@ -452,11 +543,13 @@
      - vouched_ms
      - drain
      - control_instances
+     - suspects
+     - suspect_revision
 
     """
 
 
-    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None, control_instances=None,):
+    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None, control_instances=None, suspects=None, suspect_revision=None,):
         self.lease_ms = lease_ms
         self.directory_epoch = directory_epoch
         self.directory_revision = directory_revision
@@ -467,6 +560,8 @@
         self.vouched_ms = vouched_ms
         self.drain = drain
         self.control_instances = control_instances
+        self.suspects = suspects
+        self.suspect_revision = suspect_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -500,11 +595,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype26, _size23) = iprot.readListBegin()
-                    for _i27 in range(_size23):
-                        _elem28 = Endpoint()
-                        _elem28.read(iprot)
-                        self.endpoints.append(_elem28)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = Endpoint()
+                        _elem35.read(iprot)
+                        self.endpoints.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -531,13 +626,29 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.control_instances = []
-                    (_etype32, _size29) = iprot.readListBegin()
-                    for _i33 in range(_size29):
-                        _elem34 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_instances.append(_elem34)
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_instances.append(_elem41)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = SuspectRow()
+                        _elem47.read(iprot)
+                        self.suspects.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.suspect_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -567,8 +678,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter35 in self.endpoints:
-                iter35.write(oprot)
+            for iter48 in self.endpoints:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -590,10 +701,21 @@
         if self.control_instances is not None:
             oprot.writeFieldBegin('control_instances', TType.LIST, 10)
             oprot.writeListBegin(TType.STRING, len(self.control_instances))
-            for iter36 in self.control_instances:
-                oprot.writeString(iter36.encode('utf-8') if sys.version_info[0] == 2 else iter36)
+            for iter49 in self.control_instances:
+                oprot.writeString(iter49.encode('utf-8') if sys.version_info[0] == 2 else iter49)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter50 in self.suspects:
+                iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.suspect_revision is not None:
+            oprot.writeFieldBegin('suspect_revision', TType.I64, 12)
+            oprot.writeI64(self.suspect_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1209,10 +1331,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_instances = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_instances.append(_elem42)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_instances.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1245,8 +1367,8 @@
         if self.control_instances is not None:
             oprot.writeFieldBegin('control_instances', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_instances))
-            for iter43 in self.control_instances:
-                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
+            for iter57 in self.control_instances:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1275,20 +1397,105 @@
         return not (self == other)
 
 
+class SuspectItem(object):
+    """
+    Attributes:
+     - fingerprint
+     - event_id
+     - maximum_ids
+
+    """
+
+
+    def __init__(self, fingerprint=None, event_id=None, maximum_ids=None,):
+        self.fingerprint = fingerprint
+        self.event_id = event_id
+        self.maximum_ids = maximum_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.event_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.maximum_ids = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SuspectItem')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.event_id is not None:
+            oprot.writeFieldBegin('event_id', TType.STRING, 2)
+            oprot.writeString(self.event_id.encode('utf-8') if sys.version_info[0] == 2 else self.event_id)
+            oprot.writeFieldEnd()
+        if self.maximum_ids is not None:
+            oprot.writeFieldBegin('maximum_ids', TType.I32, 3)
+            oprot.writeI32(self.maximum_ids)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.event_id is None:
+            raise TProtocolException(message='Required field event_id is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class SuspectReport(object):
     """
     Attributes:
      - fingerprint
      - endpoint_id
      - incarnation
+     - items
 
     """
 
 
-    def __init__(self, fingerprint=None, endpoint_id=None, incarnation=None,):
+    def __init__(self, fingerprint=None, endpoint_id=None, incarnation=None, items=None,):
         self.fingerprint = fingerprint
         self.endpoint_id = endpoint_id
         self.incarnation = incarnation
+        self.items = items
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1314,6 +1521,17 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = SuspectItem()
+                        _elem63.read(iprot)
+                        self.items.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1336,6 +1554,13 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter64 in self.items:
+                iter64.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1364,12 +1589,14 @@
     """
     Attributes:
      - deaths
+     - event_ids
 
     """
 
 
-    def __init__(self, deaths=None,):
+    def __init__(self, deaths=None, event_ids=None,):
         self.deaths = deaths
+        self.event_ids = event_ids
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1385,6 +1612,16 @@
                     self.deaths = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.event_ids = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.event_ids.append(_elem70)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1399,6 +1636,13 @@
             oprot.writeFieldBegin('deaths', TType.I32, 1)
             oprot.writeI32(self.deaths)
             oprot.writeFieldEnd()
+        if self.event_ids is not None:
+            oprot.writeFieldBegin('event_ids', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.event_ids))
+            for iter71 in self.event_ids:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2196,6 +2440,13 @@
     (5, TType.I64, 'directory_revision', None, None, ),  # 5
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
     (7, TType.STRING, 'directory_epoch', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'suspect_revision', None, None, ),  # 8
+)
+all_structs.append(SuspectRow)
+SuspectRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'event_ids', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(HeartbeatAnswer)
 HeartbeatAnswer.thrift_spec = (
@@ -2210,6 +2461,8 @@
     (8, TType.I64, 'vouched_ms', None, None, ),  # 8
     (9, TType.BOOL, 'drain', None, None, ),  # 9
     (10, TType.LIST, 'control_instances', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRow, None], False), None, ),  # 11
+    (12, TType.I64, 'suspect_revision', None, None, ),  # 12
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
@@ -2264,17 +2517,26 @@
     (4, TType.I64, 'vouched_ms', None, None, ),  # 4
     (5, TType.LIST, 'control_instances', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
+all_structs.append(SuspectItem)
+SuspectItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'event_id', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'maximum_ids', None, None, ),  # 3
+)
 all_structs.append(SuspectReport)
 SuspectReport.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.LIST, 'items', (TType.STRUCT, [SuspectItem, None], False), None, ),  # 4
 )
 all_structs.append(SuspectAnswer)
 SuspectAnswer.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'deaths', None, None, ),  # 1
+    (2, TType.LIST, 'event_ids', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
 all_structs.append(ChangeRequest)
 ChangeRequest.thrift_spec = (
--- a/tests/control/test_state_machine.py
+++ b/tests/control/test_state_machine.py
@@ -93,3 +93,23 @@
     machine.apply(codec.encode(ttypes.Command(at_ms=START_MS)))
     machine.apply(codec.encode(ttypes.Command(at_ms=START_MS - 9)))
     assert machine.now_ms == START_MS
+
+
+def test_first_claim_of_a_name_with_one_id_holds():
+    machine = make_machine()
+    for reporter, granted in (("a", "a"), ("b", "a"), ("a", "a")):
+        report = ttypes.SuspectReport(
+            fingerprint="d/trial-0",
+            endpoint_id=reporter,
+            incarnation=0,
+            items=[
+                ttypes.SuspectItem(
+                    fingerprint="d/trial-0", event_id=reporter, maximum_ids=1
+                ),
+                ttypes.SuspectItem(fingerprint="d", event_id=reporter),
+            ],
+        )
+        command = ttypes.Command(at_ms=1, suspect=report)
+        answer = machine.apply(codec.encode(command))
+        assert answer.suspect.event_ids == [granted]
+    assert machine.suspects.get("d") == ["a", "b"]
--- a/tests/decisions/claims/test_suspect_ledger.py
+++ b/tests/decisions/claims/test_suspect_ledger.py
@@ -37,3 +37,42 @@
     copy.restore(json.loads(json.dumps(ledger.dump())))
     assert copy.report("poison", "a 1", 6) == 1
     assert copy.report("poison", "b 1", 6) == 2
+
+
+def test_read_returns_what_changed_since_a_revision():
+    ledger = suspect_ledger.SuspectLedger()
+    ledger.report("a", "1", 0)
+    ledger.report("b", "1", 0)
+    revision = ledger.revision
+    ledger.report("a", "1", 1)
+    assert ledger.revision == revision
+    ledger.report("a", "2", 1)
+    assert ledger.read(revision) == [("a", ["1", "2"])]
+    assert ledger.read(0) == [("b", ["1"]), ("a", ["1", "2"])]
+    assert ledger.read(ledger.revision) == []
+
+
+def test_restored_ledger_is_read_anew_by_all():
+    ledger = suspect_ledger.SuspectLedger()
+    ledger.report("a", "1", 0)
+    revision = ledger.revision
+    ledger.restore(ledger.dump())
+    assert ledger.revision > revision
+    assert ledger.read(revision) == [("a", ["1"])]
+
+
+def test_full_ledger_drops_names_with_a_single_id_first(monkeypatch):
+    monkeypatch.setattr(suspect_ledger, "MAXIMUM_FINGERPRINTS", 3)
+    ledger = suspect_ledger.SuspectLedger()
+    ledger.report("poison", "1", 0)
+    ledger.report("poison", "2", 0)
+    for number in range(20):
+        ledger.report(f"other-{number}", "1", 1)
+    assert ledger.count("poison") == 2
+
+
+def test_ids_of_a_name_are_bounded():
+    ledger = suspect_ledger.SuspectLedger()
+    for number in range(10 * suspect_ledger.MAXIMUM_EVENTS):
+        ledger.report("a", str(number), 0)
+    assert ledger.count("a") == suspect_ledger.MAXIMUM_EVENTS
--- a/tests/decisions/quarantine/test_deaths.py
+++ b/tests/decisions/quarantine/test_deaths.py
@@ -17,7 +17,6 @@
 from cranberrymux.decisions.admission import controller
 from cranberrymux.decisions.admission import outcome
 from cranberrymux.decisions.admission import ticket
-from cranberrymux.decisions.quarantine import death_report
 from cranberrymux.decisions.quarantine import fingerprint
 from cranberrymux.decisions.quarantine import isolation
 from cranberrymux.decisions.quarantine import quarantine
@@ -67,6 +66,9 @@
         self.quarantine.start(name, print_, is_suspect=is_suspect)
         return result
 
+    def learn(self, now_s, report):
+        self.quarantine.merge(now_s, [report])
+
     def finish(self, now_s, name):
         self.running.pop(name)
         self.suspects.discard(name)
@@ -89,26 +91,13 @@
     def __init__(self, seed):
         self.generator = random.Random(seed)
         self.deaths = 0
-        self.reports = {}
-        self.cleared = {}
         self.endpoints = [
             Endpoint(self, f"e{number}") for number in range(ENDPOINTS)
         ]
 
     def share(self, now_s, report):
-        if isinstance(report, death_report.DeathReport):
-            self.reports.setdefault(report.key, set()).add(report)
-        else:
-            self.cleared[report.key] = report.deaths
-        reports = self.reports.get(report.key, set())
         for endpoint in self.endpoints:
-            endpoint.quarantine.merge_report(
-                now_s,
-                report.key,
-                len(reports),
-                self.cleared.get(report.key, 0),
-                was_sole=any(one.was_sole for one in reports),
-            )
+            endpoint.learn(now_s, report)
 
     def run(self, steps, changes_id):
         verdicts = []
@@ -163,9 +152,7 @@
 
 
 def test_deaths_exceed_three_when_counts_are_not_merged(monkeypatch):
-    monkeypatch.setattr(
-        quarantine.Quarantine, "merge_report", lambda *args, **kwargs: None
-    )
+    monkeypatch.setattr(Endpoint, "learn", lambda self, now_s, report: None)
     service = Service(1)
     service.run(3000, changes_id=False)
     assert service.deaths > 3
--- a/tests/decisions/quarantine/test_quarantine.py
+++ b/tests/decisions/quarantine/test_quarantine.py
@@ -7,18 +7,31 @@
 
 import pytest
 
-from cranberrymux.decisions.quarantine import clear_report
-from cranberrymux.decisions.quarantine import death_report
 from cranberrymux.decisions.quarantine import fingerprint
 from cranberrymux.decisions.quarantine import isolation
 from cranberrymux.decisions.quarantine import quarantine
 from cranberrymux.decisions.quarantine import quarantine_settings
+from cranberrymux.decisions.quarantine import report_kind
+from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal_reason
 
 CLEAR = isolation.Isolation.CLEAR
 SUSPECT = isolation.Isolation.SUSPECT
 ALONE = isolation.Isolation.ALONE
+KIND = report_kind.ReportKind
+
+
+def make_report(key, kind, event_id):
+    return suspect_report.SuspectReport(key, kind, event_id)
+
+
+def merge_deaths(node_quarantine, now_s, *event_ids):
+    """Merges reports of other nodes on deaths under `make_call()`."""
+    key = make_call().digest_key
+    return node_quarantine.merge(
+        now_s, [make_report(key, KIND.DEATH, one) for one in event_ids]
+    )
 
 
 def make_quarantine(**changes):
@@ -45,7 +58,7 @@
     reports = crash(
         node_quarantine, 1.0, make_call("r1"), make_call("r2", b"innocent")
     )
-    assert death_report.DeathReport("s/id:r1", "a1", 7, 1, False) in reports
+    assert make_report("s/id:r1", KIND.DEATH, "a1#7#1") in reports
     assert len(reports) == 4
     assert node_quarantine.classify(1.0, make_call("r1")) is SUSPECT
     assert (
@@ -104,7 +117,7 @@
 
 def test_deaths_reported_by_other_nodes_count():
     node_quarantine = make_quarantine()
-    node_quarantine.merge_report(1.0, make_call().keys[1], 2)
+    merge_deaths(node_quarantine, 1.0, "b1#1#1", "c1#1#1")
     assert node_quarantine.classify(1.0, make_call("r9")) is ALONE
     crash(node_quarantine, 2.0, make_call())
     assert node_quarantine.classify(2.0, make_call()).reason is (
@@ -114,8 +127,8 @@
 
 def test_older_report_does_not_lower_the_count():
     node_quarantine = make_quarantine()
-    node_quarantine.merge_report(1.0, make_call().keys[1], 3)
-    node_quarantine.merge_report(2.0, make_call().keys[1], 1)
+    merge_deaths(node_quarantine, 1.0, "b1#1#1", "c1#1#1", "d1#1#1")
+    merge_deaths(node_quarantine, 2.0, "b1#1#1")
     assert node_quarantine.classify(2.0, make_call()).reason is (
         refusal_reason.RefusalReason.QUARANTINED
     )
@@ -127,15 +140,17 @@
     crash(node_quarantine, 1.0, make_call(), innocent)
     node_quarantine.start("t", innocent, is_suspect=True)
     reports = node_quarantine.finish(2.0, "t", is_clean=True)
-    assert clear_report.ClearReport(innocent.keys[1], 1) in reports
+    cleared = make_report(innocent.digest_key, KIND.CLEARED, "a1#7#1")
+    assert cleared in reports
     assert node_quarantine.classify(2.0, innocent) is CLEAR
     assert node_quarantine.classify(2.0, make_call()) is SUSPECT
 
 
 def test_clean_run_reported_by_another_node_clears():
     node_quarantine = make_quarantine()
-    node_quarantine.merge_report(1.0, make_call().keys[1], 1)
-    node_quarantine.merge_report(2.0, make_call().keys[1], 1, cleared=1)
+    merge_deaths(node_quarantine, 1.0, "b1#1#1")
+    cleared = make_report(make_call().digest_key, KIND.CLEARED, "b1#1#1")
+    node_quarantine.merge(2.0, [cleared])
     assert node_quarantine.classify(2.0, make_call()) is CLEAR
 
 
@@ -145,7 +160,8 @@
     crash(node_quarantine, 1.0, innocent)
     node_quarantine.start("t", innocent, is_suspect=True)
     node_quarantine.finish(2.0, "t", is_clean=True)
-    node_quarantine.merge_report(3.0, innocent.keys[1], 1)
+    late = make_report(innocent.digest_key, KIND.DEATH, "a1#7#1")
+    node_quarantine.merge(3.0, [late])
     assert node_quarantine.classify(3.0, innocent) is CLEAR
 
 
@@ -222,5 +238,5 @@
 def test_call_of_the_request_to_another_service_stays_clear():
     node_quarantine = make_quarantine()
     crash(node_quarantine, 1.0, make_call())
-    elsewhere = make_call()._replace(service="other")
+    elsewhere = make_call()._replace(scope="other")
     assert node_quarantine.classify(1.0, elsewhere) is CLEAR
--- a/tests/fakes/control.py
+++ b/tests/fakes/control.py
@@ -4,6 +4,7 @@
 from cranberrymux.decisions.claims import claim_ledger
 from cranberrymux.decisions.claims import claim_settings
 from cranberrymux.decisions.claims import settlement
+from cranberrymux.decisions.claims import suspect_ledger
 from cranberrymux.wire import wire_error
 from cranberrymux.wire.gen.messages import ttypes
 
@@ -19,8 +20,7 @@
         withholds_confirmation: True to send configurations without
             confirming that they are current.
         ledger: Claims.
-        suspects: Endpoint ids and incarnations of the reported deaths, by
-            fingerprint.
+        suspects: Reported deaths of backend servers and what follows.
     """
 
     def __init__(self, clock):
@@ -32,7 +32,7 @@
         self.is_connected = True
         self.withholds_confirmation = False
         self.ledger = claim_ledger.ClaimLedger(claim_settings.ClaimSettings())
-        self.suspects = {}
+        self.suspects = suspect_ledger.SuspectLedger()
 
     def start(self):
         pass
@@ -66,6 +66,13 @@
             configuration=self.document if is_behind else None,
             vouched_ms=0 if self.withholds_confirmation else 1000,
             drain=False,
+            suspects=[
+                ttypes.SuspectRow(fingerprint=name, event_ids=event_ids)
+                for name, event_ids in self.suspects.read(
+                    heartbeat.suspect_revision or 0
+                )
+            ],
+            suspect_revision=self.suspects.revision,
         )
 
     async def claim(self, request):
@@ -105,9 +112,12 @@
     async def report_suspect(self, report):
         if self.is_unreachable:
             return self._make_timeout()
-        deaths = self.suspects.setdefault(report.fingerprint, set())
-        deaths.add((report.endpoint_id, report.incarnation))
-        return ttypes.SuspectAnswer(deaths=len(deaths))
+        for item in report.items:
+            self.suspects.report(
+                item.fingerprint, item.event_id, 0, item.maximum_ids or 64
+            )
+        event_ids = self.suspects.get(report.fingerprint)
+        return ttypes.SuspectAnswer(deaths=len(event_ids), event_ids=event_ids)
 
 
 def _encode_claim_answer(answer):
--- a/tests/gateway/crashing_backend.py
+++ b/tests/gateway/crashing_backend.py
@@ -58,6 +58,8 @@
         crash_after_s: Time after which it ends, seconds.
         down_s: Time after which it is back, with another id, seconds.
         is_crashing: Called with each request; True if it ends under it.
+        never_answers: Called with each request; True if it hangs.
+        keeps_id: True if it is back with the id that it had.
         is_up: True while it runs.
     """
 
@@ -66,6 +68,8 @@
         self.crash_after_s = crash_after_s
         self.down_s = down_s
         self.is_crashing = lambda call: call.head.target == CRASH_PATH.encode()
+        self.never_answers = lambda call: False
+        self.keeps_id = False
         self.is_up = True
         self._member = member
         self._crashes = crashes
@@ -73,6 +77,10 @@
         self._starts = 0
         member.backend.answer = self._handle
 
+    @property
+    def backend_id(self):
+        return self._member.backend_id
+
     def end(self):
         """Ends at once, as under a signal, and is back after `down_s`."""
         if not self.is_up:
@@ -86,7 +94,8 @@
         self.is_up = True
         member = self._member
         member.backend.start()
-        member.backend_id = f"{member.settings.node_id}-{self._starts}"
+        if not self.keeps_id:
+            member.backend_id = f"{member.settings.node_id}-{self._starts}"
         member.started_ms = 1 + int(self._network.seconds() * 1000)
         member.announce()
 
@@ -99,7 +108,10 @@
         self._crashes.runs.append(
             Run(self._network.seconds(), call.head.target.decode(), backend_id)
         )
-        if self.is_crashing(call):
+        is_crashing = self.is_crashing(call)
+        if self.never_answers(call):
+            return
+        if is_crashing:
             self._network.callLater(
                 self.crash_after_s, self._end_under_request, backend_id
             )
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -6,57 +6,19 @@
 """
 
 import pytest
+import structlog
 
-from cranberrymux.decisions.routes import route
+from cranberrymux.telemetry import event
+from tests.gateway import crash_scene
 from tests.gateway import crashing_backend
-from tests.gateway import mesh as mesh_module
 
-SERVERS = 5
-OTHERS = 3
 MAXIMUM_LATE_RUNS = 3
-
-
-class Scene:
-    """Nodes with and without a backend server of the service, and its callers.
-
-    Attributes:
-        mesh: The nodes.
-        crashes: What the backend servers saw.
-        backends: The backend servers of the service.
-        entries: Indexes of all nodes.
-    """
-
-    def __init__(self, **crash):
-        services = ["front"] * OTHERS + ["deep"] * SERVERS
-        self.mesh = mesh_module.Mesh(*services)
-        self.mesh.configure(
-            mesh_module.make_route("read", "deep"),
-            mesh_module.make_route(
-                "write", "deep", repeatability=route.Repeatability.ONCE
-            ),
-        )
-        self.crashes = crashing_backend.Crashes()
-        self.backends = [
-            crashing_backend.CrashingBackend(member, self.crashes, **crash)
-            for member in self.mesh.members[OTHERS:]
-        ]
-        self.entries = range(OTHERS + SERVERS)
-
-    def call(self, per_s, path=crashing_backend.CRASH_PATH, **request):
-        return crashing_backend.Caller(
-            self.mesh, self.entries, per_s, path, **request
-        )
-
-    def run(self, seconds):
-        for _ in range(round(seconds)):
-            for member in self.mesh.members:
-                member.announce_if_up()
-            self.mesh.network.run(1.0, step_s=0.002)
+WRITE = "/write/crash?token=secret"
 
 
 @pytest.mark.parametrize("crash_after_s", [0.0, 0.1])
 def test_crashing_request_is_sent_at_most_three_times_more(crash_after_s):
-    scene = Scene(crash_after_s=crash_after_s)
+    scene = crash_scene.Scene(crash_after_s=crash_after_s)
     scene.call(3.3)
     scene.run(16)
     assert len(scene.crashes.deaths_s) >= 2
@@ -64,10 +26,156 @@
 
 
 def test_other_requests_are_served_beside_a_crashing_request():
-    scene = Scene()
+    scene = crash_scene.Scene()
     scene.call(3.3)
     others = scene.call(60, "/read/other")
     scene.run(16)
+    others.stop()
+    scene.run(1)
     served, sent = others.count_served_since(13.0)
     assert scene.crashes.count_late_runs() <= MAXIMUM_LATE_RUNS
     assert served == sent > 100
+
+
+@pytest.mark.parametrize("body_bytes", [6, 3 << 20])
+def test_request_with_a_body_is_known_by_it(body_bytes):
+    scene = crash_scene.Scene()
+    body = b"secret" * (body_bytes // 6)
+    for backend in scene.backends:
+        backend.is_crashing = lambda call: call.head.method == b"POST"
+    scene.call(3.3, WRITE, method="POST", body=body)
+    scene.run(16)
+    assert len(scene.crashes.deaths_s) >= 2
+    assert scene.crashes.count_late_runs(WRITE) <= MAXIMUM_LATE_RUNS
+    assert len(scene.crashes.deaths_s) <= 6
+
+
+def test_runs_that_time_out_or_fail_clear_nothing():
+    scene = crash_scene.Scene(has_control=True)
+    runs = []
+
+    def is_crashing(call):
+        runs.append(call)
+        if len(runs) % 3 == 2:
+            call.head.headers.append((b"never", b"answered"))
+        return len(runs) % 3 != 2
+
+    for backend in scene.backends:
+        backend.is_crashing = is_crashing
+        backend.never_answers = lambda call: (
+            (b"never", b"answered") in (call.head.headers)
+        )
+    scene.call(3.3)
+    scene.run(20)
+    assert scene.crashes.count_late_runs() <= MAXIMUM_LATE_RUNS
+
+
+@pytest.mark.parametrize("seed_s", [0.0, 0.013])
+def test_deaths_of_all_servers_at_once_count_together(seed_s):
+    scene = crash_scene.Scene(has_control=True)
+    scene.run(1)
+    scene.mesh.network.run(seed_s)
+    for index in scene.entries:
+        scene.ask(crashing_backend.CRASH_PATH, index, wait=0.0)
+    scene.call(3.3)
+    scene.run(20)
+    assert len(scene.crashes.deaths_s) <= crash_scene.SERVERS + 3
+    assert scene.crashes.count_late_runs() <= MAXIMUM_LATE_RUNS
+
+
+def test_count_holds_when_siblings_are_not_reached():
+    scene = crash_scene.Scene(has_control=True)
+    for index in scene.servers:
+        scene.cut_siblings(index)
+    scene.call(3.3)
+    scene.run(20)
+    assert len(scene.crashes.deaths_s) >= 2
+    assert scene.crashes.count_late_runs() <= MAXIMUM_LATE_RUNS
+
+
+def test_count_holds_when_control_is_not_reached_by_those_that_counted():
+    scene = crash_scene.Scene(has_control=True)
+    for index in scene.servers:
+        scene.control.links[index].is_cut = True
+    scene.call(3.3)
+    scene.run(20)
+    assert len(scene.crashes.deaths_s) >= 2
+    assert scene.crashes.count_late_runs() <= MAXIMUM_LATE_RUNS
+
+
+def test_sibling_reports_what_a_node_that_is_cut_off_cannot():
+    scene = crash_scene.Scene(has_control=True)
+    scene.run(1)
+    for index in scene.servers[:-1]:
+        scene.control.links[index].is_cut = True
+    scene.backends[-1].is_crashing = lambda call: False
+    scene.call(3.3)
+    scene.run(6)
+    deaths = len(scene.crashes.deaths_s)
+    assert deaths >= 2
+    names = dict(scene.control.control.suspects.read(0))
+    assert deaths in {len(event_ids) for event_ids in names.values()}
+
+
+@pytest.mark.parametrize("interval_s", [1, 2])
+def test_count_holds_while_all_nodes_restart_in_series(interval_s):
+    scene = crash_scene.Scene(has_control=True)
+    scene.call(3.3)
+    for index in [*scene.servers, *scene.entries]:
+        scene.run(interval_s)
+        scene.control.restart(index)
+    scene.run(6)
+    assert len(scene.crashes.deaths_s) >= 2
+    assert scene.crashes.count_late_runs() <= MAXIMUM_LATE_RUNS
+
+
+def test_node_that_has_started_runs_nothing_before_it_knows_the_suspects():
+    scene = crash_scene.Scene(has_control=True)
+    scene.call(3.3)
+    scene.run(4)
+    index = scene.servers[0]
+    scene.control.links[index].is_cut = True
+    scene.control.restart(index)
+    before = len(scene.crashes.runs)
+    member = scene.mesh.members[index]
+    assert member.gateway._parts.quarantine.record_count == 0
+    scene.run(2)
+    ids = {run.backend_id for run in scene.crashes.runs[before:]}
+    assert member.backend_id not in ids
+    scene.control.links[index].is_cut = False
+    scene.run(2)
+    assert member.gateway._parts.quarantine.record_count > 0
+    assert scene.ask("/read/x", 0).statuses == [200]
+
+
+def test_caller_of_a_refused_request_gets_a_true_answer():
+    scene = crash_scene.Scene()
+    scene.call(3.3)
+    scene.run(4)
+    runs = len(scene.crashes.runs)
+    client = scene.ask(crashing_backend.CRASH_PATH)
+    assert client.statuses == [503]
+    assert b"quarantined" in client.received
+    head = client.received.partition(b"\r\n\r\n")[0].lower()
+    assert float(head.partition(b"retry-after: ")[2].split()[0]) > 0
+    assert len(scene.crashes.runs) == runs
+
+
+def test_caller_whose_attempt_has_run_is_not_told_that_it_has_not():
+    scene = crash_scene.Scene()
+    client = scene.ask(crashing_backend.CRASH_PATH, wait=1.0)
+    assert len(scene.crashes.runs) == 2
+    assert client.statuses == [502]
+
+
+def test_digests_are_all_that_logs_tell_of_a_request():
+    with structlog.testing.capture_logs() as lines:
+        scene = crash_scene.Scene(has_control=True)
+        scene.call(3.3)
+        scene.run(4)
+    events = {line["event"] for line in lines}
+    assert event.Event.BACKEND_SERVER_DIED in events
+    assert event.Event.SUSPECTS_SHARED in events
+    assert event.Event.SUSPECTS_LEARNED in events
+    assert "secret" not in str(lines)
+    assert "crash?" not in str(lines)
--- a/tests/gateway/test_second_answers.py
+++ b/tests/gateway/test_second_answers.py
@@ -191,9 +191,11 @@
     mesh.network.run(0.1)
     assert client.statuses == [502]
     client = ask(mesh, "r2")
-    assert len(backend.connections) == 2
+    # Another one has shown that the backend server has not ended.
+    used = [one for one in backend.connections if one.request_ids]
+    assert len(used) == 2
     # It comes on the connection that replaces the cut one.
-    connection = backend.connections[1]
+    connection = used[1]
     connection.send(SECOND_ANSWERS[second])
     finish(mesh, backend, connection)
     check_is_skipped(second, client, "r2")
--- a/tests/node/test_mutations.py
+++ b/tests/node/test_mutations.py
@@ -129,8 +129,8 @@
         "reports of siblings on suspects",
         (
             quarantine_task.QuarantineTask,
-            "merge_report",
-            lambda self, report: None,
+            "_merge",
+            lambda self, reports, source: [],
         ),
         guarantees.test_siblings_share_the_deaths_of_a_suspect,
     ),
