Soak: requests that crash the backend servers that run them

Two of them, one that may be repeated and one that may not, come 3.3 times a second at random machines, the first three at once, beside all other faults; the processes end and are started again. Checked as the rule is worded, over all machines together: later than 3 s after the third crash, at most three arrivals.

--- a/tests/soak/backend_main.py
+++ b/tests/soak/backend_main.py
@@ -11,6 +11,7 @@
 from http import server
 import http.client
 import json
+import os
 import random
 import sys
 import threading
@@ -21,6 +22,7 @@
 
 ANNOUNCE_PERIOD_S = 0.4
 STATE_PATH = "/state/"
+CRASH_PATH_SUFFIX = "/crash"
 
 
 class State:
@@ -183,7 +185,8 @@
 
     def _enter(self):
         """Records the request and takes a slot; False if none is free."""
-        self.state.record("arrive", id=self.headers.get("Request-Id", ""))
+        request_id = self.headers.get("Request-Id", "")
+        self.state.record("arrive", id=request_id, path=self.path)
         return self.state.enter()
 
     def _run(self):
@@ -192,6 +195,8 @@
         deadline_ms = int(self.headers.get("Deadline-Ms", "0"))
         started_at_s = time.monotonic()
         state.record("begin", id=request_id, path=self.path)
+        if self.path.endswith(CRASH_PATH_SUFFIX):
+            self._crash()
         time.sleep(state.slowness * random.uniform(0.002, 0.02))
         is_success = random.random() >= state.failing
         if state.options.calls:
@@ -210,6 +215,12 @@
             self._draw_second_answer(request_id),
         )
 
+    def _crash(self):
+        """Ends the process, other requests with it."""
+        time.sleep(random.choice((0.0, random.uniform(0.0, 0.15))))
+        self.state.record("crash", path=self.path)
+        os._exit(1)
+
     def _draw_second_answer(self, request_id):
         if random.random() >= self.state.stuttering:
             return None
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 import json
 
 from tests.soak import answers
+from tests.soak import crashing
 from tests.soak import self_report_checks
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -51,6 +52,7 @@
     violations += self_report_checks.find_violations(
         observed, machines, records
     )
+    violations += crashing.find_violations(records)
     for name, lines in records.items():
         violations += _check_calls(lines)
         violations += _check_drains(name, lines)
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -84,29 +84,40 @@
 
     def _ask(self, connection, machine, request_id):
         path = self._random.choice(list(PATHS))
-        headers = {
-            "Host": "h.example",
-            "Request-Id": request_id,
-            "Deadline-Ms": str(int(DEADLINE_S * 1000)),
-        }
-        sent_s = time.monotonic()
-        status, answer = 0, None
-        try:
-            connection.request(
-                "POST" if PATHS[path] else "GET", path, headers=headers
-            )
-            answer = answers.read(connection)
-            status = answer.status
-        except TimeoutError:
-            status = -1
-        except (OSError, http.client.HTTPException):
-            status = 0
-        return ObservedRequest(
-            request_id,
-            machine.name,
-            PATHS[path],
-            sent_s,
-            time.monotonic(),
-            status,
-            answer,
-        )
+        return ask(connection, machine, request_id, path, PATHS[path])
+
+
+def ask(connection, machine, request_id, path, is_at_most_once):
+    """Sends a request, a POST if it must run once at most, and waits."""
+    headers = {
+        "Host": "h.example",
+        "Request-Id": request_id,
+        "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+    }
+    sent_s = time.monotonic()
+    status, answer = 0, None
+    try:
+        method = "POST" if is_at_most_once else "GET"
+        connection.request(method, path, headers=headers)
+        answer = answers.read(connection)
+        status = answer.status
+    except TimeoutError:
+        status = -1
+    except (OSError, http.client.HTTPException):
+        status = 0
+    return ObservedRequest(
+        request_id,
+        machine.name,
+        is_at_most_once,
+        sent_s,
+        time.monotonic(),
+        status,
+        answer,
+    )
+
+
+def sleep_until_stopped(thread, span_s):
+    """Sleeps, or returns early once the thread should stop."""
+    until_s = time.monotonic() + span_s
+    while time.monotonic() < until_s and not thread.should_stop:
+        time.sleep(min(0.05, span_s))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,7 @@
 # waits for their connection.
 ANSWER_TWICE_WEIGHT = 3
 SUPERVISION_PERIOD_S = 0.2
+RESTART_DELAY_S = 0.5
 _Fault = proxy_module.Fault
 
 
@@ -42,6 +43,7 @@
         self._is_done = False
         self.unexpected_ends = []
         self._lock = threading.Lock()
+        self._crashed_at_s = {}
         self._kinds = (
             self.pause_node,
             self.kill_node,
@@ -87,6 +89,21 @@
                 if node.has_ended_unexpectedly:
                     self.unexpected_ends.append(node.name)
                     node.start()
+            for machine in self._machines:
+                self._restart_crashed(machine)
+
+    def _restart_crashed(self, machine):
+        """Starts a backend server that crashed some time ago."""
+        backend = machine.backend
+        if not backend.has_ended_unexpectedly:
+            self._crashed_at_s.pop(machine, None)
+            return
+        now_s = time.monotonic()
+        crashed_s = self._crashed_at_s.setdefault(machine, now_s)
+        if now_s - crashed_s > RESTART_DELAY_S and self.reserve(machine):
+            if backend.has_ended_unexpectedly:
+                backend.start()
+            self.release(machine)
 
     def reserve(self, machine):
         """Keeps faults away from a machine; returns False if it has one."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 from tests.soak import checks
 from tests.soak import clients as clients_module
 from tests.soak import config_operator
+from tests.soak import crashing
 from tests.soak import faults as faults_module
 from tests.soak import machine as machine_module
 from tests.soak import self_reports as self_reports_module
@@ -91,6 +92,11 @@
     for one in clients:
         one.start()
     _wait_until_served(clients)
+    crashing_callers = [
+        crashing.Caller(path, machines, seed) for path in crashing.PATHS
+    ]
+    for one in crashing_callers:
+        one.start()
     watch = stall_watch.StallWatch()
     watch.start()
     faults = faults_module.Faults(seed, machines, fleet)
@@ -109,13 +115,18 @@
     faults.stop_supervising()
     supervisor.join()
     operator.should_stop = True
-    for one in clients:
+    for one in (*clients, *crashing_callers):
         one.should_stop = True
-    for one in (operator, *clients):
+    for one in (operator, *clients, *crashing_callers):
         one.join()
     observed = [one for client in clients for one in client.observed]
+    crashing_observed = [
+        one for caller in crashing_callers for one in caller.observed
+    ]
     watch.should_stop = True
-    violations = checks.find_violations(observed, machines, watch)
+    violations = checks.find_violations(
+        observed + crashing_observed, machines, watch
+    )
     violations += checks.find_recovery_violations(observed, recovered_at_s)
     violations += [f"CONFIG {one}" for one in operator.violations]
     violations += [f"ENDED {one} by itself" for one in faults.unexpected_ends]
--- a/tests/soak/self_reports.py
+++ b/tests/soak/self_reports.py
@@ -6,8 +6,8 @@
 
 import random
 import threading
-import time
 
+from tests.soak import clients
 from tests.soak import faults as faults_module
 
 LIMITS_PER_S = (2.0, 4.0, 8.0, 15.0)
@@ -45,21 +45,17 @@
         for _ in range(self._random.choice((1, 2))):
             per_s = self._random.choice(LIMITS_PER_S)
             machine.send_to_backend(f"limit/{per_s}")
-            self._wait(self._random.uniform(MINIMUM_SPAN_S, MAXIMUM_SPAN_S))
+            span_s = self._random.uniform(MINIMUM_SPAN_S, MAXIMUM_SPAN_S)
+            clients.sleep_until_stopped(self, span_s)
         machine.send_to_backend("limit/0")
 
     def _leave(self, machine):
         """Says so while announcements say the contrary, and ends."""
         if not self._faults.reserve(machine):
-            self._wait(0.1)
+            clients.sleep_until_stopped(self, 0.1)
             return
         machine.send_to_backend("leave")
-        self._wait(LEAVING_SPAN_S)
+        clients.sleep_until_stopped(self, LEAVING_SPAN_S)
         machine.backend.kill()
         machine.backend.start()
         self._faults.release(machine)
-
-    def _wait(self, span_s):
-        until_s = time.monotonic() + span_s
-        while time.monotonic() < until_s and not self.should_stop:
-            time.sleep(0.05)
