Give a restarted node no slack of repeats in its first window

A node that started again spent its share of the slack once more. Now a node that is not started for the first time (the settings say so) has only the part that grows with its own requests until its first window has passed, and the test holds; it failed before.

--- a/src/cranberrymux/decisions/retries/repeat_budget.py
+++ b/src/cranberrymux/decisions/retries/repeat_budget.py
@@ -7,6 +7,7 @@
 its budget just when the repeats are needed.
 """
 
+import math
 from typing import NamedTuple
 
 from cranberrymux.decisions.retries import arrival_window
@@ -48,14 +49,24 @@
     that they cause are counted as repeats by `note_repeated_call`.
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        restarted_s: float = -math.inf,
+    ) -> None:
         """Creates a budget for a single node; see `set_node_count`.
 
         Args:
             ratio: Repeats for each first request, over all nodes.
             slack: Repeats beyond that in a window, over all nodes.
             window_s: Length of the window in seconds.
+            restarted_s: Monotonic seconds at which the node was started again,
+                if it was. Its earlier process may have used up its share of
+                the slack in the window.
         """
+        self._slack_from_s = restarted_s + window_s
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
@@ -100,7 +111,9 @@
             return False
         window = self._find_window(candidate.service)
         window.note_demand(now_s, candidate.rank)
-        slack = USED_FRACTION * self._slack / self._node_count
+        slack = 0.0
+        if now_s >= self._slack_from_s:
+            slack = USED_FRACTION * self._slack / self._node_count
         headroom = window.headroom(now_s, USED_FRACTION * self._ratio, slack)
         reserved_fraction = min(
             MAXIMUM_RESERVED_FRACTION,
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -103,6 +103,7 @@
             settings.repeat_ratio,
             settings.repeat_slack,
             settings.repeat_window_s,
+            -math.inf if settings.is_first_start else self.clock.now_s(),
         )
         self.entry_admission = entry_admission.EntryAdmission(
             self.clock.now_s()
--- a/src/cranberrymux/gateway/settings.py
+++ b/src/cranberrymux/gateway/settings.py
@@ -33,6 +33,7 @@
         repeat_slack: Repeats beyond that in a window, over all nodes.
         repeat_window_s: Length of the window in seconds.
         dialect: Names of the HTTP headers.
+        is_first_start: True if no process of this node ran before.
     """
 
     node_id: str
@@ -56,3 +57,4 @@
     repeat_slack: float
     repeat_window_s: float
     dialect: dialect_module.Dialect
+    is_first_start: bool = False
--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -129,6 +129,7 @@
         repeat_slack=float(bounds["budget_slack"]),
         repeat_window_s=durations.parse_s(bounds["budget_window"]),
         dialect=dialect.DIALECT,
+        is_first_start=bool(own["bootstrap"]),
     )
 
 
--- a/tests/decisions/retries/test_repeat_budget.py
+++ b/tests/decisions/retries/test_repeat_budget.py
@@ -18,10 +18,10 @@
 CANDIDATE = repeat_budget.RepeatCandidate("s")
 
 
-def make_budgets(nodes=NODES):
+def make_budgets(nodes=NODES, **started):
     made = []
     for _ in range(nodes):
-        one = repeat_budget.RepeatBudget(RATIO, SLACK, WINDOW_S)
+        one = repeat_budget.RepeatBudget(RATIO, SLACK, WINDOW_S, **started)
         one.set_node_count(nodes)
         made.append(one)
     return made
@@ -47,6 +47,28 @@
         assert len(inside) <= RATIO * len(asked) + SLACK
 
 
+@pytest.mark.parametrize("per_s", [0, 20])
+def test_nodes_that_restart_use_no_slack_twice(per_s):
+    budgets = make_budgets()
+    repeats = []
+    firsts = []
+    for step in range(3000):
+        now_s = step / 100
+        if step % 100 < per_s:
+            budgets[step % NODES].note_first("s", now_s)
+            firsts.append(now_s)
+        for one in budgets:  # Every node repeats as much as it may.
+            while one.take(CANDIDATE, now_s):
+                repeats.append(now_s)
+        if step % 400 == 399:  # All processes are killed and started again.
+            budgets = make_budgets(restarted_s=now_s)
+    assert repeats
+    for end_s in range(10, 31):
+        inside = [at for at in repeats if end_s - WINDOW_S < at <= end_s]
+        asked = [at for at in firsts if end_s - WINDOW_S < at <= end_s]
+        assert len(inside) <= RATIO * len(asked) + SLACK
+
+
 def test_fraction_of_the_slack_is_reserved_for_more_important_work():
     one = repeat_budget.RepeatBudget(RATIO, 100.0, WINDOW_S)
     taken = 0
--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -104,6 +104,7 @@
             repeat_slack=40.0,
             repeat_window_s=10.0,
             dialect=dialect.DIALECT,
+            is_first_start=True,
         )
         self.backend = backend_module.Backend(
             mesh.network, self.backend_port, answer_with_proof
@@ -120,6 +121,7 @@
         """Closes the gateway and starts another; its server keeps running."""
         self.gateway.stop()
         self.gateway._close()
+        self.settings = self.settings._replace(is_first_start=False)
         self.gateway = gateway_module.Gateway(
             self.settings,
             self.mesh.network,
