Count the calls of a run that followed a refusal as repeats

Cause: a request that a backend server refused was sent again from the budget of its own service, but not marked, so that the calls of the run that followed counted as first requests. It is marked now, and its tree needs a token like that of any other repeat.

--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -49,7 +49,9 @@
         self._asked_ids: list[str] = []
         self._reached_ids: set[str] = set()
         self._reached_count = 0
-        self._has_run = False
+        # What may have run before, or was refused by a backend server, is sent
+        # again as a repeat.
+        self._is_repeat = False
         self._limit_waits_s: list[float] = []
         self._other_refusals = 0
         self.tree_context = hop.TreeContext(float(route.priority), 1.0)
@@ -67,7 +69,7 @@
 
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that depend on earlier attempts."""
-        is_repeat = self.tree_context.is_repeat or self._has_run
+        is_repeat = self.tree_context.is_repeat or self._is_repeat
         tree_context = self.tree_context._replace(is_repeat=is_repeat)
         headers = [(hop.TREE_CONTEXT, hop.encode_tree_context(tree_context))]
         if len(self._asked_ids) > 1:
@@ -107,18 +109,19 @@
     def note_lost(self, endpoint: endpoint_view.EndpointView | None) -> None:
         """Records that an answer was lost after the request was sent."""
         self.may_have_run = True
-        self._has_run = True
+        self._is_repeat = True
         if endpoint is not None:
             self._note_reached(endpoint)
 
     def note_failed(self, endpoint: endpoint_view.EndpointView | None) -> None:
         """Records that an endpoint ran the request and failed."""
-        self._has_run = True
+        self._is_repeat = True
         if endpoint is not None:
             self._note_reached(endpoint)
 
     def note_refused(self, endpoint: endpoint_view.EndpointView | None) -> None:
         """Records that the backend server itself refused the request."""
+        self._is_repeat = True
         if endpoint is not None:
             endpoint.note_acceptance(False)
             self._note_reached(endpoint)
@@ -155,32 +158,28 @@
         return (
             self.route.is_idempotent
             and not self.is_streamed
-            and self._take_from_budget(
-                now_s, self.route.attempts, self.route.name
-            )
+            and self._take_from_budget(now_s, self.route.attempts)
         )
 
     def take_repeat_after_refusal(self, now_s: float) -> bool:
         """Takes a repeat after a backend server refused; False if none is left.
 
-        A refused request has made no calls, so the budget for repeats of trees
-        is not needed.
+        A refused request has made no calls, but those of the run that follows
+        count as repeats, so that the budget for repeats of trees is needed.
         """
         return not self.is_streamed and self._take_from_budget(
-            now_s, MAXIMUM_BACKEND_REFUSALS, ""
+            now_s, MAXIMUM_BACKEND_REFUSALS
         )
 
     def _note_reached(self, endpoint: endpoint_view.EndpointView) -> None:
         self._reached_ids.add(endpoint.record.endpoint_id)
         self._reached_count += 1
 
-    def _take_from_budget(
-        self, now_s: float, maximum_reached: int, route: str
-    ) -> bool:
+    def _take_from_budget(self, now_s: float, maximum_reached: int) -> bool:
         if self._reached_count >= maximum_reached:
             return False
         candidate = repeat_budget.RepeatCandidate(
-            self.service, self.tree_context.rank, route
+            self.service, self.tree_context.rank, self.route.name
         )
         if not self._parts.repeats.take(candidate, now_s):
             return False
