Let a founder whose disk was full found again after a restart

What callers saw: 503 for everything, for good. The disk was full between the founder's vote file and its first entry, and the restart's settings no longer say that it is the first start. A vote file of term 1 without a vote may also belong to a replica that joined, so that it proved nothing. A founder now votes for itself in the founding term; that vote without a log is left by an interrupted founding alone: candidates vote in later terms, and a disk that was lost comes back with another identity.

It looks for the vote on the disk now, where it looked for its absence. A disk that was full before the vote file was written looks like an empty one and still founds nothing without 'bootstrap'.

--- a/src/cranberrymux/consensus/founding.py
+++ b/src/cranberrymux/consensus/founding.py
@@ -14,7 +14,8 @@
 
     Only one named instance founds the cluster, and only during the first start
     of the whole system: an empty disk at a later start is a lost disk, and
-    founding on it would create a second cluster next to the first.
+    founding on it would create a second cluster next to the first. A founding
+    that was interrupted, such as by a full disk, is done again.
 
     Args:
         replica: This instance's replica.
@@ -22,6 +23,8 @@
         founder: Name of the instance that founds the cluster.
         is_first_start: True while the disks of all instances are new.
     """
+    if member_rules.has_begun_founding(replica.journal):
+        return True
     if not is_first_start or name != founder:
         return False
     return member_rules.holds_no_log_or_vote(replica.journal)
--- a/src/cranberrymux/consensus/member_rules.py
+++ b/src/cranberrymux/consensus/member_rules.py
@@ -27,6 +27,25 @@
     return journal.term <= FOUNDING_TERM
 
 
+def has_begun_founding(journal: journal_module.Journal) -> bool:
+    """Returns whether this replica began to found a cluster and did not end.
+
+    A founder votes for itself in the founding term, in which nobody else does:
+    candidates vote in later terms, and a replica whose disk was lost comes back
+    with another identity. Without a log it is the only trace of the founding.
+    """
+    return (
+        journal.term == FOUNDING_TERM
+        and journal.voted_for == journal.replica_id
+        and not journal.log.last_index
+    )
+
+
+def may_found(journal: journal_module.Journal) -> bool:
+    """Returns whether a replica has nothing that founding could contradict."""
+    return holds_no_log_or_vote(journal) or has_begun_founding(journal)
+
+
 def founding_entry(
     replica_id: str, cluster_id: str, address: str
 ) -> entry_module.Entry:
--- a/src/cranberrymux/consensus/replica.py
+++ b/src/cranberrymux/consensus/replica.py
@@ -87,12 +87,12 @@
             cluster_id: A new unique id; messages with another id are dropped.
             address: `ip:port` that other members connect to.
         """
-        if not member_rules.holds_no_log_or_vote(self._journal):
+        if not member_rules.may_found(self._journal):
             return refusals.ProposalRefused(
                 refusals.RefusalReason.ALREADY_DONE,
                 "this replica already holds a log or a vote",
             )
-        self._journal.set_term(member_rules.FOUNDING_TERM)
+        self._journal.set_term(member_rules.FOUNDING_TERM, self.replica_id)
         self._journal.append(
             (member_rules.founding_entry(self.replica_id, cluster_id, address),)
         )
--- a/src/cranberrymux/control/cluster_formation.py
+++ b/src/cranberrymux/control/cluster_formation.py
@@ -109,7 +109,7 @@
         replica = self._driver.replica
         if self._settings.peers[0].control_id != self._settings.control_id:
             return None
-        if not member_rules.holds_no_log_or_vote(replica.journal):
+        if not member_rules.may_found(replica.journal):
             return None
         for name in self._peers.names:
             if (
--- a/tests/control/test_founding_on_a_full_disk.py
+++ b/tests/control/test_founding_on_a_full_disk.py
@@ -22,7 +22,8 @@
 
 NAME = "c0"
 AMPLE_BYTES = 1 << 20
-VOTE_BYTES = 28
+# The vote file of a founder, which holds its name and a random suffix.
+VOTE_BYTES = 28 + len(NAME) + 17
 SEGMENT_HEADER_BYTES = 18
 TICK_S = 0.03
 FOUNDED_WITHIN_S = 3.0
@@ -132,7 +133,7 @@
 
 
 # The settings say `bootstrap` only at the first start of all instances. The
-# vote file without a vote and without the founding entry is all that is left.
+# founder's vote for itself, without the founding entry, is all that is left.
 def test_founds_when_restarted_after_its_first_start(tmp_path):
     now_s = fail_to_found(tmp_path, VOTE_BYTES + SEGMENT_HEADER_BYTES)
     assert sizes(tmp_path) == {
@@ -141,7 +142,7 @@
     }
     again = Instance(tmp_path, is_first_start=False, now_s=now_s)
     journal = again.driver.replica.journal
-    assert (journal.term, journal.voted_for) == (1, "")
+    assert (journal.term, journal.voted_for) == (1, journal.replica_id)
     assert journal.log.last_index == 0
     again.run()
     assert again.driver.may_read(again.now_s)
