--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -236,17 +236,7 @@
             now_s: Monotonic seconds.
             reports: Reports of any node, in any order.
         """
-        new = []
-        for report in reports:
-            old = self._get(now_s, report.key)
-            record = old.add(report)
-            if record is old:
-                continue
-            new.append(report)
-            self._records.put(
-                report.key, record._replace(changed_s=now_s, used_s=now_s)
-            )
-        return new
+        return self._records.merge(now_s, reports)
 
     def is_suspect(
         self, now_s: float, fingerprint: fingerprints.Fingerprint
@@ -264,10 +254,7 @@
         self, now_s: float, key_count: int
     ) -> list[suspect_report.SuspectReport]:
         """Returns all that is known of the keys that were used last."""
-        keys = self._records.get_latest_keys(key_count)
-        return [
-            report for key in keys for report in self.get_reports(now_s, key)
-        ]
+        return self._records.get_latest_reports(now_s, key_count)
 
     def take_unshared(
         self,
@@ -322,7 +309,7 @@
         The request id is cleared only when every digest that was in flight
         under it has run to its end.
         """
-        reports = self._clear_key(now_s, fingerprint.digest_key)
+        reports = self._records.clear(now_s, fingerprint.digest_key)
         if not fingerprint.request_id:
             return reports
         id_key = fingerprint.keys[0]
@@ -337,12 +324,4 @@
         if left:
             # Another call of the same request may be the cause of the death.
             return reports
-        return reports + self._clear_key(now_s, id_key)
-
-    def _clear_key(
-        self, now_s: float, key: str
-    ) -> list[suspect_report.SuspectReport]:
-        open_events = sorted(self._get(now_s, key).open_events)
-        reports = [_Report(key, _Kind.CLEARED, one) for one in open_events]
-        self.merge(now_s, reports)
-        return reports
+        return reports + self._records.clear(now_s, id_key)
--- a/src/cranberrymux/decisions/quarantine/suspect_records.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_records.py
@@ -1,9 +1,12 @@
 """Table of records of suspects, bounded in number and age."""
 
 import collections
+from collections.abc import Iterable
 
 from cranberrymux.decisions.quarantine import quarantine_settings
+from cranberrymux.decisions.quarantine import report_kind
 from cranberrymux.decisions.quarantine import suspect_record
+from cranberrymux.decisions.quarantine import suspect_report
 
 
 class SuspectRecords:
@@ -43,10 +46,43 @@
         while len(self._records) > self._settings.maximum_records:
             del self._records[self._find_evictable()]
 
-    def get_latest_keys(self, count: int) -> list[str]:
-        """Returns the keys of the records that were used last."""
-        keys = list(self._records)
-        return keys[-count:]
+    def merge(
+        self, now_s: float, reports: Iterable[suspect_report.SuspectReport]
+    ) -> list[suspect_report.SuspectReport]:
+        """Adds reports; returns those that were not known."""
+        new = []
+        for report in reports:
+            old = self.get(now_s, report.key) or suspect_record.EMPTY
+            record = old.add(report)
+            if record is old:
+                continue
+            new.append(report)
+            self.put(report.key, record._replace(changed_s=now_s, used_s=now_s))
+        return new
+
+    def clear(
+        self, now_s: float, key: str
+    ) -> list[suspect_report.SuspectReport]:
+        """Clears the deaths and trials of a key; returns the reports of it."""
+        record = self.get(now_s, key) or suspect_record.EMPTY
+        reports = [
+            suspect_report.SuspectReport(
+                key, report_kind.ReportKind.CLEARED, event_id
+            )
+            for event_id in sorted(record.open_events)
+        ]
+        self.merge(now_s, reports)
+        return reports
+
+    def get_latest_reports(
+        self, now_s: float, key_count: int
+    ) -> list[suspect_report.SuspectReport]:
+        """Returns all that is known of the keys that were used last."""
+        reports = []
+        for key in list(self._records)[-key_count:]:
+            record = self.get(now_s, key) or suspect_record.EMPTY
+            reports += record.make_reports(key)
+        return reports
 
     def _is_expired(
         self, now_s: float, record: suspect_record.SuspectRecord
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -2,9 +2,9 @@
 
 from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.decisions.routes import route as route_module
+from cranberrymux.gateway import answer_judge
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import attempts as attempts_module
-from cranberrymux.gateway import endpoint_observation
 from cranberrymux.gateway import entry_answer
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
@@ -27,9 +27,6 @@
 STREAMING_GRACE_S = 0.2
 
 _Outcome = own_answers.Outcome
-_BACKEND_DIED = lost_answer.LostAnswer(
-    lost_answer.LossReason.CONNECTION_LOST, True, "the backend server died"
-)
 
 
 class EntryCall(relay.Relay):
@@ -57,6 +54,8 @@
         self._call = call
         self._route = route
         self._headers = headers
+        name = parts.settings.dialect.request_id
+        self._request_id = headers_module.find(call.head.headers, name) or b""
         self._began_s = parts.clock.now_s()
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s
@@ -77,9 +76,11 @@
             parts, call, self._origin, self._attempts, self._log
         )
         self._suspicion = suspicion.Suspicion(parts, digest)
+        self._judge = answer_judge.AnswerJudge(
+            parts, self._attempts, self._request_id
+        )
         self._endpoint: endpoint_view.EndpointView | None = None
         self._sent_s = 0.0
-        self._is_repeated_after_failure = False
 
     def start(self) -> None:
         """Sends the request to an endpoint, or refuses it."""
@@ -166,14 +167,14 @@
         """Passes an answer on, or sends the request to another endpoint."""
         self._suspicion.learn(head)
         if hop_answer.has_died(head):
-            self.attempt_lost(_BACKEND_DIED)
+            self.attempt_lost(hop_answer.BACKEND_DIED)
             return
         endpoint = self._release_endpoint()
         now_s = self._parts.clock.now_s()
         self._origin.learn_from_answer(
             self._attempts.service, head, self._began_s, now_s
         )
-        if self._evaluate(endpoint, head, now_s):
+        if self._judge.is_final(endpoint, head, self._sent_s):
             self._cancel_timer()
             self._answer.forward(head, body)
             return
@@ -189,7 +190,7 @@
         If the request is sent to another endpoint, the rest is not read.
         """
         now_s = self._parts.clock.now_s()
-        if self._evaluate(self._endpoint, head, now_s):
+        if self._judge.is_final(self._endpoint, head, self._sent_s):
             self._limit_streaming(now_s)
             self._answer.start_streaming(head, body)
             return
@@ -200,64 +201,6 @@
             self._attempts.may_have_run = True
         self._send_elsewhere(endpoint, head, now_s)
 
-    def _evaluate(
-        self,
-        endpoint: endpoint_view.EndpointView | None,
-        head: answer_head.AnswerHead,
-        now_s: float,
-    ) -> bool:
-        """Learns from the head of an answer and decides on the answer.
-
-        Args:
-            endpoint: The endpoint; None if the request has no current one.
-            head: Head of the answer, whether that is long or short.
-            now_s: Monotonic seconds.
-
-        Returns:
-            True if the client gets the answer. Otherwise, the endpoint refused
-            the request, or it failed and a repeat was taken from the budget.
-        """
-        if endpoint is not None:
-            endpoint_observation.note_answer(
-                self._parts,
-                endpoint_observation.EndpointAnswer(
-                    endpoint, head, self._sent_s, self._request_id
-                ),
-            )
-        if hop_answer.find_refusal(head) is not None:
-            return False
-        is_failed = hop_answer.is_own_failure(head)
-        return not (
-            is_failed and self._take_repeat_after_failure(endpoint, now_s)
-        )
-
-    def _send_elsewhere(
-        self,
-        endpoint: endpoint_view.EndpointView | None,
-        head: answer_head.AnswerHead,
-        now_s: float,
-    ) -> None:
-        """Sends the request on after an answer that the client does not get."""
-        refusal = hop_answer.find_refusal(head)
-        if refusal is not None:
-            self._attempts.note_node_refused(
-                refusal, hop.decode_limit_wait(head.headers)
-            )
-            self._handle_refusal(endpoint, refusal, now_s)
-            return
-        self._log.log_repeat("backend-failed")
-        self._send_next()
-
-    def _take_repeat_after_failure(
-        self, endpoint: endpoint_view.EndpointView | None, now_s: float
-    ) -> bool:
-        """Takes a repeat from the budget, once in the life of the request."""
-        self._attempts.note_failed(endpoint)
-        if self._is_repeated_after_failure:
-            return False
-        self._is_repeated_after_failure = self._attempts.take_repeat(now_s)
-        return self._is_repeated_after_failure
-
     def _limit_streaming(self, now_s: float) -> None:
         """Lets a long answer end a little after the deadline at the latest."""
         self._cancel_timer()
@@ -296,32 +239,23 @@
             return
         self._fail(_Outcome.LOST, 502, loss.detail)
 
-    def _handle_refusal(
+    def _send_elsewhere(
         self,
         endpoint: endpoint_view.EndpointView | None,
-        reason: bytes,
+        head: answer_head.AnswerHead,
         now_s: float,
     ) -> None:
-        """Handles that the endpoint's node or backend server refused.
-
-        Args:
-            endpoint: The endpoint; None if the request has no current one.
-            reason: One of the reasons of `hop.NOT_RUN`.
-            now_s: Monotonic seconds.
-        """
-        if endpoint is not None and reason not in hop.BUSY_REASONS:
-            endpoint.note_not_serving(now_s)
-        if reason == hop.QUARANTINED:
-            self._refuse(_Outcome.QUARANTINED)
+        """Sends the request on after an answer that the client does not get."""
+        refusal = hop_answer.find_refusal(head)
+        if refusal is None:
+            self._log.log_repeat("backend-failed")
+            self._send_next()
             return
-        is_sent_again = not self._attempts.is_streamed
-        if reason == hop.BACKEND_FULL:
-            self._attempts.note_refused(endpoint)
-            is_sent_again = self._attempts.take_repeat_after_refusal(now_s)
-        if is_sent_again:
+        follow_up = self._judge.note_refusal(endpoint, refusal, head, now_s)
+        if follow_up is None:
             self._send_next()
         else:
-            self._refuse(_Outcome.REFUSED, reason.decode("latin-1"))
+            self._refuse(follow_up, refusal.decode("latin-1"))
 
     # Ends of the request.
 
@@ -361,11 +295,6 @@
         self._cancel_timer()
         self._answer.fail(outcome, status, detail)
 
-    @property
-    def _request_id(self) -> bytes:
-        name = self._parts.settings.dialect.request_id
-        return headers_module.find(self._call.head.headers, name) or b""
-
     def _release_endpoint(self) -> endpoint_view.EndpointView | None:
         endpoint = self._endpoint
         self._endpoint = None
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -11,13 +11,13 @@
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
-from cranberrymux.gateway import backend_health
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import exit_limit
-from cranberrymux.gateway import exit_owner
-from cranberrymux.gateway import exit_pressure
 from cranberrymux.gateway import exit_suspects
+from cranberrymux.gateway import exit_ticket
+from cranberrymux.gateway import exit_work
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import owned_call
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import peer_messages
 from cranberrymux.models import socket_address
@@ -44,6 +44,7 @@
     Attributes:
         limit: The rate limit of the backend server.
         suspects: Requests that may crash the backend server.
+        work: What the requests cost.
     """
 
     def __init__(
@@ -68,17 +69,14 @@
             on_unexpected=parts.note_unexpected_answer,
         )
         self._scheduler = slot_scheduler.SlotScheduler(1)
-        self._pressure = exit_pressure.ExitPressure(
-            parts, self._scheduler, self.describe_load
-        )
+        self.work = exit_work.ExitWork(parts, self._scheduler)
         self._peer_messages = peer_messages.PeerMessages(parts)
-        self._health = backend_health.BackendHealth(parts)
         self.limit = exit_limit.ExitLimit(
-            parts, self._scheduler, self._pressure, on_leaving
+            parts, self._scheduler, self.work.pressure, on_leaving
         )
         self.suspects = exit_suspects.ExitSuspects(parts, self._scheduler, self)
-        parts.quarantine.on_dead = self._backend_unreachable
-        parts.quarantine.is_end_planned = self._is_end_planned
+        parts.quarantine.losses.on_dead = self._backend_unreachable
+        parts.quarantine.losses.is_end_planned = self._is_end_planned
         self._calls: dict[int, exit_call.ExitCall] = {}
         self._ticket_ids = itertools.count(1)
         self._is_stopping = False
@@ -113,7 +111,7 @@
             received: The announcement.
             previous: The one before it; None if it is the first.
         """
-        self._health.note_announcement(received)
+        self.work.health.note_announcement(received)
         self.suspects.announcement_received(received, previous)
 
     def stop(self) -> None:
@@ -137,7 +135,7 @@
             self,
             self._pool,
             call,
-            exit_call.ExitTicket(
+            exit_ticket.ExitTicket(
                 ticket_id,
                 now_s + MAXIMUM_WAIT_RATIO * left_s,
                 now_s + left_s,
@@ -148,11 +146,11 @@
             hop_call.refuse(reason)
             return
         if headers_module.find(call.head.headers, hop.RESENT) is None:
-            self._pressure.note_arrival(
+            self.work.pressure.note_arrival(
                 hop_call.route, hop_call.tree_context.share
             )
         self.limit.note_request(call.head.headers, hop_call.request_id)
-        self._pressure.update(self.limit.per_s)
+        self.work.pressure.update(self.limit.per_s)
         self._calls[ticket_id] = hop_call
         if not self.suspects.hold(hop_call):
             self.offer_slot(ticket_id)
@@ -193,91 +191,20 @@
 
     # Owner of the calls.
 
-    def encode_load(self) -> bytes:
-        """Encodes the load report that answers carry."""
-        requests = self._scheduler.running + self._scheduler.waiting
-        health = self._health
-        return hop.encode_load(
-            hop.LoadReport(requests, health.failure_rate, health.slowness)
-        )
-
-    def note_outcome(self, call: exit_owner.OwnedCall, is_failed: bool) -> bool:
-        """Records how a request ended; to be called before `call_finished`.
-
-        Returns:
-            True if it failed because one of its calls failed or is open.
-        """
-        running = self._parts.running_requests.find(call.ticket_id)
-        is_failed_by_call = (
-            is_failed and running is not None and running.depends_on_call
-        )
-        if not is_failed_by_call:
-            self._health.note_outcome(is_failed)
-        return is_failed_by_call
-
-    def call_started(
-        self, call: exit_owner.OwnedCall, deadline_s: float
-    ) -> None:
-        """Records that a request is sent to the backend server."""
-        self._parts.metrics.backend_sends.inc()
-        self._parts.parent_matcher.add(
-            call.ticket_id, call.request_id, deadline_s
-        )
-        self._parts.running_requests.begin(call.ticket_id, call.tree_context)
-
     def call_finished(
-        self, call: exit_owner.OwnedCall, outcome: run_outcome.RunOutcome
+        self, call: owned_call.OwnedCall, outcome: run_outcome.RunOutcome
     ) -> work_report.WorkReport:
         """Frees a slot; returns the work of the request and its calls."""
-        ticket_id = call.ticket_id
-        if self._calls.pop(ticket_id, None) is None:
+        if self._calls.pop(call.ticket_id, None) is None:
             return {}
-        now_s = self._parts.clock.now_s()
-        is_measured = outcome is not run_outcome.RunOutcome.UNANSWERED
-        hold_s = self._scheduler.finish(now_s, ticket_id, is_measured)
-        if is_measured:
-            self._pressure.note_hold(call.route, hold_s)
-        running = self._parts.running_requests.find(ticket_id)
-        if running is not None:
-            self._health.note_work_time(
-                call.route, hold_s - running.call_wait_s, outcome
-            )
-        self._pressure.update(self.limit.per_s)
-        report = self._end_running(ticket_id, hold_s)
-        self.suspects.ended(ticket_id)
+        report = self.work.end_run(call, outcome, self.limit.per_s)
+        self.suspects.ended(call.ticket_id)
         self._start_waiting()
         return report
 
-    def describe_load(self) -> dict[str, Any]:
-        """Returns the log fields of load and health."""
-        return {
-            **self._health.describe(),
-            "running": self._scheduler.running,
-            "waiting": self._scheduler.waiting,
-            "slots": self._scheduler.slots,
-        }
-
     def update_metrics(self) -> None:
         """Updates the gauges and checks the health."""
-        self._health.log_transitions()
-        metrics = self._parts.metrics
-        metrics.share.set(self._pressure.share)
-        metrics.running.set(self._scheduler.running)
-        metrics.waiting.set(self._scheduler.waiting)
-
-    def report_share(self) -> work_report.WorkReport:
-        """Returns a report without work that tells the fitting share."""
-        return self._pressure.report()
-
-    def _end_running(
-        self, ticket_id: int, hold_s: float
-    ) -> work_report.WorkReport:
-        self._parts.parent_matcher.remove(ticket_id)
-        running = self._parts.running_requests.find(ticket_id)
-        self._parts.running_requests.end(ticket_id)
-        report = {} if running is None else running.report
-        work_report.add(report, self._pressure.report(hold_s))
-        return report
+        self.work.update_metrics()
 
     def remove_waiting(self, ticket_id: int) -> None:
         """Removes a waiting request whose sender cancelled it."""
@@ -299,7 +226,7 @@
         target = headers_module.find(call.head.headers, hop.TARGET)
         if current is None or target != current.backend_id.encode():
             return hop.OTHER_BACKEND
-        return b"" if self._health.admits() else hop.STALLED
+        return b"" if self.work.health.admits() else hop.STALLED
 
     def _is_end_planned(self) -> bool:
         current = self._presence.current
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -1,19 +1,17 @@
 """A request to the backend server beside this node."""
 
-from typing import NamedTuple
-
 from cranberrymux.decisions.endpoints import run_outcome
-from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import backend_verdict
+from cranberrymux.gateway import exit_answers
 from cranberrymux.gateway import exit_owner
+from cranberrymux.gateway import exit_ticket
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import outgoing_request
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import relay
 from cranberrymux.models import backend_process
 from cranberrymux.node.http import answer_head
-from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
@@ -32,20 +30,6 @@
 _RunOutcome = run_outcome.RunOutcome
 
 
-class ExitTicket(NamedTuple):
-    """Number and times of a request at the hop port.
-
-    Attributes:
-        ticket_id: Number of the request, unique at this node.
-        start_by_s: Monotonic seconds after which a start is of no use.
-        deadline_s: Monotonic seconds at which its caller gives up.
-    """
-
-    ticket_id: int
-    start_by_s: float
-    deadline_s: float
-
-
 class ExitCall(relay.Relay):
     """Sends one request to the backend server once it has a slot.
 
@@ -65,7 +49,7 @@
         owner: exit_owner.ExitOwner,
         pool: connection_pool.ConnectionPool,
         call: inbound_call.InboundCall,
-        ticket: ExitTicket,
+        ticket: exit_ticket.ExitTicket,
     ) -> None:
         """Reads the headers of the call; `begin` sends it on.
 
@@ -85,14 +69,10 @@
         self.start_by_s = ticket.start_by_s
         self.deadline_s = ticket.deadline_s
         self.tree_context = hop.decode_tree_context(call.head.headers)
-        dialect = parts.settings.dialect
-        self.request_id = (
-            headers_module.find(call.head.headers, dialect.request_id) or b""
-        )
-        digest = headers_module.find(call.head.headers, hop.DIGEST) or b""
-        self.digest = digest.decode("latin-1")
-        route = headers_module.find(call.head.headers, hop.ROUTE) or b""
-        self.route = route.decode("latin-1")
+        self._answers = exit_answers.ExitAnswers(parts, owner, call)
+        self.request_id = self._answers.request_id
+        self.digest = self._answers.digest
+        self.route = self._answers.route
         self._process = backend_process.BackendProcess("", 0)
         self._address = connection_pool.Address("", 0)
         self._sent_s = 0.0
@@ -124,6 +104,7 @@
             process: Its process. A server that has another id answers 421.
         """
         self._process = process
+        self._answers.backend_id = process.backend_id
         self._address = address
         dialect = self._parts.settings.dialect
         now_s = self._parts.clock.now_s()
@@ -139,7 +120,7 @@
         ]
         left_ms = max(hop.shorten_deadline_ms(left_s), 1)
         headers.append((dialect.deadline_ms, b"%d" % left_ms))
-        self._owner.call_started(self, now_s + left_ms / 1000)
+        self._owner.work.start_run(self, now_s + left_ms / 1000)
         headers.append((dialect.expected_backend, process.backend_id.encode()))
         self._attempt = attempt_module.Attempt(
             self._pool,
@@ -163,25 +144,8 @@
         Args:
             reason: One of the reasons of `hop.NOT_RUN`.
         """
-        text = reason.decode("latin-1")
-        self._parts.metrics.hops.labels(text).inc()
-        self._parts.events.info(
-            "request-refused-here",
-            reason=text,
-            request_id=self.request_id.decode("latin-1"),
-            route=self.route,
-            **self._owner.describe_load(),
-        )
         self._cancel_timer()
-        headers = [
-            (self._parts.settings.dialect.request_id, self.request_id),
-            (hop.NOT_RUN, reason),
-            (hop.LOAD, self._owner.encode_load()),
-            (hop.WORK, work_report.encode(self._owner.report_share())),
-            *self._owner.limit.encode(),
-            *self._owner.suspects.encode(self.digest),
-        ]
-        self._call.answer(503, headers, b"")
+        self._answers.refuse(reason)
 
     # Outcome of the attempt.
 
@@ -213,9 +177,9 @@
         if not verdict.is_passed_on:
             self._withhold(verdict)
             return
-        self._count_status(head.status)
-        headers = self._make_headers(head, report, is_failed_by_call)
-        self._call.answer(head.status, headers, body)
+        self._answers.forward(
+            head, body, report, is_failed_by_call=is_failed_by_call
+        )
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead, body: bytes
@@ -231,12 +195,9 @@
             return
         self._streamed = verdict
         is_failed_by_call = verdict.is_failure and self._note_outcome(True)
-        mode = head.mode
-        if mode is body_mode.BodyMode.UNTIL_CLOSE:
-            mode = body_mode.BodyMode.CHUNKED
-        headers = self._make_headers(head, {}, is_failed_by_call)
-        self._call.start_answer(head._replace(headers=headers, mode=mode))
-        self._call.send_body(body)
+        self._answers.start_streaming(
+            head, body, is_failed_by_call=is_failed_by_call
+        )
 
     def attempt_part(self, part: bytes) -> None:
         """Passes on the next bytes of a long answer."""
@@ -250,7 +211,7 @@
         self._owner.suspects.run_ended(self, is_clean=is_clean)
         self._note_outcome(self._streamed.is_failure)
         self._owner.call_finished(self, self._streamed.outcome)
-        self._count_status(self._streamed.status)
+        self._answers.count_status(self._streamed.status)
         self._call.finish()
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
@@ -263,59 +224,22 @@
             return
         self._owner.suspects.run_ended(self, is_clean=False)
         if not loss.is_handed_over:
-            self._parts.events.info(
-                "backend-unreachable",
-                reason=loss.detail,
-                request_id=self.request_id.decode("latin-1"),
-                digest=self.digest,
-                backend_id=self._process.backend_id,
-            )
+            self._answers.log_unreachable(loss.detail)
             self.refuse(hop.UNREACHABLE)
             return
-        self._abort_lost(loss.detail)
+        self._answers.abort_lost(loss.detail)
 
     def _explain_loss(self, detail: str) -> None:
         """Ends a request whose connection broke once it is known why."""
 
         def explained(is_dead: bool) -> None:
-            if is_dead and not self._call.is_head_sent:
-                self._answer_died()
+            if is_dead and not self._answers.is_started:
+                self._answers.answer_died()
             else:
-                self._abort_lost(detail)
+                self._answers.abort_lost(detail)
 
         self._owner.suspects.run_lost(self, self._address, explained)
 
-    def _answer_died(self) -> None:
-        """Answers that the backend server died while it ran the request."""
-        self._parts.metrics.hops.labels("died").inc()
-        self._parts.events.info(
-            "backend-answer-lost",
-            request_id=self.request_id.decode("latin-1"),
-            digest=self.digest,
-            backend_id=self._process.backend_id,
-            route=self.route,
-            detail="the backend server died",
-        )
-        headers = [
-            (self._parts.settings.dialect.request_id, self.request_id),
-            (hop.DIED, b"1"),
-            *self._owner.suspects.encode(self.digest),
-        ]
-        self._call.answer(502, headers, b"")
-
-    def _abort_lost(self, detail: str) -> None:
-        """Aborts without an answer; the sending node informs its client."""
-        self._parts.metrics.hops.labels("lost").inc()
-        self._parts.events.info(
-            "backend-answer-lost",
-            request_id=self.request_id.decode("latin-1"),
-            digest=self.digest,
-            backend_id=self._process.backend_id,
-            route=self.route,
-            detail=detail,
-        )
-        self._call.abort()
-
     def _handle_timeout(self) -> None:
         self._timer = None
         self._cancel_attempt()
@@ -349,14 +273,9 @@
     def _withhold(self, verdict: backend_verdict.BackendVerdict) -> None:
         """Ends a request whose answer may not be passed on."""
         if not verdict.refusal:
-            self._abort_lost(verdict.defect)
+            self._answers.abort_lost(verdict.defect)
             return
-        self._parts.events.info(
-            "backend-refused",
-            reason=verdict.refusal.decode("latin-1"),
-            request_id=self.request_id.decode("latin-1"),
-            route=self.route,
-        )
+        self._answers.log_refused(verdict.refusal)
         self.refuse(verdict.refusal)
 
     def _note_outcome(self, is_failed: bool) -> bool:
@@ -368,25 +287,4 @@
         if self._has_outcome:
             return False
         self._has_outcome = True
-        return self._owner.note_outcome(self, is_failed)
-
-    def _count_status(self, status: int) -> None:
-        self._parts.metrics.hops.labels(f"{status // 100}xx").inc()
-
-    def _make_headers(
-        self,
-        head: answer_head.AnswerHead,
-        report: work_report.WorkReport,
-        is_failed_by_call: bool,
-    ) -> headers_module.HeaderList:
-        """Returns the headers of an answer, with what this node reports."""
-        headers = hop.remove_node_headers(
-            headers_module.forwardable(head.headers)
-        )
-        headers.append((hop.LOAD, self._owner.encode_load()))
-        headers += self._owner.limit.encode()
-        if report:
-            headers.append((hop.WORK, work_report.encode(report)))
-        if is_failed_by_call:
-            headers.append((hop.CALL_FAILED, b"1"))
-        return headers
+        return self._owner.work.note_outcome(self, is_failed)
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -161,9 +161,9 @@
         is_replaced = not received.process.may_be(previous.process)
         was_serving = previous.state is announcement.BackendState.SERVING
         if is_replaced and was_serving:
-            self._quarantine.process_replaced()
+            self._quarantine.losses.process_replaced()
         else:
-            self._quarantine.process_confirmed()
+            self._quarantine.losses.process_confirmed()
 
     # Runs.
 
@@ -202,9 +202,7 @@
             address: Address of the backend server.
             on_explained: Called with True if it died.
         """
-        self._quarantine.connection_lost(
-            str(call.ticket_id), address, on_explained
-        )
+        self._quarantine.losses.add(str(call.ticket_id), address, on_explained)
 
     def _queue(self, call: SuspectCall, runs_alone: bool) -> None:
         now_s = self._parts.clock.now_s()
--- /dev/null
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -0,0 +1,126 @@
+"""What the requests at the backend server cost, and how well they end."""
+
+from typing import Any
+
+from cranberrymux.decisions.endpoints import run_outcome
+from cranberrymux.decisions.pressure import slot_scheduler
+from cranberrymux.decisions.pressure import work_report
+from cranberrymux.gateway import backend_health
+from cranberrymux.gateway import exit_pressure
+from cranberrymux.gateway import hop
+from cranberrymux.gateway import owned_call
+from cranberrymux.gateway import parts as parts_module
+
+
+class ExitWork:
+    """Measures the runs of the backend server beside this node.
+
+    Attributes:
+        health: Health of the backend server.
+        pressure: The share of the offered work that it can take.
+    """
+
+    def __init__(
+        self,
+        parts: parts_module.GatewayParts,
+        scheduler: slot_scheduler.SlotScheduler,
+    ) -> None:
+        """Starts without runs.
+
+        Args:
+            parts: Shared state of the gateway.
+            scheduler: The slots of the backend server.
+        """
+        self._parts = parts
+        self._scheduler = scheduler
+        self.health = backend_health.BackendHealth(parts)
+        self.pressure = exit_pressure.ExitPressure(
+            parts, scheduler, self.describe_load
+        )
+
+    def encode_load(self) -> bytes:
+        """Encodes the load report that answers carry."""
+        requests = self._scheduler.running + self._scheduler.waiting
+        health = self.health
+        return hop.encode_load(
+            hop.LoadReport(requests, health.failure_rate, health.slowness)
+        )
+
+    def describe_load(self) -> dict[str, Any]:
+        """Returns the log fields of load and health."""
+        return {
+            **self.health.describe(),
+            "running": self._scheduler.running,
+            "waiting": self._scheduler.waiting,
+            "slots": self._scheduler.slots,
+        }
+
+    def report_share(self) -> work_report.WorkReport:
+        """Returns a report without work that tells the fitting share."""
+        return self.pressure.report()
+
+    def note_outcome(self, call: owned_call.OwnedCall, is_failed: bool) -> bool:
+        """Records how a request ended; to be called before `end_run`.
+
+        Returns:
+            True if it failed because one of its calls failed or is open.
+        """
+        running = self._parts.running_requests.find(call.ticket_id)
+        is_failed_by_call = (
+            is_failed and running is not None and running.depends_on_call
+        )
+        if not is_failed_by_call:
+            self.health.note_outcome(is_failed)
+        return is_failed_by_call
+
+    def start_run(self, call: owned_call.OwnedCall, deadline_s: float) -> None:
+        """Records that a request is sent to the backend server.
+
+        Args:
+            call: The request.
+            deadline_s: Monotonic seconds of the deadline it is sent with.
+        """
+        self._parts.metrics.backend_sends.inc()
+        self._parts.parent_matcher.add(
+            call.ticket_id, call.request_id, deadline_s
+        )
+        self._parts.running_requests.begin(call.ticket_id, call.tree_context)
+
+    def end_run(
+        self,
+        call: owned_call.OwnedCall,
+        outcome: run_outcome.RunOutcome,
+        limit_per_s: float | None,
+    ) -> work_report.WorkReport:
+        """Frees a slot; returns the work of the request and its calls.
+
+        Args:
+            call: The request.
+            outcome: How its run ended.
+            limit_per_s: Rate limit of the backend server; None without one.
+        """
+        ticket_id = call.ticket_id
+        now_s = self._parts.clock.now_s()
+        is_measured = outcome is not run_outcome.RunOutcome.UNANSWERED
+        hold_s = self._scheduler.finish(now_s, ticket_id, is_measured)
+        if is_measured:
+            self.pressure.note_hold(call.route, hold_s)
+        running = self._parts.running_requests.find(ticket_id)
+        if running is not None:
+            self.health.note_work_time(
+                call.route, hold_s - running.call_wait_s, outcome
+            )
+        self.pressure.update(limit_per_s)
+        self._parts.parent_matcher.remove(ticket_id)
+        self._parts.running_requests.end(ticket_id)
+        report = {} if running is None else running.report
+        work_report.add(report, self.pressure.report(hold_s))
+        return report
+
+    def update_metrics(self) -> None:
+        """Updates the gauges and checks the health."""
+        self.health.log_transitions()
+        metrics = self._parts.metrics
+        metrics.share.set(self.pressure.share)
+        metrics.running.set(self._scheduler.running)
+        metrics.waiting.set(self._scheduler.waiting)
--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -3,8 +3,12 @@
 from cranberrymux.gateway import hop
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
+from cranberrymux.node.http import lost_answer
 
 MINIMUM_SERVER_ERROR_STATUS = 500
+BACKEND_DIED = lost_answer.LostAnswer(
+    lost_answer.LossReason.CONNECTION_LOST, True, "the backend server died"
+)
 
 
 def find_refusal(head: answer_head.AnswerHead) -> bytes | None:
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -19,7 +19,7 @@
 from cranberrymux.gateway import running_requests
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.node import clock as clock_module
-from cranberrymux.node import quarantine_task
+from cranberrymux.node import quarantine_factory
 from cranberrymux.node import siblings as siblings_module
 from cranberrymux.node import suspect_reporter
 from cranberrymux.node.http import answer_limits
@@ -119,8 +119,8 @@
         self.siblings = siblings_module.Siblings(
             settings.node_id, self.hop_connections
         )
-        self.quarantine = quarantine_task.make(
-            quarantine_task.NodeIdentity(
+        self.quarantine = quarantine_factory.make(
+            quarantine_factory.NodeIdentity(
                 settings.node_id,
                 system_clock.now_unix_ms(),
                 settings.cluster_key.encode(),
--- a/src/cranberrymux/node/environment_builder.py
+++ b/src/cranberrymux/node/environment_builder.py
@@ -22,6 +22,7 @@
 from cranberrymux.node import environment
 from cranberrymux.node import ingress_calls
 from cranberrymux.node import own_endpoint
+from cranberrymux.node import quarantine_factory
 from cranberrymux.node import quarantine_task
 from cranberrymux.node import running_calls
 from cranberrymux.node import settings as node_settings
@@ -127,8 +128,8 @@
 
 def _make_quarantine(parts: Parts) -> quarantine_task.QuarantineTask:
     clients = list(parts.clients)
-    made = quarantine_task.make(
-        quarantine_task.NodeIdentity(
+    made = quarantine_factory.make(
+        quarantine_factory.NodeIdentity(
             parts.settings.node_id,
             parts.endpoint.incarnation,
             parts.cluster_key.encode(),
@@ -138,7 +139,7 @@
         lambda: clients,
         parts.siblings.send_to_all,
     )
-    made.on_dead = parts.on_backend_dead
+    made.losses.on_dead = parts.on_backend_dead
     return made
 
 
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -156,13 +156,13 @@
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Answers as not-run or unknown if no complete answer will arrive."""
         if loss.is_handed_over:
-            self._node.quarantine.connection_lost(
+            self._node.quarantine.losses.add(
                 self._slot.ticket_id, self._backend.address
             )
         else:
             self._finish_quarantine(False)
             self._release_claim()
-            self._node.quarantine.not_connected()
+            self._node.quarantine.losses.on_dead()
         unspent = self._end(_Outcome.LOST)
         if self._streamed_head is not None:
             self._answers.abort()
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -4,24 +4,21 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Any
-from typing import NamedTuple
 
 import structlog
 
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
 from cranberrymux.decisions.quarantine import quarantine as quarantine_module
-from cranberrymux.decisions.quarantine import quarantine_settings
 from cranberrymux.decisions.quarantine import report_kind
 from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.models import refusal
 from cranberrymux.node import clock as clock_module
-from cranberrymux.node import death_probe
 from cranberrymux.node import peer_request
+from cranberrymux.node import run_losses
 from cranberrymux.node import suspect_message
 from cranberrymux.node import suspect_reporter
 from cranberrymux.node import suspect_rows
-from cranberrymux.node.http import connection_pool
 from cranberrymux.telemetry import event
 
 # A report of a sibling is passed on to the control instances if they have not
@@ -29,9 +26,6 @@
 RELAY_DELAY_S = 1.0
 # Time after which the reports on a call that still comes are sent again.
 RENEWAL_INTERVAL_S = 300.0
-# Time in which another process at the place of the backend server explains why
-# connections to it broke.
-UNEXPLAINED_S = 3.0
 _MAXIMUM_SHARED_KEYS = 64
 _Kind = report_kind.ReportKind
 _Report = suspect_report.SuspectReport
@@ -39,51 +33,15 @@
 _log = structlog.get_logger()
 
 
-class NodeIdentity(NamedTuple):
-    """Names a node in its reports.
-
-    Attributes:
-        node_id: Name of the node.
-        incarnation: Start time of its process in Unix milliseconds.
-        cluster_key: Proves to other nodes that it is one.
-    """
-
-    node_id: str
-    incarnation: int
-    cluster_key: bytes
-
-
-class _LostCall(NamedTuple):
-    """A call whose connection to the backend server broke.
-
-    Attributes:
-        ticket_id: Id of the call at admission.
-        lost_s: Monotonic seconds at which it broke.
-        on_explained: Called with True if the backend server has died.
-    """
-
-    ticket_id: str
-    lost_s: float
-    on_explained: Callable[[bool], None]
-
-
-def _ignore(is_dead: bool) -> None:
-    del is_dead
-
-
 class QuarantineTask:
     """Owns the quarantine, to which calls report their start and end.
 
-    When a connection to the backend server breaks under a call, the task
-    tries to connect again. A backend server that refuses the connection, or in
-    whose place another process announces itself, has died, and every call that
-    was in flight on it is a suspect. The siblings, which are the other
-    endpoints of the service, and the control instances get a report.
+    When the backend server has died, every call that was in flight on it is a
+    suspect. The siblings, which are the other endpoints of the service, and the
+    control instances get a report.
 
     Attributes:
-        on_dead: Called when the backend server accepts no connection.
-        is_end_planned: Returns True if the backend server is leaving, so that
-            its end is no death.
+        losses: Runs whose connection broke, until it is known why.
     """
 
     def __init__(
@@ -109,11 +67,11 @@
         self._clock = system_clock
         self._reporter = reporter
         self._send_to_siblings = send_to_siblings
-        self.on_dead: Callable[[], None] = lambda: None
-        self.is_end_planned: Callable[[], bool] = lambda: False
+        self.losses = run_losses.RunLosses(
+            system_clock, reactor, self._record_death, self._record_survival
+        )
+        self.losses.may_have_ended_abandoned = self._has_abandoned
         self._cluster_key = cluster_key
-        self._probe = death_probe.DeathProbe(reactor, self._handle_probe)
-        self._lost: list[_LostCall] = []
         self._claimed_keys: set[str] = set()
 
     @property
@@ -202,46 +160,6 @@
         if cleared:
             self._share(cleared, "run-ended")
 
-    def connection_lost(
-        self,
-        ticket_id: str,
-        address: connection_pool.Address,
-        on_explained: Callable[[bool], None] = _ignore,
-    ) -> None:
-        """Probes the backend server after a connection broke under a call.
-
-        Args:
-            ticket_id: Id of the call at admission.
-            address: Address of the backend server.
-            on_explained: Called once: with True if the backend server has
-                died, with False if it accepts connections.
-        """
-        self._lost.append(
-            _LostCall(ticket_id, self._clock.now_s(), on_explained)
-        )
-        self._probe.start(address)
-
-    def not_connected(self) -> None:
-        """Reports that the backend server accepted no connection for a call."""
-        self.on_dead()
-
-    def process_replaced(self) -> None:
-        """Notes that another process has taken the backend server's place.
-
-        To be called unless its end was planned. A backend server that is back
-        soon has not refused the probe.
-        """
-        self._forget_unexplained()
-        if self._lost or self._quarantine.has_abandoned(self._clock.now_s()):
-            self._die("replaced", is_past=True)
-
-    def process_confirmed(self) -> None:
-        """Notes that the backend server runs on, or that its end was planned.
-
-        What broke its connections was no death.
-        """
-        self._end_lost(is_dead=False)
-
     def merge_from_sibling(self, reports: Sequence[_Report]) -> None:
         """Merges reports of a sibling and has the control instances get them.
 
@@ -301,86 +219,25 @@
         for message in suspect_message.encode(reports, self._cluster_key):
             self._send_to_siblings(message)
 
-    def _handle_probe(self, result: death_probe.ProbeResult) -> None:
-        if result is not death_probe.ProbeResult.ACCEPTED:
-            self.on_dead()
-        if result is not death_probe.ProbeResult.REFUSED:
-            self._keep_unexplained()
-        elif self.is_end_planned():
-            self._end_lost(is_dead=False)
-        else:
-            self._die("refused-connection")
-
-    def _keep_unexplained(self) -> None:
-        """Answers the callers; a new process may still explain the loss."""
-        self._forget_unexplained()
-        for one in self._lost:
-            one.on_explained(False)
-        self._lost = [one._replace(on_explained=_ignore) for one in self._lost]
-
-    def _forget_unexplained(self) -> None:
-        from_s = self._clock.now_s() - UNEXPLAINED_S
-        for one in self._lost:
-            if one.lost_s < from_s:
-                self.finish(one.ticket_id, False)
-        self._lost = [one for one in self._lost if one.lost_s >= from_s]
-
-    def _end_lost(self, *, is_dead: bool) -> None:
-        lost = self._lost
-        self._lost = []
-        for one in lost:
-            if not is_dead:
-                self.finish(one.ticket_id, False)
-            one.on_explained(is_dead)
-
-    def _die(self, evidence: str, *, is_past: bool = False) -> None:
+    def _has_abandoned(self) -> bool:
+        return self._quarantine.has_abandoned(self._clock.now_s())
+
+    def _record_survival(self, ticket_id: str) -> None:
+        """Records that a run was cut off by something else than a death."""
+        self._quarantine.finish(self._clock.now_s(), ticket_id, False)
+
+    def _record_death(self, evidence: str, is_past: bool) -> None:
         reports = self._quarantine.endpoint_died(
             self._clock.now_s(), is_past=is_past
         )
-        if reports:
-            _log.warning(
-                event.Event.BACKEND_SERVER_DIED,
-                evidence=evidence,
-                suspects=len({one.key for one in reports}),
-            )
-            self._share(reports, "death")
-        self._end_lost(is_dead=True)
-
-
-def make(
-    identity: NodeIdentity,
-    system_clock: clock_module.Clock,
-    reactor: Any,
-    get_clients: Callable[[], Sequence[suspect_reporter.ReportClient]],
-    send_to_siblings: Callable[[peer_request.PeerMessage], None],
-) -> QuarantineTask:
-    """Returns the quarantine of a node without records.
-
-    Args:
-        identity: Names the node in its reports.
-        system_clock: The node's clocks.
-        reactor: Opens connections and schedules reports.
-        get_clients: Returns the connections to the control instances.
-        send_to_siblings: Sends a message to every sibling.
-    """
-    reporter = suspect_reporter.SuspectReporter(
-        get_clients,
-        f"{identity.node_id}#{identity.incarnation}",
-        reactor,
-        system_clock,
-    )
-    return QuarantineTask(
-        quarantine_module.Quarantine(
-            quarantine_settings.QuarantineSettings(),
-            identity.node_id,
-            identity.incarnation,
-        ),
-        system_clock,
-        reactor,
-        reporter,
-        send_to_siblings,
-        identity.cluster_key,
-    )
+        if not reports:
+            return
+        _log.warning(
+            event.Event.BACKEND_SERVER_DIED,
+            evidence=evidence,
+            suspects=len({one.key for one in reports}),
+        )
+        self._share(reports, "death")
 
 
 def _describe(reports: Sequence[_Report]) -> dict[str, Any]:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -85,7 +85,7 @@
     assert client.statuses == [502]
     events = [line["event"] for line in lines]
     assert "backend-answer-lost" in events
-    health = mesh.members[1].gateway._exit._health
+    health = mesh.members[1].gateway._exit.work.health
     assert health.failure_rate > 0
 
 
--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -229,7 +229,7 @@
             request.connection.send(failure)
             mesh.network.run(0.01)
         now_s = mesh.network.seconds()
-        before = mesh.members[1].gateway._exit._health.failure_rate
+        before = mesh.members[1].gateway._exit.work.health.failure_rate
         for number in range(10):
             client = ask(mesh, request_id=f"s{number}", wait=0.01)
             request = backend.requests[-1]
@@ -239,7 +239,7 @@
             mesh.network.run(0.01)
             check_is_whole(client)
         assert mesh.network.seconds() < now_s + 1.0
-        after = mesh.members[1].gateway._exit._health.failure_rate
+        after = mesh.members[1].gateway._exit.work.health.failure_rate
         assert after < 0.6 * before
         assert count_outcomes(mesh) == {"5xx": 10.0, "2xx": 10.0}
 
