Check a request again for deaths when its wait for a slot ends

A request may wait in the queue of suspects or of slots while backend servers die under it elsewhere; it was sent all the same. The new test sent it after the third death was told, and its caller got 502; now it is refused with a true 503. The queue of suspects gets the field's name.

--- a/src/cranberrymux/decisions/quarantine/suspect_lane.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_queue.py
@@ -12,7 +12,7 @@
 MAXIMUM_WAITING = 128
 
 
-class LaneTicket(NamedTuple):
+class SuspectTicket(NamedTuple):
     """A suspect that wants to run.
 
     Attributes:
@@ -28,11 +28,11 @@
     runs_alone: bool
 
 
-class SuspectLane:
+class SuspectQueue:
     """Lets suspects start in order, a few beside other calls or one alone.
 
     While one that runs alone waits for an idle endpoint or is running, the
-    lane is closed: the owner starts no other call. Afterwards the endpoint
+    queue is closed: the owner starts no other call. Afterwards the endpoint
     serves normal calls for a multiple of the time that this took, so that
     exclusive runs never take more than a fixed share of an endpoint.
     """
@@ -40,9 +40,9 @@
     def __init__(self) -> None:
         """Starts empty; one suspect may run at a time."""
         self._width = 1
-        self._waiting: list[LaneTicket] = []
+        self._waiting: list[SuspectTicket] = []
         self._running: set[int] = set()
-        self._exclusive: LaneTicket | None = None
+        self._exclusive: SuspectTicket | None = None
         self._is_exclusive_running = False
         self._closed_s = 0.0
         self._cooldown_ends_s = -math.inf
@@ -65,7 +65,7 @@
         """True unless one runs alone or has just done so."""
         return not self.is_closed and now_s >= self._cooldown_ends_s
 
-    def offer(self, now_s: float, ticket: LaneTicket) -> bool:
+    def offer(self, now_s: float, ticket: SuspectTicket) -> bool:
         """Queues a suspect; False if it cannot get a turn here.
 
         `take_next` tells when its turn has come.
@@ -78,7 +78,7 @@
         self._waiting.sort(key=lambda one: (one.rank, one.start_by_s))
         return True
 
-    def take_next(self, now_s: float, running: int) -> LaneTicket | None:
+    def take_next(self, now_s: float, running: int) -> SuspectTicket | None:
         """Returns a suspect that starts now; None if none can.
 
         Args:
@@ -137,7 +137,7 @@
             self.finish(now_s, ticket_id)
         return popped
 
-    def _start_exclusive(self, running: int) -> LaneTicket | None:
+    def _start_exclusive(self, running: int) -> SuspectTicket | None:
         if self._is_exclusive_running or running:
             return None
         self._is_exclusive_running = True
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -172,7 +172,7 @@
         )
         self._refuse_waiting(self._scheduler.pop_evicted(), hop.FULL)
         if verdict is _Verdict.START:
-            self._start_call(ticket_id)
+            self._start_unless_quarantined(ticket_id)
         elif verdict is not _Verdict.WAIT:
             self.refuse_held(ticket_id, verdict.value.encode())
 
@@ -244,6 +244,18 @@
         for ticket_id in self._scheduler.start_waiting(
             self._parts.clock.now_s()
         ):
+            self._start_unless_quarantined(ticket_id)
+
+    def _start_unless_quarantined(self, ticket_id: int) -> None:
+        """Starts a request that has a slot.
+
+        Backend servers may have died under it elsewhere while it waited.
+        """
+        if self.suspects.is_refused(self._calls[ticket_id].digest):
+            now_s = self._parts.clock.now_s()
+            self._scheduler.finish(now_s, ticket_id, False)
+            self.refuse_held(ticket_id, hop.QUARANTINED)
+        else:
             self._start_call(ticket_id)
 
     def _start_call(self, ticket_id: int) -> None:
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -9,7 +9,7 @@
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
-from cranberrymux.decisions.quarantine import suspect_lane
+from cranberrymux.decisions.quarantine import suspect_queue
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import suspicion
@@ -49,7 +49,7 @@
 
 
 class SuspectOwner(Protocol):
-    """Starts and refuses the requests that the lane holds."""
+    """Starts and refuses the requests that the queue holds."""
 
     def offer_slot(self, ticket_id: int) -> None:
         """Offers a request a slot beside others."""
@@ -84,17 +84,17 @@
         self._quarantine = parts.quarantine
         self._scheduler = scheduler
         self._owner = owner
-        self._lane = suspect_lane.SuspectLane()
+        self._queue = suspect_queue.SuspectQueue()
         self._held_ids: set[int] = set()
 
     @property
     def waiting(self) -> int:
         """Number of suspects that wait for their turn."""
-        return self._lane.waiting + self._lane.is_closed
+        return self._queue.waiting + self._queue.is_closed
 
     def set_slots(self, slots: int) -> None:
         """Applies the number of slots of the backend server."""
-        self._lane.set_width(int(slots * SUSPECTS_PER_SLOT))
+        self._queue.set_width(int(slots * SUSPECTS_PER_SLOT))
 
     def hold(self, call: SuspectCall) -> bool:
         """Takes a request that is a suspect; False if it is none."""
@@ -108,19 +108,24 @@
         if isinstance(verdict, refusal.Refusal):
             self._try_once_more(call, fingerprint)
         else:
-            self._queue(call, verdict is isolation.Isolation.ALONE)
+            self._enqueue(call, verdict is isolation.Isolation.ALONE)
         return True
 
+    def is_refused(self, digest: str) -> bool:
+        """True if no request with this digest may run beside others now."""
+        verdict = self._quarantine.classify(suspicion.make_fingerprint(digest))
+        return isinstance(verdict, refusal.Refusal)
+
     def advance(self) -> None:
         """Starts the suspects whose turn has come; refuses late ones."""
         if not self.waiting:
             return
         now_s = self._parts.clock.now_s()
-        for ticket_id in self._lane.pop_expired(now_s):
+        for ticket_id in self._queue.pop_expired(now_s):
             self._owner.refuse_held(ticket_id, hop.SUSPECT_WAITS)
         while True:
-            ticket = self._lane.take_next(now_s, self._scheduler.running)
-            self._scheduler.set_paused(self._lane.is_closed)
+            ticket = self._queue.take_next(now_s, self._scheduler.running)
+            self._scheduler.set_paused(self._queue.is_closed)
             if ticket is None:
                 return
             if ticket.runs_alone:
@@ -130,16 +135,16 @@
 
     def pop_waiting(self) -> list[int]:
         """Removes and returns the suspects that wait for their turn."""
-        popped = self._lane.pop_all(self._parts.clock.now_s())
-        self._scheduler.set_paused(self._lane.is_closed)
+        popped = self._queue.pop_all(self._parts.clock.now_s())
+        self._scheduler.set_paused(self._queue.is_closed)
         return popped
 
     def ended(self, ticket_id: int) -> None:
         """Gives up the turn of a request that ended or was refused."""
         if ticket_id in self._held_ids:
             self._held_ids.discard(ticket_id)
-            self._lane.finish(self._parts.clock.now_s(), ticket_id)
-            self._scheduler.set_paused(self._lane.is_closed)
+            self._queue.finish(self._parts.clock.now_s(), ticket_id)
+            self._scheduler.set_paused(self._queue.is_closed)
 
     def encode(self, digest: str) -> headers_module.HeaderList:
         """Returns the header that tells the sender what is known here."""
@@ -204,15 +209,15 @@
         """
         self._quarantine.losses.add(str(call.ticket_id), address, on_explained)
 
-    def _queue(self, call: SuspectCall, runs_alone: bool) -> None:
+    def _enqueue(self, call: SuspectCall, runs_alone: bool) -> None:
         now_s = self._parts.clock.now_s()
         start_by_s = call.start_by_s
         if runs_alone:
             start_by_s = min(start_by_s, now_s + MAXIMUM_IDLE_WAIT_S)
-        ticket = suspect_lane.LaneTicket(
+        ticket = suspect_queue.SuspectTicket(
             call.ticket_id, call.rank, start_by_s, runs_alone
         )
-        if not self._lane.offer(now_s, ticket):
+        if not self._queue.offer(now_s, ticket):
             self._owner.refuse_held(call.ticket_id, hop.SUSPECT_WAITS)
             return
         self._held_ids.add(call.ticket_id)
@@ -223,7 +228,7 @@
     ) -> None:
         now_s = self._parts.clock.now_s()
         is_due = self._quarantine.get_trial_wait_s(fingerprint) <= 0
-        if is_due and self._lane.can_run_alone(now_s):
+        if is_due and self._queue.can_run_alone(now_s):
             defer.ensureDeferred(self._claim_trial(call, fingerprint))
         else:
             self._owner.refuse_held(call.ticket_id, hop.QUARANTINED)
@@ -235,6 +240,6 @@
         if not self._owner.is_open(call.ticket_id):
             return
         if is_granted:
-            self._queue(call, runs_alone=True)
+            self._enqueue(call, runs_alone=True)
         else:
             self._owner.refuse_held(call.ticket_id, hop.QUARANTINED)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -8,9 +8,13 @@
 import pytest
 import structlog
 
+from cranberrymux.decisions.quarantine import fingerprint
+from cranberrymux.decisions.quarantine import report_kind
+from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.telemetry import event
 from tests.gateway import crash_scene
 from tests.gateway import crashing_backend
+from tests.gateway import mesh as mesh_module
 
 MAXIMUM_LATE_RUNS = 3
 WRITE = "/write/crash?token=secret"
@@ -148,6 +152,44 @@
     assert scene.ask("/read/x", 0).statuses == [200]
 
 
+def test_request_that_waits_is_not_sent_once_it_is_refused():
+    scene = crash_scene.Scene()
+    scene.run(1)
+    index = scene.servers[0]
+    for backend in scene.backends[1:]:
+        backend.end()
+    for other in scene.mesh.members[index + 1 :]:
+        other.gateway.leave(other.backend_id)
+    scene.mesh.publish_endpoints()
+    quarantine = scene.mesh.members[index].gateway._parts.quarantine
+    scene.backends[0].work_s = 0.3
+    paths = ["/read/slow", crashing_backend.CRASH_PATH]
+    reports = {path: find_reports(path) for path in paths}
+    for path in paths:
+        quarantine.merge_from_sibling(reports[path][:1])
+    slow = scene.ask(paths[0], index, wait=0.1)
+    waiting = scene.ask(paths[1], index, wait=0.1)
+    assert [run.target for run in scene.crashes.runs] == paths[:1]
+    quarantine.merge_from_sibling(reports[paths[1]])
+    scene.mesh.network.run(1.0)
+    assert slow.statuses == [200]
+    assert waiting.statuses == [503]
+    assert [run.target for run in scene.crashes.runs] == paths[:1]
+
+
+def find_reports(path):
+    """Returns reports of three deaths under a GET for a path."""
+    made = fingerprint.make(
+        "", "", "GET", mesh_module.HOST + path, body=b"", body_bytes=0
+    )
+    return [
+        suspect_report.SuspectReport(
+            made.digest_key, report_kind.ReportKind.DEATH, f"e{number}"
+        )
+        for number in range(3)
+    ]
+
+
 def test_caller_of_a_refused_request_gets_a_true_answer():
     scene = crash_scene.Scene()
     scene.call(3.3)
