Give a request whose trial ended without a death another one soon

Cause: a request that had met three deaths of other causes used up its trial on a run that failed because of its own calls, which proves neither way, and the next was 30 s away. A trial that ended neither whole nor with a death is reported as such now: the next follows after 2 s, then 4, then 8, as long as none was fatal. Beside a fatal one, there are two of them at the most, so that a request that crashes and times out by turns is sent as seldom as before. The log named the key of a suspect 'key', which the redaction hid: it is 'suspect'.

--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -1,7 +1,6 @@
 """Decides how isolated a call runs after deaths of backend servers."""
 
 from collections.abc import Iterable
-import math
 
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
@@ -115,13 +114,12 @@
             0.0 if it may run now; infinity if all trials are used up.
         """
         record = self._get(now_s, fingerprint.digest_key)
-        delays_s = self._settings.trial_delays_s
-        if record.open_trials >= len(delays_s):
-            return math.inf
-        if not record.was_sole and not record.open_trials:
-            return 0.0
-        due_s = record.changed_s + delays_s[record.open_trials]
-        return max(due_s - now_s, 0.0)
+        delay_s = self._settings.get_trial_delay_s(
+            record.fatal_trials,
+            record.inconclusive_trials,
+            was_sole=record.was_sole,
+        )
+        return max(record.changed_s + delay_s - now_s, 0.0)
 
     def make_trial(
         self, now_s: float, fingerprint: fingerprints.Fingerprint
@@ -135,6 +133,17 @@
         number = len(self._get(now_s, key).trials)
         return _Report(key, _Kind.TRIAL, f"trial-{number}")
 
+    def end_trial(
+        self, now_s: float, trial: suspect_report.SuspectReport
+    ) -> list[suspect_report.SuspectReport]:
+        """Records that a trial ended, neither whole nor with a death.
+
+        Returns:
+            Reports for the shared state.
+        """
+        ended = _Report(trial.key, _Kind.TRIAL_ENDED, trial.event_id)
+        return self.merge(now_s, [ended])
+
     def start(
         self,
         ticket_id: str,
--- a/src/cranberrymux/decisions/quarantine/suspect_record.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_record.py
@@ -21,6 +21,7 @@
         sole_deaths: Those at which it was the only suspect in flight.
         cleared: Deaths and trials that no longer count.
         trials: Runs that were granted although the call was refused.
+        ended_trials: Those that ended neither whole nor with a death.
         changed_s: Monotonic seconds of the last new report.
         used_s: Monotonic seconds of that, or of the last refusal if later.
         reported_s: Monotonic seconds at which the reports were last sent to
@@ -35,6 +36,7 @@
     sole_deaths: frozenset[str] = _NONE
     cleared: frozenset[str] = _NONE
     trials: frozenset[str] = _NONE
+    ended_trials: frozenset[str] = _NONE
     changed_s: float = 0.0
     used_s: float = 0.0
     reported_s: float = 0.0
@@ -46,9 +48,14 @@
         return len(self.deaths - self.cleared)
 
     @property
-    def open_trials(self) -> int:
-        """Number of trials that still count."""
-        return len(self.trials - self.cleared)
+    def fatal_trials(self) -> int:
+        """Number of trials that count and may have ended with a death."""
+        return len(self.trials - self.cleared - self.ended_trials)
+
+    @property
+    def inconclusive_trials(self) -> int:
+        """Number of trials that count and ended without a death."""
+        return len((self.trials & self.ended_trials) - self.cleared)
 
     @property
     def was_sole(self) -> bool:
@@ -96,6 +103,7 @@
     _Kind.SOLE_DEATH: "sole_deaths",
     _Kind.CLEARED: "cleared",
     _Kind.TRIAL: "trials",
+    _Kind.TRIAL_ENDED: "ended_trials",
 }
 
 EMPTY = SuspectRecord()
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -10,6 +10,7 @@
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
 from cranberrymux.decisions.quarantine import suspect_queue
+from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import suspicion
@@ -86,6 +87,7 @@
         self._owner = owner
         self._queue = suspect_queue.SuspectQueue()
         self._held_ids: set[int] = set()
+        self._trials: dict[int, suspect_report.SuspectReport] = {}
 
     @property
     def waiting(self) -> int:
@@ -140,7 +142,11 @@
         return popped
 
     def ended(self, ticket_id: int) -> None:
-        """Gives up the turn of a request that ended or was refused."""
+        """Gives up the turn of a request that ended or was refused.
+
+        What is known of its run, if any, was told before.
+        """
+        self._end_trial(ticket_id)
         if ticket_id in self._held_ids:
             self._held_ids.discard(ticket_id)
             self._queue.finish(self._parts.clock.now_s(), ticket_id)
@@ -188,10 +194,16 @@
             call: The request.
             is_clean: True if it was run and its whole answer is no failure.
         """
+        if is_clean:
+            self._trials.pop(call.ticket_id, None)
         self._quarantine.finish(str(call.ticket_id), is_clean)
 
     def run_abandoned(self, call: SuspectCall) -> None:
-        """Records that a run was cancelled, which may go on for a while."""
+        """Records that a run was cancelled, which may go on for a while.
+
+        A trial may still end with a death.
+        """
+        self._trials.pop(call.ticket_id, None)
         self._quarantine.finish(str(call.ticket_id), False, may_still_run=True)
 
     def run_lost(
@@ -207,7 +219,19 @@
             address: Address of the backend server.
             on_explained: Called with True if it died.
         """
-        self._quarantine.losses.add(str(call.ticket_id), address, on_explained)
+        trial = self._trials.pop(call.ticket_id, None)
+
+        def explained(is_dead: bool) -> None:
+            if trial is not None and not is_dead:
+                self._quarantine.end_trial(trial)
+            on_explained(is_dead)
+
+        self._quarantine.losses.add(str(call.ticket_id), address, explained)
+
+    def _end_trial(self, ticket_id: int) -> None:
+        trial = self._trials.pop(ticket_id, None)
+        if trial is not None:
+            self._quarantine.end_trial(trial)
 
     def _enqueue(self, call: SuspectCall, runs_alone: bool) -> None:
         now_s = self._parts.clock.now_s()
@@ -236,10 +260,12 @@
     async def _claim_trial(
         self, call: SuspectCall, fingerprint: fingerprints.Fingerprint
     ) -> None:
-        is_granted = await self._quarantine.claim_trial(fingerprint)
+        trial = await self._quarantine.claim_trial(fingerprint)
         if not self._owner.is_open(call.ticket_id):
-            return
-        if is_granted:
-            self._enqueue(call, runs_alone=True)
-        else:
+            if trial is not None:
+                self._quarantine.end_trial(trial)
+        elif trial is None:
             self._owner.refuse_held(call.ticket_id, hop.QUARANTINED)
+        else:
+            self._trials[call.ticket_id] = trial
+            self._enqueue(call, runs_alone=True)
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -101,28 +101,40 @@
             self._clock.now_s(), fingerprint
         )
 
-    async def claim_trial(self, fingerprint: fingerprints.Fingerprint) -> bool:
-        """Returns whether a refused call may run once more, here and now.
+    async def claim_trial(
+        self, fingerprint: fingerprints.Fingerprint
+    ) -> _Report | None:
+        """Returns the trial of a refused call that may run here and now.
 
         The control instances grant each trial to one node.
+
+        Returns:
+            The trial, to be passed to `end_trial` unless the call ends whole
+            or its backend server dies; None if the call stays refused.
         """
         key = fingerprint.digest_key
         if self.get_trial_wait_s(fingerprint) or key in self._claimed_keys:
-            return False
+            return None
         self._claimed_keys.add(key)
         trial = self._quarantine.make_trial(self._clock.now_s(), fingerprint)
         is_granted = await self._reporter.claim_trial(trial)
         self._claimed_keys.discard(key)
         _log.info(
             event.Event.SUSPECT_TRIAL,
-            key=key,
+            suspect=key,
             trial=trial.event_id,
             is_granted=is_granted,
         )
-        if is_granted:
-            self._quarantine.merge(self._clock.now_s(), [trial])
-            self._tell_siblings([trial])
-        return is_granted
+        if not is_granted:
+            return None
+        self._quarantine.merge(self._clock.now_s(), [trial])
+        self._tell_siblings([trial])
+        return trial
+
+    def end_trial(self, trial: _Report) -> None:
+        """Records that a trial ended, neither whole nor with a death."""
+        ended = self._quarantine.end_trial(self._clock.now_s(), trial)
+        self._share(ended, "trial-ended")
 
     def start(
         self,
--- a/src/cranberrymux/node/suspect_rows.py
+++ b/src/cranberrymux/node/suspect_rows.py
@@ -13,7 +13,11 @@
 from cranberrymux.wire.gen.messages import ttypes
 
 _Kind = report_kind.ReportKind
-_KIND_BY_SUFFIX = {"sole": _Kind.SOLE_DEATH, "cleared": _Kind.CLEARED}
+_KIND_BY_SUFFIX = {
+    "sole": _Kind.SOLE_DEATH,
+    "cleared": _Kind.CLEARED,
+    "ended": _Kind.TRIAL_ENDED,
+}
 _SUFFIX_BY_KIND = {kind: suffix for suffix, kind in _KIND_BY_SUFFIX.items()}
 _TRIAL_PREFIX = "trial-"
 
--- a/tests/decisions/quarantine/test_merging.py
+++ b/tests/decisions/quarantine/test_merging.py
@@ -80,7 +80,8 @@
     assert trial == second.make_trial(1.0, CALL)
     second.merge(1.0, [trial])
     assert second.make_trial(1.0, CALL) != trial
-    assert second.get_trial_wait_s(1.0, CALL) == SETTINGS.trial_delays_s[1]
+    delay_s = SETTINGS.fatal_trial_delay_s
+    assert second.get_trial_wait_s(1.0, CALL) == delay_s
     second.merge(40.0, [second.make_trial(40.0, CALL)])
     assert second.get_trial_wait_s(500.0, CALL) == math.inf
 
@@ -96,11 +97,45 @@
         ],
     )
     assert is_refused(node_quarantine)
-    delay_s = SETTINGS.trial_delays_s[0]
+    delay_s = SETTINGS.first_trial_delay_s
     assert node_quarantine.get_trial_wait_s(1.0, CALL) == delay_s
     assert node_quarantine.get_trial_wait_s(1.0 + delay_s, CALL) == 0.0
 
 
+def test_trial_without_an_outcome_is_followed_by_others():
+    node_quarantine = make_quarantine()
+    deaths = [make_report(KIND.DEATH, f"e{number}") for number in range(3)]
+    node_quarantine.merge(0.0, deaths)
+    now_s = 0.0
+    for _ in range(20):
+        now_s += node_quarantine.get_trial_wait_s(now_s, CALL)
+        trial = node_quarantine.make_trial(now_s, CALL)
+        node_quarantine.merge(now_s, [trial])
+        assert node_quarantine.end_trial(now_s, trial)
+        wait_s = node_quarantine.get_trial_wait_s(now_s, CALL)
+        assert 0 < wait_s <= SETTINGS.maximum_trial_delay_s
+    assert is_refused(node_quarantine, now_s)
+
+
+def test_fatal_trial_leaves_one_more_however_others_ended():
+    node_quarantine = make_quarantine()
+    deaths = [make_report(KIND.DEATH, f"e{number}") for number in range(3)]
+    node_quarantine.merge(0.0, deaths)
+    now_s, fatal, trials = 0.0, 0, 0
+    while now_s < math.inf:
+        trial = node_quarantine.make_trial(now_s, CALL)
+        node_quarantine.merge(now_s, [trial])
+        trials += 1
+        if trials % 3 == 0:  # It times out and crashes nothing.
+            node_quarantine.end_trial(now_s, trial)
+        else:
+            fatal += 1
+            node_quarantine.merge(now_s, [make_report(KIND.DEATH, f"f{fatal}")])
+        now_s += node_quarantine.get_trial_wait_s(now_s, CALL)
+    assert fatal == SETTINGS.maximum_fatal_trials
+    assert trials <= 3
+
+
 def test_clean_trial_gives_a_call_its_trials_back():
     node_quarantine = make_quarantine()
     deaths = [make_report(KIND.DEATH, f"e{number}") for number in range(3)]
--- a/tests/gateway/crashing_backend.py
+++ b/tests/gateway/crashing_backend.py
@@ -58,6 +58,7 @@
         crash_after_s: Time after which it ends, seconds.
         down_s: Time after which it is back, with another id, seconds.
         is_crashing: Called with each request; True if it ends under it.
+        is_failing: True if it answers with 500.
         never_answers: Called with each request; True if it hangs.
         keeps_id: True if it is back with the id that it had.
         is_up: True while it runs.
@@ -69,6 +70,7 @@
         self.down_s = down_s
         self.is_crashing = lambda call: call.head.target == CRASH_PATH.encode()
         self.never_answers = lambda call: False
+        self.is_failing = False
         self.keeps_id = False
         self.is_up = True
         self._member = member
@@ -126,7 +128,11 @@
         call.answer(200, headers, b"")
 
     def _answer(self, call, backend_id):
-        if self.is_up and backend_id == self._member.backend_id:
+        if not self.is_up or backend_id != self._member.backend_id:
+            return
+        if self.is_failing:
+            mesh_module.answer_with_id(call, 500)
+        else:
             mesh_module.answer_with_proof(call)
 
     def _end_under_request(self, backend_id):
--- a/tests/gateway/test_harmless_requests.py
+++ b/tests/gateway/test_harmless_requests.py
@@ -42,6 +42,24 @@
     assert scene.ask(PATH, 5).statuses == [200]
 
 
+def test_trial_that_failed_is_followed_by_another():
+    scene = crash_scene.Scene(has_control=True)
+    kill_under(scene, PATH, 4)
+    for backend in scene.backends:
+        backend.is_failing = True
+    scene.run(3)
+    popular = scene.call(20, PATH)
+    scene.run(12)
+    for backend in scene.backends:
+        backend.is_failing = False
+    scene.run(12)
+    popular.stop()
+    scene.run(1)
+    end_s = scene.mesh.network.seconds()
+    served, sent = popular.count_served_since(end_s - 3)
+    assert served == sent > 20
+
+
 def test_popular_request_is_served_after_all_servers_ended_at_once():
     scene = crash_scene.Scene(has_control=True)
     popular = scene.call(100, PATH)
--- a/tests/node/test_suspect_reporter.py
+++ b/tests/node/test_suspect_reporter.py
@@ -66,6 +66,7 @@
         make_report("e1", KIND.CLEARED),
         make_report("trial-0", KIND.TRIAL),
         make_report("trial-0", KIND.CLEARED),
+        make_report("trial-0", KIND.TRIAL_ENDED),
     }
     reporter.add(reports)
     setting.network.run(1.0)
