Wait for the cause of a broken connection before a trial counts as ended

Cause: behind a proxy, a probe is accepted although the server has died, and the trial was reported as ended without a death before the process that replaced it showed the death. The trial is kept by its run now and ends with it: with a death, clean, or, once the loss has another cause, without either. A replaced process explains losses of the last 6 s (3 before), as servers may be gone for some seconds.

--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -87,7 +87,8 @@
         self._owner = owner
         self._queue = suspect_queue.SuspectQueue()
         self._held_ids: set[int] = set()
-        self._trials: dict[int, suspect_report.SuspectReport] = {}
+        # Trials that were not handed over yet, by ticket id.
+        self._waiting_trials: dict[int, suspect_report.SuspectReport] = {}
 
     @property
     def waiting(self) -> int:
@@ -142,11 +143,10 @@
         return popped
 
     def ended(self, ticket_id: int) -> None:
-        """Gives up the turn of a request that ended or was refused.
-
-        What is known of its run, if any, was told before.
-        """
-        self._end_trial(ticket_id)
+        """Gives up the turn of a request that ended or was refused."""
+        trial = self._waiting_trials.pop(ticket_id, None)
+        if trial is not None:
+            self._quarantine.end_trial(trial)
         if ticket_id in self._held_ids:
             self._held_ids.discard(ticket_id)
             self._queue.finish(self._parts.clock.now_s(), ticket_id)
@@ -186,6 +186,9 @@
                 suspicion.make_fingerprint(call.digest),
                 call.ticket_id in self._held_ids,
             )
+        trial = self._waiting_trials.pop(call.ticket_id, None)
+        if trial is not None:
+            self._quarantine.start_trial(str(call.ticket_id), trial)
 
     def run_ended(self, call: SuspectCall, *, is_clean: bool) -> None:
         """Records the end of a run.
@@ -194,16 +197,10 @@
             call: The request.
             is_clean: True if it was run and its whole answer is no failure.
         """
-        if is_clean:
-            self._trials.pop(call.ticket_id, None)
         self._quarantine.finish(str(call.ticket_id), is_clean)
 
     def run_abandoned(self, call: SuspectCall) -> None:
-        """Records that a run was cancelled, which may go on for a while.
-
-        A trial may still end with a death.
-        """
-        self._trials.pop(call.ticket_id, None)
+        """Records that a run was cancelled, which may go on for a while."""
         self._quarantine.finish(str(call.ticket_id), False, may_still_run=True)
 
     def run_lost(
@@ -219,19 +216,7 @@
             address: Address of the backend server.
             on_explained: Called with True if it died.
         """
-        trial = self._trials.pop(call.ticket_id, None)
-
-        def explained(is_dead: bool) -> None:
-            if trial is not None and not is_dead:
-                self._quarantine.end_trial(trial)
-            on_explained(is_dead)
-
-        self._quarantine.losses.add(str(call.ticket_id), address, explained)
-
-    def _end_trial(self, ticket_id: int) -> None:
-        trial = self._trials.pop(ticket_id, None)
-        if trial is not None:
-            self._quarantine.end_trial(trial)
+        self._quarantine.losses.add(str(call.ticket_id), address, on_explained)
 
     def _enqueue(self, call: SuspectCall, runs_alone: bool) -> None:
         now_s = self._parts.clock.now_s()
@@ -267,5 +252,5 @@
         elif trial is None:
             self._owner.refuse_held(call.ticket_id, hop.QUARANTINED)
         else:
-            self._trials[call.ticket_id] = trial
+            self._waiting_trials[call.ticket_id] = trial
             self._enqueue(call, runs_alone=True)
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -73,6 +73,8 @@
         self.losses.may_have_ended_abandoned = self._has_abandoned
         self._cluster_key = cluster_key
         self._claimed_keys: set[str] = set()
+        # Trials under way, by ticket id.
+        self._trials: dict[str, _Report] = {}
 
     @property
     def record_count(self) -> int:
@@ -109,8 +111,8 @@
         The control instances grant each trial to one node.
 
         Returns:
-            The trial, to be passed to `end_trial` unless the call ends whole
-            or its backend server dies; None if the call stays refused.
+            The trial, to be passed to `start_trial` or `end_trial`; None if
+            the call stays refused.
         """
         key = fingerprint.digest_key
         if self.get_trial_wait_s(fingerprint) or key in self._claimed_keys:
@@ -131,6 +133,10 @@
         self._tell_siblings([trial])
         return trial
 
+    def start_trial(self, ticket_id: str, trial: _Report) -> None:
+        """Records that a call which is handed over now is a trial."""
+        self._trials[ticket_id] = trial
+
     def end_trial(self, trial: _Report) -> None:
         """Records that a trial ended, neither whole nor with a death."""
         ended = self._quarantine.end_trial(self._clock.now_s(), trial)
@@ -163,6 +169,9 @@
             may_still_run: True if the backend server may still be at work on
                 it.
         """
+        trial = self._trials.pop(ticket_id, None)
+        if trial is not None and not is_clean and not may_still_run:
+            self.end_trial(trial)
         cleared = self._quarantine.finish(
             self._clock.now_s(),
             ticket_id,
@@ -236,9 +245,10 @@
 
     def _record_survival(self, ticket_id: str) -> None:
         """Records that a run was cut off by something else than a death."""
-        self._quarantine.finish(self._clock.now_s(), ticket_id, False)
+        self.finish(ticket_id, False)
 
     def _record_death(self, evidence: str, is_past: bool) -> None:
+        self._trials.clear()
         reports = self._quarantine.endpoint_died(
             self._clock.now_s(), is_past=is_past
         )
--- a/src/cranberrymux/node/run_losses.py
+++ b/src/cranberrymux/node/run_losses.py
@@ -10,7 +10,7 @@
 
 # Time in which another process at the place of the backend server explains why
 # connections to it broke.
-UNEXPLAINED_S = 3.0
+UNEXPLAINED_S = 6.0
 _Result = death_probe.ProbeResult
 
 
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -221,3 +221,11 @@
     assert event.Event.SUSPECTS_LEARNED in events
     assert "secret" not in str(lines)
     assert "crash?" not in str(lines)
+
+
+def test_trial_that_ends_behind_a_proxy_is_fatal():
+    scene = crash_scene.Scene(has_control=True, down_s=0.0)
+    scene.call(3.3)
+    scene.run(20)
+    assert len(scene.crashes.deaths_s) <= 4
+    assert scene.crashes.count_late_runs() <= 1
