Let a trial that was cancelled count as ended once no death followed it

Its trial ran on a frozen backend server and was cancelled at the deadline, and nobody reported its end, so that it counted as fatal and the next was 30 s away. A trial that was cancelled is reported as ended 2 s later unless the backend server dies.

--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -26,6 +26,8 @@
 RELAY_DELAY_S = 1.0
 # Time after which the reports on a call that still comes are sent again.
 RENEWAL_INTERVAL_S = 300.0
+# Time after which a trial that was cancelled has not ended with a death.
+ABANDONED_TRIAL_S = 2.0
 _MAXIMUM_SHARED_KEYS = 64
 _Kind = report_kind.ReportKind
 _Report = suspect_report.SuspectReport
@@ -58,7 +60,8 @@
         Args:
             quarantine: Records of suspects; nothing else may change them.
             system_clock: The node's clocks.
-            reactor: Opens the connections that probe the backend server.
+            reactor: Opens the connections that probe the backend server, and
+                calls back later.
             reporter: Sends reports to the control instances.
             send_to_siblings: Sends a message to every sibling.
             cluster_key: Cluster key, which proves that the sender is a node.
@@ -66,6 +69,7 @@
         self._quarantine = quarantine
         self._clock = system_clock
         self._reporter = reporter
+        self._reactor = reactor
         self._send_to_siblings = send_to_siblings
         self.losses = run_losses.RunLosses(
             system_clock, reactor, self._record_death, self._record_survival
@@ -169,9 +173,14 @@
             may_still_run: True if the backend server may still be at work on
                 it.
         """
-        trial = self._trials.pop(ticket_id, None)
-        if trial is not None and not is_clean and not may_still_run:
-            self.end_trial(trial)
+        if is_clean:
+            self._trials.pop(ticket_id, None)
+        elif may_still_run and ticket_id in self._trials:
+            self._reactor.callLater(
+                ABANDONED_TRIAL_S, self._end_trial_of, ticket_id
+            )
+        elif not may_still_run:
+            self._end_trial_of(ticket_id)
         cleared = self._quarantine.finish(
             self._clock.now_s(),
             ticket_id,
@@ -181,6 +190,11 @@
         if cleared:
             self._share(cleared, "run-ended")
 
+    def _end_trial_of(self, ticket_id: str) -> None:
+        trial = self._trials.pop(ticket_id, None)
+        if trial is not None:
+            self.end_trial(trial)
+
     def merge_from_sibling(self, reports: Sequence[_Report]) -> None:
         """Merges reports of a sibling and has the control instances get them.
 
--- a/tests/gateway/test_harmless_requests.py
+++ b/tests/gateway/test_harmless_requests.py
@@ -60,6 +60,24 @@
     assert served == sent > 20
 
 
+def test_trial_that_timed_out_is_followed_by_another():
+    scene = crash_scene.Scene(has_control=True)
+    kill_under(scene, PATH, 4)
+    for backend in scene.backends:
+        backend.never_answers = lambda call: True
+    scene.run(3)
+    popular = scene.call(20, PATH)
+    scene.run(6)
+    for backend in scene.backends:
+        backend.never_answers = lambda call: False
+    scene.run(10)
+    popular.stop()
+    scene.run(1)
+    end_s = scene.mesh.network.seconds()
+    served, sent = popular.count_served_since(end_s - 3)
+    assert served == sent > 20
+
+
 def test_popular_request_is_served_after_all_servers_ended_at_once():
     scene = crash_scene.Scene(has_control=True)
     popular = scene.call(100, PATH)
