Try a request again sooner after a trial that met a death

The number of fatal trials bounds what a crashing request costs, not their distance: the delay is 8 s now, and 4 s at the most after trials without a death. The test of a request that is killed under its trial, too, is served after 9 s where it needed 31.

--- a/src/cranberrymux/decisions/quarantine/quarantine_settings.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine_settings.py
@@ -37,8 +37,8 @@
     maximum_deaths_if_sole: int = 2
     deaths_to_alone: int = 2
     first_trial_delay_s: float = 2.0
-    maximum_trial_delay_s: float = 8.0
-    fatal_trial_delay_s: float = 30.0
+    maximum_trial_delay_s: float = 4.0
+    fatal_trial_delay_s: float = 8.0
     maximum_fatal_trials: int = 2
     maximum_inconclusive_trials: int = 2
     linger_s: float = 1.0
