Let the test of a suspect's lost answer fail without the mechanism

Now the server that is back announces itself 0.8 s later; without the change there are two runs, with it one.

--- a/tests/gateway/crashing_backend.py
+++ b/tests/gateway/crashing_backend.py
@@ -58,6 +58,7 @@
         crash_after_s: Time after which it ends, seconds.
         down_s: Time after which it is back, with another id, seconds.
         is_crashing: Called with each request; True if it ends under it.
+        announce_delay_s: Time after its start at which it announces itself.
         is_failing: True if it answers with 500.
         never_answers: Called with each request; True if it hangs.
         keeps_id: True if it is back with the id that it had.
@@ -70,6 +71,7 @@
         self.down_s = down_s
         self.is_crashing = lambda call: call.head.target == CRASH_PATH.encode()
         self.never_answers = lambda call: False
+        self.announce_delay_s = 0.0
         self.is_failing = False
         self.keeps_id = False
         self.is_up = True
@@ -99,7 +101,7 @@
         if not self.keeps_id:
             member.backend_id = f"{member.settings.node_id}-{self._starts}"
         member.started_ms = 1 + int(self._network.seconds() * 1000)
-        member.announce()
+        self._network.callLater(self.announce_delay_s, member.announce_if_up)
 
     def _handle(self, call):
         headers = dict(call.head.headers)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -232,7 +232,10 @@
 
 
 def test_suspect_whose_answer_is_lost_is_not_sent_to_another_server():
-    scene = crash_scene.Scene()
+    # The server is back at once, so that a probe does not show its death.
+    scene = crash_scene.Scene(down_s=0.0)
+    for backend in scene.backends:
+        backend.announce_delay_s = 0.8
     scene.run(1)
     reports = find_reports(crashing_backend.CRASH_PATH)[:1]
     for member in scene.mesh.members:
