--- a/tests/gateway/test_harmless_requests.py
+++ b/tests/gateway/test_harmless_requests.py
@@ -42,6 +42,15 @@
     assert scene.ask(PATH, 5).statuses == [200]
 
 
+def check_is_served_in_the_end(scene, caller):
+    """Stops a caller, all of whose last requests must have been served."""
+    caller.stop()
+    scene.run(1)
+    end_s = scene.mesh.network.seconds()
+    served, sent = caller.count_served_since(end_s - 3)
+    assert served == sent > 20
+
+
 def test_trial_that_failed_is_followed_by_another():
     scene = crash_scene.Scene(has_control=True)
     kill_under(scene, PATH, 4)
@@ -53,11 +62,7 @@
     for backend in scene.backends:
         backend.is_failing = False
     scene.run(12)
-    popular.stop()
-    scene.run(1)
-    end_s = scene.mesh.network.seconds()
-    served, sent = popular.count_served_since(end_s - 3)
-    assert served == sent > 20
+    check_is_served_in_the_end(scene, popular)
 
 
 def test_trial_that_timed_out_is_followed_by_another():
@@ -71,11 +76,7 @@
     for backend in scene.backends:
         backend.never_answers = lambda call: False
     scene.run(10)
-    popular.stop()
-    scene.run(1)
-    end_s = scene.mesh.network.seconds()
-    served, sent = popular.count_served_since(end_s - 3)
-    assert served == sent > 20
+    check_is_served_in_the_end(scene, popular)
 
 
 def test_popular_request_is_served_after_all_servers_ended_at_once():
