--- a/src/cranberrymux/gateway/peer_messages.py
+++ b/src/cranberrymux/gateway/peer_messages.py
@@ -3,12 +3,11 @@
 import hmac
 
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.node import peer_request
 from cranberrymux.node import suspect_message
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
-_KEY = b"cranberrymux-key"
-
 
 class PeerMessages:
     """Takes the reports of siblings on suspects."""
@@ -23,7 +22,7 @@
         head = call.head
         if head.target != suspect_message.TARGET:
             return False
-        key = headers_module.find(head.headers, _KEY)
+        key = headers_module.find(head.headers, peer_request.KEY_HEADER)
         if key is None:
             return False  # A client's request may have the same target.
         if not hmac.compare_digest(key, self._cluster_key):
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -19,6 +19,7 @@
 from cranberrymux.node import ingress_call
 from cranberrymux.node import ingress_calls
 from cranberrymux.node import peer_message_handler
+from cranberrymux.node import peer_request
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import rerouting
 from cranberrymux.node import version_gate
@@ -77,7 +78,7 @@
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Starts a call, or refuses it at once."""
-        key = headers.find(call.head.headers, b"cranberrymux-key")
+        key = headers.find(call.head.headers, peer_request.KEY_HEADER)
         if key is None:
             self._handle_client_request(call)
             return
--- a/src/cranberrymux/node/peer_request.py
+++ b/src/cranberrymux/node/peer_request.py
@@ -10,6 +10,8 @@
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import lost_answer
 
+# On requests of nodes: the cluster key.
+KEY_HEADER = b"cranberrymux-key"
 _MAXIMUM_ANSWER_BYTES = 4096
 _OK = 200
 
@@ -108,9 +110,10 @@
         identity = correlation.make_identity()
         request = (
             b"POST %b HTTP/1.1\r\nhost: node\r\ncontent-length: 0\r\n"
-            b"cranberrymux-key: %b\r\n%b: %b\r\n%b: %b\r\n\r\n"
+            b"%b: %b\r\n%b: %b\r\n%b: %b\r\n\r\n"
             % (
                 self._message.target,
+                KEY_HEADER,
                 self._message.key,
                 name,
                 value,
