Answer any number of requests that a client sends at once

What callers saw: of 20 requests in one write the 18th was answered 400 and the connection closed, for 200 as well: 17 answered, the rest lost. Those that were answered ran one after another, so a slow first one used up the time of all behind it.

Cause: the parser was fed a whole read, which may hold more requests than the bound on waiting ones, and what exceeded it was rejected. Reading paused only after that. The handler got one request at a time.

Now the parser gets about one request at a time, and nothing while a request waits to be handled; what was read stays unparsed. An unsafe request starts only when all before it are answered, since one of those may close the connection. In a stop, what has started is answered before the close; what has not is dropped.

--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -2,6 +2,8 @@
 
 import json
 
+from cranberrymux.decisions.routes import route as route_module
+from cranberrymux.decisions.routes import route_table
 from cranberrymux.gateway import entry_call
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import own_answers
@@ -9,6 +11,7 @@
 from cranberrymux.gateway import request_digest
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
+from cranberrymux.node.http import request_head
 
 _JSON_TYPE = (b"content-type", b"application/json")
 NO_CONFIGURATION = "this node has no configuration yet"
@@ -36,6 +39,15 @@
             parts.settings.service.encode(),
         )
 
+    def may_run_ahead(self, head: request_head.RequestHead) -> bool:
+        """True for a request that is lost with its connection at no harm.
+
+        The answers to those before it may close the connection.
+        """
+        table = self._parts.routes.table
+        route = None if table is None else _find_route(table, head)
+        return route is not None and route.is_idempotent
+
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Routes a request, or answers 400 without an id, 404 without a route.
 
@@ -56,9 +68,7 @@
             )
             own_answers.refuse(parts, call, NO_CONFIGURATION, retry_delay_s)
             return
-        host = headers_module.find(call.head.headers, b"host") or b""
-        path = call.head.target.partition(b"?")[0]
-        route = table.find(host.decode("latin-1"), path.decode("latin-1"))
+        route = _find_route(table, call.head)
         if route is None:
             body = json.dumps({"error": "no-route"}).encode()
             call.answer(404, [_JSON_TYPE], body)
@@ -76,3 +86,11 @@
         digest = request_digest.make(call)
         headers.append((hop.DIGEST, digest.encode()))
         entry_call.EntryCall(parts, call, route, headers, digest).start()
+
+
+def _find_route(
+    table: route_table.RouteTable, head: request_head.RequestHead
+) -> route_module.Route | None:
+    host = headers_module.find(head.headers, b"host") or b""
+    path = head.target.partition(b"?")[0]
+    return table.find(host.decode("latin-1"), path.decode("latin-1"))
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -109,7 +109,9 @@
         """
         settings = self._settings
         entry = entry_module.Entry(self._parts)
-        self._ports.open_for_clients(settings.entry_address, entry)
+        self._ports.open_for_clients(
+            settings.entry_address, entry, entry.may_run_ahead
+        )
         self._ports.open(settings.hop_address, self._exit)
         if settings.metrics_port:
             self._ports.open(
--- a/src/cranberrymux/gateway/ports.py
+++ b/src/cranberrymux/gateway/ports.py
@@ -5,6 +5,7 @@
 from cranberrymux.decisions.routes import client_limits
 from cranberrymux.models import socket_address
 from cranberrymux.node.http import call_handler
+from cranberrymux.node.http import call_pipeline
 from cranberrymux.node.http import limits as limits_module
 from cranberrymux.node.http import server_factory
 
@@ -30,13 +31,18 @@
         self._limits = client_limits.ClientLimits()
 
     def open_for_clients(
-        self, address: str, handler: call_handler.CallHandler
+        self,
+        address: str,
+        handler: call_handler.CallHandler,
+        may_run_ahead: call_pipeline.RunAheadPolicy,
     ) -> None:
         """Opens the port to which the limits of `set_limits` apply.
 
         Args:
             address: `ip:port` to listen on.
             handler: Answers the calls on that port.
+            may_run_ahead: Tells from a request's head whether it may be
+                handled before earlier ones of its connection are answered.
 
         Raises:
             CannotListenError: The port is in use.
@@ -45,6 +51,7 @@
             address,
             handler,
             limits_module.Limits(buffered_bytes=BUFFERED_BODY_BYTES),
+            may_run_ahead,
         )
 
     def open(
@@ -52,6 +59,9 @@
         address: str,
         handler: call_handler.CallHandler,
         message_limits: limits_module.Limits = NODE_LIMITS,
+        may_run_ahead: call_pipeline.RunAheadPolicy = (
+            call_pipeline.never_run_ahead
+        ),
     ) -> server_factory.ServerFactory:
         """Opens a port for nodes, without limits on idle or slow connections.
 
@@ -59,6 +69,8 @@
             address: `ip:port` to listen on.
             handler: Answers the calls on that port.
             message_limits: Limits on the requests.
+            may_run_ahead: Tells from a request's head whether it may be
+                handled before earlier ones of its connection are answered.
 
         Returns:
             The factory of the port's connections.
@@ -68,7 +80,9 @@
         """
         parsed = socket_address.parse(address)
         assert parsed is not None
-        factory = server_factory.ServerFactory(handler, message_limits)
+        factory = server_factory.ServerFactory(
+            handler, message_limits, may_run_ahead
+        )
         port = self._reactor.listenTCP(
             parsed.port, factory, backlog=BACKLOG, interface=parsed.host
         )
@@ -106,7 +120,7 @@
             )
 
     def drain(self) -> None:
-        """Closes each connection after its next answer."""
+        """Closes each connection after the answers in progress."""
         for factory in self._factories:
             factory.drain()
 
--- a/src/cranberrymux/node/http/limits.py
+++ b/src/cranberrymux/node/http/limits.py
@@ -14,8 +14,8 @@
         body_bytes: Longest body; beyond it the answer is 413.
         buffered_bytes: Longest body that is read whole before the call is
             handled; longer ones are streamed with backpressure.
-        pipelined_calls: Most calls of one connection that wait for the answer
-            to an earlier one; beyond it the answer is 400.
+        concurrent_calls: Most calls of one connection that are handled at a
+            time; further ones are not read until one is answered.
     """
 
     target_bytes: int = 8192
@@ -23,4 +23,4 @@
     header_count: int = 100
     body_bytes: int = 1 << 30
     buffered_bytes: int = 65536
-    pipelined_calls: int = 16
+    concurrent_calls: int = 8
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -1,6 +1,5 @@
 """Server side of an HTTP/1.1 connection."""
 
-import collections
 from typing import Any
 from typing import cast
 
@@ -13,6 +12,7 @@
 from cranberrymux.models import answer_kind
 from cranberrymux.node.http import bad_message
 from cranberrymux.node.http import call_handler
+from cranberrymux.node.http import call_pipeline
 from cranberrymux.node.http import framing_meter
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
@@ -24,31 +24,39 @@
 
 # Bytes of the request line, line ends and lines of chunks in short bodies.
 FRAMING_SLACK_BYTES = 65_536
+_END_OF_HEAD = b"\r\n\r\n"
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
 class ServerConnection(protocol.Protocol):
-    """Reads calls and passes them to a handler one at a time.
+    """Reads calls, passes them to a handler and sends the answers in order.
 
-    Pipelined calls are answered in order: the handler gets the next one when
-    the answer to the one before it is complete. While one waits, reading
-    pauses.
+    While a pipelined call waits to be handled, nothing more is read or parsed.
 
     Attributes:
-        is_draining: True if the connection closes after the answer in
+        is_draining: True if the connection closes after the answers in
             progress.
     """
 
     def __init__(
-        self, handler: call_handler.CallHandler, message_limits: limits.Limits
+        self,
+        handler: call_handler.CallHandler,
+        message_limits: limits.Limits,
+        may_run_ahead: call_pipeline.RunAheadPolicy = (
+            call_pipeline.never_run_ahead
+        ),
     ) -> None:
         """Creates a connection that Twisted has yet to connect.
 
         Args:
             handler: Answers the calls.
             message_limits: Limits on each request and on pipelining.
+            may_run_ahead: Tells from a request's head whether it may be
+                handled before the requests before it are answered.
         """
-        self._handler = handler
+        self._pipeline = call_pipeline.CallPipeline(
+            self, handler, message_limits.concurrent_calls, may_run_ahead
+        )
         self._limits = message_limits
         self._parser = httptools.HttpRequestParser(self)
         self._meter = framing_meter.FramingMeter(
@@ -56,10 +64,8 @@
             + message_limits.target_bytes
             + FRAMING_SLACK_BYTES
         )
-        self._current: inbound_call.InboundCall | None = None
-        self._waiting: collections.deque[inbound_call.InboundCall] = (
-            collections.deque()
-        )
+        self._unparsed = b""
+        self._is_parsing = False
         self._being_read: inbound_call.InboundCall | None = None
         self._dispatched: inbound_call.InboundCall | None = None
         self._target = b""
@@ -82,23 +88,10 @@
         self._tcp.registerProducer(self, True)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Feeds the parser; rejects a request that is not valid, in order."""
+        """Parses what was read, unless a call waits to be handled."""
         self._read_count += 1
-        if self._is_closing or self._rejected is not None:
-            return
-        try:
-            self._feed(data)
-            self._meter.note_read(len(data))
-            if self._meter.is_exceeded:
-                self._reject_framing()
-        except httptools.HttpParserCallbackError:
-            if self._rejected is None:
-                # A defect of this program, not of the message: Twisted logs
-                # it and closes the connection.
-                raise
-            self._reject(self._rejected)
-        except httptools.HttpParserError as error:
-            self._reject(bad_message.BadMessage(400, str(error)))
+        self._unparsed += data
+        self._parse()
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -106,11 +99,7 @@
         """Tells every call that the client disconnected."""
         del reason  # The calls end alike, however the connection ended.
         self._is_closing = True
-        if self._current is not None:
-            self._current.client_disconnected()
-        for call in self._waiting:
-            call.client_disconnected()
-        self._waiting.clear()
+        self._pipeline.disconnect()
 
     # Callbacks of `httptools.HttpRequestParser`.
 
@@ -144,17 +133,14 @@
         self._is_in_head = False
         if self._is_closing:
             return
-        head = self._make_head()
-        call = inbound_call.InboundCall(self, head)
+        call = self._pipeline.add(self._make_head())
         self._being_read = call
         self._dispatched = None
-        if len(self._waiting) >= self._limits.pipelined_calls:
-            self._fail(400, "too many pipelined calls")
         expectation = headers.find(self._headers, b"expect")
         if expectation is not None:
             if expectation.lower() != b"100-continue":
                 self._fail(417, "only 100-continue can be expected")
-            if self._current is None and not self._waiting:
+            if self._pipeline.first is call:
                 call.send_interim(100, [])
 
     def on_body(self, part: bytes) -> None:
@@ -190,7 +176,7 @@
     @property
     def is_answering(self) -> bool:
         """True if a call is handled or waits."""
-        return self._current is not None or bool(self._waiting)
+        return self._pipeline.is_answering
 
     @property
     def is_reading_head(self) -> bool:
@@ -202,28 +188,17 @@
         """Number of reads from the client so far."""
         return self._read_count
 
-    # Implementation of `inbound_call.Connection`.
+    # Implementation of `call_pipeline.PipelineOwner`.
 
     def send(self, data: bytes) -> None:
         """Writes to the client at once; the transport buffers the rest."""
         prompt_writer.write_now(self._tcp, data)
 
-    def call_answered(
-        self, call: inbound_call.InboundCall, keep_alive: bool
-    ) -> None:
-        """Starts the next pipelined call, answers a bad one, or closes."""
-        del call  # Calls are answered in order, so it is the current one.
-        self._current = None
-        if self._is_closing:
-            return
-        if not keep_alive:
-            self.close()
-            return
-        if self._waiting:
-            self._handle(self._waiting.popleft())
-        elif self._rejected is not None:
+    def pipeline_advanced(self) -> None:
+        """Parses what was held back, and answers a bad request."""
+        if self._rejected is not None and self._pipeline.is_empty:
             self._send_rejection()
-        self._update_reading()
+        self._parse()
 
     def abort(self) -> None:
         """Closes at once, which leaves the answer truncated."""
@@ -235,7 +210,8 @@
 
         An answer in progress whose end is that of the connection is aborted.
         """
-        if self._current is not None and self._current.is_ended_by_close:
+        first = self._pipeline.first
+        if first is not None and first.is_ended_by_close:
             self.abort()
             return
         self._stop_taking_calls()
@@ -256,33 +232,64 @@
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Tells the current call that the transport's send buffer is full."""
-        if (
-            self._current is not None
-            and self._current.on_send_buffer_full is not None
-        ):
-            self._current.on_send_buffer_full()
+        first = self._pipeline.first
+        if first is not None and first.on_send_buffer_full is not None:
+            first.on_send_buffer_full()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Tells the current call that the transport's send buffer is empty."""
-        if (
-            self._current is not None
-            and self._current.on_send_buffer_drained is not None
-        ):
-            self._current.on_send_buffer_drained()
+        first = self._pipeline.first
+        if first is not None and first.on_send_buffer_drained is not None:
+            first.on_send_buffer_drained()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing, as `connectionLost` follows."""
 
+    def _parse(self) -> None:
+        """Feeds the parser until a call waits; rejects a bad request."""
+        if self._is_parsing:
+            return
+        self._is_parsing = True
+        try:
+            while self._unparsed and not self._pipeline.is_waiting:
+                if self._is_closing or self._rejected is not None:
+                    self._unparsed = b""
+                    break
+                self._feed(self._take_unparsed())
+        except httptools.HttpParserCallbackError:
+            if self._rejected is None:
+                # A defect of this program, not of the message: Twisted logs
+                # it and closes the connection.
+                raise
+            self._reject(self._rejected)
+        except httptools.HttpParserError as error:
+            self._reject(bad_message.BadMessage(400, str(error)))
+        finally:
+            self._is_parsing = False
+        self._update_reading()
+
+    def _take_unparsed(self) -> bytes:
+        """Takes the bytes up to the end of a head, or all if there is none.
+
+        The parser cannot pause, so it gets no more than about one request at
+        a time.
+        """
+        end = self._unparsed.find(_END_OF_HEAD)
+        size = len(self._unparsed) if end < 0 else end + len(_END_OF_HEAD)
+        part = self._unparsed[:size]
+        self._unparsed = self._unparsed[size:]
+        return part
+
     def _feed(self, data: bytes) -> None:
         """Parses data, with a new parser behind each request to upgrade."""
-        while data:
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserUpgrade as upgrade:
-                self._parser = httptools.HttpRequestParser(self)
-                data = data[upgrade.args[0] :]
-            else:
-                return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._parser = httptools.HttpRequestParser(self)
+            self._unparsed = data[upgrade.args[0] :] + self._unparsed
+        self._meter.note_read(len(data))
+        if self._meter.is_exceeded:
+            self._reject_framing()
 
     def _make_head(self) -> request_head.RequestHead:
         head = request_head_reader.read_head(
@@ -304,22 +311,16 @@
         raise ValueError(detail)
 
     def _dispatch(self, call: inbound_call.InboundCall) -> None:
-        """Passes a call to the handler, once those before it are answered."""
+        """Lets a call be handled when its turn comes."""
         self._dispatched = call
-        if self._current is None and not self._waiting:
-            self._handle(call)
-        else:
-            self._waiting.append(call)
-            self._update_reading()
-
-    def _handle(self, call: inbound_call.InboundCall) -> None:
-        self._current = call
-        self._handler.handle_call(call)
+        self._pipeline.set_ready(call)
+        self._update_reading()
 
     def _stop_taking_calls(self) -> None:
         """Ignores what the parser still reads from the data at hand."""
         self._is_closing = True
         self._being_read = None
+        self._pipeline.close()
 
     def _reject(self, bad: bad_message.BadMessage) -> None:
         """Answers a bad request now, or after the calls before it."""
@@ -328,19 +329,20 @@
         self._rejected = bad
         reading = self._being_read
         self._being_read = None
-        if reading is not None and reading in self._waiting:
-            self._waiting.remove(reading)
-        if reading is not None and reading is self._current:
-            # Part of the body may have reached a backend server, so the
-            # answer cannot say that the call did not run.
-            reading.client_disconnected()
-            self._current = None
+        kind = answer_kind.AnswerKind.NOT_RUN
+        if reading is not None:
+            is_handled = self._pipeline.is_handled(reading)
+            self._pipeline.discard_last()
+            if is_handled:
+                # Part of the body may have reached a backend server, so the
+                # answer cannot say that the call did not run.
+                kind = answer_kind.AnswerKind.UNKNOWN
+                reading.client_disconnected()
             if reading.is_head_sent:
                 self.abort()
-            else:
-                self._send_rejection(answer_kind.AnswerKind.UNKNOWN)
-        elif self._current is None and not self._waiting:
-            self._send_rejection()
+                return
+        if self._pipeline.is_empty:
+            self._send_rejection(kind)
 
     def _send_rejection(
         self, kind: answer_kind.AnswerKind = answer_kind.AnswerKind.NOT_RUN
@@ -350,7 +352,7 @@
         self.close()
 
     def _update_reading(self) -> None:
-        paused = self._is_body_paused or bool(self._waiting)
+        paused = self._is_body_paused or self._pipeline.is_waiting
         if paused == self._is_paused or self._is_closing:
             return
         self._is_paused = paused
--- a/src/cranberrymux/node/http/server_factory.py
+++ b/src/cranberrymux/node/http/server_factory.py
@@ -5,6 +5,7 @@
 from twisted.internet import protocol
 
 from cranberrymux.node.http import call_handler
+from cranberrymux.node.http import call_pipeline
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import server_connection
 
@@ -14,10 +15,11 @@
         self,
         handler: call_handler.CallHandler,
         message_limits: limits.Limits,
+        may_run_ahead: call_pipeline.RunAheadPolicy,
         open_connections: set[server_connection.ServerConnection],
         unchanged_since: dict[server_connection.ServerConnection, Any],
     ) -> None:
-        super().__init__(handler, message_limits)
+        super().__init__(handler, message_limits, may_run_ahead)
         self._open_connections = open_connections
         self._unchanged_since = unchanged_since
 
@@ -39,15 +41,23 @@
     noisy = False
 
     def __init__(
-        self, handler: call_handler.CallHandler, message_limits: limits.Limits
+        self,
+        handler: call_handler.CallHandler,
+        message_limits: limits.Limits,
+        may_run_ahead: call_pipeline.RunAheadPolicy = (
+            call_pipeline.never_run_ahead
+        ),
     ) -> None:
         """Creates a factory without connections.
 
         Args:
             handler: Answers the calls of every connection.
             message_limits: Limits for each connection.
+            may_run_ahead: Tells from a request's head whether it may be
+                handled before earlier ones of its connection are answered.
         """
         self._handler = handler
+        self._may_run_ahead = may_run_ahead
         self._limits = message_limits
         self._open_connections: set[server_connection.ServerConnection] = set()
         self._is_draining = False
@@ -65,6 +75,7 @@
         made = _TrackedConnection(
             self._handler,
             self._limits,
+            self._may_run_ahead,
             self._open_connections,
             self._unchanged_since,
         )
@@ -105,7 +116,7 @@
                 connection.close()
 
     def drain(self) -> None:
-        """Closes each connection after its next answer."""
+        """Closes each connection after the answers in progress."""
         self._is_draining = True
         for connection in self._open_connections:
             connection.is_draining = True
--- a/tests/node/test_server_connection.py
+++ b/tests/node/test_server_connection.py
@@ -25,7 +25,7 @@
     header_count=10,
     body_bytes=1000,
     buffered_bytes=100,
-    pipelined_calls=3,
+    concurrent_calls=3,
 )
 PORT = 1
 
