--- a/tests/node/test_call_path.py
+++ b/tests/node/test_call_path.py
@@ -114,7 +114,7 @@
 
 def test_truncated_answer_is_not_forwarded(cluster):
     def truncate(call):
-        call._connection._tcp.write(
+        call._connection.send(
             b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf"
         )
         call._connection.abort()
@@ -130,7 +130,7 @@
     cluster,
 ):
     def truncate(call):
-        call._connection._tcp.write(
+        call._connection.send(
             b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n" + b"x" * 9999
         )
         call._connection.abort()
@@ -144,8 +144,8 @@
 
 def test_answer_without_length_is_refused_as_truncated(cluster):
     def answer_without_length(call):
-        call._connection._tcp.write(b"HTTP/1.0 200 OK\r\n\r\nold answer")
-        call._connection.close()
+        call._connection.send(b"HTTP/1.0 200 OK\r\n\r\nold answer")
+        call._connection._owner.close()
 
     leaf = cluster.add("leaf-0", "leaf", answer_without_length)
     client = cluster.ask(leaf.ingress_port, GET + b"\r\n")
