Count only what starts earlier as ahead of a waiting request

What callers saw: in a long queue of equal rank the calls of trees that were nearly done were refused as if they came last, though they start first (the queue is in the order of rank and deadline). Their work was for nothing.

Cause: the wait was estimated from all requests of the rank and above, whatever their deadline, and a full queue evicted by rank alone.

Both go by the order of starting now.

--- a/src/cranberrymux/decisions/pressure/slot_scheduler.py
+++ b/src/cranberrymux/decisions/pressure/slot_scheduler.py
@@ -140,7 +140,7 @@
         if self._can_start(now_s) and not self._waiting:
             self._start(now_s, ticket.ticket_id)
             return SlotVerdict.START
-        ahead = self._count_ahead(ticket.rank)
+        ahead = self._count_ahead(ticket)
         if self._bucket is not None:
             ticket = _wait_for_token_at_most(ticket, now_s)
             if now_s + self._bucket.wait_s(now_s, ahead + 1) > (
@@ -151,7 +151,7 @@
         if now_s + wait_s > ticket.start_by_s:
             return SlotVerdict.FULL
         is_full = len(self._waiting) >= QUEUE_PER_SLOT * self._slots
-        if is_full and not self._make_room(ticket.rank):
+        if is_full and not self._make_room(ticket):
             return SlotVerdict.FULL
         self._waiting[ticket.ticket_id] = ticket
         heapq.heappush(
@@ -228,13 +228,10 @@
         self._queue.clear()
         return waiting
 
-    def _make_room(self, rank: float) -> bool:
-        """Evicts the least important request if it ranks behind this one."""
-        last = max(
-            self._waiting.values(),
-            key=lambda ticket: (ticket.rank, ticket.deadline_s),
-        )
-        if last.rank <= rank:
+    def _make_room(self, ticket: Ticket) -> bool:
+        """Evicts the request that starts last if it is behind this one."""
+        last = max(self._waiting.values(), key=_order)
+        if _order(last) <= _order(ticket):
             return False
         del self._waiting[last.ticket_id]
         self._evicted.append(last.ticket_id)
@@ -256,12 +253,19 @@
         if self._bucket is not None:
             self._bucket.take(now_s)
 
-    def _count_ahead(self, rank: float) -> int:
+    def _count_ahead(self, ticket: Ticket) -> int:
+        """Counts the requests that start before this one."""
+        order = _order(ticket)
         return sum(
-            1 for ticket in self._waiting.values() if ticket.rank <= rank
+            1 for other in self._waiting.values() if _order(other) <= order
         )
 
 
+def _order(ticket: Ticket) -> tuple[float, float]:
+    """Order of starting: by rank, then the tree that began first."""
+    return ticket.rank, ticket.deadline_s
+
+
 def _wait_for_token_at_most(ticket: Ticket, now_s: float) -> Ticket:
     """Returns the ticket with the wait that a rate limit allows."""
     start_by_s = min(ticket.start_by_s, now_s + MAXIMUM_TOKEN_WAIT_S)
