Measure the work that trees ask for by trees, not by the calls that they reach

What callers saw: once trees began to fail at the deepest service, all of the least important ones failed, each after a part of its calls, for as long as the overload lasted, and whatever fitted.

Cause, three parts of one estimate of the share that fits: - A service counted the work of the calls that reached it. A tree that fails early makes few, so the offered work looked small, the share rose, and more trees were let in that could not end. Now the node where a tree begins says what the whole tree is expected to do at each service that is short of room; the first call that brings it there counts for all. Now each endpoint that was chosen first counts once. - The cost of a route began at that of the first failed tree and grew by a twentieth with each answer. Now the first tree that succeeds sets it.

A request says under which share it was admitted for each service by itself: the smallest of all was taken for that of services that had room.

The test of the averaged share asked for weights by work; it asks for weights by endpoints now, and for more than before.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -83,6 +83,7 @@
         """
         self._flows: dict[TrafficClass, _Flow] = {}
         self._costs: dict[str, dict[str, float]] = {}
+        self._successful_routes: set[str] = set()
         self._services: dict[str, _Service] = {}
         self._last_refresh_s = now_s
 
@@ -108,6 +109,24 @@
         shares = [service.share for service in self._services.values()]
         return min(shares, default=1.0)
 
+    def expect_work(self, route: str) -> work_report.WorkReport:
+        """Returns the work that a tree will do where capacity is short.
+
+        Args:
+            route: Name of the route of its root.
+
+        Returns:
+            The mean work of the route's trees, 0.0 if it is not known, and the
+            share under which the tree is admitted.
+        """
+        return {
+            service: work_report.ServiceWork(
+                self._cost(route, service), state.share
+            )
+            for service, state in self._services.items()
+            if state.share < 1.0
+        }
+
     def get_service_share(self, service: str) -> float:
         """Returns the smoothed share that a service can take, 0.0 to 1.0."""
         state = self._services.get(service)
@@ -139,15 +158,21 @@
                 tree is only a lower bound of that of a complete one.
         """
         for service, work in report.items():
-            self.note_share(now_s, service, work.share)
+            if work.samples:
+                self.note_share(now_s, service, work.share)
         costs = self._costs.setdefault(route, {})
+        if is_successful and route not in self._successful_routes:
+            self._successful_routes.add(route)
+            costs.clear()
         if is_successful:
             for service in costs:
                 if service not in report:
                     costs[service] *= 1.0 - COST_WEIGHT
         for service, work in report.items():
             cost_s = costs.get(service, work.slot_s)
-            if is_successful or work.slot_s > cost_s:
+            if route not in self._successful_routes:
+                cost_s = max(cost_s, work.slot_s)
+            elif is_successful or work.slot_s > cost_s:
                 cost_s += COST_WEIGHT * (work.slot_s - cost_s)
             costs[service] = cost_s
 
--- a/src/cranberrymux/decisions/pressure/work_report.py
+++ b/src/cranberrymux/decisions/pressure/work_report.py
@@ -1,11 +1,12 @@
 """Work of a call tree at each service, reported with the answers."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from cranberrymux.models import whole_number
 
 _MS_PER_S = 1000
-MINIMUM_WEIGHT_S = 0.005  # Added to the work, which may be zero.
+_FIELD_COUNT = 3  # Fields of one part.
 _MAXIMUM_SERVICES = 32  # Services read from one report.
 
 
@@ -14,11 +15,14 @@
 
     Attributes:
         slot_s: Seconds for which the tree held slots there.
-        share: Share of the offered work that the service can take, 0.0 to 1.0.
+        share: Mean share of the offered work that the endpoints which were
+            chosen first can take, 0.0 to 1.0.
+        samples: Number of endpoints in that mean; 0 if the share is not known.
     """
 
     slot_s: float
     share: float
+    samples: int = 1
 
 
 WorkReport = dict[str, ServiceWork]
@@ -32,31 +36,37 @@
             report[service] = part
             continue
         report[service] = ServiceWork(
-            current.slot_s + part.slot_s, _average_share(current, part)
+            current.slot_s + part.slot_s,
+            _average_share(current, part),
+            current.samples + part.samples,
         )
 
 
 def _average_share(current: ServiceWork, part: ServiceWork) -> float:
-    """Averages two shares, weighted by work.
+    """Averages two shares by the number of endpoints.
 
-    The minimum over many reports would be too low.
+    Weighted by work, endpoints that take little would count little.
     """
-    weight = current.slot_s + MINIMUM_WEIGHT_S
-    added = part.slot_s + MINIMUM_WEIGHT_S
-    return (weight * current.share + added * part.share) / (weight + added)
+    samples = current.samples + part.samples
+    if not samples:
+        return current.share
+    return (
+        current.samples * current.share + part.samples * part.share
+    ) / samples
 
 
-def encode(report: WorkReport) -> bytes:
+def encode(report: Mapping[str, ServiceWork]) -> bytes:
     """Encodes a report as a header value.
 
-    The parts, joined by commas, read `service=milliseconds/per-mille`.
+    The parts, joined by commas, read `service=milliseconds/per-mille/samples`.
     """
     return b",".join(
-        b"%b=%d/%d"
+        b"%b=%d/%d/%d"
         % (
             service.encode(),
             round(part.slot_s * _MS_PER_S),
             round(part.share * 1000),
+            part.samples,
         )
         for service, part in report.items()
     )
@@ -67,11 +77,12 @@
     report: WorkReport = {}
     for part in value.split(b",")[:_MAXIMUM_SERVICES]:
         service, _, numbers = part.partition(b"=")
-        first, _, second = numbers.partition(b"/")
-        slot_ms = whole_number.decode(first)
-        share = whole_number.decode(second)
-        if slot_ms is not None and share is not None:
+        fields = [whole_number.decode(text) for text in numbers.split(b"/")]
+        if len(fields) != _FIELD_COUNT:
+            continue
+        slot_ms, share, samples = fields
+        if slot_ms is not None and share is not None and samples is not None:
             report[service.decode("latin-1")] = ServiceWork(
-                slot_ms / _MS_PER_S, share / 1000
+                slot_ms / _MS_PER_S, share / 1000, samples
             )
     return report
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -145,9 +145,9 @@
         if reason:
             hop_call.refuse(reason)
             return
-        if headers_module.find(call.head.headers, hop.RESENT) is None:
+        if not hop_call.is_resent:
             self.work.pressure.note_arrival(
-                hop_call.route, hop_call.tree_context.share
+                hop_call.route, hop_call.tree_context
             )
         self.limit.note_request(call.head.headers, hop_call.request_id)
         self.work.pressure.update(self.limit.per_s)
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -17,6 +17,7 @@
         request_id: Id of the request.
         digest: Digest of its content, which its resends share.
         route: Name of its route.
+        is_resent: True if another node refused it.
         backend_id: Id of the backend server that it was sent to; empty before.
     """
 
@@ -43,6 +44,7 @@
         )
         self.digest = _find_text(headers, hop.DIGEST)
         self.route = _find_text(headers, hop.ROUTE)
+        self.is_resent = headers_module.find(headers, hop.RESENT) is not None
         self.backend_id = ""
 
     @property
@@ -65,7 +67,7 @@
             route=self.route,
             **self._owner.work.describe_load(),
         )
-        report = self._owner.work.report_share()
+        report = self._owner.work.report_share(self.is_resent)
         headers = [
             (self._parts.settings.dialect.request_id, self.request_id),
             (hop.NOT_RUN, reason),
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -6,6 +6,7 @@
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
+from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 
 PRESSURE_LOG_INTERVAL_S = 1.0  # Minimum time between two "pressure" lines.
@@ -38,9 +39,10 @@
         """Share of the offered work that fits, 0.0 to 1.0."""
         return self._meter.share
 
-    def note_arrival(self, route: str, share: float) -> None:
+    def note_arrival(self, route: str, tree_context: hop.TreeContext) -> None:
         """Counts a request that asks for a slot; see `ShareMeter`."""
-        self._meter.note_arrival(route, share)
+        service = self._parts.settings.service
+        self._meter.note_arrival(route, tree_context.expected.get(service))
 
     def note_hold(self, route: str, hold_s: float) -> None:
         """Records for how long a request of a route held its slot."""
@@ -65,13 +67,18 @@
         """Returns the share to 1.0, as the rate limit that lowered it ended."""
         self._meter.reset()
 
-    def report(self, hold_s: float = 0.0) -> work_report.WorkReport:
+    def report(
+        self, is_resent: bool, hold_s: float = 0.0
+    ) -> work_report.WorkReport:
         """Returns the work of one request here, and the share that fits.
 
         Args:
+            is_resent: True if another node refused it. The share here is then
+                no sample of those where requests are sent first.
             hold_s: Seconds for which it held a slot; 0.0 if it did not run.
         """
-        own = work_report.ServiceWork(hold_s, self.share)
+        samples = 0 if is_resent else 1
+        own = work_report.ServiceWork(hold_s, self.share, samples)
         return {self._parts.settings.service: own}
 
     def _log(self) -> None:
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -55,9 +55,13 @@
             "slots": self._scheduler.slots,
         }
 
-    def report_share(self) -> work_report.WorkReport:
-        """Returns a report without work that tells the fitting share."""
-        return self.pressure.report()
+    def report_share(self, is_resent: bool) -> work_report.WorkReport:
+        """Returns a report without work that tells the fitting share.
+
+        Args:
+            is_resent: True if another node refused the request before.
+        """
+        return self.pressure.report(is_resent)
 
     def note_outcome(self, call: owned_call.OwnedCall, is_failed: bool) -> bool:
         """Records how a request ended; to be called before `end_run`.
@@ -114,7 +118,7 @@
         self._parts.parent_matcher.remove(ticket_id)
         self._parts.running_requests.end(ticket_id)
         report = {} if running is None else running.report
-        work_report.add(report, self.pressure.report(hold_s))
+        work_report.add(report, self.pressure.report(call.is_resent, hold_s))
         return report
 
     def update_metrics(self) -> None:
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -1,8 +1,11 @@
 """Headers between nodes; removed from what clients and servers get."""
 
+from collections.abc import Mapping
 import math
+import types
 from typing import NamedTuple
 
+from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.rate_limits import rate_limit_value
 from cranberrymux.models import whole_number
 from cranberrymux.node import suspect_message
@@ -15,6 +18,8 @@
 ROUTE = b"cranberrymux-route"
 # On requests: see `TreeContext`.
 TREE_CONTEXT = b"cranberrymux-standing"
+# On requests: what their tree is expected to cost; see `TreeContext`.
+EXPECTED_WORK = b"cranberrymux-expected-work"
 # On requests: the rate limit of the backend server that the sender has learned
 # from earlier answers, in case the node beside it has started since.
 KNOWN_RATE_LIMIT = b"cranberrymux-known-limit"
@@ -99,37 +104,59 @@
     Attributes:
         rank: Order of starting; lower ranks start first. The priority of the
             root's route, a whole number, less `CALL_RANK_BONUS` for calls.
-        share: Share of the offered work that was admitted there, 0.0 to 1.0.
         is_repeat: True if the tree, or a subtree that contains the request, was
             run before and lost its answer or failed.
+        expected: Work that the whole tree is expected to do at each service
+            that lacks capacity, 0.0 if that is not known, and the share under
+            which the tree was admitted. Without samples if an earlier request
+            of the tree has brought it to the service.
     """
 
     rank: float
-    share: float
     is_repeat: bool = False
+    expected: Mapping[str, work_report.ServiceWork] = types.MappingProxyType({})
 
-    def for_call(self) -> "TreeContext":
-        """Returns the context of the calls of a request with this one."""
+    def for_call(self, is_first: bool) -> "TreeContext":
+        """Returns the context of the calls of a request with this one.
+
+        Args:
+            is_first: True for the first call of its route.
+        """
         is_call = self.rank % 1.0 != 0.0
-        return (
-            self if is_call else self._replace(rank=self.rank - CALL_RANK_BONUS)
-        )
+        rank = self.rank if is_call else self.rank - CALL_RANK_BONUS
+        expected = self.expected
+        if not is_first:
+            expected = {
+                service: work._replace(samples=0)
+                for service, work in expected.items()
+            }
+        return self._replace(rank=rank, expected=expected)
 
 
-DEFAULT_TREE_CONTEXT = TreeContext(0.0, 1.0)
+DEFAULT_TREE_CONTEXT = TreeContext(0.0)
 
 
-def encode_tree_context(tree_context: TreeContext) -> bytes:
-    """Encodes a context as the header value `rank/share/is_repeat`."""
-    return b"%.1f/%.3f/%d" % tree_context
+def encode_tree_context(
+    tree_context: TreeContext,
+) -> headers_module.HeaderList:
+    """Encodes a context, its rank and repetition as `rank/is_repeat`."""
+    value = b"%.1f/%d" % (tree_context.rank, tree_context.is_repeat)
+    encoded = [(TREE_CONTEXT, value)]
+    if tree_context.expected:
+        expected = work_report.encode(tree_context.expected)
+        encoded.append((EXPECTED_WORK, expected))
+    return encoded
 
 
 def decode_tree_context(headers: headers_module.HeaderList) -> TreeContext:
     """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
     value = headers_module.find(headers, TREE_CONTEXT) or b""
+    expected = headers_module.find(headers, EXPECTED_WORK) or b""
     try:
-        rank, share, is_repeat = value.split(b"/")
-        return TreeContext(float(rank), float(share), is_repeat == b"1")
+        rank, is_repeat = value.split(b"/")
+        return TreeContext(
+            float(rank), is_repeat == b"1", work_report.decode(expected)
+        )
     except ValueError:
         return DEFAULT_TREE_CONTEXT
 
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -54,14 +54,20 @@
         """
         parent = self._parts.running_requests.find(self._parent_match.parent)
         if parent is not None:
-            return parent.tree_context.for_call()
+            return parent.make_call_context(self._route.name)
         entry_admission = self._parts.entry_admission
-        share = entry_admission.root_admission.minimum_share
-        if self._parent_match.is_call:
-            return hop.TreeContext(self._route.priority, share).for_call()
-        if not entry_admission.offer(self._route, self.left_s, now_s):
+        is_call = self._parent_match.is_call
+        if not is_call and not entry_admission.offer(
+            self._route, self.left_s, now_s
+        ):
             return None
-        return hop.TreeContext(self._route.priority, share)
+        tree_context = hop.TreeContext(
+            self._route.priority,
+            expected=entry_admission.root_admission.expect_work(
+                self._route.name
+            ),
+        )
+        return tree_context.for_call(True) if is_call else tree_context
 
     def draw_retry_delay_s(self) -> float:
         """Draws the seconds after which a refused caller retries."""
@@ -125,7 +131,7 @@
         report: work_report.WorkReport,
         now_s: float,
     ) -> None:
-        """Removes the share of a rate-limited endpoint while others have room.
+        """Ignores the share of a rate-limited endpoint while others have room.
 
         What its limit does not let through, the others take, so that it tells
         nothing of the service.
@@ -135,7 +141,4 @@
             return
         if not self._parts.endpoints.has_unlimited(service, now_s):
             return
-        root_admission = self._parts.entry_admission.root_admission
-        report[service] = report[service]._replace(
-            share=root_admission.get_service_share(service)
-        )
+        report[service] = report[service]._replace(samples=0)
--- a/tests/decisions/pressure/test_components.py
+++ b/tests/decisions/pressure/test_components.py
@@ -12,6 +12,7 @@
 from cranberrymux.decisions.pressure import parent_matcher
 from cranberrymux.decisions.pressure import retry_advice
 from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
 
@@ -132,13 +133,31 @@
         report = {"a": work_report.ServiceWork(0.25, 0.125)}
         assert work_report.decode(work_report.encode(report)) == report
 
-    def test_add_sums_work_and_averages_share(self):
-        report = {"a": work_report.ServiceWork(0.2, 0.5)}
-        work_report.add(report, {"a": work_report.ServiceWork(0.1, 0.3)})
-        assert report["a"].slot_s == pytest.approx(0.3)
-        assert report["a"].share == pytest.approx(0.433, abs=0.01)
-
-    @pytest.mark.parametrize("text", [b"", b"a", b"a=", b"a=1/x", b"=/", b",,"])
+    def test_add_sums_work_and_averages_share_over_the_samples(self):
+        """Guards against a mean that endpoints with little room hardly lower.
+
+        An endpoint that takes little does little work.
+        """
+        report = {"a": work_report.ServiceWork(0.2, 0.5, 3)}
+        work_report.add(report, {"a": work_report.ServiceWork(0.0, 0.1)})
+        assert report["a"].slot_s == pytest.approx(0.2)
+        assert report["a"].share == pytest.approx(0.4)
+        assert report["a"].samples == 4
+
+    @pytest.mark.parametrize("first, second", [(1.0, 0.2), (0.2, 1.0)])
+    def test_add_passes_over_shares_that_are_no_samples(self, first, second):
+        """Guards against the share of where requests go that others refused."""
+        is_first = first == 1.0
+        report = {"a": work_report.ServiceWork(0.1, first, not is_first)}
+        other = work_report.ServiceWork(0.1, second, int(is_first))
+        work_report.add(report, {"a": other})
+        assert report["a"].share == pytest.approx(0.2)
+        assert report["a"].samples == 1
+
+    @pytest.mark.parametrize(
+        "text",
+        [b"", b"a", b"a=", b"a=1/x", b"=/", b",,", b"a=1/2", b"a=1/2/-1"],
+    )
     def test_decode_skips_invalid_parts(self, text):
         assert work_report.decode(text) == {}
 
@@ -192,6 +211,101 @@
         assert max(waits) - min(waits) > 0.5
 
 
+def test_first_successful_tree_gives_the_cost_of_its_route():
+    """Guards against the low costs of trees that failed before it."""
+    admission = root_admission.RootAdmission(0.0)
+    for number in range(20):
+        report = {"deep": work_report.ServiceWork(0.01, 0.5)}
+        admission.note_report(number / 100, "lookup", report, False)
+    report = {"deep": work_report.ServiceWork(0.24, 0.5)}
+    admission.note_report(0.2, "lookup", report, True)
+    assert admission.expect_work("lookup")["deep"].slot_s == 0.24
+
+
+def test_longest_failed_tree_gives_the_cost_until_one_succeeds():
+    admission = root_admission.RootAdmission(0.0)
+    for slot_s in (0.01, 0.15, 0.03):
+        report = {"deep": work_report.ServiceWork(slot_s, 0.5)}
+        admission.note_report(0.0, "lookup", report, False)
+    assert admission.expect_work("lookup")["deep"].slot_s == 0.15
+
+
+class TestShareMeter:
+    SLOTS = 10
+
+    def measure(self, calls, share=0.5, tree_s=0.4, count=400):
+        """Returns the share for 25 trees a second of 0.4 s at 10 slots.
+
+        Args:
+            calls: Number of the calls that each tree makes before it ends.
+            share: Share of the offered work that was admitted.
+            tree_s: Expected work of a tree; 0.0 if it is not known.
+            count: Number of trees.
+        """
+        meter = share_meter.ShareMeter(0.0)
+        for number in range(count):
+            meter.note_hold("lookup", 0.05)
+            for call in range(calls):
+                expected = work_report.ServiceWork(
+                    tree_s, share, 0 if call and tree_s else 1
+                )
+                meter.note_arrival("lookup", expected)
+            meter.roll(number / 25, self.SLOTS, 0.0)
+        return meter.share
+
+    def test_trees_that_end_early_count_like_those_that_end(self):
+        """Guards against a share that rises because trees fail.
+
+        Half of the offered trees need all slots, so 0.95 of the half fits.
+        """
+        whole = self.measure(calls=8)
+        assert whole == pytest.approx(0.475, rel=0.1)
+        assert self.measure(calls=1) == pytest.approx(whole)
+
+    def test_work_of_the_requests_counts_where_that_of_trees_is_not_known(self):
+        assert self.measure(calls=8, tree_s=0.0) == pytest.approx(
+            0.475, rel=0.1
+        )
+
+    def test_later_requests_of_a_tree_that_was_counted_add_no_work(self):
+        meter = share_meter.ShareMeter(0.0)
+        meter.note_hold("lookup", 0.05)
+        later = work_report.ServiceWork(0.4, 0.5, 0)
+        for _ in range(100):
+            meter.note_arrival("lookup", later)
+        meter.roll(1.0, self.SLOTS, 0.0)
+        assert meter.utilization == 0.0
+
+
+class TestOrderOfTrees:
+    def test_request_of_an_old_tree_is_not_refused_for_those_behind_it(self):
+        """Guards against trees that fail near their end in a long queue."""
+        scheduler = slot_scheduler.SlotScheduler(1)
+        scheduler.offer(0.0, slot_scheduler.Ticket(0, 1.0, 1.0, 1.0))
+        scheduler.finish(0.1, 0, True)
+        scheduler.offer(0.1, slot_scheduler.Ticket(1, 1.0, 1.0, 1.0))
+        scheduler.offer(0.1, slot_scheduler.Ticket(2, 1.0, 1.0, 2.0))
+        old = slot_scheduler.Ticket(3, 1.0, 0.25, 0.5)
+        assert scheduler.offer(0.1, old) is slot_scheduler.SlotVerdict.WAIT
+        scheduler.finish(0.2, 1, True)
+        assert scheduler.start_waiting(0.2) == [3]
+
+    def test_full_queue_evicts_the_newest_tree_of_equal_rank(self):
+        scheduler = slot_scheduler.SlotScheduler(2)
+        for number in range(2):
+            scheduler.offer(0.0, slot_scheduler.Ticket(number, 1.0, 9.0, 9.0))
+        for number in range(2, 5):
+            deadline_s = 9.0 + number / 10
+            scheduler.offer(
+                0.0, slot_scheduler.Ticket(number, 1.0, 9.0, deadline_s)
+            )
+        old = slot_scheduler.Ticket(9, 1.0, 9.0, 5.0)
+        assert scheduler.offer(0.0, old) is slot_scheduler.SlotVerdict.WAIT
+        assert scheduler.pop_evicted() == [4]
+        new = slot_scheduler.Ticket(10, 1.0, 9.0, 10.0)
+        assert scheduler.offer(0.0, new) is slot_scheduler.SlotVerdict.FULL
+
+
 def test_refuses_route_without_any_successful_tree():
     """Models nodes that have just started while no tree succeeds."""
     admission = root_admission.RootAdmission(0.0)
--- a/tests/decisions/pressure/test_tree_overload.py
+++ b/tests/decisions/pressure/test_tree_overload.py
@@ -64,6 +64,48 @@
     assert failed < 0.05 * asked
 
 
+LARGE_ENDPOINTS = 11
+LARGE_FACTOR = 1.4 * LARGE_ENDPOINTS / 4
+DROP_S = 4.0
+# Slots of six of the eleven endpoints after the drop, of 15 before.
+DROPPED_SLOTS = 5
+
+
+def simulate_drop(nodes: int, seed: int) -> tree_simulation.TreeSimulation:
+    """Half of the deep endpoints lose two thirds of their slots."""
+    simulation = tree_simulation.TreeSimulation(
+        make_kinds(LARGE_FACTOR),
+        nodes=nodes,
+        endpoints=LARGE_ENDPOINTS,
+        seed=seed,
+    )
+
+    def drop() -> None:
+        for endpoint in simulation.endpoints[:6]:
+            endpoint.scheduler.set_slots(DROPPED_SLOTS)
+
+    simulation.at(DROP_S, drop)
+    simulation.run(DROP_S + 6.0, DROP_S + 1.5)
+    return simulation
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("nodes", [8, 185])
+def test_serves_what_fits_while_endpoints_have_unequal_room(nodes, seed):
+    """Guards against trees that all fail, each after a part of its calls.
+
+    What they ask for then looks like less than the service can take, so that
+    ever more of them are let in.
+    """
+    history, *others = make_kinds(LARGE_FACTOR)
+    slots = 6 * DROPPED_SLOTS + 5 * 15
+    left = slots - sum(one.per_s * one.calls * one.call_s for one in others)
+    fitting_share = left / (history.per_s * history.calls * history.call_s)
+    tally = simulate_drop(nodes, seed).tallies["history"]
+    assert tally.served > 0.85 * fitting_share * tally.asked
+    assert tally.failed < 0.1 * tally.asked
+
+
 def test_refuses_nothing_below_capacity():
     simulation = simulate(0.9)
     assert all(tally.refused == 0 for tally in simulation.tallies.values())
--- a/tests/decisions/pressure/tree_simulation.py
+++ b/tests/decisions/pressure/tree_simulation.py
@@ -73,8 +73,8 @@
     deadline_s: float
     left: int
     rank: float
-    share: float
     report: work_report.WorkReport
+    expected: work_report.ServiceWork | None
 
 
 class TreeSimulation:
@@ -155,8 +155,8 @@
             self.now_s + kind.timeout_s,
             kind.calls,
             kind.priority - (0.5 if kind.calls > 1 else 0.0),
-            self.roots[node].minimum_share,
             {},
+            self.roots[node].expect_work(kind.route).get("deep"),
         )
         self.at(kind.between_s, lambda: self._call(tree, timing, []))
 
@@ -191,7 +191,10 @@
         endpoint = self.endpoints[index]
         scheduler, meter = endpoint.scheduler, endpoint.meter
         if not tried:
-            meter.note_arrival(tree.kind.route, tree.share)
+            expected = tree.expected
+            if expected is not None and tree.left < tree.kind.calls:
+                expected = expected._replace(samples=0)
+            meter.note_arrival(tree.kind.route, expected)
         meter.roll(
             self.now_s,
             scheduler.slots,
@@ -216,7 +219,11 @@
             if not is_started:
                 work_report.add(
                     tree.report,
-                    {"deep": work_report.ServiceWork(0.0, meter.share)},
+                    {
+                        "deep": work_report.ServiceWork(
+                            0.0, meter.share, 0 if tried else 1
+                        )
+                    },
                 )
                 self.at(
                     HOP_S, lambda: self._call(tree, timing, [*tried, index])
@@ -224,7 +231,10 @@
                 return
             work_s = self.random.uniform(0.5, 1.5) * tree.kind.call_s
             self.at(
-                work_s, lambda: self._finish(tree, timing, index, ticket_id)
+                work_s,
+                lambda: self._finish(
+                    tree, timing, index, ticket_id, 0 if tried else 1
+                ),
             )
 
         if verdict is slot_scheduler.SlotVerdict.START:
@@ -240,6 +250,7 @@
         timing: root_admission.AttemptTiming,
         index: int,
         ticket_id: int,
+        samples: int,
     ) -> None:
         endpoint = self.endpoints[index]
         hold_s = endpoint.scheduler.finish(self.now_s, ticket_id, True)
@@ -247,7 +258,7 @@
         endpoint.meter.note_hold(tree.kind.route, hold_s)
         for started_id in endpoint.scheduler.start_waiting(self.now_s):
             endpoint.waiting.pop(started_id)(True)
-        part = work_report.ServiceWork(hold_s, endpoint.meter.share)
+        part = work_report.ServiceWork(hold_s, endpoint.meter.share, samples)
         work_report.add(tree.report, {"deep": part})
         tree.left -= 1
         if self.now_s > tree.deadline_s:
