Tell all nodes with every message which services are short of capacity

Cause, one that grows with the number of nodes: the share that fits reached the node where a tree begins only with the answers to its own trees, averaged over their calls, when they had ended. Of 185 nodes each gets a 185th of these, and the fewer it lets in, the fewer it gets; after 0.6 s without one it opens again.

Now each answer tells the share of its own endpoint to the node that sent the request, and each request and answer between nodes carries what its sender knows of services that are short of capacity, with its age; newer news goes into the mean by how much newer it is. So news passes through the fleet in a few exchanges, and what a message costs does not grow with the fleet: nothing while all services have room, about 40 bytes for each one that has not. Shares are no longer part of the reports of work.

--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -7,7 +7,7 @@
 
 import math
 
-from cranberrymux.decisions.pressure import work_report
+from cranberrymux.decisions.pressure import expected_work
 
 WINDOW_S = 0.1
 TARGET_UTILIZATION = 0.95  # Share of the slots that admitted work may use.
@@ -61,7 +61,7 @@
         return self._utilization
 
     def note_arrival(
-        self, route: str, expected: work_report.ServiceWork | None
+        self, route: str, expected: expected_work.ExpectedWork | None
     ) -> None:
         """Counts a request that asks for a slot, whatever the decision.
 
@@ -70,15 +70,13 @@
 
         Args:
             route: Name of its route.
-            expected: Work that its tree is expected to do here, and the share
-                of the offered work that was admitted where the tree started;
-                without samples for the later requests of the tree. None if all
-                was admitted.
+            expected: Work that its tree is expected to do here. None if all of
+                the offered work was admitted where the tree started.
         """
         if expected is None:
-            expected = work_report.ServiceWork(0.0, 1.0)
+            expected = expected_work.ExpectedWork(0.0, 1.0)
         work_s = 0.0
-        if expected.samples:
+        if not expected.is_counted:
             work_s = expected.slot_s or self._hold_s.get(route, 0.0)
         self._work_s += work_s
         self._admitted_work_s += work_s * expected.share
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -67,11 +67,13 @@
             *sorted(self._reached_ids.difference(self._asked_ids)),
         )
 
-    def headers(self) -> headers_module.HeaderList:
-        """Returns the headers that depend on earlier attempts."""
+    def headers(self, now_s: float) -> headers_module.HeaderList:
+        """Returns the headers that depend on earlier attempts and the time."""
         is_repeat = self.tree_context.is_repeat or self._is_repeat
         tree_context = self.tree_context._replace(is_repeat=is_repeat)
         headers = hop.encode_tree_context(tree_context)
+        root_admission = self._parts.entry_admission.root_admission
+        headers += hop.encode_news(root_admission.get_news(now_s))
         if len(self._asked_ids) > 1:
             headers.append((hop.RESENT, b"1"))
         return headers
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -149,6 +149,9 @@
             self.work.pressure.note_arrival(
                 hop_call.route, hop_call.tree_context
             )
+        self._parts.entry_admission.root_admission.note_news(
+            now_s, hop.decode_news(call.head.headers)
+        )
         self.limit.note_request(call.head.headers, hop_call.request_id)
         self.work.pressure.update(self.limit.per_s)
         self._calls[ticket_id] = hop_call
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -67,12 +67,10 @@
             route=self.route,
             **self._owner.work.describe_load(),
         )
-        report = self._owner.work.report_share(self.is_resent)
         headers = [
             (self._parts.settings.dialect.request_id, self.request_id),
             (hop.NOT_RUN, reason),
-            (hop.LOAD, self._owner.work.encode_load()),
-            (hop.WORK, work_report.encode(report)),
+            *self._owner.work.encode_load(self.is_resent),
             *self._owner.limit.encode(),
             *self._owner.suspects.encode(self.digest),
         ]
@@ -173,7 +171,7 @@
         headers = hop.remove_node_headers(
             headers_module.forwardable(head.headers)
         )
-        headers.append((hop.LOAD, self._owner.work.encode_load()))
+        headers += self._owner.work.encode_load(self.is_resent)
         headers += self._owner.limit.encode()
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -5,7 +5,6 @@
 
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
-from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 
@@ -67,20 +66,6 @@
         """Returns the share to 1.0, as the rate limit that lowered it ended."""
         self._meter.reset()
 
-    def report(
-        self, is_resent: bool, hold_s: float = 0.0
-    ) -> work_report.WorkReport:
-        """Returns the work of one request here, and the share that fits.
-
-        Args:
-            is_resent: True if another node refused it. The share here is then
-                no sample of those where requests are sent first.
-            hold_s: Seconds for which it held a slot; 0.0 if it did not run.
-        """
-        samples = 0 if is_resent else 1
-        own = work_report.ServiceWork(hold_s, self.share, samples)
-        return {self._parts.settings.service: own}
-
     def _log(self) -> None:
         self._parts.events.info(
             "pressure",
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -5,7 +5,8 @@
 import types
 from typing import NamedTuple
 
-from cranberrymux.decisions.pressure import work_report
+from cranberrymux.decisions.pressure import expected_work
+from cranberrymux.decisions.pressure import share_news
 from cranberrymux.decisions.rate_limits import rate_limit_value
 from cranberrymux.models import whole_number
 from cranberrymux.node import suspect_message
@@ -31,6 +32,9 @@
 LOAD = b"cranberrymux-load"
 # On failures of a backend server that are due to a call of the request.
 CALL_FAILED = b"cranberrymux-call-failed"
+# On requests and answers: what the sender knows of services that lack capacity;
+# see `decisions.pressure.share_news`.
+SHARE_NEWS = b"cranberrymux-shares"
 # On answers: what the request cost at each service of its tree; see
 # `decisions.pressure.work_report`.
 WORK = b"cranberrymux-work"
@@ -107,14 +111,14 @@
         is_repeat: True if the tree, or a subtree that contains the request, was
             run before and lost its answer or failed.
         expected: Work that the whole tree is expected to do at each service
-            that lacks capacity, 0.0 if that is not known, and the share under
-            which the tree was admitted. Without samples if an earlier request
-            of the tree has brought it to the service.
+            that lacks capacity.
     """
 
     rank: float
     is_repeat: bool = False
-    expected: Mapping[str, work_report.ServiceWork] = types.MappingProxyType({})
+    expected: Mapping[str, expected_work.ExpectedWork] = types.MappingProxyType(
+        {}
+    )
 
     def for_call(self, is_first: bool) -> "TreeContext":
         """Returns the context of the calls of a request with this one.
@@ -127,7 +131,7 @@
         expected = self.expected
         if not is_first:
             expected = {
-                service: work._replace(samples=0)
+                service: work._replace(is_counted=True)
                 for service, work in expected.items()
             }
         return self._replace(rank=rank, expected=expected)
@@ -143,7 +147,7 @@
     value = b"%.1f/%d" % (tree_context.rank, tree_context.is_repeat)
     encoded = [(TREE_CONTEXT, value)]
     if tree_context.expected:
-        expected = work_report.encode(tree_context.expected)
+        expected = expected_work.encode(tree_context.expected)
         encoded.append((EXPECTED_WORK, expected))
     return encoded
 
@@ -155,7 +159,7 @@
     try:
         rank, is_repeat = value.split(b"/")
         return TreeContext(
-            float(rank), is_repeat == b"1", work_report.decode(expected)
+            float(rank), is_repeat == b"1", expected_work.decode(expected)
         )
     except ValueError:
         return DEFAULT_TREE_CONTEXT
@@ -168,32 +172,65 @@
         requests: Number of requests that run or wait there.
         failure_rate: Share of recent requests that it failed by itself, 0 to 1.
         slowness: Ratio of its present to its usual working times.
+        share: Share of the offered work that it can take, 0.0 to 1.0. None if
+            another endpoint refused the request before: all would count what
+            such an endpoint takes for that one twice.
     """
 
     requests: int
     failure_rate: float
     slowness: float = 1.0
+    share: float | None = None
+
+
+_LOAD_FIELD_COUNT = 4
 
 
 def encode_load(report: LoadReport) -> bytes:
-    """Encodes a report as `requests/per mille failing/percent slowness`."""
-    return b"%d/%d/%d" % (
+    """Encodes a report.
+
+    It reads `requests/per mille failing/percent slowness/per mille share`, the
+    share left out if there is none.
+    """
+    share = b"" if report.share is None else b"%d" % round(report.share * 1000)
+    return b"%d/%d/%d/%b" % (
         report.requests,
         round(report.failure_rate * 1000),
         round(report.slowness * 100),
+        share,
     )
 
 
 def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
     """Decodes the report; None if it is missing or invalid."""
     value = headers_module.find(headers, LOAD) or b""
-    numbers = [whole_number.decode(one) for one in value.split(b"/")]
-    if len(numbers) != 3:
+    numbers = [whole_number.decode(field) for field in value.split(b"/")]
+    if len(numbers) != _LOAD_FIELD_COUNT:
         return None
-    requests, failing, slowness = numbers
+    requests, failing, slowness, share = numbers
     if requests is None or failing is None or slowness is None:
         return None
-    return LoadReport(requests, failing / 1000, slowness / 100)
+    return LoadReport(
+        requests,
+        failing / 1000,
+        slowness / 100,
+        None if share is None else min(share / 1000, 1.0),
+    )
+
+
+def encode_news(
+    news: Mapping[str, share_news.ShareNews],
+) -> headers_module.HeaderList:
+    """Encodes news as headers; none without news."""
+    return [(SHARE_NEWS, share_news.encode(news))] if news else []
+
+
+def decode_news(
+    headers: headers_module.HeaderList,
+) -> dict[str, share_news.ShareNews]:
+    """Decodes the news that a request or answer carries."""
+    value = headers_module.find(headers, SHARE_NEWS)
+    return {} if value is None else share_news.decode(value)
 
 
 def encode_rate_limit(per_s: float) -> bytes:
@@ -229,4 +266,4 @@
     headers: headers_module.HeaderList,
 ) -> headers_module.HeaderList:
     """Returns the headers without those between nodes."""
-    return [one for one in headers if not one[0].startswith(PREFIX)]
+    return [header for header in headers if not header[0].startswith(PREFIX)]
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -95,7 +95,7 @@
         began_s: float,
         now_s: float,
     ) -> None:
-        """Learns costs and shares from an endpoint's answer.
+        """Learns the cost of the tree from an endpoint's answer.
 
         Args:
             service: Service of the endpoint.
@@ -107,7 +107,6 @@
         is_successful = head.status < FIRST_ERROR_STATUS and not is_refused
         work = headers_module.find(head.headers, hop.WORK)
         report = work_report.decode(work) if work is not None else {}
-        self._ignore_limited_share(service, head, report, now_s)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
         parent = self._parts.running_requests.find(self._parent_match.parent)
@@ -117,28 +116,9 @@
             return
         entry_admission = self._parts.entry_admission
         entry_admission.root_admission.note_report(
-            now_s, self._route.name, report, is_successful
+            self._route.name, report, is_successful
         )
         if is_successful:
             entry_admission.get_retry_advice(self._route).note_latency(
                 now_s - began_s
             )
-
-    def _ignore_limited_share(
-        self,
-        service: str,
-        head: answer_head.AnswerHead,
-        report: work_report.WorkReport,
-        now_s: float,
-    ) -> None:
-        """Ignores the share of a rate-limited endpoint while others have room.
-
-        What its limit does not let through, the others take, so that it tells
-        nothing of the service.
-        """
-        is_limited = hop.decode_rate_limit(head.headers) is not None
-        if not is_limited or service not in report:
-            return
-        if not self._parts.endpoints.has_unlimited(service, now_s):
-            return
-        report[service] = report[service]._replace(samples=0)
--- a/tests/decisions/pressure/test_tree_overload.py
+++ b/tests/decisions/pressure/test_tree_overload.py
@@ -106,6 +106,35 @@
     assert tally.failed < 0.1 * tally.asked
 
 
+def simulate_onset(nodes: int, has_news: bool = True) -> float:
+    """Returns the share of trees that fail when capacity falls at once."""
+    simulation = tree_simulation.TreeSimulation(
+        make_kinds(1.1 * LARGE_ENDPOINTS / 4),
+        nodes=nodes,
+        endpoints=LARGE_ENDPOINTS,
+        has_news=has_news,
+    )
+
+    def drop() -> None:
+        for endpoint in simulation.endpoints[:6]:
+            endpoint.scheduler.set_slots(DROPPED_SLOTS)
+
+    simulation.at(DROP_S, drop)
+    simulation.run(DROP_S + 4.0, DROP_S)
+    tally = simulation.tallies["history"]
+    return tally.failed / tally.asked
+
+
+def test_work_done_for_nothing_does_not_grow_with_the_number_of_nodes():
+    """Guards against trees that begin at nodes that know nothing yet.
+
+    Of 185 nodes each sees a 185th of the answers, and begins a tree less often
+    than it would need to learn.
+    """
+    assert simulate_onset(185) < simulate_onset(8) + 0.08
+    assert simulate_onset(185) < 0.5 * simulate_onset(185, has_news=False)
+
+
 def test_refuses_nothing_below_capacity():
     simulation = simulate(0.9)
     assert all(tally.refused == 0 for tally in simulation.tallies.values())
--- a/tests/decisions/pressure/tree_simulation.py
+++ b/tests/decisions/pressure/tree_simulation.py
@@ -12,6 +12,7 @@
 import random
 from typing import NamedTuple
 
+from cranberrymux.decisions.pressure import expected_work
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
@@ -19,6 +20,7 @@
 
 HOP_S = 0.002
 RETRY_DELAY_S = 0.5
+CALLING_NODES = 18  # Nodes at most that call the deep service.
 
 
 class TreeKind(NamedTuple):
@@ -74,7 +76,7 @@
     left: int
     rank: float
     report: work_report.WorkReport
-    expected: work_report.ServiceWork | None
+    expected: expected_work.ExpectedWork | None
 
 
 class TreeSimulation:
@@ -88,11 +90,13 @@
         slots: int = 15,
         seed: int = 1,
         is_admitting: bool = True,
+        has_news: bool = True,
     ) -> None:
         self.now_s = 0.0
         self.random = random.Random(seed)
         self.kinds = kinds
         self.is_admitting = is_admitting
+        self.has_news = has_news
         self.tallies = {one.route: Tally() for one in kinds}
         self.roots = [root_admission.RootAdmission(0.0) for _ in range(nodes)]
         self.endpoints = [Endpoint(slots) for _ in range(endpoints)]
@@ -173,6 +177,7 @@
     def _call(
         self, tree: Tree, timing: root_admission.AttemptTiming, tried: list[int]
     ) -> None:
+        self._exchange_news()
         left = [
             index for index in range(len(self.endpoints)) if index not in tried
         ]
@@ -193,7 +198,7 @@
         if not tried:
             expected = tree.expected
             if expected is not None and tree.left < tree.kind.calls:
-                expected = expected._replace(samples=0)
+                expected = expected._replace(is_counted=True)
             meter.note_arrival(tree.kind.route, expected)
         meter.roll(
             self.now_s,
@@ -217,14 +222,7 @@
 
         def on_decision(is_started: bool) -> None:
             if not is_started:
-                work_report.add(
-                    tree.report,
-                    {
-                        "deep": work_report.ServiceWork(
-                            0.0, meter.share, 0 if tried else 1
-                        )
-                    },
-                )
+                self._note_share(meter.share, bool(tried))
                 self.at(
                     HOP_S, lambda: self._call(tree, timing, [*tried, index])
                 )
@@ -233,7 +231,7 @@
             self.at(
                 work_s,
                 lambda: self._finish(
-                    tree, timing, index, ticket_id, 0 if tried else 1
+                    tree, timing, index, ticket_id, bool(tried)
                 ),
             )
 
@@ -250,7 +248,7 @@
         timing: root_admission.AttemptTiming,
         index: int,
         ticket_id: int,
-        samples: int,
+        is_resent: bool,
     ) -> None:
         endpoint = self.endpoints[index]
         hold_s = endpoint.scheduler.finish(self.now_s, ticket_id, True)
@@ -258,8 +256,8 @@
         endpoint.meter.note_hold(tree.kind.route, hold_s)
         for started_id in endpoint.scheduler.start_waiting(self.now_s):
             endpoint.waiting.pop(started_id)(True)
-        part = work_report.ServiceWork(hold_s, endpoint.meter.share, samples)
-        work_report.add(tree.report, {"deep": part})
+        work_report.add(tree.report, {"deep": hold_s})
+        self._note_share(endpoint.meter.share, is_resent)
         tree.left -= 1
         if self.now_s > tree.deadline_s:
             self._report(tree, False)
@@ -270,9 +268,27 @@
             self._report(tree, True)
             self.tallies[tree.kind.route].served += 1
 
+    def _note_share(self, share: float, is_resent: bool) -> None:
+        """Tells the node that made a call the share that fits.
+
+        Nodes of other services than the one that calls the deep service learn
+        from news alone.
+        """
+        if not is_resent:
+            caller = self.random.choice(self.roots[:CALLING_NODES])
+            caller.note_share(self.now_s, "deep", share)
+
+    def _exchange_news(self) -> None:
+        """Exchanges news between two nodes, as each call and its answer do."""
+        if not self.has_news:
+            return
+        first, second = self.random.choices(self.roots, k=2)
+        second.note_news(self.now_s, first.get_news(self.now_s))
+        first.note_news(self.now_s, second.get_news(self.now_s))
+
     def _report(self, tree: Tree, is_successful: bool) -> None:
         self.roots[tree.node].note_report(
-            self.now_s, tree.kind.route, tree.report, is_successful
+            tree.kind.route, tree.report, is_successful
         )
 
     def _expire(self) -> None:
