Send the requests for a large service to a subset of its endpoints

Cause: any node could choose any endpoint, so that the connections of a node grew with the endpoints of each service, those of an endpoint with the nodes, and each choice walked over all of them.

A request goes beyond the subset if none of it can take requests, or once two endpoints have refused it.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -1,9 +1,10 @@
 """The known endpoints of all services, and load balancing among them.
 
-Requests stay in the node's availability zone while the endpoints there have
-capacity. Within a group of endpoints the choice is power of two choices, so
-that callers that have all seen the same load report do not overload the same
-endpoint.
+A node sends the requests for a service to a subset of its endpoints, unless
+those can take none. Requests stay in the node's availability zone while the
+endpoints there have capacity. Within a group of endpoints the choice is power
+of two choices, so that callers that have all seen the same load report do not
+overload the same endpoint.
 """
 
 from collections.abc import Collection
@@ -11,11 +12,15 @@
 import random
 
 from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.routing import endpoint_subset
 from cranberrymux.models import endpoint_record
+from cranberrymux.models import endpoint_state
 
 # Cost, in loads of all slots, at or above which an endpoint of the own
 # availability zone no longer has precedence over those of other zones.
 LOCAL_LOAD_LIMIT = 0.7
+# A request that so many endpoints refused may go beyond the subset.
+REFUSALS_WITHIN_SUBSET = 2
 
 
 class EndpointSet:
@@ -25,17 +30,23 @@
     higher.
     """
 
-    def __init__(self, zone: str, generator: random.Random) -> None:
+    def __init__(
+        self, node_id: str, zone: str, generator: random.Random
+    ) -> None:
         """Starts without endpoints.
 
         Args:
+            node_id: Id of this node, which determines its subsets.
             zone: Availability zone of this node.
             generator: Random generator of the choices among endpoints.
         """
+        self._node_id = node_id
         self._zone = zone
         self._generator = generator
         self._services: dict[str, dict[str, endpoint_view.EndpointView]] = {}
         self._service_of: dict[str, str] = {}
+        # By service; missing after a change of its endpoints.
+        self._subsets: dict[str, list[endpoint_view.EndpointView]] = {}
 
     @property
     def count(self) -> int:
@@ -100,8 +111,9 @@
     ) -> endpoint_view.EndpointView | None:
         """Picks the endpoint for a request.
 
-        If every endpoint left is suspended, one of them is picked at random:
-        the fault is then more likely on this node's side.
+        It is one of this node's subset, unless that has none to offer. If every
+        endpoint left is suspended, one of them is picked at random: the fault
+        is then more likely on this node's side.
 
         Args:
             service: Name of the service that the request is for.
@@ -114,6 +126,17 @@
         Returns:
             The endpoint, or None if no endpoint may get the request.
         """
+        if allowed is None and len(tried) < REFUSALS_WITHIN_SUBSET:
+            available = [
+                endpoint
+                for endpoint in self._get_subset(service)
+                if endpoint.is_usable
+                and endpoint.record.endpoint_id not in tried
+                and not endpoint.is_suspended(now_s)
+                and endpoint.has_room(now_s)
+            ]
+            if available:
+                return self._choose_by_zone(available, now_s)
         eligible = [
             endpoint
             for endpoint in self.usable_endpoints(service)
@@ -131,6 +154,34 @@
         available = [
             endpoint for endpoint in available if endpoint.has_room(now_s)
         ] or available
+        return self._choose_by_zone(available, now_s)
+
+    def _get_subset(self, service: str) -> list[endpoint_view.EndpointView]:
+        """Returns the endpoints of a service that this node prefers."""
+        subset = self._subsets.get(service)
+        if subset is None:
+            views = self._services.get(service, {})
+            chosen = endpoint_subset.choose_subset(
+                self._node_id,
+                self._zone,
+                (
+                    endpoint_subset.Candidate(endpoint_id, view.record.zone)
+                    for endpoint_id, view in views.items()
+                    if view.record.state is endpoint_state.EndpointState.SERVING
+                ),
+            )
+            subset = [
+                view
+                for endpoint_id, view in views.items()
+                if endpoint_id in chosen
+            ]
+            self._subsets[service] = subset
+        return subset
+
+    def _choose_by_zone(
+        self, available: list[endpoint_view.EndpointView], now_s: float
+    ) -> endpoint_view.EndpointView | None:
+        """Picks an endpoint, of the own zone while there is capacity."""
         local = [
             endpoint
             for endpoint in available
@@ -169,11 +220,18 @@
             return False
         if old_service is not None and old_service != record.service:
             del self._services[old_service][endpoint_id]
+            self._subsets.pop(old_service, None)
             known = None
         self._service_of[endpoint_id] = record.service
         if known is None:
             known = endpoint_view.EndpointView(record)
             self._services.setdefault(record.service, {})[endpoint_id] = known
+            self._subsets.pop(record.service, None)
+        elif (known.record.state, known.record.zone) != (
+            record.state,
+            record.zone,
+        ):
+            self._subsets.pop(record.service, None)
         known.is_confirmed = True
         return known.update(record)
 
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -98,7 +98,9 @@
         self.generator = generator
         self.routes = routes
         self.splits = split_chooser.SplitChooser()
-        self.endpoints = endpoint_set.EndpointSet(settings.zone, generator)
+        self.endpoints = endpoint_set.EndpointSet(
+            settings.node_id, settings.zone, generator
+        )
         self.repeats = repeat_budget.RepeatBudget(
             settings.repeat_ratio,
             settings.repeat_slack,
--- a/tests/decisions/endpoints/test_endpoint_set.py
+++ b/tests/decisions/endpoints/test_endpoint_set.py
@@ -12,6 +12,7 @@
 
 from cranberrymux.decisions.endpoints import endpoint_set
 from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.routing import endpoint_subset
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 
@@ -26,7 +27,7 @@
 
 @pytest.fixture
 def endpoints():
-    made = endpoint_set.EndpointSet("z", random.Random(1))
+    made = endpoint_set.EndpointSet("n", "z", random.Random(1))
     made.update(
         [record("near-1"), record("near-2"), *map(far_record, range(1, 5))]
     )
@@ -198,3 +199,48 @@
     endpoints.update([restarted])
     assert view.rate_limit.per_s is None
     assert view.is_usable
+
+
+class TestSubset:
+    """A service with far more endpoints than a node uses."""
+
+    SIZE = endpoint_subset.OWN_ZONE_SIZE + endpoint_subset.OTHER_ZONES_SIZE
+
+    @pytest.fixture
+    def large(self):
+        made = endpoint_set.EndpointSet("n", "z", random.Random(1))
+        made.update(record(f"e{n}", "zy"[n % 2]) for n in range(200))
+        return made
+
+    def choose_names(self, endpoints, tried=(), count=2000):
+        for view in endpoints.usable_endpoints("s"):
+            # So that those of other zones are chosen as well.
+            view.note_reported_load(0.0, 9)
+        return {
+            endpoints.choose("s", 0.0, tried).record.endpoint_id
+            for _ in range(count)
+        }
+
+    def test_bounds_the_endpoints_that_a_node_uses(self, large):
+        assert len(self.choose_names(large)) == self.SIZE
+
+    def test_is_widened_at_once_if_all_of_it_is_suspended(self, large):
+        subset = self.choose_names(large)
+        for name in subset:
+            large.find(name).note_unreachable(0.0)
+        others = self.choose_names(large)
+        assert len(others) > self.SIZE
+        assert not others & subset
+
+    def test_request_that_two_refused_goes_beyond_it(self, large):
+        subset = sorted(self.choose_names(large))
+        assert len(self.choose_names(large, subset[:2])) > self.SIZE
+
+    def test_replaces_an_endpoint_that_leaves(self, large):
+        subset = self.choose_names(large)
+        leaving = min(subset)
+        gone = record(leaving, large.find(leaving).record.zone, 2, State.GONE)
+        large.update([gone])
+        after = self.choose_names(large)
+        assert len(after) == self.SIZE
+        assert subset - after == {leaving}
--- a/tests/decisions/endpoints/test_slowness.py
+++ b/tests/decisions/endpoints/test_slowness.py
@@ -61,7 +61,7 @@
 
 def test_slow_endpoint_gets_no_requests_until_its_report_has_decayed():
     """One of three endpoints takes eight times as long at equal load."""
-    endpoints = endpoint_set.EndpointSet("z", random.Random(1))
+    endpoints = endpoint_set.EndpointSet("n", "z", random.Random(1))
     names = ("e1", "e2", "e3")
     endpoints.update(
         endpoint_record.EndpointRecord(
--- a/tests/decisions/rate_limits/test_many_nodes.py
+++ b/tests/decisions/rate_limits/test_many_nodes.py
@@ -59,7 +59,7 @@
 
     def _make_node(self, number):
         node = endpoint_set.EndpointSet(
-            f"z{number % 4}", random.Random(f"node {number}")
+            f"n{number}", f"z{number % 4}", random.Random(f"node {number}")
         )
         node.update(
             endpoint_record.EndpointRecord(
