--- a/src/cranberrymux/decisions/claims/claim_codec.py
+++ b/src/cranberrymux/decisions/claims/claim_codec.py
@@ -12,12 +12,12 @@
     entries: Iterable[claim_entry.ClaimEntry],
 ) -> list[list[Any]]:
     """Returns entries as values that JSON can hold."""
-    return [_dump_entry(one) for one in entries]
+    return [_dump_entry(entry) for entry in entries]
 
 
 def load_entries(rows: Iterable[list[Any]]) -> list[claim_entry.ClaimEntry]:
     """Returns the entries of rows made by `dump_entries`."""
-    return [_load_entry(*one) for one in rows]
+    return [_load_entry(*row) for row in rows]
 
 
 def _dump_entry(entry: claim_entry.ClaimEntry) -> list[Any]:
--- a/src/cranberrymux/decisions/claims/claim_ledger.py
+++ b/src/cranberrymux/decisions/claims/claim_ledger.py
@@ -63,9 +63,9 @@
             limit: Most entries returned.
         """
         found = [
-            one
-            for one in reversed(self._entries.values())
-            if one.state is _State.UNKNOWN
+            entry
+            for entry in reversed(self._entries.values())
+            if entry.state is _State.UNKNOWN
         ]
         return found[:limit]
 
@@ -162,8 +162,8 @@
     def restore(self, state: list[list[Any]]) -> None:
         """Replaces the state by one returned by `dump`."""
         entries = claim_codec.load_entries(state)
-        self._entries = {one.claim.key: one for one in entries}
-        self._stored_bytes = sum(len(one.body or b"") for one in entries)
+        self._entries = {entry.claim.key: entry for entry in entries}
+        self._stored_bytes = sum(len(entry.body or b"") for entry in entries)
 
     def _grant_first(
         self, asked: claim_module.Claim, now_ms: int
--- a/src/cranberrymux/decisions/claims/suspect_ledger.py
+++ b/src/cranberrymux/decisions/claims/suspect_ledger.py
@@ -92,8 +92,8 @@
 
     def restore(self, state: list[list[Any]]) -> None:
         """Replaces the state by one returned by `dump`."""
-        self._events = {one[0]: set(one[2]) for one in state}
-        self._last_ms = {one[0]: one[1] for one in state}
+        self._events = {row[0]: set(row[2]) for row in state}
+        self._last_ms = {row[0]: row[1] for row in state}
         self._revisions = {}
         for fingerprint in self._events:
             self._revision += 1
--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -72,9 +72,11 @@
             lost the allowed number of backend servers to it.
         """
         found = self._find(now_s, fingerprint)
-        counted = max((one.open_deaths for one in found.values()), default=0)
+        counted = max(
+            (record.open_deaths for record in found.values()), default=0
+        )
         deaths = max(counted, lost_attempts)
-        was_sole = any(one.was_sole for one in found.values())
+        was_sole = any(record.was_sole for record in found.values())
         if self._settings.refuses(deaths, was_sole=was_sole):
             for key, record in found.items():
                 self._records.put(key, record._replace(used_s=now_s))
@@ -218,16 +220,16 @@
         started_as_suspects = self._running.find_suspects()
         in_flight = self._running.take_all(since_s)
         suspects = {
-            one
-            for one in in_flight
-            if one in started_as_suspects
-            or self._get(now_s, one.digest_key).open_deaths
+            call
+            for call in in_flight
+            if call in started_as_suspects
+            or self._get(now_s, call.digest_key).open_deaths
         }
-        sole_digests = {one.digest for one in suspects}
+        sole_digests = {call.digest for call in suspects}
         reports = []
-        for one in in_flight:
-            is_sole = sole_digests == {one.digest}
-            for key in one.keys:
+        for call in in_flight:
+            is_sole = sole_digests == {call.digest}
+            for key in call.keys:
                 reports.append(_Report(key, _Kind.DEATH, event_id))
                 if is_sole:
                     reports.append(_Report(key, _Kind.SOLE_DEATH, event_id))
@@ -302,12 +304,12 @@
         self, now_s: float, in_flight: Iterable[fingerprints.Fingerprint]
     ) -> None:
         """Notes which calls of a request were in flight at a death."""
-        for one in in_flight:
-            if not one.request_id:
+        for call in in_flight:
+            if not call.request_id:
                 continue
-            id_key = one.keys[0]
+            id_key = call.keys[0]
             record = self._get(now_s, id_key)
-            digests = record.digests | {one.digest}
+            digests = record.digests | {call.digest}
             self._records.put(id_key, record._replace(digests=digests))
 
     def _clear(
--- a/src/cranberrymux/decisions/quarantine/running_suspects.py
+++ b/src/cranberrymux/decisions/quarantine/running_suspects.py
@@ -57,7 +57,7 @@
 
     def find_suspects(self) -> set[fingerprints.Fingerprint]:
         """Returns the calls in flight that were suspects at their start."""
-        return {self._running[one] for one in self._suspect_ids}
+        return {self._running[suspect_id] for suspect_id in self._suspect_ids}
 
     def take_all(self, since_s: float) -> list[fingerprints.Fingerprint]:
         """Removes and returns all calls, each fingerprint once, in order.
@@ -67,7 +67,7 @@
                 count.
         """
         abandoned = [
-            one.fingerprint for one in self._abandoned if one.ended_s >= since_s
+            run.fingerprint for run in self._abandoned if run.ended_s >= since_s
         ]
         found = sorted({*self._running.values(), *abandoned})
         self._running.clear()
--- a/src/cranberrymux/decisions/quarantine/suspect_queue.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_queue.py
@@ -75,7 +75,9 @@
         if ticket.runs_alone and now_s < self._cooldown_ends_s:
             return False
         self._waiting.append(ticket)
-        self._waiting.sort(key=lambda one: (one.rank, one.start_by_s))
+        self._waiting.sort(
+            key=lambda suspect: (suspect.rank, suspect.start_by_s)
+        )
         return True
 
     def take_next(self, now_s: float, running: int) -> SuspectTicket | None:
@@ -105,7 +107,9 @@
         """Removes a call that ended, was refused or gave up its turn."""
         self._running.discard(ticket_id)
         self._waiting = [
-            one for one in self._waiting if one.ticket_id != ticket_id
+            suspect
+            for suspect in self._waiting
+            if suspect.ticket_id != ticket_id
         ]
         if self._exclusive is not None and (
             self._exclusive.ticket_id == ticket_id
@@ -115,7 +119,9 @@
     def pop_expired(self, now_s: float) -> list[int]:
         """Removes and returns the suspects that can no longer start in time."""
         expired = [
-            one.ticket_id for one in self._waiting if one.start_by_s < now_s
+            suspect.ticket_id
+            for suspect in self._waiting
+            if suspect.start_by_s < now_s
         ]
         exclusive = self._exclusive
         if (
@@ -130,7 +136,7 @@
 
     def pop_all(self, now_s: float) -> list[int]:
         """Removes and returns all suspects that wait."""
-        popped = [one.ticket_id for one in self._waiting]
+        popped = [suspect.ticket_id for suspect in self._waiting]
         if self._exclusive is not None and not self._is_exclusive_running:
             popped.append(self._exclusive.ticket_id)
         for ticket_id in popped:
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -189,7 +189,7 @@
         table = self._routes.table
         if table is None:
             return ()
-        return sorted(one.name for one in table.document.services)
+        return sorted(service.name for service in table.document.services)
 
     def endpoints_changed(
         self, records: Sequence[endpoint_record.EndpointRecord]
@@ -234,7 +234,11 @@
         self, records: Sequence[endpoint_record.EndpointRecord]
     ) -> None:
         """Tells siblings that have started which requests are suspects."""
-        own = [one for one in records if one.service == self._settings.service]
+        own = [
+            record
+            for record in records
+            if record.service == self._settings.service
+        ]
         started = self._parts.siblings.update(own)
         if not started:
             return
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -276,18 +276,18 @@
         _log.warning(
             event.Event.BACKEND_SERVER_DIED,
             evidence=evidence,
-            suspects=len({one.key for one in reports}),
+            suspects=len({report.key for report in reports}),
         )
         self._share(reports, "death")
 
 
 def _describe(reports: Sequence[_Report]) -> dict[str, Any]:
     """Returns the log fields of reports; keys hold digests only."""
-    sole = [one.key for one in reports if one.kind is _Kind.SOLE_DEATH]
+    sole = [report.key for report in reports if report.kind is _Kind.SOLE_DEATH]
     return {
-        "events": sorted({one.event_id for one in reports})[:4],
-        "kinds": sorted({one.kind.value for one in reports}),
-        "keys": list(dict.fromkeys(one.key for one in reports))[:4],
+        "events": sorted({report.event_id for report in reports})[:4],
+        "kinds": sorted({report.kind.value for report in reports}),
+        "keys": list(dict.fromkeys(report.key for report in reports))[:4],
         "sole": sole[:4],
         "count": len(reports),
     }
--- a/src/cranberrymux/node/run_losses.py
+++ b/src/cranberrymux/node/run_losses.py
@@ -122,16 +122,18 @@
     def _keep_unexplained(self) -> None:
         """Answers the callers; a new process may still explain the loss."""
         self._forget_unexplained()
-        for one in self._lost:
-            one.on_explained(False)
-        self._lost = [one._replace(on_explained=_ignore) for one in self._lost]
+        for loss in self._lost:
+            loss.on_explained(False)
+        self._lost = [
+            loss._replace(on_explained=_ignore) for loss in self._lost
+        ]
 
     def _forget_unexplained(self) -> None:
         from_s = self._clock.now_s() - UNEXPLAINED_S
-        for one in self._lost:
-            if one.lost_s < from_s:
-                self._record_survival(one.ticket_id)
-        self._lost = [one for one in self._lost if one.lost_s >= from_s]
+        for loss in self._lost:
+            if loss.lost_s < from_s:
+                self._record_survival(loss.ticket_id)
+        self._lost = [loss for loss in self._lost if loss.lost_s >= from_s]
 
     def _die(self, evidence: str, *, is_past: bool) -> None:
         self._record_death(evidence, is_past)
@@ -140,7 +142,7 @@
     def _end_all(self, *, is_dead: bool) -> None:
         lost = self._lost
         self._lost = []
-        for one in lost:
+        for loss in lost:
             if not is_dead:
-                self._record_survival(one.ticket_id)
-            one.on_explained(is_dead)
+                self._record_survival(loss.ticket_id)
+            loss.on_explained(is_dead)
--- a/src/cranberrymux/node/suspect_message.py
+++ b/src/cranberrymux/node/suspect_message.py
@@ -33,8 +33,8 @@
 def encode_value(reports: Sequence[suspect_report.SuspectReport]) -> bytes:
     """Encodes at most `REPORTS_PER_MESSAGE` reports as a header's value."""
     return ",".join(
-        f"{one.kind.value};{one.key};{one.event_id}"
-        for one in reports[:REPORTS_PER_MESSAGE]
+        f"{report.kind.value};{report.key};{report.event_id}"
+        for report in reports[:REPORTS_PER_MESSAGE]
     ).encode()
 
 
--- a/src/cranberrymux/node/suspect_reporter.py
+++ b/src/cranberrymux/node/suspect_reporter.py
@@ -121,7 +121,9 @@
         if self._is_sending or not self._pending:
             return
         now_s = self._clock.now_s()
-        due = (one for one, due_s in self._pending.items() if due_s <= now_s)
+        due = (
+            report for report, due_s in self._pending.items() if due_s <= now_s
+        )
         batch = list(itertools.islice(due, REPORTS_PER_MESSAGE))
         if batch:
             defer.ensureDeferred(self._send(batch))
@@ -137,7 +139,8 @@
             endpoint_id=self._reporter,
             incarnation=0,
             items=[
-                suspect_rows.encode_item(one, self._reporter) for one in batch
+                suspect_rows.encode_item(report, self._reporter)
+                for report in batch
             ],
         )
         is_sent = await self._send_to_any(message)
