--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -1,9 +1,7 @@
 """Server side of an HTTP/1.1 connection."""
 
 from typing import Any
-from typing import cast
 
-import httptools
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
@@ -13,17 +11,14 @@
 from cranberrymux.node.http import bad_message
 from cranberrymux.node.http import call_handler
 from cranberrymux.node.http import call_pipeline
-from cranberrymux.node.http import framing_meter
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import prompt_writer
 from cranberrymux.node.http import rejection
 from cranberrymux.node.http import request_head
-from cranberrymux.node.http import request_head_reader
+from cranberrymux.node.http import request_reader
 
-# Bytes of the request line, line ends and lines of chunks in short bodies.
-FRAMING_SLACK_BYTES = 65_536
 _END_OF_HEAD = b"\r\n\r\n"
 
 
@@ -58,22 +53,12 @@
             self, handler, message_limits.concurrent_calls, may_run_ahead
         )
         self._limits = message_limits
-        self._parser = httptools.HttpRequestParser(self)
-        self._meter = framing_meter.FramingMeter(
-            message_limits.header_bytes
-            + message_limits.target_bytes
-            + FRAMING_SLACK_BYTES
-        )
+        self._reader = request_reader.RequestReader(message_limits, self)
         self._unparsed = b""
         self._is_parsing = False
         self._being_read: inbound_call.InboundCall | None = None
         self._dispatched: inbound_call.InboundCall | None = None
-        self._target = b""
-        self._headers: headers.HeaderList = []
-        self._header_bytes = 0
-        self._header_count = 0
         self._rejected: bad_message.BadMessage | None = None
-        self._is_in_head = False
         self._read_count = 0
         self._is_closing = False
         self._is_paused = False
@@ -101,66 +86,33 @@
         self._is_closing = True
         self._pipeline.disconnect()
 
-    # Callbacks of `httptools.HttpRequestParser`.
-
-    def on_message_begin(self) -> None:
-        """Prepares for the head of the next request."""
-        self._target = b""
-        self._headers = []
-        self._header_bytes = 0
-        self._header_count = 0
-        self._is_in_head = True
-
-    def on_url(self, part: bytes) -> None:
-        """Collects a part of the request target and checks its length."""
-        self._target += part
-        if len(self._target) > self._limits.target_bytes:
-            self._fail(414, f"target over {self._limits.target_bytes} bytes")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header and checks the limits, also on trailers."""
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > self._limits.header_bytes:
-            self._fail(431, f"headers over {self._limits.header_bytes} bytes")
-        if self._header_count >= self._limits.header_count:
-            self._fail(431, f"over {self._limits.header_count} headers")
-        self._header_count += 1
-        if self._is_in_head:
-            self._headers.append(headers.normalize(name, value))
-
-    def on_headers_complete(self) -> None:
-        """Checks the head and creates the call; answers `Expect`."""
-        self._is_in_head = False
+    # Implementation of `request_reader.RequestListener`.
+
+    def head_read(self, head: request_head.RequestHead) -> None:
+        """Creates the call; answers `Expect`."""
         if self._is_closing:
             return
-        call = self._pipeline.add(self._make_head())
+        call = self._pipeline.add(head)
         self._being_read = call
         self._dispatched = None
-        expectation = headers.find(self._headers, b"expect")
-        if expectation is not None:
-            if expectation.lower() != b"100-continue":
-                self._fail(417, "only 100-continue can be expected")
-            if self._pipeline.first is call:
-                call.send_interim(100, [])
-
-    def on_body(self, part: bytes) -> None:
+        is_expecting = headers.find(head.headers, b"expect") is not None
+        if is_expecting and self._pipeline.first is call:
+            call.send_interim(100, [])
+
+    def body_read(self, part: bytes) -> None:
         """Adds a part of the body; starts a call too long to be buffered."""
-        self._meter.note_body(len(part))
         call = self._being_read
         if call is None:
             return
         call.add_body(part)
-        if call.body_length > self._limits.body_bytes:
-            self._fail(413, f"body over {self._limits.body_bytes} bytes")
         if (
             self._dispatched is not call
             and call.body_length > self._limits.buffered_bytes
         ):
             self._dispatch(call)
 
-    def on_message_complete(self) -> None:
+    def request_read(self) -> None:
         """Ends the body, and starts the call unless it is being streamed."""
-        self._meter.end()
         call = self._being_read
         self._being_read = None
         if call is None:
@@ -181,7 +133,7 @@
     @property
     def is_reading_head(self) -> bool:
         """True if part of a request has been read, but not its whole head."""
-        return self._is_in_head
+        return self._reader.is_reading_head
 
     @property
     def read_count(self) -> int:
@@ -255,15 +207,9 @@
                 if self._is_closing or self._rejected is not None:
                     self._unparsed = b""
                     break
-                self._feed(self._take_unparsed())
-        except httptools.HttpParserCallbackError:
-            if self._rejected is None:
-                # A defect of this program, not of the message: Twisted logs
-                # it and closes the connection.
-                raise
-            self._reject(self._rejected)
-        except httptools.HttpParserError as error:
-            self._reject(bad_message.BadMessage(400, str(error)))
+                bad = self._reader.feed(self._take_unparsed())
+                if bad is not None:
+                    self._reject(bad)
         finally:
             self._is_parsing = False
         self._update_reading()
@@ -280,36 +226,6 @@
         self._unparsed = self._unparsed[size:]
         return part
 
-    def _feed(self, data: bytes) -> None:
-        """Parses data, with a new parser behind each request to upgrade."""
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            self._parser = httptools.HttpRequestParser(self)
-            self._unparsed = data[upgrade.args[0] :] + self._unparsed
-        self._meter.note_read(len(data))
-        if self._meter.is_exceeded:
-            self._reject_framing()
-
-    def _make_head(self) -> request_head.RequestHead:
-        head = request_head_reader.read_head(
-            self._parser, self._target, self._headers, self._limits
-        )
-        if isinstance(head, bad_message.BadMessage):
-            self._fail(head.status, head.detail)
-        return cast(request_head.RequestHead, head)
-
-    def _reject_framing(self) -> None:
-        """Rejects a request whose head, chunk lines or trailers do not end."""
-        status = 431 if self._is_in_head else 400
-        detail = "too many bytes without any of the body"
-        self._reject(bad_message.BadMessage(status, detail))
-
-    def _fail(self, status: int, detail: str) -> None:
-        """Stops the parser, whose caller then rejects the request."""
-        self._rejected = bad_message.BadMessage(status, detail)
-        raise ValueError(detail)
-
     def _dispatch(self, call: inbound_call.InboundCall) -> None:
         """Lets a call be handled when its turn comes."""
         self._dispatched = call
@@ -348,7 +264,7 @@
         self, kind: answer_kind.AnswerKind = answer_kind.AnswerKind.NOT_RUN
     ) -> None:
         bad = self._rejected or bad_message.BadMessage(400, "message not valid")
-        self._tcp.write(rejection.encode(bad, kind, self._headers))
+        self._tcp.write(rejection.encode(bad, kind, self._reader.headers))
         self.close()
 
     def _update_reading(self) -> None:
