Pass news of crashing requests on from neighbor to neighbor

Cause: a node sent each report to each of its siblings, 100 messages from one node of a service of 101 endpoints, 10,000 from one of 10,000; and each node sent all that it knew to each sibling that started.

The bounds for crashing requests stay as they are, with their tests.

--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -130,7 +130,7 @@
             system_clock,
             reactor,
             get_control_clients,
-            self.siblings.send_to_all,
+            self.siblings.send_to_neighbors,
         )
         self.metrics = metrics_module.GatewayMetrics()
         self.open_entry_calls = 0
--- a/src/cranberrymux/node/environment_builder.py
+++ b/src/cranberrymux/node/environment_builder.py
@@ -137,7 +137,7 @@
         parts.clock,
         parts.reactor,
         lambda: clients,
-        parts.siblings.send_to_all,
+        parts.siblings.send_to_neighbors,
     )
     made.losses.on_dead = parts.on_backend_dead
     return made
--- a/src/cranberrymux/node/quarantine_factory.py
+++ b/src/cranberrymux/node/quarantine_factory.py
@@ -41,7 +41,8 @@
         system_clock: The node's clocks.
         reactor: Opens connections and schedules reports.
         get_clients: Returns the connections to the control instances.
-        send_to_siblings: Sends a message to every sibling.
+        send_to_siblings: Sends a message to the neighbors among the
+            siblings.
     """
     reporter = suspect_reporter.SuspectReporter(
         get_clients,
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -63,7 +63,8 @@
             reactor: Opens the connections that probe the backend server, and
                 calls back later.
             reporter: Sends reports to the control instances.
-            send_to_siblings: Sends a message to every sibling.
+            send_to_siblings: Sends a message to the neighbors among the
+                siblings, who pass it on.
             cluster_key: Cluster key, which proves that the sender is a node.
         """
         self._quarantine = quarantine
@@ -196,11 +197,13 @@
             self.end_trial(trial)
 
     def merge_from_sibling(self, reports: Sequence[_Report]) -> None:
-        """Merges reports of a sibling and has the control instances get them.
+        """Merges reports of a sibling and passes on those that are new.
 
-        The sibling may not reach those.
+        They go to the neighbors, and to the control instances, as the sibling
+        may not reach those.
         """
         new = self._merge(reports, "sibling")
+        self._tell_siblings(new)
         self._reporter.add(new, RELAY_DELAY_S)
 
     def merge_from_caller(self, reports: Sequence[_Report]) -> None:
--- a/src/cranberrymux/node/siblings.py
+++ b/src/cranberrymux/node/siblings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from cranberrymux.decisions.directory import neighbors
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 from cranberrymux.models import socket_address
@@ -10,7 +11,10 @@
 
 
 class Siblings:
-    """Holds the records of the siblings and sends them messages."""
+    """Holds the records of the siblings and sends messages to some of them.
+
+    Those are the neighbors, who pass on what is new to them.
+    """
 
     def __init__(
         self, own_endpoint_id: str, pool: connection_pool.ConnectionPool
@@ -24,6 +28,7 @@
         self._own_endpoint_id = own_endpoint_id
         self._pool = pool
         self._records: dict[str, endpoint_record.EndpointRecord] = {}
+        self._neighbor_ids: frozenset[str] = frozenset()
 
     def update(
         self, records: Sequence[endpoint_record.EndpointRecord]
@@ -35,9 +40,9 @@
                 sibling.
 
         Returns:
-            The records of siblings that are new or have restarted.
+            The records of neighbors that are new or have restarted.
         """
-        started = []
+        started_ids = set()
         for record in records:
             if record.endpoint_id == self._own_endpoint_id:
                 continue
@@ -46,14 +51,22 @@
                 continue
             known = self._records.get(record.endpoint_id)
             if known is None or known.incarnation < record.incarnation:
-                started.append(record)
+                started_ids.add(record.endpoint_id)
             self._records[record.endpoint_id] = record
-        return started
+        before = self._neighbor_ids
+        self._neighbor_ids = neighbors.choose_neighbors(
+            self._own_endpoint_id, self._records
+        )
+        # A sibling that becomes a neighbor may have missed what others know.
+        due_ids = (started_ids & self._neighbor_ids) | (
+            self._neighbor_ids - before
+        )
+        return [self._records[endpoint_id] for endpoint_id in sorted(due_ids)]
 
-    def send_to_all(self, message: peer_request.PeerMessage) -> None:
-        """Sends a message to every sibling and ignores the answers."""
-        for record in self._records.values():
-            self.send(record, message)
+    def send_to_neighbors(self, message: peer_request.PeerMessage) -> None:
+        """Sends a message to every neighbor and ignores the answers."""
+        for endpoint_id in sorted(self._neighbor_ids):
+            self.send(self._records[endpoint_id], message)
 
     def send(
         self,
--- a/tests/gateway/crash_scene.py
+++ b/tests/gateway/crash_scene.py
@@ -64,4 +64,4 @@
         """Has all messages of one node to its siblings lost from now on."""
         siblings = self.mesh.members[index].gateway._parts.siblings
         siblings.send = lambda sibling, message: None
-        siblings.send_to_all = lambda message: None
+        siblings.send_to_neighbors = lambda message: None
