Say which version of its settings file each node runs, and what changed

Operators could not tell which settings file had changed, when, and which instances it had reached: a node logged that SIGHUP came, a file that changed without one was read in silence, and nothing named its content.

A node compares the file with what it had read, logs each key that changed with the old and the new value, and which of them wait for a restart; a digest of the content stands in the log at the start and at each change, and in the metrics with the time since when. A file that cannot be read changes nothing, as before.

--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -159,6 +159,10 @@
         """
         self._control_connections.add_addresses(addresses, self._clock.now_s())
 
+    def note_settings(self, digest: str, since_unix_ms: int) -> None:
+        """Shows in the metrics which version of the settings file is known."""
+        self._parts.metrics.show_settings(digest, since_unix_ms)
+
     def stop(self) -> None:
         """Starts the stop; the reactor ends once no request is in flight.
 
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -31,6 +31,8 @@
         rate_limit: Requests a second that the backend server accepts; 0
             without a limit.
         version: Version of the configuration in force.
+        settings_since_s: Unix time from which the settings file is known as it
+            is, by its digest.
     """
 
     def __init__(self) -> None:
@@ -86,6 +88,17 @@
         self.running = self._gauge("running", "Requests that hold a slot.")
         self.waiting = self._gauge("waiting", "Requests that wait for one.")
         self.version = self._gauge("configuration_version", "In force.")
+        self.settings_since_s = prometheus_client.Gauge(
+            "cranberrymux_settings_since_seconds",
+            "Unix time at which this settings file was first read.",
+            ("digest",),
+            registry=registry,
+        )
+
+    def show_settings(self, digest: str, since_unix_ms: int) -> None:
+        """Shows one version of the settings file in place of the last one."""
+        self.settings_since_s.clear()
+        self.settings_since_s.labels(digest).set(since_unix_ms / 1000)
 
     def encode(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
--- a/src/cranberrymux/platform/node_main.py
+++ b/src/cranberrymux/platform/node_main.py
@@ -4,10 +4,12 @@
 import sys
 
 from cranberrymux import exceptions
+from cranberrymux.gateway import boot_clock
 from cranberrymux.gateway import gateway as gateway_module
 from cranberrymux.gateway import program
 from cranberrymux.platform import node_ports
 from cranberrymux.platform import settings_file
+from cranberrymux.settings import settings_watch
 from cranberrymux.telemetry import logs
 
 EXIT_SETTINGS = 2
@@ -28,9 +30,10 @@
     )
     arguments = parser.parse_args()
     try:
-        settings = settings_file.make_gateway_settings(
-            settings_file.read()
-        )._replace(metrics_port=arguments.metrics_port)
+        values = settings_file.read()
+        settings = settings_file.make_gateway_settings(values)._replace(
+            metrics_port=arguments.metrics_port
+        )
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
@@ -43,8 +46,14 @@
         announce = node_ports.AnnouncePort(gateway)
         gateway.listen(settings.announce_address, announce)
 
+    watch = settings_watch.SettingsWatch(
+        settings_file.read,
+        values,
+        boot_clock.BootClock().now_unix_ms(),
+        settings_file.APPLIED_KEYS,
+    )
     return program.run(
-        settings, open_ports, settings_file.read_control_instances
+        settings, open_ports, watch, settings_file.get_control_instances
     )
 
 
--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -1,6 +1,7 @@
 """Builds node and control settings from the platform's settings file."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import os
 import tomllib
 from typing import Any
@@ -35,6 +36,8 @@
 MAXIMUM_MISSED_ANNOUNCEMENTS = 4
 # Time kept free between the end of a stop and the end of the grace period.
 GRACE_MARGIN_S = 0.6
+# Keys of which a change takes effect without a restart.
+APPLIED_KEYS = frozenset({"network.seeds"})
 _CLAIM_AGE_S = 3600
 
 _Settings = TypeVar("_Settings")
@@ -82,15 +85,16 @@
     return _translate(_make_control_settings, values)
 
 
-def read_control_instances() -> tuple[str, ...]:
-    """Reads `ip:port` of the control instances from the file again.
+def get_control_instances(values: Mapping[str, Any]) -> tuple[str, ...]:
+    """Returns `ip:port` of the control instances that a changed file names.
 
-    Returns none if the file cannot be read, for example because it is being
-    written; the next read may succeed.
+    Args:
+        values: Content of the settings file; without valid addresses in it,
+            none are returned.
     """
     try:
-        return _control_instances(read()["network"])
-    except (exceptions.SettingsError, KeyError, ValueError, TypeError) as error:
+        return _control_instances(values["network"])
+    except (KeyError, ValueError, TypeError) as error:
         structlog.get_logger().warning("settings-not-read", detail=str(error))
         return ()
 
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -33,6 +33,7 @@
     # Nodes that serve routes.
     NODE_STOPPING = "node-stopping"
     SETTINGS_RELOADED = "settings-reloaded"
+    SETTINGS_CHANGED = "settings-changed"
     SETTINGS_NOT_READ = "settings-not-read"
     BACKEND_CHANGED = "backend-changed"
     BACKEND_ASKED = "backend-asked"
