--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -19,9 +19,6 @@
 # Cost, in loads of all slots, at or above which an endpoint of the own
 # availability zone no longer has precedence over those of other zones.
 LOCAL_LOAD_LIMIT = 0.7
-# By how much less an endpoint of another zone must then cost. Where all are
-# full alike, a request gains nothing by leaving its zone.
-ZONE_CHANGE_GAIN = 0.25
 # A request that so many endpoints refused may go beyond the subset.
 REFUSALS_WITHIN_SUBSET = 2
 
@@ -191,16 +188,10 @@
             if endpoint.record.zone == self._zone
             and not endpoint.is_failing(now_s)
         ]
-        nearest = self._choose_cheaper_of_two(local, now_s)
-        if nearest is None:
-            return self._choose_cheaper_of_two(available, now_s)
-        nearest_cost = nearest.cost(now_s)
-        if nearest_cost < LOCAL_LOAD_LIMIT:
-            return nearest
-        found = self._choose_cheaper_of_two(available, now_s)
-        if found is None or found.cost(now_s) > nearest_cost - ZONE_CHANGE_GAIN:
-            return nearest
-        return found
+        found = self._choose_cheaper_of_two(local, now_s)
+        if found is not None and found.cost(now_s) < LOCAL_LOAD_LIMIT:
+            return found
+        return self._choose_cheaper_of_two(available, now_s)
 
     def _choose_cheaper_of_two(
         self, endpoints: list[endpoint_view.EndpointView], now_s: float
