Take back the count of work by whole trees, and the news of shares

Counted whole they make the service look 1.7 times full with 2 of 14 slots in use and none waiting, so that roots are refused while it is idle, and for seconds afterwards.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -5,26 +5,18 @@
 the least important first, and only if it needs the service that is short.
 """
 
-from collections.abc import Mapping
 import enum
 import math
 from typing import NamedTuple
 
-from cranberrymux.decisions.pressure import expected_work
-from cranberrymux.decisions.pressure import share_news
 from cranberrymux.decisions.pressure import work_report
 
 COST_WEIGHT = 0.05  # Weight of one answer in the mean cost of a route.
-# What is newer by this time has a weight of 1 - 1/e in the mean share.
-SHARE_TIME_CONSTANT_S = 0.05
-# Weight of one report at most: endpoints of a service differ.
-MAXIMUM_REPORT_WEIGHT = 0.5
+SHARE_WEIGHT = 0.5  # Weight of one report in the mean share of a service.
 REFRESH_INTERVAL_S = 0.1
 RATE_TIME_CONSTANT_S = 1.5  # Of the mean arrival rate.
 SHARE_TTL_S = 0.6  # A share not reported for longer grows again.
 REOPEN_TIME_CONSTANT_S = 1.0  # An expired share grows by a factor of e in it.
-# Time for which nodes are told that a service has room again.
-RECOVERY_NEWS_S = 2.0
 MAXIMUM_CREDIT_REQUESTS = 2.0
 # Part of a service's share that every class keeps, so that none is starved.
 MINIMUM_SHARE_RATIO = 0.2
@@ -71,69 +63,13 @@
 
 
 class _Service:
-    """Smoothed share that a service can take.
+    """Smoothed share that a service can take, and its last update."""
 
-    Attributes:
-        share: The share, 0.0 to 1.0.
-        reported_s: Monotonic seconds of the newest report that it is based on.
-        mean_reported_s: Weighted mean of the times of all those reports.
-        was_short_s: Monotonic seconds at which it was last below 1.0.
-    """
-
-    __slots__ = ("mean_reported_s", "reported_s", "share", "was_short_s")
+    __slots__ = ("updated_s", "share")
 
-    def __init__(self, reported_s: float) -> None:
+    def __init__(self, now_s: float) -> None:
         self.share = 1.0
-        self.reported_s = reported_s
-        self.mean_reported_s = reported_s - SHARE_TTL_S
-        self.was_short_s = -math.inf
-
-    def add(
-        self,
-        now_s: float,
-        share: float,
-        reported_s: float,
-        maximum_weight: float,
-    ) -> None:
-        """Adds a share to the mean; it counts the more, the newer it is."""
-        newer_s = reported_s - self.mean_reported_s
-        if newer_s <= 0.0:
-            return
-        if self.share < 1.0:
-            self.was_short_s = now_s
-        weight = 1.0 - math.exp(-newer_s / SHARE_TIME_CONSTANT_S)
-        weight = min(weight, maximum_weight)
-        self.share += weight * (share - self.share)
-        self.mean_reported_s += weight * newer_s
-        self.reported_s = max(self.reported_s, reported_s)
-
-
-class _Cost:
-    """Mean work of the trees of one route at one service.
-
-    Attributes:
-        slot_s: Seconds for which they hold slots.
-        requests: Number of their requests.
-    """
-
-    __slots__ = ("requests", "slot_s")
-
-    def __init__(self, work: work_report.ServiceWork) -> None:
-        self.slot_s = work.slot_s
-        self.requests = float(work.requests)
-
-    def approach(self, slot_s: float, requests: float) -> None:
-        """Adds the work of one tree to the mean."""
-        self.slot_s += COST_WEIGHT * (slot_s - self.slot_s)
-        self.requests += COST_WEIGHT * (requests - self.requests)
-
-    def raise_to(self, work: work_report.ServiceWork) -> None:
-        """Takes the work of a failed tree as a lower bound."""
-        self.slot_s = max(self.slot_s, work.slot_s)
-        self.requests = max(self.requests, float(work.requests))
-
-
-_NO_COST = _Cost(work_report.ServiceWork(0.0, 0))
+        self.updated_s = now_s
 
 
 class RootAdmission:
@@ -146,8 +82,7 @@
             now_s: Monotonic seconds.
         """
         self._flows: dict[TrafficClass, _Flow] = {}
-        self._costs: dict[str, dict[str, _Cost]] = {}
-        self._successful_routes: set[str] = set()
+        self._costs: dict[str, dict[str, float]] = {}
         self._services: dict[str, _Service] = {}
         self._last_refresh_s = now_s
 
@@ -173,20 +108,6 @@
         shares = [service.share for service in self._services.values()]
         return min(shares, default=1.0)
 
-    def expect_work(self, route: str) -> dict[str, expected_work.ExpectedWork]:
-        """Returns the work that a tree will do where capacity is short.
-
-        Args:
-            route: Name of the route of its root.
-        """
-        return {
-            service: expected_work.ExpectedWork(
-                self._get_cost(route, service).requests, state.share
-            )
-            for service, state in self._services.items()
-            if state.share < 1.0
-        }
-
     def get_service_share(self, service: str) -> float:
         """Returns the smoothed share that a service can take, 0.0 to 1.0."""
         state = self._services.get(service)
@@ -203,71 +124,40 @@
 
     def note_report(
         self,
+        now_s: float,
         route: str,
         report: work_report.WorkReport,
         is_successful: bool,
     ) -> None:
-        """Learns costs from the answer to a root request.
+        """Learns costs and shares from the answer to a root request.
 
         Args:
+            now_s: Monotonic seconds.
             route: Name of its route.
             report: Cost of its tree at each service.
             is_successful: True if the tree succeeded. The cost of a failed
                 tree is only a lower bound of that of a complete one.
         """
+        for service, work in report.items():
+            self.note_share(now_s, service, work.share)
         costs = self._costs.setdefault(route, {})
-        if is_successful and route not in self._successful_routes:
-            self._successful_routes.add(route)
-            costs.clear()
         if is_successful:
-            for service, cost in costs.items():
+            for service in costs:
                 if service not in report:
-                    cost.approach(0.0, 0.0)
+                    costs[service] *= 1.0 - COST_WEIGHT
         for service, work in report.items():
-            cost = costs.setdefault(service, _Cost(work))
-            if route not in self._successful_routes:
-                cost.raise_to(work)
-            elif is_successful or work.slot_s > cost.slot_s:
-                cost.approach(work.slot_s, work.requests)
+            cost_s = costs.get(service, work.slot_s)
+            if is_successful or work.slot_s > cost_s:
+                cost_s += COST_WEIGHT * (work.slot_s - cost_s)
+            costs[service] = cost_s
 
     def note_share(self, now_s: float, service: str, share: float) -> None:
-        """Records the share that an endpoint reports, of any service."""
-        state = self._services.setdefault(service, _Service(now_s))
-        state.add(now_s, share, now_s, MAXIMUM_REPORT_WEIGHT)
-
-    def get_news(self, now_s: float) -> dict[str, share_news.ShareNews]:
-        """Returns what other nodes need to know of services short of capacity.
-
-        One node has few answers of any one service, all nodes have many.
-
-        Args:
-            now_s: Monotonic seconds.
-        """
-        return {
-            service: share_news.ShareNews(
-                state.share, max(now_s - state.mean_reported_s, 0.0)
-            )
-            for service, state in self._services.items()
-            if now_s - state.reported_s <= SHARE_TTL_S
-            and (
-                state.share < 1.0 or now_s - state.was_short_s < RECOVERY_NEWS_S
-            )
-        }
-
-    def note_news(
-        self, now_s: float, news: Mapping[str, share_news.ShareNews]
-    ) -> None:
-        """Learns from another node where its reports are newer.
-
-        Args:
-            now_s: Monotonic seconds.
-            news: What that node knows, by service.
-        """
-        for service, part in news.items():
-            if part.age_s <= SHARE_TTL_S:
-                reported_s = now_s - part.age_s
-                state = self._services.setdefault(service, _Service(reported_s))
-                state.add(now_s, part.share, reported_s, 1.0)
+        """Records the share that one endpoint of a service can take."""
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _Service(now_s)
+        state.share += SHARE_WEIGHT * (share - state.share)
+        state.updated_s = now_s
 
     def _refresh(self, now_s: float) -> None:
         elapsed_s = now_s - self._last_refresh_s
@@ -285,7 +175,7 @@
     def _grow_expired_share(
         self, state: _Service, now_s: float, elapsed_s: float
     ) -> None:
-        if now_s - state.reported_s > SHARE_TTL_S:
+        if now_s - state.updated_s > SHARE_TTL_S:
             state.share = min(
                 1.0, state.share * math.exp(elapsed_s / REOPEN_TIME_CONSTANT_S)
             )
@@ -297,8 +187,7 @@
         ] = {}
         total = 0.0
         for traffic_class, flow in self._flows.items():
-            cost = self._get_cost(traffic_class.route, service)
-            work = flow.per_s * cost.slot_s
+            work = flow.per_s * self._cost(traffic_class.route, service)
             if work > 0.0:
                 total += work
                 rank = (traffic_class.priority, traffic_class.timing)
@@ -316,5 +205,5 @@
                 )
             remaining_work -= needed_work
 
-    def _get_cost(self, route: str, service: str) -> "_Cost":
-        return self._costs.get(route, {}).get(service, _NO_COST)
+    def _cost(self, route: str, service: str) -> float:
+        return self._costs.get(route, {}).get(service, 0.0)
--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -7,17 +7,12 @@
 
 import math
 
-from cranberrymux.decisions.pressure import expected_work
-
 WINDOW_S = 0.1
 TARGET_UTILIZATION = 0.95  # Share of the slots that admitted work may use.
 SHARE_STEP_RATIO = 0.5  # Part of the gap closed per window.
 MAXIMUM_GROWTH_FACTOR = 1.25  # Per window.
 MINIMUM_SHARE = 0.01
 QUEUE_DRAIN_TIME_S = 0.3  # Time in which the queue is to be emptied.
-# Of the mean rate of work. A window has few trees; the mean of their inverse
-# would be too high.
-WORK_TIME_CONSTANT_S = 0.4
 # Of the mean rate of arrivals. A rate limit may be below one request a window.
 RATE_TIME_CONSTANT_S = 1.0
 HOLD_TIME_WEIGHT = 0.05  # Weight of one request in the mean of its route.
@@ -41,8 +36,6 @@
         self._window_began_s = now_s
         self._work_s = 0.0
         self._admitted_work_s = 0.0
-        self._work_per_s = 0.0
-        self._admitted_work_per_s = 0.0
         self._hold_s: dict[str, float] = {}
         self._utilization = 0.0
         self._arrivals = 0
@@ -57,32 +50,22 @@
 
     @property
     def utilization(self) -> float:
-        """Mean offered work per slot and second; 1.0 is full."""
+        """Offered work per slot and second in the last window; 1.0 is full."""
         return self._utilization
 
-    def note_arrival(
-        self, route: str, expected: expected_work.ExpectedWork | None
-    ) -> None:
+    def note_arrival(self, route: str, share: float) -> None:
         """Counts a request that asks for a slot, whatever the decision.
 
-        A tree that ends early asks for less work than it needs. So the first
-        request of a tree counts for the whole tree, and later ones do not.
-
         Args:
             route: Name of its route.
-            expected: Work that its tree is expected to do here. None if all of
-                the offered work was admitted where the tree started.
+            share: Share of the offered work that was admitted where its tree
+                started, 0.0 to 1.0.
         """
-        if expected is None:
-            expected = expected_work.ExpectedWork(0.0, 1.0)
-        work_s = 0.0
-        if not expected.is_counted:
-            requests = expected.requests or 1.0
-            work_s = requests * self._hold_s.get(route, 0.0)
+        work_s = self._hold_s.get(route, 0.0)
         self._work_s += work_s
-        self._admitted_work_s += work_s * expected.share
+        self._admitted_work_s += work_s * share
         self._arrivals += 1
-        self._admitted_arrivals += expected.share
+        self._admitted_arrivals += share
 
     def note_hold(self, route: str, hold_s: float) -> None:
         """Records for how long a request of a route held its slot."""
@@ -113,11 +96,10 @@
         elapsed_s = now_s - self._window_began_s
         if elapsed_s < WINDOW_S:
             return
-        self._update_work(elapsed_s)
-        self._utilization = self._work_per_s / slots
+        self._utilization = self._work_s / (slots * elapsed_s)
         fitting_share = 1.0
-        if self._work_per_s > 0.0:
-            admitted_share = self._admitted_work_per_s / self._work_per_s
+        if self._work_s > 0.0:
+            admitted_share = self._admitted_work_s / self._work_s
             queue_utilization = waiting_s / slots / QUEUE_DRAIN_TIME_S
             fitting_share = (
                 admitted_share
@@ -131,15 +113,6 @@
         share = min(share, self._share * MAXIMUM_GROWTH_FACTOR, 1.0)
         self._share = max(MINIMUM_SHARE, share)
         self._window_began_s = now_s
-
-    def _update_work(self, elapsed_s: float) -> None:
-        weight = 1.0 - math.exp(-elapsed_s / WORK_TIME_CONSTANT_S)
-        self._work_per_s += weight * (
-            self._work_s / elapsed_s - self._work_per_s
-        )
-        self._admitted_work_per_s += weight * (
-            self._admitted_work_s / elapsed_s - self._admitted_work_per_s
-        )
         self._work_s = 0.0
         self._admitted_work_s = 0.0
 
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -54,7 +54,7 @@
         self._is_repeat = False
         self._limit_waits_s: list[float] = []
         self._other_refusals = 0
-        self.tree_context = hop.TreeContext(float(route.priority))
+        self.tree_context = hop.TreeContext(float(route.priority), 1.0)
         self.sent = 0
         self.is_streamed = False
         self.may_have_run = False
@@ -67,13 +67,11 @@
             *sorted(self._reached_ids.difference(self._asked_ids)),
         )
 
-    def headers(self, now_s: float) -> headers_module.HeaderList:
-        """Returns the headers that depend on earlier attempts and the time."""
+    def headers(self) -> headers_module.HeaderList:
+        """Returns the headers that depend on earlier attempts."""
         is_repeat = self.tree_context.is_repeat or self._is_repeat
         tree_context = self.tree_context._replace(is_repeat=is_repeat)
-        headers = hop.encode_tree_context(tree_context)
-        root_admission = self._parts.entry_admission.root_admission
-        headers += hop.encode_news(root_admission.get_news(now_s))
+        headers = [(hop.TREE_CONTEXT, hop.encode_tree_context(tree_context))]
         if len(self._asked_ids) > 1:
             headers.append((hop.RESENT, b"1"))
         return headers
--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -37,10 +37,6 @@
         endpoint.note_reported_load(now_s, load.requests)
         endpoint.note_reported_failure_rate(now_s, load.failure_rate)
         endpoint.note_reported_slowness(now_s, load.slowness)
-        _note_share(parts, answer, load.share)
-    parts.entry_admission.root_admission.note_news(
-        now_s, hop.decode_news(answer.head.headers)
-    )
     is_refused = hop_answer.find_refusal(answer.head) is not None
     if not is_refused:
         endpoint.note_acceptance(True)
@@ -52,27 +48,6 @@
     _note_leaving(parts, answer)
 
 
-def _note_share(
-    parts: parts_module.GatewayParts,
-    answer: EndpointAnswer,
-    share: float | None,
-) -> None:
-    """Records the share that the endpoint can take.
-
-    What a rate limit does not let through, endpoints without one take, so that
-    the share of a limited one tells nothing of the service.
-    """
-    if share is None:
-        return
-    now_s = parts.clock.now_s()
-    service = answer.endpoint.record.service
-    is_limited = hop.decode_rate_limit(answer.head.headers) is not None
-    if is_limited and parts.endpoints.has_unlimited(service, now_s):
-        return
-    root_admission = parts.entry_admission.root_admission
-    root_admission.note_share(now_s, service, share)
-
-
 def _note_rate_limit(
     parts: parts_module.GatewayParts,
     answer: EndpointAnswer,
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -139,7 +139,7 @@
         dialect = self._parts.settings.dialect
         headers = [
             *self._headers,
-            *self._attempts.headers(self._parts.clock.now_s()),
+            *self._attempts.headers(),
             *self._suspicion.headers(),
         ]
         record = endpoint.record
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -145,13 +145,10 @@
         if reason:
             hop_call.refuse(reason)
             return
-        if not hop_call.is_resent:
+        if headers_module.find(call.head.headers, hop.RESENT) is None:
             self.work.pressure.note_arrival(
-                hop_call.route, hop_call.tree_context
+                hop_call.route, hop_call.tree_context.share
             )
-        self._parts.entry_admission.root_admission.note_news(
-            now_s, hop.decode_news(call.head.headers)
-        )
         self.limit.note_request(call.head.headers, hop_call.request_id)
         self.work.pressure.update(self.limit.per_s)
         self._calls[ticket_id] = hop_call
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -17,7 +17,6 @@
         request_id: Id of the request.
         digest: Digest of its content, which its resends share.
         route: Name of its route.
-        is_resent: True if another node refused it.
         backend_id: Id of the backend server that it was sent to; empty before.
     """
 
@@ -44,7 +43,6 @@
         )
         self.digest = _find_text(headers, hop.DIGEST)
         self.route = _find_text(headers, hop.ROUTE)
-        self.is_resent = headers_module.find(headers, hop.RESENT) is not None
         self.backend_id = ""
 
     @property
@@ -67,10 +65,12 @@
             route=self.route,
             **self._owner.work.describe_load(),
         )
+        report = self._owner.work.report_share()
         headers = [
             (self._parts.settings.dialect.request_id, self.request_id),
             (hop.NOT_RUN, reason),
-            *self._owner.work.encode_load(self.is_resent),
+            (hop.LOAD, self._owner.work.encode_load()),
+            (hop.WORK, work_report.encode(report)),
             *self._owner.limit.encode(),
             *self._owner.suspects.encode(self.digest),
         ]
@@ -171,7 +171,7 @@
         headers = hop.remove_node_headers(
             headers_module.forwardable(head.headers)
         )
-        headers += self._owner.work.encode_load(self.is_resent)
+        headers.append((hop.LOAD, self._owner.work.encode_load()))
         headers += self._owner.limit.encode()
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -42,7 +42,6 @@
         request_id: Its id.
         digest: Digest of its content, which its resends share.
         route: Name of its route.
-        is_resent: True if another node refused it.
     """
 
     def __init__(
@@ -75,7 +74,6 @@
         self.request_id = self._answers.request_id
         self.digest = self._answers.digest
         self.route = self._answers.route
-        self.is_resent = self._answers.is_resent
         self._process = backend_process.BackendProcess("", 0)
         self._address = socket_address.SocketAddress("", 0)
         self._sent_s = 0.0
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -5,7 +5,7 @@
 
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
-from cranberrymux.gateway import hop
+from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import parts as parts_module
 
 PRESSURE_LOG_INTERVAL_S = 1.0  # Minimum time between two "pressure" lines.
@@ -38,10 +38,9 @@
         """Share of the offered work that fits, 0.0 to 1.0."""
         return self._meter.share
 
-    def note_arrival(self, route: str, tree_context: hop.TreeContext) -> None:
+    def note_arrival(self, route: str, share: float) -> None:
         """Counts a request that asks for a slot; see `ShareMeter`."""
-        service = self._parts.settings.service
-        self._meter.note_arrival(route, tree_context.expected.get(service))
+        self._meter.note_arrival(route, share)
 
     def note_hold(self, route: str, hold_s: float) -> None:
         """Records for how long a request of a route held its slot."""
@@ -66,6 +65,15 @@
         """Returns the share to 1.0, as the rate limit that lowered it ended."""
         self._meter.reset()
 
+    def report(self, hold_s: float = 0.0) -> work_report.WorkReport:
+        """Returns the work of one request here, and the share that fits.
+
+        Args:
+            hold_s: Seconds for which it held a slot; 0.0 if it did not run.
+        """
+        own = work_report.ServiceWork(hold_s, self.share)
+        return {self._parts.settings.service: own}
+
     def _log(self) -> None:
         self._parts.events.info(
             "pressure",
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -10,7 +10,6 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import owned_call
 from cranberrymux.gateway import parts as parts_module
-from cranberrymux.node.http import headers as headers_module
 
 
 class ExitWork:
@@ -39,23 +38,13 @@
             parts, scheduler, self.describe_load
         )
 
-    def encode_load(self, is_resent: bool) -> headers_module.HeaderList:
-        """Encodes what answers tell of the load here and elsewhere.
-
-        Args:
-            is_resent: True if another node refused the request before.
-        """
+    def encode_load(self) -> bytes:
+        """Encodes the load report that answers carry."""
         requests = self._scheduler.running + self._scheduler.waiting
         health = self.health
-        report = hop.LoadReport(
-            requests,
-            health.failure_rate,
-            health.slowness,
-            None if is_resent else self.pressure.share,
+        return hop.encode_load(
+            hop.LoadReport(requests, health.failure_rate, health.slowness)
         )
-        root_admission = self._parts.entry_admission.root_admission
-        news = root_admission.get_news(self._parts.clock.now_s())
-        return [(hop.LOAD, hop.encode_load(report)), *hop.encode_news(news)]
 
     def describe_load(self) -> dict[str, Any]:
         """Returns the log fields of load and health."""
@@ -66,6 +55,10 @@
             "slots": self._scheduler.slots,
         }
 
+    def report_share(self) -> work_report.WorkReport:
+        """Returns a report without work that tells the fitting share."""
+        return self.pressure.report()
+
     def note_outcome(self, call: owned_call.OwnedCall, is_failed: bool) -> bool:
         """Records how a request ended; to be called before `end_run`.
 
@@ -121,8 +114,7 @@
         self._parts.parent_matcher.remove(ticket_id)
         self._parts.running_requests.end(ticket_id)
         report = {} if running is None else running.report
-        own = work_report.ServiceWork(hold_s)
-        work_report.add(report, {self._parts.settings.service: own})
+        work_report.add(report, self.pressure.report(hold_s))
         return report
 
     def update_metrics(self) -> None:
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -1,12 +1,8 @@
 """Headers between nodes; removed from what clients and servers get."""
 
-from collections.abc import Mapping
 import math
-import types
 from typing import NamedTuple
 
-from cranberrymux.decisions.pressure import expected_work
-from cranberrymux.decisions.pressure import share_news
 from cranberrymux.decisions.rate_limits import rate_limit_value
 from cranberrymux.models import whole_number
 from cranberrymux.node import suspect_message
@@ -19,8 +15,6 @@
 ROUTE = b"cranberrymux-route"
 # On requests: see `TreeContext`.
 TREE_CONTEXT = b"cranberrymux-standing"
-# On requests: what their tree is expected to cost; see `TreeContext`.
-EXPECTED_WORK = b"cranberrymux-expected-work"
 # On requests: the rate limit of the backend server that the sender has learned
 # from earlier answers, in case the node beside it has started since.
 KNOWN_RATE_LIMIT = b"cranberrymux-known-limit"
@@ -32,9 +26,6 @@
 LOAD = b"cranberrymux-load"
 # On failures of a backend server that are due to a call of the request.
 CALL_FAILED = b"cranberrymux-call-failed"
-# On requests and answers: what the sender knows of services that lack capacity;
-# see `decisions.pressure.share_news`.
-SHARE_NEWS = b"cranberrymux-shares"
 # On answers: what the request cost at each service of its tree; see
 # `decisions.pressure.work_report`.
 WORK = b"cranberrymux-work"
@@ -108,59 +99,37 @@
     Attributes:
         rank: Order of starting; lower ranks start first. The priority of the
             root's route, a whole number, less `CALL_RANK_BONUS` for calls.
+        share: Share of the offered work that was admitted there, 0.0 to 1.0.
         is_repeat: True if the tree, or a subtree that contains the request, was
             run before and lost its answer or failed.
-        expected: Work that the whole tree is expected to do at each service
-            that lacks capacity.
     """
 
     rank: float
+    share: float
     is_repeat: bool = False
-    expected: Mapping[str, expected_work.ExpectedWork] = types.MappingProxyType(
-        {}
-    )
-
-    def for_call(self, is_first: bool) -> "TreeContext":
-        """Returns the context of the calls of a request with this one.
 
-        Args:
-            is_first: True for the first call of its route.
-        """
+    def for_call(self) -> "TreeContext":
+        """Returns the context of the calls of a request with this one."""
         is_call = self.rank % 1.0 != 0.0
-        rank = self.rank if is_call else self.rank - CALL_RANK_BONUS
-        expected = self.expected
-        if not is_first:
-            expected = {
-                service: work._replace(is_counted=True)
-                for service, work in expected.items()
-            }
-        return self._replace(rank=rank, expected=expected)
+        return (
+            self if is_call else self._replace(rank=self.rank - CALL_RANK_BONUS)
+        )
 
 
-DEFAULT_TREE_CONTEXT = TreeContext(0.0)
+DEFAULT_TREE_CONTEXT = TreeContext(0.0, 1.0)
 
 
-def encode_tree_context(
-    tree_context: TreeContext,
-) -> headers_module.HeaderList:
-    """Encodes a context, its rank and repetition as `rank/is_repeat`."""
-    value = b"%.1f/%d" % (tree_context.rank, tree_context.is_repeat)
-    encoded = [(TREE_CONTEXT, value)]
-    if tree_context.expected:
-        expected = expected_work.encode(tree_context.expected)
-        encoded.append((EXPECTED_WORK, expected))
-    return encoded
+def encode_tree_context(tree_context: TreeContext) -> bytes:
+    """Encodes a context as the header value `rank/share/is_repeat`."""
+    return b"%.1f/%.3f/%d" % tree_context
 
 
 def decode_tree_context(headers: headers_module.HeaderList) -> TreeContext:
     """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
     value = headers_module.find(headers, TREE_CONTEXT) or b""
-    expected = headers_module.find(headers, EXPECTED_WORK) or b""
     try:
-        rank, is_repeat = value.split(b"/")
-        return TreeContext(
-            float(rank), is_repeat == b"1", expected_work.decode(expected)
-        )
+        rank, share, is_repeat = value.split(b"/")
+        return TreeContext(float(rank), float(share), is_repeat == b"1")
     except ValueError:
         return DEFAULT_TREE_CONTEXT
 
@@ -172,65 +141,32 @@
         requests: Number of requests that run or wait there.
         failure_rate: Share of recent requests that it failed by itself, 0 to 1.
         slowness: Ratio of its present to its usual working times.
-        share: Share of the offered work that it can take, 0.0 to 1.0. None if
-            another endpoint refused the request before: all would count what
-            such an endpoint takes for that one twice.
     """
 
     requests: int
     failure_rate: float
     slowness: float = 1.0
-    share: float | None = None
-
-
-_LOAD_FIELD_COUNT = 4
 
 
 def encode_load(report: LoadReport) -> bytes:
-    """Encodes a report.
-
-    It reads `requests/per mille failing/percent slowness/per mille share`, the
-    share left out if there is none.
-    """
-    share = b"" if report.share is None else b"%d" % round(report.share * 1000)
-    return b"%d/%d/%d/%b" % (
+    """Encodes a report as `requests/per mille failing/percent slowness`."""
+    return b"%d/%d/%d" % (
         report.requests,
         round(report.failure_rate * 1000),
         round(report.slowness * 100),
-        share,
     )
 
 
 def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
     """Decodes the report; None if it is missing or invalid."""
     value = headers_module.find(headers, LOAD) or b""
-    numbers = [whole_number.decode(field) for field in value.split(b"/")]
-    if len(numbers) != _LOAD_FIELD_COUNT:
+    numbers = [whole_number.decode(one) for one in value.split(b"/")]
+    if len(numbers) != 3:
         return None
-    requests, failing, slowness, share = numbers
+    requests, failing, slowness = numbers
     if requests is None or failing is None or slowness is None:
         return None
-    return LoadReport(
-        requests,
-        failing / 1000,
-        slowness / 100,
-        None if share is None else min(share / 1000, 1.0),
-    )
-
-
-def encode_news(
-    news: Mapping[str, share_news.ShareNews],
-) -> headers_module.HeaderList:
-    """Encodes news as headers; none without news."""
-    return [(SHARE_NEWS, share_news.encode(news))] if news else []
-
-
-def decode_news(
-    headers: headers_module.HeaderList,
-) -> dict[str, share_news.ShareNews]:
-    """Decodes the news that a request or answer carries."""
-    value = headers_module.find(headers, SHARE_NEWS)
-    return {} if value is None else share_news.decode(value)
+    return LoadReport(requests, failing / 1000, slowness / 100)
 
 
 def encode_rate_limit(per_s: float) -> bytes:
@@ -266,4 +202,4 @@
     headers: headers_module.HeaderList,
 ) -> headers_module.HeaderList:
     """Returns the headers without those between nodes."""
-    return [header for header in headers if not header[0].startswith(PREFIX)]
+    return [one for one in headers if not one[0].startswith(PREFIX)]
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -54,20 +54,14 @@
         """
         parent = self._parts.running_requests.find(self._parent_match.parent)
         if parent is not None:
-            return parent.make_call_context(self._route.name)
+            return parent.tree_context.for_call()
         entry_admission = self._parts.entry_admission
-        is_call = self._parent_match.is_call
-        if not is_call and not entry_admission.offer(
-            self._route, self.left_s, now_s
-        ):
+        share = entry_admission.root_admission.minimum_share
+        if self._parent_match.is_call:
+            return hop.TreeContext(self._route.priority, share).for_call()
+        if not entry_admission.offer(self._route, self.left_s, now_s):
             return None
-        tree_context = hop.TreeContext(
-            self._route.priority,
-            expected=entry_admission.root_admission.expect_work(
-                self._route.name
-            ),
-        )
-        return tree_context.for_call(True) if is_call else tree_context
+        return hop.TreeContext(self._route.priority, share)
 
     def draw_retry_delay_s(self) -> float:
         """Draws the seconds after which a refused caller retries."""
@@ -95,7 +89,7 @@
         began_s: float,
         now_s: float,
     ) -> None:
-        """Learns the cost of the tree from an endpoint's answer.
+        """Learns costs and shares from an endpoint's answer.
 
         Args:
             service: Service of the endpoint.
@@ -107,6 +101,7 @@
         is_successful = head.status < FIRST_ERROR_STATUS and not is_refused
         work = headers_module.find(head.headers, hop.WORK)
         report = work_report.decode(work) if work is not None else {}
+        self._ignore_limited_share(service, head, report, now_s)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
         parent = self._parts.running_requests.find(self._parent_match.parent)
@@ -116,9 +111,31 @@
             return
         entry_admission = self._parts.entry_admission
         entry_admission.root_admission.note_report(
-            self._route.name, report, is_successful
+            now_s, self._route.name, report, is_successful
         )
         if is_successful:
             entry_admission.get_retry_advice(self._route).note_latency(
                 now_s - began_s
             )
+
+    def _ignore_limited_share(
+        self,
+        service: str,
+        head: answer_head.AnswerHead,
+        report: work_report.WorkReport,
+        now_s: float,
+    ) -> None:
+        """Removes the share of a rate-limited endpoint while others have room.
+
+        What its limit does not let through, the others take, so that it tells
+        nothing of the service.
+        """
+        is_limited = hop.decode_rate_limit(head.headers) is not None
+        if not is_limited or service not in report:
+            return
+        if not self._parts.endpoints.has_unlimited(service, now_s):
+            return
+        root_admission = self._parts.entry_admission.root_admission
+        report[service] = report[service]._replace(
+            share=root_admission.get_service_share(service)
+        )
--- a/src/cranberrymux/gateway/owned_call.py
+++ b/src/cranberrymux/gateway/owned_call.py
@@ -13,11 +13,9 @@
         request_id: Its id.
         route: Name of its route.
         tree_context: What the node where its tree began says of the tree.
-        is_resent: True if another node refused it.
     """
 
     ticket_id: int
     request_id: bytes
     route: str
     tree_context: hop.TreeContext
-    is_resent: bool
--- a/src/cranberrymux/gateway/running_request.py
+++ b/src/cranberrymux/gateway/running_request.py
@@ -16,7 +16,6 @@
     """
 
     __slots__ = (
-        "_called_routes",
         "_waiting_since_s",
         "call_wait_s",
         "has_failed_call",
@@ -33,19 +32,12 @@
         self.has_failed_call = False
         self.open_calls = 0
         self._waiting_since_s = 0.0
-        self._called_routes: set[str] = set()
 
     @property
     def depends_on_call(self) -> bool:
         """True if a failure now would be due to a call, not to itself."""
         return self.has_failed_call or self.open_calls > 0
 
-    def make_call_context(self, route: str) -> hop.TreeContext:
-        """Returns the context of its next call, which has this route."""
-        is_first = route not in self._called_routes
-        self._called_routes.add(route)
-        return self.tree_context.for_call(is_first)
-
     def begin_call(self, now_s: float) -> None:
         """Records the start of a call."""
         if not self.open_calls:
