--- a/tests/decisions/routing/test_endpoint_subset.py
+++ b/tests/decisions/routing/test_endpoint_subset.py
@@ -102,8 +102,8 @@
 def test_lost_zone_moves_only_what_was_in_it():
     nodes = make_candidates(185, 1)
     candidates = make_candidates(200, 101)
-    left = [one for one in candidates if one.zone != ZONES[0]]
-    lost = {one.endpoint_id for one in candidates if one.zone == ZONES[0]}
+    left = [each for each in candidates if each.zone != ZONES[0]]
+    lost = {each.endpoint_id for each in candidates if each.zone == ZONES[0]}
     for old, new in zip(
         choose_all(nodes, candidates), choose_all(nodes, left), strict=True
     ):
--- a/tests/node/test_idle_connections.py
+++ b/tests/node/test_idle_connections.py
@@ -61,7 +61,9 @@
 def test_number_is_bounded_over_all_addresses(idle):
     made = add(idle, MAXIMUM + 10)
     assert idle.count == MAXIMUM
-    assert [one.is_closed for one in made] == [True] * 10 + [False] * MAXIMUM
+    assert [connection.is_closed for connection in made] == [True] * 10 + [
+        False
+    ] * MAXIMUM
 
 
 def test_address_in_use_keeps_its_connection(idle):
@@ -81,7 +83,9 @@
     for number in range(1, 40):
         now_s = number / 39 * (LIFETIME_S + 1.0)
         idle.add(make_address(), idle.take(make_address(), None, now_s), now_s)
-    assert [one.is_closed for one in made] == [True] * 19 + [False]
+    assert [connection.is_closed for connection in made] == [True] * 19 + [
+        False
+    ]
 
 
 def test_connections_that_cannot_be_used_are_dropped(idle):
@@ -99,11 +103,11 @@
     for connection in made:
         connection.sent = "r1"
     assert idle.take(make_address(), "r1", 0.0) is None
-    assert [one.is_closed for one in made] == [False, True]
+    assert [connection.is_closed for connection in made] == [False, True]
 
 
 def test_close_all_closes_every_connection(idle):
     made = add(idle, 5)
     idle.close_all()
     assert idle.count == 0
-    assert all(one.is_closed for one in made)
+    assert all(connection.is_closed for connection in made)
--- a/tests/node/test_pipelining.py
+++ b/tests/node/test_pipelining.py
@@ -70,7 +70,7 @@
 
 
 def get(*targets):
-    return b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % one for one in targets)
+    return b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % target for target in targets)
 
 
 def bodies(client):
@@ -81,7 +81,7 @@
 
 
 def expected(*targets):
-    return [b"/%d" % one for one in targets]
+    return [b"/%d" % target for target in targets]
 
 
 @pytest.fixture
