--- a/src/cranberrymux/decisions/routes/document_check.py
+++ b/src/cranberrymux/decisions/routes/document_check.py
@@ -1,7 +1,9 @@
 """Validates a routing configuration before it takes effect."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
+from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.routes import route_document
 
@@ -46,6 +48,25 @@
         if detail:
             return InvalidDocument(route.name, detail)
         seen.add(key)
+    return _check_accounts(document.accounts)
+
+
+def _check_accounts(
+    accounts: Sequence[client_account.ClientAccount],
+) -> InvalidDocument | None:
+    """Returns the first fault of the accounts; it names no key."""
+    holders: dict[str, str] = {}
+    names: set[str] = set()
+    for row, account in enumerate(accounts):
+        place = f"account {account.name}, row {row}"
+        if account.name in names:
+            return InvalidDocument("", f"{place}: name: it is not unique")
+        names.add(account.name)
+        for key in account.keys:
+            holder = holders.setdefault(key, account.name)
+            if holder != account.name:
+                detail = f"{place}: keys: account {holder} has one of them, too"
+                return InvalidDocument("", detail)
     return None
 
 
--- a/src/cranberrymux/decisions/routes/route.py
+++ b/src/cranberrymux/decisions/routes/route.py
@@ -38,6 +38,7 @@
         objective_s: Latency objective; an answer has its full value only
             within this time.
         priority: Priority rank; 0 is the most important.
+        is_public: True if requests need no key of a client account.
     """
 
     name: str
@@ -49,6 +50,7 @@
     timeout_s: float
     objective_s: float
     priority: int
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
--- a/src/cranberrymux/decisions/routes/route_document.py
+++ b/src/cranberrymux/decisions/routes/route_document.py
@@ -4,6 +4,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.routes import backend_service
 from cranberrymux.decisions.routes import client_limits
 from cranberrymux.decisions.routes import route as route_module
@@ -20,6 +21,7 @@
         limits: Limits on client connections.
         source: The text that the operator sent; returned unchanged when the
             configuration is read.
+        accounts: All client accounts; without any, requests need no key.
     """
 
     label: int
@@ -27,6 +29,7 @@
     services: tuple[backend_service.BackendService, ...]
     limits: client_limits.ClientLimits
     source: str
+    accounts: tuple[client_account.ClientAccount, ...] = ()
 
 
 class RouteDocumentError(NamedTuple):
@@ -40,7 +43,7 @@
 
 
 def dump(document: RouteDocument) -> str:
-    """Encodes a document as JSON lines, one for each service and route."""
+    """Encodes a document as JSON lines, one for each part of its tables."""
     lines = [
         json.dumps({"label": document.label, "source": document.source}),
         json.dumps({"limits": document.limits._asdict()}),
@@ -54,6 +57,9 @@
         fields = [*values]
         fields[4] = route.repeatability.value
         lines.append(json.dumps({"route": fields}))
+    lines.extend(
+        json.dumps({"account": list(account)}) for account in document.accounts
+    )
     return "\n".join(lines) + "\n"
 
 
@@ -69,9 +75,15 @@
     head, limits, *rest = [json.loads(line) for line in text.splitlines()]
     services = []
     routes = []
+    accounts = []
     for line in rest:
         if "service" in line:
             services.append(backend_service.BackendService(*line["service"]))
+        elif "account" in line:
+            name, keys, *quota = line["account"]
+            accounts.append(
+                client_account.ClientAccount(name, tuple(keys), *quota)
+            )
         else:
             routes.append(_load_route(line["route"]))
     return RouteDocument(
@@ -80,6 +92,7 @@
         tuple(services),
         client_limits.ClientLimits(**limits["limits"]),
         head["source"],
+        tuple(accounts),
     )
 
 
--- a/src/cranberrymux/decisions/routes/route_table.py
+++ b/src/cranberrymux/decisions/routes/route_table.py
@@ -1,11 +1,17 @@
 """Looks up the route of a request."""
 
+from cranberrymux.decisions.accounts import account_index
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.routes import route_document
 
 
 class RouteTable:
-    """Index of one document's routes by host and path prefix."""
+    """Index of one document's routes by host and path prefix.
+
+    Attributes:
+        document: The document.
+        accounts: Its client accounts.
+    """
 
     def __init__(self, document: route_document.RouteDocument) -> None:
         """Builds the index.
@@ -14,6 +20,7 @@
             document: A valid document: no two routes share host and prefix.
         """
         self.document = document
+        self.accounts = account_index.AccountIndex(document.accounts)
         self._hosts: dict[str, dict[str, route_module.Route]] = {}
         for route in document.routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -72,6 +72,9 @@
         is_repeat = self.tree_context.is_repeat or self._is_repeat
         tree_context = self.tree_context._replace(is_repeat=is_repeat)
         headers = [(hop.TREE_CONTEXT, hop.encode_tree_context(tree_context))]
+        if tree_context.account:
+            account = hop.encode_account(tree_context.account)
+            headers.append((hop.ACCOUNT, account))
         if len(self._asked_ids) > 1:
             headers.append((hop.RESENT, b"1"))
         return headers
--- a/src/cranberrymux/gateway/dialect.py
+++ b/src/cranberrymux/gateway/dialect.py
@@ -20,6 +20,9 @@
         rate_limit: On answers of a backend server that limits it, the number
             of requests a second that it accepts from all instances together.
         leaving: On all answers of a backend server that is leaving: `1`.
+        api_key: On requests of clients, the key of a client account. Nodes
+            pass it to nobody.
+        account: On requests to backend servers, the name of that account.
     """
 
     request_id: bytes
@@ -33,3 +36,5 @@
     load: bytes
     rate_limit: bytes
     leaving: bytes
+    api_key: bytes
+    account: bytes
--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -4,6 +4,7 @@
 
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.routes import route_table
+from cranberrymux.gateway import client_identity
 from cranberrymux.gateway import entry_call
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import own_answers
@@ -15,6 +16,7 @@
 
 _JSON_TYPE = (b"content-type", b"application/json")
 NO_CONFIGURATION = "this node has no configuration yet"
+NO_KEY_LEASE = "this node cannot check keys at present"
 MINIMUM_RETRY_DELAY_S = 0.2
 MAXIMUM_RETRY_DELAY_S = 0.6
 
@@ -32,6 +34,8 @@
                 dialect.deadline_ms,
                 dialect.caller_service,
                 dialect.expected_backend,
+                dialect.api_key,
+                dialect.account,
             )
         )
         self._caller_header = (
@@ -73,6 +77,13 @@
             body = json.dumps({"error": "no-route"}).encode()
             call.answer(404, [_JSON_TYPE], body)
             return
+        identity = client_identity.identify(
+            parts, table, route, call.head.headers
+        )
+        if identity.verdict is not client_identity.IdentityVerdict.ACCEPTED:
+            self._refuse_key(call, identity.verdict)
+            return
+        account = identity.account
         headers = [
             header
             for header in hop.remove_node_headers(
@@ -82,10 +93,32 @@
         ]
         headers.append((dialect.request_id, request_id))
         headers.append(self._caller_header)
+        if account is not None:
+            headers.append((dialect.account, account.name.encode()))
         headers.append((hop.ROUTE, route.name.encode()))
         digest = request_digest.make(call)
         headers.append((hop.DIGEST, digest.encode()))
-        entry_call.EntryCall(parts, call, route, headers, digest).start()
+        entry_call.EntryCall(
+            parts, call, route, headers, digest, account
+        ).start()
+
+    def _refuse_key(
+        self,
+        call: inbound_call.InboundCall,
+        verdict: client_identity.IdentityVerdict,
+    ) -> None:
+        parts = self._parts
+        parts.metrics.key_refusals.labels(verdict.value).inc()
+        if verdict is client_identity.IdentityVerdict.NO_LEASE:
+            retry_delay_s = parts.generator.uniform(
+                MINIMUM_RETRY_DELAY_S, MAXIMUM_RETRY_DELAY_S
+            )
+            own_answers.refuse(parts, call, NO_KEY_LEASE, retry_delay_s)
+            return
+        name = parts.settings.dialect.request_id
+        request_id = headers_module.find(call.head.headers, name) or b""
+        body = json.dumps({"error": verdict.value}).encode()
+        call.answer(401, [(name, request_id), _JSON_TYPE], body)
 
 
 def _find_route(
--- a/src/cranberrymux/gateway/entry_admission.py
+++ b/src/cranberrymux/gateway/entry_admission.py
@@ -32,12 +32,17 @@
         return route_advice
 
     def offer(
-        self, route: route_module.Route, left_s: float, now_s: float
+        self,
+        route: route_module.Route,
+        priority: int,
+        left_s: float,
+        now_s: float,
     ) -> bool:
         """Classifies a client request; True if it may start.
 
         Args:
             route: Route of the request.
+            priority: Priority rank of the request.
             left_s: Seconds that its client allows.
             now_s: Monotonic seconds.
         """
@@ -45,6 +50,6 @@
         advice.note_arrival(left_s)
         timing = advice.classify_attempt(left_s)
         traffic_class = root_admission.TrafficClass(
-            route.priority, timing, route.name
+            priority, timing, route.name
         )
         return self.root_admission.offer(now_s, traffic_class)
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -1,5 +1,6 @@
 """A client request at its first node, through all of its attempts."""
 
+from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import answer_judge
@@ -39,6 +40,7 @@
         route: route_module.Route,
         headers: headers_module.HeaderList,
         digest: str,
+        account: client_account.ClientAccount | None = None,
     ) -> None:
         """Prepares the call; `start` sends it to an endpoint.
 
@@ -48,6 +50,7 @@
             route: Its route.
             headers: Headers to pass on, without those of each attempt.
             digest: Digest of its content.
+            account: The client account that sent it; None for none.
         """
         super().__init__()
         self._parts = parts
@@ -58,7 +61,7 @@
         self._request_id = headers_module.find(call.head.headers, name) or b""
         self._began_s = parts.clock.now_s()
         self._origin = origin_module.Origin(
-            parts, route, call.head.headers, self._began_s
+            parts, route, call.head.headers, self._began_s, account
         )
         wait_s = min(self._origin.left_s, route.timeout_s)
         self._deadline_s = self._began_s + wait_s
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -222,8 +222,12 @@
             if self._presence.current is None:
                 self._health_check.start(table.document)
 
-    def configuration_confirmed(self, version: int, until_s: float) -> None:
-        """Does nothing: a gateway uses a configuration of any age."""
+    def configuration_confirmed(
+        self, version: int, asked_at_s: float, until_s: float
+    ) -> None:
+        """Renews the lease on keys if the version in force is the newest."""
+        if version == self._routes.version:
+            self._parts.key_lease.confirm(asked_at_s)
 
     def drain_requested(self) -> None:
         """Marks the endpoint as draining, so that nodes stop choosing it."""
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -2,6 +2,7 @@
 
 import math
 from typing import NamedTuple
+from urllib import parse
 
 from cranberrymux.decisions.rate_limits import rate_limit_value
 from cranberrymux.models import whole_number
@@ -15,6 +16,8 @@
 ROUTE = b"cranberrymux-route"
 # On requests: see `TreeContext`.
 TREE_CONTEXT = b"cranberrymux-standing"
+# On requests: name of the client account of the tree, percent-encoded.
+ACCOUNT = b"cranberrymux-account"
 # On requests: the rate limit of the backend server that the sender has learned
 # from earlier answers, in case the node beside it has started since.
 KNOWN_RATE_LIMIT = b"cranberrymux-known-limit"
@@ -102,11 +105,13 @@
         share: Share of the offered work that was admitted there, 0.0 to 1.0.
         is_repeat: True if the tree, or a subtree that contains the request, was
             run before and lost its answer or failed.
+        account: Name of the client account of the root; empty for none.
     """
 
     rank: float
     share: float
     is_repeat: bool = False
+    account: str = ""
 
     def for_call(self) -> "TreeContext":
         """Returns the context of the calls of a request with this one."""
@@ -121,7 +126,12 @@
 
 def encode_tree_context(tree_context: TreeContext) -> bytes:
     """Encodes a context as the header value `rank/share/is_repeat`."""
-    return b"%.1f/%.3f/%d" % tree_context
+    return b"%.1f/%.3f/%d" % tree_context[:3]
+
+
+def encode_account(name: str) -> bytes:
+    """Encodes the name of a client account as a header value."""
+    return parse.quote(name, safe="").encode()
 
 
 def decode_tree_context(headers: headers_module.HeaderList) -> TreeContext:
@@ -129,7 +139,14 @@
     value = headers_module.find(headers, TREE_CONTEXT) or b""
     try:
         rank, share, is_repeat = value.split(b"/")
-        return TreeContext(float(rank), float(share), is_repeat == b"1")
+        return TreeContext(
+            float(rank),
+            float(share),
+            is_repeat == b"1",
+            parse.unquote(
+                (headers_module.find(headers, ACCOUNT) or b"").decode()
+            ),
+        )
     except ValueError:
         return DEFAULT_TREE_CONTEXT
 
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -14,6 +14,7 @@
 
     Attributes:
         requests: Requests of clients at this node, by route and outcome.
+        key_refusals: Requests refused for their key, by reason.
         request_s: Seconds from the arrival of a request to the end of its
             answer, by route.
         hops: Requests passed on by nodes to this one, by outcome.
@@ -44,6 +45,12 @@
             ("route", "outcome"),
             registry=registry,
         )
+        self.key_refusals = prometheus_client.Counter(
+            "cranberrymux_key_refusals",
+            "Requests refused for the key of a client account.",
+            ("reason",),
+            registry=registry,
+        )
         self.request_s = prometheus_client.Histogram(
             "cranberrymux_request_seconds",
             "From a request's begin to its answer.",
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -1,5 +1,6 @@
 """Whether a request is a root or a call, and what follows from that."""
 
+from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import hop
@@ -25,6 +26,7 @@
         route: route_module.Route,
         headers: headers_module.HeaderList,
         now_s: float,
+        account: client_account.ClientAccount | None = None,
     ) -> None:
         """Matches the request with those that run here.
 
@@ -33,6 +35,7 @@
             route: Route of the request.
             headers: Headers of the request.
             now_s: Monotonic seconds at which it arrived.
+            account: The client account that sent it; None for none.
         """
         dialect = parts.settings.dialect
         left_ms = whole_number.decode(
@@ -41,6 +44,7 @@
         self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
         self._parts = parts
         self._route = route
+        self._account = account
         self._parent_match = parts.parent_matcher.match(
             route.name,
             headers_module.find(headers, dialect.request_id) or b"",
@@ -59,9 +63,19 @@
         share = entry_admission.root_admission.minimum_share
         if self._parent_match.is_call:
             return hop.TreeContext(self._route.priority, share).for_call()
-        if not entry_admission.offer(self._route, self.left_s, now_s):
+        if not entry_admission.offer(
+            self._route, self._priority, self.left_s, now_s
+        ):
             return None
-        return hop.TreeContext(self._route.priority, share)
+        name = "" if self._account is None else self._account.name
+        return hop.TreeContext(self._priority, share, account=name)
+
+    @property
+    def _priority(self) -> int:
+        """Priority of the account, else that of the route."""
+        if self._account is None or self._account.priority is None:
+            return self._route.priority
+        return self._account.priority
 
     def draw_retry_delay_s(self) -> float:
         """Draws the seconds after which a refused caller retries."""
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from cranberrymux.decisions.accounts import key_lease
 from cranberrymux.decisions.endpoints import endpoint_set
 from cranberrymux.decisions.pressure import parent_matcher
 from cranberrymux.decisions.retries import repeat_budget
@@ -62,6 +63,7 @@
         hop_connections: Connections to other nodes.
         siblings: Nodes of the other endpoints of the own service.
         quarantine: Requests that may crash backend servers.
+        key_lease: For how long keys of client accounts are accepted.
         metrics: Metrics of the gateway.
         open_entry_calls: Number of open requests at the entry port.
         restricted_from_s: Monotonic seconds from which, in a stop, a request is
@@ -132,6 +134,7 @@
             get_control_clients,
             self.siblings.send_to_neighbors,
         )
+        self.key_lease = key_lease.KeyLease(settings.key_lifetime_s)
         self.metrics = metrics_module.GatewayMetrics()
         self.open_entry_calls = 0
         self.restricted_from_s = math.inf
--- a/src/cranberrymux/gateway/routes_holder.py
+++ b/src/cranberrymux/gateway/routes_holder.py
@@ -53,4 +53,5 @@
             version=version,
             label=document.label,
             routes=len(document.routes),
+            accounts=len(document.accounts),
         )
--- a/src/cranberrymux/gateway/settings.py
+++ b/src/cranberrymux/gateway/settings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway."""
 
+import math
 from typing import NamedTuple
 
 from cranberrymux.gateway import dialect as dialect_module
@@ -34,6 +35,9 @@
         repeat_window_s: Length of the window in seconds.
         dialect: Names of the HTTP headers.
         is_first_start: True if no process of this node ran before.
+        key_lifetime_s: Seconds for which a node accepts the keys of a
+            configuration after it was last confirmed as the newest; infinite
+            for any time.
     """
 
     node_id: str
@@ -58,3 +62,4 @@
     repeat_window_s: float
     dialect: dialect_module.Dialect
     is_first_start: bool = False
+    key_lifetime_s: float = math.inf
--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -47,11 +47,15 @@
             document: Its YAML document.
         """
 
-    def configuration_confirmed(self, version: int, until_s: float) -> None:
+    def configuration_confirmed(
+        self, version: int, asked_at_s: float, until_s: float
+    ) -> None:
         """Takes note that a control instance confirmed a version as current.
 
         Args:
             version: The version confirmed.
+            asked_at_s: Monotonic time in seconds at which the heartbeat was
+                sent.
             until_s: Monotonic time in seconds at which the confirmation
                 expires.
         """
@@ -265,6 +269,7 @@
         if answer.vouched_ms > 0:
             self._listener.configuration_confirmed(
                 answer.configuration_version,
+                sent_s,
                 sent_s + answer.vouched_ms / 1000,
             )
         if answer.drain:
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -210,7 +210,9 @@
             event.Event.CONFIGURATION_IN_FORCE, version=self._policy.version
         )
 
-    def configuration_confirmed(self, version: int, until_s: float) -> None:
+    def configuration_confirmed(
+        self, version: int, asked_at_s: float, until_s: float
+    ) -> None:
         """Extends the time until which a configuration is confirmed.
 
         Calls that wait for the version in force go on. The first configuration
--- a/src/cranberrymux/platform/configuration_format.py
+++ b/src/cranberrymux/platform/configuration_format.py
@@ -7,6 +7,7 @@
 from cranberrymux.decisions.routes import client_limits
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.platform import account_format
 from cranberrymux.platform import durations
 
 _REPEATABILITY = {
@@ -47,11 +48,20 @@
             durations.parse_s(limits["idle_timeout"]),
         ),
         text,
+        tuple(
+            account_format.decode(row, values)
+            for row, values in enumerate(_rows(values.get("tenants")))
+        ),
     )
 
 
 def _rows(table: Any) -> list[dict[str, Any]]:
-    """Returns each row as a mapping from column to value, without nulls."""
+    """Returns each row as a mapping from column to value, without nulls.
+
+    A table that is missing has no rows.
+    """
+    if table is None:
+        return []
     columns = table["columns"]
     rows = []
     for row in table["rows"]:
@@ -85,9 +95,17 @@
         # Time within which an answer has its full value, not a percentile.
         objective_s=durations.parse_s(values.get("slo", values["timeout"])),
         priority=int(values.get("priority", 0)),
+        is_public=_decode_flag(values, "public"),
     )
 
 
+def _decode_flag(values: dict[str, Any], field: str) -> bool:
+    value = values.get(field, False)
+    if not isinstance(value, bool):
+        raise ValueError(f"{field}: expected true or false")
+    return value
+
+
 def _decode_service(values: dict[str, Any]) -> backend_service.BackendService:
     return backend_service.BackendService(
         str(values["name"]),
--- a/src/cranberrymux/platform/dialect.py
+++ b/src/cranberrymux/platform/dialect.py
@@ -17,4 +17,7 @@
     # Requests a second, not a number of concurrent requests.
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    api_key=b"x-api-key",
+    # Carries the name of a client account.
+    account=b"tenant",
 )
--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import math
 import os
 import tomllib
 from typing import Any
@@ -36,6 +37,9 @@
 MAXIMUM_MISSED_ANNOUNCEMENTS = 4
 # Time kept free between the end of a stop and the end of the grace period.
 GRACE_MARGIN_S = 0.6
+# Part of the bound on keys that were taken away for which a node accepts the
+# keys that it knows. The rest covers requests that are under way to endpoints.
+KEY_LIFETIME_RATIO = 0.8
 # Keys of which a change takes effect without a restart.
 APPLIED_KEYS = frozenset({"network.seeds"})
 _CLAIM_AGE_S = 3600
@@ -134,9 +138,16 @@
         repeat_window_s=durations.parse_s(bounds["budget_window"]),
         dialect=dialect.DIALECT,
         is_first_start=bool(own["bootstrap"]),
+        key_lifetime_s=_key_lifetime_s(bounds),
     )
 
 
+def _key_lifetime_s(bounds: Mapping[str, Any]) -> float:
+    if not bounds.get("strict_revoke", False):
+        return math.inf
+    return KEY_LIFETIME_RATIO * durations.parse_s(bounds["revoke"])
+
+
 def _make_control_settings(
     values: dict[str, Any],
 ) -> control_settings.ControlSettings:
--- a/src/cranberrymux/wire/cranberrymux.thrift
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -62,6 +62,35 @@
   // Suspects changed since the heartbeat's `suspect_revision`.
   11: optional list<SuspectRow> suspects
   12: optional i64 suspect_revision
+  // `ip:port` of the control instance that hands out quota tokens; absent if
+  // none is known.
+  13: optional string quota_owner
+}
+
+// Tokens of one client account. In a request, `tokens` is the number that the
+// node wants to hold and `used` what it has spent since its last request; in an
+// answer, `tokens` is what it gets in addition.
+struct QuotaRow {
+  1: required string account
+  2: required i32 tokens
+  3: required i32 used
+}
+
+// `sequence` rises with each request of one incarnation of a node, so that a
+// request that arrives twice is counted once.
+struct QuotaRequest {
+  1: required string node_id
+  2: required i64 incarnation
+  3: required i64 sequence
+  4: required list<QuotaRow> rows
+  5: required i64 configuration_version
+}
+
+// Tokens are valid for `ttl_ms` from the time at which the request was sent.
+struct QuotaAnswer {
+  1: required list<QuotaRow> rows
+  2: required i64 ttl_ms
+  3: required i64 configuration_version
 }
 
 // `claim_id` is the same on each resend of one claim by one owner, so that the
@@ -241,6 +270,9 @@
   // From a control instance to the leader.
   CommandAnswer propose(1: string key, 2: Command command)
       throws (1: Refused refused)
+  // From a node to the owner of the quotas.
+  QuotaAnswer take_quota(1: string key, 2: QuotaRequest request)
+      throws (1: Refused refused)
   ContactAnswer contact(1: string key, 2: Contact contact)
       throws (1: Refused refused)
   oneway void deliver(1: string key, 2: PeerMessage message)
--- a/src/cranberrymux/wire/gen/messages/Control.py
+++ b/src/cranberrymux/wire/gen/messages/Control.py
@@ -67,6 +67,15 @@
         """
         pass
 
+    def take_quota(key, request):
+        """
+        Parameters:
+         - key
+         - request
+
+        """
+        pass
+
     def contact(key, contact):
         """
         Parameters:
@@ -355,6 +364,58 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "propose failed: unknown result"))
 
+    def take_quota(self, key, request):
+        """
+        Parameters:
+         - key
+         - request
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_take_quota, key, request)
+        d.addCallbacks(
+            callback=self.cb_send_take_quota,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_take_quota,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_take_quota(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_take_quota(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_take_quota(self, key, request):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('take_quota', TMessageType.CALL, self._seqid)
+        args = take_quota_args()
+        args.key = key
+        args.request = request
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_take_quota(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = take_quota_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        if result.refused is not None:
+            return d.errback(result.refused)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "take_quota failed: unknown result"))
+
     def contact(self, key, contact):
         """
         Parameters:
@@ -456,6 +517,7 @@
         self._processMap["settle"] = Processor.process_settle
         self._processMap["report_suspect"] = Processor.process_report_suspect
         self._processMap["propose"] = Processor.process_propose
+        self._processMap["take_quota"] = Processor.process_take_quota
         self._processMap["contact"] = Processor.process_contact
         self._processMap["deliver"] = Processor.process_deliver
         self._on_message_begin = None
@@ -669,6 +731,44 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_take_quota(self, seqid, iprot, oprot):
+        args = take_quota_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = take_quota_result()
+        d = defer.maybeDeferred(self._handler.take_quota, args.key, args.request)
+        d.addCallback(self.write_results_success_take_quota, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_take_quota, result, seqid, oprot)
+        return d
+
+    def write_results_success_take_quota(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("take_quota", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_take_quota(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except Refused as refused:
+            result.refused = refused
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("take_quota", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_contact(self, seqid, iprot, oprot):
         args = contact_args()
         args.read(iprot)
@@ -1471,6 +1571,155 @@
 )
 
 
+class take_quota_args(object):
+    """
+    Attributes:
+     - key
+     - request
+
+    """
+
+
+    def __init__(self, key=None, request=None,):
+        self.key = key
+        self.request = request
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.request = QuotaRequest()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('take_quota_args')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 2)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(take_quota_args)
+take_quota_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'request', [QuotaRequest, None], None, ),  # 2
+)
+
+
+class take_quota_result(object):
+    """
+    Attributes:
+     - success
+     - refused
+
+    """
+
+
+    def __init__(self, success=None, refused=None,):
+        self.success = success
+        self.refused = refused
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = QuotaAnswer()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('take_quota_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(take_quota_result)
+take_quota_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [QuotaAnswer, None], None, ),  # 0
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+)
+
+
 class contact_args(object):
     """
     Attributes:
--- a/src/cranberrymux/wire/gen/messages/ttypes.py
+++ b/src/cranberrymux/wire/gen/messages/ttypes.py
@@ -545,11 +545,12 @@
      - control_instances
      - suspects
      - suspect_revision
+     - quota_owner
 
     """
 
 
-    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None, control_instances=None, suspects=None, suspect_revision=None,):
+    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None, control_instances=None, suspects=None, suspect_revision=None, quota_owner=None,):
         self.lease_ms = lease_ms
         self.directory_epoch = directory_epoch
         self.directory_revision = directory_revision
@@ -562,6 +563,7 @@
         self.control_instances = control_instances
         self.suspects = suspects
         self.suspect_revision = suspect_revision
+        self.quota_owner = quota_owner
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -649,6 +651,11 @@
                     self.suspect_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.quota_owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -716,6 +723,10 @@
             oprot.writeFieldBegin('suspect_revision', TType.I64, 12)
             oprot.writeI64(self.suspect_revision)
             oprot.writeFieldEnd()
+        if self.quota_owner is not None:
+            oprot.writeFieldBegin('quota_owner', TType.STRING, 13)
+            oprot.writeString(self.quota_owner.encode('utf-8') if sys.version_info[0] == 2 else self.quota_owner)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -748,6 +759,305 @@
         return not (self == other)
 
 
+class QuotaRow(object):
+    """
+    Attributes:
+     - account
+     - tokens
+     - used
+
+    """
+
+
+    def __init__(self, account=None, tokens=None, used=None,):
+        self.account = account
+        self.tokens = tokens
+        self.used = used
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.used = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaRow')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.used is not None:
+            oprot.writeFieldBegin('used', TType.I32, 3)
+            oprot.writeI32(self.used)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.account is None:
+            raise TProtocolException(message='Required field account is unset!')
+        if self.tokens is None:
+            raise TProtocolException(message='Required field tokens is unset!')
+        if self.used is None:
+            raise TProtocolException(message='Required field used is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaRequest(object):
+    """
+    Attributes:
+     - node_id
+     - incarnation
+     - sequence
+     - rows
+     - configuration_version
+
+    """
+
+
+    def __init__(self, node_id=None, incarnation=None, sequence=None, rows=None, configuration_version=None,):
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.rows = rows
+        self.configuration_version = configuration_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = QuotaRow()
+                        _elem56.read(iprot)
+                        self.rows.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaRequest')
+        if self.node_id is not None:
+            oprot.writeFieldBegin('node_id', TType.STRING, 1)
+            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter57 in self.rows:
+                iter57.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 5)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node_id is None:
+            raise TProtocolException(message='Required field node_id is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.rows is None:
+            raise TProtocolException(message='Required field rows is unset!')
+        if self.configuration_version is None:
+            raise TProtocolException(message='Required field configuration_version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaAnswer(object):
+    """
+    Attributes:
+     - rows
+     - ttl_ms
+     - configuration_version
+
+    """
+
+
+    def __init__(self, rows=None, ttl_ms=None, configuration_version=None,):
+        self.rows = rows
+        self.ttl_ms = ttl_ms
+        self.configuration_version = configuration_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = QuotaRow()
+                        _elem63.read(iprot)
+                        self.rows.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ttl_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaAnswer')
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter64 in self.rows:
+                iter64.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ttl_ms is not None:
+            oprot.writeFieldBegin('ttl_ms', TType.I64, 2)
+            oprot.writeI64(self.ttl_ms)
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 3)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.rows is None:
+            raise TProtocolException(message='Required field rows is unset!')
+        if self.ttl_ms is None:
+            raise TProtocolException(message='Required field ttl_ms is unset!')
+        if self.configuration_version is None:
+            raise TProtocolException(message='Required field configuration_version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ClaimRequest(object):
     """
     Attributes:
@@ -1331,10 +1641,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.control_instances = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.control_instances.append(_elem56)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.control_instances.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1367,8 +1677,8 @@
         if self.control_instances is not None:
             oprot.writeFieldBegin('control_instances', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.control_instances))
-            for iter57 in self.control_instances:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter71 in self.control_instances:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1524,11 +1834,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = SuspectItem()
-                        _elem63.read(iprot)
-                        self.items.append(_elem63)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = SuspectItem()
+                        _elem77.read(iprot)
+                        self.items.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1557,8 +1867,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter64 in self.items:
-                iter64.write(oprot)
+            for iter78 in self.items:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1615,10 +1925,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.event_ids = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.event_ids.append(_elem70)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.event_ids.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1639,8 +1949,8 @@
         if self.event_ids is not None:
             oprot.writeFieldBegin('event_ids', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.event_ids))
-            for iter71 in self.event_ids:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter85 in self.event_ids:
+                oprot.writeString(iter85.encode('utf-8') if sys.version_info[0] == 2 else iter85)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2463,6 +2773,30 @@
     (10, TType.LIST, 'control_instances', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRow, None], False), None, ),  # 11
     (12, TType.I64, 'suspect_revision', None, None, ),  # 12
+    (13, TType.STRING, 'quota_owner', 'UTF8', None, ),  # 13
+)
+all_structs.append(QuotaRow)
+QuotaRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+    (3, TType.I32, 'used', None, None, ),  # 3
+)
+all_structs.append(QuotaRequest)
+QuotaRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.LIST, 'rows', (TType.STRUCT, [QuotaRow, None], False), None, ),  # 4
+    (5, TType.I64, 'configuration_version', None, None, ),  # 5
+)
+all_structs.append(QuotaAnswer)
+QuotaAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'rows', (TType.STRUCT, [QuotaRow, None], False), None, ),  # 1
+    (2, TType.I64, 'ttl_ms', None, None, ),  # 2
+    (3, TType.I64, 'configuration_version', None, None, ),  # 3
 )
 all_structs.append(ClaimRequest)
 ClaimRequest.thrift_spec = (
--- /dev/null
+++ b/tests/gateway/test_client_accounts.py
@@ -0,0 +1,119 @@
+"""Requests of client accounts on the whole path.
+
+Guards against keys that reach a backend server or a log line, requests that run
+under a key that is unknown or was taken away, forged names of accounts, and
+trees whose calls lose the priority of their account.
+"""
+
+import pytest
+import structlog
+
+from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.accounts import key_lease
+from cranberrymux.decisions.routes import route_document
+from tests.gateway import mesh as mesh_module
+
+KEY = "k-7421-secret"
+MILL = client_account.ClientAccount("mill one", (KEY,), priority=0)
+LIFETIME_S = 4.0
+
+
+def configure(mesh, *accounts, label=1):
+    document = mesh_module.make_document(
+        mesh_module.make_route("read", "deep", priority=2),
+        mesh_module.make_route("open", "deep", is_public=True),
+        label=label,
+    )
+    text = route_document.dump(document._replace(accounts=accounts))
+    for member in mesh.members:
+        member.gateway.configuration_changed(label, text)
+
+
+def require_confirmations(mesh):
+    for member in mesh.members:
+        member.gateway._parts.key_lease = key_lease.KeyLease(LIFETIME_S)
+
+
+def confirm(mesh, version):
+    for member in mesh.members:
+        now_s = member.gateway._clock.now_s()
+        member.gateway.configuration_confirmed(version, now_s, now_s + 0.5)
+
+
+@pytest.fixture
+def mesh():
+    made = mesh_module.Mesh("front", "deep", "deep")
+    configure(made, MILL)
+    return made
+
+
+def reached_headers(mesh):
+    return [
+        dict(call.head.headers)
+        for member in mesh.members
+        for call in member.backend.calls
+    ]
+
+
+def test_hands_the_name_and_not_the_key_to_the_backend_server(mesh):
+    with structlog.testing.capture_logs() as lines:
+        client = mesh.ask(
+            0, "/read/x", headers=[("X-Api-Key", KEY), ("Tenant", "forged")]
+        )
+    assert client.statuses == [200]
+    (headers,) = reached_headers(mesh)
+    assert headers[b"tenant"] == b"mill one"
+    assert b"x-api-key" not in headers
+    assert KEY not in repr(lines)
+    assert KEY not in mesh.members[0].gateway._parts.metrics.encode().decode()
+
+
+@pytest.mark.parametrize("headers", [[], [("X-Api-Key", "unknown")]])
+def test_answers_401_without_a_known_key(mesh, headers):
+    client = mesh.ask(0, "/read/x", headers=headers)
+    assert client.statuses == [401]
+    assert reached_headers(mesh) == []
+
+
+def test_needs_no_key_on_a_public_route_and_names_no_account(mesh):
+    client = mesh.ask(
+        0, "/open/x", headers=[("X-Api-Key", "unknown"), ("Tenant", "forged")]
+    )
+    assert client.statuses == [200]
+    (headers,) = reached_headers(mesh)
+    assert b"tenant" not in headers
+    assert b"x-api-key" not in headers
+
+
+def test_a_key_that_a_newer_version_lacks_is_unknown(mesh):
+    configure(mesh, MILL._replace(keys=("another",)), label=2)
+    client = mesh.ask(0, "/read/x", headers=[("X-Api-Key", KEY)])
+    assert client.statuses == [401]
+
+
+def test_accepts_keys_only_while_the_newest_version_is_confirmed(mesh):
+    require_confirmations(mesh)
+    sent = [("X-Api-Key", KEY)]
+    assert mesh.ask(0, "/read/x", headers=sent).statuses == [503]
+    assert mesh.ask(0, "/open/x").statuses == [200]
+    confirm(mesh, 1)
+    assert mesh.ask(0, "/read/x", headers=sent).statuses == [200]
+    mesh.network.run(LIFETIME_S)
+    answer = mesh.ask(0, "/read/x", headers=sent)
+    assert answer.statuses == [503]
+    assert b"retry-after" in answer.received.lower()
+
+
+def test_a_newer_version_that_this_node_lacks_ends_no_sooner_renewed_lease(
+    mesh,
+):
+    require_confirmations(mesh)
+    confirm(mesh, 2)
+    client = mesh.ask(0, "/read/x", headers=[("X-Api-Key", KEY)])
+    assert client.statuses == [503]
+
+
+def test_the_priority_of_the_account_goes_before_that_of_the_route(mesh):
+    admission = mesh.members[0].gateway._parts.entry_admission.root_admission
+    mesh.ask(0, "/read/x", headers=[("X-Api-Key", KEY)])
+    assert {flow.priority for flow in admission._flows} == {0}
