--- a/tests/gateway/limited_backend.py
+++ b/tests/gateway/limited_backend.py
@@ -46,7 +46,7 @@
 
     def count_since(self, from_s):
         """Returns the number of requests that arrived since a time."""
-        return sum(one.at_s >= from_s for one in self.arrivals)
+        return sum(arrival.at_s >= from_s for arrival in self.arrivals)
 
     def _handle(self, call):
         request_id = dict(call.head.headers).get(b"request-id", b"").decode()
@@ -144,7 +144,7 @@
 
     def since(self, from_s):
         """Returns the clients whose request was sent at or after a time."""
-        return [one for one in self.clients if one.sent_s >= from_s]
+        return [client for client in self.clients if client.sent_s >= from_s]
 
     def stop(self):
         self._is_stopped = True
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -39,8 +39,10 @@
     told_s = mesh.network.seconds()
     mesh.run_announced(6)
     assert leaving.count_since(told_s + DRAIN_S) == 0
-    served = [one for one in load.since(told_s + DRAIN_S) if one.answered_s]
-    assert {one.statuses[0] for one in served} == {200}
+    served = [
+        client for client in load.since(told_s + DRAIN_S) if client.answered_s
+    ]
+    assert {client.statuses[0] for client in served} == {200}
 
 
 def test_leaving_server_gets_no_requests_after_a_restart_of_its_node(
--- a/tests/gateway/test_malformed_numbers.py
+++ b/tests/gateway/test_malformed_numbers.py
@@ -34,7 +34,9 @@
     assert len(client.statuses) == 1
 
 
-@pytest.mark.parametrize("number", [one.encode("latin-1") for one in NUMBERS])
+@pytest.mark.parametrize(
+    "number", [number.encode("latin-1") for number in NUMBERS]
+)
 def test_values_from_other_nodes_are_decoded_or_ignored(number):
     headers = [
         (hop.LOAD, b"%b/%b/%b" % (number, number, number)),
--- a/tests/gateway/test_rate_limit.py
+++ b/tests/gateway/test_rate_limit.py
@@ -35,7 +35,7 @@
     excesses = rate_limits.find_excesses(
         limited.namings, limited.arrivals, load.bindings
     )
-    assert [str(one) for one in excesses] == []
+    assert [str(excess) for excess in excesses] == []
 
 
 def test_limit_holds_for_the_requests_of_all_nodes_together(mesh, limited):
@@ -79,7 +79,7 @@
     load = limited_backend.Load(mesh, ENTRIES, 20)
     mesh.run_announced(2)
     late = load.since(network.seconds() - 1.0)[:-10]
-    assert {one.statuses[0] for one in late if one.answered_s} == {200}
+    assert {client.statuses[0] for client in late if client.answered_s} == {200}
 
 
 def test_limit_forged_by_a_client_changes_nothing(mesh, limited):
@@ -104,8 +104,8 @@
     ended_s = mesh.network.seconds()
     mesh.run_announced(3)
     check_limit(limited, load)
-    late = [one for one in load.since(ended_s + 1.0) if one.answered_s]
-    assert {one.statuses[0] for one in late} == {200}
+    late = [client for client in load.since(ended_s + 1.0) if client.answered_s]
+    assert {client.statuses[0] for client in late} == {200}
 
 
 @pytest.mark.parametrize("value", [b"", b"0", b"-1", b"nan", b"1e400", b"0,3"])
@@ -114,7 +114,7 @@
     load = limited_backend.Load(mesh, ENTRIES, 20)
     mesh.run_announced(2)
     early = load.clients[:-15]
-    assert {tuple(one.statuses) for one in early} == {(200,)}
+    assert {tuple(client.statuses) for client in early} == {(200,)}
 
 
 def test_value_that_is_not_valid_does_not_end_a_limit(mesh, limited):
@@ -170,5 +170,5 @@
     begun_s = mesh.network.seconds()
     mesh.network.run(2.0, step_s=0.002)
     asked = load.since(begun_s + 0.5)[:-15]
-    served = [one for one in asked if one.statuses == [200]]
+    served = [client for client in asked if client.statuses == [200]]
     assert len(served) >= 0.95 * len(asked)
--- a/tests/gateway/test_rate_limited_siblings.py
+++ b/tests/gateway/test_rate_limited_siblings.py
@@ -39,7 +39,7 @@
 
 
 def find_served(clients):
-    return [one for one in clients if one.statuses == [200]]
+    return [client for client in clients if client.statuses == [200]]
 
 
 def test_siblings_take_at_once_what_a_limit_does_not_let_through(
@@ -52,7 +52,7 @@
     mesh.run_announced(10)
     asked = load.since(named_s)[:-20]
     assert len(find_served(asked)) == len(asked)
-    waits_s = sorted(one.wait_s for one in asked)
+    waits_s = sorted(client.wait_s for client in asked)
     assert waits_s[int(0.95 * len(waits_s))] < 2 * limited_backend.WORK_S
     # The limit goes on being used, and few requests take a hop in vain.
     assert backends[0].count_since(named_s + 3.0) >= 7
@@ -77,11 +77,11 @@
         backend.name(0.5)
     load = limited_backend.Load(mesh, ENTRIES, 10)
     mesh.run_announced(8)
-    refused = [one for one in load.since(2.0) if one.statuses == [503]]
+    refused = [client for client in load.since(2.0) if client.statuses == [503]]
     assert len(refused) > 150
-    assert statistics.median(one.wait_s for one in refused) < 0.05
-    assert max(one.wait_s for one in refused) < 1.1
-    assert all(one.find_header("retry-after") for one in refused)
+    assert statistics.median(client.wait_s for client in refused) < 0.05
+    assert max(client.wait_s for client in refused) < 1.1
+    assert all(client.find_header("retry-after") for client in refused)
 
 
 def test_refused_caller_is_told_when_the_limit_has_room_again(mesh, backends):
@@ -90,10 +90,12 @@
     load = limited_backend.Load(mesh, ENTRIES, 10)
     mesh.run_announced(9)
     got_s = backends[0].arrivals[-1].at_s
-    refused = [one for one in load.clients if got_s < one.sent_s < got_s + 1.0]
-    told = [one for one in refused if b"refused" in one.received]
+    refused = [
+        client for client in load.clients if got_s < client.sent_s < got_s + 1.0
+    ]
+    told = [client for client in refused if b"refused" in client.received]
     assert told
-    delays_s = [float(one.find_header("retry-after")) for one in told]
+    delays_s = [float(client.find_header("retry-after")) for client in told]
     assert min(delays_s) > 2.5
 
 
--- a/tests/gateway/test_second_answers.py
+++ b/tests/gateway/test_second_answers.py
@@ -192,7 +192,11 @@
     assert client.statuses == [502]
     client = ask(mesh, "r2")
     # Another one has shown that the backend server has not ended.
-    used = [one for one in backend.connections if one.request_ids]
+    used = [
+        connection
+        for connection in backend.connections
+        if connection.request_ids
+    ]
     assert len(used) == 2
     # It comes on the connection that replaces the cut one.
     connection = used[1]
--- a/tests/node/test_connection_reuse.py
+++ b/tests/node/test_connection_reuse.py
@@ -119,4 +119,6 @@
     pool.take(ADDRESS, following.send, fail)
     network.run(0.1)
     assert following.ends == ["complete"]
-    assert [len(one.request_ids) for one in backend.connections] == [1, 1]
+    assert [
+        len(connection.request_ids) for connection in backend.connections
+    ] == [1, 1]
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -47,7 +47,7 @@
     backend.on_request = _answer
     network.run(0.1)
     assert repeated.ends == ["complete"]
-    ids = [one.request_ids for one in backend.connections]
+    ids = [connection.request_ids for connection in backend.connections]
     assert ids == [["r1", "r2"], ["r1"]]
 
 
--- a/tests/node/test_second_answers.py
+++ b/tests/node/test_second_answers.py
@@ -330,7 +330,9 @@
     way.receiver.on_request = answer
     check_is_served(way.ask("r-2"), "r-2")
     # The connection is not used again, as its next answer may have a body.
-    assert [one.is_closed for one in way.receiver.connections] == [True, False]
+    assert [
+        connection.is_closed for connection in way.receiver.connections
+    ] == [True, False]
 
 
 def test_connection_is_read_again_after_a_slow_clients_answer(way):
--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -42,18 +42,18 @@
 
 def test_accepted_version_is_read_at_every_instance(fleet):
     version = current(fleet)
-    for one in fleet.instances:
-        wait_until(lambda one=one: one.get() == version)
+    for instance in fleet.instances:
+        wait_until(lambda instance=instance: instance.get() == version)
 
 
 def test_resent_change_is_accepted_again_at_every_instance(fleet):
     version = current(fleet)
     fleet.put_until_accepted(version + 2, version)
-    for one in fleet.instances:
+    for instance in fleet.instances:
         wait_until(
-            lambda one=one: (
-                one.put(version + 2, version) in (200, 503)
-                and one.put(version + 2, version) == 200
+            lambda instance=instance: (
+                instance.put(version + 2, version) in (200, 503)
+                and instance.put(version + 2, version) == 200
             )
         )
 
@@ -61,7 +61,9 @@
 def test_other_content_on_an_outdated_base_is_a_conflict(fleet):
     version = current(fleet)
     fleet.put_until_accepted(version + 5, version)
-    statuses = {one.put(version + 5, version, "s2") for one in fleet.instances}
+    statuses = {
+        instance.put(version + 5, version, "s2") for instance in fleet.instances
+    }
     assert statuses <= {412, 307, 503}
     assert 412 in statuses
     assert current(fleet) == version + 5
@@ -87,7 +89,9 @@
 def test_invalid_configuration_is_rejected(fleet, change):
     version = current(fleet)
     body = configuration(change.pop("version", version + 1), **change)
-    statuses = {one.put(0, version, body=body) for one in fleet.instances}
+    statuses = {
+        instance.put(0, version, body=body) for instance in fleet.instances
+    }
     assert 200 not in statuses
     assert 400 in statuses
     assert current(fleet) == version
@@ -127,7 +131,7 @@
             )
         )
         fresh = set(fleet.voters()) - identities
-        assert [one.partition("@")[0] for one in fresh] == [wiped.ip]
+        assert [identity.partition("@")[0] for identity in fresh] == [wiped.ip]
         wait_until(lambda: wiped.get() == 2)
 
 
@@ -141,8 +145,8 @@
         added.start()
         wait_until(
             lambda: (
-                {one.partition("@")[0] for one in fleet.voters()}
-                == {one.ip for one in fleet.instances[1:]}
+                {identity.partition("@")[0] for identity in fleet.voters()}
+                == {instance.ip for instance in fleet.instances[1:]}
             )
         )
         fleet.put_until_accepted(2, 1, fleet.instances[1:])
@@ -154,12 +158,12 @@
 def test_accepted_version_survives_a_kill_of_all_instances(tmp_path):
     with fleet_module.Fleet(tmp_path, 3) as fleet:
         fleet.put_until_accepted(4, 0)
-        for one in fleet.instances:
-            one.kill()
-        for one in fleet.instances:
-            one.start()
-        for one in fleet.instances:
-            wait_until(lambda one=one: one.get() == 4)
+        for instance in fleet.instances:
+            instance.kill()
+        for instance in fleet.instances:
+            instance.start()
+        for instance in fleet.instances:
+            wait_until(lambda instance=instance: instance.get() == 4)
 
 
 def test_empty_disk_after_the_first_start_founds_no_cluster(tmp_path):
@@ -176,7 +180,7 @@
     fleet = fleet_module.Fleet(tmp_path, 1)
     fleet.seeds = ["nowhere"]
     with fleet:
-        one = fleet.instances[0]
-        assert one.process.wait(10) == 2
-        lines = one.log.read_text().splitlines()
+        instance = fleet.instances[0]
+        assert instance.process.wait(10) == 2
+        lines = instance.log.read_text().splitlines()
         assert len(lines) == 1
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -38,7 +38,9 @@
         machines: The machines, with the records of their backend servers.
         watch: Stalls of this process, which excuse requests that hung.
     """
-    records = {one.name: read_records(one.records) for one in machines}
+    records = {
+        machine.name: read_records(machine.records) for machine in machines
+    }
     runs = collections.Counter(
         record["id"]
         for lines in records.values()
@@ -46,8 +48,8 @@
         if record["event"] == "begin"
     )
     violations = []
-    for one in observed:
-        violations += _check_request(one, runs[one.request_id])
+    for request in observed:
+        violations += _check_request(request, runs[request.request_id])
     violations += _check_hangs(observed, machines, watch)
     violations += self_report_checks.find_violations(
         observed, machines, records
@@ -59,17 +61,17 @@
     return violations
 
 
-def _check_request(one, runs):
-    if one.is_at_most_once and runs > 1:
-        yield f"TWICE {one.request_id} ran {runs} times"
+def _check_request(request, runs):
+    if request.is_at_most_once and runs > 1:
+        yield f"TWICE {request.request_id} ran {runs} times"
     if runs > MAXIMUM_RUNS:
-        yield f"BUDGET {one.request_id} ran {runs} times"
-    if one.status in NOT_RUN_STATUSES and one.is_at_most_once and runs:
-        yield f"REFUSED {one.request_id} got {one.status} and ran"
-    if one.answer is not None:
-        yield from _check_answer(one.request_id, one.answer)
-    if one.status == 200 and not runs:
-        yield f"MIXED {one.request_id}: a success that never ran"
+        yield f"BUDGET {request.request_id} ran {runs} times"
+    if request.status in NOT_RUN_STATUSES and request.is_at_most_once and runs:
+        yield f"REFUSED {request.request_id} got {request.status} and ran"
+    if request.answer is not None:
+        yield from _check_answer(request.request_id, request.answer)
+    if request.status == 200 and not runs:
+        yield f"MIXED {request.request_id}: a success that never ran"
 
 
 def _check_answer(request_id, answer):
@@ -87,18 +89,21 @@
 
 def _check_hangs(observed, machines, watch):
     fault_times_s = {
-        one.name: sorted(one.node.fault_times_s) for one in machines
+        machine.name: sorted(machine.node.fault_times_s) for machine in machines
     }
-    for one in observed:
-        if one.status >= 0:
+    for request in observed:
+        if request.status >= 0:
             continue
         is_excused = any(
-            one.sent_s - EXCUSED_AFTER_FAULT_S <= at <= one.ended_s
-            for at in fault_times_s[one.machine]
+            request.sent_s - EXCUSED_AFTER_FAULT_S <= at <= request.ended_s
+            for at in fault_times_s[request.machine]
         )
-        if not is_excused and not watch.overlaps(one.sent_s, one.ended_s):
-            waited_s = one.ended_s - one.sent_s
-            yield f"HANG {one.request_id} at {one.machine}: {waited_s:.1f} s"
+        if not is_excused and not watch.overlaps(
+            request.sent_s, request.ended_s
+        ):
+            waited_s = request.ended_s - request.sent_s
+            place = f"{request.request_id} at {request.machine}"
+            yield f"HANG {place}: {waited_s:.1f} s"
 
 
 def _check_drains(name, lines):
@@ -124,11 +129,13 @@
     Returns:
         One message if too few were sent or served, else none.
     """
-    counted = [one for one in observed if one.sent_s >= from_s]
-    served = sum(one.status == 200 for one in counted)
+    counted = [request for request in observed if request.sent_s >= from_s]
+    served = sum(request.status == 200 for request in counted)
     if len(counted) < 20:
         return [f"RECOVER only {len(counted)} requests were sent"]
     if served < minimum_share * len(counted):
-        counts = dict(collections.Counter(one.status for one in counted))
+        counts = dict(
+            collections.Counter(request.status for request in counted)
+        )
         return [f"RECOVER {served} of {len(counted)} were served: {counts}"]
     return []
--- a/tests/soak/config_operator.py
+++ b/tests/soak/config_operator.py
@@ -56,17 +56,19 @@
             seconds.
         """
         while time.monotonic() < until_s:
-            told = [one.get() for one in self._fleet.instances]
+            told = [instance.get() for instance in self._fleet.instances]
             if any(told):
-                return max(one for one in told if one)
+                return max(
+                    version_told for version_told in told if version_told
+                )
             time.sleep(0.2)
         return 0
 
     def _put(self, version, base_version):
         body = self.configuration(version)
         while not self.should_stop:
-            for one in self._fleet.instances:
-                status = one.put(version, base_version, body=body)
+            for instance in self._fleet.instances:
+                status = instance.put(version, base_version, body=body)
                 if status == 200:
                     return True
                 if status not in (0, 307, 503):
@@ -79,12 +81,14 @@
 
     def _read(self):
         version, acknowledged_at_s = self.acknowledged
-        for one in self._fleet.instances:
+        for instance in self._fleet.instances:
             requested_at_s = time.monotonic()
-            told = one.get()
+            told = instance.get()
             if (
                 told
                 and told < version
                 and requested_at_s > acknowledged_at_s + MAXIMUM_APPLY_S
             ):
-                self.violations.append(f"{one.ip} tells {told} after {version}")
+                self.violations.append(
+                    f"{instance.ip} tells {told} after {version}"
+                )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -132,7 +132,7 @@
                 return
             is_control_fault = candidates is self._fleet.instances
             if is_control_fault and any(
-                one in self._busy for one in self._fleet.instances
+                instance in self._busy for instance in self._fleet.instances
             ):
                 return
             self._busy.add(target)
@@ -242,9 +242,9 @@
         until then, the loss of another one is more than the settings tolerate.
         """
         identities = [
-            (one.data / "identity").read_bytes()
-            for one in self._fleet.instances
-            if (one.data / "identity").exists()
+            (instance.data / "identity").read_bytes()
+            for instance in self._fleet.instances
+            if (instance.data / "identity").exists()
         ]
         voters = [voter.encode() for voter in self._fleet.voters()]
         return len(voters) == len(self._fleet.instances) and all(
--- a/tests/soak/rate_limits.py
+++ b/tests/soak/rate_limits.py
@@ -85,10 +85,12 @@
         bindings: Instances that passed on one of its answers with a limit.
     """
     first_s = min(
-        (one.at_s for one in namings if one.per_s is not None),
+        (naming.at_s for naming in namings if naming.per_s is not None),
         default=math.inf,
     )
-    counted = sorted(one.at_s for one in arrivals if _is_bound(one, bindings))
+    counted = sorted(
+        arrival.at_s for arrival in arrivals if _is_bound(arrival, bindings)
+    )
     excesses = []
     first_in_window = 0
     for last_in_window, end_s in enumerate(counted):
@@ -109,9 +111,11 @@
 
 def _is_bound(arrival, bindings):
     return any(
-        one.instance == arrival.instance
-        and one.at_s + BINDING_DELAY_S <= arrival.at_s < one.excused_from_s
-        for one in bindings
+        binding.instance == arrival.instance
+        and binding.at_s + BINDING_DELAY_S
+        <= arrival.at_s
+        < binding.excused_from_s
+        for binding in bindings
     )
 
 
@@ -124,14 +128,14 @@
         until_s: Its end.
     """
     allowed = 0.0
-    for place, one in enumerate(namings):
+    for place, naming in enumerate(namings):
         ended_s = (
             namings[place + 1].at_s if place + 1 < len(namings) else until_s
         )
-        span_s = min(ended_s, until_s) - max(one.at_s, from_s)
+        span_s = min(ended_s, until_s) - max(naming.at_s, from_s)
         if span_s <= 0:
             continue
-        if one.per_s is None:
+        if naming.per_s is None:
             return None
-        allowed += one.per_s * span_s
+        allowed += naming.per_s * span_s
     return allowed
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -76,27 +76,27 @@
         with fleet:
             return _inject_and_check(seed, fleet, machines, length_s)
     finally:
-        for one in machines:
-            one.close()
+        for machine in machines:
+            machine.close()
 
 
 def _inject_and_check(seed, fleet, machines, length_s):
     operator = config_operator.Operator(fleet)
     operator.start()
-    for one in machines:
-        one.start()
+    for machine in machines:
+        machine.start()
     clients = [
         clients_module.Client(f"c{number}", machines, seed)
         for number in range(CLIENTS)
     ]
-    for one in clients:
-        one.start()
+    for client in clients:
+        client.start()
     _wait_until_served(clients)
     crashing_callers = [
         crashing.Caller(path, machines, seed) for path in crashing.PATHS
     ]
-    for one in crashing_callers:
-        one.start()
+    for caller in crashing_callers:
+        caller.start()
     watch = stall_watch.StallWatch()
     watch.start()
     faults = faults_module.Faults(seed, machines, fleet)
@@ -107,32 +107,32 @@
     faults.run(length_s)
     self_reports.should_stop = True
     self_reports.join()
-    for one in machines:
-        one.clear_faults()
+    for machine in machines:
+        machine.clear_faults()
     time.sleep(RECOVERY_S)
     recovered_at_s = time.monotonic()
     time.sleep(RECOVERED_S)
     faults.stop_supervising()
     supervisor.join()
     operator.should_stop = True
-    for one in (*clients, *crashing_callers):
-        one.should_stop = True
-    for one in (operator, *clients, *crashing_callers):
-        one.join()
-    observed = [one for client in clients for one in client.observed]
+    for thread in (*clients, *crashing_callers):
+        thread.should_stop = True
+    for thread in (operator, *clients, *crashing_callers):
+        thread.join()
+    observed = [request for client in clients for request in client.observed]
     crashing_observed = [
-        one for caller in crashing_callers for one in caller.observed
+        request for caller in crashing_callers for request in caller.observed
     ]
     watch.should_stop = True
     violations = checks.find_violations(
         observed + crashing_observed, machines, watch
     )
     violations += checks.find_recovery_violations(observed, recovered_at_s)
-    violations += [f"CONFIG {one}" for one in operator.violations]
-    violations += [f"ENDED {one} by itself" for one in faults.unexpected_ends]
+    violations += [f"CONFIG {violation}" for violation in operator.violations]
+    violations += [f"ENDED {name} by itself" for name in faults.unexpected_ends]
     violations += [
-        f"LOST {one} did not end in time"
-        for one in faults.timed_out_terminations
+        f"LOST {name} did not end in time"
+        for name in faults.timed_out_terminations
     ]
     version, _ = operator.acknowledged
     version_read = operator.poll_newest_version(time.monotonic() + RECOVERY_S)
@@ -140,7 +140,7 @@
         violations.append(
             f"CONFIG {version_read} is told, {version} was acknowledged"
         )
-    served = sum(one.status == 200 for one in observed)
+    served = sum(request.status == 200 for request in observed)
     _write_faults(machines[0].records.parent, faults)
     return Result(
         seed,
@@ -155,8 +155,10 @@
 def _wait_until_served(clients):
     deadline_s = time.monotonic() + FIRST_ANSWERS_TIMEOUT_S
     while time.monotonic() < deadline_s:
-        observed = [one for client in clients for one in client.observed[-20:]]
-        if sum(one.status == 200 for one in observed) > 20:
+        observed = [
+            request for client in clients for request in client.observed[-20:]
+        ]
+        if sum(request.status == 200 for request in observed) > 20:
             return
         time.sleep(0.1)
 
--- a/tests/soak/self_report_checks.py
+++ b/tests/soak/self_report_checks.py
@@ -46,9 +46,9 @@
     """
     sent = _find_sent(observed, records)
     passed = collections.defaultdict(list)
-    for one in _find_passed(observed, records):
-        passed[one.answer.backend].append(one)
-    nodes = {one.name: one.node for one in machines}
+    for answered in _find_passed(observed, records):
+        passed[answered.answer.backend].append(answered)
+    nodes = {machine.name: machine.node for machine in machines}
     violations = []
     for name, lines in records.items():
         by_process = collections.defaultdict(list)
@@ -62,7 +62,10 @@
 
 
 def _find_sent(observed, records):
-    sent = {one.request_id: Sent(one.sent_s, one.machine) for one in observed}
+    sent = {
+        request.request_id: Sent(request.sent_s, request.machine)
+        for request in observed
+    }
     for name, lines in records.items():
         for line in lines:
             if line["event"] == "call-sent":
@@ -71,9 +74,9 @@
 
 
 def _find_passed(observed, records):
-    for one in observed:
-        if one.answer is not None and one.answer.backend:
-            yield Passed(one.ended_s, one.machine, one.answer)
+    for request in observed:
+        if request.answer is not None and request.answer.backend:
+            yield Passed(request.ended_s, request.machine, request.answer)
     for name, lines in records.items():
         for line in lines:
             if line["event"] == "call-answered":
@@ -94,33 +97,34 @@
     ]
     bindings = [
         rate_limits.Binding(
-            one.at_s,
-            one.instance,
-            _find_next(nodes[one.instance].fault_times_s, one.at_s),
+            answered.at_s,
+            answered.instance,
+            _find_next(nodes[answered.instance].fault_times_s, answered.at_s),
         )
-        for one in passed
-        if one.answer.rate_limit
+        for answered in passed
+        if answered.answer.rate_limit
     ]
     excesses = rate_limits.find_excesses(namings, arrivals, bindings)
     if excesses:
-        yield f"LIMIT at {name}: {max(excesses, key=lambda one: one.count)}"
+        worst = max(excesses, key=lambda excess: excess.count)
+        yield f"LIMIT at {name}: {worst}"
 
 
 def _check_leaving(name, lines, sent, passed, nodes):
-    told = [one for one in passed if one.answer.is_leaving]
+    told = [answered for answered in passed if answered.answer.is_leaving]
     for line in lines:
         began = sent.get(line.get("id", ""))
         if line["event"] != "arrive" or began is None:
             continue
-        for one in told:
-            signals_s = nodes[one.instance].signal_times_s
+        for answered in told:
+            signals_s = nodes[answered.instance].signal_times_s
             is_bound = (
-                one.instance == began.instance
-                and began.at_s > one.at_s + MAXIMUM_DRAIN_S
-                and line["at"] < _find_next(signals_s, one.at_s)
+                answered.instance == began.instance
+                and began.at_s > answered.at_s + MAXIMUM_DRAIN_S
+                and line["at"] < _find_next(signals_s, answered.at_s)
             )
             if is_bound:
-                late_s = began.at_s - one.at_s
+                late_s = began.at_s - answered.at_s
                 yield f"DRAIN {line['id']} at {name}, told {late_s:.1f} s ago"
                 break
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -33,7 +33,7 @@
 
 def find_violations(folder, observed, records):
     path = folder / "records.jsonl"
-    path.write_text("".join(json.dumps(one) + "\n" for one in records))
+    path.write_text("".join(json.dumps(record) + "\n" for record in records))
     machine = types.SimpleNamespace(
         name="m0",
         records=path,
@@ -44,12 +44,12 @@
 
 def observe(folder, answer):
     """Checks a request that ran once and got an answer."""
-    one = clients.ObservedRequest(
+    request = clients.ObservedRequest(
         "r1", "m0", True, 0.0, 0.1, answer.status, answer
     )
     return find_violations(
         folder,
-        [one],
+        [request],
         [{"at": 0.0, "event": "begin", "backend": "b", "id": "r1"}],
     )
 
@@ -85,7 +85,7 @@
 def test_foreign_answer_is_reported(tmp_path, check, kind):
     violations = check(tmp_path, FOREIGN_ANSWERS[kind])
     assert violations
-    assert all(one.startswith("MIXED r1 ") for one in violations)
+    assert all(violation.startswith("MIXED r1 ") for violation in violations)
 
 
 def test_refusal_of_a_request_that_ran_is_reported(tmp_path):
