Read the headers of a message in one step, with an index

Each header passed through four functions, and its limits were checked one by one. The parser now appends it, and names and values are normalized when the head is complete, together with an index by which find needs no scan. Limits on headers are checked once per read and message; sizes are added up only if the bytes read exceed the limit.

--- a/src/cranberrymux/node/http/answer_budget.py
+++ b/src/cranberrymux/node/http/answer_budget.py
@@ -2,12 +2,16 @@
 
 from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import framing_meter
+from cranberrymux.node.http import header_reader
 
 
 class AnswerBudget:
     """Counts what is read of the answer to one request.
 
     The methods that count return which limit is exceeded, or an empty text.
+
+    Attributes:
+        headers: Headers and trailers of the answer.
     """
 
     def __init__(self, limits: answer_limits.AnswerLimits) -> None:
@@ -18,8 +22,9 @@
         """
         self._limits = limits
         self._meter = framing_meter.FramingMeter(limits.framing_bytes)
-        self._head_bytes = 0
-        self._header_count = 0
+        self.headers = header_reader.HeaderReader(
+            limits.head_bytes, limits.header_count
+        )
         self._body_bytes = 0
         self._interim_answers = 0
 
@@ -30,19 +35,16 @@
 
     def begin_answer(self) -> None:
         """Starts to count the next answer, which may be a 1xx answer."""
-        self._head_bytes = 0
-        self._header_count = 0
+        self.headers.begin()
         self._body_bytes = 0
 
-    def note_header(self, name: bytes, value: bytes) -> str:
-        """Counts a header or a trailer."""
-        self._head_bytes += len(name) + len(value)
-        self._header_count += 1
-        if self._head_bytes > self._limits.head_bytes:
-            return f"over {self._limits.head_bytes} bytes of headers"
-        if self._header_count > self._limits.header_count:
+    def check_headers(self) -> str:
+        """Checks the headers and trailers read so far."""
+        if not self.headers.is_exceeded:
+            return ""
+        if self.headers.has_too_many:
             return f"over {self._limits.header_count} headers"
-        return ""
+        return f"over {self._limits.head_bytes} bytes of headers"
 
     def note_interim_answer(self) -> str:
         """Counts a 1xx answer."""
@@ -67,7 +69,6 @@
 
     def note_read(self, size: int) -> str:
         """Counts a read, after what it has brought was counted."""
-        self._meter.note_read(size)
-        if self._meter.is_exceeded:
+        if self._meter.note_read(size):
             return "too many bytes without any of the body"
-        return ""
+        return self.check_headers()
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -65,10 +65,10 @@
         ) = None
         self.reusable_until_s = math.inf
         self._reuse_time_s = math.inf
+        self.on_header = self._budget.headers.add
         self._parser = httptools.HttpResponseParser(self)
         self._sink: answer_sink.AnswerSink | None = None
-        self._headers: headers.HeaderList = []
-        self._is_in_head = False
+        self._headers = headers.Headers([])
         self._is_head_request = False
         self._is_request_complete = False
         self._is_interim = False
@@ -128,7 +128,6 @@
         """
         self._sink = sink
         self._matcher.expect(identity)
-        self._headers = []
         self._is_head_request = is_head_request
         self._is_request_complete = is_complete
         self._is_answer_started = False
@@ -179,8 +178,11 @@
             self.cancel()
             return
         self._has_read_answer_end = False
+        size = len(data)
+        self._budget.headers.note_read(size)
         self._feed(data)
-        self._check_budget(self._budget.note_read(len(data)))
+        if exceeded := self._budget.note_read(size):
+            self._end_excess(exceeded)
         if self._has_read_answer_end and not self._is_lost:
             self._notify_idle()
 
@@ -221,24 +223,16 @@
 
     def on_message_begin(self) -> None:
         """Prepares for an answer; aborts if no request is pending."""
-        self._headers = []
         self._budget.begin_answer()
-        self._is_in_head = True
         self._is_filtered_out = False
         self._cancel_behind_answer()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header of the answer; trailers are dropped."""
-        if self._is_lost:
-            return
-        self._check_budget(self._budget.note_header(name, value))
-        if self._is_in_head:
-            self._headers.append(headers.normalize(name, value))
-
     def on_headers_complete(self) -> None:
         """Passes the head to the sink, unless it answers another request."""
-        self._is_in_head = False
-        keep_alive_value = headers.find(self._headers, b"keep-alive")
+        if self._budget.headers.is_exceeded:
+            self._end_excess(self._budget.check_headers())
+        self._headers = self._budget.headers.take()
+        keep_alive_value = self._headers.first.get(b"keep-alive")
         if keep_alive_value is not None:
             self._reuse_time_s = keep_alive.parse_reuse_time_s(keep_alive_value)
         sink = self._sink
@@ -280,9 +274,10 @@
     def on_body(self, part: bytes) -> None:
         """Passes a part of the body to the sink."""
         is_discarded = self._is_filtered_out
-        self._check_budget(
-            self._budget.note_body(len(part), is_discarded=is_discarded)
-        )
+        if exceeded := self._budget.note_body(
+            len(part), is_discarded=is_discarded
+        ):
+            self._end_excess(exceeded)
         if is_discarded:
             return
         self._cancel_behind_answer()
@@ -291,6 +286,8 @@
 
     def on_message_complete(self) -> None:
         """Ends the answer, unless it was filtered out or was a 1xx answer."""
+        if self._budget.headers.is_exceeded:
+            self._end_excess(self._budget.check_headers())
         if self._is_filtered_out:
             self._is_filtered_out = False
             return
@@ -317,7 +314,8 @@
 
     def _pass_interim_answer(self, status: int) -> None:
         self._is_interim = True
-        self._check_budget(self._budget.note_interim_answer())
+        if exceeded := self._budget.note_interim_answer():
+            self._end_excess(exceeded)
         if self._sink is not None:
             self._sink.answer_interim(status, self._headers)
 
@@ -388,13 +386,13 @@
         if self.on_idle is not None:
             self.on_idle(self)
 
-    def _check_budget(self, exceeded: str) -> None:
+    def _end_excess(self, exceeded: str) -> None:
         """Ends the request at an answer that may have no end.
 
         Args:
-            exceeded: Which limit it exceeds; empty if none.
+            exceeded: Which limit it exceeds.
         """
-        if exceeded and self._sink is not None:
+        if self._sink is not None:
             self._report_unexpected(_UnexpectedKind.TOO_LONG)
             self._fail(lost_answer.LossReason.NOT_VALID, exceeded)
 
--- a/src/cranberrymux/node/http/framing_meter.py
+++ b/src/cranberrymux/node/http/framing_meter.py
@@ -26,12 +26,6 @@
         self._new_body_bytes = 0
         self._has_ended = False
 
-    @property
-    def is_exceeded(self) -> bool:
-        """True if more was read than a message needs."""
-        allowed = self._limit + FRAMING_PER_BODY_BYTE * self._body_bytes
-        return self._silent_bytes > self._limit or self._framing_bytes > allowed
-
     def begin(self) -> None:
         """Starts to count the next message."""
         self._framing_bytes = 0
@@ -48,12 +42,16 @@
         """Counts bytes of the body that the present read has brought."""
         self._new_body_bytes += size
 
-    def note_read(self, size: int) -> None:
-        """Counts a read, after `note_body` for its part of the body."""
+    def note_read(self, size: int) -> bool:
+        """Counts a read, after `note_body` for its part of the body.
+
+        Returns:
+            True if more was read than a message needs.
+        """
         if self._has_ended:
             # How much of the read belongs to the next message is not known.
             self._has_ended = False
-            return
+            return False
         new_body_bytes = self._new_body_bytes
         self._new_body_bytes = 0
         self._body_bytes += new_body_bytes
@@ -62,3 +60,5 @@
             self._silent_bytes = 0
         else:
             self._silent_bytes += size
+        allowed = self._limit + FRAMING_PER_BODY_BYTE * self._body_bytes
+        return self._silent_bytes > self._limit or self._framing_bytes > allowed
--- /dev/null
+++ b/src/cranberrymux/node/http/header_reader.py
@@ -0,0 +1,58 @@
+"""Collects the headers of one message and checks their limits."""
+
+from cranberrymux.node.http import headers
+
+
+class HeaderReader:
+    """The headers and trailers of the message that is read.
+
+    A parser calls `add` for each. The limits are checked once for all that
+    one read has brought, and the bytes counted only if they may be too many.
+
+    Attributes:
+        add: Adds a header or trailer as it was read.
+    """
+
+    def __init__(self, maximum_bytes: int, maximum_count: int) -> None:
+        """Starts without headers.
+
+        Args:
+            maximum_bytes: Most bytes of all names and values together.
+            maximum_count: Most headers and trailers.
+        """
+        self._maximum_bytes = maximum_bytes
+        self._maximum_count = maximum_count
+        self._pairs: headers.HeaderList = []
+        self._message_bytes = 0
+        self._read_bytes = 0
+
+    def note_read(self, size: int) -> None:
+        """Counts the bytes of a read before they are parsed."""
+        self._read_bytes = size
+        self._message_bytes += size
+
+    def begin(self) -> None:
+        """Starts the next message, within the present read."""
+        self._pairs = []
+        self._message_bytes = self._read_bytes
+
+    def add(self, name: bytes, value: bytes) -> None:
+        """Adds a header or trailer as it was read."""
+        self._pairs.append((name, value))
+
+    def take(self) -> headers.Headers:
+        """Returns the headers read so far."""
+        return headers.Headers(self._pairs)
+
+    @property
+    def has_too_many(self) -> bool:
+        """True if there are more headers and trailers than allowed."""
+        return len(self._pairs) > self._maximum_count
+
+    @property
+    def is_exceeded(self) -> bool:
+        """True if there are too many or they are too long."""
+        if self._message_bytes <= self._maximum_bytes:
+            return self.has_too_many
+        size = sum(len(name) + len(value) for name, value in self._pairs)
+        return size > self._maximum_bytes or self.has_too_many
--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -1,9 +1,12 @@
 """Lookup, encoding and hop-by-hop filtering of HTTP headers."""
 
+from collections.abc import Container
 from collections.abc import Iterable
 
 HeaderList = list[tuple[bytes, bytes]]
 
+_WHITESPACE = frozenset((b" ", b"\t"))
+
 # Headers that hold for one connection only or that each connection sets anew.
 HOP_BY_HOP = frozenset(
     (
@@ -22,20 +25,46 @@
 )
 
 
-def normalize(name: bytes, value: bytes) -> tuple[bytes, bytes]:
-    """Returns a header as the code expects it.
+class Headers(HeaderList):
+    """Headers of one message, which do not change, with an index.
 
-    Args:
-        name: Name as read.
-        value: Value as read; the parser leaves whitespace behind it.
+    Attributes:
+        first: Value of the first header of each name.
+    """
 
-    Returns:
-        The name in lower case, and the value without whitespace around it.
+    __slots__ = ("first",)
+
+    def __init__(self, pairs: HeaderList) -> None:
+        """Makes the headers as the code expects them.
+
+        Args:
+            pairs: Names, which become lower case, and values as read; the
+                parser leaves whitespace behind them.
+        """
+        super().__init__(
+            [
+                (
+                    name.lower(),
+                    value.rstrip(b" \t")
+                    if value[-1:] in _WHITESPACE
+                    else value,
+                )
+                for name, value in pairs
+            ]
+        )
+        self.first = dict(self[::-1])
+
+
+def index(headers: HeaderList) -> dict[bytes, bytes]:
+    """Returns the value of the first header of each name.
+
+    Args:
+        headers: Headers with names in lower case.
     """
-    return name.lower(), value.strip(b" \t")
+    return headers.first if type(headers) is Headers else dict(headers[::-1])
 
 
-def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+def find(headers: HeaderList, name: bytes) -> bytes | None:
     """Returns the value of the first header with a name.
 
     Args:
@@ -45,6 +74,8 @@
     Returns:
         The value; None if there is no such header.
     """
+    if type(headers) is Headers:
+        return headers.first.get(name)
     for header_name, value in headers:
         if header_name == name:
             return value
@@ -68,10 +99,16 @@
     return b"".join([b"%b: %b\r\n" % (name, value) for name, value in headers])
 
 
-def forwardable(headers: HeaderList) -> HeaderList:
+def forwardable(
+    headers: HeaderList, replaced: Container[bytes] = ()
+) -> HeaderList:
     """Returns the headers without hop-by-hop ones.
 
     Left out are those of `HOP_BY_HOP` and those that `Connection` names.
+
+    Args:
+        headers: Headers with names in lower case.
+        replaced: Names of other headers to leave out.
     """
     dropped: frozenset[bytes] = HOP_BY_HOP
     connection = find(headers, b"connection")
@@ -81,4 +118,8 @@
     ):
         nominated = [part.strip().lower() for part in connection.split(b",")]
         dropped = HOP_BY_HOP.union(nominated)
-    return [pair for pair in headers if pair[0] not in dropped]
+    return [
+        pair
+        for pair in headers
+        if pair[0] not in dropped and pair[0] not in replaced
+    ]
--- a/src/cranberrymux/node/http/request_head_reader.py
+++ b/src/cranberrymux/node/http/request_head_reader.py
@@ -14,7 +14,7 @@
 def read_head(
     parser: Any,
     target: bytes,
-    head_headers: headers.HeaderList,
+    head_headers: headers.Headers,
     message_limits: limits.Limits,
 ) -> request_head.RequestHead | bad_message.BadMessage:
     """Builds a request head from what the parser has read.
@@ -22,24 +22,29 @@
     Args:
         parser: The `httptools` parser, which has just read the headers.
         target: Request target.
-        head_headers: Headers in the order received, names in lower case.
+        head_headers: Headers in the order received.
         message_limits: Limits on the request; only that of the body is
             checked here.
 
     Returns:
         The head, or why the request is rejected.
     """
-    coding = headers.find(head_headers, b"transfer-encoding")
-    length = headers.find(head_headers, b"content-length")
-    bad = _check_framing(coding, length, message_limits)
-    if bad is not None:
-        return bad
-    method = parser.get_method().upper()
+    first = head_headers.first
+    coding = first.get(b"transfer-encoding")
+    length = first.get(b"content-length")
+    method = parser.get_method()
     has_body = coding is not None or length is not None
-    if parser.should_upgrade() and (has_body or method == b"CONNECT"):
+    if has_body:
+        bad = _check_framing(coding, length, message_limits)
+        if bad is not None:
+            return bad
+    if (has_body or method == b"CONNECT") and parser.should_upgrade():
         # The parser leaves such a body unread. Without one, the request is
         # served as if it had not asked for another protocol.
         return bad_message.BadMessage(501, "upgrade is not served")
+    expectation = first.get(b"expect")
+    if expectation is not None and expectation.lower() != b"100-continue":
+        return bad_message.BadMessage(417, "only 100-continue can be expected")
     size = int(length) if length is not None else 0
     mode = body_mode.BodyMode.NONE
     if coding is not None:
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -1,12 +1,13 @@
 """Parses the requests of one connection and checks their limits."""
 
+from typing import NoReturn
 from typing import Protocol
-from typing import cast
 
 import httptools
 
 from cranberrymux.node.http import bad_message
 from cranberrymux.node.http import framing_meter
+from cranberrymux.node.http import header_reader
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import request_head
@@ -33,7 +34,7 @@
     """Feeds a parser and tells a listener of what it reads.
 
     Attributes:
-        headers: Headers of the request that is read or was read last.
+        on_header: Callback of the parser for each header and trailer.
         is_reading_head: True if part of a request has been read, but not its
             whole head.
     """
@@ -49,6 +50,10 @@
         """
         self._limits = message_limits
         self._listener = listener
+        self._header_reader = header_reader.HeaderReader(
+            message_limits.header_bytes, message_limits.header_count
+        )
+        self.on_header = self._header_reader.add
         self._parser = httptools.HttpRequestParser(self)
         self._meter = framing_meter.FramingMeter(
             message_limits.header_bytes
@@ -56,19 +61,25 @@
             + FRAMING_SLACK_BYTES
         )
         self._target = b""
-        self._header_bytes = 0
-        self._header_count = 0
         self._body_bytes = 0
         self._bad: bad_message.BadMessage | None = None
-        self.headers: headers.HeaderList = []
+        self._headers = headers.Headers([])
         self.is_reading_head = False
 
+    @property
+    def headers(self) -> headers.Headers:
+        """Headers of the request that is read or was read last."""
+        if self.is_reading_head:
+            return self._header_reader.take()
+        return self._headers
+
     def feed(self, data: bytes) -> bad_message.BadMessage | None:
         """Parses data; returns what is wrong with it, after which it is over.
 
         Args:
             data: The next bytes of the connection.
         """
+        self._header_reader.note_read(len(data))
         try:
             self._feed_all(data)
         except httptools.HttpParserCallbackError:
@@ -79,8 +90,9 @@
             return self._bad
         except httptools.HttpParserError as error:
             return bad_message.BadMessage(400, str(error))
-        self._meter.note_read(len(data))
-        if self._meter.is_exceeded:
+        if self._header_reader.is_exceeded:
+            return self._describe_excess()
+        if self._meter.note_read(len(data)):
             status = 431 if self.is_reading_head else 400
             detail = "too many bytes without any of the body"
             return bad_message.BadMessage(status, detail)
@@ -91,52 +103,43 @@
     def on_message_begin(self) -> None:
         """Prepares for the head of the next request."""
         self._target = b""
-        self._header_bytes = 0
-        self._header_count = 0
+        self._header_reader.begin()
         self._body_bytes = 0
-        self.headers = []
         self.is_reading_head = True
 
     def on_url(self, part: bytes) -> None:
         """Collects a part of the request target and checks its length."""
         self._target += part
         if len(self._target) > self._limits.target_bytes:
-            self._fail(414, f"target over {self._limits.target_bytes} bytes")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header and checks the limits, also on trailers."""
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > self._limits.header_bytes:
-            self._fail(431, f"headers over {self._limits.header_bytes} bytes")
-        if self._header_count >= self._limits.header_count:
-            self._fail(431, f"over {self._limits.header_count} headers")
-        self._header_count += 1
-        if self.is_reading_head:
-            self.headers.append(headers.normalize(name, value))
+            detail = f"target over {self._limits.target_bytes} bytes"
+            self._fail(bad_message.BadMessage(414, detail))
 
     def on_headers_complete(self) -> None:
         """Checks the head and passes it on."""
+        if self._header_reader.is_exceeded:
+            self._fail(self._describe_excess())
+        self._headers = self._header_reader.take()
         self.is_reading_head = False
         head = request_head_reader.read_head(
-            self._parser, self._target, self.headers, self._limits
+            self._parser, self._target, self._headers, self._limits
         )
         if isinstance(head, bad_message.BadMessage):
-            self._fail(head.status, head.detail)
-        expectation = headers.find(self.headers, b"expect")
-        if expectation is not None and expectation.lower() != b"100-continue":
-            self._fail(417, "only 100-continue can be expected")
-        self._listener.head_read(cast(request_head.RequestHead, head))
+            self._fail(head)
+        self._listener.head_read(head)
 
     def on_body(self, part: bytes) -> None:
         """Passes on a part of the body."""
         self._meter.note_body(len(part))
         self._body_bytes += len(part)
         if self._body_bytes > self._limits.body_bytes:
-            self._fail(413, f"body over {self._limits.body_bytes} bytes")
+            detail = f"body over {self._limits.body_bytes} bytes"
+            self._fail(bad_message.BadMessage(413, detail))
         self._listener.body_read(part)
 
     def on_message_complete(self) -> None:
         """Ends the request."""
+        if self._header_reader.is_exceeded:
+            self._fail(self._describe_excess())
         self._meter.end()
         self._listener.request_read()
 
@@ -151,7 +154,14 @@
             else:
                 return
 
-    def _fail(self, status: int, detail: str) -> None:
+    def _describe_excess(self) -> bad_message.BadMessage:
+        """Returns which limit headers and trailers exceed."""
+        detail = f"headers over {self._limits.header_bytes} bytes"
+        if self._header_reader.has_too_many:
+            detail = f"over {self._limits.header_count} headers"
+        return bad_message.BadMessage(431, detail)
+
+    def _fail(self, bad: bad_message.BadMessage) -> NoReturn:
         """Stops the parser, whose caller then returns the reason."""
-        self._bad = bad_message.BadMessage(status, detail)
-        raise ValueError(detail)
+        self._bad = bad
+        raise ValueError(bad.detail)
