--- a/src/cranberrymux/node/http/call_pipeline.py
+++ b/src/cranberrymux/node/http/call_pipeline.py
@@ -117,11 +117,8 @@
         ):
             self.call.on_send_buffer_full()
 
-    def call_answered(
-        self, call: inbound_call.InboundCall, keep_alive: bool
-    ) -> None:
+    def call_answered(self, keep_alive: bool) -> None:
         """Notes that the answer is complete."""
-        del call  # A turn has one call.
         self._note_end(_End.KEEP if keep_alive else _End.CLOSE)
 
     def abort(self) -> None:
@@ -154,7 +151,11 @@
 
 
 class CallPipeline:
-    """The calls of one connection that have not been answered, in order."""
+    """The calls of one connection that have not been answered, in order.
+
+    Attributes:
+        waiting: Number of calls that were read and wait to be handled.
+    """
 
     def __init__(
         self,
@@ -178,6 +179,7 @@
         self._may_run_ahead = may_run_ahead
         self._turns: collections.deque[_Turn] = collections.deque()
         self._is_closed = False
+        self.waiting = 0
 
     @property
     def is_empty(self) -> bool:
@@ -189,13 +191,6 @@
         """True if a call is handled or waits to be."""
         return bool(self._turns) and self._turns[0].is_ready
 
-    @property
-    def is_waiting(self) -> bool:
-        """True if a call that was read waits to be handled."""
-        return any(
-            turn.is_ready and not turn.is_started for turn in self._turns
-        )
-
     @property
     def first(self) -> inbound_call.InboundCall | None:
         """The call whose answer is sent now or next; None without calls."""
@@ -226,11 +221,13 @@
         for turn in self._turns:
             if turn.call is call:
                 turn.is_ready = True
+                self.waiting += 1
         self._start_ready()
 
     def discard_last(self) -> None:
         """Removes the call that is being read, which was found to be bad."""
-        self._turns.pop()
+        turn = self._turns.pop()
+        self.waiting -= turn.is_ready and not turn.is_started
 
     def close(self) -> None:
         """Starts and sends nothing more."""
@@ -241,6 +238,7 @@
         self._is_closed = True
         turns = list(self._turns)
         self._turns.clear()
+        self.waiting = 0
         for turn in turns:
             turn.call.client_disconnected()
 
@@ -249,7 +247,9 @@
         if self._is_closed:
             return
         while self._turns and self._turns[0].end is not _End.PENDING:
-            end = self._turns.popleft().end
+            turn = self._turns.popleft()
+            self.waiting -= turn.is_ready and not turn.is_started
+            end = turn.end
             if end is _End.ABORT:
                 self._owner.abort()
                 return
@@ -269,8 +269,9 @@
         return any(turn.is_started for turn in self._turns)
 
     def _start_ready(self) -> None:
-        while (turn := self._find_next()) is not None:
+        while self.waiting and (turn := self._find_next()) is not None:
             turn.is_started = True
+            self.waiting -= 1
             self._handler.handle_call(turn.call)
 
     def _find_next(self) -> _Turn | None:
--- a/src/cranberrymux/node/http/correlation.py
+++ b/src/cranberrymux/node/http/correlation.py
@@ -25,7 +25,7 @@
     )
 
 
-def find_header(received: headers.HeaderList) -> headers.HeaderList:
+def find_header(received: headers.Headers) -> headers.HeaderList:
     """Returns the header with which an answer repeats a request's id.
 
     Args:
@@ -34,5 +34,5 @@
     Returns:
         At most one header; none if the request has no correlation id.
     """
-    value = headers.find(received, HEADER)
+    value = received.first.get(HEADER)
     return [] if value is None else [(HEADER, value)]
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -46,11 +46,10 @@
     def send(self, data: bytes) -> None:
         """Writes bytes to the client."""
 
-    def call_answered(self, call: "InboundCall", keep_alive: bool) -> None:
-        """Notes that the answer to a call is complete.
+    def call_answered(self, keep_alive: bool) -> None:
+        """Notes that the answer is complete.
 
         Args:
-            call: The call that was answered.
             keep_alive: False if the connection must close now.
         """
 
@@ -72,6 +71,9 @@
 
     Attributes:
         head: Request line and headers.
+        is_body_complete: True if the whole body has been read.
+        is_head_sent: True once the head of the final (not 1xx) answer was
+            sent.
         on_cancel: Called once if the client disconnects before the answer is
             complete.
         on_send_buffer_drained: Called when the client has taken what was
@@ -98,19 +100,14 @@
         self._connection = connection
         self._parts: list[bytes] = []
         self._body_length = 0
-        self._is_body_complete = False
+        self.is_body_complete = False
+        self.is_head_sent = False
         self._sink: body_sink.BodySink | None = None
         self._is_chunked_answer = False
-        self._is_head_sent = False
         self._is_close_announced = False
         self._is_answered = False
         self._is_client_disconnected = False
 
-    @property
-    def is_body_complete(self) -> bool:
-        """True if the whole body has been read."""
-        return self._is_body_complete
-
     @property
     def body_length(self) -> int:
         """Length in bytes of the body read so far."""
@@ -121,15 +118,10 @@
         """True once the answer has ended: sent, aborted or not wanted."""
         return self._is_answered
 
-    @property
-    def is_head_sent(self) -> bool:
-        """True once the head of the final (not 1xx) answer was sent."""
-        return self._is_head_sent
-
     @property
     def is_ended_by_close(self) -> bool:
         """True while an answer is sent that only an orderly close ends."""
-        is_sending = self._is_head_sent and not self._is_answered
+        is_sending = self.is_head_sent and not self._is_answered
         return is_sending and self._is_unframed
 
     def buffered_body(self) -> bytes:
@@ -146,7 +138,7 @@
 
     def complete_body(self) -> None:
         """Notes that the whole body was read."""
-        self._is_body_complete = True
+        self.is_body_complete = True
         if self._sink is not None:
             self._sink.body_complete()
 
@@ -161,7 +153,7 @@
         self._parts = []
         for part in parts:
             sink.body_part(part)
-        if self._is_body_complete:
+        if self.is_body_complete:
             sink.body_complete()
 
     def pause_body(self) -> None:
@@ -179,7 +171,7 @@
             status: Status code from 100 to 199.
             extra: Headers of the 1xx answer.
         """
-        if self._is_answered or self._is_head_sent or self.head.is_http_1_0:
+        if self._is_answered or self.is_head_sent or self.head.is_http_1_0:
             return
         line = b"HTTP/1.1 %d Interim\r\n" % status
         self._connection.send(line + headers.encode(extra) + b"\r\n")
@@ -196,15 +188,15 @@
         """
         if self._is_answered:
             return
-        head = answer_head.AnswerHead(
+        data = self._encode_head(
             status, answer_headers, body_mode.BodyMode.SIZED, len(body)
         )
-        data = self._encode_head(head)
         if self.head.method != b"HEAD":
             data += body
-        self._is_head_sent = True
+        self.is_head_sent = True
         self._connection.send(data)
-        self.finish()
+        self._mark_ended()
+        self._connection.call_answered(not self._is_close_announced)
 
     def start_answer(self, head: answer_head.AnswerHead) -> None:
         """Sends the head of an answer whose body follows in parts.
@@ -215,8 +207,8 @@
         if self._is_answered:
             return
         self._is_chunked_answer = head.mode is body_mode.BodyMode.CHUNKED
-        self._is_head_sent = True
-        self._connection.send(self._encode_head(head))
+        self.is_head_sent = True
+        self._connection.send(self._encode_head(*head))
 
     def send_body(self, part: bytes) -> None:
         """Sends a part of the answer's body, framed as `start_answer` said."""
@@ -238,9 +230,7 @@
             self._connection.send(b"0\r\n\r\n")
         self._mark_ended()
         keep_alive = self._may_stay_open and not self._is_close_announced
-        self._connection.call_answered(
-            self, keep_alive and not self._is_unframed
-        )
+        self._connection.call_answered(keep_alive and not self._is_unframed)
 
     def abort(self) -> None:
         """Aborts the connection, so that the client sees no complete answer."""
@@ -254,7 +244,7 @@
         if self._is_client_disconnected:
             return
         self._is_client_disconnected = True
-        if not self._is_body_complete and self._sink is not None:
+        if not self.is_body_complete and self._sink is not None:
             self._sink.body_aborted()
         if self._is_answered:
             return
@@ -273,23 +263,30 @@
 
     @property
     def _may_stay_open(self) -> bool:
-        is_read = self.head.keep_alive and self._is_body_complete
+        is_read = self.head.keep_alive and self.is_body_complete
         return is_read and not self._connection.is_draining
 
-    def _encode_head(self, head: answer_head.AnswerHead) -> bytes:
-        line = _STATUS_LINES.get(head.status)
+    def _encode_head(
+        self,
+        status: int,
+        answer_headers: headers.HeaderList,
+        mode: body_mode.BodyMode,
+        content_length: int,
+    ) -> bytes:
+        line = _STATUS_LINES.get(status)
         if line is None:
-            line = b"HTTP/1.1 %d Status\r\n" % head.status
-        data = line + headers.encode(head.headers)
-        data += headers.encode(correlation.find_header(self.head.headers))
-        if head.mode is body_mode.BodyMode.CHUNKED:
+            line = b"HTTP/1.1 %d Status\r\n" % status
+        data = line + headers.encode(
+            answer_headers + correlation.find_header(self.head.headers)
+        )
+        if mode is body_mode.BodyMode.CHUNKED:
             if not self.head.is_http_1_0:
                 data += b"transfer-encoding: chunked\r\n"
         elif (
-            head.mode is body_mode.BodyMode.SIZED
-            and head.status not in _BODYLESS_STATUSES
+            mode is body_mode.BodyMode.SIZED
+            and status not in _BODYLESS_STATUSES
         ):
-            data += b"content-length: %d\r\n" % head.content_length
+            data += b"content-length: %d\r\n" % content_length
         if not self._may_stay_open:
             self._is_close_announced = True
             data += b"connection: close\r\n"
--- a/src/cranberrymux/node/http/prompt_writer.py
+++ b/src/cranberrymux/node/http/prompt_writer.py
@@ -14,7 +14,11 @@
         transport: A `twisted.internet.tcp` transport.
         data: Bytes to send after those already buffered.
     """
-    if has_unsent(transport) or not transport.connected:
+    if (
+        transport.dataBuffer
+        or transport._tempDataBuffer
+        or not transport.connected
+    ):
         transport.write(data)
         return
     sent = transport.writeSomeData(data)
--- a/src/cranberrymux/node/http/rejection.py
+++ b/src/cranberrymux/node/http/rejection.py
@@ -15,7 +15,7 @@
 def encode(
     bad: bad_message.BadMessage,
     kind: answer_kind.AnswerKind,
-    received: headers.HeaderList,
+    received: headers.Headers,
 ) -> bytes:
     """Encodes a whole answer, after which the connection must be closed.
 
--- a/src/cranberrymux/node/http/request_head.py
+++ b/src/cranberrymux/node/http/request_head.py
@@ -12,8 +12,7 @@
     Attributes:
         method: Method in upper case.
         target: Request target as received, not decoded.
-        headers: Name and value pairs in the order received; names in lower
-            case.
+        headers: Headers in the order received.
         mode: How the end of the body is found; never `UNTIL_CLOSE`.
         content_length: Length in bytes of a `SIZED` body, else 0.
         keep_alive: True if the client lets the connection stay open after the
@@ -24,7 +23,7 @@
 
     method: bytes
     target: bytes
-    headers: headers.HeaderList
+    headers: headers.Headers
     mode: body_mode.BodyMode
     content_length: int
     keep_alive: bool
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -11,7 +11,6 @@
 from cranberrymux.node.http import bad_message
 from cranberrymux.node.http import call_handler
 from cranberrymux.node.http import call_pipeline
-from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import prompt_writer
@@ -20,6 +19,7 @@
 from cranberrymux.node.http import request_reader
 
 _END_OF_HEAD = b"\r\n\r\n"
+_END_OF_HEAD_BYTES = len(_END_OF_HEAD)
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -95,8 +95,7 @@
         call = self._pipeline.add(head)
         self._being_read = call
         self._dispatched = None
-        is_expecting = headers.find(head.headers, b"expect") is not None
-        if is_expecting and self._pipeline.first is call:
+        if b"expect" in head.headers.first and self._pipeline.first is call:
             call.send_interim(100, [])
 
     def body_read(self, part: bytes) -> None:
@@ -117,8 +116,9 @@
         self._being_read = None
         if call is None:
             return
-        # Nobody resumes a body that has no more bytes to come.
-        self.resume_body()
+        if self._is_body_paused:
+            # Nobody resumes a body that has no more bytes to come.
+            self.resume_body()
         call.complete_body()
         if self._dispatched is not call:
             self._dispatch(call)
@@ -150,7 +150,8 @@
         """Parses what was held back, and answers a bad request."""
         if self._rejected is not None and self._pipeline.is_empty:
             self._send_rejection()
-        self._parse()
+        if self._unparsed or self._is_paused:
+            self._parse()
 
     def abort(self) -> None:
         """Closes at once, which leaves the answer truncated."""
@@ -203,7 +204,7 @@
             return
         self._is_parsing = True
         try:
-            while self._unparsed and not self._pipeline.is_waiting:
+            while self._unparsed and not self._pipeline.waiting:
                 if self._is_closing or self._rejected is not None:
                     self._unparsed = b""
                     break
@@ -221,16 +222,19 @@
         a time.
         """
         end = self._unparsed.find(_END_OF_HEAD)
-        size = len(self._unparsed) if end < 0 else end + len(_END_OF_HEAD)
-        part = self._unparsed[:size]
-        self._unparsed = self._unparsed[size:]
+        part = self._unparsed
+        self._unparsed = b""
+        if end >= 0:
+            self._unparsed = part[end + _END_OF_HEAD_BYTES :]
+            part = part[: end + _END_OF_HEAD_BYTES]
         return part
 
     def _dispatch(self, call: inbound_call.InboundCall) -> None:
         """Lets a call be handled when its turn comes."""
         self._dispatched = call
         self._pipeline.set_ready(call)
-        self._update_reading()
+        if self._pipeline.waiting:
+            self._update_reading()
 
     def _stop_taking_calls(self) -> None:
         """Ignores what the parser still reads from the data at hand."""
@@ -268,7 +272,7 @@
         self.close()
 
     def _update_reading(self) -> None:
-        paused = self._is_body_paused or self._pipeline.is_waiting
+        paused = self._is_body_paused or self._pipeline.waiting > 0
         if paused == self._is_paused or self._is_closing:
             return
         self._is_paused = paused
