Check the limits of an answer only where something new was read

Headers are checked at the end of the head, and later only if there are trailers. Reading resumes, and leases and bytes behind an answer are looked for, only if there may be any.

--- a/src/cranberrymux/gateway/attempt.py
+++ b/src/cranberrymux/gateway/attempt.py
@@ -120,10 +120,11 @@
         owner.attempt_sent()
         request = self._request
         is_head = request.method == b"HEAD"
+        is_whole = request.call.is_body_complete
         connection.send_request(
-            request.encode(), request.is_whole, is_head, self, self._identity
+            request.encode(), is_whole, is_head, self, self._identity
         )
-        if not request.is_whole:
+        if not is_whole:
             request.call.stream_body_to(self)
 
     def _handle_connect_failed(self, loss: lost_answer.LostAnswer) -> None:
--- a/src/cranberrymux/gateway/outgoing_request.py
+++ b/src/cranberrymux/gateway/outgoing_request.py
@@ -22,16 +22,12 @@
     headers: headers_module.HeaderList
     call: inbound_call.InboundCall
 
-    @property
-    def is_whole(self) -> bool:
-        """True if the whole body has been read."""
-        return self.call.is_body_complete
-
     @property
     def is_chunked(self) -> bool:
         """True if the body is still arriving and is sent in chunks."""
         mode = self.call.head.mode
-        return not self.is_whole and mode is body_mode.BodyMode.CHUNKED
+        is_whole = self.call.is_body_complete
+        return not is_whole and mode is body_mode.BodyMode.CHUNKED
 
     def encode(self) -> bytes:
         """Encodes the head, and the body if all of it has been read."""
@@ -41,12 +37,13 @@
             self.target,
             header_lines,
         )
-        if self.is_chunked:
-            return head + b"transfer-encoding: chunked\r\n\r\n"
-        if not self.is_whole:
-            length = self.call.head.content_length
+        call = self.call
+        if not call.is_body_complete:
+            if call.head.mode is body_mode.BodyMode.CHUNKED:
+                return head + b"transfer-encoding: chunked\r\n\r\n"
+            length = call.head.content_length
             return head + b"content-length: %d\r\n\r\n" % length
-        body = self.call.buffered_body()
+        body = call.buffered_body()
         if body or self.method in (b"POST", b"PUT", b"PATCH"):
             return head + b"content-length: %d\r\n\r\n%b" % (len(body), body)
         return head + b"\r\n"
--- a/src/cranberrymux/node/http/answer_budget.py
+++ b/src/cranberrymux/node/http/answer_budget.py
@@ -40,7 +40,7 @@
 
     def check_headers(self) -> str:
         """Checks the headers and trailers read so far."""
-        if not self.headers.is_exceeded:
+        if not self.headers.pairs or not self.headers.is_exceeded:
             return ""
         if self.headers.has_too_many:
             return f"over {self._limits.header_count} headers"
@@ -71,4 +71,4 @@
         """Counts a read, after what it has brought was counted."""
         if self._meter.note_read(size):
             return "too many bytes without any of the body"
-        return self.check_headers()
+        return self.check_headers() if self.headers.pairs else ""
--- a/src/cranberrymux/node/http/answer_framing.py
+++ b/src/cranberrymux/node/http/answer_framing.py
@@ -18,17 +18,17 @@
 
 
 def make_head(
-    status: int, headers: headers_module.HeaderList, *, is_head_request: bool
+    status: int, headers: headers_module.Headers, *, is_head_request: bool
 ) -> answer_head.AnswerHead:
     """Returns the head of an answer with the framing of its body.
 
     Args:
         status: Status code.
-        headers: Headers of the answer, names in lower case.
+        headers: Headers of the answer.
         is_head_request: True if it answers a HEAD, so that no body follows.
     """
-    length = headers_module.find(headers, b"content-length")
-    is_chunked = headers_module.find(headers, b"transfer-encoding") is not None
+    length = headers.first.get(b"content-length")
+    is_chunked = b"transfer-encoding" in headers.first
     mode = body_mode.BodyMode.UNTIL_CLOSE
     size = 0
     if is_chunked:
--- a/src/cranberrymux/node/http/answer_matcher.py
+++ b/src/cranberrymux/node/http/answer_matcher.py
@@ -47,12 +47,12 @@
         return identity is not None and hash(identity.value) in self._sent_ids
 
     def find_mismatch(
-        self, headers: headers_module.HeaderList
+        self, headers: headers_module.Headers
     ) -> unexpected_answer.UnexpectedAnswer | None:
         """Returns why an answer is not the expected one; None if it is."""
         if self._identity is None:
             return None
-        answer_id = headers_module.find(headers, self._identity.header)
+        answer_id = headers.first.get(self._identity.header)
         if answer_id is None:
             if not self._identity.is_required and not self._has_read_id:
                 return None
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -225,16 +225,19 @@
         """Prepares for an answer; aborts if no request is pending."""
         self._budget.begin_answer()
         self._is_filtered_out = False
-        self._cancel_behind_answer()
+        if self._sink is None:
+            self._cancel_behind_answer()
 
     def on_headers_complete(self) -> None:
         """Passes the head to the sink, unless it answers another request."""
-        if self._budget.headers.is_exceeded:
-            self._end_excess(self._budget.check_headers())
+        if exceeded := self._budget.check_headers():
+            self._end_excess(exceeded)
         self._headers = self._budget.headers.take()
-        keep_alive_value = self._headers.first.get(b"keep-alive")
-        if keep_alive_value is not None:
-            self._reuse_time_s = keep_alive.parse_reuse_time_s(keep_alive_value)
+        first = self._headers.first
+        if b"keep-alive" in first:
+            self._reuse_time_s = keep_alive.parse_reuse_time_s(
+                first[b"keep-alive"]
+            )
         sink = self._sink
         if sink is None:
             return
@@ -251,7 +254,10 @@
             self._report(mismatch)
             self._check_end_can_be_found(status)
             return
-        if not answer_framing.has_plain_coding(self._headers):
+        if (
+            b"transfer-encoding" in first
+            and not answer_framing.has_plain_coding(self._headers)
+        ):
             self._fail(
                 lost_answer.LossReason.NOT_VALID,
                 "the answer has a transfer coding other than chunked",
@@ -280,14 +286,17 @@
             self._end_excess(exceeded)
         if is_discarded:
             return
-        self._cancel_behind_answer()
-        if self._sink is not None and self._is_answer_started:
+        if self._sink is None:
+            self._cancel_behind_answer()
+        elif self._is_answer_started:
             self._sink.answer_part(part)
 
     def on_message_complete(self) -> None:
         """Ends the answer, unless it was filtered out or was a 1xx answer."""
-        if self._budget.headers.is_exceeded:
-            self._end_excess(self._budget.check_headers())
+        if self._budget.headers.pairs and (
+            exceeded := self._budget.check_headers()
+        ):
+            self._end_excess(exceeded)
         if self._is_filtered_out:
             self._is_filtered_out = False
             return
@@ -381,8 +390,9 @@
             self.cancel()
 
     def _notify_idle(self) -> None:
-        # The caller that paused may take the last part of its answer later.
-        self.resume_answer()
+        if self._is_paused:
+            # The caller that paused may take the last part of its answer later.
+            self.resume_answer()
         if self.on_idle is not None:
             self.on_idle(self)
 
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -183,10 +183,11 @@
             connection: An open connection without a pending request; closed
                 if the pool is closed.
         """
-        lease = self._pop_waiting(address, connection)
-        if lease is not None:
-            lease.on_ready(connection)
-            return
+        if self._waiting.get(address):
+            lease = self._pop_waiting(address, connection)
+            if lease is not None:
+                lease.on_ready(connection)
+                return
         if self._is_closed:
             connection.close()
             return
--- a/src/cranberrymux/node/http/framing_meter.py
+++ b/src/cranberrymux/node/http/framing_meter.py
@@ -35,7 +35,10 @@
 
     def end(self) -> None:
         """Notes that the present read holds the end of a message."""
-        self.begin()
+        self._framing_bytes = 0
+        self._silent_bytes = 0
+        self._body_bytes = 0
+        self._new_body_bytes = 0
         self._has_ended = True
 
     def note_body(self, size: int) -> None:
@@ -55,7 +58,8 @@
         new_body_bytes = self._new_body_bytes
         self._new_body_bytes = 0
         self._body_bytes += new_body_bytes
-        self._framing_bytes += max(size - new_body_bytes, 0)
+        if size > new_body_bytes:
+            self._framing_bytes += size - new_body_bytes
         if new_body_bytes:
             self._silent_bytes = 0
         else:
--- a/src/cranberrymux/node/http/header_reader.py
+++ b/src/cranberrymux/node/http/header_reader.py
@@ -10,7 +10,7 @@
     one read has brought, and the bytes counted only if they may be too many.
 
     Attributes:
-        add: Adds a header or trailer as it was read.
+        pairs: Headers, or after `take` trailers, read so far.
     """
 
     def __init__(self, maximum_bytes: int, maximum_count: int) -> None:
@@ -22,7 +22,8 @@
         """
         self._maximum_bytes = maximum_bytes
         self._maximum_count = maximum_count
-        self._pairs: headers.HeaderList = []
+        self.pairs: headers.HeaderList = []
+        self._taken: headers.HeaderList = []
         self._message_bytes = 0
         self._read_bytes = 0
 
@@ -33,26 +34,30 @@
 
     def begin(self) -> None:
         """Starts the next message, within the present read."""
-        self._pairs = []
+        self.pairs = []
+        self._taken = []
         self._message_bytes = self._read_bytes
 
     def add(self, name: bytes, value: bytes) -> None:
         """Adds a header or trailer as it was read."""
-        self._pairs.append((name, value))
+        self.pairs.append((name, value))
 
     def take(self) -> headers.Headers:
-        """Returns the headers read so far."""
-        return headers.Headers(self._pairs)
+        """Returns the headers, at the end of the head."""
+        self._taken = self.pairs
+        self.pairs = []
+        return headers.Headers(self._taken)
 
     @property
     def has_too_many(self) -> bool:
         """True if there are more headers and trailers than allowed."""
-        return len(self._pairs) > self._maximum_count
+        return len(self._taken) + len(self.pairs) > self._maximum_count
 
     @property
     def is_exceeded(self) -> bool:
         """True if there are too many or they are too long."""
         if self._message_bytes <= self._maximum_bytes:
             return self.has_too_many
-        size = sum(len(name) + len(value) for name, value in self._pairs)
+        pairs = self._taken + self.pairs
+        size = sum(len(name) + len(value) for name, value in pairs)
         return size > self._maximum_bytes or self.has_too_many
--- a/src/cranberrymux/node/http/idle_connections.py
+++ b/src/cranberrymux/node/http/idle_connections.py
@@ -45,8 +45,8 @@
         self._by_address.setdefault(address, []).append(connection)
         self._since[connection] = (address, now_s)
         while self._since:
-            oldest, (_, since_s) = next(iter(self._since.items()))
-            is_expired = now_s - since_s > IDLE_LIFETIME_S
+            oldest = next(iter(self._since))
+            is_expired = now_s - self._since[oldest][1] > IDLE_LIFETIME_S
             if not is_expired and len(self._since) <= MAXIMUM_IDLE:
                 return
             self.remove(oldest)
@@ -69,10 +69,11 @@
             now_s: Monotonic seconds.
         """
         for connection in reversed(self._by_address.get(address, [])[:]):
-            if connection.is_usable and connection.has_sent(identity):
+            is_usable = connection.is_usable
+            if is_usable and connection.has_sent(identity):
                 continue
             self.remove(connection)
-            if not connection.is_usable:
+            if not is_usable:
                 continue
             if now_s >= connection.reusable_until_s:
                 connection.close()
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -70,7 +70,7 @@
     def headers(self) -> headers.Headers:
         """Headers of the request that is read or was read last."""
         if self.is_reading_head:
-            return self._header_reader.take()
+            return headers.Headers(self._header_reader.pairs)
         return self._headers
 
     def feed(self, data: bytes) -> bad_message.BadMessage | None:
@@ -90,7 +90,7 @@
             return self._bad
         except httptools.HttpParserError as error:
             return bad_message.BadMessage(400, str(error))
-        if self._header_reader.is_exceeded:
+        if self._header_reader.pairs and self._header_reader.is_exceeded:
             return self._describe_excess()
         if self._meter.note_read(len(data)):
             status = 431 if self.is_reading_head else 400
@@ -138,7 +138,7 @@
 
     def on_message_complete(self) -> None:
         """Ends the request."""
-        if self._header_reader.is_exceeded:
+        if self._header_reader.pairs and self._header_reader.is_exceeded:
             self._fail(self._describe_excess())
         self._meter.end()
         self._listener.request_read()
--- a/tests/node/test_headers.py
+++ b/tests/node/test_headers.py
@@ -66,3 +66,16 @@
         reader.begin()
         assert not reader.is_exceeded
         assert reader.take() == []
+
+    def test_counts_trailers_with_the_headers_before_them(self):
+        """Guards against trailers without end."""
+        reader = header_reader.HeaderReader(10, 2)
+        reader.note_read(100)
+        reader.begin()
+        reader.add(b"a", b"1")
+        assert reader.take() == [(b"a", b"1")]
+        assert not reader.pairs
+        reader.add(b"b", b"2")
+        assert not reader.is_exceeded
+        reader.add(b"c", b"3")
+        assert reader.is_exceeded and reader.has_too_many
