Filter headers for forwarding in one pass

Hop-by-hop headers, those between nodes and those that are set anew were removed one kind after the other, each with a list of its own.

--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -84,13 +84,7 @@
             self._refuse_key(call, identity.verdict)
             return
         account = identity.account
-        headers = [
-            header
-            for header in hop.remove_node_headers(
-                headers_module.forwardable(call.head.headers)
-            )
-            if header[0] not in self._replaced_names
-        ]
+        headers = hop.get_forwardable(call.head.headers, self._replaced_names)
         headers.append((dialect.request_id, request_id))
         headers.append(self._caller_header)
         if account is not None:
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -168,9 +168,7 @@
         is_failed_by_call: bool,
     ) -> headers_module.HeaderList:
         """Returns the headers of an answer, with what this node reports."""
-        headers = hop.remove_node_headers(
-            headers_module.forwardable(head.headers)
-        )
+        headers = hop.get_forwardable(head.headers)
         headers.append((hop.LOAD, self._owner.work.encode_load()))
         headers += self._owner.limit.encode()
         if report:
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -112,13 +112,7 @@
         left_s = self.deadline_s - now_s
         head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
-        headers = [
-            header
-            for header in hop.remove_node_headers(
-                headers_module.forwardable(head.headers)
-            )
-            if header[0] not in replaced
-        ]
+        headers = hop.get_forwardable(head.headers, replaced)
         left_ms = max(hop.shorten_deadline_ms(left_s), 1)
         headers.append((dialect.deadline_ms, b"%d" % left_ms))
         self._owner.work.start_run(self, now_s + left_ms / 1000)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -1,5 +1,6 @@
 """Headers between nodes; removed from what clients and servers get."""
 
+from collections.abc import Container
 import math
 from typing import NamedTuple
 from urllib import parse
@@ -10,6 +11,7 @@
 from cranberrymux.node.http import headers as headers_module
 
 PREFIX = b"cranberrymux-"
+_PREFIX_BYTES = len(PREFIX)
 # On requests: id of the backend server that the sender chose.
 TARGET = b"cranberrymux-target"
 # On requests: name of the route.
@@ -215,8 +217,21 @@
     return whole_number.decode(headers_module.find(headers, LEAVING))
 
 
-def remove_node_headers(
-    headers: headers_module.HeaderList,
+def get_forwardable(
+    headers: headers_module.HeaderList, replaced: Container[bytes] = ()
 ) -> headers_module.HeaderList:
-    """Returns the headers without those between nodes."""
-    return [one for one in headers if not one[0].startswith(PREFIX)]
+    """Returns the headers that clients and backend servers get.
+
+    Args:
+        headers: Headers with names in lower case.
+        replaced: Names of those left out besides the headers between nodes
+            and the hop-by-hop ones.
+    """
+    dropped = headers_module.find_hop_by_hop(headers)
+    return [
+        pair
+        for pair in headers
+        if pair[0] not in dropped
+        and pair[0] not in replaced
+        and pair[0][:_PREFIX_BYTES] != PREFIX
+    ]
--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -40,4 +40,4 @@
     head: answer_head.AnswerHead,
 ) -> headers_module.HeaderList:
     """Returns the headers of the answer that the client gets."""
-    return hop.remove_node_headers(headers_module.forwardable(head.headers))
+    return hop.get_forwardable(head.headers)
--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -1,6 +1,5 @@
 """Lookup, encoding and hop-by-hop filtering of HTTP headers."""
 
-from collections.abc import Container
 from collections.abc import Iterable
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -99,27 +98,16 @@
     return b"".join([b"%b: %b\r\n" % (name, value) for name, value in headers])
 
 
-def forwardable(
-    headers: HeaderList, replaced: Container[bytes] = ()
-) -> HeaderList:
-    """Returns the headers without hop-by-hop ones.
+def find_hop_by_hop(headers: HeaderList) -> frozenset[bytes]:
+    """Returns the names of `HOP_BY_HOP` and those that `Connection` names."""
+    connection = find(headers, b"connection")
+    if connection is None or connection.lower() in (b"keep-alive", b"close"):
+        return HOP_BY_HOP
+    nominated = [part.strip().lower() for part in connection.split(b",")]
+    return HOP_BY_HOP.union(nominated)
 
-    Left out are those of `HOP_BY_HOP` and those that `Connection` names.
 
-    Args:
-        headers: Headers with names in lower case.
-        replaced: Names of other headers to leave out.
-    """
-    dropped: frozenset[bytes] = HOP_BY_HOP
-    connection = find(headers, b"connection")
-    if connection is not None and connection.lower() not in (
-        b"keep-alive",
-        b"close",
-    ):
-        nominated = [part.strip().lower() for part in connection.split(b",")]
-        dropped = HOP_BY_HOP.union(nominated)
-    return [
-        pair
-        for pair in headers
-        if pair[0] not in dropped and pair[0] not in replaced
-    ]
+def forwardable(headers: HeaderList) -> HeaderList:
+    """Returns the headers without hop-by-hop ones; see `find_hop_by_hop`."""
+    dropped = find_hop_by_hop(headers)
+    return [pair for pair in headers if pair[0] not in dropped]
