Compute the health and the rate limit of a backend server only when they change

Failure rate and slowness are compared with the thresholds of the log lines only if their latest values, which bound the decayed ones, exceed these. The clock is read once per event and passed on. An answer without signals leaves a report without a limit as it is.

--- a/src/cranberrymux/decisions/endpoints/slowness.py
+++ b/src/cranberrymux/decisions/endpoints/slowness.py
@@ -52,4 +52,10 @@
 
     def at(self, now_s: float) -> float:
         """Returns the ratio at `now_s`; 1.0 if as fast as usual or faster."""
-        return math.exp(max(0.0, self._excess.at(now_s)))
+        if self._excess.latest <= 0.0:
+            return 1.0
+        return math.exp(self._excess.at(now_s))
+
+    def may_exceed(self, ratio: float) -> bool:
+        """Returns False if the ratio stays below one until the next `note`."""
+        return self._excess.latest > math.log(ratio)
--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -72,6 +72,10 @@
         mean_s = self._hold_s.get(route, hold_s)
         self._hold_s[route] = mean_s + HOLD_TIME_WEIGHT * (hold_s - mean_s)
 
+    def is_due(self, now_s: float) -> bool:
+        """True if the window has ended, so that `roll` has an effect."""
+        return now_s - self._window_began_s >= WINDOW_S
+
     def reset(self) -> None:
         """Returns the share to 1.0, as the rate limit that lowered it ended."""
         self._share = 1.0
--- a/src/cranberrymux/decisions/rate_limits/known_rate_limit.py
+++ b/src/cranberrymux/decisions/rate_limits/known_rate_limit.py
@@ -11,31 +11,22 @@
 
 
 class KnownRateLimit:
-    """The rate limit in force for one process of a backend server."""
+    """The rate limit in force for one process of a backend server.
 
-    __slots__ = ("_named_at_s", "_per_s", "_since_s", "_source")
+    Attributes:
+        per_s: Requests a second; None without a limit.
+        since_s: Monotonic seconds of the last change; -inf before the first.
+        source: Where the limit is from; None before any information.
+    """
+
+    __slots__ = ("_named_at_s", "per_s", "since_s", "source")
 
     def __init__(self) -> None:
         """Starts without any information."""
-        self._per_s: float | None = None
-        self._since_s = -math.inf
+        self.per_s: float | None = None
+        self.since_s = -math.inf
         self._named_at_s = -math.inf
-        self._source: limit_source.LimitSource | None = None
-
-    @property
-    def per_s(self) -> float | None:
-        """Requests a second; None without a limit."""
-        return self._per_s
-
-    @property
-    def since_s(self) -> float:
-        """Monotonic seconds of the last change; -inf before the first."""
-        return self._since_s
-
-    @property
-    def source(self) -> limit_source.LimitSource | None:
-        """Where the limit is from; None before any information."""
-        return self._source
+        self.source: limit_source.LimitSource | None = None
 
     def note_answer(
         self,
@@ -56,9 +47,9 @@
             True if the limit changed.
         """
         is_stricter = per_s is not None and (
-            self._per_s is None or per_s < self._per_s
+            self.per_s is None or per_s < self.per_s
         )
-        is_other = per_s != self._per_s and not is_stricter
+        is_other = per_s != self.per_s and not is_stricter
         if is_other and sent_s < self._named_at_s:
             return False
         return self._apply(per_s, now_s, source)
@@ -72,11 +63,11 @@
         Returns:
             True if the limit changed.
         """
-        is_first = self._source is None
+        is_first = self.source is None
         is_lower = (
-            self._source is limit_source.LimitSource.SENDER
-            and self._per_s is not None
-            and per_s < self._per_s
+            self.source is limit_source.LimitSource.SENDER
+            and self.per_s is not None
+            and per_s < self.per_s
         )
         if not is_first and not is_lower:
             return False
@@ -88,11 +79,11 @@
         now_s: float,
         source: limit_source.LimitSource,
     ) -> bool:
-        is_changed = per_s != self._per_s
-        self._source = source
-        self._per_s = per_s
+        is_changed = per_s != self.per_s
+        self.source = source
+        self.per_s = per_s
         if per_s is not None:
             self._named_at_s = now_s
         if is_changed:
-            self._since_s = now_s
+            self.since_s = now_s
         return is_changed
--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -5,6 +5,7 @@
 from cranberrymux.decisions.endpoints import slowness
 from cranberrymux.decisions.endpoints import stall_detector
 from cranberrymux.decisions.presence import announcement
+from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import backend_process
 
@@ -35,12 +36,12 @@
 
         Failures that depended on a call to another service do not count.
         """
-        return self._failing.at(self._now_s)
+        return self._failing.at(self._parts.clock.now_s())
 
     @property
     def slowness(self) -> float:
         """Ratio of present to usual working times; at least 1.0."""
-        return self._slowness.at(self._now_s)
+        return self._slowness.at(self._parts.clock.now_s())
 
     def note_announcement(self, received: announcement.Announcement) -> None:
         """Counts an announcement as activity; resets for a new process."""
@@ -49,31 +50,47 @@
             self._process = received.process
             self._reset()
 
-    def admits(self) -> bool:
+    def get_report(self, now_s: float, requests: int) -> hop.LoadReport:
+        """Returns the load report on the backend server.
+
+        Args:
+            now_s: Monotonic seconds.
+            requests: Number of requests that run or wait.
+        """
+        return hop.LoadReport(
+            requests, self._failing.at(now_s), self._slowness.at(now_s)
+        )
+
+    def admits(self, now_s: float) -> bool:
         """True if a request may be sent: without a stall, or as a probe."""
-        self._update_stall()
-        return self._stall.admits(self._now_s)
+        self._update_stall(now_s)
+        return self._stall.admits(now_s)
 
     def note_outcome(self, is_failed: bool) -> None:
         """Counts the end of a request that did not fail because of a call."""
-        self._failing.note(self._now_s, is_failed)
+        self._failing.note(self._parts.clock.now_s(), is_failed)
 
     def note_work_time(
-        self, route: str, worked_s: float, outcome: run_outcome.RunOutcome
+        self,
+        now_s: float,
+        route: str,
+        worked_s: float,
+        outcome: run_outcome.RunOutcome,
     ) -> None:
         """Records the working time of a request that is about to free its slot.
 
         Args:
+            now_s: Monotonic seconds.
             route: Name of the request's route.
             worked_s: Seconds for which the request ran, without the time that
                 it waited for calls of its own.
             outcome: How the run ended.
         """
-        self._update_stall()
+        self._update_stall(now_s)
         if outcome is not _RunOutcome.UNANSWERED:
             self._stall.note_answer(worked_s)
         if outcome is _RunOutcome.SERVED:
-            self._slowness.note(self._now_s, route, worked_s)
+            self._slowness.note(now_s, route, worked_s)
 
     def describe(self) -> dict[str, float]:
         """Returns failure rate and slowness as fields of a log line."""
@@ -101,15 +118,17 @@
             **self.describe(),
         )
 
-    @property
-    def _now_s(self) -> float:
-        return self._parts.clock.now_s()
-
     def _reset(self) -> None:
         self._failing = failure_rate.FailureRate()
         self._slowness = slowness.Slowness()
         self._stall = stall_detector.StallDetector()
 
-    def _update_stall(self) -> None:
-        self._stall.update(self._now_s, self._parts.running_requests.working)
-        self.log_transitions()
+    def _update_stall(self, now_s: float) -> None:
+        self._stall.update(now_s, self._parts.running_requests.working)
+        if (
+            self._is_degraded
+            or self._stall.is_stalled
+            or self._failing.latest > DEGRADED_FAILURE_RATE
+            or self._slowness.may_exceed(DEGRADED_SLOWNESS)
+        ):
+            self.log_transitions()
--- a/src/cranberrymux/gateway/backend_self_report.py
+++ b/src/cranberrymux/gateway/backend_self_report.py
@@ -74,6 +74,11 @@
             request_id: Id of the request; empty for a health check.
             source: What the answer was to.
         """
+        known = self._known
+        if signals is backend_signals.NO_SIGNALS and (
+            known.per_s is None and known.source is _Source.ANSWER
+        ):
+            return  # As known before.
         if signals.leaving_error:
             self._log_invalid("leaving", signals.leaving_error)
         if signals.is_leaving and not self.is_leaving:
--- a/src/cranberrymux/gateway/backend_signals.py
+++ b/src/cranberrymux/gateway/backend_signals.py
@@ -41,10 +41,11 @@
         head: Head of an answer of the backend server.
         dialect: Names of the headers.
     """
+    first = headers_module.index(head.headers)
+    if dialect.rate_limit not in first and dialect.leaving not in first:
+        return NO_SIGNALS
     limits = headers_module.find_all(head.headers, dialect.rate_limit)
     leavings = headers_module.find_all(head.headers, dialect.leaving)
-    if not limits and not leavings:
-        return NO_SIGNALS
     rate_limit_error = ""
     rate_limit = rate_limit_value.parse(limits)
     if isinstance(rate_limit, rate_limit_value.RateLimitError):
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -23,7 +23,6 @@
 from cranberrymux.models import socket_address
 from cranberrymux.models import whole_number
 from cranberrymux.node.http import connection_pool
-from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
 QUEUE_INTERVAL_S = 0.02
@@ -124,10 +123,9 @@
         if self._peer_messages.handle(call):
             return
         now_s = self._parts.clock.now_s()
+        headers = call.head.headers
         name = self._parts.settings.dialect.deadline_ms
-        left_ms = whole_number.decode(
-            headers_module.find(call.head.headers, name)
-        )
+        left_ms = whole_number.decode(headers.first.get(name))
         left_s = (left_ms or 0) / 1000
         ticket_id = next(self._ticket_ids)
         hop_call = exit_call.ExitCall(
@@ -145,12 +143,12 @@
         if reason:
             hop_call.refuse(reason)
             return
-        if headers_module.find(call.head.headers, hop.RESENT) is None:
+        if hop.RESENT not in headers.first:
             self.work.pressure.note_arrival(
                 hop_call.route, hop_call.tree_context.share
             )
-        self.limit.note_request(call.head.headers, hop_call.request_id)
-        self.work.pressure.update(self.limit.per_s)
+        self.limit.note_request(headers, hop_call.request_id)
+        self.work.pressure.update(now_s, self.limit.per_s)
         self._calls[ticket_id] = hop_call
         if not self.suspects.hold(hop_call):
             self.offer_slot(ticket_id)
@@ -170,7 +168,8 @@
                 hop_call.deadline_s,
             ),
         )
-        self._refuse_waiting(self._scheduler.pop_evicted(), hop.FULL)
+        if evicted := self._scheduler.pop_evicted():
+            self._refuse_waiting(evicted, hop.FULL)
         if verdict is _Verdict.START:
             self._start_unless_quarantined(ticket_id)
         elif verdict is not _Verdict.WAIT:
@@ -223,10 +222,10 @@
         if not self._presence.is_serving(now_s):
             return hop.DRAINING
         current = self._presence.current
-        target = headers_module.find(call.head.headers, hop.TARGET)
+        target = call.head.headers.first.get(hop.TARGET)
         if current is None or target != current.backend_id.encode():
             return hop.OTHER_BACKEND
-        return b"" if self.work.health.admits() else hop.STALLED
+        return b"" if self.work.health.admits(now_s) else hop.STALLED
 
     def _is_end_planned(self) -> bool:
         current = self._presence.current
--- a/src/cranberrymux/gateway/exit_limit.py
+++ b/src/cranberrymux/gateway/exit_limit.py
@@ -69,9 +69,11 @@
         self._apply()
 
     def note_request(
-        self, headers: headers_module.HeaderList, request_id: bytes
+        self, headers: headers_module.Headers, request_id: bytes
     ) -> None:
         """Learns from a request whose sender knows the limit."""
+        if hop.KNOWN_RATE_LIMIT not in headers.first:
+            return
         per_s = hop.decode_rate_limit(headers, hop.KNOWN_RATE_LIMIT)
         if per_s is not None:
             self._self_report.note_sender(per_s, request_id)
@@ -96,12 +98,15 @@
             return
         signals = backend_signals.read(head, self._parts.settings.dialect)
         self._self_report.note_answer(signals, sent_s, request_id)
-        self._apply()
+        if signals is not backend_signals.NO_SIGNALS or (
+            self._scheduler.is_rate_limited
+        ):
+            self._apply()
 
     def encode(self) -> headers_module.HeaderList:
         """Encodes what the backend server says of itself, for answers."""
         report = self._self_report
-        headers = []
+        headers: headers_module.HeaderList = []
         if report.rate_limit_per_s is not None:
             per_s = hop.encode_rate_limit(report.rate_limit_per_s)
             headers.append((hop.RATE_LIMIT, per_s))
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -47,17 +47,19 @@
         self._meter.note_hold(route, hold_s)
         self._parts.metrics.hold_s.labels(route).observe(hold_s)
 
-    def update(self, limit_per_s: float | None) -> None:
+    def update(self, now_s: float, limit_per_s: float | None) -> None:
         """Updates the share.
 
         Args:
+            now_s: Monotonic seconds.
             limit_per_s: Rate limit of the backend server; None without one.
         """
-        now_s = self._parts.clock.now_s()
-        waiting_s = self._scheduler.waiting * self._scheduler.mean_hold_s
-        self._meter.roll(now_s, self._scheduler.slots, waiting_s, limit_per_s)
+        if self._meter.is_due(now_s):
+            scheduler = self._scheduler
+            waiting_s = scheduler.waiting * scheduler.mean_hold_s
+            self._meter.roll(now_s, scheduler.slots, waiting_s, limit_per_s)
         is_due = now_s - self._logged_at_s >= PRESSURE_LOG_INTERVAL_S
-        if self.share < 1.0 and is_due:
+        if is_due and self.share < 1.0:
             self._logged_at_s = now_s
             self._log()
 
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -41,10 +41,8 @@
     def encode_load(self) -> bytes:
         """Encodes the load report that answers carry."""
         requests = self._scheduler.running + self._scheduler.waiting
-        health = self.health
-        return hop.encode_load(
-            hop.LoadReport(requests, health.failure_rate, health.slowness)
-        )
+        now_s = self._parts.clock.now_s()
+        return hop.encode_load(self.health.get_report(now_s, requests))
 
     def describe_load(self) -> dict[str, Any]:
         """Returns the log fields of load and health."""
@@ -108,9 +106,9 @@
         running = self._parts.running_requests.find(ticket_id)
         if running is not None:
             self.health.note_work_time(
-                call.route, hold_s - running.call_wait_s, outcome
+                now_s, call.route, hold_s - running.call_wait_s, outcome
             )
-        self.pressure.update(limit_per_s)
+        self.pressure.update(now_s, limit_per_s)
         self._parts.parent_matcher.remove(ticket_id)
         self._parts.running_requests.end(ticket_id)
         report = {} if running is None else running.report
--- /dev/null
+++ b/tests/gateway/test_fresh_reports.py
@@ -0,0 +1,97 @@
+"""What a node reports of its backend server is never older than its answer.
+
+Guards against reports that are kept and sent once more after the load, the
+health or the rate limit of the backend server has changed.
+"""
+
+import pytest
+
+from tests.gateway import mesh as mesh_module
+
+
+@pytest.fixture
+def mesh():
+    made = mesh_module.Mesh("front", "deep")
+    made.configure(mesh_module.make_route("read", "deep"))
+    return made
+
+
+def get_work(mesh):
+    return mesh.members[1].gateway._exit.work
+
+
+def read_load(mesh):
+    """Returns requests, per mille failing and percent slowness."""
+    return [int(part) for part in get_work(mesh).encode_load().split(b"/")]
+
+
+def fail(call):
+    mesh_module.answer_with_id(call, 500, [mesh_module.PROOF_HEADER])
+
+
+def test_failure_rate_falls_while_no_request_ends(mesh):
+    mesh.members[1].backend.answer = fail
+    for number in range(10):
+        mesh.ask(0, "/read/x", headers=[("Request-Id", f"q{number}")])
+    before = read_load(mesh)[1]
+    mesh.network.run(1.0)
+    after = read_load(mesh)[1]
+    assert before > 300
+    assert 0.6 * before < after < 0.8 * before  # Time constant: 3 s.
+
+
+def test_slowness_falls_while_no_request_ends(mesh):
+    health = get_work(mesh).health
+    for worked_s in (0.01, 0.01, 1.0, 1.0, 1.0):
+        now_s = mesh.network.seconds()
+        health._slowness.note(now_s, "read", worked_s)
+        mesh.network.run(0.1)
+    before = read_load(mesh)[2]
+    mesh.network.run(2.0)
+    assert before > 150
+    assert read_load(mesh)[2] < before
+
+
+def test_running_requests_are_counted_at_once(mesh):
+    mesh.members[1].backend.answer = None
+    counts = []
+    for number in range(3):
+        mesh.ask(0, "/read/x", headers=[("Request-Id", f"q{number}")])
+        counts.append(read_load(mesh)[0])
+    assert counts == [1, 2, 3]
+    mesh_module.answer_with_proof(mesh.members[1].backend.calls[0])
+    mesh.network.run(0.1)
+    assert read_load(mesh)[0] == 2
+
+
+def test_rate_limit_is_reported_until_the_first_answer_without_it(mesh):
+    limit = mesh.members[1].gateway._exit.limit
+    limits = [b"50", b"70", None, b"50"]
+    name = mesh.members[1].settings.dialect.rate_limit
+
+    def answer(call):
+        named = limits[len(mesh.members[1].backend.calls) - 1]
+        headers = [] if named is None else [(name, named)]
+        mesh_module.answer_with_id(
+            call, 200, [mesh_module.PROOF_HEADER, *headers]
+        )
+
+    mesh.members[1].backend.answer = answer
+    reported = []
+    for number in range(4):
+        mesh.ask(0, "/read/x", headers=[("Request-Id", f"q{number}")])
+        reported.append(limit.per_s)
+        assert bool(limit.encode()) == (limit.per_s is not None)
+    assert reported == [50.0, 70.0, None, 50.0]
+
+
+def test_degraded_backend_server_is_noted_and_recovers(mesh):
+    health = get_work(mesh).health
+    mesh.members[1].backend.answer = fail
+    for number in range(10):
+        mesh.ask(0, "/read/x", headers=[("Request-Id", f"q{number}")])
+    assert health._is_degraded
+    mesh.members[1].backend.answer = mesh_module.answer_with_proof
+    mesh.network.run(4.0)
+    mesh.ask(0, "/read/x", headers=[("Request-Id", "last")])
+    assert not health._is_degraded
