Skip the quarantine without records, and keep what is parsed again and again

Without any record no fingerprint is made, classified or cleared. Children of metrics, header names in lower case and the address of the backend server are kept in bounded tables instead of being looked up or parsed for each request.

--- a/src/cranberrymux/decisions/endpoints/slowness.py
+++ b/src/cranberrymux/decisions/endpoints/slowness.py
@@ -56,6 +56,7 @@
             return 1.0
         return math.exp(self._excess.at(now_s))
 
-    def may_exceed(self, ratio: float) -> bool:
-        """Returns False if the ratio stays below one until the next `note`."""
-        return self._excess.latest > math.log(ratio)
+    @property
+    def latest_excess(self) -> float:
+        """Logarithm of the ratio at the last `note`, bounding later ones."""
+        return self._excess.latest
--- a/src/cranberrymux/decisions/endpoints/stall_detector.py
+++ b/src/cranberrymux/decisions/endpoints/stall_detector.py
@@ -50,9 +50,10 @@
                 since the last update, without those that wait for calls of
                 their own.
         """
-        elapsed_s = min(max(now_s - self._updated_at_s, 0.0), MAXIMUM_STEP_S)
+        elapsed_s = now_s - self._updated_at_s
         self._updated_at_s = now_s
-        if working and self._answers >= MINIMUM_ANSWERS:
+        if working and self._answers >= MINIMUM_ANSWERS and elapsed_s > 0.0:
+            elapsed_s = min(elapsed_s, MAXIMUM_STEP_S)
             self._missed_answers += elapsed_s * working / self._mean_work_time_s
             self._unanswered_s += elapsed_s
 
--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -24,6 +24,9 @@
     Every arrival carries the share under which its tree was admitted. So the
     share that would have fitted follows directly, however long a changed share
     takes to have an effect here.
+
+    Attributes:
+        share: Share of the offered work that fits, `MINIMUM_SHARE` to 1.0.
     """
 
     def __init__(self, now_s: float) -> None:
@@ -32,7 +35,7 @@
         Args:
             now_s: Monotonic seconds.
         """
-        self._share = 1.0
+        self.share = 1.0
         self._window_began_s = now_s
         self._work_s = 0.0
         self._admitted_work_s = 0.0
@@ -43,11 +46,6 @@
         self._per_s = 0.0
         self._admitted_per_s = 0.0
 
-    @property
-    def share(self) -> float:
-        """Share of the offered work that fits, `MINIMUM_SHARE` to 1.0."""
-        return self._share
-
     @property
     def utilization(self) -> float:
         """Offered work per slot and second in the last window; 1.0 is full."""
@@ -78,7 +76,7 @@
 
     def reset(self) -> None:
         """Returns the share to 1.0, as the rate limit that lowered it ended."""
-        self._share = 1.0
+        self.share = 1.0
 
     def roll(
         self,
@@ -113,9 +111,9 @@
         self._update_rates(elapsed_s)
         if limit_per_s is not None:
             fitting_share = min(fitting_share, self._fit_limit(limit_per_s))
-        share = self._share + SHARE_STEP_RATIO * (fitting_share - self._share)
-        share = min(share, self._share * MAXIMUM_GROWTH_FACTOR, 1.0)
-        self._share = max(MINIMUM_SHARE, share)
+        share = self.share + SHARE_STEP_RATIO * (fitting_share - self.share)
+        share = min(share, self.share * MAXIMUM_GROWTH_FACTOR, 1.0)
+        self.share = max(MINIMUM_SHARE, share)
         self._window_began_s = now_s
         self._work_s = 0.0
         self._admitted_work_s = 0.0
--- a/src/cranberrymux/decisions/pressure/work_report.py
+++ b/src/cranberrymux/decisions/pressure/work_report.py
@@ -52,13 +52,15 @@
     The parts, joined by commas, read `service=milliseconds/per-mille`.
     """
     return b",".join(
-        b"%b=%d/%d"
-        % (
-            service.encode(),
-            round(part.slot_s * _MS_PER_S),
-            round(part.share * 1000),
-        )
-        for service, part in report.items()
+        [
+            b"%b=%d/%d"
+            % (
+                service.encode(),
+                round(part.slot_s * _MS_PER_S),
+                round(part.share * 1000),
+            )
+            for service, part in report.items()
+        ]
     )
 
 
--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -25,6 +25,9 @@
     admission, which isolates suspects, and calls `start` and `finish`. When
     its backend server dies, it calls `endpoint_died` and sends the reports to
     the shared state. Reports of other nodes are taken in by `merge`.
+
+    Attributes:
+        records: The records by key, not to be changed by others.
     """
 
     def __init__(
@@ -44,13 +47,14 @@
         self._endpoint_id = endpoint_id
         self._incarnation = incarnation
         self._records = suspect_records.SuspectRecords(settings)
+        self.records = self._records.by_key
         self._running = running_suspects.RunningSuspects()
         self._deaths = 0
 
     @property
     def record_count(self) -> int:
         """Number of keys with a record."""
-        return len(self._records)
+        return len(self.records)
 
     def classify(
         self,
@@ -320,6 +324,8 @@
         The request id is cleared only when every digest that was in flight
         under it has run to its end.
         """
+        if not self.records:
+            return []
         reports = self._records.clear(now_s, fingerprint.digest_key)
         if not fingerprint.request_id:
             return reports
--- a/src/cranberrymux/decisions/quarantine/suspect_records.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_records.py
@@ -10,7 +10,11 @@
 
 
 class SuspectRecords:
-    """Keeps the records by key, in the order of their last use."""
+    """Keeps the records by key, in the order of their last use.
+
+    Attributes:
+        by_key: The records, which only this class changes.
+    """
 
     def __init__(
         self, settings: quarantine_settings.QuarantineSettings
@@ -21,30 +25,30 @@
             settings: Age and number of records to keep.
         """
         self._settings = settings
-        self._records: collections.OrderedDict[
+        self.by_key: collections.OrderedDict[
             str, suspect_record.SuspectRecord
         ] = collections.OrderedDict()
 
     def __len__(self) -> int:
         """Returns the number of stored records."""
-        return len(self._records)
+        return len(self.by_key)
 
     def get(
         self, now_s: float, key: str
     ) -> suspect_record.SuspectRecord | None:
         """Returns the record of a key; None if absent or expired."""
-        record = self._records.get(key)
+        record = self.by_key.get(key)
         if record is None or self._is_expired(now_s, record):
             return None
         return record
 
     def put(self, key: str, record: suspect_record.SuspectRecord) -> None:
         """Stores a record and drops expired and excess records."""
-        self._records[key] = record
-        self._records.move_to_end(key)
+        self.by_key[key] = record
+        self.by_key.move_to_end(key)
         self._drop_expired(record.used_s)
-        while len(self._records) > self._settings.maximum_records:
-            del self._records[self._find_evictable()]
+        while len(self.by_key) > self._settings.maximum_records:
+            del self.by_key[self._find_evictable()]
 
     def merge(
         self, now_s: float, reports: Iterable[suspect_report.SuspectReport]
@@ -79,7 +83,7 @@
     ) -> list[suspect_report.SuspectReport]:
         """Returns all that is known of the keys that were used last."""
         reports = []
-        for key in list(self._records)[-key_count:]:
+        for key in list(self.by_key)[-key_count:]:
             record = self.get(now_s, key) or suspect_record.EMPTY
             reports += record.make_reports(key)
         return reports
@@ -90,16 +94,16 @@
         return now_s - record.used_s >= self._settings.retention_s
 
     def _drop_expired(self, now_s: float) -> None:
-        while self._records:
-            key, record = next(iter(self._records.items()))
+        while self.by_key:
+            key, record = next(iter(self.by_key.items()))
             if not self._is_expired(now_s, record):
                 return
-            del self._records[key]
+            del self.by_key[key]
 
     def _find_evictable(self) -> str:
         """Returns the oldest key that is not refused, or else the oldest."""
         refuses = self._settings.refuses
-        for key, record in self._records.items():
+        for key, record in self.by_key.items():
             if not refuses(record.open_deaths, was_sole=record.was_sole):
                 return key
-        return next(iter(self._records))
+        return next(iter(self.by_key))
--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -1,5 +1,7 @@
 """Health of the backend server beside this node, seen from its answers."""
 
+import math
+
 from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.endpoints import slowness
@@ -14,6 +16,7 @@
 DEGRADED_FAILURE_RATE = 0.3
 DEGRADED_SLOWNESS = 4.0
 RECOVERED_RATIO = 0.5
+_DEGRADED_EXCESS = math.log(DEGRADED_SLOWNESS)
 _RunOutcome = run_outcome.RunOutcome
 
 
@@ -129,6 +132,6 @@
             self._is_degraded
             or self._stall.is_stalled
             or self._failing.latest > DEGRADED_FAILURE_RATE
-            or self._slowness.may_exceed(DEGRADED_SLOWNESS)
+            or self._slowness.latest_excess > _DEGRADED_EXCESS
         ):
             self.log_transitions()
--- a/src/cranberrymux/gateway/backend_verdict.py
+++ b/src/cranberrymux/gateway/backend_verdict.py
@@ -61,11 +61,11 @@
     status = head.status
     if status == _MISDIRECTED_STATUS:
         return BackendVerdict(status, refusal=hop.MISDIRECTED)
-    if headers_module.find(head.headers, dialect.not_run) is not None:
+    first = headers_module.index(head.headers)
+    if dialect.not_run in first:
         return BackendVerdict(status, refusal=hop.BACKEND_FULL)
-    proof = headers_module.find(head.headers, dialect.proof)
-    coding = headers_module.find(head.headers, _CONTENT_CODING)
-    if 200 <= status < 300 and (proof is None or coding is not None):
+    is_proven = dialect.proof in first and _CONTENT_CODING not in first
+    if 200 <= status < 300 and not is_proven:
         return BackendVerdict(
             status,
             defect="successful answer without valid proof of the backend "
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -262,10 +262,7 @@
         assert current is not None
         address = socket_address.parse(current.address)
         assert address is not None
-        self._calls[ticket_id].begin(
-            socket_address.SocketAddress(address.host, address.port),
-            current.process,
-        )
+        self._calls[ticket_id].begin(address, current.process)
 
     def _serve_queue(self) -> None:
         """Starts the requests that have got a token and refuses late ones."""
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -36,13 +36,10 @@
         self._parts = parts
         self._owner = owner
         self._call = call
-        headers = call.head.headers
-        dialect = parts.settings.dialect
-        self.request_id = headers_module.find(headers, dialect.request_id) or (
-            b""
-        )
-        self.digest = _find_text(headers, hop.DIGEST)
-        self.route = _find_text(headers, hop.ROUTE)
+        first = call.head.headers.first
+        self.request_id = first.get(parts.settings.dialect.request_id, b"")
+        self.digest = first.get(hop.DIGEST, b"").decode("latin-1")
+        self.route = first.get(hop.ROUTE, b"").decode("latin-1")
         self.backend_id = ""
 
     @property
@@ -176,7 +173,3 @@
         if is_failed_by_call:
             headers.append((hop.CALL_FAILED, b"1"))
         return headers
-
-
-def _find_text(headers: headers_module.HeaderList, name: bytes) -> str:
-    return (headers_module.find(headers, name) or b"").decode("latin-1")
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -112,11 +112,13 @@
         left_s = self.deadline_s - now_s
         head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
-        headers = hop.get_forwardable(head.headers, replaced)
         left_ms = max(hop.shorten_deadline_ms(left_s), 1)
-        headers.append((dialect.deadline_ms, b"%d" % left_ms))
+        headers = [
+            *hop.get_forwardable(head.headers, replaced),
+            (dialect.deadline_ms, b"%d" % left_ms),
+            (dialect.expected_backend, process.backend_id.encode()),
+        ]
         self._owner.work.start_run(self, now_s + left_ms / 1000)
-        headers.append((dialect.expected_backend, process.backend_id.encode()))
         self._attempt = attempt_module.Attempt(
             self._pool,
             address,
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -93,6 +93,8 @@
     @property
     def waiting(self) -> int:
         """Number of suspects that wait for their turn."""
+        if not self._held_ids:
+            return 0
         return self._queue.waiting + self._queue.is_closed
 
     def set_slots(self, slots: int) -> None:
@@ -104,6 +106,8 @@
         if not call.digest:
             return False
         suspicion.learn(self._parts, call.headers)
+        if not self._quarantine.records:
+            return False
         fingerprint = suspicion.make_fingerprint(call.digest)
         verdict = self._quarantine.classify(fingerprint)
         if verdict is isolation.Isolation.CLEAR:
@@ -116,6 +120,8 @@
 
     def is_refused(self, digest: str) -> bool:
         """True if no request with this digest may run beside others now."""
+        if not self._quarantine.records:
+            return False
         verdict = self._quarantine.classify(suspicion.make_fingerprint(digest))
         return isinstance(verdict, refusal.Refusal)
 
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -63,10 +63,10 @@
         Returns:
             True if it failed because one of its calls failed or is open.
         """
-        running = self._parts.running_requests.find(call.ticket_id)
-        is_failed_by_call = (
-            is_failed and running is not None and running.depends_on_call
-        )
+        is_failed_by_call = False
+        if is_failed:
+            running = self._parts.running_requests.find(call.ticket_id)
+            is_failed_by_call = running is not None and running.depends_on_call
         if not is_failed_by_call:
             self.health.note_outcome(is_failed)
         return is_failed_by_call
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -3,6 +3,8 @@
 import prometheus_client
 from prometheus_client import exposition
 
+from cranberrymux.gateway import label_children
+
 LATENCY_BOUNDS_S = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0,
 )  # fmt: skip
@@ -39,49 +41,63 @@
     def __init__(self) -> None:
         """Registers all metrics at zero in a new registry."""
         registry = self._registry = prometheus_client.CollectorRegistry()
-        self.requests = prometheus_client.Counter(
-            "cranberrymux_requests",
-            "Requests that began here.",
-            ("route", "outcome"),
-            registry=registry,
+        self.requests = label_children.LabelChildren(
+            prometheus_client.Counter(
+                "cranberrymux_requests",
+                "Requests that began here.",
+                ("route", "outcome"),
+                registry=registry,
+            )
         )
-        self.key_refusals = prometheus_client.Counter(
-            "cranberrymux_key_refusals",
-            "Requests refused for the key of a client account.",
-            ("reason",),
-            registry=registry,
+        self.key_refusals = label_children.LabelChildren(
+            prometheus_client.Counter(
+                "cranberrymux_key_refusals",
+                "Requests refused for the key of a client account.",
+                ("reason",),
+                registry=registry,
+            )
         )
-        self.request_s = prometheus_client.Histogram(
-            "cranberrymux_request_seconds",
-            "From a request's begin to its answer.",
-            ("route",),
-            buckets=LATENCY_BOUNDS_S,
-            registry=registry,
+        self.request_s = label_children.LabelChildren(
+            prometheus_client.Histogram(
+                "cranberrymux_request_seconds",
+                "From a request's begin to its answer.",
+                ("route",),
+                buckets=LATENCY_BOUNDS_S,
+                registry=registry,
+            )
         )
-        self.hops = prometheus_client.Counter(
-            "cranberrymux_hops",
-            "Requests from other nodes.",
-            ("outcome",),
-            registry=registry,
+        self.hops = label_children.LabelChildren(
+            prometheus_client.Counter(
+                "cranberrymux_hops",
+                "Requests from other nodes.",
+                ("outcome",),
+                registry=registry,
+            )
         )
-        self.hold_s = prometheus_client.Histogram(
-            "cranberrymux_backend_seconds",
-            "Time for which the backend server ran a request.",
-            ("route",),
-            buckets=LATENCY_BOUNDS_S,
-            registry=registry,
+        self.hold_s = label_children.LabelChildren(
+            prometheus_client.Histogram(
+                "cranberrymux_backend_seconds",
+                "Time for which the backend server ran a request.",
+                ("route",),
+                buckets=LATENCY_BOUNDS_S,
+                registry=registry,
+            )
         )
-        self.unexpected_answers = prometheus_client.Counter(
-            "cranberrymux_unexpected_answers",
-            "Answers, or other bytes, that belong to no pending request.",
-            ("reason",),
-            registry=registry,
+        self.unexpected_answers = label_children.LabelChildren(
+            prometheus_client.Counter(
+                "cranberrymux_unexpected_answers",
+                "Answers, or other bytes, that belong to no pending request.",
+                ("reason",),
+                registry=registry,
+            )
         )
-        self.repeats = prometheus_client.Counter(
-            "cranberrymux_repeats",
-            "Requests sent to one more endpoint.",
-            ("service",),
-            registry=registry,
+        self.repeats = label_children.LabelChildren(
+            prometheus_client.Counter(
+                "cranberrymux_repeats",
+                "Requests sent to one more endpoint.",
+                ("service",),
+                registry=registry,
+            )
         )
         self.backend_sends = prometheus_client.Counter(
             "cranberrymux_backend_sends",
--- a/src/cranberrymux/gateway/suspicion.py
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -35,7 +35,7 @@
     parts: parts_module.GatewayParts, headers: headers_module.HeaderList
 ) -> None:
     """Learns what another node says of a request."""
-    value = headers_module.find(headers, hop.SUSPECT)
+    value = headers_module.index(headers).get(hop.SUSPECT)
     if value is None:
         return
     reports = suspect_message.decode(value)
@@ -61,6 +61,8 @@
     @property
     def is_refused(self) -> bool:
         """True if it may not be sent, unless as a trial that is due."""
+        if not self._parts.quarantine.records:
+            return False
         verdict = self._parts.quarantine.classify(self._fingerprint)
         return isinstance(verdict, refusal.Refusal) and self._wait_s > 0
 
--- a/src/cranberrymux/models/socket_address.py
+++ b/src/cranberrymux/models/socket_address.py
@@ -1,8 +1,10 @@
 """IP addresses with a TCP or UDP port."""
 
+import functools
 from typing import NamedTuple
 
 _MAXIMUM_PORT = 65535
+_KEPT_ADDRESSES = 1024  # Results kept by `parse`.
 
 
 class SocketAddress(NamedTuple):
@@ -17,6 +19,7 @@
     port: int
 
 
+@functools.lru_cache(_KEPT_ADDRESSES)
 def parse(text: str) -> SocketAddress | None:
     """Parses `ip:port`; returns None if the text has another form."""
     host, _, port = text.rpartition(":")
--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -5,6 +5,24 @@
 HeaderList = list[tuple[bytes, bytes]]
 
 _WHITESPACE = frozenset((b" ", b"\t"))
+# Names that are kept in lower case, and the longest of them.
+_KEPT_NAMES = 1024
+_KEPT_NAME_BYTES = 64
+
+
+class _LowerNames(dict[bytes, bytes]):
+    """Names in lower case by the names as read; bounded in size."""
+
+    def __missing__(self, name: bytes) -> bytes:
+        lower = name.lower()
+        if len(name) <= _KEPT_NAME_BYTES:
+            if len(self) >= _KEPT_NAMES:
+                self.clear()
+            self[name] = lower
+        return lower
+
+
+_lower_names = _LowerNames()
 
 # Headers that hold for one connection only or that each connection sets anew.
 HOP_BY_HOP = frozenset(
@@ -43,7 +61,7 @@
         super().__init__(
             [
                 (
-                    name.lower(),
+                    _lower_names[name],
                     value.rstrip(b" \t")
                     if value[-1:] in _WHITESPACE
                     else value,
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -43,6 +43,7 @@
     control instances get a report.
 
     Attributes:
+        records: The records of suspects by key, not to be changed by others.
         losses: Runs whose connection broke, until it is known why.
     """
 
@@ -68,6 +69,7 @@
             cluster_key: Cluster key, which proves that the sender is a node.
         """
         self._quarantine = quarantine
+        self.records = quarantine.records
         self._clock = system_clock
         self._reporter = reporter
         self._reactor = reactor
@@ -90,7 +92,7 @@
         self, fingerprint: fingerprints.Fingerprint
     ) -> isolation.Isolation | refusal.Refusal:
         """Returns the isolation of a call; a refusal after too many deaths."""
-        if not self._quarantine.record_count:
+        if not self.records:
             return isolation.Isolation.CLEAR
         now_s = self._clock.now_s()
         verdict = self._quarantine.classify(now_s, fingerprint)
@@ -228,7 +230,9 @@
 
     def is_suspect(self, fingerprint: fingerprints.Fingerprint) -> bool:
         """True if deaths under a call are known that count."""
-        return self._quarantine.is_suspect(self._clock.now_s(), fingerprint)
+        return bool(self.records) and self._quarantine.is_suspect(
+            self._clock.now_s(), fingerprint
+        )
 
     def encode_latest(self) -> list[peer_request.PeerMessage]:
         """Returns the latest suspects as messages to a started sibling."""
--- a/tests/node/test_headers.py
+++ b/tests/node/test_headers.py
@@ -79,3 +79,17 @@
         assert not reader.is_exceeded
         reader.add(b"c", b"3")
         assert reader.is_exceeded and reader.has_too_many
+
+
+def test_names_are_kept_for_a_bounded_number_of_names():
+    """Guards against a sender that makes up names without end."""
+    for number in range(5000):
+        name = b"X-Name-%d" % number
+        assert headers_module.Headers([(name, b"")]).first == {
+            b"x-name-%d" % number: b""
+        }
+    long_name = b"X" * 1000
+    assert headers_module.Headers([(long_name, b"")])[0][0] == b"x" * 1000
+    kept = headers_module._lower_names
+    assert len(kept) <= 1024
+    assert long_name not in kept
