Leaf requests start beside the calls of trees of equal importance

Cause: priorities of accounts make most trees equally important. Change: a root that is known to make no calls takes the rank of calls.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -205,5 +205,9 @@
                 )
             remaining_work -= needed_work
 
+    def is_known_leaf(self, route: str) -> bool:
+        """True if requests of a route are known to make no calls."""
+        return len(self._costs.get(route, ())) == 1
+
     def _cost(self, route: str, service: str) -> float:
         return self._costs.get(route, {}).get(service, 0.0)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -103,7 +103,8 @@
 
     Attributes:
         rank: Order of starting; lower ranks start first. The priority of the
-            root's route, a whole number, less `CALL_RANK_BONUS` for calls.
+            root, a whole number, less `CALL_RANK_BONUS` for calls and for
+            roots that make none.
         share: Share of the offered work that was admitted there, 0.0 to 1.0.
         is_repeat: True if the tree, or a subtree that contains the request, was
             run before and lost its answer or failed.
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -68,7 +68,12 @@
         ):
             return None
         name = "" if self._account is None else self._account.name
-        return hop.TreeContext(self._priority, share, account=name)
+        tree_context = hop.TreeContext(self._priority, share, account=name)
+        if entry_admission.root_admission.is_known_leaf(self._route.name):
+            # Nothing comes after it, so that it need not wait behind the calls
+            # of trees of equal importance.
+            return tree_context.for_call()
+        return tree_context
 
     @property
     def _priority(self) -> int:
--- a/tests/decisions/pressure/test_tree_overload.py
+++ b/tests/decisions/pressure/test_tree_overload.py
@@ -105,6 +105,20 @@
     assert tally.failed < 0.1 * tally.asked
 
 
+def test_leaf_requests_do_not_wait_behind_trees_of_equal_importance():
+    """Guards against short requests that starve behind calls of trees.
+
+    Where all priorities are equal, as with client accounts of one priority,
+    every call of a tree would start before a request that makes no calls.
+    """
+    simulation = tree_simulation.TreeSimulation(
+        [kind._replace(priority=1) for kind in make_kinds(1.4)]
+    )
+    simulation.run(LENGTH_S, WARM_UP_S)
+    notes = simulation.tallies["notes"]
+    assert notes.failed < 0.01 * notes.asked
+
+
 def test_refuses_nothing_below_capacity():
     simulation = simulate(0.9)
     assert all(tally.refused == 0 for tally in simulation.tallies.values())
--- a/tests/decisions/pressure/tree_simulation.py
+++ b/tests/decisions/pressure/tree_simulation.py
@@ -154,7 +154,7 @@
             node,
             self.now_s + kind.timeout_s,
             kind.calls,
-            kind.priority - (0.5 if kind.calls > 1 else 0.0),
+            kind.priority - 0.5,
             self.roots[node].minimum_share,
             {},
         )
--- a/tests/gateway/test_client_accounts.py
+++ b/tests/gateway/test_client_accounts.py
@@ -11,6 +11,9 @@
 from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.accounts import key_lease
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.gateway import hop
+from cranberrymux.gateway import origin as origin_module
+from cranberrymux.node.http import headers as headers_module
 from tests.gateway import mesh as mesh_module
 
 KEY = "k-7421-secret"
@@ -117,3 +120,17 @@
     admission = mesh.members[0].gateway._parts.entry_admission.root_admission
     mesh.ask(0, "/read/x", headers=[("X-Api-Key", KEY)])
     assert {flow.priority for flow in admission._flows} == {0}
+
+
+def test_a_root_that_makes_no_calls_starts_beside_calls_of_equal_priority(mesh):
+    sent = [("X-Api-Key", KEY)]
+    mesh.ask(0, "/read/x", headers=sent)
+    origin = origin_module.Origin(
+        mesh.members[0].gateway._parts,
+        mesh_module.make_route("read", "deep", priority=2),
+        headers_module.Headers(()),
+        mesh.members[0].gateway._clock.now_s(),
+        MILL,
+    )
+    tree_context = origin.admit(mesh.members[0].gateway._clock.now_s())
+    assert tree_context.rank == MILL.priority - hop.CALL_RANK_BONUS
