--- /dev/null
+++ b/bench/gateway_path/__init__.py
@@ -0,0 +1,1 @@
+"""Processes of the benchmark of the gateway's path."""
