--- a/bench/bench_gateway_path.py
+++ b/bench/bench_gateway_path.py
@@ -40,7 +40,7 @@
     caller = settings.NodePorts(*ports[:3])
     endpoint = settings.NodePorts(*ports[3:6])
     relay_port = ports[6]
-    arguments: dict[str, tuple[str, Sequence[int]]] = {
+    arguments: dict[str, tuple[str, Sequence[str | int]]] = {
         "backend": ("stub_backend", [endpoint.backend]),
         "endpoint": ("node", ["endpoint", *endpoint, endpoint.hop]),
         "caller": ("node", ["caller", *caller, endpoint.hop]),
