Decode large configurations in steps

Cause: 10,000 accounts took 55 to 116 ms of processor time at once, in which a node answers nothing. Change: 500 lines a step, with requests served in between; a newer version ends the decoding of an older one.

--- a/src/cranberrymux/decisions/routes/route_document.py
+++ b/src/cranberrymux/decisions/routes/route_document.py
@@ -1,5 +1,6 @@
 """The routing configuration and its stored text form."""
 
+from collections.abc import Generator
 import json
 from typing import Any
 from typing import NamedTuple
@@ -42,6 +43,10 @@
     detail: str
 
 
+LINES_PER_STEP = 500
+LoadSteps = Generator[None, None, RouteDocument | RouteDocumentError]
+
+
 def dump(document: RouteDocument) -> str:
     """Encodes a document as JSON lines, one for each part of its tables."""
     lines = [
@@ -65,18 +70,37 @@
 
 def load(text: str) -> RouteDocument | RouteDocumentError:
     """Decodes the output of `dump`; returns an error for any other text."""
+    steps = load_in_steps(text)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            result: RouteDocument | RouteDocumentError = end.value
+            return result
+
+
+def load_in_steps(text: str) -> LoadSteps:
+    """Decodes as `load` does, `LINES_PER_STEP` lines between two yields.
+
+    A large document would otherwise keep a process from its requests.
+    """
     try:
-        return _load(text)
+        return (yield from _load(text))
     except (ValueError, TypeError, KeyError, IndexError) as error:
         return RouteDocumentError(f"{type(error).__name__}: {error}")
 
 
-def _load(text: str) -> RouteDocument:
-    head, limits, *rest = [json.loads(line) for line in text.splitlines()]
+def _load(text: str) -> LoadSteps:
+    first, second, *rest = text.splitlines()
+    head = json.loads(first)
+    limits = json.loads(second)
     services = []
     routes = []
     accounts = []
-    for line in rest:
+    for number, encoded in enumerate(rest, 1):
+        if number % LINES_PER_STEP == 0:
+            yield
+        line = json.loads(encoded)
         if "service" in line:
             services.append(backend_service.BackendService(*line["service"]))
         elif "account" in line:
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -9,6 +9,7 @@
 
 from cranberrymux.decisions.presence import announcement as announcement_module
 from cranberrymux.decisions.presence import presence as presence_module
+from cranberrymux.decisions.routes import route_table
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import boot_clock
 from cranberrymux.gateway import control_connections
@@ -59,7 +60,8 @@
         self._settings = settings
         self._reactor = reactor
         self._events = structlog.get_logger()
-        self._routes = routes_holder.RoutesHolder()
+        self._routes = routes_holder.RoutesHolder(reactor, self._routes_applied)
+        self._had_routes = False
         self._control_connections = control_connections.ControlConnections(
             settings, reactor
         )
@@ -211,16 +213,16 @@
 
     def configuration_changed(self, version: int, document: str) -> None:
         """Puts a configuration in force if its version is higher."""
-        had_none = self._routes.table is None
         self._routes.apply(version, document)
-        table = self._routes.table
-        if table is None:
-            return
+
+    def _routes_applied(self, table: route_table.RouteTable) -> None:
         self._ports.set_limits(table.document.limits)
-        if had_none:
-            self._directory.send_heartbeats()
-            if self._presence.current is None:
-                self._health_check.start(table.document)
+        if self._had_routes:
+            return
+        self._had_routes = True
+        self._directory.send_heartbeats()
+        if self._presence.current is None:
+            self._health_check.start(table.document)
 
     def configuration_confirmed(
         self, version: int, asked_at_s: float, until_s: float
--- a/src/cranberrymux/gateway/routes_holder.py
+++ b/src/cranberrymux/gateway/routes_holder.py
@@ -1,5 +1,8 @@
 """The routing configuration in force on a gateway."""
 
+from collections.abc import Callable
+from typing import Any
+
 import structlog
 
 from cranberrymux.decisions.routes import route_document
@@ -10,12 +13,25 @@
     """Holds the configuration with the highest version received.
 
     A configuration that cannot be decoded is logged and leaves the previous
-    one in force.
+    one in force. Small ones are in force at once; large ones are decoded in
+    steps, between which the node serves requests.
     """
 
-    def __init__(self) -> None:
-        """Starts without a configuration, at version 0."""
+    def __init__(
+        self,
+        reactor: Any,
+        on_applied: Callable[[route_table.RouteTable], None],
+    ) -> None:
+        """Starts without a configuration, at version 0.
+
+        Args:
+            reactor: Runs the steps.
+            on_applied: Called with the routes of each version put in force.
+        """
+        self._reactor = reactor
+        self._on_applied = on_applied
         self._version = 0
+        self._loading_version = 0
         self._table: route_table.RouteTable | None = None
         self._events = structlog.get_logger()
 
@@ -36,9 +52,30 @@
             version: Version of the configuration, from 1.
             text: Encoded configuration; see `route_document.dump`.
         """
-        if version <= self._version:
+        if version <= max(self._version, self._loading_version):
             return
-        document = route_document.load(text)
+        self._loading_version = version
+        self._continue(version, route_document.load_in_steps(text))
+
+    def _continue(self, version: int, steps: route_document.LoadSteps) -> None:
+        """Takes one step of decoding a version; a newer one ends it."""
+        if version != self._loading_version:
+            return
+        try:
+            next(steps)
+        except StopIteration as end:
+            self._loading_version = 0
+            self._put_in_force(version, end.value)
+            return
+        self._reactor.callLater(0, self._continue, version, steps)
+
+    def _put_in_force(
+        self,
+        version: int,
+        document: (
+            route_document.RouteDocument | route_document.RouteDocumentError
+        ),
+    ) -> None:
         if isinstance(document, route_document.RouteDocumentError):
             self._events.error(
                 "configuration-not-valid",
@@ -55,3 +92,4 @@
             routes=len(document.routes),
             accounts=len(document.accounts),
         )
+        self._on_applied(self._table)
