Decide by expected time which share of the requests leaves a zone

An endpoint of the own availability zone had precedence below a fixed load of 0.7. Beyond it two endpoints were drawn from all zones, so that at high load most requests crossed zones, whether they found more room there or not.

Now each node computes each 100 ms, for each service that it sends requests to, which share goes to which zone: where a request is expected to end earlier by more than the latency and a price (`--zone-price-ms`, 2 ms), in steps of at most a tenth of a zone's part of the capacity. Costs are sampled when answers come, so that a zone that gets few requests does not look empty because its reports have expired. Requests of a tree that has left a zone stay where they are (header `cranberrymux-left-zone`).

--- /dev/null
+++ b/bench/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of callers and endpoints in several availability zones."""
--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -1,8 +1,8 @@
 """The known endpoints of all services, and load balancing among them.
 
 A node sends the requests for a service to a subset of its endpoints, unless
-those can take none. Requests stay in the node's availability zone while the
-endpoints there have capacity. Within a group of endpoints the choice is power
+those can take none. Requests stay in the node's availability zone unless they
+gain by leaving it; see `zone_balancer`. Within a zone the choice is power
 of two choices, so that callers that have all seen the same load report do not
 overload the same endpoint.
 """
@@ -12,13 +12,12 @@
 import random
 
 from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.endpoints import zone_balancer
 from cranberrymux.decisions.routing import endpoint_subset
+from cranberrymux.decisions.zones import zone_settings
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 
-# Cost, in loads of all slots, at or above which an endpoint of the own
-# availability zone no longer has precedence over those of other zones.
-LOCAL_LOAD_LIMIT = 0.7
 # A request that so many endpoints refused may go beyond the subset.
 REFUSALS_WITHIN_SUBSET = 2
 
@@ -28,10 +27,17 @@
 
     A record replaces the one held only if its `(incarnation, sequence)` is
     higher.
+
+    Attributes:
+        zones: Shares of the zones.
     """
 
     def __init__(
-        self, node_id: str, zone: str, generator: random.Random
+        self,
+        node_id: str,
+        zone: str,
+        generator: random.Random,
+        settings: zone_settings.ZoneSettings | None = None,
     ) -> None:
         """Starts without endpoints.
 
@@ -39,10 +45,14 @@
             node_id: Id of this node, which determines its subsets.
             zone: Availability zone of this node.
             generator: Random generator of the choices among endpoints.
+            settings: What it costs to leave the zone; None for the defaults.
         """
         self._node_id = node_id
         self._zone = zone
         self._generator = generator
+        self.zones = zone_balancer.ZoneBalancer(
+            zone, settings or zone_settings.ZoneSettings(), generator
+        )
         self._services: dict[str, dict[str, endpoint_view.EndpointView]] = {}
         self._service_of: dict[str, str] = {}
         # By service; missing after a change of its endpoints.
@@ -108,6 +118,8 @@
         now_s: float,
         tried: Collection[str],
         allowed: Collection[str] | None = None,
+        *,
+        stays: bool = False,
     ) -> endpoint_view.EndpointView | None:
         """Picks the endpoint for a request.
 
@@ -122,10 +134,15 @@
                 the request.
             allowed: Ids of the endpoints that may get the request; None for
                 any.
+            stays: True if the request stays in this node's zone while an
+                endpoint there can take it, since its tree has left a zone
+                before.
 
         Returns:
             The endpoint, or None if no endpoint may get the request.
         """
+        if self.zones.is_due(service, now_s):
+            self._update_zones(service, now_s)
         if allowed is None and len(tried) < REFUSALS_WITHIN_SUBSET:
             available = [
                 endpoint
@@ -136,7 +153,9 @@
                 and endpoint.has_room(now_s)
             ]
             if available:
-                return self._choose_by_zone(available, now_s)
+                return self._choose_by_zone(
+                    service, available, now_s, len(tried), stays
+                )
         eligible = [
             endpoint
             for endpoint in self.usable_endpoints(service)
@@ -154,7 +173,9 @@
         available = [
             endpoint for endpoint in available if endpoint.has_room(now_s)
         ] or available
-        return self._choose_by_zone(available, now_s)
+        return self._choose_by_zone(
+            service, available, now_s, len(tried), stays
+        )
 
     def _get_subset(self, service: str) -> list[endpoint_view.EndpointView]:
         """Returns the endpoints of a service that this node prefers."""
@@ -178,20 +199,40 @@
             self._subsets[service] = subset
         return subset
 
+    def _update_zones(self, service: str, now_s: float) -> None:
+        """Computes anew which share of the requests goes to which zone."""
+        for endpoints in (
+            self._get_subset(service),
+            self.usable_endpoints(service),
+        ):
+            taking = [
+                endpoint
+                for endpoint in endpoints
+                if endpoint.is_usable
+                and not endpoint.is_suspended(now_s)
+                and endpoint.has_room(now_s)
+            ]
+            if taking:
+                break
+        self.zones.update(service, now_s, taking)
+
     def _choose_by_zone(
-        self, available: list[endpoint_view.EndpointView], now_s: float
+        self,
+        service: str,
+        available: list[endpoint_view.EndpointView],
+        now_s: float,
+        refusals: int,
+        stays: bool,
     ) -> endpoint_view.EndpointView | None:
-        """Picks an endpoint, of the own zone while there is capacity."""
-        local = [
-            endpoint
-            for endpoint in available
-            if endpoint.record.zone == self._zone
-            and not endpoint.is_failing(now_s)
-        ]
-        found = self._choose_cheaper_of_two(local, now_s)
-        if found is not None and found.cost(now_s) < LOCAL_LOAD_LIMIT:
+        """Picks an endpoint of the zone that the request goes to."""
+        narrowed = self.zones.narrow(
+            service, available, now_s, refusals, stays=stays
+        )
+        found = self._choose_cheaper_of_two(narrowed, now_s)
+        if found is None or stays or found.record.zone != self._zone:
             return found
-        return self._choose_cheaper_of_two(available, now_s)
+        spilled = self.zones.spill(service, found, available, now_s)
+        return self._choose_cheaper_of_two(spilled, now_s) or found
 
     def _choose_cheaper_of_two(
         self, endpoints: list[endpoint_view.EndpointView], now_s: float
--- /dev/null
+++ b/src/cranberrymux/decisions/endpoints/zone_balancer.py
@@ -0,0 +1,204 @@
+"""Zones of all services that a node sends requests to."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+
+from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.zones import cost_time
+from cranberrymux.decisions.zones import endpoint_cost
+from cranberrymux.decisions.zones import service_zones
+from cranberrymux.decisions.zones import share_change
+from cranberrymux.decisions.zones import zone_settings
+
+# A request that so many endpoints refused goes to any zone that is faster.
+REFUSALS_WITHIN_SHARES = 2
+# One that so many refused goes anywhere: nothing is worth less than a refusal.
+REFUSALS_WITHIN_FASTER = 3
+
+
+def _ignore_change(change: share_change.ShareChange) -> None:
+    del change
+
+
+class ZoneBalancer:
+    """Narrows the endpoints of a request to those of one zone.
+
+    Attributes:
+        on_change: Called when the shares of a service change noticeably.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        settings: zone_settings.ZoneSettings,
+        generator: random.Random,
+    ) -> None:
+        """Starts with all requests in the own zone.
+
+        Args:
+            zone: Availability zone of this node.
+            settings: What it costs to leave that zone.
+            generator: Random generator of the choices among zones.
+        """
+        self._zone = zone
+        self._settings = settings
+        self._generator = generator
+        self._services: dict[str, service_zones.ServiceZones] = {}
+        self.on_change: Callable[[share_change.ShareChange], None] = (
+            _ignore_change
+        )
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Names of the services that requests were sent to."""
+        return tuple(self._services)
+
+    def get_shares(self, service: str) -> dict[str, float]:
+        """Returns the share of each other zone that has one, 0 to 1."""
+        zones = self._services.get(service)
+        return dict(zones.shares) if zones else {}
+
+    def is_due(self, service: str, now_s: float) -> bool:
+        """True if the shares of a service are to be computed anew."""
+        return self._get(service).is_due(now_s)
+
+    def update(
+        self,
+        service: str,
+        now_s: float,
+        endpoints: Iterable[endpoint_view.EndpointView],
+    ) -> None:
+        """Computes the shares of a service anew.
+
+        Args:
+            service: Name of the service.
+            now_s: Monotonic time in seconds.
+            endpoints: Its endpoints that take requests.
+        """
+        by_zone: dict[str, list[endpoint_cost.EndpointCost]] = {}
+        for endpoint in endpoints:
+            listed = by_zone.setdefault(endpoint.record.zone, [])
+            listed.append(_cost(endpoint, now_s))
+        zones = self._get(service)
+        zones.update(now_s, by_zone)
+        change = zones.pop_change()
+        if change is not None:
+            self.on_change(change)
+
+    def note_answer(
+        self,
+        endpoint: endpoint_view.EndpointView,
+        sent_s: float,
+        now_s: float,
+        *,
+        is_run: bool,
+    ) -> None:
+        """Learns from an answer, after the endpoint's figures have been noted.
+
+        Args:
+            endpoint: The endpoint that answered.
+            sent_s: Monotonic seconds at which the request was sent.
+            now_s: Monotonic time in seconds.
+            is_run: False if the endpoint refused the request, so that the time
+                tells nothing of the work.
+        """
+        record = endpoint.record
+        zones = self._get(record.service)
+        if zones.wants_answer(record.zone, now_s):
+            zones.note_answer(
+                record.zone,
+                now_s,
+                _cost(endpoint, now_s),
+                now_s - sent_s if is_run else None,
+            )
+
+    def narrow(
+        self,
+        service: str,
+        available: list[endpoint_view.EndpointView],
+        now_s: float,
+        refusals: int,
+        *,
+        stays: bool,
+    ) -> list[endpoint_view.EndpointView]:
+        """Returns the endpoints that a request may be sent to.
+
+        Args:
+            service: Name of the service.
+            available: Endpoints that can take the request.
+            now_s: Monotonic time in seconds.
+            refusals: Number of endpoints that have had the request.
+            stays: True if the request stays in this zone while an endpoint
+                here can take it.
+        """
+        by_zone: dict[str, list[endpoint_view.EndpointView]] = {}
+        for endpoint in available:
+            if endpoint.record.zone != self._zone or not endpoint.is_failing(
+                now_s
+            ):
+                by_zone.setdefault(endpoint.record.zone, []).append(endpoint)
+        if len(by_zone) <= 1 and self._zone not in by_zone:
+            return available
+        zones = self._get(service)
+        if refusals >= REFUSALS_WITHIN_FASTER:
+            return available
+        if refusals >= REFUSALS_WITHIN_SHARES:
+            return self._find_faster(zones, by_zone) or available
+        if stays and self._zone in by_zone:
+            return by_zone[self._zone]
+        zone = zones.choose_zone(self._generator, by_zone)
+        return available if zone is None else by_zone[zone]
+
+    def spill(
+        self,
+        service: str,
+        found: endpoint_view.EndpointView,
+        available: list[endpoint_view.EndpointView],
+        now_s: float,
+    ) -> list[endpoint_view.EndpointView]:
+        """Returns endpoints of another zone for a request that would wait.
+
+        Args:
+            service: Name of the service.
+            found: The endpoint in this zone that would get the request.
+            available: Endpoints that can take the request.
+            now_s: Monotonic time in seconds.
+
+        Returns:
+            The endpoints; none if the request is to stay.
+        """
+        zones = self._get(service)
+        if not zones.may_spill:
+            return []
+        zone = zones.find_spill(self._generator, _cost(found, now_s))
+        return [each for each in available if each.record.zone == zone]
+
+    def _find_faster(
+        self,
+        zones: service_zones.ServiceZones,
+        by_zone: dict[str, list[endpoint_view.EndpointView]],
+    ) -> list[endpoint_view.EndpointView]:
+        return [
+            endpoint
+            for zone, listed in by_zone.items()
+            if zones.takes_refused(zone)
+            for endpoint in listed
+        ]
+
+    def _get(self, service: str) -> service_zones.ServiceZones:
+        zones = self._services.get(service)
+        if zones is None:
+            zones = service_zones.ServiceZones(
+                service, self._zone, self._settings, cost_time.LoadTime()
+            )
+            self._services[service] = zones
+        return zones
+
+
+def _cost(
+    endpoint: endpoint_view.EndpointView, now_s: float
+) -> endpoint_cost.EndpointCost:
+    return endpoint_cost.EndpointCost(
+        endpoint.cost(now_s), endpoint.record.slots
+    )
--- /dev/null
+++ b/src/cranberrymux/decisions/zones/share_change.py
@@ -0,0 +1,20 @@
+"""A noticeable change of the shares of zones."""
+
+from typing import NamedTuple
+
+
+class ShareChange(NamedTuple):
+    """Shares of zones after a noticeable change, and why they are so.
+
+    Attributes:
+        service: Name of the service.
+        shares: Share of the requests that goes to each other zone, 0 to 1.
+        expected_s: Expected seconds of one more request in each zone.
+        gains_s: Seconds gained by going to each other zone, after latency and
+            price.
+    """
+
+    service: str
+    shares: dict[str, float]
+    expected_s: dict[str, float]
+    gains_s: dict[str, float]
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -54,6 +54,7 @@
         self._is_repeat = False
         self._limit_waits_s: list[float] = []
         self._other_refusals = 0
+        self._leaves_zone = False
         self.tree_context = hop.TreeContext(float(route.priority), 1.0)
         self.sent = 0
         self.is_streamed = False
@@ -75,6 +76,8 @@
         if tree_context.account:
             account = hop.encode_account(tree_context.account)
             headers.append((hop.ACCOUNT, account))
+        if tree_context.has_left_zone or self._leaves_zone:
+            headers.append((hop.LEFT_ZONE, b"1"))
         if len(self._asked_ids) > 1:
             headers.append((hop.RESENT, b"1"))
         return headers
@@ -89,7 +92,12 @@
             return None
         endpoints = self._parts.endpoints
         if len(self._reached_ids) < self.route.attempts:
-            endpoint = endpoints.choose(self.service, now_s, self._asked_ids)
+            endpoint = endpoints.choose(
+                self.service,
+                now_s,
+                self._asked_ids,
+                stays=self.tree_context.has_left_zone,
+            )
         else:
             endpoint = endpoints.choose(
                 self.service, now_s, (), self._reached_ids
@@ -97,6 +105,9 @@
         if endpoint is not None:
             self._asked_ids.append(endpoint.record.endpoint_id)
             endpoints.note_sent(endpoint, now_s)
+            zone = endpoint.record.zone
+            self._leaves_zone = zone != self._parts.settings.zone
+            self._parts.zone_log.count_send(self.service, zone)
         return endpoint
 
     def note_first(self, now_s: float) -> None:
--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -41,6 +41,9 @@
     if not is_refused:
         endpoint.note_acceptance(True)
         endpoint.note_outcome(now_s, hop_answer.is_own_failure(answer.head))
+    parts.endpoints.zones.note_answer(
+        endpoint, answer.sent_s, now_s, is_run=not is_refused
+    )
     per_s = hop.decode_rate_limit(answer.head.headers)
     # A node that has just started refuses without knowing of a limit.
     if per_s is not None or not is_refused:
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -281,6 +281,7 @@
 
     def _sweep(self) -> None:
         self._exit.update_metrics()
+        self._parts.show_zone_shares()
         self._parts.metrics.version.set(self._routes.version)
         self._ports.sweep(self._clock.now_s())
 
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -20,6 +20,8 @@
 TREE_CONTEXT = b"cranberrymux-standing"
 # On requests: name of the client account of the tree, percent-encoded.
 ACCOUNT = b"cranberrymux-account"
+# On requests of trees that have left an availability zone; the value is 1.
+LEFT_ZONE = b"cranberrymux-left-zone"
 # On requests: the rate limit of the backend server that the sender has learned
 # from earlier answers, in case the node beside it has started since.
 KNOWN_RATE_LIMIT = b"cranberrymux-known-limit"
@@ -108,12 +110,16 @@
         is_repeat: True if the tree, or a subtree that contains the request, was
             run before and lost its answer or failed.
         account: Name of the client account of the root; empty for none.
+        has_left_zone: True if the request, or one that it is a call of, was
+            sent to another availability zone. Its calls then stay where they
+            are, so that a tree does not cross back and forth.
     """
 
     rank: float
     share: float
     is_repeat: bool = False
     account: str = ""
+    has_left_zone: bool = False
 
     def for_call(self) -> "TreeContext":
         """Returns the context of the calls of a request with this one."""
@@ -127,7 +133,11 @@
 
 
 def encode_tree_context(tree_context: TreeContext) -> bytes:
-    """Encodes a context as the header value `rank/share/is_repeat`."""
+    """Encodes a context as the header value `rank/share/is_repeat`.
+
+    `account` and `has_left_zone` are headers of their own, which older nodes
+    ignore.
+    """
     return b"%.1f/%.3f/%d" % tree_context[:3]
 
 
@@ -148,6 +158,7 @@
             parse.unquote(
                 (headers_module.find(headers, ACCOUNT) or b"").decode()
             ),
+            headers_module.find(headers, LEFT_ZONE) is not None,
         )
     except ValueError:
         return DEFAULT_TREE_CONTEXT
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -33,6 +33,9 @@
             them.
         rate_limit: Requests a second that the backend server accepts; 0
             without a limit.
+        zone_share: Share of the requests that goes to a zone, 0 to 1, by
+            service and zone.
+        zone_sends: Requests sent to endpoints, by service and zone.
         version: Version of the configuration in force.
         settings_since_s: Unix time from which the settings file is known as it
             is, by its digest.
@@ -99,6 +102,18 @@
                 registry=registry,
             )
         )
+        self.zone_share = prometheus_client.Gauge(
+            "cranberrymux_zone_share",
+            "Share of the requests for a service that goes to a zone.",
+            ("service", "zone"),
+            registry=registry,
+        )
+        self.zone_sends = prometheus_client.Counter(
+            "cranberrymux_zone_sends",
+            "Requests sent to endpoints in a zone.",
+            ("service", "zone"),
+            registry=registry,
+        )
         self.backend_sends = prometheus_client.Counter(
             "cranberrymux_backend_sends",
             "Requests sent to the backend server.",
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -19,6 +19,7 @@
 from cranberrymux.gateway import metrics as metrics_module
 from cranberrymux.gateway import running_requests
 from cranberrymux.gateway import settings as gateway_settings
+from cranberrymux.gateway import zone_log
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import quarantine_factory
 from cranberrymux.node import siblings as siblings_module
@@ -65,6 +66,7 @@
         quarantine: Requests that may crash backend servers.
         key_lease: For how long keys of client accounts are accepted.
         metrics: Metrics of the gateway.
+        zone_log: Metrics and log lines on the shares of zones.
         open_entry_calls: Number of open requests at the entry port.
         restricted_from_s: Monotonic seconds from which, in a stop, a request is
             taken only if its deadline is before `stop_deadline_s`.
@@ -101,7 +103,7 @@
         self.routes = routes
         self.splits = split_chooser.SplitChooser()
         self.endpoints = endpoint_set.EndpointSet(
-            settings.node_id, settings.zone, generator
+            settings.node_id, settings.zone, generator, settings.zones
         )
         self.repeats = repeat_budget.RepeatBudget(
             settings.repeat_ratio,
@@ -136,6 +138,8 @@
         )
         self.key_lease = key_lease.KeyLease(settings.key_lifetime_s)
         self.metrics = metrics_module.GatewayMetrics()
+        self.zone_log = zone_log.ZoneLog(self.metrics, settings.zone)
+        self.endpoints.zones.on_change = self.zone_log.note_change
         self.open_entry_calls = 0
         self.restricted_from_s = math.inf
         self.stop_deadline_s = math.inf
@@ -171,6 +175,12 @@
             answer_id=unexpected.answer_id.decode("latin-1"),
         )
 
+    def show_zone_shares(self) -> None:
+        """Updates the gauges of the shares of zones."""
+        zones = self.endpoints.zones
+        for service in zones.services:
+            self.zone_log.show_shares(service, zones.get_shares(service))
+
     def note_entry_call_ended(self) -> None:
         """Records that a request at the entry port has ended."""
         self.open_entry_calls -= 1
--- a/src/cranberrymux/gateway/settings.py
+++ b/src/cranberrymux/gateway/settings.py
@@ -3,6 +3,7 @@
 import math
 from typing import NamedTuple
 
+from cranberrymux.decisions.zones import zone_settings
 from cranberrymux.gateway import dialect as dialect_module
 
 
@@ -33,6 +34,7 @@
             request.
         repeat_slack: Repeats beyond that in a window, over all nodes.
         repeat_window_s: Length of the window in seconds.
+        zones: What it costs a request to leave the zone.
         dialect: Names of the HTTP headers.
         is_first_start: True if no process of this node ran before.
         key_lifetime_s: Seconds for which a node accepts the keys of a
@@ -61,5 +63,6 @@
     repeat_slack: float
     repeat_window_s: float
     dialect: dialect_module.Dialect
+    zones: zone_settings.ZoneSettings = zone_settings.ZoneSettings()
     is_first_start: bool = False
     key_lifetime_s: float = math.inf
--- a/src/cranberrymux/platform/node_main.py
+++ b/src/cranberrymux/platform/node_main.py
@@ -4,6 +4,7 @@
 import sys
 
 from cranberrymux import exceptions
+from cranberrymux.decisions.zones import zone_settings
 from cranberrymux.gateway import boot_clock
 from cranberrymux.gateway import gateway as gateway_module
 from cranberrymux.gateway import program
@@ -13,6 +14,16 @@
 from cranberrymux.telemetry import logs
 
 EXIT_SETTINGS = 2
+DEFAULT_ZONE_PRICE_MS = zone_settings.ZoneSettings().price_s * 1000
+MAXIMUM_ZONE_PRICE_MS = 60_000.0
+
+
+def _parse_price_ms(text: str) -> float:
+    """Parses the price of leaving a zone; argparse reports a ValueError."""
+    price_ms = float(text)
+    if not 0.0 <= price_ms <= MAXIMUM_ZONE_PRICE_MS:
+        raise ValueError(text)
+    return price_ms
 
 
 def main() -> int:
@@ -28,11 +39,23 @@
         metavar="PORT",
         help="serve Prometheus metrics at /metrics on this TCP port",
     )
+    parser.add_argument(
+        "--zone-price-ms",
+        type=_parse_price_ms,
+        default=DEFAULT_ZONE_PRICE_MS,
+        metavar="MS",
+        help="a request leaves its availability zone only where it is expected"
+        " to end so many milliseconds earlier, beyond the latency"
+        f" (0 to {MAXIMUM_ZONE_PRICE_MS:.0f}, default: %(default)s)",
+    )
     arguments = parser.parse_args()
     try:
         values = settings_file.read()
         settings = settings_file.make_gateway_settings(values)._replace(
-            metrics_port=arguments.metrics_port
+            metrics_port=arguments.metrics_port,
+            zones=zone_settings.ZoneSettings(
+                price_s=arguments.zone_price_ms / 1000
+            ),
         )
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -53,6 +53,7 @@
     REQUEST_TRIED_AGAIN = "request-tried-again"
     REQUEST_REFUSED_HERE = "request-refused-here"
     PRESSURE = "pressure"
+    ZONE_SHARES = "zone-shares"
 
     # Control instances.
     MEMBERS_CHANGED = "members-changed"
