--- a/tests/decisions/zones/test_zone_simulation.py
+++ b/tests/decisions/zones/test_zone_simulation.py
@@ -130,3 +130,23 @@
     # The own zone holds 0.83 of its demand.
     assert 0.15 <= mean <= 0.5
     assert max(seen) - min(seen) <= 0.35
+
+
+def test_zone_with_more_demand_uses_its_servers_and_no_more():
+    """Guards against the fault for which a former rule was taken back.
+
+    The busiest endpoints of the service then had 1.57 times the mean.
+    """
+    fleet = fleet_module.Fleet((3, 3, 3), (2.0, 1.0, 1.0))
+    simulation = simulation_module.Simulation(
+        zone_rules.RULES[SHARES], fleet, 1
+    )
+    simulation.run(0.8, 4.0)
+    received = [0, 0, 0]
+    for (zone, number), count in simulation.received.items():
+        received[zone] += count if number >= 15 else 0
+    # 1.25 times the mean fills the zone.
+    assert max(received) <= 1.25 * sum(received) / 3
+    figures = simulation.figures(CHANGE_S, 4.0, {0})
+    assert figures.p99_wait_s <= 1.5 * fleet.work_s
+    assert figures.refused <= 0.002
