Zones: no header more and few function calls for each request

The mark of a tree that has left a zone is a flag in the tree context. Answers of a zone are evaluated each 20 ms at the most, sends are counted without labels, and the wait of a rate limit is read only from answers that name one.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+import math
 import random
 
 from cranberrymux.decisions.endpoints import endpoint_view
@@ -141,17 +142,21 @@
         Returns:
             The endpoint, or None if no endpoint may get the request.
         """
-        if self.zones.is_due(service, now_s):
+        if now_s >= self.zones.due_s.get(service, -math.inf):
             self._update_zones(service, now_s)
         if allowed is None and len(tried) < REFUSALS_WITHIN_SUBSET:
             available = [
                 endpoint
-                for endpoint in self._get_subset(service)
+                for endpoint in (
+                    self._subsets.get(service) or self._get_subset(service)
+                )
                 if endpoint.is_usable
                 and endpoint.record.endpoint_id not in tried
                 and not endpoint.is_suspended(now_s)
                 and endpoint.has_room(now_s)
             ]
+            if len(available) == 1:
+                return available[0]
             if available:
                 return self._choose_by_zone(
                     service, available, now_s, len(tried), stays
--- a/src/cranberrymux/decisions/endpoints/zone_balancer.py
+++ b/src/cranberrymux/decisions/endpoints/zone_balancer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 import random
 
 from cranberrymux.decisions.endpoints import endpoint_view
@@ -11,6 +12,8 @@
 from cranberrymux.decisions.zones import share_change
 from cranberrymux.decisions.zones import zone_settings
 
+# Answers of a zone that come within this time of one another count as one.
+SAMPLE_INTERVAL_S = 0.02
 # A request that so many endpoints refused goes to any zone that is faster.
 REFUSALS_WITHIN_SHARES = 2
 # One that so many refused goes anywhere: nothing is worth less than a refusal.
@@ -26,6 +29,8 @@
 
     Attributes:
         on_change: Called when the shares of a service change noticeably.
+        due_s: Monotonic seconds from which the shares of a service are to be
+            computed anew; missing before the first time.
     """
 
     def __init__(
@@ -45,6 +50,9 @@
         self._settings = settings
         self._generator = generator
         self._services: dict[str, service_zones.ServiceZones] = {}
+        self.due_s: dict[str, float] = {}
+        # Monotonic seconds from which an answer of a zone is evaluated.
+        self._answer_due_s: dict[tuple[str, str], float] = {}
         self.on_change: Callable[[share_change.ShareChange], None] = (
             _ignore_change
         )
@@ -59,10 +67,6 @@
         zones = self._services.get(service)
         return dict(zones.shares) if zones else {}
 
-    def is_due(self, service: str, now_s: float) -> bool:
-        """True if the shares of a service are to be computed anew."""
-        return self._get(service).is_due(now_s)
-
     def update(
         self,
         service: str,
@@ -82,6 +86,7 @@
             listed.append(_cost(endpoint, now_s))
         zones = self._get(service)
         zones.update(now_s, by_zone)
+        self.due_s[service] = now_s + service_zones.UPDATE_INTERVAL_S
         change = zones.pop_change()
         if change is not None:
             self.on_change(change)
@@ -104,14 +109,16 @@
                 tells nothing of the work.
         """
         record = endpoint.record
-        zones = self._get(record.service)
-        if zones.wants_answer(record.zone, now_s):
-            zones.note_answer(
-                record.zone,
-                now_s,
-                _cost(endpoint, now_s),
-                now_s - sent_s if is_run else None,
-            )
+        key = record.service, record.zone
+        if now_s < self._answer_due_s.get(key, -math.inf):
+            return
+        self._answer_due_s[key] = now_s + SAMPLE_INTERVAL_S
+        self._get(record.service).note_answer(
+            record.zone,
+            now_s,
+            _cost(endpoint, now_s),
+            now_s - sent_s if is_run else None,
+        )
 
     def narrow(
         self,
--- a/src/cranberrymux/decisions/zones/service_zones.py
+++ b/src/cranberrymux/decisions/zones/service_zones.py
@@ -54,15 +54,6 @@
         """Share of each other zone that has one, 0 to 1."""
         return self._shares.shares
 
-    def is_due(self, now_s: float) -> bool:
-        """True if the shares are to be computed anew."""
-        return now_s - self._updated_at_s >= UPDATE_INTERVAL_S
-
-    def wants_answer(self, zone: str, now_s: float) -> bool:
-        """True if an answer at this time is to be passed to `note_answer`."""
-        estimate = self._estimates.get(zone)
-        return estimate is None or estimate.is_due(now_s)
-
     def note_answer(
         self,
         zone: str,
@@ -93,7 +84,7 @@
         now_s: float,
         endpoints: Mapping[str, list[endpoint_cost.EndpointCost]],
     ) -> None:
-        """Moves the shares; to be called when `is_due`.
+        """Moves the shares; to be called each `UPDATE_INTERVAL_S`.
 
         Args:
             now_s: Monotonic time in seconds.
--- a/src/cranberrymux/decisions/zones/zone_estimate.py
+++ b/src/cranberrymux/decisions/zones/zone_estimate.py
@@ -8,8 +8,6 @@
 # zone that gets few requests would look emptier than the own zone.
 FRESH_S = 0.5
 FORGOTTEN_S = 2.5
-# An answer that comes sooner after the last one is not evaluated.
-SAMPLE_INTERVAL_S = 0.005
 LATENCY_WINDOW_S = 10.0
 LATENCY_ANSWERS = 20  # Answers from which the shortest one is used.
 
@@ -35,10 +33,6 @@
         self._previous_minimum_s = math.inf
         self._window_began_s = -math.inf
 
-    def is_due(self, now_s: float) -> bool:
-        """True if an answer at this time is to be evaluated."""
-        return now_s - self._noted_at_s >= SAMPLE_INTERVAL_S
-
     def note_cost(self, now_s: float, cost: float) -> None:
         """Adds the cost of an endpoint right after its answer."""
         weight = -math.expm1((self._noted_at_s - now_s) / SMOOTHING_S)
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -71,13 +71,14 @@
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that depend on earlier attempts."""
         is_repeat = self.tree_context.is_repeat or self._is_repeat
-        tree_context = self.tree_context._replace(is_repeat=is_repeat)
+        tree_context = self.tree_context._replace(
+            is_repeat=is_repeat,
+            has_left_zone=self.tree_context.has_left_zone or self._leaves_zone,
+        )
         headers = [(hop.TREE_CONTEXT, hop.encode_tree_context(tree_context))]
         if tree_context.account:
             account = hop.encode_account(tree_context.account)
             headers.append((hop.ACCOUNT, account))
-        if tree_context.has_left_zone or self._leaves_zone:
-            headers.append((hop.LEFT_ZONE, b"1"))
         if len(self._asked_ids) > 1:
             headers.append((hop.RESENT, b"1"))
         return headers
--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -47,7 +47,7 @@
     per_s = hop.decode_rate_limit(answer.head.headers)
     # A node that has just started refuses without knowing of a limit.
     if per_s is not None or not is_refused:
-        _note_rate_limit(parts, answer, per_s)
+        _note_rate_limit(parts, answer, per_s, now_s)
     _note_leaving(parts, answer)
 
 
@@ -55,11 +55,12 @@
     parts: parts_module.GatewayParts,
     answer: EndpointAnswer,
     per_s: float | None,
+    now_s: float,
 ) -> None:
-    now_s = parts.clock.now_s()
     endpoint = answer.endpoint
-    wait_s = hop.decode_limit_wait(answer.head.headers)
-    endpoint.pace.note_wait(now_s, wait_s)
+    if per_s is not None:
+        wait_s = hop.decode_limit_wait(answer.head.headers)
+        endpoint.pace.note_wait(now_s, wait_s)
     previous_per_s = endpoint.rate_limit.per_s
     if not endpoint.rate_limit.note_answer(per_s, answer.sent_s, now_s):
         return
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -20,8 +20,6 @@
 TREE_CONTEXT = b"cranberrymux-standing"
 # On requests: name of the client account of the tree, percent-encoded.
 ACCOUNT = b"cranberrymux-account"
-# On requests of trees that have left an availability zone; the value is 1.
-LEFT_ZONE = b"cranberrymux-left-zone"
 # On requests: the rate limit of the backend server that the sender has learned
 # from earlier answers, in case the node beside it has started since.
 KNOWN_RATE_LIMIT = b"cranberrymux-known-limit"
@@ -131,14 +129,18 @@
 
 DEFAULT_TREE_CONTEXT = TreeContext(0.0, 1.0)
 
+_REPEAT_FLAGS = (b"1", b"3")
+_LEFT_ZONE_FLAGS = (b"2", b"3")
+
 
 def encode_tree_context(tree_context: TreeContext) -> bytes:
-    """Encodes a context as the header value `rank/share/is_repeat`.
+    """Encodes a context as the header value `rank/share/flags`.
 
-    `account` and `has_left_zone` are headers of their own, which older nodes
-    ignore.
+    The flags are 1 for `is_repeat` and 2 for `has_left_zone`. The account is a
+    header of its own.
     """
-    return b"%.1f/%.3f/%d" % tree_context[:3]
+    rank, share, is_repeat, _, has_left_zone = tree_context
+    return b"%.1f/%.3f/%d" % (rank, share, is_repeat + 2 * has_left_zone)
 
 
 def encode_account(name: str) -> bytes:
@@ -150,15 +152,15 @@
     """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
     value = headers_module.find(headers, TREE_CONTEXT) or b""
     try:
-        rank, share, is_repeat = value.split(b"/")
+        rank, share, flags = value.split(b"/")
         return TreeContext(
             float(rank),
             float(share),
-            is_repeat == b"1",
+            flags in _REPEAT_FLAGS,
             parse.unquote(
                 (headers_module.find(headers, ACCOUNT) or b"").decode()
             ),
-            headers_module.find(headers, LEFT_ZONE) is not None,
+            flags in _LEFT_ZONE_FLAGS,
         )
     except ValueError:
         return DEFAULT_TREE_CONTEXT
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -176,7 +176,8 @@
         )
 
     def show_zone_shares(self) -> None:
-        """Updates the gauges of the shares of zones."""
+        """Updates the metrics of the zones."""
+        self.zone_log.show_sends()
         zones = self.endpoints.zones
         for service in zones.services:
             self.zone_log.show_shares(service, zones.get_shares(service))
--- a/src/cranberrymux/gateway/zone_log.py
+++ b/src/cranberrymux/gateway/zone_log.py
@@ -1,6 +1,7 @@
 """Metrics and log lines on the shares of zones."""
 
-import prometheus_client
+import collections
+
 import structlog
 
 from cranberrymux.decisions.zones import share_change
@@ -22,7 +23,10 @@
         self._metrics = metrics
         self._own_zone = own_zone
         self._zones: dict[str, set[str]] = {}
-        self._sends: dict[tuple[str, str], prometheus_client.Counter] = {}
+        # Sends that the metric does not count yet.
+        self._sends: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._events = structlog.get_logger()
 
     def note_change(self, change: share_change.ShareChange) -> None:
@@ -39,11 +43,13 @@
 
     def count_send(self, service: str, zone: str) -> None:
         """Counts a request sent to an endpoint in a zone."""
-        counter = self._sends.get((service, zone))
-        if counter is None:
-            counter = self._metrics.zone_sends.labels(service, zone)
-            self._sends[service, zone] = counter
-        counter.inc()
+        self._sends[service, zone] += 1
+
+    def show_sends(self) -> None:
+        """Adds the requests counted since the last call to the metric."""
+        for (service, zone), count in self._sends.items():
+            self._metrics.zone_sends.labels(service, zone).inc(count)
+        self._sends.clear()
 
     def show_shares(self, service: str, shares: dict[str, float]) -> None:
         """Sets the gauges of a service; zones without a share get 0."""
--- a/tests/gateway/test_zones.py
+++ b/tests/gateway/test_zones.py
@@ -80,9 +80,9 @@
     for number in range(20):
         headers = [("Request-Id", f"q{number}")]
         assert mesh.ask(0, "/read/x", headers=headers).statuses == [200]
+    mesh.network.run(1.1)
     assert read_metric(mesh, "zone_sends_total", "z0") == 20.0
     assert read_metric(mesh, "zone_sends_total", "z1") == 0.0
-    mesh.network.run(1.1)
     assert read_metric(mesh, "zone_share", "z0") == 1.0
 
 
