--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -41,10 +41,13 @@
     if not is_refused:
         endpoint.note_acceptance(True)
         endpoint.note_outcome(now_s, hop_answer.is_own_failure(answer.head))
+    parts.endpoints.zones.note_answer(
+        endpoint, answer.sent_s, now_s, is_run=not is_refused
+    )
     per_s = hop.decode_rate_limit(answer.head.headers)
     # A node that has just started refuses without knowing of a limit.
     if per_s is not None or not is_refused:
-        _note_rate_limit(parts, answer, per_s)
+        _note_rate_limit(parts, answer, per_s, now_s)
     _note_leaving(parts, answer)
 
 
@@ -52,11 +55,12 @@
     parts: parts_module.GatewayParts,
     answer: EndpointAnswer,
     per_s: float | None,
+    now_s: float,
 ) -> None:
-    now_s = parts.clock.now_s()
     endpoint = answer.endpoint
-    wait_s = hop.decode_limit_wait(answer.head.headers)
-    endpoint.pace.note_wait(now_s, wait_s)
+    if per_s is not None:
+        wait_s = hop.decode_limit_wait(answer.head.headers)
+        endpoint.pace.note_wait(now_s, wait_s)
     previous_per_s = endpoint.rate_limit.per_s
     if not endpoint.rate_limit.note_answer(per_s, answer.sent_s, now_s):
         return
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -109,12 +109,16 @@
         is_repeat: True if the tree, or a subtree that contains the request, was
             run before and lost its answer or failed.
         account: Name of the client account of the root; empty for none.
+        has_left_zone: True if the request, or one that it is a call of, was
+            sent to another availability zone. Its calls then stay where they
+            are, so that a tree does not cross back and forth.
     """
 
     rank: float
     share: float
     is_repeat: bool = False
     account: str = ""
+    has_left_zone: bool = False
 
     def for_call(self) -> "TreeContext":
         """Returns the context of the calls of a request with this one."""
@@ -126,10 +130,18 @@
 
 DEFAULT_TREE_CONTEXT = TreeContext(0.0, 1.0)
 
+_REPEAT_FLAGS = (b"1", b"3")
+_LEFT_ZONE_FLAGS = (b"2", b"3")
+
 
 def encode_tree_context(tree_context: TreeContext) -> bytes:
-    """Encodes a context as the header value `rank/share/is_repeat`."""
-    return b"%.1f/%.3f/%d" % tree_context[:3]
+    """Encodes a context as the header value `rank/share/flags`.
+
+    The flags are 1 for `is_repeat` and 2 for `has_left_zone`. The account is a
+    header of its own.
+    """
+    rank, share, is_repeat, _, has_left_zone = tree_context
+    return b"%.1f/%.3f/%d" % (rank, share, is_repeat + 2 * has_left_zone)
 
 
 def encode_account(name: str) -> bytes:
@@ -141,14 +153,15 @@
     """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
     value = headers_module.find(headers, TREE_CONTEXT) or b""
     try:
-        rank, share, is_repeat = value.split(b"/")
+        rank, share, flags = value.split(b"/")
         return TreeContext(
             float(rank),
             float(share),
-            is_repeat == b"1",
+            flags in _REPEAT_FLAGS,
             parse.unquote(
                 (headers_module.find(headers, ACCOUNT) or b"").decode()
             ),
+            flags in _LEFT_ZONE_FLAGS,
         )
     except ValueError:
         return DEFAULT_TREE_CONTEXT
