Decode repeated header values between nodes once

Tree contexts and load reports repeat from request to request; the results of the pure functions that decode them are kept in a bounded table. Headers that are missing from an answer are not decoded.

--- a/src/cranberrymux/gateway/backend_self_report.py
+++ b/src/cranberrymux/gateway/backend_self_report.py
@@ -19,6 +19,7 @@
     Writes a log line for each change and for each value that is not valid.
 
     Attributes:
+        known: The rate limit of the process.
         is_leaving: True once the process has said that it is leaving.
     """
 
@@ -37,7 +38,7 @@
         self._parts = parts
         self._on_leaving = on_leaving
         self._process = _NO_PROCESS
-        self._known = known_rate_limit.KnownRateLimit()
+        self.known = known_rate_limit.KnownRateLimit()
         self.is_leaving = False
 
     @property
@@ -45,17 +46,12 @@
         """The process that the information is about."""
         return self._process
 
-    @property
-    def rate_limit_per_s(self) -> float | None:
-        """Requests a second; None without a limit."""
-        return self._known.per_s
-
     def use_process(self, process: backend_process.BackendProcess) -> None:
         """Forgets everything if the backend server is another process."""
         is_same = process.may_be(self._process)
         self._process = process
         if not is_same:
-            self._known = known_rate_limit.KnownRateLimit()
+            self.known = known_rate_limit.KnownRateLimit()
             self.is_leaving = False
             self._parts.metrics.rate_limit.set(0.0)
 
@@ -74,7 +70,7 @@
             request_id: Id of the request; empty for a health check.
             source: What the answer was to.
         """
-        known = self._known
+        known = self.known
         if signals is backend_signals.NO_SIGNALS and (
             known.per_s is None and known.source is _Source.ANSWER
         ):
@@ -88,7 +84,7 @@
             return
         previous = self._describe_limit()
         now_s = self._parts.clock.now_s()
-        if self._known.note_answer(
+        if self.known.note_answer(
             signals.rate_limit_per_s, sent_s, now_s, source
         ):
             self._log_limit(previous, request_id)
@@ -101,7 +97,7 @@
             request_id: Id of the request.
         """
         previous = self._describe_limit()
-        if self._known.note_sender(per_s, self._parts.clock.now_s()):
+        if self.known.note_sender(per_s, self._parts.clock.now_s()):
             self._log_limit(previous, request_id)
 
     def _leave(self, request_id: bytes) -> None:
@@ -114,13 +110,13 @@
         self._on_leaving(self._process.backend_id)
 
     def _log_limit(self, previous: dict[str, Any], request_id: bytes) -> None:
-        self._parts.metrics.rate_limit.set(self.rate_limit_per_s or 0.0)
-        source = self._known.source
+        self._parts.metrics.rate_limit.set(self.known.per_s or 0.0)
+        source = self.known.source
         assert source is not None
         self._parts.events.info(
             "backend-rate-limit",
             **self._process._asdict(),
-            per_s=self.rate_limit_per_s,
+            per_s=self.known.per_s,
             source=source.value,
             request_id=request_id.decode("latin-1"),
             **previous,
@@ -128,7 +124,7 @@
 
     def _describe_limit(self) -> dict[str, Any]:
         """Returns the log fields of the limit that a change ends."""
-        known = self._known
+        known = self.known
         if known.per_s is None:
             return {"previous_per_s": None}
         held_s = self._parts.clock.now_s() - known.since_s
--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -7,6 +7,7 @@
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.node.http import answer_head
+from cranberrymux.node.http import headers as headers_module
 
 
 class EndpointAnswer(NamedTuple):
@@ -37,23 +38,25 @@
         endpoint.note_reported_load(now_s, load.requests)
         endpoint.note_reported_failure_rate(now_s, load.failure_rate)
         endpoint.note_reported_slowness(now_s, load.slowness)
-    is_refused = hop_answer.find_refusal(answer.head) is not None
+    first = headers_module.index(answer.head.headers)
+    is_refused = hop.NOT_RUN in first
     if not is_refused:
         endpoint.note_acceptance(True)
         endpoint.note_outcome(now_s, hop_answer.is_own_failure(answer.head))
     per_s = hop.decode_rate_limit(answer.head.headers)
     # A node that has just started refuses without knowing of a limit.
     if per_s is not None or not is_refused:
-        _note_rate_limit(parts, answer, per_s)
-    _note_leaving(parts, answer)
+        _note_rate_limit(parts, answer, per_s, now_s)
+    if hop.LEAVING in first:
+        _note_leaving(parts, answer)
 
 
 def _note_rate_limit(
     parts: parts_module.GatewayParts,
     answer: EndpointAnswer,
     per_s: float | None,
+    now_s: float,
 ) -> None:
-    now_s = parts.clock.now_s()
     endpoint = answer.endpoint
     wait_s = hop.decode_limit_wait(answer.head.headers)
     endpoint.pace.note_wait(now_s, wait_s)
--- a/src/cranberrymux/gateway/exit_limit.py
+++ b/src/cranberrymux/gateway/exit_limit.py
@@ -44,7 +44,7 @@
     @property
     def per_s(self) -> float | None:
         """Requests a second; None without a limit."""
-        return self._self_report.rate_limit_per_s
+        return self._self_report.known.per_s
 
     def use_process(self, process: backend_process.BackendProcess) -> None:
         """Ends the limit if the backend server is another process."""
@@ -107,8 +107,8 @@
         """Encodes what the backend server says of itself, for answers."""
         report = self._self_report
         headers: headers_module.HeaderList = []
-        if report.rate_limit_per_s is not None:
-            per_s = hop.encode_rate_limit(report.rate_limit_per_s)
+        if report.known.per_s is not None:
+            per_s = hop.encode_rate_limit(report.known.per_s)
             headers.append((hop.RATE_LIMIT, per_s))
             wait_s = self._scheduler.get_token_wait_s(self._parts.clock.now_s())
             headers.append((hop.LIMIT_WAIT, hop.encode_limit_wait(wait_s)))
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -45,7 +45,7 @@
     def note_hold(self, route: str, hold_s: float) -> None:
         """Records for how long a request of a route held its slot."""
         self._meter.note_hold(route, hold_s)
-        self._parts.metrics.hold_s.labels(route).observe(hold_s)
+        self._parts.metrics.hold_s[route,].observe(hold_s)
 
     def update(self, now_s: float, limit_per_s: float | None) -> None:
         """Updates the share.
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -1,6 +1,7 @@
 """Headers between nodes; removed from what clients and servers get."""
 
 from collections.abc import Container
+import functools
 import math
 from typing import NamedTuple
 from urllib import parse
@@ -12,6 +13,7 @@
 
 PREFIX = b"cranberrymux-"
 _PREFIX_BYTES = len(PREFIX)
+_KEPT_VALUES = 256  # Results kept of each function that decodes a value.
 # On requests: id of the backend server that the sender chose.
 TARGET = b"cranberrymux-target"
 # On requests: name of the route.
@@ -139,16 +141,20 @@
 
 def decode_tree_context(headers: headers_module.HeaderList) -> TreeContext:
     """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
-    value = headers_module.find(headers, TREE_CONTEXT) or b""
+    first = headers_module.index(headers)
+    value = first.get(TREE_CONTEXT, b"")
+    return _parse_tree_context(value, first.get(ACCOUNT, b""))
+
+
+@functools.lru_cache(_KEPT_VALUES)
+def _parse_tree_context(value: bytes, account: bytes) -> TreeContext:
     try:
         rank, share, is_repeat = value.split(b"/")
         return TreeContext(
             float(rank),
             float(share),
             is_repeat == b"1",
-            parse.unquote(
-                (headers_module.find(headers, ACCOUNT) or b"").decode()
-            ),
+            parse.unquote(account.decode()),
         )
     except ValueError:
         return DEFAULT_TREE_CONTEXT
@@ -179,7 +185,11 @@
 
 def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
     """Decodes the report; None if it is missing or invalid."""
-    value = headers_module.find(headers, LOAD) or b""
+    return _parse_load(headers_module.index(headers).get(LOAD, b""))
+
+
+@functools.lru_cache(_KEPT_VALUES)
+def _parse_load(value: bytes) -> LoadReport | None:
     numbers = [whole_number.decode(one) for one in value.split(b"/")]
     if len(numbers) != 3:
         return None
@@ -198,6 +208,8 @@
     headers: headers_module.HeaderList, name: bytes = RATE_LIMIT
 ) -> float | None:
     """Decodes the rate limit; None if it is missing or invalid."""
+    if name not in headers_module.index(headers):
+        return None
     per_s = rate_limit_value.parse(headers_module.find_all(headers, name))
     return per_s if isinstance(per_s, float) else None
 
--- a/src/cranberrymux/gateway/request_log.py
+++ b/src/cranberrymux/gateway/request_log.py
@@ -53,8 +53,8 @@
         elapsed_s = self._parts.clock.now_s() - self._request.began_s
         metrics = self._parts.metrics
         route = self._attempts.route.name
-        metrics.requests.labels(route, outcome).inc()
-        metrics.request_s.labels(route).observe(elapsed_s)
+        metrics.requests[route, outcome].inc()
+        metrics.request_s[route,].observe(elapsed_s)
 
     def log_own_answer(self, outcome: own_answers.Outcome, detail: str) -> None:
         """Counts and logs a request that this node answered or cut off."""
--- a/src/cranberrymux/node/http/call_pipeline.py
+++ b/src/cranberrymux/node/http/call_pipeline.py
@@ -119,11 +119,15 @@
 
     def call_answered(self, keep_alive: bool) -> None:
         """Notes that the answer is complete."""
-        self._note_end(_End.KEEP if keep_alive else _End.CLOSE)
+        self.end = _End.KEEP if keep_alive else _End.CLOSE
+        if self.is_first:
+            self._pipeline.advance()
 
     def abort(self) -> None:
         """Notes that the answer is truncated."""
-        self._note_end(_End.ABORT)
+        self.end = _End.ABORT
+        if self.is_first:
+            self._pipeline.advance()
 
     def pause_body(self) -> None:
         """Stops reading from the client."""
@@ -144,11 +148,6 @@
         if was_full and self.call.on_send_buffer_drained is not None:
             self.call.on_send_buffer_drained()
 
-    def _note_end(self, end: _End) -> None:
-        self.end = end
-        if self.is_first:
-            self._pipeline.advance()
-
 
 class CallPipeline:
     """The calls of one connection that have not been answered, in order.
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -1,6 +1,7 @@
 """Pool of kept-alive HTTP client connections, by address."""
 
 from collections.abc import Callable
+import functools
 from typing import Any
 
 from twisted.internet import protocol
@@ -71,8 +72,8 @@
         self._address = address
         self.accepts_close_delimited = pool.accepts_close_delimited
         self.on_unexpected = pool.on_unexpected
-        self.on_idle = self._make_available
-        self.on_closed = self._drop
+        self.on_idle = functools.partial(pool.add_idle, address)
+        self.on_closed = pool.remove
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
@@ -80,14 +81,6 @@
             dead_peer_detection.enable(self.transport)
         self._pool.add_idle(self._address, self)
 
-    def _make_available(
-        self, connection: client_connection.ClientConnection
-    ) -> None:
-        self._pool.add_idle(self._address, connection)
-
-    def _drop(self, connection: client_connection.ClientConnection) -> None:
-        self._pool.remove(connection)
-
 
 class ConnectionPool:
     """Lends connections: idle ones first, otherwise new ones.
--- a/src/cranberrymux/node/http/header_reader.py
+++ b/src/cranberrymux/node/http/header_reader.py
@@ -56,8 +56,10 @@
     @property
     def is_exceeded(self) -> bool:
         """True if there are too many or they are too long."""
-        if self._message_bytes <= self._maximum_bytes:
-            return self.has_too_many
         pairs = self._taken + self.pairs
+        if len(pairs) > self._maximum_count:
+            return True
+        if self._message_bytes <= self._maximum_bytes:
+            return False
         size = sum(len(name) + len(value) for name, value in pairs)
-        return size > self._maximum_bytes or self.has_too_many
+        return size > self._maximum_bytes
