--- a/src/cranberrymux/decisions/endpoints/slowness.py
+++ b/src/cranberrymux/decisions/endpoints/slowness.py
@@ -22,10 +22,15 @@
 
     The baseline is kept per route. Averages are taken over the logarithms of
     working times, since a few of them are much longer than the others.
+
+    Attributes:
+        latest_excess: Logarithm of the ratio at the last `note`, which bounds
+            later ones.
     """
 
     def __init__(self) -> None:
         """Starts without a baseline for any route."""
+        self.latest_excess = 0.0
         self._baselines: dict[str, float] = {}
         self._excess = decaying_value.DecayingValue(DECAY_TIME_S)
 
@@ -44,6 +49,7 @@
         old_excess = self._excess.at(now_s)
         excess = old_excess + SAMPLE_WEIGHT * (log_time - baseline - old_excess)
         self._excess.set(now_s, excess)
+        self.latest_excess = excess
         time_constant_s = (
             BASELINE_RISE_TIME_S if excess > 0.0 else BASELINE_FALL_TIME_S
         )
@@ -52,11 +58,6 @@
 
     def at(self, now_s: float) -> float:
         """Returns the ratio at `now_s`; 1.0 if as fast as usual or faster."""
-        if self._excess.latest <= 0.0:
+        if self.latest_excess <= 0.0:
             return 1.0
         return math.exp(self._excess.at(now_s))
-
-    @property
-    def latest_excess(self) -> float:
-        """Logarithm of the ratio at the last `note`, bounding later ones."""
-        return self._excess.latest
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -69,8 +69,9 @@
 
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that depend on earlier attempts."""
-        is_repeat = self.tree_context.is_repeat or self._is_repeat
-        tree_context = self.tree_context._replace(is_repeat=is_repeat)
+        tree_context = self.tree_context
+        if self._is_repeat and not tree_context.is_repeat:
+            tree_context = tree_context._replace(is_repeat=True)
         headers = [(hop.TREE_CONTEXT, hop.encode_tree_context(tree_context))]
         if tree_context.account:
             account = hop.encode_account(tree_context.account)
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -89,7 +89,7 @@
         return self.tree_context.rank
 
     @property
-    def headers(self) -> headers_module.HeaderList:
+    def headers(self) -> headers_module.Headers:
         """Headers of the request, with those between nodes."""
         return self._call.head.headers
 
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -45,7 +45,7 @@
         """Order of starting; lower ranks start first."""
 
     @property
-    def headers(self) -> headers_module.HeaderList:
+    def headers(self) -> headers_module.Headers:
         """Headers of the request, with what its sender knows."""
 
 
@@ -105,7 +105,8 @@
         """Takes a request that is a suspect; False if it is none."""
         if not call.digest:
             return False
-        suspicion.learn(self._parts, call.headers)
+        if hop.SUSPECT in call.headers.first:
+            suspicion.learn(self._parts, call.headers)
         if not self._quarantine.records:
             return False
         fingerprint = suspicion.make_fingerprint(call.digest)
--- a/src/cranberrymux/node/http/answer_budget.py
+++ b/src/cranberrymux/node/http/answer_budget.py
@@ -5,7 +5,7 @@
 from cranberrymux.node.http import header_reader
 
 
-class AnswerBudget:
+class AnswerBudget(framing_meter.FramingMeter):
     """Counts what is read of the answer to one request.
 
     The methods that count return which limit is exceeded, or an empty text.
@@ -20,23 +20,23 @@
         Args:
             limits: Limits on each answer.
         """
+        super().__init__(limits.framing_bytes)
         self._limits = limits
-        self._meter = framing_meter.FramingMeter(limits.framing_bytes)
         self.headers = header_reader.HeaderReader(
             limits.head_bytes, limits.header_count
         )
-        self._body_bytes = 0
+        self._answer_body_bytes = 0
         self._interim_answers = 0
 
     def begin_request(self) -> None:
         """Starts to count for the next request."""
-        self._meter.begin()
+        self.begin()
         self._interim_answers = 0
 
     def begin_answer(self) -> None:
         """Starts to count the next answer, which may be a 1xx answer."""
         self.headers.begin()
-        self._body_bytes = 0
+        self._answer_body_bytes = 0
 
     def check_headers(self) -> str:
         """Checks the headers and trailers read so far."""
@@ -53,22 +53,24 @@
             return f"over {self._limits.interim_answers} interim answers"
         return ""
 
-    def note_body(self, size: int, *, is_discarded: bool) -> str:
+    def check_body(self, size: int, *, is_discarded: bool) -> str:
         """Counts a part of the body.
 
         Args:
             size: Length of the part in bytes.
             is_discarded: True if the answer belongs to another request.
         """
-        self._meter.note_body(size)
-        self._body_bytes += size
+        self._new_body_bytes += size
+        self._answer_body_bytes += size
         limit = self._limits.body_bytes
         if is_discarded:
             limit = self._limits.discarded_bytes
-        return f"body over {limit} bytes" if self._body_bytes > limit else ""
+        if self._answer_body_bytes > limit:
+            return f"body over {limit} bytes"
+        return ""
 
-    def note_read(self, size: int) -> str:
+    def check_read(self, size: int) -> str:
         """Counts a read, after what it has brought was counted."""
-        if self._meter.note_read(size):
+        if self.note_read(size):
             return "too many bytes without any of the body"
         return self.check_headers() if self.headers.pairs else ""
--- a/src/cranberrymux/node/http/call_pipeline.py
+++ b/src/cranberrymux/node/http/call_pipeline.py
@@ -260,7 +260,8 @@
         if self._owner.is_draining and not self._has_started:
             self._owner.close()
             return
-        self._start_ready()
+        if self.waiting:
+            self._start_ready()
         self._owner.pipeline_advanced()
 
     @property
@@ -279,16 +280,17 @@
             return None
         for started, turn in enumerate(self._turns):
             if not turn.is_started:
-                return turn if self._may_start(turn, started) else None
+                if turn.is_first:
+                    return turn if turn.is_ready else None
+                return turn if self._may_run_beside(turn, started) else None
             if not _leaves_open(turn.call.head):
                 return None
         return None
 
-    def _may_start(self, turn: _Turn, started: int) -> bool:
-        if turn.is_first or not turn.is_ready:
-            return turn.is_ready
+    def _may_run_beside(self, turn: _Turn, started: int) -> bool:
         return (
-            started < self._concurrent_calls
+            turn.is_ready
+            and started < self._concurrent_calls
             and turn.call.is_body_complete
             and not self._owner.is_draining
             and self._may_run_ahead(turn.call.head)
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -181,10 +181,15 @@
         size = len(data)
         self._budget.headers.note_read(size)
         self._feed(data)
-        if exceeded := self._budget.note_read(size):
+        if exceeded := self._budget.check_read(size):
             self._end_excess(exceeded)
         if self._has_read_answer_end and not self._is_lost:
-            self._notify_idle()
+            if self._is_paused:
+                # The caller that paused may take the last part of its answer
+                # later.
+                self.resume_answer()
+            if self.on_idle is not None:
+                self.on_idle(self)
 
     def _feed(self, data: bytes) -> None:
         try:
@@ -280,7 +285,7 @@
     def on_body(self, part: bytes) -> None:
         """Passes a part of the body to the sink."""
         is_discarded = self._is_filtered_out
-        if exceeded := self._budget.note_body(
+        if exceeded := self._budget.check_body(
             len(part), is_discarded=is_discarded
         ):
             self._end_excess(exceeded)
@@ -389,13 +394,6 @@
             self._report_unexpected(_UnexpectedKind.BEHIND_ANSWER)
             self.cancel()
 
-    def _notify_idle(self) -> None:
-        if self._is_paused:
-            # The caller that paused may take the last part of its answer later.
-            self.resume_answer()
-        if self.on_idle is not None:
-            self.on_idle(self)
-
     def _end_excess(self, exceeded: str) -> None:
         """Ends the request at an answer that may have no end.
 
--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -4,6 +4,8 @@
 
 HeaderList = list[tuple[bytes, bytes]]
 
+# Values of `Connection` that name no header.
+_CONNECTION_OPTIONS = (b"keep-alive", b"close")
 _WHITESPACE = frozenset((b" ", b"\t"))
 # Names that are kept in lower case, and the longest of them.
 _KEPT_NAMES = 1024
@@ -119,7 +121,10 @@
 def find_hop_by_hop(headers: HeaderList) -> frozenset[bytes]:
     """Returns the names of `HOP_BY_HOP` and those that `Connection` names."""
     connection = find(headers, b"connection")
-    if connection is None or connection.lower() in (b"keep-alive", b"close"):
+    if connection is None or (
+        connection in _CONNECTION_OPTIONS
+        or connection.lower() in _CONNECTION_OPTIONS
+    ):
         return HOP_BY_HOP
     nominated = [part.strip().lower() for part in connection.split(b",")]
     return HOP_BY_HOP.union(nominated)
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -213,7 +213,8 @@
                     self._reject(bad)
         finally:
             self._is_parsing = False
-        self._update_reading()
+        if self._is_paused or self._is_body_paused or self._pipeline.waiting:
+            self._update_reading()
 
     def _take_unparsed(self) -> bytes:
         """Takes the bytes up to the end of a head, or all if there is none.
