--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -41,63 +41,32 @@
     def __init__(self) -> None:
         """Registers all metrics at zero in a new registry."""
         registry = self._registry = prometheus_client.CollectorRegistry()
-        self.requests = label_children.LabelChildren(
-            prometheus_client.Counter(
-                "cranberrymux_requests",
-                "Requests that began here.",
-                ("route", "outcome"),
-                registry=registry,
-            )
+        self.requests = self._counter(
+            "requests", "Requests that began here.", "route", "outcome"
         )
-        self.key_refusals = label_children.LabelChildren(
-            prometheus_client.Counter(
-                "cranberrymux_key_refusals",
-                "Requests refused for the key of a client account.",
-                ("reason",),
-                registry=registry,
-            )
+        self.key_refusals = self._counter(
+            "key_refusals",
+            "Requests refused for the key of a client account.",
+            "reason",
         )
-        self.request_s = label_children.LabelChildren(
-            prometheus_client.Histogram(
-                "cranberrymux_request_seconds",
-                "From a request's begin to its answer.",
-                ("route",),
-                buckets=LATENCY_BOUNDS_S,
-                registry=registry,
-            )
+        self.request_s = self._histogram(
+            "request_seconds", "From a request's begin to its answer.", "route"
         )
-        self.hops = label_children.LabelChildren(
-            prometheus_client.Counter(
-                "cranberrymux_hops",
-                "Requests from other nodes.",
-                ("outcome",),
-                registry=registry,
-            )
+        self.hops = self._counter(
+            "hops", "Requests from other nodes.", "outcome"
         )
-        self.hold_s = label_children.LabelChildren(
-            prometheus_client.Histogram(
-                "cranberrymux_backend_seconds",
-                "Time for which the backend server ran a request.",
-                ("route",),
-                buckets=LATENCY_BOUNDS_S,
-                registry=registry,
-            )
+        self.hold_s = self._histogram(
+            "backend_seconds",
+            "Time for which the backend server ran a request.",
+            "route",
         )
-        self.unexpected_answers = label_children.LabelChildren(
-            prometheus_client.Counter(
-                "cranberrymux_unexpected_answers",
-                "Answers, or other bytes, that belong to no pending request.",
-                ("reason",),
-                registry=registry,
-            )
+        self.unexpected_answers = self._counter(
+            "unexpected_answers",
+            "Answers, or other bytes, that belong to no pending request.",
+            "reason",
         )
-        self.repeats = label_children.LabelChildren(
-            prometheus_client.Counter(
-                "cranberrymux_repeats",
-                "Requests sent to one more endpoint.",
-                ("service",),
-                registry=registry,
-            )
+        self.repeats = self._counter(
+            "repeats", "Requests sent to one more endpoint.", "service"
         )
         self.backend_sends = prometheus_client.Counter(
             "cranberrymux_backend_sends",
@@ -127,6 +96,26 @@
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
 
+    def _counter(
+        self, name: str, help_text: str, *labels: str
+    ) -> label_children.LabelChildren[prometheus_client.Counter]:
+        counter = prometheus_client.Counter(
+            f"cranberrymux_{name}", help_text, labels, registry=self._registry
+        )
+        return label_children.LabelChildren(counter)
+
+    def _histogram(
+        self, name: str, help_text: str, *labels: str
+    ) -> label_children.LabelChildren[prometheus_client.Histogram]:
+        histogram = prometheus_client.Histogram(
+            f"cranberrymux_{name}",
+            help_text,
+            labels,
+            buckets=LATENCY_BOUNDS_S,
+            registry=self._registry,
+        )
+        return label_children.LabelChildren(histogram)
+
     def _gauge(self, name: str, help_text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
             f"cranberrymux_{name}", help_text, registry=self._registry
