--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -70,11 +70,11 @@
 
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that depend on earlier attempts."""
-        is_repeat = self.tree_context.is_repeat or self._is_repeat
-        tree_context = self.tree_context._replace(
-            is_repeat=is_repeat,
-            has_left_zone=self.tree_context.has_left_zone or self._leaves_zone,
-        )
+        tree_context = self.tree_context
+        if self._is_repeat and not tree_context.is_repeat:
+            tree_context = tree_context._replace(is_repeat=True)
+        if self._leaves_zone and not tree_context.has_left_zone:
+            tree_context = tree_context._replace(has_left_zone=True)
         headers = [(hop.TREE_CONTEXT, hop.encode_tree_context(tree_context))]
         if tree_context.account:
             account = hop.encode_account(tree_context.account)
--- a/src/cranberrymux/node/http/call_pipeline.py
+++ b/src/cranberrymux/node/http/call_pipeline.py
@@ -119,11 +119,15 @@
 
     def call_answered(self, keep_alive: bool) -> None:
         """Notes that the answer is complete."""
-        self._note_end(_End.KEEP if keep_alive else _End.CLOSE)
+        self.end = _End.KEEP if keep_alive else _End.CLOSE
+        if self.is_first:
+            self._pipeline.advance()
 
     def abort(self) -> None:
         """Notes that the answer is truncated."""
-        self._note_end(_End.ABORT)
+        self.end = _End.ABORT
+        if self.is_first:
+            self._pipeline.advance()
 
     def pause_body(self) -> None:
         """Stops reading from the client."""
@@ -144,11 +148,6 @@
         if was_full and self.call.on_send_buffer_drained is not None:
             self.call.on_send_buffer_drained()
 
-    def _note_end(self, end: _End) -> None:
-        self.end = end
-        if self.is_first:
-            self._pipeline.advance()
-
 
 class CallPipeline:
     """The calls of one connection that have not been answered, in order.
@@ -261,7 +260,8 @@
         if self._owner.is_draining and not self._has_started:
             self._owner.close()
             return
-        self._start_ready()
+        if self.waiting:
+            self._start_ready()
         self._owner.pipeline_advanced()
 
     @property
@@ -280,16 +280,17 @@
             return None
         for started, turn in enumerate(self._turns):
             if not turn.is_started:
-                return turn if self._may_start(turn, started) else None
+                if turn.is_first:
+                    return turn if turn.is_ready else None
+                return turn if self._may_run_beside(turn, started) else None
             if not _leaves_open(turn.call.head):
                 return None
         return None
 
-    def _may_start(self, turn: _Turn, started: int) -> bool:
-        if turn.is_first or not turn.is_ready:
-            return turn.is_ready
+    def _may_run_beside(self, turn: _Turn, started: int) -> bool:
         return (
-            started < self._concurrent_calls
+            turn.is_ready
+            and started < self._concurrent_calls
             and turn.call.is_body_complete
             and not self._owner.is_draining
             and self._may_run_ahead(turn.call.head)
