--- a/src/cranberrymux/decisions/endpoints/zone_balancer.py
+++ b/src/cranberrymux/decisions/endpoints/zone_balancer.py
@@ -1,7 +1,7 @@
 """Zones of all services that a node sends requests to."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
+from collections.abc import Collection
 import math
 import random
 
@@ -51,6 +51,9 @@
         self._generator = generator
         self._services: dict[str, service_zones.ServiceZones] = {}
         self.due_s: dict[str, float] = {}
+        # The zone of services whose endpoints are all in one, or that have
+        # none, so that there is nothing to decide.
+        self._only_zone: dict[str, set[str]] = {}
         # Monotonic seconds from which an answer of a zone is evaluated.
         self._answer_due_s: dict[tuple[str, str], float] = {}
         self.on_change: Callable[[share_change.ShareChange], None] = (
@@ -71,7 +74,7 @@
         self,
         service: str,
         now_s: float,
-        endpoints: Iterable[endpoint_view.EndpointView],
+        endpoints: Collection[endpoint_view.EndpointView],
     ) -> None:
         """Computes the shares of a service anew.
 
@@ -80,13 +83,20 @@
             now_s: Monotonic time in seconds.
             endpoints: Its endpoints that take requests.
         """
+        self.due_s[service] = now_s + service_zones.UPDATE_INTERVAL_S
+        found = {endpoint.record.zone for endpoint in endpoints}
+        if len(found) > 1:
+            self._only_zone.pop(service, None)
+        elif self._only_zone.get(service) == found:
+            return
+        else:
+            self._only_zone[service] = found
         by_zone: dict[str, list[endpoint_cost.EndpointCost]] = {}
         for endpoint in endpoints:
             listed = by_zone.setdefault(endpoint.record.zone, [])
             listed.append(_cost(endpoint, now_s))
         zones = self._get(service)
         zones.update(now_s, by_zone)
-        self.due_s[service] = now_s + service_zones.UPDATE_INTERVAL_S
         change = zones.pop_change()
         if change is not None:
             self.on_change(change)
@@ -109,6 +119,8 @@
                 tells nothing of the work.
         """
         record = endpoint.record
+        if record.service in self._only_zone:
+            return
         key = record.service, record.zone
         if now_s < self._answer_due_s.get(key, -math.inf):
             return
--- a/tests/decisions/endpoints/test_endpoint_set.py
+++ b/tests/decisions/endpoints/test_endpoint_set.py
@@ -289,3 +289,21 @@
         after = self.choose_names(large)
         assert len(after) == self.SIZE
         assert subset - after == {leaving}
+
+
+def test_zone_without_endpoints_is_left_at_once_and_taken_back_in_steps(
+    endpoints,
+):
+    """Guards against shares that stay as they were for the only zone left."""
+    for name in ("near-1", "near-2"):
+        endpoints.update([record(name, sequence=2, state=State.DRAINING)])
+    count_choices(endpoints, 1, 0.0)
+    count_choices(endpoints, 1, 0.2)
+    assert endpoints.zones.get_shares("s") == {"y": 1.0}
+    for name in ("near-1", "near-2"):
+        endpoints.update([record(name, sequence=3)])
+    assert set(count_choices(endpoints, now_s=0.4)) > {"far-1", "far-2"}
+    for step in range(20):
+        count_choices(endpoints, 1, 0.5 + 0.1 * step)
+    assert endpoints.zones.get_shares("s") == {}
+    assert set(count_choices(endpoints, now_s=2.5)) == {"near-1", "near-2"}
