--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from cranberrymux.gateway import hop
+from cranberrymux.gateway import metrics
 from tests.gateway import mesh as mesh_module
 
 
@@ -95,3 +97,26 @@
     mesh.network.run(4.0)
     mesh.ask(0, "/read/x", headers=[("Request-Id", "last")])
     assert not health._is_degraded
+
+
+def test_tree_context_of_one_account_is_not_taken_for_that_of_another():
+    """Guards against a kept result that leaves out part of what it is of."""
+    names = ["first", "second", "", "first"]
+    decoded = []
+    for name in names:
+        context = hop.TreeContext(1.0, 0.5, False, name)
+        headers = [
+            (hop.TREE_CONTEXT, hop.encode_tree_context(context)),
+            (hop.ACCOUNT, hop.encode_account(name)),
+        ]
+        decoded.append(hop.decode_tree_context(headers).account)
+    assert decoded == names
+
+
+def test_metrics_count_under_the_labels_of_each_event():
+    counted = metrics.GatewayMetrics()
+    for status in ("2xx", "5xx", "2xx"):
+        counted.hops[status,].inc()
+    text = counted.encode().decode()
+    assert 'cranberrymux_hops_total{outcome="2xx"} 2.0' in text
+    assert 'cranberrymux_hops_total{outcome="5xx"} 1.0' in text
