Quotas of client accounts: tokens from the leader of the control instances

Each limited account has one token bucket at the leader; nodes hold tokens that expire, spend one for each run and ask for more over a connection of their own. A request without a token waits for a tenth of its latency objective and is then refused with 429.

--- a/src/cranberrymux/control/command_log.py
+++ b/src/cranberrymux/control/command_log.py
@@ -40,6 +40,12 @@
     def leader(self) -> str:
         """Returns the leader's `control_id`; empty if none is known."""
 
+    def leader_address(self) -> str:
+        """Returns `ip:port` of the leader; empty if none is known."""
+
+    def term(self) -> int:
+        """Returns the term of the log; no two leaders have the same."""
+
     def addresses(self) -> tuple[str, ...]:
         """Returns `ip:port` of every known control instance."""
 
--- a/src/cranberrymux/control/control_settings.py
+++ b/src/cranberrymux/control/control_settings.py
@@ -7,6 +7,7 @@
 from cranberrymux import exceptions
 from cranberrymux.control import formation_settings
 from cranberrymux.control import peer
+from cranberrymux.decisions.quotas import quota_settings
 from cranberrymux.settings import field
 from cranberrymux.settings import loader
 from cranberrymux.telemetry import metrics_settings
@@ -106,6 +107,7 @@
             ended is taken to have an unknown outcome.
         statsd_address: `ip:port` of the statsd server; empty for none.
         statsd_prefix: First part of every metric's name.
+        quotas: Bounds on the quotas of client accounts.
         forming: How a cluster forms from seeds; None if `peers` lists every
             control instance.
     """
@@ -130,6 +132,7 @@
     statsd_address: str
     statsd_prefix: str
     forming: formation_settings.FormationSettings | None = None
+    quotas: quota_settings.QuotaSettings = quota_settings.QuotaSettings()
 
     @property
     def minimum_voters(self) -> int:
--- a/src/cranberrymux/control/counters.py
+++ b/src/cranberrymux/control/counters.py
@@ -15,6 +15,7 @@
         settlements: Settlements of claimed calls, resends included.
         suspects: Reports that a request killed a backend server; reads of the
             number of deaths are not counted.
+        quota_requests: Requests of nodes for quota tokens.
         changes: Requests to change the configuration, resends included.
         wrong_keys: Calls refused for a wrong cluster key.
         wrong_tokens: Requests refused for a wrong operator token.
@@ -26,6 +27,7 @@
     claims: int = 0
     settlements: int = 0
     suspects: int = 0
+    quota_requests: int = 0
     changes: int = 0
     wrong_keys: int = 0
     wrong_tokens: int = 0
--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -13,6 +13,7 @@
 from cranberrymux.control import control_settings
 from cranberrymux.control import conversions
 from cranberrymux.control import counters
+from cranberrymux.control import quota_service
 from cranberrymux.control import state_machine
 from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.directory import endpoint_table
@@ -39,6 +40,7 @@
         counters: Requests received since the start.
         directory: Endpoints that the nodes announced.
         nodes: Nodes that sent heartbeats.
+        quotas: Hands out the tokens of client accounts.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         log: command_log.CommandLog,
         metrics: metrics_sink.MetricsSink,
         now_s: Callable[[], float],
+        boot_now_s: Callable[[], float] | None = None,
     ) -> None:
         """Creates the service with an empty directory.
 
@@ -60,6 +63,8 @@
             log: Commits commands.
             metrics: Receives the metrics of claims and leases.
             now_s: Monotonic clock.
+            boot_now_s: Clock of quota tokens, which also counts the time for
+                which the instance is suspended; `now_s` by default.
         """
         lease_s = settings.lease_ms / 1000
         self._settings = settings
@@ -75,6 +80,9 @@
             lease_s, TOMBSTONE_LEASES * lease_s, now_s()
         )
         self.nodes = node_table.NodeTable(lease_s)
+        self.quotas = quota_service.QuotaService(
+            settings.quotas, machine, log, metrics, boot_now_s or now_s
+        )
 
     def tick(self) -> None:
         """Ends expired leases and removes nodes gone for `TOMBSTONE_LEASES`.
@@ -82,6 +90,7 @@
         It must be called several times per lease; see `EndpointTable.tick`.
         """
         now_s = self._now_s()
+        self.quotas.tick()
         for record in self.directory.tick(now_s):
             self._events.info(
                 "endpoint-lease-ended",
@@ -96,6 +105,7 @@
         """Sends the number of nodes that hold a lease."""
         live_nodes = len(self.nodes.live(self._now_s()))
         self._metrics.gauge(metric.Metric.LEASES, live_nodes)
+        self.quotas.report_metrics()
 
     def heartbeat(self, key: str, heartbeat: Any) -> Any:
         """Renews the leases of a node and of the endpoints that it announces.
@@ -138,6 +148,7 @@
             control_instances=list(self._log.addresses()),
             suspects=suspects,
             suspect_revision=self._machine.suspects.revision,
+            quota_owner=self.quotas.owner_address,
         )
 
     async def claim(self, key: str, request: Any) -> Any:
@@ -196,6 +207,17 @@
             raise ttypes.Refused(reason="unavailable")
         return answer.suspect
 
+    def take_quota(self, key: str, request: Any) -> Any:
+        """Answers a node's `QuotaRequest`.
+
+        Raises:
+            Refused: This instance does not hand out tokens at present, or the
+                node must start a new session.
+        """
+        self._check_call(key, request)
+        self.counters.quota_requests += 1
+        return self.quotas.take(request)
+
     async def propose(self, key: str, command: Any) -> Any:
         """Commits a command that a follower forwards, if this one leads."""
         self._check_call(key, command)
--- a/src/cranberrymux/control/operator_api.py
+++ b/src/cranberrymux/control/operator_api.py
@@ -167,6 +167,17 @@
         self._events.info("drain-requested", node_id=str(node_id))
         return operator_answers.answer(request, http.OK, {"node_id": node_id})
 
+    @app.route("/v1/accounts", methods=["GET"])
+    def get_accounts(self, request: Any) -> bytes:
+        """Answers with the use of each account's quota, if this one leads."""
+        if not self._has_valid_token(request):
+            return operator_answers.refuse_token(request)
+        body = {
+            "leader": self._log.leader(),
+            "accounts": self._service.quotas.describe(),
+        }
+        return operator_answers.answer(request, http.OK, body)
+
     @app.route("/v1/status", methods=["GET"])
     def get_status(self, request: Any) -> bytes:
         """Answers with the state of this instance, even without a quorum."""
--- a/src/cranberrymux/control/peer_clients.py
+++ b/src/cranberrymux/control/peer_clients.py
@@ -84,6 +84,11 @@
         """Returns the client of an instance; None if the name is unknown."""
         return self._clients.get(name)
 
+    def find_address(self, name: str) -> str:
+        """Returns `ip:port` of an instance; empty if the name is unknown."""
+        known = self._peers.get(name)
+        return "" if known is None else f"{known.address}:{known.port}"
+
     def deliver(self, name: str, payload: bytes) -> None:
         """Sends an encoded message of the replicated log; it may be lost."""
         client = self._clients.get(name)
--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -151,6 +151,7 @@
             log=log,
             metrics=self._metrics,
             now_s=time.monotonic,
+            boot_now_s=replica_loop.now_s,
         )
         self._service_ticks = task.LoopingCall(service.tick)
         self._factory = control_server.ControlServerFactory(
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -152,6 +152,17 @@
         """Returns the name of the leader; empty if none is known."""
         return replica_loop.instance_name(self._driver.replica.leader_hint)
 
+    def leader_address(self) -> str:
+        """Returns `ip:port` of the leader; empty if none is known."""
+        leader = self.leader()
+        if leader == self._settings.control_id:
+            return self._formation.address
+        return self._peers.find_address(leader)
+
+    def term(self) -> int:
+        """Returns the term of the log; no two leaders have the same."""
+        return self._driver.replica.journal.term
+
     def addresses(self) -> tuple[str, ...]:
         """Returns `ip:port` of all known control instances and of this one."""
         return (*self._peers.addresses, self._formation.address)
--- /dev/null
+++ b/src/cranberrymux/control/quota_service.py
@@ -0,0 +1,180 @@
+"""Hands out quota tokens while this instance leads the replicated log."""
+
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from cranberrymux.control import command_log
+from cranberrymux.control import state_machine
+from cranberrymux.decisions.quotas import quota_settings
+from cranberrymux.decisions.quotas import token_allocator
+from cranberrymux.decisions.quotas import token_messages
+from cranberrymux.decisions.routes import route_document
+from cranberrymux.telemetry import metric
+from cranberrymux.telemetry import metrics_sink
+from cranberrymux.wire import quota_conversion
+from cranberrymux.wire.gen.messages import ttypes
+
+SWEEP_INTERVAL_S = 1.0
+LOG_INTERVAL_S = 10.0
+# Accounts in each log of the use; those with most refusals and use go first.
+MAXIMUM_LOGGED = 50
+NOT_OWNER = "not the owner of the quotas"
+_MS_PER_S = 1000
+
+
+class QuotaService:
+    """The allocator of tokens, for as long as this instance leads.
+
+    With each term in which it leads it starts anew, with empty buckets.
+    """
+
+    def __init__(
+        self,
+        settings: quota_settings.QuotaSettings,
+        machine: state_machine.StateMachine,
+        log: command_log.CommandLog,
+        metrics: metrics_sink.MetricsSink,
+        now_s: Callable[[], float],
+    ) -> None:
+        """Starts without tokens.
+
+        Args:
+            settings: Bounds.
+            machine: The replicated state; only read here.
+            log: Tells whether this instance leads.
+            metrics: Receives the metrics of tokens.
+            now_s: Clock that also counts the time for which the instance is
+                suspended.
+        """
+        self._settings = settings
+        self._machine = machine
+        self._log = log
+        self._metrics = metrics
+        self._now_s = now_s
+        self._events = structlog.get_logger()
+        self._allocator: token_allocator.TokenAllocator | None = None
+        self._term = -1
+        self._version = -1
+        self._accounts: tuple[Any, ...] = ()
+        self._swept_s = now_s()
+        self._logged_s = now_s()
+        self._logged_use: dict[str, token_allocator.AccountUse] = {}
+
+    @property
+    def owner_address(self) -> str | None:
+        """`ip:port` of the owner; None if unknown or if there are no limits."""
+        self._read_configuration()
+        if not any(account.is_limited for account in self._accounts):
+            return None
+        return self._log.leader_address() or None
+
+    def take(self, message: Any) -> Any:
+        """Answers a `QuotaRequest`.
+
+        Raises:
+            Refused: This instance does not lead, or cannot tell what the node
+                holds.
+        """
+        allocator, lease_left_s = self._get_allocator()
+        if allocator is None:
+            self._metrics.count(metric.Metric.QUOTA_REQUESTS, 1, "not-owner")
+            raise ttypes.Refused(reason=NOT_OWNER)
+        answer = allocator.take(
+            quota_conversion.decode_request(message),
+            self._now_s(),
+            lease_left_s,
+        )
+        if isinstance(answer, token_messages.TokenRefusal):
+            result = answer.value.replace(" ", "-")
+            self._metrics.count(metric.Metric.QUOTA_REQUESTS, 1, result)
+            raise ttypes.Refused(reason=answer.value)
+        self._metrics.count(metric.Metric.QUOTA_REQUESTS, 1, "answered")
+        return quota_conversion.encode_answer(answer, self._version)
+
+    def tick(self) -> None:
+        """Starts the allocator with the leadership, and logs the use."""
+        allocator, _ = self._get_allocator()
+        now_s = self._now_s()
+        if allocator is None or now_s - self._swept_s < SWEEP_INTERVAL_S:
+            return
+        self._swept_s = now_s
+        allocator.sweep(now_s)
+        if now_s - self._logged_s >= LOG_INTERVAL_S:
+            self._logged_s = now_s
+            self._log_use(allocator.describe())
+
+    def report_metrics(self) -> None:
+        """Sends the number of tokens at nodes, of all accounts."""
+        if self._allocator is None:
+            return
+        uses = self._allocator.describe()
+        self._metrics.gauge(
+            metric.Metric.QUOTA_TOKENS_OUT, sum(use.out for use in uses)
+        )
+        self._metrics.gauge(
+            metric.Metric.QUOTA_NODES, self._allocator.session_count
+        )
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Returns the use of each account since this instance leads.
+
+        Empty if it does not lead.
+        """
+        allocator, _ = self._get_allocator()
+        if allocator is None:
+            return []
+        allocator.sweep(self._now_s())
+        return [use._asdict() for use in allocator.describe()]
+
+    def _get_allocator(
+        self,
+    ) -> tuple[token_allocator.TokenAllocator | None, float]:
+        """Returns the allocator and the seconds left of the leader lease."""
+        now_s = self._now_s()
+        is_leader = self._log.role() == "leader"
+        lease_left_s = self._log.vouched_ms() / _MS_PER_S if is_leader else 0.0
+        if not is_leader:
+            self._allocator = None
+            return None, 0.0
+        if lease_left_s <= 0.0:
+            return None, 0.0
+        self._read_configuration()
+        term = self._log.term()
+        if self._allocator is None or term != self._term:
+            self._term = term
+            self._allocator = token_allocator.TokenAllocator(
+                self._settings, now_s
+            )
+            self._events.info("quota-owner-started", term=term)
+            self._allocator.set_accounts(self._accounts, now_s)
+        return self._allocator, lease_left_s
+
+    def _read_configuration(self) -> None:
+        """Puts the limits in force of a version that is new."""
+        configuration = self._machine.configuration
+        if configuration.version == self._version:
+            return
+        self._version = configuration.version
+        document = route_document.load(configuration.document)
+        if isinstance(document, route_document.RouteDocumentError):
+            # Configurations of nodes without routes have no accounts.
+            self._accounts = ()
+        else:
+            self._accounts = document.accounts
+        if self._allocator is not None:
+            self._allocator.set_accounts(self._accounts, self._now_s())
+
+    def _log_use(self, uses: list[token_allocator.AccountUse]) -> None:
+        """Logs the accounts that were used since the last time."""
+        changed = [
+            use
+            for use in uses
+            if self._logged_use.get(use.account) != use
+            and (use.spent or use.denied)
+        ]
+        changed.sort(key=lambda use: (-use.denied, -use.spent))
+        for use in changed[:MAXIMUM_LOGGED]:
+            self._events.info("quota-use", **use._asdict())
+        self._logged_use = {use.account: use for use in uses}
--- /dev/null
+++ b/src/cranberrymux/decisions/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of client accounts, shared by all nodes as tokens that expire."""
--- a/src/cranberrymux/gateway/entry_answer.py
+++ b/src/cranberrymux/gateway/entry_answer.py
@@ -11,6 +11,7 @@
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import inbound_call
 
+TOO_MANY_REQUESTS = 429
 _Outcome = own_answers.Outcome
 
 
@@ -111,6 +112,15 @@
         if self._send_kept_failure():
             return
         self._log.log_own_answer(outcome, detail)
+        if outcome is _Outcome.OVER_QUOTA:
+            own_answers.refuse(
+                self._parts,
+                self._call,
+                outcome.value,
+                minimum_delay_s,
+                TOO_MANY_REQUESTS,
+            )
+            return
         retry_delay_s = max(
             self._origin.draw_retry_delay_s(),
             self._attempts.room_wait_s,
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -7,6 +7,7 @@
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import attempts as attempts_module
 from cranberrymux.gateway import entry_answer
+from cranberrymux.gateway import entry_quota
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import hop_request
@@ -63,6 +64,11 @@
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s, account
         )
+        self._quota = entry_quota.EntryQuota(
+            parts.quotas,
+            account if self._origin.is_root else None,
+            route.objective_s,
+        )
         wait_s = min(self._origin.left_s, route.timeout_s)
         self._deadline_s = self._began_s + wait_s
         self._attempts = attempts_module.Attempts(
@@ -100,19 +106,29 @@
         if self._suspicion.is_refused:
             self._refuse(_Outcome.QUARANTINED)
             return
+        self._call.on_cancel = self._handle_cancelled
+        self._timer = self._parts.reactor.callLater(
+            left_s, self._handle_timeout
+        )
+        self._quota.take(self._send_first, self._refuse_over_quota)
+
+    def _send_first(self) -> None:
         tree_context = self._origin.admit(self._began_s)
         if tree_context is None:
             self._refuse(_Outcome.SHED)
             return
         self._attempts.tree_context = tree_context
-        self._call.on_cancel = self._handle_cancelled
         self._call.on_send_buffer_full = self._pause_answer
         self._call.on_send_buffer_drained = self._resume_answer
-        self._timer = self._parts.reactor.callLater(
-            left_s, self._handle_timeout
-        )
         self._send_next()
 
+    def _send_again(self) -> None:
+        """Sends the request once more, which takes a further token."""
+        self._quota.take(self._send_next, self._refuse_over_quota)
+
+    def _refuse_over_quota(self, cause: str) -> None:
+        self._refuse(_Outcome.OVER_QUOTA, cause)
+
     def _send_next(self) -> None:
         now_s = self._parts.clock.now_s()
         left_ms = hop.shorten_deadline_ms(self._deadline_s - now_s)
@@ -237,11 +253,12 @@
         if not loss.is_handed_over:
             self._send_next()
             return
+        self._quota.note_run()
         self._attempts.note_lost(endpoint)
         # What a suspect does to one more backend server is not tried at once.
         if not self._was_suspect and self._attempts.take_repeat(now_s):
             self._log.log_repeat("lost")
-            self._send_next()
+            self._send_again()
             return
         self._fail(_Outcome.LOST, 502, loss.detail)
 
@@ -254,8 +271,9 @@
         """Sends the request on after an answer that the client does not get."""
         refusal = hop_answer.find_refusal(head)
         if refusal is None:
+            self._quota.note_run()
             self._log.log_repeat("backend-failed")
-            self._send_next()
+            self._send_again()
             return
         follow_up = self._judge.note_refusal(endpoint, refusal, head, now_s)
         if follow_up is None:
@@ -286,6 +304,9 @@
         self._cancel_timer()
         self._release_endpoint()
         self._cancel_attempt()
+        if self._attempts.sent:
+            self._quota.note_run()
+        self._quota.release()
         self._log.count("cancelled")
 
     def _refuse(self, outcome: own_answers.Outcome, detail: str = "") -> None:
@@ -293,12 +314,17 @@
         minimum_delay_s = 0.0
         if outcome is _Outcome.QUARANTINED:
             minimum_delay_s = self._suspicion.retry_delay_s
+        if outcome is _Outcome.OVER_QUOTA:
+            minimum_delay_s = self._quota.retry_delay_s
+        self._quota.release()
         self._answer.refuse(outcome, detail, minimum_delay_s)
 
     def _fail(
         self, outcome: own_answers.Outcome, status: int, detail: str
     ) -> None:
         self._cancel_timer()
+        self._quota.note_run()
+        self._quota.release()
         self._answer.fail(outcome, status, detail)
 
     def _release_endpoint(self) -> endpoint_view.EndpointView | None:
--- /dev/null
+++ b/src/cranberrymux/gateway/entry_quota.py
@@ -0,0 +1,92 @@
+"""The quota token of one request."""
+
+from collections.abc import Callable
+
+from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.quotas import token_stock
+from cranberrymux.gateway import quota_task
+from cranberrymux.gateway import quota_waiter
+
+# A request waits for a token for this part of its latency objective at most.
+WAIT_PER_OBJECTIVE = 0.1
+
+
+class EntryQuota:
+    """Takes a token for each run of a request, and gives back what is not used.
+
+    Requests without a limited account need no token.
+    """
+
+    def __init__(
+        self,
+        tokens: quota_task.QuotaTask,
+        account: client_account.ClientAccount | None,
+        objective_s: float,
+    ) -> None:
+        """Starts without a token.
+
+        Args:
+            tokens: The node's tokens.
+            account: Account whose quota the request counts against; None for
+                none.
+            objective_s: Latency objective of the request in seconds.
+        """
+        self._tokens = tokens
+        is_limited = account is not None and account.is_limited
+        self._account = account if is_limited else None
+        self._wait_s = WAIT_PER_OBJECTIVE * objective_s
+        self._ticket: token_stock.TokenTicket | None = None
+        self._waiter: quota_waiter.QuotaWaiter | None = None
+
+    @property
+    def retry_delay_s(self) -> float:
+        """Seconds after which there can be a token, drawn at random."""
+        if self._account is None:
+            return 0.0
+        return self._tokens.draw_retry_delay_s(self._account)
+
+    def take(
+        self, on_granted: Callable[[], None], on_refused: Callable[[str], None]
+    ) -> None:
+        """Takes a token, at once or after a wait.
+
+        Args:
+            on_granted: Called when the request may run.
+            on_refused: Called with the cause if it may not.
+        """
+        account = self._account
+        if account is None:
+            on_granted()
+            return
+        ticket = self._tokens.take(account.name)
+        if ticket is not None:
+            self._ticket = ticket
+            on_granted()
+            return
+
+        def handle_granted(ticket: token_stock.TokenTicket) -> None:
+            self._waiter = None
+            self._ticket = ticket
+            on_granted()
+
+        def handle_refused(cause: str) -> None:
+            self._waiter = None
+            on_refused(cause)
+
+        self._waiter = quota_waiter.QuotaWaiter(
+            account, handle_granted, handle_refused
+        )
+        self._tokens.wait(self._waiter, self._wait_s)
+
+    def note_run(self) -> None:
+        """Records that the request ran, so that its token is spent."""
+        self._ticket = None
+
+    def release(self) -> None:
+        """Ends a wait, and gives back a token that was not used."""
+        if self._waiter is not None:
+            self._tokens.cancel(self._waiter)
+            self._waiter = None
+        if self._ticket is not None:
+            self._tokens.give_back(self._ticket)
+            self._ticket = None
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -121,6 +121,7 @@
                 metrics_port.MetricsPort(self._parts.metrics),
             )
         self._directory.start()
+        self._parts.quotas.start(lambda: self._routes.version)
         self._checking.start(CHECK_INTERVAL_S, now=False)
         self._sweeping.start(SWEEP_INTERVAL_S, now=False)
 
@@ -231,6 +232,10 @@
         if version == self._routes.version:
             self._parts.key_lease.confirm(asked_at_s)
 
+    def quota_owner_received(self, address: str) -> None:
+        """Follows the control instance that hands out quota tokens."""
+        self._parts.quotas.follow_owner(address)
+
     def drain_requested(self) -> None:
         """Marks the endpoint as draining, so that nodes stop choosing it."""
         if self._own_endpoint.drain():
@@ -284,6 +289,7 @@
     def _sweep(self) -> None:
         self._exit.update_metrics()
         self._parts.show_zone_shares()
+        self._parts.quotas.update_metrics()
         self._parts.metrics.version.set(self._routes.version)
         self._ports.sweep(self._clock.now_s())
 
@@ -306,6 +312,7 @@
 
     def _close(self) -> None:
         self._parts.quarantine.stop()
+        self._parts.quotas.stop()
         self._ports.close()
         self._directory.stop()
         # Leaves time for the last answers to be written to their clients.
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -17,6 +17,11 @@
     Attributes:
         requests: Requests of clients at this node, by route and outcome.
         key_refusals: Requests refused for their key, by reason.
+        quota_requests: Requests of limited accounts, by account and what
+            became of their tokens.
+        quota_exchanges: Messages to the owner of the quotas, by outcome.
+        quota_tokens: Tokens that the node holds, of all accounts.
+        quota_accounts: Accounts of which the node keeps state.
         request_s: Seconds from the arrival of a request to the end of its
             answer, by route.
         hops: Requests passed on by nodes to this one, by outcome.
@@ -52,6 +57,17 @@
             "Requests refused for the key of a client account.",
             "reason",
         )
+        self.quota_requests = self._counter(
+            "quota_requests",
+            "Requests of limited accounts.",
+            "account",
+            "outcome",
+        )
+        self.quota_exchanges = self._counter(
+            "quota_exchanges", "Messages to the owner of the quotas.", "outcome"
+        )
+        self.quota_tokens = self._gauge("quota_tokens", "Tokens held.")
+        self.quota_accounts = self._gauge("quota_accounts", "Accounts known.")
         self.request_s = self._histogram(
             "request_seconds", "From a request's begin to its answer.", "route"
         )
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -51,6 +51,11 @@
             now_s + self.left_s,
         )
 
+    @property
+    def is_root(self) -> bool:
+        """True if no request that runs here made it."""
+        return not self._parent_match.is_call
+
     def admit(self, now_s: float) -> hop.TreeContext | None:
         """Returns the context of the request; None if a root is refused.
 
--- a/src/cranberrymux/gateway/own_answers.py
+++ b/src/cranberrymux/gateway/own_answers.py
@@ -18,6 +18,7 @@
     Attributes:
         NO_ENDPOINT: No endpoint of the service could be used.
         SHED: Root admission refused the request.
+        OVER_QUOTA: The account's quota has no token for the request.
         REFUSED: All endpoints that were asked refused it.
         QUARANTINED: Backend servers died under earlier sendings of it.
         EXPIRED: The deadline passed before it was sent.
@@ -29,6 +30,7 @@
 
     NO_ENDPOINT = "no-endpoint"
     SHED = "shed"
+    OVER_QUOTA = "over-quota"
     REFUSED = "refused"
     QUARANTINED = "quarantined"
     EXPIRED = "expired"
@@ -43,6 +45,7 @@
     call: inbound_call.InboundCall,
     reason: str,
     retry_delay_s: float,
+    status: int = 503,
 ) -> None:
     """Answers that a request did not run and will not.
 
@@ -51,11 +54,12 @@
         call: The request.
         reason: Why it did not run; not parsed by callers.
         retry_delay_s: Seconds after which its caller should retry.
+        status: HTTP status of the answer.
     """
     dialect = parts.settings.dialect
     retry_after = (dialect.retry_after, b"%.3f" % retry_delay_s)
     headers = [_id_header(parts, call), retry_after, _BODY_TYPE]
-    call.answer(503, headers, _encode("not-run", reason))
+    call.answer(status, headers, _encode("not-run", reason))
 
 
 def fail(
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -17,6 +17,7 @@
 from cranberrymux.decisions.routes import split_chooser
 from cranberrymux.gateway import entry_admission
 from cranberrymux.gateway import metrics as metrics_module
+from cranberrymux.gateway import quota_task
 from cranberrymux.gateway import running_requests
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.gateway import zone_log
@@ -67,6 +68,7 @@
         key_lease: For how long keys of client accounts are accepted.
         metrics: Metrics of the gateway.
         zone_log: Metrics and log lines on the shares of zones.
+        quotas: Tokens of the client accounts.
         open_entry_calls: Number of open requests at the entry port.
         restricted_from_s: Monotonic seconds from which, in a stop, a request is
             taken only if its deadline is before `stop_deadline_s`.
@@ -140,6 +142,9 @@
         self.metrics = metrics_module.GatewayMetrics()
         self.zone_log = zone_log.ZoneLog(self.metrics, settings.zone)
         self.endpoints.zones.on_change = self.zone_log.note_change
+        self.quotas = quota_task.QuotaTask(
+            settings, reactor, system_clock, generator, self.metrics
+        )
         self.open_entry_calls = 0
         self.restricted_from_s = math.inf
         self.stop_deadline_s = math.inf
--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -63,6 +63,9 @@
     def drain_requested(self) -> None:
         """Takes note that an operator requested a drain of this process."""
 
+    def quota_owner_received(self, address: str) -> None:
+        """Takes the `ip:port` of the instance that hands out quota tokens."""
+
     def control_instances_received(self, addresses: Sequence[str]) -> None:
         """Takes the `ip:port` of each control instance of the cluster."""
 
@@ -272,6 +275,8 @@
                 sent_s,
                 sent_s + answer.vouched_ms / 1000,
             )
+        if answer.quota_owner:
+            self._listener.quota_owner_received(answer.quota_owner)
         if answer.drain:
             self._listener.drain_requested()
         if answer.control_instances:
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -230,6 +230,9 @@
     def control_instances_received(self, addresses: Sequence[str]) -> None:
         """Does nothing, as the settings name every control instance."""
 
+    def quota_owner_received(self, address: str) -> None:
+        """Does nothing, as calls without routes have no accounts."""
+
     def drain_requested(self) -> None:
         """Begins a drain that an operator requested."""
         self._lifecycle.drain()
--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -14,6 +14,7 @@
 from cranberrymux.control import control_settings
 from cranberrymux.control import formation_settings
 from cranberrymux.control import peer
+from cranberrymux.decisions.quotas import quota_settings
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.models import socket_address
 from cranberrymux.platform import dialect
@@ -196,6 +197,19 @@
             lease_s=REPLICA_LEASE_S,
             election_spread_s=ELECTION_SPREAD_S,
         ),
+        quotas=_make_quota_settings(values["terms"].get("bounds", {})),
+    )
+
+
+def _make_quota_settings(
+    bounds: Mapping[str, Any],
+) -> quota_settings.QuotaSettings:
+    defaults = quota_settings.QuotaSettings()
+    window = bounds.get("quota_window")
+    return quota_settings.QuotaSettings(
+        defaults.window_s if window is None else durations.parse_s(window),
+        float(bounds.get("quota_over", defaults.over)),
+        float(bounds.get("quota_slack", defaults.slack)),
     )
 
 
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -54,6 +54,7 @@
     REQUEST_REFUSED_HERE = "request-refused-here"
     PRESSURE = "pressure"
     ZONE_SHARES = "zone-shares"
+    QUOTA_OWNER = "quota-owner"
 
     # Control instances.
     MEMBERS_CHANGED = "members-changed"
@@ -75,6 +76,8 @@
     ROLE_CHANGED = "role-changed"
     STORAGE_FAILED = "storage-failed"
     CLAIM_ABANDONED = "claim-abandoned"
+    QUOTA_OWNER_STARTED = "quota-owner-started"
+    QUOTA_USE = "quota-use"
 
     # Stand-in backend servers.
     STANDIN_READY = "standin-ready"
--- a/src/cranberrymux/telemetry/metric.py
+++ b/src/cranberrymux/telemetry/metric.py
@@ -70,6 +70,13 @@
     TERM = _Definition("control.term", _Kind.GAUGE, "term")
     IS_LEADER = _Definition("control.is-leader", _Kind.GAUGE, "0 or 1")
     CLAIMS = _Definition("control.claims", _Kind.COUNTER, "claims", ("result",))
+    QUOTA_REQUESTS = _Definition(
+        "control.quota-requests", _Kind.COUNTER, "requests", ("result",)
+    )
+    QUOTA_TOKENS_OUT = _Definition(
+        "control.quota-tokens-out", _Kind.GAUGE, "tokens"
+    )
+    QUOTA_NODES = _Definition("control.quota-nodes", _Kind.GAUGE, "nodes")
     METRICS_DROPPED = _Definition(
         "telemetry.metrics-dropped", _Kind.COUNTER, "values"
     )
--- a/src/cranberrymux/wire/control_client.py
+++ b/src/cranberrymux/wire/control_client.py
@@ -165,6 +165,15 @@
             ),
         )
 
+    async def take_quota(self, request: Any) -> Any:
+        """Sends a `QuotaRequest`; returns `QuotaAnswer | WireError`."""
+        return await self._call(
+            ttypes.QuotaAnswer,
+            lambda client: client.take_quota(
+                self._settings.cluster_key, request
+            ),
+        )
+
     async def propose(self, command: Any) -> Any:
         """Sends a `Command`; returns `CommandAnswer | WireError`."""
         return await self._call(
--- a/tests/control/memory_log.py
+++ b/tests/control/memory_log.py
@@ -76,5 +76,13 @@
         """Returns the name of the leader."""
         return self._leader_id
 
+    def leader_address(self) -> str:
+        """Returns the name of the leader, which stands for its address."""
+        return self._leader_id
+
+    def term(self) -> int:
+        """Returns the only term."""
+        return 1
+
     def deliver(self, message: Any) -> None:
         """Drops the message."""
