--- a/src/cranberrymux/decisions/quotas/account_stock.py
+++ b/src/cranberrymux/decisions/quotas/account_stock.py
@@ -8,8 +8,12 @@
 # Demand that the stock covers. It outlasts the time without an owner while the
 # control instances elect a leader.
 HORIZON_S = 2.0
+HORIZON_PER_TTL = 0.7
+# Requests that fail to come before the account counts as gone from this node.
+# The decay of the rate alone would keep its tokens for seconds.
+MAXIMUM_MISSED = 8.0
 # Time after a request in which a node keeps a token for the next one.
-KEEP_S = 1.0
+KEEP_S = 2.5
 # A stock is topped up below this part of what is wanted.
 LOW_RATIO = 0.5
 # Tokens are given back above this multiple of what is wanted.
@@ -46,7 +50,7 @@
         self._name = name
         self._own = 0
         self._own_until_s = -math.inf
-        self._own_ttl_s = 0.0
+        self._own_ttl_s = math.inf
         # Tokens of earlier sessions, of which nothing is reported.
         self._foreign: list[tuple[float, int]] = []
         self._used = 0
@@ -99,7 +103,10 @@
 
     def get_wanted(self, now_s: float) -> int:
         """Returns how many tokens the node wants to hold."""
-        stock = round(self.demand.get(now_s) * HORIZON_S)
+        horizon_s = min(HORIZON_S, HORIZON_PER_TTL * self._own_ttl_s)
+        stock = round(self.demand.get(now_s) * horizon_s)
+        if self.demand.count_missed(now_s) > MAXIMUM_MISSED:
+            stock = 0
         if not stock and now_s - self._seen_s < KEEP_S:
             stock = 1
         return stock + self.waiting
@@ -136,7 +143,9 @@
             target = max(target, self._own)
         self._own = min(self._own, target)
         self._has_asked = target > self._own
-        row = token_messages.TokenRow(self._name, target, self._used)
+        row = token_messages.TokenRow(
+            self._name, target, self._used, self.is_urgent(now_s)
+        )
         self._used = 0
         self._reported_s = now_s
         return row
--- a/src/cranberrymux/decisions/quotas/account_tokens.py
+++ b/src/cranberrymux/decisions/quotas/account_tokens.py
@@ -4,6 +4,10 @@
 import math
 from typing import NamedTuple
 
+# Parts of what is left that one request may get.
+STOCK_PART = 0.5
+URGENT_PART = 0.125
+
 
 class Holder(NamedTuple):
     """One session of a node.
@@ -45,7 +49,7 @@
         burst: Burst of the account.
         spent: Tokens reported as spent, since the start.
         lapsed: Tokens that expired without a report, since the start.
-        denied: Requests of holders without tokens that got none.
+        denied: Urgent requests that got none.
     """
 
     def __init__(self, per_s: float, burst: float, now_s: float) -> None:
@@ -121,29 +125,41 @@
             self._change(holding, -excess)
             self._fill(excess, capacity)
 
-    def grant(self, holder: Holder, wanted: int, reserve: float) -> int:
+    def grant(
+        self,
+        holder: Holder,
+        wanted: int,
+        *,
+        is_urgent: bool,
+        reserve: float,
+        maximum_out: float,
+    ) -> int:
         """Hands out tokens; returns how many.
 
-        A holder without tokens gets up to half of the bucket, others half of
-        what is in it above the reserve, so that no holder empties it at once.
+        No holder gets all that is left at once. The reserve keeps tokens for
+        nodes at which requests wait, so that stocks at some nodes do not use up
+        what others need.
 
         Args:
             holder: The holder.
             wanted: Tokens that it wants to hold.
-            reserve: Tokens that only holders without any may get.
+            is_urgent: True if requests wait for them.
+            reserve: Tokens, of the bucket and of those that may be at nodes,
+                that only urgent requests may get.
+            maximum_out: Tokens that may be at nodes.
         """
-        held = self.get_held(holder)
-        missing = wanted - held
+        missing = wanted - self.get_held(holder)
         if missing <= 0:
             return 0
-        allowed = _half(self._bucket - reserve)
-        if held == 0:
-            allowed = max(allowed, _half(self._bucket))
+        left = min(self._bucket, maximum_out - self._out)
+        allowed = _get_part(left - reserve, STOCK_PART)
+        if is_urgent:
+            allowed = max(allowed, _get_part(left, URGENT_PART))
         granted = min(missing, allowed)
         if granted:
             self._bucket -= granted
             self._change(self._get_holding(holder), granted)
-        elif held == 0:
+        elif is_urgent:
             self.denied += 1
         return granted
 
@@ -184,6 +200,6 @@
         return lapsed
 
 
-def _half(tokens: float) -> int:
-    """Returns half of the whole tokens, at least one if there is one."""
-    return 0 if tokens < 1.0 else max(1, int(tokens / 2))
+def _get_part(tokens: float, part: float) -> int:
+    """Returns a part of the tokens, at least one if there is one."""
+    return 0 if tokens < 1.0 else max(1, int(part * tokens))
--- a/src/cranberrymux/decisions/quotas/demand_rate.py
+++ b/src/cranberrymux/decisions/quotas/demand_rate.py
@@ -21,6 +21,10 @@
         self._per_s = self.get(now_s) + count / TIME_CONSTANT_S
         self._updated_s = now_s
 
+    def count_missed(self, now_s: float) -> float:
+        """Returns how many events the rate predicts since the last one."""
+        return self._per_s * max(now_s - self._updated_s, 0.0)
+
     def get(self, now_s: float) -> float:
         """Returns the events a second."""
         elapsed_s = max(now_s - self._updated_s, 0.0)
--- a/src/cranberrymux/decisions/quotas/quota_settings.py
+++ b/src/cranberrymux/decisions/quotas/quota_settings.py
@@ -5,13 +5,14 @@
 MAXIMUM_TTL_S = 3.0
 # Tokens must end well within a window, so that a lower limit binds after one.
 TTL_PER_WINDOW = 0.6
-# The tolerance in parts: tokens that exist beyond the burst, tokens of a new
-# owner while those of its predecessor are still valid, and requests that have
-# taken their token but do not run yet.
-CAPACITY_PART = 0.5
-HANDOVER_PART = 0.25
-# Share of the capacity that is held back for nodes without any token.
-MAXIMUM_RESERVE_SHARE = 0.3
+# Part of the tolerance for tokens that exist. The rest is for requests that
+# have taken their token but do not run yet.
+CAPACITY_PART = 0.8
+# Part of the capacity that may be at nodes. The rest is what a new owner may
+# hand out while tokens of its predecessor are still valid.
+OUT_SHARE = 0.7
+# Part of the capacity that only nodes at which requests wait may get.
+RESERVE_SHARE = 0.1
 
 
 class QuotaSettings(NamedTuple):
@@ -43,11 +44,18 @@
         """Returns how many tokens may exist, unspent, at any time."""
         return burst + CAPACITY_PART * self.get_tolerance(per_s, burst)
 
+    def get_maximum_out(self, per_s: float, burst: float) -> float:
+        """Returns how many tokens may be at nodes at any time."""
+        return OUT_SHARE * self.get_capacity(per_s, burst)
+
     def get_handover_capacity(self, per_s: float, burst: float) -> float:
-        """Returns the same while tokens of an earlier owner may be valid."""
-        return HANDOVER_PART * self.get_tolerance(per_s, burst)
+        """Returns the capacity while tokens of an earlier owner may be valid.
+
+        Those are at most `get_maximum_out`, so that all that exist stay within
+        the capacity.
+        """
+        return (1.0 - OUT_SHARE) * self.get_capacity(per_s, burst)
 
     def get_reserve(self, per_s: float, burst: float) -> float:
-        """Returns how many tokens only nodes that hold none may get."""
-        capacity = self.get_capacity(per_s, burst)
-        return min(burst, MAXIMUM_RESERVE_SHARE * capacity)
+        """Returns how many tokens are kept for requests that wait."""
+        return RESERVE_SHARE * self.get_capacity(per_s, burst)
--- a/src/cranberrymux/decisions/quotas/token_allocator.py
+++ b/src/cranberrymux/decisions/quotas/token_allocator.py
@@ -28,7 +28,7 @@
         out: Tokens at nodes.
         spent: Tokens spent since this owner started.
         lapsed: Tokens that expired without a report since then.
-        denied: Requests for a first token that got none since then.
+        denied: Messages for waiting requests that got none since then.
     """
 
     account: str
@@ -215,10 +215,15 @@
         wanted = max(row.tokens, 0) if account is not None else 0
         capacity = self._get_capacity(account, now_s)
         tokens.report(holder, row.used, wanted, capacity)
-        reserve = self._settings.get_reserve(tokens.per_s, tokens.burst)
-        if now_s < self._handover_until_s:
-            reserve = min(reserve, capacity / 2)
-        granted = tokens.grant(holder, wanted, reserve)
+        granted = tokens.grant(
+            holder,
+            wanted,
+            is_urgent=row.is_urgent,
+            reserve=self._settings.get_reserve(tokens.per_s, tokens.burst),
+            maximum_out=self._settings.get_maximum_out(
+                tokens.per_s, tokens.burst
+            ),
+        )
         tokens.renew(holder, until_s)
         return granted
 
--- a/src/cranberrymux/decisions/quotas/token_messages.py
+++ b/src/cranberrymux/decisions/quotas/token_messages.py
@@ -13,11 +13,13 @@
             answer, how many it gets in addition.
         used: Tokens spent since the last request, less those taken back since;
             0 in an answer.
+        is_urgent: In a request, True if requests wait for the tokens.
     """
 
     account: str
     tokens: int
     used: int = 0
+    is_urgent: bool = False
 
 
 class TokenRequest(NamedTuple):
--- a/src/cranberrymux/wire/cranberrymux.thrift
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -68,8 +68,8 @@
 }
 
 // Tokens of one client account. In a request, `tokens` is the number that the
-// node wants to hold and `used` what it has spent since its last request; in an
-// answer, `tokens` is what it gets in addition.
+// node wants to hold, negative if requests wait for them, and `used` what it has
+// spent since its last request; in an answer, `tokens` is what it gets in addition.
 struct QuotaRow {
   1: required string account
   2: required i32 tokens
--- a/src/cranberrymux/wire/quota_conversion.py
+++ b/src/cranberrymux/wire/quota_conversion.py
@@ -68,14 +68,15 @@
 
 
 def _encode_row(row: token_messages.TokenRow) -> Any:
+    tokens = min(row.tokens, _MAXIMUM_COUNT)
     return ttypes.QuotaRow(
         account=row.account,
-        tokens=min(row.tokens, _MAXIMUM_COUNT),
+        tokens=-tokens if row.is_urgent else tokens,
         used=min(row.used, _MAXIMUM_COUNT),
     )
 
 
 def _decode_row(message: Any) -> token_messages.TokenRow:
     return token_messages.TokenRow(
-        message.account, message.tokens, message.used
+        message.account, abs(message.tokens), message.used, message.tokens < 0
     )
