--- a/tests/control/calls.py
+++ b/tests/control/calls.py
@@ -13,7 +13,14 @@
 from tests.control import cluster
 
 
-def call(port, name, message, key=cluster.CLUSTER_KEY, timeout_s=4.0):
+def call(
+    port,
+    name,
+    message,
+    key=cluster.CLUSTER_KEY,
+    timeout_s=4.0,
+    host="127.0.0.1",
+):
     """Makes one call on a connection of its own.
 
     Raises:
@@ -22,7 +29,7 @@
         TTransportException: As `OSError`, or the instance closed the
             connection.
     """
-    sock = TSocket.TSocket("127.0.0.1", port)
+    sock = TSocket.TSocket(host, port)
     sock.setTimeout(timeout_s * 1000)
     transport = TTransport.TFramedTransport(sock)
     transport.open()
