--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -64,11 +64,12 @@
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s, account
         )
-        self._quota = entry_quota.EntryQuota(
-            parts.quotas,
-            account if self._origin.is_root else None,
-            route.objective_s,
-        )
+        self._quota = entry_quota.UNLIMITED
+        is_limited = account is not None and account.is_limited
+        if is_limited and self._origin.is_root:
+            self._quota = entry_quota.EntryQuota(
+                parts.quotas, account, route.objective_s
+            )
         wait_s = min(self._origin.left_s, route.timeout_s)
         self._deadline_s = self._began_s + wait_s
         self._attempts = attempts_module.Attempts(
@@ -110,7 +111,10 @@
         self._timer = self._parts.reactor.callLater(
             left_s, self._handle_timeout
         )
-        self._quota.take(self._send_first, self._refuse_over_quota)
+        if self._quota is entry_quota.UNLIMITED:
+            self._send_first()
+        else:
+            self._quota.take(self._send_first, self._refuse_over_quota)
 
     def _send_first(self) -> None:
         tree_context = self._origin.admit(self._began_s)
--- a/src/cranberrymux/gateway/entry_quota.py
+++ b/src/cranberrymux/gateway/entry_quota.py
@@ -14,26 +14,25 @@
 class EntryQuota:
     """Takes a token for each run of a request, and gives back what is not used.
 
-    Requests without a limited account need no token.
+    Requests that count against no quota share `UNLIMITED`.
     """
 
     def __init__(
         self,
-        tokens: quota_task.QuotaTask,
+        tokens: quota_task.QuotaTask | None,
         account: client_account.ClientAccount | None,
         objective_s: float,
     ) -> None:
         """Starts without a token.
 
         Args:
-            tokens: The node's tokens.
+            tokens: The node's tokens; None only without an account.
             account: Account whose quota the request counts against; None for
                 none.
             objective_s: Latency objective of the request in seconds.
         """
         self._tokens = tokens
-        is_limited = account is not None and account.is_limited
-        self._account = account if is_limited else None
+        self._account = account
         self._wait_s = WAIT_PER_OBJECTIVE * objective_s
         self._ticket: token_stock.TokenTicket | None = None
         self._waiter: quota_waiter.QuotaWaiter | None = None
@@ -41,7 +40,7 @@
     @property
     def retry_delay_s(self) -> float:
         """Seconds after which there can be a token, drawn at random."""
-        if self._account is None:
+        if self._account is None or self._tokens is None:
             return 0.0
         return self._tokens.draw_retry_delay_s(self._account)
 
@@ -55,10 +54,11 @@
             on_refused: Called with the cause if it may not.
         """
         account = self._account
-        if account is None:
+        tokens = self._tokens
+        if account is None or tokens is None:
             on_granted()
             return
-        ticket = self._tokens.take(account.name)
+        ticket = tokens.take(account.name)
         if ticket is not None:
             self._ticket = ticket
             on_granted()
@@ -76,7 +76,7 @@
         self._waiter = quota_waiter.QuotaWaiter(
             account, handle_granted, handle_refused
         )
-        self._tokens.wait(self._waiter, self._wait_s)
+        tokens.wait(self._waiter, self._wait_s)
 
     def note_run(self) -> None:
         """Records that the request ran, so that its token is spent."""
@@ -84,9 +84,14 @@
 
     def release(self) -> None:
         """Ends a wait, and gives back a token that was not used."""
+        if self._tokens is None:
+            return
         if self._waiter is not None:
             self._tokens.cancel(self._waiter)
             self._waiter = None
         if self._ticket is not None:
             self._tokens.give_back(self._ticket)
             self._ticket = None
+
+
+UNLIMITED = EntryQuota(None, None, 0.0)
