Slot queue: fair among client accounts of one rank

An account with many waiting requests delayed and displaced those of others, since one rank was ordered by deadline alone. Now start-time fair queueing orders the accounts of a rank, each account its own requests by deadline, and a full queue evicts from the account with most. Calls of begun trees keep their precedence, as they have a rank of their own.

--- a/src/cranberrymux/decisions/pressure/slot_scheduler.py
+++ b/src/cranberrymux/decisions/pressure/slot_scheduler.py
@@ -7,11 +7,10 @@
 """
 
 import enum
-import heapq
-import itertools
 import math
-from typing import NamedTuple
 
+from cranberrymux.decisions.pressure import account_queue
+from cranberrymux.decisions.pressure import slot_ticket
 from cranberrymux.decisions.rate_limits import token_bucket
 
 HOLD_TIME_WEIGHT = 0.05  # Weight of one request in the mean hold time.
@@ -21,6 +20,7 @@
 # Time whose requests may be open under a rate limit. It bounds the number that
 # a backend server which has stalled gets at once afterwards.
 MAXIMUM_OPEN_S = 2.0
+Ticket = slot_ticket.Ticket
 
 
 class SlotVerdict(enum.Enum):
@@ -41,33 +41,16 @@
     TOO_LATE = "too-late"
 
 
-class Ticket(NamedTuple):
-    """A request for one slot.
-
-    Attributes:
-        ticket_id: Number of the request, unique at this node.
-        rank: Order of starting; lower ranks start first.
-        start_by_s: Monotonic seconds after which a start is of no use.
-        deadline_s: Monotonic seconds at which the caller gives up.
-    """
-
-    ticket_id: int
-    rank: float
-    start_by_s: float
-    deadline_s: float
-
-
 class SlotScheduler:
-    """Assigns the slots of one backend server by rank and deadline."""
+    """Assigns the slots of one backend server by rank, account and deadline."""
 
     def __init__(self, slots: int) -> None:
         """Starts idle with at least one slot."""
         self._slots = max(slots, 1)
         self._bucket: token_bucket.TokenBucket | None = None
         self._running: dict[int, float] = {}
-        self._queue: list[tuple[float, float, int, int]] = []
+        self._queue = account_queue.AccountQueue()
         self._waiting: dict[int, Ticket] = {}
-        self._sequence = itertools.count()
         self._evicted: list[int] = []
         self._mean_hold_s = 0.0
         self._is_paused = False
@@ -140,7 +123,7 @@
         if self._can_start(now_s) and not self._waiting:
             self._start(now_s, ticket.ticket_id)
             return SlotVerdict.START
-        ahead = self._count_ahead(ticket)
+        ahead = self._queue.count_ahead(self._waiting.values(), ticket)
         if self._bucket is not None:
             ticket = _wait_for_token_at_most(ticket, now_s)
             if now_s + self._bucket.wait_s(now_s, ahead + 1) > (
@@ -154,15 +137,7 @@
         if is_full and not self._make_room(ticket):
             return SlotVerdict.FULL
         self._waiting[ticket.ticket_id] = ticket
-        heapq.heappush(
-            self._queue,
-            (
-                ticket.rank,
-                ticket.deadline_s,
-                next(self._sequence),
-                ticket.ticket_id,
-            ),
-        )
+        self._queue.push(ticket)
         return SlotVerdict.WAIT
 
     def cancel(self, ticket_id: int) -> bool:
@@ -195,11 +170,12 @@
         """Assigns free slots and returns the requests that start now."""
         started = []
         while self._queue and self._can_start(now_s):
-            ticket_id = heapq.heappop(self._queue)[3]
+            ticket_id = self._queue.pop()
             ticket = self._waiting.get(ticket_id)
             if ticket is None or ticket.start_by_s < now_s:
                 continue  # `pop_expired` returns it if it is still there.
             del self._waiting[ticket_id]
+            self._queue.charge(ticket.rank, ticket.account)
             self._start(now_s, ticket_id)
             started.append(ticket_id)
         return started
@@ -229,9 +205,9 @@
         return waiting
 
     def _make_room(self, ticket: Ticket) -> bool:
-        """Evicts the request that starts last if it is behind this one."""
-        last = max(self._waiting.values(), key=_order)
-        if _order(last) <= _order(ticket):
+        """Evicts a waiting request; False if the new one is to be refused."""
+        last = self._queue.find_last(self._waiting.values(), ticket)
+        if last is ticket:
             return False
         del self._waiting[last.ticket_id]
         self._evicted.append(last.ticket_id)
@@ -253,18 +229,6 @@
         if self._bucket is not None:
             self._bucket.take(now_s)
 
-    def _count_ahead(self, ticket: Ticket) -> int:
-        """Counts the requests that start before this one."""
-        order = _order(ticket)
-        return sum(
-            1 for other in self._waiting.values() if _order(other) <= order
-        )
-
-
-def _order(ticket: Ticket) -> tuple[float, float]:
-    """Order of starting: by rank, then the tree that began first."""
-    return ticket.rank, ticket.deadline_s
-
 
 def _wait_for_token_at_most(ticket: Ticket, now_s: float) -> Ticket:
     """Returns the ticket with the wait that a rate limit allows."""
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -166,6 +166,7 @@
                 hop_call.rank,
                 hop_call.start_by_s,
                 hop_call.deadline_s,
+                hop_call.tree_context.account,
             ),
         )
         if evicted := self._scheduler.pop_evicted():
