Root admission: max-min fair shares of client accounts

One account at several times its usual rate took the capacity from all others, since the admitted work of a priority was spread blindly. Now the node beside each endpoint of a short service measures what every account requests (each admitted request tells how many were refused before it), divides what fits by a common level, and tells with its answers the share of the account. Nodes of earlier versions skip the new part.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -7,8 +7,12 @@
 
 import enum
 import math
+import random
 from typing import NamedTuple
 
+from cranberrymux.decisions.pressure import account_shares
+from cranberrymux.decisions.pressure import fair_shares
+from cranberrymux.decisions.pressure import rank_allotment
 from cranberrymux.decisions.pressure import work_report
 
 COST_WEIGHT = 0.05  # Weight of one answer in the mean cost of a route.
@@ -18,8 +22,9 @@
 SHARE_TTL_S = 0.6  # A share not reported for longer grows again.
 REOPEN_TIME_CONSTANT_S = 1.0  # An expired share grows by a factor of e in it.
 MAXIMUM_CREDIT_REQUESTS = 2.0
-# Part of a service's share that every class keeps, so that none is starved.
-MINIMUM_SHARE_RATIO = 0.2
+# Traffic classes beyond this number are not told apart by account.
+MAXIMUM_FLOWS = 1024
+_IDLE_PER_S = 1e-3
 
 
 class AttemptTiming(enum.IntEnum):
@@ -43,31 +48,68 @@
         priority: Importance of the route; 0 is the most important.
         timing: Order among requests of equal priority.
         route: Name of the route.
+        account: Name of the client account; empty for none.
     """
 
     priority: int
     timing: AttemptTiming
     route: str
+    account: str = ""
+
+    @property
+    def key(self) -> fair_shares.AccountKey:
+        """Whose requests they are; without an account, those of the route."""
+        return make_key(self.priority, self.account, self.route)
+
+
+def make_key(priority: int, account: str, route: str) -> fair_shares.AccountKey:
+    """Returns the key under which the requests of a tree count.
+
+    Args:
+        priority: Priority of the tree.
+        account: Name of its client account; empty for none.
+        route: Name of the route of its root; empty if it is not known.
+    """
+    return fair_shares.AccountKey(
+        priority, account or (f"/{route}" if route else "")
+    )
 
 
 class _Flow:
     """Arrivals of one traffic class and the share that may start."""
 
-    __slots__ = ("arrived", "credit", "per_s", "share")
+    __slots__ = (
+        "arrived",
+        "credit",
+        "offered",
+        "is_held_back",
+        "per_s",
+        "refused",
+        "share",
+    )
 
     def __init__(self) -> None:
         self.arrived = 0
         self.per_s = 0.0
         self.share = 1.0
         self.credit = 1.0
+        self.refused = 0
+        self.offered = 1
+        self.is_held_back = False
+
+    def admit(self) -> bool:
+        self.offered = self.refused + 1
+        self.refused = 0
+        return True
 
 
 class _Service:
     """Smoothed share that a service can take, and its last update."""
 
-    __slots__ = ("updated_s", "share")
+    __slots__ = ("accounts", "share", "updated_s")
 
     def __init__(self, now_s: float) -> None:
+        self.accounts = account_shares.AccountShares()
         self.share = 1.0
         self.updated_s = now_s
 
@@ -75,15 +117,20 @@
 class RootAdmission:
     """Decides at the node that a tree enters."""
 
-    def __init__(self, now_s: float) -> None:
+    def __init__(
+        self, now_s: float, generator: random.Random | None = None
+    ) -> None:
         """Starts with all requests admitted.
 
         Args:
             now_s: Monotonic seconds.
+            generator: Source of randomness; the same at every start by default.
         """
+        self._generator = generator or random.Random(0)
         self._flows: dict[TrafficClass, _Flow] = {}
         self._costs: dict[str, dict[str, float]] = {}
         self._services: dict[str, _Service] = {}
+        self._rates: dict[fair_shares.AccountKey, float] = {}
         self._last_refresh_s = now_s
 
     def offer(self, now_s: float, traffic_class: TrafficClass) -> bool:
@@ -92,15 +139,21 @@
             self._refresh(now_s)
         flow = self._flows.get(traffic_class)
         if flow is None:
-            flow = self._flows[traffic_class] = _Flow()
+            flow = self._add_flow(traffic_class)
         flow.arrived += 1
         if flow.share >= 1.0:
-            return True
+            flow.is_held_back = False
+            return flow.admit()
+        if traffic_class.account and not flow.is_held_back:
+            # Otherwise an account would enter at all nodes at the same times.
+            flow.credit = self._generator.random()
+        flow.is_held_back = True
         flow.credit = min(flow.credit + flow.share, MAXIMUM_CREDIT_REQUESTS)
         if flow.credit < 1.0:
+            flow.refused += 1
             return False
         flow.credit -= 1.0
-        return True
+        return flow.admit()
 
     @property
     def minimum_share(self) -> float:
@@ -119,15 +172,25 @@
 
     def get_admitted_share(self, traffic_class: TrafficClass) -> float:
         """Returns the share of a class that may start, 0.0 to 1.0."""
-        flow = self._flows.get(traffic_class)
+        flow = self._find_flow(traffic_class)
         return 1.0 if flow is None else flow.share
 
+    def get_offered(self, traffic_class: TrafficClass) -> int:
+        """Returns for how many requests the last admitted one stands.
+
+        These are itself and those of its class that were refused since the one
+        before it.
+        """
+        flow = self._find_flow(traffic_class)
+        return 1 if flow is None else flow.offered
+
     def note_report(
         self,
         now_s: float,
         route: str,
         report: work_report.WorkReport,
         is_successful: bool,
+        key: fair_shares.AccountKey = fair_shares.NO_ACCOUNT,
     ) -> None:
         """Learns costs and shares from the answer to a root request.
 
@@ -137,9 +200,14 @@
             report: Cost of its tree at each service.
             is_successful: True if the tree succeeded. The cost of a failed
                 tree is only a lower bound of that of a complete one.
+            key: Account of the request.
         """
         for service, work in report.items():
             self.note_share(now_s, service, work.share)
+            if work.account_share is not None:
+                self._services[service].accounts.note(
+                    now_s, key, work.account_share, self._rates.get(key, 0.0)
+                )
         costs = self._costs.setdefault(route, {})
         if is_successful:
             for service in costs:
@@ -163,14 +231,23 @@
         elapsed_s = now_s - self._last_refresh_s
         self._last_refresh_s = now_s
         weight = 1.0 - math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
-        for flow in self._flows.values():
+        self._rates = {}
+        for traffic_class, flow in list(self._flows.items()):
             flow.per_s += weight * (flow.arrived / elapsed_s - flow.per_s)
             flow.arrived = 0
             flow.share = 1.0
+            if traffic_class.account and flow.per_s < _IDLE_PER_S:
+                del self._flows[traffic_class]
+                continue
+            key = traffic_class.key
+            self._rates[key] = self._rates.get(key, 0.0) + flow.per_s
         for service, state in self._services.items():
             self._grow_expired_share(state, now_s, elapsed_s)
             if state.share < 1.0:
-                self._allot(service, state.share)
+                if state.accounts.is_current(now_s):
+                    self._allot_to_accounts(now_s, service, state.accounts)
+                else:
+                    self._allot(service, state.share)
 
     def _grow_expired_share(
         self, state: _Service, now_s: float, elapsed_s: float
@@ -182,28 +259,53 @@
 
     def _allot(self, service: str, share: float) -> None:
         """Allots the work that fits to the classes by importance."""
-        works_by_rank: dict[
-            tuple[int, AttemptTiming], list[tuple[_Flow, float]]
-        ] = {}
-        total = 0.0
+        ranks: dict[_Flow, tuple[int, int]] = {}
+        works: dict[tuple[int, int], float] = {}
         for traffic_class, flow in self._flows.items():
             work = flow.per_s * self._cost(traffic_class.route, service)
             if work > 0.0:
-                total += work
-                rank = (traffic_class.priority, traffic_class.timing)
-                works_by_rank.setdefault(rank, []).append((flow, work))
-        minimum = MINIMUM_SHARE_RATIO * share
-        remaining_work = (share - minimum) * total
-        for rank in sorted(works_by_rank):
-            needed_work = (1.0 - minimum) * sum(
-                work for _, work in works_by_rank[rank]
-            )
-            fraction = min(1.0, max(0.0, remaining_work / needed_work))
-            for flow, _ in works_by_rank[rank]:
-                flow.share = min(
-                    flow.share, minimum + (1.0 - minimum) * fraction
+                rank = (traffic_class.priority, int(traffic_class.timing))
+                ranks[flow] = rank
+                works[rank] = works.get(rank, 0.0) + work
+        shares = rank_allotment.allot(works, share)
+        for flow, flow_rank in ranks.items():
+            flow.share = min(flow.share, shares[flow_rank])
+
+    def _allot_to_accounts(
+        self, now_s: float, service: str, accounts: account_shares.AccountShares
+    ) -> None:
+        """Allots to each account the share that the service has told.
+
+        Within an account, its classes come in the order of their timing.
+        """
+        flows: dict[fair_shares.AccountKey, list[tuple[int, _Flow, float]]] = {}
+        for traffic_class, flow in self._flows.items():
+            work = flow.per_s * self._cost(traffic_class.route, service)
+            if work > 0.0:
+                flows.setdefault(traffic_class.key, []).append(
+                    (traffic_class.timing, flow, work)
                 )
-            remaining_work -= needed_work
+        for key, parts in flows.items():
+            share = accounts.get(now_s, key, self._rates.get(key, 0.0))
+            if share >= 1.0:
+                continue
+            works: dict[int, float] = {}
+            for timing, _, work in parts:
+                works[timing] = works.get(timing, 0.0) + work
+            shares = rank_allotment.allot(works, share)
+            for timing, flow, _ in parts:
+                flow.share = min(flow.share, shares[timing])
+
+    def _find_flow(self, traffic_class: TrafficClass) -> _Flow | None:
+        flow = self._flows.get(traffic_class)
+        if flow is None and traffic_class.account:
+            return self._flows.get(traffic_class._replace(account=""))
+        return flow
+
+    def _add_flow(self, traffic_class: TrafficClass) -> _Flow:
+        if traffic_class.account and len(self._flows) >= MAXIMUM_FLOWS:
+            traffic_class = traffic_class._replace(account="")
+        return self._flows.setdefault(traffic_class, _Flow())
 
     def is_known_leaf(self, route: str) -> bool:
         """True if requests of a route are known to make no calls."""
--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -7,14 +7,25 @@
 
 import math
 
+from cranberrymux.decisions.pressure import fair_shares
+
 WINDOW_S = 0.1
 TARGET_UTILIZATION = 0.95  # Share of the slots that admitted work may use.
 SHARE_STEP_RATIO = 0.5  # Part of the gap closed per window.
 MAXIMUM_GROWTH_FACTOR = 1.25  # Per window.
 MINIMUM_SHARE = 0.01
 QUEUE_DRAIN_TIME_S = 0.3  # Time in which the queue is to be emptied.
+# The same where accounts share. Swings of the level would hold back accounts
+# that request little less than it.
+ACCOUNTS_DRAIN_TIME_S = 0.8
 # Of the mean rate of arrivals. A rate limit may be below one request a window.
 RATE_TIME_CONSTANT_S = 1.0
+# Change of the capacity to be divided among accounts, per window. Demand is
+# underestimated while trees fail early, and after it has risen.
+CORRECTION_EXPONENT = 0.05
+MINIMUM_CORRECTION = 0.8
+MAXIMUM_CORRECTION = 1.15
+WORK_WEIGHT = 0.2  # Weight of one window in the mean work of a request.
 HOLD_TIME_WEIGHT = 0.05  # Weight of one request in the mean of its route.
 
 
@@ -45,25 +56,53 @@
         self._admitted_arrivals = 0.0
         self._per_s = 0.0
         self._admitted_per_s = 0.0
+        self._mean_work_s = 0.0
+        self._correction = 1.0
+        self._fair_shares = fair_shares.FairShares()
 
     @property
     def utilization(self) -> float:
         """Offered work per slot and second in the last window; 1.0 is full."""
         return self._utilization
 
-    def note_arrival(self, route: str, share: float) -> None:
+    @property
+    def accounts(self) -> fair_shares.FairShares:
+        """Shares of the client accounts."""
+        return self._fair_shares
+
+    def get_account_share(self, key: fair_shares.AccountKey) -> float | None:
+        """Returns the share of an account's work that fits.
+
+        None while the share is 1.0 or no request has an account.
+        """
+        if self._share >= 1.0 or not self._fair_shares.is_in_use:
+            return None
+        return self._fair_shares.get_share(key)
+
+    def note_arrival(
+        self,
+        route: str,
+        share: float,
+        key: fair_shares.AccountKey = fair_shares.NO_ACCOUNT,
+        offered: int = 1,
+    ) -> None:
         """Counts a request that asks for a slot, whatever the decision.
 
         Args:
             route: Name of its route.
             share: Share of the offered work that was admitted where its tree
                 started, 0.0 to 1.0.
+            key: Account of its tree.
+            offered: Number of trees that this one stands for: itself and those
+                of its account that were refused there before it.
         """
         work_s = self._hold_s.get(route, 0.0)
         self._work_s += work_s
         self._admitted_work_s += work_s * share
         self._arrivals += 1
         self._admitted_arrivals += share
+        if key.name or self._fair_shares.is_in_use:
+            self._fair_shares.note_arrival(key, work_s, offered)
 
     def note_hold(self, route: str, hold_s: float) -> None:
         """Records for how long a request of a route held its slot."""
@@ -100,9 +139,14 @@
             return
         self._utilization = self._work_s / (slots * elapsed_s)
         fitting_share = 1.0
-        if self._work_s > 0.0:
+        queue_utilization = waiting_s / slots / QUEUE_DRAIN_TIME_S
+        if self._fair_shares.is_in_use:
+            fitting_share = self._divide(
+                elapsed_s, slots, queue_utilization, limit_per_s
+            )
+            limit_per_s = None
+        elif self._work_s > 0.0:
             admitted_share = self._admitted_work_s / self._work_s
-            queue_utilization = waiting_s / slots / QUEUE_DRAIN_TIME_S
             fitting_share = (
                 admitted_share
                 * TARGET_UTILIZATION
@@ -118,6 +162,36 @@
         self._work_s = 0.0
         self._admitted_work_s = 0.0
 
+    def _divide(
+        self,
+        elapsed_s: float,
+        slots: int,
+        queue_utilization: float,
+        limit_per_s: float | None,
+    ) -> float:
+        """Divides what fits among the accounts; returns the share of the sum.
+
+        How much is requested follows from each account's own share, since trees
+        are no longer admitted alike.
+        """
+        used = max(self._utilization, 1e-3)
+        queue_utilization *= QUEUE_DRAIN_TIME_S / ACCOUNTS_DRAIN_TIME_S
+        target = TARGET_UTILIZATION * used / (used + queue_utilization)
+        self._correction *= (target / used) ** CORRECTION_EXPONENT
+        self._correction = min(
+            max(self._correction, MINIMUM_CORRECTION), MAXIMUM_CORRECTION
+        )
+        capacity_per_s = target * slots * self._correction
+        if self._arrivals:
+            mean_s = self._work_s / self._arrivals
+            self._mean_work_s += WORK_WEIGHT * (mean_s - self._mean_work_s)
+        if limit_per_s is not None:
+            limit_work_s = TARGET_UTILIZATION * limit_per_s * self._mean_work_s
+            capacity_per_s = min(capacity_per_s, limit_work_s)
+        self._fair_shares.roll(elapsed_s, capacity_per_s)
+        offered_per_s = self._fair_shares.offered_per_s
+        return min(1.0, capacity_per_s / max(offered_per_s, 1e-6))
+
     def _update_rates(self, elapsed_s: float) -> None:
         weight = 1.0 - math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
         self._per_s += weight * (self._arrivals / elapsed_s - self._per_s)
--- a/src/cranberrymux/decisions/pressure/work_report.py
+++ b/src/cranberrymux/decisions/pressure/work_report.py
@@ -6,7 +6,8 @@
 
 _MS_PER_S = 1000
 MINIMUM_WEIGHT_S = 0.005  # Added to the work, which may be zero.
-_MAXIMUM_SERVICES = 32  # Services read from one report.
+_MAXIMUM_PARTS = 64  # Parts read from one report.
+_ACCOUNT_MARK = b"@"
 
 
 class ServiceWork(NamedTuple):
@@ -15,10 +16,13 @@
     Attributes:
         slot_s: Seconds for which the tree held slots there.
         share: Share of the offered work that the service can take, 0.0 to 1.0.
+        account_share: The same for the work of the tree's account; None if the
+            service does not tell accounts apart at present.
     """
 
     slot_s: float
     share: float
+    account_share: float | None = None
 
 
 WorkReport = dict[str, ServiceWork]
@@ -31,44 +35,64 @@
         if current is None:
             report[service] = part
             continue
-        report[service] = ServiceWork(
-            current.slot_s + part.slot_s, _average_share(current, part)
-        )
+        report[service] = _add_parts(current, part)
 
 
-def _average_share(current: ServiceWork, part: ServiceWork) -> float:
-    """Averages two shares, weighted by work.
+def _add_parts(current: ServiceWork, part: ServiceWork) -> ServiceWork:
+    """Sums the work and averages the shares, weighted by work.
 
     The minimum over many reports would be too low.
     """
     weight = current.slot_s + MINIMUM_WEIGHT_S
     added = part.slot_s + MINIMUM_WEIGHT_S
-    return (weight * current.share + added * part.share) / (weight + added)
+    total = weight + added
+    account_share = current.account_share
+    if account_share is None:
+        account_share = part.account_share
+    elif part.account_share is not None:
+        account_share = (
+            weight * account_share + added * part.account_share
+        ) / total
+    return ServiceWork(
+        current.slot_s + part.slot_s,
+        (weight * current.share + added * part.share) / total,
+        account_share,
+    )
 
 
 def encode(report: WorkReport) -> bytes:
     """Encodes a report as a header value.
 
-    The parts, joined by commas, read `service=milliseconds/per-mille`.
+    The parts, joined by commas, read `service=milliseconds/per-mille`. Shares
+    of the tree's account follow as parts `service=@per-mille`, which nodes of
+    earlier versions skip.
     """
-    return b",".join(
-        [
-            b"%b=%d/%d"
-            % (
-                service.encode(),
-                round(part.slot_s * _MS_PER_S),
-                round(part.share * 1000),
-            )
-            for service, part in report.items()
-        ]
-    )
+    parts = [
+        b"%b=%d/%d"
+        % (
+            service.encode(),
+            round(part.slot_s * _MS_PER_S),
+            round(part.share * 1000),
+        )
+        for service, part in report.items()
+    ]
+    parts += [
+        b"%b=%b%d"
+        % (service.encode(), _ACCOUNT_MARK, round(part.account_share * 1000))
+        for service, part in report.items()
+        if part.account_share is not None
+    ]
+    return b",".join(parts)
 
 
 def decode(value: bytes) -> WorkReport:
     """Decodes a header value of `encode`; skips parts that are not valid."""
     report: WorkReport = {}
-    for part in value.split(b",")[:_MAXIMUM_SERVICES]:
+    for part in value.split(b",")[:_MAXIMUM_PARTS]:
         service, _, numbers = part.partition(b"=")
+        if numbers.startswith(_ACCOUNT_MARK):
+            _decode_account_share(report, service.decode("latin-1"), numbers)
+            continue
         first, _, second = numbers.partition(b"/")
         slot_ms = whole_number.decode(first)
         share = whole_number.decode(second)
@@ -77,3 +101,12 @@
                 slot_ms / _MS_PER_S, share / 1000
             )
     return report
+
+
+def _decode_account_share(
+    report: WorkReport, service: str, value: bytes
+) -> None:
+    share = whole_number.decode(value[len(_ACCOUNT_MARK) :])
+    part = report.get(service)
+    if share is not None and part is not None:
+        report[service] = part._replace(account_share=share / 1000)
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -76,9 +76,7 @@
         if self._leaves_zone and not tree_context.has_left_zone:
             tree_context = tree_context._replace(has_left_zone=True)
         headers = [(hop.TREE_CONTEXT, hop.encode_tree_context(tree_context))]
-        if tree_context.account:
-            account = hop.encode_account(tree_context.account)
-            headers.append((hop.ACCOUNT, account))
+        headers += hop.encode_account(tree_context)
         if len(self._asked_ids) > 1:
             headers.append((hop.RESENT, b"1"))
         return headers
--- a/src/cranberrymux/gateway/entry_admission.py
+++ b/src/cranberrymux/gateway/entry_admission.py
@@ -1,5 +1,7 @@
 """Admission of client requests, and retry advice for refused clients."""
 
+import random
+
 from cranberrymux.decisions.pressure import retry_advice
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.routes import route as route_module
@@ -12,13 +14,16 @@
         root_admission: Decides by the class of a request which roots may start.
     """
 
-    def __init__(self, now_s: float) -> None:
+    def __init__(
+        self, now_s: float, generator: random.Random | None = None
+    ) -> None:
         """Starts with all requests admitted.
 
         Args:
             now_s: Monotonic seconds.
+            generator: Source of randomness.
         """
-        self.root_admission = root_admission.RootAdmission(now_s)
+        self.root_admission = root_admission.RootAdmission(now_s, generator)
         self._advice_by_route: dict[str, retry_advice.RetryAdvice] = {}
 
     def get_retry_advice(
@@ -37,19 +42,27 @@
         priority: int,
         left_s: float,
         now_s: float,
-    ) -> bool:
-        """Classifies a client request; True if it may start.
+        account: str = "",
+    ) -> int:
+        """Classifies a client request and decides whether it may start.
 
         Args:
             route: Route of the request.
             priority: Priority rank of the request.
             left_s: Seconds that its client allows.
             now_s: Monotonic seconds.
+            account: Name of its client account; empty for none.
+
+        Returns:
+            Number of requests that it stands for, see `RootAdmission`; 0 if it
+            is refused.
         """
         advice = self.get_retry_advice(route)
         advice.note_arrival(left_s)
         timing = advice.classify_attempt(left_s)
         traffic_class = root_admission.TrafficClass(
-            priority, timing, route.name
+            priority, timing, route.name, account
         )
-        return self.root_admission.offer(now_s, traffic_class)
+        if not self.root_admission.offer(now_s, traffic_class):
+            return 0
+        return self.root_admission.get_offered(traffic_class)
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -145,7 +145,7 @@
             return
         if hop.RESENT not in headers.first:
             self.work.pressure.note_arrival(
-                hop_call.route, hop_call.tree_context.share
+                hop_call.route, hop_call.tree_context
             )
         self.limit.note_request(headers, hop_call.request_id)
         self.work.pressure.update(now_s, self.limit.per_s)
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -25,6 +25,7 @@
         parts: parts_module.GatewayParts,
         owner: exit_owner.ExitOwner,
         call: inbound_call.InboundCall,
+        tree_context: hop.TreeContext,
     ) -> None:
         """Reads what the headers of the call name.
 
@@ -32,10 +33,12 @@
             parts: Shared state of the gateway.
             owner: Owner of the slots, whose state the answers report.
             call: The request, as received.
+            tree_context: What its headers tell of its tree.
         """
         self._parts = parts
         self._owner = owner
         self._call = call
+        self._tree_context = tree_context
         first = call.head.headers.first
         self.request_id = first.get(parts.settings.dialect.request_id, b"")
         self.digest = first.get(hop.DIGEST, b"").decode("latin-1")
@@ -62,7 +65,7 @@
             route=self.route,
             **self._owner.work.describe_load(),
         )
-        report = self._owner.work.report_share()
+        report = self._owner.work.report_share(self._tree_context)
         headers = [
             (self._parts.settings.dialect.request_id, self.request_id),
             (hop.NOT_RUN, reason),
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -70,7 +70,9 @@
         self.start_by_s = ticket.start_by_s
         self.deadline_s = ticket.deadline_s
         self.tree_context = hop.decode_tree_context(call.head.headers)
-        self._answers = exit_answers.ExitAnswers(parts, owner, call)
+        self._answers = exit_answers.ExitAnswers(
+            parts, owner, call, self.tree_context
+        )
         self.request_id = self._answers.request_id
         self.digest = self._answers.digest
         self.route = self._answers.route
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -1,14 +1,19 @@
 """Share of the offered work that the backend server can take, with its log."""
 
 from collections.abc import Callable
+import math
 from typing import Any
 
+from cranberrymux.decisions.pressure import fair_shares
+from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
 from cranberrymux.decisions.pressure import work_report
+from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 
 PRESSURE_LOG_INTERVAL_S = 1.0  # Minimum time between two "pressure" lines.
+MAXIMUM_LOGGED = 10  # Accounts in one "accounts-held-back" line.
 
 
 class ExitPressure:
@@ -38,9 +43,19 @@
         """Share of the offered work that fits, 0.0 to 1.0."""
         return self._meter.share
 
-    def note_arrival(self, route: str, share: float) -> None:
+    @property
+    def held_back_count(self) -> int:
+        """Number of accounts that get less than they request."""
+        return self._meter.accounts.held_back_count
+
+    def note_arrival(self, route: str, tree_context: hop.TreeContext) -> None:
         """Counts a request that asks for a slot; see `ShareMeter`."""
-        self._meter.note_arrival(route, share)
+        self._meter.note_arrival(
+            route,
+            tree_context.share,
+            _make_key(tree_context),
+            tree_context.offered,
+        )
 
     def note_hold(self, route: str, hold_s: float) -> None:
         """Records for how long a request of a route held its slot."""
@@ -67,13 +82,17 @@
         """Returns the share to 1.0, as the rate limit that lowered it ended."""
         self._meter.reset()
 
-    def report(self, hold_s: float = 0.0) -> work_report.WorkReport:
-        """Returns the work of one request here, and the share that fits.
+    def report(
+        self, tree_context: hop.TreeContext, hold_s: float = 0.0
+    ) -> work_report.WorkReport:
+        """Returns the work of one request here, and the shares that fit.
 
         Args:
+            tree_context: Context of the request.
             hold_s: Seconds for which it held a slot; 0.0 if it did not run.
         """
-        own = work_report.ServiceWork(hold_s, self.share)
+        account_share = self._meter.get_account_share(_make_key(tree_context))
+        own = work_report.ServiceWork(hold_s, self.share, account_share)
         return {self._parts.settings.service: own}
 
     def _log(self) -> None:
@@ -85,3 +104,28 @@
             **self._describe_load(),
             hold_ms=round(self._scheduler.mean_hold_s * 1000),
         )
+        held_back = self._meter.accounts.list_held_back(MAXIMUM_LOGGED)
+        if held_back:
+            self._parts.events.info(
+                "accounts-held-back",
+                service=self._parts.settings.service,
+                accounts=[
+                    {
+                        "account": account.key.name,
+                        "priority": account.key.priority,
+                        "slots_requested": round(account.per_s, 2),
+                        "share": round(account.share, 3),
+                    }
+                    for account in held_back
+                ],
+                count=self._meter.accounts.held_back_count,
+            )
+
+
+def _make_key(tree_context: hop.TreeContext) -> fair_shares.AccountKey:
+    """Returns the account of a tree, with the priority of its root."""
+    return root_admission.make_key(
+        math.ceil(tree_context.rank),
+        tree_context.account,
+        tree_context.root_route,
+    )
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -53,9 +53,11 @@
             "slots": self._scheduler.slots,
         }
 
-    def report_share(self) -> work_report.WorkReport:
-        """Returns a report without work that tells the fitting share."""
-        return self.pressure.report()
+    def report_share(
+        self, tree_context: hop.TreeContext
+    ) -> work_report.WorkReport:
+        """Returns a report without work that tells the fitting shares."""
+        return self.pressure.report(tree_context)
 
     def note_outcome(self, call: owned_call.OwnedCall, is_failed: bool) -> bool:
         """Records how a request ended; to be called before `end_run`.
@@ -112,7 +114,7 @@
         self._parts.parent_matcher.remove(ticket_id)
         self._parts.running_requests.end(ticket_id)
         report = {} if running is None else running.report
-        work_report.add(report, self.pressure.report(hold_s))
+        work_report.add(report, self.pressure.report(call.tree_context, hold_s))
         return report
 
     def update_metrics(self) -> None:
@@ -122,3 +124,4 @@
         metrics.share.set(self.pressure.share)
         metrics.running.set(self._scheduler.running)
         metrics.waiting.set(self._scheduler.waiting)
+        metrics.accounts_held_back.set(self.pressure.held_back_count)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -21,7 +21,10 @@
 # On requests: see `TreeContext`.
 TREE_CONTEXT = b"cranberrymux-standing"
 # On requests: name of the client account of the tree, percent-encoded.
+# For trees without one, where others have one: a slash and the root's route.
 ACCOUNT = b"cranberrymux-account"
+# On requests: see `TreeContext.offered`; missing for 1.
+OFFERED = b"cranberrymux-offered"
 # On requests: the rate limit of the backend server that the sender has learned
 # from earlier answers, in case the node beside it has started since.
 KNOWN_RATE_LIMIT = b"cranberrymux-known-limit"
@@ -114,6 +117,10 @@
         has_left_zone: True if the request, or one that it is a call of, was
             sent to another availability zone. Its calls then stay where they
             are, so that a tree does not cross back and forth.
+        root_route: Route of the root, if it has no account but others have;
+            empty otherwise.
+        offered: Number of trees that this one stands for: itself and those of
+            its account that were refused since the last one at its first node.
     """
 
     rank: float
@@ -121,6 +128,8 @@
     is_repeat: bool = False
     account: str = ""
     has_left_zone: bool = False
+    root_route: str = ""
+    offered: int = 1
 
     def for_call(self) -> "TreeContext":
         """Returns the context of the calls of a request with this one."""
@@ -130,6 +139,7 @@
         )
 
 
+_ROUTE_MARK = b"/"  # Never in the encoded name of an account.
 DEFAULT_TREE_CONTEXT = TreeContext(0.0, 1.0)
 
 _REPEAT_FLAGS = (b"1", b"3")
@@ -142,33 +152,49 @@
     The flags are 1 for `is_repeat` and 2 for `has_left_zone`. The account is a
     header of its own.
     """
-    rank, share, is_repeat, _, has_left_zone = tree_context
-    return b"%.1f/%.3f/%d" % (rank, share, is_repeat + 2 * has_left_zone)
+    flags = tree_context.is_repeat + 2 * tree_context.has_left_zone
+    return b"%.1f/%.3f/%d" % (tree_context.rank, tree_context.share, flags)
 
 
-def encode_account(name: str) -> bytes:
-    """Encodes the name of a client account as a header value."""
-    return parse.quote(name, safe="").encode()
+def encode_account(tree_context: TreeContext) -> headers_module.HeaderList:
+    """Returns the headers on the account of a tree; none without accounts."""
+    headers = []
+    if tree_context.account:
+        name = parse.quote(tree_context.account, safe="")
+        headers.append((ACCOUNT, name.encode()))
+    elif tree_context.root_route:
+        name = parse.quote(tree_context.root_route, safe="")
+        headers.append((ACCOUNT, _ROUTE_MARK + name.encode()))
+    if tree_context.offered > 1:
+        headers.append((OFFERED, b"%d" % tree_context.offered))
+    return headers
 
 
 def decode_tree_context(headers: headers_module.HeaderList) -> TreeContext:
     """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
     first = headers_module.index(headers)
     value = first.get(TREE_CONTEXT, b"")
-    return _parse_tree_context(value, first.get(ACCOUNT, b""))
+    tree_context = _parse_tree_context(value, first.get(ACCOUNT, b""))
+    offered = whole_number.decode(first.get(OFFERED)) or 1
+    return tree_context._replace(offered=offered) if offered > 1 else (
+        tree_context
+    )
 
 
 @functools.lru_cache(_KEPT_VALUES)
 def _parse_tree_context(value: bytes, account: bytes) -> TreeContext:
     try:
         rank, share, flags = value.split(b"/")
-        return TreeContext(
+        tree_context = TreeContext(
             float(rank),
             float(share),
             flags in _REPEAT_FLAGS,
-            parse.unquote(account.decode()),
-            flags in _LEFT_ZONE_FLAGS,
+            has_left_zone=flags in _LEFT_ZONE_FLAGS,
         )
+        if account.startswith(_ROUTE_MARK):
+            route = parse.unquote(account[len(_ROUTE_MARK) :].decode())
+            return tree_context._replace(root_route=route)
+        return tree_context._replace(account=parse.unquote(account.decode()))
     except ValueError:
         return DEFAULT_TREE_CONTEXT
 
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -3,6 +3,7 @@
 import prometheus_client
 from prometheus_client import exposition
 
+from cranberrymux.gateway import held_back_counter
 from cranberrymux.gateway import label_children
 
 LATENCY_BOUNDS_S = (
@@ -29,6 +30,9 @@
             has capacity for.
         running: Requests that hold a slot of the backend server.
         waiting: Requests that wait for a slot.
+        held_back: Refusals at the root, by client account.
+        accounts_held_back: Client accounts of whose requests the backend server
+            can take only a part.
         backend_sends: Requests sent to the backend server, whatever became of
             them.
         rate_limit: Requests a second that the backend server accepts; 0
@@ -93,6 +97,10 @@
         )
         self.share = self._gauge("share", "Share of the work that fits.")
         self.running = self._gauge("running", "Requests that hold a slot.")
+        self.held_back = held_back_counter.HeldBackCounter(registry)
+        self.accounts_held_back = self._gauge(
+            "accounts_held_back", "Accounts that get less than they request."
+        )
         self.waiting = self._gauge("waiting", "Requests that wait for one.")
         self.version = self._gauge("configuration_version", "In force.")
         self.settings_since_s = prometheus_client.Gauge(
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -1,6 +1,7 @@
 """Whether a request is a root or a call, and what follows from that."""
 
 from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import hop
@@ -59,22 +60,45 @@
         parent = self._parts.running_requests.find(self._parent_match.parent)
         if parent is not None:
             return parent.tree_context.for_call()
+        table = self._parts.routes.table
         entry_admission = self._parts.entry_admission
         share = entry_admission.root_admission.minimum_share
         if self._parent_match.is_call:
             return hop.TreeContext(self._route.priority, share).for_call()
-        if not entry_admission.offer(
-            self._route, self._priority, self.left_s, now_s
-        ):
+        offered = entry_admission.offer(
+            self._route,
+            self._priority,
+            self.left_s,
+            now_s,
+            self._account_name,
+        )
+        if not offered:
+            self._note_held_back()
             return None
-        name = "" if self._account is None else self._account.name
-        tree_context = hop.TreeContext(self._priority, share, account=name)
+        has_accounts = bool(table is not None and table.document.accounts)
+        is_route_named = has_accounts and not self._account_name
+        tree_context = hop.TreeContext(
+            self._priority,
+            share,
+            account=self._account_name,
+            root_route=self._route.name if is_route_named else "",
+            offered=offered if has_accounts else 1,
+        )
         if entry_admission.root_admission.is_known_leaf(self._route.name):
             # Nothing comes after it, so that it need not wait behind the calls
             # of trees of equal importance.
             return tree_context.for_call()
         return tree_context
 
+    @property
+    def _account_name(self) -> str:
+        return "" if self._account is None else self._account.name
+
+    def _note_held_back(self) -> None:
+        metrics = self._parts.metrics
+        if self._account_name:
+            metrics.held_back.note(self._account_name)
+
     @property
     def _priority(self) -> int:
         """Priority of the account, else that of the route."""
@@ -130,7 +154,13 @@
             return
         entry_admission = self._parts.entry_admission
         entry_admission.root_admission.note_report(
-            now_s, self._route.name, report, is_successful
+            now_s,
+            self._route.name,
+            report,
+            is_successful,
+            root_admission.make_key(
+                self._priority, self._account_name, self._route.name
+            ),
         )
         if is_successful:
             entry_admission.get_retry_advice(self._route).note_latency(
@@ -154,7 +184,7 @@
             return
         if not self._parts.endpoints.has_unlimited(service, now_s):
             return
-        root_admission = self._parts.entry_admission.root_admission
+        admission = self._parts.entry_admission.root_admission
         report[service] = report[service]._replace(
-            share=root_admission.get_service_share(service)
+            share=admission.get_service_share(service), account_share=None
         )
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -112,7 +112,7 @@
             -math.inf if settings.is_first_start else self.clock.now_s(),
         )
         self.entry_admission = entry_admission.EntryAdmission(
-            self.clock.now_s()
+            self.clock.now_s(), generator
         )
         self.parent_matcher = parent_matcher.ParentMatcher()
         self.running_requests = running_requests.RunningRequests()
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -54,6 +54,7 @@
     REQUEST_REFUSED_HERE = "request-refused-here"
     PRESSURE = "pressure"
     ZONE_SHARES = "zone-shares"
+    ACCOUNTS_HELD_BACK = "accounts-held-back"
 
     # Control instances.
     MEMBERS_CHANGED = "members-changed"
--- a/tests/decisions/pressure/tree_simulation.py
+++ b/tests/decisions/pressure/tree_simulation.py
@@ -6,12 +6,15 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
+import enum
 import heapq
 import itertools
 import random
 from typing import NamedTuple
 
+from cranberrymux.decisions.pressure import fair_shares
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
@@ -21,6 +24,20 @@
 RETRY_DELAY_S = 0.5
 
 
+class AccountScope(enum.Enum):
+    """Which decisions know of client accounts.
+
+    Attributes:
+        NONE: None of them: first come, first served within a rank.
+        QUEUE: The queue before the slots, which becomes a round robin.
+        ALL: The queue and the admission at the root.
+    """
+
+    NONE = "none"
+    QUEUE = "queue"
+    ALL = "all"
+
+
 class TreeKind(NamedTuple):
     """A kind of tree.
 
@@ -32,6 +49,9 @@
         call_s: Mean work of such a call in seconds.
         between_s: Seconds before each call.
         timeout_s: Seconds after which the tree fails.
+        account: Name of the client account; empty for none.
+        entries: Numbers of the nodes where it enters; empty for all.
+        counted_as: Name of its tally; empty for its account, else its route.
     """
 
     route: str
@@ -41,6 +61,13 @@
     call_s: float
     between_s: float
     timeout_s: float
+    account: str = ""
+    entries: Sequence[int] = ()
+    counted_as: str = ""
+
+    @property
+    def tally_name(self) -> str:
+        return self.counted_as or self.account or self.route
 
 
 @dataclasses.dataclass
@@ -75,6 +102,13 @@
     rank: float
     share: float
     report: work_report.WorkReport
+    offered: int
+
+    @property
+    def key(self) -> fair_shares.AccountKey:
+        return root_admission.make_key(
+            self.kind.priority, self.kind.account, ""
+        )
 
 
 class TreeSimulation:
@@ -88,13 +122,20 @@
         slots: int = 15,
         seed: int = 1,
         is_admitting: bool = True,
+        scope: AccountScope = AccountScope.ALL,
+        has_retries: bool = True,
     ) -> None:
         self.now_s = 0.0
         self.random = random.Random(seed)
         self.kinds = kinds
         self.is_admitting = is_admitting
-        self.tallies = {one.route: Tally() for one in kinds}
-        self.roots = [root_admission.RootAdmission(0.0) for _ in range(nodes)]
+        self.scope = scope
+        self.has_retries = has_retries
+        self.tallies = {one.tally_name: Tally() for one in kinds}
+        self.roots = [
+            root_admission.RootAdmission(0.0, random.Random(node))
+            for node in range(nodes)
+        ]
         self.endpoints = [Endpoint(slots) for _ in range(endpoints)]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -114,8 +155,8 @@
             if due_s > length_s + 2.0:
                 break
             if self.now_s < counted_from_s <= due_s:
-                for route in self.tallies:
-                    self.tallies[route] = Tally()
+                for name in self.tallies:
+                    self.tallies[name] = Tally()
                 for one in self.endpoints:
                     one.busy_s = 0.0
             self.now_s = due_s
@@ -126,13 +167,17 @@
         slots = sum(one.slots for one in self.endpoints)
         return sum(one.busy_s for one in self.endpoints) / slots / length_s
 
+    def arrive(self, kind: TreeKind, from_s: float, until_s: float) -> None:
+        """Lets trees of a further kind begin from one time until another."""
+        self.at(from_s, lambda: self._arrive_later(kind, until_s))
+
     def _arrive_later(self, kind: TreeKind, length_s: float) -> None:
         gap_s = self.random.expovariate(kind.per_s)
         if self.now_s + gap_s > length_s:
             return
 
         def arrive() -> None:
-            self.tallies[kind.route].asked += 1
+            self._tally(kind).asked += 1
             self._begin(kind, root_admission.AttemptTiming.FIRST)
             self._arrive_later(kind, length_s)
 
@@ -141,9 +186,13 @@
     def _begin(
         self, kind: TreeKind, timing: root_admission.AttemptTiming
     ) -> None:
-        node = self.random.randrange(len(self.roots))
+        if kind.entries:
+            node = self.random.choice(kind.entries)
+        else:
+            node = self.random.randrange(len(self.roots))
+        account = kind.account if self.scope is AccountScope.ALL else ""
         traffic_class = root_admission.TrafficClass(
-            kind.priority, timing, kind.route
+            kind.priority, timing, kind.route, account
         )
         may_begin = self.roots[node].offer(self.now_s, traffic_class)
         if self.is_admitting and not may_begin:
@@ -157,19 +206,24 @@
             kind.priority - 0.5,
             self.roots[node].minimum_share,
             {},
+            self.roots[node].get_offered(traffic_class),
         )
         self.at(kind.between_s, lambda: self._call(tree, timing, []))
 
     def _retry_or_count(
         self, kind: TreeKind, timing: root_admission.AttemptTiming, end: str
     ) -> None:
-        if timing is root_admission.AttemptTiming.FIRST:
+        is_first = timing is root_admission.AttemptTiming.FIRST
+        if self.has_retries and is_first:
             retry = root_admission.AttemptTiming.RETRY_IN_TIME
             self.at(RETRY_DELAY_S, lambda: self._begin(kind, retry))
             return
-        tally = self.tallies[kind.route]
+        tally = self._tally(kind)
         setattr(tally, end, getattr(tally, end) + 1)
 
+    def _tally(self, kind: TreeKind) -> Tally:
+        return self.tallies.setdefault(kind.tally_name, Tally())
+
     def _call(
         self, tree: Tree, timing: root_admission.AttemptTiming, tried: list[int]
     ) -> None:
@@ -191,7 +245,7 @@
         endpoint = self.endpoints[index]
         scheduler, meter = endpoint.scheduler, endpoint.meter
         if not tried:
-            meter.note_arrival(tree.kind.route, tree.share)
+            self._note_arrival(meter, tree)
         meter.roll(
             self.now_s,
             scheduler.slots,
@@ -206,6 +260,7 @@
                 tree.rank,
                 self.now_s + 0.4 * left_s,
                 tree.deadline_s,
+                "" if self.scope is AccountScope.NONE else tree.kind.account,
             ),
         )
 
@@ -216,7 +271,7 @@
             if not is_started:
                 work_report.add(
                     tree.report,
-                    {"deep": work_report.ServiceWork(0.0, meter.share)},
+                    {"deep": self._make_part(0.0, meter, tree)},
                 )
                 self.at(
                     HOP_S, lambda: self._call(tree, timing, [*tried, index])
@@ -247,7 +302,7 @@
         endpoint.meter.note_hold(tree.kind.route, hold_s)
         for started_id in endpoint.scheduler.start_waiting(self.now_s):
             endpoint.waiting.pop(started_id)(True)
-        part = work_report.ServiceWork(hold_s, endpoint.meter.share)
+        part = self._make_part(hold_s, endpoint.meter, tree)
         work_report.add(tree.report, {"deep": part})
         tree.left -= 1
         if self.now_s > tree.deadline_s:
@@ -257,11 +312,26 @@
             self.at(tree.kind.between_s, lambda: self._call(tree, timing, []))
         else:
             self._report(tree, True)
-            self.tallies[tree.kind.route].served += 1
+            self._tally(tree.kind).served += 1
 
     def _report(self, tree: Tree, is_successful: bool) -> None:
         self.roots[tree.node].note_report(
-            self.now_s, tree.kind.route, tree.report, is_successful
+            self.now_s, tree.kind.route, tree.report, is_successful, tree.key
+        )
+
+    def _note_arrival(self, meter: share_meter.ShareMeter, tree: Tree) -> None:
+        if self.scope is AccountScope.ALL:
+            meter.note_arrival(
+                tree.kind.route, tree.share, tree.key, tree.offered
+            )
+        else:
+            meter.note_arrival(tree.kind.route, tree.share)
+
+    def _make_part(
+        self, hold_s: float, meter: share_meter.ShareMeter, tree: Tree
+    ) -> work_report.ServiceWork:
+        return work_report.ServiceWork(
+            hold_s, meter.share, meter.get_account_share(tree.key)
         )
 
     def _expire(self) -> None:
