Fair shares: only the largest accounts bear what the capacity varies

Accounts with little less than the common level were held back whenever the queue was drained. The level now follows from the mean capacity.

--- a/src/cranberrymux/decisions/pressure/demand_rate.py
+++ b/src/cranberrymux/decisions/pressure/demand_rate.py
@@ -6,7 +6,10 @@
 SLOW_TIME_CONSTANT_S = 2.0
 # A fast mean that differs from the slow one by more standard errors than this
 # shows a change of the demand.
-CHANGE_STANDARD_ERRORS = 6.0
+CHANGE_STANDARD_ERRORS = 4.0
+# It must also differ by this factor. When a queue drains, the calls of trees
+# that were held there arrive faster, although no more is requested.
+CHANGE_FACTOR = 2.0
 
 
 class DemandRate:
@@ -64,7 +67,12 @@
         slow_weight = self._find_weight(elapsed_s, SLOW_TIME_CONSTANT_S)
         self._slow += slow_weight * (self._fast - self._slow)
         error = math.sqrt(self._square_per_s / (2 * FAST_TIME_CONSTANT_S))
-        if abs(self._fast - self._slow) > CHANGE_STANDARD_ERRORS * error:
+        difference = abs(self._fast - self._slow)
+        low, high = sorted((self._fast, self._slow))
+        if (
+            difference > CHANGE_STANDARD_ERRORS * error
+            and high > CHANGE_FACTOR * low
+        ):
             self._slow = self._fast
         self.work_s = 0.0
         self.square = 0.0
--- a/src/cranberrymux/decisions/pressure/fair_shares.py
+++ b/src/cranberrymux/decisions/pressure/fair_shares.py
@@ -20,7 +20,7 @@
 MAXIMUM_OFFERED = 1000  # Requests that one may stand for.
 # An account that requests up to this many times the level is not held back, as
 # the measured demand varies and may exceed the true one.
-TOLERANCE_RATIO = 1.3
+TOLERANCE_RATIO = 1.2
 _NEGLIGIBLE_PER_S = 1e-6
 
 
@@ -127,12 +127,17 @@
         held.sort(key=lambda account: -account.per_s)
         return held[:limit]
 
-    def roll(self, elapsed_s: float, capacity_per_s: float) -> None:
+    def roll(
+        self, elapsed_s: float, capacity_per_s: float, fitting_per_s: float
+    ) -> None:
         """Ends a window and computes the shares.
 
         Args:
             elapsed_s: Length of the window in seconds.
-            capacity_per_s: Seconds of work that fit into a second.
+            capacity_per_s: Seconds of work that fit into a second on average.
+            fitting_per_s: The same at present. The largest accounts alone bear
+                the difference, since those near the level would be held back
+                at times although they request less than it.
         """
         for demand in (*self._demands.values(), *self._rests.values()):
             demand.roll(elapsed_s)
@@ -141,7 +146,7 @@
         self._shares = {}
         self._rest_shares = {}
         offered_per_s = self.offered_per_s
-        if offered_per_s <= capacity_per_s:
+        if offered_per_s <= min(capacity_per_s, fitting_per_s):
             self._shares = dict.fromkeys(self._demands, 1.0)
             return
         works: dict[int, float] = {}
@@ -149,15 +154,22 @@
             works[key.priority] = works.get(key.priority, 0.0) + demand.per_s
         for priority, rest in self._rests.items():
             works[priority] = works.get(priority, 0.0) + rest.per_s
-        shares = rank_allotment.allot(works, capacity_per_s / offered_per_s)
-        for priority, share in shares.items():
-            self._divide(priority, share, share * works[priority])
+        means = _allot(works, capacity_per_s / offered_per_s)
+        shares = _allot(works, fitting_per_s / offered_per_s)
+        for priority, work in works.items():
+            self._divide(
+                priority, means[priority] * work, shares[priority], work
+            )
 
     def _divide(
-        self, priority: int, mean_share: float, capacity_per_s: float
+        self,
+        priority: int,
+        capacity_per_s: float,
+        mean_share: float,
+        work_per_s: float,
     ) -> None:
         """Computes the shares within one priority."""
-        minimum_share = MINIMUM_SHARE_RATIO * mean_share
+        minimum_share = MINIMUM_SHARE_RATIO * capacity_per_s / work_per_s
         amounts = {
             key: demand.per_s
             for key, demand in self._demands.items()
@@ -176,10 +188,10 @@
         full = TOLERANCE_RATIO * level
         small = [demand for demand in demands if demand.amount <= full]
         large = [demand for demand in demands if demand.amount > full]
-        capacity_per_s -= sum(
+        fitting_per_s = mean_share * work_per_s - sum(
             demand.amount * demand.accounts for demand in small
         )
-        level = water_level.find(large, capacity_per_s, minimum_share)
+        level = water_level.find(large, fitting_per_s, minimum_share)
         for key, amount in amounts.items():
             self._shares[key] = (
                 1.0
@@ -215,3 +227,7 @@
         if rest is None:
             rest = self._rests[priority] = demand_rate.DemandRate()
         return rest
+
+
+def _allot(works: dict[int, float], share: float) -> dict[int, float]:
+    return rank_allotment.allot(works, min(share, 1.0))
--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -174,23 +174,33 @@
         How much is requested follows from each account's own share, since trees
         are no longer admitted alike.
         """
-        used = max(self._utilization, 1e-3)
-        queue_utilization *= QUEUE_DRAIN_TIME_S / ACCOUNTS_DRAIN_TIME_S
-        target = TARGET_UTILIZATION * used / (used + queue_utilization)
-        self._correction *= (target / used) ** CORRECTION_EXPONENT
-        self._correction = min(
-            max(self._correction, MINIMUM_CORRECTION), MAXIMUM_CORRECTION
-        )
-        capacity_per_s = target * slots * self._correction
+        capacity_per_s = TARGET_UTILIZATION * slots
         if self._arrivals:
             mean_s = self._work_s / self._arrivals
             self._mean_work_s += WORK_WEIGHT * (mean_s - self._mean_work_s)
         if limit_per_s is not None:
             limit_work_s = TARGET_UTILIZATION * limit_per_s * self._mean_work_s
             capacity_per_s = min(capacity_per_s, limit_work_s)
-        self._fair_shares.roll(elapsed_s, capacity_per_s)
+        fitting_per_s = capacity_per_s * self._correct(
+            capacity_per_s / slots, queue_utilization
+        )
+        self._fair_shares.roll(elapsed_s, capacity_per_s, fitting_per_s)
         offered_per_s = self._fair_shares.offered_per_s
-        return min(1.0, capacity_per_s / max(offered_per_s, 1e-6))
+        return min(1.0, fitting_per_s / max(offered_per_s, 1e-6))
+
+    def _correct(
+        self, target_utilization: float, queue_utilization: float
+    ) -> float:
+        """Returns the factor by which more or less work is let in."""
+        used = max(self._utilization, 1e-3)
+        queue_utilization *= QUEUE_DRAIN_TIME_S / ACCOUNTS_DRAIN_TIME_S
+        room = used / (used + queue_utilization)
+        ratio = target_utilization * room / used
+        self._correction *= ratio**CORRECTION_EXPONENT
+        self._correction = min(
+            max(self._correction, MINIMUM_CORRECTION), MAXIMUM_CORRECTION
+        )
+        return room * self._correction
 
     def _update_rates(self, elapsed_s: float) -> None:
         weight = 1.0 - math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
