--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -75,7 +75,7 @@
 
         None while the share is 1.0 or no request has an account.
         """
-        if self._share >= 1.0 or not self._fair_shares.is_in_use:
+        if self.share >= 1.0 or not self._fair_shares.is_in_use:
             return None
         return self._fair_shares.get_share(key)
 
