--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -145,7 +145,7 @@
             return
         if hop.RESENT not in headers.first:
             self.work.pressure.note_arrival(
-                hop_call.route, hop_call.tree_context.share
+                hop_call.route, hop_call.tree_context
             )
         self.limit.note_request(headers, hop_call.request_id)
         self.work.pressure.update(now_s, self.limit.per_s)
@@ -166,6 +166,7 @@
                 hop_call.rank,
                 hop_call.start_by_s,
                 hop_call.deadline_s,
+                hop_call.tree_context.account,
             ),
         )
         if evicted := self._scheduler.pop_evicted():
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -55,6 +55,7 @@
     PRESSURE = "pressure"
     ZONE_SHARES = "zone-shares"
     QUOTA_OWNER = "quota-owner"
+    ACCOUNTS_HELD_BACK = "accounts-held-back"
 
     # Control instances.
     MEMBERS_CHANGED = "members-changed"
