--- a/src/cranberrymux/gateway/request_digest.py
+++ b/src/cranberrymux/gateway/request_digest.py
@@ -22,8 +22,11 @@
     host = headers_module.find(head.headers, b"host") or b""
     url = host.lower() + head.target
     body_bytes = _UNKNOWN_LENGTH
-    if call.is_body_complete and call.body_length <= MAXIMUM_BODY_BYTES:
-        body_bytes = call.body_length
+    if (
+        call.is_body_complete
+        and (length := call.body_length) <= MAXIMUM_BODY_BYTES
+    ):
+        body_bytes = length
     return fingerprint.make(
         "",
         "",
--- a/src/cranberrymux/gateway/suspicion.py
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -25,7 +25,10 @@
     parts: parts_module.GatewayParts, fingerprint: fingerprints.Fingerprint
 ) -> headers_module.HeaderList:
     """Returns the header that tells another node what is known of a request."""
-    reports = parts.quarantine.get_open_reports(fingerprint)
+    quarantine = parts.quarantine
+    reports = (
+        quarantine.get_open_reports(fingerprint) if quarantine.records else []
+    )
     if not reports:
         return []
     return [(hop.SUSPECT, suspect_message.encode_value(reports))]
@@ -69,7 +72,10 @@
     @property
     def is_suspect(self) -> bool:
         """True if deaths are known that count."""
-        return self._parts.quarantine.is_suspect(self._fingerprint)
+        quarantine = self._parts.quarantine
+        return bool(quarantine.records) and quarantine.is_suspect(
+            self._fingerprint
+        )
 
     @property
     def retry_delay_s(self) -> float:
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -268,7 +268,9 @@
                 "the answer has a transfer coding other than chunked",
             )
             return
-        head = self._make_head(status)
+        head = answer_framing.make_head(
+            status, self._headers, is_head_request=self._is_head_request
+        )
         is_close_delimited = head.mode is body_mode.BodyMode.UNTIL_CLOSE
         self._is_close_delimited = is_close_delimited
         if is_close_delimited and not self.accepts_close_delimited:
