--- a/tests/gateway/test_processor_time.py
+++ b/tests/gateway/test_processor_time.py
@@ -11,9 +11,10 @@
 
 WARM_UP = 200
 COUNTED = 300
-# Function calls for each request.
-MAXIMUM_AT_CALLER = 474
-MAXIMUM_AT_ENDPOINT = 425
+# Function calls for each request: half of those before headers had an index at the
+# caller, and the number that leaves a busy node room at the endpoint.
+MAXIMUM_AT_CALLER = 362
+MAXIMUM_AT_ENDPOINT = 250
 USUAL_HEADERS = [
     ("User-Agent", "records-client/3.1"),
     ("Accept", "application/json"),
