Read the load figures of backend servers from every answer

Only the health check at a start read the header, and four figures, of which the last is the slowness of the machine, made it end without an announcement: the node refused requests until the next announcement. One parser now reads three or four figures, from answers and from health checks. Invalid values are logged with a reason and change nothing.

Two new cases of tests/gateway/test_startup_health_check.py failed before.

--- a/src/cranberrymux/gateway/backend_self_report.py
+++ b/src/cranberrymux/gateway/backend_self_report.py
@@ -77,6 +77,8 @@
             return  # As known before.
         if signals.leaving_error:
             self._log_invalid("leaving", signals.leaving_error)
+        if signals.load_error:
+            self._log_invalid("load", signals.load_error)
         if signals.is_leaving and not self.is_leaving:
             self._leave(request_id)
         if signals.rate_limit_error:
--- a/src/cranberrymux/gateway/backend_signals.py
+++ b/src/cranberrymux/gateway/backend_signals.py
@@ -2,8 +2,10 @@
 
 from typing import NamedTuple
 
+from cranberrymux.decisions.endpoints import load_figures_value
 from cranberrymux.decisions.rate_limits import rate_limit_value
 from cranberrymux.gateway import dialect as dialect_module
+from cranberrymux.models import load_figures
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
@@ -21,12 +23,17 @@
         rate_limit_error: Why the limit that it names is ignored; empty if it
             is valid or missing.
         leaving_error: The same for the header that says that it is leaving.
+        load: Its load figures; None if it names none.
+        load_error: Why the load figures that it names are ignored; empty if
+            they are valid or missing.
     """
 
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
     rate_limit_error: str = ""
     leaving_error: str = ""
+    load: load_figures.LoadFigures | None = None
+    load_error: str = ""
 
 
 NO_SIGNALS = BackendSignals()
@@ -42,10 +49,12 @@
         dialect: Names of the headers.
     """
     first = headers_module.index(head.headers)
-    if dialect.rate_limit not in first and dialect.leaving not in first:
+    names = (dialect.rate_limit, dialect.leaving, dialect.load)
+    if not any(name in first for name in names):
         return NO_SIGNALS
     limits = headers_module.find_all(head.headers, dialect.rate_limit)
     leavings = headers_module.find_all(head.headers, dialect.leaving)
+    loads = headers_module.find_all(head.headers, dialect.load)
     rate_limit_error = ""
     rate_limit = rate_limit_value.parse(limits)
     if isinstance(rate_limit, rate_limit_value.RateLimitError):
@@ -54,9 +63,16 @@
     leaving_error = ""
     if any(value != _LEAVING for value in leavings):
         leaving_error = f"expected 1, found {leavings[0][:_SHOWN_BYTES]!r}"
+    load_error = ""
+    load = load_figures_value.parse(loads)
+    if isinstance(load, load_figures_value.LoadFiguresError):
+        load_error = load.detail
+        load = None
     return BackendSignals(
         rate_limit,
         bool(leavings) and not leaving_error,
         rate_limit_error,
         leaving_error,
+        load,
+        load_error,
     )
--- a/src/cranberrymux/gateway/dialect.py
+++ b/src/cranberrymux/gateway/dialect.py
@@ -16,7 +16,8 @@
         retry_after: Seconds, with fractions, until the client may send again.
         backend_id: On answers to health checks, the id of the backend server.
         load: On answers of some backend servers, the numbers of running
-            requests, waiting requests and slots, separated by commas.
+            requests, waiting requests and slots and, for some, how long work
+            takes on the machine in percent of the usual, separated by commas.
         rate_limit: On answers of a backend server that limits it, the number
             of requests a second that it accepts from all instances together.
         leaving: On all answers of a backend server that is leaving: `1`.
--- a/src/cranberrymux/gateway/startup_health_check.py
+++ b/src/cranberrymux/gateway/startup_health_check.py
@@ -10,7 +10,6 @@
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.models import socket_address
-from cranberrymux.models import whole_number
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import client_connection
@@ -19,7 +18,6 @@
 from cranberrymux.node.http import lost_answer
 
 TIMEOUT_S = 1.0
-_LOAD_FIELD_COUNT = 3  # Running requests, waiting requests and slots.
 
 
 class StartupHealthCheck:
@@ -118,11 +116,14 @@
         if signals.is_leaving:
             self._handle_leaving(self._head)
             return
-        found = self._parse(self._head)
+        found = self._make_announcement(self._head, signals)
         if found is None:
-            self._end(
+            detail = (
                 f"no usable health check answer: status {self._head.status}"
             )
+            if signals.load_error:
+                detail += f", load figures: {signals.load_error}"
+            self._end(detail)
             return
         self._end("")
         self._on_found(found, signals)
@@ -146,17 +147,15 @@
         if backend_id:
             self._on_leaving(backend_id.decode("latin-1"))
 
-    def _parse(
-        self, head: answer_head.AnswerHead
+    def _make_announcement(
+        self,
+        head: answer_head.AnswerHead,
+        signals: backend_signals.BackendSignals,
     ) -> announcement.Announcement | None:
-        dialect = self._settings.dialect
-        backend_id = headers_module.find(head.headers, dialect.backend_id)
-        load = headers_module.find(head.headers, dialect.load) or b""
-        fields = load.split(b",")
-        slots = whole_number.decode(fields[-1].strip())
-        if head.status != 200 or not backend_id or slots is None:
-            return None
-        if len(fields) != _LOAD_FIELD_COUNT:
+        backend_id = headers_module.find(
+            head.headers, self._settings.dialect.backend_id
+        )
+        if head.status != 200 or not backend_id or signals.load is None:
             return None
         return announcement.Announcement(
             backend_id=backend_id.decode("latin-1"),
@@ -166,7 +165,7 @@
             service=self._settings.service,
             address=self._settings.backend_address,
             zone=self._settings.zone,
-            slots=slots,
+            slots=signals.load.slots,
             state=announcement.BackendState.SERVING,
             cold_left_s=0.0,
         )
--- a/tests/gateway/test_startup_health_check.py
+++ b/tests/gateway/test_startup_health_check.py
@@ -49,6 +49,17 @@
     assert mesh.members[1].gateway._exit._scheduler.slots == 9
 
 
+@pytest.mark.parametrize("load", [b"0,0,10,100", b"3,1,10,250", b"0, 0, 10"])
+def test_load_figures_with_a_slowness_announce_the_backend_server(mesh, load):
+    """Guards against refusals after a restart beside a server that says it."""
+    mesh.members[1].backend.answer = answer_checks(
+        200, (b"instance-id", b"b-1"), (b"server-load", load)
+    )
+    restart(mesh, 1)
+    assert mesh.ask(0, "/read/x").statuses == [200]
+    assert mesh.members[1].gateway._exit._scheduler.slots == 9
+
+
 @pytest.mark.parametrize(
     "answer",
     [
@@ -58,6 +69,12 @@
         answer_checks(200, (b"instance-id", b"b-1")),
         answer_checks(200, (b"server-load", b"0,0,9")),
         answer_checks(200, (b"instance-id", b"b-1"), (b"server-load", b"9")),
+        answer_checks(
+            200, (b"instance-id", b"b-1"), (b"server-load", b"0,0,9,100,1")
+        ),
+        answer_checks(
+            200, (b"instance-id", b"b-1"), (b"server-load", b"0,0,0,100")
+        ),
         lambda call: call.abort(),
         None,
     ],
