Report the speed of an endpoint to callers

Callers knew the requests at an endpoint, its failures and its slowness against its own past, but not how fast it is beside the others. Its node now measures the usual working time and its share of the time in a slot, and adds the present slowness and the slots that the backend server names, as far as the node's own measurements bear them out. Requests that the node gave up and that the backend server still runs count in the load.

The speed has a header of its own, cranberrymux-speed: the reader of earlier versions takes a load report of more than three numbers for invalid.

--- a/src/cranberrymux/decisions/endpoints/slowness.py
+++ b/src/cranberrymux/decisions/endpoints/slowness.py
@@ -34,7 +34,7 @@
         self._baselines: dict[str, float] = {}
         self._excess = decaying_value.DecayingValue(DECAY_TIME_S)
 
-    def note(self, now_s: float, route: str, worked_s: float) -> None:
+    def note(self, now_s: float, route: str, worked_s: float) -> float:
         """Adds the working time of one request.
 
         Args:
@@ -42,6 +42,9 @@
             route: Name of the request's route.
             worked_s: Working time in seconds, without the time that the
                 request waited for calls of its own.
+
+        Returns:
+            Logarithm of its ratio to the baseline of its route.
         """
         log_time = math.log(max(worked_s, _MINIMUM_WORK_TIME_S))
         baseline = self._baselines.get(route, log_time)
@@ -55,6 +58,7 @@
         )
         weight = 1.0 - math.exp(-elapsed_s / time_constant_s)
         self._baselines[route] = baseline + weight * excess
+        return log_time - baseline
 
     def at(self, now_s: float) -> float:
         """Returns the ratio at `now_s`; 1.0 if as fast as usual or faster."""
--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -1,7 +1,8 @@
-"""Health of the backend server beside this node, seen from its answers."""
+"""Health and load of the backend server beside this node, from its answers."""
 
 import math
 
+from cranberrymux.decisions.endpoints import backend_load
 from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.endpoints import slowness
@@ -10,6 +11,7 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import backend_process
+from cranberrymux.models import load_figures
 
 # Thresholds of the log lines only; nodes that send requests here choose
 # endpoints by the reported failure rate and slowness themselves.
@@ -21,7 +23,7 @@
 
 
 class BackendHealth:
-    """Failure rate, slowness and stalls of the backend server.
+    """Failure rate, slowness, stalls and load of the backend server.
 
     Writes a log line whenever the backend server becomes degraded or recovers.
     """
@@ -61,7 +63,10 @@
             requests: Number of requests that run or wait.
         """
         return hop.LoadReport(
-            requests, self._failing.at(now_s), self._slowness.at(now_s)
+            requests + self._load.count_surplus(now_s),
+            self._failing.at(now_s),
+            self._slowness.at(now_s),
+            self._load.get_speed(now_s),
         )
 
     def admits(self, now_s: float) -> bool:
@@ -73,11 +78,23 @@
         """Counts the end of a request that did not fail because of a call."""
         self._failing.note(self._parts.clock.now_s(), is_failed)
 
+    def note_figures(
+        self, figures: load_figures.LoadFigures, running: int
+    ) -> None:
+        """Stores what the backend server says of its load.
+
+        Args:
+            figures: What it says.
+            running: Requests that it has got from this node and not ended.
+        """
+        self._load.note_figures(self._parts.clock.now_s(), figures, running)
+
     def note_work_time(
         self,
         now_s: float,
         route: str,
         worked_s: float,
+        held_s: float,
         outcome: run_outcome.RunOutcome,
     ) -> None:
         """Records the working time of a request that is about to free its slot.
@@ -87,13 +104,17 @@
             route: Name of the request's route.
             worked_s: Seconds for which the request ran, without the time that
                 it waited for calls of its own.
+            held_s: Seconds for which it held its slot.
             outcome: How the run ended.
         """
         self._update_stall(now_s)
-        if outcome is not _RunOutcome.UNANSWERED:
-            self._stall.note_answer(worked_s)
+        if outcome is _RunOutcome.UNANSWERED:
+            self._load.note_abandoned(now_s)
+            return
+        self._stall.note_answer(worked_s)
         if outcome is _RunOutcome.SERVED:
-            self._slowness.note(now_s, route, worked_s)
+            log_ratio = self._slowness.note(now_s, route, worked_s)
+            self._load.note_served(now_s, worked_s, held_s, log_ratio)
 
     def describe(self) -> dict[str, float]:
         """Returns failure rate and slowness as fields of a log line."""
@@ -125,6 +146,7 @@
         self._failing = failure_rate.FailureRate()
         self._slowness = slowness.Slowness()
         self._stall = stall_detector.StallDetector()
+        self._load = backend_load.BackendLoad()
 
     def _update_stall(self, now_s: float) -> None:
         self._stall.update(now_s, self._parts.running_requests.working)
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -71,7 +71,7 @@
         self.work = exit_work.ExitWork(parts, self._scheduler)
         self._peer_messages = peer_messages.PeerMessages(parts)
         self.limit = exit_limit.ExitLimit(
-            parts, self._scheduler, self.work.pressure, on_leaving
+            parts, self._scheduler, self.work, on_leaving
         )
         self.suspects = exit_suspects.ExitSuspects(parts, self._scheduler, self)
         parts.quarantine.losses.on_dead = self._backend_unreachable
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -66,7 +66,7 @@
         headers = [
             (self._parts.settings.dialect.request_id, self.request_id),
             (hop.NOT_RUN, reason),
-            (hop.LOAD, self._owner.work.encode_load()),
+            *self._owner.work.encode_load(),
             (hop.WORK, work_report.encode(report)),
             *self._owner.limit.encode(),
             *self._owner.suspects.encode(self.digest),
@@ -166,7 +166,7 @@
     ) -> headers_module.HeaderList:
         """Returns the headers of an answer, with what this node reports."""
         headers = hop.get_forwardable(head.headers)
-        headers.append((hop.LOAD, self._owner.work.encode_load()))
+        headers += self._owner.work.encode_load()
         headers += self._owner.limit.encode()
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
--- a/src/cranberrymux/gateway/exit_limit.py
+++ b/src/cranberrymux/gateway/exit_limit.py
@@ -7,7 +7,7 @@
 from cranberrymux.decisions.rate_limits import limit_source
 from cranberrymux.gateway import backend_self_report
 from cranberrymux.gateway import backend_signals
-from cranberrymux.gateway import exit_pressure
+from cranberrymux.gateway import exit_work
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import backend_process
@@ -22,7 +22,7 @@
         self,
         parts: parts_module.GatewayParts,
         scheduler: slot_scheduler.SlotScheduler,
-        pressure: exit_pressure.ExitPressure,
+        work: exit_work.ExitWork,
         on_leaving: Callable[[str], Any],
     ) -> None:
         """Starts without a limit.
@@ -30,13 +30,13 @@
         Args:
             parts: Shared state of the gateway.
             scheduler: The slots of the backend server.
-            pressure: The share of the offered work that it can take.
+            work: What its requests cost, and the share that it can take.
             on_leaving: Called with the id of the backend server when an answer
                 first says that it is leaving.
         """
         self._parts = parts
         self._scheduler = scheduler
-        self._pressure = pressure
+        self._work = work
         self._self_report = backend_self_report.BackendSelfReport(
             parts, on_leaving
         )
@@ -56,8 +56,10 @@
     ) -> None:
         """Learns from the answer to the first health check.
 
-        Without a limit it tells nothing: not every one need name it.
+        Without a limit it tells nothing of it: not every one need name it.
         """
+        if signals.load is not None:
+            self._work.note_figures(signals.load)
         if signals.rate_limit_per_s is None and not signals.rate_limit_error:
             return
         self._self_report.note_answer(
@@ -98,6 +100,8 @@
             return
         signals = backend_signals.read(head, self._parts.settings.dialect)
         self._self_report.note_answer(signals, sent_s, request_id)
+        if signals.load is not None:
+            self._work.note_figures(signals.load)
         if signals is not backend_signals.NO_SIGNALS or (
             self._scheduler.is_rate_limited
         ):
@@ -118,5 +122,5 @@
 
     def _apply(self) -> None:
         if self.per_s is None and self._scheduler.is_rate_limited:
-            self._pressure.reset()
+            self._work.pressure.reset()
         self._scheduler.set_rate_limit(self._parts.clock.now_s(), self.per_s)
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -10,6 +10,8 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import owned_call
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.models import load_figures
+from cranberrymux.node.http import headers as headers_module
 
 
 class ExitWork:
@@ -38,12 +40,16 @@
             parts, scheduler, self.describe_load
         )
 
-    def encode_load(self) -> bytes:
+    def encode_load(self) -> headers_module.HeaderList:
         """Encodes the load report that answers carry."""
         requests = self._scheduler.running + self._scheduler.waiting
         now_s = self._parts.clock.now_s()
         return hop.encode_load(self.health.get_report(now_s, requests))
 
+    def note_figures(self, figures: load_figures.LoadFigures) -> None:
+        """Stores what the backend server says of its load."""
+        self.health.note_figures(figures, self._scheduler.running)
+
     def describe_load(self) -> dict[str, Any]:
         """Returns the log fields of load and health."""
         return {
@@ -106,7 +112,11 @@
         running = self._parts.running_requests.find(ticket_id)
         if running is not None:
             self.health.note_work_time(
-                now_s, call.route, hold_s - running.call_wait_s, outcome
+                now_s,
+                call.route,
+                hold_s - running.call_wait_s,
+                hold_s,
+                outcome,
             )
         self.pressure.update(now_s, limit_per_s)
         self._parts.parent_matcher.remove(ticket_id)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -7,6 +7,7 @@
 from urllib import parse
 
 from cranberrymux.decisions.rate_limits import rate_limit_value
+from cranberrymux.models import endpoint_speed
 from cranberrymux.models import whole_number
 from cranberrymux.node import suspect_message
 from cranberrymux.node.http import headers as headers_module
@@ -31,6 +32,9 @@
 NOT_RUN = b"cranberrymux-not-run"
 # On answers: see `LoadReport`.
 LOAD = b"cranberrymux-load"
+# On answers: the speed in the load report. It has its own header since nodes of
+# earlier versions take a load report of more than three numbers for invalid.
+SPEED = b"cranberrymux-speed"
 # On failures of a backend server that are due to a call of the request.
 CALL_FAILED = b"cranberrymux-call-failed"
 # On answers: what the request cost at each service of its tree; see
@@ -180,36 +184,79 @@
         requests: Number of requests that run or wait there.
         failure_rate: Share of recent requests that it failed by itself, 0 to 1.
         slowness: Ratio of its present to its usual working times.
+        speed: Its speed; None before it is known.
     """
 
     requests: int
     failure_rate: float
     slowness: float = 1.0
+    speed: endpoint_speed.EndpointSpeed | None = None
 
 
-def encode_load(report: LoadReport) -> bytes:
-    """Encodes a report as `requests/per mille failing/percent slowness`."""
-    return b"%d/%d/%d" % (
+def encode_load(report: LoadReport) -> headers_module.HeaderList:
+    """Encodes a report as the headers of an answer.
+
+    They are `requests/per mille failing/percent slowness` and, if the speed is
+    known, `slots/microseconds of work/percent of the time in a slot that is
+    work/percent present slowness`.
+    """
+    load = b"%d/%d/%d" % (
         report.requests,
         round(report.failure_rate * 1000),
         round(report.slowness * 100),
     )
+    if report.speed is None:
+        return [(LOAD, load)]
+    speed = b"%d/%d/%d/%d" % (
+        report.speed.slots,
+        round(report.speed.work_s * 1e6),
+        round(report.speed.work_share * 100),
+        round(report.speed.present_slowness * 100),
+    )
+    return [(LOAD, load), (SPEED, speed)]
 
 
 def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
-    """Decodes the report; None if it is missing or invalid."""
-    return _parse_load(headers_module.index(headers).get(LOAD, b""))
-
+    """Decodes the report; None if it is missing or invalid.
 
-@functools.lru_cache(_KEPT_VALUES)
-def _parse_load(value: bytes) -> LoadReport | None:
-    numbers = [whole_number.decode(one) for one in value.split(b"/")]
-    if len(numbers) != 3:
+    Further numbers, of later versions, are ignored.
+    """
+    numbers = _decode_numbers(headers, LOAD, 3)
+    if numbers is None:
         return None
     requests, failing, slowness = numbers
-    if requests is None or failing is None or slowness is None:
+    speed = _decode_speed(headers)
+    return LoadReport(requests, failing / 1000, slowness / 100, speed)
+
+
+def _decode_speed(
+    headers: headers_module.HeaderList,
+) -> endpoint_speed.EndpointSpeed | None:
+    numbers = _decode_numbers(headers, SPEED, 4)
+    if numbers is None:
+        return None
+    slots, work_us, work_percent, slow_percent = numbers
+    if not work_us or not slow_percent or work_percent > 100:
+        return None
+    return endpoint_speed.EndpointSpeed(
+        slots, work_us / 1e6, work_percent / 100, slow_percent / 100
+    )
+
+
+def _decode_numbers(
+    headers: headers_module.HeaderList, name: bytes, count: int
+) -> list[int] | None:
+    """Decodes the first `count` numbers of a header; None if invalid."""
+    value = headers_module.index(headers).get(name)
+    if value is None:
         return None
-    return LoadReport(requests, failing / 1000, slowness / 100)
+    numbers = []
+    for field in value.split(b"/", count)[:count]:
+        number = whole_number.decode(field)
+        if number is None:
+            return None
+        numbers.append(number)
+    return numbers if len(numbers) == count else None
 
 
 def encode_rate_limit(per_s: float) -> bytes:
