Choose endpoints by the expected time of a request

The cost was the load over the slots, so that an endpoint that is twice as fast got no more requests until queues formed. It is now the expected time in usual times of the service, less one, which is the load as before where endpoints are equally fast. Where they are not, the load is taken from the mean of the reports, as the last one misleads callers that seldom hear of an endpoint, and the two endpoints of a choice are drawn by speed.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -4,7 +4,8 @@
 those can take none. Requests stay in the node's availability zone unless they
 gain by leaving it; see `zone_balancer`. Within a zone the choice is power
 of two choices, so that callers that have all seen the same load report do not
-overload the same endpoint.
+overload the same endpoint. Where endpoints differ in speed, the two are drawn
+by speed.
 """
 
 from collections.abc import Collection
@@ -13,6 +14,7 @@
 import random
 
 from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.endpoints import service_speed
 from cranberrymux.decisions.endpoints import zone_balancer
 from cranberrymux.decisions.routing import endpoint_subset
 from cranberrymux.decisions.zones import zone_settings
@@ -56,6 +58,7 @@
         )
         self._services: dict[str, dict[str, endpoint_view.EndpointView]] = {}
         self._service_of: dict[str, str] = {}
+        self._speeds: dict[str, service_speed.ServiceSpeed] = {}
         # By service; missing after a change of its endpoints.
         self._subsets: dict[str, list[endpoint_view.EndpointView]] = {}
 
@@ -246,11 +249,30 @@
             return None
         if len(endpoints) == 1:
             return endpoints[0]
-        first, second = self._generator.sample(endpoints, 2)
+        first, second = self._draw_two(endpoints)
         if second.cost(now_s) < first.cost(now_s):
             return second
         return first
 
+    def _draw_two(
+        self, endpoints: list[endpoint_view.EndpointView]
+    ) -> list[endpoint_view.EndpointView]:
+        """Draws two endpoints, those that are faster more often.
+
+        Drawn evenly, the fastest would get at most twice their even share and
+        the slowest more than they can run where no recent load is known.
+        """
+        if len(endpoints) == 2 or not (
+            endpoints[0].relative_time.is_service_uneven
+        ):
+            return self._generator.sample(endpoints, 2)
+        weights = [endpoint.relative_time.weight for endpoint in endpoints]
+        indexes = range(len(endpoints))
+        (first,) = self._generator.choices(indexes, weights)
+        weights[first] = 0.0
+        (second,) = self._generator.choices(indexes, weights)
+        return [endpoints[first], endpoints[second]]
+
     def _apply_record(self, record: endpoint_record.EndpointRecord) -> bool:
         """Applies one record; returns True if a rate limit ended with it."""
         endpoint_id = record.endpoint_id
@@ -265,12 +287,15 @@
             known.is_confirmed = record.state is known.record.state
             return False
         if old_service is not None and old_service != record.service:
-            del self._services[old_service][endpoint_id]
+            self._services[old_service].pop(endpoint_id).forget_speed()
             self._subsets.pop(old_service, None)
             known = None
         self._service_of[endpoint_id] = record.service
         if known is None:
-            known = endpoint_view.EndpointView(record)
+            speed = self._speeds.setdefault(
+                record.service, service_speed.ServiceSpeed()
+            )
+            known = endpoint_view.EndpointView(record, speed)
             self._services.setdefault(record.service, {})[endpoint_id] = known
             self._subsets.pop(record.service, None)
         elif (known.record.state, known.record.zone) != (
@@ -278,6 +303,8 @@
             record.zone,
         ):
             self._subsets.pop(record.service, None)
+        if record.state is endpoint_state.EndpointState.GONE:
+            known.forget_speed()
         known.is_confirmed = True
         return known.update(record)
 
--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -4,13 +4,16 @@
 
 from cranberrymux.decisions.endpoints import decaying_value
 from cranberrymux.decisions.endpoints import failure_rate
+from cranberrymux.decisions.endpoints import relative_time
+from cranberrymux.decisions.endpoints import reported_load
+from cranberrymux.decisions.endpoints import service_speed
 from cranberrymux.decisions.rate_limits import known_rate_limit
 from cranberrymux.decisions.rate_limits import sender_pace
 from cranberrymux.models import backend_process
 from cranberrymux.models import endpoint_record
+from cranberrymux.models import endpoint_speed
 from cranberrymux.models import endpoint_state
 
-LOAD_REPORT_LIFETIME_S = 0.5  # Age from which a load report has no weight.
 MINIMUM_SUSPENSION_S = 0.5
 MAXIMUM_SUSPENSION_S = 4.0
 TIMEOUTS_TO_SUSPEND = 3
@@ -30,6 +33,8 @@
 
     Attributes:
         record: The newest record from the directory.
+        relative_time: Time that a request takes there, compared with the other
+            endpoints of its service.
         rate_limit: The rate limit that its backend server names.
         pace: Time from which it may be chosen again under that limit.
         outstanding: Number of requests that this node has sent to it and that
@@ -44,8 +49,8 @@
     __slots__ = (
         "_observed_failure_rate",
         "_reported_failure_rate",
-        "_reported_requests",
-        "_load_reported_at_s",
+        "_reported_load",
+        "_reported_slots",
         "_refusal_rate",
         "_timeouts",
         "_excess_slowness",
@@ -58,19 +63,30 @@
         "pace",
         "rate_limit",
         "record",
+        "relative_time",
     )
 
-    def __init__(self, record: endpoint_record.EndpointRecord) -> None:
-        """Starts without load, failures or suspension."""
+    def __init__(
+        self,
+        record: endpoint_record.EndpointRecord,
+        speed: service_speed.ServiceSpeed,
+    ) -> None:
+        """Starts without load, failures or suspension.
+
+        Args:
+            record: The newest record from the directory.
+            speed: Usual working time at the endpoints of its service.
+        """
         self.record = record
+        self.relative_time = relative_time.RelativeTime(speed)
         self.rate_limit = known_rate_limit.KnownRateLimit()
         self.pace = sender_pace.SenderPace()
         self._leaving: backend_process.BackendProcess | None = None
         self.outstanding = 0
         self.is_confirmed = True
         self.is_unreachable = False
-        self._reported_requests = 0.0
-        self._load_reported_at_s = -math.inf
+        self._reported_load = reported_load.ReportedLoad()
+        self._reported_slots = 0
         self._refusal_rate = 0.0
         self._observed_failure_rate = failure_rate.FailureRate()
         self._reported_failure_rate = failure_rate.FailureRate()
@@ -91,6 +107,7 @@
         if not record.process.may_be(self.record.process):
             self.rate_limit = known_rate_limit.KnownRateLimit()
             self.pace = sender_pace.SenderPace()
+            self.forget_speed()
         self.record = record
         if self.is_leaving and record.backend_started_ms:
             self._leaving = record.process
@@ -127,18 +144,21 @@
     def cost(self, now_s: float) -> float:
         """Cost of one more request, in loads of all slots.
 
-        It is the load, raised by slowness, plus the share of requests that
-        the backend server refuses, plus a penalty for its failure rate.
+        Without failures it is the expected time there in usual times of the
+        service, less one: the load where all endpoints are equally fast, below
+        0.0 for an idle endpoint that is faster. The share of requests that the
+        backend server refuses and a penalty for its failure rate are added.
         """
         excess_failure_rate = max(
             0.0, self.failure_rate(now_s) - TOLERATED_FAILURE_RATE
         )
-        excess_slowness = max(
-            0.0, self.slowness(now_s) / TOLERATED_SLOWNESS - 1.0
-        )
         load = self.load(now_s)
-        load += excess_slowness * (load + SLOW_IDLE_LOAD)
-        return load + self._refusal_rate + FAILURE_COST * excess_failure_rate
+        penalty = (self.relative_time.at(now_s) - 1.0) * (load + 1.0)
+        excess_slowness = self.slowness(now_s) / TOLERATED_SLOWNESS - 1.0
+        if excess_slowness > 0.0:
+            penalty = max(penalty, excess_slowness * (load + SLOW_IDLE_LOAD))
+        penalty += self._refusal_rate + FAILURE_COST * excess_failure_rate
+        return load + penalty
 
     def slowness(self, now_s: float) -> float:
         """Ratio of present to usual working times, from its node's reports.
@@ -162,17 +182,16 @@
     def load(self, now_s: float) -> float:
         """Estimated number of requests at the endpoint per slot.
 
-        The last report loses weight linearly over `LOAD_REPORT_LIFETIME_S`; the
-        requests outstanding from this node are the lower bound.
+        The requests outstanding from this node are the lower bound.
         """
-        age_s = now_s - self._load_reported_at_s
-        reported = 0.0
-        if age_s < LOAD_REPORT_LIFETIME_S:
-            reported = self._reported_requests * (
-                1.0 - age_s / LOAD_REPORT_LIFETIME_S
-            )
-        slots = max(self.record.slots, 1)
-        return max(reported, self.outstanding) / slots
+        if self.relative_time.is_service_uneven:
+            reported = self._reported_load.expected(now_s)
+        else:
+            reported = self._reported_load.at(now_s)
+        slots = self.record.slots
+        if self._reported_slots:
+            slots = min(slots, self._reported_slots)
+        return max(reported, self.outstanding) / max(slots, 1)
 
     def is_failing(self, now_s: float) -> bool:
         """True if its failure rate exceeds `TOLERATED_FAILURE_RATE`."""
@@ -189,8 +208,19 @@
             now_s: Monotonic time in seconds.
             requests: Requests that run or wait at the endpoint.
         """
-        self._reported_requests = requests
-        self._load_reported_at_s = now_s
+        self._reported_load.note(now_s, requests)
+
+    def note_reported_speed(
+        self, now_s: float, speed: endpoint_speed.EndpointSpeed
+    ) -> None:
+        """Stores the speed that its node reports."""
+        self.relative_time.note(now_s, speed)
+        self._reported_slots = speed.slots
+
+    def forget_speed(self) -> None:
+        """Forgets the speed, as that of another or an ended process."""
+        self.relative_time.forget()
+        self._reported_slots = 0
 
     def note_acceptance(self, is_accepted: bool) -> None:
         """Counts a request as run or as refused by the backend server.
--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -38,6 +38,8 @@
         endpoint.note_reported_load(now_s, load.requests)
         endpoint.note_reported_failure_rate(now_s, load.failure_rate)
         endpoint.note_reported_slowness(now_s, load.slowness)
+        if load.speed is not None:
+            endpoint.note_reported_speed(now_s, load.speed)
     first = headers_module.index(answer.head.headers)
     is_refused = hop.NOT_RUN in first
     if not is_refused:
--- a/tests/decisions/endpoints/test_endpoint_set.py
+++ b/tests/decisions/endpoints/test_endpoint_set.py
@@ -12,6 +12,7 @@
 
 from cranberrymux.decisions.endpoints import endpoint_set
 from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.endpoints import reported_load
 from cranberrymux.decisions.routing import endpoint_subset
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
@@ -100,7 +101,7 @@
 def test_expired_load_report_no_longer_diverts_requests(endpoints):
     for name in ("near-1", "near-2"):
         endpoints.find(name).note_reported_load(0.0, 9)
-    later_s = endpoint_view.LOAD_REPORT_LIFETIME_S
+    later_s = reported_load.LOAD_REPORT_LIFETIME_S
     assert set(count_choices(endpoints, now_s=later_s)) == {
         "near-1",
         "near-2",
