--- a/tests/gateway/test_processor_time.py
+++ b/tests/gateway/test_processor_time.py
@@ -11,8 +11,8 @@
 
 WARM_UP = 200
 COUNTED = 300
-# Function calls for each request: at the caller half of those before headers had
-# an index, at the endpoint the number that leaves a busy node room.
+# Function calls for each request: at the caller half of those before headers
+# had an index, at the endpoint the number that leaves a busy node room.
 MAXIMUM_AT_CALLER = 362
 MAXIMUM_AT_ENDPOINT = 250
 USUAL_HEADERS = [
