--- a/src/cranberrymux/decisions/quotas/account_stock.py
+++ b/src/cranberrymux/decisions/quotas/account_stock.py
@@ -2,7 +2,7 @@
 
 import math
 
-from cranberrymux.decisions.quotas import demand_rate
+from cranberrymux.decisions.quotas import request_rate
 from cranberrymux.decisions.quotas import token_messages
 
 # Demand that the stock covers. It outlasts the time without an owner while the
@@ -44,9 +44,9 @@
             now_s: Present time in seconds.
         """
         self.waiting = 0
-        self.demand = demand_rate.DemandRate(now_s)
-        self.refused = demand_rate.DemandRate(now_s)
-        self.granted = demand_rate.DemandRate(now_s)
+        self.demand = request_rate.RequestRate(now_s)
+        self.refused = request_rate.RequestRate(now_s)
+        self.granted = request_rate.RequestRate(now_s)
         self._name = name
         self._own = 0
         self._own_until_s = -math.inf
--- a/src/cranberrymux/decisions/quotas/demand_rate.py
+++ b/src/cranberrymux/decisions/quotas/request_rate.py
@@ -6,7 +6,7 @@
 TIME_CONSTANT_S = 0.8
 
 
-class DemandRate:
+class RequestRate:
     """Events a second, weighted by an exponential decay."""
 
     __slots__ = ("_per_s", "_updated_s")
