--- a/src/cranberrymux/decisions/quotas/token_stock.py
+++ b/src/cranberrymux/decisions/quotas/token_stock.py
@@ -8,7 +8,7 @@
 from cranberrymux.decisions.quotas import account_stock
 from cranberrymux.decisions.quotas import token_messages
 
-MINIMUM_INTERVAL_S = 0.05
+MINIMUM_INTERVAL_S = 0.02
 # Without a request that waits, messages are rarer, so that one is free for it.
 ROUTINE_INTERVAL_S = 0.1
 MAXIMUM_ROWS = 200
--- a/src/cranberrymux/gateway/entry_quota.py
+++ b/src/cranberrymux/gateway/entry_quota.py
@@ -7,8 +7,10 @@
 from cranberrymux.gateway import quota_task
 from cranberrymux.gateway import quota_waiter
 
-# A request waits for a token for this part of its latency objective at most.
-WAIT_PER_OBJECTIVE = 0.1
+# A request waits for a token for this part of its latency objective at most. To be
+# answered a little later is better for a caller than to come back.
+WAIT_PER_OBJECTIVE = 0.5
+MAXIMUM_WAIT_S = 0.3
 
 
 class EntryQuota:
@@ -33,7 +35,7 @@
         """
         self._tokens = tokens
         self._account = account
-        self._wait_s = WAIT_PER_OBJECTIVE * objective_s
+        self._wait_s = min(WAIT_PER_OBJECTIVE * objective_s, MAXIMUM_WAIT_S)
         self._ticket: token_stock.TokenTicket | None = None
         self._waiter: quota_waiter.QuotaWaiter | None = None
 
