--- a/src/cranberrymux/decisions/quotas/account_stock.py
+++ b/src/cranberrymux/decisions/quotas/account_stock.py
@@ -5,16 +5,16 @@
 from cranberrymux.decisions.quotas import request_rate
 from cranberrymux.decisions.quotas import token_messages
 
-# Demand that the stock covers. A longer one holds more tokens than may be at nodes
-# in all, so that nodes that ask last get none although the account is within its
-# quota.
+# Demand that the stock covers. A longer one holds more tokens than may be at
+# nodes in all, so that nodes that ask last get none although the account is
+# within its quota.
 HORIZON_S = 1.5
 HORIZON_PER_TTL = 0.7
 # Requests that fail to come before the account counts as gone from this node.
 # The decay of the rate alone would keep its tokens for seconds.
 MAXIMUM_MISSED = 8.0
-# Time after a request in which a node keeps a token for the next one. Tokens that
-# lie at nodes are missing where a request waits.
+# Time after a request in which a node keeps a token for the next one. Tokens
+# that lie at nodes are missing where a request waits.
 KEEP_S = 0.3
 # A stock is topped up below this part of what is wanted.
 LOW_RATIO = 0.5
--- a/src/cranberrymux/gateway/entry_quota.py
+++ b/src/cranberrymux/gateway/entry_quota.py
@@ -7,8 +7,8 @@
 from cranberrymux.gateway import quota_task
 from cranberrymux.gateway import quota_waiter
 
-# A request waits for a token for this part of its latency objective at most. To be
-# answered a little later is better for a caller than to come back.
+# A request waits for a token for this part of its latency objective at most. To
+# be answered a little later is better for a caller than to come back.
 WAIT_PER_OBJECTIVE = 0.5
 MAXIMUM_WAIT_S = 0.3
 
