Quotas: no work for them where no account has a limit

Cause: each node woke up every 20 ms for quotas without an owner to ask, and control instances walked over all accounts at each heartbeat. Change: ticks begin with the first owner; whether an account has a limit is worked out once for each version. Behaviour with quotas stays. Measured: tests/gateway, control, telemetry, quotas and the quota owner's test on real processes pass.

--- a/src/cranberrymux/control/quota_service.py
+++ b/src/cranberrymux/control/quota_service.py
@@ -7,6 +7,7 @@
 
 from cranberrymux.control import command_log
 from cranberrymux.control import state_machine
+from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.quotas import quota_settings
 from cranberrymux.decisions.quotas import token_allocator
 from cranberrymux.decisions.quotas import token_messages
@@ -57,7 +58,8 @@
         self._allocator: token_allocator.TokenAllocator | None = None
         self._term = -1
         self._version = -1
-        self._accounts: tuple[Any, ...] = ()
+        self._accounts: tuple[client_account.ClientAccount, ...] = ()
+        self._has_limits = False
         self._swept_s = now_s()
         self._logged_s = now_s()
         self._logged_use: dict[str, token_allocator.AccountUse] = {}
@@ -66,7 +68,7 @@
     def owner_address(self) -> str | None:
         """`ip:port` of the owner; None if unknown or if there are no limits."""
         self._read_configuration()
-        if not any(account.is_limited for account in self._accounts):
+        if not self._has_limits:
             return None
         return self._log.leader_address() or None
 
@@ -163,6 +165,7 @@
             self._accounts = ()
         else:
             self._accounts = document.accounts
+        self._has_limits = any(account.is_limited for account in self._accounts)
         if self._allocator is not None:
             self._allocator.set_accounts(self._accounts, self._now_s())
 
--- a/src/cranberrymux/gateway/quota_task.py
+++ b/src/cranberrymux/gateway/quota_task.py
@@ -76,13 +76,12 @@
         self._events = structlog.get_logger()
 
     def start(self, get_version: Callable[[], int]) -> None:
-        """Begins to ask for tokens.
+        """Prepares to ask for tokens, which begins with the first owner.
 
         Args:
             get_version: Returns the version of the configuration in force.
         """
         self._get_version = get_version
-        self._ticks.start(TICK_S, now=False)
 
     def stop(self) -> None:
         """Closes the connection to the owner."""
@@ -112,6 +111,9 @@
         self._stock.start_session(now_s)
         self._client = self._connect(parsed)
         self._client.start()
+        if not self._ticks.running:
+            # Nodes of clusters without quotas need not wake up for them.
+            self._ticks.start(TICK_S, now=False)
 
     def take(self, account: str) -> token_stock.TokenTicket | None:
         """Spends a token for a request that arrives; None if there is none."""
