--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -67,10 +67,7 @@
             return
         table = parts.routes.table
         if table is None:
-            retry_delay_s = parts.generator.uniform(
-                MINIMUM_RETRY_DELAY_S, MAXIMUM_RETRY_DELAY_S
-            )
-            own_answers.refuse(parts, call, NO_CONFIGURATION, retry_delay_s)
+            self._refuse_for_now(call, NO_CONFIGURATION)
             return
         route = _find_route(table, call.head)
         if route is None:
@@ -81,7 +78,7 @@
             parts, table, route, call.head.headers
         )
         if identity.verdict is not client_identity.IdentityVerdict.ACCEPTED:
-            self._refuse_key(call, identity.verdict)
+            self._refuse_key(call, request_id, identity.verdict)
             return
         account = identity.account
         headers = hop.get_forwardable(call.head.headers, self._replaced_names)
@@ -99,20 +96,26 @@
     def _refuse_key(
         self,
         call: inbound_call.InboundCall,
+        request_id: bytes,
         verdict: client_identity.IdentityVerdict,
     ) -> None:
         parts = self._parts
         parts.metrics.key_refusals.labels(verdict.value).inc()
         if verdict is client_identity.IdentityVerdict.NO_LEASE:
-            retry_delay_s = parts.generator.uniform(
-                MINIMUM_RETRY_DELAY_S, MAXIMUM_RETRY_DELAY_S
-            )
-            own_answers.refuse(parts, call, NO_KEY_LEASE, retry_delay_s)
+            self._refuse_for_now(call, NO_KEY_LEASE)
             return
-        name = parts.settings.dialect.request_id
-        request_id = headers_module.find(call.head.headers, name) or b""
+        id_header = (parts.settings.dialect.request_id, request_id)
         body = json.dumps({"error": verdict.value}).encode()
-        call.answer(401, [(name, request_id), _JSON_TYPE], body)
+        call.answer(401, [id_header, _JSON_TYPE], body)
+
+    def _refuse_for_now(
+        self, call: inbound_call.InboundCall, reason: str
+    ) -> None:
+        """Refuses a request for what the next heartbeats should end."""
+        retry_delay_s = self._parts.generator.uniform(
+            MINIMUM_RETRY_DELAY_S, MAXIMUM_RETRY_DELAY_S
+        )
+        own_answers.refuse(self._parts, call, reason, retry_delay_s)
 
 
 def _find_route(
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -180,11 +180,9 @@
     value = first.get(TREE_CONTEXT, b"")
     tree_context = _parse_tree_context(value, first.get(ACCOUNT, b""))
     offered = whole_number.decode(first.get(OFFERED)) or 1
-    return (
-        tree_context._replace(offered=offered)
-        if offered > 1
-        else (tree_context)
-    )
+    if offered > 1:
+        return tree_context._replace(offered=offered)
+    return tree_context
 
 
 @functools.lru_cache(_KEPT_VALUES)
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -97,11 +97,11 @@
             ("service", "zone"),
             registry=registry,
         )
-        self.zone_sends = prometheus_client.Counter(
-            "cranberrymux_zone_sends",
+        self.zone_sends = self._counter(
+            "zone_sends",
             "Requests sent to endpoints in a zone.",
-            ("service", "zone"),
-            registry=registry,
+            "service",
+            "zone",
         )
         self.backend_sends = prometheus_client.Counter(
             "cranberrymux_backend_sends",
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -57,6 +57,17 @@
         """True if no request that runs here made it."""
         return not self._parent_match.is_call
 
+    @property
+    def _account_name(self) -> str:
+        return "" if self._account is None else self._account.name
+
+    @property
+    def _priority(self) -> int:
+        """Priority of the account, else that of the route."""
+        if self._account is None or self._account.priority is None:
+            return self._route.priority
+        return self._account.priority
+
     def admit(self, now_s: float) -> hop.TreeContext | None:
         """Returns the context of the request; None if a root is refused.
 
@@ -65,7 +76,6 @@
         parent = self._parts.running_requests.find(self._parent_match.parent)
         if parent is not None:
             return parent.tree_context.for_call()
-        table = self._parts.routes.table
         entry_admission = self._parts.entry_admission
         share = entry_admission.root_admission.minimum_share
         if self._parent_match.is_call:
@@ -78,9 +88,11 @@
             self._account_name,
         )
         if not offered:
-            self._note_held_back()
+            if self._account_name:
+                self._parts.metrics.held_back.note(self._account_name)
             return None
-        has_accounts = bool(table is not None and table.document.accounts)
+        table = self._parts.routes.table
+        has_accounts = table is not None and not table.accounts.is_empty
         is_route_named = has_accounts and not self._account_name
         tree_context = hop.TreeContext(
             self._priority,
@@ -95,22 +107,6 @@
             return tree_context.for_call()
         return tree_context
 
-    @property
-    def _account_name(self) -> str:
-        return "" if self._account is None else self._account.name
-
-    def _note_held_back(self) -> None:
-        metrics = self._parts.metrics
-        if self._account_name:
-            metrics.held_back.note(self._account_name)
-
-    @property
-    def _priority(self) -> int:
-        """Priority of the account, else that of the route."""
-        if self._account is None or self._account.priority is None:
-            return self._route.priority
-        return self._account.priority
-
     def draw_retry_delay_s(self) -> float:
         """Draws the seconds after which a refused caller retries."""
         advice = self._parts.entry_admission.get_retry_advice(self._route)
