Among accounts of equal priority the route's priority decides

Cause: the priority of an account replaced that of the route, and nearly all accounts of a deployment have the same one, so that urgent routes were refused and waited like all others. Change: the rank of a request is the account's priority and, within it, the route's; without accounts it is the route's, as before.

--- a/src/cranberrymux/decisions/accounts/client_account.py
+++ b/src/cranberrymux/decisions/accounts/client_account.py
@@ -12,7 +12,8 @@
         keys: Secrets that requests of the account carry, unique over all
             accounts.
         priority: Priority rank of its requests, which goes before that of the
-            route; None to use the route's.
+            route; among accounts of equal priority that of the route decides.
+            None to use the route's.
         per_s: Requests a second that all nodes together may run; 0.0 for no
             limit.
         burst: Requests that may run beyond that rate at once.
--- a/src/cranberrymux/decisions/pressure/fair_shares.py
+++ b/src/cranberrymux/decisions/pressure/fair_shares.py
@@ -28,7 +28,7 @@
     """Whose requests count together.
 
     Attributes:
-        priority: Priority of their trees.
+        priority: Rank of their trees (`accounts/request_rank.py`).
         name: Name of the account; for trees without one, a slash and the route
             of their roots.
     """
--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -45,7 +45,7 @@
     """Requests that are admitted alike.
 
     Attributes:
-        priority: Importance of the route; 0 is the most important.
+        priority: Rank of the request; 0 is the most important.
         timing: Order among requests of equal priority.
         route: Name of the route.
         account: Name of the client account; empty for none.
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -4,6 +4,7 @@
 import math
 from typing import Any
 
+from cranberrymux.decisions.accounts import request_rank
 from cranberrymux.decisions.pressure import fair_shares
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import share_meter
@@ -109,21 +110,24 @@
             self._parts.events.info(
                 "accounts-held-back",
                 service=self._parts.settings.service,
-                accounts=[
-                    {
-                        "account": account.key.name,
-                        "priority": account.key.priority,
-                        "slots_requested": round(account.per_s, 2),
-                        "share": round(account.share, 3),
-                    }
-                    for account in held_back
-                ],
+                accounts=[_describe(account) for account in held_back],
                 count=self._meter.accounts.held_back_count,
             )
 
 
+def _describe(account: fair_shares.HeldBack) -> dict[str, Any]:
+    priority, route_priority = request_rank.split_rank(account.key.priority)
+    return {
+        "account": account.key.name,
+        "priority": priority,
+        "route_priority": route_priority,
+        "slots_requested": round(account.per_s, 2),
+        "share": round(account.share, 3),
+    }
+
+
 def _make_key(tree_context: hop.TreeContext) -> fair_shares.AccountKey:
-    """Returns the account of a tree, with the priority of its root."""
+    """Returns the account of a tree, with the rank of its root."""
     return root_admission.make_key(
         math.ceil(tree_context.rank),
         tree_context.account,
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -1,6 +1,7 @@
 """Whether a request is a root or a call, and what follows from that."""
 
 from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.accounts import request_rank
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
@@ -46,6 +47,9 @@
         self._parts = parts
         self._route = route
         self._account = account
+        table = parts.routes.table
+        self._has_accounts = table is not None and not table.accounts.is_empty
+        self._rank = request_rank.find_rank(route, account, self._has_accounts)
         self._parent_match = parts.parent_matcher.match(
             route.name,
             headers_module.find(headers, dialect.request_id) or b"",
@@ -61,13 +65,6 @@
     def _account_name(self) -> str:
         return "" if self._account is None else self._account.name
 
-    @property
-    def _priority(self) -> int:
-        """Priority of the account, else that of the route."""
-        if self._account is None or self._account.priority is None:
-            return self._route.priority
-        return self._account.priority
-
     def admit(self, now_s: float) -> hop.TreeContext | None:
         """Returns the context of the request; None if a root is refused.
 
@@ -79,10 +76,10 @@
         entry_admission = self._parts.entry_admission
         share = entry_admission.root_admission.minimum_share
         if self._parent_match.is_call:
-            return hop.TreeContext(self._route.priority, share).for_call()
+            return hop.TreeContext(self._rank, share).for_call()
         offered = entry_admission.offer(
             self._route,
-            self._priority,
+            self._rank,
             self.left_s,
             now_s,
             self._account_name,
@@ -91,15 +88,13 @@
             if self._account_name:
                 self._parts.metrics.held_back.note(self._account_name)
             return None
-        table = self._parts.routes.table
-        has_accounts = table is not None and not table.accounts.is_empty
-        is_route_named = has_accounts and not self._account_name
+        is_route_named = self._has_accounts and not self._account_name
         tree_context = hop.TreeContext(
-            self._priority,
+            self._rank,
             share,
             account=self._account_name,
             root_route=self._route.name if is_route_named else "",
-            offered=offered if has_accounts else 1,
+            offered=offered if self._has_accounts else 1,
         )
         if entry_admission.root_admission.is_known_leaf(self._route.name):
             # Nothing comes after it, so that it need not wait behind the calls
@@ -160,7 +155,7 @@
             report,
             is_successful,
             root_admission.make_key(
-                self._priority, self._account_name, self._route.name
+                self._rank, self._account_name, self._route.name
             ),
         )
         if is_successful:
