Gateway: read the node headers of an answer once

Each part that learns from an answer of another node looked its headers up again, and each number of a load report was decoded by itself.

HopAnswer reads the headers once, with the times of the answer; load reports are decoded by one pattern and encoded without separate rounding.

--- a/src/cranberrymux/gateway/backend_verdict.py
+++ b/src/cranberrymux/gateway/backend_verdict.py
@@ -71,4 +71,6 @@
             defect="successful answer without valid proof of the backend "
             "server",
         )
-    return BackendVerdict(status, is_failure=hop_answer.is_failure(head))
+    return BackendVerdict(
+        status, is_failure=status >= hop_answer.MINIMUM_SERVER_ERROR_STATUS
+    )
--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -1,37 +1,18 @@
 """What a node learns of an endpoint from an answer of the endpoint's node."""
 
-from typing import NamedTuple
-
 from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
-from cranberrymux.node.http import answer_head
-from cranberrymux.node.http import headers as headers_module
-
-
-class EndpointAnswer(NamedTuple):
-    """An answer of an endpoint's node.
-
-    Attributes:
-        endpoint: The endpoint.
-        head: Head of the answer.
-        sent_s: Monotonic seconds at which the request was sent.
-        request_id: Id of the request.
-    """
-
-    endpoint: endpoint_view.EndpointView
-    head: answer_head.AnswerHead
-    sent_s: float
-    request_id: bytes
 
 
 def note_answer(
-    parts: parts_module.GatewayParts, answer: EndpointAnswer
+    parts: parts_module.GatewayParts,
+    endpoint: endpoint_view.EndpointView,
+    answer: hop_answer.HopAnswer,
 ) -> None:
     """Updates an endpoint from an answer of its node."""
-    now_s = parts.clock.now_s()
-    endpoint = answer.endpoint
+    now_s = answer.received_s
     endpoint.note_answer()
     load = hop.decode_load(answer.head.headers)
     if load is not None:
@@ -40,29 +21,27 @@
         endpoint.note_reported_slowness(now_s, load.slowness)
         if load.speed is not None:
             endpoint.note_reported_speed(now_s, load.speed)
-    first = headers_module.index(answer.head.headers)
-    is_refused = hop.NOT_RUN in first
+    is_refused = answer.refusal is not None
     if not is_refused:
         endpoint.note_acceptance(True)
-        endpoint.note_outcome(now_s, hop_answer.is_own_failure(answer.head))
+        endpoint.note_outcome(now_s, answer.is_own_failure)
     parts.endpoints.zones.note_answer(
         endpoint, answer.sent_s, now_s, is_run=not is_refused
     )
-    per_s = hop.decode_rate_limit(answer.head.headers)
     # A node that has just started refuses without knowing of a limit.
-    if per_s is not None or not is_refused:
-        _note_rate_limit(parts, answer, per_s, now_s)
-    if hop.LEAVING in first:
-        _note_leaving(parts, answer)
+    if answer.rate_limit_per_s is not None or not is_refused:
+        _note_rate_limit(parts, endpoint, answer)
+    if hop.LEAVING in answer.first:
+        _note_leaving(parts, endpoint, answer)
 
 
 def _note_rate_limit(
     parts: parts_module.GatewayParts,
-    answer: EndpointAnswer,
-    per_s: float | None,
-    now_s: float,
+    endpoint: endpoint_view.EndpointView,
+    answer: hop_answer.HopAnswer,
 ) -> None:
-    endpoint = answer.endpoint
+    now_s = answer.received_s
+    per_s = answer.rate_limit_per_s
     if per_s is not None:
         wait_s = hop.decode_limit_wait(answer.head.headers)
         endpoint.pace.note_wait(now_s, wait_s)
@@ -83,10 +62,11 @@
 
 
 def _note_leaving(
-    parts: parts_module.GatewayParts, answer: EndpointAnswer
+    parts: parts_module.GatewayParts,
+    endpoint: endpoint_view.EndpointView,
+    answer: hop_answer.HopAnswer,
 ) -> None:
     started_ms = hop.decode_leaving(answer.head.headers)
-    endpoint = answer.endpoint
     if started_ms is not None and endpoint.note_leaving(started_ms):
         parts.events.info(
             "endpoint-leaving",
--- a/src/cranberrymux/gateway/entry_answer.py
+++ b/src/cranberrymux/gateway/entry_answer.py
@@ -8,7 +8,6 @@
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import request_log
-from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import inbound_call
 
 TOO_MANY_REQUESTS = 429
@@ -18,7 +17,7 @@
 class _FailedAnswer(NamedTuple):
     """Failure of an endpoint, kept while the request is repeated."""
 
-    head: answer_head.AnswerHead
+    answer: hop_answer.HopAnswer
     body: bytes
 
 
@@ -48,7 +47,7 @@
         self._attempts = attempts
         self._log = log
         self._kept_failure: _FailedAnswer | None = None
-        self._streamed_head: answer_head.AnswerHead | None = None
+        self._streamed: hop_answer.HopAnswer | None = None
         self._is_served = False
         call.on_ended = self._handle_ended
 
@@ -57,30 +56,28 @@
         """True once the head was sent to the client."""
         return self._call.is_head_sent
 
-    def keep_failure(self, head: answer_head.AnswerHead, body: bytes) -> None:
+    def keep_failure(self, answer: hop_answer.HopAnswer, body: bytes) -> None:
         """Keeps an endpoint's failure as a fallback for the repeat."""
-        self._kept_failure = _FailedAnswer(head, body)
+        self._kept_failure = _FailedAnswer(answer, body)
 
-    def forward(self, head: answer_head.AnswerHead, body: bytes) -> None:
+    def forward(self, answer: hop_answer.HopAnswer, body: bytes) -> None:
         """Sends an endpoint's whole answer."""
-        self._note_endpoint_answer(head)
-        self._call.answer(
-            head.status, hop_answer.get_client_headers(head), body
-        )
+        self._note_endpoint_answer(answer)
+        self._call.answer(answer.head.status, answer.get_client_headers(), body)
 
     def start_streaming(
-        self, head: answer_head.AnswerHead, body: bytes
+        self, answer: hop_answer.HopAnswer, body: bytes
     ) -> None:
         """Sends the head and first bytes of an endpoint's long answer."""
-        self._streamed_head = head
-        visible = hop_answer.get_client_headers(head)
-        self._call.start_answer(head._replace(headers=visible))
+        self._streamed = answer
+        visible = answer.get_client_headers()
+        self._call.start_answer(answer.head._replace(headers=visible))
         self._call.send_body(body)
 
     def finish_streaming(self) -> None:
         """Ends a long answer that is complete."""
-        assert self._streamed_head is not None
-        self._note_endpoint_answer(self._streamed_head)
+        assert self._streamed is not None
+        self._note_endpoint_answer(self._streamed)
         self._call.finish()
 
     def abort_streaming(self, detail: str) -> None:
@@ -139,9 +136,9 @@
         self._log.log_own_answer(outcome, detail)
         own_answers.fail(self._parts, self._call, status, outcome, detail)
 
-    def _note_endpoint_answer(self, head: answer_head.AnswerHead) -> None:
-        self._is_served = not hop_answer.is_failure(head)
-        self._log.log_endpoint_answer(head)
+    def _note_endpoint_answer(self, answer: hop_answer.HopAnswer) -> None:
+        self._is_served = not answer.is_failure
+        self._log.log_endpoint_answer(answer)
 
     def _send_kept_failure(self) -> bool:
         if self._kept_failure is None:
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -86,9 +86,7 @@
             parts, call, self._origin, self._attempts, self._log
         )
         self._suspicion = suspicion.Suspicion(parts, digest)
-        self._judge = answer_judge.AnswerJudge(
-            parts, self._attempts, self._request_id
-        )
+        self._judge = answer_judge.AnswerJudge(parts, self._attempts)
         self._endpoint: endpoint_view.EndpointView | None = None
         self._sent_s = 0.0
         self._was_suspect = False
@@ -190,22 +188,22 @@
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
         """Passes an answer on, or sends the request to another endpoint."""
-        self._suspicion.learn(head)
-        if hop_answer.has_died(head):
+        answer = self._read_answer(head)
+        self._suspicion.learn(answer)
+        if answer.has_died:
             self.attempt_lost(hop_answer.BACKEND_DIED)
             return
         endpoint = self._release_endpoint()
-        now_s = self._parts.clock.now_s()
         self._origin.learn_from_answer(
-            self._attempts.service, head, self._began_s, now_s
+            self._attempts.service, answer, self._began_s
         )
-        if self._judge.is_final(endpoint, head, self._sent_s):
+        if self._judge.is_final(endpoint, answer):
             self._cancel_timer()
-            self._answer.forward(head, body)
+            self._answer.forward(answer, body)
             return
-        if hop_answer.find_refusal(head) is None:
-            self._answer.keep_failure(head, body)
-        self._send_elsewhere(endpoint, head, now_s)
+        if answer.refusal is None:
+            self._answer.keep_failure(answer, body)
+        self._send_elsewhere(endpoint, answer)
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead, body: bytes
@@ -214,17 +212,24 @@
 
         If the request is sent to another endpoint, the rest is not read.
         """
-        now_s = self._parts.clock.now_s()
-        if self._judge.is_final(self._endpoint, head, self._sent_s):
-            self._limit_streaming(now_s)
-            self._answer.start_streaming(head, body)
+        answer = self._read_answer(head)
+        if self._judge.is_final(self._endpoint, answer):
+            self._limit_streaming(answer.received_s)
+            self._answer.start_streaming(answer, body)
             return
         endpoint = self._release_endpoint()
         self._cancel_attempt()
-        if hop_answer.find_refusal(head) is None:
+        if answer.refusal is None:
             # A failure that is not read whole cannot be kept as a fallback.
             self._attempts.may_have_run = True
-        self._send_elsewhere(endpoint, head, now_s)
+        self._send_elsewhere(endpoint, answer)
+
+    def _read_answer(
+        self, head: answer_head.AnswerHead
+    ) -> hop_answer.HopAnswer:
+        return hop_answer.HopAnswer(
+            head, self._request_id, self._sent_s, self._parts.clock.now_s()
+        )
 
     def _limit_streaming(self, now_s: float) -> None:
         """Lets a long answer end a little after the deadline at the latest."""
@@ -269,17 +274,16 @@
     def _send_elsewhere(
         self,
         endpoint: endpoint_view.EndpointView | None,
-        head: answer_head.AnswerHead,
-        now_s: float,
+        answer: hop_answer.HopAnswer,
     ) -> None:
         """Sends the request on after an answer that the client does not get."""
-        refusal = hop_answer.find_refusal(head)
+        refusal = answer.refusal
         if refusal is None:
             self._quota.note_run()
             self._log.log_repeat("backend-failed")
             self._send_again()
             return
-        follow_up = self._judge.note_refusal(endpoint, refusal, head, now_s)
+        follow_up = self._judge.note_refusal(endpoint, refusal, answer)
         if follow_up is None:
             self._send_next()
         else:
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -105,8 +105,7 @@
         """Takes a request that is a suspect; False if it is none."""
         if not call.digest:
             return False
-        if hop.SUSPECT in call.headers.first:
-            suspicion.learn(self._parts, call.headers)
+        suspicion.learn(self._parts, call.headers.first)
         if not self._quarantine.records:
             return False
         fingerprint = suspicion.make_fingerprint(call.digest)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -3,6 +3,7 @@
 from collections.abc import Container
 import functools
 import math
+import re
 from typing import NamedTuple
 from urllib import parse
 
@@ -15,6 +16,9 @@
 PREFIX = b"cranberrymux-"
 _PREFIX_BYTES = len(PREFIX)
 _KEPT_VALUES = 256  # Results kept of each function that decodes a value.
+_NUMBER = rb"([0-9]{1,%d})" % whole_number.MAXIMUM_DIGITS
+_THREE_NUMBERS = re.compile(b"/".join([_NUMBER] * 3) + b"(?:/.*)?", re.DOTALL)
+_FOUR_NUMBERS = re.compile(b"/".join([_NUMBER] * 4) + b"(?:/.*)?", re.DOTALL)
 # On requests: id of the backend server that the sender chose.
 TARGET = b"cranberrymux-target"
 # On requests: name of the route.
@@ -226,18 +230,18 @@
     known, `slots/microseconds of work/percent of the time in a slot that is
     work/percent present slowness`.
     """
-    load = b"%d/%d/%d" % (
+    load = b"%d/%.0f/%.0f" % (
         report.requests,
-        round(report.failure_rate * 1000),
-        round(report.slowness * 100),
+        report.failure_rate * 1000,
+        report.slowness * 100,
     )
     if report.speed is None:
         return [(LOAD, load)]
-    speed = b"%d/%d/%d/%d" % (
+    speed = b"%d/%.0f/%.0f/%.0f" % (
         report.speed.slots,
-        round(report.speed.work_s * 1e6),
-        round(report.speed.work_share * 100),
-        round(report.speed.present_slowness * 100),
+        report.speed.work_s * 1e6,
+        report.speed.work_share * 100,
+        report.speed.present_slowness * 100,
     )
     return [(LOAD, load), (SPEED, speed)]
 
@@ -247,21 +251,20 @@
 
     Further numbers, of later versions, are ignored.
     """
-    numbers = _decode_numbers(headers, LOAD, 3)
-    if numbers is None:
+    first = headers_module.index(headers)
+    found = _THREE_NUMBERS.fullmatch(first.get(LOAD, b""))
+    if found is None:
         return None
-    requests, failing, slowness = numbers
-    speed = _decode_speed(headers)
+    requests, failing, slowness = map(int, found.groups())
+    speed = _decode_speed(first.get(SPEED, b""))
     return LoadReport(requests, failing / 1000, slowness / 100, speed)
 
 
-def _decode_speed(
-    headers: headers_module.HeaderList,
-) -> endpoint_speed.EndpointSpeed | None:
-    numbers = _decode_numbers(headers, SPEED, 4)
-    if numbers is None:
+def _decode_speed(value: bytes) -> endpoint_speed.EndpointSpeed | None:
+    found = _FOUR_NUMBERS.fullmatch(value)
+    if found is None:
         return None
-    slots, work_us, work_percent, slow_percent = numbers
+    slots, work_us, work_percent, slow_percent = map(int, found.groups())
     if not work_us or not slow_percent or work_percent > 100:
         return None
     return endpoint_speed.EndpointSpeed(
@@ -269,22 +272,6 @@
     )
 
 
-def _decode_numbers(
-    headers: headers_module.HeaderList, name: bytes, count: int
-) -> list[int] | None:
-    """Decodes the first `count` numbers of a header; None if invalid."""
-    value = headers_module.index(headers).get(name)
-    if value is None:
-        return None
-    numbers = []
-    for field in value.split(b"/", count)[:count]:
-        number = whole_number.decode(field)
-        if number is None:
-            return None
-        numbers.append(number)
-    return numbers if len(numbers) == count else None
-
-
 def encode_rate_limit(per_s: float) -> bytes:
     """Encodes a rate limit in requests a second."""
     return b"%.9f" % per_s
--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -11,33 +11,60 @@
 )
 
 
-def find_refusal(head: answer_head.AnswerHead) -> bytes | None:
-    """Returns why the request was not run; None if it may have been."""
-    return headers_module.find(head.headers, hop.NOT_RUN)
+class HopAnswer:
+    """An answer of another node: its head, with what the node says in it.
 
+    Attributes:
+        head: Head of the answer, whether that is long or short.
+        request_id: Id of the request.
+        sent_s: Monotonic seconds at which the request was sent.
+        received_s: Monotonic seconds at which the answer was read.
+        first: Value of the first header of each name.
+        refusal: Why the request was not run; None if it may have been.
+        has_died: True if the backend server died while it ran the request.
+        is_failure: True if the request failed at the backend server.
+        has_failed_call: True if it failed because a call of it failed.
+        is_own_failure: True if it failed, and not because of a call.
+        rate_limit_per_s: Rate limit of the backend server; None without one.
+    """
 
-def is_failure(head: answer_head.AnswerHead) -> bool:
-    """True if the request failed at the backend server."""
-    return head.status >= MINIMUM_SERVER_ERROR_STATUS
+    __slots__ = (
+        "first",
+        "has_died",
+        "has_failed_call",
+        "head",
+        "is_failure",
+        "is_own_failure",
+        "rate_limit_per_s",
+        "received_s",
+        "refusal",
+        "request_id",
+        "sent_s",
+    )
 
+    def __init__(
+        self,
+        head: answer_head.AnswerHead,
+        request_id: bytes,
+        sent_s: float,
+        received_s: float,
+    ) -> None:
+        """Reads the headers."""
+        first = headers_module.index(head.headers)
+        self.head = head
+        self.request_id = request_id
+        self.sent_s = sent_s
+        self.received_s = received_s
+        self.first = first
+        self.refusal = first.get(hop.NOT_RUN)
+        self.has_died = hop.DIED in first
+        self.is_failure = head.status >= MINIMUM_SERVER_ERROR_STATUS
+        self.has_failed_call = hop.CALL_FAILED in first
+        self.is_own_failure = self.is_failure and not self.has_failed_call
+        self.rate_limit_per_s: float | None = None
+        if hop.RATE_LIMIT in first:
+            self.rate_limit_per_s = hop.decode_rate_limit(head.headers)
 
-def has_died(head: answer_head.AnswerHead) -> bool:
-    """True if the backend server died while it ran the request."""
-    return headers_module.find(head.headers, hop.DIED) is not None
-
-
-def has_failed_call(head: answer_head.AnswerHead) -> bool:
-    """True if it failed because a call of the request failed."""
-    return headers_module.find(head.headers, hop.CALL_FAILED) is not None
-
-
-def is_own_failure(head: answer_head.AnswerHead) -> bool:
-    """True if it failed, and not because of a call."""
-    return is_failure(head) and not has_failed_call(head)
-
-
-def get_client_headers(
-    head: answer_head.AnswerHead,
-) -> headers_module.HeaderList:
-    """Returns the headers of the answer that the client gets."""
-    return hop.get_forwardable(head.headers)
+    def get_client_headers(self) -> headers_module.HeaderList:
+        """Returns the headers of the answer that the client gets."""
+        return hop.get_forwardable(self.head.headers)
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -8,7 +8,6 @@
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import whole_number
-from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
 FIRST_ERROR_STATUS = 400
@@ -129,23 +128,24 @@
     def learn_from_answer(
         self,
         service: str,
-        head: answer_head.AnswerHead,
+        answer: hop_answer.HopAnswer,
         began_s: float,
-        now_s: float,
     ) -> None:
         """Learns costs and shares from an endpoint's answer.
 
         Args:
             service: Service of the endpoint.
-            head: Head of the answer.
+            answer: The answer.
             began_s: Monotonic seconds at which the request arrived.
-            now_s: Monotonic seconds.
         """
-        is_refused = hop_answer.find_refusal(head) is not None
-        is_successful = head.status < FIRST_ERROR_STATUS and not is_refused
-        work = headers_module.find(head.headers, hop.WORK)
+        now_s = answer.received_s
+        is_successful = (
+            answer.head.status < FIRST_ERROR_STATUS and answer.refusal is None
+        )
+        work = answer.first.get(hop.WORK)
         report = work_report.decode(work) if work is not None else {}
-        self._ignore_limited_share(service, head, report, now_s)
+        if answer.rate_limit_per_s is not None and service in report:
+            self._ignore_limited_share(service, report, now_s)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
         parent = self._parts.running_requests.find(self._parent_match.parent)
@@ -169,20 +169,13 @@
             )
 
     def _ignore_limited_share(
-        self,
-        service: str,
-        head: answer_head.AnswerHead,
-        report: work_report.WorkReport,
-        now_s: float,
+        self, service: str, report: work_report.WorkReport, now_s: float
     ) -> None:
         """Removes the share of a rate-limited endpoint while others have room.
 
         What its limit does not let through, the others take, so that it tells
         nothing of the service.
         """
-        is_limited = hop.decode_rate_limit(head.headers) is not None
-        if not is_limited or service not in report:
-            return
         if not self._parts.endpoints.has_unlimited(service, now_s):
             return
         admission = self._parts.entry_admission.root_admission
--- a/src/cranberrymux/gateway/request_log.py
+++ b/src/cranberrymux/gateway/request_log.py
@@ -6,7 +6,6 @@
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
-from cranberrymux.node.http import answer_head
 
 
 class LoggedRequest(NamedTuple):
@@ -61,13 +60,14 @@
         self.count(outcome.value)
         self._write("request-ended", outcome.value, detail)
 
-    def log_endpoint_answer(self, head: answer_head.AnswerHead) -> None:
+    def log_endpoint_answer(self, answer: hop_answer.HopAnswer) -> None:
         """Counts an endpoint's answer; logs failures and a sample of others."""
-        self.count(f"{head.status // 100}xx")
-        detail = f"status {head.status}"
-        if hop_answer.has_failed_call(head):
+        status = answer.head.status
+        self.count(f"{status // 100}xx")
+        detail = f"status {status}"
+        if answer.has_failed_call:
             self._write("request-ended", "call-failed", detail)
-        elif hop_answer.is_failure(head):
+        elif answer.is_failure:
             self._write("request-ended", "backend-failed", detail)
         elif self._parts.sample_served():
             self._write("request-served", "sample", detail)
--- a/src/cranberrymux/gateway/suspicion.py
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -2,10 +2,10 @@
 
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import refusal
 from cranberrymux.node import suspect_message
-from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
 # Retry delay for callers of a request that is refused until it is forgotten.
@@ -34,14 +34,16 @@
     return [(hop.SUSPECT, suspect_message.encode_value(reports))]
 
 
-def learn(
-    parts: parts_module.GatewayParts, headers: headers_module.HeaderList
-) -> None:
-    """Learns what another node says of a request."""
-    value = headers_module.index(headers).get(hop.SUSPECT)
-    if value is None:
+def learn(parts: parts_module.GatewayParts, first: dict[bytes, bytes]) -> None:
+    """Learns what another node says of a request.
+
+    Args:
+        parts: Shared state of the gateway.
+        first: Headers of the request or answer, one of each name.
+    """
+    if hop.SUSPECT not in first:
         return
-    reports = suspect_message.decode(value)
+    reports = suspect_message.decode(first[hop.SUSPECT])
     if reports is None:
         parts.events.warning("bad-peer-message", detail="suspect header")
         return
@@ -86,9 +88,9 @@
         """Returns the headers that tell the endpoint's node what is known."""
         return encode(self._parts, self._fingerprint)
 
-    def learn(self, head: answer_head.AnswerHead) -> None:
+    def learn(self, answer: hop_answer.HopAnswer) -> None:
         """Learns from an answer of the endpoint's node."""
-        learn(self._parts, head.headers)
+        learn(self._parts, answer.first)
 
     @property
     def _wait_s(self) -> float:
