Hop port: read the clock once for each event, and make one ticket

A request at the hop port read the clock nine times, was described by a ticket of the port and one of the slots, and looked for waiting requests that none could have added.

The time of the event is passed on; the ticket of the slots is made once; the queue is watched when a request begins to wait.

--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -74,9 +74,9 @@
         self._update_stall(now_s)
         return self._stall.admits(now_s)
 
-    def note_outcome(self, is_failed: bool) -> None:
+    def note_outcome(self, now_s: float, is_failed: bool) -> None:
         """Counts the end of a request that did not fail because of a call."""
-        self._failing.note(self._parts.clock.now_s(), is_failed)
+        self._failing.note(now_s, is_failed)
 
     def note_figures(
         self, figures: load_figures.LoadFigures, running: int
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -14,14 +14,12 @@
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import exit_limit
 from cranberrymux.gateway import exit_suspects
-from cranberrymux.gateway import exit_ticket
 from cranberrymux.gateway import exit_work
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import owned_call
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import peer_messages
 from cranberrymux.models import socket_address
-from cranberrymux.models import whole_number
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import inbound_call
 
@@ -29,8 +27,6 @@
 # Part of the slots that is used; backend servers may slow down when nearly
 # full.
 USED_SLOT_RATIO = 0.94
-# A request waits for a slot for at most this part of the time that is left.
-MAXIMUM_WAIT_RATIO = 0.4
 _Verdict = slot_scheduler.SlotVerdict
 
 
@@ -95,9 +91,10 @@
             slots = max(int(USED_SLOT_RATIO * current.slots), 1)
             self._scheduler.set_slots(slots)
             self.suspects.set_slots(slots)
-        if not self._presence.is_serving(self._parts.clock.now_s()):
+        now_s = self._parts.clock.now_s()
+        if not self._presence.is_serving(now_s):
             self._refuse_all_waiting(hop.DRAINING)
-        self._start_waiting()
+        self._start_waiting(now_s)
 
     def announcement_received(
         self,
@@ -124,20 +121,9 @@
             return
         now_s = self._parts.clock.now_s()
         headers = call.head.headers
-        name = self._parts.settings.dialect.deadline_ms
-        left_ms = whole_number.decode(headers.first.get(name))
-        left_s = (left_ms or 0) / 1000
         ticket_id = next(self._ticket_ids)
         hop_call = exit_call.ExitCall(
-            self._parts,
-            self,
-            self._pool,
-            call,
-            exit_ticket.ExitTicket(
-                ticket_id,
-                now_s + MAXIMUM_WAIT_RATIO * left_s,
-                now_s + left_s,
-            ),
+            self._parts, self, self._pool, call, ticket_id, now_s
         )
         reason = self._find_refusal_reason(call, now_s)
         if reason:
@@ -151,35 +137,28 @@
         self.work.pressure.update(now_s, self.limit.per_s)
         self._calls[ticket_id] = hop_call
         if not self.suspects.hold(hop_call):
-            self.offer_slot(ticket_id)
-        self._watch_queue()
+            self.offer_slot(ticket_id, now_s)
+        if self.suspects.held_ids:
+            self._watch_queue()
 
     # Owner of the suspects.
 
-    def offer_slot(self, ticket_id: int) -> None:
+    def offer_slot(self, ticket_id: int, now_s: float) -> None:
         """Starts, queues or refuses a request beside others."""
-        hop_call = self._calls[ticket_id]
-        verdict = self._scheduler.offer(
-            self._parts.clock.now_s(),
-            slot_scheduler.Ticket(
-                ticket_id,
-                hop_call.rank,
-                hop_call.start_by_s,
-                hop_call.deadline_s,
-                hop_call.tree_context.account,
-            ),
-        )
-        if evicted := self._scheduler.pop_evicted():
-            self._refuse_waiting(evicted, hop.FULL)
+        verdict = self._scheduler.offer(now_s, self._calls[ticket_id].ticket)
         if verdict is _Verdict.START:
-            self._start_unless_quarantined(ticket_id)
-        elif verdict is not _Verdict.WAIT:
+            self._start_unless_quarantined(ticket_id, now_s)
+        elif verdict is _Verdict.WAIT:
+            self._refuse_waiting(self._scheduler.pop_evicted(), hop.FULL)
+            self._watch_queue()
+        else:
             self.refuse_held(ticket_id, verdict.value.encode())
 
     def start_alone(self, ticket_id: int) -> None:
         """Starts a request while no other runs."""
-        self._scheduler.start_alone(self._parts.clock.now_s(), ticket_id)
-        self._start_call(ticket_id)
+        now_s = self._parts.clock.now_s()
+        self._scheduler.start_alone(now_s, ticket_id)
+        self._start_call(ticket_id, now_s)
 
     def refuse_held(self, ticket_id: int, reason: bytes) -> None:
         """Refuses a request that did not start."""
@@ -192,14 +171,17 @@
     # Owner of the calls.
 
     def call_finished(
-        self, call: owned_call.OwnedCall, outcome: run_outcome.RunOutcome
+        self,
+        call: owned_call.OwnedCall,
+        outcome: run_outcome.RunOutcome,
+        now_s: float,
     ) -> work_report.WorkReport:
         """Frees a slot; returns the work of the request and its calls."""
         if self._calls.pop(call.ticket_id, None) is None:
             return {}
-        report = self.work.end_run(call, outcome, self.limit.per_s)
+        report = self.work.end_run(call, outcome, self.limit.per_s, now_s)
         self.suspects.ended(call.ticket_id)
-        self._start_waiting()
+        self._start_waiting(now_s)
         return report
 
     def update_metrics(self) -> None:
@@ -239,37 +221,36 @@
         """Lets other backend servers have the requests that wait for this."""
         self._refuse_all_waiting(hop.UNREACHABLE)
 
-    def _start_waiting(self) -> None:
-        self.suspects.advance()
-        for ticket_id in self._scheduler.start_waiting(
-            self._parts.clock.now_s()
-        ):
-            self._start_unless_quarantined(ticket_id)
+    def _start_waiting(self, now_s: float) -> None:
+        if self.suspects.held_ids:
+            self.suspects.advance()
+        for ticket_id in self._scheduler.start_waiting(now_s):
+            self._start_unless_quarantined(ticket_id, now_s)
 
-    def _start_unless_quarantined(self, ticket_id: int) -> None:
+    def _start_unless_quarantined(self, ticket_id: int, now_s: float) -> None:
         """Starts a request that has a slot.
 
         Backend servers may have died under it elsewhere while it waited.
         """
         if self.suspects.is_refused(self._calls[ticket_id].digest):
-            now_s = self._parts.clock.now_s()
             self._scheduler.finish(now_s, ticket_id, False)
             self.refuse_held(ticket_id, hop.QUARANTINED)
         else:
-            self._start_call(ticket_id)
+            self._start_call(ticket_id, now_s)
 
-    def _start_call(self, ticket_id: int) -> None:
+    def _start_call(self, ticket_id: int, now_s: float) -> None:
         current = self._presence.current
         assert current is not None
         address = socket_address.parse(current.address)
         assert address is not None
-        self._calls[ticket_id].begin(address, current.process)
+        self._calls[ticket_id].begin(address, current.process, now_s)
 
     def _serve_queue(self) -> None:
         """Starts the requests that have got a token and refuses late ones."""
-        self._start_waiting()
+        now_s = self._parts.clock.now_s()
+        self._start_waiting(now_s)
         self._refuse_waiting(
-            self._scheduler.pop_expired(self._parts.clock.now_s()),
+            self._scheduler.pop_expired(now_s),
             hop.LIMITED if self._scheduler.is_rate_limited else hop.FULL,
         )
         if not self._is_waiting and self._queue_loop.running:
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -1,17 +1,18 @@
 """A request to the backend server beside this node."""
 
 from cranberrymux.decisions.endpoints import run_outcome
+from cranberrymux.decisions.pressure import slot_ticket
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import backend_verdict
 from cranberrymux.gateway import exit_answers
 from cranberrymux.gateway import exit_owner
-from cranberrymux.gateway import exit_ticket
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import outgoing_request
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import relay
 from cranberrymux.models import backend_process
 from cranberrymux.models import socket_address
+from cranberrymux.models import whole_number
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
@@ -22,12 +23,16 @@
 # The sender cancels at the deadline. If its cancellation does not arrive, the
 # request is ended here, this much later.
 CANCELLATION_GRACE_S = 0.1
+# A request waits for a slot for at most this part of the time that is left.
+MAXIMUM_WAIT_RATIO = 0.4
 
 # Only a connection that broke may tell of the end of the backend server.
 _BROKEN_CONNECTION = (
     lost_answer.LossReason.CONNECTION_LOST,
     lost_answer.LossReason.TRUNCATED,
 )
+_NO_PROCESS = backend_process.BackendProcess("", 0)
+_NO_ADDRESS = socket_address.SocketAddress("", 0)
 _RunOutcome = run_outcome.RunOutcome
 
 
@@ -36,6 +41,7 @@
 
     Attributes:
         ticket_id: Number of the request, unique at this node.
+        ticket: What it asks of the slots.
         tree_context: What the node where its tree began says of the tree.
         start_by_s: Monotonic seconds after which a start is of no use.
         deadline_s: Monotonic seconds at which its caller gives up.
@@ -50,7 +56,8 @@
         owner: exit_owner.ExitOwner,
         pool: connection_pool.ConnectionPool,
         call: inbound_call.InboundCall,
-        ticket: exit_ticket.ExitTicket,
+        ticket_id: int,
+        now_s: float,
     ) -> None:
         """Reads the headers of the call; `begin` sends it on.
 
@@ -59,25 +66,36 @@
             owner: Assigns the slots.
             pool: Connections to the backend server.
             call: The request, as received.
-            ticket: Its number and times.
+            ticket_id: Its number.
+            now_s: Monotonic seconds.
         """
         super().__init__()
         self._parts = parts
         self._owner = owner
         self._pool = pool
         self._call = call
-        self.ticket_id = ticket.ticket_id
-        self.start_by_s = ticket.start_by_s
-        self.deadline_s = ticket.deadline_s
-        self.tree_context = hop.decode_tree_context(call.head.headers)
+        headers = call.head.headers
+        name = parts.settings.dialect.deadline_ms
+        left_s = (whole_number.decode(headers.first.get(name)) or 0) / 1000
+        self.ticket_id = ticket_id
+        self.start_by_s = now_s + MAXIMUM_WAIT_RATIO * left_s
+        self.deadline_s = now_s + left_s
+        self.tree_context = hop.decode_tree_context(headers)
+        self.ticket = slot_ticket.Ticket(
+            ticket_id,
+            self.tree_context.rank,
+            self.start_by_s,
+            self.deadline_s,
+            self.tree_context.account,
+        )
         self._answers = exit_answers.ExitAnswers(
             parts, owner, call, self.tree_context
         )
         self.request_id = self._answers.request_id
         self.digest = self._answers.digest
         self.route = self._answers.route
-        self._process = backend_process.BackendProcess("", 0)
-        self._address = socket_address.SocketAddress("", 0)
+        self._process = _NO_PROCESS
+        self._address = _NO_ADDRESS
         self._sent_s = 0.0
         self._has_outcome = False
         self._streamed: backend_verdict.BackendVerdict | None = None
@@ -99,18 +117,19 @@
         self,
         address: socket_address.SocketAddress,
         process: backend_process.BackendProcess,
+        now_s: float,
     ) -> None:
         """Sends the request to the backend server.
 
         Args:
             address: Address of the backend server.
             process: Its process. A server that has another id answers 421.
+            now_s: Monotonic seconds.
         """
         self._process = process
         self._answers.backend_id = process.backend_id
         self._address = address
         dialect = self._parts.settings.dialect
-        now_s = self._parts.clock.now_s()
         left_s = self.deadline_s - now_s
         head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
@@ -167,13 +186,15 @@
     ) -> None:
         """Ends the request with a whole answer, or without one."""
         self._cancel_timer()
-        is_clean = verdict.is_passed_on and not verdict.is_failure
+        now_s = self._parts.clock.now_s()
+        is_passed_on = verdict.is_passed_on
+        is_clean = is_passed_on and not verdict.is_failure
         self._owner.suspects.run_ended(self, is_clean=is_clean)
         is_failed_by_call = False
         if not verdict.refusal:
-            is_failed_by_call = self._note_outcome(verdict.is_failure)
-        report = self._owner.call_finished(self, verdict.outcome)
-        if not verdict.is_passed_on:
+            is_failed_by_call = self._note_outcome(verdict.is_failure, now_s)
+        report = self._owner.call_finished(self, verdict.outcome, now_s)
+        if not is_passed_on:
             self._withhold(verdict)
             return
         self._answers.forward(
@@ -193,7 +214,9 @@
             self._end(verdict, head, body)
             return
         self._streamed = verdict
-        is_failed_by_call = verdict.is_failure and self._note_outcome(True)
+        is_failed_by_call = verdict.is_failure and self._note_outcome(
+            True, self._parts.clock.now_s()
+        )
         self._answers.start_streaming(
             head, body, is_failed_by_call=is_failed_by_call
         )
@@ -208,16 +231,18 @@
         self._cancel_timer()
         is_clean = not self._streamed.is_failure
         self._owner.suspects.run_ended(self, is_clean=is_clean)
-        self._note_outcome(self._streamed.is_failure)
-        self._owner.call_finished(self, self._streamed.outcome)
+        now_s = self._parts.clock.now_s()
+        self._note_outcome(self._streamed.is_failure, now_s)
+        self._owner.call_finished(self, self._streamed.outcome, now_s)
         self._answers.count_status(self._streamed.status)
         self._call.finish()
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Answers that the request did not run, or aborts if it may have."""
         self._cancel_timer()
-        self._note_outcome(True)
-        self._owner.call_finished(self, _RunOutcome.UNANSWERED)
+        now_s = self._parts.clock.now_s()
+        self._note_outcome(True, now_s)
+        self._owner.call_finished(self, _RunOutcome.UNANSWERED, now_s)
         if loss.reason in _BROKEN_CONNECTION:
             self._explain_loss(loss.detail)
             return
@@ -243,8 +268,9 @@
         self._timer = None
         self._cancel_attempt()
         self._owner.suspects.run_abandoned(self)
-        self._note_outcome(True)
-        self._owner.call_finished(self, _RunOutcome.UNANSWERED)
+        now_s = self._parts.clock.now_s()
+        self._note_outcome(True, now_s)
+        self._owner.call_finished(self, _RunOutcome.UNANSWERED, now_s)
         self._call.abort()
 
     def _handle_cancelled(self) -> None:
@@ -254,9 +280,10 @@
             return
         self._attempt.cancel()
         self._owner.suspects.run_abandoned(self)
-        if self._parts.clock.now_s() >= self.deadline_s:
-            self._note_outcome(True)
-        self._owner.call_finished(self, _RunOutcome.UNANSWERED)
+        now_s = self._parts.clock.now_s()
+        if now_s >= self.deadline_s:
+            self._note_outcome(True, now_s)
+        self._owner.call_finished(self, _RunOutcome.UNANSWERED, now_s)
 
     def _evaluate(
         self, head: answer_head.AnswerHead
@@ -277,7 +304,7 @@
         self._answers.log_refused(verdict.refusal)
         self.refuse(verdict.refusal)
 
-    def _note_outcome(self, is_failed: bool) -> bool:
+    def _note_outcome(self, is_failed: bool, now_s: float) -> bool:
         """Records how the request ended, the first time that it is called.
 
         Returns:
@@ -286,4 +313,4 @@
         if self._has_outcome:
             return False
         self._has_outcome = True
-        return self._owner.work.note_outcome(self, is_failed)
+        return self._owner.work.note_outcome(self, is_failed, now_s)
--- a/src/cranberrymux/gateway/exit_owner.py
+++ b/src/cranberrymux/gateway/exit_owner.py
@@ -24,7 +24,10 @@
     work: exit_work.ExitWork
 
     def call_finished(
-        self, call: owned_call.OwnedCall, outcome: run_outcome.RunOutcome
+        self,
+        call: owned_call.OwnedCall,
+        outcome: run_outcome.RunOutcome,
+        now_s: float,
     ) -> work_report.WorkReport:
         """Frees a slot; returns the work of the request and its calls."""
 
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -74,7 +74,7 @@
             waiting_s = scheduler.waiting * scheduler.mean_hold_s
             self._meter.roll(now_s, scheduler.slots, waiting_s, limit_per_s)
         is_due = now_s - self._logged_at_s >= PRESSURE_LOG_INTERVAL_S
-        if is_due and self.share < 1.0:
+        if is_due and self._meter.share < 1.0:
             self._logged_at_s = now_s
             self._log()
 
@@ -92,7 +92,7 @@
             hold_s: Seconds for which it held a slot; 0.0 if it did not run.
         """
         account_share = self._meter.get_account_share(_make_key(tree_context))
-        own = work_report.ServiceWork(hold_s, self.share, account_share)
+        own = work_report.ServiceWork(hold_s, self._meter.share, account_share)
         return {self._parts.settings.service: own}
 
     def _log(self) -> None:
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -52,7 +52,7 @@
 class SuspectOwner(Protocol):
     """Starts and refuses the requests that the queue holds."""
 
-    def offer_slot(self, ticket_id: int) -> None:
+    def offer_slot(self, ticket_id: int, now_s: float) -> None:
         """Offers a request a slot beside others."""
 
     def start_alone(self, ticket_id: int) -> None:
@@ -66,7 +66,11 @@
 
 
 class ExitSuspects:
-    """Holds suspects until their turn, and reports runs to the quarantine."""
+    """Holds suspects until their turn, and reports runs to the quarantine.
+
+    Attributes:
+        held_ids: Numbers of the suspects that wait or run.
+    """
 
     def __init__(
         self,
@@ -86,14 +90,14 @@
         self._scheduler = scheduler
         self._owner = owner
         self._queue = suspect_queue.SuspectQueue()
-        self._held_ids: set[int] = set()
+        self.held_ids: set[int] = set()
         # Trials that were not handed over yet, by ticket id.
         self._waiting_trials: dict[int, suspect_report.SuspectReport] = {}
 
     @property
     def waiting(self) -> int:
         """Number of suspects that wait for their turn."""
-        if not self._held_ids:
+        if not self.held_ids:
             return 0
         return self._queue.waiting + self._queue.is_closed
 
@@ -105,7 +109,9 @@
         """Takes a request that is a suspect; False if it is none."""
         if not call.digest:
             return False
-        suspicion.learn(self._parts, call.headers.first)
+        first = call.headers.first
+        if hop.SUSPECT in first:
+            suspicion.learn(self._parts, first)
         if not self._quarantine.records:
             return False
         fingerprint = suspicion.make_fingerprint(call.digest)
@@ -140,7 +146,7 @@
             if ticket.runs_alone:
                 self._owner.start_alone(ticket.ticket_id)
             else:
-                self._owner.offer_slot(ticket.ticket_id)
+                self._owner.offer_slot(ticket.ticket_id, now_s)
 
     def pop_waiting(self) -> list[int]:
         """Removes and returns the suspects that wait for their turn."""
@@ -153,8 +159,8 @@
         trial = self._waiting_trials.pop(ticket_id, None)
         if trial is not None:
             self._quarantine.end_trial(trial)
-        if ticket_id in self._held_ids:
-            self._held_ids.discard(ticket_id)
+        if ticket_id in self.held_ids:
+            self.held_ids.discard(ticket_id)
             self._queue.finish(self._parts.clock.now_s(), ticket_id)
             self._scheduler.set_paused(self._queue.is_closed)
 
@@ -190,7 +196,7 @@
             self._quarantine.start(
                 str(call.ticket_id),
                 suspicion.make_fingerprint(call.digest),
-                call.ticket_id in self._held_ids,
+                call.ticket_id in self.held_ids,
             )
         trial = self._waiting_trials.pop(call.ticket_id, None)
         if trial is not None:
@@ -235,7 +241,7 @@
         if not self._queue.offer(now_s, ticket):
             self._owner.refuse_held(call.ticket_id, hop.SUSPECT_WAITS)
             return
-        self._held_ids.add(call.ticket_id)
+        self.held_ids.add(call.ticket_id)
         self.advance()
 
     def _try_once_more(
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -65,7 +65,9 @@
         """Returns a report without work that tells the fitting shares."""
         return self.pressure.report(tree_context)
 
-    def note_outcome(self, call: owned_call.OwnedCall, is_failed: bool) -> bool:
+    def note_outcome(
+        self, call: owned_call.OwnedCall, is_failed: bool, now_s: float
+    ) -> bool:
         """Records how a request ended; to be called before `end_run`.
 
         Returns:
@@ -76,7 +78,7 @@
             running = self._parts.running_requests.find(call.ticket_id)
             is_failed_by_call = running is not None and running.depends_on_call
         if not is_failed_by_call:
-            self.health.note_outcome(is_failed)
+            self.health.note_outcome(now_s, is_failed)
         return is_failed_by_call
 
     def start_run(self, call: owned_call.OwnedCall, deadline_s: float) -> None:
@@ -97,6 +99,7 @@
         call: owned_call.OwnedCall,
         outcome: run_outcome.RunOutcome,
         limit_per_s: float | None,
+        now_s: float,
     ) -> work_report.WorkReport:
         """Frees a slot; returns the work of the request and its calls.
 
@@ -104,9 +107,9 @@
             call: The request.
             outcome: How its run ended.
             limit_per_s: Rate limit of the backend server; None without one.
+            now_s: Monotonic seconds.
         """
         ticket_id = call.ticket_id
-        now_s = self._parts.clock.now_s()
         is_measured = outcome is not run_outcome.RunOutcome.UNANSWERED
         hold_s = self._scheduler.finish(now_s, ticket_id, is_measured)
         if is_measured:
