HTTP: fewer steps to take a connection and to send an answer

An idle connection was looked up twice to be taken, each answer copied its headers for a correlation id that it seldom has, and each write checked for an error before its length.

--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -120,6 +120,8 @@
 
 def find_hop_by_hop(headers: HeaderList) -> frozenset[bytes]:
     """Returns the names of `HOP_BY_HOP` and those that `Connection` names."""
+    if type(headers) is Headers and b"connection" not in headers.first:
+        return HOP_BY_HOP
     connection = find(headers, b"connection")
     if connection is None or (
         connection in _CONNECTION_OPTIONS
--- a/src/cranberrymux/node/http/idle_connections.py
+++ b/src/cranberrymux/node/http/idle_connections.py
@@ -68,19 +68,24 @@
             identity: Id of the request to send; None if it has none.
             now_s: Monotonic seconds.
         """
-        for connection in reversed(self._by_address.get(address, [])[:]):
+        connections = self._by_address.get(address, [])
+        for index in range(len(connections) - 1, -1, -1):
+            connection = connections[index]
             is_usable = connection.is_usable
             if is_usable and connection.has_sent(identity):
                 continue
-            self.remove(connection)
+            del self._since[connection]
+            del connections[index]
+            if not connections:
+                del self._by_address[address]
             if not is_usable:
                 continue
             if now_s >= connection.reusable_until_s:
                 connection.close()
                 continue
             return connection
-        if left := self._by_address.get(address):
-            connection = left[-1]
+        if connections:
+            connection = connections[-1]
             self.remove(connection)
             connection.close()
         return None
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -276,9 +276,11 @@
         line = _STATUS_LINES.get(status)
         if line is None:
             line = b"HTTP/1.1 %d Status\r\n" % status
-        data = line + headers.encode(
-            answer_headers + correlation.find_header(self.head.headers)
-        )
+        if correlation.HEADER in self.head.headers.first:
+            answer_headers = answer_headers + correlation.find_header(
+                self.head.headers
+            )
+        data = line + headers.encode(answer_headers)
         if mode is body_mode.BodyMode.CHUNKED:
             if not self.head.is_http_1_0:
                 data += b"transfer-encoding: chunked\r\n"
--- a/src/cranberrymux/node/http/prompt_writer.py
+++ b/src/cranberrymux/node/http/prompt_writer.py
@@ -22,12 +22,13 @@
         transport.write(data)
         return
     sent = transport.writeSomeData(data)
+    if sent == len(data):
+        return
     if isinstance(sent, Exception):
         # The transport meets the error again and reports the loss itself.
         sent = 0
-    if sent < len(data):
-        transport.write(data[sent:])
-        transport.doWrite()
+    transport.write(data[sent:])
+    transport.doWrite()
 
 
 def has_unsent(transport: Any) -> bool:
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -79,7 +79,8 @@
         Args:
             data: The next bytes of the connection.
         """
-        self._header_reader.note_read(len(data))
+        size = len(data)
+        self._header_reader.note_read(size)
         try:
             self._feed_all(data)
         except httptools.HttpParserCallbackError:
@@ -92,7 +93,7 @@
             return bad_message.BadMessage(400, str(error))
         if self._header_reader.pairs and self._header_reader.is_exceeded:
             return self._describe_excess()
-        if self._meter.note_read(len(data)):
+        if self._meter.note_read(size):
             status = 431 if self.is_reading_head else 400
             detail = "too many bytes without any of the body"
             return bad_message.BadMessage(status, detail)
