--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -5,7 +5,6 @@
 
 from cranberrymux.gateway import held_back_counter
 from cranberrymux.gateway import label_children
-from cranberrymux.gateway import reactor_metrics
 
 LATENCY_BOUNDS_S = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0,
@@ -104,7 +103,7 @@
             "service",
             "zone",
         )
-        self.backend_sends = reactor_metrics.Counter(
+        self.backend_sends = prometheus_client.Counter(
             "cranberrymux_backend_sends",
             "Requests sent to the backend server.",
             registry=registry,
@@ -138,16 +137,16 @@
 
     def _counter(
         self, name: str, help_text: str, *labels: str
-    ) -> label_children.LabelChildren[reactor_metrics.Counter]:
-        counter = reactor_metrics.Counter(
+    ) -> label_children.LabelChildren[prometheus_client.Counter]:
+        counter = prometheus_client.Counter(
             f"cranberrymux_{name}", help_text, labels, registry=self._registry
         )
         return label_children.LabelChildren(counter)
 
     def _histogram(
         self, name: str, help_text: str, *labels: str
-    ) -> label_children.LabelChildren[reactor_metrics.Histogram]:
-        histogram = reactor_metrics.Histogram(
+    ) -> label_children.LabelChildren[prometheus_client.Histogram]:
+        histogram = prometheus_client.Histogram(
             f"cranberrymux_{name}",
             help_text,
             labels,
