Root admission: max-min fair shares among routes

All routes of an account, or of a priority without accounts, were refused at the same rate, short trees as often as those that need the scarce service many times. What fits is now divided among the routes by max-min fairness over their work at that service; each keeps at least half of the mean share. Among the classes of an account, retries come first within their route only.

Where routes differ in priority nothing changes.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -5,6 +5,7 @@
 the least important first, and only if it needs the service that is short.
 """
 
+from collections.abc import Iterator
 import enum
 import math
 import random
@@ -13,6 +14,7 @@
 from cranberrymux.decisions.pressure import account_shares
 from cranberrymux.decisions.pressure import fair_shares
 from cranberrymux.decisions.pressure import rank_allotment
+from cranberrymux.decisions.pressure import route_allotment
 from cranberrymux.decisions.pressure import work_report
 
 COST_WEIGHT = 0.05  # Weight of one answer in the mean cost of a route.
@@ -114,6 +116,13 @@
         self.updated_s = now_s
 
 
+class _Part(NamedTuple):
+    """A traffic class and its work at one service."""
+
+    flow: _Flow
+    demand: route_allotment.Demand
+
+
 class RootAdmission:
     """Decides at the node that a tree enters."""
 
@@ -259,42 +268,37 @@
 
     def _allot(self, service: str, share: float) -> None:
         """Allots the work that fits to the classes by importance."""
-        ranks: dict[_Flow, tuple[int, int]] = {}
+        ranks: dict[tuple[int, int], list[_Part]] = {}
         works: dict[tuple[int, int], float] = {}
-        for traffic_class, flow in self._flows.items():
-            work = flow.per_s * self._cost(traffic_class.route, service)
-            if work > 0.0:
-                rank = (traffic_class.priority, int(traffic_class.timing))
-                ranks[flow] = rank
-                works[rank] = works.get(rank, 0.0) + work
+        for traffic_class, part in self._list_parts(service):
+            rank = (traffic_class.priority, int(traffic_class.timing))
+            ranks.setdefault(rank, []).append(part)
+            works[rank] = works.get(rank, 0.0) + part.demand.work
         shares = rank_allotment.allot(works, share)
-        for flow, flow_rank in ranks.items():
-            flow.share = min(flow.share, shares[flow_rank])
+        for rank, parts in ranks.items():
+            _allot_to_routes(parts, shares[rank])
 
     def _allot_to_accounts(
         self, now_s: float, service: str, accounts: account_shares.AccountShares
     ) -> None:
-        """Allots to each account the share that the service has told.
+        """Allots to each account the share that the service has told."""
+        parts_by_key: dict[fair_shares.AccountKey, list[_Part]] = {}
+        for traffic_class, part in self._list_parts(service):
+            parts_by_key.setdefault(traffic_class.key, []).append(part)
+        for key, parts in parts_by_key.items():
+            share = accounts.get(now_s, key, self._rates.get(key, 0.0))
+            _allot_to_routes(parts, share)
 
-        Within an account, its classes come in the order of their timing.
-        """
-        flows: dict[fair_shares.AccountKey, list[tuple[int, _Flow, float]]] = {}
+    def _list_parts(self, service: str) -> Iterator[tuple[TrafficClass, _Part]]:
+        """Yields the classes that need a service, with their work there."""
         for traffic_class, flow in self._flows.items():
-            work = flow.per_s * self._cost(traffic_class.route, service)
+            route = traffic_class.route
+            work = flow.per_s * self._cost(route, service)
             if work > 0.0:
-                flows.setdefault(traffic_class.key, []).append(
-                    (traffic_class.timing, flow, work)
+                demand = route_allotment.Demand(
+                    route, int(traffic_class.timing), work
                 )
-        for key, parts in flows.items():
-            share = accounts.get(now_s, key, self._rates.get(key, 0.0))
-            if share >= 1.0:
-                continue
-            works: dict[int, float] = {}
-            for timing, _, work in parts:
-                works[timing] = works.get(timing, 0.0) + work
-            shares = rank_allotment.allot(works, share)
-            for timing, flow, _ in parts:
-                flow.share = min(flow.share, shares[timing])
+                yield traffic_class, _Part(flow, demand)
 
     def _find_flow(self, traffic_class: TrafficClass) -> _Flow | None:
         flow = self._flows.get(traffic_class)
@@ -313,3 +317,11 @@
 
     def _cost(self, route: str, service: str) -> float:
         return self._costs.get(route, {}).get(service, 0.0)
+
+
+def _allot_to_routes(parts: list[_Part], share: float) -> None:
+    if share >= 1.0:
+        return
+    shares = route_allotment.allot([part.demand for part in parts], share)
+    for part, part_share in zip(parts, shares, strict=True):
+        part.flow.share = min(part.flow.share, part_share)
