A request with a key is always a root

Cause: a request was matched with the calls of running requests by id and deadline whether it carried a key or not. One that resembled a call took no token and ran under the account of the tree that it was matched with.

Change: a request with a key is not matched. Where accounts are configured, this holds on public routes too, where the key names no account. Backend servers get no keys, so that no call is lost by it.

Result: tests/gateway/test_client_accounts.py and test_quotas.py pass; three of the new tests fail without the change.

--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -1,6 +1,7 @@
 """Whether a request is a root or a call, and what follows from that."""
 
 from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.pressure import parent_matcher
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
@@ -46,17 +47,18 @@
         self._parts = parts
         self._route = route
         self._account = account
-        self._parent_match = parts.parent_matcher.match(
-            route.name,
-            headers_module.find(headers, dialect.request_id) or b"",
-            now_s + self.left_s,
-        )
+        self._parent_match = self._match_parent(headers, now_s)
 
     @property
     def is_root(self) -> bool:
         """True if no request that runs here made it."""
         return not self._parent_match.is_call
 
+    @property
+    def _has_accounts(self) -> bool:
+        table = self._parts.routes.table
+        return table is not None and not table.accounts.is_empty
+
     @property
     def _account_name(self) -> str:
         return "" if self._account is None else self._account.name
@@ -68,6 +70,32 @@
             return self._route.priority
         return self._account.priority
 
+    def _match_parent(
+        self, headers: headers_module.HeaderList, now_s: float
+    ) -> parent_matcher.ParentMatch:
+        """Finds the request that made this one.
+
+        Backend servers get no keys, so that a request with a key is a root,
+        whatever its id and deadline resemble.
+        """
+        if self._account is not None or self._has_key(headers):
+            return parent_matcher.ROOT
+        return self._parts.parent_matcher.match(
+            self._route.name,
+            headers_module.find(
+                headers, self._parts.settings.dialect.request_id
+            )
+            or b"",
+            now_s + self.left_s,
+        )
+
+    def _has_key(self, headers: headers_module.HeaderList) -> bool:
+        """True if a key was sent, also on a public route, which checks none."""
+        if not self._has_accounts:
+            return False
+        name = self._parts.settings.dialect.api_key
+        return headers_module.find(headers, name) is not None
+
     def admit(self, now_s: float) -> hop.TreeContext | None:
         """Returns the context of the request; None if a root is refused.
 
@@ -91,8 +119,7 @@
             if self._account_name:
                 self._parts.metrics.held_back.note(self._account_name)
             return None
-        table = self._parts.routes.table
-        has_accounts = table is not None and not table.accounts.is_empty
+        has_accounts = self._has_accounts
         is_route_named = has_accounts and not self._account_name
         tree_context = hop.TreeContext(
             self._priority,
--- a/tests/gateway/test_client_accounts.py
+++ b/tests/gateway/test_client_accounts.py
@@ -2,7 +2,8 @@
 
 Guards against keys that reach a backend server or a log line, requests that run
 under a key that is unknown or was taken away, forged names of accounts, and
-trees whose calls lose the priority of their account.
+trees whose calls lose the priority of their account, and clients that another
+tree runs on behalf of since their requests resemble its calls.
 """
 
 import pytest
@@ -134,3 +135,57 @@
     )
     tree_context = origin.admit(mesh.members[0].gateway._clock.now_s())
     assert tree_context.rank == MILL.priority - hop.CALL_RANK_BONUS
+
+
+PARENT_ID = b"r7"
+
+
+def make_origin(mesh, *headers, account=None, is_public=False):
+    """Returns the origin of a request beside a running one of another account.
+
+    Its id extends that of the running request, as those of calls do.
+    """
+    parts = mesh.members[0].gateway._parts
+    now_s = mesh.members[0].gateway._clock.now_s()
+    tree_context = hop.TreeContext(3, 1.0, account="other")
+    parts.running_requests.begin(1, tree_context)
+    parts.parent_matcher.add(1, PARENT_ID, now_s + 1.0)
+    dialect = mesh.members[0].settings.dialect
+    return origin_module.Origin(
+        parts,
+        mesh_module.make_route("open", "deep", is_public=is_public),
+        headers_module.Headers(
+            (
+                (dialect.request_id, PARENT_ID + b".1"),
+                (dialect.deadline_ms, b"1000"),
+                *headers,
+            )
+        ),
+        now_s,
+        account,
+    )
+
+
+@pytest.mark.parametrize("is_public", [False, True])
+def test_a_request_with_a_key_is_a_root_whatever_it_resembles(mesh, is_public):
+    """On a public route the key is not looked up, and names no account."""
+    account = None if is_public else MILL
+    key = (b"x-api-key", KEY.encode())
+    origin = make_origin(mesh, key, account=account, is_public=is_public)
+    assert origin.is_root
+    tree_context = origin.admit(mesh.members[0].gateway._clock.now_s())
+    assert tree_context.account == ("" if is_public else MILL.name)
+
+
+def test_a_request_without_a_key_is_the_call_that_its_id_tells(mesh):
+    origin = make_origin(mesh, is_public=True)
+    assert not origin.is_root
+    tree_context = origin.admit(mesh.members[0].gateway._clock.now_s())
+    assert tree_context.account == "other"
+
+
+def test_a_key_says_nothing_where_no_account_is_configured():
+    """The header belongs to the operator's services then."""
+    mesh = mesh_module.Mesh("front", "deep")
+    configure(mesh)
+    assert not make_origin(mesh, (b"x-api-key", b"any")).is_root
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -2,7 +2,8 @@
 
 Guards against requests that run without a token, requests within the quota that
 are refused because the node happens to hold none, tokens that are lost with
-requests that did not run, and calls of backend servers that are counted.
+requests that did not run, calls of backend servers that are counted, and client
+requests that are taken for calls and so run without a token.
 """
 
 import pytest
@@ -131,3 +132,12 @@
     scene.mesh.network.run(1.0, step_s=0.01)
     for _ in range(5):
         assert scene.ask().statuses == [200]
+
+
+def test_a_request_with_a_key_takes_a_token_whatever_it_resembles(scene):
+    """Its id extends that of a request that runs beside the node."""
+    gateway = scene.mesh.members[0].gateway
+    gateway._parts.parent_matcher.add(1, b"r7", gateway._clock.now_s() + 5.0)
+    client = scene.ask(headers=[*SENT, ("Request-Id", "r7.1")])
+    assert client.statuses == [200]
+    assert scene.metric("granted") == 1
