`cranberrymux accounts` shows the use of each account's quota

Cause: operators could read limit, use, tokens and refusals of accounts only from `/v1/accounts` by hand, and on the platform, where accounts are configured, the operator port did not answer that path at all.

Change: the subcommand asks the control instances in turn until the one that hands out tokens answers; answers name it by `is_owner`. Table, JSON, errors and exit codes are those of the other subcommands. The platform's control port answers the same path.

--- a/src/cranberrymux/__init__.py
+++ b/src/cranberrymux/__init__.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 if TYPE_CHECKING:
+    from cranberrymux.api import accounts
     from cranberrymux.api import apply
     from cranberrymux.api import drain
     from cranberrymux.api import get
@@ -37,6 +38,7 @@
     "OperatorSession",
     "SessionError",
     "SettingsError",
+    "accounts",
     "apply",
     "drain",
     "get",
--- a/src/cranberrymux/api.py
+++ b/src/cranberrymux/api.py
@@ -98,6 +98,13 @@
     return await open_session(addresses, token, **options).status()
 
 
+async def accounts(
+    addresses: Sequence[str], token: str, **options: Any
+) -> sessions.AccountReport | sessions.SessionError:
+    """Returns the use of the client accounts' quotas."""
+    return await open_session(addresses, token, **options).accounts()
+
+
 async def drain(
     addresses: Sequence[str], token: str, node_id: str, **options: Any
 ) -> int | sessions.SessionError:
--- a/src/cranberrymux/cli/exit_code.py
+++ b/src/cranberrymux/cli/exit_code.py
@@ -19,7 +19,7 @@
         UNCONFIRMED: The change was accepted, but was not in force everywhere
             within the wait.
         WRONG_TOKEN: The operators' token was rejected.
-        NOT_FOUND: The version, node or request does not exist.
+        NOT_FOUND: The version, node, account or request does not exist.
     """
 
     OK = 0
--- a/src/cranberrymux/cli/main.py
+++ b/src/cranberrymux/cli/main.py
@@ -13,6 +13,7 @@
 
 from cranberrymux import api
 from cranberrymux import exceptions
+from cranberrymux.cli import accounts_command
 from cranberrymux.cli import apply_command
 from cranberrymux.cli import burn_command
 from cranberrymux.cli import cli_settings
@@ -33,6 +34,7 @@
     read_command.HISTORY,
     apply_command.ROLLBACK,
     status_command.STATUS,
+    accounts_command.ACCOUNTS,
     read_command.DRAIN,
     explain_command.EXPLAIN,
     burn_command.BURN,
@@ -55,7 +57,8 @@
   1 diff found a difference,     send the change again with its change id
     burn a budget that burns   6 accepted, not in force everywhere in time
   2 wrong usage or settings    7 wrong token
-  3 another change came first  8 version, node or request not found
+  3 another change came first  8 version, node, account or request
+                                 not found
   4 refused as invalid
 """
 
--- a/src/cranberrymux/control/operator_api.py
+++ b/src/cranberrymux/control/operator_api.py
@@ -172,10 +172,7 @@
         """Answers with the use of each account's quota, if this one leads."""
         if not self._has_valid_token(request):
             return operator_answers.refuse_token(request)
-        body = {
-            "leader": self._log.leader(),
-            "accounts": self._service.quotas.describe(),
-        }
+        body = self._service.quotas.make_report()
         return operator_answers.answer(request, http.OK, body)
 
     @app.route("/v1/status", methods=["GET"])
--- a/src/cranberrymux/control/quota_service.py
+++ b/src/cranberrymux/control/quota_service.py
@@ -141,6 +141,15 @@
         allocator.sweep(self._now_s())
         return [use._asdict() for use in allocator.describe()]
 
+    def make_report(self) -> dict[str, Any]:
+        """Returns the use of each account for operators, as JSON values."""
+        allocator, _ = self._get_allocator()
+        return {
+            "leader": self._log.leader(),
+            "is_owner": allocator is not None,
+            "accounts": self.describe(),
+        }
+
     def _get_allocator(
         self,
     ) -> tuple[token_allocator.TokenAllocator | None, float]:
--- a/src/cranberrymux/platform/control_port.py
+++ b/src/cranberrymux/platform/control_port.py
@@ -29,7 +29,10 @@
 
 
 class ControlPort:
-    """Serves the routing configuration: `GET` reads it, `PUT` replaces it."""
+    """Serves the routing configuration and the use of accounts.
+
+    `GET` reads the configuration, `PUT` replaces it.
+    """
 
     def __init__(self) -> None:
         """Starts without a port; `listen` opens it."""
@@ -64,6 +67,10 @@
             defer.ensureDeferred(self._put_configuration(call)).addErrback(
                 self._answer_internal_error, call
             )
+        elif path == paths.ACCOUNTS and call.head.method == b"GET":
+            assert self._parts is not None
+            report = self._parts.service.quotas.make_report()
+            json_answer.send(call, 200, report)
         elif path.startswith(paths.INSTANCES_PREFIX):
             # Only the node beside a backend server checks whether it is alive.
             json_answer.send(
--- a/src/cranberrymux/platform/paths.py
+++ b/src/cranberrymux/platform/paths.py
@@ -2,5 +2,7 @@
 
 READY = b"/cranberrymux/ready"
 CONFIGURATION = b"/cranberrymux/config"
+# The same path as on the port of `control.operator_api`.
+ACCOUNTS = b"/v1/accounts"
 # Followed by the id of a backend server, not of an instance.
 INSTANCES_PREFIX = b"/cranberrymux/instances/"
--- a/src/cranberrymux/sessions.py
+++ b/src/cranberrymux/sessions.py
@@ -1,5 +1,6 @@
 """Operators' requests to the control instances, with failover and retries."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 import uuid
@@ -11,6 +12,7 @@
 from cranberrymux.decisions.configuration import change_answer
 from cranberrymux.decisions.configuration import change_record
 from cranberrymux.decisions.configuration import change_verdict
+from cranberrymux.operators import account_report
 from cranberrymux.operators import configuration
 from cranberrymux.operators import instance_status
 from cranberrymux.operators import operator_settings
@@ -24,6 +26,7 @@
 _MAXIMUM_PAUSE_S = 1.0
 
 
+AccountReport = account_report.AccountReport
 Configuration = configuration.Configuration
 InstanceStatus = instance_status.InstanceStatus
 OperatorSettings = operator_settings.OperatorSettings
@@ -165,6 +168,21 @@
                 statuses.append(InstanceStatus(address, answer.body))
         return statuses
 
+    async def accounts(self) -> AccountReport | SessionError:
+        """Returns the use of the quotas, from the instance that owns them."""
+        answer = await self._send_until_answered(
+            "GET", "/v1/accounts", find_fault=_find_other_owner
+        )
+        if isinstance(answer, session_error.SessionError):
+            return answer
+        return AccountReport(
+            answer.body["leader"],
+            tuple(
+                account_report.AccountUse(**fields)
+                for fields in answer.body["accounts"]
+            ),
+        )
+
     async def drain(self, node_id: str) -> int | SessionError:
         """Requests the drain of a node's backend server.
 
@@ -196,7 +214,18 @@
         path: str,
         body: Mapping[str, Any] | None = None,
         accept: tuple[int, ...] = (),
+        find_fault: Callable[[Mapping[str, Any]], str] | None = None,
     ) -> response_module.Response | SessionError:
+        """Sends a request to one instance after the other.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: JSON body; None for none.
+            accept: Statuses that are an answer besides 200.
+            find_fault: Returns why the body of an answer does not do, so that
+                other instances are asked; empty if it does.
+        """
         end_s = self._adapter.now_s() + self._settings.timeout_ms / 1000
         details: dict[str, str] = {}
         while True:
@@ -206,7 +235,10 @@
                 if isinstance(answer, transport_error.TransportError):
                     details[address] = answer.detail
                 elif answer.status == _OK or answer.status in accept:
-                    return answer
+                    fault = find_fault(answer.body) if find_fault else ""
+                    if not fault:
+                        return answer
+                    details[address] = fault
                 elif answer.status < 500:
                     return _read_error(answer)
                 else:
@@ -221,6 +253,12 @@
             await self._adapter.pause(max(pause_s, _MINIMUM_PAUSE_S))
 
 
+def _find_other_owner(body: Mapping[str, Any]) -> str:
+    if body.get("is_owner"):
+        return ""
+    return f"the leader is {body.get('leader') or 'not known'}"
+
+
 def _read_error(answer: response_module.Response) -> SessionError:
     reason = SessionErrorReason.INVALID
     if answer.status == _UNAUTHORIZED:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -129,6 +129,17 @@
     assert run_command(instance, "drain", "n9").returncode == 8
 
 
+def test_accounts_lists_none_where_no_account_is_configured(instance):
+    completed = run_command(instance, "accounts")
+    assert completed.returncode == 0, completed.stderr
+    assert completed.stdout.split()[0] == "ACCOUNT"
+    as_json = run_command(instance, "accounts", "--output", "json")
+    answer = json.loads(as_json.stdout)
+    assert answer == {"owner": "c0", "accounts": []}
+    unknown = run_command(instance, "accounts", "--account", "mill")
+    assert unknown.returncode == 8
+
+
 def test_wrong_token_exits_with_7_and_unreachable_instance_with_5(
     instance, document
 ):
--- a/tests/cli/test_sessions.py
+++ b/tests/cli/test_sessions.py
@@ -2,7 +2,8 @@
 
 Guards against a change that is made twice: an answer may get lost after the
 change was accepted, so a resend must carry the same change id. Also guards
-against retrying requests that no control instance will accept.
+against retrying requests that no control instance will accept, and against
+figures of quotas from an instance that does not hand out tokens.
 """
 
 from twisted.internet import defer
@@ -141,3 +142,37 @@
     first, second = await_result(make_session(adapter).status())
     assert (first.status, first.detail) == (None, "no answer in 3 s")
     assert second.status == {"control_id": "c1"}
+
+
+USE = {
+    "account": "mill",
+    "per_s": 10.0,
+    "burst": 5.0,
+    "bucket": 1.5,
+    "out": 3,
+    "spent": 7,
+    "lapsed": 0,
+    "denied": 2,
+}
+FOLLOWER = response.Response(
+    200, {"leader": "c1", "is_owner": False, "accounts": []}
+)
+OWNER = response.Response(
+    200, {"leader": "c1", "is_owner": True, "accounts": [USE]}
+)
+
+
+def test_use_of_quotas_comes_from_the_instance_that_owns_them():
+    adapter = ScriptedAdapter(FOLLOWER, TIMED_OUT, FOLLOWER, OWNER)
+    report = await_result(make_session(adapter).accounts())
+    assert report.owner == "c1"
+    assert report.accounts[0]._asdict() == USE
+    assert [request[0] for request in adapter.sent] == ["a", "b", "a", "b"]
+
+
+def test_use_of_quotas_without_an_owner_is_an_error_within_the_time_limit():
+    adapter = ScriptedAdapter(FOLLOWER)
+    error = await_result(make_session(adapter).accounts())
+    assert error.reason is Reason.UNREACHABLE
+    assert error.detail == "a: the leader is c1; b: the leader is c1"
+    assert adapter.clock_s <= 3.0
--- a/tests/control/test_quota_service.py
+++ b/tests/control/test_quota_service.py
@@ -32,6 +32,9 @@
     def vouched_ms(self):
         return self.lease_ms
 
+    def leader(self):
+        return "10.0.0.1"
+
     def leader_address(self):
         return "10.0.0.1:7000"
 
@@ -96,7 +99,9 @@
     answer = scene.take()
     assert answer.rows[0].tokens > 0
     assert answer.ttl_ms == 3000
-    assert scene.service.describe()[0]["out"] == answer.rows[0].tokens
+    report = scene.service.make_report()
+    assert report["is_owner"]
+    assert report["accounts"][0]["out"] == answer.rows[0].tokens
 
 
 @pytest.mark.parametrize("change", [("is_leader", False), ("lease_ms", 0)])
@@ -105,7 +110,9 @@
     with pytest.raises(ttypes.Refused) as refused:
         scene.take()
     assert refused.value.reason == quota_service.NOT_OWNER
-    assert scene.service.describe() == []
+    report = scene.service.make_report()
+    assert not report["is_owner"]
+    assert report["accounts"] == []
 
 
 def test_starts_empty_with_each_term(scene):
--- a/tests/platform/test_quota_owner.py
+++ b/tests/platform/test_quota_owner.py
@@ -1,9 +1,14 @@
 """Tokens of client accounts from control instances as real processes.
 
-Guards against an instance that hands out tokens without leading, and against an
-owner that nodes do not hear of after the leader was killed.
+Guards against an instance that hands out tokens without leading, an owner that
+nodes do not hear of after the leader was killed, and figures of quotas that
+operators cannot read where accounts are configured.
 """
 
+import json
+import os
+import subprocess
+import sys
 import time
 
 from thrift.transport import TTransport
@@ -79,6 +84,25 @@
     return owner if rows and rows[0].tokens > 0 else None
 
 
+def show_accounts(fleet, tmp_path, *arguments):
+    """Runs `cranberrymux accounts` against all instances."""
+    token = tmp_path / "token"
+    token.write_text("not checked by the platform's port")
+    addresses = [f"{each.ip}:{fleet.control_port}" for each in fleet.instances]
+    return subprocess.run(
+        [sys.executable, "-m", "cranberrymux.cli", "accounts", *arguments],
+        capture_output=True,
+        text=True,
+        env={
+            **os.environ,
+            "CRANBERRYMUX_ADDRESSES": ",".join(addresses),
+            "CRANBERRYMUX_TOKEN_FILE": str(token),
+        },
+        timeout=20,
+        check=False,
+    )
+
+
 def count_voters(instance):
     """Returns how many voters an instance knows of."""
     changes = [
@@ -109,6 +133,12 @@
         for other in fleet.instances:
             if other is not owner:
                 assert take(other, 1).reason == "not the owner of the quotas"
+        shown = show_accounts(fleet, tmp_path, "--output", "json")
+        assert shown.returncode == 0, shown.stderr
+        answer = json.loads(shown.stdout)
+        assert answer["owner"] == owner.ip
+        assert [use["account"] for use in answer["accounts"]] == ["mill"]
+        assert answer["accounts"][0]["out"] > 0
         owner.kill()
         lost_s = time.monotonic()
         fleet_module.wait_until(lambda: find_granting_owner(fleet, sessions))
