--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -2,6 +2,7 @@
 
 from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.accounts import request_rank
+from cranberrymux.decisions.pressure import parent_matcher
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
@@ -49,11 +50,7 @@
         table = parts.routes.table
         self._has_accounts = table is not None and not table.accounts.is_empty
         self._rank = request_rank.find_rank(route, account, self._has_accounts)
-        self._parent_match = parts.parent_matcher.match(
-            route.name,
-            headers_module.find(headers, dialect.request_id) or b"",
-            now_s + self.left_s,
-        )
+        self._parent_match = self._match_parent(headers, now_s)
 
     @property
     def is_root(self) -> bool:
@@ -64,6 +61,32 @@
     def _account_name(self) -> str:
         return "" if self._account is None else self._account.name
 
+    def _match_parent(
+        self, headers: headers_module.HeaderList, now_s: float
+    ) -> parent_matcher.ParentMatch:
+        """Finds the request that made this one.
+
+        Backend servers get no keys, so that a request with a key is a root,
+        whatever its id and deadline resemble.
+        """
+        if self._account is not None or self._has_key(headers):
+            return parent_matcher.ROOT
+        return self._parts.parent_matcher.match(
+            self._route.name,
+            headers_module.find(
+                headers, self._parts.settings.dialect.request_id
+            )
+            or b"",
+            now_s + self.left_s,
+        )
+
+    def _has_key(self, headers: headers_module.HeaderList) -> bool:
+        """True if a key was sent, also on a public route, which checks none."""
+        if not self._has_accounts:
+            return False
+        name = self._parts.settings.dialect.api_key
+        return headers_module.find(headers, name) is not None
+
     def admit(self, now_s: float) -> hop.TreeContext | None:
         """Returns the context of the request; None if a root is refused.
 
