Quarantine: split by responsibility

The reports of one death, the refusal of a quarantined call, and the accesses to single records (digests in flight, look-up by several keys, reports due to be shared) move to death_reports.py, quarantine_refusal.py and suspect_records.py. Behavior does not change; tests/decisions/quarantine passes unchanged.

--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Iterable
 
+from cranberrymux.decisions.quarantine import death_reports
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
+from cranberrymux.decisions.quarantine import quarantine_refusal
 from cranberrymux.decisions.quarantine import quarantine_settings
 from cranberrymux.decisions.quarantine import report_kind
 from cranberrymux.decisions.quarantine import running_suspects
 from cranberrymux.decisions.quarantine import suspect_record
 from cranberrymux.decisions.quarantine import suspect_records
 from cranberrymux.decisions.quarantine import suspect_report
-from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal
-from cranberrymux.models import refusal_reason
 
 _Kind = report_kind.ReportKind
 _Report = suspect_report.SuspectReport
@@ -75,7 +75,7 @@
             The isolation of the call, or a final refusal once the service has
             lost the allowed number of backend servers to it.
         """
-        found = self._find(now_s, fingerprint)
+        found = self._records.find(now_s, fingerprint.keys)
         counted = max(
             (record.open_deaths for record in found.values()), default=0
         )
@@ -90,13 +90,8 @@
                 and id_record is not None
                 and id_record.open_deaths > 0
             )
-            return refusal.Refusal(
-                # An earlier attempt under this id may have had an effect.
-                answer_kind.AnswerKind.UNKNOWN
-                if has_run or lost_attempts
-                else answer_kind.AnswerKind.NOT_RUN,
-                refusal_reason.RefusalReason.QUARANTINED,
-                f"{deaths} backend servers died while running this call",
+            return quarantine_refusal.make(
+                deaths, may_have_run=has_run or lost_attempts > 0
             )
         if deaths >= self._settings.deaths_to_alone:
             return isolation.Isolation.ALONE
@@ -229,17 +224,11 @@
             if call in started_as_suspects
             or self._get(now_s, call.digest_key).open_deaths
         }
-        sole_digests = {call.digest for call in suspects}
-        reports = []
-        for call in in_flight:
-            is_sole = sole_digests == {call.digest}
-            for key in call.keys:
-                reports.append(_Report(key, _Kind.DEATH, event_id))
-                if is_sole:
-                    reports.append(_Report(key, _Kind.SOLE_DEATH, event_id))
-        reports = list(dict.fromkeys(reports))
+        reports = death_reports.make(event_id, in_flight, suspects)
         self.merge(now_s, reports)
-        self._note_digests(now_s, in_flight)
+        for call in in_flight:
+            if call.request_id:
+                self._records.add_digest(now_s, call.keys[0], call.digest)
         return reports
 
     def merge(
@@ -282,40 +271,13 @@
         Shared again while the call still comes, they are not forgotten where
         only reports renew what is known.
         """
-        key = fingerprint.digest_key
-        record = self._get(now_s, key)
-        since_s = max(record.changed_s, record.reported_s)
-        if not record.open_deaths or now_s - since_s < interval_s:
-            return []
-        self._records.put(key, record._replace(reported_s=now_s))
-        return record.make_reports(key)
+        return self._records.take_unshared(
+            now_s, fingerprint.digest_key, interval_s
+        )
 
     def _get(self, now_s: float, key: str) -> suspect_record.SuspectRecord:
         return self._records.get(now_s, key) or suspect_record.EMPTY
 
-    def _find(
-        self, now_s: float, fingerprint: fingerprints.Fingerprint
-    ) -> dict[str, suspect_record.SuspectRecord]:
-        """Returns the records of a call by key."""
-        found = {}
-        for key in fingerprint.keys:
-            record = self._records.get(now_s, key)
-            if record is not None:
-                found[key] = record
-        return found
-
-    def _note_digests(
-        self, now_s: float, in_flight: Iterable[fingerprints.Fingerprint]
-    ) -> None:
-        """Notes which calls of a request were in flight at a death."""
-        for call in in_flight:
-            if not call.request_id:
-                continue
-            id_key = call.keys[0]
-            record = self._get(now_s, id_key)
-            digests = record.digests | {call.digest}
-            self._records.put(id_key, record._replace(digests=digests))
-
     def _clear(
         self, now_s: float, fingerprint: fingerprints.Fingerprint
     ) -> list[suspect_report.SuspectReport]:
@@ -330,15 +292,6 @@
         if not fingerprint.request_id:
             return reports
         id_key = fingerprint.keys[0]
-        id_record = self._get(now_s, id_key)
-        if fingerprint.digest not in id_record.digests:
-            return reports
-        left = id_record.digests - {fingerprint.digest}
-        self._records.put(
-            id_key,
-            id_record._replace(digests=left, changed_s=now_s, used_s=now_s),
-        )
-        if left:
-            # Another call of the same request may be the cause of the death.
+        if not self._records.remove_digest(now_s, id_key, fingerprint.digest):
             return reports
         return reports + self._records.clear(now_s, id_key)
--- a/src/cranberrymux/decisions/quarantine/suspect_records.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_records.py
@@ -42,6 +42,17 @@
             return None
         return record
 
+    def find(
+        self, now_s: float, keys: Iterable[str]
+    ) -> dict[str, suspect_record.SuspectRecord]:
+        """Returns the records that exist among some keys, by key."""
+        found = {}
+        for key in keys:
+            record = self.get(now_s, key)
+            if record is not None:
+                found[key] = record
+        return found
+
     def put(self, key: str, record: suspect_record.SuspectRecord) -> None:
         """Stores a record and drops expired and excess records."""
         self.by_key[key] = record
@@ -78,6 +89,40 @@
         self.merge(now_s, reports)
         return reports
 
+    def add_digest(self, now_s: float, id_key: str, digest: str) -> None:
+        """Records that a call of a request was in flight at a death.
+
+        Args:
+            now_s: Monotonic seconds.
+            id_key: Key of the request id.
+            digest: Digest of the call.
+        """
+        record = self.get(now_s, id_key) or suspect_record.EMPTY
+        digests = record.digests | {digest}
+        self.put(id_key, record._replace(digests=digests))
+
+    def remove_digest(self, now_s: float, id_key: str, digest: str) -> bool:
+        """Records that a call of a request has run to its end.
+
+        Args:
+            now_s: Monotonic seconds.
+            id_key: Key of the request id.
+            digest: Digest of the call.
+
+        Returns:
+            True if it was in flight at a death and no other call that was is
+            left, which could be the cause of the death.
+        """
+        record = self.get(now_s, id_key) or suspect_record.EMPTY
+        if digest not in record.digests:
+            return False
+        left = record.digests - {digest}
+        self.put(
+            id_key,
+            record._replace(digests=left, changed_s=now_s, used_s=now_s),
+        )
+        return not left
+
     def get_latest_reports(
         self, now_s: float, key_count: int
     ) -> list[suspect_report.SuspectReport]:
@@ -88,6 +133,23 @@
             reports += record.make_reports(key)
         return reports
 
+    def take_unshared(
+        self, now_s: float, key: str, interval_s: float
+    ) -> list[suspect_report.SuspectReport]:
+        """Returns what is known of a key unless that was shared recently.
+
+        Args:
+            now_s: Monotonic seconds, from which the reports count as shared.
+            key: Key of the record.
+            interval_s: Seconds within which the reports are not shared again.
+        """
+        record = self.get(now_s, key) or suspect_record.EMPTY
+        since_s = max(record.changed_s, record.reported_s)
+        if not record.open_deaths or now_s - since_s < interval_s:
+            return []
+        self.put(key, record._replace(reported_s=now_s))
+        return record.make_reports(key)
+
     def _is_expired(
         self, now_s: float, record: suspect_record.SuspectRecord
     ) -> bool:
