--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -2,10 +2,8 @@
 
 A node sends the requests for a service to a subset of its endpoints, unless
 those can take none. Requests stay in the node's availability zone unless they
-gain by leaving it; see `zone_balancer`. Within a zone the choice is power
-of two choices, so that callers that have all seen the same load report do not
-overload the same endpoint. Where endpoints differ in speed, the two are drawn
-by speed.
+gain by leaving it; see `zone_balancer`. The choice within a zone is that of
+`power_of_two`.
 """
 
 from collections.abc import Collection
@@ -14,6 +12,7 @@
 import random
 
 from cranberrymux.decisions.endpoints import endpoint_view
+from cranberrymux.decisions.endpoints import power_of_two
 from cranberrymux.decisions.endpoints import service_speed
 from cranberrymux.decisions.endpoints import zone_balancer
 from cranberrymux.decisions.routing import endpoint_subset
@@ -236,42 +235,11 @@
         narrowed = self.zones.narrow(
             service, available, now_s, refusals, stays=stays
         )
-        found = self._choose_cheaper_of_two(narrowed, now_s)
+        found = power_of_two.choose(narrowed, now_s, self._generator)
         if found is None or stays or found.record.zone != self._zone:
             return found
         spilled = self.zones.spill(service, found, available, now_s)
-        return self._choose_cheaper_of_two(spilled, now_s) or found
-
-    def _choose_cheaper_of_two(
-        self, endpoints: list[endpoint_view.EndpointView], now_s: float
-    ) -> endpoint_view.EndpointView | None:
-        if not endpoints:
-            return None
-        if len(endpoints) == 1:
-            return endpoints[0]
-        first, second = self._draw_two(endpoints)
-        if second.cost(now_s) < first.cost(now_s):
-            return second
-        return first
-
-    def _draw_two(
-        self, endpoints: list[endpoint_view.EndpointView]
-    ) -> list[endpoint_view.EndpointView]:
-        """Draws two endpoints, those that are faster more often.
-
-        Drawn evenly, the fastest would get at most twice their even share and
-        the slowest more than they can run where no recent load is known.
-        """
-        if len(endpoints) == 2 or not (
-            endpoints[0].relative_time.is_service_uneven
-        ):
-            return self._generator.sample(endpoints, 2)
-        weights = [endpoint.relative_time.weight for endpoint in endpoints]
-        indexes = range(len(endpoints))
-        (first,) = self._generator.choices(indexes, weights)
-        weights[first] = 0.0
-        (second,) = self._generator.choices(indexes, weights)
-        return [endpoints[first], endpoints[second]]
+        return power_of_two.choose(spilled, now_s, self._generator) or found
 
     def _apply_record(self, record: endpoint_record.EndpointRecord) -> bool:
         """Applies one record; returns True if a rate limit ended with it."""
