Ingress and egress: one reader of contexts, one sender of refusals

Reading the context of a call moves to node/received_context.py, answering a call with a refusal to refusal_answer.send. Behavior does not change; tests/node passes unchanged.

--- a/src/cranberrymux/node/egress.py
+++ b/src/cranberrymux/node/egress.py
@@ -3,10 +3,10 @@
 from cranberrymux.decisions.configuration import policy_decision
 from cranberrymux.decisions.contexts import context_error
 from cranberrymux.decisions.contexts import derivation
-from cranberrymux.decisions.contexts import header_codec
 from cranberrymux.models import refusal
 from cranberrymux.node import entry_context
 from cranberrymux.node import environment
+from cranberrymux.node import received_context
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import routed_call
 from cranberrymux.node import running_call
@@ -34,7 +34,7 @@
             call.head.headers, b"cranberrymux-service"
         )
         if encoded_service is None:
-            self._refuse(
+            refusal_answer.send(
                 call,
                 entry_context.make_bad_request_refusal(
                     "cranberrymux-service is missing"
@@ -44,7 +44,7 @@
         service = encoded_service.decode("latin-1")
         parent = self._find_parent(call, service)
         if isinstance(parent, refusal.Refusal):
-            self._refuse(call, parent)
+            refusal_answer.send(call, parent)
             return
         self._start(call, service, parent)
 
@@ -66,7 +66,7 @@
             idempotent=decision.idempotent,
         )
         if isinstance(context, context_error.ContextError):
-            self._refuse(
+            refusal_answer.send(
                 call, entry_context.make_bad_request_refusal(context.detail)
             )
             return
@@ -89,16 +89,11 @@
     def _find_parent(
         self, call: inbound_call.InboundCall, service: str
     ) -> running_call.RunningCall | refusal.Refusal:
-        encoded_context = headers.find(
-            call.head.headers, b"cranberrymux-context"
-        )
-        if encoded_context is None:
+        context = received_context.read(call.head.headers)
+        if context is None:
             return self._make_root_call(call, service)
-        context = header_codec.decode(encoded_context)
-        if isinstance(context, context_error.ContextError):
-            return entry_context.make_bad_request_refusal(
-                f"cranberrymux-context: {context.detail}"
-            )
+        if isinstance(context, refusal.Refusal):
+            return context
         running = self._node.running.find(context)
         if running is not None:
             return running
@@ -141,9 +136,3 @@
         return self._node.generator.randrange(
             _RANDOM_CHILD_NUMBER_FIRST, _RANDOM_CHILD_NUMBER_END
         )
-
-    def _refuse(
-        self, call: inbound_call.InboundCall, refused: refusal.Refusal
-    ) -> None:
-        encoded = refusal_answer.encode_refusal(refused, "")
-        call.answer(encoded.status, encoded.headers, encoded.body)
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -5,8 +5,6 @@
 import structlog
 
 from cranberrymux.decisions.configuration import policy_decision
-from cranberrymux.decisions.contexts import context_error
-from cranberrymux.decisions.contexts import header_codec
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal as refusal_module
 from cranberrymux.models import refusal_reason
@@ -20,6 +18,7 @@
 from cranberrymux.node import ingress_calls
 from cranberrymux.node import peer_message_handler
 from cranberrymux.node import peer_request
+from cranberrymux.node import received_context
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import rerouting
 from cranberrymux.node import version_gate
@@ -105,7 +104,7 @@
         if is_ready:
             self._handle_peer_call(call)
             return
-        self._refuse(
+        refusal_answer.send(
             call,
             self._build_not_run(
                 _Reason.CONFIGURATION_STALE,
@@ -118,30 +117,26 @@
     def _handle_peer_call(self, call: inbound_call.InboundCall) -> None:
         backend = self._backend
         if backend is None or not self._is_configured:
-            self._refuse(call, self._build_not_started())
+            refusal_answer.send(call, self._build_not_started())
             return
         if not self._is_for_this_endpoint(call.head.headers, backend):
             detail = f"the call is not for {self._node.settings.node_id}"
-            self._refuse(call, self._build_not_run(_Reason.NOT_STARTED, detail))
-            return
-        value = headers.find(call.head.headers, b"cranberrymux-context")
-        if value is None:
-            self._refuse(
-                call,
-                entry_context.make_bad_request_refusal(
-                    "cranberrymux-context is missing"
-                ),
+            refusal_answer.send(
+                call, self._build_not_run(_Reason.NOT_STARTED, detail)
             )
             return
-        context = header_codec.decode(value)
-        if isinstance(context, context_error.ContextError):
-            detail = f"cranberrymux-context: {context.detail}"
-            self._refuse(call, entry_context.make_bad_request_refusal(detail))
+        context = received_context.read(call.head.headers)
+        if context is None:
+            context = entry_context.make_bad_request_refusal(
+                "cranberrymux-context is missing"
+            )
+        if isinstance(context, refusal_module.Refusal):
+            refusal_answer.send(call, context)
             return
         decision = self._decide(call, backend, context.principal)
         refused = eligibility_check.check(self._node, decision)
         if refused is not None:
-            self._refuse(call, refused, context.request_id)
+            refusal_answer.send(call, refused, context.request_id)
             return
         self._start(call, context, decision, backend)
 
@@ -150,13 +145,13 @@
     def _handle_client_request(self, call: inbound_call.InboundCall) -> None:
         backend = self._backend
         if backend is None or not self._is_configured:
-            self._refuse(call, self._build_not_started())
+            refusal_answer.send(call, self._build_not_started())
             return
         principal = entry_context.read_principal(call.head.headers)
         decision = self._decide(call, backend, principal)
         context = self._make_entry_context(call, decision)
         if isinstance(context, refusal_module.Refusal):
-            self._refuse(call, context)
+            refusal_answer.send(call, context)
             return
         earlier = self._node.ingress_calls.find(context)
         if earlier is not None:
@@ -173,7 +168,7 @@
             self._start(call, context, decision, backend)
             return
         if refused is not None and refused.reason is not _Reason.NO_PLACE:
-            self._refuse(call, refused, context.request_id)
+            refusal_answer.send(call, refused, context.request_id)
             return
         rerouting.route_elsewhere(
             self._node, call, backend.service, context, decision
@@ -220,7 +215,7 @@
         if earlier.is_same_request(call, context):
             earlier.join(call)
             return
-        self._refuse(
+        refusal_answer.send(
             call,
             refusal_module.Refusal(
                 answer_kind.AnswerKind.NOT_RUN,
@@ -249,7 +244,7 @@
     def _refuse_wrong_key(self, call: inbound_call.InboundCall) -> None:
         self._wrong_key_count += 1
         _log.warning(event.Event.WRONG_CLUSTER_KEY, count=self._wrong_key_count)
-        self._refuse(
+        refusal_answer.send(
             call,
             entry_context.make_bad_request_refusal(
                 "cranberrymux-key is not valid"
@@ -286,15 +281,6 @@
             self._node.draw_retry_after_ms(),
         )
 
-    def _refuse(
-        self,
-        call: inbound_call.InboundCall,
-        refusal: refusal_module.Refusal,
-        request_id: str = "",
-    ) -> None:
-        encoded = refusal_answer.encode_refusal(refusal, request_id)
-        call.answer(encoded.status, encoded.headers, encoded.body)
-
 
 def _read_version(head_headers: headers.HeaderList) -> int:
     value = headers.find(head_headers, b"cranberrymux-configuration")
--- a/src/cranberrymux/node/peer_message_handler.py
+++ b/src/cranberrymux/node/peer_message_handler.py
@@ -55,5 +55,4 @@
 
     def _refuse(self, call: inbound_call.InboundCall, detail: str) -> None:
         refusal = entry_context.make_bad_request_refusal(detail)
-        encoded = refusal_answer.encode_refusal(refusal, "")
-        call.answer(encoded.status, encoded.headers, encoded.body)
+        refusal_answer.send(call, refusal)
--- a/src/cranberrymux/node/refusal_answer.py
+++ b/src/cranberrymux/node/refusal_answer.py
@@ -8,6 +8,7 @@
 from cranberrymux.models import refusal as refusal_module
 from cranberrymux.models import refusal_reason
 from cranberrymux.node.http import headers
+from cranberrymux.node.http import inbound_call
 
 _Reason = refusal_reason.RefusalReason
 _DEFAULT_STATUS = 503
@@ -87,3 +88,19 @@
         )
     status = _STATUSES_BY_REASON.get(refusal.reason, _DEFAULT_STATUS)
     return EncodedRefusal(status, answer_headers, json.dumps(body).encode())
+
+
+def send(
+    call: inbound_call.InboundCall,
+    refusal: refusal_module.Refusal,
+    request_id: str = "",
+) -> None:
+    """Answers a call with a refusal.
+
+    Args:
+        call: The call.
+        refusal: The refusal; its reason determines the status.
+        request_id: Id of the whole request; empty if unknown.
+    """
+    encoded = encode_refusal(refusal, request_id)
+    call.answer(encoded.status, encoded.headers, encoded.body)
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -328,10 +328,7 @@
             refused.kind,
             refused.reason,
         )
-        encoded = refusal_answer.encode_refusal(
-            refused, self._context.request_id
-        )
-        self._call.answer(encoded.status, encoded.headers, encoded.body)
+        refusal_answer.send(self._call, refused, self._context.request_id)
 
     def _cancelled(self) -> None:
         self._cancel_attempt(outcome.Outcome.CANCELLED)
