Node: build refusals that may be retried in one place

Four modules built the refusal of a call that did not run, two that of a call whose deadline had passed. Both are methods of Environment now.

--- a/src/cranberrymux/node/eligibility_check.py
+++ b/src/cranberrymux/node/eligibility_check.py
@@ -2,7 +2,6 @@
 
 from cranberrymux.decisions.configuration import policy_decision
 from cranberrymux.decisions.selectors import selector_labels
-from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
 from cranberrymux.node import environment
@@ -23,8 +22,7 @@
         The refusal of a call that may not run here; None if it may.
     """
     if decision.strict and node.policy.is_stale(node.clock.now_s()):
-        return _refuse(
-            node,
+        return node.make_not_run(
             _Reason.CONFIGURATION_STALE,
             "no control instance confirms that the configuration is current",
         )
@@ -35,16 +33,7 @@
     for place in decision.places:
         mismatch = place.explain(labels)
         if mismatch is not None:
-            return _refuse(node, _Reason.NO_PLACE, f"this endpoint: {mismatch}")
+            return node.make_not_run(
+                _Reason.NO_PLACE, f"this endpoint: {mismatch}"
+            )
     return None
-
-
-def _refuse(
-    node: environment.Environment, reason: _Reason, detail: str
-) -> refusal.Refusal:
-    return refusal.Refusal(
-        answer_kind.AnswerKind.NOT_RUN,
-        reason,
-        detail,
-        node.draw_retry_after_ms(),
-    )
--- a/src/cranberrymux/node/environment.py
+++ b/src/cranberrymux/node/environment.py
@@ -10,6 +10,9 @@
 from cranberrymux.decisions.retries import entry_grants
 from cranberrymux.decisions.retries import retry_settings as retries
 from cranberrymux.decisions.routing import router as router_module
+from cranberrymux.models import answer_kind
+from cranberrymux.models import refusal
+from cranberrymux.models import refusal_reason
 from cranberrymux.node import admission_task
 from cranberrymux.node import claim_task
 from cranberrymux.node import clock as clock_module
@@ -123,6 +126,39 @@
     metrics: metrics_sink.MetricsSink
     cluster_key: bytes
 
+    def make_not_run(
+        self, reason: refusal_reason.RefusalReason, detail: str
+    ) -> refusal.Refusal:
+        """Returns the refusal of a call that did not run and may be retried.
+
+        Args:
+            reason: Why it did not run.
+            detail: One-line description for people.
+        """
+        return refusal.Refusal(
+            answer_kind.AnswerKind.NOT_RUN,
+            reason,
+            detail,
+            self.draw_retry_after_ms(),
+        )
+
+    def make_expired(self, *, may_have_run: bool) -> refusal.Refusal:
+        """Returns the refusal of a call whose deadline has passed.
+
+        Args:
+            may_have_run: True if any byte of it may have reached a backend
+                server.
+        """
+        kind = answer_kind.AnswerKind.NOT_RUN
+        if may_have_run:
+            kind = answer_kind.AnswerKind.UNKNOWN
+        return refusal.Refusal(
+            kind,
+            refusal_reason.RefusalReason.DEADLINE_EXPIRED,
+            "the deadline passed before the answer was complete",
+            self.draw_retry_after_ms(),
+        )
+
     def draw_retry_after_ms(self) -> int:
         """Returns the time in milliseconds after which to retry.
 
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -106,7 +106,7 @@
             return
         refusal_answer.send(
             call,
-            self._build_not_run(
+            self._node.make_not_run(
                 _Reason.CONFIGURATION_STALE,
                 "this node does not have the newer configuration of the caller",
             ),
@@ -122,7 +122,7 @@
         if not self._is_for_this_endpoint(call.head.headers, backend):
             detail = f"the call is not for {self._node.settings.node_id}"
             refusal_answer.send(
-                call, self._build_not_run(_Reason.NOT_STARTED, detail)
+                call, self._node.make_not_run(_Reason.NOT_STARTED, detail)
             )
             return
         context = received_context.read(call.head.headers)
@@ -269,17 +269,7 @@
             detail = "no backend server has announced itself at this node"
         else:
             detail = "no control instance has confirmed a configuration yet"
-        return self._build_not_run(_Reason.NOT_STARTED, detail)
-
-    def _build_not_run(
-        self, reason: _Reason, detail: str
-    ) -> refusal_module.Refusal:
-        return refusal_module.Refusal(
-            answer_kind.AnswerKind.NOT_RUN,
-            reason,
-            detail,
-            self._node.draw_retry_after_ms(),
-        )
+        return self._node.make_not_run(_Reason.NOT_STARTED, detail)
 
 
 def _read_version(head_headers: headers.HeaderList) -> int:
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -282,13 +282,7 @@
             self._answers.abort()
             return
         self._answers.refuse(
-            refusal_module.Refusal(
-                _Kind.UNKNOWN if was_handed_over else _Kind.NOT_RUN,
-                _Reason.DEADLINE_EXPIRED,
-                "the deadline passed before the answer was complete",
-                self._node.draw_retry_after_ms(),
-            ),
-            unspent,
+            self._node.make_expired(may_have_run=was_handed_over), unspent
         )
 
     def _cancel_attempt(self) -> bool:
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -346,14 +346,7 @@
             self._end()
             self._call.abort()
             return
-        self._refuse(
-            refusal.Refusal(
-                _Kind.UNKNOWN if was_handed_over else _Kind.NOT_RUN,
-                _Reason.DEADLINE_EXPIRED,
-                "the deadline passed before the answer was complete",
-                self._node.draw_retry_after_ms(),
-            )
-        )
+        self._refuse(self._node.make_expired(may_have_run=was_handed_over))
 
     def _cancel_attempt(self, ended: outcome.Outcome) -> None:
         if self._attempt is not None:
