Node and gateway: one way to tell started siblings of suspects

Behavior does not change; tests/node and the gateway's tests of siblings and suspects pass unchanged.

--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -26,6 +26,7 @@
 from cranberrymux.models import endpoint_record
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import directory_task
+from cranberrymux.node import suspect_sharing
 from cranberrymux.node.http import call_handler
 
 CHECK_INTERVAL_S = 0.1
@@ -202,7 +203,14 @@
         self, records: Sequence[endpoint_record.EndpointRecord]
     ) -> None:
         """Updates the endpoints; their number divides the repeat budget."""
-        self._share_suspects(records)
+        own = [
+            record
+            for record in records
+            if record.service == self._settings.service
+        ]
+        suspect_sharing.update_siblings(
+            self._parts.siblings, self._parts.quarantine, own
+        )
         root_admission = self._parts.entry_admission.root_admission
         for service in self._parts.endpoints.update(records):
             root_admission.reset_service_share(service)
@@ -245,22 +253,6 @@
         """Connects to control instances, given as `ip:port`, that are new."""
         self._control_connections.add_addresses(addresses, self._clock.now_s())
 
-    def _share_suspects(
-        self, records: Sequence[endpoint_record.EndpointRecord]
-    ) -> None:
-        """Tells siblings that have started which requests are suspects."""
-        own = [
-            record
-            for record in records
-            if record.service == self._settings.service
-        ]
-        started = self._parts.siblings.update(own)
-        if not started:
-            return
-        for message in self._parts.quarantine.encode_latest():
-            for sibling in started:
-                self._parts.siblings.send(sibling, message)
-
     def _backend_found(
         self,
         found: announcement_module.Announcement,
--- a/src/cranberrymux/node/node.py
+++ b/src/cranberrymux/node/node.py
@@ -11,6 +11,7 @@
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import directory_task
 from cranberrymux.node import egress
+from cranberrymux.node import endpoint_updates
 from cranberrymux.node import environment_builder
 from cranberrymux.node import ingress
 from cranberrymux.node import lifecycle
@@ -168,24 +169,9 @@
         self, records: Sequence[endpoint_record.EndpointRecord]
     ) -> None:
         """Passes changed endpoints to the router and to the siblings."""
-        now_s = self._clock.now_s()
-        by_service: dict[str, list[endpoint_record.EndpointRecord]] = {}
-        for record in records:
-            by_service.setdefault(record.service, []).append(record)
         backend = self.ingress.backend
-        for service, changed in by_service.items():
-            self._env.router.update_endpoints(now_s, service, changed)
-            if backend is not None and service == backend.service:
-                self._send_suspects(self._siblings.update(changed))
-
-    def _send_suspects(
-        self, started: Sequence[endpoint_record.EndpointRecord]
-    ) -> None:
-        """Sends the suspects known here to siblings that have just started."""
-        messages = self._env.quarantine.encode_latest()
-        for sibling in started:
-            for message in messages:
-                self._siblings.send(sibling, message)
+        own_service = None if backend is None else backend.service
+        endpoint_updates.apply(self._env, self._siblings, own_service, records)
 
     def suspects_changed(self, rows: Sequence[Any]) -> None:
         """Passes what the control instances know of suspects on."""
