One module sends a request once and reads its answer

node/outbound_attempt.py and gateway/attempt.py each took a connection, sent a request with a body that may still be arriving, held short answers, streamed long ones and reported the loss. gateway/attempt.py moves to node/attempt.py, which both use; outbound_attempt.py keeps what differs between nodes without routes: 1xx answers are passed on, and an answer whose length says that it is too long to be held is passed on at once.

A request between nodes without routes is now encoded when its connection is there, as in the gateway, not before. A long body that became complete while the connection was being opened used to be left out.

tests/node, tests/gateway and tests/golden pass; in test_long_answers.py the import follows the module.

--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -4,7 +4,6 @@
 from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import answer_judge
-from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import attempts as attempts_module
 from cranberrymux.gateway import entry_answer
 from cranberrymux.gateway import entry_quota
@@ -18,6 +17,7 @@
 from cranberrymux.gateway import request_log
 from cranberrymux.gateway import suspicion
 from cranberrymux.models import socket_address
+from cranberrymux.node import attempt as attempt_module
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -1,7 +1,6 @@
 """A request to the backend server beside this node."""
 
 from cranberrymux.decisions.endpoints import run_outcome
-from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import backend_verdict
 from cranberrymux.gateway import exit_answers
 from cranberrymux.gateway import exit_owner
@@ -12,6 +11,7 @@
 from cranberrymux.gateway import relay
 from cranberrymux.models import backend_process
 from cranberrymux.models import socket_address
+from cranberrymux.node import attempt as attempt_module
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
--- a/src/cranberrymux/gateway/outgoing_request.py
+++ b/src/cranberrymux/gateway/outgoing_request.py
@@ -22,13 +22,6 @@
     headers: headers_module.HeaderList
     call: inbound_call.InboundCall
 
-    @property
-    def is_chunked(self) -> bool:
-        """True if the body is still arriving and is sent in chunks."""
-        mode = self.call.head.mode
-        is_whole = self.call.is_body_complete
-        return not is_whole and mode is body_mode.BodyMode.CHUNKED
-
     def encode(self) -> bytes:
         """Encodes the head, and the body if all of it has been read."""
         header_lines = headers_module.encode(self.headers)
--- a/src/cranberrymux/gateway/relay.py
+++ b/src/cranberrymux/gateway/relay.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from cranberrymux.gateway import attempt as attempt_module
+from cranberrymux.node import attempt as attempt_module
 
 
 class Relay:
--- a/src/cranberrymux/gateway/attempt.py
+++ b/src/cranberrymux/node/attempt.py
@@ -2,13 +2,13 @@
 
 from typing import Protocol
 
-from cranberrymux.gateway import outgoing_request
 from cranberrymux.models import socket_address
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import client_connection
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import headers as headers_module
+from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import request_identity
 
@@ -17,6 +17,17 @@
 HELD_ANSWER_BYTES = 262_144
 
 
+class ForwardedRequest(Protocol):
+    """A request as it is sent on."""
+
+    @property
+    def call(self) -> inbound_call.InboundCall:
+        """The received request, from which the body comes."""
+
+    def encode(self) -> bytes:
+        """Encodes the head, and the body if all of it has been read."""
+
+
 class AttemptOwner(Protocol):
     """Receives the outcome of an attempt.
 
@@ -31,7 +42,7 @@
     def attempt_answered(
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
-        """Receives a whole answer of at most `HELD_ANSWER_BYTES`."""
+        """Receives a whole answer that was short enough to be held."""
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead, body: bytes
@@ -55,9 +66,10 @@
         self,
         pool: connection_pool.ConnectionPool,
         address: socket_address.SocketAddress,
-        request: outgoing_request.OutgoingRequest,
+        request: ForwardedRequest,
         owner: AttemptOwner,
         identity: request_identity.RequestIdentity,
+        maximum_held_bytes: int = HELD_ANSWER_BYTES,
     ) -> None:
         """Prepares the attempt; `start` sends the request.
 
@@ -68,12 +80,15 @@
             owner: Receives the outcome.
             identity: Id of the request. An answer with another id is not its
                 answer.
+            maximum_held_bytes: Longest body of an answer that is read whole
+                before a byte is passed on.
         """
         self._pool = pool
         self._address = address
         self._request = request
         self._owner: AttemptOwner | None = owner
         self._identity = identity
+        self._maximum_held_bytes = maximum_held_bytes
         self._lease: connection_pool.Lease | None = None
         self._connection: client_connection.ClientConnection | None = None
         self._head: answer_head.AnswerHead | None = None
@@ -81,6 +96,11 @@
         self._held_bytes = 0
         self._is_streaming = False
 
+    @property
+    def is_handed_over(self) -> bool:
+        """True if bytes of the request may have reached the receiver."""
+        return self._connection is not None
+
     def start(self) -> None:
         """Takes a connection from the pool and sends the request on it."""
         self._lease = self._pool.take(
@@ -118,14 +138,14 @@
             return
         self._connection = connection
         owner.attempt_sent()
-        request = self._request
-        is_head = request.method == b"HEAD"
-        is_whole = request.call.is_body_complete
+        call = self._request.call
+        is_head = call.head.method == b"HEAD"
+        is_whole = call.is_body_complete
         connection.send_request(
-            request.encode(), is_whole, is_head, self, self._identity
+            self._request.encode(), is_whole, is_head, self, self._identity
         )
         if not is_whole:
-            request.call.stream_body_to(self)
+            call.stream_body_to(self)
 
     def _handle_connect_failed(self, loss: lost_answer.LostAnswer) -> None:
         self._report_loss(loss)
@@ -136,7 +156,7 @@
         """Sends the next bytes of the body, as a chunk if it is chunked."""
         if self._connection is None or not part:
             return
-        if self._request.is_chunked:
+        if self._request.call.head.mode is body_mode.BodyMode.CHUNKED:
             part = b"%x\r\n%b\r\n" % (len(part), part)
         self._connection.send_body(part)
 
@@ -144,7 +164,6 @@
         """Sends the end of the body."""
         if self._connection is None:
             return
-        # `is_chunked` is False for a complete call, so the head is asked.
         if self._request.call.head.mode is body_mode.BodyMode.CHUNKED:
             self._connection.send_body(b"0\r\n\r\n")
         self._connection.end_body()
@@ -173,7 +192,7 @@
             return
         self._parts.append(part)
         self._held_bytes += len(part)
-        if self._held_bytes > HELD_ANSWER_BYTES:
+        if self._held_bytes > self._maximum_held_bytes:
             self._start_streaming()
 
     def answer_complete(self) -> None:
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -19,7 +19,6 @@
 from cranberrymux.node import running_call
 from cranberrymux.node import slot
 from cranberrymux.node.http import answer_head
-from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import request_identity
@@ -33,8 +32,7 @@
 class IngressCall:
     """Admits a call, hands it to the backend server and returns the answer.
 
-    Implements `outbound_attempt.AttemptListener` and
-    `ingress_calls.OpenCall`.
+    Implements `attempt.AttemptOwner` and `ingress_calls.OpenCall`.
     """
 
     def __init__(
@@ -118,7 +116,10 @@
         """Adds a resend, which gets the same answer."""
         self._answers.join(call)
 
-    # Callbacks of the attempt at the backend server.
+    # Implementation of `attempt.AttemptOwner`: answer of the backend server.
+
+    def attempt_sent(self) -> None:
+        """Does nothing, as the call counts as running from its hand-over."""
 
     def attempt_answered(
         self, head: answer_head.AnswerHead, body: bytes
@@ -132,13 +133,22 @@
         self._answers.forward(head, body, unspent, has_failed_child)
 
     def attempt_streaming(
-        self, head: answer_head.AnswerHead
-    ) -> headers.HeaderList:
-        """Returns the headers of a long answer, streamed to one caller."""
+        self, head: answer_head.AnswerHead, body: bytes
+    ) -> None:
+        """Sends the head and the first bytes of a long answer to one caller."""
+        assert self._attempt is not None
         self._streamed_head = head
-        return self._answers.start_streaming(head)
+        self._call.on_send_buffer_full = self._attempt.pause
+        self._call.on_send_buffer_drained = self._attempt.resume
+        annotated = self._answers.start_streaming(head)
+        self._call.start_answer(head._replace(headers=annotated))
+        self._call.send_body(body)
 
-    def attempt_streamed(self) -> None:
+    def attempt_part(self, part: bytes) -> None:
+        """Sends the next bytes of a long answer."""
+        self._call.send_body(part)
+
+    def attempt_ended(self) -> None:
         """Ends a streamed answer."""
         assert self._streamed_head is not None
         if self._claimed is not None:
@@ -225,7 +235,7 @@
             self._fingerprint,
             self._isolation is not isolation_module.Isolation.CLEAR,
         )
-        request = request_encoding.encode_request(
+        request = request_encoding.ForwardedCall(
             self._call, backend_context, self._backend.address, None
         )
         identity = request_identity.RequestIdentity(
@@ -234,13 +244,14 @@
             is_required=False,
         )
         self._attempt = outbound_attempt.OutboundAttempt(
-            self._call,
+            self._node.pool,
+            self._backend.address,
             request,
-            self._node.settings.buffered_body_bytes,
             self,
             identity,
+            self._node.settings.buffered_body_bytes,
         )
-        self._attempt.start(self._node.pool, self._backend.address)
+        self._attempt.start()
 
     def _release_claim(self) -> None:
         if self._claimed is not None:
--- a/src/cranberrymux/node/request_encoding.py
+++ b/src/cranberrymux/node/request_encoding.py
@@ -60,23 +60,32 @@
     correlation_id: bytes
 
 
-def encode_request(
-    call: inbound_call.InboundCall,
-    context: request_context.RequestContext,
-    address: socket_address.SocketAddress,
-    peer_headers: PeerHeaders | None,
-) -> bytes:
-    """Encodes a call for its next receiver.
+class ForwardedCall(NamedTuple):
+    """A call for its next receiver; its body may still be arriving.
 
-    Args:
+    Attributes:
         call: The call as it was received.
         context: Context for the receiver.
         address: Address of the receiver; used if the call has no `Host`.
         peer_headers: Headers for another node; None towards a backend server.
-
-    Returns:
-        The head, and the body if it has been received completely.
     """
+
+    call: inbound_call.InboundCall
+    context: request_context.RequestContext
+    address: socket_address.SocketAddress
+    peer_headers: PeerHeaders | None
+
+    def encode(self) -> bytes:
+        """Encodes the head, and the body if all of it has been read."""
+        return _encode(*self)
+
+
+def _encode(
+    call: inbound_call.InboundCall,
+    context: request_context.RequestContext,
+    address: socket_address.SocketAddress,
+    peer_headers: PeerHeaders | None,
+) -> bytes:
     head = call.head
     encoded_parts = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
     if peer_headers is not None:
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -29,7 +29,6 @@
 from cranberrymux.node import vouch_request
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import correlation
-from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
 from cranberrymux.telemetry import metric
@@ -41,8 +40,7 @@
 class RoutedCall:
     """Routes a call to an endpoint and retries it where that is safe.
 
-    Implements `outbound_attempt.AttemptListener` and
-    `running_call.ChildCall`.
+    Implements `attempt.AttemptOwner` and `running_call.ChildCall`.
     """
 
     def __init__(
@@ -105,8 +103,10 @@
         self._cancelled()
         self._call.abort()
 
-    # Implementation of `outbound_attempt.AttemptListener`: answer of the
-    # endpoint.
+    # Implementation of `attempt.AttemptOwner`: answer of the endpoint.
+
+    def attempt_sent(self) -> None:
+        """Does nothing; `endpoint_use` counts from the start of the attempt."""
 
     def attempt_answered(
         self, head: answer_head.AnswerHead, body: bytes
@@ -128,13 +128,22 @@
         self._call.answer(head.status, answer_headers, body)
 
     def attempt_streaming(
-        self, head: answer_head.AnswerHead
-    ) -> headers.HeaderList:
-        """Returns the headers with which a long answer is forwarded."""
+        self, head: answer_head.AnswerHead, body: bytes
+    ) -> None:
+        """Forwards the head and the first bytes of a long answer."""
+        assert self._attempt is not None
         self._streamed_head = head
-        return routed_answers.forwarded_headers(head)
+        self._call.on_send_buffer_full = self._attempt.pause
+        self._call.on_send_buffer_drained = self._attempt.resume
+        forwarded = routed_answers.forwarded_headers(head)
+        self._call.start_answer(head._replace(headers=forwarded))
+        self._call.send_body(body)
+
+    def attempt_part(self, part: bytes) -> None:
+        """Forwards the next bytes of a long answer."""
+        self._call.send_body(part)
 
-    def attempt_streamed(self) -> None:
+    def attempt_ended(self) -> None:
         """Ends a long answer that was forwarded completely."""
         assert self._streamed_head is not None
         self._process_answer(self._streamed_head)
@@ -264,7 +273,7 @@
         )
         address = socket_address.SocketAddress(chosen.address, chosen.port)
         identity = correlation.make_identity()
-        request = request_encoding.encode_request(
+        request = request_encoding.ForwardedCall(
             self._call,
             self._context,
             address,
@@ -277,13 +286,14 @@
             ),
         )
         self._attempt = outbound_attempt.OutboundAttempt(
-            self._call,
+            self._node.pool,
+            address,
             request,
-            self._node.settings.buffered_body_bytes,
             self,
             identity,
+            self._node.settings.buffered_body_bytes,
         )
-        self._attempt.start(self._node.pool, address)
+        self._attempt.start()
 
     def _process_answer(
         self, head: answer_head.AnswerHead
--- a/tests/gateway/test_long_answers.py
+++ b/tests/gateway/test_long_answers.py
@@ -7,8 +7,8 @@
 import pytest
 
 from cranberrymux.decisions.routes import route
-from cranberrymux.gateway import attempt
 from cranberrymux.gateway import ports
+from cranberrymux.node import attempt
 from cranberrymux.node.http import client_connection
 from tests.fakes import raw_backend
 from tests.gateway import mesh as mesh_module
