Hop port: make verdicts, account keys and counts of requests once

An answer of the backend server made a new verdict each time, of which there are five, and derived from it what never differs. The account of a tree was made twice for each request, and the requests at work were counted again for each check of a stall. Signals of the backend server were looked for by a generator, and empty tables searched for trials and for the work of calls.

--- a/src/cranberrymux/gateway/backend_signals.py
+++ b/src/cranberrymux/gateway/backend_signals.py
@@ -49,8 +49,11 @@
         dialect: Names of the headers.
     """
     first = headers_module.index(head.headers)
-    names = (dialect.rate_limit, dialect.leaving, dialect.load)
-    if not any(name in first for name in names):
+    if (
+        dialect.rate_limit not in first
+        and dialect.leaving not in first
+        and dialect.load not in first
+    ):
         return NO_SIGNALS
     limits = headers_module.find_all(head.headers, dialect.rate_limit)
     leavings = headers_module.find_all(head.headers, dialect.leaving)
--- a/src/cranberrymux/gateway/backend_verdict.py
+++ b/src/cranberrymux/gateway/backend_verdict.py
@@ -1,7 +1,5 @@
 """What the head of a backend server's answer says of the request."""
 
-from typing import NamedTuple
-
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.gateway import dialect as dialect_module
 from cranberrymux.gateway import hop
@@ -14,39 +12,44 @@
 _MISDIRECTED_STATUS = 421
 
 
-class BackendVerdict(NamedTuple):
+class BackendVerdict:
     """Whether an answer may be passed on, and how the request ended.
 
     Attributes:
-        status: Status of the answer.
         refusal: Why the request was not run, one of the reasons of
             `hop.NOT_RUN`; empty if it was run.
         defect: Why the answer of a request that was run may not be passed on;
             empty if it may be.
         is_failure: True if the request was run and failed.
+        is_passed_on: True if the answer may be passed on.
+        is_clean: True if it may be passed on and is no failure.
+        is_from_backend: True if it is certain that the expected backend server
+            answered.
+        outcome: How the run ended.
     """
 
-    status: int
-    refusal: bytes = b""
-    defect: str = ""
-    is_failure: bool = False
-
-    @property
-    def is_passed_on(self) -> bool:
-        """True if the answer may be passed on."""
-        return not self.refusal and not self.defect
+    def __init__(
+        self, refusal: bytes = b"", defect: str = "", is_failure: bool = False
+    ) -> None:
+        """Derives what follows from the reasons."""
+        self.refusal = refusal
+        self.defect = defect
+        self.is_failure = is_failure
+        self.is_passed_on = not refusal and not defect
+        self.is_clean = self.is_passed_on and not is_failure
+        self.is_from_backend = not defect and refusal != hop.MISDIRECTED
+        self.outcome = _RunOutcome.FAILED if is_failure else _RunOutcome.SERVED
+        if refusal:
+            self.outcome = _RunOutcome.UNANSWERED
 
-    @property
-    def is_from_backend(self) -> bool:
-        """True if it is certain that the expected backend server answered."""
-        return not self.defect and self.refusal != hop.MISDIRECTED
 
-    @property
-    def outcome(self) -> run_outcome.RunOutcome:
-        """How the run ended."""
-        if self.refusal:
-            return _RunOutcome.UNANSWERED
-        return _RunOutcome.FAILED if self.is_failure else _RunOutcome.SERVED
+_SERVED = BackendVerdict()
+_FAILED = BackendVerdict(is_failure=True)
+_FULL = BackendVerdict(hop.BACKEND_FULL)
+_MISDIRECTED = BackendVerdict(hop.MISDIRECTED)
+_UNPROVEN = BackendVerdict(
+    defect="successful answer without valid proof of the backend server"
+)
 
 
 def judge(
@@ -60,17 +63,12 @@
     """
     status = head.status
     if status == _MISDIRECTED_STATUS:
-        return BackendVerdict(status, refusal=hop.MISDIRECTED)
+        return _MISDIRECTED
     first = headers_module.index(head.headers)
     if dialect.not_run in first:
-        return BackendVerdict(status, refusal=hop.BACKEND_FULL)
+        return _FULL
     is_proven = dialect.proof in first and _CONTENT_CODING not in first
     if 200 <= status < 300 and not is_proven:
-        return BackendVerdict(
-            status,
-            defect="successful answer without valid proof of the backend "
-            "server",
-        )
-    return BackendVerdict(
-        status, is_failure=status >= hop_answer.MINIMUM_SERVER_ERROR_STATUS
-    )
+        return _UNPROVEN
+    is_failure = status >= hop_answer.MINIMUM_SERVER_ERROR_STATUS
+    return _FAILED if is_failure else _SERVED
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -15,7 +15,6 @@
 from cranberrymux.models import whole_number
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
-from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import request_identity
@@ -41,7 +40,9 @@
 
     Attributes:
         ticket_id: Number of the request, unique at this node.
+        headers: Headers of the request, with those between nodes.
         ticket: What it asks of the slots.
+        rank: Order of starting; lower ranks start first.
         tree_context: What the node where its tree began says of the tree.
         start_by_s: Monotonic seconds after which a start is of no use.
         deadline_s: Monotonic seconds at which its caller gives up.
@@ -74,16 +75,17 @@
         self._owner = owner
         self._pool = pool
         self._call = call
-        headers = call.head.headers
+        headers = self.headers = call.head.headers
         name = parts.settings.dialect.deadline_ms
         left_s = (whole_number.decode(headers.first.get(name)) or 0) / 1000
         self.ticket_id = ticket_id
         self.start_by_s = now_s + MAXIMUM_WAIT_RATIO * left_s
         self.deadline_s = now_s + left_s
         self.tree_context = hop.decode_tree_context(headers)
+        self.rank = self.tree_context.rank
         self.ticket = slot_ticket.Ticket(
             ticket_id,
-            self.tree_context.rank,
+            self.rank,
             self.start_by_s,
             self.deadline_s,
             self.tree_context.account,
@@ -99,20 +101,11 @@
         self._sent_s = 0.0
         self._has_outcome = False
         self._streamed: backend_verdict.BackendVerdict | None = None
+        self._streamed_status = 0
         call.on_cancel = self._handle_cancelled
         call.on_send_buffer_full = self._pause_answer
         call.on_send_buffer_drained = self._resume_answer
 
-    @property
-    def rank(self) -> float:
-        """Order of starting; lower ranks start first."""
-        return self.tree_context.rank
-
-    @property
-    def headers(self) -> headers_module.Headers:
-        """Headers of the request, with those between nodes."""
-        return self._call.head.headers
-
     def begin(
         self,
         address: socket_address.SocketAddress,
@@ -130,10 +123,10 @@
         self._answers.backend_id = process.backend_id
         self._address = address
         dialect = self._parts.settings.dialect
-        left_s = self.deadline_s - now_s
+        left_s = max(self.deadline_s - now_s, 0.0)
         head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
-        left_ms = max(hop.shorten_deadline_ms(left_s), 1)
+        left_ms = hop.shorten_deadline_ms(left_s) or 1
         headers = [
             *hop.get_forwardable(head.headers, replaced),
             (dialect.deadline_ms, b"%d" % left_ms),
@@ -152,7 +145,7 @@
             ),
         )
         self._timer = self._parts.reactor.callLater(
-            max(left_s, 0) + CANCELLATION_GRACE_S, self._handle_timeout
+            left_s + CANCELLATION_GRACE_S, self._handle_timeout
         )
         self._attempt.start()
 
@@ -187,14 +180,12 @@
         """Ends the request with a whole answer, or without one."""
         self._cancel_timer()
         now_s = self._parts.clock.now_s()
-        is_passed_on = verdict.is_passed_on
-        is_clean = is_passed_on and not verdict.is_failure
-        self._owner.suspects.run_ended(self, is_clean=is_clean)
+        self._owner.suspects.run_ended(self, is_clean=verdict.is_clean)
         is_failed_by_call = False
         if not verdict.refusal:
             is_failed_by_call = self._note_outcome(verdict.is_failure, now_s)
         report = self._owner.call_finished(self, verdict.outcome, now_s)
-        if not is_passed_on:
+        if not verdict.is_passed_on:
             self._withhold(verdict)
             return
         self._answers.forward(
@@ -214,6 +205,7 @@
             self._end(verdict, head, body)
             return
         self._streamed = verdict
+        self._streamed_status = head.status
         is_failed_by_call = verdict.is_failure and self._note_outcome(
             True, self._parts.clock.now_s()
         )
@@ -229,12 +221,12 @@
         """Ends a long answer that is complete."""
         assert self._streamed is not None
         self._cancel_timer()
-        is_clean = not self._streamed.is_failure
+        is_clean = self._streamed.is_clean
         self._owner.suspects.run_ended(self, is_clean=is_clean)
         now_s = self._parts.clock.now_s()
         self._note_outcome(self._streamed.is_failure, now_s)
         self._owner.call_finished(self, self._streamed.outcome, now_s)
-        self._answers.count_status(self._streamed.status)
+        self._answers.count_status(self._streamed_status)
         self._call.finish()
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -1,6 +1,7 @@
 """Share of the offered work that the backend server can take, with its log."""
 
 from collections.abc import Callable
+import functools
 import math
 from typing import Any
 
@@ -14,6 +15,7 @@
 
 PRESSURE_LOG_INTERVAL_S = 1.0  # Minimum time between two "pressure" lines.
 MAXIMUM_LOGGED = 10  # Accounts in one "accounts-held-back" line.
+_KEPT_KEYS = 256  # Results kept by `_make_key`.
 
 
 class ExitPressure:
@@ -53,7 +55,9 @@
         self._meter.note_arrival(
             route,
             tree_context.share,
-            _make_key(tree_context),
+            _make_key(
+                tree_context.rank, tree_context.account, tree_context.root_route
+            ),
             tree_context.offered,
         )
 
@@ -91,7 +95,11 @@
             tree_context: Context of the request.
             hold_s: Seconds for which it held a slot; 0.0 if it did not run.
         """
-        account_share = self._meter.get_account_share(_make_key(tree_context))
+        account_share = self._meter.get_account_share(
+            _make_key(
+                tree_context.rank, tree_context.account, tree_context.root_route
+            )
+        )
         own = work_report.ServiceWork(hold_s, self._meter.share, account_share)
         return {self._parts.settings.service: own}
 
@@ -122,10 +130,9 @@
             )
 
 
-def _make_key(tree_context: hop.TreeContext) -> fair_shares.AccountKey:
+@functools.lru_cache(_KEPT_KEYS)
+def _make_key(
+    rank: float, account: str, root_route: str
+) -> fair_shares.AccountKey:
     """Returns the account of a tree, with the priority of its root."""
-    return root_admission.make_key(
-        math.ceil(tree_context.rank),
-        tree_context.account,
-        tree_context.root_route,
-    )
+    return root_admission.make_key(math.ceil(rank), account, root_route)
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -38,15 +38,9 @@
 
     ticket_id: int
     digest: str
+    rank: float
     start_by_s: float
-
-    @property
-    def rank(self) -> float:
-        """Order of starting; lower ranks start first."""
-
-    @property
-    def headers(self) -> headers_module.Headers:
-        """Headers of the request, with what its sender knows."""
+    headers: headers_module.Headers
 
 
 class SuspectOwner(Protocol):
@@ -156,9 +150,8 @@
 
     def ended(self, ticket_id: int) -> None:
         """Gives up the turn of a request that ended or was refused."""
-        trial = self._waiting_trials.pop(ticket_id, None)
-        if trial is not None:
-            self._quarantine.end_trial(trial)
+        if ticket_id in self._waiting_trials:
+            self._quarantine.end_trial(self._waiting_trials.pop(ticket_id))
         if ticket_id in self.held_ids:
             self.held_ids.discard(ticket_id)
             self._queue.finish(self._parts.clock.now_s(), ticket_id)
@@ -192,15 +185,16 @@
 
     def run_started(self, call: SuspectCall) -> None:
         """Records that a request is sent to the backend server."""
+        ticket_id = call.ticket_id
         if call.digest:
             self._quarantine.start(
-                str(call.ticket_id),
+                str(ticket_id),
                 suspicion.make_fingerprint(call.digest),
-                call.ticket_id in self.held_ids,
+                ticket_id in self.held_ids,
             )
-        trial = self._waiting_trials.pop(call.ticket_id, None)
-        if trial is not None:
-            self._quarantine.start_trial(str(call.ticket_id), trial)
+        if ticket_id in self._waiting_trials:
+            trial = self._waiting_trials.pop(ticket_id)
+            self._quarantine.start_trial(str(ticket_id), trial)
 
     def run_ended(self, call: SuspectCall, *, is_clean: bool) -> None:
         """Records the end of a run.
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -126,9 +126,11 @@
         self.pressure.update(now_s, limit_per_s)
         self._parts.parent_matcher.remove(ticket_id)
         self._parts.running_requests.end(ticket_id)
-        report = {} if running is None else running.report
-        work_report.add(report, self.pressure.report(call.tree_context, hold_s))
-        return report
+        own = self.pressure.report(call.tree_context, hold_s)
+        if running is None or not running.report:
+            return own
+        work_report.add(running.report, own)
+        return running.report
 
     def update_metrics(self) -> None:
         """Updates the gauges and checks the health."""
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -183,10 +183,10 @@
     first = headers_module.index(headers)
     value = first.get(TREE_CONTEXT, b"")
     tree_context = _parse_tree_context(value, first.get(ACCOUNT, b""))
-    offered = whole_number.decode(first.get(OFFERED)) or 1
-    if offered > 1:
-        return tree_context._replace(offered=offered)
-    return tree_context
+    if OFFERED not in first:
+        return tree_context
+    offered = whole_number.decode(first[OFFERED]) or 1
+    return tree_context._replace(offered=offered)
 
 
 @functools.lru_cache(_KEPT_VALUES)
--- a/src/cranberrymux/gateway/running_requests.py
+++ b/src/cranberrymux/gateway/running_requests.py
@@ -5,21 +5,21 @@
 
 
 class RunningRequests:
-    """Indexes the running requests and counts those that wait for calls."""
+    """Indexes the running requests and counts those at work.
+
+    Attributes:
+        working: Number of running requests that do not wait for a call.
+    """
 
     def __init__(self) -> None:
         """Starts without requests."""
         self._requests: dict[int, running_request.RunningRequest] = {}
-        self._waiting_count = 0
-
-    @property
-    def working(self) -> int:
-        """Number of running requests that do not wait for a call."""
-        return len(self._requests) - self._waiting_count
+        self.working = 0
 
     def begin(self, ticket_id: int, tree_context: hop.TreeContext) -> None:
         """Adds a request that is sent to the backend server."""
         self._requests[ticket_id] = running_request.RunningRequest(tree_context)
+        self.working += 1
 
     def find(
         self, ticket_id: int | None
@@ -30,15 +30,15 @@
     def end(self, ticket_id: int) -> None:
         """Removes a request that has ended."""
         request = self._requests.pop(ticket_id, None)
-        if request is not None and request.open_calls:
-            self._waiting_count -= 1
+        if request is not None and not request.open_calls:
+            self.working -= 1
 
     def begin_call(self, ticket_id: int | None, now_s: float) -> bool:
         """Records the start of a call; False if its parent does not run."""
         request = self.find(ticket_id)
         if request is None:
             return False
-        self._waiting_count += not request.open_calls
+        self.working -= not request.open_calls
         request.begin_call(now_s)
         return True
 
@@ -50,4 +50,4 @@
         if request is None:
             return
         request.end_call(now_s, is_failed)
-        self._waiting_count -= not request.open_calls
+        self.working += not request.open_calls
--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.gateway import exit_pressure
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import metrics
+from cranberrymux.gateway import running_requests
 from tests.gateway import mesh as mesh_module
 
 
@@ -114,6 +117,42 @@
     assert decoded == names
 
 
+def test_account_of_one_tree_is_not_taken_for_that_of_another():
+    """Guards against a kept key that leaves out part of what it is of."""
+    trees = [(0.5, "a", ""), (1.0, "a", ""), (1.5, "a", ""), (1.0, "", "a")]
+    keys = [exit_pressure._make_key(*tree) for tree in trees * 2]
+    expected = [
+        root_admission.make_key(1, "a", ""),
+        root_admission.make_key(1, "a", ""),
+        root_admission.make_key(2, "a", ""),
+        root_admission.make_key(1, "", "a"),
+    ]
+    assert keys == expected * 2
+
+
+def test_requests_at_work_are_counted_while_calls_begin_and_end():
+    """Guards against a stall that is seen or missed by a wrong count."""
+    running = running_requests.RunningRequests()
+    context = hop.DEFAULT_TREE_CONTEXT
+    counts = []
+    for change in (
+        lambda: running.begin(1, context),
+        lambda: running.begin(2, context),
+        lambda: running.begin_call(1, 0.0),
+        lambda: running.begin_call(1, 0.1),
+        lambda: running.end_call(1, 0.2, False),
+        lambda: running.end_call(1, 0.3, False),
+        lambda: running.begin_call(2, 0.4),
+        lambda: running.end(2),
+        lambda: running.end_call(2, 0.5, False),
+        lambda: running.end(3),
+        lambda: running.end(1),
+    ):
+        change()
+        counts.append(running.working)
+    assert counts == [1, 2, 1, 1, 1, 2, 1, 1, 1, 1, 0]
+
+
 def test_metrics_count_under_the_labels_of_each_event():
     counted = metrics.GatewayMetrics()
     for status in ("2xx", "5xx", "2xx"):
