Entry port: look a client request up once

The headers of a client request were searched by a function for each name, the priority and account of its tree derived three times, its flow looked up twice, and calls of no parent recorded, which a root has none of. The context of a tree was copied to mark a repeat and a call.

The parts of the entry port now read the index of the headers, the origin keeps priority and account, and root admission returns what an admitted request stands for.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -97,10 +97,10 @@
         self.offered = 1
         self.is_held_back = False
 
-    def admit(self) -> bool:
+    def admit(self) -> int:
         self.offered = self.refused + 1
         self.refused = 0
-        return True
+        return self.offered
 
 
 class _Service:
@@ -135,6 +135,13 @@
 
     def offer(self, now_s: float, traffic_class: TrafficClass) -> bool:
         """Returns True if a new request may start."""
+        return self.admit(now_s, traffic_class) > 0
+
+    def admit(self, now_s: float, traffic_class: TrafficClass) -> int:
+        """Returns for how many requests a new one stands, see `get_offered`.
+
+        0 if it may not start.
+        """
         if now_s - self._last_refresh_s >= REFRESH_INTERVAL_S:
             self._refresh(now_s)
         flow = self._flows.get(traffic_class)
@@ -151,7 +158,7 @@
         flow.credit = min(flow.credit + flow.share, MAXIMUM_CREDIT_REQUESTS)
         if flow.credit < 1.0:
             flow.refused += 1
-            return False
+            return 0
         flow.credit -= 1.0
         return flow.admit()
 
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -55,7 +55,7 @@
         self._limit_waits_s: list[float] = []
         self._other_refusals = 0
         self._leaves_zone = False
-        self.tree_context = hop.TreeContext(float(route.priority), 1.0)
+        self.tree_context = hop.DEFAULT_TREE_CONTEXT
         self.sent = 0
         self.is_streamed = False
         self.may_have_run = False
@@ -71,11 +71,10 @@
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that depend on earlier attempts."""
         tree_context = self.tree_context
-        if self._is_repeat and not tree_context.is_repeat:
-            tree_context = tree_context._replace(is_repeat=True)
-        if self._leaves_zone and not tree_context.has_left_zone:
-            tree_context = tree_context._replace(has_left_zone=True)
-        headers = [(hop.TREE_CONTEXT, hop.encode_tree_context(tree_context))]
+        encoded = hop.encode_tree_context(
+            tree_context, self._is_repeat, self._leaves_zone
+        )
+        headers = [(hop.TREE_CONTEXT, encoded)]
         headers += hop.encode_account(tree_context)
         if len(self._asked_ids) > 1:
             headers.append((hop.RESENT, b"1"))
--- a/src/cranberrymux/gateway/client_identity.py
+++ b/src/cranberrymux/gateway/client_identity.py
@@ -44,7 +44,7 @@
     parts: parts_module.GatewayParts,
     table: route_table.RouteTable,
     route: route_module.Route,
-    headers: headers_module.HeaderList,
+    headers: headers_module.Headers,
 ) -> ClientIdentity:
     """Checks the key of a request.
 
@@ -58,7 +58,7 @@
         return ANONYMOUS
     if not parts.key_lease.is_valid(parts.clock.now_s()):
         return ClientIdentity(IdentityVerdict.NO_LEASE)
-    key = headers_module.find(headers, parts.settings.dialect.api_key)
+    key = headers.first.get(parts.settings.dialect.api_key)
     account = None if key is None else table.accounts.find(key)
     if account is None:
         return ClientIdentity(IdentityVerdict.UNKNOWN_KEY)
--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -10,7 +10,6 @@
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import request_digest
-from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import request_head
 
@@ -59,7 +58,7 @@
         """
         parts = self._parts
         dialect = parts.settings.dialect
-        request_id = headers_module.find(call.head.headers, dialect.request_id)
+        request_id = call.head.headers.first.get(dialect.request_id)
         if not request_id:
             # Its answer could not be told from those to other requests.
             body = json.dumps({"error": "no-request-id"}).encode()
@@ -81,14 +80,16 @@
             self._refuse_key(call, request_id, identity.verdict)
             return
         account = identity.account
-        headers = hop.get_forwardable(call.head.headers, self._replaced_names)
-        headers.append((dialect.request_id, request_id))
-        headers.append(self._caller_header)
+        digest = request_digest.make(call)
+        headers = [
+            *hop.get_forwardable(call.head.headers, self._replaced_names),
+            (dialect.request_id, request_id),
+            self._caller_header,
+            (hop.ROUTE, route.name.encode()),
+            (hop.DIGEST, digest.encode()),
+        ]
         if account is not None:
             headers.append((dialect.account, account.name.encode()))
-        headers.append((hop.ROUTE, route.name.encode()))
-        digest = request_digest.make(call)
-        headers.append((hop.DIGEST, digest.encode()))
         entry_call.EntryCall(
             parts, call, route, headers, digest, account
         ).start()
@@ -121,6 +122,6 @@
 def _find_route(
     table: route_table.RouteTable, head: request_head.RequestHead
 ) -> route_module.Route | None:
-    host = headers_module.find(head.headers, b"host") or b""
+    host = head.headers.first.get(b"host", b"")
     path = head.target.partition(b"?")[0]
     return table.find(host.decode("latin-1"), path.decode("latin-1"))
--- a/src/cranberrymux/gateway/entry_admission.py
+++ b/src/cranberrymux/gateway/entry_admission.py
@@ -63,6 +63,4 @@
         traffic_class = root_admission.TrafficClass(
             priority, timing, route.name, account
         )
-        if not self.root_admission.offer(now_s, traffic_class):
-            return 0
-        return self.root_admission.get_offered(traffic_class)
+        return self.root_admission.admit(now_s, traffic_class)
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -59,7 +59,7 @@
         self._route = route
         self._headers = headers
         name = parts.settings.dialect.request_id
-        self._request_id = headers_module.find(call.head.headers, name) or b""
+        self._request_id = call.head.headers.first.get(name, b"")
         self._began_s = parts.clock.now_s()
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s, account
@@ -78,9 +78,10 @@
         self._log = request_log.RequestLog(
             parts,
             self._attempts,
-            request_log.LoggedRequest(
-                self._request_id, digest, self._began_s, self._deadline_s
-            ),
+            self._request_id,
+            digest,
+            self._began_s,
+            self._deadline_s,
         )
         self._answer = entry_answer.EntryAnswer(
             parts, call, self._origin, self._attempts, self._log
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -154,13 +154,24 @@
 _LEFT_ZONE_FLAGS = (b"2", b"3")
 
 
-def encode_tree_context(tree_context: TreeContext) -> bytes:
+def encode_tree_context(
+    tree_context: TreeContext,
+    is_repeat: bool = False,
+    has_left_zone: bool = False,
+) -> bytes:
     """Encodes a context as the header value `rank/share/flags`.
 
     The flags are 1 for `is_repeat` and 2 for `has_left_zone`. The account is a
     header of its own.
+
+    Args:
+        tree_context: The context.
+        is_repeat: True if this sending is a repeat, whatever the context says.
+        has_left_zone: True if this sending leaves the zone, likewise.
     """
-    flags = tree_context.is_repeat + 2 * tree_context.has_left_zone
+    flags = (is_repeat or tree_context.is_repeat) + 2 * (
+        has_left_zone or tree_context.has_left_zone
+    )
     return b"%.1f/%.3f/%d" % (tree_context.rank, tree_context.share, flags)
 
 
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -7,6 +7,7 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import running_request
 from cranberrymux.models import whole_number
 from cranberrymux.node.http import headers as headers_module
 
@@ -38,16 +39,21 @@
             account: The client account that sent it; None for none.
         """
         dialect = parts.settings.dialect
-        left_ms = whole_number.decode(
-            headers_module.find(headers, dialect.deadline_ms)
-        )
+        first = headers_module.index(headers)
+        left_ms = whole_number.decode(first.get(dialect.deadline_ms))
         self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
         self._parts = parts
         self._route = route
-        self._account = account
+        # The priority of the account, else that of the route.
+        self._priority = route.priority
+        self._account_name = ""
+        if account is not None:
+            self._account_name = account.name
+            if account.priority is not None:
+                self._priority = account.priority
         self._parent_match = parts.parent_matcher.match(
             route.name,
-            headers_module.find(headers, dialect.request_id) or b"",
+            first.get(dialect.request_id, b""),
             now_s + self.left_s,
         )
 
@@ -56,28 +62,17 @@
         """True if no request that runs here made it."""
         return not self._parent_match.is_call
 
-    @property
-    def _account_name(self) -> str:
-        return "" if self._account is None else self._account.name
-
-    @property
-    def _priority(self) -> int:
-        """Priority of the account, else that of the route."""
-        if self._account is None or self._account.priority is None:
-            return self._route.priority
-        return self._account.priority
-
     def admit(self, now_s: float) -> hop.TreeContext | None:
         """Returns the context of the request; None if a root is refused.
 
         Calls are always admitted, as their tree has been.
         """
-        parent = self._parts.running_requests.find(self._parent_match.parent)
-        if parent is not None:
-            return parent.tree_context.for_call()
         entry_admission = self._parts.entry_admission
         share = entry_admission.root_admission.minimum_share
         if self._parent_match.is_call:
+            parent = self._find_parent()
+            if parent is not None:
+                return parent.tree_context.for_call()
             return hop.TreeContext(self._route.priority, share).for_call()
         offered = entry_admission.offer(
             self._route,
@@ -93,18 +88,18 @@
         table = self._parts.routes.table
         has_accounts = table is not None and not table.accounts.is_empty
         is_route_named = has_accounts and not self._account_name
-        tree_context = hop.TreeContext(
-            self._priority,
+        rank: float = self._priority
+        if entry_admission.root_admission.is_known_leaf(self._route.name):
+            # Nothing comes after it, so that it need not wait behind the calls
+            # of trees of equal importance.
+            rank -= hop.CALL_RANK_BONUS
+        return hop.TreeContext(
+            rank,
             share,
             account=self._account_name,
             root_route=self._route.name if is_route_named else "",
             offered=offered if has_accounts else 1,
         )
-        if entry_admission.root_admission.is_known_leaf(self._route.name):
-            # Nothing comes after it, so that it need not wait behind the calls
-            # of trees of equal importance.
-            return tree_context.for_call()
-        return tree_context
 
     def draw_retry_delay_s(self) -> float:
         """Draws the seconds after which a refused caller retries."""
@@ -113,17 +108,17 @@
 
     def begin_call(self) -> None:
         """Records the start of a call at the request that made it."""
-        now_s = self._parts.clock.now_s()
-        self._parts.running_requests.begin_call(
-            self._parent_match.parent, now_s
-        )
+        parent = self._parent_match.parent
+        if parent is not None:
+            now_s = self._parts.clock.now_s()
+            self._parts.running_requests.begin_call(parent, now_s)
 
     def end_call(self, is_failed: bool) -> None:
         """Records the end of a call; to be called once per `begin_call`."""
-        now_s = self._parts.clock.now_s()
-        self._parts.running_requests.end_call(
-            self._parent_match.parent, now_s, is_failed
-        )
+        parent = self._parent_match.parent
+        if parent is not None:
+            now_s = self._parts.clock.now_s()
+            self._parts.running_requests.end_call(parent, now_s, is_failed)
 
     def learn_from_answer(
         self,
@@ -148,10 +143,10 @@
             self._ignore_limited_share(service, report, now_s)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
-        parent = self._parts.running_requests.find(self._parent_match.parent)
-        if parent is not None:
-            work_report.add(parent.report, report)
         if self._parent_match.is_call:
+            parent = self._find_parent()
+            if parent is not None:
+                work_report.add(parent.report, report)
             return
         entry_admission = self._parts.entry_admission
         entry_admission.root_admission.note_report(
@@ -168,6 +163,9 @@
                 now_s - began_s
             )
 
+    def _find_parent(self) -> running_request.RunningRequest | None:
+        return self._parts.running_requests.find(self._parent_match.parent)
+
     def _ignore_limited_share(
         self, service: str, report: work_report.WorkReport, now_s: float
     ) -> None:
--- a/src/cranberrymux/gateway/request_digest.py
+++ b/src/cranberrymux/gateway/request_digest.py
@@ -1,7 +1,6 @@
 """Digest by which a request is recognised when it comes again."""
 
 from cranberrymux.decisions.quarantine import fingerprint
-from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
 # Longer bodies are known by their beginning. All nodes read at least so much
@@ -19,7 +18,7 @@
     the digest only.
     """
     head = call.head
-    host = headers_module.find(head.headers, b"host") or b""
+    host = head.headers.first.get(b"host", b"")
     url = host.lower() + head.target
     body_bytes = _UNKNOWN_LENGTH
     if (
--- a/src/cranberrymux/gateway/request_log.py
+++ b/src/cranberrymux/gateway/request_log.py
@@ -1,29 +1,11 @@
 """Metrics and log lines of one request at the entry port."""
 
-from typing import NamedTuple
-
 from cranberrymux.gateway import attempts as attempts_module
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
 
 
-class LoggedRequest(NamedTuple):
-    """What every line on a request says of it.
-
-    Attributes:
-        request_id: Its id.
-        digest: Digest of its content, which its resends share.
-        began_s: Monotonic seconds at which it arrived.
-        deadline_s: Monotonic seconds at which its caller gives up.
-    """
-
-    request_id: bytes
-    digest: str
-    began_s: float
-    deadline_s: float
-
-
 class RequestLog:
     """Counts how a request ended and logs every failure of it.
 
@@ -34,22 +16,31 @@
         self,
         parts: parts_module.GatewayParts,
         attempts: attempts_module.Attempts,
-        request: LoggedRequest,
+        request_id: bytes,
+        digest: str,
+        began_s: float,
+        deadline_s: float,
     ) -> None:
         """Stores the fields that every line has.
 
         Args:
             parts: Shared state of the gateway.
             attempts: The attempts of the request.
-            request: The request.
+            request_id: Id of the request.
+            digest: Digest of its content, which its resends share.
+            began_s: Monotonic seconds at which it arrived.
+            deadline_s: Monotonic seconds at which its caller gives up.
         """
         self._parts = parts
         self._attempts = attempts
-        self._request = request
+        self._request_id = request_id
+        self._digest = digest
+        self._began_s = began_s
+        self._deadline_s = deadline_s
 
     def count(self, outcome: str) -> None:
         """Counts the request under its outcome and records its duration."""
-        elapsed_s = self._parts.clock.now_s() - self._request.began_s
+        elapsed_s = self._parts.clock.now_s() - self._began_s
         metrics = self._parts.metrics
         route = self._attempts.route.name
         metrics.requests[route, outcome].inc()
@@ -85,8 +76,8 @@
         self._parts.events.info(
             event,
             reason=reason,
-            request_id=self._request.request_id.decode("latin-1"),
-            digest=self._request.digest,
+            request_id=self._request_id.decode("latin-1"),
+            digest=self._digest,
             route=self._attempts.route.name,
             service=self._attempts.service,
             version=self._parts.routes.version,
@@ -95,7 +86,7 @@
             ),
             tried=list(self._attempts.tried_ids),
             sent=self._attempts.sent,
-            elapsed_ms=round((now_s - self._request.began_s) * 1000),
-            left_ms=round((self._request.deadline_s - now_s) * 1000),
+            elapsed_ms=round((now_s - self._began_s) * 1000),
+            left_ms=round((self._deadline_s - now_s) * 1000),
             detail=detail,
         )
--- a/src/cranberrymux/gateway/suspicion.py
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -25,10 +25,7 @@
     parts: parts_module.GatewayParts, fingerprint: fingerprints.Fingerprint
 ) -> headers_module.HeaderList:
     """Returns the header that tells another node what is known of a request."""
-    quarantine = parts.quarantine
-    reports = (
-        quarantine.get_open_reports(fingerprint) if quarantine.records else []
-    )
+    reports = parts.quarantine.get_open_reports(fingerprint)
     if not reports:
         return []
     return [(hop.SUSPECT, suspect_message.encode_value(reports))]
@@ -61,7 +58,7 @@
             digest: Digest of the request's content.
         """
         self._parts = parts
-        self._fingerprint = make_fingerprint(digest)
+        self._digest = digest
 
     @property
     def is_refused(self) -> bool:
@@ -86,12 +83,18 @@
 
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that tell the endpoint's node what is known."""
+        if not self._parts.quarantine.records:
+            return []
         return encode(self._parts, self._fingerprint)
 
     def learn(self, answer: hop_answer.HopAnswer) -> None:
         """Learns from an answer of the endpoint's node."""
         learn(self._parts, answer.first)
 
+    @property
+    def _fingerprint(self) -> fingerprints.Fingerprint:
+        return make_fingerprint(self._digest)
+
     @property
     def _wait_s(self) -> float:
         return self._parts.quarantine.get_trial_wait_s(self._fingerprint)
