Quotas: wake up for tokens only while something can be due

A node with an owner of quotas woke up every 20 ms, also while it kept state of no account and while its stocks did not change.

It now checks every 20 ms only while requests wait, every 100 ms (the interval of routine messages) while it keeps state of an account, and not at all otherwise, which is the case 5 s after the last request of an account.

--- a/src/cranberrymux/gateway/quota_task.py
+++ b/src/cranberrymux/gateway/quota_task.py
@@ -6,7 +6,6 @@
 
 import structlog
 from twisted.internet import defer
-from twisted.internet import task
 
 from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.quotas import token_messages
@@ -22,7 +21,10 @@
 from cranberrymux.wire import quota_conversion
 from cranberrymux.wire import wire_error
 
-TICK_S = token_stock.MINIMUM_INTERVAL_S
+# Between two checks whether the owner should hear of the tokens: while requests
+# wait, and while only stocks run low and reports become due.
+URGENT_CHECK_S = token_stock.MINIMUM_INTERVAL_S
+ROUTINE_CHECK_S = token_stock.ROUTINE_INTERVAL_S
 # An owner that answered within this time is kept: control instances may hear of
 # a new one at different times.
 OWNER_KEPT_S = 0.5
@@ -71,8 +73,8 @@
         self._owner = ""
         self._answered_s = -OWNER_KEPT_S
         self._get_version: Callable[[], int] = int
-        self._ticks = task.LoopingCall(self._tick)
-        self._ticks.clock = reactor
+        # The next check; None while the node keeps state of no account.
+        self._next_check: Any = None
         self._events = structlog.get_logger()
 
     def start(self, get_version: Callable[[], int]) -> None:
@@ -85,10 +87,10 @@
 
     def stop(self) -> None:
         """Closes the connection to the owner."""
-        if self._ticks.running:
-            self._ticks.stop()
+        self._cancel_check()
         if self._client is not None:
             self._client.stop()
+            self._client = None
 
     def follow_owner(self, address: str) -> None:
         """Connects to another owner.
@@ -111,14 +113,13 @@
         self._stock.start_session(now_s)
         self._client = self._connect(parsed)
         self._client.start()
-        if not self._ticks.running:
-            # Nodes of clusters without quotas need not wake up for them.
-            self._ticks.start(TICK_S, now=False)
+        self._schedule_check()
 
     def take(self, account: str) -> token_stock.TokenTicket | None:
         """Spends a token for a request that arrives; None if there is none."""
         now_s = self._clock.now_s()
         self._stock.note_arrival(account, now_s)
+        self._schedule_check()
         if account in self._waiters:
             return None
         return self._count(account, self._stock.take(account, now_s))
@@ -136,7 +137,7 @@
         waiter.timer = self._reactor.callLater(
             max(wait_s, 0.0), self._handle_timeout, waiter
         )
-        self._tick()
+        self._check()
 
     def cancel(self, waiter: quota_waiter.QuotaWaiter) -> None:
         """Ends the wait of a request whose caller has gone."""
@@ -178,7 +179,30 @@
             self._reactor,
         )
 
-    def _tick(self) -> None:
+    def _check(self) -> None:
+        self._ask_if_due()
+        self._cancel_check()
+        self._schedule_check()
+
+    def _schedule_check(self) -> None:
+        """Checks again later, unless that is due or nothing can be due."""
+        is_needed = self._client is not None and self._stock.account_count
+        if is_needed and self._next_check is None:
+            self._next_check = self._reactor.callLater(
+                URGENT_CHECK_S if self._waiters else ROUTINE_CHECK_S,
+                self._handle_check_due,
+            )
+
+    def _handle_check_due(self) -> None:
+        self._next_check = None
+        self._check()
+
+    def _cancel_check(self) -> None:
+        if self._next_check is not None:
+            self._next_check.cancel()
+            self._next_check = None
+
+    def _ask_if_due(self) -> None:
         client = self._client
         if client is None or not client.is_connected:
             return
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -2,7 +2,8 @@
 
 Guards against requests that run without a token, requests within the quota that
 are refused because the node happens to hold none, tokens that are lost with
-requests that did not run, and calls of backend servers that are counted.
+requests that did not run, calls of backend servers that are counted, and nodes
+that wake up for tokens of which nothing has changed.
 """
 
 import pytest
@@ -131,3 +132,32 @@
     scene.mesh.network.run(1.0, step_s=0.01)
     for _ in range(5):
         assert scene.ask().statuses == [200]
+
+
+def count_checks(scene, seconds):
+    """Returns how often the first node wakes up for its tokens."""
+    quotas = scene.mesh.members[0].gateway._parts.quotas
+    checks = []
+    check = quotas._ask_if_due
+    quotas._ask_if_due = lambda: checks.append(check())
+    scene.mesh.network.run(seconds, step_s=0.01)
+    quotas._ask_if_due = check
+    return len(checks)
+
+
+def test_wakes_up_for_tokens_only_while_it_knows_an_account(scene):
+    assert count_checks(scene, 1.0) == 0
+    for _ in range(2):
+        assert scene.ask().statuses == [200]
+        assert 1 <= count_checks(scene, 1.0) <= 10
+        scene.mesh.run_announced(8.0)
+        assert scene.owner.allocator.describe()[0].out == 0
+        assert count_checks(scene, 1.0) == 0
+
+
+def test_asks_again_soon_while_requests_wait(scene):
+    scene.owner.is_unreachable = True
+    client = scene.ask(wait=0.05)
+    scene.owner.is_unreachable = False
+    scene.mesh.network.run(0.05, step_s=0.002)
+    assert client.statuses == [200]
