--- a/src/cranberrymux/gateway/entry_answer.py
+++ b/src/cranberrymux/gateway/entry_answer.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from cranberrymux.gateway import attempts as attempts_module
+from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import origin as origin_module
 from cranberrymux.gateway import own_answers
@@ -63,14 +64,15 @@
     def forward(self, answer: hop_answer.HopAnswer, body: bytes) -> None:
         """Sends an endpoint's whole answer."""
         self._note_endpoint_answer(answer)
-        self._call.answer(answer.head.status, answer.get_client_headers(), body)
+        visible = hop.get_forwardable(answer.head.headers)
+        self._call.answer(answer.head.status, visible, body)
 
     def start_streaming(
         self, answer: hop_answer.HopAnswer, body: bytes
     ) -> None:
         """Sends the head and first bytes of an endpoint's long answer."""
         self._streamed = answer
-        visible = answer.get_client_headers()
+        visible = hop.get_forwardable(answer.head.headers)
         self._call.start_answer(answer.head._replace(headers=visible))
         self._call.send_body(body)
 
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -53,7 +53,6 @@
             digest: Digest of its content.
             account: The client account that sent it; None for none.
         """
-        super().__init__()
         self._parts = parts
         self._call = call
         self._route = route
@@ -167,7 +166,7 @@
         record = endpoint.record
         return attempt_module.Attempt(
             self._parts.hop_connections,
-            socket_address.SocketAddress(record.address, record.port),
+            socket_address.get(record.address, record.port),
             hop_request.make(self._call, endpoint, dialect, left_ms, headers),
             self,
             request_identity.RequestIdentity(
@@ -190,7 +189,8 @@
     ) -> None:
         """Passes an answer on, or sends the request to another endpoint."""
         answer = self._read_answer(head)
-        self._suspicion.learn(answer)
+        if hop.SUSPECT in answer.first:
+            self._suspicion.learn(answer)
         if answer.has_died:
             self.attempt_lost(hop_answer.BACKEND_DIED)
             return
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -133,7 +133,8 @@
             self.work.pressure.note_arrival(
                 hop_call.route, hop_call.tree_context
             )
-        self.limit.note_request(headers, hop_call.request_id)
+        if hop.KNOWN_RATE_LIMIT in headers.first:
+            self.limit.note_request(headers, hop_call.request_id)
         self.work.pressure.update(now_s, self.limit.per_s)
         self._calls[ticket_id] = hop_call
         if not self.suspects.hold(hop_call):
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -70,7 +70,6 @@
             ticket_id: Its number.
             now_s: Monotonic seconds.
         """
-        super().__init__()
         self._parts = parts
         self._owner = owner
         self._pool = pool
@@ -124,11 +123,10 @@
         self._address = address
         dialect = self._parts.settings.dialect
         left_s = max(self.deadline_s - now_s, 0.0)
-        head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
         left_ms = hop.shorten_deadline_ms(left_s) or 1
         headers = [
-            *hop.get_forwardable(head.headers, replaced),
+            *hop.get_forwardable(self.headers, replaced),
             (dialect.deadline_ms, b"%d" % left_ms),
             (dialect.expected_backend, process.backend_id.encode()),
         ]
@@ -136,9 +134,7 @@
         self._attempt = attempt_module.Attempt(
             self._pool,
             address,
-            outgoing_request.OutgoingRequest(
-                head.method, head.target, headers, self._call
-            ),
+            outgoing_request.OutgoingRequest(self._call, headers),
             self,
             request_identity.RequestIdentity(
                 dialect.request_id, self.request_id
--- a/src/cranberrymux/gateway/exit_limit.py
+++ b/src/cranberrymux/gateway/exit_limit.py
@@ -74,8 +74,6 @@
         self, headers: headers_module.Headers, request_id: bytes
     ) -> None:
         """Learns from a request whose sender knows the limit."""
-        if hop.KNOWN_RATE_LIMIT not in headers.first:
-            return
         per_s = hop.decode_rate_limit(headers, hop.KNOWN_RATE_LIMIT)
         if per_s is not None:
             self._self_report.note_sender(per_s, request_id)
--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -64,7 +64,3 @@
         self.rate_limit_per_s: float | None = None
         if hop.RATE_LIMIT in first:
             self.rate_limit_per_s = hop.decode_rate_limit(head.headers)
-
-    def get_client_headers(self) -> headers_module.HeaderList:
-        """Returns the headers of the answer that the client gets."""
-        return hop.get_forwardable(self.head.headers)
--- a/src/cranberrymux/gateway/hop_request.py
+++ b/src/cranberrymux/gateway/hop_request.py
@@ -33,7 +33,4 @@
     ]
     if per_s is not None:
         sent.append((hop.KNOWN_RATE_LIMIT, hop.encode_rate_limit(per_s)))
-    head = call.head
-    return outgoing_request.OutgoingRequest(
-        head.method, head.target, sent, call
-    )
+    return outgoing_request.OutgoingRequest(call, sent)
--- a/src/cranberrymux/gateway/outgoing_request.py
+++ b/src/cranberrymux/gateway/outgoing_request.py
@@ -1,13 +1,11 @@
 """A request as a node sends it to another node or the backend server."""
 
-from typing import NamedTuple
-
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
 
-class OutgoingRequest(NamedTuple):
+class OutgoingRequest:
     """Encodes the request; its body may still be arriving.
 
     Attributes:
@@ -17,10 +15,16 @@
         call: The received request, from which the body comes.
     """
 
-    method: bytes
-    target: bytes
-    headers: headers_module.HeaderList
-    call: inbound_call.InboundCall
+    __slots__ = ("call", "headers", "method", "target")
+
+    def __init__(
+        self, call: inbound_call.InboundCall, headers: headers_module.HeaderList
+    ) -> None:
+        """Passes on a received request with other headers."""
+        self.method = call.head.method
+        self.target = call.head.target
+        self.headers = headers
+        self.call = call
 
     @property
     def is_chunked(self) -> bool:
--- a/src/cranberrymux/gateway/relay.py
+++ b/src/cranberrymux/gateway/relay.py
@@ -8,10 +8,8 @@
 class Relay:
     """Holds the attempt and the timer of a request; applies backpressure."""
 
-    def __init__(self) -> None:
-        """Starts without an attempt or a timer."""
-        self._attempt: attempt_module.Attempt | None = None
-        self._timer: Any = None
+    _attempt: attempt_module.Attempt | None = None
+    _timer: Any = None
 
     def _cancel_attempt(self) -> None:
         if self._attempt is not None:
--- a/src/cranberrymux/gateway/suspicion.py
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -36,10 +36,9 @@
 
     Args:
         parts: Shared state of the gateway.
-        first: Headers of the request or answer, one of each name.
+        first: Headers of the request or answer, one of each name; that of
+            suspects is among them.
     """
-    if hop.SUSPECT not in first:
-        return
     reports = suspect_message.decode(first[hop.SUSPECT])
     if reports is None:
         parts.events.warning("bad-peer-message", detail="suspect header")
--- a/src/cranberrymux/models/socket_address.py
+++ b/src/cranberrymux/models/socket_address.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 _MAXIMUM_PORT = 65535
-_KEPT_ADDRESSES = 1024  # Results kept by `parse`.
+_KEPT_ADDRESSES = 1024  # Results kept by `get` and `parse`.
 
 
 class SocketAddress(NamedTuple):
@@ -19,6 +19,12 @@
     port: int
 
 
+@functools.lru_cache(_KEPT_ADDRESSES)
+def get(host: str, port: int) -> SocketAddress:
+    """Returns an address that is used for many requests."""
+    return SocketAddress(host, port)
+
+
 @functools.lru_cache(_KEPT_ADDRESSES)
 def parse(text: str) -> SocketAddress | None:
     """Parses `ip:port`; returns None if the text has another form."""
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -235,8 +235,8 @@
 
     def on_headers_complete(self) -> None:
         """Passes the head to the sink, unless it answers another request."""
-        if exceeded := self._budget.check_headers():
-            self._end_excess(exceeded)
+        if self._budget.headers.is_exceeded:
+            self._end_excess(self._budget.check_headers())
         self._headers = self._budget.headers.take()
         first = self._headers.first
         if b"keep-alive" in first:
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -137,7 +137,7 @@
         on_ready: Callable[[client_connection.ClientConnection], None],
         on_failed: Callable[[lost_answer.LostAnswer], None],
         identity: request_identity.RequestIdentity | None = None,
-    ) -> Lease:
+    ) -> Lease | None:
         """Requests a connection.
 
         Args:
@@ -148,13 +148,14 @@
             identity: Id of the request to send; None if it has none.
 
         Returns:
-            The lease, by which the request can be cancelled.
+            The lease, by which the request can be cancelled; None if
+            `on_ready` was called.
         """
-        lease = Lease(on_ready, on_failed, identity)
         connection = self._idle.take(address, identity, self._reactor.seconds())
         if connection is not None:
             on_ready(connection)
-            return lease
+            return None
+        lease = Lease(on_ready, on_failed, identity)
         self._waiting.setdefault(address, []).append(lease)
         self._reactor.connectTCP(
             address.host,
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -126,7 +126,7 @@
 
     def buffered_body(self) -> bytes:
         """Returns the buffered body: what was read and not yet streamed."""
-        return b"".join(self._parts)
+        return b"".join(self._parts) if self._parts else b""
 
     def add_body(self, part: bytes) -> None:
         """Buffers or streams the next bytes of the body, as read."""
--- a/src/cranberrymux/node/http/request_head_reader.py
+++ b/src/cranberrymux/node/http/request_head_reader.py
@@ -30,27 +30,27 @@
         The head, or why the request is rejected.
     """
     first = head_headers.first
-    coding = first.get(b"transfer-encoding")
-    length = first.get(b"content-length")
     method = parser.get_method()
-    has_body = coding is not None or length is not None
+    has_body = b"transfer-encoding" in first or b"content-length" in first
+    mode = body_mode.BodyMode.NONE
+    size = 0
     if has_body:
+        coding = first.get(b"transfer-encoding")
+        length = first.get(b"content-length")
         bad = _check_framing(coding, length, message_limits)
         if bad is not None:
             return bad
+        size = int(length) if length is not None else 0
+        if coding is not None:
+            mode = body_mode.BodyMode.CHUNKED
+        elif size:
+            mode = body_mode.BodyMode.SIZED
     if (has_body or method == b"CONNECT") and parser.should_upgrade():
         # The parser leaves such a body unread. Without one, the request is
         # served as if it had not asked for another protocol.
         return bad_message.BadMessage(501, "upgrade is not served")
-    expectation = first.get(b"expect")
-    if expectation is not None and expectation.lower() != b"100-continue":
+    if b"expect" in first and first[b"expect"].lower() != b"100-continue":
         return bad_message.BadMessage(417, "only 100-continue can be expected")
-    size = int(length) if length is not None else 0
-    mode = body_mode.BodyMode.NONE
-    if coding is not None:
-        mode = body_mode.BodyMode.CHUNKED
-    elif size:
-        mode = body_mode.BodyMode.SIZED
     return request_head.RequestHead(
         method,
         target,
--- a/src/cranberrymux/node/http/request_identity.py
+++ b/src/cranberrymux/node/http/request_identity.py
@@ -1,9 +1,7 @@
 """The header by which an answer shows to which request it belongs."""
 
-from typing import NamedTuple
 
-
-class RequestIdentity(NamedTuple):
+class RequestIdentity:
     """Header that a request bears and that its answer repeats.
 
     Attributes:
@@ -14,6 +12,12 @@
             answer has had the header yet.
     """
 
-    header: bytes
-    value: bytes
-    is_required: bool = True
+    __slots__ = ("header", "is_required", "value")
+
+    def __init__(
+        self, header: bytes, value: bytes, is_required: bool = True
+    ) -> None:
+        """Names the header and the id."""
+        self.header = header
+        self.value = value
+        self.is_required = is_required
