--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -53,13 +53,12 @@
             digest: Digest of its content.
             account: The client account that sent it; None for none.
         """
-        super().__init__()
         self._parts = parts
         self._call = call
         self._route = route
         self._headers = headers
         name = parts.settings.dialect.request_id
-        self._request_id = headers_module.find(call.head.headers, name) or b""
+        self._request_id = call.head.headers.first.get(name, b"")
         self._began_s = parts.clock.now_s()
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s, account
@@ -78,9 +77,10 @@
         self._log = request_log.RequestLog(
             parts,
             self._attempts,
-            request_log.LoggedRequest(
-                self._request_id, digest, self._began_s, self._deadline_s
-            ),
+            self._request_id,
+            digest,
+            self._began_s,
+            self._deadline_s,
         )
         self._answer = entry_answer.EntryAnswer(
             parts, call, self._origin, self._attempts, self._log
@@ -166,7 +166,7 @@
         record = endpoint.record
         return attempt_module.Attempt(
             self._parts.hop_connections,
-            socket_address.SocketAddress(record.address, record.port),
+            socket_address.get(record.address, record.port),
             hop_request.make(self._call, endpoint, dialect, left_ms, headers),
             self,
             request_identity.RequestIdentity(
@@ -189,7 +189,8 @@
     ) -> None:
         """Passes an answer on, or sends the request to another endpoint."""
         answer = self._read_answer(head)
-        self._suspicion.learn(answer)
+        if hop.SUSPECT in answer.first:
+            self._suspicion.learn(answer)
         if answer.has_died:
             self.attempt_lost(hop_answer.BACKEND_DIED)
             return
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -9,6 +9,7 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import running_request
 from cranberrymux.models import whole_number
 from cranberrymux.node.http import headers as headers_module
 
@@ -40,64 +41,45 @@
             account: The client account that sent it; None for none.
         """
         dialect = parts.settings.dialect
-        left_ms = whole_number.decode(
-            headers_module.find(headers, dialect.deadline_ms)
-        )
+        first = headers_module.index(headers)
+        left_ms = whole_number.decode(first.get(dialect.deadline_ms))
         self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
         self._parts = parts
         self._route = route
-        self._account = account
+        self._account_name = "" if account is None else account.name
         table = parts.routes.table
         self._has_accounts = table is not None and not table.accounts.is_empty
         self._rank = request_rank.find_rank(route, account, self._has_accounts)
-        self._parent_match = self._match_parent(headers, now_s)
+        if account is not None or (
+            self._has_accounts and dialect.api_key in first
+        ):
+            # Backend servers get no keys, so that a request with a key is a
+            # root, whatever its id and deadline resemble. Public routes look
+            # no key up.
+            self._parent_match = parent_matcher.ROOT
+        else:
+            self._parent_match = parts.parent_matcher.match(
+                route.name,
+                first.get(dialect.request_id, b""),
+                now_s + self.left_s,
+            )
 
     @property
     def is_root(self) -> bool:
         """True if no request that runs here made it."""
         return not self._parent_match.is_call
 
-    @property
-    def _account_name(self) -> str:
-        return "" if self._account is None else self._account.name
-
-    def _match_parent(
-        self, headers: headers_module.HeaderList, now_s: float
-    ) -> parent_matcher.ParentMatch:
-        """Finds the request that made this one.
-
-        Backend servers get no keys, so that a request with a key is a root,
-        whatever its id and deadline resemble.
-        """
-        if self._account is not None or self._has_key(headers):
-            return parent_matcher.ROOT
-        return self._parts.parent_matcher.match(
-            self._route.name,
-            headers_module.find(
-                headers, self._parts.settings.dialect.request_id
-            )
-            or b"",
-            now_s + self.left_s,
-        )
-
-    def _has_key(self, headers: headers_module.HeaderList) -> bool:
-        """True if a key was sent, also on a public route, which checks none."""
-        if not self._has_accounts:
-            return False
-        name = self._parts.settings.dialect.api_key
-        return headers_module.find(headers, name) is not None
-
     def admit(self, now_s: float) -> hop.TreeContext | None:
         """Returns the context of the request; None if a root is refused.
 
         Calls are always admitted, as their tree has been.
         """
-        parent = self._parts.running_requests.find(self._parent_match.parent)
-        if parent is not None:
-            return parent.tree_context.for_call()
         entry_admission = self._parts.entry_admission
         share = entry_admission.root_admission.minimum_share
         if self._parent_match.is_call:
+            parent = self._find_parent()
+            if parent is not None:
+                return parent.tree_context.for_call()
             return hop.TreeContext(self._rank, share).for_call()
         offered = entry_admission.offer(
             self._route,
@@ -111,18 +93,18 @@
                 self._parts.metrics.held_back.note(self._account_name)
             return None
         is_route_named = self._has_accounts and not self._account_name
-        tree_context = hop.TreeContext(
-            self._rank,
+        rank: float = self._rank
+        if entry_admission.root_admission.is_known_leaf(self._route.name):
+            # Nothing comes after it, so that it need not wait behind the calls
+            # of trees of equal importance.
+            rank -= hop.CALL_RANK_BONUS
+        return hop.TreeContext(
+            rank,
             share,
             account=self._account_name,
             root_route=self._route.name if is_route_named else "",
             offered=offered if self._has_accounts else 1,
         )
-        if entry_admission.root_admission.is_known_leaf(self._route.name):
-            # Nothing comes after it, so that it need not wait behind the calls
-            # of trees of equal importance.
-            return tree_context.for_call()
-        return tree_context
 
     def draw_retry_delay_s(self) -> float:
         """Draws the seconds after which a refused caller retries."""
@@ -131,17 +113,17 @@
 
     def begin_call(self) -> None:
         """Records the start of a call at the request that made it."""
-        now_s = self._parts.clock.now_s()
-        self._parts.running_requests.begin_call(
-            self._parent_match.parent, now_s
-        )
+        parent = self._parent_match.parent
+        if parent is not None:
+            now_s = self._parts.clock.now_s()
+            self._parts.running_requests.begin_call(parent, now_s)
 
     def end_call(self, is_failed: bool) -> None:
         """Records the end of a call; to be called once per `begin_call`."""
-        now_s = self._parts.clock.now_s()
-        self._parts.running_requests.end_call(
-            self._parent_match.parent, now_s, is_failed
-        )
+        parent = self._parent_match.parent
+        if parent is not None:
+            now_s = self._parts.clock.now_s()
+            self._parts.running_requests.end_call(parent, now_s, is_failed)
 
     def learn_from_answer(
         self,
@@ -166,10 +148,10 @@
             self._ignore_limited_share(service, report, now_s)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
-        parent = self._parts.running_requests.find(self._parent_match.parent)
-        if parent is not None:
-            work_report.add(parent.report, report)
         if self._parent_match.is_call:
+            parent = self._find_parent()
+            if parent is not None:
+                work_report.add(parent.report, report)
             return
         entry_admission = self._parts.entry_admission
         entry_admission.root_admission.note_report(
@@ -186,6 +168,9 @@
                 now_s - began_s
             )
 
+    def _find_parent(self) -> running_request.RunningRequest | None:
+        return self._parts.running_requests.find(self._parent_match.parent)
+
     def _ignore_limited_share(
         self, service: str, report: work_report.WorkReport, now_s: float
     ) -> None:
--- a/src/cranberrymux/gateway/suspicion.py
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -25,10 +25,7 @@
     parts: parts_module.GatewayParts, fingerprint: fingerprints.Fingerprint
 ) -> headers_module.HeaderList:
     """Returns the header that tells another node what is known of a request."""
-    quarantine = parts.quarantine
-    reports = (
-        quarantine.get_open_reports(fingerprint) if quarantine.records else []
-    )
+    reports = parts.quarantine.get_open_reports(fingerprint)
     if not reports:
         return []
     return [(hop.SUSPECT, suspect_message.encode_value(reports))]
@@ -39,10 +36,9 @@
 
     Args:
         parts: Shared state of the gateway.
-        first: Headers of the request or answer, one of each name.
+        first: Headers of the request or answer, one of each name; that of
+            suspects is among them.
     """
-    if hop.SUSPECT not in first:
-        return
     reports = suspect_message.decode(first[hop.SUSPECT])
     if reports is None:
         parts.events.warning("bad-peer-message", detail="suspect header")
@@ -61,7 +57,7 @@
             digest: Digest of the request's content.
         """
         self._parts = parts
-        self._fingerprint = make_fingerprint(digest)
+        self._digest = digest
 
     @property
     def is_refused(self) -> bool:
@@ -86,12 +82,18 @@
 
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that tell the endpoint's node what is known."""
+        if not self._parts.quarantine.records:
+            return []
         return encode(self._parts, self._fingerprint)
 
     def learn(self, answer: hop_answer.HopAnswer) -> None:
         """Learns from an answer of the endpoint's node."""
         learn(self._parts, answer.first)
 
+    @property
+    def _fingerprint(self) -> fingerprints.Fingerprint:
+        return make_fingerprint(self._digest)
+
     @property
     def _wait_s(self) -> float:
         return self._parts.quarantine.get_trial_wait_s(self._fingerprint)
