Nodes without routes: do not retry a call whose body was streamed

A call whose body had been streamed to an endpoint and was complete by the time it was refused was retried with a head that named a body and no body, so that the next endpoint waited until the deadline.

--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -72,6 +72,8 @@
     Attributes:
         head: Request line and headers.
         is_body_complete: True if the whole body has been read.
+        is_body_streamed: True once the body is passed on and no longer
+            buffered, so that it cannot be sent again.
         is_head_sent: True once the head of the final (not 1xx) answer was
             sent.
         on_cancel: Called once if the client disconnects before the answer is
@@ -101,6 +103,7 @@
         self._parts: list[bytes] = []
         self._body_length = 0
         self.is_body_complete = False
+        self.is_body_streamed = False
         self.is_head_sent = False
         self._sink: body_sink.BodySink | None = None
         self._is_chunked_answer = False
@@ -149,6 +152,7 @@
             sink: Receives the body; it is no longer buffered here.
         """
         self._sink = sink
+        self.is_body_streamed = True
         parts = self._parts
         self._parts = []
         for part in parts:
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -211,7 +211,7 @@
         Returns:
             True if a further attempt was made.
         """
-        if not self._call.is_body_complete:
+        if self._call.is_body_streamed or not self._call.is_body_complete:
             return False
         if reason in retry_policy.OVERLOAD_REASONS:
             self._overload_refusals += 1
