Ingress: stream a long answer to the caller that still waits

Where a resend had joined a call and the first caller then disconnected, a long answer was streamed to the first caller, and the resend got nothing and waited on. IngressAnswers, which knows who waits, now sends streamed answers too. The new test fails without this change; the rest of tests/node passes unchanged.

--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -9,6 +9,7 @@
 from cranberrymux.models import request_context
 from cranberrymux.node import claimed_call
 from cranberrymux.node import environment
+from cranberrymux.node import outbound_attempt
 from cranberrymux.node import outcome_record
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
@@ -143,18 +144,34 @@
             self._refuse_call(call, refusal, unspent)
 
     def start_streaming(
-        self, head: answer_head.AnswerHead
-    ) -> headers.HeaderList:
-        """Returns the headers of a streamed answer.
+        self,
+        attempt: outbound_attempt.OutboundAttempt,
+        head: answer_head.AnswerHead,
+        body: bytes,
+    ) -> None:
+        """Sends the head and the first bytes of a streamed answer.
 
-        Only the first caller gets the answer; the others are refused.
+        Only the caller that has waited longest gets the answer; the others are
+        refused.
+
+        Args:
+            attempt: Reads the answer.
+            head: Head of the answer.
+            body: First bytes of its body.
         """
         self._is_streaming = True
         others = self._waiting_calls[1:]
         del self._waiting_calls[1:]
         for call in others:
             self.join(call)
-        return self._annotate(head, 0)
+        annotated = head._replace(headers=self._annotate(head, 0))
+        for call in self._waiting_calls:
+            attempt.stream_to(call, annotated, body)
+
+    def send_part(self, part: bytes) -> None:
+        """Sends the next bytes of a streamed answer."""
+        for call in self._waiting_calls:
+            call.send_body(part)
 
     def finish_streaming(self) -> None:
         """Ends a streamed answer that is complete."""
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -138,15 +138,11 @@
         """Sends the head and the first bytes of a long answer to one caller."""
         assert self._attempt is not None
         self._streamed_head = head
-        self._call.on_send_buffer_full = self._attempt.pause
-        self._call.on_send_buffer_drained = self._attempt.resume
-        annotated = self._answers.start_streaming(head)
-        self._call.start_answer(head._replace(headers=annotated))
-        self._call.send_body(body)
+        self._answers.start_streaming(self._attempt, head, body)
 
     def attempt_part(self, part: bytes) -> None:
         """Sends the next bytes of a long answer."""
-        self._call.send_body(part)
+        self._answers.send_part(part)
 
     def attempt_ended(self) -> None:
         """Ends a streamed answer."""
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -133,11 +133,10 @@
         """Forwards the head and the first bytes of a long answer."""
         assert self._attempt is not None
         self._streamed_head = head
-        self._call.on_send_buffer_full = self._attempt.pause
-        self._call.on_send_buffer_drained = self._attempt.resume
-        forwarded = routed_answers.forwarded_headers(head)
-        self._call.start_answer(head._replace(headers=forwarded))
-        self._call.send_body(body)
+        forwarded = head._replace(
+            headers=routed_answers.forwarded_headers(head)
+        )
+        self._attempt.stream_to(self._call, forwarded, body)
 
     def attempt_part(self, part: bytes) -> None:
         """Forwards the next bytes of a long answer."""
--- a/tests/node/test_long_bodies.py
+++ b/tests/node/test_long_bodies.py
@@ -1,7 +1,8 @@
 """Bodies that are too long to be buffered, through one node and two.
 
 Guards against requests whose head names a body that is never sent, so that
-their receiver waits until the deadline.
+their receiver waits until the deadline, and against long answers that are
+sent to a caller that has gone.
 """
 
 import pytest
@@ -59,3 +60,21 @@
     cluster.network.run(0.2)
     assert client.statuses == [503]
     assert b"cranberrymux-answer: not-run" in client.received
+
+
+def test_long_answer_goes_to_the_resend_once_the_first_caller_has_gone(
+    cluster,
+):
+    leaf = cluster.add("leaf-0", "leaf")
+    request = (
+        b"GET /x HTTP/1.1\r\nhost: a\r\ncranberrymux-request-id: r-1\r\n\r\n"
+    )
+    first = cluster.ask(leaf.ingress_port, request)
+    second = cluster.ask(leaf.ingress_port, request)
+    first.transport.loseConnection()
+    cluster.network.run(0.01)
+    (call,) = leaf.backend.calls
+    call.answer(200, [], b"x" * LONG_BYTES)
+    cluster.network.run(0.1)
+    assert second.statuses == [200]
+    assert second.received.endswith(b"x" * LONG_BYTES)
