Routed call: the choice of endpoints and retries in a module of its own

Which endpoints a call is sent to, what a retry takes from the budgets and what an answer gives back move to node/routed_attempts.py, as gateway/attempts.py does for requests with routes. Whole answers, to HEAD among them, are sent by node/whole_answer.py for both ends of a call. Behavior does not change; tests/node passes unchanged.

--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -13,6 +13,7 @@
 from cranberrymux.node import outcome_record
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
+from cranberrymux.node import whole_answer
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
@@ -107,12 +108,9 @@
         answer_headers = self._annotate(head, unspent)
         if has_failed_child and head.status >= _MINIMUM_SERVER_ERROR_STATUS:
             answer_headers.append((b"cranberrymux-dependency-failed", b"1"))
+        forwarded = head._replace(headers=answer_headers)
         for call in self._take_all():
-            if call.head.method == b"HEAD":
-                call.start_answer(head._replace(headers=answer_headers))
-                call.finish()
-            else:
-                call.answer(head.status, answer_headers, body)
+            whole_answer.send(call, forwarded, body)
 
     def replay(self, stored: claimed_call.StoredAnswer) -> None:
         """Sends the stored answer of an earlier run to every caller."""
--- a/src/cranberrymux/node/routed_answers.py
+++ b/src/cranberrymux/node/routed_answers.py
@@ -21,19 +21,20 @@
 )
 
 
-def forwarded_headers(head: answer_head.AnswerHead) -> headers.HeaderList:
-    """Returns the headers of an endpoint's answer for the caller.
+def make_forwarded(head: answer_head.AnswerHead) -> answer_head.AnswerHead:
+    """Returns the head of an endpoint's answer for the caller.
 
     Hop-by-hop headers and those for the caller's node are left out.
 
     Args:
         head: Head of the answer as received.
     """
-    return [
+    forwarded = [
         pair
         for pair in headers.forwardable(head.headers)
         if pair[0] not in _NODE_HEADERS
     ]
+    return head._replace(headers=forwarded)
 
 
 def classify(
--- a/src/cranberrymux/node/routed_call.py
+++ b/src/cranberrymux/node/routed_call.py
@@ -5,10 +5,6 @@
 from cranberrymux.decisions.answers import conclusion
 from cranberrymux.decisions.answers import reach
 from cranberrymux.decisions.configuration import policy_decision
-from cranberrymux.decisions.contexts import derivation
-from cranberrymux.decisions.retries import ended_attempt
-from cranberrymux.decisions.retries import retry_policy
-from cranberrymux.decisions.retries import retry_verdict
 from cranberrymux.decisions.routing import outcome
 from cranberrymux.models import answer_kind
 from cranberrymux.models import endpoint_record
@@ -17,21 +13,20 @@
 from cranberrymux.models import request_context
 from cranberrymux.models import socket_address
 from cranberrymux.node import answer_metadata
-from cranberrymux.node import endpoint_use
 from cranberrymux.node import environment
 from cranberrymux.node import outbound_attempt
 from cranberrymux.node import outcome_record
-from cranberrymux.node import places
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
 from cranberrymux.node import routed_answers
+from cranberrymux.node import routed_attempts
 from cranberrymux.node import running_call
 from cranberrymux.node import vouch_request
+from cranberrymux.node import whole_answer
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import correlation
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
-from cranberrymux.telemetry import metric
 
 _Kind = answer_kind.AnswerKind
 _Reason = refusal_reason.RefusalReason
@@ -69,21 +64,16 @@
         self._call = call
         self._service = service
         self._context = context
-        # Each class has a bucket of its own, so that retries of low classes do
-        # not use up those of high classes.
-        self._bucket_key = f"{service}/{context.class_rank}"
-        self._decision = decision
         self._parent = parent
-        self._excluded = excluded
-        self._place_selector = places.join_places(decision.places)
+        self._attempts = routed_attempts.RoutedAttempts(
+            node, service, context, decision, parent, excluded
+        )
         self._began_s = node.clock.now_s()
         self._deadline_s = self._began_s + context.timeout_ms / 1000
         self._deadline_key: int | None = None
-        self._endpoint_use: endpoint_use.EndpointUse | None = None
         self._attempt: outbound_attempt.OutboundAttempt | None = None
         self._vouch_request: vouch_request.VouchRequest | None = None
         self._streamed_head: answer_head.AnswerHead | None = None
-        self._overload_refusals = 0
         self._is_over = False
 
     def start(self) -> None:
@@ -92,7 +82,7 @@
         self._deadline_key = self._node.deadlines.add(
             self._deadline_s, self._deadline_passed
         )
-        chosen = self._choose()
+        chosen = self._attempts.choose()
         if isinstance(chosen, refusal.Refusal):
             self._refuse(chosen)
             return
@@ -120,12 +110,8 @@
         if metadata.kind is not _Kind.DONE:
             self._parent.has_failed_child = True
         self._end()
-        answer_headers = routed_answers.forwarded_headers(head)
-        if self._call.head.method == b"HEAD":
-            self._call.start_answer(head._replace(headers=answer_headers))
-            self._call.finish()
-            return
-        self._call.answer(head.status, answer_headers, body)
+        forwarded = routed_answers.make_forwarded(head)
+        whole_answer.send(self._call, forwarded, body)
 
     def attempt_streaming(
         self, head: answer_head.AnswerHead, body: bytes
@@ -133,9 +119,7 @@
         """Forwards the head and the first bytes of a long answer."""
         assert self._attempt is not None
         self._streamed_head = head
-        forwarded = head._replace(
-            headers=routed_answers.forwarded_headers(head)
-        )
+        forwarded = routed_answers.make_forwarded(head)
         self._attempt.stream_to(self._call, forwarded, body)
 
     def attempt_part(self, part: bytes) -> None:
@@ -171,12 +155,12 @@
         self._request_vouch(loss)
 
     def _request_vouch(self, loss: lost_answer.LostAnswer) -> None:
-        assert self._endpoint_use is not None
+        lost = self._attempts.current
         self._vouch_request = vouch_request.VouchRequest(
             self._node,
-            self._context,
-            self._endpoint_use.endpoint,
-            self._endpoint_use.sent_s,
+            self._attempts.context,
+            lost.endpoint,
+            lost.sent_s,
             lambda concluded: self._apply_conclusion(concluded, loss.detail),
         )
         self._vouch_request.send()
@@ -212,69 +196,19 @@
         """
         if self._call.is_body_streamed or not self._call.is_body_complete:
             return False
-        if reason in retry_policy.OVERLOAD_REASONS:
-            self._overload_refusals += 1
-        if not self._may_retry(kind, reason):
-            return False
-        assert self._endpoint_use is not None
-        self._excluded = self._excluded | {
-            self._endpoint_use.endpoint.endpoint_id
-        }
-        chosen = self._choose()
-        if isinstance(chosen, refusal.Refusal):
-            return False
-        if not self._parent.ledger.spend():
+        chosen = self._attempts.take_retry(kind, reason, self._deadline_s)
+        if chosen is None:
             return False
-        now_s = self._node.clock.now_s()
-        if retry_policy.needs_edge_token(reason):
-            self._node.edges.take(now_s, self._bucket_key)
-        self._context = derivation.next_attempt(
-            self._context, (now_s - self._endpoint_use.sent_s) * 1000, 0
-        )
-        self._node.metrics.count(metric.Metric.RETRIES, 1, self._service)
         self._send(chosen)
         return True
 
-    def _may_retry(
-        self, kind: answer_kind.AnswerKind, reason: _Reason | None
-    ) -> bool:
-        now_s = self._node.clock.now_s()
-        ended = ended_attempt.EndedAttempt(
-            self._context,
-            kind,
-            reason,
-            (self._deadline_s - now_s) * 1000,
-            self._parent.has_parent,
-            self._parent.ledger.remaining,
-            self._node.edges.has_retry(now_s, self._bucket_key),
-            self._overload_refusals,
-        )
-        verdict = retry_policy.decide_retry(self._node.retry_settings, ended)
-        return verdict is retry_verdict.RetryVerdict.RETRY
-
-    def _choose(self) -> endpoint_record.EndpointRecord | refusal.Refusal:
-        return self._node.router.choose(
-            self._node.clock.now_s(),
-            self._service,
-            self._context,
-            self._place_selector,
-            self._excluded,
-        )
-
     def _send(self, chosen: endpoint_record.EndpointRecord) -> None:
-        self._endpoint_use = endpoint_use.EndpointUse(self._node, chosen)
-        self._context = self._context._replace(
-            retry_budget=self._parent.ledger.allot(
-                self._endpoint_use.sent_s,
-                self._context.call_id,
-                self._context.attempt,
-            )
-        )
+        self._attempts.begin(chosen)
         address = socket_address.SocketAddress(chosen.address, chosen.port)
         identity = correlation.make_identity()
         request = request_encoding.ForwardedCall(
             self._call,
-            self._context,
+            self._attempts.context,
             address,
             request_encoding.PeerHeaders(
                 self._node.cluster_key,
@@ -298,31 +232,19 @@
         self, head: answer_head.AnswerHead
     ) -> answer_metadata.AnswerMetadata:
         metadata = answer_metadata.parse_metadata(head)
-        self._parent.ledger.give_back(
-            self._context.call_id, metadata.unspent, self._context.attempt
+        self._attempt = None
+        self._attempts.note_answer(
+            routed_answers.classify(head, metadata), metadata
         )
-        self._finish_attempt(routed_answers.classify(head, metadata), metadata)
-        now_s = self._node.clock.now_s()
-        if metadata.kind is _Kind.DONE:
-            self._node.edges.record_success(now_s, self._bucket_key)
-        if metadata.level is not None:
-            self._node.admission.set_downstream_level(
-                self._service, metadata.level
-            )
         if metadata.configuration > self._node.policy.version:
             self._node.version_listener.newer_version_seen(
                 metadata.configuration
             )
         return metadata
 
-    def _finish_attempt(
-        self,
-        ended: outcome.Outcome,
-        metadata: answer_metadata.AnswerMetadata | None = None,
-    ) -> None:
+    def _finish_attempt(self, ended: outcome.Outcome) -> None:
         self._attempt = None
-        if self._endpoint_use is not None:
-            self._endpoint_use.finish(ended, metadata)
+        self._attempts.finish(ended)
 
     def _refuse(self, refused: refusal.Refusal) -> None:
         self._parent.has_failed_child = True
