Ingress call: the run at the backend server in a module of its own

The slot, the isolation and the child calls of a run move to node/backend_run.py. Behavior does not change; tests/node passes unchanged.

--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -3,11 +3,11 @@
 from cranberrymux.decisions.admission import outcome as outcome_module
 from cranberrymux.decisions.answers import attempt_key
 from cranberrymux.decisions.configuration import policy_decision
-from cranberrymux.decisions.quarantine import isolation as isolation_module
 from cranberrymux.models import answer_kind
 from cranberrymux.models import refusal as refusal_module
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
+from cranberrymux.node import backend_run
 from cranberrymux.node import backend_server
 from cranberrymux.node import call_fingerprint
 from cranberrymux.node import claimed_call
@@ -16,8 +16,6 @@
 from cranberrymux.node import lost_call
 from cranberrymux.node import outbound_attempt
 from cranberrymux.node import request_encoding
-from cranberrymux.node import running_call
-from cranberrymux.node import slot
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
@@ -63,14 +61,15 @@
         self._arrived_s = node.clock.now_s()
         self._deadline_s = self._arrived_s + context.timeout_ms / 1000
         self._deadline_key: int | None = None
-        self._slot = slot.Slot(node.admission)
-        self._fingerprint = call_fingerprint.make_fingerprint(
-            backend.service, context.request_id, call
+        self._run = backend_run.BackendRun(
+            node,
+            context,
+            call_fingerprint.make_fingerprint(
+                backend.service, context.request_id, call
+            ),
         )
-        self._isolation = isolation_module.Isolation.CLEAR
         self._claimed: claimed_call.ClaimedCall | None = None
         self._attempt: outbound_attempt.OutboundAttempt | None = None
-        self._running: running_call.RunningCall | None = None
         self._streamed_head: answer_head.AnswerHead | None = None
         self._is_over = False
 
@@ -81,21 +80,14 @@
 
     def start(self) -> None:
         """Requests a slot, unless the call is quarantined."""
-        classified = self._node.quarantine.classify(self._fingerprint)
-        if isinstance(classified, refusal_module.Refusal):
-            self._refuse(classified)
+        refusal = self._run.classify()
+        if refusal is not None:
+            self._refuse(refusal)
             return
-        self._isolation = classified
         self._deadline_key = self._node.deadlines.add(
             self._deadline_s, self._deadline_passed
         )
-        self._slot.acquire(
-            self._context,
-            self._deadline_s,
-            classified,
-            self._admitted,
-            self._refuse,
-        )
+        self._run.request_slot(self._deadline_s, self._admitted, self._refuse)
 
     def is_same_request(
         self,
@@ -127,8 +119,8 @@
         """Sends a complete answer to the callers."""
         if self._claimed is not None:
             self._claimed.settle_answer(head, body)
-        self._finish_quarantine(head.status < _FIRST_SERVER_ERROR_STATUS)
-        has_failed_child = self._has_failed_child()
+        self._run.finish(head.status < _FIRST_SERVER_ERROR_STATUS)
+        has_failed_child = self._run.has_failed_child
         unspent = self._end(ingress_answers.classify(head, has_failed_child))
         self._answers.forward(head, body, unspent, has_failed_child)
 
@@ -149,12 +141,12 @@
         assert self._streamed_head is not None
         if self._claimed is not None:
             self._claimed.settle(self._streamed_head.status, None)
-        self._finish_quarantine(
+        self._run.finish(
             self._streamed_head.status < _FIRST_SERVER_ERROR_STATUS
         )
         self._end(
             ingress_answers.classify(
-                self._streamed_head, self._has_failed_child()
+                self._streamed_head, self._run.has_failed_child
             )
         )
         self._answers.finish_streaming()
@@ -162,11 +154,9 @@
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Answers as not-run or unknown if no complete answer will arrive."""
         if loss.is_handed_over:
-            self._node.quarantine.losses.add(
-                self._slot.ticket_id, self._backend.address
-            )
+            self._run.note_lost(self._backend.address)
         else:
-            self._finish_quarantine(False)
+            self._run.finish(False)
             self._release_claim()
             self._node.quarantine.losses.on_dead()
         unspent = self._end(_Outcome.LOST)
@@ -178,7 +168,7 @@
 
     def _admitted(self) -> None:
         if self._is_over:
-            self._slot.release(_Outcome.CANCELLED, 0.0)
+            self._run.release(_Outcome.CANCELLED)
             return
         if not self._decision.once_only and not self._context.once_only:
             self._hand_over()
@@ -224,13 +214,7 @@
         backend_context = self._context._replace(
             timeout_ms=max(self._context.timeout_ms - elapsed_ms, 0)
         )
-        self._running = running_call.RunningCall(backend_context, now_s)
-        self._node.running.add(self._running)
-        self._node.quarantine.start(
-            self._slot.ticket_id,
-            self._fingerprint,
-            self._isolation is not isolation_module.Isolation.CLEAR,
-        )
+        self._run.begin(now_s, backend_context)
         request = request_encoding.ForwardedCall(
             self._call, backend_context, self._backend.address, None
         )
@@ -254,17 +238,6 @@
             self._claimed.release()
             self._claimed = None
 
-    def _has_failed_child(self) -> bool:
-        return self._running is not None and self._running.has_failed_child
-
-    def _finish_quarantine(
-        self, is_clean: bool, *, may_still_run: bool = False
-    ) -> None:
-        if self._running is not None:
-            self._node.quarantine.finish(
-                self._slot.ticket_id, is_clean, may_still_run=may_still_run
-            )
-
     def _refuse(self, refusal: refusal_module.Refusal) -> None:
         unspent = self._end(_Outcome.CANCELLED)
         self._answers.refuse(refusal, unspent)
@@ -302,7 +275,7 @@
             return False
         was_handed_over = self._attempt.is_handed_over
         self._attempt.cancel()
-        self._finish_quarantine(False, may_still_run=was_handed_over)
+        self._run.finish(False, may_still_run=was_handed_over)
         if not was_handed_over:
             self._release_claim()
         return was_handed_over
@@ -318,17 +291,7 @@
         self._is_over = True
         if self._deadline_key is not None:
             self._node.deadlines.remove(self._deadline_key)
-        unspent = self._context.retry_budget
-        if self._running is not None:
-            self._running.cancel_children()
-            self._node.running.remove(self._running)
-            unspent = self._running.ledger.close()
-        self._node.grants.give_back(
-            self._context.principal, self._context.request_id, unspent
-        )
+        unspent = self._run.close_children()
         self._node.ingress_calls.remove(self)
-        downstream_s = (
-            self._running.downstream_s if self._running is not None else 0.0
-        )
-        self._slot.release(outcome, downstream_s)
+        self._run.release(outcome)
         return unspent
