--- a/src/cranberrymux/decisions/answers/classifier.py
+++ b/src/cranberrymux/decisions/answers/classifier.py
@@ -9,14 +9,13 @@
 from cranberrymux.decisions.answers import reach as reach_module
 from cranberrymux.decisions.answers import vouch_verdict
 from cranberrymux.models import answer_kind
+from cranberrymux.models import http_status
 from cranberrymux.models import refusal_reason
 
 _Kind = answer_kind.AnswerKind
 _Reach = reach_module.Reach
 _Reason = refusal_reason.RefusalReason
 
-_MINIMUM_SERVER_ERROR_STATUS = 500
-
 
 def classify(evidence: call_evidence.CallEvidence) -> conclusion.Conclusion:
     """Returns the answer for the caller; `UNKNOWN` if nothing is proven.
@@ -41,7 +40,7 @@
         return conclusion.Conclusion(_Kind.UNKNOWN, evidence.reason)
     if not evidence.whole:
         return conclusion.Conclusion(_Kind.UNKNOWN, _Reason.TRUNCATED)
-    if evidence.status >= _MINIMUM_SERVER_ERROR_STATUS:
+    if evidence.status >= http_status.MINIMUM_SERVER_ERROR:
         return conclusion.Conclusion(_Kind.FAILED, None)
     return conclusion.Conclusion(_Kind.DONE, None)
 
--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -1,11 +1,11 @@
 """Reads the status and the node headers of another node's answer."""
 
 from cranberrymux.gateway import hop
+from cranberrymux.models import http_status
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import lost_answer
 
-MINIMUM_SERVER_ERROR_STATUS = 500
 BACKEND_DIED = lost_answer.LostAnswer(
     lost_answer.LossReason.CONNECTION_LOST, True, "the backend server died"
 )
@@ -18,7 +18,7 @@
 
 def is_failure(head: answer_head.AnswerHead) -> bool:
     """True if the request failed at the backend server."""
-    return head.status >= MINIMUM_SERVER_ERROR_STATUS
+    return head.status >= http_status.MINIMUM_SERVER_ERROR
 
 
 def has_died(head: answer_head.AnswerHead) -> bool:
--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -4,6 +4,7 @@
 
 from cranberrymux.decisions.admission import outcome
 from cranberrymux.models import answer_kind
+from cranberrymux.models import http_status
 from cranberrymux.models import refusal as refusal_module
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
@@ -20,7 +21,6 @@
 
 _Kind = answer_kind.AnswerKind
 _Reason = refusal_reason.RefusalReason
-_MINIMUM_SERVER_ERROR_STATUS = 500
 _OVERLOADED_STATUS = 503
 _PER_MILLE = 1000
 
@@ -34,13 +34,13 @@
         head: Head of the answer.
         has_failed_child: True if a child call of the call failed.
     """
-    if has_failed_child and head.status >= _MINIMUM_SERVER_ERROR_STATUS:
+    if has_failed_child and head.status >= http_status.MINIMUM_SERVER_ERROR:
         # The child call may be the cause, so the latency and the failure do not
         # count against this backend server.
         return outcome.Outcome.CANCELLED
     if head.status == _OVERLOADED_STATUS:
         return outcome.Outcome.OVERLOADED
-    if head.status >= _MINIMUM_SERVER_ERROR_STATUS:
+    if head.status >= http_status.MINIMUM_SERVER_ERROR:
         return outcome.Outcome.FAILED
     return outcome.Outcome.OK
 
@@ -106,7 +106,7 @@
             has_failed_child: True if a child call of the call failed.
         """
         answer_headers = self._annotate(head, unspent)
-        if has_failed_child and head.status >= _MINIMUM_SERVER_ERROR_STATUS:
+        if has_failed_child and head.status >= http_status.MINIMUM_SERVER_ERROR:
             answer_headers.append((b"cranberrymux-dependency-failed", b"1"))
         forwarded = head._replace(headers=answer_headers)
         for call in self._take_all():
@@ -116,7 +116,7 @@
         """Sends the stored answer of an earlier run to every caller."""
         kind = (
             _Kind.FAILED
-            if stored.status >= _MINIMUM_SERVER_ERROR_STATUS
+            if stored.status >= http_status.MINIMUM_SERVER_ERROR
             else _Kind.DONE
         )
         self._record(kind)
@@ -204,7 +204,7 @@
         answer_kind_value = headers.find(head.headers, b"cranberrymux-answer")
         kind = (
             _Kind.FAILED
-            if head.status >= _MINIMUM_SERVER_ERROR_STATUS
+            if head.status >= http_status.MINIMUM_SERVER_ERROR
             else _Kind.DONE
         )
         if answer_kind_value == _Kind.NOT_RUN.value.encode():
--- a/src/cranberrymux/node/ingress_call.py
+++ b/src/cranberrymux/node/ingress_call.py
@@ -4,6 +4,7 @@
 from cranberrymux.decisions.answers import attempt_key
 from cranberrymux.decisions.configuration import policy_decision
 from cranberrymux.models import answer_kind
+from cranberrymux.models import http_status
 from cranberrymux.models import refusal as refusal_module
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
@@ -21,7 +22,6 @@
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import request_identity
 
-_FIRST_SERVER_ERROR_STATUS = 500
 _Kind = answer_kind.AnswerKind
 _Outcome = outcome_module.Outcome
 _Reason = refusal_reason.RefusalReason
@@ -119,7 +119,7 @@
         """Sends a complete answer to the callers."""
         if self._claimed is not None:
             self._claimed.settle_answer(head, body)
-        self._run.finish(head.status < _FIRST_SERVER_ERROR_STATUS)
+        self._run.finish(head.status < http_status.MINIMUM_SERVER_ERROR)
         has_failed_child = self._run.has_failed_child
         unspent = self._end(ingress_answers.classify(head, has_failed_child))
         self._answers.forward(head, body, unspent, has_failed_child)
@@ -142,7 +142,7 @@
         if self._claimed is not None:
             self._claimed.settle(self._streamed_head.status, None)
         self._run.finish(
-            self._streamed_head.status < _FIRST_SERVER_ERROR_STATUS
+            self._streamed_head.status < http_status.MINIMUM_SERVER_ERROR
         )
         self._end(
             ingress_answers.classify(
--- a/src/cranberrymux/node/routed_answers.py
+++ b/src/cranberrymux/node/routed_answers.py
@@ -3,6 +3,7 @@
 from cranberrymux.decisions.retries import retry_policy
 from cranberrymux.decisions.routing import outcome
 from cranberrymux.models import answer_kind
+from cranberrymux.models import http_status
 from cranberrymux.models import refusal_reason
 from cranberrymux.node import answer_metadata
 from cranberrymux.node.http import answer_head
@@ -11,7 +12,6 @@
 
 _Kind = answer_kind.AnswerKind
 _Reason = refusal_reason.RefusalReason
-_MINIMUM_SERVER_ERROR_STATUS = 500
 _NODE_HEADERS = (
     b"cranberrymux-level",
     b"cranberrymux-load",
@@ -52,7 +52,7 @@
         return outcome.Outcome.CANCELLED
     if metadata.kind is _Kind.UNKNOWN:
         return outcome.Outcome.LOST
-    if head.status >= _MINIMUM_SERVER_ERROR_STATUS:
+    if head.status >= http_status.MINIMUM_SERVER_ERROR:
         return outcome.Outcome.FAILED
     return outcome.Outcome.DONE
 
