One holder of the record that a node announces

node/own_endpoint.py and gateway/own_endpoint.py each kept the record, its incarnation and its sequence number. Behavior does not change; tests/node and tests/gateway pass unchanged.

--- a/src/cranberrymux/gateway/own_endpoint.py
+++ b/src/cranberrymux/gateway/own_endpoint.py
@@ -5,15 +5,13 @@
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 from cranberrymux.models import socket_address
+from cranberrymux.node import announced_endpoint
 
 _State = endpoint_state.EndpointState
 
 
-class OwnEndpoint:
-    """Keeps the endpoint record that heartbeats carry to the directory.
-
-    Each change of the record increments its sequence.
-    """
+class OwnEndpoint(announced_endpoint.AnnouncedEndpoint):
+    """Makes the record that heartbeats carry to the directory."""
 
     def __init__(
         self, settings: gateway_settings.GatewaySettings, incarnation: int
@@ -24,19 +22,8 @@
             settings: The gateway's settings.
             incarnation: Start time of the process in Unix milliseconds.
         """
+        super().__init__(incarnation)
         self._settings = settings
-        self._incarnation = incarnation
-        self._record: endpoint_record.EndpointRecord | None = None
-
-    @property
-    def incarnation(self) -> int:
-        """Start time of the process in Unix milliseconds."""
-        return self._incarnation
-
-    @property
-    def record(self) -> endpoint_record.EndpointRecord | None:
-        """The newest record; None before the first announcement."""
-        return self._record
 
     def update(self, presence: presence_module.Presence, now_s: float) -> bool:
         """Builds the record from the latest announcement.
@@ -57,13 +44,11 @@
         hop_address = socket_address.parse(self._settings.hop_address)
         assert hop_address is not None
         is_serving = presence.is_serving(now_s)
-        previous = self._record
-        sequence = previous.sequence if previous else 0
         record = endpoint_record.EndpointRecord(
             current.service,
             self._settings.node_id,
-            self._incarnation,
-            sequence,
+            self.incarnation,
+            0,
             hop_address.host,
             hop_address.port,
             self._settings.region,
@@ -74,16 +59,8 @@
             current.backend_id,
             current.started_ms,
         )
-        if record == previous:
-            return False
-        self._record = record._replace(sequence=sequence + 1)
-        return True
+        return self.replace(record)
 
     def drain(self) -> bool:
         """Marks the endpoint as draining; True if the record changed."""
-        if self._record is None or self._record.state is _State.DRAINING:
-            return False
-        self._record = self._record._replace(
-            state=_State.DRAINING, sequence=self._record.sequence + 1
-        )
-        return True
+        return self.set_state(_State.DRAINING)
