--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -1,11 +1,11 @@
 """Reads the status and the node headers of another node's answer."""
 
 from cranberrymux.gateway import hop
+from cranberrymux.models import http_status
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import lost_answer
 
-MINIMUM_SERVER_ERROR_STATUS = 500
 BACKEND_DIED = lost_answer.LostAnswer(
     lost_answer.LossReason.CONNECTION_LOST, True, "the backend server died"
 )
@@ -58,7 +58,7 @@
         self.first = first
         self.refusal = first.get(hop.NOT_RUN)
         self.has_died = hop.DIED in first
-        self.is_failure = head.status >= MINIMUM_SERVER_ERROR_STATUS
+        self.is_failure = head.status >= http_status.MINIMUM_SERVER_ERROR
         self.has_failed_call = hop.CALL_FAILED in first
         self.is_own_failure = self.is_failure and not self.has_failed_call
         self.rate_limit_per_s: float | None = None
--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -4,21 +4,23 @@
 
 from cranberrymux.decisions.admission import outcome
 from cranberrymux.models import answer_kind
+from cranberrymux.models import http_status
 from cranberrymux.models import refusal as refusal_module
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
 from cranberrymux.node import claimed_call
 from cranberrymux.node import environment
+from cranberrymux.node import outbound_attempt
 from cranberrymux.node import outcome_record
 from cranberrymux.node import refusal_answer
 from cranberrymux.node import request_encoding
+from cranberrymux.node import whole_answer
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 
 _Kind = answer_kind.AnswerKind
 _Reason = refusal_reason.RefusalReason
-_MINIMUM_SERVER_ERROR_STATUS = 500
 _OVERLOADED_STATUS = 503
 _PER_MILLE = 1000
 
@@ -32,13 +34,13 @@
         head: Head of the answer.
         has_failed_child: True if a child call of the call failed.
     """
-    if has_failed_child and head.status >= _MINIMUM_SERVER_ERROR_STATUS:
+    if has_failed_child and head.status >= http_status.MINIMUM_SERVER_ERROR:
         # The child call may be the cause, so the latency and the failure do not
         # count against this backend server.
         return outcome.Outcome.CANCELLED
     if head.status == _OVERLOADED_STATUS:
         return outcome.Outcome.OVERLOADED
-    if head.status >= _MINIMUM_SERVER_ERROR_STATUS:
+    if head.status >= http_status.MINIMUM_SERVER_ERROR:
         return outcome.Outcome.FAILED
     return outcome.Outcome.OK
 
@@ -104,20 +106,17 @@
             has_failed_child: True if a child call of the call failed.
         """
         answer_headers = self._annotate(head, unspent)
-        if has_failed_child and head.status >= _MINIMUM_SERVER_ERROR_STATUS:
+        if has_failed_child and head.status >= http_status.MINIMUM_SERVER_ERROR:
             answer_headers.append((b"cranberrymux-dependency-failed", b"1"))
+        forwarded = head._replace(headers=answer_headers)
         for call in self._take_all():
-            if call.head.method == b"HEAD":
-                call.start_answer(head._replace(headers=answer_headers))
-                call.finish()
-            else:
-                call.answer(head.status, answer_headers, body)
+            whole_answer.send(call, forwarded, body)
 
     def replay(self, stored: claimed_call.StoredAnswer) -> None:
         """Sends the stored answer of an earlier run to every caller."""
         kind = (
             _Kind.FAILED
-            if stored.status >= _MINIMUM_SERVER_ERROR_STATUS
+            if stored.status >= http_status.MINIMUM_SERVER_ERROR
             else _Kind.DONE
         )
         self._record(kind)
@@ -143,18 +142,34 @@
             self._refuse_call(call, refusal, unspent)
 
     def start_streaming(
-        self, head: answer_head.AnswerHead
-    ) -> headers.HeaderList:
-        """Returns the headers of a streamed answer.
+        self,
+        attempt: outbound_attempt.OutboundAttempt,
+        head: answer_head.AnswerHead,
+        body: bytes,
+    ) -> None:
+        """Sends the head and the first bytes of a streamed answer.
 
-        Only the first caller gets the answer; the others are refused.
+        Only the caller that has waited longest gets the answer; the others are
+        refused.
+
+        Args:
+            attempt: Reads the answer.
+            head: Head of the answer.
+            body: First bytes of its body.
         """
         self._is_streaming = True
         others = self._waiting_calls[1:]
         del self._waiting_calls[1:]
         for call in others:
             self.join(call)
-        return self._annotate(head, 0)
+        annotated = head._replace(headers=self._annotate(head, 0))
+        for call in self._waiting_calls:
+            attempt.stream_to(call, annotated, body)
+
+    def send_part(self, part: bytes) -> None:
+        """Sends the next bytes of a streamed answer."""
+        for call in self._waiting_calls:
+            call.send_body(part)
 
     def finish_streaming(self) -> None:
         """Ends a streamed answer that is complete."""
@@ -189,7 +204,7 @@
         answer_kind_value = headers.find(head.headers, b"cranberrymux-answer")
         kind = (
             _Kind.FAILED
-            if head.status >= _MINIMUM_SERVER_ERROR_STATUS
+            if head.status >= http_status.MINIMUM_SERVER_ERROR
             else _Kind.DONE
         )
         if answer_kind_value == _Kind.NOT_RUN.value.encode():
--- a/src/cranberrymux/node/routed_answers.py
+++ b/src/cranberrymux/node/routed_answers.py
@@ -3,6 +3,7 @@
 from cranberrymux.decisions.retries import retry_policy
 from cranberrymux.decisions.routing import outcome
 from cranberrymux.models import answer_kind
+from cranberrymux.models import http_status
 from cranberrymux.models import refusal_reason
 from cranberrymux.node import answer_metadata
 from cranberrymux.node.http import answer_head
@@ -11,7 +12,6 @@
 
 _Kind = answer_kind.AnswerKind
 _Reason = refusal_reason.RefusalReason
-_MINIMUM_SERVER_ERROR_STATUS = 500
 _NODE_HEADERS = (
     b"cranberrymux-level",
     b"cranberrymux-load",
@@ -21,19 +21,20 @@
 )
 
 
-def forwarded_headers(head: answer_head.AnswerHead) -> headers.HeaderList:
-    """Returns the headers of an endpoint's answer for the caller.
+def make_forwarded(head: answer_head.AnswerHead) -> answer_head.AnswerHead:
+    """Returns the head of an endpoint's answer for the caller.
 
     Hop-by-hop headers and those for the caller's node are left out.
 
     Args:
         head: Head of the answer as received.
     """
-    return [
+    forwarded = [
         pair
         for pair in headers.forwardable(head.headers)
         if pair[0] not in _NODE_HEADERS
     ]
+    return head._replace(headers=forwarded)
 
 
 def classify(
@@ -51,7 +52,7 @@
         return outcome.Outcome.CANCELLED
     if metadata.kind is _Kind.UNKNOWN:
         return outcome.Outcome.LOST
-    if head.status >= _MINIMUM_SERVER_ERROR_STATUS:
+    if head.status >= http_status.MINIMUM_SERVER_ERROR:
         return outcome.Outcome.FAILED
     return outcome.Outcome.DONE
 
