--- a/src/cranberrymux/gateway/backend_verdict.py
+++ b/src/cranberrymux/gateway/backend_verdict.py
@@ -3,7 +3,7 @@
 from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.gateway import dialect as dialect_module
 from cranberrymux.gateway import hop
-from cranberrymux.gateway import hop_answer
+from cranberrymux.models import http_status
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
@@ -70,5 +70,5 @@
     is_proven = dialect.proof in first and _CONTENT_CODING not in first
     if 200 <= status < 300 and not is_proven:
         return _UNPROVEN
-    is_failure = status >= hop_answer.MINIMUM_SERVER_ERROR_STATUS
+    is_failure = status >= http_status.MINIMUM_SERVER_ERROR
     return _FAILED if is_failure else _SERVED
