--- a/src/cranberrymux/decisions/endpoints/relative_time.py
+++ b/src/cranberrymux/decisions/endpoints/relative_time.py
@@ -33,14 +33,15 @@
     Attributes:
         weight: Weight in a random draw among the endpoints of the service:
             the inverse of the ratio, averaged over seconds.
+        reported_at_s: Monotonic seconds of the last report; -inf before it.
     """
 
     __slots__ = (
         "_log_work",
         "_present_excess",
-        "_reported_at_s",
         "_service",
         "_usual_excess",
+        "reported_at_s",
         "weight",
     )
 
@@ -48,7 +49,7 @@
         """Starts with the usual time of the service."""
         self._service = service
         self._log_work: float | None = None
-        self._reported_at_s = -math.inf
+        self.reported_at_s = -math.inf
         self._usual_excess = 0.0
         self._present_excess = 0.0
         self.weight = 1.0
@@ -63,7 +64,7 @@
         log_work = math.log(speed.work_s)
         self._service.replace(self._log_work, log_work)
         self._log_work = log_work
-        self._reported_at_s = now_s
+        self.reported_at_s = now_s
         log_ratio = log_work - self._service.mean_log
         ratio = 1.0
         if abs(log_ratio) > _TOLERATED_LOG:
@@ -86,7 +87,7 @@
         """Returns the ratio at present; 1.0 is the usual."""
         if not self._usual_excess and not self._present_excess:
             return 1.0
-        age_s = now_s - self._reported_at_s
+        age_s = now_s - self.reported_at_s
         if age_s >= LIFETIME_S:
             return 1.0
         ratio = 1.0 + self._usual_excess * (1.0 - age_s / LIFETIME_S)
--- a/src/cranberrymux/decisions/endpoints/reported_load.py
+++ b/src/cranberrymux/decisions/endpoints/reported_load.py
@@ -12,15 +12,19 @@
 
 
 class ReportedLoad:
-    """Estimates the requests at an endpoint from reports of some age."""
+    """Estimates the requests at an endpoint from reports of some age.
 
-    __slots__ = ("_mean", "_reported_at_s", "_requests")
+    Attributes:
+        reported_at_s: Monotonic seconds of the last report; -inf before it.
+    """
+
+    __slots__ = ("_mean", "_requests", "reported_at_s")
 
     def __init__(self) -> None:
         """Starts without reports, at zero."""
         self._requests = 0.0
         self._mean = 0.0
-        self._reported_at_s = -math.inf
+        self.reported_at_s = -math.inf
 
     def note(self, now_s: float, requests: int) -> None:
         """Stores a report.
@@ -29,24 +33,24 @@
             now_s: Monotonic time in seconds.
             requests: Requests that run or wait at the endpoint.
         """
-        age_s = max(now_s - self._reported_at_s, 0.0)
+        age_s = max(now_s - self.reported_at_s, 0.0)
         weight = 1.0
         if age_s < MEAN_LIFETIME_S:
             weight = age_s / (age_s + MEAN_TIME_S)
         self._mean += weight * (requests - self._mean)
         self._requests = requests
-        self._reported_at_s = now_s
+        self.reported_at_s = now_s
 
     def at(self, now_s: float) -> float:
         """Returns the last report, which loses weight linearly."""
-        age_s = now_s - self._reported_at_s
+        age_s = now_s - self.reported_at_s
         if age_s >= LOAD_REPORT_LIFETIME_S:
             return 0.0
         return self._requests * (1.0 - age_s / LOAD_REPORT_LIFETIME_S)
 
     def expected(self, now_s: float) -> float:
         """Returns the number expected from the last report and the mean."""
-        age_s = now_s - self._reported_at_s
+        age_s = now_s - self.reported_at_s
         if age_s >= MEAN_LIFETIME_S:
             return 0.0
         expected = self._mean
--- a/src/cranberrymux/decisions/endpoints/zone_balancer.py
+++ b/src/cranberrymux/decisions/endpoints/zone_balancer.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
+import copy
 import math
 import random
 
@@ -70,6 +72,30 @@
         zones = self._services.get(service)
         return dict(zones.shares) if zones else {}
 
+    def describe(self, service: str) -> share_change.ShareChange | None:
+        """Returns the shares of a service and why they are so, or None."""
+        zones = self._services.get(service)
+        return zones.describe() if zones else None
+
+    def copy_services(
+        self, services: Iterable[str], generator: random.Random
+    ) -> "ZoneBalancer":
+        """Returns a balancer that has its own copy of the state of services.
+
+        Args:
+            services: Names of the services.
+            generator: Random generator of its choices.
+        """
+        copied = ZoneBalancer(self._zone, self._settings, generator)
+        copied.due_s = dict(self.due_s)
+        copied._only_zone = dict(self._only_zone)
+        for service in services:
+            if service in self._services:
+                copied._services[service] = copy.deepcopy(
+                    self._services[service]
+                )
+        return copied
+
     def update(
         self,
         service: str,
--- a/src/cranberrymux/decisions/zones/service_zones.py
+++ b/src/cranberrymux/decisions/zones/service_zones.py
@@ -179,9 +179,13 @@
         if not is_changed and not is_ended:
             return None
         self._reported = dict(shares)
+        return self.describe()
+
+    def describe(self) -> share_change.ShareChange:
+        """Returns the shares at present, and why they are so."""
         return share_change.ShareChange(
             self._service,
-            dict(shares),
+            dict(self._shares.shares),
             dict(self._expected_s),
             dict(self._shares.gains_s),
         )
--- a/src/cranberrymux/decisions/zones/share_change.py
+++ b/src/cranberrymux/decisions/zones/share_change.py
@@ -1,10 +1,10 @@
-"""A noticeable change of the shares of zones."""
+"""Shares of zones, and what they follow from."""
 
 from typing import NamedTuple
 
 
 class ShareChange(NamedTuple):
-    """Shares of zones after a noticeable change, and why they are so.
+    """Shares of zones, as after a noticeable change, and why they are so.
 
     Attributes:
         service: Name of the service.
