GET /explain of a node: a request tried on a copy of the gateway's state

Cause: operators cannot see where a request would go now, and why. Change: the metrics address answers GET /explain. The request passes through the code of the entry port on copies of admission, quotas, splits, quarantine and endpoints, with a copy of the random generator, and ends before it is sent; the answer of this node, if there is one, is the real one. Nothing is logged, counted or drawn.

--- a/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
+++ b/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
@@ -76,6 +76,7 @@
         self.chosen: endpoint_view.EndpointView | None = None
         self._available: list[endpoint_view.EndpointView] | None = None
         self._draws: list[_Draw] = []
+        self._explained: list[explained_endpoint.ExplainedEndpoint] = []
 
     @property
     def own_zone(self) -> str:
@@ -91,11 +92,15 @@
         *,
         stays: bool = False,
     ) -> endpoint_view.EndpointView | None:
-        """Chooses as `EndpointSet` does, and records it."""
+        """Chooses as `EndpointSet` does, and explains it.
+
+        The explanation is made at once, as the request counts afterwards.
+        """
         self.service = service
         self.chosen = super().choose(
             service, now_s, tried, allowed, stays=stays
         )
+        self._explained = self._explain(service, now_s)
         return self.chosen
 
     def note_sent(
@@ -110,8 +115,16 @@
 
         Args:
             service: Name of the service.
-            now_s: Monotonic time in seconds, that of the choice.
+            now_s: Monotonic time in seconds; that of the choice counts for
+                the service that it was made of.
         """
+        if service == self.service:
+            return self._explained
+        return self._explain(service, now_s)
+
+    def _explain(
+        self, service: str, now_s: float
+    ) -> list[explained_endpoint.ExplainedEndpoint]:
         views = sorted(
             self._views.get(service, {}).values(),
             key=lambda view: (
--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -166,6 +166,23 @@
         state = self._services.get(service)
         return 1.0 if state is None else state.share
 
+    def get_account_share(
+        self, now_s: float, service: str, key: fair_shares.AccountKey
+    ) -> float | None:
+        """Returns the share of an account at a service.
+
+        None where the service has lately told no shares of accounts, so that
+        its own share counts.
+        """
+        state = self._services.get(service)
+        if state is None or not state.accounts.is_current(now_s):
+            return None
+        return state.accounts.get(now_s, key, self._rates.get(key, 0.0))
+
+    def get_costs(self, route: str) -> dict[str, float]:
+        """Returns the seconds of work of a route's trees at each service."""
+        return dict(self._costs.get(route, {}))
+
     def reset_service_share(self, service: str) -> None:
         """Returns a share to 1.0, as a rate limit of the service ended."""
         self._services.pop(service, None)
--- a/src/cranberrymux/decisions/quotas/token_stock.py
+++ b/src/cranberrymux/decisions/quotas/token_stock.py
@@ -1,6 +1,7 @@
 """The tokens that a node holds, and its exchange with their owner."""
 
 from collections.abc import Callable
+import copy
 import math
 from typing import NamedTuple
 
@@ -68,6 +69,18 @@
         """Returns how many tokens of all accounts are held."""
         return sum(stock.get_held(now_s) for stock in self._accounts.values())
 
+    def get_held(self, account: str, now_s: float) -> int:
+        """Returns how many tokens of one account are held."""
+        stock = self._accounts.get(account)
+        return 0 if stock is None else stock.get_held(now_s)
+
+    def copy_account(self, account: str) -> "TokenStock":
+        """Returns a stock that has its own copy of one account only."""
+        copied = TokenStock(self._node_id, self._session)
+        if account in self._accounts:
+            copied._accounts[account] = copy.deepcopy(self._accounts[account])
+        return copied
+
     def note_arrival(self, account: str, now_s: float) -> None:
         """Counts a request in the demand of its account."""
         self._get_account(account, now_s).note_arrival(now_s)
--- /dev/null
+++ b/src/cranberrymux/gateway/explanation/still_clock.py
@@ -0,0 +1,23 @@
+"""A clock that stands at the time of a question."""
+
+from typing import NamedTuple
+
+
+class StillClock(NamedTuple):
+    """Implements `clock.Clock`.
+
+    Attributes:
+        at_s: Monotonic seconds.
+        at_unix_ms: Unix time in milliseconds.
+    """
+
+    at_s: float
+    at_unix_ms: int
+
+    def now_s(self) -> float:
+        """Returns monotonic seconds."""
+        return self.at_s
+
+    def now_unix_ms(self) -> int:
+        """Returns Unix time in milliseconds."""
+        return self.at_unix_ms
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -23,6 +23,7 @@
 from cranberrymux.gateway import routes_holder
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.gateway import startup_health_check
+from cranberrymux.gateway.explanation import explainer
 from cranberrymux.models import endpoint_record
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import directory_task
@@ -118,7 +119,9 @@
         if settings.metrics_port:
             self._ports.open(
                 f"{settings.ip}:{settings.metrics_port}",
-                metrics_port.MetricsPort(self._parts.metrics),
+                metrics_port.MetricsPort(
+                    self._parts.metrics, explainer.Explainer(self._parts)
+                ),
             )
         self._directory.start()
         self._parts.quotas.start(lambda: self._routes.version)
--- a/src/cranberrymux/gateway/quota_task.py
+++ b/src/cranberrymux/gateway/quota_task.py
@@ -156,6 +156,37 @@
             account, self._clock.now_s(), self._generator.uniform
         )
 
+    def get_held(self, account: str) -> int:
+        """Returns how many tokens of an account the node holds."""
+        return self._stock.get_held(account, self._clock.now_s())
+
+    def copy_account(
+        self,
+        account: str,
+        reactor: Any,
+        system_clock: clock_module.Clock,
+        generator: random.Random,
+        metrics: metrics_module.GatewayMetrics,
+    ) -> "QuotaTask":
+        """Returns a task with the tokens and waits of one account.
+
+        It has no owner, so that it sends nothing.
+
+        Args:
+            account: Name of the account.
+            reactor: Schedules the ends of waits.
+            system_clock: Monotonic and wall clock.
+            generator: Random number generator.
+            metrics: Receives the metrics of tokens.
+        """
+        copied = QuotaTask(
+            self._settings, reactor, system_clock, generator, metrics
+        )
+        copied._stock = self._stock.copy_account(account)
+        if account in self._waiters:
+            copied._waiters[account] = list(self._waiters[account])
+        return copied
+
     def update_metrics(self) -> None:
         """Shows how many tokens are held, and of how many accounts."""
         now_s = self._clock.now_s()
