--- a/src/cranberrymux/gateway/explanation/explainer.py
+++ b/src/cranberrymux/gateway/explanation/explainer.py
@@ -30,7 +30,10 @@
         table = self._parts.routes.table
         route = None
         account = None
-        if table is not None:
+        if table is None:
+            # Without accounts to compare it with, the name may be a key.
+            question = question._replace(account="")
+        else:
             host = question.host or _find_only_host(table)
             if not host:
                 return _Error(
