--- a/src/cranberrymux/cli/command.py
+++ b/src/cranberrymux/cli/command.py
@@ -28,8 +28,13 @@
     printer: printer.Printer
 
 
+def _is_always_offline(arguments: argparse.Namespace) -> bool:
+    del arguments
+    return True
+
+
 class Command(NamedTuple):
-    """A subcommand; exactly one of `run` and `run_offline` is set.
+    """A subcommand; `run` or `run_offline` is set, or both.
 
     Attributes:
         name: Word on the command line that selects the subcommand.
@@ -39,6 +44,8 @@
         run: Runs the subcommand with a session and returns the exit code.
         run_offline: Runs the subcommand without contacting any control
             instance and returns the exit code.
+        is_offline: True for arguments with which `run_offline` is to run; of
+            use only where `run` is set, too.
     """
 
     name: str
@@ -50,3 +57,4 @@
         Callable[[argparse.Namespace, printer.Printer], exit_code.ExitCode]
         | None
     ) = None
+    is_offline: Callable[[argparse.Namespace], bool] = _is_always_offline
--- a/src/cranberrymux/cli/exit_code.py
+++ b/src/cranberrymux/cli/exit_code.py
@@ -14,12 +14,13 @@
             cannot be read.
         CONFLICT: Another change was accepted first.
         INVALID: The document or the request is not valid.
-        UNREACHABLE: No control instance with a quorum answered. A change may
-            still have been accepted; resend it with its change id.
+        UNREACHABLE: No control instance with a quorum answered, or not the
+            node that was asked. A change may still have been accepted; resend
+            it with its change id.
         UNCONFIRMED: The change was accepted, but was not in force everywhere
             within the wait.
         WRONG_TOKEN: The operators' token was rejected.
-        NOT_FOUND: The version, node or request does not exist.
+        NOT_FOUND: The version, node, route, account or request does not exist.
     """
 
     OK = 0
--- a/src/cranberrymux/cli/explain_command.py
+++ b/src/cranberrymux/cli/explain_command.py
@@ -1,5 +1,10 @@
-"""The subcommand `explain`, which shows how a request would be handled."""
+"""The subcommand `explain`, which shows how a request would be handled.
 
+With `--node` it asks a running node, otherwise it evaluates the document that
+the control instances hold.
+"""
+
+import argparse
 from collections.abc import Mapping
 from typing import Any
 
@@ -8,15 +13,28 @@
 from cranberrymux.cli import document_input
 from cranberrymux.cli import endpoint_records
 from cranberrymux.cli import exit_code
+from cranberrymux.cli import node_explanation
+from cranberrymux.cli import printer as printer_module
 from cranberrymux.decisions.configuration import policy
 from cranberrymux.decisions.configuration import policy_decision
 from cranberrymux.decisions.selectors import selector_labels
 
+NODE_TIMEOUT_S = 5.0
+# Options of a question to a node, by the fields that they fill.
+_NODE_FIELDS = {
+    "node_method": "method",
+    "node_host": "host",
+    "node_path": "path",
+    "account": "account",
+    "priority": "priority",
+    "deadline_ms": "deadline_ms",
+}
+
 
 def _add_arguments(parser: Any) -> None:
-    parser.add_argument("service", metavar="SERVICE")
-    parser.add_argument("method", metavar="METHOD")
-    parser.add_argument("path", metavar="PATH")
+    parser.add_argument("service", metavar="SERVICE", nargs="?", default="")
+    parser.add_argument("method", metavar="METHOD", nargs="?", default="")
+    parser.add_argument("path", metavar="PATH", nargs="?", default="")
     parser.add_argument("--principal", default="", metavar="NAME")
     parser.add_argument(
         "--file",
@@ -24,6 +42,54 @@
         metavar="FILE",
         help="document to use in place of the current configuration",
     )
+    asked = parser.add_argument_group(
+        "where a running node would send a request now"
+    )
+    asked.add_argument(
+        "--node",
+        default="",
+        metavar="HOST:PORT",
+        help="metrics address of the node, which takes the options below",
+    )
+    asked.add_argument("--method", dest="node_method", metavar="METHOD")
+    asked.add_argument(
+        "--host",
+        dest="node_host",
+        metavar="NAME",
+        help="Host header; may be left out if all routes have the same",
+    )
+    asked.add_argument("--path", dest="node_path", metavar="PATH")
+    asked.add_argument(
+        "--account", metavar="NAME", help="name of a client account, not a key"
+    )
+    asked.add_argument("--priority", metavar="RANK")
+    asked.add_argument("--deadline-ms", metavar="MS")
+
+
+def _is_offline(arguments: argparse.Namespace) -> bool:
+    return bool(arguments.node) or not arguments.path
+
+
+def _explain_by_node(
+    arguments: argparse.Namespace, printer: printer_module.Printer
+) -> exit_code.ExitCode:
+    if not arguments.node or not arguments.node_path or arguments.service:
+        printer.print_remark(
+            "cranberrymux: explain: expected SERVICE METHOD PATH, or "
+            "--node HOST:PORT --path PATH"
+        )
+        return exit_code.ExitCode.USAGE
+    fields = {
+        field: value
+        for option, field in _NODE_FIELDS.items()
+        if (value := getattr(arguments, option)) is not None
+    }
+    explained = node_explanation.fetch(arguments.node, fields, NODE_TIMEOUT_S)
+    if isinstance(explained, node_explanation.NodeError):
+        printer.print_remark(f"cranberrymux: {explained.detail}")
+        return explained.code
+    printer.print_result(explained, node_explanation.format_text(explained))
+    return exit_code.ExitCode.OK
 
 
 async def _explain(context: command.Context) -> exit_code.ExitCode:
@@ -125,7 +191,11 @@
     "explain",
     "show how a request would be handled, and why",
     "  cranberrymux explain crew-dispatch POST /dispatches\n"
-    "  cranberrymux explain --file new.yaml leak-notes GET /notes/7",
+    "  cranberrymux explain --file new.yaml leak-notes GET /notes/7\n"
+    "  cranberrymux explain --node 10.0.0.7:9100 --path /notes/7"
+    " --account mill",
     _add_arguments,
     _explain,
+    _explain_by_node,
+    _is_offline,
 )
--- a/src/cranberrymux/cli/main.py
+++ b/src/cranberrymux/cli/main.py
@@ -121,7 +121,7 @@
     parsed: argparse.Namespace, printer: printer_module.Printer
 ) -> exit_code.ExitCode:
     subcommand: command.Command = parsed.chosen
-    if subcommand.run_offline is not None:
+    if subcommand.run_offline is not None and subcommand.is_offline(parsed):
         return subcommand.run_offline(parsed, printer)
     settings = cli_settings.load(parsed, os.environ)
     if not settings.addresses or not settings.token_file:
