--- a/src/cranberrymux/cli/explain_command.py
+++ b/src/cranberrymux/cli/explain_command.py
@@ -189,7 +189,7 @@
 
 EXPLAIN = command.Command(
     "explain",
-    "show how a request would be handled, and why",
+    "show how a request would be handled, and where a node would send it",
     "  cranberrymux explain crew-dispatch POST /dispatches\n"
     "  cranberrymux explain --file new.yaml leak-notes GET /notes/7\n"
     "  cranberrymux explain --node 10.0.0.7:9100 --path /notes/7"
--- a/src/cranberrymux/cli/node_explanation.py
+++ b/src/cranberrymux/cli/node_explanation.py
@@ -143,7 +143,7 @@
 def _format_route(route: Mapping[str, Any] | None) -> str:
     if route is None:
         return "-"
-    access = "public" if route["is_public"] else "needs a key"
+    access = "public" if route["is_public"] else "not public"
     targets = ", ".join(
         f"{service} {weight:g}" for service, weight in route["targets"].items()
     )
--- a/src/cranberrymux/decisions/endpoints/endpoint_verdict.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_verdict.py
@@ -19,7 +19,8 @@
         FAILING: It fails more requests than is tolerated in the own zone.
         OTHER_ZONE: The request goes to another zone.
         NOT_DRAWN: It is not among the two that were drawn.
-        COSTLIER: The other one of the two costs less.
+        NOT_CHEAPER: The other one of the two costs less, or the same and was
+            drawn first.
     """
 
     CHOSEN = "chosen"
@@ -33,4 +34,4 @@
     FAILING = "failing"
     OTHER_ZONE = "other-zone"
     NOT_DRAWN = "not-drawn"
-    COSTLIER = "costlier"
+    NOT_CHEAPER = "not-cheaper"
--- a/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
+++ b/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
@@ -212,7 +212,7 @@
                 cost = view.cost(now_s)
                 other = draw.found.cost(now_s)
                 return (
-                    _Verdict.COSTLIER,
+                    _Verdict.NOT_CHEAPER,
                     f"cost {cost:.3f}, that of "
                     f"{draw.found.record.endpoint_id} is {other:.3f}",
                 )
--- a/src/cranberrymux/platform/node_main.py
+++ b/src/cranberrymux/platform/node_main.py
@@ -37,7 +37,8 @@
         type=int,
         default=0,
         metavar="PORT",
-        help="serve Prometheus metrics at /metrics on this TCP port",
+        help="serve Prometheus metrics at /metrics and explanations at /explain"
+        " on this TCP port",
     )
     parser.add_argument(
         "--zone-price-ms",
--- a/tests/cli/test_explain_by_node.py
+++ b/tests/cli/test_explain_by_node.py
@@ -91,7 +91,7 @@
     lines = text.splitlines()
     assert lines[0] == "node        n-0 in zone z0"
     assert lines[1] == "version     1"
-    assert lines[2].endswith("/read/), needs a key, to deep 1")
+    assert lines[2].endswith("/read/), not public, to deep 1")
     assert lines[3].startswith("account     mill, 10 a second, burst 10, ")
     assert lines[4] == "priority    0"
     assert lines[5].startswith("admission   1.000 of its class (first, ")
--- a/tests/decisions/endpoints/test_recorded_endpoints.py
+++ b/tests/decisions/endpoints/test_recorded_endpoints.py
@@ -152,7 +152,7 @@
     endpoints.find("near-0").note_reported_load(0.0, 8)
     explained = explain(endpoints)
     assert find_chosen(explained) == "near-1"
-    assert explained["near-0"].verdict is Verdict.COSTLIER
+    assert explained["near-0"].verdict is Verdict.NOT_CHEAPER
     assert explained["near-0"].detail == "cost 0.800, that of near-1 is 0.000"
 
 
@@ -161,7 +161,7 @@
     endpoints = make_endpoints(near=60, far=0)
     verdicts = [each.verdict for each in explain(endpoints).values()]
     assert verdicts.count(Verdict.CHOSEN) == 1
-    assert verdicts.count(Verdict.COSTLIER) == 1
+    assert verdicts.count(Verdict.NOT_CHEAPER) == 1
     assert verdicts.count(Verdict.OUTSIDE_SUBSET) == 60 - 24
     assert verdicts.count(Verdict.NOT_DRAWN) == 22
 
