Tests of explanations: account shares, a zone without endpoints, a copied stock

Cause: the draw of an account that is held back, and a node whose own zone takes nothing, were not covered.

--- a/tests/decisions/quotas/test_token_stock.py
+++ b/tests/decisions/quotas/test_token_stock.py
@@ -133,3 +133,17 @@
     assert min(delays_s) >= 1 / ACCOUNT.per_s
     assert max(delays_s) - min(delays_s) > 5.0
     assert max(delays_s) <= token_stock.MAXIMUM_RETRY_DELAY_S
+
+
+def test_a_copy_of_an_account_spends_no_token_of_the_stock(stock):
+    """Guards against explained requests that take tokens of real ones."""
+    grant(stock, ask(stock, 0.0, 1), 2, 0.0)
+    stock.note_arrival("other", 0.0)
+    copied = stock.copy_account("mill")
+    assert copied.account_count == 1
+    assert copied.take("mill", 0.1) is not None
+    assert copied.get_held("mill", 0.1) == 1
+    assert stock.get_held("mill", 0.1) == 2
+    assert stock.get_held("mill", TTL_S) == 0
+    assert stock.get_held("unknown", 0.1) == 0
+    assert stock.account_count == 2
--- a/tests/gateway/explanation_scene.py
+++ b/tests/gateway/explanation_scene.py
@@ -5,6 +5,7 @@
 import structlog
 
 from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route
 from cranberrymux.decisions.routes import route_document
@@ -88,15 +89,20 @@
         skipped = (memory_network.MemoryNetwork, structlog.BoundLoggerBase)
         return state_snapshot.take(self.gateway, skipped)
 
-    def refuse_trees(self, share=0.3):
+    def refuse_trees(self, share=0.3, account=""):
         """Lets the deepest service report that it takes a part only."""
         admission = self.parts.entry_admission.root_admission
+        name = "read" if account else "open"
+        work = work_report.ServiceWork(0.05, share, share if account else None)
         for _ in range(30):
-            report = {"deep": work_report.ServiceWork(0.05, share)}
             admission.note_report(
-                self.parts.clock.now_s(), "open", report, True
+                self.parts.clock.now_s(),
+                name,
+                {"deep": work},
+                True,
+                root_admission.make_key(2, account, name),
             )
-            self.serve("/open/x")
+            self.serve(f"/{name}/x", account)
             self.network.run(0.02, step_s=0.01)
 
 
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -76,12 +76,15 @@
     assert {service for service, _ in chosen} == {"deep", "wide"}
 
 
-def test_a_refusal_is_that_of_the_next_request(scene):
-    scene.refuse_trees()
+@pytest.mark.parametrize(
+    ("path", "account"), [("/open/x", ""), ("/read/x", "free")]
+)
+def test_a_refusal_is_that_of_the_next_request(scene, path, account):
+    scene.refuse_trees(account=account)
     outcomes = []
     for _ in range(60):
-        explained = scene.explain("/open/x")
-        call, endpoint = scene.serve("/open/x")
+        explained = scene.explain(path, account=account)
+        call, endpoint = scene.serve(path, account)
         outcomes.append(explained["outcome"])
         assert explained["chosen"] == endpoint
         if explained["outcome"] == "sent":
@@ -94,6 +97,8 @@
     assert admission["limited_by"] == "deep"
     assert 0.0 < admission["admitted_share"] < 1.0
     assert admission["services"][0]["share"] < 1.0
+    assert admission["services"][0]["share_in_force"] < 1.0
+    assert (admission["services"][0]["account_share"] is None) == (not account)
 
 
 def check_refusal(refusal, call):
@@ -299,6 +304,18 @@
     }
 
 
+def test_shows_that_no_endpoint_of_the_own_zone_takes_requests(scene):
+    now_s = scene.parts.clock.now_s()
+    for view in scene.parts.endpoints._services["deep"].values():
+        if view.record.zone == "z0":
+            view.note_unreachable(now_s)
+    scene.network.run(0.2)
+    (service,) = scene.explain("/open/x")["services"]
+    own, other = service["zones"]
+    assert (own["share"], other["share"]) == (0.0, 1.0)
+    assert own["reason"] == "no endpoint here takes requests"
+
+
 # The answers on the metrics address.
 
 
