--- a/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
+++ b/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
@@ -251,7 +251,10 @@
         return _Verdict.SUSPENDED, f"suspended for {left_s:.1f} s more"
     if not view.has_room(now_s):
         per_s = view.rate_limit.per_s
-        return _Verdict.RATE_LIMITED, f"no room in its {per_s} a second"
+        return (
+            _Verdict.RATE_LIMITED,
+            f"its limit of {per_s:g} a second leaves no room",
+        )
     return None
 
 
--- a/src/cranberrymux/gateway/explanation/copied_parts.py
+++ b/src/cranberrymux/gateway/explanation/copied_parts.py
@@ -24,7 +24,7 @@
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import running_requests
 from cranberrymux.gateway import zone_log
-from cranberrymux.gateway.explanation import still_clock
+from cranberrymux.gateway.explanation import fixed_clock
 from cranberrymux.models import socket_address
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import quarantine_task
@@ -88,7 +88,7 @@
         """
         self.__dict__.update(source.__dict__)
         now_s = source.clock.now_s()
-        clock = still_clock.StillClock(now_s, source.clock.now_unix_ms())
+        clock = fixed_clock.FixedClock(now_s, source.clock.now_unix_ms())
         generator = random.Random()
         generator.setstate(source.generator.getstate())
         timers = task.Clock()
--- a/src/cranberrymux/gateway/explanation/still_clock.py
+++ b/src/cranberrymux/gateway/explanation/fixed_clock.py
@@ -1,9 +1,9 @@
-"""A clock that stands at the time of a question."""
+"""A clock that is fixed at the time of a question."""
 
 from typing import NamedTuple
 
 
-class StillClock(NamedTuple):
+class FixedClock(NamedTuple):
     """Implements `clock.Clock`.
 
     Attributes:
--- a/tests/decisions/endpoints/test_recorded_endpoints.py
+++ b/tests/decisions/endpoints/test_recorded_endpoints.py
@@ -115,7 +115,7 @@
         lambda endpoints: endpoints.zones.due_s.update(s=1.0),
     ],
 )
-def test_a_picture_of_the_state_shows_each_change(change):
+def test_a_snapshot_of_the_state_shows_each_change(change):
     """Guards against a comparison that would hold in any case."""
     endpoints = make_endpoints()
     before = state_snapshot.take(endpoints)
--- a/tests/gateway/explanation_scene.py
+++ b/tests/gateway/explanation_scene.py
@@ -85,7 +85,7 @@
             for view in views.values()
         }
 
-    def take_picture(self):
+    def take_snapshot(self):
         skipped = (memory_network.MemoryNetwork, structlog.BoundLoggerBase)
         return state_snapshot.take(self.gateway, skipped)
 
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -164,9 +164,9 @@
     scene, prepare, path, more, status, reason
 ):
     prepare(scene)
-    before = scene.take_picture()
+    before = scene.take_snapshot()
     explained = scene.explain(path, **more)
-    assert scene.take_picture() == before
+    assert scene.take_snapshot() == before
     call, endpoint = scene.serve(path, **more)
     assert endpoint is None
     assert explained["outcome"] == "refused"
@@ -245,13 +245,13 @@
             scene.network.run(5.0, step_s=0.05)
             scene.serve(account="mill")
             sent = [len(member.backend.calls) for member in scene.mesh.members]
-        picture = scene.take_picture()
+        snapshot = scene.take_snapshot()
         timers = len(scene.network.getDelayedCalls())
         with structlog.testing.capture_logs() as lines:
             for _ in range(3):
                 scene.explain(**question)
         assert lines == []
-        assert scene.take_picture() == picture
+        assert scene.take_snapshot() == snapshot
         assert len(scene.network.getDelayedCalls()) == timers
     assert [len(each.backend.calls) for each in scene.mesh.members] == sent
 
@@ -267,11 +267,11 @@
         lambda scene: scene.parts.zone_log.count_send("deep", "z0"),
     ],
 )
-def test_the_picture_of_a_node_shows_each_change(scene, change):
+def test_the_snapshot_of_a_node_shows_each_change(scene, change):
     """Guards against a comparison that would hold in any case."""
-    before = scene.take_picture()
+    before = scene.take_snapshot()
     change(scene)
-    assert scene.take_picture() != before
+    assert scene.take_snapshot() != before
 
 
 def test_priority_and_deadline_of_the_question_count(scene):
--- a/tests/state_snapshot.py
+++ b/tests/state_snapshot.py
@@ -1,6 +1,6 @@
-"""Comparable picture of all that an object holds, at any depth.
+"""Comparable snapshot of all that an object holds, at any depth.
 
-Two pictures are equal only if no attribute, item or random generator that can
+Two snapshots are equal only if no attribute, item or random generator that can
 be reached from the object has changed in between.
 """
 
@@ -22,16 +22,16 @@
 
 
 def take(value, skipped=()):
-    """Returns the picture of a value.
+    """Returns the snapshot of a value.
 
     Args:
         value: Any object.
         skipped: Types of objects that are left out.
     """
-    return _Picture(skipped).take(value)
+    return _Snapshot(skipped).take(value)
 
 
-class _Picture:
+class _Snapshot:
     def __init__(self, skipped):
         self.skipped = (*CODE, *skipped)
         self.numbers = {}
