--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -235,11 +235,17 @@
         narrowed = self.zones.narrow(
             service, available, now_s, refusals, stays=stays
         )
-        found = power_of_two.choose(narrowed, now_s, self._generator)
+        found = self._choose_cheaper_of_two(narrowed, now_s)
         if found is None or stays or found.record.zone != self._zone:
             return found
         spilled = self.zones.spill(service, found, available, now_s)
-        return power_of_two.choose(spilled, now_s, self._generator) or found
+        return self._choose_cheaper_of_two(spilled, now_s) or found
+
+    def _choose_cheaper_of_two(
+        self, endpoints: list[endpoint_view.EndpointView], now_s: float
+    ) -> endpoint_view.EndpointView | None:
+        drawn = power_of_two.draw(endpoints, self._generator)
+        return power_of_two.find_cheaper(drawn, now_s)
 
     def _apply_record(self, record: endpoint_record.EndpointRecord) -> bool:
         """Applies one record; returns True if a rate limit ended with it."""
--- a/src/cranberrymux/decisions/endpoints/power_of_two.py
+++ b/src/cranberrymux/decisions/endpoints/power_of_two.py
@@ -10,23 +10,27 @@
 from cranberrymux.decisions.endpoints import endpoint_view
 
 
-def choose(
-    endpoints: list[endpoint_view.EndpointView],
-    now_s: float,
-    generator: random.Random,
+def draw(
+    endpoints: list[endpoint_view.EndpointView], generator: random.Random
+) -> list[endpoint_view.EndpointView]:
+    """Returns two endpoints drawn at random, or all if there are fewer."""
+    if len(endpoints) < 2:
+        return endpoints
+    return _draw_two(endpoints, generator)
+
+
+def find_cheaper(
+    drawn: list[endpoint_view.EndpointView], now_s: float
 ) -> endpoint_view.EndpointView | None:
-    """Returns the cheaper of two endpoints; None if there are none.
+    """Returns the cheaper of the endpoints drawn; None if there are none.
 
     Args:
-        endpoints: Endpoints to choose from.
+        drawn: At most two endpoints.
         now_s: Monotonic time in seconds.
-        generator: Random generator that draws the two.
     """
-    if not endpoints:
-        return None
-    if len(endpoints) == 1:
-        return endpoints[0]
-    first, second = _draw_two(endpoints, generator)
+    if len(drawn) < 2:
+        return drawn[0] if drawn else None
+    first, second = drawn
     if second.cost(now_s) < first.cost(now_s):
         return second
     return first
--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterator
+import copy
 import enum
 import math
 import random
@@ -63,6 +64,10 @@
         """Whose requests they are; without an account, those of the route."""
         return make_key(self.priority, self.account, self.route)
 
+    def __deepcopy__(self, memo: object) -> "TrafficClass":
+        """Returns itself, since it cannot change."""
+        return self
+
 
 def make_key(priority: int, account: str, route: str) -> fair_shares.AccountKey:
     """Returns the key under which the requests of a tree count.
@@ -99,6 +104,10 @@
         self.offered = 1
         self.is_held_back = False
 
+    def __deepcopy__(self, memo: object) -> "_Flow":
+        # All attributes are numbers; the usual way takes four times as long.
+        return copy.copy(self)
+
     def admit(self) -> int:
         self.offered = self.refused + 1
         self.refused = 0
@@ -182,6 +191,23 @@
         state = self._services.get(service)
         return 1.0 if state is None else state.share
 
+    def get_account_share(
+        self, now_s: float, service: str, key: fair_shares.AccountKey
+    ) -> float | None:
+        """Returns the share of an account at a service.
+
+        None where the service has lately told no shares of accounts, so that
+        its own share counts.
+        """
+        state = self._services.get(service)
+        if state is None or not state.accounts.is_current(now_s):
+            return None
+        return state.accounts.get(now_s, key, self._rates.get(key, 0.0))
+
+    def get_costs(self, route: str) -> dict[str, float]:
+        """Returns the seconds of work of a route's trees at each service."""
+        return dict(self._costs.get(route, {}))
+
     def reset_service_share(self, service: str) -> None:
         """Returns a share to 1.0, as a rate limit of the service ended."""
         self._services.pop(service, None)
