--- a/src/cranberrymux/gateway/explanation/copied_parts.py
+++ b/src/cranberrymux/gateway/explanation/copied_parts.py
@@ -128,15 +128,15 @@
             source.entry_admission, {id(source.generator): self.generator}
         )
         admission: Any = self.entry_admission.root_admission
-        offer = admission.offer
+        admit = admission.admit
 
-        def record_offer(
+        def record_and_admit(
             now_s: float, traffic_class: root_admission.TrafficClass
         ) -> Any:
             self.traffic_classes.append(traffic_class)
-            return offer(now_s, traffic_class)
+            return admit(now_s, traffic_class)
 
-        admission.offer = record_offer
+        admission.admit = record_and_admit
 
 
 def _copy_quarantine(
--- a/src/cranberrymux/gateway/explanation/description.py
+++ b/src/cranberrymux/gateway/explanation/description.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.accounts import request_rank
 from cranberrymux.decisions.endpoints import explained_endpoint
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.zones import share_change
@@ -102,8 +103,15 @@
 
 
 def _find_priority(copied: copied_parts.CopiedParts) -> int | None:
-    classes = copied.traffic_classes
-    return classes[-1].priority if classes else None
+    """Returns the priority that decides first; None before root admission."""
+    if not copied.traffic_classes:
+        return None
+    rank = copied.traffic_classes[-1].priority
+    table = copied.routes.table
+    if table is None or table.accounts.is_empty:
+        return rank
+    priority, _ = request_rank.split_rank(rank)
+    return priority
 
 
 def _describe_admission(
@@ -136,7 +144,7 @@
     admitted = admission.get_admitted_share(traffic_class)
     is_limited = admitted < 1.0 and bool(services)
     return {
-        "priority": traffic_class.priority,
+        "priority": _find_priority(copied),
         "timing": traffic_class.timing.name.lower(),
         "route": traffic_class.route,
         "account": traffic_class.account or None,
--- a/tests/gateway/explanation_scene.py
+++ b/tests/gateway/explanation_scene.py
@@ -5,6 +5,7 @@
 import structlog
 
 from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.accounts import request_rank
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route
@@ -94,13 +95,14 @@
         admission = self.parts.entry_admission.root_admission
         name = "read" if account else "open"
         work = work_report.ServiceWork(0.05, share, share if account else None)
+        rank = 2 * request_rank.ROUTE_PRIORITIES + 2  # The routes' priority.
         for _ in range(30):
             admission.note_report(
                 self.parts.clock.now_s(),
                 name,
                 {"deep": work},
                 True,
-                root_admission.make_key(2, account, name),
+                root_admission.make_key(rank, account, name),
             )
             self.serve(f"/{name}/x", account)
             self.network.run(0.02, step_s=0.01)
