Endpoints that fail most of their requests get one at a time

It still got a share of them, since its cost (2.6 loads for the failures) was below that of the two others, which were full and slow. Trees with four calls each lost one nearly always. Change: an endpoint that fails more than half gets no request for 2 s after its last answer, then one at a time; all are used if no other can take the request.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -155,6 +155,7 @@
                 if endpoint.is_usable
                 and endpoint.record.endpoint_id not in tried
                 and not endpoint.is_suspended(now_s)
+                and not endpoint.is_ejected(now_s)
                 and endpoint.has_room(now_s)
             ]
             if len(available) == 1:
@@ -176,6 +177,11 @@
         ]
         if not available:
             return self._generator.choice(eligible) if eligible else None
+        available = [
+            endpoint
+            for endpoint in available
+            if not endpoint.is_ejected(now_s)
+        ] or available
         # Without room anywhere, the nodes of the endpoints decide by rank.
         available = [
             endpoint for endpoint in available if endpoint.has_room(now_s)
@@ -217,6 +223,7 @@
                 for endpoint in endpoints
                 if endpoint.is_usable
                 and not endpoint.is_suspended(now_s)
+                and not endpoint.is_ejected(now_s)
                 and endpoint.has_room(now_s)
             ]
             if taking:
--- a/src/cranberrymux/decisions/endpoints/endpoint_verdict.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_verdict.py
@@ -13,6 +13,7 @@
         UNREACHABLE: It cannot be reached, and a control instance reports it as
             gone.
         SUSPENDED: It gets no requests after losses or timeouts.
+        EJECTED: It fails most requests.
         RATE_LIMITED: Its rate limit leaves no room for this node.
         NOT_ASKED: No endpoint is chosen for the request.
         OUTSIDE_SUBSET: It is not among those that this node prefers.
@@ -28,6 +29,7 @@
     LEAVING = "leaving"
     UNREACHABLE = "unreachable"
     SUSPENDED = "suspended"
+    EJECTED = "ejected"
     RATE_LIMITED = "rate-limited"
     NOT_ASKED = "not-asked"
     OUTSIDE_SUBSET = "outside-subset"
--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -3,6 +3,7 @@
 import math
 
 from cranberrymux.decisions.endpoints import decaying_value
+from cranberrymux.decisions.endpoints import failure_ejection
 from cranberrymux.decisions.endpoints import failure_rate
 from cranberrymux.decisions.endpoints import relative_time
 from cranberrymux.decisions.endpoints import reported_load
@@ -47,6 +48,7 @@
     """
 
     __slots__ = (
+        "_ejection",
         "_observed_failure_rate",
         "_reported_failure_rate",
         "_reported_load",
@@ -90,6 +92,7 @@
         self._refusal_rate = 0.0
         self._observed_failure_rate = failure_rate.FailureRate()
         self._reported_failure_rate = failure_rate.FailureRate()
+        self._ejection = failure_ejection.FailureEjection()
         self._timeouts = 0
         self._excess_slowness = decaying_value.DecayingValue(
             SLOWNESS_DECAY_TIME_S
@@ -200,6 +203,13 @@
         """True while it gets no requests unless all others are suspended."""
         return now_s < self._suspended_until_s
 
+    def is_ejected(self, now_s: float) -> bool:
+        """True while it gets no requests, as it fails most of them.
+
+        It gets them if no other endpoint can take a request.
+        """
+        return self._ejection.is_ejected(now_s, self.outstanding)
+
     def note_reported_load(self, now_s: float, requests: int) -> None:
         """Stores the number of requests that its node reports.
 
@@ -239,10 +249,14 @@
                 if a call made by the request failed it.
         """
         self._observed_failure_rate.note(now_s, is_failed)
+        if is_failed or self._ejection.until_s is not None:
+            self._ejection.note_rate(now_s, self.failure_rate(now_s))
 
     def note_reported_failure_rate(self, now_s: float, rate: float) -> None:
         """Stores the failure rate, 0 to 1, that its node reports."""
         self._reported_failure_rate.set(now_s, rate)
+        if rate > failure_ejection.EJECTION_FAILURE_RATE:
+            self._ejection.note_rate(now_s, rate)
 
     def note_reported_slowness(self, now_s: float, slowness: float) -> None:
         """Stores the ratio of present to usual working times, reported."""
--- a/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
+++ b/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
@@ -243,6 +243,9 @@
     if view.is_suspended(now_s):
         left_s = view.describe(now_s).suspended_s
         return _Verdict.SUSPENDED, f"suspended for {left_s:.1f} s more"
+    if view.is_ejected(now_s):
+        rate = view.failure_rate(now_s)
+        return _Verdict.EJECTED, f"fails {rate:.2f} of its requests"
     if not view.has_room(now_s):
         per_s = view.rate_limit.per_s
         return (
