--- a/bench/zones/zone_rules.py
+++ b/bench/zones/zone_rules.py
@@ -5,7 +5,6 @@
 
 from cranberrymux.decisions.endpoints import endpoint_set
 from cranberrymux.decisions.endpoints import endpoint_view
-from cranberrymux.decisions.endpoints import power_of_two
 
 LOCAL_LOAD_LIMIT = 0.7
 ZONE_CHANGE_GAIN = 0.25
@@ -26,10 +25,10 @@
         stays: bool,
     ) -> endpoint_view.EndpointView | None:
         local = self._find_local(available, now_s)
-        found = power_of_two.choose(local, now_s, self._generator)
+        found = self._choose_cheaper_of_two(local, now_s)
         if found is not None and found.cost(now_s) < LOCAL_LOAD_LIMIT:
             return found
-        return power_of_two.choose(available, now_s, self._generator)
+        return self._choose_cheaper_of_two(available, now_s)
 
     def _find_local(self, available: Views, now_s: float) -> Views:
         return [
@@ -51,8 +50,8 @@
         stays: bool,
     ) -> endpoint_view.EndpointView | None:
         local = self._find_local(available, now_s)
-        nearest = power_of_two.choose(local, now_s, self._generator)
-        found = power_of_two.choose(available, now_s, self._generator)
+        nearest = self._choose_cheaper_of_two(local, now_s)
+        found = self._choose_cheaper_of_two(available, now_s)
         if nearest is None or found is None:
             return found
         cost = nearest.cost(now_s)
@@ -73,7 +72,7 @@
         stays: bool,
     ) -> endpoint_view.EndpointView | None:
         local = [view for view in available if view.record.zone == self._zone]
-        return power_of_two.choose(local or available, now_s, self._generator)
+        return self._choose_cheaper_of_two(local or available, now_s)
 
 
 class AnyZone(FixedLimit):
@@ -87,7 +86,7 @@
         refusals: int,
         stays: bool,
     ) -> endpoint_view.EndpointView | None:
-        return power_of_two.choose(available, now_s, self._generator)
+        return self._choose_cheaper_of_two(available, now_s)
 
 
 RULES: dict[str, Make] = {
--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -1,34 +1,28 @@
-"""The known endpoints of all services, and load balancing among them.
+"""Load balancing among the known endpoints of a service.
 
 A node sends the requests for a service to a subset of its endpoints, unless
 those can take none. Requests stay in the node's availability zone unless they
-gain by leaving it; see `zone_balancer`. The choice within a zone is that of
-`power_of_two`.
+gain by leaving it; see `zone_balancer`. Within a zone the choice is power
+of two choices, so that callers that have all seen the same load report do not
+overload the same endpoint. Where endpoints differ in speed, the two are drawn
+by speed.
 """
 
 from collections.abc import Collection
-from collections.abc import Iterable
 import math
 import random
 
 from cranberrymux.decisions.endpoints import endpoint_view
-from cranberrymux.decisions.endpoints import power_of_two
-from cranberrymux.decisions.endpoints import service_speed
+from cranberrymux.decisions.endpoints import known_endpoints
 from cranberrymux.decisions.endpoints import zone_balancer
-from cranberrymux.decisions.routing import endpoint_subset
 from cranberrymux.decisions.zones import zone_settings
-from cranberrymux.models import endpoint_record
-from cranberrymux.models import endpoint_state
 
 # A request that so many endpoints refused may go beyond the subset.
 REFUSALS_WITHIN_SUBSET = 2
 
 
-class EndpointSet:
-    """Keeps the newest record of each endpoint and picks one per request.
-
-    A record replaces the one held only if its `(incarnation, sequence)` is
-    higher.
+class EndpointSet(known_endpoints.KnownEndpoints):
+    """Picks an endpoint for each request among those that are known.
 
     Attributes:
         zones: Shares of the zones.
@@ -49,49 +43,11 @@
             generator: Random generator of the choices among endpoints.
             settings: What it costs to leave the zone; None for the defaults.
         """
-        self._node_id = node_id
-        self._zone = zone
+        super().__init__(node_id, zone)
         self._generator = generator
         self.zones = zone_balancer.ZoneBalancer(
             zone, settings or zone_settings.ZoneSettings(), generator
         )
-        self._services: dict[str, dict[str, endpoint_view.EndpointView]] = {}
-        self._service_of: dict[str, str] = {}
-        self._speeds: dict[str, service_speed.ServiceSpeed] = {}
-        # By service; missing after a change of its endpoints.
-        self._subsets: dict[str, list[endpoint_view.EndpointView]] = {}
-
-    @property
-    def count(self) -> int:
-        """Number of endpoints known, in any state."""
-        return len(self._service_of)
-
-    def update(
-        self, records: Iterable[endpoint_record.EndpointRecord]
-    ) -> set[str]:
-        """Applies records from the directory, in any order.
-
-        Returns:
-            Services of which a rate limit ended with the process that named it.
-        """
-        return {
-            record.service for record in records if self._apply_record(record)
-        }
-
-    def find(self, endpoint_id: str) -> endpoint_view.EndpointView | None:
-        """Returns the endpoint with this id, or None if it is unknown."""
-        service = self._service_of.get(endpoint_id, "")
-        return self._services.get(service, {}).get(endpoint_id)
-
-    def usable_endpoints(
-        self, service: str
-    ) -> list[endpoint_view.EndpointView]:
-        """Returns the endpoints of a service that accept new requests."""
-        return [
-            endpoint
-            for endpoint in self._services.get(service, {}).values()
-            if endpoint.is_usable
-        ]
 
     def has_unlimited(self, service: str, now_s: float) -> bool:
         """True if an endpoint takes requests and names no rate limit.
@@ -184,28 +140,6 @@
             service, available, now_s, len(tried), stays
         )
 
-    def _get_subset(self, service: str) -> list[endpoint_view.EndpointView]:
-        """Returns the endpoints of a service that this node prefers."""
-        subset = self._subsets.get(service)
-        if subset is None:
-            views = self._services.get(service, {})
-            chosen = endpoint_subset.choose_subset(
-                self._node_id,
-                self._zone,
-                (
-                    endpoint_subset.Candidate(endpoint_id, view.record.zone)
-                    for endpoint_id, view in views.items()
-                    if view.record.state is endpoint_state.EndpointState.SERVING
-                ),
-            )
-            subset = [
-                view
-                for endpoint_id, view in views.items()
-                if endpoint_id in chosen
-            ]
-            self._subsets[service] = subset
-        return subset
-
     def _update_zones(self, service: str, now_s: float) -> None:
         """Computes anew which share of the requests goes to which zone."""
         for endpoints in (
@@ -235,47 +169,39 @@
         narrowed = self.zones.narrow(
             service, available, now_s, refusals, stays=stays
         )
-        found = power_of_two.choose(narrowed, now_s, self._generator)
+        found = self._choose_cheaper_of_two(narrowed, now_s)
         if found is None or stays or found.record.zone != self._zone:
             return found
         spilled = self.zones.spill(service, found, available, now_s)
-        return power_of_two.choose(spilled, now_s, self._generator) or found
-
-    def _apply_record(self, record: endpoint_record.EndpointRecord) -> bool:
-        """Applies one record; returns True if a rate limit ended with it."""
-        endpoint_id = record.endpoint_id
-        old_service = self._service_of.get(endpoint_id)
-        known = self.find(endpoint_id)
-        if known is not None and _version(known.record) > _version(record):
-            return False
-        if known is not None and _version(known.record) == _version(record):
-            # The same version in two states: a control instance on which the
-            # lease of the endpoint's node has expired reports it as gone,
-            # while another one, or the same one later, reports it as serving.
-            known.is_confirmed = record.state is known.record.state
-            return False
-        if old_service is not None and old_service != record.service:
-            self._services[old_service].pop(endpoint_id).forget_speed()
-            self._subsets.pop(old_service, None)
-            known = None
-        self._service_of[endpoint_id] = record.service
-        if known is None:
-            speed = self._speeds.setdefault(
-                record.service, service_speed.ServiceSpeed()
-            )
-            known = endpoint_view.EndpointView(record, speed)
-            self._services.setdefault(record.service, {})[endpoint_id] = known
-            self._subsets.pop(record.service, None)
-        elif (known.record.state, known.record.zone) != (
-            record.state,
-            record.zone,
-        ):
-            self._subsets.pop(record.service, None)
-        if record.state is endpoint_state.EndpointState.GONE:
-            known.forget_speed()
-        known.is_confirmed = True
-        return known.update(record)
+        return self._choose_cheaper_of_two(spilled, now_s) or found
 
+    def _choose_cheaper_of_two(
+        self, endpoints: list[endpoint_view.EndpointView], now_s: float
+    ) -> endpoint_view.EndpointView | None:
+        if not endpoints:
+            return None
+        if len(endpoints) == 1:
+            return endpoints[0]
+        first, second = self._draw_two(endpoints)
+        if second.cost(now_s) < first.cost(now_s):
+            return second
+        return first
+
+    def _draw_two(
+        self, endpoints: list[endpoint_view.EndpointView]
+    ) -> list[endpoint_view.EndpointView]:
+        """Draws two endpoints, those that are faster more often.
 
-def _version(record: endpoint_record.EndpointRecord) -> tuple[int, int]:
-    return record.incarnation, record.sequence
+        Drawn evenly, the fastest would get at most twice their even share and
+        the slowest more than they can run where no recent load is known.
+        """
+        if len(endpoints) == 2 or not (
+            endpoints[0].relative_time.is_service_uneven
+        ):
+            return self._generator.sample(endpoints, 2)
+        weights = [endpoint.relative_time.weight for endpoint in endpoints]
+        indexes = range(len(endpoints))
+        (first,) = self._generator.choices(indexes, weights)
+        weights[first] = 0.0
+        (second,) = self._generator.choices(indexes, weights)
+        return [endpoints[first], endpoints[second]]
--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -6,6 +6,7 @@
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import lost_answer
 
+MINIMUM_SERVER_ERROR_STATUS = http_status.MINIMUM_SERVER_ERROR
 BACKEND_DIED = lost_answer.LostAnswer(
     lost_answer.LossReason.CONNECTION_LOST, True, "the backend server died"
 )
@@ -18,7 +19,7 @@
 
 def is_failure(head: answer_head.AnswerHead) -> bool:
     """True if the request failed at the backend server."""
-    return head.status >= http_status.MINIMUM_SERVER_ERROR
+    return head.status >= MINIMUM_SERVER_ERROR_STATUS
 
 
 def has_died(head: answer_head.AnswerHead) -> bool:
