Control: abandoning the claims of ended nodes in a module of its own

The check whether a claim's owner has ended moves to control/claim_abandonment.py; the mutant in bench_control_mechanisms that disables it follows and is still noticed. Behavior does not change; tests/control passes unchanged.

--- a/bench/bench_control_mechanisms.py
+++ b/bench/bench_control_mechanisms.py
@@ -71,8 +71,8 @@
     ),
     Mutant(
         "owner-lease",
-        "from cranberrymux.control import node_service\n"
-        "node_service.NodeService._has_ended = lambda *_: False\n",
+        "from cranberrymux.control import claim_abandonment as abandonment\n"
+        "abandonment.ClaimAbandonment._has_ended = lambda *_: False\n",
         _claims.test_claim_of_a_restarted_or_expired_owner_has_an_unknown_outcome,
     ),
 )
--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -9,13 +9,13 @@
 from thrift.protocol import TProtocol
 from zope import interface
 
+from cranberrymux.control import claim_abandonment
 from cranberrymux.control import command_log
 from cranberrymux.control import control_settings
 from cranberrymux.control import conversions
 from cranberrymux.control import counters
 from cranberrymux.control import quota_service
 from cranberrymux.control import state_machine
-from cranberrymux.decisions.claims import claim_entry
 from cranberrymux.decisions.directory import endpoint_table
 from cranberrymux.decisions.directory import node_table
 from cranberrymux.telemetry import metric
@@ -80,6 +80,9 @@
             lease_s, TOMBSTONE_LEASES * lease_s, now_s()
         )
         self.nodes = node_table.NodeTable(lease_s)
+        self._abandonment = claim_abandonment.ClaimAbandonment(
+            machine, log, self.directory, self.nodes, self.tick, now_s
+        )
         self.quotas = quota_service.QuotaService(
             settings.quotas, machine, log, metrics, boot_now_s or now_s
         )
@@ -156,7 +159,7 @@
         self._check_call(key, request)
         self.counters.claims += 1
         if self._log.role() == "leader":
-            await self._abandon_if_owner_ended(request)
+            await self._abandonment.abandon_if_owner_ended(request)
         answer = await self._log.propose(ttypes.Command(at_ms=0, claim=request))
         claim_answer = conversions.extract_claim_answer(answer)
         self._metrics.count(
@@ -222,7 +225,7 @@
         """Commits a command that a follower forwards, if this one leads."""
         self._check_call(key, command)
         if command.claim is not None:
-            await self._abandon_if_owner_ended(command.claim)
+            await self._abandonment.abandon_if_owner_ended(command.claim)
         return await self._log.propose_here(command)
 
     def contact(self, key: str, contact: Any) -> Any:
@@ -287,44 +290,3 @@
                     sequence=record.sequence,
                     state=record.state.name.lower(),
                 )
-
-    async def _abandon_if_owner_ended(self, request: Any) -> None:
-        """Abandons the call's running claim if its owner has ended.
-
-        The claim's outcome is then unknown and the call is not granted again.
-        """
-        key = (request.request_id, request.call_id)
-        entry = self._machine.claims.find(key)
-        if entry is None or entry.state is not claim_entry.ClaimState.RUNNING:
-            return
-        owner = entry.claim.owner
-        incarnation = entry.claim.owner_incarnation
-        if not self._has_ended(owner, incarnation):
-            return
-        self._events.warning(
-            "claim-abandoned",
-            request_id=request.request_id,
-            call_id=request.call_id,
-            owner=owner,
-        )
-        abandon = ttypes.AbandonRequest(
-            request_id=request.request_id,
-            call_id=request.call_id,
-            owner=owner,
-            owner_incarnation=incarnation,
-        )
-        await self._log.propose_here(ttypes.Command(at_ms=0, abandon=abandon))
-
-    def _has_ended(self, owner: str, incarnation: int) -> bool:
-        """True if a claim's owner restarted or its lease ended.
-
-        An ended lease counts only once the directory is complete: before that,
-        the owner's heartbeats may just not have arrived yet.
-        """
-        if self.nodes.is_replaced(owner, incarnation):
-            return True
-        self.tick()
-        now_s = self._now_s()
-        if not self.directory.is_complete(now_s):
-            return False
-        return self.nodes.is_expired(owner, incarnation, now_s)
