--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -1,9 +1,11 @@
 """Share of the offered work that the backend server can take, with its log."""
 
 from collections.abc import Callable
+import functools
 import math
 from typing import Any
 
+from cranberrymux.decisions.accounts import request_rank
 from cranberrymux.decisions.pressure import fair_shares
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import share_meter
@@ -14,6 +16,7 @@
 
 PRESSURE_LOG_INTERVAL_S = 1.0  # Minimum time between two "pressure" lines.
 MAXIMUM_LOGGED = 10  # Accounts in one "accounts-held-back" line.
+_KEPT_KEYS = 256  # Results kept by `_make_key`.
 
 
 class ExitPressure:
@@ -53,7 +56,9 @@
         self._meter.note_arrival(
             route,
             tree_context.share,
-            _make_key(tree_context),
+            _make_key(
+                tree_context.rank, tree_context.account, tree_context.root_route
+            ),
             tree_context.offered,
         )
 
@@ -74,7 +79,7 @@
             waiting_s = scheduler.waiting * scheduler.mean_hold_s
             self._meter.roll(now_s, scheduler.slots, waiting_s, limit_per_s)
         is_due = now_s - self._logged_at_s >= PRESSURE_LOG_INTERVAL_S
-        if is_due and self.share < 1.0:
+        if is_due and self._meter.share < 1.0:
             self._logged_at_s = now_s
             self._log()
 
@@ -91,8 +96,12 @@
             tree_context: Context of the request.
             hold_s: Seconds for which it held a slot; 0.0 if it did not run.
         """
-        account_share = self._meter.get_account_share(_make_key(tree_context))
-        own = work_report.ServiceWork(hold_s, self.share, account_share)
+        account_share = self._meter.get_account_share(
+            _make_key(
+                tree_context.rank, tree_context.account, tree_context.root_route
+            )
+        )
+        own = work_report.ServiceWork(hold_s, self._meter.share, account_share)
         return {self._parts.settings.service: own}
 
     def _log(self) -> None:
@@ -109,23 +118,25 @@
             self._parts.events.info(
                 "accounts-held-back",
                 service=self._parts.settings.service,
-                accounts=[
-                    {
-                        "account": account.key.name,
-                        "priority": account.key.priority,
-                        "slots_requested": round(account.per_s, 2),
-                        "share": round(account.share, 3),
-                    }
-                    for account in held_back
-                ],
+                accounts=[_describe(account) for account in held_back],
                 count=self._meter.accounts.held_back_count,
             )
 
 
-def _make_key(tree_context: hop.TreeContext) -> fair_shares.AccountKey:
-    """Returns the account of a tree, with the priority of its root."""
-    return root_admission.make_key(
-        math.ceil(tree_context.rank),
-        tree_context.account,
-        tree_context.root_route,
-    )
+def _describe(account: fair_shares.HeldBack) -> dict[str, Any]:
+    priority, route_priority = request_rank.split_rank(account.key.priority)
+    return {
+        "account": account.key.name,
+        "priority": priority,
+        "route_priority": route_priority,
+        "slots_requested": round(account.per_s, 2),
+        "share": round(account.share, 3),
+    }
+
+
+@functools.lru_cache(_KEPT_KEYS)
+def _make_key(
+    rank: float, account: str, root_route: str
+) -> fair_shares.AccountKey:
+    """Returns the account of a tree, with the rank of its root."""
+    return root_admission.make_key(math.ceil(rank), account, root_route)
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -1,14 +1,16 @@
 """Whether a request is a root or a call, and what follows from that."""
 
 from cranberrymux.decisions.accounts import client_account
+from cranberrymux.decisions.accounts import request_rank
+from cranberrymux.decisions.pressure import parent_matcher
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import parts as parts_module
+from cranberrymux.gateway import running_request
 from cranberrymux.models import whole_number
-from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
 FIRST_ERROR_STATUS = 400
@@ -39,50 +41,49 @@
             account: The client account that sent it; None for none.
         """
         dialect = parts.settings.dialect
-        left_ms = whole_number.decode(
-            headers_module.find(headers, dialect.deadline_ms)
-        )
+        first = headers_module.index(headers)
+        left_ms = whole_number.decode(first.get(dialect.deadline_ms))
         self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
         self._parts = parts
         self._route = route
-        self._account = account
-        self._parent_match = parts.parent_matcher.match(
-            route.name,
-            headers_module.find(headers, dialect.request_id) or b"",
-            now_s + self.left_s,
-        )
+        self._account_name = "" if account is None else account.name
+        table = parts.routes.table
+        self._has_accounts = table is not None and not table.accounts.is_empty
+        self._rank = request_rank.find_rank(route, account, self._has_accounts)
+        if account is not None or (
+            self._has_accounts and dialect.api_key in first
+        ):
+            # Backend servers get no keys, so that a request with a key is a
+            # root, whatever its id and deadline resemble. Public routes look
+            # no key up.
+            self._parent_match = parent_matcher.ROOT
+        else:
+            self._parent_match = parts.parent_matcher.match(
+                route.name,
+                first.get(dialect.request_id, b""),
+                now_s + self.left_s,
+            )
 
     @property
     def is_root(self) -> bool:
         """True if no request that runs here made it."""
         return not self._parent_match.is_call
 
-    @property
-    def _account_name(self) -> str:
-        return "" if self._account is None else self._account.name
-
-    @property
-    def _priority(self) -> int:
-        """Priority of the account, else that of the route."""
-        if self._account is None or self._account.priority is None:
-            return self._route.priority
-        return self._account.priority
-
     def admit(self, now_s: float) -> hop.TreeContext | None:
         """Returns the context of the request; None if a root is refused.
 
         Calls are always admitted, as their tree has been.
         """
-        parent = self._parts.running_requests.find(self._parent_match.parent)
-        if parent is not None:
-            return parent.tree_context.for_call()
         entry_admission = self._parts.entry_admission
         share = entry_admission.root_admission.minimum_share
         if self._parent_match.is_call:
-            return hop.TreeContext(self._route.priority, share).for_call()
+            parent = self._find_parent()
+            if parent is not None:
+                return parent.tree_context.for_call()
+            return hop.TreeContext(self._rank, share).for_call()
         offered = entry_admission.offer(
             self._route,
-            self._priority,
+            self._rank,
             self.left_s,
             now_s,
             self._account_name,
@@ -91,21 +92,19 @@
             if self._account_name:
                 self._parts.metrics.held_back.note(self._account_name)
             return None
-        table = self._parts.routes.table
-        has_accounts = table is not None and not table.accounts.is_empty
-        is_route_named = has_accounts and not self._account_name
-        tree_context = hop.TreeContext(
-            self._priority,
+        is_route_named = self._has_accounts and not self._account_name
+        rank: float = self._rank
+        if entry_admission.root_admission.is_known_leaf(self._route.name):
+            # Nothing comes after it, so that it need not wait behind the calls
+            # of trees of equal importance.
+            rank -= hop.CALL_RANK_BONUS
+        return hop.TreeContext(
+            rank,
             share,
             account=self._account_name,
             root_route=self._route.name if is_route_named else "",
-            offered=offered if has_accounts else 1,
+            offered=offered if self._has_accounts else 1,
         )
-        if entry_admission.root_admission.is_known_leaf(self._route.name):
-            # Nothing comes after it, so that it need not wait behind the calls
-            # of trees of equal importance.
-            return tree_context.for_call()
-        return tree_context
 
     def draw_retry_delay_s(self) -> float:
         """Draws the seconds after which a refused caller retries."""
@@ -114,44 +113,45 @@
 
     def begin_call(self) -> None:
         """Records the start of a call at the request that made it."""
-        now_s = self._parts.clock.now_s()
-        self._parts.running_requests.begin_call(
-            self._parent_match.parent, now_s
-        )
+        parent = self._parent_match.parent
+        if parent is not None:
+            now_s = self._parts.clock.now_s()
+            self._parts.running_requests.begin_call(parent, now_s)
 
     def end_call(self, is_failed: bool) -> None:
         """Records the end of a call; to be called once per `begin_call`."""
-        now_s = self._parts.clock.now_s()
-        self._parts.running_requests.end_call(
-            self._parent_match.parent, now_s, is_failed
-        )
+        parent = self._parent_match.parent
+        if parent is not None:
+            now_s = self._parts.clock.now_s()
+            self._parts.running_requests.end_call(parent, now_s, is_failed)
 
     def learn_from_answer(
         self,
         service: str,
-        head: answer_head.AnswerHead,
+        answer: hop_answer.HopAnswer,
         began_s: float,
-        now_s: float,
     ) -> None:
         """Learns costs and shares from an endpoint's answer.
 
         Args:
             service: Service of the endpoint.
-            head: Head of the answer.
+            answer: The answer.
             began_s: Monotonic seconds at which the request arrived.
-            now_s: Monotonic seconds.
         """
-        is_refused = hop_answer.find_refusal(head) is not None
-        is_successful = head.status < FIRST_ERROR_STATUS and not is_refused
-        work = headers_module.find(head.headers, hop.WORK)
+        now_s = answer.received_s
+        is_successful = (
+            answer.head.status < FIRST_ERROR_STATUS and answer.refusal is None
+        )
+        work = answer.first.get(hop.WORK)
         report = work_report.decode(work) if work is not None else {}
-        self._ignore_limited_share(service, head, report, now_s)
+        if answer.rate_limit_per_s is not None and service in report:
+            self._ignore_limited_share(service, report, now_s)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
-        parent = self._parts.running_requests.find(self._parent_match.parent)
-        if parent is not None:
-            work_report.add(parent.report, report)
         if self._parent_match.is_call:
+            parent = self._find_parent()
+            if parent is not None:
+                work_report.add(parent.report, report)
             return
         entry_admission = self._parts.entry_admission
         entry_admission.root_admission.note_report(
@@ -160,7 +160,7 @@
             report,
             is_successful,
             root_admission.make_key(
-                self._priority, self._account_name, self._route.name
+                self._rank, self._account_name, self._route.name
             ),
         )
         if is_successful:
@@ -168,21 +168,17 @@
                 now_s - began_s
             )
 
+    def _find_parent(self) -> running_request.RunningRequest | None:
+        return self._parts.running_requests.find(self._parent_match.parent)
+
     def _ignore_limited_share(
-        self,
-        service: str,
-        head: answer_head.AnswerHead,
-        report: work_report.WorkReport,
-        now_s: float,
+        self, service: str, report: work_report.WorkReport, now_s: float
     ) -> None:
         """Removes the share of a rate-limited endpoint while others have room.
 
         What its limit does not let through, the others take, so that it tells
         nothing of the service.
         """
-        is_limited = hop.decode_rate_limit(head.headers) is not None
-        if not is_limited or service not in report:
-            return
         if not self._parts.endpoints.has_unlimited(service, now_s):
             return
         admission = self._parts.entry_admission.root_admission
--- a/src/cranberrymux/gateway/request_log.py
+++ b/src/cranberrymux/gateway/request_log.py
@@ -1,28 +1,9 @@
 """Metrics and log lines of one request at the entry port."""
 
-from typing import NamedTuple
-
 from cranberrymux.gateway import attempts as attempts_module
 from cranberrymux.gateway import hop_answer
 from cranberrymux.gateway import own_answers
 from cranberrymux.gateway import parts as parts_module
-from cranberrymux.node.http import answer_head
-
-
-class LoggedRequest(NamedTuple):
-    """What every line on a request says of it.
-
-    Attributes:
-        request_id: Its id.
-        digest: Digest of its content, which its resends share.
-        began_s: Monotonic seconds at which it arrived.
-        deadline_s: Monotonic seconds at which its caller gives up.
-    """
-
-    request_id: bytes
-    digest: str
-    began_s: float
-    deadline_s: float
 
 
 class RequestLog:
@@ -35,22 +16,31 @@
         self,
         parts: parts_module.GatewayParts,
         attempts: attempts_module.Attempts,
-        request: LoggedRequest,
+        request_id: bytes,
+        digest: str,
+        began_s: float,
+        deadline_s: float,
     ) -> None:
         """Stores the fields that every line has.
 
         Args:
             parts: Shared state of the gateway.
             attempts: The attempts of the request.
-            request: The request.
+            request_id: Id of the request.
+            digest: Digest of its content, which its resends share.
+            began_s: Monotonic seconds at which it arrived.
+            deadline_s: Monotonic seconds at which its caller gives up.
         """
         self._parts = parts
         self._attempts = attempts
-        self._request = request
+        self._request_id = request_id
+        self._digest = digest
+        self._began_s = began_s
+        self._deadline_s = deadline_s
 
     def count(self, outcome: str) -> None:
         """Counts the request under its outcome and records its duration."""
-        elapsed_s = self._parts.clock.now_s() - self._request.began_s
+        elapsed_s = self._parts.clock.now_s() - self._began_s
         metrics = self._parts.metrics
         route = self._attempts.route.name
         metrics.requests[route, outcome].inc()
@@ -61,13 +51,14 @@
         self.count(outcome.value)
         self._write("request-ended", outcome.value, detail)
 
-    def log_endpoint_answer(self, head: answer_head.AnswerHead) -> None:
+    def log_endpoint_answer(self, answer: hop_answer.HopAnswer) -> None:
         """Counts an endpoint's answer; logs failures and a sample of others."""
-        self.count(f"{head.status // 100}xx")
-        detail = f"status {head.status}"
-        if hop_answer.has_failed_call(head):
+        status = answer.head.status
+        self.count(f"{status // 100}xx")
+        detail = f"status {status}"
+        if answer.has_failed_call:
             self._write("request-ended", "call-failed", detail)
-        elif hop_answer.is_failure(head):
+        elif answer.is_failure:
             self._write("request-ended", "backend-failed", detail)
         elif self._parts.sample_served():
             self._write("request-served", "sample", detail)
@@ -85,8 +76,8 @@
         self._parts.events.info(
             event,
             reason=reason,
-            request_id=self._request.request_id.decode("latin-1"),
-            digest=self._request.digest,
+            request_id=self._request_id.decode("latin-1"),
+            digest=self._digest,
             route=self._attempts.route.name,
             service=self._attempts.service,
             version=self._parts.routes.version,
@@ -95,7 +86,7 @@
             ),
             tried=list(self._attempts.tried_ids),
             sent=self._attempts.sent,
-            elapsed_ms=round((now_s - self._request.began_s) * 1000),
-            left_ms=round((self._request.deadline_s - now_s) * 1000),
+            elapsed_ms=round((now_s - self._began_s) * 1000),
+            left_ms=round((self._deadline_s - now_s) * 1000),
             detail=detail,
         )
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -129,7 +129,7 @@
 
     def buffered_body(self) -> bytes:
         """Returns the buffered body: what was read and not yet streamed."""
-        return b"".join(self._parts)
+        return b"".join(self._parts) if self._parts else b""
 
     def add_body(self, part: bytes) -> None:
         """Buffers or streams the next bytes of the body, as read."""
@@ -280,9 +280,11 @@
         line = _STATUS_LINES.get(status)
         if line is None:
             line = b"HTTP/1.1 %d Status\r\n" % status
-        data = line + headers.encode(
-            answer_headers + correlation.find_header(self.head.headers)
-        )
+        if correlation.HEADER in self.head.headers.first:
+            answer_headers = answer_headers + correlation.find_header(
+                self.head.headers
+            )
+        data = line + headers.encode(answer_headers)
         if mode is body_mode.BodyMode.CHUNKED:
             if not self.head.is_http_1_0:
                 data += b"transfer-encoding: chunked\r\n"
