Node and gateway: one encoding of streamed bodies, one reader of reports

The framing of a request whose body is streamed stood in node/request_encoding.py and gateway/outgoing_request.py, reading the reports on suspects in both handlers of peer messages. They move to node/http/body_framing.py and suspect_message.read.

--- a/src/cranberrymux/gateway/outgoing_request.py
+++ b/src/cranberrymux/gateway/outgoing_request.py
@@ -1,6 +1,6 @@
 """A request as a node sends it to another node or the backend server."""
 
-from cranberrymux.node.http import body_mode
+from cranberrymux.node.http import body_framing
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
@@ -36,10 +36,7 @@
         )
         call = self.call
         if not call.is_body_complete:
-            if call.head.mode is body_mode.BodyMode.CHUNKED:
-                return head + b"transfer-encoding: chunked\r\n\r\n"
-            length = call.head.content_length
-            return head + b"content-length: %d\r\n\r\n" % length
+            return head + body_framing.encode_streamed(call.head)
         body = call.buffered_body()
         if body or self.method in (b"POST", b"PUT", b"PATCH"):
             return head + b"content-length: %d\r\n\r\n%b" % (len(body), body)
--- a/src/cranberrymux/gateway/peer_messages.py
+++ b/src/cranberrymux/gateway/peer_messages.py
@@ -29,8 +29,7 @@
             self._parts.events.warning("wrong-cluster-key")
             call.answer(403, [], b"")
             return True
-        value = headers_module.find(head.headers, suspect_message.HEADER)
-        reports = None if value is None else suspect_message.decode(value)
+        reports = suspect_message.read(head.headers)
         if reports is None:
             self._parts.events.warning(
                 "bad-peer-message", detail="suspect header"
--- a/src/cranberrymux/node/peer_message_handler.py
+++ b/src/cranberrymux/node/peer_message_handler.py
@@ -45,8 +45,7 @@
         )
 
     def _merge_suspect_report(self, call: inbound_call.InboundCall) -> None:
-        value = headers.find(call.head.headers, suspect_message.HEADER)
-        reports = None if value is None else suspect_message.decode(value)
+        reports = suspect_message.read(call.head.headers)
         if reports is None:
             self._refuse(call, "cranberrymux-suspect is missing or not valid")
             return
--- a/src/cranberrymux/node/request_encoding.py
+++ b/src/cranberrymux/node/request_encoding.py
@@ -5,6 +5,7 @@
 from cranberrymux.decisions.contexts import header_codec
 from cranberrymux.models import request_context
 from cranberrymux.models import socket_address
+from cranberrymux.node.http import body_framing
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import correlation
 from cranberrymux.node.http import headers
@@ -119,11 +120,8 @@
 
 
 def _encode_framing(call: inbound_call.InboundCall) -> bytes:
-    head = call.head
-    if call.is_body_complete:
-        if head.mode is body_mode.BodyMode.NONE:
-            return b"\r\n"
-        return b"content-length: %d\r\n\r\n" % call.body_length
-    if head.mode is body_mode.BodyMode.CHUNKED:
-        return b"transfer-encoding: chunked\r\n\r\n"
-    return b"content-length: %d\r\n\r\n" % head.content_length
+    if not call.is_body_complete:
+        return body_framing.encode_streamed(call.head)
+    if call.head.mode is body_mode.BodyMode.NONE:
+        return b"\r\n"
+    return b"content-length: %d\r\n\r\n" % call.body_length
--- a/src/cranberrymux/node/suspect_message.py
+++ b/src/cranberrymux/node/suspect_message.py
@@ -12,6 +12,7 @@
 from cranberrymux.decisions.quarantine import report_kind
 from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.node import peer_request
+from cranberrymux.node.http import headers
 
 TARGET = b"/cranberrymux/v1/suspect"
 HEADER = b"cranberrymux-suspect"
@@ -38,6 +39,14 @@
     ).encode()
 
 
+def read(
+    head_headers: headers.HeaderList,
+) -> Sequence[suspect_report.SuspectReport] | None:
+    """Returns the reports of a message; None if there are no valid ones."""
+    value = headers.find(head_headers, HEADER)
+    return None if value is None else decode(value)
+
+
 def decode(value: bytes) -> Sequence[suspect_report.SuspectReport] | None:
     """Decodes the header of a message; returns None if it is not valid."""
     if len(value) > _MAXIMUM_BYTES:
