--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -10,12 +10,12 @@
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
 from cranberrymux.decisions.quarantine import quarantine as quarantine_module
-from cranberrymux.decisions.quarantine import report_kind
 from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.models import refusal
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import peer_request
 from cranberrymux.node import run_losses
+from cranberrymux.node import suspect_log
 from cranberrymux.node import suspect_message
 from cranberrymux.node import suspect_reporter
 from cranberrymux.node import suspect_rows
@@ -29,7 +29,6 @@
 # Time after which a trial that was cancelled has not ended with a death.
 ABANDONED_TRIAL_S = 2.0
 _MAXIMUM_SHARED_KEYS = 64
-_Kind = report_kind.ReportKind
 _Report = suspect_report.SuspectReport
 
 _log = structlog.get_logger()
@@ -137,7 +136,7 @@
         if not is_granted:
             return None
         self._quarantine.merge(self._clock.now_s(), [trial])
-        self._tell_siblings([trial])
+        self._notify_siblings([trial])
         return trial
 
     def start_trial(self, ticket_id: str, trial: _Report) -> None:
@@ -205,7 +204,7 @@
         may not reach those.
         """
         new = self._merge(reports, "sibling")
-        self._tell_siblings(new)
+        self._notify_siblings(new)
         self._reporter.add(new, RELAY_DELAY_S)
 
     def merge_from_caller(self, reports: Sequence[_Report]) -> None:
@@ -251,18 +250,20 @@
             _log.info(
                 event.Event.SUSPECTS_LEARNED,
                 source=source,
-                **_describe(new),
+                **suspect_log.describe(new),
             )
         return new
 
     def _share(self, reports: Sequence[_Report], cause: str) -> None:
         _log.info(
-            event.Event.SUSPECTS_SHARED, cause=cause, **_describe(reports)
+            event.Event.SUSPECTS_SHARED,
+            cause=cause,
+            **suspect_log.describe(reports),
         )
-        self._tell_siblings(reports)
+        self._notify_siblings(reports)
         self._reporter.add(reports)
 
-    def _tell_siblings(self, reports: Sequence[_Report]) -> None:
+    def _notify_siblings(self, reports: Sequence[_Report]) -> None:
         for message in suspect_message.encode(reports, self._cluster_key):
             self._send_to_siblings(message)
 
@@ -286,15 +287,3 @@
             suspects=len({report.key for report in reports}),
         )
         self._share(reports, "death")
-
-
-def _describe(reports: Sequence[_Report]) -> dict[str, Any]:
-    """Returns the log fields of reports; keys hold digests only."""
-    sole = [report.key for report in reports if report.kind is _Kind.SOLE_DEATH]
-    return {
-        "events": sorted({report.event_id for report in reports})[:4],
-        "kinds": sorted({report.kind.value for report in reports}),
-        "keys": list(dict.fromkeys(report.key for report in reports))[:4],
-        "sole": sole[:4],
-        "count": len(reports),
-    }
--- a/src/cranberrymux/node/run_losses.py
+++ b/src/cranberrymux/node/run_losses.py
@@ -33,7 +33,7 @@
 
 
 class RunLosses:
-    """Tells the death of the backend server from a broken connection.
+    """Finds out whether a broken connection means a dead backend server.
 
     When a connection breaks under a run, it tries to connect again. A backend
     server that refuses the connection, or in whose place another process
@@ -100,7 +100,7 @@
         """
         self._forget_unexplained()
         if self._lost or self.may_have_ended_abandoned():
-            self._die("replaced", is_past=True)
+            self._report_death("replaced", is_past=True)
 
     def process_confirmed(self) -> None:
         """Notes that the backend server runs on, or that its end was planned.
@@ -117,7 +117,7 @@
         elif self.is_end_planned():
             self._end_all(is_dead=False)
         else:
-            self._die("refused-connection", is_past=False)
+            self._report_death("refused-connection", is_past=False)
 
     def _keep_unexplained(self) -> None:
         """Answers the callers; a new process may still explain the loss."""
@@ -135,7 +135,7 @@
                 self._record_survival(loss.ticket_id)
         self._lost = [loss for loss in self._lost if loss.lost_s >= from_s]
 
-    def _die(self, evidence: str, *, is_past: bool) -> None:
+    def _report_death(self, evidence: str, *, is_past: bool) -> None:
         self._record_death(evidence, is_past)
         self._end_all(is_dead=True)
 
--- a/src/cranberrymux/node/suspect_sharing.py
+++ b/src/cranberrymux/node/suspect_sharing.py
@@ -1,4 +1,4 @@
-"""Tells siblings that have started which calls are suspects."""
+"""Sends the known suspects to siblings that have started."""
 
 from collections.abc import Sequence
 
