--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -29,7 +29,8 @@
         endpoint, answer.sent_s, now_s, is_run=not is_refused
     )
     # A node that has just started refuses without knowing of a limit.
-    if answer.rate_limit_per_s is not None or not is_refused:
+    has_limit = endpoint.rate_limit.per_s is not None and not is_refused
+    if answer.rate_limit_per_s is not None or has_limit:
         _note_rate_limit(parts, endpoint, answer)
     if hop.LEAVING in answer.first:
         _note_leaving(parts, endpoint, answer)
--- a/src/cranberrymux/gateway/exit_limit.py
+++ b/src/cranberrymux/gateway/exit_limit.py
@@ -94,7 +94,8 @@
             sent_s: Monotonic seconds at which the request was sent.
             request_id: Id of the request.
         """
-        if not process.may_be(self._self_report.process):
+        known = self._self_report.process
+        if process != known and not process.may_be(known):
             return
         signals = backend_signals.read(head, self._parts.settings.dialect)
         self._self_report.note_answer(signals, sent_s, request_id)
