--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -115,7 +115,7 @@
 
 def encode(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
     """Encodes header lines, each ended by CRLF, without the empty line."""
-    return b"".join([b"%b: %b\r\n" % (name, value) for name, value in headers])
+    return b"".join([b"%b: %b\r\n" % pair for pair in headers])
 
 
 def find_hop_by_hop(headers: HeaderList) -> frozenset[bytes]:
