HTTP: look up the ids sent on a connection in a set

For each request, the ids of the last 64 requests on a connection were compared one by one: 1.18 us, and more where they are not in the processor's cache (the 11 us of a profile of both nodes). Two sets keep 64 to 127 ids; a look-up takes 0.27 us.

Function calls of a request rise by 1 at each node (398.1 and 367.4), as the size of the set is checked.

--- a/src/cranberrymux/node/http/answer_matcher.py
+++ b/src/cranberrymux/node/http/answer_matcher.py
@@ -1,12 +1,11 @@
 """Tells the answer to a request from answers to others by its id."""
 
-import collections
-
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import request_identity
 from cranberrymux.node.http import unexpected_answer
 
-_REMEMBERED_IDS = 64  # Requests sent on a connection whose ids are kept.
+# Requests sent on a connection whose ids are kept at least.
+_REMEMBERED_IDS = 64
 
 
 class AnswerMatcher:
@@ -17,9 +16,8 @@
         self._identity: request_identity.RequestIdentity | None = None
         self._has_read_id = False
         # Hashes, as ids may be as long as headers.
-        self._sent_ids: collections.deque[int] = collections.deque(
-            maxlen=_REMEMBERED_IDS
-        )
+        self._sent_ids: set[int] = set()
+        self._earlier_ids: set[int] = set()
 
     @property
     def request_id(self) -> bytes:
@@ -34,7 +32,10 @@
         """
         self._identity = identity
         if identity is not None:
-            self._sent_ids.append(hash(identity.value))
+            if len(self._sent_ids) >= _REMEMBERED_IDS:
+                self._earlier_ids = self._sent_ids
+                self._sent_ids = set()
+            self._sent_ids.add(hash(identity.value))
 
     def has_sent(
         self, identity: request_identity.RequestIdentity | None
@@ -44,7 +45,10 @@
         A late answer to its first sending could not be told from the answer to
         a second one.
         """
-        return identity is not None and hash(identity.value) in self._sent_ids
+        if identity is None:
+            return False
+        sent_id = hash(identity.value)
+        return sent_id in self._sent_ids or sent_id in self._earlier_ids
 
     def find_mismatch(
         self, headers: headers_module.Headers
--- a/tests/node/test_repeated_ids.py
+++ b/tests/node/test_repeated_ids.py
@@ -6,6 +6,7 @@
 
 import tracemalloc
 
+from cranberrymux.node.http import answer_matcher
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import request_identity
 from tests.fakes import memory_network
@@ -72,3 +73,17 @@
     tracemalloc.stop()
     assert reader.sink.ends == ["complete"] * 101
     assert held_bytes < 10 * length
+
+
+def test_remembers_the_last_64_ids_and_a_bounded_number():
+    matcher = answer_matcher.AnswerMatcher()
+    identities = [
+        request_identity.RequestIdentity(b"request-id", b"r%d" % number)
+        for number in range(1000)
+    ]
+    for number, identity in enumerate(identities):
+        assert not matcher.has_sent(identity)
+        matcher.expect(identity)
+        last = identities[max(number - 63, 0) : number + 1]
+        assert all(matcher.has_sent(each) for each in last)
+    assert sum(matcher.has_sent(each) for each in identities) <= 128
