--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -123,6 +123,7 @@
         self._address = address
         dialect = self._parts.settings.dialect
         left_s = max(self.deadline_s - now_s, 0.0)
+        head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
         left_ms = hop.shorten_deadline_ms(left_s) or 1
         headers = [
@@ -134,7 +135,9 @@
         self._attempt = attempt_module.Attempt(
             self._pool,
             address,
-            outgoing_request.OutgoingRequest(self._call, headers),
+            outgoing_request.OutgoingRequest(
+                head.method, head.target, headers, self._call
+            ),
             self,
             request_identity.RequestIdentity(
                 dialect.request_id, self.request_id
--- a/src/cranberrymux/gateway/hop_request.py
+++ b/src/cranberrymux/gateway/hop_request.py
@@ -33,4 +33,7 @@
     ]
     if per_s is not None:
         sent.append((hop.KNOWN_RATE_LIMIT, hop.encode_rate_limit(per_s)))
-    return outgoing_request.OutgoingRequest(call, sent)
+    head = call.head
+    return outgoing_request.OutgoingRequest(
+        head.method, head.target, sent, call
+    )
--- a/src/cranberrymux/gateway/outgoing_request.py
+++ b/src/cranberrymux/gateway/outgoing_request.py
@@ -1,10 +1,13 @@
 """A request as a node sends it to another node or the backend server."""
 
+import dataclasses
+
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 
 
+@dataclasses.dataclass(slots=True, eq=False)
 class OutgoingRequest:
     """Encodes the request; its body may still be arriving.
 
@@ -15,16 +18,10 @@
         call: The received request, from which the body comes.
     """
 
-    __slots__ = ("call", "headers", "method", "target")
-
-    def __init__(
-        self, call: inbound_call.InboundCall, headers: headers_module.HeaderList
-    ) -> None:
-        """Passes on a received request with other headers."""
-        self.method = call.head.method
-        self.target = call.head.target
-        self.headers = headers
-        self.call = call
+    method: bytes
+    target: bytes
+    headers: headers_module.HeaderList
+    call: inbound_call.InboundCall
 
     @property
     def is_chunked(self) -> bool:
--- a/src/cranberrymux/node/http/request_head.py
+++ b/src/cranberrymux/node/http/request_head.py
@@ -1,9 +1,12 @@
 """Request line and headers of an HTTP request."""
 
+import dataclasses
+
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import headers
 
 
+@dataclasses.dataclass(slots=True, eq=False)
 class RequestHead:
     """Head of a request that was checked and accepted.
 
@@ -19,31 +22,10 @@
             transfer coding and no 1xx answers.
     """
 
-    __slots__ = (
-        "content_length",
-        "headers",
-        "is_http_1_0",
-        "keep_alive",
-        "method",
-        "mode",
-        "target",
-    )
-
-    def __init__(
-        self,
-        method: bytes,
-        target: bytes,
-        head_headers: headers.Headers,
-        mode: body_mode.BodyMode,
-        content_length: int,
-        keep_alive: bool,
-        is_http_1_0: bool,
-    ) -> None:
-        """Takes what was read; see the attributes."""
-        self.method = method
-        self.target = target
-        self.headers = head_headers
-        self.mode = mode
-        self.content_length = content_length
-        self.keep_alive = keep_alive
-        self.is_http_1_0 = is_http_1_0
+    method: bytes
+    target: bytes
+    headers: headers.Headers
+    mode: body_mode.BodyMode
+    content_length: int
+    keep_alive: bool
+    is_http_1_0: bool
--- a/src/cranberrymux/node/http/request_identity.py
+++ b/src/cranberrymux/node/http/request_identity.py
@@ -1,6 +1,9 @@
 """The header by which an answer shows to which request it belongs."""
 
+import dataclasses
 
+
+@dataclasses.dataclass(slots=True, eq=False)
 class RequestIdentity:
     """Header that a request bears and that its answer repeats.
 
@@ -12,12 +15,6 @@
             answer has had the header yet.
     """
 
-    __slots__ = ("header", "is_required", "value")
-
-    def __init__(
-        self, header: bytes, value: bytes, is_required: bool = True
-    ) -> None:
-        """Names the header and the id."""
-        self.header = header
-        self.value = value
-        self.is_required = is_required
+    header: bytes
+    value: bytes
+    is_required: bool = True
