Accounts: encode the name of an account once

The name of a request's account was percent-encoded for each request, which takes some 20 calls where it has other characters than letters and digits; and each token that is taken looked for a check to schedule.

--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -15,7 +15,7 @@
 
 PREFIX = b"cranberrymux-"
 _PREFIX_BYTES = len(PREFIX)
-_KEPT_VALUES = 256  # Results kept of each function that decodes a value.
+_KEPT_VALUES = 256  # Results kept of each function that codes a value.
 _NUMBER = rb"([0-9]{1,%d})" % whole_number.MAXIMUM_DIGITS
 _THREE_NUMBERS = re.compile(b"/".join([_NUMBER] * 3) + b"(?:/.*)?", re.DOTALL)
 _FOUR_NUMBERS = re.compile(b"/".join([_NUMBER] * 4) + b"(?:/.*)?", re.DOTALL)
@@ -179,16 +179,20 @@
     """Returns the headers on the account of a tree; none without accounts."""
     headers = []
     if tree_context.account:
-        name = parse.quote(tree_context.account, safe="")
-        headers.append((ACCOUNT, name.encode()))
+        headers.append((ACCOUNT, _encode_name(tree_context.account)))
     elif tree_context.root_route:
-        name = parse.quote(tree_context.root_route, safe="")
-        headers.append((ACCOUNT, _ROUTE_MARK + name.encode()))
+        name = _encode_name(tree_context.root_route)
+        headers.append((ACCOUNT, _ROUTE_MARK + name))
     if tree_context.offered > 1:
         headers.append((OFFERED, b"%d" % tree_context.offered))
     return headers
 
 
+@functools.lru_cache(_KEPT_VALUES)
+def _encode_name(name: str) -> bytes:
+    return parse.quote(name, safe="").encode()
+
+
 def decode_tree_context(headers: headers_module.HeaderList) -> TreeContext:
     """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
     first = headers_module.index(headers)
--- a/src/cranberrymux/gateway/quota_task.py
+++ b/src/cranberrymux/gateway/quota_task.py
@@ -119,7 +119,8 @@
         """Spends a token for a request that arrives; None if there is none."""
         now_s = self._clock.now_s()
         self._stock.note_arrival(account, now_s)
-        self._schedule_check()
+        if self._next_check is None:
+            self._schedule_check()
         if account in self._waiters:
             return None
         return self._count(account, self._stock.take(account, now_s))
