--- a/src/cranberrymux/gateway/explanation/asked_call.py
+++ b/src/cranberrymux/gateway/explanation/asked_call.py
@@ -53,7 +53,7 @@
         head = request_head.RequestHead(
             method=question.method.encode(),
             target=question.path.encode(),
-            head_headers=headers_module.Headers(headers),
+            headers=headers_module.Headers(headers),
             mode=body_mode.BodyMode.NONE,
             content_length=0,
             keep_alive=True,
