--- a/src/cranberrymux/node/http/call_pipeline.py
+++ b/src/cranberrymux/node/http/call_pipeline.py
@@ -249,7 +249,7 @@
             turn = self._turns.popleft()
             self.waiting -= turn.is_ready and not turn.is_started
             end = turn.end
-            del turn.call  # It refers to the turn.
+            del turn.call  # Breaks the reference cycle of both.
             if end is _End.ABORT:
                 self._owner.abort()
                 return
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -257,8 +257,8 @@
         self._is_answered = True
         if self.on_ended is not None:
             self.on_ended()
-        # Whoever answers a call refers to it, so that only the garbage
-        # collector would free them while the call refers to its callbacks.
+        # The callbacks refer to the call: a reference cycle, which only the
+        # garbage collector would free.
         self.on_cancel = None
         self.on_ended = None
         self.on_send_buffer_drained = None
--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -11,6 +11,7 @@
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import metrics
 from cranberrymux.gateway import running_requests
+from cranberrymux.models import socket_address
 from tests.gateway import mesh as mesh_module
 
 
@@ -130,6 +131,12 @@
     assert keys == expected * 2
 
 
+def test_address_of_one_endpoint_is_not_taken_for_that_of_another():
+    """Guards against a kept address that leaves out the port or the host."""
+    pairs = [("10.0.0.1", 1), ("10.0.0.1", 2), ("10.0.0.2", 1)] * 2
+    assert [socket_address.get(*pair) for pair in pairs] == pairs
+
+
 def test_requests_at_work_are_counted_while_calls_begin_and_end():
     """Guards against a stall that is seen or missed by a wrong count."""
     running = running_requests.RunningRequests()
--- a/tests/gateway/test_processor_time.py
+++ b/tests/gateway/test_processor_time.py
@@ -2,8 +2,8 @@
 
 Guards against processor time that grows with each change: it is measured in
 calls of functions, whose number is the same in every run. Guards also against
-requests whose objects refer to each other in a circle, so that the garbage
-collector pauses the node to free them.
+requests that leave reference cycles, which the garbage collector pauses the
+node to free.
 """
 
 import gc
