Test of the quota owner: tokens may have expired when they are shown

A new owner's tokens end with its leader lease, about a second after they were handed out, and the command that shows them took longer to start. What was handed out is now found among the tokens at nodes or those that expired; both were 0 if none had been.

--- a/tests/platform/test_quota_owner.py
+++ b/tests/platform/test_quota_owner.py
@@ -138,7 +138,10 @@
         answer = json.loads(shown.stdout)
         assert answer["owner"] == owner.ip
         assert [use["account"] for use in answer["accounts"]] == ["mill"]
-        assert answer["accounts"][0]["out"] > 0
+        # The tokens of a new owner end with its leader lease, which may be
+        # before the command has started.
+        use = answer["accounts"][0]
+        assert use["out"] + use["lapsed"] > 0
         owner.kill()
         lost_s = time.monotonic()
         fleet_module.wait_until(lambda: find_granting_owner(fleet, sessions))
