Keys are checked again after a wait

Cause: a key was checked when its request arrived. One that then waits up to 2 s for a token, or is sent to another endpoint later, could run longer after its key was taken away than `revoke` allows.

Change: before a request is sent after a wait, or a further time, its key is checked again; if it is no longer known to be valid, the request is refused with 503 and `key-unconfirmed`.

--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -6,6 +6,7 @@
 from cranberrymux.gateway import answer_judge
 from cranberrymux.gateway import attempt as attempt_module
 from cranberrymux.gateway import attempts as attempts_module
+from cranberrymux.gateway import client_identity
 from cranberrymux.gateway import entry_answer
 from cranberrymux.gateway import entry_quota
 from cranberrymux.gateway import hop
@@ -57,6 +58,7 @@
         self._parts = parts
         self._call = call
         self._route = route
+        self._account = account
         self._headers = headers
         name = parts.settings.dialect.request_id
         self._request_id = headers_module.find(call.head.headers, name) or b""
@@ -143,6 +145,9 @@
         if self._suspicion.is_refused:
             self._refuse(_Outcome.QUARANTINED)
             return
+        if not self._is_key_valid():
+            self._refuse(_Outcome.KEY_UNCONFIRMED)
+            return
         endpoint = self._attempts.choose(now_s)
         if endpoint is None:
             was_tried = bool(self._attempts.tried_ids)
@@ -156,6 +161,17 @@
         self._attempt = self._make_attempt(endpoint, left_ms)
         self._attempt.start()
 
+    def _is_key_valid(self) -> bool:
+        """Checks the key again after a wait, in which it may be taken away."""
+        table = self._parts.routes.table
+        has_waited = self._quota.has_waited or bool(self._attempts.tried_ids)
+        if self._account is None or table is None or not has_waited:
+            return True
+        identity = client_identity.identify(
+            self._parts, table, self._route, self._call.head.headers
+        )
+        return identity.verdict is client_identity.IdentityVerdict.ACCEPTED
+
     def _make_attempt(
         self, endpoint: endpoint_view.EndpointView, left_ms: int
     ) -> attempt_module.Attempt:
--- a/src/cranberrymux/gateway/entry_quota.py
+++ b/src/cranberrymux/gateway/entry_quota.py
@@ -21,6 +21,9 @@
     """Takes a token for each run of a request, and gives back what is not used.
 
     Requests that count against no quota share `UNLIMITED`.
+
+    Attributes:
+        has_waited: True once the request had to wait for a token.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         )
         self._ticket: token_stock.TokenTicket | None = None
         self._waiter: quota_waiter.QuotaWaiter | None = None
+        self.has_waited = False
 
     @property
     def retry_delay_s(self) -> float:
@@ -84,6 +88,7 @@
             self._waiter = None
             on_refused(cause)
 
+        self.has_waited = True
         self._waiter = quota_waiter.QuotaWaiter(
             account,
             handle_granted,
--- a/src/cranberrymux/gateway/own_answers.py
+++ b/src/cranberrymux/gateway/own_answers.py
@@ -19,6 +19,7 @@
         NO_ENDPOINT: No endpoint of the service could be used.
         SHED: Root admission refused the request.
         OVER_QUOTA: The account's quota has no token for the request.
+        KEY_UNCONFIRMED: After a wait, the key is no longer known to be valid.
         REFUSED: All endpoints that were asked refused it.
         QUARANTINED: Backend servers died under earlier sendings of it.
         EXPIRED: The deadline passed before it was sent.
@@ -31,6 +32,7 @@
     NO_ENDPOINT = "no-endpoint"
     SHED = "shed"
     OVER_QUOTA = "over-quota"
+    KEY_UNCONFIRMED = "key-unconfirmed"
     REFUSED = "refused"
     QUARANTINED = "quarantined"
     EXPIRED = "expired"
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -25,18 +25,24 @@
         self, *accounts, services=("front", "deep", "deep"), timeout_s=1.0
     ):
         self.mesh = mesh_module.Mesh(*services)
-        document = mesh_module.make_document(
-            mesh_module.make_route("read", "deep", timeout_s=timeout_s),
-            mesh_module.make_route("open", "deep", is_public=True),
-        )
-        text = route_document.dump(document._replace(accounts=accounts))
+        self._timeout_s = timeout_s
         self.owner = quota_owner.QuotaOwner(self.mesh.network, *accounts)
+        self.configure(*accounts)
         for member in self.mesh.members:
-            member.gateway.configuration_changed(1, text)
             member.gateway._parts.quotas._connect = self.owner.connect
             member.gateway.quota_owner_received("10.0.0.9:1")
         self.mesh.network.run(1.0, step_s=0.01)
 
+    def configure(self, *accounts, label=1):
+        document = mesh_module.make_document(
+            mesh_module.make_route("read", "deep", timeout_s=self._timeout_s),
+            mesh_module.make_route("open", "deep", is_public=True),
+            label=label,
+        )
+        text = route_document.dump(document._replace(accounts=accounts))
+        for member in self.mesh.members:
+            member.gateway.configuration_changed(label, text)
+
     def ask(self, path="/read/x", *, headers=SENT, wait=0.3):
         return self.mesh.ask(0, path, headers=headers, wait=wait)
 
@@ -254,3 +260,14 @@
     client = scene.ask(headers=[*SENT, ("Request-Id", "r7.1")])
     assert client.statuses == [200]
     assert scene.metric("granted") == 1
+
+
+def test_a_key_that_is_taken_away_during_the_wait_runs_nowhere(scene):
+    scene.owner.is_unreachable = True
+    client = scene.ask(wait=0.2)
+    scene.configure(LIMITED._replace(keys=("k-9",)), label=2)
+    scene.owner.is_unreachable = False
+    scene.mesh.network.run(0.2, step_s=0.01)
+    assert client.statuses == [503]
+    assert scene.ran == 0
+    assert scene.metric("returned") == 1
