--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -5,6 +5,7 @@
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import answer_judge
 from cranberrymux.gateway import attempts as attempts_module
+from cranberrymux.gateway import client_identity
 from cranberrymux.gateway import entry_answer
 from cranberrymux.gateway import entry_quota
 from cranberrymux.gateway import hop
@@ -56,6 +57,7 @@
         self._parts = parts
         self._call = call
         self._route = route
+        self._account = account
         self._headers = headers
         name = parts.settings.dialect.request_id
         self._request_id = call.head.headers.first.get(name, b"")
@@ -63,13 +65,13 @@
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s, account
         )
+        wait_s = min(self._origin.left_s, route.timeout_s)
         self._quota = entry_quota.UNLIMITED
         is_limited = account is not None and account.is_limited
         if is_limited and self._origin.is_root:
             self._quota = entry_quota.EntryQuota(
-                parts.quotas, account, route.objective_s
+                parts.quotas, account, route.objective_s, wait_s
             )
-        wait_s = min(self._origin.left_s, route.timeout_s)
         self._deadline_s = self._began_s + wait_s
         self._attempts = attempts_module.Attempts(
             parts, route, parts.splits.choose(route)
@@ -141,6 +143,9 @@
         if self._suspicion.is_refused:
             self._refuse(_Outcome.QUARANTINED)
             return
+        if not self._is_key_valid():
+            self._refuse(_Outcome.KEY_UNCONFIRMED)
+            return
         endpoint = self._attempts.choose(now_s)
         if endpoint is None:
             was_tried = bool(self._attempts.tried_ids)
@@ -154,6 +159,17 @@
         self._attempt = self._make_attempt(endpoint, left_ms)
         self._attempt.start()
 
+    def _is_key_valid(self) -> bool:
+        """Checks the key again after a wait, in which it may be taken away."""
+        table = self._parts.routes.table
+        has_waited = self._quota.has_waited or bool(self._attempts.tried_ids)
+        if self._account is None or table is None or not has_waited:
+            return True
+        identity = client_identity.identify(
+            self._parts, table, self._route, self._call.head.headers
+        )
+        return identity.verdict is client_identity.IdentityVerdict.ACCEPTED
+
     def _make_attempt(
         self, endpoint: endpoint_view.EndpointView, left_ms: int
     ) -> attempt_module.Attempt:
--- a/src/cranberrymux/gateway/explanation/dry_run.py
+++ b/src/cranberrymux/gateway/explanation/dry_run.py
@@ -74,14 +74,24 @@
         question, _make_headers(parts, question, account)
     )
     entry.Entry(copied).handle_call(call)
-    wait_s = 0.0
     if not call.status and copied.recorded.chosen is None:
-        timers: Sequence[Any] = copied.timers.getDelayedCalls()
-        wait_s = min(timer.getTime() for timer in timers)
-        copied.timers.advance(wait_s)
+        _wait_for_answer(copied, call)
+    wait_s = copied.timers.seconds()
     return DryRun(copied, _read_refusal(parts, call), wait_s)
 
 
+def _wait_for_answer(
+    copied: copied_parts.CopiedParts, call: asked_call.AskedCall
+) -> None:
+    """Lets time pass until the wait for a quota token ends."""
+    while not call.status:
+        timers: Sequence[Any] = copied.timers.getDelayedCalls()
+        if not timers:
+            return
+        next_s = min(timer.getTime() for timer in timers)
+        copied.timers.advance(max(next_s - copied.timers.seconds(), 0.0))
+
+
 def _make_routes(
     parts: parts_module.GatewayParts,
     question: question_module.Question,
