--- a/src/cranberrymux/gateway/hop_answer.py
+++ b/src/cranberrymux/gateway/hop_answer.py
@@ -6,7 +6,6 @@
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import lost_answer
 
-MINIMUM_SERVER_ERROR_STATUS = http_status.MINIMUM_SERVER_ERROR
 BACKEND_DIED = lost_answer.LostAnswer(
     lost_answer.LossReason.CONNECTION_LOST, True, "the backend server died"
 )
