--- a/tests/decisions/endpoints/test_recorded_endpoints.py
+++ b/tests/decisions/endpoints/test_recorded_endpoints.py
@@ -147,6 +147,18 @@
     assert explained["near-2"].detail == "suspended for 0.3 s more"
 
 
+def test_tells_an_ejected_endpoint_from_one_of_another_zone():
+    """Guards against an operator who looks for the cause at the wrong place."""
+    endpoints = make_endpoints(near=2, far=1)
+    endpoints.find("far-0").note_reported_failure_rate(10.0, 0.97)
+    endpoints.find("near-0").note_reported_failure_rate(10.0, 0.97)
+    explained = explain(endpoints, 10.1)
+    assert find_chosen(explained) == "near-1"
+    assert explained["near-0"].verdict is Verdict.EJECTED
+    assert explained["far-0"].verdict is Verdict.EJECTED
+    assert explained["far-0"].detail == "fails 0.94 of its requests"
+
+
 def test_compares_the_cost_of_the_two_drawn():
     endpoints = make_endpoints(near=2, far=0)
     endpoints.find("near-0").note_reported_load(0.0, 8)
