--- a/src/cranberrymux/cli/command.py
+++ b/src/cranberrymux/cli/command.py
@@ -44,8 +44,8 @@
         run: Runs the subcommand with a session and returns the exit code.
         run_offline: Runs the subcommand without contacting any control
             instance and returns the exit code.
-        is_offline: True for arguments with which `run_offline` is to run; of
-            use only where `run` is set, too.
+        is_offline: Returns True for arguments that `run_offline` handles;
+            needed only if `run` is set, too.
     """
 
     name: str
--- a/src/cranberrymux/cli/exit_code.py
+++ b/src/cranberrymux/cli/exit_code.py
@@ -14,9 +14,9 @@
             cannot be read.
         CONFLICT: Another change was accepted first.
         INVALID: The document or the request is not valid.
-        UNREACHABLE: No control instance with a quorum answered, or not the
-            node that was asked. A change may still have been accepted; resend
-            it with its change id.
+        UNREACHABLE: No control instance with a quorum answered, or the node
+            that was asked did not. A change may still have been accepted;
+            resend it with its change id.
         UNCONFIRMED: The change was accepted, but was not in force everywhere
             within the wait.
         WRONG_TOKEN: The operators' token was rejected.
--- a/src/cranberrymux/cli/explain_command.py
+++ b/src/cranberrymux/cli/explain_command.py
@@ -20,7 +20,7 @@
 from cranberrymux.decisions.selectors import selector_labels
 
 NODE_TIMEOUT_S = 5.0
-# Options of a question to a node, by the fields that they fill.
+# Field of a question to a node that each option fills.
 _NODE_FIELDS = {
     "node_method": "method",
     "node_host": "host",
@@ -192,10 +192,10 @@
     "show how a request would be handled, and where a node would send it",
     "  cranberrymux explain crew-dispatch POST /dispatches\n"
     "  cranberrymux explain --file new.yaml leak-notes GET /notes/7\n"
-    "  cranberrymux explain --node 10.0.0.7:9100 --path /notes/7"
+    "  cranberrymux explain --node 10.0.0.7:9180 --path /notes/7"
     " --account mill",
     _add_arguments,
-    _explain,
-    _explain_by_node,
-    _is_offline,
+    run=_explain,
+    run_offline=_explain_by_node,
+    is_offline=_is_offline,
 )
--- a/src/cranberrymux/cli/main.py
+++ b/src/cranberrymux/cli/main.py
@@ -53,13 +53,13 @@
 override both
 
 exit codes:
-  0 done                       5 no control instance with a quorum answered;
-  1 diff found a difference,     send the change again with its change id
-    burn a budget that burns   6 accepted, not in force everywhere in time
-  2 wrong usage or settings    7 wrong token
-  3 another change came first  8 version, node, account or request
+  0 done                       5 no control instance with a quorum answered
+  1 diff found a difference,     (send the change again with its change id),
+    burn a budget that burns     or the asked node did not
+  2 wrong usage or settings    6 accepted, not in force everywhere in time
+  3 another change came first  7 wrong token
+  4 refused as invalid         8 version, node, route, account or request
                                  not found
-  4 refused as invalid
 """
 
 
--- a/src/cranberrymux/cli/node_explanation.py
+++ b/src/cranberrymux/cli/node_explanation.py
@@ -67,12 +67,15 @@
 def fetch(
     node: str, fields: Mapping[str, str], timeout_s: float
 ) -> dict[str, Any] | NodeError:
-    """Asks a node.
+    """Asks a node where it would send a request now.
 
     Args:
         node: `HOST:PORT` of its metrics address.
         fields: Fields of the question.
         timeout_s: Maximum seconds for each step of the exchange.
+
+    Returns:
+        The explanation, as decoded from JSON, or why there is none.
     """
     host, _, port = node.rpartition(":")
     number = whole_number.decode(port.encode())
--- a/src/cranberrymux/sessions.py
+++ b/src/cranberrymux/sessions.py
@@ -169,7 +169,10 @@
         return statuses
 
     async def accounts(self) -> AccountReport | SessionError:
-        """Returns the use of the quotas, from the instance that owns them."""
+        """Returns the use of the quotas, from the instance that owns them.
+
+        Returns an error if none is found within `timeout_ms`.
+        """
         answer = await self._send_until_answered(
             "GET", "/v1/accounts", find_fault=_find_other_owner
         )
@@ -223,8 +226,8 @@
             path: Path and query.
             body: JSON body; None for none.
             accept: Statuses that are an answer besides 200.
-            find_fault: Returns why the body of an answer does not do, so that
-                other instances are asked; empty if it does.
+            find_fault: Returns why the body of an answer is rejected, so that
+                other instances are asked; empty if it is accepted.
         """
         end_s = self._adapter.now_s() + self._settings.timeout_ms / 1000
         details: dict[str, str] = {}
