Explanations: names of constants, docstrings, a clearer error

_MS and _DIGITS say their units, _LAST_CONTROL was a space, and _clean replaces values by None rather than leaving them out. The error for unknown or repeated fields says what is expected. tests/gateway/test_explanation.py and test_explain_question.py pass.

--- a/src/cranberrymux/gateway/explanation/description.py
+++ b/src/cranberrymux/gateway/explanation/description.py
@@ -13,8 +13,8 @@
 from cranberrymux.gateway.explanation import dry_run
 from cranberrymux.gateway.explanation import question as question_module
 
-_DIGITS = 6
-_MS = 1000.0
+_DECIMAL_PLACES = 6
+_MS_PER_S = 1000.0
 
 
 def describe(
@@ -49,7 +49,7 @@
         "route": None if route is None else _describe_route(route),
         "account": _describe_account(parts, route, account),
         "outcome": _name_outcome(first),
-        "wait_ms": first.wait_s * _MS,
+        "wait_ms": first.wait_s * _MS_PER_S,
         "refusal": _describe_refusal(first),
         "priority": _find_priority(copied),
         "admission": _describe_admission(copied),
@@ -74,8 +74,8 @@
         "prefix": route.prefix,
         "is_public": route.is_public,
         "priority": route.priority,
-        "timeout_ms": route.timeout_s * _MS,
-        "objective_ms": route.objective_s * _MS,
+        "timeout_ms": route.timeout_s * _MS_PER_S,
+        "objective_ms": route.objective_s * _MS_PER_S,
         "attempts": route.attempts,
         "targets": {each.service: each.weight for each in route.targets},
     }
@@ -103,7 +103,10 @@
 
 
 def _find_priority(copied: copied_parts.CopiedParts) -> int | None:
-    """Returns the priority that decides first; None before root admission."""
+    """Returns the priority of the account, else that of the route.
+
+    None if the request does not get to root admission.
+    """
     if not copied.traffic_classes:
         return None
     rank = copied.traffic_classes[-1].priority
@@ -132,7 +135,7 @@
         services.append(
             {
                 "service": service,
-                "work_ms": cost_s * _MS,
+                "work_ms": cost_s * _MS_PER_S,
                 "share": share,
                 "account_share": account_share,
                 "share_in_force": share
@@ -184,8 +187,8 @@
         "zone": zone,
         "is_own": zone == own_zone,
         "share": share,
-        "expected_ms": None if expected_s is None else expected_s * _MS,
-        "gain_ms": None if gain_s is None else gain_s * _MS,
+        "expected_ms": None if expected_s is None else expected_s * _MS_PER_S,
+        "gain_ms": None if gain_s is None else gain_s * _MS_PER_S,
         "reason": _explain_own_share(expected_s, share)
         if zone == own_zone
         else _explain_share(expected_s, gain_s, share),
@@ -225,11 +228,11 @@
 
 
 def _clean(value: Any) -> Any:
-    """Rounds numbers, and leaves out those that JSON cannot hold."""
+    """Rounds numbers; those that JSON cannot hold become None."""
     if isinstance(value, dict):
         return {name: _clean(each) for name, each in value.items()}
     if isinstance(value, list):
         return [_clean(each) for each in value]
     if isinstance(value, float):
-        return round(value, _DIGITS) if math.isfinite(value) else None
+        return round(value, _DECIMAL_PLACES) if math.isfinite(value) else None
     return value
--- a/src/cranberrymux/gateway/explanation/question.py
+++ b/src/cranberrymux/gateway/explanation/question.py
@@ -7,7 +7,8 @@
 
 MAXIMUM_FIELDS = 16
 FIELDS = ("method", "host", "path", "account", "priority", "deadline_ms")
-_LAST_CONTROL = " "  # Characters up to it would end a request line or header.
+# This and lower characters would end a field of a request line or a header.
+_LAST_FORBIDDEN = " "
 
 
 class Question(NamedTuple):
@@ -65,9 +66,9 @@
         return _fail("the query cannot be read")
     fields = dict(pairs)
     if len(fields) != len(pairs) or not fields.keys() <= set(FIELDS):
-        return _fail(f"each of {', '.join(FIELDS)} is taken once, nothing else")
+        return _fail(f"expected {', '.join(FIELDS)} only, each at most once")
     for name in ("method", "host", "path"):
-        if any(each <= _LAST_CONTROL for each in fields.get(name, "")):
+        if any(each <= _LAST_FORBIDDEN for each in fields.get(name, "")):
             return _fail(f"{name} has a space or control character")
     if not fields.get("path", "").startswith("/"):
         return _fail("path does not begin with /")
