--- a/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
+++ b/src/cranberrymux/decisions/endpoints/recorded_endpoints.py
@@ -1,7 +1,7 @@
 """A choice of an endpoint that is explained and changes nothing.
 
-The choice is that of `EndpointSet` itself, made on a copy of what it works on.
-Only what each of its steps was given and has found is recorded.
+The choice is that of `EndpointSet` itself, made on a copy of its state. The
+arguments and the result of each step are recorded.
 """
 
 from collections.abc import Collection
@@ -21,7 +21,7 @@
 
 
 class _Draw(NamedTuple):
-    """Endpoints of one zone, those drawn of them and the cheaper one."""
+    """Endpoints of a zone, those drawn from them, and the cheaper of these."""
 
     endpoints: list[endpoint_view.EndpointView]
     drawn: list[endpoint_view.EndpointView]
@@ -148,7 +148,7 @@
             )
         return explained
 
-    # Steps of the choice.
+    # Steps of the choice, which are recorded.
 
     def _choose_by_zone(
         self,
@@ -172,7 +172,7 @@
             self._draws.append(_Draw(endpoints, drawn, found))
         return found
 
-    # What they tell of an endpoint.
+    # Verdicts on endpoints.
 
     def _judge(
         self, view: recorded_view.RecordedView, now_s: float
--- a/src/cranberrymux/decisions/endpoints/recorded_view.py
+++ b/src/cranberrymux/decisions/endpoints/recorded_view.py
@@ -7,12 +7,16 @@
 
 
 class RecordedView(endpoint_view.EndpointView):
-    """Has the figures of an endpoint; a choice only reads those below it."""
+    """Copy of an `EndpointView` that can describe itself.
+
+    It shares the objects that the attributes refer to, which a choice only
+    reads.
+    """
 
     __slots__ = ()
 
     def __init__(self, view: endpoint_view.EndpointView) -> None:
-        """Copies the attributes, without the objects that they refer to."""
+        """Copies the references to the attributes."""
         for name in endpoint_view.EndpointView.__slots__:
             setattr(self, name, getattr(view, name))
 
--- a/src/cranberrymux/decisions/endpoints/zone_balancer.py
+++ b/src/cranberrymux/decisions/endpoints/zone_balancer.py
@@ -73,7 +73,7 @@
         return dict(zones.shares) if zones else {}
 
     def describe(self, service: str) -> share_change.ShareChange | None:
-        """Returns the shares of a service and why they are so, or None."""
+        """Returns the shares of a service; None if they were never computed."""
         zones = self._services.get(service)
         return zones.describe() if zones else None
 
--- a/src/cranberrymux/decisions/zones/service_zones.py
+++ b/src/cranberrymux/decisions/zones/service_zones.py
@@ -182,7 +182,7 @@
         return self.describe()
 
     def describe(self) -> share_change.ShareChange:
-        """Returns the shares at present, and why they are so."""
+        """Returns the present shares, and the figures they follow from."""
         return share_change.ShareChange(
             self._service,
             dict(self._shares.shares),
--- a/src/cranberrymux/decisions/zones/share_change.py
+++ b/src/cranberrymux/decisions/zones/share_change.py
@@ -1,10 +1,10 @@
-"""Shares of zones, and what they follow from."""
+"""Shares of zones, and the figures they follow from."""
 
 from typing import NamedTuple
 
 
 class ShareChange(NamedTuple):
-    """Shares of zones, as after a noticeable change, and why they are so.
+    """Shares of the zones of a service, and the figures they follow from.
 
     Attributes:
         service: Name of the service.
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -15,7 +15,8 @@
 
 PREFIX = b"cranberrymux-"
 _PREFIX_BYTES = len(PREFIX)
-_KEPT_VALUES = 256  # Results kept of each function that codes a value.
+_KEPT_VALUES = 256  # Results kept by each cached encoder and decoder.
+# Numbers separated by slashes; later versions may append further ones.
 _NUMBER = rb"([0-9]{1,%d})" % whole_number.MAXIMUM_DIGITS
 _THREE_NUMBERS = re.compile(b"/".join([_NUMBER] * 3) + b"(?:/.*)?", re.DOTALL)
 _FOUR_NUMBERS = re.compile(b"/".join([_NUMBER] * 4) + b"(?:/.*)?", re.DOTALL)
@@ -115,9 +116,9 @@
     """What all requests of a call tree know from the node where it began.
 
     Attributes:
-        rank: Order of starting; lower ranks start first. The priority of the
-            root, a whole number, less `CALL_RANK_BONUS` for calls and for
-            roots that make none.
+        rank: Order of starting; lower ranks start first. The rank of the root
+            (`accounts/request_rank.py`), a whole number, less
+            `CALL_RANK_BONUS` for calls and for roots that make none.
         share: Share of the offered work that was admitted there, 0.0 to 1.0.
         is_repeat: True if the tree, or a subtree that contains the request, was
             run before and lost its answer or failed.
--- a/src/cranberrymux/gateway/program.py
+++ b/src/cranberrymux/gateway/program.py
@@ -20,7 +20,8 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 RELOAD_INTERVAL_S = 5.0
-# Requests leave few objects for the collector, which pauses them.
+# Allocations and collections between two collections of each generation.
+# Requests leave few reference cycles, and each collection pauses the node.
 COLLECTION_THRESHOLDS = (20_000, 20, 100)
 
 
--- a/src/cranberrymux/models/http_status.py
+++ b/src/cranberrymux/models/http_status.py
@@ -1,3 +1,3 @@
-"""Status codes of HTTP by which answers are told apart."""
+"""HTTP status codes that separate kinds of answers."""
 
 MINIMUM_SERVER_ERROR = 500
--- a/src/cranberrymux/models/socket_address.py
+++ b/src/cranberrymux/models/socket_address.py
@@ -21,7 +21,7 @@
 
 @functools.lru_cache(_KEPT_ADDRESSES)
 def get(host: str, port: int) -> SocketAddress:
-    """Returns an address that is used for many requests."""
+    """Returns an address; kept, since many requests go to the same ones."""
     return SocketAddress(host, port)
 
 
--- a/src/cranberrymux/node/http/answer_matcher.py
+++ b/src/cranberrymux/node/http/answer_matcher.py
@@ -4,7 +4,8 @@
 from cranberrymux.node.http import request_identity
 from cranberrymux.node.http import unexpected_answer
 
-# Requests sent on a connection whose ids are kept at least.
+# Minimum number of the last ids sent on a connection that are kept; at most
+# twice as many are.
 _REMEMBERED_IDS = 64
 
 
