Faults found in review: ejection, ranks that are no number, explained priority

Limited shares were dropped while the only endpoint without a limit was ejected. A rank of nan in a header between nodes raised an error. A priority in a question of explain replaced that of the route, too.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -58,6 +58,7 @@
         return any(
             endpoint.rate_limit.per_s is None
             and not endpoint.is_suspended(now_s)
+            and not endpoint.is_ejected(now_s)
             for endpoint in self.usable_endpoints(service)
         )
 
--- a/src/cranberrymux/decisions/endpoints/failure_ejection.py
+++ b/src/cranberrymux/decisions/endpoints/failure_ejection.py
@@ -13,7 +13,9 @@
 class FailureEjection:
     """Circuit breaker of one endpoint at one node.
 
-    After `EJECTION_S` one request at a time tells whether it serves again.
+    After `EJECTION_S` one request at a time tells whether it serves again. One
+    more may be sent for each `EJECTION_S` that passes without an answer, since
+    a request may last long.
     """
 
     __slots__ = ("_until_s",)
@@ -43,4 +45,6 @@
         """
         if self._until_s is None:
             return False
-        return now_s < self._until_s or outstanding > 0
+        if now_s < self._until_s:
+            return True
+        return outstanding > (now_s - self._until_s) // EJECTION_S
--- a/src/cranberrymux/gateway/explanation/dry_run.py
+++ b/src/cranberrymux/gateway/explanation/dry_run.py
@@ -69,7 +69,8 @@
     copied = copied_parts.CopiedParts(
         parts, services, account.name if account else ""
     )
-    copied.routes = _make_routes(parts, question, is_limited)
+    counts = account is not None and route is not None and not route.is_public
+    copied.routes = _make_routes(parts, question, is_limited, counts)
     call = asked_call.AskedCall(
         question, _make_headers(parts, question, account)
     )
@@ -96,11 +97,16 @@
     parts: parts_module.GatewayParts,
     question: question_module.Question,
     is_limited: bool,
+    has_account: bool,
 ) -> asked_routes.AskedRoutes:
+    """Puts the priority of the question in place of the one that decides first.
+
+    That is the account's if there is one, else the route's.
+    """
     priority = question.priority
 
     def change_route(route: route_module.Route) -> route_module.Route:
-        if priority is None:
+        if priority is None or has_account:
             return route
         return route._replace(priority=priority)
 
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -208,9 +208,12 @@
 @functools.lru_cache(_KEPT_VALUES)
 def _parse_tree_context(value: bytes, account: bytes) -> TreeContext:
     try:
-        rank, share, flags = value.split(b"/")
+        encoded_rank, share, flags = value.split(b"/")
+        rank = float(encoded_rank)
+        if not math.isfinite(rank):
+            return DEFAULT_TREE_CONTEXT
         tree_context = TreeContext(
-            float(rank),
+            rank,
             float(share),
             flags in _REPEAT_FLAGS,
             has_left_zone=flags in _LEFT_ZONE_FLAGS,
--- a/tests/decisions/endpoints/test_failure_ejection.py
+++ b/tests/decisions/endpoints/test_failure_ejection.py
@@ -86,3 +86,20 @@
     view = endpoints.find("hangs")
     view.note_reported_failure_rate(0.0, 0.4)
     assert not view.is_ejected(0.1)
+
+
+def test_a_long_request_does_not_keep_it_ejected(endpoints):
+    view = endpoints.find("hangs")
+    view.note_reported_failure_rate(0.0, 0.6)
+    view.outstanding = 1
+    assert view.is_ejected(1.9 * failure_ejection.EJECTION_S)
+    assert not view.is_ejected(2.1 * failure_ejection.EJECTION_S)
+
+
+def test_an_ejected_endpoint_is_no_room_beside_limited_ones(endpoints):
+    for name in ("a", "b"):
+        endpoints.find(name).rate_limit.note_answer(5.0, 0.0, 0.0)
+    view = endpoints.find("hangs")
+    assert endpoints.has_unlimited("deep", 0.1)
+    view.note_reported_failure_rate(0.0, 0.97)
+    assert not endpoints.has_unlimited("deep", 0.1)
