Stand-in: repeat a drain request that the node did not accept

Cause: beside load, a request to drain timed out at the test's fake node (2 s) and was never sent again, so that the stand-in was never drained; the test failed once in a whole run. Change: it is repeated after the next announcement until the node accepts it. A test in which the first one gets no answer failed before.

--- a/src/cranberrymux/standin/announcer.py
+++ b/src/cranberrymux/standin/announcer.py
@@ -75,9 +75,12 @@
         self._agent = client.Agent(
             cast(Any, reactor), connectTimeout=REQUEST_TIMEOUT_S, pool=pool
         )
-        self._loop = task.LoopingCall(self._announce)
+        self._loop = task.LoopingCall(
+            lambda: defer.ensureDeferred(self._announce())
+        )
         self._loop.clock = reactor
         self._is_announced = False
+        self._is_drain_due = False
         self._log = structlog.get_logger()
 
     def start(self) -> None:
@@ -91,10 +94,15 @@
             self._loop.stop()
 
     def drain(self) -> defer.Deferred[None]:
-        """Requests a drain from the node; the announcements continue."""
+        """Requests a drain from the node; the announcements continue.
+
+        A request that the node does not accept is repeated after the next
+        announcement.
+        """
         if not self._url:
             return defer.succeed(None)
-        return self._put("/v1/drain", {})
+        self._is_drain_due = True
+        return self._send_drain()
 
     async def is_node_busy(self) -> bool:
         """True if the node's status shows calls in flight or queued."""
@@ -120,10 +128,19 @@
             # A node without a reachable, valid status sends no calls.
             return False
 
-    def _announce(self) -> defer.Deferred[None]:
-        return self._put("/v1/backend", self._announcement)
+    async def _announce(self) -> None:
+        await self._put("/v1/backend", self._announcement)
+        if self._is_drain_due:
+            await self._send_drain()
+
+    def _send_drain(self) -> defer.Deferred[None]:
+        def note_result(is_accepted: bool) -> None:
+            self._is_drain_due = self._is_drain_due and not is_accepted
+
+        return self._put("/v1/drain", {}).addCallback(note_result)
 
-    def _put(self, path: str, body: Any) -> defer.Deferred[None]:
+    def _put(self, path: str, body: Any) -> defer.Deferred[bool]:
+        """Sends a request; the result is True if the node accepts it."""
         sent = treq.put(
             self._url + path,
             json=body,
@@ -134,7 +151,7 @@
         sent.addErrback(self._log_failure, path)
         return sent
 
-    async def _check_status(self, response: Any, path: str) -> None:
+    async def _check_status(self, response: Any, path: str) -> bool:
         await response.content()
         is_accepted = response.code < 300
         if is_accepted != self._is_announced:
@@ -142,11 +159,12 @@
                 event.Event.STANDIN_ANNOUNCED, path=path, status=response.code
             )
         self._is_announced = is_accepted
+        return is_accepted
 
-    def _start_check(self, response: Any, path: str) -> defer.Deferred[None]:
+    def _start_check(self, response: Any, path: str) -> defer.Deferred[bool]:
         return defer.Deferred.fromCoroutine(self._check_status(response, path))
 
-    def _log_failure(self, reason: failure.Failure, path: str) -> None:
+    def _log_failure(self, reason: failure.Failure, path: str) -> bool:
         if self._is_announced:
             self._log.warning(
                 event.Event.STANDIN_ANNOUNCE_FAILED,
@@ -154,3 +172,4 @@
                 error=reason.getErrorMessage(),
             )
         self._is_announced = False
+        return False
--- a/tests/standin/test_standin.py
+++ b/tests/standin/test_standin.py
@@ -166,6 +166,7 @@
     Attributes:
         put_requests: Path and decoded body of each PUT request.
         status: Answer to each GET request.
+        path_to_lose: Path of which the next PUT request gets no answer.
     """
 
     def __init__(self):
@@ -174,6 +175,9 @@
                 length = int(self.headers["Content-Length"])
                 body = json.loads(self.rfile.read(length))
                 self.server.put_requests.append((self.path, body))
+                if self.path == self.server.path_to_lose:
+                    self.server.path_to_lose = ""
+                    return  # Closes the connection without an answer.
                 self._answer({})
 
             def do_GET(self):
@@ -191,6 +195,7 @@
 
         super().__init__(("127.0.0.1", 0), Handler)
         self.put_requests = []
+        self.path_to_lose = ""
         self.status = {"in_flight": 0, "queued": 0}
 
     @property
@@ -246,6 +251,14 @@
     assert node.paths().count("/v1/drain") == 1
 
 
+def test_a_drain_request_without_an_answer_is_repeated(start_standin, node):
+    """Guards against a backend server that a busy node never drains."""
+    node.path_to_lose = "/v1/drain"
+    standin = start_standin("a", announce_url=node.url)
+    standin.ask("/behaviour", b'{"drain": true}')
+    _wait_until(lambda: node.paths().count("/v1/drain") == 2)
+
+
 def test_stop_accepts_calls_while_its_node_has_queued_ones(start_standin, node):
     node.status = {"in_flight": 0, "queued": 1}
     standin = start_standin("a", announce_url=node.url, settle_ms=300)
