Soak: client accounts, removed keys, quotas

Cause: the soak had no accounts, so that no failure of real processes was tried against keys, quotas and names.

Change: four accounts send requests to routes that need a key: one within its quota, one at four times its quota, one whose quota is lowered, one without a limit whose key is replaced every 2 to 3 s while clients go on with the removed keys. Backend servers record the account's name. Checked: no request with a removed key begins later than `revoke` (3 s) after the acknowledgement, unless a frozen backend server or connection held it back; the bound of the quota in every window; names, also against forged ones; no refused request ran. The earlier clients, faults and draws are as before; their routes are public.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -31,6 +31,11 @@
                 f" stalled {result.stalled_s:.1f} s itself",
                 flush=True,
             )
+            statuses = ", ".join(
+                f"{account} {status}: {count}"
+                for (account, status), count in result.account_statuses
+            )
+            print(f"  {statuses}", flush=True)
             for violation in result.violations[:10]:
                 print(f"  {violation}", flush=True)
             if result.violations and options.keep:
--- a/tests/soak/backend_main.py
+++ b/tests/soak/backend_main.py
@@ -194,7 +194,12 @@
         request_id = self.headers.get("Request-Id", "")
         deadline_ms = int(self.headers.get("Deadline-Ms", "0"))
         started_at_s = time.monotonic()
-        state.record("begin", id=request_id, path=self.path)
+        state.record(
+            "begin",
+            id=request_id,
+            path=self.path,
+            tenant=self.headers.get("Tenant", ""),
+        )
         if self.path.endswith(CRASH_PATH_SUFFIX):
             self._crash()
         time.sleep(state.slowness * random.uniform(0.002, 0.02))
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -87,9 +87,12 @@
         return ask(connection, machine, request_id, path, PATHS[path])
 
 
-def ask(connection, machine, request_id, path, is_at_most_once):
+def ask(
+    connection, machine, request_id, path, is_at_most_once, more_headers=None
+):
     """Sends a request, a POST if it must run once at most, and waits."""
     headers = {
+        **(more_headers or {}),
         "Host": "h.example",
         "Request-Id": request_id,
         "Deadline-Ms": str(int(DEADLINE_S * 1000)),
--- a/tests/soak/config_operator.py
+++ b/tests/soak/config_operator.py
@@ -5,6 +5,7 @@
 import time
 
 from tests.platform import fleet as fleet_module
+from tests.soak import accounts
 
 PAUSE_S = 0.7
 MAXIMUM_APPLY_S = 2.0
@@ -18,6 +19,7 @@
         violations: Messages about rejected changes and versions that went back.
         acknowledged: Last accepted version, and the monotonic time of its
             acceptance in seconds.
+        timeline: All versions.
     """
 
     def __init__(self, fleet):
@@ -26,25 +28,39 @@
         self.violations = []
         self.acknowledged = (0, 0.0)
         self._fleet = fleet
+        self.timeline = accounts.Timeline()
 
     def configuration(self, version):
-        """Encodes the three routes of the soak; only the version varies."""
+        """Encodes the routes of the soak and the accounts of a version.
+
+        The first three need no key, as backend servers call the third. The
+        others are for clients with a key.
+        """
         values = json.loads(fleet_module.configuration(version))
         first, second = values["routes"]["rows"]
         third = list(first)
         third[0], third[2], third[9] = "r3", "/c/", "s2"
         second[7], second[9] = None, "s1"
-        values["routes"]["rows"] = [first, second, third]
+        fourth, fifth = list(first), list(third)
+        fourth[0], fourth[2] = "r4", "/d/"
+        fifth[0], fifth[2] = "r5", "/e/"
+        public = [[*row, True] for row in (first, second, third)]
+        keyed = [[*row, False] for row in (fourth, fifth)]
+        values["routes"]["columns"].append("public")
+        values["routes"]["rows"] = public + keyed
+        values["tenants"] = accounts.make_table(version)
         return json.dumps(values).encode()
 
     def run(self):
         base_version = 0
         while not self.should_stop:
             version = base_version + 2
+            self.timeline.note_sent(version)
             if not self._put(version, base_version):
                 return
             base_version = version
             self.acknowledged = (version, time.monotonic())
+            self.timeline.note_acknowledged(version)
             time.sleep(PAUSE_S)
             self._read()
 
--- a/tests/soak/machine.py
+++ b/tests/soak/machine.py
@@ -4,6 +4,7 @@
 import json
 import signal
 
+from tests.soak import account_checks
 from tests.soak import program
 from tests.soak import proxy as proxy_module
 
@@ -81,6 +82,16 @@
         )
         self.backend_proxy = proxy_module.Proxy(backend_address, self._backend)
 
+    @property
+    def late_times_s(self):
+        """Times of faults after which requests begin late by no node's doing.
+
+        Those of the backend server and of the connections, monotonic seconds.
+        """
+        signals_s = set(self.node.signal_times_s)
+        links_s = [at for at in self.node.fault_times_s if at not in signals_s]
+        return sorted(links_s + self.backend.fault_times_s)
+
     def start(self):
         self.node.start()
         self.backend.start()
@@ -131,6 +142,8 @@
             f'[provider]\nbeat_interval = "400ms"\n'
             f'[terms.bounds]\ngrace = "{GRACE_S}s"\nbudget_ratio = 0.2\n'
             f'budget_slack = 40\nbudget_window = "10s"\n'
+            f"strict_revoke = true\n"
+            f'revoke = "{account_checks.REVOKE_S:g}s"\n'
         )
 
 
--- a/tests/soak/program.py
+++ b/tests/soak/program.py
@@ -51,7 +51,7 @@
     def send(self, signal_number):
         """Sends a signal, if it runs, and notes the time as that of a fault."""
         self.note_fault()
-        self.signal_times_s.append(time.monotonic())
+        self.signal_times_s.append(self.fault_times_s[-1])
         if self.is_running:
             self._process.send_signal(signal_number)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,11 +1,14 @@
 """Runs the soak for one seed: start, faults, recovery and checks."""
 
+import collections
 import threading
 import time
 from typing import NamedTuple
 
 from cranberrymux.demo import ports
 from tests.platform import fleet as fleet_module
+from tests.soak import account_checks
+from tests.soak import account_clients
 from tests.soak import checks
 from tests.soak import clients as clients_module
 from tests.soak import config_operator
@@ -48,6 +51,7 @@
         injected_faults: Number of injected faults.
         stalled_s: Longest time for which this process was not scheduled.
         violations: One message for each violation of a guarantee.
+        account_statuses: Account and status, and how often it got that.
     """
 
     seed: int
@@ -56,6 +60,7 @@
     injected_faults: int
     stalled_s: float
     violations: tuple[str, ...]
+    account_statuses: tuple[tuple[tuple[str, int], int], ...] = ()
 
 
 def run(seed, folder, length_s):
@@ -97,6 +102,12 @@
     ]
     for caller in crashing_callers:
         caller.start()
+    account_callers = [
+        account_clients.AccountClient(name, machines, operator.timeline, seed)
+        for name in account_clients.RATES
+    ]
+    for caller in account_callers:
+        caller.start()
     watch = stall_watch.StallWatch()
     watch.start()
     faults = faults_module.Faults(seed, machines, fleet)
@@ -115,17 +126,27 @@
     faults.stop_supervising()
     supervisor.join()
     operator.should_stop = True
-    for thread in (*clients, *crashing_callers):
+    for thread in (*clients, *crashing_callers, *account_callers):
         thread.should_stop = True
-    for thread in (operator, *clients, *crashing_callers):
+    for thread in (operator, *clients, *crashing_callers, *account_callers):
         thread.join()
     observed = [request for client in clients for request in client.observed]
     crashing_observed = [
         request for caller in crashing_callers for request in caller.observed
     ]
+    account_observed = [
+        request for caller in account_callers for request in caller.observed
+    ]
     watch.should_stop = True
     violations = checks.find_violations(
-        observed + crashing_observed, machines, watch
+        observed + crashing_observed + account_observed, machines, watch
+    )
+    violations += account_checks.find_violations(
+        account_observed,
+        {each.name: checks.read_records(each.records) for each in machines},
+        {each.name: each.late_times_s for each in machines},
+        operator.timeline.acknowledged,
+        operator.timeline.sent,
     )
     violations += checks.find_recovery_violations(observed, recovered_at_s)
     violations += [f"CONFIG {violation}" for violation in operator.violations]
@@ -149,7 +170,17 @@
         len(faults.injected),
         watch.longest_s,
         tuple(violations),
+        _count_statuses(account_observed),
+    )
+
+
+def _count_statuses(observed):
+    """Returns how often each account got which status."""
+    counts = collections.Counter(
+        (account_checks.get_account({"id": each.request_id}), each.status)
+        for each in observed
     )
+    return tuple(sorted(counts.items()))
 
 
 def _wait_until_served(clients):
