--- a/src/cranberrymux/standin/announcer.py
+++ b/src/cranberrymux/standin/announcer.py
@@ -71,7 +71,8 @@
             calls=sorted({child.service for child in settings.children}),
             load_path="/load",
         )
-        pool = client.HTTPConnectionPool(cast(Any, reactor))
+        # On a kept connection that its node is closing, a PUT would be lost.
+        pool = client.HTTPConnectionPool(cast(Any, reactor), persistent=False)
         self._agent = client.Agent(
             cast(Any, reactor), connectTimeout=REQUEST_TIMEOUT_S, pool=pool
         )
