Stand-in: no second drain request while the first is under way

Cause: the repetition did not know of a request that was still unanswered; its own test failed once in two runs.

--- a/src/cranberrymux/standin/announcer.py
+++ b/src/cranberrymux/standin/announcer.py
@@ -102,7 +102,6 @@
         """
         if not self._url:
             return defer.succeed(None)
-        self._is_drain_due = True
         return self._send_drain()
 
     async def is_node_busy(self) -> bool:
@@ -136,8 +135,9 @@
 
     def _send_drain(self) -> defer.Deferred[None]:
         def note_result(is_accepted: bool) -> None:
-            self._is_drain_due = self._is_drain_due and not is_accepted
+            self._is_drain_due = not is_accepted
 
+        self._is_drain_due = False  # Not while this request is under way.
         return self._put("/v1/drain", {}).addCallback(note_result)
 
     def _put(self, path: str, body: Any) -> defer.Deferred[bool]:
