Root admission: one way to ask whether a tree may start

offer and get_offered stood beside admit, which replaced them, and only tests used them. The tests ask admit; bounds and loads are unchanged.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -88,7 +88,6 @@
     __slots__ = (
         "arrived",
         "credit",
-        "offered",
         "is_held_back",
         "per_s",
         "refused",
@@ -101,7 +100,6 @@
         self.share = 1.0
         self.credit = 1.0
         self.refused = 0
-        self.offered = 1
         self.is_held_back = False
 
     def __deepcopy__(self, memo: object) -> "_Flow":
@@ -109,9 +107,9 @@
         return copy.copy(self)
 
     def admit(self) -> int:
-        self.offered = self.refused + 1
+        stands_for = self.refused + 1
         self.refused = 0
-        return self.offered
+        return stands_for
 
 
 class _Service:
@@ -151,14 +149,11 @@
         self._rates: dict[fair_shares.AccountKey, float] = {}
         self._last_refresh_s = now_s
 
-    def offer(self, now_s: float, traffic_class: TrafficClass) -> bool:
-        """Returns True if a new request may start."""
-        return self.admit(now_s, traffic_class) > 0
-
     def admit(self, now_s: float, traffic_class: TrafficClass) -> int:
-        """Returns for how many requests a new one stands, see `get_offered`.
+        """Returns for how many requests a new one stands.
 
-        0 if it may not start.
+        These are itself and those of its class that were refused since the
+        last one that started; 0 if it may not start.
         """
         if now_s - self._last_refresh_s >= REFRESH_INTERVAL_S:
             self._refresh(now_s)
@@ -217,15 +212,6 @@
         flow = self._find_flow(traffic_class)
         return 1.0 if flow is None else flow.share
 
-    def get_offered(self, traffic_class: TrafficClass) -> int:
-        """Returns for how many requests the last admitted one stands.
-
-        These are itself and those of its class that were refused since the one
-        before it.
-        """
-        flow = self._find_flow(traffic_class)
-        return 1 if flow is None else flow.offered
-
     def note_report(
         self,
         now_s: float,
--- a/tests/decisions/pressure/test_components.py
+++ b/tests/decisions/pressure/test_components.py
@@ -154,7 +154,8 @@
             now_s = number / 100
             admission.note_report(now_s, "lookup", report, True)
             for traffic_class in admitted:
-                admitted[traffic_class] += admission.offer(now_s, traffic_class)
+                if admission.admit(now_s, traffic_class):
+                    admitted[traffic_class] += 1
         assert admitted[upload] == 400
         assert 120 < admitted[lookup] < 220
 
@@ -166,10 +167,10 @@
         report = {"deep": work_report.ServiceWork(0.2, 0.1)}
         for number in range(100):
             admission.note_report(number / 100, "lookup", report, True)
-            admission.offer(number / 100, traffic_class)
+            admission.admit(number / 100, traffic_class)
         assert admission.get_admitted_share(traffic_class) < 0.3
         for number in range(100, 600):
-            admission.offer(number / 100, traffic_class)
+            admission.admit(number / 100, traffic_class)
         assert admission.get_admitted_share(traffic_class) == 1.0
 
 
@@ -230,7 +231,7 @@
     report = {"deep": work_report.ServiceWork(0.1, 0.1)}
     for number in range(200):
         admission.note_report(number / 100, "lookup", report, False)
-        admission.offer(number / 100, traffic_class)
+        admission.admit(number / 100, traffic_class)
     assert admission.get_admitted_share(traffic_class) < 0.3
 
 
@@ -248,7 +249,7 @@
         failed = {"deep": work_report.ServiceWork(0.01, 0.5)}
         admission.note_report(now_s, "a", failed, False)
         for traffic_class in traffic_classes:
-            admission.offer(now_s, traffic_class)
+            admission.admit(now_s, traffic_class)
     assert admission.get_admitted_share(
         traffic_classes[0]
     ) == admission.get_admitted_share(traffic_classes[1])
--- a/tests/decisions/pressure/test_fair_shares.py
+++ b/tests/decisions/pressure/test_fair_shares.py
@@ -128,7 +128,7 @@
 def test_number_of_traffic_classes_is_bounded():
     admission = root_admission.RootAdmission(0.0)
     for number in range(5000):
-        admission.offer(
+        admission.admit(
             0.0,
             root_admission.TrafficClass(
                 1, root_admission.AttemptTiming.FIRST, "read", f"a-{number}"
@@ -151,7 +151,8 @@
             admission.note_report(
                 now_s, "read", report, True, traffic_class.key
             )
-            admitted[traffic_class] += admission.offer(now_s, traffic_class)
+            if admission.admit(now_s, traffic_class):
+                admitted[traffic_class] += 1
     assert admitted[small] == 400
     assert admitted[large] < 150
 
@@ -166,6 +167,5 @@
         admission.note_report(
             number / 100, "read", report, True, traffic_class.key
         )
-        if admission.offer(number / 100, traffic_class):
-            offered += admission.get_offered(traffic_class)
+        offered += admission.admit(number / 100, traffic_class)
     assert 980 <= offered <= 1000
--- a/tests/decisions/pressure/test_route_allotment.py
+++ b/tests/decisions/pressure/test_route_allotment.py
@@ -68,7 +68,7 @@
             report = {"deep": part}
             key = traffic_class.key
             admission.note_report(now_s, route, report, True, key)
-            admission.offer(now_s, traffic_class)
+            admission.admit(now_s, traffic_class)
     assert admission.get_admitted_share(classes["short"]) == 1.0
     assert admission.get_admitted_share(classes["long"]) < SHARE
 
--- a/tests/decisions/pressure/tree_simulation.py
+++ b/tests/decisions/pressure/tree_simulation.py
@@ -194,8 +194,8 @@
         traffic_class = root_admission.TrafficClass(
             kind.priority, timing, kind.route, account
         )
-        may_begin = self.roots[node].offer(self.now_s, traffic_class)
-        if self.is_admitting and not may_begin:
+        stands_for = self.roots[node].admit(self.now_s, traffic_class)
+        if self.is_admitting and not stands_for:
             self._retry_or_count(kind, timing, "refused")
             return
         tree = Tree(
@@ -206,7 +206,7 @@
             kind.priority - 0.5,
             self.roots[node].minimum_share,
             {},
-            self.roots[node].get_offered(traffic_class),
+            max(stands_for, 1),
         )
         self.at(kind.between_s, lambda: self._call(tree, timing, []))
 
