--- a/bench/consensus_scenarios.py
+++ b/bench/consensus_scenarios.py
@@ -57,11 +57,11 @@
     others: list[consensus_node.Node],
 ) -> None:
     """Cuts all links between two groups in both directions."""
-    for one in some:
+    for node in some:
         for other in others:
             cluster.cut_links |= {
-                (one.name, other.name),
-                (other.name, one.name),
+                (node.name, other.name),
+                (other.name, node.name),
             }
 
 
--- a/bench/consensus_schedule.py
+++ b/bench/consensus_schedule.py
@@ -215,8 +215,8 @@
 
     def _do_cut(self) -> None:
         links = {
-            (one.name, other.name)
-            for one in self.cluster.nodes
+            (node.name, other.name)
+            for node in self.cluster.nodes
             for other in self.cluster.nodes
             if self._generator.random() < 0.3
         }
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -180,26 +180,26 @@
         self.links = {}
         if cuttable:
             self.relay = relay_module.Relay()
-            for one in self.instances:
+            for instance in self.instances:
                 for other in self.instances:
-                    if one is not other:
-                        self.links[one.name, other.name] = self.relay.add(
+                    if instance is not other:
+                        self.links[instance.name, other.name] = self.relay.add(
                             other.port
                         )
 
-    def port_to(self, one, other):
+    def port_to(self, instance, other):
         """Returns the port under which one instance connects to another."""
-        link = self.links.get((one.name, other.name))
+        link = self.links.get((instance.name, other.name))
         return link.port if link else other.port
 
-    def cut(self, one, others, both_ways=True):
+    def cut(self, instance, others, both_ways=True):
         """Holds back what one instance sends, or also what it receives.
 
         No connection is closed: the instances notice by timeouts only.
         """
         for other in others:
-            self.links[one.name, other.name].is_cut = True
-            self.links[other.name, one.name].is_cut |= both_ways
+            self.links[instance.name, other.name].is_cut = True
+            self.links[other.name, instance.name].is_cut |= both_ways
 
     def heal(self):
         """Ends every cut; bytes held back arrive late."""
--- a/tests/decisions/claims/schedules.py
+++ b/tests/decisions/claims/schedules.py
@@ -87,9 +87,9 @@
 
     def release(self, choice, _):
         """Releases a claim whose call its owner has not run."""
-        running = {one.claim_id for one in self.grants.values()}
+        running = {grant.claim_id for grant in self.grants.values()}
         not_run = [
-            one for one in self.asked if one.claim_id not in self.ran_claims
+            call for call in self.asked if call.claim_id not in self.ran_claims
         ]
         if not_run:
             asked = not_run[choice % len(not_run)]
--- a/tests/decisions/claims/test_claim_ledger.py
+++ b/tests/decisions/claims/test_claim_ledger.py
@@ -110,7 +110,9 @@
     assert ledger.claim(again, NOW_MS).verdict is Verdict.UNKNOWN_OUTCOME
     late = ledger.settle(make_settlement(), NOW_MS)
     assert late.verdict is Verdict.UNKNOWN_OUTCOME
-    assert [one.claim.owner for one in ledger.unknown_outcomes()] == ["node-a"]
+    assert [outcome.claim.owner for outcome in ledger.unknown_outcomes()] == [
+        "node-a"
+    ]
 
 
 def test_outcome_is_unknown_after_the_owner_ended(ledger):
@@ -236,11 +238,11 @@
     copy = claim_ledger.ClaimLedger(settings)
     copy.restore(ledger.dump())
     late_ms = NOW_MS + settings.retention_ms + 1
-    for one in (ledger, copy):
+    for each_ledger in (ledger, copy):
         request_id = schedules.uuid7(late_ms)
-        one.claim(make_claim(request_id=request_id), late_ms)
+        each_ledger.claim(make_claim(request_id=request_id), late_ms)
         ended = make_settlement(200, b"456789", request_id=request_id)
-        assert one.settle(ended, late_ms).body == b"456789"
+        assert each_ledger.settle(ended, late_ms).body == b"456789"
 
 
 def test_creation_time_is_read_from_the_id():
--- a/tests/decisions/claims/test_claim_mechanisms.py
+++ b/tests/decisions/claims/test_claim_mechanisms.py
@@ -42,9 +42,9 @@
 
 def dump_running_only(self):
     return [
-        claim_codec._dump_entry(one)
-        for one in self._entries.values()
-        if one.state is claim_entry.ClaimState.RUNNING
+        claim_codec._dump_entry(entry)
+        for entry in self._entries.values()
+        if entry.state is claim_entry.ClaimState.RUNNING
     ]
 
 
--- a/tests/decisions/configuration/test_policy.py
+++ b/tests/decisions/configuration/test_policy.py
@@ -38,7 +38,7 @@
     assert upload.timeout_ms == 4000
     lookup = decide(request_policy, "leak-notes")
     assert lookup.idempotent and not lookup.once_only
-    assert [str(one) for one in lookup.places] == ["zone in (a, b)"]
+    assert [str(place) for place in lookup.places] == ["zone in (a, b)"]
 
 
 OVERLAPPING_SELECTORS = """\
--- a/tests/decisions/endpoints/balancing_simulation.py
+++ b/tests/decisions/endpoints/balancing_simulation.py
@@ -203,7 +203,9 @@
             )
             known.update(records)
             self.callers.append(known)
-        capacity = sum(one.capacity_per_s for one in self.endpoints.values())
+        capacity = sum(
+            endpoint.capacity_per_s for endpoint in self.endpoints.values()
+        )
         self._per_s = plan.load * capacity
         self._ends_s = WARM_UP_S + plan.requests / self._per_s
         self._waits_s: list[float] = []
@@ -275,15 +277,15 @@
                 return None
             return self.endpoints[view.record.endpoint_id]
         left = [
-            one
-            for one in self.endpoints.values()
-            if one.name not in request.tried
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.name not in request.tried
         ]
         if not left:
             return None
         if self._way == "random":
             return self._choices.choice(left)
-        return min(left, key=lambda one: one.expected_s(self._now_s))
+        return min(left, key=lambda endpoint: endpoint.expected_s(self._now_s))
 
     def _start(self, endpoint, number):
         request = endpoint.requests[number]
--- a/tests/decisions/endpoints/test_endpoint_set.py
+++ b/tests/decisions/endpoints/test_endpoint_set.py
@@ -41,7 +41,7 @@
 
 def count_choices(endpoints, count=200, now_s=0.0, **more):
     chosen = (endpoints.choose("s", now_s, (), **more) for _ in range(count))
-    return collections.Counter(one.record.endpoint_id for one in chosen)
+    return collections.Counter(view.record.endpoint_id for view in chosen)
 
 
 def test_low_load_in_own_zone_keeps_requests_there(endpoints):
--- a/tests/decisions/rate_limits/test_known_rate_limit.py
+++ b/tests/decisions/rate_limits/test_known_rate_limit.py
@@ -69,7 +69,9 @@
 def test_word_that_stays_the_same_is_followed_in_the_end(requests, last):
     """Whatever came before, in any order, a late answer settles the limit."""
     known = known_rate_limit.KnownRateLimit()
-    for sent_s, work_s, per_s in sorted(requests, key=lambda one: sum(one[:2])):
+    for sent_s, work_s, per_s in sorted(
+        requests, key=lambda request: sum(request[:2])
+    ):
         known.note_answer(per_s, sent_s, sent_s + work_s)
     known.note_answer(last, 13.0, 13.1)
     assert known.per_s == last
--- a/tests/decisions/rate_limits/test_many_nodes.py
+++ b/tests/decisions/rate_limits/test_many_nodes.py
@@ -159,8 +159,8 @@
             self._refuse(name, keeper.waiting.pop(ticket_id))
 
     def _finish(self):
-        due = [one for one in self.running if one[0] <= self.now_s]
-        self.running = [one for one in self.running if one[0] > self.now_s]
+        due = [run for run in self.running if run[0] <= self.now_s]
+        self.running = [run for run in self.running if run[0] > self.now_s]
         for _, started_s, name, ticket_id, request in due:
             number, _, sent_s = request
             keeper = self.keepers[name]
@@ -180,14 +180,14 @@
 def check_limits(model):
     for name, per_s in model.limits_per_s.items():
         bound = {}
-        for one in model.bindings[name]:
-            bound.setdefault(one.instance, one)
+        for binding in model.bindings[name]:
+            bound.setdefault(binding.instance, binding)
         excesses = rate_limits.find_excesses(
             [rate_limits.Naming(0.0, per_s)],
             model.arrivals[name],
             list(bound.values()),
         )
-        assert [str(one) for one in excesses] == []
+        assert [str(excess) for excess in excesses] == []
 
 
 @pytest.fixture
--- a/tests/decisions/routing/test_router_invariants.py
+++ b/tests/decisions/routing/test_router_invariants.py
@@ -78,12 +78,12 @@
 
     def update(self, records):
         self.router.update_endpoints(self.now_s, "notes", records)
-        for one in records:
-            known = self.newest.get(one.endpoint_id)
-            age = (one.incarnation, one.sequence)
+        for record in records:
+            known = self.newest.get(record.endpoint_id)
+            age = (record.incarnation, record.sequence)
             if known is None or age > (known.incarnation, known.sequence):
-                self.newest[one.endpoint_id] = one
-                self.draining_until_s.pop(one.endpoint_id, None)
+                self.newest[record.endpoint_id] = record
+                self.draining_until_s.pop(record.endpoint_id, None)
 
     def choose(self, store, priority, excluded):
         place = PLACES[store]
@@ -109,10 +109,10 @@
     def check_refusal(self, refused, store):
         assert refused.retry_after_ms > 0
         matches = [
-            one
-            for one in self.newest.values()
-            if one.state is not State.GONE
-            and store in {None, one.labels["store"]}
+            record
+            for record in self.newest.values()
+            if record.state is not State.GONE
+            and store in {None, record.labels["store"]}
         ]
         assert (refused.reason is Reason.NO_PLACE) is (
             not matches and store is not None
@@ -140,8 +140,9 @@
             item.verdict is verdict.Verdict.EJECTED for item in explanations
         )
         serving = sum(
-            one.state is State.SERVING and not self.has_left(one.endpoint_id)
-            for one in self.newest.values()
+            record.state is State.SERVING
+            and not self.has_left(record.endpoint_id)
+            for record in self.newest.values()
         )
         assert ejected <= (0 if serving < 2 else max(1, serving * 0.34))
 
@@ -224,7 +225,7 @@
     "excluded: excluded endpoints are chosen": (
         sampler.Sampler,
         "_admits",
-        lambda self, one: True,
+        lambda self, record: True,
     ),
 }
 
--- a/tests/gateway/test_load_figures.py
+++ b/tests/gateway/test_load_figures.py
@@ -37,7 +37,9 @@
         member.backend.answer = answer_with_load(load)
     with structlog.testing.capture_logs() as lines:
         assert mesh.ask(0, "/read/x").statuses == [200]
-    (line,) = [one for one in lines if one["event"] == "backend-signal-invalid"]
+    (line,) = [
+        entry for entry in lines if entry["event"] == "backend-signal-invalid"
+    ]
     assert line["reason"] == "load"
     assert line["detail"]
     assert line["backend_id"] in ("b-2", "b-4")
@@ -49,7 +51,7 @@
         member.backend.answer = answer_with_load(load)
     with structlog.testing.capture_logs() as lines:
         assert mesh.ask(0, "/read/x").statuses == [200]
-    assert "backend-signal-invalid" not in [one["event"] for one in lines]
+    assert "backend-signal-invalid" not in [entry["event"] for entry in lines]
 
 
 def serve(mesh, number, work_s, load):
--- a/tests/golden/scenarios.py
+++ b/tests/golden/scenarios.py
@@ -56,7 +56,7 @@
     session.send("client", top.ingress_port, "GET /x HTTP/1.1")
     child_call = _send_child_call(session, top, top.backend.calls[0], "leaf")
     session.read(child_call)
-    states = [one.node.get_status()["state"] for one in leaves]
+    states = [member.node.get_status()["state"] for member in leaves]
     session.note(f"leaves that were tried: {states.count('gone')}")
 
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -67,13 +67,15 @@
             )
             for _ in range(self._random.choice((1, 5, 20))):
                 number += 1
-                one = self._ask(connection, machine, f"{self._name}-{number}")
-                self.observed.append(one)
-                if one.status <= 0 or self.should_stop:
+                request = self._ask(
+                    connection, machine, f"{self._name}-{number}"
+                )
+                self.observed.append(request)
+                if request.status <= 0 or self.should_stop:
                     break
                 self._pause()
             connection.close()
-            if one.status <= 0:
+            if request.status <= 0:
                 time.sleep(0.05)
 
     def _pause(self):
