Quarantine: trials that are granted run

Cause: a trial of a refused request was granted by the control instances and then dropped by the node in the same millisecond: meanwhile another suspect had taken the turn to run alone, whose cooldown is nine times as long, or the part of the deadline in which requests may start had passed. Each dropped trial delayed the next by up to 4 s. A quarantined inner call failed all trees above it, whose own suspicion therefore never cleared.

Change: a node reserves its next turn while it asks for a trial, asks for one at a time, lets a trial start as long as it can end before its deadline, and asks for none that can't. The cooldown after an exclusive turn is 4 s at most.

--- a/src/cranberrymux/decisions/quarantine/suspect_queue.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_queue.py
@@ -9,6 +9,9 @@
 from typing import NamedTuple
 
 COOLDOWN_RATIO = 9.0  # Cooldown over the time of an exclusive run.
+# Where calls hold their slots for long, the wait for an idle endpoint is most
+# of that time. Unbounded, harmless suspects were refused for 9 s after it.
+MAXIMUM_COOLDOWN_S = 4.0
 MAXIMUM_WAITING = 128
 
 
@@ -34,7 +37,8 @@
     While one that runs alone waits for an idle endpoint or is running, the
     queue is closed: the owner starts no other call. Afterwards the endpoint
     serves normal calls for a multiple of the time that this took, so that
-    exclusive runs never take more than a fixed share of an endpoint.
+    exclusive runs take no more than a fixed share of an endpoint, or for
+    `MAXIMUM_COOLDOWN_S` if that is shorter.
     """
 
     def __init__(self) -> None:
@@ -44,6 +48,7 @@
         self._running: set[int] = set()
         self._exclusive: SuspectTicket | None = None
         self._is_exclusive_running = False
+        self._is_reserved = False
         self._closed_s = 0.0
         self._cooldown_ends_s = -math.inf
 
@@ -62,8 +67,25 @@
         self._width = max(width, 1)
 
     def can_run_alone(self, now_s: float) -> bool:
-        """True unless one runs alone or has just done so."""
-        return not self.is_closed and now_s >= self._cooldown_ends_s
+        """True unless one runs alone, is to do so next, or has just done so."""
+        return (
+            not self.is_closed
+            and not self._is_reserved
+            and now_s >= self._cooldown_ends_s
+            and not any(ticket.runs_alone for ticket in self._waiting)
+        )
+
+    def reserve(self) -> None:
+        """Keeps the next turn of a call that runs alone for one to come.
+
+        The turn would be lost to another suspect and its cooldown otherwise,
+        while the owner asks whether the call may run.
+        """
+        self._is_reserved = True
+
+    def release(self) -> None:
+        """Gives up the reservation."""
+        self._is_reserved = False
 
     def offer(self, now_s: float, ticket: SuspectTicket) -> bool:
         """Queues a suspect; False if it cannot get a turn here.
@@ -72,7 +94,9 @@
         """
         if len(self._waiting) >= MAXIMUM_WAITING or ticket.start_by_s < now_s:
             return False
-        if ticket.runs_alone and now_s < self._cooldown_ends_s:
+        if ticket.runs_alone and (
+            self._is_reserved or now_s < self._cooldown_ends_s
+        ):
             return False
         self._waiting.append(ticket)
         self._waiting.sort(
@@ -152,6 +176,5 @@
     def _reopen(self, now_s: float) -> None:
         self._exclusive = None
         self._is_exclusive_running = False
-        self._cooldown_ends_s = now_s + COOLDOWN_RATIO * (
-            now_s - self._closed_s
-        )
+        cooldown_s = COOLDOWN_RATIO * (now_s - self._closed_s)
+        self._cooldown_ends_s = now_s + min(cooldown_s, MAXIMUM_COOLDOWN_S)
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -33,6 +33,7 @@
         digest: Digest of its content.
         rank: Order of starting; lower ranks start first.
         start_by_s: Monotonic seconds after which a start is of no use.
+        deadline_s: Monotonic seconds at which its caller gives up.
         headers: Headers of the request, with what its sender knows.
     """
 
@@ -40,6 +41,7 @@
     digest: str
     rank: float
     start_by_s: float
+    deadline_s: float
     headers: headers_module.Headers
 
 
@@ -115,7 +117,9 @@
         if isinstance(verdict, refusal.Refusal):
             self._try_once_more(call, fingerprint)
         else:
-            self._enqueue(call, verdict is isolation.Isolation.ALONE)
+            self._enqueue(
+                call, call.start_by_s, verdict is isolation.Isolation.ALONE
+            )
         return True
 
     def is_refused(self, digest: str) -> bool:
@@ -224,9 +228,10 @@
         """
         self._quarantine.losses.add(str(call.ticket_id), address, on_explained)
 
-    def _enqueue(self, call: SuspectCall, runs_alone: bool) -> None:
+    def _enqueue(
+        self, call: SuspectCall, start_by_s: float, runs_alone: bool
+    ) -> None:
         now_s = self._parts.clock.now_s()
-        start_by_s = call.start_by_s
         if runs_alone:
             start_by_s = min(start_by_s, now_s + MAXIMUM_IDLE_WAIT_S)
         ticket = suspect_queue.SuspectTicket(
@@ -243,15 +248,31 @@
     ) -> None:
         now_s = self._parts.clock.now_s()
         is_due = self._quarantine.get_trial_wait_s(fingerprint) <= 0
-        if is_due and self._queue.can_run_alone(now_s):
+        if (
+            is_due
+            and self._queue.can_run_alone(now_s)
+            and now_s < self._get_trial_start_by_s(call)
+        ):
+            self._queue.reserve()
             defer.ensureDeferred(self._claim_trial(call, fingerprint))
         else:
             self._owner.refuse_held(call.ticket_id, hop.QUARANTINED)
 
+    def _get_trial_start_by_s(self, call: SuspectCall) -> float:
+        """Returns until when a trial is to start, to end before its deadline.
+
+        That is later than for other requests: a trial that does not start
+        delays the next one by seconds, and no other node may run it.
+        """
+        return call.deadline_s - self._scheduler.mean_hold_s
+
     async def _claim_trial(
         self, call: SuspectCall, fingerprint: fingerprints.Fingerprint
     ) -> None:
-        trial = await self._quarantine.claim_trial(fingerprint)
+        try:
+            trial = await self._quarantine.claim_trial(fingerprint)
+        finally:
+            self._queue.release()
         if not self._owner.is_open(call.ticket_id):
             if trial is not None:
                 self._quarantine.end_trial(trial)
@@ -259,4 +280,5 @@
             self._owner.refuse_held(call.ticket_id, hop.QUARANTINED)
         else:
             self._waiting_trials[call.ticket_id] = trial
-            self._enqueue(call, runs_alone=True)
+            start_by_s = self._get_trial_start_by_s(call)
+            self._enqueue(call, start_by_s, runs_alone=True)
--- a/tests/decisions/quarantine/test_suspect_queue.py
+++ b/tests/decisions/quarantine/test_suspect_queue.py
@@ -122,3 +122,22 @@
         others = max(others - generator.randint(0, 2), 0)
     assert queue.waiting + queue.is_closed - len(alone) <= len(waiting)
     assert set(queue.pop_all(now_s)) == waiting
+
+
+def test_long_wait_for_an_idle_endpoint_keeps_none_away_for_long():
+    queue = suspect_queue.SuspectQueue()
+    queue.offer(0.0, make_ticket(1, start_by_s=1.0, runs_alone=True))
+    assert queue.take_next(0.0, 4) is None
+    assert queue.pop_expired(1.1) == [1]
+    assert not queue.can_run_alone(1.2)
+    assert queue.can_run_alone(1.1 + suspect_queue.MAXIMUM_COOLDOWN_S)
+    assert queue.offer(5.2, make_ticket(2, runs_alone=True))
+
+
+def test_turn_that_waits_for_one_that_runs_alone_counts_as_taken():
+    queue = suspect_queue.SuspectQueue()
+    queue.offer(0.0, make_ticket(1))
+    assert queue.take_next(0.0, 0).ticket_id == 1
+    queue.offer(0.0, make_ticket(2, runs_alone=True))
+    assert queue.take_next(0.0, 1) is None
+    assert not queue.can_run_alone(0.1)
