HTTP: check the limit of headers where they are taken

Each head was checked and then taken by two calls, and each read of a request passed through one more for the sake of upgrades. Function calls of a request (tests/gateway/test_processor_time.py): caller 416.1 to 412.1, endpoint 380.4 to 376.4.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -235,10 +235,12 @@
 
     def on_headers_complete(self) -> None:
         """Passes the head to the sink, unless it answers another request."""
-        if self._budget.headers.is_exceeded:
+        taken = self._budget.headers.take()
+        if taken is None:
             self._end_excess(self._budget.check_headers())
-        self._headers = self._budget.headers.take()
-        first = self._headers.first
+            return
+        self._headers = taken
+        first = taken.first
         if b"keep-alive" in first:
             self._reuse_time_s = keep_alive.parse_reuse_time_s(
                 first[b"keep-alive"]
--- a/src/cranberrymux/node/http/header_reader.py
+++ b/src/cranberrymux/node/http/header_reader.py
@@ -42,11 +42,17 @@
         """Adds a header or trailer as it was read."""
         self.pairs.append((name, value))
 
-    def take(self) -> headers.Headers:
-        """Returns the headers, at the end of the head."""
-        self._taken = self.pairs
+    def take(self) -> headers.Headers | None:
+        """Returns the headers, at the end of the head; None if exceeded."""
+        taken = self.pairs
+        if (
+            len(taken) > self._maximum_count
+            or self._message_bytes > self._maximum_bytes
+        ) and self.is_exceeded:
+            return None
+        self._taken = taken
         self.pairs = []
-        return headers.Headers(self._taken)
+        return headers.Headers(taken)
 
     @property
     def has_too_many(self) -> bool:
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -82,7 +82,15 @@
         size = len(data)
         self._header_reader.note_read(size)
         try:
-            self._feed_all(data)
+            while data:
+                try:
+                    self._parser.feed_data(data)
+                except httptools.HttpParserUpgrade as upgrade:
+                    # What follows a request to upgrade needs a new parser.
+                    self._parser = httptools.HttpRequestParser(self)
+                    data = data[upgrade.args[0] :]
+                else:
+                    break
         except httptools.HttpParserCallbackError:
             if self._bad is None:
                 # A defect of this program, not of the message: Twisted logs
@@ -117,14 +125,15 @@
 
     def on_headers_complete(self) -> None:
         """Checks the head and passes it on."""
-        if self._header_reader.is_exceeded:
+        taken = self._header_reader.take()
+        if taken is None:
             self._fail(self._describe_excess())
-        self._headers = self._header_reader.take()
+        self._headers = taken
         self.is_reading_head = False
         head = request_head_reader.read_head(
             self._parser, self._target, self._headers, self._limits
         )
-        if isinstance(head, bad_message.BadMessage):
+        if type(head) is bad_message.BadMessage:
             self._fail(head)
         self._listener.head_read(head)
 
@@ -144,17 +153,6 @@
         self._meter.end()
         self._listener.request_read()
 
-    def _feed_all(self, data: bytes) -> None:
-        """Parses data, with a new parser behind each request to upgrade."""
-        while data:
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserUpgrade as upgrade:
-                self._parser = httptools.HttpRequestParser(self)
-                data = data[upgrade.args[0] :]
-            else:
-                return
-
     def _describe_excess(self) -> bad_message.BadMessage:
         """Returns which limit headers and trailers exceed."""
         detail = f"headers over {self._limits.header_bytes} bytes"
