HTTP: start a call that is next in line at once

The pipeline searched for the call to start after each request, the end of a head was searched for by a call of its own, and an answer that ended within one read was checked for bytes without end.

--- a/src/cranberrymux/node/http/call_pipeline.py
+++ b/src/cranberrymux/node/http/call_pipeline.py
@@ -220,8 +220,14 @@
         for turn in self._turns:
             if turn.call is call:
                 turn.is_ready = True
-                self.waiting += 1
-        self._start_ready()
+                if turn.is_first and not self._is_closed:
+                    turn.is_started = True
+                    self._handler.handle_call(call)
+                else:
+                    self.waiting += 1
+                break
+        if self.waiting:
+            self._start_ready()
 
     def discard_last(self) -> None:
         """Removes the call that is being read, which was found to be bad."""
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -181,7 +181,9 @@
         size = len(data)
         self._budget.headers.note_read(size)
         self._feed(data)
-        if exceeded := self._budget.check_read(size):
+        if not self._has_read_answer_end and (
+            exceeded := self._budget.check_read(size)
+        ):
             self._end_excess(exceeded)
         if self._has_read_answer_end and not self._is_lost:
             if self._is_paused:
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -233,8 +233,14 @@
         ):
             self._connection.send(b"0\r\n\r\n")
         self._mark_ended()
-        keep_alive = self._may_stay_open and not self._is_close_announced
-        self._connection.call_answered(keep_alive and not self._is_unframed)
+        may_stay_open = (
+            self.head.keep_alive
+            and self.is_body_complete
+            and not self._is_close_announced
+            and not self._is_unframed
+            and not self._connection.is_draining
+        )
+        self._connection.call_answered(may_stay_open)
 
     def abort(self) -> None:
         """Aborts the connection, so that the client sees no complete answer."""
@@ -272,11 +278,6 @@
     def _is_unframed(self) -> bool:
         return self._is_chunked_answer and self.head.is_http_1_0
 
-    @property
-    def _may_stay_open(self) -> bool:
-        is_read = self.head.keep_alive and self.is_body_complete
-        return is_read and not self._connection.is_draining
-
     def _encode_head(
         self,
         status: int,
@@ -300,7 +301,11 @@
             and status not in _BODYLESS_STATUSES
         ):
             data += b"content-length: %d\r\n" % content_length
-        if not self._may_stay_open:
+        if (
+            not self.head.keep_alive
+            or not self.is_body_complete
+            or self._connection.is_draining
+        ):
             self._is_close_announced = True
             data += b"connection: close\r\n"
         return data + b"\r\n"
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -208,7 +208,16 @@
                 if self._is_closing or self._rejected is not None:
                     self._unparsed = b""
                     break
-                bad = self._reader.feed(self._take_unparsed())
+                # The parser cannot pause, so it gets no more than about one
+                # request at a time: the bytes up to the end of a head.
+                part = self._unparsed
+                end = part.find(_END_OF_HEAD) + _END_OF_HEAD_BYTES
+                if end < _END_OF_HEAD_BYTES or end == len(part):
+                    self._unparsed = b""
+                else:
+                    self._unparsed = part[end:]
+                    part = part[:end]
+                bad = self._reader.feed(part)
                 if bad is not None:
                     self._reject(bad)
         finally:
@@ -216,20 +225,6 @@
         if self._is_paused or self._is_body_paused or self._pipeline.waiting:
             self._update_reading()
 
-    def _take_unparsed(self) -> bytes:
-        """Takes the bytes up to the end of a head, or all if there is none.
-
-        The parser cannot pause, so it gets no more than about one request at
-        a time.
-        """
-        end = self._unparsed.find(_END_OF_HEAD)
-        part = self._unparsed
-        self._unparsed = b""
-        if end >= 0:
-            self._unparsed = part[end + _END_OF_HEAD_BYTES :]
-            part = part[: end + _END_OF_HEAD_BYTES]
-        return part
-
     def _dispatch(self, call: inbound_call.InboundCall) -> None:
         """Lets a call be handled when its turn comes."""
         self._dispatched = call
