Endpoints: one check of each endpoint for each request

Choosing an endpoint called six methods of each endpoint of the subset, and four more for its failure rate. One method checks what keeps requests away, and the rate is computed only where it can exceed what is tolerated.

--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -108,11 +108,8 @@
                 for endpoint in (
                     self._subsets.get(service) or self._get_subset(service)
                 )
-                if endpoint.is_usable
+                if endpoint.takes_requests(now_s)
                 and endpoint.record.endpoint_id not in tried
-                and not endpoint.is_suspended(now_s)
-                and not endpoint.is_ejected(now_s)
-                and endpoint.has_room(now_s)
             ]
             if len(available) == 1:
                 return available[0]
@@ -153,10 +150,7 @@
             taking = [
                 endpoint
                 for endpoint in endpoints
-                if endpoint.is_usable
-                and not endpoint.is_suspended(now_s)
-                and not endpoint.is_ejected(now_s)
-                and endpoint.has_room(now_s)
+                if endpoint.takes_requests(now_s)
             ]
             if taking:
                 break
--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -27,6 +27,7 @@
 # slowness, so that an idle one has a cost, too.
 SLOW_IDLE_LOAD = 0.3
 REFUSAL_WEIGHT = 0.05  # Weight of one request in the mean share of refusals.
+_SERVING = endpoint_state.EndpointState.SERVING
 
 
 class EndpointView:
@@ -119,10 +120,10 @@
     @property
     def is_usable(self) -> bool:
         """True if its record says serving and nothing shows it is down."""
-        is_serving = self.record.state is endpoint_state.EndpointState.SERVING
+        is_serving = self.record.state is _SERVING
         return (
             is_serving
-            and not self.is_leaving
+            and (self._leaving is None or not self.is_leaving)
             and (self.is_confirmed or not self.is_unreachable)
         )
 
@@ -144,6 +145,17 @@
         """
         return self.rate_limit.per_s is None or self.pace.has_room(now_s)
 
+    def takes_requests(self, now_s: float) -> bool:
+        """True if it is usable with room, not suspended and not ejected."""
+        return (
+            now_s >= self._suspended_until_s
+            and self.record.state is _SERVING
+            and (self._leaving is None or not self.is_leaving)
+            and (self.is_confirmed or not self.is_unreachable)
+            and (self._ejection.until_s is None or not self.is_ejected(now_s))
+            and (self.rate_limit.per_s is None or self.pace.has_room(now_s))
+        )
+
     def cost(self, now_s: float) -> float:
         """Cost of one more request, in loads of all slots.
 
@@ -197,7 +209,11 @@
 
     def is_failing(self, now_s: float) -> bool:
         """True if its failure rate exceeds `TOLERATED_FAILURE_RATE`."""
-        return self.failure_rate(now_s) > TOLERATED_FAILURE_RATE
+        # Neither rate rises while it decays.
+        return (
+            self._observed_failure_rate.latest > TOLERATED_FAILURE_RATE
+            or self._reported_failure_rate.latest > TOLERATED_FAILURE_RATE
+        ) and self.failure_rate(now_s) > TOLERATED_FAILURE_RATE
 
     def is_suspended(self, now_s: float) -> bool:
         """True while it gets no requests unless all others are suspended."""
--- a/src/cranberrymux/decisions/endpoints/failure_ejection.py
+++ b/src/cranberrymux/decisions/endpoints/failure_ejection.py
@@ -18,23 +18,18 @@
     a request may last long.
     """
 
-    __slots__ = ("_until_s",)
+    __slots__ = ("until_s",)
 
     def __init__(self) -> None:
         """Starts without an ejection."""
-        self._until_s: float | None = None
-
-    @property
-    def until_s(self) -> float | None:
-        """Monotonic seconds to its end; None without an ejection."""
-        return self._until_s
+        self.until_s: float | None = None
 
     def note_rate(self, now_s: float, failure_rate: float) -> None:
         """Records the failure rate after an answer, 0 to 1."""
         if failure_rate > EJECTION_FAILURE_RATE:
-            self._until_s = now_s + EJECTION_S
+            self.until_s = now_s + EJECTION_S
         else:
-            self._until_s = None
+            self.until_s = None
 
     def is_ejected(self, now_s: float, outstanding: int) -> bool:
         """True if the endpoint gets no request now.
@@ -43,8 +38,8 @@
             now_s: Monotonic seconds.
             outstanding: Requests of this node that have not ended there.
         """
-        if self._until_s is None:
+        if self.until_s is None:
             return False
-        if now_s < self._until_s:
+        if now_s < self.until_s:
             return True
-        return outstanding > (now_s - self._until_s) // EJECTION_S
+        return outstanding > (now_s - self.until_s) // EJECTION_S
--- a/src/cranberrymux/decisions/endpoints/zone_balancer.py
+++ b/src/cranberrymux/decisions/endpoints/zone_balancer.py
@@ -179,10 +179,9 @@
         """
         by_zone: dict[str, list[endpoint_view.EndpointView]] = {}
         for endpoint in available:
-            if endpoint.record.zone != self._zone or not endpoint.is_failing(
-                now_s
-            ):
-                by_zone.setdefault(endpoint.record.zone, []).append(endpoint)
+            zone = endpoint.record.zone
+            if zone != self._zone or not endpoint.is_failing(now_s):
+                by_zone.setdefault(zone, []).append(endpoint)
         if len(by_zone) <= 1 and self._zone not in by_zone:
             return available
         zones = self._get(service)
@@ -192,8 +191,8 @@
             return self._find_faster(zones, by_zone) or available
         if stays and self._zone in by_zone:
             return by_zone[self._zone]
-        zone = zones.choose_zone(self._generator, by_zone)
-        return available if zone is None else by_zone[zone]
+        chosen = zones.choose_zone(self._generator, by_zone)
+        return available if chosen is None else by_zone[chosen]
 
     def spill(
         self,
