Entry: read the clock once for each event of a request

A request read the clock at its arrival, before and after the endpoint was chosen, at the answer and for its duration; it asked four times whether the quarantine knows it, and listed the endpoints tried for a test of emptiness. Arrival and sending share one reading, the answer and its duration another.

--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -68,6 +68,11 @@
             *sorted(self._reached_ids.difference(self._asked_ids)),
         )
 
+    @property
+    def has_tried(self) -> bool:
+        """True if an endpoint was tried."""
+        return bool(self._asked_ids or self._reached_ids)
+
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that depend on earlier attempts."""
         tree_context = self.tree_context
--- a/src/cranberrymux/gateway/entry_answer.py
+++ b/src/cranberrymux/gateway/entry_answer.py
@@ -61,9 +61,11 @@
         """Keeps an endpoint's failure as a fallback for the repeat."""
         self._kept_failure = _FailedAnswer(answer, body)
 
-    def forward(self, answer: hop_answer.HopAnswer, body: bytes) -> None:
+    def forward(
+        self, answer: hop_answer.HopAnswer, body: bytes, now_s: float
+    ) -> None:
         """Sends an endpoint's whole answer."""
-        self._note_endpoint_answer(answer)
+        self._note_endpoint_answer(answer, now_s)
         visible = hop.get_forwardable(answer.head.headers)
         self._call.answer(answer.head.status, visible, body)
 
@@ -79,7 +81,7 @@
     def finish_streaming(self) -> None:
         """Ends a long answer that is complete."""
         assert self._streamed is not None
-        self._note_endpoint_answer(self._streamed)
+        self._note_endpoint_answer(self._streamed, self._parts.clock.now_s())
         self._call.finish()
 
     def abort_streaming(self, detail: str) -> None:
@@ -138,16 +140,18 @@
         self._log.log_own_answer(outcome, detail)
         own_answers.fail(self._parts, self._call, status, outcome, detail)
 
-    def _note_endpoint_answer(self, answer: hop_answer.HopAnswer) -> None:
+    def _note_endpoint_answer(
+        self, answer: hop_answer.HopAnswer, now_s: float
+    ) -> None:
         self._is_served = not answer.is_failure
-        self._log.log_endpoint_answer(answer)
+        self._log.log_endpoint_answer(answer, now_s)
 
     def _send_kept_failure(self) -> bool:
         if self._kept_failure is None:
             return False
-        self.forward(*self._kept_failure)
+        self.forward(*self._kept_failure, self._parts.clock.now_s())
         return True
 
     def _handle_ended(self) -> None:
         self._origin.end_call(not self._is_served)
-        self._parts.note_entry_call_ended()
+        self._parts.open_entry_calls -= 1
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -91,20 +91,23 @@
         self._judge = answer_judge.AnswerJudge(parts, self._attempts)
         self._endpoint: endpoint_view.EndpointView | None = None
         self._sent_s = 0.0
+        # True if an attempt is sent in a later event than it was started.
+        self._is_connecting = False
         self._was_suspect = False
 
     def start(self) -> None:
         """Sends the request to an endpoint, or refuses it."""
         self._parts.open_entry_calls += 1
         self._origin.begin_call()
-        left_s = self._deadline_s - self._began_s
+        now_s = self._began_s
+        left_s = self._deadline_s - now_s
         if left_s <= 0:
             self._refuse(_Outcome.EXPIRED)
             return
-        if not self._parts.can_end_before_stop(self._began_s, self._deadline_s):
+        if not self._parts.can_end_before_stop(now_s, self._deadline_s):
             self._refuse(_Outcome.STOPPING)
             return
-        if self._suspicion.is_refused:
+        if self._parts.quarantine.records and self._suspicion.is_refused:
             self._refuse(_Outcome.QUARANTINED)
             return
         self._call.on_cancel = self._handle_cancelled
@@ -112,11 +115,11 @@
             left_s, self._handle_timeout
         )
         if self._quota is entry_quota.UNLIMITED:
-            self._send_first()
+            self._send_first(now_s)
         else:
             self._quota.take(self._send_first, self._refuse_over_quota)
 
-    def _send_first(self) -> None:
+    def _send_first(self, now_s: float | None = None) -> None:
         tree_context = self._origin.admit(self._began_s)
         if tree_context is None:
             self._refuse(_Outcome.SHED)
@@ -124,7 +127,7 @@
         self._attempts.tree_context = tree_context
         self._call.on_send_buffer_full = self._pause_answer
         self._call.on_send_buffer_drained = self._resume_answer
-        self._send_next()
+        self._send_next(now_s)
 
     def _send_again(self) -> None:
         """Sends the request once more, which takes a further token."""
@@ -133,37 +136,47 @@
     def _refuse_over_quota(self, cause: str) -> None:
         self._refuse(_Outcome.OVER_QUOTA, cause)
 
-    def _send_next(self) -> None:
-        now_s = self._parts.clock.now_s()
+    def _send_next(self, now_s: float | None = None) -> None:
+        """Sends the request to an endpoint.
+
+        Args:
+            now_s: Monotonic seconds; None if they are to be read anew.
+        """
+        if now_s is None:
+            now_s = self._parts.clock.now_s()
         left_ms = hop.shorten_deadline_ms(self._deadline_s - now_s)
         if left_ms <= 0:
             self._cancel_timer()
             self._handle_timeout()
             return
-        if self._suspicion.is_refused:
+        if self._parts.quarantine.records and self._suspicion.is_refused:
             self._refuse(_Outcome.QUARANTINED)
             return
-        if not self._is_key_valid():
+        if self._account is not None and not self._is_key_valid():
             self._refuse(_Outcome.KEY_UNCONFIRMED)
             return
         endpoint = self._attempts.choose(now_s)
         if endpoint is None:
-            was_tried = bool(self._attempts.tried_ids)
             self._refuse(
-                _Outcome.REFUSED if was_tried else _Outcome.NO_ENDPOINT
+                _Outcome.REFUSED
+                if self._attempts.has_tried
+                else _Outcome.NO_ENDPOINT
             )
             return
         self._endpoint = endpoint
         endpoint.outstanding += 1
         self._attempts.note_first(now_s)
         self._attempt = self._make_attempt(endpoint, left_ms)
+        self._sent_s = now_s
+        self._is_connecting = False
         self._attempt.start()
+        self._is_connecting = True
 
     def _is_key_valid(self) -> bool:
         """Checks the key again after a wait, in which it may be taken away."""
         table = self._parts.routes.table
-        has_waited = self._quota.has_waited or bool(self._attempts.tried_ids)
-        if self._account is None or table is None or not has_waited:
+        has_waited = self._quota.has_waited or self._attempts.has_tried
+        if table is None or not has_waited:
             return True
         identity = client_identity.identify(
             self._parts, table, self._route, self._call.head.headers
@@ -174,11 +187,9 @@
         self, endpoint: endpoint_view.EndpointView, left_ms: int
     ) -> attempt_module.Attempt:
         dialect = self._parts.settings.dialect
-        headers = [
-            *self._headers,
-            *self._attempts.headers(),
-            *self._suspicion.headers(),
-        ]
+        headers = [*self._headers, *self._attempts.headers()]
+        if self._parts.quarantine.records:
+            headers += self._suspicion.headers()
         record = endpoint.record
         return attempt_module.Attempt(
             self._parts.hop_connections,
@@ -194,8 +205,11 @@
 
     def attempt_sent(self) -> None:
         """Records that the endpoint may get the request from now on."""
-        self._sent_s = self._parts.clock.now_s()
-        self._was_suspect = self._suspicion.is_suspect
+        if self._is_connecting:
+            self._sent_s = self._parts.clock.now_s()
+        self._was_suspect = (
+            bool(self._parts.quarantine.records) and self._suspicion.is_suspect
+        )
         self._attempts.sent += 1
         if not self._call.is_body_complete:
             self._attempts.is_streamed = True
@@ -216,7 +230,7 @@
         )
         if self._judge.is_final(endpoint, answer):
             self._cancel_timer()
-            self._answer.forward(answer, body)
+            self._answer.forward(answer, body, answer.received_s)
             return
         if answer.refusal is None:
             self._answer.keep_failure(answer, body)
@@ -332,7 +346,7 @@
         if self._attempts.sent:
             self._quota.note_run()
         self._quota.release()
-        self._log.count("cancelled")
+        self._log.count("cancelled", self._parts.clock.now_s())
 
     def _refuse(self, outcome: own_answers.Outcome, detail: str = "") -> None:
         self._cancel_timer()
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -189,7 +189,3 @@
         zones = self.endpoints.zones
         for service in zones.services:
             self.zone_log.show_shares(service, zones.get_shares(service))
-
-    def note_entry_call_ended(self) -> None:
-        """Records that a request at the entry port has ended."""
-        self.open_entry_calls -= 1
--- a/src/cranberrymux/gateway/request_log.py
+++ b/src/cranberrymux/gateway/request_log.py
@@ -38,30 +38,33 @@
         self._began_s = began_s
         self._deadline_s = deadline_s
 
-    def count(self, outcome: str) -> None:
+    def count(self, outcome: str, now_s: float) -> None:
         """Counts the request under its outcome and records its duration."""
-        elapsed_s = self._parts.clock.now_s() - self._began_s
         metrics = self._parts.metrics
         route = self._attempts.route.name
         metrics.requests[route, outcome].inc()
-        metrics.request_s[route,].observe(elapsed_s)
+        metrics.request_s[route,].observe(now_s - self._began_s)
 
     def log_own_answer(self, outcome: own_answers.Outcome, detail: str) -> None:
         """Counts and logs a request that this node answered or cut off."""
-        self.count(outcome.value)
+        self.count(outcome.value, self._parts.clock.now_s())
         self._write("request-ended", outcome.value, detail)
 
-    def log_endpoint_answer(self, answer: hop_answer.HopAnswer) -> None:
+    def log_endpoint_answer(
+        self, answer: hop_answer.HopAnswer, now_s: float
+    ) -> None:
         """Counts an endpoint's answer; logs failures and a sample of others."""
         status = answer.head.status
-        self.count(f"{status // 100}xx")
-        detail = f"status {status}"
+        self.count(f"{status // 100}xx", now_s)
         if answer.has_failed_call:
-            self._write("request-ended", "call-failed", detail)
+            event, reason = "request-ended", "call-failed"
         elif answer.is_failure:
-            self._write("request-ended", "backend-failed", detail)
+            event, reason = "request-ended", "backend-failed"
         elif self._parts.sample_served():
-            self._write("request-served", "sample", detail)
+            event, reason = "request-served", "sample"
+        else:
+            return
+        self._write(event, reason, f"status {status}")
 
     def log_repeat(self, reason: str) -> None:
         """Logs that the request is sent to another endpoint.
--- a/src/cranberrymux/gateway/suspicion.py
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -47,7 +47,10 @@
 
 
 class Suspicion:
-    """Whether a request that begins here may be sent to a backend server."""
+    """Whether a request that begins here may be sent to a backend server.
+
+    Without records in the quarantine it may, so that nobody needs to ask.
+    """
 
     def __init__(self, parts: parts_module.GatewayParts, digest: str) -> None:
         """Keeps the digest.
@@ -62,18 +65,13 @@
     @property
     def is_refused(self) -> bool:
         """True if it may not be sent, unless as a trial that is due."""
-        if not self._parts.quarantine.records:
-            return False
         verdict = self._parts.quarantine.classify(self._fingerprint)
         return isinstance(verdict, refusal.Refusal) and self._wait_s > 0
 
     @property
     def is_suspect(self) -> bool:
         """True if deaths are known that count."""
-        quarantine = self._parts.quarantine
-        return bool(quarantine.records) and quarantine.is_suspect(
-            self._fingerprint
-        )
+        return self._parts.quarantine.is_suspect(self._fingerprint)
 
     @property
     def retry_delay_s(self) -> float:
@@ -82,8 +80,6 @@
 
     def headers(self) -> headers_module.HeaderList:
         """Returns the headers that tell the endpoint's node what is known."""
-        if not self._parts.quarantine.records:
-            return []
         return encode(self._parts, self._fingerprint)
 
     def learn(self, answer: hop_answer.HopAnswer) -> None:
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -133,7 +133,7 @@
         head = request_head_reader.read_head(
             self._parser, self._target, self._headers, self._limits
         )
-        if type(head) is bad_message.BadMessage:
+        if isinstance(head, bad_message.BadMessage):
             self._fail(head)
         self._listener.head_read(head)
 
