--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -71,6 +71,7 @@
 
     Attributes:
         head: Request line and headers.
+        body_length: Length in bytes of the body read so far.
         is_body_complete: True if the whole body has been read.
         is_body_streamed: True once the body is passed on and no longer
             buffered, so that it cannot be sent again.
@@ -101,7 +102,7 @@
         self.on_ended: Callable[[], None] | None = None
         self._connection = connection
         self._parts: list[bytes] = []
-        self._body_length = 0
+        self.body_length = 0
         self.is_body_complete = False
         self.is_body_streamed = False
         self.is_head_sent = False
@@ -111,11 +112,6 @@
         self._is_answered = False
         self._is_client_disconnected = False
 
-    @property
-    def body_length(self) -> int:
-        """Length in bytes of the body read so far."""
-        return self._body_length
-
     @property
     def is_answered(self) -> bool:
         """True once the answer has ended: sent, aborted or not wanted."""
@@ -133,7 +129,7 @@
 
     def add_body(self, part: bytes) -> None:
         """Buffers or streams the next bytes of the body, as read."""
-        self._body_length += len(part)
+        self.body_length += len(part)
         if self._sink is not None:
             self._sink.body_part(part)
             return
@@ -233,8 +229,14 @@
         ):
             self._connection.send(b"0\r\n\r\n")
         self._mark_ended()
-        keep_alive = self._may_stay_open and not self._is_close_announced
-        self._connection.call_answered(keep_alive and not self._is_unframed)
+        may_stay_open = (
+            self.head.keep_alive
+            and self.is_body_complete
+            and not self._is_close_announced
+            and not self._is_unframed
+            and not self._connection.is_draining
+        )
+        self._connection.call_answered(may_stay_open)
 
     def abort(self) -> None:
         """Aborts the connection, so that the client sees no complete answer."""
@@ -272,11 +274,6 @@
     def _is_unframed(self) -> bool:
         return self._is_chunked_answer and self.head.is_http_1_0
 
-    @property
-    def _may_stay_open(self) -> bool:
-        is_read = self.head.keep_alive and self.is_body_complete
-        return is_read and not self._connection.is_draining
-
     def _encode_head(
         self,
         status: int,
@@ -300,7 +297,11 @@
             and status not in _BODYLESS_STATUSES
         ):
             data += b"content-length: %d\r\n" % content_length
-        if not self._may_stay_open:
+        if (
+            not self.head.keep_alive
+            or not self.is_body_complete
+            or self._connection.is_draining
+        ):
             self._is_close_announced = True
             data += b"connection: close\r\n"
         return data + b"\r\n"
