Metrics: counters and histograms of the gateway are plain numbers

The counters of the Prometheus client take a lock and make five function calls for each event, its histograms nine. The gateway counts in one thread: numbers of its own are shown to the client library when it is asked for them, in the same text. Two tests read the counter's number by its public name.

--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -1,14 +1,16 @@
 """Prometheus metrics of a gateway."""
 
+from typing import Any
+
 import prometheus_client
 from prometheus_client import exposition
+from prometheus_client import metrics_core
 
+from cranberrymux.gateway import event_counter
+from cranberrymux.gateway import event_histogram
 from cranberrymux.gateway import held_back_counter
 from cranberrymux.gateway import label_children
 
-LATENCY_BOUNDS_S = (
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0,
-)  # fmt: skip
 CONTENT_TYPE = exposition.CONTENT_TYPE_LATEST.encode()
 
 
@@ -103,11 +105,9 @@
             "service",
             "zone",
         )
-        self.backend_sends = prometheus_client.Counter(
-            "cranberrymux_backend_sends",
-            "Requests sent to the backend server.",
-            registry=registry,
-        )
+        self.backend_sends = self._counter(
+            "backend_sends", "Requests sent to the backend server."
+        )[()]
         self.rate_limit = self._gauge(
             "backend_rate_limit", "Requests a second that it accepts; 0: any."
         )
@@ -137,23 +137,30 @@
 
     def _counter(
         self, name: str, help_text: str, *labels: str
-    ) -> label_children.LabelChildren[prometheus_client.Counter]:
-        counter = prometheus_client.Counter(
-            f"cranberrymux_{name}", help_text, labels, registry=self._registry
-        )
-        return label_children.LabelChildren(counter)
+    ) -> label_children.LabelChildren[event_counter.EventCounter]:
+        children = label_children.LabelChildren(event_counter.EventCounter)
+        self._show("counter", name, help_text, labels, children)
+        return children
 
     def _histogram(
         self, name: str, help_text: str, *labels: str
-    ) -> label_children.LabelChildren[prometheus_client.Histogram]:
-        histogram = prometheus_client.Histogram(
-            f"cranberrymux_{name}",
-            help_text,
-            labels,
-            buckets=LATENCY_BOUNDS_S,
-            registry=self._registry,
-        )
-        return label_children.LabelChildren(histogram)
+    ) -> label_children.LabelChildren[event_histogram.EventHistogram]:
+        children = label_children.LabelChildren(event_histogram.EventHistogram)
+        self._show("histogram", name, help_text, labels, children)
+        return children
+
+    def _show(
+        self,
+        kind: str,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        children: label_children.LabelChildren[Any],
+    ) -> None:
+        metric = metrics_core.Metric(f"cranberrymux_{name}", help_text, kind)
+        self._registry.register(
+            label_children.ChildrenCollector(metric, labels, children)
+        )
 
     def _gauge(self, name: str, help_text: str) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -167,3 +167,21 @@
     text = counted.encode().decode()
     assert 'cranberrymux_hops_total{outcome="2xx"} 2.0' in text
     assert 'cranberrymux_hops_total{outcome="5xx"} 1.0' in text
+
+
+def test_metrics_count_durations_up_to_each_bound():
+    counted = metrics.GatewayMetrics()
+    for duration_s in (0.0, 0.05, 0.0501, 7.0):
+        counted.hold_s["read",].observe(duration_s)
+    lines = counted.encode().decode().splitlines()
+    name = "cranberrymux_backend_seconds"
+    for bound, count in (
+        ("0.005", 1),
+        ("0.05", 2),
+        ("0.1", 3),
+        ("5.0", 3),
+        ("+Inf", 4),
+    ):
+        bucket = f'{name}_bucket{{le="{bound}",route="read"}} {count}.0'
+        assert bucket in lines
+    assert f'{name}_sum{{route="read"}} 7.1001' in lines
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -49,7 +49,7 @@
 
     def metric(self, outcome, account="mill"):
         metrics = self.mesh.members[0].gateway._parts.metrics
-        return metrics.quota_requests.labels(account, outcome)._value.get()
+        return metrics.quota_requests.labels(account, outcome).value
 
     @property
     def ran(self):
--- a/tests/gateway/test_rate_limited_siblings.py
+++ b/tests/gateway/test_rate_limited_siblings.py
@@ -35,7 +35,7 @@
 
 def count_refused_hops(mesh):
     metrics = mesh.members[DEEP[0]].gateway._parts.metrics
-    return metrics.hops.labels("limited")._value.get()
+    return metrics.hops.labels("limited").value
 
 
 def find_served(clients):
