Load report: encoded speed is kept for 20 ms

Each answer carried a newly computed and encoded speed, which changes by half a percent with a request, and built two tuples to encode it. The encoded speed is sent once more for up to 20 ms, unless the figures of the backend server change. Requests, failures and slowness are computed for each answer, for the moment at which its request ended, so that nothing decays between the two.

--- a/src/cranberrymux/decisions/endpoints/backend_load.py
+++ b/src/cranberrymux/decisions/endpoints/backend_load.py
@@ -18,7 +18,11 @@
 
 
 class BackendLoad:
-    """Combines the figures of a backend server with its node's measurements."""
+    """Combines the figures of a backend server with its node's measurements.
+
+    Attributes:
+        surplus: How many requests more than its node counts it says it has.
+    """
 
     def __init__(self) -> None:
         """Starts without figures and requests."""
@@ -26,7 +30,7 @@
         self._claimed = claimed_slowness.ClaimedSlowness()
         self._abandoned = decaying_value.DecayingValue(_ABANDONED_TIME_S)
         self._slots = 0
-        self._surplus = 0
+        self.surplus = 0
         self._figures_at_s = -math.inf
 
     def note_figures(
@@ -42,7 +46,7 @@
         self._figures_at_s = now_s
         # It can hold no fewer requests than it does.
         self._slots = max(figures.slots, running)
-        self._surplus = max(figures.running + figures.waiting - running, 0)
+        self.surplus = max(figures.running + figures.waiting - running, 0)
         if figures.slowness is not None:
             self._claimed.note_claim(now_s, figures.slowness)
 
@@ -71,9 +75,9 @@
 
         They are at most as many as the node has recently given up.
         """
-        if not self._surplus or not self._is_recent(now_s):
+        if not self.surplus or not self._is_recent(now_s):
             return 0
-        return min(self._surplus, round(self._abandoned.at(now_s)))
+        return min(self.surplus, round(self._abandoned.at(now_s)))
 
     def get_speed(self, now_s: float) -> endpoint_speed.EndpointSpeed | None:
         """Returns its speed; None before enough requests were served."""
--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -12,12 +12,16 @@
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import backend_process
 from cranberrymux.models import load_figures
+from cranberrymux.node.http import headers as headers_module
 
 # Thresholds of the log lines only; nodes that send requests here choose
 # endpoints by the reported failure rate and slowness themselves.
 DEGRADED_FAILURE_RATE = 0.3
 DEGRADED_SLOWNESS = 4.0
 RECOVERED_RATIO = 0.5
+# Age up to which the encoded speed is sent once more. In it the present
+# slowness that the backend server names loses 7% of its weight.
+SPEED_LIFETIME_S = 0.02
 _DEGRADED_EXCESS = math.log(DEGRADED_SLOWNESS)
 _RunOutcome = run_outcome.RunOutcome
 
@@ -33,6 +37,9 @@
         self._parts = parts
         self._process = backend_process.BackendProcess("", 0)
         self._is_degraded = False
+        self._speed: headers_module.HeaderList = []
+        self._speed_until_s = -math.inf
+        self._speed_figures: tuple[int, float | None] = (0, None)
         self._reset()
 
     @property
@@ -55,19 +62,29 @@
             self._process = received.process
             self._reset()
 
-    def get_report(self, now_s: float, requests: int) -> hop.LoadReport:
-        """Returns the load report on the backend server.
+    def encode_report(
+        self, now_s: float, requests: int
+    ) -> headers_module.HeaderList:
+        """Encodes the load report on the backend server.
 
         Args:
             now_s: Monotonic seconds.
             requests: Number of requests that run or wait.
         """
-        return hop.LoadReport(
-            requests + self._load.count_surplus(now_s),
-            self._failing.at(now_s),
-            self._slowness.at(now_s),
-            self._load.get_speed(now_s),
-        )
+        if now_s >= self._speed_until_s:
+            self._speed_until_s = now_s + SPEED_LIFETIME_S
+            speed = self._load.get_speed(now_s)
+            self._speed = (
+                [] if speed is None else [(hop.SPEED, hop.encode_speed(speed))]
+            )
+        if self._load.surplus:
+            requests += self._load.count_surplus(now_s)
+        failing = self._failing
+        failure_rate = failing.at(now_s) if failing.latest else 0.0
+        is_slow = self._slowness.latest_excess > 0.0
+        ratio = self._slowness.at(now_s) if is_slow else 1.0
+        load = hop.encode_load(requests, failure_rate, ratio)
+        return [(hop.LOAD, load), *self._speed]
 
     def admits(self, now_s: float) -> bool:
         """True if a request may be sent: without a stall, or as a probe."""
@@ -88,6 +105,10 @@
             running: Requests that it has got from this node and not ended.
         """
         self._load.note_figures(self._parts.clock.now_s(), figures, running)
+        speed_figures = (figures.slots, figures.slowness)
+        if speed_figures != self._speed_figures:
+            self._speed_figures = speed_figures
+            self._speed_until_s = -math.inf
 
     def note_work_time(
         self,
@@ -147,6 +168,7 @@
         self._slowness = slowness.Slowness()
         self._stall = stall_detector.StallDetector()
         self._load = backend_load.BackendLoad()
+        self._speed_until_s = -math.inf
 
     def _update_stall(self, now_s: float) -> None:
         self._stall.update(now_s, self._parts.running_requests.working)
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -57,6 +57,7 @@
             reason: One of the reasons of `hop.NOT_RUN`.
         """
         text = reason.decode("latin-1")
+        now_s = self._parts.clock.now_s()
         self._parts.metrics.hops.labels(text).inc()
         self._parts.events.info(
             "request-refused-here",
@@ -69,7 +70,7 @@
         headers = [
             (self._parts.settings.dialect.request_id, self.request_id),
             (hop.NOT_RUN, reason),
-            *self._owner.work.encode_load(),
+            *self._owner.work.encode_load(now_s),
             (hop.WORK, work_report.encode(report)),
             *self._owner.limit.encode(),
             *self._owner.suspects.encode(self.digest),
@@ -81,6 +82,7 @@
         head: answer_head.AnswerHead,
         body: bytes,
         report: work_report.WorkReport,
+        now_s: float,
         *,
         is_failed_by_call: bool,
     ) -> None:
@@ -90,16 +92,18 @@
             head: Head of the answer.
             body: The whole body.
             report: Work of the request and its calls.
+            now_s: Monotonic seconds.
             is_failed_by_call: True if it failed because of one of its calls.
         """
         self.count_status(head.status)
-        headers = self._make_headers(head, report, is_failed_by_call)
+        headers = self._make_headers(head, report, is_failed_by_call, now_s)
         self._call.answer(head.status, headers, body)
 
     def start_streaming(
         self,
         head: answer_head.AnswerHead,
         body: bytes,
+        now_s: float,
         *,
         is_failed_by_call: bool,
     ) -> None:
@@ -107,7 +111,7 @@
         mode = head.mode
         if mode is body_mode.BodyMode.UNTIL_CLOSE:
             mode = body_mode.BodyMode.CHUNKED
-        headers = self._make_headers(head, {}, is_failed_by_call)
+        headers = self._make_headers(head, {}, is_failed_by_call, now_s)
         self._call.start_answer(head._replace(headers=headers, mode=mode))
         self._call.send_body(body)
 
@@ -166,10 +170,11 @@
         head: answer_head.AnswerHead,
         report: work_report.WorkReport,
         is_failed_by_call: bool,
+        now_s: float,
     ) -> headers_module.HeaderList:
         """Returns the headers of an answer, with what this node reports."""
         headers = hop.get_forwardable(head.headers)
-        headers += self._owner.work.encode_load()
+        headers += self._owner.work.encode_load(now_s)
         headers += self._owner.limit.encode()
         if report:
             headers.append((hop.WORK, work_report.encode(report)))
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -188,7 +188,7 @@
             self._withhold(verdict)
             return
         self._answers.forward(
-            head, body, report, is_failed_by_call=is_failed_by_call
+            head, body, report, now_s, is_failed_by_call=is_failed_by_call
         )
 
     def attempt_streaming(
@@ -205,11 +205,12 @@
             return
         self._streamed = verdict
         self._streamed_status = head.status
+        now_s = self._parts.clock.now_s()
         is_failed_by_call = verdict.is_failure and self._note_outcome(
-            True, self._parts.clock.now_s()
+            True, now_s
         )
         self._answers.start_streaming(
-            head, body, is_failed_by_call=is_failed_by_call
+            head, body, now_s, is_failed_by_call=is_failed_by_call
         )
 
     def attempt_part(self, part: bytes) -> None:
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -40,11 +40,10 @@
             parts, scheduler, self.describe_load
         )
 
-    def encode_load(self) -> headers_module.HeaderList:
+    def encode_load(self, now_s: float) -> headers_module.HeaderList:
         """Encodes the load report that answers carry."""
         requests = self._scheduler.running + self._scheduler.waiting
-        now_s = self._parts.clock.now_s()
-        return hop.encode_load(self.health.get_report(now_s, requests))
+        return self.health.encode_report(now_s, requests)
 
     def note_figures(self, figures: load_figures.LoadFigures) -> None:
         """Stores what the backend server says of its load."""
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -242,27 +242,23 @@
     speed: endpoint_speed.EndpointSpeed | None = None
 
 
-def encode_load(report: LoadReport) -> headers_module.HeaderList:
-    """Encodes a report as the headers of an answer.
+def encode_load(requests: int, failure_rate: float, slowness: float) -> bytes:
+    """Encodes load as `requests/per mille failing/percent slowness`."""
+    return b"%d/%.0f/%.0f" % (requests, failure_rate * 1000, slowness * 100)
 
-    They are `requests/per mille failing/percent slowness` and, if the speed is
-    known, `slots/microseconds of work/percent of the time in a slot that is
+
+def encode_speed(speed: endpoint_speed.EndpointSpeed) -> bytes:
+    """Encodes speed as the numbers that `_decode_speed` reads.
+
+    They are `slots/microseconds of work/percent of the time in a slot that is
     work/percent present slowness`.
     """
-    load = b"%d/%.0f/%.0f" % (
-        report.requests,
-        report.failure_rate * 1000,
-        report.slowness * 100,
-    )
-    if report.speed is None:
-        return [(LOAD, load)]
-    speed = b"%d/%.0f/%.0f/%.0f" % (
-        report.speed.slots,
-        report.speed.work_s * 1e6,
-        report.speed.work_share * 100,
-        report.speed.present_slowness * 100,
+    return b"%d/%.0f/%.0f/%.0f" % (
+        speed.slots,
+        speed.work_s * 1e6,
+        speed.work_share * 100,
+        speed.present_slowness * 100,
     )
-    return [(LOAD, load), (SPEED, speed)]
 
 
 def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -28,7 +28,7 @@
 
 def read_load(mesh):
     """Returns requests, per mille failing and percent slowness."""
-    report = dict(get_work(mesh).encode_load())[hop.LOAD]
+    report = dict(get_work(mesh).encode_load(mesh.network.seconds()))[hop.LOAD]
     return [int(part) for part in report.split(b"/")]
 
 
--- a/tests/gateway/test_load_figures.py
+++ b/tests/gateway/test_load_figures.py
@@ -7,9 +7,13 @@
 import pytest
 import structlog
 
+from cranberrymux.decisions.endpoints import backend_load
+from cranberrymux.decisions.endpoints import run_outcome
 from cranberrymux.decisions.endpoints import work_time
+from cranberrymux.gateway import backend_health
 from cranberrymux.gateway import hop
 from cranberrymux.models import endpoint_speed
+from cranberrymux.models import load_figures
 from tests.gateway import mesh as mesh_module
 
 
@@ -97,7 +101,7 @@
     mesh.network.run(0.1)
     _, slow = find_views(mesh)
     assert slow.relative_time.at(mesh.network.seconds()) == 1.0
-    assert mesh.members[4].gateway._exit.work.encode_load()[1:] == []
+    assert read_speed(mesh, 4) is None
 
 
 def test_false_figures_do_not_divert_requests(mesh):
@@ -109,6 +113,51 @@
     assert min(shares) > 0.4 * sum(shares)
 
 
+def read_speed(mesh, number):
+    work = mesh.members[number].gateway._exit.work
+    return dict(work.encode_load(mesh.network.seconds())).get(hop.SPEED)
+
+
+def test_encoded_speed_is_not_kept_when_the_figures_change(mesh):
+    """Guards against answers with the speed of earlier figures."""
+    serve(mesh, 2, 0.01, b"0,0,10,100")
+    ask_many(mesh, 3 * work_time.MINIMUM_SAMPLES)
+    health = mesh.members[2].gateway._exit.work.health
+    for slots in (11, 12, 12, 13):
+        health.note_figures(load_figures.LoadFigures(0, 0, slots, 1.0), 0)
+        assert read_speed(mesh, 2).startswith(b"%d/" % slots)
+    later_s = mesh.network.seconds() + backend_load.FIGURES_LIFETIME_S
+    assert dict(health.encode_report(later_s, 0))[hop.SPEED].startswith(b"0/")
+
+
+def test_encoded_speed_is_kept_for_a_few_milliseconds_only(mesh):
+    """Guards against answers with the working time of earlier requests."""
+    serve(mesh, 2, 0.01, b"0,0,10,100")
+    ask_many(mesh, 3 * work_time.MINIMUM_SAMPLES)
+    before = read_speed(mesh, 2)
+    health = mesh.members[2].gateway._exit.work.health
+    for _ in range(50):
+        health.note_work_time(
+            mesh.network.seconds(),
+            "read",
+            1.0,
+            1.0,
+            run_outcome.RunOutcome.SERVED,
+        )
+    mesh.network.run(backend_health.SPEED_LIFETIME_S)
+    assert read_speed(mesh, 2) != before
+
+
+def encode(report):
+    """Returns the headers of a report."""
+    load = hop.encode_load(
+        report.requests, report.failure_rate, report.slowness
+    )
+    if report.speed is None:
+        return [(hop.LOAD, load)]
+    return [(hop.LOAD, load), (hop.SPEED, hop.encode_speed(report.speed))]
+
+
 class TestReport:
     """The load report between nodes, of this and of earlier versions."""
 
@@ -116,14 +165,14 @@
 
     def test_is_read_as_it_was_written(self):
         report = hop.LoadReport(7, 0.25, 1.5, self.SPEED)
-        assert hop.decode_load(hop.encode_load(report)) == report
+        assert hop.decode_load(encode(report)) == report
         without = report._replace(speed=None)
-        assert hop.decode_load(hop.encode_load(without)) == without
+        assert hop.decode_load(encode(without)) == without
 
     def test_nodes_of_earlier_versions_read_it(self):
         """They take a report of more or fewer than three numbers as invalid."""
         report = hop.LoadReport(7, 0.25, 1.5, self.SPEED)
-        assert dict(hop.encode_load(report))[hop.LOAD] == b"7/250/150"
+        assert dict(encode(report))[hop.LOAD] == b"7/250/150"
         old = [(hop.LOAD, b"7/250/150")]
         assert hop.decode_load(old) == report._replace(speed=None)
 
