Runs at the backend server: fewer steps while nothing is suspect or fails

Each run passed through three layers to be noted as in flight and three to be forgotten, with a clock reading, although without deaths there is nothing to clear; whether a stall is under way was computed three times for each event; the end of a served request was noted in a failure rate of zero, which it does not change. The calls in flight are reached directly, the stall is a value that its three events update.

--- a/src/cranberrymux/decisions/endpoints/slowness.py
+++ b/src/cranberrymux/decisions/endpoints/slowness.py
@@ -15,6 +15,7 @@
 BASELINE_FALL_TIME_S = 2.0
 DECAY_TIME_S = 3.0  # Time constant of the decay towards 1.0 without requests.
 _MINIMUM_WORK_TIME_S = 1e-4  # Shorter times count as this: 0 has no logarithm.
+_MINIMUM_LOG = math.log(_MINIMUM_WORK_TIME_S)
 
 
 class Slowness:
@@ -46,19 +47,25 @@
         Returns:
             Logarithm of its ratio to the baseline of its route.
         """
-        log_time = math.log(max(worked_s, _MINIMUM_WORK_TIME_S))
+        log_time = (
+            math.log(worked_s)
+            if worked_s > _MINIMUM_WORK_TIME_S
+            else _MINIMUM_LOG
+        )
         baseline = self._baselines.get(route, log_time)
         elapsed_s = now_s - self._excess.set_at_s
         old_excess = self._excess.at(now_s)
-        excess = old_excess + SAMPLE_WEIGHT * (log_time - baseline - old_excess)
-        self._excess.set(now_s, excess)
+        log_ratio = log_time - baseline
+        excess = old_excess + SAMPLE_WEIGHT * (log_ratio - old_excess)
+        self._excess.latest = excess
+        self._excess.set_at_s = now_s
         self.latest_excess = excess
         time_constant_s = (
             BASELINE_RISE_TIME_S if excess > 0.0 else BASELINE_FALL_TIME_S
         )
         weight = 1.0 - math.exp(-elapsed_s / time_constant_s)
         self._baselines[route] = baseline + weight * excess
-        return log_time - baseline
+        return log_ratio
 
     def at(self, now_s: float) -> float:
         """Returns the ratio at `now_s`; 1.0 if as fast as usual or faster."""
--- a/src/cranberrymux/decisions/endpoints/stall_detector.py
+++ b/src/cranberrymux/decisions/endpoints/stall_detector.py
@@ -22,6 +22,9 @@
 
     The number expected follows from the mean working time and the number of
     requests that the backend server works on.
+
+    Attributes:
+        is_stalled: True while too many expected answers are missing.
     """
 
     def __init__(self) -> None:
@@ -32,14 +35,7 @@
         self._unanswered_s = 0.0
         self._updated_at_s = 0.0
         self._next_probe_at_s = 0.0
-
-    @property
-    def is_stalled(self) -> bool:
-        """True while too many expected answers are missing."""
-        return (
-            self._missed_answers > MAXIMUM_MISSED_ANSWERS
-            and self._unanswered_s > MINIMUM_STALL_S
-        )
+        self.is_stalled = False
 
     def update(self, now_s: float, working: int) -> None:
         """Adds the answers expected since the last update.
@@ -56,6 +52,10 @@
             elapsed_s = min(elapsed_s, MAXIMUM_STEP_S)
             self._missed_answers += elapsed_s * working / self._mean_work_time_s
             self._unanswered_s += elapsed_s
+            self.is_stalled = (
+                self._missed_answers > MAXIMUM_MISSED_ANSWERS
+                and self._unanswered_s > MINIMUM_STALL_S
+            )
 
     def note_answer(self, worked_s: float) -> None:
         """Ends a stall and adds the answer to the mean working time.
@@ -66,6 +66,7 @@
         """
         self._missed_answers = 0.0
         self._unanswered_s = 0.0
+        self.is_stalled = False
         self._answers += 1
         old_mean_s = self._mean_work_time_s or worked_s
         mean_s = old_mean_s + WORK_TIME_WEIGHT * (worked_s - old_mean_s)
@@ -79,6 +80,7 @@
         self._missed_answers = min(
             self._missed_answers, MAXIMUM_MISSED_ANSWERS / 2
         )
+        self.is_stalled = False
 
     def admits(self, now_s: float) -> bool:
         """True if a request may be sent: without a stall, or as a probe.
--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -28,6 +28,7 @@
 
     Attributes:
         records: The records by key, not to be changed by others.
+        running: The calls in flight on the backend server.
     """
 
     def __init__(
@@ -48,7 +49,7 @@
         self._incarnation = incarnation
         self._records = suspect_records.SuspectRecords(settings)
         self.records = self._records.by_key
-        self._running = running_suspects.RunningSuspects()
+        self.running = running_suspects.RunningSuspects()
         self._deaths = 0
 
     @property
@@ -159,7 +160,7 @@
             fingerprint: The fingerprint that was passed to `classify`.
             is_suspect: True if the result of `classify` was not `CLEAR`.
         """
-        self._running.start(ticket_id, fingerprint, is_suspect=is_suspect)
+        self.running.start(ticket_id, fingerprint, is_suspect=is_suspect)
 
     def finish(
         self,
@@ -183,18 +184,16 @@
             Reports for the shared state of what no longer counts.
         """
         if may_still_run:
-            self._running.abandon(now_s, ticket_id)
+            self.running.abandon(now_s, ticket_id)
             return []
-        fingerprint = self._running.end(ticket_id)
+        fingerprint = self.running.end(ticket_id)
         if fingerprint is None or not is_clean:
             return []
         return self._clear(now_s, fingerprint)
 
     def has_abandoned(self, now_s: float) -> bool:
         """True if a cancelled call may have ended the replaced endpoint."""
-        return self._running.has_abandoned(
-            now_s - self._settings.maximum_down_s
-        )
+        return self.running.has_abandoned(now_s - self._settings.maximum_down_s)
 
     def endpoint_died(
         self, now_s: float, *, is_past: bool = False
@@ -216,8 +215,8 @@
             since_s -= settings.maximum_down_s
         self._deaths += 1
         event_id = f"{self._endpoint_id}#{self._incarnation}#{self._deaths}"
-        started_as_suspects = self._running.find_suspects()
-        in_flight = self._running.take_all(since_s)
+        started_as_suspects = self.running.find_suspects()
+        in_flight = self.running.take_all(since_s)
         suspects = {
             call
             for call in in_flight
--- a/src/cranberrymux/decisions/quarantine/running_suspects.py
+++ b/src/cranberrymux/decisions/quarantine/running_suspects.py
@@ -41,7 +41,8 @@
 
     def end(self, ticket_id: str) -> fingerprints.Fingerprint | None:
         """Removes a call and returns its fingerprint; None if it is unknown."""
-        self._suspect_ids.discard(ticket_id)
+        if self._suspect_ids:
+            self._suspect_ids.discard(ticket_id)
         return self._running.pop(ticket_id, None)
 
     def abandon(self, now_s: float, ticket_id: str) -> None:
--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -30,6 +30,10 @@
     """Failure rate, slowness, stalls and load of the backend server.
 
     Writes a log line whenever the backend server becomes degraded or recovers.
+
+    Attributes:
+        failing: Recent share of failed requests; failures that depended on a
+            call to another service do not count.
     """
 
     def __init__(self, parts: parts_module.GatewayParts) -> None:
@@ -44,11 +48,8 @@
 
     @property
     def failure_rate(self) -> float:
-        """Recent share of failed requests, 0 to 1.
-
-        Failures that depended on a call to another service do not count.
-        """
-        return self._failing.at(self._parts.clock.now_s())
+        """Present value of `failing`, 0 to 1."""
+        return self.failing.at(self._parts.clock.now_s())
 
     @property
     def slowness(self) -> float:
@@ -79,7 +80,7 @@
             )
         if self._load.surplus:
             requests += self._load.count_surplus(now_s)
-        failing = self._failing
+        failing = self.failing
         failure_rate = failing.at(now_s) if failing.latest else 0.0
         is_slow = self._slowness.latest_excess > 0.0
         ratio = self._slowness.at(now_s) if is_slow else 1.0
@@ -89,11 +90,7 @@
     def admits(self, now_s: float) -> bool:
         """True if a request may be sent: without a stall, or as a probe."""
         self._update_stall(now_s)
-        return self._stall.admits(now_s)
-
-    def note_outcome(self, now_s: float, is_failed: bool) -> None:
-        """Counts the end of a request that did not fail because of a call."""
-        self._failing.note(now_s, is_failed)
+        return not self._stall.is_stalled or self._stall.admits(now_s)
 
     def note_figures(
         self, figures: load_figures.LoadFigures, running: int
@@ -164,7 +161,7 @@
         )
 
     def _reset(self) -> None:
-        self._failing = failure_rate.FailureRate()
+        self.failing = failure_rate.FailureRate()
         self._slowness = slowness.Slowness()
         self._stall = stall_detector.StallDetector()
         self._load = backend_load.BackendLoad()
@@ -175,7 +172,7 @@
         if (
             self._is_degraded
             or self._stall.is_stalled
-            or self._failing.latest > DEGRADED_FAILURE_RATE
+            or self.failing.latest > DEGRADED_FAILURE_RATE
             or self._slowness.latest_excess > _DEGRADED_EXCESS
         ):
             self.log_transitions()
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -187,10 +187,10 @@
         """Records that a request is sent to the backend server."""
         ticket_id = call.ticket_id
         if call.digest:
-            self._quarantine.start(
+            self._quarantine.running.start(
                 str(ticket_id),
                 suspicion.make_fingerprint(call.digest),
-                ticket_id in self.held_ids,
+                is_suspect=ticket_id in self.held_ids,
             )
         if ticket_id in self._waiting_trials:
             trial = self._waiting_trials.pop(ticket_id)
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -72,12 +72,15 @@
         Returns:
             True if it failed because one of its calls failed or is open.
         """
-        is_failed_by_call = False
-        if is_failed:
-            running = self._parts.running_requests.find(call.ticket_id)
-            is_failed_by_call = running is not None and running.depends_on_call
+        failing = self.health.failing
+        if not is_failed:
+            if failing.latest:
+                failing.note(now_s, False)
+            return False
+        running = self._parts.running_requests.find(call.ticket_id)
+        is_failed_by_call = running is not None and running.depends_on_call
         if not is_failed_by_call:
-            self.health.note_outcome(now_s, is_failed)
+            failing.note(now_s, True)
         return is_failed_by_call
 
     def start_run(self, call: owned_call.OwnedCall, deadline_s: float) -> None:
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -43,6 +43,7 @@
 
     Attributes:
         records: The records of suspects by key, not to be changed by others.
+        running: The calls in flight on the backend server.
         losses: Runs whose connection broke, until it is known why.
     """
 
@@ -69,6 +70,7 @@
         """
         self._quarantine = quarantine
         self.records = quarantine.records
+        self.running = quarantine.running
         self._clock = system_clock
         self._reporter = reporter
         self._reactor = reactor
@@ -176,6 +178,9 @@
                 it.
         """
         if is_clean:
+            if not self.records and not self._trials:
+                self.running.end(ticket_id)
+                return
             self._trials.pop(ticket_id, None)
         elif may_still_run and ticket_id in self._trials:
             self._reactor.callLater(
