Endpoint's node: values that each request reads are plain attributes

Announcement and routes in force were properties; the update of the share was called twice for each request and had an effect once in 100 ms; the work report was encoded in two passes. The owner now knows when the next update is due: the end of the window or of the interval of the log line, whichever is first (test).

--- a/src/cranberrymux/decisions/presence/presence.py
+++ b/src/cranberrymux/decisions/presence/presence.py
@@ -33,6 +33,9 @@
 
     A backend server that drains or has left accepts no requests again; only
     one with a later start time replaces it.
+
+    Attributes:
+        current: The newest announcement; None before the first one.
     """
 
     def __init__(self, lifetime_s: float) -> None:
@@ -42,18 +45,13 @@
             lifetime_s: Time for which an announcement is valid.
         """
         self._lifetime_s = lifetime_s
-        self._current: announcement.Announcement | None = None
+        self.current: announcement.Announcement | None = None
         self._received_s = 0.0
         self._departed_start_ms: dict[str, int] = {}
 
-    @property
-    def current(self) -> announcement.Announcement | None:
-        """The newest announcement; None before the first one."""
-        return self._current
-
     def is_serving(self, now_s: float) -> bool:
         """True if it accepts requests and its announcement is still valid."""
-        current = self._current
+        current = self.current
         return (
             current is not None
             and current.state is announcement.BackendState.SERVING
@@ -64,7 +62,7 @@
         self, received: announcement.Announcement, now_s: float
     ) -> PresenceChange:
         """Applies an announcement unless it is stale."""
-        current = self._current
+        current = self.current
         is_old = current is not None and _order(received) <= _order(current)
         if is_old or received.started_ms <= self._departed_start_ms.get(
             received.backend_id, -1
@@ -72,14 +70,14 @@
             return PresenceChange.STALE
         self._received_s = now_s
         if current is None or current.process != received.process:
-            self._current = received
+            self.current = received
             if received.state is _DRAINING:
                 return PresenceChange.DRAINING
             return PresenceChange.ARRIVED
         if current.state is _DRAINING:
             # A process that drains never serves again.
             received = received._replace(state=_DRAINING)
-        self._current = received
+        self.current = received
         if current.state is received.state:
             return PresenceChange.NONE
         return PresenceChange.DRAINING
@@ -93,13 +91,13 @@
                 current one, announcements of its processes that started up to
                 this time are stale.
         """
-        current = self._current
+        current = self.current
         if current is None or current.backend_id != backend_id:
             self._record_departure(backend_id, now_ms)
             return PresenceChange.NONE
         # Without a start time, any process up to now may be the one that left.
         self._record_departure(backend_id, current.started_ms or now_ms)
-        self._current = current._replace(state=_DRAINING)
+        self.current = current._replace(state=_DRAINING)
         return PresenceChange.LEFT
 
     def _record_departure(self, backend_id: str, last_start_ms: int) -> None:
--- a/src/cranberrymux/decisions/pressure/work_report.py
+++ b/src/cranberrymux/decisions/pressure/work_report.py
@@ -67,22 +67,17 @@
     of the tree's account follow as parts `service=@per-mille`, which nodes of
     earlier versions skip.
     """
-    parts = [
-        b"%b=%d/%d"
-        % (
-            service.encode(),
-            round(part.slot_s * _MS_PER_S),
-            round(part.share * 1000),
-        )
-        for service, part in report.items()
-    ]
-    parts += [
-        b"%b=%b%d"
-        % (service.encode(), _ACCOUNT_MARK, round(part.account_share * 1000))
-        for service, part in report.items()
-        if part.account_share is not None
-    ]
-    return b",".join(parts)
+    parts = []
+    account_parts = []
+    for service, part in report.items():
+        name = service.encode()
+        slot_ms = part.slot_s * _MS_PER_S
+        parts.append(b"%b=%.0f/%.0f" % (name, slot_ms, part.share * 1000))
+        if part.account_share is not None:
+            account_parts.append(
+                b"%b=%b%.0f" % (name, _ACCOUNT_MARK, part.account_share * 1000)
+            )
+    return b",".join(parts + account_parts)
 
 
 def decode(value: bytes) -> WorkReport:
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -1,7 +1,6 @@
 """The hop port: gives requests the slots of the backend server."""
 
 from collections.abc import Callable
-import itertools
 from typing import Any
 
 from twisted.internet import task
@@ -20,6 +19,7 @@
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import peer_messages
 from cranberrymux.models import socket_address
+from cranberrymux.node import suspect_message
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import inbound_call
 
@@ -73,7 +73,7 @@
         parts.quarantine.losses.on_dead = self._backend_unreachable
         parts.quarantine.losses.is_end_planned = self._is_end_planned
         self._calls: dict[int, exit_call.ExitCall] = {}
-        self._ticket_ids = itertools.count(1)
+        self._last_ticket_id = 0
         self._is_stopping = False
         self._queue_loop: Any = task.LoopingCall(self._serve_queue)
         self._queue_loop.clock = parts.reactor
@@ -117,11 +117,15 @@
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Starts, queues or refuses a request; takes messages of nodes."""
-        if self._peer_messages.handle(call):
+        head = call.head
+        if head.target == suspect_message.TARGET and (
+            self._peer_messages.handle(call)
+        ):
             return
         now_s = self._parts.clock.now_s()
-        headers = call.head.headers
-        ticket_id = next(self._ticket_ids)
+        headers = head.headers
+        self._last_ticket_id += 1
+        ticket_id = self._last_ticket_id
         hop_call = exit_call.ExitCall(
             self._parts, self, self._pool, call, ticket_id, now_s
         )
@@ -135,7 +139,8 @@
             )
         if hop.KNOWN_RATE_LIMIT in headers.first:
             self.limit.note_request(headers, hop_call.request_id)
-        self.work.pressure.update(now_s, self.limit.per_s)
+        if now_s >= self.work.pressure.due_s:
+            self.work.pressure.update(now_s, self.limit.per_s)
         self._calls[ticket_id] = hop_call
         if not self.suspects.hold(hop_call):
             self.offer_slot(ticket_id, now_s)
@@ -181,7 +186,8 @@
         if self._calls.pop(call.ticket_id, None) is None:
             return {}
         report = self.work.end_run(call, outcome, self.limit.per_s, now_s)
-        self.suspects.ended(call.ticket_id)
+        if self.suspects.held_ids:
+            self.suspects.ended(call.ticket_id)
         self._start_waiting(now_s)
         return report
 
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -20,7 +20,11 @@
 
 
 class ExitPressure:
-    """Keeps the share up to date and logs it while it is below 1.0."""
+    """Keeps the share up to date and logs it while it is below 1.0.
+
+    Attributes:
+        due_s: Monotonic seconds before which `update` has no effect.
+    """
 
     def __init__(
         self,
@@ -40,6 +44,8 @@
         self._describe_load = describe_load
         self._meter = share_meter.ShareMeter(parts.clock.now_s())
         self._logged_at_s = parts.clock.now_s()
+        self._window_ends_s = -math.inf
+        self.due_s = -math.inf
 
     @property
     def share(self) -> float:
@@ -78,10 +84,15 @@
             scheduler = self._scheduler
             waiting_s = scheduler.waiting * scheduler.mean_hold_s
             self._meter.roll(now_s, scheduler.slots, waiting_s, limit_per_s)
+            self._window_ends_s = now_s + share_meter.WINDOW_S
         is_due = now_s - self._logged_at_s >= PRESSURE_LOG_INTERVAL_S
         if is_due and self._meter.share < 1.0:
             self._logged_at_s = now_s
             self._log()
+        self.due_s = self._window_ends_s
+        if self._meter.share < 1.0:
+            log_due_s = self._logged_at_s + PRESSURE_LOG_INTERVAL_S
+            self.due_s = min(self.due_s, log_due_s)
 
     def reset(self) -> None:
         """Returns the share to 1.0, as the rate limit that lowered it ended."""
@@ -96,12 +107,17 @@
             tree_context: Context of the request.
             hold_s: Seconds for which it held a slot; 0.0 if it did not run.
         """
-        account_share = self._meter.get_account_share(
-            _make_key(
-                tree_context.rank, tree_context.account, tree_context.root_route
+        share = self._meter.share
+        account_share = None
+        if share < 1.0:
+            account_share = self._meter.get_account_share(
+                _make_key(
+                    tree_context.rank,
+                    tree_context.account,
+                    tree_context.root_route,
+                )
             )
-        )
-        own = work_report.ServiceWork(hold_s, self._meter.share, account_share)
+        own = work_report.ServiceWork(hold_s, share, account_share)
         return {self._parts.settings.service: own}
 
     def _log(self) -> None:
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -125,7 +125,8 @@
                 hold_s,
                 outcome,
             )
-        self.pressure.update(now_s, limit_per_s)
+        if now_s >= self.pressure.due_s:
+            self.pressure.update(now_s, limit_per_s)
         self._parts.parent_matcher.remove(ticket_id)
         self._parts.running_requests.end(ticket_id)
         own = self.pressure.report(call.tree_context, hold_s)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -107,9 +107,9 @@
 
 def shorten_deadline_ms(left_s: float) -> int:
     """Returns the milliseconds to pass on when `left_s` seconds are left."""
-    return int(
-        (left_s - min(ANSWER_MARGIN_S, ANSWER_MARGIN_RATIO * left_s)) * 1000
-    )
+    is_short = left_s < ANSWER_MARGIN_S / ANSWER_MARGIN_RATIO
+    margin_s = ANSWER_MARGIN_RATIO * left_s if is_short else ANSWER_MARGIN_S
+    return int((left_s - margin_s) * 1000)
 
 
 class TreeContext(NamedTuple):
--- a/src/cranberrymux/gateway/routes_holder.py
+++ b/src/cranberrymux/gateway/routes_holder.py
@@ -15,6 +15,10 @@
     A configuration that cannot be decoded is logged and leaves the previous
     one in force. Small ones are in force at once; large ones are decoded in
     steps, between which the node serves requests.
+
+    Attributes:
+        version: Version of the configuration in force; 0 for none.
+        table: Routes in force; None before the first configuration.
     """
 
     def __init__(
@@ -30,21 +34,11 @@
         """
         self._reactor = reactor
         self._on_applied = on_applied
-        self._version = 0
+        self.version = 0
         self._loading_version = 0
-        self._table: route_table.RouteTable | None = None
+        self.table: route_table.RouteTable | None = None
         self._events = structlog.get_logger()
 
-    @property
-    def version(self) -> int:
-        """Version of the configuration in force; 0 for none."""
-        return self._version
-
-    @property
-    def table(self) -> route_table.RouteTable | None:
-        """Routes in force; None before the first configuration."""
-        return self._table
-
     def apply(self, version: int, text: str) -> None:
         """Puts a configuration in force if its version is higher.
 
@@ -52,7 +46,7 @@
             version: Version of the configuration, from 1.
             text: Encoded configuration; see `route_document.dump`.
         """
-        if version <= max(self._version, self._loading_version):
+        if version <= max(self.version, self._loading_version):
             return
         self._loading_version = version
         self._continue(version, route_document.load_in_steps(text))
@@ -83,8 +77,8 @@
                 detail=document.detail,
             )
             return
-        self._table = route_table.RouteTable(document)
-        self._version = version
+        self.table = route_table.RouteTable(document)
+        self.version = version
         self._events.info(
             "configuration-in-force",
             version=version,
@@ -92,4 +86,4 @@
             routes=len(document.routes),
             accounts=len(document.accounts),
         )
-        self._on_applied(self._table)
+        self._on_applied(self.table)
--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -5,6 +5,7 @@
 """
 
 import pytest
+import structlog
 
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.gateway import exit_pressure
@@ -185,3 +186,23 @@
         bucket = f'{name}_bucket{{le="{bound}",route="read"}} {count}.0'
         assert bucket in lines
     assert f'{name}_sum{{route="read"}} 7.1001' in lines
+
+
+def test_update_of_the_share_is_skipped_only_while_it_has_no_effect(mesh):
+    """Guards against a share and a log line that come late under load."""
+    pressure = get_work(mesh).pressure
+    tree_context = hop.DEFAULT_TREE_CONTEXT
+    lines_at_s = []
+    with structlog.testing.capture_logs() as lines:
+        for step in range(1000):
+            now_s = step * 0.004
+            pressure.note_arrival("read", tree_context)
+            pressure.note_hold("read", 0.2)
+            before = (pressure.share, len(lines))
+            is_skipped = now_s < pressure.due_s
+            pressure.update(now_s, None)
+            assert not is_skipped or before == (pressure.share, len(lines))
+            if len(lines) > before[1]:
+                lines_at_s.append(now_s)
+    assert pressure.share < 0.5
+    assert lines_at_s == pytest.approx([1.0, 2.0, 3.0], abs=0.01)
