--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -40,11 +40,10 @@
             parts, scheduler, self.describe_load
         )
 
-    def encode_load(self) -> headers_module.HeaderList:
+    def encode_load(self, now_s: float) -> headers_module.HeaderList:
         """Encodes the load report that answers carry."""
         requests = self._scheduler.running + self._scheduler.waiting
-        now_s = self._parts.clock.now_s()
-        return hop.encode_load(self.health.get_report(now_s, requests))
+        return self.health.encode_report(now_s, requests)
 
     def note_figures(self, figures: load_figures.LoadFigures) -> None:
         """Stores what the backend server says of its load."""
@@ -73,12 +72,15 @@
         Returns:
             True if it failed because one of its calls failed or is open.
         """
-        is_failed_by_call = False
-        if is_failed:
-            running = self._parts.running_requests.find(call.ticket_id)
-            is_failed_by_call = running is not None and running.depends_on_call
+        failing = self.health.failing
+        if not is_failed:
+            if failing.latest:
+                failing.note(now_s, False)
+            return False
+        running = self._parts.running_requests.find(call.ticket_id)
+        is_failed_by_call = running is not None and running.depends_on_call
         if not is_failed_by_call:
-            self.health.note_outcome(now_s, is_failed)
+            failing.note(now_s, True)
         return is_failed_by_call
 
     def start_run(self, call: owned_call.OwnedCall, deadline_s: float) -> None:
@@ -123,7 +125,8 @@
                 hold_s,
                 outcome,
             )
-        self.pressure.update(now_s, limit_per_s)
+        if now_s >= self.pressure.due_s:
+            self.pressure.update(now_s, limit_per_s)
         self._parts.parent_matcher.remove(ticket_id)
         self._parts.running_requests.end(ticket_id)
         own = self.pressure.report(call.tree_context, hold_s)
--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -5,6 +5,7 @@
 """
 
 import pytest
+import structlog
 
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.gateway import exit_pressure
@@ -28,7 +29,7 @@
 
 def read_load(mesh):
     """Returns requests, per mille failing and percent slowness."""
-    report = dict(get_work(mesh).encode_load())[hop.LOAD]
+    report = dict(get_work(mesh).encode_load(mesh.network.seconds()))[hop.LOAD]
     return [int(part) for part in report.split(b"/")]
 
 
@@ -167,3 +168,41 @@
     text = counted.encode().decode()
     assert 'cranberrymux_hops_total{outcome="2xx"} 2.0' in text
     assert 'cranberrymux_hops_total{outcome="5xx"} 1.0' in text
+
+
+def test_metrics_count_durations_up_to_each_bound():
+    counted = metrics.GatewayMetrics()
+    for duration_s in (0.0, 0.05, 0.0501, 7.0):
+        counted.hold_s["read",].observe(duration_s)
+    lines = counted.encode().decode().splitlines()
+    name = "cranberrymux_backend_seconds"
+    for bound, count in (
+        ("0.005", 1),
+        ("0.05", 2),
+        ("0.1", 3),
+        ("5.0", 3),
+        ("+Inf", 4),
+    ):
+        bucket = f'{name}_bucket{{le="{bound}",route="read"}} {count}.0'
+        assert bucket in lines
+    assert f'{name}_sum{{route="read"}} 7.1001' in lines
+
+
+def test_update_of_the_share_is_skipped_only_while_it_has_no_effect(mesh):
+    """Guards against a share and a log line that come late under load."""
+    pressure = get_work(mesh).pressure
+    tree_context = hop.DEFAULT_TREE_CONTEXT
+    lines_at_s = []
+    with structlog.testing.capture_logs() as lines:
+        for step in range(1000):
+            now_s = step * 0.004
+            pressure.note_arrival("read", tree_context)
+            pressure.note_hold("read", 0.2)
+            before = (pressure.share, len(lines))
+            is_skipped = now_s < pressure.due_s
+            pressure.update(now_s, None)
+            assert not is_skipped or before == (pressure.share, len(lines))
+            if len(lines) > before[1]:
+                lines_at_s.append(now_s)
+    assert pressure.share < 0.5
+    assert lines_at_s == pytest.approx([1.0, 2.0, 3.0], abs=0.01)
