--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -257,6 +257,11 @@
         if status < _LOWEST_FINAL_STATUS:
             self._pass_interim_answer(status)
             return
+        self._take_final_head(sink, status)
+
+    def _take_final_head(
+        self, sink: answer_sink.AnswerSink, status: int
+    ) -> None:
         mismatch = self._matcher.find_mismatch(self._headers)
         self._is_filtered_out = mismatch is not None
         if mismatch is not None:
@@ -264,7 +269,7 @@
             self._check_end_can_be_found(status)
             return
         if (
-            b"transfer-encoding" in first
+            b"transfer-encoding" in self._headers.first
             and not answer_framing.has_plain_coding(self._headers)
         ):
             self._fail(
--- a/tests/gateway/test_suspect_trials.py
+++ b/tests/gateway/test_suspect_trials.py
@@ -23,6 +23,11 @@
         return self.seconds
 
 
+class Runs:
+    def start(self, ticket_id, fingerprint, is_suspect):
+        """Needs no record of runs."""
+
+
 class Quarantine:
     """Refuses some digests, isolates others, and grants trials on request."""
 
@@ -31,6 +36,7 @@
         self.claims = []
         self.ended = []
         self.started = []
+        self.running = Runs()
 
     def classify(self, fingerprint):
         if fingerprint.digest.startswith("refused"):
@@ -49,9 +55,6 @@
     def end_trial(self, trial):
         self.ended.append(trial)
 
-    def start(self, ticket_id, fingerprint, is_suspect):
-        """Needs no record of runs."""
-
     def start_trial(self, ticket_id, trial):
         del ticket_id
         self.started.append(trial)
