Quarantine: a trial whose grant was lost does not count as fatal

Cause: where a control instance kept the claim of a trial and its answer was lost, no node ran the trial or ended it, so that it counted as one that ended with a death. The next trial came 8 s later, and after the second one the call was refused until nobody had sent it for 15 minutes.

Change: a node that gave up a claim ends the trial once the ledger says that it was granted to it. If the ledger says so before the claim is given up, the trial is granted.

--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -1,7 +1,6 @@
 """Detects deaths of the backend server and shares them with other nodes."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import Any
 
@@ -211,11 +210,18 @@
         """Merges reports that came with a call or with its answer."""
         self._merge(reports, "call")
 
-    def merge_rows(self, rows: Iterable[Any]) -> None:
-        """Merges rows of the ledger that the control instances keep."""
+    def merge_rows(self, rows: Sequence[Any]) -> None:
+        """Merges rows of the ledger that the control instances keep.
+
+        A trial that was granted to this node without an answer did not run.
+        Left open, it would count as one that ended with a death, and the second
+        one refuses the call for good.
+        """
         reports = list(suspect_rows.decode_rows(rows))
         self._reporter.confirm(reports)
         self._merge(reports, "control")
+        for trial in self._reporter.take_unused_trials(rows):
+            self.end_trial(trial)
 
     def get_open_reports(
         self, fingerprint: fingerprints.Fingerprint
--- a/src/cranberrymux/node/suspect_reporter.py
+++ b/src/cranberrymux/node/suspect_reporter.py
@@ -64,6 +64,11 @@
         ] = collections.OrderedDict()
         self._is_sending = False
         self._timer: Any = None
+        # Claims under way, those of them that rows say were granted, and those
+        # that were given up without an answer.
+        self._claiming: set[suspect_report.SuspectReport] = set()
+        self._granted: set[suspect_report.SuspectReport] = set()
+        self._unanswered: set[suspect_report.SuspectReport] = set()
 
     @property
     def pending(self) -> int:
@@ -102,13 +107,42 @@
             incarnation=0,
             items=[item],
         )
+        self._claiming.add(trial)
+        is_granted = await self._claim(message)
+        self._claiming.discard(trial)
+        is_told = trial in self._granted
+        self._granted.discard(trial)
+        if is_granted is None and not is_told:
+            self._unanswered.add(trial)
+            return False
+        self._unanswered.discard(trial)
+        return is_told or bool(is_granted)
+
+    async def _claim(self, message: Any) -> bool | None:
+        """Returns whether the trial is granted; None without an answer."""
         for client in self._get_clients():
             if not client.is_connected:
                 continue
             answer = await client.report_suspect(message)
             if not isinstance(answer, wire_error.WireError):
-                return answer.event_ids == [self._reporter]
-        return False
+                return bool(answer.event_ids == [self._reporter])
+        return None
+
+    def take_unused_trials(
+        self, rows: Iterable[Any]
+    ) -> list[suspect_report.SuspectReport]:
+        """Returns trials granted to this node whose claims it gave up.
+
+        Args:
+            rows: Rows of the ledger that the control instances keep.
+        """
+        if not self._unanswered and not self._claiming:
+            return []
+        granted = set(suspect_rows.find_trials(rows, self._reporter))
+        self._granted |= granted & self._claiming
+        unused = granted & self._unanswered - self._claiming
+        self._unanswered -= unused
+        return list(unused)
 
     def stop(self) -> None:
         """Sends nothing more."""
--- a/src/cranberrymux/node/suspect_rows.py
+++ b/src/cranberrymux/node/suspect_rows.py
@@ -54,3 +54,20 @@
             key = row.fingerprint
         for event_id in row.event_ids:
             yield suspect_report.SuspectReport(key, kind, event_id)
+
+
+def find_trials(
+    rows: Iterable[Any], reporter: str
+) -> Iterator[suspect_report.SuspectReport]:
+    """Returns the trials among rows that were granted to a process.
+
+    Args:
+        rows: Rows of the ledger.
+        reporter: Name of the process.
+    """
+    for row in rows:
+        if list(row.event_ids) != [reporter]:
+            continue
+        for report in decode_rows([row]):
+            if report.kind is _Kind.TRIAL:
+                yield report
--- a/tests/gateway/mesh_control.py
+++ b/tests/gateway/mesh_control.py
@@ -10,11 +10,13 @@
 
     Attributes:
         is_cut: True to have every call time out.
+        loses_answers: True to have the answers to reports on suspects lost.
         heartbeats: Number of heartbeats that arrived.
     """
 
     def __init__(self, control):
         self.is_cut = False
+        self.loses_answers = False
         self.heartbeats = 0
         self._control = control
 
@@ -37,7 +39,8 @@
     async def report_suspect(self, report):
         if self.is_cut:
             return self._make_timeout()
-        return await self._control.report_suspect(report)
+        answer = await self._control.report_suspect(report)
+        return self._make_timeout() if self.loses_answers else answer
 
     def _make_timeout(self):
         return wire_error.WireError(
--- a/tests/gateway/test_harmless_requests.py
+++ b/tests/gateway/test_harmless_requests.py
@@ -154,3 +154,20 @@
         for member in scene.mesh.members:
             member.announce_if_up()
     assert 2 <= len(scene.crashes.deaths_s) <= 3
+
+
+def test_trials_whose_grants_were_lost_refuse_nothing_for_good():
+    scene = crash_scene.Scene(has_control=True)
+    for backend in scene.backends:
+        backend.is_failing = True
+    kill_under(scene, PATH, 2)
+    for backend in scene.backends:
+        backend.is_failing = False
+    for link in scene.control.links:
+        link.loses_answers = True
+    popular = scene.call(20, PATH)
+    scene.run(25)
+    for link in scene.control.links:
+        link.loses_answers = False
+    scene.run(9)
+    check_is_served_in_the_end(scene, popular)
--- a/tests/node/test_suspect_reporter.py
+++ b/tests/node/test_suspect_reporter.py
@@ -121,6 +121,67 @@
     assert claim(setting.make_reporter(), trial) == [False]
 
 
+class Losing:
+    """Keeps reports, but every answer is lost."""
+
+    is_connected = True
+
+    def __init__(self, control):
+        self._control = control
+        self.before_answer = lambda: None
+
+    async def report_suspect(self, report):
+        await self._control.report_suspect(report)
+        self.before_answer()
+        return wire_error.WireError(wire_error.WireErrorReason.TIMEOUT, "lost")
+
+
+def read_rows(setting):
+    return [
+        ttypes.SuspectRow(fingerprint=name, event_ids=event_ids)
+        for name, event_ids in setting.control.suspects.read(0)
+    ]
+
+
+def make_losing_reporter(setting, name="a#1"):
+    losing = Losing(setting.control)
+    reporter = suspect_reporter.SuspectReporter(
+        lambda: [losing], name, setting.network, setting.clock
+    )
+    return losing, reporter
+
+
+def test_trial_that_was_granted_without_an_answer_is_unused():
+    setting = Setting()
+    trial = make_report("trial-0", KIND.TRIAL)
+    _, reporter = make_losing_reporter(setting)
+    assert claim(reporter, trial) == [False]
+    rows = read_rows(setting)
+    assert reporter.take_unused_trials(rows) == [trial]
+    assert reporter.take_unused_trials(rows) == []
+
+
+def test_trial_of_another_node_is_not_taken_for_unused():
+    setting = Setting()
+    trial = make_report("trial-0", KIND.TRIAL)
+    assert claim(setting.make_reporter("b#1"), trial) == [True]
+    _, reporter = make_losing_reporter(setting)
+    assert claim(reporter, trial) == [False]
+    assert reporter.take_unused_trials(read_rows(setting)) == []
+
+
+def test_trial_that_is_told_before_its_claim_is_given_up_is_granted():
+    setting = Setting()
+    trial = make_report("trial-0", KIND.TRIAL)
+    losing, reporter = make_losing_reporter(setting)
+    unused = []
+    losing.before_answer = lambda: unused.extend(
+        reporter.take_unused_trials(read_rows(setting))
+    )
+    assert claim(reporter, trial) == [True]
+    assert unused == []
+
+
 def test_error_of_one_instance_leads_to_the_next():
     setting = Setting()
 
