Quarantine: the turn to run alone passes on to the next suspect

Cause: a suspect of two deaths waits for an idle endpoint for at most 0.4 of its own deadline. Where the calls that have to end before hold their slots for longer, no suspect ever ran, each attempt was followed by a cooldown, and a harmless route was answered 503 from the faults until 26 s later.

Change: a suspect that can no longer start leaves its turn to the next one that waits to run alone. The endpoint stays closed for 1 s at most in all.

--- a/src/cranberrymux/decisions/quarantine/suspect_queue.py
+++ b/src/cranberrymux/decisions/quarantine/suspect_queue.py
@@ -12,6 +12,8 @@
 # Where calls hold their slots for long, the wait for an idle endpoint is most
 # of that time. Unbounded, harmless suspects were refused for 9 s after it.
 MAXIMUM_COOLDOWN_S = 4.0
+# Longest wait for an idle endpoint, in which it serves nobody else.
+MAXIMUM_IDLE_WAIT_S = 1.0
 MAXIMUM_WAITING = 128
 
 
@@ -35,9 +37,11 @@
     """Lets suspects start in order, a few beside other calls or one alone.
 
     While one that runs alone waits for an idle endpoint or is running, the
-    queue is closed: the owner starts no other call. Afterwards the endpoint
-    serves normal calls for a multiple of the time that this took, so that
-    exclusive runs take no more than a fixed share of an endpoint, or for
+    queue is closed: the owner starts no other call. One that can no longer
+    start leaves its turn to the next that runs alone, as its own time may be
+    shorter than that of the calls that have to end before. Afterwards the
+    endpoint serves normal calls for a multiple of the time that this took, so
+    that exclusive runs take no more than a fixed share of an endpoint, or for
     `MAXIMUM_COOLDOWN_S` if that is shorter.
     """
 
@@ -174,7 +178,21 @@
         return self._exclusive
 
     def _reopen(self, now_s: float) -> None:
-        self._exclusive = None
+        self._exclusive = self._take_successor(now_s)
+        if self._exclusive is not None:
+            return
         self._is_exclusive_running = False
         cooldown_s = COOLDOWN_RATIO * (now_s - self._closed_s)
         self._cooldown_ends_s = now_s + min(cooldown_s, MAXIMUM_COOLDOWN_S)
+
+    def _take_successor(self, now_s: float) -> SuspectTicket | None:
+        """Takes the suspect that gets the turn of one that did not start."""
+        closed_until_s = self._closed_s + MAXIMUM_IDLE_WAIT_S
+        if self._is_exclusive_running or now_s >= closed_until_s:
+            return None
+        for ticket in self._waiting:
+            if ticket.runs_alone and ticket.start_by_s >= now_s:
+                self._waiting.remove(ticket)
+                start_by_s = min(ticket.start_by_s, closed_until_s)
+                return ticket._replace(start_by_s=start_by_s)
+        return None
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -21,8 +21,6 @@
 # Suspects that may run at the same time, per slot. More end sooner, but a
 # death under several of them does not tell which is the cause.
 SUSPECTS_PER_SLOT = 1 / 16
-# Longest wait for an idle backend server, in which it serves nobody else.
-MAXIMUM_IDLE_WAIT_S = 1.0
 
 
 class SuspectCall(Protocol):
@@ -233,7 +231,9 @@
     ) -> None:
         now_s = self._parts.clock.now_s()
         if runs_alone:
-            start_by_s = min(start_by_s, now_s + MAXIMUM_IDLE_WAIT_S)
+            start_by_s = min(
+                start_by_s, now_s + suspect_queue.MAXIMUM_IDLE_WAIT_S
+            )
         ticket = suspect_queue.SuspectTicket(
             call.ticket_id, call.rank, start_by_s, runs_alone
         )
--- a/tests/decisions/quarantine/test_suspect_queue.py
+++ b/tests/decisions/quarantine/test_suspect_queue.py
@@ -141,3 +141,36 @@
     queue.offer(0.0, make_ticket(2, runs_alone=True))
     assert queue.take_next(0.0, 1) is None
     assert not queue.can_run_alone(0.1)
+
+
+def test_turn_passes_on_until_the_endpoint_is_idle():
+    # Calls that hold their slots for longer than a suspect may wait kept every
+    # suspect from running alone, for as long as there was load (issue 9).
+    queue = suspect_queue.SuspectQueue()
+    for number in range(3):
+        arrived_s = 0.2 * number
+        assert queue.offer(
+            arrived_s,
+            make_ticket(number, start_by_s=arrived_s + 0.3, runs_alone=True),
+        )
+        assert queue.take_next(arrived_s, 4) is None
+    assert set(queue.pop_expired(0.55)) == {0, 1}
+    assert queue.is_closed
+    assert queue.take_next(0.6, 0).ticket_id == 2
+    queue.finish(0.7, 2)
+    assert not queue.is_closed
+
+
+def test_turns_that_are_passed_on_keep_an_endpoint_closed_for_a_while_only():
+    queue = suspect_queue.SuspectQueue()
+    now_s = 0.0
+    for number in range(20):
+        now_s = 0.1 * number
+        queue.offer(
+            now_s, make_ticket(number, start_by_s=now_s + 0.3, runs_alone=True)
+        )
+        queue.take_next(now_s, 4)
+        queue.pop_expired(now_s)
+        if not queue.is_closed:
+            break
+    assert now_s <= suspect_queue.MAXIMUM_IDLE_WAIT_S + 0.2
