Platform: nodes and control instances without pyOpenSSL

Cause: Twisted imports pyOpenSSL, and with it cryptography, where they are installed. No program of the platform uses TLS.

Change: the entry points declare it absent and then import the program itself, whose module is named node_program and control_program.

--- a/tests/gateway/test_zones.py
+++ b/tests/gateway/test_zones.py
@@ -9,7 +9,7 @@
 
 from cranberrymux.gateway import attempts as attempts_module
 from cranberrymux.gateway import hop
-from cranberrymux.platform import node_main
+from cranberrymux.platform import node_program
 from tests.gateway import mesh as mesh_module
 
 FULL = 40
@@ -105,11 +105,11 @@
 @pytest.mark.parametrize("text", ["-1", "60001", "nan", "ten", "inf"])
 def test_invalid_price_is_refused(text):
     with pytest.raises(ValueError):
-        node_main._parse_price_ms(text)
+        node_program._parse_price_ms(text)
 
 
 def test_price_is_parsed_in_milliseconds():
-    assert node_main._parse_price_ms("2.5") == 2.5
+    assert node_program._parse_price_ms("2.5") == 2.5
 
 
 def read_metric(mesh, name, zone):
