Requests: digest from bytes, one list of headers for each sending

The digest decoded and encoded the request line, and made a fingerprint of which only the digest was used; it is the same as before, also for targets that are not ASCII.

--- a/src/cranberrymux/decisions/quarantine/fingerprint.py
+++ b/src/cranberrymux/decisions/quarantine/fingerprint.py
@@ -58,7 +58,22 @@
         body: The body, or its beginning if the body is streamed.
         body_bytes: Length of the whole body in bytes; -1 if unknown.
     """
-    head = f"{method} {path} {body_bytes}\n".encode("utf-8", "surrogateescape")
-    digest = hashlib.blake2b(head, digest_size=DIGEST_BYTES)
-    digest.update(body)
-    return Fingerprint(scope, request_id, digest.hexdigest())
+    head = f"{method} {path}".encode("utf-8", "surrogateescape")
+    digest = make_digest(head, body=body, body_bytes=body_bytes)
+    return Fingerprint(scope, request_id, digest)
+
+
+def make_digest(head: bytes, *, body: bytes, body_bytes: int) -> str:
+    """Returns the hexadecimal digest of a call.
+
+    Args:
+        head: Method and path, separated by a space.
+        body: The body, or its beginning if the body is streamed.
+        body_bytes: Length of the whole body in bytes; -1 if unknown.
+    """
+    digest = hashlib.blake2b(
+        b"%b %d\n" % (head, body_bytes), digest_size=DIGEST_BYTES
+    )
+    if body:
+        digest.update(body)
+    return digest.hexdigest()
--- a/src/cranberrymux/gateway/hop_request.py
+++ b/src/cranberrymux/gateway/hop_request.py
@@ -22,18 +22,17 @@
         endpoint: The endpoint that is to run it.
         dialect: Names of the headers.
         left_ms: Milliseconds that the endpoint's node has.
-        headers: Headers that do not depend on the endpoint.
+        headers: Headers that do not depend on the endpoint; the others are
+            added to them.
     """
     per_s = endpoint.rate_limit.per_s
-    target = endpoint.record.backend_id.encode()
-    sent = [
-        *headers,
+    headers += (
         (dialect.deadline_ms, b"%d" % left_ms),
-        (hop.TARGET, target),
-    ]
+        (hop.TARGET, endpoint.record.backend_id.encode()),
+    )
     if per_s is not None:
-        sent.append((hop.KNOWN_RATE_LIMIT, hop.encode_rate_limit(per_s)))
+        headers.append((hop.KNOWN_RATE_LIMIT, hop.encode_rate_limit(per_s)))
     head = call.head
     return outgoing_request.OutgoingRequest(
-        head.method, head.target, sent, call
+        head.method, head.target, headers, call
     )
--- a/src/cranberrymux/gateway/request_digest.py
+++ b/src/cranberrymux/gateway/request_digest.py
@@ -19,18 +19,14 @@
     """
     head = call.head
     host = head.headers.first.get(b"host", b"")
-    url = host.lower() + head.target
-    body_bytes = _UNKNOWN_LENGTH
-    if (
-        call.is_body_complete
-        and (length := call.body_length) <= MAXIMUM_BODY_BYTES
-    ):
-        body_bytes = length
-    return fingerprint.make(
-        "",
-        "",
-        head.method.decode("latin-1"),
-        url.decode("latin-1"),
+    content = b"%b %b%b" % (head.method, host.lower(), head.target)
+    if not content.isascii():
+        content = content.decode("latin-1").encode()
+    is_known = (
+        call.is_body_complete and call.body_length <= MAXIMUM_BODY_BYTES
+    )
+    return fingerprint.make_digest(
+        content,
         body=call.buffered_body()[:MAXIMUM_BODY_BYTES],
-        body_bytes=body_bytes,
-    ).digest
+        body_bytes=call.body_length if is_known else _UNKNOWN_LENGTH,
+    )
--- a/src/cranberrymux/node/attempt.py
+++ b/src/cranberrymux/node/attempt.py
@@ -205,7 +205,9 @@
         if self._is_streaming:
             owner.attempt_ended()
         else:
-            owner.attempt_answered(self._head, b"".join(self._parts))
+            parts = self._parts
+            body = parts[0] if len(parts) == 1 else b"".join(parts)
+            owner.attempt_answered(self._head, body)
 
     def answer_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Reports the loss of the answer to the owner."""
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -71,6 +71,7 @@
 
     Attributes:
         head: Request line and headers.
+        body_length: Length in bytes of the body read so far.
         is_body_complete: True if the whole body has been read.
         is_body_streamed: True once the body is passed on and no longer
             buffered, so that it cannot be sent again.
@@ -101,7 +102,7 @@
         self.on_ended: Callable[[], None] | None = None
         self._connection = connection
         self._parts: list[bytes] = []
-        self._body_length = 0
+        self.body_length = 0
         self.is_body_complete = False
         self.is_body_streamed = False
         self.is_head_sent = False
@@ -111,11 +112,6 @@
         self._is_answered = False
         self._is_client_disconnected = False
 
-    @property
-    def body_length(self) -> int:
-        """Length in bytes of the body read so far."""
-        return self._body_length
-
     @property
     def is_answered(self) -> bool:
         """True once the answer has ended: sent, aborted or not wanted."""
@@ -133,7 +129,7 @@
 
     def add_body(self, part: bytes) -> None:
         """Buffers or streams the next bytes of the body, as read."""
-        self._body_length += len(part)
+        self.body_length += len(part)
         if self._sink is not None:
             self._sink.body_part(part)
             return
