--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of a gateway."""
 
+import collections
+
 import prometheus_client
 from prometheus_client import exposition
 
@@ -17,6 +19,8 @@
 
     Attributes:
         requests: Requests of clients at this node, by route and outcome.
+        ended_requests: Those that `requests` does not count until it is read,
+            as a metric costs more than a number for each request.
         key_refusals: Requests refused for their key, by reason.
         quota_requests: Requests of limited accounts, by account and what
             became of their tokens.
@@ -56,6 +60,9 @@
         self.requests = self._counter(
             "requests", "Requests that began here.", "route", "outcome"
         )
+        self.ended_requests: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self.key_refusals = self._counter(
             "key_refusals",
             "Requests refused for the key of a client account.",
@@ -133,6 +140,9 @@
 
     def encode(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
+        for values, count in self.ended_requests.items():
+            self.requests[values].inc(count)
+        self.ended_requests.clear()
         return prometheus_client.generate_latest(self._registry)
 
     def _counter(
--- a/src/cranberrymux/gateway/request_log.py
+++ b/src/cranberrymux/gateway/request_log.py
@@ -42,7 +42,7 @@
         """Counts the request under its outcome and records its duration."""
         metrics = self._parts.metrics
         route = self._attempts.route.name
-        metrics.requests[route, outcome].inc()
+        metrics.ended_requests[route, outcome] += 1
         metrics.request_s[route,].observe(now_s - self._began_s)
 
     def log_own_answer(self, outcome: own_answers.Outcome, detail: str) -> None:
