Requests: fewer steps to send a request and to keep its connection

Idle connections were searched for expired ones with each request, limits on answers were reset by two calls, the query was cut off where there is none, and the object for suspects was made for requests that are none.

--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -107,7 +107,8 @@
             )
         if endpoint is not None:
             self._asked_ids.append(endpoint.record.endpoint_id)
-            endpoints.note_sent(endpoint, now_s)
+            if endpoint.rate_limit.per_s is not None:
+                endpoints.note_sent(endpoint, now_s)
             zone = endpoint.record.zone
             self._leaves_zone = zone != self._parts.settings.zone
             self._parts.zone_log.count_send(self.service, zone)
--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -123,5 +123,7 @@
     table: route_table.RouteTable, head: request_head.RequestHead
 ) -> route_module.Route | None:
     host = head.headers.first.get(b"host", b"")
-    path = head.target.partition(b"?")[0]
+    path = head.target
+    if b"?" in path:
+        path = path.partition(b"?")[0]
     return table.find(host.decode("latin-1"), path.decode("latin-1"))
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -65,7 +65,9 @@
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s, account
         )
-        wait_s = min(self._origin.left_s, route.timeout_s)
+        wait_s = self._origin.left_s
+        if wait_s > route.timeout_s:
+            wait_s = route.timeout_s
         self._quota = entry_quota.UNLIMITED
         is_limited = account is not None and account.is_limited
         if is_limited and self._origin.is_root:
@@ -87,7 +89,7 @@
         self._answer = entry_answer.EntryAnswer(
             parts, call, self._origin, self._attempts, self._log
         )
-        self._suspicion = suspicion.Suspicion(parts, digest)
+        self._digest = digest
         self._judge = answer_judge.AnswerJudge(parts, self._attempts)
         self._endpoint: endpoint_view.EndpointView | None = None
         self._sent_s = 0.0
@@ -172,6 +174,10 @@
         self._attempt.start()
         self._is_connecting = True
 
+    @property
+    def _suspicion(self) -> suspicion.Suspicion:
+        return suspicion.Suspicion(self._parts, self._digest)
+
     def _is_key_valid(self) -> bool:
         """Checks the key again after a wait, in which it may be taken away."""
         table = self._parts.routes.table
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -146,7 +146,7 @@
         report = work_report.decode(work) if work is not None else {}
         if answer.rate_limit_per_s is not None and service in report:
             self._ignore_limited_share(service, report, now_s)
-        if report.keys() - {service}:
+        if len(report) > (service in report):
             self._parts.repeats.mark_tree_route(self._route.name)
         if self._parent_match.is_call:
             parent = self._find_parent()
--- a/src/cranberrymux/node/http/answer_budget.py
+++ b/src/cranberrymux/node/http/answer_budget.py
@@ -12,6 +12,7 @@
 
     Attributes:
         headers: Headers and trailers of the answer.
+        interim_answers: Number of 1xx answers to the request.
     """
 
     def __init__(self, limits: answer_limits.AnswerLimits) -> None:
@@ -26,12 +27,7 @@
             limits.head_bytes, limits.header_count
         )
         self._answer_body_bytes = 0
-        self._interim_answers = 0
-
-    def begin_request(self) -> None:
-        """Starts to count for the next request."""
-        self.begin()
-        self._interim_answers = 0
+        self.interim_answers = 0
 
     def begin_answer(self) -> None:
         """Starts to count the next answer, which may be a 1xx answer."""
@@ -48,8 +44,8 @@
 
     def note_interim_answer(self) -> str:
         """Counts a 1xx answer."""
-        self._interim_answers += 1
-        if self._interim_answers > self._limits.interim_answers:
+        self.interim_answers += 1
+        if self.interim_answers > self._limits.interim_answers:
             return f"over {self._limits.interim_answers} interim answers"
         return ""
 
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -133,7 +133,8 @@
         self._is_answer_started = False
         self._is_interim = False
         self._is_close_delimited = False
-        self._budget.begin_request()
+        self._budget.begin()
+        self._budget.interim_answers = 0
         prompt_writer.write_now(self._tcp, data)
 
     def send_body(self, part: bytes) -> None:
--- a/src/cranberrymux/node/http/idle_connections.py
+++ b/src/cranberrymux/node/http/idle_connections.py
@@ -1,5 +1,7 @@
 """Open connections that carry no request at present."""
 
+import math
+
 from cranberrymux.models import socket_address
 from cranberrymux.node.http import client_connection
 from cranberrymux.node.http import request_identity
@@ -28,6 +30,8 @@
             client_connection.ClientConnection,
             tuple[socket_address.SocketAddress, float],
         ] = {}
+        # None of the connections is idle for too long until then.
+        self._unexpired_until_s = -math.inf
 
     @property
     def count(self) -> int:
@@ -44,10 +48,13 @@
         connection.note_idle(now_s)
         self._by_address.setdefault(address, []).append(connection)
         self._since[connection] = (address, now_s)
+        if now_s <= self._unexpired_until_s and len(self._since) <= MAXIMUM_IDLE:
+            return
         while self._since:
             oldest = next(iter(self._since))
-            is_expired = now_s - self._since[oldest][1] > IDLE_LIFETIME_S
-            if not is_expired and len(self._since) <= MAXIMUM_IDLE:
+            unexpired_until_s = self._since[oldest][1] + IDLE_LIFETIME_S
+            if now_s <= unexpired_until_s and len(self._since) <= MAXIMUM_IDLE:
+                self._unexpired_until_s = unexpired_until_s
                 return
             self.remove(oldest)
             oldest.close()
