--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -96,14 +96,14 @@
         # True if an attempt is sent in a later event than it was started.
         self._is_connecting = False
         self._was_suspect = False
+        self._deadline_key: int | None = None
 
     def start(self) -> None:
         """Sends the request to an endpoint, or refuses it."""
         self._parts.open_entry_calls += 1
         self._origin.begin_call()
         now_s = self._began_s
-        left_s = self._deadline_s - now_s
-        if left_s <= 0:
+        if self._deadline_s <= now_s:
             self._refuse(_Outcome.EXPIRED)
             return
         if not self._parts.can_end_before_stop(now_s, self._deadline_s):
@@ -113,8 +113,8 @@
             self._refuse(_Outcome.QUARANTINED)
             return
         self._call.on_cancel = self._handle_cancelled
-        self._timer = self._parts.reactor.callLater(
-            left_s, self._handle_timeout
+        self._deadline_key = self._parts.deadlines.add(
+            self._deadline_s, self._handle_timeout
         )
         if self._quota is entry_quota.UNLIMITED:
             self._send_first(now_s)
@@ -271,8 +271,8 @@
     def _limit_streaming(self, now_s: float) -> None:
         """Lets a long answer end a little after the deadline at the latest."""
         self._cancel_timer()
-        self._timer = self._parts.reactor.callLater(
-            max(self._deadline_s - now_s, 0.0) + STREAMING_GRACE_S,
+        self._deadline_key = self._parts.deadlines.add(
+            max(self._deadline_s, now_s) + STREAMING_GRACE_S,
             self._handle_streaming_timeout,
         )
 
@@ -328,8 +328,13 @@
 
     # Ends of the request.
 
+    def _cancel_timer(self) -> None:
+        if self._deadline_key is not None:
+            self._parts.deadlines.remove(self._deadline_key)
+            self._deadline_key = None
+
     def _handle_timeout(self) -> None:
-        self._timer = None
+        self._deadline_key = None
         endpoint = self._release_endpoint()
         if endpoint is not None:
             endpoint.note_timeout(self._parts.clock.now_s())
@@ -340,7 +345,7 @@
             self._refuse(_Outcome.EXPIRED)
 
     def _handle_streaming_timeout(self) -> None:
-        self._timer = None
+        self._deadline_key = None
         self._release_endpoint()
         self._cancel_attempt()
         self._answer.abort_streaming("the deadline passed")
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -23,6 +23,7 @@
 from cranberrymux.gateway import standby_task
 from cranberrymux.gateway import zone_log
 from cranberrymux.node import clock as clock_module
+from cranberrymux.node import deadline_table
 from cranberrymux.node import quarantine_factory
 from cranberrymux.node import siblings as siblings_module
 from cranberrymux.node.http import answer_limits
@@ -60,6 +61,7 @@
         endpoints: Endpoints of all services.
         repeats: Budget of repeats.
         entry_admission: Admission of requests at the entry port.
+        deadlines: Deadlines of the requests at the entry port.
         parent_matcher: Finds the running request that made a call.
         running_requests: Requests that the backend server runs.
         hop_connections: Connections to other nodes.
@@ -114,6 +116,7 @@
         self.entry_admission = entry_admission.EntryAdmission(
             self.clock.now_s(), generator
         )
+        self.deadlines = deadline_table.DeadlineTable(reactor, system_clock)
         self.parent_matcher = parent_matcher.ParentMatcher()
         self.running_requests = running_requests.RunningRequests()
         self.hop_connections = connection_pool.ConnectionPool(
--- a/src/cranberrymux/node/deadline_table.py
+++ b/src/cranberrymux/node/deadline_table.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import heapq
-import itertools
 from typing import Any
 
 from cranberrymux.node import clock
@@ -25,7 +24,7 @@
         self._clock = system_clock
         self._heap: list[tuple[float, int]] = []
         self._callbacks: dict[int, Callable[[], None]] = {}
-        self._key_counter = itertools.count()
+        self._last_key = 0
         self._timer: Any = None
         self._timer_due_s = float("inf")
 
@@ -41,7 +40,7 @@
         Returns:
             The key that removes it.
         """
-        key = next(self._key_counter)
+        self._last_key = key = self._last_key + 1
         self._callbacks[key] = callback
         heapq.heappush(self._heap, (due_s, key))
         if due_s < self._timer_due_s:
@@ -60,14 +59,17 @@
         self._timer = None
         self._timer_due_s = float("inf")
         now_s = self._clock.now_s()
-        while self._heap and self._heap[0][0] <= now_s:
-            _, key = heapq.heappop(self._heap)
-            callback = self._callbacks.pop(key, None)
-            if callback is not None:
-                callback()
-        self._drop_removed()
-        if self._heap and self._heap[0][0] < self._timer_due_s:
-            self._set_timer(self._heap[0][0])
+        try:
+            while self._heap and self._heap[0][0] <= now_s:
+                _, key = heapq.heappop(self._heap)
+                callback = self._callbacks.pop(key, None)
+                if callback is not None:
+                    callback()
+        finally:
+            # Also if a callback fails, which the reactor logs.
+            self._drop_removed()
+            if self._heap and self._heap[0][0] < self._timer_due_s:
+                self._set_timer(self._heap[0][0])
 
     def _drop_removed(self) -> None:
         while self._heap and self._heap[0][1] not in self._callbacks:
