HTTP: names of headers in lower case as they are read

A message's headers were listed twice, each as a new pair. The test names the table of names by its new, public name.

--- a/src/cranberrymux/node/http/header_reader.py
+++ b/src/cranberrymux/node/http/header_reader.py
@@ -2,6 +2,9 @@
 
 from cranberrymux.node.http import headers
 
+_WHITESPACE = frozenset((b" ", b"\t"))
+_lower_names = headers.lower_names
+
 
 class HeaderReader:
     """The headers and trailers of the message that is read.
@@ -10,7 +13,8 @@
     one read has brought, and the bytes counted only if they may be too many.
 
     Attributes:
-        pairs: Headers, or after `take` trailers, read so far.
+        pairs: Headers, or after `take` trailers, read so far; names in lower
+            case.
     """
 
     def __init__(self, maximum_bytes: int, maximum_count: int) -> None:
@@ -24,6 +28,8 @@
         self._maximum_count = maximum_count
         self.pairs: headers.HeaderList = []
         self._taken: headers.HeaderList = []
+        # False once a value has whitespace behind it.
+        self._is_normal = True
         self._message_bytes = 0
         self._read_bytes = 0
 
@@ -36,11 +42,14 @@
         """Starts the next message, within the present read."""
         self.pairs = []
         self._taken = []
+        self._is_normal = True
         self._message_bytes = self._read_bytes
 
     def add(self, name: bytes, value: bytes) -> None:
         """Adds a header or trailer as it was read."""
-        self.pairs.append((name, value))
+        self.pairs.append((_lower_names[name], value))
+        if value[-1:] in _WHITESPACE:
+            self._is_normal = False
 
     def take(self) -> headers.Headers | None:
         """Returns the headers, at the end of the head; None if exceeded."""
@@ -52,7 +61,7 @@
             return None
         self._taken = taken
         self.pairs = []
-        return headers.Headers(taken)
+        return headers.Headers(taken, self._is_normal)
 
     @property
     def has_too_many(self) -> bool:
--- a/src/cranberrymux/node/http/headers.py
+++ b/src/cranberrymux/node/http/headers.py
@@ -6,7 +6,6 @@
 
 # Values of `Connection` that name no header.
 _CONNECTION_OPTIONS = (b"keep-alive", b"close")
-_WHITESPACE = frozenset((b" ", b"\t"))
 # Names that are kept in lower case, and the longest of them.
 _KEPT_NAMES = 1024
 _KEPT_NAME_BYTES = 64
@@ -24,7 +23,7 @@
         return lower
 
 
-_lower_names = _LowerNames()
+lower_names = _LowerNames()
 
 # Headers that hold for one connection only or that each connection sets anew.
 HOP_BY_HOP = frozenset(
@@ -53,25 +52,21 @@
 
     __slots__ = ("first",)
 
-    def __init__(self, pairs: HeaderList) -> None:
+    def __init__(self, pairs: HeaderList, is_normal: bool = False) -> None:
         """Makes the headers as the code expects them.
 
         Args:
             pairs: Names, which become lower case, and values as read; the
                 parser leaves whitespace behind them.
+            is_normal: True if that has been done.
         """
-        super().__init__(
-            [
-                (
-                    _lower_names[name],
-                    value.rstrip(b" \t")
-                    if value[-1:] in _WHITESPACE
-                    else value,
-                )
+        if not is_normal:
+            pairs = [
+                (lower_names[name], value.rstrip(b" \t"))
                 for name, value in pairs
             ]
-        )
-        self.first = dict(self[::-1])
+        super().__init__(pairs)
+        self.first = dict(pairs[::-1])
 
 
 def index(headers: HeaderList) -> dict[bytes, bytes]:
--- a/tests/node/test_headers.py
+++ b/tests/node/test_headers.py
@@ -90,6 +90,6 @@
         }
     long_name = b"X" * 1000
     assert headers_module.Headers([(long_name, b"")])[0][0] == b"x" * 1000
-    kept = headers_module._lower_names
+    kept = headers_module.lower_names
     assert len(kept) <= 1024
     assert long_name not in kept
