--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -270,13 +270,15 @@
 
     def note_reported_failure_rate(self, now_s: float, rate: float) -> None:
         """Stores the failure rate, 0 to 1, that its node reports."""
-        self._reported_failure_rate.set(now_s, rate)
+        self._reported_failure_rate.latest = rate
+        self._reported_failure_rate.set_at_s = now_s
         if rate > failure_ejection.EJECTION_FAILURE_RATE:
             self._ejection.note_rate(now_s, rate)
 
     def note_reported_slowness(self, now_s: float, slowness: float) -> None:
         """Stores the ratio of present to usual working times, reported."""
-        self._excess_slowness.set(now_s, slowness - 1.0)
+        self._excess_slowness.latest = slowness - 1.0
+        self._excess_slowness.set_at_s = now_s
 
     def note_leaving(self, started_ms: int) -> bool:
         """Records that its backend server has said that it is leaving.
--- a/src/cranberrymux/decisions/endpoints/relative_time.py
+++ b/src/cranberrymux/decisions/endpoints/relative_time.py
@@ -25,6 +25,7 @@
 _TOLERATED_LOG = math.log(TOLERATED_RATIO)
 _DISCOUNT_LOG = math.log(DISCOUNT_RATIO)
 _MAXIMUM_LOG = math.log(MAXIMUM_RATIO)
+_MINIMUM_RATIO = 1.0 / MAXIMUM_RATIO
 
 
 class RelativeTime:
@@ -67,14 +68,16 @@
         self.reported_at_s = now_s
         log_ratio = log_work - self._service.mean_log
         ratio = 1.0
-        if abs(log_ratio) > _TOLERATED_LOG:
+        if not -_TOLERATED_LOG <= log_ratio <= _TOLERATED_LOG:
             excess = min(abs(log_ratio) - _DISCOUNT_LOG, _MAXIMUM_LOG)
             ratio = math.exp(math.copysign(excess, log_ratio))
         # The time that requests wait for calls is the same everywhere.
         share = speed.work_share
         self._set_usual(1.0 / (1.0 - share + share / ratio))
-        present = max(speed.present_slowness, 1.0 / MAXIMUM_RATIO)
-        self._present_excess = share * (min(present, MAXIMUM_RATIO) - 1.0)
+        present = speed.present_slowness
+        if not _MINIMUM_RATIO <= present <= MAXIMUM_RATIO:
+            present = min(max(present, _MINIMUM_RATIO), MAXIMUM_RATIO)
+        self._present_excess = share * (present - 1.0)
 
     def forget(self) -> None:
         """Returns to the usual time of the service."""
--- a/src/cranberrymux/decisions/endpoints/reported_load.py
+++ b/src/cranberrymux/decisions/endpoints/reported_load.py
@@ -33,9 +33,11 @@
             now_s: Monotonic time in seconds.
             requests: Requests that run or wait at the endpoint.
         """
-        age_s = max(now_s - self.reported_at_s, 0.0)
+        age_s = now_s - self.reported_at_s
         weight = 1.0
-        if age_s < MEAN_LIFETIME_S:
+        if age_s < 0.0:
+            weight = 0.0
+        elif age_s < MEAN_LIFETIME_S:
             weight = age_s / (age_s + MEAN_TIME_S)
         self._mean += weight * (requests - self._mean)
         self._requests = requests
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -224,7 +224,9 @@
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
         """Passes an answer on, or sends the request to another endpoint."""
-        answer = self._read_answer(head)
+        answer = hop_answer.HopAnswer(
+            head, self._request_id, self._sent_s, self._parts.clock.now_s()
+        )
         if hop.SUSPECT in answer.first:
             self._suspicion.learn(answer)
         if answer.has_died:
@@ -249,7 +251,9 @@
 
         If the request is sent to another endpoint, the rest is not read.
         """
-        answer = self._read_answer(head)
+        answer = hop_answer.HopAnswer(
+            head, self._request_id, self._sent_s, self._parts.clock.now_s()
+        )
         if self._judge.is_final(self._endpoint, answer):
             self._limit_streaming(answer.received_s)
             self._answer.start_streaming(answer, body)
@@ -261,13 +265,6 @@
             self._attempts.may_have_run = True
         self._send_elsewhere(endpoint, answer)
 
-    def _read_answer(
-        self, head: answer_head.AnswerHead
-    ) -> hop_answer.HopAnswer:
-        return hop_answer.HopAnswer(
-            head, self._request_id, self._sent_s, self._parts.clock.now_s()
-        )
-
     def _limit_streaming(self, now_s: float) -> None:
         """Lets a long answer end a little after the deadline at the latest."""
         self._cancel_timer()
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -27,7 +27,7 @@
         self,
         parts: parts_module.GatewayParts,
         route: route_module.Route,
-        headers: headers_module.HeaderList,
+        headers: headers_module.Headers,
         now_s: float,
         account: client_account.ClientAccount | None = None,
     ) -> None:
@@ -41,7 +41,7 @@
             account: The client account that sent it; None for none.
         """
         dialect = parts.settings.dialect
-        first = headers_module.index(headers)
+        first = headers.first
         left_ms = whole_number.decode(first.get(dialect.deadline_ms))
         self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
         self._parts = parts
