Endpoints: the cost of one counts only what can matter

Slowness and failure rate were computed for the cost of each endpoint, though neither counts below what is tolerated.

--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -163,14 +163,19 @@
         than others and higher for a slower one, plus the share of requests
         that the backend server refuses, plus a penalty for its failure rate.
         """
-        excess_failure_rate = max(
-            0.0, self.failure_rate(now_s) - TOLERATED_FAILURE_RATE
-        )
         load = self.load(now_s)
         penalty = self.relative_time.penalty(now_s, load)
-        excess_slowness = self.slowness(now_s) / TOLERATED_SLOWNESS - 1.0
-        if excess_slowness > 0.0:
-            penalty = max(penalty, excess_slowness * (load + SLOW_IDLE_LOAD))
+        # Values that decay do not exceed their latest one.
+        if self._excess_slowness.latest > TOLERATED_SLOWNESS - 1.0:
+            excess_slowness = self.slowness(now_s) / TOLERATED_SLOWNESS - 1.0
+            if excess_slowness > 0.0:
+                idle_penalty = excess_slowness * (load + SLOW_IDLE_LOAD)
+                penalty = max(penalty, idle_penalty)
+        excess_failure_rate = 0.0
+        if self.is_failing(now_s):
+            excess_failure_rate = (
+                self.failure_rate(now_s) - TOLERATED_FAILURE_RATE
+            )
         penalty += self._refusal_rate + FAILURE_COST * excess_failure_rate
         return load + penalty
 
@@ -203,13 +208,15 @@
         else:
             reported = self._reported_load.at(now_s)
         slots = self.record.slots
-        if self._reported_slots:
-            slots = min(slots, self._reported_slots)
-        return max(reported, self.outstanding) / max(slots, 1)
+        if 0 < self._reported_slots < slots:
+            slots = self._reported_slots
+        if reported < self.outstanding:
+            reported = self.outstanding
+        return reported / max(slots, 1)
 
     def is_failing(self, now_s: float) -> bool:
         """True if its failure rate exceeds `TOLERATED_FAILURE_RATE`."""
-        # Neither rate rises while it decays.
+        # Values that decay do not exceed their latest one.
         return (
             self._observed_failure_rate.latest > TOLERATED_FAILURE_RATE
             or self._reported_failure_rate.latest > TOLERATED_FAILURE_RATE
--- a/src/cranberrymux/decisions/endpoints/relative_time.py
+++ b/src/cranberrymux/decisions/endpoints/relative_time.py
@@ -106,6 +106,8 @@
             now_s: Monotonic time in seconds.
             load: Requests at the endpoint per slot.
         """
+        if not self._usual_excess and not self._present_excess:
+            return 0.0
         excess = self.at(now_s) - 1.0
         if load <= 1.0:
             return excess * (load + IDLE_LOAD)
