--- a/src/cranberrymux/decisions/endpoints/endpoint_set.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_set.py
@@ -172,6 +172,8 @@
         if found is None or stays or found.record.zone != self._zone:
             return found
         spilled = self.zones.spill(service, found, available, now_s)
+        if not spilled:
+            return found
         return self._choose_cheaper_of_two(spilled, now_s) or found
 
     def _choose_cheaper_of_two(
--- a/src/cranberrymux/gateway/client_identity.py
+++ b/src/cranberrymux/gateway/client_identity.py
@@ -45,6 +45,7 @@
     table: route_table.RouteTable,
     route: route_module.Route,
     headers: headers_module.Headers,
+    now_s: float,
 ) -> ClientIdentity:
     """Checks the key of a request.
 
@@ -53,10 +54,11 @@
         table: The configuration in force.
         route: Route of the request.
         headers: Headers of the request.
+        now_s: Monotonic seconds.
     """
     if route.is_public or table.accounts.is_empty:
         return ANONYMOUS
-    if not parts.key_lease.is_valid(parts.clock.now_s()):
+    if not parts.key_lease.is_valid(now_s):
         return ClientIdentity(IdentityVerdict.NO_LEASE)
     key = headers.first.get(parts.settings.dialect.api_key)
     account = None if key is None else table.accounts.find(key)
--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -73,8 +73,9 @@
             body = json.dumps({"error": "no-route"}).encode()
             call.answer(404, [_JSON_TYPE], body)
             return
+        now_s = parts.clock.now_s()
         identity = client_identity.identify(
-            parts, table, route, call.head.headers
+            parts, table, route, call.head.headers, now_s
         )
         if identity.verdict is not client_identity.IdentityVerdict.ACCEPTED:
             self._refuse_key(call, request_id, identity.verdict)
@@ -91,7 +92,7 @@
         if account is not None:
             headers.append((dialect.account, account.name.encode()))
         entry_call.EntryCall(
-            parts, call, route, headers, digest, account
+            parts, call, route, headers, digest, account, now_s
         ).start()
 
     def _refuse_key(
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -42,7 +42,8 @@
         route: route_module.Route,
         headers: headers_module.HeaderList,
         digest: str,
-        account: client_account.ClientAccount | None = None,
+        account: client_account.ClientAccount | None,
+        began_s: float,
     ) -> None:
         """Prepares the call; `start` sends it to an endpoint.
 
@@ -53,6 +54,7 @@
             headers: Headers to pass on, without those of each attempt.
             digest: Digest of its content.
             account: The client account that sent it; None for none.
+            began_s: Monotonic seconds at which it arrived.
         """
         self._parts = parts
         self._call = call
@@ -61,7 +63,7 @@
         self._headers = headers
         name = parts.settings.dialect.request_id
         self._request_id = call.head.headers.first.get(name, b"")
-        self._began_s = parts.clock.now_s()
+        self._began_s = began_s
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s, account
         )
@@ -154,7 +156,7 @@
         if self._parts.quarantine.records and self._suspicion.is_refused:
             self._refuse(_Outcome.QUARANTINED)
             return
-        if self._account is not None and not self._is_key_valid():
+        if self._account is not None and not self._is_key_valid(now_s):
             self._refuse(_Outcome.KEY_UNCONFIRMED)
             return
         endpoint = self._attempts.choose(now_s)
@@ -178,14 +180,14 @@
     def _suspicion(self) -> suspicion.Suspicion:
         return suspicion.Suspicion(self._parts, self._digest)
 
-    def _is_key_valid(self) -> bool:
+    def _is_key_valid(self, now_s: float) -> bool:
         """Checks the key again after a wait, in which it may be taken away."""
         table = self._parts.routes.table
         has_waited = self._quota.has_waited or self._attempts.has_tried
         if table is None or not has_waited:
             return True
         identity = client_identity.identify(
-            self._parts, table, self._route, self._call.head.headers
+            self._parts, table, self._route, self._call.head.headers, now_s
         )
         return identity.verdict is client_identity.IdentityVerdict.ACCEPTED
 
