--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -332,7 +332,7 @@
     return [
         pair
         for pair in headers
-        if pair[0] not in dropped
-        and pair[0] not in replaced
-        and pair[0][:_PREFIX_BYTES] != PREFIX
+        if (name := pair[0]) not in dropped
+        and name not in replaced
+        and name[:_PREFIX_BYTES] != PREFIX
     ]
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -29,7 +29,7 @@
         self,
         parts: parts_module.GatewayParts,
         route: route_module.Route,
-        headers: headers_module.HeaderList,
+        headers: headers_module.Headers,
         now_s: float,
         account: client_account.ClientAccount | None = None,
     ) -> None:
@@ -43,7 +43,7 @@
             account: The client account that sent it; None for none.
         """
         dialect = parts.settings.dialect
-        first = headers_module.index(headers)
+        first = headers.first
         left_ms = whole_number.decode(first.get(dialect.deadline_ms))
         self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
         self.parent: running_request.RunningRequest | None = None
@@ -149,7 +149,7 @@
         report = work_report.decode(work) if work is not None else {}
         if answer.rate_limit_per_s is not None and service in report:
             self._ignore_limited_share(service, report, now_s)
-        if report.keys() - {service}:
+        if len(report) > (service in report):
             self._parts.repeats.mark_tree_route(self._route.name)
         if self._parent_match.is_call:
             parent = self._find_parent()
