Endpoint's node: values that a request and its answer need are read once

The id of the backend server was encoded twice and its process built for each request; the index of an answer's headers was looked up by each reader; the clock was read again for a request that is sent as soon as it arrives; requests were looked up among suspects while none is known; the rate limit was asked for through three objects. All decisions are as before; a slot or a limit is found with the same comparisons.

--- a/src/cranberrymux/decisions/endpoints/stall_detector.py
+++ b/src/cranberrymux/decisions/endpoints/stall_detector.py
@@ -49,9 +49,9 @@
         elapsed_s = now_s - self._updated_at_s
         self._updated_at_s = now_s
         if working and self._answers >= MINIMUM_ANSWERS and elapsed_s > 0.0:
-            elapsed_s = min(elapsed_s, MAXIMUM_STEP_S)
-            self._missed_answers += elapsed_s * working / self._mean_work_time_s
-            self._unanswered_s += elapsed_s
+            step_s = elapsed_s if elapsed_s < MAXIMUM_STEP_S else MAXIMUM_STEP_S
+            self._missed_answers += step_s * working / self._mean_work_time_s
+            self._unanswered_s += step_s
             self.is_stalled = (
                 self._missed_answers > MAXIMUM_MISSED_ANSWERS
                 and self._unanswered_s > MINIMUM_STALL_S
--- a/src/cranberrymux/decisions/endpoints/work_time.py
+++ b/src/cranberrymux/decisions/endpoints/work_time.py
@@ -7,6 +7,7 @@
 SAMPLE_WEIGHT = 0.005
 MINIMUM_SAMPLES = 150  # Fewer say nothing of the difference to other endpoints.
 _MINIMUM_WORK_TIME_S = 1e-4  # Shorter times count as this: 0 has no logarithm.
+_MINIMUM_LOG = math.log(_MINIMUM_WORK_TIME_S)
 
 
 class WorkTime:
@@ -48,8 +49,13 @@
             held_s: Seconds for which it held its slot.
         """
         self._count += 1
-        weight = max(1.0 / self._count, SAMPLE_WEIGHT)
-        log_work = math.log(max(worked_s, _MINIMUM_WORK_TIME_S))
+        is_early = self._count * SAMPLE_WEIGHT < 1.0
+        weight = 1.0 / self._count if is_early else SAMPLE_WEIGHT
+        log_work = (
+            math.log(worked_s)
+            if worked_s > _MINIMUM_WORK_TIME_S
+            else _MINIMUM_LOG
+        )
         self._log_work += weight * (log_work - self._log_work)
         self._worked_s += weight * (worked_s - self._worked_s)
         self._held_s += weight * (held_s - self._held_s)
--- a/src/cranberrymux/decisions/presence/presence.py
+++ b/src/cranberrymux/decisions/presence/presence.py
@@ -3,6 +3,7 @@
 import enum
 
 from cranberrymux.decisions.presence import announcement
+from cranberrymux.models import backend_process
 
 _DRAINING = announcement.BackendState.DRAINING
 # Departed backend servers whose late announcements are recognized as stale.
@@ -36,6 +37,8 @@
 
     Attributes:
         current: The newest announcement; None before the first one.
+        process: The process that it is of.
+        encoded_id: The id of that backend server, as headers have it.
     """
 
     def __init__(self, lifetime_s: float) -> None:
@@ -46,6 +49,8 @@
         """
         self._lifetime_s = lifetime_s
         self.current: announcement.Announcement | None = None
+        self.process = backend_process.BackendProcess("", 0)
+        self.encoded_id = b""
         self._received_s = 0.0
         self._departed_start_ms: dict[str, int] = {}
 
@@ -69,8 +74,11 @@
         ):
             return PresenceChange.STALE
         self._received_s = now_s
-        if current is None or current.process != received.process:
+        process = received.process
+        if current is None or self.process != process:
             self.current = received
+            self.process = process
+            self.encoded_id = process.backend_id.encode()
             if received.state is _DRAINING:
                 return PresenceChange.DRAINING
             return PresenceChange.ARRIVED
--- a/src/cranberrymux/decisions/pressure/slot_scheduler.py
+++ b/src/cranberrymux/decisions/pressure/slot_scheduler.py
@@ -220,9 +220,12 @@
         return min(self._slots, math.ceil(MAXIMUM_OPEN_S * self._bucket.per_s))
 
     def _can_start(self, now_s: float) -> bool:
-        if self._is_paused or len(self._running) >= self._usable_slots:
+        if self._is_paused or len(self._running) >= self._slots:
             return False
-        return self._bucket is None or self._bucket.has_token(now_s)
+        return self._bucket is None or (
+            len(self._running) < self._usable_slots
+            and self._bucket.has_token(now_s)
+        )
 
     def _start(self, now_s: float, ticket_id: int) -> None:
         self._running[ticket_id] = now_s
--- a/src/cranberrymux/gateway/backend_self_report.py
+++ b/src/cranberrymux/gateway/backend_self_report.py
@@ -19,6 +19,7 @@
     Writes a log line for each change and for each value that is not valid.
 
     Attributes:
+        process: The process that the information is about.
         known: The rate limit of the process.
         is_leaving: True once the process has said that it is leaving.
     """
@@ -37,19 +38,14 @@
         """
         self._parts = parts
         self._on_leaving = on_leaving
-        self._process = _NO_PROCESS
+        self.process = _NO_PROCESS
         self.known = known_rate_limit.KnownRateLimit()
         self.is_leaving = False
 
-    @property
-    def process(self) -> backend_process.BackendProcess:
-        """The process that the information is about."""
-        return self._process
-
     def use_process(self, process: backend_process.BackendProcess) -> None:
         """Forgets everything if the backend server is another process."""
-        is_same = process.may_be(self._process)
-        self._process = process
+        is_same = process.may_be(self.process)
+        self.process = process
         if not is_same:
             self.known = known_rate_limit.KnownRateLimit()
             self.is_leaving = False
@@ -70,11 +66,6 @@
             request_id: Id of the request; empty for a health check.
             source: What the answer was to.
         """
-        known = self.known
-        if signals is backend_signals.NO_SIGNALS and (
-            known.per_s is None and known.source is _Source.ANSWER
-        ):
-            return  # As known before.
         if signals.leaving_error:
             self._log_invalid("leaving", signals.leaving_error)
         if signals.load_error:
@@ -106,10 +97,10 @@
         self.is_leaving = True
         self._parts.events.info(
             "backend-leaving",
-            **self._process._asdict(),
+            **self.process._asdict(),
             request_id=request_id.decode("latin-1"),
         )
-        self._on_leaving(self._process.backend_id)
+        self._on_leaving(self.process.backend_id)
 
     def _log_limit(self, previous: dict[str, Any], request_id: bytes) -> None:
         self._parts.metrics.rate_limit.set(self.known.per_s or 0.0)
@@ -117,7 +108,7 @@
         assert source is not None
         self._parts.events.info(
             "backend-rate-limit",
-            **self._process._asdict(),
+            **self.process._asdict(),
             per_s=self.known.per_s,
             source=source.value,
             request_id=request_id.decode("latin-1"),
@@ -139,6 +130,6 @@
         self._parts.events.info(
             "backend-signal-invalid",
             reason=reason,
-            backend_id=self._process.backend_id,
+            backend_id=self.process.backend_id,
             detail=detail,
         )
--- a/src/cranberrymux/gateway/backend_signals.py
+++ b/src/cranberrymux/gateway/backend_signals.py
@@ -40,15 +40,17 @@
 
 
 def read(
-    head: answer_head.AnswerHead, dialect: dialect_module.Dialect
+    head: answer_head.AnswerHead,
+    first: dict[bytes, bytes],
+    dialect: dialect_module.Dialect,
 ) -> BackendSignals:
     """Reads the signals of an answer.
 
     Args:
         head: Head of an answer of the backend server.
+        first: Value of its first header of each name.
         dialect: Names of the headers.
     """
-    first = headers_module.index(head.headers)
     if (
         dialect.rate_limit not in first
         and dialect.leaving not in first
--- a/src/cranberrymux/gateway/backend_verdict.py
+++ b/src/cranberrymux/gateway/backend_verdict.py
@@ -4,8 +4,6 @@
 from cranberrymux.gateway import dialect as dialect_module
 from cranberrymux.gateway import hop
 from cranberrymux.models import http_status
-from cranberrymux.node.http import answer_head
-from cranberrymux.node.http import headers as headers_module
 
 _RunOutcome = run_outcome.RunOutcome
 _CONTENT_CODING = b"content-encoding"
@@ -53,18 +51,17 @@
 
 
 def judge(
-    head: answer_head.AnswerHead, dialect: dialect_module.Dialect
+    status: int, first: dict[bytes, bytes], dialect: dialect_module.Dialect
 ) -> BackendVerdict:
     """Judges an answer, whatever its length, by its head.
 
     Args:
-        head: Head of the backend server's answer.
+        status: Status of the backend server's answer.
+        first: Value of its first header of each name.
         dialect: Names of the headers.
     """
-    status = head.status
     if status == _MISDIRECTED_STATUS:
         return _MISDIRECTED
-    first = headers_module.index(head.headers)
     if dialect.not_run in first:
         return _FULL
     is_proven = dialect.proof in first and _CONTENT_CODING not in first
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -142,7 +142,8 @@
         if now_s >= self.work.pressure.due_s:
             self.work.pressure.update(now_s, self.limit.per_s)
         self._calls[ticket_id] = hop_call
-        if not self.suspects.hold(hop_call):
+        may_be_suspect = self.suspects.records or hop.SUSPECT in headers.first
+        if not may_be_suspect or not self.suspects.hold(hop_call):
             self.offer_slot(ticket_id, now_s)
         if self.suspects.held_ids:
             self._watch_queue()
@@ -211,9 +212,8 @@
             return hop.STARTING
         if not self._presence.is_serving(now_s):
             return hop.DRAINING
-        current = self._presence.current
         target = call.head.headers.first.get(hop.TARGET)
-        if current is None or target != current.backend_id.encode():
+        if target != self._presence.encoded_id:
             return hop.OTHER_BACKEND
         return b"" if self.work.health.admits(now_s) else hop.STALLED
 
@@ -239,7 +239,9 @@
 
         Backend servers may have died under it elsewhere while it waited.
         """
-        if self.suspects.is_refused(self._calls[ticket_id].digest):
+        if self.suspects.records and self.suspects.is_refused(
+            self._calls[ticket_id].digest
+        ):
             self._scheduler.finish(now_s, ticket_id, False)
             self.refuse_held(ticket_id, hop.QUARANTINED)
         else:
@@ -250,7 +252,9 @@
         assert current is not None
         address = socket_address.parse(current.address)
         assert address is not None
-        self._calls[ticket_id].begin(address, current.process, now_s)
+        self._calls[ticket_id].begin(
+            address, self._presence.process, self._presence.encoded_id, now_s
+        )
 
     def _serve_queue(self) -> None:
         """Starts the requests that have got a token and refuses late ones."""
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -117,7 +117,7 @@
 
     def count_status(self, status: int) -> None:
         """Counts an answer of the backend server by its status."""
-        self._parts.metrics.hops[f"{status // 100}xx",].inc()
+        self._parts.metrics.hops[f"{status // 100}xx",].value += 1
 
     def log_unreachable(self, detail: str) -> None:
         """Logs that the backend server takes no connection."""
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -15,6 +15,7 @@
 from cranberrymux.node import attempt as attempt_module
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import request_identity
@@ -80,7 +81,7 @@
         self.ticket_id = ticket_id
         self.start_by_s = now_s + MAXIMUM_WAIT_RATIO * left_s
         self.deadline_s = now_s + left_s
-        self.tree_context = hop.decode_tree_context(headers)
+        self.tree_context = hop.read_tree_context(headers.first)
         self.rank = self.tree_context.rank
         self.ticket = slot_ticket.Ticket(
             ticket_id,
@@ -98,6 +99,7 @@
         self._process = _NO_PROCESS
         self._address = _NO_ADDRESS
         self._sent_s = 0.0
+        self._has_begun = False
         self._has_outcome = False
         self._streamed: backend_verdict.BackendVerdict | None = None
         self._streamed_status = 0
@@ -109,6 +111,7 @@
         self,
         address: socket_address.SocketAddress,
         process: backend_process.BackendProcess,
+        encoded_id: bytes,
         now_s: float,
     ) -> None:
         """Sends the request to the backend server.
@@ -116,6 +119,7 @@
         Args:
             address: Address of the backend server.
             process: Its process. A server that has another id answers 421.
+            encoded_id: The id of that.
             now_s: Monotonic seconds.
         """
         self._process = process
@@ -129,7 +133,7 @@
         headers = [
             *hop.get_forwardable(self.headers, replaced),
             (dialect.deadline_ms, b"%d" % left_ms),
-            (dialect.expected_backend, process.backend_id.encode()),
+            (dialect.expected_backend, encoded_id),
         ]
         self._owner.work.start_run(self, now_s + left_ms / 1000)
         self._attempt = attempt_module.Attempt(
@@ -146,7 +150,9 @@
         self._timer = self._parts.reactor.callLater(
             left_s + CANCELLATION_GRACE_S, self._handle_timeout
         )
+        self._sent_s = now_s
         self._attempt.start()
+        self._has_begun = True
 
     def refuse(self, reason: bytes) -> None:
         """Answers that the request was not run here.
@@ -161,7 +167,9 @@
 
     def attempt_sent(self) -> None:
         """Records the time, which orders the answers that it may get."""
-        self._sent_s = self._parts.clock.now_s()
+        if self._has_begun:
+            # It had to wait for a connection.
+            self._sent_s = self._parts.clock.now_s()
         self._owner.suspects.run_started(self)
 
     def attempt_answered(
@@ -281,10 +289,12 @@
         self, head: answer_head.AnswerHead
     ) -> backend_verdict.BackendVerdict:
         """Judges an answer and learns what it says of the backend server."""
-        verdict = backend_verdict.judge(head, self._parts.settings.dialect)
+        dialect = self._parts.settings.dialect
+        first = headers_module.index(head.headers)
+        verdict = backend_verdict.judge(head.status, first, dialect)
         if verdict.is_from_backend:
             self._owner.limit.note_answer_head(
-                head, self._process, self._sent_s, self.request_id
+                head, first, self._process, self._sent_s, self.request_id
             )
         return verdict
 
--- a/src/cranberrymux/gateway/exit_limit.py
+++ b/src/cranberrymux/gateway/exit_limit.py
@@ -14,9 +14,15 @@
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import headers as headers_module
 
+_Source = limit_source.LimitSource
+
 
 class ExitLimit:
-    """Holds the requests of all nodes to the limit of the backend server."""
+    """Holds the requests of all nodes to the limit of the backend server.
+
+    Attributes:
+        per_s: Requests a second; None without a limit.
+    """
 
     def __init__(
         self,
@@ -40,11 +46,7 @@
         self._self_report = backend_self_report.BackendSelfReport(
             parts, on_leaving
         )
-
-    @property
-    def per_s(self) -> float | None:
-        """Requests a second; None without a limit."""
-        return self._self_report.known.per_s
+        self.per_s: float | None = None
 
     def use_process(self, process: backend_process.BackendProcess) -> None:
         """Ends the limit if the backend server is another process."""
@@ -66,7 +68,7 @@
             signals,
             self._parts.clock.now_s(),
             b"",
-            limit_source.LimitSource.HEALTH_CHECK,
+            _Source.HEALTH_CHECK,
         )
         self._apply()
 
@@ -82,6 +84,7 @@
     def note_answer_head(
         self,
         head: answer_head.AnswerHead,
+        first: dict[bytes, bytes],
         process: backend_process.BackendProcess,
         sent_s: float,
         request_id: bytes,
@@ -90,21 +93,26 @@
 
         Args:
             head: Head of the answer.
+            first: Value of its first header of each name.
             process: The process that the request was sent to.
             sent_s: Monotonic seconds at which the request was sent.
             request_id: Id of the request.
         """
-        known = self._self_report.process
-        if process != known and not process.may_be(known):
+        report = self._self_report
+        if process != report.process and not process.may_be(report.process):
             return
-        signals = backend_signals.read(head, self._parts.settings.dialect)
-        self._self_report.note_answer(signals, sent_s, request_id)
+        signals = backend_signals.read(
+            head, first, self._parts.settings.dialect
+        )
+        known = report.known
+        if signals is backend_signals.NO_SIGNALS and (
+            known.per_s is None and known.source is _Source.ANSWER
+        ):
+            return  # As known before.
+        report.note_answer(signals, sent_s, request_id)
         if signals.load is not None:
             self._work.note_figures(signals.load)
-        if signals is not backend_signals.NO_SIGNALS or (
-            self._scheduler.is_rate_limited
-        ):
-            self._apply()
+        self._apply()
 
     def encode(self) -> headers_module.HeaderList:
         """Encodes what the backend server says of itself, for answers."""
@@ -120,6 +128,7 @@
         return headers
 
     def _apply(self) -> None:
+        self.per_s = self._self_report.known.per_s
         if self.per_s is None and self._scheduler.is_rate_limited:
             self._work.pressure.reset()
         self._scheduler.set_rate_limit(self._parts.clock.now_s(), self.per_s)
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -64,6 +64,8 @@
 
     Attributes:
         held_ids: Numbers of the suspects that wait or run.
+        records: Records of the quarantine; no request is a suspect while it
+            is empty and no sender tells of one.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         """
         self._parts = parts
         self._quarantine = parts.quarantine
+        self.records = parts.quarantine.records
         self._scheduler = scheduler
         self._owner = owner
         self._queue = suspect_queue.SuspectQueue()
@@ -106,7 +109,7 @@
         first = call.headers.first
         if hop.SUSPECT in first:
             suspicion.learn(self._parts, first)
-        if not self._quarantine.records:
+        if not self.records:
             return False
         fingerprint = suspicion.make_fingerprint(call.digest)
         verdict = self._quarantine.classify(fingerprint)
@@ -120,8 +123,6 @@
 
     def is_refused(self, digest: str) -> bool:
         """True if no request with this digest may run beside others now."""
-        if not self._quarantine.records:
-            return False
         verdict = self._quarantine.classify(suspicion.make_fingerprint(digest))
         return isinstance(verdict, refusal.Refusal)
 
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -90,7 +90,7 @@
             call: The request.
             deadline_s: Monotonic seconds of the deadline it is sent with.
         """
-        self._parts.metrics.backend_sends.inc()
+        self._parts.metrics.backend_sends.value += 1
         self._parts.parent_matcher.add(
             call.ticket_id, call.request_id, deadline_s
         )
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -195,8 +195,16 @@
 
 
 def decode_tree_context(headers: headers_module.HeaderList) -> TreeContext:
-    """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
-    first = headers_module.index(headers)
+    """Decodes the context of a request with these headers."""
+    return read_tree_context(headers_module.index(headers))
+
+
+def read_tree_context(first: dict[bytes, bytes]) -> TreeContext:
+    """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid.
+
+    Args:
+        first: Value of the first header of each name.
+    """
     value = first.get(TREE_CONTEXT, b"")
     tree_context = _parse_tree_context(value, first.get(ACCOUNT, b""))
     if OFFERED not in first:
@@ -328,7 +336,11 @@
         replaced: Names of those left out besides the headers between nodes
             and the hop-by-hop ones.
     """
-    dropped = headers_module.find_hop_by_hop(headers)
+    dropped: Container[bytes] = headers_module.HOP_BY_HOP
+    if type(headers) is not headers_module.Headers or (
+        b"connection" in headers.first
+    ):
+        dropped = headers_module.find_hop_by_hop(headers)
     return [
         pair
         for pair in headers
--- a/src/cranberrymux/gateway/startup_health_check.py
+++ b/src/cranberrymux/gateway/startup_health_check.py
@@ -112,7 +112,10 @@
         """Reports the backend server if it accepts requests."""
         self._connection = None
         assert self._head is not None
-        signals = backend_signals.read(self._head, self._settings.dialect)
+        first = headers_module.index(self._head.headers)
+        signals = backend_signals.read(
+            self._head, first, self._settings.dialect
+        )
         if signals.is_leaving:
             self._handle_leaving(self._head)
             return
--- a/tests/decisions/presence/test_presence.py
+++ b/tests/decisions/presence/test_presence.py
@@ -79,3 +79,14 @@
 def test_departure_of_another_backend_server_changes_nothing(presence):
     assert presence.leave("other", 1000) is Change.NONE
     assert presence.is_serving(0.1)
+
+
+def test_process_and_encoded_id_are_those_of_the_newest_announcement():
+    """Guards against requests for a backend server that was replaced."""
+    presence = presence_module.Presence(5.0)
+    for number, name in enumerate(("b-1", "b-1", "b-2", "b-1"), 1):
+        presence.announce(
+            make_announcement(1, started_ms=number, backend_id=name), 0.0
+        )
+        assert presence.process == presence.current.process
+        assert presence.encoded_id == name.encode()
