--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -19,6 +19,7 @@
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import peer_messages
 from cranberrymux.models import socket_address
+from cranberrymux.node import deadline_table
 from cranberrymux.node import suspect_message
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import inbound_call
@@ -37,6 +38,7 @@
     measures what they cost.
 
     Attributes:
+        deadlines: Calls requests back whose caller has given up.
         limit: The rate limit of the backend server.
         suspects: Requests that may crash the backend server.
         work: What the requests cost.
@@ -63,6 +65,9 @@
             accepts_close_delimited=True,
             on_unexpected=parts.note_unexpected_answer,
         )
+        self.deadlines = deadline_table.DeadlineTable(
+            parts.reactor, parts.clock
+        )
         self._scheduler = slot_scheduler.SlotScheduler(1)
         self.work = exit_work.ExitWork(parts, self._scheduler)
         self._peer_messages = peer_messages.PeerMessages(parts)
@@ -186,6 +191,7 @@
         """Frees a slot; returns the work of the request and its calls."""
         if self._calls.pop(call.ticket_id, None) is None:
             return {}
+        self.deadlines.remove(call.deadline_key)
         report = self.work.end_run(call, outcome, self.limit.per_s, now_s)
         if self.suspects.held_ids:
             self.suspects.ended(call.ticket_id)
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -41,6 +41,7 @@
 
     Attributes:
         ticket_id: Number of the request, unique at this node.
+        deadline_key: Key of its deadline; 0 before it is sent.
         headers: Headers of the request, with those between nodes.
         ticket: What it asks of the slots.
         rank: Order of starting; lower ranks start first.
@@ -79,6 +80,7 @@
         name = parts.settings.dialect.deadline_ms
         left_s = (whole_number.decode(headers.first.get(name)) or 0) / 1000
         self.ticket_id = ticket_id
+        self.deadline_key = 0
         self.start_by_s = now_s + MAXIMUM_WAIT_RATIO * left_s
         self.deadline_s = now_s + left_s
         self.tree_context = hop.read_tree_context(headers.first)
@@ -147,8 +149,8 @@
                 dialect.request_id, self.request_id
             ),
         )
-        self._timer = self._parts.reactor.callLater(
-            left_s + CANCELLATION_GRACE_S, self._handle_timeout
+        self.deadline_key = self._owner.deadlines.add(
+            now_s + left_s + CANCELLATION_GRACE_S, self._handle_timeout
         )
         self._sent_s = now_s
         self._attempt.start()
@@ -160,7 +162,6 @@
         Args:
             reason: One of the reasons of `hop.NOT_RUN`.
         """
-        self._cancel_timer()
         self._answers.refuse(reason)
 
     # Outcome of the attempt.
@@ -185,7 +186,6 @@
         body: bytes,
     ) -> None:
         """Ends the request with a whole answer, or without one."""
-        self._cancel_timer()
         now_s = self._parts.clock.now_s()
         self._owner.suspects.run_ended(self, is_clean=verdict.is_clean)
         is_failed_by_call = False
@@ -228,7 +228,6 @@
     def attempt_ended(self) -> None:
         """Ends a long answer that is complete."""
         assert self._streamed is not None
-        self._cancel_timer()
         is_clean = self._streamed.is_clean
         self._owner.suspects.run_ended(self, is_clean=is_clean)
         now_s = self._parts.clock.now_s()
@@ -239,7 +238,6 @@
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Answers that the request did not run, or aborts if it may have."""
-        self._cancel_timer()
         now_s = self._parts.clock.now_s()
         self._note_outcome(True, now_s)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED, now_s)
@@ -265,7 +263,6 @@
         self._owner.suspects.run_lost(self, self._address, explained)
 
     def _handle_timeout(self) -> None:
-        self._timer = None
         self._cancel_attempt()
         self._owner.suspects.run_abandoned(self)
         now_s = self._parts.clock.now_s()
@@ -274,7 +271,6 @@
         self._call.abort()
 
     def _handle_cancelled(self) -> None:
-        self._cancel_timer()
         if self._attempt is None:
             self._owner.remove_waiting(self.ticket_id)
             return
--- a/src/cranberrymux/gateway/exit_owner.py
+++ b/src/cranberrymux/gateway/exit_owner.py
@@ -8,17 +8,20 @@
 from cranberrymux.gateway import exit_suspects
 from cranberrymux.gateway import exit_work
 from cranberrymux.gateway import owned_call
+from cranberrymux.node import deadline_table
 
 
 class ExitOwner(Protocol):
     """Assigns the slots of the backend server and measures its requests.
 
     Attributes:
+        deadlines: Calls requests back whose caller has given up.
         limit: The rate limit of the backend server.
         suspects: Requests that may crash the backend server.
         work: What the requests cost.
     """
 
+    deadlines: deadline_table.DeadlineTable
     limit: exit_limit.ExitLimit
     suspects: exit_suspects.ExitSuspects
     work: exit_work.ExitWork
--- a/src/cranberrymux/gateway/owned_call.py
+++ b/src/cranberrymux/gateway/owned_call.py
@@ -10,12 +10,14 @@
 
     Attributes:
         ticket_id: Number of the request, unique at this node.
+        deadline_key: Key of its deadline; 0 before it is sent.
         request_id: Its id.
         route: Name of its route.
         tree_context: What the node where its tree began says of the tree.
     """
 
     ticket_id: int
+    deadline_key: int
     request_id: bytes
     route: str
     tree_context: hop.TreeContext
--- a/src/cranberrymux/node/deadline_table.py
+++ b/src/cranberrymux/node/deadline_table.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import heapq
-import itertools
 from typing import Any
 
 from cranberrymux.node import clock
@@ -25,7 +24,7 @@
         self._clock = system_clock
         self._heap: list[tuple[float, int]] = []
         self._callbacks: dict[int, Callable[[], None]] = {}
-        self._key_counter = itertools.count()
+        self._last_key = 0
         self._timer: Any = None
         self._timer_due_s = float("inf")
 
@@ -41,7 +40,8 @@
         Returns:
             The key that removes it.
         """
-        key = next(self._key_counter)
+        self._last_key += 1
+        key = self._last_key
         self._callbacks[key] = callback
         heapq.heappush(self._heap, (due_s, key))
         if due_s < self._timer_due_s:
@@ -53,7 +53,8 @@
 
         Its heap entry stays until it is due or the first.
         """
-        self._callbacks.pop(key, None)
+        if key in self._callbacks:
+            del self._callbacks[key]
 
     def run_due(self) -> None:
         """Calls every callback that is due and sets the timer anew."""
