Forwarded headers: whether a name is passed on is kept

At most 1,024 names of up to 64 bytes are kept. Where a connection header names others they are dropped as before (tests). The end of a run looks its request up once, and the load report takes the number of requests in one step.

--- a/src/cranberrymux/decisions/pressure/slot_scheduler.py
+++ b/src/cranberrymux/decisions/pressure/slot_scheduler.py
@@ -70,6 +70,11 @@
         """Number of requests that wait for a slot."""
         return len(self._waiting)
 
+    @property
+    def requests(self) -> int:
+        """Number of requests that hold a slot or wait for one."""
+        return len(self._running) + len(self._waiting)
+
     @property
     def mean_hold_s(self) -> float:
         """Mean time a request holds its slot, in seconds; 0.0 at first."""
--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -89,9 +89,20 @@
 
     def admits(self, now_s: float) -> bool:
         """True if a request may be sent: without a stall, or as a probe."""
-        self._update_stall(now_s)
+        self.update_stall(now_s)
         return not self._stall.is_stalled or self._stall.admits(now_s)
 
+    def update_stall(self, now_s: float) -> None:
+        """Counts the answers that were expected since the last event."""
+        self._stall.update(now_s, self._parts.running_requests.working)
+        if (
+            self._is_degraded
+            or self._stall.is_stalled
+            or self.failing.latest > DEGRADED_FAILURE_RATE
+            or self._slowness.latest_excess > _DEGRADED_EXCESS
+        ):
+            self.log_transitions()
+
     def note_figures(
         self, figures: load_figures.LoadFigures, running: int
     ) -> None:
@@ -115,7 +126,7 @@
         held_s: float,
         outcome: run_outcome.RunOutcome,
     ) -> None:
-        """Records the working time of a request that is about to free its slot.
+        """Records the working time of a request, after `update_stall`.
 
         Args:
             now_s: Monotonic seconds.
@@ -125,7 +136,6 @@
             held_s: Seconds for which it held its slot.
             outcome: How the run ended.
         """
-        self._update_stall(now_s)
         if outcome is _RunOutcome.UNANSWERED:
             self._load.note_abandoned(now_s)
             return
@@ -166,13 +176,3 @@
         self._stall = stall_detector.StallDetector()
         self._load = backend_load.BackendLoad()
         self._speed_until_s = -math.inf
-
-    def _update_stall(self, now_s: float) -> None:
-        self._stall.update(now_s, self._parts.running_requests.working)
-        if (
-            self._is_degraded
-            or self._stall.is_stalled
-            or self.failing.latest > DEGRADED_FAILURE_RATE
-            or self._slowness.latest_excess > _DEGRADED_EXCESS
-        ):
-            self.log_transitions()
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -42,8 +42,7 @@
 
     def encode_load(self, now_s: float) -> headers_module.HeaderList:
         """Encodes the load report that answers carry."""
-        requests = self._scheduler.running + self._scheduler.waiting
-        return self.health.encode_report(now_s, requests)
+        return self.health.encode_report(now_s, self._scheduler.requests)
 
     def note_figures(self, figures: load_figures.LoadFigures) -> None:
         """Stores what the backend server says of its load."""
@@ -116,7 +115,8 @@
         hold_s = self._scheduler.finish(now_s, ticket_id, is_measured)
         if is_measured:
             self.pressure.note_hold(call.route, hold_s)
-        running = self._parts.running_requests.find(ticket_id)
+        self.health.update_stall(now_s)
+        running = self._parts.running_requests.end(ticket_id)
         if running is not None:
             self.health.note_work_time(
                 now_s,
@@ -128,7 +128,6 @@
         if now_s >= self.pressure.due_s:
             self.pressure.update(now_s, limit_per_s)
         self._parts.parent_matcher.remove(ticket_id)
-        self._parts.running_requests.end(ticket_id)
         own = self.pressure.report(call.tree_context, hold_s)
         if running is None or not running.report:
             return own
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -14,8 +14,10 @@
 from cranberrymux.node.http import headers as headers_module
 
 PREFIX = b"cranberrymux-"
-_PREFIX_BYTES = len(PREFIX)
 _KEPT_VALUES = 256  # Results kept by each cached encoder and decoder.
+# Names kept by `_PassedOn`, and the longest of them.
+_KEPT_NAMES = 1024
+_KEPT_NAME_BYTES = 64
 # Numbers separated by slashes; later versions may append further ones.
 _NUMBER = rb"([0-9]{1,%d})" % whole_number.MAXIMUM_DIGITS
 _THREE_NUMBERS = re.compile(b"/".join([_NUMBER] * 3) + b"(?:/.*)?", re.DOTALL)
@@ -326,6 +328,22 @@
     return whole_number.decode(headers_module.find(headers, LEAVING))
 
 
+class _PassedOn(dict[bytes, bool]):
+    """Whether headers of a name are passed on; bounded in size."""
+
+    def __missing__(self, name: bytes) -> bool:
+        if len(self) >= _KEPT_NAMES:
+            self.clear()
+        is_own = name[: len(PREFIX)] == PREFIX
+        passed_on = not is_own and name not in headers_module.HOP_BY_HOP
+        if len(name) <= _KEPT_NAME_BYTES:
+            self[name] = passed_on
+        return passed_on
+
+
+_is_passed_on = _PassedOn()
+
+
 def get_forwardable(
     headers: headers_module.HeaderList, replaced: Container[bytes] = ()
 ) -> headers_module.HeaderList:
@@ -336,15 +354,13 @@
         replaced: Names of those left out besides the headers between nodes
             and the hop-by-hop ones.
     """
-    dropped: Container[bytes] = headers_module.HOP_BY_HOP
-    if type(headers) is not headers_module.Headers or (
-        b"connection" in headers.first
-    ):
-        dropped = headers_module.find_hop_by_hop(headers)
-    return [
+    is_passed_on = _is_passed_on
+    found = [
         pair
         for pair in headers
-        if pair[0] not in dropped
-        and pair[0] not in replaced
-        and pair[0][:_PREFIX_BYTES] != PREFIX
+        if is_passed_on[pair[0]] and pair[0] not in replaced
     ]
+    dropped = headers_module.find_hop_by_hop(headers)
+    if dropped is headers_module.HOP_BY_HOP:
+        return found
+    return [pair for pair in found if pair[0] not in dropped]
--- a/src/cranberrymux/gateway/running_requests.py
+++ b/src/cranberrymux/gateway/running_requests.py
@@ -27,11 +27,12 @@
         """Returns a running request; None if the id is None or unknown."""
         return None if ticket_id is None else self._requests.get(ticket_id)
 
-    def end(self, ticket_id: int) -> None:
-        """Removes a request that has ended."""
+    def end(self, ticket_id: int) -> running_request.RunningRequest | None:
+        """Removes and returns a request that has ended; None if unknown."""
         request = self._requests.pop(ticket_id, None)
         if request is not None and not request.open_calls:
             self.working -= 1
+        return request
 
     def begin_call(self, ticket_id: int | None, now_s: float) -> bool:
         """Records the start of a call; False if its parent does not run."""
