--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -360,6 +360,10 @@
         for pair in headers
         if is_passed_on[pair[0]] and pair[0] not in replaced
     ]
+    if type(headers) is headers_module.Headers and (
+        b"connection" not in headers.first
+    ):
+        return found
     dropped = headers_module.find_hop_by_hop(headers)
     if dropped is headers_module.HOP_BY_HOP:
         return found
