--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -181,7 +181,9 @@
         size = len(data)
         self._budget.headers.note_read(size)
         self._feed(data)
-        if exceeded := self._budget.check_read(size):
+        if not self._has_read_answer_end and (
+            exceeded := self._budget.check_read(size)
+        ):
             self._end_excess(exceeded)
         if self._has_read_answer_end and not self._is_lost:
             if self._is_paused:
@@ -235,10 +237,12 @@
 
     def on_headers_complete(self) -> None:
         """Passes the head to the sink, unless it answers another request."""
-        if self._budget.headers.is_exceeded:
+        taken = self._budget.headers.take()
+        if taken is None:
             self._end_excess(self._budget.check_headers())
-        self._headers = self._budget.headers.take()
-        first = self._headers.first
+            return
+        self._headers = taken
+        first = taken.first
         if b"keep-alive" in first:
             self._reuse_time_s = keep_alive.parse_reuse_time_s(
                 first[b"keep-alive"]
@@ -253,6 +257,11 @@
         if status < _LOWEST_FINAL_STATUS:
             self._pass_interim_answer(status)
             return
+        self._take_final_head(sink, status)
+
+    def _take_final_head(
+        self, sink: answer_sink.AnswerSink, status: int
+    ) -> None:
         mismatch = self._matcher.find_mismatch(self._headers)
         self._is_filtered_out = mismatch is not None
         if mismatch is not None:
@@ -260,7 +269,7 @@
             self._check_end_can_be_found(status)
             return
         if (
-            b"transfer-encoding" in first
+            b"transfer-encoding" in self._headers.first
             and not answer_framing.has_plain_coding(self._headers)
         ):
             self._fail(
