--- a/src/cranberrymux/node/deadline_table.py
+++ b/src/cranberrymux/node/deadline_table.py
@@ -40,8 +40,7 @@
         Returns:
             The key that removes it.
         """
-        self._last_key += 1
-        key = self._last_key
+        self._last_key = key = self._last_key + 1
         self._callbacks[key] = callback
         heapq.heappush(self._heap, (due_s, key))
         if due_s < self._timer_due_s:
@@ -53,22 +52,24 @@
 
         Its heap entry stays until it is due or the first.
         """
-        if key in self._callbacks:
-            del self._callbacks[key]
+        self._callbacks.pop(key, None)
 
     def run_due(self) -> None:
         """Calls every callback that is due and sets the timer anew."""
         self._timer = None
         self._timer_due_s = float("inf")
         now_s = self._clock.now_s()
-        while self._heap and self._heap[0][0] <= now_s:
-            _, key = heapq.heappop(self._heap)
-            callback = self._callbacks.pop(key, None)
-            if callback is not None:
-                callback()
-        self._drop_removed()
-        if self._heap and self._heap[0][0] < self._timer_due_s:
-            self._set_timer(self._heap[0][0])
+        try:
+            while self._heap and self._heap[0][0] <= now_s:
+                _, key = heapq.heappop(self._heap)
+                callback = self._callbacks.pop(key, None)
+                if callback is not None:
+                    callback()
+        finally:
+            # Also if a callback fails, which the reactor logs.
+            self._drop_removed()
+            if self._heap and self._heap[0][0] < self._timer_due_s:
+                self._set_timer(self._heap[0][0])
 
     def _drop_removed(self) -> None:
         while self._heap and self._heap[0][1] not in self._callbacks:
