Endpoint's node: no calls for what is empty or zero

The queue of the slots was asked for its length through two functions, the slowness that a backend server names was compared with each working time although none names it, and bounds were applied by functions.

--- a/src/cranberrymux/decisions/endpoints/backend_load.py
+++ b/src/cranberrymux/decisions/endpoints/backend_load.py
@@ -64,7 +64,8 @@
                 one of its route.
         """
         self._work.note(worked_s, held_s)
-        self._claimed.note_work(now_s, log_ratio)
+        if now_s - self._claimed.claimed_at_s <= claimed_slowness.LIFETIME_S:
+            self._claimed.note_work(now_s, log_ratio)
 
     def note_abandoned(self, now_s: float) -> None:
         """Counts a request that ended for its node without an answer."""
--- a/src/cranberrymux/decisions/endpoints/claimed_slowness.py
+++ b/src/cranberrymux/decisions/endpoints/claimed_slowness.py
@@ -21,22 +21,26 @@
 
 
 class ClaimedSlowness:
-    """Regression of working times on the slowness named, both as logarithms."""
+    """Regression of working times on the slowness named, both as logarithms.
+
+    Attributes:
+        claimed_at_s: Monotonic seconds of the last figure; -inf before it.
+    """
 
     __slots__ = (
         "_claim_log",
-        "_claimed_at_s",
         "_covariance",
         "_mean_claim",
         "_mean_work",
         "_samples",
         "_variance",
+        "claimed_at_s",
     )
 
     def __init__(self) -> None:
         """Starts without figures; the first ones have no effect."""
         self._claim_log = 0.0
-        self._claimed_at_s = -math.inf
+        self.claimed_at_s = -math.inf
         self._samples = 0
         self._mean_claim = 0.0
         self._mean_work = 0.0
@@ -58,7 +62,7 @@
         """
         log = math.log(slowness)
         self._claim_log = min(max(log, -_MAXIMUM_CLAIM_LOG), _MAXIMUM_CLAIM_LOG)
-        self._claimed_at_s = now_s
+        self.claimed_at_s = now_s
 
     def note_work(self, now_s: float, log_ratio: float) -> None:
         """Compares a working time with the figure that came with its answer.
@@ -68,7 +72,7 @@
             log_ratio: Logarithm of the ratio of the working time to the usual
                 one of its route.
         """
-        if now_s - self._claimed_at_s > LIFETIME_S:
+        if now_s - self.claimed_at_s > LIFETIME_S:
             return
         self._samples += 1
         weight = max(1.0 / self._samples, SAMPLE_WEIGHT)
@@ -82,7 +86,7 @@
 
     def at(self, now_s: float) -> float:
         """Returns the ratio of present to usual working times, around 1.0."""
-        freshness = 1.0 - (now_s - self._claimed_at_s) / LIFETIME_S
+        freshness = 1.0 - (now_s - self.claimed_at_s) / LIFETIME_S
         if freshness <= 0.0:
             return 1.0
         log = self.credibility * (self._claim_log - self._mean_claim)
--- a/src/cranberrymux/decisions/endpoints/stall_detector.py
+++ b/src/cranberrymux/decisions/endpoints/stall_detector.py
@@ -70,7 +70,8 @@
         self._answers += 1
         old_mean_s = self._mean_work_time_s or worked_s
         mean_s = old_mean_s + WORK_TIME_WEIGHT * (worked_s - old_mean_s)
-        self._mean_work_time_s = max(mean_s, _MINIMUM_WORK_TIME_S)
+        is_long = mean_s > _MINIMUM_WORK_TIME_S
+        self._mean_work_time_s = mean_s if is_long else _MINIMUM_WORK_TIME_S
 
     def note_activity(self) -> None:
         """Ends a stall on a sign of life other than an answer.
--- a/src/cranberrymux/decisions/pressure/account_queue.py
+++ b/src/cranberrymux/decisions/pressure/account_queue.py
@@ -29,13 +29,18 @@
 
 
 class AccountQueue:
-    """Orders waiting requests; those that left it are skipped by its owner."""
+    """Orders waiting requests; those that left it are skipped by its owner.
+
+    Attributes:
+        order: Heap of the accounts and ranks that have requests; empty while
+            none waits. Only this class changes it.
+    """
 
     def __init__(self) -> None:
         """Starts empty."""
         self._sequence = itertools.count()
         self._flows: dict[_FlowKey, _Flow] = {}
-        self._order: list[tuple[float, float, int, _FlowKey]] = []
+        self.order: list[tuple[float, float, int, _FlowKey]] = []
         self._now_by_rank: dict[float, float] = {}
         self._has_accounts = False
 
@@ -44,10 +49,6 @@
         """True once a request of an account was queued."""
         return self._has_accounts
 
-    def __len__(self) -> int:
-        """Number of accounts and ranks that have requests."""
-        return len(self._order)
-
     def push(self, ticket: slot_ticket.Ticket) -> None:
         """Adds a request."""
         if ticket.account:
@@ -68,11 +69,11 @@
 
     def pop(self) -> int:
         """Removes the next request, without a charge to its account."""
-        key = self._order[0][3]
+        key = self.order[0][3]
         flow = self._flows[key]
         ticket_id = heapq.heappop(flow.requests)[2]
         if not flow.requests:
-            heapq.heappop(self._order)
+            heapq.heappop(self.order)
         return ticket_id
 
     def charge(self, rank: float, account: str) -> None:
@@ -83,7 +84,7 @@
         flow.start += 1.0
         if flow.requests:
             heapq.heapreplace(
-                self._order, (rank, flow.start, next(self._sequence), key)
+                self.order, (rank, flow.start, next(self._sequence), key)
             )
 
     def count_ahead(
@@ -144,12 +145,12 @@
     def clear(self) -> None:
         """Removes all requests."""
         self._flows.clear()
-        self._order.clear()
+        self.order.clear()
         self._now_by_rank.clear()
 
     def _push_flow(self, key: _FlowKey, flow: _Flow) -> None:
         heapq.heappush(
-            self._order, (key[0], flow.start, next(self._sequence), key)
+            self.order, (key[0], flow.start, next(self._sequence), key)
         )
 
     def _remove_idle_flows(self) -> None:
--- a/src/cranberrymux/decisions/pressure/slot_scheduler.py
+++ b/src/cranberrymux/decisions/pressure/slot_scheduler.py
@@ -174,13 +174,14 @@
     def start_waiting(self, now_s: float) -> list[int]:
         """Assigns free slots and returns the requests that start now."""
         started = []
-        while self._queue and self._can_start(now_s):
-            ticket_id = self._queue.pop()
+        queue = self._queue
+        while queue.order and self._can_start(now_s):
+            ticket_id = queue.pop()
             ticket = self._waiting.get(ticket_id)
             if ticket is None or ticket.start_by_s < now_s:
                 continue  # `pop_expired` returns it if it is still there.
             del self._waiting[ticket_id]
-            self._queue.charge(ticket.rank, ticket.account)
+            queue.charge(ticket.rank, ticket.account)
             self._start(now_s, ticket_id)
             started.append(ticket_id)
         return started
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -177,7 +177,7 @@
         headers += self._owner.work.encode_load(now_s)
         headers += self._owner.limit.encode()
         if report:
-            headers.append((hop.WORK, work_report.encode(report)))
+            headers += [(hop.WORK, work_report.encode(report))]
         if is_failed_by_call:
-            headers.append((hop.CALL_FAILED, b"1"))
+            headers += [(hop.CALL_FAILED, b"1")]
         return headers
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -128,7 +128,8 @@
         self._answers.backend_id = process.backend_id
         self._address = address
         dialect = self._parts.settings.dialect
-        left_s = max(self.deadline_s - now_s, 0.0)
+        is_late = self.deadline_s < now_s
+        left_s = 0.0 if is_late else self.deadline_s - now_s
         head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
         left_ms = hop.shorten_deadline_ms(left_s) or 1
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -194,7 +194,7 @@
         if call.digest:
             self._quarantine.running.start(
                 str(ticket_id),
-                suspicion.make_fingerprint(call.digest),
+                fingerprints.Fingerprint("", "", call.digest),
                 is_suspect=ticket_id in self.held_ids,
             )
         if ticket_id in self._waiting_trials:
