--- a/src/cranberrymux/decisions/pressure/fair_shares.py
+++ b/src/cranberrymux/decisions/pressure/fair_shares.py
@@ -60,6 +60,9 @@
     The demand follows from the requests that arrive, each of which tells how
     many were refused before it where it entered. So it is known wherever and at
     however many nodes an account enters.
+
+    Attributes:
+        is_in_use: True while requests of named accounts arrive.
     """
 
     def __init__(self) -> None:
@@ -68,12 +71,7 @@
         self._rests: dict[int, demand_rate.DemandRate] = {}
         self._shares: dict[AccountKey, float] = {}
         self._rest_shares: dict[int, float] = {}
-        self._is_in_use = False
-
-    @property
-    def is_in_use(self) -> bool:
-        """True while requests of named accounts arrive."""
-        return self._is_in_use
+        self.is_in_use = False
 
     @property
     def offered_per_s(self) -> float:
@@ -101,7 +99,7 @@
             work_s: Expected work in seconds.
             offered: Number of requests that it stands for, at least 1.
         """
-        self._is_in_use = self._is_in_use or bool(key.name)
+        self.is_in_use = self.is_in_use or bool(key.name)
         demand = self._demands.get(key)
         if demand is None:
             if len(self._demands) < MAXIMUM_ACCOUNTS + MAXIMUM_NEW_ACCOUNTS:
@@ -211,7 +209,7 @@
             if self._rests[priority].per_s < _NEGLIGIBLE_PER_S:
                 del self._rests[priority]
 
-        self._is_in_use = any(key.name for key in self._demands)
+        self.is_in_use = any(key.name for key in self._demands)
 
     def _fold_smallest(self) -> None:
         """Adds the smallest demands to the rest of their priority."""
