Endpoint's node: until when the backend server serves is a time

Whether it serves was computed from state and age for each request, an answer asked for the headers of a rate limit where there is none, and the outcome of a whole answer passed a check for streamed ones. The time is set by each announcement and departure (test).

--- a/src/cranberrymux/decisions/presence/presence.py
+++ b/src/cranberrymux/decisions/presence/presence.py
@@ -1,11 +1,13 @@
 """Tracks the backend server beside a node by its announcements."""
 
 import enum
+import math
 
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.models import backend_process
 
 _DRAINING = announcement.BackendState.DRAINING
+_SERVING = announcement.BackendState.SERVING
 # Departed backend servers whose late announcements are recognized as stale.
 _MAXIMUM_DEPARTURES = 64
 
@@ -39,6 +41,8 @@
         current: The newest announcement; None before the first one.
         process: The process that it is of.
         encoded_id: The id of that backend server, as headers have it.
+        serving_until_s: Monotonic seconds until which it accepts requests, as
+            far as it is known; -inf if it accepts none.
     """
 
     def __init__(self, lifetime_s: float) -> None:
@@ -51,17 +55,12 @@
         self.current: announcement.Announcement | None = None
         self.process = backend_process.BackendProcess("", 0)
         self.encoded_id = b""
-        self._received_s = 0.0
+        self.serving_until_s = -math.inf
         self._departed_start_ms: dict[str, int] = {}
 
     def is_serving(self, now_s: float) -> bool:
         """True if it accepts requests and its announcement is still valid."""
-        current = self.current
-        return (
-            current is not None
-            and current.state is announcement.BackendState.SERVING
-            and now_s - self._received_s <= self._lifetime_s
-        )
+        return now_s <= self.serving_until_s
 
     def announce(
         self, received: announcement.Announcement, now_s: float
@@ -73,7 +72,9 @@
             received.backend_id, -1
         ):
             return PresenceChange.STALE
-        self._received_s = now_s
+        self.serving_until_s = -math.inf
+        if received.state is _SERVING:
+            self.serving_until_s = now_s + self._lifetime_s
         process = received.process
         if current is None or self.process != process:
             self.current = received
@@ -85,6 +86,7 @@
         if current.state is _DRAINING:
             # A process that drains never serves again.
             received = received._replace(state=_DRAINING)
+            self.serving_until_s = -math.inf
         self.current = received
         if current.state is received.state:
             return PresenceChange.NONE
@@ -106,6 +108,7 @@
         # Without a start time, any process up to now may be the one that left.
         self._record_departure(backend_id, current.started_ms or now_ms)
         self.current = current._replace(state=_DRAINING)
+        self.serving_until_s = -math.inf
         return PresenceChange.LEFT
 
     def _record_departure(self, backend_id: str, last_start_ms: int) -> None:
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -216,7 +216,7 @@
         if self._parts.routes.table is None:
             # The suspects come with the first configuration.
             return hop.STARTING
-        if not self._presence.is_serving(now_s):
+        if now_s > self._presence.serving_until_s:
             return hop.DRAINING
         target = call.head.headers.first.get(hop.TARGET)
         if target != self._presence.encoded_id:
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -175,7 +175,8 @@
         """Returns the headers of an answer, with what this node reports."""
         headers = hop.get_forwardable(head.headers)
         headers += self._owner.work.encode_load(now_s)
-        headers += self._owner.limit.encode()
+        if self._owner.limit.is_reported:
+            headers += self._owner.limit.encode()
         if report:
             headers += [(hop.WORK, work_report.encode(report))]
         if is_failed_by_call:
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -191,7 +191,10 @@
         self._owner.suspects.run_ended(self, is_clean=verdict.is_clean)
         is_failed_by_call = False
         if not verdict.refusal:
-            is_failed_by_call = self._note_outcome(verdict.is_failure, now_s)
+            self._has_outcome = True
+            is_failed_by_call = self._owner.work.note_outcome(
+                self, verdict.is_failure, now_s
+            )
         report = self._owner.call_finished(self, verdict.outcome, now_s)
         if not verdict.is_passed_on:
             self._withhold(verdict)
--- a/src/cranberrymux/gateway/exit_limit.py
+++ b/src/cranberrymux/gateway/exit_limit.py
@@ -22,6 +22,7 @@
 
     Attributes:
         per_s: Requests a second; None without a limit.
+        is_reported: True if `encode` returns headers.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
             parts, on_leaving
         )
         self.per_s: float | None = None
+        self.is_reported = False
 
     def use_process(self, process: backend_process.BackendProcess) -> None:
         """Ends the limit if the backend server is another process."""
@@ -128,7 +130,9 @@
         return headers
 
     def _apply(self) -> None:
-        self.per_s = self._self_report.known.per_s
+        report = self._self_report
+        self.per_s = report.known.per_s
+        self.is_reported = self.per_s is not None or report.is_leaving
         if self.per_s is None and self._scheduler.is_rate_limited:
             self._work.pressure.reset()
         self._scheduler.set_rate_limit(self._parts.clock.now_s(), self.per_s)
--- a/tests/decisions/presence/test_presence.py
+++ b/tests/decisions/presence/test_presence.py
@@ -4,6 +4,8 @@
 order, or comes from an earlier process or from another backend server.
 """
 
+import math
+
 import pytest
 
 from cranberrymux.decisions.presence import announcement
@@ -90,3 +92,21 @@
         )
         assert presence.process == presence.current.process
         assert presence.encoded_id == name.encode()
+
+
+def test_time_of_serving_follows_each_change():
+    """Guards against requests sent on the word of an earlier announcement."""
+    presence = presence_module.Presence(5.0)
+    assert presence.serving_until_s == -math.inf
+    presence.announce(make_announcement(1), 1.0)
+    presence.announce(make_announcement(2), 2.0)
+    presence.announce(make_announcement(2), 3.0)  # Stale.
+    assert presence.serving_until_s == 7.0
+    presence.announce(make_announcement(3, state=DRAINING), 3.0)
+    assert presence.serving_until_s == -math.inf
+    presence.announce(make_announcement(4), 3.5)  # It cannot serve again.
+    assert presence.serving_until_s == -math.inf
+    presence.announce(make_announcement(1, started_ms=200), 4.0)
+    assert presence.serving_until_s == 9.0
+    presence.leave("b", 300)
+    assert presence.serving_until_s == -math.inf
