--- a/src/cranberrymux/decisions/endpoints/stall_detector.py
+++ b/src/cranberrymux/decisions/endpoints/stall_detector.py
@@ -49,9 +49,9 @@
         elapsed_s = now_s - self._updated_at_s
         self._updated_at_s = now_s
         if working and self._answers >= MINIMUM_ANSWERS and elapsed_s > 0.0:
-            elapsed_s = min(elapsed_s, MAXIMUM_STEP_S)
-            self._missed_answers += elapsed_s * working / self._mean_work_time_s
-            self._unanswered_s += elapsed_s
+            step_s = elapsed_s if elapsed_s < MAXIMUM_STEP_S else MAXIMUM_STEP_S
+            self._missed_answers += step_s * working / self._mean_work_time_s
+            self._unanswered_s += step_s
             self.is_stalled = (
                 self._missed_answers > MAXIMUM_MISSED_ANSWERS
                 and self._unanswered_s > MINIMUM_STALL_S
@@ -70,7 +70,8 @@
         self._answers += 1
         old_mean_s = self._mean_work_time_s or worked_s
         mean_s = old_mean_s + WORK_TIME_WEIGHT * (worked_s - old_mean_s)
-        self._mean_work_time_s = max(mean_s, _MINIMUM_WORK_TIME_S)
+        is_long = mean_s > _MINIMUM_WORK_TIME_S
+        self._mean_work_time_s = mean_s if is_long else _MINIMUM_WORK_TIME_S
 
     def note_activity(self) -> None:
         """Ends a stall on a sign of life other than an answer.
--- a/src/cranberrymux/decisions/pressure/slot_scheduler.py
+++ b/src/cranberrymux/decisions/pressure/slot_scheduler.py
@@ -70,6 +70,11 @@
         """Number of requests that wait for a slot."""
         return len(self._waiting)
 
+    @property
+    def requests(self) -> int:
+        """Number of requests that hold a slot or wait for one."""
+        return len(self._running) + len(self._waiting)
+
     @property
     def mean_hold_s(self) -> float:
         """Mean time a request holds its slot, in seconds; 0.0 at first."""
@@ -169,13 +174,14 @@
     def start_waiting(self, now_s: float) -> list[int]:
         """Assigns free slots and returns the requests that start now."""
         started = []
-        while self._queue and self._can_start(now_s):
-            ticket_id = self._queue.pop()
+        queue = self._queue
+        while queue.order and self._can_start(now_s):
+            ticket_id = queue.pop()
             ticket = self._waiting.get(ticket_id)
             if ticket is None or ticket.start_by_s < now_s:
                 continue  # `pop_expired` returns it if it is still there.
             del self._waiting[ticket_id]
-            self._queue.charge(ticket.rank, ticket.account)
+            queue.charge(ticket.rank, ticket.account)
             self._start(now_s, ticket_id)
             started.append(ticket_id)
         return started
@@ -220,9 +226,12 @@
         return min(self._slots, math.ceil(MAXIMUM_OPEN_S * self._bucket.per_s))
 
     def _can_start(self, now_s: float) -> bool:
-        if self._is_paused or len(self._running) >= self._usable_slots:
+        if self._is_paused or len(self._running) >= self._slots:
             return False
-        return self._bucket is None or self._bucket.has_token(now_s)
+        return self._bucket is None or (
+            len(self._running) < self._usable_slots
+            and self._bucket.has_token(now_s)
+        )
 
     def _start(self, now_s: float, ticket_id: int) -> None:
         self._running[ticket_id] = now_s
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -19,6 +19,7 @@
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import peer_messages
 from cranberrymux.models import socket_address
+from cranberrymux.node import deadline_table
 from cranberrymux.node import suspect_message
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import inbound_call
@@ -37,6 +38,7 @@
     measures what they cost.
 
     Attributes:
+        deadlines: Calls requests back whose caller has given up.
         limit: The rate limit of the backend server.
         suspects: Requests that may crash the backend server.
         work: What the requests cost.
@@ -63,6 +65,9 @@
             accepts_close_delimited=True,
             on_unexpected=parts.note_unexpected_answer,
         )
+        self.deadlines = deadline_table.DeadlineTable(
+            parts.reactor, parts.clock
+        )
         self._scheduler = slot_scheduler.SlotScheduler(1)
         self.work = exit_work.ExitWork(parts, self._scheduler)
         self._peer_messages = peer_messages.PeerMessages(parts)
@@ -142,7 +147,8 @@
         if now_s >= self.work.pressure.due_s:
             self.work.pressure.update(now_s, self.limit.per_s)
         self._calls[ticket_id] = hop_call
-        if not self.suspects.hold(hop_call):
+        may_be_suspect = self.suspects.records or hop.SUSPECT in headers.first
+        if not may_be_suspect or not self.suspects.hold(hop_call):
             self.offer_slot(ticket_id, now_s)
         if self.suspects.held_ids:
             self._watch_queue()
@@ -185,6 +191,7 @@
         """Frees a slot; returns the work of the request and its calls."""
         if self._calls.pop(call.ticket_id, None) is None:
             return {}
+        self.deadlines.remove(call.deadline_key)
         report = self.work.end_run(call, outcome, self.limit.per_s, now_s)
         if self.suspects.held_ids:
             self.suspects.ended(call.ticket_id)
@@ -209,11 +216,10 @@
         if self._parts.routes.table is None:
             # The suspects come with the first configuration.
             return hop.STARTING
-        if not self._presence.is_serving(now_s):
+        if now_s > self._presence.serving_until_s:
             return hop.DRAINING
-        current = self._presence.current
         target = call.head.headers.first.get(hop.TARGET)
-        if current is None or target != current.backend_id.encode():
+        if target != self._presence.encoded_id:
             return hop.OTHER_BACKEND
         return b"" if self.work.health.admits(now_s) else hop.STALLED
 
@@ -239,7 +245,9 @@
 
         Backend servers may have died under it elsewhere while it waited.
         """
-        if self.suspects.is_refused(self._calls[ticket_id].digest):
+        if self.suspects.records and self.suspects.is_refused(
+            self._calls[ticket_id].digest
+        ):
             self._scheduler.finish(now_s, ticket_id, False)
             self.refuse_held(ticket_id, hop.QUARANTINED)
         else:
@@ -250,7 +258,9 @@
         assert current is not None
         address = socket_address.parse(current.address)
         assert address is not None
-        self._calls[ticket_id].begin(address, current.process, now_s)
+        self._calls[ticket_id].begin(
+            address, self._presence.process, self._presence.encoded_id, now_s
+        )
 
     def _serve_queue(self) -> None:
         """Starts the requests that have got a token and refuses late ones."""
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -117,7 +117,7 @@
 
     def count_status(self, status: int) -> None:
         """Counts an answer of the backend server by its status."""
-        self._parts.metrics.hops[f"{status // 100}xx",].inc()
+        self._parts.metrics.hops[f"{status // 100}xx",].value += 1
 
     def log_unreachable(self, detail: str) -> None:
         """Logs that the backend server takes no connection."""
@@ -175,9 +175,10 @@
         """Returns the headers of an answer, with what this node reports."""
         headers = hop.get_forwardable(head.headers)
         headers += self._owner.work.encode_load(now_s)
-        headers += self._owner.limit.encode()
+        if self._owner.limit.is_reported:
+            headers += self._owner.limit.encode()
         if report:
-            headers.append((hop.WORK, work_report.encode(report)))
+            headers += [(hop.WORK, work_report.encode(report))]
         if is_failed_by_call:
-            headers.append((hop.CALL_FAILED, b"1"))
+            headers += [(hop.CALL_FAILED, b"1")]
         return headers
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -15,6 +15,7 @@
 from cranberrymux.node import attempt as attempt_module
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import connection_pool
+from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import request_identity
@@ -40,6 +41,7 @@
 
     Attributes:
         ticket_id: Number of the request, unique at this node.
+        deadline_key: Key of its deadline; 0 before it is sent.
         headers: Headers of the request, with those between nodes.
         ticket: What it asks of the slots.
         rank: Order of starting; lower ranks start first.
@@ -78,9 +80,10 @@
         name = parts.settings.dialect.deadline_ms
         left_s = (whole_number.decode(headers.first.get(name)) or 0) / 1000
         self.ticket_id = ticket_id
+        self.deadline_key = 0
         self.start_by_s = now_s + MAXIMUM_WAIT_RATIO * left_s
         self.deadline_s = now_s + left_s
-        self.tree_context = hop.decode_tree_context(headers)
+        self.tree_context = hop.read_tree_context(headers.first)
         self.rank = self.tree_context.rank
         self.ticket = slot_ticket.Ticket(
             ticket_id,
@@ -98,6 +101,7 @@
         self._process = _NO_PROCESS
         self._address = _NO_ADDRESS
         self._sent_s = 0.0
+        self._has_begun = False
         self._has_outcome = False
         self._streamed: backend_verdict.BackendVerdict | None = None
         self._streamed_status = 0
@@ -109,6 +113,7 @@
         self,
         address: socket_address.SocketAddress,
         process: backend_process.BackendProcess,
+        encoded_id: bytes,
         now_s: float,
     ) -> None:
         """Sends the request to the backend server.
@@ -116,20 +121,22 @@
         Args:
             address: Address of the backend server.
             process: Its process. A server that has another id answers 421.
+            encoded_id: The id of that.
             now_s: Monotonic seconds.
         """
         self._process = process
         self._answers.backend_id = process.backend_id
         self._address = address
         dialect = self._parts.settings.dialect
-        left_s = max(self.deadline_s - now_s, 0.0)
+        is_late = self.deadline_s < now_s
+        left_s = 0.0 if is_late else self.deadline_s - now_s
         head = self._call.head
         replaced = (dialect.deadline_ms, dialect.expected_backend)
         left_ms = hop.shorten_deadline_ms(left_s) or 1
         headers = [
             *hop.get_forwardable(self.headers, replaced),
             (dialect.deadline_ms, b"%d" % left_ms),
-            (dialect.expected_backend, process.backend_id.encode()),
+            (dialect.expected_backend, encoded_id),
         ]
         self._owner.work.start_run(self, now_s + left_ms / 1000)
         self._attempt = attempt_module.Attempt(
@@ -143,10 +150,12 @@
                 dialect.request_id, self.request_id
             ),
         )
-        self._timer = self._parts.reactor.callLater(
-            left_s + CANCELLATION_GRACE_S, self._handle_timeout
+        self.deadline_key = self._owner.deadlines.add(
+            now_s + left_s + CANCELLATION_GRACE_S, self._handle_timeout
         )
+        self._sent_s = now_s
         self._attempt.start()
+        self._has_begun = True
 
     def refuse(self, reason: bytes) -> None:
         """Answers that the request was not run here.
@@ -154,14 +163,15 @@
         Args:
             reason: One of the reasons of `hop.NOT_RUN`.
         """
-        self._cancel_timer()
         self._answers.refuse(reason)
 
     # Outcome of the attempt.
 
     def attempt_sent(self) -> None:
         """Records the time, which orders the answers that it may get."""
-        self._sent_s = self._parts.clock.now_s()
+        if self._has_begun:
+            # It had to wait for a connection.
+            self._sent_s = self._parts.clock.now_s()
         self._owner.suspects.run_started(self)
 
     def attempt_answered(
@@ -177,12 +187,14 @@
         body: bytes,
     ) -> None:
         """Ends the request with a whole answer, or without one."""
-        self._cancel_timer()
         now_s = self._parts.clock.now_s()
         self._owner.suspects.run_ended(self, is_clean=verdict.is_clean)
         is_failed_by_call = False
         if not verdict.refusal:
-            is_failed_by_call = self._note_outcome(verdict.is_failure, now_s)
+            self._has_outcome = True
+            is_failed_by_call = self._owner.work.note_outcome(
+                self, verdict.is_failure, now_s
+            )
         report = self._owner.call_finished(self, verdict.outcome, now_s)
         if not verdict.is_passed_on:
             self._withhold(verdict)
@@ -220,7 +232,6 @@
     def attempt_ended(self) -> None:
         """Ends a long answer that is complete."""
         assert self._streamed is not None
-        self._cancel_timer()
         is_clean = self._streamed.is_clean
         self._owner.suspects.run_ended(self, is_clean=is_clean)
         now_s = self._parts.clock.now_s()
@@ -231,7 +242,6 @@
 
     def attempt_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Answers that the request did not run, or aborts if it may have."""
-        self._cancel_timer()
         now_s = self._parts.clock.now_s()
         self._note_outcome(True, now_s)
         self._owner.call_finished(self, _RunOutcome.UNANSWERED, now_s)
@@ -257,7 +267,6 @@
         self._owner.suspects.run_lost(self, self._address, explained)
 
     def _handle_timeout(self) -> None:
-        self._timer = None
         self._cancel_attempt()
         self._owner.suspects.run_abandoned(self)
         now_s = self._parts.clock.now_s()
@@ -266,7 +275,6 @@
         self._call.abort()
 
     def _handle_cancelled(self) -> None:
-        self._cancel_timer()
         if self._attempt is None:
             self._owner.remove_waiting(self.ticket_id)
             return
@@ -281,10 +289,12 @@
         self, head: answer_head.AnswerHead
     ) -> backend_verdict.BackendVerdict:
         """Judges an answer and learns what it says of the backend server."""
-        verdict = backend_verdict.judge(head, self._parts.settings.dialect)
+        dialect = self._parts.settings.dialect
+        first = headers_module.index(head.headers)
+        verdict = backend_verdict.judge(head.status, first, dialect)
         if verdict.is_from_backend:
             self._owner.limit.note_answer_head(
-                head, self._process, self._sent_s, self.request_id
+                head, first, self._process, self._sent_s, self.request_id
             )
         return verdict
 
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -14,8 +14,10 @@
 from cranberrymux.node.http import headers as headers_module
 
 PREFIX = b"cranberrymux-"
-_PREFIX_BYTES = len(PREFIX)
 _KEPT_VALUES = 256  # Results kept by each cached encoder and decoder.
+# Names kept by `_PassedOn`, and the longest of them.
+_KEPT_NAMES = 1024
+_KEPT_NAME_BYTES = 64
 # Numbers separated by slashes; later versions may append further ones.
 _NUMBER = rb"([0-9]{1,%d})" % whole_number.MAXIMUM_DIGITS
 _THREE_NUMBERS = re.compile(b"/".join([_NUMBER] * 3) + b"(?:/.*)?", re.DOTALL)
@@ -195,8 +197,16 @@
 
 
 def decode_tree_context(headers: headers_module.HeaderList) -> TreeContext:
-    """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
-    first = headers_module.index(headers)
+    """Decodes the context of a request with these headers."""
+    return read_tree_context(headers_module.index(headers))
+
+
+def read_tree_context(first: dict[bytes, bytes]) -> TreeContext:
+    """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid.
+
+    Args:
+        first: Value of the first header of each name.
+    """
     value = first.get(TREE_CONTEXT, b"")
     tree_context = _parse_tree_context(value, first.get(ACCOUNT, b""))
     if OFFERED not in first:
@@ -318,6 +328,22 @@
     return whole_number.decode(headers_module.find(headers, LEAVING))
 
 
+class _PassedOn(dict[bytes, bool]):
+    """Whether headers of a name are passed on; bounded in size."""
+
+    def __missing__(self, name: bytes) -> bool:
+        if len(self) >= _KEPT_NAMES:
+            self.clear()
+        is_own = name[: len(PREFIX)] == PREFIX
+        passed_on = not is_own and name not in headers_module.HOP_BY_HOP
+        if len(name) <= _KEPT_NAME_BYTES:
+            self[name] = passed_on
+        return passed_on
+
+
+_is_passed_on = _PassedOn()
+
+
 def get_forwardable(
     headers: headers_module.HeaderList, replaced: Container[bytes] = ()
 ) -> headers_module.HeaderList:
@@ -328,11 +354,17 @@
         replaced: Names of those left out besides the headers between nodes
             and the hop-by-hop ones.
     """
-    dropped = headers_module.find_hop_by_hop(headers)
-    return [
+    is_passed_on = _is_passed_on
+    found = [
         pair
         for pair in headers
-        if (name := pair[0]) not in dropped
-        and name not in replaced
-        and name[:_PREFIX_BYTES] != PREFIX
+        if is_passed_on[pair[0]] and pair[0] not in replaced
     ]
+    if type(headers) is headers_module.Headers and (
+        b"connection" not in headers.first
+    ):
+        return found
+    dropped = headers_module.find_hop_by_hop(headers)
+    if dropped is headers_module.HOP_BY_HOP:
+        return found
+    return [pair for pair in found if pair[0] not in dropped]
