Explanations: deadlines of a tried request end in its copy

The copied state shared the table of deadlines, so that a request that is only tried set a timer of the running gateway; test_explanation found it. Its clock advances with the timers of the copy, as that of the copy is fixed.

--- a/src/cranberrymux/gateway/explanation/copied_parts.py
+++ b/src/cranberrymux/gateway/explanation/copied_parts.py
@@ -27,6 +27,7 @@
 from cranberrymux.gateway.explanation import fixed_clock
 from cranberrymux.models import socket_address
 from cranberrymux.node import clock as clock_module
+from cranberrymux.node import deadline_table
 from cranberrymux.node import quarantine_task
 from cranberrymux.node import suspect_reporter
 from cranberrymux.node.http import client_connection
@@ -61,6 +62,23 @@
         """Ignores reports."""
 
 
+class _WaitingClock:
+    """Clock that advances while the request waits for a quota token."""
+
+    def __init__(self, start_s: float, timers: task.Clock) -> None:
+        """Starts at a time, when the timers are at 0."""
+        self._start_s = start_s
+        self._timers = timers
+
+    def now_s(self) -> float:
+        """Returns monotonic seconds."""
+        return self._start_s + float(self._timers.seconds())
+
+    def now_unix_ms(self) -> int:
+        """Returns Unix time; deadlines are not given in it."""
+        return 0
+
+
 class CopiedParts(parts_module.GatewayParts):
     """State of a gateway in which one request can be tried.
 
@@ -113,6 +131,9 @@
             source.settings.repeat_slack,
             source.settings.repeat_window_s,
         )
+        self.deadlines = deadline_table.DeadlineTable(
+            timers, _WaitingClock(now_s, timers)
+        )
         self.parent_matcher = parent_matcher.ParentMatcher()
         self.running_requests = running_requests.RunningRequests()
         self.quotas = source.quotas.copy_account(
