--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -210,8 +210,7 @@
         slots = self.record.slots
         if 0 < self._reported_slots < slots:
             slots = self._reported_slots
-        if reported < self.outstanding:
-            reported = self.outstanding
+        reported = max(reported, self.outstanding)
         return reported / max(slots, 1)
 
     def is_failing(self, now_s: float) -> bool:
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -68,8 +68,7 @@
             parts, route, call.head.headers, self._began_s, account
         )
         wait_s = self._origin.left_s
-        if wait_s > route.timeout_s:
-            wait_s = route.timeout_s
+        wait_s = min(wait_s, route.timeout_s)
         self._quota = entry_quota.UNLIMITED
         is_limited = account is not None and account.is_limited
         if is_limited and self._origin.is_root:
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -108,8 +108,7 @@
 def shorten_deadline_ms(left_s: float) -> int:
     """Returns the milliseconds to pass on when `left_s` seconds are left."""
     margin_s = ANSWER_MARGIN_RATIO * left_s
-    if margin_s > ANSWER_MARGIN_S:
-        margin_s = ANSWER_MARGIN_S
+    margin_s = min(margin_s, ANSWER_MARGIN_S)
     return int((left_s - margin_s) * 1000)
 
 
--- a/src/cranberrymux/gateway/request_digest.py
+++ b/src/cranberrymux/gateway/request_digest.py
@@ -22,9 +22,7 @@
     content = b"%b %b%b" % (head.method, host.lower(), head.target)
     if not content.isascii():
         content = content.decode("latin-1").encode()
-    is_known = (
-        call.is_body_complete and call.body_length <= MAXIMUM_BODY_BYTES
-    )
+    is_known = call.is_body_complete and call.body_length <= MAXIMUM_BODY_BYTES
     return fingerprint.make_digest(
         content,
         body=call.buffered_body()[:MAXIMUM_BODY_BYTES],
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -181,20 +181,6 @@
         self._has_read_answer_end = False
         size = len(data)
         self._budget.headers.note_read(size)
-        self._feed(data)
-        if not self._has_read_answer_end and (
-            exceeded := self._budget.check_read(size)
-        ):
-            self._end_excess(exceeded)
-        if self._has_read_answer_end and not self._is_lost:
-            if self._is_paused:
-                # The caller that paused may take the last part of its answer
-                # later.
-                self.resume_answer()
-            if self.on_idle is not None:
-                self.on_idle(self)
-
-    def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -207,6 +193,17 @@
             self._cancel_behind_answer()
             if not self._is_lost:
                 self._fail(lost_answer.LossReason.NOT_VALID, str(failed))
+        if not self._has_read_answer_end and (
+            exceeded := self._budget.check_read(size)
+        ):
+            self._end_excess(exceeded)
+        if self._has_read_answer_end and not self._is_lost:
+            if self._is_paused:
+                # The caller that paused may take the last part of its answer
+                # later.
+                self.resume_answer()
+            if self.on_idle is not None:
+                self.on_idle(self)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -252,9 +249,6 @@
         if sink is None:
             return
         status = self._parser.get_status_code()
-        if status < _LOWEST_STATUS:
-            self._fail(lost_answer.LossReason.NOT_VALID, f"status {status:03d}")
-            return
         if status < _LOWEST_FINAL_STATUS:
             self._pass_interim_answer(status)
             return
@@ -334,6 +328,9 @@
         """Does nothing, as `connectionLost` follows."""
 
     def _pass_interim_answer(self, status: int) -> None:
+        if status < _LOWEST_STATUS:
+            self._fail(lost_answer.LossReason.NOT_VALID, f"status {status:03d}")
+            return
         self._is_interim = True
         if exceeded := self._budget.note_interim_answer():
             self._end_excess(exceeded)
--- a/src/cranberrymux/node/http/framing_meter.py
+++ b/src/cranberrymux/node/http/framing_meter.py
@@ -11,7 +11,13 @@
 
 
 class FramingMeter:
-    """Counts what is read of one message, and what of it is body."""
+    """Counts what is read of one message, and what of it is body.
+
+    Attributes:
+        has_ended: True if the present read holds the end of a message. How
+            much of it belongs to the next message is not known, so that it is
+            not to be counted.
+    """
 
     def __init__(self, framing_bytes: int) -> None:
         """Starts without bytes.
@@ -24,7 +30,7 @@
         self._silent_bytes = 0
         self._body_bytes = 0
         self._new_body_bytes = 0
-        self._has_ended = False
+        self.has_ended = False
 
     def begin(self) -> None:
         """Starts to count the next message."""
@@ -39,7 +45,7 @@
         self._silent_bytes = 0
         self._body_bytes = 0
         self._new_body_bytes = 0
-        self._has_ended = True
+        self.has_ended = True
 
     def note_body(self, size: int) -> None:
         """Counts bytes of the body that the present read has brought."""
@@ -51,10 +57,6 @@
         Returns:
             True if more was read than a message needs.
         """
-        if self._has_ended:
-            # How much of the read belongs to the next message is not known.
-            self._has_ended = False
-            return False
         new_body_bytes = self._new_body_bytes
         self._new_body_bytes = 0
         self._body_bytes += new_body_bytes
--- a/src/cranberrymux/node/http/idle_connections.py
+++ b/src/cranberrymux/node/http/idle_connections.py
@@ -48,7 +48,10 @@
         connection.note_idle(now_s)
         self._by_address.setdefault(address, []).append(connection)
         self._since[connection] = (address, now_s)
-        if now_s <= self._unexpired_until_s and len(self._since) <= MAXIMUM_IDLE:
+        if (
+            now_s <= self._unexpired_until_s
+            and len(self._since) <= MAXIMUM_IDLE
+        ):
             return
         while self._since:
             oldest = next(iter(self._since))
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -101,7 +101,9 @@
             return bad_message.BadMessage(400, str(error))
         if self._header_reader.pairs and self._header_reader.is_exceeded:
             return self._describe_excess()
-        if self._meter.note_read(size):
+        if self._meter.has_ended:
+            self._meter.has_ended = False
+        elif self._meter.note_read(size):
             status = 431 if self.is_reading_head else 400
             detail = "too many bytes without any of the body"
             return bad_message.BadMessage(status, detail)
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -121,7 +121,7 @@
             self.resume_body()
         call.complete_body()
         if self._dispatched is not call:
-            self._dispatch(call)
+            self._pipeline.set_ready(call)
 
     # State that the factory reads.
 
