--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -5,7 +5,6 @@
 import prometheus_client
 from prometheus_client import exposition
 
-from cranberrymux.gateway import duration_histogram
 from cranberrymux.gateway import held_back_counter
 from cranberrymux.gateway import label_children
 
@@ -80,13 +79,9 @@
         )
         self.quota_tokens = self._gauge("quota_tokens", "Tokens held.")
         self.quota_accounts = self._gauge("quota_accounts", "Accounts known.")
-        self.request_s = duration_histogram.DurationHistogram(
-            "cranberrymux_request_seconds",
-            "From a request's begin to its answer.",
-            "route",
-            LATENCY_BOUNDS_S,
+        self.request_s = self._histogram(
+            "request_seconds", "From a request's begin to its answer.", "route"
         )
-        registry.register(self.request_s)
         self.hops = self._counter(
             "hops", "Requests from other nodes.", "outcome"
         )
--- a/src/cranberrymux/gateway/request_log.py
+++ b/src/cranberrymux/gateway/request_log.py
@@ -43,7 +43,7 @@
         metrics = self._parts.metrics
         route = self._attempts.route.name
         metrics.ended_requests[route, outcome] += 1
-        metrics.request_s.observe(route, now_s - self._began_s)
+        metrics.request_s[route,].observe(now_s - self._began_s)
 
     def log_own_answer(self, outcome: own_answers.Outcome, detail: str) -> None:
         """Counts and logs a request that this node answered or cut off."""
