--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -140,11 +140,7 @@
         self._refuse(_Outcome.OVER_QUOTA, cause)
 
     def _send_next(self, now_s: float | None = None) -> None:
-        """Sends the request to an endpoint.
-
-        Args:
-            now_s: Monotonic seconds; None if they are to be read anew.
-        """
+        """Sends the request; reads the clock unless `now_s` is given."""
         if now_s is None:
             now_s = self._parts.clock.now_s()
         left_ms = hop.shorten_deadline_ms(self._deadline_s - now_s)
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -13,7 +13,6 @@
 
 from cranberrymux.node.http import answer_budget
 from cranberrymux.node.http import answer_framing
-from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import answer_matcher
 from cranberrymux.node.http import answer_sink
@@ -342,7 +341,9 @@
 
         The pending request's answer could not be found behind it.
         """
-        mode = self._make_head(status).mode
+        mode = answer_framing.make_head(
+            status, self._headers, is_head_request=self._is_head_request
+        ).mode
         if (
             mode is body_mode.BodyMode.UNTIL_CLOSE
             or not answer_framing.has_plain_coding(self._headers)
@@ -364,11 +365,6 @@
         if self.on_unexpected is not None:
             self.on_unexpected(unexpected)
 
-    def _make_head(self, status: int) -> answer_head.AnswerHead:
-        return answer_framing.make_head(
-            status, self._headers, is_head_request=self._is_head_request
-        )
-
     def _is_ended_by_close(self, reason: failure.Failure) -> bool:
         """Returns whether an orderly close ends an answer without a length."""
         is_orderly = isinstance(reason.value, error.ConnectionDone)
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -108,7 +108,9 @@
             self._dispatched is not call
             and call.body_length > self._limits.buffered_bytes
         ):
-            self._dispatch(call)
+            # It is handled when its turn comes.
+            self._dispatched = call
+            self._pipeline.set_ready(call)
 
     def request_read(self) -> None:
         """Ends the body, and starts the call unless it is being streamed."""
@@ -225,13 +227,6 @@
         if self._is_paused or self._is_body_paused or self._pipeline.waiting:
             self._update_reading()
 
-    def _dispatch(self, call: inbound_call.InboundCall) -> None:
-        """Lets a call be handled when its turn comes."""
-        self._dispatched = call
-        self._pipeline.set_ready(call)
-        if self._pipeline.waiting:
-            self._update_reading()
-
     def _stop_taking_calls(self) -> None:
         """Ignores what the parser still reads from the data at hand."""
         self._is_closing = True
