--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -13,7 +13,6 @@
 
 from cranberrymux.node.http import answer_budget
 from cranberrymux.node.http import answer_framing
-from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import answer_matcher
 from cranberrymux.node.http import answer_sink
@@ -181,20 +180,6 @@
         self._has_read_answer_end = False
         size = len(data)
         self._budget.headers.note_read(size)
-        self._feed(data)
-        if not self._has_read_answer_end and (
-            exceeded := self._budget.check_read(size)
-        ):
-            self._end_excess(exceeded)
-        if self._has_read_answer_end and not self._is_lost:
-            if self._is_paused:
-                # The caller that paused may take the last part of its answer
-                # later.
-                self.resume_answer()
-            if self.on_idle is not None:
-                self.on_idle(self)
-
-    def _feed(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -207,6 +192,17 @@
             self._cancel_behind_answer()
             if not self._is_lost:
                 self._fail(lost_answer.LossReason.NOT_VALID, str(failed))
+        if not self._has_read_answer_end and (
+            exceeded := self._budget.check_read(size)
+        ):
+            self._end_excess(exceeded)
+        if self._has_read_answer_end and not self._is_lost:
+            if self._is_paused:
+                # The caller that paused may take the last part of its answer
+                # later.
+                self.resume_answer()
+            if self.on_idle is not None:
+                self.on_idle(self)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -252,9 +248,6 @@
         if sink is None:
             return
         status = self._parser.get_status_code()
-        if status < _LOWEST_STATUS:
-            self._fail(lost_answer.LossReason.NOT_VALID, f"status {status:03d}")
-            return
         if status < _LOWEST_FINAL_STATUS:
             self._pass_interim_answer(status)
             return
@@ -339,6 +332,9 @@
         """Does nothing, as `connectionLost` follows."""
 
     def _pass_interim_answer(self, status: int) -> None:
+        if status < _LOWEST_STATUS:
+            self._fail(lost_answer.LossReason.NOT_VALID, f"status {status:03d}")
+            return
         self._is_interim = True
         if exceeded := self._budget.note_interim_answer():
             self._end_excess(exceeded)
@@ -350,7 +346,9 @@
 
         The pending request's answer could not be found behind it.
         """
-        mode = self._make_head(status).mode
+        mode = answer_framing.make_head(
+            status, self._headers, is_head_request=self._is_head_request
+        ).mode
         if (
             mode is body_mode.BodyMode.UNTIL_CLOSE
             or not answer_framing.has_plain_coding(self._headers)
@@ -372,11 +370,6 @@
         if self.on_unexpected is not None:
             self.on_unexpected(unexpected)
 
-    def _make_head(self, status: int) -> answer_head.AnswerHead:
-        return answer_framing.make_head(
-            status, self._headers, is_head_request=self._is_head_request
-        )
-
     def _is_ended_by_close(self, reason: failure.Failure) -> bool:
         """Returns whether an orderly close ends an answer without a length."""
         is_orderly = isinstance(reason.value, error.ConnectionDone)
