Work report: a request without calls encodes its own part at once

A dictionary with a tuple was built for the work of each request and then encoded in two passes, although most requests have no calls and all of the offered work fits. The end of a run now returns the encoded header value (test).

--- a/src/cranberrymux/decisions/pressure/work_report.py
+++ b/src/cranberrymux/decisions/pressure/work_report.py
@@ -71,8 +71,7 @@
     account_parts = []
     for service, part in report.items():
         name = service.encode()
-        slot_ms = part.slot_s * _MS_PER_S
-        parts.append(b"%b=%.0f/%.0f" % (name, slot_ms, part.share * 1000))
+        parts.append(encode_part(name, part.slot_s, part.share))
         if part.account_share is not None:
             account_parts.append(
                 b"%b=%b%.0f" % (name, _ACCOUNT_MARK, part.account_share * 1000)
@@ -80,6 +79,11 @@
     return b",".join(parts + account_parts)
 
 
+def encode_part(service: bytes, slot_s: float, share: float) -> bytes:
+    """Encodes a report of one service without accounts; see `encode`."""
+    return b"%b=%.0f/%.0f" % (service, slot_s * _MS_PER_S, share * 1000)
+
+
 def decode(value: bytes) -> WorkReport:
     """Decodes a header value of `encode`; skips parts that are not valid."""
     report: WorkReport = {}
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -9,7 +9,6 @@
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.decisions.pressure import slot_scheduler
-from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import exit_call
 from cranberrymux.gateway import exit_limit
 from cranberrymux.gateway import exit_suspects
@@ -187,16 +186,19 @@
         call: owned_call.OwnedCall,
         outcome: run_outcome.RunOutcome,
         now_s: float,
-    ) -> work_report.WorkReport:
-        """Frees a slot; returns the work of the request and its calls."""
+    ) -> bytes:
+        """Frees a slot; returns the encoded work of the request and its calls.
+
+        It is empty if the request has ended before.
+        """
         if self._calls.pop(call.ticket_id, None) is None:
-            return {}
+            return b""
         self.deadlines.remove(call.deadline_key)
-        report = self.work.end_run(call, outcome, self.limit.per_s, now_s)
+        work = self.work.end_run(call, outcome, self.limit.per_s, now_s)
         if self.suspects.held_ids:
             self.suspects.ended(call.ticket_id)
         self._start_waiting(now_s)
-        return report
+        return work
 
     def update_metrics(self) -> None:
         """Updates the gauges and checks the health."""
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -81,7 +81,7 @@
         self,
         head: answer_head.AnswerHead,
         body: bytes,
-        report: work_report.WorkReport,
+        work: bytes,
         now_s: float,
         *,
         is_failed_by_call: bool,
@@ -91,12 +91,12 @@
         Args:
             head: Head of the answer.
             body: The whole body.
-            report: Work of the request and its calls.
+            work: Encoded work of the request and its calls.
             now_s: Monotonic seconds.
             is_failed_by_call: True if it failed because of one of its calls.
         """
         self.count_status(head.status)
-        headers = self._make_headers(head, report, is_failed_by_call, now_s)
+        headers = self._make_headers(head, work, is_failed_by_call, now_s)
         self._call.answer(head.status, headers, body)
 
     def start_streaming(
@@ -111,7 +111,7 @@
         mode = head.mode
         if mode is body_mode.BodyMode.UNTIL_CLOSE:
             mode = body_mode.BodyMode.CHUNKED
-        headers = self._make_headers(head, {}, is_failed_by_call, now_s)
+        headers = self._make_headers(head, b"", is_failed_by_call, now_s)
         self._call.start_answer(head._replace(headers=headers, mode=mode))
         self._call.send_body(body)
 
@@ -168,7 +168,7 @@
     def _make_headers(
         self,
         head: answer_head.AnswerHead,
-        report: work_report.WorkReport,
+        work: bytes,
         is_failed_by_call: bool,
         now_s: float,
     ) -> headers_module.HeaderList:
@@ -177,8 +177,8 @@
         headers += self._owner.work.encode_load(now_s)
         if self._owner.limit.is_reported:
             headers += self._owner.limit.encode()
-        if report:
-            headers += [(hop.WORK, work_report.encode(report))]
+        if work:
+            headers += [(hop.WORK, work)]
         if is_failed_by_call:
             headers += [(hop.CALL_FAILED, b"1")]
         return headers
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -195,12 +195,12 @@
             is_failed_by_call = self._owner.work.note_outcome(
                 self, verdict.is_failure, now_s
             )
-        report = self._owner.call_finished(self, verdict.outcome, now_s)
+        work = self._owner.call_finished(self, verdict.outcome, now_s)
         if not verdict.is_passed_on:
             self._withhold(verdict)
             return
         self._answers.forward(
-            head, body, report, now_s, is_failed_by_call=is_failed_by_call
+            head, body, work, now_s, is_failed_by_call=is_failed_by_call
         )
 
     def attempt_streaming(
--- a/src/cranberrymux/gateway/exit_owner.py
+++ b/src/cranberrymux/gateway/exit_owner.py
@@ -3,7 +3,6 @@
 from typing import Protocol
 
 from cranberrymux.decisions.endpoints import run_outcome
-from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import exit_limit
 from cranberrymux.gateway import exit_suspects
 from cranberrymux.gateway import exit_work
@@ -31,8 +30,11 @@
         call: owned_call.OwnedCall,
         outcome: run_outcome.RunOutcome,
         now_s: float,
-    ) -> work_report.WorkReport:
-        """Frees a slot; returns the work of the request and its calls."""
+    ) -> bytes:
+        """Frees a slot; returns the encoded work of the request and its calls.
+
+        It is empty if the request has ended before.
+        """
 
     def remove_waiting(self, ticket_id: int) -> None:
         """Removes a waiting request whose sender cancelled it."""
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -44,6 +44,7 @@
         self._describe_load = describe_load
         self._meter = share_meter.ShareMeter(parts.clock.now_s())
         self._logged_at_s = parts.clock.now_s()
+        self._encoded_service = parts.settings.service.encode()
         self._window_ends_s = -math.inf
         self.due_s = -math.inf
 
@@ -120,6 +121,14 @@
         own = work_report.ServiceWork(hold_s, share, account_share)
         return {self._parts.settings.service: own}
 
+    def encode_report(
+        self, tree_context: hop.TreeContext, hold_s: float
+    ) -> bytes:
+        """Returns `report` as a header value."""
+        if self._meter.share < 1.0:
+            return work_report.encode(self.report(tree_context, hold_s))
+        return work_report.encode_part(self._encoded_service, hold_s, 1.0)
+
     def _log(self) -> None:
         self._parts.events.info(
             "pressure",
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -101,8 +101,8 @@
         outcome: run_outcome.RunOutcome,
         limit_per_s: float | None,
         now_s: float,
-    ) -> work_report.WorkReport:
-        """Frees a slot; returns the work of the request and its calls.
+    ) -> bytes:
+        """Frees a slot; returns the encoded work of the request and its calls.
 
         Args:
             call: The request.
@@ -128,11 +128,11 @@
         if now_s >= self.pressure.due_s:
             self.pressure.update(now_s, limit_per_s)
         self._parts.parent_matcher.remove(ticket_id)
-        own = self.pressure.report(call.tree_context, hold_s)
         if running is None or not running.report:
-            return own
+            return self.pressure.encode_report(call.tree_context, hold_s)
+        own = self.pressure.report(call.tree_context, hold_s)
         work_report.add(running.report, own)
-        return running.report
+        return work_report.encode(running.report)
 
     def update_metrics(self) -> None:
         """Updates the gauges and checks the health."""
--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -8,6 +8,7 @@
 import structlog
 
 from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import exit_pressure
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import metrics
@@ -206,3 +207,14 @@
                 lines_at_s.append(now_s)
     assert pressure.share < 0.5
     assert lines_at_s == pytest.approx([1.0, 2.0, 3.0], abs=0.01)
+
+
+def test_encoded_work_tells_the_present_share(mesh):
+    """Guards against the short form of the report while work is refused."""
+    pressure = get_work(mesh).pressure
+    context = hop.DEFAULT_TREE_CONTEXT
+    for share in (1.0, 0.4, 1.0):
+        pressure._meter.share = share
+        report = work_report.decode(pressure.encode_report(context, 0.25))
+        assert report == {"deep": work_report.ServiceWork(0.25, share)}
+        assert report == pressure.report(context, 0.25)
