--- a/src/cranberrymux/gateway/backend_health.py
+++ b/src/cranberrymux/gateway/backend_health.py
@@ -9,6 +9,7 @@
 from cranberrymux.decisions.endpoints import stall_detector
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import load_report
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.models import backend_process
 from cranberrymux.models import load_figures
@@ -76,7 +77,9 @@
             self._speed_until_s = now_s + SPEED_LIFETIME_S
             speed = self._load.get_speed(now_s)
             self._speed = (
-                [] if speed is None else [(hop.SPEED, hop.encode_speed(speed))]
+                []
+                if speed is None
+                else [(hop.SPEED, load_report.encode_speed(speed))]
             )
         if self._load.surplus:
             requests += self._load.count_surplus(now_s)
@@ -84,7 +87,7 @@
         failure_rate = failing.at(now_s) if failing.latest else 0.0
         is_slow = self._slowness.latest_excess > 0.0
         ratio = self._slowness.at(now_s) if is_slow else 1.0
-        load = hop.encode_load(requests, failure_rate, ratio)
+        load = load_report.encode_load(requests, failure_rate, ratio)
         return [(hop.LOAD, load), *self._speed]
 
     def admits(self, now_s: float) -> bool:
--- a/src/cranberrymux/gateway/endpoint_observation.py
+++ b/src/cranberrymux/gateway/endpoint_observation.py
@@ -3,6 +3,7 @@
 from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import hop_answer
+from cranberrymux.gateway import load_report
 from cranberrymux.gateway import parts as parts_module
 
 
@@ -14,7 +15,7 @@
     """Updates an endpoint from an answer of its node."""
     now_s = answer.received_s
     endpoint.note_answer()
-    load = hop.decode_load(answer.head.headers)
+    load = load_report.decode_load(answer.head.headers)
     if load is not None:
         endpoint.note_reported_load(now_s, load.requests)
         endpoint.note_reported_failure_rate(now_s, load.failure_rate)
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -3,25 +3,18 @@
 from collections.abc import Container
 import functools
 import math
-import re
 from typing import NamedTuple
 from urllib import parse
 
 from cranberrymux.decisions.rate_limits import rate_limit_value
-from cranberrymux.models import endpoint_speed
 from cranberrymux.models import whole_number
 from cranberrymux.node import suspect_message
 from cranberrymux.node.http import headers as headers_module
 
 PREFIX = b"cranberrymux-"
 _KEPT_VALUES = 256  # Results kept by each cached encoder and decoder.
-# Names kept by `_PassedOn`, and the longest of them.
-_KEPT_NAMES = 1024
-_KEPT_NAME_BYTES = 64
-# Numbers separated by slashes; later versions may append further ones.
-_NUMBER = rb"([0-9]{1,%d})" % whole_number.MAXIMUM_DIGITS
-_THREE_NUMBERS = re.compile(b"/".join([_NUMBER] * 3) + b"(?:/.*)?", re.DOTALL)
-_FOUR_NUMBERS = re.compile(b"/".join([_NUMBER] * 4) + b"(?:/.*)?", re.DOTALL)
+_KEPT_NAMES = 1024  # Names kept by `_PassedOn`.
+_KEPT_NAME_BYTES = 64  # The longest of them.
 # On requests: id of the backend server that the sender chose.
 TARGET = b"cranberrymux-target"
 # On requests: name of the route.
@@ -40,7 +33,7 @@
 RESENT = b"cranberrymux-again"
 # On answers: why the request was not run; only if that is certain.
 NOT_RUN = b"cranberrymux-not-run"
-# On answers: see `LoadReport`.
+# On answers: see `load_report.LoadReport`.
 LOAD = b"cranberrymux-load"
 # On answers: the speed in the load report. It has its own header since nodes of
 # earlier versions take a load report of more than three numbers for invalid.
@@ -202,11 +195,7 @@
 
 
 def read_tree_context(first: dict[bytes, bytes]) -> TreeContext:
-    """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid.
-
-    Args:
-        first: Value of the first header of each name.
-    """
+    """Decodes the context; `DEFAULT_TREE_CONTEXT` if missing or invalid."""
     value = first.get(TREE_CONTEXT, b"")
     tree_context = _parse_tree_context(value, first.get(ACCOUNT, b""))
     if OFFERED not in first:
@@ -236,67 +225,6 @@
         return DEFAULT_TREE_CONTEXT
 
 
-class LoadReport(NamedTuple):
-    """Load and health of an endpoint, as reported by its node.
-
-    Attributes:
-        requests: Number of requests that run or wait there.
-        failure_rate: Share of recent requests that it failed by itself, 0 to 1.
-        slowness: Ratio of its present to its usual working times.
-        speed: Its speed; None before it is known.
-    """
-
-    requests: int
-    failure_rate: float
-    slowness: float = 1.0
-    speed: endpoint_speed.EndpointSpeed | None = None
-
-
-def encode_load(requests: int, failure_rate: float, slowness: float) -> bytes:
-    """Encodes load as `requests/per mille failing/percent slowness`."""
-    return b"%d/%.0f/%.0f" % (requests, failure_rate * 1000, slowness * 100)
-
-
-def encode_speed(speed: endpoint_speed.EndpointSpeed) -> bytes:
-    """Encodes speed as the numbers that `_decode_speed` reads.
-
-    They are `slots/microseconds of work/percent of the time in a slot that is
-    work/percent present slowness`.
-    """
-    return b"%d/%.0f/%.0f/%.0f" % (
-        speed.slots,
-        speed.work_s * 1e6,
-        speed.work_share * 100,
-        speed.present_slowness * 100,
-    )
-
-
-def decode_load(headers: headers_module.HeaderList) -> LoadReport | None:
-    """Decodes the report; None if it is missing or invalid.
-
-    Further numbers, of later versions, are ignored.
-    """
-    first = headers_module.index(headers)
-    found = _THREE_NUMBERS.fullmatch(first.get(LOAD, b""))
-    if found is None:
-        return None
-    requests, failing, slowness = map(int, found.groups())
-    speed = _decode_speed(first.get(SPEED, b""))
-    return LoadReport(requests, failing / 1000, slowness / 100, speed)
-
-
-def _decode_speed(value: bytes) -> endpoint_speed.EndpointSpeed | None:
-    found = _FOUR_NUMBERS.fullmatch(value)
-    if found is None:
-        return None
-    slots, work_us, work_percent, slow_percent = map(int, found.groups())
-    if not work_us or not slow_percent or work_percent > 100:
-        return None
-    return endpoint_speed.EndpointSpeed(
-        slots, work_us / 1e6, work_percent / 100, slow_percent / 100
-    )
-
-
 def encode_rate_limit(per_s: float) -> bytes:
     """Encodes a rate limit in requests a second."""
     return b"%.9f" % per_s
--- a/tests/gateway/test_load_figures.py
+++ b/tests/gateway/test_load_figures.py
@@ -12,6 +12,7 @@
 from cranberrymux.decisions.endpoints import work_time
 from cranberrymux.gateway import backend_health
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import load_report
 from cranberrymux.models import endpoint_speed
 from cranberrymux.models import load_figures
 from tests.gateway import mesh as mesh_module
@@ -152,12 +153,15 @@
 
 def encode(report):
     """Returns the headers of a report."""
-    load = hop.encode_load(
+    load = load_report.encode_load(
         report.requests, report.failure_rate, report.slowness
     )
     if report.speed is None:
         return [(hop.LOAD, load)]
-    return [(hop.LOAD, load), (hop.SPEED, hop.encode_speed(report.speed))]
+    return [
+        (hop.LOAD, load),
+        (hop.SPEED, load_report.encode_speed(report.speed)),
+    ]
 
 
 class TestReport:
@@ -166,22 +170,22 @@
     SPEED = endpoint_speed.EndpointSpeed(44, 0.0205, 0.5, 2.5)
 
     def test_is_read_as_it_was_written(self):
-        report = hop.LoadReport(7, 0.25, 1.5, self.SPEED)
-        assert hop.decode_load(encode(report)) == report
+        report = load_report.LoadReport(7, 0.25, 1.5, self.SPEED)
+        assert load_report.decode_load(encode(report)) == report
         without = report._replace(speed=None)
-        assert hop.decode_load(encode(without)) == without
+        assert load_report.decode_load(encode(without)) == without
 
     def test_nodes_of_earlier_versions_read_it(self):
         """They take a report of more or fewer than three numbers as invalid."""
-        report = hop.LoadReport(7, 0.25, 1.5, self.SPEED)
+        report = load_report.LoadReport(7, 0.25, 1.5, self.SPEED)
         assert dict(encode(report))[hop.LOAD] == b"7/250/150"
         old = [(hop.LOAD, b"7/250/150")]
-        assert hop.decode_load(old) == report._replace(speed=None)
+        assert load_report.decode_load(old) == report._replace(speed=None)
 
     def test_numbers_of_later_versions_are_ignored(self):
         headers = [(hop.LOAD, b"7/250/150/x"), (hop.SPEED, b"44/20500/50/250/")]
-        report = hop.LoadReport(7, 0.25, 1.5, self.SPEED)
-        assert hop.decode_load(headers) == report
+        report = load_report.LoadReport(7, 0.25, 1.5, self.SPEED)
+        assert load_report.decode_load(headers) == report
 
     @pytest.mark.parametrize(
         "speed",
@@ -189,4 +193,6 @@
     )
     def test_invalid_speed_is_ignored(self, speed):
         headers = [(hop.LOAD, b"7/250/150"), (hop.SPEED, speed)]
-        assert hop.decode_load(headers) == hop.LoadReport(7, 0.25, 1.5)
+        assert load_report.decode_load(headers) == load_report.LoadReport(
+            7, 0.25, 1.5
+        )
--- a/tests/gateway/test_malformed_numbers.py
+++ b/tests/gateway/test_malformed_numbers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import load_report
 from tests.fakes import raw_client
 from tests.gateway import mesh as mesh_module
 
@@ -44,7 +45,7 @@
         (hop.LIMIT_WAIT, number),
         (hop.RATE_LIMIT, number),
     ]
-    assert hop.decode_load(headers) is None
+    assert load_report.decode_load(headers) is None
     assert hop.decode_leaving(headers) is None
     assert hop.decode_limit_wait(headers) == 0.0
     assert hop.decode_rate_limit(headers) is None
