--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -163,14 +163,19 @@
         than others and higher for a slower one, plus the share of requests
         that the backend server refuses, plus a penalty for its failure rate.
         """
-        excess_failure_rate = max(
-            0.0, self.failure_rate(now_s) - TOLERATED_FAILURE_RATE
-        )
         load = self.load(now_s)
         penalty = self.relative_time.penalty(now_s, load)
-        excess_slowness = self.slowness(now_s) / TOLERATED_SLOWNESS - 1.0
-        if excess_slowness > 0.0:
-            penalty = max(penalty, excess_slowness * (load + SLOW_IDLE_LOAD))
+        # Values that decay do not exceed their latest one.
+        if self._excess_slowness.latest > TOLERATED_SLOWNESS - 1.0:
+            excess_slowness = self.slowness(now_s) / TOLERATED_SLOWNESS - 1.0
+            if excess_slowness > 0.0:
+                idle_penalty = excess_slowness * (load + SLOW_IDLE_LOAD)
+                penalty = max(penalty, idle_penalty)
+        excess_failure_rate = 0.0
+        if self.is_failing(now_s):
+            excess_failure_rate = (
+                self.failure_rate(now_s) - TOLERATED_FAILURE_RATE
+            )
         penalty += self._refusal_rate + FAILURE_COST * excess_failure_rate
         return load + penalty
 
@@ -203,13 +208,14 @@
         else:
             reported = self._reported_load.at(now_s)
         slots = self.record.slots
-        if self._reported_slots:
-            slots = min(slots, self._reported_slots)
-        return max(reported, self.outstanding) / max(slots, 1)
+        if 0 < self._reported_slots < slots:
+            slots = self._reported_slots
+        reported = max(reported, self.outstanding)
+        return reported / max(slots, 1)
 
     def is_failing(self, now_s: float) -> bool:
         """True if its failure rate exceeds `TOLERATED_FAILURE_RATE`."""
-        # Neither rate rises while it decays.
+        # Values that decay do not exceed their latest one.
         return (
             self._observed_failure_rate.latest > TOLERATED_FAILURE_RATE
             or self._reported_failure_rate.latest > TOLERATED_FAILURE_RATE
@@ -270,13 +276,15 @@
 
     def note_reported_failure_rate(self, now_s: float, rate: float) -> None:
         """Stores the failure rate, 0 to 1, that its node reports."""
-        self._reported_failure_rate.set(now_s, rate)
+        self._reported_failure_rate.latest = rate
+        self._reported_failure_rate.set_at_s = now_s
         if rate > failure_ejection.EJECTION_FAILURE_RATE:
             self._ejection.note_rate(now_s, rate)
 
     def note_reported_slowness(self, now_s: float, slowness: float) -> None:
         """Stores the ratio of present to usual working times, reported."""
-        self._excess_slowness.set(now_s, slowness - 1.0)
+        self._excess_slowness.latest = slowness - 1.0
+        self._excess_slowness.set_at_s = now_s
 
     def note_leaving(self, started_ms: int) -> bool:
         """Records that its backend server has said that it is leaving.
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -42,7 +42,8 @@
         route: route_module.Route,
         headers: headers_module.HeaderList,
         digest: str,
-        account: client_account.ClientAccount | None = None,
+        account: client_account.ClientAccount | None,
+        began_s: float,
     ) -> None:
         """Prepares the call; `start` sends it to an endpoint.
 
@@ -53,6 +54,7 @@
             headers: Headers to pass on, without those of each attempt.
             digest: Digest of its content.
             account: The client account that sent it; None for none.
+            began_s: Monotonic seconds at which it arrived.
         """
         self._parts = parts
         self._call = call
@@ -61,11 +63,12 @@
         self._headers = headers
         name = parts.settings.dialect.request_id
         self._request_id = call.head.headers.first.get(name, b"")
-        self._began_s = parts.clock.now_s()
+        self._began_s = began_s
         self._origin = origin_module.Origin(
             parts, route, call.head.headers, self._began_s, account
         )
-        wait_s = min(self._origin.left_s, route.timeout_s)
+        wait_s = self._origin.left_s
+        wait_s = min(wait_s, route.timeout_s)
         self._quota = entry_quota.UNLIMITED
         is_limited = account is not None and account.is_limited
         if is_limited and self._origin.is_root:
@@ -87,21 +90,21 @@
         self._answer = entry_answer.EntryAnswer(
             parts, call, self._origin, self._attempts, self._log
         )
-        self._suspicion = suspicion.Suspicion(parts, digest)
+        self._digest = digest
         self._judge = answer_judge.AnswerJudge(parts, self._attempts)
         self._endpoint: endpoint_view.EndpointView | None = None
         self._sent_s = 0.0
         # True if an attempt is sent in a later event than it was started.
         self._is_connecting = False
         self._was_suspect = False
+        self._deadline_key: int | None = None
 
     def start(self) -> None:
         """Sends the request to an endpoint, or refuses it."""
         self._parts.open_entry_calls += 1
         self._origin.begin_call()
         now_s = self._began_s
-        left_s = self._deadline_s - now_s
-        if left_s <= 0:
+        if self._deadline_s <= now_s:
             self._refuse(_Outcome.EXPIRED)
             return
         if not self._parts.can_end_before_stop(now_s, self._deadline_s):
@@ -111,8 +114,8 @@
             self._refuse(_Outcome.QUARANTINED)
             return
         self._call.on_cancel = self._handle_cancelled
-        self._timer = self._parts.reactor.callLater(
-            left_s, self._handle_timeout
+        self._deadline_key = self._parts.deadlines.add(
+            self._deadline_s, self._handle_timeout
         )
         if self._quota is entry_quota.UNLIMITED:
             self._send_first(now_s)
@@ -125,6 +128,7 @@
             self._refuse(_Outcome.SHED)
             return
         self._attempts.tree_context = tree_context
+        self._attempts.parent = self._origin.parent
         self._call.on_send_buffer_full = self._pause_answer
         self._call.on_send_buffer_drained = self._resume_answer
         self._send_next(now_s)
@@ -152,7 +156,7 @@
         if self._parts.quarantine.records and self._suspicion.is_refused:
             self._refuse(_Outcome.QUARANTINED)
             return
-        if self._account is not None and not self._is_key_valid():
+        if self._account is not None and not self._is_key_valid(now_s):
             self._refuse(_Outcome.KEY_UNCONFIRMED)
             return
         endpoint = self._attempts.choose(now_s)
@@ -172,14 +176,18 @@
         self._attempt.start()
         self._is_connecting = True
 
-    def _is_key_valid(self) -> bool:
+    @property
+    def _suspicion(self) -> suspicion.Suspicion:
+        return suspicion.Suspicion(self._parts, self._digest)
+
+    def _is_key_valid(self, now_s: float) -> bool:
         """Checks the key again after a wait, in which it may be taken away."""
         table = self._parts.routes.table
         has_waited = self._quota.has_waited or self._attempts.has_tried
         if table is None or not has_waited:
             return True
         identity = client_identity.identify(
-            self._parts, table, self._route, self._call.head.headers
+            self._parts, table, self._route, self._call.head.headers, now_s
         )
         return identity.verdict is client_identity.IdentityVerdict.ACCEPTED
 
@@ -218,7 +226,9 @@
         self, head: answer_head.AnswerHead, body: bytes
     ) -> None:
         """Passes an answer on, or sends the request to another endpoint."""
-        answer = self._read_answer(head)
+        answer = hop_answer.HopAnswer(
+            head, self._request_id, self._sent_s, self._parts.clock.now_s()
+        )
         if hop.SUSPECT in answer.first:
             self._suspicion.learn(answer)
         if answer.has_died:
@@ -243,7 +253,9 @@
 
         If the request is sent to another endpoint, the rest is not read.
         """
-        answer = self._read_answer(head)
+        answer = hop_answer.HopAnswer(
+            head, self._request_id, self._sent_s, self._parts.clock.now_s()
+        )
         if self._judge.is_final(self._endpoint, answer):
             self._limit_streaming(answer.received_s)
             self._answer.start_streaming(answer, body)
@@ -255,18 +267,11 @@
             self._attempts.may_have_run = True
         self._send_elsewhere(endpoint, answer)
 
-    def _read_answer(
-        self, head: answer_head.AnswerHead
-    ) -> hop_answer.HopAnswer:
-        return hop_answer.HopAnswer(
-            head, self._request_id, self._sent_s, self._parts.clock.now_s()
-        )
-
     def _limit_streaming(self, now_s: float) -> None:
         """Lets a long answer end a little after the deadline at the latest."""
         self._cancel_timer()
-        self._timer = self._parts.reactor.callLater(
-            max(self._deadline_s - now_s, 0.0) + STREAMING_GRACE_S,
+        self._deadline_key = self._parts.deadlines.add(
+            max(self._deadline_s, now_s) + STREAMING_GRACE_S,
             self._handle_streaming_timeout,
         )
 
@@ -322,8 +327,13 @@
 
     # Ends of the request.
 
+    def _cancel_timer(self) -> None:
+        if self._deadline_key is not None:
+            self._parts.deadlines.remove(self._deadline_key)
+            self._deadline_key = None
+
     def _handle_timeout(self) -> None:
-        self._timer = None
+        self._deadline_key = None
         endpoint = self._release_endpoint()
         if endpoint is not None:
             endpoint.note_timeout(self._parts.clock.now_s())
@@ -334,7 +344,7 @@
             self._refuse(_Outcome.EXPIRED)
 
     def _handle_streaming_timeout(self) -> None:
-        self._timer = None
+        self._deadline_key = None
         self._release_endpoint()
         self._cancel_attempt()
         self._answer.abort_streaming("the deadline passed")
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -21,13 +21,15 @@
 
     Attributes:
         left_s: Seconds that the caller allows.
+        parent: The running request that made this one, once it is admitted;
+            None for a root, or if it is not known.
     """
 
     def __init__(
         self,
         parts: parts_module.GatewayParts,
         route: route_module.Route,
-        headers: headers_module.HeaderList,
+        headers: headers_module.Headers,
         now_s: float,
         account: client_account.ClientAccount | None = None,
     ) -> None:
@@ -41,9 +43,10 @@
             account: The client account that sent it; None for none.
         """
         dialect = parts.settings.dialect
-        first = headers_module.index(headers)
+        first = headers.first
         left_ms = whole_number.decode(first.get(dialect.deadline_ms))
         self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
+        self.parent: running_request.RunningRequest | None = None
         self._parts = parts
         self._route = route
         self._account_name = "" if account is None else account.name
@@ -77,7 +80,7 @@
         entry_admission = self._parts.entry_admission
         share = entry_admission.root_admission.minimum_share
         if self._parent_match.is_call:
-            parent = self._find_parent()
+            parent = self.parent = self._find_parent()
             if parent is not None:
                 return parent.tree_context.for_call()
             return hop.TreeContext(self._rank, share).for_call()
@@ -146,7 +149,7 @@
         report = work_report.decode(work) if work is not None else {}
         if answer.rate_limit_per_s is not None and service in report:
             self._ignore_limited_share(service, report, now_s)
-        if report.keys() - {service}:
+        if len(report) > (service in report):
             self._parts.repeats.mark_tree_route(self._route.name)
         if self._parent_match.is_call:
             parent = self._find_parent()
