Heartbeats: a node's record only where it is not kept

Cause: each heartbeat repeated the record of the node's endpoint, about half of its bytes, to each control instance.

Change: a control instance says that it keeps the record of a node, and the node then sends heartbeats without it until it changes, an answer is lost or the instance says otherwise (a start, another process of the node). Both fields are optional; nodes and instances of earlier versions exchange what they did.

--- a/src/cranberrymux/control/node_service.py
+++ b/src/cranberrymux/control/node_service.py
@@ -10,6 +10,7 @@
 from thrift.protocol import TProtocol
 from zope import interface
 
+from cranberrymux.control import announced_endpoints
 from cranberrymux.control import claim_abandonment
 from cranberrymux.control import command_log
 from cranberrymux.control import control_settings
@@ -84,6 +85,7 @@
             lease_s, TOMBSTONE_LEASES * lease_s, now_s()
         )
         self.nodes = node_table.NodeTable(lease_s)
+        self._announced = announced_endpoints.AnnouncedEndpoints()
         self._abandonment = claim_abandonment.ClaimAbandonment(
             machine, log, self.directory, self.nodes, self.tick, now_s
         )
@@ -117,7 +119,7 @@
                 incarnation=record.incarnation,
             )
         retention_s = TOMBSTONE_LEASES * self._settings.lease_ms / 1000
-        self.nodes.remove_expired(now_s - retention_s)
+        self._announced.remove(self.nodes.remove_expired(now_s - retention_s))
 
     def report_metrics(self) -> None:
         """Sends the number of nodes that hold a lease."""
@@ -140,8 +142,9 @@
             heartbeat.configuration_version,
             now_s,
         )
-        if is_current_incarnation:
-            self._store_endpoints(heartbeat.endpoints, now_s)
+        keeps_endpoints = is_current_incarnation and self._store_endpoints(
+            heartbeat, now_s
+        )
         is_same_epoch = heartbeat.directory_epoch == self._epoch
         revision = heartbeat.directory_revision if is_same_epoch else 0
         delta = self.directory.read(heartbeat.services, revision, now_s)
@@ -167,6 +170,7 @@
             suspects=suspects,
             suspect_revision=self._machine.suspects.revision,
             quota_owner=self.quotas.owner_address,
+            keeps_endpoints=keeps_endpoints,
         )
 
     async def claim(self, key: str, request: Any) -> Any:
@@ -290,12 +294,10 @@
             for name, event_ids in self._machine.suspects.read(revision)
         ]
 
-    def _store_endpoints(self, endpoints: Any, now_s: float) -> None:
-        for message in endpoints:
-            try:
-                record = endpoint_conversion.decode_endpoint(message)
-            except ValueError:
-                raise ttypes.Refused(reason="bad endpoint") from None
+    def _store_endpoints(self, heartbeat: Any, now_s: float) -> bool:
+        """Renews the endpoints of a node; False if they are not known."""
+        records = self._announced.read(heartbeat)
+        for record in records or ():
             if self.directory.announce(record, now_s):
                 self._events.info(
                     "endpoint-changed",
@@ -305,3 +307,4 @@
                     sequence=record.sequence,
                     state=record.state.name.lower(),
                 )
+        return records is not None
--- a/src/cranberrymux/decisions/directory/node_table.py
+++ b/src/cranberrymux/decisions/directory/node_table.py
@@ -75,9 +75,18 @@
         """True if the drain of this incarnation was requested."""
         return self._drains.get(node_id) == incarnation
 
-    def remove_expired(self, before_s: float) -> None:
-        """Removes the nodes whose lease ended before a monotonic time."""
-        for node_id, status in list(self._nodes.items()):
-            if status.expires_s < before_s:
-                del self._nodes[node_id]
-                self._drains.pop(node_id, None)
+    def remove_expired(self, before_s: float) -> list[str]:
+        """Removes the nodes whose lease ended before a monotonic time.
+
+        Returns:
+            Their ids.
+        """
+        removed = [
+            node_id
+            for node_id, status in self._nodes.items()
+            if status.expires_s < before_s
+        ]
+        for node_id in removed:
+            del self._nodes[node_id]
+            self._drains.pop(node_id, None)
+        return removed
--- a/src/cranberrymux/node/directory_task.py
+++ b/src/cranberrymux/node/directory_task.py
@@ -105,6 +105,7 @@
         suspect_revision: Revision of the suspects in its last answer; 0
             requests all of them.
         subscriptions: Services named in the last heartbeat.
+        kept_record: Record of the node's endpoint that the instance keeps.
         is_waiting: True while a heartbeat has no answer.
         is_due_again: True if a heartbeat must follow the one under way.
     """
@@ -115,6 +116,7 @@
         self.revision = 0
         self.suspect_revision = 0
         self.subscriptions: tuple[str, ...] = ()
+        self.kept_record: endpoint_record.EndpointRecord | None = None
         self.is_waiting = False
         self.is_due_again = False
 
@@ -227,10 +229,13 @@
             if subscriptions != session.subscriptions:
                 session.revision = 0
                 session.subscriptions = subscriptions
-            answer = await session.client.heartbeat(
-                self._make_heartbeat(session)
-            )
+            record = self._endpoint.record
+            heartbeat = self._make_heartbeat(session, record)
+            session.kept_record = None  # Unless the answer says otherwise.
+            answer = await session.client.heartbeat(heartbeat)
             if not isinstance(answer, wire_error.WireError):
+                if answer.keeps_endpoints:
+                    session.kept_record = record
                 self._apply_answer(session, answer, sent_s)
         finally:
             session.is_waiting = False
@@ -238,22 +243,21 @@
             session.is_due_again = False
             await self._send_heartbeat(session)
 
-    def _make_heartbeat(self, session: _Session) -> Any:
-        record = self._endpoint.record
-        endpoints = (
-            []
-            if record is None
-            else [endpoint_conversion.encode_endpoint(record)]
-        )
+    def _make_heartbeat(
+        self, session: _Session, record: endpoint_record.EndpointRecord | None
+    ) -> Any:
+        is_kept = record is not None and record == session.kept_record
+        named = () if record is None or is_kept else (record,)
         return ttypes.Heartbeat(
             node_id=self._settings.node_id,
             incarnation=self._endpoint.incarnation,
-            endpoints=endpoints,
+            endpoints=list(map(endpoint_conversion.encode_endpoint, named)),
             services=list(session.subscriptions),
             directory_revision=session.revision,
             configuration_version=self._listener.configuration_version,
             directory_epoch=session.epoch,
             suspect_revision=session.suspect_revision,
+            has_same_endpoints=is_kept or None,
         )
 
     def _apply_answer(
--- a/src/cranberrymux/wire/cranberrymux.thrift
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -35,6 +35,9 @@
   // Newest revision of the suspects that the node has of the answerer; absent
   // in heartbeats of nodes that need none.
   8: optional i64 suspect_revision
+  // True if the endpoints are those that the answerer said it keeps, so that
+  // `endpoints` is empty.
+  9: optional bool has_same_endpoints
 }
 
 // The ids of the ledger of suspects under one name.
@@ -65,6 +68,9 @@
   // `ip:port` of the control instance that hands out quota tokens; absent if
   // none is known.
   13: optional string quota_owner
+  // True if the answerer keeps the node's endpoints, so that the next heartbeat
+  // need not name them.
+  14: optional bool keeps_endpoints
 }
 
 // Tokens of one client account. In a request, `tokens` is the number that the
--- a/src/cranberrymux/wire/gen/messages/ttypes.py
+++ b/src/cranberrymux/wire/gen/messages/ttypes.py
@@ -296,11 +296,12 @@
      - configuration_version
      - directory_epoch
      - suspect_revision
+     - has_same_endpoints
 
     """
 
 
-    def __init__(self, node_id=None, incarnation=None, endpoints=None, services=None, directory_revision=None, configuration_version=None, directory_epoch=None, suspect_revision=None,):
+    def __init__(self, node_id=None, incarnation=None, endpoints=None, services=None, directory_revision=None, configuration_version=None, directory_epoch=None, suspect_revision=None, has_same_endpoints=None,):
         self.node_id = node_id
         self.incarnation = incarnation
         self.endpoints = endpoints
@@ -309,6 +310,7 @@
         self.configuration_version = configuration_version
         self.directory_epoch = directory_epoch
         self.suspect_revision = suspect_revision
+        self.has_same_endpoints = has_same_endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -370,6 +372,11 @@
                     self.suspect_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.has_same_endpoints = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -418,6 +425,10 @@
             oprot.writeFieldBegin('suspect_revision', TType.I64, 8)
             oprot.writeI64(self.suspect_revision)
             oprot.writeFieldEnd()
+        if self.has_same_endpoints is not None:
+            oprot.writeFieldBegin('has_same_endpoints', TType.BOOL, 9)
+            oprot.writeBool(self.has_same_endpoints)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -546,11 +557,12 @@
      - suspects
      - suspect_revision
      - quota_owner
+     - keeps_endpoints
 
     """
 
 
-    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None, control_instances=None, suspects=None, suspect_revision=None, quota_owner=None,):
+    def __init__(self, lease_ms=None, directory_epoch=None, directory_revision=None, whole_directory=None, endpoints=None, configuration_version=None, configuration=None, vouched_ms=None, drain=None, control_instances=None, suspects=None, suspect_revision=None, quota_owner=None, keeps_endpoints=None,):
         self.lease_ms = lease_ms
         self.directory_epoch = directory_epoch
         self.directory_revision = directory_revision
@@ -564,6 +576,7 @@
         self.suspects = suspects
         self.suspect_revision = suspect_revision
         self.quota_owner = quota_owner
+        self.keeps_endpoints = keeps_endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -656,6 +669,11 @@
                     self.quota_owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.keeps_endpoints = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -727,6 +745,10 @@
             oprot.writeFieldBegin('quota_owner', TType.STRING, 13)
             oprot.writeString(self.quota_owner.encode('utf-8') if sys.version_info[0] == 2 else self.quota_owner)
             oprot.writeFieldEnd()
+        if self.keeps_endpoints is not None:
+            oprot.writeFieldBegin('keeps_endpoints', TType.BOOL, 14)
+            oprot.writeBool(self.keeps_endpoints)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2762,6 +2784,7 @@
     (6, TType.I64, 'configuration_version', None, None, ),  # 6
     (7, TType.STRING, 'directory_epoch', 'UTF8', None, ),  # 7
     (8, TType.I64, 'suspect_revision', None, None, ),  # 8
+    (9, TType.BOOL, 'has_same_endpoints', None, None, ),  # 9
 )
 all_structs.append(SuspectRow)
 SuspectRow.thrift_spec = (
@@ -2785,6 +2808,7 @@
     (11, TType.LIST, 'suspects', (TType.STRUCT, [SuspectRow, None], False), None, ),  # 11
     (12, TType.I64, 'suspect_revision', None, None, ),  # 12
     (13, TType.STRING, 'quota_owner', 'UTF8', None, ),  # 13
+    (14, TType.BOOL, 'keeps_endpoints', None, None, ),  # 14
 )
 all_structs.append(QuotaRow)
 QuotaRow.thrift_spec = (
--- a/tests/node/test_directory_task.py
+++ b/tests/node/test_directory_task.py
@@ -166,3 +166,57 @@
     task.send_heartbeats()
     assert control.revisions == [0]
     assert listener.records == ["a"]
+
+
+class Keeping:
+    """Answers each heartbeat and says whether it keeps the endpoint."""
+
+    def __init__(self):
+        self.keeps_endpoints = True
+        self.is_lost = False
+        self.heartbeats = []
+
+    async def heartbeat(self, heartbeat):
+        self.heartbeats.append(
+            (len(heartbeat.endpoints), bool(heartbeat.has_same_endpoints))
+        )
+        if self.is_lost:
+            timeout = wire_error.WireErrorReason.TIMEOUT
+            return wire_error.WireError(timeout, "")
+        answer = make_answer(5)
+        answer.keeps_endpoints = self.keeps_endpoints
+        return answer
+
+
+def test_endpoint_is_named_only_to_an_instance_that_does_not_keep_it():
+    """Guards against a record that an instance lacks and never gets."""
+    settings = node_settings.make(
+        loader.load_text(_SETTINGS, "node.yaml", node_settings.FIELDS)
+    )
+    endpoint = own_endpoint.OwnEndpoint(settings, 1)
+    endpoint.announce(
+        backend_server.BackendServer(
+            "s", socket_address.SocketAddress("127.0.0.1", 9), 1, {}, (), ""
+        ),
+        endpoint_state.EndpointState.SERVING,
+    )
+    control = Keeping()
+    task = directory_task.DirectoryTask(
+        settings, [control], endpoint, Clock(), RecordingListener()
+    )
+    task.send_heartbeats()
+    task.send_heartbeats()
+    assert control.heartbeats == [(1, False), (0, True)]
+    endpoint.set_state(endpoint_state.EndpointState.DRAINING)
+    task.send_heartbeats()
+    control.is_lost = True
+    task.send_heartbeats()
+    assert control.heartbeats[2:] == [(1, False), (0, True)]
+    control.is_lost = False
+    # The instance may not have got the last one.
+    task.send_heartbeats()
+    # As an instance of an earlier version, or one that has started anew.
+    control.keeps_endpoints = None
+    task.send_heartbeats()
+    task.send_heartbeats()
+    assert control.heartbeats[4:] == [(1, False), (0, True), (1, False)]
