Configuration: accept ten thousand accounts

Cause: a routing configuration is one entry of the replicated log and one message, at most 512 KiB and 1 MiB. Its text form holds the body and the decoded tables, about 2.5 times the body, so that one of 10,000 accounts was refused with 503, and an operator could not tell why.

Change: from 256 KiB on the text form is compressed, in steps. It remains one entry, which is stored whole or not at all; texts of earlier versions are read as before. Commands may have 6 MiB, frames and log messages 8 MiB; a larger configuration is refused with 413.

--- a/src/cranberrymux/consensus/codec.py
+++ b/src/cranberrymux/consensus/codec.py
@@ -14,7 +14,7 @@
 from cranberrymux.consensus import messages
 from cranberrymux.wire.gen.consensus import ttypes
 
-MAXIMUM_MESSAGE_BYTES = 1 << 22
+MAXIMUM_MESSAGE_BYTES = 1 << 23
 _FLAT_MESSAGE_TYPES: dict[str, Any] = {
     "append_answer": messages.AppendAnswer,
     "vote_request": messages.VoteRequest,
--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -24,12 +24,12 @@
 from cranberrymux.telemetry import metrics
 from cranberrymux.telemetry import metrics_settings
 from cranberrymux.wire import control_server
+from cranberrymux.wire import limits
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 TICKS_PER_LEASE = 8
 METRICS_INTERVAL_S = 1.0
-MAXIMUM_COMMAND_BYTES = 524_288
 MAXIMUM_RETAINED_ENTRIES = 1000
 
 
@@ -103,7 +103,7 @@
             self._log_storage_error(restored)
             return None
         replication = replica_settings.ReplicaSettings(
-            max_entry_bytes=MAXIMUM_COMMAND_BYTES,
+            max_entry_bytes=limits.MAXIMUM_COMMAND_BYTES,
             snapshot_entries=settings.snapshot_entries,
             retained_entries=min(
                 settings.snapshot_entries, MAXIMUM_RETAINED_ENTRIES
--- a/src/cranberrymux/control/route_changes.py
+++ b/src/cranberrymux/control/route_changes.py
@@ -10,9 +10,13 @@
 from cranberrymux.decisions.configuration import change_verdict
 from cranberrymux.decisions.routes import document_check
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.wire import limits
 from cranberrymux.wire.gen.messages import ttypes
 
 AUTHOR = "operator"
+# Of the text form of a document, which is ASCII. One entry of the log and one
+# message hold it with the fields around it.
+MAXIMUM_STORED_CHARACTERS = limits.MAXIMUM_COMMAND_BYTES - 4096
 
 
 class PutVerdict(enum.Enum):
@@ -22,6 +26,7 @@
         ACCEPTED: The document is committed.
         CONFLICT: Another document than the named one is in force.
         INVALID: The document must not take effect.
+        TOO_LARGE: The document does not fit into the replicated log.
         UNAVAILABLE: The document is not known to be committed.
         ASK_LEADER: A follower found a fault, but its own state may be too old
             to tell.
@@ -30,6 +35,7 @@
     ACCEPTED = "accepted"
     CONFLICT = "conflict"
     INVALID = "invalid"
+    TOO_LARGE = "too-large"
     UNAVAILABLE = "unavailable"
     ASK_LEADER = "ask-leader"
 
@@ -95,10 +101,7 @@
     ) -> PutResult | None:
         """Returns why the state here refuses a document, or None."""
         text = self._parts.machine.configuration.document
-        current = route_document.load_head(text)
-        current_label = 0
-        if isinstance(current, route_document.RouteDocumentHead):
-            current_label = current.label
+        current_label = route_document.load_label(text) or 0
         if base_label != current_label:
             detail = f"label {current_label} is in force, not {base_label}"
             return PutResult(PutVerdict.CONFLICT, detail)
@@ -117,6 +120,12 @@
         text = await stepwise.run(
             self._parts.reactor, route_document.dump_in_steps(document)
         )
+        if len(text) > MAXIMUM_STORED_CHARACTERS:
+            detail = (
+                f"the configuration takes {len(text)} bytes compressed, limit"
+                f" {MAXIMUM_STORED_CHARACTERS}"
+            )
+            return PutResult(PutVerdict.TOO_LARGE, detail)
         requested = change.Change(change_id, base_version, AUTHOR, text)
         command = ttypes.Command(
             at_ms=0, change=conversions.encode_change(requested)
--- a/src/cranberrymux/decisions/configuration/ledger.py
+++ b/src/cranberrymux/decisions/configuration/ledger.py
@@ -12,6 +12,9 @@
 
 RECORDS_KEPT = 1000
 DOCUMENTS_KEPT = 100
+# Of all kept documents but the last. They are part of each snapshot, whose
+# encoding delays heartbeats.
+MAXIMUM_KEPT_CHARACTERS = 1 << 22
 ANSWERS_KEPT = 40_000
 
 
@@ -33,8 +36,8 @@
 
     Every replica applies the same changes in the same order and reaches the
     same state. Keeps the last `RECORDS_KEPT` history records, the last
-    `DOCUMENTS_KEPT` documents and the answers to the last `ANSWERS_KEPT`
-    change ids.
+    `DOCUMENTS_KEPT` documents, fewer if they are large, and the answers to the
+    last `ANSWERS_KEPT` change ids.
     """
 
     def __init__(self) -> None:
@@ -147,10 +150,17 @@
         self._records.pop(version - RECORDS_KEPT, None)
         self._documents.pop(version - DOCUMENTS_KEPT, None)
         self._version = version
+        self._remove_large_documents()
         return change_answer.ChangeAnswer(
             change_verdict.ChangeVerdict.ACCEPTED, record, ""
         )
 
+    def _remove_large_documents(self) -> None:
+        size = sum(map(len, self._documents.values())) - len(self.document)
+        while size > MAXIMUM_KEPT_CHARACTERS:
+            oldest = next(iter(self._documents))
+            size -= len(self._documents.pop(oldest))
+
     def _reject(self, requested: change.Change) -> change_answer.ChangeAnswer:
         if requested.base_version > self._version:
             detail = (
--- a/src/cranberrymux/decisions/routes/route_document.py
+++ b/src/cranberrymux/decisions/routes/route_document.py
@@ -8,6 +8,7 @@
 from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.routes import backend_service
 from cranberrymux.decisions.routes import client_limits
+from cranberrymux.decisions.routes import packed_document
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.models import steps
 
@@ -57,20 +58,24 @@
 
 
 LINES_PER_STEP = 500
+# Characters of the encoded tables and the source from which on they are
+# compressed. Smaller texts stay readable for earlier versions.
+PACKED_FROM_CHARACTERS = 1 << 18
+HeadSteps = Generator[None, None, RouteDocumentHead | RouteDocumentError]
 LoadSteps = Generator[None, None, RouteDocument | RouteDocumentError]
 
 
 def dump(document: RouteDocument) -> str:
-    """Encodes a document as JSON lines, one for each part of its tables."""
+    """Encodes a document as JSON lines, one for each part of its tables.
+
+    Large documents are compressed; see `packed_document`.
+    """
     return steps.finish(dump_in_steps(document))
 
 
 def dump_in_steps(document: RouteDocument) -> Generator[None, None, str]:
     """Encodes as `dump` does, `LINES_PER_STEP` accounts between two yields."""
-    lines = [
-        json.dumps({"label": document.label, "source": document.source}),
-        json.dumps({"limits": document.limits._asdict()}),
-    ]
+    lines = [json.dumps({"limits": document.limits._asdict()})]
     for service in document.services:
         lines.append(json.dumps({"service": list(service)}))
     for route in document.routes:
@@ -84,7 +89,15 @@
         if number % LINES_PER_STEP == 0:
             yield
         lines.append(json.dumps({"account": list(account)}))
-    return "\n".join(lines) + "\n"
+    text = "\n".join(lines) + "\n"
+    if len(text) + len(document.source) >= PACKED_FROM_CHARACTERS:
+        return (
+            yield from packed_document.pack_in_steps(
+                document.label, document.source, text
+            )
+        )
+    head = json.dumps({"label": document.label, "source": document.source})
+    return f"{head}\n{text}"
 
 
 def load(text: str) -> RouteDocument | RouteDocumentError:
@@ -92,11 +105,21 @@
     return steps.finish(load_in_steps(text))
 
 
-def load_head(text: str) -> RouteDocumentHead | RouteDocumentError:
-    """Decodes the first line of `dump`; returns an error for other texts."""
+def load_label(text: str) -> int | None:
+    """Returns the label of an output of `dump`; None for other texts."""
     try:
-        head = json.loads(text.partition("\n")[0])
-        return RouteDocumentHead(head["label"], head["source"])
+        if packed_document.is_packed(text):
+            return packed_document.split(text).label
+        label: int = json.loads(text.partition("\n")[0])["label"]
+        return label
+    except (ValueError, TypeError, KeyError):
+        return None
+
+
+def load_head_in_steps(text: str) -> HeadSteps:
+    """Decodes label and source of `dump`; returns an error for other texts."""
+    try:
+        return (yield from _load_head(text))
     except (ValueError, TypeError, KeyError) as error:
         return RouteDocumentError(f"{type(error).__name__}: {error}")
 
@@ -112,10 +135,24 @@
         return RouteDocumentError(f"{type(error).__name__}: {error}")
 
 
+def _load_head(text: str) -> Generator[None, None, RouteDocumentHead]:
+    if packed_document.is_packed(text):
+        packed = packed_document.split(text)
+        source = yield from packed_document.unpack_in_steps(packed.source)
+        return RouteDocumentHead(packed.label, source)
+    head = json.loads(text.partition("\n")[0])
+    return RouteDocumentHead(head["label"], head["source"])
+
+
 def _load(text: str) -> LoadSteps:
-    first, second, *rest = text.splitlines()
-    head = json.loads(first)
-    limits = json.loads(second)
+    head = yield from _load_head(text)
+    if packed_document.is_packed(text):
+        packed = packed_document.split(text)
+        text = yield from packed_document.unpack_in_steps(packed.lines)
+    else:
+        text = text.partition("\n")[2]
+    first, *rest = text.splitlines()
+    limits = json.loads(first)
     services = []
     routes = []
     accounts = []
@@ -133,11 +170,11 @@
         else:
             routes.append(_load_route(line["route"]))
     return RouteDocument(
-        head["label"],
+        head.label,
         tuple(routes),
         tuple(services),
         client_limits.ClientLimits(**limits["limits"]),
-        head["source"],
+        head.source,
         tuple(accounts),
     )
 
--- a/src/cranberrymux/platform/control_port.py
+++ b/src/cranberrymux/platform/control_port.py
@@ -24,6 +24,7 @@
     _Verdict.ACCEPTED: 200,
     _Verdict.CONFLICT: 412,
     _Verdict.INVALID: 400,
+    _Verdict.TOO_LARGE: 413,
     _Verdict.UNAVAILABLE: 503,
 }
 
@@ -62,7 +63,9 @@
         """Dispatches a call by path and method."""
         path = call.head.target.partition(b"?")[0]
         if path == paths.CONFIGURATION and call.head.method == b"GET":
-            self._get_configuration(call)
+            defer.ensureDeferred(self._get_configuration(call)).addErrback(
+                self._answer_internal_error, call
+            )
         elif path == paths.CONFIGURATION and call.head.method == b"PUT":
             defer.ensureDeferred(self._put_configuration(call)).addErrback(
                 self._answer_internal_error, call
@@ -81,14 +84,16 @@
         else:
             json_answer.send(call, 404, {"error": "unknown path or method"})
 
-    def _get_configuration(self, call: inbound_call.InboundCall) -> None:
+    async def _get_configuration(self, call: inbound_call.InboundCall) -> None:
         parts = self._parts
         assert parts is not None
         if not parts.log.vouched_ms():
             json_answer.send(call, 503, {"error": "no contact with a quorum"})
             return
         text = parts.machine.configuration.document
-        head = route_document.load_head(text)
+        head = await stepwise.run(
+            parts.reactor, route_document.load_head_in_steps(text)
+        )
         if isinstance(head, route_document.RouteDocumentError):
             json_answer.send(
                 call, 503, {"error": "no configuration has been accepted yet"}
--- a/tests/decisions/routes/test_routes.py
+++ b/tests/decisions/routes/test_routes.py
@@ -10,10 +10,12 @@
 import pytest
 
 from cranberrymux.decisions.routes import document_check
+from cranberrymux.decisions.routes import packed_document
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.routes import route_document
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.decisions.routes import split_chooser
+from cranberrymux.models import steps
 from tests.gateway import mesh
 
 make_route = mesh.make_route
@@ -61,6 +63,52 @@
     assert isinstance(truncated, route_document.RouteDocumentError)
 
 
+def make_large_document():
+    names = [f"route-{number}" for number in range(3000)]
+    document = make_document(*(make_route(name, "s") for name in names))
+    return document._replace(label=7, source="source text " * 9000)
+
+
+def test_large_document_is_compressed_and_loads_equal():
+    document = make_large_document()
+    text = route_document.dump(document)
+    assert packed_document.is_packed(text)
+    assert route_document.load(text) == document
+    assert route_document.load_label(text) == 7
+
+
+def test_damaged_compressed_document_is_an_error():
+    """Guards against a part of a configuration that takes effect."""
+    text = route_document.dump(make_large_document())
+    damaged = [text[: len(text) // 2], text[:-8], text + ":", "zlib:7:AAAA:"]
+    damaged.append(text.replace("zlib:7:", "zlib:7:####"))
+    for other in damaged:
+        loaded = route_document.load(other)
+        assert isinstance(loaded, route_document.RouteDocumentError)
+
+
+def test_compressed_section_is_bounded_when_it_is_read():
+    """Guards against a small text that takes all memory."""
+    size = packed_document.MAXIMUM_SECTION_BYTES + 1
+    text = steps.finish(packed_document.pack_in_steps(1, "x" * size, "{}"))
+    assert len(text) < 100_000
+    head = steps.finish(route_document.load_head_in_steps(text))
+    assert isinstance(head, route_document.RouteDocumentError)
+
+
+def test_text_of_an_earlier_version_is_read_whatever_its_size():
+    """Guards against logs and snapshots that an update cannot read."""
+    document = make_large_document()
+    small = route_document.dump(document._replace(source="", routes=()))
+    first, rest = small.split("\n", 1)
+    route = route_document.dump(document._replace(routes=document.routes[:1]))
+    line = next(x for x in route.splitlines() if x.startswith('{"route"'))
+    text = f"{first}\n{rest}" + f"{line}\n" * 5000
+    loaded = route_document.load(text)
+    assert len(loaded.routes) == 5000
+    assert route_document.load_label(text) == 7
+
+
 @pytest.mark.parametrize(
     ("routes", "label"),
     [
--- a/tests/storage/test_power_cut.py
+++ b/tests/storage/test_power_cut.py
@@ -179,6 +179,31 @@
     assert _restore(files) == _model(BATCHES)
 
 
+def test_power_failure_keeps_a_large_entry_whole_or_not_at_all():
+    """Guards against a part of a large configuration that is restored."""
+    payload = random.Random(1).randbytes(1 << 20)
+    large = entry.Entry(4, 1, COMMAND, payload)
+    for seed in range(30):
+        files = faulty_file_system.FaultyFileSystem(random.Random(seed))
+        folder = _open(files)
+        folder.restore()
+        for batch in BATCHES[:1]:
+            assert folder.apply(batch) is None
+        assert (
+            folder.apply((write.Write(2, entries=_entries(1, 3, 1)),)) is None
+        )
+        files.power_cut_at = files.operation_count + 1 + seed % 5
+        is_acknowledged = False
+        with contextlib.suppress(faulty_file_system.PowerCutError):
+            assert folder.apply((write.Write(3, entries=(large,)),)) is None
+            is_acknowledged = True
+        files.crash()
+        entries = _restore(files).entries
+        assert entries[:3] == _entries(1, 3, 1)
+        assert entries[3:] in ((), (large,))
+        assert entries[3:] or not is_acknowledged
+
+
 class FileSyncIgnored(faulty_file_system.FaultyFileSystem):
     """Reports a file's sync as done without making it durable."""
 
