--- a/src/cranberrymux/control/route_changes.py
+++ b/src/cranberrymux/control/route_changes.py
@@ -88,7 +88,7 @@
         if stored is not None and stored.verdict is accepted:
             return PutResult(PutVerdict.ACCEPTED, "already accepted")
         base_version = ledger.version
-        refusal = self._find_refusal(document, base_label)
+        refusal = await self._find_refusal(document, base_label)
         if refusal is None:
             return await self._commit(document, base_version, change_id)
         if parts.log.role() != "leader":
@@ -96,7 +96,7 @@
             return PutResult(PutVerdict.ASK_LEADER, refusal.detail)
         return refusal
 
-    def _find_refusal(
+    async def _find_refusal(
         self, document: route_document.RouteDocument, base_label: int | None
     ) -> PutResult | None:
         """Returns why the state here refuses a document, or None."""
@@ -105,7 +105,10 @@
         if base_label != current_label:
             detail = f"label {current_label} is in force, not {base_label}"
             return PutResult(PutVerdict.CONFLICT, detail)
-        invalid = document_check.check(document, current_label)
+        invalid = await stepwise.run(
+            self._parts.reactor,
+            document_check.check_in_steps(document, current_label),
+        )
         if invalid is not None:
             detail = f"{invalid.route_name}: {invalid.detail}"
             return PutResult(PutVerdict.INVALID, detail)
--- a/src/cranberrymux/decisions/routes/document_check.py
+++ b/src/cranberrymux/decisions/routes/document_check.py
@@ -1,11 +1,13 @@
 """Validates a routing configuration before it takes effect."""
 
+from collections.abc import Generator
 from collections.abc import Sequence
 from typing import NamedTuple
 
 from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.models import steps
 
 MAXIMUM_TIMEOUT_S = 600.0
 
@@ -23,6 +25,9 @@
     detail: str
 
 
+CheckSteps = Generator[None, None, InvalidDocument | None]
+
+
 def check(
     document: route_document.RouteDocument, current_label: int
 ) -> InvalidDocument | None:
@@ -32,6 +37,13 @@
         document: The document to validate.
         current_label: Label of the document in force; 0 for none.
     """
+    return steps.finish(check_in_steps(document, current_label))
+
+
+def check_in_steps(
+    document: route_document.RouteDocument, current_label: int
+) -> CheckSteps:
+    """Checks as `check` does, a number of accounts between two yields."""
     if document.label <= current_label:
         detail = (
             f"label {document.label} is not above the label in force,"
@@ -48,28 +60,36 @@
         if detail:
             return InvalidDocument(route.name, detail)
         seen.add(key)
-    return _check_accounts(document.accounts)
+    return (yield from _check_accounts(document.accounts))
 
 
 def _check_accounts(
     accounts: Sequence[client_account.ClientAccount],
-) -> InvalidDocument | None:
+) -> CheckSteps:
     """Returns the first fault of the accounts; it names no key."""
     holders: dict[str, str] = {}
     names: set[str] = set()
     for row, account in enumerate(accounts):
-        place = f"account {account.name}, row {row}"
+        if row % route_document.LINES_PER_STEP == 0 and row:
+            yield
         if account.name in names:
-            return InvalidDocument("", f"{place}: name: it is not unique")
+            detail = "name: it is not unique"
+            return _make_account_fault(account, row, detail)
         names.add(account.name)
         for key in account.keys:
             holder = holders.setdefault(key, account.name)
             if holder != account.name:
-                detail = f"{place}: keys: account {holder} has one of them, too"
-                return InvalidDocument("", detail)
+                detail = f"keys: account {holder} has one of them, too"
+                return _make_account_fault(account, row, detail)
     return None
 
 
+def _make_account_fault(
+    account: client_account.ClientAccount, row: int, detail: str
+) -> InvalidDocument:
+    return InvalidDocument("", f"account {account.name}, row {row}: {detail}")
+
+
 def _check_route(route: route_module.Route, services: set[str]) -> str:
     unknown = [
         target.service
--- a/tests/control/test_large_configuration.py
+++ b/tests/control/test_large_configuration.py
@@ -105,7 +105,8 @@
     body = make_body()
     document = stopwatch.run_steps(configuration_format.decode_in_steps(body))
     assert len(document.accounts) == ACCOUNTS
-    assert stopwatch.measure(document_check.check, document, 0) is None
+    checking = document_check.check_in_steps(document, 0)
+    assert stopwatch.run_steps(checking) is None
     text = stopwatch.run_steps(route_document.dump_in_steps(document))
     head = stopwatch.run_steps(route_document.load_head_in_steps(text))
     assert head == (1, body.decode())
