Routing configuration: decode the JSON body in steps

Cause: the body was decoded by one call, whatever its size.

Tests compare it with the library, also on invalid texts.

--- a/src/cranberrymux/platform/configuration_format.py
+++ b/src/cranberrymux/platform/configuration_format.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Generator
 from collections.abc import Iterator
-import json
 from typing import Any
 
 from cranberrymux.decisions.routes import backend_service
 from cranberrymux.decisions.routes import client_limits
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.models import json_steps
 from cranberrymux.models import steps
 from cranberrymux.platform import account_format
 from cranberrymux.platform import durations
@@ -45,7 +45,7 @@
     body: bytes,
 ) -> Generator[None, None, route_document.RouteDocument]:
     text = body.decode()
-    values = json.loads(text)
+    values = yield from json_steps.load_in_steps(text)
     version = values["version"]
     if not isinstance(version, int) or isinstance(version, bool):
         raise ValueError("version: expected an integer")
--- /dev/null
+++ b/tests/platform/test_json_steps.py
@@ -0,0 +1,66 @@
+"""A JSON text is decoded in steps as it is at once.
+
+Guards against a configuration that is read differently for its size, and
+against an invalid one that is accepted.
+"""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberrymux.models import json_steps
+from cranberrymux.models import steps
+
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(
+            strategies.text(max_size=3), inner, max_size=4
+        )
+    ),
+)
+
+
+def load(text):
+    return steps.finish(json_steps.load_in_steps(text))
+
+
+@hypothesis.given(VALUES, strategies.sampled_from([None, 1]))
+def test_valid_text_is_decoded_as_by_the_library(value, indent):
+    assert load(json.dumps(value, indent=indent)) == value
+
+
+@hypothesis.given(
+    VALUES, strategies.integers(0, 200), strategies.sampled_from(',:[]{}" 1a')
+)
+def test_text_with_another_character_is_decoded_as_by_the_library(
+    value, place, character
+):
+    text = json.dumps(value)
+    text = text[:place] + character + text[place + 1 :]
+    try:
+        expected = json.loads(text)
+    except ValueError:
+        with pytest.raises(ValueError, match="char"):
+            load(text)
+    else:
+        assert load(text) == expected
+
+
+@pytest.mark.parametrize(
+    "text", ["", "[1,]", "[,1]", '{"a":1,}', "{1:2}", "[1] 2", '{"a"}', "[1 2]"]
+)
+def test_invalid_text_is_an_error(text):
+    with pytest.raises(ValueError, match="char"):
+        load(text)
+
+
+def test_long_list_is_decoded_in_steps():
+    count = sum(1 for _ in json_steps.load_in_steps(json.dumps([1] * 5000)))
+    assert count == 5000 // json_steps.MEMBERS_PER_STEP
