--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -65,10 +65,9 @@
         self._request_id = call.head.headers.first.get(name, b"")
         self._began_s = began_s
         self._origin = origin_module.Origin(
-            parts, route, call.head.headers, self._began_s, account
+            parts, route, call.head.headers, began_s, account
         )
-        wait_s = self._origin.left_s
-        wait_s = min(wait_s, route.timeout_s)
+        wait_s = min(self._origin.left_s, route.timeout_s)
         self._quota = entry_quota.UNLIMITED
         is_limited = account is not None and account.is_limited
         if is_limited and self._origin.is_root:
--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -107,9 +107,9 @@
 
 def shorten_deadline_ms(left_s: float) -> int:
     """Returns the milliseconds to pass on when `left_s` seconds are left."""
-    margin_s = ANSWER_MARGIN_RATIO * left_s
-    margin_s = min(margin_s, ANSWER_MARGIN_S)
-    return int((left_s - margin_s) * 1000)
+    return int(
+        (left_s - min(ANSWER_MARGIN_S, ANSWER_MARGIN_RATIO * left_s)) * 1000
+    )
 
 
 class TreeContext(NamedTuple):
@@ -336,7 +336,7 @@
     return [
         pair
         for pair in headers
-        if (name := pair[0]) not in dropped
-        and name not in replaced
-        and name[:_PREFIX_BYTES] != PREFIX
+        if pair[0] not in dropped
+        and pair[0] not in replaced
+        and pair[0][:_PREFIX_BYTES] != PREFIX
     ]
