Endpoint cost: avoid endpoints whose backend server refuses nearly all

Cause: a refusal rate of 1.0 cost one full load. Endpoints with a queue have more than that, so that one which refuses all was chosen again and again. Change: from a refusal rate of 0.8 the cost rises to three full loads.

--- a/src/cranberrymux/decisions/endpoints/endpoint_view.py
+++ b/src/cranberrymux/decisions/endpoints/endpoint_view.py
@@ -27,6 +27,10 @@
 # slowness, so that an idle one has a cost, too.
 SLOW_IDLE_LOAD = 0.3
 REFUSAL_WEIGHT = 0.05  # Weight of one request in the mean share of refusals.
+# An endpoint that refuses nearly all requests looks idle, and the others may
+# have queues of more than a full load. From this share on it costs more.
+HIGH_REFUSAL_RATE = 0.8
+MAXIMUM_REFUSAL_COST = 3.0  # Full loads, if it refuses all.
 
 
 class EndpointView:
@@ -159,7 +163,8 @@
         excess_slowness = self.slowness(now_s) / TOLERATED_SLOWNESS - 1.0
         if excess_slowness > 0.0:
             penalty = max(penalty, excess_slowness * (load + SLOW_IDLE_LOAD))
-        penalty += self._refusal_rate + FAILURE_COST * excess_failure_rate
+        penalty += rate_refusals(self._refusal_rate)
+        penalty += FAILURE_COST * excess_failure_rate
         return load + penalty
 
     def slowness(self, now_s: float) -> float:
@@ -311,3 +316,10 @@
         self._suspended_until_s = max(
             self._suspended_until_s, now_s + MINIMUM_SUSPENSION_S
         )
+
+
+def rate_refusals(refusal_rate: float) -> float:
+    """Returns the cost, in full loads, of the share that is refused."""
+    excess = max(refusal_rate - HIGH_REFUSAL_RATE, 0.0)
+    slope = (MAXIMUM_REFUSAL_COST - 1.0) / (1.0 - HIGH_REFUSAL_RATE)
+    return refusal_rate + slope * excess
