Shares of a service: weight them by the work that was offered

Cause: shares were averaged by the work that endpoints ran. Those without room refuse what they are offered, and hardly counted; those that took it counted for more, although they do not count it. At 185 nodes, shares also expired. Change: a refusal for want of a slot stands for one mean time in a slot, a request from another node for none. Nodes also learn from answers to calls. The model has a node next to the caller that gets the answers to calls.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -231,7 +231,10 @@
             key: Account of the request.
         """
         for service, work in report.items():
-            self.note_share(now_s, service, work.share)
+            if work.offered_s != 0.0:
+                self.note_share(now_s, service, work.share)
+            elif service not in self._services:
+                self._services[service] = _Service(now_s)
             if work.account_share is not None:
                 self._services[service].accounts.note(
                     now_s, key, work.account_share, self._rates.get(key, 0.0)
@@ -247,6 +250,21 @@
                 cost_s += COST_WEIGHT * (work.slot_s - cost_s)
             costs[service] = cost_s
 
+    def note_call_report(
+        self, now_s: float, report: work_report.WorkReport
+    ) -> None:
+        """Learns shares from the answer to a call of a tree.
+
+        A node at which few trees end would otherwise know no recent share.
+
+        Args:
+            now_s: Monotonic seconds.
+            report: Work of the call at each service.
+        """
+        for service, work in report.items():
+            if work.offered_s != 0.0:
+                self.note_share(now_s, service, work.share)
+
     def note_share(self, now_s: float, service: str, share: float) -> None:
         """Records the share that one endpoint of a service can take."""
         state = self._services.get(service)
--- a/src/cranberrymux/decisions/pressure/share_meter.py
+++ b/src/cranberrymux/decisions/pressure/share_meter.py
@@ -109,6 +109,10 @@
         mean_s = self._hold_s.get(route, hold_s)
         self._hold_s[route] = mean_s + HOLD_TIME_WEIGHT * (hold_s - mean_s)
 
+    def get_hold_s(self, route: str) -> float:
+        """Returns the mean time for which requests of a route hold a slot."""
+        return self._hold_s.get(route, 0.0)
+
     def is_due(self, now_s: float) -> bool:
         """True if the window has ended, so that `roll` has an effect."""
         return now_s - self._window_began_s >= WINDOW_S
--- a/src/cranberrymux/decisions/pressure/work_report.py
+++ b/src/cranberrymux/decisions/pressure/work_report.py
@@ -8,6 +8,8 @@
 MINIMUM_WEIGHT_S = 0.005  # Added to the work, which may be zero.
 _MAXIMUM_PARTS = 64  # Parts read from one report.
 _ACCOUNT_MARK = b"@"
+_OFFERED_MARK = b"~"
+_MARKS = (_ACCOUNT_MARK, _OFFERED_MARK)
 
 
 class ServiceWork(NamedTuple):
@@ -18,11 +20,21 @@
         share: Share of the offered work that the service can take, 0.0 to 1.0.
         account_share: The same for the work of the tree's account; None if the
             service does not tell accounts apart at present.
+        offered_s: Seconds of work for which its endpoints were chosen first,
+            which the share is a mean over; None if that is `slot_s`. A request
+            that one refuses and another runs was offered to the former.
     """
 
     slot_s: float
     share: float
     account_share: float | None = None
+    offered_s: float | None = None
+
+    @property
+    def weight_s(self) -> float:
+        """Weight of the shares in a mean."""
+        offered_s = self.slot_s if self.offered_s is None else self.offered_s
+        return offered_s + MINIMUM_WEIGHT_S
 
 
 WorkReport = dict[str, ServiceWork]
@@ -39,12 +51,13 @@
 
 
 def _add_parts(current: ServiceWork, part: ServiceWork) -> ServiceWork:
-    """Sums the work and averages the shares, weighted by work.
+    """Sums the work and averages the shares, weighted by offered work.
 
-    The minimum over many reports would be too low.
+    The minimum over many reports would be too low. Weighted by the work that
+    they run, endpoints that have no room would hardly count.
     """
-    weight = current.slot_s + MINIMUM_WEIGHT_S
-    added = part.slot_s + MINIMUM_WEIGHT_S
+    weight = current.weight_s
+    added = part.weight_s
     total = weight + added
     account_share = current.account_share
     if account_share is None:
@@ -57,15 +70,24 @@
         current.slot_s + part.slot_s,
         (weight * current.share + added * part.share) / total,
         account_share,
+        _add_offered(current, part),
     )
 
 
+def _add_offered(current: ServiceWork, part: ServiceWork) -> float | None:
+    if current.offered_s is None and part.offered_s is None:
+        return None
+    minimums_s = 2 * MINIMUM_WEIGHT_S
+    return max(current.weight_s + part.weight_s - minimums_s, 0.0)
+
+
 def encode(report: WorkReport) -> bytes:
     """Encodes a report as a header value.
 
-    The parts, joined by commas, read `service=milliseconds/per-mille`. Shares
-    of the tree's account follow as parts `service=@per-mille`, which nodes of
-    earlier versions skip.
+    The parts, joined by commas, read `service=milliseconds/per-mille`. Parts
+    that nodes of earlier versions skip follow: `service=@per-mille` for shares
+    of the tree's account and `service=~milliseconds` for the work that was
+    offered.
     """
     parts = [
         b"%b=%d/%d"
@@ -82,6 +104,16 @@
         for service, part in report.items()
         if part.account_share is not None
     ]
+    parts += [
+        b"%b=%b%d"
+        % (
+            service.encode(),
+            _OFFERED_MARK,
+            round(part.offered_s * _MS_PER_S),
+        )
+        for service, part in report.items()
+        if part.offered_s is not None
+    ]
     return b",".join(parts)
 
 
@@ -90,8 +122,8 @@
     report: WorkReport = {}
     for part in value.split(b",")[:_MAXIMUM_PARTS]:
         service, _, numbers = part.partition(b"=")
-        if numbers.startswith(_ACCOUNT_MARK):
-            _decode_account_share(report, service.decode("latin-1"), numbers)
+        if numbers[:1] in _MARKS:
+            _decode_marked(report, service.decode("latin-1"), numbers)
             continue
         first, _, second = numbers.partition(b"/")
         slot_ms = whole_number.decode(first)
@@ -103,10 +135,13 @@
     return report
 
 
-def _decode_account_share(
-    report: WorkReport, service: str, value: bytes
-) -> None:
-    share = whole_number.decode(value[len(_ACCOUNT_MARK) :])
+def _decode_marked(report: WorkReport, service: str, value: bytes) -> None:
+    number = whole_number.decode(value[1:])
     part = report.get(service)
-    if share is not None and part is not None:
-        report[service] = part._replace(account_share=share / 1000)
+    if number is None or part is None:
+        return
+    if value[:1] == _ACCOUNT_MARK:
+        part = part._replace(account_share=number / 1000)
+    else:
+        part = part._replace(offered_s=number / _MS_PER_S)
+    report[service] = part
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -129,7 +129,7 @@
         if reason:
             hop_call.refuse(reason)
             return
-        if hop.RESENT not in headers.first:
+        if not hop_call.is_resent:
             self.work.pressure.note_arrival(
                 hop_call.route, hop_call.tree_context
             )
--- a/src/cranberrymux/gateway/exit_answers.py
+++ b/src/cranberrymux/gateway/exit_answers.py
@@ -17,6 +17,8 @@
         request_id: Id of the request.
         digest: Digest of its content, which its resends share.
         route: Name of its route.
+        is_resent: True if it was sent to another node before, which counted
+            its work.
         backend_id: Id of the backend server that it was sent to; empty before.
     """
 
@@ -43,6 +45,7 @@
         self.request_id = first.get(parts.settings.dialect.request_id, b"")
         self.digest = first.get(hop.DIGEST, b"").decode("latin-1")
         self.route = first.get(hop.ROUTE, b"").decode("latin-1")
+        self.is_resent = hop.RESENT in first
         self.backend_id = ""
 
     @property
@@ -65,7 +68,9 @@
             route=self.route,
             **self._owner.work.describe_load(),
         )
-        report = self._owner.work.report_share(self._tree_context)
+        report = self._owner.work.report_refusal(
+            self._tree_context, self._find_offered_s(reason)
+        )
         headers = [
             (self._parts.settings.dialect.request_id, self.request_id),
             (hop.NOT_RUN, reason),
@@ -76,6 +81,17 @@
         ]
         self._call.answer(503, headers, b"")
 
+    def _find_offered_s(self, reason: bytes) -> float | None:
+        """Returns the work for which the report of a refusal stands.
+
+        What the backend server refuses says nothing of its room.
+        """
+        if reason == hop.BACKEND_FULL or self.is_resent:
+            return 0.0
+        if reason == hop.FULL:
+            return self._owner.work.pressure.get_hold_s(self.route)
+        return None
+
     def forward(
         self,
         head: answer_head.AnswerHead,
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -49,6 +49,8 @@
         request_id: Its id.
         digest: Digest of its content, which its resends share.
         route: Name of its route.
+        is_resent: True if it was sent to another node before, which counted
+            its work.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.request_id = self._answers.request_id
         self.digest = self._answers.digest
         self.route = self._answers.route
+        self.is_resent = self._answers.is_resent
         self._process = _NO_PROCESS
         self._address = _NO_ADDRESS
         self._sent_s = 0.0
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -67,6 +67,10 @@
         self._meter.note_hold(route, hold_s)
         self._parts.metrics.hold_s[route,].observe(hold_s)
 
+    def get_hold_s(self, route: str) -> float:
+        """Returns the mean time for which requests of a route hold a slot."""
+        return self._meter.get_hold_s(route)
+
     def update(self, now_s: float, limit_per_s: float | None) -> None:
         """Updates the share.
 
@@ -88,20 +92,27 @@
         self._meter.reset()
 
     def report(
-        self, tree_context: hop.TreeContext, hold_s: float = 0.0
+        self,
+        tree_context: hop.TreeContext,
+        hold_s: float = 0.0,
+        offered_s: float | None = None,
     ) -> work_report.WorkReport:
         """Returns the work of one request here, and the shares that fit.
 
         Args:
             tree_context: Context of the request.
             hold_s: Seconds for which it held a slot; 0.0 if it did not run.
+            offered_s: Seconds of work that were offered here; None if they are
+                `hold_s`.
         """
         account_share = self._meter.get_account_share(
             _make_key(
                 tree_context.rank, tree_context.account, tree_context.root_route
             )
         )
-        own = work_report.ServiceWork(hold_s, self._meter.share, account_share)
+        own = work_report.ServiceWork(
+            hold_s, self._meter.share, account_share, offered_s
+        )
         return {self._parts.settings.service: own}
 
     def _log(self) -> None:
--- a/src/cranberrymux/gateway/exit_work.py
+++ b/src/cranberrymux/gateway/exit_work.py
@@ -61,11 +61,16 @@
             "slots": self._scheduler.slots,
         }
 
-    def report_share(
-        self, tree_context: hop.TreeContext
+    def report_refusal(
+        self, tree_context: hop.TreeContext, offered_s: float | None
     ) -> work_report.WorkReport:
-        """Returns a report without work that tells the fitting shares."""
-        return self.pressure.report(tree_context)
+        """Returns a report without work that tells the fitting shares.
+
+        Args:
+            tree_context: Context of the request that was refused.
+            offered_s: Seconds of work that it stands for; see `ServiceWork`.
+        """
+        return self.pressure.report(tree_context, offered_s=offered_s)
 
     def note_outcome(
         self, call: owned_call.OwnedCall, is_failed: bool, now_s: float
@@ -132,7 +137,8 @@
         self.pressure.update(now_s, limit_per_s)
         self._parts.parent_matcher.remove(ticket_id)
         self._parts.running_requests.end(ticket_id)
-        own = self.pressure.report(call.tree_context, hold_s)
+        offered_s = 0.0 if call.is_resent else None
+        own = self.pressure.report(call.tree_context, hold_s, offered_s)
         if running is None or not running.report:
             return own
         work_report.add(running.report, own)
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -151,12 +151,13 @@
             self._ignore_limited_share(service, report, now_s)
         if report.keys() - {service}:
             self._parts.repeats.mark_tree_route(self._route.name)
+        entry_admission = self._parts.entry_admission
         if self._parent_match.is_call:
             parent = self._find_parent()
             if parent is not None:
                 work_report.add(parent.report, report)
+            entry_admission.root_admission.note_call_report(now_s, report)
             return
-        entry_admission = self._parts.entry_admission
         entry_admission.root_admission.note_report(
             now_s,
             self._route.name,
--- a/src/cranberrymux/gateway/owned_call.py
+++ b/src/cranberrymux/gateway/owned_call.py
@@ -13,9 +13,12 @@
         request_id: Its id.
         route: Name of its route.
         tree_context: What the node where its tree began says of the tree.
+        is_resent: True if it was sent to another node before, which counted
+            its work.
     """
 
     ticket_id: int
     request_id: bytes
     route: str
     tree_context: hop.TreeContext
+    is_resent: bool
--- a/tests/decisions/pressure/tree_simulation.py
+++ b/tests/decisions/pressure/tree_simulation.py
@@ -14,6 +14,7 @@
 import random
 from typing import NamedTuple
 
+from cranberrymux.decisions.endpoints import endpoint_view
 from cranberrymux.decisions.pressure import fair_shares
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import share_meter
@@ -22,6 +23,7 @@
 
 HOP_S = 0.002
 RETRY_DELAY_S = 0.5
+MAXIMUM_REFUSALS = 8  # As in `Attempts`.
 
 
 class AccountScope(enum.Enum):
@@ -89,6 +91,7 @@
         self.meter = share_meter.ShareMeter(0.0)
         self.waiting: dict[int, Callable[[bool], None]] = {}
         self.busy_s = 0.0
+        self.is_refusing = False
 
 
 @dataclasses.dataclass
@@ -97,12 +100,14 @@
 
     kind: TreeKind
     node: int
+    caller: int
     deadline_s: float
     left: int
     rank: float
     share: float
     report: work_report.WorkReport
     offered: int
+    refusals: int = 0
 
     @property
     def key(self) -> fair_shares.AccountKey:
@@ -127,6 +132,14 @@
     ) -> None:
         self.now_s = 0.0
         self.random = random.Random(seed)
+        # Share of the trees that fail elsewhere after each call but the last.
+        self.failing = 0.0
+        self._elsewhere = random.Random(seed)
+        # Times of repeats; ends of trees as pairs of time and success.
+        self.repeats: list[float] = []
+        self.ends: list[tuple[float, bool]] = []
+        self._refused: dict[tuple[int, int], float] = {}
+        self._callers = random.Random(seed)
         self.kinds = kinds
         self.is_admitting = is_admitting
         self.scope = scope
@@ -201,6 +214,7 @@
         tree = Tree(
             kind,
             node,
+            self._callers.randrange(len(self.roots)),
             self.now_s + kind.timeout_s,
             kind.calls,
             kind.priority - 0.5,
@@ -231,21 +245,21 @@
             index for index in range(len(self.endpoints)) if index not in tried
         ]
         if not left or self.now_s >= tree.deadline_s:
-            self._report(tree, False)
-            self._retry_or_count(tree.kind, timing, "failed")
+            self._fail(tree, timing)
             return
         choices = self.random.sample(left, min(2, len(left)))
         index = min(
             choices,
-            key=lambda one: (
-                self.endpoints[one].scheduler.running
-                + self.endpoints[one].scheduler.waiting
-            ),
+            key=lambda one: self._cost(tree.caller, one),
         )
         endpoint = self.endpoints[index]
         scheduler, meter = endpoint.scheduler, endpoint.meter
         if not tried:
             self._note_arrival(meter, tree)
+        if endpoint.is_refusing:
+            self._refuse(tree, timing, tried, index)
+            return
+        self._note_acceptance(tree.caller, index, True)
         meter.roll(
             self.now_s,
             scheduler.slots,
@@ -269,17 +283,16 @@
 
         def on_decision(is_started: bool) -> None:
             if not is_started:
-                work_report.add(
-                    tree.report,
-                    {"deep": self._make_part(0.0, meter, tree)},
-                )
+                part = self._make_part(0.0, meter, tree, not tried)
+                self._answer_call(tree, part)
                 self.at(
                     HOP_S, lambda: self._call(tree, timing, [*tried, index])
                 )
                 return
             work_s = self.random.uniform(0.5, 1.5) * tree.kind.call_s
             self.at(
-                work_s, lambda: self._finish(tree, timing, index, ticket_id)
+                work_s,
+                lambda: self._finish(tree, timing, index, ticket_id, not tried),
             )
 
         if verdict is slot_scheduler.SlotVerdict.START:
@@ -289,12 +302,47 @@
         else:
             on_decision(False)
 
+    def _refuse(
+        self,
+        tree: Tree,
+        timing: root_admission.AttemptTiming,
+        tried: list[int],
+        index: int,
+    ) -> None:
+        """Repeats a call that the backend server itself has refused."""
+        self._note_acceptance(tree.caller, index, False)
+        tree.refusals += 1
+        meter = self.endpoints[index].meter
+        self._answer_call(tree, self._make_part(0.0, meter, tree, False))
+        if tree.refusals >= MAXIMUM_REFUSALS:
+            self._fail(tree, timing)
+            return
+        self.repeats.append(self.now_s)
+        self.at(HOP_S, lambda: self._call(tree, timing, tried))
+
+    def _cost(self, caller: int, index: int) -> float:
+        """Returns the load of an endpoint as `EndpointView` rates it."""
+        scheduler = self.endpoints[index].scheduler
+        refused = self._refused.get((caller, index), 0.0)
+        penalty = endpoint_view.rate_refusals(refused)
+        return scheduler.running + scheduler.waiting + penalty * scheduler.slots
+
+    def _note_acceptance(
+        self, caller: int, index: int, is_accepted: bool
+    ) -> None:
+        refused = self._refused.get((caller, index), 0.0)
+        if is_accepted and not refused:
+            return
+        refused += endpoint_view.REFUSAL_WEIGHT * (1.0 - is_accepted - refused)
+        self._refused[caller, index] = refused
+
     def _finish(
         self,
         tree: Tree,
         timing: root_admission.AttemptTiming,
         index: int,
         ticket_id: int,
+        is_first_choice: bool,
     ) -> None:
         endpoint = self.endpoints[index]
         hold_s = endpoint.scheduler.finish(self.now_s, ticket_id, True)
@@ -302,19 +350,30 @@
         endpoint.meter.note_hold(tree.kind.route, hold_s)
         for started_id in endpoint.scheduler.start_waiting(self.now_s):
             endpoint.waiting.pop(started_id)(True)
-        part = self._make_part(hold_s, endpoint.meter, tree)
-        work_report.add(tree.report, {"deep": part})
+        part = self._make_part(hold_s, endpoint.meter, tree, is_first_choice)
+        self._answer_call(tree, part)
         tree.left -= 1
-        if self.now_s > tree.deadline_s:
-            self._report(tree, False)
-            self._retry_or_count(tree.kind, timing, "failed")
+        is_failing = tree.left and self._elsewhere.random() < self.failing
+        if self.now_s > tree.deadline_s or is_failing:
+            self._fail(tree, timing)
         elif tree.left:
+            tree.refusals = 0
             self.at(tree.kind.between_s, lambda: self._call(tree, timing, []))
         else:
             self._report(tree, True)
             self._tally(tree.kind).served += 1
 
+    def _fail(self, tree: Tree, timing: root_admission.AttemptTiming) -> None:
+        self._report(tree, False)
+        self._retry_or_count(tree.kind, timing, "failed")
+
+    def _answer_call(self, tree: Tree, part: work_report.ServiceWork) -> None:
+        """Passes an answer to the node beside the caller, then to the tree."""
+        self.roots[tree.caller].note_call_report(self.now_s, {"deep": part})
+        work_report.add(tree.report, {"deep": part})
+
     def _report(self, tree: Tree, is_successful: bool) -> None:
+        self.ends.append((self.now_s, is_successful))
         self.roots[tree.node].note_report(
             self.now_s, tree.kind.route, tree.report, is_successful, tree.key
         )
@@ -328,10 +387,22 @@
             meter.note_arrival(tree.kind.route, tree.share)
 
     def _make_part(
-        self, hold_s: float, meter: share_meter.ShareMeter, tree: Tree
+        self,
+        hold_s: float,
+        meter: share_meter.ShareMeter,
+        tree: Tree,
+        is_first_choice: bool,
     ) -> work_report.ServiceWork:
+        offered_s = None
+        if not is_first_choice:
+            offered_s = 0.0
+        elif not hold_s:
+            offered_s = meter.get_hold_s(tree.kind.route)
         return work_report.ServiceWork(
-            hold_s, meter.share, meter.get_account_share(tree.key)
+            hold_s,
+            meter.share,
+            meter.get_account_share(tree.key),
+            offered_s=offered_s,
         )
 
     def _expire(self) -> None:
