--- a/tests/gateway/test_repeated_trees.py
+++ b/tests/gateway/test_repeated_trees.py
@@ -7,6 +7,7 @@
 from cranberrymux.decisions.routes import route
 from cranberrymux.gateway import attempts as attempts_module
 from cranberrymux.gateway import hop
+from cranberrymux.gateway import running_request
 from tests.gateway import mesh as mesh_module
 
 
@@ -40,3 +41,22 @@
     attempts = make_attempts()
     attempts.note_refused(attempts.choose(0.0))
     assert is_repeat(attempts)
+
+
+def test_the_budget_knows_how_many_calls_the_caller_still_needs(monkeypatch):
+    attempts = make_attempts()
+    candidates = []
+
+    def take(candidate, now_s):
+        candidates.append(candidate)
+        return False
+
+    monkeypatch.setattr(attempts._parts.repeats, "take", take)
+    parent = running_request.RunningRequest(hop.DEFAULT_TREE_CONTEXT, 4.0)
+    attempts.note_refused(attempts.choose(0.0))
+    for calls in range(4):
+        attempts.parent = parent if calls else None
+        attempts.take_repeat_after_refusal(0.0)
+        parent.begin_call(0.0)
+        parent.end_call(0.0, is_failed=False)
+    assert [x.remaining_calls for x in candidates] == [1, 3, 2, 1]
