Work report: encode optional parts in one pass

Cause: each kind of optional part took a list comprehension of its own, one more function call each for every answer. Change: one loop encodes both.

--- a/src/cranberrymux/decisions/pressure/work_report.py
+++ b/src/cranberrymux/decisions/pressure/work_report.py
@@ -98,22 +98,17 @@
         )
         for service, part in report.items()
     ]
-    parts += [
-        b"%b=%b%d"
-        % (service.encode(), _ACCOUNT_MARK, round(part.account_share * 1000))
-        for service, part in report.items()
-        if part.account_share is not None
-    ]
-    parts += [
-        b"%b=%b%d"
-        % (
-            service.encode(),
-            _OFFERED_MARK,
-            round(part.offered_s * _MS_PER_S),
-        )
-        for service, part in report.items()
-        if part.offered_s is not None
-    ]
+    for service, part in report.items():
+        if part.account_share is not None:
+            per_mille = round(part.account_share * 1000)
+            parts.append(
+                b"%b=%b%d" % (service.encode(), _ACCOUNT_MARK, per_mille)
+            )
+        if part.offered_s is not None:
+            offered_ms = round(part.offered_s * _MS_PER_S)
+            parts.append(
+                b"%b=%b%d" % (service.encode(), _OFFERED_MARK, offered_ms)
+            )
     return b",".join(parts)
 
 
