--- a/src/cranberrymux/decisions/pressure/retry_advice.py
+++ b/src/cranberrymux/decisions/pressure/retry_advice.py
@@ -8,7 +8,9 @@
 import math
 import random
 
-from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 
 BUCKET_RATIO = 0.02  # Relative width of a bucket of client timeouts.
 BUCKET_DECAY_FACTOR = 0.99
@@ -18,7 +20,7 @@
 MINIMUM_DELAY_RATIO = 0.3  # Shortest delay over the longest.
 TIME_LEFT_RATIO = 0.3  # Longest delay over the time that the client has.
 MINIMUM_DELAY_S = 0.05
-_Timing = root_admission.AttemptTiming
+_Timing = traffic_class_module.AttemptTiming
 
 
 class RetryAdvice:
@@ -52,7 +54,9 @@
         usual_bucket = max(self._counts, key=lambda key: self._counts[key])
         self._usual_timeout_s = math.exp(usual_bucket * BUCKET_RATIO)
 
-    def classify_attempt(self, left_s: float) -> root_admission.AttemptTiming:
+    def classify_attempt(
+        self, left_s: float
+    ) -> traffic_class_module.AttemptTiming:
         """Tells a first attempt from a retry by the time left."""
         elapsed_s = self._usual_timeout_s - left_s
         if elapsed_s <= RETRY_TOLERANCE_RATIO * self._usual_timeout_s:
--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -6,8 +6,6 @@
 """
 
 from collections.abc import Iterator
-import copy
-import enum
 import math
 import random
 from typing import NamedTuple
@@ -16,6 +14,10 @@
 from cranberrymux.decisions.pressure import fair_shares
 from cranberrymux.decisions.pressure import rank_allotment
 from cranberrymux.decisions.pressure import route_allotment
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
+from cranberrymux.decisions.pressure import traffic_flow
 from cranberrymux.decisions.pressure import work_report
 
 COST_WEIGHT = 0.05  # Weight of one answer in the mean cost of a route.
@@ -30,88 +32,6 @@
 _IDLE_PER_S = 1e-3
 
 
-class AttemptTiming(enum.IntEnum):
-    """Order of requests of equal priority; lower values first.
-
-    Attributes:
-        RETRY_IN_TIME: A retry that can still have its full value.
-        FIRST: A first attempt.
-        RETRY_LATE: A retry that is too late for its full value.
-    """
-
-    RETRY_IN_TIME = 0
-    FIRST = 1
-    RETRY_LATE = 2
-
-
-class TrafficClass(NamedTuple):
-    """Requests that are admitted alike.
-
-    Attributes:
-        priority: Rank of the request; 0 is the most important.
-        timing: Order among requests of equal priority.
-        route: Name of the route.
-        account: Name of the client account; empty for none.
-    """
-
-    priority: int
-    timing: AttemptTiming
-    route: str
-    account: str = ""
-
-    @property
-    def key(self) -> fair_shares.AccountKey:
-        """Whose requests they are; without an account, those of the route."""
-        return make_key(self.priority, self.account, self.route)
-
-    def __deepcopy__(self, memo: object) -> "TrafficClass":
-        """Returns itself, since it cannot change."""
-        return self
-
-
-def make_key(priority: int, account: str, route: str) -> fair_shares.AccountKey:
-    """Returns the key under which the requests of a tree count.
-
-    Args:
-        priority: Priority of the tree.
-        account: Name of its client account; empty for none.
-        route: Name of the route of its root; empty if it is not known.
-    """
-    return fair_shares.AccountKey(
-        priority, account or (f"/{route}" if route else "")
-    )
-
-
-class _Flow:
-    """Arrivals of one traffic class and the share that may start."""
-
-    __slots__ = (
-        "arrived",
-        "credit",
-        "is_held_back",
-        "per_s",
-        "refused",
-        "share",
-    )
-
-    def __init__(self) -> None:
-        self.arrived = 0
-        self.per_s = 0.0
-        self.share = 1.0
-        self.credit = 1.0
-        self.refused = 0
-        self.is_held_back = False
-
-    def __deepcopy__(self, memo: object) -> "_Flow":
-        # All attributes are numbers; the usual way takes four times as long.
-        return copy.copy(self)
-
-    def admit(self) -> int:
-        stands_for = self.refused + 1
-        self.refused = 0
-        return stands_for
-
-
 class _Service:
     """Smoothed share that a service can take, and its last update."""
 
@@ -126,7 +46,7 @@
 class _Part(NamedTuple):
     """A traffic class and its work at one service."""
 
-    flow: _Flow
+    flow: traffic_flow.TrafficFlow
     demand: route_allotment.Demand
 
 
@@ -143,13 +63,17 @@
             generator: Source of randomness; the same at every start by default.
         """
         self._generator = generator or random.Random(0)
-        self._flows: dict[TrafficClass, _Flow] = {}
+        self._flows: dict[
+            traffic_class_module.TrafficClass, traffic_flow.TrafficFlow
+        ] = {}
         self._costs: dict[str, dict[str, float]] = {}
         self._services: dict[str, _Service] = {}
         self._rates: dict[fair_shares.AccountKey, float] = {}
         self._last_refresh_s = now_s
 
-    def admit(self, now_s: float, traffic_class: TrafficClass) -> int:
+    def admit(
+        self, now_s: float, traffic_class: traffic_class_module.TrafficClass
+    ) -> int:
         """Returns for how many requests a new one stands.
 
         These are itself and those of its class that were refused since the
@@ -207,7 +131,9 @@
         """Returns a share to 1.0, as a rate limit of the service ended."""
         self._services.pop(service, None)
 
-    def get_admitted_share(self, traffic_class: TrafficClass) -> float:
+    def get_admitted_share(
+        self, traffic_class: traffic_class_module.TrafficClass
+    ) -> float:
         """Returns the share of a class that may start, 0.0 to 1.0."""
         flow = self._find_flow(traffic_class)
         return 1.0 if flow is None else flow.share
@@ -326,7 +252,9 @@
             share = accounts.get(now_s, key, self._rates.get(key, 0.0))
             _allot_to_routes(parts, share)
 
-    def _list_parts(self, service: str) -> Iterator[tuple[TrafficClass, _Part]]:
+    def _list_parts(
+        self, service: str
+    ) -> Iterator[tuple[traffic_class_module.TrafficClass, _Part]]:
         """Yields the classes that need a service, with their work there."""
         for traffic_class, flow in self._flows.items():
             route = traffic_class.route
@@ -337,16 +265,20 @@
                 )
                 yield traffic_class, _Part(flow, demand)
 
-    def _find_flow(self, traffic_class: TrafficClass) -> _Flow | None:
+    def _find_flow(
+        self, traffic_class: traffic_class_module.TrafficClass
+    ) -> traffic_flow.TrafficFlow | None:
         flow = self._flows.get(traffic_class)
         if flow is None and traffic_class.account:
             return self._flows.get(traffic_class._replace(account=""))
         return flow
 
-    def _add_flow(self, traffic_class: TrafficClass) -> _Flow:
+    def _add_flow(
+        self, traffic_class: traffic_class_module.TrafficClass
+    ) -> traffic_flow.TrafficFlow:
         if traffic_class.account and len(self._flows) >= MAXIMUM_FLOWS:
             traffic_class = traffic_class._replace(account="")
-        return self._flows.setdefault(traffic_class, _Flow())
+        return self._flows.setdefault(traffic_class, traffic_flow.TrafficFlow())
 
     def is_known_leaf(self, route: str) -> bool:
         """True if requests of a route are known to make no calls."""
--- a/src/cranberrymux/gateway/entry_admission.py
+++ b/src/cranberrymux/gateway/entry_admission.py
@@ -4,6 +4,9 @@
 
 from cranberrymux.decisions.pressure import retry_advice
 from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.routes import route as route_module
 
 
@@ -60,7 +63,7 @@
         advice = self.get_retry_advice(route)
         advice.note_arrival(left_s)
         timing = advice.classify_attempt(left_s)
-        traffic_class = root_admission.TrafficClass(
+        traffic_class = traffic_class_module.TrafficClass(
             priority, timing, route.name, account
         )
         return self.root_admission.admit(now_s, traffic_class)
--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -7,9 +7,11 @@
 
 from cranberrymux.decisions.accounts import request_rank
 from cranberrymux.decisions.pressure import fair_shares
-from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import hop
 from cranberrymux.gateway import parts as parts_module
@@ -194,4 +196,4 @@
     rank: float, account: str, root_route: str
 ) -> fair_shares.AccountKey:
     """Returns the account of a tree, with the rank of its root."""
-    return root_admission.make_key(math.ceil(rank), account, root_route)
+    return traffic_class_module.make_key(math.ceil(rank), account, root_route)
--- a/src/cranberrymux/gateway/explanation/copied_parts.py
+++ b/src/cranberrymux/gateway/explanation/copied_parts.py
@@ -15,7 +15,9 @@
 
 from cranberrymux.decisions.endpoints import recorded_endpoints
 from cranberrymux.decisions.pressure import parent_matcher
-from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.quarantine import quarantine
 from cranberrymux.decisions.quarantine import quarantine_settings
 from cranberrymux.decisions.quarantine import suspect_report
@@ -140,7 +142,7 @@
             account, timers, clock, generator, metrics
         )
         self.quarantine = _copy_quarantine(source, clock, timers)
-        self.traffic_classes: list[root_admission.TrafficClass] = []
+        self.traffic_classes: list[traffic_class_module.TrafficClass] = []
         self._copy_admission(source)
 
     def _copy_admission(self, source: parts_module.GatewayParts) -> None:
@@ -152,7 +154,7 @@
         admit = admission.admit
 
         def record_and_admit(
-            now_s: float, traffic_class: root_admission.TrafficClass
+            now_s: float, traffic_class: traffic_class_module.TrafficClass
         ) -> Any:
             self.traffic_classes.append(traffic_class)
             return admit(now_s, traffic_class)
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -3,7 +3,9 @@
 from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.accounts import request_rank
 from cranberrymux.decisions.pressure import parent_matcher
-from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.gateway import hop
@@ -163,7 +165,7 @@
             self._route.name,
             report,
             is_successful,
-            root_admission.make_key(
+            traffic_class_module.make_key(
                 self._rank, self._account_name, self._route.name
             ),
         )
--- a/tests/decisions/pressure/test_components.py
+++ b/tests/decisions/pressure/test_components.py
@@ -13,10 +13,13 @@
 from cranberrymux.decisions.pressure import retry_advice
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import slot_scheduler
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.pressure import work_report
 
 Verdict = slot_scheduler.SlotVerdict
-AttemptTiming = root_admission.AttemptTiming
+AttemptTiming = traffic_class_module.AttemptTiming
 
 
 def make_ticket(number, rank=1.0, start_by_s=1.0, deadline_s=2.0):
@@ -146,8 +149,12 @@
 class TestRootAdmission:
     def test_refuses_only_routes_that_need_the_overloaded_service(self):
         admission = root_admission.RootAdmission(0.0)
-        lookup = root_admission.TrafficClass(2, AttemptTiming.FIRST, "lookup")
-        upload = root_admission.TrafficClass(2, AttemptTiming.FIRST, "upload")
+        lookup = traffic_class_module.TrafficClass(
+            2, AttemptTiming.FIRST, "lookup"
+        )
+        upload = traffic_class_module.TrafficClass(
+            2, AttemptTiming.FIRST, "upload"
+        )
         report = {"deep": work_report.ServiceWork(0.2, 0.4)}
         admitted = dict.fromkeys((lookup, upload), 0)
         for number in range(400):
@@ -161,7 +168,7 @@
 
     def test_admits_everything_again_without_reports(self):
         admission = root_admission.RootAdmission(0.0)
-        traffic_class = root_admission.TrafficClass(
+        traffic_class = traffic_class_module.TrafficClass(
             2, AttemptTiming.FIRST, "lookup"
         )
         report = {"deep": work_report.ServiceWork(0.2, 0.1)}
@@ -225,7 +232,7 @@
 def test_refuses_route_without_any_successful_tree():
     """Models nodes that have just started while no tree succeeds."""
     admission = root_admission.RootAdmission(0.0)
-    traffic_class = root_admission.TrafficClass(
+    traffic_class = traffic_class_module.TrafficClass(
         2, AttemptTiming.FIRST, "lookup"
     )
     report = {"deep": work_report.ServiceWork(0.1, 0.1)}
@@ -238,7 +245,7 @@
 def test_early_failure_does_not_lower_cost_of_route():
     admission = root_admission.RootAdmission(0.0)
     traffic_classes = [
-        root_admission.TrafficClass(2, AttemptTiming.FIRST, name)
+        traffic_class_module.TrafficClass(2, AttemptTiming.FIRST, name)
         for name in ("a", "b")
     ]
     for number in range(400):
--- a/tests/decisions/pressure/test_fair_shares.py
+++ b/tests/decisions/pressure/test_fair_shares.py
@@ -13,6 +13,9 @@
 from cranberrymux.decisions.pressure import account_shares
 from cranberrymux.decisions.pressure import fair_shares
 from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.pressure import water_level
 from cranberrymux.decisions.pressure import work_report
 from tests.decisions.pressure import account_load
@@ -130,8 +133,11 @@
     for number in range(5000):
         admission.admit(
             0.0,
-            root_admission.TrafficClass(
-                1, root_admission.AttemptTiming.FIRST, "read", f"a-{number}"
+            traffic_class_module.TrafficClass(
+                1,
+                traffic_class_module.AttemptTiming.FIRST,
+                "read",
+                f"a-{number}",
             ),
         )
     assert len(admission._flows) <= root_admission.MAXIMUM_FLOWS + 1
@@ -140,9 +146,9 @@
 def test_accounts_that_are_not_held_back_are_admitted_whole():
     """Guards against shares of a service that hit all accounts alike."""
     admission = root_admission.RootAdmission(0.0)
-    first = root_admission.AttemptTiming.FIRST
-    large = root_admission.TrafficClass(1, first, "read", "large")
-    small = root_admission.TrafficClass(1, first, "read", "small")
+    first = traffic_class_module.AttemptTiming.FIRST
+    large = traffic_class_module.TrafficClass(1, first, "read", "large")
+    small = traffic_class_module.TrafficClass(1, first, "read", "small")
     admitted = dict.fromkeys((large, small), 0)
     for number in range(400):
         now_s = number / 100
@@ -159,8 +165,8 @@
 
 def test_admitted_request_stands_for_those_refused_before_it():
     admission = root_admission.RootAdmission(0.0)
-    first = root_admission.AttemptTiming.FIRST
-    traffic_class = root_admission.TrafficClass(1, first, "read", "a")
+    first = traffic_class_module.AttemptTiming.FIRST
+    traffic_class = traffic_class_module.TrafficClass(1, first, "read", "a")
     report = {"deep": work_report.ServiceWork(0.2, 0.4, 0.1)}
     offered = 0
     for number in range(1, 1001):
--- a/tests/decisions/pressure/test_route_allotment.py
+++ b/tests/decisions/pressure/test_route_allotment.py
@@ -8,11 +8,14 @@
 
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import route_allotment
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.pressure import work_report
 from tests.decisions.pressure import test_tree_overload
 from tests.decisions.pressure import tree_simulation
 
-_Timing = root_admission.AttemptTiming
+_Timing = traffic_class_module.AttemptTiming
 SHARE = 0.4
 WORKS = {"long": 0.4, "short": 0.02}  # Seconds at the scarce service.
 PER_S = 100
@@ -57,7 +60,9 @@
 def test_refuses_only_long_trees_where_short_ones_need_little(account):
     admission = root_admission.RootAdmission(0.0)
     classes = {
-        route: root_admission.TrafficClass(1, _Timing.FIRST, route, account)
+        route: traffic_class_module.TrafficClass(
+            1, _Timing.FIRST, route, account
+        )
         for route in WORKS
     }
     told = SHARE if account else None
--- a/tests/decisions/pressure/tree_simulation.py
+++ b/tests/decisions/pressure/tree_simulation.py
@@ -19,6 +19,9 @@
 from cranberrymux.decisions.pressure import root_admission
 from cranberrymux.decisions.pressure import share_meter
 from cranberrymux.decisions.pressure import slot_scheduler
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.pressure import work_report
 
 HOP_S = 0.002
@@ -111,7 +114,7 @@
 
     @property
     def key(self) -> fair_shares.AccountKey:
-        return root_admission.make_key(
+        return traffic_class_module.make_key(
             self.kind.priority, self.kind.account, ""
         )
 
@@ -191,20 +194,20 @@
 
         def arrive() -> None:
             self._tally(kind).asked += 1
-            self._begin(kind, root_admission.AttemptTiming.FIRST)
+            self._begin(kind, traffic_class_module.AttemptTiming.FIRST)
             self._arrive_later(kind, length_s)
 
         self.at(gap_s, arrive)
 
     def _begin(
-        self, kind: TreeKind, timing: root_admission.AttemptTiming
+        self, kind: TreeKind, timing: traffic_class_module.AttemptTiming
     ) -> None:
         if kind.entries:
             node = self.random.choice(kind.entries)
         else:
             node = self.random.randrange(len(self.roots))
         account = kind.account if self.scope is AccountScope.ALL else ""
-        traffic_class = root_admission.TrafficClass(
+        traffic_class = traffic_class_module.TrafficClass(
             kind.priority, timing, kind.route, account
         )
         stands_for = self.roots[node].admit(self.now_s, traffic_class)
@@ -225,11 +228,14 @@
         self.at(kind.between_s, lambda: self._call(tree, timing, []))
 
     def _retry_or_count(
-        self, kind: TreeKind, timing: root_admission.AttemptTiming, end: str
+        self,
+        kind: TreeKind,
+        timing: traffic_class_module.AttemptTiming,
+        end: str,
     ) -> None:
-        is_first = timing is root_admission.AttemptTiming.FIRST
+        is_first = timing is traffic_class_module.AttemptTiming.FIRST
         if self.has_retries and is_first:
-            retry = root_admission.AttemptTiming.RETRY_IN_TIME
+            retry = traffic_class_module.AttemptTiming.RETRY_IN_TIME
             self.at(RETRY_DELAY_S, lambda: self._begin(kind, retry))
             return
         tally = self._tally(kind)
@@ -239,7 +245,10 @@
         return self.tallies.setdefault(kind.tally_name, Tally())
 
     def _call(
-        self, tree: Tree, timing: root_admission.AttemptTiming, tried: list[int]
+        self,
+        tree: Tree,
+        timing: traffic_class_module.AttemptTiming,
+        tried: list[int],
     ) -> None:
         left = [
             index for index in range(len(self.endpoints)) if index not in tried
@@ -308,7 +317,7 @@
     def _refuse(
         self,
         tree: Tree,
-        timing: root_admission.AttemptTiming,
+        timing: traffic_class_module.AttemptTiming,
         tried: list[int],
         index: int,
     ) -> None:
@@ -342,7 +351,7 @@
     def _finish(
         self,
         tree: Tree,
-        timing: root_admission.AttemptTiming,
+        timing: traffic_class_module.AttemptTiming,
         index: int,
         ticket_id: int,
         is_first_choice: bool,
@@ -366,7 +375,9 @@
             self._report(tree, True)
             self._tally(tree.kind).served += 1
 
-    def _fail(self, tree: Tree, timing: root_admission.AttemptTiming) -> None:
+    def _fail(
+        self, tree: Tree, timing: traffic_class_module.AttemptTiming
+    ) -> None:
         self._report(tree, False)
         self._retry_or_count(tree.kind, timing, "failed")
 
--- a/tests/gateway/explanation_scene.py
+++ b/tests/gateway/explanation_scene.py
@@ -6,7 +6,9 @@
 
 from cranberrymux.decisions.accounts import client_account
 from cranberrymux.decisions.accounts import request_rank
-from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.decisions.routes import route
 from cranberrymux.decisions.routes import route_document
@@ -102,7 +104,7 @@
                 name,
                 {"deep": work},
                 True,
-                root_admission.make_key(rank, account, name),
+                traffic_class_module.make_key(rank, account, name),
             )
             self.serve(f"/{name}/x", account)
             self.network.run(0.02, step_s=0.01)
--- a/tests/gateway/test_fresh_reports.py
+++ b/tests/gateway/test_fresh_reports.py
@@ -7,7 +7,9 @@
 import pytest
 import structlog
 
-from cranberrymux.decisions.pressure import root_admission
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
 from cranberrymux.decisions.pressure import work_report
 from cranberrymux.gateway import exit_pressure
 from cranberrymux.gateway import hop
@@ -125,10 +127,10 @@
     trees = [(0.5, "a", ""), (1.0, "a", ""), (1.5, "a", ""), (1.0, "", "a")]
     keys = [exit_pressure._make_key(*tree) for tree in trees * 2]
     expected = [
-        root_admission.make_key(1, "a", ""),
-        root_admission.make_key(1, "a", ""),
-        root_admission.make_key(2, "a", ""),
-        root_admission.make_key(1, "", "a"),
+        traffic_class_module.make_key(1, "a", ""),
+        traffic_class_module.make_key(1, "a", ""),
+        traffic_class_module.make_key(2, "a", ""),
+        traffic_class_module.make_key(1, "", "a"),
     ]
     assert keys == expected * 2
 
