Pressure: one way to find the account of a tree; tests of the directory: one setup

A report found the key of its account with the lines of `_get_key`, and two tests set up the same endpoint. No behavior changes; tests of the files concerned pass.

--- a/src/cranberrymux/gateway/exit_pressure.py
+++ b/src/cranberrymux/gateway/exit_pressure.py
@@ -134,11 +134,7 @@
         account_share = None
         if share < 1.0:
             account_share = self._meter.get_account_share(
-                _make_key(
-                    tree_context.rank,
-                    tree_context.account,
-                    tree_context.root_route,
-                )
+                _get_key(tree_context)
             )
         own = work_report.ServiceWork(hold_s, share, account_share, offered_s)
         return {self._parts.settings.service: own}
--- a/tests/node/test_directory_task.py
+++ b/tests/node/test_directory_task.py
@@ -57,7 +57,8 @@
         return 0.0
 
 
-def test_change_during_a_heartbeat_is_sent_as_soon_as_it_has_ended():
+def make_serving_endpoint():
+    """Returns the settings of a node and the endpoint that it announces."""
     settings = node_settings.make(
         loader.load_text(_SETTINGS, "node.yaml", node_settings.FIELDS)
     )
@@ -68,6 +69,11 @@
         ),
         endpoint_state.EndpointState.SERVING,
     )
+    return settings, endpoint
+
+
+def test_change_during_a_heartbeat_is_sent_as_soon_as_it_has_ended():
+    settings, endpoint = make_serving_endpoint()
     control = ControlWithoutAnswer()
     task = directory_task.DirectoryTask(
         settings, [control], endpoint, Clock(), Listener()
@@ -190,16 +196,7 @@
 
 def test_endpoint_is_named_only_to_an_instance_that_does_not_keep_it():
     """Guards against a record that an instance lacks and never gets."""
-    settings = node_settings.make(
-        loader.load_text(_SETTINGS, "node.yaml", node_settings.FIELDS)
-    )
-    endpoint = own_endpoint.OwnEndpoint(settings, 1)
-    endpoint.announce(
-        backend_server.BackendServer(
-            "s", socket_address.SocketAddress("127.0.0.1", 9), 1, {}, (), ""
-        ),
-        endpoint_state.EndpointState.SERVING,
-    )
+    settings, endpoint = make_serving_endpoint()
     control = Keeping()
     task = directory_task.DirectoryTask(
         settings, [control], endpoint, Clock(), RecordingListener()
