--- a/review/common/endpoint.py
+++ b/review/common/endpoint.py
@@ -57,6 +57,7 @@
         self._slots_taken = asyncio.Semaphore(self.slots)
         self._server = None
         self._beats = None
+        self._writers = set()
 
     async def start(self):
         """Listens, and sends heartbeats until `stop_beats`."""
@@ -68,6 +69,13 @@
         )
         self._beats = asyncio.create_task(self._beat_forever())
 
+    def end(self):
+        """Ends as a process does: its connections close, its work is lost."""
+        self.stop_beats()
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     def stop_beats(self):
         """Ends the heartbeats."""
         self._beats.cancel()
@@ -116,6 +124,7 @@
                 await asyncio.sleep(0.2)
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while True:
                 head = await http_messages.read_head(reader)
@@ -124,6 +133,7 @@
         except (OSError, EOFError, asyncio.LimitOverrunError):
             pass  # The node closed the connection.
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, head, writer):
