Review: a request that crashes endpoints while their nodes are killed

Rule BUDGET: it reaches endpoints in four retries later than stability_window after the third crash, three are allowed. Cause: a death that the node beside the endpoint doesn't see, since it was killed, is counted by nobody. Disruption: the nodes of three machines of six are killed.

--- a/review/common/endpoint.py
+++ b/review/common/endpoint.py
@@ -45,20 +45,30 @@
         self._platform = platform
         self._host = host
         self._service = service
-        self.born_ms = time.time_ns() // 1_000_000
-        self.endpoint_id = f"i-{host}-{self.born_ms}"
+        self.born_ms = 0
+        self.endpoint_id = ""
+        self.beat_count = 0
+        self.take_new_id()
         self.runs = []
         self.is_leaving = False
         self.state = "ready"
         self.work_s = {}
         self.body_bytes = 400
         self.slots = 20
-        self.beat_count = 0
         self._slots_taken = asyncio.Semaphore(self.slots)
         self._server = None
         self._beats = None
         self._writers = set()
 
+    def take_new_id(self):
+        """Becomes another start of the endpoint, whose counts begin anew."""
+        self.born_ms = time.time_ns() // 1_000_000
+        self.endpoint_id = f"i-{self._host}-{self.born_ms}"
+        self.beat_count = 0
+
+    def run_began(self, run):
+        """Called with each request that it begins to work on."""
+
     async def start(self):
         """Listens, and sends heartbeats until `stop_beats`."""
         ip = self._platform.ip(self._host)
@@ -153,6 +163,7 @@
         else:
             async with self._slots_taken:
                 self.runs.append(Run(request_id, path))
+                self.run_began(self.runs[-1])
                 await asyncio.sleep(self._find_work_s(path))
             body = make_body(request_id, self.body_bytes)
             writer.write(_encode(200, {**own, "Server-Stamp": STAMP}, body))
