Log a lost quorum and a configuration that nobody confirms

New: quorum-lost with the silent voters and quorum-heard; configuration-not-confirmed and configuration-confirmed; the gauge configuration_confirmed_age_seconds. No decision depends on them.

--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -16,6 +16,7 @@
 from cranberrymux.control import control_settings
 from cranberrymux.control import peer_clients
 from cranberrymux.control import proposals
+from cranberrymux.control import quorum_watch
 from cranberrymux.control import replica_loop
 from cranberrymux.control import seeded_formation
 from cranberrymux.control import vouching
@@ -67,6 +68,7 @@
         self._events = structlog.get_logger()
         self._lease_s = lease_s
         self._vouching = vouching.Vouching(lease_s)
+        self._quorum_watch = quorum_watch.QuorumWatch()
         self._formation: cluster_formation.ClusterFormation = (
             cluster_formation.ClusterFormation(settings, driver, peers)
             if settings.forming is None
@@ -264,6 +266,9 @@
             defer.ensureDeferred(self._contact(name))
         self._log_role_change()
         self._log_voter_change()
+        self._quorum_watch.update(
+            replica_loop.now_s(), self.vouched_ms(), self._driver.status
+        )
 
     async def _contact(self, name: str) -> None:
         client = self._peers.find(name)
--- a/src/cranberrymux/gateway/control_connections.py
+++ b/src/cranberrymux/gateway/control_connections.py
@@ -33,6 +33,11 @@
         self._clients: dict[str, control_client.ControlClient] = {}
         self._last_contact_s: dict[str, float] = {}
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return sum(client.is_connected for client in self._clients.values())
+
     def make_clients(self, now_s: float) -> list[control_client.ControlClient]:
         """Makes one client for each control instance of the settings."""
         for address in self._settings.control_instances:
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -12,6 +12,7 @@
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import boot_clock
+from cranberrymux.gateway import confirmation_watch
 from cranberrymux.gateway import control_connections
 from cranberrymux.gateway import entry as entry_module
 from cranberrymux.gateway import exit as exit_module
@@ -76,6 +77,9 @@
             self._control_connections.get_clients,
         )
         self._clock = self._parts.clock
+        self._confirmation = confirmation_watch.ConfirmationWatch(
+            self._clock.now_s()
+        )
         self._presence = presence_module.Presence(settings.backend_lifetime_s)
         self._exit = exit_module.Exit(self._parts, self._presence, self.leave)
         self._health_check = startup_health_check.StartupHealthCheck(
@@ -242,6 +246,7 @@
         """Renews the lease on keys if the version in force is the newest."""
         if version == self._routes.version:
             self._parts.key_lease.confirm(asked_at_s)
+            self._confirmation.confirm(asked_at_s, version)
 
     def quota_owner_received(self, address: str) -> None:
         """Follows the control instance that hands out quota tokens."""
@@ -286,11 +291,17 @@
         self._parts.show_zone_shares()
         self._parts.quotas.update_metrics()
         self._parts.metrics.version.set(self._routes.version)
+        self._parts.metrics.confirmed_age_s.set(
+            self._confirmation.age_s(self._clock.now_s())
+        )
         self._ports.sweep(self._clock.now_s())
 
     def _check(self) -> None:
         now_s = self._clock.now_s()
         self._control_connections.remove_unreachable(now_s)
+        self._confirmation.check(
+            now_s, self._routes.version, self._control_connections.open_count
+        )
         if self._routes.table is None:
             # Without a configuration no request can be served, so heartbeats
             # are sent at this shorter interval.
--- a/src/cranberrymux/gateway/metrics.py
+++ b/src/cranberrymux/gateway/metrics.py
@@ -119,6 +119,10 @@
         )
         self.waiting = self._gauge("waiting", "Requests that wait for one.")
         self.version = self._gauge("configuration_version", "In force.")
+        self.confirmed_age_s = self._gauge(
+            "configuration_confirmed_age_seconds",
+            "Since a control instance confirmed it as the newest.",
+        )
         self.settings_since_s = prometheus_client.Gauge(
             "cranberrymux_settings_since_seconds",
             "Unix time at which this settings file was first read.",
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -29,6 +29,8 @@
     SUSPECT_TRIAL = "suspect-trial"
     CONFIGURATION_IN_FORCE = "configuration-in-force"
     CONFIGURATION_NOT_VALID = "configuration-not-valid"
+    CONFIGURATION_NOT_CONFIRMED = "configuration-not-confirmed"
+    CONFIGURATION_CONFIRMED = "configuration-confirmed"
 
     # Nodes that serve routes.
     NODE_STOPPING = "node-stopping"
@@ -75,6 +77,8 @@
     REPLICA_JOINS = "replica-joins"
     MEMBERS_CHANGE = "members-change"
     ROLE_CHANGED = "role-changed"
+    QUORUM_HEARD = "quorum-heard"
+    QUORUM_LOST = "quorum-lost"
     STORAGE_FAILED = "storage-failed"
     CLAIM_ABANDONED = "claim-abandoned"
     QUOTA_OWNER_STARTED = "quota-owner-started"
