Count deaths that the node beside the backend server could not see

Cause: only the node beside a backend server counts a death under it, by what it keeps in memory of its runs. Its next start knows nothing of them, so that nobody counts.

Ruled out: counting each lost connection as a death; it would make suspects of all requests that run beside a killed node.

The fake of a restarted node in tests/gateway/mesh.py ran a graceful stop whose end closed the ports of the new node, so that restarted nodes took nothing 2.5 s later; it is now a kill.

--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -17,6 +17,7 @@
 from cranberrymux.gateway import relay
 from cranberrymux.gateway import request_log
 from cranberrymux.gateway import suspicion
+from cranberrymux.models import endpoint_record
 from cranberrymux.models import socket_address
 from cranberrymux.node import attempt as attempt_module
 from cranberrymux.node.http import answer_head
@@ -92,6 +93,8 @@
         self._digest = digest
         self._judge = answer_judge.AnswerJudge(parts, self._attempts)
         self._endpoint: endpoint_view.EndpointView | None = None
+        # The endpoint of the last attempt, as it was known then.
+        self._sent_to: endpoint_record.EndpointRecord | None = None
         self._sent_s = 0.0
         # True if an attempt is sent in a later event than it was started.
         self._is_connecting = False
@@ -163,6 +166,7 @@
             )
             return
         self._endpoint = endpoint
+        self._sent_to = endpoint.record
         endpoint.outstanding += 1
         self._attempts.note_first(now_s)
         self._attempt = self._make_attempt(endpoint, left_ms)
@@ -284,6 +288,8 @@
         """Sends the request elsewhere, or answers that it may have run."""
         endpoint = self._release_endpoint()
         now_s = self._parts.clock.now_s()
+        if loss.is_handed_over and loss is not hop_answer.BACKEND_DIED:
+            self._note_lost_hop()
         if self._answer.is_started:
             self._cancel_timer()
             self._answer.abort_streaming(loss.detail)
@@ -302,6 +308,11 @@
             return
         self._fail(_Outcome.LOST, 502, loss.detail)
 
+    def _note_lost_hop(self) -> None:
+        """Remembers a request that was lost with the endpoint's node."""
+        if self._sent_to is not None:
+            self._parts.lost_hops.add(self._digest, self._sent_to)
+
     def _send_elsewhere(
         self,
         endpoint: endpoint_view.EndpointView | None,
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -218,6 +218,7 @@
         suspect_sharing.update_siblings(
             self._parts.siblings, self._parts.quarantine, own
         )
+        self._parts.lost_hops.endpoints_changed(records)
         root_admission = self._parts.entry_admission.root_admission
         for service in self._parts.endpoints.update(records):
             root_admission.reset_service_share(service)
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -16,6 +16,7 @@
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.decisions.routes import split_chooser
 from cranberrymux.gateway import entry_admission
+from cranberrymux.gateway import lost_hops
 from cranberrymux.gateway import metrics as metrics_module
 from cranberrymux.gateway import quota_task
 from cranberrymux.gateway import running_requests
@@ -67,6 +68,7 @@
         hop_connections: Connections to other nodes.
         siblings: Nodes of the other endpoints of the own service.
         quarantine: Requests that may crash backend servers.
+        lost_hops: Requests that were lost with the node of their endpoint.
         key_lease: For how long keys of client accounts are accepted.
         metrics: Metrics of the gateway.
         zone_log: Metrics and log lines on the shares of zones.
@@ -139,6 +141,7 @@
             get_control_clients,
             self.siblings.send_to_neighbors,
         )
+        self.lost_hops = lost_hops.LostHops(system_clock, self.quarantine)
         self.key_lease = key_lease.KeyLease(settings.key_lifetime_s)
         self.metrics = metrics_module.GatewayMetrics()
         self.zone_log = zone_log.ZoneLog(self.metrics, settings.zone)
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -9,6 +9,7 @@
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
 from cranberrymux.decisions.quarantine import quarantine as quarantine_module
+from cranberrymux.decisions.quarantine import report_kind
 from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.models import refusal
 from cranberrymux.node import clock as clock_module
@@ -228,6 +229,23 @@
         for trial in self._reporter.take_unused_trials(rows):
             self.end_trial(trial)
 
+    def record_unseen_death(
+        self, fingerprint: fingerprints.Fingerprint, event_id: str
+    ) -> None:
+        """Records a death that no node beside the backend server saw.
+
+        Args:
+            fingerprint: Fingerprint of a call that ran there.
+            event_id: Id of the death, the same at every node that tells of it.
+        """
+        reports = [
+            _Report(key, report_kind.ReportKind.DEATH, event_id)
+            for key in fingerprint.keys
+        ]
+        new = self._quarantine.merge(self._clock.now_s(), reports)
+        if new:
+            self._share(new, "lost-with-node")
+
     def get_open_reports(
         self, fingerprint: fingerprints.Fingerprint
     ) -> list[_Report]:
--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -118,8 +118,13 @@
         self.gateway.start()
 
     def restart(self):
-        """Closes the gateway and starts another; its server keeps running."""
-        self.gateway.stop()
+        """Kills the gateway and starts another; its server keeps running.
+
+        Nothing of the old one runs on: a graceful stop would close the ports
+        of the new one when it ends.
+        """
+        self.gateway._checking.stop()
+        self.gateway._sweeping.stop()
         self.gateway._close()
         self.settings = self.settings._replace(is_first_start=False)
         self.gateway = gateway_module.Gateway(
