End a cancelled trial only when its backend server still runs

Callers saw a request that crashes backend servers reach them 4 or 5 times more than 3 s after its third crash (bound 3), if it crashes them after its caller has given up and they are back 2 s later or more.

Cause: a trial that was cancelled ended 2 s later by a timer, as one without a death. The death shows only when the next process announces itself, which may be later. Trials without a death are not limited in number beside none that is fatal, so that they went on.

Change: such a trial ends when the process that ran it announces itself more than a second after the cancellation.

--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -182,7 +182,7 @@
         if is_replaced and was_serving:
             self._quarantine.losses.process_replaced()
         else:
-            self._quarantine.losses.process_confirmed()
+            self._quarantine.process_confirmed()
 
     # Runs.
 
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -15,6 +15,7 @@
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import peer_request
 from cranberrymux.node import run_losses
+from cranberrymux.node import running_trials
 from cranberrymux.node import suspect_log
 from cranberrymux.node import suspect_message
 from cranberrymux.node import suspect_reporter
@@ -26,8 +27,6 @@
 RELAY_DELAY_S = 1.0
 # Time after which the reports on a call that still comes are sent again.
 RENEWAL_INTERVAL_S = 300.0
-# Time after which a trial that was cancelled has not ended with a death.
-ABANDONED_TRIAL_S = 2.0
 _MAXIMUM_SHARED_KEYS = 64
 _Report = suspect_report.SuspectReport
 
@@ -73,7 +72,6 @@
         self.running = quarantine.running
         self._clock = system_clock
         self._reporter = reporter
-        self._reactor = reactor
         self._send_to_siblings = send_to_siblings
         self.losses = run_losses.RunLosses(
             system_clock, reactor, self._record_death, self._record_survival
@@ -81,8 +79,9 @@
         self.losses.may_have_ended_abandoned = self._has_abandoned
         self._cluster_key = cluster_key
         self._claimed_keys: set[str] = set()
-        # Trials under way, by ticket id.
-        self._trials: dict[str, _Report] = {}
+        self._trials = running_trials.RunningTrials(
+            system_clock, self.end_trial
+        )
 
     @property
     def record_count(self) -> int:
@@ -143,7 +142,7 @@
 
     def start_trial(self, ticket_id: str, trial: _Report) -> None:
         """Records that a call which is handed over now is a trial."""
-        self._trials[ticket_id] = trial
+        self._trials.start(ticket_id, trial)
 
     def end_trial(self, trial: _Report) -> None:
         """Records that a trial ended, neither whole nor with a death."""
@@ -181,13 +180,11 @@
             if not self.records and not self._trials:
                 self.running.end(ticket_id)
                 return
-            self._trials.pop(ticket_id, None)
-        elif may_still_run and ticket_id in self._trials:
-            self._reactor.callLater(
-                ABANDONED_TRIAL_S, self._end_trial_of, ticket_id
-            )
-        elif not may_still_run:
-            self._end_trial_of(ticket_id)
+            self._trials.succeed(ticket_id)
+        elif may_still_run:
+            self._trials.cancel(ticket_id)
+        else:
+            self._trials.end(ticket_id)
         cleared = self._quarantine.finish(
             self._clock.now_s(),
             ticket_id,
@@ -197,10 +194,13 @@
         if cleared:
             self._share(cleared, "run-ended")
 
-    def _end_trial_of(self, ticket_id: str) -> None:
-        trial = self._trials.pop(ticket_id, None)
-        if trial is not None:
-            self.end_trial(trial)
+    def process_confirmed(self) -> None:
+        """Notes that the backend server runs on, or that its end was planned.
+
+        What broke its connections was no death.
+        """
+        self.losses.process_confirmed()
+        self._trials.process_confirmed()
 
     def merge_from_sibling(self, reports: Sequence[_Report]) -> None:
         """Merges reports of a sibling and passes on those that are new.
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -87,6 +87,21 @@
     assert scene.crashes.count_late_runs() <= MAXIMUM_LATE_RUNS
 
 
+@pytest.mark.parametrize("down_s", [1.5, 2.2, 4.5])
+def test_trial_that_crashes_after_its_caller_has_gone_counts(down_s):
+    """The route's timeout is 1 s."""
+    scene = crash_scene.Scene(
+        has_control=True, crash_after_s=1.05, down_s=down_s
+    )
+    for backend in scene.backends:
+        backend.is_crashing = lambda call: call.head.method == b"POST"
+    scene.run(2)
+    scene.call(1.4, WRITE, method="POST")
+    scene.run(40)
+    assert len(scene.crashes.deaths_s) >= 3
+    assert scene.crashes.count_late_runs(WRITE) <= MAXIMUM_LATE_RUNS
+
+
 def test_count_holds_when_siblings_are_not_reached():
     scene = crash_scene.Scene(has_control=True)
     for index in scene.servers:
