Refuse a configuration that is no JSON, or nested too deeply

Callers saw: a configuration with the weight NaN or Infinity, with NaN in a field nobody reads, or with two members of one name was answered 200 and in force. One of 5,000 or 100,000 open brackets was answered 503 by each control instance, each time, so that the operator sent it for ever.

Cause: the library's decoder takes these constants and keeps the last of two members of one name; for deep nesting it raises RecursionError, which the caller of the decoder does not expect.

Ruled out: a check of each known field for NaN alone, which leaves the fields nobody reads; catching RecursionError alone, whose limit depends on the depth of the caller's stack.

Change: models/strict_json decodes JSON only, to at most 200 levels, and raises ValueError for all else. Decoding in steps is built on it. It also counts members over all lists, so that many short ones take several steps.

Tests: tests/platform/test_invalid_configurations.py, 24 cases seen failing on the code before, pass now; tests/platform/test_strict_json.py by hypothesis. Two existing tests change: tests/platform/test_json_steps.py compares with the strict decoder, as json.loads takes what must be refused (test_strict_json compares that with json.loads); in tests/platform/test_account_format.py NaN and Infinity are refused before rows are known, so that the error names the character and not the row; that no key is shown is still checked.

--- a/src/cranberrymux/models/json_steps.py
+++ b/src/cranberrymux/models/json_steps.py
@@ -5,70 +5,99 @@
 import re
 from typing import Any
 
+from cranberrymux.models import strict_json
+
 # Levels of lists and maps whose members are decoded one by one: those of the
 # text, of a table and of its rows.
 STEPPED_LEVELS = 3
 MEMBERS_PER_STEP = 500
 _SPACE = re.compile(r"[ \t\n\r]*")
-_DECODER = json.JSONDecoder()
 _Steps = Generator[None, None, tuple[Any, int]]
 
 
 def load_in_steps(text: str) -> Generator[None, None, Any]:
-    """Decodes as `json.loads` does, with yields between members.
+    """Decodes as `strict_json.load` does, with yields between members.
 
     Raises:
         ValueError: The text is not valid JSON.
     """
-    value, end = yield from _load(text, _skip_space(text, 0), STEPPED_LEVELS)
+    start = _skip_space(text, 0)
+    value, end = yield from _Decoder(text).load(start, STEPPED_LEVELS)
     if _skip_space(text, end) != len(text):
         raise json.JSONDecodeError("Extra data", text, end)
     return value
 
 
-def _load(text: str, start: int, levels: int) -> _Steps:
-    """Decodes the value that begins at `start`; returns it and its end."""
-    first = text[start : start + 1]
-    if levels and first == "[":
-        return (yield from _load_members(text, start, levels - 1, False))
-    if levels and first == "{":
-        return (yield from _load_members(text, start, levels - 1, True))
-    return _DECODER.raw_decode(text, start)
+class _Decoder:
+    """Decodes one text and counts the members decoded."""
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+        self._member_count = 0
+
+    def load(self, start: int, levels: int) -> _Steps:
+        """Decodes the value that begins at `start`; returns it and its end."""
+        first = self._text[start : start + 1]
+        if levels and first == "[":
+            return (yield from self._load_list(start, levels - 1))
+        if levels and first == "{":
+            return (yield from self._load_map(start, levels - 1))
+        return strict_json.load_value(self._text, start)
+
+    def _load_list(self, start: int, levels: int) -> _Steps:
+        values: list[Any] = []
+        position, is_closed = self._open(start, "]")
+        while not is_closed:
+            value, position = yield from self._load_member(position, levels)
+            values.append(value)
+            position, is_closed = self._end_member(position, "]")
+        return values, position + 1
 
+    def _load_map(self, start: int, levels: int) -> _Steps:
+        members: list[tuple[str, Any]] = []
+        position, is_closed = self._open(start, "}")
+        while not is_closed:
+            key, position = self._load_key(position)
+            value, position = yield from self._load_member(position, levels)
+            members.append((key, value))
+            position, is_closed = self._end_member(position, "}")
+        try:
+            return strict_json.make_map(members), position + 1
+        except ValueError as error:
+            raise json.JSONDecodeError(str(error), self._text, start) from error
 
-def _load_members(text: str, start: int, levels: int, is_map: bool) -> _Steps:
-    close = "}" if is_map else "]"
-    members: list[Any] = []
-    position = _skip_space(text, start + 1)
-    is_closed = text[position : position + 1] == close
-    while not is_closed:
-        if len(members) % MEMBERS_PER_STEP == MEMBERS_PER_STEP - 1:
+    def _load_member(self, position: int, levels: int) -> _Steps:
+        self._member_count += 1
+        if self._member_count % MEMBERS_PER_STEP == 0:
             yield
-        key = ""
-        if is_map:
-            key, position = _load_key(text, position)
-        value, position = yield from _load(text, position, levels)
-        members.append((key, value) if is_map else value)
-        position = _skip_space(text, position)
-        is_closed = text[position : position + 1] == close
-        if not is_closed:
-            position = _skip(text, position, ",")
-    return dict(members) if is_map else members, position + 1
-
-
-def _load_key(text: str, position: int) -> tuple[str, int]:
-    key, end = None, position
-    if text[position : position + 1] == '"':
-        key, end = _DECODER.raw_decode(text, position)
-    if not isinstance(key, str):
-        raise json.JSONDecodeError("Expecting a name", text, position)
-    return key, _skip(text, _skip_space(text, end), ":")
-
-
-def _skip(text: str, position: int, expected: str) -> int:
-    if text[position : position + 1] != expected:
-        raise json.JSONDecodeError(f"Expecting {expected}", text, position)
-    return _skip_space(text, position + 1)
+        return (yield from self.load(position, levels))
+
+    def _load_key(self, position: int) -> tuple[str, int]:
+        key, end = None, position
+        if self._text[position : position + 1] == '"':
+            key, end = strict_json.load_value(self._text, position)
+        if not isinstance(key, str):
+            raise json.JSONDecodeError("Expecting a name", self._text, position)
+        return key, self._skip(_skip_space(self._text, end), ":")
+
+    def _open(self, start: int, close: str) -> tuple[int, bool]:
+        """Returns the first member's place and whether there is none."""
+        position = _skip_space(self._text, start + 1)
+        return position, self._text[position : position + 1] == close
+
+    def _end_member(self, position: int, close: str) -> tuple[int, bool]:
+        """Returns the next member's place and whether there is none."""
+        position = _skip_space(self._text, position)
+        if self._text[position : position + 1] == close:
+            return position, True
+        return self._skip(position, ","), False
+
+    def _skip(self, position: int, expected: str) -> int:
+        if self._text[position : position + 1] != expected:
+            raise json.JSONDecodeError(
+                f"Expecting {expected}", self._text, position
+            )
+        return _skip_space(self._text, position + 1)
 
 
 def _skip_space(text: str, position: int) -> int:
--- a/tests/platform/test_account_format.py
+++ b/tests/platform/test_account_format.py
@@ -52,8 +52,6 @@
         (2, True, "priority"),
         (3, -1, "per_s"),
         (3, "many", "per_s"),
-        (4, float("inf"), "burst"),
-        (4, float("nan"), "burst"),
     ],
 )
 def test_an_invalid_field_is_an_error_with_row_and_field(column, value, field):
@@ -66,6 +64,14 @@
     assert "secret" not in error.detail
 
 
+@pytest.mark.parametrize("value", [float("inf"), float("nan")])
+def test_a_number_that_is_no_json_is_an_error_with_its_place(value):
+    error = decode(["yard", ["secret-3"], 1, 1, value])
+    assert isinstance(error, route_document.RouteDocumentError)
+    assert "char" in error.detail
+    assert "secret" not in error.detail
+
+
 def test_a_row_of_another_length_is_an_error():
     error = decode(ROW[:3])
     assert isinstance(error, route_document.RouteDocumentError)
--- a/tests/platform/test_json_steps.py
+++ b/tests/platform/test_json_steps.py
@@ -12,6 +12,7 @@
 
 from cranberrymux.models import json_steps
 from cranberrymux.models import steps
+from cranberrymux.models import strict_json
 
 VALUES = strategies.recursive(
     strategies.none()
@@ -45,7 +46,7 @@
     text = json.dumps(value)
     text = text[:place] + character + text[place + 1 :]
     try:
-        expected = json.loads(text)
+        expected = strict_json.load(text)
     except ValueError:
         with pytest.raises(ValueError, match="char"):
             load(text)
@@ -61,6 +62,18 @@
         load(text)
 
 
+@pytest.mark.parametrize("text", ['{"a":1,"a":1}', '[{"a":[{"b":1,"b":2}]}]'])
+def test_two_members_of_one_name_are_an_error(text):
+    with pytest.raises(ValueError, match="one name"):
+        load(text)
+
+
+def test_many_short_lists_are_decoded_in_steps():
+    text = json.dumps([[[1] * 100] * 10] * 10)
+    count = sum(1 for _ in json_steps.load_in_steps(text))
+    assert count >= 10_000 // json_steps.MEMBERS_PER_STEP
+
+
 def test_long_list_is_decoded_in_steps():
     count = sum(1 for _ in json_steps.load_in_steps(json.dumps([1] * 5000)))
     assert count == 5000 // json_steps.MEMBERS_PER_STEP
