Refuse configurations with fields of another type or out of range

Callers saw: a configuration whose fields cannot be read as they stand was answered 200 and in force: attempts "2" or 2.7, a host 7, a split that is 0, limits of -1, tls "no", a header or idle timeout of 0 (no client could connect), names with line breaks, which end the headers that carry them, and weights whose sum is infinite. attempts Infinity and integers of 400 digits in an account were answered 503 for ever (OverflowError).

Cause: fields were converted with int(), float() and str(), which take other types, or kept without being read; and the decoder caught a list of exceptions that lacked some that conversions raise.

Change: models/json_fields reads a field by its type and range and raises ValueError only; configurations and accounts are read by it. Tables are checked for their shape, each column named once. A service beside a split has no share but must be known.

Still accepted: integral floats, nulls, unknown columns and keys of any value, durations with fractions, several targets of one service, version up to 64 bits.

Tests: tests/platform/test_invalid_configurations.py: 56 cases seen failing on the code before, pass now; one by hypothesis puts any value in any field and loads what is accepted as nodes do.

--- a/src/cranberrymux/decisions/routes/document_check.py
+++ b/src/cranberrymux/decisions/routes/document_check.py
@@ -10,6 +10,8 @@
 from cranberrymux.models import steps
 
 MAXIMUM_TIMEOUT_S = 600.0
+# Of a route's weights; far below the largest float, as shares add them up.
+MAXIMUM_WEIGHT_SUM = 1e300
 
 
 class InvalidDocument(NamedTuple):
@@ -50,6 +52,9 @@
             f" {current_label}"
         )
         return InvalidDocument("", detail)
+    limits = document.limits
+    if not (limits.header_timeout_s > 0.0 and limits.idle_timeout_s > 0.0):
+        return InvalidDocument("", "the timeouts of clients must be above 0 s")
     services = {service.name for service in document.services}
     seen: set[tuple[str, str]] = set()
     for route in document.routes:
@@ -101,7 +106,11 @@
     faults = (
         (bool(unknown), f"unknown target service {', '.join(unknown)}"),
         (min(weights, default=0) < 0, "a target's weight is below 0"),
-        (sum(weights) <= 0, "the target weights add up to 0, expected more"),
+        (
+            not 0 < sum(weights) <= MAXIMUM_WEIGHT_SUM,
+            f"the target weights add up to {sum(weights)}, expected above 0,"
+            f" up to {MAXIMUM_WEIGHT_SUM}",
+        ),
         (
             not 0 < route.timeout_s <= MAXIMUM_TIMEOUT_S,
             f"timeout of {route.timeout_s} s, expected above 0 s, up to 600 s",
--- a/src/cranberrymux/platform/configuration_format.py
+++ b/src/cranberrymux/platform/configuration_format.py
@@ -1,18 +1,24 @@
 """Decodes the routing configuration that operators send on the platform."""
 
+from collections.abc import Callable
 from collections.abc import Generator
 from collections.abc import Iterator
+from collections.abc import Mapping
 from typing import Any
+from typing import TypeVar
 
 from cranberrymux.decisions.routes import backend_service
 from cranberrymux.decisions.routes import client_limits
 from cranberrymux.decisions.routes import route as route_module
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.models import json_fields
 from cranberrymux.models import json_steps
 from cranberrymux.models import steps
 from cranberrymux.platform import account_format
 from cranberrymux.platform import durations
+from cranberrymux.platform import table_format
 
+_Row = TypeVar("_Row")
 _REPEATABILITY = {
     "safe": route_module.Repeatability.IDEMPOTENT,
     "unsafe": route_module.Repeatability.ONCE,
@@ -31,14 +37,12 @@
 def decode_in_steps(body: bytes) -> route_document.LoadSteps:
     """Decodes as `decode` does.
 
-    There are `route_document.LINES_PER_STEP` accounts between two yields.
+    There are `route_document.LINES_PER_STEP` rows between two yields.
     """
     try:
         return (yield from _decode(body))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return route_document.RouteDocumentError(
-            f"{type(error).__name__}: {error}"
-        )
+    except ValueError as error:
+        return route_document.RouteDocumentError(str(error))
 
 
 def _decode(
@@ -46,82 +50,119 @@
 ) -> Generator[None, None, route_document.RouteDocument]:
     text = body.decode()
     values = yield from json_steps.load_in_steps(text)
-    version = values["version"]
-    if not isinstance(version, int) or isinstance(version, bool):
-        raise ValueError("version: expected an integer")
-    limits = values["limits"]
-    accounts = []
-    for row, account_values in enumerate(_rows(values.get("tenants"))):
-        if row % route_document.LINES_PER_STEP == 0 and row:
-            yield
-        accounts.append(account_format.decode(row, account_values))
+    if not isinstance(values, dict):
+        raise ValueError("expected a map")
+    for name in ("routes", "services"):
+        if name not in values:
+            raise ValueError(f"{name}: missing")
+    version = json_fields.read_integer(values, "version")
+    limits = _decode_limits(values.get("limits"))
+    accounts = yield from _decode_table(
+        values, "tenants", account_format.decode
+    )
+    routes = yield from _decode_table(values, "routes", _decode_route)
+    services = yield from _decode_table(values, "services", _decode_service)
     return route_document.RouteDocument(
-        version,
-        tuple(_decode_route(row) for row in _rows(values["routes"])),
-        tuple(_decode_service(row) for row in _rows(values["services"])),
-        client_limits.ClientLimits(
-            int(limits["max_header_bytes"]),
-            int(limits["max_body_bytes"]),
-            durations.parse_s(limits["header_timeout"]),
-            durations.parse_s(limits["idle_timeout"]),
-        ),
-        text,
-        tuple(accounts),
+        version, routes, services, limits, text, accounts
     )
 
 
-def _rows(table: Any) -> Iterator[dict[str, Any]]:
-    """Yields each row as a mapping from column to value, without nulls.
+def _decode_table(
+    values: Mapping[str, Any],
+    name: str,
+    decode_row: Callable[[dict[str, Any]], _Row],
+) -> Generator[None, None, tuple[_Row, ...]]:
+    """Decodes a table; one that is missing has no rows.
 
-    A table that is missing has no rows.
+    Raises:
+        ValueError: A row is invalid; the error names table and row.
     """
-    if table is None:
-        return
-    columns = table["columns"]
-    for row in table["rows"]:
-        if len(row) != len(columns):
-            raise ValueError(
-                "rows: expected one value for each column in every row"
-            )
-        pairs = zip(columns, row, strict=True)
-        yield {name: value for name, value in pairs if value is not None}
+    decoded = []
+    rows: Iterator[dict[str, Any]] = table_format.read_rows(values.get(name))
+    number = 0
+    try:
+        for number, row in enumerate(rows):
+            if number and number % route_document.LINES_PER_STEP == 0:
+                yield
+            decoded.append(decode_row(row))
+    except ValueError as error:
+        raise ValueError(f"{name} row {number}: {error}") from error
+    return tuple(decoded)
+
+
+def _decode_limits(values: Any) -> client_limits.ClientLimits:
+    if not isinstance(values, dict):
+        raise ValueError("limits: expected a map")
+    return client_limits.ClientLimits(
+        json_fields.read_whole(values, "max_header_bytes", minimum=1),
+        json_fields.read_whole(values, "max_body_bytes"),
+        durations.read_s(values, "header_timeout"),
+        durations.read_s(values, "idle_timeout"),
+    )
 
 
 def _decode_route(values: dict[str, Any]) -> route_module.Route:
-    split = values.get("split")
-    if split:
-        targets = tuple(
-            route_module.Target(str(target["service"]), float(target["weight"]))
-            for target in split
-        )
-    else:
-        targets = (route_module.Target(str(values["service"]), 1.0),)
-    timeout_s = durations.parse_s(values["timeout"])
+    timeout_s = durations.read_s(values, "timeout")
     return route_module.Route(
-        name=str(values["name"]),
-        host=str(values["host"]),
-        prefix=str(values["path_prefix"]),
-        targets=targets,
-        repeatability=_REPEATABILITY[values["kind"]],
-        attempts=int(values.get("attempts", 1)),
+        name=json_fields.read_text(values, "name"),
+        host=json_fields.read_text(values, "host"),
+        prefix=json_fields.read_text(values, "path_prefix"),
+        targets=_decode_targets(values),
+        repeatability=_decode_kind(values),
+        attempts=json_fields.read_whole(values, "attempts", default=1),
         timeout_s=timeout_s,
         # Time within which an answer has its full value, not a percentile.
-        objective_s=durations.parse_s(values.get("slo", values["timeout"])),
-        priority=int(values.get("priority", 0)),
-        is_public=_decode_flag(values, "public"),
+        objective_s=durations.read_s(values, "slo", timeout_s),
+        priority=json_fields.read_whole(
+            values,
+            "priority",
+            default=0,
+            minimum=-json_fields.MAXIMUM_INTEGER,
+        ),
+        is_public=json_fields.read_flag(values, "public"),
     )
 
 
-def _decode_flag(values: dict[str, Any], field: str) -> bool:
-    value = values.get(field, False)
-    if not isinstance(value, bool):
-        raise ValueError(f"{field}: expected true or false")
-    return value
+def _decode_kind(values: dict[str, Any]) -> route_module.Repeatability:
+    kind = values.get("kind")
+    repeatability = _REPEATABILITY.get(kind) if isinstance(kind, str) else None
+    if repeatability is None:
+        raise ValueError(f"kind: expected one of {', '.join(_REPEATABILITY)}")
+    return repeatability
+
+
+def _decode_targets(
+    values: dict[str, Any],
+) -> tuple[route_module.Target, ...]:
+    split = values.get("split", [])
+    if not isinstance(split, list):
+        raise ValueError("split: expected a list")
+    targets = [_decode_target(target) for target in split]
+    if not targets or "service" in values:
+        # Beside a split, the service has no share but must be known.
+        service = json_fields.read_text(values, "service")
+        targets.append(route_module.Target(service, 0.0 if targets else 1.0))
+    return tuple(targets)
+
+
+def _decode_target(values: Any) -> route_module.Target:
+    if not isinstance(values, dict):
+        raise ValueError("split: expected maps of service and weight")
+    return route_module.Target(
+        json_fields.read_text(values, "service"),
+        json_fields.read_number(values, "weight"),
+    )
 
 
 def _decode_service(values: dict[str, Any]) -> backend_service.BackendService:
+    # These two are not used, but must be of their type.
+    json_fields.read_text(values, "protocol", "h1")
+    json_fields.read_flag(values, "tls")
+    health_path = json_fields.read_text(values, "health", "/health")
+    if " " in health_path:
+        raise ValueError("health: expected a path without spaces")
     return backend_service.BackendService(
-        str(values["name"]),
-        str(values.get("health", "/health")),
-        int(values.get("max_conns", 0)),
+        json_fields.read_text(values, "name"),
+        health_path,
+        json_fields.read_whole(values, "max_conns", default=0),
     )
