Ignore the case of hosts that routes name

Callers saw: requests for a route whose host is written with capitals were answered 404, unless they wrote the host just so. Of two routes whose hosts differ only in case, both were taken, though they share host and prefix.

Cause: hosts were compared as texts; only the request's was made lower case.

Change: routes are looked up by their host in lower case, and duplicates are found by it. A host with a port in the routes still goes first.

--- a/src/cranberrymux/decisions/routes/document_check.py
+++ b/src/cranberrymux/decisions/routes/document_check.py
@@ -59,7 +59,7 @@
     seen: set[tuple[str, str]] = set()
     for route in document.routes:
         detail = _check_route(route, services)
-        key = (route.host, route.prefix)
+        key = (route.host.lower(), route.prefix)
         if not detail and key in seen:
             detail = f"duplicate route for {route.host}{route.prefix}"
         if detail:
--- a/src/cranberrymux/decisions/routes/route_table.py
+++ b/src/cranberrymux/decisions/routes/route_table.py
@@ -23,7 +23,8 @@
         self.accounts = account_index.AccountIndex(document.accounts)
         self._hosts: dict[str, dict[str, route_module.Route]] = {}
         for route in document.routes:
-            self._hosts.setdefault(route.host, {})[route.prefix] = route
+            hosted = self._hosts.setdefault(route.host.lower(), {})
+            hosted[route.prefix] = route
         self._services = {
             service.name: service for service in document.services
         }
@@ -32,7 +33,8 @@
         """Returns the route whose prefix is the longest one of the path.
 
         Args:
-            host: Value of the `Host` header; a port is ignored.
+            host: Value of the `Host` header. Its case is ignored, and its port
+                if no route names it.
             path: Path of the request, without the query.
 
         Returns:
@@ -40,7 +42,10 @@
         """
         routes = self._hosts.get(host)
         if routes is None:
-            routes = self._hosts.get(host.partition(":")[0].lower())
+            host = host.lower()
+            routes = self._hosts.get(host)
+        if routes is None:
+            routes = self._hosts.get(host.partition(":")[0])
         if routes is None:
             return None
         end = len(path)
--- a/tests/decisions/routes/test_routes.py
+++ b/tests/decisions/routes/test_routes.py
@@ -159,3 +159,29 @@
     )
     route = make_route("a", "s", targets=(Target("s", 0), Target("t", 10)))
     assert {chooser.choose(route) for _ in range(10)} == {"t"}
+
+
+# Guards against requests that are answered 404 because of the case of a host.
+@pytest.mark.parametrize("configured", ["a.example", "A.Example"])
+@pytest.mark.parametrize("asked", ["a.example", "A.EXAMPLE", "a.Example:80"])
+def test_case_of_a_host_is_ignored(configured, asked):
+    route = make_route("a", "s", host=configured)
+    table = route_table.RouteTable(make_document(route))
+    assert table.find(asked, "/a/x") == route
+
+
+def test_host_with_a_port_is_found_before_the_one_without():
+    with_port = make_route("a", "s", host="a.example:80")
+    without = make_route("a", "s", host="a.example")
+    table = route_table.RouteTable(make_document(with_port, without))
+    assert table.find("A.example:80", "/a/x") == with_port
+    assert table.find("a.example:81", "/a/x") == without
+
+
+# Guards against two routes of one host, of which nodes would use the last.
+def test_hosts_that_differ_only_in_case_are_duplicates():
+    document = make_document(
+        make_route("a", "s", host="a.example"),
+        make_route("b", "s", host="A.example", prefix="/a/"),
+    )
+    assert document_check.check(document, 0) is not None
