Refuse a configuration that names a service twice

Callers saw: a configuration with two rows for one service was answered 200; nodes used the health check and the limit of the last row.

Cause: names of services were put into a set without being counted.

Change: it is refused, as two accounts of one name are. Routes are checked in steps, too: 100,000 of them kept an instance from its heartbeats.

Test: test_service_that_is_named_twice_is_rejected, seen failing before.

--- a/src/cranberrymux/decisions/routes/document_check.py
+++ b/src/cranberrymux/decisions/routes/document_check.py
@@ -45,7 +45,7 @@
 def check_in_steps(
     document: route_document.RouteDocument, current_label: int
 ) -> CheckSteps:
-    """Checks as `check` does, a number of accounts between two yields."""
+    """Checks as `check` does, a number of rows between two yields."""
     if document.label <= current_label:
         detail = (
             f"label {document.label} is not above the label in force,"
@@ -56,8 +56,22 @@
     if not (limits.header_timeout_s > 0.0 and limits.idle_timeout_s > 0.0):
         return InvalidDocument("", "the timeouts of clients must be above 0 s")
     services = {service.name for service in document.services}
+    if len(services) != len(document.services):
+        return InvalidDocument("", "two services have one name")
+    invalid = yield from _check_routes(document.routes, services)
+    if invalid is not None:
+        return invalid
+    return (yield from _check_accounts(document.accounts))
+
+
+def _check_routes(
+    routes: Sequence[route_module.Route], services: set[str]
+) -> CheckSteps:
+    """Returns the first fault of the routes."""
     seen: set[tuple[str, str]] = set()
-    for route in document.routes:
+    for number, route in enumerate(routes, 1):
+        if number % route_document.LINES_PER_STEP == 0:
+            yield
         detail = _check_route(route, services)
         key = (route.host.lower(), route.prefix)
         if not detail and key in seen:
@@ -65,7 +79,7 @@
         if detail:
             return InvalidDocument(route.name, detail)
         seen.add(key)
-    return (yield from _check_accounts(document.accounts))
+    return None
 
 
 def _check_accounts(
--- a/tests/decisions/routes/test_routes.py
+++ b/tests/decisions/routes/test_routes.py
@@ -185,3 +185,10 @@
         make_route("b", "s", host="A.example", prefix="/a/"),
     )
     assert document_check.check(document, 0) is not None
+
+
+# Guards against a service with two limits, of which nodes would use the last.
+def test_service_that_is_named_twice_is_rejected():
+    document = make_document(make_route("a", "s"))
+    twice = document._replace(services=document.services * 2)
+    assert document_check.check(twice, 0) is not None
