Split the requests of routes with one name apart

Callers saw: of two routes with one name and other targets, each request reset the shares of the other route; all requests went to the first target.

Cause: the shares were kept by the route's name, which need not be unique.

Change: they are kept by host and prefix, which are.

Test: test_routes_of_one_name_are_split_apart, seen failing before (20 of 20 requests to the first of two equal targets).

--- a/src/cranberrymux/decisions/routes/split_chooser.py
+++ b/src/cranberrymux/decisions/routes/split_chooser.py
@@ -12,8 +12,9 @@
 
     def __init__(self) -> None:
         """Starts with zero credit for each target."""
+        # By host and prefix, as several routes may have one name.
         self._credits: dict[
-            str, tuple[tuple[route_module.Target, ...], list[float]]
+            tuple[str, str], tuple[tuple[route_module.Target, ...], list[float]]
         ] = {}
 
     def choose(self, route: route_module.Route) -> str:
@@ -24,10 +25,11 @@
         targets = route.targets
         if len(targets) == 1:
             return targets[0].service
-        known, credits = self._credits.get(route.name, ((), []))
+        key = (route.host, route.prefix)
+        known, credits = self._credits.get(key, ((), []))
         if known != targets:
             credits = [0.0] * len(targets)
-            self._credits[route.name] = (targets, credits)
+            self._credits[key] = (targets, credits)
         total = 0.0
         best = 0
         for index, target in enumerate(targets):
--- a/tests/decisions/routes/test_routes.py
+++ b/tests/decisions/routes/test_routes.py
@@ -192,3 +192,16 @@
     document = make_document(make_route("a", "s"))
     twice = document._replace(services=document.services * 2)
     assert document_check.check(twice, 0) is not None
+
+
+# Guards against splits that start anew because two routes have one name.
+def test_routes_of_one_name_are_split_apart():
+    chooser = split_chooser.SplitChooser()
+    targets = (Target("s", 50), Target("t", 50))
+    first = make_route("a", "s", targets=targets)
+    second = make_route("a", "s", prefix="/b/", targets=targets[::-1])
+    counts = collections.Counter()
+    for _ in range(20):
+        counts[chooser.choose(first)] += 1
+        chooser.choose(second)
+    assert counts == {"s": 10, "t": 10}
