Encode the routes of a configuration in steps

Callers saw: nothing measured; a control instance answers no heartbeat while it encodes a configuration of very many routes.

Cause: only the accounts, of which there were most, were encoded in steps.

Change: all lines of the stored text are.

Test: test_many_routes_are_checked_and_stored_in_steps, seen failing before (no step for 3,000 routes).

--- a/src/cranberrymux/decisions/routes/route_document.py
+++ b/src/cranberrymux/decisions/routes/route_document.py
@@ -1,6 +1,7 @@
 """The routing configuration and its stored text form."""
 
 from collections.abc import Generator
+from collections.abc import Iterator
 import json
 from typing import Any
 from typing import NamedTuple
@@ -74,21 +75,12 @@
 
 
 def dump_in_steps(document: RouteDocument) -> Generator[None, None, str]:
-    """Encodes as `dump` does, `LINES_PER_STEP` accounts between two yields."""
-    lines = [json.dumps({"limits": document.limits._asdict()})]
-    for service in document.services:
-        lines.append(json.dumps({"service": list(service)}))
-    for route in document.routes:
-        values = route._replace(
-            targets=tuple(tuple(target) for target in route.targets)  # type: ignore[misc]
-        )
-        fields = [*values]
-        fields[4] = route.repeatability.value
-        lines.append(json.dumps({"route": fields}))
-    for number, account in enumerate(document.accounts, 1):
+    """Encodes as `dump` does, `LINES_PER_STEP` lines between two yields."""
+    lines = []
+    for number, values in enumerate(_list_values(document), 1):
         if number % LINES_PER_STEP == 0:
             yield
-        lines.append(json.dumps({"account": list(account)}))
+        lines.append(json.dumps(values))
     text = "\n".join(lines) + "\n"
     if len(text) + len(document.source) >= PACKED_FROM_CHARACTERS:
         return (
@@ -100,6 +92,22 @@
     return f"{head}\n{text}"
 
 
+def _list_values(document: RouteDocument) -> Iterator[dict[str, Any]]:
+    """Yields the values of each line after the first."""
+    yield {"limits": document.limits._asdict()}
+    for service in document.services:
+        yield {"service": list(service)}
+    for route in document.routes:
+        values = route._replace(
+            targets=tuple(tuple(target) for target in route.targets)  # type: ignore[misc]
+        )
+        fields = [*values]
+        fields[4] = route.repeatability.value
+        yield {"route": fields}
+    for account in document.accounts:
+        yield {"account": list(account)}
+
+
 def load(text: str) -> RouteDocument | RouteDocumentError:
     """Decodes the output of `dump`; returns an error for any other text."""
     return steps.finish(load_in_steps(text))
--- a/tests/decisions/routes/test_routes.py
+++ b/tests/decisions/routes/test_routes.py
@@ -205,3 +205,12 @@
         counts[chooser.choose(first)] += 1
         chooser.choose(second)
     assert counts == {"s": 10, "t": 10}
+
+
+def test_many_routes_are_checked_and_stored_in_steps():
+    document = make_large_document()._replace(source="")
+    for computation in (
+        document_check.check_in_steps(document, 0),
+        route_document.dump_in_steps(document),
+    ):
+        assert sum(1 for _ in computation) >= 5
