Accept a change on a version of more than 15 digits

Callers saw: after a version of 16 digits or more (Unix microseconds, for example) had been acknowledged, each later change was answered 412 for ever.

Cause: versions had no bound, but If-Match was read with at most 15 digits.

Tests: tests/platform/test_invalid_at_control.py, at three control instances that run as processes.

--- a/src/cranberrymux/platform/control_port.py
+++ b/src/cranberrymux/platform/control_port.py
@@ -9,6 +9,7 @@
 from cranberrymux.control import route_changes
 from cranberrymux.control import stepwise
 from cranberrymux.decisions.routes import route_document
+from cranberrymux.models import json_fields
 from cranberrymux.models import whole_number
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
@@ -19,6 +20,7 @@
 from cranberrymux.platform import paths
 
 MAXIMUM_BODY_BYTES = 8 << 20
+_MAXIMUM_LABEL_DIGITS = len(str(json_fields.MAXIMUM_INTEGER))
 _Verdict = route_changes.PutVerdict
 _STATUS = {
     _Verdict.ACCEPTED: 200,
@@ -116,7 +118,7 @@
         base_label = if_match.strip(b'" ')
         result = await route_changes.RouteChanges(parts).put(
             document,
-            whole_number.decode(base_label),
+            whole_number.decode(base_label, _MAXIMUM_LABEL_DIGITS),
             hashlib.sha256(base_label + b"\n" + body).hexdigest(),
         )
         if result.verdict is route_changes.PutVerdict.ASK_LEADER:
