Refuse a configuration that is larger than nodes load

Callers saw: nothing measured at nodes. A configuration of at most 8 MiB whose tables take over 32 MiB when they are written out (hundreds of thousands of rows) would be acknowledged, as it compresses well, and refused by each node, which keep the one before for ever.

Cause: the size of a compressed text is bounded when it is written, that of the tables within only when they are read.

Change: the tables are bounded when they are written, too; the answer is 413.

--- a/src/cranberrymux/control/route_changes.py
+++ b/src/cranberrymux/control/route_changes.py
@@ -120,9 +120,12 @@
         base_version: int,
         change_id: str,
     ) -> PutResult:
-        text = await stepwise.run(
-            self._parts.reactor, route_document.dump_in_steps(document)
-        )
+        try:
+            text = await stepwise.run(
+                self._parts.reactor, route_document.dump_in_steps(document)
+            )
+        except ValueError as error:
+            return PutResult(PutVerdict.TOO_LARGE, str(error))
         if len(text) > MAXIMUM_STORED_CHARACTERS:
             detail = (
                 f"the configuration takes {len(text)} bytes compressed, limit"
--- a/src/cranberrymux/decisions/routes/route_document.py
+++ b/src/cranberrymux/decisions/routes/route_document.py
@@ -70,6 +70,9 @@
     """Encodes a document as JSON lines, one for each part of its tables.
 
     Large documents are compressed; see `packed_document`.
+
+    Raises:
+        ValueError: The document is larger than `load` accepts.
     """
     return steps.finish(dump_in_steps(document))
 
@@ -82,6 +85,11 @@
             yield
         lines.append(json.dumps(values))
     text = "\n".join(lines) + "\n"
+    if len(text) > packed_document.MAXIMUM_SECTION_BYTES:
+        raise ValueError(
+            f"the tables take {len(text)} bytes, limit"
+            f" {packed_document.MAXIMUM_SECTION_BYTES}"
+        )
     if len(text) + len(document.source) >= PACKED_FROM_CHARACTERS:
         return (
             yield from packed_document.pack_in_steps(
