Answer odd scalars of a YAML document with their line

Callers saw: `cranberrymux apply` with an integer of thousands of digits, a tag that its value does not fit (!!int x, !!bool maybe), a date without such a month, or a text that cannot be encoded got an internal error, each time.

Cause: PyYAML's constructors raise errors of many types, of which one was caught; a large integer has no float, and Python prints none of over 4,300 digits, so that the range check and the message raised, too.

Change: the errors of the constructors are caught, the range of integers is compared as such, and messages shorten the value.

Ruled out: .nan and .inf, deep nesting and aliases were refused before.

--- a/src/cranberrymux/decisions/configuration/document_reader.py
+++ b/src/cranberrymux/decisions/configuration/document_reader.py
@@ -61,7 +61,13 @@
 
 
 def _find_unsafe_yaml(text: str) -> document_error.DocumentError | None:
-    if len(text.encode(errors="replace")) > MAXIMUM_DOCUMENT_BYTES:
+    try:
+        size = len(text.encode())
+    except UnicodeEncodeError:
+        return document_error.DocumentError(
+            1, "(file)", "text that UTF-8 can encode"
+        )
+    if size > MAXIMUM_DOCUMENT_BYTES:
         return document_error.DocumentError(
             1, "(file)", f"at most {MAXIMUM_DOCUMENT_BYTES} bytes"
         )
--- a/src/cranberrymux/settings/loader.py
+++ b/src/cranberrymux/settings/loader.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import math
 import pathlib
+import reprlib
 from typing import Any
 
 import yaml
@@ -12,6 +13,15 @@
 from cranberrymux.settings import field as field_module
 from cranberrymux.settings import yaml_loader
 
+# What PyYAML raises for scalars that are not what their tag says.
+_CONSTRUCTOR_ERRORS = (
+    yaml.YAMLError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 _PYTHON_TYPES: dict[field_module.Kind, tuple[type, ...]] = {
     field_module.Kind.TEXT: (str,),
     field_module.Kind.INTEGER: (int,),
@@ -123,19 +133,26 @@
     constructor = yaml.SafeLoader("")
     try:
         value = constructor.construct_object(node, deep=True)
-    except yaml.YAMLError as error:
+    except _CONSTRUCTOR_ERRORS as error:
         raise exceptions.SettingsError(
             path, line, key, describe(field)
         ) from error
     if not _is_valid(value, field):
         raise exceptions.SettingsError(
-            path, line, key, f"{describe(field)}, not {value!r}"
+            path, line, key, f"{describe(field)}, not {_show(value)}"
         )
     if field.kind is field_module.Kind.ADDRESS_LIST:
         return [socket_address.parse(item) for item in value]
     return value
 
 
+def _show(value: Any) -> str:
+    try:
+        return reprlib.repr(value)
+    except ValueError:
+        return "an integer of thousands of digits"
+
+
 def _is_valid(value: Any, field: field_module.Field) -> bool:
     return _has_type(value, field) and _is_in_range(value, field)
 
@@ -168,7 +185,8 @@
     if field.choices and value not in field.choices:
         return False
     size = value if isinstance(value, (int, float)) else len(value)
-    if not math.isfinite(size):
+    # Large integers have no float to be checked.
+    if isinstance(size, float) and not math.isfinite(size):
         return False
     if field.minimum is not None and size < field.minimum:
         return False
--- a/tests/decisions/configuration/test_document_reader.py
+++ b/tests/decisions/configuration/test_document_reader.py
@@ -118,3 +118,41 @@
     assert isinstance(result, document_error.DocumentError)
     assert expected in result.expected
     assert str(result).startswith(f"{result.line}: {result.key}: expected ")
+
+
+# Guards against an operator who gets an internal error for an odd document.
+@pytest.mark.parametrize(
+    "value",
+    [
+        ".nan",
+        "-.inf",
+        "9" * 5000,
+        "0x" + "f" * 5000,
+        "0b" + "1" * 9000,
+        "0" + "7" * 6000,
+        "1:" * 3000 + "1",
+        "[0x" + "f" * 5000 + "]",
+        "2001-99-99",
+        "!!timestamp x",
+        "!!bool maybe",
+        "!!float x",
+        "!!int x",
+        "!!int ''",
+        "!!int 0x",
+        "\ud800",
+        '"\\ud800"',
+    ],
+    ids=lambda value: repr(value)[:20],
+)
+@pytest.mark.parametrize(
+    "template",
+    [
+        "classes: [{name: a}]\ndefault_timeout_ms: %s\n",
+        "classes:\n  - name: %s\n",
+        "classes: [{name: a}]\n? %s\n: 1\n",
+    ],
+)
+def test_odd_scalar_is_an_error_and_raises_nothing(template, value):
+    parsed = document_reader.parse(template % value)
+    assert isinstance(parsed, document_error.DocumentError)
+    assert parsed.line > 0
