Refuse announcements that no node can pass on

Callers saw: one announcement of another writer, accepted with 200, took a node out of service. With a start time of 40 digits its heartbeats could not be encoded any more (OverflowError): it heard of no configuration, and control instances dropped its endpoint. With a seq of 40 digits each later announcement was older; 5 s on, the node answered 503. A body of 4,000 open brackets raised RecursionError and closed the connection without an answer. A concurrency of 0 or of 32 bits and texts that cannot be encoded were taken, too.

Cause: numbers had no upper bound, texts were not checked for what they can be encoded as, and the decoder's list of expected exceptions was short.

Change: announcements are read with models/strict_json and models/json_fields: numbers up to 64 bits, 1 to 1,000,000 slots, usable texts, an id of ASCII.

tests/gateway/mesh_control.py now encodes and decodes heartbeats, as processes do, which is stricter than before.

--- a/src/cranberrymux/platform/announcement_format.py
+++ b/src/cranberrymux/platform/announcement_format.py
@@ -1,14 +1,16 @@
 """Decodes the announcements that backend servers send on the platform."""
 
-import json
 from typing import Any
 from typing import NamedTuple
 
 from cranberrymux.decisions.presence import announcement
+from cranberrymux.models import json_fields
 from cranberrymux.models import socket_address
+from cranberrymux.models import strict_json
 from cranberrymux.platform import durations
 
 MAXIMUM_BODY_BYTES = 4096
+MAXIMUM_SLOTS = 1_000_000
 _STATES = {
     "ready": announcement.BackendState.SERVING,
     "draining": announcement.BackendState.DRAINING,
@@ -37,39 +39,37 @@
     if len(body) > MAXIMUM_BODY_BYTES:
         return AnnouncementError(f"body too long: {len(body)} bytes")
     try:
-        return _decode(backend_id, json.loads(body))
-    except (ValueError, TypeError, KeyError) as error:
-        return AnnouncementError(f"{type(error).__name__}: {error}")
+        return _decode(backend_id, strict_json.load(body))
+    except ValueError as error:
+        return AnnouncementError(str(error))
 
 
 def _decode(backend_id: str, values: Any) -> announcement.Announcement:
-    address = _text(values, "addr")
+    if not isinstance(values, dict):
+        raise ValueError("expected a map")
+    if not (backend_id.isascii() and json_fields.is_usable_text(backend_id)):
+        raise ValueError("expected an id of ASCII characters")
+    address = json_fields.read_text(values, "addr")
     if socket_address.parse(address) is None:
-        raise ValueError(f"addr: expected IP:PORT, found {address!r}")
+        raise ValueError("addr: expected IP:PORT")
+    state = _STATES.get(json_fields.read_text(values, "state"))
+    if state is None:
+        raise ValueError(f"state: expected one of {', '.join(_STATES)}")
+    started_ms = 0
+    if "born" in values:
+        # Start time in Unix milliseconds; older backend servers do not send it.
+        started_ms = json_fields.read_integer(values, "born")
     return announcement.Announcement(
         backend_id=backend_id,
-        # Start time in Unix milliseconds; older backend servers do not send it.
-        started_ms=_whole(values, "born") if "born" in values else 0,
-        sequence=_whole(values, "seq"),
-        service=_text(values, "service"),
+        started_ms=started_ms,
+        sequence=json_fields.read_integer(values, "seq"),
+        service=json_fields.read_text(values, "service"),
         address=address,
-        zone=_text(values, "zone"),
+        zone=json_fields.read_text(values, "zone"),
         # Number of concurrent requests, not of processors.
-        slots=_whole(values, "concurrency"),
-        state=_STATES[_text(values, "state")],
-        cold_left_s=durations.parse_s(values["cold_left"]),
+        slots=json_fields.read_integer(
+            values, "concurrency", minimum=1, maximum=MAXIMUM_SLOTS
+        ),
+        state=state,
+        cold_left_s=durations.read_s(values, "cold_left"),
     )
-
-
-def _text(values: Any, name: str) -> str:
-    value = values[name]
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"{name}: expected a non-empty string")
-    return value
-
-
-def _whole(values: Any, name: str) -> int:
-    value = values[name]
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise ValueError(f"{name}: expected an integer from 0")
-    return value
--- a/tests/gateway/mesh_control.py
+++ b/tests/gateway/mesh_control.py
@@ -1,10 +1,16 @@
 """Control instances for a mesh: one shared state, and a link to each node."""
 
+from cranberrymux.wire import codec
 from cranberrymux.wire import wire_error
 from tests.fakes import control as control_module
 from tests.fakes import memory_network
 
 
+def _send(message):
+    """Encodes and decodes a message, as between processes."""
+    return codec.decode(type(message), codec.encode(message))
+
+
 class Link:
     """One node's connection to the control instances.
 
@@ -34,6 +40,7 @@
         if self.is_cut:
             return self._make_timeout()
         self.heartbeats += 1
+        heartbeat = _send(heartbeat)
         return await self._control.heartbeat(heartbeat)
 
     async def report_suspect(self, report):
