Return an error for a message that cannot be encoded

Callers saw: with one number beyond 64 bits in its record, a node's heartbeats raised, each time; and the bytes written before the fault were sent before the next message, so that the server closed the connection.

Cause: the control client caught thrift's own errors only, though it promises that no call raises, and kept the part of the message that it had written.

Change: each error of a call is returned, and what was not sent is dropped.

Test: test_message_that_cannot_be_encoded_returns_an_error, seen failing before (OverflowError), and, without the second part of the change, on the next call.

--- a/src/cranberrymux/wire/control_client.py
+++ b/src/cranberrymux/wire/control_client.py
@@ -207,7 +207,8 @@
             return self._make_error(
                 wire_error.WireErrorReason.CONNECTION_LOST, ""
             )
-        except Thrift.TException as error:
+        except Exception as error:  # Thrift raises errors of many types.
+            connection.discard_unsent()
             return self._make_error(
                 wire_error.WireErrorReason.PROTOCOL, str(error)
             )
--- a/src/cranberrymux/wire/thrift_client_protocol.py
+++ b/src/cranberrymux/wire/thrift_client_protocol.py
@@ -26,9 +26,13 @@
 
     def flush(self) -> None:
         frame = self.getvalue()
-        super().__init__()
+        self.discard()
         self._send(frame)
 
+    def discard(self) -> None:
+        """Drops what was written and not flushed."""
+        super().__init__()
+
 
 class ThriftClientProtocol(basic.Int32StringReceiver):
     """Sends calls of the service Control and matches the answers to them.
@@ -42,13 +46,19 @@
     def __init__(self) -> None:
         """Starts without a connection."""
         self.client: Any = None
+        self._frames: Any = None
+
+    def discard_unsent(self) -> None:
+        """Drops the part of a message that could not be encoded further."""
+        self._frames.discard()
 
     def connectionMade(self) -> None:  # noqa: N802
         """Creates the client of the connection."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        self._frames = _FrameTransport(self.sendString)
         self.client = Control.Client(
-            _FrameTransport(self.sendString), codec.create_protocol_factory()
+            self._frames, codec.create_protocol_factory()
         )
 
     def connectionLost(  # noqa: N802
--- a/tests/wire/test_control_client.py
+++ b/tests/wire/test_control_client.py
@@ -116,6 +116,20 @@
 
         return self.start_coroutine(run_calls())
 
+    def test_message_that_cannot_be_encoded_returns_an_error(self):
+        """Guards against a call that raises, after which no other is sent."""
+
+        async def run_calls():
+            client = await self.wait_until_connected(self.client)
+            for version in (1 << 63, "x"):
+                message = calls.make_heartbeat(version=version)
+                answer = await client.heartbeat(message)
+                self.assertIs(answer.reason, Reason.PROTOCOL)
+            answer = await client.heartbeat(calls.make_heartbeat(version=7))
+            self.assertEqual(answer.configuration_version, 7)
+
+        return self.start_coroutine(run_calls())
+
     def test_reconnects_after_a_call_has_timed_out(self):
         async def run_calls():
             client = await self.wait_until_connected(self.client)
