Decode bodies of other processes without exceptions

Callers saw: POST /v1/changes and /v1/drain, PUT /v1/backend and the answer to a vouch raised for deep nesting, and in part for numbers of hundreds of digits and for texts that cannot be encoded; the operator got 500, the caller of a vouch no answer. An endpoint record with port 70000 or without slots was taken.

Cause: the list of exceptions that a decoder catches stood at each boundary, and lacked what deep nesting (RecursionError) and large numbers (OverflowError) raise.

Change: these decoders, too, use models/strict_json and models/json_fields, which raise ValueError only. Records are checked for port and slots, and addresses for the length of their port.

--- a/src/cranberrymux/control/change_body.py
+++ b/src/cranberrymux/control/change_body.py
@@ -1,12 +1,13 @@
 """Parses the JSON body of a request to change the configuration."""
 
-import json
 from typing import Any
 from typing import NamedTuple
 
 from cranberrymux.decisions.configuration import change
 from cranberrymux.decisions.configuration import document_error
 from cranberrymux.decisions.configuration import document_reader
+from cranberrymux.models import json_fields
+from cranberrymux.models import strict_json
 
 MAXIMUM_NAME_CHARACTERS = 128
 
@@ -36,7 +37,7 @@
         body: The JSON body as received.
     """
     try:
-        fields = json.loads(body)
+        fields = strict_json.load(body)
     except ValueError:
         return _make_error("(body)", "JSON of at most 512 KiB")
     error = _find_error(fields)
@@ -63,14 +64,17 @@
         if not isinstance(fields.get(key), str):
             return _make_error(key, "a text")
     for key in ("change_id", "author"):
-        if not 0 < len(fields[key]) <= MAXIMUM_NAME_CHARACTERS:
+        is_usable = json_fields.is_usable_text(fields[key])
+        if not is_usable or len(fields[key]) > MAXIMUM_NAME_CHARACTERS:
             return _make_error(
                 key, f"a text of 1 to {MAXIMUM_NAME_CHARACTERS} characters"
             )
     if not fields["document"].strip():
         return _make_error("document", "a text that is not empty")
     for key in ("base_version", "rollback_of"):
-        if type(fields.setdefault(key, 0)) is not int or fields[key] < 0:
+        if type(fields.setdefault(key, 0)) is not int or not (
+            0 <= fields[key] <= json_fields.MAXIMUM_INTEGER
+        ):
             return _make_error(key, "a whole number of at least 0")
     return None
 
--- a/src/cranberrymux/control/operator_api.py
+++ b/src/cranberrymux/control/operator_api.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 import hmac
-import json
 from typing import Any
 
 import klein
@@ -18,11 +17,13 @@
 from cranberrymux.control import operator_answers
 from cranberrymux.control import state_machine
 from cranberrymux.decisions.configuration import change_verdict
+from cranberrymux.models import strict_json
 from cranberrymux.telemetry import metric
 from cranberrymux.telemetry import metrics_sink
 from cranberrymux.wire.gen.messages import ttypes
 
 MAXIMUM_BODY_BYTES = 524_288
+MAXIMUM_DRAIN_BYTES = 4096
 MAXIMUM_HISTORY_RECORDS = 1000
 
 _HTTP_STATUS = {
@@ -153,7 +154,8 @@
         if not self._has_valid_token(request):
             return operator_answers.refuse_token(request)
         try:
-            node_id = json.loads(request.content.read(4096))["node_id"]
+            body = request.content.read(MAXIMUM_DRAIN_BYTES)
+            node_id = strict_json.load(body)["node_id"]
         except (ValueError, KeyError, TypeError):
             detail = 'expected {"node_id": NAME}'
             return operator_answers.answer(
--- a/src/cranberrymux/models/socket_address.py
+++ b/src/cranberrymux/models/socket_address.py
@@ -3,7 +3,7 @@
 import functools
 from typing import NamedTuple
 
-_MAXIMUM_PORT = 65535
+MAXIMUM_PORT = 65535
 _KEPT_ADDRESSES = 1024  # Results kept by `get` and `parse`.
 
 
@@ -31,6 +31,8 @@
     host, _, port = text.rpartition(":")
     if not host or not (port.isascii() and port.isdecimal()):
         return None
-    if not 0 < int(port) <= _MAXIMUM_PORT:
+    if len(port) > len(str(MAXIMUM_PORT)):
+        return None
+    if not 0 < int(port) <= MAXIMUM_PORT:
         return None
     return SocketAddress(host, int(port))
--- a/src/cranberrymux/node/announce_site.py
+++ b/src/cranberrymux/node/announce_site.py
@@ -8,7 +8,9 @@
 
 import klein
 
+from cranberrymux.models import json_fields
 from cranberrymux.models import socket_address
+from cranberrymux.models import strict_json
 from cranberrymux.node import backend_server
 from cranberrymux.node import status_body
 
@@ -56,7 +58,7 @@
         The announced backend server, or the first error found.
     """
     try:
-        values = json.loads(body)
+        values = strict_json.load(body)
     except ValueError:
         return AnnounceError("(body)", "JSON")
     if not isinstance(values, dict):
@@ -80,15 +82,15 @@
     service = values.get("service")
     labels = values.get("labels", {})
     calls = values.get("calls", [])
-    has_service = isinstance(service, str) and bool(service)
+    has_service = json_fields.is_usable_text(service)
     has_port = _is_integer_up_to(values.get("port"), _MAXIMUM_PORT)
     has_slots = _is_integer_up_to(values.get("slots"), _MAXIMUM_SLOTS)
     has_labels = isinstance(labels, dict) and _are_strings(
         [*labels.keys(), *labels.values()]
     )
     has_calls = isinstance(calls, list) and _are_strings(calls)
-    has_path = isinstance(values.get("load_path", ""), str)
-    has_address = isinstance(values.get("address", ""), str)
+    has_path = _are_strings([values.get("load_path", "")])
+    has_address = _are_strings([values.get("address", "")])
     for is_valid, key, expected in (
         (has_service, "service", "the name of a service"),
         (has_port, "port", f"a port from 1 to {_MAXIMUM_PORT}"),
@@ -109,7 +111,9 @@
 
 
 def _are_strings(values: list[Any]) -> bool:
-    return all(isinstance(value, str) for value in values)
+    return all(
+        value == "" or json_fields.is_usable_text(value) for value in values
+    )
 
 
 class AnnounceSite:
--- a/src/cranberrymux/node/vouch_message.py
+++ b/src/cranberrymux/node/vouch_message.py
@@ -10,6 +10,8 @@
 from cranberrymux.decisions.answers import attempt_key
 from cranberrymux.decisions.answers import vouch as vouch_module
 from cranberrymux.decisions.answers import vouch_verdict
+from cranberrymux.models import json_fields
+from cranberrymux.models import strict_json
 from cranberrymux.models import whole_number
 from cranberrymux.node import peer_request
 
@@ -69,11 +71,13 @@
 def decode_vouch(body: bytes | None) -> vouch_module.Vouch | None:
     """Decodes the body of an answer; returns None if absent or not valid."""
     try:
-        values = json.loads(body or b"")
+        values = strict_json.load(body or b"")
+        if not isinstance(values, dict):
+            return None
         return vouch_module.Vouch(
-            vouch_verdict.VouchVerdict(values["verdict"]),
-            int(values["incarnation"]),
-            float(values["covered_s"]),
+            vouch_verdict.VouchVerdict(values.get("verdict")),
+            json_fields.read_integer(values, "incarnation"),
+            json_fields.read_number(values, "covered_s"),
         )
-    except (ValueError, TypeError, KeyError):
+    except ValueError:
         return None
--- a/src/cranberrymux/wire/endpoint_conversion.py
+++ b/src/cranberrymux/wire/endpoint_conversion.py
@@ -6,6 +6,7 @@
 
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
+from cranberrymux.models import socket_address
 from cranberrymux.wire.gen.messages import ttypes
 
 
@@ -32,13 +33,17 @@
     """Converts an `Endpoint` message to a record.
 
     Raises:
-        ValueError: A required field is missing, or the state is not a value of
-            `EndpointState`.
+        ValueError: A required field is missing, the state is not a value of
+            `EndpointState`, or port or slots are out of range.
     """
     try:
         message.validate()
     except TProtocol.TProtocolException as error:
         raise ValueError(str(error)) from error
+    if not 0 < message.port <= socket_address.MAXIMUM_PORT:
+        raise ValueError(f"port {message.port} out of range")
+    if message.slots < 1:
+        raise ValueError(f"{message.slots} slots")
     return endpoint_record.EndpointRecord(
         service=message.service_name,
         endpoint_id=message.endpoint_id,
--- a/tests/wire/test_endpoint_conversion.py
+++ b/tests/wire/test_endpoint_conversion.py
@@ -42,6 +42,19 @@
         endpoint_conversion.decode_endpoint(message)
 
 
+# Guards against nodes that connect to a port that does not exist, or divide by
+# the slots of an endpoint that has none.
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("port", 0), ("port", 70_000), ("port", -1), ("slots", 0), ("slots", -5)],
+)
+def test_decoding_a_number_out_of_range_raises_value_error(field, value):
+    message = endpoint_conversion.encode_endpoint(RECORD)
+    setattr(message, field, value)
+    with pytest.raises(ValueError, match=field):
+        endpoint_conversion.decode_endpoint(message)
+
+
 @pytest.mark.parametrize(
     "data", [b"", b"junk", b"\x0b\x00\x01\x7f\xff\xff\xff" + b"x" * 10]
 )
