Refuse announcements of another backend server, and believe draining first

Cause: nobody compared an announcement with what the settings name, and the highest sequence ever seen decided which announcement was the newest.

Change: one whose service or address is not that of the settings, or that started an hour in the future, is answered 400 and changes nothing. For one start, draining and a departure go before serving, whatever the sequence. A sequence is compared with the last one received of the same process, so that the own announcements hold again with the second one. Where start times are missing, a process of another id serves at once, and the one that it replaced comes back only if its announcements advance and it was not draining.

Ruled out: ignoring sequences altogether, as a late announcement would then prolong the time of a backend server that has died.

--- a/src/cranberrymux/decisions/presence/presence.py
+++ b/src/cranberrymux/decisions/presence/presence.py
@@ -2,14 +2,15 @@
 
 import enum
 import math
+from typing import Any
 
 from cranberrymux.decisions.presence import announcement
 from cranberrymux.models import backend_process
 
 _DRAINING = announcement.BackendState.DRAINING
 _SERVING = announcement.BackendState.SERVING
-# Departed backend servers whose late announcements are recognized as stale.
-_MAXIMUM_DEPARTURES = 64
+# Backend servers whose late announcements are recognized as stale.
+_MAXIMUM_KEPT_PROCESSES = 64
 
 
 class PresenceChange(enum.Enum):
@@ -18,6 +19,8 @@
     Attributes:
         NONE: The backend server and its state are as before.
         STALE: The announcement is older than what is known and was ignored.
+        FOREIGN: The announcement is of another backend server than the one
+            beside the node, and was ignored.
         ARRIVED: The announcement is the first of a process that accepts
             requests.
         DRAINING: The backend server no longer accepts new requests.
@@ -26,6 +29,7 @@
 
     NONE = "none"
     STALE = "stale"
+    FOREIGN = "foreign"
     ARRIVED = "arrived"
     DRAINING = "draining"
     LEFT = "left"
@@ -34,8 +38,10 @@
 class Presence:
     """The newest announcement, ordered by start time and sequence.
 
-    A backend server that drains or has left accepts no requests again; only
-    one with a later start time replaces it.
+    A process that drains or has left accepts no requests again, whatever the
+    sequence of an announcement that says otherwise; only another process
+    replaces it. Where start times do not tell which of two processes is newer,
+    it is the one whose announcements advance.
 
     Attributes:
         current: The newest announcement; None before the first one.
@@ -57,6 +63,7 @@
         self.encoded_id = b""
         self.serving_until_s = -math.inf
         self._departed_start_ms: dict[str, int] = {}
+        self._last_sequences: dict[backend_process.BackendProcess, int] = {}
 
     def is_serving(self, now_s: float) -> bool:
         """True if it accepts requests and its announcement is still valid."""
@@ -66,31 +73,84 @@
         self, received: announcement.Announcement, now_s: float
     ) -> PresenceChange:
         """Applies an announcement unless it is stale."""
-        current = self.current
-        is_old = current is not None and _order(received) <= _order(current)
-        if is_old or received.started_ms <= self._departed_start_ms.get(
+        is_advancing = self._note_sequence(received)
+        if received.started_ms <= self._departed_start_ms.get(
             received.backend_id, -1
         ):
             return PresenceChange.STALE
+        if self.current is None or self.process != received.process:
+            return self._announce_other(received, is_advancing, now_s)
+        return self._announce_same(received, is_advancing, now_s)
+
+    def _announce_other(
+        self,
+        received: announcement.Announcement,
+        is_advancing: bool,
+        now_s: float,
+    ) -> PresenceChange:
+        """Applies an announcement of another process than the current one."""
+        is_draining = received.state is _DRAINING
+        if not self._is_newer(received, is_advancing):
+            if is_draining:
+                self._record_departure(received.backend_id, received.started_ms)
+            return PresenceChange.STALE
+        if self.current is not None and self.current.state is _DRAINING:
+            self._record_departure(*self.process)
+        self.current = received
+        self.process = received.process
+        self.encoded_id = received.backend_id.encode()
+        self._set_serving(now_s)
+        if is_draining:
+            return PresenceChange.DRAINING
+        return PresenceChange.ARRIVED
+
+    def _is_newer(
+        self, received: announcement.Announcement, is_advancing: bool
+    ) -> bool:
+        """True if a process replaces the current one."""
+        current = self.current
+        if current is None or received.started_ms != current.started_ms:
+            return current is None or received.started_ms > current.started_ms
+        # Only the ids differ.
+        return is_advancing and received.state is _SERVING
+
+    def _announce_same(
+        self,
+        received: announcement.Announcement,
+        is_advancing: bool,
+        now_s: float,
+    ) -> PresenceChange:
+        """Applies an announcement of the current process."""
+        assert self.current is not None
+        was_draining = self.current.state is _DRAINING
+        starts_to_drain = received.state is _DRAINING and not was_draining
+        if not (is_advancing or starts_to_drain):
+            return PresenceChange.STALE
+        if was_draining:
+            received = received._replace(state=_DRAINING)
+        self.current = received
+        self._set_serving(now_s)
+        if starts_to_drain:
+            return PresenceChange.DRAINING
+        return PresenceChange.NONE
+
+    def _set_serving(self, now_s: float) -> None:
+        """Sets how long the current process serves by its announcement."""
         self.serving_until_s = -math.inf
-        if received.state is _SERVING:
+        if self.current is not None and self.current.state is _SERVING:
             self.serving_until_s = now_s + self._lifetime_s
+
+    def _note_sequence(self, received: announcement.Announcement) -> bool:
+        """Returns whether a process's announcement follows its last one.
+
+        It is compared with the last one received, not with the highest: one of
+        another writer may have a sequence that its own never reach.
+        """
         process = received.process
-        if current is None or self.process != process:
-            self.current = received
-            self.process = process
-            self.encoded_id = process.backend_id.encode()
-            if received.state is _DRAINING:
-                return PresenceChange.DRAINING
-            return PresenceChange.ARRIVED
-        if current.state is _DRAINING:
-            # A process that drains never serves again.
-            received = received._replace(state=_DRAINING)
-            self.serving_until_s = -math.inf
-        self.current = received
-        if current.state is received.state:
-            return PresenceChange.NONE
-        return PresenceChange.DRAINING
+        last_sequence = self._last_sequences.pop(process, -1)
+        self._last_sequences[process] = received.sequence
+        _remove_oldest(self._last_sequences)
+        return received.sequence > last_sequence
 
     def leave(self, backend_id: str, now_ms: int) -> PresenceChange:
         """Records the departure of a backend server.
@@ -112,10 +172,11 @@
         return PresenceChange.LEFT
 
     def _record_departure(self, backend_id: str, last_start_ms: int) -> None:
-        self._departed_start_ms[backend_id] = last_start_ms
-        while len(self._departed_start_ms) > _MAXIMUM_DEPARTURES:
-            del self._departed_start_ms[next(iter(self._departed_start_ms))]
+        known_ms = self._departed_start_ms.pop(backend_id, -1)
+        self._departed_start_ms[backend_id] = max(known_ms, last_start_ms)
+        _remove_oldest(self._departed_start_ms)
 
 
-def _order(received: announcement.Announcement) -> tuple[int, int]:
-    return received.started_ms, received.sequence
+def _remove_oldest(kept: dict[Any, int]) -> None:
+    while len(kept) > _MAXIMUM_KEPT_PROCESSES:
+        del kept[next(iter(kept))]
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -37,6 +37,8 @@
 # the stop from two readiness checks, which they send once a second.
 MINIMUM_STOP_S = 2.5
 FLUSH_DELAY_S = 0.1
+# Between a backend server and the node on the same instance.
+MAXIMUM_CLOCK_ERROR_MS = 3_600_000
 _Change = presence_module.PresenceChange
 
 
@@ -148,7 +150,19 @@
     def announce(
         self, received: announcement_module.Announcement
     ) -> presence_module.PresenceChange:
-        """Applies an announcement of the backend server unless it is stale."""
+        """Applies an announcement of the backend server unless it is stale.
+
+        One of another backend server changes nothing.
+        """
+        if not self._is_of_own_backend(received):
+            self._events.warning(
+                "announcement-of-another",
+                backend_id=received.backend_id,
+                service=received.service,
+                address=received.address,
+                started_ms=received.started_ms,
+            )
+            return _Change.FOREIGN
         previous = self._presence.current
         change = self._presence.announce(received, self._clock.now_s())
         if change is not presence_module.PresenceChange.STALE:
@@ -156,6 +170,17 @@
         self._handle_change(change, received.backend_id)
         return change
 
+    def _is_of_own_backend(
+        self, received: announcement_module.Announcement
+    ) -> bool:
+        settings = self._settings
+        latest_start_ms = self._clock.now_unix_ms() + MAXIMUM_CLOCK_ERROR_MS
+        return (
+            received.service == settings.service
+            and received.address == settings.backend_address
+            and received.started_ms <= latest_start_ms
+        )
+
     def leave(self, backend_id: str) -> presence_module.PresenceChange:
         """Applies the departure of a backend server."""
         change = self._presence.leave(backend_id, self._clock.now_unix_ms())
--- a/src/cranberrymux/platform/node_ports.py
+++ b/src/cranberrymux/platform/node_ports.py
@@ -48,7 +48,11 @@
             json_answer.send(call, 400, {"error": decoded.detail})
             return
         change = self._gateway.announce(decoded)
-        if change is presence.PresenceChange.STALE:
+        if change is presence.PresenceChange.FOREIGN:
+            json_answer.send(
+                call, 400, {"error": "not the backend server of this node"}
+            )
+        elif change is presence.PresenceChange.STALE:
             json_answer.send(
                 call,
                 200,
--- a/tests/decisions/presence/test_presence.py
+++ b/tests/decisions/presence/test_presence.py
@@ -110,3 +110,78 @@
     assert presence.serving_until_s == 9.0
     presence.leave("b", 300)
     assert presence.serving_until_s == -math.inf
+
+
+# Guards against requests to a backend server that drains, hidden by another
+# writer whose sequence is far higher than its own.
+@pytest.mark.parametrize("started_ms", [0, 100])
+def test_draining_is_believed_whatever_the_sequence(started_ms):
+    presence = presence_module.Presence(5.0)
+    presence.announce(make_announcement(5, started_ms), 0.0)
+    presence.announce(make_announcement(10**15, started_ms), 1.0)
+    drained = make_announcement(6, started_ms, DRAINING)
+    assert presence.announce(drained, 1.1) is Change.DRAINING
+    for sequence in (7, 10**15 + 1, 8, 9):
+        presence.announce(make_announcement(sequence, started_ms), 1.2)
+        assert not presence.is_serving(1.2)
+
+
+@pytest.mark.parametrize("started_ms", [0, 100])
+def test_departure_is_believed_whatever_the_sequence(started_ms):
+    presence = presence_module.Presence(5.0)
+    presence.announce(make_announcement(10**15, started_ms), 0.0)
+    assert presence.leave("b", 1000) is Change.LEFT
+    for sequence in (10**15 + 1, 6, 7):
+        received = make_announcement(sequence, started_ms)
+        assert presence.announce(received, 1.2) is Change.STALE
+        assert not presence.is_serving(1.2)
+
+
+# Guards against a backend server that is out of service for good after one
+# announcement of another writer.
+@pytest.mark.parametrize("started_ms", [0, 100])
+def test_own_announcements_hold_after_one_with_a_high_sequence(started_ms):
+    presence = presence_module.Presence(5.0)
+    presence.announce(make_announcement(5, started_ms), 0.0)
+    presence.announce(make_announcement(10**15, started_ms), 1.0)
+    for sequence in range(6, 12):
+        presence.announce(make_announcement(sequence, started_ms), sequence)
+    assert presence.is_serving(12.0)
+
+
+# Guards against a new start that is taken for a late announcement.
+def test_new_process_without_a_start_time_serves_at_once(presence):
+    presence = presence_module.Presence(5.0)
+    presence.announce(make_announcement(50, started_ms=0), 0.0)
+    fresh = make_announcement(1, started_ms=0, backend_id="c")
+    assert presence.announce(fresh, 1.0) is Change.ARRIVED
+    assert presence.encoded_id == b"c"
+    late = make_announcement(49, started_ms=0)
+    assert presence.announce(late, 1.1) is Change.STALE
+    assert presence.encoded_id == b"c"
+
+
+def test_drained_process_does_not_replace_its_successor():
+    presence = presence_module.Presence(5.0)
+    presence.announce(make_announcement(5, 0, DRAINING), 0.0)
+    presence.announce(make_announcement(1, 0, backend_id="c"), 1.0)
+    for sequence in (6, 7, 8):
+        late = make_announcement(sequence, 0)
+        assert presence.announce(late, 1.1) is Change.STALE
+    assert presence.encoded_id == b"c"
+    assert presence.is_serving(2.0)
+
+
+def test_draining_of_an_earlier_process_changes_nothing(presence):
+    fresh = make_announcement(1, started_ms=200, backend_id="c")
+    presence.announce(fresh, 1.0)
+    late = make_announcement(6, state=DRAINING)
+    assert presence.announce(late, 1.1) is Change.STALE
+    assert presence.is_serving(2.0)
+
+
+def test_departure_of_a_later_start_is_kept(presence):
+    """Guards against a revival by a departure that is told again, late."""
+    presence.leave("b", 1000)
+    presence.announce(make_announcement(9, started_ms=50, state=DRAINING), 0.1)
+    assert presence.announce(make_announcement(10), 0.2) is Change.STALE
--- a/tests/gateway/test_odd_announcements.py
+++ b/tests/gateway/test_odd_announcements.py
@@ -142,3 +142,45 @@
 def test_id_that_is_no_ascii_is_refused(scene, backend_id):
     assert scene.put(scene.make_body(), backend_id) != [200]
     scene.check_that_all_work()
+
+
+# Guards against an announcement of another writer that replaces the backend
+# server's own, so that its draining is answered 200 and ignored.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": "front"},
+        {"service": "of-another-writer"},
+        {"addr": "10.0.0.1:9999"},
+        {"addr": "10.0.0.2:1014"},
+        {"born": 1 << 62},
+    ],
+    ids=lambda value: next(iter(value)),
+)
+@pytest.mark.parametrize("backend_id", ["b-1", "b-9"])
+def test_announcement_of_another_writer_changes_nothing(
+    scene, changes, backend_id
+):
+    foreign = scene.make_body(**{"seq": 10**15, **changes})
+    assert scene.put(foreign, backend_id) == [400]
+    assert scene.mesh.ask(0, "/read/x").statuses == [200]
+    assert scene.put(scene.make_body(state="draining")) == [200]
+    served = len(scene.member.backend.calls)
+    assert scene.mesh.ask(0, "/read/x").statuses == [503]
+    assert len(scene.member.backend.calls) == served
+
+
+def test_draining_holds_after_a_sequence_of_another_writer(scene):
+    assert scene.put(scene.make_body(seq=10**15)) == [200]
+    assert scene.put(scene.make_body(state="draining")) == [200]
+    assert scene.put(scene.make_body(seq=10**15 + 1)) == [200]
+    assert scene.mesh.ask(0, "/read/x").statuses == [503]
+
+
+def test_new_start_is_served_at_once(scene):
+    assert scene.put(scene.make_body(state="draining")) == [200]
+    scene.member.started_ms += 1
+    scene.member.sequence = 0
+    assert scene.put(scene.make_body()) == [200]
+    scene.mesh.publish_endpoints()
+    assert scene.mesh.ask(0, "/read/x").statuses == [200]
