--- a/src/cranberrymux/decisions/routes/document_check.py
+++ b/src/cranberrymux/decisions/routes/document_check.py
@@ -10,6 +10,8 @@
 from cranberrymux.models import steps
 
 MAXIMUM_TIMEOUT_S = 600.0
+# Of a route's weights; far below the largest float, as shares add them up.
+MAXIMUM_WEIGHT_SUM = 1e300
 
 
 class InvalidDocument(NamedTuple):
@@ -43,24 +45,41 @@
 def check_in_steps(
     document: route_document.RouteDocument, current_label: int
 ) -> CheckSteps:
-    """Checks as `check` does, a number of accounts between two yields."""
+    """Checks as `check` does, a number of rows between two yields."""
     if document.label <= current_label:
         detail = (
             f"label {document.label} is not above the label in force,"
             f" {current_label}"
         )
         return InvalidDocument("", detail)
+    limits = document.limits
+    if not (limits.header_timeout_s > 0.0 and limits.idle_timeout_s > 0.0):
+        return InvalidDocument("", "the timeouts of clients must be above 0 s")
     services = {service.name for service in document.services}
+    if len(services) != len(document.services):
+        return InvalidDocument("", "two services have one name")
+    invalid = yield from _check_routes(document.routes, services)
+    if invalid is not None:
+        return invalid
+    return (yield from _check_accounts(document.accounts))
+
+
+def _check_routes(
+    routes: Sequence[route_module.Route], services: set[str]
+) -> CheckSteps:
+    """Returns the first fault of the routes."""
     seen: set[tuple[str, str]] = set()
-    for route in document.routes:
+    for number, route in enumerate(routes, 1):
+        if number % route_document.LINES_PER_STEP == 0:
+            yield
         detail = _check_route(route, services)
-        key = (route.host, route.prefix)
+        key = (route.host.lower(), route.prefix)
         if not detail and key in seen:
             detail = f"duplicate route for {route.host}{route.prefix}"
         if detail:
             return InvalidDocument(route.name, detail)
         seen.add(key)
-    return (yield from _check_accounts(document.accounts))
+    return None
 
 
 def _check_accounts(
@@ -101,7 +120,11 @@
     faults = (
         (bool(unknown), f"unknown target service {', '.join(unknown)}"),
         (min(weights, default=0) < 0, "a target's weight is below 0"),
-        (sum(weights) <= 0, "the target weights add up to 0, expected more"),
+        (
+            not 0 < sum(weights) <= MAXIMUM_WEIGHT_SUM,
+            f"the target weights add up to {sum(weights)}, expected above 0,"
+            f" up to {MAXIMUM_WEIGHT_SUM}",
+        ),
         (
             not 0 < route.timeout_s <= MAXIMUM_TIMEOUT_S,
             f"timeout of {route.timeout_s} s, expected above 0 s, up to 600 s",
