Believe a refusal only if its whole head is one

What callers saw: an unsafe request that a backend server had run was sent a second time, or answered 503, 429 or 408 ("not run, try again").

Cause: the judge of the backend server's head took the header Not-Run for a refusal beside any status, also 200, 500 and 504, and passed on 408, 429 and 503 without Not-Run as they came, although only Not-Run (or 421) states that the request did not run.

Ruled out by the new tests, which passed before: an earlier refusal that is written again with its id, without an id, with and without Not-Run, with 421, 429, 400 or 503, on the idle connection, before the next answer, in one read with it, or behind it. The id and the parsing to the end of a read tell these apart (28 cases).

Change: Not-Run counts beside 400, 429 and 503; 421 counts by itself, as before. Anything else is a defect, whose answer is not passed on: 502, and a repeat only if the request is idempotent.

Why it works: every status that promises "not run" now leaves the node only where the backend server has said so, in a head that doesn't contradict itself.

--- a/src/cranberrymux/gateway/backend_verdict.py
+++ b/src/cranberrymux/gateway/backend_verdict.py
@@ -8,6 +8,10 @@
 _RunOutcome = run_outcome.RunOutcome
 _CONTENT_CODING = b"content-encoding"
 _MISDIRECTED_STATUS = 421
+# Statuses with which a backend server refuses a request.
+_REFUSAL_STATUSES = (400, 429, 503)
+# Statuses by which a client takes its request for not run.
+_PROMISING_STATUSES = (408, 429, 503)
 
 
 class BackendVerdict:
@@ -48,6 +52,13 @@
 _UNPROVEN = BackendVerdict(
     defect="successful answer without valid proof of the backend server"
 )
+_CONTRADICTORY = BackendVerdict(
+    defect="an answer that says not-run beside a status of a request that ran"
+)
+_UNPROMISED = BackendVerdict(
+    defect="a status that promises that the request did not run, but no more",
+    is_failure=True,
+)
 
 
 def judge(
@@ -63,7 +74,9 @@
     if status == _MISDIRECTED_STATUS:
         return _MISDIRECTED
     if dialect.not_run in first:
-        return _FULL
+        return _FULL if status in _REFUSAL_STATUSES else _CONTRADICTORY
+    if status in _PROMISING_STATUSES:
+        return _UNPROMISED
     is_proven = dialect.proof in first and _CONTENT_CODING not in first
     if 200 <= status < 300 and not is_proven:
         return _UNPROVEN
