Take the joined heads of two answers for none

What callers saw: a backend server broke off within the head of a refusal and wrote the next answer behind it (or the other way round). The parser read one head: the status and Not-Run of the refusal beside the id of the request that had run. That request was answered as not run, or sent a second time. With the ids of both in one head, the first counted, and a client got the body of another request's answer as its success.

Cause: a line that is cut and continued by a status line is a valid header value or reason phrase, and only the first header of a name was looked at.

Change: an answer whose head names several requests is lost (502), and so is a failure within whose reason phrase or header values another status line stands. Successes aren't searched: a legitimate answer may quote one.

Ruled out: cuts between lines, within a header name, the status or the version, which the parser rejects; an answer cut within its head and followed by a refusal (all 7 kinds, each byte), which passed before.

Why it works: what is left of one head beside another shows either as a second id or as a status line that stands where none can.

What remains: an answer cut within its body and filled up to its length by another answer can be told apart only by its signature.

--- a/src/cranberrymux/node/http/answer_framing.py
+++ b/src/cranberrymux/node/http/answer_framing.py
@@ -1,10 +1,29 @@
 """Reads from the head of an answer how its body is framed."""
 
+import re
+
 from cranberrymux.node.http import answer_head
 from cranberrymux.node.http import body_mode
 from cranberrymux.node.http import headers as headers_module
 
 _BODYLESS_STATUSES = (204, 304)
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
+
+
+def holds_status_line(
+    reason_phrase: bytes, headers: headers_module.HeaderList
+) -> bool:
+    """Returns whether another status line stands within a head.
+
+    A sender that breaks off within a line and starts the next answer behind
+    it joins the heads of both.
+
+    Args:
+        reason_phrase: What stands behind the status.
+        headers: Headers of the answer.
+    """
+    values = [value for _, value in headers]
+    return _STATUS_LINE.search(b"\n".join([reason_phrase, *values])) is not None
 
 
 def has_plain_coding(headers: headers_module.HeaderList) -> bool:
--- a/src/cranberrymux/node/http/answer_matcher.py
+++ b/src/cranberrymux/node/http/answer_matcher.py
@@ -51,6 +51,13 @@
         sent_id = hash(identity.value)
         return sent_id in self._sent_ids or sent_id in self._earlier_ids
 
+    def has_several_ids(self, headers: headers_module.Headers) -> bool:
+        """Returns whether the head of an answer names several requests."""
+        if self._identity is None:
+            return False
+        ids = headers_module.find_all(headers, self._identity.header)
+        return len(set(ids)) > 1
+
     def find_mismatch(
         self, headers: headers_module.Headers
     ) -> unexpected_answer.UnexpectedAnswer | None:
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -27,6 +27,7 @@
 _UnexpectedKind = unexpected_answer.UnexpectedKind
 _LOWEST_STATUS = 100
 _LOWEST_FINAL_STATUS = 200
+_LOWEST_ERROR_STATUS = 400
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -67,6 +68,7 @@
         self.on_header = self._budget.headers.add
         self._parser = httptools.HttpResponseParser(self)
         self._sink: answer_sink.AnswerSink | None = None
+        self._reason_phrase = b""
         self._headers = headers.Headers([])
         self._is_head_request = False
         self._is_request_complete = False
@@ -229,9 +231,14 @@
         """Prepares for an answer; aborts if no request is pending."""
         self._budget.begin_answer()
         self._is_filtered_out = False
+        self._reason_phrase = b""
         if self._sink is None:
             self._cancel_behind_answer()
 
+    def on_status(self, part: bytes) -> None:
+        """Collects a part of the reason phrase."""
+        self._reason_phrase += part
+
     def on_headers_complete(self) -> None:
         """Passes the head to the sink, unless it answers another request."""
         taken = self._budget.headers.take()
@@ -256,6 +263,22 @@
     def _take_final_head(
         self, sink: answer_sink.AnswerSink, status: int
     ) -> None:
+        received = self._headers
+        # A sender that breaks off within a head and starts the next answer
+        # behind it has the status of one read beside the id of the other.
+        is_joined = (
+            len(received) > len(received.first)
+            and self._matcher.has_several_ids(received)
+        ) or (
+            status >= _LOWEST_ERROR_STATUS
+            and answer_framing.holds_status_line(self._reason_phrase, received)
+        )
+        if is_joined:
+            self._fail(
+                lost_answer.LossReason.NOT_VALID,
+                "the heads of two answers run together",
+            )
+            return
         mismatch = self._matcher.find_mismatch(self._headers)
         self._is_filtered_out = mismatch is not None
         if mismatch is not None:
--- a/tests/node/test_answer_framing.py
+++ b/tests/node/test_answer_framing.py
@@ -147,3 +147,23 @@
     assert reader.sink.ends == []
     reader.read(WHOLE["sized"])
     assert reader.sink.ends == ["complete"]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 503 FuHTTP/1.1 200 OK\r\nRequest-Id: r1\r\n",
+        b"HTTP/1.1 503 Full\r\nNot-Run: 1HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nX: yHTTP/1.1 200 OK\r\n"
+        b"Request-Id: r1\r\n",
+    ],
+    ids=["in-the-reason-phrase", "in-a-value", "between-ids"],
+)
+def test_heads_of_two_answers_that_run_together_are_none(head):
+    """Guards against a refusal of one request with the id of another."""
+    data = head + b"Content-Length: 4\r\n\r\nbody"
+    for length in range(1, len(data)):
+        reader = Reader()
+        reader.read(data[:length])
+        reader.read(data[length:])
+        assert reader.sink.ends == ["lost"], data[:length]
