Take a success that says not-run for no refusal without routes

A backend server that answered 200 with `Cranberrymux-Answer: not-run` (its own answer and an earlier refusal in one head) had its call passed on as not run, and the claim of a call that runs at most once was released: a resend at another node ran it again.

Cause: the header was believed beside any status, in two places.

Change: `backend_refusal.is_refusal` tells it in one place, and wants a status from 400 on.

Why it works: the claim stays settled unless status and header agree.

--- a/src/cranberrymux/node/claimed_call.py
+++ b/src/cranberrymux/node/claimed_call.py
@@ -10,10 +10,10 @@
 from cranberrymux.models import refusal
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
+from cranberrymux.node import backend_refusal
 from cranberrymux.node import body_digest
 from cranberrymux.node import environment
 from cranberrymux.node.http import answer_head
-from cranberrymux.node.http import headers
 from cranberrymux.node.http import inbound_call
 from cranberrymux.wire.gen.messages import ttypes
 
@@ -96,8 +96,7 @@
 
     def settle_answer(self, head: answer_head.AnswerHead, body: bytes) -> None:
         """Stores a complete answer; releases the claim if that is not-run."""
-        kind = headers.find(head.headers, b"cranberrymux-answer")
-        if kind == _Kind.NOT_RUN.value.encode():
+        if backend_refusal.is_refusal(head):
             self.release()
         else:
             self.settle(head.status, body)
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -11,6 +11,7 @@
 from twisted.python import failure
 import zope.interface
 
+from cranberrymux.models import http_status
 from cranberrymux.node.http import answer_budget
 from cranberrymux.node.http import answer_framing
 from cranberrymux.node.http import answer_limits
@@ -27,7 +28,6 @@
 _UnexpectedKind = unexpected_answer.UnexpectedKind
 _LOWEST_STATUS = 100
 _LOWEST_FINAL_STATUS = 200
-_LOWEST_ERROR_STATUS = 400
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -270,7 +270,7 @@
             len(received) > len(received.first)
             and self._matcher.has_several_ids(received)
         ) or (
-            status >= _LOWEST_ERROR_STATUS
+            status >= http_status.MINIMUM_ERROR
             and answer_framing.holds_status_line(self._reason_phrase, received)
         )
         if is_joined:
--- a/src/cranberrymux/node/ingress_answers.py
+++ b/src/cranberrymux/node/ingress_answers.py
@@ -8,6 +8,7 @@
 from cranberrymux.models import refusal as refusal_module
 from cranberrymux.models import refusal_reason
 from cranberrymux.models import request_context
+from cranberrymux.node import backend_refusal
 from cranberrymux.node import claimed_call
 from cranberrymux.node import environment
 from cranberrymux.node import outbound_attempt
@@ -201,13 +202,12 @@
         self, head: answer_head.AnswerHead, unspent: int
     ) -> headers.HeaderList:
         """Records an answer and returns its headers for the caller."""
-        answer_kind_value = headers.find(head.headers, b"cranberrymux-answer")
         kind = (
             _Kind.FAILED
             if head.status >= http_status.MINIMUM_SERVER_ERROR
             else _Kind.DONE
         )
-        if answer_kind_value == _Kind.NOT_RUN.value.encode():
+        if backend_refusal.is_refusal(head):
             kind = _Kind.NOT_RUN
         self._record(kind)
         answer_headers = [
--- a/tests/node/test_guarantees.py
+++ b/tests/node/test_guarantees.py
@@ -116,6 +116,23 @@
         assert _json_body(second)["answer"] == "unknown"
         assert self._count_runs(pair) == 1
 
+    @pytest.mark.parametrize("status", [200, 302])
+    def test_success_that_says_not_run_is_no_refusal(
+        self, cluster, pair, status
+    ):
+        """Guards against a second run after an answer of two that joined."""
+
+        def answer(call):
+            call.answer(status, [(b"cranberrymux-answer", b"not-run")], b"ok")
+
+        request = POST + REQUEST_ID + b"\r\nabc"
+        first = cluster.ask(pair[0].ingress_port, request)
+        answer(pair[0].backend.calls[0])
+        cluster.network.run(0.05)
+        assert b"cranberrymux-answer: done\r\n" in first.received
+        cluster.ask(pair[1].ingress_port, request)
+        assert self._count_runs(pair) == 1
+
     def test_other_body_under_the_same_id_is_refused(self, cluster, pair):
         cluster.ask(pair[0].ingress_port, POST + REQUEST_ID + b"\r\nabc")
         other = cluster.ask(
