Test answers that are cut in their heads at every byte

The report: a backend server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

--- a/tests/load/test_http_connection.py
+++ b/tests/load/test_http_connection.py
@@ -6,7 +6,9 @@
 """
 
 import pytest
+from twisted.internet import error
 from twisted.internet import testing
+from twisted.python import failure
 
 from cranberrymux.load import http_connection
 from cranberrymux.load import no_response_reason
@@ -98,3 +100,25 @@
     client.receive(encode(b"own"))
     assert client.results[0].body == b"own"
     assert b"link" not in client.results[0].headers
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize(
+    "data",
+    [
+        encode(b"body"),
+        encode(b""),
+        b"HTTP/1.1 100 Continue\r\n\r\n" + encode(b"body"),
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n",
+        b"HTTP/1.1 204 X\r\nServer-Stamp: proof\r\n\r\n",
+    ],
+)
+def test_response_cut_at_any_byte_is_none(data, is_reset):
+    """Guards against a cut answer that counts as served."""
+    for length in range(1, len(data)):
+        client = _Client()
+        client.receive(data[:length])
+        reason = error.ConnectionLost() if is_reset else error.ConnectionDone()
+        client.connection.connectionLost(failure.Failure(reason))
+        assert client.results == [no_response_reason.NoResponseReason.CUT]
