Apply new limits to the next request of open connections

After lower limits, older connections still took what is no longer allowed.

Cause: a connection kept the limits that it was made with.

Change: the factory tells its open connections; their readers take the new limits when a request begins, so that none changes amid one.

Why it works: the reader compares two references at the begin of each request, the only moment at which its counters are empty.

--- a/src/cranberrymux/gateway/ports.py
+++ b/src/cranberrymux/gateway/ports.py
@@ -93,7 +93,8 @@
     def set_limits(self, limits: client_limits.ClientLimits) -> None:
         """Sets the limits on client connections.
 
-        Size limits apply to new connections, timeouts to all of them.
+        Size limits apply to each request that begins from now on, also on open
+        connections; timeouts apply at once.
         """
         self._limits = limits
         if self._clients is not None:
--- a/src/cranberrymux/node/http/framing_meter.py
+++ b/src/cranberrymux/node/http/framing_meter.py
@@ -32,6 +32,10 @@
         self._new_body_bytes = 0
         self.has_ended = False
 
+    def set_limit(self, framing_bytes: int) -> None:
+        """Sets the bytes that may be read without any of the body."""
+        self._limit = framing_bytes
+
     def begin(self) -> None:
         """Starts to count the next message."""
         self._framing_bytes = 0
--- a/src/cranberrymux/node/http/header_reader.py
+++ b/src/cranberrymux/node/http/header_reader.py
@@ -33,6 +33,11 @@
         self._message_bytes = 0
         self._read_bytes = 0
 
+    def set_limits(self, maximum_bytes: int, maximum_count: int) -> None:
+        """Sets the limits, before the next message begins."""
+        self._maximum_bytes = maximum_bytes
+        self._maximum_count = maximum_count
+
     def note_read(self, size: int) -> None:
         """Counts the bytes of a read before they are parsed."""
         self._read_bytes = size
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -49,6 +49,7 @@
             listener: Receives the requests.
         """
         self._limits = message_limits
+        self._next_limits = message_limits
         self._listener = listener
         self._header_reader = header_reader.HeaderReader(
             message_limits.header_bytes, message_limits.header_count
@@ -56,9 +57,7 @@
         self.on_header = self._header_reader.add
         self._parser = httptools.HttpRequestParser(self)
         self._meter = framing_meter.FramingMeter(
-            message_limits.header_bytes
-            + message_limits.target_bytes
-            + FRAMING_SLACK_BYTES
+            _get_framing_bytes(message_limits)
         )
         self._target = b""
         self._body_bytes = 0
@@ -73,6 +72,10 @@
             return headers.Headers(self._header_reader.pairs)
         return self._headers
 
+    def set_limits(self, message_limits: limits.Limits) -> None:
+        """Sets the limits on each request that begins from now on."""
+        self._next_limits = message_limits
+
     def feed(self, data: bytes) -> bad_message.BadMessage | None:
         """Parses data; returns what is wrong with it, after which it is over.
 
@@ -113,6 +116,8 @@
 
     def on_message_begin(self) -> None:
         """Prepares for the head of the next request."""
+        if self._limits is not self._next_limits:
+            self._apply_next_limits()
         self._target = b""
         self._header_reader.begin()
         self._body_bytes = 0
@@ -155,6 +160,13 @@
         self._meter.end()
         self._listener.request_read()
 
+    def _apply_next_limits(self) -> None:
+        applied = self._limits = self._next_limits
+        self._header_reader.set_limits(
+            applied.header_bytes, applied.header_count
+        )
+        self._meter.set_limit(_get_framing_bytes(applied))
+
     def _describe_excess(self) -> bad_message.BadMessage:
         """Returns which limit headers and trailers exceed."""
         detail = f"headers over {self._limits.header_bytes} bytes"
@@ -166,3 +178,12 @@
         """Stops the parser, whose caller then returns the reason."""
         self._bad = bad
         raise ValueError(bad.detail)
+
+
+def _get_framing_bytes(message_limits: limits.Limits) -> int:
+    """Returns how much may be read of a request without any of its body."""
+    return (
+        message_limits.header_bytes
+        + message_limits.target_bytes
+        + FRAMING_SLACK_BYTES
+    )
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -72,6 +72,14 @@
         self._tcp.setTcpNoDelay(True)
         self._tcp.registerProducer(self, True)
 
+    def set_limits(self, message_limits: limits.Limits) -> None:
+        """Sets the limits on the size of each request that begins from now on.
+
+        Those on pipelining stay.
+        """
+        self._limits = message_limits
+        self._reader.set_limits(message_limits)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parses what was read, unless a call waits to be handled."""
         self._read_count += 1
--- a/src/cranberrymux/node/http/server_factory.py
+++ b/src/cranberrymux/node/http/server_factory.py
@@ -83,8 +83,10 @@
         return made
 
     def set_limits(self, message_limits: limits.Limits) -> None:
-        """Sets the limits for connections that are made from now on."""
+        """Sets the limits on each request that begins from now on."""
         self._limits = message_limits
+        for connection in self._open_connections:
+            connection.set_limits(message_limits)
 
     def sweep(self, now_s: float, idle_s: float, head_timeout_s: float) -> None:
         """Closes connections that are idle, or slow to send a head.
--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -19,6 +19,7 @@
 from tests.fakes import raw_client
 
 HOST = "records.example"
+_LIMITS = client_limits.ClientLimits()
 PROOF_HEADER = (b"server-stamp", b"proof")
 
 
@@ -37,7 +38,7 @@
     return default_route._replace(**changes)
 
 
-def make_document(*routes, label=1):
+def make_document(*routes, label=1, limits=_LIMITS):
     services = sorted(
         {target.service for each in routes for target in each.targets}
     )
@@ -48,7 +49,7 @@
             backend_service.BackendService(name, "/health", 99)
             for name in services
         ),
-        client_limits.ClientLimits(),
+        limits,
         "{}",
     )
 
@@ -166,9 +167,9 @@
         for member in self.members:
             member.announce()
 
-    def configure(self, *routes, label=1):
+    def configure(self, *routes, label=1, **changes):
         text = self.text = route_document.dump(
-            make_document(*routes, label=label)
+            make_document(*routes, label=label, **changes)
         )
         for member in self.members:
             member.gateway.configuration_changed(label, text)
