Bound the configuration ledger in characters

Cause, another of several: the ledger keeps 1,000 records with differences of up to 64 kB each, 64 MB in all, and 4 Mi characters of documents. Ruled out: the answers, which hold a digest and names only; but long names had no bound in bytes.

Change: LedgerSettings names numbers and characters for records, differences (1 Mi), documents (2 Mi, 4 Mi before) and answers (8 Mi); BoundedMap drops the oldest. The newest of each stays whatever its size. An accepted change that is sent again gets its answer as before.

Two existing tests named the limits as constants of the module; they name the settings now, with the same numbers and checks (in test_large_configuration.py the bound is 2 Mi characters instead of 4 Mi). One mutation in test_ledger.py reads the newest record in the new way.

--- a/src/cranberrymux/decisions/configuration/ledger.py
+++ b/src/cranberrymux/decisions/configuration/ledger.py
@@ -4,18 +4,13 @@
 from typing import Any
 from typing import NamedTuple
 
+from cranberrymux.decisions.configuration import bounded_map
 from cranberrymux.decisions.configuration import change
 from cranberrymux.decisions.configuration import change_answer
 from cranberrymux.decisions.configuration import change_record
 from cranberrymux.decisions.configuration import change_verdict
 from cranberrymux.decisions.configuration import difference
-
-RECORDS_KEPT = 1000
-DOCUMENTS_KEPT = 100
-# Of all kept documents but the last. They are part of each snapshot, whose
-# encoding delays heartbeats.
-MAXIMUM_KEPT_CHARACTERS = 1 << 22
-ANSWERS_KEPT = 40_000
+from cranberrymux.decisions.configuration import ledger_settings
 
 
 class _StoredAnswer(NamedTuple):
@@ -35,17 +30,35 @@
     """Accepted versions of the document and the answers to changes.
 
     Every replica applies the same changes in the same order and reaches the
-    same state. Keeps the last `RECORDS_KEPT` history records, the last
-    `DOCUMENTS_KEPT` documents, fewer if they are large, and the answers to the
-    last `ANSWERS_KEPT` change ids.
+    same state. Keeps the last history records and their differences, the last
+    documents, and the answers to the last change ids, as many as the settings
+    allow by number and by size.
     """
 
-    def __init__(self) -> None:
-        """Creates a ledger at version 0 with an empty document."""
+    def __init__(
+        self,
+        settings: ledger_settings.LedgerSettings = ledger_settings.DEFAULTS,
+    ) -> None:
+        """Creates a ledger at version 0 with an empty document.
+
+        Args:
+            settings: Limits of what is kept.
+        """
         self._version = 0
-        self._records: dict[int, change_record.ChangeRecord] = {}
-        self._documents: dict[int, str] = {0: ""}
-        self._answers: dict[str, _StoredAnswer] = {}
+        # Without their differences, which are dropped earlier.
+        self._records = bounded_map.BoundedMap[int, change_record.ChangeRecord](
+            settings.records, settings.record_characters, _record_size
+        )
+        self._differences = bounded_map.BoundedMap[int, str](
+            settings.records, settings.difference_characters, _text_size
+        )
+        self._documents = bounded_map.BoundedMap[int, str](
+            settings.documents, settings.document_characters, _text_size
+        )
+        self._answers = bounded_map.BoundedMap[str, _StoredAnswer](
+            settings.answers, settings.answer_characters, _answer_size
+        )
+        self._documents.add(0, "")
 
     @property
     def version(self) -> int:
@@ -55,7 +68,7 @@
     @property
     def document(self) -> str:
         """The YAML text of the last accepted version."""
-        return self._documents[self._version]
+        return self._documents.get(self._version) or ""
 
     def document_of(self, version: int) -> str | None:
         """Returns the YAML text of a version; None if it is not kept."""
@@ -70,9 +83,13 @@
         return None if stored is None else stored.answer
 
     def history(self, limit: int = 50) -> list[change_record.ChangeRecord]:
-        """Returns the last accepted changes, newest first."""
+        """Returns the last accepted changes, newest first.
+
+        The difference of an older one may be empty, as it is not kept.
+        """
         newest_first = sorted(self._records, reverse=True)
-        return [self._records[version] for version in newest_first[:limit]]
+        found = [self._record_of(version) for version in newest_first[:limit]]
+        return [record for record in found if record is not None]
 
     def apply(
         self, requested: change.Change, at_ms: int
@@ -94,18 +111,20 @@
             answer = self._accept(requested, at_ms)
         else:
             answer = self._reject(requested)
-        self._answers[requested.change_id] = _StoredAnswer(
-            digest, _without_difference(answer)
+        self._answers.add(
+            requested.change_id,
+            _StoredAnswer(digest, _without_difference(answer)),
         )
-        while len(self._answers) > ANSWERS_KEPT:
-            del self._answers[next(iter(self._answers))]
         return answer
 
     def dump(self) -> dict[str, Any]:
         """Returns the whole state as JSON-serializable values."""
         return {
             "version": self._version,
-            "records": [list(record) for record in self._records.values()],
+            "records": [
+                list(record)
+                for record in reversed(self.history(len(self._records)))
+            ],
             "documents": [list(item) for item in self._documents.items()],
             "answers": [
                 [change_id, stored.digest, *_dump_answer(stored.answer)]
@@ -116,15 +135,17 @@
     def restore(self, state: dict[str, Any]) -> None:
         """Replaces the whole state by one that `dump` returned."""
         self._version = state["version"]
-        records = [
-            change_record.ChangeRecord(*values) for values in state["records"]
-        ]
-        self._records = {record.version: record for record in records}
-        self._documents = dict(state["documents"])
-        self._answers = {
-            change_id: _StoredAnswer(digest, _load_answer(*answer))
-            for change_id, digest, *answer in state["answers"]
-        }
+        self._records.clear()
+        self._differences.clear()
+        for values in state["records"]:
+            self._add_record(change_record.ChangeRecord(*values))
+        self._documents.clear()
+        for version, document in state["documents"]:
+            self._documents.add(version, document)
+        self._answers.clear()
+        for change_id, digest, *answer in state["answers"]:
+            stored = _StoredAnswer(digest, _load_answer(*answer))
+            self._answers.add(change_id, stored)
 
     def _accept(
         self, requested: change.Change, at_ms: int
@@ -145,21 +166,23 @@
             diff,
             requested.rollback_of,
         )
-        self._records[version] = record
-        self._documents[version] = requested.document
-        self._records.pop(version - RECORDS_KEPT, None)
-        self._documents.pop(version - DOCUMENTS_KEPT, None)
+        self._add_record(record)
+        self._documents.add(version, requested.document)
         self._version = version
-        self._remove_large_documents()
         return change_answer.ChangeAnswer(
             change_verdict.ChangeVerdict.ACCEPTED, record, ""
         )
 
-    def _remove_large_documents(self) -> None:
-        size = sum(map(len, self._documents.values())) - len(self.document)
-        while size > MAXIMUM_KEPT_CHARACTERS:
-            oldest = next(iter(self._documents))
-            size -= len(self._documents.pop(oldest))
+    def _add_record(self, record: change_record.ChangeRecord) -> None:
+        self._records.add(record.version, record._replace(difference=""))
+        self._differences.add(record.version, record.difference)
+
+    def _record_of(self, version: int) -> change_record.ChangeRecord | None:
+        record = self._records.get(version)
+        if record is None:
+            return None
+        diff = self._differences.get(version) or ""
+        return record._replace(difference=diff)
 
     def _reject(self, requested: change.Change) -> change_answer.ChangeAnswer:
         if requested.base_version > self._version:
@@ -170,8 +193,10 @@
             return change_answer.ChangeAnswer(
                 change_verdict.ChangeVerdict.INVALID, None, detail
             )
-        successor = self._records.get(requested.base_version + 1)
-        conflicting = successor or self._records[self._version]
+        conflicting = self._record_of(
+            requested.base_version + 1
+        ) or self._record_of(self._version)
+        assert conflicting is not None, "the newest record is always kept"
         detail = (
             f"built on version {requested.base_version}; "
             f"version {conflicting.version} by {conflicting.author} "
@@ -186,8 +211,8 @@
     ) -> change_answer.ChangeAnswer:
         answer = stored.answer
         if answer.record is not None:
-            record = self._records.get(answer.record.version, answer.record)
-            answer = answer._replace(record=record)
+            record = self._record_of(answer.record.version)
+            answer = answer._replace(record=record or answer.record)
         if stored.digest == digest:
             return answer
         return change_answer.ChangeAnswer(
@@ -211,6 +236,24 @@
     return answer._replace(record=answer.record._replace(difference=""))
 
 
+def _record_size(version: int, record: change_record.ChangeRecord) -> int:
+    del version
+    return len(record.change_id) + len(record.author)
+
+
+def _text_size(version: int, text: str) -> int:
+    del version
+    return len(text)
+
+
+def _answer_size(change_id: str, stored: _StoredAnswer) -> int:
+    answer = stored.answer
+    size = len(change_id) + len(stored.digest) + len(answer.detail)
+    if answer.record is not None:
+        size += _record_size(answer.record.version, answer.record)
+    return size
+
+
 def _dump_answer(answer: change_answer.ChangeAnswer) -> list[Any]:
     record = None if answer.record is None else list(answer.record)
     return [answer.verdict.value, record, answer.detail]
--- a/tests/control/test_large_configuration.py
+++ b/tests/control/test_large_configuration.py
@@ -20,7 +20,7 @@
 from cranberrymux.control import stepwise
 from cranberrymux.decisions.claims import claim_settings
 from cranberrymux.decisions.configuration import change
-from cranberrymux.decisions.configuration import ledger
+from cranberrymux.decisions.configuration import ledger_settings
 from cranberrymux.decisions.quotas import quota_settings
 from cranberrymux.decisions.routes import document_check
 from cranberrymux.decisions.routes import route_document
@@ -198,4 +198,5 @@
     kept = [machine.configuration.document_of(v) for v in range(1, 11)]
     assert kept[-1] == f"{text}10"
     older = sum(len(document) for document in kept[:-1] if document)
-    assert 0 < older <= ledger.MAXIMUM_KEPT_CHARACTERS
+    limit = ledger_settings.DEFAULTS.document_characters
+    assert 0 < older <= limit
--- a/tests/decisions/configuration/test_ledger.py
+++ b/tests/decisions/configuration/test_ledger.py
@@ -15,6 +15,7 @@
 from cranberrymux.decisions.configuration import change
 from cranberrymux.decisions.configuration import change_verdict
 from cranberrymux.decisions.configuration import ledger as ledger_module
+from cranberrymux.decisions.configuration import ledger_settings
 from tests import profiles
 
 Verdict = change_verdict.ChangeVerdict
@@ -101,7 +102,7 @@
 
 
 def reject_with_newest_record(self, requested):
-    newest = self._records[self._version]
+    newest = self._record_of(self._version)
     return ledger_module.change_answer.ChangeAnswer(
         Verdict.CONFLICT, newest, ""
     )
@@ -169,13 +170,10 @@
     assert ledger.document_of(4) is None
 
 
-def test_records_documents_and_answers_beyond_their_limits_are_dropped(
-    monkeypatch,
-):
-    monkeypatch.setattr(ledger_module, "RECORDS_KEPT", 4)
-    monkeypatch.setattr(ledger_module, "DOCUMENTS_KEPT", 2)
-    monkeypatch.setattr(ledger_module, "ANSWERS_KEPT", 3)
-    ledger = ledger_module.ConfigurationLedger()
+def test_records_documents_and_answers_beyond_their_limits_are_dropped():
+    ledger = ledger_module.ConfigurationLedger(
+        ledger_settings.LedgerSettings(records=4, documents=2, answers=3)
+    )
     for number in range(10):
         ledger.apply(make_change(f"id-{number}", number), number)
     assert len(ledger.history(100)) == 4
