--- a/src/cranberrymux/control/replica_loop.py
+++ b/src/cranberrymux/control/replica_loop.py
@@ -144,6 +144,7 @@
         if self._is_stopped:
             return
         data = b"".join(encoded)
+        encoded.clear()
         self.execute(self._driver.store_snapshot(now_s(), log_index, data))
 
     def _start_sync(self) -> None:
--- a/src/cranberrymux/control/state_machine.py
+++ b/src/cranberrymux/control/state_machine.py
@@ -15,7 +15,9 @@
 from cranberrymux.wire.gen.messages import ttypes
 
 CLAIMS_PER_PART = 1000
-_FORMAT_VERSION = 1
+_FORMAT_VERSION = 2
+# The whole configuration in the first line, and lists of claims in the others.
+_WHOLE_CONFIGURATION_FORMAT_VERSION = 1
 
 
 class StateMachine:
@@ -106,10 +108,11 @@
         header = {
             "format": _FORMAT_VERSION,
             "now_ms": self._now_ms,
-            "configuration": self.configuration.dump(),
             "suspects": self.suspects.dump(),
         }
-        return _encode_parts(header, self.claims.entries())
+        return _encode_parts(
+            header, self.configuration.dump(), self.claims.entries()
+        )
 
     def restore(self, payload: bytes) -> None:
         """Replaces the whole state by one that `dump` encoded.
@@ -118,29 +121,66 @@
             payload: The joined parts.
 
         Raises:
-            ValueError: The payload has another format version.
+            ValueError: The payload has an unknown format version.
         """
-        first, *parts = payload.splitlines()
-        header = json.loads(first)
-        if header["format"] != _FORMAT_VERSION:
-            raise ValueError(
-                f"unknown snapshot format version {header['format']}"
-            )
+        lines = _split_lines(payload)
+        header = json.loads(next(lines))
+        parts = _decode_parts(header, lines)
         self._now_ms = header["now_ms"]
-        self.configuration.restore(header["configuration"])
         self.suspects.restore(header["suspects"])
-        claims = [entry for part in parts for entry in json.loads(part)]
+        claims: list[Any] = []
+        self.configuration.restore(_take_claims(parts, claims))
         self.claims.restore(claims)
 
 
 def _encode_parts(
-    header: dict[str, Any], claims: tuple[claim_entry.ClaimEntry, ...]
+    header: dict[str, Any],
+    configuration: Iterator[dict[str, Any]],
+    claims: tuple[claim_entry.ClaimEntry, ...],
 ) -> Iterator[bytes]:
     yield _encode_line(header)
+    for part in configuration:
+        yield _encode_line(part)
     for start in range(0, len(claims), CLAIMS_PER_PART):
-        part = claims[start : start + CLAIMS_PER_PART]
-        yield _encode_line(claim_codec.dump_entries(part))
+        some_claims = claims[start : start + CLAIMS_PER_PART]
+        yield _encode_line({"claims": claim_codec.dump_entries(some_claims)})
 
 
 def _encode_line(value: Any) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode() + b"\n"
+
+
+def _split_lines(payload: bytes) -> Iterator[bytes]:
+    """Returns the lines one by one, so that only one is held as a copy."""
+    start = 0
+    while start < len(payload):
+        end = payload.find(b"\n", start)
+        if end < 0:
+            end = len(payload)
+        yield payload[start:end]
+        start = end + 1
+
+
+def _decode_parts(
+    header: dict[str, Any], lines: Iterator[bytes]
+) -> Iterator[dict[str, Any]]:
+    """Decodes the lines after the first one, of this or the earlier format."""
+    if header["format"] == _FORMAT_VERSION:
+        yield from map(json.loads, lines)
+    elif header["format"] == _WHOLE_CONFIGURATION_FORMAT_VERSION:
+        yield header["configuration"]
+        for line in lines:
+            yield {"claims": json.loads(line)}
+    else:
+        raise ValueError(f"unknown snapshot format version {header['format']}")
+
+
+def _take_claims(
+    parts: Iterator[dict[str, Any]], claims: list[Any]
+) -> Iterator[dict[str, Any]]:
+    """Returns the parts of the configuration; adds the others to `claims`."""
+    for part in parts:
+        if "claims" in part:
+            claims.extend(part["claims"])
+        else:
+            yield part
--- a/src/cranberrymux/decisions/configuration/ledger.py
+++ b/src/cranberrymux/decisions/configuration/ledger.py
@@ -1,8 +1,9 @@
 """The replicated state machine of configuration changes."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import hashlib
 from typing import Any
-from typing import NamedTuple
 
 from cranberrymux.decisions.configuration import bounded_map
 from cranberrymux.decisions.configuration import change
@@ -10,20 +11,9 @@
 from cranberrymux.decisions.configuration import change_record
 from cranberrymux.decisions.configuration import change_verdict
 from cranberrymux.decisions.configuration import difference
+from cranberrymux.decisions.configuration import ledger_parts
 from cranberrymux.decisions.configuration import ledger_settings
-
-
-class _StoredAnswer(NamedTuple):
-    """The first answer to a change id.
-
-    Attributes:
-        digest: Digest of the change, which tells a resend from a different
-            change with the same id.
-        answer: The answer, without the diff of its record.
-    """
-
-    digest: str
-    answer: change_answer.ChangeAnswer
+from cranberrymux.decisions.configuration import stored_answer
 
 
 class ConfigurationLedger:
@@ -55,8 +45,8 @@
         self._documents = bounded_map.BoundedMap[int, str](
             settings.documents, settings.document_characters, _text_size
         )
-        self._answers = bounded_map.BoundedMap[str, _StoredAnswer](
-            settings.answers, settings.answer_characters, _answer_size
+        self._answers = bounded_map.BoundedMap[str, stored_answer.StoredAnswer](
+            settings.answers, settings.answer_characters, stored_answer.size
         )
         self._documents.add(0, "")
 
@@ -113,38 +103,44 @@
             answer = self._reject(requested)
         self._answers.add(
             requested.change_id,
-            _StoredAnswer(digest, _without_difference(answer)),
+            stored_answer.StoredAnswer(digest, _without_difference(answer)),
         )
         return answer
 
-    def dump(self) -> dict[str, Any]:
-        """Returns the whole state as JSON-serializable values."""
-        return {
-            "version": self._version,
-            "records": [
-                list(record)
-                for record in reversed(self.history(len(self._records)))
-            ],
-            "documents": [list(item) for item in self._documents.items()],
-            "answers": [
-                [change_id, stored.digest, *_dump_answer(stored.answer)]
-                for change_id, stored in self._answers.items()
-            ],
-        }
-
-    def restore(self, state: dict[str, Any]) -> None:
-        """Replaces the whole state by one that `dump` returned."""
-        self._version = state["version"]
+    def dump(self) -> Iterator[dict[str, Any]]:
+        """Returns the present state in parts of JSON-serializable values.
+
+        The state is captured at the call; later changes do not show in the
+        parts. Each holds one document, or some records or answers.
+        """
+        records = tuple(reversed(self.history(len(self._records))))
+        documents = tuple(self._documents.items())
+        answers = tuple(self._answers.items())
+        return ledger_parts.dump(self._version, records, documents, answers)
+
+    def restore(self, parts: Iterable[dict[str, Any]]) -> None:
+        """Replaces the whole state by one that `dump` returned.
+
+        Args:
+            parts: The parts in their order. One part may hold all the state.
+        """
         self._records.clear()
         self._differences.clear()
-        for values in state["records"]:
-            self._add_record(change_record.ChangeRecord(*values))
         self._documents.clear()
-        for version, document in state["documents"]:
-            self._documents.add(version, document)
         self._answers.clear()
-        for change_id, digest, *answer in state["answers"]:
-            stored = _StoredAnswer(digest, _load_answer(*answer))
+        for part in parts:
+            self._restore_part(part)
+
+    def _restore_part(self, part: dict[str, Any]) -> None:
+        self._version = part.get("version", self._version)
+        for values in part.get("records", ()):
+            self._add_record(change_record.ChangeRecord(*values))
+        for version, document in part.get("documents", ()):
+            self._documents.add(version, document)
+        for change_id, digest, *answer in part.get("answers", ()):
+            stored = stored_answer.StoredAnswer(
+                digest, ledger_parts.load_answer(*answer)
+            )
             self._answers.add(change_id, stored)
 
     def _accept(
@@ -207,7 +203,7 @@
         )
 
     def _answer_resend(
-        self, stored: _StoredAnswer, digest: str
+        self, stored: stored_answer.StoredAnswer, digest: str
     ) -> change_answer.ChangeAnswer:
         answer = stored.answer
         if answer.record is not None:
@@ -244,26 +240,3 @@
 def _text_size(version: int, text: str) -> int:
     del version
     return len(text)
-
-
-def _answer_size(change_id: str, stored: _StoredAnswer) -> int:
-    answer = stored.answer
-    size = len(change_id) + len(stored.digest) + len(answer.detail)
-    if answer.record is not None:
-        size += _record_size(answer.record.version, answer.record)
-    return size
-
-
-def _dump_answer(answer: change_answer.ChangeAnswer) -> list[Any]:
-    record = None if answer.record is None else list(answer.record)
-    return [answer.verdict.value, record, answer.detail]
-
-
-def _load_answer(
-    verdict: str, record: list[Any] | None, detail: str
-) -> change_answer.ChangeAnswer:
-    return change_answer.ChangeAnswer(
-        change_verdict.ChangeVerdict(verdict),
-        None if record is None else change_record.ChangeRecord(*record),
-        detail,
-    )
--- a/src/cranberrymux/storage/atomic_file.py
+++ b/src/cranberrymux/storage/atomic_file.py
@@ -5,6 +5,7 @@
 kind and body (4) and the body.
 """
 
+from collections.abc import Sequence
 import enum
 import struct
 import zlib
@@ -31,16 +32,23 @@
     folder: str,
     name: str,
     kind: FileKind,
-    body: bytes,
+    body: Sequence[bytes],
 ) -> failure.StorageError | None:
     """Replaces a file durably; a crash leaves the old or the new one whole.
 
+    Args:
+        files: File system that contains the folder.
+        folder: Path of the folder.
+        name: Name of the file.
+        kind: What the file contains.
+        body: The body in parts, which are written one by one without a copy.
+
     Returns:
         None once the new file survives a power failure, else why it may not.
     """
     path = f"{folder}/{name}"
     try:
-        _replace(files, folder, path, _encode_header(kind, body) + body)
+        _replace(files, folder, path, (_encode_header(kind, body), *body))
     except OSError as error:
         return failure.from_write_error(path, error)
     return None
@@ -48,7 +56,7 @@
 
 def read(
     files: file_system.FileSystem, folder: str, name: str, kind: FileKind
-) -> bytes | failure.StorageError | None:
+) -> memoryview | failure.StorageError | None:
     """Reads and verifies a file; returns its body, None if there is no file."""
     path = f"{folder}/{name}"
     try:
@@ -58,7 +66,7 @@
     except OSError as os_error:
         return failure.from_read_error(path, os_error)
     error = _find_error(path, kind, data)
-    return data[_HEADER.size :] if error is None else error
+    return memoryview(data)[_HEADER.size :] if error is None else error
 
 
 def remove_temporary_files(
@@ -80,7 +88,7 @@
     if len(data) < _HEADER.size:
         return _corrupt(path, f"{len(data)} bytes, too few for a header")
     magic, version, found_kind, length, checksum = _HEADER.unpack_from(data)
-    body = data[_HEADER.size :]
+    body = memoryview(data)[_HEADER.size :]
     if magic != MAGIC or found_kind != kind:
         return _corrupt(path, "wrong magic number or kind of file")
     if version != FORMAT_VERSION:
@@ -89,7 +97,7 @@
             path,
             f"format version {version}, expected {FORMAT_VERSION}",
         )
-    if length != len(body) or checksum != _checksum(kind, body):
+    if length != len(body) or checksum != _checksum(kind, (body,)):
         return _corrupt(
             path, "body does not match the length or checksum in the header"
         )
@@ -97,14 +105,18 @@
 
 
 def _replace(
-    files: file_system.FileSystem, folder: str, path: str, data: bytes
+    files: file_system.FileSystem,
+    folder: str,
+    path: str,
+    parts: Sequence[bytes],
 ) -> None:
     temporary = path + _TEMPORARY_SUFFIX
     if files.exists(temporary):
         files.remove(temporary)
     file = files.open_append(temporary)
     try:
-        file.write(data)
+        for part in parts:
+            file.write(part)
         file.sync()
     finally:
         file.close()
@@ -112,14 +124,18 @@
     files.sync_folder(folder)
 
 
-def _encode_header(kind: FileKind, body: bytes) -> bytes:
+def _encode_header(kind: FileKind, body: Sequence[bytes]) -> bytes:
+    length = sum(map(len, body))
     return _HEADER.pack(
-        MAGIC, FORMAT_VERSION, kind, len(body), _checksum(kind, body)
+        MAGIC, FORMAT_VERSION, kind, length, _checksum(kind, body)
     )
 
 
-def _checksum(kind: FileKind, body: bytes) -> int:
-    return zlib.crc32(body, kind)
+def _checksum(kind: FileKind, body: Sequence[bytes | memoryview]) -> int:
+    checksum: int = kind
+    for part in body:
+        checksum = zlib.crc32(part, checksum)
+    return checksum
 
 
 def _corrupt(path: str, detail: str) -> failure.StorageError:
--- a/src/cranberrymux/storage/folder.py
+++ b/src/cranberrymux/storage/folder.py
@@ -116,7 +116,7 @@
             error = self._replace_file(
                 state_files.VOTE_NAME,
                 atomic_file.FileKind.VOTE,
-                state_files.encode_vote(write.hard_state),
+                (state_files.encode_vote(write.hard_state),),
             )
         if error is None and write.snapshot is not None:
             error = self._replace_file(
@@ -136,7 +136,7 @@
         return None
 
     def _replace_file(
-        self, name: str, kind: atomic_file.FileKind, body: bytes
+        self, name: str, kind: atomic_file.FileKind, body: Sequence[bytes]
     ) -> failure.StorageError | None:
         # Syncs earlier entries first, so that a crash leaves a prefix of the
         # writes.
--- a/src/cranberrymux/storage/opening.py
+++ b/src/cranberrymux/storage/opening.py
@@ -76,7 +76,7 @@
     )
     if body is None or isinstance(body, failure.StorageError):
         return body
-    return body.decode("utf-8", "replace")
+    return bytes(body).decode("utf-8", "replace")
 
 
 def _open_locked(
@@ -140,6 +140,6 @@
         path,
         IDENTITY_NAME,
         atomic_file.FileKind.IDENTITY,
-        replica_id.encode(),
+        (replica_id.encode(),),
     )
     return replica_id if error is None else error
--- a/src/cranberrymux/storage/record.py
+++ b/src/cranberrymux/storage/record.py
@@ -60,7 +60,9 @@
     end = body_start + length
     if magic != MAGIC or not _BODY_PREFIX.size <= length <= MAXIMUM_BODY_BYTES:
         return None
-    if end > len(data) or zlib.crc32(data[body_start:end]) != checksum:
+    if end > len(data):
+        return None
+    if zlib.crc32(memoryview(data)[body_start:end]) != checksum:
         return None
     durable_bytes, index, term, kind = _BODY_PREFIX.unpack_from(
         data, body_start
--- a/tests/decisions/configuration/test_ledger.py
+++ b/tests/decisions/configuration/test_ledger.py
@@ -27,7 +27,7 @@
 
 def restore_from_snapshot(ledger):
     copy = ledger_module.ConfigurationLedger()
-    copy.restore(json.loads(json.dumps(ledger.dump())))
+    copy.restore(json.loads(json.dumps(list(ledger.dump()))))
     return copy
 
 
@@ -95,7 +95,7 @@
 
 
 def dump_without_answers(self):
-    return {**_DUMP(self), "answers": []}
+    return [{**part, "answers": []} for part in _DUMP(self)]
 
 
 _DUMP = ledger_module.ConfigurationLedger.dump
@@ -179,8 +179,8 @@
     assert len(ledger.history(100)) == 4
     assert ledger.document_of(9) is not None
     assert ledger.document_of(8) is None
-    state = ledger.dump()
-    assert len(state["answers"]) == 3
+    answers = [part.get("answers", ()) for part in ledger.dump()]
+    assert sum(map(len, answers)) == 3
     outdated = ledger.apply(make_change("outdated", 1), 9)
     assert outdated.verdict is Verdict.CONFLICT
     assert outdated.record.version == 10
--- a/tests/decisions/configuration/test_ledger_bounds.py
+++ b/tests/decisions/configuration/test_ledger_bounds.py
@@ -43,12 +43,12 @@
 
 
 def measure(ledger):
-    return len(json.dumps(ledger.dump()))
+    return len(json.dumps(list(ledger.dump())))
 
 
 def restore(ledger, settings=ledger_settings.DEFAULTS):
     copy = ledger_module.ConfigurationLedger(settings)
-    copy.restore(json.loads(json.dumps(ledger.dump())))
+    copy.restore(json.loads(json.dumps(list(ledger.dump()))))
     return copy
 
 
@@ -113,7 +113,8 @@
     apply_changes(ledger, 1, 1)
     for number in range(100):
         ledger.apply(change.Change(f"{number:0100}", 0, "x" * 100, "d"), 1)
-    assert 1 < len(ledger.dump()["answers"]) < 10
+    answers = [part.get("answers", ()) for part in ledger.dump()]
+    assert 1 < sum(map(len, answers)) < 10
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -141,7 +142,7 @@
             make_document(number, generator.randrange(12)),
         )
         assert ledger.apply(requested, number) == copy.apply(requested, number)
-        assert ledger.dump() == copy.dump()
+        assert list(ledger.dump()) == list(copy.dump())
 
 
 def test_a_state_of_an_earlier_version_is_cut_to_the_limits():
@@ -155,7 +156,7 @@
     upgraded = restore(earlier)
     expected = ledger_module.ConfigurationLedger()
     apply_changes(expected, 80, 1000)
-    assert upgraded.dump() == expected.dump()
+    assert list(upgraded.dump()) == list(expected.dump())
     assert measure(upgraded) < measure(earlier) / 2
 
 
