Compress configurations of routes from 32 KiB on

Cause, the fourth: a configuration was compressed from 256 KiB on only, so that one of some hundred routes was held as it is, twice (source and tables), in each entry of the log and each kept version. Besides, the difference of two compressed documents is 64 kB of text that says nothing.

Change: compressed from 32 KiB on; lines of a difference end after 1,024 characters; routes are encoded in steps as accounts are.

Random keys compress badly; for those the bounds alone hold.

--- a/src/cranberrymux/decisions/configuration/difference.py
+++ b/src/cranberrymux/decisions/configuration/difference.py
@@ -3,6 +3,8 @@
 import difflib
 
 MAXIMUM_LINES = 5000
+# Of a line in the diff. A compressed document is one long line.
+MAXIMUM_LINE_CHARACTERS = 1024
 MAXIMUM_DIFF_CHARACTERS = 65_536
 
 
@@ -16,9 +18,10 @@
         new_name: Name of the new text in the header of the diff.
 
     Returns:
-        The diff, cut after `MAXIMUM_DIFF_CHARACTERS` characters and empty for
-        equal texts. If either text has more than `MAXIMUM_LINES` lines, one
-        line that gives both line counts.
+        The diff, its lines cut after `MAXIMUM_LINE_CHARACTERS` and all of it
+        after `MAXIMUM_DIFF_CHARACTERS` characters; empty for equal texts. If
+        either text has more than `MAXIMUM_LINES` lines, one line that gives
+        both line counts.
     """
     old_lines = old_text.splitlines()
     new_lines = new_text.splitlines()
@@ -27,4 +30,5 @@
     diff_lines = difflib.unified_diff(
         old_lines, new_lines, old_name, new_name, lineterm=""
     )
-    return "\n".join(diff_lines)[:MAXIMUM_DIFF_CHARACTERS]
+    shortened = (line[:MAXIMUM_LINE_CHARACTERS] for line in diff_lines)
+    return "\n".join(shortened)[:MAXIMUM_DIFF_CHARACTERS]
--- a/src/cranberrymux/decisions/routes/route_document.py
+++ b/src/cranberrymux/decisions/routes/route_document.py
@@ -1,6 +1,7 @@
 """The routing configuration and its stored text form."""
 
 from collections.abc import Generator
+from collections.abc import Iterator
 import json
 from typing import Any
 from typing import NamedTuple
@@ -59,8 +60,8 @@
 
 LINES_PER_STEP = 500
 # Characters of the encoded tables and the source from which on they are
-# compressed. Smaller texts stay readable for earlier versions.
-PACKED_FROM_CHARACTERS = 1 << 18
+# compressed. Control instances keep many texts, in the log and as versions.
+PACKED_FROM_CHARACTERS = 1 << 15
 HeadSteps = Generator[None, None, RouteDocumentHead | RouteDocumentError]
 LoadSteps = Generator[None, None, RouteDocument | RouteDocumentError]
 
@@ -74,21 +75,12 @@
 
 
 def dump_in_steps(document: RouteDocument) -> Generator[None, None, str]:
-    """Encodes as `dump` does, `LINES_PER_STEP` accounts between two yields."""
-    lines = [json.dumps({"limits": document.limits._asdict()})]
-    for service in document.services:
-        lines.append(json.dumps({"service": list(service)}))
-    for route in document.routes:
-        values = route._replace(
-            targets=tuple(tuple(target) for target in route.targets)  # type: ignore[misc]
-        )
-        fields = [*values]
-        fields[4] = route.repeatability.value
-        lines.append(json.dumps({"route": fields}))
-    for number, account in enumerate(document.accounts, 1):
+    """Encodes as `dump` does, `LINES_PER_STEP` lines between two yields."""
+    lines = []
+    for number, line in enumerate(_dump_lines(document), 1):
         if number % LINES_PER_STEP == 0:
             yield
-        lines.append(json.dumps({"account": list(account)}))
+        lines.append(json.dumps(line))
     text = "\n".join(lines) + "\n"
     if len(text) + len(document.source) >= PACKED_FROM_CHARACTERS:
         return (
@@ -135,6 +127,21 @@
         return RouteDocumentError(f"{type(error).__name__}: {error}")
 
 
+def _dump_lines(document: RouteDocument) -> Iterator[dict[str, Any]]:
+    yield {"limits": document.limits._asdict()}
+    for service in document.services:
+        yield {"service": list(service)}
+    for route in document.routes:
+        values = route._replace(
+            targets=tuple(tuple(target) for target in route.targets)  # type: ignore[misc]
+        )
+        fields = [*values]
+        fields[4] = route.repeatability.value
+        yield {"route": fields}
+    for account in document.accounts:
+        yield {"account": list(account)}
+
+
 def _load_head(text: str) -> Generator[None, None, RouteDocumentHead]:
     if packed_document.is_packed(text):
         packed = packed_document.split(text)
--- a/tests/decisions/routes/test_routes.py
+++ b/tests/decisions/routes/test_routes.py
@@ -77,6 +77,27 @@
     assert route_document.load_label(text) == 7
 
 
+def test_many_routes_are_stored_in_a_fraction_of_their_text():
+    """Guards against a log and versions that grow with a few hundred routes."""
+    routes = [
+        make_route(f"r-{number:06x}", "s", prefix=f"/p{number:06x}/")
+        for number in range(358)
+    ]
+    source = "".join(repr(route) for route in routes)
+    document = make_document(*routes)._replace(source=source)
+    text = route_document.dump(document)
+    assert len(text) < len(source) / 4
+    assert route_document.load(text) == document
+
+
+def test_routes_are_encoded_in_steps():
+    """Guards against heartbeats that wait for thousands of routes."""
+    routes = [make_route(f"r-{number}", "s") for number in range(5000)]
+    encoding = route_document.dump_in_steps(make_document(*routes))
+    lines_steps = len(routes) // route_document.LINES_PER_STEP
+    assert sum(1 for _ in encoding) >= lines_steps
+
+
 def test_damaged_compressed_document_is_an_error():
     """Guards against a part of a configuration that takes effect."""
     text = route_document.dump(make_large_document())
@@ -101,7 +122,8 @@
     document = make_large_document()
     small = route_document.dump(document._replace(source="", routes=()))
     first, rest = small.split("\n", 1)
-    route = route_document.dump(document._replace(routes=document.routes[:1]))
+    one_route = document._replace(source="", routes=document.routes[:1])
+    route = route_document.dump(one_route)
     line = next(x for x in route.splitlines() if x.startswith('{"route"'))
     text = f"{first}\n{rest}" + f"{line}\n" * 5000
     loaded = route_document.load(text)
