--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import pathlib
+import re
 import shutil
 import signal
 import subprocess
@@ -70,6 +72,11 @@
     def wipe(self):
         shutil.rmtree(self.data)
 
+    def peak_mb(self):
+        """Returns the largest resident memory since the start, MB."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+
     def events(self):
         lines = self.log.read_text().splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
