Bound what waits for a control instance that reads nothing

Callers saw nothing yet; found while looking for the same class elsewhere. A member that is frozen, or behind a cut or a connection gone silent, reads none of them, and all wait in the leader's memory, 1.3 MB/s for each such member and without an end, since a leader calls nobody and so no timeout closes the connection.

Ruled out: calls with an answer, whose timeout aborts the connection; entries, of which four messages at most are unanswered, and probes, which are empty.

Change: the protocol is the transport's producer, counts the bytes that are written while it is paused, and `deliver` drops messages beyond 16 MiB. They may be lost anyway. A connection that is to be closed while paused is closed once the peer reads.

Test seen failing on the commit before (with the constant added): test_messages_beyond_the_bound_are_dropped takes all 60 MiB.

Why it works: what is not yet sent is cleared only when the transport has written all of it, so that the count is never too low.

--- a/src/cranberrymux/wire/control_client.py
+++ b/src/cranberrymux/wire/control_client.py
@@ -173,9 +173,10 @@
         """Sends a `PeerMessage`, which has no answer.
 
         Returns:
-            False if there is no connection, so that nothing was sent.
+            False if there is no connection, or too much waits to be sent on
+            it, so that nothing was sent.
         """
-        if not self.is_connected:
+        if not self.is_connected or not self._factory.connection.has_room:
             return False
         client = self._factory.connection.client
         sent = client.deliver(self._settings.cluster_key, message)
--- a/src/cranberrymux/wire/limits.py
+++ b/src/cranberrymux/wire/limits.py
@@ -5,3 +5,5 @@
 MAXIMUM_COMMAND_BYTES = 6 << 20
 MAXIMUM_FRAME_BYTES = 8 << 20
 MAXIMUM_CONTAINER_ITEMS = 100_000
+# Of messages without an answer that wait for a peer that does not read them.
+MAXIMUM_UNSENT_BYTES = 2 * MAXIMUM_FRAME_BYTES
--- a/src/cranberrymux/wire/thrift_client_protocol.py
+++ b/src/cranberrymux/wire/thrift_client_protocol.py
@@ -42,15 +42,39 @@
     def __init__(self) -> None:
         """Starts without a connection."""
         self.client: Any = None
+        self._is_paused = False
+        self._unsent_bytes = 0
+
+    @property
+    def has_room(self) -> bool:
+        """False while too many bytes wait for a peer that does not read."""
+        return self._unsent_bytes < limits.MAXIMUM_UNSENT_BYTES
 
     def connectionMade(self) -> None:  # noqa: N802
         """Creates the client of the connection."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        transport.registerProducer(self, True)
         self.client = Control.Client(
-            _FrameTransport(self.sendString), codec.create_protocol_factory()
+            _FrameTransport(self._send_frame), codec.create_protocol_factory()
         )
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Counts frames from now on, as the peer does not read them."""
+        self._is_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Clears the count, as everything has been sent."""
+        self._is_paused = False
+        self._unsent_bytes = 0
+        transport: Any = self.transport
+        if transport.disconnecting:
+            # Closes; a producer that was paused would keep it open.
+            transport.unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Does nothing; `connectionLost` follows."""
+
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
@@ -74,6 +98,12 @@
             transport: Any = self.transport
             transport.abortConnection()
 
+    def _send_frame(self, frame: bytes) -> None:
+        send: Any = self.sendString
+        send(frame)
+        if self._is_paused:
+            self._unsent_bytes += len(frame)
+
     def _read_answer(self, frame: bytes) -> None:
         reader = codec.create_protocol_factory().getProtocol(
             TTransport.TMemoryBuffer(frame)
