--- a/src/cranberrymux/consensus/journal.py
+++ b/src/cranberrymux/consensus/journal.py
@@ -250,8 +250,9 @@
         self._outgoing = []
         install = self._take_install()
         committed = self._take_committed()
+        snapshot_wanted = self._trigger.request_if_due(len(self._snapshot.data))
         return effects.Effects(
-            outgoing, writes, install, committed, self._trigger.request_if_due()
+            outgoing, writes, install, committed, snapshot_wanted
         )
 
     def _flush(self) -> None:
--- a/src/cranberrymux/consensus/replica_settings.py
+++ b/src/cranberrymux/consensus/replica_settings.py
@@ -27,7 +27,8 @@
         snapshot_entries: Applied entries since the last snapshot at which a
             new one is requested.
         snapshot_log_bytes: Payload bytes of applied entries since the last
-            snapshot at which a new one is requested.
+            snapshot at which a new one is requested; if that snapshot is
+            larger, its size takes their place.
         retained_entries: Entries before a snapshot that stay in the log, so
             that slow members need no snapshot.
         retained_log_bytes: Most payload bytes of those entries.
--- a/src/cranberrymux/consensus/snapshot_trigger.py
+++ b/src/cranberrymux/consensus/snapshot_trigger.py
@@ -32,15 +32,20 @@
         self._applied_bytes = 0
         self._is_requested = False
 
-    def request_if_due(self) -> bool:
+    def request_if_due(self, last_snapshot_bytes: int) -> bool:
         """True if a snapshot is due and was not requested yet.
 
         Returns True once for each snapshot.
+
+        Args:
+            last_snapshot_bytes: Size of the last snapshot. Fewer bytes of
+                entries make none due, or a large state is written all the time.
         """
         if self._is_requested:
             return False
+        due_bytes = max(self._settings.snapshot_log_bytes, last_snapshot_bytes)
         self._is_requested = (
             self._applied_entries >= self._settings.snapshot_entries
-            or self._applied_bytes >= self._settings.snapshot_log_bytes
+            or self._applied_bytes >= due_bytes
         )
         return self._is_requested
