--- a/src/cranberrymux/decisions/routes/route_document.py
+++ b/src/cranberrymux/decisions/routes/route_document.py
@@ -60,8 +60,8 @@
 
 LINES_PER_STEP = 500
 # Characters of the encoded tables and the source from which on they are
-# compressed. Smaller texts stay readable for earlier versions.
-PACKED_FROM_CHARACTERS = 1 << 18
+# compressed. Control instances keep many texts, in the log and as versions.
+PACKED_FROM_CHARACTERS = 1 << 15
 HeadSteps = Generator[None, None, RouteDocumentHead | RouteDocumentError]
 LoadSteps = Generator[None, None, RouteDocument | RouteDocumentError]
 
--- a/tests/decisions/configuration/test_ledger.py
+++ b/tests/decisions/configuration/test_ledger.py
@@ -15,6 +15,7 @@
 from cranberrymux.decisions.configuration import change
 from cranberrymux.decisions.configuration import change_verdict
 from cranberrymux.decisions.configuration import ledger as ledger_module
+from cranberrymux.decisions.configuration import ledger_settings
 from tests import profiles
 
 Verdict = change_verdict.ChangeVerdict
@@ -26,7 +27,7 @@
 
 def restore_from_snapshot(ledger):
     copy = ledger_module.ConfigurationLedger()
-    copy.restore(json.loads(json.dumps(ledger.dump())))
+    copy.restore(json.loads(json.dumps(list(ledger.dump()))))
     return copy
 
 
@@ -94,14 +95,14 @@
 
 
 def dump_without_answers(self):
-    return {**_DUMP(self), "answers": []}
+    return [{**part, "answers": []} for part in _DUMP(self)]
 
 
 _DUMP = ledger_module.ConfigurationLedger.dump
 
 
 def reject_with_newest_record(self, requested):
-    newest = self._records[self._version]
+    newest = self._record_of(self._version)
     return ledger_module.change_answer.ChangeAnswer(
         Verdict.CONFLICT, newest, ""
     )
@@ -169,20 +170,17 @@
     assert ledger.document_of(4) is None
 
 
-def test_records_documents_and_answers_beyond_their_limits_are_dropped(
-    monkeypatch,
-):
-    monkeypatch.setattr(ledger_module, "RECORDS_KEPT", 4)
-    monkeypatch.setattr(ledger_module, "DOCUMENTS_KEPT", 2)
-    monkeypatch.setattr(ledger_module, "ANSWERS_KEPT", 3)
-    ledger = ledger_module.ConfigurationLedger()
+def test_records_documents_and_answers_beyond_their_limits_are_dropped():
+    ledger = ledger_module.ConfigurationLedger(
+        ledger_settings.LedgerSettings(records=4, documents=2, answers=3)
+    )
     for number in range(10):
         ledger.apply(make_change(f"id-{number}", number), number)
     assert len(ledger.history(100)) == 4
     assert ledger.document_of(9) is not None
     assert ledger.document_of(8) is None
-    state = ledger.dump()
-    assert len(state["answers"]) == 3
+    answers = [part.get("answers", ()) for part in ledger.dump()]
+    assert sum(map(len, answers)) == 3
     outdated = ledger.apply(make_change("outdated", 1), 9)
     assert outdated.verdict is Verdict.CONFLICT
     assert outdated.record.version == 10
