Control: an instance that ends by SIGTERM leaves the members first

Cause: nothing took an instance that ends on purpose out of the membership. Its vote counted until the leader had missed it for 3 s: four voters, quorum three. One more lost disk in that time left two of the four for good.

Change: on SIGTERM an instance asks the leader to remove it (Contact.is_leaving) and ends once the leader says that the membership without it is committed (ContactAnswer.has_left), or after 2 s (grace is 6 s). A leader commits its own removal. It stays a member and ends at once where fewer than 2 x tolerance + 1 voters would be left, so that a restart of one of three changes nothing. One that left comes back on its own disk as a learner under the same identity and is promoted. control-stopped says has_left. Contacts moved out of quorum_log.py.

Why it works: of an even number of voters the quorum is larger by one than without one of them; once the removal is committed, the three that are left are a quorum with any two.

--- a/src/cranberrymux/control/cluster_formation.py
+++ b/src/cranberrymux/control/cluster_formation.py
@@ -64,12 +64,25 @@
         """Returns the membership change that is due; None if not leading."""
         return self._driver.next_member_change(now_s)
 
-    def make_contact(self) -> Any:
+    def make_contact(self, is_leaving: bool) -> Any:
         """Returns the thrift `Contact` with this instance's id and address."""
         return ttypes.Contact(
-            replica_id=self._driver.replica.replica_id, address=self._address
+            replica_id=self._driver.replica.replica_id,
+            address=self._address,
+            is_leaving=is_leaving,
         )
 
+    def must_stay(self) -> bool:
+        """Returns True; the settings list every instance as a member."""
+        return True
+
+    def next_removal(
+        self, leaving_id: str
+    ) -> member_change.MemberChange | None:
+        """Returns None; the settings list every instance as a member."""
+        del leaving_id
+        return None
+
     def note_contact_answer(
         self, name: str, asked_s: float, cluster_id: str
     ) -> None:
--- a/src/cranberrymux/control/formation_settings.py
+++ b/src/cranberrymux/control/formation_settings.py
@@ -13,9 +13,11 @@
         is_first_start: True only while the whole system starts for the first
             time, with empty disks.
         minimum_voters: Number of voters below which no command is accepted,
-            and at or below which no silent voter is removed.
+            and at or below which no voter is removed.
         silent_voter_s: Time without a message from a voter after which the
             leader removes it, seconds.
+        leave_limit_s: Longest time for which an instance that ends waits until
+            the others have removed it from the members, seconds.
         heartbeat_s: Interval of the leader's heartbeats to each member,
             seconds.
         lease_s: Shortest time without a leader's message before a replica
@@ -28,6 +30,7 @@
     is_first_start: bool
     minimum_voters: int
     silent_voter_s: float
+    leave_limit_s: float
     heartbeat_s: float
     lease_s: float
     election_spread_s: float
--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import structlog
+from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import reactor as installed_reactor
 from twisted.internet import task
@@ -56,6 +57,8 @@
         self._events = structlog.get_logger()
         self._machine = state_machine.StateMachine(_claim_settings(settings))
         self._exit_code = EXIT_OK
+        self._is_stopping = False
+        self._has_left = False
         self._metrics = metrics.build(
             metrics_settings.MetricsSettings(
                 settings.statsd_address, settings.statsd_prefix
@@ -84,7 +87,11 @@
         self._reactor.callWhenRunning(self._log_ready)
         signal.signal(signal.SIGHUP, self._ignore_hang_up)
         self._reactor.run()
-        self._events.info("control-stopped", exit_code=self._exit_code)
+        self._events.info(
+            "control-stopped",
+            exit_code=self._exit_code,
+            has_left=self._has_left,
+        )
         return self._exit_code
 
     def _ignore_hang_up(self, number: int, frame: Any) -> None:
@@ -177,14 +184,17 @@
         self._metrics.flush()
 
     def _stop_for_storage_error(self, detail: str) -> None:
-        self._exit_code = EXIT_FAILED
         self._events.error("storage-failed", detail=detail)
-        self._reactor.stop()
+        self._stop_failed()
 
     def _stop_for_unexpected_error(self, error: str) -> None:
-        self._exit_code = EXIT_FAILED
         self._events.error("fault", error=error)
-        self._reactor.stop()
+        self._stop_failed()
+
+    def _stop_failed(self) -> None:
+        self._exit_code = EXIT_FAILED
+        if not self._is_stopping:
+            self._reactor.stop()
 
     def _log_storage_error(self, failed: storage.StorageError) -> None:
         self._events.error(
@@ -202,8 +212,19 @@
             operator_port=self._settings.operator_port,
         )
 
-    def _shut_down(self, log: quorum_log.QuorumLog) -> None:
+    def _shut_down(self, log: quorum_log.QuorumLog) -> defer.Deferred[None]:
+        """Leaves the members unless the instance failed, then stops.
+
+        The reactor stops once the result has fired.
+        """
+        self._is_stopping = True
         self._events.info("control-stopping")
+        has_failed = self._exit_code != EXIT_OK
+        left = defer.succeed(False) if has_failed else log.leave()
+        return left.addCallback(self._stop_parts, log)
+
+    def _stop_parts(self, has_left: bool, log: quorum_log.QuorumLog) -> None:
+        self._has_left = has_left
         log.stop()
         self._factory.close_connections()
 
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -13,7 +13,9 @@
 from cranberrymux.consensus import proposed as proposed_module
 from cranberrymux.consensus import role as role_module
 from cranberrymux.control import cluster_formation
+from cranberrymux.control import contacts
 from cranberrymux.control import control_settings
+from cranberrymux.control import member_departure
 from cranberrymux.control import peer_clients
 from cranberrymux.control import proposals
 from cranberrymux.control import quorum_watch
@@ -24,7 +26,6 @@
 from cranberrymux.telemetry import metrics_sink
 from cranberrymux.wire import codec
 from cranberrymux.wire import wire_error
-from cranberrymux.wire.gen.messages import ttypes
 
 TICK_S = 0.025
 _RETRY_MS = 500
@@ -74,6 +75,17 @@
             if settings.forming is None
             else seeded_formation.SeededFormation(settings, driver, peers)
         )
+        self._departure = member_departure.MemberDeparture(
+            driver, self._formation, reactor
+        )
+        self._contacts = contacts.Contacts(
+            driver,
+            loop,
+            peers,
+            self._formation,
+            self._departure,
+            self._vouching,
+        )
         self._ticks = task.LoopingCall(self._tick)
         self._logged_role = role_module.Role.LEARNER
         self._logged_voters: frozenset[str] = frozenset()
@@ -84,6 +96,20 @@
         self._ticks.clock = self._reactor
         self._ticks.start(TICK_S).addErrback(self._loop.fail_from_deferred)
 
+    def leave(self) -> defer.Deferred[bool]:
+        """Leaves the members, as an instance that is to end.
+
+        It stays a member if too few voters would be left, or if the others do
+        not remove it in time.
+
+        Returns:
+            Fires once the instance may be stopped, with whether it has left.
+        """
+        forming = self._settings.forming
+        if forming is None or not self._ticks.running:
+            return defer.succeed(False)
+        return self._departure.begin(forming.leave_limit_s)
+
     def stop(self) -> None:
         """Stops the ticks, disconnects and closes the data folder."""
         if self._ticks.running:
@@ -201,23 +227,8 @@
         }
 
     def contact(self, contact: Any) -> Any:
-        """Answers a thrift `Contact`; adds its sender to the cluster if due."""
-        now_s = replica_loop.now_s()
-        self._formation.learn_addresses((contact.address,))
-        added = self._formation.add_learner(
-            now_s, contact.replica_id, contact.address
-        )
-        if added is not None:
-            self._events.info("replica-joins", replica_id=contact.replica_id)
-            self._loop.execute(added)
-        journal = self._driver.replica.journal
-        return ttypes.ContactAnswer(
-            replica_id=self._driver.replica.replica_id,
-            cluster_id=journal.membership.cluster_id,
-            commit_index=journal.commit_index,
-            vouched_ms=self._leased_ms(now_s),
-            control_instances=list(self.addresses()),
-        )
+        """Answers a thrift `Contact`; its sender joins or leaves if due."""
+        return self._contacts.answer(contact, self._leased_ms, self.addresses())
 
     def deliver(self, message: Any) -> None:
         """Handles a thrift `PeerMessage` from another replica."""
@@ -248,42 +259,24 @@
         if self._driver.storage_error is not None:
             return
         self._loop.execute(self._driver.tick(replica_loop.now_s()))
-        change = self._formation.next_member_change(replica_loop.now_s())
-        if change is not None:
-            result = self._driver.change_members(replica_loop.now_s(), change)
-            if isinstance(result, proposed_module.Proposed):
-                self._events.info(
-                    "members-change",
-                    kind=change.kind.value,
-                    replica_id=change.replica_id,
-                )
-                self._loop.execute(result.actions)
+        now_s = replica_loop.now_s()
+        self._contacts.change_members(
+            now_s,
+            self._departure.next_own_removal()
+            or self._formation.next_member_change(now_s),
+        )
+        self._departure.update()
         founding = self._formation.found_cluster_if_due(replica_loop.now_s())
         if founding is not None:
             self._events.info("cluster-founded")
             self._loop.execute(founding)
-        for name in self._formation.next_contacts(replica_loop.now_s()):
-            defer.ensureDeferred(self._contact(name))
+        self._contacts.send_due(replica_loop.now_s())
         self._log_role_change()
         self._log_voter_change()
         self._quorum_watch.update(
             replica_loop.now_s(), self.vouched_ms(), self._driver.status
         )
 
-    async def _contact(self, name: str) -> None:
-        client = self._peers.find(name)
-        if client is None or not client.is_connected:
-            return
-        asked_s = replica_loop.now_s()
-        answer = await client.contact(self._formation.make_contact())
-        if isinstance(answer, wire_error.WireError):
-            return
-        self._formation.note_contact_answer(name, asked_s, answer.cluster_id)
-        self._formation.learn_addresses(answer.control_instances or ())
-        own_cluster_id = self._driver.replica.journal.membership.cluster_id
-        if answer.vouched_ms > 0 and answer.cluster_id == own_cluster_id:
-            self._vouching.note_answer(asked_s, answer.commit_index)
-
     def _log_role_change(self) -> None:
         role = self._driver.replica.role
         if role is self._logged_role:
--- a/src/cranberrymux/control/seeded_formation.py
+++ b/src/cranberrymux/control/seeded_formation.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from cranberrymux.consensus import actions as actions_module
+from cranberrymux.consensus import departure
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import founding
 from cranberrymux.consensus import member_change
@@ -81,6 +82,21 @@
             return None
         return super().add_learner(now_s, replica_id, address)
 
+    def must_stay(self) -> bool:
+        """Returns whether too few members would be left without this one."""
+        replica = self._driver.replica
+        return departure.must_stay(
+            replica, replica.replica_id, self._forming.minimum_voters
+        )
+
+    def next_removal(
+        self, leaving_id: str
+    ) -> member_change.MemberChange | None:
+        """Returns the removal of a replica that ends, if it may leave now."""
+        return departure.next_removal(
+            self._driver.replica, leaving_id, self._forming.minimum_voters
+        )
+
     def next_member_change(
         self, now_s: float
     ) -> member_change.MemberChange | None:
--- a/src/cranberrymux/wire/cranberrymux.thrift
+++ b/src/cranberrymux/wire/cranberrymux.thrift
@@ -159,6 +159,8 @@
 struct Contact {
   1: required string replica_id
   2: required string address
+  // True if the sender ends, so that the leader removes it from the members.
+  3: optional bool is_leaving
 }
 
 // `cluster_id` is empty if the answerer has no log. `vouched_ms` is the rest of
@@ -171,6 +173,9 @@
   4: required i64 vouched_ms
   // `ip:port` of every control instance that the answerer knows.
   5: optional list<string> control_instances
+  // True if the answerer leads and its committed membership does not contain
+  // the sender.
+  6: optional bool has_left
 }
 
 // An id to add to the ledger of suspects under a name.
--- a/src/cranberrymux/wire/gen/messages/ttypes.py
+++ b/src/cranberrymux/wire/gen/messages/ttypes.py
@@ -1556,13 +1556,15 @@
     Attributes:
      - replica_id
      - address
+     - is_leaving
 
     """
 
 
-    def __init__(self, replica_id=None, address=None,):
+    def __init__(self, replica_id=None, address=None, is_leaving=None,):
         self.replica_id = replica_id
         self.address = address
+        self.is_leaving = is_leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1583,6 +1585,11 @@
                     self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1601,6 +1608,10 @@
             oprot.writeFieldBegin('address', TType.STRING, 2)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
+        if self.is_leaving is not None:
+            oprot.writeFieldBegin('is_leaving', TType.BOOL, 3)
+            oprot.writeBool(self.is_leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1631,16 +1642,18 @@
      - commit_index
      - vouched_ms
      - control_instances
+     - has_left
 
     """
 
 
-    def __init__(self, replica_id=None, cluster_id=None, commit_index=None, vouched_ms=None, control_instances=None,):
+    def __init__(self, replica_id=None, cluster_id=None, commit_index=None, vouched_ms=None, control_instances=None, has_left=None,):
         self.replica_id = replica_id
         self.cluster_id = cluster_id
         self.commit_index = commit_index
         self.vouched_ms = vouched_ms
         self.control_instances = control_instances
+        self.has_left = has_left
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1681,6 +1694,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.has_left = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1714,6 +1732,10 @@
                 oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.has_left is not None:
+            oprot.writeFieldBegin('has_left', TType.BOOL, 6)
+            oprot.writeBool(self.has_left)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2877,6 +2899,7 @@
     None,  # 0
     (1, TType.STRING, 'replica_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'is_leaving', None, None, ),  # 3
 )
 all_structs.append(ContactAnswer)
 ContactAnswer.thrift_spec = (
@@ -2886,6 +2909,7 @@
     (3, TType.I64, 'commit_index', None, None, ),  # 3
     (4, TType.I64, 'vouched_ms', None, None, ),  # 4
     (5, TType.LIST, 'control_instances', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.BOOL, 'has_left', None, None, ),  # 6
 )
 all_structs.append(SuspectItem)
 SuspectItem.thrift_spec = (
