--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -17,9 +17,9 @@
 from cranberrymux.node import run_losses
 from cranberrymux.node import running_trials
 from cranberrymux.node import suspect_log
-from cranberrymux.node import suspect_message
 from cranberrymux.node import suspect_reporter
 from cranberrymux.node import suspect_rows
+from cranberrymux.node import suspect_sender
 from cranberrymux.telemetry import event
 
 # A report of a sibling is passed on to the control instances if they have not
@@ -72,12 +72,13 @@
         self.running = quarantine.running
         self._clock = system_clock
         self._reporter = reporter
-        self._send_to_siblings = send_to_siblings
+        self._sender = suspect_sender.SuspectSender(
+            reporter, send_to_siblings, cluster_key
+        )
         self.losses = run_losses.RunLosses(
             system_clock, reactor, self._record_death, self._record_survival
         )
         self.losses.may_have_ended_abandoned = self._has_abandoned
-        self._cluster_key = cluster_key
         self._claimed_keys: set[str] = set()
         self._trials = running_trials.RunningTrials(
             system_clock, self.end_trial
@@ -137,7 +138,7 @@
         if not is_granted:
             return None
         self._quarantine.merge(self._clock.now_s(), [trial])
-        self._notify_siblings([trial])
+        self._sender.notify_siblings([trial])
         return trial
 
     def start_trial(self, ticket_id: str, trial: _Report) -> None:
@@ -147,7 +148,7 @@
     def end_trial(self, trial: _Report) -> None:
         """Records that a trial ended, neither whole nor with a death."""
         ended = self._quarantine.end_trial(self._clock.now_s(), trial)
-        self._share(ended, "trial-ended")
+        self._sender.share(ended, "trial-ended")
 
     def start(
         self,
@@ -192,7 +193,7 @@
             may_still_run=may_still_run,
         )
         if cleared:
-            self._share(cleared, "run-ended")
+            self._sender.share(cleared, "run-ended")
 
     def process_confirmed(self) -> None:
         """Notes that the backend server runs on, or that its end was planned.
@@ -209,7 +210,7 @@
         may not reach those.
         """
         new = self._merge(reports, "sibling")
-        self._notify_siblings(new)
+        self._sender.notify_siblings(new)
         self._reporter.add(new, RELAY_DELAY_S)
 
     def merge_from_caller(self, reports: Sequence[_Report]) -> None:
@@ -244,7 +245,7 @@
         ]
         new = self._quarantine.merge(self._clock.now_s(), reports)
         if new:
-            self._share(new, "lost-with-node")
+            self._sender.share(new, "lost-with-node")
 
     def get_open_reports(
         self, fingerprint: fingerprints.Fingerprint
@@ -267,7 +268,7 @@
         latest = self._quarantine.get_latest_reports(
             self._clock.now_s(), _MAXIMUM_SHARED_KEYS
         )
-        return list(suspect_message.encode(latest, self._cluster_key))
+        return self._sender.encode(latest)
 
     def stop(self) -> None:
         """Sends no more reports."""
@@ -283,19 +284,6 @@
             )
         return new
 
-    def _share(self, reports: Sequence[_Report], cause: str) -> None:
-        _log.info(
-            event.Event.SUSPECTS_SHARED,
-            cause=cause,
-            **suspect_log.describe(reports),
-        )
-        self._notify_siblings(reports)
-        self._reporter.add(reports)
-
-    def _notify_siblings(self, reports: Sequence[_Report]) -> None:
-        for message in suspect_message.encode(reports, self._cluster_key):
-            self._send_to_siblings(message)
-
     def _has_abandoned(self) -> bool:
         return self._quarantine.has_abandoned(self._clock.now_s())
 
@@ -315,4 +303,4 @@
             evidence=evidence,
             suspects=len({report.key for report in reports}),
         )
-        self._share(reports, "death")
+        self._sender.share(reports, "death")
--- a/tests/gateway/test_deaths_beside_restarts.py
+++ b/tests/gateway/test_deaths_beside_restarts.py
@@ -32,7 +32,7 @@
     scene.mesh.network.run(PAUSE_BEFORE_RESTART_S)
     for index in servers:
         quarantine = scene.mesh.members[index].gateway._parts.quarantine
-        quarantine._share = lambda reports, cause: None
+        quarantine._sender.share = lambda reports, cause: None
         scene.control.restart(index)
 
 
