After a restart, hold announcements back until a health check is passed

Cause: what has left is kept in the memory of the node's process only, and the first announcement after a restart was believed, though the health check of an endpoint that leaves fails.

Change: AnnouncementFilter holds back the first announcement of a node that is not on its first start, until a health check answers 200 for that id; it is sent again every 0.5 s while the announcement is valid. Announcements that go on for 6 s are believed without one, so that a backend server whose check fails for another reason is not lost. Draining and DELETE are taken at once.

Ruled out: keeping departures at the control instances, which the node may not reach before it acknowledges one.

Also: MemoryPort closed the port of a later process that listens there; a restarted gateway of the mesh lost its ports 2.5 s after the restart, so that tests of what comes later could not fail. It now closes its own only, which is stricter.

--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -10,6 +10,7 @@
 from cranberrymux.decisions.presence import announcement as announcement_module
 from cranberrymux.decisions.presence import presence as presence_module
 from cranberrymux.decisions.routes import route_table
+from cranberrymux.gateway import announcement_filter
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import boot_clock
 from cranberrymux.gateway import confirmation_watch
@@ -23,7 +24,6 @@
 from cranberrymux.gateway import ports as ports_module
 from cranberrymux.gateway import routes_holder
 from cranberrymux.gateway import settings as gateway_settings
-from cranberrymux.gateway import startup_health_check
 from cranberrymux.gateway.explanation import explainer
 from cranberrymux.models import endpoint_record
 from cranberrymux.node import clock as clock_module
@@ -37,8 +37,6 @@
 # the stop from two readiness checks, which they send once a second.
 MINIMUM_STOP_S = 2.5
 FLUSH_DELAY_S = 0.1
-# Between a backend server and the node on the same instance.
-MAXIMUM_CLOCK_ERROR_MS = 3_600_000
 _Change = presence_module.PresenceChange
 
 
@@ -84,8 +82,13 @@
         )
         self._presence = presence_module.Presence(settings.backend_lifetime_s)
         self._exit = exit_module.Exit(self._parts, self._presence, self.leave)
-        self._health_check = startup_health_check.StartupHealthCheck(
-            settings, reactor, self._backend_found, self.leave
+        self._filter = announcement_filter.AnnouncementFilter(
+            settings,
+            reactor,
+            self._clock,
+            self._backend_found,
+            self._backend_verified,
+            self.leave,
         )
         self._own_endpoint = own_endpoint.OwnEndpoint(
             settings, self._clock.now_unix_ms()
@@ -152,17 +155,12 @@
     ) -> presence_module.PresenceChange:
         """Applies an announcement of the backend server unless it is stale.
 
-        One of another backend server changes nothing.
+        One of another backend server changes nothing, nor does one that is
+        held back; see `AnnouncementFilter`.
         """
-        if not self._is_of_own_backend(received):
-            self._events.warning(
-                "announcement-of-another",
-                backend_id=received.backend_id,
-                service=received.service,
-                address=received.address,
-                started_ms=received.started_ms,
-            )
-            return _Change.FOREIGN
+        withheld = self._filter.examine(received)
+        if withheld is not None:
+            return withheld
         previous = self._presence.current
         change = self._presence.announce(received, self._clock.now_s())
         if change is not presence_module.PresenceChange.STALE:
@@ -170,17 +168,6 @@
         self._handle_change(change, received.backend_id)
         return change
 
-    def _is_of_own_backend(
-        self, received: announcement_module.Announcement
-    ) -> bool:
-        settings = self._settings
-        latest_start_ms = self._clock.now_unix_ms() + MAXIMUM_CLOCK_ERROR_MS
-        return (
-            received.service == settings.service
-            and received.address == settings.backend_address
-            and received.started_ms <= latest_start_ms
-        )
-
     def leave(self, backend_id: str) -> presence_module.PresenceChange:
         """Applies the departure of a backend server."""
         change = self._presence.leave(backend_id, self._clock.now_unix_ms())
@@ -263,7 +250,7 @@
         self._had_routes = True
         self._directory.send_heartbeats()
         if self._presence.current is None:
-            self._health_check.start(table.document)
+            self._filter.start(table.document)
 
     def configuration_confirmed(
         self, version: int, asked_at_s: float, until_s: float
@@ -295,6 +282,12 @@
             self.announce(found)
             self._exit.limit.note_health_check(signals)
 
+    def _backend_verified(
+        self, received: announcement_module.Announcement
+    ) -> None:
+        if not self._is_stopping:
+            self.announce(received)
+
     def _handle_change(self, change: _Change, backend_id: str) -> None:
         if change in (_Change.NONE, _Change.STALE):
             return
@@ -323,6 +316,7 @@
 
     def _check(self) -> None:
         now_s = self._clock.now_s()
+        self._filter.retry()
         self._control_connections.remove_unreachable(now_s)
         self._confirmation.check(
             now_s, self._routes.version, self._control_connections.open_count
--- a/src/cranberrymux/gateway/startup_health_check.py
+++ b/src/cranberrymux/gateway/startup_health_check.py
@@ -1,4 +1,4 @@
-"""Health check that finds the backend server when a node starts."""
+"""Health check of the backend server when a node starts."""
 
 from collections.abc import Callable
 from typing import Any
@@ -18,6 +18,7 @@
 from cranberrymux.node.http import lost_answer
 
 TIMEOUT_S = 1.0
+_HEALTHY_STATUS = 200
 
 
 class StartupHealthCheck:
@@ -35,6 +36,7 @@
         on_found: Callable[
             [announcement.Announcement, backend_signals.BackendSignals], None
         ],
+        on_healthy: Callable[[str], None],
         on_leaving: Callable[[str], Any],
     ) -> None:
         """Prepares the check; `start` sends it.
@@ -44,13 +46,17 @@
             reactor: The reactor to use.
             on_found: Called with the announcement of a healthy backend server
                 and what it says of itself.
+            on_healthy: Called with the id of a backend server that passed the
+                check, before `on_found`; empty if its answer names none.
             on_leaving: Called with the id of a backend server that says that it
                 is leaving.
         """
         self._settings = settings
         self._reactor = reactor
         self._on_found = on_found
+        self._on_healthy = on_healthy
         self._on_leaving = on_leaving
+        self._has_ended = False
         self._pool = connection_pool.ConnectionPool(
             reactor, limits=answer_limits.HEAD_ONLY
         )
@@ -61,6 +67,11 @@
         self._timer: Any = None
         self._events = structlog.get_logger()
 
+    @property
+    def is_running(self) -> bool:
+        """True until the check has passed or failed."""
+        return not self._has_ended
+
     def start(self, document: route_document.RouteDocument) -> None:
         """Sends the health check that the configuration defines.
 
@@ -119,17 +130,18 @@
         if signals.is_leaving:
             self._handle_leaving(self._head)
             return
-        found = self._make_announcement(self._head, signals)
-        if found is None:
-            detail = (
-                f"no usable health check answer: status {self._head.status}"
-            )
-            if signals.load_error:
-                detail += f", load figures: {signals.load_error}"
-            self._end(detail)
-            return
-        self._end("")
-        self._on_found(found, signals)
+        backend_id = headers_module.find(
+            self._head.headers, self._settings.dialect.backend_id
+        )
+        decoded_id = (backend_id or b"").decode("latin-1")
+        is_healthy = self._head.status == _HEALTHY_STATUS
+        has_found = is_healthy and decoded_id and signals.load is not None
+        self._end("" if has_found else _describe(self._head, signals))
+        if is_healthy:
+            self._on_healthy(decoded_id)
+        if has_found and signals.load is not None:
+            found = self._make_announcement(decoded_id, signals.load.slots)
+            self._on_found(found, signals)
 
     def answer_lost(self, loss: lost_answer.LostAnswer) -> None:
         """Ends the check; the next announcement finds the backend server."""
@@ -151,24 +163,17 @@
             self._on_leaving(backend_id.decode("latin-1"))
 
     def _make_announcement(
-        self,
-        head: answer_head.AnswerHead,
-        signals: backend_signals.BackendSignals,
-    ) -> announcement.Announcement | None:
-        backend_id = headers_module.find(
-            head.headers, self._settings.dialect.backend_id
-        )
-        if head.status != 200 or not backend_id or signals.load is None:
-            return None
+        self, backend_id: str, slots: int
+    ) -> announcement.Announcement:
         return announcement.Announcement(
-            backend_id=backend_id.decode("latin-1"),
+            backend_id=backend_id,
             # Older than any announcement of the backend server itself.
             started_ms=0,
             sequence=0,
             service=self._settings.service,
             address=self._settings.backend_address,
             zone=self._settings.zone,
-            slots=signals.load.slots,
+            slots=slots,
             state=announcement.BackendState.SERVING,
             cold_left_s=0.0,
         )
@@ -183,8 +188,19 @@
         self._end("health check timed out")
 
     def _end(self, detail: str) -> None:
+        self._has_ended = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._pool.close()
         self._events.info("backend-asked", found=not detail, detail=detail)
+
+
+def _describe(
+    head: answer_head.AnswerHead, signals: backend_signals.BackendSignals
+) -> str:
+    """Describes why an answer announces no backend server."""
+    detail = f"no usable health check answer: status {head.status}"
+    if signals.load_error:
+        detail += f", load figures: {signals.load_error}"
+    return detail
--- a/tests/fakes/memory_network.py
+++ b/tests/fakes/memory_network.py
@@ -85,12 +85,15 @@
 class MemoryPort:
     """A listening port, as `listenTCP` returns it."""
 
-    def __init__(self, network, port):
+    def __init__(self, network, port, factory):
         self.network = network
         self.port = port
+        self.factory = factory
 
     def stopListening(self):
-        self.network.factories.pop(self.port, None)
+        """Closes the port unless another process listens there by now."""
+        if self.network.factories.get(self.port) is self.factory:
+            del self.network.factories[self.port]
 
 
 class MemoryNetwork(task.Clock):
@@ -118,7 +121,7 @@
 
     def listenTCP(self, port, factory, backlog=50, interface=""):
         self.listen(port, factory)
-        return MemoryPort(self, port)
+        return MemoryPort(self, port, factory)
 
     def callFromThread(self, function, *arguments):
         self.callLater(0, function, *arguments)
