Decode long cells of a configuration in steps, too

Callers saw: nothing measured at a deployment. A control instance answered nothing for 0.4 to 1.6 s of processor time (trial: 8 MB in one cell of a row or in a field below the third level) while it decoded one value at once.

Cause: values below the third level were decoded in one step, whatever their length, and steps were counted in members only.

Change: below the third level a list or map is decoded at once if it is no longer than 4,096 characters, and member by member otherwise; a step also ends after 131,072 characters.

--- a/src/cranberrymux/models/json_steps.py
+++ b/src/cranberrymux/models/json_steps.py
@@ -7,10 +7,13 @@
 
 from cranberrymux.models import strict_json
 
-# Levels of lists and maps whose members are decoded one by one: those of the
-# text, of a table and of its rows.
+# Levels of lists and maps whose members are always decoded one by one: those
+# of the text, of a table and of its rows.
 STEPPED_LEVELS = 3
+# Lists and maps below these levels are decoded at once if they are no longer.
+SHORT_CHARACTERS = 4096
 MEMBERS_PER_STEP = 500
+CHARACTERS_PER_STEP = 1 << 17
 _SPACE = re.compile(r"[ \t\n\r]*")
 _Steps = Generator[None, None, tuple[Any, int]]
 
@@ -22,43 +25,69 @@
         ValueError: The text is not valid JSON.
     """
     start = _skip_space(text, 0)
-    value, end = yield from _Decoder(text).load(start, STEPPED_LEVELS)
+    try:
+        value, end = yield from _Decoder(text).load(start, 0)
+    except RecursionError:
+        raise strict_json.make_depth_error(text, start) from None
     if _skip_space(text, end) != len(text):
         raise json.JSONDecodeError("Extra data", text, end)
     return value
 
 
 class _Decoder:
-    """Decodes one text and counts the members decoded."""
+    """Decodes one text and counts what was decoded since the last yield."""
 
     def __init__(self, text: str) -> None:
         self._text = text
         self._member_count = 0
+        self._yielded_at = 0
 
-    def load(self, start: int, levels: int) -> _Steps:
-        """Decodes the value that begins at `start`; returns it and its end."""
+    def load(self, start: int, level: int) -> _Steps:
+        """Decodes the value that begins at `start`; returns it and its end.
+
+        Args:
+            start: Position of the value in the text.
+            level: Number of lists and maps around it.
+        """
         first = self._text[start : start + 1]
-        if levels and first == "[":
-            return (yield from self._load_list(start, levels - 1))
-        if levels and first == "{":
-            return (yield from self._load_map(start, levels - 1))
-        return strict_json.load_value(self._text, start)
+        if first not in ("[", "{"):
+            return strict_json.load_value(self._text, start)
+        if level >= STEPPED_LEVELS:
+            loaded = self._load_short(start)
+            if loaded is not None:
+                return loaded
+        if level >= strict_json.MAXIMUM_LEVELS:
+            raise strict_json.make_depth_error(self._text, start)
+        if first == "[":
+            return (yield from self._load_list(start, level + 1))
+        return (yield from self._load_map(start, level + 1))
+
+    def _load_short(self, start: int) -> tuple[Any, int] | None:
+        """Decodes a list or map at once; None if it is too long for that."""
+        end = start + SHORT_CHARACTERS
+        if end >= len(self._text):
+            return strict_json.load_value(self._text, start)
+        try:
+            value, length = strict_json.load_value(self._text[start:end], 0)
+        except json.JSONDecodeError:
+            return None  # It is longer, or its fault is found in steps.
+        return value, start + length
 
-    def _load_list(self, start: int, levels: int) -> _Steps:
+    def _load_list(self, start: int, level: int) -> _Steps:
         values: list[Any] = []
         position, is_closed = self._open(start, "]")
         while not is_closed:
-            value, position = yield from self._load_member(position, levels)
+            value, position = yield from self._load_member(position, level)
             values.append(value)
             position, is_closed = self._end_member(position, "]")
         return values, position + 1
 
-    def _load_map(self, start: int, levels: int) -> _Steps:
+    def _load_map(self, start: int, level: int) -> _Steps:
         members: list[tuple[str, Any]] = []
         position, is_closed = self._open(start, "}")
         while not is_closed:
             key, position = self._load_key(position)
-            value, position = yield from self._load_member(position, levels)
+            value, position = yield from self._load_member(position, level)
             members.append((key, value))
             position, is_closed = self._end_member(position, "}")
         try:
@@ -66,11 +95,16 @@
         except ValueError as error:
             raise json.JSONDecodeError(str(error), self._text, start) from error
 
-    def _load_member(self, position: int, levels: int) -> _Steps:
+    def _load_member(self, position: int, level: int) -> _Steps:
         self._member_count += 1
-        if self._member_count % MEMBERS_PER_STEP == 0:
+        if (
+            self._member_count >= MEMBERS_PER_STEP
+            or position - self._yielded_at >= CHARACTERS_PER_STEP
+        ):
+            self._member_count = 0
+            self._yielded_at = position
             yield
-        return (yield from self.load(position, levels))
+        return (yield from self.load(position, level))
 
     def _load_key(self, position: int) -> tuple[str, int]:
         key, end = None, position
--- a/src/cranberrymux/models/strict_json.py
+++ b/src/cranberrymux/models/strict_json.py
@@ -38,14 +38,14 @@
     try:
         value, end = _DECODER.raw_decode(text, start)
     except RecursionError:
-        raise _make_depth_error(text, start) from None
+        raise make_depth_error(text, start) from None
     except json.JSONDecodeError:
         raise
     except ValueError as error:
         raise json.JSONDecodeError(str(error), text, start) from error
     brackets = text.count("[", start, end) + text.count("{", start, end)
     if brackets > MAXIMUM_LEVELS and _is_too_deep(value):
-        raise _make_depth_error(text, start)
+        raise make_depth_error(text, start)
     return value, end
 
 
@@ -70,7 +70,8 @@
 )
 
 
-def _make_depth_error(text: str, start: int) -> json.JSONDecodeError:
+def make_depth_error(text: str, start: int) -> json.JSONDecodeError:
+    """Returns the error for a text with too many levels."""
     return json.JSONDecodeError(
         f"Expecting at most {MAXIMUM_LEVELS} levels", text, start
     )
--- a/tests/platform/test_json_steps.py
+++ b/tests/platform/test_json_steps.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import time
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -14,6 +16,8 @@
 from cranberrymux.models import steps
 from cranberrymux.models import strict_json
 
+MAXIMUM_STEP_S = 0.1
+
 VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
@@ -74,6 +78,33 @@
     assert count >= 10_000 // json_steps.MEMBERS_PER_STEP
 
 
+# Guards against an instance that answers no heartbeat for seconds, as one cell
+# of a configuration holds megabytes.
+@pytest.mark.parametrize("cell", ["1,", "[],", "{},", '"a",', "[[1],[2]],"])
+def test_long_cell_is_decoded_in_short_steps(cell):
+    text = "[[[[" + cell * (2_000_000 // len(cell)) + "1]]]]"
+    longest_s = 0.0
+    began_s = time.process_time()
+    for _ in json_steps.load_in_steps(text):
+        now_s = time.process_time()
+        longest_s = max(longest_s, now_s - began_s)
+        began_s = now_s
+    assert max(longest_s, time.process_time() - began_s) < MAXIMUM_STEP_S
+
+
+@hypothesis.given(VALUES, strategies.sampled_from([None, 1]))
+def test_long_cells_are_decoded_as_short_ones(value, indent):
+    text = json.dumps([[[value, {"a": value}]]], indent=indent)
+    with mock.patch.object(json_steps, "SHORT_CHARACTERS", 3):
+        assert load(text) == strict_json.load(text)
+
+
+def test_levels_of_long_cells_are_bounded():
+    inner = "[" * 250 + "1" * 5000 + "]" * 250
+    with pytest.raises(ValueError, match="levels"):
+        load(f"[[[{inner}]]]")
+
+
 def test_long_list_is_decoded_in_steps():
     count = sum(1 for _ in json_steps.load_in_steps(json.dumps([1] * 5000)))
     assert count == 5000 // json_steps.MEMBERS_PER_STEP
