Ignore the context of a tree whose share is not finite

Callers saw: nothing measured. A share of nan or inf in a header between nodes was taken, while such a rank was not; what is compared with it has no order.

Cause: one of two numbers was checked.

Test: test_tree_context_with_a_number_that_is_not_finite_is_ignored; 4 of 5 cases seen failing before.

--- a/src/cranberrymux/gateway/hop.py
+++ b/src/cranberrymux/gateway/hop.py
@@ -207,13 +207,14 @@
 @functools.lru_cache(_KEPT_VALUES)
 def _parse_tree_context(value: bytes, account: bytes) -> TreeContext:
     try:
-        encoded_rank, share, flags = value.split(b"/")
+        encoded_rank, encoded_share, flags = value.split(b"/")
         rank = float(encoded_rank)
-        if not math.isfinite(rank):
+        share = float(encoded_share)
+        if not (math.isfinite(rank) and math.isfinite(share)):
             return DEFAULT_TREE_CONTEXT
         tree_context = TreeContext(
             rank,
-            float(share),
+            share,
             flags in _REPEAT_FLAGS,
             has_left_zone=flags in _LEFT_ZONE_FLAGS,
         )
--- a/tests/gateway/test_malformed_numbers.py
+++ b/tests/gateway/test_malformed_numbers.py
@@ -49,3 +49,11 @@
     assert hop.decode_leaving(headers) is None
     assert hop.decode_limit_wait(headers) == 0.0
     assert hop.decode_rate_limit(headers) is None
+
+
+# Guards against an order of waiting requests that no number keeps.
+@pytest.mark.parametrize("number", [b"nan", b"inf", b"-inf", b"1e999", b""])
+def test_tree_context_with_a_number_that_is_not_finite_is_ignored(number):
+    for value in (b"1/%b/0" % number, b"%b/1/0" % number):
+        decoded = hop.read_tree_context({hop.TREE_CONTEXT: value})
+        assert decoded == hop.DEFAULT_TREE_CONTEXT
