Bound the detail of an answer to an operator

Callers saw: a configuration that names an unknown service with a name of a megabyte was answered with it, and logged with it, by each instance.

Change: answers and log lines show 500 characters.

Test: test_answer_shows_a_part_of_a_long_name, seen failing before (1,000,041 bytes).

--- a/src/cranberrymux/platform/control_port.py
+++ b/src/cranberrymux/platform/control_port.py
@@ -20,6 +20,7 @@
 from cranberrymux.platform import paths
 
 MAXIMUM_BODY_BYTES = 8 << 20
+_MAXIMUM_DETAIL_CHARACTERS = 500  # Names in it may be of any length.
 _MAXIMUM_LABEL_DIGITS = len(str(json_fields.MAXIMUM_INTEGER))
 _Verdict = route_changes.PutVerdict
 _STATUS = {
@@ -148,6 +149,7 @@
         detail: str,
         label: int,
     ) -> None:
+        detail = detail[:_MAXIMUM_DETAIL_CHARACTERS]
         self._events.info(
             "change-answered", label=label, status=status, detail=detail
         )
--- a/tests/platform/test_invalid_at_control.py
+++ b/tests/platform/test_invalid_at_control.py
@@ -77,6 +77,21 @@
     assert put_everywhere(fleet, header, body) == 412
 
 
+# Guards against log lines and answers of megabytes.
+def test_answer_shows_a_part_of_a_long_name(fleet):
+    base = get_version(fleet)
+    name = "x" * 1_000_000
+    body = replace_text(base + 1, '"s1"', f'"{name}"')
+    assert put_everywhere(fleet, base, body) == 400
+    for instance in fleet.instances:
+        _, answer = instance.call(
+            "PUT", "/cranberrymux/config", body, {"If-Match": str(base)}
+        )
+        assert len(answer) < 1000
+        lines = instance.log.read_text().splitlines()
+        assert max(map(len, lines)) < 10_000
+
+
 def test_valid_configuration_is_accepted_after_all_these(fleet):
     base = get_version(fleet)
     fleet.put_until_accepted(base + 1, base)
