Control: a learner that never answered is not promoted

What callers saw: nothing yet; found by a new test. An instance that made contact once and was gone again became a voter within a lease, so that three of four had to answer; with one more lost disk no quorum was left.

Cause: silence of a member is counted from when the leader added it, and its lag from index 0. While no more than promotion_lag_entries (64) are committed, a learner without any answer was neither silent nor behind. In the first seconds of a cluster, voters were counted that held nothing at all.

Ruled out: a smaller lag (a busy log would delay promotions), and silence from the start (every learner would wait for a heartbeat).

Change: a learner is promoted only once it has confirmed an entry to this leader.

Evidence: test_promotion_of_learner_that_never_answered_is_refused fails without the change and passes with it; tests/consensus and test_cluster_formation.py passed.

Why it works: what a learner confirms is on its disk, and it needs a connection in both directions to do so.

--- a/src/cranberrymux/consensus/member_rules.py
+++ b/src/cranberrymux/consensus/member_rules.py
@@ -165,17 +165,29 @@
         return _refuse(_Reason.ALREADY_DONE, replica_id)
     if _is_name_in_use(settings, journal, leader, now_s, replica_id):
         return _refuse(_Reason.NAME_IN_USE, replica_id)
+    lacking = _find_lacking(settings, journal, leader, now_s, replica_id)
+    if lacking:
+        return _refuse(_Reason.NOT_CAUGHT_UP, lacking)
+    return journal.membership.with_member(member._replace(voter=True))
+
+
+def _find_lacking(
+    settings: replica_settings.ReplicaSettings,
+    journal: journal_module.Journal,
+    leader: leader_module.Leader,
+    now_s: float,
+    replica_id: str,
+) -> str:
+    """Returns what a learner lacks to be promoted; empty for nothing."""
     if leader.silent_s(now_s, replica_id) > settings.lease_s:
-        return _refuse(
-            _Reason.NOT_CAUGHT_UP,
-            "the learner was not heard from within the lease time",
-        )
-    lag = journal.commit_index - leader.match_index(replica_id)
+        return "the learner was not heard from within the lease time"
+    match_index = leader.match_index(replica_id)
+    if match_index == 0:
+        return "the learner has not confirmed any entry"
+    lag = journal.commit_index - match_index
     if lag > settings.promotion_lag_entries:
-        return _refuse(
-            _Reason.NOT_CAUGHT_UP, f"the learner lacks {lag} committed entries"
-        )
-    return journal.membership.with_member(member._replace(voter=True))
+        return f"the learner lacks {lag} committed entries"
+    return ""
 
 
 def _remove(
--- a/tests/consensus/test_lost_disk.py
+++ b/tests/consensus/test_lost_disk.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bench import consensus_scenarios
+from bench import consensus_simulated_cluster
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import refusals
 from cranberrymux.consensus import replica
@@ -114,6 +115,21 @@
     assert learner_id not in _voters(world)
 
 
+def test_promotion_of_learner_that_never_answered_is_refused():
+    """Else an instance that is gone again counts for the quorum."""
+    world = consensus_scenarios.build_cluster(11, 3, replica.Replica)
+    leader = consensus_scenarios.wait_for_lease_holder(world)
+    settings = consensus_simulated_cluster.SETTINGS
+    assert leader.replica.journal.commit_index < settings.promotion_lag_entries
+    add = member_change.MemberChange(
+        member_change.ChangeKind.ADD_LEARNER, "z@1", "z"
+    )
+    assert world.change(leader, add)
+    for _ in range(10):
+        world.run_for(0.1)
+        assert "z@1" not in _voters(world)
+
+
 def test_replacement_of_live_member_is_refused(world):
     leader = world.leaders()[0]
     follower = next(node for node in world.nodes if node is not leader)
