--- a/src/cranberrymux/control/state_machine.py
+++ b/src/cranberrymux/control/state_machine.py
@@ -150,19 +150,20 @@
     return json.dumps(value, separators=(",", ":")).encode() + b"\n"
 
 
-def _split_lines(payload: bytes) -> Iterator[bytes]:
+def _split_lines(payload: bytes) -> Iterator[str]:
     """Returns the lines one by one, so that only one is held as a copy."""
+    view = memoryview(payload)
     start = 0
     while start < len(payload):
         end = payload.find(b"\n", start)
         if end < 0:
             end = len(payload)
-        yield payload[start:end]
+        yield str(view[start:end], "utf-8")
         start = end + 1
 
 
 def _decode_parts(
-    header: dict[str, Any], lines: Iterator[bytes]
+    header: dict[str, Any], lines: Iterator[str]
 ) -> Iterator[dict[str, Any]]:
     """Decodes the lines after the first one, of this or the earlier format."""
     if header["format"] == _FORMAT_VERSION:
