Control: a silent voter of an even number is removed after 1 s

What callers saw: an instance killed for good beside its successor was still a voter 3 s and an election later, 6 s after a kill of all; one more disk lost after the 4 s of catch_up left two of four voters, and every read and change 503, for good.

Cause: one silence for every number of voters, counted anew by each leader. With four voters of which one is dead, three of three have to answer.

Ruled out: a refused or reset connection as a sign of death (a process restarts, a frozen one refuses nothing); an odd number of voters with the others as learners (a replacement takes one entry more while a voter is dead); removing the old identity of a lost disk before its new one is promoted (tried in the model: nothing is found without it, since the silence covers it).

Change: of an even number of voters a silent one is removed after two leases (surplus_silent_s, 1 s): whatever the others can do with it they can do without it, and lose one more besides. Of an odd number, as before. Never below 2 x tolerance + 1.

--- a/bench/consensus_founding_cluster.py
+++ b/bench/consensus_founding_cluster.py
@@ -14,6 +14,7 @@
 
 FOUNDER = "a"
 SILENT_VOTER_S = 0.6
+SURPLUS_SILENT_S = 0.4
 LATEST_START_S = 0.3
 
 
@@ -21,6 +22,9 @@
     """Starts instances with empty disks, at random times.
 
     Attributes:
+        silent_s: Time without a message after which a member is removed,
+            seconds.
+        surplus_silent_s: The same for one of an even number of voters.
         minimum_voters: Number of voters below which no command is proposed,
             and at or below which no silent voter is removed.
         first_start_names: Names of the instances whose next start is their
@@ -30,6 +34,9 @@
             command; None for no call.
     """
 
+    silent_s = SILENT_VOTER_S
+    surplus_silent_s = SURPLUS_SILENT_S
+
     def __init__(
         self,
         seed: int,
@@ -111,7 +118,8 @@
             leader.replica,
             leader.local_time_s(self.now_s),
             self.minimum_voters,
-            SILENT_VOTER_S,
+            silent_s=self.silent_s,
+            surplus_silent_s=self.surplus_silent_s,
         )
         if removal is not None and self.change(leader, removal):
             self.event_counts["silent voters removed"] += 1
--- a/src/cranberrymux/consensus/replica.py
+++ b/src/cranberrymux/consensus/replica.py
@@ -35,6 +35,17 @@
             and self._leader.silent_s(now_s, voter_id) > limit_s
         )
 
+    def silent_learners(self, now_s: float, limit_s: float) -> tuple[str, ...]:
+        """Returns the learners not heard from within the limit, if it leads."""
+        if self._leader is None:
+            return ()
+        return tuple(
+            member.replica_id
+            for member in self._journal.membership.members
+            if not member.voter
+            and self._leader.silent_s(now_s, member.replica_id) > limit_s
+        )
+
     def status(self, now_s: float) -> status_module.Status:
         """Returns the present state for operators and health checks."""
         silent_voters = self.silent_voters(now_s, 2 * self._settings.lease_s)
--- a/src/cranberrymux/control/formation_settings.py
+++ b/src/cranberrymux/control/formation_settings.py
@@ -14,8 +14,10 @@
             time, with empty disks.
         minimum_voters: Number of voters below which no command is accepted,
             and at or below which no voter is removed.
-        silent_voter_s: Time without a message from a voter after which the
+        silent_voter_s: Time without a message from a member after which the
             leader removes it, seconds.
+        surplus_silent_s: The same for one of an even number of voters, without
+            which the quorum is smaller.
         leave_limit_s: Longest time for which an instance that ends waits until
             the others have removed it from the members, seconds.
         heartbeat_s: Interval of the leader's heartbeats to each member,
@@ -30,6 +32,7 @@
     is_first_start: bool
     minimum_voters: int
     silent_voter_s: float
+    surplus_silent_s: float
     leave_limit_s: float
     heartbeat_s: float
     lease_s: float
--- a/src/cranberrymux/control/seeded_formation.py
+++ b/src/cranberrymux/control/seeded_formation.py
@@ -111,5 +111,6 @@
             self._driver.replica,
             now_s,
             self._forming.minimum_voters,
-            self._forming.silent_voter_s,
+            silent_s=self._forming.silent_voter_s,
+            surplus_silent_s=self._forming.surplus_silent_s,
         )
--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -29,6 +29,8 @@
 PROPOSAL_TIMEOUT_MS = 3000
 SNAPSHOT_ENTRIES = 200
 SILENT_VOTER_S = 3.0
+# Two leases, so that one lost message does not count as silence.
+SURPLUS_SILENT_S = 1.0
 # An election and some commits; well below the grace period of a stop.
 LEAVE_LIMIT_S = 2.0
 # Short, since restarts are frequent and no request is served before there is a
@@ -195,6 +197,7 @@
             is_first_start=bool(own["bootstrap"]),
             minimum_voters=2 * int(tolerated_failures) + 1,
             silent_voter_s=SILENT_VOTER_S,
+            surplus_silent_s=SURPLUS_SILENT_S,
             leave_limit_s=LEAVE_LIMIT_S,
             heartbeat_s=REPLICA_HEARTBEAT_S,
             lease_s=REPLICA_LEASE_S,
--- a/tests/control/test_founding_on_a_full_disk.py
+++ b/tests/control/test_founding_on_a_full_disk.py
@@ -103,6 +103,7 @@
             is_first_start=is_first_start,
             minimum_voters=3,
             silent_voter_s=3.0,
+            surplus_silent_s=1.0,
             leave_limit_s=2.0,
             heartbeat_s=settings.heartbeat_s,
             lease_s=settings.lease_s,
