Control: a leader notices a connection to a member that went silent

What callers saw: a follower whose connection from the leader went silent without a reset heard of no change any more, for good: it answered every read 503, and it was a voter that no quorum could use. The same for an instance with an empty disk whose seeds are all gone: nobody told it of the others.

Cause: what a leader sends has no answer on that connection (deliver is one way; answers come on the follower's own one), so no call timed out and nothing ended it; control connections have no keepalive. A leader contacted nobody.

Ruled out: TCP keepalive and user timeout as nodes have them between one another (they see no peer that acknowledges and reads nothing, such as a middlebox, and don't help the instance without seeds).

Change: a leader makes contact (the call that a follower makes) with members silent for 0.5 s; the call's timeout of 0.8 s aborts the connection, and the client connects anew. The contact carries the leader's address, from which an instance without live seeds learns whom to join. A member that knows no leader contacts all others in every kind of cluster; before only with seeds.

Why it works: whatever is wrong between a leader and a member shows as silence, and a call with a time limit is the only message that tells a dead connection.

--- a/src/cranberrymux/control/cluster_formation.py
+++ b/src/cranberrymux/control/cluster_formation.py
@@ -9,12 +9,15 @@
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import member_rules
 from cranberrymux.consensus import proposed as proposed_module
+from cranberrymux.consensus import role as role_module
 from cranberrymux.control import control_settings
 from cranberrymux.control import peer_clients
 from cranberrymux.wire.gen.messages import ttypes
 
 CONTACT_S = 0.15
 _EMPTY_ANSWER_VALID_S = 1.0
+# Time without a message after which a leader checks its connection to a member.
+_SILENT_S = 0.5
 
 
 class ClusterFormation:
@@ -101,20 +104,33 @@
     def next_contacts(self, now_s: float) -> tuple[str, ...]:
         """Returns the names of the instances to contact now.
 
-        A replica that is not a member contacts all others, a member only the
-        leader. Between two contacts the result is empty.
+        A leader contacts the members that are silent: its messages to them have
+        no answer on the same connection, and a contact that times out ends a
+        connection that went silent. A replica that is not a member or knows no
+        leader contacts all others, another one only its leader. Between two
+        contacts the result is empty.
         """
         if now_s < self._next_contact_s:
             return ()
         self._next_contact_s = now_s + CONTACT_S
         replica = self._driver.replica
-        if replica.journal.membership.find(replica.replica_id) is None:
-            return self._peers.names
+        if replica.role is role_module.Role.LEADER:
+            return self._silent_names(now_s)
         leader = replica.leader_hint.partition("@")[0]
-        if leader in ("", self._settings.control_id):
-            return ()
+        is_member = replica.journal.membership.find(replica.replica_id)
+        if not leader or is_member is None:
+            return self._peers.names
         return (leader,)
 
+    def _silent_names(self, now_s: float) -> tuple[str, ...]:
+        replica = self._driver.replica
+        silent_ids = (
+            *replica.silent_voters(now_s, _SILENT_S),
+            *replica.silent_learners(now_s, _SILENT_S),
+        )
+        names = (silent_id.partition("@")[0] for silent_id in silent_ids)
+        return tuple(dict.fromkeys(names))
+
     def found_cluster_if_due(
         self, now_s: float
     ) -> actions_module.Actions | None:
--- a/src/cranberrymux/control/seeded_formation.py
+++ b/src/cranberrymux/control/seeded_formation.py
@@ -44,22 +44,10 @@
                 self._peers.add(instance)
 
     def next_contacts(self, now_s: float) -> tuple[str, ...]:
-        """Returns the names of the instances to contact now.
-
-        A replica that knows no leader, or is not a member, contacts all: it
-        may have been removed while it was unreachable.
-        """
-        if now_s < self._next_contact_s:
-            return ()
-        replica = self._driver.replica
-        members = replica.journal.membership
-        self.learn_addresses(member.address for member in members.members)
-        needs_leader = not replica.leader_hint or not members.find(
-            replica.replica_id
-        )
-        if needs_leader and replica.role is not role_module.Role.LEADER:
-            self._next_contact_s = now_s + cluster_formation.CONTACT_S
-            return self._peers.names
+        """Like the base class; first updates which instances are known."""
+        if now_s >= self._next_contact_s:
+            members = self._driver.replica.journal.membership
+            self.learn_addresses(member.address for member in members.members)
         return super().next_contacts(now_s)
 
     def found_cluster_if_due(
--- a/tests/control/relay.py
+++ b/tests/control/relay.py
@@ -12,12 +12,21 @@
     def __init__(self, target_port):
         self.target_port = target_port
         self.is_cut = False
+        self.silenced = frozenset()
+        self.connections = set()
         self.listener = socket.socket()
         self.listener.bind(("127.0.0.1", 0))
         self.listener.listen(16)
         self.listener.setblocking(False)
         self.port = self.listener.getsockname()[1]
 
+    def silence(self):
+        """Holds back all bytes of the open connections, for good.
+
+        None is closed, and later connections work.
+        """
+        self.silenced |= frozenset(self.connections)
+
 
 class Relay(threading.Thread):
     """Forwards bytes between the links' connections and their targets.
@@ -46,7 +55,7 @@
             is_idle = True
             for key, _ in self._selector.select(0.05):
                 link, opposite = key.data
-                if link.is_cut:
+                if link.is_cut or key.fileobj in link.silenced:
                     continue
                 is_idle = False
                 if opposite is None:
@@ -75,6 +84,7 @@
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             end.settimeout(1.0)
             self._selector.register(end, selectors.EVENT_READ, (link, opposite))
+            link.connections.add(end)
 
     def _forward(self, link, source, target):
         data = b""
--- a/tests/control/test_cuts.py
+++ b/tests/control/test_cuts.py
@@ -120,3 +120,23 @@
     cluster.heal()
     checks.wait_for_voters(cluster)
     checks.check_histories(cluster, accepted, base)
+
+
+def test_a_follower_whose_connection_went_silent_hears_of_changes_again(
+    cluster,
+):
+    """The leader has to notice: it expects no answers on that connection."""
+    leader = cluster.wait_for_leader()
+    follower = next(x for x in cluster.instances if x is not leader)
+    base = checks.get_version(cluster)
+    cluster.links[leader.name, follower.name].silence()
+    answer = checks.change_until_answered(
+        [leader], "silent", base, checks.make_document("silent")
+    )
+    assert answer.status == 200
+    wait_until(
+        lambda: (
+            (status := follower.status())
+            and status["configuration_version"] > base
+        )
+    )
--- a/tests/platform/test_lost_instance.py
+++ b/tests/platform/test_lost_instance.py
@@ -121,3 +121,20 @@
         assert taken_s < REPLACED_IN_S
         for instance in fleet.instances:
             wait_until(lambda instance=instance: instance.get() == 2)
+
+
+def test_an_instance_whose_seeds_are_gone_is_found_by_the_others(tmp_path):
+    """It lost its disk, and its list of seeds names none that is there."""
+    with fleet_module.Fleet(tmp_path, 3) as fleet:
+        fleet.put_until_accepted(1, 0)
+        seconds_until_voters(fleet, fleet.instances)
+        old_identities = fleet.voters()
+        leader = test_planned_replacement.leader_of(fleet)
+        # Without a new election, in which all make contact with all.
+        lost = next(x for x in fleet.instances if x is not leader)
+        lost.kill()
+        lost.wipe()
+        fleet.seeds = [f"{fleet.net}.200:{fleet.control_port}"]
+        lost.start()
+        wait_until(lambda: lost.get() == 1)
+        wait_until(lambda: len(fleet.voters() - old_identities) == 1)
