Control: instances that are gone are forgotten, and nodes not told of them

What callers saw: every control instance connected for ever, five times a second, to each address it had ever heard of, and named it to all nodes in each answer; a node counts that as a contact, so it never dropped the address either. After each replacement one more dead address stayed with everybody.

Cause: PeerClients never forgot, and everything known was told.

Ruled out: forgetting alone (two instances would teach each other the name again).

Change: told are the members and whoever is connected; what is neither, and not in the settings, is forgotten after 10 s, the time of the nodes. An instance that comes back makes contact itself, and is known again.

--- a/src/cranberrymux/control/cluster_formation.py
+++ b/src/cranberrymux/control/cluster_formation.py
@@ -58,6 +58,11 @@
         """`ip:port` of this instance."""
         return self._address
 
+    @property
+    def told_addresses(self) -> tuple[str, ...]:
+        """`ip:port` of the instances to tell nodes and other instances of."""
+        return (*self._peers.addresses, self._address)
+
     def learn_addresses(self, addresses: Iterable[str]) -> None:
         """Ignores the addresses; the settings list every instance."""
 
--- a/src/cranberrymux/control/peer_clients.py
+++ b/src/cranberrymux/control/peer_clients.py
@@ -1,5 +1,6 @@
 """Client connections from a control instance to the others."""
 
+from collections.abc import Collection
 from typing import Any
 
 from cranberrymux.control import control_settings
@@ -9,6 +10,7 @@
 from cranberrymux.wire.gen.messages import ttypes
 
 BACKOFFS_PER_TIMEOUT = 4
+FORGET_AFTER_S = 10.0
 
 
 class PeerClients:
@@ -33,6 +35,7 @@
         self._is_started = False
         self._peers: dict[str, peer.Peer] = {}
         self._clients: dict[str, control_client.ControlClient] = {}
+        self._seen_at_s: dict[str, float] = {}
         for other in settings.other_peers:
             self.add(other)
 
@@ -80,6 +83,32 @@
         if self._is_started:
             client.start()
 
+    def forget_unreachable(
+        self, now_s: float, kept_names: Collection[str]
+    ) -> None:
+        """Forgets instances without a connection for `FORGET_AFTER_S`.
+
+        Those in the settings are kept, since they may be the only way back to
+        the others.
+
+        Args:
+            now_s: Present time in monotonic seconds.
+            kept_names: Names of further instances to keep.
+        """
+        settings_names = {peer.control_id for peer in self._settings.peers}
+        for name in self.names:
+            seen_at_s = self._seen_at_s.setdefault(name, now_s)
+            is_kept = name in kept_names or name in settings_names
+            if is_kept or self.is_connected(name):
+                self._seen_at_s[name] = now_s
+            elif now_s - seen_at_s > FORGET_AFTER_S:
+                self._forget(name)
+
+    def is_connected(self, name: str) -> bool:
+        """Returns whether the connection to an instance is open."""
+        client = self._clients.get(name)
+        return client is not None and client.is_connected
+
     def find(self, name: str) -> control_client.ControlClient | None:
         """Returns the client of an instance; None if the name is unknown."""
         return self._clients.get(name)
@@ -101,3 +130,8 @@
                 payload=payload,
             )
         )
+
+    def _forget(self, name: str) -> None:
+        self._clients.pop(name).stop()
+        del self._peers[name]
+        del self._seen_at_s[name]
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -201,8 +201,8 @@
         return self._driver.replica.journal.term
 
     def addresses(self) -> tuple[str, ...]:
-        """Returns `ip:port` of all known control instances and of this one."""
-        return (*self._peers.addresses, self._formation.address)
+        """Returns `ip:port` of the control instances to tell nodes of."""
+        return self._formation.told_addresses
 
     def report_metrics(self) -> None:
         """Sends the gauges of the term and of the leadership."""
--- a/src/cranberrymux/control/seeded_formation.py
+++ b/src/cranberrymux/control/seeded_formation.py
@@ -36,6 +36,22 @@
         assert settings.forming is not None
         self._forming: formation_settings.FormationSettings = settings.forming
 
+    @property
+    def told_addresses(self) -> tuple[str, ...]:
+        """`ip:port` of this instance and of those that are there.
+
+        One that is neither connected nor a member may be gone for good.
+        """
+        member_names = self._member_names()
+        return (
+            *(
+                self._peers.find_address(name)
+                for name in self._peers.names
+                if name in member_names or self._peers.is_connected(name)
+            ),
+            self._address,
+        )
+
     def learn_addresses(self, addresses: Iterable[str]) -> None:
         """Connects to the instances at these `ip:port` not known yet."""
         for address in addresses:
@@ -48,6 +64,7 @@
         if now_s >= self._next_contact_s:
             members = self._driver.replica.journal.membership
             self.learn_addresses(member.address for member in members.members)
+            self._peers.forget_unreachable(now_s, self._member_names())
         return super().next_contacts(now_s)
 
     def found_cluster_if_due(
@@ -102,3 +119,7 @@
             silent_s=self._forming.silent_voter_s,
             surplus_silent_s=self._forming.surplus_silent_s,
         )
+
+    def _member_names(self) -> frozenset[str]:
+        members = self._driver.replica.journal.membership
+        return frozenset(member.name for member in members.members)
--- a/tests/platform/test_planned_replacement.py
+++ b/tests/platform/test_planned_replacement.py
@@ -11,6 +11,7 @@
 import pytest
 
 from cranberrymux.platform import settings_file
+from tests.control import calls
 from tests.platform import fleet as fleet_module
 
 wait_until = fleet_module.wait_until
@@ -94,6 +95,33 @@
         wait_for_voters(fleet, kept)
 
 
+def told_addresses(instance):
+    """Returns the control instances of which one tells a node."""
+    answer = calls.call(
+        instance.fleet.port,
+        "heartbeat",
+        calls.make_heartbeat("n"),
+        key=settings_file.CLUSTER_KEY,
+        host=instance.ip,
+    )
+    return {address.partition(":")[0] for address in answer.control_instances}
+
+
+def test_nodes_are_not_told_of_an_instance_that_has_left(tmp_path):
+    """Else each node connects to its address again and again."""
+    with fleet_module.Fleet(tmp_path, 4) as fleet:
+        fleet.put_until_accepted(1, 0)
+        wait_for_voters(fleet, fleet.instances)
+        old = fleet.instances[3]
+        kept = fleet.instances[:3]
+        end(old)
+        expected = {instance.ip for instance in kept}
+        for instance in kept:
+            wait_until(
+                lambda instance=instance: told_addresses(instance) == expected
+            )
+
+
 def test_all_instances_restarted_in_turn_are_voters_again(tmp_path):
     """Each one leaves, comes back on its own disk and is a voter again."""
     with fleet_module.Fleet(tmp_path, 4) as fleet:
