Check a new backend server's health where another one drains

After a restart, with an announcement that the old backend server drains before the configuration came, the path of the health check was never taken, so that a new one was held back for 6 s.

Cause: the document was handed over with the first check only, which is left out where a backend server is known.

Change: each configuration is handed over.

Test: test_new_start_beside_one_that_drains_is_used_at_once, seen failing before.

--- a/src/cranberrymux/gateway/announcement_filter.py
+++ b/src/cranberrymux/gateway/announcement_filter.py
@@ -42,7 +42,7 @@
         on_verified: Callable[[announcement.Announcement], Any],
         on_leaving: Callable[[str], Any],
     ) -> None:
-        """Prepares the filter; health checks follow the first configuration.
+        """Prepares the filter; health checks need a configuration.
 
         Args:
             settings: The gateway's settings.
@@ -69,14 +69,25 @@
         self._checked_s = 0.0
         self._events = structlog.get_logger()
 
-    def start(self, document: route_document.RouteDocument) -> None:
-        """Sends the first health check.
-
-        Args:
-            document: Configuration that names the health check's path.
-        """
+    def use_document(self, document: route_document.RouteDocument) -> None:
+        """Takes the path of the health check from a configuration."""
         self._document = document
-        self._send_check()
+
+    def check_health(self) -> None:
+        """Sends a health check unless one is under way."""
+        if self._document is None:
+            return
+        if self._check is not None and self._check.is_running:
+            return
+        self._checked_s = self._clock.now_s()
+        self._check = startup_health_check.StartupHealthCheck(
+            self._settings,
+            self._reactor,
+            self._on_found,
+            self._health_confirmed,
+            self._on_leaving,
+        )
+        self._check.start(self._document)
 
     def examine(
         self, received: announcement.Announcement
@@ -111,7 +122,7 @@
         if self._held is None or now_s > self._held_until_s:
             return
         if now_s >= self._checked_s + RETRY_INTERVAL_S:
-            self._send_check()
+            self.check_health()
 
     def _is_foreign(self, received: announcement.Announcement) -> bool:
         settings = self._settings
@@ -140,27 +151,12 @@
             or now_s > self._held_until_s
         ):
             self._held_since_s = now_s
-            self._send_check()
+            self.check_health()
         elif received.sequence <= self._held.sequence:
             return
         self._held = received
         self._held_until_s = now_s + self._settings.backend_lifetime_s
 
-    def _send_check(self) -> None:
-        if self._document is None:
-            return
-        if self._check is not None and self._check.is_running:
-            return
-        self._checked_s = self._clock.now_s()
-        self._check = startup_health_check.StartupHealthCheck(
-            self._settings,
-            self._reactor,
-            self._on_found,
-            self._health_confirmed,
-            self._on_leaving,
-        )
-        self._check.start(self._document)
-
     def _health_confirmed(self, backend_id: str) -> None:
         held, self._held = self._held, None
         self._is_verified = True
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -245,12 +245,13 @@
 
     def _routes_applied(self, table: route_table.RouteTable) -> None:
         self._ports.set_limits(table.document.limits)
+        self._filter.use_document(table.document)
         if self._had_routes:
             return
         self._had_routes = True
         self._directory.send_heartbeats()
         if self._presence.current is None:
-            self._filter.start(table.document)
+            self._filter.check_health()
 
     def configuration_confirmed(
         self, version: int, asked_at_s: float, until_s: float
--- a/tests/gateway/test_startup_health_check.py
+++ b/tests/gateway/test_startup_health_check.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cranberrymux.decisions.presence import announcement
 from tests.gateway import mesh as mesh_module
 
 LABEL = 2
@@ -193,6 +194,22 @@
     assert len(member.backend.calls) == count
 
 
+def test_new_start_beside_one_that_drains_is_used_at_once(mesh):
+    """Guards against an announcement that is held back without a check."""
+    member = mesh.members[1]
+    member.backend.answer = answer_checks(200, (b"instance-id", b"b-7"))
+    mesh.network.run(0.1)
+    member.restart()
+    member.announce(announcement.BackendState.DRAINING)
+    member.gateway.configuration_changed(LABEL, mesh.text)
+    mesh.network.run(0.1)
+    member.backend_id = "b-7"
+    member.announce(started_ms=2)
+    mesh.network.run(0.2)
+    mesh.publish_endpoints()
+    assert mesh.ask(0, "/read/x").statuses == [200]
+
+
 def test_new_start_after_a_restart_is_used_at_once(mesh):
     member = mesh.members[1]
     member.backend.answer = answer_leaving
