Use a backend server again once a later start has fallen silent

One announcement of another writer with the right service and address and a later start time put the backend server out of service for good, as its own start was the earlier one.

Cause: the later start time held without an end.

Change: it holds while its announcements are valid. Once they are not, a process whose announcements advance replaces it, unless one of the two has drained or left. A start over a minute in the future (an hour before) is refused, since both processes read one clock.

--- a/src/cranberrymux/decisions/presence/presence.py
+++ b/src/cranberrymux/decisions/presence/presence.py
@@ -41,7 +41,8 @@
     A process that drains or has left accepts no requests again, whatever the
     sequence of an announcement that says otherwise; only another process
     replaces it. Where start times do not tell which of two processes is newer,
-    it is the one whose announcements advance.
+    or the newer one has fallen silent, it is the one whose announcements
+    advance.
 
     Attributes:
         current: The newest announcement; None before the first one.
@@ -90,7 +91,7 @@
     ) -> PresenceChange:
         """Applies an announcement of another process than the current one."""
         is_draining = received.state is _DRAINING
-        if not self._is_newer(received, is_advancing):
+        if not self._is_newer(received, is_advancing, now_s):
             if is_draining:
                 self._record_departure(received.backend_id, received.started_ms)
             return PresenceChange.STALE
@@ -105,14 +106,21 @@
         return PresenceChange.ARRIVED
 
     def _is_newer(
-        self, received: announcement.Announcement, is_advancing: bool
+        self,
+        received: announcement.Announcement,
+        is_advancing: bool,
+        now_s: float,
     ) -> bool:
         """True if a process replaces the current one."""
         current = self.current
-        if current is None or received.started_ms != current.started_ms:
-            return current is None or received.started_ms > current.started_ms
-        # Only the ids differ.
-        return is_advancing and received.state is _SERVING
+        if current is None or received.started_ms > current.started_ms:
+            return True
+        if not is_advancing or received.state is not _SERVING:
+            return False
+        if received.started_ms == current.started_ms:
+            return True  # Only the ids differ.
+        # The current one was of another writer, or has ended.
+        return current.state is _SERVING and not self.is_serving(now_s)
 
     def _announce_same(
         self,
--- a/src/cranberrymux/gateway/announcement_filter.py
+++ b/src/cranberrymux/gateway/announcement_filter.py
@@ -14,7 +14,7 @@
 from cranberrymux.node import clock as clock_module
 
 # Between a backend server and the node on the same instance.
-MAXIMUM_CLOCK_ERROR_MS = 3_600_000
+MAXIMUM_CLOCK_ERROR_MS = 60_000
 RETRY_INTERVAL_S = 0.5
 # Longer than an announcement is late.
 BELIEVED_AFTER_S = 6.0
--- a/tests/decisions/presence/test_presence.py
+++ b/tests/decisions/presence/test_presence.py
@@ -172,6 +172,29 @@
     assert presence.is_serving(2.0)
 
 
+# Guards against a backend server that is out of service for good after one
+# announcement of another writer with a later start time.
+@pytest.mark.parametrize("backend_id", ["b", "c"])
+def test_earlier_start_serves_again_once_the_later_one_is_silent(
+    presence, backend_id
+):
+    foreign = make_announcement(1, started_ms=200, backend_id=backend_id)
+    assert presence.announce(foreign, 1.0) is Change.ARRIVED
+    assert presence.announce(make_announcement(6), 5.9) is Change.STALE
+    assert presence.announce(make_announcement(7), 6.1) is Change.ARRIVED
+    assert presence.encoded_id == b"b"
+    assert presence.is_serving(6.1)
+
+
+def test_earlier_start_stays_out_after_the_later_one_has_left(presence):
+    foreign = make_announcement(1, started_ms=200, backend_id="c")
+    presence.announce(foreign, 1.0)
+    presence.leave("c", 1000)
+    for sequence in (6, 7, 8):
+        received = make_announcement(sequence)
+        assert presence.announce(received, 9.0) is Change.STALE
+
+
 def test_draining_of_an_earlier_process_changes_nothing(presence):
     fresh = make_announcement(1, started_ms=200, backend_id="c")
     presence.announce(fresh, 1.0)
