Keep a refused request off its connection for longer

What callers saw: a request that a backend server had refused was sent again on the same connection, over 128 requests later; the first refusal, written once more, bore its id and was taken for the answer to the second sending. It was then refused, or sent a third time, while the second was running.

Cause: a connection remembered the last 64 to 128 ids that were sent on it, whatever their answers were. With the same id on the same connection nothing tells two answers apart.

Change: the ids of requests that were refused or failed, which alone are sent again, are remembered apart, 256 of them at least. Few requests fail as a rule, so that this holds for far longer.

Ruled out: a new connection after each refusal, which costs one for each request that a full backend server refuses.

Memory: 512 hashes a connection at most.

What remains: the same after 256 further refusals on one connection.

--- a/src/cranberrymux/node/http/answer_matcher.py
+++ b/src/cranberrymux/node/http/answer_matcher.py
@@ -1,12 +1,16 @@
 """Tells the answer to a request from answers to others by its id."""
 
 from cranberrymux.node.http import headers as headers_module
+from cranberrymux.node.http import recent_ids
 from cranberrymux.node.http import request_identity
 from cranberrymux.node.http import unexpected_answer
 
 # Minimum number of the last ids sent on a connection that are kept; at most
 # twice as many are.
 _REMEMBERED_IDS = 64
+# The same for ids of requests that were refused or failed: such a request may
+# be sent again, and its refusal written again, after many others.
+_REMEMBERED_FAILURES = 256
 
 
 class AnswerMatcher:
@@ -19,6 +23,7 @@
         # Hashes, as ids may be as long as headers.
         self._sent_ids: set[int] = set()
         self._earlier_ids: set[int] = set()
+        self._failed_ids = recent_ids.RecentIds(_REMEMBERED_FAILURES)
 
     @property
     def request_id(self) -> bytes:
@@ -38,6 +43,11 @@
                 self._sent_ids = set()
             self._sent_ids.add(hash(identity.value))
 
+    def note_failure(self) -> None:
+        """Notes that the request that was sent last was refused or failed."""
+        if self._identity is not None:
+            self._failed_ids.add(self._identity.value)
+
     def has_sent(
         self, identity: request_identity.RequestIdentity | None
     ) -> bool:
@@ -49,7 +59,10 @@
         if identity is None:
             return False
         sent_id = hash(identity.value)
-        return sent_id in self._sent_ids or sent_id in self._earlier_ids
+        if sent_id in self._sent_ids or sent_id in self._earlier_ids:
+            return True
+        failed = self._failed_ids
+        return not failed.is_empty and failed.has(identity.value)
 
     def has_several_ids(self, headers: headers_module.Headers) -> bool:
         """Returns whether the head of an answer names several requests."""
--- a/src/cranberrymux/node/http/answer_reader.py
+++ b/src/cranberrymux/node/http/answer_reader.py
@@ -175,6 +175,8 @@
                 "an answer without a length cannot be proven whole",
             )
             return
+        if status >= http_status.MINIMUM_ERROR:
+            self._matcher.note_failure()
         self._is_answer_started = True
         sink.answer_started(head)
         if self._is_head_request:
--- a/tests/gateway/test_replayed_refusals.py
+++ b/tests/gateway/test_replayed_refusals.py
@@ -8,6 +8,8 @@
 
 from tests.gateway import test_second_answers as second
 
+# Requests that are served between a refusal and the second sending.
+SERVED_BETWEEN = 200
 PROMISES = (408, 421, 429, 503)
 
 
@@ -108,3 +110,29 @@
     request.connection.send(second.encode("r2", b"", status=status))
     check_run_once(mesh, backend, client)
     assert client.statuses == [502]
+
+
+def test_refused_request_is_not_sent_again_on_its_connection(mesh, backend):
+    """Guards against the refusal of an earlier sending of the same request.
+
+    Its id is that of the request, so that only the connection tells.
+    """
+    refuse_one(mesh, backend)
+    backend.on_request = second.answer
+    for number in range(SERVED_BETWEEN):
+        second.check_is_served(
+            second.ask(mesh, f"s{number}", wait=0.01), f"s{number}"
+        )
+    kept = backend.requests[-1].connection
+    assert kept.request_ids[0] == "r1"
+    assert len(kept.request_ids) == 1 + SERVED_BETWEEN
+    backend.on_request = None
+    backend.requests.clear()
+    client = second.ask(mesh, "r1", wait=0.01)
+    if not kept.is_closed:
+        kept.send(REFUSALS["with-its-id"])
+    mesh.network.run(0.01)
+    (request,) = backend.requests
+    second.answer(request)
+    mesh.network.run(0.1)
+    second.check_is_served(client, "r1")
