Known red: the difference of a half changed document takes seconds

Found while measuring what blocks a control instance; not mended. The leader would lose its lease, and each replay of the entry takes as long. Not run: whether an operator's document does this on real instances.

A lower MAXIMUM_LINES would keep it, but documents of 1,000 selectors would lose their differences: a decision for the lead.

--- a/tests/decisions/configuration/test_difference.py
+++ b/tests/decisions/configuration/test_difference.py
@@ -1,10 +1,16 @@
-"""Differences of configuration documents have a bound for each line.
+"""Differences of configuration documents are short and computed quickly.
 
-Guards against records that keep tens of kilobytes of compressed text.
+Guards against records that keep tens of kilobytes of compressed text, and
+against replicas that answer no heartbeat while they compare two documents.
 """
 
+import time
+
 from cranberrymux.decisions.configuration import difference
 
+# A quarter of the shortest leader lease in use, 0.5 s.
+MAXIMUM_STEP_S = 0.125
+
 
 def compute(old_text, new_text):
     return difference.compute(old_text, new_text, "old", "new")
@@ -21,3 +27,15 @@
 def test_lines_of_usual_length_are_whole():
     line = "x" * 1000
     assert f"-{line}" in compute(f"{line}\n", "y\n").splitlines()
+
+
+def test_a_document_of_which_half_changes_is_compared_in_a_short_step():
+    """Guards against instances that lose the leader lease as they apply it."""
+    lines = [f"key-{number}: value\n" for number in range(5000)]
+    changed = [
+        line if number % 2 else f"key-{number}: other\n"
+        for number, line in enumerate(lines)
+    ]
+    began_s = time.process_time()
+    assert compute("".join(lines), "".join(changed))
+    assert time.process_time() - began_s < MAXIMUM_STEP_S
