--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -35,7 +35,8 @@
         self.data = fleet.folder / f"data-{ip}"
         self.log = fleet.folder / f"{ip}.log"
 
-    def start(self):
+    def write_settings(self):
+        """Writes the settings file with the seeds of now."""
         fleet = self.fleet
         self.settings.write_text(
             f'[self]\nnode = "core-{self.ip}"\nip = "{self.ip}"\n'
@@ -46,6 +47,10 @@
             f'[network.listen]\ncontrol = "{self.ip}:{fleet.control_port}"\n'
             "[terms.fault_tolerance]\nmachines = 1\n"
         )
+
+    def start(self):
+        fleet = self.fleet
+        self.write_settings()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,8 @@
             seconds of each injected fault.
         timed_out_terminations: Nodes that did not end in time after SIGTERM.
         unexpected_ends: Nodes that ended without a fault.
+        control_ends: Time in monotonic seconds and address of each end of a
+            control instance that no fault of this object caused.
     """
 
     def __init__(self, seed, machines, fleet):
@@ -42,6 +44,7 @@
         self._busy = set()
         self._is_done = False
         self.unexpected_ends = []
+        self.control_ends = []
         self._lock = threading.Lock()
         self._crashed_at_s = {}
         self._kinds = (
@@ -63,6 +66,10 @@
             *(self.answer_twice,) * ANSWER_TWICE_WEIGHT,
         )
 
+    @property
+    def machines(self):
+        return list(self._machines)
+
     def run(self, length_s):
         until_s = time.monotonic() + length_s
         while time.monotonic() < until_s:
@@ -80,11 +87,10 @@
         while not self._is_done:
             time.sleep(SUPERVISION_PERIOD_S)
             for instance in self._fleet.instances:
-                if (
-                    instance not in self._busy
-                    and instance.process.poll() is not None
+                if instance.process.poll() is not None and self.reserve(
+                    instance
                 ):
-                    instance.start()
+                    self._restart_control(instance)
             for node in nodes:
                 if node.has_ended_unexpectedly:
                     self.unexpected_ends.append(node.name)
@@ -92,6 +98,13 @@
             for machine in self._machines:
                 self._restart_crashed(machine)
 
+    def _restart_control(self, instance):
+        """Starts an instance that is reserved, if it ended by itself."""
+        if instance.process.poll() is not None:
+            self.control_ends.append((time.monotonic(), instance.ip))
+            instance.start()
+        self.release(instance)
+
     def _restart_crashed(self, machine):
         """Starts a backend server that crashed some time ago."""
         backend = machine.backend
@@ -227,7 +240,7 @@
         Waits for it to rejoin, as the settings tolerate the loss of only one
         disk at a time.
         """
-        if not self._do_all_disks_vote():
+        if not self.do_all_disks_vote():
             return
         instance.kill()
         instance.wipe()
@@ -235,7 +248,7 @@
         instance.start()
         time.sleep(REJOIN_WAIT_S)
 
-    def _do_all_disks_vote(self):
+    def do_all_disks_vote(self):
         """Returns True if each voter has its disk, under its present identity.
 
         A disk that was wiped votes only once its new identity has been added:
--- a/tests/soak/machine.py
+++ b/tests/soak/machine.py
@@ -10,6 +10,10 @@
 
 SLOTS = 8
 GRACE_S = 6
+_NODE_CODE = (
+    "import sys; from cranberrymux.platform import node_main;"
+    " sys.exit(node_main.main())"
+)
 
 
 class Machine:
@@ -26,6 +30,7 @@
         outbound_address: Address at which the node accepts requests, without
             the proxy.
         client_address: The same through the proxy.
+        settings: Settings file of the node.
         records: File of the JSON lines of the backend server.
         node: The program of the node.
         backend: The program of the backend server.
@@ -33,7 +38,20 @@
         backend_proxy: Proxy between node and backend server.
     """
 
-    def __init__(self, folder, fleet, place, service, ports):
+    def __init__(
+        self, folder, fleet, place, service, ports, node_code=_NODE_CODE
+    ):
+        """Prepares the processes and starts the proxies.
+
+        Args:
+            folder: Folder for settings, logs and records.
+            fleet: The control instances.
+            place: Number of the machine.
+            service: Service that the backend server offers.
+            ports: The five ports of a machine.
+            node_code: Python code that runs the node.
+        """
+        self._fleet = fleet
         self.name = f"m{place}"
         self.service = service
         self.ip = f"{fleet.net}.{100 + place}"
@@ -47,18 +65,16 @@
         # the second.
         self.client_address = (f"{fleet.net}.{150 + place}", outbound_port)
         backend_address = (f"{fleet.net}.{150 + place}", backend_port)
-        settings = folder / f"{self.name}.toml"
-        settings.write_text(
-            self._settings(
-                fleet, inbound_port, ready_port, announce_port, backend_address
-            )
-        )
+        self._backend_address = backend_address
+        self._node_ports = (inbound_port, ready_port, announce_port)
+        self.settings = folder / f"{self.name}.toml"
+        self.write_settings()
         self.records = folder / f"{self.name}-backend.jsonl"
         self.node = program.Program(
             f"node {self.name}",
-            ["-m", "cranberrymux.platform.node_main"],
+            ["-c", node_code],
             folder / f"{self.name}-node.log",
-            {"CRANBERRYMUX_SETTINGS": str(settings)},
+            {"CRANBERRYMUX_SETTINGS": str(self.settings)},
         )
         arguments = [
             "-m",
@@ -92,6 +108,10 @@
         links_s = [at for at in self.node.fault_times_s if at not in signals_s]
         return sorted(links_s + self.backend.fault_times_s)
 
+    def write_settings(self):
+        """Writes the settings file of the node with the seeds of now."""
+        self.settings.write_text(self._make_settings())
+
     def start(self):
         self.node.start()
         self.backend.start()
@@ -125,13 +145,14 @@
         self.send_to_backend("stuttering/0")
         self.send_to_backend("limit/0")
 
-    def _settings(
-        self, fleet, inbound_port, ready_port, announce_port, backend_address
-    ):
+    def _make_settings(self):
+        inbound_port, ready_port, announce_port = self._node_ports
+        fleet = self._fleet
         return (
             f'[self]\nnode = "{self.name}"\nip = "{self.ip}"\n'
             f'zone = "{self.zone}"\nregion = "r"\nservice = "{self.service}"\n'
-            f'app_addr = "{_host_port(backend_address)}"\nbootstrap = false\n'
+            f'app_addr = "{_host_port(self._backend_address)}"\n'
+            f"bootstrap = false\n"
             f"[network]\ninternal_ports = [{fleet.port}, {fleet.port}]\n"
             f"seeds = {json.dumps(fleet.seeds)}\n"
             f"[network.listen]\n"
--- a/tests/soak/program.py
+++ b/tests/soak/program.py
@@ -16,6 +16,8 @@
         name: Name for messages.
         fault_times_s: Times of the faults that affect it, monotonic seconds.
         signal_times_s: Those at which it got a signal.
+        start_times_s: Times of its starts.
+        stop_times_s: Times at which it was killed or told to end.
     """
 
     def __init__(self, name, arguments, log, environment=None):
@@ -27,6 +29,8 @@
         self._is_wanted = False
         self.fault_times_s = []
         self.signal_times_s = []
+        self.start_times_s = []
+        self.stop_times_s = []
 
     @property
     def is_running(self):
@@ -39,6 +43,7 @@
 
     def start(self, **environment):
         self._environment.update(environment)
+        self.start_times_s.append(time.monotonic())
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, *self._arguments],
@@ -57,6 +62,7 @@
 
     def kill(self):
         self._is_wanted = False
+        self.stop_times_s.append(time.monotonic())
         self.send(signal.SIGCONT)
         if self.is_running:
             self._process.kill()
@@ -71,6 +77,7 @@
         """
         self._is_wanted = False
         started_at_s = time.monotonic()
+        self.stop_times_s.append(started_at_s)
         self.send(signal.SIGTERM)
         try:
             self._process.wait(TERMINATION_TIMEOUT_S)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.soak import run as run_module
+from tests.soak.configuration import scenario
 
 # Seeds that once violated a guarantee, with the cause.
 REGRESSIONS = {
@@ -19,6 +20,7 @@
 }
 # A rate limit is checked from 7 s on after it was named.
 FAULT_INJECTION_S = 10.0
+CONFIGURATION_SEED = 1
 
 
 @pytest.mark.parametrize("seed", REGRESSIONS)
@@ -26,3 +28,12 @@
     result = run_module.run(seed, tmp_path, FAULT_INJECTION_S)
     assert result.violations == ()
     assert result.requests > 200
+
+
+def test_faults_of_control_instances_break_no_rule_of_the_configuration(
+    tmp_path,
+):
+    result = scenario.run(CONFIGURATION_SEED, tmp_path, FAULT_INJECTION_S)
+    assert result.violations == ()
+    assert result.judged > 500
+    assert result.reads > 200
