Soak: longer cuts and pauses, and planned ends of nodes in calm times

Change: pauses and cuts last up to 9 s. After the last fault two nodes are ended as planned, one after the other; a request that ran there must not lose its connection (LOST), while clients keep theirs. SIGHUP waits until a node has run for 1 s, as ends within a second of a start count for nothing.

The unit test reports a run whose connection was closed.

--- a/tests/soak/configuration/core_faults.py
+++ b/tests/soak/configuration/core_faults.py
@@ -13,12 +13,15 @@
 TERMINATION_TIMEOUT_S = 8.0
 MINIMUM_SPAN_S = 0.2
 MAXIMUM_SPAN_S = 3.0
+# Pauses and cuts last longer: long enough for a change in the meantime, and
+# for reads and requests that come later than it may take effect.
+LONG_FACTOR = 3
 
 
 class CoreFaults:
     """Disturbs one instance, or the links between some, for some time.
 
-    Each method takes the instance and the duration in seconds.
+    Each method takes the instance and the usual duration in seconds.
 
     Attributes:
         kinds: The methods, to draw from.
@@ -56,7 +59,7 @@
     def pause(self, instance, span_s):
         with self._spans.disturb(instance.ip):
             instance.process.send_signal(signal.SIGSTOP)
-            time.sleep(span_s)
+            time.sleep(LONG_FACTOR * span_s)
             instance.process.send_signal(signal.SIGCONT)
 
     def kill(self, instance, span_s):
@@ -129,7 +132,7 @@
         ):
             if self._random.random() < 0.5:
                 stack.enter_context(self._links.cut(settings, [machine.ip]))
-            time.sleep(span_s)
+            time.sleep(LONG_FACTOR * span_s)
 
     def _cut(self, part, span_s, is_one_way):
         instances = self._core.instances
@@ -148,7 +151,7 @@
                         [each.ip for each in part],
                     )
                 )
-            time.sleep(span_s)
+            time.sleep(LONG_FACTOR * span_s)
 
     def _mark_disk(self, instance, kind, span_s):
         # A disk that hangs destabilizes no link: the others go on in time.
--- a/tests/soak/configuration/node_faults.py
+++ b/tests/soak/configuration/node_faults.py
@@ -7,6 +7,7 @@
 
 SIGNALS = 3
 SIGNAL_GAP_S = 0.2
+START_S = 1.0
 
 
 class NodeFaults(faults_module.Faults):
@@ -33,7 +34,10 @@
             self.end_node(machine, span_s / SIGNALS)
 
     def hang_up_node(self, machine, span_s):
+        """Sends SIGHUP in series, but not to a node that is starting."""
         del span_s
+        if time.monotonic() - machine.node.start_times_s[-1] < START_S:
+            return
         machine.write_settings()
         for _ in range(SIGNALS):
             machine.node.send(signal.SIGHUP)
--- a/tests/soak/configuration/scenario.py
+++ b/tests/soak/configuration/scenario.py
@@ -26,6 +26,7 @@
 
 FIRST_VERSION_S = 20.0
 LATE_MACHINES = 2
+ROLLED_NODES = 2
 
 
 class Size(NamedTuple):
@@ -163,7 +164,9 @@
         supervisor.start()
         self._inject(length_s)
         self.all_back_s = time.monotonic()
-        time.sleep(verdict.RECOVERY_S + verdict.RECOVERED_S)
+        recovered_s = self.all_back_s + verdict.RECOVERY_S + verdict.RECOVERED_S
+        self._roll_nodes()
+        time.sleep(max(recovered_s - time.monotonic(), 0.0))
         self.operators.stop()
         self.operators.join()
         self.last_change_s = time.monotonic()
@@ -188,6 +191,14 @@
         for machine in self.machines:
             machine.clear_faults()
 
+    def _roll_nodes(self):
+        """Ends some nodes as planned, one after the other, and nothing else."""
+        time.sleep(spans_module.STABILITY_WINDOW_S)
+        for machine in self._random.sample(self.machines, ROLLED_NODES):
+            self.node_faults.reserve(machine)
+            self.node_faults.end_node(machine, 0.0)
+            self.node_faults.release(machine)
+
     def _start_late_machines(self):
         """Starts some nodes for the first time while changes come."""
         for machine in self.machines[-LATE_MACHINES:]:
--- a/tests/soak/configuration/test_handling_checks.py
+++ b/tests/soak/configuration/test_handling_checks.py
@@ -13,6 +13,7 @@
 from tests.soak.configuration import handling_checks
 from tests.soak.configuration import history as history_module
 from tests.soak.configuration import spans as spans_module
+from tests.soak.configuration import verdict
 
 CORE = ("c1", "c2", "c3")
 OLD = {"/first/": ("s2",), "/move0/": ("s2",), "/gone/": ("s3",)}
@@ -136,3 +137,11 @@
     assert find(*first, *added, history=history) == []
     assert find(*first, *added[:5], *unserved[5:], history=history) == []
     assert "later" in find(*first, *unserved, history=history)[-1]
+
+
+def test_a_run_whose_connection_was_closed_in_calm_times_is_reported():
+    closed = handle("/first/", "s2", 24.0)
+    request = closed.probe.request._replace(status=0)
+    closed = closed._replace(probe=closed.probe._replace(request=request))
+    assert list(verdict.find_lost([closed], 21.5)) == []
+    assert "LOST" in next(verdict.find_lost([closed], 20.0))
--- a/tests/soak/configuration/verdict.py
+++ b/tests/soak/configuration/verdict.py
@@ -67,6 +67,7 @@
         ],
         scenario.all_back_s + RECOVERY_S,
     )
+    violations += find_lost(handlings, scenario.all_back_s)
     violations += _list_ends(scenario)
     _write_faults(scenario, folder)
     return Result(
@@ -81,6 +82,15 @@
     )
 
 
+def find_lost(handlings, all_back_s):
+    """Checks that planned ends of nodes cut off no request that ran."""
+    from_s = all_back_s + spans_module.STABILITY_WINDOW_S
+    for handling in handlings:
+        request = handling.probe.request
+        if request.status == 0 and request.sent_s >= from_s:
+            yield f"LOST {handling}, and its connection was closed"
+
+
 def _add_spans_of_nodes(scenario):
     for machine in scenario.machines:
         for at_s in machine.node.fault_times_s:
