Soak: an interrupted run leaves no processes

Cause: threads of faults went on after SIGTERM and started programs again while the run ended; threads that are no daemons kept it alive for seconds.

Change: a program or an instance that is closed is not started again; threads that inject faults are daemons.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -49,7 +49,10 @@
         )
 
     def start(self):
+        """Starts the process, unless the fleet has ended."""
         fleet = self.fleet
+        if fleet.has_ended:
+            return
         self.write_settings()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
@@ -191,6 +194,7 @@
     def __init__(self, folder, count=3, mutant=""):
         self.folder = folder
         self.mutant = mutant
+        self.has_ended = False
         self.port, self.control_port = ports.find_free_ports(2)
         self.net = f"127.0.{next(_NEXT_NET)}"
         self.instances = [
@@ -233,5 +237,6 @@
         return self
 
     def __exit__(self, *_):
+        self.has_ended = True
         for instance in self.instances:
             instance.kill()
--- a/tests/soak/configuration/losses.py
+++ b/tests/soak/configuration/losses.py
@@ -86,7 +86,7 @@
                 core_faults.MINIMUM_SPAN_S, core_faults.MAXIMUM_SPAN_S
             )
             thread = threading.Thread(
-                target=self._inject, args=(kind, instance, span_s)
+                target=self._inject, args=(kind, instance, span_s), daemon=True
             )
             thread.start()
             threads.append(thread)
@@ -207,7 +207,7 @@
     def _start_all(self, instances, machines):
         """Starts instances and nodes side by side."""
         thread = threading.Thread(
-            target=self._core.start, args=(instances, self._random)
+            target=self._core.start, args=(instances, self._random), daemon=True
         )
         thread.start()
         for machine in machines:
--- a/tests/soak/configuration/operators.py
+++ b/tests/soak/configuration/operators.py
@@ -80,7 +80,7 @@
             self._history.note_sent(document) for document in self._draw(base)
         ]
         threads = [
-            threading.Thread(target=self._submit, args=(change,))
+            threading.Thread(target=self._submit, args=(change,), daemon=True)
             for change in valid
         ]
         if base.version and self._random.random() < INVALID_SHARE:
@@ -131,7 +131,7 @@
         document = invalid_documents.make(self._draw_kind(), self._drawer, base)
         change = self._history.note_sent(document)
         thread = threading.Thread(
-            target=self._submit_until, args=(change, INVALID_S)
+            target=self._submit_until, args=(change, INVALID_S), daemon=True
         )
         thread.start()
         self._threads.append(thread)
--- a/tests/soak/configuration/readers.py
+++ b/tests/soak/configuration/readers.py
@@ -21,7 +21,9 @@
         self._get_instances = get_instances
         self._threads = {}
         self._should_stop = threading.Event()
-        self._starter = threading.Thread(target=self._start_forever)
+        self._starter = threading.Thread(
+            target=self._start_forever, daemon=True
+        )
 
     def start(self):
         self._starter.start()
@@ -38,7 +40,7 @@
             for instance in self._get_instances():
                 if instance not in self._threads:
                     self._threads[instance] = threading.Thread(
-                        target=self._read_forever, args=(instance,)
+                        target=self._read_forever, args=(instance,), daemon=True
                     )
                     self._threads[instance].start()
 
--- a/tests/soak/configuration/scenario.py
+++ b/tests/soak/configuration/scenario.py
@@ -160,7 +160,9 @@
         for client in self.clients:
             client.start()
         self._wait_for_first_version()
-        supervisor = threading.Thread(target=self.node_faults.supervise_forever)
+        supervisor = threading.Thread(
+            target=self.node_faults.supervise_forever, daemon=True
+        )
         supervisor.start()
         self._inject(length_s)
         self.all_back_s = time.monotonic()
@@ -181,9 +183,11 @@
         self.watch.should_stop = True
 
     def _inject(self, length_s):
-        late = threading.Thread(target=self._start_late_machines)
+        late = threading.Thread(target=self._start_late_machines, daemon=True)
         late.start()
-        nodes = threading.Thread(target=self.node_faults.run, args=(length_s,))
+        nodes = threading.Thread(
+            target=self.node_faults.run, args=(length_s,), daemon=True
+        )
         nodes.start()
         self.losses.run(length_s)
         nodes.join()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -74,7 +74,9 @@
         until_s = time.monotonic() + length_s
         while time.monotonic() < until_s:
             kind = self._random.choice(self._kinds)
-            thread = threading.Thread(target=self._inject, args=(kind,))
+            thread = threading.Thread(
+                target=self._inject, args=(kind,), daemon=True
+            )
             thread.start()
             self._threads.append(thread)
             time.sleep(self._random.uniform(0.0, MAXIMUM_GAP_S))
--- a/tests/soak/machine.py
+++ b/tests/soak/machine.py
@@ -117,8 +117,8 @@
         self.backend.start()
 
     def close(self):
-        self.node.kill()
-        self.backend.kill()
+        self.node.close()
+        self.backend.close()
         self.client_proxy.close()
         self.backend_proxy.close()
 
--- a/tests/soak/program.py
+++ b/tests/soak/program.py
@@ -27,6 +27,7 @@
         self._environment = environment or {}
         self._process = None
         self._is_wanted = False
+        self._is_closed = False
         self.fault_times_s = []
         self.signal_times_s = []
         self.start_times_s = []
@@ -42,6 +43,9 @@
         return self._is_wanted and not self.is_running
 
     def start(self, **environment):
+        """Starts the program, unless it is closed."""
+        if self._is_closed:
+            return
         self._environment.update(environment)
         self.start_times_s.append(time.monotonic())
         with self._log.open("ab") as log:
@@ -69,6 +73,11 @@
         if self._process is not None:
             self._process.wait()
 
+    def close(self):
+        """Kills it for good, even if a fault would start it again."""
+        self._is_closed = True
+        self.kill()
+
     def terminate(self):
         """Sends SIGTERM and waits; kills it after `TERMINATION_TIMEOUT_S`.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -111,7 +111,7 @@
     watch = stall_watch.StallWatch()
     watch.start()
     faults = faults_module.Faults(seed, machines, fleet)
-    supervisor = threading.Thread(target=faults.supervise_forever)
+    supervisor = threading.Thread(target=faults.supervise_forever, daemon=True)
     supervisor.start()
     self_reports = self_reports_module.SelfReports(seed, machines, faults)
     self_reports.start()
