Soak: an instance counts as disturbed until it listens

The traces: no instance was ready, or one, when the requests came.

Change: a started instance is disturbed until it listens, or has used 1 s of processor time; the waits for `catch_up` and for the end of all faults begin then. Bounds and checks are as before.

--- a/tests/soak/configuration/core_faults.py
+++ b/tests/soak/configuration/core_faults.py
@@ -66,7 +66,7 @@
         with self._spans.disturb(instance.ip):
             instance.kill()
             time.sleep(span_s)
-            instance.start()
+            self._core.start(instance)
 
     def terminate(self, instance, span_s):
         with self._spans.disturb(instance.ip):
@@ -77,7 +77,7 @@
                 wait_for_end(instance)
             instance.kill()
             time.sleep(span_s / 4)
-            instance.start()
+            self._core.start(instance)
 
     def hang_up(self, instance, span_s):
         del span_s
