--- a/tests/soak/configuration/operators.py
+++ b/tests/soak/configuration/operators.py
@@ -1,4 +1,4 @@
-"""Two operators that change the configuration, at times against each other."""
+"""Operators that change the configuration, at times against each other."""
 
 import random
 import threading
@@ -8,7 +8,8 @@
 from tests.soak.configuration import documents
 from tests.soak.configuration import invalid_documents
 
-RACE_SHARE = 0.35
+# Number of changes that race with another one, to draw from.
+RIVALS = (0, 0, 0, 0, 1, 1, 3)
 SAME_VERSION_SHARE = 0.5
 INVALID_SHARE = 0.5
 RESEND_SHARE = 0.5
@@ -24,7 +25,7 @@
 
 
 class Operators(threading.Thread):
-    """Sends changes in rounds: one, or two on the same version, and invalid.
+    """Sends changes in rounds: one, or some on the same version, and invalid.
 
     The next round begins once each has a clear answer.
 
@@ -101,14 +102,14 @@
         return accepted[0] if accepted else None
 
     def _draw(self, base):
-        first = self._drawer.draw(base)
-        if not base.version or self._random.random() >= RACE_SHARE:
-            return [first]
-        is_same = self._random.random() < SAME_VERSION_SHARE
-        return [
-            first,
-            self._drawer.draw(base, first.version if is_same else None),
-        ]
+        """Returns one change, or some that race on the same version."""
+        drawn = [self._drawer.draw(base)]
+        if base.version:
+            for _ in range(self._random.choice(RIVALS)):
+                is_same = self._random.random() < SAME_VERSION_SHARE
+                version = drawn[0].version if is_same else None
+                drawn.append(self._drawer.draw(base, version))
+        return drawn
 
     def _draw_kind(self):
         """Draws each kind once before any kind comes again."""
