--- a/tests/soak/configuration/scenario.py
+++ b/tests/soak/configuration/scenario.py
@@ -220,9 +220,3 @@
             if handling_checks.get_floor(self.history.possible, until_s):
                 return
             time.sleep(0.1)
-
-    def _list_core_targets(self):
-        return {
-            *self.core.ips,
-            *map(core_faults.get_disk_name, self.core.ips),
-        }
