Soak: a cut link stays cut after the peer resets its connection

Cause: the peer's address was asked for at each read; after a reset there is none, and the bytes that had been held back were handed out.

Change: held bytes are kept with the address they came from. The new test failed before (`DID NOT RAISE ConnectionResetError`).

--- a/tests/soak/configuration/link_faults.py
+++ b/tests/soak/configuration/link_faults.py
@@ -24,6 +24,7 @@
         self._markers = markers
         self._own_ip = own_ip
         self._deaf_to = frozenset()
+        # Address of the peer and what it sent, by connection.
         self._held = weakref.WeakKeyDictionary()
         self._lock = threading.Lock()
         self._recv = socket.socket.recv
@@ -48,15 +49,17 @@
         """Receives, unless the peer is one that this process can't hear."""
         if not self._deaf_to and not self._held:
             return self._recv(own, size, *more)
-        if _get_peer_ip(own) in self._deaf_to:
+        peer_ip = self._get_peer_ip(own)
+        if peer_ip in self._deaf_to:
             data = self._recv(own, size, *more)
             if not data:
                 return data
             with self._lock:
-                self._held[own] = self._held.get(own, b"") + data
+                _, held = self._held.get(own, (peer_ip, b""))
+                self._held[own] = (peer_ip, held + data)
             raise BlockingIOError(errno.EWOULDBLOCK, "the link is cut")
         with self._lock:
-            held = self._held.pop(own, None)
+            _, held = self._held.pop(own, (peer_ip, None))
         return self._recv(own, size, *more) if held is None else held
 
     def connect_ex(self, own, address):
@@ -72,16 +75,19 @@
             self._deaf_to = frozenset((self._markers.read(DEAF) or "").split())
             with self._lock:
                 holding = list(self._held)
-            for held in holding:
-                if _get_peer_ip(held) not in self._deaf_to:
-                    _close_input(held)
+            for connection in holding:
+                if self._get_peer_ip(connection) not in self._deaf_to:
+                    _close_input(connection)
 
-
-def _get_peer_ip(connection):
-    try:
-        return connection.getpeername()[0]
-    except OSError:
-        return ""
+    def _get_peer_ip(self, connection):
+        """Returns the peer's address, also once it has reset a held one."""
+        with self._lock:
+            if connection in self._held:
+                return self._held[connection][0]
+        try:
+            return connection.getpeername()[0]
+        except OSError:
+            return ""
 
 
 def _close_input(connection):
--- a/tests/soak/configuration/test_process_faults.py
+++ b/tests/soak/configuration/test_process_faults.py
@@ -7,6 +7,7 @@
 import os
 import random
 import socket
+import struct
 
 import pytest
 
@@ -105,3 +106,24 @@
     assert faults.recv(receiver, 100) == b"late"
     sender.close()
     receiver.close()
+
+
+def test_a_cut_link_holds_bytes_back_after_a_reset(markers):
+    faults = link_faults.LinkFaults(markers, "127.0.0.1")
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        sender = socket.create_connection(listener.getsockname())
+        receiver, _ = listener.accept()
+    sender.sendall(b"early")
+    faults._deaf_to = {"127.0.0.1"}
+    with pytest.raises(BlockingIOError):
+        faults.recv(receiver, 100)
+    sender.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    sender.close()
+    with pytest.raises(ConnectionResetError):
+        faults.recv(receiver, 100)
+    with pytest.raises(OSError, match="not connected"):
+        receiver.getpeername()
+    assert faults.recv(receiver, 100) == b""
+    receiver.close()
