--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -11,6 +11,7 @@
 
 from cranberrymux.demo import ports
 from tests.control import cluster
+from tests.platform import files
 
 _NEXT_NET = iter(range(10, 250))
 
@@ -38,14 +39,15 @@
     def write_settings(self):
         """Writes the settings file with the seeds of now."""
         fleet = self.fleet
-        self.settings.write_text(
+        files.write_at_once(
+            self.settings,
             f'[self]\nnode = "core-{self.ip}"\nip = "{self.ip}"\n'
             f'zone = "a"\nregion = "r"\ndata_dir = "{self.data}"\n'
             f"bootstrap = {json.dumps(self.is_first_start)}\n"
             f"[network]\ninternal_ports = [{fleet.port}, {fleet.port}]\n"
             f"seeds = {json.dumps(fleet.seeds)}\n"
             f'[network.listen]\ncontrol = "{self.ip}:{fleet.control_port}"\n'
-            "[terms.fault_tolerance]\nmachines = 1\n"
+            "[terms.fault_tolerance]\nmachines = 1\n",
         )
 
     def start(self):
--- a/tests/soak/configuration/markers.py
+++ b/tests/soak/configuration/markers.py
@@ -1,8 +1,9 @@
 """Files by which the soak tells a process which faults to apply to itself."""
 
-import os
 import pathlib
 
+from tests.platform import files
+
 
 class Markers:
     """The marker files of one process, beside its settings file.
@@ -39,10 +40,7 @@
 
     def write(self, kind, text=""):
         """Sets a marker, at once as a whole."""
-        path = self.get_path(kind)
-        partial = path.with_name(f"{path.name}.partial")
-        partial.write_text(text)
-        os.replace(partial, path)
+        files.write_at_once(self.get_path(kind), text)
 
     def clear(self, kind):
         self.get_path(kind).unlink(missing_ok=True)
--- a/tests/soak/machine.py
+++ b/tests/soak/machine.py
@@ -4,6 +4,7 @@
 import json
 import signal
 
+from tests.platform import files
 from tests.soak import account_checks
 from tests.soak import program
 from tests.soak import proxy as proxy_module
@@ -110,7 +111,7 @@
 
     def write_settings(self):
         """Writes the settings file of the node with the seeds of now."""
-        self.settings.write_text(self._make_settings())
+        files.write_at_once(self.settings, self._make_settings())
 
     def start(self):
         self.node.start()
