--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -13,6 +13,7 @@
 
 from cranberrymux.demo import ports
 from tests.control import cluster
+from tests.platform import files
 
 _NEXT_NET = iter(range(10, 250))
 
@@ -37,17 +38,26 @@
         self.data = fleet.folder / f"data-{ip}"
         self.log = fleet.folder / f"{ip}.log"
 
-    def start(self):
+    def write_settings(self):
+        """Writes the settings file with the seeds of now."""
         fleet = self.fleet
-        self.settings.write_text(
+        files.write_at_once(
+            self.settings,
             f'[self]\nnode = "core-{self.ip}"\nip = "{self.ip}"\n'
             f'zone = "a"\nregion = "r"\ndata_dir = "{self.data}"\n'
             f"bootstrap = {json.dumps(self.is_first_start)}\n"
             f"[network]\ninternal_ports = [{fleet.port}, {fleet.port}]\n"
             f"seeds = {json.dumps(fleet.seeds)}\n"
             f'[network.listen]\ncontrol = "{self.ip}:{fleet.control_port}"\n'
-            "[terms.fault_tolerance]\nmachines = 1\n"
+            "[terms.fault_tolerance]\nmachines = 1\n",
         )
+
+    def start(self):
+        """Starts the process, unless the fleet has ended."""
+        fleet = self.fleet
+        if fleet.has_ended:
+            return
+        self.write_settings()
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [
@@ -203,6 +213,7 @@
     def __init__(self, folder, count=3, mutant=""):
         self.folder = folder
         self.mutant = mutant
+        self.has_ended = False
         self.port, self.control_port = ports.find_free_ports(2)
         self.net = f"127.0.{next(_NEXT_NET)}"
         self.instances = [
@@ -257,5 +268,6 @@
         return self
 
     def __exit__(self, *_):
+        self.has_ended = True
         for instance in self.instances:
             instance.kill()
--- a/tests/soak/program.py
+++ b/tests/soak/program.py
@@ -16,6 +16,8 @@
         name: Name for messages.
         fault_times_s: Times of the faults that affect it, monotonic seconds.
         signal_times_s: Those at which it got a signal.
+        start_times_s: Times of its starts.
+        stop_times_s: Times at which it was killed or told to end.
     """
 
     def __init__(self, name, arguments, log, environment=None):
@@ -25,8 +27,11 @@
         self._environment = environment or {}
         self._process = None
         self._is_wanted = False
+        self._is_closed = False
         self.fault_times_s = []
         self.signal_times_s = []
+        self.start_times_s = []
+        self.stop_times_s = []
 
     @property
     def is_running(self):
@@ -38,7 +43,11 @@
         return self._is_wanted and not self.is_running
 
     def start(self, **environment):
+        """Starts the program, unless it is closed."""
+        if self._is_closed:
+            return
         self._environment.update(environment)
+        self.start_times_s.append(time.monotonic())
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, *self._arguments],
@@ -57,12 +66,18 @@
 
     def kill(self):
         self._is_wanted = False
+        self.stop_times_s.append(time.monotonic())
         self.send(signal.SIGCONT)
         if self.is_running:
             self._process.kill()
         if self._process is not None:
             self._process.wait()
 
+    def close(self):
+        """Kills it for good, even if a fault would start it again."""
+        self._is_closed = True
+        self.kill()
+
     def terminate(self):
         """Sends SIGTERM and waits; kills it after `TERMINATION_TIMEOUT_S`.
 
@@ -71,6 +86,7 @@
         """
         self._is_wanted = False
         started_at_s = time.monotonic()
+        self.stop_times_s.append(started_at_s)
         self.send(signal.SIGTERM)
         try:
             self._process.wait(TERMINATION_TIMEOUT_S)
