Promote a learner only once it has confirmed an entry

What callers see: a control instance loses its disk, comes back, and loses it again as soon as it was added.

Cause: a learner was promoted if it lacks at most 64 committed entries. While the whole log is that short, one that has confirmed nothing passes, and the time since it was last heard from begins when the leader first sends to it. So the leader promoted a replica 25 ms after its first contact, alive or not: four voters, two of them gone, quorum three. A learner that ended long ago was promoted likewise by the next leader.

Why no test saw it: the simulated clusters allow a lag of 4 entries after 30 proposals, the program 64.

Ruled out: a smaller lag. A live learner may lag that much under load, and 0 confirmed entries would still pass in a log of few.

Change: a learner that has confirmed no entry to the present leader has not caught up.

Evidence: test_disk_lost_as_soon_as_its_replica_is_added_leaves_a_quorum ("no leader within 5 s") and test_learner_that_never_answered_is_not_promoted failed without the change and pass with it; tests/consensus passed.

Why it works: a confirmed entry was synced by that very replica after it was added. What remains is the time from the promotion to its first confirmation as a voter, one round trip and a sync, plus the entries that it lacks.

--- a/src/cranberrymux/consensus/member_rules.py
+++ b/src/cranberrymux/consensus/member_rules.py
@@ -165,17 +165,31 @@
         return _refuse(_Reason.ALREADY_DONE, replica_id)
     if _is_name_in_use(settings, journal, leader, now_s, replica_id):
         return _refuse(_Reason.NAME_IN_USE, replica_id)
+    lack = _find_lack(settings, journal, leader, now_s, replica_id)
+    if lack:
+        return _refuse(_Reason.NOT_CAUGHT_UP, lack)
+    return journal.membership.with_member(member._replace(voter=True))
+
+
+def _find_lack(
+    settings: replica_settings.ReplicaSettings,
+    journal: journal_module.Journal,
+    leader: leader_module.Leader,
+    now_s: float,
+    replica_id: str,
+) -> str:
+    """Returns why a learner has not caught up; empty if it has."""
+    match_index = leader.match_index(replica_id)
+    if not match_index:
+        # It may have ended for good: a voter that never answers can put the
+        # quorum out of reach.
+        return "the learner has confirmed no entry to this leader"
     if leader.silent_s(now_s, replica_id) > settings.lease_s:
-        return _refuse(
-            _Reason.NOT_CAUGHT_UP,
-            "the learner was not heard from within the lease time",
-        )
-    lag = journal.commit_index - leader.match_index(replica_id)
+        return "the learner was not heard from within the lease time"
+    lag = journal.commit_index - match_index
     if lag > settings.promotion_lag_entries:
-        return _refuse(
-            _Reason.NOT_CAUGHT_UP, f"the learner lacks {lag} committed entries"
-        )
-    return journal.membership.with_member(member._replace(voter=True))
+        return f"the learner lacks {lag} committed entries"
+    return ""
 
 
 def _remove(
--- a/src/cranberrymux/consensus/refusals.py
+++ b/src/cranberrymux/consensus/refusals.py
@@ -45,8 +45,9 @@
         NOT_A_MEMBER: No member has the replica id.
         ALREADY_DONE: The membership already has the change, or the replica
             that shall found a cluster already holds a log or a vote.
-        NOT_CAUGHT_UP: The learner was not heard from within the lease time, or
-            lacks more than `promotion_lag_entries` committed entries.
+        NOT_CAUGHT_UP: The learner was not heard from within the lease time,
+            has confirmed no entry to this leader, or lacks more than
+            `promotion_lag_entries` committed entries.
         LAST_VOTER: The change would leave no voter.
         STORAGE_FAILED: A write of this replica failed; it acknowledges nothing.
     """
--- a/tests/consensus/test_lost_disk.py
+++ b/tests/consensus/test_lost_disk.py
@@ -8,9 +8,11 @@
 import pytest
 
 from bench import consensus_scenarios
+from bench import consensus_simulated_cluster
 from cranberrymux.consensus import member_change
 from cranberrymux.consensus import refusals
 from cranberrymux.consensus import replica
+from cranberrymux.consensus import replica_settings
 from cranberrymux.consensus import role
 
 
@@ -114,6 +116,56 @@
     assert learner_id not in _voters(world)
 
 
+@pytest.fixture
+def short_log_world():
+    """A cluster whose whole log is shorter than the lag of a promotion."""
+    settings = consensus_simulated_cluster.SETTINGS._replace(
+        promotion_lag_entries=replica_settings.ReplicaSettings().promotion_lag_entries
+    )
+    built = consensus_scenarios.build_cluster(11, 3, replica.Replica, settings)
+    consensus_scenarios.wait_for_lease_holder(built)
+    built.run_for(0.2)
+    return built
+
+
+# Guards against a voter that never answered: with its disk lost as well, the
+# quorum of four voters is out of reach for good.
+def test_disk_lost_as_soon_as_its_replica_is_added_leaves_a_quorum(
+    short_log_world,
+):
+    world = short_log_world
+    lost = next(node for node in world.nodes if node not in world.leaders())
+    leader = world.leaders()[0].replica
+    _lose_disk(world, lost)
+    while leader.journal.membership.find(lost.disk.replica_id) is None:
+        world.run_for(0.002)
+    _lose_disk(world, lost)
+    world.run_for(5.0)
+    voters = _voters(world)
+    assert lost.disk.replica_id in voters
+    assert len(voters) == 3
+
+
+# Guards against a dead learner that a new leader takes for one that is there.
+def test_learner_that_never_answered_is_not_promoted(short_log_world):
+    world = short_log_world
+    lost = next(node for node in world.nodes if node not in world.leaders())
+    leader = world.leaders()[0]
+    world.crash(lost)
+    world.run_for(1.0)
+    kind = member_change.ChangeKind
+    learner_id = f"{lost.name}@9"
+    add = member_change.MemberChange(kind.ADD_LEARNER, learner_id, lost.name)
+    assert world.change(leader, add)
+    world.run_for(0.1)
+    assert leader.replica.journal.membership.find(learner_id).voter is False
+    now_s = leader.local_time_s(world.now_s)
+    promote = member_change.MemberChange(kind.PROMOTE, learner_id)
+    refused = leader.replica.change_refusal(now_s, promote)
+    assert isinstance(refused, refusals.ProposalRefused)
+    assert refused.reason is refusals.RefusalReason.NOT_CAUGHT_UP
+
+
 def test_replacement_of_live_member_is_refused(world):
     leader = world.leaders()[0]
     follower = next(node for node in world.nodes if node is not leader)
