--- a/src/cranberrymux/gateway/backend_verdict.py
+++ b/src/cranberrymux/gateway/backend_verdict.py
@@ -56,7 +56,7 @@
     defect="an answer that says not-run beside a status of a request that ran"
 )
 _UNPROMISED = BackendVerdict(
-    defect="a status that promises that the request did not run, but no more",
+    defect="a status that promises not-run, without the header that states it",
     is_failure=True,
 )
 
