--- a/tests/decisions/configuration/test_difference.py
+++ b/tests/decisions/configuration/test_difference.py
@@ -6,6 +6,8 @@
 
 import time
 
+import pytest
+
 from cranberrymux.decisions.configuration import difference
 
 # A quarter of the shortest leader lease in use, 0.5 s.
@@ -39,3 +41,26 @@
     began_s = time.process_time()
     assert compute("".join(lines), "".join(changed))
     assert time.process_time() - began_s < MAXIMUM_STEP_S
+
+
+def test_equal_lines_around_many_changed_ones_are_left_out():
+    same = [f"same-{number}\n" for number in range(50)]
+    old = [f"old-{number}\n" for number in range(1000)]
+    new = [f"new-{number}\n" for number in range(900)]
+    diff = compute("".join(same + old + same), "".join(same + new + same))
+    lines = diff.splitlines()
+    assert lines[:3] == ["--- old", "+++ new", "@@ -51,1000 +51,900 @@"]
+    assert lines[3] == "-old-0"
+    assert lines[-1] == "+new-899"
+    assert not any("same" in line for line in lines)
+
+
+@pytest.mark.parametrize("place", [0, 2500, 4999])
+def test_one_change_among_many_equal_lines_is_found_in_a_short_step(place):
+    """Guards against comparing equal lines with one another."""
+    lines = ["value: 1\n"] * 5000
+    changed = [*lines[:place], "value: 2\n", *lines[place + 1 :]]
+    began_s = time.process_time()
+    diff = compute("".join(lines), "".join(changed))
+    assert time.process_time() - began_s < MAXIMUM_STEP_S
+    assert "+value: 2" in diff.splitlines()
