An instance that ends asks the leader whether it has left

What callers see: a control instance is to end while the others add it (it has just been replaced or restarted). It ends as if it had left, but its vote counts. One more lost disk, and no configuration is read or changed any more, for good.

Cause: it took its own log for proof: a committed membership without it. The log of a learner ends before the entry that adds or promotes it.

Change: only the leader's answer ends the wait, or the own log of an instance that led when it proposed its own removal.

Why it works: the leader's log holds every entry that was proposed, and contacts of one connection arrive in order: once it was asked to remove an instance, nothing adds it again.

--- a/src/cranberrymux/control/member_departure.py
+++ b/src/cranberrymux/control/member_departure.py
@@ -36,6 +36,7 @@
         self._reactor = reactor
         self._limit: Any = None
         self._ended: defer.Deferred[bool] | None = None
+        self._has_led = False
 
     @property
     def is_under_way(self) -> bool:
@@ -58,9 +59,14 @@
         return ended
 
     def update(self) -> None:
-        """Ends the wait if this instance has left or has to stay a member."""
+        """Ends the wait if this instance has left or has to stay a member.
+
+        Only one that led learns that it has left from its own log. The log of
+        any other may lack the entry that added it; it waits for the leader to
+        say so.
+        """
         replica = self._driver.replica
-        if departure.has_left(replica, replica.replica_id):
+        if self._has_led and departure.has_left(replica, replica.replica_id):
             self.end(True)
         elif self._formation.must_stay():
             self.end(False)
@@ -84,7 +90,10 @@
         replica = self._driver.replica
         if not self.is_under_way or replica.role is not role_module.Role.LEADER:
             return None
-        return self._formation.next_removal(replica.replica_id)
+        removal = self._formation.next_removal(replica.replica_id)
+        if removal is not None:
+            self._has_led = True
+        return removal
 
     def has_left(self, leaving_id: str) -> bool:
         """Returns whether this instance leads members without a replica."""
