Keep lost requests by their endpoint, each content once

After a cut or a loss of power, a node that lost thousands of requests within 10 s goes through all of them for each one that is added and for each endpoint of the directory.

Cause: one list for all endpoints, filtered anew at each call, with an item for each resend.

Change: lost requests are kept by endpoint and once for each content, start of the node and process. What counts as a death is unchanged.

Why it works: an endpoint is compared with the requests that were sent to it only, and the oldest of these stand first.

--- a/src/cranberrymux/gateway/lost_hops.py
+++ b/src/cranberrymux/gateway/lost_hops.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
+from cranberrymux.models import backend_process
 from cranberrymux.models import endpoint_record
 from cranberrymux.models import endpoint_state
 from cranberrymux.node import clock as clock_module
@@ -27,13 +28,13 @@
 
     Attributes:
         digest: Digest of its content.
-        record: The endpoint as it was known when the request was sent.
-        lost_s: Monotonic seconds at which the connection broke.
+        incarnation: Start of the node, as it was known when it was sent.
+        process: The process of the backend server, as it was known then.
     """
 
     digest: str
-    record: endpoint_record.EndpointRecord
-    lost_s: float
+    incarnation: int
+    process: backend_process.BackendProcess
 
 
 class LostHops:
@@ -58,7 +59,9 @@
         """
         self._clock = clock
         self._recorder = recorder
-        self._lost: list[_LostHop] = []
+        # By endpoint id. Each once, the oldest first, with the monotonic
+        # seconds at which the connection broke.
+        self._lost: dict[str, dict[_LostHop, float]] = {}
 
     def add(self, digest: str, record: endpoint_record.EndpointRecord) -> None:
         """Records a request that the endpoint's node may have handed over.
@@ -67,46 +70,63 @@
             digest: Digest of its content; empty if it has none.
             record: The endpoint that it was sent to.
         """
-        self._forget_old()
-        if digest and record.backend_id:
-            self._lost.append(_LostHop(digest, record, self._clock.now_s()))
+        if not digest or not record.backend_id:
+            return
+        now_s = self._clock.now_s()
+        lost = self._lost.setdefault(record.endpoint_id, {})
+        hop = _LostHop(digest, record.incarnation, record.process)
+        lost.pop(hop, None)
+        lost[hop] = now_s
+        _forget_old(lost, now_s)
 
     def endpoints_changed(
         self, records: Iterable[endpoint_record.EndpointRecord]
     ) -> None:
         """Looks for another process in the place of a lost request's."""
-        self._forget_old()
+        self._forget_all_old()
         if not self._lost:
             return
         for record in records:
-            self._explain(record)
+            if record.endpoint_id in self._lost:
+                self._explain(record)
 
     def _explain(self, record: endpoint_record.EndpointRecord) -> None:
-        kept = []
-        for lost in self._lost:
-            if lost.record.endpoint_id != record.endpoint_id:
-                kept.append(lost)
-            elif not record.backend_id or record.process.may_be(
-                lost.record.process
-            ):
+        lost = self._lost[record.endpoint_id]
+        is_draining = record.state is endpoint_state.EndpointState.DRAINING
+        for hop in list(lost):
+            if not record.backend_id or record.process.may_be(hop.process):
                 # An end that was announced is no death.
-                if record.state is not endpoint_state.EndpointState.DRAINING:
-                    kept.append(lost)
-            elif record.incarnation != lost.record.incarnation:
+                if is_draining:
+                    del lost[hop]
+                continue
+            del lost[hop]
+            # Otherwise the node has seen the death itself.
+            if record.incarnation != hop.incarnation:
                 self._recorder.record_unseen_death(
-                    fingerprints.Fingerprint("", "", lost.digest),
-                    _make_event_id(lost.record),
+                    fingerprints.Fingerprint("", "", hop.digest),
+                    _make_event_id(record.endpoint_id, hop),
                 )
-        self._lost = kept
 
-    def _forget_old(self) -> None:
-        from_s = self._clock.now_s() - UNEXPLAINED_S
-        self._lost = [lost for lost in self._lost if lost.lost_s >= from_s]
+    def _forget_all_old(self) -> None:
+        now_s = self._clock.now_s()
+        for endpoint_id, lost in list(self._lost.items()):
+            _forget_old(lost, now_s)
+            if not lost:
+                del self._lost[endpoint_id]
+
+
+def _forget_old(lost: dict[_LostHop, float], now_s: float) -> None:
+    from_s = now_s - UNEXPLAINED_S
+    while lost:
+        oldest = next(iter(lost))
+        if lost[oldest] >= from_s:
+            return
+        del lost[oldest]
 
 
-def _make_event_id(record: endpoint_record.EndpointRecord) -> str:
-    process = record.process
+def _make_event_id(endpoint_id: str, hop: _LostHop) -> str:
+    process = hop.process
     return (
-        f"{record.endpoint_id}#{record.incarnation}"
+        f"{endpoint_id}#{hop.incarnation}"
         f"#{process.backend_id}@{process.started_ms}"
     )
