Remove a lost replica before its successor votes

Callers would see every read and change of the configuration refused, for good: one control instance of three loses its disk again while its replacement is promoted.

Cause: the successor was promoted first. Until the old identity was removed, two of four voters were disks that are gone, if the successor lost its disk as well. It is one instance that is lost, which has to be tolerated.

Change: the old identity is removed once its successor has caught up, then the successor is promoted; where two voters are left, as before. A log in use accepts commands with f + 1 voters, so that an instance that is lost in between stops nothing; a new one still waits for 2f + 1.

Why it works: a vote that can never come counts no longer before the vote that may be lost begins to count; removing it makes no quorum larger.

--- a/src/cranberrymux/control/control_settings.py
+++ b/src/cranberrymux/control/control_settings.py
@@ -135,11 +135,21 @@
 
     @property
     def minimum_voters(self) -> int:
-        """Fewest voters with which the log accepts commands."""
+        """Fewest voters with which a new log accepts commands."""
         if self.forming is not None:
             return self.forming.minimum_voters
         return len(self.peers) // 2 + 1
 
+    @property
+    def minimum_voters_in_use(self) -> int:
+        """Fewest voters with which a log in use accepts commands.
+
+        A voter whose disk is lost is removed before its successor votes.
+        """
+        if self.forming is not None:
+            return self.forming.minimum_voters // 2 + 1
+        return self.minimum_voters
+
     @property
     def other_peers(self) -> tuple[peer.Peer, ...]:
         """The control instances of `peers` without this one."""
--- a/src/cranberrymux/control/quorum_log.py
+++ b/src/cranberrymux/control/quorum_log.py
@@ -247,11 +247,15 @@
         """Returns the remaining leader lease; 0 if commands are rejected.
 
         A new cluster accepts commands once it has `minimum_voters` voters, by
-        default a majority of the instances in the settings.
+        default a majority of the instances in the settings. Later a voter may
+        be missing while it is replaced.
         """
         lease_end_s = self._driver.lease_until_s(now_s)
         voters = self._driver.replica.journal.membership.voters
-        if lease_end_s is None or len(voters) < self._settings.minimum_voters:
+        minimum_voters = self._settings.minimum_voters
+        if self._loop.has_applied_commands:
+            minimum_voters = self._settings.minimum_voters_in_use
+        if lease_end_s is None or len(voters) < minimum_voters:
             return 0
         return max(0, int(min(lease_end_s - now_s, self._lease_s) * _MS_PER_S))
 
--- a/src/cranberrymux/control/replica_loop.py
+++ b/src/cranberrymux/control/replica_loop.py
@@ -67,6 +67,11 @@
         self._is_stopped = False
         self.proposals = proposals_module.Proposals()
 
+    @property
+    def has_applied_commands(self) -> bool:
+        """True if any command was ever accepted, as far as known here."""
+        return self._machine.now_ms > 0
+
     def stop(self) -> None:
         """Closes the data folder; later actions are ignored."""
         self._is_stopped = True
--- a/tests/consensus/test_lost_disk.py
+++ b/tests/consensus/test_lost_disk.py
@@ -5,6 +5,8 @@
 becomes a voter before it holds the log.
 """
 
+import random
+
 import pytest
 
 from bench import consensus_scenarios
@@ -53,6 +55,33 @@
     assert lost.applied_index == world.checker.last_committed_index
 
 
+# Guards against a quorum that is out of reach for good: the replacement is lost
+# as well, between its promotion and the removal of the old replica.
+@pytest.mark.parametrize("seed", range(20))
+def test_a_disk_lost_again_and_again_leaves_a_quorum(world, seed):
+    generator = random.Random(seed)
+    lost = next(node for node in world.nodes if node not in world.leaders())
+    for _ in range(8):
+        _lose_disk(world, lost)
+        world.run_for(generator.uniform(0.0, 0.6))
+    world.run_for(5.0)
+    voters = _voters(world)
+    assert lost.disk.replica_id in voters
+    assert len(voters) == 3
+
+
+def test_a_lost_replica_is_removed_before_its_successor_votes(world):
+    lost = next(node for node in world.nodes if node not in world.leaders())
+    _lose_disk(world, lost)
+    counts = set()
+    for _ in range(400):
+        world.run_for(0.005)
+        for leader in world.leaders():
+            counts.add(len(leader.replica.journal.membership.voters))
+    assert counts == {2, 3}
+    assert lost.disk.replica_id in _voters(world)
+
+
 def test_disks_lost_one_after_another_lose_no_accepted_entry(world):
     loss_order = [node for node in world.nodes if node not in world.leaders()]
     loss_order += world.leaders()
