Bench: all orders of a replacement, a lost disk and a loss of power

python -m bench bench_replacement plays the 7,168 cases of which the tests play every 23rd and 229th.

--- a/tests/consensus/test_replacement_orders.py
+++ b/tests/consensus/test_replacement_orders.py
@@ -13,7 +13,7 @@
 Event = case_module.Event
 Victim = case_module.Victim
 SEED = 1
-# Every so many of the cases; the benchmark plays all of them.
+# Every so many of the cases; `bench_replacement` plays all of them.
 CASES_IN_STEPS = 23
 OTHER_CASES_IN_STEPS = 229
 
