Decode configurations with fewer steps of the interpreter

Callers saw: nothing; a whole run of tests/platform at a load of 55 failed in test_large_control.py (100,000 accounts, no 413 in 15 s: each try has 4 s) and in three new tests of json_steps (0.13 s of processor time in one step, bound 0.1 s; a deadline of 0.2 s of wall time).

The new property tests use the settings that the other ones of the repository use, which have no deadline of wall time.

--- a/src/cranberrymux/models/json_fields.py
+++ b/src/cranberrymux/models/json_fields.py
@@ -40,6 +40,8 @@
     """True for a text that is not empty and can stand in a header."""
     if not isinstance(value, str) or not value:
         return False
+    if value.isascii() and value.isprintable():
+        return True
     return _UNUSABLE.search(value) is None
 
 
--- a/tests/platform/test_invalid_configurations.py
+++ b/tests/platform/test_invalid_configurations.py
@@ -14,6 +14,7 @@
 from cranberrymux.decisions.routes import route_document
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.platform import configuration_format
+from tests import profiles
 from tests.platform import fleet
 
 DIGITS = "9" * 400
@@ -313,6 +314,7 @@
 
 
 # Guards against any value that is an exception here or at a node.
+@profiles.DETERMINISTIC
 @hypothesis.given(
     strategies.sampled_from(["routes", "services", "tenants", "limits", ""]),
     strategies.sampled_from(
--- a/tests/platform/test_strict_json.py
+++ b/tests/platform/test_strict_json.py
@@ -12,14 +12,17 @@
 import pytest
 
 from cranberrymux.models import strict_json
+from tests import profiles
 from tests.platform import test_json_steps
 
 
+@profiles.DETERMINISTIC
 @hypothesis.given(test_json_steps.VALUES)
 def test_valid_text_is_decoded_as_by_the_library(value):
     assert strict_json.load(json.dumps(value).encode()) == value
 
 
+@profiles.DETERMINISTIC
 @hypothesis.given(strategies.text('[]{}:,"\\aN1e-.Inu \n\t', max_size=12))
 def test_any_other_text_is_a_value_error(text):
     try:
--- a/tests/wire/test_odd_bodies.py
+++ b/tests/wire/test_odd_bodies.py
@@ -16,6 +16,7 @@
 from cranberrymux.node import vouch_message
 from cranberrymux.platform import announcement_format
 from cranberrymux.platform import configuration_format
+from tests import profiles
 from tests.platform import test_invalid_configurations
 
 DIGITS = "9" * 400
@@ -45,6 +46,7 @@
     decode(body.encode() + b"\xff")
 
 
+@profiles.DETERMINISTIC
 @hypothesis.given(
     strategies.sampled_from([VOUCH, CHANGE, BACKEND]),
     strategies.sampled_from(FIELDS),
