--- a/tests/platform/test_json_steps.py
+++ b/tests/platform/test_json_steps.py
@@ -16,6 +16,7 @@
 from cranberrymux.models import steps
 from cranberrymux.models import strict_json
 from tests import collector
+from tests import profiles
 
 MAXIMUM_STEP_S = 0.1
 
@@ -95,6 +96,7 @@
     assert longest_s < MAXIMUM_STEP_S
 
 
+@profiles.DETERMINISTIC
 @hypothesis.given(VALUES, strategies.sampled_from([None, 1]))
 def test_long_cells_are_decoded_as_short_ones(value, indent):
     text = json.dumps([[[value, {"a": value}]]], indent=indent)
