--- a/bench/gateway_path/node.py
+++ b/bench/gateway_path/node.py
@@ -33,8 +33,8 @@
         reactor,
     )
     gateway.start()
-    gateway.configuration_changed(1, settings.make_configuration())
-    gateway.endpoints_changed([_make_record(endpoint_hop)])
+    gateway.updates.configuration_changed(1, settings.make_configuration())
+    gateway.updates.endpoints_changed([_make_record(endpoint_hop)])
     sequence = 0
 
     def announce() -> None:
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -13,8 +13,8 @@
 from cranberrymux.gateway import announcement_filter
 from cranberrymux.gateway import backend_signals
 from cranberrymux.gateway import boot_clock
-from cranberrymux.gateway import confirmation_watch
 from cranberrymux.gateway import control_connections
+from cranberrymux.gateway import control_updates
 from cranberrymux.gateway import entry as entry_module
 from cranberrymux.gateway import exit as exit_module
 from cranberrymux.gateway import idle_wait
@@ -25,10 +25,8 @@
 from cranberrymux.gateway import routes_holder
 from cranberrymux.gateway import settings as gateway_settings
 from cranberrymux.gateway.explanation import explainer
-from cranberrymux.models import endpoint_record
 from cranberrymux.node import clock as clock_module
 from cranberrymux.node import directory_task
-from cranberrymux.node import suspect_sharing
 from cranberrymux.node.http import call_handler
 
 CHECK_INTERVAL_S = 0.1
@@ -77,8 +75,8 @@
             self._control_connections.get_clients,
         )
         self._clock = self._parts.clock
-        self._confirmation = confirmation_watch.ConfirmationWatch(
-            self._clock.now_s()
+        self._updates = control_updates.ControlUpdates(
+            self._parts, self._routes, self._control_connections, self._drain
         )
         self._presence = presence_module.Presence(settings.backend_lifetime_s)
         self._exit = exit_module.Exit(self._parts, self._presence, self.leave)
@@ -98,7 +96,7 @@
             self._control_connections.make_clients(self._clock.now_s()),
             self._own_endpoint,
             self._clock,
-            self,
+            self._updates,
             reactor,
         )
         self._control_connections.set_directory_task(self._directory)
@@ -109,6 +107,11 @@
         self._ports = ports_module.Ports(reactor)
         self._is_stopping = False
 
+    @property
+    def updates(self) -> control_updates.ControlUpdates:
+        """Takes what the control instances tell."""
+        return self._updates
+
     @property
     def is_ready(self) -> bool:
         """True if clients may send requests to this node."""
@@ -204,46 +207,6 @@
             self._reactor, self._clock, self._count_in_flight, self._close
         ).start(MINIMUM_STOP_S, self._settings.stop_s)
 
-    # Callbacks of the directory task.
-
-    @property
-    def configuration_version(self) -> int:
-        """Version of the configuration in force."""
-        return self._routes.version
-
-    def get_subscriptions(self) -> Sequence[str]:
-        """Returns all services of the configuration, in alphabetical order."""
-        table = self._routes.table
-        if table is None:
-            return ()
-        return sorted(service.name for service in table.document.services)
-
-    def endpoints_changed(
-        self, records: Sequence[endpoint_record.EndpointRecord]
-    ) -> None:
-        """Updates the endpoints; their number divides the repeat budget."""
-        own = [
-            record
-            for record in records
-            if record.service == self._settings.service
-        ]
-        suspect_sharing.update_siblings(
-            self._parts.siblings, self._parts.quarantine, own
-        )
-        self._parts.lost_hops.endpoints_changed(records)
-        root_admission = self._parts.entry_admission.root_admission
-        for service in self._parts.endpoints.update(records):
-            root_admission.reset_service_share(service)
-        self._parts.repeats.set_node_count(self._parts.endpoints.count)
-
-    def suspects_changed(self, rows: Sequence[Any]) -> None:
-        """Learns what the control instances know of crashing requests."""
-        self._parts.quarantine.merge_rows(rows)
-
-    def configuration_changed(self, version: int, document: str) -> None:
-        """Puts a configuration in force if its version is higher."""
-        self._routes.apply(version, document)
-
     def _routes_applied(self, table: route_table.RouteTable) -> None:
         self._ports.set_limits(table.document.limits)
         self._filter.use_document(table.document)
@@ -254,27 +217,10 @@
         if self._presence.current is None:
             self._filter.check_health()
 
-    def configuration_confirmed(
-        self, version: int, asked_at_s: float, until_s: float
-    ) -> None:
-        """Renews the lease on keys if the version in force is the newest."""
-        if version == self._routes.version:
-            self._parts.key_lease.confirm(asked_at_s)
-            self._confirmation.confirm(asked_at_s, version)
-
-    def quota_owner_received(self, address: str) -> None:
-        """Follows the control instance that hands out quota tokens."""
-        self._parts.quotas.follow_owner(address)
-
-    def drain_requested(self) -> None:
-        """Marks the endpoint as draining, so that nodes stop choosing it."""
+    def _drain(self) -> None:
         if self._own_endpoint.drain():
             self._directory.send_heartbeats()
 
-    def control_instances_received(self, addresses: Sequence[str]) -> None:
-        """Connects to control instances, given as `ip:port`, that are new."""
-        self._control_connections.add_addresses(addresses, self._clock.now_s())
-
     def _backend_found(
         self,
         found: announcement_module.Announcement,
@@ -310,19 +256,14 @@
         self._exit.update_metrics()
         self._parts.show_zone_shares()
         self._parts.quotas.update_metrics()
-        self._parts.metrics.version.set(self._routes.version)
-        self._parts.metrics.confirmed_age_s.set(
-            self._confirmation.age_s(self._clock.now_s())
-        )
+        self._updates.update_metrics()
         self._ports.sweep(self._clock.now_s())
 
     def _check(self) -> None:
         now_s = self._clock.now_s()
         self._filter.retry()
         self._control_connections.remove_unreachable(now_s)
-        self._confirmation.check(
-            now_s, self._routes.version, self._control_connections.open_count
-        )
+        self._updates.check_confirmation()
         if self._routes.table is None:
             # Without a configuration no request can be served, so heartbeats
             # are sent at this shorter interval.
--- a/tests/gateway/explanation_scene.py
+++ b/tests/gateway/explanation_scene.py
@@ -52,9 +52,9 @@
     def configure(self):
         text = route_document.dump(self.document)
         for member in self.mesh.members:
-            member.gateway.configuration_changed(1, text)
+            member.gateway.updates.configuration_changed(1, text)
             member.gateway._parts.quotas._connect = self.owner.connect
-            member.gateway.quota_owner_received("10.0.0.9:1")
+            member.gateway.updates.quota_owner_received("10.0.0.9:1")
         self.network.run(1.0, step_s=0.01)
 
     def explain(self, path="/read/x", **more):
--- a/tests/gateway/mesh.py
+++ b/tests/gateway/mesh.py
@@ -177,7 +177,7 @@
             make_document(*routes, label=label, **changes)
         )
         for member in self.members:
-            member.gateway.configuration_changed(label, text)
+            member.gateway.updates.configuration_changed(label, text)
 
     def publish_endpoints(self):
         records = [
@@ -186,7 +186,7 @@
             if member.gateway._own_endpoint.record is not None
         ]
         for member in self.members:
-            member.gateway.endpoints_changed(records)
+            member.gateway.updates.endpoints_changed(records)
 
     def run_announced(self, seconds):
         """Lets time pass, in which all backend servers say that they serve."""
@@ -198,7 +198,7 @@
     def restart(self, index):
         """Restarts a gateway, which gets the configuration at once."""
         self.members[index].restart()
-        self.members[index].gateway.configuration_changed(1, self.text)
+        self.members[index].gateway.updates.configuration_changed(1, self.text)
 
     def connect(self, index):
         client = raw_client.RawClient()
--- a/tests/gateway/test_client_accounts.py
+++ b/tests/gateway/test_client_accounts.py
@@ -31,7 +31,7 @@
     )
     text = route_document.dump(document._replace(accounts=accounts))
     for member in mesh.members:
-        member.gateway.configuration_changed(label, text)
+        member.gateway.updates.configuration_changed(label, text)
 
 
 def require_confirmations(mesh):
@@ -42,7 +42,9 @@
 def confirm(mesh, version):
     for member in mesh.members:
         now_s = member.gateway._clock.now_s()
-        member.gateway.configuration_confirmed(version, now_s, now_s + 0.5)
+        member.gateway.updates.configuration_confirmed(
+            version, now_s, now_s + 0.5
+        )
 
 
 @pytest.fixture
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -371,7 +371,7 @@
         )
     )
     text = route_document.dump(scene.document)
-    scene.gateway.configuration_changed(2, text)
+    scene.gateway.updates.configuration_changed(2, text)
     scene.network.run(0.1)
     status, body = port.get("/explain?path=/open/x")
     assert (status, json.loads(body)["error"]) == (400, "host-needed")
--- a/tests/gateway/test_large_configuration.py
+++ b/tests/gateway/test_large_configuration.py
@@ -34,11 +34,11 @@
     mesh = mesh_module.Mesh("front", "deep")
     mesh.configure(mesh_module.make_route("read", "deep"))
     node = mesh.members[0].gateway
-    node.configuration_changed(2, make_text(2))
-    assert node.configuration_version == 1
+    node.updates.configuration_changed(2, make_text(2))
+    assert node.updates.configuration_version == 1
     assert mesh.ask(0, "/read/x", wait=0.02).statuses == [200]
     mesh.network.run(1.0)
-    assert node.configuration_version == 2
+    assert node.updates.configuration_version == 2
     keyed = [("X-Api-Key", "9999-key-b")]
     assert mesh.ask(0, "/read/x").statuses == [401]
     assert mesh.ask(0, "/read/x", headers=keyed).statuses == [200]
@@ -47,11 +47,11 @@
 def test_a_newer_version_ends_the_decoding_of_an_older_one():
     mesh = mesh_module.Mesh("front", "deep")
     node = mesh.members[0].gateway
-    node.configuration_changed(1, make_text(1))
-    node.configuration_changed(2, make_text(2, accounts=1))
-    assert node.configuration_version == 2
+    node.updates.configuration_changed(1, make_text(1))
+    node.updates.configuration_changed(2, make_text(2, accounts=1))
+    assert node.updates.configuration_version == 2
     mesh.network.run(1.0)
-    assert node.configuration_version == 2
+    assert node.updates.configuration_version == 2
 
 
 def test_no_step_keeps_the_node_from_its_requests():
--- a/tests/gateway/test_odd_announcements.py
+++ b/tests/gateway/test_odd_announcements.py
@@ -111,7 +111,7 @@
         self.control.control.document = self.mesh.text
         self.mesh.run_announced(6)
         for member in self.mesh.members:
-            assert member.gateway.configuration_version == 2
+            assert member.gateway.updates.configuration_version == 2
         for _ in range(5):
             assert self.mesh.ask(0, "/read/x").statuses == [200]
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -31,7 +31,7 @@
         self.configure(*accounts)
         for member in self.mesh.members:
             member.gateway._parts.quotas._connect = self.owner.connect
-            member.gateway.quota_owner_received("10.0.0.9:1")
+            member.gateway.updates.quota_owner_received("10.0.0.9:1")
         self.mesh.network.run(1.0, step_s=0.01)
 
     def configure(self, *accounts, label=1):
@@ -42,7 +42,7 @@
         )
         text = route_document.dump(document._replace(accounts=accounts))
         for member in self.mesh.members:
-            member.gateway.configuration_changed(label, text)
+            member.gateway.updates.configuration_changed(label, text)
 
     def ask(self, path="/read/x", *, headers=SENT, wait=0.3):
         return self.mesh.ask(0, path, headers=headers, wait=wait)
@@ -184,7 +184,7 @@
     """Its bucket is empty, although the account is within its quota."""
     gateway = scene.mesh.members[0].gateway
     scene.mesh.network.run(1.0, step_s=0.01)
-    gateway.quota_owner_received("10.0.0.8:1")
+    gateway.updates.quota_owner_received("10.0.0.8:1")
     scene.owner.restart(LIMITED)
     # One token comes in 0.1 s.
     client = scene.ask(wait=0.05)
--- a/tests/gateway/test_startup_health_check.py
+++ b/tests/gateway/test_startup_health_check.py
@@ -36,7 +36,7 @@
     """Restarts a gateway; its health check is answered at once."""
     mesh.network.run(0.1)  # Its processes differ in their start time.
     mesh.members[place].restart()
-    mesh.members[place].gateway.configuration_changed(LABEL, mesh.text)
+    mesh.members[place].gateway.updates.configuration_changed(LABEL, mesh.text)
     mesh.network.run(0.1)
 
 
@@ -104,7 +104,7 @@
 def test_announcement_before_the_health_check_answer_takes_precedence(mesh):
     mesh.members[1].backend.answer = None
     mesh.members[1].restart()
-    mesh.members[1].gateway.configuration_changed(LABEL, mesh.text)
+    mesh.members[1].gateway.updates.configuration_changed(LABEL, mesh.text)
     mesh.network.run(0.01)
     (check,) = mesh.members[1].backend.calls
     mesh.members[1].announce(slots=20)
@@ -201,7 +201,7 @@
     mesh.network.run(0.1)
     member.restart()
     member.announce(announcement.BackendState.DRAINING)
-    member.gateway.configuration_changed(LABEL, mesh.text)
+    member.gateway.updates.configuration_changed(LABEL, mesh.text)
     mesh.network.run(0.1)
     member.backend_id = "b-7"
     member.announce(started_ms=2)
