Refuse a configuration whose routes are null

Callers would see 404 for every route: null in place of the table was taken as a table without rows, and dropped all of them. A configuration without the table is refused; null means the same.

test_null_in_place_of_the_routes_is_refused failed before and passes.

--- a/src/cranberrymux/platform/configuration_format.py
+++ b/src/cranberrymux/platform/configuration_format.py
@@ -55,6 +55,8 @@
     for name in ("routes", "services"):
         if name not in values:
             raise ValueError(f"{name}: missing")
+    if values["routes"] is None:
+        raise ValueError("routes: expected a table of columns and rows")
     version = json_fields.read_integer(values, "version")
     limits = _decode_limits(values.get("limits"))
     accounts = yield from _decode_table(
--- a/tests/platform/test_invalid_configurations.py
+++ b/tests/platform/test_invalid_configurations.py
@@ -281,6 +281,11 @@
     )
 
 
+# Guards against a configuration that drops all routes by a null.
+def test_null_in_place_of_the_routes_is_refused():
+    assert is_invalid(decode(lambda values: values.update(routes=None)))
+
+
 @pytest.mark.parametrize(
     "change",
     [
