Soak: an accepted split with invalid weights is one violation

Change: the routes of such a change name both services. The new test failed before. The acknowledgement itself is still a violation.

--- a/tests/soak/configuration/invalid_documents.py
+++ b/tests/soak/configuration/invalid_documents.py
@@ -90,4 +90,8 @@
         values = json.loads(body)
         _CHANGES[kind](values)
         body = json.dumps(values).encode()
-    return drawn._replace(body=body, invalid_kind=kind)
+    routes = drawn.routes
+    if kind.startswith("weight"):
+        # Were it accepted, either service might run requests.
+        routes = {**routes, next(iter(routes)): documents.SERVICES[:2]}
+    return drawn._replace(routes=routes, body=body, invalid_kind=kind)
--- a/tests/soak/configuration/test_read_checks.py
+++ b/tests/soak/configuration/test_read_checks.py
@@ -4,6 +4,8 @@
 or although two changes on one version, or an invalid one, were acknowledged.
 """
 
+import json
+
 import pytest
 
 from tests.soak.configuration import documents
@@ -100,3 +102,13 @@
     assert invalid.invalid_kind == kind
     assert invalid.body != drawer.draw(base).body
     assert invalid.base == base.version
+
+
+def test_an_accepted_split_with_invalid_weights_is_one_violation():
+    """Its services run requests, which is no violation of its own."""
+    drawer = documents.Drawer(1)
+    base = drawer.draw(documents.EMPTY)
+    invalid = invalid_documents.make("weight-infinite", drawer, base)
+    (row, *_) = json.loads(invalid.body)["routes"]["rows"]
+    for part in row[7]:
+        assert invalid.permits(row[2], part["service"])
