--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -89,8 +89,12 @@
         while not self._is_done:
             time.sleep(SUPERVISION_PERIOD_S)
             for instance in self._fleet.instances:
-                if instance.process.poll() is not None and self.reserve(
-                    instance
+                # One that was just added is not started yet.
+                is_started = instance.process is not None
+                if (
+                    is_started
+                    and instance.process.poll() is not None
+                    and self.reserve(instance)
                 ):
                     self._restart_control(instance)
             for node in nodes:
