Ignore a SIGHUP while a program starts

Callers saw a machine end by itself: a SIGHUP up to 1.0 s after the start of a node, or 0.8 s after that of a control instance, ended the process (exit -1). Found by the soak.

Cause: the handler is set once everything is imported; until then the signal has its default effect.

--- a/src/cranberrymux/platform/control_main.py
+++ b/src/cranberrymux/platform/control_main.py
@@ -1,6 +1,7 @@
 """Entry point of a control instance."""
 
 import importlib
+import signal
 import sys
 
 from cranberrymux.platform import unused_libraries
@@ -8,6 +9,8 @@
 
 def main() -> int:
     """Runs a control instance until a signal ends it; returns the exit code."""
+    # Until the program handles it; its imports take up to a second.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     unused_libraries.exclude()
     program = importlib.import_module("cranberrymux.platform.control_program")
     exit_code: int = program.main()
