Control: a silent voter of an even number is removed after 0.6 s

Cause: the silent voter counted for 1 s from the election. Removing one that is there harms nothing, since the quorum of the others is smaller without it, and it is added again; so the time need only be above a lease.

The window is smaller, not closed: about 0.6 s and an election remain.

--- a/src/cranberrymux/platform/settings_file.py
+++ b/src/cranberrymux/platform/settings_file.py
@@ -29,8 +29,8 @@
 PROPOSAL_TIMEOUT_MS = 3000
 SNAPSHOT_ENTRIES = 200
 SILENT_VOTER_S = 3.0
-# Two leases, so that one lost message does not count as silence.
-SURPLUS_SILENT_S = 1.0
+# Above a lease and six heartbeats. Removing one that is there harms nothing.
+SURPLUS_SILENT_S = 0.6
 # An election and some commits; well below the grace period of a stop.
 LEAVE_LIMIT_S = 2.0
 # Short, since restarts are frequent and no request is served before there is a
