--- a/tests/gateway/test_deaths_beside_restarts.py
+++ b/tests/gateway/test_deaths_beside_restarts.py
@@ -36,6 +36,14 @@
         scene.control.restart(index)
 
 
+def restart_under_harmless_requests(scene):
+    for backend in scene.backends:
+        backend.work_s = CRASH_AFTER_S
+    for index in range(crash_scene.OTHERS):
+        scene.ask("/read/slow", index, wait=0.01)
+    restart_nodes(scene, scene.servers)
+
+
 def count_open_deaths(scene, index):
     """Returns the deaths under the crashing request that a node counts."""
     quarantine = scene.mesh.members[index].gateway._parts.quarantine
@@ -82,22 +90,14 @@
 
 def test_a_restarted_node_alone_is_no_death():
     scene = make_scene()
-    for backend in scene.backends:
-        backend.work_s = CRASH_AFTER_S
-    for index in range(crash_scene.OTHERS):
-        scene.ask("/read/slow", index, wait=0.01)
-    restart_nodes(scene, scene.servers)
+    restart_under_harmless_requests(scene)
     scene.run(12)
     assert not any(count_open_deaths(scene, index) for index in scene.entries)
 
 
 def test_a_backend_server_that_leaves_beside_a_restart_is_no_death():
     scene = make_scene()
-    for backend in scene.backends:
-        backend.work_s = CRASH_AFTER_S
-    for index in range(crash_scene.OTHERS):
-        scene.ask("/read/slow", index, wait=0.01)
-    restart_nodes(scene, scene.servers)
+    restart_under_harmless_requests(scene)
     scene.run(1)
     for index in scene.servers:
         member = scene.mesh.members[index]
