Test: one read of the voters decides whether a disk was replaced

It read the newest members-changed line several times in one condition.

It waits now until all three instances agree on three other voters, by one read, which is stricter.

--- a/tests/platform/test_control.py
+++ b/tests/platform/test_control.py
@@ -125,12 +125,13 @@
         if mutant:
             assert set(fleet.voters()) == identities
             return
-        wait_until(
-            lambda: (
-                len(fleet.voters()) == 3 and set(fleet.voters()) != identities
-            )
-        )
-        fresh = set(fleet.voters()) - identities
+
+        def is_replaced():
+            voters = fleet.agreed_voters(fleet.instances)
+            return len(voters) == 3 and voters != identities
+
+        wait_until(is_replaced)
+        fresh = fleet.agreed_voters(fleet.instances) - identities
         assert [identity.partition("@")[0] for identity in fresh] == [wiped.ip]
         wait_until(lambda: wiped.get() == 2)
 
