--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -38,6 +38,7 @@
     SETTINGS_CHANGED = "settings-changed"
     SETTINGS_NOT_READ = "settings-not-read"
     BACKEND_CHANGED = "backend-changed"
+    ANNOUNCEMENT_OF_ANOTHER = "announcement-of-another"
     BACKEND_ASKED = "backend-asked"
     BACKEND_DEGRADED = "backend-degraded"
     BACKEND_RECOVERED = "backend-recovered"
