Quarantine: call what it had for digests, reports of a death and lingering runs

No change of behaviour. The fingerprint of a request by its digest was written in three places and is fingerprint.from_digest; a death that no node saw makes its reports by death_reports.make; the time for which a cancelled run may still crash its server is the setting linger_s, not a second constant of the same value.

--- a/src/cranberrymux/decisions/quarantine/fingerprint.py
+++ b/src/cranberrymux/decisions/quarantine/fingerprint.py
@@ -39,6 +39,15 @@
         return f"{self.scope}/digest:{self.digest}"
 
 
+def from_digest(digest: str) -> Fingerprint:
+    """Returns the fingerprint of a request at a node that serves routes.
+
+    Each attempt of a client has another id, and the digest covers the host, so
+    that neither an id nor a service is part of it.
+    """
+    return Fingerprint("", "", digest)
+
+
 def make(
     scope: str,
     request_id: str,
--- a/src/cranberrymux/decisions/quarantine/quarantine.py
+++ b/src/cranberrymux/decisions/quarantine/quarantine.py
@@ -57,6 +57,11 @@
         """Number of keys with a record."""
         return len(self.records)
 
+    @property
+    def linger_s(self) -> float:
+        """Seconds for which a cancelled run may still crash its server."""
+        return self._settings.linger_s
+
     def classify(
         self,
         now_s: float,
--- a/src/cranberrymux/gateway/exit_suspects.py
+++ b/src/cranberrymux/gateway/exit_suspects.py
@@ -111,7 +111,7 @@
             suspicion.learn(self._parts, first)
         if not self.records:
             return False
-        fingerprint = suspicion.make_fingerprint(call.digest)
+        fingerprint = fingerprints.from_digest(call.digest)
         verdict = self._quarantine.classify(fingerprint)
         if verdict is isolation.Isolation.CLEAR:
             return False
@@ -125,7 +125,7 @@
 
     def is_refused(self, digest: str) -> bool:
         """True if no request with this digest may run beside others now."""
-        verdict = self._quarantine.classify(suspicion.make_fingerprint(digest))
+        verdict = self._quarantine.classify(fingerprints.from_digest(digest))
         return isinstance(verdict, refusal.Refusal)
 
     def advance(self) -> None:
@@ -162,7 +162,7 @@
 
     def encode(self, digest: str) -> headers_module.HeaderList:
         """Returns the header that tells the sender what is known here."""
-        return suspicion.encode(self._parts, suspicion.make_fingerprint(digest))
+        return suspicion.encode(self._parts, fingerprints.from_digest(digest))
 
     def announcement_received(
         self,
@@ -192,7 +192,7 @@
         if call.digest:
             self._quarantine.running.start(
                 str(ticket_id),
-                fingerprints.Fingerprint("", "", call.digest),
+                fingerprints.from_digest(call.digest),
                 is_suspect=ticket_id in self.held_ids,
             )
         if ticket_id in self._waiting_trials:
--- a/src/cranberrymux/gateway/lost_hops.py
+++ b/src/cranberrymux/gateway/lost_hops.py
@@ -103,7 +103,7 @@
             # Otherwise the node has seen the death itself.
             if record.incarnation != hop.incarnation:
                 self._recorder.record_unseen_death(
-                    fingerprints.Fingerprint("", "", hop.digest),
+                    fingerprints.from_digest(hop.digest),
                     _make_event_id(record.endpoint_id, hop),
                 )
 
--- a/src/cranberrymux/gateway/suspicion.py
+++ b/src/cranberrymux/gateway/suspicion.py
@@ -12,15 +12,6 @@
 MAXIMUM_RETRY_DELAY_S = 60.0
 
 
-def make_fingerprint(digest: str) -> fingerprints.Fingerprint:
-    """Returns the fingerprint of a request with this digest.
-
-    Each attempt of a client has another id, and the digest covers the host, so
-    that neither an id nor a service is part of it.
-    """
-    return fingerprints.Fingerprint("", "", digest)
-
-
 def encode(
     parts: parts_module.GatewayParts, fingerprint: fingerprints.Fingerprint
 ) -> headers_module.HeaderList:
@@ -88,7 +79,7 @@
 
     @property
     def _fingerprint(self) -> fingerprints.Fingerprint:
-        return make_fingerprint(self._digest)
+        return fingerprints.from_digest(self._digest)
 
     @property
     def _wait_s(self) -> float:
--- a/src/cranberrymux/node/quarantine_task.py
+++ b/src/cranberrymux/node/quarantine_task.py
@@ -6,10 +6,10 @@
 
 import structlog
 
+from cranberrymux.decisions.quarantine import death_reports
 from cranberrymux.decisions.quarantine import fingerprint as fingerprints
 from cranberrymux.decisions.quarantine import isolation
 from cranberrymux.decisions.quarantine import quarantine as quarantine_module
-from cranberrymux.decisions.quarantine import report_kind
 from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.models import refusal
 from cranberrymux.node import clock as clock_module
@@ -81,7 +81,7 @@
         self.losses.may_have_ended_abandoned = self._has_abandoned
         self._claimed_keys: set[str] = set()
         self._trials = running_trials.RunningTrials(
-            system_clock, self.end_trial
+            system_clock, quarantine.linger_s, self.end_trial
         )
 
     @property
@@ -239,10 +239,7 @@
             fingerprint: Fingerprint of a call that ran there.
             event_id: Id of the death, the same at every node that tells of it.
         """
-        reports = [
-            _Report(key, report_kind.ReportKind.DEATH, event_id)
-            for key in fingerprint.keys
-        ]
+        reports = death_reports.make(event_id, [fingerprint], [])
         new = self._quarantine.merge(self._clock.now_s(), reports)
         if new:
             self._sender.share(new, "lost-with-node")
--- a/src/cranberrymux/node/running_trials.py
+++ b/src/cranberrymux/node/running_trials.py
@@ -5,8 +5,6 @@
 from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.node import clock as clock_module
 
-# Time for which a run that was cancelled may still crash the backend server.
-LINGER_S = 1.0
 _Report = suspect_report.SuspectReport
 
 
@@ -21,16 +19,20 @@
     def __init__(
         self,
         clock: clock_module.Clock,
+        linger_s: float,
         end_trial: Callable[[_Report], None],
     ) -> None:
         """Starts without trials.
 
         Args:
             clock: The node's clock.
+            linger_s: Seconds for which a run that was cancelled may still
+                crash the backend server.
             end_trial: Records that a trial ended, neither whole nor with a
                 death.
         """
         self._clock = clock
+        self._linger_s = linger_s
         self._end_trial = end_trial
         # Trials by ticket id, and when they were cancelled, monotonic seconds.
         self._trials: dict[str, _Report] = {}
@@ -66,7 +68,7 @@
 
         To be called when the process that ran them announces itself.
         """
-        until_s = self._clock.now_s() - LINGER_S
+        until_s = self._clock.now_s() - self._linger_s
         for ticket_id, cancelled_s in list(self._cancelled_s.items()):
             if cancelled_s <= until_s:
                 self.end(ticket_id)
