Control: an instance whose disk is full runs on and tries again

A quota of file size (EFBIG) ended it for good as a write error.

Cause: the first failed write closed the data folder, since nobody knew how much of it was on the disk. For want of room that can be known: the log remembers the size of its last sync and what it has appended since.

Change: after ENOSPC, EDQUOT or EFBIG the folder keeps the writes that are not durable, and `resume` cuts the log back to its last synced size and writes them anew. What a failed sync took is written again, too, since a later sync does not tell. Each step of a write is done once: a repeated truncation would take away what was appended after it. A removal whose folder sync failed is synced before anything else. The replica loop tries again every 0.05 to 0.4 s. Until then the replica neither leads, stands for election nor confirms: a leader hands over at the next tick, not after the 2 s that a stalled disk is given. An instance that starts on a full disk waits for room instead of ending.

--- a/src/cranberrymux/consensus/driver.py
+++ b/src/cranberrymux/consensus/driver.py
@@ -196,13 +196,20 @@
         self._batch_in_progress = True
         return batch
 
+    def batch_delayed(self) -> None:
+        """Notes that the batch in progress waits until the disk has room.
+
+        The caller tries again and passes the last result to `batch_done`.
+        """
+        self._replica.note_disk_full()
+
     def batch_done(
         self,
         now_s: float,
         batch: Sequence[write.Write],
         result: failure.StorageError | None,
     ) -> actions_module.Actions:
-        """Handles the storage's result for a batch of `next_batch`.
+        """Handles the storage's last result for a batch of `next_batch`.
 
         After a failure nothing is sent, committed or acknowledged any more;
         the process must exit and restart from the data folder.
--- a/src/cranberrymux/consensus/participant.py
+++ b/src/cranberrymux/consensus/participant.py
@@ -99,6 +99,14 @@
             self._check_votes(now_s)
         return self._finish_step(now_s)
 
+    def note_disk_full(self) -> None:
+        """Notes that the disk has no room for a write.
+
+        Until that is durable this replica does not lead, stand for election or
+        confirm anything: others commit without it.
+        """
+        self._stall_detector.note_full()
+
     def step(self, now_s: float, message: messages.Message) -> effects.Effects:
         """Handles a message; drops it if meant for others or other clusters."""
         if self._is_for_this_replica(message):
--- a/src/cranberrymux/control/program.py
+++ b/src/cranberrymux/control/program.py
@@ -14,6 +14,7 @@
 from cranberrymux import storage
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import replica_settings
+from cranberrymux.consensus import restored_state
 from cranberrymux.control import control_settings
 from cranberrymux.control import node_service
 from cranberrymux.control import operator_port
@@ -32,6 +33,8 @@
 TICKS_PER_LEASE = 8
 METRICS_INTERVAL_S = 1.0
 MAXIMUM_RETAINED_ENTRIES = 1000
+# Pause between tries to open a data folder whose disk is full.
+OPENING_RETRY_S = 0.5
 
 
 class Program:
@@ -101,14 +104,14 @@
 
     def _open_log(self) -> quorum_log.QuorumLog | None:
         settings = self._settings
-        folder = storage.open_folder(settings.data_folder, settings.control_id)
-        if isinstance(folder, storage.StorageError):
-            self._log_storage_error(folder)
-            return None
-        restored = folder.restore()
-        if isinstance(restored, storage.StorageError):
-            self._log_storage_error(restored)
-            return None
+        opened = self._open_folder()
+        while isinstance(opened, storage.StorageError):
+            self._log_storage_error(opened)
+            if not opened.is_disk_full:
+                return None
+            time.sleep(OPENING_RETRY_S)
+            opened = self._open_folder()
+        folder, restored = opened
         replication = replica_settings.ReplicaSettings(
             max_entry_bytes=limits.MAXIMUM_COMMAND_BYTES,
             snapshot_entries=settings.snapshot_entries,
@@ -149,6 +152,22 @@
             metrics=self._metrics,
         )
 
+    def _open_folder(
+        self,
+    ) -> (
+        tuple[storage.Folder, restored_state.RestoredState]
+        | storage.StorageError
+    ):
+        settings = self._settings
+        folder = storage.open_folder(settings.data_folder, settings.control_id)
+        if isinstance(folder, storage.StorageError):
+            return folder
+        restored = folder.restore()
+        if isinstance(restored, storage.StorageError):
+            folder.close()
+            return restored
+        return folder, restored
+
     def _listen(self, log: quorum_log.QuorumLog) -> bool:
         settings = self._settings
         self._service = service = node_service.NodeService(
--- a/src/cranberrymux/control/replica_loop.py
+++ b/src/cranberrymux/control/replica_loop.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
+import functools
 import time
 from typing import Any
 
+import structlog
 from twisted.internet import defer
 from twisted.internet import task
 from twisted.internet import threads
@@ -13,21 +16,27 @@
 from cranberrymux.consensus import actions as actions_module
 from cranberrymux.consensus import driver as driver_module
 from cranberrymux.consensus import entry as entry_module
+from cranberrymux.consensus import write
 from cranberrymux.control import peer_clients
 from cranberrymux.control import proposals as proposals_module
 from cranberrymux.control import state_machine
+from cranberrymux.storage import failure as storage_failure
 from cranberrymux.storage import folder as folder_module
 from cranberrymux.telemetry import metric
 from cranberrymux.telemetry import metrics_sink
 
 _MS_PER_S = 1000
+# Pause between tries to write to a disk that is full.
+MINIMUM_ROOM_WAIT_S = 0.05
+MAXIMUM_ROOM_WAIT_S = 0.4
 
 
 class ReplicaLoop:
     """Owns the data folder and the state machine of one replica.
 
     A thread writes and syncs one batch at a time; writes that are queued
-    meanwhile form the next batch.
+    meanwhile form the next batch. While the disk is full a batch is tried again
+    and again, and the replica neither leads nor confirms anything.
     """
 
     def __init__(
@@ -52,7 +61,7 @@
             reactor: The Twisted reactor to use.
             metrics: Receives the sync times.
             report_storage_failure: Called once with the reason if the storage
-                fails; the process must then exit.
+                fails other than for want of room; the process must then exit.
             report_unexpected_error: Called once with the error if an
                 unexpected one occurs; the process must then exit.
         """
@@ -65,6 +74,8 @@
         self._report_storage_failure = report_storage_failure
         self._report_unexpected_error = report_unexpected_error
         self._is_stopped = False
+        self._events = structlog.get_logger()
+        self._room_wait_s = 0.0
         self.proposals = proposals_module.Proposals()
 
     @property
@@ -156,19 +167,35 @@
         batch = self._driver.next_batch()
         if not batch or self._is_stopped:
             return
+        self._sync(batch, now_s(), functools.partial(self._folder.apply, batch))
+
+    def _sync(
+        self,
+        batch: Sequence[write.Write],
+        started_s: float,
+        make_durable: Callable[[], storage_failure.StorageError | None],
+    ) -> None:
         syncing = threads.deferToThreadPool(
-            self._reactor,
-            self._reactor.getThreadPool(),
-            self._folder.apply,
-            batch,
+            self._reactor, self._reactor.getThreadPool(), make_durable
         )
-        syncing.addCallback(self._finish_batch, batch, now_s())
+        syncing.addCallback(self._finish_batch, batch, started_s)
         syncing.addErrback(self.fail_from_deferred)
 
-    def _finish_batch(self, result: Any, batch: Any, started_s: float) -> None:
+    def _finish_batch(
+        self,
+        result: storage_failure.StorageError | None,
+        batch: Sequence[write.Write],
+        started_s: float,
+    ) -> None:
         if self._is_stopped:
             return
+        if result is not None and result.is_disk_full:
+            self._wait_for_room(result, batch, started_s)
+            return
         finished_s = now_s()
+        if self._room_wait_s:
+            self._room_wait_s = 0.0
+            self._events.info("disk-has-room", after_s=finished_s - started_s)
         self._metrics.timing(
             metric.Metric.SYNC_TIME, (finished_s - started_s) * _MS_PER_S
         )
@@ -180,6 +207,29 @@
             return
         self.execute(actions)
 
+    def _wait_for_room(
+        self,
+        result: storage_failure.StorageError,
+        batch: Sequence[write.Write],
+        started_s: float,
+    ) -> None:
+        """Has a batch that found the disk full tried again after a while."""
+        if not self._room_wait_s:
+            self._events.warning(
+                "disk-full", path=result.path, detail=result.detail
+            )
+            self._driver.batch_delayed()
+        self._room_wait_s = min(
+            max(2 * self._room_wait_s, MINIMUM_ROOM_WAIT_S), MAXIMUM_ROOM_WAIT_S
+        )
+        self._reactor.callLater(
+            self._room_wait_s, self._resume, batch, started_s
+        )
+
+    def _resume(self, batch: Sequence[write.Write], started_s: float) -> None:
+        if not self._is_stopped:
+            self._sync(batch, started_s, self._folder.resume)
+
 
 def now_s() -> float:
     """Returns seconds on a clock that also runs while the system sleeps."""
--- a/src/cranberrymux/storage/atomic_file.py
+++ b/src/cranberrymux/storage/atomic_file.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+import contextlib
 import enum
 import struct
 import zlib
@@ -50,6 +51,7 @@
     try:
         _replace(files, folder, path, (_encode_header(kind, body), *body))
     except OSError as error:
+        _free_space(files, path + _TEMPORARY_SUFFIX)
         return failure.from_write_error(path, error)
     return None
 
@@ -82,6 +84,13 @@
     return None
 
 
+def _free_space(files: file_system.FileSystem, path: str) -> None:
+    """Removes a file that was not written whole, if that is possible."""
+    with contextlib.suppress(OSError):
+        if files.exists(path):
+            files.remove(path)
+
+
 def _find_error(
     path: str, kind: FileKind, data: bytes
 ) -> failure.StorageError | None:
--- a/src/cranberrymux/storage/failure.py
+++ b/src/cranberrymux/storage/failure.py
@@ -9,7 +9,7 @@
     """Why a data folder cannot be used; the value is written to logs.
 
     Attributes:
-        DISK_FULL: No space or quota is left.
+        DISK_FULL: No space or quota is left, or the file may not grow.
         WRITE_FAILED: A write, sync, rename or removal failed for another
             reason.
         READ_FAILED: A file cannot be read.
@@ -44,8 +44,13 @@
     path: str
     detail: str
 
+    @property
+    def is_disk_full(self) -> bool:
+        """True if the write may succeed once there is room."""
+        return self.reason is StorageFailure.DISK_FULL
 
-_DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
+
+_DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 
 
 def from_write_error(path: str, error: OSError) -> StorageError:
--- a/src/cranberrymux/storage/folder.py
+++ b/src/cranberrymux/storage/folder.py
@@ -1,6 +1,8 @@
 """Restores a replica from its data folder and makes its writes durable."""
 
+import collections
 from collections.abc import Sequence
+from typing import Any
 
 from cranberrymux.consensus import restored_state
 from cranberrymux.consensus import write as write_module
@@ -16,8 +18,9 @@
     """A locked data folder of one replica.
 
     After the first failure every `apply` returns `CLOSED`: how much of a failed
-    write or sync is durable is unknown, so the process must restart and read
-    the folder again.
+    write or sync is durable is unknown. If the disk was full, `resume` makes
+    the rest of the writes durable; after any other failure the process must
+    restart and read the folder again.
     """
 
     def __init__(
@@ -48,6 +51,10 @@
         self._log = segmented_log.SegmentedLog(files, path, segment_bytes)
         self._error: failure.StorageError | None = None
         self._is_restored = False
+        # The writes of the last `apply` that are not known to be durable.
+        self._pending: collections.deque[write_module.Write] = (
+            collections.deque()
+        )
 
     @property
     def replica_id(self) -> str:
@@ -89,15 +96,23 @@
         """
         if self._error is not None or not self._is_restored:
             return self._closed_error()
+        self._pending = collections.deque(writes)
+        return self._apply_pending()
+
+    def resume(self) -> failure.StorageError | None:
+        """Continues with the writes of an `apply` that found the disk full.
+
+        Returns:
+            Like `apply`; `DISK_FULL` as long as there is no room.
+        """
+        if self._error is None or not self._error.is_disk_full:
+            return self._closed_error()
         try:
-            for write in writes:
-                error = self._apply_one(write)
-                if error is not None:
-                    return self._fail(error)
-            self._log.sync()
+            self._log.recover()
         except OSError as os_error:
             return self._fail(failure.from_write_error(self._path, os_error))
-        return None
+        self._error = None
+        return self._apply_pending()
 
     def close(self) -> None:
         """Closes the log and releases the lock."""
@@ -108,33 +123,79 @@
         finally:
             self._lock.release()
 
-    def _apply_one(
-        self, write: write_module.Write
-    ) -> failure.StorageError | None:
-        error = None
-        if write.hard_state is not None:
-            error = self._replace_file(
-                state_files.VOTE_NAME,
-                atomic_file.FileKind.VOTE,
-                (state_files.encode_vote(write.hard_state),),
-            )
-        if error is None and write.snapshot is not None:
-            error = self._replace_file(
-                state_files.SNAPSHOT_NAME,
-                atomic_file.FileKind.SNAPSHOT,
-                state_files.encode_snapshot(write.snapshot),
-            )
+    def _apply_pending(self) -> failure.StorageError | None:
+        try:
+            while self._pending:
+                error = self._apply_first()
+                if error is not None:
+                    return self._fail(error)
+                self._pending.popleft()
+            self._log.sync()
+        except OSError as os_error:
+            return self._fail(failure.from_write_error(self._path, os_error))
+        return None
+
+    def _apply_first(self) -> failure.StorageError | None:
+        """Applies the first pending write, from which each step is removed.
+
+        After a failure, no step that is complete is repeated: a repeated
+        truncation would take away entries that were appended after it.
+        """
+        error = self._store_vote(self._pending[0]) or self._store_snapshot(
+            self._pending[0]
+        )
         if error is not None:
             return error
-        if write.replaces_log:
+        if self._pending[0].replaces_log:
             self._log.reset()
-        if write.truncate_from is not None:
-            self._log.truncate(write.truncate_from)
-        self._log.append(write.entries)
-        if write.first_index is not None and not write.replaces_log:
-            self._log.drop_below(write.first_index)
+            self._note_done(replaces_log=False, first_index=None)
+        truncate_from = self._pending[0].truncate_from
+        if truncate_from is not None:
+            self._log.truncate(truncate_from)
+            self._note_done(truncate_from=None)
+        self._log.append(self._pending[0].entries)
+        first_index = self._pending[0].first_index
+        if first_index is not None:
+            self._log.drop_below(first_index)
         return None
 
+    def _note_done(self, **changes: Any) -> None:
+        """Changes fields of the first pending write to those of no change."""
+        self._pending[0] = self._pending[0]._replace(**changes)
+
+    def _store_vote(
+        self, write: write_module.Write
+    ) -> failure.StorageError | None:
+        if write.hard_state is None:
+            return None
+        error = self._replace_file(
+            state_files.VOTE_NAME,
+            atomic_file.FileKind.VOTE,
+            (state_files.encode_vote(write.hard_state),),
+        )
+        if error is None:
+            self._note_done(hard_state=None)
+        return error
+
+    def _store_snapshot(
+        self, write: write_module.Write
+    ) -> failure.StorageError | None:
+        if write.snapshot is None:
+            return None
+        error = self._replace_file(
+            state_files.SNAPSHOT_NAME,
+            atomic_file.FileKind.SNAPSHOT,
+            state_files.encode_snapshot(write.snapshot),
+        )
+        if error is None:
+            self._note_done(snapshot=None)
+        elif error.is_disk_full and not write.replaces_log:
+            # The log holds what a replica's own snapshot covers until there
+            # is room for the next one.
+            self._note_done(snapshot=None, first_index=None)
+            error = None
+        return error
+
     def _replace_file(
         self, name: str, kind: atomic_file.FileKind, body: Sequence[bytes]
     ) -> failure.StorageError | None:
--- a/src/cranberrymux/storage/segmented_log.py
+++ b/src/cranberrymux/storage/segmented_log.py
@@ -47,8 +47,12 @@
         self._segment_bytes = segment_bytes
         self._segments: list[_SegmentIndex] = []
         self._file: file_system.File | None = None
+        # Size of the last segment as of its last sync, and what was appended
+        # since.
         self._durable_bytes = 0
+        self._unsynced: list[entry_module.Entry] = []
         self._is_dirty = False
+        self._has_unsynced_removal = False
 
     def adopt(self, contents: Sequence[segment.SegmentContent]) -> None:
         """Takes over the segments on disk and truncates a torn tail."""
@@ -74,8 +78,14 @@
         self._sync_file()
 
     def append(self, entries: Sequence[entry_module.Entry]) -> None:
-        """Writes entries without syncing them."""
+        """Writes entries without syncing them.
+
+        Those that are there already, from an append that failed, are skipped.
+        """
         position = 0
+        if self._segments and entries:
+            next_index = self._segments[-1].next_index
+            position = max(next_index - entries[0].log_index, 0)
         while position < len(entries):
             if self._file is None or self._is_full():
                 self._start_segment(entries[position].log_index)
@@ -86,6 +96,25 @@
         if self._is_dirty:
             self._sync_file()
 
+    def recover(self) -> None:
+        """Makes the log appendable again after a call that failed.
+
+        What was appended since the last sync is written anew: after a failed
+        write or sync it may be torn, and a later sync does not tell.
+        """
+        self.close()
+        if self._has_unsynced_removal:
+            self._sync_removal()
+        if not self._segments:
+            return
+        entries = self._unsynced
+        try:
+            self._drop_unsynced()
+            self.append(entries)
+        except OSError:
+            self._unsynced = entries
+            raise
+
     def truncate(self, from_index: int) -> None:
         """Durably drops the entry at an index and all after it."""
         self.sync()
@@ -136,6 +165,7 @@
             last.offsets.append(last.size_bytes + len(record))
             if self._is_full():
                 break
+        self._unsynced.extend(entries[: len(records)])
         self._file.write(b"".join(records))
         return len(records)
 
@@ -144,22 +174,32 @@
         self.sync()
         self.close()
         path = f"{self._folder}/{segment.file_name(first_index)}"
-        self._file = self._files.open_append(path)
-        self._file.truncate(0)
-        self._file.write(segment.encode_header(first_index))
+        file = self._files.open_append(path)
+        try:
+            file.truncate(0)
+            file.write(segment.encode_header(first_index))
+            file.sync()
+            self._files.sync_folder(self._folder)
+        except OSError:
+            file.close()
+            raise
+        self._file = file
         self._segments.append(
             _SegmentIndex(first_index, [segment.HEADER_BYTES])
         )
-        self._durable_bytes = 0
-        self._is_dirty = True
-        self._files.sync_folder(self._folder)
+        self._durable_bytes = segment.HEADER_BYTES
 
     def _open_last(self) -> None:
         last = self._segments[-1]
         path = f"{self._folder}/{segment.file_name(last.first_index)}"
         self._file = self._files.open_append(path)
-        self._durable_bytes = 0
-        self._is_dirty = True
+
+    def _drop_unsynced(self) -> None:
+        last = self._segments[-1]
+        while last.size_bytes > self._durable_bytes:
+            del last.offsets[-1]
+        self._open_last()
+        self._truncate_file(last.size_bytes)
 
     def _truncate_file(self, size_bytes: int) -> None:
         assert self._file is not None
@@ -170,16 +210,28 @@
         assert self._file is not None
         self._file.sync()
         self._is_dirty = False
+        self._unsynced = []
         self._durable_bytes = self._segments[-1].size_bytes
 
     def _remove(self, position: int) -> None:
-        if position == len(self._segments) - 1:
+        is_last = position == len(self._segments) - 1
+        if is_last:
             self.close()
-            self._is_dirty = False
-        removed = self._segments.pop(position)
+        removed = self._segments[position]
         name = segment.file_name(removed.first_index)
         self._files.remove(f"{self._folder}/{name}")
+        self._segments.pop(position)
+        self._has_unsynced_removal = True
+        if is_last:
+            self._is_dirty = False
+            self._unsynced = []
+            if self._segments:
+                self._durable_bytes = self._segments[-1].size_bytes
+        self._sync_removal()
+
+    def _sync_removal(self) -> None:
         self._files.sync_folder(self._folder)
+        self._has_unsynced_removal = False
 
 
 def read(
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -81,6 +81,8 @@
     QUORUM_HEARD = "quorum-heard"
     QUORUM_LOST = "quorum-lost"
     STORAGE_FAILED = "storage-failed"
+    DISK_FULL = "disk-full"
+    DISK_HAS_ROOM = "disk-has-room"
     CLAIM_ABANDONED = "claim-abandoned"
     QUOTA_OWNER_STARTED = "quota-owner-started"
     QUOTA_USE = "quota-use"
--- a/tests/storage/test_power_cut.py
+++ b/tests/storage/test_power_cut.py
@@ -63,19 +63,19 @@
 )
 
 
-def _open(files):
+def open_folder(files):
     opened = storage.open_folder("/data", "a", files, "1", segment_bytes=150)
     assert isinstance(opened, storage.Folder), opened
     return opened
 
 
-def _restore(files):
-    state = _open(files).restore()
+def restore(files):
+    state = open_folder(files).restore()
     assert isinstance(state, restored_state.RestoredState), state
     return state
 
 
-def _model(batches):
+def model(batches):
     """Returns the state after whole batches, computed without files."""
     hard_state, last_snapshot, log = write.HardState(0, ""), snapshot.NONE, {}
     for change in (change for batch in batches for change in batch):
@@ -105,7 +105,7 @@
     """Applies batches; returns how many were acknowledged."""
     acknowledged = 0
     try:
-        folder = _open(files)
+        folder = open_folder(files)
         folder.restore()
         files.power_cut_at = cut_at
         for batch in BATCHES:
@@ -120,16 +120,16 @@
     files = files_class(random.Random(seed))
     acknowledged = _apply_until_cut(files, cut_at)
     files.crash()
-    state = _restore(files)
-    before = _model(BATCHES[:acknowledged])
-    after = _model(BATCHES[: acknowledged + 1])
+    state = restore(files)
+    before = model(BATCHES[:acknowledged])
+    after = model(BATCHES[: acknowledged + 1])
     assert state.hard_state in (before.hard_state, after.hard_state)
     assert state.snapshot in (before.snapshot, after.snapshot)
-    assert _is_between(state, before, after)
+    assert is_between(state, before, after)
     return acknowledged < len(BATCHES)
 
 
-def _is_between(state, before, after):
+def is_between(state, before, after):
     # Every entry is in one of the two states, and no entry is missing that is
     # in both and not covered by the snapshot.
     known = set(before.entries) | set(after.entries)
@@ -161,22 +161,22 @@
         files.crash()
         files.power_cut_at = files.operation_count + 1 + seed % 4
         with contextlib.suppress(faulty_file_system.PowerCutError):
-            _open(files).restore()
+            open_folder(files).restore()
         files.crash()
-        state = _restore(files)
+        state = restore(files)
         before, after = (
-            _model(BATCHES[:acknowledged]),
-            _model(BATCHES[: acknowledged + 1]),
+            model(BATCHES[:acknowledged]),
+            model(BATCHES[: acknowledged + 1]),
         )
         assert state.hard_state in (before.hard_state, after.hard_state)
-        assert _is_between(state, before, after)
+        assert is_between(state, before, after)
 
 
 def test_power_failure_after_all_batches_restores_the_whole_state():
     files = faulty_file_system.FaultyFileSystem(random.Random(0))
     assert _apply_until_cut(files, None) == len(BATCHES)
     files.crash()
-    assert _restore(files) == _model(BATCHES)
+    assert restore(files) == model(BATCHES)
 
 
 def test_power_failure_keeps_a_large_entry_whole_or_not_at_all():
@@ -185,7 +185,7 @@
     large = entry.Entry(4, 1, COMMAND, payload)
     for seed in range(30):
         files = faulty_file_system.FaultyFileSystem(random.Random(seed))
-        folder = _open(files)
+        folder = open_folder(files)
         folder.restore()
         for batch in BATCHES[:1]:
             assert folder.apply(batch) is None
@@ -198,7 +198,7 @@
             assert folder.apply((write.Write(3, entries=(large,)),)) is None
             is_acknowledged = True
         files.crash()
-        entries = _restore(files).entries
+        entries = restore(files).entries
         assert entries[:3] == _entries(1, 3, 1)
         assert entries[3:] in ((), (large,))
         assert entries[3:] or not is_acknowledged
