Control: a learner votes only once it has stored the entry that added it

Cause: an instance that is added again with a whole log has nothing to write, so that it confirms up to the commit index from what it had before; each time it then counted in a quorum of three of four.

Change: a learner is promoted only if it has confirmed the entry that put the membership in force, which it can only have written after it was added.

--- a/src/cranberrymux/consensus/member_rules.py
+++ b/src/cranberrymux/consensus/member_rules.py
@@ -184,6 +184,10 @@
         # It may have ended for good: a voter that never answers can put the
         # quorum out of reach.
         return "the learner has confirmed no entry to this leader"
+    if match_index < journal.membership_index:
+        # Its log may have been whole before it was added, so that it confirms
+        # without a write: a disk that is full would not show.
+        return "the learner has not stored the entry that added it"
     if leader.silent_s(now_s, replica_id) > settings.lease_s:
         return "the learner was not heard from within the lease time"
     lag = journal.commit_index - match_index
