Gateway: a node that stops takes what can end before it does

Seen by callers (real processes, two nodes, SIGTERM to one in calm, grace 6 s, a request that may not be repeated each 0.1 s on a kept connection of its own, deadline 30 s, route timeout 8 s): of 60 with 4.0 s of work 13 ran and were cut without an answer, of 60 with 3.0 s 3.

Cause: in the first half of its stop a node passed on whatever came, in the second only what had its deadline before the end; neither asked how long the work takes. At the end it closed the connections.

Change: a pure decision, StopAdmission, remembers by route the longest time from the arrival of a request to its answer, which falls by 2 % of the difference with each quicker one, so that one long request in thirty decides. In the first half of a stop a request is passed on if its deadline comes first, or if that time and a tenth end before the stop; one of a route that had no request here counts by its deadline. In the second half the deadline alone decides, as before: what runs longer than usual then would be cut off. It is asked again before each send, after a wait for tokens or another attempt. What is still open at the end is answered 504, or 503 if it was never sent.

--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -109,7 +109,7 @@
         if self._deadline_s <= now_s:
             self._refuse(_Outcome.EXPIRED)
             return
-        if not self._parts.can_end_before_stop(now_s, self._deadline_s):
+        if not self._can_end_before_stop(now_s):
             self._refuse(_Outcome.STOPPING)
             return
         if self._parts.quarantine.records and self._suspicion.is_refused:
@@ -151,6 +151,10 @@
             self._cancel_timer()
             self._handle_timeout()
             return
+        # It may have waited, or been sent before, since it arrived.
+        if not self._can_end_before_stop(now_s):
+            self._refuse(_Outcome.STOPPING)
+            return
         if self._parts.quarantine.records and self._suspicion.is_refused:
             self._refuse(_Outcome.QUARANTINED)
             return
@@ -175,6 +179,17 @@
         self._attempt.start()
         self._is_connecting = True
 
+    def _can_end_before_stop(self, now_s: float) -> bool:
+        stop = self._parts.stop_admission
+        return not stop.is_stopping or stop.admits(
+            self._route.name, now_s, self._deadline_s
+        )
+
+    def _note_time(self, now_s: float) -> None:
+        self._parts.stop_admission.note_time(
+            self._route.name, now_s - self._began_s, self._route.timeout_s
+        )
+
     @property
     def _suspicion(self) -> suspicion.Suspicion:
         return suspicion.Suspicion(self._parts, self._digest)
@@ -239,6 +254,7 @@
         )
         if self._judge.is_final(endpoint, answer):
             self._cancel_timer()
+            self._note_time(answer.received_s)
             self._answer.forward(answer, body, answer.received_s)
             return
         if answer.refusal is None:
@@ -281,6 +297,7 @@
     def attempt_ended(self) -> None:
         """Ends a long answer that is complete."""
         self._cancel_timer()
+        self._note_time(self._parts.clock.now_s())
         self._release_endpoint()
         self._answer.finish_streaming()
 
@@ -339,15 +356,22 @@
             self._deadline_key = None
 
     def _handle_timeout(self) -> None:
+        """Ends the request at its deadline, or at the end of a stop."""
         self._deadline_key = None
+        now_s = self._parts.clock.now_s()
+        is_cut_off = now_s >= self._parts.stop_admission.ends_at_s
         endpoint = self._release_endpoint()
-        if endpoint is not None:
-            endpoint.note_timeout(self._parts.clock.now_s())
+        if endpoint is not None and not is_cut_off:
+            endpoint.note_timeout(now_s)
         self._cancel_attempt()
-        if self._attempts.sent:
-            self._fail(_Outcome.TIMED_OUT, 504, "no answer in time")
+        if not self._attempts.sent:
+            self._refuse(_Outcome.STOPPING if is_cut_off else _Outcome.EXPIRED)
+            return
+        self._note_time(now_s)
+        if is_cut_off:
+            self._fail(_Outcome.STOPPING, 504, "this node stops")
         else:
-            self._refuse(_Outcome.EXPIRED)
+            self._fail(_Outcome.TIMED_OUT, 504, "no answer in time")
 
     def _handle_streaming_timeout(self) -> None:
         self._deadline_key = None
--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -192,19 +192,22 @@
     def stop(self) -> None:
         """Starts the stop; the reactor ends once no request is in flight.
 
-        Requests that outlast the `stop_s` of the settings are cut off.
+        Requests that outlast the `stop_s` of the settings are answered as if
+        their deadlines had passed.
         """
         if self._is_stopping:
             return
         self._is_stopping = True
-        self._parts.begin_stop(self._clock.now_s(), self._settings.stop_s)
+        self._parts.stop_admission.begin(
+            self._clock.now_s(), self._settings.stop_s
+        )
         self._events.info("node-stopping", in_flight=self._exit.in_flight)
         if self._own_endpoint.drain():
             self._directory.send_heartbeats()
         self._exit.stop()
         self._ports.drain()
         idle_wait.IdleWait(
-            self._reactor, self._clock, self._count_in_flight, self._close
+            self._reactor, self._clock, self._count_in_flight, self._end_stop
         ).start(MINIMUM_STOP_S, self._settings.stop_s)
 
     def _routes_applied(self, table: route_table.RouteTable) -> None:
@@ -278,6 +281,11 @@
     def _count_in_flight(self) -> int:
         return self._exit.in_flight + self._parts.open_entry_calls
 
+    def _end_stop(self) -> None:
+        """Answers the requests that are still open, and closes."""
+        self._parts.deadlines.run_all()
+        self._close()
+
     def _close(self) -> None:
         self._parts.quarantine.stop()
         self._parts.quotas.stop()
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -12,6 +12,7 @@
 from cranberrymux.decisions.accounts import key_lease
 from cranberrymux.decisions.endpoints import endpoint_set
 from cranberrymux.decisions.pressure import parent_matcher
+from cranberrymux.decisions.pressure import stop_admission
 from cranberrymux.decisions.retries import repeat_budget
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.decisions.routes import split_chooser
@@ -31,9 +32,6 @@
 from cranberrymux.node.http import connection_pool
 from cranberrymux.node.http import unexpected_answer
 
-# Part of the stop time after which requests are taken only if they end within
-# it.
-UNRESTRICTED_STOP_RATIO = 0.5
 SERVED_PER_LOG_LINE = 200  # Served requests per log line on one of them.
 
 
@@ -74,9 +72,7 @@
         zone_log: Metrics and log lines on the shares of zones.
         quotas: Tokens of the client accounts.
         open_entry_calls: Number of open requests at the entry port.
-        restricted_from_s: Monotonic seconds from which, in a stop, a request is
-            taken only if its deadline is before `stop_deadline_s`.
-        stop_deadline_s: Monotonic seconds at which a stop ends at the latest.
+        stop_admission: Decides what is still taken while this node stops.
         events: Logger.
     """
 
@@ -155,22 +151,10 @@
             get_control_clients=get_control_clients,
         )
         self.open_entry_calls = 0
-        self.restricted_from_s = math.inf
-        self.stop_deadline_s = math.inf
+        self.stop_admission = stop_admission.StopAdmission()
         self._served_count = 0
         self.events = structlog.get_logger()
 
-    def begin_stop(self, now_s: float, stop_s: float) -> None:
-        """Records that the node stops within `stop_s` seconds."""
-        self.restricted_from_s = now_s + UNRESTRICTED_STOP_RATIO * stop_s
-        self.stop_deadline_s = now_s + stop_s
-
-    def can_end_before_stop(self, now_s: float, deadline_s: float) -> bool:
-        """True if a request that arrives now can end before a stop does."""
-        return (
-            now_s < self.restricted_from_s or deadline_s < self.stop_deadline_s
-        )
-
     def sample_served(self) -> bool:
         """Counts a served request; True for one in `SERVED_PER_LOG_LINE`."""
         self._served_count += 1
--- a/src/cranberrymux/node/deadline_table.py
+++ b/src/cranberrymux/node/deadline_table.py
@@ -54,6 +54,13 @@
         """
         self._callbacks.pop(key, None)
 
+    def run_all(self) -> None:
+        """Calls every callback now, in the order of their deadlines."""
+        for _, key in sorted(self._heap):
+            callback = self._callbacks.pop(key, None)
+            if callback is not None:
+                callback()
+
     def run_due(self) -> None:
         """Calls every callback that is due and sets the timer anew."""
         self._timer = None
--- a/tests/gateway/test_explanation.py
+++ b/tests/gateway/test_explanation.py
@@ -118,7 +118,7 @@
 
 
 def stop(scene):
-    scene.parts.begin_stop(scene.parts.clock.now_s() - 4.0, 4.5)
+    scene.parts.stop_admission.begin(scene.parts.clock.now_s() - 4.0, 4.5)
 
 
 def quarantine(scene):
