--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -48,6 +48,7 @@
         self.on_closed: Callable[[ClientConnection], None] | None = None
         self.reusable_until_s = math.inf
         self._is_request_complete = False
+        self._has_long_body = False
         self._has_read_answer_end = False
         self._is_paused = False
         self._tcp: Any = None
@@ -94,8 +95,17 @@
         """
         self._expect(identity, is_head_request, sink)
         self._is_request_complete = is_complete
+        if not is_complete:
+            self._has_long_body = True
+            self.body_began()
         prompt_writer.write_now(self._tcp, data)
 
+    def body_began(self) -> None:
+        """Called when a body begins that is sent in parts."""
+
+    def body_ended(self) -> None:
+        """Called when such a body was taken, and the connection is kept."""
+
     def send_body(self, part: bytes) -> None:
         """Sends the next bytes of the body, which the caller has framed."""
         if not self._is_lost:
@@ -218,5 +228,8 @@
             # Behind an answer to a HEAD, nobody can tell whether a second one
             # has a body.
             self.close()
+        elif self._has_long_body:
+            self._has_long_body = False
+            self.body_ended()
         if sink is not None:
             sink.answer_complete()
--- a/src/cranberrymux/node/http/connection_pool.py
+++ b/src/cranberrymux/node/http/connection_pool.py
@@ -81,6 +81,16 @@
             dead_peer_detection.enable(self.transport)
         self._pool.add_idle(self._address, self)
 
+    def body_began(self) -> None:
+        """Lets the receiver of a long body pause."""
+        if self._pool.detects_dead_peers:
+            dead_peer_detection.tolerate_pauses(self.transport, True)
+
+    def body_ended(self) -> None:
+        """Takes a receiver that pauses for one that vanished again."""
+        if self._pool.detects_dead_peers:
+            dead_peer_detection.tolerate_pauses(self.transport, False)
+
 
 class ConnectionPool:
     """Lends connections: idle ones first, otherwise new ones.
--- a/src/cranberrymux/node/http/dead_peer_detection.py
+++ b/src/cranberrymux/node/http/dead_peer_detection.py
@@ -3,8 +3,12 @@
 import socket
 from typing import Any
 
-# Longest time that sent data may stay unacknowledged.
+# Longest time that sent data may stay unacknowledged. A receiver that reads
+# nothing for so long counts as vanished, too.
 MAXIMUM_UNACKNOWLEDGED_MS = 600
+# The same for a body whose receiver may let its sender wait, for a slot or for
+# a slow backend server. Its deadline ends most requests before.
+MAXIMUM_PAUSED_MS = 60_000
 # Idle time until the first keepalive probe.
 PROBE_AFTER_S = 2
 PROBE_INTERVAL_S = 1
@@ -12,6 +16,20 @@
 PROBE_COUNT = 2
 
 
+def tolerate_pauses(transport: Any, is_tolerated: bool) -> None:
+    """Lets a receiver pause for long, or no longer.
+
+    Args:
+        transport: A transport for which `enable` was called.
+        is_tolerated: True from the beginning of a long body to its end.
+    """
+    handle = getattr(transport, "socket", None)
+    if handle is None:
+        return
+    limit_ms = MAXIMUM_PAUSED_MS if is_tolerated else MAXIMUM_UNACKNOWLEDGED_MS
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
 def enable(transport: Any) -> None:
     """Makes the operating system end a connection whose peer vanished.
 
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -149,6 +149,8 @@
         """
         self._sink = sink
         self.is_body_streamed = True
+        if not self.is_body_complete:
+            self.resume_body()
         parts = self._parts
         self._parts = []
         for part in parts:
@@ -156,6 +158,18 @@
         if self.is_body_complete:
             sink.body_complete()
 
+    def hold_body(self) -> None:
+        """Stops reading from the client until the body is streamed.
+
+        To be called while a call waits, so that bodies of waiting calls are
+        held by their senders. Does nothing if the whole body was read, or is
+        taken or not wanted any more.
+        """
+        if not (
+            self.is_body_complete or self.is_body_streamed or self._is_answered
+        ):
+            self.pause_body()
+
     def pause_body(self) -> None:
         """Stops reading from the client."""
         self._connection.pause_body()
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -67,6 +67,8 @@
         self._is_closing = False
         self._is_paused = False
         self._is_body_paused = False
+        # Bytes of a body that nobody takes, which are read before the close.
+        self._unwanted_bytes = 0
         self._tcp: Any = None
         self.is_draining = False
 
@@ -87,6 +89,9 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parses what was read, unless a call waits to be handled."""
         self._read_count += 1
+        if self._unwanted_bytes:
+            self._discard(len(data))
+            return
         self._unparsed += data
         self._parse()
 
@@ -176,14 +181,23 @@
         """Closes once everything written has been sent.
 
         An answer in progress whose end is that of the connection is aborted.
+        The rest of a long body that was answered early is read before: a close
+        with unread bytes resets the connection, and the client may lose the
+        answer.
         """
         first = self._pipeline.first
         if first is not None and first.is_ended_by_close:
             self.abort()
             return
+        is_body_due = self._being_read is not None and not self._is_closing
+        body_left = self._reader.sized_body_left
         self._stop_taking_calls()
         self._tcp.unregisterProducer()
-        self._tcp.loseConnection()
+        if is_body_due and body_left > READ_AHEAD_BYTES:
+            self._unwanted_bytes = body_left
+            self._tcp.resumeProducing()
+        else:
+            self._tcp.loseConnection()
 
     def pause_body(self) -> None:
         """Stops reading until `resume_body`, for backpressure."""
@@ -247,6 +261,12 @@
         if self._is_paused or self._is_body_paused or self._pipeline.waiting:
             self._update_reading()
 
+    def _discard(self, size_bytes: int) -> None:
+        self._unwanted_bytes -= size_bytes
+        if self._unwanted_bytes <= 0:
+            self._unwanted_bytes = 0
+            self._tcp.loseConnection()
+
     def _stop_taking_calls(self) -> None:
         """Ignores what the parser still reads from the data at hand."""
         self._is_closing = True
