Gateway: bound the bodies of all requests that wait for slots

Each request that waits holds 1 MiB of a long body; 186 may wait beside a backend server of 132 slots, on machines of 200 MB. One whose body is longer than 64 KiB is refused as full once the bodies of those that wait have 48 MiB in all. Short ones always fit.

Test: gateway/test_waiting_uploads.py, 14 uploads of which nine could wait and three bodies fit; a short request still waits.

--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -27,6 +27,10 @@
 # Part of the slots that is used; backend servers may slow down when nearly
 # full.
 USED_SLOT_RATIO = 0.94
+# Most bytes of the bodies of all requests that wait. Short bodies always fit:
+# the queue bounds their number.
+MAXIMUM_HELD_BYTES = 48 << 20
+SHORT_BODY_BYTES = 65_536
 _Verdict = slot_scheduler.SlotVerdict
 _WITHOUT_SLOT = frozenset((hop.FULL, hop.LIMITED, hop.TOO_LATE))
 
@@ -167,6 +171,9 @@
             self._start_unless_quarantined(ticket_id, now_s)
         elif verdict is _Verdict.WAIT:
             self._refuse_waiting(self._scheduler.pop_evicted(), hop.FULL)
+            if self._holds_too_much(hop_call):
+                self._scheduler.cancel(ticket_id)
+                self.refuse_held(ticket_id, hop.FULL)
             self._watch_queue()
         else:
             self.refuse_held(ticket_id, verdict.value.encode())
@@ -216,6 +223,13 @@
         self._scheduler.cancel(ticket_id)
         self.suspects.ended(ticket_id)
 
+    def _holds_too_much(self, hop_call: exit_call.ExitCall) -> bool:
+        """True if there is no memory for the long body of a request."""
+        if hop_call.held_bytes <= SHORT_BODY_BYTES:
+            return False
+        held_bytes = sum(call.held_bytes for call in self._calls.values())
+        return held_bytes > MAXIMUM_HELD_BYTES
+
     def _find_refusal_reason(
         self, call: inbound_call.InboundCall, now_s: float
     ) -> bytes:
--- a/src/cranberrymux/gateway/exit_call.py
+++ b/src/cranberrymux/gateway/exit_call.py
@@ -115,6 +115,11 @@
         call.on_send_buffer_full = self._pause_answer
         call.on_send_buffer_drained = self._resume_answer
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of its body that are held here while it waits."""
+        return 0 if self._has_begun else self._call.body_length
+
     def begin(
         self,
         address: socket_address.SocketAddress,
--- a/tests/gateway/test_waiting_uploads.py
+++ b/tests/gateway/test_waiting_uploads.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cranberrymux.decisions.routes import route
+from cranberrymux.gateway import exit as exit_module
 from tests.gateway import mesh as mesh_module
 
 BODY_BYTES = 8_000_000
@@ -17,8 +18,13 @@
 
 @pytest.fixture
 def mesh():
-    """Two nodes; the second one's endpoint runs two requests at a time."""
-    made = mesh_module.Mesh("front", "deep", slots=3)
+    """The endpoint runs two requests at a time."""
+    return make_mesh(slots=3)
+
+
+def make_mesh(slots):
+    """Makes two nodes; the second one's endpoint answers when told to."""
+    made = mesh_module.Mesh("front", "deep", slots=slots)
     made.configure(
         mesh_module.make_route(
             "put",
@@ -102,3 +108,20 @@
         assert b"not-run" in upload.client.received
         assert not upload.client.is_reset
         assert upload.sent_bytes == BODY_BYTES
+
+
+def test_the_bodies_of_all_waiting_requests_are_bounded(monkeypatch):
+    """Five run; nine could wait, but only three of their bodies fit."""
+    monkeypatch.setattr(exit_module, "MAXIMUM_HELD_BYTES", 3 * HELD_BYTES)
+    mesh = make_mesh(slots=6)
+    uploads = [Upload(mesh, number) for number in range(14)]
+    run(mesh, uploads, 200)
+    exit_ = mesh.members[1].gateway._exit
+    held = sum(call.held_bytes for call in exit_._calls.values())
+    assert 2 * (1 << 20) < held <= 3 * HELD_BYTES
+    assert len(mesh.members[1].backend.calls) == 5
+    refused = [x for x in uploads if x.client.statuses == [503]]
+    assert len(refused) == 14 - len(exit_._calls)
+    small = mesh.ask(0, "/put/2", method="POST", body=b"x" * 1000)
+    assert small.statuses == []
+    assert len(exit_._calls) == 15 - len(refused)
