--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -283,8 +283,10 @@
 
     def _end_stop(self) -> None:
         """Answers the requests that are still open, and closes."""
-        self._parts.deadlines.run_all()
-        self._close()
+        try:
+            self._parts.deadlines.run_all()
+        finally:
+            self._close()
 
     def _close(self) -> None:
         self._parts.quarantine.stop()
