Connections hold waiting bodies themselves, at no cost for short ones

The four handlers asked for it after each request, two function calls each at the hop port. It is a limit of the connection now, which acts on parts of a long body only.

--- a/src/cranberrymux/gateway/entry.py
+++ b/src/cranberrymux/gateway/entry.py
@@ -94,7 +94,6 @@
         entry_call.EntryCall(
             parts, call, route, headers, digest, account, now_s
         ).start()
-        call.hold_body()
 
     def _refuse_key(
         self,
--- a/src/cranberrymux/gateway/exit.py
+++ b/src/cranberrymux/gateway/exit.py
@@ -126,10 +126,6 @@
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Starts, queues or refuses a request; takes messages of nodes."""
-        self._handle(call)
-        call.hold_body()
-
-    def _handle(self, call: inbound_call.InboundCall) -> None:
         head = call.head
         if head.target == suspect_message.TARGET and (
             self._peer_messages.handle(call)
--- a/src/cranberrymux/gateway/ports.py
+++ b/src/cranberrymux/gateway/ports.py
@@ -15,7 +15,10 @@
 # Between nodes: what a client may send, at any configured limit, and what the
 # first node adds.
 NODE_LIMITS = limits_module.Limits(
-    header_bytes=1 << 20, header_count=128, buffered_bytes=BUFFERED_BODY_BYTES
+    header_bytes=1 << 20,
+    header_count=128,
+    buffered_bytes=BUFFERED_BODY_BYTES,
+    holds_waiting_bodies=True,
 )
 
 
@@ -50,7 +53,9 @@
         self._clients = self.open(
             address,
             handler,
-            limits_module.Limits(buffered_bytes=BUFFERED_BODY_BYTES),
+            limits_module.Limits(
+                buffered_bytes=BUFFERED_BODY_BYTES, holds_waiting_bodies=True
+            ),
             may_run_ahead,
         )
 
@@ -103,6 +108,7 @@
                     header_bytes=limits.header_bytes,
                     body_bytes=limits.body_bytes,
                     buffered_bytes=BUFFERED_BODY_BYTES,
+                    holds_waiting_bodies=True,
                 )
             )
 
--- a/src/cranberrymux/node/egress.py
+++ b/src/cranberrymux/node/egress.py
@@ -30,10 +30,6 @@
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Routes a call to the service it names, or refuses it."""
-        self._route(call)
-        call.hold_body()
-
-    def _route(self, call: inbound_call.InboundCall) -> None:
         encoded_service = headers.find(
             call.head.headers, b"cranberrymux-service"
         )
--- a/src/cranberrymux/node/http/limits.py
+++ b/src/cranberrymux/node/http/limits.py
@@ -14,6 +14,8 @@
         body_bytes: Longest body; beyond it the answer is 413.
         buffered_bytes: Longest body that is read whole before the call is
             handled; longer ones are streamed with backpressure.
+        holds_waiting_bodies: True to leave the rest of a longer body with its
+            sender until the call is sent on, for handlers whose calls wait.
         concurrent_calls: Most calls of one connection that are handled at a
             time; further ones are not read until one is answered.
     """
@@ -23,4 +25,5 @@
     header_count: int = 100
     body_bytes: int = 1 << 30
     buffered_bytes: int = 65536
+    holds_waiting_bodies: bool = False
     concurrent_calls: int = 8
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -128,6 +128,8 @@
             # It is handled when its turn comes.
             self._dispatched = call
             self._pipeline.set_ready(call)
+        if self._dispatched is call and self._limits.holds_waiting_bodies:
+            call.hold_body()
 
     def request_read(self) -> None:
         """Ends the body, and starts the call unless it is being streamed."""
--- a/src/cranberrymux/node/ingress.py
+++ b/src/cranberrymux/node/ingress.py
@@ -77,10 +77,6 @@
 
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Starts a call, or refuses it at once."""
-        self._handle(call)
-        call.hold_body()
-
-    def _handle(self, call: inbound_call.InboundCall) -> None:
         key = headers.find(call.head.headers, peer_request.KEY_HEADER)
         if key is None:
             self._handle_client_request(call)
--- a/src/cranberrymux/node/program.py
+++ b/src/cranberrymux/node/program.py
@@ -60,6 +60,7 @@
         message_limits = limits.Limits(
             body_bytes=settings.body_limit_bytes,
             buffered_bytes=settings.buffered_body_bytes,
+            holds_waiting_bodies=True,
         )
         self._ingress_factory = server_factory.ServerFactory(
             self._node.ingress, message_limits
