Gateway: a node that stops does not take a death with it

Trace: it crashed the backend server beside m1 at 44.720; the connection that m1 tried again was accepted (by what stands before the backend server), so that only its next process could explain the loss. m1 got SIGTERM at 45.389, announced that it drains, and ended before that process came. The callers, who remember what was lost with a node, took the draining for a departure of the backend server and forgot the loss. That death was never counted; of seven crashes one was missing where two nodes then tried the request alone 0.35 s apart.

Change: a draining of the same start of the node explains no loss from before it, as it may be the node that stops. One of a later start shows that the backend server outlived the restart, as before. A loss where the endpoint is known to drain already is not remembered: that end was announced.

Tests: gateway/test_lost_hops.py, the order of the trace; it failed before.

--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -18,6 +18,7 @@
 from cranberrymux.gateway import request_log
 from cranberrymux.gateway import suspicion
 from cranberrymux.models import endpoint_record
+from cranberrymux.models import endpoint_state
 from cranberrymux.models import socket_address
 from cranberrymux.node import attempt as attempt_module
 from cranberrymux.node.http import answer_head
@@ -306,7 +307,7 @@
         endpoint = self._release_endpoint()
         now_s = self._parts.clock.now_s()
         if loss.is_handed_over and loss is not hop_answer.BACKEND_DIED:
-            self._note_lost_hop()
+            self._note_lost_hop(endpoint)
         if self._answer.is_started:
             self._cancel_timer()
             self._answer.abort_streaming(loss.detail)
@@ -325,10 +326,15 @@
             return
         self._fail(_Outcome.LOST, 502, loss.detail)
 
-    def _note_lost_hop(self) -> None:
+    def _note_lost_hop(
+        self, endpoint: endpoint_view.EndpointView | None
+    ) -> None:
         """Remembers a request that was lost with the endpoint's node."""
-        if self._sent_to is not None:
-            self._parts.lost_hops.add(self._digest, self._sent_to)
+        if self._sent_to is None:
+            return
+        known = self._sent_to if endpoint is None else endpoint.record
+        is_draining = known.state is endpoint_state.EndpointState.DRAINING
+        self._parts.lost_hops.add(self._digest, self._sent_to, is_draining)
 
     def _send_elsewhere(
         self,
--- a/src/cranberrymux/gateway/lost_hops.py
+++ b/src/cranberrymux/gateway/lost_hops.py
@@ -63,14 +63,21 @@
         # seconds at which the connection broke.
         self._lost: dict[str, dict[_LostHop, float]] = {}
 
-    def add(self, digest: str, record: endpoint_record.EndpointRecord) -> None:
+    def add(
+        self,
+        digest: str,
+        record: endpoint_record.EndpointRecord,
+        is_draining: bool = False,
+    ) -> None:
         """Records a request that the endpoint's node may have handed over.
 
         Args:
             digest: Digest of its content; empty if it has none.
             record: The endpoint that it was sent to.
+            is_draining: True if the endpoint is known to drain by now. An end
+                that was announced is no death.
         """
-        if not digest or not record.backend_id:
+        if not digest or not record.backend_id or is_draining:
             return
         now_s = self._clock.now_s()
         lost = self._lost.setdefault(record.endpoint_id, {})
@@ -94,14 +101,16 @@
         lost = self._lost[record.endpoint_id]
         is_draining = record.state is endpoint_state.EndpointState.DRAINING
         for hop in list(lost):
+            is_restarted = record.incarnation != hop.incarnation
             if not record.backend_id or record.process.may_be(hop.process):
-                # An end that was announced is no death.
-                if is_draining:
+                # An end that was announced is no death. Without a restart it
+                # may be the node that announces its own.
+                if is_draining and is_restarted:
                     del lost[hop]
                 continue
             del lost[hop]
             # Otherwise the node has seen the death itself.
-            if record.incarnation != hop.incarnation:
+            if is_restarted:
                 self._recorder.record_unseen_death(
                     fingerprints.from_digest(hop.digest),
                     _make_event_id(record.endpoint_id, hop),
--- a/tests/gateway/test_lost_hops.py
+++ b/tests/gateway/test_lost_hops.py
@@ -104,3 +104,21 @@
     hops.endpoints_changed([make_record(1, start=2)])
     assert recorder.events == []
     assert not hops._lost
+
+
+# Guards against a death that nobody counts: the node of the endpoint could not
+# explain it yet when it got SIGTERM, and drained.
+def test_a_node_that_stops_later_leaves_a_death_unexplained(hops, recorder):
+    draining = endpoint_state.EndpointState.DRAINING
+    hops.add("digest", make_record(1))
+    hops.endpoints_changed([make_record(1, state=draining)])
+    hops.endpoints_changed([make_record(1, start=2)])
+    assert recorder.events == [("digest", "n-1#1#b-1@1")]
+
+
+def test_a_request_lost_where_the_endpoint_drains_is_no_death(hops, recorder):
+    draining = endpoint_state.EndpointState.DRAINING
+    hops.add("digest", make_record(1), is_draining=True)
+    hops.endpoints_changed([make_record(1, state=draining)])
+    hops.endpoints_changed([make_record(1, start=2)])
+    assert recorder.events == []
