Log which classes a node holds back at the root

The lines of SHORT did not tell how much of which class was let in: request-ended names one share for all. A node that refuses roots now writes, once a second at most, the shares of the short services and of each class held back.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -110,6 +110,22 @@
         state = self._services.get(service)
         return 1.0 if state is None else state.share
 
+    def get_service_shares(self) -> dict[str, float]:
+        """Returns the smoothed shares of the services that are short."""
+        return {
+            service: round(state.share, 3)
+            for service, state in self._services.items()
+            if state.share < 1.0
+        }
+
+    def list_held_back(self) -> list[traffic_flow.HeldBackClass]:
+        """Returns the classes of which only a part may start."""
+        return [
+            traffic_flow.HeldBackClass(traffic_class, flow.per_s, flow.share)
+            for traffic_class, flow in self._flows.items()
+            if flow.share < 1.0
+        ]
+
     def get_account_share(
         self, now_s: float, service: str, key: fair_shares.AccountKey
     ) -> float | None:
--- a/src/cranberrymux/decisions/pressure/traffic_flow.py
+++ b/src/cranberrymux/decisions/pressure/traffic_flow.py
@@ -1,6 +1,25 @@
 """Arrivals of one traffic class at the root and the share that may start."""
 
 import copy
+from typing import NamedTuple
+
+from cranberrymux.decisions.pressure import (
+    traffic_class as traffic_class_module,
+)
+
+
+class HeldBackClass(NamedTuple):
+    """A traffic class of which only a part may start.
+
+    Attributes:
+        traffic_class: The class.
+        per_s: Mean arrivals a second.
+        share: Share of them that may start, below 1.0.
+    """
+
+    traffic_class: traffic_class_module.TrafficClass
+    per_s: float
+    share: float
 
 
 class TrafficFlow:
--- a/src/cranberrymux/gateway/explanation/copied_parts.py
+++ b/src/cranberrymux/gateway/explanation/copied_parts.py
@@ -22,6 +22,7 @@
 from cranberrymux.decisions.quarantine import quarantine_settings
 from cranberrymux.decisions.quarantine import suspect_report
 from cranberrymux.decisions.retries import repeat_budget
+from cranberrymux.gateway import class_log
 from cranberrymux.gateway import metrics as metrics_module
 from cranberrymux.gateway import parts as parts_module
 from cranberrymux.gateway import running_requests
@@ -160,6 +161,7 @@
             return admit(now_s, traffic_class)
 
         admission.admit = record_and_admit
+        self.class_log = class_log.ClassLog(admission, self.events)
 
 
 def _copy_quarantine(
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -94,6 +94,7 @@
             self._account_name,
         )
         if not offered:
+            self._parts.class_log.note_refusal(now_s)
             if self._account_name:
                 self._parts.metrics.held_back.note(self._account_name)
             return None
--- a/src/cranberrymux/gateway/parts.py
+++ b/src/cranberrymux/gateway/parts.py
@@ -16,6 +16,7 @@
 from cranberrymux.decisions.retries import repeat_budget
 from cranberrymux.decisions.routes import route_table
 from cranberrymux.decisions.routes import split_chooser
+from cranberrymux.gateway import class_log
 from cranberrymux.gateway import entry_admission
 from cranberrymux.gateway import lost_hops
 from cranberrymux.gateway import metrics as metrics_module
@@ -70,6 +71,7 @@
         key_lease: For how long keys of client accounts are accepted.
         metrics: Metrics of the gateway.
         zone_log: Metrics and log lines on the shares of zones.
+        class_log: Log lines on the classes that may not all start.
         quotas: Tokens of the client accounts.
         open_entry_calls: Number of open requests at the entry port.
         stop_admission: Decides what is still taken while this node stops.
@@ -154,6 +156,9 @@
         self.stop_admission = stop_admission.StopAdmission()
         self._served_count = 0
         self.events = structlog.get_logger()
+        self.class_log = class_log.ClassLog(
+            self.entry_admission.root_admission, self.events
+        )
 
     def sample_served(self) -> bool:
         """Counts a served request; True for one in `SERVED_PER_LOG_LINE`."""
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -59,6 +59,7 @@
     ZONE_SHARES = "zone-shares"
     QUOTA_OWNER = "quota-owner"
     ACCOUNTS_HELD_BACK = "accounts-held-back"
+    CLASSES_HELD_BACK = "classes-held-back"
 
     # Control instances.
     MEMBERS_CHANGED = "members-changed"
