Root admission: short requests share a shortage with the trees before them

Cause: what fits was allotted strictly by priority, beside a fixed part of each priority's own work. Once the trees of the first priority need all that fits, the second gets the same small share as the last, whose part is as large as all that the second needs.

Change: a priority whose requests need less than half of the work of those before it shares with them. The order stays: none is refused less than a more important one. The division moves to a module of its own.

--- a/src/cranberrymux/decisions/pressure/root_admission.py
+++ b/src/cranberrymux/decisions/pressure/root_admission.py
@@ -8,12 +8,10 @@
 from collections.abc import Iterator
 import math
 import random
-from typing import NamedTuple
 
 from cranberrymux.decisions.pressure import account_shares
+from cranberrymux.decisions.pressure import class_allotment
 from cranberrymux.decisions.pressure import fair_shares
-from cranberrymux.decisions.pressure import rank_allotment
-from cranberrymux.decisions.pressure import route_allotment
 from cranberrymux.decisions.pressure import (
     traffic_class as traffic_class_module,
 )
@@ -43,13 +41,6 @@
         self.updated_s = now_s
 
 
-class _Part(NamedTuple):
-    """A traffic class and its work at one service."""
-
-    flow: traffic_flow.TrafficFlow
-    demand: route_allotment.Demand
-
-
 class RootAdmission:
     """Decides at the node that a tree enters."""
 
@@ -235,7 +226,9 @@
                 if state.accounts.is_current(now_s):
                     self._allot_to_accounts(now_s, service, state.accounts)
                 else:
-                    self._allot(service, state.share)
+                    class_allotment.allot_by_priority(
+                        self._list_parts(service), state.share
+                    )
 
     def _grow_expired_share(
         self, state: _Service, now_s: float, elapsed_s: float
@@ -245,41 +238,25 @@
                 1.0, state.share * math.exp(elapsed_s / REOPEN_TIME_CONSTANT_S)
             )
 
-    def _allot(self, service: str, share: float) -> None:
-        """Allots the work that fits to the classes by importance."""
-        ranks: dict[tuple[int, int], list[_Part]] = {}
-        works: dict[tuple[int, int], float] = {}
-        for traffic_class, part in self._list_parts(service):
-            rank = (traffic_class.priority, int(traffic_class.timing))
-            ranks.setdefault(rank, []).append(part)
-            works[rank] = works.get(rank, 0.0) + part.demand.work
-        shares = rank_allotment.allot(works, share)
-        for rank, parts in ranks.items():
-            _allot_to_routes(parts, shares[rank])
-
     def _allot_to_accounts(
         self, now_s: float, service: str, accounts: account_shares.AccountShares
     ) -> None:
         """Allots to each account the share that the service has told."""
-        parts_by_key: dict[fair_shares.AccountKey, list[_Part]] = {}
-        for traffic_class, part in self._list_parts(service):
-            parts_by_key.setdefault(traffic_class.key, []).append(part)
+        parts_by_key: dict[
+            fair_shares.AccountKey, list[class_allotment.Part]
+        ] = {}
+        for part in self._list_parts(service):
+            parts_by_key.setdefault(part.traffic_class.key, []).append(part)
         for key, parts in parts_by_key.items():
             share = accounts.get(now_s, key, self._rates.get(key, 0.0))
-            _allot_to_routes(parts, share)
+            class_allotment.allot_to_routes(parts, share)
 
-    def _list_parts(
-        self, service: str
-    ) -> Iterator[tuple[traffic_class_module.TrafficClass, _Part]]:
+    def _list_parts(self, service: str) -> Iterator[class_allotment.Part]:
         """Yields the classes that need a service, with their work there."""
         for traffic_class, flow in self._flows.items():
-            route = traffic_class.route
-            work = flow.per_s * self._cost(route, service)
+            work = flow.per_s * self._cost(traffic_class.route, service)
             if work > 0.0:
-                demand = route_allotment.Demand(
-                    route, int(traffic_class.timing), work
-                )
-                yield traffic_class, _Part(flow, demand)
+                yield class_allotment.Part(traffic_class, flow, work)
 
     def _find_flow(
         self, traffic_class: traffic_class_module.TrafficClass
@@ -302,11 +279,3 @@
 
     def _cost(self, route: str, service: str) -> float:
         return self._costs.get(route, {}).get(service, 0.0)
-
-
-def _allot_to_routes(parts: list[_Part], share: float) -> None:
-    if share >= 1.0:
-        return
-    shares = route_allotment.allot([part.demand for part in parts], share)
-    for part, part_share in zip(parts, shares, strict=True):
-        part.flow.share = min(part.flow.share, part_share)
