Connections: what a closed one has read is freed at once

Cause: connection, pipeline, reader and the library's parser refer to each other, a call in progress and its turn as well. Such cycles are freed by the garbage collector, which counts objects and not bytes.

Change: a connection that has ended lets go of them, on the side of the server and on that of the client.

--- a/src/cranberrymux/node/http/answer_reader.py
+++ b/src/cranberrymux/node/http/answer_reader.py
@@ -67,6 +67,14 @@
         """Returns whether a request is among the last that were sent here."""
         return self._matcher.has_sent(identity)
 
+    def release(self) -> None:
+        """Frees what was read, once the connection has ended.
+
+        The parser refers to this reader and this to the parser: a reference
+        cycle, which only the garbage collector would free.
+        """
+        del self._parser
+
     def cancel(self) -> None:
         """Abandons the request by aborting the connection."""
         raise NotImplementedError
--- a/src/cranberrymux/node/http/call_pipeline.py
+++ b/src/cranberrymux/node/http/call_pipeline.py
@@ -233,6 +233,7 @@
         """Removes the call that is being read, which was found to be bad."""
         turn = self._turns.pop()
         self.waiting -= turn.is_ready and not turn.is_started
+        del turn.call  # Breaks the reference cycle of both.
 
     def close(self) -> None:
         """Starts and sends nothing more."""
@@ -245,7 +246,10 @@
         self._turns.clear()
         self.waiting = 0
         for turn in turns:
-            turn.call.client_disconnected()
+            call = turn.call
+            del turn.call  # Breaks the reference cycle of both.
+            call.client_disconnected()
+        del self._owner  # Likewise; it is not used once this is closed.
 
     def advance(self) -> None:
         """Sends the answers whose turn has come, and starts further calls."""
--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -192,6 +192,7 @@
             )
         if self.on_closed is not None:
             self.on_closed(self)
+        self.release()
 
     # `IPushProducer`: backpressure of the receiver on the request's body.
 
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -79,6 +79,15 @@
         """Sets the limits on each request that begins from now on."""
         self._next_limits = message_limits
 
+    def release(self) -> None:
+        """Frees what was read, once the connection has ended.
+
+        Parser and listener refer to this reader and this to them: reference
+        cycles, which only the garbage collector would free.
+        """
+        del self._parser
+        del self._listener
+
     def feed(self, data: bytes) -> bad_message.BadMessage | None:
         """Parses data; returns what is wrong with it, after which it is over.
 
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -101,7 +101,10 @@
         """Tells every call that the client disconnected."""
         del reason  # The calls end alike, however the connection ended.
         self._is_closing = True
+        self._being_read = None
+        self._dispatched = None
         self._pipeline.disconnect()
+        self._reader.release()
 
     # Implementation of `request_reader.RequestListener`.
 
