Repeats: a request without calls goes before long runs

Callers saw: while half of the calls to the deepest service were refused, the repeats went to trees that need many more, of which few end; requests that are one call each got hardly any, since every call of a more important rank came first.

Change: a request that is no part of a run precedes runs that need three or more further calls, whatever their rank. Runs that are nearly done keep their place.

--- a/src/cranberrymux/decisions/retries/arrival_window.py
+++ b/src/cranberrymux/decisions/retries/arrival_window.py
@@ -3,6 +3,8 @@
 import collections
 import itertools
 
+from cranberrymux.decisions.retries import repeat_order
+
 SLICES_PER_WINDOW = 20
 DEMAND_SLICES = 4  # Complete slices over which demand is averaged.
 _HALF_WINDOW_SLICES = SLICES_PER_WINDOW // 2
@@ -23,9 +25,9 @@
         self._slice_s = window_s / SLICES_PER_WINDOW
         self._firsts: collections.Counter[int] = collections.Counter()
         self._repeats: collections.Counter[int] = collections.Counter()
-        self._demands: collections.Counter[tuple[int, tuple[float, int]]] = (
-            collections.Counter()
-        )
+        self._demands: collections.Counter[
+            tuple[int, repeat_order.RepeatOrder]
+        ] = collections.Counter()
         self._current_slice = 0
 
     def note_first(self, now_s: float) -> None:
@@ -36,21 +38,25 @@
         """Counts a request that is sent again."""
         self._repeats[self._advance(now_s)] += 1
 
-    def note_demand(self, now_s: float, order: tuple[float, int]) -> None:
+    def note_demand(
+        self, now_s: float, order: repeat_order.RepeatOrder
+    ) -> None:
         """Counts an intended repeat, whether or not it will be allowed.
 
         Args:
             now_s: Monotonic seconds.
-            order: Lower values get repeats first.
+            order: Of the request to be repeated.
         """
         self._demands[self._advance(now_s), order] += 1
 
-    def demand_per_s(self, now_s: float, order: tuple[float, int]) -> float:
+    def demand_per_s(
+        self, now_s: float, order: repeat_order.RepeatOrder
+    ) -> float:
         """Returns the recent demand for repeats that come first.
 
         Args:
             now_s: Monotonic seconds.
-            order: Only demand of lower values is counted.
+            order: Only demand that precedes it is counted.
 
         Returns:
             Intended repeats a second, averaged over the last `DEMAND_SLICES`
@@ -63,7 +69,7 @@
         demand = 0
         for (at, demand_order), count in self._demands.items():
             first = min(first, at)
-            if demand_order < order:
+            if demand_order.precedes(order):
                 demand += count
         return demand / max(now_s - first * self._slice_s, self._slice_s)
 
--- a/src/cranberrymux/decisions/retries/repeat_budget.py
+++ b/src/cranberrymux/decisions/retries/repeat_budget.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from cranberrymux.decisions.retries import arrival_window
+from cranberrymux.decisions.retries import repeat_order
 
 # Fraction of the budget in use. The rest is a margin, because the nodes do not
 # learn of a change of their shares at the same time.
@@ -41,12 +42,23 @@
             that the request makes; empty otherwise.
         remaining_calls: Calls that the run which makes the request still needs
             to end, this one included; at least 1.
+        is_whole: True if the request is no call of a run and makes none.
     """
 
     service: str
     rank: float = 0.0
     route: str = ""
     remaining_calls: int = 1
+    is_whole: bool = False
+
+    @property
+    def order(self) -> repeat_order.RepeatOrder:
+        """Decides which requests get repeats before it."""
+        return repeat_order.RepeatOrder(
+            self.rank,
+            min(self.remaining_calls, MAXIMUM_REMAINING_CALLS),
+            self.is_whole,
+        )
 
 
 class RepeatBudget:
@@ -109,9 +121,9 @@
 
         A fraction of the slack is reserved for more important work. So is the
         demand, until the repeats of the window can be sent again, of work that
-        comes first: of more important work and, among equals, of runs that
-        need fewer further calls. A repeat for these completes more call trees,
-        where an even split would complete hardly any.
+        comes first (`RepeatOrder`): of more important work and, among equals,
+        of runs that need fewer further calls. A repeat for these completes more
+        call trees, where an even split would complete hardly any.
 
         Args:
             candidate: The request to repeat.
@@ -121,10 +133,7 @@
         if tree_tokens is not None and tree_tokens < 1.0:
             return False
         window = self._find_window(candidate.service)
-        remaining_calls = min(
-            candidate.remaining_calls, MAXIMUM_REMAINING_CALLS
-        )
-        order = (candidate.rank, remaining_calls)
+        order = candidate.order
         window.note_demand(now_s, order)
         slack = 0.0
         if now_s >= self._slack_from_s:
--- a/src/cranberrymux/gateway/attempts.py
+++ b/src/cranberrymux/gateway/attempts.py
@@ -27,6 +27,7 @@
         tree_context: What the request passes on of its call tree.
         parent: The running request that made this one; None for a root, or if
             it is not known.
+        is_whole: True for a root that is known to make no calls.
         sent: Number of times that a node may have got the request.
         is_streamed: True once part of its body was passed on and not kept, so
             that it cannot be sent again.
@@ -60,6 +61,7 @@
         self._leaves_zone = False
         self.tree_context = hop.DEFAULT_TREE_CONTEXT
         self.parent: running_request.RunningRequest | None = None
+        self.is_whole = False
         self.sent = 0
         self.is_streamed = False
         self.may_have_run = False
@@ -208,6 +210,7 @@
             self.tree_context.rank,
             self.route.name,
             remaining_calls,
+            self.is_whole,
         )
         if not self._parts.repeats.take(candidate, now_s):
             return False
--- a/src/cranberrymux/gateway/entry_call.py
+++ b/src/cranberrymux/gateway/entry_call.py
@@ -132,6 +132,7 @@
             return
         self._attempts.tree_context = tree_context
         self._attempts.parent = self._origin.parent
+        self._attempts.is_whole = self._origin.is_whole
         self._call.on_send_buffer_full = self._pause_answer
         self._call.on_send_buffer_drained = self._resume_answer
         self._send_next(now_s)
--- a/src/cranberrymux/gateway/origin.py
+++ b/src/cranberrymux/gateway/origin.py
@@ -25,6 +25,7 @@
         left_s: Seconds that the caller allows.
         parent: The running request that made this one, once it is admitted;
             None for a root, or if it is not known.
+        is_whole: True for an admitted root that is known to make no calls.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         left_ms = whole_number.decode(first.get(dialect.deadline_ms))
         self.left_s = route.timeout_s if left_ms is None else left_ms / 1000
         self.parent: running_request.RunningRequest | None = None
+        self.is_whole = False
         self._parts = parts
         self._route = route
         self._account_name = "" if account is None else account.name
@@ -104,6 +106,7 @@
             # Nothing comes after it, so that it need not wait behind the calls
             # of trees of equal importance.
             rank -= hop.CALL_RANK_BONUS
+            self.is_whole = True
         return hop.TreeContext(
             rank,
             share,
--- a/tests/decisions/retries/refusal_simulation.py
+++ b/tests/decisions/retries/refusal_simulation.py
@@ -27,6 +27,7 @@
 TREES_PER_S = 400.0
 RANKS = (-0.5, 0.5, 1.5)
 RANK_WEIGHTS = (0.2, 0.3, 0.5)
+WHOLE_RANK = 0.5  # Of requests that are one call each, if there are any.
 REFUSES_FROM_S = 21.0
 REFUSES_FOR_S = 8.5
 MAXIMUM_REFUSALS = 8
@@ -64,15 +65,31 @@
 class _Tree:
     """A tree in progress."""
 
-    __slots__ = ("deadline_s", "done", "is_counted", "node", "rank", "refusals")
+    __slots__ = (
+        "calls",
+        "deadline_s",
+        "done",
+        "is_counted",
+        "is_whole",
+        "node",
+        "rank",
+        "refusals",
+    )
 
     def __init__(
-        self, node: int, rank: float, deadline_s: float, is_counted: bool
+        self,
+        node: int,
+        rank: float,
+        deadline_s: float,
+        is_counted: bool,
+        is_whole: bool = False,
     ) -> None:
         self.node = node
         self.rank = rank
         self.deadline_s = deadline_s
         self.is_counted = is_counted
+        self.is_whole = is_whole
+        self.calls = 1 if is_whole else CALLS
         self.done = 0
         self.refusals = 0
 
@@ -87,6 +104,7 @@
         seed: int,
         ranks: Sequence[float] = RANKS,
         admitted: float = 1.0,
+        whole_per_s: float = 0.0,
     ) -> None:
         """Prepares the simulation.
 
@@ -96,23 +114,30 @@
             seed: Seed of all that is random.
             ranks: Ranks of the trees, at most as many as `RANK_WEIGHTS`.
             admitted: Share of the trees that begin while it refuses.
+            whole_per_s: Requests of `WHOLE_RANK` that are one call each.
         """
         self._rules = rules
         self._refused = refused
         self._random = random.Random(seed)
         self._ranks = ranks
         self._admitted = admitted
+        self._whole_per_s = whole_per_s
         self._now_s = 0.0
         self._order = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._result = Result(
             dict.fromkeys(ranks, 0), dict.fromkeys(ranks, 0), [], []
         )
+        if whole_per_s:
+            self._result.complete[WHOLE_RANK] = 0
+            self._result.begun[WHOLE_RANK] = 0
 
     def run(self) -> Result:
         """Runs until 2 s after the refusals; returns what was counted."""
         length_s = REFUSES_FROM_S + REFUSES_FOR_S + 2.0
         self._at(0.0, self._arrive)
+        if self._whole_per_s:
+            self._at(0.0, self._arrive_whole)
         while self._events and self._events[0][0] <= length_s:
             self._now_s, _, action = heapq.heappop(self._events)
             action()
@@ -139,6 +164,16 @@
             self._at(BETWEEN_S, lambda: self._call(tree, True))
         self._at(self._random.expovariate(TREES_PER_S), self._arrive)
 
+    def _arrive_whole(self) -> None:
+        is_counted = self._is_refusing
+        self._result.begun[WHOLE_RANK] += is_counted
+        node = self._random.randrange(len(self._rules))
+        deadline_s = self._now_s + TIMEOUT_S
+        tree = _Tree(node, WHOLE_RANK, deadline_s, is_counted, is_whole=True)
+        self._call(tree, True)
+        gap_s = self._random.expovariate(self._whole_per_s)
+        self._at(gap_s, self._arrive_whole)
+
     def _call(self, tree: _Tree, is_first: bool) -> None:
         rule = self._rules[tree.node]
         if is_first:
@@ -156,7 +191,10 @@
         if tree.refusals >= MAXIMUM_REFUSALS or self._now_s > tree.deadline_s:
             return
         candidate = repeat_budget.RepeatCandidate(
-            SERVICE, tree.rank, remaining_calls=CALLS - tree.done
+            SERVICE,
+            tree.rank,
+            remaining_calls=tree.calls - tree.done,
+            is_whole=tree.is_whole,
         )
         if self._rules[tree.node].take(candidate, self._now_s):
             self._result.repeats_s.append(self._now_s)
@@ -165,7 +203,7 @@
     def _end(self, tree: _Tree) -> None:
         tree.done += 1
         tree.refusals = 0
-        if tree.done < CALLS:
+        if tree.done < tree.calls:
             self._at(BETWEEN_S, lambda: self._call(tree, True))
         elif tree.is_counted and self._now_s <= tree.deadline_s:
             self._result.complete[tree.rank] += 1
