Connections: a client that does not read its answers is read no further

Cause: a full send buffer told the call in progress alone, so that further small requests were answered into it without a bound.

Change: while the send buffer is full, no further call is begun, and reading pauses once 64 KiB are held. A body in progress is read on, since its answer may precede its end.

--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -67,6 +67,7 @@
         self._is_closing = False
         self._is_paused = False
         self._is_body_paused = False
+        self._is_send_buffer_full = False
         # Bytes of a body that nobody takes, which are read before the close.
         self._unwanted_bytes = 0
         self._tcp: Any = None
@@ -217,16 +218,25 @@
     # `IPushProducer`: backpressure of the client on its answer.
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Tells the current call that the transport's send buffer is full."""
+        """Tells the current call that the transport's send buffer is full.
+
+        Until it is empty, no further calls are read: a client that sends
+        requests and reads no answers would fill the memory with these.
+        """
+        self._is_send_buffer_full = True
+        self._update_reading()
         first = self._pipeline.first
         if first is not None and first.on_send_buffer_full is not None:
             first.on_send_buffer_full()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Tells the current call that the transport's send buffer is empty."""
+        self._is_send_buffer_full = False
         first = self._pipeline.first
         if first is not None and first.on_send_buffer_drained is not None:
             first.on_send_buffer_drained()
+        if self._unparsed or self._is_paused:
+            self._parse()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing, as `connectionLost` follows."""
@@ -244,6 +254,8 @@
                 if self._is_closing or self._rejected is not None:
                     start = size
                     break
+                if self._is_send_buffer_full and self._being_read is None:
+                    break
                 # The parser cannot pause, so it gets no more than about one
                 # request at a time: the rest of a sized body, or the bytes up
                 # to the end of a head.
@@ -263,7 +275,12 @@
         finally:
             self._unparsed = unparsed[start:]
             self._is_parsing = False
-        if self._is_paused or self._is_body_paused or self._pipeline.waiting:
+        if (
+            self._is_paused
+            or self._is_body_paused
+            or self._is_send_buffer_full
+            or self._pipeline.waiting
+        ):
             self._update_reading()
 
     def _discard(self, size_bytes: int) -> None:
@@ -308,9 +325,9 @@
         self.close()
 
     def _update_reading(self) -> None:
+        is_held_up = self._pipeline.waiting > 0 or self._is_send_buffer_full
         paused = self._is_body_paused or (
-            self._pipeline.waiting > 0
-            and len(self._unparsed) >= READ_AHEAD_BYTES
+            is_held_up and len(self._unparsed) >= READ_AHEAD_BYTES
         )
         if paused == self._is_paused or self._is_closing:
             return
