Connections: bound what all of a process hold while they read

Cause: limits held for one request each. A body that comes byte by byte was kept as one object for each byte, which takes many times its size.

Change: a budget for all connections of a process; beyond it the one that holds most is closed with 503 and a log line. What was passed on, and uploads that are handled, do not count, so that none of these is cut off. Small parts of a body are joined.

--- a/src/cranberrymux/gateway/gateway.py
+++ b/src/cranberrymux/gateway/gateway.py
@@ -104,7 +104,7 @@
         self._checking.clock = reactor
         self._sweeping = task.LoopingCall(self._sweep)
         self._sweeping.clock = reactor
-        self._ports = ports_module.Ports(reactor)
+        self._ports = ports_module.Ports(reactor, self._log_shed)
         self._is_stopping = False
 
     @property
@@ -255,6 +255,9 @@
         if is_changed and not self._is_stopping:
             self._directory.send_heartbeats()
 
+    def _log_shed(self, held_bytes: int) -> None:
+        self._events.warning("connection-shed", held_bytes=held_bytes)
+
     def _sweep(self) -> None:
         self._exit.update_metrics()
         self._parts.show_zone_shares()
--- a/src/cranberrymux/gateway/ports.py
+++ b/src/cranberrymux/gateway/ports.py
@@ -1,5 +1,6 @@
 """The listening ports of a gateway and their open connections."""
 
+from collections.abc import Callable
 from typing import Any
 
 from cranberrymux.decisions.routes import client_limits
@@ -7,6 +8,7 @@
 from cranberrymux.node.http import call_handler
 from cranberrymux.node.http import call_pipeline
 from cranberrymux.node.http import limits as limits_module
+from cranberrymux.node.http import read_budget
 from cranberrymux.node.http import server_factory
 
 BACKLOG = 512  # Connections not yet accepted, per port.
@@ -25,9 +27,18 @@
 class Ports:
     """Opens and closes ports and enforces the limits on client connections."""
 
-    def __init__(self, reactor: Any) -> None:
-        """Starts without open ports."""
+    def __init__(
+        self, reactor: Any, on_shed: Callable[[int], None] | None = None
+    ) -> None:
+        """Starts without open ports.
+
+        Args:
+            reactor: The reactor to use.
+            on_shed: Called with the bytes that a connection held, before it
+                is closed since all connections together hold too much.
+        """
         self._reactor = reactor
+        self._budget = read_budget.ReadBudget(on_shed=on_shed)
         self._ports: list[Any] = []
         self._factories: list[server_factory.ServerFactory] = []
         self._clients: server_factory.ServerFactory | None = None
@@ -86,7 +97,7 @@
         parsed = socket_address.parse(address)
         assert parsed is not None
         factory = server_factory.ServerFactory(
-            handler, message_limits, may_run_ahead
+            handler, message_limits, may_run_ahead, self._budget
         )
         port = self._reactor.listenTCP(
             parsed.port, factory, backlog=BACKLOG, interface=parsed.host
--- a/src/cranberrymux/node/http/header_reader.py
+++ b/src/cranberrymux/node/http/header_reader.py
@@ -15,6 +15,7 @@
     Attributes:
         pairs: Headers, or after `take` trailers, read so far; names in lower
             case.
+        message_bytes: Bytes read of the message, of its head at first.
     """
 
     def __init__(self, maximum_bytes: int, maximum_count: int) -> None:
@@ -30,7 +31,7 @@
         self._taken: headers.HeaderList = []
         # False once a value has whitespace behind it.
         self._is_normal = True
-        self._message_bytes = 0
+        self.message_bytes = 0
         self._read_bytes = 0
 
     def set_limits(self, maximum_bytes: int, maximum_count: int) -> None:
@@ -41,14 +42,14 @@
     def note_read(self, size: int) -> None:
         """Counts the bytes of a read before they are parsed."""
         self._read_bytes = size
-        self._message_bytes += size
+        self.message_bytes += size
 
     def begin(self) -> None:
         """Starts the next message, within the present read."""
         self.pairs = []
         self._taken = []
         self._is_normal = True
-        self._message_bytes = self._read_bytes
+        self.message_bytes = self._read_bytes
 
     def add(self, name: bytes, value: bytes) -> None:
         """Adds a header or trailer as it was read."""
@@ -61,7 +62,7 @@
         taken = self.pairs
         if (
             len(taken) > self._maximum_count
-            or self._message_bytes > self._maximum_bytes
+            or self.message_bytes > self._maximum_bytes
         ) and self.is_exceeded:
             return None
         self._taken = taken
@@ -79,7 +80,7 @@
         pairs = self._taken + self.pairs
         if len(pairs) > self._maximum_count:
             return True
-        if self._message_bytes <= self._maximum_bytes:
+        if self.message_bytes <= self._maximum_bytes:
             return False
         size = sum(len(name) + len(value) for name, value in pairs)
         return size > self._maximum_bytes
--- a/src/cranberrymux/node/http/inbound_call.py
+++ b/src/cranberrymux/node/http/inbound_call.py
@@ -29,6 +29,9 @@
     503: b"Service Unavailable",
     504: b"Gateway Timeout",
 }
+# Parts of a body that are kept apart. Those of a sender that writes a byte at a
+# time would take many times the memory of the body.
+MAXIMUM_LOOSE_PARTS = 1024
 _BODYLESS_STATUSES = (204, 304)
 _STATUS_LINES = {
     status: b"HTTP/1.1 %d %b\r\n" % (status, reason)
@@ -102,6 +105,7 @@
         self.on_ended: Callable[[], None] | None = None
         self._connection = connection
         self._parts: list[bytes] = []
+        self._loose_parts = 0
         self.body_length = 0
         self.is_body_complete = False
         self.is_body_streamed = False
@@ -134,6 +138,11 @@
             self._sink.body_part(part)
             return
         self._parts.append(part)
+        self._loose_parts += 1
+        if self._loose_parts >= MAXIMUM_LOOSE_PARTS:
+            loose = self._parts[-MAXIMUM_LOOSE_PARTS:]
+            self._parts[-MAXIMUM_LOOSE_PARTS:] = [b"".join(loose)]
+            self._loose_parts = 0
 
     def complete_body(self) -> None:
         """Notes that the whole body was read."""
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -75,6 +75,11 @@
             return headers.Headers(self._header_reader.pairs)
         return self._headers
 
+    @property
+    def head_bytes(self) -> int:
+        """Bytes read of a head that is not complete."""
+        return self._header_reader.message_bytes if self.is_reading_head else 0
+
     def set_limits(self, message_limits: limits.Limits) -> None:
         """Sets the limits on each request that begins from now on."""
         self._next_limits = message_limits
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -14,6 +14,7 @@
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import prompt_writer
+from cranberrymux.node.http import read_budget
 from cranberrymux.node.http import rejection
 from cranberrymux.node.http import request_head
 from cranberrymux.node.http import request_reader
@@ -44,6 +45,7 @@
         may_run_ahead: call_pipeline.RunAheadPolicy = (
             call_pipeline.never_run_ahead
         ),
+        budget: read_budget.ReadBudget | None = None,
     ) -> None:
         """Creates a connection that Twisted has yet to connect.
 
@@ -52,11 +54,14 @@
             message_limits: Limits on each request and on pipelining.
             may_run_ahead: Tells from a request's head whether it may be
                 handled before the requests before it are answered.
+            budget: Bounds what this and other connections hold together; None
+                for one of this connection alone.
         """
         self._pipeline = call_pipeline.CallPipeline(
             self, handler, message_limits.concurrent_calls, may_run_ahead
         )
         self._limits = message_limits
+        self._budget = budget or read_budget.ReadBudget()
         self._reader = request_reader.RequestReader(message_limits, self)
         self._unparsed = b""
         self._is_parsing = False
@@ -70,6 +75,8 @@
         self._is_send_buffer_full = False
         # Bytes of a body that nobody takes, which are read before the close.
         self._unwanted_bytes = 0
+        # What the budget knows of.
+        self._held_bytes = 0
         self._tcp: Any = None
         self.is_draining = False
 
@@ -95,6 +102,13 @@
             return
         self._unparsed += data
         self._parse()
+        if (
+            self._unparsed
+            or self._being_read is not None
+            or self._reader.is_reading_head
+            or self._held_bytes
+        ):
+            self._account()
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -104,6 +118,8 @@
         self._is_closing = True
         self._being_read = None
         self._dispatched = None
+        if self._held_bytes:
+            self._budget.update(self, 0)
         self._pipeline.disconnect()
         self._reader.release()
 
@@ -148,6 +164,24 @@
         if self._dispatched is not call:
             self._pipeline.set_ready(call)
 
+    # Implementation of `read_budget.Holder`.
+
+    def shed(self) -> None:
+        """Rejects the request that is read, of which nothing was passed on."""
+        self._held_bytes = 0
+        self._unparsed = b""
+        self._reject(bad_message.BadMessage(503, "too much is read at once"))
+
+    def _account(self) -> None:
+        """Tells the budget how much is held."""
+        held_bytes = len(self._unparsed) + self._reader.head_bytes
+        reading = self._being_read
+        if reading is not None and reading is not self._dispatched:
+            held_bytes += reading.body_length
+        if held_bytes != self._held_bytes:
+            self._held_bytes = held_bytes
+            self._budget.update(self, held_bytes)
+
     # State that the factory reads.
 
     @property
--- a/src/cranberrymux/node/http/server_factory.py
+++ b/src/cranberrymux/node/http/server_factory.py
@@ -7,6 +7,7 @@
 from cranberrymux.node.http import call_handler
 from cranberrymux.node.http import call_pipeline
 from cranberrymux.node.http import limits
+from cranberrymux.node.http import read_budget
 from cranberrymux.node.http import server_connection
 
 
@@ -16,10 +17,11 @@
         handler: call_handler.CallHandler,
         message_limits: limits.Limits,
         may_run_ahead: call_pipeline.RunAheadPolicy,
+        budget: read_budget.ReadBudget,
         open_connections: set[server_connection.ServerConnection],
         unchanged_since: dict[server_connection.ServerConnection, Any],
     ) -> None:
-        super().__init__(handler, message_limits, may_run_ahead)
+        super().__init__(handler, message_limits, may_run_ahead, budget)
         self._open_connections = open_connections
         self._unchanged_since = unchanged_since
 
@@ -47,6 +49,7 @@
         may_run_ahead: call_pipeline.RunAheadPolicy = (
             call_pipeline.never_run_ahead
         ),
+        budget: read_budget.ReadBudget | None = None,
     ) -> None:
         """Creates a factory without connections.
 
@@ -55,7 +58,10 @@
             message_limits: Limits for each connection.
             may_run_ahead: Tells from a request's head whether it may be
                 handled before earlier ones of its connection are answered.
+            budget: Bounds what the connections of several ports hold
+                together; None for one of this port alone.
         """
+        self._budget = budget or read_budget.ReadBudget()
         self._handler = handler
         self._may_run_ahead = may_run_ahead
         self._limits = message_limits
@@ -76,6 +82,7 @@
             self._handler,
             self._limits,
             self._may_run_ahead,
+            self._budget,
             self._open_connections,
             self._unchanged_since,
         )
--- a/src/cranberrymux/platform/control_port.py
+++ b/src/cranberrymux/platform/control_port.py
@@ -14,12 +14,15 @@
 from cranberrymux.node.http import headers as headers_module
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits as limits_module
+from cranberrymux.node.http import read_budget
 from cranberrymux.node.http import server_factory
 from cranberrymux.platform import configuration_format
 from cranberrymux.platform import json_answer
 from cranberrymux.platform import paths
 
 MAXIMUM_BODY_BYTES = 8 << 20
+# Most bytes of all bodies that are read at once.
+MAXIMUM_HELD_BYTES = 3 * MAXIMUM_BODY_BYTES
 _MAXIMUM_DETAIL_CHARACTERS = 500  # Names in it may be of any length.
 _MAXIMUM_LABEL_DIGITS = len(str(json_fields.MAXIMUM_INTEGER))
 _Verdict = route_changes.PutVerdict
@@ -58,10 +61,19 @@
         )
         parts.reactor.listenTCP(
             parts.settings.operator_port,
-            server_factory.ServerFactory(self, limits),
+            server_factory.ServerFactory(
+                self,
+                limits,
+                budget=read_budget.ReadBudget(
+                    MAXIMUM_HELD_BYTES, self._log_shed
+                ),
+            ),
             interface=parts.settings.address,
         )
 
+    def _log_shed(self, held_bytes: int) -> None:
+        self._events.warning("connection-shed", held_bytes=held_bytes)
+
     def handle_call(self, call: inbound_call.InboundCall) -> None:
         """Dispatches a call by path and method."""
         path = call.head.target.partition(b"?")[0]
--- a/src/cranberrymux/telemetry/event.py
+++ b/src/cranberrymux/telemetry/event.py
@@ -60,6 +60,7 @@
     QUOTA_OWNER = "quota-owner"
     ACCOUNTS_HELD_BACK = "accounts-held-back"
     CLASSES_HELD_BACK = "classes-held-back"
+    CONNECTION_SHED = "connection-shed"
 
     # Control instances.
     MEMBERS_CHANGED = "members-changed"
--- a/tests/soak/machine.py
+++ b/tests/soak/machine.py
@@ -99,6 +99,16 @@
         )
         self.backend_proxy = proxy_module.Proxy(backend_address, self._backend)
 
+    @property
+    def hop_address(self):
+        """Where the node accepts requests of other nodes."""
+        return self.ip, self._node_ports[0]
+
+    @property
+    def announce_address(self):
+        """Where the node accepts announcements of its backend server."""
+        return self.ip, self._node_ports[2]
+
     @property
     def late_times_s(self):
         """Times of faults after which requests begin late by no node's doing.
--- a/tests/soak/program.py
+++ b/tests/soak/program.py
@@ -37,6 +37,11 @@
     def is_running(self):
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def process_id(self):
+        """Id of the present process, or of the last one."""
+        return self._process.pid
+
     @property
     def has_ended_unexpectedly(self):
         """True if it ended after its start without `kill` or `terminate`."""
