Connections: peers whose messages cost much time to parse wait for others

Cause: each turn of the event loop parses up to 64 KiB of every connection, however long that takes.

Change: a read of 2 ms or more within one message is followed by a pause, as long as ten times the read for each connection that waits. So costly reads take a tenth of the processor together. Usual reads and those that end a request are not paced. The pauses of a connection move to a module of their own.

--- a/src/cranberrymux/gateway/ports.py
+++ b/src/cranberrymux/gateway/ports.py
@@ -9,6 +9,7 @@
 from cranberrymux.node.http import call_pipeline
 from cranberrymux.node.http import limits as limits_module
 from cranberrymux.node.http import read_budget
+from cranberrymux.node.http import read_pacer
 from cranberrymux.node.http import server_factory
 
 BACKLOG = 512  # Connections not yet accepted, per port.
@@ -39,6 +40,7 @@
         """
         self._reactor = reactor
         self._budget = read_budget.ReadBudget(on_shed=on_shed)
+        self._pacer = read_pacer.ReadPacer(reactor)
         self._ports: list[Any] = []
         self._factories: list[server_factory.ServerFactory] = []
         self._clients: server_factory.ServerFactory | None = None
@@ -97,7 +99,7 @@
         parsed = socket_address.parse(address)
         assert parsed is not None
         factory = server_factory.ServerFactory(
-            handler, message_limits, may_run_ahead, self._budget
+            handler, message_limits, may_run_ahead, self._budget, self._pacer
         )
         port = self._reactor.listenTCP(
             parsed.port, factory, backlog=BACKLOG, interface=parsed.host
--- a/src/cranberrymux/node/http/request_reader.py
+++ b/src/cranberrymux/node/http/request_reader.py
@@ -35,6 +35,7 @@
 
     Attributes:
         on_header: Callback of the parser for each header and trailer.
+        messages: Number of requests that have begun.
         is_reading_head: True if part of a request has been read, but not its
             whole head.
         sized_body_left: Bytes that are to come of a body whose length its head
@@ -65,6 +66,7 @@
         self._body_bytes = 0
         self._bad: bad_message.BadMessage | None = None
         self._headers = headers.Headers([])
+        self.messages = 0
         self.is_reading_head = False
         self.sized_body_left = 0
 
@@ -135,6 +137,7 @@
         """Prepares for the head of the next request."""
         if self._limits is not self._next_limits:
             self._apply_next_limits()
+        self.messages += 1
         self._target = b""
         self._header_reader.begin()
         self._body_bytes = 0
--- a/src/cranberrymux/node/http/server_connection.py
+++ b/src/cranberrymux/node/http/server_connection.py
@@ -15,6 +15,8 @@
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import prompt_writer
 from cranberrymux.node.http import read_budget
+from cranberrymux.node.http import read_flow
+from cranberrymux.node.http import read_pacer
 from cranberrymux.node.http import rejection
 from cranberrymux.node.http import request_head
 from cranberrymux.node.http import request_reader
@@ -46,6 +48,7 @@
             call_pipeline.never_run_ahead
         ),
         budget: read_budget.ReadBudget | None = None,
+        pacer: read_pacer.ReadPacer | None = None,
     ) -> None:
         """Creates a connection that Twisted has yet to connect.
 
@@ -56,6 +59,8 @@
                 handled before the requests before it are answered.
             budget: Bounds what this and other connections hold together; None
                 for one of this connection alone.
+            pacer: Makes connections wait after costly reads; None for no such
+                pauses.
         """
         self._pipeline = call_pipeline.CallPipeline(
             self, handler, message_limits.concurrent_calls, may_run_ahead
@@ -70,9 +75,7 @@
         self._rejected: bad_message.BadMessage | None = None
         self._read_count = 0
         self._is_closing = False
-        self._is_paused = False
-        self._is_body_paused = False
-        self._is_send_buffer_full = False
+        self._flow = read_flow.ReadFlow(pacer, self._update_reading)
         # Bytes of a body that nobody takes, which are read before the close.
         self._unwanted_bytes = 0
         # What the budget knows of.
@@ -100,13 +103,15 @@
         if self._unwanted_bytes:
             self._discard(len(data))
             return
+        if self._held_bytes or self._being_read is not None:
+            self._read_on(data)
+            return
         self._unparsed += data
         self._parse()
         if (
             self._unparsed
             or self._being_read is not None
             or self._reader.is_reading_head
-            or self._held_bytes
         ):
             self._account()
 
@@ -120,6 +125,7 @@
         self._dispatched = None
         if self._held_bytes:
             self._budget.update(self, 0)
+        self._flow.release()
         self._pipeline.disconnect()
         self._reader.release()
 
@@ -157,7 +163,7 @@
         self._being_read = None
         if call is None:
             return
-        if self._is_body_paused:
+        if self._flow.is_body_paused:
             # Nobody resumes a body that has no more bytes to come.
             self.resume_body()
         call.complete_body()
@@ -172,6 +178,22 @@
         self._unparsed = b""
         self._reject(bad_message.BadMessage(503, "too much is read at once"))
 
+    def _read_on(self, data: bytes) -> None:
+        """Parses more of what is unfinished; pauses if it is costly.
+
+        A read that brings the end of a request is not paused for: the time
+        went into handling it.
+        """
+        messages = self._reader.messages
+        began_s = self._flow.start_timing()
+        self._unparsed += data
+        self._parse()
+        self._account()
+        is_unfinished = self._held_bytes > 0 or self._being_read is not None
+        is_same = is_unfinished and self._reader.messages == messages
+        if is_same and self._flow.end_timing(began_s):
+            self._update_reading()
+
     def _account(self) -> None:
         """Tells the budget how much is held."""
         held_bytes = len(self._unparsed) + self._reader.head_bytes
@@ -209,8 +231,10 @@
         """Parses what was held back, and answers a bad request."""
         if self._rejected is not None and self._pipeline.is_empty:
             self._send_rejection()
-        if self._unparsed or self._is_paused:
+        if self._unparsed or self._flow.is_paused:
             self._parse()
+        if self._held_bytes:
+            self._account()
 
     def abort(self) -> None:
         """Closes at once, which leaves the answer truncated."""
@@ -241,12 +265,12 @@
 
     def pause_body(self) -> None:
         """Stops reading until `resume_body`, for backpressure."""
-        self._is_body_paused = True
+        self._flow.is_body_paused = True
         self._update_reading()
 
     def resume_body(self) -> None:
         """Reads again, unless too much was read behind a waiting call."""
-        self._is_body_paused = False
+        self._flow.is_body_paused = False
         self._update_reading()
 
     # `IPushProducer`: backpressure of the client on its answer.
@@ -257,7 +281,7 @@
         Until it is empty, no further calls are read: a client that sends
         requests and reads no answers would fill the memory with these.
         """
-        self._is_send_buffer_full = True
+        self._flow.is_send_buffer_full = True
         self._update_reading()
         first = self._pipeline.first
         if first is not None and first.on_send_buffer_full is not None:
@@ -265,12 +289,14 @@
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Tells the current call that the transport's send buffer is empty."""
-        self._is_send_buffer_full = False
+        self._flow.is_send_buffer_full = False
         first = self._pipeline.first
         if first is not None and first.on_send_buffer_drained is not None:
             first.on_send_buffer_drained()
-        if self._unparsed or self._is_paused:
+        if self._unparsed or self._flow.is_paused:
             self._parse()
+        if self._held_bytes:
+            self._account()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing, as `connectionLost` follows."""
@@ -288,7 +314,7 @@
                 if self._is_closing or self._rejected is not None:
                     start = size
                     break
-                if self._is_send_buffer_full and self._being_read is None:
+                if self._flow.is_send_buffer_full and self._being_read is None:
                     break
                 # The parser cannot pause, so it gets no more than about one
                 # request at a time: the rest of a sized body, or the bytes up
@@ -310,9 +336,9 @@
             self._unparsed = unparsed[start:]
             self._is_parsing = False
         if (
-            self._is_paused
-            or self._is_body_paused
-            or self._is_send_buffer_full
+            self._flow.is_paused
+            or self._flow.is_body_paused
+            or self._flow.is_send_buffer_full
             or self._pipeline.waiting
         ):
             self._update_reading()
@@ -359,14 +385,12 @@
         self.close()
 
     def _update_reading(self) -> None:
-        is_held_up = self._pipeline.waiting > 0 or self._is_send_buffer_full
-        paused = self._is_body_paused or (
-            is_held_up and len(self._unparsed) >= READ_AHEAD_BYTES
-        )
-        if paused == self._is_paused or self._is_closing:
+        if self._is_closing:
             return
-        self._is_paused = paused
-        if paused:
-            self._tcp.pauseProducing()
-        else:
-            self._tcp.resumeProducing()
+        is_held_up = (
+            self._pipeline.waiting > 0 or self._flow.is_send_buffer_full
+        )
+        self._flow.update(
+            self._tcp,
+            is_behind=is_held_up and len(self._unparsed) >= READ_AHEAD_BYTES,
+        )
--- a/src/cranberrymux/node/http/server_factory.py
+++ b/src/cranberrymux/node/http/server_factory.py
@@ -8,6 +8,7 @@
 from cranberrymux.node.http import call_pipeline
 from cranberrymux.node.http import limits
 from cranberrymux.node.http import read_budget
+from cranberrymux.node.http import read_pacer
 from cranberrymux.node.http import server_connection
 
 
@@ -18,10 +19,11 @@
         message_limits: limits.Limits,
         may_run_ahead: call_pipeline.RunAheadPolicy,
         budget: read_budget.ReadBudget,
+        pacer: read_pacer.ReadPacer | None,
         open_connections: set[server_connection.ServerConnection],
         unchanged_since: dict[server_connection.ServerConnection, Any],
     ) -> None:
-        super().__init__(handler, message_limits, may_run_ahead, budget)
+        super().__init__(handler, message_limits, may_run_ahead, budget, pacer)
         self._open_connections = open_connections
         self._unchanged_since = unchanged_since
 
@@ -50,6 +52,7 @@
             call_pipeline.never_run_ahead
         ),
         budget: read_budget.ReadBudget | None = None,
+        pacer: read_pacer.ReadPacer | None = None,
     ) -> None:
         """Creates a factory without connections.
 
@@ -60,8 +63,11 @@
                 handled before earlier ones of its connection are answered.
             budget: Bounds what the connections of several ports hold
                 together; None for one of this port alone.
+            pacer: Makes connections wait after costly reads; None for no such
+                pauses.
         """
         self._budget = budget or read_budget.ReadBudget()
+        self._pacer = pacer
         self._handler = handler
         self._may_run_ahead = may_run_ahead
         self._limits = message_limits
@@ -83,6 +89,7 @@
             self._limits,
             self._may_run_ahead,
             self._budget,
+            self._pacer,
             self._open_connections,
             self._unchanged_since,
         )
--- a/src/cranberrymux/platform/control_port.py
+++ b/src/cranberrymux/platform/control_port.py
@@ -15,6 +15,7 @@
 from cranberrymux.node.http import inbound_call
 from cranberrymux.node.http import limits as limits_module
 from cranberrymux.node.http import read_budget
+from cranberrymux.node.http import read_pacer
 from cranberrymux.node.http import server_factory
 from cranberrymux.platform import configuration_format
 from cranberrymux.platform import json_answer
@@ -67,6 +68,7 @@
                 budget=read_budget.ReadBudget(
                     MAXIMUM_HELD_BYTES, self._log_shed
                 ),
+                pacer=read_pacer.ReadPacer(parts.reactor),
             ),
             interface=parts.settings.address,
         )
