--- a/tests/platform/test_floods.py
+++ b/tests/platform/test_floods.py
@@ -62,10 +62,12 @@
         SERVICE,
         ports.find_free_ports(5),
     )
-    machine.start()
-    fleet_module.wait_until(lambda: is_served(machine))
-    yield machine
-    machine.close()
+    try:
+        machine.start()
+        fleet_module.wait_until(lambda: is_served(machine))
+        yield machine
+    finally:
+        machine.close()
 
 
 def is_served(machine):
