Tests of the platform: read the peak of memory and send a configuration in one place

The flood's reading of the peak stood in Instance.peak_mb, and its fixture's loop in put_until_accepted.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -2,8 +2,6 @@
 
 import json
 import os
-import pathlib
-import re
 import shutil
 import signal
 import subprocess
@@ -14,6 +12,7 @@
 from cranberrymux.demo import ports
 from tests.control import cluster
 from tests.platform import files
+from tests.platform import flood
 
 _NEXT_NET = iter(range(10, 250))
 
@@ -94,8 +93,7 @@
 
     def peak_mb(self):
         """Returns the largest resident memory since the start, MB."""
-        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+        return flood.read_peak_mb(self.process.pid)
 
     def events(self):
         lines = self.log.read_text().splitlines()
@@ -230,12 +228,13 @@
         self.instances.append(added)
         return added
 
-    def put_until_accepted(self, version, base, among=None):
+    def put_until_accepted(self, version, base, among=None, service="s1"):
         chosen = among or self.instances
 
         def attempt():
             return any(
-                instance.put(version, base) == 200 for instance in chosen
+                instance.put(version, base, service) == 200
+                for instance in chosen
             )
 
         wait_until(attempt)
--- a/tests/platform/test_floods.py
+++ b/tests/platform/test_floods.py
@@ -43,13 +43,7 @@
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
     with fleet_module.Fleet(tmp_path_factory.mktemp("fleet"), 3) as fleet:
-        body = fleet_module.configuration(VERSION, SERVICE)
-        fleet_module.wait_until(
-            lambda: any(
-                instance.put(VERSION, 0, body=body) == 200
-                for instance in fleet.instances
-            )
-        )
+        fleet.put_until_accepted(VERSION, 0, service=SERVICE)
         yield fleet
 
 
