Review: a burst of uploads in short chunks is not answered

Rule CONFIG on a route's timeout, under a burst of 1.8 times the uploads for 20 s. The pause after costly reads grows with the number of connections that pause, and a body that is still read has neither timeout nor deadline.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # compiles them; they need nothing but the standard library.
 set -eu
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/common2 review/6 review/7
+python3 -m compileall -q review/common2 review/6 review/7 review/8
--- a/review/common2/lab.py
+++ b/review/common2/lab.py
@@ -372,10 +372,9 @@
     async def run():
         reader, writer = await asyncio.open_connection(ip, port)
         try:
-            lines = [f"{method} {path} HTTP/1.1", f"Host: {ip}:{port}"]
-            lines += [
-                f"{name}: {value}" for name, value in (headers or {}).items()
-            ]
+            lines = [f"{method} {path} HTTP/1.1"]
+            sent = {"Host": f"{ip}:{port}", **(headers or {})}
+            lines += [f"{name}: {value}" for name, value in sent.items()]
             if body or method == "PUT":
                 lines.append(f"Content-Length: {len(body)}")
             writer.write("\r\n".join([*lines, "", ""]).encode() + body)
