--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """Uploads in short chunks during a burst; see claim.txt."""
 
 import asyncio
+import os
 import pathlib
 import secrets
 import sys
@@ -138,4 +139,6 @@
 
 
 if __name__ == "__main__":
-    lab_module.run_case(__file__, play)
+    # Without the disruption if TROUBLE is 0.
+    is_disturbed = os.environ.get("TROUBLE", "1") != "0"
+    lab_module.run_case(__file__, play, is_disturbed)
--- a/review/common2/lab.py
+++ b/review/common2/lab.py
@@ -512,13 +512,12 @@
         self.lab.record.note(f"{self.id} has answered {request_id} {status}")
 
 
-def run_case(path, play):
+def run_case(path, play, disturbed):
     """Runs `play(lab, disturbed, record)`; exits as the review asks.
 
     `play` returns a list of broken promises, empty if the rule held.
     """
     folder = pathlib.Path(path).resolve().parent
-    disturbed = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.note(f"disruption {'on' if disturbed else 'off'}")
 
