A reset that the poller tells of first is no orderly close

What callers saw: a backend server answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection while the upload is still written. The client got that part as a complete answer.

Cause: `ClientConnection` ended an answer without a length as whole if Twisted's reason was `ConnectionDone`. The kernel sets the error of a reset before the end of the input. If the poller reports in between, Twisted's reactor sees EPOLLERR without EPOLLIN on a descriptor that it reads, and calls that a clean shutdown. Uploads meet it since they keep the descriptor in the poller's ready list.

Evidence: 1000 uploads into an endpoint that resets, on one `ClientConnection`, with each event of the poller recorded: 23 complete, all 23 behind the mask EPOLLOUT|EPOLLERR (one with EPOLLHUP) and without a read that returned no bytes. Ruled out for these: a send that takes the error and a read after it that returns no bytes; none of the 23 shows one.

Change: the connection takes the end of the input by Twisted's interface for it, while its socket is open, and asks the socket for a pending error. This holds for any poller and any error (reset, timeout), and for answers to other requests than uploads.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -17,12 +17,15 @@
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import prompt_writer
 from cranberrymux.node.http import request_identity
+from cranberrymux.node.http import socket_error
 from cranberrymux.node.http import unexpected_answer
 
 _UnexpectedKind = unexpected_answer.UnexpectedKind
 
 
-@zope.interface.implementer(interfaces.IPushProducer)
+@zope.interface.implementer(
+    interfaces.IPushProducer, interfaces.IHalfCloseableProtocol
+)
 class ClientConnection(answer_reader.AnswerReader, protocol.Protocol):
     """Sends one request at a time and passes its answer to a sink.
 
@@ -194,6 +197,25 @@
             self.on_closed(self)
         self.release()
 
+    # `IHalfCloseableProtocol`: Twisted tells of the end of the input by it
+    # while the socket is still open.
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Ends the connection, as lost if its socket has met an error.
+
+        Twisted takes an error for an orderly close if the poller tells of it
+        before it tells of the end of the input.
+        """
+        reason: Exception = error.ConnectionDone()
+        if socket_error.take(self._tcp):
+            reason = error.ConnectionLost()
+        self._tcp.connectionLost(
+            failure.Failure(reason)  # type: ignore[no-untyped-call]
+        )
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Does nothing, as the output is not closed by itself."""
+
     # `IPushProducer`: backpressure of the receiver on the request's body.
 
     def pauseProducing(self) -> None:  # noqa: N802
--- /dev/null
+++ b/tests/platform/test_broken_answers.py
@@ -0,0 +1,167 @@
+"""Broken answers of a backend server, through a node as a real process.
+
+Guards against a client that gets such an answer, or a part of one, as the
+complete answer to its request.
+"""
+
+import collections
+from concurrent import futures
+import contextlib
+import random
+import socket
+import threading
+import time
+
+import httptools
+import pytest
+
+from cranberrymux.demo import ports
+from cranberrymux.demo import response_reader
+from tests.platform import faulty_backend
+from tests.platform import fleet as fleet_module
+from tests.soak import machine as machine_module
+
+SERVICE = "s2"
+VERSION = 3
+UPLOADS = 400
+CLIENTS = 4
+UPLOAD_BYTES = 40_000_000
+UPLOAD_PART = b"u" * 16_384
+TIMEOUT_S = 10.0
+SEED = 55
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with fleet_module.Fleet(tmp_path_factory.mktemp("fleet"), 3) as fleet:
+        fleet.put_until_accepted(VERSION, 0, service=SERVICE)
+        yield fleet
+
+
+@pytest.fixture(scope="module")
+def machine(fleet, tmp_path_factory):
+    """A machine whose node reaches its backend server without the proxy."""
+    free_ports = ports.find_free_ports(5)
+    machine = machine_module.Machine(
+        tmp_path_factory.mktemp("machine"), fleet, 1, SERVICE, free_ports
+    )
+    proxied = f'"{machine.client_address[0]}:{free_ports[4]}"'
+    direct = f'"{machine.ip}:{free_ports[4]}"'
+    settings = machine.settings.read_text()
+    machine.settings.write_text(settings.replace(proxied, direct))
+    machine.backend_address = (machine.ip, free_ports[4])
+    machine.node.start()
+    try:
+        yield machine
+    finally:
+        machine.close()
+
+
+@pytest.fixture(scope="module")
+def backend(machine):
+    backend = faulty_backend.FaultyBackend(
+        machine.backend_address,
+        SERVICE,
+        machine.zone,
+        machine.announce_address,
+        faulty_backend.answer_whole,
+    )
+    try:
+        fleet_module.wait_until(lambda: is_served(machine))
+        yield backend
+    finally:
+        backend.close()
+
+
+def connect(machine):
+    return socket.create_connection(machine.outbound_address, TIMEOUT_S)
+
+
+def encode_request(method, *lines):
+    all_lines = [
+        f"{method} /a/x HTTP/1.1",
+        "Host: h.example",
+        f"Request-Id: n{time.monotonic_ns()}",
+        "Deadline-Ms: 4000",
+    ]
+    return "\r\n".join([*all_lines, *lines]).encode() + b"\r\n\r\n"
+
+
+def read_answer(connection):
+    """Reads until the answer or the connection has ended."""
+    reader = response_reader.ResponseReader()
+    try:
+        while not reader.is_whole:
+            data = connection.recv(1 << 16)
+            if not data:
+                reader.end()
+                break
+            reader.feed(data)
+    except (OSError, httptools.HttpParserError):
+        pass
+    return reader
+
+
+def ask(machine, method):
+    """Sends a request without a body on a new connection."""
+    with connect(machine) as connection:
+        connection.sendall(encode_request(method))
+        return read_answer(connection)
+
+
+def is_served(machine):
+    """Returns whether a proper request is answered with 200."""
+    try:
+        return ask(machine, "GET").status == 200
+    except OSError:
+        return False  # The node does not listen yet.
+
+
+def upload(machine):
+    """Uploads until the answer has ended."""
+    with connect(machine) as connection:
+        connection.sendall(
+            encode_request("POST", f"Content-Length: {UPLOAD_BYTES}")
+        )
+        sending = threading.Thread(target=send_body, args=(connection,))
+        sending.start()
+        answer = read_answer(connection)
+        with contextlib.suppress(OSError):  # The node may have closed it.
+            connection.shutdown(socket.SHUT_RDWR)
+        sending.join()
+    return answer
+
+
+def send_body(connection):
+    try:
+        for _ in range(UPLOAD_BYTES // len(UPLOAD_PART)):
+            connection.sendall(UPLOAD_PART)
+    except OSError:
+        return  # The answer has ended the upload.
+
+
+def answer_early_and_reset(request):
+    """Answers within the upload, without a length, and breaks off."""
+    generator = random.Random(f"{SEED} {request.request_id}")
+    unread = generator.choice((1, 200_000)) - len(request.body)
+    while unread > 0:
+        unread -= len(request.connection.recv(unread))
+    part = b"x" * generator.choice((10, 1000, 100_000, 300_000))
+    request.connection.sendall(
+        faulty_backend.encode_head(request.request_id) + part
+    )
+    time.sleep(generator.uniform(0.0, 0.01))
+    faulty_backend.reset(request.connection)
+
+
+def test_part_of_an_answer_that_is_reset_within_an_upload_is_not_whole(
+    machine, backend
+):
+    backend.answer = answer_early_and_reset
+    with futures.ThreadPoolExecutor(CLIENTS) as pool:
+        answers = list(pool.map(upload, [machine] * UPLOADS))
+    backend.answer = faulty_backend.answer_whole
+    outcomes = [(answer.status, answer.is_whole) for answer in answers]
+    print(collections.Counter(outcomes))
+    assert (200, True) not in outcomes
+    fleet_module.wait_until(lambda: is_served(machine))
