A send that meets a reset no longer hides it from the read

What callers would see: a part of an answer without a length as the whole of it, where the backend server resets a connection before the next request is sent on it. (Not seen on the users' machines; found while looking for the reset above.)

Cause: the socket tells of a reset once. `prompt_writer.write_now` dropped the error of its send in the belief that the transport meets it again; the read that follows returns no bytes, as after an orderly close.

Change: `write_now` says whether a send has met an error, also that of the transport's own send behind it, and the connection then ends as lost. What is still unread is read as before: an answer that shows its own end stays whole.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -54,6 +54,7 @@
         self._has_long_body = False
         self._has_read_answer_end = False
         self._is_paused = False
+        self._is_send_failed = False
         self._tcp: Any = None
 
     @property
@@ -101,7 +102,8 @@
         if not is_complete:
             self._has_long_body = True
             self.body_began()
-        prompt_writer.write_now(self._tcp, data)
+        if not prompt_writer.write_now(self._tcp, data):
+            self._is_send_failed = True
 
     def body_began(self) -> None:
         """Called when a body begins that is sent in parts."""
@@ -207,7 +209,7 @@
         before it tells of the end of the input.
         """
         reason: Exception = error.ConnectionDone()
-        if socket_error.take(self._tcp):
+        if self._is_send_failed or socket_error.take(self._tcp):
             reason = error.ConnectionLost()
         self._tcp.connectionLost(
             failure.Failure(reason)  # type: ignore[no-untyped-call]
--- a/src/cranberrymux/node/http/prompt_writer.py
+++ b/src/cranberrymux/node/http/prompt_writer.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 
-def write_now(transport: Any, data: bytes) -> None:
+def write_now(transport: Any, data: bytes) -> bool:
     """Writes to the socket at once; the transport buffers the remainder.
 
     `transport.write` alone registers the socket with the poller, sends in the
@@ -13,6 +13,10 @@
     Args:
         transport: A `twisted.internet.tcp` transport.
         data: Bytes to send after those already buffered.
+
+    Returns:
+        False if a send has met an error of the socket. The socket tells of it
+        once: a later read may look like the end of an orderly close.
     """
     if (
         transport.dataBuffer
@@ -20,15 +24,16 @@
         or not transport.connected
     ):
         transport.write(data)
-        return
+        return True
     sent = transport.writeSomeData(data)
     if sent == len(data):
-        return
+        return True
     if isinstance(sent, Exception):
-        # The transport meets the error again and reports the loss itself.
-        sent = 0
+        # The transport reads what is still there and then ends by itself.
+        transport.write(data)
+        return False
     transport.write(data[sent:])
-    transport.doWrite()
+    return transport.doWrite() is None
 
 
 def has_unsent(transport: Any) -> bool:
--- a/tests/node/test_reset_answers.py
+++ b/tests/node/test_reset_answers.py
@@ -141,3 +141,12 @@
     exchange.reset()
     exchange.end_reading()
     assert exchange.sink.ends == ["lost"]
+
+
+def test_reset_that_a_send_meets_first(exchange):
+    """Guards against a send that keeps the only report of a reset to itself."""
+    exchange.answer()
+    exchange.reset()
+    exchange.send(GET, is_complete=True)
+    exchange.read_to_end()
+    assert exchange.sink.ends == ["lost"]
