An answer that ends with its connection waits for its request

What callers saw: a backend server answers an upload at once without a length, ends its output in order and then resets the connection. The client got the part as a complete answer, if the node had read the end before the reset.

Cause: the order of the close was the only proof of the end of such an answer. While a part of the request is unsent it proves nothing: a receiver that closes resets the connection at the next bytes, and which of the two the node meets first is a matter of time.

Change: such an answer is whole only if the whole request has been passed to the socket as well. An endpoint that answers early without a length, ends in order and reads on is now answered 502, too; with a length or in chunks its answer arrives as before.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -234,10 +234,17 @@
         """Does nothing, as `connectionLost` follows."""
 
     def _is_ended_by_close(self, reason: failure.Failure) -> bool:
-        """Returns whether an orderly close ends an answer without a length."""
-        is_orderly = isinstance(reason.value, error.ConnectionDone)
+        """Returns whether an orderly close ends an answer without a length.
+
+        It does not while a part of the request is unsent: a receiver that
+        closes then resets the connection, if only after the close.
+        """
         return (
-            self._is_answer_started and self._is_close_delimited and is_orderly
+            self._is_answer_started
+            and self._is_close_delimited
+            and isinstance(reason.value, error.ConnectionDone)
+            and self._is_request_complete
+            and not prompt_writer.has_unsent(self._tcp)
         )
 
     def _finish(self, is_kept: bool) -> None:
--- a/tests/node/test_reset_answers.py
+++ b/tests/node/test_reset_answers.py
@@ -150,3 +150,26 @@
     exchange.send(GET, is_complete=True)
     exchange.read_to_end()
     assert exchange.sink.ends == ["lost"]
+
+
+def test_answer_that_ends_before_its_request_was_sent_is_lost(exchange):
+    """Guards against a reset that comes only behind the end of the input."""
+    exchange.send(UPLOAD_HEAD, is_complete=False)
+    exchange.fill_send_buffer()
+    exchange.answer()
+    exchange.backend.shutdown(socket.SHUT_WR)
+    exchange.read_to_end()
+    assert exchange.sink.ends == ["lost"]
+
+
+def test_answer_that_ends_in_order_behind_an_upload_is_whole(exchange):
+    head = b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n"
+    exchange.send(head, is_complete=False)
+    exchange.connection.send_body(b"body")
+    exchange.connection.end_body()
+    assert exchange.transport.doWrite() is None
+    exchange.backend.recv(len(head) + 4, socket.MSG_WAITALL)
+    exchange.answer()
+    exchange.backend.close()
+    exchange.read_to_end()
+    assert exchange.sink.ends == ["complete"]
--- a/tests/platform/faulty_backend.py
+++ b/tests/platform/faulty_backend.py
@@ -171,3 +171,14 @@
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
     connection.close()
+
+
+def close_unread(connection):
+    """Closes a connection with bytes on it that were not read."""
+    connection.close()
+
+
+def end_output_and_reset(connection):
+    """Ends a connection by a reset behind what looks like an orderly end."""
+    connection.shutdown(socket.SHUT_WR)
+    reset(connection)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -7,6 +7,7 @@
 import collections
 from concurrent import futures
 import contextlib
+import functools
 import random
 import socket
 import threading
@@ -25,8 +26,8 @@
 VERSION = 3
 UPLOADS = 400
 CLIENTS = 4
-UPLOAD_BYTES = 40_000_000
 UPLOAD_PART = b"u" * 16_384
+UPLOAD_PARTS = 2500
 TIMEOUT_S = 10.0
 SEED = 55
 
@@ -119,10 +120,9 @@
 
 def upload(machine):
     """Uploads until the answer has ended."""
+    size = UPLOAD_PARTS * len(UPLOAD_PART)
     with connect(machine) as connection:
-        connection.sendall(
-            encode_request("POST", f"Content-Length: {UPLOAD_BYTES}")
-        )
+        connection.sendall(encode_request("POST", f"Content-Length: {size}"))
         sending = threading.Thread(target=send_body, args=(connection,))
         sending.start()
         answer = read_answer(connection)
@@ -134,30 +134,41 @@
 
 def send_body(connection):
     try:
-        for _ in range(UPLOAD_BYTES // len(UPLOAD_PART)):
+        for _ in range(UPLOAD_PARTS):
             connection.sendall(UPLOAD_PART)
     except OSError:
         return  # The answer has ended the upload.
 
 
-def answer_early_and_reset(request):
+def answer_early(request, break_off):
     """Answers within the upload, without a length, and breaks off."""
     generator = random.Random(f"{SEED} {request.request_id}")
     unread = generator.choice((1, 200_000)) - len(request.body)
     while unread > 0:
-        unread -= len(request.connection.recv(unread))
+        received = len(request.connection.recv(unread))
+        if not received:
+            return  # The upload was broken off.
+        unread -= received
     part = b"x" * generator.choice((10, 1000, 100_000, 300_000))
     request.connection.sendall(
         faulty_backend.encode_head(request.request_id) + part
     )
     time.sleep(generator.uniform(0.0, 0.01))
-    faulty_backend.reset(request.connection)
+    break_off(request.connection)
 
 
+@pytest.mark.parametrize(
+    "break_off",
+    [
+        faulty_backend.reset,
+        faulty_backend.close_unread,
+        faulty_backend.end_output_and_reset,
+    ],
+)
 def test_part_of_an_answer_that_is_reset_within_an_upload_is_not_whole(
-    machine, backend
+    machine, backend, break_off
 ):
-    backend.answer = answer_early_and_reset
+    backend.answer = functools.partial(answer_early, break_off=break_off)
     with futures.ThreadPoolExecutor(CLIENTS) as pool:
         answers = list(pool.map(upload, [machine] * UPLOADS))
     backend.answer = faulty_backend.answer_whole
