Bytes that the system still holds are a part of the request

Cause: a request counted as sent once it was passed to the socket. A backend server that has not read it closes, and resets the connection later, just the same.

Change: at the end of the input the connection asks the system whether the peer has yet to acknowledge bytes; then it ends as lost. Whoever has read the whole request has acknowledged it, at the latest with its answer, so no answer behind a whole request is lost by it.

`test_answer_that_ends_before_its_request_was_taken_is_lost` failed before (1 failed, 7 passed).

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -17,6 +17,7 @@
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import prompt_writer
 from cranberrymux.node.http import request_identity
+from cranberrymux.node.http import send_queue
 from cranberrymux.node.http import socket_error
 from cranberrymux.node.http import unexpected_answer
 
@@ -203,14 +204,17 @@
     # while the socket is still open.
 
     def readConnectionLost(self) -> None:  # noqa: N802
-        """Ends the connection, as lost if its socket has met an error.
+        """Ends the connection, as lost unless the receiver closed in order.
 
         Twisted takes an error for an orderly close if the poller tells of it
         before it tells of the end of the input.
         """
-        reason: Exception = error.ConnectionDone()
-        if self._is_send_failed or socket_error.take(self._tcp):
-            reason = error.ConnectionLost()
+        is_lost = (
+            self._is_send_failed
+            or socket_error.take(self._tcp)
+            or send_queue.has_unacknowledged(self._tcp)
+        )
+        reason = error.ConnectionLost() if is_lost else error.ConnectionDone()
         self._tcp.connectionLost(
             failure.Failure(reason)  # type: ignore[no-untyped-call]
         )
--- a/tests/node/test_reset_answers.py
+++ b/tests/node/test_reset_answers.py
@@ -21,6 +21,7 @@
 GET = b"GET / HTTP/1.1\r\n\r\n"
 UPLOAD_PART = b"x" * (1 << 16)
 UPLOAD_HEAD = b"POST / HTTP/1.1\r\nContent-Length: 1000000000\r\n\r\n"
+RECEIVE_BUFFER_BYTES = 16_384
 READ_S = 2.0
 
 
@@ -101,6 +102,9 @@
 @pytest.fixture
 def exchange():
     with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         ours = socket.create_connection(listener.getsockname())
         backend, _ = listener.accept()
     with ours, backend:
@@ -162,6 +166,27 @@
     assert exchange.sink.ends == ["lost"]
 
 
+def test_answer_that_ends_before_its_request_was_taken_is_lost(exchange):
+    """The system has the whole request, and its receiver reads none of it."""
+    size = 2 * len(UPLOAD_PART)
+    exchange.transport.socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, 8 * size
+    )
+    exchange.send(
+        b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size,
+        is_complete=False,
+    )
+    for _ in range(2):
+        exchange.connection.send_body(UPLOAD_PART)
+        assert exchange.transport.doWrite() is None
+    exchange.connection.end_body()
+    assert not exchange.transport.dataBuffer
+    exchange.answer()
+    exchange.backend.shutdown(socket.SHUT_WR)
+    exchange.read_to_end()
+    assert exchange.sink.ends == ["lost"]
+
+
 def test_answer_that_ends_in_order_behind_an_upload_is_whole(exchange):
     head = b"POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n"
     exchange.send(head, is_complete=False)
