A status below 100 ends the exchange, whoever reads it

What callers saw, on other systems: an endpoint in trouble sends an answer whose status is 000, and the client gets it as an answer. Nodes already fail such an answer; four other readers did not:

- The load generator and the demo's client took it for an interim answer and put its body before that of the next one: (200, `badown`) for `own`.
- A stand-in backend server took it for the acknowledgement of its announcement or drain.
- Operators' commands took it for a final refusal and asked no other instance.

Cause: each compared the status with an upper bound alone.

--- a/src/cranberrymux/adapters/http_adapter.py
+++ b/src/cranberrymux/adapters/http_adapter.py
@@ -12,6 +12,7 @@
 
 from cranberrymux.adapters import response
 from cranberrymux.adapters import transport_error
+from cranberrymux.models import http_status
 
 MAXIMUM_BODY_BYTES = 64 << 20
 
@@ -20,6 +21,10 @@
     """The body of the answer is larger than `MAXIMUM_BODY_BYTES`."""
 
 
+class _NoHttpStatusError(Exception):
+    """The answer has a status that is none of HTTP's final ones."""
+
+
 class HttpAdapter:
     """Sends requests over HTTP with the operators' token as bearer token."""
 
@@ -49,7 +54,11 @@
             return await answer
         except defer.TimeoutError:
             detail = f"no answer in {self._timeout_s:g} s"
-        except (error.ConnectError, client.ResponseFailed) as failed:
+        except (
+            error.ConnectError,
+            client.ResponseFailed,
+            _NoHttpStatusError,
+        ) as failed:
             detail = str(failed) or type(failed).__name__
         except (_BodyTooLargeError, ValueError):
             detail = "the answer is not a JSON object of at most 64 MiB"
@@ -84,6 +93,8 @@
             persistent=False,
             reactor=self._reactor,
         )
+        if answer.code < http_status.MINIMUM_FINAL:
+            raise _NoHttpStatusError(f"status {answer.code:03d}")
         chunks: list[bytes] = []
         await treq.collect(answer, _bounded_collector(chunks))
         values = json.loads(b"".join(chunks))
--- a/src/cranberrymux/demo/response_reader.py
+++ b/src/cranberrymux/demo/response_reader.py
@@ -6,7 +6,8 @@
 
 import httptools
 
-_LOWEST_FINAL_STATUS = 200
+from cranberrymux.models import http_status
+
 _BODYLESS_STATUSES = (204, 304)
 
 
@@ -24,6 +25,7 @@
         self._body = bytearray()
         self._has_length = False
         self._is_ended_by_close = False
+        self._has_no_status = False
         self.status = 0
         self.is_whole = False
 
@@ -39,6 +41,8 @@
             HttpParserError: They are no HTTP.
         """
         self._parser.feed_data(data)
+        if self._has_no_status:
+            raise httptools.HttpParserError("no status of HTTP")
 
     def end(self) -> None:
         """Notes an orderly end of the connection."""
@@ -59,8 +63,9 @@
     def on_headers_complete(self) -> None:
         """Notes the status, and whether the connection ends the body."""
         self.status = self._parser.get_status_code()
+        self._has_no_status |= self.status < http_status.MINIMUM
         self._is_ended_by_close = (
-            self.status >= _LOWEST_FINAL_STATUS
+            self.status >= http_status.MINIMUM_FINAL
             and self.status not in _BODYLESS_STATUSES
             and not self._has_length
         )
@@ -71,4 +76,4 @@
 
     def on_message_complete(self) -> None:
         """Ends the response, unless it is a 1xx response."""
-        self.is_whole |= self.status >= _LOWEST_FINAL_STATUS
+        self.is_whole |= self.status >= http_status.MINIMUM_FINAL
--- a/src/cranberrymux/load/http_connection.py
+++ b/src/cranberrymux/load/http_connection.py
@@ -10,9 +10,9 @@
 
 from cranberrymux.load import no_response_reason
 from cranberrymux.load import response
+from cranberrymux.models import http_status
 
 Result = response.Response | no_response_reason.NoResponseReason
-FIRST_FINAL_STATUS = 200
 MAXIMUM_BODY_BYTES = 64 * 1024 * 1024
 
 _CLOSED = failure.Failure(error.ConnectionDone())  # type: ignore[no-untyped-call]
@@ -137,7 +137,10 @@
     def on_message_complete(self) -> None:
         """Keeps a complete final response; called by the parser."""
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
+        if status < http_status.MINIMUM:
+            self._is_malformed = True
+            return
+        if status < http_status.MINIMUM_FINAL:
             self._headers = {}
             return
         if self._response is None:
--- a/src/cranberrymux/node/http/answer_reader.py
+++ b/src/cranberrymux/node/http/answer_reader.py
@@ -19,8 +19,6 @@
 from cranberrymux.node.http import unexpected_answer
 
 _UnexpectedKind = unexpected_answer.UnexpectedKind
-_LOWEST_STATUS = 100
-_LOWEST_FINAL_STATUS = 200
 
 
 class AnswerReader:
@@ -133,7 +131,7 @@
         if sink is None:
             return
         status = self._parser.get_status_code()
-        if status < _LOWEST_FINAL_STATUS:
+        if status < http_status.MINIMUM_FINAL:
             self._pass_interim_answer(status)
             return
         self._take_final_head(sink, status)
@@ -220,7 +218,7 @@
             self._finish(self._parser.should_keep_alive())
 
     def _pass_interim_answer(self, status: int) -> None:
-        if status < _LOWEST_STATUS:
+        if status < http_status.MINIMUM:
             self._fail(lost_answer.LossReason.NOT_VALID, f"status {status:03d}")
             return
         self._is_interim = True
--- a/src/cranberrymux/standin/announcer.py
+++ b/src/cranberrymux/standin/announcer.py
@@ -16,6 +16,7 @@
 from twisted.python import failure
 from twisted.web import client
 
+from cranberrymux.models import http_status
 from cranberrymux.standin import standin_settings
 from cranberrymux.telemetry import event
 
@@ -154,7 +155,11 @@
 
     async def _check_status(self, response: Any, path: str) -> bool:
         await response.content()
-        is_accepted = response.code < 300
+        is_accepted = (
+            http_status.MINIMUM_FINAL
+            <= response.code
+            < http_status.MINIMUM_REDIRECTION
+        )
         if is_accepted != self._is_announced:
             self._log.info(
                 event.Event.STANDIN_ANNOUNCED, path=path, status=response.code
--- a/tests/demo/test_local_http.py
+++ b/tests/demo/test_local_http.py
@@ -79,3 +79,18 @@
         assert local_http.send(port, "GET", "/") == (200, b"body")
     with serve([data], is_reset=True) as port:
         assert local_http.send(port, "GET", "/") == (0, b"")
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        HEAD.replace(b"200", b"000") + b"content-length: 4\r\n\r\n",
+        HEAD.replace(b"200", b"099") + b"content-length: 4\r\n\r\n",
+        HEAD + b"x y: z\r\ncontent-length: 4\r\n\r\n",
+        HEAD + b"x\x01: z\r\ncontent-length: 4\r\n\r\n",
+    ],
+)
+def test_response_with_an_odd_head_is_none(odd):
+    """Guards against its body before that of the response behind it."""
+    with serve([odd + b"body" + RESPONSES["sized"]]) as port:
+        assert local_http.send(port, "GET", "/") == (0, b"")
--- a/tests/load/test_http_connection.py
+++ b/tests/load/test_http_connection.py
@@ -102,6 +102,24 @@
     assert b"link" not in client.results[0].headers
 
 
+@pytest.mark.parametrize("status", ["000", "001", "099"])
+def test_response_with_a_status_below_100_is_malformed(client, status):
+    """Guards against its body before that of the next response."""
+    for byte in encode(b"first", status) + encode(b"own"):
+        client.receive(bytes([byte]))
+    assert client.results == [MALFORMED]
+    assert not client.connection.is_usable
+
+
+@pytest.mark.parametrize(
+    "name", [b"X Y", b"X ", b"Content-Length ", b"X\tY", b"X\x01Y", b"X\x7f"]
+)
+def test_response_with_no_token_for_a_name_is_malformed(client, name):
+    odd = encode(b"own").replace(b"X\r\n", b"X\r\n" + name + b": 3\r\n")
+    client.receive(odd)
+    assert client.results == [MALFORMED]
+
+
 @pytest.mark.parametrize("is_reset", [False, True])
 @pytest.mark.parametrize(
     "data",
--- a/tests/standin/test_standin.py
+++ b/tests/standin/test_standin.py
@@ -167,6 +167,8 @@
         put_requests: Path and decoded body of each PUT request.
         status: Answer to each GET request.
         path_to_lose: Path of which the next PUT request gets no answer.
+        path_to_answer_000: Path of which the next PUT request gets an answer
+            with this status.
     """
 
     def __init__(self):
@@ -178,6 +180,12 @@
                 if self.path == self.server.path_to_lose:
                     self.server.path_to_lose = ""
                     return  # Closes the connection without an answer.
+                if self.path == self.server.path_to_answer_000:
+                    self.server.path_to_answer_000 = ""
+                    self.wfile.write(
+                        b"HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}"
+                    )
+                    return
                 self._answer({})
 
             def do_GET(self):
@@ -196,6 +204,7 @@
         super().__init__(("127.0.0.1", 0), Handler)
         self.put_requests = []
         self.path_to_lose = ""
+        self.path_to_answer_000 = ""
         self.status = {"in_flight": 0, "queued": 0}
 
     @property
@@ -259,6 +268,14 @@
     _wait_until(lambda: node.paths().count("/v1/drain") == 2)
 
 
+def test_a_drain_request_that_is_answered_000_is_repeated(start_standin, node):
+    """Guards against a backend server that a node in trouble never drains."""
+    node.path_to_answer_000 = "/v1/drain"
+    standin = start_standin("a", announce_url=node.url)
+    standin.ask("/behaviour", b'{"drain": true}')
+    _wait_until(lambda: node.paths().count("/v1/drain") == 2)
+
+
 def test_stop_accepts_calls_while_its_node_has_queued_ones(start_standin, node):
     node.status = {"in_flight": 0, "queued": 1}
     standin = start_standin("a", announce_url=node.url, settle_ms=300)
