--- a/src/cranberrymux/cli/node_explanation.py
+++ b/src/cranberrymux/cli/node_explanation.py
@@ -89,6 +89,9 @@
     try:
         connection.request("GET", f"{PATH}?{url_parse.urlencode(fields)}")
         response = connection.getresponse()
+        if response.headers.defects:
+            # `http.client` ends the head at a line that is no field.
+            raise http.client.HTTPException("the head of the answer is odd")
         body = response.read(MAXIMUM_ANSWER_BYTES)
     except (OSError, http.client.HTTPException, ValueError) as error:
         detail = str(error) or type(error).__name__
--- a/tests/cli/test_explain_by_node.py
+++ b/tests/cli/test_explain_by_node.py
@@ -5,6 +5,7 @@
 on the way to the node.
 """
 
+import email.message
 import http.client
 import io
 import json
@@ -51,6 +52,7 @@
         response.write(body)
         response.seek(0)
         response.status = status
+        response.headers = email.message.Message()
         return response
 
     def close(self):
--- a/tests/cli/test_odd_heads.py
+++ b/tests/cli/test_odd_heads.py
@@ -1,7 +1,7 @@
-"""Answers of a control instance in trouble, as operators' commands read them.
+"""Answers of a process in trouble, as operators' commands read them.
 
-Guards against a command that ends with such an answer, though another instance
-would answer it.
+Guards against a command that takes such an answer, though another instance
+would give a sound one.
 """
 
 import contextlib
@@ -14,6 +14,8 @@
 
 import pytest
 
+from cranberrymux.cli import node_explanation
+
 BODY = json.dumps({"is_owner": True, "leader": "a", "accounts": []}).encode()
 SOUND = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY)
 
@@ -33,16 +35,16 @@
         yield f"127.0.0.1:{listener.getsockname()[1]}"
 
 
-@pytest.mark.parametrize(
-    "odd",
-    [
-        SOUND.replace(b"200", b"000"),
-        SOUND.replace(b"200", b"099"),
-        SOUND.replace(b"OK\r\n", b"OK\r\nX Y: z\r\n"),
-        SOUND.replace(b"OK\r\n", b"OK\r\nX\x01: z\r\n"),
-        SOUND.replace(b"Length:", b"Length :"),
-    ],
-)
+ODD_HEADS = [
+    SOUND.replace(b"200", b"000"),
+    SOUND.replace(b"200", b"099"),
+    SOUND.replace(b"OK\r\n", b"OK\r\nX Y: z\r\n"),
+    SOUND.replace(b"OK\r\n", b"OK\r\nX\x01: z\r\n"),
+    SOUND.replace(b"Length:", b"Length :"),
+]
+
+
+@pytest.mark.parametrize("odd", ODD_HEADS)
 def test_another_instance_is_asked_after_an_answer_with_an_odd_head(
     odd, tmp_path
 ):
@@ -62,3 +64,18 @@
             check=False,
         )
     assert completed.returncode == 0, completed.stderr
+
+
+@pytest.mark.parametrize("odd", ODD_HEADS)
+def test_explanation_with_an_odd_head_is_none(odd):
+    body = b'{"outcome": "sent"}'
+    with serve(odd.replace(b"%d" % len(BODY), b"%d" % len(body)) + body) as at:
+        explained = node_explanation.fetch(at, {}, 2.0)
+    assert isinstance(explained, node_explanation.NodeError)
+
+
+def test_explanation_with_a_sound_head_is_read():
+    body = b'{"outcome": "sent"}'
+    head = SOUND.replace(b"%d" % len(BODY), b"%d" % len(body))
+    with serve(head + body) as at:
+        assert node_explanation.fetch(at, {}, 2.0) == {"outcome": "sent"}
