Test: odd heads of answers through a node as a process

Statuses of 000, 001, 099, two and four digits; names of fields with a blank, a tab, a control byte, DEL or a byte over 127, a length, a coding and a proof of not having run among them; answers to GET, HEAD and POST. No change of the product.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -12,6 +12,7 @@
 import socket
 import threading
 import time
+from typing import NamedTuple
 
 import httptools
 import pytest
@@ -106,7 +107,7 @@
 def ask(machine, method):
     """Sends a request without a body on a new connection."""
     with connect(machine) as connection:
-        connection.sendall(encode_request(method))
+        connection.sendall(encode_request(method, "Connection: close"))
         return read_answer(connection)
 
 
@@ -176,3 +177,68 @@
     print(collections.Counter(outcomes))
     assert (200, True) not in outcomes
     fleet_module.wait_until(lambda: is_served(machine))
+
+
+def answer_with_odd_head(request, odd):
+    """Sends the odd head, as a length of its own or beside one, and a body."""
+    body = b"" if request.method == "HEAD" else b"not the whole"
+    head = faulty_backend.encode_head(
+        request.request_id,
+        *odd.lines,
+        f"Content-Length: {len(body) or 13}",
+        status=odd.status,
+    )
+    request.connection.sendall(head + body)
+
+
+class OddHead(NamedTuple):
+    """What is odd in the head of an answer."""
+
+    status: str = "200 OK"
+    lines: tuple[str, ...] = ()
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        *[
+            OddHead(status=f"{status} X")
+            for status in ("000", "001", "099", "00", "0200", "20", "2000")
+        ],
+        *[
+            OddHead(lines=(f"{name}: 4",))
+            for name in (
+                "X Y",
+                "X ",
+                "X\tY",
+                "X\x00",
+                "X\x01Y",
+                "X\x7f",
+                "X\x80",
+                "Content Length",
+                "Content-Length ",
+                "Content-Length\x01",
+                "Transfer-Encoding ",
+                "Not-Run ",
+            )
+        ],
+        OddHead(lines=(" X: 4",)),
+    ],
+    ids=repr,
+)
+def test_answer_with_an_odd_head_does_not_reach_the_client(
+    machine, backend, method, odd
+):
+    """Nodes handled these before there was this test."""
+    fleet_module.wait_until(lambda: is_served(machine))
+    backend.answer = functools.partial(answer_with_odd_head, odd=odd)
+    answer = ask(machine, method)
+    backend.answer = faulty_backend.answer_whole
+    assert answer.status == 502
+    assert b"not the whole" not in answer.body
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_answer_with_a_sound_head_reaches_the_client(machine, backend, method):
+    fleet_module.wait_until(lambda: ask(machine, method).status == 200)
