The check of a close is a class of its own

`ClientConnection` had grown past 250 lines, and two modules of one function each served it alone. `checked_close.CheckedClose` now holds all that tells an orderly close: a send that failed, the pending error, unacknowledged bytes.

--- a/src/cranberrymux/node/http/client_connection.py
+++ b/src/cranberrymux/node/http/client_connection.py
@@ -14,20 +14,17 @@
 from cranberrymux.node.http import answer_limits
 from cranberrymux.node.http import answer_reader
 from cranberrymux.node.http import answer_sink
+from cranberrymux.node.http import checked_close
 from cranberrymux.node.http import lost_answer
 from cranberrymux.node.http import prompt_writer
 from cranberrymux.node.http import request_identity
-from cranberrymux.node.http import send_queue
-from cranberrymux.node.http import socket_error
 from cranberrymux.node.http import unexpected_answer
 
 _UnexpectedKind = unexpected_answer.UnexpectedKind
 
 
-@zope.interface.implementer(
-    interfaces.IPushProducer, interfaces.IHalfCloseableProtocol
-)
-class ClientConnection(answer_reader.AnswerReader, protocol.Protocol):
+@zope.interface.implementer(interfaces.IPushProducer)
+class ClientConnection(answer_reader.AnswerReader, checked_close.CheckedClose):
     """Sends one request at a time and passes its answer to a sink.
 
     Attributes:
@@ -55,7 +52,6 @@
         self._has_long_body = False
         self._has_read_answer_end = False
         self._is_paused = False
-        self._is_send_failed = False
         self._tcp: Any = None
 
     @property
@@ -104,7 +100,7 @@
             self._has_long_body = True
             self.body_began()
         if not prompt_writer.write_now(self._tcp, data):
-            self._is_send_failed = True
+            self.is_send_failed = True
 
     def body_began(self) -> None:
         """Called when a body begins that is sent in parts."""
@@ -200,28 +196,6 @@
             self.on_closed(self)
         self.release()
 
-    # `IHalfCloseableProtocol`: Twisted tells of the end of the input by it
-    # while the socket is still open.
-
-    def readConnectionLost(self) -> None:  # noqa: N802
-        """Ends the connection, as lost unless the receiver closed in order.
-
-        Twisted takes an error for an orderly close if the poller tells of it
-        before it tells of the end of the input.
-        """
-        is_lost = (
-            self._is_send_failed
-            or socket_error.take(self._tcp)
-            or send_queue.has_unacknowledged(self._tcp)
-        )
-        reason = error.ConnectionLost() if is_lost else error.ConnectionDone()
-        self._tcp.connectionLost(
-            failure.Failure(reason)  # type: ignore[no-untyped-call]
-        )
-
-    def writeConnectionLost(self) -> None:  # noqa: N802
-        """Does nothing, as the output is not closed by itself."""
-
     # `IPushProducer`: backpressure of the receiver on the request's body.
 
     def pauseProducing(self) -> None:  # noqa: N802
