Tests: answers without a length where none is taken

Handled already: the load generator counts one as cut, however its connection ends; nodes take none from other nodes, in health checks and without routes. No change of the product.

--- a/tests/load/test_http_connection.py
+++ b/tests/load/test_http_connection.py
@@ -140,3 +140,12 @@
         reason = error.ConnectionLost() if is_reset else error.ConnectionDone()
         client.connection.connectionLost(failure.Failure(reason))
         assert client.results == [no_response_reason.NoResponseReason.CUT]
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_response_without_a_length_is_none(client, is_reset):
+    """Whether its connection ended in order or not."""
+    client.receive(b"HTTP/1.1 200 X\r\nServer-Stamp: proof\r\n\r\nbody")
+    reason = error.ConnectionLost() if is_reset else error.ConnectionDone()
+    client.connection.connectionLost(failure.Failure(reason))
+    assert client.results == [no_response_reason.NoResponseReason.CUT]
--- a/tests/node/test_answer_framing.py
+++ b/tests/node/test_answer_framing.py
@@ -115,6 +115,15 @@
         assert reader.sink.ends == ["lost"]
 
 
+def test_answer_without_a_length_is_lost_where_none_is_accepted():
+    """As between nodes, in health checks and without routes."""
+    reader = Reader()
+    reader.connection.accepts_close_delimited = False
+    reader.read(HEAD + b"\r\nbody")
+    assert reader.sink.ends == ["lost"]
+    assert reader.sink.body == b""
+
+
 @pytest.mark.parametrize(
     "framing",
     [
