--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -41,9 +41,17 @@
 
 
 @pytest.fixture(scope="module")
-def machine(fleet, tmp_path_factory):
-    """A machine whose node reaches its backend server without the proxy."""
-    free_ports = ports.find_free_ports(5)
+def free_ports():
+    """Ports of the machine, the last one that of its backend server."""
+    return ports.find_free_ports(5)
+
+
+@pytest.fixture(scope="module")
+def machine(fleet, free_ports, tmp_path_factory):
+    """A machine whose node reaches its backend server without the proxy.
+
+    The proxy would pass a reset on as a close.
+    """
     machine = machine_module.Machine(
         tmp_path_factory.mktemp("machine"), fleet, 1, SERVICE, free_ports
     )
@@ -51,7 +59,6 @@
     direct = f'"{machine.ip}:{free_ports[4]}"'
     settings = machine.settings.read_text()
     machine.settings.write_text(settings.replace(proxied, direct))
-    machine.backend_address = (machine.ip, free_ports[4])
     machine.node.start()
     try:
         yield machine
@@ -60,9 +67,9 @@
 
 
 @pytest.fixture(scope="module")
-def backend(machine):
+def backend(machine, free_ports):
     backend = faulty_backend.FaultyBackend(
-        machine.backend_address,
+        (machine.ip, free_ports[4]),
         SERVICE,
         machine.zone,
         machine.announce_address,
@@ -179,8 +186,20 @@
     fleet_module.wait_until(lambda: is_served(machine))
 
 
+class OddHead(NamedTuple):
+    """What is odd in the head of an answer.
+
+    Attributes:
+        status: Status and reason phrase.
+        lines: Lines before that of the length.
+    """
+
+    status: str = "200 OK"
+    lines: tuple[str, ...] = ()
+
+
 def answer_with_odd_head(request, odd):
-    """Sends the odd head, as a length of its own or beside one, and a body."""
+    """Answers with an odd head, and with a body unless asked by HEAD."""
     body = b"" if request.method == "HEAD" else b"not the whole"
     head = faulty_backend.encode_head(
         request.request_id,
@@ -191,13 +210,6 @@
     request.connection.sendall(head + body)
 
 
-class OddHead(NamedTuple):
-    """What is odd in the head of an answer."""
-
-    status: str = "200 OK"
-    lines: tuple[str, ...] = ()
-
-
 @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
 @pytest.mark.parametrize(
     "odd",
