A node reads no load from a backend server in trouble

What happened: a node without routes took the load from an answer of any status to its poll, 000 and 500 among them, and used it.

Change: the load counts with status 200 only, as the stand-in and docs/PROTOCOL.md have it.

Test, seen failing before (4 failed, 1 passed; then 5 passed): `node/test_load_poller.py`.

--- a/src/cranberrymux/node/load_poller.py
+++ b/src/cranberrymux/node/load_poller.py
@@ -12,13 +12,14 @@
 
 _POLL_INTERVAL_S = 1.0
 _TIMEOUT_S = 0.8
+_OK = 200
 
 
 class LoadPoller:
     """Requests `load_path` of the backend server once a second, if it has one.
 
-    The path returns a JSON object whose `load` is a number. Errors are ignored,
-    as the load is only a hint.
+    The path returns a JSON object whose `load` is a number. Errors, and answers
+    with another status than 200, are ignored, as the load is only a hint.
     """
 
     def __init__(
@@ -59,6 +60,8 @@
         try:
             answer = await self._client.get(url, timeout=_TIMEOUT_S)
             values = await answer.json()
+            if answer.code != _OK:
+                return
             self._on_load(min(max(float(values["load"]), 0.0), 1.0))
         except Exception:  # noqa: BLE001, S110  # The load is only a hint.
             pass
