--- a/src/cranberrymux/cli/node_explanation.py
+++ b/src/cranberrymux/cli/node_explanation.py
@@ -91,7 +91,7 @@
         response = connection.getresponse()
         if response.headers.defects:
             # `http.client` ends the head at a line that is no field.
-            raise http.client.HTTPException("the head of the answer is odd")
+            raise http.client.HTTPException("malformed header in the answer")
         body = response.read(MAXIMUM_ANSWER_BYTES)
     except (OSError, http.client.HTTPException, ValueError) as error:
         detail = str(error) or type(error).__name__
