--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -182,6 +182,7 @@
     backend.answer = faulty_backend.answer_whole
     outcomes = [(answer.status, answer.is_whole) for answer in answers]
     print(collections.Counter(outcomes))
+    assert (200, False) in outcomes  # It reached the client.
     assert (200, True) not in outcomes
     fleet_module.wait_until(lambda: is_served(machine))
 
