--- a/tests/demo/test_local_http.py
+++ b/tests/demo/test_local_http.py
@@ -6,12 +6,12 @@
 
 import contextlib
 import socket
-import struct
 import threading
 
 import pytest
 
 from cranberrymux.demo import local_http
+from tests.fakes import resets
 
 HEAD = b"HTTP/1.1 200 OK\r\nserver-stamp: proof\r\n"
 RESPONSES = {
@@ -29,11 +29,6 @@
 }
 
 
-def reset(connection):
-    linger = struct.pack("ii", 1, 0)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
 @contextlib.contextmanager
 def serve(responses, *, is_reset=False):
     """Answers each connection by the next response, then closes it."""
@@ -46,7 +41,7 @@
                     connection.recv(65_536)
                     connection.sendall(response)
                     if is_reset:
-                        reset(connection)
+                        resets.reset(connection)
 
         thread = threading.Thread(target=run)
         thread.start()
--- a/tests/node/test_reset_answers.py
+++ b/tests/node/test_reset_answers.py
@@ -7,7 +7,6 @@
 
 import select
 import socket
-import struct
 
 import pytest
 from twisted.internet import error
@@ -15,6 +14,7 @@
 from twisted.python import failure
 
 from cranberrymux.node.http import client_connection
+from tests.fakes import resets
 from tests.node import test_answer_framing
 
 ANSWER_PART = b"HTTP/1.1 200 OK\r\n\r\npart of a body"
@@ -73,10 +73,7 @@
         self.backend.sendall(ANSWER_PART)
 
     def reset(self):
-        self.backend.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-        )
-        self.backend.close()
+        resets.reset(self.backend)
 
     def read_to_end(self):
         """Reads as a reactor does, until the connection has ended."""
--- a/tests/platform/faulty_backend.py
+++ b/tests/platform/faulty_backend.py
@@ -3,11 +3,12 @@
 import http.client
 import json
 import socket
-import struct
 import threading
 import time
 from typing import NamedTuple
 
+from tests.fakes import resets
+
 ANNOUNCE_PERIOD_S = 0.4
 BACKEND_ID = "b-faulty"
 PROOF = "Server-Stamp: proof"
@@ -165,14 +166,6 @@
     return "\r\n".join([*all_lines, *lines]).encode("latin-1") + b"\r\n\r\n"
 
 
-def reset(connection):
-    """Ends a connection by a reset."""
-    connection.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    connection.close()
-
-
 def close_unread(connection):
     """Closes a connection with bytes on it that were not read."""
     connection.close()
@@ -181,4 +174,4 @@
 def end_output_and_reset(connection):
     """Ends a connection by a reset behind what looks like an orderly end."""
     connection.shutdown(socket.SHUT_WR)
-    reset(connection)
+    resets.reset(connection)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -19,6 +19,7 @@
 
 from cranberrymux.demo import ports
 from cranberrymux.demo import response_reader
+from tests.fakes import resets
 from tests.platform import faulty_backend
 from tests.platform import fleet as fleet_module
 from tests.soak import machine as machine_module
@@ -168,7 +169,7 @@
 @pytest.mark.parametrize(
     "break_off",
     [
-        faulty_backend.reset,
+        resets.reset,
         faulty_backend.close_unread,
         faulty_backend.end_output_and_reset,
     ],
