--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -127,11 +127,12 @@
         return False  # The node does not listen yet.
 
 
-def upload(machine):
+def upload(machine, number):
     """Uploads until the answer has ended."""
     size = UPLOAD_PARTS * len(UPLOAD_PART)
+    lines = [f"Content-Length: {size}", f"X-Number: {number}"]
     with connect(machine) as connection:
-        connection.sendall(encode_request("POST", f"Content-Length: {size}"))
+        connection.sendall(encode_request("POST", *lines))
         sending = threading.Thread(target=send_body, args=(connection,))
         sending.start()
         answer = read_answer(connection)
@@ -151,7 +152,7 @@
 
 def answer_early(request, break_off):
     """Answers within the upload, without a length, and breaks off."""
-    generator = random.Random(f"{SEED} {request.request_id}")
+    generator = random.Random(f"{SEED} {request.headers['x-number']}")
     unread = generator.choice((1, 200_000)) - len(request.body)
     while unread > 0:
         received = len(request.connection.recv(unread))
@@ -179,7 +180,9 @@
 ):
     backend.answer = functools.partial(answer_early, break_off=break_off)
     with futures.ThreadPoolExecutor(CLIENTS) as pool:
-        answers = list(pool.map(upload, [machine] * UPLOADS))
+        answers = list(
+            pool.map(functools.partial(upload, machine), range(UPLOADS))
+        )
     backend.answer = faulty_backend.answer_whole
     outcomes = [(answer.status, answer.is_whole) for answer in answers]
     print(collections.Counter(outcomes))
