--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -248,28 +248,33 @@
     ends = time.monotonic() + limit_s
     turn = 0
     while time.monotonic() < ends:
-        host, _, port = fleet.seeds[turn % len(fleet.seeds)].partition(":")
+        address = fleet.seeds[turn % len(fleet.seeds)]
         turn += 1
-        headers = {"If-Match": base, "Content-Type": "application/json"}
-        for _ in range(3):
-            try:
-                status, answer, _ = await call(
-                    host, int(port), "PUT", "/cranberrymux/config", headers, body
-                )
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                break
-            if status != 307:
-                break
-            place = answer["location"].split("/")[2]
-            host, _, port = place.partition(":")
-        else:
-            continue
-        if "status" in locals() and status in (200, 400, 409, 412, 413, 422):
+        status = await _put_once(address, body, base)
+        if status in (200, 400, 409, 412, 413, 422):
             return status
         await asyncio.sleep(0.2)
     return 0
 
 
+async def _put_once(address, body, base):
+    """Sends a change to one control instance; follows two redirections."""
+    headers = {"If-Match": base, "Content-Type": "application/json"}
+    status = 0
+    for _ in range(3):
+        host, _, port = address.partition(":")
+        try:
+            status, answer, _ = await call(
+                host, int(port), "PUT", "/cranberrymux/config", headers, body
+            )
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return 0
+        if status != 307:
+            break
+        address = answer["location"].split("/")[2]
+    return status
+
+
 async def is_ready(fleet, machine):
     try:
         status, _, _ = await call(
@@ -346,6 +351,7 @@
         # (request id, monotonic seconds, what happened)
         self.events = []
         self._sequence = 0
+        self._writers = set()
         self._born_ms = int(time.time() * 1000)
 
     async def start(self):
@@ -375,6 +381,7 @@
     async def _serve(self, reader, writer):
         # Drained means that all of an answer is with the system.
         writer.transport.set_write_buffer_limits(0)
+        self._writers.add(writer)
         try:
             while True:
                 start, headers = await read_head(reader)
@@ -384,6 +391,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _handle(self, writer, method, path, headers, body):
@@ -416,6 +424,7 @@
             await asyncio.sleep(BEAT_S)
 
     async def beat(self):
+        """Sends a heartbeat; returns the status of the answer, 0 without one."""
         self._sequence += 1
         body = json.dumps(
             {
@@ -433,8 +442,26 @@
         headers = {"Content-Type": "application/json"}
         path = f"/cranberrymux/instances/{self.id}"
         try:
-            await call(
+            status, _, _ = await call(
                 self.machine.ip, self.fleet.ports["control"], "PUT", path, headers, body
             )
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            pass  # The next beat follows.
+            return 0  # The next beat follows.
+        return status
+
+    async def leave(self):
+        """Says that it is gone, and ends with what it still runs."""
+        self._beats.cancel()
+        try:
+            await call(
+                self.machine.ip,
+                self.fleet.ports["control"],
+                "DELETE",
+                f"/cranberrymux/instances/{self.id}",
+                {},
+            )
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            pass  # It ends anyway.
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
