--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,3 +1,4 @@
+#!/bin/sh
 # The stand-ins are Python programs that need no build: this checks that they
 # can be read, and that the deploy file's build has left the project's programs.
 set -eu
